--- /dev/null
+++ b/packages/client/fulmarctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' client of fulmarward."""
--- /dev/null
+++ b/packages/client/fulmarctl/__main__.py
@@ -0,0 +1,13 @@
+"""Command line of the operators' client."""
+
+from fulmarctl._commands import Commands
+from fulmarward_core.command_line import run_command_line
+
+
+def main() -> None:
+    """Run the command line."""
+    run_command_line(Commands, name="fulmarctl")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/client/fulmarctl/_commands.py
@@ -0,0 +1,163 @@
+"""The commands of `fulmarctl`."""
+
+import getpass
+import json
+import sys
+import time
+import uuid
+from pathlib import Path
+
+from fulmarctl._client import Fleet, Reply, call_every_instance, call_instance
+from fulmarctl._output import print_failure, print_reply
+from fulmarctl._settings import load_fleet
+from fulmarward_core.checks import Fault, describe_faults, parse_json
+from fulmarward_core.command_line import defer
+from fulmarward_core.declaration import hash_declaration, parse_declaration
+from fulmarward_core.results import Failure, ResultCode, make_failure
+
+#: Seconds between two looks whether all instances have confirmed.
+LOOK_S = 0.2
+
+
+def _read_file(path: str) -> object:
+    faults: list[Fault] = []
+    try:
+        value = parse_json(Path(path).read_text(), path, faults)
+    except (OSError, UnicodeDecodeError) as error:
+        print_failure(make_failure(ResultCode.DECLARATION_INVALID, str(error)))
+    if faults:
+        failure = make_failure(ResultCode.DECLARATION_INVALID, describe_faults(faults))
+        print_failure(failure)
+    return value
+
+
+def _call(fleet: Fleet, path: str, body: object = None) -> Reply:
+    outcome = call_instance(fleet, path, body)
+    if isinstance(outcome, Failure):
+        print_failure(outcome)
+    return outcome
+
+
+class Commands:
+    """Operate a fleet of fulmarward instances.
+
+    SETTINGS is a JSON file with `addresses` (operator addresses of instances) and
+    `token_file`. Every command prints JSON with `--json`, and exits with the status
+    that docs/RESULT-CODES.md gives for its result.
+    """
+
+    def __init__(self, settings: str = "fulmarctl.json", json: bool = False) -> None:
+        self._path = settings
+        self._as_json = json
+
+    @defer
+    def validate(self, file: str) -> None:
+        """Check the declaration in FILE and name every fault; needs no instance."""
+        value = _read_file(file)
+        parsed = parse_declaration(value)
+        if isinstance(parsed, tuple):
+            faults = describe_faults(parsed)
+            print_failure(make_failure(ResultCode.DECLARATION_INVALID, faults))
+        print_reply(
+            {"valid": True, "hash": hash_declaration(value)}, as_json=self._as_json
+        )
+
+    @defer
+    def apply(
+        self, file: str, base_epoch: int | None = None, wait_s: float = 10.0
+    ) -> None:
+        """Apply the declaration in FILE as a whole and wait until it is in force.
+
+        BASE_EPOCH is the epoch that FILE was made from; by default the one in force
+        now. If another file was applied since, nothing is changed and the winner is
+        named. WAIT_S is how long to wait for every instance to confirm; 0 does not.
+        """
+        fleet = load_fleet(self._path)
+        value = _read_file(file)
+        if base_epoch is None:
+            base_epoch = _call(fleet, "/status").body["head"]["epoch"]
+        reply = _call(
+            fleet,
+            "/apply",
+            {
+                "declaration": value,
+                "apply_id": uuid.uuid4().hex,
+                "applied_by": getpass.getuser(),
+                "base_epoch": base_epoch,
+            },
+        )
+        epoch = reply.body["head"]["epoch"]
+        missing = self._wait_for_epoch(fleet, epoch, wait_s) if wait_s else []
+        print_reply({**reply.body, "not_confirmed": missing}, as_json=self._as_json)
+        if missing:
+            detail = "Missing: " + ", ".join(missing)
+            print_failure(make_failure(ResultCode.NOT_CONFIRMED, detail))
+
+    def _wait_for_epoch(self, fleet: Fleet, epoch: int, wait_s: float) -> list[str]:
+        """Return the addresses that have not confirmed `epoch` after `wait_s`."""
+        until = time.monotonic() + wait_s
+        while True:
+            replies = call_every_instance(fleet, "/status")
+            missing = [
+                address
+                for address, reply in zip(fleet.addresses, replies, strict=True)
+                if isinstance(reply, Failure) or reply.body["head"]["epoch"] < epoch
+            ]
+            if not missing or time.monotonic() >= until:
+                return missing
+            time.sleep(LOOK_S)
+
+    @defer
+    def diff(self, file: str) -> None:
+        """Show what FILE would change in the declaration in force."""
+        value = _read_file(file)
+        current = _call(load_fleet(self._path), "/declaration").body
+        changes = _list_changes(current["declaration"] or {}, value, "")
+        body = {"epoch": current["head"]["epoch"], "changes": changes}
+        print_reply(body, as_json=self._as_json)
+
+    @defer
+    def status(self) -> None:
+        """Show the state of every instance in SETTINGS."""
+        fleet = load_fleet(self._path)
+        replies = call_every_instance(fleet, "/status")
+        shown = [
+            {"address": address, "unreachable": reply.message}
+            if isinstance(reply, Failure)
+            else {"address": address, **reply.body}
+            for address, reply in zip(fleet.addresses, replies, strict=True)
+        ]
+        print_reply({"instances": shown}, as_json=self._as_json)
+        if all(isinstance(reply, Failure) for reply in replies):
+            print_failure(make_failure(ResultCode.INSTANCE_UNREACHABLE))
+
+    @defer
+    def history(self) -> None:
+        """Show every declaration that was ever in force, oldest first."""
+        body = _call(load_fleet(self._path), "/history").body
+        print_reply(body, as_json=self._as_json)
+
+    @defer
+    def targets(self) -> None:
+        """Show the targets as one instance sees them."""
+        body = _call(load_fleet(self._path), "/targets").body
+        print_reply(body, as_json=self._as_json)
+
+    @defer
+    def declaration(self) -> None:
+        """Print the declaration in force, fit to be changed and applied again."""
+        body = _call(load_fleet(self._path), "/declaration").body
+        json.dump(body["declaration"], sys.stdout, indent=2)
+        print()
+
+
+def _list_changes(old: object, new: object, where: str) -> list[dict[str, object]]:
+    if old == new:
+        return []
+    if not isinstance(old, dict) or not isinstance(new, dict):
+        return [{"where": where, "old": old, "new": new}]
+    changes = []
+    for key in sorted(old.keys() | new.keys()):
+        path = f"{where}.{key}" if where else key
+        changes += _list_changes(old.get(key), new.get(key), path)
+    return changes
--- /dev/null
+++ b/packages/client/fulmarctl/_settings.py
@@ -0,0 +1,48 @@
+"""The client's settings: which instances to ask, and with which token."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from fulmarctl._client import Fleet
+from fulmarctl._output import print_failure
+from fulmarward_core.checks import (
+    Fault,
+    Field,
+    describe_faults,
+    parse_json,
+    read_address,
+    read_list_of,
+    read_record,
+    read_text,
+)
+from fulmarward_core.results import ResultCode, make_failure
+
+
+@dataclass(frozen=True, kw_only=True)
+class _ClientSettings:
+    addresses: tuple[str, ...]
+    token_file: str
+
+
+_READ_SETTINGS = read_record(
+    _ClientSettings,
+    {
+        "addresses": Field(read=read_list_of(read_address(), least=1, most=1000)),
+        "token_file": Field(read=read_text(expected="the path of a file")),
+    },
+)
+
+
+def load_fleet(path: str) -> Fleet:
+    """Return the fleet that the settings name, or exit naming every fault."""
+    faults: list[Fault] = []
+    try:
+        value = parse_json(Path(path).read_text(), path, faults)
+        settings = None if faults else _READ_SETTINGS(value, "", faults)
+        token = Path(settings.token_file).read_text().strip() if settings else ""
+    except (OSError, UnicodeDecodeError) as error:
+        faults.append(Fault(where=path, expected="a readable file", found=str(error)))
+    if faults:
+        failure = make_failure(ResultCode.SETTINGS_INVALID, describe_faults(faults))
+        print_failure(failure)
+    return Fleet(addresses=settings.addresses, token=token)
--- /dev/null
+++ b/packages/core/fulmarward_core/checks/__init__.py
@@ -0,0 +1,39 @@
+"""Reading JSON into checked types, with every fault named and not just the first."""
+
+from fulmarward_core.checks._readers import (
+    REQUIRED,
+    Fault,
+    Field,
+    Reader,
+    describe_faults,
+    parse_json,
+    read_address,
+    read_flag,
+    read_list_of,
+    read_map_of,
+    read_number,
+    read_one_of,
+    read_optional,
+    read_record,
+    read_text,
+    read_whole,
+)
+
+__all__ = [
+    "REQUIRED",
+    "Fault",
+    "Field",
+    "Reader",
+    "describe_faults",
+    "parse_json",
+    "read_address",
+    "read_flag",
+    "read_list_of",
+    "read_map_of",
+    "read_number",
+    "read_one_of",
+    "read_optional",
+    "read_record",
+    "read_text",
+    "read_whole",
+]
--- /dev/null
+++ b/packages/core/fulmarward_core/declaration/_parse.py
@@ -0,0 +1,262 @@
+"""Reading a declaration, and refusing one that is wrong anywhere."""
+
+import hashlib
+import json
+from collections.abc import Iterable, Iterator, Mapping
+
+from fulmarward_core.checks import (
+    Fault,
+    Field,
+    read_address,
+    read_flag,
+    read_list_of,
+    read_map_of,
+    read_number,
+    read_one_of,
+    read_optional,
+    read_record,
+    read_text,
+    read_whole,
+)
+from fulmarward_core.declaration._types import (
+    DataCentre,
+    Declaration,
+    Link,
+    Model,
+    Pipeline,
+    Service,
+    ServiceCall,
+    Target,
+    TargetKind,
+    Team,
+    Urgency,
+)
+
+#: The sections of a declaration; each is hashed and sent on its own.
+SECTIONS = (
+    "data_centres",
+    "links",
+    "teams",
+    "models",
+    "pipelines",
+    "services",
+    "targets",
+)
+
+_NAME = read_text(
+    pattern=r"[a-z0-9][a-z0-9._-]{0,62}",
+    expected="a name of lower-case letters, digits, '.', '_' and '-'",
+)
+_DIGEST = read_text(
+    pattern=r"sha256:[0-9a-f]{64}", expected="sha256: and 64 hexadecimal digits"
+)
+_NAMES = read_list_of(_NAME)
+_DEADLINE_MS = read_whole(least=1, most=86_400_000)
+
+
+def _make_target(*, layers: tuple[int, ...], **members: object) -> Target:
+    return Target(layers=(layers[0], layers[1]), **members)
+
+
+_READ_DATA_CENTRE = read_record(DataCentre, {"region": Field(read=_NAME)})
+_READ_LINK = read_record(
+    Link,
+    {
+        "between": Field(read=read_list_of(_NAME, least=2, most=2)),
+        "latency_ms": Field(read=read_number(least=0, most=10_000)),
+        "mbit_per_s": Field(read=read_number(least=0.001, most=1e9)),
+    },
+)
+_READ_TEAM = read_record(
+    Team,
+    {
+        "key_digests": Field(read=read_list_of(_DIGEST, least=1, most=16)),
+        "tokens_per_s": Field(read=read_number(least=0, most=1e9)),
+        "burst_tokens": Field(read=read_number(least=0, most=1e9)),
+        "pipelines": Field(read=_NAMES, default=()),
+        "services": Field(read=_NAMES, default=()),
+    },
+)
+_READ_MODEL = read_record(
+    Model,
+    {
+        "layers": Field(read=read_whole(least=1, most=10_000)),
+        "versions": Field(read=read_list_of(_NAME, least=1, most=64)),
+        "serving": Field(read=_NAME),
+        "adapters": Field(read=_NAMES, default=()),
+    },
+)
+_READ_PIPELINE = read_record(
+    Pipeline,
+    {
+        "model": Field(read=_NAME),
+        "adapter": Field(read=read_optional(_NAME), default=None),
+        "urgency": Field(
+            read=read_one_of({item.name.lower(): item for item in Urgency}),
+            default=Urgency.NORMAL,
+        ),
+        "deadline_ms": Field(read=_DEADLINE_MS),
+        "idempotent": Field(read=read_flag()),
+        "max_output_tokens": Field(read=read_whole(least=1, most=1_000_000)),
+    },
+)
+_READ_SERVICE_CALL = read_record(
+    ServiceCall,
+    {
+        "method": Field(
+            read=read_one_of(
+                {name: name for name in ("GET", "PUT", "POST", "DELETE", "PATCH")}
+            )
+        ),
+        "path": Field(read=read_text(pattern=r"/\S*", expected="a path from '/'")),
+        "idempotent": Field(read=read_flag()),
+    },
+)
+_READ_SERVICE = read_record(
+    Service,
+    {
+        "calls": Field(read=read_list_of(_READ_SERVICE_CALL), default=()),
+        "deadline_ms": Field(read=_DEADLINE_MS),
+    },
+)
+_READ_TARGET = read_record(
+    _make_target,
+    {
+        "address": Field(read=read_address()),
+        "data_centre": Field(read=_NAME),
+        "kind": Field(read=read_one_of({item.value: item for item in TargetKind})),
+        "serves": Field(read=_NAME),
+        "accelerator": Field(read=read_text(), default=""),
+        "layers": Field(
+            read=read_list_of(read_whole(least=0, most=10_000), least=2, most=2),
+            default=(0, 0),
+        ),
+        "slots": Field(read=read_whole(least=1, most=100_000)),
+        "tokens_per_s": Field(read=read_number(least=0, most=1e9), default=0.0),
+        "checks_fencing": Field(read=read_flag(), default=False),
+    },
+)
+_READ_DECLARATION = read_record(
+    Declaration,
+    {
+        "data_centres": Field(read=read_map_of(_READ_DATA_CENTRE, name=_NAME)),
+        "links": Field(read=read_list_of(_READ_LINK), default=()),
+        "teams": Field(read=read_map_of(_READ_TEAM, name=_NAME)),
+        "models": Field(read=read_map_of(_READ_MODEL, name=_NAME), default={}),
+        "pipelines": Field(read=read_map_of(_READ_PIPELINE, name=_NAME), default={}),
+        "services": Field(read=read_map_of(_READ_SERVICE, name=_NAME), default={}),
+        "targets": Field(read=read_map_of(_READ_TARGET, name=_NAME)),
+    },
+)
+
+
+def parse_declaration(value: object) -> Declaration | tuple[Fault, ...]:
+    """Return the declaration in the JSON `value`, or every fault it has."""
+    faults: list[Fault] = []
+    declaration = _READ_DECLARATION(value, "", faults)
+    if declaration is not None:
+        faults.extend(_find_broken_references(declaration))
+    return tuple(faults) if faults else declaration
+
+
+def hash_declaration(value: Mapping[str, object]) -> str:
+    """Return the content hash of a declaration, the same for equal content."""
+    canonical = json.dumps(value, sort_keys=True, separators=(",", ":"))
+    return hashlib.sha256(canonical.encode()).hexdigest()
+
+
+def _find_unknown(
+    names: Iterable[str], known: Iterable[str], where: str, kind: str
+) -> Iterator[Fault]:
+    for name in names:
+        if name not in known:
+            yield Fault(where=where, expected=f"a declared {kind}", found=name)
+
+
+def _find_broken_references(declaration: Declaration) -> Iterator[Fault]:
+    yield from _check_links(declaration)
+    yield from _check_teams(declaration)
+    yield from _check_models(declaration)
+    yield from _check_pipelines(declaration)
+    yield from _check_targets(declaration)
+
+
+def _check_links(declaration: Declaration) -> Iterator[Fault]:
+    for index, link in enumerate(declaration.links):
+        where = f"links[{index}].between"
+        yield from _find_unknown(
+            link.between, declaration.data_centres, where, "data centre"
+        )
+
+
+def _check_teams(declaration: Declaration) -> Iterator[Fault]:
+    owners: dict[str, str] = {}
+    for name, team in declaration.teams.items():
+        where = f"teams.{name}"
+        yield from _find_unknown(
+            team.pipelines, declaration.pipelines, f"{where}.pipelines", "pipeline"
+        )
+        yield from _find_unknown(
+            team.services, declaration.services, f"{where}.services", "service"
+        )
+        for digest in team.key_digests:
+            owner = owners.setdefault(digest, name)
+            if owner != name:
+                yield Fault(
+                    where=f"{where}.key_digests",
+                    expected="a key of this team alone",
+                    found=f"a key of team {owner}",
+                )
+
+
+def _check_models(declaration: Declaration) -> Iterator[Fault]:
+    for name, model in declaration.models.items():
+        yield from _find_unknown(
+            [model.serving], model.versions, f"models.{name}.serving", "version"
+        )
+
+
+def _check_pipelines(declaration: Declaration) -> Iterator[Fault]:
+    for name, pipeline in declaration.pipelines.items():
+        where = f"pipelines.{name}"
+        yield from _find_unknown(
+            [pipeline.model], declaration.models, f"{where}.model", "model"
+        )
+        model = declaration.models.get(pipeline.model)
+        if model is not None and pipeline.adapter is not None:
+            yield from _find_unknown(
+                [pipeline.adapter], model.adapters, f"{where}.adapter", "adapter"
+            )
+
+
+def _check_targets(declaration: Declaration) -> Iterator[Fault]:
+    for name, target in declaration.targets.items():
+        where = f"targets.{name}"
+        yield from _find_unknown(
+            [target.data_centre],
+            declaration.data_centres,
+            f"{where}.data_centre",
+            "data centre",
+        )
+        if target.kind is TargetKind.SERVICE:
+            yield from _find_unknown(
+                [target.serves], declaration.services, f"{where}.serves", "service"
+            )
+            continue
+        yield from _find_unknown(
+            [target.serves], declaration.models, f"{where}.serves", "model"
+        )
+        yield from _check_layers(declaration, where, target)
+
+
+def _check_layers(
+    declaration: Declaration, where: str, target: Target
+) -> Iterator[Fault]:
+    model = declaration.models.get(target.serves)
+    first, end = target.layers
+    if model is not None and not 0 <= first < end <= model.layers:
+        yield Fault(
+            where=f"{where}.layers",
+            expected=f"[first, end] with 0 <= first < end <= {model.layers}",
+            found=f"[{first}, {end}]",
+        )
--- /dev/null
+++ b/packages/core/fulmarward_core/routing/_types.py
@@ -0,0 +1,53 @@
+"""What an instance knows of targets when it chooses among them."""
+
+from dataclasses import dataclass, field
+
+from fulmarward_core.declaration import Target
+
+
+@dataclass(frozen=True, kw_only=True)
+class LoadReport:
+    """A target's own word about its load, late by an unknown lag."""
+
+    #: Requests running.
+    running: int
+    #: Requests waiting.
+    waiting: int
+    #: When the instance received it, seconds on the instance's steady clock.
+    received_at: float
+
+
+#: The report of a target that has not reported yet.
+NO_REPORT = LoadReport(running=0, waiting=0, received_at=float("-inf"))
+
+
+@dataclass(kw_only=True)
+class TargetView:
+    """One target as this instance sees it; changed by the tasks that watch it."""
+
+    #: Its name in the declaration.
+    name: str
+    #: Its declaration.
+    target: Target
+    #: Requests that this instance has on it now.
+    in_flight: int = 0
+    #: The newest report.
+    report: LoadReport = field(default=NO_REPORT)
+    #: Whether any source says that it is leaving: no new work.
+    leaving: bool = False
+    #: Until when it gets no work because it failed; seconds on the steady clock.
+    avoided_until: float = float("-inf")
+
+
+@dataclass(frozen=True, kw_only=True)
+class Choice:
+    """A choice of target, with what decided it."""
+
+    #: The chosen target.
+    chosen: TargetView
+    #: Score of the chosen target; lower is better.
+    score: float
+    #: Name of the next best target, empty when there was no other.
+    runner_up: str
+    #: Why it was chosen, a fixed word for logs.
+    reason: str
--- /dev/null
+++ b/packages/core/fulmarward_core/streams/__init__.py
@@ -0,0 +1,19 @@
+"""Where a stream runs, in a sealed form that the caller carries."""
+
+from fulmarward_core.streams._locators import (
+    Locator,
+    Stage,
+    make_event_id,
+    open_locator,
+    seal_locator,
+    split_event_id,
+)
+
+__all__ = [
+    "Locator",
+    "Stage",
+    "make_event_id",
+    "open_locator",
+    "seal_locator",
+    "split_event_id",
+]
--- /dev/null
+++ b/packages/instance/fulmarward/__init__.py
@@ -0,0 +1,1 @@
+"""The instance daemon of fulmarward: every instance is alike and keeps nothing."""
--- /dev/null
+++ b/packages/instance/fulmarward/_daemon.py
@@ -0,0 +1,226 @@
+"""Assembling an instance from its settings and running it until it is stopped."""
+
+import asyncio
+import logging
+import random
+import signal
+import ssl
+import time
+from collections.abc import Coroutine
+
+import aiohttp
+from aiohttp import web
+
+from fulmarward._instance import Instance
+from fulmarward._lifecycle import Lifecycle
+from fulmarward.callers import make_caller_app
+from fulmarward.configuration import answer_body, answer_head, run_adoption
+from fulmarward.membership import answer_ping, answer_sync, run_membership
+from fulmarward.membership._heartbeats import announce_leaving
+from fulmarward.observability import log_event, make_metrics, start_logging
+from fulmarward.operators import make_operator_app
+from fulmarward.peers import (
+    AskBody,
+    AskHead,
+    PeerHandlers,
+    PeerLinks,
+    Ping,
+    SyncMembers,
+    serve_peers,
+)
+from fulmarward.platform import Platform
+from fulmarward.settings import InstanceSettings, Secrets
+from fulmarward.targets import follow_targets
+from fulmarward_core.configuration import EMPTY_SNAPSHOT
+from fulmarward_core.membership import Member, MemberState, MemberTable
+
+#: Connections to targets kept open, for all of them together.
+MOST_CONNECTIONS = 10_000
+
+#: Seconds between two looks whether the last open request has ended.
+STOP_LOOK_S = 0.05
+
+#: Seconds in which peers and callers hear that this instance is leaving, before it
+#: refuses new work. It is one heartbeat and a little.
+LEAVING_NOTICE_S = 1.5
+
+
+def _make_tls(settings: InstanceSettings) -> ssl.SSLContext | None:
+    if settings.tls is None:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(settings.tls.certificate_file, settings.tls.key_file)
+    return context
+
+
+def make_instance(
+    settings: InstanceSettings, secrets: Secrets, session: aiohttp.ClientSession
+) -> Instance:
+    """Return the state of a fresh instance. Needs a running event loop."""
+    member = Member(
+        name=settings.name,
+        boot=int(time.time() * 1000),
+        version=1,
+        state=MemberState.ALIVE,
+        data_centre=settings.data_centre,
+        peer_address=settings.peer_address,
+        caller_address=settings.caller_address,
+    )
+    platform = Platform(
+        session=session,
+        address=settings.platform_address,
+        token=secrets.platform_token,
+        timeout_s=settings.limits.platform_ms / 1000,
+    )
+    return Instance(
+        settings=settings,
+        secrets=secrets,
+        read_clock=time.monotonic,
+        read_wall_clock=time.time,
+        generator=random.Random(),
+        session=session,
+        platform=platform,
+        metrics=make_metrics(),
+        lifecycle=Lifecycle(),
+        member=member,
+        members=MemberTable(own_name=settings.name, members={settings.name: member}),
+        snapshot=EMPTY_SNAPSHOT,
+        tls=_make_tls(settings),
+    )
+
+
+def _make_links(instance: Instance) -> PeerLinks:
+    def count_bytes(direction: str, number: int) -> None:
+        instance.metrics.control_bytes.add({"direction": direction}, number)
+
+    return PeerLinks(
+        read_own=lambda: instance.member,
+        read_secrets=lambda: instance.secrets.peer_secrets,
+        count_bytes=count_bytes,
+    )
+
+
+def _make_handlers(instance: Instance) -> PeerHandlers:
+    answers = {
+        Ping: answer_ping,
+        SyncMembers: answer_sync,
+        AskHead: answer_head,
+        AskBody: answer_body,
+    }
+
+    def bind(answer):  # noqa: ANN001, ANN202
+        return lambda peer, message: answer(instance, peer, message)
+
+    return {kind: bind(answer) for kind, answer in answers.items()}
+
+
+async def _listen(
+    instance: Instance, app: web.Application, address: str
+) -> web.AppRunner:
+    runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
+    await runner.setup()
+    host, port = address.rsplit(":", 1)
+    site = web.TCPSite(runner, host, int(port), ssl_context=instance.tls, backlog=1024)
+    await site.start()
+    return runner
+
+
+async def _become_ready(instance: Instance) -> None:
+    """Serve once a configuration is known."""
+    while instance.snapshot.head.epoch == 0:
+        await instance.snapshot_changed.wait()
+    if instance.lifecycle.state == "starting":
+        instance.lifecycle.become_ready()
+        log_event("serving", epoch=instance.snapshot.head.epoch)
+
+
+async def _stop_gracefully(instance: Instance, hurried: asyncio.Event) -> None:
+    """Announce the stop, then let every open request end."""
+    announce_leaving(instance)
+    log_event("stopping", open_requests=len(instance.answers))
+    await _wait_or_hurry(hurried, LEAVING_NOTICE_S)
+    instance.lifecycle.begin_stop()
+    deadline = instance.read_clock() + instance.settings.limits.stop_ms / 1000
+    while instance.answers and instance.read_clock() < deadline:
+        if hurried.is_set():
+            break
+        await asyncio.sleep(STOP_LOOK_S)
+    log_event("stopped", cut_off=len(instance.answers))
+
+
+async def _wait_or_hurry(hurried: asyncio.Event, seconds: float) -> None:
+    try:
+        async with asyncio.timeout(seconds):
+            await hurried.wait()
+    except TimeoutError:
+        return
+
+
+async def run_daemon(settings: InstanceSettings, secrets: Secrets) -> bool:
+    """Run an instance until SIGTERM or SIGINT; a second signal hurries it.
+
+    Returns whether it ended because it was told to, and not because a duty failed.
+    """
+    start_logging(instance=settings.name, level=settings.log_level)
+    connector = aiohttp.TCPConnector(limit=MOST_CONNECTIONS)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        instance = make_instance(settings, secrets, session)
+        links = _make_links(instance)
+        stop, hurried = asyncio.Event(), asyncio.Event()
+        _watch_signals(stop, hurried)
+        server = await serve_peers(instance, _make_handlers(instance))
+        runners = [
+            await _listen(instance, make_caller_app(instance), settings.caller_address),
+            await _listen(
+                instance, make_operator_app(instance), settings.operator_address
+            ),
+        ]
+        log_event("started", boot=instance.member.boot)
+        duties = [
+            _start_duty("membership", run_membership(instance, links), stop),
+            _start_duty("adoption", run_adoption(instance, links), stop),
+            _start_duty("targets", follow_targets(instance), stop),
+            _start_duty("readiness", _become_ready(instance), stop),
+        ]
+        await stop.wait()
+        await _stop_gracefully(instance, hurried)
+        has_failed = any(task.done() and task.exception() for task in duties)
+        for task in [*duties, *instance.tasks]:
+            task.cancel()
+        for runner in runners:
+            await runner.cleanup()
+        await links.close()
+        server.close()
+        await server.wait_closed()
+        return not has_failed
+
+
+def _start_duty(
+    name: str, duty: Coroutine[None, None, None], stop: asyncio.Event
+) -> asyncio.Task:
+    """Start a duty. An instance whose duty has failed stops: half of one misleads."""
+
+    def note_end(task: asyncio.Task) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            log_event(
+                "duty_failed",
+                level=logging.CRITICAL,
+                duty=name,
+                exc_info=task.exception(),
+            )
+            stop.set()
+
+    task = asyncio.create_task(duty, name=name)
+    task.add_done_callback(note_end)
+    return task
+
+
+def _watch_signals(stop: asyncio.Event, hurried: asyncio.Event) -> None:
+    def take_signal() -> None:
+        if stop.is_set():
+            hurried.set()
+        stop.set()
+
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, take_signal)
--- /dev/null
+++ b/packages/instance/fulmarward/_instance.py
@@ -0,0 +1,90 @@
+"""The state of one instance, shared by its tasks on one event loop."""
+
+import asyncio
+import random
+import ssl
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import aiohttp
+
+from fulmarward._lifecycle import Lifecycle
+from fulmarward.answers import Answer
+from fulmarward.observability import Metrics
+from fulmarward.platform import Platform
+from fulmarward.settings import InstanceSettings, Secrets
+from fulmarward_core.configuration import Snapshot
+from fulmarward_core.membership import Member, MemberTable
+from fulmarward_core.routing import TargetView
+
+
+@dataclass(kw_only=True)
+class Instance:
+    """Everything that the tasks of one instance share."""
+
+    #: The settings in force.
+    settings: InstanceSettings
+    #: The secrets in force; replaced when the files change.
+    secrets: Secrets
+    #: The steady clock, seconds from an arbitrary start.
+    read_clock: Callable[[], float]
+    #: The wall clock, seconds since 1970.
+    read_wall_clock: Callable[[], float]
+    #: The random numbers that decisions draw from.
+    generator: random.Random
+    #: The HTTP client towards targets.
+    session: aiohttp.ClientSession
+    #: The platform.
+    platform: Platform
+    #: Metrics.
+    metrics: Metrics
+    #: Starting, serving, stopping or stopped.
+    lifecycle: Lifecycle
+    #: What this instance says of itself.
+    member: Member
+    #: All members it knows.
+    members: MemberTable
+    #: The configuration in force, `EMPTY_SNAPSHOT` before the first.
+    snapshot: Snapshot
+    #: The JSON texts of declarations by content hash, for peers and operators.
+    bodies: dict[str, bytes] = field(default_factory=dict)
+    #: Set and replaced each time the snapshot changes.
+    snapshot_changed: asyncio.Event = field(default_factory=asyncio.Event)
+    #: Followed targets by name.
+    views: dict[str, TargetView] = field(default_factory=dict)
+    #: Answers by request id, running and lately finished.
+    answers: dict[str, Answer] = field(default_factory=dict)
+    #: Tasks that outlive the call that began them.
+    tasks: set[asyncio.Task] = field(default_factory=set)
+    #: TLS towards callers and operators.
+    tls: ssl.SSLContext | None = None
+    #: Teams by the digest of each of their keys, as old as the snapshot.
+    teams_by_digest: dict[str, str] = field(default_factory=dict)
+    #: The highest configuration epoch heard of.
+    known_epoch: int = 0
+    #: Set when a peer told of a newer epoch.
+    epoch_heard: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def keep_task(self, task: asyncio.Task) -> None:
+        """Hold a task until it ends; the event loop itself holds none."""
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def adopt_snapshot(self, snapshot: Snapshot) -> None:
+        """Put a snapshot in force and wake all who wait for a change."""
+        self.snapshot = snapshot
+        self.teams_by_digest = {
+            digest: name
+            for name, team in snapshot.declaration.teams.items()
+            for digest in team.key_digests
+        }
+        self.metrics.epoch.set({}, snapshot.head.epoch)
+        self.snapshot_changed.set()
+        self.snapshot_changed = asyncio.Event()
+
+    def note_epoch(self, epoch: int) -> None:
+        """Remember an epoch heard of, and wake the adoption if it is news."""
+        if epoch > self.known_epoch:
+            self.known_epoch = epoch
+        if epoch > self.snapshot.head.epoch:
+            self.epoch_heard.set()
--- /dev/null
+++ b/packages/instance/fulmarward/callers/__init__.py
@@ -0,0 +1,5 @@
+"""The callers' edge: HTTP and JSON."""
+
+from fulmarward.callers._server import make_caller_app
+
+__all__ = ["make_caller_app"]
--- /dev/null
+++ b/packages/instance/fulmarward/callers/_bodies.py
@@ -0,0 +1,162 @@
+"""Reading callers' bodies within bounds of size and time."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Any
+
+from aiohttp import web
+
+from fulmarward._instance import Instance
+from fulmarward.callers._errors import CallerError
+from fulmarward_core.checks import (
+    Fault,
+    Field,
+    describe_faults,
+    parse_json,
+    read_flag,
+    read_list_of,
+    read_one_of,
+    read_optional,
+    read_record,
+    read_text,
+    read_whole,
+)
+from fulmarward_core.results import ResultCode, make_failure
+
+#: Largest number of tokens that a body may ask for.
+MOST_TOKENS = 1_000_000
+
+
+@dataclass(frozen=True, kw_only=True)
+class CompletionBody:
+    """What a completion call asks for, whichever shape it came in."""
+
+    #: Name of the pipeline.
+    pipeline: str
+    #: The prompt's text.
+    prompt: str
+    #: Most tokens of the answer, `None` for the pipeline's own bound.
+    max_tokens: int | None
+    #: Whether events are streamed.
+    stream: bool
+    #: Whether a streamed answer ends with its token counts.
+    include_usage: bool
+
+
+def _read_content(value: Any, where: str, faults: list[Fault]) -> str | None:  # noqa: ANN401
+    """Read a message's content: a text, or a list of text parts."""
+    if isinstance(value, str):
+        return value
+    parts = _READ_PARTS(value, where, faults)
+    return "".join(parts) if parts and all(parts) else ""
+
+
+def _make_part(*, type: str, text: str) -> str:  # noqa: A002
+    return text
+
+
+def _make_message(*, role: str, content: str | None, **_: object) -> str:
+    return f"{role}: {content or ''}"
+
+
+def _read_anything(value: Any, where: str, faults: list[Fault]) -> Any:  # noqa: ANN401
+    return value
+
+
+_TEXT = read_text(pattern=r"(?s).*")
+_READ_PARTS = read_list_of(
+    read_record(
+        _make_part,
+        {"type": Field(read=read_one_of({"text": "text"})), "text": Field(read=_TEXT)},
+    ),
+    most=1000,
+)
+_ROLES = ("system", "developer", "user", "assistant", "tool")
+_READ_MESSAGES = read_list_of(
+    read_record(
+        _make_message,
+        {
+            "role": Field(read=read_one_of({role: role for role in _ROLES})),
+            "content": Field(read=read_optional(_read_content), default=None),
+            "name": Field(read=_TEXT, default=None),
+            "tool_call_id": Field(read=_TEXT, default=None),
+            "tool_calls": Field(read=_read_anything, default=None),
+        },
+    ),
+    least=1,
+    most=10_000,
+)
+_TOKENS = read_optional(read_whole(least=1, most=MOST_TOKENS))
+_SHARED = {
+    "model": Field(read=_TEXT),
+    "max_tokens": Field(read=_TOKENS, default=None),
+    "max_completion_tokens": Field(read=_TOKENS, default=None),
+    "stream": Field(read=read_optional(read_flag()), default=False),
+    "stream_options": Field(
+        read=read_optional(
+            read_record(dict, {"include_usage": Field(read=read_flag(), default=False)})
+        ),
+        default=None,
+    ),
+    "n": Field(read=read_optional(read_whole(least=1, most=1)), default=1),
+}
+#: Members that callers' libraries may send and that the engines here do not use.
+_UNUSED = (
+    "temperature top_p stop user seed presence_penalty frequency_penalty logit_bias "
+    "logprobs top_logprobs response_format tools tool_choice metadata store "
+    "service_tier best_of echo suffix parallel_tool_calls reasoning_effort"
+).split()
+_IGNORED = {name: Field(read=_read_anything, default=None) for name in _UNUSED}
+
+
+def _make_body(*, prompt: str, **members: Any) -> CompletionBody:  # noqa: ANN401
+    options = members["stream_options"] or {}
+    most = members["max_completion_tokens"] or members["max_tokens"]
+    return CompletionBody(
+        pipeline=members["model"],
+        prompt=prompt,
+        max_tokens=most,
+        stream=bool(members["stream"]),
+        include_usage=options.get("include_usage", False),
+    )
+
+
+def _make_chat_body(*, messages: tuple[str, ...], **members: Any) -> CompletionBody:  # noqa: ANN401
+    return _make_body(prompt="\n".join(messages), **members)
+
+
+_READ_CHAT = read_record(
+    _make_chat_body, {"messages": Field(read=_READ_MESSAGES), **_SHARED, **_IGNORED}
+)
+_READ_TEXT_COMPLETION = read_record(
+    _make_body, {"prompt": Field(read=_TEXT), **_SHARED, **_IGNORED}
+)
+
+
+async def read_body(instance: Instance, request: web.Request) -> bytes:
+    """Return the call's body; raises `CallerError` when it is too large or slow."""
+    limits = instance.settings.limits
+    try:
+        async with asyncio.timeout(limits.body_ms / 1000):
+            return await request.read()
+    except web.HTTPRequestEntityTooLarge as error:
+        detail = f"At most {limits.body_bytes} bytes are taken."
+        failure = make_failure(ResultCode.BODY_TOO_LARGE, detail)
+        raise CallerError(failure=failure) from error
+    except TimeoutError as error:
+        detail = f"Expected the whole body within {limits.body_ms} ms."
+        failure = make_failure(ResultCode.BODY_TOO_SLOW, detail)
+        raise CallerError(failure=failure) from error
+
+
+def parse_completion_body(raw: bytes, *, is_chat: bool) -> CompletionBody:
+    """Return what the body asks for; raises `CallerError` naming every fault."""
+    faults: list[Fault] = []
+    value = parse_json(raw, "body", faults)
+    if not faults:
+        read = _READ_CHAT if is_chat else _READ_TEXT_COMPLETION
+        body = read(value, "", faults)
+    if faults:
+        failure = make_failure(ResultCode.BODY_MALFORMED, describe_faults(faults))
+        raise CallerError(failure=failure)
+    return body
--- /dev/null
+++ b/packages/instance/fulmarward/callers/_discovery.py
@@ -0,0 +1,28 @@
+"""Discovery: which addresses a caller shall use."""
+
+from aiohttp import web
+
+from fulmarward._instance import Instance
+from fulmarward.callers._authenticate import authenticate_team
+from fulmarward_core.discovery import order_addresses
+
+
+def make_discovery_routes(instance: Instance) -> list[web.RouteDef]:
+    """Return the routes of this module."""
+
+    async def discover(request: web.Request) -> web.Response:
+        authenticate_team(instance, request)
+        addresses = order_addresses(
+            instance.members.members.values(),
+            data_centre=instance.settings.data_centre,
+            generator=instance.generator,
+        )
+        scheme = "https" if instance.tls else "http"
+        answer = {
+            "addresses": [f"{scheme}://{address}" for address in addresses],
+            "lifetime_ms": instance.settings.limits.discovery_ms,
+            "epoch": instance.snapshot.head.epoch,
+        }
+        return web.json_response(answer)
+
+    return [web.get("/discovery", discover)]
--- /dev/null
+++ b/packages/instance/fulmarward/callers/_headers.py
@@ -0,0 +1,44 @@
+"""Headers by which a caller says what its request needs."""
+
+from aiohttp import web
+
+from fulmarward.callers._errors import CallerError
+from fulmarward_core.declaration import Urgency
+from fulmarward_core.results import ResultCode, make_failure
+
+#: Milliseconds until the answer has to be over.
+DEADLINE_HEADER = "X-Deadline-Ms"
+
+#: `urgent`, `normal` or `bulk`.
+URGENCY_HEADER = "X-Urgency"
+
+#: Longest deadline that a caller may give: a day.
+MOST_DEADLINE_MS = 86_400_000
+
+_URGENCIES = {item.name.lower(): item for item in Urgency}
+
+
+def _refuse(header: str, expected: str, found: str) -> CallerError:
+    detail = f"{header}: expected {expected}, found {found[:64]!r}."
+    return CallerError(failure=make_failure(ResultCode.HEADER_MALFORMED, detail))
+
+
+def read_deadline_ms(request: web.Request, *, default: int) -> int:
+    """Return the deadline in milliseconds from now; raises `CallerError`."""
+    value = request.headers.get(DEADLINE_HEADER)
+    if value is None:
+        return default
+    is_number = value.isascii() and value.isdigit() and len(value) < 10
+    if not is_number or not 1 <= int(value) <= MOST_DEADLINE_MS:
+        raise _refuse(DEADLINE_HEADER, f"1 to {MOST_DEADLINE_MS}", value)
+    return int(value)
+
+
+def read_urgency(request: web.Request, *, default: Urgency) -> Urgency:
+    """Return the urgency that the caller wants; raises `CallerError`."""
+    value = request.headers.get(URGENCY_HEADER)
+    if value is None:
+        return default
+    if value not in _URGENCIES:
+        raise _refuse(URGENCY_HEADER, "one of " + ", ".join(_URGENCIES), value)
+    return _URGENCIES[value]
--- /dev/null
+++ b/packages/instance/fulmarward/callers/_server.py
@@ -0,0 +1,88 @@
+"""The web application that callers use."""
+
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+from aioprometheus import render
+
+from fulmarward._instance import Instance
+from fulmarward.callers._completions import make_completion_routes, make_request_id
+from fulmarward.callers._discovery import make_discovery_routes
+from fulmarward.callers._errors import CallerError, make_failure_response
+from fulmarward.callers._services import make_service_routes
+from fulmarward_core.results import Failure, ResultCode, make_failure
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+#: Paths that are answered in every state.
+_ALWAYS = ("/health", "/ready", "/metrics")
+
+#: When a caller may come back while the instance is not serving, in milliseconds.
+RETRY_AFTER_MS = 1_000
+
+_STATE_CODES = {
+    "starting": ResultCode.NOT_READY,
+    "stopping": ResultCode.STOPPING,
+    "stopped": ResultCode.STOPPING,
+}
+
+
+def _find_refusal(instance: Instance, request: web.Request) -> Failure | None:
+    if request.path in _ALWAYS:
+        return None
+    code = _STATE_CODES.get(instance.lifecycle.state)
+    if code is not None:
+        return make_failure(code, retry_after_ms=RETRY_AFTER_MS)
+    if len(instance.answers) >= instance.settings.limits.open_requests:
+        return make_failure(ResultCode.QUEUE_FULL, retry_after_ms=RETRY_AFTER_MS)
+    return None
+
+
+def make_caller_app(instance: Instance) -> web.Application:
+    """Return the web application that callers use."""
+
+    @web.middleware
+    async def answer_failures(
+        request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        try:
+            refusal = _find_refusal(instance, request)
+            if refusal is not None:
+                raise CallerError(failure=refusal)
+            return await handler(request)
+        except CallerError as error:
+            response = make_failure_response(error.failure)
+        except (web.HTTPNotFound, web.HTTPMethodNotAllowed):
+            response = make_failure_response(make_failure(ResultCode.PATH_UNKNOWN))
+        response.headers.setdefault("X-Request-Id", make_request_id())
+        return response
+
+    async def show_health(request: web.Request) -> web.Response:
+        return web.json_response({"state": instance.lifecycle.state})
+
+    async def show_readiness(request: web.Request) -> web.Response:
+        is_ready = instance.lifecycle.state == "serving"
+        body = {"ready": is_ready, "epoch": instance.snapshot.head.epoch}
+        return web.json_response(body, status=200 if is_ready else 503)
+
+    async def show_metrics(request: web.Request) -> web.Response:
+        content, headers = render(
+            instance.metrics.registry, request.headers.getall("Accept", [])
+        )
+        return web.Response(body=content, headers=headers)
+
+    app = web.Application(
+        middlewares=[answer_failures],
+        client_max_size=instance.settings.limits.body_bytes,
+    )
+    app.add_routes(
+        [
+            web.get("/health", show_health),
+            web.get("/ready", show_readiness),
+            web.get("/metrics", show_metrics),
+            *make_discovery_routes(instance),
+            *make_completion_routes(instance),
+            *make_service_routes(instance),
+        ]
+    )
+    return app
--- /dev/null
+++ b/packages/instance/fulmarward/observability/_metrics.py
@@ -0,0 +1,65 @@
+"""Metrics in the Prometheus text format."""
+
+from dataclasses import dataclass
+from math import inf
+
+from aioprometheus import REGISTRY, Counter, Gauge, Histogram, Registry
+
+#: Bounds of the latency histograms, in seconds.
+LATENCY_BUCKETS_S = [0.005, 0.01, 0.03, 0.1, 0.3, 1.0, 1.6, 3.0, 10.0, 30.0, inf]
+
+
+@dataclass(frozen=True, kw_only=True)
+class Metrics:
+    """The metrics of one instance."""
+
+    #: What `/metrics` renders.
+    registry: Registry
+    #: Requests by `kind` and `result`.
+    requests: Counter
+    #: Decisions by `kind` and `reason`.
+    decisions: Counter
+    #: Events of targets dropped, by `reason`.
+    dropped: Counter
+    #: Control messages by `kind` and `direction`.
+    control_messages: Counter
+    #: Control bytes by `direction`.
+    control_bytes: Counter
+    #: Requests open now.
+    open_requests: Gauge
+    #: The configuration epoch in force.
+    epoch: Gauge
+    #: Seconds to the first token.
+    first_token: Histogram
+    #: Seconds from acceptance to the end.
+    whole: Histogram
+
+
+def make_metrics() -> Metrics:
+    """Return fresh metrics with their own registry."""
+    REGISTRY.clear()
+    registry = Registry()
+
+    def count(name: str, text: str) -> Counter:
+        return Counter(f"fulmarward_{name}", text, registry=registry)
+
+    def gauge(name: str, text: str) -> Gauge:
+        return Gauge(f"fulmarward_{name}", text, registry=registry)
+
+    def histogram(name: str, text: str) -> Histogram:
+        return Histogram(
+            f"fulmarward_{name}", text, registry=registry, buckets=LATENCY_BUCKETS_S
+        )
+
+    return Metrics(
+        registry=registry,
+        requests=count("requests_total", "Requests answered, by kind and result."),
+        decisions=count("decisions_total", "Decisions, by kind and reason."),
+        dropped=count("dropped_events_total", "Target events dropped, by reason."),
+        control_messages=count("control_messages_total", "Messages between peers."),
+        control_bytes=count("control_bytes_total", "Bytes between peers."),
+        open_requests=gauge("open_requests", "Requests open now."),
+        epoch=gauge("configuration_epoch", "Configuration epoch in force."),
+        first_token=histogram("first_token_seconds", "Time to the first token."),
+        whole=histogram("request_seconds", "Time to the end of the answer."),
+    )
--- /dev/null
+++ b/packages/instance/fulmarward/operators/_server.py
@@ -0,0 +1,164 @@
+"""The web application that `fulmarctl` uses."""
+
+import hmac
+from collections.abc import Awaitable, Callable
+from dataclasses import asdict
+
+import orjson
+from aiohttp import web
+
+from fulmarward._instance import Instance
+from fulmarward.callers._errors import make_failure_response
+from fulmarward.configuration import (
+    ApplyRequest,
+    apply_declaration,
+    read_history,
+)
+from fulmarward.observability import log_event
+from fulmarward_core.checks import (
+    Field,
+    describe_faults,
+    parse_json,
+    read_optional,
+    read_record,
+    read_text,
+    read_whole,
+)
+from fulmarward_core.results import Failure, ResultCode, make_failure
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+#: Largest body of an operator's call in bytes.
+MOST_BODY_BYTES = 16 * 1024 * 1024
+
+
+def _read_anything(value: object, where: str, faults: list) -> object:
+    return value
+
+
+_READ_APPLY = read_record(
+    ApplyRequest,
+    {
+        "declaration": Field(read=_read_anything),
+        "apply_id": Field(read=read_text(pattern=r"\S{8,64}", expected="an id")),
+        "applied_by": Field(read=read_text(pattern=r".{1,64}", expected="a name")),
+        "base_epoch": Field(
+            read=read_optional(read_whole(least=0, most=10**12)), default=None
+        ),
+    },
+)
+
+
+def _has_token(instance: Instance, request: web.Request) -> bool:
+    scheme, _, token = request.headers.get("Authorization", "").partition(" ")
+    if scheme.lower() != "bearer":
+        return False
+    return any(
+        hmac.compare_digest(token.encode(), accepted.encode())
+        for accepted in instance.secrets.operator_tokens
+    )
+
+
+def _show_members(instance: Instance) -> list[dict[str, object]]:
+    return [
+        {**asdict(member), "state": member.state.name.lower()}
+        for _, member in sorted(instance.members.members.items())
+    ]
+
+
+def _show_targets(instance: Instance) -> list[dict[str, object]]:
+    return [
+        {
+            "name": name,
+            "address": view.target.address,
+            "data_centre": view.target.data_centre,
+            "kind": view.target.kind.value,
+            "serves": view.target.serves,
+            "layers": view.target.layers,
+            "in_flight": view.in_flight,
+            "running": view.report.running,
+            "waiting": view.report.waiting,
+            "leaving": view.leaving,
+        }
+        for name, view in sorted(instance.views.items())
+    ]
+
+
+def make_operator_app(instance: Instance) -> web.Application:
+    """Return the web application that operators use."""
+
+    @web.middleware
+    async def check_token(request: web.Request, handler: Handler) -> web.StreamResponse:
+        if not _has_token(instance, request):
+            log_event("operator_refused", path=request.path, address=request.remote)
+            return make_failure_response(make_failure(ResultCode.OPERATOR_KEY_WRONG))
+        try:
+            return await handler(request)
+        except (web.HTTPNotFound, web.HTTPMethodNotAllowed):
+            return make_failure_response(make_failure(ResultCode.PATH_UNKNOWN))
+        except web.HTTPRequestEntityTooLarge:
+            return make_failure_response(make_failure(ResultCode.BODY_TOO_LARGE))
+
+    async def show_status(request: web.Request) -> web.Response:
+        head = instance.snapshot.head
+        return web.json_response(
+            {
+                "name": instance.settings.name,
+                "boot": instance.member.boot,
+                "state": instance.lifecycle.state,
+                "data_centre": instance.settings.data_centre,
+                "head": asdict(head),
+                "open_requests": len(instance.answers),
+                "members": _show_members(instance),
+            }
+        )
+
+    async def show_targets(request: web.Request) -> web.Response:
+        return web.json_response({"targets": _show_targets(instance)})
+
+    async def show_declaration(request: web.Request) -> web.Response:
+        head = instance.snapshot.head
+        text = instance.bodies.get(head.content_hash, b"null")
+        body = {"head": asdict(head), "declaration": orjson.loads(text)}
+        return web.json_response(body)
+
+    async def show_history(request: web.Request) -> web.Response:
+        heads = await read_history(instance)
+        if isinstance(heads, Failure):
+            return make_failure_response(heads)
+        return web.json_response({"history": [asdict(head) for head in heads]})
+
+    async def apply(request: web.Request) -> web.Response:
+        faults: list = []
+        value = parse_json(await request.read(), "body", faults)
+        wanted = None if faults else _READ_APPLY(value, "", faults)
+        if faults:
+            failure = make_failure(ResultCode.BODY_MALFORMED, describe_faults(faults))
+            return make_failure_response(failure)
+        outcome = await apply_declaration(instance, wanted)
+        if isinstance(outcome, Failure):
+            log_event("apply", apply_id=wanted.apply_id, result=outcome.code.value)
+            return make_failure_response(outcome)
+        log_event(
+            "apply",
+            apply_id=wanted.apply_id,
+            by=wanted.applied_by,
+            epoch=outcome.head.epoch,
+            unchanged=outcome.is_unchanged,
+        )
+        instance.note_epoch(outcome.head.epoch)
+        return web.json_response(
+            {"head": asdict(outcome.head), "unchanged": outcome.is_unchanged}
+        )
+
+    app = web.Application(middlewares=[check_token], client_max_size=MOST_BODY_BYTES)
+    app.add_routes(
+        [
+            web.get("/status", show_status),
+            web.get("/targets", show_targets),
+            web.get("/declaration", show_declaration),
+            web.get("/history", show_history),
+            web.post("/apply", apply),
+        ]
+    )
+    return app
--- /dev/null
+++ b/packages/instance/fulmarward/peers/_handshake.py
@@ -0,0 +1,104 @@
+"""How two instances prove to each other that they know the fleet's secret.
+
+Guards against a stranger on the peer port: without the secret no proof over a
+fresh nonce can be made, and a proof heard on one link is no use on another.
+"""
+
+import hashlib
+import hmac
+import secrets
+from collections.abc import Sequence
+
+from websockets.asyncio.connection import Connection
+
+from fulmarward.peers._codec import MessageFault, decode_message, encode_message
+from fulmarward.peers._messages import Challenge, Hello, Welcome
+from fulmarward_core.membership import Member
+
+#: Bytes of a nonce.
+NONCE_BYTES = 16
+
+
+class HandshakeRefused(Exception):
+    """The other side did not prove that it knows the secret."""
+
+
+def make_proof(
+    secret: bytes, *, role: str, name: str, own_nonce: bytes, other_nonce: bytes
+) -> bytes:
+    """Return the proof that one side shows: it covers its role, name and nonces."""
+    message = b"\0".join([role.encode(), name.encode(), own_nonce, other_nonce])
+    return hmac.new(secret, message, hashlib.sha256).digest()
+
+
+def check_proof(
+    accepted: Sequence[bytes], proof: bytes, **covered: str | bytes
+) -> bytes | None:
+    """Return the accepted secret that made `proof`, or `None`."""
+    for secret in accepted:
+        if hmac.compare_digest(make_proof(secret, **covered), proof):
+            return secret
+    return None
+
+
+async def _receive(connection: Connection, kind: type) -> object:
+    data = await connection.recv()
+    try:
+        message = decode_message(data)
+    except MessageFault as error:
+        raise HandshakeRefused(str(error)) from error
+    if not isinstance(message, kind):
+        raise HandshakeRefused(f"expected {kind.__name__}")
+    return message
+
+
+async def greet_dialler(
+    connection: Connection, *, own: Member, accepted: Sequence[bytes]
+) -> Member:
+    """Do the listening side's part; return who dialled or raise."""
+    nonce = secrets.token_bytes(NONCE_BYTES)
+    await connection.send(encode_message(Challenge(nonce=nonce)))
+    hello = await _receive(connection, Hello)
+    secret = check_proof(
+        accepted,
+        hello.proof,
+        role="dial",
+        name=hello.member.name,
+        own_nonce=hello.nonce,
+        other_nonce=nonce,
+    )
+    if secret is None:
+        raise HandshakeRefused("expected a proof of the peer secret")
+    proof = make_proof(
+        secret, role="listen", name=own.name, own_nonce=nonce, other_nonce=hello.nonce
+    )
+    await connection.send(encode_message(Welcome(member=own, proof=proof)))
+    return hello.member
+
+
+async def greet_listener(
+    connection: Connection, *, own: Member, accepted: Sequence[bytes]
+) -> Member:
+    """Do the dialling side's part; return who listens or raise."""
+    challenge = await _receive(connection, Challenge)
+    nonce = secrets.token_bytes(NONCE_BYTES)
+    proof = make_proof(
+        accepted[0],
+        role="dial",
+        name=own.name,
+        own_nonce=nonce,
+        other_nonce=challenge.nonce,
+    )
+    await connection.send(encode_message(Hello(member=own, nonce=nonce, proof=proof)))
+    welcome = await _receive(connection, Welcome)
+    secret = check_proof(
+        accepted,
+        welcome.proof,
+        role="listen",
+        name=welcome.member.name,
+        own_nonce=challenge.nonce,
+        other_nonce=nonce,
+    )
+    if secret is None:
+        raise HandshakeRefused("expected a proof of the peer secret")
+    return welcome.member
--- /dev/null
+++ b/packages/instance/fulmarward/peers/_links.py
@@ -0,0 +1,183 @@
+"""The dialling side of peer links: connections made when a call needs one."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable, Sequence
+from dataclasses import dataclass, field
+from itertools import count
+
+import websockets
+from websockets.asyncio.client import ClientConnection, connect
+
+from fulmarward.peers._codec import MessageFault, decode_message, encode_message
+from fulmarward.peers._frames import Frame, FrameKind, pack_frame, unpack_frame
+from fulmarward.peers._handshake import HandshakeRefused, greet_listener
+from fulmarward.peers._server import MOST_FRAME_BYTES
+from fulmarward_core.membership import Member
+
+#: Seconds to connect and prove.
+CONNECT_S = 2.0
+
+
+class PeerLost(Exception):
+    """A call to a peer got no answer. It may have been carried out."""
+
+    def __init__(self, detail: str, *, is_sent: bool) -> None:
+        super().__init__(detail)
+        #: Whether the call left this instance; if not it was not carried out.
+        self.is_sent = is_sent
+
+
+@dataclass(kw_only=True)
+class _Link:
+    connection: ClientConnection
+    peer: Member
+    #: Frames of each open call; `None` says that the link is lost.
+    calls: dict[int, asyncio.Queue[Frame | None]] = field(default_factory=dict)
+    numbers: count = field(default_factory=count)
+    reader: asyncio.Task | None = None
+
+
+@dataclass(kw_only=True)
+class PeerLinks:
+    """All links that this instance dialled, by address."""
+
+    #: Returns what this instance says of itself.
+    read_own: Callable[[], Member]
+    #: Returns the peer secrets in force.
+    read_secrets: Callable[[], Sequence[bytes]]
+    #: Told of bytes sent and received: (direction, bytes).
+    count_bytes: Callable[[str, int], None]
+    links: dict[str, _Link] = field(default_factory=dict)
+    locks: dict[str, asyncio.Lock] = field(default_factory=dict)
+
+    async def call(self, address: str, message: object, timeout_s: float) -> object:
+        """Call the peer at `address` and return its answer; raises `PeerLost`."""
+        link, number, frames = await self._begin(address, message)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return self._open(await frames.get())
+        except TimeoutError as error:
+            raise PeerLost("no answer in time", is_sent=True) from error
+        finally:
+            link.calls.pop(number, None)
+
+    async def stream(
+        self, address: str, message: object, silence_s: float
+    ) -> AsyncIterator[object]:
+        """Call the peer and yield its answers; raises `PeerLost`.
+
+        `silence_s` is the most that may pass between two answers.
+        """
+        link, number, frames = await self._begin(address, message)
+        is_over = False
+        try:
+            while True:
+                async with asyncio.timeout(silence_s):
+                    frame = await frames.get()
+                is_over = frame is None or frame.kind is not FrameKind.ITEM
+                if frame is not None and is_over and not frame.message:
+                    if frame.kind is FrameKind.REPLY:
+                        return
+                yield self._open(frame)
+                if is_over:
+                    return
+        except TimeoutError as error:
+            raise PeerLost("no answer in time", is_sent=True) from error
+        finally:
+            link.calls.pop(number, None)
+            if not is_over:
+                await self._send_quietly(
+                    link, Frame(kind=FrameKind.CANCEL, call=number)
+                )
+
+    async def find_member(self, address: str) -> Member:
+        """Return who listens at `address`, connecting if needed; raises `PeerLost`."""
+        return (await self._get_link(address)).peer
+
+    async def close(self) -> None:
+        """Close all links."""
+        for link in list(self.links.values()):
+            await link.connection.close()
+
+    async def _begin(
+        self, address: str, message: object
+    ) -> tuple[_Link, int, asyncio.Queue[Frame | None]]:
+        link = await self._get_link(address)
+        number = next(link.numbers)
+        frames: asyncio.Queue[Frame | None] = asyncio.Queue()
+        link.calls[number] = frames
+        data = encode_message(message)
+        frame = pack_frame(Frame(kind=FrameKind.CALL, call=number, message=data))
+        try:
+            await link.connection.send(frame)
+        except websockets.ConnectionClosed as error:
+            link.calls.pop(number, None)
+            raise PeerLost("link closed", is_sent=True) from error
+        self.count_bytes("sent", len(frame))
+        return link, number, frames
+
+    def _open(self, frame: Frame | None) -> object:
+        if frame is None:
+            raise PeerLost("link closed", is_sent=True)
+        if frame.kind is FrameKind.FAULT:
+            raise PeerLost("the peer refused the call", is_sent=True)
+        try:
+            return decode_message(frame.message)
+        except MessageFault as error:
+            raise PeerLost(str(error), is_sent=True) from error
+
+    async def _send_quietly(self, link: _Link, frame: Frame) -> None:
+        try:
+            await link.connection.send(pack_frame(frame))
+        except websockets.ConnectionClosed:
+            return
+
+    async def _get_link(self, address: str) -> _Link:
+        lock = self.locks.setdefault(address, asyncio.Lock())
+        async with lock:
+            link = self.links.get(address)
+            if link is None:
+                link = await self._dial(address)
+                self.links[address] = link
+            return link
+
+    async def _dial(self, address: str) -> _Link:
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                connection = await connect(
+                    f"ws://{address}",
+                    compression=None,
+                    ping_interval=None,
+                    max_size=MOST_FRAME_BYTES,
+                    proxy=None,
+                )
+                peer = await greet_listener(
+                    connection, own=self.read_own(), accepted=self.read_secrets()
+                )
+        except (
+            OSError,
+            TimeoutError,
+            HandshakeRefused,
+            websockets.WebSocketException,
+        ) as error:
+            detail = f"{type(error).__name__} at {address}"
+            raise PeerLost(detail, is_sent=False) from error
+        link = _Link(connection=connection, peer=peer)
+        link.reader = asyncio.create_task(self._read(address, link))
+        return link
+
+    async def _read(self, address: str, link: _Link) -> None:
+        """Sort frames into their calls until the link is lost."""
+        try:
+            async for data in link.connection:
+                self.count_bytes("received", len(data))
+                frame = unpack_frame(data)
+                if frame is not None and frame.call in link.calls:
+                    link.calls[frame.call].put_nowait(frame)
+        except websockets.ConnectionClosed:
+            pass
+        finally:
+            if self.links.get(address) is link:
+                del self.links[address]
+            for frames in link.calls.values():
+                frames.put_nowait(None)
--- /dev/null
+++ b/packages/instance/fulmarward/peers/_server.py
@@ -0,0 +1,110 @@
+"""The listening side of peer links: one task for each connection."""
+
+import asyncio
+import logging
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import websockets
+from websockets.asyncio.server import Server, ServerConnection, serve
+
+from fulmarward._instance import Instance
+from fulmarward.observability import log_event
+from fulmarward.peers._codec import MessageFault, decode_message, encode_message
+from fulmarward.peers._frames import Frame, FrameKind, pack_frame, unpack_frame
+from fulmarward.peers._handshake import HandshakeRefused, greet_dialler
+from fulmarward_core.membership import Member
+
+#: Largest frame taken, in bytes: a declaration's body.
+MOST_FRAME_BYTES = 16 * 1024 * 1024
+
+#: Seconds that a dialler has for its proof.
+HANDSHAKE_S = 3.0
+
+#: A handler answers a message with one message, or with several one by one.
+PeerHandler = Callable[[Member, object], Awaitable[object] | AsyncIterator[object]]
+
+#: Handlers by the type of message that they answer.
+PeerHandlers = dict[type, PeerHandler]
+
+
+async def _answer_call(
+    connection: ServerConnection, handlers: PeerHandlers, peer: Member, frame: Frame
+) -> None:
+    try:
+        message = decode_message(frame.message)
+        result = handlers[type(message)](peer, message)
+        if isinstance(result, AsyncIterator):
+            async for item in result:
+                await _send(connection, FrameKind.ITEM, frame.call, item)
+            await connection.send(
+                pack_frame(Frame(kind=FrameKind.REPLY, call=frame.call))
+            )
+            return
+        await _send(connection, FrameKind.REPLY, frame.call, await result)
+    except (MessageFault, KeyError) as error:
+        log_event("peer_call_refused", level=logging.WARNING, reason=str(error))
+        await connection.send(pack_frame(Frame(kind=FrameKind.FAULT, call=frame.call)))
+    except websockets.ConnectionClosed:
+        return
+
+
+async def _send(
+    connection: ServerConnection, kind: FrameKind, call: int, message: object
+) -> None:
+    data = encode_message(message)
+    await connection.send(pack_frame(Frame(kind=kind, call=call, message=data)))
+
+
+async def _serve_connection(
+    instance: Instance, handlers: PeerHandlers, connection: ServerConnection
+) -> None:
+    try:
+        async with asyncio.timeout(HANDSHAKE_S):
+            peer = await greet_dialler(
+                connection,
+                own=instance.member,
+                accepted=instance.secrets.peer_secrets,
+            )
+    except (HandshakeRefused, TimeoutError, websockets.ConnectionClosed) as error:
+        log_event(
+            "peer_refused",
+            level=logging.WARNING,
+            address=str(connection.remote_address),
+            reason=str(error) or type(error).__name__,
+        )
+        return
+    calls: dict[int, asyncio.Task] = {}
+    try:
+        async for data in connection:
+            frame = unpack_frame(data)
+            if frame is None:
+                return
+            if frame.kind is FrameKind.CANCEL and frame.call in calls:
+                calls[frame.call].cancel()
+            if frame.kind is FrameKind.CALL:
+                answering = _answer_call(connection, handlers, peer, frame)
+                task = asyncio.create_task(answering)
+                calls[frame.call] = task
+                task.add_done_callback(lambda _, call=frame.call: calls.pop(call, None))
+    except websockets.ConnectionClosed:
+        return
+    finally:
+        for task in list(calls.values()):
+            task.cancel()
+
+
+async def serve_peers(instance: Instance, handlers: PeerHandlers) -> Server:
+    """Listen for peers and answer their calls with `handlers`."""
+
+    async def serve_connection(connection: ServerConnection) -> None:
+        await _serve_connection(instance, handlers, connection)
+
+    host, port = instance.settings.peer_address.rsplit(":", 1)
+    return await serve(
+        serve_connection,
+        host,
+        int(port),
+        compression=None,
+        ping_interval=None,
+        max_size=MOST_FRAME_BYTES,
+    )
--- /dev/null
+++ b/packages/instance/fulmarward/peers/tests/test_codec.py
@@ -0,0 +1,39 @@
+import unittest
+
+import cbor2
+from hypothesis import given, strategies as st
+
+from fulmarward.peers import MessageFault, decode_message, encode_message
+from fulmarward.peers._messages import MESSAGES
+
+_MESSAGES = st.one_of([st.from_type(message) for message in MESSAGES])
+st.register_type_strategy(float, st.floats(allow_nan=False))
+st.register_type_strategy(int, st.integers(-(2**63), 2**64 - 1))
+
+
+class CodecTest(unittest.TestCase):
+    @given(_MESSAGES)
+    def test_every_message_comes_back_as_it_was(self, message):
+        self.assertEqual(decode_message(encode_message(message)), message)
+
+    @given(st.binary(max_size=64))
+    def test_any_bytes_are_refused_without_another_error(self, data):
+        try:
+            decode_message(data)
+        except MessageFault:
+            return
+
+    def test_wrong_fields_are_refused(self):
+        cases = [
+            (None, "expected a list"),
+            ([], "expected a list"),
+            (["a"], "expected a list"),
+            ([999], "expected a message number"),
+            ([4], "expected the 3 fields of Ping"),
+            ([9, 5], "expected str, found int"),
+            ([9, "a", "b"], "expected the 1 fields of AskBody"),
+        ]
+        for items, expected in cases:
+            with self.subTest(items=items):
+                with self.assertRaisesRegex(MessageFault, expected):
+                    decode_message(cbor2.dumps(items))
--- /dev/null
+++ b/packages/instance/fulmarward/platform/_adapter.py
@@ -0,0 +1,221 @@
+"""The one module that knows the platform's protocol.
+
+Every function returns a tagged outcome and never raises for the platform's faults.
+`Uncertain` is not `PlatformOut`: the write may have taken effect, and the caller of
+the function has to read back before it says anything.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import aiohttp
+
+
+@dataclass(frozen=True, kw_only=True)
+class Platform:
+    """Where the platform is and how to call it."""
+
+    #: The HTTP client.
+    session: aiohttp.ClientSession
+    #: Address `IP:PORT`.
+    address: str
+    #: The platform's token for this instance.
+    token: str
+    #: Most seconds that one call may take.
+    timeout_s: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class Row:
+    """One row of a table."""
+
+    #: Its key.
+    key: str
+    #: Rises with each write; 0 when the row is absent.
+    version: int
+    #: Its value, any JSON; `None` when the row is absent.
+    value: Any
+
+
+@dataclass(frozen=True, kw_only=True)
+class Condition:
+    """What a row must be for a transaction to take effect."""
+
+    #: Table and key of the row.
+    table: str
+    key: str
+    #: The version it must have; 0 for an absent row.
+    version: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class Write:
+    """A row's new value in a transaction."""
+
+    #: Table and key of the row.
+    table: str
+    key: str
+    #: The new value; `None` deletes the row.
+    value: Any
+
+
+@dataclass(frozen=True, kw_only=True)
+class Committed:
+    """The transaction took effect."""
+
+    #: The new versions, in the order of the writes.
+    versions: tuple[int, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class Conflict:
+    """A condition did not hold; nothing took effect."""
+
+    #: The row that differed.
+    row: Row
+
+
+@dataclass(frozen=True, kw_only=True)
+class PlatformOut:
+    """The platform did not take the call: nothing took effect."""
+
+    #: What was seen.
+    detail: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class Uncertain:
+    """The call was sent and its reply was lost: it may have taken effect."""
+
+    #: What was seen.
+    detail: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class Absent:
+    """There is no such object."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class PlatformMember:
+    """One entry of the platform's list, which lags."""
+
+    #: Name of the instance or target.
+    name: str
+    #: `instance` or `target`.
+    kind: str
+    #: Whether the platform is taking it away.
+    is_leaving: bool
+    #: Its data centre.
+    data_centre: str
+    #: Where peers and callers reach an instance; empty for a target.
+    peer_address: str
+    caller_address: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Reply:
+    status: int
+    body: bytes
+    json: Any
+
+
+async def _call(
+    platform: Platform, method: str, path: str, **options: object
+) -> _Reply | PlatformOut | Uncertain:
+    headers = {"Authorization": f"Bearer {platform.token}"}
+    timeout = aiohttp.ClientTimeout(total=platform.timeout_s)
+    url = f"http://{platform.address}{path}"
+    try:
+        async with platform.session.request(
+            method, url, headers=headers, timeout=timeout, **options
+        ) as response:
+            body = await response.read()
+            is_json = response.content_type == "application/json"
+            value = await response.json() if is_json else None
+    except aiohttp.ClientConnectorError as error:
+        return PlatformOut(detail=f"no connection: {error.strerror}")
+    except (aiohttp.ClientError, TimeoutError, ValueError) as e:
+        return Uncertain(detail=f"reply lost: {type(e).__name__}")
+    if response.status == 503:
+        return PlatformOut(detail="status 503")
+    if response.status >= 500:
+        return Uncertain(detail=f"status {response.status}")
+    return _Reply(status=response.status, body=body, json=value)
+
+
+def _as_out(outcome: PlatformOut | Uncertain) -> PlatformOut:
+    return PlatformOut(detail=outcome.detail)
+
+
+async def read_row(platform: Platform, table: str, key: str) -> Row | PlatformOut:
+    """Return a row; an absent one has version 0."""
+    reply = await _call(platform, "GET", f"/tables/{table}/{key}")
+    if not isinstance(reply, _Reply):
+        return _as_out(reply)
+    return Row(key=key, version=reply.json["version"], value=reply.json["value"])
+
+
+async def list_rows(
+    platform: Platform, table: str, prefix: str = ""
+) -> tuple[Row, ...] | PlatformOut:
+    """Return the rows of a table whose keys begin with `prefix`, by key."""
+    reply = await _call(platform, "GET", f"/tables/{table}", params={"prefix": prefix})
+    if not isinstance(reply, _Reply):
+        return _as_out(reply)
+    return tuple(Row(**row) for row in reply.json["rows"])
+
+
+async def transact(
+    platform: Platform, *, conditions: Sequence[Condition], writes: Sequence[Write]
+) -> Committed | Conflict | PlatformOut | Uncertain:
+    """Run a transaction: every write takes effect if every condition holds."""
+    body = {
+        "conditions": [vars(condition) for condition in conditions],
+        "writes": [vars(write) for write in writes],
+    }
+    reply = await _call(platform, "POST", "/tables", json=body)
+    if not isinstance(reply, _Reply):
+        return reply
+    if reply.status == 409:
+        found = reply.json["conflict"]
+        row = Row(key=found["key"], version=found["version"], value=found["value"])
+        return Conflict(row=row)
+    return Committed(versions=tuple(reply.json["versions"]))
+
+
+async def store_object(
+    platform: Platform, key: str, body: bytes
+) -> Committed | PlatformOut | Uncertain:
+    """Store bytes under `key`; storing the same again changes nothing."""
+    reply = await _call(platform, "PUT", f"/objects/{key}", data=body)
+    return Committed(versions=()) if isinstance(reply, _Reply) else reply
+
+
+async def fetch_object(platform: Platform, key: str) -> bytes | Absent | PlatformOut:
+    """Return the bytes under `key`."""
+    reply = await _call(platform, "GET", f"/objects/{key}")
+    if not isinstance(reply, _Reply):
+        return _as_out(reply)
+    return Absent() if reply.status == 404 else reply.body
+
+
+async def list_members(
+    platform: Platform,
+) -> tuple[PlatformMember, ...] | PlatformOut:
+    """Return the platform's list of live and leaving instances and targets."""
+    reply = await _call(platform, "GET", "/instances")
+    if not isinstance(reply, _Reply):
+        return _as_out(reply)
+    return tuple(
+        PlatformMember(
+            name=entry["name"],
+            kind=entry["kind"],
+            is_leaving=entry["state"] == "leaving",
+            data_centre=entry.get("data_centre", ""),
+            peer_address=entry.get("peer_address", ""),
+            caller_address=entry.get("caller_address", ""),
+        )
+        for entry in reply.json["instances"]
+    )
--- /dev/null
+++ b/packages/instance/fulmarward/settings/_secrets.py
@@ -0,0 +1,60 @@
+"""Reading the files that hold secrets; they can be changed while running."""
+
+import hashlib
+import hmac
+from dataclasses import dataclass
+from pathlib import Path
+
+from fulmarward.settings._types import InstanceSettings
+from fulmarward_core.checks import Fault
+
+#: Shortest secret taken, in characters.
+LEAST_SECRET_CHARACTERS = 8
+
+
+@dataclass(frozen=True, kw_only=True)
+class Secrets:
+    """The secrets of an instance, never shown or logged."""
+
+    #: Token for the platform.
+    platform_token: str
+    #: Operator tokens that are accepted.
+    operator_tokens: tuple[str, ...]
+    #: Peer secrets: the first signs, all are accepted.
+    peer_secrets: tuple[bytes, ...]
+
+    def derive_key(self, purpose: str) -> bytes:
+        """Return the key of the whole fleet for one purpose."""
+        secret = self.peer_secrets[0]
+        return hmac.new(secret, purpose.encode(), hashlib.sha256).digest()
+
+
+def _read_lines(path: str, where: str, faults: list[Fault]) -> tuple[str, ...]:
+    try:
+        lines = Path(path).read_text().split()
+    except (OSError, UnicodeDecodeError) as error:
+        faults.append(Fault(where=where, expected="a readable file", found=str(error)))
+        return ()
+    expected = f"lines of at least {LEAST_SECRET_CHARACTERS} characters each"
+    if not lines:
+        faults.append(Fault(where=where, expected=expected, found="an empty file"))
+    if any(len(line) < LEAST_SECRET_CHARACTERS for line in lines):
+        faults.append(Fault(where=where, expected=expected, found="a shorter line"))
+    return tuple(lines)
+
+
+def load_secrets(settings: InstanceSettings) -> Secrets | tuple[Fault, ...]:
+    """Return the secrets that the settings name, or every fault they have."""
+    faults: list[Fault] = []
+    platform = _read_lines(settings.platform_token_file, "platform_token_file", faults)
+    operators = _read_lines(
+        settings.operator_tokens_file, "operator_tokens_file", faults
+    )
+    peers = _read_lines(settings.peer_secrets_file, "peer_secrets_file", faults)
+    if faults:
+        return tuple(faults)
+    return Secrets(
+        platform_token=platform[0],
+        operator_tokens=operators,
+        peer_secrets=tuple(line.encode() for line in peers),
+    )
--- /dev/null
+++ b/packages/standins/fulmarward_standins/engine/__init__.py
@@ -0,0 +1,21 @@
+"""Stand-in for a model engine: continuous batching, streams, layer steps, orders."""
+
+from fulmarward_standins.engine._app import make_engine_app
+from fulmarward_standins.engine._model import (
+    answer_tokens,
+    count_answer_tokens,
+    make_word,
+    run_layers,
+    start_position,
+)
+from fulmarward_standins.engine._spec import EngineSpec
+
+__all__ = [
+    "EngineSpec",
+    "answer_tokens",
+    "count_answer_tokens",
+    "make_engine_app",
+    "make_word",
+    "run_layers",
+    "start_position",
+]
--- /dev/null
+++ b/packages/standins/fulmarward_standins/harness/__init__.py
@@ -0,0 +1,42 @@
+"""Starting real processes on loopback for tests, the demo and the benches."""
+
+from fulmarward_standins.harness._callers import (
+    CallResult,
+    SseEvent,
+    call_json,
+    read_stream,
+)
+from fulmarward_standins.harness._fleet import Fleet, FleetPlan, start_fleet
+from fulmarward_standins.harness._golden import check_golden, make_neutral
+from fulmarward_standins.harness._plans import (
+    OPERATOR_TOKEN,
+    PEER_SECRET,
+    InstancePlan,
+    TargetPlan,
+    make_declaration,
+    make_team_key,
+)
+from fulmarward_standins.harness._ports import find_ports
+from fulmarward_standins.harness._processes import Process, start_process, wait_until
+
+__all__ = [
+    "OPERATOR_TOKEN",
+    "PEER_SECRET",
+    "CallResult",
+    "Fleet",
+    "FleetPlan",
+    "InstancePlan",
+    "Process",
+    "SseEvent",
+    "TargetPlan",
+    "call_json",
+    "check_golden",
+    "find_ports",
+    "make_declaration",
+    "make_neutral",
+    "make_team_key",
+    "read_stream",
+    "start_fleet",
+    "start_process",
+    "wait_until",
+]
--- /dev/null
+++ b/packages/standins/fulmarward_standins/harness/_fleet.py
@@ -0,0 +1,346 @@
+"""A platform, targets and instances, each a process of its own."""
+
+import asyncio
+import json
+import sys
+import tempfile
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+
+import aiohttp
+
+from fulmarward_standins.harness._callers import CallResult, call_json
+from fulmarward_standins.harness._plans import (
+    DATA_CENTRES,
+    MODEL_LAYERS,
+    OPERATOR_TOKEN,
+    PEER_SECRET,
+    InstancePlan,
+    TargetPlan,
+    make_declaration,
+    make_team_key,
+)
+from fulmarward_standins.harness._ports import find_ports
+from fulmarward_standins.harness._processes import Process, start_process, wait_until
+
+PLATFORM_TOKEN = "platform-token"
+
+#: Lines of each log that are shown when a test fails.
+LOG_LINES = 15
+
+
+@dataclass(kw_only=True)
+class FleetPlan:
+    """What to start."""
+
+    #: Instances; three in three data centres by default.
+    instances: list[InstancePlan] = field(
+        default_factory=lambda: [
+            InstancePlan(name=f"i{number}", data_centre=data_centre)
+            for number, data_centre in enumerate(DATA_CENTRES, 1)
+        ]
+    )
+    #: Targets; two engines by default.
+    targets: list[TargetPlan] = field(
+        default_factory=lambda: [
+            TargetPlan(name="e1"),
+            TargetPlan(name="e2", data_centre=DATA_CENTRES[1]),
+        ]
+    )
+    #: How late the platform's list is, in seconds.
+    list_lag_s: float = 0.0
+    #: Whether the example declaration is applied and awaited.
+    is_applied: bool = True
+
+
+@dataclass(kw_only=True)
+class Fleet:
+    """A running fleet."""
+
+    plan: FleetPlan
+    folder: Path
+    session: aiohttp.ClientSession
+    platform_address: str
+    #: Processes by name; the platform's name is `platform`.
+    processes: dict[str, Process] = field(default_factory=dict)
+
+    def find_instance(self, name: str) -> InstancePlan:
+        """Return the plan of the instance `name`."""
+        return next(item for item in self.plan.instances if item.name == name)
+
+    def find_target(self, name: str) -> TargetPlan:
+        """Return the plan of the target `name`."""
+        return next(item for item in self.plan.targets if item.name == name)
+
+    def get_url(self, instance: str, path: str) -> str:
+        """Return a URL on the callers' side of an instance."""
+        return f"http://{self.find_instance(instance).caller_address}{path}"
+
+    async def call(
+        self,
+        instance: str,
+        path: str,
+        body: object = None,
+        *,
+        team: str = "folha",
+        method: str = "",
+        headers: dict[str, str] | None = None,
+    ) -> CallResult:
+        """Call an instance as a team; a body makes it a POST."""
+        return await call_json(
+            self.session,
+            self.get_url(instance, path),
+            body,
+            key=make_team_key(team),
+            method=method,
+            headers=headers,
+        )
+
+    async def call_operator(
+        self, instance: str, path: str, body: object = None
+    ) -> CallResult:
+        """Call an instance as an operator."""
+        address = self.find_instance(instance).operator_address
+        return await call_json(
+            self.session, f"http://{address}{path}", body, key=OPERATOR_TOKEN
+        )
+
+    async def control_target(self, target: str, **switches: object) -> None:
+        """Set switches of a target stand-in."""
+        address = self.find_target(target).address
+        await call_json(self.session, f"http://{address}/control", switches)
+
+    async def control_platform(self, **switches: object) -> None:
+        """Set switches of the platform stand-in."""
+        await call_json(
+            self.session, f"http://{self.platform_address}/control", switches
+        )
+
+    async def list_members(self, entries: list[dict]) -> None:
+        """Tell the platform stand-in what its scheduler knows."""
+        await call_json(
+            self.session,
+            f"http://{self.platform_address}/control/members",
+            {"instances": entries},
+        )
+
+    async def read_ledger(self, target: str) -> list[dict]:
+        """Return the ledger of a target."""
+        address = self.find_target(target).address
+        return (await call_json(self.session, f"http://{address}/ledger")).body
+
+    async def read_ledgers(self) -> list[dict]:
+        """Return the entries of all reachable targets' ledgers."""
+        entries = []
+        for target in self.plan.targets:
+            if self.processes[target.name].child.returncode is None:
+                entries += await self.read_ledger(target.name)
+        return entries
+
+    async def start_instance(self, name: str) -> Process:
+        """Start the process of an instance, again if it ran before."""
+        path = self.folder / f"{name}.json"
+        plan = self.find_instance(name)
+        path.write_text(json.dumps(self.make_settings(plan)))
+        command = [sys.executable, "-m", "fulmarward", "start", str(path)]
+        self.processes[name] = await start_process(name, command, self.folder)
+        return self.processes[name]
+
+    def make_settings(self, plan: InstancePlan) -> dict:
+        """Return the settings of an instance."""
+        seeds = [item.peer_address for item in self.plan.instances]
+        return {
+            "name": plan.name,
+            "data_centre": plan.data_centre,
+            "caller_address": plan.caller_address,
+            "operator_address": plan.operator_address,
+            "peer_address": plan.peer_address,
+            "platform_address": self.platform_address,
+            "platform_token_file": str(self.folder / "platform-token"),
+            "operator_tokens_file": str(self.folder / "operator-tokens"),
+            "peer_secrets_file": str(self.folder / "peer-secrets"),
+            "seed_peers": [seed for seed in seeds if seed != plan.peer_address][:5],
+            "limits": plan.limits,
+        }
+
+    async def start_target(self, name: str) -> Process:
+        """Start the process of a target, again if it ran before."""
+        return await self.start_stand_in(name, [make_spec(self.find_target(name))])
+
+    async def start_stand_in(self, name: str, specs: list[dict]) -> Process:
+        """Start a process that runs the stand-ins in `specs`."""
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(specs))
+        command = [sys.executable, "-m", "fulmarward_standins", str(path)]
+        self.processes[name] = await start_process(name, command, self.folder)
+        return self.processes[name]
+
+    async def is_ready(self, instance: str) -> bool:
+        """Return whether an instance serves."""
+        result = await call_json(self.session, self.get_url(instance, "/ready"))
+        return result.status == 200
+
+    async def wait_ready(self, instance: str) -> None:
+        """Wait until an instance serves."""
+        await wait_until(lambda: self.is_ready(instance), f"{instance} to be ready")
+
+    async def wait_listening(self, address: str) -> None:
+        """Wait until something answers HTTP at an address."""
+
+        async def is_listening() -> bool:
+            result = await call_json(self.session, f"http://{address}/ledger")
+            return result.status > 0
+
+        await wait_until(is_listening, f"{address} to listen")
+
+    async def knows_all(self, instance: str) -> bool:
+        """Return whether an instance believes all others alive."""
+        status = await self.call_operator(instance, "/status")
+        if status.status != 200:
+            return False
+        alive = [item for item in status.body["members"] if item["state"] == "alive"]
+        return len(alive) == len(self.plan.instances)
+
+    async def apply(self, declaration: dict, instance: str = "") -> CallResult:
+        """Apply a declaration through an instance."""
+        instance = instance or self.plan.instances[0].name
+        body = {
+            "declaration": declaration,
+            "apply_id": f"apply-{id(declaration)}-{len(json.dumps(declaration))}",
+            "applied_by": "test",
+        }
+        return await self.call_operator(instance, "/apply", body)
+
+    async def stop(self) -> None:
+        """End every process that was started, the instances without grace."""
+        names = {item.name for item in self.plan.instances}
+        ending = [
+            process.kill() if process.name in names else process.stop()
+            for process in self.processes.values()
+        ]
+        await asyncio.gather(*ending)
+
+
+def make_spec(target: TargetPlan) -> dict:
+    """Return the settings of a target's stand-in."""
+    spec = {"kind": target.kind, "name": target.name, "address": target.address}
+    if target.kind == "engine":
+        spec |= {
+            "model": target.serves,
+            "layers": list(target.layers),
+            "model_layers": MODEL_LAYERS,
+            "slots": target.slots,
+            "checks_fencing": target.checks_fencing,
+        }
+    return spec | target.stand_in
+
+
+def _give_addresses(plan: FleetPlan) -> str:
+    ports = iter(find_ports(1 + len(plan.targets) + 3 * len(plan.instances)))
+    for target in plan.targets:
+        target.address = f"127.0.0.1:{next(ports)}"
+    for instance in plan.instances:
+        instance.caller_address = f"127.0.0.1:{next(ports)}"
+        instance.operator_address = f"127.0.0.1:{next(ports)}"
+        instance.peer_address = f"127.0.0.1:{next(ports)}"
+    return f"127.0.0.1:{next(ports)}"
+
+
+def _list_entries(plan: FleetPlan) -> list[dict]:
+    instances = [
+        {
+            "name": item.name,
+            "kind": "instance",
+            "state": "live",
+            "data_centre": item.data_centre,
+            "peer_address": item.peer_address,
+            "caller_address": item.caller_address,
+        }
+        for item in plan.instances
+    ]
+    targets = [
+        {
+            "name": item.name,
+            "kind": "target",
+            "state": "live",
+            "data_centre": item.data_centre,
+        }
+        for item in plan.targets
+    ]
+    return instances + targets
+
+
+def _write_secrets(folder: Path) -> None:
+    (folder / "platform-token").write_text(PLATFORM_TOKEN)
+    (folder / "operator-tokens").write_text(OPERATOR_TOKEN)
+    (folder / "peer-secrets").write_text(PEER_SECRET)
+
+
+async def _start_all(fleet: Fleet) -> None:
+    plan = fleet.plan
+    spec = {
+        "kind": "platform",
+        "address": fleet.platform_address,
+        "list_lag_s": plan.list_lag_s,
+        "token": PLATFORM_TOKEN,
+    }
+    await fleet.start_stand_in("platform", [spec])
+    for target in plan.targets:
+        await fleet.start_target(target.name)
+    await fleet.wait_listening(fleet.platform_address)
+    await fleet.list_members(_list_entries(plan))
+    for instance in plan.instances:
+        await fleet.start_instance(instance.name)
+    for target in plan.targets:
+        await fleet.wait_listening(target.address)
+    for instance in plan.instances:
+        await fleet.wait_listening(instance.caller_address)
+    if not plan.is_applied:
+        return
+    applied = await fleet.apply(make_declaration(plan.targets))
+    if applied.status != 200:
+        raise AssertionError(f"expected to apply, found {applied}")
+    for instance in plan.instances:
+        await fleet.wait_ready(instance.name)
+        await wait_until(
+            lambda name=instance.name: fleet.knows_all(name),
+            f"{instance.name} to know all instances",
+        )
+
+
+@asynccontextmanager
+async def start_fleet(plan: FleetPlan | None = None) -> AsyncIterator[Fleet]:
+    """Run a fleet inside an `async with`; every process is ended at its end."""
+    plan = plan or FleetPlan()
+    with tempfile.TemporaryDirectory(prefix="fulmarward-") as folder:
+        async with aiohttp.ClientSession() as session:
+            fleet = Fleet(
+                plan=plan,
+                folder=Path(folder),
+                session=session,
+                platform_address=_give_addresses(plan),
+            )
+            _write_secrets(fleet.folder)
+            try:
+                await _start_all(fleet)
+                yield fleet
+            except BaseException:
+                _print_logs(fleet)
+                raise
+            finally:
+                await fleet.stop()
+
+
+def _print_logs(fleet: Fleet) -> None:
+    """Show the end of every process's log beside the failure that ended a test."""
+    for process in fleet.processes.values():
+        lines = process.log.read_text().splitlines()[-LOG_LINES:]
+        text = "\n".join(lines)
+        print(f"--- log of {process.name}\n{text}", file=sys.stderr)
+
+
+def describe_instance(plan: InstancePlan) -> dict:
+    """Return an instance's plan as JSON can hold it."""
+    return asdict(plan)
--- /dev/null
+++ b/packages/standins/fulmarward_standins/service/__init__.py
@@ -0,0 +1,5 @@
+"""Stand-in for a plain service with calls that may not be repeated."""
+
+from fulmarward_standins.service._app import ServiceSpec, make_service_app
+
+__all__ = ["ServiceSpec", "make_service_app"]
--- /dev/null
+++ b/packages/standins/fulmarward_standins/service/_app.py
@@ -0,0 +1,80 @@
+"""A plain service: it executes whatever is called and writes that in its ledger.
+
+The headers `X-Request-Id`, `X-Attempt` and `X-Team` name the execution.
+"""
+
+import asyncio
+from dataclasses import dataclass
+
+from aiohttp import web
+
+from fulmarward_standins._faults import SWITCHES, change_switches, show_faults
+from fulmarward_standins._ledger import LEDGER, LedgerEntry, show_ledger
+
+
+@dataclass(kw_only=True)
+class ServiceSpec:
+    """How the stand-in starts."""
+
+    #: Name for people.
+    name: str
+    #: How long a call takes, in milliseconds.
+    call_ms: float = 5.0
+
+
+_SPEC: web.AppKey[ServiceSpec] = web.AppKey("spec", ServiceSpec)
+
+
+def _note(request: web.Request, event: str) -> None:
+    request.app[LEDGER].append(
+        LedgerEntry(
+            request=request.headers.get("X-Request-Id", ""),
+            attempt=int(request.headers.get("X-Attempt", "0")),
+            team=request.headers.get("X-Team", ""),
+            position=-1,
+            first_layer=-1,
+            last_layer=-1,
+            event=event,
+        )
+    )
+
+
+async def _execute(request: web.Request) -> web.Response:
+    """Run a call; the switch `call_ms` changes how long it takes."""
+    switches = request.app[SWITCHES]
+    body = await request.text()
+    if switches.get("refuse"):
+        return web.json_response(
+            {"error": "refused"}, status=503, headers={"X-Not-Run": "1"}
+        )
+    _note(request, "began")
+    call_ms = switches.get("call_ms", request.app[_SPEC].call_ms)
+    # A service runs a call to its end even when its caller has gone.
+    await asyncio.shield(asyncio.sleep(call_ms / 1000))
+    _note(request, "ended")
+    if switches.get("fail"):
+        return web.json_response({"error": "failed"}, status=500)
+    answer = {
+        "service": request.app[_SPEC].name,
+        "method": request.method,
+        "path": request.path,
+        "body": body,
+        "request": request.headers.get("X-Request-Id", ""),
+    }
+    return web.json_response(answer)
+
+
+def make_service_app(spec: ServiceSpec) -> web.Application:
+    """Return the service's web application."""
+    app = web.Application(middlewares=[show_faults], client_max_size=8 * 1024 * 1024)
+    app[_SPEC] = spec
+    app[SWITCHES] = {}
+    app[LEDGER] = []
+    app.add_routes(
+        [
+            web.get("/ledger", show_ledger),
+            web.post("/control", change_switches),
+            web.route("*", "/{path:.*}", _execute),
+        ]
+    )
+    return app
