--- a/packages/instance/fulmarward/callers/_completions.py
+++ b/packages/instance/fulmarward/callers/_completions.py
@@ -1,9 +1,7 @@
 """Completions: `/v1/chat/completions`, `/v1/completions` and `/v1/models`."""
 
-import asyncio
 import secrets
 
-import orjson
 from aiohttp import web
 
 from fulmarward._instance import Instance
@@ -14,27 +12,20 @@
     parse_completion_body,
     read_body,
 )
-from fulmarward.callers._errors import (
-    CallerError,
-    make_failure_response,
-    render_failure,
-)
+from fulmarward.callers._errors import CallerError
 from fulmarward.callers._headers import read_deadline_ms, read_urgency
+from fulmarward.callers._open import open_answer
+from fulmarward.callers._send import send_stream, send_whole
 from fulmarward.callers._shapes import (
     CHAT_SHAPE,
     TEXT_SHAPE,
     AnswerHead,
     Shape,
-    make_template,
-    render_end,
-    render_start,
-    render_texts,
-    render_whole,
 )
 from fulmarward.observability import log_event
-from fulmarward.requests import Work, run_completion
+from fulmarward.requests import Work
 from fulmarward_core.declaration import Pipeline
-from fulmarward_core.results import Failure, ResultCode, make_failure
+from fulmarward_core.results import ResultCode, make_failure
 
 
 def make_request_id() -> str:
@@ -80,11 +71,7 @@
     raw = await read_body(instance, request)
     body = parse_completion_body(raw, is_chat=shape.is_chat)
     work = _make_work(instance, request, team, body)
-    answer = Answer(
-        request=work.request, team=team, prompt_tokens=len(work.prompt.split())
-    )
-    instance.answers[work.request] = answer
-    instance.keep_task(asyncio.create_task(run_completion(instance, work, answer)))
+    answer = await open_answer(instance, request, work)
     head = AnswerHead(
         shape=shape,
         request=work.request,
@@ -94,8 +81,8 @@
     answer.readers += 1
     try:
         if body.stream:
-            return await _send_stream(request, head, answer, body.include_usage)
-        return await _send_whole(head, answer)
+            return await send_stream(request, head, answer, body.include_usage)
+        return await send_whole(head, answer)
     finally:
         answer.readers -= 1
         _note_end(instance, work, answer)
@@ -117,69 +104,6 @@
     instance.answers.pop(work.request, None)
 
 
-async def _wait_for_start(answer: Answer) -> None:
-    while not answer.locator and not answer.is_over:
-        await answer.changed.wait()
-
-
-async def _send_whole(head: AnswerHead, answer: Answer) -> web.Response:
-    while not answer.is_over:
-        await answer.changed.wait()
-    headers = {"X-Request-Id": head.request}
-    if answer.failure is not None:
-        response = make_failure_response(answer.failure)
-        response.headers.update(headers)
-        return response
-    return web.json_response(render_whole(head, answer), headers=headers)
-
-
-async def _send_stream(
-    request: web.Request, head: AnswerHead, answer: Answer, include_usage: bool
-) -> web.StreamResponse:
-    await _wait_for_start(answer)
-    if answer.failure is not None and not answer.texts:
-        return await _send_whole(head, answer)
-    response = web.StreamResponse(
-        headers={
-            "Content-Type": "text/event-stream",
-            "Cache-Control": "no-store",
-            "X-Request-Id": head.request,
-        }
-    )
-    await response.prepare(request)
-    await response.write(render_start(head, answer.locator))
-    await _send_events(response, head, answer, 0)
-    if answer.failure is not None:
-        await response.write(_render_failure_event(answer.failure))
-    else:
-        end = render_end(head, answer, answer.locator, include_usage=include_usage)
-        await response.write(end)
-    await response.write_eof()
-    return response
-
-
-async def _send_events(
-    response: web.StreamResponse, head: AnswerHead, answer: Answer, sent: int
-) -> None:
-    """Send events after number `sent` until the answer is over, in batches."""
-    template = make_template(head)
-    while True:
-        changed = answer.changed
-        texts = answer.texts[sent:]
-        if texts:
-            events = render_texts(template, answer.locator, texts, sent + 1)
-            await response.write(events)
-            sent += len(texts)
-        elif answer.is_over:
-            return
-        else:
-            await changed.wait()
-
-
-def _render_failure_event(failure: Failure) -> bytes:
-    return b"event: error\ndata: " + orjson.dumps(render_failure(failure)) + b"\n\n"
-
-
 def make_completion_routes(instance: Instance) -> list[web.RouteDef]:
     """Return the routes of this module."""
 
--- /dev/null
+++ b/packages/instance/fulmarward/callers/_send.py
@@ -0,0 +1,79 @@
+"""Sending an answer to its caller, whole or as server-sent events."""
+
+import orjson
+from aiohttp import web
+
+from fulmarward.answers import Answer
+from fulmarward.callers._errors import make_failure_response, render_failure
+from fulmarward.callers._shapes import (
+    AnswerHead,
+    make_template,
+    render_end,
+    render_start,
+    render_texts,
+    render_whole,
+)
+from fulmarward_core.results import Failure
+
+
+async def _wait_for_start(answer: Answer) -> None:
+    while not answer.locator and not answer.is_over:
+        await answer.changed.wait()
+
+
+async def send_whole(head: AnswerHead, answer: Answer) -> web.Response:
+    while not answer.is_over:
+        await answer.changed.wait()
+    headers = {"X-Request-Id": head.request}
+    if answer.failure is not None:
+        response = make_failure_response(answer.failure)
+        response.headers.update(headers)
+        return response
+    return web.json_response(render_whole(head, answer), headers=headers)
+
+
+async def send_stream(
+    request: web.Request, head: AnswerHead, answer: Answer, include_usage: bool
+) -> web.StreamResponse:
+    await _wait_for_start(answer)
+    if answer.failure is not None and not answer.texts:
+        return await send_whole(head, answer)
+    response = web.StreamResponse(
+        headers={
+            "Content-Type": "text/event-stream",
+            "Cache-Control": "no-store",
+            "X-Request-Id": head.request,
+        }
+    )
+    await response.prepare(request)
+    await response.write(render_start(head, answer.locator))
+    await _send_events(response, head, answer, 0)
+    if answer.failure is not None:
+        await response.write(_render_failure_event(answer.failure))
+    else:
+        end = render_end(head, answer, answer.locator, include_usage=include_usage)
+        await response.write(end)
+    await response.write_eof()
+    return response
+
+
+async def _send_events(
+    response: web.StreamResponse, head: AnswerHead, answer: Answer, sent: int
+) -> None:
+    """Send events after number `sent` until the answer is over, in batches."""
+    template = make_template(head)
+    while True:
+        changed = answer.changed
+        texts = answer.texts[sent:]
+        if texts:
+            events = render_texts(template, answer.locator, texts, sent + 1)
+            await response.write(events)
+            sent += len(texts)
+        elif answer.is_over:
+            return
+        else:
+            await changed.wait()
+
+
+def _render_failure_event(failure: Failure) -> bytes:
+    return b"event: error\ndata: " + orjson.dumps(render_failure(failure)) + b"\n\n"
