Streams go on at any instance and on another engine at the same place

Attempts of an instance that took a stream over have drawn numbers. "Closed before start" of an engine that restarted since proves nothing. New codes INSTANCE_STOPPED and ABANDONED; choose_failure keeps the truest outcome.

Ruled out: reading only from event N on at the new instance. It would leave nothing to compare another attempt with, so that an engine's death after an instance's would always cut the answer.

--- a/packages/core/fulmarward_core/requests/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/requests/tests/test_decisions.py
@@ -2,7 +2,8 @@
 
 from hypothesis import given, strategies as st
 
-from fulmarward_core.requests import parse_events
+from fulmarward_core.requests import choose_failure, find_new_texts, parse_events
+from fulmarward_core.results import ResultCode, make_failure
 
 _ITEMS = st.lists(
     st.fixed_dictionaries(
@@ -27,3 +28,37 @@
         expected = [f"mine/1/{number}" for number in range(1, len(batch.events) + 1)]
         self.assertEqual([event.text for event in batch.events], expected)
         self.assertEqual(len(batch.events) + batch.dropped, len(items))
+
+
+class ContinueTest(unittest.TestCase):
+    @given(st.lists(st.sampled_from("ab")), st.lists(st.sampled_from("ab")), st.data())
+    def test_later_attempt_never_changes_what_was_sent(self, known, later, data):
+        # The engine dies with part of its answer sent; another one answers anew, in
+        # batches of any size. The caller's answer goes on or ends, never changes.
+        answer, seen = list(known), 0
+        while seen < len(later):
+            size = data.draw(st.integers(1, len(later) - seen))
+            new = find_new_texts(answer, later[seen : seen + size], first=seen)
+            if new is None:
+                overlap = min(len(known), len(later))
+                self.assertNotEqual(known[:overlap], later[:overlap])
+                return
+            answer += new
+            seen += size
+        self.assertEqual(answer, later + known[len(later) :])
+
+    def test_failure_of_several_attempts_is_true_of_all(self):
+        not_run = make_failure(ResultCode.TARGET_REFUSED)
+        failed = make_failure(ResultCode.TARGET_FAILED)
+        unknown = make_failure(ResultCode.OUTCOME_UNKNOWN)
+        cases = [
+            (None, not_run, not_run),
+            (not_run, failed, failed),
+            (failed, not_run, failed),
+            (unknown, not_run, unknown),
+            (unknown, failed, failed),
+            (failed, unknown, failed),
+        ]
+        for earlier, later, expected in cases:
+            with self.subTest(earlier=earlier, later=later):
+                self.assertEqual(choose_failure(earlier, later), expected)
--- a/packages/core/fulmarward_core/results/_codes.py
+++ b/packages/core/fulmarward_core/results/_codes.py
@@ -54,6 +54,8 @@
     DEADLINE_PASSED = 3003
     STREAM_LOST = 3004
     OUTCOME_UNKNOWN = 4001
+    INSTANCE_STOPPED = 4002
+    ABANDONED = 4003
     OPERATOR_KEY_WRONG = 5001
     DECLARATION_INVALID = 5002
     APPLY_CONFLICT = 5003
@@ -191,6 +193,12 @@
     ResultCode.OUTCOME_UNKNOWN: _entry(
         502, _SERVER, _UNKNOWN, 40, "It cannot be known whether the request ran."
     ),
+    ResultCode.INSTANCE_STOPPED: _entry(
+        503, _SERVER, _UNKNOWN, 40, "The instance ended first; go on at another."
+    ),
+    ResultCode.ABANDONED: _entry(
+        409, _SERVER, _UNKNOWN, 40, "Its caller went away, so that it was cancelled."
+    ),
     ResultCode.OPERATOR_KEY_WRONG: _entry(
         401, "authentication_error", _NOT, 11, "The operator token is wrong."
     ),
--- a/packages/core/fulmarward_core/streams/__init__.py
+++ b/packages/core/fulmarward_core/streams/__init__.py
@@ -3,6 +3,7 @@
 from fulmarward_core.streams._locators import (
     Locator,
     Stage,
+    digest_prompt,
     make_event_id,
     open_locator,
     seal_locator,
@@ -12,6 +13,7 @@
 __all__ = [
     "Locator",
     "Stage",
+    "digest_prompt",
     "make_event_id",
     "open_locator",
     "seal_locator",
--- a/packages/core/fulmarward_core/streams/_locators.py
+++ b/packages/core/fulmarward_core/streams/_locators.py
@@ -14,6 +14,9 @@
 #: Bytes of the seal. 12 bytes are past guessing for the minutes a stream lives.
 SEAL_BYTES = 12
 
+#: Letters of a prompt's digest.
+DIGEST_LETTERS = 12
+
 
 @dataclass(frozen=True, kw_only=True)
 class Stage:
@@ -41,6 +44,8 @@
     epoch: int
     #: When the stream has to be over, seconds since 1970.
     deadline_at: float
+    #: Digest of the prompt; another prompt asks for another answer.
+    digest: str = ""
 
 
 def seal_locator(locator: Locator, *, team: str, secret: bytes) -> str:
@@ -53,6 +58,7 @@
         locator.pipeline,
         locator.epoch,
         locator.deadline_at,
+        locator.digest,
     ]
     body = json.dumps(items, separators=(",", ":")).encode()
     return _encode(_compute_seal(body, team, secret) + body)
@@ -67,7 +73,7 @@
     seal, body = raw[:SEAL_BYTES], raw[SEAL_BYTES:]
     if not hmac.compare_digest(seal, _compute_seal(body, team, secret)):
         return None
-    request, attempt, stages, pipeline, epoch, deadline_at = json.loads(body)
+    request, attempt, stages, pipeline, epoch, deadline_at, digest = json.loads(body)
     return Locator(
         request=request,
         attempt=attempt,
@@ -77,9 +83,15 @@
         pipeline=pipeline,
         epoch=epoch,
         deadline_at=deadline_at,
+        digest=digest,
     )
 
 
+def digest_prompt(prompt: str) -> str:
+    """Return the digest that a locator carries, short since it guards mistakes only."""
+    return hashlib.sha256(prompt.encode()).hexdigest()[:DIGEST_LETTERS]
+
+
 def make_event_id(sealed: str, number: int) -> str:
     """Return the `id:` of event `number`; events count from 1."""
     return f"{sealed}.{number}"
--- a/packages/instance/fulmarward/answers/_answer.py
+++ b/packages/instance/fulmarward/answers/_answer.py
@@ -28,6 +28,12 @@
     failure: Failure | None = None
     #: Prompt tokens, as far as known.
     prompt_tokens: int = 0
+    #: Whether something of it may have been written to a target.
+    is_dispatched: bool = False
+    #: The task that writes it.
+    task: asyncio.Task | None = None
+    #: Whether its caller can come back for it, by event id or key.
+    may_return: bool = False
     #: Callers reading now.
     readers: int = 0
     #: When the last reader left, seconds on the steady clock.
--- a/packages/instance/fulmarward/callers/_completions.py
+++ b/packages/instance/fulmarward/callers/_completions.py
@@ -15,6 +15,8 @@
 from fulmarward.callers._errors import CallerError
 from fulmarward.callers._headers import read_deadline_ms, read_urgency
 from fulmarward.callers._open import open_answer
+from fulmarward.callers._release import release_answer
+from fulmarward.callers._resume import EVENT_ID_HEADER, open_resumed
 from fulmarward.callers._send import send_stream, send_whole
 from fulmarward.callers._shapes import (
     CHAT_SHAPE,
@@ -27,6 +29,9 @@
 from fulmarward_core.declaration import Pipeline
 from fulmarward_core.results import ResultCode, make_failure
 
+#: Names a request that its caller may send again.
+KEY_HEADER = "Idempotency-Key"
+
 
 def make_request_id() -> str:
     """Return a fresh request id: 80 random bits."""
@@ -71,7 +76,12 @@
     raw = await read_body(instance, request)
     body = parse_completion_body(raw, is_chat=shape.is_chat)
     work = _make_work(instance, request, team, body)
-    answer = await open_answer(instance, request, work)
+    after = None
+    if EVENT_ID_HEADER in request.headers:
+        work, answer, after = open_resumed(instance, request, work, body.stream)
+    else:
+        answer = await open_answer(instance, request, work)
+    answer.may_return |= body.stream or KEY_HEADER in request.headers
     head = AnswerHead(
         shape=shape,
         request=work.request,
@@ -81,10 +91,10 @@
     answer.readers += 1
     try:
         if body.stream:
-            return await send_stream(request, head, answer, body.include_usage)
+            return await send_stream(request, head, answer, body.include_usage, after)
         return await send_whole(head, answer)
     finally:
-        answer.readers -= 1
+        release_answer(instance, answer)
         _note_end(instance, work, answer)
 
 
@@ -101,7 +111,6 @@
         result=code.value,
         tokens=len(answer.texts),
     )
-    instance.answers.pop(work.request, None)
 
 
 def make_completion_routes(instance: Instance) -> list[web.RouteDef]:
--- a/packages/instance/fulmarward/callers/_send.py
+++ b/packages/instance/fulmarward/callers/_send.py
@@ -33,8 +33,13 @@
 
 
 async def send_stream(
-    request: web.Request, head: AnswerHead, answer: Answer, include_usage: bool
+    request: web.Request,
+    head: AnswerHead,
+    answer: Answer,
+    include_usage: bool,
+    after: int | None = None,
 ) -> web.StreamResponse:
+    """Send the answer's events; `after` is the last that a returning caller has."""
     await _wait_for_start(answer)
     if answer.failure is not None and not answer.texts:
         return await send_whole(head, answer)
@@ -46,12 +51,15 @@
         }
     )
     await response.prepare(request)
-    await response.write(render_start(head, answer.locator))
-    await _send_events(response, head, answer, 0)
+    if after is None:
+        await response.write(render_start(head, answer.locator))
+    await _send_events(response, head, answer, after or 0)
     if answer.failure is not None:
         await response.write(_render_failure_event(answer.failure))
     else:
-        end = render_end(head, answer, answer.locator, include_usage=include_usage)
+        end = render_end(
+            head, answer, answer.locator, include_usage=include_usage, after=after or 0
+        )
         await response.write(end)
     await response.write_eof()
     return response
--- a/packages/instance/fulmarward/callers/_server.py
+++ b/packages/instance/fulmarward/callers/_server.py
@@ -9,6 +9,7 @@
 from fulmarward.callers._completions import make_completion_routes, make_request_id
 from fulmarward.callers._discovery import make_discovery_routes
 from fulmarward.callers._errors import CallerError, make_failure_response
+from fulmarward.callers._resume import EVENT_ID_HEADER
 from fulmarward.callers._services import make_service_routes
 from fulmarward_core.results import Failure, ResultCode, make_failure
 
@@ -30,10 +31,15 @@
 def _find_refusal(instance: Instance, request: web.Request) -> Failure | None:
     if request.path in _ALWAYS:
         return None
+    is_full = len(instance.answers) >= instance.settings.limits.open_requests
+    is_serving = instance.lifecycle.state == "serving"
+    if EVENT_ID_HEADER in request.headers and (is_full or not is_serving):
+        # The stream exists, so that "not run" would be untrue of its request.
+        return make_failure(ResultCode.STILL_RUNNING, retry_after_ms=RETRY_AFTER_MS)
     code = _STATE_CODES.get(instance.lifecycle.state)
     if code is not None:
         return make_failure(code, retry_after_ms=RETRY_AFTER_MS)
-    if len(instance.answers) >= instance.settings.limits.open_requests:
+    if is_full:
         return make_failure(ResultCode.QUEUE_FULL, retry_after_ms=RETRY_AFTER_MS)
     return None
 
--- a/packages/instance/fulmarward/callers/_shapes.py
+++ b/packages/instance/fulmarward/callers/_shapes.py
@@ -136,9 +136,14 @@
 
 
 def render_end(
-    head: AnswerHead, answer: Answer, locator: str, *, include_usage: bool
+    head: AnswerHead,
+    answer: Answer,
+    locator: str,
+    *,
+    include_usage: bool,
+    after: int = 0,
 ) -> bytes:
-    """Return the last events: the reason for the end, and `[DONE]`.
+    """Return the last events that come `after`: the reason for the end, and `[DONE]`.
 
     Only after `[DONE]` is the answer whole; a caller without it knows it was cut.
     """
@@ -147,6 +152,9 @@
     parts = [_render_part(head, [choice])]
     if include_usage:
         parts.append(_render_part(head, [], usage=_count_usage(answer)))
-    number = make_event_id(locator, len(answer.texts) + 1)
-    events = "".join(f"id: {number}\ndata: {part}\n\n" for part in parts)
+    events = "".join(
+        f"id: {make_event_id(locator, number)}\ndata: {part}\n\n"
+        for number, part in enumerate(parts, len(answer.texts) + 1)
+        if number > after
+    )
     return (events + "data: [DONE]\n\n").encode()
--- a/packages/instance/fulmarward/requests/_attempt.py
+++ b/packages/instance/fulmarward/requests/_attempt.py
@@ -1,49 +1,59 @@
 """One attempt of a completion on one target that holds the whole model."""
 
 import asyncio
+from dataclasses import dataclass
 
 from fulmarward._instance import Instance
 from fulmarward.answers import Answer
+from fulmarward.observability import log_event
+from fulmarward.requests._locate import make_locator, name_reader
 from fulmarward.requests._work import Work
 from fulmarward.targets import (
     EngineStream,
     StreamBroken,
     StreamOrder,
     StreamRefused,
+    StreamUnknown,
     cancel_stream,
     open_stream,
     read_events,
     resume_stream,
 )
-from fulmarward_core.requests import StreamEvent
+from fulmarward_core.requests import StreamEvent, find_new_texts
 from fulmarward_core.results import Failure, ResultCode, make_failure
 from fulmarward_core.routing import TargetView
-from fulmarward_core.streams import Locator, Stage, seal_locator
+from fulmarward_core.streams import Stage
 
-#: Times that a broken connection to a running stream is made anew.
+#: Times in a row that a connection is made anew without one event gained. Load: any;
+#: harm: a dead or looping engine holds its callers; reason: a cut heals at once or
+#: the engine is gone, and progress starts the count again.
 MOST_REATTACHES = 3
 
+#: Seconds a connection has to hold without an event before its loss counts for
+#: nothing: a long queue at the engine is silent and is no fault.
+SILENT_S = 4.0
+
 #: When a caller may come back after a refusal, in milliseconds.
 RETRY_AFTER_MS = 1_000
 
 
-def _make_locator(
-    instance: Instance, work: Work, attempt: int, view: TargetView
-) -> str:
-    remaining = work.deadline - instance.read_clock()
-    locator = Locator(
-        request=work.request,
-        attempt=attempt,
-        stages=(Stage(target=view.name, layers=view.target.layers),),
-        pipeline=work.pipeline_name,
-        epoch=work.snapshot.head.epoch,
-        deadline_at=round(instance.read_wall_clock() + remaining, 3),
-    )
-    secret = instance.secrets.derive_key("locators")
-    return seal_locator(locator, team=work.team, secret=secret)
+@dataclass(kw_only=True)
+class _Attempt:
+    """The state of one attempt."""
 
+    #: Its number.
+    number: int
+    #: The target that runs it.
+    view: TargetView
+    #: When it may first have been ordered, seconds on the steady clock.
+    ordered_at: float
+    #: Events of this attempt that have come.
+    seen: int = 0
+    #: Whether its locator was given to the answer.
+    is_located: bool = False
 
-def _make_order(work: Work, attempt: int) -> StreamOrder:
+
+def _make_order(instance: Instance, work: Work, attempt: int) -> StreamOrder:
     return StreamOrder(
         request=work.request,
         attempt=attempt,
@@ -53,99 +63,188 @@
         prompt=work.prompt,
         max_tokens=work.max_tokens,
         urgency=work.urgency.value,
+        reader=name_reader(instance),
     )
 
 
 async def run_attempt(
-    instance: Instance, work: Work, answer: Answer, attempt: int, view: TargetView
+    instance: Instance, work: Work, answer: Answer, number: int, view: TargetView
 ) -> Failure | None:
-    limits = instance.settings.limits
-    stream = await open_stream(
-        instance.session,
-        view.target.address,
-        _make_order(work, attempt),
-        limits.connect_ms / 1000,
-    )
-    if isinstance(stream, StreamRefused):
-        code = (
-            ResultCode.TARGET_UNREACHABLE
-            if stream.is_unreachable
-            else ResultCode.TARGET_REFUSED
+    """Run the request on one target; returns why it did not end well."""
+    attempt = _Attempt(number=number, view=view, ordered_at=instance.read_clock())
+    was_dispatched, answer.is_dispatched = answer.is_dispatched, True
+    try:
+        stream = await open_stream(
+            instance.session,
+            view.target.address,
+            _make_order(instance, work, number),
+            instance.settings.limits.connect_ms / 1000,
         )
-        return make_failure(code, stream.detail, retry_after_ms=RETRY_AFTER_MS)
-    answer.set_locator(_make_locator(instance, work, attempt, view))
+        if isinstance(stream, StreamRefused):
+            answer.is_dispatched = was_dispatched
+            return _describe_refusal(stream)
+        return await _relay(instance, work, answer, attempt, stream)
+    except asyncio.CancelledError:
+        cancel_later(instance, work, answer, number, view)
+        raise
+
+
+async def attach_attempt(
+    instance: Instance, work: Work, answer: Answer, number: int, view: TargetView
+) -> Failure | None:
+    """Read an attempt that another instance began, from its first event on."""
+    attempt = _Attempt(number=number, view=view, ordered_at=float("-inf"))
+    answer.is_dispatched = True
     try:
-        return await _relay(instance, work, answer, attempt, view, stream)
+        stream = await _reattach(instance, work, attempt)
+        return await _relay(instance, work, answer, attempt, stream)
     except asyncio.CancelledError:
-        _cancel_later(instance, work, attempt, view)
+        cancel_later(instance, work, answer, number, view)
         raise
 
 
-def _cancel_later(
-    instance: Instance, work: Work, attempt: int, view: TargetView
+def _describe_refusal(refused: StreamRefused) -> Failure:
+    code = (
+        ResultCode.TARGET_UNREACHABLE
+        if refused.is_unreachable
+        else ResultCode.TARGET_REFUSED
+    )
+    return make_failure(code, refused.detail, retry_after_ms=RETRY_AFTER_MS)
+
+
+def cancel_later(
+    instance: Instance, work: Work, answer: Answer, attempt: int, view: TargetView
 ) -> None:
-    """Tell the engine to stop a stream that nobody waits for any more."""
+    """Tell the engine to stop a stream that nobody waits for any more.
+
+    An instance that stops leaves what its callers can come back for to run on.
+    """
+    if instance.lifecycle.state == "stopped" and answer.may_return:
+        return
     cancelling = cancel_stream(
-        instance.session, view.target.address, request=work.request, attempt=attempt
+        instance.session,
+        view.target.address,
+        request=work.request,
+        attempt=attempt,
+        only_reader=name_reader(instance),
     )
     instance.keep_task(asyncio.create_task(cancelling))
 
 
+async def _reattach(
+    instance: Instance, work: Work, attempt: _Attempt
+) -> EngineStream | StreamUnknown | StreamBroken:
+    return await resume_stream(
+        instance.session,
+        attempt.view.target.address,
+        request=work.request,
+        attempt=attempt.number,
+        after=attempt.seen,
+        reader=name_reader(instance),
+        connect_s=instance.settings.limits.connect_ms / 1000,
+    )
+
+
 async def _relay(
     instance: Instance,
     work: Work,
     answer: Answer,
-    attempt: int,
-    view: TargetView,
-    stream: EngineStream | StreamBroken,
+    attempt: _Attempt,
+    stream: EngineStream | StreamUnknown | StreamBroken,
 ) -> Failure | None:
     """Copy events into the answer; attach again when the connection is lost."""
-    for _ in range(MOST_REATTACHES + 1):
+    failed = 0
+    while failed <= MOST_REATTACHES and not isinstance(stream, StreamUnknown):
+        seen, began = attempt.seen, instance.read_clock()
         if isinstance(stream, EngineStream):
+            _locate(instance, work, answer, attempt)
             async for events in read_events(stream):
-                end = _take_events(answer, events)
-                if end:
-                    return _finish(answer, end)
+                outcome = _take_events(instance, work, answer, attempt, events)
+                if outcome is not None:
+                    return await _end(instance, work, answer, attempt, outcome)
             instance.metrics.dropped.add({"reason": "not_ours"}, stream.dropped)
-        stream = await resume_stream(
-            instance.session,
-            view.target.address,
+            held_s = instance.read_clock() - began
+            if attempt.seen > seen or held_s >= SILENT_S:
+                failed = 0
+        failed += 1
+        stream = await _reattach(instance, work, attempt)
+        log_event(
+            "reattach",
             request=work.request,
-            attempt=attempt,
-            after=len(answer.texts),
-            connect_s=instance.settings.limits.connect_ms / 1000,
+            attempt=attempt.number,
+            target=attempt.view.name,
+            after=attempt.seen,
+            outcome=type(stream).__name__,
         )
-    return await _give_up(instance, work, attempt, view)
+    return await _give_up(instance, work, answer, attempt)
 
 
-def _take_events(answer: Answer, events: list[StreamEvent]) -> str:
-    """Append texts to the answer; return the end, if it is among the events."""
-    end = events[-1].end
-    texts = [event.text for event in events if not event.end]
-    if texts:
-        answer.add_texts(texts)
-    return end
+def _locate(instance: Instance, work: Work, answer: Answer, attempt: _Attempt) -> None:
+    """Give the answer this attempt's locator once it has all that callers may have.
+
+    Guards against event ids that name an attempt whose first events turn out to
+    differ: until all of them are compared, ids name the attempt before.
+    """
+    if attempt.is_located or attempt.seen < len(answer.texts):
+        return
+    attempt.is_located = True
+    stage = Stage(target=attempt.view.name, layers=attempt.view.target.layers)
+    answer.set_locator(make_locator(instance, work, attempt.number, (stage,)))
 
 
-def _finish(answer: Answer, end: str) -> Failure | None:
+def _take_events(
+    instance: Instance,
+    work: Work,
+    answer: Answer,
+    attempt: _Attempt,
+    events: list[StreamEvent],
+) -> str | None:
+    """Append texts to the answer; return how the attempt ended, if it did."""
+    end = events[-1].end
+    texts = [event.text for event in events if not event.end]
+    new = find_new_texts(answer.texts, texts, first=attempt.seen)
+    attempt.seen += len(texts)
+    if new is None or (end and attempt.seen < len(answer.texts)):
+        return "differs"
+    _locate(instance, work, answer, attempt)
+    if new:
+        answer.add_texts(new)
+    return end or None
+
+
+async def _end(
+    instance: Instance, work: Work, answer: Answer, attempt: _Attempt, end: str
+) -> Failure | None:
     if end in ("stop", "length"):
         answer.finish(end)
         return None
+    if end == "differs":
+        await _close(instance, work, attempt)
+        detail = "A new attempt gave another answer than the part that was sent."
+        return make_failure(ResultCode.STREAM_LOST, detail)
     return make_failure(ResultCode.TARGET_FAILED, f"The stream ended as {end}.")
 
 
-async def _give_up(
-    instance: Instance, work: Work, attempt: int, view: TargetView
-) -> Failure:
-    """Close the lost stream, and say what is known of it."""
-    state = await cancel_stream(
+async def _close(
+    instance: Instance, work: Work, attempt: _Attempt
+) -> str | StreamBroken:
+    return await cancel_stream(
         instance.session,
-        view.target.address,
+        attempt.view.target.address,
         request=work.request,
-        attempt=attempt,
+        attempt=attempt.number,
+        age_s=instance.read_clock() - attempt.ordered_at,
     )
-    if state == "closed_before_start":
+
+
+async def _give_up(
+    instance: Instance, work: Work, answer: Answer, attempt: _Attempt
+) -> Failure:
+    """Close the lost stream, and say what is known of it."""
+    state = await _close(instance, work, attempt)
+    has_begun = attempt.seen > 0 or attempt.is_located
+    if state == "closed_before_start" and not has_begun:
         return make_failure(ResultCode.TARGET_REFUSED, retry_after_ms=RETRY_AFTER_MS)
-    if isinstance(state, StreamBroken):
+    if isinstance(state, StreamBroken) and not has_begun:
         return make_failure(ResultCode.OUTCOME_UNKNOWN, state.detail)
-    return make_failure(ResultCode.STREAM_LOST)
+    return make_failure(ResultCode.TARGET_FAILED, "The stream broke off.")
--- a/packages/instance/fulmarward/requests/_execute.py
+++ b/packages/instance/fulmarward/requests/_execute.py
@@ -8,6 +8,7 @@
 from fulmarward.requests._attempt import RETRY_AFTER_MS, run_attempt
 from fulmarward.requests._route import choose_route
 from fulmarward.requests._work import Work
+from fulmarward_core.requests import choose_failure
 from fulmarward_core.results import Failure, ResultCode, make_failure
 
 #: Attempts of one request. Load: a failing pool; harm: each request times the number
@@ -20,49 +21,59 @@
 
 async def run_completion(instance: Instance, work: Work, answer: Answer) -> None:
     """Execute a completion and write its answer; always ends the answer."""
+    answer.task = asyncio.current_task()
     timeout_s = work.deadline - instance.read_clock()
     try:
         async with asyncio.timeout(max(timeout_s, 0.0)):
             async with admit_work(instance, work) as refusal:
-                failure = refusal or await _try_targets(instance, work, answer)
+                failure = refusal or await try_targets(instance, work, answer, 1)
     except TimeoutError:
-        code = (
-            ResultCode.DEADLINE_PASSED
-            if answer.locator
-            else ResultCode.DEADLINE_TOO_NEAR
-        )
-        failure = make_failure(code)
+        failure = describe_timeout(answer)
     if failure is not None and not answer.is_over:
         answer.fail(failure)
 
 
-async def _try_targets(
-    instance: Instance, work: Work, answer: Answer
+def describe_timeout(answer: Answer) -> Failure:
+    """Return what is true of a request whose deadline passed."""
+    if answer.locator or answer.texts:
+        return make_failure(ResultCode.DEADLINE_PASSED)
+    if answer.is_dispatched:
+        return make_failure(ResultCode.OUTCOME_UNKNOWN, "The deadline passed.")
+    return make_failure(ResultCode.DEADLINE_TOO_NEAR)
+
+
+async def try_targets(
+    instance: Instance, work: Work, answer: Answer, first_attempt: int
 ) -> Failure | None:
-    failure = make_failure(ResultCode.NO_TARGET, retry_after_ms=RETRY_AFTER_MS)
-    for attempt in range(1, MOST_ATTEMPTS + 1):
+    """Run attempts until one ends well or none may follow."""
+    failure = None
+    for attempt in range(first_attempt, first_attempt + MOST_ATTEMPTS):
         choice = choose_route(instance, work, attempt)
         if choice is None:
-            return failure
+            refusal = make_failure(ResultCode.NO_TARGET, retry_after_ms=RETRY_AFTER_MS)
+            return choose_failure(failure, refusal)
         view = choice.chosen
         view.in_flight += 1
         try:
-            failure = await run_attempt(instance, work, answer, attempt, view)
+            outcome = await run_attempt(instance, work, answer, attempt, view)
         finally:
             view.in_flight -= 1
-        if failure is None or not _may_retry(work, answer, failure):
+        if outcome is None:
+            return None
+        failure = choose_failure(failure, outcome)
+        if not _may_retry(work, outcome):
             return failure
         view.avoided_until = instance.read_clock() + AVOID_S
     return failure
 
 
-def _may_retry(work: Work, answer: Answer, failure: Failure) -> bool:
+def _may_retry(work: Work, failure: Failure) -> bool:
     """Return whether another target may run the request.
 
-    Guards against a second execution of what must run once, and against a second
-    beginning of an answer whose first part the caller already has.
+    Guards against a second execution of what must run once. A lost stream is final:
+    another attempt has shown that the answer cannot go on where it stands.
     """
-    if answer.texts:
+    if failure.code is ResultCode.STREAM_LOST:
         return False
     not_run = failure.code in (
         ResultCode.TARGET_REFUSED,
--- /dev/null
+++ b/packages/instance/fulmarward/requests/_locate.py
@@ -0,0 +1,28 @@
+"""Where a request runs, as other instances and engines are told it."""
+
+from fulmarward._instance import Instance
+from fulmarward.requests._work import Work
+from fulmarward_core.streams import Locator, Stage, digest_prompt, seal_locator
+
+
+def name_reader(instance: Instance) -> str:
+    """Return this instance's name towards engines, unlike that of any earlier run."""
+    return f"{instance.settings.name}.{instance.member.boot}"
+
+
+def make_locator(
+    instance: Instance, work: Work, attempt: int, stages: tuple[Stage, ...]
+) -> str:
+    """Return the sealed locator of an attempt."""
+    remaining = work.deadline - instance.read_clock()
+    locator = Locator(
+        request=work.request,
+        attempt=attempt,
+        stages=stages,
+        pipeline=work.pipeline_name,
+        epoch=work.snapshot.head.epoch,
+        deadline_at=round(instance.read_wall_clock() + remaining, 3),
+        digest=digest_prompt(work.prompt),
+    )
+    secret = instance.secrets.derive_key("locators")
+    return seal_locator(locator, team=work.team, secret=secret)
--- /dev/null
+++ b/packages/instance/fulmarward/requests/_resume.py
@@ -0,0 +1,61 @@
+"""The task of a stream that was begun by another instance."""
+
+import asyncio
+
+from fulmarward._instance import Instance
+from fulmarward.answers import Answer
+from fulmarward.requests._attempt import attach_attempt
+from fulmarward.requests._execute import describe_timeout, try_targets
+from fulmarward.requests._work import Work
+from fulmarward_core.requests import choose_failure
+from fulmarward_core.results import Failure, ResultCode, make_failure
+from fulmarward_core.streams import Locator
+
+#: From where on the numbers of later attempts are drawn. Guards against two instances
+#: that both go on with a request (one was frozen and woke) and give one number to two
+#: attempts, whose events would then pass for each other's.
+FIRST_DRAWN, END_DRAWN = 1_000, 2**31
+
+
+async def run_resumed(
+    instance: Instance, work: Work, answer: Answer, locator: Locator, after: int
+) -> None:
+    """Write an answer from the stream that `locator` names; always ends the answer.
+
+    The stream is read from its first event, so that the journal holds all that the
+    caller has up to event `after`, and a later attempt can be compared with it.
+    """
+    answer.task = asyncio.current_task()
+    answer.is_dispatched = True
+    remaining = work.deadline - instance.read_clock()
+    try:
+        async with asyncio.timeout(max(remaining, 0.0)):
+            failure = await _go_on(instance, work, answer, locator, after)
+    except TimeoutError:
+        failure = describe_timeout(answer)
+    if failure is not None and not answer.is_over:
+        answer.fail(failure)
+
+
+async def _go_on(
+    instance: Instance, work: Work, answer: Answer, locator: Locator, after: int
+) -> Failure | None:
+    failure = await _attach(instance, work, answer, locator)
+    if failure is None or failure.code is ResultCode.STREAM_LOST:
+        return failure
+    lost = make_failure(ResultCode.STREAM_LOST, failure.message)
+    if not work.idempotent or len(answer.texts) < after:
+        # Not to be run again, or what the caller has cannot be compared.
+        return lost
+    first = instance.generator.randrange(FIRST_DRAWN, END_DRAWN)
+    later = await try_targets(instance, work, answer, first)
+    return later and choose_failure(lost, later)
+
+
+async def _attach(
+    instance: Instance, work: Work, answer: Answer, locator: Locator
+) -> Failure | None:
+    views = [instance.views.get(stage.target) for stage in locator.stages]
+    if None in views:
+        return make_failure(ResultCode.STREAM_LOST, "A target is declared no more.")
+    return await attach_attempt(instance, work, answer, locator.attempt, views[0])
--- a/packages/instance/fulmarward/targets/_engine.py
+++ b/packages/instance/fulmarward/targets/_engine.py
@@ -5,6 +5,7 @@
 Everything else that goes wrong is "broken" and leaves the outcome open.
 """
 
+import asyncio
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
@@ -40,6 +41,8 @@
     max_tokens: int
     #: 0 is the most urgent.
     urgency: int
+    #: Name of the instance that reads the stream.
+    reader: str
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -121,14 +124,17 @@
     request: str,
     attempt: int,
     after: int,
+    reader: str,
     connect_s: float,
 ) -> EngineStream | StreamUnknown | StreamBroken:
     """Attach to a stream again, from the event after number `after`."""
     url = f"http://{address}/v1/streams/{request}/{attempt}"
+    params = {"after": str(after), "reader": reader}
     try:
-        response = await session.get(
-            url, params={"after": str(after)}, timeout=_make_timeout(connect_s)
-        )
+        async with asyncio.timeout(SHORT_CALL_S):
+            response = await session.get(
+                url, params=params, timeout=_make_timeout(connect_s)
+            )
         if response.status == 404:
             response.release()
             return StreamUnknown()
@@ -174,18 +180,37 @@
 
 
 async def cancel_stream(
-    session: aiohttp.ClientSession, address: str, *, request: str, attempt: int
+    session: aiohttp.ClientSession,
+    address: str,
+    *,
+    request: str,
+    attempt: int,
+    only_reader: str = "",
+    age_s: float = 0.0,
 ) -> str | StreamBroken:
     """End a stream, or close its name for ever if it never began.
 
     Returns `cancelled`, `ended` or `closed_before_start`; the last is the only proof
     that a stream was not and never will be run.
+
+    With `only_reader` the engine ends it only if nobody but that instance reads it,
+    and else returns `read`. Guards against the end of an answer whose caller went to
+    another instance: the first one sees a caller gone and would cancel what the
+    second one reads. The engine alone sees both.
+
+    `age_s` is how long ago the stream may first have been ordered. Guards against an
+    engine that was restarted since: it knows nothing of what its predecessor ran, so
+    its "closed before start" proves nothing and comes back as `StreamBroken`.
     """
     url = f"http://{address}/v1/streams/{request}/{attempt}"
+    params = {"only_reader": only_reader} if only_reader else {}
     timeout = aiohttp.ClientTimeout(total=SHORT_CALL_S)
     try:
-        async with session.delete(url, timeout=timeout) as response:
-            return (await response.json())["state"]
+        async with session.delete(url, params=params, timeout=timeout) as response:
+            body = await response.json()
+            if body["state"] == "closed_before_start" and body["up_s"] <= age_s:
+                return StreamBroken(detail="the engine was restarted")
+            return body["state"]
     except (aiohttp.ClientError, TimeoutError, ValueError, KeyError) as error:
         return StreamBroken(detail=type(error).__name__)
 
--- a/packages/standins/fulmarward_standins/engine/_app.py
+++ b/packages/standins/fulmarward_standins/engine/_app.py
@@ -29,6 +29,7 @@
 _BATCH: web.AppKey[Batch] = web.AppKey("batch", Batch)
 _STEPS: web.AppKey[StepState] = web.AppKey("steps", StepState)
 _REPORTS: web.AppKey[deque] = web.AppKey("reports", deque)
+_STARTED: web.AppKey[float] = web.AppKey("started", float)
 _HELD: web.AppKey[dict[str, Any]] = web.AppKey("held", dict)
 
 
@@ -74,10 +75,21 @@
         urgency=body.get("urgency", 1),
     )
     request.app[_BATCH].start(stream)
-    return await _send_events(request, stream, 0)
+    return await _send_events(request, stream, 0, body.get("reader", ""))
 
 
 async def _send_events(
+    request: web.Request, stream: Stream, after: int, reader: str
+) -> web.StreamResponse:
+    """Count the reader while its connection is served."""
+    stream.readers[reader] += 1
+    try:
+        return await _relay_events(request, stream, after)
+    finally:
+        stream.readers[reader] -= 1
+
+
+async def _relay_events(
     request: web.Request, stream: Stream, after: int
 ) -> web.StreamResponse:
     """Send the events after number `after`; a lost reader does not end the stream.
@@ -127,13 +139,22 @@
     stream = request.app[_BATCH].streams.get(key)
     if stream is None:
         return _refuse("unknown", 404, closed=key in request.app[_BATCH].closed)
-    return await _send_events(request, stream, int(request.query.get("after", "0")))
+    after = int(request.query.get("after", "0"))
+    return await _send_events(request, stream, after, request.query.get("reader", ""))
 
 
 async def _cancel_stream(request: web.Request) -> web.Response:
-    """`DELETE /v1/streams/REQUEST/ATTEMPT`: end it, or close its id for ever."""
+    """`DELETE /v1/streams/REQUEST/ATTEMPT`: end it, or close its id for ever.
+
+    `only_reader=NAME` leaves a stream alone that somebody else reads.
+    """
     key = (request.match_info["request"], int(request.match_info["attempt"]))
-    return web.json_response({"state": request.app[_BATCH].cancel(key)})
+    state = request.app[_BATCH].cancel(key, request.query.get("only_reader", ""))
+    return web.json_response({"state": state, "up_s": _read_uptime(request.app)})
+
+
+def _read_uptime(app: web.Application) -> float:
+    return round(time.monotonic() - app[_STARTED], 3)
 
 
 async def _run_step(request: web.Request) -> web.Response:
@@ -261,6 +282,7 @@
     """Return the engine's web application."""
     app = web.Application(middlewares=[show_faults], client_max_size=8 * 1024 * 1024)
     app[_SPEC] = spec
+    app[_STARTED] = time.monotonic()
     app[SWITCHES] = {}
     app[LEDGER] = []
     cache = PrefixCache(spec=spec, read_clock=time.monotonic)
--- a/packages/standins/fulmarward_standins/engine/_batch.py
+++ b/packages/standins/fulmarward_standins/engine/_batch.py
@@ -1,6 +1,7 @@
 """Streams and the batch that generates their tokens."""
 
 import asyncio
+from collections import Counter
 from dataclasses import dataclass, field
 
 from fulmarward_standins._ledger import LedgerEntry
@@ -37,6 +38,8 @@
     cached_tokens: int = 0
     #: Set and replaced at every change.
     changed: asyncio.Event = field(default_factory=asyncio.Event)
+    #: Open connections by the reader's name.
+    readers: Counter[str] = field(default_factory=Counter)
 
     def announce(self) -> None:
         """Wake all readers."""
@@ -83,14 +86,19 @@
         self._fill_slots()
         self._forget_old()
 
-    def cancel(self, key: StreamKey) -> str:
-        """End a stream, or close its id for ever; return what state it had."""
+    def cancel(self, key: StreamKey, only_reader: str = "") -> str:
+        """End a stream, or close its id for ever; return what state it had.
+
+        With `only_reader` a stream that somebody else reads goes on.
+        """
         stream = self.streams.get(key)
         if stream is None:
             self.closed.add(key)
             return "closed_before_start"
         if stream.end:
             return "ended"
+        if only_reader and set(+stream.readers) - {only_reader}:
+            return "read"
         self._end(stream, "cancelled")
         return "cancelled"
 
--- a/packages/standins/fulmarward_standins/harness/__init__.py
+++ b/packages/standins/fulmarward_standins/harness/__init__.py
@@ -8,6 +8,7 @@
 )
 from fulmarward_standins.harness._fleet import Fleet, FleetPlan, start_fleet
 from fulmarward_standins.harness._golden import check_golden, make_neutral
+from fulmarward_standins.harness._ledger_checks import find_ledger_faults
 from fulmarward_standins.harness._plans import (
     OPERATOR_TOKEN,
     PEER_SECRET,
@@ -18,11 +19,13 @@
 )
 from fulmarward_standins.harness._ports import find_ports
 from fulmarward_standins.harness._processes import Process, start_process, wait_until
+from fulmarward_standins.harness._streams import CallerStream, open_stream, read_whole
 
 __all__ = [
     "OPERATOR_TOKEN",
     "PEER_SECRET",
     "CallResult",
+    "CallerStream",
     "Fleet",
     "FleetPlan",
     "InstancePlan",
@@ -31,11 +34,14 @@
     "TargetPlan",
     "call_json",
     "check_golden",
+    "find_ledger_faults",
     "find_ports",
     "make_declaration",
     "make_neutral",
     "make_team_key",
+    "open_stream",
     "read_stream",
+    "read_whole",
     "start_fleet",
     "start_process",
     "wait_until",
--- a/packages/standins/fulmarward_standins/harness/_fleet.py
+++ b/packages/standins/fulmarward_standins/harness/_fleet.py
@@ -131,6 +131,14 @@
         address = self.find_target(target).address
         return (await call_json(self.session, f"http://{address}/ledger")).body
 
+    async def read_ledgers_by_target(self) -> dict[str, list[dict]]:
+        """Return the ledgers of all running targets by name."""
+        return {
+            target.name: await self.read_ledger(target.name)
+            for target in self.plan.targets
+            if self.processes[target.name].child.returncode is None
+        }
+
     async def read_ledgers(self) -> list[dict]:
         """Return the entries of all reachable targets' ledgers."""
         entries = []
--- /dev/null
+++ b/packages/standins/fulmarward_standins/harness/_streams.py
@@ -0,0 +1,85 @@
+"""A streamed completion as a caller holds it, cuts it and comes back for it."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import aiohttp
+
+from fulmarward_standins.harness._callers import SseEvent, read_stream
+from fulmarward_standins.harness._fleet import Fleet
+from fulmarward_standins.harness._plans import make_team_key
+
+
+@dataclass(kw_only=True)
+class CallerStream:
+    """An open streamed completion."""
+
+    #: HTTP status.
+    status: int
+    #: Id of the request.
+    request: str
+    #: The HTTP answer.
+    response: aiohttp.ClientResponse
+    #: Events read so far.
+    events: list[SseEvent] = field(default_factory=list)
+
+    @property
+    def texts(self) -> list[str]:
+        """The tokens' texts read so far."""
+        return [event.text for event in self.events if event.text]
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the answer's explicit end came."""
+        return bool(self.events) and self.events[-1].data == "[DONE]"
+
+    @property
+    def last_event_id(self) -> str:
+        """The id that a caller sends to go on."""
+        return next((event.id for event in reversed(self.events) if event.id), "")
+
+    async def read(self, texts: int | None = None) -> None:
+        """Read until that many texts are there; without a number, to the end."""
+        async for event in read_stream(self.response):
+            self.events.append(event)
+            if texts is not None and len(self.texts) >= texts:
+                return
+
+
+@asynccontextmanager
+async def open_stream(
+    fleet: Fleet,
+    instance: str,
+    prompt: str,
+    *,
+    pipeline: str = "summary",
+    team: str = "folha",
+    last_event_id: str = "",
+    headers: dict[str, str] | None = None,
+) -> AsyncIterator[CallerStream]:
+    """Open a streamed text completion; leaving the block cuts the connection."""
+    sent = {"Authorization": f"Bearer {make_team_key(team)}"} | (headers or {})
+    if last_event_id:
+        sent["Last-Event-ID"] = last_event_id
+    body = {"model": pipeline, "prompt": prompt, "stream": True}
+    async with fleet.session.post(
+        fleet.get_url(instance, "/v1/completions"), json=body, headers=sent
+    ) as response:
+        try:
+            yield CallerStream(
+                status=response.status,
+                request=response.headers.get("X-Request-Id", ""),
+                response=response,
+            )
+        finally:
+            response.close()
+
+
+async def read_whole(
+    fleet: Fleet, instance: str, prompt: str, **members: str
+) -> CallerStream:
+    """Return a streamed completion read to its end."""
+    async with open_stream(fleet, instance, prompt, **members) as stream:
+        await stream.read()
+        return stream
