--- a/packages/standins/fulmarward_standins/harness/__init__.py
+++ b/packages/standins/fulmarward_standins/harness/__init__.py
@@ -18,6 +18,7 @@
 )
 from fulmarward_standins.harness._ports import find_ports
 from fulmarward_standins.harness._processes import Process, start_process, wait_until
+from fulmarward_standins.harness._usage import Usage, read_usage
 
 __all__ = [
     "OPERATOR_TOKEN",
@@ -29,6 +30,7 @@
     "Process",
     "SseEvent",
     "TargetPlan",
+    "Usage",
     "call_json",
     "check_golden",
     "find_ports",
@@ -36,6 +38,7 @@
     "make_neutral",
     "make_team_key",
     "read_stream",
+    "read_usage",
     "start_fleet",
     "start_process",
     "wait_until",
--- /dev/null
+++ b/packages/standins/fulmarward_standins/harness/_usage.py
@@ -0,0 +1,26 @@
+"""What a process has used, read from the system's own accounts."""
+
+import os
+from dataclasses import dataclass
+from pathlib import Path
+
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+_PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+
+@dataclass(frozen=True, kw_only=True)
+class Usage:
+    """Processor time and memory of one process."""
+
+    #: User and system time so far, in seconds.
+    cpu_s: float
+    #: Resident memory in bytes.
+    resident_bytes: int
+
+
+def read_usage(pid: int) -> Usage:
+    """Return what the process `pid` has used so far."""
+    stat = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    ticks = int(stat[11]) + int(stat[12])
+    return Usage(cpu_s=ticks / _TICKS_PER_S, resident_bytes=pages * _PAGE_BYTES)
