Trace of a request's decisions; TLS for the operators' client

Cause: an operator could not ask why one request went where it did, and fulmarctl could not talk to an instance that uses TLS (found while writing the TLS test: the operators' side listens with TLS too, and the client only spoke plain HTTP).

--- a/packages/client/fulmarctl/_client.py
+++ b/packages/client/fulmarctl/_client.py
@@ -1,6 +1,7 @@
 """Calls to the operators' side of the instances."""
 
 import asyncio
+import ssl
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -21,6 +22,8 @@
     addresses: tuple[str, ...]
     #: The operator's token.
     token: str
+    #: How to check the instances' certificates; `None` for plain HTTP.
+    tls: ssl.SSLContext | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -37,10 +40,15 @@
     session: aiohttp.ClientSession, fleet: Fleet, address: str, path: str, body: object
 ) -> Reply | Failure:
     method = "GET" if body is None else "POST"
+    scheme = "https" if fleet.tls else "http"
     headers = {"Authorization": f"Bearer {fleet.token}"}
     try:
         async with session.request(
-            method, f"http://{address}{path}", json=body, headers=headers
+            method,
+            f"{scheme}://{address}{path}",
+            json=body,
+            headers=headers,
+            ssl=fleet.tls or True,
         ) as response:
             return Reply(status=response.status, body=await response.json())
     except (aiohttp.ClientError, TimeoutError, ValueError) as error:
--- a/packages/client/fulmarctl/_commands.py
+++ b/packages/client/fulmarctl/_commands.py
@@ -41,9 +41,10 @@
 class Commands:
     """Operate a fleet of fulmarward instances.
 
-    SETTINGS is a JSON file with `addresses` (operator addresses of instances) and
-    `token_file`. Every command prints JSON with `--json`, and exits with the status
-    that docs/RESULT-CODES.md gives for its result.
+    SETTINGS is a JSON file with `addresses` (operator addresses of instances),
+    `token_file` and, for instances that use TLS, `authority_file` (PEM). Every
+    command prints JSON with `--json`, and exits with the status that
+    docs/RESULT-CODES.md gives for its result.
     """
 
     def __init__(self, settings: str = "fulmarctl.json", json: bool = False) -> None:
@@ -143,6 +144,21 @@
         body = _call(load_fleet(self._path), "/targets").body
         print_reply(body, as_json=self._as_json)
 
+    @defer
+    def trace(self, request: str) -> None:
+        """Show the decisions of one late request, by its X-Request-Id."""
+        fleet = load_fleet(self._path)
+        replies = call_every_instance(fleet, f"/trace/{request}")
+        found = {
+            address: reply.body["lines"]
+            for address, reply in zip(fleet.addresses, replies, strict=True)
+            if not isinstance(reply, Failure)
+        }
+        if not found:
+            print_failure(make_failure(ResultCode.NOT_FOUND, f"Request {request}."))
+        for address, lines in found.items():
+            print_reply({"address": address, "lines": lines}, as_json=self._as_json)
+
     @defer
     def declaration(self) -> None:
         """Print the declaration in force, fit to be changed and applied again."""
--- a/packages/client/fulmarctl/_settings.py
+++ b/packages/client/fulmarctl/_settings.py
@@ -1,5 +1,6 @@
 """The client's settings: which instances to ask, and with which token."""
 
+import ssl
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -12,6 +13,7 @@
     parse_json,
     read_address,
     read_list_of,
+    read_optional,
     read_record,
     read_text,
 )
@@ -22,13 +24,16 @@
 class _ClientSettings:
     addresses: tuple[str, ...]
     token_file: str
+    authority_file: str | None
 
 
+_PATH = read_text(expected="the path of a file")
 _READ_SETTINGS = read_record(
     _ClientSettings,
     {
         "addresses": Field(read=read_list_of(read_address(), least=1, most=1000)),
-        "token_file": Field(read=read_text(expected="the path of a file")),
+        "token_file": Field(read=_PATH),
+        "authority_file": Field(read=read_optional(_PATH), default=None),
     },
 )
 
@@ -40,9 +45,16 @@
         value = parse_json(Path(path).read_text(), path, faults)
         settings = None if faults else _READ_SETTINGS(value, "", faults)
         token = Path(settings.token_file).read_text().strip() if settings else ""
+        tls = _make_tls(settings) if settings else None
     except (OSError, UnicodeDecodeError) as error:
         faults.append(Fault(where=path, expected="a readable file", found=str(error)))
     if faults:
         failure = make_failure(ResultCode.SETTINGS_INVALID, describe_faults(faults))
         print_failure(failure)
-    return Fleet(addresses=settings.addresses, token=token)
+    return Fleet(addresses=settings.addresses, token=token, tls=tls)
+
+
+def _make_tls(settings: _ClientSettings) -> ssl.SSLContext | None:
+    if settings.authority_file is None:
+        return None
+    return ssl.create_default_context(cafile=settings.authority_file)
--- a/packages/instance/fulmarward/_daemon.py
+++ b/packages/instance/fulmarward/_daemon.py
@@ -17,7 +17,12 @@
 from fulmarward.configuration import answer_body, answer_head, run_adoption
 from fulmarward.membership import answer_ping, answer_sync, run_membership
 from fulmarward.membership._heartbeats import announce_leaving
-from fulmarward.observability import log_event, make_metrics, start_logging
+from fulmarward.observability import (
+    TraceHandler,
+    log_event,
+    make_metrics,
+    start_logging,
+)
 from fulmarward.operators import make_operator_app
 from fulmarward.peers import (
     AskBody,
@@ -54,7 +59,10 @@
 
 
 def make_instance(
-    settings: InstanceSettings, secrets: Secrets, session: aiohttp.ClientSession
+    settings: InstanceSettings,
+    secrets: Secrets,
+    session: aiohttp.ClientSession,
+    traces: TraceHandler,
 ) -> Instance:
     """Return the state of a fresh instance. Needs a running event loop."""
     member = Member(
@@ -81,6 +89,7 @@
         session=session,
         platform=platform,
         metrics=make_metrics(),
+        traces=traces,
         lifecycle=Lifecycle(),
         member=member,
         members=MemberTable(own_name=settings.name, members={settings.name: member}),
@@ -161,10 +170,10 @@
 
     Returns whether it ended because it was told to, and not because a duty failed.
     """
-    start_logging(instance=settings.name, level=settings.log_level)
+    traces = start_logging(instance=settings.name, level=settings.log_level)
     connector = aiohttp.TCPConnector(limit=MOST_CONNECTIONS)
     async with aiohttp.ClientSession(connector=connector) as session:
-        instance = make_instance(settings, secrets, session)
+        instance = make_instance(settings, secrets, session, traces)
         links = _make_links(instance)
         stop, hurried = asyncio.Event(), asyncio.Event()
         _watch_signals(stop, hurried)
--- a/packages/instance/fulmarward/_instance.py
+++ b/packages/instance/fulmarward/_instance.py
@@ -10,7 +10,7 @@
 
 from fulmarward._lifecycle import Lifecycle
 from fulmarward.answers import Answer
-from fulmarward.observability import Metrics
+from fulmarward.observability import Metrics, TraceHandler
 from fulmarward.platform import Platform
 from fulmarward.settings import InstanceSettings, Secrets
 from fulmarward_core.configuration import Snapshot
@@ -38,6 +38,8 @@
     platform: Platform
     #: Metrics.
     metrics: Metrics
+    #: The log lines of late requests.
+    traces: TraceHandler
     #: Starting, serving, stopping or stopped.
     lifecycle: Lifecycle
     #: What this instance says of itself.
--- a/packages/instance/fulmarward/observability/_logs.py
+++ b/packages/instance/fulmarward/observability/_logs.py
@@ -5,11 +5,16 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+from fulmarward.observability._traces import TraceHandler
+
 _LOGGER = logging.getLogger("fulmarward")
 
 
-def start_logging(*, instance: str, level: str) -> None:
-    """Send the instance's log to standard error as JSON lines."""
+def start_logging(*, instance: str, level: str) -> TraceHandler:
+    """Send the instance's log to standard error as JSON lines.
+
+    Returns the handler that keeps the lines of late requests.
+    """
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(
         JsonFormatter(
@@ -19,9 +24,11 @@
             static_fields={"instance": instance},
         )
     )
-    _LOGGER.handlers = [handler]
+    traces = TraceHandler()
+    _LOGGER.handlers = [handler, traces]
     _LOGGER.propagate = False
     _LOGGER.setLevel(level.upper())
+    return traces
 
 
 def log_event(
--- a/packages/instance/fulmarward/operators/_server.py
+++ b/packages/instance/fulmarward/operators/_server.py
@@ -128,6 +128,12 @@
             return make_failure_response(heads)
         return web.json_response({"history": [asdict(head) for head in heads]})
 
+    async def show_trace(request: web.Request) -> web.Response:
+        lines = instance.traces.read_lines(request.match_info["request"])
+        if not lines:
+            return make_failure_response(make_failure(ResultCode.NOT_FOUND))
+        return web.json_response({"lines": lines})
+
     async def apply(request: web.Request) -> web.Response:
         faults: list = []
         value = parse_json(await request.read(), "body", faults)
@@ -158,6 +164,7 @@
             web.get("/targets", show_targets),
             web.get("/declaration", show_declaration),
             web.get("/history", show_history),
+            web.get("/trace/{request}", show_trace),
             web.post("/apply", apply),
         ]
     )
--- a/packages/standins/fulmarward_standins/harness/_fleet.py
+++ b/packages/standins/fulmarward_standins/harness/_fleet.py
@@ -139,11 +139,11 @@
                 entries += await self.read_ledger(target.name)
         return entries
 
-    async def start_instance(self, name: str) -> Process:
+    async def start_instance(self, name: str, settings: dict | None = None) -> Process:
         """Start the process of an instance, again if it ran before."""
         path = self.folder / f"{name}.json"
-        plan = self.find_instance(name)
-        path.write_text(json.dumps(self.make_settings(plan)))
+        settings = settings or self.make_settings(self.find_instance(name))
+        path.write_text(json.dumps(settings))
         command = [sys.executable, "-m", "fulmarward", "start", str(path)]
         self.processes[name] = await start_process(name, command, self.folder)
         return self.processes[name]
