--- a/packages/standins/fulmarward_standins/engine/_app.py
+++ b/packages/standins/fulmarward_standins/engine/_app.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 
 from fulmarward_standins._faults import SWITCHES, change_switches, show_faults
-from fulmarward_standins._ledger import LEDGER, show_ledger
+from fulmarward_standins._ledger import LEDGER, Ledger, show_ledger
 from fulmarward_standins.engine._batch import Batch, Stream
 from fulmarward_standins.engine._cache import PrefixCache
 from fulmarward_standins.engine._spec import EngineSpec
@@ -73,6 +73,7 @@
         most=body["max_tokens"],
         urgency=body.get("urgency", 1),
     )
+    request.app[LEDGER].note_work(stream.request, stream.attempt, stream.prompt)
     request.app[_BATCH].start(stream)
     return await _send_events(request, stream, 0)
 
@@ -262,7 +263,7 @@
     app = web.Application(middlewares=[show_faults], client_max_size=8 * 1024 * 1024)
     app[_SPEC] = spec
     app[SWITCHES] = {}
-    app[LEDGER] = []
+    app[LEDGER] = Ledger(spec.ledger_file)
     cache = PrefixCache(spec=spec, read_clock=time.monotonic)
     app[_BATCH] = Batch(
         spec=spec, ledger=app[LEDGER], cache=cache, switches=app[SWITCHES]
--- a/packages/standins/fulmarward_standins/engine/_spec.py
+++ b/packages/standins/fulmarward_standins/engine/_spec.py
@@ -39,3 +39,5 @@
     checks_fencing: bool = True
     #: How long loading weights takes, in milliseconds.
     load_ms: float = 200.0
+    #: File to which the ledger is also written; empty for none.
+    ledger_file: str = ""
--- /dev/null
+++ b/packages/standins/fulmarward_standins/faults/_check.py
@@ -0,0 +1,80 @@
+"""Every ledger against what every caller was told."""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from fulmarward_standins.faults._told import Ending, Told
+
+
+@dataclass(frozen=True, kw_only=True)
+class Verdict:
+    """What a run came to; the last four have to be 0."""
+
+    #: Pieces of work.
+    requests: int
+    #: By ending.
+    endings: Mapping[str, int]
+    #: Work that may run once and ran more often.
+    run_twice: int
+    #: Work told not to have run, that ran.
+    wrongly_not_run: int
+    #: Answers told as whole that are not this work's whole answer.
+    wrong_answers: int
+    #: Layers run twice or out of order for a token of an attempt.
+    wrong_layers: int
+
+    @property
+    def is_right(self) -> bool:
+        """Whether every promise was kept."""
+        faults = (
+            self.run_twice,
+            self.wrongly_not_run,
+            self.wrong_answers,
+            self.wrong_layers,
+        )
+        return not any(faults)
+
+
+def check_told(told: Iterable[Told], lines: Iterable[Mapping[str, Any]]) -> Verdict:
+    """Return the verdict on what callers were told, given the ledgers' lines."""
+    told, lines = list(told), list(lines)
+    runs = _count_runs(lines)
+    return Verdict(
+        requests=len(told),
+        endings=Counter(item.ending.value for item in told),
+        run_twice=sum(not item.idempotent and runs[item.work] > 1 for item in told),
+        wrongly_not_run=sum(
+            item.ending is Ending.NOT_RUN and runs[item.work] > 0 for item in told
+        ),
+        wrong_answers=sum(
+            item.ending is Ending.WHOLE
+            and item.expected != ""
+            and item.answer != item.expected
+            for item in told
+        ),
+        wrong_layers=_count_wrong_layers(lines),
+    )
+
+
+def _count_runs(lines: list[Mapping[str, Any]]) -> Counter[str]:
+    """Return how often each work was begun: as one (request, attempt) each time."""
+    executions = {
+        (line["work"], line["request"], line["attempt"])
+        for line in lines
+        if "work" in line
+    }
+    return Counter(work for work, _, _ in executions)
+
+
+def _count_wrong_layers(lines: list[Mapping[str, Any]]) -> int:
+    """Return the layer runs that are doubled, and tokens with a gap before them."""
+    layers: dict[tuple[str, int, int], list[int]] = defaultdict(list)
+    for line in lines:
+        if line.get("event") == "ran":
+            key = (line["request"], line["attempt"], line["position"])
+            layers[key] += range(line["first_layer"], line["last_layer"] + 1)
+    doubled = sum(len(run) - len(set(run)) for run in layers.values())
+    gaps = sum(set(run) != set(range(max(run) + 1)) for run in layers.values())
+    return doubled + gaps
--- a/packages/standins/fulmarward_standins/harness/_fleet.py
+++ b/packages/standins/fulmarward_standins/harness/_fleet.py
@@ -167,7 +167,10 @@
 
     async def start_target(self, name: str) -> Process:
         """Start the process of a target, again if it ran before."""
-        return await self.start_stand_in(name, [make_spec(self.find_target(name))])
+        spec = make_spec(self.find_target(name))
+        if spec.get("ledger_file"):
+            spec["ledger_file"] = str(self.folder / spec["ledger_file"])
+        return await self.start_stand_in(name, [spec])
 
     async def start_stand_in(self, name: str, specs: list[dict]) -> Process:
         """Start a process that runs the stand-ins in `specs`."""
--- a/packages/standins/fulmarward_standins/service/_app.py
+++ b/packages/standins/fulmarward_standins/service/_app.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from fulmarward_standins._faults import SWITCHES, change_switches, show_faults
-from fulmarward_standins._ledger import LEDGER, LedgerEntry, show_ledger
+from fulmarward_standins._ledger import LEDGER, Ledger, LedgerEntry, show_ledger
 
 
 @dataclass(kw_only=True)
@@ -20,6 +20,8 @@
     name: str
     #: How long a call takes, in milliseconds.
     call_ms: float = 5.0
+    #: File to which the ledger is also written; empty for none.
+    ledger_file: str = ""
 
 
 _SPEC: web.AppKey[ServiceSpec] = web.AppKey("spec", ServiceSpec)
@@ -47,6 +49,9 @@
         return web.json_response(
             {"error": "refused"}, status=503, headers={"X-Not-Run": "1"}
         )
+    request_id = request.headers.get("X-Request-Id", "")
+    attempt = int(request.headers.get("X-Attempt", "0"))
+    request.app[LEDGER].note_work(request_id, attempt, body)
     _note(request, "began")
     call_ms = switches.get("call_ms", request.app[_SPEC].call_ms)
     # A service runs a call to its end even when its caller has gone.
@@ -69,7 +74,7 @@
     app = web.Application(middlewares=[show_faults], client_max_size=8 * 1024 * 1024)
     app[_SPEC] = spec
     app[SWITCHES] = {}
-    app[LEDGER] = []
+    app[LEDGER] = Ledger(spec.ledger_file)
     app.add_routes(
         [
             web.get("/ledger", show_ledger),
