--- a/packages/standins/fulmarward_standins/harness/__init__.py
+++ b/packages/standins/fulmarward_standins/harness/__init__.py
@@ -20,6 +20,7 @@
 from fulmarward_standins.harness._ports import find_ports
 from fulmarward_standins.harness._processes import Process, start_process, wait_until
 from fulmarward_standins.harness._streams import CallerStream, open_stream, read_whole
+from fulmarward_standins.harness._usage import Usage, read_usage
 
 __all__ = [
     "OPERATOR_TOKEN",
@@ -32,6 +33,7 @@
     "Process",
     "SseEvent",
     "TargetPlan",
+    "Usage",
     "call_json",
     "check_golden",
     "find_ledger_faults",
@@ -41,6 +43,7 @@
     "make_team_key",
     "open_stream",
     "read_stream",
+    "read_usage",
     "read_whole",
     "start_fleet",
     "start_process",
--- a/packages/standins/fulmarward_standins/harness/_fleet.py
+++ b/packages/standins/fulmarward_standins/harness/_fleet.py
@@ -147,11 +147,11 @@
                 entries += await self.read_ledger(target.name)
         return entries
 
-    async def start_instance(self, name: str) -> Process:
+    async def start_instance(self, name: str, settings: dict | None = None) -> Process:
         """Start the process of an instance, again if it ran before."""
         path = self.folder / f"{name}.json"
-        plan = self.find_instance(name)
-        path.write_text(json.dumps(self.make_settings(plan)))
+        settings = settings or self.make_settings(self.find_instance(name))
+        path.write_text(json.dumps(settings))
         command = [sys.executable, "-m", "fulmarward", "start", str(path)]
         self.processes[name] = await start_process(name, command, self.folder)
         return self.processes[name]
@@ -175,7 +175,10 @@
 
     async def start_target(self, name: str) -> Process:
         """Start the process of a target, again if it ran before."""
-        return await self.start_stand_in(name, [make_spec(self.find_target(name))])
+        spec = make_spec(self.find_target(name))
+        if spec.get("ledger_file"):
+            spec["ledger_file"] = str(self.folder / spec["ledger_file"])
+        return await self.start_stand_in(name, [spec])
 
     async def start_stand_in(self, name: str, specs: list[dict]) -> Process:
         """Start a process that runs the stand-ins in `specs`."""
