Chains of targets: the decision, and engines' steps from a prompt on

Cause: nothing chose several targets for one model, and a chain could be started only by one who knows how the engine turns a prompt into its first value.

Change: chains.decisions finds the cheapest chain over whatever ranges the targets hold as a shortest path over layer boundaries; prices come from the declaration, measured steps that fade, and load. Engines take the prompt at the first and last range, answer with text and end at the last, give all outputs since a position, refuse steps of an exported cache, and close only what nobody else drives.

Ruled out: pricing the link between neighbouring stages. The instance drives each step itself, so a token's value crosses only the links between it and each stage.

Hypothesis: never a gap or an overlap, cost equal to the least of all ways tried.

--- /dev/null
+++ b/packages/core/fulmarward_core/chains/__init__.py
@@ -0,0 +1,23 @@
+"""Chains of targets that together hold all layers of a model."""
+
+from fulmarward_core.chains._types import Chain, StageOffer, StepTimes
+from fulmarward_core.chains.decisions import (
+    covers_layers,
+    estimate_step_ms,
+    find_chain,
+    find_replacement,
+    list_offers,
+    note_step,
+)
+
+__all__ = [
+    "Chain",
+    "StageOffer",
+    "StepTimes",
+    "covers_layers",
+    "estimate_step_ms",
+    "find_chain",
+    "find_replacement",
+    "list_offers",
+    "note_step",
+]
--- a/packages/standins/fulmarward_standins/engine/_app.py
+++ b/packages/standins/fulmarward_standins/engine/_app.py
@@ -19,6 +19,9 @@
     StepRefusal,
     StepState,
     close_attempt,
+    describe_steps,
+    export_cache,
+    import_cache,
     run_step,
 )
 
@@ -159,18 +162,28 @@
 
 
 async def _run_step(request: web.Request) -> web.Response:
-    """`POST /v1/steps`: run one token through a range of layers."""
+    """`POST /v1/steps`: run one token through a range of layers.
+
+    `position`, `first_layer` and `last_layer` say what; `input` is what the range
+    before gave, for layer 0 what the last range gave for the position before. At
+    position 0 the first and the last range also get `prompt` and `max_tokens`. The
+    last range's answer has the token's `text`, and `end` with the last token.
+    """
     body = await request.json()
-    held_first, held_end = request.app[_HELD]["layers"]
-    if not held_first <= body["first_layer"] <= body["last_layer"] < held_end:
+    held, switches = request.app[_HELD], request.app[SWITCHES]
+    first, end = held["layers"]
+    is_held = first <= body["first_layer"] <= body["last_layer"] < end
+    if not is_held or held["model"] != body.get("model", held["model"]):
         return _refuse("not_loaded")
-    if request.app[SWITCHES].get("leaving") and body["position"] == 0:
-        return _refuse("leaving")
-    await asyncio.sleep(request.app[SWITCHES].get("step_ms", 0) / 1000)
-    result = run_step(request.app[_STEPS], body)
+    for switch in ("leaving", "refuse"):
+        if switches.get(switch) and body["position"] == 0:
+            return _refuse(switch)
+    await asyncio.sleep(switches.get("step_ms", 0) / 1000)
+    state = request.app[_STEPS]
+    result = run_step(state, body)
     if isinstance(result, StepRefusal):
         return _refuse(result.error, 409, expected=result.expected)
-    return web.json_response({"position": body["position"], "output": result})
+    return web.json_response(describe_steps(state, result, body["position"] - 1)[0])
 
 
 def _get_cache(request: web.Request) -> tuple[tuple[str, int, int], KvCache | None]:
@@ -180,18 +193,26 @@
 
 
 async def _read_step(request: web.Request) -> web.Response:
-    """`GET /v1/steps/REQUEST/ATTEMPT/FIRST`: the last step's result."""
+    """`GET /v1/steps/REQUEST/ATTEMPT/FIRST?after=P`: what the steps after P gave."""
     _, cache = _get_cache(request)
     if cache is None:
         return _refuse("no_cache", 404)
-    return web.json_response({"position": cache.position, "output": cache.output})
+    after = int(request.query.get("after", "-1"))
+    steps = describe_steps(request.app[_STEPS], cache, after)
+    return web.json_response({"steps": steps})
 
 
 async def _close_steps(request: web.Request) -> web.Response:
-    """`DELETE /v1/steps/REQUEST/ATTEMPT`: refuse all later steps."""
+    """`DELETE /v1/steps/REQUEST/ATTEMPT`: refuse all later steps.
+
+    `only_driver=NAME` leaves an attempt alone that somebody else drove last.
+    """
     info = request.match_info
-    ran = close_attempt(request.app[_STEPS], info["request"], int(info["attempt"]))
-    return web.json_response({"state": "cancelled" if ran else "closed_before_start"})
+    key = (info["request"], int(info["attempt"]))
+    state = close_attempt(
+        request.app[_STEPS], key, request.query.get("only_driver", "")
+    )
+    return web.json_response({"state": state, "up_s": _read_uptime(request.app)})
 
 
 async def _export_cache(request: web.Request) -> web.Response:
@@ -199,7 +220,7 @@
     key, cache = _get_cache(request)
     if cache is None:
         return _refuse("no_cache", 404)
-    del request.app[_STEPS].caches[key]
+    export_cache(request.app[_STEPS], key)
     return web.json_response(asdict(cache))
 
 
@@ -212,8 +233,10 @@
         return _refuse("exists", 409)
     if not first <= body["first_layer"] < body["end_layer"] <= end:
         return _refuse("not_loaded")
-    request.app[_STEPS].caches[key] = KvCache(**body)
-    return web.json_response({"position": body["position"]})
+    if request.app[SWITCHES].get("leaving"):
+        return _refuse("leaving")
+    import_cache(request.app[_STEPS], key, KvCache(**body))
+    return web.json_response({"position": len(body["outputs"]) - 1})
 
 
 async def _show_load(request: web.Request) -> web.Response:
@@ -290,7 +313,7 @@
     app[_BATCH] = Batch(
         spec=spec, ledger=app[LEDGER], cache=cache, switches=app[SWITCHES]
     )
-    app[_STEPS] = StepState(ledger=app[LEDGER])
+    app[_STEPS] = StepState(ledger=app[LEDGER], model_layers=spec.model_layers)
     app[_REPORTS] = deque(maxlen=400)
     app[_HELD] = {
         "model": spec.model,
--- a/packages/standins/fulmarward_standins/engine/_steps.py
+++ b/packages/standins/fulmarward_standins/engine/_steps.py
@@ -3,7 +3,17 @@
 from dataclasses import dataclass, field
 
 from fulmarward_standins._ledger import LedgerEntry
-from fulmarward_standins.engine._model import run_layers
+from fulmarward_standins.engine._model import (
+    count_answer_tokens,
+    make_word,
+    run_layers,
+    start_position,
+)
+
+#: Caches that are kept, the oldest go first.
+KEPT_CACHES = 20_000
+
+CacheKey = tuple[str, int, int]
 
 
 @dataclass(kw_only=True)
@@ -13,10 +23,13 @@
     team: str
     first_layer: int
     end_layer: int
-    #: Position of the last token that ran; -1 before the first.
-    position: int = -1
-    #: The value that the last step gave, kept for a lost reply.
-    output: int = 0
+    #: The prompt and the most tokens; empty in ranges between the first and the last.
+    prompt: str = ""
+    most: int = 0
+    #: Name of the instance that ran the last step.
+    driver: str = ""
+    #: What each step gave, by position, kept for lost replies.
+    outputs: list[int] = field(default_factory=list)
 
 
 @dataclass(kw_only=True)
@@ -24,58 +37,120 @@
     """The caches of one engine, by (request, attempt, first layer)."""
 
     ledger: list[LedgerEntry]
-    caches: dict[tuple[str, int, int], KvCache] = field(default_factory=dict)
+    #: Layers of the whole model.
+    model_layers: int = 24
+    caches: dict[CacheKey, KvCache] = field(default_factory=dict)
+    #: Attempts that take no more steps.
     closed: set[tuple[str, int]] = field(default_factory=set)
+    #: Caches that were exported and take no more steps here.
+    moved: set[CacheKey] = field(default_factory=set)
 
 
 @dataclass(frozen=True, kw_only=True)
 class StepRefusal:
     """Why a step was not run."""
 
-    #: `closed`, `seen`, `out_of_order` or `no_cache`.
+    #: `closed`, `moved`, `seen`, `out_of_order` or `no_cache`.
     error: str
     #: The position that the engine would run.
     expected: int
 
 
-def run_step(state: StepState, step: dict) -> int | StepRefusal:
+def run_step(state: StepState, step: dict) -> KvCache | StepRefusal:
     """Run one step, or refuse one that was seen before or is out of order."""
     request, attempt = step["request"], step["attempt"]
     first, end = step["first_layer"], step["last_layer"] + 1
+    key = (request, attempt, first)
     if (request, attempt) in state.closed:
         return StepRefusal(error="closed", expected=-1)
-    key = (request, attempt, first)
+    if key in state.moved:
+        return StepRefusal(error="moved", expected=-1)
     cache = state.caches.get(key)
     if cache is None:
         if step["position"] != 0:
             return StepRefusal(error="no_cache", expected=0)
-        cache = KvCache(team=step["team"], first_layer=first, end_layer=end)
-        state.caches[key] = cache
-    expected = cache.position + 1
+        cache = _open_cache(state, key, step)
+    expected = len(cache.outputs)
     if step["position"] < expected:
         return StepRefusal(error="seen", expected=expected)
     if step["position"] > expected or end != cache.end_layer:
         return StepRefusal(error="out_of_order", expected=expected)
-    cache.output = run_layers(step["input"], first, end)
-    cache.position = step["position"]
+    is_first = first == 0
+    value = start_position(cache.prompt, expected) if is_first else step["input"]
+    cache.outputs.append(run_layers(value, first, end))
+    cache.driver = step.get("driver", "")
     state.ledger.append(
         LedgerEntry(
             request=request,
             attempt=attempt,
             team=cache.team,
-            position=cache.position,
+            position=expected,
             first_layer=first,
             last_layer=end - 1,
             event="ran",
         )
     )
-    return cache.output
+    return cache
+
+
+def _open_cache(state: StepState, key: CacheKey, step: dict) -> KvCache:
+    cache = KvCache(
+        team=step["team"],
+        first_layer=step["first_layer"],
+        end_layer=step["last_layer"] + 1,
+        prompt=step.get("prompt") or "",
+        most=step.get("max_tokens") or 0,
+    )
+    state.caches[key] = cache
+    if len(state.caches) > KEPT_CACHES:
+        del state.caches[next(iter(state.caches))]
+    return cache
+
 
+def describe_steps(state: StepState, cache: KvCache, after: int) -> list[dict]:
+    """Return what the steps after position `after` gave."""
+    return [
+        {"position": position, "output": cache.outputs[position]}
+        | _describe_token(state, cache, position)
+        for position in range(after + 1, len(cache.outputs))
+    ]
 
-def close_attempt(state: StepState, request: str, attempt: int) -> bool:
-    """Refuse all later steps of an attempt; return whether any had run here."""
-    state.closed.add((request, attempt))
-    mine = [key for key in state.caches if key[:2] == (request, attempt)]
+
+def _describe_token(state: StepState, cache: KvCache, position: int) -> dict:
+    """Return the token's text and how the answer ends; the last range knows both."""
+    if cache.end_layer != state.model_layers:
+        return {}
+    tokens = count_answer_tokens(cache.prompt, cache.most)
+    text = make_word(cache.outputs[position]) if position < tokens else ""
+    if position + 1 < tokens:
+        return {"text": text, "end": ""}
+    return {"text": text, "end": "length" if tokens >= cache.most else "stop"}
+
+
+def close_attempt(
+    state: StepState, attempt_key: tuple[str, int], only_driver: str = ""
+) -> str:
+    """Refuse all later steps of an attempt; return what state it had.
+
+    With `only_driver` an attempt that somebody else drove last goes on.
+    """
+    mine = [key for key in state.caches if key[:2] == attempt_key]
+    drivers = {state.caches[key].driver for key in mine}
+    if only_driver and drivers - {only_driver}:
+        return "driven"
+    state.closed.add(attempt_key)
     for key in mine:
         del state.caches[key]
-    return bool(mine)
+    return "cancelled" if mine else "closed_before_start"
+
+
+def export_cache(state: StepState, key: CacheKey) -> KvCache:
+    """Give a cache away; its steps are refused here from now on."""
+    state.moved.add(key)
+    return state.caches.pop(key)
+
+
+def import_cache(state: StepState, key: CacheKey, cache: KvCache) -> None:
+    """Take a cache in, perhaps one that was given away before."""
+    state.moved.discard(key)
+    state.caches[key] = cache
