Layer pipelines: driven token by token, recovered without a layer run twice

Cause: a pipeline whose model no target holds whole was refused.

Change: without a target for the whole model a request runs on the cheapest chain. The instance drives each token through the stages over kept connections, one call a stage. A lost reply is read back; a lost stage closes the attempt on all stages before a new one begins, whose texts are compared with what the caller may have; a chain whose driver died goes on at another instance from its locator. Step times are measured and move new chains off slow ways. An attempt that somebody else closed is never followed by another of the same driver.

Seen failing, by hypothesis on the stand-in's own steps behind failing calls: - a second driver sent position 0 to a stage restarted since the first one's step: the layers ran twice. Now only the driver that numbered an attempt sends position 0; others go on only where the last stage has given a token. - reply lost, question lost, stage restarted, position 0 sent again: ran twice. Now what may have arrived once at position 0 is asked for and never sent again.

--- a/packages/instance/fulmarward/_instance.py
+++ b/packages/instance/fulmarward/_instance.py
@@ -13,6 +13,7 @@
 from fulmarward.observability import Metrics, TraceHandler
 from fulmarward.platform import Platform
 from fulmarward.settings import InstanceSettings, Secrets
+from fulmarward_core.chains import StepTimes
 from fulmarward_core.configuration import Snapshot
 from fulmarward_core.membership import Member, MemberTable
 from fulmarward_core.routing import TargetView
@@ -54,6 +55,8 @@
     snapshot_changed: asyncio.Event = field(default_factory=asyncio.Event)
     #: Followed targets by name.
     views: dict[str, TargetView] = field(default_factory=dict)
+    #: How long steps of layer pipelines take here, by target.
+    step_times: StepTimes = field(default_factory=StepTimes)
     #: Answers by request id, running and lately finished.
     answers: dict[str, Answer] = field(default_factory=dict)
     #: Tasks that outlive the call that began them.
--- a/packages/instance/fulmarward/requests/_attempt.py
+++ b/packages/instance/fulmarward/requests/_attempt.py
@@ -6,7 +6,14 @@
 from fulmarward._instance import Instance
 from fulmarward.answers import Answer
 from fulmarward.observability import log_event
-from fulmarward.requests._locate import make_locator, name_reader
+from fulmarward.requests._locate import name_reader
+from fulmarward.requests._progress import (
+    DIFFERS,
+    DIFFERS_DETAIL,
+    AttemptProgress,
+    locate_answer,
+    take_texts,
+)
 from fulmarward.requests._work import Work
 from fulmarward.targets import (
     EngineStream,
@@ -19,7 +26,6 @@
     read_events,
     resume_stream,
 )
-from fulmarward_core.requests import StreamEvent, find_new_texts
 from fulmarward_core.results import Failure, ResultCode, make_failure
 from fulmarward_core.routing import TargetView
 from fulmarward_core.streams import Stage
@@ -38,19 +44,18 @@
 
 
 @dataclass(kw_only=True)
-class _Attempt:
+class _Attempt(AttemptProgress):
     """The state of one attempt."""
 
-    #: Its number.
-    number: int
     #: The target that runs it.
     view: TargetView
     #: When it may first have been ordered, seconds on the steady clock.
     ordered_at: float
-    #: Events of this attempt that have come.
-    seen: int = 0
-    #: Whether its locator was given to the answer.
-    is_located: bool = False
+
+
+def _make_attempt(number: int, view: TargetView, ordered_at: float) -> _Attempt:
+    stage = Stage(target=view.name, layers=view.target.layers)
+    return _Attempt(number=number, stages=(stage,), view=view, ordered_at=ordered_at)
 
 
 def _make_order(instance: Instance, work: Work, attempt: int) -> StreamOrder:
@@ -71,7 +76,7 @@
     instance: Instance, work: Work, answer: Answer, number: int, view: TargetView
 ) -> Failure | None:
     """Run the request on one target; returns why it did not end well."""
-    attempt = _Attempt(number=number, view=view, ordered_at=instance.read_clock())
+    attempt = _make_attempt(number, view, instance.read_clock())
     was_dispatched, answer.is_dispatched = answer.is_dispatched, True
     try:
         stream = await open_stream(
@@ -93,7 +98,7 @@
     instance: Instance, work: Work, answer: Answer, number: int, view: TargetView
 ) -> Failure | None:
     """Read an attempt that another instance began, from its first event on."""
-    attempt = _Attempt(number=number, view=view, ordered_at=float("-inf"))
+    attempt = _make_attempt(number, view, float("-inf"))
     answer.is_dispatched = True
     try:
         stream = await _reattach(instance, work, attempt)
@@ -157,9 +162,11 @@
     while failed <= MOST_REATTACHES and not isinstance(stream, StreamUnknown):
         seen, began = attempt.seen, instance.read_clock()
         if isinstance(stream, EngineStream):
-            _locate(instance, work, answer, attempt)
+            locate_answer(instance, work, answer, attempt)
             async for events in read_events(stream):
-                outcome = _take_events(instance, work, answer, attempt, events)
+                texts = [event.text for event in events if not event.end]
+                end = events[-1].end
+                outcome = take_texts(instance, work, answer, attempt, texts, end)
                 if outcome is not None:
                     return await _end(instance, work, answer, attempt, outcome)
             instance.metrics.dropped.add({"reason": "not_ours"}, stream.dropped)
@@ -179,49 +186,15 @@
     return await _give_up(instance, work, answer, attempt)
 
 
-def _locate(instance: Instance, work: Work, answer: Answer, attempt: _Attempt) -> None:
-    """Give the answer this attempt's locator once it has all that callers may have.
-
-    Guards against event ids that name an attempt whose first events turn out to
-    differ: until all of them are compared, ids name the attempt before.
-    """
-    if attempt.is_located or attempt.seen < len(answer.texts):
-        return
-    attempt.is_located = True
-    stage = Stage(target=attempt.view.name, layers=attempt.view.target.layers)
-    answer.set_locator(make_locator(instance, work, attempt.number, (stage,)))
-
-
-def _take_events(
-    instance: Instance,
-    work: Work,
-    answer: Answer,
-    attempt: _Attempt,
-    events: list[StreamEvent],
-) -> str | None:
-    """Append texts to the answer; return how the attempt ended, if it did."""
-    end = events[-1].end
-    texts = [event.text for event in events if not event.end]
-    new = find_new_texts(answer.texts, texts, first=attempt.seen)
-    attempt.seen += len(texts)
-    if new is None or (end and attempt.seen < len(answer.texts)):
-        return "differs"
-    _locate(instance, work, answer, attempt)
-    if new:
-        answer.add_texts(new)
-    return end or None
-
-
 async def _end(
     instance: Instance, work: Work, answer: Answer, attempt: _Attempt, end: str
 ) -> Failure | None:
     if end in ("stop", "length"):
         answer.finish(end)
         return None
-    if end == "differs":
+    if end == DIFFERS:
         await _close(instance, work, attempt)
-        detail = "A new attempt gave another answer than the part that was sent."
-        return make_failure(ResultCode.STREAM_LOST, detail)
+        return make_failure(ResultCode.STREAM_LOST, DIFFERS_DETAIL)
     return make_failure(ResultCode.TARGET_FAILED, f"The stream ended as {end}.")
 
 
--- /dev/null
+++ b/packages/instance/fulmarward/requests/_chain.py
@@ -0,0 +1,388 @@
+"""One attempt of a completion on a chain of targets, each with a range of layers."""
+
+import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from fulmarward._instance import Instance
+from fulmarward.answers import Answer
+from fulmarward.observability import log_event
+from fulmarward.requests._attempt import RETRY_AFTER_MS
+from fulmarward.requests._drive import (
+    ChainRun,
+    StageCalls,
+    StageLost,
+    run_position,
+)
+from fulmarward.requests._locate import name_reader
+from fulmarward.requests._progress import (
+    DIFFERS,
+    DIFFERS_DETAIL,
+    AttemptProgress,
+    take_texts,
+)
+from fulmarward.requests._work import Work
+from fulmarward.targets import (
+    StepDone,
+    StepOrder,
+    StepRefused,
+    StreamBroken,
+    StreamUnknown,
+    close_steps,
+    read_steps,
+    run_step,
+)
+from fulmarward_core.chains import (
+    Chain,
+    covers_layers,
+    estimate_step_ms,
+    find_chain,
+    list_offers,
+    note_step,
+)
+from fulmarward_core.declaration import TargetKind
+from fulmarward_core.results import Failure, ResultCode, make_failure
+from fulmarward_core.routing import TargetView
+from fulmarward_core.streams import Stage
+
+#: How long a stage that was lost gets no new chain, in seconds.
+AVOID_STAGE_S = 1.0
+
+
+def list_stage_views(instance: Instance, work: Work) -> list[TargetView]:
+    """Return the views of the engines that hold a part of the work's model.
+
+    One that holds all of it runs whole requests, which cost a call each, not a token.
+    """
+    whole = (0, work.snapshot.declaration.models[work.pipeline.model].layers)
+    return [
+        view
+        for view in instance.views.values()
+        if view.target.kind is TargetKind.ENGINE
+        and view.target.serves == work.pipeline.model
+        and view.target.layers != whole
+    ]
+
+
+def choose_chain(instance: Instance, work: Work, attempt: int) -> Chain | None:
+    """Return the chain for an attempt, with a log line for the decision."""
+    declaration = work.snapshot.declaration
+    views = list_stage_views(instance, work)
+    offers = list_offers(
+        views,
+        data_centre=instance.settings.data_centre,
+        links=declaration.links,
+        times=instance.step_times,
+        now=instance.read_clock(),
+        generator=instance.generator,
+    )
+    layers = declaration.models[work.pipeline.model].layers
+    chain = find_chain(offers, layers=layers)
+    reason = "least_cost" if chain else "no_open_chain"
+    instance.metrics.decisions.inc({"kind": "route_chain", "reason": reason})
+    log_event(
+        "route_chain",
+        request=work.request,
+        attempt=attempt,
+        team=work.team,
+        pipeline=work.pipeline_name,
+        epoch=work.snapshot.head.epoch,
+        candidates=len(views),
+        open=len(offers),
+        stages=[[stage.target, *stage.layers] for stage in chain.stages]
+        if chain
+        else [],
+        cost_ms=round(chain.cost_ms, 3) if chain else None,
+        reason=reason,
+    )
+    return chain
+
+
+async def run_chain(
+    instance: Instance, work: Work, answer: Answer, number: int, chain: Chain
+) -> Failure | None:
+    """Run the request on a chain; returns why it did not end well."""
+    attempt = AttemptProgress(number=number, stages=chain.stages)
+    return await _drive(instance, work, answer, attempt, is_new=True)
+
+
+async def attach_chain(
+    instance: Instance,
+    work: Work,
+    answer: Answer,
+    number: int,
+    stages: tuple[Stage, ...],
+) -> Failure | None:
+    """Go on with a chain that another instance drove, from its first token on.
+
+    Guards against a first step that runs twice: a stage that was restarted takes
+    position 0 for new. So position 0 is sent only by the driver that gave the attempt
+    its number. Another goes on only where the last stage has given a token, which
+    proves that position 0 ran everywhere, and no locator is out before.
+    """
+    layers = work.snapshot.declaration.models[work.pipeline.model].layers
+    if not covers_layers(stages, layers=layers):
+        return make_failure(ResultCode.STREAM_LOST, "The model has other layers now.")
+    attempt = AttemptProgress(number=number, stages=stages)
+    return await _drive(instance, work, answer, attempt, is_new=False)
+
+
+async def _drive(
+    instance: Instance,
+    work: Work,
+    answer: Answer,
+    attempt: AttemptProgress,
+    *,
+    is_new: bool,
+) -> Failure | None:
+    was_dispatched, answer.is_dispatched = answer.is_dispatched, True
+    run = _make_run(instance, work, attempt)
+    run.may_have_run = not is_new
+    try:
+        with _hold_stages(instance, attempt.stages):
+            lost = await _run_tokens(instance, work, answer, attempt, run, is_new)
+    except asyncio.CancelledError:
+        _close_later(instance, work, answer, attempt)
+        raise
+    if lost is None:
+        _close_later(instance, work, answer, attempt, kept=attempt.stages[-1:])
+        return None
+    if not lost.may_have_run:
+        answer.is_dispatched = was_dispatched
+    return await _give_up(instance, work, attempt, lost)
+
+
+@contextmanager
+def _hold_stages(instance: Instance, stages: tuple[Stage, ...]) -> Iterator[None]:
+    """Count the chain as work in flight on each of its targets."""
+    views = [instance.views.get(stage.target) for stage in stages]
+    held = [view for view in views if view is not None]
+    for view in held:
+        view.in_flight += 1
+    try:
+        yield
+    finally:
+        for view in held:
+            view.in_flight -= 1
+
+
+async def _run_tokens(
+    instance: Instance,
+    work: Work,
+    answer: Answer,
+    attempt: AttemptProgress,
+    run: ChainRun,
+    is_new: bool,
+) -> StageLost | None:
+    """Run token after token until the last stage says that the answer ends."""
+    done = None if is_new else await _read_tokens(instance, work, answer, attempt, run)
+    while not isinstance(done, StageLost):
+        if done is not None and done.end:
+            answer.finish(done.end)
+            return None
+        value = done.output if done else None
+        done = await run_position(run, attempt.seen, value)
+        if isinstance(done, StepDone):
+            done = _take_steps(instance, work, answer, attempt, run, (done,))
+    return done
+
+
+async def _read_tokens(
+    instance: Instance,
+    work: Work,
+    answer: Answer,
+    attempt: AttemptProgress,
+    run: ChainRun,
+) -> StepDone | StageLost:
+    """Read all tokens that the last stage has given."""
+    last = run.stages[-1]
+    found = await run.calls.read_steps(last, -1)
+    if isinstance(found, StreamBroken):
+        found = await run.calls.read_steps(last, -1)
+    if not isinstance(found, tuple) or not found:
+        return _make_lost(run, last, "the last stage's cache is gone")
+    return _take_steps(instance, work, answer, attempt, run, found)
+
+
+def _take_steps(
+    instance: Instance,
+    work: Work,
+    answer: Answer,
+    attempt: AttemptProgress,
+    run: ChainRun,
+    steps: tuple[StepDone, ...],
+) -> StepDone | StageLost:
+    """Append the last stage's steps to the answer; returns the newest."""
+    texts = [step.text for step in steps if step.text]
+    end = steps[-1].end
+    outcome = take_texts(instance, work, answer, attempt, texts, end)
+    if outcome == DIFFERS:
+        return _make_lost(run, run.stages[-1], DIFFERS)
+    return steps[-1]
+
+
+def _make_lost(run: ChainRun, stage: Stage, detail: str) -> StageLost:
+    return StageLost(
+        stage=stage,
+        detail=detail,
+        may_have_run=True,
+        is_closed=False,
+        is_unreachable=False,
+    )
+
+
+def _make_run(instance: Instance, work: Work, attempt: AttemptProgress) -> ChainRun:
+    def make_order(stage: Stage, position: int, value: object) -> StepOrder:
+        first, end = stage.layers
+        needs_prompt = position == 0 and stage in (run.stages[0], run.stages[-1])
+        return StepOrder(
+            request=work.request,
+            attempt=attempt.number,
+            team=work.team,
+            driver=name_reader(instance),
+            model=work.pipeline.model,
+            position=position,
+            first_layer=first,
+            last_layer=end - 1,
+            input=value,
+            prompt=work.prompt if needs_prompt else None,
+            max_tokens=work.max_tokens if needs_prompt else None,
+        )
+
+    run = ChainRun(
+        stages=attempt.stages,
+        calls=_make_calls(instance, work, attempt.number),
+        make_order=make_order,
+    )
+    return run
+
+
+def _find_address(instance: Instance, stage: Stage) -> str | None:
+    target = instance.snapshot.declaration.targets.get(stage.target)
+    return target.address if target else None
+
+
+def _make_calls(instance: Instance, work: Work, number: int) -> StageCalls:
+    async def run(
+        stage: Stage, order: StepOrder
+    ) -> StepDone | StepRefused | StreamBroken:
+        address = _find_address(instance, stage)
+        if address is None:
+            return StepRefused(error="declared no more")
+        began = instance.read_clock()
+        outcome = await run_step(instance.session, address, order)
+        if isinstance(outcome, StepDone) and order.position > 0:
+            _measure_step(instance, stage, began)
+        return outcome
+
+    async def read(
+        stage: Stage, after: int
+    ) -> tuple[StepDone, ...] | StreamUnknown | StreamBroken:
+        address = _find_address(instance, stage)
+        if address is None:
+            return StreamUnknown()
+        return await read_steps(
+            instance.session,
+            address,
+            request=work.request,
+            attempt=number,
+            stage=stage,
+            after=after,
+        )
+
+    return StageCalls(run_step=run, read_steps=read)
+
+
+def _measure_step(instance: Instance, stage: Stage, began: float) -> None:
+    """Note a step's time; position 0 is left out, since it reads the prompt."""
+    declaration = instance.snapshot.declaration
+    now = instance.read_clock()
+    note_step(
+        instance.step_times,
+        target=stage.target,
+        took_ms=(now - began) * 1000,
+        expected_ms=estimate_step_ms(
+            declaration.targets[stage.target],
+            layers=stage.layers[1] - stage.layers[0],
+            data_centre=instance.settings.data_centre,
+            links=declaration.links,
+        ),
+        now=now,
+    )
+
+
+async def _close_all(
+    instance: Instance,
+    work: Work,
+    attempt: AttemptProgress,
+    *,
+    only_driver: str = "",
+    kept: tuple[Stage, ...] = (),
+) -> None:
+    """Close an attempt on all its stages but the kept ones, each as far as reached."""
+    addresses = {
+        _find_address(instance, stage) for stage in attempt.stages if stage not in kept
+    }
+    closing = [
+        close_steps(
+            instance.session,
+            address,
+            request=work.request,
+            attempt=attempt.number,
+            only_driver=only_driver,
+        )
+        for address in addresses
+        if address is not None
+    ]
+    await asyncio.gather(*closing)
+
+
+def _close_later(
+    instance: Instance,
+    work: Work,
+    answer: Answer,
+    attempt: AttemptProgress,
+    kept: tuple[Stage, ...] = (),
+) -> None:
+    """Free the caches of an attempt that is over or that nobody waits for.
+
+    A whole answer stays readable at its last stage for a caller that was cut.
+    """
+    if instance.lifecycle.state == "stopped" and answer.may_return:
+        return
+    closing = _close_all(
+        instance, work, attempt, only_driver=name_reader(instance), kept=kept
+    )
+    instance.keep_task(asyncio.create_task(closing))
+
+
+async def _give_up(
+    instance: Instance, work: Work, attempt: AttemptProgress, lost: StageLost
+) -> Failure:
+    """Close the attempt everywhere before any other begins; say what is known."""
+    log_event(
+        "chain_lost",
+        request=work.request,
+        attempt=attempt.number,
+        target=lost.stage.target,
+        position=attempt.seen,
+        reason=lost.detail,
+    )
+    view = instance.views.get(lost.stage.target)
+    if view is not None and lost.detail != DIFFERS:
+        view.avoided_until = instance.read_clock() + AVOID_STAGE_S
+    if lost.is_closed:
+        detail = "Another instance goes on with it."
+        return make_failure(ResultCode.STREAM_LOST, detail)
+    await _close_all(instance, work, attempt)
+    if lost.detail == DIFFERS:
+        return make_failure(ResultCode.STREAM_LOST, DIFFERS_DETAIL)
+    if lost.may_have_run:
+        detail = f"Stage {lost.stage.target} was lost: {lost.detail}."
+        return make_failure(ResultCode.TARGET_FAILED, detail)
+    code = (
+        ResultCode.TARGET_UNREACHABLE
+        if lost.is_unreachable
+        else ResultCode.TARGET_REFUSED
+    )
+    return make_failure(code, lost.detail, retry_after_ms=RETRY_AFTER_MS)
--- a/packages/instance/fulmarward/requests/_execute.py
+++ b/packages/instance/fulmarward/requests/_execute.py
@@ -6,6 +6,7 @@
 from fulmarward.answers import Answer
 from fulmarward.requests._admit import admit_work
 from fulmarward.requests._attempt import RETRY_AFTER_MS, run_attempt
+from fulmarward.requests._chain import choose_chain, run_chain
 from fulmarward.requests._route import choose_route
 from fulmarward.requests._work import Work
 from fulmarward_core.requests import choose_failure
@@ -48,32 +49,43 @@
     """Run attempts until one ends well or none may follow."""
     failure = None
     for attempt in range(first_attempt, first_attempt + MOST_ATTEMPTS):
-        choice = choose_route(instance, work, attempt)
-        if choice is None:
-            refusal = make_failure(ResultCode.NO_TARGET, retry_after_ms=RETRY_AFTER_MS)
-            return choose_failure(failure, refusal)
-        view = choice.chosen
-        view.in_flight += 1
-        try:
-            outcome = await run_attempt(instance, work, answer, attempt, view)
-        finally:
-            view.in_flight -= 1
+        outcome = await _run_somewhere(instance, work, answer, attempt)
         if outcome is None:
             return None
         failure = choose_failure(failure, outcome)
         if not _may_retry(work, outcome):
             return failure
+    return failure
+
+
+async def _run_somewhere(
+    instance: Instance, work: Work, answer: Answer, attempt: int
+) -> Failure | None:
+    """Run an attempt on a target with the whole model, else on a chain."""
+    choice = choose_route(instance, work, attempt)
+    if choice is None:
+        chain = choose_chain(instance, work, attempt)
+        if chain is None:
+            return make_failure(ResultCode.NO_TARGET, retry_after_ms=RETRY_AFTER_MS)
+        return await run_chain(instance, work, answer, attempt, chain)
+    view = choice.chosen
+    view.in_flight += 1
+    try:
+        failure = await run_attempt(instance, work, answer, attempt, view)
+    finally:
+        view.in_flight -= 1
+    if failure is not None:
         view.avoided_until = instance.read_clock() + AVOID_S
     return failure
 
 
 def _may_retry(work: Work, failure: Failure) -> bool:
-    """Return whether another target may run the request.
+    """Return whether another attempt may run the request.
 
     Guards against a second execution of what must run once. A lost stream is final:
     another attempt has shown that the answer cannot go on where it stands.
     """
-    if failure.code is ResultCode.STREAM_LOST:
+    if failure.code in (ResultCode.STREAM_LOST, ResultCode.NO_TARGET):
         return False
     not_run = failure.code in (
         ResultCode.TARGET_REFUSED,
--- a/packages/instance/fulmarward/requests/_resume.py
+++ b/packages/instance/fulmarward/requests/_resume.py
@@ -5,6 +5,7 @@
 from fulmarward._instance import Instance
 from fulmarward.answers import Answer
 from fulmarward.requests._attempt import attach_attempt
+from fulmarward.requests._chain import attach_chain
 from fulmarward.requests._execute import describe_timeout, try_targets
 from fulmarward.requests._work import Work
 from fulmarward_core.requests import choose_failure
@@ -55,7 +56,11 @@
 async def _attach(
     instance: Instance, work: Work, answer: Answer, locator: Locator
 ) -> Failure | None:
-    views = [instance.views.get(stage.target) for stage in locator.stages]
-    if None in views:
-        return make_failure(ResultCode.STREAM_LOST, "A target is declared no more.")
-    return await attach_attempt(instance, work, answer, locator.attempt, views[0])
+    if len(locator.stages) > 1:
+        return await attach_chain(
+            instance, work, answer, locator.attempt, locator.stages
+        )
+    view = instance.views.get(locator.stages[0].target)
+    if view is None:
+        return make_failure(ResultCode.STREAM_LOST, "The target is declared no more.")
+    return await attach_attempt(instance, work, answer, locator.attempt, view)
--- /dev/null
+++ b/packages/instance/fulmarward/requests/tests/test_chains.py
@@ -0,0 +1,120 @@
+import json
+import unittest
+
+from fulmarward_standins.engine import answer_tokens
+from fulmarward_standins.harness import (
+    FleetPlan,
+    InstancePlan,
+    TargetPlan,
+    find_ledger_faults,
+    open_stream,
+    read_whole,
+    start_fleet,
+)
+
+
+def _plan():
+    ranges = {"c1": (0, 8), "c2": (8, 16), "c3": (16, 24)}
+    spares = {"d1": (0, 12), "d2": (6, 20), "d3": (16, 24)}
+    targets = [
+        TargetPlan(name=name, serves="anchovy", layers=layers, stand_in={"slots": 64})
+        for name, layers in ranges.items()
+    ] + [
+        TargetPlan(
+            name=name, serves="anchovy", layers=layers, data_centre="lx-carnaxide"
+        )
+        for name, layers in spares.items()
+    ]
+    return FleetPlan(
+        instances=[
+            InstancePlan(name="i1", data_centre="lx-alcantara"),
+            InstancePlan(name="i2", data_centre="lx-oriente"),
+        ],
+        targets=targets,
+    )
+
+
+def _ran(ledgers, request):
+    """Return the targets that ran steps of each attempt of a request."""
+    attempts = {}
+    for target, ledger in ledgers.items():
+        for entry in ledger:
+            if entry["request"] == request:
+                attempts.setdefault(entry["attempt"], set()).add(target)
+    return attempts
+
+
+class ChainTest(unittest.IsolatedAsyncioTestCase):
+    async def test_chain_outlives_lost_replies_instances_and_stages(self):
+        async with start_fleet(_plan()) as fleet:
+            await self._check_lost_replies(fleet)
+            await self._check_killed_stage(fleet)
+            await self._check_killed_instance(fleet)
+
+    async def _check(self, fleet, stream, texts, prompt, tokens):
+        self.assertEqual(texts, answer_tokens(prompt, tokens, 24))
+        self.assertTrue(stream.is_whole, stream.events[-1:])
+        ledgers = await fleet.read_ledgers_by_target()
+        self.assertEqual(find_ledger_faults(ledgers), [])
+        return _ran(ledgers, stream.request)
+
+    async def _check_lost_replies(self, fleet):
+        # A step takes effect and its reply is lost, at each stage. The caller has the
+        # whole answer; the step's result is read back and no layer runs twice.
+        for target in ("c1", "c2", "c3", "d1", "d2", "d3"):
+            await fleet.control_target(target, lose_replies=2, lose_matching="/steps")
+        prompt = "digest [20 tokens]"
+        stream = await read_whole(fleet, "i1", prompt, pipeline="chain")
+        ran = await self._check(fleet, stream, stream.texts, prompt, 20)
+        self.assertEqual(set(ran), {1})
+
+    async def _check_killed_stage(self, fleet):
+        # A stage dies in the middle of an answer and its cache with it. The attempt
+        # is closed on the other stages, a new one runs elsewhere, and what the caller
+        # gets goes on at the same place.
+        prompt = "unit move [300 tokens]"
+        async with open_stream(fleet, "i1", prompt, pipeline="chain") as stream:
+            await stream.read(10)
+            ran = _ran(await fleet.read_ledgers_by_target(), stream.request)
+            dying = "c2" if "c2" in ran[1] else "d2"
+            await fleet.processes[dying].kill()
+            await stream.read()
+        ran = await self._check(fleet, stream, stream.texts, prompt, 300)
+        self.assertEqual(set(ran), {1, 2})
+        self.assertNotIn(dying, ran[2])
+        await fleet.start_target(dying)
+        await fleet.wait_listening(fleet.find_target(dying).address)
+
+    async def _check_killed_instance(self, fleet):
+        # The instance that drives a chain dies. Another one reads from the stages how
+        # far each is and drives on; the caller has every event once, and so has
+        # every stage every step.
+        prompt = "coding [150 tokens]"
+        async with open_stream(fleet, "i1", prompt, pipeline="chain") as first:
+            await first.read(10)
+            await fleet.processes["i1"].kill()
+            await first.read()
+        self.assertFalse(first.is_whole)
+        rest = await read_whole(
+            fleet, "i2", prompt, pipeline="chain", last_event_id=first.last_event_id
+        )
+        ran = await self._check(fleet, rest, first.texts + rest.texts, prompt, 150)
+        self.assertEqual(set(ran), {1})
+        ids = [event.id for event in first.events + rest.events if event.id]
+        numbers = [int(event_id.rpartition(".")[2]) for event_id in ids]
+        self.assertEqual(numbers, list(range(152)))
+
+    async def test_no_chain_is_told_at_once(self):
+        # All that hold the middle layers leave. New work is refused as not run.
+        plan = _plan()
+        plan.instances = plan.instances[:1]
+        plan.targets = [item for item in plan.targets if item.name[0] == "c"]
+        async with start_fleet(plan) as fleet:
+            await fleet.control_target("c1", leaving=True)
+            async with open_stream(fleet, "i1", "x", pipeline="chain") as stream:
+                body = json.loads(await stream.response.text())
+            self.assertIn(body["result"], (2004, 2010))
+            self.assertEqual(body["ran"], "not_run")
+            self.assertEqual(
+                _ran(await fleet.read_ledgers_by_target(), stream.request), {}
+            )
--- /dev/null
+++ b/packages/instance/fulmarward/requests/tests/test_drive.py
@@ -0,0 +1,170 @@
+import asyncio
+import unittest
+
+from hypothesis import given, strategies as st
+
+from fulmarward.requests._drive import ChainRun, StageCalls, StageLost, run_position
+from fulmarward.targets import (
+    StepDone,
+    StepOrder,
+    StepRefused,
+    StreamBroken,
+    StreamUnknown,
+)
+from fulmarward_core.streams import Stage
+from fulmarward_standins.engine import answer_tokens
+from fulmarward_standins.engine._steps import (
+    StepRefusal,
+    StepState,
+    close_attempt,
+    describe_steps,
+    run_step,
+)
+from fulmarward_standins.harness import find_ledger_faults
+
+_STAGES = tuple(
+    Stage(target=f"t{first}", layers=(first, first + 8)) for first in (0, 8, 16)
+)
+_PROMPT = "cast [4 tokens]"
+
+#: What can become of a call.
+_FATES = ["done", "done", "done", "lost", "lost_reply", "late", "restart", "refused"]
+
+
+class _Stages:
+    """The stand-in's own steps behind calls that fail as drawn."""
+
+    def __init__(self, fates):
+        self.fates = iter(fates)
+        self.states = {stage.target: StepState(ledger=[]) for stage in _STAGES}
+        self.late = []
+
+    async def run_step(self, stage, order):
+        fate = next(self.fates, "done")
+        await asyncio.sleep(0)
+        if fate == "lost":
+            return StreamBroken(detail="lost")
+        if fate == "refused":
+            return StepRefused(error="ClientConnectorError", is_unreachable=True)
+        if fate == "late":
+            self.late.append((stage, order))
+            return StreamBroken(detail="late")
+        if fate == "restart":
+            ledger = self.states[stage.target].ledger
+            self.states[stage.target] = StepState(ledger=ledger)
+        outcome = self.run_now(stage, order)
+        return StreamBroken(detail="lost") if fate == "lost_reply" else outcome
+
+    def run_now(self, stage, order):
+        state = self.states[stage.target]
+        result = run_step(state, vars(order))
+        if isinstance(result, StepRefusal):
+            return StepRefused(error=result.error)
+        return StepDone(**describe_steps(state, result, order.position - 1)[0])
+
+    async def read_steps(self, stage, after):
+        fate = next(self.fates, "done")
+        await asyncio.sleep(0)
+        if fate in ("lost", "lost_reply"):
+            return StreamBroken(detail="lost")
+        state = self.states[stage.target]
+        cache = state.caches.get(("r", 1, stage.layers[0]))
+        if cache is None:
+            return StreamUnknown()
+        return tuple(StepDone(**item) for item in describe_steps(state, cache, after))
+
+
+def _make_run(stages, driver):
+    def make_order(stage, position, value):
+        return StepOrder(
+            request="r",
+            attempt=1,
+            team="folha",
+            driver=driver,
+            model="anchovy",
+            position=position,
+            first_layer=stage.layers[0],
+            last_layer=stage.layers[1] - 1,
+            input=value,
+            prompt=_PROMPT,
+            max_tokens=100,
+        )
+
+    calls = StageCalls(run_step=stages.run_step, read_steps=stages.read_steps)
+    return ChainRun(stages=_STAGES, calls=calls, make_order=make_order)
+
+
+async def _attach(stages, driver, first):
+    """Go on with what another driver began, once it has given a token out."""
+    while not first.done():
+        found = await stages.read_steps(_STAGES[-1], -1)
+        if isinstance(found, tuple) and found:
+            texts = [step.text for step in found]
+            if found[-1].end:
+                return texts, None
+            return await _drive(stages, driver, texts, found[-1].output)
+    return [], "nothing to go on with"
+
+
+async def _drive(stages, driver, texts=(), value=None):
+    run, texts = _make_run(stages, driver), list(texts)
+    for position in range(len(texts), 100):
+        done = await run_position(run, position, value)
+        if isinstance(done, StageLost):
+            return texts, done
+        texts.append(done.text)
+        value = done.output
+        if done.end:
+            return texts, None
+    raise AssertionError("expected the answer to end")
+
+
+def _check_ledgers(test, stages):
+    ledgers = {name: state.ledger for name, state in stages.states.items()}
+    entries = {
+        name: [vars(item) for item in ledger] for name, ledger in ledgers.items()
+    }
+    test.assertEqual(find_ledger_faults(entries), [])
+
+
+class DriveTest(unittest.TestCase):
+    @given(st.lists(st.sampled_from(_FATES), max_size=60), st.integers(0, 2))
+    def test_no_layer_runs_twice_whatever_becomes_of_calls(self, fates, drivers):
+        # Calls and replies are lost, arrive late, stages restart without their
+        # caches; and further drivers (the first was frozen and woke) go on with the
+        # attempt from where its last stage is. Every layer runs once for a token, and
+        # what a driver gives out is the right answer's beginning, or all of it.
+        stages = _Stages(fates)
+
+        async def drive_all():
+            first = asyncio.ensure_future(_drive(stages, "i1"))
+            later = [_attach(stages, f"i{number}", first) for number in range(drivers)]
+            return await asyncio.gather(first, *later)
+
+        outcomes = asyncio.run(drive_all())
+        for stage, order in stages.late:
+            stages.run_now(stage, order)
+        _check_ledgers(self, stages)
+        right = answer_tokens(_PROMPT, 100, 24)
+        for texts, lost in outcomes:
+            self.assertEqual(texts, right[: len(texts)])
+            self.assertTrue(lost or len(texts) == len(right))
+
+    def test_what_is_not_run_is_known_and_a_closed_attempt_ends(self):
+        # Only an attempt of which nothing can have run may be told "not run"; one
+        # that another driver closed must not be followed by a new one.
+        cases = [
+            (["refused"] * 9, "ClientConnectorError", False, False),
+            (["lost"] * 9, "lost", True, False),
+            (["done"] + ["refused", "lost"] * 9, "ClientConnectorError", True, False),
+            (["done"], "closed", False, True),
+        ]
+        for fates, detail, may_have_run, is_closed in cases:
+            with self.subTest(fates=fates):
+                stages = _Stages(fates)
+                if is_closed:
+                    close_attempt(stages.states["t0"], ("r", 1))
+                _, lost = asyncio.run(_drive(stages, "i1"))
+                self.assertEqual(lost.may_have_run, may_have_run)
+                self.assertEqual(lost.is_closed, is_closed)
+                self.assertIn(lost.detail, (detail, "no_cache"))
