Leaving of targets by any source; a bounded part of the targets followed

Cause: one flag held every source's word that a target leaves. A load report that knew nothing of an operator's drain or of the platform's list cleared it a second later. Every instance polled every engine, which is 82 KB/s of reports at 4,100 targets.

Change: a record for each target and source (platform's list, the target, an operator), each taken back only by its own source. Records carry a rising version and travel between neighbours at once; a digest in each round heals what was lost. Drains are rows in the platform's table, read before the first request is routed. Engines are followed by rendezvous hashing: each by four instances of its data centre, and some of each pool and range near and far, at most 128; reads are paced by bytes. Cache events are followed with their gaps; summaries of pools travel in few bytes. Routing leaves out targets that say they do not hold what is asked for.

Ruled out: gossip of every reading with its age (lagging lists would tell each other that they are wrong at each read: test_lagging_lists_make_no_storm_of_news counts one message in place of one for each read).

Seen before: with the load report writing the flag itself, both tests of test_leaving fail after their wait of 30 s.

--- a/packages/client/fulmarctl/_commands.py
+++ b/packages/client/fulmarctl/_commands.py
@@ -143,6 +143,21 @@
         body = _call(load_fleet(self._path), "/targets").body
         print_reply(body, as_json=self._as_json)
 
+    @defer
+    def drain_target(self, name: str) -> None:
+        """Send no new work to the target NAME; what runs on it goes on to its end."""
+        self._change_drain(name, drained=True)
+
+    @defer
+    def undrain_target(self, name: str) -> None:
+        """Take the drain of the target NAME back."""
+        self._change_drain(name, drained=False)
+
+    def _change_drain(self, name: str, *, drained: bool) -> None:
+        body = {"target": name, "drained": drained, "by": getpass.getuser()}
+        reply = _call(load_fleet(self._path), "/drain", body)
+        print_reply(reply.body, as_json=self._as_json)
+
     @defer
     def declaration(self) -> None:
         """Print the declaration in force, fit to be changed and applied again."""
--- /dev/null
+++ b/packages/core/fulmarward_core/health/tests/test_summaries.py
@@ -0,0 +1,61 @@
+import unittest
+
+from fulmarward_core.health import (
+    SummaryRecord,
+    add_up,
+    choose_teller,
+    is_newer,
+    select_unsent,
+)
+from fulmarward_core.health._summaries import MOST_AHEAD, MOST_SUMMARIES
+from fulmarward_core.health.tests.test_decisions import make_targets
+from fulmarward_core.routing import LoadReport, TargetView
+
+
+class SummaryTest(unittest.TestCase):
+    def test_load_of_the_followed_targets_is_scaled_to_all_open_ones(self):
+        targets = make_targets(40, 1)
+        pool = [name for name, target in targets.items() if target.serves == "m1"]
+        views = {
+            name: TargetView(
+                name=name,
+                target=targets[name],
+                report=LoadReport(running=4, waiting=1, received_at=1.0),
+            )
+            for name in pool[:5]
+        }
+        summary = add_up(
+            targets=targets,
+            views=views,
+            leaving=frozenset(pool[:2]),
+            key=("m1", "dc0"),
+            now=9.0,
+        )
+        self.assertEqual(len(pool), 10)
+        self.assertEqual((summary.open_targets, summary.slots), (8, 128))
+        self.assertEqual((summary.running, summary.waiting), (32, 8))
+
+    def test_the_teller_changes_only_when_it_goes(self):
+        names = [f"i{number}" for number in range(9)]
+        teller = choose_teller(names, ("m", "dc"))
+        others = [name for name in names if name != teller]
+        self.assertEqual(choose_teller([*others[1:], teller], ("m", "dc")), teller)
+
+    def test_only_news_from_sane_clocks_is_taken(self):
+        # One instance's clock is a day ahead. Its summary would hide for a day that
+        # the pool is full, since every later one looks older.
+        numbers = {"slots": 1, "running": 0, "waiting": 0, "open_targets": 1, "age": 0}
+        cases = [(5, True), (4, False), (3, False), (105 + MOST_AHEAD, False)]
+        for version, expected in cases:
+            record = SummaryRecord(
+                serves="m", data_centre="dc", version=version, **numbers
+            )
+            with self.subTest(version=version):
+                known = {("m", "dc"): 4}
+                self.assertEqual(is_newer(known, record, wall=100), expected)
+
+    def test_a_message_is_bounded_and_the_newest_go_first(self):
+        versions = {(f"m{n}", "dc"): n for n in range(1, 100)}
+        first = select_unsent(versions, {("m99", "dc"): 99})
+        self.assertEqual(len(first), MOST_SUMMARIES)
+        self.assertEqual(first[0], ("m98", "dc"))
--- a/packages/core/fulmarward_core/results/_codes.py
+++ b/packages/core/fulmarward_core/results/_codes.py
@@ -63,6 +63,7 @@
     SETTINGS_INVALID = 5007
     INSTANCE_UNREACHABLE = 5008
     NOT_FOUND = 5009
+    DRAIN_UNKNOWN = 5020
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -216,6 +217,9 @@
         503, _OPERATOR, _UNKNOWN, 54, "No instance answered the operator's client."
     ),
     ResultCode.NOT_FOUND: _entry(404, _OPERATOR, _NOT, 55, "There is no such thing."),
+    ResultCode.DRAIN_UNKNOWN: _entry(
+        503, _OPERATOR, _UNKNOWN, 56, "It cannot be known whether the drain stands."
+    ),
 }
 
 
--- a/packages/core/fulmarward_core/routing/_types.py
+++ b/packages/core/fulmarward_core/routing/_types.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from fulmarward_core.declaration import Target
+from fulmarward_core.placement import Held
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -37,6 +38,14 @@
     leaving: bool = False
     #: Until when it gets no work because it failed; seconds on the steady clock.
     avoided_until: float = float("-inf")
+    #: What it says that it holds; `None` before its first report.
+    held: Held | None = None
+    #: Prefixes that its cache is believed to hold, each with the time until when the
+    #: belief stands, seconds on the steady clock. Bounded; events come late and with
+    #: gaps, so it is a hint.
+    cached_prefixes: dict[str, float] = field(default_factory=dict)
+    #: Sequence number of the last cache event known; 0 before the first.
+    cache_sequence: int = 0
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/instance/fulmarward/_daemon.py
+++ b/packages/instance/fulmarward/_daemon.py
@@ -15,6 +15,14 @@
 from fulmarward._lifecycle import Lifecycle
 from fulmarward.callers import make_caller_app
 from fulmarward.configuration import answer_body, answer_head, run_adoption
+from fulmarward.health import (
+    answer_health,
+    answer_leaving,
+    answer_leaving_sync,
+    run_gossip,
+    run_summaries,
+    watch_drains,
+)
 from fulmarward.membership import answer_ping, answer_sync, run_membership
 from fulmarward.membership._heartbeats import announce_leaving
 from fulmarward.observability import log_event, make_metrics, start_logging
@@ -22,6 +30,9 @@
 from fulmarward.peers import (
     AskBody,
     AskHead,
+    HealthNews,
+    LeavingNews,
+    LeavingSync,
     PeerHandlers,
     PeerLinks,
     Ping,
@@ -106,6 +117,9 @@
         SyncMembers: answer_sync,
         AskHead: answer_head,
         AskBody: answer_body,
+        LeavingNews: answer_leaving,
+        LeavingSync: answer_leaving_sync,
+        HealthNews: answer_health,
     }
 
     def bind(answer):  # noqa: ANN001, ANN202
@@ -129,6 +143,7 @@
     """Serve once a configuration is known."""
     while instance.snapshot.head.epoch == 0:
         await instance.snapshot_changed.wait()
+    await instance.targets_known.wait()
     if instance.lifecycle.state == "starting":
         instance.lifecycle.become_ready()
         log_event("serving", epoch=instance.snapshot.head.epoch)
@@ -180,6 +195,9 @@
             _start_duty("membership", run_membership(instance, links), stop),
             _start_duty("adoption", run_adoption(instance, links), stop),
             _start_duty("targets", follow_targets(instance), stop),
+            _start_duty("gossip", run_gossip(instance, links), stop),
+            _start_duty("summaries", run_summaries(instance), stop),
+            _start_duty("drains", watch_drains(instance), stop),
             _start_duty("readiness", _become_ready(instance), stop),
         ]
         await stop.wait()
--- a/packages/instance/fulmarward/_instance.py
+++ b/packages/instance/fulmarward/_instance.py
@@ -14,6 +14,7 @@
 from fulmarward.platform import Platform
 from fulmarward.settings import InstanceSettings, Secrets
 from fulmarward_core.configuration import Snapshot
+from fulmarward_core.health import LeavingRecord, LeavingTable, PoolKey, PoolSummary
 from fulmarward_core.membership import Member, MemberTable
 from fulmarward_core.routing import TargetView
 
@@ -65,6 +66,19 @@
     #: Set when a peer told of a newer epoch.
     epoch_heard: asyncio.Event = field(default_factory=asyncio.Event)
 
+    #: What is known of targets that leave.
+    leaving: LeavingTable = field(default_factory=LeavingTable)
+    #: Leaving records that neighbours have still to hear, and set when there are any.
+    unsent_news: list[LeavingRecord] = field(default_factory=list)
+    news_came: asyncio.Event = field(default_factory=asyncio.Event)
+    #: Set when the first views of targets are made.
+    targets_known: asyncio.Event = field(default_factory=asyncio.Event)
+    #: Summaries by pool (model) and data centre, with the version of each and what
+    #: each peer has of them.
+    summaries: dict[PoolKey, PoolSummary] = field(default_factory=dict)
+    summary_versions: dict[PoolKey, int] = field(default_factory=dict)
+    summaries_sent: dict[str, dict[PoolKey, int]] = field(default_factory=dict)
+
     def keep_task(self, task: asyncio.Task) -> None:
         """Hold a task until it ends; the event loop itself holds none."""
         self.tasks.add(task)
--- /dev/null
+++ b/packages/instance/fulmarward/health/__init__.py
@@ -0,0 +1,33 @@
+"""Health of targets: who leaves, drains by operators, and news between peers."""
+
+from fulmarward.health._drains import change_drain, read_drains, watch_drains
+from fulmarward.health._gossip import (
+    answer_health,
+    answer_leaving,
+    answer_leaving_sync,
+    run_gossip,
+)
+from fulmarward.health._leaving import (
+    hear_records,
+    note_list,
+    note_refusal,
+    note_report,
+    show_leaving,
+)
+from fulmarward.health._summaries import run_summaries
+
+__all__ = [
+    "answer_health",
+    "answer_leaving",
+    "answer_leaving_sync",
+    "change_drain",
+    "hear_records",
+    "note_list",
+    "note_refusal",
+    "note_report",
+    "read_drains",
+    "run_gossip",
+    "run_summaries",
+    "show_leaving",
+    "watch_drains",
+]
--- a/packages/instance/fulmarward/membership/_heartbeats.py
+++ b/packages/instance/fulmarward/membership/_heartbeats.py
@@ -6,6 +6,7 @@
 import xxhash
 
 from fulmarward._instance import Instance
+from fulmarward.health import note_list
 from fulmarward.observability import log_event
 from fulmarward.peers import PeerLinks, PeerLost, Ping, Pong, SyncMembers
 from fulmarward.platform import PlatformMember, PlatformOut, list_members
@@ -125,9 +126,7 @@
     """Use the platform's list as a hint: it names instances not heard of yet."""
     for entry in entries:
         if entry.kind == "target":
-            view = instance.views.get(entry.name)
-            if view is not None and entry.is_leaving:
-                view.leaving = True
+            note_list(instance, entry.name, leaving=entry.is_leaving)
             continue
         if entry.name in instance.members.members:
             continue
--- a/packages/instance/fulmarward/operators/_server.py
+++ b/packages/instance/fulmarward/operators/_server.py
@@ -2,7 +2,7 @@
 
 import hmac
 from collections.abc import Awaitable, Callable
-from dataclasses import asdict
+from dataclasses import asdict, dataclass
 
 import orjson
 from aiohttp import web
@@ -14,16 +14,19 @@
     apply_declaration,
     read_history,
 )
+from fulmarward.health import change_drain
 from fulmarward.observability import log_event
 from fulmarward_core.checks import (
     Field,
     describe_faults,
     parse_json,
+    read_flag,
     read_optional,
     read_record,
     read_text,
     read_whole,
 )
+from fulmarward_core.health import list_sources
 from fulmarward_core.results import Failure, ResultCode, make_failure
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -49,6 +52,23 @@
 )
 
 
+@dataclass(frozen=True, kw_only=True)
+class _DrainRequest:
+    target: str
+    drained: bool
+    by: str
+
+
+_READ_DRAIN = read_record(
+    _DrainRequest,
+    {
+        "target": Field(read=read_text(pattern=r"\S{1,64}", expected="a name")),
+        "drained": Field(read=read_flag()),
+        "by": Field(read=read_text(pattern=r".{1,64}", expected="a name")),
+    },
+)
+
+
 def _has_token(instance: Instance, request: web.Request) -> bool:
     scheme, _, token = request.headers.get("Authorization", "").partition(" ")
     if scheme.lower() != "bearer":
@@ -79,6 +99,10 @@
             "running": view.report.running,
             "waiting": view.report.waiting,
             "leaving": view.leaving,
+            "leaving_sources": [
+                source.name.lower() for source in list_sources(instance.leaving, name)
+            ],
+            "held": asdict(view.held) if view.held else None,
         }
         for name, view in sorted(instance.views.items())
     ]
@@ -151,6 +175,20 @@
             {"head": asdict(outcome.head), "unchanged": outcome.is_unchanged}
         )
 
+    async def drain(request: web.Request) -> web.Response:
+        faults: list = []
+        value = parse_json(await request.read(), "body", faults)
+        wanted = None if faults else _READ_DRAIN(value, "", faults)
+        if faults:
+            failure = make_failure(ResultCode.BODY_MALFORMED, describe_faults(faults))
+            return make_failure_response(failure)
+        outcome = await change_drain(
+            instance, wanted.target, drained=wanted.drained, by=wanted.by
+        )
+        if isinstance(outcome, Failure):
+            return make_failure_response(outcome)
+        return web.json_response({"target": wanted.target, "drained": wanted.drained})
+
     app = web.Application(middlewares=[check_token], client_max_size=MOST_BODY_BYTES)
     app.add_routes(
         [
@@ -159,6 +197,7 @@
             web.get("/declaration", show_declaration),
             web.get("/history", show_history),
             web.post("/apply", apply),
+            web.post("/drain", drain),
         ]
     )
     return app
--- a/packages/instance/fulmarward/peers/_messages.py
+++ b/packages/instance/fulmarward/peers/_messages.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from fulmarward_core.configuration import Head
+from fulmarward_core.health import LeavingRecord, SummaryRecord
 from fulmarward_core.membership import Member
 
 
@@ -105,6 +106,32 @@
     text: bytes
 
 
+@dataclass(frozen=True, kw_only=True)
+class LeavingNews:
+    """News of leaving targets; answered with `Nothing`."""
+
+    #: The records that are news.
+    records: tuple[LeavingRecord, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class LeavingSync:
+    """All leaving records, sent when digests differ and answered with the other's."""
+
+    #: All records that the sender has.
+    records: tuple[LeavingRecord, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class HealthNews:
+    """Summaries that the other side lacks; answered with the same."""
+
+    #: Digest of the sender's leaving records.
+    digest: int
+    #: The summaries.
+    summaries: tuple[SummaryRecord, ...]
+
+
 #: All messages in the order of their numbers.
 MESSAGES = (
     Challenge,
@@ -118,4 +145,7 @@
     HeadNews,
     AskBody,
     Body,
+    LeavingNews,
+    LeavingSync,
+    HealthNews,
 )
--- a/packages/instance/fulmarward/requests/_attempt.py
+++ b/packages/instance/fulmarward/requests/_attempt.py
@@ -4,6 +4,7 @@
 
 from fulmarward._instance import Instance
 from fulmarward.answers import Answer
+from fulmarward.health import note_refusal
 from fulmarward.requests._work import Work
 from fulmarward.targets import (
     EngineStream,
@@ -67,6 +68,7 @@
         limits.connect_ms / 1000,
     )
     if isinstance(stream, StreamRefused):
+        note_refusal(instance, view.name, stream.detail)
         code = (
             ResultCode.TARGET_UNREACHABLE
             if stream.is_unreachable
--- a/packages/instance/fulmarward/requests/_route.py
+++ b/packages/instance/fulmarward/requests/_route.py
@@ -4,6 +4,7 @@
 from fulmarward.observability import log_event
 from fulmarward.requests._work import Work
 from fulmarward_core.declaration import TargetKind
+from fulmarward_core.placement import can_serve
 from fulmarward_core.routing import Choice, TargetView, choose_target
 
 
@@ -15,6 +16,13 @@
         if view.target.kind is TargetKind.ENGINE
         and view.target.serves == work.pipeline.model
         and view.target.layers == (0, model.layers)
+        and can_serve(
+            view.held,
+            model=work.pipeline.model,
+            versions=model.versions,
+            adapter=work.pipeline.adapter,
+            layers=view.target.layers,
+        )
     ]
 
 
--- a/packages/instance/fulmarward/targets/__init__.py
+++ b/packages/instance/fulmarward/targets/__init__.py
@@ -1,16 +1,23 @@
 """Targets: engines and plain services, and the tasks that watch them."""
 
 from fulmarward.targets._engine import (
+    CacheEvents,
+    EngineReport,
     EngineStream,
+    OrderRefused,
+    OrderTaken,
     StreamBroken,
     StreamOrder,
     StreamRefused,
     StreamUnknown,
     cancel_stream,
     open_stream,
+    read_cache_events,
     read_events,
+    read_held,
     read_load,
     resume_stream,
+    send_order,
 )
 from fulmarward.targets._service import (
     ServiceAnswer,
@@ -22,7 +29,11 @@
 from fulmarward.targets._watch import follow_targets, update_views
 
 __all__ = [
+    "CacheEvents",
+    "EngineReport",
     "EngineStream",
+    "OrderRefused",
+    "OrderTaken",
     "ServiceAnswer",
     "ServiceOrder",
     "ServiceRefused",
@@ -35,8 +46,11 @@
     "cancel_stream",
     "follow_targets",
     "open_stream",
+    "read_cache_events",
     "read_events",
+    "read_held",
     "read_load",
     "resume_stream",
+    "send_order",
     "update_views",
 ]
--- a/packages/instance/fulmarward/targets/_engine.py
+++ b/packages/instance/fulmarward/targets/_engine.py
@@ -11,6 +11,7 @@
 import aiohttp
 import orjson
 
+from fulmarward_core.placement import Held, Wanted
 from fulmarward_core.requests import StreamEvent, parse_events
 from fulmarward_core.routing import LoadReport
 
@@ -190,17 +191,170 @@
         return StreamBroken(detail=type(error).__name__)
 
 
+@dataclass(frozen=True, kw_only=True)
+class EngineReport:
+    """An engine's own word about itself."""
+
+    #: Its load, late by an unknown lag.
+    load: LoadReport
+    #: Whether it says that it is leaving.
+    is_leaving: bool
+    #: What it says that it holds.
+    held: Held
+    #: Bytes of the answer, headers included.
+    size: int
+
+
+def parse_held(body: dict) -> Held:
+    """Return what an engine holds; raises `KeyError` or `ValueError`."""
+    first, end = body["layers"]
+    state = Wanted(
+        model=body["model"],
+        version=body["version"],
+        layers=(first, end),
+        adapters=tuple(sorted(body["adapters"])),
+        role=body["role"],
+    )
+    return Held(state=state, fencing=body["fencing"], is_loading=bool(body["loading"]))
+
+
+def measure_answer(answer: aiohttp.ClientResponse, body: bytes) -> int:
+    """Return the bytes of an answer, its headers included."""
+    headers = sum(len(name) + len(value) + 4 for name, value in answer.raw_headers)
+    return len(body) + headers
+
+
 async def read_load(
     session: aiohttp.ClientSession, address: str, *, now: float
-) -> tuple[LoadReport, bool] | StreamBroken:
-    """Return the engine's load report and whether it says that it is leaving."""
+) -> EngineReport | StreamBroken:
+    """Return the engine's load report and what else it says of itself."""
     timeout = aiohttp.ClientTimeout(total=SHORT_CALL_S)
     try:
         async with session.get(f"http://{address}/v1/load", timeout=timeout) as answer:
-            body = await answer.json()
-            report = LoadReport(
-                running=body["running"], waiting=body["waiting"], received_at=now
-            )
-            return report, bool(body["leaving"])
-    except (aiohttp.ClientError, TimeoutError, ValueError, KeyError) as error:
+            text = await answer.read()
+        body = orjson.loads(text)
+        load = LoadReport(
+            running=body["running"], waiting=body["waiting"], received_at=now
+        )
+        return EngineReport(
+            load=load,
+            is_leaving=bool(body["leaving"]),
+            held=parse_held(body["held"]),
+            size=measure_answer(answer, text),
+        )
+    except (
+        aiohttp.ClientError,
+        TimeoutError,
+        ValueError,
+        KeyError,
+        TypeError,
+    ) as error:
+        return StreamBroken(detail=type(error).__name__)
+
+
+@dataclass(frozen=True, kw_only=True)
+class CacheEvents:
+    """What an engine published about its prefix cache, late and with gaps."""
+
+    #: Events as (sequence, whether stored, prefix), in the order of their sequence.
+    events: tuple[tuple[int, bool, str], ...]
+    #: Bytes of the answer, headers included.
+    size: int
+
+
+async def read_cache_events(
+    session: aiohttp.ClientSession, address: str, *, after: int
+) -> CacheEvents | StreamBroken:
+    """Return the cache events after a sequence number."""
+    timeout = aiohttp.ClientTimeout(total=SHORT_CALL_S)
+    url = f"http://{address}/v1/cache-events"
+    try:
+        async with session.get(
+            url, params={"after": str(after)}, timeout=timeout
+        ) as answer:
+            text = await answer.read()
+        events = tuple(
+            (int(item["sequence"]), item["event"] == "stored", str(item["prefix"]))
+            for item in orjson.loads(text)["events"]
+        )
+        return CacheEvents(events=events, size=measure_answer(answer, text))
+    except (
+        aiohttp.ClientError,
+        TimeoutError,
+        ValueError,
+        KeyError,
+        TypeError,
+    ) as error:
+        return StreamBroken(detail=type(error).__name__)
+
+
+@dataclass(frozen=True, kw_only=True)
+class OrderTaken:
+    """The engine holds what was ordered."""
+
+    #: What it says that it holds now.
+    held: Held
+
+
+@dataclass(frozen=True, kw_only=True)
+class OrderRefused:
+    """The engine did not take the order."""
+
+    #: What it said; `old_fencing` when it has obeyed a later holder.
+    detail: str
+
+
+async def send_order(
+    session: aiohttp.ClientSession,
+    address: str,
+    wanted: Wanted,
+    *,
+    fencing: int,
+    timeout_s: float,
+) -> OrderTaken | OrderRefused | StreamBroken:
+    """Order an engine to hold `wanted`; it answers when it does."""
+    body = {
+        "fencing": fencing,
+        "wanted": {
+            "model": wanted.model,
+            "version": wanted.version,
+            "layers": list(wanted.layers),
+            "adapters": list(wanted.adapters),
+            "role": wanted.role,
+        },
+    }
+    timeout = aiohttp.ClientTimeout(total=timeout_s)
+    try:
+        async with session.put(
+            f"http://{address}/v1/held", json=body, timeout=timeout
+        ) as answer:
+            found = await answer.json()
+        if answer.status == 200:
+            return OrderTaken(held=parse_held(found["held"]))
+        return OrderRefused(detail=str(found["error"]))
+    except (
+        aiohttp.ClientError,
+        TimeoutError,
+        ValueError,
+        KeyError,
+        TypeError,
+    ) as error:
+        return StreamBroken(detail=type(error).__name__)
+
+
+async def read_held(
+    session: aiohttp.ClientSession, address: str
+) -> Held | StreamBroken:
+    """Return what an engine says that it holds."""
+    timeout = aiohttp.ClientTimeout(total=SHORT_CALL_S)
+    try:
+        async with session.get(f"http://{address}/v1/held", timeout=timeout) as answer:
+            return parse_held((await answer.json())["held"])
+    except (
+        aiohttp.ClientError,
+        TimeoutError,
+        ValueError,
+        KeyError,
+        TypeError,
+    ) as error:
         return StreamBroken(detail=type(error).__name__)
