--- a/packages/instance/fulmarward/requests/_attempt.py
+++ b/packages/instance/fulmarward/requests/_attempt.py
@@ -5,6 +5,7 @@
 
 from fulmarward._instance import Instance
 from fulmarward.answers import Answer
+from fulmarward.health import note_refusal
 from fulmarward.observability import log_event
 from fulmarward.requests._locate import name_reader
 from fulmarward.requests._progress import (
@@ -87,6 +88,7 @@
         )
         if isinstance(stream, StreamRefused):
             answer.is_dispatched = was_dispatched
+            note_refusal(instance, view.name, stream.detail)
             return _describe_refusal(stream)
         return await _relay(instance, work, answer, attempt, stream)
     except asyncio.CancelledError:
--- a/packages/instance/fulmarward/requests/_chain.py
+++ b/packages/instance/fulmarward/requests/_chain.py
@@ -41,6 +41,7 @@
     note_step,
 )
 from fulmarward_core.declaration import TargetKind
+from fulmarward_core.placement import can_serve
 from fulmarward_core.results import Failure, ResultCode, make_failure
 from fulmarward_core.routing import TargetView
 from fulmarward_core.streams import Stage
@@ -54,13 +55,20 @@
 
     One that holds all of it runs whole requests, which cost a call each, not a token.
     """
-    whole = (0, work.snapshot.declaration.models[work.pipeline.model].layers)
+    model = work.snapshot.declaration.models[work.pipeline.model]
     return [
         view
         for view in instance.views.values()
         if view.target.kind is TargetKind.ENGINE
         and view.target.serves == work.pipeline.model
-        and view.target.layers != whole
+        and view.target.layers != (0, model.layers)
+        and can_serve(
+            view.held,
+            model=work.pipeline.model,
+            versions=model.versions,
+            adapter=work.pipeline.adapter,
+            layers=view.target.layers,
+        )
     ]
 
 
