Chains: one version in a chain, and an older driver is refused

Cause: an instance that was frozen while another took its chain over drove on after it woke, saw its caller gone and closed the attempt under the new driver. And during a rollout a chain could have stages of two versions.

Change: a driver that takes a chain over claims it at all stages with a newer term; steps and closing by older terms are refused, and the older driver ends without another attempt. Steps name the version; each version has its own chains, the serving one goes first.

Ruled out: closing only what nobody else drove last. Both drive in turn, so either may be the last.

--- a/packages/instance/fulmarward/requests/_chain.py
+++ b/packages/instance/fulmarward/requests/_chain.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Iterator
 from contextlib import contextmanager
+from dataclasses import dataclass
 
 from fulmarward._instance import Instance
 from fulmarward.answers import Answer
@@ -14,7 +15,6 @@
     StageLost,
     run_position,
 )
-from fulmarward.requests._locate import name_reader
 from fulmarward.requests._progress import (
     DIFFERS,
     DIFFERS_DETAIL,
@@ -34,6 +34,7 @@
 )
 from fulmarward_core.chains import (
     Chain,
+    StageOffer,
     covers_layers,
     estimate_step_ms,
     find_chain,
@@ -49,6 +50,19 @@
 #: How long a stage that was lost gets no new chain, in seconds.
 AVOID_STAGE_S = 1.0
 
+#: A position past any other: asks a stage for nothing, to claim the attempt only.
+LAST_STEP = 2**31
+
+
+@dataclass(kw_only=True)
+class ChainProgress(AttemptProgress):
+    """The state of one attempt on a chain."""
+
+    #: 0 for the driver that began it; for one that took it over, when it did so in
+    #: milliseconds since 1970. Guards against two drivers that both go on, of which
+    #: the older would close what the newer drives: stages refuse the older.
+    term: int = 0
+
 
 def list_stage_views(instance: Instance, work: Work) -> list[TargetView]:
     """Return the views of the engines that hold a part of the work's model.
@@ -72,20 +86,51 @@
     ]
 
 
-def choose_chain(instance: Instance, work: Work, attempt: int) -> Chain | None:
-    """Return the chain for an attempt, with a log line for the decision."""
-    declaration = work.snapshot.declaration
+def choose_chain(
+    instance: Instance, work: Work, attempt: int
+) -> tuple[Chain, str] | None:
+    """Return the chain for an attempt and its version, with a log line.
+
+    Guards against stages of two versions in one chain during a rollout, whose tokens
+    would be neither's: each version has its chain, and the serving one goes first.
+    """
+    model = work.snapshot.declaration.models[work.pipeline.model]
     views = list_stage_views(instance, work)
-    offers = list_offers(
+    others = [version for version in model.versions[::-1] if version != model.serving]
+    for version in (model.serving, *others):
+        mine = [
+            view
+            for view in views
+            if view.held is None or view.held.state.version == version
+        ]
+        chain = find_chain(_list_offers(instance, work, mine), layers=model.layers)
+        if chain is not None:
+            break
+    _log_choice(instance, work, attempt, chain, version, len(views))
+    return (chain, version) if chain else None
+
+
+def _list_offers(
+    instance: Instance, work: Work, views: list[TargetView]
+) -> list[StageOffer]:
+    return list_offers(
         views,
         data_centre=instance.settings.data_centre,
-        links=declaration.links,
+        links=work.snapshot.declaration.links,
         times=instance.step_times,
         now=instance.read_clock(),
         generator=instance.generator,
     )
-    layers = declaration.models[work.pipeline.model].layers
-    chain = find_chain(offers, layers=layers)
+
+
+def _log_choice(
+    instance: Instance,
+    work: Work,
+    attempt: int,
+    chain: Chain | None,
+    version: str,
+    candidates: int,
+) -> None:
     reason = "least_cost" if chain else "no_open_chain"
     instance.metrics.decisions.inc({"kind": "route_chain", "reason": reason})
     log_event(
@@ -95,23 +140,27 @@
         team=work.team,
         pipeline=work.pipeline_name,
         epoch=work.snapshot.head.epoch,
-        candidates=len(views),
-        open=len(offers),
+        candidates=candidates,
+        version=version,
         stages=[[stage.target, *stage.layers] for stage in chain.stages]
         if chain
         else [],
         cost_ms=round(chain.cost_ms, 3) if chain else None,
         reason=reason,
     )
-    return chain
 
 
 async def run_chain(
-    instance: Instance, work: Work, answer: Answer, number: int, chain: Chain
+    instance: Instance,
+    work: Work,
+    answer: Answer,
+    number: int,
+    chain: Chain,
+    version: str,
 ) -> Failure | None:
     """Run the request on a chain; returns why it did not end well."""
-    attempt = AttemptProgress(number=number, stages=chain.stages)
-    return await _drive(instance, work, answer, attempt, is_new=True)
+    attempt = ChainProgress(number=number, stages=chain.stages)
+    return await _drive(instance, work, answer, attempt, version)
 
 
 async def attach_chain(
@@ -131,20 +180,22 @@
     layers = work.snapshot.declaration.models[work.pipeline.model].layers
     if not covers_layers(stages, layers=layers):
         return make_failure(ResultCode.STREAM_LOST, "The model has other layers now.")
-    attempt = AttemptProgress(number=number, stages=stages)
-    return await _drive(instance, work, answer, attempt, is_new=False)
+    term = int(instance.read_wall_clock() * 1000)
+    attempt = ChainProgress(number=number, stages=stages, term=term)
+    return await _drive(instance, work, answer, attempt, None)
 
 
 async def _drive(
     instance: Instance,
     work: Work,
     answer: Answer,
-    attempt: AttemptProgress,
-    *,
-    is_new: bool,
+    attempt: ChainProgress,
+    version: str | None,
 ) -> Failure | None:
+    """Drive a new attempt of `version`, or one that has begun (`None`), to its end."""
+    is_new = version is not None
     was_dispatched, answer.is_dispatched = answer.is_dispatched, True
-    run = _make_run(instance, work, attempt)
+    run = _make_run(instance, work, attempt, version)
     run.may_have_run = not is_new
     try:
         with _hold_stages(instance, attempt.stages):
@@ -178,7 +229,7 @@
     instance: Instance,
     work: Work,
     answer: Answer,
-    attempt: AttemptProgress,
+    attempt: ChainProgress,
     run: ChainRun,
     is_new: bool,
 ) -> StageLost | None:
@@ -199,12 +250,13 @@
     instance: Instance,
     work: Work,
     answer: Answer,
-    attempt: AttemptProgress,
+    attempt: ChainProgress,
     run: ChainRun,
 ) -> StepDone | StageLost:
-    """Read all tokens that the last stage has given."""
+    """Claim the attempt at all stages; read the tokens that the last has given."""
     last = run.stages[-1]
-    found = await run.calls.read_steps(last, -1)
+    claims = [run.calls.read_steps(stage, LAST_STEP) for stage in run.stages[:-1]]
+    found, *_ = await asyncio.gather(run.calls.read_steps(last, -1), *claims)
     if isinstance(found, StreamBroken):
         found = await run.calls.read_steps(last, -1)
     if not isinstance(found, tuple) or not found:
@@ -216,7 +268,7 @@
     instance: Instance,
     work: Work,
     answer: Answer,
-    attempt: AttemptProgress,
+    attempt: ChainProgress,
     run: ChainRun,
     steps: tuple[StepDone, ...],
 ) -> StepDone | StageLost:
@@ -239,7 +291,9 @@
     )
 
 
-def _make_run(instance: Instance, work: Work, attempt: AttemptProgress) -> ChainRun:
+def _make_run(
+    instance: Instance, work: Work, attempt: ChainProgress, version: str | None
+) -> ChainRun:
     def make_order(stage: Stage, position: int, value: object) -> StepOrder:
         first, end = stage.layers
         needs_prompt = position == 0 and stage in (run.stages[0], run.stages[-1])
@@ -247,8 +301,10 @@
             request=work.request,
             attempt=attempt.number,
             team=work.team,
-            driver=name_reader(instance),
+            term=attempt.term,
             model=work.pipeline.model,
+            adapter=work.pipeline.adapter,
+            version=version,
             position=position,
             first_layer=first,
             last_layer=end - 1,
@@ -259,7 +315,7 @@
 
     run = ChainRun(
         stages=attempt.stages,
-        calls=_make_calls(instance, work, attempt.number),
+        calls=_make_calls(instance, work, attempt),
         make_order=make_order,
     )
     return run
@@ -270,7 +326,7 @@
     return target.address if target else None
 
 
-def _make_calls(instance: Instance, work: Work, number: int) -> StageCalls:
+def _make_calls(instance: Instance, work: Work, attempt: ChainProgress) -> StageCalls:
     async def run(
         stage: Stage, order: StepOrder
     ) -> StepDone | StepRefused | StreamBroken:
@@ -293,9 +349,10 @@
             instance.session,
             address,
             request=work.request,
-            attempt=number,
+            attempt=attempt.number,
             stage=stage,
             after=after,
+            term=attempt.term,
         )
 
     return StageCalls(run_step=run, read_steps=read)
@@ -322,12 +379,13 @@
 async def _close_all(
     instance: Instance,
     work: Work,
-    attempt: AttemptProgress,
-    *,
-    only_driver: str = "",
+    attempt: ChainProgress,
     kept: tuple[Stage, ...] = (),
-) -> None:
-    """Close an attempt on all its stages but the kept ones, each as far as reached."""
+) -> list[str | StreamBroken]:
+    """Close an attempt on all its stages but the kept ones; return what each said.
+
+    A stage that a newer driver has claimed says `driven` and goes on.
+    """
     addresses = {
         _find_address(instance, stage) for stage in attempt.stages if stage not in kept
     }
@@ -337,19 +395,19 @@
             address,
             request=work.request,
             attempt=attempt.number,
-            only_driver=only_driver,
+            term=attempt.term,
         )
         for address in addresses
         if address is not None
     ]
-    await asyncio.gather(*closing)
+    return await asyncio.gather(*closing)
 
 
 def _close_later(
     instance: Instance,
     work: Work,
     answer: Answer,
-    attempt: AttemptProgress,
+    attempt: ChainProgress,
     kept: tuple[Stage, ...] = (),
 ) -> None:
     """Free the caches of an attempt that is over or that nobody waits for.
@@ -358,14 +416,12 @@
     """
     if instance.lifecycle.state == "stopped" and answer.may_return:
         return
-    closing = _close_all(
-        instance, work, attempt, only_driver=name_reader(instance), kept=kept
-    )
+    closing = _close_all(instance, work, attempt, kept)
     instance.keep_task(asyncio.create_task(closing))
 
 
 async def _give_up(
-    instance: Instance, work: Work, attempt: AttemptProgress, lost: StageLost
+    instance: Instance, work: Work, attempt: ChainProgress, lost: StageLost
 ) -> Failure:
     """Close the attempt everywhere before any other begins; say what is known."""
     log_event(
@@ -379,10 +435,10 @@
     view = instance.views.get(lost.stage.target)
     if view is not None and lost.detail != DIFFERS:
         view.avoided_until = instance.read_clock() + AVOID_STAGE_S
-    if lost.is_closed:
+    states = await _close_all(instance, work, attempt)
+    if lost.is_closed or "driven" in states:
         detail = "Another instance goes on with it."
         return make_failure(ResultCode.STREAM_LOST, detail)
-    await _close_all(instance, work, attempt)
     if lost.detail == DIFFERS:
         return make_failure(ResultCode.STREAM_LOST, DIFFERS_DETAIL)
     if lost.may_have_run:
--- a/packages/instance/fulmarward/requests/_drive.py
+++ b/packages/instance/fulmarward/requests/_drive.py
@@ -4,7 +4,8 @@
 that it has run, that does not come next, or whose attempt is closed. A driver
 therefore may send a step again whenever it does not know, and two drivers of one
 chain (the first was frozen and woke) cannot run anything twice: the later one is
-refused and reads back what the step gave.
+refused and reads back what the step gave. A driver that takes a chain over claims it
+at all stages with a newer term, after which the older one is refused for good.
 """
 
 from collections.abc import Awaitable, Callable
@@ -28,6 +29,9 @@
 #: the step; reason: a step under way at a loaded stage is found within a few.
 MOST_SENDINGS = 10
 
+#: What a stage says when another driver goes on with the attempt, or has ended it.
+_TAKEN_OVER = ("closed", "superseded", "moved")
+
 
 @dataclass(frozen=True, kw_only=True)
 class StageCalls:
@@ -53,7 +57,7 @@
     detail: str
     #: Whether a step of this attempt may have run anywhere.
     may_have_run: bool
-    #: Whether another driver closed the attempt.
+    #: Whether another driver goes on with the attempt or closed it.
     is_closed: bool
     #: Whether no connection to the stage could be made.
     is_unreachable: bool
@@ -139,6 +143,6 @@
         stage=stage,
         detail=outcome.error if is_refused else outcome.detail,
         may_have_run=run.may_have_run,
-        is_closed=is_refused and outcome.error == "closed",
+        is_closed=is_refused and outcome.error in _TAKEN_OVER,
         is_unreachable=is_refused and outcome.is_unreachable,
     )
--- a/packages/instance/fulmarward/requests/_execute.py
+++ b/packages/instance/fulmarward/requests/_execute.py
@@ -64,10 +64,11 @@
     """Run an attempt on a target with the whole model, else on a chain."""
     choice = choose_route(instance, work, attempt)
     if choice is None:
-        chain = choose_chain(instance, work, attempt)
-        if chain is None:
+        chosen = choose_chain(instance, work, attempt)
+        if chosen is None:
             return make_failure(ResultCode.NO_TARGET, retry_after_ms=RETRY_AFTER_MS)
-        return await run_chain(instance, work, answer, attempt, chain)
+        chain, version = chosen
+        return await run_chain(instance, work, answer, attempt, chain, version)
     view = choice.chosen
     view.in_flight += 1
     try:
--- a/packages/instance/fulmarward/requests/tests/test_chains.py
+++ b/packages/instance/fulmarward/requests/tests/test_chains.py
@@ -1,4 +1,5 @@
 import json
+import signal
 import unittest
 
 from fulmarward_standins.engine import answer_tokens
@@ -27,7 +28,9 @@
     ]
     return FleetPlan(
         instances=[
-            InstancePlan(name="i1", data_centre="lx-alcantara"),
+            InstancePlan(
+                name="i1", data_centre="lx-alcantara", limits={"linger_ms": 200}
+            ),
             InstancePlan(name="i2", data_centre="lx-oriente"),
         ],
         targets=targets,
@@ -49,6 +52,7 @@
         async with start_fleet(_plan()) as fleet:
             await self._check_lost_replies(fleet)
             await self._check_killed_stage(fleet)
+            await self._check_frozen_instance(fleet)
             await self._check_killed_instance(fleet)
 
     async def _check(self, fleet, stream, texts, prompt, tokens):
@@ -85,6 +89,28 @@
         await fleet.start_target(dying)
         await fleet.wait_listening(fleet.find_target(dying).address)
 
+    async def _check_frozen_instance(self, fleet):
+        # The driving instance freezes, another one takes the chain over, and the
+        # first wakes in the middle: it would drive on, then see its caller gone and
+        # close the attempt. The stages refuse it, and the caller has the whole answer.
+        prompt = "status [300 tokens]"
+        frozen = fleet.processes["i1"]
+        async with open_stream(fleet, "i1", prompt, pipeline="chain") as first:
+            await first.read(10)
+            frozen.send(signal.SIGSTOP)
+        async with open_stream(
+            fleet,
+            "i2",
+            prompt,
+            pipeline="chain",
+            last_event_id=first.last_event_id,
+        ) as rest:
+            await rest.read(5)
+            frozen.send(signal.SIGCONT)
+            await rest.read()
+        ran = await self._check(fleet, rest, first.texts + rest.texts, prompt, 300)
+        self.assertEqual(set(ran), {1})
+
     async def _check_killed_instance(self, fleet):
         # The instance that drives a chain dies. Another one reads from the stages how
         # far each is and drives on; the caller has every event once, and so has
--- a/packages/instance/fulmarward/requests/tests/test_drive.py
+++ b/packages/instance/fulmarward/requests/tests/test_drive.py
@@ -16,6 +16,7 @@
 from fulmarward_standins.engine._steps import (
     StepRefusal,
     StepState,
+    claim_attempt,
     close_attempt,
     describe_steps,
     run_step,
@@ -74,14 +75,16 @@
         return tuple(StepDone(**item) for item in describe_steps(state, cache, after))
 
 
-def _make_run(stages, driver):
+def _make_run(stages, term):
     def make_order(stage, position, value):
         return StepOrder(
             request="r",
             attempt=1,
             team="folha",
-            driver=driver,
+            term=term,
             model="anchovy",
+            adapter=None,
+            version=None,
             position=position,
             first_layer=stage.layers[0],
             last_layer=stage.layers[1] - 1,
@@ -94,7 +97,7 @@
     return ChainRun(stages=_STAGES, calls=calls, make_order=make_order)
 
 
-async def _attach(stages, driver, first):
+async def _attach(stages, term, first):
     """Go on with what another driver began, once it has given a token out."""
     while not first.done():
         found = await stages.read_steps(_STAGES[-1], -1)
@@ -102,12 +105,14 @@
             texts = [step.text for step in found]
             if found[-1].end:
                 return texts, None
-            return await _drive(stages, driver, texts, found[-1].output)
+            for state in stages.states.values():
+                claim_attempt(state, ("r", 1), term)
+            return await _drive(stages, term, texts, found[-1].output)
     return [], "nothing to go on with"
 
 
-async def _drive(stages, driver, texts=(), value=None):
-    run, texts = _make_run(stages, driver), list(texts)
+async def _drive(stages, term, texts=(), value=None):
+    run, texts = _make_run(stages, term), list(texts)
     for position in range(len(texts), 100):
         done = await run_position(run, position, value)
         if isinstance(done, StageLost):
@@ -132,13 +137,14 @@
     def test_no_layer_runs_twice_whatever_becomes_of_calls(self, fates, drivers):
         # Calls and replies are lost, arrive late, stages restart without their
         # caches; and further drivers (the first was frozen and woke) go on with the
-        # attempt from where its last stage is. Every layer runs once for a token, and
-        # what a driver gives out is the right answer's beginning, or all of it.
+        # attempt from where its last stage is, some with an equal term. Every layer
+        # runs once for a token, and what a driver gives out is the right answer's
+        # beginning, or all of it.
         stages = _Stages(fates)
 
         async def drive_all():
-            first = asyncio.ensure_future(_drive(stages, "i1"))
-            later = [_attach(stages, f"i{number}", first) for number in range(drivers)]
+            first = asyncio.ensure_future(_drive(stages, 0))
+            later = [_attach(stages, term, first) for term in range(drivers)]
             return await asyncio.gather(first, *later)
 
         outcomes = asyncio.run(drive_all())
@@ -164,7 +170,7 @@
                 stages = _Stages(fates)
                 if is_closed:
                     close_attempt(stages.states["t0"], ("r", 1))
-                _, lost = asyncio.run(_drive(stages, "i1"))
+                _, lost = asyncio.run(_drive(stages, 0))
                 self.assertEqual(lost.may_have_run, may_have_run)
                 self.assertEqual(lost.is_closed, is_closed)
                 self.assertIn(lost.detail, (detail, "no_cache"))
--- a/packages/instance/fulmarward/targets/_steps.py
+++ b/packages/instance/fulmarward/targets/_steps.py
@@ -26,11 +26,15 @@
     #: Id of the request and number of the attempt.
     request: str
     attempt: int
-    #: Name of the team and of the instance that drives the chain.
+    #: Name of the team, for the engine's records.
     team: str
-    driver: str
-    #: Name of the model.
+    #: The driver's term; a stage refuses a step of an older driver than it knows.
+    term: int
+    #: Name of the model, of the adapter, if any, and of the version that all stages
+    #: must hold; `None` where the attempt has begun and its caches are of one.
     model: str
+    adapter: str | None
+    version: str | None
     #: The token's position, from 0.
     position: int
     #: First layer and the last, both included.
@@ -113,12 +117,18 @@
     attempt: int,
     stage: Stage,
     after: int,
+    term: int,
 ) -> tuple[StepDone, ...] | StreamUnknown | StreamBroken:
-    """Return what the steps after position `after` gave, to whoever asked for them."""
+    """Return what the steps after position `after` gave, and claim the attempt.
+
+    The claim keeps older drivers out: their steps and their closing are refused.
+    """
     url = f"http://{address}/v1/steps/{_name_cache(request, attempt, stage)}"
     try:
         async with session.get(
-            url, params={"after": str(after)}, timeout=_make_timeout(SHORT_CALL_S)
+            url,
+            params={"after": str(after), "term": str(term)},
+            timeout=_make_timeout(SHORT_CALL_S),
         ) as response:
             if response.status == 404:
                 return StreamUnknown()
@@ -134,15 +144,15 @@
     *,
     request: str,
     attempt: int,
-    only_driver: str = "",
+    term: int,
 ) -> str | StreamBroken:
     """Refuse all later steps of an attempt, and free its caches.
 
-    With `only_driver` an attempt that another instance drove last goes on: see
+    An attempt that a driver with a newer `term` has claimed goes on: see
     `cancel_stream`, whose guard is the same.
     """
     url = f"http://{address}/v1/steps/{request}/{attempt}"
-    params = {"only_driver": only_driver} if only_driver else {}
+    params = {"term": str(term)}
     try:
         async with session.delete(
             url, params=params, timeout=_make_timeout(SHORT_CALL_S)
--- a/packages/standins/fulmarward_standins/engine/_app.py
+++ b/packages/standins/fulmarward_standins/engine/_app.py
@@ -18,6 +18,7 @@
     KvCache,
     StepRefusal,
     StepState,
+    claim_attempt,
     close_attempt,
     describe_steps,
     export_cache,
@@ -173,7 +174,10 @@
     held, switches = request.app[_HELD], request.app[SWITCHES]
     first, end = held["layers"]
     is_held = first <= body["first_layer"] <= body["last_layer"] < end
-    if not is_held or held["model"] != body.get("model", held["model"]):
+    is_other = any(
+        body.get(member) not in (None, held[member]) for member in ("model", "version")
+    )
+    if not is_held or is_other:
         return _refuse("not_loaded")
     for switch in ("leaving", "refuse"):
         if switches.get(switch) and body["position"] == 0:
@@ -193,8 +197,12 @@
 
 
 async def _read_step(request: web.Request) -> web.Response:
-    """`GET /v1/steps/REQUEST/ATTEMPT/FIRST?after=P`: what the steps after P gave."""
-    _, cache = _get_cache(request)
+    """`GET /v1/steps/REQUEST/ATTEMPT/FIRST?after=P`: what the steps after P gave.
+
+    `term=N` claims the attempt: steps and closing by older drivers are refused.
+    """
+    key, cache = _get_cache(request)
+    claim_attempt(request.app[_STEPS], key[:2], int(request.query.get("term", "0")))
     if cache is None:
         return _refuse("no_cache", 404)
     after = int(request.query.get("after", "-1"))
@@ -205,13 +213,12 @@
 async def _close_steps(request: web.Request) -> web.Response:
     """`DELETE /v1/steps/REQUEST/ATTEMPT`: refuse all later steps.
 
-    `only_driver=NAME` leaves an attempt alone that somebody else drove last.
+    `term=N` leaves an attempt alone that a newer driver has claimed.
     """
     info = request.match_info
     key = (info["request"], int(info["attempt"]))
-    state = close_attempt(
-        request.app[_STEPS], key, request.query.get("only_driver", "")
-    )
+    term = request.query.get("term")
+    state = close_attempt(request.app[_STEPS], key, None if term is None else int(term))
     return web.json_response({"state": state, "up_s": _read_uptime(request.app)})
 
 
--- a/packages/standins/fulmarward_standins/engine/_steps.py
+++ b/packages/standins/fulmarward_standins/engine/_steps.py
@@ -26,8 +26,6 @@
     #: The prompt and the most tokens; empty in ranges between the first and the last.
     prompt: str = ""
     most: int = 0
-    #: Name of the instance that ran the last step.
-    driver: str = ""
     #: What each step gave, by position, kept for lost replies.
     outputs: list[int] = field(default_factory=list)
 
@@ -40,6 +38,8 @@
     #: Layers of the whole model.
     model_layers: int = 24
     caches: dict[CacheKey, KvCache] = field(default_factory=dict)
+    #: The newest driver's term by attempt; an older driver is refused.
+    terms: dict[tuple[str, int], int] = field(default_factory=dict)
     #: Attempts that take no more steps.
     closed: set[tuple[str, int]] = field(default_factory=set)
     #: Caches that were exported and take no more steps here.
@@ -50,7 +50,7 @@
 class StepRefusal:
     """Why a step was not run."""
 
-    #: `closed`, `moved`, `seen`, `out_of_order` or `no_cache`.
+    #: `closed`, `superseded`, `moved`, `seen`, `out_of_order` or `no_cache`.
     error: str
     #: The position that the engine would run.
     expected: int
@@ -63,6 +63,8 @@
     key = (request, attempt, first)
     if (request, attempt) in state.closed:
         return StepRefusal(error="closed", expected=-1)
+    if not claim_attempt(state, (request, attempt), step.get("term", 0)):
+        return StepRefusal(error="superseded", expected=-1)
     if key in state.moved:
         return StepRefusal(error="moved", expected=-1)
     cache = state.caches.get(key)
@@ -78,7 +80,6 @@
     is_first = first == 0
     value = start_position(cache.prompt, expected) if is_first else step["input"]
     cache.outputs.append(run_layers(value, first, end))
-    cache.driver = step.get("driver", "")
     state.ledger.append(
         LedgerEntry(
             request=request,
@@ -128,15 +129,14 @@
 
 
 def close_attempt(
-    state: StepState, attempt_key: tuple[str, int], only_driver: str = ""
+    state: StepState, attempt_key: tuple[str, int], term: int | None = None
 ) -> str:
     """Refuse all later steps of an attempt; return what state it had.
 
-    With `only_driver` an attempt that somebody else drove last goes on.
+    With a `term` an attempt that a newer driver has claimed goes on.
     """
     mine = [key for key in state.caches if key[:2] == attempt_key]
-    drivers = {state.caches[key].driver for key in mine}
-    if only_driver and drivers - {only_driver}:
+    if term is not None and term < state.terms.get(attempt_key, 0):
         return "driven"
     state.closed.add(attempt_key)
     for key in mine:
@@ -144,6 +144,14 @@
     return "cancelled" if mine else "closed_before_start"
 
 
+def claim_attempt(state: StepState, attempt_key: tuple[str, int], term: int) -> bool:
+    """Make a driver's term the newest; return whether no newer one is known."""
+    newest = state.terms.get(attempt_key, 0)
+    if term > newest:
+        state.terms[attempt_key] = term
+    return term >= newest
+
+
 def export_cache(state: StepState, key: CacheKey) -> KvCache:
     """Give a cache away; its steps are refused here from now on."""
     state.moved.add(key)
