--- a/packages/instance/fulmarward/peers/__init__.py
+++ b/packages/instance/fulmarward/peers/__init__.py
@@ -5,7 +5,10 @@
 from fulmarward.peers._messages import (
     AskBody,
     AskHead,
+    AskMembers,
+    AskProbe,
     Body,
+    BucketMembers,
     HeadNews,
     HealthNews,
     LeavingNews,
@@ -13,6 +16,7 @@
     Nothing,
     Ping,
     Pong,
+    Probed,
     SyncMembers,
 )
 from fulmarward.peers._server import PeerHandlers, serve_peers
@@ -20,7 +24,10 @@
 __all__ = [
     "AskBody",
     "AskHead",
+    "AskMembers",
+    "AskProbe",
     "Body",
+    "BucketMembers",
     "HeadNews",
     "HealthNews",
     "LeavingNews",
@@ -32,6 +39,7 @@
     "PeerLost",
     "Ping",
     "Pong",
+    "Probed",
     "SyncMembers",
     "decode_message",
     "encode_message",
