--- a/packages/client/fulmarctl/_commands.py
+++ b/packages/client/fulmarctl/_commands.py
@@ -171,7 +171,7 @@
 
     def _change_drain(self, name: str, *, drained: bool) -> None:
         body = {"target": name, "drained": drained, "by": getpass.getuser()}
-        reply = _call(load_fleet(self._path), "/drain", body)
+        reply = _call(load_fleet(self._path), "/drain-target", body)
         print_reply(reply.body, as_json=self._as_json)
 
     @defer
--- a/packages/instance/fulmarward/_daemon.py
+++ b/packages/instance/fulmarward/_daemon.py
@@ -7,6 +7,7 @@
 import ssl
 import time
 from collections.abc import Coroutine
+from functools import partial
 
 import aiohttp
 from aiohttp import web
@@ -14,7 +15,12 @@
 from fulmarward._instance import Instance
 from fulmarward._lifecycle import Lifecycle
 from fulmarward.callers import make_caller_app
-from fulmarward.configuration import answer_body, answer_head, run_adoption
+from fulmarward.configuration import (
+    answer_body,
+    answer_head,
+    run_adoption,
+    run_readiness,
+)
 from fulmarward.health import (
     answer_health,
     answer_leaving,
@@ -23,8 +29,14 @@
     run_summaries,
     watch_drains,
 )
-from fulmarward.membership import answer_ping, answer_sync, run_membership
-from fulmarward.membership._heartbeats import announce_leaving
+from fulmarward.membership import (
+    announce_leaving,
+    answer_members,
+    answer_ping,
+    answer_probe,
+    answer_sync,
+    run_membership,
+)
 from fulmarward.observability import (
     TraceHandler,
     log_event,
@@ -35,6 +47,8 @@
 from fulmarward.peers import (
     AskBody,
     AskHead,
+    AskMembers,
+    AskProbe,
     HealthNews,
     LeavingNews,
     LeavingSync,
@@ -48,7 +62,12 @@
 from fulmarward.settings import InstanceSettings, Secrets
 from fulmarward.targets import follow_targets
 from fulmarward_core.configuration import EMPTY_SNAPSHOT
-from fulmarward_core.membership import Member, MemberState, MemberTable
+from fulmarward_core.membership import (
+    Member,
+    MemberState,
+    MemberTable,
+    merge_member,
+)
 
 #: Connections to targets kept open, for all of them together.
 MOST_CONNECTIONS = 10_000
@@ -91,6 +110,8 @@
         token=secrets.platform_token,
         timeout_s=settings.limits.platform_ms / 1000,
     )
+    members = MemberTable(own_name=settings.name)
+    merge_member(members, member, now=time.monotonic())
     return Instance(
         settings=settings,
         secrets=secrets,
@@ -103,7 +124,7 @@
         traces=traces,
         lifecycle=Lifecycle(),
         member=member,
-        members=MemberTable(own_name=settings.name, members={settings.name: member}),
+        members=members,
         snapshot=EMPTY_SNAPSHOT,
         tls=_make_tls(settings),
     )
@@ -120,10 +141,12 @@
     )
 
 
-def _make_handlers(instance: Instance) -> PeerHandlers:
+def _make_handlers(instance: Instance, links: PeerLinks) -> PeerHandlers:
     answers = {
         Ping: answer_ping,
+        AskMembers: answer_members,
         SyncMembers: answer_sync,
+        AskProbe: partial(answer_probe, links),
         AskHead: answer_head,
         AskBody: answer_body,
         LeavingNews: answer_leaving,
@@ -148,16 +171,6 @@
     return runner
 
 
-async def _become_ready(instance: Instance) -> None:
-    """Serve once a configuration is known."""
-    while instance.snapshot.head.epoch == 0:
-        await instance.snapshot_changed.wait()
-    await instance.targets_known.wait()
-    if instance.lifecycle.state == "starting":
-        instance.lifecycle.become_ready()
-        log_event("serving", epoch=instance.snapshot.head.epoch)
-
-
 async def _stop_gracefully(instance: Instance, hurried: asyncio.Event) -> None:
     """Announce the stop, then let every open request end."""
     announce_leaving(instance)
@@ -190,9 +203,9 @@
     async with aiohttp.ClientSession(connector=connector) as session:
         instance = make_instance(settings, secrets, session, traces)
         links = _make_links(instance)
-        stop, hurried = asyncio.Event(), asyncio.Event()
+        stop, hurried = instance.stop_asked, asyncio.Event()
         _watch_signals(stop, hurried)
-        server = await serve_peers(instance, _make_handlers(instance))
+        server = await serve_peers(instance, _make_handlers(instance, links))
         runners = [
             await _listen(instance, make_caller_app(instance), settings.caller_address),
             await _listen(
@@ -207,7 +220,7 @@
             _start_duty("gossip", run_gossip(instance, links), stop),
             _start_duty("summaries", run_summaries(instance), stop),
             _start_duty("drains", watch_drains(instance), stop),
-            _start_duty("readiness", _become_ready(instance), stop),
+            _start_duty("readiness", run_readiness(instance, links), stop),
         ]
         await stop.wait()
         await _stop_gracefully(instance, hurried)
--- a/packages/instance/fulmarward/callers/_server.py
+++ b/packages/instance/fulmarward/callers/_server.py
@@ -23,6 +23,7 @@
 
 _STATE_CODES = {
     "starting": ResultCode.NOT_READY,
+    "checking": ResultCode.NOT_READY,
     "stopping": ResultCode.STOPPING,
     "stopped": ResultCode.STOPPING,
 }
@@ -31,12 +32,17 @@
 def _find_refusal(instance: Instance, request: web.Request) -> Failure | None:
     if request.path in _ALWAYS:
         return None
+    # A leaving instance still tells callers where else to go.
+    if request.path == "/discovery" and instance.lifecycle.state == "stopping":
+        return None
     is_full = len(instance.answers) >= instance.settings.limits.open_requests
     is_serving = instance.lifecycle.state == "serving"
     if EVENT_ID_HEADER in request.headers and (is_full or not is_serving):
         # The stream exists, so that "not run" would be untrue of its request.
         return make_failure(ResultCode.STILL_RUNNING, retry_after_ms=RETRY_AFTER_MS)
     code = _STATE_CODES.get(instance.lifecycle.state)
+    if code is None and instance.has_paused():
+        code = ResultCode.NOT_READY
     if code is not None:
         return make_failure(code, retry_after_ms=RETRY_AFTER_MS)
     if is_full:
@@ -67,7 +73,7 @@
         return web.json_response({"state": instance.lifecycle.state})
 
     async def show_readiness(request: web.Request) -> web.Response:
-        is_ready = instance.lifecycle.state == "serving"
+        is_ready = instance.lifecycle.state == "serving" and not instance.has_paused()
         body = {"ready": is_ready, "epoch": instance.snapshot.head.epoch}
         return web.json_response(body, status=200 if is_ready else 503)
 
--- a/packages/instance/fulmarward/requests/_attempt.py
+++ b/packages/instance/fulmarward/requests/_attempt.py
@@ -87,6 +87,7 @@
             instance.settings.limits.connect_ms / 1000,
         )
         if isinstance(stream, StreamRefused):
+            note_refusal(instance, view.name, stream.detail)
             answer.is_dispatched = was_dispatched
             note_refusal(instance, view.name, stream.detail)
             return _describe_refusal(stream)
