--- a/packages/instance/fulmarward/_daemon.py
+++ b/packages/instance/fulmarward/_daemon.py
@@ -21,6 +21,14 @@
     run_adoption,
     run_readiness,
 )
+from fulmarward.health import (
+    answer_health,
+    answer_leaving,
+    answer_leaving_sync,
+    run_gossip,
+    run_summaries,
+    watch_drains,
+)
 from fulmarward.membership import (
     announce_leaving,
     answer_members,
@@ -29,13 +37,21 @@
     answer_sync,
     run_membership,
 )
-from fulmarward.observability import log_event, make_metrics, start_logging
+from fulmarward.observability import (
+    TraceHandler,
+    log_event,
+    make_metrics,
+    start_logging,
+)
 from fulmarward.operators import make_operator_app
 from fulmarward.peers import (
     AskBody,
     AskHead,
     AskMembers,
     AskProbe,
+    HealthNews,
+    LeavingNews,
+    LeavingSync,
     PeerHandlers,
     PeerLinks,
     Ping,
@@ -73,7 +89,10 @@
 
 
 def make_instance(
-    settings: InstanceSettings, secrets: Secrets, session: aiohttp.ClientSession
+    settings: InstanceSettings,
+    secrets: Secrets,
+    session: aiohttp.ClientSession,
+    traces: TraceHandler,
 ) -> Instance:
     """Return the state of a fresh instance. Needs a running event loop."""
     member = Member(
@@ -102,6 +121,7 @@
         session=session,
         platform=platform,
         metrics=make_metrics(),
+        traces=traces,
         lifecycle=Lifecycle(),
         member=member,
         members=members,
@@ -129,6 +149,9 @@
         AskProbe: partial(answer_probe, links),
         AskHead: answer_head,
         AskBody: answer_body,
+        LeavingNews: answer_leaving,
+        LeavingSync: answer_leaving_sync,
+        HealthNews: answer_health,
     }
 
     def bind(answer):  # noqa: ANN001, ANN202
@@ -175,10 +198,10 @@
 
     Returns whether it ended because it was told to, and not because a duty failed.
     """
-    start_logging(instance=settings.name, level=settings.log_level)
+    traces = start_logging(instance=settings.name, level=settings.log_level)
     connector = aiohttp.TCPConnector(limit=MOST_CONNECTIONS)
     async with aiohttp.ClientSession(connector=connector) as session:
-        instance = make_instance(settings, secrets, session)
+        instance = make_instance(settings, secrets, session, traces)
         links = _make_links(instance)
         stop, hurried = instance.stop_asked, asyncio.Event()
         _watch_signals(stop, hurried)
@@ -194,6 +217,9 @@
             _start_duty("membership", run_membership(instance, links), stop),
             _start_duty("adoption", run_adoption(instance, links), stop),
             _start_duty("targets", follow_targets(instance), stop),
+            _start_duty("gossip", run_gossip(instance, links), stop),
+            _start_duty("summaries", run_summaries(instance), stop),
+            _start_duty("drains", watch_drains(instance), stop),
             _start_duty("readiness", run_readiness(instance, links), stop),
         ]
         await stop.wait()
--- a/packages/instance/fulmarward/_instance.py
+++ b/packages/instance/fulmarward/_instance.py
@@ -11,10 +11,11 @@
 
 from fulmarward._lifecycle import Lifecycle
 from fulmarward.answers import Answer
-from fulmarward.observability import Metrics
+from fulmarward.observability import Metrics, TraceHandler
 from fulmarward.platform import Platform
 from fulmarward.settings import InstanceSettings, Secrets
 from fulmarward_core.configuration import Snapshot
+from fulmarward_core.health import LeavingRecord, LeavingTable, PoolKey, PoolSummary
 from fulmarward_core.membership import Member, MemberTable
 from fulmarward_core.routing import TargetView
 
@@ -49,6 +50,8 @@
     platform: Platform
     #: Metrics.
     metrics: Metrics
+    #: The log lines of late requests.
+    traces: TraceHandler
     #: Starting, serving, stopping or stopped.
     lifecycle: Lifecycle
     #: What this instance says of itself.
@@ -93,6 +96,19 @@
     #: Set when the instance is to stop.
     stop_asked: asyncio.Event = field(default_factory=asyncio.Event)
 
+    #: What is known of targets that leave.
+    leaving: LeavingTable = field(default_factory=LeavingTable)
+    #: Leaving records that neighbours have still to hear, and set when there are any.
+    unsent_news: list[LeavingRecord] = field(default_factory=list)
+    news_came: asyncio.Event = field(default_factory=asyncio.Event)
+    #: Set when the first views of targets are made.
+    targets_known: asyncio.Event = field(default_factory=asyncio.Event)
+    #: Summaries by pool (model) and data centre, with the version of each and what
+    #: each peer has of them.
+    summaries: dict[PoolKey, PoolSummary] = field(default_factory=dict)
+    summary_versions: dict[PoolKey, int] = field(default_factory=dict)
+    summaries_sent: dict[str, dict[PoolKey, int]] = field(default_factory=dict)
+
     def keep_task(self, task: asyncio.Task) -> None:
         """Hold a task until it ends; the event loop itself holds none."""
         self.tasks.add(task)
--- a/packages/instance/fulmarward/configuration/_readiness.py
+++ b/packages/instance/fulmarward/configuration/_readiness.py
@@ -40,6 +40,8 @@
     await instance.met_peers.wait()
     pauses = instance.pauses
     is_known = await confirm_newest(instance, links)
+    if is_known:
+        await instance.targets_known.wait()
     is_wanted = instance.lifecycle.state in _UNCONFIRMED
     if is_known and is_wanted and instance.pauses == pauses:
         instance.lifecycle.become_ready()
--- a/packages/instance/fulmarward/configuration/tests/fakes.py
+++ b/packages/instance/fulmarward/configuration/tests/fakes.py
@@ -7,6 +7,7 @@
 
 from fulmarward._daemon import make_instance
 from fulmarward.configuration import answer_body, answer_head
+from fulmarward.observability import TraceHandler
 from fulmarward.peers import AskBody, AskHead, PeerLost
 from fulmarward.settings import InstanceSettings, Limits, Secrets
 from fulmarward_core.membership import Member, MemberState, merge_member
@@ -159,9 +160,10 @@
             limits=Limits(),
         )
         secrets = Secrets(platform_token="", operator_tokens=(), peer_secrets=(b"s",))
-        instance = make_instance(settings, secrets, self.store)
+        instance = make_instance(settings, secrets, self.store, TraceHandler())
         instance.read_pause_clock = lambda: self.now
         instance.met_peers.set()
+        instance.targets_known.set()
         self.instances[name] = instance
         self.links[name] = FakeLinks(self, name)
         self._introduce(name)
--- a/packages/instance/fulmarward/membership/_listing.py
+++ b/packages/instance/fulmarward/membership/_listing.py
@@ -3,15 +3,15 @@
 import asyncio
 
 from fulmarward._instance import Instance
+from fulmarward.health import note_list
 from fulmarward.platform import PlatformMember, PlatformOut, list_members
 from fulmarward_core.membership import Listed, choose_list_delay, take_list
 
 
 def _note_targets(instance: Instance, entries: tuple[PlatformMember, ...]) -> None:
     for entry in entries:
-        view = instance.views.get(entry.name) if entry.kind == "target" else None
-        if view is not None and entry.is_leaving:
-            view.leaving = True
+        if entry.kind == "target":
+            note_list(instance, entry.name, leaving=entry.is_leaving)
 
 
 async def read_list(instance: Instance) -> bool:
--- a/packages/instance/fulmarward/operators/_server.py
+++ b/packages/instance/fulmarward/operators/_server.py
@@ -2,7 +2,7 @@
 
 import hmac
 from collections.abc import Awaitable, Callable
-from dataclasses import asdict
+from dataclasses import asdict, dataclass
 
 from aiohttp import web
 
@@ -16,16 +16,19 @@
     read_history,
     show_declaration,
 )
+from fulmarward.health import change_drain
 from fulmarward.observability import log_event
 from fulmarward_core.checks import (
     Field,
     describe_faults,
     parse_json,
+    read_flag,
     read_optional,
     read_record,
     read_text,
     read_whole,
 )
+from fulmarward_core.health import list_sources
 from fulmarward_core.results import Failure, ResultCode, make_failure
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -69,6 +72,23 @@
 )
 
 
+@dataclass(frozen=True, kw_only=True)
+class _DrainRequest:
+    target: str
+    drained: bool
+    by: str
+
+
+_READ_DRAIN = read_record(
+    _DrainRequest,
+    {
+        "target": Field(read=read_text(pattern=r"\S{1,64}", expected="a name")),
+        "drained": Field(read=read_flag()),
+        "by": Field(read=read_text(pattern=r".{1,64}", expected="a name")),
+    },
+)
+
+
 def _has_token(instance: Instance, request: web.Request) -> bool:
     scheme, _, token = request.headers.get("Authorization", "").partition(" ")
     if scheme.lower() != "bearer":
@@ -99,6 +119,10 @@
             "running": view.report.running,
             "waiting": view.report.waiting,
             "leaving": view.leaving,
+            "leaving_sources": [
+                source.name.lower() for source in list_sources(instance.leaving, name)
+            ],
+            "held": asdict(view.held) if view.held else None,
         }
         for name, view in sorted(instance.views.items())
     ]
@@ -158,13 +182,19 @@
             return make_failure_response(heads)
         return web.json_response({"history": [asdict(head) for head in heads]})
 
-    async def drain(request: web.Request) -> web.Response:
-        log_event("drain", address=request.remote)
+    async def stop(request: web.Request) -> web.Response:
+        log_event("stop_asked", address=request.remote)
         instance.stop_asked.set()
         return web.json_response(
             {"name": instance.settings.name, "open_requests": len(instance.answers)}
         )
 
+    async def show_trace(request: web.Request) -> web.Response:
+        lines = instance.traces.read_lines(request.match_info["request"])
+        if not lines:
+            return make_failure_response(make_failure(ResultCode.NOT_FOUND))
+        return web.json_response({"lines": lines})
+
     async def apply(request: web.Request) -> web.Response:
         faults: list = []
         value = parse_json(await request.read(), "body", faults)
@@ -188,6 +218,20 @@
             {"head": asdict(outcome.head), "unchanged": outcome.is_unchanged}
         )
 
+    async def drain(request: web.Request) -> web.Response:
+        faults: list = []
+        value = parse_json(await request.read(), "body", faults)
+        wanted = None if faults else _READ_DRAIN(value, "", faults)
+        if faults:
+            failure = make_failure(ResultCode.BODY_MALFORMED, describe_faults(faults))
+            return make_failure_response(failure)
+        outcome = await change_drain(
+            instance, wanted.target, drained=wanted.drained, by=wanted.by
+        )
+        if isinstance(outcome, Failure):
+            return make_failure_response(outcome)
+        return web.json_response({"target": wanted.target, "drained": wanted.drained})
+
     app = web.Application(middlewares=[check_token], client_max_size=MOST_BODY_BYTES)
     app.add_routes(
         [
@@ -195,7 +239,9 @@
             web.get("/targets", show_targets),
             web.get("/declaration", give_declaration),
             web.get("/history", show_history),
+            web.get("/trace/{request}", show_trace),
             web.post("/apply", apply),
+            web.post("/stop", stop),
             web.post("/drain", drain),
         ]
     )
