Secrets changed while running; rollback, history and draining of an instance

A file that was applied right before an outage could be fetched by nobody until its end, seen in the new process test (epoch 1 served, 2 expected): the instance that applies now puts the bodies in hand in force itself. A frozen neighbour was suspected after 7.1 s, because a missed heartbeat waited a second and each new link two.

Change: secret files are compared each two seconds, a wrong one changes nothing and is logged once without its content; fulmarctl rollback EPOCH, history COUNT, drain-instance ADDRESS; a missed heartbeat is repeated at once and a heartbeat's second includes the link; a connection whose proof fails is closed and not left behind.

--- a/packages/client/fulmarctl/_commands.py
+++ b/packages/client/fulmarctl/_commands.py
@@ -5,6 +5,7 @@
 import sys
 import time
 import uuid
+from dataclasses import replace
 from pathlib import Path
 
 from fulmarctl._client import Fleet, Reply, call_every_instance, call_instance
@@ -75,6 +76,19 @@
         """
         fleet = load_fleet(self._path)
         value = _read_file(file)
+        self._apply_value(fleet, value, base_epoch, wait_s)
+
+    @defer
+    def rollback(self, epoch: int, wait_s: float = 10.0) -> None:
+        """Apply what was in force as EPOCH once more, as a new epoch."""
+        fleet = load_fleet(self._path)
+        base_epoch = _call(fleet, "/status").body["head"]["epoch"]
+        earlier = _call(fleet, f"/declaration?epoch={epoch}").body
+        self._apply_value(fleet, earlier["declaration"], base_epoch, wait_s)
+
+    def _apply_value(
+        self, fleet: Fleet, value: object, base_epoch: int | None, wait_s: float
+    ) -> None:
         if base_epoch is None:
             base_epoch = _call(fleet, "/status").body["head"]["epoch"]
         reply = _call(
@@ -130,12 +144,12 @@
         ]
         print_reply({"instances": shown}, as_json=self._as_json)
         if all(isinstance(reply, Failure) for reply in replies):
-            print_failure(make_failure(ResultCode.INSTANCE_UNREACHABLE))
+            print_failure(replies[0])
 
     @defer
-    def history(self) -> None:
-        """Show every declaration that was ever in force, oldest first."""
-        body = _call(load_fleet(self._path), "/history").body
+    def history(self, count: int = 20) -> None:
+        """Show the last COUNT declarations that were in force, oldest first."""
+        body = _call(load_fleet(self._path), f"/history?count={count}").body
         print_reply(body, as_json=self._as_json)
 
     @defer
@@ -159,6 +173,15 @@
         for address, lines in found.items():
             print_reply({"address": address, "lines": lines}, as_json=self._as_json)
 
+    @defer
+    def drain_instance(self, address: str) -> None:
+        """Stop the instance with operator address ADDRESS after its open requests.
+
+        It leaves the discovery answers, takes no new work, ends its streams, exits.
+        """
+        fleet = replace(load_fleet(self._path), addresses=(address,))
+        print_reply(_call(fleet, "/stop", {}).body, as_json=self._as_json)
+
     @defer
     def drain_target(self, name: str) -> None:
         """Send no new work to the target NAME; what runs on it goes on to its end."""
--- a/packages/instance/fulmarward/_daemon.py
+++ b/packages/instance/fulmarward/_daemon.py
@@ -14,6 +14,7 @@
 
 from fulmarward._instance import Instance
 from fulmarward._lifecycle import Lifecycle
+from fulmarward._secret_files import watch_secrets
 from fulmarward.callers import make_caller_app
 from fulmarward.configuration import (
     answer_body,
@@ -220,6 +221,7 @@
             _start_duty("gossip", run_gossip(instance, links), stop),
             _start_duty("summaries", run_summaries(instance), stop),
             _start_duty("drains", watch_drains(instance), stop),
+            _start_duty("secrets", watch_secrets(instance), stop),
             _start_duty("readiness", run_readiness(instance, links), stop),
         ]
         await stop.wait()
--- a/packages/instance/fulmarward/configuration/_adopt.py
+++ b/packages/instance/fulmarward/configuration/_adopt.py
@@ -30,8 +30,8 @@
 )
 from fulmarward_core.membership import Member, MemberState
 
-#: Seconds that a peer has to tell its head.
-HEAD_S = 2.0
+#: Seconds that a peer has to tell its head, a new link to it included.
+HEAD_S = 1.5
 
 #: Peers that are asked for their heads at the same time. Load: an instance that
 #: starts while the platform is out asks all 329 others; reason: sixteen at a time are
@@ -71,8 +71,9 @@
 
 async def _ask_head(links: PeerLinks, address: str) -> HeadNews | None:
     try:
-        return await links.call(address, AskHead(), HEAD_S)
-    except PeerLost:
+        async with asyncio.timeout(HEAD_S):
+            return await links.call(address, AskHead(), HEAD_S)
+    except (PeerLost, TimeoutError):
         return None
 
 
--- a/packages/instance/fulmarward/configuration/_apply.py
+++ b/packages/instance/fulmarward/configuration/_apply.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 
 from fulmarward._instance import Instance
+from fulmarward.configuration._adopt import adopt_head
+from fulmarward.configuration._bodies import Source
 from fulmarward.configuration._heads import (
     HEAD_KEY,
     HEAD_TABLE,
@@ -94,11 +96,28 @@
     split = split_declaration(wanted.declaration)
     for _ in range(MOST_TRIES):
         outcome = await _try_apply(instance, wanted, split.content_hash, split.bodies)
+        if isinstance(outcome, Applied):
+            await _adopt_own(instance, outcome.head, split.bodies)
         if not isinstance(outcome, _ShutOut):
             return outcome
     return _tell_outage("Other writes came first each time; nothing was applied.")
 
 
+async def _adopt_own(
+    instance: Instance, head: Head, bodies: Mapping[str, bytes]
+) -> None:
+    """Put what was just applied in force here, from the bodies in hand.
+
+    Guards against an outage that begins right after the write: the new epoch stands,
+    and without this nobody could fetch it until the outage ends.
+    """
+
+    async def fetch(content_hash: str) -> bytes | None:
+        return bodies.get(content_hash)
+
+    await adopt_head(instance, head, [Source(name="operator", fetch=fetch)])
+
+
 async def _try_apply(
     instance: Instance,
     wanted: ApplyRequest,
--- a/packages/instance/fulmarward/membership/_heartbeats.py
+++ b/packages/instance/fulmarward/membership/_heartbeats.py
@@ -38,7 +38,7 @@
 MOST_DIFFERING = 2
 
 #: Seconds that another has to try a silent member.
-PROBE_S = 2.5
+PROBE_S = 1.5
 
 
 def _list_neighbours(instance: Instance) -> list[str]:
@@ -106,11 +106,17 @@
         hear_of(instance, (worsen_member(member),))
 
 
-async def _wait_for_beat(instance: Instance, name: str) -> None:
-    """Wait for the next heartbeat's time, or for news that cannot wait."""
+async def _wait_for_beat(instance: Instance, name: str, misses: int) -> None:
+    """Wait for the next heartbeat's time, or for news that cannot wait.
+
+    The first that was missed is repeated at once: each second until a loss is
+    noticed is one in which callers are sent there.
+    """
     stirred = instance.news_stirred
     seconds = choose_heartbeat(_list_neighbours(instance), name)
     await asyncio.sleep(LEAST_GAP_S)
+    if misses == 1:
+        return
     try:
         async with asyncio.timeout(seconds - LEAST_GAP_S):
             await stirred.wait()
@@ -135,7 +141,7 @@
         except PeerLost as lost:
             misses += 1
             await _judge_silence(instance, links, member, misses, lost.is_refused)
-        await _wait_for_beat(instance, name)
+        await _wait_for_beat(instance, name, misses)
     await _drop_unless_neighbour(instance, links, name)
 
 
--- a/packages/instance/fulmarward/membership/_meeting.py
+++ b/packages/instance/fulmarward/membership/_meeting.py
@@ -13,7 +13,7 @@
     select_neighbours,
 )
 
-#: Seconds that a peer has to answer.
+#: Seconds that a peer has to answer, a new link to it included.
 ANSWER_S = 1.0
 
 #: Peers with which a new instance levels its table before it is ready.
@@ -27,6 +27,16 @@
 
 async def ping(instance: Instance, links: PeerLinks, address: str) -> int:
     """Exchange heartbeats and return the peer's digest; raises `PeerLost`."""
+    try:
+        async with asyncio.timeout(ANSWER_S):
+            return await _exchange_heartbeats(instance, links, address)
+    except TimeoutError as error:
+        raise PeerLost("no answer in time", is_sent=True) from error
+
+
+async def _exchange_heartbeats(
+    instance: Instance, links: PeerLinks, address: str
+) -> int:
     peer = await links.find_member(address)
     instance.metrics.control_messages.add({"kind": "ping", "direction": "sent"}, 1)
     answer = await links.call(address, make_ping(instance, peer), ANSWER_S)
--- a/packages/instance/fulmarward/peers/_links.py
+++ b/packages/instance/fulmarward/peers/_links.py
@@ -166,9 +166,7 @@
                     max_size=MOST_FRAME_BYTES,
                     proxy=None,
                 )
-                peer = await greet_listener(
-                    connection, own=self.read_own(), accepted=self.read_secrets()
-                )
+                peer = await self._prove(connection)
         except (
             OSError,
             TimeoutError,
@@ -182,6 +180,20 @@
         link.reader = asyncio.create_task(self._read(address, link))
         return link
 
+    async def _prove(self, connection: ClientConnection) -> Member:
+        """Prove the secret on a fresh connection, or close it.
+
+        Guards against a peer that accepts and says nothing, as a frozen one does:
+        each try would leave a connection behind.
+        """
+        try:
+            return await greet_listener(
+                connection, own=self.read_own(), accepted=self.read_secrets()
+            )
+        except BaseException:
+            connection.transport.abort()
+            raise
+
     async def _read(self, address: str, link: _Link) -> None:
         """Sort frames into their calls until the link is lost."""
         try:
