--- a/packages/client/fulmarctl/_commands.py
+++ b/packages/client/fulmarctl/_commands.py
@@ -180,7 +180,7 @@
         It leaves the discovery answers, takes no new work, ends its streams, exits.
         """
         fleet = replace(load_fleet(self._path), addresses=(address,))
-        print_reply(_call(fleet, "/stop", {}).body, as_json=self._as_json)
+        print_reply(_call(fleet, "/drain", {}).body, as_json=self._as_json)
 
     @defer
     def drain_target(self, name: str) -> None:
@@ -194,7 +194,7 @@
 
     def _change_drain(self, name: str, *, drained: bool) -> None:
         body = {"target": name, "drained": drained, "by": getpass.getuser()}
-        reply = _call(load_fleet(self._path), "/drain", body)
+        reply = _call(load_fleet(self._path), "/drain-target", body)
         print_reply(reply.body, as_json=self._as_json)
 
     @defer
--- a/packages/instance/fulmarward/configuration/_readiness.py
+++ b/packages/instance/fulmarward/configuration/_readiness.py
@@ -41,6 +41,7 @@
     pauses = instance.pauses
     is_known = await confirm_newest(instance, links)
     if is_known:
+        # Serving before the drains are known would send work to a leaving target.
         await instance.targets_known.wait()
     is_wanted = instance.lifecycle.state in _UNCONFIRMED
     if is_known and is_wanted and instance.pauses == pauses:
--- a/packages/instance/fulmarward/operators/_server.py
+++ b/packages/instance/fulmarward/operators/_server.py
@@ -182,19 +182,19 @@
             return make_failure_response(heads)
         return web.json_response({"history": [asdict(head) for head in heads]})
 
-    async def stop(request: web.Request) -> web.Response:
-        log_event("stop_asked", address=request.remote)
-        instance.stop_asked.set()
-        return web.json_response(
-            {"name": instance.settings.name, "open_requests": len(instance.answers)}
-        )
-
     async def show_trace(request: web.Request) -> web.Response:
         lines = instance.traces.read_lines(request.match_info["request"])
         if not lines:
             return make_failure_response(make_failure(ResultCode.NOT_FOUND))
         return web.json_response({"lines": lines})
 
+    async def drain(request: web.Request) -> web.Response:
+        log_event("drain", address=request.remote)
+        instance.stop_asked.set()
+        return web.json_response(
+            {"name": instance.settings.name, "open_requests": len(instance.answers)}
+        )
+
     async def apply(request: web.Request) -> web.Response:
         faults: list = []
         value = parse_json(await request.read(), "body", faults)
@@ -218,7 +218,7 @@
             {"head": asdict(outcome.head), "unchanged": outcome.is_unchanged}
         )
 
-    async def drain(request: web.Request) -> web.Response:
+    async def drain_target(request: web.Request) -> web.Response:
         faults: list = []
         value = parse_json(await request.read(), "body", faults)
         wanted = None if faults else _READ_DRAIN(value, "", faults)
@@ -241,8 +241,8 @@
             web.get("/history", show_history),
             web.get("/trace/{request}", show_trace),
             web.post("/apply", apply),
-            web.post("/stop", stop),
             web.post("/drain", drain),
+            web.post("/drain-target", drain_target),
         ]
     )
     return app
