--- a/packages/core/fulmarward_core/discovery/decisions.py
+++ b/packages/core/fulmarward_core/discovery/decisions.py
@@ -9,6 +9,11 @@
 #: each of thousands of callers; reason: a caller tries a few and then asks again.
 MOST_ADDRESSES = 8
 
+#: Of those, the ones kept for other data centres. Harm: a caller whose data centre is
+#: lost holds addresses of that one alone and has nobody left to ask; reason: two, in
+#: case one of them goes at the same time.
+FAR_ADDRESSES = 2
+
 
 def order_addresses(
     members: Iterable[Member], *, data_centre: str, generator: random.Random
@@ -19,5 +24,9 @@
     """
     usable = [member for member in members if member.state is MemberState.ALIVE]
     generator.shuffle(usable)
-    usable.sort(key=lambda member: member.data_centre != data_centre)
-    return [member.caller_address for member in usable[:MOST_ADDRESSES]]
+    near = [member for member in usable if member.data_centre == data_centre]
+    far = [member for member in usable if member.data_centre != data_centre]
+    kept_for_far = min(FAR_ADDRESSES, len(far))
+    chosen = near[: MOST_ADDRESSES - kept_for_far]
+    chosen += far[: MOST_ADDRESSES - len(chosen)]
+    return [member.caller_address for member in chosen]
