A stop cuts off nothing, and a hurried one tells callers the truth

Cause: at a second signal or the stop's deadline connections just broke, a call that was not streamed got no answer, and its work ran on. A kept answer without readers also held the stop.

Change: what is open is what is not over or still read. At the end each open caller is told INSTANCE_STOPPED (STOPPING if nothing was dispatched); streams run on at their engines and are read at another instance; other work is cancelled, and the stop waits a bounded time for both.

Measured by the test: 200 streams and 5 chains open, one signal: all whole, exit 0; 20 streams and a plain call, two signals: 20 told 4002 and read whole elsewhere, the call told "unknown" and cancelled, nothing run twice.

--- a/packages/instance/fulmarward/_daemon.py
+++ b/packages/instance/fulmarward/_daemon.py
@@ -14,6 +14,7 @@
 
 from fulmarward._instance import Instance
 from fulmarward._lifecycle import Lifecycle
+from fulmarward._stop import end_open, list_open
 from fulmarward.callers import make_caller_app
 from fulmarward.configuration import (
     answer_body,
@@ -178,11 +179,14 @@
     await _wait_or_hurry(hurried, LEAVING_NOTICE_S)
     instance.lifecycle.begin_stop()
     deadline = instance.read_clock() + instance.settings.limits.stop_ms / 1000
-    while instance.answers and instance.read_clock() < deadline:
+    while list_open(instance) and instance.read_clock() < deadline:
         if hurried.is_set():
             break
         await asyncio.sleep(STOP_LOOK_S)
-    log_event("stopped", cut_off=len(instance.answers))
+    cut_off = len(list_open(instance))
+    instance.lifecycle.finish_stop()
+    await end_open(instance)
+    log_event("stopped", cut_off=cut_off)
 
 
 async def _wait_or_hurry(hurried: asyncio.Event, seconds: float) -> None:
--- a/packages/instance/fulmarward/_instance.py
+++ b/packages/instance/fulmarward/_instance.py
@@ -73,6 +73,8 @@
     answers: dict[str, Answer] = field(default_factory=dict)
     #: Tasks that outlive the call that began them.
     tasks: set[asyncio.Task] = field(default_factory=set)
+    #: Those of them that tell engines to end work.
+    closing: set[asyncio.Task] = field(default_factory=set)
     #: TLS towards callers and operators.
     tls: ssl.SSLContext | None = None
     #: Teams by the digest of each of their keys, as old as the snapshot.
@@ -117,6 +119,12 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    def keep_closing(self, task: asyncio.Task) -> None:
+        """Hold a task that tells an engine to end work; a stop waits for it."""
+        self.keep_task(task)
+        self.closing.add(task)
+        task.add_done_callback(self.closing.discard)
+
     def adopt_snapshot(self, snapshot: Snapshot) -> None:
         """Put a snapshot in force and wake all who wait for a change."""
         self.snapshot = snapshot
--- a/packages/instance/fulmarward/requests/_attempt.py
+++ b/packages/instance/fulmarward/requests/_attempt.py
@@ -136,7 +136,7 @@
         attempt=attempt,
         only_reader=name_reader(instance),
     )
-    instance.keep_task(asyncio.create_task(cancelling))
+    instance.keep_closing(asyncio.create_task(cancelling))
 
 
 async def _reattach(
--- a/packages/instance/fulmarward/requests/_chain.py
+++ b/packages/instance/fulmarward/requests/_chain.py
@@ -417,7 +417,7 @@
     if instance.lifecycle.state == "stopped" and answer.may_return:
         return
     closing = _close_all(instance, work, attempt, kept)
-    instance.keep_task(asyncio.create_task(closing))
+    instance.keep_closing(asyncio.create_task(closing))
 
 
 async def _give_up(
--- /dev/null
+++ b/packages/instance/fulmarward/tests/test_stop.py
@@ -0,0 +1,118 @@
+import asyncio
+import json
+import signal
+import unittest
+
+from fulmarward_standins.engine import answer_tokens
+from fulmarward_standins.harness import (
+    FleetPlan,
+    TargetPlan,
+    find_ledger_faults,
+    read_whole,
+    start_fleet,
+    wait_until,
+)
+
+_STREAMS = 200
+_CHAINS = 5
+
+
+def _plan():
+    engines = [
+        TargetPlan(name=f"e{number}", slots=400, stand_in={"token_ms": 90})
+        for number in (1, 2)
+    ]
+    stages = [
+        TargetPlan(name=f"c{first}", serves="anchovy", layers=(first, first + 12))
+        for first in (0, 12)
+    ]
+    return FleetPlan(targets=engines + stages)
+
+
+async def _count_began(fleet):
+    return sum(entry["event"] == "began" for entry in await fleet.read_ledgers())
+
+
+class StopTest(unittest.IsolatedAsyncioTestCase):
+    async def test_stops_cut_off_nothing_and_tell_the_truth(self):
+        async with start_fleet(_plan()) as fleet:
+            await self._check_graceful_stop(fleet)
+            await self._check_hurried_stop(fleet)
+            ledgers = await fleet.read_ledgers_by_target()
+            self.assertEqual(find_ledger_faults(ledgers, layers=24), [])
+
+    async def _check_graceful_stop(self, fleet):
+        # An instance with hundreds of streams and some chains is told to stop. It
+        # refuses new work, every open answer comes whole, and it ends by itself.
+        prompts = [f"sheet {number} [30 tokens]" for number in range(_STREAMS)]
+        reading = [
+            asyncio.create_task(read_whole(fleet, "i1", prompt)) for prompt in prompts
+        ] + [
+            asyncio.create_task(
+                read_whole(fleet, "i1", f"c{number} [200 tokens]", pipeline="chain")
+            )
+            for number in range(_CHAINS)
+        ]
+
+        async def has_all():
+            return await _count_began(fleet) >= _STREAMS
+
+        await wait_until(has_all, "all streams to run")
+        fleet.processes["i1"].send(signal.SIGTERM)
+
+        async def refuses_work():
+            result = await fleet.call("i1", "/v1/models")
+            return result.status == 0 or result.body.get("result") == 2006
+
+        await wait_until(refuses_work, "new work to be refused")
+        answers = await asyncio.gather(*reading)
+        cut = [answer.events[-1:] for answer in answers if not answer.is_whole]
+        self.assertEqual(cut, [])
+        for prompt, answer in zip(prompts, answers, strict=False):
+            self.assertEqual(answer.texts, answer_tokens(prompt, 30, 24))
+        self.assertEqual({len(answer.texts) for answer in answers[_STREAMS:]}, {200})
+        self.assertEqual(await fleet.processes["i1"].child.wait(), 0)
+
+    async def _check_hurried_stop(self, fleet):
+        # The operator cannot wait and signals twice. A caller of a stream is told
+        # that the instance ended, goes on at another one from its last event, and
+        # nothing was run twice. A call that cannot come back is told "unknown".
+        prompts = [f"moves {number} [30 tokens]" for number in range(20)]
+        began = await _count_began(fleet)
+        reading = [
+            asyncio.create_task(read_whole(fleet, "i2", prompt, pipeline="rewrite"))
+            for prompt in prompts
+        ]
+        body = {"model": "rewrite", "prompt": "once [400 tokens]"}
+        calling = asyncio.create_task(fleet.call("i2", "/v1/completions", body))
+
+        async def has_all():
+            return await _count_began(fleet) == began + len(prompts) + 1
+
+        await wait_until(has_all, "all requests to run")
+        for _ in range(2):
+            fleet.processes["i2"].send(signal.SIGTERM)
+            await asyncio.sleep(0.2)
+        cut = await asyncio.gather(*reading)
+        self.assertEqual((await calling).body["ran"], "unknown")
+        self.assertEqual(await fleet.processes["i2"].child.wait(), 0)
+        resuming = [
+            read_whole(
+                fleet,
+                "i3",
+                prompt,
+                pipeline="rewrite",
+                last_event_id=first.last_event_id,
+            )
+            for prompt, first in zip(prompts, cut, strict=True)
+        ]
+        rests = await asyncio.gather(*resuming)
+        for prompt, first, rest in zip(prompts, cut, rests, strict=True):
+            self.assertEqual(json.loads(first.events[-1].data)["result"], 4002)
+            self.assertTrue(rest.is_whole)
+            expected = answer_tokens(prompt, 30, 24)
+            self.assertEqual(first.texts + rest.texts, expected)
+        self.assertEqual(await _count_began(fleet), began + len(prompts) + 1)
+        entries = await fleet.read_ledgers()
+        cancelled = [item for item in entries if item["event"] == "cancelled"]
+        self.assertEqual(len(cancelled), 1)
--- a/packages/standins/fulmarward_standins/harness/_fleet.py
+++ b/packages/standins/fulmarward_standins/harness/_fleet.py
@@ -326,7 +326,8 @@
     """Run a fleet inside an `async with`; every process is ended at its end."""
     plan = plan or FleetPlan()
     with tempfile.TemporaryDirectory(prefix="fulmarward-") as folder:
-        async with aiohttp.ClientSession() as session:
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(connector=connector) as session:
             fleet = Fleet(
                 plan=plan,
                 folder=Path(folder),
