--- a/packages/standins/fulmarward_standins/demo.py
+++ b/packages/standins/fulmarward_standins/demo.py
@@ -15,6 +15,7 @@
     Fleet,
     FleetPlan,
     TargetPlan,
+    find_ledger_faults,
     make_declaration,
     make_team_key,
     read_stream,
@@ -44,6 +45,9 @@
             TargetPlan(name="e1", stand_in={"token_ms": 15}),
             TargetPlan(name="e2", data_centre="lx-oriente", stand_in={"token_ms": 15}),
             TargetPlan(name="s1", kind="service", serves="callsheet"),
+            TargetPlan(name="c1", serves="anchovy", layers=(0, 8)),
+            TargetPlan(name="c2", serves="anchovy", layers=(8, 16)),
+            TargetPlan(name="c3", serves="anchovy", layers=(16, 24)),
         ],
         is_applied=False,
     )
@@ -75,10 +79,12 @@
     )
 
 
-async def _stream(fleet: Fleet, instance: str, tokens: int) -> tuple[int, bool]:
+async def _stream(
+    fleet: Fleet, instance: str, tokens: int, pipeline: str = "summary"
+) -> tuple[int, bool]:
     """Return the tokens that arrived, and whether the end was told."""
     body = {
-        "model": "summary",
+        "model": pipeline,
         "messages": [{"role": "user", "content": f"sheet [{tokens} tokens]"}],
         "stream": True,
     }
@@ -109,6 +115,18 @@
     )
 
 
+async def _show_chain(fleet: Fleet) -> Row:
+    arrived, is_whole = await _stream(fleet, "i2", 20, pipeline="chain")
+    ledgers = {name: await fleet.read_ledger(name) for name in ("c1", "c2", "c3")}
+    faults = find_ledger_faults(ledgers, layers=24)
+    ran = [len(ledger) for ledger in ledgers.values()]
+    return Row(
+        what="layer pipeline over three targets",
+        found=f"{arrived} tokens, {ran} steps, {len(faults)} faults in ledgers",
+        is_right=arrived == 20 and is_whole and ran == [20] * 3 and not faults,
+    )
+
+
 async def _show_service_call(fleet: Fleet) -> Row:
     result = await fleet.call("i2", "/services/callsheet/moves", {"unit": 2})
     ledger = await fleet.read_ledger("s1")
@@ -152,6 +170,7 @@
     _apply_example,
     _show_discovery,
     _show_stream,
+    _show_chain,
     _show_service_call,
     _show_graceful_stop,
     _check_ledgers,
