Leases as a state table: counted from before the asking, waited out with drift

Cause: orders to engines need one holder of a pool at a time, while holders pause, clocks drift and replies of the store are lost after the write took effect.

Change: pure decisions over explicit state. A holder counts its lease from before it asked and stops early; a successor counts from after it saw the row and waits longer; the fencing number rises in the conditional write that takes the lease; a lost reply is found by the token in the row. A lease that lapsed is taken anew under a new number.

Seen: the state machine of three instances with drifting clocks, pauses, lost and late writes fails at once when the lease counts from the reply, and test_a_lease_given_back_is_free_at_once_and_held_no_more fails when a write that gives back leaves earlier writes remembered (a late give-back would make two holders).

--- /dev/null
+++ b/packages/core/fulmarward_core/leases/__init__.py
@@ -0,0 +1,41 @@
+"""Leases in the platform's table: one holder of a pool, with a fencing number."""
+
+from fulmarward_core.leases._types import (
+    ABSENT_LEASE,
+    Lease,
+    LeaseEvent,
+    LeaseRead,
+    LeaseState,
+    LeaseTerms,
+    LeaseWritten,
+    Phase,
+    ReplyLost,
+    StoreOut,
+)
+from fulmarward_core.leases.decisions import (
+    Step,
+    StepKind,
+    choose_step,
+    may_order,
+    note_asking,
+    take_event,
+)
+
+__all__ = [
+    "ABSENT_LEASE",
+    "Lease",
+    "LeaseEvent",
+    "LeaseRead",
+    "LeaseState",
+    "LeaseTerms",
+    "LeaseWritten",
+    "Phase",
+    "ReplyLost",
+    "Step",
+    "StepKind",
+    "StoreOut",
+    "choose_step",
+    "may_order",
+    "note_asking",
+    "take_event",
+]
--- /dev/null
+++ b/packages/core/fulmarward_core/leases/decisions.py
@@ -0,0 +1,178 @@
+"""Who holds a lease, as one instance may believe it."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from enum import Enum
+
+from fulmarward_core.leases._types import (
+    Lease,
+    LeaseEvent,
+    LeaseRead,
+    LeaseState,
+    LeaseTerms,
+    LeaseWritten,
+    Phase,
+    ReplyLost,
+    StoreOut,
+)
+
+#: Part of the held time after which a holder renews. Harm: one slow reply costs the
+#: lease; reason: two more tries fit in.
+RENEW_AT = 1 / 3
+
+#: Writes of one instance that are remembered. Harm: memory that grows in an outage;
+#: reason: older ones lie so far back that their lease has lapsed.
+MOST_ASKED = 8
+
+
+class StepKind(Enum):
+    """What to do next about a lease."""
+
+    READ = "read"
+    WRITE = "write"
+    WAIT = "wait"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Step:
+    """What to do next about a lease."""
+
+    #: The kind.
+    kind: StepKind
+    #: `WRITE`: the lease to write, if the row still has this version.
+    lease: Lease | None = None
+    version: int = 0
+    #: `WAIT`: until when, seconds on the steady clock.
+    until: float = 0.0
+
+
+def may_order(state: LeaseState, *, now: float) -> bool:
+    """Return whether this instance may send an order now; ask right before each.
+
+    Guards against a holder that was paused: it wakes believing what it knew, and the
+    time tells it otherwise. What it sends in spite of this, paused between this
+    question and the sending, carries its old fencing number.
+    """
+    return now < state.held_until
+
+
+def choose_step(
+    state: LeaseState, terms: LeaseTerms, *, token: str, wanted: bool, now: float
+) -> Step:
+    """Return what to do now. `token` has never been used; `wanted` is whether this
+    instance would hold the lease, and if not it gives back what it holds.
+    """
+    return _STEPS[state.phase](state, terms, token, wanted, now)
+
+
+def _step_unsure(
+    state: LeaseState, terms: LeaseTerms, token: str, wanted: bool, now: float
+) -> Step:
+    return Step(kind=StepKind.READ)
+
+
+def _step_watching(
+    state: LeaseState, terms: LeaseTerms, token: str, wanted: bool, now: float
+) -> Step:
+    free_from = state.seen_since + terms.waited_s
+    is_free = not state.lease.holder or now >= free_from
+    if not (wanted and is_free):
+        return Step(kind=StepKind.WAIT, until=free_from)
+    return _write(state, token, state.own_name, state.lease.fencing + 1)
+
+
+def _step_holding(
+    state: LeaseState, terms: LeaseTerms, token: str, wanted: bool, now: float
+) -> Step:
+    if not may_order(state, now=now):
+        # It lapsed. Whether anyone took it, the row says; until then it is as any
+        # other's, and taking it anew takes a new number.
+        return Step(kind=StepKind.READ)
+    if not wanted:
+        return _write(state, token, "", state.fencing)
+    renew_at = state.held_until - terms.held_s * (1 - RENEW_AT)
+    if now < renew_at:
+        return Step(kind=StepKind.WAIT, until=renew_at)
+    return _write(state, token, state.own_name, state.fencing)
+
+
+_STEPS: dict[Phase, Callable[..., Step]] = {
+    Phase.UNSURE: _step_unsure,
+    Phase.WATCHING: _step_watching,
+    Phase.HOLDING: _step_holding,
+}
+
+
+def _write(state: LeaseState, token: str, holder: str, fencing: int) -> Step:
+    lease = Lease(holder=holder, boot=state.own_boot, fencing=fencing, token=token)
+    return Step(kind=StepKind.WRITE, lease=lease, version=state.version)
+
+
+def note_asking(state: LeaseState, step: Step, *, now: float) -> LeaseState:
+    """Remember when a write was begun; the lease counts from before it was asked for.
+
+    A write that gives the lease back ends the holding for good, and no earlier write
+    counts any more: it may take effect late, when this instance has read the row as it
+    was before and would believe itself the holder still.
+    """
+    if not step.lease.holder:
+        return replace(state, asked_at={}, held_until=float("-inf"))
+    asked = {**state.asked_at, step.lease.token: now}
+    return replace(state, asked_at=dict(list(asked.items())[-MOST_ASKED:]))
+
+
+def take_event(
+    state: LeaseState, terms: LeaseTerms, event: LeaseEvent, *, now: float
+) -> LeaseState:
+    """Return the state after an event; `now` is when its reply came."""
+    return _EVENTS[type(event)](state, terms, event, now)
+
+
+def _take_row(
+    state: LeaseState, terms: LeaseTerms, event: LeaseRead | LeaseWritten, now: float
+) -> LeaseState:
+    """Take in the row as it was when the reply left the platform.
+
+    Guards against a lost reply: the row has the token of the write that took effect,
+    and the lease counts from when that write was begun. A row of this instance whose
+    token it does not know is treated as another's and waited out.
+    """
+    lease = event.lease
+    is_news = (event.version, lease) != (state.version, state.lease)
+    seen = replace(
+        state,
+        phase=Phase.WATCHING,
+        lease=lease,
+        version=event.version,
+        seen_since=now if is_news else state.seen_since,
+    )
+    is_own = (lease.holder, lease.boot) == (state.own_name, state.own_boot)
+    if not is_own or lease.token not in state.asked_at:
+        return replace(seen, held_until=float("-inf"))
+    held_until = state.asked_at[lease.token] + terms.held_s
+    if now >= held_until:
+        return replace(seen, held_until=float("-inf"))
+    return replace(
+        seen, phase=Phase.HOLDING, held_until=held_until, fencing=lease.fencing
+    )
+
+
+def _become_unsure(
+    state: LeaseState, terms: LeaseTerms, event: ReplyLost, now: float
+) -> LeaseState:
+    """Read the row before anything else; an older hold stands until its own end."""
+    return replace(state, phase=Phase.UNSURE)
+
+
+def _stay(
+    state: LeaseState, terms: LeaseTerms, event: StoreOut, now: float
+) -> LeaseState:
+    return state
+
+
+_EVENTS: dict[type, Callable[..., LeaseState]] = {
+    LeaseRead: _take_row,
+    LeaseWritten: _take_row,
+    ReplyLost: _become_unsure,
+    StoreOut: _stay,
+}
