Placement: orders by one holder of a pool, rollouts target by target

Cause: nothing told engines what to hold, so a declared version, adapter or model changed nothing, and requests were routed to targets that did not hold it.

Change: five candidates for each pool compete for its lease; the holder looks at what the engines hold, asserts the wanted state under its fencing number and mends what differs, also what a paused predecessor's late order did to an engine that ignores the number. Weight loads are bounded; a target that serves is drained on all instances first, and none is taken that leaves no whole chain of one version. A rollout stops when the new version fails more often, stays stopped under later holders, and fulmarctl placement shows where it stands.

Ruled out: keeping only serving-version targets in routing during a rollout (the first changed target would get the load of all).

--- a/packages/client/fulmarctl/_commands.py
+++ b/packages/client/fulmarctl/_commands.py
@@ -143,6 +143,12 @@
         body = _call(load_fleet(self._path), "/targets").body
         print_reply(body, as_json=self._as_json)
 
+    @defer
+    def placement(self) -> None:
+        """Show who places each model's targets, and where rollouts stand and why."""
+        body = _call(load_fleet(self._path), "/placement").body
+        print_reply(body, as_json=self._as_json)
+
     @defer
     def drain_target(self, name: str) -> None:
         """Send no new work to the target NAME; what runs on it goes on to its end."""
--- a/packages/core/fulmarward_core/health/__init__.py
+++ b/packages/core/fulmarward_core/health/__init__.py
@@ -3,6 +3,7 @@
 from fulmarward_core.health._cache import take_cache_events
 from fulmarward_core.health._summaries import (
     add_up,
+    choose_candidates,
     choose_teller,
     is_newer,
     list_pools,
@@ -24,6 +25,7 @@
     EVENT_BYTES_PER_S,
     REPORT_BYTES,
     REPORT_BYTES_PER_S,
+    announce,
     charge,
     compute_leaving_digest,
     draw_interval,
@@ -52,7 +54,9 @@
     "PoolSummary",
     "SummaryRecord",
     "add_up",
+    "announce",
     "charge",
+    "choose_candidates",
     "choose_teller",
     "compute_leaving_digest",
     "draw_interval",
--- a/packages/core/fulmarward_core/health/_summaries.py
+++ b/packages/core/fulmarward_core/health/_summaries.py
@@ -26,6 +26,15 @@
     )
 
 
+def choose_candidates(instances: Sequence[str], pool: str, most: int) -> list[str]:
+    """Return the instances that would do a pool's duty; stable under change."""
+    return sorted(
+        instances,
+        key=lambda name: xxhash.xxh64_intdigest(f"{name}\0{pool}".encode()),
+        reverse=True,
+    )[:most]
+
+
 def list_pools(targets: Mapping[str, Target], data_centre: str) -> list[str]:
     """Return the names of the models that engines of a data centre serve."""
     found = {
--- a/packages/core/fulmarward_core/health/_types.py
+++ b/packages/core/fulmarward_core/health/_types.py
@@ -13,6 +13,8 @@
     TARGET = 1
     #: An operator's drain, a row in the platform's table.
     OPERATOR = 2
+    #: The holder of its pool's lease, which is about to have it load weights.
+    PLACEMENT = 3
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/core/fulmarward_core/health/decisions.py
+++ b/packages/core/fulmarward_core/health/decisions.py
@@ -110,13 +110,7 @@
     is_news = has_changed or (leaving and is_first) or _has_lasted(table, key, now=now)
     if not is_news:
         return None
-    target, source = key
-    version = record.version + 1 if record else 1
-    newer = LeavingRecord(
-        target=target, source=source, is_leaving=leaving, version=version
-    )
-    merge_record(table, newer, now=now)
-    return newer
+    return announce(table, key, leaving=leaving, now=now)
 
 
 def _has_lasted(table: LeavingTable, key: LeavingKey, *, now: float) -> bool:
@@ -138,6 +132,22 @@
     return observe(table, key, leaving=leaving, now=now)
 
 
+def announce(
+    table: LeavingTable, key: LeavingKey, *, leaving: bool, now: float
+) -> LeavingRecord | None:
+    """Make and return the record that says so; `None` when it stands already."""
+    record = table.records.get(key)
+    if _says_so(record) == leaving:
+        return None
+    target, source = key
+    version = record.version + 1 if record else 1
+    newer = LeavingRecord(
+        target=target, source=source, is_leaving=leaving, version=version
+    )
+    merge_record(table, newer, now=now)
+    return newer
+
+
 def merge_record(table: LeavingTable, record: LeavingRecord, *, now: float) -> bool:
     """Take in a peer's record if it is newer; return whether it was.
 
--- a/packages/core/fulmarward_core/health/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/health/tests/test_decisions.py
@@ -24,7 +24,7 @@
     REFUSAL_HOLDS_S,
 )
 
-_LIST, _TARGET, _OPERATOR = LeavingSource
+_LIST, _TARGET, _OPERATOR, _PLACEMENT = LeavingSource
 _RECORDS = st.builds(
     LeavingRecord,
     target=st.sampled_from(["e1", "e2"]),
--- a/packages/instance/fulmarward/_daemon.py
+++ b/packages/instance/fulmarward/_daemon.py
@@ -30,6 +30,7 @@
 from fulmarward.peers import (
     AskBody,
     AskHead,
+    AskOutcomes,
     HealthNews,
     LeavingNews,
     LeavingSync,
@@ -39,6 +40,7 @@
     SyncMembers,
     serve_peers,
 )
+from fulmarward.placement import answer_outcomes, run_placement
 from fulmarward.platform import Platform
 from fulmarward.settings import InstanceSettings, Secrets
 from fulmarward.targets import follow_targets
@@ -120,6 +122,7 @@
         LeavingNews: answer_leaving,
         LeavingSync: answer_leaving_sync,
         HealthNews: answer_health,
+        AskOutcomes: answer_outcomes,
     }
 
     def bind(answer):  # noqa: ANN001, ANN202
@@ -198,6 +201,7 @@
             _start_duty("gossip", run_gossip(instance, links), stop),
             _start_duty("summaries", run_summaries(instance), stop),
             _start_duty("drains", watch_drains(instance), stop),
+            _start_duty("placement", run_placement(instance, links), stop),
             _start_duty("readiness", _become_ready(instance), stop),
         ]
         await stop.wait()
--- a/packages/instance/fulmarward/_instance.py
+++ b/packages/instance/fulmarward/_instance.py
@@ -16,6 +16,7 @@
 from fulmarward_core.configuration import Snapshot
 from fulmarward_core.health import LeavingRecord, LeavingTable, PoolKey, PoolSummary
 from fulmarward_core.membership import Member, MemberTable
+from fulmarward_core.placement import OutcomeWindow
 from fulmarward_core.routing import TargetView
 
 
@@ -71,6 +72,8 @@
     #: Leaving records that neighbours have still to hear, and set when there are any.
     unsent_news: list[LeavingRecord] = field(default_factory=list)
     news_came: asyncio.Event = field(default_factory=asyncio.Event)
+    #: What became of attempts, by model and version.
+    outcomes: OutcomeWindow = field(default_factory=OutcomeWindow)
     #: Set when the first views of targets are made.
     targets_known: asyncio.Event = field(default_factory=asyncio.Event)
     #: Summaries by pool (model) and data centre, with the version of each and what
--- a/packages/instance/fulmarward/health/__init__.py
+++ b/packages/instance/fulmarward/health/__init__.py
@@ -10,6 +10,7 @@
 from fulmarward.health._leaving import (
     hear_records,
     note_list,
+    note_placement,
     note_refusal,
     note_report,
     show_leaving,
@@ -23,6 +24,7 @@
     "change_drain",
     "hear_records",
     "note_list",
+    "note_placement",
     "note_refusal",
     "note_report",
     "read_drains",
--- a/packages/instance/fulmarward/health/_leaving.py
+++ b/packages/instance/fulmarward/health/_leaving.py
@@ -8,6 +8,7 @@
 from fulmarward_core.health import (
     LeavingRecord,
     LeavingSource,
+    announce,
     is_leaving,
     list_sources,
     merge_record,
@@ -57,6 +58,14 @@
     _spread(instance, name, news)
 
 
+def note_placement(instance: Instance, name: str, *, leaving: bool) -> None:
+    """Stop or open a target for placement, on all instances."""
+    key = (name, LeavingSource.PLACEMENT)
+    now = instance.read_clock()
+    news = announce(instance.leaving, key, leaving=leaving, now=now)
+    _spread(instance, name, news)
+
+
 def note_refusal(instance: Instance, name: str, detail: str) -> None:
     """Take in why a target refused a request before it began.
 
--- a/packages/instance/fulmarward/operators/_server.py
+++ b/packages/instance/fulmarward/operators/_server.py
@@ -16,6 +16,7 @@
 )
 from fulmarward.health import change_drain
 from fulmarward.observability import log_event
+from fulmarward.placement import read_placement
 from fulmarward_core.checks import (
     Field,
     describe_faults,
@@ -189,6 +190,12 @@
             return make_failure_response(outcome)
         return web.json_response({"target": wanted.target, "drained": wanted.drained})
 
+    async def show_placement(request: web.Request) -> web.Response:
+        pools = await read_placement(instance)
+        if isinstance(pools, Failure):
+            return make_failure_response(pools)
+        return web.json_response({"pools": pools})
+
     app = web.Application(middlewares=[check_token], client_max_size=MOST_BODY_BYTES)
     app.add_routes(
         [
@@ -198,6 +205,7 @@
             web.get("/history", show_history),
             web.post("/apply", apply),
             web.post("/drain", drain),
+            web.get("/placement", show_placement),
         ]
     )
     return app
--- a/packages/instance/fulmarward/peers/_messages.py
+++ b/packages/instance/fulmarward/peers/_messages.py
@@ -8,6 +8,7 @@
 from fulmarward_core.configuration import Head
 from fulmarward_core.health import LeavingRecord, SummaryRecord
 from fulmarward_core.membership import Member
+from fulmarward_core.placement import Outcomes
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -132,6 +133,22 @@
     summaries: tuple[SummaryRecord, ...]
 
 
+@dataclass(frozen=True, kw_only=True)
+class AskOutcomes:
+    """Asks what became of attempts on the targets of a model."""
+
+    #: Name of the model.
+    model: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class OutcomeCounts:
+    """What became of attempts at the sender, by version."""
+
+    #: The counts.
+    outcomes: tuple[Outcomes, ...]
+
+
 #: All messages in the order of their numbers.
 MESSAGES = (
     Challenge,
@@ -148,4 +165,6 @@
     LeavingNews,
     LeavingSync,
     HealthNews,
+    AskOutcomes,
+    OutcomeCounts,
 )
--- /dev/null
+++ b/packages/instance/fulmarward/placement/_run.py
@@ -0,0 +1,40 @@
+"""The duty of placement: two tasks for each pool that is declared."""
+
+import asyncio
+
+from fulmarward._instance import Instance
+from fulmarward.peers import PeerLinks
+from fulmarward.placement._lease import keep_lease, make_keeper
+from fulmarward.placement._pool import PoolPlacement, run_pool
+from fulmarward_core.declaration import Declaration, TargetKind
+
+
+def _list_pools(declaration: Declaration) -> set[str]:
+    """Return the models that engines serve."""
+    return {
+        target.serves
+        for target in declaration.targets.values()
+        if target.kind is TargetKind.ENGINE
+    }
+
+
+async def _place(instance: Instance, links: PeerLinks, pool: str) -> None:
+    keeper = make_keeper(instance, pool)
+    placement = PoolPlacement(keeper=keeper)
+    async with asyncio.TaskGroup() as group:
+        group.create_task(keep_lease(instance, keeper))
+        group.create_task(run_pool(instance, links, placement))
+
+
+async def run_placement(instance: Instance, links: PeerLinks) -> None:
+    """Keep the tasks of each pool; a pool that is declared no more ends its tasks."""
+    async with asyncio.TaskGroup() as group:
+        tasks: dict[str, asyncio.Task] = {}
+        while True:
+            changed = instance.snapshot_changed
+            pools = _list_pools(instance.snapshot.declaration)
+            for pool in tasks.keys() - pools:
+                tasks.pop(pool).cancel()
+            for pool in pools - tasks.keys():
+                tasks[pool] = group.create_task(_place(instance, links, pool))
+            await changed.wait()
--- a/packages/instance/fulmarward/requests/_execute.py
+++ b/packages/instance/fulmarward/requests/_execute.py
@@ -4,6 +4,7 @@
 
 from fulmarward._instance import Instance
 from fulmarward.answers import Answer
+from fulmarward.placement import count_attempt
 from fulmarward.requests._admit import admit_work
 from fulmarward.requests._attempt import RETRY_AFTER_MS, run_attempt
 from fulmarward.requests._route import choose_route
@@ -50,6 +51,7 @@
             failure = await run_attempt(instance, work, answer, attempt, view)
         finally:
             view.in_flight -= 1
+        count_attempt(instance, view, failure)
         if failure is None or not _may_retry(work, answer, failure):
             return failure
         view.avoided_until = instance.read_clock() + AVOID_S
--- a/packages/instance/fulmarward/settings/_types.py
+++ b/packages/instance/fulmarward/settings/_types.py
@@ -34,6 +34,13 @@
     connect_ms: int = 1_000
     #: Time the platform has for one call, milliseconds.
     platform_ms: int = 2_000
+    #: Term of a lease, milliseconds. Load: a holder that dies; harm: placement stands
+    #: still that long, or the table is written more often; reason: four pools renewed
+    #: each third of it are about one write a second.
+    lease_ms: int = 10_000
+    #: Longest flight of an order to an engine, milliseconds. Harm: a successor waits
+    #: as long before it sends orders to engines that ignore fencing numbers.
+    order_ms: int = 5_000
     #: How long callers keep a discovery answer, milliseconds.
     discovery_ms: int = 5_000
 
