Platform budget: a share for each instance, and a circuit without a stampede

Cause: every instance called the platform as often as its tasks wished, and all of them tried again at once when an outage ended.

An operator's call passes an open circuit. A rollout's first target no longer waits for outcomes that no target can give.

--- a/packages/core/fulmarward_core/placement/decisions.py
+++ b/packages/core/fulmarward_core/placement/decisions.py
@@ -239,8 +239,16 @@
     return new.failures / new.tries > old_rate + STOP_RATE_ABOVE
 
 
-def has_soaked(rollout: Rollout, new: Outcomes, *, now: float) -> bool:
-    """Return whether the last changed target has served for long enough."""
+def has_soaked(
+    rollout: Rollout, engines: Iterable[EngineState], new: Outcomes, *, now: float
+) -> bool:
+    """Return whether the targets changed so far have served for long enough."""
+    holders = (
+        engine.held is not None and engine.held.state.version == rollout.version
+        for engine in engines
+    )
+    if not any(holders):
+        return True
     passed = now - rollout.changed_at
     if passed < SETTLE_S:
         return False
@@ -273,7 +281,8 @@
         return replace(rollout, phase=RolloutPhase.STOPPED, reason=reason)
     if not behind:
         return replace(rollout, phase=RolloutPhase.DONE)
-    can_go_on = any(
+    can_go_on = any(engine.is_draining or engine.is_ordered for engine in engines)
+    can_go_on = can_go_on or any(
         not _is_serving(engine, versions)
         or leaves_whole_chain(engines, engine.name, layers=layers, versions=versions)
         for engine in behind
--- a/packages/core/fulmarward_core/placement/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/placement/tests/test_decisions.py
@@ -235,8 +235,11 @@
             (_NONE, SETTLE_S, False),
             (_NONE, SOAK_S, True),
         ]
+        engines = [_make_engine("e1"), _make_engine("e2", version="v2")]
         for new, now, expected in cases:
-            self.assertEqual(has_soaked(rollout, new, now=now), expected)
+            has = has_soaked(rollout, engines, new, now=now)
+            self.assertEqual(has, expected)
+        self.assertTrue(has_soaked(rollout, engines[:1], _NONE, now=0.0))
 
     def test_chains_have_neither_gap_nor_overlap(self):
         cases = [
--- a/packages/instance/fulmarward/_daemon.py
+++ b/packages/instance/fulmarward/_daemon.py
@@ -66,6 +66,12 @@
     return context
 
 
+def _count_alive(table: MemberTable) -> int:
+    """Return how many instances share the platform, this one included."""
+    states = [member.state for member in table.members.values()]
+    return states.count(MemberState.ALIVE)
+
+
 def make_instance(
     settings: InstanceSettings, secrets: Secrets, session: aiohttp.ClientSession
 ) -> Instance:
@@ -79,7 +85,9 @@
         peer_address=settings.peer_address,
         caller_address=settings.caller_address,
     )
+    members = MemberTable(own_name=settings.name, members={settings.name: member})
     platform = Platform(
+        count_instances=lambda: _count_alive(members),
         session=session,
         address=settings.platform_address,
         token=secrets.platform_token,
@@ -96,7 +104,7 @@
         metrics=make_metrics(),
         lifecycle=Lifecycle(),
         member=member,
-        members=MemberTable(own_name=settings.name, members={settings.name: member}),
+        members=members,
         snapshot=EMPTY_SNAPSHOT,
         tls=_make_tls(settings),
     )
--- a/packages/instance/fulmarward/operators/_server.py
+++ b/packages/instance/fulmarward/operators/_server.py
@@ -17,6 +17,7 @@
 from fulmarward.health import change_drain
 from fulmarward.observability import log_event
 from fulmarward.placement import read_placement
+from fulmarward.platform import call_for_operator
 from fulmarward_core.checks import (
     Field,
     describe_faults,
@@ -118,7 +119,8 @@
             log_event("operator_refused", path=request.path, address=request.remote)
             return make_failure_response(make_failure(ResultCode.OPERATOR_KEY_WRONG))
         try:
-            return await handler(request)
+            with call_for_operator():
+                return await handler(request)
         except (web.HTTPNotFound, web.HTTPMethodNotAllowed):
             return make_failure_response(make_failure(ResultCode.PATH_UNKNOWN))
         except web.HTTPRequestEntityTooLarge:
--- a/packages/instance/fulmarward/placement/_pool.py
+++ b/packages/instance/fulmarward/placement/_pool.py
@@ -302,7 +302,7 @@
             version=after.version,
             reason=after.reason,
         )
-    soaked = has_soaked(after, new, now=instance.read_clock())
+    soaked = has_soaked(after, engines, new, now=instance.read_clock())
     return is_turn and after.phase is RolloutPhase.RUNNING and soaked
 
 
--- a/packages/instance/fulmarward/placement/tests/test_placement.py
+++ b/packages/instance/fulmarward/placement/tests/test_placement.py
@@ -54,7 +54,8 @@
 
 
 def _is_settled(pool):
-    return pool["phase"] == "done" and pool["as_wanted"] == pool["declared"]
+    has_all = pool["as_wanted"] == pool["declared"]
+    return pool["phase"] == "done" and has_all and not pool["draining"]
 
 
 class PlacementProcessTest(unittest.IsolatedAsyncioTestCase):
--- a/packages/instance/fulmarward/platform/_adapter.py
+++ b/packages/instance/fulmarward/platform/_adapter.py
@@ -5,12 +5,43 @@
 the function has to read back before it says anything.
 """
 
-from collections.abc import Sequence
-from dataclasses import dataclass
+import asyncio
+import random
+import time
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager
+from contextvars import ContextVar
+from dataclasses import dataclass, field
 from typing import Any
 
 import aiohttp
 
+from fulmarward_core.platform import (
+    CallKind,
+    Gate,
+    Refused,
+    admit_call,
+    note_failure,
+    note_success,
+)
+
+#: Calls of one instance under way at once. Load: a platform that answers slowly for
+#: long; harm: calls pile up here and there; reason: its share of calls a second, at
+#: half a second each.
+MOST_AT_ONCE = 16
+
+_IS_FOR_OPERATOR: ContextVar[bool] = ContextVar("is_for_operator", default=False)
+
+
+@contextmanager
+def call_for_operator() -> Iterator[None]:
+    """Mark the calls made inside as an operator's, who waits for the true answer."""
+    token = _IS_FOR_OPERATOR.set(True)
+    try:
+        yield
+    finally:
+        _IS_FOR_OPERATOR.reset(token)
+
 
 @dataclass(frozen=True, kw_only=True)
 class Platform:
@@ -24,6 +55,17 @@
     token: str
     #: Most seconds that one call may take.
     timeout_s: float
+    #: What calls pass through.
+    gate: Gate = field(default_factory=Gate)
+    #: Returns how many instances share the platform.
+    count_instances: Callable[[], int] = lambda: 1
+    #: The steady clock, and the random numbers for pauses.
+    read_clock: Callable[[], float] = time.monotonic
+    generator: random.Random = field(default_factory=random.Random)
+    #: Bounds the calls under way.
+    places: asyncio.Semaphore = field(
+        default_factory=lambda: asyncio.Semaphore(MOST_AT_ONCE)
+    )
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -123,6 +165,31 @@
 
 async def _call(
     platform: Platform, method: str, path: str, **options: object
+) -> _Reply | PlatformOut | Uncertain:
+    """Call within the instance's share, and leave a platform that fails in peace."""
+    kind = CallKind.READ if method == "GET" else CallKind.WRITE
+    verdict = admit_call(
+        platform.gate,
+        kind,
+        instances=platform.count_instances(),
+        is_for_operator=_IS_FOR_OPERATOR.get(),
+        now=platform.read_clock(),
+    )
+    if isinstance(verdict, Refused):
+        return PlatformOut(detail=verdict.reason)
+    await asyncio.sleep(verdict.seconds)
+    async with platform.places:
+        outcome = await _send(platform, method, path, **options)
+    if isinstance(outcome, _Reply):
+        note_success(platform.gate)
+    else:
+        now = platform.read_clock()
+        note_failure(platform.gate, now=now, generator=platform.generator)
+    return outcome
+
+
+async def _send(
+    platform: Platform, method: str, path: str, **options: object
 ) -> _Reply | PlatformOut | Uncertain:
     headers = {"Authorization": f"Bearer {platform.token}"}
     timeout = aiohttp.ClientTimeout(total=platform.timeout_s)
