--- a/packages/instance/fulmarward/_daemon.py
+++ b/packages/instance/fulmarward/_daemon.py
@@ -7,6 +7,7 @@
 import ssl
 import time
 from collections.abc import Coroutine
+from functools import partial
 
 import aiohttp
 from aiohttp import web
@@ -14,7 +15,12 @@
 from fulmarward._instance import Instance
 from fulmarward._lifecycle import Lifecycle
 from fulmarward.callers import make_caller_app
-from fulmarward.configuration import answer_body, answer_head, run_adoption
+from fulmarward.configuration import (
+    answer_body,
+    answer_head,
+    run_adoption,
+    run_readiness,
+)
 from fulmarward.health import (
     answer_health,
     answer_leaving,
@@ -23,14 +29,27 @@
     run_summaries,
     watch_drains,
 )
-from fulmarward.membership import answer_ping, answer_sync, run_membership
-from fulmarward.membership._heartbeats import announce_leaving
-from fulmarward.observability import log_event, make_metrics, start_logging
+from fulmarward.membership import (
+    announce_leaving,
+    answer_members,
+    answer_ping,
+    answer_probe,
+    answer_sync,
+    run_membership,
+)
+from fulmarward.observability import (
+    TraceHandler,
+    log_event,
+    make_metrics,
+    start_logging,
+)
 from fulmarward.operators import make_operator_app
 from fulmarward.peers import (
     AskBody,
     AskHead,
+    AskMembers,
     AskOutcomes,
+    AskProbe,
     HealthNews,
     LeavingNews,
     LeavingSync,
@@ -45,7 +64,12 @@
 from fulmarward.settings import InstanceSettings, Secrets
 from fulmarward.targets import follow_targets
 from fulmarward_core.configuration import EMPTY_SNAPSHOT
-from fulmarward_core.membership import Member, MemberState, MemberTable
+from fulmarward_core.membership import (
+    Member,
+    MemberState,
+    MemberTable,
+    merge_member,
+)
 
 #: Connections to targets kept open, for all of them together.
 MOST_CONNECTIONS = 10_000
@@ -73,7 +97,10 @@
 
 
 def make_instance(
-    settings: InstanceSettings, secrets: Secrets, session: aiohttp.ClientSession
+    settings: InstanceSettings,
+    secrets: Secrets,
+    session: aiohttp.ClientSession,
+    traces: TraceHandler,
 ) -> Instance:
     """Return the state of a fresh instance. Needs a running event loop."""
     member = Member(
@@ -85,7 +112,8 @@
         peer_address=settings.peer_address,
         caller_address=settings.caller_address,
     )
-    members = MemberTable(own_name=settings.name, members={settings.name: member})
+    members = MemberTable(own_name=settings.name)
+    merge_member(members, member, now=time.monotonic())
     platform = Platform(
         count_instances=lambda: _count_alive(members),
         session=session,
@@ -102,6 +130,7 @@
         session=session,
         platform=platform,
         metrics=make_metrics(),
+        traces=traces,
         lifecycle=Lifecycle(),
         member=member,
         members=members,
@@ -121,10 +150,12 @@
     )
 
 
-def _make_handlers(instance: Instance) -> PeerHandlers:
+def _make_handlers(instance: Instance, links: PeerLinks) -> PeerHandlers:
     answers = {
         Ping: answer_ping,
+        AskMembers: answer_members,
         SyncMembers: answer_sync,
+        AskProbe: partial(answer_probe, links),
         AskHead: answer_head,
         AskBody: answer_body,
         LeavingNews: answer_leaving,
@@ -150,16 +181,6 @@
     return runner
 
 
-async def _become_ready(instance: Instance) -> None:
-    """Serve once a configuration is known."""
-    while instance.snapshot.head.epoch == 0:
-        await instance.snapshot_changed.wait()
-    await instance.targets_known.wait()
-    if instance.lifecycle.state == "starting":
-        instance.lifecycle.become_ready()
-        log_event("serving", epoch=instance.snapshot.head.epoch)
-
-
 async def _stop_gracefully(instance: Instance, hurried: asyncio.Event) -> None:
     """Announce the stop, then let every open request end."""
     announce_leaving(instance)
@@ -187,14 +208,14 @@
 
     Returns whether it ended because it was told to, and not because a duty failed.
     """
-    start_logging(instance=settings.name, level=settings.log_level)
+    traces = start_logging(instance=settings.name, level=settings.log_level)
     connector = aiohttp.TCPConnector(limit=MOST_CONNECTIONS)
     async with aiohttp.ClientSession(connector=connector) as session:
-        instance = make_instance(settings, secrets, session)
+        instance = make_instance(settings, secrets, session, traces)
         links = _make_links(instance)
-        stop, hurried = asyncio.Event(), asyncio.Event()
+        stop, hurried = instance.stop_asked, asyncio.Event()
         _watch_signals(stop, hurried)
-        server = await serve_peers(instance, _make_handlers(instance))
+        server = await serve_peers(instance, _make_handlers(instance, links))
         runners = [
             await _listen(instance, make_caller_app(instance), settings.caller_address),
             await _listen(
@@ -210,7 +231,7 @@
             _start_duty("summaries", run_summaries(instance), stop),
             _start_duty("drains", watch_drains(instance), stop),
             _start_duty("placement", run_placement(instance, links), stop),
-            _start_duty("readiness", _become_ready(instance), stop),
+            _start_duty("readiness", run_readiness(instance, links), stop),
         ]
         await stop.wait()
         await _stop_gracefully(instance, hurried)
--- a/packages/instance/fulmarward/health/tests/test_leaving.py
+++ b/packages/instance/fulmarward/health/tests/test_leaving.py
@@ -52,7 +52,7 @@
             await _wait_leaving(fleet, names, "e2", ["target"])
             await _assert_no_new_work(self, fleet, names, "e2")
             drained = {"target": "e3", "drained": True, "by": "test"}
-            reply = await fleet.call_operator("i1", "/drain", drained)
+            reply = await fleet.call_operator("i1", "/drain-target", drained)
             self.assertEqual(reply.status, 200, reply)
             await _wait_leaving(fleet, names, "e3", ["operator"])
             await _assert_no_new_work(self, fleet, names, "e3")
@@ -76,7 +76,7 @@
 
             await wait_until(runs_on_first, "e1 to run something")
             wanted = {"target": "e1", "drained": True, "by": "test"}
-            reply = await fleet.call_operator("i1", "/drain", wanted)
+            reply = await fleet.call_operator("i1", "/drain-target", wanted)
             self.assertEqual(reply.status, 200, reply)
             for result in await asyncio.gather(*running):
                 self.assertEqual(result.status, 200, result)
@@ -93,11 +93,11 @@
             await fleet.start_instance("i3")
             await _wait_leaving(fleet, ["i3"], "e1", ["operator"])
             await _assert_no_new_work(self, fleet, ["i3"], "e1")
-            refused = await fleet.call_operator("i1", "/drain", wanted)
+            refused = await fleet.call_operator("i1", "/drain-target", wanted)
             self.assertEqual(refused.body["result"], 2009, refused)
             await fleet.control_platform(outage=False)
             undone = wanted | {"drained": False}
             self.assertEqual(
-                (await fleet.call_operator("i2", "/drain", undone)).status, 200
+                (await fleet.call_operator("i2", "/drain-target", undone)).status, 200
             )
             await _wait_leaving(fleet, ["i1", "i2", "i3"], "e1", [])
--- a/packages/instance/fulmarward/peers/__init__.py
+++ b/packages/instance/fulmarward/peers/__init__.py
@@ -5,8 +5,11 @@
 from fulmarward.peers._messages import (
     AskBody,
     AskHead,
+    AskMembers,
     AskOutcomes,
+    AskProbe,
     Body,
+    BucketMembers,
     HeadNews,
     HealthNews,
     LeavingNews,
@@ -15,6 +18,7 @@
     OutcomeCounts,
     Ping,
     Pong,
+    Probed,
     SyncMembers,
 )
 from fulmarward.peers._server import PeerHandlers, serve_peers
@@ -23,7 +27,10 @@
     "AskBody",
     "AskHead",
     "AskOutcomes",
+    "AskMembers",
+    "AskProbe",
     "Body",
+    "BucketMembers",
     "HeadNews",
     "HealthNews",
     "LeavingNews",
@@ -36,6 +43,7 @@
     "PeerLost",
     "Ping",
     "Pong",
+    "Probed",
     "SyncMembers",
     "decode_message",
     "encode_message",
