A drained engine loads only when no instance has a request on it

Cause: an engine's load report counts neither the steps of a chain between two tokens nor a request on its way, so weights could be loaded under a request in flight.

Change: when a drained engine says that it is idle the holder asks every instance how many requests it has on it; one that does not answer counts as busy until it is held dead. Links made for such questions are closed again if nothing else uses them. A stream can be attached to on a target that this instance does not follow.

Ruled out: counting a chain's caches in the engine's report (the last stage's cache is kept for callers that come back, and a drain would never end).

--- a/packages/instance/fulmarward/_daemon.py
+++ b/packages/instance/fulmarward/_daemon.py
@@ -47,6 +47,7 @@
 from fulmarward.peers import (
     AskBody,
     AskHead,
+    AskInFlight,
     AskMembers,
     AskOutcomes,
     AskProbe,
@@ -59,7 +60,7 @@
     SyncMembers,
     serve_peers,
 )
-from fulmarward.placement import answer_outcomes, run_placement
+from fulmarward.placement import answer_in_flight, answer_outcomes, run_placement
 from fulmarward.platform import Platform
 from fulmarward.settings import InstanceSettings, Secrets
 from fulmarward.targets import follow_targets
@@ -162,6 +163,7 @@
         LeavingSync: answer_leaving_sync,
         HealthNews: answer_health,
         AskOutcomes: answer_outcomes,
+        AskInFlight: answer_in_flight,
     }
 
     def bind(answer):  # noqa: ANN001, ANN202
--- a/packages/instance/fulmarward/peers/__init__.py
+++ b/packages/instance/fulmarward/peers/__init__.py
@@ -5,6 +5,7 @@
 from fulmarward.peers._messages import (
     AskBody,
     AskHead,
+    AskInFlight,
     AskMembers,
     AskOutcomes,
     AskProbe,
@@ -12,6 +13,7 @@
     BucketMembers,
     HeadNews,
     HealthNews,
+    InFlight,
     LeavingNews,
     LeavingSync,
     Nothing,
@@ -26,6 +28,7 @@
 __all__ = [
     "AskBody",
     "AskHead",
+    "AskInFlight",
     "AskOutcomes",
     "AskMembers",
     "AskProbe",
@@ -33,6 +36,7 @@
     "BucketMembers",
     "HeadNews",
     "HealthNews",
+    "InFlight",
     "LeavingNews",
     "LeavingSync",
     "MessageFault",
--- a/packages/instance/fulmarward/peers/_links.py
+++ b/packages/instance/fulmarward/peers/_links.py
@@ -96,6 +96,16 @@
         """Return who listens at `address`, connecting if needed; raises `PeerLost`."""
         return (await self._get_link(address)).peer
 
+    def has_link(self, address: str) -> bool:
+        """Return whether there is a link to `address` now."""
+        return address in self.links
+
+    async def drop_idle(self, address: str) -> None:
+        """Close the link to `address` unless a call is open on it."""
+        link = self.links.get(address)
+        if link is not None and not link.calls:
+            await self.drop(address)
+
     async def drop(self, address: str) -> None:
         """Close the link to `address`; the next call makes a new one.
 
--- a/packages/instance/fulmarward/peers/_messages.py
+++ b/packages/instance/fulmarward/peers/_messages.py
@@ -195,6 +195,22 @@
     outcomes: tuple[Outcomes, ...]
 
 
+@dataclass(frozen=True, kw_only=True)
+class AskInFlight:
+    """Asks how many requests the other instance has on a target."""
+
+    #: Name of the target.
+    target: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class InFlight:
+    """How many requests the sender has on the target."""
+
+    #: The number.
+    count: int
+
+
 #: All messages in the order of their numbers.
 MESSAGES = (
     Challenge,
@@ -217,4 +233,6 @@
     Probed,
     AskOutcomes,
     OutcomeCounts,
+    AskInFlight,
+    InFlight,
 )
--- a/packages/instance/fulmarward/placement/__init__.py
+++ b/packages/instance/fulmarward/placement/__init__.py
@@ -1,7 +1,14 @@
 """Placement: one instance a pool orders its engines what to hold."""
 
-from fulmarward.placement._outcomes import answer_outcomes, count_attempt
+from fulmarward.placement._asking import answer_in_flight, answer_outcomes
+from fulmarward.placement._outcomes import count_attempt
 from fulmarward.placement._run import run_placement
 from fulmarward.placement._status import read_placement
 
-__all__ = ["answer_outcomes", "count_attempt", "read_placement", "run_placement"]
+__all__ = [
+    "answer_in_flight",
+    "answer_outcomes",
+    "count_attempt",
+    "read_placement",
+    "run_placement",
+]
--- a/packages/instance/fulmarward/placement/_pool.py
+++ b/packages/instance/fulmarward/placement/_pool.py
@@ -8,8 +8,8 @@
 from fulmarward.health import note_placement
 from fulmarward.observability import log_event
 from fulmarward.peers import PeerLinks
+from fulmarward.placement._asking import count_in_flight, gather_outcomes
 from fulmarward.placement._lease import LeaseKeeper, drop_hold, is_holder
-from fulmarward.placement._outcomes import gather_outcomes
 from fulmarward.placement._status import PoolStatus, read_rollout, write_status
 from fulmarward.platform import PlatformOut
 from fulmarward.targets import (
@@ -133,8 +133,32 @@
     placement.looks[name] = _Look(held=report.held, load=load, at=now)
 
 
+async def _look_closely(
+    instance: Instance,
+    links: PeerLinks,
+    placement: PoolPlacement,
+    name: str,
+    target: Target,
+) -> None:
+    """Look at an engine that is being drained, and at what instances have on it."""
+    await _look(instance, placement, name, target)
+    look = placement.looks.get(name)
+    settled_from = placement.drained_at[name] + DRAIN_SETTLE_S
+    if look is None or look.load > 0:
+        return
+    if look.at < settled_from:
+        # Too early to believe that it is idle.
+        placement.looks[name] = replace(look, load=1)
+        return
+    in_flight = await count_in_flight(instance, links, name)
+    placement.looks[name] = replace(look, load=in_flight)
+
+
 async def _look_at_engines(
-    instance: Instance, placement: PoolPlacement, targets: dict[str, Target]
+    instance: Instance,
+    links: PeerLinks,
+    placement: PoolPlacement,
+    targets: dict[str, Target],
 ) -> None:
     """Look closely at engines that are being changed, and now and then at the rest.
 
@@ -151,15 +175,17 @@
             placement.looks[name] = _Look(
                 held=view.held, load=load, at=view.report.received_at
             )
-    close = [name for name in targets if name in placement.drained_at]
+    looks = [
+        _look_closely(instance, links, placement, name, targets[name])
+        for name in targets
+        if name in placement.drained_at and name not in placement.orders
+    ]
     rest = [name for name in targets if name not in instance.views]
     rest.sort(key=lambda name: _get_look_time(placement, name))
     if rest and placement.pacer.free_from <= now:
         reserve(placement.pacer, REPORT_BYTES, now=now)
-        close.append(rest[0])
-    await asyncio.gather(
-        *(_look(instance, placement, name, targets[name]) for name in close)
-    )
+        looks.append(_look(instance, placement, rest[0], targets[rest[0]]))
+    await asyncio.gather(*looks)
 
 
 def _get_look_time(placement: PoolPlacement, name: str) -> float:
@@ -344,7 +370,7 @@
         _begin_holding(instance, placement)
     wanted = list_wanted(declaration, keeper.pool)
     targets = {name: declaration.targets[name] for name in wanted}
-    await _look_at_engines(instance, placement, targets)
+    await _look_at_engines(instance, links, placement, targets)
     engines = _list_engines(instance, placement, wanted)
     rollout = await _get_rollout(instance, placement, model.serving)
     if rollout is None or instance.read_clock() < placement.orders_from:
--- a/packages/instance/fulmarward/requests/_resume.py
+++ b/packages/instance/fulmarward/requests/_resume.py
@@ -8,6 +8,7 @@
 from fulmarward.requests._chain import attach_chain
 from fulmarward.requests._execute import describe_timeout, try_targets
 from fulmarward.requests._work import Work
+from fulmarward.targets import find_view
 from fulmarward_core.requests import choose_failure
 from fulmarward_core.results import Failure, ResultCode, make_failure
 from fulmarward_core.streams import Locator
@@ -60,7 +61,7 @@
         return await attach_chain(
             instance, work, answer, locator.attempt, locator.stages
         )
-    view = instance.views.get(locator.stages[0].target)
+    view = find_view(instance, locator.stages[0].target)
     if view is None:
         return make_failure(ResultCode.STREAM_LOST, "The target is declared no more.")
     return await attach_attempt(instance, work, answer, locator.attempt, view)
--- a/packages/instance/fulmarward/targets/__init__.py
+++ b/packages/instance/fulmarward/targets/__init__.py
@@ -36,7 +36,7 @@
     read_steps,
     run_step,
 )
-from fulmarward.targets._watch import follow_targets, update_views
+from fulmarward.targets._watch import find_view, follow_targets, update_views
 
 __all__ = [
     "CacheEvents",
@@ -59,6 +59,7 @@
     "cancel_stream",
     "close_steps",
     "export_cache",
+    "find_view",
     "follow_targets",
     "import_cache",
     "open_stream",
--- a/packages/instance/fulmarward/targets/_watch.py
+++ b/packages/instance/fulmarward/targets/_watch.py
@@ -77,6 +77,15 @@
             show_leaving(instance, name)
 
 
+def find_view(instance: Instance, name: str) -> TargetView | None:
+    """Return the view of a declared target, also of one that is not followed."""
+    view = instance.views.get(name)
+    target = instance.snapshot.declaration.targets.get(name)
+    if view is None and target is not None:
+        return TargetView(name=name, target=target)
+    return view
+
+
 async def _read_report(instance: Instance, view: TargetView, pacer: Pacer) -> None:
     await asyncio.sleep(reserve(pacer, REPORT_BYTES, now=instance.read_clock()))
     now = instance.read_clock()
