--- a/packages/instance/fulmarward/_daemon.py
+++ b/packages/instance/fulmarward/_daemon.py
@@ -49,7 +49,9 @@
 from fulmarward.peers import (
     AskBody,
     AskHead,
+    AskInFlight,
     AskMembers,
+    AskOutcomes,
     AskProbe,
     HealthNews,
     LeavingNews,
@@ -60,6 +62,7 @@
     SyncMembers,
     serve_peers,
 )
+from fulmarward.placement import answer_in_flight, answer_outcomes, run_placement
 from fulmarward.platform import Platform
 from fulmarward.settings import InstanceSettings, Secrets
 from fulmarward.targets import follow_targets
@@ -90,6 +93,12 @@
     return context
 
 
+def _count_alive(table: MemberTable) -> int:
+    """Return how many instances share the platform, this one included."""
+    states = [member.state for member in table.members.values()]
+    return states.count(MemberState.ALIVE)
+
+
 def make_instance(
     settings: InstanceSettings,
     secrets: Secrets,
@@ -106,14 +115,15 @@
         peer_address=settings.peer_address,
         caller_address=settings.caller_address,
     )
+    members = MemberTable(own_name=settings.name)
+    merge_member(members, member, now=time.monotonic())
     platform = Platform(
+        count_instances=lambda: _count_alive(members),
         session=session,
         address=settings.platform_address,
         token=secrets.platform_token,
         timeout_s=settings.limits.platform_ms / 1000,
     )
-    members = MemberTable(own_name=settings.name)
-    merge_member(members, member, now=time.monotonic())
     return Instance(
         settings=settings,
         secrets=secrets,
@@ -154,6 +164,8 @@
         LeavingNews: answer_leaving,
         LeavingSync: answer_leaving_sync,
         HealthNews: answer_health,
+        AskOutcomes: answer_outcomes,
+        AskInFlight: answer_in_flight,
     }
 
     def bind(answer):  # noqa: ANN001, ANN202
@@ -226,6 +238,7 @@
             _start_duty("summaries", run_summaries(instance), stop),
             _start_duty("drains", watch_drains(instance), stop),
             _start_duty("secrets", watch_secrets(instance), stop),
+            _start_duty("placement", run_placement(instance, links), stop),
             _start_duty("readiness", run_readiness(instance, links), stop),
         ]
         await stop.wait()
--- a/packages/instance/fulmarward/operators/_server.py
+++ b/packages/instance/fulmarward/operators/_server.py
@@ -18,6 +18,8 @@
 )
 from fulmarward.health import change_drain
 from fulmarward.observability import log_event
+from fulmarward.placement import read_placement
+from fulmarward.platform import call_for_operator
 from fulmarward_core.checks import (
     Field,
     describe_faults,
@@ -137,7 +139,8 @@
             log_event("operator_refused", path=request.path, address=request.remote)
             return make_failure_response(make_failure(ResultCode.OPERATOR_KEY_WRONG))
         try:
-            return await handler(request)
+            with call_for_operator():
+                return await handler(request)
         except (web.HTTPNotFound, web.HTTPMethodNotAllowed):
             return make_failure_response(make_failure(ResultCode.PATH_UNKNOWN))
         except _QueryFault as fault:
@@ -232,6 +235,12 @@
             return make_failure_response(outcome)
         return web.json_response({"target": wanted.target, "drained": wanted.drained})
 
+    async def show_placement(request: web.Request) -> web.Response:
+        pools = await read_placement(instance)
+        if isinstance(pools, Failure):
+            return make_failure_response(pools)
+        return web.json_response({"pools": pools})
+
     app = web.Application(middlewares=[check_token], client_max_size=MOST_BODY_BYTES)
     app.add_routes(
         [
@@ -242,6 +251,7 @@
             web.get("/trace/{request}", show_trace),
             web.post("/apply", apply),
             web.post("/drain", drain),
+            web.get("/placement", show_placement),
             web.post("/drain-target", drain_target),
         ]
     )
--- a/packages/instance/fulmarward/peers/_messages.py
+++ b/packages/instance/fulmarward/peers/_messages.py
@@ -8,6 +8,7 @@
 from fulmarward_core.configuration import Head
 from fulmarward_core.health import LeavingRecord, SummaryRecord
 from fulmarward_core.membership import Member
+from fulmarward_core.placement import Outcomes
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -178,6 +179,38 @@
     has_answered: bool
 
 
+@dataclass(frozen=True, kw_only=True)
+class AskOutcomes:
+    """Asks what became of attempts on the targets of a model."""
+
+    #: Name of the model.
+    model: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class OutcomeCounts:
+    """What became of attempts at the sender, by version."""
+
+    #: The counts.
+    outcomes: tuple[Outcomes, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class AskInFlight:
+    """Asks how many requests the other instance has on a target."""
+
+    #: Name of the target.
+    target: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class InFlight:
+    """How many requests the sender has on the target."""
+
+    #: The number.
+    count: int
+
+
 #: All messages in the order of their numbers.
 MESSAGES = (
     Challenge,
@@ -198,4 +231,8 @@
     BucketMembers,
     AskProbe,
     Probed,
+    AskOutcomes,
+    OutcomeCounts,
+    AskInFlight,
+    InFlight,
 )
