Pure tables of idempotency keys: home, witness and what may be told

Cause: a call repeated at another instance may run twice; nothing may be written to the platform for each request.

Ruled out: owner by hashing over the live list; the test of it finds keys with two owners as soon as two lists differ by one instance.

Change: keys whose sealed prefix names a home and a witness. The home's table claims, keeps and spends answers; the witness's table records attempts, is taken over, closed and asked. What may be concluded from a record and from closed stream names is a pure function.

--- /dev/null
+++ b/packages/core/fulmarward_core/keys/tests/test_decisions.py
@@ -0,0 +1,185 @@
+import unittest
+
+from fulmarward_core.keys import (
+    AttemptPlace,
+    Claim,
+    Conclusion,
+    KeyTable,
+    RecordState,
+    RecordStep,
+    ResultCopy,
+    WitnessRecord,
+    WitnessTable,
+    claim_key,
+    conclude_closing,
+    conclude_take,
+    end_key,
+    note_record,
+    record_attempt,
+    take_key,
+)
+from fulmarward_core.keys.decisions import MOST_ENTRIES, RETAIN_S
+from fulmarward_core.results import ResultCode, make_failure
+
+_STREAM = AttemptPlace(attempt=1, address="e1", has_stream=True)
+_CALL = AttemptPlace(attempt=1, address="s1", has_stream=False)
+
+
+def _claim(table, key="k", body_hash="b", expires_at=100.0, now=0.0):
+    claim, entry = claim_key(
+        table, key, body_hash=body_hash, expires_at=expires_at, now=now
+    )
+    if claim is Claim.START:
+        entry.answer = "answer"
+    return claim
+
+
+def _record(table, request="r", place=_STREAM, now=0.0, body_hash="b"):
+    return record_attempt(
+        table,
+        "k",
+        body_hash=body_hash,
+        request=request,
+        place=place,
+        expires_at=100.0,
+        now=now,
+    )
+
+
+def _take(table, now=0.0):
+    return take_key(table, "k", body_hash="b", expires_at=100.0, now=now)
+
+
+def _end(table, key="k", now=0.0, size=10, failure=None):
+    end_key(table, key, failure=failure, size=size, keep_s=30.0, now=now)
+
+
+class HomeTest(unittest.TestCase):
+    def test_a_key_through_its_life(self):
+        table = KeyTable()
+        self.assertEqual(_claim(table), Claim.START)
+        self.assertEqual(_claim(table), Claim.ATTACH)
+        self.assertEqual(_claim(table, body_hash="other"), Claim.OTHER_BODY)
+        _end(table, now=50.0)
+        self.assertEqual(_claim(table, now=80.0), Claim.ATTACH)
+        self.assertEqual(_claim(table, now=81.0), Claim.TELL)
+        self.assertEqual(table.entries["k"].outcome.code, ResultCode.ALREADY_RAN)
+        self.assertEqual(_claim(table, now=159.0), Claim.TELL)
+        self.assertEqual(_claim(table, now=161.0), Claim.TOO_OLD)
+
+    def test_nothing_begins_after_the_keys_time(self):
+        table = KeyTable()
+        self.assertEqual(_claim(table, now=101.0), Claim.EXPIRED)
+        self.assertEqual(_claim(table, now=50.0), Claim.EXPIRED)
+        self.assertEqual(_claim(table, now=100.1 + RETAIN_S), Claim.TOO_OLD)
+
+    def test_a_running_request_is_never_forgotten(self):
+        table = KeyTable()
+        _claim(table)
+        for number in range(10):
+            _claim(table, key=f"later{number}", expires_at=10_000.0, now=9_000.0)
+        self.assertEqual(_claim(table, now=9_001.0), Claim.ATTACH)
+        _end(table, now=9_002.0)
+        self.assertEqual(_claim(table, now=9_050.0), Claim.TELL)
+
+    def test_a_full_table_says_nothing_of_a_key(self):
+        table = KeyTable()
+        for number in range(MOST_ENTRIES):
+            _claim(table, key=str(number))
+        self.assertEqual(_claim(table, key="one more"), Claim.FULL)
+        self.assertEqual(_claim(table, key="7"), Claim.ATTACH)
+
+    def test_answers_are_bounded_in_bytes(self):
+        table = KeyTable()
+        for key in "abc":
+            _claim(table, key=key)
+            _end(table, key=key, size=15_000_000)
+        claims = [_claim(table, key=key) for key in "abc"]
+        self.assertEqual(claims, [Claim.TELL, Claim.ATTACH, Claim.ATTACH])
+
+
+class WitnessTest(unittest.TestCase):
+    def test_what_may_be_recorded(self):
+        second = AttemptPlace(attempt=2, address="e2", has_stream=True)
+        table = WitnessTable()
+        self.assertTrue(_record(table))
+        self.assertTrue(_record(table))
+        self.assertTrue(_record(table, place=second))
+        self.assertFalse(_record(table, request="another"))
+        self.assertFalse(_record(table, body_hash="another"))
+        self.assertEqual(table.records["k"].places, (_STREAM, second))
+        self.assertFalse(_record(WitnessTable(), now=101.0))
+
+    def test_a_paused_home_finds_its_key_taken(self):
+        # A caller is told "not run", takes a new key and its request runs twice: the
+        # home asked for its record, was paused, and its key was taken over meanwhile.
+        # The witness must say no to it for ever after.
+        table = WitnessTable()
+        _record(table)
+        self.assertEqual(_take(table).state, RecordState.TAKEN)
+        self.assertFalse(_record(table))
+        self.assertTrue(note_record(table, "k", RecordStep.CLOSE, now=0.0))
+        self.assertFalse(_record(table))
+        closed = WitnessTable()
+        self.assertEqual(_take(closed).state, RecordState.CLOSED)
+        self.assertFalse(_record(closed))
+
+    def test_a_dropped_record_is_no_proof(self):
+        table = WitnessTable()
+        _record(table)
+        self.assertEqual(_take(table, now=159.0).state, RecordState.TAKEN)
+        self.assertIsNone(_take(table, now=161.0))
+        self.assertIsNone(_take(table, now=0.0))
+
+    def test_a_refused_request_is_closed(self):
+        table = WitnessTable()
+        _record(table)
+        failure = make_failure(ResultCode.TARGET_REFUSED)
+        note_record(table, "k", RecordStep.END, failure=failure, now=0.0)
+        self.assertEqual(conclude_take(_take(table)), Conclusion.NOT_RUN)
+
+    def test_conclusions(self):
+        copy = ResultCopy(status=200, body=b"x", content_type="text/plain")
+        failure = make_failure(ResultCode.TARGET_FAILED)
+        begin, end = RecordStep.BEGIN, RecordStep.END
+        cases = [
+            (_STREAM, [], Conclusion.RESUME),
+            (_STREAM, [(begin, {})], Conclusion.RESUME),
+            (_STREAM, [(begin, {}), (end, {})], Conclusion.RESUME),
+            (_STREAM, [(end, {"failure": failure})], Conclusion.FAILED),
+            (_CALL, [], Conclusion.UNKNOWN),
+            (_CALL, [(end, {"answer": copy, "keep_s": 1.0})], Conclusion.COPY),
+            (_CALL, [(end, {"answer": copy, "keep_s": -1.0})], Conclusion.SPENT),
+        ]
+        for place, steps, expected in cases:
+            with self.subTest(place=place, steps=steps):
+                table = WitnessTable()
+                _record(table, place=place)
+                for step, options in steps:
+                    note_record(table, "k", step, now=0.0, **options)
+                self.assertEqual(conclude_take(_take(table)), expected)
+        self.assertEqual(conclude_take(None), Conclusion.UNKNOWN)
+
+    def test_only_closed_names_prove_that_nothing_ran(self):
+        taken, began, ended = RecordState.TAKEN, RecordState.BEGAN, RecordState.ENDED
+        closed = "closed_before_start"
+        cases = [
+            (taken, [closed], ResultCode.KEY_CLOSED),
+            (taken, [None], ResultCode.OUTCOME_UNKNOWN),
+            (taken, [], ResultCode.OUTCOME_UNKNOWN),
+            (taken, ["cancelled"], ResultCode.STREAM_LOST),
+            (taken, ["ended"], ResultCode.STREAM_LOST),
+            (began, [closed], ResultCode.STREAM_LOST),
+            (began, [None], ResultCode.STREAM_LOST),
+            (ended, [closed], ResultCode.ALREADY_RAN),
+        ]
+        for state, replies, expected in cases:
+            with self.subTest(state=state, replies=replies):
+                record = WitnessRecord(
+                    body_hash="b",
+                    request="r",
+                    state=state,
+                    drop_at=0.0,
+                    places=(_STREAM,),
+                )
+                self.assertEqual(conclude_closing(record, replies), expected)
