Completions run at most once: home, witness, relay and takeover

Cause: the same non-idempotent completion sent to two instances ran twice, and one whose instance died could not be asked for again.

Ruled out: asking the platform for each request; a home that tries a refused request again under its key, because a caller that was told "not run" may have taken a new key and a late repeat of the old would run too.

Change: discovery hands out key prefixes. A call at another instance is relayed to the home with its events; the home dispatches only what the witness recorded no more than a second ago. Home silent or gone: the witness's record, the engine's own stream, or a closed name and the truth. A refusal at the door of a call with a key says nothing about the key. A deadline that passes while an order is being written is "unknown", and an engine that forgot a stream it sent events of is not taken at its word.

--- a/packages/core/fulmarward_core/keys/_types.py
+++ b/packages/core/fulmarward_core/keys/_types.py
@@ -33,6 +33,17 @@
     FULL = "full"
 
 
+class RecordVerdict(StrEnum):
+    """What the witness says to a home that wants to dispatch."""
+
+    #: The attempt is recorded: dispatch it.
+    KEPT = "kept"
+    #: The key is closed or taken over and runs no more attempts.
+    CLOSED = "closed"
+    #: The witness knows of an execution that is not this home's request.
+    UNKNOWN = "unknown"
+
+
 class RecordState(StrEnum):
     """What a witness knows of a key."""
 
@@ -107,6 +118,8 @@
 
     #: Number of the attempt.
     attempt: int
+    #: Name of the target.
+    target: str
     #: Address `IP:PORT` of the target.
     address: str
     #: Whether the target has a stream that can be resumed and closed by its name.
--- a/packages/core/fulmarward_core/keys/decisions.py
+++ b/packages/core/fulmarward_core/keys/decisions.py
@@ -17,6 +17,7 @@
     KeyTable,
     RecordState,
     RecordStep,
+    RecordVerdict,
     ResultCopy,
     WitnessRecord,
     WitnessTable,
@@ -198,8 +199,8 @@
     place: AttemptPlace,
     expires_at: float,
     now: float,
-) -> bool:
-    """Record that the home is about to dispatch; return whether it may.
+) -> RecordVerdict:
+    """Record that the home is about to dispatch; say whether it may.
 
     Guards against a home that was paused and wakes after its key was taken over or
     closed: the record is in another state then, and the answer is no. A first
@@ -210,7 +211,7 @@
     record = table.records.get(key)
     if record is None:
         if _judge_age(expires_at, table.latest) is not None:
-            return False
+            return RecordVerdict.CLOSED
         record = _add_record(
             table,
             key,
@@ -220,14 +221,17 @@
             drop_at=expires_at + RETAIN_S,
         )
         if record is None:
-            return False
+            return RecordVerdict.CLOSED
+    elif record.state is RecordState.CLOSED:
+        return RecordVerdict.CLOSED
     elif (record.request, record.body_hash) != (request, body_hash):
-        return False
+        return RecordVerdict.UNKNOWN
     elif not _step_record(record, RecordStep.RECORD):
-        return False
+        is_taken = record.state is RecordState.TAKEN
+        return RecordVerdict.CLOSED if is_taken else RecordVerdict.UNKNOWN
     if place not in record.places:
         record.places = (*record.places, place)
-    return True
+    return RecordVerdict.KEPT
 
 
 def take_key(
--- a/packages/core/fulmarward_core/keys/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/keys/tests/test_decisions.py
@@ -7,6 +7,7 @@
     KeyTable,
     RecordState,
     RecordStep,
+    RecordVerdict,
     ResultCopy,
     WitnessRecord,
     WitnessTable,
@@ -21,8 +22,8 @@
 from fulmarward_core.keys.decisions import MOST_ENTRIES, RETAIN_S
 from fulmarward_core.results import ResultCode, make_failure
 
-_STREAM = AttemptPlace(attempt=1, address="e1", has_stream=True)
-_CALL = AttemptPlace(attempt=1, address="s1", has_stream=False)
+_STREAM = AttemptPlace(attempt=1, target="e1", address="e1", has_stream=True)
+_CALL = AttemptPlace(attempt=1, target="s1", address="s1", has_stream=False)
 
 
 def _claim(table, key="k", body_hash="b", expires_at=100.0, now=0.0):
@@ -100,15 +101,17 @@
 
 class WitnessTest(unittest.TestCase):
     def test_what_may_be_recorded(self):
-        second = AttemptPlace(attempt=2, address="e2", has_stream=True)
+        second = AttemptPlace(attempt=2, target="e2", address="e2", has_stream=True)
         table = WitnessTable()
-        self.assertTrue(_record(table))
-        self.assertTrue(_record(table))
-        self.assertTrue(_record(table, place=second))
-        self.assertFalse(_record(table, request="another"))
-        self.assertFalse(_record(table, body_hash="another"))
+        self.assertEqual(_record(table), RecordVerdict.KEPT)
+        self.assertEqual(_record(table), RecordVerdict.KEPT)
+        self.assertEqual(_record(table, place=second), RecordVerdict.KEPT)
+        self.assertEqual(_record(table, request="another"), RecordVerdict.UNKNOWN)
+        self.assertEqual(_record(table, body_hash="another"), RecordVerdict.UNKNOWN)
         self.assertEqual(table.records["k"].places, (_STREAM, second))
-        self.assertFalse(_record(WitnessTable(), now=101.0))
+        self.assertEqual(_record(WitnessTable(), now=101.0), RecordVerdict.CLOSED)
+        note_record(table, "k", RecordStep.BEGIN, now=0.0)
+        self.assertEqual(_record(table), RecordVerdict.UNKNOWN)
 
     def test_a_paused_home_finds_its_key_taken(self):
         # A caller is told "not run", takes a new key and its request runs twice: the
@@ -117,12 +120,12 @@
         table = WitnessTable()
         _record(table)
         self.assertEqual(_take(table).state, RecordState.TAKEN)
-        self.assertFalse(_record(table))
+        self.assertEqual(_record(table), RecordVerdict.CLOSED)
         self.assertTrue(note_record(table, "k", RecordStep.CLOSE, now=0.0))
-        self.assertFalse(_record(table))
+        self.assertEqual(_record(table), RecordVerdict.CLOSED)
         closed = WitnessTable()
         self.assertEqual(_take(closed).state, RecordState.CLOSED)
-        self.assertFalse(_record(closed))
+        self.assertEqual(_record(closed), RecordVerdict.CLOSED)
 
     def test_a_dropped_record_is_no_proof(self):
         table = WitnessTable()
--- a/packages/core/fulmarward_core/keys/tests/test_once.py
+++ b/packages/core/fulmarward_core/keys/tests/test_once.py
@@ -18,6 +18,7 @@
     Conclusion,
     KeyTable,
     RecordStep,
+    RecordVerdict,
     WitnessTable,
     claim_key,
     conclude_closing,
@@ -36,6 +37,10 @@
 _EVENTS = ["step"] * 20 + ["call"] * 3 + ["take"] * 2
 _EVENTS += ["engine refuses", "clocks", "home dies", "witness dies"]
 _SECONDS = st.sampled_from([-60.0, 10.0, 60.0, 120.0])
+_CODES = {
+    RecordVerdict.CLOSED: ResultCode.KEY_CLOSED,
+    RecordVerdict.UNKNOWN: ResultCode.OUTCOME_UNKNOWN,
+}
 _EXPIRES_AT = 100.0
 
 
@@ -167,7 +172,10 @@
             task.attempt += 1
             address = _ENGINES[0] if fate == "lost" else _ENGINES[1]
             task.place = AttemptPlace(
-                attempt=task.attempt, address=address, has_stream=True
+                attempt=task.attempt,
+                target=address,
+                address=address,
+                has_stream=True,
             )
             self.home_asks(task)
 
@@ -177,9 +185,9 @@
 
         def arrive(fate):
             if fate != "lost" and self.witness_lives:
-                is_kept = self.witness_records(task, place)
+                verdict = self.witness_records(task, place)
                 self.pending.append(
-                    lambda fate: self.home_hears(task, number, is_kept, fate)
+                    lambda fate: self.home_hears(task, number, verdict, fate)
                 )
 
         self.pending.append(arrive)
@@ -206,12 +214,12 @@
             task.asked += 1
             self.end(task, ResultCode.WITNESS_UNREACHABLE)
 
-    def home_hears(self, task, number, is_kept, fate):
+    def home_hears(self, task, number, verdict, fate):
         if not self.home_lives or task.asked != number or fate == "lost":
             return
-        if not is_kept:
+        if verdict is not RecordVerdict.KEPT:
             task.asked += 1
-            self.end(task, ResultCode.KEY_CLOSED)
+            self.end(task, _CODES[verdict])
             return
         self.pending.append(lambda fate: self.home_dispatches(task, number))
 
--- a/packages/core/fulmarward_core/results/_codes.py
+++ b/packages/core/fulmarward_core/results/_codes.py
@@ -49,6 +49,7 @@
     TARGET_REFUSED = 2010
     TARGET_UNREACHABLE = 2011
     STILL_RUNNING = 2012
+    KEY_NOT_ASKED = 2013
     TARGET_FAILED = 3001
     ALREADY_RAN = 3002
     DEADLINE_PASSED = 3003
@@ -177,6 +178,9 @@
     ResultCode.STILL_RUNNING: _entry(
         409, _BUSY, _UNKNOWN, 20, "The key's request is running; come back for it."
     ),
+    ResultCode.KEY_NOT_ASKED: _entry(
+        503, _BUSY, _UNKNOWN, 20, "Not taken here now; come again with the same key."
+    ),
     ResultCode.TARGET_FAILED: _entry(
         502, _SERVER, _FAILED, 30, "The target began the request and failed."
     ),
--- a/packages/instance/fulmarward/_daemon.py
+++ b/packages/instance/fulmarward/_daemon.py
@@ -29,6 +29,12 @@
     run_summaries,
     watch_drains,
 )
+from fulmarward.keys import (
+    answer_note,
+    answer_record,
+    answer_take,
+    forward_answer,
+)
 from fulmarward.membership import (
     announce_leaving,
     answer_members,
@@ -49,13 +55,17 @@
     AskHead,
     AskMembers,
     AskProbe,
+    ForwardCompletion,
     HealthNews,
     LeavingNews,
     LeavingSync,
+    NoteKey,
     PeerHandlers,
     PeerLinks,
     Ping,
+    RecordAttempt,
     SyncMembers,
+    TakeKey,
     serve_peers,
 )
 from fulmarward.platform import Platform
@@ -152,6 +162,10 @@
         LeavingNews: answer_leaving,
         LeavingSync: answer_leaving_sync,
         HealthNews: answer_health,
+        ForwardCompletion: forward_answer,
+        RecordAttempt: answer_record,
+        TakeKey: answer_take,
+        NoteKey: answer_note,
     }
 
     def bind(answer):  # noqa: ANN001, ANN202
@@ -202,7 +216,7 @@
     connector = aiohttp.TCPConnector(limit=MOST_CONNECTIONS)
     async with aiohttp.ClientSession(connector=connector) as session:
         instance = make_instance(settings, secrets, session, traces)
-        links = _make_links(instance)
+        links = instance.links = _make_links(instance)
         stop, hurried = instance.stop_asked, asyncio.Event()
         _watch_signals(stop, hurried)
         server = await serve_peers(instance, _make_handlers(instance, links))
--- a/packages/instance/fulmarward/_instance.py
+++ b/packages/instance/fulmarward/_instance.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 import aiohttp
 
@@ -16,9 +17,13 @@
 from fulmarward.settings import InstanceSettings, Secrets
 from fulmarward_core.configuration import Snapshot
 from fulmarward_core.health import LeavingRecord, LeavingTable, PoolKey, PoolSummary
+from fulmarward_core.keys import KeyTable, WitnessTable
 from fulmarward_core.membership import Member, MemberTable
 from fulmarward_core.routing import TargetView
 
+if TYPE_CHECKING:
+    from fulmarward.peers import PeerLinks
+
 #: Seconds without a tick after which an instance was paused. Load: ticks each half
 #: second; harm: a woken instance serves by an old file; reason: within three seconds
 #: a change need not be in force yet, and a busy event loop is rarely this late.
@@ -109,6 +114,13 @@
     summary_versions: dict[PoolKey, int] = field(default_factory=dict)
     summaries_sent: dict[str, dict[PoolKey, int]] = field(default_factory=dict)
 
+    #: Links to peers; `None` only in tests of single tasks.
+    links: "PeerLinks | None" = None
+    #: Idempotency keys that this instance is the home of.
+    key_table: KeyTable = field(default_factory=KeyTable)
+    #: Idempotency keys that this instance is the witness of.
+    witness_table: WitnessTable = field(default_factory=WitnessTable)
+
     def keep_task(self, task: asyncio.Task) -> None:
         """Hold a task until it ends; the event loop itself holds none."""
         self.tasks.add(task)
--- a/packages/instance/fulmarward/callers/_completions.py
+++ b/packages/instance/fulmarward/callers/_completions.py
@@ -1,7 +1,5 @@
 """Completions: `/v1/chat/completions`, `/v1/completions` and `/v1/models`."""
 
-import secrets
-
 from aiohttp import web
 
 from fulmarward._instance import Instance
@@ -23,16 +21,11 @@
     Shape,
 )
 from fulmarward.observability import log_event
-from fulmarward.requests import Work
+from fulmarward.requests import Work, make_request_id
 from fulmarward_core.declaration import Pipeline
 from fulmarward_core.results import ResultCode, make_failure
 
 
-def make_request_id() -> str:
-    """Return a fresh request id: 80 random bits."""
-    return secrets.token_hex(10)
-
-
 def _find_pipeline(instance: Instance, team: str, name: str) -> Pipeline:
     declaration = instance.snapshot.declaration
     pipeline = declaration.pipelines.get(name)
@@ -74,7 +67,7 @@
     answer = await open_answer(instance, request, work)
     head = AnswerHead(
         shape=shape,
-        request=work.request,
+        request=answer.request,
         created=int(instance.read_wall_clock()),
         pipeline=work.pipeline_name,
     )
@@ -102,6 +95,8 @@
         tokens=len(answer.texts),
     )
     instance.answers.pop(work.request, None)
+    if not answer.readers:
+        instance.answers.pop(answer.request, None)
 
 
 def make_completion_routes(instance: Instance) -> list[web.RouteDef]:
--- a/packages/instance/fulmarward/callers/_errors.py
+++ b/packages/instance/fulmarward/callers/_errors.py
@@ -6,6 +6,9 @@
 
 from fulmarward_core.results import CODES, Failure
 
+#: Where a response keeps the failure that it tells.
+FAILURE = "fulmarward.failure"
+
 
 class CallerError(Exception):
     """Ends the handling of a call with a failure; caught by the middleware."""
@@ -35,6 +38,8 @@
     headers = {}
     if failure.retry_after_ms is not None:
         headers["Retry-After"] = str(ceil(failure.retry_after_ms / 1000))
-    return web.json_response(
+    response = web.json_response(
         render_failure(failure), status=CODES[failure.code].status, headers=headers
     )
+    response[FAILURE] = failure
+    return response
--- a/packages/instance/fulmarward/callers/_headers.py
+++ b/packages/instance/fulmarward/callers/_headers.py
@@ -15,10 +15,17 @@
 #: Longest deadline that a caller may give: a day.
 MOST_DEADLINE_MS = 86_400_000
 
+#: The key under which a request runs at most once.
+KEY_HEADER = "Idempotency-Key"
+
+#: A fresh prefix, on an answer that says "not run" of a key.
+KEY_PREFIX_HEADER = "X-Idempotency-Key-Prefix"
+
 _URGENCIES = {item.name.lower(): item for item in Urgency}
 
 
-def _refuse(header: str, expected: str, found: str) -> CallerError:
+def refuse_header(header: str, expected: str, found: str) -> CallerError:
+    """Return the error that says what a header has to hold."""
     detail = f"{header}: expected {expected}, found {found[:64]!r}."
     return CallerError(failure=make_failure(ResultCode.HEADER_MALFORMED, detail))
 
@@ -30,7 +37,7 @@
         return default
     is_number = value.isascii() and value.isdigit() and len(value) < 10
     if not is_number or not 1 <= int(value) <= MOST_DEADLINE_MS:
-        raise _refuse(DEADLINE_HEADER, f"1 to {MOST_DEADLINE_MS}", value)
+        raise refuse_header(DEADLINE_HEADER, f"1 to {MOST_DEADLINE_MS}", value)
     return int(value)
 
 
@@ -40,5 +47,5 @@
     if value is None:
         return default
     if value not in _URGENCIES:
-        raise _refuse(URGENCY_HEADER, "one of " + ", ".join(_URGENCIES), value)
+        raise refuse_header(URGENCY_HEADER, "one of " + ", ".join(_URGENCIES), value)
     return _URGENCIES[value]
--- a/packages/instance/fulmarward/callers/_open.py
+++ b/packages/instance/fulmarward/callers/_open.py
@@ -1,16 +1,38 @@
 """Opening the answer that a call reads: a new one, or one that is there already."""
 
 import asyncio
+from dataclasses import replace
 
 from aiohttp import web
 
 from fulmarward._instance import Instance
 from fulmarward.answers import Answer
+from fulmarward.callers._headers import KEY_HEADER, refuse_header
+from fulmarward.callers._keys import read_call_key
+from fulmarward.keys import hash_body, is_home, open_at_home, open_relayed
 from fulmarward.requests import Work, run_completion
+from fulmarward_core.keys import HandedKey
 
 
 async def open_answer(instance: Instance, request: web.Request, work: Work) -> Answer:
-    """Return the answer to `work`, whose execution has been started."""
+    """Return the answer to `work`, whose execution has been started.
+
+    A call with a key reads the answer of that key's request, which its home executes
+    once; a key marks a request as not idempotent.
+    """
+    key = read_call_key(instance, request, work.team, idempotent=work.idempotent)
+    if isinstance(key, HandedKey):
+        body_hash = hash_body("completion", request.path, await request.read())
+        work = replace(work, idempotent=False)
+        if is_home(instance, key):
+            return open_at_home(instance, work, key, body_hash)
+        return await open_relayed(instance, work, key, body_hash)
+    if key is not None and not work.idempotent:
+        raise refuse_header(KEY_HEADER, "a key with a prefix from /discovery", key.text)
+    return _start(instance, work)
+
+
+def _start(instance: Instance, work: Work) -> Answer:
     answer = Answer(
         request=work.request, team=work.team, prompt_tokens=len(work.prompt.split())
     )
--- a/packages/instance/fulmarward/callers/_server.py
+++ b/packages/instance/fulmarward/callers/_server.py
@@ -9,6 +9,8 @@
 from fulmarward.callers._completions import make_completion_routes, make_request_id
 from fulmarward.callers._discovery import make_discovery_routes
 from fulmarward.callers._errors import CallerError, make_failure_response
+from fulmarward.callers._headers import KEY_HEADER
+from fulmarward.callers._keys import add_key_headers
 from fulmarward.callers._services import make_service_routes
 from fulmarward_core.results import Failure, ResultCode, make_failure
 
@@ -44,6 +46,21 @@
     return None
 
 
+def _judge_refusal(request: web.Request, refusal: Failure) -> Failure:
+    """Return what a refused call is told.
+
+    Guards against "not run" for a key whose request runs at its home: a caller that
+    repeats a call here, and believes it, takes a new key and has it run twice.
+    """
+    if KEY_HEADER not in request.headers:
+        return refusal
+    return make_failure(
+        ResultCode.KEY_NOT_ASKED,
+        refusal.message,
+        retry_after_ms=refusal.retry_after_ms,
+    )
+
+
 def make_caller_app(instance: Instance) -> web.Application:
     """Return the web application that callers use."""
 
@@ -54,7 +71,7 @@
         try:
             refusal = _find_refusal(instance, request)
             if refusal is not None:
-                raise CallerError(failure=refusal)
+                raise CallerError(failure=_judge_refusal(request, refusal))
             return await handler(request)
         except CallerError as error:
             response = make_failure_response(error.failure)
@@ -77,10 +94,14 @@
         )
         return web.Response(body=content, headers=headers)
 
+    async def add_headers(request: web.Request, response: web.StreamResponse) -> None:
+        add_key_headers(instance, request, response)
+
     app = web.Application(
         middlewares=[answer_failures],
         client_max_size=instance.settings.limits.body_bytes,
     )
+    app.on_response_prepare.append(add_headers)
     app.add_routes(
         [
             web.get("/health", show_health),
--- /dev/null
+++ b/packages/instance/fulmarward/keys/__init__.py
@@ -0,0 +1,26 @@
+"""Executing at most once what carries an idempotency key."""
+
+from fulmarward.keys._home import open_at_home
+from fulmarward.keys._prefixes import (
+    hash_body,
+    is_home,
+    mint_key,
+    mint_prefix,
+    read_key,
+)
+from fulmarward.keys._relay import forward_answer, open_relayed
+from fulmarward.keys._witness import answer_note, answer_record, answer_take
+
+__all__ = [
+    "answer_note",
+    "answer_record",
+    "answer_take",
+    "forward_answer",
+    "hash_body",
+    "is_home",
+    "mint_key",
+    "mint_prefix",
+    "open_at_home",
+    "open_relayed",
+    "read_key",
+]
--- /dev/null
+++ b/packages/instance/fulmarward/keys/_home.py
@@ -0,0 +1,208 @@
+"""The home of a key: claiming it, dispatching under its witness, ending it."""
+
+import asyncio
+
+from fulmarward._instance import Instance
+from fulmarward.answers import Answer
+from fulmarward.keys._witness import ask_record, send_note
+from fulmarward.observability import log_event
+from fulmarward.requests import Confirm, Work, run_completion
+from fulmarward_core.keys import (
+    AttemptPlace,
+    Claim,
+    HandedKey,
+    KeyEntry,
+    RecordStep,
+    RecordVerdict,
+    claim_key,
+    end_key,
+)
+from fulmarward_core.results import Failure, ResultCode, make_failure
+from fulmarward_core.routing import TargetView
+
+#: Seconds that may pass between asking the witness and dispatching. It bounds the
+#: pause after which a home still dispatches on an old word; what stays is a pause
+#: between this check and the write to the target, and for it a taker closes the
+#: stream's name at the target before it says "not run".
+FRESH_S = 1.0
+
+#: Times that the witness is asked for one attempt.
+MOST_QUESTIONS = 3
+
+#: When a caller may come back, in milliseconds.
+RETRY_AFTER_MS = 1_000
+
+_CLAIM_CODES = {
+    Claim.OTHER_BODY: ResultCode.IDEMPOTENCY_KEY_REUSED,
+    Claim.EXPIRED: ResultCode.KEY_CLOSED,
+    Claim.TOO_OLD: ResultCode.OUTCOME_UNKNOWN,
+    Claim.FULL: ResultCode.KEY_NOT_ASKED,
+}
+
+_VERDICT_CODES = {
+    None: ResultCode.WITNESS_UNREACHABLE,
+    RecordVerdict.CLOSED: ResultCode.KEY_CLOSED,
+    RecordVerdict.UNKNOWN: ResultCode.OUTCOME_UNKNOWN,
+}
+
+
+def claim_call(
+    instance: Instance, key: HandedKey, *, team: str, request: str, body_hash: str
+) -> tuple[KeyEntry | None, bool, Failure | None]:
+    """Claim a key at its home.
+
+    Returns its entry, whether the request is new, and the failure to tell when
+    there is neither an answer nor a request to execute.
+    """
+    claim, entry = claim_key(
+        instance.key_table,
+        key.text,
+        body_hash=body_hash,
+        expires_at=key.prefix.expires_at,
+        now=instance.read_wall_clock(),
+    )
+    instance.metrics.decisions.inc({"kind": "key", "reason": claim.value})
+    log_event("key", request=request, team=team, reason=claim.value)
+    if claim is Claim.TELL:
+        return entry, False, entry.outcome
+    if claim in _CLAIM_CODES:
+        return None, False, make_failure(_CLAIM_CODES[claim])
+    return entry, claim is Claim.START, None
+
+
+def find_home_refusal(instance: Instance) -> Failure | None:
+    """Return why no new request begins here. It is final for the key that meets it."""
+    if instance.lifecycle.state in ("stopping", "stopped"):
+        return make_failure(ResultCode.STOPPING, retry_after_ms=RETRY_AFTER_MS)
+    if instance.lifecycle.state != "serving" or instance.has_paused():
+        return make_failure(ResultCode.NOT_READY, retry_after_ms=RETRY_AFTER_MS)
+    if len(instance.answers) >= instance.settings.limits.open_requests:
+        return make_failure(ResultCode.QUEUE_FULL, retry_after_ms=RETRY_AFTER_MS)
+    return None
+
+
+def make_confirmation(
+    instance: Instance,
+    key: HandedKey,
+    *,
+    body_hash: str,
+    request: str,
+    stream_layers: tuple[int, int] | None,
+) -> Confirm:
+    """Return the question that precedes each dispatch of a request.
+
+    A target with `stream_layers` has a stream that others can resume and close.
+    """
+
+    async def confirm(attempt: int, view: TargetView) -> Failure | None:
+        if key.prefix.witness is None:
+            return None
+        place = AttemptPlace(
+            attempt=attempt,
+            target=view.name,
+            address=view.target.address,
+            has_stream=view.target.layers == stream_layers,
+        )
+        verdict = None
+        for _ in range(MOST_QUESTIONS):
+            asked_at = instance.read_pause_clock()
+            verdict = await ask_record(
+                instance, key, body_hash=body_hash, request=request, place=place
+            )
+            is_fresh = instance.read_pause_clock() - asked_at <= FRESH_S
+            if verdict is not RecordVerdict.KEPT or is_fresh:
+                break
+            verdict = None
+        if verdict is RecordVerdict.KEPT:
+            return None
+        log_event(
+            "dispatch_refused",
+            request=request,
+            attempt=attempt,
+            target=view.name,
+            reason=verdict.value if verdict else "witness_unreachable",
+        )
+        code = _VERDICT_CODES[verdict]
+        return make_failure(code, retry_after_ms=RETRY_AFTER_MS)
+
+    return confirm
+
+
+def open_at_home(
+    instance: Instance, work: Work, key: HandedKey, body_hash: str
+) -> Answer:
+    """Return the answer of a key whose home this is, executing a new request."""
+    entry, is_new, failure = claim_call(
+        instance, key, team=work.team, request=work.request, body_hash=body_hash
+    )
+    if failure is not None:
+        return Answer(request=work.request, team=work.team, failure=failure)
+    if not is_new:
+        return entry.answer
+    answer = Answer(
+        request=work.request, team=work.team, prompt_tokens=len(work.prompt.split())
+    )
+    entry.answer = answer
+    refusal = find_home_refusal(instance)
+    if refusal is not None:
+        answer.fail(refusal)
+        _end(instance, key, answer)
+        return answer
+    instance.answers[work.request] = answer
+    running = _run(instance, work, answer, key, body_hash)
+    instance.keep_task(asyncio.create_task(running))
+    return answer
+
+
+def _end(instance: Instance, key: HandedKey, answer: Answer) -> None:
+    end_key(
+        instance.key_table,
+        key.text,
+        failure=answer.failure,
+        size=sum(map(len, answer.texts)),
+        keep_s=instance.settings.limits.keep_ms / 1000,
+        now=instance.read_wall_clock(),
+    )
+
+
+async def _run(
+    instance: Instance, work: Work, answer: Answer, key: HandedKey, body_hash: str
+) -> None:
+    """Execute a request under its key. The key ends with whatever its caller is told.
+
+    A request that was refused is not tried again under its key: a caller that was
+    told "not run" may have taken a new key, and a late repeat would run it twice.
+    """
+    layers = work.snapshot.declaration.models[work.pipeline.model].layers
+    confirm = make_confirmation(
+        instance,
+        key,
+        body_hash=body_hash,
+        request=work.request,
+        stream_layers=(0, layers),
+    )
+    watching = asyncio.create_task(_tell_beginning(instance, key, answer))
+    instance.keep_task(watching)
+    try:
+        await run_completion(instance, work, answer, confirm)
+    finally:
+        if not answer.is_over:
+            answer.fail(make_failure(ResultCode.OUTCOME_UNKNOWN))
+        _end(instance, key, answer)
+        watching.cancel()
+        if not answer.readers:
+            instance.answers.pop(work.request, None)
+    await send_note(instance, key, RecordStep.END, failure=answer.failure)
+
+
+async def _tell_beginning(instance: Instance, key: HandedKey, answer: Answer) -> None:
+    """Tell the witness when a target has begun.
+
+    Guards against an engine that is restarted together with the home's death: it
+    would close the name of a stream that it ran and forgot, as if it had not begun.
+    """
+    while not answer.texts:
+        if answer.is_over:
+            return
+        await answer.changed.wait()
+    await send_note(instance, key, RecordStep.BEGIN)
--- /dev/null
+++ b/packages/instance/fulmarward/keys/_relay.py
@@ -0,0 +1,177 @@
+"""Reading a key's answer at an instance that is not its home."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+from fulmarward._instance import Instance
+from fulmarward.answers import Answer
+from fulmarward.keys._home import open_at_home
+from fulmarward.keys._prefixes import find_address, is_home, read_key
+from fulmarward.keys._takeover import take_over
+from fulmarward.keys._witness import check_boot
+from fulmarward.observability import log_event
+from fulmarward.peers import (
+    AnswerEnd,
+    AnswerPart,
+    ForwardCompletion,
+    MessageFault,
+    PeerLost,
+)
+from fulmarward.requests import Work, make_request_id
+from fulmarward_core.keys import HandedKey
+from fulmarward_core.membership import Member
+from fulmarward_core.results import ResultCode, make_failure
+
+#: Seconds without a word from the home after which it is held to be gone. Harm: a
+#: caller waits on a frozen home; reason: its sign of life comes three times as often.
+SILENCE_S = 1.5
+
+#: Seconds between two signs of life of the home.
+SIGN_S = 0.5
+
+#: Seconds past a request's deadline in which the home says how it ended.
+GRACE_S = 1.0
+
+
+async def forward_answer(
+    instance: Instance, peer: Member, message: ForwardCompletion
+) -> AsyncIterator[object]:
+    """Answer a forwarded completion as the home of its key."""
+    check_boot(instance, message.boot)
+    key = read_key(instance, message.team, message.key)
+    if not isinstance(key, HandedKey) or not is_home(instance, key):
+        raise MessageFault("expected a key of this instance")
+    pipeline = instance.snapshot.declaration.pipelines.get(message.pipeline)
+    if pipeline is None:
+        failure = make_failure(ResultCode.KEY_NOT_ASKED, "The home lags behind.")
+        yield AnswerEnd(end="", failure=failure)
+        return
+    work = Work(
+        request=make_request_id(),
+        team=message.team,
+        snapshot=instance.snapshot,
+        pipeline_name=message.pipeline,
+        pipeline=pipeline,
+        prompt=message.prompt,
+        max_tokens=message.max_tokens,
+        urgency=message.urgency,
+        idempotent=False,
+        deadline=instance.read_clock() + message.deadline_ms / 1000,
+    )
+    answer = open_at_home(instance, work, key, message.body_hash)
+    async for item in _read_parts(instance, answer):
+        yield item
+
+
+async def _read_parts(instance: Instance, answer: Answer) -> AsyncIterator[object]:
+    """Yield an answer's events as they come, and signs of life in between."""
+    sent = 0
+    answer.readers += 1
+    try:
+        while True:
+            changed = answer.changed
+            texts = tuple(answer.texts[sent:])
+            sent += len(texts)
+            yield AnswerPart(
+                request=answer.request, locator=answer.locator, texts=texts
+            )
+            if answer.is_over and sent == len(answer.texts):
+                yield AnswerEnd(end=answer.end, failure=answer.failure)
+                return
+            await _wait_for(changed)
+    finally:
+        answer.readers -= 1
+        if answer.is_over and not answer.readers:
+            instance.answers.pop(answer.request, None)
+
+
+async def _wait_for(changed: asyncio.Event) -> None:
+    try:
+        async with asyncio.timeout(SIGN_S):
+            await changed.wait()
+    except TimeoutError:
+        return
+
+
+async def open_relayed(
+    instance: Instance, work: Work, key: HandedKey, body_hash: str
+) -> Answer:
+    """Return the answer of a key whose home is elsewhere, once its request is known."""
+    answer = Answer(request="", team=work.team, prompt_tokens=len(work.prompt.split()))
+    instance.answers[work.request] = answer
+    running = _run(instance, work, answer, key, body_hash)
+    instance.keep_task(asyncio.create_task(running))
+    while not answer.request and not answer.is_over:
+        await answer.changed.wait()
+    answer.request = answer.request or work.request
+    return answer
+
+
+async def _run(
+    instance: Instance, work: Work, answer: Answer, key: HandedKey, body_hash: str
+) -> None:
+    timeout_s = work.deadline - instance.read_clock() + GRACE_S
+    try:
+        async with asyncio.timeout(max(timeout_s, 0.0)):
+            if not await _read_home(instance, work, answer, key, body_hash):
+                await take_over(instance, work, answer, key, body_hash)
+    except TimeoutError:
+        pass
+    finally:
+        if not answer.is_over:
+            answer.fail(make_failure(ResultCode.OUTCOME_UNKNOWN))
+        if not answer.readers:
+            instance.answers.pop(work.request, None)
+
+
+async def _read_home(
+    instance: Instance, work: Work, answer: Answer, key: HandedKey, body_hash: str
+) -> bool:
+    """Copy the home's answer; return whether it came to its end."""
+    address = find_address(instance, key.prefix.home)
+    if address is None or instance.links is None:
+        _note_lost(work, key, "the home is another run or unknown")
+        return False
+    remaining_s = work.deadline - instance.read_clock()
+    message = ForwardCompletion(
+        boot=key.prefix.home.boot,
+        key=key.text,
+        body_hash=body_hash,
+        team=work.team,
+        pipeline=work.pipeline_name,
+        prompt=work.prompt,
+        max_tokens=work.max_tokens,
+        urgency=work.urgency,
+        deadline_ms=max(1, round(remaining_s * 1000)),
+    )
+    try:
+        async for item in instance.links.stream(address, message, SILENCE_S):
+            if isinstance(item, AnswerEnd):
+                _end(answer, item)
+                return True
+            _take_part(answer, item)
+    except PeerLost as lost:
+        _note_lost(work, key, str(lost))
+        return False
+    _note_lost(work, key, "the answer had no end")
+    return False
+
+
+def _note_lost(work: Work, key: HandedKey, reason: str) -> None:
+    log_event(
+        "home_lost", request=work.request, home=key.prefix.home.name, reason=reason
+    )
+
+
+def _take_part(answer: Answer, part: AnswerPart) -> None:
+    answer.request = part.request
+    if part.locator and not answer.locator:
+        answer.locator = part.locator
+    answer.add_texts(list(part.texts))
+
+
+def _end(answer: Answer, end: AnswerEnd) -> None:
+    if end.failure is not None:
+        answer.fail(end.failure)
+    else:
+        answer.finish(end.end)
--- /dev/null
+++ b/packages/instance/fulmarward/keys/_takeover.py
@@ -0,0 +1,172 @@
+"""Going on without a key's home, by what its witness and the targets know."""
+
+from fulmarward._instance import Instance
+from fulmarward.answers import Answer
+from fulmarward.keys._witness import ask_take, send_note
+from fulmarward.observability import log_event
+from fulmarward.requests import Work
+from fulmarward.targets import (
+    EngineStream,
+    StreamBroken,
+    StreamUnknown,
+    cancel_stream,
+    read_events,
+    resume_stream,
+)
+from fulmarward_core.keys import (
+    AttemptPlace,
+    Conclusion,
+    HandedKey,
+    RecordStep,
+    WitnessRecord,
+    conclude_closing,
+    conclude_take,
+    list_closable,
+)
+from fulmarward_core.results import Failure, Ran, ResultCode, make_failure
+from fulmarward_core.streams import Locator, Stage, seal_locator
+
+#: Times that a broken connection to a running stream is made anew.
+MOST_REATTACHES = 3
+
+_CONCLUSION_CODES = {
+    Conclusion.NOT_RUN: ResultCode.KEY_CLOSED,
+    Conclusion.SPENT: ResultCode.ALREADY_RAN,
+    Conclusion.UNKNOWN: ResultCode.OUTCOME_UNKNOWN,
+}
+
+
+async def take_key_over(
+    instance: Instance, key: HandedKey, *, request: str, body_hash: str
+) -> tuple[Conclusion, WitnessRecord | None, Failure | None]:
+    """Ask the witness; return what follows, its record, and a failure to tell."""
+    record = await ask_take(instance, key, body_hash)
+    conclusion = conclude_take(record)
+    log_event(
+        "take_over",
+        request=record.request if record and record.request else request,
+        witness=key.prefix.witness.name if key.prefix.witness else None,
+        reason=conclusion.value,
+    )
+    if record is not None and record.request and record.body_hash != body_hash:
+        failure = make_failure(ResultCode.IDEMPOTENCY_KEY_REUSED)
+    elif conclusion is Conclusion.FAILED:
+        failure = record.failure
+    elif conclusion in _CONCLUSION_CODES:
+        failure = make_failure(_CONCLUSION_CODES[conclusion])
+    else:
+        failure = None
+    return conclusion, record, failure
+
+
+async def take_over(
+    instance: Instance, work: Work, answer: Answer, key: HandedKey, body_hash: str
+) -> None:
+    """End `answer` without the home: with the engine's own stream, or the truth."""
+    conclusion, record, failure = await take_key_over(
+        instance, key, request=work.request, body_hash=body_hash
+    )
+    if failure is None and conclusion is not Conclusion.RESUME:
+        failure = make_failure(ResultCode.IDEMPOTENCY_KEY_REUSED)
+    if failure is None:
+        answer.request = answer.request or record.request
+        failure = await _resume(instance, work, answer, key, record)
+    if failure is not None:
+        answer.fail(_check_failure(answer, failure))
+
+
+def _check_failure(answer: Answer, failure: Failure) -> Failure:
+    """Return a failure that fits the events the caller already has."""
+    if answer.texts and failure.ran is Ran.NOT_RUN:
+        return make_failure(ResultCode.STREAM_LOST)
+    return failure
+
+
+async def _resume(
+    instance: Instance,
+    work: Work,
+    answer: Answer,
+    key: HandedKey,
+    record: WitnessRecord,
+) -> Failure | None:
+    """Read the stream of the latest attempt that has one, or close all of them."""
+    replies = []
+    for place in list_closable(record.places):
+        end = await _read_place(instance, work, answer, key, record, place)
+        if end in ("stop", "length"):
+            answer.finish(end)
+            return None
+        if end:
+            detail = f"The stream ended as {end}."
+            return make_failure(ResultCode.TARGET_FAILED, detail)
+        state = await cancel_stream(
+            instance.session,
+            place.address,
+            request=record.request,
+            attempt=place.attempt,
+        )
+        replies.append(None if isinstance(state, StreamBroken) else state)
+    code = conclude_closing(record, replies)
+    log_event(
+        "streams_closed", request=record.request, replies=replies, result=code.value
+    )
+    if code is ResultCode.KEY_CLOSED:
+        await send_note(instance, key, RecordStep.CLOSE)
+    return make_failure(code)
+
+
+async def _read_place(
+    instance: Instance,
+    work: Work,
+    answer: Answer,
+    key: HandedKey,
+    record: WitnessRecord,
+    place: AttemptPlace,
+) -> str:
+    """Copy an attempt's stream into the answer; return its end, empty for none."""
+    for _ in range(MOST_REATTACHES + 1):
+        stream = await resume_stream(
+            instance.session,
+            place.address,
+            request=record.request,
+            attempt=place.attempt,
+            after=len(answer.texts),
+            connect_s=instance.settings.limits.connect_ms / 1000,
+        )
+        if isinstance(stream, StreamUnknown):
+            return ""
+        if isinstance(stream, EngineStream):
+            if not answer.locator:
+                answer.set_locator(_make_locator(instance, work, record, place))
+                await send_note(instance, key, RecordStep.BEGIN)
+            end = await _copy_events(answer, stream)
+            if end:
+                return end
+    return ""
+
+
+async def _copy_events(answer: Answer, stream: EngineStream) -> str:
+    async for events in read_events(stream):
+        texts = [event.text for event in events if not event.end]
+        if texts:
+            answer.add_texts(texts)
+        if events[-1].end:
+            return events[-1].end
+    return ""
+
+
+def _make_locator(
+    instance: Instance, work: Work, record: WitnessRecord, place: AttemptPlace
+) -> str:
+    layers = work.snapshot.declaration.models[work.pipeline.model].layers
+    remaining_s = work.deadline - instance.read_clock()
+    locator = Locator(
+        request=record.request,
+        attempt=place.attempt,
+        stages=(Stage(target=place.target, layers=(0, layers)),),
+        pipeline=work.pipeline_name,
+        epoch=work.snapshot.head.epoch,
+        deadline_at=round(instance.read_wall_clock() + remaining_s, 3),
+    )
+    secret = instance.secrets.derive_key("locators")
+    return seal_locator(locator, team=work.team, secret=secret)
--- a/packages/instance/fulmarward/peers/_messages.py
+++ b/packages/instance/fulmarward/peers/_messages.py
@@ -6,8 +6,17 @@
 from dataclasses import dataclass
 
 from fulmarward_core.configuration import Head
+from fulmarward_core.declaration import Urgency
 from fulmarward_core.health import LeavingRecord, SummaryRecord
+from fulmarward_core.keys import (
+    AttemptPlace,
+    RecordStep,
+    RecordVerdict,
+    ResultCopy,
+    WitnessRecord,
+)
 from fulmarward_core.membership import Member
+from fulmarward_core.results import Failure
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -178,6 +187,142 @@
     has_answered: bool
 
 
+@dataclass(frozen=True, kw_only=True)
+class ForwardCompletion:
+    """A completion for the home of its key; answered by parts and an end."""
+
+    #: The boot of the home that is meant.
+    boot: int
+    #: The idempotency key and the hash of the caller's body.
+    key: str
+    body_hash: str
+    #: Name of the team and of the pipeline.
+    team: str
+    pipeline: str
+    #: The prompt, most tokens and how soon it is needed.
+    prompt: str
+    max_tokens: int
+    urgency: Urgency
+    #: Milliseconds until the answer has to be over.
+    deadline_ms: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class ForwardCall:
+    """A service call for the home of its key; answered by parts and a result."""
+
+    #: The boot of the home that is meant.
+    boot: int
+    #: The idempotency key and the hash of the call.
+    key: str
+    body_hash: str
+    #: Name of the team and of the service.
+    team: str
+    service: str
+    #: The call.
+    method: str
+    path: str
+    query: str
+    body: bytes
+    content_type: str
+    #: Milliseconds until the answer has to be over.
+    deadline_ms: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class AnswerPart:
+    """The next events of an answer; none in a sign of life."""
+
+    #: Id of the request.
+    request: str
+    #: The sealed locator, empty before there is one.
+    locator: str
+    #: The texts of the events.
+    texts: tuple[str, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class AnswerEnd:
+    """The end of an answer."""
+
+    #: `stop` or `length`; empty for a failure.
+    end: str
+    #: Why there is no whole answer.
+    failure: Failure | None
+
+
+@dataclass(frozen=True, kw_only=True)
+class CallEnd:
+    """The end of a service call."""
+
+    #: Id of the request.
+    request: str
+    #: The service's answer.
+    result: ResultCopy | None
+    #: Why there is none.
+    failure: Failure | None
+
+
+@dataclass(frozen=True, kw_only=True)
+class RecordAttempt:
+    """Asks the witness of a key to record an attempt before it is dispatched."""
+
+    #: The boot of the witness that is meant.
+    boot: int
+    #: The key, the hash of its body and when its time is over.
+    key: str
+    body_hash: str
+    expires_at: float
+    #: Id of the request.
+    request: str
+    #: Where the attempt goes.
+    place: AttemptPlace
+
+
+@dataclass(frozen=True, kw_only=True)
+class AttemptRecorded:
+    """What the witness says to it."""
+
+    #: Whether the home may dispatch.
+    verdict: RecordVerdict
+
+
+@dataclass(frozen=True, kw_only=True)
+class TakeKey:
+    """Takes a key over from a home that cannot be reached."""
+
+    #: The boot of the witness that is meant.
+    boot: int
+    #: The key, the hash of its body and when its time is over.
+    key: str
+    body_hash: str
+    expires_at: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class KeyTaken:
+    """What the witness knows of the key."""
+
+    #: The record; `None` when nobody can tell.
+    record: WitnessRecord | None
+
+
+@dataclass(frozen=True, kw_only=True)
+class NoteKey:
+    """Tells the witness what became of a request; answered with `Nothing`."""
+
+    #: The boot of the witness that is meant.
+    boot: int
+    #: The key.
+    key: str
+    #: What happened.
+    step: RecordStep
+    #: How it ended badly.
+    failure: Failure | None
+    #: The answer, of a call that cannot be re-attached.
+    answer: ResultCopy | None
+
+
 #: All messages in the order of their numbers.
 MESSAGES = (
     Challenge,
@@ -198,4 +343,14 @@
     BucketMembers,
     AskProbe,
     Probed,
+    ForwardCompletion,
+    ForwardCall,
+    AnswerPart,
+    AnswerEnd,
+    CallEnd,
+    RecordAttempt,
+    AttemptRecorded,
+    TakeKey,
+    KeyTaken,
+    NoteKey,
 )
--- a/packages/instance/fulmarward/requests/_work.py
+++ b/packages/instance/fulmarward/requests/_work.py
@@ -1,11 +1,17 @@
 """What an accepted request is."""
 
+import secrets
 from dataclasses import dataclass
 
 from fulmarward_core.configuration import Snapshot
 from fulmarward_core.declaration import Pipeline, Urgency
 
 
+def make_request_id() -> str:
+    """Return a fresh request id: 80 random bits."""
+    return secrets.token_hex(10)
+
+
 @dataclass(frozen=True, kw_only=True)
 class Work:
     """One accepted completion request."""
--- a/packages/instance/fulmarward/settings/_secrets.py
+++ b/packages/instance/fulmarward/settings/_secrets.py
@@ -23,10 +23,16 @@
     #: Peer secrets: the first signs, all are accepted.
     peer_secrets: tuple[bytes, ...]
 
+    def derive_keys(self, purpose: str) -> tuple[bytes, ...]:
+        """Return the keys for one purpose by every accepted secret, newest first."""
+        return tuple(
+            hmac.new(secret, purpose.encode(), hashlib.sha256).digest()
+            for secret in self.peer_secrets
+        )
+
     def derive_key(self, purpose: str) -> bytes:
         """Return the key of the whole fleet for one purpose."""
-        secret = self.peer_secrets[0]
-        return hmac.new(secret, purpose.encode(), hashlib.sha256).digest()
+        return self.derive_keys(purpose)[0]
 
 
 def _read_lines(path: str, where: str, faults: list[Fault]) -> tuple[str, ...]:
--- a/packages/instance/fulmarward/settings/_types.py
+++ b/packages/instance/fulmarward/settings/_types.py
@@ -36,6 +36,9 @@
     platform_ms: int = 2_000
     #: How long callers keep a discovery answer, milliseconds.
     discovery_ms: int = 5_000
+    #: How long an idempotency key is taken for a new request, milliseconds. Harm: an
+    #: entry is kept for each key this long; reason: past any caller's retries.
+    key_ms: int = 600_000
 
 
 @dataclass(frozen=True, kw_only=True)
