--- a/packages/core/fulmarward_core/keys/_types.py
+++ b/packages/core/fulmarward_core/keys/_types.py
@@ -149,6 +149,8 @@
     state: RecordState
     #: When the record may be dropped, seconds since 1970.
     drop_at: float
+    #: When it was first recorded, seconds on the witness's steady clock.
+    recorded_at: float
     #: Attempts that the home may have dispatched.
     places: tuple[AttemptPlace, ...] = ()
     #: How it ended, if it ended badly.
--- a/packages/core/fulmarward_core/keys/decisions.py
+++ b/packages/core/fulmarward_core/keys/decisions.py
@@ -171,6 +171,7 @@
     body_hash: str,
     request: str,
     drop_at: float,
+    recorded_at: float,
 ) -> WitnessRecord | None:
     """Return a new record, or `None` when the table has no room for it."""
     if len(table.records) >= MOST_ENTRIES:
@@ -180,6 +181,7 @@
         request=request,
         state=_STEPS[None, step],
         drop_at=drop_at,
+        recorded_at=recorded_at,
     )
     return record
 
@@ -199,6 +201,7 @@
     place: AttemptPlace,
     expires_at: float,
     now: float,
+    steady_now: float,
 ) -> RecordVerdict:
     """Record that the home is about to dispatch; say whether it may.
 
@@ -219,6 +222,7 @@
             body_hash=body_hash,
             request=request,
             drop_at=expires_at + RETAIN_S,
+            recorded_at=steady_now,
         )
         if record is None:
             return RecordVerdict.CLOSED
@@ -257,6 +261,7 @@
         body_hash=body_hash,
         request="",
         drop_at=expires_at + RETAIN_S,
+        recorded_at=0.0,
     )
 
 
@@ -335,7 +340,7 @@
     `replies` holds what the target of each recorded attempt said when its stream was
     closed, `None` for no answer. "Not run" needs every one of them to have closed
     the name before it began, and no word that any began: an engine that was
-    restarted closes the name of a stream that it ran before and forgot.
+    forgot closes the name of a stream that it ran.
     """
     if len(replies) != len(record.places):
         return ResultCode.OUTCOME_UNKNOWN
--- a/packages/core/fulmarward_core/keys/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/keys/tests/test_decisions.py
@@ -44,6 +44,7 @@
         place=place,
         expires_at=100.0,
         now=now,
+        steady_now=now,
     )
 
 
@@ -183,6 +184,7 @@
                     request="r",
                     state=state,
                     drop_at=0.0,
+                    recorded_at=0.0,
                     places=(_STREAM,),
                 )
                 self.assertEqual(conclude_closing(record, replies), expected)
--- a/packages/core/fulmarward_core/keys/tests/test_once.py
+++ b/packages/core/fulmarward_core/keys/tests/test_once.py
@@ -202,6 +202,7 @@
             place=place,
             expires_at=_EXPIRES_AT,
             now=self.witness_clock,
+            steady_now=0.0,
         )
 
     def home_waits(self, task, number, fate):
--- a/packages/instance/fulmarward/callers/_completions.py
+++ b/packages/instance/fulmarward/callers/_completions.py
@@ -11,8 +11,10 @@
     read_body,
 )
 from fulmarward.callers._errors import CallerError
-from fulmarward.callers._headers import read_deadline_ms, read_urgency
+from fulmarward.callers._headers import KEY_HEADER, read_deadline_ms, read_urgency
 from fulmarward.callers._open import open_answer
+from fulmarward.callers._release import release_answer
+from fulmarward.callers._resume import EVENT_ID_HEADER, open_resumed
 from fulmarward.callers._send import send_stream, send_whole
 from fulmarward.callers._shapes import (
     CHAT_SHAPE,
@@ -64,7 +66,12 @@
     raw = await read_body(instance, request)
     body = parse_completion_body(raw, is_chat=shape.is_chat)
     work = _make_work(instance, request, team, body)
-    answer = await open_answer(instance, request, work)
+    after = None
+    if EVENT_ID_HEADER in request.headers:
+        work, answer, after = open_resumed(instance, request, work, body.stream)
+    else:
+        answer = await open_answer(instance, request, work)
+    answer.may_return |= body.stream or KEY_HEADER in request.headers
     head = AnswerHead(
         shape=shape,
         request=answer.request,
@@ -74,10 +81,10 @@
     answer.readers += 1
     try:
         if body.stream:
-            return await send_stream(request, head, answer, body.include_usage)
+            return await send_stream(request, head, answer, body.include_usage, after)
         return await send_whole(head, answer)
     finally:
-        answer.readers -= 1
+        release_answer(instance, answer)
         _note_end(instance, work, answer)
 
 
@@ -94,9 +101,6 @@
         result=code.value,
         tokens=len(answer.texts),
     )
-    instance.answers.pop(work.request, None)
-    if not answer.readers:
-        instance.answers.pop(answer.request, None)
 
 
 def make_completion_routes(instance: Instance) -> list[web.RouteDef]:
--- a/packages/instance/fulmarward/callers/_server.py
+++ b/packages/instance/fulmarward/callers/_server.py
@@ -11,6 +11,7 @@
 from fulmarward.callers._errors import CallerError, make_failure_response
 from fulmarward.callers._headers import KEY_HEADER
 from fulmarward.callers._keys import add_key_headers
+from fulmarward.callers._resume import EVENT_ID_HEADER
 from fulmarward.callers._services import make_service_routes
 from fulmarward_core.results import Failure, ResultCode, make_failure
 
@@ -36,12 +37,17 @@
     # A leaving instance still tells callers where else to go.
     if request.path == "/discovery" and instance.lifecycle.state == "stopping":
         return None
+    is_full = len(instance.answers) >= instance.settings.limits.open_requests
+    is_serving = instance.lifecycle.state == "serving"
+    if EVENT_ID_HEADER in request.headers and (is_full or not is_serving):
+        # The stream exists, so that "not run" would be untrue of its request.
+        return make_failure(ResultCode.STILL_RUNNING, retry_after_ms=RETRY_AFTER_MS)
     code = _STATE_CODES.get(instance.lifecycle.state)
     if code is None and instance.has_paused():
         code = ResultCode.NOT_READY
     if code is not None:
         return make_failure(code, retry_after_ms=RETRY_AFTER_MS)
-    if len(instance.answers) >= instance.settings.limits.open_requests:
+    if is_full:
         return make_failure(ResultCode.QUEUE_FULL, retry_after_ms=RETRY_AFTER_MS)
     return None
 
--- a/packages/instance/fulmarward/keys/_home.py
+++ b/packages/instance/fulmarward/keys/_home.py
@@ -140,7 +140,11 @@
     if not is_new:
         return entry.answer
     answer = Answer(
-        request=work.request, team=work.team, prompt_tokens=len(work.prompt.split())
+        request=work.request,
+        team=work.team,
+        prompt_tokens=len(work.prompt.split()),
+        may_return=True,
+        is_keyed=True,
     )
     entry.answer = answer
     refusal = find_home_refusal(instance)
--- a/packages/instance/fulmarward/keys/_relay.py
+++ b/packages/instance/fulmarward/keys/_relay.py
@@ -98,18 +98,20 @@
 ) -> Answer:
     """Return the answer of a key whose home is elsewhere, once its request is known."""
     answer = Answer(request="", team=work.team, prompt_tokens=len(work.prompt.split()))
-    instance.answers[work.request] = answer
     running = _run(instance, work, answer, key, body_hash)
     instance.keep_task(asyncio.create_task(running))
     while not answer.request and not answer.is_over:
         await answer.changed.wait()
     answer.request = answer.request or work.request
+    if not answer.is_over:
+        instance.answers[answer.request] = answer
     return answer
 
 
 async def _run(
     instance: Instance, work: Work, answer: Answer, key: HandedKey, body_hash: str
 ) -> None:
+    answer.task = asyncio.current_task()
     timeout_s = work.deadline - instance.read_clock() + GRACE_S
     try:
         async with asyncio.timeout(max(timeout_s, 0.0)):
@@ -120,8 +122,6 @@
     finally:
         if not answer.is_over:
             answer.fail(make_failure(ResultCode.OUTCOME_UNKNOWN))
-        if not answer.readers:
-            instance.answers.pop(work.request, None)
 
 
 async def _read_home(
--- a/packages/instance/fulmarward/keys/_takeover.py
+++ b/packages/instance/fulmarward/keys/_takeover.py
@@ -1,10 +1,13 @@
 """Going on without a key's home, by what its witness and the targets know."""
 
+from dataclasses import replace
+
 from fulmarward._instance import Instance
 from fulmarward.answers import Answer
 from fulmarward.keys._witness import ask_take, send_note
 from fulmarward.observability import log_event
-from fulmarward.requests import Work
+from fulmarward.peers import KeyTaken
+from fulmarward.requests import Work, make_locator, name_reader
 from fulmarward.targets import (
     EngineStream,
     StreamBroken,
@@ -18,13 +21,12 @@
     Conclusion,
     HandedKey,
     RecordStep,
-    WitnessRecord,
     conclude_closing,
     conclude_take,
     list_closable,
 )
 from fulmarward_core.results import Failure, Ran, ResultCode, make_failure
-from fulmarward_core.streams import Locator, Stage, seal_locator
+from fulmarward_core.streams import Stage
 
 #: Times that a broken connection to a running stream is made anew.
 MOST_REATTACHES = 3
@@ -38,9 +40,10 @@
 
 async def take_key_over(
     instance: Instance, key: HandedKey, *, request: str, body_hash: str
-) -> tuple[Conclusion, WitnessRecord | None, Failure | None]:
-    """Ask the witness; return what follows, its record, and a failure to tell."""
-    record = await ask_take(instance, key, body_hash)
+) -> tuple[Conclusion, KeyTaken, Failure | None]:
+    """Ask the witness; return what follows, what it knows, and a failure to tell."""
+    taken = await ask_take(instance, key, body_hash)
+    record = taken.record
     conclusion = conclude_take(record)
     log_event(
         "take_over",
@@ -56,21 +59,22 @@
         failure = make_failure(_CONCLUSION_CODES[conclusion])
     else:
         failure = None
-    return conclusion, record, failure
+    return conclusion, taken, failure
 
 
 async def take_over(
     instance: Instance, work: Work, answer: Answer, key: HandedKey, body_hash: str
 ) -> None:
     """End `answer` without the home: with the engine's own stream, or the truth."""
-    conclusion, record, failure = await take_key_over(
+    conclusion, taken, failure = await take_key_over(
         instance, key, request=work.request, body_hash=body_hash
     )
     if failure is None and conclusion is not Conclusion.RESUME:
         failure = make_failure(ResultCode.IDEMPOTENCY_KEY_REUSED)
     if failure is None:
-        answer.request = answer.request or record.request
-        failure = await _resume(instance, work, answer, key, record)
+        answer.request = answer.request or taken.record.request
+        work = replace(work, request=taken.record.request)
+        failure = await _resume(instance, work, answer, key, taken)
     if failure is not None:
         answer.fail(_check_failure(answer, failure))
 
@@ -87,12 +91,13 @@
     work: Work,
     answer: Answer,
     key: HandedKey,
-    record: WitnessRecord,
+    taken: KeyTaken,
 ) -> Failure | None:
     """Read the stream of the latest attempt that has one, or close all of them."""
+    record = taken.record
     replies = []
     for place in list_closable(record.places):
-        end = await _read_place(instance, work, answer, key, record, place)
+        end = await _read_place(instance, work, answer, key, place)
         if end in ("stop", "length"):
             answer.finish(end)
             return None
@@ -104,6 +109,7 @@
             place.address,
             request=record.request,
             attempt=place.attempt,
+            age_s=taken.age_s,
         )
         replies.append(None if isinstance(state, StreamBroken) else state)
     code = conclude_closing(record, replies)
@@ -120,7 +126,6 @@
     work: Work,
     answer: Answer,
     key: HandedKey,
-    record: WitnessRecord,
     place: AttemptPlace,
 ) -> str:
     """Copy an attempt's stream into the answer; return its end, empty for none."""
@@ -128,16 +133,20 @@
         stream = await resume_stream(
             instance.session,
             place.address,
-            request=record.request,
+            request=work.request,
             attempt=place.attempt,
             after=len(answer.texts),
+            reader=name_reader(instance),
             connect_s=instance.settings.limits.connect_ms / 1000,
         )
         if isinstance(stream, StreamUnknown):
             return ""
         if isinstance(stream, EngineStream):
             if not answer.locator:
-                answer.set_locator(_make_locator(instance, work, record, place))
+                layers = work.snapshot.declaration.models[work.pipeline.model].layers
+                stages = (Stage(target=place.target, layers=(0, layers)),)
+                locator = make_locator(instance, work, place.attempt, stages)
+                answer.set_locator(locator)
                 await send_note(instance, key, RecordStep.BEGIN)
             end = await _copy_events(answer, stream)
             if end:
@@ -153,20 +162,3 @@
         if events[-1].end:
             return events[-1].end
     return ""
-
-
-def _make_locator(
-    instance: Instance, work: Work, record: WitnessRecord, place: AttemptPlace
-) -> str:
-    layers = work.snapshot.declaration.models[work.pipeline.model].layers
-    remaining_s = work.deadline - instance.read_clock()
-    locator = Locator(
-        request=record.request,
-        attempt=place.attempt,
-        stages=(Stage(target=place.target, layers=(0, layers)),),
-        pipeline=work.pipeline_name,
-        epoch=work.snapshot.head.epoch,
-        deadline_at=round(instance.read_wall_clock() + remaining_s, 3),
-    )
-    secret = instance.secrets.derive_key("locators")
-    return seal_locator(locator, team=work.team, secret=secret)
--- a/packages/instance/fulmarward/keys/_witness.py
+++ b/packages/instance/fulmarward/keys/_witness.py
@@ -19,7 +19,6 @@
     RecordStep,
     RecordVerdict,
     ResultCopy,
-    WitnessRecord,
     note_record,
     record_attempt,
     take_key,
@@ -32,6 +31,11 @@
 #: paused one is not worth waiting for.
 ANSWER_S = 1.0
 
+#: Seconds added to the age of a record. Guards against clocks of instance and engine
+#: that go at different rates: an engine that started just after the record counts as
+#: restarted since.
+AGE_MARGIN_S = 1.0
+
 
 def check_boot(instance: Instance, boot: int) -> None:
     """Refuse what is meant for an earlier run of this instance.
@@ -55,6 +59,7 @@
         place=message.place,
         expires_at=message.expires_at,
         now=instance.read_wall_clock(),
+        steady_now=instance.read_clock(),
     )
     if verdict is not RecordVerdict.KEPT:
         log_event("record_refused", request=message.request, reason=verdict.value)
@@ -77,7 +82,8 @@
         request=record.request if record else None,
         reason=record.state.value if record else "too_old",
     )
-    return KeyTaken(record=record)
+    age_s = instance.read_clock() - record.recorded_at if record else 0.0
+    return KeyTaken(record=record, age_s=age_s + AGE_MARGIN_S)
 
 
 async def answer_note(instance: Instance, peer: Member, message: NoteKey) -> Nothing:
@@ -95,6 +101,8 @@
     return Nothing()
 
 
+_NOTHING_KNOWN = KeyTaken(record=None, age_s=0.0)
+
 _HANDLERS = {RecordAttempt: answer_record, TakeKey: answer_take, NoteKey: answer_note}
 
 
@@ -138,13 +146,11 @@
     return answer.verdict if answer else None
 
 
-async def ask_take(
-    instance: Instance, key: HandedKey, body_hash: str
-) -> WitnessRecord | None:
-    """Take a key over; `None` when nobody can tell."""
+async def ask_take(instance: Instance, key: HandedKey, body_hash: str) -> KeyTaken:
+    """Take a key over; without a record when nobody can tell."""
     witness = key.prefix.witness
     if witness is None:
-        return None
+        return _NOTHING_KNOWN
     message = TakeKey(
         boot=witness.boot,
         key=key.text,
@@ -152,7 +158,7 @@
         expires_at=key.prefix.expires_at,
     )
     answer = await _ask(instance, witness, message)
-    return answer.record if answer else None
+    return answer or _NOTHING_KNOWN
 
 
 async def send_note(
--- a/packages/instance/fulmarward/peers/_messages.py
+++ b/packages/instance/fulmarward/peers/_messages.py
@@ -305,6 +305,8 @@
 
     #: The record; `None` when nobody can tell.
     record: WitnessRecord | None
+    #: Seconds since its first attempt was recorded, and a margin.
+    age_s: float
 
 
 @dataclass(frozen=True, kw_only=True)
