--- a/packages/instance/fulmarward/_daemon.py
+++ b/packages/instance/fulmarward/_daemon.py
@@ -31,6 +31,12 @@
     run_summaries,
     watch_drains,
 )
+from fulmarward.keys import (
+    answer_note,
+    answer_record,
+    answer_take,
+    forward_answer,
+)
 from fulmarward.membership import (
     announce_leaving,
     answer_members,
@@ -53,13 +59,17 @@
     AskMembers,
     AskOutcomes,
     AskProbe,
+    ForwardCompletion,
     HealthNews,
     LeavingNews,
     LeavingSync,
+    NoteKey,
     PeerHandlers,
     PeerLinks,
     Ping,
+    RecordAttempt,
     SyncMembers,
+    TakeKey,
     serve_peers,
 )
 from fulmarward.placement import answer_in_flight, answer_outcomes, run_placement
@@ -166,6 +176,10 @@
         HealthNews: answer_health,
         AskOutcomes: answer_outcomes,
         AskInFlight: answer_in_flight,
+        ForwardCompletion: forward_answer,
+        RecordAttempt: answer_record,
+        TakeKey: answer_take,
+        NoteKey: answer_note,
     }
 
     def bind(answer):  # noqa: ANN001, ANN202
@@ -219,7 +233,7 @@
     connector = aiohttp.TCPConnector(limit=MOST_CONNECTIONS)
     async with aiohttp.ClientSession(connector=connector) as session:
         instance = make_instance(settings, secrets, session, traces)
-        links = _make_links(instance)
+        links = instance.links = _make_links(instance)
         stop, hurried = instance.stop_asked, asyncio.Event()
         _watch_signals(stop, hurried)
         server = await serve_peers(instance, _make_handlers(instance, links))
