Faults: name the work behind each broken promise and each result

Change: the verdict lists kind, key, calls and executions of each such work, and endings by result number.

--- a/packages/standins/fulmarward_standins/faults/__main__.py
+++ b/packages/standins/fulmarward_standins/faults/__main__.py
@@ -117,6 +117,8 @@
     print(f'wrongly told "not run" (must be 0): {verdict.wrongly_not_run}')
     print(f"wrong or cut answers told whole (must be 0): {verdict.wrong_answers}")
     print(f"layers run twice or out of order (must be 0): {verdict.wrong_layers}")
+    for detail in verdict.details:
+        print(detail)
     sys.exit(0 if verdict.is_right else 1)
 
 
--- a/packages/standins/fulmarward_standins/faults/_callers.py
+++ b/packages/standins/fulmarward_standins/faults/_callers.py
@@ -84,6 +84,7 @@
     tokens = caller.generator.randrange(5, 60)
     prompt = f"work {caller.next_number()} [{tokens} tokens]"
     told = Told(
+        kind=f"stream {pipeline}",
         work=digest_work(prompt),
         idempotent=True,
         expected="".join(answer_tokens(prompt, 10_000, LAYERS)),
@@ -135,7 +136,7 @@
 ) -> None:
     """Call with a handed-out key and repeat with the same key until told an end."""
     caller.told.append(told)
-    key = await fetch_key(caller)
+    key = told.key = await fetch_key(caller)
     if not key:
         return
     while told.calls < MOST_CALLS and told.ending is Ending.GAVE_UP:
@@ -178,6 +179,7 @@
     tokens = caller.generator.randrange(5, 40)
     prompt = f"rewrite {caller.next_number()} [{tokens} tokens]"
     told = Told(
+        kind="rewrite",
         work=digest_work(prompt),
         idempotent=False,
         expected="".join(answer_tokens(prompt, 10_000, LAYERS)),
@@ -192,7 +194,12 @@
     """Make a service call that may run once."""
     body = {"move": caller.next_number()}
     text = json.dumps(body)
-    told = Told(work=digest_work(text), idempotent=False, expected=text)
+    told = Told(
+        kind="service call",
+        work=digest_work(text),
+        idempotent=False,
+        expected=text,
+    )
     await run_keyed(
         caller, "/services/callsheet/moves", body, told, lambda seen: seen["body"]
     )
--- a/packages/standins/fulmarward_standins/faults/_check.py
+++ b/packages/standins/fulmarward_standins/faults/_check.py
@@ -14,7 +14,7 @@
 
     #: Pieces of work.
     requests: int
-    #: By ending.
+    #: By ending and result number.
     endings: Mapping[str, int]
     #: Work that may run once and ran more often.
     run_twice: int
@@ -24,6 +24,8 @@
     wrong_answers: int
     #: Layers run twice or out of order for a token of an attempt.
     wrong_layers: int
+    #: The work behind the counts, a line each.
+    details: tuple[str, ...] = ()
 
     @property
     def is_right(self) -> bool:
@@ -40,32 +42,44 @@
 def check_told(told: Iterable[Told], lines: Iterable[Mapping[str, Any]]) -> Verdict:
     """Return the verdict on what callers were told, given the ledgers' lines."""
     told, lines = list(told), list(lines)
-    runs = _count_runs(lines)
+    runs = _list_runs(lines)
+    twice = [item for item in told if not item.idempotent and len(runs[item.work]) > 1]
+    wrongly = [
+        item for item in told if item.ending is Ending.NOT_RUN and runs[item.work]
+    ]
+    wrong = [item for item in told if _is_wrong_answer(item)]
     return Verdict(
         requests=len(told),
-        endings=Counter(item.ending.value for item in told),
-        run_twice=sum(not item.idempotent and runs[item.work] > 1 for item in told),
-        wrongly_not_run=sum(
-            item.ending is Ending.NOT_RUN and runs[item.work] > 0 for item in told
-        ),
-        wrong_answers=sum(
-            item.ending is Ending.WHOLE
-            and item.expected != ""
-            and item.answer != item.expected
-            for item in told
-        ),
+        endings=Counter(_name_ending(item) for item in told),
+        run_twice=len(twice),
+        wrongly_not_run=len(wrongly),
+        wrong_answers=len(wrong),
         wrong_layers=_count_wrong_layers(lines),
+        details=tuple(
+            f"{item}; ran as {sorted(runs[item.work])}"
+            for item in [*twice, *wrongly, *wrong]
+        ),
     )
 
 
-def _count_runs(lines: list[Mapping[str, Any]]) -> Counter[str]:
-    """Return how often each work was begun: as one (request, attempt) each time."""
-    executions = {
-        (line["work"], line["request"], line["attempt"])
-        for line in lines
-        if "work" in line
-    }
-    return Counter(work for work, _, _ in executions)
+def _name_ending(item: Told) -> str:
+    return f"{item.ending.value} {item.result or ''}".strip()
+
+
+def _is_wrong_answer(item: Told) -> bool:
+    is_compared = item.ending is Ending.WHOLE and item.expected != ""
+    return is_compared and item.answer != item.expected
+
+
+def _list_runs(
+    lines: list[Mapping[str, Any]],
+) -> dict[str, set[tuple[str, int]]]:
+    """Return the executions of each work: each (request, attempt) is one."""
+    runs: dict[str, set[tuple[str, int]]] = defaultdict(set)
+    for line in lines:
+        if "work" in line:
+            runs[line["work"]].add((line["request"], line["attempt"]))
+    return runs
 
 
 def _count_wrong_layers(lines: list[Mapping[str, Any]]) -> int:
--- a/packages/standins/fulmarward_standins/faults/_told.py
+++ b/packages/standins/fulmarward_standins/faults/_told.py
@@ -20,6 +20,8 @@
 class Told:
     """One piece of work and what its caller was told. Each work is unique."""
 
+    #: What kind of work it is, for people.
+    kind: str
     #: Digest of the prompt or body, as ledgers name it.
     work: str
     #: Whether it may be executed more than once.
@@ -36,3 +38,5 @@
     requests: list[str] = field(default_factory=list)
     #: Calls made.
     calls: int = 0
+    #: The idempotency key, empty for none.
+    key: str = ""
--- a/packages/standins/fulmarward_standins/faults/tests/test_check.py
+++ b/packages/standins/fulmarward_standins/faults/tests/test_check.py
@@ -20,7 +20,12 @@
 
 def _tell(ending, answer="", idempotent=False):
     return Told(
-        work="w", idempotent=idempotent, expected="abc", ending=ending, answer=answer
+        kind="x",
+        work="w",
+        idempotent=idempotent,
+        expected="abc",
+        ending=ending,
+        answer=answer,
     )
 
 
