Running chains move off leaving and slow stages with their KV cache

Cause: a leaving target had to wait for its longest chain, and a running chain stayed on a link that had degraded.

Change: every 32 tokens a chain looks whether a stage is on a leaving target, or three times dearer than another that holds its whole range. The cache is exported, which closes the old target for its steps, and imported at the new one or put back; a lost reply is asked about. The locator, the count of work in flight and the log follow. Engines take a cache of their own version only.

Ruled out: moving from a dead stage; the cache is gone with it, so that a new attempt begins. An id sent before a move names the old target: a caller with only that, whose instance dies before the next event, is told STREAM_LOST.

--- a/packages/core/fulmarward_core/chains/__init__.py
+++ b/packages/core/fulmarward_core/chains/__init__.py
@@ -2,6 +2,7 @@
 
 from fulmarward_core.chains._types import Chain, StageOffer, StepTimes
 from fulmarward_core.chains.decisions import (
+    choose_move,
     covers_layers,
     estimate_step_ms,
     find_chain,
@@ -14,6 +15,7 @@
     "Chain",
     "StageOffer",
     "StepTimes",
+    "choose_move",
     "covers_layers",
     "estimate_step_ms",
     "find_chain",
--- a/packages/core/fulmarward_core/chains/decisions.py
+++ b/packages/core/fulmarward_core/chains/decisions.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 
 from fulmarward_core.chains._types import Chain, ExtraTime, StageOffer, StepTimes
 from fulmarward_core.declaration import Link, Target
@@ -34,6 +34,11 @@
 #: alike targets the order changes, a target twice as dear is still left.
 JITTER = 0.2
 
+#: How many times dearer than another a stage must be before a running chain's cache
+#: moves off it. Load: many chains on a link that degrades; harm: caches go to and fro
+#: between alike targets; reason: far above the jitter and a passing queue.
+MOVE_FACTOR = 3.0
+
 
 def estimate_step_ms(
     target: Target, *, layers: int, data_centre: str, links: Iterable[Link]
@@ -165,11 +170,37 @@
     holding = [
         offer for offer in offers if offer.layers[0] <= first and end <= offer.layers[1]
     ]
-    return min(
-        holding,
-        key=lambda offer: offer.call_ms + offer.layer_ms * (end - first),
-        default=None,
-    )
+    return min(holding, key=lambda offer: _price_range(offer, layers), default=None)
+
+
+def _price_range(offer: StageOffer, layers: tuple[int, int]) -> float:
+    first, end = layers
+    return offer.call_ms + offer.layer_ms * (end - first)
+
+
+def choose_move(
+    offers: Sequence[StageOffer], stages: Sequence[Stage], *, leaving: Collection[str]
+) -> tuple[Stage, StageOffer] | None:
+    """Return a stage whose cache should move and the target to move it to, if any.
+
+    A stage on a leaving target moves to whatever target holds its range, so that the
+    target is free sooner; without one it ends where it is. A slow one moves when
+    another is far cheaper.
+    """
+    own = {offer.target: offer for offer in offers}
+    for stage in stages:
+        others = [offer for offer in offers if offer.target != stage.target]
+        found = find_replacement(others, layers=stage.layers)
+        if found is None:
+            continue
+        if stage.target in leaving:
+            return stage, found
+        if stage.target not in own:
+            continue
+        price = _price_range(own[stage.target], stage.layers)
+        if price > MOVE_FACTOR * _price_range(found, stage.layers):
+            return stage, found
+    return None
 
 
 def covers_layers(stages: Sequence[Stage], *, layers: int) -> bool:
--- a/packages/core/fulmarward_core/chains/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/chains/tests/test_decisions.py
@@ -7,6 +7,7 @@
 from fulmarward_core.chains import (
     StageOffer,
     StepTimes,
+    choose_move,
     covers_layers,
     estimate_step_ms,
     find_chain,
@@ -139,6 +140,27 @@
         chosen = {_choose(views, seed=seed)[0] for seed in range(40)}
         self.assertEqual(chosen, {"t0", "t1", "t2"})
 
+    def test_running_stage_moves_off_a_leaving_or_far_dearer_target(self):
+        # A target leaves, or its link degrades, under running chains. Their caches
+        # move to a target that holds the whole range; alike targets exchange none.
+        def offer(target, call_ms, layers=(0, 3)):
+            return StageOffer(
+                target=target, layers=layers, call_ms=call_ms, layer_ms=1.0
+            )
+
+        stages = [Stage(target="t1", layers=(0, 3)), Stage(target="t2", layers=(3, 6))]
+        cases = [
+            ([offer("t3", 5)], {"t1"}, "t3"),
+            ([offer("t3", 5, (0, 2))], {"t1"}, None),
+            ([offer("t1", 5), offer("t3", 2)], set(), None),
+            ([offer("t1", 90), offer("t3", 2)], set(), "t3"),
+            ([offer("t3", 2)], set(), None),
+        ]
+        for offers, leaving, expected in cases:
+            with self.subTest(offers=offers, leaving=leaving):
+                move = choose_move(offers, stages, leaving=leaving)
+                self.assertEqual(move and move[1].target, expected)
+
     @given(_draw_offers(), st.integers(0, 5), st.integers(1, 6))
     def test_replacement_holds_the_whole_range(self, offers, first, size):
         layers = (first, first + size)
--- a/packages/instance/fulmarward/requests/_chain.py
+++ b/packages/instance/fulmarward/requests/_chain.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from fulmarward._instance import Instance
 from fulmarward.answers import Answer
@@ -15,6 +15,7 @@
     StageLost,
     run_position,
 )
+from fulmarward.requests._move import find_address, move_stage
 from fulmarward.requests._progress import (
     DIFFERS,
     DIFFERS_DETAIL,
@@ -35,6 +36,7 @@
 from fulmarward_core.chains import (
     Chain,
     StageOffer,
+    choose_move,
     covers_layers,
     estimate_step_ms,
     find_chain,
@@ -53,6 +55,10 @@
 #: A position past any other: asks a stage for nothing, to claim the attempt only.
 LAST_STEP = 2**31
 
+#: Tokens between two looks whether a stage should move: at some milliseconds a token
+#: a leaving or slow target is noticed within a second, and a look costs all offers.
+MOVE_LOOK_TOKENS = 32
+
 
 @dataclass(kw_only=True)
 class ChainProgress(AttemptProgress):
@@ -62,6 +68,8 @@
     #: milliseconds since 1970. Guards against two drivers that both go on, of which
     #: the older would close what the newer drives: stages refuse the older.
     term: int = 0
+    #: The views that count this chain as work in flight.
+    held: list[TargetView] = field(default_factory=list)
 
 
 def list_stage_views(instance: Instance, work: Work) -> list[TargetView]:
@@ -198,7 +206,7 @@
     run = _make_run(instance, work, attempt, version)
     run.may_have_run = not is_new
     try:
-        with _hold_stages(instance, attempt.stages):
+        with _hold_stages(instance, attempt):
             lost = await _run_tokens(instance, work, answer, attempt, run, is_new)
     except asyncio.CancelledError:
         _close_later(instance, work, answer, attempt)
@@ -212,17 +220,26 @@
 
 
 @contextmanager
-def _hold_stages(instance: Instance, stages: tuple[Stage, ...]) -> Iterator[None]:
+def _hold_stages(instance: Instance, attempt: ChainProgress) -> Iterator[None]:
     """Count the chain as work in flight on each of its targets."""
-    views = [instance.views.get(stage.target) for stage in stages]
-    held = [view for view in views if view is not None]
-    for view in held:
-        view.in_flight += 1
+    _count_stages(instance, attempt)
     try:
         yield
     finally:
-        for view in held:
-            view.in_flight -= 1
+        _discount_stages(attempt)
+
+
+def _count_stages(instance: Instance, attempt: ChainProgress) -> None:
+    views = [instance.views.get(stage.target) for stage in attempt.stages]
+    attempt.held = [view for view in views if view is not None]
+    for view in attempt.held:
+        view.in_flight += 1
+
+
+def _discount_stages(attempt: ChainProgress) -> None:
+    for view in attempt.held:
+        view.in_flight -= 1
+    attempt.held = []
 
 
 async def _run_tokens(
@@ -239,6 +256,10 @@
         if done is not None and done.end:
             answer.finish(done.end)
             return None
+        if attempt.seen and attempt.seen % MOVE_LOOK_TOKENS == 0:
+            lost = await _consider_move(instance, work, attempt, run)
+            if lost is not None:
+                return lost
         value = done.output if done else None
         done = await run_position(run, attempt.seen, value)
         if isinstance(done, StepDone):
@@ -246,6 +267,43 @@
     return done
 
 
+async def _consider_move(
+    instance: Instance, work: Work, attempt: ChainProgress, run: ChainRun
+) -> StageLost | None:
+    """Move one stage's cache off a leaving or slow target, between two tokens."""
+    views = {view.name: view for view in list_stage_views(instance, work)}
+    leaving = {name for name, view in views.items() if view.leaving}
+    offers = _list_offers(instance, work, list(views.values()))
+    move = choose_move(offers, attempt.stages, leaving=leaving)
+    if move is None:
+        return None
+    stage, offer = move
+    moved = await move_stage(
+        instance, stage, offer.target, request=work.request, attempt=attempt.number
+    )
+    log_event(
+        "move_stage",
+        request=work.request,
+        attempt=attempt.number,
+        position=attempt.seen,
+        layers=stage.layers,
+        source=stage.target,
+        chosen=offer.target,
+        reason="leaving" if stage.target in leaving else "slow",
+        outcome=type(moved).__name__,
+    )
+    if moved is None:
+        return None
+    if isinstance(moved, StreamBroken):
+        return _make_lost(run, stage, moved.detail)
+    stages = tuple(moved if item == stage else item for item in run.stages)
+    run.stages = attempt.stages = stages
+    attempt.is_located = False
+    _discount_stages(attempt)
+    _count_stages(instance, attempt)
+    return None
+
+
 async def _read_tokens(
     instance: Instance,
     work: Work,
@@ -321,16 +379,11 @@
     return run
 
 
-def _find_address(instance: Instance, stage: Stage) -> str | None:
-    target = instance.snapshot.declaration.targets.get(stage.target)
-    return target.address if target else None
-
-
 def _make_calls(instance: Instance, work: Work, attempt: ChainProgress) -> StageCalls:
     async def run(
         stage: Stage, order: StepOrder
     ) -> StepDone | StepRefused | StreamBroken:
-        address = _find_address(instance, stage)
+        address = find_address(instance, stage)
         if address is None:
             return StepRefused(error="declared no more")
         began = instance.read_clock()
@@ -342,7 +395,7 @@
     async def read(
         stage: Stage, after: int
     ) -> tuple[StepDone, ...] | StreamUnknown | StreamBroken:
-        address = _find_address(instance, stage)
+        address = find_address(instance, stage)
         if address is None:
             return StreamUnknown()
         return await read_steps(
@@ -387,7 +440,7 @@
     A stage that a newer driver has claimed says `driven` and goes on.
     """
     addresses = {
-        _find_address(instance, stage) for stage in attempt.stages if stage not in kept
+        find_address(instance, stage) for stage in attempt.stages if stage not in kept
     }
     closing = [
         close_steps(
--- a/packages/instance/fulmarward/requests/tests/test_chains.py
+++ b/packages/instance/fulmarward/requests/tests/test_chains.py
@@ -51,6 +51,7 @@
     async def test_chain_outlives_lost_replies_instances_and_stages(self):
         async with start_fleet(_plan()) as fleet:
             await self._check_lost_replies(fleet)
+            await self._check_leaving_stage(fleet)
             await self._check_killed_stage(fleet)
             await self._check_frozen_instance(fleet)
             await self._check_killed_instance(fleet)
@@ -72,6 +73,23 @@
         ran = await self._check(fleet, stream, stream.texts, prompt, 20)
         self.assertEqual(set(ran), {1})
 
+    async def _check_leaving_stage(self, fleet):
+        # The last stage's target leaves in the middle of an answer. Its KV cache moves
+        # to another target of the range, one reply of the import being lost; the same
+        # attempt goes on there, and no layer runs twice.
+        prompt = "sunrise [300 tokens]"
+        async with open_stream(fleet, "i1", prompt, pipeline="chain") as stream:
+            await stream.read(10)
+            ran = _ran(await fleet.read_ledgers_by_target(), stream.request)[1]
+            leaving, other = ("c3", "d3") if "c3" in ran else ("d3", "c3")
+            await fleet.control_target(other, lose_replies=1, lose_matching="/v1/kv")
+            await fleet.control_target(leaving, leaving=True)
+            await stream.read()
+        ran = await self._check(fleet, stream, stream.texts, prompt, 300)
+        self.assertEqual(set(ran), {1})
+        self.assertLessEqual({leaving, other}, ran[1])
+        await fleet.control_target(leaving, leaving=False)
+
     async def _check_killed_stage(self, fleet):
         # A stage dies in the middle of an answer and its cache with it. The attempt
         # is closed on the other stages, a new one runs elsewhere, and what the caller
--- a/packages/standins/fulmarward_standins/engine/_app.py
+++ b/packages/standins/fulmarward_standins/engine/_app.py
@@ -238,7 +238,9 @@
     body = await request.json()
     if cache is not None:
         return _refuse("exists", 409)
-    if not first <= body["first_layer"] < body["end_layer"] <= end:
+    is_held = first <= body["first_layer"] < body["end_layer"] <= end
+    is_other = body["version"] not in ("", request.app[_HELD]["version"])
+    if not is_held or is_other:
         return _refuse("not_loaded")
     if request.app[SWITCHES].get("leaving"):
         return _refuse("leaving")
--- a/packages/standins/fulmarward_standins/engine/_steps.py
+++ b/packages/standins/fulmarward_standins/engine/_steps.py
@@ -26,6 +26,8 @@
     #: The prompt and the most tokens; empty in ranges between the first and the last.
     prompt: str = ""
     most: int = 0
+    #: Version of the model that its steps ran, as far as they said.
+    version: str = ""
     #: What each step gave, by position, kept for lost replies.
     outputs: list[int] = field(default_factory=list)
 
@@ -101,6 +103,7 @@
         end_layer=step["last_layer"] + 1,
         prompt=step.get("prompt") or "",
         most=step.get("max_tokens") or 0,
+        version=step.get("version") or "",
     )
     state.caches[key] = cache
     if len(state.caches) > KEPT_CACHES:
