--- a/packages/instance/fulmarward/callers/_completions.py
+++ b/packages/instance/fulmarward/callers/_completions.py
@@ -89,12 +89,18 @@
         pipeline=work.pipeline_name,
     )
     answer.readers += 1
+    is_sent = False
     try:
         if body.stream:
-            return await send_stream(request, head, answer, body.include_usage, after)
-        return await send_whole(head, answer)
+            response = await send_stream(
+                request, head, answer, body.include_usage, after
+            )
+        else:
+            response = await send_whole(head, answer)
+        is_sent = True
+        return response
     finally:
-        release_answer(instance, answer)
+        release_answer(instance, answer, is_sent=is_sent)
         _note_end(instance, work, answer)
 
 
