--- a/packages/core/fulmarward_core/health/_summaries.py
+++ b/packages/core/fulmarward_core/health/_summaries.py
@@ -14,7 +14,7 @@
 MOST_AHEAD = 600
 
 #: Summaries in one message. Load: 4 pools in 19 data centres; harm: more bytes than
-#: the share of summaries in 4 KB/s; reason: 16 of 40 bytes each two seconds.
+#: the share of summaries in 4 KB/s; reason: 16 of some 60 bytes each three seconds.
 MOST_SUMMARIES = 16
 
 
--- a/packages/core/fulmarward_core/health/decisions.py
+++ b/packages/core/fulmarward_core/health/decisions.py
@@ -31,17 +31,18 @@
 FOLLOWERS = 4
 
 #: Targets of each pool and range of layers that an instance follows at least.
-#: Harm: a choice of one is no choice; reason: draws among eight avoid a loaded one.
-NEAR_PER_RANGE = 8
+#: Harm: a choice of one is no choice; reason: draws among four avoid a loaded one, and
+#: the targets that chose the instance come besides.
+NEAR_PER_RANGE = 4
 
 #: Targets of each pool and range followed in other data centres. Load: the loss of a
 #: data centre; harm: nowhere to shift to before new reports came in; reason: a few are
 #: known beforehand.
-FAR_PER_RANGE = 4
+FAR_PER_RANGE = 2
 
 #: Most targets that one instance follows. Load: 4,100 targets; harm: reports older
 #: than the load they tell of, at the bytes a second an instance may use; reason: 128
-#: reports of 400 bytes at REPORT_BYTES_PER_S come round in half a minute.
+#: reports of REPORT_BYTES at REPORT_BYTES_PER_S come round in 45 s.
 MOST_FOLLOWED = 128
 
 #: Targets up to which an instance follows all of them: today's deployments.
@@ -50,17 +51,21 @@
 #: Bytes a second for load reports, and for cache events. Load: 4 KB/s for all control
 #: of an instance; harm: the links of small instances; reason: the rest is left to
 #: heartbeats, configuration and summaries.
-REPORT_BYTES_PER_S = 1_600.0
-EVENT_BYTES_PER_S = 600.0
+REPORT_BYTES_PER_S = 1_200.0
+EVENT_BYTES_PER_S = 400.0
 
 #: Bytes of one load report, and of an empty list of cache events, with the question
 #: and all headers, as `scripts/bench health` measures.
-REPORT_BYTES = 560
-EVENT_BYTES = 380
+REPORT_BYTES = 420
+EVENT_BYTES = 260
 
 #: Seconds between two reports of one target when bytes allow.
 REPORT_EVERY_S = 1.0
 
+#: The same for a target on which this instance has no request. Harm: bytes for targets
+#: out of use make the reports of those in use old; reason: others report on them too.
+IDLE_REPORT_EVERY_S = 3.0
+
 #: Part of an interval by which reads are moved at random, so that instances which
 #: started together do not ask a target together.
 JITTER = 0.2
@@ -290,6 +295,7 @@
     pacer.free_from += size / pacer.bytes_per_s
 
 
-def draw_interval(generator: random.Random) -> float:
+def draw_interval(generator: random.Random, *, is_used: bool) -> float:
     """Return the seconds until the next report of one target, as bytes allow."""
-    return REPORT_EVERY_S * generator.uniform(1 - JITTER, 1 + JITTER)
+    seconds = REPORT_EVERY_S if is_used else IDLE_REPORT_EVERY_S
+    return seconds * generator.uniform(1 - JITTER, 1 + JITTER)
--- a/packages/instance/fulmarward/health/_gossip.py
+++ b/packages/instance/fulmarward/health/_gossip.py
@@ -23,7 +23,7 @@
 
 #: Seconds between two rounds. Load: 330 instances with 9 neighbours each; harm: bytes
 #: of the 4 KB/s; reason: news does not wait for a round.
-ROUND_S = 2.0
+ROUND_S = 3.0
 
 #: Seconds that a peer has to answer.
 ANSWER_S = 2.0
--- a/packages/instance/fulmarward/health/_summaries.py
+++ b/packages/instance/fulmarward/health/_summaries.py
@@ -18,7 +18,7 @@
 
 #: Seconds between two summaries of one pool. Load: 76 pools and data centres; harm:
 #: bytes of the 4 KB/s; reason: shifting between data centres takes longer than this.
-SUMMARY_S = 10.0
+SUMMARY_S = 15.0
 
 
 def _read_wall_tenths(instance: Instance) -> int:
--- a/packages/instance/fulmarward/targets/_engine.py
+++ b/packages/instance/fulmarward/targets/_engine.py
@@ -20,6 +20,9 @@
 #: frozen engine holds its callers for ever; reason: far above any token interval.
 SILENCE_S = 5.0
 
+#: Headers that a read does without: a fifth of its bytes.
+_NEEDLESS_HEADERS = ("Accept", "Accept-Encoding", "User-Agent")
+
 #: Seconds for a short call to an engine.
 SHORT_CALL_S = 2.0
 
@@ -255,7 +258,11 @@
     """Return the engine's load report and what else it says of itself."""
     timeout = aiohttp.ClientTimeout(total=SHORT_CALL_S)
     try:
-        async with session.get(f"http://{address}/v1/load", timeout=timeout) as answer:
+        async with session.get(
+            f"http://{address}/v1/load",
+            timeout=timeout,
+            skip_auto_headers=_NEEDLESS_HEADERS,
+        ) as answer:
             text = await answer.read()
         body = orjson.loads(text)
         load = LoadReport(
@@ -295,7 +302,10 @@
     url = f"http://{address}/v1/cache-events"
     try:
         async with session.get(
-            url, params={"after": str(after)}, timeout=timeout
+            url,
+            params={"after": str(after)},
+            timeout=timeout,
+            skip_auto_headers=_NEEDLESS_HEADERS,
         ) as answer:
             text = await answer.read()
         events = tuple(
--- a/packages/instance/fulmarward/targets/_watch.py
+++ b/packages/instance/fulmarward/targets/_watch.py
@@ -32,9 +32,9 @@
 #: choice among 4,100 targets; reason: a look costs nothing when nobody came or went.
 CHOOSE_EVERY_S = 5.0
 
-#: Bytes of one question to an engine, headers included, as `scripts/bench health`
-#: measures.
-REQUEST_BYTES = 150
+#: Bytes of one question to an engine and of its answer's first line, as
+#: `scripts/bench health` measures.
+REQUEST_BYTES = 80
 
 
 def _list_instances(instance: Instance) -> dict[str, str]:
@@ -115,13 +115,15 @@
 async def _watch_load(instance: Instance, view: TargetView, pacer: Pacer) -> None:
     while _is_followed(instance, view):
         await _read_report(instance, view, pacer)
-        await asyncio.sleep(draw_interval(instance.generator))
+        is_used = view.in_flight > 0
+        await asyncio.sleep(draw_interval(instance.generator, is_used=is_used))
 
 
 async def _watch_cache(instance: Instance, view: TargetView, pacer: Pacer) -> None:
     while _is_followed(instance, view):
         await _read_events(instance, view, pacer)
-        await asyncio.sleep(draw_interval(instance.generator))
+        is_used = view.in_flight > 0
+        await asyncio.sleep(draw_interval(instance.generator, is_used=is_used))
 
 
 async def _watch_target(
