--- a/packages/instance/fulmarward/requests/_execute.py
+++ b/packages/instance/fulmarward/requests/_execute.py
@@ -88,13 +88,14 @@
     """Run an attempt on a target with the whole model, else on a chain."""
     choice = choose_route(instance, work, attempt)
     if choice is None:
-        chain = choose_chain(instance, work, attempt)
-        if chain is None:
+        chosen = choose_chain(instance, work, attempt)
+        if chosen is None:
             return make_failure(ResultCode.NO_TARGET, retry_after_ms=RETRY_AFTER_MS)
+        chain, version = chosen
         refusal = await confirm(attempt, instance.views[chain.stages[0].target])
         if refusal is not None:
             return refusal
-        return await run_chain(instance, work, answer, attempt, chain)
+        return await run_chain(instance, work, answer, attempt, chain, version)
     view = choice.chosen
     refusal = await confirm(attempt, view)
     if refusal is not None:
--- a/packages/instance/fulmarward/targets/__init__.py
+++ b/packages/instance/fulmarward/targets/__init__.py
@@ -68,7 +68,7 @@
     "read_load",
     "read_steps",
     "resume_stream",
-    "send_order",
     "run_step",
+    "send_order",
     "update_views",
 ]
