Calls of plain services run at most once

Cause: a call whose reply was lost could be repeated elsewhere and run twice, and its answer was lost with its instance. Found on the way: the HTTP library itself sends a PUT, DELETE or GET again when the connection is lost; a PUT with a lost reply ran twice in one attempt.

Ruled out: small letters for the method (the library writes them large first; tried, still two runs).

A middleware of the client ends a call whose connection is lost. Paths with dot segments are refused: they fit one rule and execute another. Invented keys on idempotent work are kept by the one instance.

A key that a caller invents for work that may run once is refused until claims stand.

--- a/packages/core/fulmarward_core/keys/decisions.py
+++ b/packages/core/fulmarward_core/keys/decisions.py
@@ -120,6 +120,11 @@
     _forget_answers(table.kept, table.entries, table.latest)
 
 
+def forget_key(table: KeyTable, key: str) -> None:
+    """Drop a key whose request may run again: it failed and is idempotent."""
+    table.entries.pop(key, None)
+
+
 def _keep_answer(kept: KeptAnswers, key: str, size: int, drop_at: float) -> None:
     kept.items.append((key, drop_at, size))
     kept.bytes += size
--- a/packages/instance/fulmarward/_daemon.py
+++ b/packages/instance/fulmarward/_daemon.py
@@ -35,6 +35,7 @@
     answer_record,
     answer_take,
     forward_answer,
+    forward_call,
 )
 from fulmarward.membership import (
     announce_leaving,
@@ -56,6 +57,7 @@
     AskHead,
     AskMembers,
     AskProbe,
+    ForwardCall,
     ForwardCompletion,
     HealthNews,
     LeavingNews,
@@ -164,6 +166,7 @@
         LeavingSync: answer_leaving_sync,
         HealthNews: answer_health,
         ForwardCompletion: forward_answer,
+        ForwardCall: forward_call,
         RecordAttempt: answer_record,
         TakeKey: answer_take,
         NoteKey: answer_note,
--- a/packages/instance/fulmarward/callers/_open.py
+++ b/packages/instance/fulmarward/callers/_open.py
@@ -7,11 +7,11 @@
 
 from fulmarward._instance import Instance
 from fulmarward.answers import Answer
-from fulmarward.callers._headers import KEY_HEADER, refuse_header
+from fulmarward.callers._headers import HANDED_KEY, KEY_HEADER, refuse_header
 from fulmarward.callers._keys import read_call_key
-from fulmarward.keys import hash_body, is_home, open_at_home, open_relayed
+from fulmarward.keys import hash_body, hold_here, is_home, open_at_home, open_relayed
 from fulmarward.requests import Work, run_completion
-from fulmarward_core.keys import HandedKey
+from fulmarward_core.keys import InventedKey
 
 
 async def open_answer(instance: Instance, request: web.Request, work: Work) -> Answer:
@@ -21,15 +21,18 @@
     once; a key marks a request as not idempotent.
     """
     key = read_call_key(instance, request, work.team, idempotent=work.idempotent)
-    if isinstance(key, HandedKey):
-        body_hash = hash_body("completion", request.path, await request.read())
-        work = replace(work, idempotent=False)
-        if is_home(instance, key):
-            return open_at_home(instance, work, key, body_hash)
-        return await open_relayed(instance, work, key, body_hash)
-    if key is not None and not work.idempotent:
-        raise refuse_header(KEY_HEADER, "a key with a prefix from /discovery", key.text)
-    return _start(instance, work)
+    if key is None:
+        return _start(instance, work)
+    body_hash = hash_body("completion", request.path, await request.read())
+    if isinstance(key, InventedKey):
+        if not work.idempotent:
+            raise refuse_header(KEY_HEADER, HANDED_KEY, key.text)
+        key = hold_here(instance, work.team, key)
+        return open_at_home(instance, work, key, body_hash)
+    work = replace(work, idempotent=False)
+    if is_home(instance, key):
+        return open_at_home(instance, work, key, body_hash)
+    return await open_relayed(instance, work, key, body_hash)
 
 
 def _start(instance: Instance, work: Work) -> Answer:
--- a/packages/instance/fulmarward/callers/_services.py
+++ b/packages/instance/fulmarward/callers/_services.py
@@ -1,25 +1,27 @@
 """Plain services: `/services/NAME/...` passes a call through."""
 
+from dataclasses import replace
+
 from aiohttp import web
 
 from fulmarward._instance import Instance
 from fulmarward.callers._authenticate import authenticate_team
 from fulmarward.callers._bodies import read_body
-from fulmarward.callers._completions import make_request_id
-from fulmarward.callers._errors import CallerError
-from fulmarward.observability import log_event
-from fulmarward.targets import (
-    ServiceAnswer,
-    ServiceOrder,
-    ServiceRefused,
-    call_service,
+from fulmarward.callers._errors import CallerError, make_failure_response
+from fulmarward.callers._headers import (
+    HANDED_KEY,
+    KEY_HEADER,
+    read_deadline_ms,
+    refuse_header,
 )
-from fulmarward_core.declaration import Service, TargetKind
+from fulmarward.callers._keys import read_call_key
+from fulmarward.keys import execute_call, hash_body, hold_here, make_call_end
+from fulmarward.observability import log_event
+from fulmarward.peers import CallEnd
+from fulmarward.requests import Call, hold_call, make_request_id, run_call
+from fulmarward_core.declaration import Service
+from fulmarward_core.keys import HandedKey
 from fulmarward_core.results import ResultCode, make_failure
-from fulmarward_core.routing import choose_target
-
-#: When a caller may come back after a refusal, in milliseconds.
-RETRY_AFTER_MS = 1_000
 
 
 def _find_service(instance: Instance, team: str, name: str) -> Service:
@@ -33,64 +35,88 @@
     return service
 
 
-async def _pass_through(instance: Instance, request: web.Request) -> web.Response:
-    team = authenticate_team(instance, request)
+def _is_idempotent(service: Service, method: str, path: str) -> bool:
+    """Return what the first rule that fits says; without one it may not run twice."""
+    for rule in service.calls:
+        if rule.method == method and _fits(rule.path, path):
+            return rule.idempotent
+    return False
+
+
+def _fits(pattern: str, path: str) -> bool:
+    if pattern.endswith("*"):
+        return path.startswith(pattern[:-1])
+    return path == pattern
+
+
+def _read_path(request: web.Request) -> str:
+    """Return the path below the service; raises `CallerError`.
+
+    Guards against a path that names another one (`/free/../moves`): it would fit the
+    rule of the first, and the service would execute the second, twice.
+    """
+    path = "/" + request.match_info["path"]
+    if {".", ".."} & set(path.split("/")):
+        raise CallerError(failure=make_failure(ResultCode.PATH_UNKNOWN))
+    return path
+
+
+async def _make_call(instance: Instance, request: web.Request, team: str) -> Call:
     name = request.match_info["name"]
     service = _find_service(instance, team, name)
-    body = await read_body(instance, request)
-    request_id = make_request_id()
-    choice = choose_target(
-        candidates=[
-            view
-            for view in instance.views.values()
-            if view.target.kind is TargetKind.SERVICE and view.target.serves == name
-        ],
-        data_centre=instance.settings.data_centre,
-        now=instance.read_clock(),
-        generator=instance.generator,
-    )
-    log_event(
-        "route",
-        request=request_id,
+    path = _read_path(request)
+    deadline_ms = read_deadline_ms(request, default=service.deadline_ms)
+    return Call(
+        request=make_request_id(),
         team=team,
         service=name,
-        chosen=choice.chosen.name if choice else None,
-        runner_up=choice.runner_up if choice else None,
-        reason=choice.reason if choice else "no_open_target",
-    )
-    if choice is None:
-        failure = make_failure(ResultCode.NO_TARGET, retry_after_ms=RETRY_AFTER_MS)
-        raise CallerError(failure=failure)
-    order = ServiceOrder(
         method=request.method,
-        path="/" + request.match_info["path"],
-        query=request.query_string,
-        body=body,
+        path=path,
+        query=request.rel_url.raw_query_string,
+        body=await read_body(instance, request),
         content_type=request.headers.get("Content-Type", ""),
-        request=request_id,
-        attempt=1,
-        team=team,
+        idempotent=_is_idempotent(service, request.method, path),
+        deadline=instance.read_clock() + deadline_ms / 1000,
     )
-    outcome = await call_service(
-        instance.session,
-        choice.chosen.target.address,
-        order,
-        connect_s=instance.settings.limits.connect_ms / 1000,
-        timeout_s=service.deadline_ms / 1000,
+
+
+async def _execute(instance: Instance, request: web.Request, call: Call) -> CallEnd:
+    """Execute a call; a key marks it as one that may not run twice."""
+    key = read_call_key(instance, request, call.team, idempotent=call.idempotent)
+    if key is None:
+        outcome = await run_call(instance, call)
+        return make_call_end(call.request, outcome)
+    body_hash = hash_body(
+        "call", call.service, call.method, call.path, call.query, call.body
     )
-    if isinstance(outcome, ServiceAnswer):
-        return web.Response(
-            status=outcome.status,
-            body=outcome.body,
-            content_type=outcome.content_type,
-            headers={"X-Request-Id": request_id},
-        )
-    code = (
-        ResultCode.TARGET_REFUSED
-        if isinstance(outcome, ServiceRefused)
-        else ResultCode.OUTCOME_UNKNOWN
+    if isinstance(key, HandedKey):
+        call = replace(call, idempotent=False)
+    elif call.idempotent:
+        key = hold_here(instance, call.team, key)
+    else:
+        raise refuse_header(KEY_HEADER, HANDED_KEY, key.text)
+    return await execute_call(instance, call, key, body_hash)
+
+
+async def _pass_through(instance: Instance, request: web.Request) -> web.Response:
+    team = authenticate_team(instance, request)
+    call = await _make_call(instance, request, team)
+    with hold_call(instance, call.request, team):
+        end = await _execute(instance, request, call)
+    code = end.failure.code if end.failure else ResultCode.OK
+    instance.metrics.requests.inc({"kind": "service", "result": str(code.value)})
+    log_event("call_end", request=end.request, team=team, result=code.value)
+    headers = {"X-Request-Id": end.request}
+    if end.failure is not None:
+        response = make_failure_response(end.failure)
+        response.headers.update(headers)
+        return response
+    return web.Response(
+        status=end.result.status,
+        body=end.result.body,
+        content_type=end.result.content_type,
+        headers=headers,
     )
-    raise CallerError(failure=make_failure(code, outcome.detail))
 
 
 def make_service_routes(instance: Instance) -> list[web.RouteDef]:
--- a/packages/instance/fulmarward/keys/__init__.py
+++ b/packages/instance/fulmarward/keys/__init__.py
@@ -1,8 +1,10 @@
 """Executing at most once what carries an idempotency key."""
 
+from fulmarward.keys._calls import execute_call, forward_call, make_call_end
 from fulmarward.keys._home import open_at_home
 from fulmarward.keys._prefixes import (
     hash_body,
+    hold_here,
     is_home,
     mint_key,
     mint_prefix,
@@ -15,9 +17,13 @@
     "answer_note",
     "answer_record",
     "answer_take",
+    "execute_call",
     "forward_answer",
+    "forward_call",
     "hash_body",
+    "hold_here",
     "is_home",
+    "make_call_end",
     "mint_key",
     "mint_prefix",
     "open_at_home",
--- a/packages/instance/fulmarward/keys/_home.py
+++ b/packages/instance/fulmarward/keys/_home.py
@@ -16,6 +16,7 @@
     RecordVerdict,
     claim_key,
     end_key,
+    forget_key,
 )
 from fulmarward_core.results import Failure, ResultCode, make_failure
 from fulmarward_core.routing import TargetView
@@ -151,6 +152,8 @@
     if refusal is not None:
         answer.fail(refusal)
         _end(instance, key, answer)
+        if work.idempotent:
+            forget_key(instance.key_table, key.text)
         return answer
     instance.answers[work.request] = answer
     running = _run(instance, work, answer, key, body_hash)
@@ -193,6 +196,8 @@
         if not answer.is_over:
             answer.fail(make_failure(ResultCode.OUTCOME_UNKNOWN))
         _end(instance, key, answer)
+        if answer.failure is not None and work.idempotent:
+            forget_key(instance.key_table, key.text)
         watching.cancel()
         if not answer.readers:
             instance.answers.pop(work.request, None)
--- a/packages/instance/fulmarward/keys/_prefixes.py
+++ b/packages/instance/fulmarward/keys/_prefixes.py
@@ -71,6 +71,20 @@
     return open_key(text, team=team, secrets=secrets)
 
 
+def hold_here(instance: Instance, team: str, key: InventedKey) -> HandedKey:
+    """Return an invented key of an idempotent request as one that is kept here only.
+
+    A repeat at this instance gets the same answer; one elsewhere runs again.
+    """
+    lifetime_s = instance.settings.limits.key_ms / 1000
+    prefix = KeyPrefix(
+        home=_identify(instance.member),
+        witness=None,
+        expires_at=instance.read_wall_clock() + lifetime_s,
+    )
+    return HandedKey(text=f"{team} {key.text}", prefix=prefix)
+
+
 def hash_body(*parts: str | bytes) -> str:
     """Return the hash by which a key's repeats are known to be the same call."""
     digest = hashlib.sha256()
--- a/packages/instance/fulmarward/keys/tests/test_processes.py
+++ b/packages/instance/fulmarward/keys/tests/test_processes.py
@@ -1,12 +1,9 @@
 import asyncio
-import hashlib
-import hmac
 import signal
 import unittest
 
-from fulmarward_core.keys import open_key
+from fulmarward.keys.tests.callers import get_key
 from fulmarward_standins.harness import (
-    PEER_SECRET,
     make_team_key,
     read_stream,
     start_fleet,
@@ -17,23 +14,6 @@
 _BODY = {"model": "rewrite", "prompt": "unit move [12 tokens]"}
 
 
-def _open_prefix(prefix, team="folha"):
-    secret = hmac.new(
-        PEER_SECRET.encode(), b"idempotency-keys", hashlib.sha256
-    ).digest()
-    return open_key(f"{prefix}.a", team=team, secrets=[secret]).prefix
-
-
-async def _get_key(fleet, home, witness, suffix):
-    """Ask `home` for prefixes until one names `witness`."""
-
-    async def ask():
-        prefix = (await fleet.call(home, "/discovery")).body["idempotency_key_prefix"]
-        return prefix if _open_prefix(prefix).witness.name == witness else None
-
-    return f"{await wait_until(ask, f'a prefix of {home} and {witness}')}.{suffix}"
-
-
 async def _call(fleet, instance, key, body=_BODY, **options):
     headers = {"Idempotency-Key": key}
     return await fleet.call(instance, _PATH, body, headers=headers, **options)
@@ -77,7 +57,7 @@
         # is out all the while.
         async with start_fleet() as fleet:
             await fleet.control_platform(outage=True)
-            key = await _get_key(fleet, "i1", "i2", "twice")
+            key = await get_key(fleet, "i1", "i2", "twice")
             results = await asyncio.gather(
                 *(_call(fleet, name, key) for name in ("i1", "i2", "i3", "i2"))
             )
@@ -95,7 +75,7 @@
     async def check_home_killed(self, fleet):
         for target in ("e1", "e2"):
             await fleet.control_target(target, token_ms=40)
-        key = await _get_key(fleet, "i1", "i2", "killed")
+        key = await get_key(fleet, "i1", "i2", "killed")
         direct, relayed = _Reader(fleet, "i1", key), _Reader(fleet, "i3", key)
         await asyncio.gather(direct.has_begun.wait(), relayed.has_begun.wait())
         await fleet.processes["i1"].kill()
@@ -114,7 +94,7 @@
         # key, and the home went on where it stood when it woke.
         async with start_fleet() as fleet:
             await fleet.control_platform(outage=True)
-            key = await _get_key(fleet, "i1", "i2", "paused")
+            key = await get_key(fleet, "i1", "i2", "paused")
             fleet.processes["i1"].send(signal.SIGSTOP)
             told = await _call(fleet, "i3", key)
             self.check_result(told, 2008, "not_run")
@@ -139,8 +119,8 @@
         # before it acknowledged, and the home dispatched or kept silent about it.
         async with start_fleet() as fleet:
             await fleet.control_platform(outage=True)
-            key = await _get_key(fleet, "i1", "i2", "unwitnessed")
-            known = await _get_key(fleet, "i1", "i2", "known")
+            key = await get_key(fleet, "i1", "i2", "unwitnessed")
+            known = await get_key(fleet, "i1", "i2", "known")
             self.assertEqual((await _call(fleet, "i3", known)).status, 200)
             await fleet.processes["i2"].kill()
             for _ in range(2):
--- a/packages/instance/fulmarward/requests/_execute.py
+++ b/packages/instance/fulmarward/requests/_execute.py
@@ -26,7 +26,7 @@
 Confirm = Callable[[int, TargetView], Awaitable[Failure | None]]
 
 
-async def _confirm_always(attempt: int, view: TargetView) -> None:
+async def confirm_always(attempt: int, view: TargetView) -> None:
     """Say yes, for a request that may run more than once."""
 
 
@@ -34,7 +34,7 @@
     instance: Instance,
     work: Work,
     answer: Answer,
-    confirm: Confirm = _confirm_always,
+    confirm: Confirm = confirm_always,
 ) -> None:
     """Execute a completion and write its answer; always ends the answer.
 
@@ -68,7 +68,7 @@
     work: Work,
     answer: Answer,
     first_attempt: int,
-    confirm: Confirm = _confirm_always,
+    confirm: Confirm = confirm_always,
 ) -> Failure | None:
     """Run attempts until one ends well or none may follow."""
     failure = None
--- a/packages/instance/fulmarward/targets/_service.py
+++ b/packages/instance/fulmarward/targets/_service.py
@@ -49,6 +49,27 @@
     detail: str
 
 
+class _ConnectionLost(Exception):
+    """The connection was lost after the call may have been sent."""
+
+
+async def _send_once(
+    request: aiohttp.ClientRequest, send: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Have a lost connection end the call.
+
+    Guards against the library itself, which sends a GET, PUT or DELETE again when the
+    connection is lost, as if any of them could run twice. It shows as two runs of one
+    attempt. The library repeats for errors of its own only, and this is none.
+    """
+    try:
+        return await send(request)
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise _ConnectionLost(type(error).__name__) from error
+
+
 async def call_service(
     session: aiohttp.ClientSession,
     address: str,
@@ -80,12 +101,13 @@
             headers=headers,
             timeout=timeout,
             allow_redirects=False,
+            middlewares=[_send_once],
         ) as response:
             body = await response.read()
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
         return ServiceRefused(detail=type(error).__name__)
-    except (aiohttp.ClientError, TimeoutError) as error:
-        return ServiceUncertain(detail=type(error).__name__)
+    except (_ConnectionLost, aiohttp.ClientError, TimeoutError) as error:
+        return ServiceUncertain(detail=str(error) or type(error).__name__)
     if response.headers.get("X-Not-Run") == "1":
         return ServiceRefused(detail="the service refused the call")
     return ServiceAnswer(
