--- a/packages/instance/fulmarward/_daemon.py
+++ b/packages/instance/fulmarward/_daemon.py
@@ -36,6 +36,7 @@
     answer_record,
     answer_take,
     forward_answer,
+    forward_call,
 )
 from fulmarward.membership import (
     announce_leaving,
@@ -59,6 +60,7 @@
     AskMembers,
     AskOutcomes,
     AskProbe,
+    ForwardCall,
     ForwardCompletion,
     HealthNews,
     LeavingNews,
@@ -177,6 +179,7 @@
         AskOutcomes: answer_outcomes,
         AskInFlight: answer_in_flight,
         ForwardCompletion: forward_answer,
+        ForwardCall: forward_call,
         RecordAttempt: answer_record,
         TakeKey: answer_take,
         NoteKey: answer_note,
