Admission and the retry budget as pure decisions

Cause: requests were taken without a look at shares, deadlines or what waits.

Change: buckets of tokens split by demand, a two-level fair queue (teams by share, urgencies inside a team; sold work before lent), estimates against the deadline with a time to come back, and a retry budget of a tenth. Pure; not wired yet.

Ruled out: one flow for each (team, urgency) with the product of both weights: a team that calls all its work urgent would get sixteen times the lent capacity.

--- /dev/null
+++ b/packages/core/fulmarward_core/admission/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Shares, order and estimates of admission; all pure."""
--- /dev/null
+++ b/packages/core/fulmarward_core/admission/tests/test_buckets.py
@@ -0,0 +1,55 @@
+import unittest
+
+from hypothesis import given, strategies as st
+
+from fulmarward_core.admission import (
+    make_bucket,
+    promise_tokens,
+    settle_tokens,
+    split_share,
+    take_tokens,
+)
+
+_STEPS = st.lists(
+    st.tuples(st.floats(0, 5), st.integers(1, 400), st.integers(0, 400)), max_size=60
+)
+
+
+class BucketTest(unittest.TestCase):
+    @given(_STEPS)
+    def test_no_more_is_used_than_came_in(self, steps):
+        bucket = make_bucket(rate=100.0, depth=500.0, now=0.0)
+        now = used = overdraft = 0.0
+        for pause, reserved, really in steps:
+            now += pause
+            if take_tokens(bucket, reserved, now=now):
+                settle_tokens(bucket, reserved=reserved, used=really, now=now)
+                used += really
+                overdraft = max(overdraft, really)
+            self.assertLessEqual(used, 500 + 100 * now + overdraft + 1e-6)
+            self.assertLessEqual(bucket.level, bucket.depth)
+
+    @given(st.lists(st.floats(0, 1000), min_size=1, max_size=12))
+    def test_parts_of_a_share_add_up_to_the_share(self, demands):
+        parts = [
+            split_share(
+                own=own,
+                others={str(i): d for i, d in enumerate(demands) if i != place},
+                members=len(demands),
+            )
+            for place, own in enumerate(demands)
+        ]
+        self.assertAlmostEqual(sum(parts), 1.0, places=6)
+
+    @given(st.integers(1, 20), st.integers(1, 12))
+    def test_a_silent_member_keeps_its_part(self, own, members):
+        part = split_share(own=own, others={}, members=members)
+        self.assertAlmostEqual(part, 1 / members)
+
+    @given(st.lists(st.integers(1, 100), min_size=1, max_size=30))
+    def test_callers_that_come_back_when_told_are_let_in(self, sizes):
+        bucket = make_bucket(rate=50.0, depth=100.0, now=0.0)
+        take_tokens(bucket, 100, now=0.0)
+        told = [(promise_tokens(bucket, size, now=0.0), size) for size in sizes]
+        for after_s, size in sorted(told):
+            self.assertTrue(take_tokens(bucket, size, now=after_s + 1e-6))
