Choice of target by expected time, with limits measured here

Cause: the choice counted requests, trusted reports and knew no limit, so a target that lies, fails fast or crawls drew work, and a long prompt weighed as a short one.

Change: a limit for each target from the measured wait to the first token, the score in expected seconds, cached prefixes only below a bounded imbalance, targets set aside by comparison with peers, probed and trusted again; at least half of a pool stays open.

Seen first: with cache affinity applied to random draws as well, the target that held the shared prefix got 16 of 60 requests in a pool of 6 (bound 14.5); the imbalance bound now holds for the score too.

--- /dev/null
+++ b/packages/core/fulmarward_core/health/__init__.py
@@ -0,0 +1,22 @@
+"""What targets are measured to carry, and which of them are set aside."""
+
+from fulmarward_core.health._types import FIRST_PREFILL_S, Health
+from fulmarward_core.health.decisions import (
+    get_limit,
+    note_failure,
+    note_first_token,
+    note_refusal,
+    note_success,
+    review_pool,
+)
+
+__all__ = [
+    "FIRST_PREFILL_S",
+    "Health",
+    "get_limit",
+    "note_failure",
+    "note_first_token",
+    "note_refusal",
+    "note_success",
+    "review_pool",
+]
--- /dev/null
+++ b/packages/core/fulmarward_core/health/tests/test_decisions.py
@@ -0,0 +1,95 @@
+import unittest
+
+from hypothesis import given, strategies as st
+
+from fulmarward_core.health import (
+    Health,
+    get_limit,
+    note_failure,
+    note_first_token,
+    note_refusal,
+    note_success,
+    review_pool,
+)
+
+
+def _make_pool(speeds):
+    pool = {str(number): Health() for number in range(len(speeds))}
+    for health, token_s in zip(pool.values(), speeds, strict=True):
+        note_success(health, tokens=11, streamed_s=10 * token_s)
+    return pool
+
+
+class LimitTest(unittest.TestCase):
+    @given(st.lists(st.tuples(st.floats(0, 3), st.sampled_from("tfr")), max_size=200))
+    def test_limit_stays_between_one_and_a_quarter_over_the_slots(self, events):
+        health, now = Health(), 0.0
+        for waited_s, kind in events:
+            now += 0.1
+            if kind == "t":
+                note_first_token(
+                    health,
+                    slots=16,
+                    in_flight=int(get_limit(health, slots=16)),
+                    waited_s=waited_s,
+                    prompt_tokens=100,
+                    is_lent=False,
+                    now=now,
+                )
+            else:
+                note = {"f": note_failure, "r": note_refusal}[kind]
+                note(health, slots=16, now=now)
+            self.assertLessEqual(1, get_limit(health, slots=16))
+            self.assertLessEqual(get_limit(health, slots=16), 20)
+
+    def test_a_long_prompt_is_no_queue(self):
+        health = Health(prefill_s=0.0002, token_s=0.01)
+        note_first_token(
+            health,
+            slots=16,
+            in_flight=8,
+            waited_s=1.01,
+            prompt_tokens=5000,
+            is_lent=False,
+            now=1.0,
+        )
+        self.assertGreater(get_limit(health, slots=16), 4)
+
+
+class ReviewTest(unittest.TestCase):
+    def test_the_slow_one_is_set_aside_and_comes_back_after_good_probes(self):
+        # A caller sees one answer in ten crawl. One target's links degrade: its
+        # tokens come five times slower than its peers'. It is set aside, later
+        # probed one request at a time, and trusted again when they go well.
+        pool = _make_pool([0.01] * 9 + [0.05])
+        self.assertEqual(review_pool(pool, now=0.0), [("9", "slow")])
+        self.assertEqual(get_limit(pool["9"], slots=16), 1.0)
+        for _ in range(3):
+            note_success(pool["9"], tokens=11, streamed_s=0.1)
+        self.assertEqual(review_pool(pool, now=10.0), [])
+        self.assertEqual(get_limit(pool["9"], slots=16), 4.0)
+
+    def test_a_failed_probe_doubles_the_time_aside(self):
+        pool = _make_pool([0.01] * 9 + [0.05])
+        review_pool(pool, now=0.0)
+        note_failure(pool["9"], slots=16, now=3.0)
+        self.assertEqual(review_pool(pool, now=3.0), [("9", "failing")])
+        self.assertEqual(pool["9"].aside_until, 7.0)
+
+    def test_one_that_fails_fast_is_set_aside(self):
+        pool = _make_pool([0.01] * 4)
+        for _ in range(3):
+            note_failure(pool["0"], slots=16, now=0.0)
+        self.assertEqual(review_pool(pool, now=0.0), [("0", "failing")])
+
+    @given(st.lists(st.floats(0.001, 1), min_size=1, max_size=20), st.integers(0, 5))
+    def test_no_slowdown_empties_a_pool(self, speeds, failures):
+        pool = _make_pool(speeds)
+        for health in list(pool.values())[::2]:
+            for _ in range(failures):
+                note_failure(health, slots=16, now=0.0)
+        for step in range(3):
+            review_pool(pool, now=step / 10)
+        aside = [item for item in pool.values() if item.aside_until > 0.2]
+        self.assertLessEqual(len(aside), max(1, len(pool) // 3))
+        self.assertLess(len(aside), len(pool))
--- a/packages/core/fulmarward_core/routing/__init__.py
+++ b/packages/core/fulmarward_core/routing/__init__.py
@@ -1,6 +1,29 @@
 """Choosing the target that carries a request."""
 
-from fulmarward_core.routing._types import Choice, LoadReport, TargetView
-from fulmarward_core.routing.decisions import choose_target
+from fulmarward_core.routing._types import (
+    PLAIN_ASK,
+    Ask,
+    Choice,
+    LoadReport,
+    PoolSpeed,
+    TargetView,
+)
+from fulmarward_core.routing.decisions import (
+    choose_target,
+    count_cached,
+    estimate_load,
+    measure_pool,
+)
 
-__all__ = ["Choice", "LoadReport", "TargetView", "choose_target"]
+__all__ = [
+    "PLAIN_ASK",
+    "Ask",
+    "Choice",
+    "LoadReport",
+    "PoolSpeed",
+    "TargetView",
+    "choose_target",
+    "count_cached",
+    "estimate_load",
+    "measure_pool",
+]
--- a/packages/core/fulmarward_core/routing/_types.py
+++ b/packages/core/fulmarward_core/routing/_types.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from fulmarward_core.declaration import Target
+from fulmarward_core.health import Health
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -37,6 +38,48 @@
     leaving: bool = False
     #: Until when it gets no work because it failed; seconds on the steady clock.
     avoided_until: float = float("-inf")
+    #: What this instance has measured of it.
+    health: Health = field(default_factory=Health)
+    #: Prefixes that it is thought to hold, by hash; a hint, late and with gaps.
+    cached_prefixes: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, kw_only=True)
+class Ask:
+    """What a request needs of its target."""
+
+    #: Tokens of the prompt.
+    prompt_tokens: int = 0
+    #: Output tokens that are expected.
+    output_tokens: float = 0.0
+    #: Hashes of the prompt's prefixes, the shortest first.
+    prefixes: tuple[str, ...] = ()
+    #: Tokens in one more prefix than the one before it.
+    prefix_tokens: int = 0
+    #: Seconds until the deadline.
+    slack_s: float = float("inf")
+    #: Whether it may test a target that was set aside.
+    may_probe: bool = True
+    #: Targets that it was tried on before.
+    tried: frozenset[str] = frozenset()
+
+
+#: A request of which nothing is known, as calls of plain services are.
+PLAIN_ASK = Ask()
+
+
+@dataclass(frozen=True, kw_only=True)
+class PoolSpeed:
+    """What a pool carries, as far as one instance knows."""
+
+    #: Requests that this instance may have on it now.
+    places: float
+    #: The same once limits that were never cut have grown to the slots.
+    capacity: float
+    #: Seconds for a prompt token.
+    prefill_s: float
+    #: Seconds for an output token.
+    token_s: float
 
 
 @dataclass(frozen=True, kw_only=True)
--- /dev/null
+++ b/packages/core/fulmarward_core/routing/tests/test_choice.py
@@ -0,0 +1,90 @@
+import random
+import unittest
+from collections import Counter
+from dataclasses import replace
+
+from hypothesis import given, strategies as st
+
+from fulmarward_core.declaration import Target, TargetKind
+from fulmarward_core.routing import Ask, LoadReport, TargetView, choose_target
+
+_TARGET = Target(
+    address="127.0.0.1:1",
+    data_centre="palermo-a",
+    kind=TargetKind.ENGINE,
+    serves="sardine",
+    accelerator="a100",
+    layers=(0, 24),
+    slots=16,
+    tokens_per_s=1000,
+    checks_fencing=True,
+)
+
+
+def _make_views(number):
+    return [TargetView(name=f"t{place}", target=_TARGET) for place in range(number)]
+
+
+def _choose(views, ask, seed=1, data_centre="palermo-a"):
+    return choose_target(
+        candidates=views,
+        data_centre=data_centre,
+        now=100.0,
+        generator=random.Random(seed),
+        ask=ask,
+    )
+
+
+class ChooseTargetTest(unittest.TestCase):
+    @given(
+        st.lists(st.tuples(st.booleans(), st.floats(0, 200)), min_size=1, max_size=9)
+    )
+    def test_something_is_chosen_unless_all_are_leaving(self, states):
+        views = _make_views(len(states))
+        for view, (leaving, avoided_until) in zip(views, states, strict=True):
+            view.leaving, view.avoided_until = leaving, avoided_until
+        choice = _choose(views, Ask())
+        self.assertEqual(choice is None, all(view.leaving for view in views))
+        if choice:
+            self.assertFalse(choice.chosen.leaving)
+
+    def test_a_cached_prefix_draws_work_only_while_its_target_is_not_crowded(self):
+        # All callers share one system prompt. Its first target holds it, so a plain
+        # affinity would send everything there while its peers are idle.
+        views = _make_views(6)
+        views[0].cached_prefixes = frozenset({"p"})
+        ask = Ask(
+            prompt_tokens=1000, prefixes=("p",), prefix_tokens=900, output_tokens=10
+        )
+        chosen = Counter()
+        for seed in range(60):
+            view = _choose(views, ask, seed).chosen
+            view.in_flight += 1
+            view.health.limit = 16.0
+            chosen[view.name] += 1
+        self.assertGreater(chosen["t0"], 10)
+        self.assertLessEqual(chosen["t0"], 60 / 6 * 1.25 + 2)
+
+    def test_a_report_of_idleness_does_not_beat_the_own_count(self):
+        # A target says that it is idle for ever. What this instance has on it itself
+        # counts, so it gets no more than its peers.
+        views = _make_views(2)
+        views[0].in_flight = 3
+        views[0].report = LoadReport(running=0, waiting=0, received_at=100.0)
+        views[1].report = LoadReport(running=1, waiting=0, received_at=100.0)
+        self.assertEqual(_choose(views, Ask()).chosen.name, "t1")
+
+    def test_tried_targets_and_probes_are_passed_over(self):
+        views = _make_views(3)
+        views[1].health.probes_left = 2
+        ask = Ask(tried=frozenset({"t0"}), may_probe=False)
+        self.assertEqual(_choose(views, ask).chosen.name, "t2")
+
+    def test_near_targets_go_first_until_they_are_full(self):
+        views = _make_views(4)
+        for view in views[2:]:
+            view.target = replace(_TARGET, data_centre="catania-b")
+        self.assertEqual(_choose(views, Ask()).chosen.target.data_centre, "palermo-a")
+        for view in views[:2]:
+            view.in_flight = 4
+        self.assertEqual(_choose(views, Ask()).chosen.target.data_centre, "catania-b")
