--- /dev/null
+++ b/packages/standins/fulmarward_standins/demand/__init__.py
@@ -0,0 +1,19 @@
+"""Seeded demand in virtual time, to judge decisions by what callers see."""
+
+from fulmarward_standins.demand._measure import measure_run
+from fulmarward_standins.demand._policies import POLICIES
+from fulmarward_standins.demand._run import run_scenario
+from fulmarward_standins.demand._scenarios import SCENARIOS, find_scenario, make_teams
+from fulmarward_standins.demand._types import Scenario, Tally, TeamDemand
+
+__all__ = [
+    "POLICIES",
+    "SCENARIOS",
+    "Scenario",
+    "Tally",
+    "TeamDemand",
+    "find_scenario",
+    "make_teams",
+    "measure_run",
+    "run_scenario",
+]
