--- a/packages/core/fulmarward_core/health/__init__.py
+++ b/packages/core/fulmarward_core/performance/__init__.py
@@ -1,7 +1,7 @@
 """What targets are measured to carry, and which of them are set aside."""
 
-from fulmarward_core.health._types import FIRST_PREFILL_S, Health
-from fulmarward_core.health.decisions import (
+from fulmarward_core.performance._types import FIRST_PREFILL_S, Performance
+from fulmarward_core.performance.decisions import (
     get_limit,
     note_failure,
     note_first_token,
@@ -12,7 +12,7 @@
 
 __all__ = [
     "FIRST_PREFILL_S",
-    "Health",
+    "Performance",
     "get_limit",
     "note_failure",
     "note_first_token",
--- a/packages/core/fulmarward_core/health/decisions.py
+++ b/packages/core/fulmarward_core/performance/decisions.py
@@ -7,7 +7,7 @@
 from collections.abc import Mapping
 from statistics import median
 
-from fulmarward_core.health._types import Health
+from fulmarward_core.performance._types import Performance
 
 #: Wait inside a target, in seconds, above which the limit is cut. Load: saturation;
 #: harm: a queue in the engine, where no fair order holds and nothing can be dropped;
@@ -61,15 +61,15 @@
 LEAST_PREFILL_SAMPLE = 64
 
 
-def get_limit(health: Health, *, slots: int) -> float:
+def get_limit(performance: Performance, *, slots: int) -> float:
     """Return how many requests this instance may have on the target at once."""
-    if health.probes_left:
+    if performance.probes_left:
         return 1.0
-    return health.limit or max(1.0, slots / 4)
+    return performance.limit or max(1.0, slots / 4)
 
 
 def note_first_token(
-    health: Health,
+    performance: Performance,
     *,
     slots: int,
     in_flight: int,
@@ -83,64 +83,66 @@
     `in_flight` is this instance's own. The wait inside the target is what is left
     after the time that the prompt and one token need.
     """
-    limit = get_limit(health, slots=slots)
+    limit = get_limit(performance, slots=slots)
     is_crowded = in_flight >= limit / 2
-    _note_prefill(health, waited_s, prompt_tokens, is_crowded=is_crowded)
-    wait_s = waited_s - prompt_tokens * health.prefill_s - health.token_s
+    _note_prefill(performance, waited_s, prompt_tokens, is_crowded=is_crowded)
+    wait_s = waited_s - prompt_tokens * performance.prefill_s - performance.token_s
     if wait_s > (MOST_LENT_WAIT_S if is_lent else MOST_WAIT_S):
-        _cut(health, limit, CUT, now)
+        _cut(performance, limit, CUT, now)
     elif in_flight >= limit - 1:
-        step = 1.0 if health.is_ramping else 1.0 / limit
-        health.limit = min(limit + step, slots * MOST_SLOTS_SHARE)
+        step = 1.0 if performance.is_ramping else 1.0 / limit
+        performance.limit = min(limit + step, slots * MOST_SLOTS_SHARE)
 
 
 def _note_prefill(
-    health: Health, waited_s: float, prompt_tokens: int, *, is_crowded: bool
+    performance: Performance, waited_s: float, prompt_tokens: int, *, is_crowded: bool
 ) -> None:
     """Follow the low quantile; upwards only while no queue can be the cause."""
     if prompt_tokens < LEAST_PREFILL_SAMPLE:
         return
-    sample = max(0.0, waited_s - health.token_s) / prompt_tokens
-    if sample < health.prefill_s:
-        health.prefill_s += 0.05 * (sample - health.prefill_s)
+    sample = max(0.0, waited_s - performance.token_s) / prompt_tokens
+    if sample < performance.prefill_s:
+        performance.prefill_s += 0.05 * (sample - performance.prefill_s)
     elif not is_crowded:
-        health.prefill_s += 0.1 * (sample - health.prefill_s)
+        performance.prefill_s += 0.1 * (sample - performance.prefill_s)
 
 
-def _cut(health: Health, limit: float, factor: float, now: float) -> None:
-    if now - health.cut_at < CUT_EVERY_S:
+def _cut(performance: Performance, limit: float, factor: float, now: float) -> None:
+    if now - performance.cut_at < CUT_EVERY_S:
         return
-    health.limit = max(1.0, limit * factor)
-    health.is_ramping = False
-    health.cut_at = now
+    performance.limit = max(1.0, limit * factor)
+    performance.is_ramping = False
+    performance.cut_at = now
 
 
-def note_refusal(health: Health, *, slots: int, now: float) -> None:
+def note_refusal(performance: Performance, *, slots: int, now: float) -> None:
     """Take in that the target was full: the limit was too high, nothing is broken."""
-    _cut(health, get_limit(health, slots=slots), 0.5, now)
+    _cut(performance, get_limit(performance, slots=slots), 0.5, now)
 
 
-def note_success(health: Health, *, tokens: int, streamed_s: float) -> None:
+def note_success(performance: Performance, *, tokens: int, streamed_s: float) -> None:
     """Take in a whole answer of `tokens`, `streamed_s` from its first to its last."""
-    health.failed_share *= 1 - SAMPLE_WEIGHT
+    performance.failed_share *= 1 - SAMPLE_WEIGHT
     if tokens > 1:
         sample = streamed_s / (tokens - 1)
-        weight = SAMPLE_WEIGHT if health.token_s else 1.0
-        health.token_s += weight * (sample - health.token_s)
-    if health.probes_left:
-        health.probes_left -= 1
-        if not health.probes_left:
-            health.limit = 0.0
-            health.is_ramping = True
+        weight = SAMPLE_WEIGHT if performance.token_s else 1.0
+        performance.token_s += weight * (sample - performance.token_s)
+    if performance.probes_left:
+        performance.probes_left -= 1
+        if not performance.probes_left:
+            performance.limit = 0.0
+            performance.is_ramping = True
 
 
-def note_failure(health: Health, *, slots: int, now: float) -> None:
+def note_failure(performance: Performance, *, slots: int, now: float) -> None:
     """Take in a try that failed: less work, and none when failures go on."""
-    health.failed_share += SAMPLE_WEIGHT * (1 - health.failed_share)
-    _cut(health, get_limit(health, slots=slots), 0.5, now)
+    performance.failed_share += SAMPLE_WEIGHT * (1 - performance.failed_share)
+    _cut(performance, get_limit(performance, slots=slots), 0.5, now)
 
 
-def review_pool(pool: Mapping[str, Health], *, now: float) -> list[tuple[str, str]]:
+def review_pool(
+    pool: Mapping[str, Performance], *, now: float
+) -> list[tuple[str, str]]:
     """Set aside the targets of a pool that are bad beside their peers.
 
     Returns the newly set aside with the reason, a fixed word for logs. The worst go
@@ -148,15 +150,17 @@
     """
     if len(pool) < 2:
         return []
-    speeds = [health.token_s for health in pool.values() if health.token_s]
+    speeds = [
+        performance.token_s for performance in pool.values() if performance.token_s
+    ]
     usual_s = median(speeds) if speeds else 0.0
-    usual_failed = median(health.failed_share for health in pool.values())
-    aside = sum(1 for health in pool.values() if health.aside_until > now)
+    usual_failed = median(performance.failed_share for performance in pool.values())
+    aside = sum(1 for performance in pool.values() if performance.aside_until > now)
     room = max(1, int(len(pool) * MOST_ASIDE_SHARE)) - aside
     found = []
-    for name, health in pool.items():
-        reason, badness = _judge(health, usual_s, usual_failed)
-        if reason and health.aside_until <= now:
+    for name, performance in pool.items():
+        reason, badness = _judge(performance, usual_s, usual_failed)
+        if reason and performance.aside_until <= now:
             found.append((badness, name, reason))
     found.sort(reverse=True)
     for _, name, _ in found[: max(0, room)]:
@@ -164,19 +168,21 @@
     return [(name, reason) for _, name, reason in found[: max(0, room)]]
 
 
-def _judge(health: Health, usual_s: float, usual_failed: float) -> tuple[str, float]:
-    is_failing = health.failed_share > max(MOST_FAILED_SHARE, 2 * usual_failed)
-    if is_failing or (health.probes_left and health.failed_share > 0):
-        return "failing", 1e3 * (1 + health.failed_share)
-    if usual_s and health.token_s > SLOW_FACTOR * usual_s:
-        return "slow", health.token_s / usual_s
+def _judge(
+    performance: Performance, usual_s: float, usual_failed: float
+) -> tuple[str, float]:
+    is_failing = performance.failed_share > max(MOST_FAILED_SHARE, 2 * usual_failed)
+    if is_failing or (performance.probes_left and performance.failed_share > 0):
+        return "failing", 1e3 * (1 + performance.failed_share)
+    if usual_s and performance.token_s > SLOW_FACTOR * usual_s:
+        return "slow", performance.token_s / usual_s
     return "", 0.0
 
 
-def _set_aside(health: Health, now: float) -> None:
+def _set_aside(performance: Performance, now: float) -> None:
     """Set aside, twice as long as the last time; old measurements are forgotten."""
-    health.aside_s = min(MOST_ASIDE_S, 2 * health.aside_s or FIRST_ASIDE_S)
-    health.aside_until = now + health.aside_s
-    health.probes_left = PROBES
-    health.failed_share = 0.0
-    health.token_s = 0.0
+    performance.aside_s = min(MOST_ASIDE_S, 2 * performance.aside_s or FIRST_ASIDE_S)
+    performance.aside_until = now + performance.aside_s
+    performance.probes_left = PROBES
+    performance.failed_share = 0.0
+    performance.token_s = 0.0
--- a/packages/core/fulmarward_core/health/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/performance/tests/test_decisions.py
@@ -2,8 +2,8 @@
 
 from hypothesis import given, strategies as st
 
-from fulmarward_core.health import (
-    Health,
+from fulmarward_core.performance import (
+    Performance,
     get_limit,
     note_failure,
     note_first_token,
@@ -14,23 +14,23 @@
 
 
 def _make_pool(speeds):
-    pool = {str(number): Health() for number in range(len(speeds))}
-    for health, token_s in zip(pool.values(), speeds, strict=True):
-        note_success(health, tokens=11, streamed_s=10 * token_s)
+    pool = {str(number): Performance() for number in range(len(speeds))}
+    for performance, token_s in zip(pool.values(), speeds, strict=True):
+        note_success(performance, tokens=11, streamed_s=10 * token_s)
     return pool
 
 
 class LimitTest(unittest.TestCase):
     @given(st.lists(st.tuples(st.floats(0, 3), st.sampled_from("tfr")), max_size=200))
     def test_limit_stays_between_one_and_a_quarter_over_the_slots(self, events):
-        health, now = Health(), 0.0
+        performance, now = Performance(), 0.0
         for waited_s, kind in events:
             now += 0.1
             if kind == "t":
                 note_first_token(
-                    health,
+                    performance,
                     slots=16,
-                    in_flight=int(get_limit(health, slots=16)),
+                    in_flight=int(get_limit(performance, slots=16)),
                     waited_s=waited_s,
                     prompt_tokens=100,
                     is_lent=False,
@@ -38,14 +38,14 @@
                 )
             else:
                 note = {"f": note_failure, "r": note_refusal}[kind]
-                note(health, slots=16, now=now)
-            self.assertLessEqual(1, get_limit(health, slots=16))
-            self.assertLessEqual(get_limit(health, slots=16), 20)
+                note(performance, slots=16, now=now)
+            self.assertLessEqual(1, get_limit(performance, slots=16))
+            self.assertLessEqual(get_limit(performance, slots=16), 20)
 
     def test_a_long_prompt_is_no_queue(self):
-        health = Health(prefill_s=0.0002, token_s=0.01)
+        performance = Performance(prefill_s=0.0002, token_s=0.01)
         note_first_token(
-            health,
+            performance,
             slots=16,
             in_flight=8,
             waited_s=1.01,
@@ -53,7 +53,7 @@
             is_lent=False,
             now=1.0,
         )
-        self.assertGreater(get_limit(health, slots=16), 4)
+        self.assertGreater(get_limit(performance, slots=16), 4)
 
 
 class ReviewTest(unittest.TestCase):
@@ -85,9 +85,9 @@
     @given(st.lists(st.floats(0.001, 1), min_size=1, max_size=20), st.integers(0, 5))
     def test_no_slowdown_empties_a_pool(self, speeds, failures):
         pool = _make_pool(speeds)
-        for health in list(pool.values())[::2]:
+        for performance in list(pool.values())[::2]:
             for _ in range(failures):
-                note_failure(health, slots=16, now=0.0)
+                note_failure(performance, slots=16, now=0.0)
         for step in range(3):
             review_pool(pool, now=step / 10)
         aside = [item for item in pool.values() if item.aside_until > 0.2]
--- a/packages/core/fulmarward_core/routing/_types.py
+++ b/packages/core/fulmarward_core/routing/_types.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from fulmarward_core.declaration import Target
-from fulmarward_core.health import Health
+from fulmarward_core.performance import Performance
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -39,7 +39,7 @@
     #: Until when it gets no work because it failed; seconds on the steady clock.
     avoided_until: float = float("-inf")
     #: What this instance has measured of it.
-    health: Health = field(default_factory=Health)
+    performance: Performance = field(default_factory=Performance)
     #: Prefixes that it is thought to hold, by hash; a hint, late and with gaps.
     cached_prefixes: frozenset[str] = frozenset()
 
--- a/packages/core/fulmarward_core/routing/decisions.py
+++ b/packages/core/fulmarward_core/routing/decisions.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping, Sequence
 from statistics import median
 
-from fulmarward_core.health import get_limit
+from fulmarward_core.performance import get_limit
 from fulmarward_core.routing._types import (
     PLAIN_ASK,
     Ask,
@@ -116,7 +116,7 @@
 
 
 def _get_return(view: TargetView) -> float:
-    return max(view.avoided_until, view.health.aside_until)
+    return max(view.avoided_until, view.performance.aside_until)
 
 
 def _list_roomy(
@@ -125,11 +125,11 @@
     roomy = [
         view
         for view in views
-        if view.in_flight < get_limit(view.health, slots=view.target.slots)
+        if view.in_flight < get_limit(view.performance, slots=view.target.slots)
     ]
     if ask.may_probe:
         return roomy
-    trusted = [view for view in roomy if not view.health.probes_left]
+    trusted = [view for view in roomy if not view.performance.probes_left]
     return trusted or roomy
 
 
@@ -187,11 +187,11 @@
     """Return the expected seconds to the end, failures and lateness counted in."""
     slots = view.target.slots
     uncached = max(0, ask.prompt_tokens - cached)
-    token_s = view.health.token_s or speed.token_s
-    service_s = uncached * view.health.prefill_s + ask.output_tokens * token_s
+    token_s = view.performance.token_s or speed.token_s
+    service_s = uncached * view.performance.prefill_s + ask.output_tokens * token_s
     wait_s = max(0.0, load + 1 - slots) / slots * service_s
     score = service_s + wait_s + CROWD_S * load / slots
-    score /= max(0.1, 1 - view.health.failed_share)
+    score /= max(0.1, 1 - view.performance.failed_share)
     is_late = service_s + wait_s > ask.slack_s
     return score + (ask.slack_s + service_s if is_late else 0.0)
 
@@ -201,22 +201,24 @@
     open_views = _list_open(views, PLAIN_ASK, now)
     if not open_views:
         return PoolSpeed(places=0, capacity=0, prefill_s=0, token_s=0)
-    limits = [get_limit(view.health, slots=view.target.slots) for view in open_views]
+    limits = [
+        get_limit(view.performance, slots=view.target.slots) for view in open_views
+    ]
     grown = [
-        max(limit, view.target.slots) if view.health.is_ramping else limit
+        max(limit, view.target.slots) if view.performance.is_ramping else limit
         for view, limit in zip(open_views, limits, strict=True)
     ]
     return PoolSpeed(
         places=sum(limits),
         capacity=sum(grown),
-        prefill_s=median(view.health.prefill_s for view in open_views),
+        prefill_s=median(view.performance.prefill_s for view in open_views),
         token_s=median(_guess_token_s(view) for view in open_views),
     )
 
 
 def _guess_token_s(view: TargetView) -> float:
-    if view.health.token_s:
-        return view.health.token_s
+    if view.performance.token_s:
+        return view.performance.token_s
     if view.target.tokens_per_s:
         return view.target.slots / view.target.tokens_per_s
     return FIRST_TOKEN_S
--- a/packages/core/fulmarward_core/routing/tests/test_choice.py
+++ b/packages/core/fulmarward_core/routing/tests/test_choice.py
@@ -60,7 +60,7 @@
         for seed in range(60):
             view = _choose(views, ask, seed).chosen
             view.in_flight += 1
-            view.health.limit = 16.0
+            view.performance.limit = 16.0
             chosen[view.name] += 1
         self.assertGreater(chosen["t0"], 10)
         self.assertLessEqual(chosen["t0"], 60 / 6 * 1.25 + 2)
@@ -76,7 +76,7 @@
 
     def test_tried_targets_and_probes_are_passed_over(self):
         views = _make_views(3)
-        views[1].health.probes_left = 2
+        views[1].performance.probes_left = 2
         ask = Ask(tried=frozenset({"t0"}), may_probe=False)
         self.assertEqual(_choose(views, ask).chosen.name, "t2")
 
--- a/packages/standins/fulmarward_standins/demand/_entries.py
+++ b/packages/standins/fulmarward_standins/demand/_entries.py
@@ -21,7 +21,7 @@
     split_share,
 )
 from fulmarward_core.declaration import Target, TargetKind, Urgency
-from fulmarward_core.health import (
+from fulmarward_core.performance import (
     note_failure,
     note_first_token,
     note_refusal,
@@ -192,7 +192,7 @@
         view.in_flight -= 1
         if what == "whole":
             streamed_s = world.now - call.first_at
-            note_success(view.health, tokens=call.output, streamed_s=streamed_s)
+            note_success(view.performance, tokens=call.output, streamed_s=streamed_s)
             _conclude(entry, call, ticket, "whole")
             return
         _fail(entry, call, tried, ticket, view, has_begun=call.first_at >= started)
@@ -208,7 +208,7 @@
         world.at(call.deadline, expire)
         return
     view.in_flight -= 1
-    note_refusal(view.health, slots=view.target.slots, now=world.now)
+    note_refusal(view.performance, slots=view.target.slots, now=world.now)
     _fail(entry, call, tried, ticket, view, has_begun=False)
 
 
@@ -217,7 +217,7 @@
 ) -> None:
     now = entry.world.now
     note_first_token(
-        view.health,
+        view.performance,
         slots=view.target.slots,
         in_flight=view.in_flight,
         waited_s=now - started,
@@ -237,7 +237,7 @@
     has_begun: bool,
 ) -> None:
     now = entry.world.now
-    note_failure(view.health, slots=view.target.slots, now=now)
+    note_failure(view.performance, slots=view.target.slots, now=now)
     view.avoided_until = now + AVOID_S
     tried = tried | {view.name}
     may_retry = not has_begun and len(tried) < MOST_TRIES
@@ -288,7 +288,7 @@
 
 def review_targets(entry: Entry) -> None:
     """Set aside what is bad beside its peers, then start what has a place."""
-    pool = {name: view.health for name, view in entry.views.items()}
+    pool = {name: view.performance for name, view in entry.views.items()}
     review_pool(pool, now=entry.world.now)
     grant_places(entry)
 
