--- a/packages/core/fulmarward_core/performance/_types.py
+++ b/packages/core/fulmarward_core/performance/_types.py
@@ -7,7 +7,7 @@
 
 
 @dataclass(kw_only=True)
-class Health:
+class Performance:
     """One target's measured speed, its limit and whether it is set aside."""
 
     #: Requests that this instance may have on it at once; 0 before the first use.
--- a/packages/core/fulmarward_core/routing/decisions.py
+++ b/packages/core/fulmarward_core/routing/decisions.py
@@ -68,7 +68,7 @@
         return None
     loads = {view.name: estimate_load(view, now=now) for view in open_views}
     roomy = _list_roomy(open_views, loads, ask)
-    cached = _count_useful_cached(roomy or open_views, loads, ask)
+    cached = _count_useful_cached(roomy or open_views, loads, ask, now)
     drawn = _draw(roomy or open_views, cached, data_centre, generator)
     speed = measure_pool(open_views, now=now)
     costs = far_costs or {}
@@ -141,24 +141,24 @@
     return view.in_flight + others * trust
 
 
-def count_cached(view: TargetView, ask: Ask) -> int:
+def count_cached(view: TargetView, ask: Ask, *, now: float) -> int:
     """Return the prompt tokens that the target is thought to hold already."""
     if not view.cached_prefixes:
         return 0
     for place in range(len(ask.prefixes), 0, -1):
-        if ask.prefixes[place - 1] in view.cached_prefixes:
+        if view.cached_prefixes.get(ask.prefixes[place - 1], now) > now:
             return place * ask.prefix_tokens
     return 0
 
 
 def _count_useful_cached(
-    views: Sequence[TargetView], loads: Mapping[str, float], ask: Ask
+    views: Sequence[TargetView], loads: Mapping[str, float], ask: Ask, now: float
 ) -> dict[str, int]:
     """Return the cached prompt tokens that count, none on a crowded target."""
     mean = sum(loads[view.name] for view in views) / len(views)
     most = mean * CACHE_IMBALANCE + CACHE_FREE_REQUESTS
     return {
-        view.name: count_cached(view, ask) if loads[view.name] <= most else 0
+        view.name: count_cached(view, ask, now=now) if loads[view.name] <= most else 0
         for view in views
     }
 
--- a/packages/core/fulmarward_core/routing/tests/test_choice.py
+++ b/packages/core/fulmarward_core/routing/tests/test_choice.py
@@ -52,7 +52,7 @@
         # All callers share one system prompt. Its first target holds it, so a plain
         # affinity would send everything there while its peers are idle.
         views = _make_views(6)
-        views[0].cached_prefixes = frozenset({"p"})
+        views[0].cached_prefixes = {"p": 1000.0}
         ask = Ask(
             prompt_tokens=1000, prefixes=("p",), prefix_tokens=900, output_tokens=10
         )
--- a/packages/standins/fulmarward_standins/demand/_run.py
+++ b/packages/standins/fulmarward_standins/demand/_run.py
@@ -86,11 +86,12 @@
         every = world.scenario.lose_event_every
         if every and events[0] % every == 0:
             return
+        believed = dict.fromkeys(held, float("inf"))
         for entry in entries:
             view = entry.views[name]
             world.at(
                 world.now + CACHE_EVENT_LAG_S,
-                lambda view=view: setattr(view, "cached_prefixes", held),
+                lambda view=view: setattr(view, "cached_prefixes", dict(believed)),
             )
 
     for engine in engines.values():
