--- a/packages/instance/fulmarward/_daemon.py
+++ b/packages/instance/fulmarward/_daemon.py
@@ -7,14 +7,22 @@
 import ssl
 import time
 from collections.abc import Coroutine
+from functools import partial
 
 import aiohttp
 from aiohttp import web
 
 from fulmarward._instance import Instance
 from fulmarward._lifecycle import Lifecycle
+from fulmarward._secret_files import watch_secrets
+from fulmarward._stop import end_open, list_open
 from fulmarward.callers import make_caller_app
-from fulmarward.configuration import answer_body, answer_head, run_adoption
+from fulmarward.configuration import (
+    answer_body,
+    answer_head,
+    run_adoption,
+    run_readiness,
+)
 from fulmarward.health import (
     answer_health,
     answer_leaving,
@@ -23,8 +31,14 @@
     run_summaries,
     watch_drains,
 )
-from fulmarward.membership import answer_ping, answer_sync, run_membership
-from fulmarward.membership._heartbeats import announce_leaving
+from fulmarward.membership import (
+    announce_leaving,
+    answer_members,
+    answer_ping,
+    answer_probe,
+    answer_sync,
+    run_membership,
+)
 from fulmarward.observability import (
     TraceHandler,
     log_event,
@@ -35,6 +49,10 @@
 from fulmarward.peers import (
     AskBody,
     AskHead,
+    AskInFlight,
+    AskMembers,
+    AskOutcomes,
+    AskProbe,
     HealthNews,
     LeavingNews,
     LeavingSync,
@@ -44,11 +62,17 @@
     SyncMembers,
     serve_peers,
 )
+from fulmarward.placement import answer_in_flight, answer_outcomes, run_placement
 from fulmarward.platform import Platform
 from fulmarward.settings import InstanceSettings, Secrets
 from fulmarward.targets import follow_targets
 from fulmarward_core.configuration import EMPTY_SNAPSHOT
-from fulmarward_core.membership import Member, MemberState, MemberTable
+from fulmarward_core.membership import (
+    Member,
+    MemberState,
+    MemberTable,
+    merge_member,
+)
 
 #: Connections to targets kept open, for all of them together.
 MOST_CONNECTIONS = 10_000
@@ -69,6 +93,12 @@
     return context
 
 
+def _count_alive(table: MemberTable) -> int:
+    """Return how many instances share the platform, this one included."""
+    states = [member.state for member in table.members.values()]
+    return states.count(MemberState.ALIVE)
+
+
 def make_instance(
     settings: InstanceSettings,
     secrets: Secrets,
@@ -85,7 +115,10 @@
         peer_address=settings.peer_address,
         caller_address=settings.caller_address,
     )
+    members = MemberTable(own_name=settings.name)
+    merge_member(members, member, now=time.monotonic())
     platform = Platform(
+        count_instances=lambda: _count_alive(members),
         session=session,
         address=settings.platform_address,
         token=secrets.platform_token,
@@ -103,7 +136,7 @@
         traces=traces,
         lifecycle=Lifecycle(),
         member=member,
-        members=MemberTable(own_name=settings.name, members={settings.name: member}),
+        members=members,
         snapshot=EMPTY_SNAPSHOT,
         tls=_make_tls(settings),
     )
@@ -120,15 +153,19 @@
     )
 
 
-def _make_handlers(instance: Instance) -> PeerHandlers:
+def _make_handlers(instance: Instance, links: PeerLinks) -> PeerHandlers:
     answers = {
         Ping: answer_ping,
+        AskMembers: answer_members,
         SyncMembers: answer_sync,
+        AskProbe: partial(answer_probe, links),
         AskHead: answer_head,
         AskBody: answer_body,
         LeavingNews: answer_leaving,
         LeavingSync: answer_leaving_sync,
         HealthNews: answer_health,
+        AskOutcomes: answer_outcomes,
+        AskInFlight: answer_in_flight,
     }
 
     def bind(answer):  # noqa: ANN001, ANN202
@@ -148,16 +185,6 @@
     return runner
 
 
-async def _become_ready(instance: Instance) -> None:
-    """Serve once a configuration is known."""
-    while instance.snapshot.head.epoch == 0:
-        await instance.snapshot_changed.wait()
-    await instance.targets_known.wait()
-    if instance.lifecycle.state == "starting":
-        instance.lifecycle.become_ready()
-        log_event("serving", epoch=instance.snapshot.head.epoch)
-
-
 async def _stop_gracefully(instance: Instance, hurried: asyncio.Event) -> None:
     """Announce the stop, then let every open request end."""
     announce_leaving(instance)
@@ -165,11 +192,14 @@
     await _wait_or_hurry(hurried, LEAVING_NOTICE_S)
     instance.lifecycle.begin_stop()
     deadline = instance.read_clock() + instance.settings.limits.stop_ms / 1000
-    while instance.answers and instance.read_clock() < deadline:
+    while list_open(instance) and instance.read_clock() < deadline:
         if hurried.is_set():
             break
         await asyncio.sleep(STOP_LOOK_S)
-    log_event("stopped", cut_off=len(instance.answers))
+    cut_off = len(list_open(instance))
+    instance.lifecycle.finish_stop()
+    await end_open(instance)
+    log_event("stopped", cut_off=cut_off)
 
 
 async def _wait_or_hurry(hurried: asyncio.Event, seconds: float) -> None:
@@ -190,9 +220,9 @@
     async with aiohttp.ClientSession(connector=connector) as session:
         instance = make_instance(settings, secrets, session, traces)
         links = _make_links(instance)
-        stop, hurried = asyncio.Event(), asyncio.Event()
+        stop, hurried = instance.stop_asked, asyncio.Event()
         _watch_signals(stop, hurried)
-        server = await serve_peers(instance, _make_handlers(instance))
+        server = await serve_peers(instance, _make_handlers(instance, links))
         runners = [
             await _listen(instance, make_caller_app(instance), settings.caller_address),
             await _listen(
@@ -207,7 +237,9 @@
             _start_duty("gossip", run_gossip(instance, links), stop),
             _start_duty("summaries", run_summaries(instance), stop),
             _start_duty("drains", watch_drains(instance), stop),
-            _start_duty("readiness", _become_ready(instance), stop),
+            _start_duty("secrets", watch_secrets(instance), stop),
+            _start_duty("placement", run_placement(instance, links), stop),
+            _start_duty("readiness", run_readiness(instance, links), stop),
         ]
         await stop.wait()
         await _stop_gracefully(instance, hurried)
