Admission, measured limits and the retry budget in the running instance

Cause: the instance took every request at once; a burst piled up in the engines' queues, where nothing is fair and nothing can be refused.

Change: a request is refused at once or queued by team and urgency before any target is chosen; its share is settled by what it used. Attempts measure waits, speed and failures; retries come out of a budget and pass over targets already tried. Sold shares are split by demand, which instances tell each other in one bounded message a second (ShareDemand). One log line for each admission, set-aside and refused retry.

Conclusion: what waits stays with the instance, and the urgent end before the bulk.

--- a/packages/core/fulmarward_core/admission/_types.py
+++ b/packages/core/fulmarward_core/admission/_types.py
@@ -107,3 +107,45 @@
     tokens: float = 0.0
     #: Answers seen.
     samples: int = 0
+
+
+@dataclass(frozen=True, kw_only=True)
+class TeamDemand:
+    """What one team asks for at one instance."""
+
+    #: Name of the team.
+    team: str
+    #: Tokens a second.
+    tokens_per_s: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class DemandRow:
+    """What teams ask for at one instance, as it said itself."""
+
+    #: The instance's name and the number of its run.
+    member: str
+    boot: int
+    #: Raised with each word of that run.
+    sequence: int
+    #: Its largest teams.
+    teams: tuple[TeamDemand, ...]
+
+
+@dataclass(kw_only=True)
+class DemandTable:
+    """What teams ask for, here and elsewhere."""
+
+    #: Tokens a second by team, averaged.
+    own: dict[str, float] = field(default_factory=dict)
+    #: Tokens by team since the last averaging.
+    counted: dict[str, float] = field(default_factory=dict)
+    #: When it was averaged last, seconds on the steady clock.
+    averaged_at: float = float("-inf")
+    #: Number of the own last word.
+    sequence: int = 0
+    #: Other instances' rows by name, and when they came, on the steady clock.
+    rows: dict[str, DemandRow] = field(default_factory=dict)
+    heard_at: dict[str, float] = field(default_factory=dict)
+    #: Number of the own word with which each row was last passed on.
+    sent: dict[str, int] = field(default_factory=dict)
--- a/packages/core/fulmarward_core/performance/__init__.py
+++ b/packages/core/fulmarward_core/performance/__init__.py
@@ -6,6 +6,7 @@
     note_failure,
     note_first_token,
     note_refusal,
+    note_speed,
     note_success,
     review_pool,
 )
@@ -17,6 +18,7 @@
     "note_failure",
     "note_first_token",
     "note_refusal",
+    "note_speed",
     "note_success",
     "review_pool",
 ]
--- a/packages/core/fulmarward_core/performance/decisions.py
+++ b/packages/core/fulmarward_core/performance/decisions.py
@@ -120,13 +120,19 @@
     _cut(performance, get_limit(performance, slots=slots), 0.5, now)
 
 
+def note_speed(performance: Performance, *, tokens: int, streamed_s: float) -> None:
+    """Take in the `tokens` that came in `streamed_s` from the first to the last."""
+    if tokens < 2:
+        return
+    sample = streamed_s / (tokens - 1)
+    weight = SAMPLE_WEIGHT if performance.token_s else 1.0
+    performance.token_s += weight * (sample - performance.token_s)
+
+
 def note_success(performance: Performance, *, tokens: int, streamed_s: float) -> None:
     """Take in a whole answer of `tokens`, `streamed_s` from its first to its last."""
     performance.failed_share *= 1 - SAMPLE_WEIGHT
-    if tokens > 1:
-        sample = streamed_s / (tokens - 1)
-        weight = SAMPLE_WEIGHT if performance.token_s else 1.0
-        performance.token_s += weight * (sample - performance.token_s)
+    note_speed(performance, tokens=tokens, streamed_s=streamed_s)
     if performance.probes_left:
         performance.probes_left -= 1
         if not performance.probes_left:
--- a/packages/instance/fulmarward/_daemon.py
+++ b/packages/instance/fulmarward/_daemon.py
@@ -59,12 +59,15 @@
     PeerHandlers,
     PeerLinks,
     Ping,
+    ShareDemand,
     SyncMembers,
     serve_peers,
 )
 from fulmarward.placement import answer_in_flight, answer_outcomes, run_placement
 from fulmarward.platform import Platform
+from fulmarward.requests import run_admission
 from fulmarward.settings import InstanceSettings, Secrets
+from fulmarward.shares import answer_demand, run_shares
 from fulmarward.targets import follow_targets
 from fulmarward_core.configuration import EMPTY_SNAPSHOT
 from fulmarward_core.membership import (
@@ -161,6 +164,7 @@
         AskProbe: partial(answer_probe, links),
         AskHead: answer_head,
         AskBody: answer_body,
+        ShareDemand: answer_demand,
         LeavingNews: answer_leaving,
         LeavingSync: answer_leaving_sync,
         HealthNews: answer_health,
@@ -240,6 +244,8 @@
             _start_duty("secrets", watch_secrets(instance), stop),
             _start_duty("placement", run_placement(instance, links), stop),
             _start_duty("readiness", run_readiness(instance, links), stop),
+            _start_duty("shares", run_shares(instance, links), stop),
+            _start_duty("admission", run_admission(instance), stop),
         ]
         await stop.wait()
         await _stop_gracefully(instance, hurried)
--- a/packages/instance/fulmarward/_instance.py
+++ b/packages/instance/fulmarward/_instance.py
@@ -10,6 +10,7 @@
 import aiohttp
 
 from fulmarward._lifecycle import Lifecycle
+from fulmarward.admission import AdmissionState
 from fulmarward.answers import Answer
 from fulmarward.observability import Metrics, TraceHandler
 from fulmarward.platform import Platform
@@ -117,6 +118,9 @@
     summary_versions: dict[PoolKey, int] = field(default_factory=dict)
     summaries_sent: dict[str, dict[PoolKey, int]] = field(default_factory=dict)
 
+    #: What waits and runs, and what is left of each team's share.
+    admission: AdmissionState = field(default_factory=AdmissionState)
+
     def keep_task(self, task: asyncio.Task) -> None:
         """Hold a task until it ends; the event loop itself holds none."""
         self.tasks.add(task)
--- a/packages/instance/fulmarward/answers/_answer.py
+++ b/packages/instance/fulmarward/answers/_answer.py
@@ -1,6 +1,7 @@
 """The journal of one answer, which callers read and the request's task writes."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from fulmarward_core.results import Failure
@@ -38,6 +39,8 @@
     readers: int = 0
     #: When the last reader left, seconds on the steady clock.
     unread_since: float = 0.0
+    #: Told the number of tokens that came together.
+    on_texts: Callable[[int], None] | None = None
     #: Set and replaced at every change.
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -49,6 +52,8 @@
     def add_texts(self, texts: list[str]) -> None:
         """Append a batch of events and wake the readers."""
         self.texts.extend(texts)
+        if self.on_texts is not None:
+            self.on_texts(len(texts))
         self._announce()
 
     def set_locator(self, locator: str) -> None:
--- a/packages/instance/fulmarward/peers/__init__.py
+++ b/packages/instance/fulmarward/peers/__init__.py
@@ -21,6 +21,7 @@
     Ping,
     Pong,
     Probed,
+    ShareDemand,
     SyncMembers,
 )
 from fulmarward.peers._server import PeerHandlers, serve_peers
@@ -48,6 +49,7 @@
     "Ping",
     "Pong",
     "Probed",
+    "ShareDemand",
     "SyncMembers",
     "decode_message",
     "encode_message",
--- a/packages/instance/fulmarward/peers/_messages.py
+++ b/packages/instance/fulmarward/peers/_messages.py
@@ -5,6 +5,7 @@
 
 from dataclasses import dataclass
 
+from fulmarward_core.admission import DemandRow
 from fulmarward_core.configuration import Head
 from fulmarward_core.health import LeavingRecord, SummaryRecord
 from fulmarward_core.membership import Member
@@ -211,6 +212,14 @@
     count: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class ShareDemand:
+    """What teams ask for at some instances; answered with the same of the other."""
+
+    #: Rows, the sender's own first.
+    rows: tuple[DemandRow, ...]
+
+
 #: All messages in the order of their numbers.
 MESSAGES = (
     Challenge,
@@ -235,4 +244,5 @@
     OutcomeCounts,
     AskInFlight,
     InFlight,
+    ShareDemand,
 )
--- /dev/null
+++ b/packages/instance/fulmarward/requests/_budget.py
@@ -0,0 +1,29 @@
+"""The budget of retries that the requests of one pool share."""
+
+from fulmarward._instance import Instance
+from fulmarward.admission import find_pool
+from fulmarward.observability import log_event
+from fulmarward.requests._work import Work
+from fulmarward_core.retries import note_first_try, spend_retry
+
+
+def note_try(instance: Instance, work: Work) -> None:
+    """Count a first try, which earns a part of a retry."""
+    note_first_try(find_pool(instance.admission, work.pipeline.model).budget)
+
+
+def take_retry(instance: Instance, work: Work) -> bool:
+    """Return whether the budget allows one more try of a request."""
+    budget = find_pool(instance.admission, work.pipeline.model).budget
+    if spend_retry(budget):
+        return True
+    instance.metrics.decisions.inc({"kind": "retry", "reason": "over_budget"})
+    log_event(
+        "retry_refused",
+        request=work.request,
+        team=work.team,
+        pool=work.pipeline.model,
+        saved=round(budget.saved, 2),
+        reason="over_budget",
+    )
+    return False
--- a/packages/instance/fulmarward/requests/_execute.py
+++ b/packages/instance/fulmarward/requests/_execute.py
@@ -7,7 +7,9 @@
 from fulmarward.placement import count_attempt
 from fulmarward.requests._admit import admit_work
 from fulmarward.requests._attempt import RETRY_AFTER_MS, run_attempt
+from fulmarward.requests._budget import note_try, take_retry
 from fulmarward.requests._chain import choose_chain, run_chain
+from fulmarward.requests._measure import measure_attempt
 from fulmarward.requests._route import choose_route
 from fulmarward.requests._work import Work
 from fulmarward_core.requests import choose_failure
@@ -49,21 +51,23 @@
 ) -> Failure | None:
     """Run attempts until one ends well or none may follow."""
     failure = None
+    tried: set[str] = set()
+    note_try(instance, work)
     for attempt in range(first_attempt, first_attempt + MOST_ATTEMPTS):
-        outcome = await _run_somewhere(instance, work, answer, attempt)
+        outcome = await _run_somewhere(instance, work, answer, attempt, tried)
         if outcome is None:
             return None
         failure = choose_failure(failure, outcome)
-        if not _may_retry(work, outcome):
+        if not _may_retry(work, outcome) or not take_retry(instance, work):
             return failure
     return failure
 
 
 async def _run_somewhere(
-    instance: Instance, work: Work, answer: Answer, attempt: int
+    instance: Instance, work: Work, answer: Answer, attempt: int, tried: set[str]
 ) -> Failure | None:
     """Run an attempt on a target with the whole model, else on a chain."""
-    choice = choose_route(instance, work, attempt)
+    choice = choose_route(instance, work, attempt, frozenset(tried))
     if choice is None:
         chosen = choose_chain(instance, work, attempt)
         if chosen is None:
@@ -71,9 +75,13 @@
         chain, version = chosen
         return await run_chain(instance, work, answer, attempt, chain, version)
     view = choice.chosen
+    tried.add(view.name)
     view.in_flight += 1
     try:
-        failure = await run_attempt(instance, work, answer, attempt, view)
+        with measure_attempt(instance, work, answer, view) as measured:
+            failure = await run_attempt(instance, work, answer, attempt, view)
+            measured.has_ended = True
+            measured.failure = failure
     finally:
         view.in_flight -= 1
     count_attempt(instance, view, failure)
--- a/packages/instance/fulmarward/requests/_route.py
+++ b/packages/instance/fulmarward/requests/_route.py
@@ -3,9 +3,11 @@
 from fulmarward._instance import Instance
 from fulmarward.observability import log_event
 from fulmarward.requests._work import Work
-from fulmarward_core.declaration import TargetKind
+from fulmarward.targets import PREFIX_TOKENS, hash_prefixes
+from fulmarward_core.admission import Outputs, expect_output
+from fulmarward_core.declaration import TargetKind, Urgency
 from fulmarward_core.placement import can_serve
-from fulmarward_core.routing import Choice, TargetView, choose_target
+from fulmarward_core.routing import Ask, Choice, TargetView, choose_target
 
 
 def list_candidates(instance: Instance, work: Work) -> list[TargetView]:
@@ -26,13 +28,43 @@
     ]
 
 
-def choose_route(instance: Instance, work: Work, attempt: int) -> Choice | None:
+def list_engines(instance: Instance, work: Work) -> list[TargetView]:
+    """Return all engines of the request's model, whatever layers they hold."""
+    return [
+        view
+        for view in instance.views.values()
+        if view.target.kind is TargetKind.ENGINE
+        and view.target.serves == work.pipeline.model
+    ]
+
+
+def _make_ask(instance: Instance, work: Work, tried: frozenset[str]) -> Ask:
+    outputs = instance.admission.outputs.get(work.pipeline_name, Outputs())
+    return Ask(
+        prompt_tokens=len(work.prompt.split()),
+        output_tokens=expect_output(outputs, work.max_tokens),
+        prefixes=hash_prefixes(work.prompt),
+        prefix_tokens=PREFIX_TOKENS,
+        slack_s=work.deadline - instance.read_clock(),
+        may_probe=work.idempotent and work.urgency is not Urgency.URGENT,
+        tried=tried,
+    )
+
+
+def choose_route(
+    instance: Instance,
+    work: Work,
+    attempt: int,
+    tried: frozenset[str] = frozenset(),
+) -> Choice | None:
+    """Choose the target of an attempt among those not `tried` before."""
     candidates = list_candidates(instance, work)
     choice = choose_target(
         candidates=candidates,
         data_centre=instance.settings.data_centre,
         now=instance.read_clock(),
         generator=instance.generator,
+        ask=_make_ask(instance, work, tried),
     )
     reason = choice.reason if choice else "no_open_target"
     instance.metrics.decisions.inc({"kind": "route", "reason": reason})
--- /dev/null
+++ b/packages/instance/fulmarward/shares/__init__.py
@@ -0,0 +1,6 @@
+"""Splitting sold shares over instances by what is asked for where."""
+
+from fulmarward.shares._split import find_bucket, run_shares
+from fulmarward.shares._spread import answer_demand
+
+__all__ = ["answer_demand", "find_bucket", "run_shares"]
--- /dev/null
+++ b/packages/instance/fulmarward/shares/_split.py
@@ -0,0 +1,82 @@
+"""Keeping this instance's part of each team's share."""
+
+import asyncio
+
+from fulmarward._instance import Instance
+from fulmarward.peers import PeerLinks
+from fulmarward.shares._spread import tell_neighbour
+from fulmarward_core.admission import (
+    Bucket,
+    average_demand,
+    forget_rows,
+    list_others,
+    make_bucket,
+    resize_bucket,
+    split_share,
+)
+from fulmarward_core.declaration import Team
+from fulmarward_core.membership import MemberState
+
+#: Seconds between two splits, and between two messages to peers.
+SPLIT_EVERY_S = 1.0
+
+
+def _count_members(instance: Instance) -> int:
+    """Return how many instances hand out shares: all that may have callers."""
+    return sum(
+        member.state in (MemberState.ALIVE, MemberState.SUSPECT)
+        for member in instance.members.members.values()
+    )
+
+
+def _find_part(instance: Instance, name: str) -> float:
+    demand = instance.admission.demand
+    return split_share(
+        own=demand.own.get(name, 0.0),
+        others=list_others(demand, name),
+        members=_count_members(instance),
+    )
+
+
+def find_bucket(instance: Instance, name: str, team: Team) -> Bucket:
+    """Return a team's bucket, which is made when it is first asked for."""
+    buckets = instance.admission.buckets
+    if name not in buckets:
+        part = _find_part(instance, name)
+        buckets[name] = make_bucket(
+            rate=team.tokens_per_s * part,
+            depth=team.burst_tokens * part,
+            now=instance.read_clock(),
+        )
+    return buckets[name]
+
+
+def split_shares(instance: Instance) -> None:
+    """Set each bucket to this instance's part; forget teams that are gone."""
+    now = instance.read_clock()
+    demand, buckets = instance.admission.demand, instance.admission.buckets
+    average_demand(demand, now=now)
+    forget_rows(demand, members=frozenset(instance.members.members), now=now)
+    teams = instance.snapshot.declaration.teams
+    for name in list(buckets):
+        team = teams.get(name)
+        if team is None:
+            del buckets[name]
+            continue
+        part = _find_part(instance, name)
+        resize_bucket(
+            buckets[name],
+            rate=team.tokens_per_s * part,
+            depth=team.burst_tokens * part,
+            now=now,
+        )
+
+
+async def run_shares(instance: Instance, links: PeerLinks) -> None:
+    """Split shares and tell neighbours in turn, each second."""
+    turn = 0
+    while True:
+        split_shares(instance)
+        await tell_neighbour(instance, links, turn)
+        turn += 1
+        await asyncio.sleep(SPLIT_EVERY_S)
--- a/packages/instance/fulmarward/targets/__init__.py
+++ b/packages/instance/fulmarward/targets/__init__.py
@@ -1,6 +1,7 @@
 """Targets: engines and plain services, and the tasks that watch them."""
 
 from fulmarward.targets._engine import (
+    PREFIX_TOKENS,
     CacheEvents,
     EngineReport,
     EngineStream,
@@ -11,6 +12,7 @@
     StreamRefused,
     StreamUnknown,
     cancel_stream,
+    hash_prefixes,
     open_stream,
     read_cache_events,
     read_events,
@@ -39,6 +41,7 @@
 from fulmarward.targets._watch import find_view, follow_targets, update_views
 
 __all__ = [
+    "PREFIX_TOKENS",
     "CacheEvents",
     "EngineReport",
     "EngineStream",
@@ -62,6 +65,7 @@
     "find_view",
     "follow_targets",
     "import_cache",
+    "hash_prefixes",
     "open_stream",
     "read_cache_events",
     "read_events",
--- a/packages/standins/fulmarward_standins/demand/_entries.py
+++ b/packages/standins/fulmarward_standins/demand/_entries.py
@@ -145,10 +145,8 @@
         if not ticket.is_lent:
             _settle(entry, ticket, 0.0)
         refuse_call(entry.world, call, ResultCode.DEADLINE_TOO_NEAR.name, 1.0)
-    while entry.queue.length:
-        speed = measure_pool(list(entry.views.values()), now=now)
-        if entry.running >= speed.places:
-            return
+    speed = measure_pool(list(entry.views.values()), now=now)
+    while entry.queue.length and entry.running < speed.places:
         ticket = pop_ticket(entry.queue)
         call, _ = entry.calls[ticket.request]
         entry.running += 1
