--- a/packages/standins/fulmarward_standins/faults/_callers.py
+++ b/packages/standins/fulmarward_standins/faults/_callers.py
@@ -67,7 +67,7 @@
             ) as response:
                 if response.status == 200:
                     prefix = (await response.json())["idempotency_key_prefix"]
-                    return f"{prefix}{caller.generator.getrandbits(64):x}"
+                    return f"{prefix}.{caller.generator.getrandbits(64):x}"
         except (aiohttp.ClientError, TimeoutError):
             pass
         await asyncio.sleep(WAIT_S)
