Metrics of time to the first token, whole requests and refusals are really kept

Cause: the histograms and the gauge of open requests were declared and never set, and a refusal before a request had an answer was not counted (seen by reading).

--- a/packages/instance/fulmarward/callers/_completions.py
+++ b/packages/instance/fulmarward/callers/_completions.py
@@ -62,6 +62,7 @@
 async def _complete(
     instance: Instance, request: web.Request, shape: Shape
 ) -> web.StreamResponse:
+    began = instance.read_clock()
     team = authenticate_team(instance, request)
     raw = await read_body(instance, request)
     body = parse_completion_body(raw, is_chat=shape.is_chat)
@@ -83,7 +84,12 @@
     try:
         if body.stream:
             response = await send_stream(
-                request, head, answer, body.include_usage, after
+                request,
+                head,
+                answer,
+                body.include_usage,
+                after,
+                note_first=lambda: _note_first(instance, work, began),
             )
         else:
             response = await send_whole(head, answer)
@@ -91,12 +97,19 @@
         return response
     finally:
         release_answer(instance, answer, is_sent=is_sent)
-        _note_end(instance, work, answer)
+        _note_end(instance, work, answer, began)
 
 
-def _note_end(instance: Instance, work: Work, answer: Answer) -> None:
+def _note_first(instance: Instance, work: Work, began: float) -> None:
+    labels = {"pipeline": work.pipeline_name}
+    instance.metrics.first_token.observe(labels, instance.read_clock() - began)
+
+
+def _note_end(instance: Instance, work: Work, answer: Answer, began: float) -> None:
     if not answer.is_over:
         return
+    labels = {"pipeline": work.pipeline_name}
+    instance.metrics.whole.observe(labels, instance.read_clock() - began)
     code = answer.failure.code if answer.failure else ResultCode.OK
     instance.metrics.requests.inc({"kind": "completion", "result": str(code.value)})
     log_event(
--- a/packages/instance/fulmarward/callers/_send.py
+++ b/packages/instance/fulmarward/callers/_send.py
@@ -1,5 +1,7 @@
 """Sending an answer to its caller, whole or as server-sent events."""
 
+from collections.abc import Callable
+
 import orjson
 from aiohttp import web
 
@@ -22,6 +24,7 @@
 
 
 async def send_whole(head: AnswerHead, answer: Answer) -> web.Response:
+    """Send the answer as one JSON body when it is over."""
     while not answer.is_over:
         await answer.changed.wait()
     headers = {"X-Request-Id": head.request}
@@ -38,8 +41,13 @@
     answer: Answer,
     include_usage: bool,
     after: int | None = None,
+    *,
+    note_first: Callable[[], None],
 ) -> web.StreamResponse:
-    """Send the answer's events; `after` is the last that a returning caller has."""
+    """Send the answer's events; `after` is the last that a returning caller has.
+
+    `note_first` is called when the first text was written.
+    """
     await _wait_for_start(answer)
     if answer.failure is not None and not answer.texts:
         return await send_whole(head, answer)
@@ -53,7 +61,7 @@
     await response.prepare(request)
     if after is None:
         await response.write(render_start(head, answer.locator))
-    await _send_events(response, head, answer, after or 0)
+    await _send_events(response, head, answer, after or 0, note_first)
     if answer.failure is not None:
         await response.write(_render_failure_event(answer.failure))
     else:
@@ -66,10 +74,15 @@
 
 
 async def _send_events(
-    response: web.StreamResponse, head: AnswerHead, answer: Answer, sent: int
+    response: web.StreamResponse,
+    head: AnswerHead,
+    answer: Answer,
+    sent: int,
+    note_first: Callable[[], None],
 ) -> None:
     """Send events after number `sent` until the answer is over, in batches."""
     template = make_template(head)
+    is_first = True
     while True:
         changed = answer.changed
         texts = answer.texts[sent:]
@@ -77,6 +90,9 @@
             events = render_texts(template, answer.locator, texts, sent + 1)
             await response.write(events)
             sent += len(texts)
+            if is_first:
+                is_first = False
+                note_first()
         elif answer.is_over:
             return
         else:
--- a/packages/instance/fulmarward/callers/_server.py
+++ b/packages/instance/fulmarward/callers/_server.py
@@ -80,6 +80,8 @@
                 raise CallerError(failure=_judge_refusal(request, refusal))
             return await handler(request)
         except CallerError as error:
+            result = str(error.failure.code.value)
+            instance.metrics.requests.inc({"kind": "refused", "result": result})
             response = make_failure_response(error.failure)
         except (web.HTTPNotFound, web.HTTPMethodNotAllowed):
             response = make_failure_response(make_failure(ResultCode.PATH_UNKNOWN))
@@ -95,6 +97,7 @@
         return web.json_response(body, status=200 if is_ready else 503)
 
     async def show_metrics(request: web.Request) -> web.Response:
+        instance.metrics.open_requests.set({}, len(instance.answers))
         content, headers = render(
             instance.metrics.registry, request.headers.getall("Accept", [])
         )
