--- a/packages/instance/fulmarward/requests/_attempt.py
+++ b/packages/instance/fulmarward/requests/_attempt.py
@@ -31,14 +31,20 @@
 from fulmarward_core.routing import TargetView
 from fulmarward_core.streams import Stage
 
-#: Times in a row that a connection is made anew without one event gained. Load: any;
-#: harm: a dead or looping engine holds its callers; reason: a cut heals at once or
-#: the engine is gone, and progress starts the count again.
-MOST_REATTACHES = 3
+#: Times in a row that a connection is made anew without one event gained, by whether
+#: the work is idempotent. Load: any; harm: a dead, frozen or looping engine holds its
+#: callers; reason: another engine can run idempotent work again, other work is lost
+#: with its stream and worth some seconds more. Progress starts the count again.
+MOST_REATTACHES = {True: 2, False: 4}
+
+#: Seconds that another attempt waits until the old stream is closed. Harm: a frozen
+#: engine's callers wait for it twice; reason: the closing goes on by itself, and late
+#: output of the old attempt is not read.
+CLOSE_S = 0.5
 
 #: Seconds a connection has to hold without an event before its loss counts for
 #: nothing: a long queue at the engine is silent and is no fault.
-SILENT_S = 4.0
+SILENT_S = 1.5
 
 #: Seconds before the second of them in a row; doubled for each further one. Harm: all
 #: tries are spent while a cut lasts; reason: 0.35 s in all, beside a caller's first
@@ -168,7 +174,8 @@
 ) -> Failure | None:
     """Copy events into the answer; attach again when the connection is lost."""
     failed = 0
-    while failed <= MOST_REATTACHES and not isinstance(stream, StreamUnknown):
+    most = MOST_REATTACHES[work.idempotent]
+    while failed <= most and not isinstance(stream, StreamUnknown):
         seen, began = attempt.seen, instance.read_clock()
         if isinstance(stream, EngineStream):
             locate_answer(instance, work, answer, attempt)
@@ -225,7 +232,13 @@
     instance: Instance, work: Work, answer: Answer, attempt: _Attempt
 ) -> Failure:
     """Close the lost stream, and say what is known of it."""
-    state = await _close(instance, work, attempt)
+    closing = asyncio.create_task(_close(instance, work, attempt))
+    instance.keep_closing(closing)
+    if work.idempotent:
+        await asyncio.wait([closing], timeout=CLOSE_S)
+    else:
+        await asyncio.wait([closing])
+    state = closing.result() if closing.done() else StreamBroken(detail="no answer")
     has_begun = attempt.seen > 0 or attempt.is_located
     if state == "closed_before_start" and not has_begun:
         return make_failure(ResultCode.TARGET_REFUSED, retry_after_ms=RETRY_AFTER_MS)
--- a/packages/instance/fulmarward/targets/_engine.py
+++ b/packages/instance/fulmarward/targets/_engine.py
@@ -16,9 +16,13 @@
 from fulmarward_core.requests import StreamEvent, parse_events
 from fulmarward_core.routing import LoadReport
 
-#: Seconds without any byte after which a stream's connection is given up. Harm: a
-#: frozen engine holds its callers for ever; reason: far above any token interval.
-SILENCE_S = 5.0
+#: Seconds without any byte after which a stream's connection is made anew. Harm: a
+#: frozen engine holds its callers; reason: far above any token interval, and a stream
+#: that only waits for its turn answers the new connection at once.
+SILENCE_S = 2.0
+
+#: Seconds for an engine to answer that a stream can be attached to again.
+ATTACH_S = 1.0
 
 #: Seconds for a short call to an engine.
 SHORT_CALL_S = 2.0
@@ -134,7 +138,7 @@
     url = f"http://{address}/v1/streams/{request}/{attempt}"
     params = {"after": str(after), "reader": reader}
     try:
-        async with asyncio.timeout(SHORT_CALL_S):
+        async with asyncio.timeout(ATTACH_S):
             response = await session.get(
                 url, params=params, timeout=_make_timeout(connect_s)
             )
