--- a/packages/instance/fulmarward/_daemon.py
+++ b/packages/instance/fulmarward/_daemon.py
@@ -14,6 +14,7 @@
 
 from fulmarward._instance import Instance
 from fulmarward._lifecycle import Lifecycle
+from fulmarward._secret_files import watch_secrets
 from fulmarward._stop import end_open, list_open
 from fulmarward.callers import make_caller_app
 from fulmarward.configuration import (
@@ -30,6 +31,13 @@
     run_summaries,
     watch_drains,
 )
+from fulmarward.keys import (
+    answer_note,
+    answer_record,
+    answer_take,
+    forward_answer,
+    forward_call,
+)
 from fulmarward.membership import (
     announce_leaving,
     answer_members,
@@ -48,19 +56,30 @@
 from fulmarward.peers import (
     AskBody,
     AskHead,
+    AskInFlight,
     AskMembers,
+    AskOutcomes,
     AskProbe,
+    ForwardCall,
+    ForwardCompletion,
     HealthNews,
     LeavingNews,
     LeavingSync,
+    NoteKey,
     PeerHandlers,
     PeerLinks,
     Ping,
+    RecordAttempt,
+    ShareDemand,
     SyncMembers,
+    TakeKey,
     serve_peers,
 )
+from fulmarward.placement import answer_in_flight, answer_outcomes, run_placement
 from fulmarward.platform import Platform
+from fulmarward.requests import run_admission
 from fulmarward.settings import InstanceSettings, Secrets
+from fulmarward.shares import answer_demand, run_shares
 from fulmarward.targets import follow_targets
 from fulmarward_core.configuration import EMPTY_SNAPSHOT
 from fulmarward_core.membership import (
@@ -89,6 +108,12 @@
     return context
 
 
+def _count_alive(table: MemberTable) -> int:
+    """Return how many instances share the platform, this one included."""
+    states = [member.state for member in table.members.values()]
+    return states.count(MemberState.ALIVE)
+
+
 def make_instance(
     settings: InstanceSettings,
     secrets: Secrets,
@@ -105,14 +130,15 @@
         peer_address=settings.peer_address,
         caller_address=settings.caller_address,
     )
+    members = MemberTable(own_name=settings.name)
+    merge_member(members, member, now=time.monotonic())
     platform = Platform(
+        count_instances=lambda: _count_alive(members),
         session=session,
         address=settings.platform_address,
         token=secrets.platform_token,
         timeout_s=settings.limits.platform_ms / 1000,
     )
-    members = MemberTable(own_name=settings.name)
-    merge_member(members, member, now=time.monotonic())
     return Instance(
         settings=settings,
         secrets=secrets,
@@ -150,9 +176,17 @@
         AskProbe: partial(answer_probe, links),
         AskHead: answer_head,
         AskBody: answer_body,
+        ShareDemand: answer_demand,
         LeavingNews: answer_leaving,
         LeavingSync: answer_leaving_sync,
         HealthNews: answer_health,
+        AskOutcomes: answer_outcomes,
+        AskInFlight: answer_in_flight,
+        ForwardCompletion: forward_answer,
+        ForwardCall: forward_call,
+        RecordAttempt: answer_record,
+        TakeKey: answer_take,
+        NoteKey: answer_note,
     }
 
     def bind(answer):  # noqa: ANN001, ANN202
@@ -206,7 +240,7 @@
     connector = aiohttp.TCPConnector(limit=MOST_CONNECTIONS)
     async with aiohttp.ClientSession(connector=connector) as session:
         instance = make_instance(settings, secrets, session, traces)
-        links = _make_links(instance)
+        links = instance.links = _make_links(instance)
         stop, hurried = instance.stop_asked, asyncio.Event()
         _watch_signals(stop, hurried)
         server = await serve_peers(instance, _make_handlers(instance, links))
@@ -224,7 +258,11 @@
             _start_duty("gossip", run_gossip(instance, links), stop),
             _start_duty("summaries", run_summaries(instance), stop),
             _start_duty("drains", watch_drains(instance), stop),
+            _start_duty("secrets", watch_secrets(instance), stop),
+            _start_duty("placement", run_placement(instance, links), stop),
             _start_duty("readiness", run_readiness(instance, links), stop),
+            _start_duty("shares", run_shares(instance, links), stop),
+            _start_duty("admission", run_admission(instance), stop),
         ]
         await stop.wait()
         await _stop_gracefully(instance, hurried)
--- a/packages/instance/fulmarward/callers/_completions.py
+++ b/packages/instance/fulmarward/callers/_completions.py
@@ -1,7 +1,5 @@
 """Completions: `/v1/chat/completions`, `/v1/completions` and `/v1/models`."""
 
-import secrets
-
 from aiohttp import web
 
 from fulmarward._instance import Instance
@@ -13,7 +11,7 @@
     read_body,
 )
 from fulmarward.callers._errors import CallerError
-from fulmarward.callers._headers import read_deadline_ms, read_urgency
+from fulmarward.callers._headers import KEY_HEADER, read_deadline_ms, read_urgency
 from fulmarward.callers._open import open_answer
 from fulmarward.callers._release import release_answer
 from fulmarward.callers._resume import EVENT_ID_HEADER, open_resumed
@@ -25,18 +23,10 @@
     Shape,
 )
 from fulmarward.observability import log_event
-from fulmarward.requests import Work
+from fulmarward.requests import Work, make_request_id
 from fulmarward_core.declaration import Pipeline
 from fulmarward_core.results import ResultCode, make_failure
 
-#: Names a request that its caller may send again.
-KEY_HEADER = "Idempotency-Key"
-
-
-def make_request_id() -> str:
-    """Return a fresh request id: 80 random bits."""
-    return secrets.token_hex(10)
-
 
 def _find_pipeline(instance: Instance, team: str, name: str) -> Pipeline:
     declaration = instance.snapshot.declaration
@@ -84,7 +74,7 @@
     answer.may_return |= body.stream or KEY_HEADER in request.headers
     head = AnswerHead(
         shape=shape,
-        request=work.request,
+        request=answer.request,
         created=int(instance.read_wall_clock()),
         pipeline=work.pipeline_name,
     )
--- a/packages/instance/fulmarward/targets/_engine.py
+++ b/packages/instance/fulmarward/targets/_engine.py
@@ -11,6 +11,7 @@
 
 import aiohttp
 import orjson
+import xxhash
 
 from fulmarward_core.placement import Held, Wanted
 from fulmarward_core.requests import StreamEvent, parse_events
@@ -24,10 +25,35 @@
 #: Seconds for an engine to answer that a stream can be attached to again.
 ATTACH_S = 1.0
 
+#: Headers that a read does without: a fifth of its bytes.
+_NEEDLESS_HEADERS = ("Accept", "Accept-Encoding", "User-Agent")
+
 #: Seconds for a short call to an engine.
 SHORT_CALL_S = 2.0
 
 
+#: Words of one block; engines cache prefixes that end on a block.
+PREFIX_TOKENS = 16
+
+#: Blocks hashed of one prompt. Load: prompts of 100,000 words; harm: the loop stands
+#: still while they are hashed; reason: shared prefixes are shorter than 4,096 words.
+MOST_PREFIXES = 256
+
+
+def hash_prefixes(prompt: str) -> tuple[str, ...]:
+    """Return the hashes that engines give a prompt's prefixes, the shortest first."""
+    words = prompt.split(None, MOST_PREFIXES * PREFIX_TOKENS)
+    hashing = xxhash.xxh64()
+    found = []
+    whole = min(len(words) // PREFIX_TOKENS, MOST_PREFIXES)
+    for block in range(whole):
+        start = block * PREFIX_TOKENS
+        text = " ".join(words[start : start + PREFIX_TOKENS])
+        hashing.update((" " + text if block else text).encode())
+        found.append(hashing.hexdigest())
+    return tuple(found)
+
+
 @dataclass(frozen=True, kw_only=True)
 class StreamOrder:
     """What an engine is asked to generate."""
@@ -262,7 +288,11 @@
     """Return the engine's load report and what else it says of itself."""
     timeout = aiohttp.ClientTimeout(total=SHORT_CALL_S)
     try:
-        async with session.get(f"http://{address}/v1/load", timeout=timeout) as answer:
+        async with session.get(
+            f"http://{address}/v1/load",
+            timeout=timeout,
+            skip_auto_headers=_NEEDLESS_HEADERS,
+        ) as answer:
             text = await answer.read()
         body = orjson.loads(text)
         load = LoadReport(
@@ -302,7 +332,10 @@
     url = f"http://{address}/v1/cache-events"
     try:
         async with session.get(
-            url, params={"after": str(after)}, timeout=timeout
+            url,
+            params={"after": str(after)},
+            timeout=timeout,
+            skip_auto_headers=_NEEDLESS_HEADERS,
         ) as answer:
             text = await answer.read()
         events = tuple(
