--- a/packages/instance/fulmarward/_daemon.py
+++ b/packages/instance/fulmarward/_daemon.py
@@ -15,6 +15,7 @@
 from fulmarward._instance import Instance
 from fulmarward._lifecycle import Lifecycle
 from fulmarward._secret_files import watch_secrets
+from fulmarward._stop import end_open, list_open
 from fulmarward.callers import make_caller_app
 from fulmarward.configuration import (
     answer_body,
@@ -30,6 +31,12 @@
     run_summaries,
     watch_drains,
 )
+from fulmarward.keys import (
+    answer_note,
+    answer_record,
+    answer_take,
+    forward_answer,
+)
 from fulmarward.membership import (
     announce_leaving,
     answer_members,
@@ -52,13 +59,17 @@
     AskMembers,
     AskOutcomes,
     AskProbe,
+    ForwardCompletion,
     HealthNews,
     LeavingNews,
     LeavingSync,
+    NoteKey,
     PeerHandlers,
     PeerLinks,
     Ping,
+    RecordAttempt,
     SyncMembers,
+    TakeKey,
     serve_peers,
 )
 from fulmarward.placement import answer_in_flight, answer_outcomes, run_placement
@@ -165,6 +176,10 @@
         HealthNews: answer_health,
         AskOutcomes: answer_outcomes,
         AskInFlight: answer_in_flight,
+        ForwardCompletion: forward_answer,
+        RecordAttempt: answer_record,
+        TakeKey: answer_take,
+        NoteKey: answer_note,
     }
 
     def bind(answer):  # noqa: ANN001, ANN202
@@ -191,11 +206,14 @@
     await _wait_or_hurry(hurried, LEAVING_NOTICE_S)
     instance.lifecycle.begin_stop()
     deadline = instance.read_clock() + instance.settings.limits.stop_ms / 1000
-    while instance.answers and instance.read_clock() < deadline:
+    while list_open(instance) and instance.read_clock() < deadline:
         if hurried.is_set():
             break
         await asyncio.sleep(STOP_LOOK_S)
-    log_event("stopped", cut_off=len(instance.answers))
+    cut_off = len(list_open(instance))
+    instance.lifecycle.finish_stop()
+    await end_open(instance)
+    log_event("stopped", cut_off=cut_off)
 
 
 async def _wait_or_hurry(hurried: asyncio.Event, seconds: float) -> None:
@@ -215,7 +233,7 @@
     connector = aiohttp.TCPConnector(limit=MOST_CONNECTIONS)
     async with aiohttp.ClientSession(connector=connector) as session:
         instance = make_instance(settings, secrets, session, traces)
-        links = _make_links(instance)
+        links = instance.links = _make_links(instance)
         stop, hurried = instance.stop_asked, asyncio.Event()
         _watch_signals(stop, hurried)
         server = await serve_peers(instance, _make_handlers(instance, links))
@@ -233,8 +251,8 @@
             _start_duty("gossip", run_gossip(instance, links), stop),
             _start_duty("summaries", run_summaries(instance), stop),
             _start_duty("drains", watch_drains(instance), stop),
-            _start_duty("placement", run_placement(instance, links), stop),
             _start_duty("secrets", watch_secrets(instance), stop),
+            _start_duty("placement", run_placement(instance, links), stop),
             _start_duty("readiness", run_readiness(instance, links), stop),
         ]
         await stop.wait()
--- a/packages/instance/fulmarward/answers/_answer.py
+++ b/packages/instance/fulmarward/answers/_answer.py
@@ -34,6 +34,8 @@
     task: asyncio.Task | None = None
     #: Whether its caller can come back for it, by event id or key.
     may_return: bool = False
+    #: Whether a key holds it: it runs to its end, whoever reads it.
+    is_keyed: bool = False
     #: Callers reading now.
     readers: int = 0
     #: When the last reader left, seconds on the steady clock.
