--- a/packages/instance/fulmarward/_daemon.py
+++ b/packages/instance/fulmarward/_daemon.py
@@ -36,6 +36,7 @@
     answer_record,
     answer_take,
     forward_answer,
+    forward_call,
 )
 from fulmarward.membership import (
     announce_leaving,
@@ -47,6 +48,7 @@
 )
 from fulmarward.observability import (
     TraceHandler,
+    count_frame,
     log_event,
     make_metrics,
     start_logging,
@@ -59,6 +61,7 @@
     AskMembers,
     AskOutcomes,
     AskProbe,
+    ForwardCall,
     ForwardCompletion,
     HealthNews,
     LeavingNews,
@@ -68,13 +71,16 @@
     PeerLinks,
     Ping,
     RecordAttempt,
+    ShareDemand,
     SyncMembers,
     TakeKey,
     serve_peers,
 )
 from fulmarward.placement import answer_in_flight, answer_outcomes, run_placement
 from fulmarward.platform import Platform
+from fulmarward.requests import run_admission
 from fulmarward.settings import InstanceSettings, Secrets
+from fulmarward.shares import answer_demand, run_shares
 from fulmarward.targets import follow_targets
 from fulmarward_core.configuration import EMPTY_SNAPSHOT
 from fulmarward_core.membership import (
@@ -154,7 +160,7 @@
 
 def _make_links(instance: Instance) -> PeerLinks:
     def count_bytes(direction: str, number: int) -> None:
-        instance.metrics.control_bytes.add({"direction": direction}, number)
+        count_frame(instance.metrics, direction, number)
 
     return PeerLinks(
         read_own=lambda: instance.member,
@@ -171,12 +177,14 @@
         AskProbe: partial(answer_probe, links),
         AskHead: answer_head,
         AskBody: answer_body,
+        ShareDemand: answer_demand,
         LeavingNews: answer_leaving,
         LeavingSync: answer_leaving_sync,
         HealthNews: answer_health,
         AskOutcomes: answer_outcomes,
         AskInFlight: answer_in_flight,
         ForwardCompletion: forward_answer,
+        ForwardCall: forward_call,
         RecordAttempt: answer_record,
         TakeKey: answer_take,
         NoteKey: answer_note,
@@ -254,6 +262,8 @@
             _start_duty("secrets", watch_secrets(instance), stop),
             _start_duty("placement", run_placement(instance, links), stop),
             _start_duty("readiness", run_readiness(instance, links), stop),
+            _start_duty("shares", run_shares(instance, links), stop),
+            _start_duty("admission", run_admission(instance), stop),
         ]
         await stop.wait()
         await _stop_gracefully(instance, hurried)
--- a/packages/instance/fulmarward/peers/__init__.py
+++ b/packages/instance/fulmarward/peers/__init__.py
@@ -30,6 +30,7 @@
     Pong,
     Probed,
     RecordAttempt,
+    ShareDemand,
     SyncMembers,
     TakeKey,
 )
@@ -68,6 +69,7 @@
     "Ping",
     "Pong",
     "Probed",
+    "ShareDemand",
     "SyncMembers",
     "decode_message",
     "encode_message",
