Golden session of keyed work: repeats, another body, another team, the home killed

Cause: the proof by golden files held no session in which work may run once.

Change: one session of a rewrite and of a service call, each repeated at three instances, with another body, by another team, after the home was killed and at the home's next run; callers' side and ledgers.

--- a/packages/instance/fulmarward/callers/tests/test_sessions.py
+++ b/packages/instance/fulmarward/callers/tests/test_sessions.py
@@ -2,7 +2,10 @@
 import unittest
 from pathlib import Path
 
+from fulmarward.keys.tests.callers import get_key
 from fulmarward_standins.harness import (
+    FleetPlan,
+    TargetPlan,
     check_golden,
     make_team_key,
     read_stream,
@@ -49,6 +52,45 @@
     return ["ledger", *lines]
 
 
+class KeyedSessionTest(unittest.IsolatedAsyncioTestCase):
+    async def test_session_of_a_unit_move(self):
+        # A location manager's rewritten notes and a unit move must appear once. The
+        # calls are repeated at other instances, with another body and by another
+        # team; then the home of the key is killed and both are repeated again. The
+        # ledgers show one run of each.
+        plan = FleetPlan(
+            targets=[
+                TargetPlan(name="e1"),
+                TargetPlan(name="s1", kind="service", serves="callsheet"),
+            ]
+        )
+        rewrite = {"model": "rewrite", "prompt": "unit move [5 tokens]"}
+        move = {"unit": 2, "to": "harbour"}
+        async with start_fleet(plan) as fleet:
+            lines = []
+            for path, body in (
+                ("/v1/completions", rewrite),
+                ("/services/callsheet/moves", move),
+            ):
+                key = {"Idempotency-Key": await get_key(fleet, "i1", "i2", "notes")}
+                for instance in ("i3", "i1", "i2"):
+                    lines += await _record(fleet, instance, path, body, key)
+                other = body | {"prompt": "other"}
+                lines += await _record(fleet, "i3", path, other, key)
+                foreign = key | {"Authorization": "Bearer key-of-osservatorio"}
+                lines += await _record(fleet, "i3", path, body, foreign)
+                await fleet.processes["i1"].kill()
+                lines.append("(the home is killed)")
+                lines += await _record(fleet, "i3", path, body, key)
+                await fleet.start_instance("i1")
+                await fleet.wait_ready("i1")
+                lines.append("(another run of the home serves)")
+                lines += await _record(fleet, "i1", path, body, key)
+            entries = await fleet.read_ledgers()
+            lines += _render_ledgers(entries, "\n".join(lines))
+        check_golden(self, _GOLDEN / "keyed.txt", "\n".join(lines) + "\n")
+
+
 class CompletionSessionTest(unittest.IsolatedAsyncioTestCase):
     async def test_session_of_completions(self):
         # A caller asks for addresses, has a completion whole and one streamed, and
