--- a/packages/instance/fulmarward/callers/_release.py
+++ b/packages/instance/fulmarward/callers/_release.py
@@ -8,18 +8,21 @@
 from fulmarward_core.results import ResultCode, make_failure
 
 
-def release_answer(instance: Instance, answer: Answer) -> None:
-    """Note that a reader left; nobody's work is cancelled, nobody's answer dropped.
+def release_answer(instance: Instance, answer: Answer, *, is_sent: bool) -> None:
+    """Note that a reader left: work that nobody reads is cancelled and dropped.
 
     Guards against work that runs on for callers that are gone: they show as a
     connection that ended, also while the request still waits. A caller that can come
-    back (it has event ids or a key) has `linger_ms` to do so; another has none.
+    back (it has event ids or a key) has `linger_ms` to do so; another has none. What
+    was sent whole can still be had from the engine. What runs at the home of its key
+    runs to its end: its caller has longer to come back.
     """
     answer.readers -= 1
-    if answer.readers:
+    if answer.readers or (answer.is_keyed and not answer.is_over):
         return
     answer.unread_since = instance.read_clock()
-    wait_s = instance.settings.limits.linger_ms / 1000 if answer.may_return else 0.0
+    may_wait = answer.may_return and not is_sent
+    wait_s = instance.settings.limits.linger_ms / 1000 if may_wait else 0.0
     lingering = _drop_unread(instance, answer, answer.unread_since, wait_s)
     instance.keep_task(asyncio.create_task(lingering))
 
--- a/packages/instance/fulmarward/requests/tests/test_chains.py
+++ b/packages/instance/fulmarward/requests/tests/test_chains.py
@@ -1,4 +1,5 @@
 import json
+import signal
 import unittest
 
 from fulmarward_standins.engine import answer_tokens
@@ -27,7 +28,9 @@
     ]
     return FleetPlan(
         instances=[
-            InstancePlan(name="i1", data_centre="lx-alcantara"),
+            InstancePlan(
+                name="i1", data_centre="lx-alcantara", limits={"linger_ms": 200}
+            ),
             InstancePlan(name="i2", data_centre="lx-oriente"),
         ],
         targets=targets,
@@ -48,7 +51,9 @@
     async def test_chain_outlives_lost_replies_instances_and_stages(self):
         async with start_fleet(_plan()) as fleet:
             await self._check_lost_replies(fleet)
+            await self._check_leaving_stage(fleet)
             await self._check_killed_stage(fleet)
+            await self._check_frozen_instance(fleet)
             await self._check_killed_instance(fleet)
 
     async def _check(self, fleet, stream, texts, prompt, tokens):
@@ -68,6 +73,24 @@
         ran = await self._check(fleet, stream, stream.texts, prompt, 20)
         self.assertEqual(set(ran), {1})
 
+    async def _check_leaving_stage(self, fleet):
+        # The last stage's target leaves in the middle of an answer, and is so slow that
+        # the answer cannot end before that is known. Its KV cache moves
+        # to another target of the range, one reply of the import being lost; the same
+        # attempt goes on there, and no layer runs twice.
+        prompt = "sunrise [300 tokens]"
+        async with open_stream(fleet, "i1", prompt, pipeline="chain") as stream:
+            await stream.read(10)
+            ran = _ran(await fleet.read_ledgers_by_target(), stream.request)[1]
+            leaving, other = ("c3", "d3") if "c3" in ran else ("d3", "c3")
+            await fleet.control_target(other, lose_replies=1, lose_matching="/v1/kv")
+            await fleet.control_target(leaving, leaving=True, step_ms=60)
+            await stream.read()
+        ran = await self._check(fleet, stream, stream.texts, prompt, 300)
+        self.assertEqual(set(ran), {1})
+        self.assertLessEqual({leaving, other}, ran[1])
+        await fleet.control_target(leaving, leaving=False, step_ms=0)
+
     async def _check_killed_stage(self, fleet):
         # A stage dies in the middle of an answer and its cache with it. The attempt
         # is closed on the other stages, a new one runs elsewhere, and what the caller
@@ -77,6 +100,7 @@
             await stream.read(10)
             ran = _ran(await fleet.read_ledgers_by_target(), stream.request)
             dying = "c2" if "c2" in ran[1] else "d2"
+            await fleet.control_target(dying, step_ms=100)
             await fleet.processes[dying].kill()
             await stream.read()
         ran = await self._check(fleet, stream, stream.texts, prompt, 300)
@@ -85,6 +109,28 @@
         await fleet.start_target(dying)
         await fleet.wait_listening(fleet.find_target(dying).address)
 
+    async def _check_frozen_instance(self, fleet):
+        # The driving instance freezes, another one takes the chain over, and the
+        # first wakes in the middle: it would drive on, then see its caller gone and
+        # close the attempt. The stages refuse it, and the caller has the whole answer.
+        prompt = "status [300 tokens]"
+        frozen = fleet.processes["i1"]
+        async with open_stream(fleet, "i1", prompt, pipeline="chain") as first:
+            await first.read(10)
+            frozen.send(signal.SIGSTOP)
+        async with open_stream(
+            fleet,
+            "i2",
+            prompt,
+            pipeline="chain",
+            last_event_id=first.last_event_id,
+        ) as rest:
+            await rest.read(5)
+            frozen.send(signal.SIGCONT)
+            await rest.read()
+        ran = await self._check(fleet, rest, first.texts + rest.texts, prompt, 300)
+        self.assertEqual(set(ran), {1})
+
     async def _check_killed_instance(self, fleet):
         # The instance that drives a chain dies. Another one reads from the stages how
         # far each is and drives on; the caller has every event once, and so has
--- a/packages/instance/fulmarward/targets/__init__.py
+++ b/packages/instance/fulmarward/targets/__init__.py
@@ -1,6 +1,7 @@
 """Targets: engines and plain services, and the tasks that watch them."""
 
 from fulmarward.targets._engine import (
+    PREFIX_TOKENS,
     CacheEvents,
     EngineReport,
     EngineStream,
@@ -11,6 +12,7 @@
     StreamRefused,
     StreamUnknown,
     cancel_stream,
+    hash_prefixes,
     open_stream,
     read_cache_events,
     read_events,
@@ -36,9 +38,10 @@
     read_steps,
     run_step,
 )
-from fulmarward.targets._watch import follow_targets, update_views
+from fulmarward.targets._watch import find_view, follow_targets, update_views
 
 __all__ = [
+    "PREFIX_TOKENS",
     "CacheEvents",
     "EngineReport",
     "EngineStream",
@@ -59,8 +62,10 @@
     "cancel_stream",
     "close_steps",
     "export_cache",
+    "find_view",
     "follow_targets",
     "import_cache",
+    "hash_prefixes",
     "open_stream",
     "read_cache_events",
     "read_events",
@@ -68,7 +73,7 @@
     "read_load",
     "read_steps",
     "resume_stream",
-    "send_order",
     "run_step",
+    "send_order",
     "update_views",
 ]
--- a/packages/instance/fulmarward/targets/_watch.py
+++ b/packages/instance/fulmarward/targets/_watch.py
@@ -32,9 +32,9 @@
 #: choice among 4,100 targets; reason: a look costs nothing when nobody came or went.
 CHOOSE_EVERY_S = 5.0
 
-#: Bytes of one question to an engine, headers included, as `scripts/bench health`
-#: measures.
-REQUEST_BYTES = 150
+#: Bytes of one question to an engine and of its answer's first line, as
+#: `scripts/bench health` measures.
+REQUEST_BYTES = 80
 
 
 def _list_instances(instance: Instance) -> dict[str, str]:
@@ -77,6 +77,15 @@
             show_leaving(instance, name)
 
 
+def find_view(instance: Instance, name: str) -> TargetView | None:
+    """Return the view of a declared target, also of one that is not followed."""
+    view = instance.views.get(name)
+    target = instance.snapshot.declaration.targets.get(name)
+    if view is None and target is not None:
+        return TargetView(name=name, target=target)
+    return view
+
+
 async def _read_report(instance: Instance, view: TargetView, pacer: Pacer) -> None:
     await asyncio.sleep(reserve(pacer, REPORT_BYTES, now=instance.read_clock()))
     now = instance.read_clock()
@@ -106,13 +115,15 @@
 async def _watch_load(instance: Instance, view: TargetView, pacer: Pacer) -> None:
     while _is_followed(instance, view):
         await _read_report(instance, view, pacer)
-        await asyncio.sleep(draw_interval(instance.generator))
+        is_used = view.in_flight > 0
+        await asyncio.sleep(draw_interval(instance.generator, is_used=is_used))
 
 
 async def _watch_cache(instance: Instance, view: TargetView, pacer: Pacer) -> None:
     while _is_followed(instance, view):
         await _read_events(instance, view, pacer)
-        await asyncio.sleep(draw_interval(instance.generator))
+        is_used = view.in_flight > 0
+        await asyncio.sleep(draw_interval(instance.generator, is_used=is_used))
 
 
 async def _watch_target(
