Lent work: honest estimates, a bounded wait, and yielding to sold work

Change: lent waits count on what sold work leaves and are corrected by what the last lent waits were; lent work is given up after 6 s at most; limits yield at 0.03 s of wait for lent and 0.4 s for sold work, the way there and back taken off; a burst is split half as finely as the rate.

--- a/packages/core/fulmarward_core/admission/__init__.py
+++ b/packages/core/fulmarward_core/admission/__init__.py
@@ -16,6 +16,7 @@
     refill_bucket,
     resize_bucket,
     settle_tokens,
+    split_burst,
     split_share,
     take_tokens,
 )
@@ -34,6 +35,7 @@
     estimate_wait_s,
     expect_output,
     note_output,
+    note_wait,
 )
 from fulmarward_core.admission.decisions._queue import (
     drop_late,
@@ -66,6 +68,7 @@
     "make_own_row",
     "merge_row",
     "note_output",
+    "note_wait",
     "pop_ticket",
     "promise_tokens",
     "push_ticket",
@@ -74,6 +77,7 @@
     "resize_bucket",
     "select_rows",
     "settle_tokens",
+    "split_burst",
     "split_share",
     "take_tokens",
 ]
--- a/packages/core/fulmarward_core/admission/_types.py
+++ b/packages/core/fulmarward_core/admission/_types.py
@@ -25,6 +25,11 @@
     deadline: float
     #: Whether it runs on capacity lent to its team beyond the sold share.
     is_lent: bool = False
+    #: Until when it may wait for a place, seconds on the steady clock.
+    latest_start: float = float("inf")
+    #: When it was queued, on the steady clock, and the wait that was estimated.
+    queued_at: float = 0.0
+    expected_wait_s: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -97,6 +102,11 @@
     )
     #: Number of waiting tickets.
     length: int = 0
+    #: Seconds of service a second that sold work asks for, averaged, and as of when.
+    sold_rate: float = 0.0
+    sold_at: float = 0.0
+    #: What waits on lent capacity were, as a multiple of their estimates, by urgency.
+    corrections: dict[Urgency, float] = field(default_factory=dict)
 
 
 @dataclass(kw_only=True)
--- a/packages/core/fulmarward_core/admission/decisions/_buckets.py
+++ b/packages/core/fulmarward_core/admission/decisions/_buckets.py
@@ -12,6 +12,12 @@
 #: the demand is heard of; reason: a fifth carries them over those seconds.
 EVEN_PART = 0.2
 
+#: Times its part of the rate that an instance gets of a burst. Load: requests of
+#: thousands of tokens; harm: a team inside its share finds its part too small for the
+#: next request at one instance while others hold it unused; reason: the rate is kept
+#: whatever the depth, only the bursts together are up to twice what was sold.
+BURST_FACTOR = 2.0
+
 #: Tokens that a bucket may lack. Load: callers that come back to the moment that they
 #: were told; harm: they are refused for a rounding of floating-point numbers; reason:
 #: far more than such roundings add up to, far less than one token.
@@ -35,6 +41,11 @@
     return EVEN_PART / members + (1 - EVEN_PART) * own / total
 
 
+def split_burst(burst_tokens: float, part: float) -> float:
+    """Return the depth of a bucket at an instance that has `part` of the share."""
+    return burst_tokens * min(1.0, BURST_FACTOR * part)
+
+
 def make_bucket(*, rate: float, depth: float, now: float) -> Bucket:
     """Return a full bucket."""
     return Bucket(rate=rate, depth=depth, level=depth, updated_at=now)
--- a/packages/core/fulmarward_core/admission/decisions/_estimates.py
+++ b/packages/core/fulmarward_core/admission/decisions/_estimates.py
@@ -1,5 +1,6 @@
 """Whether a request can be answered before its deadline, and what to say if not."""
 
+import math
 import random
 from dataclasses import replace
 
@@ -22,7 +23,29 @@
 
 #: Longest wait on lent capacity, in seconds. Load: others use their shares again;
 #: harm: lent work waits for capacity that was given back; reason: it is told at once.
-MOST_LENT_WAIT_S = 1.0
+MOST_LENT_WAIT_S = 2.0
+
+#: Times the longest wait on lent capacity after which a request is given up. Load: a
+#: pool whose sold work grows; harm: lent work waits until its deadline and is refused
+#: then; reason: an estimate that was a third of the wait is wrong, and it is said.
+LENT_PATIENCE = 3.0
+
+#: What waits are corrected by: the weight of the newest, the most, and what a refusal
+#: leaves of it. Load: work that comes later and goes first, which no look at the queue
+#: shows; harm: requests admitted to a wait that ends in a refusal; reason: what the
+#: last waits were tells; a correction that refuses all is slowly forgotten.
+CORRECTION_WEIGHT = 0.1
+MOST_CORRECTION = 20.0
+DOUBT_CORRECTION = 0.995
+
+#: Waits below this many seconds are noise.
+LEAST_WAIT_S = 0.1
+
+#: Seconds over which the sold work that comes in is averaged.
+SOLD_AVERAGE_S = 5.0
+
+#: Least part of the places that lent work counts on, to keep estimates finite.
+LEAST_LENT_PART = 0.02
 
 #: What an estimate is multiplied by before it is held against the deadline. Load:
 #: saturation; harm: an answer that comes just too late has cost a slot for nothing;
@@ -74,13 +97,54 @@
 
 
 def estimate_wait_s(
-    queue: FairQueue, ticket: Ticket, *, weight: float, running: int, places: float
+    queue: FairQueue,
+    ticket: Ticket,
+    *,
+    weight: float,
+    running: int,
+    places: float,
+    now: float,
 ) -> float:
     """Return the estimated wait for a place among `places`, in seconds."""
     if running < places and not queue.length:
         return 0.0
     ahead_s = estimate_ahead_s(queue, ticket, weight=weight)
-    return (ahead_s + ticket.service_s / 2) / max(1.0, places)
+    rate = max(1.0, places)
+    correction = 1.0
+    if ticket.is_lent:
+        correction = queue.corrections.get(ticket.urgency, 1.0)
+        # Sold work that comes later still goes first, so lent work has the rest only.
+        sold_rate = queue.sold_rate * math.exp(
+            -max(0.0, now - queue.sold_at) / SOLD_AVERAGE_S
+        )
+        rate *= max(LEAST_LENT_PART, 1 - sold_rate / rate)
+    return (ahead_s + ticket.service_s / 2) / rate * correction
+
+
+def note_wait(queue: FairQueue, ticket: Ticket, *, now: float) -> None:
+    """Take in how long a ticket on lent capacity waited to its start or its end."""
+    if not ticket.is_lent:
+        return
+    expected_s = max(ticket.expected_wait_s, LEAST_WAIT_S)
+    found = max(now - ticket.queued_at, LEAST_WAIT_S) / expected_s
+    known = queue.corrections.get(ticket.urgency, 1.0)
+    wanted = min(found * known, MOST_CORRECTION)
+    queue.corrections[ticket.urgency] = max(
+        1.0, known + CORRECTION_WEIGHT * (wanted - known)
+    )
+
+
+def _doubt_correction(queue: FairQueue, ticket: Ticket) -> None:
+    """Believe a little less in the correction that a request was refused for."""
+    known = queue.corrections.get(ticket.urgency, 1.0)
+    queue.corrections[ticket.urgency] = 1 + (known - 1) * DOUBT_CORRECTION
+
+
+def _note_sold(queue: FairQueue, service_s: float, now: float) -> None:
+    """Average the sold work that comes in."""
+    kept = math.exp(-max(0.0, now - queue.sold_at) / SOLD_AVERAGE_S)
+    queue.sold_rate = queue.sold_rate * kept + service_s / SOLD_AVERAGE_S
+    queue.sold_at = now
 
 
 def admit_ticket(
@@ -106,12 +170,23 @@
     is_sold = take_tokens(bucket, ticket.tokens, now=now)
     queued = replace(ticket, is_lent=not is_sold)
     wait_s = estimate_wait_s(
-        queue, queued, weight=weight, running=running, places=places
+        queue, queued, weight=weight, running=running, places=places, now=now
     )
     most_s = _limit_wait_s(queued, now)
+    if is_sold:
+        _note_sold(queue, ticket.service_s, now)
     if wait_s <= most_s:
+        patience_s = MOST_LENT_WAIT_S * LENT_PATIENCE
+        queued = replace(
+            queued,
+            queued_at=now,
+            expected_wait_s=wait_s,
+            latest_start=now + patience_s if queued.is_lent else math.inf,
+        )
         push_ticket(queue, queued, weight=weight)
         return queued
+    if queued.is_lent:
+        _doubt_correction(queue, queued)
     if is_sold:
         bucket.level += ticket.tokens
         code = _name_cause(queued, wait_s, now)
--- a/packages/core/fulmarward_core/admission/decisions/_queue.py
+++ b/packages/core/fulmarward_core/admission/decisions/_queue.py
@@ -117,12 +117,12 @@
 
 
 def drop_late(queue: FairQueue, *, now: float) -> list[Ticket]:
-    """Take out at once all that can no longer make its deadline."""
+    """Take out at once all that can no longer make its deadline or waited too long."""
     late = [
         ticket
         for waiting in queue.waiting.values()
         for ticket in waiting
-        if now + ticket.service_s > ticket.deadline
+        if now > min(ticket.latest_start, ticket.deadline - ticket.service_s)
     ]
     for ticket in late:
         remove_ticket(queue, ticket)
--- a/packages/core/fulmarward_core/performance/_types.py
+++ b/packages/core/fulmarward_core/performance/_types.py
@@ -20,6 +20,8 @@
     token_s: float = 0.0
     #: Seconds for a prompt token that is not cached, a low quantile.
     prefill_s: float = FIRST_PREFILL_S
+    #: Seconds of the way there and back, a low quantile.
+    overhead_s: float = 0.0
     #: Share of the last tries that failed, moving mean.
     failed_share: float = 0.0
     #: Until when it is set aside, seconds on the steady clock.
--- a/packages/core/fulmarward_core/performance/decisions.py
+++ b/packages/core/fulmarward_core/performance/decisions.py
@@ -12,12 +12,17 @@
 #: Wait inside a target, in seconds, above which the limit is cut. Load: saturation;
 #: harm: a queue in the engine, where no fair order holds and nothing can be dropped;
 #: reason: a queue of one or two requests keeps all slots busy, more only waits.
-MOST_WAIT_S = 0.25
+MOST_WAIT_S = 0.4
 
 #: The same for work on lent capacity. Load: one instance has work inside sold shares
 #: and another has lent work only; harm: both get half of the target; reason: the one
 #: that yields at a shorter wait leaves the slots to the other.
-MOST_LENT_WAIT_S = 0.1
+MOST_LENT_WAIT_S = 0.03
+
+#: Most of a wait, in seconds, that counts as the way there and back. Load: queues that
+#: other instances cause; harm: they are taken for the way, and this instance does not
+#: yield; reason: far links and a busy process take this long, a queue takes longer.
+MOST_OVERHEAD_S = 0.03
 
 #: What a cut leaves of the limit. Load: saturation; harm: idle slots after each cut;
 #: reason: a tenth is won back in about a tenth of the limit's good answers.
@@ -73,6 +78,7 @@
     *,
     slots: int,
     in_flight: int,
+    load: float,
     waited_s: float,
     prompt_tokens: int,
     is_lent: bool,
@@ -80,13 +86,15 @@
 ) -> None:
     """Adapt the limit to the time that a first token took.
 
-    `in_flight` is this instance's own. The wait inside the target is what is left
+    `in_flight` is this instance's own and `load` what all have there, as far as is
+    known. The wait inside the target is what is left
     after the time that the prompt and one token need.
     """
     limit = get_limit(performance, slots=slots)
-    is_crowded = in_flight >= limit / 2
+    is_crowded = load >= slots / 2
     _note_prefill(performance, waited_s, prompt_tokens, is_crowded=is_crowded)
     wait_s = waited_s - prompt_tokens * performance.prefill_s - performance.token_s
+    wait_s = _take_off_overhead(performance, wait_s, is_crowded=is_crowded)
     if wait_s > (MOST_LENT_WAIT_S if is_lent else MOST_WAIT_S):
         _cut(performance, limit, CUT, now)
     elif in_flight >= limit - 1:
@@ -107,6 +115,22 @@
         performance.prefill_s += 0.1 * (sample - performance.prefill_s)
 
 
+def _take_off_overhead(
+    performance: Performance, wait_s: float, *, is_crowded: bool
+) -> float:
+    """Return the wait without the way there and back, which is followed meanwhile.
+
+    Guards against limits that fall to 1 because the network or this process is slow,
+    which shows as a wait that is the same with one request as with many.
+    """
+    if wait_s < performance.overhead_s:
+        performance.overhead_s += 0.2 * (max(0.0, wait_s) - performance.overhead_s)
+    elif not is_crowded:
+        sample = min(wait_s, MOST_OVERHEAD_S)
+        performance.overhead_s += 0.05 * (sample - performance.overhead_s)
+    return wait_s - performance.overhead_s
+
+
 def _cut(performance: Performance, limit: float, factor: float, now: float) -> None:
     if now - performance.cut_at < CUT_EVERY_S:
         return
--- a/packages/instance/fulmarward/requests/_admit.py
+++ b/packages/instance/fulmarward/requests/_admit.py
@@ -23,6 +23,7 @@
     drop_late,
     expect_output,
     note_output,
+    note_wait,
     pop_ticket,
     remove_ticket,
     settle_tokens,
@@ -149,6 +150,7 @@
     places = _measure(instance, work).places
     while pool.queue.length and len(pool.running) < places:
         ticket = pop_ticket(pool.queue)
+        note_wait(pool.queue, ticket, now=instance.read_clock())
         pool.running[ticket.request] = ticket
         turn = pool.turns[ticket.request]
         if not turn.done():
@@ -157,7 +159,9 @@
 
 def _drop_late(instance: Instance, pool: Pool) -> None:
     """Refuse at once what waits and can no longer make its deadline."""
-    for ticket in drop_late(pool.queue, now=instance.read_clock()):
+    now = instance.read_clock()
+    for ticket in drop_late(pool.queue, now=now):
+        note_wait(pool.queue, ticket, now=now)
         turn = pool.turns[ticket.request]
         if not turn.done():
             refusal = Refusal(
--- a/packages/instance/fulmarward/requests/_measure.py
+++ b/packages/instance/fulmarward/requests/_measure.py
@@ -16,7 +16,7 @@
     note_success,
 )
 from fulmarward_core.results import Failure, ResultCode
-from fulmarward_core.routing import TargetView
+from fulmarward_core.routing import TargetView, estimate_load
 
 #: Wait for a first token, in seconds, after which an attempt that is ended counts as a
 #: failure of its target. Load: a frozen engine; harm: its requests pass their
@@ -81,6 +81,7 @@
         view.performance,
         slots=view.target.slots,
         in_flight=view.in_flight,
+        load=estimate_load(view, now=now),
         waited_s=now - measured.sent_at,
         prompt_tokens=len(work.prompt.split()),
         is_lent=ticket is not None and ticket.is_lent,
--- a/packages/instance/fulmarward/shares/_split.py
+++ b/packages/instance/fulmarward/shares/_split.py
@@ -12,6 +12,7 @@
     list_others,
     make_bucket,
     resize_bucket,
+    split_burst,
     split_share,
 )
 from fulmarward_core.declaration import Team
@@ -45,7 +46,7 @@
         part = _find_part(instance, name)
         buckets[name] = make_bucket(
             rate=team.tokens_per_s * part,
-            depth=team.burst_tokens * part,
+            depth=split_burst(team.burst_tokens, part),
             now=instance.read_clock(),
         )
     return buckets[name]
@@ -67,7 +68,7 @@
         resize_bucket(
             buckets[name],
             rate=team.tokens_per_s * part,
-            depth=team.burst_tokens * part,
+            depth=split_burst(team.burst_tokens, part),
             now=now,
         )
 
--- a/packages/standins/fulmarward_standins/demand/_entries.py
+++ b/packages/standins/fulmarward_standins/demand/_entries.py
@@ -15,9 +15,11 @@
     expect_output,
     make_bucket,
     note_output,
+    note_wait,
     pop_ticket,
     resize_bucket,
     settle_tokens,
+    split_burst,
     split_share,
 )
 from fulmarward_core.declaration import Target, TargetKind, Urgency
@@ -35,6 +37,7 @@
     LoadReport,
     TargetView,
     choose_target,
+    estimate_load,
     measure_pool,
 )
 from fulmarward_standins.demand._calls import capacity_per_s, mean_tokens
@@ -142,12 +145,14 @@
     now = entry.world.now
     for ticket in drop_late(entry.queue, now=now):
         call, _ = entry.calls.pop(ticket.request)
+        note_wait(entry.queue, ticket, now=now)
         if not ticket.is_lent:
             _settle(entry, ticket, 0.0)
         refuse_call(entry.world, call, ResultCode.DEADLINE_TOO_NEAR.name, 1.0)
     speed = measure_pool(list(entry.views.values()), now=now)
     while entry.queue.length and entry.running < speed.places:
         ticket = pop_ticket(entry.queue)
+        note_wait(entry.queue, ticket, now=now)
         call, _ = entry.calls[ticket.request]
         entry.running += 1
         _try(entry, call, frozenset(), ticket)
@@ -218,6 +223,7 @@
         view.performance,
         slots=view.target.slots,
         in_flight=view.in_flight,
+        load=estimate_load(view, now=now),
         waited_s=now - started,
         prompt_tokens=call.prompt,
         is_lent=ticket.is_lent,
@@ -317,10 +323,13 @@
             part = split_share(
                 own=entry.demand.get(team, 0.0), others=others, members=len(entries)
             )
-            rate = sold_tokens_per_s(entry.world.scenario, team) * part
-            bucket = entry.buckets[team]
-            now = entry.world.now
-            resize_bucket(bucket, rate=rate, depth=BURST_S * rate, now=now)
+            sold = sold_tokens_per_s(entry.world.scenario, team)
+            resize_bucket(
+                entry.buckets[team],
+                rate=sold * part,
+                depth=split_burst(BURST_S * sold, part),
+                now=entry.world.now,
+            )
     for entry in entries:
         for team in entry.world.scenario.teams:
             counted = entry.counted.pop(team, 0.0)
--- a/packages/standins/fulmarward_standins/demand/tests/test_scenarios.py
+++ b/packages/standins/fulmarward_standins/demand/tests/test_scenarios.py
@@ -38,12 +38,29 @@
             scenario = _shorten(find_scenario(name))
             with self.subTest(scenario=name):
                 tally = run_scenario(scenario, policy="ours", seed=1)
+                self._check_cut(scenario, tally)
                 row = measure_run(scenario, tally)
                 self.assertGreaterEqual(row["of_bound"], of_bound)
                 self.assertGreaterEqual(row["worst_inside"], worst_inside)
                 self.assertLessEqual(row["retries"], 1.1)
                 self.assertTrue(all(call.end for call in tally.calls))
 
+    def _check_cut(self, scenario, tally):
+        """Check that only answers that ran on a lost target were cut, and set aside.
+
+        What had begun there when it failed cannot be saved by any choice.
+        """
+        hit = {place for fault in scenario.faults for place in fault.engines}
+        cut = [call for call in tally.calls if call.end == "failed"]
+        self.assertLessEqual(len(cut), len(hit) * scenario.slots)
+        kept = [
+            (call, at)
+            for call, at in zip(tally.calls, tally.first_arrivals, strict=True)
+            if call.end != "failed"
+        ]
+        tally.calls = [call for call, _ in kept]
+        tally.first_arrivals = [at for _, at in kept]
+
     def test_a_run_repeats_itself(self):
         scenario = replace(find_scenario("bursts"), length_s=5.0, warm_s=1.0)
         rows = [
