--- a/packages/instance/fulmarward/_daemon.py
+++ b/packages/instance/fulmarward/_daemon.py
@@ -31,6 +31,13 @@
     run_summaries,
     watch_drains,
 )
+from fulmarward.keys import (
+    answer_note,
+    answer_record,
+    answer_take,
+    forward_answer,
+    forward_call,
+)
 from fulmarward.membership import (
     announce_leaving,
     answer_members,
@@ -41,6 +48,7 @@
 )
 from fulmarward.observability import (
     TraceHandler,
+    count_frame,
     log_event,
     make_metrics,
     start_logging,
@@ -53,14 +61,19 @@
     AskMembers,
     AskOutcomes,
     AskProbe,
+    ForwardCall,
+    ForwardCompletion,
     HealthNews,
     LeavingNews,
     LeavingSync,
+    NoteKey,
     PeerHandlers,
     PeerLinks,
     Ping,
+    RecordAttempt,
     ShareDemand,
     SyncMembers,
+    TakeKey,
     serve_peers,
 )
 from fulmarward.placement import answer_in_flight, answer_outcomes, run_placement
@@ -147,7 +160,7 @@
 
 def _make_links(instance: Instance) -> PeerLinks:
     def count_bytes(direction: str, number: int) -> None:
-        instance.metrics.control_bytes.add({"direction": direction}, number)
+        count_frame(instance.metrics, direction, number)
 
     return PeerLinks(
         read_own=lambda: instance.member,
@@ -170,6 +183,11 @@
         HealthNews: answer_health,
         AskOutcomes: answer_outcomes,
         AskInFlight: answer_in_flight,
+        ForwardCompletion: forward_answer,
+        ForwardCall: forward_call,
+        RecordAttempt: answer_record,
+        TakeKey: answer_take,
+        NoteKey: answer_note,
     }
 
     def bind(answer):  # noqa: ANN001, ANN202
@@ -223,7 +241,7 @@
     connector = aiohttp.TCPConnector(limit=MOST_CONNECTIONS)
     async with aiohttp.ClientSession(connector=connector) as session:
         instance = make_instance(settings, secrets, session, traces)
-        links = _make_links(instance)
+        links = instance.links = _make_links(instance)
         stop, hurried = instance.stop_asked, asyncio.Event()
         _watch_signals(stop, hurried)
         server = await serve_peers(instance, _make_handlers(instance, links))
--- a/packages/instance/fulmarward/requests/_execute.py
+++ b/packages/instance/fulmarward/requests/_execute.py
@@ -1,6 +1,7 @@
 """The task of one completion: choose a target, stream, retry what may be."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 from fulmarward._instance import Instance
 from fulmarward.answers import Answer
@@ -14,6 +15,7 @@
 from fulmarward.requests._work import Work
 from fulmarward_core.requests import choose_failure
 from fulmarward_core.results import Failure, ResultCode, make_failure
+from fulmarward_core.routing import TargetView
 
 #: Attempts of one request. Load: a failing pool; harm: each request times the number
 #: of targets; reason: two more targets find a good one unless most are bad.
@@ -22,15 +24,33 @@
 #: How long a target that refused or broke gets no new work, in seconds.
 AVOID_S = 1.0
 
+#: Asks whether an attempt may be dispatched to a target, the first one of a chain;
+#: `None` says yes. A refusal ends the request.
+Confirm = Callable[[int, TargetView], Awaitable[Failure | None]]
 
-async def run_completion(instance: Instance, work: Work, answer: Answer) -> None:
-    """Execute a completion and write its answer; always ends the answer."""
+
+async def confirm_always(attempt: int, view: TargetView) -> None:
+    """Say yes, for a request that may run more than once."""
+
+
+async def run_completion(
+    instance: Instance,
+    work: Work,
+    answer: Answer,
+    confirm: Confirm = confirm_always,
+) -> None:
+    """Execute a completion and write its answer; always ends the answer.
+
+    `confirm` is asked right before each dispatch.
+    """
     answer.task = asyncio.current_task()
     timeout_s = work.deadline - instance.read_clock()
     try:
         async with asyncio.timeout(max(timeout_s, 0.0)):
             async with admit_work(instance, work) as refusal:
-                failure = refusal or await try_targets(instance, work, answer, 1)
+                failure = refusal or await try_targets(
+                    instance, work, answer, 1, confirm
+                )
     except TimeoutError:
         failure = describe_timeout(answer)
     if failure is not None and not answer.is_over:
@@ -47,14 +67,18 @@
 
 
 async def try_targets(
-    instance: Instance, work: Work, answer: Answer, first_attempt: int
+    instance: Instance,
+    work: Work,
+    answer: Answer,
+    first_attempt: int,
+    confirm: Confirm = confirm_always,
 ) -> Failure | None:
     """Run attempts until one ends well or none may follow."""
     failure = None
     tried: set[str] = set()
     note_try(instance, work)
     for attempt in range(first_attempt, first_attempt + MOST_ATTEMPTS):
-        outcome = await _run_somewhere(instance, work, answer, attempt, tried)
+        outcome = await _run_somewhere(instance, work, answer, attempt, confirm, tried)
         if outcome is None:
             return None
         failure = choose_failure(failure, outcome)
@@ -64,7 +88,12 @@
 
 
 async def _run_somewhere(
-    instance: Instance, work: Work, answer: Answer, attempt: int, tried: set[str]
+    instance: Instance,
+    work: Work,
+    answer: Answer,
+    attempt: int,
+    confirm: Confirm,
+    tried: set[str],
 ) -> Failure | None:
     """Run an attempt on a target with the whole model, else on a chain."""
     choice = choose_route(instance, work, attempt, frozenset(tried))
@@ -73,8 +102,14 @@
         if chosen is None:
             return make_failure(ResultCode.NO_TARGET, retry_after_ms=RETRY_AFTER_MS)
         chain, version = chosen
+        refusal = await confirm(attempt, instance.views[chain.stages[0].target])
+        if refusal is not None:
+            return refusal
         return await run_chain(instance, work, answer, attempt, chain, version)
     view = choice.chosen
+    refusal = await confirm(attempt, view)
+    if refusal is not None:
+        return refusal
     tried.add(view.name)
     view.in_flight += 1
     try:
--- a/packages/instance/fulmarward/targets/_engine.py
+++ b/packages/instance/fulmarward/targets/_engine.py
@@ -17,9 +17,16 @@
 from fulmarward_core.requests import StreamEvent, parse_events
 from fulmarward_core.routing import LoadReport
 
-#: Seconds without any byte after which a stream's connection is given up. Harm: a
-#: frozen engine holds its callers for ever; reason: far above any token interval.
-SILENCE_S = 5.0
+#: Seconds without any byte after which a stream's connection is made anew. Harm: a
+#: frozen engine holds its callers; reason: far above any token interval, and a stream
+#: that only waits for its turn answers the new connection at once.
+SILENCE_S = 2.0
+
+#: Seconds for an engine to answer that a stream can be attached to again.
+ATTACH_S = 1.0
+
+#: Headers that a read does without: a fifth of its bytes.
+_NEEDLESS_HEADERS = ("Accept", "Accept-Encoding", "User-Agent")
 
 #: Seconds for a short call to an engine.
 SHORT_CALL_S = 2.0
@@ -85,6 +92,8 @@
 
     #: What was seen.
     detail: str
+    #: Whether nothing listens at the address now.
+    is_refused: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -155,7 +164,7 @@
     url = f"http://{address}/v1/streams/{request}/{attempt}"
     params = {"after": str(after), "reader": reader}
     try:
-        async with asyncio.timeout(SHORT_CALL_S):
+        async with asyncio.timeout(ATTACH_S):
             response = await session.get(
                 url, params=params, timeout=_make_timeout(connect_s)
             )
@@ -163,7 +172,8 @@
             response.release()
             return StreamUnknown()
     except (aiohttp.ClientError, TimeoutError) as error:
-        return StreamBroken(detail=type(error).__name__)
+        is_refused = isinstance(error, aiohttp.ClientConnectorError)
+        return StreamBroken(detail=type(error).__name__, is_refused=is_refused)
     if response.status != 200:
         response.release()
         return StreamBroken(detail=f"status {response.status}")
@@ -278,7 +288,11 @@
     """Return the engine's load report and what else it says of itself."""
     timeout = aiohttp.ClientTimeout(total=SHORT_CALL_S)
     try:
-        async with session.get(f"http://{address}/v1/load", timeout=timeout) as answer:
+        async with session.get(
+            f"http://{address}/v1/load",
+            timeout=timeout,
+            skip_auto_headers=_NEEDLESS_HEADERS,
+        ) as answer:
             text = await answer.read()
         body = orjson.loads(text)
         load = LoadReport(
@@ -318,7 +332,10 @@
     url = f"http://{address}/v1/cache-events"
     try:
         async with session.get(
-            url, params={"after": str(after)}, timeout=timeout
+            url,
+            params={"after": str(after)},
+            timeout=timeout,
+            skip_auto_headers=_NEEDLESS_HEADERS,
         ) as answer:
             text = await answer.read()
         events = tuple(
--- a/packages/instance/fulmarward/tests/test_stop.py
+++ b/packages/instance/fulmarward/tests/test_stop.py
@@ -76,14 +76,15 @@
     async def _check_hurried_stop(self, fleet):
         # The operator cannot wait and signals twice. A caller of a stream is told
         # that the instance ended, goes on at another one from its last event, and
-        # nothing was run twice. A call that cannot come back is told "unknown".
+        # nothing was run twice. A call without events is told "unknown", and has its
+        # whole answer when it comes back with the key that it was told.
         prompts = [f"moves {number} [30 tokens]" for number in range(20)]
         began = await _count_began(fleet)
         reading = [
             asyncio.create_task(read_whole(fleet, "i2", prompt, pipeline="rewrite"))
             for prompt in prompts
         ]
-        body = {"model": "rewrite", "prompt": "once [400 tokens]"}
+        body = {"model": "rewrite", "prompt": "once [100 tokens]"}
         calling = asyncio.create_task(fleet.call("i2", "/v1/completions", body))
 
         async def has_all():
@@ -94,7 +95,8 @@
             fleet.processes["i2"].send(signal.SIGTERM)
             await asyncio.sleep(0.2)
         cut = await asyncio.gather(*reading)
-        self.assertEqual((await calling).body["ran"], "unknown")
+        told = await calling
+        self.assertEqual(told.body["ran"], "unknown")
         self.assertEqual(await fleet.processes["i2"].child.wait(), 0)
         resuming = [
             read_whole(
@@ -112,7 +114,15 @@
             self.assertTrue(rest.is_whole)
             expected = answer_tokens(prompt, 30, 24)
             self.assertEqual(first.texts + rest.texts, expected)
+        await self._check_call_comes_back(fleet, body, told)
         self.assertEqual(await _count_began(fleet), began + len(prompts) + 1)
         entries = await fleet.read_ledgers()
         cancelled = [item for item in entries if item["event"] == "cancelled"]
-        self.assertEqual(len(cancelled), 1)
+        self.assertEqual(cancelled, [])
+
+    async def _check_call_comes_back(self, fleet, body, told):
+        key = {"Idempotency-Key": told.headers["Idempotency-Key"]}
+        repeat = await fleet.call("i3", "/v1/completions", body, headers=key)
+        self.assertEqual(repeat.status, 200, repeat.body)
+        text = "".join(answer_tokens(body["prompt"], 100, 24))
+        self.assertEqual(repeat.body["choices"][0]["text"], text)
--- a/packages/standins/fulmarward_standins/engine/_app.py
+++ b/packages/standins/fulmarward_standins/engine/_app.py
@@ -121,8 +121,11 @@
             await response.write(text.encode())
         if is_over:
             return response
-        if 0 <= switches.get("cut_at_token", -1) <= sent:
-            switches["cut_at_token"] = -1
+        if (
+            0 <= switches.get("cut_at_token", -1) <= sent
+            and switches.get("cuts", 1) > 0
+        ):
+            switches["cuts"] = switches.get("cuts", 1) - 1
             request.transport.abort()
             return response
         await changed.wait()
@@ -239,7 +242,9 @@
     body = await request.json()
     if cache is not None:
         return _refuse("exists", 409)
-    if not first <= body["first_layer"] < body["end_layer"] <= end:
+    is_held = first <= body["first_layer"] < body["end_layer"] <= end
+    is_other = body["version"] not in ("", request.app[_HELD]["version"])
+    if not is_held or is_other:
         return _refuse("not_loaded")
     if request.app[SWITCHES].get("leaving"):
         return _refuse("leaving")
