--- a/packages/client/fulmarctl/_commands.py
+++ b/packages/client/fulmarctl/_commands.py
@@ -158,6 +158,12 @@
         body = _call(load_fleet(self._path), "/targets").body
         print_reply(body, as_json=self._as_json)
 
+    @defer
+    def placement(self) -> None:
+        """Show who places each model's targets, and where rollouts stand and why."""
+        body = _call(load_fleet(self._path), "/placement").body
+        print_reply(body, as_json=self._as_json)
+
     @defer
     def trace(self, request: str) -> None:
         """Show the decisions of one late request, by its X-Request-Id."""
--- a/packages/instance/fulmarward/_daemon.py
+++ b/packages/instance/fulmarward/_daemon.py
@@ -15,6 +15,7 @@
 from fulmarward._instance import Instance
 from fulmarward._lifecycle import Lifecycle
 from fulmarward._secret_files import watch_secrets
+from fulmarward._stop import end_open, list_open
 from fulmarward.callers import make_caller_app
 from fulmarward.configuration import (
     answer_body,
@@ -55,7 +56,9 @@
 from fulmarward.peers import (
     AskBody,
     AskHead,
+    AskInFlight,
     AskMembers,
+    AskOutcomes,
     AskProbe,
     ForwardCall,
     ForwardCompletion,
@@ -71,6 +74,7 @@
     TakeKey,
     serve_peers,
 )
+from fulmarward.placement import answer_in_flight, answer_outcomes, run_placement
 from fulmarward.platform import Platform
 from fulmarward.settings import InstanceSettings, Secrets
 from fulmarward.targets import follow_targets
@@ -101,6 +105,12 @@
     return context
 
 
+def _count_alive(table: MemberTable) -> int:
+    """Return how many instances share the platform, this one included."""
+    states = [member.state for member in table.members.values()]
+    return states.count(MemberState.ALIVE)
+
+
 def make_instance(
     settings: InstanceSettings,
     secrets: Secrets,
@@ -117,14 +127,15 @@
         peer_address=settings.peer_address,
         caller_address=settings.caller_address,
     )
+    members = MemberTable(own_name=settings.name)
+    merge_member(members, member, now=time.monotonic())
     platform = Platform(
+        count_instances=lambda: _count_alive(members),
         session=session,
         address=settings.platform_address,
         token=secrets.platform_token,
         timeout_s=settings.limits.platform_ms / 1000,
     )
-    members = MemberTable(own_name=settings.name)
-    merge_member(members, member, now=time.monotonic())
     return Instance(
         settings=settings,
         secrets=secrets,
@@ -165,6 +176,8 @@
         LeavingNews: answer_leaving,
         LeavingSync: answer_leaving_sync,
         HealthNews: answer_health,
+        AskOutcomes: answer_outcomes,
+        AskInFlight: answer_in_flight,
         ForwardCompletion: forward_answer,
         ForwardCall: forward_call,
         RecordAttempt: answer_record,
@@ -196,11 +209,14 @@
     await _wait_or_hurry(hurried, LEAVING_NOTICE_S)
     instance.lifecycle.begin_stop()
     deadline = instance.read_clock() + instance.settings.limits.stop_ms / 1000
-    while instance.answers and instance.read_clock() < deadline:
+    while list_open(instance) and instance.read_clock() < deadline:
         if hurried.is_set():
             break
         await asyncio.sleep(STOP_LOOK_S)
-    log_event("stopped", cut_off=len(instance.answers))
+    cut_off = len(list_open(instance))
+    instance.lifecycle.finish_stop()
+    await end_open(instance)
+    log_event("stopped", cut_off=cut_off)
 
 
 async def _wait_or_hurry(hurried: asyncio.Event, seconds: float) -> None:
@@ -239,6 +255,7 @@
             _start_duty("summaries", run_summaries(instance), stop),
             _start_duty("drains", watch_drains(instance), stop),
             _start_duty("secrets", watch_secrets(instance), stop),
+            _start_duty("placement", run_placement(instance, links), stop),
             _start_duty("readiness", run_readiness(instance, links), stop),
         ]
         await stop.wait()
--- a/packages/instance/fulmarward/_instance.py
+++ b/packages/instance/fulmarward/_instance.py
@@ -20,6 +20,7 @@
 from fulmarward_core.health import LeavingRecord, LeavingTable, PoolKey, PoolSummary
 from fulmarward_core.keys import KeyTable, WitnessTable
 from fulmarward_core.membership import Member, MemberTable
+from fulmarward_core.placement import OutcomeWindow
 from fulmarward_core.routing import TargetView
 
 if TYPE_CHECKING:
@@ -78,6 +79,8 @@
     answers: dict[str, Answer] = field(default_factory=dict)
     #: Tasks that outlive the call that began them.
     tasks: set[asyncio.Task] = field(default_factory=set)
+    #: Those of them that tell engines to end work.
+    closing: set[asyncio.Task] = field(default_factory=set)
     #: TLS towards callers and operators.
     tls: ssl.SSLContext | None = None
     #: Teams by the digest of each of their keys, as old as the snapshot.
@@ -109,6 +112,8 @@
     #: Leaving records that neighbours have still to hear, and set when there are any.
     unsent_news: list[LeavingRecord] = field(default_factory=list)
     news_came: asyncio.Event = field(default_factory=asyncio.Event)
+    #: What became of attempts, by model and version.
+    outcomes: OutcomeWindow = field(default_factory=OutcomeWindow)
     #: Set when the first views of targets are made.
     targets_known: asyncio.Event = field(default_factory=asyncio.Event)
     #: Summaries by pool (model) and data centre, with the version of each and what
@@ -129,6 +134,12 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    def keep_closing(self, task: asyncio.Task) -> None:
+        """Hold a task that tells an engine to end work; a stop waits for it."""
+        self.keep_task(task)
+        self.closing.add(task)
+        task.add_done_callback(self.closing.discard)
+
     def adopt_snapshot(self, snapshot: Snapshot) -> None:
         """Put a snapshot in force and wake all who wait for a change."""
         self.snapshot = snapshot
--- a/packages/instance/fulmarward/peers/_messages.py
+++ b/packages/instance/fulmarward/peers/_messages.py
@@ -16,6 +16,7 @@
     WitnessRecord,
 )
 from fulmarward_core.membership import Member
+from fulmarward_core.placement import Outcomes
 from fulmarward_core.results import Failure
 
 
@@ -187,6 +188,38 @@
     has_answered: bool
 
 
+@dataclass(frozen=True, kw_only=True)
+class AskOutcomes:
+    """Asks what became of attempts on the targets of a model."""
+
+    #: Name of the model.
+    model: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class OutcomeCounts:
+    """What became of attempts at the sender, by version."""
+
+    #: The counts.
+    outcomes: tuple[Outcomes, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class AskInFlight:
+    """Asks how many requests the other instance has on a target."""
+
+    #: Name of the target.
+    target: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class InFlight:
+    """How many requests the sender has on the target."""
+
+    #: The number.
+    count: int
+
+
 @dataclass(frozen=True, kw_only=True)
 class ForwardCompletion:
     """A completion for the home of its key; answered by parts and an end."""
@@ -345,6 +378,10 @@
     BucketMembers,
     AskProbe,
     Probed,
+    AskOutcomes,
+    OutcomeCounts,
+    AskInFlight,
+    InFlight,
     ForwardCompletion,
     ForwardCall,
     AnswerPart,
--- a/packages/instance/fulmarward/requests/_execute.py
+++ b/packages/instance/fulmarward/requests/_execute.py
@@ -5,6 +5,7 @@
 
 from fulmarward._instance import Instance
 from fulmarward.answers import Answer
+from fulmarward.placement import count_attempt
 from fulmarward.requests._admit import admit_work
 from fulmarward.requests._attempt import RETRY_AFTER_MS, run_attempt
 from fulmarward.requests._chain import choose_chain, run_chain
@@ -105,6 +106,7 @@
         failure = await run_attempt(instance, work, answer, attempt, view)
     finally:
         view.in_flight -= 1
+    count_attempt(instance, view, failure)
     if failure is not None:
         view.avoided_until = instance.read_clock() + AVOID_S
     return failure
