Invented keys on work that may run once are claimed in the platform's table

Cause: callers that keep keys of their own were refused.

Ruled out: a row that names the home alone; once the home is gone nobody could tell.

Change: a claim maps the invented key to a handed one with home and witness, so the platform is asked once and known claims outlive an outage. A claim that is refused closes its handed key first, so that a write that lands late runs nothing.

--- a/packages/core/fulmarward_core/keys/__init__.py
+++ b/packages/core/fulmarward_core/keys/__init__.py
@@ -1,5 +1,11 @@
 """Idempotency keys: at-most-once execution without a write to the platform."""
 
+from fulmarward_core.keys._claims import (
+    ClaimRow,
+    make_row_key,
+    pack_claim,
+    unpack_claim,
+)
 from fulmarward_core.keys._prefixes import (
     HandedKey,
     InventedKey,
@@ -36,6 +42,7 @@
 __all__ = [
     "AttemptPlace",
     "Claim",
+    "ClaimRow",
     "Conclusion",
     "HandedKey",
     "InventedKey",
@@ -55,9 +62,12 @@
     "end_key",
     "forget_key",
     "list_closable",
+    "make_row_key",
     "note_record",
     "open_key",
+    "pack_claim",
     "record_attempt",
     "seal_prefix",
     "take_key",
+    "unpack_claim",
 ]
--- a/packages/instance/fulmarward/_daemon.py
+++ b/packages/instance/fulmarward/_daemon.py
@@ -37,6 +37,7 @@
     answer_take,
     forward_answer,
     forward_call,
+    sweep_claims,
 )
 from fulmarward.membership import (
     announce_leaving,
@@ -256,6 +257,7 @@
             _start_duty("drains", watch_drains(instance), stop),
             _start_duty("secrets", watch_secrets(instance), stop),
             _start_duty("placement", run_placement(instance, links), stop),
+            _start_duty("claims", sweep_claims(instance), stop),
             _start_duty("readiness", run_readiness(instance, links), stop),
         ]
         await stop.wait()
--- a/packages/instance/fulmarward/_instance.py
+++ b/packages/instance/fulmarward/_instance.py
@@ -18,12 +18,13 @@
 from fulmarward_core.chains import StepTimes
 from fulmarward_core.configuration import Snapshot
 from fulmarward_core.health import LeavingRecord, LeavingTable, PoolKey, PoolSummary
-from fulmarward_core.keys import KeyTable, WitnessTable
+from fulmarward_core.keys import ClaimRow, KeyTable, WitnessTable
 from fulmarward_core.membership import Member, MemberTable
 from fulmarward_core.placement import OutcomeWindow
 from fulmarward_core.routing import TargetView
 
 if TYPE_CHECKING:
+    from fulmarward.keys import PendingClaim
     from fulmarward.peers import PeerLinks
 
 #: Seconds without a tick after which an instance was paused. Load: ticks each half
@@ -122,6 +123,11 @@
     summary_versions: dict[PoolKey, int] = field(default_factory=dict)
     summaries_sent: dict[str, dict[PoolKey, int]] = field(default_factory=dict)
 
+    #: Claims of invented keys that wait for the platform, and the task that writes.
+    waiting_claims: "list[PendingClaim]" = field(default_factory=list)
+    claim_writer: asyncio.Task | None = None
+    #: Claims that stand in the table, by row, as far as met here lately.
+    known_claims: dict[str, ClaimRow] = field(default_factory=dict)
     #: Links to peers; `None` only in tests of single tasks.
     links: "PeerLinks | None" = None
     #: Idempotency keys that this instance is the home of.
--- a/packages/instance/fulmarward/callers/_headers.py
+++ b/packages/instance/fulmarward/callers/_headers.py
@@ -18,9 +18,6 @@
 #: The key under which a request runs at most once.
 KEY_HEADER = "Idempotency-Key"
 
-#: What such a key has to be, for messages.
-HANDED_KEY = "a key with a prefix from /discovery"
-
 #: A fresh prefix, on an answer that says "not run" of a key.
 KEY_PREFIX_HEADER = "X-Idempotency-Key-Prefix"
 
--- a/packages/instance/fulmarward/callers/_keys.py
+++ b/packages/instance/fulmarward/callers/_keys.py
@@ -3,11 +3,11 @@
 from aiohttp import web
 
 from fulmarward._instance import Instance
-from fulmarward.callers._errors import FAILURE
+from fulmarward.callers._errors import FAILURE, CallerError
 from fulmarward.callers._headers import KEY_HEADER, KEY_PREFIX_HEADER, refuse_header
-from fulmarward.keys import mint_key, mint_prefix, read_key
+from fulmarward.keys import claim_invented, mint_key, mint_prefix, read_key
 from fulmarward_core.keys import HandedKey, InventedKey
-from fulmarward_core.results import Ran
+from fulmarward_core.results import Failure, Ran
 
 #: Where a call keeps its key and team for the headers of its answer.
 _CALL_KEY = "fulmarward.key"
@@ -31,6 +31,16 @@
     return key
 
 
+async def claim_call_key(
+    instance: Instance, team: str, key: InventedKey, body_hash: str
+) -> HandedKey:
+    """Return the handed key that stands for an invented one; raises `CallerError`."""
+    claimed = await claim_invented(instance, team, key, body_hash)
+    if isinstance(claimed, Failure):
+        raise CallerError(failure=claimed)
+    return claimed
+
+
 def add_key_headers(
     instance: Instance, request: web.Request, response: web.StreamResponse
 ) -> None:
--- a/packages/instance/fulmarward/callers/_open.py
+++ b/packages/instance/fulmarward/callers/_open.py
@@ -7,8 +7,7 @@
 
 from fulmarward._instance import Instance
 from fulmarward.answers import Answer
-from fulmarward.callers._headers import HANDED_KEY, KEY_HEADER, refuse_header
-from fulmarward.callers._keys import read_call_key
+from fulmarward.callers._keys import claim_call_key, read_call_key
 from fulmarward.keys import hash_body, hold_here, is_home, open_at_home, open_relayed
 from fulmarward.requests import Work, run_completion
 from fulmarward_core.keys import InventedKey
@@ -25,10 +24,10 @@
         return _start(instance, work)
     body_hash = hash_body("completion", request.path, await request.read())
     if isinstance(key, InventedKey):
-        if not work.idempotent:
-            raise refuse_header(KEY_HEADER, HANDED_KEY, key.text)
-        key = hold_here(instance, work.team, key)
-        return open_at_home(instance, work, key, body_hash)
+        if work.idempotent:
+            key = hold_here(instance, work.team, key)
+            return open_at_home(instance, work, key, body_hash)
+        key = await claim_call_key(instance, work.team, key, body_hash)
     work = replace(work, idempotent=False)
     if is_home(instance, key):
         return open_at_home(instance, work, key, body_hash)
--- a/packages/instance/fulmarward/callers/_services.py
+++ b/packages/instance/fulmarward/callers/_services.py
@@ -8,13 +8,8 @@
 from fulmarward.callers._authenticate import authenticate_team
 from fulmarward.callers._bodies import read_body
 from fulmarward.callers._errors import CallerError, make_failure_response
-from fulmarward.callers._headers import (
-    HANDED_KEY,
-    KEY_HEADER,
-    read_deadline_ms,
-    refuse_header,
-)
-from fulmarward.callers._keys import read_call_key
+from fulmarward.callers._headers import read_deadline_ms
+from fulmarward.callers._keys import claim_call_key, read_call_key
 from fulmarward.keys import execute_call, hash_body, hold_here, make_call_end
 from fulmarward.observability import log_event
 from fulmarward.peers import CallEnd
@@ -94,7 +89,7 @@
     elif call.idempotent:
         key = hold_here(instance, call.team, key)
     else:
-        raise refuse_header(KEY_HEADER, HANDED_KEY, key.text)
+        key = await claim_call_key(instance, call.team, key, body_hash)
     return await execute_call(instance, call, key, body_hash)
 
 
--- a/packages/instance/fulmarward/keys/_home.py
+++ b/packages/instance/fulmarward/keys/_home.py
@@ -161,6 +161,27 @@
     return answer
 
 
+def end_refused(
+    instance: Instance, key: HandedKey, body_hash: str, failure: Failure
+) -> None:
+    """End a key before anything was done under it, with what its callers are told."""
+    claim_key(
+        instance.key_table,
+        key.text,
+        body_hash=body_hash,
+        expires_at=key.prefix.expires_at,
+        now=instance.read_wall_clock(),
+    )
+    end_key(
+        instance.key_table,
+        key.text,
+        failure=failure,
+        size=0,
+        keep_s=0.0,
+        now=instance.read_wall_clock(),
+    )
+
+
 def _end(instance: Instance, key: HandedKey, answer: Answer) -> None:
     end_key(
         instance.key_table,
