--- a/packages/core/fulmarward_core/keys/_prefixes.py
+++ b/packages/core/fulmarward_core/keys/_prefixes.py
@@ -1,8 +1,8 @@
 """Idempotency keys that the system hands out.
 
-A key is a sealed prefix, a dot and a suffix of the caller's own choice. The prefix
-names the instances that keep the key, so any instance finds them from the key
-alone, and it is bound to one team.
+A key is a sealed prefix, which ends with a dot, and a suffix of the caller's own
+choice. The prefix names the instances that keep the key, so any instance finds them
+from the key alone, and it is bound to one team.
 """
 
 import base64
@@ -61,7 +61,10 @@
 
 
 def seal_prefix(prefix: KeyPrefix, *, team: str, secret: bytes) -> str:
-    """Return `prefix` in a form that only `team` can use and nobody can change."""
+    """Return `prefix` in a form that only `team` can use and nobody can change.
+
+    It ends with the dot, so that a caller only appends its suffix.
+    """
     witness = prefix.witness
     items = [
         prefix.home.name,
@@ -72,7 +75,7 @@
     ]
     body = json.dumps(items, separators=(",", ":")).encode()
     sealed = _compute_seal(body, team, secret) + body
-    return PREFIX_MARK + base64.urlsafe_b64encode(sealed).decode().rstrip("=")
+    return PREFIX_MARK + base64.urlsafe_b64encode(sealed).decode().rstrip("=") + "."
 
 
 def open_key(
--- a/packages/instance/fulmarward/keys/_prefixes.py
+++ b/packages/instance/fulmarward/keys/_prefixes.py
@@ -57,7 +57,7 @@
 def mint_key(instance: Instance, team: str) -> HandedKey:
     """Return a key for a request that may run once and came without one."""
     suffix = f"{instance.generator.getrandbits(80):020x}"
-    key = read_key(instance, team, f"{mint_prefix(instance, team)}.{suffix}")
+    key = read_key(instance, team, mint_prefix(instance, team) + suffix)
     if not isinstance(key, HandedKey):
         raise AssertionError("expected a key minted here to open here")
     return key
