Event ids remember that a request may run once

Cause: a key makes a request of an idempotent pipeline one that may run once, but a caller that came back with the event id alone was given the pipeline's word, so that a lost stream was run again elsewhere.

Change: the locator carries the promise that the request began with; going on needs both to allow another attempt.

--- a/packages/core/fulmarward_core/streams/_locators.py
+++ b/packages/core/fulmarward_core/streams/_locators.py
@@ -46,6 +46,8 @@
     deadline_at: float
     #: Digest of the prompt; another prompt asks for another answer.
     digest: str = ""
+    #: Whether the request may run more than once; a key makes it one that may not.
+    idempotent: bool = False
 
 
 def seal_locator(locator: Locator, *, team: str, secret: bytes) -> str:
@@ -59,6 +61,7 @@
         locator.epoch,
         locator.deadline_at,
         locator.digest,
+        int(locator.idempotent),
     ]
     body = json.dumps(items, separators=(",", ":")).encode()
     return _encode(_compute_seal(body, team, secret) + body)
@@ -73,7 +76,8 @@
     seal, body = raw[:SEAL_BYTES], raw[SEAL_BYTES:]
     if not hmac.compare_digest(seal, _compute_seal(body, team, secret)):
         return None
-    request, attempt, stages, pipeline, epoch, deadline_at, digest = json.loads(body)
+    items = json.loads(body)
+    request, attempt, stages, pipeline, epoch, deadline_at, digest, idempotent = items
     return Locator(
         request=request,
         attempt=attempt,
@@ -84,6 +88,7 @@
         epoch=epoch,
         deadline_at=deadline_at,
         digest=digest,
+        idempotent=bool(idempotent),
     )
 
 
--- a/packages/instance/fulmarward/callers/_resume.py
+++ b/packages/instance/fulmarward/callers/_resume.py
@@ -85,7 +85,16 @@
 
 
 def _take_over(instance: Instance, work: Work, locator: Locator) -> Work:
-    """Return the work under the name and the deadline that it began with."""
+    """Return the work under the name, the deadline and the promise it began with.
+
+    Guards against a second run of a request whose key, not its pipeline, says that it
+    may run once: the caller need not send the key with the event id.
+    """
     remaining = locator.deadline_at - instance.read_wall_clock()
     deadline = instance.read_clock() + remaining
-    return dataclasses.replace(work, request=locator.request, deadline=deadline)
+    return dataclasses.replace(
+        work,
+        request=locator.request,
+        deadline=deadline,
+        idempotent=work.idempotent and locator.idempotent,
+    )
--- a/packages/instance/fulmarward/requests/_locate.py
+++ b/packages/instance/fulmarward/requests/_locate.py
@@ -23,6 +23,7 @@
         epoch=work.snapshot.head.epoch,
         deadline_at=round(instance.read_wall_clock() + remaining, 3),
         digest=digest_prompt(work.prompt),
+        idempotent=work.idempotent,
     )
     secret = instance.secrets.derive_key("locators")
     return seal_locator(locator, team=work.team, secret=secret)
--- a/packages/instance/fulmarward/requests/tests/test_resume.py
+++ b/packages/instance/fulmarward/requests/tests/test_resume.py
@@ -126,6 +126,7 @@
         async with start_fleet(_plan()) as fleet:
             await self._check_abandoned(fleet)
             await self._check_moved_caller(fleet)
+            await self._check_keyed_stream_lost(fleet)
             await self._check_engine_killed(fleet)
 
     async def _check_abandoned(self, fleet):
@@ -165,6 +166,28 @@
         ledgers = await fleet.read_ledgers_by_target()
         self.assertEqual(_count(ledgers, first.request, "began"), 1)
 
+    async def _check_keyed_stream_lost(self, fleet):
+        # A key makes a request of an idempotent pipeline one that may run once. Its
+        # engine fails in the middle; the caller comes back elsewhere with the event
+        # id alone. It is told that the stream is lost, and nothing is run again.
+        prompt = "keyed [40 tokens]"
+        told = await fleet.call("i1", "/discovery")
+        key = told.body["idempotency_key_prefix"] + ".lost"
+        for name in ("e1", "e2"):
+            await fleet.control_target(name, fail_at_token=20)
+        stream = await read_whole(fleet, "i1", prompt, headers={"Idempotency-Key": key})
+        for name in ("e1", "e2"):
+            await fleet.control_target(name, fail_at_token=-1)
+        self.assertEqual(json.loads(stream.events[-1].data)["ran"], "failed")
+        self.assertEqual(len(stream.texts), 20)
+        async with open_stream(
+            fleet, "i2", prompt, last_event_id=stream.last_event_id
+        ) as again:
+            await again.read()
+        self.assertEqual(again.texts, [])
+        ledgers = await fleet.read_ledgers_by_target()
+        self.assertEqual(_count(ledgers, stream.request, "began"), 1)
+
     async def _check_engine_killed(self, fleet):
         # The engine dies in the middle. Idempotent work goes on at the same place on
         # another engine; work that may run once ends with the truth, as does a
