A rollout holds at a failure, and counts by what a target holds now

Cause: in the first run of test_a_version_that_fails_stops_its_own_rollout the rollout went on to its second target ten seconds after every attempt on the first had failed. Routing had set the failing target aside after some ten tries, part of them counted for the old version because the view's report was older than the load, and time alone let the rollout go on.

Change: a failure rate above the old version's holds the rollout until a success; three failures stop it; a changed target is used again only after a fresh report, read at once; attempts on chains count.

Seen: that test failed before (waited 30 s for a stop) and passes now; a chain under a rollout comes whole, in one attempt, each step once.

--- a/packages/core/fulmarward_core/placement/_types.py
+++ b/packages/core/fulmarward_core/placement/_types.py
@@ -104,6 +104,8 @@
     changed_at: float
     #: Why it stopped, for operators.
     reason: str = ""
+    #: Whether the new version failed more often when last it was tried.
+    has_failed: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/core/fulmarward_core/placement/decisions.py
+++ b/packages/core/fulmarward_core/placement/decisions.py
@@ -35,7 +35,7 @@
 #: failures has to be above the old one's. Load: a version that breaks some requests;
 #: harm: all callers get it; reason: fewer failures, or a rate that is as bad with the
 #: old version, come from elsewhere.
-STOP_FAILURES = 5
+STOP_FAILURES = 3
 STOP_RATE_ABOVE = 0.1
 
 
@@ -233,16 +233,23 @@
 
 def is_worse(new: Outcomes, old: Outcomes) -> bool:
     """Return whether the new version fails so much more often that it has to stop."""
-    if new.failures < STOP_FAILURES:
-        return False
+    return new.failures >= STOP_FAILURES and _has_worse_rate(new, old)
+
+
+def _has_worse_rate(new: Outcomes, old: Outcomes) -> bool:
     old_rate = old.failures / old.tries if old.tries else 0.0
-    return new.failures / new.tries > old_rate + STOP_RATE_ABOVE
+    new_rate = new.failures / new.tries if new.tries else 0.0
+    return new_rate > old_rate + STOP_RATE_ABOVE
 
 
 def has_soaked(
     rollout: Rollout, engines: Iterable[EngineState], new: Outcomes, *, now: float
 ) -> bool:
-    """Return whether the targets changed so far have served for long enough."""
+    """Return whether the targets changed so far have served for long enough.
+
+    Guards against a target that fails and is set aside by routing: it is hardly tried
+    any more, and time alone would take the rollout to the next one.
+    """
     holders = (
         engine.held is not None and engine.held.state.version == rollout.version
         for engine in engines
@@ -250,7 +257,7 @@
     if not any(holders):
         return True
     passed = now - rollout.changed_at
-    if passed < SETTLE_S:
+    if passed < SETTLE_S or rollout.has_failed:
         return False
     return new.tries >= ENOUGH_TRIES or passed >= SOAK_S
 
@@ -270,6 +277,8 @@
     """
     if rollout.phase is RolloutPhase.STOPPED:
         return rollout
+    if new.tries > 0:
+        rollout = replace(rollout, has_failed=_has_worse_rate(new, old))
     behind = [
         engine for engine in engines if needs_load(engine) and not engine.is_leaving
     ]
--- a/packages/core/fulmarward_core/placement/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/placement/tests/test_decisions.py
@@ -212,6 +212,22 @@
                 new, old = add_outcomes(counts, "v2")
                 self.assertEqual(self._advance(engines, new, old), expected)
 
+    def test_one_failure_holds_the_rollout_until_a_success(self):
+        # The first target of a new version fails, and routing sets it aside after a
+        # request or two. Nothing more is heard of it, ten seconds pass, and the
+        # rollout takes the next target.
+        engines = [_make_engine("e1"), _make_engine("e2", version="v2")]
+        rollout = Rollout(version="v2", phase=RolloutPhase.RUNNING, changed_at=0.0)
+        old = Outcomes(version="v1", tries=500, failures=0)
+        cases = [(2, 2, False), (0, 0, False), (20, 1, True)]
+        for tries, failures, expected in cases:
+            new = Outcomes(version="v2", tries=tries, failures=failures)
+            rollout = advance_rollout(
+                rollout, engines, layers=24, versions=_VERSIONS, new=new, old=old
+            )
+            has = has_soaked(rollout, engines, new, now=10 * SOAK_S)
+            self.assertEqual(has, expected, (tries, failures))
+
     def test_phases(self):
         old, new = _make_engine("e1"), _make_engine("e2", version="v2")
         cases = [
--- a/packages/instance/fulmarward/_instance.py
+++ b/packages/instance/fulmarward/_instance.py
@@ -117,6 +117,8 @@
     outcomes: OutcomeWindow = field(default_factory=OutcomeWindow)
     #: Set when the first views of targets are made.
     targets_known: asyncio.Event = field(default_factory=asyncio.Event)
+    #: Set to have a followed target's report read at once, by target.
+    report_hurries: dict[str, asyncio.Event] = field(default_factory=dict)
     #: Summaries by pool (model) and data centre, with the version of each and what
     #: each peer has of them.
     summaries: dict[PoolKey, PoolSummary] = field(default_factory=dict)
--- a/packages/instance/fulmarward/health/_leaving.py
+++ b/packages/instance/fulmarward/health/_leaving.py
@@ -33,8 +33,24 @@
     log_event("target_leaving", target=name, leaving=leaving, sources=sources)
 
 
+def _hurry_report(instance: Instance, name: str) -> None:
+    """Use a target that placement changed only by what it says after the change.
+
+    Guards against what was held before: a chain would mix versions, and failures of
+    the new version would count against the old one.
+    """
+    view = instance.views.get(name)
+    if view is not None and view.held is not None:
+        view.held = replace(view.held, is_loading=True)
+    if name in instance.report_hurries:
+        instance.report_hurries[name].set()
+
+
 def _spread(instance: Instance, name: str, news: LeavingRecord | None) -> None:
     show_leaving(instance, name)
+    is_placed = news is not None and news.source is LeavingSource.PLACEMENT
+    if is_placed and not news.is_leaving:
+        _hurry_report(instance, name)
     if news is not None:
         instance.unsent_news.append(news)
         instance.news_came.set()
--- a/packages/instance/fulmarward/placement/__init__.py
+++ b/packages/instance/fulmarward/placement/__init__.py
@@ -1,7 +1,7 @@
 """Placement: one instance a pool orders its engines what to hold."""
 
 from fulmarward.placement._asking import answer_in_flight, answer_outcomes
-from fulmarward.placement._outcomes import count_attempt
+from fulmarward.placement._outcomes import count_attempt, count_chain
 from fulmarward.placement._run import run_placement
 from fulmarward.placement._status import read_placement
 
@@ -9,6 +9,7 @@
     "answer_in_flight",
     "answer_outcomes",
     "count_attempt",
+    "count_chain",
     "read_placement",
     "run_placement",
 ]
--- a/packages/instance/fulmarward/placement/_outcomes.py
+++ b/packages/instance/fulmarward/placement/_outcomes.py
@@ -16,16 +16,29 @@
 )
 
 
-def count_attempt(
-    instance: Instance, view: TargetView, failure: Failure | None
+def _count(
+    instance: Instance, model: str, version: str, failure: Failure | None
 ) -> None:
-    """Count an attempt that ended, by the version that its target held."""
-    if view.held is None:
-        return
     count_outcome(
         instance.outcomes,
-        view.held.state.model,
-        view.held.state.version,
+        model,
+        version,
         is_failure=failure is not None and failure.code in _TARGET_FAULTS,
         now=instance.read_clock(),
     )
+
+
+def count_attempt(
+    instance: Instance, view: TargetView, failure: Failure | None
+) -> None:
+    """Count an attempt that ended, by the version that its target held."""
+    if view.held is not None:
+        state = view.held.state
+        _count(instance, state.model, state.version, failure)
+
+
+def count_chain(
+    instance: Instance, model: str, version: str, failure: Failure | None
+) -> None:
+    """Count an attempt on a chain, whose stages all hold one version."""
+    _count(instance, model, version, failure)
--- a/packages/instance/fulmarward/requests/_execute.py
+++ b/packages/instance/fulmarward/requests/_execute.py
@@ -5,7 +5,7 @@
 
 from fulmarward._instance import Instance
 from fulmarward.answers import Answer
-from fulmarward.placement import count_attempt
+from fulmarward.placement import count_attempt, count_chain
 from fulmarward.requests._admit import admit_work
 from fulmarward.requests._attempt import RETRY_AFTER_MS, run_attempt
 from fulmarward.requests._budget import note_try, take_retry
@@ -105,7 +105,9 @@
         refusal = await confirm(attempt, instance.views[chain.stages[0].target])
         if refusal is not None:
             return refusal
-        return await run_chain(instance, work, answer, attempt, chain, version)
+        failure = await run_chain(instance, work, answer, attempt, chain, version)
+        count_chain(instance, work.pipeline.model, version, failure)
+        return failure
     view = choice.chosen
     refusal = await confirm(attempt, view)
     if refusal is not None:
--- a/packages/instance/fulmarward/targets/_watch.py
+++ b/packages/instance/fulmarward/targets/_watch.py
@@ -71,6 +71,8 @@
         is_idle = view.in_flight == 0 and name not in kept
         if is_idle or view.target != targets.get(name):
             del instance.views[name]
+    for name in instance.report_hurries.keys() - instance.views.keys():
+        del instance.report_hurries[name]
     for name in kept:
         if name not in instance.views:
             instance.views[name] = TargetView(name=name, target=targets[name])
@@ -113,10 +115,17 @@
 
 
 async def _watch_load(instance: Instance, view: TargetView, pacer: Pacer) -> None:
+    hurry = instance.report_hurries.setdefault(view.name, asyncio.Event())
     while _is_followed(instance, view):
+        hurry.clear()
         await _read_report(instance, view, pacer)
         is_used = view.in_flight > 0
-        await asyncio.sleep(draw_interval(instance.generator, is_used=is_used))
+        seconds = draw_interval(instance.generator, is_used=is_used)
+        try:
+            async with asyncio.timeout(seconds):
+                await hurry.wait()
+        except TimeoutError:
+            continue
 
 
 async def _watch_cache(instance: Instance, view: TargetView, pacer: Pacer) -> None:
