--- a/packages/standins/fulmarward_standins/faults/_callers.py
+++ b/packages/standins/fulmarward_standins/faults/_callers.py
@@ -26,8 +26,8 @@
 WAIT_S = 0.3
 
 
-#: The result that asks a caller to come back with the same key.
-STILL_RUNNING = 2012
+#: The results that ask a caller to come back with the same key.
+COME_AGAIN = (2012, 2013)
 
 
 @dataclass(kw_only=True)
@@ -67,7 +67,7 @@
             ) as response:
                 if response.status == 200:
                     prefix = (await response.json())["idempotency_key_prefix"]
-                    return f"{prefix}.{caller.generator.getrandbits(64):x}"
+                    return f"{prefix}{caller.generator.getrandbits(64):x}"
         except (aiohttp.ClientError, TimeoutError):
             pass
         await asyncio.sleep(WAIT_S)
@@ -142,7 +142,7 @@
     while told.calls < MOST_CALLS and told.ending is Ending.GAVE_UP:
         told.calls += 1
         seen = await _call_once(caller, path, body, key)
-        if seen is None or seen.body.get("result") == STILL_RUNNING:
+        if seen is None or seen.body.get("result") in COME_AGAIN:
             await asyncio.sleep(WAIT_S)
             continue
         told.requests.append(seen.request)
