--- a/packages/instance/fulmarward/_daemon.py
+++ b/packages/instance/fulmarward/_daemon.py
@@ -49,6 +49,7 @@
 )
 from fulmarward.observability import (
     TraceHandler,
+    count_frame,
     log_event,
     make_metrics,
     start_logging,
@@ -71,13 +72,16 @@
     PeerLinks,
     Ping,
     RecordAttempt,
+    ShareDemand,
     SyncMembers,
     TakeKey,
     serve_peers,
 )
 from fulmarward.placement import answer_in_flight, answer_outcomes, run_placement
 from fulmarward.platform import Platform
+from fulmarward.requests import run_admission
 from fulmarward.settings import InstanceSettings, Secrets
+from fulmarward.shares import answer_demand, run_shares
 from fulmarward.targets import follow_targets
 from fulmarward_core.configuration import EMPTY_SNAPSHOT
 from fulmarward_core.membership import (
@@ -157,7 +161,7 @@
 
 def _make_links(instance: Instance) -> PeerLinks:
     def count_bytes(direction: str, number: int) -> None:
-        instance.metrics.control_bytes.add({"direction": direction}, number)
+        count_frame(instance.metrics, direction, number)
 
     return PeerLinks(
         read_own=lambda: instance.member,
@@ -174,6 +178,7 @@
         AskProbe: partial(answer_probe, links),
         AskHead: answer_head,
         AskBody: answer_body,
+        ShareDemand: answer_demand,
         LeavingNews: answer_leaving,
         LeavingSync: answer_leaving_sync,
         HealthNews: answer_health,
@@ -259,6 +264,8 @@
             _start_duty("placement", run_placement(instance, links), stop),
             _start_duty("claims", sweep_claims(instance), stop),
             _start_duty("readiness", run_readiness(instance, links), stop),
+            _start_duty("shares", run_shares(instance, links), stop),
+            _start_duty("admission", run_admission(instance), stop),
         ]
         await stop.wait()
         await _stop_gracefully(instance, hurried)
--- a/packages/instance/fulmarward/_instance.py
+++ b/packages/instance/fulmarward/_instance.py
@@ -11,6 +11,7 @@
 import aiohttp
 
 from fulmarward._lifecycle import Lifecycle
+from fulmarward.admission import AdmissionState
 from fulmarward.answers import Answer
 from fulmarward.observability import Metrics, TraceHandler
 from fulmarward.platform import Platform
@@ -117,6 +118,8 @@
     outcomes: OutcomeWindow = field(default_factory=OutcomeWindow)
     #: Set when the first views of targets are made.
     targets_known: asyncio.Event = field(default_factory=asyncio.Event)
+    #: Set to have a followed target's report read at once, by target.
+    report_hurries: dict[str, asyncio.Event] = field(default_factory=dict)
     #: Summaries by pool (model) and data centre, with the version of each and what
     #: each peer has of them.
     summaries: dict[PoolKey, PoolSummary] = field(default_factory=dict)
@@ -134,6 +137,8 @@
     key_table: KeyTable = field(default_factory=KeyTable)
     #: Idempotency keys that this instance is the witness of.
     witness_table: WitnessTable = field(default_factory=WitnessTable)
+    #: What waits and runs, and what is left of each team's share.
+    admission: AdmissionState = field(default_factory=AdmissionState)
 
     def keep_task(self, task: asyncio.Task) -> None:
         """Hold a task until it ends; the event loop itself holds none."""
--- a/packages/instance/fulmarward/callers/_release.py
+++ b/packages/instance/fulmarward/callers/_release.py
@@ -14,8 +14,8 @@
     Guards against work that runs on for callers that are gone: they show as a
     connection that ended, also while the request still waits. A caller that can come
     back (it has event ids or a key) has `linger_ms` to do so; another has none. What
-    was sent whole can still be had from the engine, and what runs at the home of its
-    key runs to its end: its caller has longer to come back.
+    was sent whole can still be had from the engine. What runs at the home of its key
+    runs to its end: its caller has longer to come back.
     """
     answer.readers -= 1
     if answer.readers or (answer.is_keyed and not answer.is_over):
--- a/packages/instance/fulmarward/placement/_pool.py
+++ b/packages/instance/fulmarward/placement/_pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 
 from fulmarward._instance import Instance
@@ -50,9 +51,13 @@
 #: hop takes some tens of milliseconds, and an engine's report lags.
 DRAIN_SETTLE_S = 1.5
 
-#: Bytes a second for looking at engines that this instance does not follow.
+#: Bytes a second for looking at engines besides what is reported of followed ones.
 LOOK_BYTES_PER_S = 800.0
 
+#: Seconds for which a look at an engine is fresh. Harm: bytes for what cannot have
+#: changed; reason: a late order is found as soon in a small pool.
+FRESH_S = 1.0
+
 #: Seconds after which what an engine said is old and it counts as not answering.
 #: Load: 1,025 engines looked at with LOOK_BYTES_PER_S; reason: one round of them.
 BELIEVE_S = 900.0
@@ -180,14 +185,25 @@
         for name in targets
         if name in placement.drained_at and name not in placement.orders
     ]
-    rest = [name for name in targets if name not in instance.views]
-    rest.sort(key=lambda name: _get_look_time(placement, name))
-    if rest and placement.pacer.free_from <= now:
+    name = _find_stale(placement, targets, now)
+    if name and placement.pacer.free_from <= now:
         reserve(placement.pacer, REPORT_BYTES, now=now)
-        looks.append(_look(instance, placement, rest[0], targets[rest[0]]))
+        looks.append(_look(instance, placement, name, targets[name]))
     await asyncio.gather(*looks)
 
 
+def _find_stale(placement: PoolPlacement, names: Iterable[str], now: float) -> str:
+    """Return the engine that was looked at longest ago; empty when all are fresh."""
+    stale = [
+        name
+        for name in names
+        if name not in placement.drained_at
+        and name not in placement.orders
+        and now - _get_look_time(placement, name) >= FRESH_S
+    ]
+    return min(stale, key=lambda name: _get_look_time(placement, name), default="")
+
+
 def _get_look_time(placement: PoolPlacement, name: str) -> float:
     look = placement.looks.get(name)
     return look.at if look else float("-inf")
--- a/packages/instance/fulmarward/requests/__init__.py
+++ b/packages/instance/fulmarward/requests/__init__.py
@@ -1,5 +1,6 @@
 """Executing requests: from an accepted call to the end of its answer."""
 
+from fulmarward.requests._admit import run_admission
 from fulmarward.requests._call import Call, hold_call, run_call
 from fulmarward.requests._execute import Confirm, run_completion
 from fulmarward.requests._locate import make_locator, name_reader
@@ -14,6 +15,7 @@
     "make_locator",
     "make_request_id",
     "name_reader",
+    "run_admission",
     "run_call",
     "run_completion",
     "run_resumed",
--- a/packages/instance/fulmarward/targets/_watch.py
+++ b/packages/instance/fulmarward/targets/_watch.py
@@ -32,9 +32,9 @@
 #: choice among 4,100 targets; reason: a look costs nothing when nobody came or went.
 CHOOSE_EVERY_S = 5.0
 
-#: Bytes of one question to an engine, headers included, as `scripts/bench health`
-#: measures.
-REQUEST_BYTES = 150
+#: Bytes of one question to an engine and of its answer's first line, as
+#: `scripts/bench health` measures.
+REQUEST_BYTES = 80
 
 
 def _list_instances(instance: Instance) -> dict[str, str]:
@@ -71,6 +71,8 @@
         is_idle = view.in_flight == 0 and name not in kept
         if is_idle or view.target != targets.get(name):
             del instance.views[name]
+    for name in instance.report_hurries.keys() - instance.views.keys():
+        del instance.report_hurries[name]
     for name in kept:
         if name not in instance.views:
             instance.views[name] = TargetView(name=name, target=targets[name])
@@ -113,15 +115,24 @@
 
 
 async def _watch_load(instance: Instance, view: TargetView, pacer: Pacer) -> None:
+    hurry = instance.report_hurries.setdefault(view.name, asyncio.Event())
     while _is_followed(instance, view):
+        hurry.clear()
         await _read_report(instance, view, pacer)
-        await asyncio.sleep(draw_interval(instance.generator))
+        is_used = view.in_flight > 0
+        seconds = draw_interval(instance.generator, is_used=is_used)
+        try:
+            async with asyncio.timeout(seconds):
+                await hurry.wait()
+        except TimeoutError:
+            continue
 
 
 async def _watch_cache(instance: Instance, view: TargetView, pacer: Pacer) -> None:
     while _is_followed(instance, view):
         await _read_events(instance, view, pacer)
-        await asyncio.sleep(draw_interval(instance.generator))
+        is_used = view.in_flight > 0
+        await asyncio.sleep(draw_interval(instance.generator, is_used=is_used))
 
 
 async def _watch_target(
