A key's suffix may begin with a dot

Cause: prefixes end with their dot, while the callers' guide and the faults join prefix and text with one of their own; such keys were refused 1008.

Ruled out: prefixes without the dot: a caller that only appends would be refused.

Change: dots are taken in suffixes, so both ways give a key.

--- a/packages/core/fulmarward_core/keys/_prefixes.py
+++ b/packages/core/fulmarward_core/keys/_prefixes.py
@@ -26,7 +26,8 @@
 #: instances; reason: a prefix has about 150 and a random suffix 36.
 MOST_KEY_CHARACTERS = 400
 
-_SUFFIX = re.compile(r"[A-Za-z0-9_-]{1,128}")
+#: A suffix may begin with a dot: callers join the parts with one of their own.
+_SUFFIX = re.compile(r"[A-Za-z0-9._-]{1,128}")
 _INVENTED = re.compile(r"[\x21-\x7e]{1,255}")
 
 
--- a/packages/core/fulmarward_core/keys/tests/test_prefixes.py
+++ b/packages/core/fulmarward_core/keys/tests/test_prefixes.py
@@ -52,6 +52,7 @@
         cases = [
             (_seal() + "move-7", HandedKey),
             (_seal(), type(None)),
+            (_seal() + ".move-7", HandedKey),
             (_seal()[:-1], type(None)),
             (_seal() + "a" * 500, type(None)),
             (_seal(team="other") + "a", type(None)),
