The dead are told of while remembered; property of parted data centres that heal

Cause: a member held dead for 150 to 300 s was left out when tables were levelled. Its own side had no news of it, its living word lost to the dead one of the same version, and it could not refute what it never heard: after a parting of some minutes one side would have gone on without some of the other until it forgot them. Seen by thinking through the new property, which a trial with the dead left out of levelling fails.

Change: levelling includes the dead for as long as they are remembered. Ruled out: leaving out the long dead against their going round for ever; they count in no digest, so only a bucket that differs for another reason carries them.

The property: eight instances parted anywhere for 4 s to an hour; one meeting of one instance of each side ends with everyone alive in every table.

--- a/packages/core/fulmarward_core/membership/decisions.py
+++ b/packages/core/fulmarward_core/membership/decisions.py
@@ -32,9 +32,6 @@
 #: five minutes no more than some twenty have died.
 FORGET_S = 300.0
 
-#: Seconds for which a dead member is told of where tables differ.
-TELL_DEAD_S = FORGET_S / 2
-
 #: Seconds without a place on the platform's list after which suspicion is enough to
 #: hold a member dead. Reason: the list lags, by less than this.
 UNLISTED_S = 60.0
@@ -165,13 +162,12 @@
     return combined
 
 
-def select_differing(
-    table: MemberTable, digests: Sequence[int], *, now: float
-) -> list[Member]:
+def select_differing(table: MemberTable, digests: Sequence[int]) -> list[Member]:
     """Return the members in the buckets that another table has differently.
 
-    Members long dead are left out, so that they do not go round for ever between
-    those who have forgotten them and those who have not.
+    The dead are among them for as long as they are remembered. Guards against a
+    member that lives and is held dead here alone: its own side has no news of it, and
+    only by hearing that it is held dead can it say that it lives.
     """
     differing = {
         number
@@ -182,7 +178,6 @@
         member
         for name, member in table.members.items()
         if find_bucket(name) in differing
-        and now - table.dead_at.get(name, now) <= TELL_DEAD_S
     ]
 
 
--- a/packages/core/fulmarward_core/membership/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/membership/tests/test_decisions.py
@@ -146,8 +146,8 @@
             for rumour in rumours:
                 merge_member(table, rumour, now=0.0)
         one, two = tables
-        sent = select_differing(two, one.digests, now=0.0)
-        back = select_differing(one, two.digests, now=0.0)
+        sent = select_differing(two, one.digests)
+        back = select_differing(one, two.digests)
         for table, members in ((one, sent), (two, back)):
             for member in members:
                 merge_member(table, member, now=0.0)
--- a/packages/instance/fulmarward/membership/_hearing.py
+++ b/packages/instance/fulmarward/membership/_hearing.py
@@ -94,7 +94,7 @@
 ) -> BucketMembers:
     """Send a peer the members in the buckets that differ."""
     table = instance.members
-    differing = select_differing(table, message.digests, now=instance.read_clock())
+    differing = select_differing(table, message.digests)
     return BucketMembers(digests=tuple(table.digests), members=tuple(differing))
 
 
--- a/packages/instance/fulmarward/membership/_meeting.py
+++ b/packages/instance/fulmarward/membership/_meeting.py
@@ -53,7 +53,7 @@
     theirs = await links.call(address, asked, ANSWER_S)
     hear_of(instance, theirs.members)
     known = {member.name: member for member in theirs.members}
-    own = select_differing(table, theirs.digests, now=instance.read_clock())
+    own = select_differing(table, theirs.digests)
     better = tuple(item for item in own if is_newer(item, known.get(item.name)))
     if better:
         await links.call(address, SyncMembers(members=better), ANSWER_S)
