--- a/packages/core/fulmarward_core/admission/__init__.py
+++ b/packages/core/fulmarward_core/admission/__init__.py
@@ -40,6 +40,7 @@
 from fulmarward_core.admission.decisions._queue import (
     drop_late,
     estimate_ahead_s,
+    pop_next,
     pop_ticket,
     push_ticket,
     remove_ticket,
@@ -69,6 +70,7 @@
     "merge_row",
     "note_output",
     "note_wait",
+    "pop_next",
     "pop_ticket",
     "promise_tokens",
     "push_ticket",
--- a/packages/core/fulmarward_core/admission/decisions/_estimates.py
+++ b/packages/core/fulmarward_core/admission/decisions/_estimates.py
@@ -23,12 +23,12 @@
 
 #: Longest wait on lent capacity, in seconds. Load: others use their shares again;
 #: harm: lent work waits for capacity that was given back; reason: it is told at once.
-MOST_LENT_WAIT_S = 2.0
+MOST_LENT_WAIT_S = 3.0
 
 #: Times the longest wait on lent capacity after which a request is given up. Load: a
 #: pool whose sold work grows; harm: lent work waits until its deadline and is refused
-#: then; reason: an estimate that was a third of the wait is wrong, and it is said.
-LENT_PATIENCE = 3.0
+#: then; reason: an estimate of less than half the wait was wrong, and it is said.
+LENT_PATIENCE = 2.0
 
 #: What waits are corrected by: the weight of the newest, the most, and what a refusal
 #: leaves of it. Load: work that comes later and goes first, which no look at the queue
--- a/packages/core/fulmarward_core/admission/decisions/_queue.py
+++ b/packages/core/fulmarward_core/admission/decisions/_queue.py
@@ -11,6 +11,11 @@
 #: reason: urgent work gets nearly all that it asks for, and bulk a part for ever.
 URGENCY_WEIGHTS = {Urgency.URGENT: 16.0, Urgency.NORMAL: 4.0, Urgency.BULK: 1.0}
 
+#: Places for urgent tickets, as a multiple of the places for all. Load: saturation;
+#: harm: a lookup waits for its turn while a van waits; reason: a tenth is most of what
+#: urgent work asks for at once, and the engines' queues stay short.
+URGENT_PLACES = 1.1
+
 
 def _push_flow(order: Order, key: object, weight: float, cost_s: float) -> None:
     flow = order.flows.setdefault(key, Flow(weight=weight))
@@ -57,29 +62,46 @@
     return min(waiting, key=lambda key: (order.flows[key].tag, key))
 
 
-def _list_teams(queue: FairQueue, is_lent: bool) -> list[str]:
+def _list_teams(queue: FairQueue, is_lent: bool, most: Urgency) -> list[str]:
     return [
         team
         for lent, team in queue.urgencies
-        if lent is is_lent and _list_urgencies(queue, is_lent, team)
+        if lent is is_lent and _list_urgencies(queue, is_lent, team, most)
     ]
 
 
-def _list_urgencies(queue: FairQueue, is_lent: bool, team: str) -> list[Urgency]:
+def _list_urgencies(
+    queue: FairQueue, is_lent: bool, team: str, most: Urgency = Urgency.BULK
+) -> list[Urgency]:
     return [
-        urgency for urgency in Urgency if queue.waiting.get((is_lent, team, urgency))
+        urgency
+        for urgency in Urgency
+        if urgency <= most and queue.waiting.get((is_lent, team, urgency))
     ]
 
 
-def pop_ticket(queue: FairQueue) -> Ticket | None:
-    """Take out the ticket whose turn it is."""
+def pop_next(queue: FairQueue, *, running: int, places: float) -> Ticket | None:
+    """Take out the ticket that may start now, if there is one.
+
+    Urgent tickets may use some places more than there are: engines put them first, so
+    they wait for the end of one running request there and not for a turn here.
+    """
+    if running < places:
+        return pop_ticket(queue)
+    if running < places * URGENT_PLACES:
+        return pop_ticket(queue, most=Urgency.URGENT)
+    return None
+
+
+def pop_ticket(queue: FairQueue, *, most: Urgency = Urgency.BULK) -> Ticket | None:
+    """Take out the ticket whose turn it is among those of urgency `most` or sooner."""
     for is_lent in (False, True):
-        teams = _list_teams(queue, is_lent)
+        teams = _list_teams(queue, is_lent, most)
         if not teams:
             continue
         team = _pick(queue.teams[is_lent], iter(teams))
         order = queue.urgencies[is_lent, team]
-        urgency = _pick(order, iter(_list_urgencies(queue, is_lent, team)))
+        urgency = _pick(order, iter(_list_urgencies(queue, is_lent, team, most)))
         ticket = queue.waiting[is_lent, team, urgency].popleft()
         _pop_flow(queue.teams[is_lent], team, ticket.service_s)
         _pop_flow(order, urgency, ticket.service_s)
--- a/packages/core/fulmarward_core/admission/tests/test_queue.py
+++ b/packages/core/fulmarward_core/admission/tests/test_queue.py
@@ -7,6 +7,7 @@
     Ticket,
     drop_late,
     estimate_ahead_s,
+    pop_next,
     pop_ticket,
     push_ticket,
     remove_ticket,
@@ -77,6 +78,15 @@
             gap = abs(served["first"] / weight - served["second"])
             self.assertLessEqual(gap, bound + 1e-6)
 
+    def test_only_urgent_work_uses_the_places_kept_for_it(self):
+        queue = FairQueue()
+        for number, urgency in enumerate(Urgency):
+            push_ticket(queue, _make("team", number, 1.0, urgency), weight=1.0)
+        self.assertIsNone(pop_next(queue, running=11, places=10.0))
+        self.assertIs(pop_next(queue, running=10, places=10.0).urgency, Urgency.URGENT)
+        self.assertIsNone(pop_next(queue, running=10, places=10.0))
+        self.assertIs(pop_next(queue, running=9, places=10.0).urgency, Urgency.NORMAL)
+
     def test_bulk_is_served_beside_endless_urgent_work(self):
         queue = FairQueue()
         push_ticket(queue, _make("team", 0, 1.0, Urgency.BULK), weight=1.0)
--- a/packages/instance/fulmarward/requests/_admit.py
+++ b/packages/instance/fulmarward/requests/_admit.py
@@ -24,7 +24,7 @@
     expect_output,
     note_output,
     note_wait,
-    pop_ticket,
+    pop_next,
     remove_ticket,
     settle_tokens,
 )
@@ -148,8 +148,7 @@
     """Give the free places of a pool to those whose turn it is."""
     pool = find_pool(instance.admission, work.pipeline.model)
     places = _measure(instance, work).places
-    while pool.queue.length and len(pool.running) < places:
-        ticket = pop_ticket(pool.queue)
+    while ticket := pop_next(pool.queue, running=len(pool.running), places=places):
         note_wait(pool.queue, ticket, now=instance.read_clock())
         pool.running[ticket.request] = ticket
         turn = pool.turns[ticket.request]
