Split the modules that had grown: chains, engines, members, keys

Change: a chain's choice, calls, progress and end stand apart; an engine's reports, orders and prefixes stand apart from its streams, with one tuple of what a bad answer raises in place of four; the two decision modules are packages. A refusal of a target is noted once, not twice. No other behaviour changes.

--- a/packages/core/fulmarward_core/keys/__init__.py
+++ b/packages/core/fulmarward_core/keys/__init__.py
@@ -26,14 +26,14 @@
     WitnessRecord,
     WitnessTable,
 )
-from fulmarward_core.keys.decisions import (
+from fulmarward_core.keys.decisions._conclusions import (
     Conclusion,
-    claim_key,
     conclude_closing,
     conclude_take,
-    end_key,
-    forget_key,
     list_closable,
+)
+from fulmarward_core.keys.decisions._home import claim_key, end_key, forget_key
+from fulmarward_core.keys.decisions._witness import (
     note_record,
     record_attempt,
     take_key,
--- /dev/null
+++ b/packages/core/fulmarward_core/keys/decisions/_home.py
@@ -0,0 +1,84 @@
+"""The home of a key: what a call is to it, and when it ends."""
+
+from fulmarward_core.keys._types import (
+    Claim,
+    KeyEntry,
+    KeyState,
+    KeyTable,
+)
+from fulmarward_core.keys.decisions._ages import (
+    DROPS_AT_ONCE,
+    MOST_ENTRIES,
+    RETAIN_S,
+    forget_answers,
+    judge_age,
+    keep_answer,
+)
+from fulmarward_core.results import Failure, ResultCode, make_failure
+
+_CLAIMS = {
+    (KeyState.RUNNING, True): Claim.ATTACH,
+    (KeyState.ENDED, True): Claim.ATTACH,
+    (KeyState.ENDED, False): Claim.TELL,
+}
+
+
+def claim_key(
+    table: KeyTable, key: str, *, body_hash: str, expires_at: float, now: float
+) -> tuple[Claim, KeyEntry | None]:
+    """Decide what the home does with a call; a new key gets its entry."""
+    table.latest = max(table.latest, now)
+    forget_answers(table.kept, table.entries, table.latest)
+    _drop_entries(table)
+    entry = table.entries.get(key)
+    if entry is not None:
+        if entry.body_hash != body_hash:
+            return Claim.OTHER_BODY, None
+        return _CLAIMS[entry.state, entry.answer is not None], entry
+    refusal = judge_age(expires_at, table.latest)
+    if refusal is None and len(table.entries) >= MOST_ENTRIES:
+        refusal = Claim.FULL
+    if refusal is not None:
+        return refusal, None
+    entry = KeyEntry(
+        body_hash=body_hash, state=KeyState.RUNNING, drop_at=expires_at + RETAIN_S
+    )
+    table.entries[key] = entry
+    return Claim.START, entry
+
+
+def end_key(
+    table: KeyTable,
+    key: str,
+    *,
+    failure: Failure | None,
+    size: int,
+    keep_s: float,
+    now: float,
+) -> None:
+    """Note that the request of a key is over; its answer is kept for a while."""
+    table.latest = max(table.latest, now)
+    entry = table.entries.get(key)
+    if entry is None or entry.state is KeyState.ENDED:
+        return
+    entry.state = KeyState.ENDED
+    entry.outcome = failure or make_failure(ResultCode.ALREADY_RAN)
+    entry.drop_at = max(entry.drop_at, table.latest + RETAIN_S)
+    keep_answer(table.kept, key, size, table.latest + keep_s)
+    forget_answers(table.kept, table.entries, table.latest)
+
+
+def forget_key(table: KeyTable, key: str) -> None:
+    """Drop a key whose request may run again: it failed and is idempotent."""
+    table.entries.pop(key, None)
+
+
+def _drop_entries(table: KeyTable) -> None:
+    entries = table.entries
+    for _ in range(min(DROPS_AT_ONCE, len(entries))):
+        key = next(iter(entries))
+        if entries[key].drop_at >= table.latest:
+            return
+        entry = entries.pop(key)
+        if entry.state is KeyState.RUNNING:
+            entries[key] = entry
--- a/packages/core/fulmarward_core/keys/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/keys/tests/test_decisions.py
@@ -19,7 +19,7 @@
     record_attempt,
     take_key,
 )
-from fulmarward_core.keys.decisions import MOST_ENTRIES, RETAIN_S
+from fulmarward_core.keys.decisions._ages import MOST_ENTRIES, RETAIN_S
 from fulmarward_core.results import ResultCode, make_failure
 
 _STREAM = AttemptPlace(attempt=1, target="e1", address="e1", has_stream=True)
--- /dev/null
+++ b/packages/core/fulmarward_core/membership/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about members; all pure."""
--- a/packages/instance/fulmarward/requests/_attempt.py
+++ b/packages/instance/fulmarward/requests/_attempt.py
@@ -101,7 +101,6 @@
         if isinstance(stream, StreamRefused):
             note_refusal(instance, view.name, stream.detail)
             answer.is_dispatched = was_dispatched
-            note_refusal(instance, view.name, stream.detail)
             return _describe_refusal(stream)
         return await _relay(instance, work, answer, attempt, stream)
     except asyncio.CancelledError:
--- /dev/null
+++ b/packages/instance/fulmarward/requests/_chain_calls.py
@@ -0,0 +1,118 @@
+"""The calls to the stages of a chain, bound to one attempt."""
+
+from fulmarward._instance import Instance
+from fulmarward.requests._chain_progress import ChainProgress
+from fulmarward.requests._drive import (
+    ChainRun,
+    StageCalls,
+    StageLost,
+)
+from fulmarward.requests._move import find_address
+from fulmarward.requests._work import Work
+from fulmarward.targets import (
+    StepDone,
+    StepOrder,
+    StepRefused,
+    StreamBroken,
+    StreamUnknown,
+    read_steps,
+    run_step,
+)
+from fulmarward_core.chains import (
+    estimate_step_ms,
+    note_step,
+)
+from fulmarward_core.streams import Stage
+
+
+def make_lost(run: ChainRun, stage: Stage, detail: str) -> StageLost:
+    """Return the loss of a stage that may have run the token."""
+    return StageLost(
+        stage=stage,
+        detail=detail,
+        may_have_run=True,
+        is_closed=False,
+        is_unreachable=False,
+    )
+
+
+def make_run(
+    instance: Instance, work: Work, attempt: ChainProgress, version: str | None
+) -> ChainRun:
+    """Return what drives the tokens of an attempt through its stages."""
+
+    def make_order(stage: Stage, position: int, value: object) -> StepOrder:
+        first, end = stage.layers
+        needs_prompt = position == 0 and stage in (run.stages[0], run.stages[-1])
+        return StepOrder(
+            request=work.request,
+            attempt=attempt.number,
+            team=work.team,
+            term=attempt.term,
+            model=work.pipeline.model,
+            adapter=work.pipeline.adapter,
+            version=version,
+            position=position,
+            first_layer=first,
+            last_layer=end - 1,
+            input=value,
+            prompt=work.prompt if needs_prompt else None,
+            max_tokens=work.max_tokens if needs_prompt else None,
+        )
+
+    run = ChainRun(
+        stages=attempt.stages,
+        calls=_make_calls(instance, work, attempt),
+        make_order=make_order,
+    )
+    return run
+
+
+def _make_calls(instance: Instance, work: Work, attempt: ChainProgress) -> StageCalls:
+    async def run(
+        stage: Stage, order: StepOrder
+    ) -> StepDone | StepRefused | StreamBroken:
+        address = find_address(instance, stage)
+        if address is None:
+            return StepRefused(error="declared no more")
+        began = instance.read_clock()
+        outcome = await run_step(instance.session, address, order)
+        if isinstance(outcome, StepDone) and order.position > 0:
+            _measure_step(instance, stage, began)
+        return outcome
+
+    async def read(
+        stage: Stage, after: int
+    ) -> tuple[StepDone, ...] | StreamUnknown | StreamBroken:
+        address = find_address(instance, stage)
+        if address is None:
+            return StreamUnknown()
+        return await read_steps(
+            instance.session,
+            address,
+            request=work.request,
+            attempt=attempt.number,
+            stage=stage,
+            after=after,
+            term=attempt.term,
+        )
+
+    return StageCalls(run_step=run, read_steps=read)
+
+
+def _measure_step(instance: Instance, stage: Stage, began: float) -> None:
+    """Note a step's time; position 0 is left out, since it reads the prompt."""
+    declaration = instance.snapshot.declaration
+    now = instance.read_clock()
+    note_step(
+        instance.step_times,
+        target=stage.target,
+        took_ms=(now - began) * 1000,
+        expected_ms=estimate_step_ms(
+            declaration.targets[stage.target],
+            layers=stage.layers[1] - stage.layers[0],
+            data_centre=instance.settings.data_centre,
+            links=declaration.links,
+        ),
+        now=now,
+    )
--- a/packages/instance/fulmarward/requests/_execute.py
+++ b/packages/instance/fulmarward/requests/_execute.py
@@ -9,7 +9,8 @@
 from fulmarward.requests._admit import admit_work
 from fulmarward.requests._attempt import RETRY_AFTER_MS, run_attempt
 from fulmarward.requests._budget import note_try, take_retry
-from fulmarward.requests._chain import choose_chain, run_chain
+from fulmarward.requests._chain import run_chain
+from fulmarward.requests._chain_choice import choose_chain
 from fulmarward.requests._measure import measure_attempt
 from fulmarward.requests._route import choose_route
 from fulmarward.requests._work import Work
--- a/packages/instance/fulmarward/targets/__init__.py
+++ b/packages/instance/fulmarward/targets/__init__.py
@@ -1,26 +1,29 @@
 """Targets: engines and plain services, and the tasks that watch them."""
 
 from fulmarward.targets._engine import (
-    PREFIX_TOKENS,
-    CacheEvents,
-    EngineReport,
     EngineStream,
-    OrderRefused,
-    OrderTaken,
     StreamBroken,
     StreamOrder,
     StreamRefused,
     StreamUnknown,
     cancel_stream,
-    hash_prefixes,
     open_stream,
-    read_cache_events,
     read_events,
-    read_held,
-    read_load,
     resume_stream,
+)
+from fulmarward.targets._orders import (
+    OrderRefused,
+    OrderTaken,
+    read_held,
     send_order,
 )
+from fulmarward.targets._prefixes import PREFIX_TOKENS, hash_prefixes
+from fulmarward.targets._reports import (
+    CacheEvents,
+    EngineReport,
+    read_cache_events,
+    read_load,
+)
 from fulmarward.targets._service import (
     ServiceAnswer,
     ServiceOrder,
--- a/packages/instance/fulmarward/targets/_engine.py
+++ b/packages/instance/fulmarward/targets/_engine.py
@@ -1,4 +1,4 @@
-"""The one module that knows the engines' protocol.
+"""Streams of engines; with its neighbours here the only code that knows their protocol.
 
 A function here says "refused" only when nothing of the request can have been run:
 no connection was made, or the engine itself answered that it did not begin.
@@ -11,11 +11,8 @@
 
 import aiohttp
 import orjson
-import xxhash
 
-from fulmarward_core.placement import Held, Wanted
 from fulmarward_core.requests import StreamEvent, parse_events
-from fulmarward_core.routing import LoadReport
 
 #: Seconds without any byte after which a stream's connection is made anew. Harm: a
 #: frozen engine holds its callers; reason: far above any token interval, and a stream
@@ -25,33 +22,11 @@
 #: Seconds for an engine to answer that a stream can be attached to again.
 ATTACH_S = 1.0
 
-#: Headers that a read does without: a fifth of its bytes.
-_NEEDLESS_HEADERS = ("Accept", "Accept-Encoding", "User-Agent")
-
 #: Seconds for a short call to an engine.
 SHORT_CALL_S = 2.0
 
-
-#: Words of one block; engines cache prefixes that end on a block.
-PREFIX_TOKENS = 16
-
-#: Blocks hashed of one prompt. Load: prompts of 100,000 words; harm: the loop stands
-#: still while they are hashed; reason: shared prefixes are shorter than 4,096 words.
-MOST_PREFIXES = 256
-
-
-def hash_prefixes(prompt: str) -> tuple[str, ...]:
-    """Return the hashes that engines give a prompt's prefixes, the shortest first."""
-    words = prompt.split(None, MOST_PREFIXES * PREFIX_TOKENS)
-    hashing = xxhash.xxh64()
-    found = []
-    whole = min(len(words) // PREFIX_TOKENS, MOST_PREFIXES)
-    for block in range(whole):
-        start = block * PREFIX_TOKENS
-        text = " ".join(words[start : start + PREFIX_TOKENS])
-        hashing.update((" " + text if block else text).encode())
-        found.append(hashing.hexdigest())
-    return tuple(found)
+#: What a call raises when no whole and well-formed answer came.
+BAD_ANSWERS = (aiohttp.ClientError, TimeoutError, ValueError, KeyError, TypeError)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -247,179 +222,3 @@
             return body["state"]
     except (aiohttp.ClientError, TimeoutError, ValueError, KeyError) as error:
         return StreamBroken(detail=type(error).__name__)
-
-
-@dataclass(frozen=True, kw_only=True)
-class EngineReport:
-    """An engine's own word about itself."""
-
-    #: Its load, late by an unknown lag.
-    load: LoadReport
-    #: Whether it says that it is leaving.
-    is_leaving: bool
-    #: What it says that it holds.
-    held: Held
-    #: Bytes of the answer, headers included.
-    size: int
-
-
-def parse_held(body: dict) -> Held:
-    """Return what an engine holds; raises `KeyError` or `ValueError`."""
-    first, end = body["layers"]
-    state = Wanted(
-        model=body["model"],
-        version=body["version"],
-        layers=(first, end),
-        adapters=tuple(sorted(body["adapters"])),
-        role=body["role"],
-    )
-    return Held(state=state, fencing=body["fencing"], is_loading=bool(body["loading"]))
-
-
-def measure_answer(answer: aiohttp.ClientResponse, body: bytes) -> int:
-    """Return the bytes of an answer, its headers included."""
-    headers = sum(len(name) + len(value) + 4 for name, value in answer.raw_headers)
-    return len(body) + headers
-
-
-async def read_load(
-    session: aiohttp.ClientSession, address: str, *, now: float
-) -> EngineReport | StreamBroken:
-    """Return the engine's load report and what else it says of itself."""
-    timeout = aiohttp.ClientTimeout(total=SHORT_CALL_S)
-    try:
-        async with session.get(
-            f"http://{address}/v1/load",
-            timeout=timeout,
-            skip_auto_headers=_NEEDLESS_HEADERS,
-        ) as answer:
-            text = await answer.read()
-        body = orjson.loads(text)
-        load = LoadReport(
-            running=body["running"], waiting=body["waiting"], received_at=now
-        )
-        return EngineReport(
-            load=load,
-            is_leaving=bool(body["leaving"]),
-            held=parse_held(body["held"]),
-            size=measure_answer(answer, text),
-        )
-    except (
-        aiohttp.ClientError,
-        TimeoutError,
-        ValueError,
-        KeyError,
-        TypeError,
-    ) as error:
-        return StreamBroken(detail=type(error).__name__)
-
-
-@dataclass(frozen=True, kw_only=True)
-class CacheEvents:
-    """What an engine published about its prefix cache, late and with gaps."""
-
-    #: Events as (sequence, whether stored, prefix), in the order of their sequence.
-    events: tuple[tuple[int, bool, str], ...]
-    #: Bytes of the answer, headers included.
-    size: int
-
-
-async def read_cache_events(
-    session: aiohttp.ClientSession, address: str, *, after: int
-) -> CacheEvents | StreamBroken:
-    """Return the cache events after a sequence number."""
-    timeout = aiohttp.ClientTimeout(total=SHORT_CALL_S)
-    url = f"http://{address}/v1/cache-events"
-    try:
-        async with session.get(
-            url,
-            params={"after": str(after)},
-            timeout=timeout,
-            skip_auto_headers=_NEEDLESS_HEADERS,
-        ) as answer:
-            text = await answer.read()
-        events = tuple(
-            (int(item["sequence"]), item["event"] == "stored", str(item["prefix"]))
-            for item in orjson.loads(text)["events"]
-        )
-        return CacheEvents(events=events, size=measure_answer(answer, text))
-    except (
-        aiohttp.ClientError,
-        TimeoutError,
-        ValueError,
-        KeyError,
-        TypeError,
-    ) as error:
-        return StreamBroken(detail=type(error).__name__)
-
-
-@dataclass(frozen=True, kw_only=True)
-class OrderTaken:
-    """The engine holds what was ordered."""
-
-    #: What it says that it holds now.
-    held: Held
-
-
-@dataclass(frozen=True, kw_only=True)
-class OrderRefused:
-    """The engine did not take the order."""
-
-    #: What it said; `old_fencing` when it has obeyed a later holder.
-    detail: str
-
-
-async def send_order(
-    session: aiohttp.ClientSession,
-    address: str,
-    wanted: Wanted,
-    *,
-    fencing: int,
-    timeout_s: float,
-) -> OrderTaken | OrderRefused | StreamBroken:
-    """Order an engine to hold `wanted`; it answers when it does."""
-    body = {
-        "fencing": fencing,
-        "wanted": {
-            "model": wanted.model,
-            "version": wanted.version,
-            "layers": list(wanted.layers),
-            "adapters": list(wanted.adapters),
-            "role": wanted.role,
-        },
-    }
-    timeout = aiohttp.ClientTimeout(total=timeout_s)
-    try:
-        async with session.put(
-            f"http://{address}/v1/held", json=body, timeout=timeout
-        ) as answer:
-            found = await answer.json()
-        if answer.status == 200:
-            return OrderTaken(held=parse_held(found["held"]))
-        return OrderRefused(detail=str(found["error"]))
-    except (
-        aiohttp.ClientError,
-        TimeoutError,
-        ValueError,
-        KeyError,
-        TypeError,
-    ) as error:
-        return StreamBroken(detail=type(error).__name__)
-
-
-async def read_held(
-    session: aiohttp.ClientSession, address: str
-) -> Held | StreamBroken:
-    """Return what an engine says that it holds."""
-    timeout = aiohttp.ClientTimeout(total=SHORT_CALL_S)
-    try:
-        async with session.get(f"http://{address}/v1/held", timeout=timeout) as answer:
-            return parse_held((await answer.json())["held"])
-    except (
-        aiohttp.ClientError,
-        TimeoutError,
-        ValueError,
-        KeyError,
-        TypeError,
-    ) as error:
-        return StreamBroken(detail=type(error).__name__)
--- /dev/null
+++ b/packages/instance/fulmarward/targets/_orders.py
@@ -0,0 +1,69 @@
+"""Orders to engines, and reading back what they hold."""
+
+from dataclasses import dataclass
+
+import aiohttp
+
+from fulmarward.targets._engine import BAD_ANSWERS, SHORT_CALL_S, StreamBroken
+from fulmarward.targets._reports import parse_held
+from fulmarward_core.placement import Held, Wanted
+
+
+@dataclass(frozen=True, kw_only=True)
+class OrderTaken:
+    """The engine holds what was ordered."""
+
+    #: What it says that it holds now.
+    held: Held
+
+
+@dataclass(frozen=True, kw_only=True)
+class OrderRefused:
+    """The engine did not take the order."""
+
+    #: What it said; `old_fencing` when it has obeyed a later holder.
+    detail: str
+
+
+async def send_order(
+    session: aiohttp.ClientSession,
+    address: str,
+    wanted: Wanted,
+    *,
+    fencing: int,
+    timeout_s: float,
+) -> OrderTaken | OrderRefused | StreamBroken:
+    """Order an engine to hold `wanted`; it answers when it does."""
+    body = {
+        "fencing": fencing,
+        "wanted": {
+            "model": wanted.model,
+            "version": wanted.version,
+            "layers": list(wanted.layers),
+            "adapters": list(wanted.adapters),
+            "role": wanted.role,
+        },
+    }
+    timeout = aiohttp.ClientTimeout(total=timeout_s)
+    try:
+        async with session.put(
+            f"http://{address}/v1/held", json=body, timeout=timeout
+        ) as answer:
+            found = await answer.json()
+        if answer.status == 200:
+            return OrderTaken(held=parse_held(found["held"]))
+        return OrderRefused(detail=str(found["error"]))
+    except BAD_ANSWERS as error:
+        return StreamBroken(detail=type(error).__name__)
+
+
+async def read_held(
+    session: aiohttp.ClientSession, address: str
+) -> Held | StreamBroken:
+    """Return what an engine says that it holds."""
+    timeout = aiohttp.ClientTimeout(total=SHORT_CALL_S)
+    try:
+        async with session.get(f"http://{address}/v1/held", timeout=timeout) as answer:
+            return parse_held((await answer.json())["held"])
+    except BAD_ANSWERS as error:
+        return StreamBroken(detail=type(error).__name__)
--- a/packages/instance/fulmarward/targets/_watch.py
+++ b/packages/instance/fulmarward/targets/_watch.py
@@ -5,11 +5,8 @@
 from fulmarward._instance import Instance
 from fulmarward.health import note_report, read_drains, show_leaving
 from fulmarward.observability import log_event
-from fulmarward.targets._engine import (
-    StreamBroken,
-    read_cache_events,
-    read_load,
-)
+from fulmarward.targets._engine import StreamBroken
+from fulmarward.targets._reports import read_cache_events, read_load
 from fulmarward_core.declaration import TargetKind
 from fulmarward_core.health import (
     EVENT_BYTES,
