Event ids carry a digest of the texts, so a lost data centre costs no answer

Instance and engine die together now that near targets go first, nobody has the texts that the caller has, and a new attempt could not be compared with them.

Ruled out: copying texts to a peer for each event, 6,000 tokens/s twice; choosing far targets on purpose.

Change: a running 32-bit digest of the texts in each event's id. An instance that finds the engine gone runs idempotent work anew and goes on after event N only when the first N texts have the digest; else the caller is told STREAM_LOST as before.

--- a/packages/core/fulmarward_core/streams/__init__.py
+++ b/packages/core/fulmarward_core/streams/__init__.py
@@ -1,9 +1,12 @@
 """Where a stream runs, in a sealed form that the caller carries."""
 
 from fulmarward_core.streams._locators import (
+    EventId,
     Locator,
     Stage,
+    TextDigest,
     digest_prompt,
+    digest_texts,
     make_event_id,
     open_locator,
     seal_locator,
@@ -11,9 +14,12 @@
 )
 
 __all__ = [
+    "EventId",
     "Locator",
     "Stage",
+    "TextDigest",
     "digest_prompt",
+    "digest_texts",
     "make_event_id",
     "open_locator",
     "seal_locator",
--- a/packages/core/fulmarward_core/streams/_locators.py
+++ b/packages/core/fulmarward_core/streams/_locators.py
@@ -1,6 +1,7 @@
 """Locators: what any instance needs to go on with a stream.
 
-Each event's `id:` is a sealed locator and the event's number. An instance that
+Each event's `id:` is a sealed locator, a digest of the texts so far and the event's
+number. An instance that
 never saw the request can attach to the engine's stream again from this alone, so a
 stream outlives the instance that began it, with nothing written anywhere.
 """
@@ -9,8 +10,11 @@
 import hashlib
 import hmac
 import json
+from collections.abc import Iterable
 from dataclasses import dataclass
 
+import xxhash
+
 #: Bytes of the seal. 12 bytes are past guessing for the minutes a stream lives.
 SEAL_BYTES = 12
 
@@ -97,16 +101,61 @@
     return hashlib.sha256(prompt.encode()).hexdigest()[:DIGEST_LETTERS]
 
 
-def make_event_id(sealed: str, number: int) -> str:
-    """Return the `id:` of event `number`; events count from 1."""
-    return f"{sealed}.{number}"
+@dataclass(frozen=True, kw_only=True)
+class EventId:
+    """What an event's id says."""
+
+    #: The sealed locator.
+    sealed: str
+    #: Number of the event; events count from 1.
+    number: int
+    #: Digest of all texts up to the event, empty where there is none.
+    digest: str
+
 
+def make_event_id(sealed: str, number: int, digest: str = "") -> str:
+    """Return the `id:` of event `number`; events count from 1.
 
-def split_event_id(event_id: str) -> tuple[str, int] | None:
-    """Return the sealed locator and the number, or `None` for a malformed id."""
-    sealed, _, number = event_id.rpartition(".")
+    The digest of the texts so far lets another attempt on another target go on at the
+    same place when nobody has those texts any more: their instance and their engine
+    were lost together, with a data centre.
+    """
+    mark = f"~{digest}" if digest else ""
+    return f"{sealed}{mark}.{number}"
+
+
+def split_event_id(event_id: str) -> EventId | None:
+    """Return what an id says, or `None` for a malformed one."""
+    head, _, number = event_id.rpartition(".")
+    sealed, _, digest = head.partition("~")
     is_number = number.isascii() and number.isdigit() and len(number) < 10
-    return (sealed, int(number)) if sealed and is_number else None
+    if not sealed or not is_number:
+        return None
+    return EventId(sealed=sealed, number=int(number), digest=digest)
+
+
+class TextDigest:
+    """The digest of an answer's texts, kept up to date text by text.
+
+    32 bits: it guards against engines that differ, not against callers, who could
+    only spoil their own answer with a false one.
+    """
+
+    def __init__(self) -> None:
+        self._state = xxhash.xxh32()
+
+    def add(self, text: str) -> str:
+        """Take in the next text; return the digest of all texts up to it."""
+        self._state.update(f"{len(text)}:{text}".encode())
+        return self._state.hexdigest()
+
+
+def digest_texts(texts: Iterable[str]) -> str:
+    """Return the digest of `texts`, empty for none."""
+    digest, state = "", TextDigest()
+    for text in texts:
+        digest = state.add(text)
+    return digest
 
 
 def _compute_seal(body: bytes, team: str, secret: bytes) -> bytes:
--- a/packages/core/fulmarward_core/streams/tests/test_locators.py
+++ b/packages/core/fulmarward_core/streams/tests/test_locators.py
@@ -5,6 +5,8 @@
 from fulmarward_core.streams import (
     Locator,
     Stage,
+    TextDigest,
+    digest_texts,
     make_event_id,
     open_locator,
     seal_locator,
@@ -49,7 +51,9 @@
 
     def test_event_ids_are_split(self):
         cases = [
-            (make_event_id("abc", 4), ("abc", 4)),
+            (make_event_id("abc", 4), ("abc", 4, "")),
+            (make_event_id("abc", 4, "1f"), ("abc", 4, "1f")),
+            ("~1f.4", None),
             ("abc", None),
             (".4", None),
             ("abc.", None),
@@ -58,4 +62,14 @@
         ]
         for event_id, expected in cases:
             with self.subTest(event_id=event_id):
-                self.assertEqual(split_event_id(event_id), expected)
+                event = split_event_id(event_id)
+                found = event and (event.sealed, event.number, event.digest)
+                self.assertEqual(found, expected)
+
+    @given(st.lists(st.text()), st.lists(st.text()))
+    def test_digests_are_equal_for_equal_texts_alone(self, first, second):
+        state = TextDigest()
+        kept = [state.add(text) for text in first]
+        self.assertEqual(kept[-1:], [digest_texts(first)][: len(kept)])
+        is_equal = digest_texts(first) == digest_texts(second)
+        self.assertEqual(is_equal, first == second)
--- a/packages/instance/fulmarward/answers/_answer.py
+++ b/packages/instance/fulmarward/answers/_answer.py
@@ -27,6 +27,10 @@
     end: str = ""
     #: Why there is no whole answer.
     failure: Failure | None = None
+    #: Events that the caller has and this journal lacks, and the digest of their texts.
+    #: A new attempt has to give them again before the answer goes on.
+    owed: int = 0
+    owed_digest: str = ""
     #: Prompt tokens, as far as known.
     prompt_tokens: int = 0
     #: Whether something of it may have been written to a target.
--- a/packages/instance/fulmarward/callers/_resume.py
+++ b/packages/instance/fulmarward/callers/_resume.py
@@ -17,6 +17,7 @@
 from fulmarward.requests import Work, run_resumed
 from fulmarward_core.results import ResultCode, make_failure
 from fulmarward_core.streams import (
+    EventId,
     Locator,
     digest_prompt,
     open_locator,
@@ -31,15 +32,16 @@
     return CallerError(failure=make_failure(ResultCode.EVENT_ID_WRONG, detail))
 
 
-def _open_event_id(instance: Instance, team: str, event_id: str) -> tuple[Locator, int]:
-    parts = split_event_id(event_id)
-    if parts is None:
+def _open_event_id(
+    instance: Instance, team: str, event_id: str
+) -> tuple[Locator, EventId]:
+    event = split_event_id(event_id)
+    if event is None:
         raise _refuse("Expected LOCATOR.NUMBER.")
-    sealed, number = parts
     for secret in instance.secrets.derive_keys("locators"):
-        locator = open_locator(sealed, team=team, secret=secret)
+        locator = open_locator(event.sealed, team=team, secret=secret)
         if locator is not None:
-            return locator, number
+            return locator, event
     raise _refuse("Expected a locator of this team.")
 
 
@@ -50,7 +52,7 @@
 
     Raises `CallerError` for an id that is no stream of this team and this body.
     """
-    locator, after = _open_event_id(
+    locator, event = _open_event_id(
         instance, work.team, request.headers[EVENT_ID_HEADER]
     )
     is_same = (locator.pipeline, locator.digest) == (
@@ -69,19 +71,19 @@
         request=work.request,
         attempt=locator.attempt,
         team=work.team,
-        after=after,
+        after=event.number,
         stages=[stage.target for stage in locator.stages],
         reason="own_journal" if is_here else "engine",
     )
     if is_here:
-        return work, answer, after
+        return work, answer, event.number
     answer = Answer(
         request=work.request, team=work.team, prompt_tokens=len(work.prompt.split())
     )
     instance.answers[work.request] = answer
-    running = run_resumed(instance, work, answer, locator, after)
+    running = run_resumed(instance, work, answer, locator, event)
     instance.keep_task(asyncio.create_task(running))
-    return work, answer, after
+    return work, answer, event.number
 
 
 def _take_over(instance: Instance, work: Work, locator: Locator) -> Work:
--- a/packages/instance/fulmarward/callers/_send.py
+++ b/packages/instance/fulmarward/callers/_send.py
@@ -16,6 +16,7 @@
     render_whole,
 )
 from fulmarward_core.results import Failure
+from fulmarward_core.streams import TextDigest
 
 
 async def _wait_for_start(answer: Answer) -> None:
@@ -82,12 +83,16 @@
 ) -> None:
     """Send events after number `sent` until the answer is over, in batches."""
     template = make_template(head)
+    digest = TextDigest()
     is_first = True
     while True:
         changed = answer.changed
         texts = answer.texts[sent:]
         if texts:
-            events = render_texts(template, answer.locator, texts, sent + 1)
+            if is_first:
+                for text in answer.texts[:sent]:
+                    digest.add(text)
+            events = render_texts(template, answer.locator, texts, sent + 1, digest)
             await response.write(events)
             sent += len(texts)
             if is_first:
--- a/packages/instance/fulmarward/callers/_shapes.py
+++ b/packages/instance/fulmarward/callers/_shapes.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from fulmarward.answers import Answer
-from fulmarward_core.streams import make_event_id
+from fulmarward_core.streams import TextDigest, make_event_id
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -111,12 +111,19 @@
 
 
 def render_texts(
-    template: PartTemplate, locator: str, texts: list[str], first_number: int
+    template: PartTemplate,
+    locator: str,
+    texts: list[str],
+    first_number: int,
+    digest: TextDigest,
 ) -> bytes:
-    """Return the server-sent events of `texts`, the first numbered `first_number`."""
+    """Return the server-sent events of `texts`, the first numbered `first_number`.
+
+    `digest` has taken in all texts before them.
+    """
     parts = []
     for number, text in enumerate(texts, first_number):
-        parts.append(f"id: {locator}.{number}")
+        parts.append(f"id: {make_event_id(locator, number, digest.add(text))}")
         parts.append(template.before)
         parts.append(json.dumps(text))
         parts.append(template.after)
--- a/packages/instance/fulmarward/requests/_progress.py
+++ b/packages/instance/fulmarward/requests/_progress.py
@@ -7,7 +7,7 @@
 from fulmarward.requests._locate import make_locator
 from fulmarward.requests._work import Work
 from fulmarward_core.requests import find_new_texts
-from fulmarward_core.streams import Stage
+from fulmarward_core.streams import Stage, digest_texts
 
 #: The end of an attempt whose first texts are not those that were sent.
 DIFFERS = "differs"
@@ -44,6 +44,23 @@
     answer.set_locator(make_locator(instance, work, attempt.number, attempt.stages))
 
 
+def _settle_owed(answer: Answer, new: list[str], *, is_over: bool) -> bool:
+    """Return whether the answer may go on with `new`, given what its caller has.
+
+    Guards against an answer sewn together from two different ones when the texts that
+    the caller has were lost with their instance and their engine: the digest in its
+    event id has to be that of the texts which the new attempt gives.
+    """
+    if not answer.owed:
+        return True
+    texts = answer.texts + new
+    if len(texts) < answer.owed:
+        return not is_over
+    is_same = digest_texts(texts[: answer.owed]) == answer.owed_digest
+    answer.owed = 0
+    return is_same
+
+
 def take_texts(
     instance: Instance,
     work: Work,
@@ -57,6 +74,8 @@
     attempt.seen += len(texts)
     if new is None or (end and attempt.seen < len(answer.texts)):
         return DIFFERS
+    if not _settle_owed(answer, new, is_over=bool(end)):
+        return DIFFERS
     locate_answer(instance, work, answer, attempt)
     if new:
         answer.add_texts(new)
--- a/packages/instance/fulmarward/requests/_resume.py
+++ b/packages/instance/fulmarward/requests/_resume.py
@@ -11,7 +11,7 @@
 from fulmarward.targets import find_view
 from fulmarward_core.requests import choose_failure
 from fulmarward_core.results import Failure, ResultCode, make_failure
-from fulmarward_core.streams import Locator
+from fulmarward_core.streams import EventId, Locator
 
 #: From where on the numbers of later attempts are drawn. Guards against two instances
 #: that both go on with a request (one was frozen and woke) and give one number to two
@@ -20,19 +20,23 @@
 
 
 async def run_resumed(
-    instance: Instance, work: Work, answer: Answer, locator: Locator, after: int
+    instance: Instance,
+    work: Work,
+    answer: Answer,
+    locator: Locator,
+    event: EventId,
 ) -> None:
     """Write an answer from the stream that `locator` names; always ends the answer.
 
     The stream is read from its first event, so that the journal holds all that the
-    caller has up to event `after`, and a later attempt can be compared with it.
+    caller has up to `event`, and a later attempt can be compared with it.
     """
     answer.task = asyncio.current_task()
     answer.is_dispatched = True
     remaining = work.deadline - instance.read_clock()
     try:
         async with asyncio.timeout(max(remaining, 0.0)):
-            failure = await _go_on(instance, work, answer, locator, after)
+            failure = await _go_on(instance, work, answer, locator, event)
     except TimeoutError:
         failure = describe_timeout(answer)
     if failure is not None and not answer.is_over:
@@ -40,15 +44,22 @@
 
 
 async def _go_on(
-    instance: Instance, work: Work, answer: Answer, locator: Locator, after: int
+    instance: Instance,
+    work: Work,
+    answer: Answer,
+    locator: Locator,
+    event: EventId,
 ) -> Failure | None:
     failure = await _attach(instance, work, answer, locator)
     if failure is None or failure.code is ResultCode.STREAM_LOST:
         return failure
     lost = make_failure(ResultCode.STREAM_LOST, failure.message)
-    if not work.idempotent or len(answer.texts) < after:
+    is_owed = len(answer.texts) < event.number
+    if not work.idempotent or (is_owed and not event.digest):
         # Not to be run again, or what the caller has cannot be compared.
         return lost
+    if is_owed:
+        answer.owed, answer.owed_digest = event.number, event.digest
     first = instance.generator.randrange(FIRST_DRAWN, END_DRAWN)
     later = await try_targets(instance, work, answer, first)
     return later and choose_failure(lost, later)
--- a/packages/instance/fulmarward/requests/tests/test_resume.py
+++ b/packages/instance/fulmarward/requests/tests/test_resume.py
@@ -1,4 +1,6 @@
+import asyncio
 import json
+import re
 import unittest
 
 from fulmarward_standins.engine import answer_tokens
@@ -122,6 +124,36 @@
         self.assertEqual(_count(ledgers, first.request, "began"), 1)
         self.assertEqual(find_ledger_faults(ledgers, layers=24), [])
 
+    async def test_stream_outlives_its_instance_and_engine_together(self):
+        # A data centre is lost, and with it the instance and the engine of a stream.
+        # Nobody has the texts any more that the caller has. The caller comes back at
+        # another instance with its event id, whose digest a new attempt has to meet;
+        # it has the rest from where it was cut. With a false digest it is told so.
+        prompt = "pickup [120 tokens]"
+        async with start_fleet(_plan()) as fleet:
+            async with open_stream(fleet, "i1", prompt) as first:
+                await first.read(15)
+                ledgers = await fleet.read_ledgers_by_target()
+                dying = next(
+                    name
+                    for name, entries in ledgers.items()
+                    if any(item["request"] == first.request for item in entries)
+                )
+                await asyncio.gather(
+                    fleet.processes["i1"].kill(), fleet.processes[dying].kill()
+                )
+                await first.read()
+            self.assertFalse(first.is_whole)
+            false_id = re.sub("~[0-9a-f]{8}", "~00000000", first.last_event_id)
+            told = await read_whole(fleet, "i2", prompt, last_event_id=false_id)
+            self.assertEqual(told.texts, [])
+            self.assertEqual(json.loads(told.events[-1].data)["ran"], "failed")
+            rest = await read_whole(
+                fleet, "i2", prompt, last_event_id=first.last_event_id
+            )
+            self.assertTrue(rest.is_whole)
+            self.assertEqual(first.texts + rest.texts, _expect(120, prompt))
+
     async def test_lost_engines_and_lost_callers(self):
         async with start_fleet(_plan()) as fleet:
             await self._check_abandoned(fleet)
--- a/packages/standins/fulmarward_standins/harness/_golden.py
+++ b/packages/standins/fulmarward_standins/harness/_golden.py
@@ -14,7 +14,10 @@
     ("HASH", re.compile(r"\b[0-9a-f]{64}\b")),
     ("APPLY", re.compile(r"\b[0-9a-f]{32}\b")),
     ("ADDRESS", re.compile(r"127\.0\.0\.1:\d+")),
-    ("LOCATOR", re.compile(r"(?<=^id: )[\w-]{40,}(?=\.\d+$)", re.MULTILINE)),
+    (
+        "LOCATOR",
+        re.compile(r"(?<=^id: )[\w-]{40,}(?=(~[0-9a-f]{8})?\.\d+$)", re.MULTILINE),
+    ),
     ("KEY", re.compile(r"\bfk1\.[\w.-]+")),
     ("TIME", re.compile(r"\b1\d{9}(\.\d+)?\b")),
     ("BOOT", re.compile(r"\b1\d{12}\b")),
