Every fault of a declaration is named, whatever else is wrong with it

Change: what can be read of a faulty declaration is checked for broken references too; names of entries that cannot be read still count as declared.

--- a/packages/core/fulmarward_core/declaration/_parse.py
+++ b/packages/core/fulmarward_core/declaration/_parse.py
@@ -1,6 +1,7 @@
 """Reading a declaration, and refusing one that is wrong anywhere."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
+from typing import Any
 
 from fulmarward_core.checks import (
     Fault,
@@ -134,29 +135,44 @@
         "checks_fencing": Field(read=read_flag(), default=False),
     },
 )
-_READ_DECLARATION = read_record(
-    Declaration,
-    {
-        "data_centres": Field(read=read_map_of(_READ_DATA_CENTRE, name=_NAME)),
-        "links": Field(read=read_list_of(_READ_LINK), default=()),
-        "teams": Field(read=read_map_of(_READ_TEAM, name=_NAME)),
-        "models": Field(read=read_map_of(_READ_MODEL, name=_NAME), default={}),
-        "pipelines": Field(read=read_map_of(_READ_PIPELINE, name=_NAME), default={}),
-        "services": Field(read=read_map_of(_READ_SERVICE, name=_NAME), default={}),
-        "targets": Field(read=read_map_of(_READ_TARGET, name=_NAME)),
-    },
-)
+_SECTION_FIELDS = {
+    "data_centres": Field(read=read_map_of(_READ_DATA_CENTRE, name=_NAME)),
+    "links": Field(read=read_list_of(_READ_LINK), default=()),
+    "teams": Field(read=read_map_of(_READ_TEAM, name=_NAME)),
+    "models": Field(read=read_map_of(_READ_MODEL, name=_NAME), default={}),
+    "pipelines": Field(read=read_map_of(_READ_PIPELINE, name=_NAME), default={}),
+    "services": Field(read=read_map_of(_READ_SERVICE, name=_NAME), default={}),
+    "targets": Field(read=read_map_of(_READ_TARGET, name=_NAME)),
+}
+_READ_DECLARATION = read_record(Declaration, _SECTION_FIELDS)
 
 
 def parse_declaration(value: object) -> Declaration | tuple[Fault, ...]:
     """Return the declaration in the JSON `value`, or every fault it has."""
     faults: list[Fault] = []
     declaration = _READ_DECLARATION(value, "", faults)
-    if declaration is not None:
-        faults.extend(_find_broken_references(declaration))
+    faults.extend(_find_broken_references(declaration or _read_leniently(value)))
     return tuple(faults) if faults else declaration
 
 
+def _read_leniently(value: object) -> Declaration:
+    """Return what can be read of a faulty declaration, `None` for each faulty entry.
+
+    Guards against faults that show only after others are mended: references are
+    checked among all entries that can be read, and to the names of those that cannot.
+    """
+    sections = value if isinstance(value, dict) else {}
+    read = {
+        name: field.read(sections.get(name), name, [])
+        for name, field in _SECTION_FIELDS.items()
+    }
+    return Declaration(**{name: found or {} for name, found in read.items()})
+
+
+def _list_readable(section: Mapping[str, Any]) -> list[tuple[str, Any]]:
+    return [(name, entry) for name, entry in section.items() if entry is not None]
+
+
 def _find_unknown(
     names: Iterable[str], known: Iterable[str], where: str, kind: str
 ) -> Iterator[Fault]:
@@ -175,6 +191,8 @@
 
 def _check_links(declaration: Declaration) -> Iterator[Fault]:
     for index, link in enumerate(declaration.links):
+        if link is None:
+            continue
         where = f"links[{index}].between"
         yield from _find_unknown(
             link.between, declaration.data_centres, where, "data centre"
@@ -183,7 +201,7 @@
 
 def _check_teams(declaration: Declaration) -> Iterator[Fault]:
     owners: dict[str, str] = {}
-    for name, team in declaration.teams.items():
+    for name, team in _list_readable(declaration.teams):
         where = f"teams.{name}"
         yield from _find_unknown(
             team.pipelines, declaration.pipelines, f"{where}.pipelines", "pipeline"
@@ -202,14 +220,14 @@
 
 
 def _check_models(declaration: Declaration) -> Iterator[Fault]:
-    for name, model in declaration.models.items():
+    for name, model in _list_readable(declaration.models):
         yield from _find_unknown(
             [model.serving], model.versions, f"models.{name}.serving", "version"
         )
 
 
 def _check_pipelines(declaration: Declaration) -> Iterator[Fault]:
-    for name, pipeline in declaration.pipelines.items():
+    for name, pipeline in _list_readable(declaration.pipelines):
         where = f"pipelines.{name}"
         yield from _find_unknown(
             [pipeline.model], declaration.models, f"{where}.model", "model"
@@ -222,7 +240,7 @@
 
 
 def _check_targets(declaration: Declaration) -> Iterator[Fault]:
-    for name, target in declaration.targets.items():
+    for name, target in _list_readable(declaration.targets):
         where = f"targets.{name}"
         yield from _find_unknown(
             [target.data_centre],
--- a/packages/core/fulmarward_core/declaration/tests/test_parse.py
+++ b/packages/core/fulmarward_core/declaration/tests/test_parse.py
@@ -89,6 +89,27 @@
             wheres, {"teams.istat.tokens_per_s", "targets.t1.slots", "extra"}
         )
 
+    def test_a_fault_of_one_kind_does_not_hide_one_of_another(self):
+        # An operator mends a wrong number, applies again, and only then learns that
+        # another entry names a model that nobody declared.
+        wrong = _change(("targets", "t1", "serves"), "cod")
+        wrong["teams"]["istat"]["tokens_per_s"] = "many"
+        wrong["pipelines"]["coding"]["deadline_ms"] = 0
+        wrong["teams"]["other"] = RIGHT["teams"]["istat"] | {"services": ["nope"]}
+        wheres = {fault.where for fault in parse_declaration(wrong)}
+        self.assertEqual(
+            wheres,
+            {
+                "teams.istat.tokens_per_s",
+                "pipelines.coding.deadline_ms",
+                "targets.t1.serves",
+                "teams.other.services",
+            },
+        )
+        for value in (None, [], 5, {"teams": 5, "links": [1]}):
+            with self.subTest(value=value):
+                self.assertIsInstance(parse_declaration(value), tuple)
+
     def test_key_of_two_teams_is_refused(self):
         wrong = _change(("teams", "other"), RIGHT["teams"]["istat"])
         (fault,) = parse_declaration(wrong)
