--- a/packages/standins/fulmarward_standins/demo.py
+++ b/packages/standins/fulmarward_standins/demo.py
@@ -243,6 +243,7 @@
 
 
 async def _run_until_signalled(keep: bool) -> bool:
+    """Run until the end or a signal, which is the usual end of a kept fleet."""
     running = asyncio.ensure_future(_run(keep))
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -251,7 +252,7 @@
         return await running
     except asyncio.CancelledError:
         print("interrupted", flush=True)
-        return False
+        return keep
 
 
 def run(keep: bool = False) -> None:
