--- a/packages/instance/fulmarward/callers/_server.py
+++ b/packages/instance/fulmarward/callers/_server.py
@@ -78,14 +78,15 @@
             refusal = _find_refusal(instance, request)
             if refusal is not None:
                 raise CallerError(failure=_judge_refusal(request, refusal))
-            return await handler(request)
+            response = await handler(request)
         except CallerError as error:
             result = str(error.failure.code.value)
             instance.metrics.requests.inc({"kind": "refused", "result": result})
             response = make_failure_response(error.failure)
         except (web.HTTPNotFound, web.HTTPMethodNotAllowed):
             response = make_failure_response(make_failure(ResultCode.PATH_UNKNOWN))
-        response.headers.setdefault("X-Request-Id", make_request_id())
+        if not response.prepared:
+            response.headers.setdefault("X-Request-Id", make_request_id())
         return response
 
     async def show_health(request: web.Request) -> web.Response:
