--- a/packages/core/fulmarward_core/catalogue/_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/_catalogue.py
@@ -46,6 +46,7 @@
         self._lapsed: dict[str, tuple[TargetRecord, float]] = {}
         self._store_lost_at: float | None = None
         self._regained_at = float("-inf")
+        self._known_at = float("-inf")
         #: The store's version up to which every change is known.
         self.version = 0
         #: When that was last confirmed, here or by a peer; steady seconds.
@@ -58,6 +59,15 @@
         """Whether the whole list was read at least once."""
         return self.version > 0
 
+    def may_be_short(self, *, now: float) -> bool:
+        """Return whether targets that live may be missing, and are about to be back.
+
+        So after the first reading, when the store may just have come back, and after
+        the store's return.
+        """
+        since = max(self._regained_at, self._known_at)
+        return self._store_lost_at is not None or now - since < RETURN_S
+
     def take_all(self, rows: Iterable[KnownRow], version: int, *, now: float) -> None:
         """Take in a full reading of the table: rows that it lacks are gone."""
         if version < self.version:
@@ -78,6 +88,8 @@
         """Take in changed rows, complete up to `version`; return the news."""
         news = [row for row in rows if self._take_row(row, now)]
         if version >= self.version:
+            if self.version == 0:
+                self._known_at = now
             self.version = version
             self.confirmed_at = now
         if news:
--- a/packages/core/fulmarward_core/layers/decisions.py
+++ b/packages/core/fulmarward_core/layers/decisions.py
@@ -112,7 +112,7 @@
         return _lay_out(engine, ordered, size_ranges(engine, names, LEAST_KV_TOKENS))
     for wanted in (copies, max(1, copies - 1)):
         # Rounding at the end of each copy loses some layers, so ask for a few more.
-        for spare in range(engine.layers, -1, -1):
+        for spare in range(engine.layers + 1):
             kv_tokens = _find_most_kv(engine, ordered, wanted * engine.layers + spare)
             if kv_tokens < LEAST_KV_TOKENS:
                 continue
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -1,6 +1,7 @@
 """Requests of engine services: a stream that runs along a path of targets."""
 
 import asyncio
+import bisect
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -21,8 +22,18 @@
 from fulmarward_router.exchange._work import Cut, Refused, Work
 from fulmarward_router.ports import OrderOutcome, TargetCall, TargetDialect
 
-#: Part of the objective for which a request waits for room before it is refused.
-PATIENCE = 0.12
+#: Seconds for which a request waits for room on a path before it is refused. Load: a
+#: burst, or a data centre without a whole path; harm: a caller that is refused has one
+#: more try and often meets the same crowd, one that waits too long leaves by itself
+#: after two seconds without an event; reason: answers end every 0.1 s or so at each
+#: instance, and half of the time that callers wait is left for the first event.
+FULL_PATIENCE_S = 0.9
+
+#: Seconds for which it waits while the list of targets may be short of living ones.
+#: Load: all instances begin anew, or the store comes back, and targets write their
+#: rows again within two seconds; harm: everything is refused although nothing is
+#: lost; reason: the first event then comes just before the caller leaves.
+SHORT_PATIENCE_S = 1.6
 
 #: Seconds for which a stream that has begun waits for a path to go on. Reason: its
 #: caller leaves after two seconds without an event.
@@ -36,6 +47,9 @@
 FIRST_CHECK_S = 0.6
 PAUSE_CHECK_S = 0.3
 
+#: Seconds between two looks for a path of a request that waits.
+WAIT_LOOK_S = 0.04
+
 #: Seconds between two looks whether a target of the path was found lost by others.
 LOOK_S = 0.1
 
@@ -138,6 +152,8 @@
         self._data_centre = data_centre
         self._read_clock = read_clock
         self._is_stopping = is_stopping
+        #: Urgency and arrival of the requests that wait for a path, first ones first.
+        self._waiting: list[tuple[int, float]] = []
         #: Attempts under way, by the id of their object.
         self._open: dict[int, _Attempt] = {}
         self._finder = PathFinder(
@@ -207,18 +223,24 @@
         answer: web.StreamResponse | None,
     ) -> tuple[Hop, ...]:
         """Return a path, waiting a little for room; raises `Refused` or `Cut`."""
-        now = self._read_clock()
-        patience_s = work.route.objective_s * PATIENCE
-        if answer is not None:
-            patience_s = RESUME_PATIENCE_S
-        until = min(work.deadline, now + patience_s)
-        while True:
-            path = self._finder.choose(work.service, engine, wanted)
-            if path is not None:
-                return path
-            if self._read_clock() >= until:
-                break
-            await asyncio.sleep(patience_s / 5)
+        began_at = self._read_clock()
+        rank = (work.urgency, work.arrived_at)
+        try:
+            while True:
+                if not any(other < rank for other in self._waiting):
+                    path = self._finder.choose(work.service, engine, wanted)
+                    if path is not None:
+                        return path
+                now = self._read_clock()
+                patience_s = self._choose_patience(answer, now)
+                if now >= min(work.deadline, began_at + patience_s):
+                    break
+                if rank not in self._waiting:
+                    bisect.insort(self._waiting, rank)
+                await asyncio.sleep(WAIT_LOOK_S)
+        finally:
+            if rank in self._waiting:
+                self._waiting.remove(rank)
         if answer is not None:
             raise Cut(cause="no path to go on")
         if self._finder.has_whole_model(work.service, engine):
@@ -233,6 +255,14 @@
             retry_after_s=ABSENT_RETRY_S,
         )
 
+    def _choose_patience(self, answer: web.StreamResponse | None, now: float) -> float:
+        """Return the seconds for which a request may wait for a path."""
+        if answer is not None:
+            return RESUME_PATIENCE_S
+        if self._catalogue.may_be_short(now=now):
+            return SHORT_PATIENCE_S
+        return FULL_PATIENCE_S
+
     def _require_repeat(
         self, work: Work, end: _AttemptEnded, answer: web.StreamResponse | None
     ) -> None:
