--- a/packages/core/fulmarward_core/paths/decisions.py
+++ b/packages/core/fulmarward_core/paths/decisions.py
@@ -31,6 +31,14 @@
 PIPE_WEIGHT = 40.0
 
 
+#: Growth of a stage's cost with the part of its KV cache that is promised, to the
+#: fourth power. Load: a data centre that takes another's requests; harm: answers that
+#: grow longer than hinted push out the newest request; reason: nothing up to a half,
+#: four times the cost when nearly full. What runs slows each step besides, and that is
+#: in the step's time.
+CROWDING = 4.0
+
+
 @dataclass(frozen=True, kw_only=True)
 class Stage:
     """One target as a possible part of a path."""
@@ -80,6 +88,8 @@
     first: Hop | None = None
     #: Targets not to be used.
     avoided: frozenset[str] = frozenset()
+    #: Whether it may go on in another data centre than it began in.
+    may_cross: bool = True
 
 
 def count_tokens_held(request: PathRequest) -> int:
@@ -107,7 +117,7 @@
     prefill = request.prompt / engine.prefill_tokens_per_s * 1000
     prefill *= stage.kind.prefill_factor * share * stage.pace
     used = stage.kv_promised / max(stage.kv_capacity, 1.0)
-    crowding = 1 + used + used**4 * 4 + stage.running / max(engine.slots, 1)
+    crowding = 1 + CROWDING * used**4
     return (step * request.answer + prefill) * crowding
 
 
@@ -176,6 +186,8 @@
             return
         is_far = stage.data_centre != request.data_centre
         moving = FAR_FIRST_MS if is_far else 0.0
+    elif stage.data_centre != reach.data_centre and not request.may_cross:
+        return
     else:
         moving = _estimate_hop_ms(engine, reach.data_centre, stage.data_centre, request)
     end = stage.layers.end
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -4,6 +4,7 @@
 import bisect
 from collections.abc import Callable
 from dataclasses import replace
+from itertools import pairwise
 
 import aiohttp
 from aiohttp import web
@@ -39,23 +40,47 @@
 #: caller leaves after two seconds without an event.
 RESUME_PATIENCE_S = 1.2
 
-#: Seconds without a first event, and between events, after which the path is checked.
-#: Load: usual first events come after 100 to 200 ms and pauses are 30 to 60 ms, on
-#: paths with a lost target nothing comes at all; harm: each check asks the first
-#: target; reason: three times the usual, and leaves time to go on before the caller
-#: leaves.
-FIRST_CHECK_S = 0.6
+#: Seconds without a first event, and between events, after which the first target is
+#: asked what the request waits for. Load: usual first events come after 100 to 200 ms
+#: and pauses are 30 to 60 ms, on paths with a lost target nothing comes at all; harm:
+#: each check is paid for; reason: several times the usual, and leaves time to go on
+#: before the caller leaves after two seconds.
+FIRST_CHECK_S = 0.45
 PAUSE_CHECK_S = 0.3
 
 #: Seconds between two looks for a path of a request that waits.
 WAIT_LOOK_S = 0.04
 
-#: Seconds between two looks whether a target of the path was found lost by others.
-LOOK_S = 0.1
+#: Seconds between two looks at all open streams.
+LOOK_S = 0.025
+
+#: Seconds by which a look may be late. Harm: an instance that is short of processor
+#: time takes its own lateness for a target's silence; reason: as long as a look.
+MOST_LATE_S = 0.03
+
+#: Silence after which a stream counts as standing still, as a multiple of the mean
+#: pause and at least. Load: a target in the middle of a path that falls silent, with
+#: about five streams of each instance passing through; harm: a pause of more than
+#: 0.2 s makes an answer late, a look at sound targets is paid for; reason: the longest
+#: pause of a calm day is 85 ms, the mean 35 ms.
+STILL_FACTOR = 3.0
+LEAST_STILL_S = 0.095
+
+#: Weight of the newest pause in the mean.
+_PAUSE_WEIGHT = 0.02
 
 #: Seconds between two checks of the same stream; a report is some hundred ms old.
 CHECK_AGAIN_S = 0.25
 
+#: Seconds for which transfers between data centres may queue before a path that crosses
+#: counts as having no room. Load: some thirty streams pass through one target, and a
+#: way around it through another data centre moves each one's activations there and
+#: back, 37 ms each, one after another; or all instances begin anew and the first few
+#: targets that are known make a path that crosses ten times; harm: all that crosses
+#: stands still for 1.0 to 1.6 s, after a start for 6 s; reason: reading a prompt again
+#: on a whole path of another data centre takes about as long.
+MOST_PIPE_S = 0.12
+
 #: Checks that found nothing, after which the stream waits for what comes.
 MOST_CHECKS = 4
 
@@ -152,6 +177,10 @@
         self._data_centre = data_centre
         self._read_clock = read_clock
         self._is_stopping = is_stopping
+        #: Until when transfers between data centres queue, as far as known here.
+        self._pipe_until = float("-inf")
+        #: Mean pause between events lately, seconds.
+        self._mean_pause_s = 0.035
         #: Urgency and arrival of the requests that wait for a path, first ones first.
         self._waiting: list[tuple[int, float]] = []
         #: Attempts under way, by the id of their object.
@@ -228,7 +257,7 @@
         try:
             while True:
                 if not any(other < rank for other in self._waiting):
-                    path = self._finder.choose(work.service, engine, wanted)
+                    path = self._choose_path(work, engine, wanted)
                     if path is not None:
                         return path
                 now = self._read_clock()
@@ -255,6 +284,16 @@
             retry_after_s=ABSENT_RETRY_S,
         )
 
+    def _choose_path(
+        self, work: Work, engine: EngineModel, wanted: PathRequest
+    ) -> tuple[Hop, ...] | None:
+        """Return the best path, one within a data centre when the pipe is taken."""
+        path = self._finder.choose(work.service, engine, wanted)
+        if path is None or self._take_pipe(engine, wanted, path):
+            return path
+        within = replace(wanted, may_cross=False)
+        return self._finder.choose(work.service, engine, within)
+
     def _choose_patience(self, answer: web.StreamResponse | None, now: float) -> float:
         """Return the seconds for which a request may wait for a path."""
         if answer is not None:
@@ -426,6 +465,7 @@
             now = self._read_clock()
             if work.answered_at is not None:
                 pause_s = now - attempt.heard_at
+                self._mean_pause_s += _PAUSE_WEIGHT * (pause_s - self._mean_pause_s)
                 work.longest_pause_s = max(work.longest_pause_s, pause_s)
             attempt.heard_at = now
             attempt.checks = 0
@@ -462,14 +502,42 @@
         caller leaves after two seconds. The path is led around it, or the attempt is
         ended so that another can go on where this one stopped.
         """
+        looked_at = self._read_clock()
         while True:
             await asyncio.sleep(LOOK_S)
             now = self._read_clock()
+            is_late = now - looked_at > LOOK_S + MOST_LATE_S
+            looked_at = now
+            if not is_late:
+                self._probe_still(now)
             for attempt in list(self._open.values()):
-                is_silent = now - attempt.heard_at >= LOOK_S
+                is_silent = now - attempt.heard_at >= LEAST_STILL_S
                 if is_silent and attempt.checking is None and attempt.end is None:
                     self._start_check(attempt)
 
+    def _probe_still(self, now: float) -> None:
+        """Ask the targets at which all streams stand still whether they live.
+
+        A target that is lost silences every stream that passes through it; one through
+        which any stream moves is sound. What is left is asked at once, all together:
+        the one that does not answer is the lost one.
+        """
+        limit_s = max(LEAST_STILL_S, self._mean_pause_s * STILL_FACTOR)
+        moving: set[str] = set()
+        still: dict[str, int] = {}
+        for attempt in self._open.values():
+            if not attempt.has_begun:
+                continue
+            names = [hop.target for hop in attempt.path]
+            if now - attempt.heard_at < limit_s:
+                moving.update(names)
+            elif attempt.checking is None:
+                for name in names:
+                    still[name] = still.get(name, 0) + 1
+        suspects = [name for name in still if name not in moving]
+        if suspects:
+            self._watch.probe(suspects)
+
     def _start_check(self, attempt: _Attempt) -> None:
         if not self._must_check(attempt):
             return
@@ -528,6 +596,12 @@
         record = self._catalogue.find_target(attempt.first.target)
         if path is None or record is None:
             raise _AttemptEnded(cause="no way around a lost target", is_not_run=False)
+        if self._may_resume(work) and not self._take_pipe(
+            engine, wanted, path, known=attempt.path
+        ):
+            raise _AttemptEnded(
+                cause="a lost target, others go around it", is_not_run=False
+            )
         result = await self._dialect.order_path(record, work.facts.request_id, path)
         log_event(
             "path_changed",
@@ -551,6 +625,44 @@
         attempt.checks = 0
         work.targets = tuple(hop.target for hop in path)
 
+    def _may_resume(self, work: Work) -> bool:
+        """Return whether one more attempt would be allowed after this one."""
+        return work.route.may_repeat and work.runs + 1 < work.route.most_attempts
+
+    def _take_pipe(
+        self,
+        engine: EngineModel,
+        wanted: PathRequest,
+        path: tuple[Hop, ...],
+        known: tuple[Hop, ...] = (),
+    ) -> bool:
+        """Reserve the transfers that a path takes; return whether they fit in.
+
+        All instances send requests the same way at the same time, so each counts its
+        own transfers as often as there are instances. `known` is the path that the
+        request had: between two targets of it nothing is transferred anew.
+        """
+        centres = [self._find_centre(hop.target) for hop in path]
+        old = {hop.target for hop in known}
+        crossings = sum(
+            one != other and not (a.target in old and b.target in old)
+            for (a, one), (b, other) in pairwise(zip(path, centres, strict=True))
+        )
+        transfer_s = (
+            wanted.prompt * engine.activation_bytes * 8 / (engine.pipe_mbps * 1e6)
+        )
+        now = self._read_clock()
+        begins_at = max(now, self._pipe_until)
+        if crossings and begins_at - now > MOST_PIPE_S:
+            return False
+        taken_s = crossings * transfer_s * self._count_instances()
+        self._pipe_until = begins_at + taken_s
+        return True
+
+    def _find_centre(self, target: str) -> str:
+        record = self._catalogue.find_target(target)
+        return "" if record is None else record.data_centre
+
     def _hold_against(self, path: tuple[Hop, ...], address: str) -> None:
         for hop in path:
             if hop.address == address:
--- a/packages/router/fulmarward_router/exchange/_watching.py
+++ b/packages/router/fulmarward_router/exchange/_watching.py
@@ -1,7 +1,7 @@
 """Finding the target at which a request stands still."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from fulmarward.observability import log_event
 from fulmarward_core.catalogue import TargetCatalogue
@@ -9,6 +9,23 @@
 from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_router.ports import TargetDialect, TargetReport
 
+#: Seconds for the report of a first target. Load: targets that answer within 2 ms or
+#: are gone; harm: a stalled stream waits for it; reason: a target that takes longer is
+#: to be led around in any case.
+ASK_S = 0.35
+
+#: Seconds in which a target answers a probe. Load: reports take a round trip of under
+#: 1 ms and no slot; harm: a stream through a lost target stands still meanwhile.
+PROBE_S = 0.05
+
+#: Seconds between two probes of the same target that answered. Harm: each is paid for.
+PROBE_AGAIN_S = 0.4
+
+#: Seconds for a second probe, where several targets did not answer the first. Load: a
+#: link that loses packets, or an instance that is cut off, looks like many lost
+#: targets at once; reason: longer than the first, and a pause is too long by then.
+CONFIRM_S = 0.25
+
 
 class LossWatch:
     """Asks first targets what their requests wait for, once for all that ask."""
@@ -28,6 +45,8 @@
         self._read_clock = read_clock
         self._note_change = note_change
         self._asking: dict[str, asyncio.Task] = {}
+        self._probed_at: dict[str, float] = {}
+        self._probing: set[asyncio.Task] = set()
 
     def note_lost(self, target: str, *, cause: str) -> None:
         """A target does not answer."""
@@ -43,6 +62,40 @@
                 return record.name
         return None
 
+    def probe(self, targets: Iterable[str]) -> None:
+        """Find out, in a task of its own, which of the targets are lost."""
+        now = self._read_clock()
+        records = []
+        for name in targets:
+            record = self._catalogue.find_target(name)
+            is_due = now - self._probed_at.get(name, float("-inf")) >= PROBE_AGAIN_S
+            if record is None or not is_due:
+                continue
+            if not self._suspicions.is_lost(name, now=now):
+                self._probed_at[name] = now
+                records.append(record)
+        if not records:
+            return
+        task = asyncio.create_task(self._probe_all(records))
+        self._probing.add(task)
+        task.add_done_callback(self._probing.discard)
+
+    async def _probe_all(self, records: list[TargetRecord]) -> None:
+        silent = await self._find_silent(records, PROBE_S)
+        if len(silent) > 1:
+            silent = await self._find_silent(silent, CONFIRM_S)
+        for record in silent:
+            self.note_lost(record.name, cause="no answer to a probe")
+
+    async def _find_silent(
+        self, records: list[TargetRecord], timeout_s: float
+    ) -> list[TargetRecord]:
+        reports = await asyncio.gather(
+            *(self._dialect.read_report(record, timeout_s) for record in records)
+        )
+        pairs = zip(records, reports, strict=True)
+        return [record for record, report in pairs if report is None]
+
     async def ask(self, record: TargetRecord) -> TargetReport | None:
         """Return a target's report and take in whom its requests wait for."""
         task = self._asking.get(record.name)
@@ -53,7 +106,7 @@
         return await asyncio.shield(task)
 
     async def _ask(self, record: TargetRecord) -> TargetReport | None:
-        report = await self._dialect.read_report(record)
+        report = await self._dialect.read_report(record, ASK_S)
         if report is None:
             self.note_lost(record.name, cause="no report")
             return None
--- a/packages/router/fulmarward_router/placement/_placer.py
+++ b/packages/router/fulmarward_router/placement/_placer.py
@@ -40,6 +40,9 @@
 #: load that was not needed; reason: other data centres serve meanwhile.
 GAP_S = 5.0
 
+#: Seconds for a target's report before an order.
+REPORT_S = 0.5
+
 #: Orders under way at once.
 MOST_ORDERS = 12
 
@@ -220,7 +223,7 @@
         if target.layers is None and key not in self._ordered:
             self._ordered.add(key)
             return 0
-        report = await self._dialect.read_report(target)
+        report = await self._dialect.read_report(target, REPORT_S)
         return None if report is None else report.orders_accepted
 
     def _take_result(
--- a/packages/router/fulmarward_router/ports.py
+++ b/packages/router/fulmarward_router/ports.py
@@ -283,8 +283,10 @@
     ) -> list[tuple[str, str]]:
         """Return the headers of an answer that go on to the caller."""
 
-    async def read_report(self, record: TargetRecord) -> TargetReport | None:
-        """Ask a target for its report; `None` when no answer came."""
+    async def read_report(
+        self, record: TargetRecord, timeout_s: float
+    ) -> TargetReport | None:
+        """Ask a target for its report; `None` when no answer came in time."""
 
     async def order_layers(
         self,
