--- a/packages/client/fulmarctl/_commands.py
+++ b/packages/client/fulmarctl/_commands.py
@@ -64,6 +64,19 @@
             {"valid": True, "hash": hash_declaration(value)}, as_json=self._as_json
         )
 
+    @defer
+    def beliefs(self, address: str) -> None:
+        """Print what the routing instance at ADDRESS believes.
+
+        ADDRESS is its metrics address, `IP:PORT`. It tells the configuration's
+        version and age, the targets with the layers that they hold, the layers that
+        nobody holds, who holds the lease, and since when the store is out of reach.
+        Needs no settings file.
+        """
+        fleet = Fleet(addresses=(address,), token="")
+        reply = _call(fleet, "/status")
+        print_reply(reply.body, as_json=self._as_json)
+
     @defer
     def apply(
         self, file: str, base_epoch: int | None = None, wait_s: float = 10.0
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -147,10 +147,13 @@
 class _AttemptEnded(Exception):
     """An attempt ended without the whole answer; another may follow."""
 
-    def __init__(self, *, cause: str, is_not_run: bool) -> None:
+    def __init__(
+        self, *, cause: str, is_not_run: bool, is_target_lost: bool = False
+    ) -> None:
         super().__init__(cause)
         self.cause = cause
         self.is_not_run = is_not_run
+        self.is_target_lost = is_target_lost
 
 
 class EngineService:
@@ -232,6 +235,7 @@
                 return answer
             except _AttemptEnded as end:
                 work.runs += not end.is_not_run
+                work.lost_attempts += end.is_target_lost
                 answer = work.request.get("answer")
                 self._note_end(work, attempt, end)
                 self._require_repeat(work, end, answer)
@@ -317,11 +321,12 @@
     ) -> None:
         """Take one more attempt; raises what the caller is told if there is none."""
         now = self._read_clock()
+        most_attempts = work.route.most_attempts + work.lost_attempts
         may_run = end.is_not_run or (
-            work.route.may_repeat and work.runs < work.route.most_attempts
+            work.route.may_repeat and work.runs < most_attempts
         )
         if now < work.deadline and may_run:
-            if work.attempts <= work.route.most_attempts and self._find_allowance(
+            if work.attempts <= most_attempts and self._find_allowance(
                 work.service
             ).take_repeat(instances=self._count_instances(), now=now):
                 return
@@ -622,7 +627,11 @@
                 return
         if attempt.first in lost:
             if not attempt.has_begun or attempt.work.route.is_resumable:
-                raise _AttemptEnded(cause="the first target is lost", is_not_run=False)
+                raise _AttemptEnded(
+                    cause="the first target is lost",
+                    is_not_run=False,
+                    is_target_lost=True,
+                )
             return
         await self._repath(attempt, lost)
 
@@ -676,7 +685,8 @@
 
     def _may_resume(self, work: Work) -> bool:
         """Return whether one more attempt would be allowed after this one."""
-        return work.route.may_repeat and work.runs + 1 < work.route.most_attempts
+        most_attempts = work.route.most_attempts + work.lost_attempts
+        return work.route.may_repeat and work.runs + 1 < most_attempts
 
     def _take_pipe(
         self,
