Rows count as lapsed only after an outage for everybody

Change: what counts is whether anybody had news; after 2 s without any, rows that go are kept for 1.9 s.

--- a/packages/core/fulmarward_core/catalogue/_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/_catalogue.py
@@ -15,6 +15,12 @@
 #: two seconds, and a leaving one may be sent work for that long in any case.
 RETURN_S = 1.9
 
+#: Seconds without any news, of the store or of a peer, after which rows may have lapsed
+#: though their targets live. Load: rows live for three heartbeats of 1.2 s; harm: with
+#: less, a target that left while one reading failed is sent work for longer than the
+#: two seconds in which it still serves; reason: well under the life of a row.
+OUTAGE_S = 2.0
+
 #: Seconds for which the row of a target that is gone is remembered. Harm: a peer that
 #: is behind brings it back; reason: no news is older than a partition of half a minute
 #: that did not end in a full read.
@@ -44,7 +50,7 @@
         self._rows: dict[str, KnownRow] = {}
         #: Records of targets whose rows went while the store was out.
         self._lapsed: dict[str, tuple[TargetRecord, float]] = {}
-        self._store_lost_at: float | None = None
+        #: When news came again after nobody had any for `OUTAGE_S`.
         self._regained_at = float("-inf")
         self._known_at = float("-inf")
         #: The store's version up to which every change is known.
@@ -66,7 +72,7 @@
         the store's return.
         """
         since = max(self._regained_at, self._known_at)
-        return self._store_lost_at is not None or now - since < RETURN_S
+        return now - since < RETURN_S or now - self.confirmed_at > OUTAGE_S
 
     def take_all(self, rows: Iterable[KnownRow], version: int, *, now: float) -> None:
         """Take in a full reading of the table: rows that it lacks are gone."""
@@ -83,15 +89,23 @@
         self.take_changes([*rows, *removed], version, now=now)
 
     def take_changes(
-        self, rows: Iterable[KnownRow], version: int, *, now: float
+        self,
+        rows: Iterable[KnownRow],
+        version: int,
+        *,
+        now: float,
+        confirmed_at: float | None = None,
     ) -> list[KnownRow]:
-        """Take in changed rows, complete up to `version`; return the news."""
-        news = [row for row in rows if self._take_row(row, now)]
+        """Take in changed rows, complete up to `version`; return the news.
+
+        `confirmed_at` is when the store told so, where that was not just now.
+        """
         if version >= self.version:
             if self.version == 0:
                 self._known_at = now
             self.version = version
-            self.confirmed_at = now
+            self._note_confirmed(now if confirmed_at is None else confirmed_at)
+        news = [row for row in rows if self._take_row(row, now)]
         if news:
             self.revision += 1
             self._forget(now)
@@ -100,7 +114,15 @@
     def confirm(self, version: int, *, at: float) -> None:
         """Note that nothing changed until `at`, as far as `version` is known here."""
         if version <= self.version:
-            self.confirmed_at = max(self.confirmed_at, at)
+            self._note_confirmed(at)
+
+    def _note_confirmed(self, at: float) -> None:
+        """Note when the store, here or for a peer, last told what there is."""
+        if at <= self.confirmed_at:
+            return
+        if self.confirmed_at > float("-inf") and at - self.confirmed_at > OUTAGE_S:
+            self._regained_at = at
+        self.confirmed_at = at
 
     def _take_row(self, row: KnownRow, now: float) -> bool:
         known = self._rows.get(row.name)
@@ -116,25 +138,13 @@
 
     def _may_return(self, now: float) -> bool:
         """Whether a row that goes now may have lapsed while the store was out."""
-        return self._store_lost_at is not None or now - self._regained_at < RETURN_S
-
-    def note_store_lost(self, *, now: float) -> None:
-        """The store gives no answers."""
-        if self._store_lost_at is None:
-            self._store_lost_at = now
-
-    def note_store_regained(self, *, now: float) -> None:
-        """The store answers again."""
-        if self._store_lost_at is not None:
-            self._store_lost_at = None
-            self._regained_at = now
+        return now - self._regained_at < RETURN_S
 
     def list_targets(self, *, now: float) -> list[TargetRecord]:
         """Return the targets that may be there, leaving ones included."""
         records = [row.record for row in self._rows.values() if row.record is not None]
         for name, (record, gone_at) in list(self._lapsed.items()):
-            since = max(gone_at, self._regained_at)
-            if self._store_lost_at is None and now - since >= RETURN_S:
+            if now - self._regained_at >= RETURN_S or now - gone_at >= RETURN_S:
                 del self._lapsed[name]
                 self.revision += 1
             else:
--- a/packages/router/fulmarward_router/state/_news.py
+++ b/packages/router/fulmarward_router/state/_news.py
@@ -170,10 +170,10 @@
         # fallen behind that version; then only the rows themselves are taken.
         is_whole = news.after <= self._catalogue.version
         version = news.version if is_whole else 0
-        self._note_news(self._catalogue.take_changes(rows, version, now=now))
-        if is_whole:
-            confirmed_at = now - news.age_ms / 1000
-            self._catalogue.confirmed_at = min(now, confirmed_at)
+        at = now - news.age_ms / 1000
+        self._note_news(
+            self._catalogue.take_changes(rows, version, now=now, confirmed_at=at)
+        )
 
 
 def _count_ms(at: float, now: float) -> int:
--- a/packages/router/fulmarward_router/state/_watch.py
+++ b/packages/router/fulmarward_router/state/_watch.py
@@ -174,15 +174,10 @@
         self._is_out[table] = True
         if self.out_since is None:
             self.out_since = now
-        if table == self._store.targets_table:
-            self._catalogue.note_store_lost(now=now)
 
     def _note_in(self, table: str) -> None:
-        now = self._read_clock()
         if self._is_out.get(table):
             log_event("store_regained", table=table)
         self._is_out[table] = False
         if not any(self._is_out.values()):
             self.out_since = None
-        if table == self._store.targets_table:
-            self._catalogue.note_store_regained(now=now)
