Duties for all go to an instance that reaches the store

Change: heartbeats say whether the store answers the sender; the lease and the reading for others go to the first by name of those that it answers. The lease lasts 3 s, not 4: after a kill of everything a successor waits that long. A stream that lost its path waits 1.7 s for another, not 1.2; its caller leaves after 2 s.

--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -186,6 +186,7 @@
             read_clock=clock,
             is_ready=self.is_ready,
             is_leaving=lambda: self.life.is_stopping,
+            is_store_reachable=lambda: self.watch.out_since is None,
             note_change=self._stir,
             note_news=self._note_news,
         )
@@ -270,17 +271,12 @@
         return self._allowances[service]
 
     def _wants_lease(self) -> bool:
-        """Whether this instance shall hold the lease: the first by name, or its holder.
-
-        The others watch what they hear of it from the store only when it is first.
-        """
+        """Whether this instance shall hold the lease: its holder, or the first."""
         if self.life.is_stopping or not self.configuration.known.is_set():
             return False
         if self.lease.is_held():
             return True
-        fresh = self.members.list_fresh(now=self._clock())
-        names = [m.told.name for m in fresh if not m.beat.is_leaving]
-        return self.own.name == min([*names, self.own.name])
+        return self.knowledge.is_among_first(1)
 
     def _stir(self) -> None:
         self.mesh.stir()
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -38,7 +38,7 @@
 
 #: Seconds for which a stream that has begun waits for a path to go on. Reason: its
 #: caller leaves after two seconds without an event.
-RESUME_PATIENCE_S = 1.2
+RESUME_PATIENCE_S = 1.7
 
 #: Seconds without a first event, and between events, after which the first target is
 #: asked what the request waits for. Load: usual first events come after 100 to 200 ms
--- a/packages/router/fulmarward_router/mesh/_messages.py
+++ b/packages/router/fulmarward_router/mesh/_messages.py
@@ -52,8 +52,8 @@
     #: Version of the store up to which it knows the targets, and ms since confirmed.
     targets_version: int
     targets_age_ms: int
-    #: Whether it reads the store's targets itself.
-    reads_store: bool
+    #: Whether the store answers it.
+    is_store_reachable: bool
     #: Its load, by target.
     loads: tuple[LoadTold, ...]
     #: Targets that it lost.
--- a/packages/router/fulmarward_router/mesh/tests/test_members.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_members.py
@@ -25,7 +25,7 @@
         "configuration_age_ms": 10,
         "targets_version": 1,
         "targets_age_ms": 10,
-        "reads_store": True,
+        "is_store_reachable": True,
         "loads": (),
         "losses": (),
         **changes,
--- a/packages/router/fulmarward_router/placement/_lease.py
+++ b/packages/router/fulmarward_router/placement/_lease.py
@@ -42,8 +42,8 @@
 
 #: How long the lease lasts. Load: a holder that is killed while layers are missing;
 #: harm: a short one is renewed often and each call is paid for, a long one leaves gaps
-#: open; reason: one call in two seconds, and a successor within four.
-TERMS = LeaseTerms(term_s=4.0)
+#: open; reason: one call a second, and a successor three seconds after it first looks.
+TERMS = LeaseTerms(term_s=3.0)
 
 #: Seconds between two looks at what is known here anyway, and after the store was out.
 LOOK_S = 0.5
--- a/packages/router/fulmarward_router/state/_news.py
+++ b/packages/router/fulmarward_router/state/_news.py
@@ -42,6 +42,7 @@
         read_clock: Callable[[], float],
         is_ready: Callable[[], bool],
         is_leaving: Callable[[], bool],
+        is_store_reachable: Callable[[], bool],
         note_change: Callable[[], None],
         note_news: Callable[[list[KnownRow]], None],
     ) -> None:
@@ -55,6 +56,7 @@
         self._read_clock = read_clock
         self._is_ready = is_ready
         self._is_leaving = is_leaving
+        self._is_store_reachable = is_store_reachable
         self._note_change = note_change
         self._note_news = note_news
 
@@ -82,21 +84,31 @@
             configuration_age_ms=_count_ms(self._configuration.confirmed_at, now),
             targets_version=self._catalogue.version,
             targets_age_ms=_count_ms(self._catalogue.confirmed_at, now),
-            reads_store=self.is_reader(),
+            is_store_reachable=self._is_store_reachable(),
             loads=loads,
             losses=losses,
         )
 
     def is_reader(self) -> bool:
-        """Return whether this instance reads the targets' table for others.
+        """Return whether this instance reads the targets' table for others."""
+        return self.is_among_first(READERS)
 
-        The first few by name do, among those heard lately that are not leaving.
+    def is_among_first(self, count: int) -> bool:
+        """Return whether this instance is one of those that act for all.
+
+        They are the first by name of those that were heard lately, are not leaving
+        and reach the store. Guards against one that the store turns away: it would
+        hold a duty that it cannot do.
         """
-        if self._is_leaving():
+        if self._is_leaving() or not self._is_store_reachable():
             return False
         fresh = self._members.list_fresh(now=self._read_clock())
-        names = [m.told.name for m in fresh if not m.beat.is_leaving]
-        return self._own.name in sorted([*names, self._own.name])[:READERS]
+        names = [
+            member.told.name
+            for member in fresh
+            if not member.beat.is_leaving and member.beat.is_store_reachable
+        ]
+        return self._own.name in sorted([*names, self._own.name])[:count]
 
     def take_beat(self, beat: Beat) -> list[AskConfiguration | AskTargets]:
         """Take in a peer's heartbeat; return what to ask it for."""
--- /dev/null
+++ b/packages/router/fulmarward_router/tests/test_knowledge.py
@@ -0,0 +1,155 @@
+import unittest
+
+from fulmarward_core.catalogue import KnownRow, TargetCatalogue
+from fulmarward_core.loads import LoadLedger
+from fulmarward_core.suspicion import SuspicionTable
+from fulmarward_router.mesh import (
+    AskConfiguration,
+    AskTargets,
+    ConfigurationNews,
+    MemberTable,
+    MemberTold,
+    TargetsNews,
+)
+from fulmarward_router.mesh.tests.test_members import make_beat
+from fulmarward_router.ports import Row
+from fulmarward_router.state import ConfigurationHolder, Knowledge
+
+
+class _Configuration:
+    def __init__(self, version):
+        self.version = version
+        self.routes = {}
+
+
+def _decode(row):
+    return _Configuration(int(row.value))
+
+
+class _Peer:
+    """An instance's knowledge without links; `now` is its clock."""
+
+    def __init__(self, name):
+        self.now = 100.0
+        self.is_store_reachable = True
+        self.is_leaving = False
+        self.members = MemberTable(own_name=name)
+        self.configuration = ConfigurationHolder(decode=_decode)
+        self.catalogue = TargetCatalogue()
+        self.suspicions = SuspicionTable()
+        self.knowledge = Knowledge(
+            own=MemberTold(
+                name=name,
+                boot=1,
+                data_centre="a",
+                peer_address="10.0.0.1:1",
+                caller_address="10.0.0.1:2",
+            ),
+            members=self.members,
+            configuration=self.configuration,
+            catalogue=self.catalogue,
+            suspicions=self.suspicions,
+            ledger=LoadLedger(),
+            decode_row=self._decode_row,
+            read_clock=lambda: self.now,
+            is_ready=lambda: True,
+            is_leaving=lambda: self.is_leaving,
+            is_store_reachable=lambda: self.is_store_reachable,
+            note_change=lambda: None,
+            note_news=lambda rows: None,
+        )
+
+    @staticmethod
+    def _decode_row(row, *, now):
+        return KnownRow(
+            name=row.key,
+            version=row.version,
+            value=row.value,
+            record=None,
+            heard_at=now,
+        )
+
+    def hear(self, other):
+        """Take a heartbeat of another and ask what it makes this one ask."""
+        beat = other.knowledge.make_beat()
+        self.members.take_beat(beat, now=self.now)
+        questions = self.knowledge.take_beat(beat)
+        for question in questions:
+            answer = other.knowledge.answer(question)
+            if answer is not None:
+                self.knowledge.take_news(answer)
+        return questions
+
+
+def _make_row(version, value):
+    return Row(key="config", value=value, version=version)
+
+
+class KnowledgeTest(unittest.TestCase):
+    def setUp(self):
+        self.one, self.two = _Peer("one"), _Peer("two")
+
+    def test_instance_that_the_store_turns_away_gets_news_by_a_peer(self):
+        # The store serves one instance and refuses the other. A key taken away, or a
+        # target that leaves, must be known at both within the bound.
+        self.one.configuration.take_row(_make_row(4, b"7"), source="store", now=100.0)
+        row = KnownRow(name="t", version=5, value=b"x", record=None, heard_at=100.0)
+        self.one.catalogue.take_all([row], 5, now=100.0)
+        self.two.hear(self.one)
+        self.assertEqual(self.two.configuration.version, 7)
+        self.assertEqual(self.two.catalogue.version, 5)
+
+    def test_older_news_change_nothing(self):
+        self.one.configuration.take_row(_make_row(4, b"7"), source="store", now=100.0)
+        self.two.configuration.take_row(_make_row(9, b"8"), source="store", now=100.0)
+        self.assertEqual(self.two.hear(self.one), [])
+        self.two.knowledge.take_news(
+            ConfigurationNews(
+                row=self.one.knowledge.answer(AskConfiguration(version=0)).row
+            )
+        )
+        self.assertEqual(self.two.configuration.version, 8)
+
+    def test_rows_since_a_version_not_known_here_do_not_pass_for_the_whole(self):
+        # An answer to an older question comes late: what lies between is missing, and
+        # the instance must not believe that it knows everything up to that version.
+        news = TargetsNews(after=50, version=60, age_ms=0, rows=())
+        self.two.knowledge.take_news(news)
+        self.assertEqual(self.two.catalogue.version, 0)
+
+    def test_confirmation_is_passed_on_with_its_age(self):
+        for peer in (self.one, self.two):
+            peer.configuration.take_row(_make_row(4, b"7"), source="x", now=100.0)
+        self.one.configuration.confirmed_at = 99.0
+        self.two.hear(self.one)
+        self.assertAlmostEqual(self.two.configuration.confirmed_at, 99.0, places=2)
+
+    def test_loss_of_a_target_is_told_once_and_not_told_on(self):
+        self.one.suspicions.note_lost("t", now=100.0)
+        self.two.hear(self.one)
+        self.assertTrue(self.two.suspicions.is_lost("t", now=100.1))
+        self.assertEqual(self.two.knowledge.make_beat().losses, ())
+
+    def test_duty_for_all_goes_to_one_that_reaches_the_store(self):
+        # The store turns away just the instance that orders layers. With the duty
+        # bound to the first by name, no gap was closed until the store took it back.
+        cases = [
+            ({}, (True, False)),
+            ({"is_store_reachable": False}, (False, True)),
+            ({"is_leaving": True}, (False, True)),
+        ]
+        for changes, expected in cases:
+            with self.subTest(changes):
+                one, two = _Peer("one"), _Peer("two")
+                for name, value in changes.items():
+                    setattr(one, name, value)
+                one.hear(two)
+                two.hear(one)
+                found = tuple(peer.knowledge.is_among_first(1) for peer in (one, two))
+                self.assertEqual(found, expected)
+
+    def test_question_about_nothing_new_has_no_answer(self):
+        self.assertIsNone(self.one.knowledge.answer(AskConfiguration(version=3)))
+        answer = self.one.knowledge.answer(AskTargets(after=0))
+        self.assertEqual(answer.rows, ())
+        self.assertEqual(make_beat().is_store_reachable, True)
