--- a/packages/core/fulmarward_core/catalogue/_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/_catalogue.py
@@ -48,6 +48,8 @@
 
     def __init__(self) -> None:
         self._rows: dict[str, KnownRow] = {}
+        #: Version at which what a row says last changed.
+        self._changed: dict[str, int] = {}
         #: Records of targets whose rows went while the store was out.
         self._lapsed: dict[str, tuple[TargetRecord, float]] = {}
         #: When news came again after nobody had any for `OUTAGE_S`.
@@ -128,6 +130,10 @@
         known = self._rows.get(row.name)
         if known is not None and known.version >= row.version:
             return False
+        if known is not None and _says_the_same(known, row):
+            self._rows[row.name] = row
+            return False
+        self._changed[row.name] = row.version
         has_gone = row.value is None and known is not None and known.record is not None
         if has_gone and self._may_return(now):
             self._lapsed[row.name] = (known.record, now)
@@ -160,10 +166,22 @@
         return None if lapsed is None else lapsed[0]
 
     def list_rows(self, *, after: int) -> list[KnownRow]:
-        """Return the rows changed after a version, removed ones included."""
-        return [row for row in self._rows.values() if row.version > after]
+        """Return the rows that say something new since a version, or were removed.
+
+        Targets write their rows again and again to show that they live; what says the
+        same as before is no news to a peer, which trusts the store's word that a row
+        was not removed. That leaves under a hundredth of the bytes.
+        """
+        changed = self._changed
+        return [row for row in self._rows.values() if changed[row.name] > after]
 
     def _forget(self, now: float) -> None:
         for name, row in list(self._rows.items()):
             if row.value is None and now - row.heard_at > _REMEMBER_S:
-                del self._rows[name]
+                del self._rows[name], self._changed[name]
+
+
+def _says_the_same(one: KnownRow, other: KnownRow) -> bool:
+    if one.record is None or other.record is None:
+        return one.record is other.record and one.value == other.value
+    return one.record == other.record
--- a/packages/core/fulmarward_core/catalogue/tests/test_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/tests/test_catalogue.py
@@ -84,6 +84,16 @@
         catalogue.take_changes([_make_row("a", 2, value=None)], 2, now=60.0)
         self.assertEqual(_list_names(catalogue, 60.0), [])
 
+    def test_row_that_says_the_same_again_is_no_news(self):
+        catalogue = TargetCatalogue()
+        catalogue.take_all([_make_row("a", 1)], 1, now=0.0)
+        same = [_make_row("a", 2)]
+        self.assertEqual(catalogue.take_changes(same, 2, now=1.0), [])
+        self.assertEqual(catalogue.list_rows(after=1), [])
+        gone = [_make_row("a", 3, value=None)]
+        self.assertEqual(catalogue.take_changes(gone, 3, now=2.0), gone)
+        self.assertEqual(catalogue.list_rows(after=2), gone)
+
     def test_rows_for_a_peer_include_removals(self):
         catalogue = TargetCatalogue()
         catalogue.take_all([_make_row("a", 1), _make_row("b", 2)], 2, now=0.0)
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -173,7 +173,9 @@
             read_clock=clock,
             note_change=self._stir,
             note_news=self._note_news,
-            is_reader=lambda: self.knowledge.is_reader(),
+            is_among_first=lambda count: self.knowledge.is_among_first(count),
+            is_large=lambda: self.members.is_large,
+            read_beat_pause_s=lambda: self.members.beat_pause_s,
         )
         self.knowledge = Knowledge(
             own=self.own,
@@ -283,6 +285,10 @@
 
     def _note_news(self, rows: list[KnownRow]) -> None:
         """Log what changed of targets; a target that began anew is trusted again."""
+        is_urgent = any(r.record is None or r.record.is_leaving for r in rows)
+        if is_urgent:
+            # Peers must not send work there either.
+            self._stir()
         for row in rows:
             if row.record is None:
                 if self._started_ms.pop(row.name, None) is not None:
--- a/packages/router/fulmarward_router/mesh/_links.py
+++ b/packages/router/fulmarward_router/mesh/_links.py
@@ -12,7 +12,7 @@
 from fulmarward.observability import log_event
 from fulmarward_core.codec import MessageFault
 from fulmarward_router.mesh._codec import decode_message, encode_message
-from fulmarward_router.mesh._members import MemberTable
+from fulmarward_router.mesh._members import BEAT_S, MemberTable
 from fulmarward_router.mesh._messages import (
     AskConfiguration,
     AskTargets,
@@ -23,12 +23,6 @@
     TargetsNews,
 )
 
-#: Seconds between two heartbeats with up to `_FEW` instances; with more it grows, so
-#: that an instance's heartbeats cost alike. Load: FRESH_S decides who is given to
-#: callers; reason: four heartbeats fit in.
-BEAT_S = 0.3
-_FEW = 16
-
 #: Seconds for which one encoded heartbeat is sent to all. Reason: a third of the time
 #: between two of them.
 SAME_BEAT_S = 0.1
@@ -51,8 +45,8 @@
 class MeshNews(Protocol):
     """What the rest of the instance gives to the mesh and takes from it."""
 
-    def make_beat(self) -> Beat:
-        """Return this instance's heartbeat."""
+    def make_beat(self, *, has_loads: bool = True) -> Beat:
+        """Return this instance's heartbeat, with its load or without."""
 
     def take_beat(self, beat: Beat) -> list[AskConfiguration | AskTargets]:
         """Take in a peer's heartbeat; return what to ask that peer for."""
@@ -85,9 +79,8 @@
         self._count_bytes = count_bytes
         self._dialling: dict[str, asyncio.Task] = {}
         self._stirred = asyncio.Event()
-        self._encoded = b""
-        self._encoded_at = float("-inf")
-        self._encoded_for = self._stirred
+        #: Heartbeats encoded lately, with loads and without: when, for which stir.
+        self._encoded: dict[bool, tuple[float, asyncio.Event, bytes]] = {}
 
     def stir(self) -> None:
         """Send heartbeats now: something changed that peers should hear at once."""
@@ -141,32 +134,29 @@
                 ) as link:
                     log_event("peer_linked", peer=address)
                     pause_s = RETRY_S
-                    await self._speak(link)
+                    await self._speak(link, address)
             except (OSError, TimeoutError, WebSocketException) as error:
                 log_event("peer_link_lost", peer=address, cause=repr(error))
             tries += 1
             await asyncio.sleep(pause_s)
             pause_s = min(MOST_RETRY_S, pause_s * 2)
 
-    async def _speak(self, link: Connection) -> None:
+    async def _speak(self, link: Connection, address: str) -> None:
         """Introduce this instance, then send heartbeats."""
         known = tuple(member.told for member in self._members.list_all())
         await self._send(link, Introduce(sender=self._own, known=known))
-        listener = asyncio.create_task(self._listen(link))
+        listener = asyncio.create_task(self._listen(link, set()))
         try:
             while not listener.done():
                 stirred = self._stirred
-                await self._send_data(link, self._encode_beat())
-                await _wait_first(stirred, listener, self._choose_pause())
+                await self._send_data(link, self._encode_beat(address))
+                await _wait_first(stirred, listener, self._members.beat_pause_s)
             listener.result()
         finally:
             listener.cancel()
 
-    def _choose_pause(self) -> float:
-        return BEAT_S * max(1.0, len(self._members.list_all()) / _FEW)
-
-    async def _listen(self, link: Connection) -> None:
-        """Hear what comes on a link, whoever dialled it."""
+    async def _listen(self, link: Connection, senders: set[str]) -> None:
+        """Hear what comes on a link; `senders` collects who sent heartbeats."""
         async for data in link:
             self._count_bytes("in", len(data))
             try:
@@ -174,6 +164,8 @@
             except MessageFault as error:
                 log_event("peer_message_wrong", cause=str(error))
                 continue
+            if isinstance(message, Beat):
+                senders.add(message.sender.name)
             await self._take(link, message)
 
     async def _take(self, link: Connection, message: object) -> None:
@@ -191,14 +183,22 @@
         elif isinstance(message, ConfigurationNews | TargetsNews):
             self._news.take_news(message)
 
-    def _encode_beat(self) -> bytes:
-        """Return the heartbeat; one encoding serves all links for a moment."""
+    def _encode_beat(self, address: str) -> bytes:
+        """Return the heartbeat for a peer; one encoding serves many for a moment.
+
+        Where there are many instances, loads are told within the data centre only:
+        bytes between data centres are dear, and paths stay within one.
+        """
+        has_loads = True
+        if self._members.is_large:
+            centre = self._members.find_data_centre(address)
+            has_loads = centre == self._own.data_centre
         now = self._read_clock()
-        if now - self._encoded_at > SAME_BEAT_S or self._encoded_for != self._stirred:
-            self._encoded = encode_message(self._news.make_beat())
-            self._encoded_at = now
-            self._encoded_for = self._stirred
-        return self._encoded
+        at, stirred, data = self._encoded.get(has_loads, (float("-inf"), None, b""))
+        if now - at > SAME_BEAT_S or stirred is not self._stirred:
+            data = encode_message(self._news.make_beat(has_loads=has_loads))
+            self._encoded[has_loads] = (now, self._stirred, data)
+        return data
 
     async def _send(self, link: Connection, message: object) -> None:
         await self._send_data(link, encode_message(message))
@@ -210,10 +210,14 @@
 
     async def accept(self, link: Connection) -> None:
         """Hear a link that a peer dialled; questions go back on the same link."""
+        senders: set[str] = set()
         try:
-            await self._listen(link)
+            await self._listen(link, senders)
         except (OSError, TimeoutError, WebSocketException) as error:
             log_event("peer_gone", peer=str(link.remote_address), cause=repr(error))
+        finally:
+            for name in senders:
+                self._members.note_link_lost(name)
 
     async def listen(self, address: str) -> Server:
         """Accept links of peers at `IP:PORT`."""
--- a/packages/router/fulmarward_router/mesh/_members.py
+++ b/packages/router/fulmarward_router/mesh/_members.py
@@ -1,7 +1,7 @@
 """The instances that are known, and what each last said of itself."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from fulmarward_router.mesh._messages import Beat, MemberTold
 
@@ -11,6 +11,16 @@
 #: heartbeats, so that one retransmission hides nobody.
 FRESH_S = 1.3
 
+#: Seconds between two heartbeats with up to `_FEW` instances; with more it grows, so
+#: that an instance's heartbeats cost alike. Load: FRESH_S decides who is given to
+#: callers; reason: four heartbeats fit in.
+BEAT_S = 0.3
+_FEW = 16
+
+#: Heartbeats that may be missing before an instance counts as silent. Instances that
+#: are killed are noticed by the end of their links; this is for those that fall silent.
+_MISSING_BEATS = 3.0
+
 #: Seconds without a heartbeat after which an instance is no longer dialled, unless the
 #: store still lists it. Reason: longer than a process takes to start again and a
 #: partition to heal.
@@ -53,9 +63,37 @@
             return
         self._members[name] = Member(told=beat.sender, beat=beat, heard_at=now)
 
-    def drop(self, name: str) -> None:
-        """An instance left for good."""
-        self._members.pop(name, None)
+    def note_link_lost(self, name: str) -> None:
+        """The link that an instance dialled has ended; it is silent until it dials.
+
+        Guards against a killed instance that stays in the lookup for several
+        heartbeats; its callers connect in vain meanwhile.
+        """
+        known = self._members.get(name)
+        if known is not None:
+            self._members[name] = replace(known, beat=None)
+
+    @property
+    def is_large(self) -> bool:
+        """Whether there are so many instances that not all do everything."""
+        return len(self._members) >= _FEW
+
+    @property
+    def beat_pause_s(self) -> float:
+        """Seconds between two heartbeats."""
+        return BEAT_S * max(1.0, (len(self._members) + 1) / _FEW)
+
+    @property
+    def fresh_s(self) -> float:
+        """Seconds after which an instance that is not heard counts as silent."""
+        return max(FRESH_S, _MISSING_BEATS * self.beat_pause_s)
+
+    def find_data_centre(self, peer_address: str) -> str | None:
+        """Return where the instance at a peer address stands, `None` if unknown."""
+        for member in self._members.values():
+            if member.told.peer_address == peer_address:
+                return member.told.data_centre
+        return None
 
     def forget_silent(self, *, now: float) -> None:
         """Drop instances that were silent for long."""
@@ -69,10 +107,11 @@
 
     def list_fresh(self, *, now: float) -> list[Member]:
         """Return those that were heard lately."""
+        fresh_s = self.fresh_s
         return [
             member
             for member in self._members.values()
-            if member.beat is not None and now - member.heard_at <= FRESH_S
+            if member.beat is not None and now - member.heard_at <= fresh_s
         ]
 
     def list_ready(self, *, now: float) -> list[Member]:
--- a/packages/router/fulmarward_router/mesh/tests/test_members.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_members.py
@@ -65,6 +65,22 @@
         self.table.take_beat(make_beat(boot=1, is_leaving=True), now=0.1)
         self.assertEqual(len(self.table.list_ready(now=0.2)), 1)
 
+    def test_killed_instance_is_noticed_by_the_end_of_its_link(self):
+        # A process is killed: its link ends at once, its heartbeats would be missed
+        # seconds later only where there are many instances.
+        self.table.take_beat(make_beat(), now=0.0)
+        self.table.note_link_lost("peer")
+        self.assertEqual(self.table.list_ready(now=0.1), [])
+        self.table.take_beat(make_beat(), now=0.2)
+        self.assertEqual(len(self.table.list_ready(now=0.3)), 1)
+
+    def test_heartbeats_of_many_instances_are_rarer_and_awaited_for_longer(self):
+        few = self.table.beat_pause_s
+        for number in range(79):
+            self.table.take_beat(make_beat(name=f"peer-{number}"), now=0.0)
+        self.assertGreater(self.table.beat_pause_s, 4 * few)
+        self.assertEqual(len(self.table.list_ready(now=self.table.beat_pause_s)), 79)
+
     def test_own_name_is_no_other_instance(self):
         self.table.take_beat(make_beat(name="own"), now=0.0)
         self.table.take_told([make_beat(name="own").sender], now=0.0)
--- a/packages/router/fulmarward_router/state/_news.py
+++ b/packages/router/fulmarward_router/state/_news.py
@@ -20,7 +20,11 @@
 )
 from fulmarward_router.ports import Row
 from fulmarward_router.state._configuration import ConfigurationHolder
-from fulmarward_router.state._watch import READERS
+
+#: Seconds between two questions for targets' rows. Load: versions rise with each row
+#: that any target writes, so that every peer seems to know more; harm: a question for
+#: each heartbeat of each of them; reason: less than a reading's pause.
+ASK_PAUSE_S = 0.2
 
 #: Age in ms that says "never".
 _NEVER_MS = -1
@@ -59,10 +63,12 @@
         self._is_store_reachable = is_store_reachable
         self._note_change = note_change
         self._note_news = note_news
+        self._asked_at = float("-inf")
 
-    def make_beat(self) -> Beat:
-        """Return this instance's heartbeat."""
+    def make_beat(self, *, has_loads: bool = True) -> Beat:
+        """Return this instance's heartbeat, with its load or without."""
         now = self._read_clock()
+        own_loads = self._ledger.list_own() if has_loads else {}
         loads = tuple(
             LoadTold(
                 target=target,
@@ -70,7 +76,7 @@
                 running=load.running,
                 first_running=load.first_running,
             )
-            for target, load in self._ledger.list_own().items()
+            for target, load in own_loads.items()
         )
         losses = tuple(
             LossTold(target=item.target, for_ms=int((item.until - now) * 1000))
@@ -89,10 +95,6 @@
             losses=losses,
         )
 
-    def is_reader(self) -> bool:
-        """Return whether this instance reads the targets' table for others."""
-        return self.is_among_first(READERS)
-
     def is_among_first(self, count: int) -> bool:
         """Return whether this instance is one of those that act for all.
 
@@ -134,6 +136,9 @@
             holder = self._configuration
             holder.confirmed_at = max(holder.confirmed_at, at)
         if beat.targets_version > self._catalogue.version:
+            if now - self._asked_at < ASK_PAUSE_S:
+                return questions
+            self._asked_at = now
             questions.append(AskTargets(after=self._catalogue.version))
         elif beat.targets_age_ms >= 0:
             at = now - beat.targets_age_ms / 1000
--- a/packages/router/fulmarward_router/state/_watch.py
+++ b/packages/router/fulmarward_router/state/_watch.py
@@ -35,9 +35,13 @@
 #: harm: each reader's calls are paid for; reason: with two, one death delays nothing.
 READERS = 2
 
-#: Seconds without confirmed news after which an instance reads by itself. Reason: two
-#: readings and a heartbeat.
-STALE_S = 1.1
+#: Seconds without confirmed news after which an instance reads by itself, beside one
+#: and a half heartbeats. Reason: a reading, its time-out, and the way to here.
+STALE_S = 0.65
+_STALE_BEATS = 1.5
+
+#: Instances that wait for the configuration at the store where there are many.
+CONFIGURATION_READERS = 4
 
 #: Seconds before the store is tried again after it was out, growing to the most.
 RETRY_S = 0.15
@@ -56,7 +60,9 @@
         read_clock: Callable[[], float],
         note_change: Callable[[], None],
         note_news: Callable[[list[KnownRow]], None],
-        is_reader: Callable[[], bool],
+        is_among_first: Callable[[int], bool],
+        is_large: Callable[[], bool],
+        read_beat_pause_s: Callable[[], float],
     ) -> None:
         self._store = store
         self._configuration = configuration
@@ -64,7 +70,9 @@
         self._read_clock = read_clock
         self._note_change = note_change
         self._note_news = note_news
-        self._is_reader = is_reader
+        self._is_among_first = is_among_first
+        self._is_large = is_large
+        self._read_beat_pause_s = read_beat_pause_s
         self._is_out: dict[str, bool] = {}
         #: Since when the store does not answer, `None` while it does.
         self.out_since: float | None = None
@@ -75,6 +83,9 @@
         version: int | None = None
         pause_s = RETRY_S
         while True:
+            if version is not None and not self._must_wait():
+                await asyncio.sleep(TARGETS_PAUSE_S / 4)
+                continue
             try:
                 if version is None:
                     read = await self._store.read_table(table)
@@ -138,8 +149,19 @@
             await asyncio.sleep(TARGETS_PAUSE_S)
 
     def _must_read(self) -> bool:
-        age_s = self._read_clock() - self._catalogue.confirmed_at
-        return self._is_reader() or age_s > STALE_S
+        is_stale = self._is_stale(self._catalogue.confirmed_at)
+        return is_stale or self._is_among_first(READERS)
+
+    def _must_wait(self) -> bool:
+        """Whether this instance waits at the store for the configuration itself."""
+        if not self._is_large() or self._is_among_first(CONFIGURATION_READERS):
+            return True
+        # A reader confirms the configuration as often as its call ends.
+        return self._is_stale(self._configuration.confirmed_at + CONFIGURATION_WAIT_S)
+
+    def _is_stale(self, confirmed_at: float) -> bool:
+        limit_s = STALE_S + _STALE_BEATS * self._read_beat_pause_s()
+        return self._read_clock() - confirmed_at > limit_s
 
     async def _read_all(self) -> None:
         read = await self._store.read_table(self._store.targets_table)
