Streams in modules by duty; a failure of an engine before its stream is given on

The engine side of the exchange was one file of 761 lines: attempts, room, the pipe, the keeping of open streams and the requests themselves are modules now; which targets are asked when streams stand still is a decision of its own in packages/core (stalls), with a table of cases. Nothing else changed in them. Found while reading: a failure that is given on as it is was ended a second time as if it were a stream, which broke the connection in place of an answer. After a refusal that has not run, the same first target may be taken again.

--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -336,7 +336,7 @@
             self._start("instances", self._follow_instances()),
             self._start("lease", self.lease.run()),
             self._start("placement", self.placer.run()),
-            self._start("streams", self.engines.watch_streams()),
+            self._start("streams", self.engines.keeper.run()),
             self._start("readiness", self._become_ready()),
             self._start("settings", self._follow_settings()),
         ]
--- /dev/null
+++ b/packages/router/fulmarward_router/exchange/_attempt.py
@@ -0,0 +1,73 @@
+"""One attempt of a stream: its path, what it holds, and how it may end."""
+
+import asyncio
+
+import aiohttp
+
+from fulmarward_core.fleet import EngineModel
+from fulmarward_core.loads import Promise
+from fulmarward_core.paths import Hop, PathRequest
+from fulmarward_router.exchange._work import Work
+
+
+class Attempt:
+    """One attempt of a stream: its path, and what it holds."""
+
+    def __init__(
+        self,
+        *,
+        work: Work,
+        engine: EngineModel,
+        wanted: PathRequest,
+        path: tuple[Hop, ...],
+        promise: Promise,
+    ) -> None:
+        self.work = work
+        self.engine = engine
+        self.wanted = wanted
+        self.path = path
+        self.promise = promise
+        #: The task that waits for the answer's head, and then the answer.
+        self.head: asyncio.Task | None = None
+        self.response: aiohttp.ClientResponse | None = None
+        #: Why the attempt was ended from outside, `None` while it was not.
+        self.end: AttemptEnded | None = None
+        #: The task that checks the path, `None` when none does.
+        self.checking: asyncio.Task | None = None
+        #: Seconds on the steady clock of the last sign of life.
+        self.heard_at = 0.0
+        self.checks = 0
+        self.has_begun = False
+        #: Ends the attempt at the request's deadline.
+        self.timer: asyncio.TimerHandle | None = None
+
+    @property
+    def first(self) -> Hop:
+        return self.path[0]
+
+    def end_now(self, end: "AttemptEnded") -> None:
+        """End the attempt: whoever waits for its answer is told why."""
+        if self.end is not None:
+            return
+        self.end = end
+        if self.response is not None:
+            self.response.close()
+        elif self.head is not None:
+            self.head.cancel()
+
+
+class AttemptEnded(Exception):
+    """An attempt ended without the whole answer; another may follow."""
+
+    def __init__(
+        self, *, cause: str, is_not_run: bool, is_target_lost: bool = False
+    ) -> None:
+        super().__init__(cause)
+        self.cause = cause
+        self.is_not_run = is_not_run
+        self.is_target_lost = is_target_lost
+
+
+def describe_path(path: tuple[Hop, ...]) -> str:
+    """Return a path for the log."""
+    return " ".join(f"{h.target}:{h.layers.start}-{h.layers.end}" for h in path)
--- /dev/null
+++ b/packages/router/fulmarward_router/exchange/_keeping.py
@@ -0,0 +1,279 @@
+"""Keeping open streams alive: around lost targets, and off those that leave."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from dataclasses import replace
+
+from fulmarward.observability import log_event
+from fulmarward_core.catalogue import TargetCatalogue
+from fulmarward_core.loads import LoadLedger
+from fulmarward_core.paths import Hop, count_tokens_held
+from fulmarward_core.stalls import LEAST_STILL_S, StreamView, find_still_targets
+from fulmarward_core.suspicion import SuspicionTable
+from fulmarward_router.exchange._attempt import Attempt, AttemptEnded, describe_path
+from fulmarward_router.exchange._pipe import PipeGate
+from fulmarward_router.exchange._stages import PathFinder
+from fulmarward_router.exchange._watching import LossWatch
+from fulmarward_router.exchange._work import Work
+from fulmarward_router.ports import OrderOutcome, TargetDialect
+
+#: Seconds without a first event, and between events, after which the first target is
+#: asked what the request waits for. Load: usual first events come after 100 to 200 ms
+#: and pauses are 30 to 60 ms, on paths with a lost target nothing comes at all; harm:
+#: each check is paid for; reason: several times the usual, and leaves time to go on
+#: before the caller leaves after two seconds.
+FIRST_CHECK_S = 0.45
+PAUSE_CHECK_S = 0.3
+
+#: Seconds between two looks at all open streams.
+LOOK_S = 0.025
+
+#: Seconds by which a look may be late. Harm: an instance that is short of processor
+#: time takes its own lateness for a target's silence; reason: as long as a look.
+MOST_LATE_S = 0.03
+
+#: Weight of the newest pause in the mean.
+_PAUSE_WEIGHT = 0.02
+
+#: Seconds between two checks of the same stream; a report is some hundred ms old.
+CHECK_AGAIN_S = 0.25
+
+#: Seconds between two streams that are led off leaving targets. Load: some five of each
+#: instance's streams pass through a target that leaves in two seconds; harm: their
+#: prompts are read again all at once, while others wait; reason: ten of them a second.
+LEAD_PAUSE_S = 0.1
+
+#: Checks that found nothing, after which the stream waits for what comes.
+MOST_CHECKS = 4
+
+
+class StreamKeeper:
+    """Looks at all open streams of an instance."""
+
+    def __init__(
+        self,
+        *,
+        dialect: TargetDialect,
+        catalogue: TargetCatalogue,
+        suspicions: SuspicionTable,
+        ledger: LoadLedger,
+        watch: LossWatch,
+        finder: PathFinder,
+        pipe: PipeGate,
+        read_clock: Callable[[], float],
+    ) -> None:
+        self._dialect = dialect
+        self._catalogue = catalogue
+        self._suspicions = suspicions
+        self._ledger = ledger
+        self._watch = watch
+        self._finder = finder
+        self._pipe = pipe
+        self._read_clock = read_clock
+        #: Attempts under way, by the id of their object.
+        self._open: dict[int, Attempt] = {}
+        #: When a stream was last led off a leaving target.
+        self._led_at = float("-inf")
+        #: Mean pause between events lately, seconds.
+        self._mean_pause_s = 0.035
+
+    def add(self, attempt: Attempt) -> None:
+        """Look after an attempt from now on."""
+        attempt.heard_at = self._read_clock()
+        self._open[id(attempt)] = attempt
+
+    def remove(self, attempt: Attempt) -> None:
+        """Look after an attempt no more."""
+        self._open.pop(id(attempt), None)
+
+    def note_heard(self, attempt: Attempt) -> float:
+        """Note a sign of life; return the seconds since the last one."""
+        now = self._read_clock()
+        pause_s = now - attempt.heard_at
+        if attempt.has_begun:
+            self._mean_pause_s += _PAUSE_WEIGHT * (pause_s - self._mean_pause_s)
+        attempt.heard_at = now
+        attempt.checks = 0
+        attempt.has_begun = True
+        return pause_s
+
+    async def run(self) -> None:
+        """Look at all open streams again and again, until cancelled.
+
+        Guards against a target of a path that is lost: nothing comes any more, and the
+        caller leaves after two seconds. The path is led around it, or the attempt is
+        ended so that another can go on where this one stopped.
+        """
+        looked_at = self._read_clock()
+        while True:
+            await asyncio.sleep(LOOK_S)
+            now = self._read_clock()
+            is_late = now - looked_at > LOOK_S + MOST_LATE_S
+            looked_at = now
+            if not is_late:
+                self._probe_still(now)
+            self._lead_off_leaving(now)
+            for attempt in list(self._open.values()):
+                is_silent = now - attempt.heard_at >= LEAST_STILL_S
+                if is_silent and attempt.checking is None and attempt.end is None:
+                    self._start_check(attempt)
+
+    def _lead_off_leaving(self, now: float) -> None:
+        """Lead streams around targets that are about to leave, a few at a time.
+
+        Guards against a planned leave that cuts streams: a leaving target serves on
+        for two seconds or a little longer, and answers take up to seven.
+        """
+        if now - self._led_at < LEAD_PAUSE_S:
+            return
+        leaving = {
+            record.name
+            for record in self._catalogue.list_targets(now=now)
+            if record.is_leaving
+        }
+        if not leaving:
+            return
+        for attempt in list(self._open.values()):
+            hops = [hop for hop in attempt.path[1:] if hop.target in leaving]
+            is_free = attempt.has_begun and attempt.checking is None
+            if not hops or not is_free or attempt.end is not None:
+                continue
+            self._led_at = now
+            self._start_task(attempt, self._repath(attempt, hops, must=False))
+            return
+
+    def _probe_still(self, now: float) -> None:
+        """Ask the targets at which all streams stand still whether they live.
+
+        A target that is lost silences every stream that passes through it; one through
+        which any stream moves is sound. What is left is asked at once, all together:
+        the one that does not answer is the lost one.
+        """
+        views = [
+            StreamView(
+                targets=tuple(hop.target for hop in attempt.path),
+                silent_s=now - attempt.heard_at,
+            )
+            for attempt in self._open.values()
+            if attempt.has_begun and attempt.checking is None
+        ]
+        suspects = find_still_targets(views, mean_pause_s=self._mean_pause_s)
+        if suspects:
+            self._watch.probe(suspects)
+
+    def _start_check(self, attempt: Attempt) -> None:
+        if self._must_check(attempt):
+            self._start_task(attempt, self._keep_alive(attempt))
+
+    def _start_task(self, attempt: Attempt, task: Coroutine[None, None, None]) -> None:
+        """Start the one task that checks or moves an attempt."""
+
+        def note_end(task: asyncio.Task) -> None:
+            attempt.checking = None
+            if task.cancelled() or task.exception() is None:
+                return
+            error = task.exception()
+            if not isinstance(error, AttemptEnded):
+                log_event("request_error", exc_info=error, request=None)
+                error = AttemptEnded(cause=repr(error), is_not_run=False)
+            attempt.end_now(error)
+
+        attempt.checking = asyncio.create_task(task)
+        attempt.checking.add_done_callback(note_end)
+
+    def _list_lost(self, attempt: Attempt) -> list[Hop]:
+        now = self._read_clock()
+        return [
+            hop for hop in attempt.path if self._suspicions.is_lost(hop.target, now=now)
+        ]
+
+    def _must_check(self, attempt: Attempt) -> bool:
+        """Whether a stream is silent for too long, or on a path with a lost target."""
+        if self._list_lost(attempt):
+            return True
+        silent_s = self._read_clock() - attempt.heard_at
+        first_s = PAUSE_CHECK_S if attempt.has_begun else FIRST_CHECK_S
+        due_s = first_s + attempt.checks * CHECK_AGAIN_S
+        return silent_s >= due_s and attempt.checks < MOST_CHECKS
+
+    async def _keep_alive(self, attempt: Attempt) -> None:
+        """Find the lost target of a path, and lead the request around it."""
+        lost = self._list_lost(attempt)
+        if not lost:
+            attempt.checks += 1
+            record = self._catalogue.find_target(attempt.first.target)
+            if record is None:
+                return
+            await self._watch.ask(record)
+            lost = self._list_lost(attempt)
+            if not lost:
+                return
+        if attempt.first in lost:
+            if not attempt.has_begun or attempt.work.route.is_resumable:
+                raise AttemptEnded(
+                    cause="the first target is lost",
+                    is_not_run=False,
+                    is_target_lost=True,
+                )
+            return
+        await self._repath(attempt, lost)
+
+    async def _repath(
+        self, attempt: Attempt, lost: list[Hop], *, must: bool = True
+    ) -> None:
+        """Lead a stream around targets; if it `must`, the attempt ends otherwise."""
+        work, engine, wanted = attempt.work, attempt.engine, attempt.wanted
+        avoided = frozenset(hop.target for hop in lost)
+        around = replace(wanted, first=attempt.first, avoided=avoided)
+        path = self._finder.choose(work.service, engine, around)
+        record = self._catalogue.find_target(attempt.first.target)
+        if not must and (
+            path is None
+            or record is None
+            or self._pipe.count_crossings(path, attempt.path)
+        ):
+            return
+        if path is None or record is None:
+            raise AttemptEnded(cause="no way around a lost target", is_not_run=False)
+        if (
+            must
+            and self._may_resume(work)
+            and not self._pipe.take(engine, wanted, path, known=attempt.path)
+        ):
+            raise AttemptEnded(
+                cause="a lost target, others go around it", is_not_run=False
+            )
+        result = await self._dialect.order_path(record, work.facts.request_id, path)
+        log_event(
+            "path_changed",
+            request=work.facts.request_id,
+            lost=[hop.target for hop in lost],
+            path=describe_path(path),
+            outcome=result.outcome.value,
+            at_fault=result.address_at_fault,
+            last_event=work.last_event,
+        )
+        if result.outcome is not OrderOutcome.TAKEN:
+            if result.address_at_fault is not None:
+                self._hold_against(path, result.address_at_fault)
+            if not must:
+                return
+            cause = f"no other path: {result.outcome.value}"
+            raise AttemptEnded(cause=cause, is_not_run=False)
+        work.repaths += 1
+        promise = self._ledger.promise(path, count_tokens_held(wanted))
+        self._ledger.release(attempt.promise)
+        attempt.promise, attempt.path = promise, path
+        attempt.heard_at = self._read_clock()
+        attempt.checks = 0
+        work.targets = tuple(hop.target for hop in path)
+
+    def _may_resume(self, work: Work) -> bool:
+        """Return whether one more attempt would be allowed after this one."""
+        most_attempts = work.route.most_attempts + work.lost_attempts
+        return work.route.may_repeat and work.runs + 1 < most_attempts
+
+    def _hold_against(self, path: tuple[Hop, ...], address: str) -> None:
+        for hop in path:
+            if hop.address == address:
+                self._suspicions.note_full(hop.target, now=self._read_clock())
--- a/packages/router/fulmarward_router/tests/test_layout.py
+++ b/packages/router/fulmarward_router/tests/test_layout.py
@@ -71,6 +71,7 @@
             "loads",
             "routes",
             "fleet",
+            "stalls",
         ]
         found = [
             (str(path.relative_to(core)), module)
