--- a/packages/router/fulmarward_router/exchange/_attempt.py
+++ b/packages/router/fulmarward_router/exchange/_attempt.py
@@ -59,13 +59,10 @@
 class AttemptEnded(Exception):
     """An attempt ended without the whole answer; another may follow."""
 
-    def __init__(
-        self, *, cause: str, is_not_run: bool, is_target_lost: bool = False
-    ) -> None:
+    def __init__(self, *, cause: str, is_not_run: bool) -> None:
         super().__init__(cause)
         self.cause = cause
         self.is_not_run = is_not_run
-        self.is_target_lost = is_target_lost
 
 
 def describe_path(path: tuple[Hop, ...]) -> str:
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -120,7 +120,6 @@
                 return answer
             except AttemptEnded as end:
                 work.runs += not end.is_not_run
-                work.lost_attempts += end.is_target_lost
                 answer = work.request.get("answer")
                 self._note_end(work, attempt, end)
                 self._require_repeat(work, end, answer)
@@ -149,7 +148,7 @@
     ) -> None:
         """Take one more attempt; raises what the caller is told if there is none."""
         now = self._read_clock()
-        most_attempts = work.route.most_attempts + work.lost_attempts
+        most_attempts = work.route.most_attempts
         may_run = end.is_not_run or (
             work.route.may_repeat and work.runs < most_attempts
         )
--- a/packages/router/fulmarward_router/exchange/_keeping.py
+++ b/packages/router/fulmarward_router/exchange/_keeping.py
@@ -210,11 +210,7 @@
                 return
         if attempt.first in lost:
             if not attempt.has_begun or attempt.work.route.is_resumable:
-                raise AttemptEnded(
-                    cause="the first target is lost",
-                    is_not_run=False,
-                    is_target_lost=True,
-                )
+                raise AttemptEnded(cause="the first target is lost", is_not_run=False)
             return
         await self._repath(attempt, lost)
 
@@ -270,8 +266,7 @@
 
     def _may_resume(self, work: Work) -> bool:
         """Return whether one more attempt would be allowed after this one."""
-        most_attempts = work.route.most_attempts + work.lost_attempts
-        return work.route.may_repeat and work.runs + 1 < most_attempts
+        return work.route.may_repeat and work.runs + 1 < work.route.most_attempts
 
     def _hold_against(self, path: tuple[Hop, ...], address: str) -> None:
         for hop in path:
--- a/packages/router/fulmarward_router/exchange/_work.py
+++ b/packages/router/fulmarward_router/exchange/_work.py
@@ -33,9 +33,6 @@
     #: Attempts at targets so far, and those that may have run.
     attempts: int = 0
     runs: int = 0
-    #: Attempts whose first target was lost meanwhile; a route's bound on targets is
-    #: about those that could still answer.
-    lost_attempts: int = 0
     #: Targets of the last attempt, for the log.
     targets: tuple[str, ...] = field(default=())
     #: When the first byte of the answer went out, `None` before.
