One decision on repeats for plain and engine services; fields that nothing read are gone

Cause: PlainService and EngineService each decided by themselves whether one more attempt is allowed and what the caller is told otherwise, and took the same nine parameters; a look each 25 ms went through all targets for leaving ones; refusals of large headers were told by the text of their cause; seven decoded fields had no reader. Ruled out: moving the shared lines into a base class, since state would hide there. Change: fulmarward_core.repeats decides, by tables and properties; ServiceContext holds what both take; result code 1012; the leaving set is made anew with the catalogue's revision only; the unread fields are out of the types and of the adapter. One outcome differs: a plain request of which nothing ran is told 504 past its deadline, as engine requests were, in place of 503.

--- a/packages/core/fulmarward_core/fleet/_types.py
+++ b/packages/core/fulmarward_core/fleet/_types.py
@@ -51,8 +51,6 @@
     kv_bytes_per_token: float
     #: Activations of one token at each hop, in bytes.
     activation_bytes: float
-    #: Rate of the link between two targets, in Mbit/s.
-    link_mbps: float
     #: Rate that all transfers between data centres share, in Mbit/s.
     pipe_mbps: float
     #: Time of one decode step through all layers, in ms.
@@ -63,12 +61,6 @@
     context_ms_per_k: float
     #: Prompt tokens prefilled in a second.
     prefill_tokens_per_s: float
-    #: Steps in one pass of a batch that decodes.
-    stride: int
-    #: Loads of weights that run at full speed at the same time.
-    most_loads: int
-    #: Seconds to load all layers.
-    load_s: float
     #: Mean prompt and answer, in tokens.
     usual_prompt: int
     usual_answer: int
@@ -84,10 +76,6 @@
 
     #: Name of the service.
     name: str
-    #: Path of its health check.
-    health_path: str
-    #: Connections that a target takes from all callers together.
-    most_connections: int
     #: How its engines run, or `None` for a plain service.
     engine: EngineModel | None
 
@@ -116,8 +104,6 @@
     kind: str
     #: The layers that it holds, or `None`.
     layers: LayerRange | None
-    #: Version of the weights that it holds.
-    weights_version: int
 
 
 def count_kv_capacity(engine: EngineModel, kind: AcceleratorKind, layers: int) -> int:
--- a/packages/core/fulmarward_core/layers/tests/fleets.py
+++ b/packages/core/fulmarward_core/layers/tests/fleets.py
@@ -24,15 +24,11 @@
     layer_mb=1750,
     kv_bytes_per_token=918_000,
     activation_bytes=45_800,
-    link_mbps=480_000,
     pipe_mbps=7_900,
     step_ms=0.85,
     sequence_ms=0.00594,
     context_ms_per_k=0.00796,
     prefill_tokens_per_s=252_000,
-    stride=2,
-    most_loads=6,
-    load_s=14,
     usual_prompt=772,
     usual_answer=154,
     kinds=KINDS,
@@ -52,7 +48,6 @@
         started_ms=0,
         kind=kind,
         layers=layers,
-        weights_version=1,
     )
 
 
--- a/packages/core/fulmarward_core/paths/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/paths/tests/test_decisions.py
@@ -22,7 +22,6 @@
         kv_promised=0.0,
         running=0,
         first_running=0,
-        pace=1.0,
         is_usable=True,
     )
     return replace(stage, **changes)
--- a/packages/core/fulmarward_core/results/_codes.py
+++ b/packages/core/fulmarward_core/results/_codes.py
@@ -37,6 +37,7 @@
     EVENT_ID_WRONG = 1009
     BODY_TOO_SLOW = 1010
     PATH_UNKNOWN = 1011
+    HEADERS_TOO_LARGE = 1012
     OVER_SHARE = 2001
     QUEUE_FULL = 2002
     DEADLINE_TOO_NEAR = 2003
@@ -144,6 +145,9 @@
     ResultCode.PATH_UNKNOWN: _entry(
         404, _INVALID, _NOT, 10, "No such path, or not with this method."
     ),
+    ResultCode.HEADERS_TOO_LARGE: _entry(
+        431, _INVALID, _NOT, 10, "The headers are larger than the instance takes."
+    ),
     ResultCode.OVER_SHARE: _entry(
         429, "rate_limit_error", _NOT, 20, "The team is over the share it was sold."
     ),
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -36,6 +36,7 @@
     EngineService,
     LossWatch,
     PlainService,
+    ServiceContext,
     TargetClient,
     make_target_session,
 )
@@ -160,7 +161,9 @@
         self.suspicions = SuspicionTable()
         self.ledger = LoadLedger()
         self._allowances: dict[str, RepeatAllowance] = {}
+        #: When each target that is known started, ms since 1970, and those leaving.
         self._started_ms: dict[str, int] = {}
+        self._leaving: set[str] = set()
         self.store = parts.make_store(
             store_session, settings.store_address, self._count_call
         )
@@ -219,17 +222,17 @@
         )
 
     def _make_front(self, client: TargetClient) -> CallerFront:
-        shared = {
-            "client": client,
-            "dialect": self.dialect,
-            "catalogue": self.catalogue,
-            "suspicions": self.suspicions,
-            "ledger": self.ledger,
-            "find_allowance": self._find_allowance,
-            "count_instances": self._count_instances,
-            "data_centre": self.settings.data_centre,
-            "read_clock": self._clock,
-        }
+        context = ServiceContext(
+            client=client,
+            dialect=self.dialect,
+            catalogue=self.catalogue,
+            suspicions=self.suspicions,
+            ledger=self.ledger,
+            find_allowance=self._find_allowance,
+            count_instances=self._count_instances,
+            data_centre=self.settings.data_centre,
+            read_clock=self._clock,
+        )
         loss_watch = LossWatch(
             dialect=self.dialect,
             catalogue=self.catalogue,
@@ -238,7 +241,7 @@
             note_change=self._stir,
         )
         self.engines = EngineService(
-            **shared,
+            context=context,
             watch=loss_watch,
             is_stopping=lambda: self.life.is_stopping,
         )
@@ -246,7 +249,7 @@
             dialect=self.dialect,
             configuration=self.configuration,
             engines=self.engines,
-            plain=PlainService(**shared),
+            plain=PlainService(context=context),
             find_allowance=self._find_allowance,
             read_clock=self._clock,
             is_stopping=lambda: self.life.is_stopping,
@@ -291,6 +294,7 @@
             self._stir()
         for row in rows:
             if row.record is None:
+                self._leaving.discard(row.name)
                 if self._started_ms.pop(row.name, None) is not None:
                     log_event("target_gone", target=row.name, store_version=row.version)
                 continue
@@ -311,10 +315,6 @@
                 self._leaving.add(row.name)
                 log_event("target_leaving", target=row.name, store_version=row.version)
 
-    @property
-    def _leaving(self) -> set[str]:
-        return self.__dict__.setdefault("_leaving_names", set())
-
     def _count_call(self, call: str, status: str) -> None:
         self.metrics.calls.inc({"call": call, "status": status})
 
--- a/packages/router/fulmarward_router/exchange/__init__.py
+++ b/packages/router/fulmarward_router/exchange/__init__.py
@@ -1,5 +1,6 @@
 """Serving callers: from a request's arrival to its one answer."""
 
+from fulmarward_router.exchange._context import ServiceContext
 from fulmarward_router.exchange._engines import EngineService
 from fulmarward_router.exchange._front import CallerFront, CallerServer
 from fulmarward_router.exchange._plain import PlainService
@@ -13,6 +14,7 @@
     "EngineService",
     "LossWatch",
     "PlainService",
+    "ServiceContext",
     "TargetClient",
     "Work",
     "make_target_session",
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -8,22 +8,20 @@
 from aiohttp import web
 
 from fulmarward.observability import log_event
-from fulmarward_core.catalogue import TargetCatalogue
 from fulmarward_core.fleet import EngineModel
-from fulmarward_core.loads import LoadLedger, RepeatAllowance
 from fulmarward_core.paths import PathRequest, count_tokens_held
-from fulmarward_core.results import ResultCode
-from fulmarward_core.suspicion import SuspicionTable
+from fulmarward_core.repeats import may_run_again
 from fulmarward_router.exchange._attempt import Attempt, AttemptEnded, describe_path
+from fulmarward_router.exchange._context import ServiceContext
 from fulmarward_router.exchange._events import EventSplitter, is_after
 from fulmarward_router.exchange._keeping import FIRST_CHECK_S, StreamKeeper
 from fulmarward_router.exchange._pipe import PipeGate
 from fulmarward_router.exchange._room import FULL_RETRY_S, RoomQueue
-from fulmarward_router.exchange._send import AnswerLost, NotSent, TargetClient
+from fulmarward_router.exchange._send import AnswerLost, NotSent
 from fulmarward_router.exchange._stages import PathFinder
 from fulmarward_router.exchange._watching import LossWatch
-from fulmarward_router.exchange._work import Cut, Refused, Work
-from fulmarward_router.ports import TargetCall, TargetDialect
+from fulmarward_router.exchange._work import Cut, Work
+from fulmarward_router.ports import TargetCall
 
 #: Part by which an answer is expected to be longer than hinted.
 HINT_MARGIN = 1.25
@@ -35,53 +33,39 @@
     def __init__(
         self,
         *,
-        client: TargetClient,
-        dialect: TargetDialect,
-        catalogue: TargetCatalogue,
-        suspicions: SuspicionTable,
-        ledger: LoadLedger,
+        context: ServiceContext,
         watch: LossWatch,
-        find_allowance: Callable[[str], RepeatAllowance],
-        count_instances: Callable[[], int],
-        data_centre: str,
-        read_clock: Callable[[], float],
         is_stopping: Callable[[], bool],
     ) -> None:
-        self._client = client
-        self._dialect = dialect
-        self._catalogue = catalogue
-        self._suspicions = suspicions
-        self._ledger = ledger
+        self._context = context
+        self._client = context.client
+        self._dialect = context.dialect
+        self._catalogue = context.catalogue
+        self._suspicions = context.suspicions
+        self._ledger = context.ledger
+        self._read_clock = context.read_clock
         self._watch = watch
-        self._find_allowance = find_allowance
-        self._count_instances = count_instances
-        self._data_centre = data_centre
-        self._read_clock = read_clock
         self._is_stopping = is_stopping
         finder = PathFinder(
-            catalogue=catalogue,
-            suspicions=suspicions,
-            ledger=ledger,
-            read_clock=read_clock,
+            catalogue=context.catalogue,
+            suspicions=context.suspicions,
+            ledger=context.ledger,
+            read_clock=context.read_clock,
         )
         pipe = PipeGate(
-            catalogue=catalogue,
-            count_instances=count_instances,
-            read_clock=read_clock,
+            catalogue=context.catalogue,
+            count_instances=context.count_instances,
+            read_clock=context.read_clock,
         )
         self._room = RoomQueue(
-            finder=finder, pipe=pipe, catalogue=catalogue, read_clock=read_clock
+            finder=finder,
+            pipe=pipe,
+            catalogue=context.catalogue,
+            read_clock=context.read_clock,
         )
         #: Looks after the open streams; the instance runs it.
         self.keeper = StreamKeeper(
-            dialect=dialect,
-            catalogue=catalogue,
-            suspicions=suspicions,
-            ledger=ledger,
-            watch=watch,
-            finder=finder,
-            pipe=pipe,
-            read_clock=read_clock,
+            context=context, watch=watch, finder=finder, pipe=pipe
         )
 
     async def serve(self, work: Work) -> web.StreamResponse:
@@ -140,34 +124,20 @@
         return PathRequest(
             prompt=facts.prompt_tokens or engine.usual_prompt,
             answer=expected,
-            data_centre=self._data_centre,
+            data_centre=self._context.data_centre,
         )
 
     def _require_repeat(
         self, work: Work, end: AttemptEnded, answer: web.StreamResponse | None
     ) -> None:
         """Take one more attempt; raises what the caller is told if there is none."""
-        now = self._read_clock()
-        most_attempts = work.route.most_attempts
-        may_run = end.is_not_run or (
-            work.route.may_repeat and work.runs < most_attempts
-        )
-        if now < work.deadline and may_run:
-            if work.attempts <= most_attempts and self._find_allowance(
-                work.service
-            ).take_repeat(instances=self._count_instances(), now=now):
-                return
+        if self._context.take_repeat(work):
+            return
         if answer is not None:
             raise Cut(cause=end.cause)
-        if now >= work.deadline:
-            raise Refused(ResultCode.DEADLINE_PASSED, cause=end.cause)
-        if work.runs == 0:
-            raise Refused(
-                ResultCode.TARGET_REFUSED,
-                cause=end.cause,
-                retry_after_s=FULL_RETRY_S,
-            )
-        raise Refused(ResultCode.OUTCOME_UNKNOWN, cause=end.cause)
+        raise self._context.make_refusal(
+            work, cause=end.cause, retry_after_s=FULL_RETRY_S
+        )
 
     async def _run_attempt(
         self, work: Work, attempt: Attempt, answer: web.StreamResponse | None
@@ -244,11 +214,7 @@
         if response.status == 200 and is_own and facts.is_signed:
             return None
         self._suspicions.note_failed(attempt.first.target, now=now)
-        may_repeat = (
-            work.route.may_repeat
-            and work.runs + 1 < work.route.most_attempts
-            and now < work.deadline
-        )
+        may_repeat = may_run_again(work.make_tally(), now=now)
         if answer is not None or may_repeat or not (is_own and facts.is_signed):
             cause = f"failed, {response.status}"
             raise AttemptEnded(cause=cause, is_not_run=False)
--- a/packages/router/fulmarward_router/exchange/_front.py
+++ b/packages/router/fulmarward_router/exchange/_front.py
@@ -50,15 +50,13 @@
     ResultCode.PATH_UNKNOWN: 404,
     ResultCode.TEAM_KEY_WRONG: 401,
     ResultCode.HEADER_MALFORMED: 400,
+    ResultCode.HEADERS_TOO_LARGE: 431,
     ResultCode.BODY_MALFORMED: 400,
     ResultCode.BODY_TOO_LARGE: 413,
     ResultCode.DEADLINE_PASSED: 504,
     ResultCode.OUTCOME_UNKNOWN: 502,
 }
 
-#: HTTP status of headers that are too large; it has no number of its own.
-_HEADERS_TOO_LARGE_STATUS = 431
-
 
 class CallerServer(web.Server):
     """Accepts callers' connections under the idle time that is in force."""
@@ -226,7 +224,7 @@
         size = len(request.method) + len(request.raw_path) + 12
         size += sum(len(k) + len(v) + 4 for k, v in request.raw_headers)
         if size > configuration.limits.header_bytes:
-            raise Refused(ResultCode.HEADER_MALFORMED, cause="headers too large")
+            raise Refused(ResultCode.HEADERS_TOO_LARGE, cause="headers too large")
 
     async def _read_body(
         self, request: web.BaseRequest, configuration: RoutingConfiguration
@@ -251,8 +249,6 @@
         self, request: web.BaseRequest, work: Work | None, refusal: Refused
     ) -> web.Response:
         status = _STATUSES.get(refusal.code, 503)
-        if refusal.cause == "headers too large":
-            status = _HEADERS_TOO_LARGE_STATUS
         headers = {"Content-Type": "application/json"}
         if refusal.retry_after_s is not None:
             headers["Retry-After"] = f"{refusal.retry_after_s:g}"
--- a/packages/router/fulmarward_router/exchange/_keeping.py
+++ b/packages/router/fulmarward_router/exchange/_keeping.py
@@ -1,21 +1,19 @@
 """Keeping open streams alive: around lost targets, and off those that leave."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 from dataclasses import replace
 
 from fulmarward.observability import log_event
-from fulmarward_core.catalogue import TargetCatalogue
-from fulmarward_core.loads import LoadLedger
 from fulmarward_core.paths import Hop, count_tokens_held
+from fulmarward_core.repeats import may_run_again
 from fulmarward_core.stalls import LEAST_STILL_S, StreamView, find_still_targets
-from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_router.exchange._attempt import Attempt, AttemptEnded, describe_path
+from fulmarward_router.exchange._context import ServiceContext
 from fulmarward_router.exchange._pipe import PipeGate
 from fulmarward_router.exchange._stages import PathFinder
 from fulmarward_router.exchange._watching import LossWatch
-from fulmarward_router.exchange._work import Work
-from fulmarward_router.ports import OrderOutcome, TargetDialect
+from fulmarward_router.ports import OrderOutcome
 
 #: Seconds without a first event, and between events, after which the first target is
 #: asked what the request waits for. Load: usual first events come after 100 to 200 ms
@@ -53,23 +51,23 @@
     def __init__(
         self,
         *,
-        dialect: TargetDialect,
-        catalogue: TargetCatalogue,
-        suspicions: SuspicionTable,
-        ledger: LoadLedger,
+        context: ServiceContext,
         watch: LossWatch,
         finder: PathFinder,
         pipe: PipeGate,
-        read_clock: Callable[[], float],
     ) -> None:
-        self._dialect = dialect
-        self._catalogue = catalogue
-        self._suspicions = suspicions
-        self._ledger = ledger
+        self._dialect = context.dialect
+        self._catalogue = context.catalogue
+        self._suspicions = context.suspicions
+        self._ledger = context.ledger
+        self._read_clock = context.read_clock
         self._watch = watch
         self._finder = finder
         self._pipe = pipe
-        self._read_clock = read_clock
+        #: Names of the targets that are leaving, and the revision of the catalogue
+        #: that this holds for.
+        self._leaving: frozenset[str] = frozenset()
+        self._leaving_revision = -1
         #: Attempts under way, by the id of their object.
         self._open: dict[int, Attempt] = {}
         #: When a stream was last led off a leaving target.
@@ -126,11 +124,7 @@
         """
         if now - self._led_at < LEAD_PAUSE_S:
             return
-        leaving = {
-            record.name
-            for record in self._catalogue.list_targets(now=now)
-            if record.is_leaving
-        }
+        leaving = self._list_leaving(now)
         if not leaving:
             return
         for attempt in list(self._open.values()):
@@ -142,6 +136,17 @@
             self._start_task(attempt, self._repath(attempt, hops, must=False))
             return
 
+    def _list_leaving(self, now: float) -> frozenset[str]:
+        """Return the names of the targets that are leaving."""
+        if self._leaving_revision != self._catalogue.revision:
+            self._leaving_revision = self._catalogue.revision
+            self._leaving = frozenset(
+                record.name
+                for record in self._catalogue.list_targets(now=now)
+                if record.is_leaving
+            )
+        return self._leaving
+
     def _probe_still(self, now: float) -> None:
         """Ask the targets at which all streams stand still whether they live.
 
@@ -233,7 +238,7 @@
             raise AttemptEnded(cause="no way around a lost target", is_not_run=False)
         if (
             must
-            and self._may_resume(work)
+            and may_run_again(work.make_tally(), now=self._read_clock())
             and not self._pipe.take(engine, wanted, path, known=attempt.path)
         ):
             raise AttemptEnded(
@@ -264,10 +269,6 @@
         attempt.checks = 0
         work.targets = tuple(hop.target for hop in path)
 
-    def _may_resume(self, work: Work) -> bool:
-        """Return whether one more attempt would be allowed after this one."""
-        return work.route.may_repeat and work.runs + 1 < work.route.most_attempts
-
     def _hold_against(self, path: tuple[Hop, ...], address: str) -> None:
         for hop in path:
             if hop.address == address:
--- a/packages/router/fulmarward_router/exchange/_plain.py
+++ b/packages/router/fulmarward_router/exchange/_plain.py
@@ -1,19 +1,17 @@
 """Requests of plain services: one target does the work and answers whole."""
 
 import asyncio
-from collections.abc import Callable
 
 from aiohttp import web
 
 from fulmarward.observability import log_event
-from fulmarward_core.catalogue import TargetCatalogue
 from fulmarward_core.fleet import TargetRecord
-from fulmarward_core.loads import LoadLedger, RepeatAllowance
+from fulmarward_core.repeats import may_run_again
 from fulmarward_core.results import ResultCode
-from fulmarward_core.suspicion import SuspicionTable
-from fulmarward_router.exchange._send import AnswerLost, NotSent, TargetClient
+from fulmarward_router.exchange._context import ServiceContext
+from fulmarward_router.exchange._send import AnswerLost, NotSent
 from fulmarward_router.exchange._work import Refused, Work
-from fulmarward_router.ports import AnswerFacts, TargetCall, TargetDialect
+from fulmarward_router.ports import AnswerFacts, TargetCall
 
 #: Requests that a target is given at once, as a multiple of its slots. Load: bursts
 #: of work of about 20 ms with an objective of 100 ms; harm: what waits longer than
@@ -41,28 +39,14 @@
 class PlainService:
     """Serves requests of services without engines."""
 
-    def __init__(
-        self,
-        *,
-        client: TargetClient,
-        dialect: TargetDialect,
-        catalogue: TargetCatalogue,
-        suspicions: SuspicionTable,
-        ledger: LoadLedger,
-        find_allowance: Callable[[str], RepeatAllowance],
-        count_instances: Callable[[], int],
-        data_centre: str,
-        read_clock: Callable[[], float],
-    ) -> None:
-        self._client = client
-        self._dialect = dialect
-        self._catalogue = catalogue
-        self._suspicions = suspicions
-        self._ledger = ledger
-        self._find_allowance = find_allowance
-        self._count_instances = count_instances
-        self._data_centre = data_centre
-        self._read_clock = read_clock
+    def __init__(self, *, context: ServiceContext) -> None:
+        self._context = context
+        self._client = context.client
+        self._dialect = context.dialect
+        self._catalogue = context.catalogue
+        self._suspicions = context.suspicions
+        self._ledger = context.ledger
+        self._read_clock = context.read_clock
 
     async def serve(self, work: Work) -> web.StreamResponse:
         """Return the answer of a target; raises `Refused`."""
@@ -81,37 +65,16 @@
             finally:
                 self._ledger.release(promise)
             if isinstance(answer, web.Response):
-                if answer.status < 500 or not self._may_repeat(work):
+                if answer.status < 500:
                     return answer
                 last_failure = answer
-            if not self._take_repeat(work):
+            if not self._context.take_repeat(work):
                 if last_failure is not None:
                     return last_failure
                 raise self._make_refusal(work, "no more attempts")
 
-    def _may_repeat(self, work: Work) -> bool:
-        """Whether a request that may have run may be sent again."""
-        is_allowed = work.route.may_repeat and work.runs < work.route.most_attempts
-        return is_allowed and self._read_clock() < work.deadline
-
-    def _take_repeat(self, work: Work) -> bool:
-        """Take an attempt more, if the route and the allowance of all have one."""
-        if work.runs > 0 and not self._may_repeat(work):
-            return False
-        if work.attempts > work.route.most_attempts:
-            return False
-        return self._find_allowance(work.service).take_repeat(
-            instances=self._count_instances(), now=self._read_clock()
-        )
-
     def _make_refusal(self, work: Work, cause: str) -> Refused:
-        """Return the truthful end of a request that no target answered."""
-        if work.runs == 0:
-            code = ResultCode.TARGET_REFUSED
-            return Refused(code, cause=cause, retry_after_s=FULL_RETRY_S)
-        if self._read_clock() >= work.deadline:
-            return Refused(ResultCode.DEADLINE_PASSED, cause=cause)
-        return Refused(ResultCode.OUTCOME_UNKNOWN, cause=cause)
+        return self._context.make_refusal(work, cause=cause, retry_after_s=FULL_RETRY_S)
 
     async def _find_place(
         self, work: Work, tried: set[str], last_failure: web.Response | None
@@ -158,7 +121,7 @@
         def measure(record: TargetRecord) -> float:
             load = loads.get(record.name)
             fill = (load.running if load else 0) / max(1, record.slots)
-            is_far = record.data_centre != self._data_centre
+            is_far = record.data_centre != self._context.data_centre
             return fill + FAR_WEIGHT * is_far + 1.0 * (record.cold_s > 0)
 
         def has_place(record: TargetRecord) -> bool:
@@ -186,7 +149,7 @@
             urgency=None,
         )
         limit = work.deadline
-        if self._may_repeat(work) and work.runs + 1 < work.route.most_attempts:
+        if may_run_again(work.make_tally(), now=now):
             limit = min(limit, now + GIVE_UP_S)
         response = None
         try:
--- a/packages/router/fulmarward_router/exchange/_stages.py
+++ b/packages/router/fulmarward_router/exchange/_stages.py
@@ -74,6 +74,5 @@
         kv_promised=load.kv,
         running=load.running,
         first_running=load.first_running,
-        pace=1.0,
         is_usable=is_usable,
     )
--- a/packages/router/fulmarward_router/exchange/_work.py
+++ b/packages/router/fulmarward_router/exchange/_work.py
@@ -5,6 +5,7 @@
 
 from aiohttp import web
 
+from fulmarward_core.repeats import RequestTally
 from fulmarward_core.results import ResultCode
 from fulmarward_core.routes import Route, RoutingConfiguration, Team
 from fulmarward_router.ports import CallerFacts
@@ -45,6 +46,16 @@
     repaths: int = 0
     resumes: int = 0
 
+    def make_tally(self) -> RequestTally:
+        """Return its attempts and bounds, for deciding on another attempt."""
+        return RequestTally(
+            attempts=self.attempts,
+            runs=self.runs,
+            most_attempts=self.route.most_attempts,
+            is_repeatable=self.route.may_repeat,
+            deadline=self.deadline,
+        )
+
 
 class Refused(Exception):
     """The request gets a final answer of this instance's own.
--- a/packages/router/fulmarward_router/ports.py
+++ b/packages/router/fulmarward_router/ports.py
@@ -230,10 +230,6 @@
     layers: LayerRange | None
     #: Orders that it has accepted since its start.
     orders_accepted: int
-    #: Whether it is carrying one out.
-    is_busy: bool
-    #: Factor on its times: over 1 when it is slow.
-    pace: float
     #: Requests that wait for a lost target; only of those it is the first hop of.
     stalled: tuple[StalledRequest, ...] = field(default=())
 
