A new configuration is asked for at one peer at a time; pauses are told whole

Each instance asked every peer whose heartbeat told of the new version for the whole row; the answers filled its link (10 Mbit/s) and probes of 35 ms failed. Change: a question for the configuration each 0.2 s, whoever is asked. Besides, the log's longest pause of a stream runs from event to event that the caller was given; a stream led around a lost target was told with the part after it only, so that answers that came late looked sound.

--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -270,9 +270,7 @@
                 raise attempt.end
             if not data:
                 break
-            pause_s = self.keeper.note_heard(attempt)
-            if work.answered_at is not None:
-                work.longest_pause_s = max(work.longest_pause_s, pause_s)
+            self.keeper.note_heard(attempt)
             await self._give_on(work, splitter, data, answer)
         if splitter.pending:
             raise AttemptEnded(cause="ended inside an event", is_not_run=False)
@@ -289,8 +287,7 @@
             last = event.id if event.id is not None else last
         if not chunks:
             return
-        if work.answered_at is None:
-            work.answered_at = self._read_clock()
+        work.note_given(now=self._read_clock())
         await answer.write(b"".join(chunks))
         work.last_event = last
 
--- a/packages/router/fulmarward_router/exchange/_keeping.py
+++ b/packages/router/fulmarward_router/exchange/_keeping.py
@@ -84,8 +84,8 @@
         """Look after an attempt no more."""
         self._open.pop(id(attempt), None)
 
-    def note_heard(self, attempt: Attempt) -> float:
-        """Note a sign of life; return the seconds since the last one."""
+    def note_heard(self, attempt: Attempt) -> None:
+        """Note a sign of life."""
         now = self._read_clock()
         pause_s = now - attempt.heard_at
         if attempt.has_begun:
@@ -93,7 +93,6 @@
         attempt.heard_at = now
         attempt.checks = 0
         attempt.has_begun = True
-        return pause_s
 
     async def run(self) -> None:
         """Look at all open streams again and again, until cancelled.
--- a/packages/router/fulmarward_router/exchange/_work.py
+++ b/packages/router/fulmarward_router/exchange/_work.py
@@ -36,8 +36,10 @@
     runs: int = 0
     #: Targets of the last attempt, for the log.
     targets: tuple[str, ...] = field(default=())
-    #: When the first byte of the answer went out, `None` before.
+    #: When the first event of the answer went out and when the last one did, `None`
+    #: before; seconds on the steady clock.
     answered_at: float | None = None
+    given_at: float | None = None
     #: Last event that the caller was given, `None` before the first.
     last_event: str | None = None
     #: Longest pause between two writes to the caller, seconds.
@@ -46,6 +48,19 @@
     repaths: int = 0
     resumes: int = 0
 
+    def note_given(self, *, now: float) -> None:
+        """Note that events go out to the caller.
+
+        The pause before them counts whatever happened in it: that the stream was led
+        around a lost target, or begun anew at another one.
+        """
+        if self.answered_at is None:
+            self.answered_at = now
+        else:
+            pause_s = now - self.given_at
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        self.given_at = now
+
     def make_tally(self) -> RequestTally:
         """Return its attempts and bounds, for deciding on another attempt."""
         return RequestTally(
--- a/packages/router/fulmarward_router/state/_news.py
+++ b/packages/router/fulmarward_router/state/_news.py
@@ -26,6 +26,13 @@
 #: each heartbeat of each of them; reason: less than a reading's pause.
 ASK_PAUSE_S = 0.2
 
+#: Seconds between two questions for the configuration. Load: a new version, which all
+#: peers tell of within a moment, in a row of up to 64 KB; harm: with a question to each
+#: of 76 peers, the answers fill a link of 10 Mbit/s for two seconds, and whoever is
+#: probed meanwhile seems to be lost; reason: an answer comes within a tenth of it, and
+#: a peer that gives none delays the new version by no more than this.
+ASK_CONFIGURATION_PAUSE_S = 0.2
+
 #: Age in ms that says "never".
 _NEVER_MS = -1
 
@@ -64,6 +71,7 @@
         self._note_change = note_change
         self._note_news = note_news
         self._asked_at = float("-inf")
+        self._asked_configuration_at = float("-inf")
 
     def make_beat(self, *, has_loads: bool = True) -> Beat:
         """Return this instance's heartbeat, with its load or without."""
@@ -130,7 +138,9 @@
         questions: list[AskConfiguration | AskTargets] = []
         own = self._configuration.version
         if beat.configuration_version > own:
-            questions.append(AskConfiguration(version=own))
+            if now - self._asked_configuration_at >= ASK_CONFIGURATION_PAUSE_S:
+                self._asked_configuration_at = now
+                questions.append(AskConfiguration(version=own))
         elif beat.configuration_version == own and beat.configuration_age_ms >= 0:
             at = now - beat.configuration_age_ms / 1000
             holder = self._configuration
--- a/packages/router/fulmarward_router/tests/test_knowledge.py
+++ b/packages/router/fulmarward_router/tests/test_knowledge.py
@@ -99,6 +99,20 @@
         self.assertEqual(self.two.configuration.version, 7)
         self.assertEqual(self.two.catalogue.version, 5)
 
+    def test_new_configuration_is_asked_for_once_though_all_peers_tell_of_it(self):
+        # The operator changes the configuration and 76 peers tell of it in the same
+        # moment. Each was asked for the whole row; the answers filled the link for two
+        # seconds, targets did not answer probes in time and were taken for lost.
+        peers = [_Peer(f"peer{number}") for number in range(76)]
+        for peer in peers:
+            peer.configuration.take_row(_make_row(4, b"7"), source="x", now=100.0)
+        beats = [peer.knowledge.make_beat() for peer in peers]
+        questions = [q for beat in beats for q in self.one.knowledge.take_beat(beat)]
+        self.assertEqual(questions, [AskConfiguration(version=0)])
+        self.one.now += 0.25
+        asked_again = self.one.knowledge.take_beat(beats[0])
+        self.assertEqual(asked_again, [AskConfiguration(version=0)])
+
     def test_older_news_change_nothing(self):
         self.one.configuration.take_row(_make_row(4, b"7"), source="store", now=100.0)
         self.two.configuration.take_row(_make_row(9, b"8"), source="store", now=100.0)
