Many instances are linked within their data centre and through two hubs of each

Cause: 77 instances kept 5,852 links and sent 2,700 heartbeats a second between data centres, and of targets elsewhere each knew no load but its own, so that they looked idle and instances of two data centres sent their streams to the third. Ruled out: heartbeats less often (a killed instance stays in the lookup longer); telling all loads everywhere (the bytes are what costs). Change: fulmarward_core.overlay chooses the links: all of the own data centre; two hubs of each, found by name among those that live, linked to each other's. Hubs tell of the instances and the summed load of a data centre each second, at once when one comes or goes, with its age, so that the newest word counts whoever tells it. Up to 16 instances all stays as it was. A link that is closed in order says nothing of its peer. Heartbeats keep 50 ms between them however much there is to tell.

--- a/packages/core/fulmarward_core/loads/_ledger.py
+++ b/packages/core/fulmarward_core/loads/_ledger.py
@@ -50,6 +50,8 @@
         self._own: dict[str, TargetLoad] = {}
         self._open: dict[int, Promise] = {}
         self._told: dict[str, tuple[float, Mapping[str, TargetLoad]]] = {}
+        #: Sums of other data centres, by their name.
+        self._centres: dict[str, tuple[float, Mapping[str, TargetLoad]]] = {}
         self._last = 0
 
     def promise(self, path: Iterable[Hop], tokens: int) -> Promise:
@@ -97,13 +99,35 @@
         """Take in what a peer tells of its own load."""
         self._told[peer] = (now, loads)
 
+    def take_centre(
+        self, data_centre: str, loads: Mapping[str, TargetLoad], *, now: float
+    ) -> None:
+        """Take in the load of all instances of another data centre together."""
+        self._centres[data_centre] = (now, loads)
+
+    def find_centre_load(self, data_centre: str) -> Mapping[str, TargetLoad]:
+        """Return what was last told of another data centre."""
+        return self._centres.get(data_centre, (0.0, {}))[1]
+
+    def sum_nearby(self, *, now: float) -> dict[str, TargetLoad]:
+        """Return the load by target of this instance and those that it is linked to."""
+        return _sum_told(dict(self._own), self._told, now)
+
     def sum_loads(self, *, now: float) -> dict[str, TargetLoad]:
-        """Return the load by target, of this instance and all peers."""
-        total = dict(self._own)
-        for peer, (at, loads) in list(self._told.items()):
-            if now - at > _TOLD_S:
-                del self._told[peer]
-                continue
-            for target, load in loads.items():
-                total[target] = _add(total.get(target, _NO_LOAD), load)
-        return total
+        """Return the load by target, of this instance and all others."""
+        return _sum_told(self.sum_nearby(now=now), self._centres, now)
+
+
+def _sum_told(
+    total: dict[str, TargetLoad],
+    told: dict[str, tuple[float, Mapping[str, TargetLoad]]],
+    now: float,
+) -> dict[str, TargetLoad]:
+    """Add what was told lately to `total`; forget what is older."""
+    for teller, (at, loads) in list(told.items()):
+        if now - at > _TOLD_S:
+            del told[teller]
+            continue
+        for target, load in loads.items():
+            total[target] = _add(total.get(target, _NO_LOAD), load)
+    return total
--- a/packages/core/fulmarward_core/loads/tests/test_loads.py
+++ b/packages/core/fulmarward_core/loads/tests/test_loads.py
@@ -31,6 +31,18 @@
         self.assertEqual(ledger.sum_loads(now=9.0), {})
 
 
+class DataCentreLoadTest(unittest.TestCase):
+    def test_sum_of_another_data_centre_counts_and_is_not_told_back(self):
+        # Loads of single instances are told within their data centre only. Without the
+        # others' sums a target elsewhere looks idle, and all send their requests there.
+        ledger = LoadLedger()
+        ledger.take_told("peer", {"a": TargetLoad(running=2)}, now=0.0)
+        ledger.take_centre("far", {"a": TargetLoad(running=7)}, now=0.0)
+        self.assertEqual(ledger.sum_loads(now=0.1)["a"].running, 9)
+        self.assertEqual(ledger.sum_nearby(now=0.1)["a"].running, 2)
+        self.assertEqual(ledger.sum_loads(now=9.0), {})
+
+
 class RepeatAllowanceTest(unittest.TestCase):
     @given(
         st.integers(1, 9),
--- /dev/null
+++ b/packages/core/fulmarward_core/overlay/__init__.py
@@ -0,0 +1,12 @@
+"""Which instances an instance keeps links to."""
+
+from fulmarward_core.overlay.decisions import (
+    FULL_MESH,
+    HUBS,
+    TRIED,
+    Node,
+    choose_hubs,
+    choose_links,
+)
+
+__all__ = ["FULL_MESH", "HUBS", "TRIED", "Node", "choose_hubs", "choose_links"]
--- a/packages/router/fulmarward_router/_status.py
+++ b/packages/router/fulmarward_router/_status.py
@@ -55,7 +55,7 @@
                 "name": member.told.name,
                 "data_centre": member.told.data_centre,
                 "heard_s_ago": round(now - member.heard_at, 3),
-                "is_ready": member.beat is not None and member.beat.is_ready,
+                "is_ready": member.state is not None and member.state.is_ready,
             }
             for member in instance.members.list_all()
         ],
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -156,7 +156,7 @@
             peer_address=settings.peer_address,
             caller_address=settings.caller_address,
         )
-        self.members = MemberTable(own_name=settings.name)
+        self.members = MemberTable(own=self.own)
         self.catalogue = TargetCatalogue()
         self.suspicions = SuspicionTable()
         self.ledger = LoadLedger()
--- a/packages/router/fulmarward_router/mesh/__init__.py
+++ b/packages/router/fulmarward_router/mesh/__init__.py
@@ -1,13 +1,15 @@
-"""What instances tell each other, each on its own link to every other one."""
+"""What instances tell each other, on links of their own or through hubs."""
 
 from fulmarward_router.mesh._codec import decode_message, encode_message
 from fulmarward_router.mesh._links import Mesh, MeshNews
-from fulmarward_router.mesh._members import Member, MemberTable
+from fulmarward_router.mesh._members import Member, MemberState, MemberTable
 from fulmarward_router.mesh._messages import (
     AskConfiguration,
     AskTargets,
     Beat,
     ConfigurationNews,
+    DataCentreNews,
+    InstanceTold,
     LoadTold,
     LossTold,
     MemberTold,
@@ -20,9 +22,12 @@
     "AskTargets",
     "Beat",
     "ConfigurationNews",
+    "DataCentreNews",
+    "InstanceTold",
     "LoadTold",
     "LossTold",
     "Member",
+    "MemberState",
     "MemberTable",
     "MemberTold",
     "Mesh",
--- a/packages/router/fulmarward_router/mesh/_links.py
+++ b/packages/router/fulmarward_router/mesh/_links.py
@@ -12,12 +12,14 @@
 from fulmarward.observability import log_event
 from fulmarward_core.codec import MessageFault
 from fulmarward_router.mesh._codec import decode_message, encode_message
-from fulmarward_router.mesh._members import BEAT_S, MemberTable
+from fulmarward_router.mesh._members import BEAT_S, CENTRE_NEWS_S, MemberTable
 from fulmarward_router.mesh._messages import (
     AskConfiguration,
+    AskInstances,
     AskTargets,
     Beat,
     ConfigurationNews,
+    DataCentreNews,
     Introduce,
     MemberTold,
     TargetsNews,
@@ -33,10 +35,37 @@
 OPEN_S = 0.6
 PING_S = 1.0
 
+#: Seconds between two pings of a link that a peer dialled. Load: a peer that fell
+#: silent for good; harm: its link is held open; reason: its missing heartbeats tell of
+#: it long before, so this only frees the link.
+ACCEPTED_PING_S = 20.0
+
+#: Least seconds between two heartbeats on a link. Load: many instances or targets are
+#: lost in the same moment, and each loss is told at once; harm: a heartbeat of 1 KB to
+#: each of 25 peers, 20 times within a moment, fills a link of 10 Mbit/s for 0.4 s;
+#: reason: short against the second in which an instance is to leave the lookup.
+LEAST_BEAT_S = 0.05
+
+#: Seconds between two questions for the instances. Load: all start at once and hear of
+#: each other through the same hub; harm: each answer tells of all of them.
+ASK_INSTANCES_S = 0.5
+
+#: Seconds for which a link is kept that is not wanted. Reason: a seed tells of the
+#: others on it.
+UNWANTED_S = 1.0
+
 #: Seconds before a link that failed is dialled again, growing to the most.
 RETRY_S = 0.2
 MOST_RETRY_S = 2.0
 
+#: Seconds after its start in which an instance is no hub. Load: all begin at once;
+#: harm: each finds nobody before it and links to the other data centres; reason: two
+#: heartbeats.
+HUB_AFTER_S = 1.0
+
+#: How often a seed is dialled that is not known to be an instance.
+SEED_TRIES = 5
+
 #: Largest message. Reason: the configuration's row has at most 64 KB, and the rows of
 #: 4,100 targets are told in parts.
 MOST_BYTES = 4 << 20
@@ -59,6 +88,12 @@
     def take_news(self, news: ConfigurationNews | TargetsNews) -> None:
         """Take in what a peer answered."""
 
+    def make_centre_news(self, data_centre: str) -> DataCentreNews:
+        """Return what this instance, as a hub, tells of a data centre."""
+
+    def take_centre_news(self, news: DataCentreNews) -> None:
+        """Take in the loads that a hub tells of."""
+
 
 class Mesh:
     """One task for each link that this instance dials and for each that it accepts."""
@@ -81,6 +116,11 @@
         self._stirred = asyncio.Event()
         #: Heartbeats encoded lately, with loads and without: when, for which stir.
         self._encoded: dict[bool, tuple[float, asyncio.Event, bytes]] = {}
+        #: Peer addresses to keep links to, and whether this instance is a hub.
+        self._wanted: frozenset[str] = frozenset()
+        self._is_hub = False
+        self._asked_instances_at = float("-inf")
+        self._began_at = read_clock()
 
     def stir(self) -> None:
         """Send heartbeats now: something changed that peers should hear at once."""
@@ -93,14 +133,23 @@
             if seed != self._own.peer_address:
                 self._dial(seed, is_seed=True)
         while True:
-            now = self._read_clock()
-            self._members.forget_silent(now=now)
-            wanted = {m.told.peer_address for m in self._members.list_all()}
-            for address in wanted:
-                if address != self._own.peer_address:
-                    self._dial(address, is_seed=False)
+            self._choose_links(self._read_clock())
             await asyncio.sleep(BEAT_S)
 
+    def _choose_links(self, now: float) -> None:
+        """Dial whoever is to be linked; other links end by themselves."""
+        self._members.forget_silent(now=now)
+        # An instance that has just begun knows of nobody yet, and would be a hub.
+        may_be_hub = now - self._began_at >= HUB_AFTER_S
+        links = self._members.list_links(may_be_hub=may_be_hub, now=now)
+        self._wanted = links - {self._own.peer_address, ""}
+        is_hub = self._members.is_hub(may_be_hub=may_be_hub, now=now)
+        if is_hub != self._is_hub:
+            self._is_hub = is_hub
+            log_event("hub_changed", is_hub=is_hub, links=len(self._wanted))
+        for address in self._wanted:
+            self._dial(address, is_seed=False)
+
     async def close(self) -> None:
         """End all dialled links."""
         for task in self._dialling.values():
@@ -113,14 +162,11 @@
         self._dialling[address] = task
         task.add_done_callback(lambda _: self._dialling.pop(address, None))
 
-    def _is_wanted(self, address: str) -> bool:
-        return any(m.told.peer_address == address for m in self._members.list_all())
-
     async def _keep_link(self, address: str, *, is_seed: bool) -> None:
         """Dial an address again and again while an instance is known there."""
         pause_s = RETRY_S
         tries = 0
-        while tries < 5 if is_seed else self._is_wanted(address):
+        while address in self._wanted or (is_seed and tries < SEED_TRIES):
             try:
                 async with connect(
                     f"ws://{address}",
@@ -133,7 +179,7 @@
                     proxy=None,
                 ) as link:
                     log_event("peer_linked", peer=address)
-                    pause_s = RETRY_S
+                    pause_s, tries = RETRY_S, SEED_TRIES
                     await self._speak(link, address)
             except (OSError, TimeoutError, WebSocketException) as error:
                 log_event("peer_link_lost", peer=address, cause=repr(error))
@@ -143,18 +189,50 @@
 
     async def _speak(self, link: Connection, address: str) -> None:
         """Introduce this instance, then send heartbeats."""
-        known = tuple(member.told for member in self._members.list_all())
-        await self._send(link, Introduce(sender=self._own, known=known))
+        await self._send(link, self._introduce(is_answer=False))
+        if self._must_ask_instances():
+            await self._send(link, AskInstances())
         listener = asyncio.create_task(self._listen(link, set()))
+        teller = _CentreTeller(members=self._members, news=self._news)
+        unwanted_at = self._read_clock()
         try:
             while not listener.done():
                 stirred = self._stirred
+                now = self._read_clock()
+                if address in self._wanted:
+                    unwanted_at = now
+                elif now - unwanted_at > UNWANTED_S:
+                    log_event("peer_link_ended", peer=address)
+                    return
                 await self._send_data(link, self._encode_beat(address))
+                if self._is_hub:
+                    centre = self._members.find_data_centre(address)
+                    for news in teller.list_due(self._own.data_centre, centre, now=now):
+                        await self._send(link, news)
                 await _wait_first(stirred, listener, self._members.beat_pause_s)
+                await asyncio.sleep(LEAST_BEAT_S)
             listener.result()
         finally:
             listener.cancel()
 
+    def _introduce(self, *, is_answer: bool) -> Introduce:
+        """Return the first message of a link, or the answer to a question.
+
+        Where there are many instances, the others are told of only to who asks.
+        """
+        known: tuple[MemberTold, ...] = ()
+        if is_answer or not self._members.is_large:
+            known = tuple(member.told for member in self._members.list_all())
+        return Introduce(sender=self._own, known=known)
+
+    def _must_ask_instances(self) -> bool:
+        """Whether to ask now for the instances that a peer knows."""
+        now = self._read_clock()
+        if now - self._asked_instances_at < ASK_INSTANCES_S:
+            return False
+        self._asked_instances_at = now
+        return True
+
     async def _listen(self, link: Connection, senders: set[str]) -> None:
         """Hear what comes on a link; `senders` collects who sent heartbeats."""
         async for data in link:
@@ -176,6 +254,13 @@
             self._members.take_beat(message, now=now)
             for question in self._news.take_beat(message):
                 await self._send(link, question)
+        elif isinstance(message, AskInstances):
+            await self._send(link, self._introduce(is_answer=True))
+        elif isinstance(message, DataCentreNews):
+            self._news.take_centre_news(message)
+            has_unknown = self._members.take_news(message, now=now)
+            if has_unknown and self._must_ask_instances():
+                await self._send(link, AskInstances())
         elif isinstance(message, AskConfiguration | AskTargets):
             answer = self._news.answer(message)
             if answer is not None:
@@ -186,8 +271,8 @@
     def _encode_beat(self, address: str) -> bytes:
         """Return the heartbeat for a peer; one encoding serves many for a moment.
 
-        Where there are many instances, loads are told within the data centre only:
-        bytes between data centres are dear, and paths stay within one.
+        Where there are many instances, each one's loads are told within the data
+        centre only; the hubs tell the others the sum.
         """
         has_loads = True
         if self._members.is_large:
@@ -210,14 +295,15 @@
 
     async def accept(self, link: Connection) -> None:
         """Hear a link that a peer dialled; questions go back on the same link."""
+        # A link that is closed in order says nothing of its peer: it may have become
+        # needless. A killed process sends no closing frame.
         senders: set[str] = set()
         try:
             await self._listen(link, senders)
         except (OSError, TimeoutError, WebSocketException) as error:
             log_event("peer_gone", peer=str(link.remote_address), cause=repr(error))
-        finally:
             for name in senders:
-                self._members.note_link_lost(name)
+                self._members.note_link_lost(name, now=self._read_clock())
 
     async def listen(self, address: str) -> Server:
         """Accept links of peers at `IP:PORT`."""
@@ -226,7 +312,7 @@
             self.accept,
             host,
             int(port),
-            ping_interval=PING_S,
+            ping_interval=ACCEPTED_PING_S,
             ping_timeout=PING_S,
             close_timeout=0.2,
             max_size=MOST_BYTES,
@@ -234,6 +320,29 @@
         )
 
 
+class _CentreTeller:
+    """What a hub still has to tell on one link."""
+
+    def __init__(self, *, members: MemberTable, news: MeshNews) -> None:
+        self._members = members
+        self._news = news
+        self._told_at = float("-inf")
+        self._told_revision = -1
+
+    def list_due(
+        self, own_centre: str, peer_centre: str | None, *, now: float
+    ) -> list[DataCentreNews]:
+        """Return what is due: the own data centre to others, the others at home."""
+        is_news = self._members.revision != self._told_revision
+        if not is_news and now - self._told_at < CENTRE_NEWS_S:
+            return []
+        self._told_at, self._told_revision = now, self._members.revision
+        centres = {own_centre}
+        if peer_centre == own_centre:
+            centres = self._members.list_data_centres() - {own_centre}
+        return [self._news.make_centre_news(name) for name in sorted(centres)]
+
+
 async def _wait_first(
     stirred: asyncio.Event, listener: asyncio.Task, seconds: float
 ) -> None:
--- a/packages/router/fulmarward_router/mesh/_members.py
+++ b/packages/router/fulmarward_router/mesh/_members.py
@@ -3,7 +3,13 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
-from fulmarward_router.mesh._messages import Beat, MemberTold
+from fulmarward_core.overlay import FULL_MESH, Node, choose_hubs, choose_links
+from fulmarward_router.mesh._messages import (
+    Beat,
+    DataCentreNews,
+    InstanceTold,
+    MemberTold,
+)
 
 #: Seconds without a heartbeat after which an instance is not given to callers. Load:
 #: heartbeats each 0.3 s over links that lose packets, and instances that are slowed
@@ -11,59 +17,140 @@
 #: heartbeats, so that one retransmission hides nobody.
 FRESH_S = 1.3
 
-#: Seconds between two heartbeats with up to `_FEW` instances; with more it grows, so
-#: that an instance's heartbeats cost alike. Load: FRESH_S decides who is given to
-#: callers; reason: four heartbeats fit in.
+#: Seconds between two heartbeats with up to `FULL_MESH` instances; with more linked
+#: ones it grows, so that an instance's heartbeats cost alike. Load: FRESH_S decides who
+#: is given to callers; reason: four heartbeats fit in.
 BEAT_S = 0.3
-_FEW = 16
 
 #: Heartbeats that may be missing before an instance counts as silent. Instances that
 #: are killed are noticed by the end of their links; this is for those that fall silent.
 _MISSING_BEATS = 3.0
 
+#: Words of a hub by which an instance of another data centre may be older: there the
+#: hub waits for its heartbeat and here for the next word, each passed on by one more.
+_HUB_WORDS = 2.0
+
+#: Seconds for which a hub tries the same few instances of a silent data centre. Reason:
+#: a link is made or fails within a second.
+TURN_S = 2.0
+
 #: Seconds without a heartbeat after which an instance is no longer dialled, unless the
 #: store still lists it. Reason: longer than a process takes to start again and a
 #: partition to heal.
 FORGET_S = 45.0
 
 
+#: Seconds between two words of a hub on a data centre where nothing changed there.
+#: Harm: bytes between data centres are dear; reason: news of an instance that comes or
+#: goes are told at once, this only shows that the rest lives.
+CENTRE_NEWS_S = 1.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class MemberState:
+    """What an instance says of itself."""
+
+    #: Whether it may be given to callers.
+    is_ready: bool
+    #: Whether it is stopping.
+    is_leaving: bool
+    #: Whether the store answers it.
+    is_store_reachable: bool
+
+
 @dataclass(frozen=True, kw_only=True)
 class Member:
     """Another instance."""
 
     #: What is told of it.
     told: MemberTold
-    #: Its last heartbeat, `None` before the first.
-    beat: Beat | None
+    #: What it last said, `None` before that and after its link was lost.
+    state: MemberState | None
     #: When it was last heard, or first told of; seconds on the steady clock.
     heard_at: float
+    #: When it was last heard or its link was lost: what is newer counts.
+    noted_at: float
+    #: Whether it was heard on a link of its own, not by the word of a hub.
+    is_direct: bool = True
 
 
 class MemberTable:
     """All other instances by name."""
 
-    def __init__(self, *, own_name: str) -> None:
-        self._own_name = own_name
+    def __init__(self, *, own: MemberTold) -> None:
+        self._own = own
         self._members: dict[str, Member] = {}
+        #: Rises whenever an instance comes, goes, or says something else of itself.
+        self.revision = 0
 
     def take_told(self, told: Iterable[MemberTold], *, now: float) -> None:
         """Learn of instances; a later start of one replaces an earlier one."""
         for item in told:
             known = self._members.get(item.name)
-            if item.name == self._own_name:
+            if item.name == self._own.name:
                 continue
             if known is None or item.boot > known.told.boot:
-                self._members[item.name] = Member(told=item, beat=None, heard_at=now)
+                self._put(Member(told=item, state=None, heard_at=now, noted_at=now))
 
     def take_beat(self, beat: Beat, *, now: float) -> None:
         """Take in a heartbeat; one of an earlier start says nothing."""
         name = beat.sender.name
         known = self._members.get(name)
-        if name == self._own_name or (known and beat.sender.boot < known.told.boot):
+        is_older = known is not None and beat.sender.boot < known.told.boot
+        if name == self._own.name or is_older:
             return
-        self._members[name] = Member(told=beat.sender, beat=beat, heard_at=now)
+        state = MemberState(
+            is_ready=beat.is_ready,
+            is_leaving=beat.is_leaving,
+            is_store_reachable=beat.is_store_reachable,
+        )
+        self._put(Member(told=beat.sender, state=state, heard_at=now, noted_at=now))
+
+    def take_news(self, news: DataCentreNews, *, now: float) -> bool:
+        """Take in a hub's word; return whether it tells of instances not known here."""
+        has_unknown = False
+        for item in news.instances:
+            known = self._members.get(item.name)
+            if item.name == self._own.name:
+                continue
+            if known is None or item.boot > known.told.boot:
+                has_unknown = True
+                continue
+            at = now - item.age_ms / 1000
+            if item.boot < known.told.boot or at <= known.noted_at:
+                continue
+            state = MemberState(
+                is_ready=item.is_ready,
+                is_leaving=item.is_leaving,
+                is_store_reachable=item.is_store_reachable,
+            )
+            self._put(
+                Member(
+                    told=known.told,
+                    state=state if item.is_alive else None,
+                    heard_at=at if item.is_alive else known.heard_at,
+                    noted_at=at,
+                    is_direct=False,
+                )
+            )
+        return has_unknown
+
+    def tell_of(self, data_centre: str, *, now: float) -> tuple[InstanceTold, ...]:
+        """Return what is known of the other instances of a data centre."""
+        fresh = {member.told.name for member in self.list_fresh(now=now)}
+        return tuple(
+            _tell_member(member, is_fresh=member.told.name in fresh, now=now)
+            for member in self._members.values()
+            if member.told.data_centre == data_centre
+        )
+
+    def _put(self, member: Member) -> None:
+        known = self._members.get(member.told.name)
+        self._members[member.told.name] = member
+        if known is None or (known.told, known.state) != (member.told, member.state):
+            self.revision += 1
 
-    def note_link_lost(self, name: str) -> None:
+    def note_link_lost(self, name: str, *, now: float) -> None:
         """The link that an instance dialled has ended; it is silent until it dials.
 
         Guards against a killed instance that stays in the lookup for several
@@ -71,17 +158,24 @@
         """
         known = self._members.get(name)
         if known is not None:
-            self._members[name] = replace(known, beat=None)
+            self._put(replace(known, state=None, noted_at=now))
 
     @property
     def is_large(self) -> bool:
-        """Whether there are so many instances that not all do everything."""
-        return len(self._members) >= _FEW
+        """Whether there are so many instances that not all are linked to all."""
+        return len(self._members) >= FULL_MESH
 
     @property
     def beat_pause_s(self) -> float:
-        """Seconds between two heartbeats."""
-        return BEAT_S * max(1.0, (len(self._members) + 1) / _FEW)
+        """Seconds between two heartbeats on a link."""
+        linked = len(self._members)
+        if self.is_large:
+            own_centre = self._own.data_centre
+            linked = sum(
+                member.told.data_centre == own_centre
+                for member in self._members.values()
+            )
+        return BEAT_S * max(1.0, (linked + 1) / FULL_MESH)
 
     @property
     def fresh_s(self) -> float:
@@ -95,11 +189,50 @@
                 return member.told.data_centre
         return None
 
+    def list_nodes(self, *, now: float) -> list[Node]:
+        """Return all others as far as links are concerned."""
+        fresh = {member.told.name for member in self.list_fresh(now=now)}
+        return [
+            Node(
+                name=name,
+                data_centre=member.told.data_centre,
+                is_alive=name in fresh and not member.state.is_leaving,
+            )
+            for name, member in self._members.items()
+        ]
+
+    def list_links(self, *, may_be_hub: bool, now: float) -> frozenset[str]:
+        """Return the peer addresses that this instance keeps links to."""
+        names = choose_links(
+            self._make_own_node(may_be_hub),
+            self.list_nodes(now=now),
+            turn=int(now / TURN_S),
+        )
+        return frozenset(self._members[name].told.peer_address for name in names)
+
+    def is_hub(self, *, may_be_hub: bool, now: float) -> bool:
+        """Return whether this instance tells other data centres of its own."""
+        own = self._make_own_node(may_be_hub)
+        nodes = [*self.list_nodes(now=now), own]
+        return self.is_large and own.name in choose_hubs(nodes, own.data_centre)
+
+    def _make_own_node(self, may_be_hub: bool) -> Node:
+        return Node(
+            name=self._own.name,
+            data_centre=self._own.data_centre,
+            is_alive=may_be_hub,
+        )
+
+    def list_data_centres(self) -> frozenset[str]:
+        """Return the data centres of the other instances."""
+        return frozenset(m.told.data_centre for m in self._members.values())
+
     def forget_silent(self, *, now: float) -> None:
         """Drop instances that were silent for long."""
         for name, member in list(self._members.items()):
             if now - member.heard_at > FORGET_S:
                 del self._members[name]
+                self.revision += 1
 
     def list_all(self) -> list[Member]:
         """Return all that are known, silent ones included."""
@@ -107,18 +240,34 @@
 
     def list_fresh(self, *, now: float) -> list[Member]:
         """Return those that were heard lately."""
-        fresh_s = self.fresh_s
+        direct_s = self.fresh_s
+        told_s = direct_s + _HUB_WORDS * CENTRE_NEWS_S
         return [
             member
             for member in self._members.values()
-            if member.beat is not None and now - member.heard_at <= fresh_s
+            if member.state is not None
+            and now - member.heard_at <= (direct_s if member.is_direct else told_s)
         ]
 
     def list_ready(self, *, now: float) -> list[Member]:
         """Return those that callers may be sent to."""
         fresh = self.list_fresh(now=now)
-        return [m for m in fresh if m.beat.is_ready and not m.beat.is_leaving]
+        return [m for m in fresh if m.state.is_ready and not m.state.is_leaving]
 
     def count_instances(self, *, now: float) -> int:
         """Return how many instances serve, this one included."""
         return 1 + len(self.list_fresh(now=now))
+
+
+def _tell_member(member: Member, *, is_fresh: bool, now: float) -> InstanceTold:
+    state = member.state
+    is_alive = is_fresh and state is not None
+    return InstanceTold(
+        name=member.told.name,
+        boot=member.told.boot,
+        age_ms=max(0, int((now - member.noted_at) * 1000)),
+        is_alive=is_alive,
+        is_ready=is_alive and state.is_ready,
+        is_leaving=is_alive and state.is_leaving,
+        is_store_reachable=is_alive and state.is_store_reachable,
+    )
--- a/packages/router/fulmarward_router/mesh/_messages.py
+++ b/packages/router/fulmarward_router/mesh/_messages.py
@@ -60,9 +60,43 @@
     losses: tuple[LossTold, ...]
 
 
+@dataclass(frozen=True, kw_only=True)
+class InstanceTold:
+    """What the sender last heard of another instance."""
+
+    #: Name, and when its process started in ms since 1970.
+    name: str
+    boot: int
+    #: Milliseconds since the sender last heard of it, or lost its link.
+    age_ms: int
+    #: Whether it lives, as far as known; the rest says nothing otherwise.
+    is_alive: bool
+    #: What its last heartbeat said.
+    is_ready: bool
+    is_leaving: bool
+    is_store_reachable: bool
+
+
+@dataclass(frozen=True, kw_only=True)
+class DataCentreNews:
+    """The instances of a data centre and what they take, told by a hub."""
+
+    #: Name of the data centre.
+    data_centre: str
+    #: Its instances.
+    instances: tuple[InstanceTold, ...]
+    #: Load of all of them together, by target.
+    loads: tuple[LoadTold, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class AskInstances:
+    """Ask for all instances that are known; answered by `Introduce`."""
+
+
 @dataclass(frozen=True, kw_only=True)
 class Introduce:
-    """The first message on a link: the sender, and all instances that it knows."""
+    """The sender, and the instances that it tells of; first message on a link."""
 
     sender: MemberTold
     known: tuple[MemberTold, ...]
@@ -118,4 +152,6 @@
     ConfigurationNews,
     AskTargets,
     TargetsNews,
+    DataCentreNews,
+    AskInstances,
 )
--- a/packages/router/fulmarward_router/mesh/tests/test_members.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_members.py
@@ -2,6 +2,8 @@
 
 from fulmarward_router.mesh import (
     Beat,
+    DataCentreNews,
+    InstanceTold,
     MemberTable,
     MemberTold,
     decode_message,
@@ -35,7 +37,7 @@
 
 class MemberTableTest(unittest.TestCase):
     def setUp(self):
-        self.table = MemberTable(own_name="own")
+        self.table = MemberTable(own=make_beat("own").sender)
 
     def test_who_is_given_to_callers(self):
         cases = [
@@ -69,7 +71,7 @@
         # A process is killed: its link ends at once, its heartbeats would be missed
         # seconds later only where there are many instances.
         self.table.take_beat(make_beat(), now=0.0)
-        self.table.note_link_lost("peer")
+        self.table.note_link_lost("peer", now=0.1)
         self.assertEqual(self.table.list_ready(now=0.1), [])
         self.table.take_beat(make_beat(), now=0.2)
         self.assertEqual(len(self.table.list_ready(now=0.3)), 1)
@@ -88,6 +90,75 @@
         self.assertEqual(self.table.count_instances(now=0.0), 1)
 
 
+def _tell(name="far", boot=1, **changes):
+    values = {
+        "age_ms": 200,
+        "is_alive": True,
+        "is_ready": True,
+        "is_leaving": False,
+        "is_store_reachable": True,
+        **changes,
+    }
+    return InstanceTold(name=name, boot=boot, **values)
+
+
+def _make_news(*told):
+    return DataCentreNews(data_centre="b", instances=told, loads=())
+
+
+class HubWordTest(unittest.TestCase):
+    """What a hub tells of a data centre to which there are no links."""
+
+    def setUp(self):
+        self.table = MemberTable(own=make_beat("own").sender)
+        far = make_beat("far").sender
+        self.table.take_told([far], now=0.0)
+
+    def _list_ready(self, now):
+        return [member.told.name for member in self.table.list_ready(now=now)]
+
+    def test_instance_is_given_to_callers_on_the_word_of_a_hub(self):
+        self.table.take_news(_make_news(_tell()), now=1.0)
+        self.assertEqual(self._list_ready(1.1), ["far"])
+        # Its hub tells of it each second; with both hubs gone it is not given for long.
+        self.assertEqual(self._list_ready(9.0), [])
+
+    def test_what_is_newer_counts_whoever_tells_it(self):
+        # Two hubs tell of an instance that was killed: one has seen its link end, the
+        # other's word is from before and comes later.
+        self.table.take_news(_make_news(_tell(age_ms=100, is_alive=False)), now=2.0)
+        self.table.take_news(_make_news(_tell(age_ms=400)), now=2.1)
+        self.assertEqual(self._list_ready(2.2), [])
+        self.table.take_news(_make_news(_tell(age_ms=50)), now=2.4)
+        self.assertEqual(self._list_ready(2.5), ["far"])
+
+    def test_new_start_is_asked_for_and_an_older_one_ignored(self):
+        cases = [
+            ("unknown", _tell("other"), True),
+            ("begun anew", _tell(boot=2), True),
+            ("an older start", _tell(boot=0), False),
+            ("known", _tell(), False),
+            ("this instance itself", _tell("own"), False),
+        ]
+        for name, told, expected in cases:
+            with self.subTest(name):
+                news = _make_news(told)
+                self.assertEqual(self.table.take_news(news, now=1.0), expected)
+
+    def test_word_is_passed_on_with_its_age(self):
+        self.table.take_news(_make_news(_tell(age_ms=200)), now=1.0)
+        self.assertEqual(self.table.tell_of("a", now=1.3)[0].age_ms, 500)
+        self.assertEqual(self.table.tell_of("c", now=1.3), ())
+
+    def test_revision_rises_with_what_peers_should_hear_at_once(self):
+        self.table.take_news(_make_news(_tell()), now=1.0)
+        before = self.table.revision
+        self.table.take_news(_make_news(_tell(age_ms=10)), now=2.0)
+        self.assertEqual(self.table.revision, before)
+        self.table.take_news(_make_news(_tell(age_ms=10, is_leaving=True)), now=3.0)
+        self.assertGreater(self.table.revision, before)
+
+
 class CodecTest(unittest.TestCase):
     def test_heartbeat_comes_through_as_it_was(self):
         beat = make_beat()
--- a/packages/router/fulmarward_router/state/_news.py
+++ b/packages/router/fulmarward_router/state/_news.py
@@ -1,6 +1,6 @@
 """What an instance tells its peers, and what it takes from them."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 
 from fulmarward.observability import log_event
 from fulmarward_core.catalogue import KnownRow, TargetCatalogue
@@ -11,6 +11,8 @@
     AskTargets,
     Beat,
     ConfigurationNews,
+    DataCentreNews,
+    InstanceTold,
     LoadTold,
     LossTold,
     MemberTable,
@@ -76,16 +78,7 @@
     def make_beat(self, *, has_loads: bool = True) -> Beat:
         """Return this instance's heartbeat, with its load or without."""
         now = self._read_clock()
-        own_loads = self._ledger.list_own() if has_loads else {}
-        loads = tuple(
-            LoadTold(
-                target=target,
-                kv=int(load.kv),
-                running=load.running,
-                first_running=load.first_running,
-            )
-            for target, load in own_loads.items()
-        )
+        loads = _tell_loads(self._ledger.list_own() if has_loads else {})
         losses = tuple(
             LossTold(target=item.target, for_ms=int((item.until - now) * 1000))
             for item in self._suspicions.list_lost(now=now)
@@ -116,20 +109,14 @@
         names = [
             member.told.name
             for member in fresh
-            if not member.beat.is_leaving and member.beat.is_store_reachable
+            if not member.state.is_leaving and member.state.is_store_reachable
         ]
         return self._own.name in sorted([*names, self._own.name])[:count]
 
     def take_beat(self, beat: Beat) -> list[AskConfiguration | AskTargets]:
         """Take in a peer's heartbeat; return what to ask it for."""
         now = self._read_clock()
-        loads = {
-            told.target: TargetLoad(
-                kv=told.kv, running=told.running, first_running=told.first_running
-            )
-            for told in beat.loads
-        }
-        self._ledger.take_told(beat.sender.name, loads, now=now)
+        self._ledger.take_told(beat.sender.name, _read_loads(beat.loads), now=now)
         for loss in beat.losses:
             if self._suspicions.note_told(
                 loss.target, for_s=loss.for_ms / 1000, now=now
@@ -156,6 +143,36 @@
                 self._catalogue.confirm(beat.targets_version, at=at)
         return questions
 
+    def make_centre_news(self, data_centre: str) -> DataCentreNews:
+        """Return what this instance, as a hub, tells of a data centre."""
+        now = self._read_clock()
+        instances = self._members.tell_of(data_centre, now=now)
+        loads = self._ledger.find_centre_load(data_centre)
+        if data_centre == self._own.data_centre:
+            instances = (*instances, self._tell_own())
+            loads = self._ledger.sum_nearby(now=now)
+        return DataCentreNews(
+            data_centre=data_centre, instances=instances, loads=_tell_loads(loads)
+        )
+
+    def _tell_own(self) -> InstanceTold:
+        return InstanceTold(
+            name=self._own.name,
+            boot=self._own.boot,
+            age_ms=0,
+            is_alive=True,
+            is_ready=self._is_ready(),
+            is_leaving=self._is_leaving(),
+            is_store_reachable=self._is_store_reachable(),
+        )
+
+    def take_centre_news(self, news: DataCentreNews) -> None:
+        """Take in the loads that a hub tells of."""
+        if news.data_centre == self._own.data_centre:
+            return
+        loads = _read_loads(news.loads)
+        self._ledger.take_centre(news.data_centre, loads, now=self._read_clock())
+
     def answer(
         self, question: AskConfiguration | AskTargets
     ) -> ConfigurationNews | TargetsNews | None:
@@ -203,6 +220,27 @@
         )
 
 
+def _tell_loads(loads: Mapping[str, TargetLoad]) -> tuple[LoadTold, ...]:
+    return tuple(
+        LoadTold(
+            target=target,
+            kv=int(load.kv),
+            running=load.running,
+            first_running=load.first_running,
+        )
+        for target, load in loads.items()
+    )
+
+
+def _read_loads(told: Iterable[LoadTold]) -> dict[str, TargetLoad]:
+    return {
+        item.target: TargetLoad(
+            kv=item.kv, running=item.running, first_running=item.first_running
+        )
+        for item in told
+    }
+
+
 def _count_ms(at: float, now: float) -> int:
     """Return how many ms ago `at` was; `_NEVER_MS` when it never was."""
     return _NEVER_MS if at == float("-inf") else int((now - at) * 1000)
--- a/packages/router/fulmarward_router/state/_watch.py
+++ b/packages/router/fulmarward_router/state/_watch.py
@@ -35,10 +35,12 @@
 #: harm: each reader's calls are paid for; reason: with two, one death delays nothing.
 READERS = 2
 
-#: Seconds without confirmed news after which an instance reads by itself, beside one
-#: and a half heartbeats. Reason: a reading, its time-out, and the way to here.
+#: Seconds without confirmed news after which an instance reads by itself, beside the
+#: heartbeats on the way from a reader: one where all are linked to all, three where
+#: hubs pass it on. Reason: a reading, its time-out, and the way to here.
 STALE_S = 0.65
 _STALE_BEATS = 1.5
+_STALE_BEATS_BY_HUBS = 3.0
 
 #: Instances that wait for the configuration at the store where there are many.
 CONFIGURATION_READERS = 4
@@ -160,7 +162,8 @@
         return self._is_stale(self._configuration.confirmed_at + CONFIGURATION_WAIT_S)
 
     def _is_stale(self, confirmed_at: float) -> bool:
-        limit_s = STALE_S + _STALE_BEATS * self._read_beat_pause_s()
+        beats = _STALE_BEATS_BY_HUBS if self._is_large() else _STALE_BEATS
+        limit_s = STALE_S + beats * self._read_beat_pause_s()
         return self._read_clock() - confirmed_at > limit_s
 
     async def _read_all(self) -> None:
--- a/packages/router/fulmarward_router/tests/test_knowledge.py
+++ b/packages/router/fulmarward_router/tests/test_knowledge.py
@@ -33,7 +33,7 @@
         self.now = 100.0
         self.is_store_reachable = True
         self.is_leaving = False
-        self.members = MemberTable(own_name=name)
+        self.members = MemberTable(own=make_beat(name).sender)
         self.configuration = ConfigurationHolder(decode=_decode)
         self.catalogue = TargetCatalogue()
         self.suspicions = SuspicionTable()
