Slow targets leave the paths by their own reports

Change: when streams pause for 0.4 of what their route allows, in the mean of the last few, or wait 0.6 of the objective for a first event, the first instance of the data centre reads the reports of its targets each 0.8 s until none is slow; slow ones are told to all with the age of the report, and their time counts that many times in a path's cost.

--- /dev/null
+++ b/packages/core/fulmarward_core/paces/_table.py
@@ -0,0 +1,100 @@
+"""How slow targets are, by their own reports and by what peers told."""
+
+from dataclasses import dataclass
+
+#: Factor from which a target counts as slow. Harm: paths that change for nothing;
+#: reason: a report is rounded and some hundred ms old.
+LEAST_SLOW = 1.2
+
+#: Seconds for which a report counts. Load: a target that is sound again; harm: it is
+#: left out for longer than it is slow; reason: reports are read twice in that time.
+PACE_S = 2.5
+
+#: Part of the longest pause that an answer may have, from which the mean of a stream's
+#: last pauses shows that a target on its path is slow. Load: targets that take twelve
+#: times as long; harm: with less, each crowd is taken for it and all reports are read;
+#: reason: streams pause for 35 to 60 ms of the 200 to 250 that they may.
+SLOW_PAUSE_PART = 0.4
+
+#: The same for the wait for the first event, as a part of its objective. Reason: first
+#: events come after 60 to 100 ms of 500.
+SLOW_FIRST_PART = 0.6
+
+#: Weight of the newest pause in the mean. Harm: one long pause, as over a lost target,
+#: is taken for slowness; reason: four or five pauses count.
+_PAUSE_WEIGHT = 0.25
+
+
+@dataclass(frozen=True, kw_only=True)
+class Pace:
+    """How slow a target is."""
+
+    #: Factor on its times.
+    factor: float
+    #: When its report was read, seconds on the steady clock.
+    at: float
+
+
+class PaceTable:
+    """The slow targets."""
+
+    def __init__(self) -> None:
+        self._paces: dict[str, Pace] = {}
+
+    def note(self, target: str, factor: float, *, at: float) -> bool:
+        """Note a report, read here or by a peer; return whether that is news.
+
+        The newest report counts, whoever read it.
+        """
+        known = self._paces.get(target)
+        if known is not None and known.at >= at:
+            return False
+        was_slow = known is not None and known.factor >= LEAST_SLOW
+        self._paces[target] = Pace(factor=factor, at=at)
+        return was_slow != (factor >= LEAST_SLOW)
+
+    def find(self, target: str, *, now: float) -> float:
+        """Return the factor on a target's times; 1 when it is not known as slow."""
+        known = self._paces.get(target)
+        if known is None or now - known.at > PACE_S:
+            return 1.0
+        return max(1.0, known.factor)
+
+    def list_slow(self, *, now: float) -> dict[str, Pace]:
+        """Return the targets that are slow, for peers; forget old reports."""
+        for name, pace in list(self._paces.items()):
+            if now - pace.at > PACE_S:
+                del self._paces[name]
+        return {
+            name: pace
+            for name, pace in self._paces.items()
+            if pace.factor >= LEAST_SLOW
+        }
+
+
+class SlowSigns:
+    """Whether one stream looks as if a target on its path were slow."""
+
+    def __init__(self) -> None:
+        self._mean_pause_s: float | None = None
+
+    def note_pause(self, pause_s: float) -> None:
+        """Take in the pause before an event that was not the first."""
+        mean_s = self._mean_pause_s
+        if mean_s is None:
+            self._mean_pause_s = pause_s
+        else:
+            self._mean_pause_s = mean_s + _PAUSE_WEIGHT * (pause_s - mean_s)
+
+    def is_slow(
+        self, *, silent_s: float, has_begun: bool, objective_s: float, pause_s: float
+    ) -> bool:
+        """Return whether the stream is slow.
+
+        `silent_s` is the time since its last event, or since it was sent; `objective_s`
+        and `pause_s` are what the route allows for the first event and between events.
+        """
+        if not has_begun:
+            return silent_s > objective_s * SLOW_FIRST_PART
+        mean_s = self._mean_pause_s
+        return mean_s is not None and mean_s > pause_s * SLOW_PAUSE_PART
--- a/packages/core/fulmarward_core/paths/decisions.py
+++ b/packages/core/fulmarward_core/paths/decisions.py
@@ -58,6 +58,8 @@
     running: int
     #: Requests for which it is the first of the path.
     first_running: int
+    #: Factor on its times: over 1 when it is slow.
+    pace: float
     #: Whether it may take new work.
     is_usable: bool
 
@@ -111,9 +113,9 @@
     share = layers / engine.layers
     batch = engine.step_ms + engine.sequence_ms * (stage.running + 1)
     context = engine.context_ms_per_k * stage.running
-    step = (batch + context) * stage.kind.step_factor * share
+    step = (batch + context) * stage.kind.step_factor * share * stage.pace
     prefill = request.prompt / engine.prefill_tokens_per_s * 1000
-    prefill *= stage.kind.prefill_factor * share
+    prefill *= stage.kind.prefill_factor * share * stage.pace
     used = stage.kv_promised / max(stage.kv_capacity, 1.0)
     crowding = 1 + CROWDING * used**4
     return (step * request.answer + prefill) * crowding
--- a/packages/core/fulmarward_core/paths/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/paths/tests/test_decisions.py
@@ -22,6 +22,7 @@
         kv_promised=0.0,
         running=0,
         first_running=0,
+        pace=1.0,
         is_usable=True,
     )
     return replace(stage, **changes)
@@ -129,6 +130,14 @@
         self.assertEqual(path[0], first)
         self.assertEqual(_list_targets(path)[1:3], ["x8", "x16"])
 
+    def test_slow_target_is_led_around(self):
+        # A target takes twelve times as long and answers all the same. Every stream
+        # waited for it, and callers left before their first event.
+        slow, *rest = make_chain("a", "a")
+        stages = [replace(slow, pace=12.0), *rest, make_stage("b0", 0, 8, running=9)]
+        path = choose_path(ENGINE, stages, _REQUEST)
+        self.assertEqual(_list_targets(path)[0], "b0")
+
     def test_load_goes_to_the_emptier_of_two_holders(self):
         busy = [
             replace(s, running=60, kv_promised=s.kv_capacity * 0.8)
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -16,6 +16,7 @@
 from fulmarward.observability import log_event, start_logging, stop_logging
 from fulmarward_core.catalogue import KnownRow, TargetCatalogue
 from fulmarward_core.loads import LoadLedger, RepeatAllowance
+from fulmarward_core.paces import PaceTable
 from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_router._life import Life
 from fulmarward_router._lookup import (
@@ -35,6 +36,7 @@
     CallerServer,
     EngineService,
     LossWatch,
+    PaceWatch,
     PlainService,
     ServiceContext,
     TargetClient,
@@ -159,6 +161,7 @@
         self.members = MemberTable(own=self.own)
         self.catalogue = TargetCatalogue()
         self.suspicions = SuspicionTable()
+        self.paces = PaceTable()
         self.ledger = LoadLedger()
         self._allowances: dict[str, RepeatAllowance] = {}
         #: When each target that is known started, ms since 1970, and those leaving.
@@ -186,7 +189,9 @@
             configuration=self.configuration,
             catalogue=self.catalogue,
             suspicions=self.suspicions,
+            paces=self.paces,
             ledger=self.ledger,
+            sees_slow_streams=lambda: self.engines.keeper.sees_slow_streams(),
             decode_row=self.watch.decode_row,
             read_clock=clock,
             is_ready=self.is_ready,
@@ -227,6 +232,7 @@
             dialect=self.dialect,
             catalogue=self.catalogue,
             suspicions=self.suspicions,
+            paces=self.paces,
             ledger=self.ledger,
             find_allowance=self._find_allowance,
             count_instances=self._count_instances,
@@ -259,6 +265,23 @@
             ),
         )
 
+    def _make_pace_watch(self) -> PaceWatch:
+        return PaceWatch(
+            dialect=self.dialect,
+            catalogue=self.catalogue,
+            paces=self.paces,
+            data_centre=self.own.data_centre,
+            is_watcher=lambda: self.members.is_first_nearby(now=self._clock()),
+            sees_slow_streams=self._sees_slow_streams,
+            read_clock=self._clock,
+            note_change=self._stir,
+        )
+
+    def _sees_slow_streams(self) -> bool:
+        """Return whether streams of this data centre look slow, here or at a peer."""
+        is_own = self.engines.keeper.sees_slow_streams()
+        return is_own or self.members.sees_slow_streams(now=self._clock())
+
     def is_ready(self) -> bool:
         """Return whether callers may be sent here."""
         return self.life.state == "serving"
@@ -337,6 +360,7 @@
             self._start("lease", self.lease.run()),
             self._start("placement", self.placer.run()),
             self._start("streams", self.engines.keeper.run()),
+            self._start("paces", self._make_pace_watch().run()),
             self._start("losses", self.loss_watch.run()),
             self._start("readiness", self._become_ready()),
             self._start("settings", self._follow_settings()),
--- a/packages/router/fulmarward_router/exchange/_attempt.py
+++ b/packages/router/fulmarward_router/exchange/_attempt.py
@@ -6,6 +6,7 @@
 
 from fulmarward_core.fleet import EngineModel
 from fulmarward_core.loads import Promise
+from fulmarward_core.paces import SlowSigns
 from fulmarward_core.paths import Hop, PathRequest
 from fulmarward_router.exchange._work import Work
 
@@ -38,6 +39,7 @@
         self.heard_at = 0.0
         self.checks = 0
         self.has_begun = False
+        self.signs = SlowSigns()
         #: Ends the attempt at the request's deadline.
         self.timer: asyncio.TimerHandle | None = None
 
--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -5,6 +5,7 @@
 
 from fulmarward_core.catalogue import TargetCatalogue
 from fulmarward_core.loads import LoadLedger, RepeatAllowance
+from fulmarward_core.paces import PaceTable
 from fulmarward_core.repeats import choose_end, may_repeat
 from fulmarward_core.results import ResultCode
 from fulmarward_core.suspicion import SuspicionTable
@@ -20,9 +21,10 @@
     #: Sends attempts, and speaks with targets.
     client: TargetClient
     dialect: TargetDialect
-    #: The targets, which of them to leave out, and what runs on them.
+    #: The targets, which of them to leave out or are slow, and what runs on them.
     catalogue: TargetCatalogue
     suspicions: SuspicionTable
+    paces: PaceTable
     ledger: LoadLedger
     #: Returns the repeats that a service may still be sent.
     find_allowance: Callable[[str], RepeatAllowance]
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -49,6 +49,7 @@
         finder = PathFinder(
             catalogue=context.catalogue,
             suspicions=context.suspicions,
+            paces=context.paces,
             ledger=context.ledger,
             read_clock=context.read_clock,
         )
--- a/packages/router/fulmarward_router/exchange/_keeping.py
+++ b/packages/router/fulmarward_router/exchange/_keeping.py
@@ -90,10 +90,24 @@
         pause_s = now - attempt.heard_at
         if attempt.has_begun:
             self._mean_pause_s += _PAUSE_WEIGHT * (pause_s - self._mean_pause_s)
+            attempt.signs.note_pause(pause_s)
         attempt.heard_at = now
         attempt.checks = 0
         attempt.has_begun = True
 
+    def sees_slow_streams(self) -> bool:
+        """Return whether a stream here looks as if a target on its path were slow."""
+        now = self._read_clock()
+        return any(
+            attempt.signs.is_slow(
+                silent_s=now - attempt.heard_at,
+                has_begun=attempt.has_begun,
+                objective_s=attempt.work.route.objective_s,
+                pause_s=attempt.work.route.pause_s,
+            )
+            for attempt in self._open.values()
+        )
+
     async def run(self) -> None:
         """Look at all open streams again and again, until cancelled.
 
--- /dev/null
+++ b/packages/router/fulmarward_router/exchange/_paces.py
@@ -0,0 +1,91 @@
+"""Finding out which targets are slow, by one instance of each data centre."""
+
+import asyncio
+from collections.abc import Callable, Iterator
+
+from fulmarward.observability import log_event
+from fulmarward_core.catalogue import TargetCatalogue
+from fulmarward_core.fleet import TargetRecord
+from fulmarward_core.paces import PaceTable
+from fulmarward_router.ports import TargetDialect
+
+#: Seconds between two readings of all reports of a data centre while streams are slow.
+#: Load: thirteen of 99 targets take twelve times as long for nine seconds; harm: a
+#: report is paid for like a probe, and one reading is 33 of them; reason: reports are
+#: some hundred ms old themselves, and a slow one counts for three readings.
+READ_S = 0.8
+
+#: Seconds for a report. Reason: one that takes longer is no news of a pace.
+REPORT_S = 0.25
+
+#: Reports that are asked for at once. Load: instances with half a core; harm: 33 calls
+#: in one moment take 60 ms of it, and its streams wait; reason: a fourth of that.
+AT_ONCE = 8
+
+
+class PaceWatch:
+    """Reads the reports of the targets nearby while streams are slow.
+
+    Guards against targets that are slow and answer all the same: paths go on through
+    them, all streams wait there, and callers leave after two seconds without an event.
+    One instance reads for its data centre and tells the others.
+    """
+
+    def __init__(
+        self,
+        *,
+        dialect: TargetDialect,
+        catalogue: TargetCatalogue,
+        paces: PaceTable,
+        data_centre: str,
+        is_watcher: Callable[[], bool],
+        sees_slow_streams: Callable[[], bool],
+        read_clock: Callable[[], float],
+        note_change: Callable[[], None],
+    ) -> None:
+        self._dialect = dialect
+        self._catalogue = catalogue
+        self._paces = paces
+        self._data_centre = data_centre
+        self._is_watcher = is_watcher
+        self._sees_slow_streams = sees_slow_streams
+        self._read_clock = read_clock
+        self._note_change = note_change
+
+    async def run(self) -> None:
+        """Read reports whenever there is a reason to, until cancelled."""
+        while True:
+            await asyncio.sleep(READ_S)
+            now = self._read_clock()
+            has_reason = self._sees_slow_streams() or self._paces.list_slow(now=now)
+            if has_reason and self._is_watcher():
+                await self._read_all(now)
+
+    async def _read_all(self, now: float) -> None:
+        records = [
+            record
+            for record in self._catalogue.list_targets(now=now)
+            if record.data_centre == self._data_centre and record.layers is not None
+        ]
+        changes = 0
+        for group in _split(records):
+            readings = [self._read(record) for record in group]
+            changes += sum(await asyncio.gather(*readings))
+        if changes:
+            self._note_change()
+
+    async def _read(self, record: TargetRecord) -> bool:
+        """Read a target's report; return whether it is news."""
+        report = await self._dialect.read_report(record, REPORT_S)
+        if report is None:
+            return False
+        at = self._read_clock()
+        if not self._paces.note(record.name, report.pace, at=at):
+            return False
+        log_event("pace_changed", target=record.name, pace=report.pace, source="own")
+        return True
+
+
+def _split(records: list[TargetRecord]) -> Iterator[list[TargetRecord]]:
+    for start in range(0, len(records), AT_ONCE):
+        yield records[start : start + AT_ONCE]
--- a/packages/router/fulmarward_router/exchange/_stages.py
+++ b/packages/router/fulmarward_router/exchange/_stages.py
@@ -5,6 +5,7 @@
 from fulmarward_core.catalogue import TargetCatalogue
 from fulmarward_core.fleet import EngineModel, TargetRecord, count_kv_capacity
 from fulmarward_core.loads import LoadLedger, TargetLoad
+from fulmarward_core.paces import PaceTable
 from fulmarward_core.paths import Hop, PathRequest, Stage, choose_path
 from fulmarward_core.suspicion import SuspicionTable
 
@@ -17,11 +18,13 @@
         *,
         catalogue: TargetCatalogue,
         suspicions: SuspicionTable,
+        paces: PaceTable,
         ledger: LoadLedger,
         read_clock: Callable[[], float],
     ) -> None:
         self._catalogue = catalogue
         self._suspicions = suspicions
+        self._paces = paces
         self._ledger = ledger
         self._read_clock = read_clock
 
@@ -43,6 +46,7 @@
                 record,
                 engine,
                 loads.get(record.name, TargetLoad()),
+                pace=self._paces.find(record.name, now=now),
                 is_usable=not record.is_leaving and record.name not in suspects,
             )
             for record in records
@@ -61,7 +65,12 @@
 
 
 def _make_stage(
-    record: TargetRecord, engine: EngineModel, load: TargetLoad, *, is_usable: bool
+    record: TargetRecord,
+    engine: EngineModel,
+    load: TargetLoad,
+    *,
+    pace: float,
+    is_usable: bool,
 ) -> Stage:
     kind = engine.kinds[record.kind]
     return Stage(
@@ -74,5 +83,6 @@
         kv_promised=load.kv,
         running=load.running,
         first_running=load.first_running,
+        pace=pace,
         is_usable=is_usable,
     )
--- a/packages/router/fulmarward_router/mesh/__init__.py
+++ b/packages/router/fulmarward_router/mesh/__init__.py
@@ -13,6 +13,7 @@
     LoadTold,
     LossTold,
     MemberTold,
+    PaceTold,
     RowTold,
     TargetsNews,
 )
@@ -32,6 +33,7 @@
     "MemberTold",
     "Mesh",
     "MeshNews",
+    "PaceTold",
     "RowTold",
     "TargetsNews",
     "decode_message",
--- a/packages/router/fulmarward_router/mesh/_members.py
+++ b/packages/router/fulmarward_router/mesh/_members.py
@@ -56,6 +56,8 @@
     is_leaving: bool
     #: Whether the store answers it.
     is_store_reachable: bool
+    #: Whether streams there look as if a target were slow.
+    sees_slow_streams: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -103,6 +105,7 @@
             is_ready=beat.is_ready,
             is_leaving=beat.is_leaving,
             is_store_reachable=beat.is_store_reachable,
+            sees_slow_streams=beat.sees_slow_streams,
         )
         self._put(Member(told=beat.sender, state=state, heard_at=now, noted_at=now))
 
@@ -147,7 +150,7 @@
     def _put(self, member: Member) -> None:
         known = self._members.get(member.told.name)
         self._members[member.told.name] = member
-        if known is None or (known.told, known.state) != (member.told, member.state):
+        if known is None or _say_of(known) != _say_of(member):
             self.revision += 1
 
     def note_link_lost(self, name: str, *, now: float) -> None:
@@ -223,6 +226,19 @@
             is_alive=may_be_hub,
         )
 
+    def is_first_nearby(self, *, now: float) -> bool:
+        """Return whether this instance is the first by name of its data centre."""
+        nodes = [*self.list_nodes(now=now), self._make_own_node(True)]
+        return choose_hubs(nodes, self._own.data_centre)[0] == self._own.name
+
+    def sees_slow_streams(self, *, now: float) -> bool:
+        """Return whether an instance of this data centre has slow streams."""
+        return any(
+            member.state.sees_slow_streams
+            for member in self.list_fresh(now=now)
+            if member.told.data_centre == self._own.data_centre
+        )
+
     def list_data_centres(self) -> frozenset[str]:
         """Return the data centres of the other instances."""
         return frozenset(m.told.data_centre for m in self._members.values())
@@ -259,6 +275,12 @@
         return 1 + len(self.list_fresh(now=now))
 
 
+def _say_of(member: Member) -> tuple[MemberTold, MemberState | None]:
+    """Return what other data centres are told of an instance."""
+    state = member.state
+    return member.told, state and replace(state, sees_slow_streams=False)
+
+
 def _tell_member(member: Member, *, is_fresh: bool, now: float) -> InstanceTold:
     state = member.state
     is_alive = is_fresh and state is not None
--- a/packages/router/fulmarward_router/mesh/_messages.py
+++ b/packages/router/fulmarward_router/mesh/_messages.py
@@ -36,6 +36,17 @@
     for_ms: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class PaceTold:
+    """A target that is slow."""
+
+    target: str
+    #: Factor on its times, in hundredths.
+    percent: int
+    #: Milliseconds since its report was read.
+    age_ms: int
+
+
 @dataclass(frozen=True, kw_only=True)
 class Beat:
     """A heartbeat: how the sender is, what it knows, and what it takes."""
@@ -58,6 +69,9 @@
     loads: tuple[LoadTold, ...]
     #: Targets that it lost.
     losses: tuple[LossTold, ...]
+    #: Whether streams there look as if a target were slow, and which are.
+    sees_slow_streams: bool
+    paces: tuple[PaceTold, ...]
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -87,6 +101,8 @@
     instances: tuple[InstanceTold, ...]
     #: Load of all of them together, by target.
     loads: tuple[LoadTold, ...]
+    #: Slow targets there.
+    paces: tuple[PaceTold, ...]
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/router/fulmarward_router/mesh/tests/test_members.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_members.py
@@ -30,6 +30,8 @@
         "is_store_reachable": True,
         "loads": (),
         "losses": (),
+        "sees_slow_streams": False,
+        "paces": (),
         **changes,
     }
     return Beat(**values)
@@ -103,7 +105,7 @@
 
 
 def _make_news(*told):
-    return DataCentreNews(data_centre="b", instances=told, loads=())
+    return DataCentreNews(data_centre="b", instances=told, loads=(), paces=())
 
 
 class HubWordTest(unittest.TestCase):
--- a/packages/router/fulmarward_router/ports.py
+++ b/packages/router/fulmarward_router/ports.py
@@ -230,6 +230,8 @@
     layers: LayerRange | None
     #: Orders that it has accepted since its start.
     orders_accepted: int
+    #: Factor on its times: over 1 when it is slow.
+    pace: float
     #: Requests that wait for a lost target; only of those it is the first hop of.
     stalled: tuple[StalledRequest, ...] = field(default=())
 
--- a/packages/router/fulmarward_router/state/_news.py
+++ b/packages/router/fulmarward_router/state/_news.py
@@ -5,6 +5,7 @@
 from fulmarward.observability import log_event
 from fulmarward_core.catalogue import KnownRow, TargetCatalogue
 from fulmarward_core.loads import LoadLedger, TargetLoad
+from fulmarward_core.paces import PaceTable
 from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_router.mesh import (
     AskConfiguration,
@@ -17,6 +18,7 @@
     LossTold,
     MemberTable,
     MemberTold,
+    PaceTold,
     RowTold,
     TargetsNews,
 )
@@ -50,7 +52,9 @@
         configuration: ConfigurationHolder,
         catalogue: TargetCatalogue,
         suspicions: SuspicionTable,
+        paces: PaceTable,
         ledger: LoadLedger,
+        sees_slow_streams: Callable[[], bool],
         decode_row: Callable[..., KnownRow],
         read_clock: Callable[[], float],
         is_ready: Callable[[], bool],
@@ -64,7 +68,9 @@
         self._configuration = configuration
         self._catalogue = catalogue
         self._suspicions = suspicions
+        self._paces = paces
         self._ledger = ledger
+        self._sees_slow_streams = sees_slow_streams
         self._decode_row = decode_row
         self._read_clock = read_clock
         self._is_ready = is_ready
@@ -94,8 +100,31 @@
             is_store_reachable=self._is_store_reachable(),
             loads=loads,
             losses=losses,
+            sees_slow_streams=self._sees_slow_streams(),
+            paces=self._tell_paces(now),
         )
 
+    def _tell_paces(self, now: float) -> tuple[PaceTold, ...]:
+        return tuple(
+            PaceTold(
+                target=name,
+                percent=int(pace.factor * 100),
+                age_ms=max(0, _count_ms(pace.at, now)),
+            )
+            for name, pace in self._paces.list_slow(now=now).items()
+        )
+
+    def _take_paces(self, paces: Iterable[PaceTold], now: float) -> None:
+        for told in paces:
+            at = now - told.age_ms / 1000
+            if self._paces.note(told.target, told.percent / 100, at=at):
+                log_event(
+                    "pace_changed",
+                    target=told.target,
+                    pace=told.percent / 100,
+                    source="peer",
+                )
+
     def is_among_first(self, count: int) -> bool:
         """Return whether this instance is one of those that act for all.
 
@@ -122,6 +151,7 @@
                 loss.target, for_s=loss.for_ms / 1000, now=now
             ):
                 log_event("target_lost", target=loss.target, source=beat.sender.name)
+        self._take_paces(beat.paces, now)
         questions: list[AskConfiguration | AskTargets] = []
         own = self._configuration.version
         if beat.configuration_version > own:
@@ -152,7 +182,10 @@
             instances = (*instances, self._tell_own())
             loads = self._ledger.sum_nearby(now=now)
         return DataCentreNews(
-            data_centre=data_centre, instances=instances, loads=_tell_loads(loads)
+            data_centre=data_centre,
+            instances=instances,
+            loads=_tell_loads(loads),
+            paces=self._tell_paces(now),
         )
 
     def _tell_own(self) -> InstanceTold:
@@ -170,8 +203,10 @@
         """Take in the loads that a hub tells of."""
         if news.data_centre == self._own.data_centre:
             return
+        now = self._read_clock()
         loads = _read_loads(news.loads)
-        self._ledger.take_centre(news.data_centre, loads, now=self._read_clock())
+        self._ledger.take_centre(news.data_centre, loads, now=now)
+        self._take_paces(news.paces, now)
 
     def answer(
         self, question: AskConfiguration | AskTargets
--- a/packages/router/fulmarward_router/tests/test_knowledge.py
+++ b/packages/router/fulmarward_router/tests/test_knowledge.py
@@ -2,6 +2,7 @@
 
 from fulmarward_core.catalogue import KnownRow, TargetCatalogue
 from fulmarward_core.loads import LoadLedger
+from fulmarward_core.paces import PaceTable
 from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_router.mesh import (
     AskConfiguration,
@@ -37,6 +38,7 @@
         self.configuration = ConfigurationHolder(decode=_decode)
         self.catalogue = TargetCatalogue()
         self.suspicions = SuspicionTable()
+        self.paces = PaceTable()
         self.knowledge = Knowledge(
             own=MemberTold(
                 name=name,
@@ -49,7 +51,9 @@
             configuration=self.configuration,
             catalogue=self.catalogue,
             suspicions=self.suspicions,
+            paces=self.paces,
             ledger=LoadLedger(),
+            sees_slow_streams=lambda: False,
             decode_row=self._decode_row,
             read_clock=lambda: self.now,
             is_ready=lambda: True,
@@ -144,6 +148,12 @@
         self.assertTrue(self.two.suspicions.is_lost("t", now=100.1))
         self.assertEqual(self.two.knowledge.make_beat().losses, ())
 
+    def test_slow_target_is_known_everywhere_with_the_age_of_its_report(self):
+        self.one.paces.note("t", 12.0, at=99.0)
+        self.two.hear(self.one)
+        self.assertEqual(self.two.paces.find("t", now=100.0), 12.0)
+        self.assertAlmostEqual(self.two.paces.list_slow(now=100.0)["t"].at, 99.0)
+
     def test_duty_for_all_goes_to_one_that_reaches_the_store(self):
         # The store turns away just the instance that orders layers. With the duty
         # bound to the first by name, no gap was closed until the store took it back.
--- a/packages/router/fulmarward_router/tests/test_layout.py
+++ b/packages/router/fulmarward_router/tests/test_layout.py
@@ -72,6 +72,9 @@
             "routes",
             "fleet",
             "stalls",
+            "overlay",
+            "paces",
+            "repeats",
         ]
         found = [
             (str(path.relative_to(core)), module)
