--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import random
 import signal
 import time
 from collections.abc import Awaitable, Callable, Coroutine
@@ -10,11 +9,10 @@
 from typing import Protocol
 
 import aiohttp
-import cbor2
 from aiohttp import web
 
 from fulmarward.observability import log_event, start_logging, stop_logging
-from fulmarward_core.catalogue import KnownRow, TargetCatalogue
+from fulmarward_core.catalogue import TargetCatalogue
 from fulmarward_core.loads import LoadLedger, RepeatAllowance
 from fulmarward_core.paces import PaceTable
 from fulmarward_core.suspicion import SuspicionTable
@@ -45,23 +43,18 @@
 from fulmarward_router.mesh import MemberTable, MemberTold, Mesh
 from fulmarward_router.placement import LeaseKeeper, Placer
 from fulmarward_router.ports import (
-    ReplyLost,
     RouterSettings,
-    RowWrite,
     SettingsFault,
     Store,
-    StoreRefused,
     TargetDialect,
 )
-from fulmarward_router.state import ConfigurationHolder, Knowledge, StoreWatch
-
-#: The table with a row for each instance.
-INSTANCE_TABLE = "instances"
-
-#: Seconds between two readings of the other instances' rows. Load: instances that come
-#: while no peer reaches them; harm: each reading is paid for; reason: new instances
-#: dial the others themselves, so this is for what both missed.
-INSTANCES_S = 12.0
+from fulmarward_router.state import (
+    ConfigurationHolder,
+    InstanceRows,
+    Knowledge,
+    StoreWatch,
+    TargetNews,
+)
 
 #: Seconds after SIGTERM in which long requests are still begun, as a part of the time
 #: up to SIGKILL. Load: callers use an address for some seconds after it left the
@@ -161,12 +154,12 @@
         self.members = MemberTable(own=self.own)
         self.catalogue = TargetCatalogue()
         self.suspicions = SuspicionTable()
+        self.target_news = TargetNews(
+            suspicions=self.suspicions, note_urgent=self._stir
+        )
         self.paces = PaceTable()
         self.ledger = LoadLedger()
         self._allowances: dict[str, RepeatAllowance] = {}
-        #: When each target that is known started, ms since 1970, and those leaving.
-        self._started_ms: dict[str, int] = {}
-        self._leaving: set[str] = set()
         self.store = parts.make_store(
             store_session, settings.store_address, self._count_call
         )
@@ -178,7 +171,7 @@
             catalogue=self.catalogue,
             read_clock=clock,
             note_change=self._stir,
-            note_news=self._note_news,
+            note_news=self.target_news.note,
             is_among_first=lambda count: self.knowledge.is_among_first(count),
             is_large=lambda: self.members.is_large,
             read_beat_pause_s=lambda: self.members.beat_pause_s,
@@ -198,7 +191,7 @@
             is_leaving=lambda: self.life.is_stopping,
             is_store_reachable=lambda: self.watch.out_since is None,
             note_change=self._stir,
-            note_news=self._note_news,
+            note_news=self.target_news.note,
         )
         self.mesh = Mesh(
             own=self.own,
@@ -207,6 +200,12 @@
             read_clock=clock,
             count_bytes=self._count_bytes,
         )
+        self.rows = InstanceRows(
+            store=self.store,
+            own=self.own,
+            members=self.members,
+            read_clock=clock,
+        )
         self.lease = LeaseKeeper(
             store=self.store,
             name=settings.name,
@@ -310,35 +309,6 @@
     def _stir(self) -> None:
         self.mesh.stir()
 
-    def _note_news(self, rows: list[KnownRow]) -> None:
-        """Log what changed of targets; a target that began anew is trusted again."""
-        is_urgent = any(r.record is None or r.record.is_leaving for r in rows)
-        if is_urgent:
-            # Peers must not send work there either.
-            self._stir()
-        for row in rows:
-            if row.record is None:
-                self._leaving.discard(row.name)
-                if self._started_ms.pop(row.name, None) is not None:
-                    log_event("target_gone", target=row.name, store_version=row.version)
-                continue
-            record = row.record
-            known = self._started_ms.get(row.name)
-            self._started_ms[row.name] = record.started_ms
-            if known is None or known != record.started_ms:
-                self.suspicions.note_restarted(row.name)
-                log_event(
-                    "target_known",
-                    target=row.name,
-                    address=record.address,
-                    service=record.service,
-                    started_ms=record.started_ms,
-                    store_version=row.version,
-                )
-            if record.is_leaving and row.name not in self._leaving:
-                self._leaving.add(row.name)
-                log_event("target_leaving", target=row.name, store_version=row.version)
-
     def _count_call(self, call: str, status: str) -> None:
         self.metrics.calls.inc({"call": call, "status": status})
 
@@ -357,7 +327,7 @@
             self._start("configuration", self.watch.follow_configuration()),
             self._start("targets", self.watch.follow_targets()),
             self._start("mesh", self.mesh.run(settings.seeds)),
-            self._start("instances", self._follow_instances()),
+            self._start("instances", self.rows.follow()),
             self._start("lease", self.lease.run()),
             self._start("placement", self.placer.run()),
             self._start("streams", self.engines.keeper.run()),
@@ -428,33 +398,6 @@
             log_event("ready", configuration=self.configuration.version)
             self._stir()
 
-    async def _follow_instances(self) -> None:
-        """Write this instance's row, and read the others' now and then."""
-        own = self.own
-        fields = [
-            own.name,
-            own.boot,
-            own.data_centre,
-            own.peer_address,
-            own.caller_address,
-        ]
-        write = RowWrite(table=INSTANCE_TABLE, key=own.name, value=cbor2.dumps(fields))
-        is_written = False
-        while True:
-            try:
-                if not is_written:
-                    await self.store.transact([], [write])
-                    is_written = True
-                read = await self.store.read_table(INSTANCE_TABLE)
-            except (StoreRefused, ReplyLost) as error:
-                log_event("instances_not_read", cause=repr(error))
-                await asyncio.sleep(random.uniform(0.8, 1.2))
-                continue
-            told = [_decode_instance(row.value) for row in read.rows]
-            now = self._clock()
-            self.members.take_told([item for item in told if item], now=now)
-            await asyncio.sleep(INSTANCES_S * random.uniform(0.8, 1.2))
-
     async def _follow_settings(self) -> None:
         """Read the settings again on SIGHUP, and now and then without one."""
         while True:
@@ -481,7 +424,7 @@
         self.life.begin_stop()
         self._stir()
         log_event("stopping", open_requests=self.front.open_requests.total())
-        withdrawal = asyncio.create_task(self._withdraw())
+        withdrawal = asyncio.create_task(self.rows.withdraw())
         while True:
             await asyncio.sleep(_STOP_LOOK_S)
             passed_s = self._clock() - began_at
@@ -496,14 +439,6 @@
         self.life.finish_stop()
         log_event("stop_ends", cut=self.front.open_requests.total())
 
-    async def _withdraw(self) -> None:
-        """Take this instance's row out of the store."""
-        write = RowWrite(table=INSTANCE_TABLE, key=self.own.name, value=None)
-        try:
-            await self.store.transact([], [write])
-        except (StoreRefused, ReplyLost) as error:
-            log_event("withdrawal_failed", cause=repr(error))
-
     def _start(self, name: str, duty: Coroutine[None, None, None]) -> asyncio.Task:
         """Start a duty; an instance whose duty has failed stops."""
 
@@ -524,22 +459,6 @@
         return task
 
 
-def _decode_instance(value: bytes | None) -> MemberTold | None:
-    """Return the instance in a row, `None` if it cannot be read."""
-    try:
-        name, boot, data_centre, peer_address, caller_address = cbor2.loads(value)
-    except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
-        log_event("instance_row_wrong", cause=repr(error))
-        return None
-    return MemberTold(
-        name=name,
-        boot=boot,
-        data_centre=data_centre,
-        peer_address=peer_address,
-        caller_address=caller_address,
-    )
-
-
 async def _serve(
     address: str, handler: web.Server | Callable[[web.BaseRequest], Awaitable]
 ) -> web.ServerRunner:
--- a/packages/router/fulmarward_router/state/__init__.py
+++ b/packages/router/fulmarward_router/state/__init__.py
@@ -1,7 +1,15 @@
 """What an instance believes: configuration, targets, peers' news, the store."""
 
 from fulmarward_router.state._configuration import ConfigurationHolder
+from fulmarward_router.state._instances import InstanceRows
 from fulmarward_router.state._news import Knowledge
+from fulmarward_router.state._target_news import TargetNews
 from fulmarward_router.state._watch import StoreWatch
 
-__all__ = ["ConfigurationHolder", "Knowledge", "StoreWatch"]
+__all__ = [
+    "ConfigurationHolder",
+    "InstanceRows",
+    "Knowledge",
+    "StoreWatch",
+    "TargetNews",
+]
--- /dev/null
+++ b/packages/router/fulmarward_router/state/_instances.py
@@ -0,0 +1,101 @@
+"""The row of this instance in the store, and those of the others."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import cbor2
+
+from fulmarward.observability import log_event
+from fulmarward_router.mesh import MemberTable, MemberTold
+from fulmarward_router.ports import ReplyLost, RowWrite, Store, StoreRefused
+
+#: The table with a row for each instance.
+INSTANCE_TABLE = "instances"
+
+#: Seconds between two readings of the other instances' rows. Load: instances that come
+#: while no peer reaches them; harm: each reading is paid for; reason: new instances
+#: dial the others themselves, so this is for what both missed.
+READ_S = 12.0
+
+#: Seconds before the store is tried again.
+RETRY_S = 1.0
+
+#: Part by which pauses differ between instances. Reason: all begin in the same moment.
+_SPREAD = 0.2
+
+
+class InstanceRows:
+    """Writes this instance's row, and learns of the others by theirs."""
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        own: MemberTold,
+        members: MemberTable,
+        read_clock: Callable[[], float],
+    ) -> None:
+        self._store = store
+        self._own = own
+        self._members = members
+        self._read_clock = read_clock
+
+    async def follow(self) -> None:
+        """Write the row once, and read the others' now and then, until cancelled."""
+        value = _encode_instance(self._own)
+        write = RowWrite(table=INSTANCE_TABLE, key=self._own.name, value=value)
+        is_written = False
+        while True:
+            try:
+                if not is_written:
+                    await self._store.transact([], [write])
+                    is_written = True
+                read = await self._store.read_table(INSTANCE_TABLE)
+            except (StoreRefused, ReplyLost) as error:
+                log_event("instances_not_read", cause=repr(error))
+                await _sleep_about(RETRY_S)
+                continue
+            told = [_decode_instance(row.value) for row in read.rows]
+            now = self._read_clock()
+            self._members.take_told([item for item in told if item], now=now)
+            await _sleep_about(READ_S)
+
+    async def withdraw(self) -> None:
+        """Take this instance's row out of the store, as far as the store answers."""
+        write = RowWrite(table=INSTANCE_TABLE, key=self._own.name, value=None)
+        try:
+            await self._store.transact([], [write])
+        except (StoreRefused, ReplyLost) as error:
+            log_event("withdrawal_failed", cause=repr(error))
+
+
+async def _sleep_about(seconds: float) -> None:
+    await asyncio.sleep(seconds * random.uniform(1 - _SPREAD, 1 + _SPREAD))
+
+
+def _encode_instance(own: MemberTold) -> bytes:
+    fields = [
+        own.name,
+        own.boot,
+        own.data_centre,
+        own.peer_address,
+        own.caller_address,
+    ]
+    return cbor2.dumps(fields)
+
+
+def _decode_instance(value: bytes | None) -> MemberTold | None:
+    """Return the instance in a row, `None` if it cannot be read."""
+    try:
+        name, boot, data_centre, peer_address, caller_address = cbor2.loads(value)
+    except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
+        log_event("instance_row_wrong", cause=repr(error))
+        return None
+    return MemberTold(
+        name=name,
+        boot=boot,
+        data_centre=data_centre,
+        peer_address=peer_address,
+        caller_address=caller_address,
+    )
--- /dev/null
+++ b/packages/router/fulmarward_router/state/_target_news.py
@@ -0,0 +1,54 @@
+"""What news of targets mean to this instance."""
+
+from collections.abc import Callable
+
+from fulmarward.observability import log_event
+from fulmarward_core.catalogue import KnownRow
+from fulmarward_core.suspicion import SuspicionTable
+
+
+class TargetNews:
+    """Logs what changed of targets; a target that began anew is trusted again."""
+
+    def __init__(
+        self, *, suspicions: SuspicionTable, note_urgent: Callable[[], None]
+    ) -> None:
+        self._suspicions = suspicions
+        self._note_urgent = note_urgent
+        #: When each target that is known started, ms since 1970, and those leaving.
+        self._started_ms: dict[str, int] = {}
+        self._leaving: set[str] = set()
+
+    def note(self, rows: list[KnownRow]) -> None:
+        """Take in rows that say something new."""
+        if any(row.record is None or row.record.is_leaving for row in rows):
+            # Peers must not send work there either.
+            self._note_urgent()
+        for row in rows:
+            if row.record is None:
+                self._note_gone(row)
+            else:
+                self._note_there(row)
+
+    def _note_gone(self, row: KnownRow) -> None:
+        self._leaving.discard(row.name)
+        if self._started_ms.pop(row.name, None) is not None:
+            log_event("target_gone", target=row.name, store_version=row.version)
+
+    def _note_there(self, row: KnownRow) -> None:
+        record = row.record
+        known = self._started_ms.get(row.name)
+        self._started_ms[row.name] = record.started_ms
+        if known is None or known != record.started_ms:
+            self._suspicions.note_restarted(row.name)
+            log_event(
+                "target_known",
+                target=row.name,
+                address=record.address,
+                service=record.service,
+                started_ms=record.started_ms,
+                store_version=row.version,
+            )
+        if record.is_leaving and row.name not in self._leaving:
+            self._leaving.add(row.name)
+            log_event("target_leaving", target=row.name, store_version=row.version)
