A target that refuses again and again is tried ever more rarely

Ruled out: full memory (their engines were nearly idle), lost targets (they answer). Change: the time doubles from 0.4 to 3.2 s while a target refuses without serving between.

--- a/packages/core/fulmarward_core/suspicion/_table.py
+++ b/packages/core/fulmarward_core/suspicion/_table.py
@@ -13,6 +13,14 @@
 #: about a fifth of the usual answer's time, in which some of its requests end.
 FULL_S = 0.4
 
+#: Seconds up to which that doubles while a target refuses again and again without
+#: serving in between, and after which it begins anew. Load: targets that are leaving
+#: and cannot say so, since the store is out: they refuse all that is new; harm: with
+#: 0.4 s each time, every request met three of them with its three attempts and was
+#: refused, for nine seconds; reason: two or three tries of each instance in that time.
+MOST_FULL_S = 3.2
+_FULL_AGAIN_S = 2.0
+
 #: Seconds for which a target counts as failing after failed answers in a row.
 FAILING_S = 3.0
 
@@ -107,10 +115,14 @@
         known = self._suspicions.get(target)
         if known is not None and now < known.until:
             return
+        lasted_s = FULL_S
+        if known is not None and known.reason == "full":
+            if now - known.until < _FULL_AGAIN_S:
+                lasted_s = min(MOST_FULL_S, known.lasted_s * 2)
         self._suspicions[target] = Suspicion(
             target=target,
-            until=now + FULL_S,
-            lasted_s=0.0,
+            until=now + lasted_s,
+            lasted_s=lasted_s,
             since=now,
             reason="full",
             failures=0 if known is None else known.failures,
--- a/packages/core/fulmarward_core/suspicion/tests/test_table.py
+++ b/packages/core/fulmarward_core/suspicion/tests/test_table.py
@@ -1,6 +1,6 @@
 import unittest
 
-from fulmarward_core.suspicion import SUSPECT_S, SuspicionTable
+from fulmarward_core.suspicion import FULL_S, SUSPECT_S, SuspicionTable
 
 
 class SuspicionTableTest(unittest.TestCase):
@@ -40,6 +40,26 @@
         self.assertTrue(table.is_suspect("t", now=0.1))
         self.assertFalse(table.is_lost("t", now=0.1))
 
+    def test_target_that_refuses_again_and_again_is_tried_ever_more_rarely(self):
+        # Three targets are leaving while the store is out, and refuse all that is new.
+        # Every request was sent to one after the other and refused, for nine seconds.
+        table = SuspicionTable()
+        tries, now = 0, 0.0
+        while now < 9.0:
+            if not table.is_suspect("t", now=now):
+                tries += 1
+                table.note_full("t", now=now)
+            now += 0.05
+        self.assertLessEqual(tries, 6)
+
+    def test_full_target_that_serves_again_is_trusted_as_before(self):
+        table = SuspicionTable()
+        for now in (0.0, 0.5, 1.5):
+            table.note_full("t", now=now)
+        table.note_served("t", now=4.0)
+        table.note_full("t", now=4.1)
+        self.assertFalse(table.is_suspect("t", now=4.1 + FULL_S))
+
     def test_one_failure_is_chance_two_in_a_row_are_not(self):
         table = SuspicionTable()
         self.assertFalse(table.note_failed("t", now=0.0))
