One piece where two stood: metric maker, dropped hold of a lease; dead arguments gone

Cause, found on reading the whole change: the makers of counters, gauges and histograms, and what is forgotten with a refused fencing number, stood twice (old daemon and router). The pipe's gate took a known path that nobody gives any more since streams begin anew in place of crossing. A peer's data centre was looked up twice for each heartbeat, and each heartbeat made two copies of a state to leave out one flag. Ruled out, with why: one Life for both daemons (the tables differ, seven lines of the library's call are alike); one keeper of leases (the ports differ until the old dialect implements them); the tables of messages (shape only). Behaviour and every assertion stay.

--- a/packages/core/fulmarward_core/leases/decisions.py
+++ b/packages/core/fulmarward_core/leases/decisions.py
@@ -121,6 +121,11 @@
     return replace(state, asked_at=dict(list(asked.items())[-MOST_ASKED:]))
 
 
+def drop_hold(state: LeaseState) -> LeaseState:
+    """Believe no more that this instance holds the lease; the row is read next."""
+    return replace(state, phase=Phase.UNSURE, held_until=float("-inf"), asked_at={})
+
+
 def take_event(
     state: LeaseState, terms: LeaseTerms, event: LeaseEvent, *, now: float
 ) -> LeaseState:
--- a/packages/instance/fulmarward/observability/__init__.py
+++ b/packages/instance/fulmarward/observability/__init__.py
@@ -6,15 +6,23 @@
     start_logging,
     stop_logging,
 )
-from fulmarward.observability._metrics import Metrics, count_frame, make_metrics
+from fulmarward.observability._metrics import (
+    MetricMaker,
+    Metrics,
+    count_frame,
+    make_metric_maker,
+    make_metrics,
+)
 from fulmarward.observability._traces import TraceHandler
 
 __all__ = [
+    "MetricMaker",
     "Metrics",
     "TraceHandler",
     "count_dropped_lines",
     "count_frame",
     "log_event",
+    "make_metric_maker",
     "make_metrics",
     "start_logging",
     "stop_logging",
--- a/packages/instance/fulmarward/observability/_metrics.py
+++ b/packages/instance/fulmarward/observability/_metrics.py
@@ -35,33 +35,52 @@
     whole: Histogram
 
 
-def make_metrics() -> Metrics:
-    """Return fresh metrics with their own registry."""
-    REGISTRY.clear()
-    registry = Registry()
+@dataclass(frozen=True, kw_only=True)
+class MetricMaker:
+    """Makes metrics of one process, each under the product's prefix."""
+
+    #: Where they are registered.
+    registry: Registry
+    #: Bounds of the histograms, in seconds.
+    buckets_s: list[float]
 
-    def count(name: str, text: str) -> Counter:
-        return Counter(f"fulmarward_{name}", text, registry=registry)
+    def count(self, name: str, text: str) -> Counter:
+        """Return a new counter."""
+        return Counter(f"fulmarward_{name}", text, registry=self.registry)
 
-    def gauge(name: str, text: str) -> Gauge:
-        return Gauge(f"fulmarward_{name}", text, registry=registry)
+    def gauge(self, name: str, text: str) -> Gauge:
+        """Return a new gauge."""
+        return Gauge(f"fulmarward_{name}", text, registry=self.registry)
 
-    def histogram(name: str, text: str) -> Histogram:
+    def histogram(self, name: str, text: str) -> Histogram:
+        """Return a new histogram of seconds."""
         return Histogram(
-            f"fulmarward_{name}", text, registry=registry, buckets=LATENCY_BUCKETS_S
+            f"fulmarward_{name}", text, registry=self.registry, buckets=self.buckets_s
         )
 
+
+def make_metric_maker(buckets_s: list[float]) -> MetricMaker:
+    """Return a maker with a registry of its own."""
+    REGISTRY.clear()
+    return MetricMaker(registry=Registry(), buckets_s=buckets_s)
+
+
+def make_metrics() -> Metrics:
+    """Return fresh metrics with their own registry."""
+    make = make_metric_maker(LATENCY_BUCKETS_S)
     return Metrics(
-        registry=registry,
-        requests=count("requests_total", "Requests answered, by kind and result."),
-        decisions=count("decisions_total", "Decisions, by kind and reason."),
-        dropped=count("dropped_events_total", "Target events dropped, by reason."),
-        control_messages=count("control_messages_total", "Messages between peers."),
-        control_bytes=count("control_bytes_total", "Bytes between peers."),
-        open_requests=gauge("open_requests", "Requests open now."),
-        epoch=gauge("configuration_epoch", "Configuration epoch in force."),
-        first_token=histogram("first_token_seconds", "Time to the first token."),
-        whole=histogram("request_seconds", "Time to the end of the answer."),
+        registry=make.registry,
+        requests=make.count("requests_total", "Requests answered, by kind and result."),
+        decisions=make.count("decisions_total", "Decisions, by kind and reason."),
+        dropped=make.count("dropped_events_total", "Target events dropped, by reason."),
+        control_messages=make.count(
+            "control_messages_total", "Messages between peers."
+        ),
+        control_bytes=make.count("control_bytes_total", "Bytes between peers."),
+        open_requests=make.gauge("open_requests", "Requests open now."),
+        epoch=make.gauge("configuration_epoch", "Configuration epoch in force."),
+        first_token=make.histogram("first_token_seconds", "Time to the first token."),
+        whole=make.histogram("request_seconds", "Time to the end of the answer."),
     )
 
 
--- a/packages/instance/fulmarward/placement/_lease.py
+++ b/packages/instance/fulmarward/placement/_lease.py
@@ -1,7 +1,7 @@
 """The task that takes and keeps the lease of a pool."""
 
 import asyncio
-from dataclasses import asdict, dataclass, replace
+from dataclasses import asdict, dataclass
 
 from fulmarward._instance import Instance
 from fulmarward.observability import log_event
@@ -77,13 +77,6 @@
     return may_order(keeper.state, now=instance.read_clock())
 
 
-def drop_hold(keeper: LeaseKeeper) -> None:
-    """Believe no more that this instance holds the lease, and read the row."""
-    keeper.state = replace(
-        keeper.state, phase=Phase.UNSURE, held_until=float("-inf"), asked_at={}
-    )
-
-
 def _is_wanted(instance: Instance, keeper: LeaseKeeper) -> bool:
     """Return whether this instance shall hold the lease, or keep it."""
     is_serving = instance.lifecycle.state == "serving"
--- a/packages/instance/fulmarward/placement/_pool.py
+++ b/packages/instance/fulmarward/placement/_pool.py
@@ -10,7 +10,7 @@
 from fulmarward.observability import log_event
 from fulmarward.peers import PeerLinks
 from fulmarward.placement._asking import count_in_flight, gather_outcomes
-from fulmarward.placement._lease import LeaseKeeper, drop_hold, is_holder
+from fulmarward.placement._lease import LeaseKeeper, is_holder
 from fulmarward.placement._status import PoolStatus, read_rollout, write_status
 from fulmarward.platform import PlatformOut
 from fulmarward.targets import (
@@ -28,6 +28,7 @@
     list_sources,
     reserve,
 )
+from fulmarward_core.leases import drop_hold
 from fulmarward_core.placement import (
     Action,
     ActionKind,
@@ -273,7 +274,7 @@
     log_event("order_failed", level=logging.WARNING, detail=detail, **members)
     placement.looks.pop(action.target, None)
     if isinstance(outcome, OrderRefused) and detail == "old_fencing":
-        drop_hold(keeper)
+        keeper.state = drop_hold(keeper.state)
 
 
 def _start_order(
--- a/packages/router/fulmarward_router/_metrics.py
+++ b/packages/router/fulmarward_router/_metrics.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass
 
-from aioprometheus import REGISTRY, Counter, Gauge, Histogram, Registry
+from aioprometheus import Counter, Gauge, Histogram, Registry
 
-from fulmarward.observability import count_dropped_lines
+from fulmarward.observability import count_dropped_lines, make_metric_maker
 from fulmarward_router.exchange import Work
 
 #: Bounds of the histograms, in seconds.
@@ -38,32 +38,21 @@
 
 def make_router_metrics() -> RouterMetrics:
     """Return fresh metrics with their own registry."""
-    REGISTRY.clear()
-    registry = Registry()
-
-    def count(name: str, text: str) -> Counter:
-        return Counter(f"fulmarward_{name}", text, registry=registry)
-
-    def gauge(name: str, text: str) -> Gauge:
-        return Gauge(f"fulmarward_{name}", text, registry=registry)
-
-    def histogram(name: str, text: str) -> Histogram:
-        return Histogram(
-            f"fulmarward_{name}", text, registry=registry, buckets=BUCKETS_S
-        )
-
+    make = make_metric_maker(BUCKETS_S)
     return RouterMetrics(
-        registry=registry,
-        requests=count("requests_total", "Requests, by service and outcome."),
-        repeats=count("repeats_total", "Attempts beyond the first, by service."),
-        moves=count("moves_total", "Streams moved, by how."),
-        calls=count("calls_total", "Calls to the store and to targets."),
-        peer_bytes=count("peer_bytes_total", "Bytes between instances."),
-        first_event=histogram("first_event_seconds", "Time to the first event."),
-        whole=histogram("request_seconds", "Time to the end of the answer."),
-        configuration=gauge("configuration_version", "Configuration in force."),
-        targets=gauge("targets", "Targets known."),
-        dropped_lines=gauge("log_lines_dropped", "Log lines dropped since the start."),
+        registry=make.registry,
+        requests=make.count("requests_total", "Requests, by service and outcome."),
+        repeats=make.count("repeats_total", "Attempts beyond the first, by service."),
+        moves=make.count("moves_total", "Streams moved, by how."),
+        calls=make.count("calls_total", "Calls to the store and to targets."),
+        peer_bytes=make.count("peer_bytes_total", "Bytes between instances."),
+        first_event=make.histogram("first_event_seconds", "Time to the first event."),
+        whole=make.histogram("request_seconds", "Time to the end of the answer."),
+        configuration=make.gauge("configuration_version", "Configuration in force."),
+        targets=make.gauge("targets", "Targets known."),
+        dropped_lines=make.gauge(
+            "log_lines_dropped", "Log lines dropped since the start."
+        ),
     )
 
 
--- a/packages/router/fulmarward_router/exchange/_pipe.py
+++ b/packages/router/fulmarward_router/exchange/_pipe.py
@@ -38,15 +38,13 @@
         engine: EngineModel,
         wanted: PathRequest,
         path: tuple[Hop, ...],
-        known: tuple[Hop, ...] = (),
     ) -> bool:
         """Reserve the transfers that a path takes; return whether they fit in.
 
         All instances send requests the same way at the same time, so each counts its
-        own transfers as often as there are instances. `known` is the path that the
-        request had: between two targets of it nothing is transferred anew.
+        own transfers as often as there are instances.
         """
-        crossings = self.count_crossings(path, known)
+        crossings = self.count_crossings(path)
         transfer_s = (
             wanted.prompt * engine.activation_bytes * 8 / (engine.pipe_mbps * 1e6)
         )
@@ -58,8 +56,14 @@
         self._taken_until = begins_at + taken_s
         return True
 
-    def count_crossings(self, path: tuple[Hop, ...], known: tuple[Hop, ...]) -> int:
-        """Return how often a path goes on in another data centre, where it is new."""
+    def count_crossings(
+        self, path: tuple[Hop, ...], known: tuple[Hop, ...] = ()
+    ) -> int:
+        """Return how often a path goes on in another data centre, where it is new.
+
+        `known` is the path that the request had: between two targets of it nothing is
+        transferred anew.
+        """
         centres = [self._find_centre(hop.target) for hop in path]
         old = {hop.target for hop in known}
         return sum(
--- a/packages/router/fulmarward_router/mesh/_links.py
+++ b/packages/router/fulmarward_router/mesh/_links.py
@@ -204,9 +204,9 @@
                 elif now - unwanted_at > UNWANTED_S:
                     log_event("peer_link_ended", peer=address)
                     return
-                await self._send_data(link, self._encode_beat(address))
+                centre = self._members.find_data_centre(address)
+                await self._send_data(link, self._encode_beat(centre))
                 if self._is_hub:
-                    centre = self._members.find_data_centre(address)
                     for news in teller.list_due(self._own.data_centre, centre, now=now):
                         await self._send(link, news)
                 await _wait_first(stirred, listener, self._members.beat_pause_s)
@@ -268,7 +268,7 @@
         elif isinstance(message, ConfigurationNews | TargetsNews):
             self._news.take_news(message)
 
-    def _encode_beat(self, address: str) -> bytes:
+    def _encode_beat(self, peer_centre: str | None) -> bytes:
         """Return the heartbeat for a peer; one encoding serves many for a moment.
 
         Where there are many instances, each one's loads are told within the data
@@ -276,8 +276,7 @@
         """
         has_loads = True
         if self._members.is_large:
-            centre = self._members.find_data_centre(address)
-            has_loads = centre == self._own.data_centre
+            has_loads = peer_centre == self._own.data_centre
         now = self._read_clock()
         at, stirred, data = self._encoded.get(has_loads, (float("-inf"), None, b""))
         if now - at > SAME_BEAT_S or stirred is not self._stirred:
--- a/packages/router/fulmarward_router/mesh/_members.py
+++ b/packages/router/fulmarward_router/mesh/_members.py
@@ -56,8 +56,6 @@
     is_leaving: bool
     #: Whether the store answers it.
     is_store_reachable: bool
-    #: Whether streams there look as if a target were slow.
-    sees_slow_streams: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -74,6 +72,9 @@
     noted_at: float
     #: Whether it was heard on a link of its own, not by the word of a hub.
     is_direct: bool = True
+    #: Whether streams there look as if a target were slow. No part of its state, since
+    #: other data centres are not told of it.
+    sees_slow_streams: bool = False
 
 
 class MemberTable:
@@ -105,9 +106,16 @@
             is_ready=beat.is_ready,
             is_leaving=beat.is_leaving,
             is_store_reachable=beat.is_store_reachable,
-            sees_slow_streams=beat.sees_slow_streams,
         )
-        self._put(Member(told=beat.sender, state=state, heard_at=now, noted_at=now))
+        self._put(
+            Member(
+                told=beat.sender,
+                state=state,
+                heard_at=now,
+                noted_at=now,
+                sees_slow_streams=beat.sees_slow_streams,
+            )
+        )
 
     def take_news(self, news: DataCentreNews, *, now: float) -> bool:
         """Take in a hub's word; return whether it tells of instances not known here."""
@@ -150,7 +158,7 @@
     def _put(self, member: Member) -> None:
         known = self._members.get(member.told.name)
         self._members[member.told.name] = member
-        if known is None or _say_of(known) != _say_of(member):
+        if known is None or (known.told, known.state) != (member.told, member.state):
             self.revision += 1
 
     def note_link_lost(self, name: str, *, now: float) -> None:
@@ -234,7 +242,7 @@
     def sees_slow_streams(self, *, now: float) -> bool:
         """Return whether an instance of this data centre has slow streams."""
         return any(
-            member.state.sees_slow_streams
+            member.sees_slow_streams
             for member in self.list_fresh(now=now)
             if member.told.data_centre == self._own.data_centre
         )
@@ -275,12 +283,6 @@
         return 1 + len(self.list_fresh(now=now))
 
 
-def _say_of(member: Member) -> tuple[MemberTold, MemberState | None]:
-    """Return what other data centres are told of an instance."""
-    state = member.state
-    return member.told, state and replace(state, sees_slow_streams=False)
-
-
 def _tell_member(member: Member, *, is_fresh: bool, now: float) -> InstanceTold:
     state = member.state
     is_alive = is_fresh and state is not None
--- a/packages/router/fulmarward_router/placement/_lease.py
+++ b/packages/router/fulmarward_router/placement/_lease.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import asdict, replace
+from dataclasses import asdict
 
 import orjson
 
@@ -22,6 +22,7 @@
     StepKind,
     StoreOut,
     choose_step,
+    drop_hold,
     may_order,
     note_asking,
     take_event,
@@ -84,9 +85,7 @@
 
     def drop(self) -> None:
         """Believe no more that this instance holds the lease, and read the row."""
-        self._state = replace(
-            self._state, phase=Phase.UNSURE, held_until=float("-inf"), asked_at={}
-        )
+        self._state = drop_hold(self._state)
 
     async def run(self) -> None:
         """Keep or watch the lease until cancelled."""
