--- a/packages/core/fulmarward_core/layers/decisions/_plan.py
+++ b/packages/core/fulmarward_core/layers/decisions/_plan.py
@@ -72,8 +72,6 @@
 ) -> list[Assignment]:
     """Lay the ranges of fast engines end to end, those of a data centre together."""
     ordered = _order_chain(engine, targets)
-    if can_hold_model(engine, ordered, FAST_KV_TOKENS):
-        return _plan_copies(engine, ordered, FAST_KV_TOKENS)
     names = [target.kind for target in ordered]
     return _lay_out(engine, ordered, size_ranges(engine, names, FAST_KV_TOKENS))
 
