--- a/packages/core/fulmarward_core/leases/__init__.py
+++ b/packages/core/fulmarward_core/leases/__init__.py
@@ -18,8 +18,10 @@
     choose_step,
     drop_hold,
     may_order,
+    may_order_in_outage,
     note_asking,
     take_event,
+    take_store_state,
 )
 
 __all__ = [
@@ -38,6 +40,8 @@
     "choose_step",
     "drop_hold",
     "may_order",
+    "may_order_in_outage",
     "note_asking",
     "take_event",
+    "take_store_state",
 ]
--- a/packages/core/fulmarward_core/leases/_types.py
+++ b/packages/core/fulmarward_core/leases/_types.py
@@ -77,6 +77,8 @@
     held_until: float = float("-inf")
     #: The fencing number that it holds until then.
     fencing: int = 0
+    #: Whether it held the lease when the row was last known.
+    is_last_holder: bool = False
     #: When each write of this instance was begun, by its token: those whose outcome
     #: may still show in the row.
     asked_at: Mapping[str, float] = field(default_factory=dict)
--- a/packages/core/fulmarward_core/leases/decisions.py
+++ b/packages/core/fulmarward_core/leases/decisions.py
@@ -56,12 +56,54 @@
     return now < state.held_until
 
 
+#: Seconds after a lease lapsed in which its holder may still learn that nobody reaches
+#: the store. Load: instances notice an outage one after the other, within 2.5 s of its
+#: beginning; harm: with more, one that lost its lease for a reason of its own takes a
+#: later outage for its cause and orders beside its successor.
+NOTICE_S = 2.0
+
+
+def take_store_state(state: LeaseState, *, is_out: bool, now: float) -> LeaseState:
+    """Take in whether nobody reaches the store; call it at least each second.
+
+    A lease that lapses while the store answers others is another's to take.
+    """
+    if is_out or not state.is_last_holder or now < state.held_until + NOTICE_S:
+        return state
+    return replace(state, is_last_holder=False)
+
+
+def may_order_in_outage(state: LeaseState) -> bool:
+    """Return whether this instance may go on ordering while nobody reaches the store.
+
+    Load: the store is out for 4 to 9 s, and engines leave or crash meanwhile; harm: the
+    lease lapses after three seconds, nobody can take it, and data centres stay without
+    a whole model until some seconds after the store's return; reason: the lease changes
+    hands in the store only, so the last holder is still the only one. Whether nobody
+    reaches the store is for the caller to know, and one that is wrong about it sends
+    the fencing number of its lapsed lease, which is lower than a successor's.
+    """
+    return state.is_last_holder
+
+
 def choose_step(
-    state: LeaseState, terms: LeaseTerms, *, token: str, wanted: bool, now: float
+    state: LeaseState,
+    terms: LeaseTerms,
+    *,
+    token: str,
+    wanted: bool,
+    now: float,
+    is_holder_gone: bool = False,
 ) -> Step:
     """Return what to do now. `token` has never been used; `wanted` is whether this
     instance would hold the lease, and if not it gives back what it holds.
+
+    `is_holder_gone` is whether the process that holds the lease is known to have ended,
+    as when its instance was heard under a later boot number. Its lease need not be
+    waited out: who has ended orders nothing.
     """
+    if is_holder_gone and state.phase is Phase.WATCHING:
+        state = replace(state, seen_since=float("-inf"))
     return _STEPS[state.phase](state, terms, token, wanted, now)
 
 
@@ -116,14 +158,22 @@
     was before and would believe itself the holder still.
     """
     if not step.lease.holder:
-        return replace(state, asked_at={}, held_until=float("-inf"))
+        return replace(
+            state, asked_at={}, held_until=float("-inf"), is_last_holder=False
+        )
     asked = {**state.asked_at, step.lease.token: now}
     return replace(state, asked_at=dict(list(asked.items())[-MOST_ASKED:]))
 
 
 def drop_hold(state: LeaseState) -> LeaseState:
     """Believe no more that this instance holds the lease; the row is read next."""
-    return replace(state, phase=Phase.UNSURE, held_until=float("-inf"), asked_at={})
+    return replace(
+        state,
+        phase=Phase.UNSURE,
+        held_until=float("-inf"),
+        asked_at={},
+        is_last_holder=False,
+    )
 
 
 def take_event(
@@ -150,6 +200,7 @@
         lease=lease,
         version=event.version,
         seen_since=now if is_news else state.seen_since,
+        is_last_holder=False,
     )
     is_own = (lease.holder, lease.boot) == (state.own_name, state.own_boot)
     if not is_own or lease.token not in state.asked_at:
@@ -158,7 +209,11 @@
     if now >= held_until:
         return replace(seen, held_until=float("-inf"))
     return replace(
-        seen, phase=Phase.HOLDING, held_until=held_until, fencing=lease.fencing
+        seen,
+        phase=Phase.HOLDING,
+        held_until=held_until,
+        fencing=lease.fencing,
+        is_last_holder=True,
     )
 
 
--- a/packages/core/fulmarward_core/leases/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/leases/tests/test_decisions.py
@@ -2,6 +2,7 @@
 
 from fulmarward_core.leases import (
     ABSENT_LEASE,
+    Lease,
     LeaseRead,
     LeaseState,
     LeaseTerms,
@@ -10,9 +11,12 @@
     ReplyLost,
     StepKind,
     choose_step,
+    drop_hold,
     may_order,
+    may_order_in_outage,
     note_asking,
     take_event,
+    take_store_state,
 )
 
 _TERMS = LeaseTerms(term_s=10.0)
@@ -87,3 +91,51 @@
         read = LeaseRead(lease=step.lease, version=2)
         other = take_event(other, _TERMS, read, now=0.0)
         self.assertEqual(_step(other, 0.0).lease.fencing, 2)
+
+
+class OutageTest(unittest.TestCase):
+    def test_last_holder_orders_on_while_nobody_reaches_the_store(self):
+        # The store is silent for eight seconds and engines leave. The lease lapsed
+        # after three, nobody could take it, and no data centre had a whole model from
+        # six seconds after the beginning until four seconds after the end.
+        state = _acquire()
+        later = _TERMS.held_s + 5.0
+        state = take_store_state(state, is_out=True, now=later)
+        self.assertFalse(may_order(state, now=later))
+        self.assertTrue(may_order_in_outage(state))
+
+    def test_outage_noticed_a_little_late_counts(self):
+        state = _acquire()
+        state = take_store_state(state, is_out=False, now=_TERMS.held_s + 1.5)
+        self.assertTrue(may_order_in_outage(state))
+
+    def test_holder_whose_lease_lapsed_before_the_outage_orders_nothing(self):
+        # An instance is cut off, its lease goes to another, and it does not read the
+        # row again since it is not its turn. Later the store is out for all: both
+        # took themselves for the last holder.
+        state = _acquire()
+        state = take_store_state(state, is_out=False, now=_TERMS.held_s + 3.0)
+        state = take_store_state(state, is_out=True, now=_TERMS.held_s + 9.0)
+        self.assertFalse(may_order_in_outage(state))
+
+    def test_who_reads_of_another_holder_or_gave_back_orders_nothing(self):
+        state = _acquire()
+        other = Lease(holder="i2", boot=1, fencing=2, token="x")
+        read = LeaseRead(lease=other, version=2)
+        self.assertFalse(may_order_in_outage(take_event(state, _TERMS, read, now=20.0)))
+        self.assertFalse(may_order_in_outage(drop_hold(state)))
+        given_back = note_asking(state, _step(state, 1.0, wanted=False), now=1.0)
+        self.assertFalse(may_order_in_outage(given_back))
+
+    def test_lease_of_a_process_that_has_ended_is_not_waited_out(self):
+        # The holder is stopped while the store is out and cannot give its lease back.
+        # Its next start saw the row of its last one and waited for three seconds.
+        state = LeaseState(own_name="i1", own_boot=2)
+        lease = Lease(holder="i1", boot=1, fencing=3, token="x")
+        state = take_event(state, _TERMS, LeaseRead(lease=lease, version=7), now=50.0)
+        self.assertEqual(_step(state, 50.0).kind, StepKind.WAIT)
+        step = choose_step(
+            state, _TERMS, token="t", wanted=True, now=50.0, is_holder_gone=True
+        )
+        self.assertEqual((step.kind, step.version), (StepKind.WRITE, 7))
+        self.assertEqual(step.lease.fencing, 4)
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -211,6 +211,8 @@
             name=settings.name,
             boot=self.own.boot,
             is_wanted=self._wants_lease,
+            is_store_out=self.knowledge.is_store_out,
+            is_gone=self.members.has_ended,
             read_clock=clock,
         )
         self.placer = Placer(
--- a/packages/router/fulmarward_router/mesh/_members.py
+++ b/packages/router/fulmarward_router/mesh/_members.py
@@ -193,6 +193,13 @@
         """Seconds after which an instance that is not heard counts as silent."""
         return max(FRESH_S, _MISSING_BEATS * self.beat_pause_s)
 
+    def has_ended(self, name: str, boot: int) -> bool:
+        """Return whether a later start of an instance than `boot` is known."""
+        if name == self._own.name:
+            return boot < self._own.boot
+        known = self._members.get(name)
+        return known is not None and boot < known.told.boot
+
     def find_data_centre(self, peer_address: str) -> str | None:
         """Return where the instance at a peer address stands, `None` if unknown."""
         for member in self._members.values():
--- a/packages/router/fulmarward_router/mesh/tests/test_members.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_members.py
@@ -69,6 +69,15 @@
         self.table.take_beat(make_beat(boot=1, is_leaving=True), now=0.1)
         self.assertEqual(len(self.table.list_ready(now=0.2)), 1)
 
+    def test_process_has_ended_once_a_later_start_of_its_instance_is_known(self):
+        # Only a later boot number shows it: silence may be a partition.
+        self.table.take_beat(make_beat(boot=2), now=0.0)
+        self.assertTrue(self.table.has_ended("peer", 1))
+        self.assertFalse(self.table.has_ended("peer", 2))
+        self.assertFalse(self.table.has_ended("unheard-of", 1))
+        self.assertTrue(self.table.has_ended("own", 0))
+        self.assertFalse(self.table.has_ended("own", 1))
+
     def test_killed_instance_is_noticed_by_the_end_of_its_link(self):
         # A process is killed: its link ends at once, its heartbeats would be missed
         # seconds later only where there are many instances.
--- a/packages/router/fulmarward_router/placement/_lease.py
+++ b/packages/router/fulmarward_router/placement/_lease.py
@@ -24,8 +24,10 @@
     choose_step,
     drop_hold,
     may_order,
+    may_order_in_outage,
     note_asking,
     take_event,
+    take_store_state,
 )
 from fulmarward_router.ports import (
     Committed,
@@ -61,11 +63,19 @@
         name: str,
         boot: int,
         is_wanted: Callable[[], bool],
+        is_store_out: Callable[[], bool],
+        is_gone: Callable[[str, int], bool],
         read_clock: Callable[[], float],
     ) -> None:
         self._store = store
         self._boot = boot
         self._is_wanted = is_wanted
+        #: Returns whether no instance reaches the store.
+        self._is_store_out = is_store_out
+        #: Returns whether the process of an instance with that boot number has ended.
+        self._is_gone = is_gone
+        #: Whether orders are sent under a lease that lapsed while the store is out.
+        self._is_held_over = False
         self._read_clock = read_clock
         self._state = LeaseState(own_name=name, own_boot=boot)
 
@@ -81,7 +91,17 @@
 
     def is_held(self) -> bool:
         """Return whether orders may be sent now; ask right before each."""
-        return may_order(self._state, now=self._read_clock())
+        now = self._read_clock()
+        if may_order(self._state, now=now):
+            self._is_held_over = False
+            return True
+        is_out = self._is_store_out()
+        self._state = take_store_state(self._state, is_out=is_out, now=now)
+        is_held_over = is_out and may_order_in_outage(self._state)
+        if is_held_over and not self._is_held_over:
+            log_event("lease_held_over", fencing=self.fencing)
+        self._is_held_over = is_held_over
+        return is_held_over
 
     def drop(self) -> None:
         """Believe no more that this instance holds the lease, and read the row."""
@@ -98,7 +118,15 @@
         if not wanted and not self.is_held():
             return LOOK_S
         token = f"{self._boot:x}-{random.getrandbits(64):x}"
-        step = choose_step(self._state, TERMS, token=token, wanted=wanted, now=now)
+        lease = self._state.lease
+        step = choose_step(
+            self._state,
+            TERMS,
+            token=token,
+            wanted=wanted,
+            now=now,
+            is_holder_gone=self._is_gone(lease.holder, lease.boot),
+        )
         if step.kind is StepKind.WAIT:
             return await self._wait(step.until - now)
         event = await (
--- a/packages/router/fulmarward_router/state/_news.py
+++ b/packages/router/fulmarward_router/state/_news.py
@@ -142,6 +142,19 @@
         ]
         return self._own.name in sorted([*names, self._own.name])[:count]
 
+    def is_store_out(self) -> bool:
+        """Return whether no instance reaches the store, as far as known here.
+
+        Over half of the instances must be heard. Guards against one that is cut off
+        from everybody: it would take its own trouble for the store's.
+        """
+        if self._is_store_reachable():
+            return False
+        fresh = self._members.list_fresh(now=self._read_clock())
+        if (len(fresh) + 1) * 2 <= len(self._members.list_all()) + 1:
+            return False
+        return not any(member.state.is_store_reachable for member in fresh)
+
     def take_beat(self, beat: Beat) -> list[AskConfiguration | AskTargets]:
         """Take in a peer's heartbeat; return what to ask it for."""
         now = self._read_clock()
--- a/packages/router/fulmarward_router/tests/test_knowledge.py
+++ b/packages/router/fulmarward_router/tests/test_knowledge.py
@@ -172,6 +172,26 @@
                 found = tuple(peer.knowledge.is_among_first(1) for peer in (one, two))
                 self.assertEqual(found, expected)
 
+    def test_store_is_out_when_nobody_heard_reaches_it_and_most_are_heard(self):
+        # One that is turned away by the store, or cut off from all, would order layers
+        # under a lapsed lease beside the new holder.
+        cases = [
+            ("all reach it", True, True, True, False),
+            ("only the other reaches it", False, True, True, False),
+            ("nobody reaches it", False, False, True, True),
+            ("nobody reaches it and nobody is heard", False, False, False, False),
+        ]
+        for name, own, other, is_heard, expected in cases:
+            with self.subTest(name):
+                one, two, three = _Peer("one"), _Peer("two"), _Peer("three")
+                one.is_store_reachable = own
+                two.is_store_reachable = three.is_store_reachable = other
+                one.hear(two)
+                one.hear(three)
+                if not is_heard:
+                    one.now += 10.0
+                self.assertEqual(one.knowledge.is_store_out(), expected)
+
     def test_question_about_nothing_new_has_no_answer(self):
         self.assertIsNone(self.one.knowledge.answer(AskConfiguration(version=3)))
         answer = self.one.knowledge.answer(AskTargets(after=0))
