--- a/packages/core/fulmarward_core/catalogue/_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/_catalogue.py
@@ -21,6 +21,10 @@
 #: two seconds in which it still serves; reason: well under the life of a row.
 OUTAGE_S = 2.0
 
+#: Seconds without any news, after which a target may have begun to leave unseen.
+#: Reason: over twice the pause between two readings, and a heartbeat.
+BEHIND_S = 1.2
+
 #: Seconds for which the row of a target that is gone is remembered. Harm: a peer that
 #: is behind brings it back; reason: no news is older than a partition of half a minute
 #: that did not end in a full read.
@@ -76,6 +80,10 @@
         since = max(self._regained_at, self._known_at)
         return now - since < RETURN_S or now - self.confirmed_at > OUTAGE_S
 
+    def may_lack_leaving(self, *, now: float) -> bool:
+        """Return whether targets may be leaving without its being known here."""
+        return now - self.confirmed_at > BEHIND_S
+
     def take_all(self, rows: Iterable[KnownRow], version: int, *, now: float) -> None:
         """Take in a full reading of the table: rows that it lacks are gone."""
         if version < self.version:
--- a/packages/core/fulmarward_core/suspicion/_table.py
+++ b/packages/core/fulmarward_core/suspicion/_table.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
+from fulmarward_core.suspicion._refusals import RefusalTable
+
 #: Seconds for which a target is left out after it did not answer, doubled each time up
 #: to the most. Load: a target that is dark for seconds; harm: each try costs a caller
 #: half a second; reason: the store takes its row away after three heartbeats.
@@ -57,6 +59,8 @@
 
     def __init__(self) -> None:
         self._suspicions: dict[str, Suspicion] = {}
+        #: Targets that refuse although they have room.
+        self.refusals = RefusalTable()
         #: Rises when a target comes under suspicion of being lost.
         self.revision = 0
 
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -46,7 +46,7 @@
         self._read_clock = context.read_clock
         self._watch = watch
         self._is_stopping = is_stopping
-        finder = PathFinder(
+        self._finder = finder = PathFinder(
             instance=context.instance,
             catalogue=context.catalogue,
             suspicions=context.suspicions,
@@ -214,6 +214,7 @@
             raise AttemptEnded(cause=cause, is_not_run=True)
         is_own = facts.request_id == work.facts.request_id and facts.is_plain
         if response.status == 200 and is_own and facts.is_signed:
+            self._suspicions.refusals.note_taken(hop.target for hop in attempt.path)
             return None
         self._suspicions.note_failed(attempt.first.target, now=now)
         may_repeat = may_run_again(work.make_tally(), now=now)
@@ -242,6 +243,9 @@
             self._watch.note_lost(at_fault, cause="refused after a stall")
             return
         self._suspicions.note_full(at_fault, now=now)
+        if self._finder.has_room(at_fault, attempt.engine):
+            if self._suspicions.refusals.note_refused(at_fault, now=now):
+                log_event("target_refusing", target=at_fault, status=status)
         if is_elsewhere and status == 503:
             await self._watch.check([hop.target for hop in attempt.path])
 
--- a/packages/router/fulmarward_router/exchange/_stages.py
+++ b/packages/router/fulmarward_router/exchange/_stages.py
@@ -7,7 +7,7 @@
 from fulmarward_core.loads import LoadLedger, TargetLoad
 from fulmarward_core.paces import PaceTable
 from fulmarward_core.paths import Hop, PathRequest, Stage, choose_path, compute_taste
-from fulmarward_core.suspicion import SuspicionTable
+from fulmarward_core.suspicion import ROOM_PART, SuspicionTable
 
 
 class PathFinder:
@@ -44,6 +44,10 @@
         ]
         names = [record.name for record in records]
         suspects = self._suspicions.list_suspects(names, now=now)
+        if self._catalogue.may_lack_leaving(now=now):
+            refusals = self._suspicions.refusals
+            refusing = {name for name in names if refusals.is_refusing(name, now=now)}
+            suspects |= refusing
         loads = self._ledger.sum_loads(now=now)
         return [
             _make_stage(
@@ -68,6 +72,16 @@
         """Return the best path now, `None` when there is none with room."""
         return choose_path(engine, self.list_stages(service, engine), wanted)
 
+    def has_room(self, target: str, engine: EngineModel) -> bool:
+        """Return whether a target has room beyond doubt, by what is promised there."""
+        record = self._catalogue.find_target(target)
+        if record is None or record.layers is None or record.kind not in engine.kinds:
+            return False
+        kind = engine.kinds[record.kind]
+        capacity = count_kv_capacity(engine, kind, len(record.layers))
+        loads = self._ledger.sum_loads(now=self._read_clock())
+        return loads.get(target, TargetLoad()).kv <= capacity * ROOM_PART
+
     def has_whole_model(self, service: str, engine: EngineModel) -> bool:
         """Return whether there is a path at all, room aside."""
         wanted = PathRequest(prompt=0, answer=0, data_centre="")
--- a/packages/router/fulmarward_router/mesh/_messages.py
+++ b/packages/router/fulmarward_router/mesh/_messages.py
@@ -69,6 +69,8 @@
     loads: tuple[LoadTold, ...]
     #: Targets that it lost.
     losses: tuple[LossTold, ...]
+    #: Targets that it believes to be leaving: they refuse although they have room.
+    refusing: tuple[str, ...]
     #: Whether streams there look as if a target were slow, and which are.
     sees_slow_streams: bool
     paces: tuple[PaceTold, ...]
--- a/packages/router/fulmarward_router/mesh/tests/test_members.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_members.py
@@ -30,6 +30,7 @@
         "is_store_reachable": True,
         "loads": (),
         "losses": (),
+        "refusing": (),
         "sees_slow_streams": False,
         "paces": (),
         **changes,
--- a/packages/router/fulmarward_router/placement/_placer.py
+++ b/packages/router/fulmarward_router/placement/_placer.py
@@ -103,6 +103,7 @@
             if record.service == service
             and not record.is_leaving
             and not self._suspicions.is_lost(record.name, now=now)
+            and not self._leaves_unseen(record.name, now)
         ]
         names = {record.name for record in records}
         for name in list(self._first_seen):
@@ -112,6 +113,11 @@
             self._first_seen.setdefault(record.name, now)
         return records
 
+    def _leaves_unseen(self, target: str, now: float) -> bool:
+        """Return whether a target is leaving while the store cannot say so."""
+        is_refusing = self._suspicions.refusals.is_refusing(target, now=now)
+        return is_refusing and self._catalogue.may_lack_leaving(now=now)
+
     def _list_doubted(self, service: str, now: float) -> list[TargetRecord]:
         """Return the targets that do not answer but may be back."""
         return [
--- a/packages/router/fulmarward_router/state/_news.py
+++ b/packages/router/fulmarward_router/state/_news.py
@@ -100,6 +100,7 @@
             is_store_reachable=self._is_store_reachable(),
             loads=loads,
             losses=losses,
+            refusing=tuple(self._suspicions.refusals.list_own(now=now)),
             sees_slow_streams=self._sees_slow_streams(),
             paces=self._tell_paces(now),
         )
@@ -164,6 +165,7 @@
                 loss.target, for_s=loss.for_ms / 1000, now=now
             ):
                 log_event("target_lost", target=loss.target, source=beat.sender.name)
+        self._suspicions.refusals.take_told(beat.refusing, now=now)
         self._take_paces(beat.paces, now)
         questions: list[AskConfiguration | AskTargets] = []
         own = self._configuration.version
