--- a/packages/core/fulmarward_core/layers/decisions/_sizes.py
+++ b/packages/core/fulmarward_core/layers/decisions/_sizes.py
@@ -9,11 +9,13 @@
 #: sheds while the others are idle; reason: 40 requests of the usual size at once.
 LEAST_KV_TOKENS = 36_000
 
-#: The same for fast engines. Load: all of a fleet's answers, 31 a second for one to
-#: two seconds each, pass through its few fast engines; harm: with 36,000 their KV
-#: cache filled first, and after two losses callers were refused (a played day of
-#: three data centres: worth 0.480, with this 0.610); reason: 60 answers at once.
-FAST_KV_TOKENS = 64_000
+#: The same for fast engines. Load: of 31 answers a second, each open for 1.5 s, most
+#: pass through the few fast engines; harm: with more, fast engines hold fewer layers
+#: and each answer is open for longer (1.63 s with 64,000, 1.45 s with this), with less
+#: their KV cache fills and answers go the slow way all at once. Mean worth of ten days
+#: with trouble on three fleets with 64,000, 40,000 and 28,000: 0.738 0.754 0.757,
+#: 0.706 0.702 0.674, 0.792 0.807 0.797.
+FAST_KV_TOKENS = 40_000
 
 #: How many times as long a step of the slowest kind must take for a kind to count as
 #: fast. Reason: kinds differ by 7% or by a factor of five and more, little between.
