--- a/packages/core/fulmarward_core/layers/decisions/_repairs.py
+++ b/packages/core/fulmarward_core/layers/decisions/_repairs.py
@@ -63,10 +63,11 @@
 ) -> LayerRange | None:
     """Return the range that an empty target helps most with.
 
-    What its data centre lacks goes first, then what the fast engines lack if it is one
-    of them, then the layers that are held least nearby and everywhere. It is given as
-    many layers as it may hold: one that took only a small gap was worth little for the
-    rest of the day, while others kept little KV cache to stand in for it.
+    A fast engine takes what the fast ones lack, since slow ones may hold what its data
+    centre lacks; then what the data centre lacks goes first, then the layers that are
+    held least nearby and everywhere. It is given as many layers as it may hold: one
+    that took only a small gap was worth little for the rest of the day, while others
+    kept little KV cache to stand in for it.
     """
     size = size_ranges(engine, [target.kind], LEAST_KV_TOKENS)[target.kind]
     if size == 0:
@@ -79,12 +80,13 @@
     near = count([item for item in held if item.data_centre == target.data_centre])
     everywhere = count(held)
     is_fast = target.kind in fast_kinds
-    alike = count([t for t in held if t.kind in fast_kinds]) if is_fast else near
+    fast = count([item for item in held if item.kind in fast_kinds])
 
     def weigh(start: int) -> tuple[int, ...]:
         span = slice(start, start + size)
-        lacking = -near[span].count(0), -alike[span].count(0)
-        return *lacking, sum(near[span]), sum(everywhere[span])
+        lacking_fast = fast[span].count(0) if is_fast else 0
+        lacking = near[span].count(0)
+        return -lacking_fast, -lacking, sum(near[span]), sum(everywhere[span])
 
     start = min(range(engine.layers - size + 1), key=weigh)
     return LayerRange(start=start, end=start + size)
--- a/packages/core/fulmarward_core/stalls/decisions.py
+++ b/packages/core/fulmarward_core/stalls/decisions.py
@@ -14,12 +14,12 @@
 #: pause of a calm day is 85 ms, the mean 35 ms; with 99 targets the mean is 50 ms and
 #: the longest pause of nine streams in ten 64 ms.
 STILL_FACTOR = 2.2
-LEAST_STILL_S = 0.085
+LEAST_STILL_S = 0.06
 
 #: The same, where at least this many streams stand still at one target. Harm: one
 #: stream in a hundred pauses that long by chance, three of them at once do not.
 MANY_STILL = 3
-MANY_STILL_S = 0.06
+MANY_STILL_S = 0.04
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/router/fulmarward_router/exchange/_keeping.py
+++ b/packages/router/fulmarward_router/exchange/_keeping.py
@@ -24,7 +24,7 @@
 PAUSE_CHECK_S = 0.3
 
 #: Seconds between two looks at all open streams.
-LOOK_S = 0.025
+LOOK_S = 0.012
 
 #: Seconds by which a look may be late. Harm: an instance that is short of processor
 #: time takes its own lateness for a target's silence; reason: as long as a look.
--- a/packages/router/fulmarward_router/exchange/_watching.py
+++ b/packages/router/fulmarward_router/exchange/_watching.py
@@ -19,7 +19,7 @@
 PROBE_S = 0.035
 
 #: Seconds between two probes of the same target that answered. Harm: each is paid for.
-PROBE_AGAIN_S = 0.4
+PROBE_AGAIN_S = 0.8
 
 #: Seconds for a second probe, where most of those asked did not answer the first, or
 #: this instance was late itself. Load: an instance that is cut off, or short of link
