--- a/packages/core/fulmarward_core/layers/decisions/_plan.py
+++ b/packages/core/fulmarward_core/layers/decisions/_plan.py
@@ -120,17 +120,12 @@
 def _choose_thinnest(
     engine: EngineModel, size: int, ranges: Sequence[LayerRange]
 ) -> LayerRange:
-    """Return the first gap, as far as `size` layers go, or the least held layers."""
-    gaps = find_gaps(engine.layers, ranges)
-    if gaps:
-        return LayerRange(
-            start=gaps[0].start, end=min(gaps[0].end, gaps[0].start + size)
-        )
+    """Return the `size` layers of which most are unheld, or that are held least."""
     counts = count_holders(engine.layers, ranges)
 
     def weigh(start: int) -> tuple[int, int]:
         span = counts[start : start + size]
-        return min(span), sum(span)
+        return -span.count(0), sum(span)
 
     start = min(range(engine.layers - size + 1), key=weigh)
     return LayerRange(start=start, end=start + size)
@@ -188,7 +183,11 @@
 def _lay_out(
     engine: EngineModel, targets: Sequence[TargetRecord], sizes: Mapping[str, int]
 ) -> list[Assignment]:
-    """Lay ranges end to end, beginning anew at layer 0 after the last one."""
+    """Lay ranges end to end, beginning anew at layer 0 after the last one.
+
+    The last one before that reaches back over layers that the one before it holds,
+    rather than hold fewer: its memory would be idle, and they have two holders so.
+    """
     assignments = []
     position = 0
     for target in targets:
@@ -196,7 +195,7 @@
         if size == 0:
             continue
         end = min(position + size, engine.layers)
-        layers = LayerRange(start=position, end=end)
+        layers = LayerRange(start=end - size, end=end)
         assignments.append(Assignment(target=target.name, layers=layers))
         position = 0 if end == engine.layers else end
     return assignments
