--- a/packages/core/fulmarward_core/layers/decisions/_repairs.py
+++ b/packages/core/fulmarward_core/layers/decisions/_repairs.py
@@ -171,7 +171,7 @@
     start = max(0, min(gap.start, engine.layers - size))
     layers = LayerRange(start=start, end=start + size)
     assignment = Assignment(target=mover.name, layers=layers)
-    return [LayerOrder(assignment=assignment, reason="gap")]
+    return [LayerOrder(assignment=assignment, reason="spare")]
 
 
 def _extend_neighbours(
--- a/packages/core/fulmarward_core/layers/decisions/_types.py
+++ b/packages/core/fulmarward_core/layers/decisions/_types.py
@@ -21,5 +21,6 @@
 
     #: What shall be held.
     assignment: Assignment
-    #: `first`, `empty`, or `gap` (a target takes what its data centre lacks).
+    #: `first`, `empty`, `gap` (a target takes more layers, which its data centre lacks)
+    #: or `spare` (one whose layers others hold as well moves to where they lack).
     reason: str
--- a/packages/router/fulmarward_router/placement/_placer.py
+++ b/packages/router/fulmarward_router/placement/_placer.py
@@ -37,9 +37,10 @@
 
 #: Seconds for which a gap must last before neighbours are given more layers, where a
 #: target that does not answer may be back with them, and where it is gone or leaving.
-#: Load: targets that are dark for some seconds; harm: a load that was not needed;
-#: reason: other data centres serve meanwhile. A leaving target serves on for two
-#: seconds, in which its neighbours can be ready.
+#: Load: targets that are dark for some seconds; harm: KV cache given up for the rest of
+#: the day, though it was not needed; reason: other data centres serve meanwhile. A
+#: leaving target serves on for two seconds, in which its neighbours can be ready. A
+#: spare target that moves gives up nothing, and does so at once.
 GAP_S = 3.0
 SURE_GAP_S = 0.3
 
@@ -173,7 +174,7 @@
         now: float,
     ) -> bool:
         """Whether an order is to be sent now: a gap must have lasted first."""
-        if order.reason != "gap":
+        if order.reason not in ("gap", "spare"):
             return True
         target = next(t for t in targets if t.name == order.assignment.target)
         near = [
@@ -187,9 +188,8 @@
             for record in self._list_doubted(target.service, now)
             if record.data_centre == target.data_centre and record.layers is not None
         ]
-        wait_s = GAP_S
-        if find_gaps(engine.layers, near + doubted) == gaps:
-            wait_s = SURE_GAP_S
+        is_sure = find_gaps(engine.layers, near + doubted) == gaps
+        wait_s = SURE_GAP_S if is_sure or order.reason == "spare" else GAP_S
         key = (target.data_centre, str(gaps))
         for known in list(self._gap_since):
             if known[0] == target.data_centre and known != key:
