An instance that has just started vouches for no change before its first reading

Peers asked it for what changed since their version; it named no removal, since it never knew the target, and they took its version as theirs. Ruled out: an outage of the store (none then), a reading too seldom (both readers had it 0.2 s after). Change: changes after a version are told only by who knew the list at that version.

--- a/packages/core/fulmarward_core/catalogue/_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/_catalogue.py
@@ -61,6 +61,8 @@
         self._known_at = float("-inf")
         #: The store's version up to which every change is known.
         self.version = 0
+        #: The version from which on that holds: what went before it was never known.
+        self._known_from = 0
         #: When that was last confirmed, here or by a peer; steady seconds.
         self.confirmed_at = float("-inf")
         #: Rises with each change of what `list_targets` returns.
@@ -113,6 +115,7 @@
         if version >= self.version:
             if self.version == 0:
                 self._known_at = now
+                self._known_from = version
             self.version = version
             self._note_confirmed(now if confirmed_at is None else confirmed_at)
         news = [row for row in rows if self._take_row(row, now)]
@@ -173,6 +176,15 @@
         lapsed = self._lapsed.get(name)
         return None if lapsed is None else lapsed[0]
 
+    def knows_changes(self, *, after: int) -> bool:
+        """Return whether every change after a version is known here.
+
+        Guards against an instance that has just started: it never knew the targets
+        that went before its first reading, and a peer that asked it for what changed
+        would not hear that they are gone. One that knows nothing at all may be told.
+        """
+        return after == 0 or after >= self._known_from
+
     def list_rows(self, *, after: int) -> list[KnownRow]:
         """Return the rows that say something new since a version, or were removed.
 
--- a/packages/router/fulmarward_router/state/_news.py
+++ b/packages/router/fulmarward_router/state/_news.py
@@ -233,6 +233,8 @@
                 return None
             told = RowTold(key=row.key, version=row.version, value=row.value)
             return ConfigurationNews(row=told)
+        if not self._catalogue.knows_changes(after=question.after):
+            return None
         rows = tuple(
             RowTold(key=row.name, version=row.version, value=row.value)
             for row in self._catalogue.list_rows(after=question.after)
--- a/packages/router/fulmarward_router/tests/test_knowledge.py
+++ b/packages/router/fulmarward_router/tests/test_knowledge.py
@@ -192,6 +192,34 @@
                     one.now += 10.0
                 self.assertEqual(one.knowledge.is_store_out(), expected)
 
+    def test_restarted_instance_vouches_for_nothing_before_its_first_reading(self):
+        # A plain target leaves for good; a moment later an instance starts, reads the
+        # list, which the target is no longer on, and is ahead of all. An instance that
+        # knew the target asked it for what changed since, heard of no removal, took
+        # the newer version for its own and sent work to the target for two seconds
+        # more.
+        target = KnownRow(name="t", version=5, value=b"x", record=None, heard_at=90.0)
+        other = KnownRow(name="u", version=6, value=b"x", record=None, heard_at=90.0)
+        self.one.catalogue.take_all([target, other], 6, now=99.0)
+        self.two.catalogue.take_all([other], 9, now=100.0)
+        self.one.hear(self.two)
+        self.assertEqual(self.one.catalogue.version, 6)
+        three = _Peer("three")
+        three.catalogue.take_all([target, other], 6, now=99.0)
+        gone = KnownRow(name="t", version=8, value=None, record=None, heard_at=100.0)
+        three.catalogue.take_changes([gone], 9, now=100.0)
+        self.one.now = 100.5
+        self.one.hear(three)
+        self.assertEqual(self.one.catalogue.version, 9)
+        known = {row.name: row.value for row in self.one.catalogue.list_rows(after=0)}
+        self.assertEqual(known, {"t": None, "u": b"x"})
+
+    def test_instance_that_knows_nothing_is_told_all_by_a_restarted_one(self):
+        row = KnownRow(name="u", version=6, value=b"x", record=None, heard_at=90.0)
+        self.two.catalogue.take_all([row], 9, now=100.0)
+        self.one.hear(self.two)
+        self.assertEqual(self.one.catalogue.version, 9)
+
     def test_question_about_nothing_new_has_no_answer(self):
         self.assertIsNone(self.one.knowledge.answer(AskConfiguration(version=3)))
         answer = self.one.knowledge.answer(AskTargets(after=0))
