Sight: why a repeat is denied, what a probe found, who was sent the configuration

An answer cut in the middle did not say whether its instance could have sent it once more and why it did not; a target told lost did not say who asked it, how many were silent with it and whether the asker was late itself; and nothing told how often a configuration is sent between instances. No decision changes: the count of an allowance stands as a function of its own.

--- a/packages/core/fulmarward_core/loads/__init__.py
+++ b/packages/core/fulmarward_core/loads/__init__.py
@@ -1,6 +1,6 @@
 """What runs on each target, and how many repeats are still allowed."""
 
-from fulmarward_core.loads._allowance import RepeatAllowance
+from fulmarward_core.loads._allowance import RepeatAllowance, RepeatCount
 from fulmarward_core.loads._ledger import LoadLedger, Promise, TargetLoad
 
-__all__ = ["LoadLedger", "Promise", "RepeatAllowance", "TargetLoad"]
+__all__ = ["LoadLedger", "Promise", "RepeatAllowance", "RepeatCount", "TargetLoad"]
--- a/packages/core/fulmarward_core/loads/_allowance.py
+++ b/packages/core/fulmarward_core/loads/_allowance.py
@@ -5,6 +5,7 @@
 """
 
 from collections import deque
+from dataclasses import dataclass
 
 #: Part of what is allowed that is used. Load: windows that slide, and instances that
 #: come and go, so that parts do not fit; harm: the bound is crossed by all together;
@@ -12,6 +13,17 @@
 USED_PART = 0.7
 
 
+@dataclass(frozen=True, kw_only=True)
+class RepeatCount:
+    """How far an allowance is used at a moment."""
+
+    #: Repeats within the window, and how many may be.
+    used: int
+    allowed: float
+    #: Requests of callers within the window.
+    requests: int
+
+
 class RepeatAllowance:
     """Requests and repeats of one service within a sliding window."""
 
@@ -34,9 +46,18 @@
 
     def take_repeat(self, *, instances: int, now: float) -> bool:
         """Take one repeat; return whether there was one left."""
-        self._trim(now)
-        allowed = self._slack / max(1, instances) + self._ratio * len(self._requests)
-        if len(self._repeats) + 1 > allowed * USED_PART:
+        count = self.count(instances=instances, now=now)
+        if count.used + 1 > count.allowed:
             return False
         self._repeats.append(now)
         return True
+
+    def count(self, *, instances: int, now: float) -> RepeatCount:
+        """Return how far this instance's part of the allowance is used."""
+        self._trim(now)
+        allowed = self._slack / max(1, instances) + self._ratio * len(self._requests)
+        return RepeatCount(
+            used=len(self._repeats),
+            allowed=allowed * USED_PART,
+            requests=len(self._requests),
+        )
--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from fulmarward.observability import log_event
 from fulmarward_core.catalogue import TargetCatalogue
 from fulmarward_core.loads import LoadLedger, RepeatAllowance
 from fulmarward_core.paces import PaceTable
@@ -39,11 +40,26 @@
     def take_repeat(self, work: Work) -> bool:
         """Take one more attempt, if the route and the allowance of all have one."""
         now = self.read_clock()
-        if not may_repeat(work.make_tally(), now=now):
-            return False
-        return self.find_allowance(work.service).take_repeat(
-            instances=self.count_instances(), now=now
+        tally = work.make_tally()
+        is_allowed = may_repeat(tally, now=now)
+        allowance = self.find_allowance(work.service)
+        instances = self.count_instances()
+        is_taken = is_allowed and allowance.take_repeat(instances=instances, now=now)
+        count = allowance.count(instances=instances, now=now)
+        log_event(
+            "repeat_taken" if is_taken else "repeat_denied",
+            request=work.facts.request_id,
+            cause=None if is_taken else ("allowance" if is_allowed else "route"),
+            attempts=tally.attempts,
+            runs=tally.runs,
+            most_attempts=tally.most_attempts,
+            left_s=round(tally.deadline - now, 3),
+            used=count.used,
+            allowed=round(count.allowed, 2),
+            requests=count.requests,
+            instances=instances,
         )
+        return is_taken
 
     def make_refusal(self, work: Work, *, cause: str, retry_after_s: float) -> Refused:
         """Return the truthful end of a request that no target answered.
--- a/packages/router/fulmarward_router/exchange/_keeping.py
+++ b/packages/router/fulmarward_router/exchange/_keeping.py
@@ -31,6 +31,9 @@
 #: that counts.
 MOST_LATE_S = 0.03
 
+#: Seconds by which a look may be late before the log tells of it.
+TOLD_LATE_S = 0.1
+
 #: Weight of the newest pause in the mean.
 _PAUSE_WEIGHT = 0.02
 
@@ -125,8 +128,11 @@
         while True:
             await asyncio.sleep(LOOK_S)
             now = self._read_clock()
-            is_late = now - looked_at > LOOK_S + MOST_LATE_S
+            late_s = now - looked_at - LOOK_S
+            is_late = late_s > MOST_LATE_S
             looked_at = now
+            if late_s > TOLD_LATE_S:
+                log_event("loop_late", late_s=round(late_s, 4), streams=len(self._open))
             if not is_late:
                 self._probe_still(now)
             self._lead_off_leaving(now)
--- a/packages/router/fulmarward_router/exchange/_watching.py
+++ b/packages/router/fulmarward_router/exchange/_watching.py
@@ -115,12 +115,21 @@
 
     async def _probe_all(self, records: list[TargetRecord]) -> None:
         began_at = self._read_clock()
-        silent = await self._find_silent(records, PROBE_S)
+        silent = first_silent = await self._find_silent(records, PROBE_S)
         is_late = self._read_clock() - began_at > PROBE_S + MOST_LATE_S
         if is_late or len(silent) > 1:
             is_doubtful = is_late or len(silent) * 2 > len(records)
             confirm_s = CONFIRM_S if is_doubtful else PROBE_S
             silent = await self._find_silent(silent, confirm_s)
+        if first_silent or is_late:
+            log_event(
+                "targets_probed",
+                asked=len(records),
+                silent=[record.name for record in first_silent],
+                lost=[record.name for record in silent],
+                is_late=is_late,
+                took_s=round(self._read_clock() - began_at, 4),
+            )
         for record in silent:
             self.note_lost(record.name, cause="no answer to a probe")
 
--- a/packages/router/fulmarward_router/state/_configuration.py
+++ b/packages/router/fulmarward_router/state/_configuration.py
@@ -58,6 +58,7 @@
             before=before,
             store_version=row.version,
             source=source,
+            size=len(row.value or b""),
             routes=sum(len(routes) for routes in configuration.routes.values()),
         )
         self.known.set()
--- a/packages/router/fulmarward_router/state/_news.py
+++ b/packages/router/fulmarward_router/state/_news.py
@@ -232,6 +232,12 @@
             if row is None or self._configuration.version <= question.version:
                 return None
             told = RowTold(key=row.key, version=row.version, value=row.value)
+            log_event(
+                "configuration_told",
+                version=self._configuration.version,
+                known=question.version,
+                size=len(row.value or b""),
+            )
             return ConfigurationNews(row=told)
         if not self._catalogue.knows_changes(after=question.after):
             return None
