A peer's word that a target is lost ends no stream; what is seen here does

What callers saw: answers cut in the middle at all instances, beside a new configuration, though their targets were sound.

Cause: an instance whose own link was full heard no answers to its probes, took targets for lost and told its peers. A peer's word counted as much as what an instance saw itself: each stream through such a target was ended at its next pause of 60 ms, which is a usual one, and cut when no attempt was left.

Why the mend holds: a word leaves a target out of new paths, as before. What runs there is ended only by what is seen here: a stream that is silent has its told targets asked, and the answer, or its lack, decides after one probe. An answer goes before the word for two seconds, since it comes again with each heartbeat. A target that fails requests is left out, but no longer counts as not answering: its streams were ended by the same question.

The two checks of the table and the one of the knowledge that took a word for a loss now ask that the target is left out and that it is told, not lost; the placement asks as before, by word or sight.

--- a/packages/core/fulmarward_core/suspicion/_table.py
+++ b/packages/core/fulmarward_core/suspicion/_table.py
@@ -36,6 +36,12 @@
 MOST_SUSPECTED = 0.5
 
 
+#: Reasons that say that a target does not answer: seen here, also where a peer told of
+#: it first, or that another answers at its address.
+_SEEN_LOST = frozenset({"lost", "confirmed", "address"})
+_TOLD = "told"
+
+
 @dataclass(frozen=True, kw_only=True)
 class Suspicion:
     """Why and until when a target is left out."""
@@ -48,7 +54,8 @@
     lasted_s: float
     #: When it was last suspected.
     since: float
-    #: `lost`, `full`, `failing` or `told` (by a peer).
+    #: `lost`, `address` (another answers there), `full`, `failing`, `told` (by a peer)
+    #: or `confirmed` (told, and seen here too).
     reason: str
     #: Failed answers in a row.
     failures: int = 0
@@ -59,6 +66,8 @@
 
     def __init__(self) -> None:
         self._suspicions: dict[str, Suspicion] = {}
+        #: When targets that a peer had lost answered here.
+        self._answered_at: dict[str, float] = {}
         #: Targets that refuse although they have room.
         self.refusals = RefusalTable()
         #: Rises when a target comes under suspicion of being lost.
@@ -67,8 +76,12 @@
     def note_lost(self, target: str, *, now: float, reason: str = "lost") -> bool:
         """A target did not answer; return whether that is news."""
         known = self._suspicions.get(target)
-        if known is not None and now < known.until and known.reason != "full":
-            return False
+        if known is not None and now < known.until:
+            if known.reason == _TOLD:
+                self._confirm(known)
+                return True
+            if known.reason in _SEEN_LOST:
+                return False
         lasted_s = SUSPECT_S
         if known is not None and now - known.until < MOST_SUSPECT_S:
             lasted_s = min(MOST_SUSPECT_S, max(SUSPECT_S, known.lasted_s * 2))
@@ -82,19 +95,50 @@
         self.revision += 1
         return True
 
+    def _confirm(self, told: Suspicion) -> None:
+        """What a peer told was seen here too.
+
+        It is not told on, so that a loss which all instances see does not make each of
+        them tell all others.
+        """
+        self._suspicions[told.target] = replace(told, reason="confirmed")
+        self.revision += 1
+
     def note_told(self, target: str, *, for_s: float, now: float) -> bool:
-        """A peer lost a target; return whether that is news."""
+        """A peer lost a target; return whether that is news.
+
+        It is left out of new paths; what runs there is ended only by what is seen here
+        (`is_lost`). Guards against a peer whose own link is cut or full: it takes all
+        that it cannot hear for lost, and one word of it would end sound streams at
+        every instance.
+        """
         known = self._suspicions.get(target)
         if known is not None and now < known.until:
-            if known.reason == "told" and now + for_s > known.until:
+            is_told = known.reason in (_TOLD, "confirmed")
+            if is_told and now + for_s > known.until:
                 self._suspicions[target] = replace(known, until=now + for_s)
             return False
+        if now - self._answered_at.get(target, float("-inf")) < SUSPECT_S:
+            return False
         self._suspicions[target] = Suspicion(
-            target=target, until=now + for_s, lasted_s=for_s, since=now, reason="told"
+            target=target, until=now + for_s, lasted_s=for_s, since=now, reason=_TOLD
         )
         self.revision += 1
         return True
 
+    def note_answered(self, target: str, *, now: float) -> bool:
+        """A target answered a probe; return whether a peer's word falls with that.
+
+        What is heard here goes before a word for as long as a suspicion lasts: the
+        peer repeats it with each of its heartbeats.
+        """
+        known = self._suspicions.get(target)
+        if known is None or known.reason != _TOLD:
+            return False
+        self._answered_at[target] = now
+        del self._suspicions[target]
+        return True
+
     def list_ending(self, *, now: float, ahead_s: float) -> list[str]:
         """Return the targets lost here whose suspicion ends within `ahead_s`."""
         return [
@@ -162,7 +206,21 @@
         return known is not None and now < known.until
 
     def is_lost(self, target: str, *, now: float) -> bool:
-        """Return whether a target is believed not to answer at all."""
+        """Return whether a target was seen here not to answer at all.
+
+        Only this ends what runs there. A target that a peer lost, or that answers with
+        failures, may still serve.
+        """
+        known = self._suspicions.get(target)
+        return known is not None and now < known.until and known.reason in _SEEN_LOST
+
+    def is_told(self, target: str, *, now: float) -> bool:
+        """Return whether a target counts as lost by a peer's word alone."""
+        known = self._suspicions.get(target)
+        return known is not None and now < known.until and known.reason == _TOLD
+
+    def is_doubted(self, target: str, *, now: float) -> bool:
+        """Return whether a target may not answer, by what was seen here or told."""
         known = self._suspicions.get(target)
         return known is not None and now < known.until and known.reason != "full"
 
--- a/packages/core/fulmarward_core/suspicion/tests/test_table.py
+++ b/packages/core/fulmarward_core/suspicion/tests/test_table.py
@@ -25,8 +25,8 @@
         self.assertTrue(table.is_lost("t", now=3.2))
         left_s = table.list_lost(now=1.5)[0].until - 1.5
         self.assertFalse(told.note_told("t", for_s=left_s, now=1.5), "no news")
-        self.assertTrue(told.is_lost("t", now=3.2))
-        self.assertFalse(told.is_lost("t", now=3.4))
+        self.assertTrue(told.is_suspect("t", now=3.2))
+        self.assertFalse(told.is_suspect("t", now=3.4))
 
     def test_only_own_losses_are_asked_again(self):
         table = SuspicionTable()
@@ -34,6 +34,42 @@
         table.note_full("full", now=0.0)
         self.assertEqual(table.list_ending(now=0.3, ahead_s=0.8), [])
 
+    def test_what_a_peer_told_is_lost_only_once_it_is_seen_here(self):
+        # A peer whose own link is full told that sound targets are lost, and streams
+        # that ran there were ended at every instance.
+        table = SuspicionTable()
+        self.assertTrue(table.note_told("t", for_s=2.0, now=0.0))
+        self.assertTrue(table.is_suspect("t", now=0.1), "no new work")
+        self.assertFalse(table.is_lost("t", now=0.1))
+        self.assertTrue(table.note_lost("t", now=0.2))
+        self.assertTrue(table.is_lost("t", now=0.3))
+        self.assertEqual(table.list_lost(now=0.3), [], "told on")
+
+    def test_answer_heard_here_goes_before_a_word_that_is_repeated(self):
+        table = SuspicionTable()
+        table.note_told("t", for_s=2.0, now=0.0)
+        self.assertTrue(table.note_answered("t", now=0.1))
+        self.assertFalse(table.note_told("t", for_s=1.7, now=0.3))
+        self.assertFalse(table.is_suspect("t", now=0.3))
+        self.assertTrue(table.note_told("t", for_s=2.0, now=0.1 + SUSPECT_S))
+
+    def test_answer_undoes_no_loss_that_was_seen_here(self):
+        table = SuspicionTable()
+        table.note_lost("t", now=0.0)
+        self.assertFalse(table.note_answered("t", now=0.1))
+        self.assertTrue(table.is_lost("t", now=0.2))
+
+    def test_failing_target_is_left_out_and_ends_nothing_that_runs_there(self):
+        # A target fails a part of its requests. Streams that it serves well were ended
+        # since it counted as lost.
+        table = SuspicionTable()
+        table.note_failed("t", now=0.0)
+        table.note_failed("t", now=0.1)
+        self.assertTrue(table.is_suspect("t", now=0.2))
+        self.assertFalse(table.is_lost("t", now=0.2))
+        self.assertTrue(table.note_lost("t", now=0.3))
+        self.assertTrue(table.is_lost("t", now=0.4))
+
     def test_full_target_is_not_lost(self):
         table = SuspicionTable()
         table.note_full("t", now=0.0)
@@ -91,5 +127,6 @@
     def test_what_peers_told_is_not_told_on(self):
         table = SuspicionTable()
         table.note_told("t", for_s=1.0, now=0.0)
-        self.assertTrue(table.is_lost("t", now=0.5))
+        self.assertTrue(table.is_told("t", now=0.5))
+        self.assertTrue(table.is_suspect("t", now=0.5))
         self.assertEqual(table.list_lost(now=0.5), [])
--- a/packages/router/fulmarward_router/exchange/_keeping.py
+++ b/packages/router/fulmarward_router/exchange/_keeping.py
@@ -139,6 +139,7 @@
             for attempt in list(self._open.values()):
                 is_silent = now - attempt.heard_at >= LEAST_STILL_S
                 if is_silent and attempt.checking is None and attempt.end is None:
+                    self._probe_told(attempt, now)
                     self._start_check(attempt)
 
     def _lead_off_leaving(self, now: float) -> None:
@@ -191,6 +192,21 @@
         if suspects:
             self._watch.probe(suspects)
 
+    def _probe_told(self, attempt: Attempt, now: float) -> None:
+        """Ask the targets of a silent stream that a peer lost whether they live.
+
+        A peer's word is no reason to end a stream: its own link may be at fault, and
+        streams pause for that long by themselves. A target that is lost is led around
+        a probe later.
+        """
+        told = [
+            hop.target
+            for hop in attempt.path
+            if self._suspicions.is_told(hop.target, now=now)
+        ]
+        if told:
+            self._watch.probe(told)
+
     def _start_check(self, attempt: Attempt) -> None:
         if self._must_check(attempt):
             self._start_task(attempt, self._keep_alive(attempt))
--- a/packages/router/fulmarward_router/exchange/_watching.py
+++ b/packages/router/fulmarward_router/exchange/_watching.py
@@ -132,6 +132,16 @@
             )
         for record in silent:
             self.note_lost(record.name, cause="no answer to a probe")
+        lost = {record.name for record in silent}
+        self._note_answered(
+            record.name for record in records if record.name not in lost
+        )
+
+    def _note_answered(self, targets: Iterable[str]) -> None:
+        """Targets answered; peers' words that they are lost say nothing any more."""
+        for target in targets:
+            if self._suspicions.note_answered(target, now=self._read_clock()):
+                log_event("target_answered", target=target)
 
     async def run(self) -> None:
         """Ask lost targets again before they are trusted again, until cancelled."""
--- a/packages/router/fulmarward_router/exchange/tests/test_watching.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_watching.py
@@ -38,10 +38,10 @@
     now = 100.0
 
 
-def _probe(names, silent):
+def _probe(names, silent, table=None):
     """Return the targets believed lost after a probe, and the seconds it took."""
     clock = _Clock()
-    table = SuspicionTable()
+    table = SuspicionTable() if table is None else table
 
     async def run():
         watch = LossWatch(
@@ -95,6 +95,20 @@
         lost, _ = _probe("abcd", lambda now: "abc" if now < 100.03 else "")
         self.assertEqual(lost, "")
 
+    def test_word_of_a_peer_is_settled_by_a_probe(self):
+        # A peer tells of two targets. The one that answers takes new work again and
+        # keeps its streams, the other is lost here too, and is not told on.
+        table = SuspicionTable()
+        for name in "ab":
+            table.note_told(name, for_s=2.0, now=100.0)
+        _probe("abcd", lambda now: "b", table)
+        found = {
+            n: (table.is_suspect(n, now=100.1), table.is_lost(n, now=100.1))
+            for n in "ab"
+        }
+        self.assertEqual(found, {"a": (False, False), "b": (True, True)})
+        self.assertEqual(table.list_lost(now=100.1), [])
+
     def test_single_silent_target_is_lost_at_once(self):
         lost, took_s = _probe("abcd", lambda now: "b")
         self.assertEqual(lost, "b")
--- a/packages/router/fulmarward_router/placement/_placer.py
+++ b/packages/router/fulmarward_router/placement/_placer.py
@@ -105,7 +105,7 @@
             for record in self._catalogue.list_targets(now=now)
             if record.service == service
             and not record.is_leaving
-            and not self._suspicions.is_lost(record.name, now=now)
+            and not self._suspicions.is_doubted(record.name, now=now)
             and not self._leaves_unseen(record.name, now)
         ]
         names = {record.name for record in records}
@@ -128,7 +128,7 @@
             for record in self._catalogue.list_targets(now=now)
             if record.service == service
             and not record.is_leaving
-            and self._suspicions.is_lost(record.name, now=now)
+            and self._suspicions.is_doubted(record.name, now=now)
         ]
 
     async def _look(self, service: str, engine: EngineModel) -> None:
--- a/packages/router/fulmarward_router/tests/test_knowledge.py
+++ b/packages/router/fulmarward_router/tests/test_knowledge.py
@@ -145,7 +145,8 @@
     def test_loss_of_a_target_is_told_once_and_not_told_on(self):
         self.one.suspicions.note_lost("t", now=100.0)
         self.two.hear(self.one)
-        self.assertTrue(self.two.suspicions.is_lost("t", now=100.1))
+        self.assertTrue(self.two.suspicions.is_told("t", now=100.1))
+        self.assertTrue(self.two.suspicions.is_suspect("t", now=100.1))
         self.assertEqual(self.two.knowledge.make_beat().losses, ())
 
     def test_slow_target_is_known_everywhere_with_the_age_of_its_report(self):
