--- a/packages/router/fulmarward_router/exchange/_keeping.py
+++ b/packages/router/fulmarward_router/exchange/_keeping.py
@@ -31,6 +31,9 @@
 #: that counts.
 MOST_LATE_S = 0.03
 
+#: Seconds by which a look may be late before the log tells of it.
+TOLD_LATE_S = 0.1
+
 #: Weight of the newest pause in the mean.
 _PAUSE_WEIGHT = 0.02
 
@@ -125,14 +128,18 @@
         while True:
             await asyncio.sleep(LOOK_S)
             now = self._read_clock()
-            is_late = now - looked_at > LOOK_S + MOST_LATE_S
+            late_s = now - looked_at - LOOK_S
+            is_late = late_s > MOST_LATE_S
             looked_at = now
+            if late_s > TOLD_LATE_S:
+                log_event("loop_late", late_s=round(late_s, 4), streams=len(self._open))
             if not is_late:
                 self._probe_still(now)
             self._lead_off_leaving(now)
             for attempt in list(self._open.values()):
                 is_silent = now - attempt.heard_at >= LEAST_STILL_S
                 if is_silent and attempt.checking is None and attempt.end is None:
+                    self._probe_told(attempt, now)
                     self._start_check(attempt)
 
     def _lead_off_leaving(self, now: float) -> None:
@@ -185,6 +192,21 @@
         if suspects:
             self._watch.probe(suspects)
 
+    def _probe_told(self, attempt: Attempt, now: float) -> None:
+        """Ask the targets of a silent stream that a peer lost whether they live.
+
+        A peer's word is no reason to end a stream: its own link may be at fault, and
+        streams pause for that long by themselves. A target that is lost is led around
+        a probe later.
+        """
+        told = [
+            hop.target
+            for hop in attempt.path
+            if self._suspicions.is_told(hop.target, now=now)
+        ]
+        if told:
+            self._watch.probe(told)
+
     def _start_check(self, attempt: Attempt) -> None:
         if self._must_check(attempt):
             self._start_task(attempt, self._keep_alive(attempt))
