Known red: a large configuration fills the links of whoever has it

A model with played time: 77 and 330 instances tell each other of a row with 2,050 routes over links of 20 Mbit/s. The bounds come from the aims: a probe is answered within 35 to 250 ms, so nothing waits for a link over 0.1 s, and the version is in force in time.

--- /dev/null
+++ b/packages/router/fulmarward_router/tests/test_configuration_spread.py
@@ -0,0 +1,189 @@
+import heapq
+import json
+import random
+import unittest
+
+from fulmarward_router.mesh import (
+    AskConfiguration,
+    AskTargets,
+    Beat,
+    ConfigurationNews,
+    TargetsNews,
+    encode_message,
+)
+from fulmarward_router.ports import Row
+from fulmarward_router.tests.test_knowledge import Peer
+
+#: Bytes a second of a small instance's link: 20 Mbit/s.
+_LINK = 2_500_000
+
+#: Seconds on the way within a data centre and between two.
+_NEAR_S, _FAR_S = 0.001, 0.02
+
+#: Seconds that an instance takes to read a row with all its routes.
+_READ_S = 0.15
+
+#: Seconds between two heartbeats of an instance on all its links.
+_BEAT_S = 0.5
+
+#: Instances that have the new version from the store, and when they have it.
+_FROM_STORE = (0.0, 0.02, 0.04, 0.06)
+
+#: Most seconds for which anything waits for a link. Reason: a probe of a target that
+#: is answered 35 to 250 ms later takes it for lost.
+_MOST_WAIT_S = 0.1
+
+
+class _Configuration:
+    def __init__(self, version):
+        self.version = version
+        self.routes = {}
+
+
+def _decode(row):
+    return _Configuration(json.loads(row.value)["version"])
+
+
+def _make_row(version, routes):
+    """Return a row as an operator's: many routes that are like each other."""
+    generator = random.Random(version)
+    value = {
+        "version": version,
+        "routes": [
+            {
+                "id": f"r-{generator.getrandbits(36):x}",
+                "match": {"host": f"svc-{number % 40}.example", "path": f"/v{number}"},
+                "service": f"s{generator.getrandbits(24):x}",
+                "team": f"t{generator.getrandbits(24):x}",
+                "kind": "stream",
+                "split": [{"target": f"p-{number % 9}", "weight": 100}],
+                "retries": {"attempts": 2, "repeatable": number % 3 == 0},
+                "limits": {"wait_ms": 30_000, "gap_ms": 60, "first_ms": 2_500},
+            }
+            for number in range(routes)
+        ],
+    }
+    return Row(key="config", version=version, value=json.dumps(value).encode())
+
+
+class _Fleet:
+    """Instances in data centres, with links that take their time; time is played."""
+
+    def __init__(self, *, sizes):
+        self.now = 0.0
+        self.peers = []
+        self.in_force = {}
+        self.waited_s = 0.0
+        self._events = []
+        self._order = 0
+        self._centres = []
+        self._free = {}
+        for centre, size in enumerate(sizes):
+            for _ in range(size):
+                self.peers.append(Peer(f"i{len(self.peers):03}", decode=_decode))
+                self._centres.append(centre)
+        hubs = {
+            self._centres.index(centre) + n
+            for centre in set(self._centres)
+            for n in (0, 1)
+        }
+        indexes = range(len(self.peers))
+        self._links = [
+            [
+                other
+                for other in indexes
+                if other != one
+                and (self._centres[one] == self._centres[other] or {one, other} <= hubs)
+            ]
+            for one in indexes
+        ]
+
+    def play(self, row, *, until):
+        """Tell the first instances of `row` by the store, and play on."""
+        generator = random.Random(1)
+        for one, at in enumerate(_FROM_STORE):
+            self._plan(at, self._read, one, row)
+        for one in range(len(self.peers)):
+            self._plan(generator.uniform(0.0, _BEAT_S), self._beat_on, one)
+        while self._events and self._events[0][0] <= until:
+            self.now, _, step, args = heapq.heappop(self._events)
+            step(*args)
+
+    def _plan(self, at, step, *args):
+        self._order += 1
+        heapq.heappush(self._events, (at, self._order, step, args))
+
+    def _read(self, one, row):
+        peer = self._wake(one)
+        peer.configuration.take_row(row, source="store", now=self.now)
+        self._note(one)
+
+    def _wake(self, one):
+        self.peers[one].now = 100.0 + self.now
+        return self.peers[one]
+
+    def _note(self, one):
+        """Tell all of a version that has just come, once it is read."""
+        if one not in self.in_force and self.peers[one].configuration.version:
+            self.in_force[one] = self.now + _READ_S
+            self._plan(self.now + _READ_S, self._beat, one)
+
+    def _beat_on(self, one):
+        self._beat(one)
+        self._plan(self.now + _BEAT_S, self._beat_on, one)
+
+    def _beat(self, one):
+        beat = self._wake(one).knowledge.make_beat()
+        for other in self._links[one]:
+            self._send(one, other, beat)
+
+    def _send(self, one, other, message):
+        size = len(encode_message(message))
+        at = self._pass_link(("out", one), size)
+        is_near = self._centres[one] == self._centres[other]
+        at += _NEAR_S if is_near else _FAR_S
+        self._plan(at, self._arrive, one, other, message, size)
+
+    def _pass_link(self, link, size):
+        at = max(self.now, self._free.get(link, 0.0)) + size / _LINK
+        self._free[link] = at
+        self.waited_s = max(self.waited_s, at - self.now)
+        return at
+
+    def _arrive(self, one, other, message, size):
+        at = self._pass_link(("in", other), size)
+        self._plan(at, self._take, one, other, message)
+
+    def _take(self, one, other, message):
+        peer = self._wake(other)
+        if isinstance(message, Beat):
+            for question in peer.knowledge.take_beat(message):
+                self._send(other, one, question)
+        elif isinstance(message, AskConfiguration | AskTargets):
+            answer = peer.knowledge.answer(message)
+            if answer is not None:
+                self._send(other, one, answer)
+        elif isinstance(message, ConfigurationNews | TargetsNews):
+            peer.knowledge.take_news(message)
+            self._note(other)
+
+
+class ConfigurationSpreadTest(unittest.TestCase):
+    def test_large_configuration_reaches_all_and_fills_no_link(self):
+        # The operator adds 1,800 routes; for four seconds sound streams are cut at
+        # instances that have the new version. Whoever hears of it asks one peer after
+        # the other while the first answer is still on its way, and whoever has it
+        # sends it to all that ask at once; its link is full, and probes of targets
+        # pass too late.
+        cases = [
+            ("77 in 3", (26, 26, 25), 2.5),
+            ("330 in 19", (18,) * 7 + (17,) * 12, 8.0),
+        ]
+        for name, sizes, most_s in cases:
+            with self.subTest(name):
+                fleet = _Fleet(sizes=sizes)
+                fleet.play(_make_row(7, 2050), until=most_s)
+                found = f"{len(fleet.in_force)} have it, waited {fleet.waited_s:.3f} s"
+                self.assertLessEqual(fleet.waited_s, _MOST_WAIT_S, found)
+                self.assertEqual(len(fleet.in_force), len(fleet.peers), found)
+                self.assertLessEqual(max(fleet.in_force.values()), most_s, found)
--- a/packages/router/fulmarward_router/tests/test_knowledge.py
+++ b/packages/router/fulmarward_router/tests/test_knowledge.py
@@ -27,15 +27,15 @@
     return _Configuration(int(row.value))
 
 
-class _Peer:
+class Peer:
     """An instance's knowledge without links; `now` is its clock."""
 
-    def __init__(self, name):
+    def __init__(self, name, decode=_decode):
         self.now = 100.0
         self.is_store_reachable = True
         self.is_leaving = False
         self.members = MemberTable(own=make_beat(name).sender)
-        self.configuration = ConfigurationHolder(decode=_decode)
+        self.configuration = ConfigurationHolder(decode=decode)
         self.catalogue = TargetCatalogue()
         self.suspicions = SuspicionTable()
         self.paces = PaceTable()
@@ -91,7 +91,7 @@
 
 class KnowledgeTest(unittest.TestCase):
     def setUp(self):
-        self.one, self.two = _Peer("one"), _Peer("two")
+        self.one, self.two = Peer("one"), Peer("two")
 
     def test_instance_that_the_store_turns_away_gets_news_by_a_peer(self):
         # The store serves one instance and refuses the other. A key taken away, or a
@@ -107,7 +107,7 @@
         # The operator changes the configuration and 76 peers tell of it in the same
         # moment. Each was asked for the whole row; the answers filled the link for two
         # seconds, targets did not answer probes in time and were taken for lost.
-        peers = [_Peer(f"peer{number}") for number in range(76)]
+        peers = [Peer(f"peer{number}") for number in range(76)]
         for peer in peers:
             peer.configuration.take_row(_make_row(4, b"7"), source="x", now=100.0)
         beats = [peer.knowledge.make_beat() for peer in peers]
@@ -165,7 +165,7 @@
         ]
         for changes, expected in cases:
             with self.subTest(changes):
-                one, two = _Peer("one"), _Peer("two")
+                one, two = Peer("one"), Peer("two")
                 for name, value in changes.items():
                     setattr(one, name, value)
                 one.hear(two)
@@ -184,7 +184,7 @@
         ]
         for name, own, other, is_heard, expected in cases:
             with self.subTest(name):
-                one, two, three = _Peer("one"), _Peer("two"), _Peer("three")
+                one, two, three = Peer("one"), Peer("two"), Peer("three")
                 one.is_store_reachable = own
                 two.is_store_reachable = three.is_store_reachable = other
                 one.hear(two)
@@ -205,7 +205,7 @@
         self.two.catalogue.take_all([other], 9, now=100.0)
         self.one.hear(self.two)
         self.assertEqual(self.one.catalogue.version, 6)
-        three = _Peer("three")
+        three = Peer("three")
         three.catalogue.take_all([target, other], 6, now=99.0)
         gone = KnownRow(name="t", version=8, value=None, record=None, heard_at=100.0)
         three.catalogue.take_changes([gone], 9, now=100.0)
