Known red: an instance that hears nobody takes all for lost

Reproduction of the incident at the instances that told of losses: nobody answers for two seconds, whoever is asked, and targets are noted as lost and told. Fails on the code as it is.

The stand-in of the catalogue lists targets and the one of the dialect answers whether a target is there, so that an instance can ask others beside it.

--- a/packages/router/fulmarward_router/exchange/tests/test_watching.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_watching.py
@@ -4,20 +4,32 @@
 
 from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_router.exchange import LossWatch
+from fulmarward_router.ports import TargetReport
 
 
 @dataclass(frozen=True)
 class _Record:
     name: str
+    data_centre: str = "north"
+    is_leaving: bool = False
+    layers: str = "0-10"
 
 
 class _Catalogue:
+    """Targets from a to z, as many as are asked for."""
+
+    def __init__(self, names="abcdefghijklmnopqrstuvwxyz"):
+        self._names = names
+
     def find_target(self, name):
         return _Record(name)
 
+    def list_targets(self, *, now):
+        return [_Record(name) for name in self._names]
+
 
 class _Dialect:
-    """Targets that answer a report or not; a call takes no time but its time-out."""
+    """Targets that answer or not; a call takes no time but its time-out."""
 
     def __init__(self, clock, silent):
         self._clock = clock
@@ -31,11 +43,43 @@
             await asyncio.sleep(0)
             self._clock.now = began_at + timeout_s
             return None
-        return "report"
+        return TargetReport(layers=None, orders_accepted=0, pace=1.0)
+
+    async def is_there(self, record, timeout_s):
+        return await self.read_report(record, timeout_s) is not None
 
 
 class _Clock:
-    now = 100.0
+    def __init__(self):
+        self.now = 100.0
+
+
+class _Instance:
+    """The watch of an instance, and what it would tell its peers."""
+
+    def __init__(self, silent, names="abcdefghijklmnopqrstuvwxyz"):
+        self.clock = _Clock()
+        self.table = SuspicionTable()
+        self.told = 0
+        self.dialect = _Dialect(self.clock, silent)
+        self.watch = LossWatch(
+            dialect=self.dialect,
+            catalogue=_Catalogue(names),
+            suspicions=self.table,
+            read_clock=lambda: self.clock.now,
+            note_change=self._tell,
+        )
+
+    def _tell(self):
+        self.told += 1
+
+    def list_lost(self):
+        lost = self.table.list_lost(now=self.clock.now)
+        return "".join(sorted(item.target for item in lost))
+
+
+def _hear_nobody_until(end):
+    return lambda now: "abcdefghijklmnopqrstuvwxyz" if now < end else ""
 
 
 def _probe(names, silent, table=None):
@@ -113,3 +157,23 @@
         lost, took_s = _probe("abcd", lambda now: "b")
         self.assertEqual(lost, "b")
         self.assertLess(took_s, 0.04)
+
+
+class OwnSilenceTest(unittest.IsolatedAsyncioTestCase):
+    # Answers were cut in the middle at all instances, beside a new configuration. The
+    # links of a few instances were full with it for seconds; their probes and reports
+    # went unanswered, they noted sound targets as lost and told all others.
+
+    async def test_instance_that_hears_nobody_believes_nobody_lost(self):
+        # Its streams stand still, so it probes what lies on their paths again
+        # and again (one target, a path, or all) and asks for the first one's report.
+        for names in ("a", "abcd", "abcdefghijklmnopqrstuvwxyz"):
+            instance = _Instance(_hear_nobody_until(102.0))
+            while instance.clock.now < 102.0:
+                instance.watch.probe(names)
+                await instance.watch.check(names)
+                self.assertEqual(instance.list_lost(), "", f"probed: {names}")
+                await instance.watch.ask(_Record("a"))
+                self.assertEqual(instance.list_lost(), "", f"asked, of: {names}")
+                instance.clock.now += 0.012
+            self.assertEqual(instance.told, 0)
