A silence counts only beside an answer: who hears nobody is at fault itself

What callers saw: answers cut in the middle at all instances, beside a new configuration, though their targets were sound.

Cause: an instance whose own link was full heard no answers to its probes and reports. One silent target was lost after 35 ms with nothing to compare it with, several after one more probe; it ended its own streams and told all peers. Nearly all losses were told by the few instances whose own readiness failed and whose links sent all they could; the targets they named answered others meanwhile.

Why the mend holds: whoever asks has at least three targets asked in the same moment, or two more beside those that are silent once. A silence counts where one of them answered well within the time. If nobody did, nothing is believed, nobody is told, 'own_link_silent' is logged, and all are asked again after 0.25 s. Streams that still move are no proof: a link that is full on the way out brings them. A report that is late has others asked beside it from then on, and a lost target is left out for longer only beside an answer.

Losses are found as quickly as before, since the others are asked with the first probe; a round that is large enough has no one added.

Targets of plain services answer a report with 400, which counted as silence: one that was lost once was left out for longer again and again. An answer that a target gives to a question it does not know counts as one now.

Rounds of the log line now count those asked beside. What it is worth and costs in probes was not measured yet.

--- a/packages/router/fulmarward_router/exchange/_watching.py
+++ b/packages/router/fulmarward_router/exchange/_watching.py
@@ -1,11 +1,21 @@
 """Finding the target at which a request stands still."""
 
 import asyncio
+import random
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 from fulmarward.observability import log_event
 from fulmarward_core.catalogue import TargetCatalogue
 from fulmarward_core.fleet import TargetRecord
+from fulmarward_core.silences import (
+    CONFIRM_S,
+    PROBE_S,
+    AskedRound,
+    choose_witnesses,
+    count_witnesses,
+    judge_round,
+)
 from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_router.ports import TargetDialect, TargetReport
 
@@ -14,23 +24,13 @@
 #: to be led around in any case.
 ASK_S = 0.35
 
-#: Seconds in which a target answers a probe. Load: reports take a round trip of under
-#: 1 ms and no slot; harm: a stream through a lost target stands still meanwhile.
-PROBE_S = 0.035
-
 #: Seconds between two probes of the same target that answered. Harm: each is paid for.
 PROBE_AGAIN_S = 0.8
 
-#: Seconds for a second probe, where most of those asked did not answer the first, or
-#: this instance was late itself. Load: an instance that is cut off, or short of link
-#: or processor, takes sound targets for lost; reason: longer than the first, and a
-#: pause is too long by then. Where most answered, the second probe is as short as the
-#: first: four targets that fail together were led around after 0.25 s, and a pause of
-#: that is too long.
-CONFIRM_S = 0.25
-
-#: Seconds by which a probe's end may be late.
-MOST_LATE_S = 0.015
+#: Seconds for which nobody is asked after nobody was heard. Harm: each probe is paid
+#: for, and one more on a link that is full; reason: a link is full for seconds, and a
+#: stream through a lost target waits for two.
+SILENCE_AGAIN_S = 0.25
 
 #: Seconds before its suspicion ends at which a lost target is asked again, and between
 #: two looks for such ones. Load: a target that stays away longer than the suspicion;
@@ -42,7 +42,12 @@
 
 
 class LossWatch:
-    """Asks first targets what their requests wait for, once for all that ask."""
+    """Asks targets whether they live, and first ones what their requests wait for.
+
+    Guards against an instance that hears nobody, since its own link is full or cut: all
+    targets look lost to it, it would end sound streams and tell its peers. A silence
+    counts only beside an answer to what was asked in the same moment.
+    """
 
     def __init__(
         self,
@@ -62,6 +67,10 @@
         self._probed_at: dict[str, float] = {}
         #: Probes under way, and whom each asks.
         self._probing: dict[asyncio.Task, frozenset[str]] = {}
+        #: When nobody was heard, seconds on the steady clock.
+        self._own_silence_at = float("-inf")
+        #: Whose turn it is to be asked beside others; instances begin with others.
+        self._turn = random.randrange(1 << 16)
 
     def note_lost(self, target: str, *, cause: str) -> None:
         """A target does not answer."""
@@ -102,6 +111,8 @@
     def _list_due(self, targets: Iterable[str]) -> list[TargetRecord]:
         """Return those that are not known as lost and were not probed just now."""
         now = self._read_clock()
+        if now - self._own_silence_at < SILENCE_AGAIN_S:
+            return []
         records = []
         for name in targets:
             record = self._catalogue.find_target(name)
@@ -114,27 +125,90 @@
         return records
 
     async def _probe_all(self, records: list[TargetRecord]) -> None:
+        """Ask until the answers, or their lack, say which targets are lost."""
         began_at = self._read_clock()
-        silent = first_silent = await self._find_silent(records, PROBE_S)
-        is_late = self._read_clock() - began_at > PROBE_S + MOST_LATE_S
-        if is_late or len(silent) > 1:
-            is_doubtful = is_late or len(silent) * 2 > len(records)
-            confirm_s = CONFIRM_S if is_doubtful else PROBE_S
-            silent = await self._find_silent(silent, confirm_s)
-        if first_silent or is_late:
+        asked_round = await self._ask_round(records, PROBE_S)
+        first, finding = asked_round, judge_round(asked_round)
+        heard = set(asked_round.answers)
+        while finding.again_s is not None:
+            known = [self._catalogue.find_target(name) for name in asked_round.silent]
+            silent = [record for record in known if record is not None]
+            asked_round = await self._ask_round(silent, finding.again_s, is_repeat=True)
+            heard.update(asked_round.answers)
+            finding = judge_round(asked_round)
+        if first.silent or first.is_late:
             log_event(
                 "targets_probed",
-                asked=len(records),
-                silent=[record.name for record in first_silent],
-                lost=[record.name for record in silent],
-                is_late=is_late,
+                asked=len(first.asked),
+                silent=first.silent,
+                lost=finding.lost,
+                is_late=first.is_late,
                 took_s=round(self._read_clock() - began_at, 4),
             )
-        for record in silent:
-            self.note_lost(record.name, cause="no answer to a probe")
-        lost = {record.name for record in silent}
-        self._note_answered(
-            record.name for record in records if record.name not in lost
+        if finding.is_own_silence:
+            self._note_own_silence(asked_round)
+        for target in finding.lost:
+            self.note_lost(target, cause="no answer to a probe")
+        self._note_answered(heard.difference(finding.lost))
+
+    async def _ask_round(
+        self, records: list[TargetRecord], limit_s: float, *, is_repeat: bool = False
+    ) -> AskedRound:
+        """Ask targets and, in the same moment, others beside them."""
+        count = count_witnesses(len(records), is_repeat=is_repeat)
+        names = {record.name for record in records}
+        asked = records + self._choose_witnesses(names, count)
+        return await self._ask_all(asked, limit_s, is_repeat=is_repeat)
+
+    async def _ask_all(
+        self, asked: list[TargetRecord], limit_s: float, *, is_repeat: bool = False
+    ) -> AskedRound:
+        """Ask targets whether they live, all in one moment."""
+        began_at = self._read_clock()
+        times = await asyncio.gather(
+            *(self._time_answer(record, limit_s) for record in asked)
+        )
+        pairs = zip(asked, times, strict=True)
+        return AskedRound(
+            asked=tuple(record.name for record in asked),
+            answers={r.name: took_s for r, took_s in pairs if took_s is not None},
+            limit_s=limit_s,
+            took_s=self._read_clock() - began_at,
+            is_repeat=is_repeat,
+        )
+
+    async def _time_answer(self, record: TargetRecord, limit_s: float) -> float | None:
+        """Return the seconds that a target's answer took, `None` without one."""
+        began_at = self._read_clock()
+        is_there = await self._dialect.is_there(record, limit_s)
+        return self._read_clock() - began_at if is_there else None
+
+    def _choose_witnesses(self, names: set[str], count: int) -> list[TargetRecord]:
+        """Return others to ask beside targets."""
+        if not count:
+            return []
+        now = self._read_clock()
+        self._turn += 1
+        records = self._catalogue.list_targets(now=now)
+        suspects = {
+            record.name
+            for record in records
+            if self._suspicions.is_suspect(record.name, now=now)
+        }
+        return choose_witnesses(
+            records, barred=names | suspects, count=count, turn=self._turn
+        )
+
+    def _note_own_silence(self, asked_round: AskedRound) -> None:
+        """Nobody is heard: nothing is believed, and all are asked again soon."""
+        self._own_silence_at = self._read_clock()
+        for name in asked_round.asked:
+            self._probed_at.pop(name, None)
+        log_event(
+            "own_link_silent",
+            asked=len(asked_round.asked),
+            answered=len(asked_round.answers),
+            took_s=round(asked_round.took_s, 4),
         )
 
     def _note_answered(self, targets: Iterable[str]) -> None:
@@ -157,19 +231,15 @@
 
     async def _recheck(self, records: list[TargetRecord]) -> None:
         """Suspect those for longer that still do not answer."""
-        for record in await self._find_silent(records, CONFIRM_S):
+        asked_round = await self._ask_round(records, CONFIRM_S)
+        finding = judge_round(asked_round)
+        if finding.is_own_silence:
+            self._note_own_silence(asked_round)
+        for name in finding.lost:
             now = self._read_clock()
-            self._suspicions.extend(record.name, now=now)
-            log_event("target_still_lost", target=record.name, source="own")
-
-    async def _find_silent(
-        self, records: list[TargetRecord], timeout_s: float
-    ) -> list[TargetRecord]:
-        reports = await asyncio.gather(
-            *(self._dialect.read_report(record, timeout_s) for record in records)
-        )
-        pairs = zip(records, reports, strict=True)
-        return [record for record, report in pairs if report is None]
+            if self._suspicions.is_lost(name, now=now):
+                self._suspicions.extend(name, now=now)
+                log_event("target_still_lost", target=name, source="own")
 
     async def ask(self, record: TargetRecord) -> TargetReport | None:
         """Return a target's report and take in whom its requests wait for."""
@@ -181,10 +251,30 @@
         return await asyncio.shield(task)
 
     async def _ask(self, record: TargetRecord) -> TargetReport | None:
-        report = await self._dialect.read_report(record, ASK_S)
+        reading = asyncio.create_task(self._dialect.read_report(record, ASK_S))
+        await asyncio.wait([reading], timeout=PROBE_S)
+        if not reading.done() or reading.result() is None:
+            await self._judge_reading(record, reading)
+        report = await reading
         if report is None:
-            self.note_lost(record.name, cause="no report")
             return None
         for address in {stalled.address for stalled in report.stalled}:
             self.note_lost_address(address, cause="stalled")
         return report
+
+    async def _judge_reading(self, record: TargetRecord, reading: asyncio.Task) -> None:
+        """Ask others while a report is late; without one the target may be lost."""
+        limit_s = ASK_S - PROBE_S
+        beside = self._choose_witnesses({record.name}, count_witnesses(1))
+        asked_round, report = await asyncio.gather(
+            self._ask_all(beside, limit_s), reading
+        )
+        if report is not None:
+            return
+        asked = (record.name, *asked_round.asked)
+        asked_round = replace(asked_round, asked=asked)
+        finding = judge_round(asked_round)
+        if finding.is_own_silence:
+            self._note_own_silence(asked_round)
+        if record.name in finding.lost:
+            self.note_lost(record.name, cause="no report")
--- a/packages/router/fulmarward_router/exchange/tests/test_watching.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_watching.py
@@ -162,7 +162,10 @@
 class OwnSilenceTest(unittest.IsolatedAsyncioTestCase):
     # Answers were cut in the middle at all instances, beside a new configuration. The
     # links of a few instances were full with it for seconds; their probes and reports
-    # went unanswered, they noted sound targets as lost and told all others.
+    # went unanswered, they noted sound targets as lost and told all others. Cause: a
+    # silence counted without an answer beside it. Evidence: nearly all losses were told
+    # by the few whose own readiness checks failed and whose links sent all they could;
+    # the targets that they named answered others all the while.
 
     async def test_instance_that_hears_nobody_believes_nobody_lost(self):
         # Its streams stand still, so it probes what lies on their paths again
@@ -177,3 +180,39 @@
                 self.assertEqual(instance.list_lost(), "", f"asked, of: {names}")
                 instance.clock.now += 0.012
             self.assertEqual(instance.told, 0)
+
+    async def test_target_that_gives_no_report_while_others_answer_is_lost(self):
+        instance = _Instance(lambda now: "a")
+        await instance.watch.ask(_Record("a"))
+        self.assertEqual(instance.list_lost(), "a")
+        self.assertLess(instance.clock.now - 100.0, 0.36)
+
+    async def test_loss_is_found_once_others_are_heard_again(self):
+        # One target is really lost while the instance hears nobody.
+        instance = _Instance(
+            lambda now: "a" if now > 101.0 else _hear_nobody_until(101.0)(now)
+        )
+        while instance.clock.now < 101.6:
+            instance.watch.probe("abcd")
+            await instance.watch.check("abcd")
+            instance.clock.now += 0.012
+        self.assertEqual(instance.list_lost(), "a")
+
+    async def test_single_target_is_lost_beside_others_as_quickly(self):
+        # A peer told of it, so that nobody else of its path is asked.
+        instance = _Instance(lambda now: "a")
+        instance.watch.probe("a")
+        await instance.watch.check("a")
+        self.assertEqual(instance.list_lost(), "a")
+        self.assertLess(instance.clock.now - 100.0, 0.04)
+
+    async def test_lost_target_is_not_left_out_for_longer_by_one_that_hears_nobody(
+        self,
+    ):
+        instance = _Instance(_hear_nobody_until(110.0))
+        instance.table.note_lost("a", now=instance.clock.now)
+        instance.clock.now += 1.5
+        task = asyncio.create_task(instance.watch.run())
+        await asyncio.sleep(0.5)
+        task.cancel()
+        self.assertFalse(instance.table.is_lost("a", now=102.1))
--- a/packages/router/fulmarward_router/ports.py
+++ b/packages/router/fulmarward_router/ports.py
@@ -286,6 +286,9 @@
     ) -> TargetReport | None:
         """Ask a target for its report; `None` when no answer came in time."""
 
+    async def is_there(self, record: TargetRecord, timeout_s: float) -> bool:
+        """Return whether a target answered in time, also one that has no report."""
+
     async def order_layers(
         self,
         record: TargetRecord,
