An answer that has begun goes before requests that have not, and waits for its repeat

What callers saw: answers cut in the middle after their first attempt, though their route allows more and other targets were sound.

Cause: whoever came first took the next repeat of the instance's share, begun or not, and an answer that found none left at that moment was cut at once.

Why the mend holds: requests of which nothing has gone to their callers use half of the share only and are refused truthfully beyond it. An answer that has begun waits for the next repeat, up to 1.7 s after the last event it was given (its caller leaves after 2 s), and its wait for a path ends then too, where it had 1.7 s of its own before. Those that can wait least long go first. While it waits it holds nothing: its attempt is let go first. The share itself is as it was, so the bound for all instances holds: its property test stands unchanged, and another one plays requests, both kinds of repeats and waits against it.

--- a/packages/core/fulmarward_core/loads/__init__.py
+++ b/packages/core/fulmarward_core/loads/__init__.py
@@ -1,6 +1,19 @@
 """What runs on each target, and how many repeats are still allowed."""
 
-from fulmarward_core.loads._allowance import RepeatAllowance, RepeatCount
+from fulmarward_core.loads._allowance import (
+    UNBEGUN_PART,
+    RepeatAllowance,
+    RepeatCount,
+    RepeatTurn,
+)
 from fulmarward_core.loads._ledger import LoadLedger, Promise, TargetLoad
 
-__all__ = ["LoadLedger", "Promise", "RepeatAllowance", "RepeatCount", "TargetLoad"]
+__all__ = [
+    "UNBEGUN_PART",
+    "LoadLedger",
+    "Promise",
+    "RepeatAllowance",
+    "RepeatCount",
+    "RepeatTurn",
+    "TargetLoad",
+]
--- a/packages/core/fulmarward_core/loads/tests/test_loads.py
+++ b/packages/core/fulmarward_core/loads/tests/test_loads.py
@@ -3,7 +3,12 @@
 from hypothesis import given, strategies as st
 
 from fulmarward_core.fleet import LayerRange
-from fulmarward_core.loads import LoadLedger, RepeatAllowance, TargetLoad
+from fulmarward_core.loads import (
+    UNBEGUN_PART,
+    LoadLedger,
+    RepeatAllowance,
+    TargetLoad,
+)
 from fulmarward_core.paths import Hop
 
 _PATH = (
@@ -67,3 +72,122 @@
             within = [at for at in repeats if end - window_s < at <= end]
             asked = [at for at in requests if end - window_s < at <= end]
             self.assertLessEqual(len(within), ratio * len(asked) + slack)
+
+    @given(
+        st.integers(1, 9),
+        st.lists(
+            st.tuples(
+                st.sampled_from(["request", "unbegun", "begun"]),
+                st.floats(0, 0.5),
+                st.floats(0, 2.0),
+            ),
+            max_size=300,
+        ),
+    )
+    def test_bound_holds_for_requests_that_have_begun_and_that_have_not(
+        self, instances, steps
+    ):
+        ratio, slack, window_s = 0.2, 30.0, 10.0
+        allowances = [
+            RepeatAllowance(ratio=ratio, slack=slack, window_s=window_s)
+            for _ in range(instances)
+        ]
+        now, requests, repeats = 0.0, [], []
+        #: When to ask again, until when, and where, of answers that wait.
+        waiting = []
+
+        def take_turns():
+            for entry in sorted(entry for entry in waiting if entry[0] <= now):
+                waiting.remove(entry)
+                _, until, place = entry
+                allowance = allowances[place]
+                turn = allowance.take_turn(until=until, instances=instances, now=now)
+                if turn.is_taken:
+                    repeats.append(now)
+                if turn.ask_at is None:
+                    allowance.end_wait(until=until)
+                else:
+                    self.assertGreater(turn.ask_at, now)
+                    self.assertLessEqual(turn.ask_at, until)
+                    waiting.append((turn.ask_at, until, place))
+
+        for number, (kind, passed, patience_s) in enumerate(steps):
+            now += passed
+            place = number % instances
+            allowance = allowances[place]
+            if kind == "request":
+                allowance.note_request(now=now)
+                requests.append(now)
+            elif kind == "begun":
+                allowance.begin_wait(until=now + patience_s)
+                waiting.append((now, now + patience_s, place))
+            elif allowance.take_repeat(instances=instances, now=now, part=UNBEGUN_PART):
+                repeats.append(now)
+            take_turns()
+        for end in repeats:
+            within = [at for at in repeats if end - window_s < at <= end]
+            asked = [at for at in requests if end - window_s < at <= end]
+            self.assertLessEqual(len(within), ratio * len(asked) + slack)
+
+
+class RepeatTurnTest(unittest.TestCase):
+    def setUp(self):
+        #: One instance alone: 0.7 x 10 repeats in ten seconds.
+        self.allowance = RepeatAllowance(ratio=0.2, slack=10.0, window_s=10.0)
+
+    def take_all(self, *, now, part=1.0):
+        taken = 0
+        while self.allowance.take_repeat(instances=1, now=now, part=part):
+            taken += 1
+        return taken
+
+    def take_turn(self, until, now):
+        return self.allowance.take_turn(until=until, instances=1, now=now)
+
+    def test_requests_that_have_not_begun_leave_a_part_to_those_that_have(self):
+        # Requests that had not begun used up the share, and an answer that had begun
+        # was cut in the middle in the same second.
+        self.assertEqual(self.take_all(now=0.0, part=UNBEGUN_PART), 3)
+        self.assertEqual(self.take_all(now=0.1), 4)
+        self.assertEqual(self.take_all(now=0.2, part=UNBEGUN_PART), 0)
+
+    def test_answer_waits_until_a_repeat_falls_out_of_the_window(self):
+        # An answer was cut at once though a repeat was free half a second later.
+        self.take_all(now=0.0)
+        self.allowance.begin_wait(until=11.0)
+        now, asked = 9.47, 0
+        while True:
+            turn = self.take_turn(11.0, now)
+            if turn.is_taken:
+                break
+            now, asked = turn.ask_at, asked + 1
+        self.assertAlmostEqual(now, 10.0)
+        self.assertLessEqual(asked, 7)
+
+    def test_answer_gives_up_when_its_caller_leaves(self):
+        self.take_all(now=9.0)
+        self.allowance.begin_wait(until=11.0)
+        self.assertAlmostEqual(self.take_turn(11.0, 10.95).ask_at, 11.0)
+        last = self.take_turn(11.0, 11.0)
+        self.assertEqual((last.is_taken, last.ask_at), (False, None))
+
+    def test_answer_is_asked_for_once_even_if_its_time_is_over(self):
+        # Its target stood still for long before it broke off; a repeat is free.
+        self.allowance.begin_wait(until=1.0)
+        self.assertTrue(self.take_turn(1.0, 2.0).is_taken)
+
+    def test_answer_whose_caller_leaves_first_goes_first(self):
+        self.take_all(now=0.0)
+        for until in (11.5, 10.5):
+            self.allowance.begin_wait(until=until)
+        self.assertFalse(self.take_turn(11.5, 10.0).is_taken)
+        self.assertTrue(self.take_turn(10.5, 10.01).is_taken)
+        self.allowance.end_wait(until=10.5)
+        self.assertTrue(self.take_turn(11.5, 10.02).is_taken)
+
+    def test_one_that_waits_no_more_holds_up_nobody(self):
+        self.take_all(now=0.0)
+        for until in (10.5, 11.5):
+            self.allowance.begin_wait(until=until)
+        self.allowance.end_wait(until=10.5)
+        self.assertTrue(self.take_turn(11.5, 10.0).is_taken)
--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -1,5 +1,6 @@
 """What the parts that serve requests have in common."""
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -37,15 +38,70 @@
     #: Returns seconds on the steady clock.
     read_clock: Callable[[], float]
 
-    def take_repeat(self, work: Work) -> bool:
-        """Take one more attempt, if the route and the allowance of all have one."""
+    def take_repeat(self, work: Work, *, part: float = 1.0) -> bool:
+        """Take one more attempt, if the route and the allowance of all have one.
+
+        Of this instance's share of the allowance it may use a `part`.
+        """
         now = self.read_clock()
-        tally = work.make_tally()
-        is_allowed = may_repeat(tally, now=now)
+        is_allowed = may_repeat(work.make_tally(), now=now)
+        is_taken = is_allowed and self.find_allowance(work.service).take_repeat(
+            instances=self.count_instances(), now=now, part=part
+        )
+        self._log_repeat(work, now, is_taken=is_taken, is_allowed=is_allowed)
+        return is_taken
+
+    async def await_repeat(self, work: Work, *, until: float) -> bool:
+        """Take one more attempt for an answer that has begun, waiting for it if needed.
+
+        Guards against an answer that is cut since the share is used up at this moment:
+        its caller waits on, the window slides, and the next repeat is soon free.
+        """
         allowance = self.find_allowance(work.service)
+        allowance.begin_wait(until=until)
+        try:
+            is_taken = await self._take_turns(work, allowance, until)
+        finally:
+            allowance.end_wait(until=until)
+        now = self.read_clock()
+        is_allowed = may_repeat(work.make_tally(), now=now)
+        self._log_repeat(work, now, is_taken=is_taken, is_allowed=is_allowed)
+        return is_taken
+
+    async def _take_turns(
+        self, work: Work, allowance: RepeatAllowance, until: float
+    ) -> bool:
+        """Ask for a repeat until there is one or it is of no use any more."""
+        is_told = False
+        while True:
+            now = self.read_clock()
+            if not may_repeat(work.make_tally(), now=now):
+                return False
+            turn = allowance.take_turn(
+                until=until, instances=self.count_instances(), now=now
+            )
+            if turn.ask_at is None:
+                return turn.is_taken
+            if not is_told:
+                self._log_wait(work, until - now)
+            is_told = True
+            await asyncio.sleep(turn.ask_at - now)
+
+    def _log_wait(self, work: Work, for_s: float) -> None:
+        log_event(
+            "repeat_awaited",
+            request=work.facts.request_id,
+            attempts=work.attempts,
+            last_event=work.last_event,
+            for_s=round(for_s, 3),
+        )
+
+    def _log_repeat(
+        self, work: Work, now: float, *, is_taken: bool, is_allowed: bool
+    ) -> None:
+        tally = work.make_tally()
         instances = self.count_instances()
-        is_taken = is_allowed and allowance.take_repeat(instances=instances, now=now)
-        count = allowance.count(instances=instances, now=now)
+        count = self.find_allowance(work.service).count(instances=instances, now=now)
         log_event(
             "repeat_taken" if is_taken else "repeat_denied",
             request=work.facts.request_id,
@@ -58,8 +114,8 @@
             allowed=round(count.allowed, 2),
             requests=count.requests,
             instances=instances,
+            has_begun=work.request.get("answer") is not None,
         )
-        return is_taken
 
     def make_refusal(self, work: Work, *, cause: str, retry_after_s: float) -> Refused:
         """Return the truthful end of a request that no target answered.
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -9,6 +9,7 @@
 
 from fulmarward.observability import log_event
 from fulmarward_core.fleet import EngineModel
+from fulmarward_core.loads import UNBEGUN_PART
 from fulmarward_core.paths import PathRequest, count_tokens_held
 from fulmarward_core.repeats import may_run_again
 from fulmarward_router.exchange._attempt import Attempt, AttemptEnded, describe_path
@@ -16,7 +17,7 @@
 from fulmarward_router.exchange._events import EventSplitter, is_after
 from fulmarward_router.exchange._keeping import FIRST_CHECK_S, StreamKeeper
 from fulmarward_router.exchange._pipe import PipeGate
-from fulmarward_router.exchange._room import FULL_RETRY_S, RoomQueue
+from fulmarward_router.exchange._room import FULL_RETRY_S, RoomQueue, find_resume_end
 from fulmarward_router.exchange._send import AnswerLost, NotSent
 from fulmarward_router.exchange._stages import PathFinder
 from fulmarward_router.exchange._watching import LossWatch
@@ -108,7 +109,8 @@
                 work.runs += not end.is_not_run
                 answer = work.request.get("answer")
                 self._note_end(work, attempt, end)
-                self._require_repeat(work, end, answer)
+                self._finish(attempt)
+                await self._require_repeat(work, end, answer)
                 if not end.is_not_run:
                     # A first target that broke off once is likely to do it again.
                     avoided = wanted.avoided | {attempt.first.target}
@@ -129,14 +131,21 @@
             data_centre=self._context.data_centre,
         )
 
-    def _require_repeat(
+    async def _require_repeat(
         self, work: Work, end: AttemptEnded, answer: web.StreamResponse | None
     ) -> None:
-        """Take one more attempt; raises what the caller is told if there is none."""
-        if self._context.take_repeat(work):
-            return
+        """Take one more attempt; raises what the caller is told if there is none.
+
+        An answer that has begun cannot be refused any more: it waits for a repeat as
+        long as its caller does.
+        """
         if answer is not None:
+            until = find_resume_end(work)
+            if await self._context.await_repeat(work, until=until):
+                return
             raise Cut(cause=end.cause)
+        if self._context.take_repeat(work, part=UNBEGUN_PART):
+            return
         raise self._context.make_refusal(
             work, cause=end.cause, retry_after_s=FULL_RETRY_S
         )
@@ -175,7 +184,10 @@
         return answer
 
     def _finish(self, attempt: Attempt) -> None:
-        """Let go of all that an attempt holds; closing the connection ends its work."""
+        """Let go of all that an attempt holds; closing the connection ends its work.
+
+        Doing so twice does nothing more: whoever waits for a repeat holds nothing.
+        """
         self.keeper.remove(attempt)
         self._ledger.release(attempt.promise)
         if attempt.timer is not None:
--- a/packages/router/fulmarward_router/exchange/_room.py
+++ b/packages/router/fulmarward_router/exchange/_room.py
@@ -26,8 +26,8 @@
 #: lost; reason: the first event then comes just before the caller leaves.
 SHORT_PATIENCE_S = 1.6
 
-#: Seconds for which a stream that has begun waits for a path to go on. Reason: its
-#: caller leaves after two seconds without an event.
+#: Seconds after its last event for which a stream that has begun waits for a repeat
+#: and a path to go on. Reason: its caller leaves after two seconds without an event.
 RESUME_PATIENCE_S = 1.7
 
 #: Seconds between two looks for a path of a request that waits.
@@ -39,6 +39,12 @@
 ABSENT_RETRY_S = 1.5
 
 
+def find_resume_end(work: Work) -> float:
+    """Return until when a stream that has begun may wait before it goes on."""
+    heard_at = work.arrived_at if work.given_at is None else work.given_at
+    return min(work.deadline, heard_at + RESUME_PATIENCE_S)
+
+
 class RoomQueue:
     """The requests of an instance that wait for a path."""
 
@@ -75,8 +81,7 @@
                     if path is not None:
                         return path
                 now = self._read_clock()
-                patience_s = self._choose_patience(has_begun, now)
-                if now >= min(work.deadline, began_at + patience_s):
+                if now >= self._choose_end(work, has_begun, began_at, now):
                     break
                 if rank not in self._waiting:
                     bisect.insort(self._waiting, rank)
@@ -108,10 +113,12 @@
         within = replace(wanted, may_cross=False)
         return self._finder.choose(work.service, engine, within)
 
-    def _choose_patience(self, has_begun: bool, now: float) -> float:
-        """Return the seconds for which a request may wait for a path."""
+    def _choose_end(
+        self, work: Work, has_begun: bool, began_at: float, now: float
+    ) -> float:
+        """Return until when a request may wait for a path."""
         if has_begun:
-            return RESUME_PATIENCE_S
-        if self._catalogue.may_be_short(now=now):
-            return SHORT_PATIENCE_S
-        return FULL_PATIENCE_S
+            return find_resume_end(work)
+        is_short = self._catalogue.may_be_short(now=now)
+        patience_s = SHORT_PATIENCE_S if is_short else FULL_PATIENCE_S
+        return min(work.deadline, began_at + patience_s)
