A stream is ended to begin again elsewhere only where a repeat is left for it

Cause: where the way around a lost target leads through another data centre, the attempt is ended to begin again with a shorter pause. Whether it may was asked of the route alone, not of the instance's share of the repeats.

Why the mend holds: both are asked. Without a repeat the stream is led across, with a pause of 0.35 to 0.6 s, which its caller bears; nothing is cut. Several streams that are ended in the same moment may count on the same last repeat: the others wait for theirs.

--- a/packages/core/fulmarward_core/loads/_allowance.py
+++ b/packages/core/fulmarward_core/loads/_allowance.py
@@ -75,12 +75,16 @@
 
         Return whether it was taken.
         """
-        count = self.count(instances=instances, now=now)
-        if count.used + 1 > count.allowed * part:
+        if not self.has_repeat(instances=instances, now=now, part=part):
             return False
         self._repeats.append(now)
         return True
 
+    def has_repeat(self, *, instances: int, now: float, part: float = 1.0) -> bool:
+        """Return whether a repeat could be taken."""
+        count = self.count(instances=instances, now=now)
+        return count.used + 1 <= count.allowed * part
+
     def begin_wait(self, *, until: float) -> None:
         """An answer that has begun waits for a repeat, up to a time."""
         bisect.insort(self._waiting, until)
--- a/packages/core/fulmarward_core/loads/tests/test_loads.py
+++ b/packages/core/fulmarward_core/loads/tests/test_loads.py
@@ -191,3 +191,8 @@
             self.allowance.begin_wait(until=until)
         self.allowance.end_wait(until=10.5)
         self.assertTrue(self.take_turn(11.5, 10.0).is_taken)
+
+    def test_repeat_that_is_left_is_told_without_being_taken(self):
+        self.assertTrue(self.allowance.has_repeat(instances=1, now=0.0))
+        self.assertEqual(self.take_all(now=0.0), 7)
+        self.assertFalse(self.allowance.has_repeat(instances=1, now=0.0))
--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -6,9 +6,9 @@
 
 from fulmarward.observability import log_event
 from fulmarward_core.catalogue import TargetCatalogue
-from fulmarward_core.loads import LoadLedger, RepeatAllowance
+from fulmarward_core.loads import UNBEGUN_PART, LoadLedger, RepeatAllowance
 from fulmarward_core.paces import PaceTable
-from fulmarward_core.repeats import choose_end, may_repeat
+from fulmarward_core.repeats import choose_end, may_repeat, may_run_again
 from fulmarward_core.results import ResultCode
 from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_router.exchange._send import TargetClient
@@ -51,6 +51,17 @@
         self._log_repeat(work, now, is_taken=is_taken, is_allowed=is_allowed)
         return is_taken
 
+    def may_begin_again(self, work: Work) -> bool:
+        """Return whether a request under way could begin again at once."""
+        now = self.read_clock()
+        has_begun = work.request.get("answer") is not None
+        part = 1.0 if has_begun else UNBEGUN_PART
+        allowance = self.find_allowance(work.service)
+        has_repeat = allowance.has_repeat(
+            instances=self.count_instances(), now=now, part=part
+        )
+        return has_repeat and may_run_again(work.make_tally(), now=now)
+
     async def await_repeat(self, work: Work, *, until: float) -> bool:
         """Take one more attempt for an answer that has begun, waiting for it if needed.
 
--- a/packages/router/fulmarward_router/exchange/_keeping.py
+++ b/packages/router/fulmarward_router/exchange/_keeping.py
@@ -6,7 +6,6 @@
 
 from fulmarward.observability import log_event
 from fulmarward_core.paths import Hop, count_tokens_held
-from fulmarward_core.repeats import may_run_again
 from fulmarward_core.stalls import LEAST_STILL_S, StreamView, find_still_targets
 from fulmarward_router.exchange._attempt import Attempt, AttemptEnded, describe_path
 from fulmarward_router.exchange._context import ServiceContext
@@ -65,6 +64,7 @@
         finder: PathFinder,
         pipe: PipeGate,
     ) -> None:
+        self._context = context
         self._dialect = context.dialect
         self._catalogue = context.catalogue
         self._suspicions = context.suspicions
@@ -287,11 +287,12 @@
         if (
             must
             and self._pipe.count_crossings(path, attempt.path)
-            and may_run_again(work.make_tally(), now=self._read_clock())
+            and self._context.may_begin_again(work)
         ):
             # Activations of the whole prompt would cross, those of all streams through
             # the lost target one after another: pauses of 0.35 to 0.6 s. Reading the
-            # prompt again on a whole path elsewhere takes under 0.1 s.
+            # prompt again on a whole path elsewhere takes under 0.1 s. Where no repeat
+            # is left, a pause is better than an answer that is cut.
             raise AttemptEnded(
                 cause="the way around a lost target crosses", is_not_run=False
             )
