--- a/packages/router/fulmarward_router/mesh/tests/test_members.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_members.py
@@ -1,5 +1,9 @@
 import unittest
 
+from hypothesis import given, strategies as st
+
+from fulmarward_core.codec.tests.calls import count_calls
+from fulmarward_core.overlay import FULL_MESH
 from fulmarward_router.mesh import (
     Beat,
     DataCentreNews,
@@ -9,7 +13,7 @@
     decode_message,
     encode_message,
 )
-from fulmarward_router.mesh._members import FORGET_S, FRESH_S
+from fulmarward_router.mesh._members import BEAT_S, FORGET_S, FRESH_S
 
 
 def make_beat(name="peer", boot=1, **changes):
@@ -95,6 +99,62 @@
         self.assertGreater(self.table.beat_pause_s, 4 * few)
         self.assertEqual(len(self.table.list_ready(now=self.table.beat_pause_s)), 79)
 
+    def test_pause_between_heartbeats_is_not_counted_anew_while_nobody_comes(self):
+        # The pause was counted over all instances for each heartbeat on each link, and
+        # several times for each look at who was heard lately: in samples of a fleet of
+        # 79 a tenth of all calls of an instance, a hub or not.
+        for number in range(79):
+            self.table.take_beat(make_beat(name=f"peer-{number}"), now=0.0)
+        self.assertGreater(self.table.beat_pause_s, BEAT_S)
+        self.table.take_beat(make_beat(name="peer-7", is_leaving=True), now=0.1)
+        self.assertLess(count_calls(lambda: self.table.beat_pause_s), 5)
+        address = make_beat().sender.peer_address
+        find = self.table.find_data_centre
+        self.assertEqual(find(address), "a")
+        self.assertLess(count_calls(lambda: find("10.0.0.9:9")), 5)
+
+    @given(
+        st.lists(
+            st.tuples(
+                st.integers(0, 40),
+                st.integers(0, 2),
+                st.sampled_from("abc"),
+                st.integers(0, 5),
+                st.sampled_from(["beat", "told", "lost", "silent"]),
+            ),
+            max_size=80,
+        )
+    )
+    def test_what_is_kept_of_the_others_is_what_counting_all_gives(self, steps):
+        table = MemberTable(own=make_beat("own").sender)
+        for place, (number, boot, centre, port, step) in enumerate(steps):
+            now = place * 2.0
+            sender = MemberTold(
+                name=f"peer-{number}",
+                boot=boot,
+                data_centre=centre,
+                peer_address=f"10.0.0.1:{port}",
+                caller_address="10.0.0.1:2",
+            )
+            if step == "beat":
+                table.take_beat(make_beat(sender=sender), now=now)
+            elif step == "told":
+                table.take_told([sender], now=now)
+            elif step == "lost":
+                table.note_link_lost(sender.name, now=now)
+            else:
+                table.forget_silent(now=now)
+            told = [member.told for member in table.list_all()]
+            linked = len(told)
+            if linked >= FULL_MESH:
+                linked = sum(item.data_centre == "a" for item in told)
+            pause_s = BEAT_S * max(1.0, (linked + 1) / FULL_MESH)
+            self.assertEqual(table.beat_pause_s, pause_s)
+            for address in {f"10.0.0.1:{other}" for other in range(6)}:
+                at = [i.data_centre for i in told if i.peer_address == address]
+                expected = at[0] if at else None
+                self.assertEqual(table.find_data_centre(address), expected)
+
     def test_own_name_is_no_other_instance(self):
         self.table.take_beat(make_beat(name="own"), now=0.0)
         self.table.take_told([make_beat(name="own").sender], now=0.0)
