--- a/packages/core/fulmarward_core/loads/_ledger.py
+++ b/packages/core/fulmarward_core/loads/_ledger.py
@@ -117,6 +117,10 @@
         """Return the load by target, of this instance and all others."""
         return _sum_told(self.sum_nearby(now=now), self._centres, now)
 
+    def find_load(self, target: str, *, now: float) -> TargetLoad:
+        """Return the load of one target, of this instance and all others."""
+        return self.sum_loads(now=now).get(target, _NO_LOAD)
+
 
 def _sum_told(
     total: dict[str, TargetLoad],
--- a/packages/core/fulmarward_core/loads/tests/test_loads.py
+++ b/packages/core/fulmarward_core/loads/tests/test_loads.py
@@ -2,6 +2,7 @@
 
 from hypothesis import given, strategies as st
 
+from fulmarward_core.codec.tests.calls import count_calls
 from fulmarward_core.fleet import LayerRange
 from fulmarward_core.loads import LoadLedger, RepeatAllowance, TargetLoad
 from fulmarward_core.paths import Hop
@@ -31,6 +32,86 @@
         self.assertEqual(ledger.sum_loads(now=9.0), {})
 
 
+_DRAWN_LOADS = st.dictionaries(
+    st.sampled_from("abcdef"),
+    st.builds(
+        TargetLoad,
+        kv=st.integers(0, 90_000),
+        running=st.integers(0, 9),
+        first_running=st.integers(0, 3),
+    ),
+)
+
+
+class SumTest(unittest.TestCase):
+    def test_sum_over_many_peers_costs_few_calls(self):
+        # Each choice of a path and each word of a hub sums what all peers told. With 19
+        # peers that each tell of 60 targets this took 1.2 to 1.5 ms, as much as the
+        # choice itself: a load was made for each target of each peer.
+        ledger = LoadLedger()
+        names = [f"t{place}" for place in range(99)]
+        for place in range(19):
+            told = {name: TargetLoad(kv=1.0, running=1) for name in names[place:][:60]}
+            ledger.take_told(f"peer-{place}", told, now=0.0)
+        sums = ledger.sum_loads(now=0.1)
+        self.assertEqual(sums["t30"].running, 19)
+        calls = count_calls(lambda: ledger.sum_loads(now=0.1))
+        self.assertLess(calls, 2 * len(names))
+        self.assertEqual(ledger.find_load("t30", now=0.1), sums["t30"])
+        calls = count_calls(lambda: ledger.find_load("t30", now=0.1))
+        self.assertLess(calls, len(names))
+
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["own", "told", "centre", "release"]),
+                st.integers(0, 3),
+                _DRAWN_LOADS,
+            ),
+            max_size=20,
+        )
+    )
+    def test_sum_is_what_adding_one_by_one_gives(self, steps):
+        ledger = LoadLedger()
+        promises, told, centres = [], {}, {}
+        for place, (step, number, loads) in enumerate(steps):
+            now = place * 0.4
+            if step == "own":
+                promises.append(ledger.promise(_PATH, number))
+            elif step == "told":
+                ledger.take_told(f"peer-{number}", loads, now=now)
+                told[number] = (now, loads)
+            elif step == "centre":
+                ledger.take_centre(f"centre-{number}", loads, now=now)
+                centres[number] = (now, loads)
+            elif promises:
+                ledger.release(promises.pop())
+            near = [ledger.list_own(), *_list_late(told, now)]
+            all_told = [*near, *_list_late(centres, now)]
+            self.assertEqual(ledger.sum_nearby(now=now), _add_plainly(near))
+            self.assertEqual(ledger.sum_loads(now=now), _add_plainly(all_told))
+            for target in "abcdef":
+                expected = _add_plainly(all_told).get(target, TargetLoad())
+                self.assertEqual(ledger.find_load(target, now=now), expected)
+
+
+def _list_late(told, now):
+    return [loads for at, loads in told.values() if now - at <= 2.5]
+
+
+def _add_plainly(many):
+    total = {}
+    for loads in many:
+        for target, load in loads.items():
+            known = total.get(target, TargetLoad())
+            total[target] = TargetLoad(
+                kv=known.kv + load.kv,
+                running=known.running + load.running,
+                first_running=known.first_running + load.first_running,
+            )
+    return total
+
+
 class DataCentreLoadTest(unittest.TestCase):
     def test_sum_of_another_data_centre_counts_and_is_not_told_back(self):
         # Loads of single instances are told within their data centre only. Without the
