Loads are summed without a load for each addition; one target's by itself

What callers saw: nothing yet; a fleet of 79 took more processor time than it may. Cause: each choice of a path and each word of a hub added a thousand loads that peers told, and each addition made a new one; whether one target has room, and so whether a refusal counts, summed all of them.

Why the mend holds: numbers are added, and a load is made for each target at the end; drawn promises, words and releases give what adding one by one gives.

--- a/packages/core/fulmarward_core/loads/_ledger.py
+++ b/packages/core/fulmarward_core/loads/_ledger.py
@@ -111,27 +111,51 @@
 
     def sum_nearby(self, *, now: float) -> dict[str, TargetLoad]:
         """Return the load by target of this instance and those that it is linked to."""
-        return _sum_told(dict(self._own), self._told, now)
+        return _sum_loads([self._own, *_list_lately(self._told, now)])
 
     def sum_loads(self, *, now: float) -> dict[str, TargetLoad]:
         """Return the load by target, of this instance and all others."""
-        return _sum_told(self.sum_nearby(now=now), self._centres, now)
+        return _sum_loads(self._list_all(now))
 
     def find_load(self, target: str, *, now: float) -> TargetLoad:
         """Return the load of one target, of this instance and all others."""
-        return self.sum_loads(now=now).get(target, _NO_LOAD)
+        loads = [loads.get(target) for loads in self._list_all(now)]
+        found = [{target: load} for load in loads if load is not None]
+        return _sum_loads(found).get(target, _NO_LOAD)
 
+    def _list_all(self, now: float) -> list[Mapping[str, TargetLoad]]:
+        """Return all loads that count, the own ones first."""
+        told = _list_lately(self._told, now)
+        return [self._own, *told, *_list_lately(self._centres, now)]
 
-def _sum_told(
-    total: dict[str, TargetLoad],
-    told: dict[str, tuple[float, Mapping[str, TargetLoad]]],
-    now: float,
-) -> dict[str, TargetLoad]:
-    """Add what was told lately to `total`; forget what is older."""
-    for teller, (at, loads) in list(told.items()):
+
+def _list_lately(
+    told: dict[str, tuple[float, Mapping[str, TargetLoad]]], now: float
+) -> list[Mapping[str, TargetLoad]]:
+    """Return what was told lately; forget what is older."""
+    for teller, (at, _) in list(told.items()):
         if now - at > _TOLD_S:
             del told[teller]
-            continue
+    return [loads for _, loads in told.values()]
+
+
+def _sum_loads(many: Iterable[Mapping[str, TargetLoad]]) -> dict[str, TargetLoad]:
+    """Return the sum by target.
+
+    A path is chosen from it several times a second, and a thousand loads were told: a
+    load is made for each target once, not for each addition.
+    """
+    sums: dict[str, list[float]] = {}
+    for loads in many:
         for target, load in loads.items():
-            total[target] = _add(total.get(target, _NO_LOAD), load)
-    return total
+            known = sums.get(target)
+            if known is None:
+                sums[target] = [load.kv, load.running, load.first_running]
+                continue
+            known[0] += load.kv
+            known[1] += load.running
+            known[2] += load.first_running
+    return {
+        target: TargetLoad(kv=kv, running=running, first_running=first_running)
+        for target, (kv, running, first_running) in sums.items()
+    }
--- a/packages/router/fulmarward_router/exchange/_stages.py
+++ b/packages/router/fulmarward_router/exchange/_stages.py
@@ -79,8 +79,8 @@
             return False
         kind = engine.kinds[record.kind]
         capacity = count_kv_capacity(engine, kind, len(record.layers))
-        loads = self._ledger.sum_loads(now=self._read_clock())
-        return loads.get(target, TargetLoad()).kv <= capacity * ROOM_PART
+        load = self._ledger.find_load(target, now=self._read_clock())
+        return load.kv <= capacity * ROOM_PART
 
     def has_whole_model(self, service: str, engine: EngineModel) -> bool:
         """Return whether there is a path at all, room aside."""
