--- a/packages/core/fulmarward_core/paths/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/paths/tests/test_decisions.py
@@ -4,6 +4,7 @@
 
 from hypothesis import given, settings, strategies as st
 
+from fulmarward_core.codec.tests.calls import count_calls
 from fulmarward_core.fleet import LayerRange, count_kv_capacity
 from fulmarward_core.layers.tests.fleets import ENGINE, KINDS
 from fulmarward_core.paths import (
@@ -13,6 +14,7 @@
     choose_path,
     compute_taste,
 )
+from fulmarward_core.paths.tests.plain import choose_path_plainly
 
 _REQUEST = PathRequest(prompt=800, answer=150, data_centre="a")
 
@@ -58,6 +60,64 @@
 )
 
 
+_DRAWN_REQUESTS = st.builds(
+    PathRequest,
+    prompt=st.integers(0, 2000),
+    answer=st.integers(0, 300),
+    data_centre=st.sampled_from("abc"),
+    avoided=st.frozensets(st.sampled_from(["t0", "t1", "t2"]), max_size=2),
+    may_cross=st.booleans(),
+)
+
+
+def _draw_stages(drawn, luck):
+    return [
+        make_stage(
+            f"t{place}",
+            start,
+            min(ENGINE.layers, start + size),
+            centre=centre,
+            kind=luck.choice(sorted(KINDS)),
+            kv_promised=float(promised),
+            kv_capacity=luck.choice([1e6, 6e6]),
+            running=luck.randrange(20),
+            first_running=luck.choice([0, ENGINE.slots]),
+            pace=luck.choice([1.0, 1.0, 12.0]),
+            taste=luck.choice([1.0, 1.3]),
+            is_usable=luck.random() < 0.9,
+        )
+        for place, (start, size, centre, promised) in enumerate(drawn)
+    ]
+
+
+class CostOfChoiceTest(unittest.TestCase):
+    def test_time_at_a_target_is_estimated_once_not_at_each_layer(self):
+        # Each start of an answer chooses a path among all targets of its service: 2.8
+        # to 3.8 ms with 99 in a fleet of 79 instances, where each target was looked at
+        # again from each layer, and its time worked out from each that it holds.
+        stages = [
+            stage
+            for centre in "abcd"
+            for step in (5, 8, 10)
+            for stage in make_chain(f"{centre}{step}-", centre, step=step)
+        ]
+        calls = count_calls(lambda: choose_path(ENGINE, stages, _REQUEST))
+        self.assertLess(calls, 12 * len(stages))
+
+    @settings(max_examples=300)
+    @given(_STAGES, _DRAWN_REQUESTS, st.randoms(use_true_random=False), st.booleans())
+    def test_path_is_the_one_that_trying_all_at_each_layer_gives(
+        self, drawn, request, luck, has_first
+    ):
+        stages = _draw_stages(drawn, luck)
+        if has_first and stages:
+            stage = stages[0]
+            first = Hop(target=stage.target, address=stage.address, layers=stage.layers)
+            request = replace(request, first=first)
+        expected = choose_path_plainly(ENGINE, stages, request)
+        self.assertEqual(choose_path(ENGINE, stages, request), expected)
+
+
 class ChoosePathTest(unittest.TestCase):
     @settings(max_examples=200)
     @given(_STAGES)
