A path is chosen from the quickest target of each data centre and end

What callers saw: nothing yet; a fleet of 79 took more processor time than it may. Cause: from each layer that a path can come to all targets of the service were looked at, and the time of each that holds it was worked out for each way there.

Why the mend holds: from a layer on, the quickest of the targets of a data centre that end at the same layer makes every way cheaper than the others do, so only it is tried; hops are made for the path that is chosen only. 300 drawn fleets, requests and first hops give the path of the plain way, which stands beside the tests. Two targets whose times differ by less than the sum's last bit may change places.

--- a/packages/core/fulmarward_core/paths/decisions.py
+++ b/packages/core/fulmarward_core/paths/decisions.py
@@ -8,7 +8,7 @@
 """
 
 import hashlib
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 from fulmarward_core.fleet import AcceleratorKind, EngineModel, LayerRange
@@ -118,39 +118,30 @@
     return request.prompt + request.answer
 
 
-@dataclass(frozen=True)
 class _Reach:
-    """The best way to have run all layers below a point, ending at a target."""
-
-    cost: float
-    hops: tuple[Hop, ...]
-    data_centre: str
-
-
-def _estimate_ms(
-    engine: EngineModel, stage: Stage, layers: int, request: PathRequest
-) -> float:
-    """Return the time that a request spends at a stage, in ms."""
-    share = layers / engine.layers
-    batch = engine.step_ms + engine.sequence_ms * (stage.running + 1)
-    context = engine.context_ms_per_k * stage.running
-    step = (batch + context) * stage.kind.step_factor * share * stage.pace
-    prefill = request.prompt / engine.prefill_tokens_per_s * 1000
-    prefill *= stage.kind.prefill_factor * share * stage.pace
-    used = stage.kv_promised / max(stage.kv_capacity, 1.0)
-    crowding = 1 + CROWDING * used**4
-    return (step * request.answer + prefill) * crowding * stage.taste
+    """The best way to have run all layers below a point, ending at a target.
 
+    No frozen data class, since a choice makes hundreds of them.
+    """
 
-def _estimate_hop_ms(
-    engine: EngineModel, before: str, after: str, request: PathRequest
-) -> float:
-    """Return what it costs to go on in another data centre, in ms."""
-    if before == after:
-        return 0.0
-    delay = engine.delays_ms.get((before, after), 1.0)
-    transfer = request.prompt * engine.activation_bytes * 8 / (engine.pipe_mbps * 1e3)
-    return delay * request.answer + transfer * PIPE_WEIGHT
+    __slots__ = ("before", "cost", "data_centre", "position", "stage")
+
+    def __init__(
+        self,
+        cost: float,
+        data_centre: str,
+        *,
+        stage: Stage | None = None,
+        position: int = 0,
+        before: "_Reach | None" = None,
+    ) -> None:
+        self.cost = cost
+        self.data_centre = data_centre
+        #: The target, the first layer that it runs, and the way up to there; `None` at
+        #: the start.
+        self.stage = stage
+        self.position = position
+        self.before = before
 
 
 def choose_path(
@@ -161,67 +152,157 @@
     A target serves at most one part: having run its layers up to their end, a path is
     past all that it holds.
     """
-    tokens = count_tokens_held(request)
-    usable = [stage for stage in stages if _has_room(stage, tokens, request)]
-    reached: dict[int, dict[str, _Reach]] = {}
-    if request.first is None:
-        start = _Reach(cost=0.0, hops=(), data_centre=request.data_centre)
-        reached[0] = {"": start}
-    else:
-        centre = next(
-            (s.data_centre for s in stages if s.target == request.first.target),
-            request.data_centre,
-        )
-        start = _Reach(cost=0.0, hops=(request.first,), data_centre=centre)
-        reached[request.first.layers.end] = {centre: start}
-        usable = [stage for stage in usable if stage.target != request.first.target]
+    first = request.first
+    usable = _list_usable(stages, request)
+    position, start = 0, _Reach(0.0, request.data_centre)
+    if first is not None:
+        position = first.layers.end
+        start = _Reach(0.0, _find_data_centre(stages, request))
+    reached: dict[int, dict[str, _Reach]] = {position: {start.data_centre: start}}
+    search = _Search(engine, request, usable)
     for position in range(engine.layers):
-        for reach in list(reached.get(position, {}).values()):
-            for stage in usable:
-                if stage.layers.start <= position < stage.layers.end:
-                    _extend(engine, reached, reach, stage, position, request)
-    ends = reached.get(engine.layers, {})
+        if position in reached:
+            search.extend(reached, position)
+    ends = reached.get(engine.layers)
     if not ends:
         return None
-    return min(ends.values(), key=lambda reach: reach.cost).hops
-
-
-def _has_room(stage: Stage, tokens: int, request: PathRequest) -> bool:
-    if not stage.is_usable or stage.target in request.avoided:
-        return False
-    wanted = tokens * len(stage.layers)
-    return stage.kv_promised + wanted <= stage.kv_capacity * PLANNED_KV
-
-
-def _extend(
-    engine: EngineModel,
-    reached: dict[int, dict[str, _Reach]],
-    reach: _Reach,
-    stage: Stage,
-    position: int,
-    request: PathRequest,
-) -> None:
-    """Note the way on through `stage`, if it is the best one to where it leads."""
-    if not reach.hops:
-        if stage.first_running >= engine.slots:
-            return
-        is_far = stage.data_centre != request.data_centre
-        moving = FAR_FIRST_MS if is_far else 0.0
-    elif stage.data_centre != reach.data_centre and not request.may_cross:
-        return
-    else:
-        moving = _estimate_hop_ms(engine, reach.data_centre, stage.data_centre, request)
-    end = stage.layers.end
-    working = _estimate_ms(engine, stage, end - position, request)
-    cost = reach.cost + moving + working
-    known = reached.setdefault(end, {}).get(stage.data_centre)
-    if known is not None and known.cost <= cost:
-        return
-    hop = Hop(
-        target=stage.target,
-        address=stage.address,
-        layers=LayerRange(start=position, end=end),
-    )
-    reached[end][stage.data_centre] = _Reach(
-        cost=cost, hops=(*reach.hops, hop), data_centre=stage.data_centre
-    )
+    return _list_hops(min(ends.values(), key=lambda reach: reach.cost), first)
+
+
+def _list_usable(stages: Sequence[Stage], request: PathRequest) -> list[Stage]:
+    """Return the stages that may be a part of the path."""
+    tokens = count_tokens_held(request)
+    first = None if request.first is None else request.first.target
+    return [
+        stage
+        for stage in stages
+        if stage.is_usable
+        and stage.target not in request.avoided
+        and stage.target != first
+        and stage.kv_promised + tokens * (stage.layers.end - stage.layers.start)
+        <= stage.kv_capacity * PLANNED_KV
+    ]
+
+
+def _find_data_centre(stages: Sequence[Stage], request: PathRequest) -> str:
+    """Return where the given first hop stands, as far as known."""
+    for stage in stages:
+        if stage.target == request.first.target:
+            return stage.data_centre
+    return request.data_centre
+
+
+def _list_hops(end: _Reach, first: Hop | None) -> tuple[Hop, ...]:
+    """Return the hops of the way that ends there."""
+    hops = []
+    reach = end
+    while reach.stage is not None:
+        stage = reach.stage
+        layers = LayerRange(start=reach.position, end=stage.layers.end)
+        hops.append(Hop(target=stage.target, address=stage.address, layers=layers))
+        reach = reach.before
+    if first is not None:
+        hops.append(first)
+    return tuple(reversed(hops))
+
+
+class _Search:
+    """What a choice works out once: by target, and by layer that paths come to.
+
+    Guards against working it out for each way to a target, and against looking for it
+    among all targets from each layer: together most of a choice among a hundred.
+    """
+
+    def __init__(
+        self, engine: EngineModel, request: PathRequest, usable: Sequence[Stage]
+    ) -> None:
+        self._engine = engine
+        self._request = request
+        self._rates = {id(stage): self._rate(stage) for stage in usable}
+        #: Stages that hold each layer, in their order.
+        self._holders: list[list[Stage]] = [[] for _ in range(engine.layers)]
+        for stage in usable:
+            for holders in self._holders[stage.layers.start : stage.layers.end]:
+                holders.append(stage)
+        self._best: dict[tuple[int, bool], list[tuple[Stage, float]]] = {}
+
+    def _rate(self, stage: Stage) -> tuple[float, float, float]:
+        """Return the time of a step through all layers, that of the whole prompt with
+        no regard to accelerator and pace, and the factor of crowding.
+        """
+        engine, request = self._engine, self._request
+        batch = engine.step_ms + engine.sequence_ms * (stage.running + 1)
+        context = engine.context_ms_per_k * stage.running
+        prefill = request.prompt / engine.prefill_tokens_per_s * 1000
+        used = stage.kv_promised / max(stage.kv_capacity, 1.0)
+        step = (batch + context) * stage.kind.step_factor
+        return step, prefill, 1 + CROWDING * used**4
+
+    def extend(self, reached: dict[int, dict[str, _Reach]], position: int) -> None:
+        """Note the ways on from a layer that are the best to where they lead."""
+        for reach in list(reached[position].values()):
+            is_beginning = reach.stage is None and self._request.first is None
+            moves: dict[str, float | None] = {}
+            for stage, working in self._list_best(position, is_beginning):
+                centre = stage.data_centre
+                if centre not in moves:
+                    moves[centre] = self._find_moving(reach, centre, is_beginning)
+                moving = moves[centre]
+                if moving is None:
+                    continue
+                cost = reach.cost + moving + working
+                ways = reached.setdefault(stage.layers.end, {})
+                known = ways.get(centre)
+                if known is None or cost < known.cost:
+                    ways[centre] = _Reach(
+                        cost, centre, stage=stage, position=position, before=reach
+                    )
+
+    def _list_best(
+        self, position: int, is_beginning: bool
+    ) -> Iterable[tuple[Stage, float]]:
+        """Return the quickest stages from a layer on, one for each data centre and end,
+        and their times: any other costs more for every way that leads there.
+        """
+        key = (position, is_beginning)
+        if key not in self._best:
+            best: dict[tuple[str, int], tuple[Stage, float]] = {}
+            for stage in self._holders[position]:
+                if is_beginning and stage.first_running >= self._engine.slots:
+                    continue
+                working = self._estimate_ms(stage, position)
+                place = (stage.data_centre, stage.layers.end)
+                if place not in best or working < best[place][1]:
+                    best[place] = (stage, working)
+            self._best[key] = list(best.values())
+        return self._best[key]
+
+    def _estimate_ms(self, stage: Stage, position: int) -> float:
+        """Return the time that a request spends at a stage from a layer on, in ms."""
+        step, prefill, crowding = self._rates[id(stage)]
+        share = (stage.layers.end - position) / self._engine.layers
+        work = step * share * stage.pace * self._request.answer
+        work += prefill * (stage.kind.prefill_factor * share * stage.pace)
+        return work * crowding * stage.taste
+
+    def _find_moving(
+        self, reach: _Reach, data_centre: str, is_beginning: bool
+    ) -> float | None:
+        """Return what it costs to go on in a data centre, `None` if it may not be."""
+        request = self._request
+        if is_beginning:
+            return 0.0 if data_centre == request.data_centre else FAR_FIRST_MS
+        if data_centre == reach.data_centre:
+            return 0.0
+        if not request.may_cross:
+            return None
+        return _estimate_hop_ms(self._engine, reach.data_centre, data_centre, request)
+
+
+def _estimate_hop_ms(
+    engine: EngineModel, before: str, after: str, request: PathRequest
+) -> float:
+    """Return what it costs to go on in another data centre, in ms."""
+    delay = engine.delays_ms.get((before, after), 1.0)
+    transfer = request.prompt * engine.activation_bytes * 8 / (engine.pipe_mbps * 1e3)
+    return delay * request.answer + transfer * PIPE_WEIGHT
