A stream is ended to begin again only with its repeat in hand

What callers saw: of three answers through one lost target two were cut in the middle, 'the way around a lost target crosses', though the way around was sound; with no repeat left at all, all three came whole.

Cause: whether a repeat is left was asked when the attempt was ended, and the repeat was taken later. All streams of a path are judged in the same moment and counted on the same one.

Why the mend holds: the repeat is taken in the moment of the decision and goes with the end of the attempt; who gets none is led across.

--- a/packages/router/fulmarward_router/exchange/_attempt.py
+++ b/packages/router/fulmarward_router/exchange/_attempt.py
@@ -62,13 +62,20 @@
     """An attempt ended without the whole answer; another may follow."""
 
     def __init__(
-        self, *, cause: str, is_not_run: bool, is_not_sent: bool = False
+        self,
+        *,
+        cause: str,
+        is_not_run: bool,
+        is_not_sent: bool = False,
+        has_repeat: bool = False,
     ) -> None:
         super().__init__(cause)
         self.cause = cause
         self.is_not_run = is_not_run
         #: Whether the first target was not reached.
         self.is_not_sent = is_not_sent
+        #: Whether the repeat that follows was taken before it was ended.
+        self.has_repeat = has_repeat
 
 
 def describe_path(path: tuple[Hop, ...]) -> str:
--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -51,16 +51,21 @@
         self._log_repeat(work, now, is_taken=is_taken, is_allowed=is_allowed)
         return is_taken
 
-    def may_begin_again(self, work: Work) -> bool:
-        """Return whether a request under way could begin again at once."""
+    def take_repeat_ahead(self, work: Work) -> bool:
+        """Take the repeat for a request under way, before its attempt is ended.
+
+        Guards against streams that all count on the same last repeat: the others would
+        be ended too, and cut. Return whether it was taken.
+        """
         now = self.read_clock()
         has_begun = work.request.get("answer") is not None
         part = 1.0 if has_begun else UNBEGUN_PART
-        allowance = self.find_allowance(work.service)
-        has_repeat = allowance.has_repeat(
-            instances=self.count_instances(), now=now, part=part
-        )
-        return has_repeat and may_run_again(work.make_tally(), now=now)
+        is_taken = may_run_again(work.make_tally(), now=now) and self.find_allowance(
+            work.service
+        ).take_repeat(instances=self.count_instances(), now=now, part=part)
+        if is_taken:
+            self._log_repeat(work, now, is_taken=True, is_allowed=True)
+        return is_taken
 
     async def await_repeat(self, work: Work, *, until: float) -> bool:
         """Take one more attempt for an answer that has begun, waiting for it if needed.
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -140,6 +140,8 @@
         An answer that has begun cannot be refused any more: it waits for a repeat as
         long as its caller does.
         """
+        if end.has_repeat:
+            return
         if answer is not None:
             until = find_resume_end(work)
             if await self._context.await_repeat(work, until=until):
