--- a/packages/core/fulmarward_core/loads/tests/test_loads.py
+++ b/packages/core/fulmarward_core/loads/tests/test_loads.py
@@ -232,6 +232,15 @@
         self.assertEqual(self.take_all(now=0.1), 4)
         self.assertEqual(self.take_all(now=0.2, part=UNBEGUN_PART), 0)
 
+    def test_small_share_still_repeats_a_request_that_has_not_begun(self):
+        # In a fleet of many instances a share is one or two repeats. Half of one is
+        # none: a request whose first target refused it was never sent on, and its
+        # caller was refused though others had room.
+        self.allowance = RepeatAllowance(ratio=0.2, slack=2.0, window_s=10.0)
+        self.assertEqual(self.take_all(now=0.0, part=UNBEGUN_PART), 1)
+        self.allowance = RepeatAllowance(ratio=0.2, slack=1.0, window_s=10.0)
+        self.assertEqual(self.take_all(now=0.0, part=UNBEGUN_PART), 0)
+
     def test_answer_waits_until_a_repeat_falls_out_of_the_window(self):
         # An answer was cut at once though a repeat was free half a second later.
         self.take_all(now=0.0)
