A request that has not begun may take the first repeat of a small share

What callers saw: in a fleet of many instances, where a share is one or two repeats, a request whose first target refused it was refused though others had room. Cause: half of such a share, which is what such requests may use, is no repeat. The first one now goes to whoever asks first; never more than the share.

--- a/packages/core/fulmarward_core/loads/_allowance.py
+++ b/packages/core/fulmarward_core/loads/_allowance.py
@@ -83,7 +83,10 @@
     def has_repeat(self, *, instances: int, now: float, part: float = 1.0) -> bool:
         """Return whether a repeat could be taken."""
         count = self.count(instances=instances, now=now)
-        return count.used + 1 <= count.allowed * part
+        # A part of a share of one or two would be none: the first repeat goes to
+        # whoever asks first.
+        allowed = max(count.allowed * part, min(count.allowed, 1.0))
+        return count.used + 1 <= allowed
 
     def begin_wait(self, *, until: float) -> None:
         """An answer that has begun waits for a repeat, up to a time."""
