--- a/packages/core/fulmarward_core/suspicion/tests/test_table.py
+++ b/packages/core/fulmarward_core/suspicion/tests/test_table.py
@@ -70,6 +70,30 @@
         self.assertTrue(table.note_lost("t", now=0.3))
         self.assertTrue(table.is_lost("t", now=0.4))
 
+    def test_failure_undoes_no_loss_that_was_seen_here(self):
+        # A target is killed. One stream's probe finds it lost; the broken answer of the
+        # next counted as a failure and took the loss's place. The other streams through
+        # it were led around no more, peers heard nothing, and nobody asked it again.
+        for reason in ("lost", "address"):
+            with self.subTest(reason):
+                table = SuspicionTable()
+                table.note_lost("t", now=0.0, reason=reason)
+                for now in (0.1, 0.2):
+                    self.assertTrue(table.note_failed("t", now=now), "left out")
+                self.assertTrue(table.is_lost("t", now=0.3))
+                self.assertFalse(table.is_lost("t", now=SUSPECT_S), "no longer")
+        table = SuspicionTable()
+        table.note_lost("t", now=0.0)
+        table.note_failed("t", now=0.1)
+        self.assertEqual([s.target for s in table.list_lost(now=0.3)], ["t"])
+        self.assertEqual(table.list_ending(now=1.3, ahead_s=0.8), ["t"])
+        table = SuspicionTable()
+        table.note_told("t", for_s=2.0, now=0.0)
+        table.note_failed("t", now=0.1)
+        self.assertTrue(table.is_told("t", now=0.2))
+        table.note_failed("t", now=0.2)
+        self.assertTrue(table.is_suspect("t", now=3.1), "it fails again and again")
+
     def test_full_target_is_not_lost(self):
         table = SuspicionTable()
         table.note_full("t", now=0.0)
