A failed answer leaves a loss that was seen here as it is

What callers see, by the code: streams through a killed target stood still until their callers left, although the target was known as lost.

Cause: a lost target also breaks answers off. Each of them was noted as a failure, and the second one put `failing` in the place of `lost` (the first one, too, took the reason away). So the target counted as answering: nothing that ran there was led around it, peers were not told, and it was not asked again before it was trusted.

Why the mend holds: while a loss seen here lasts, a failure is only counted; reason and end stay.

--- a/packages/core/fulmarward_core/suspicion/_table.py
+++ b/packages/core/fulmarward_core/suspicion/_table.py
@@ -177,13 +177,22 @@
         )
 
     def note_failed(self, target: str, *, now: float) -> bool:
-        """A target answered with a failure; return whether it is left out now."""
+        """A target answered with a failure; return whether it is left out now.
+
+        Guards against a loss that is forgotten: a target that is lost breaks answers
+        off too, and these would count in the loss's place. What runs there would stand
+        still, and peers would not hear of it. A loss seen here stays what it is, and
+        any other suspicion does until the failures alone would leave the target out.
+        """
         known = self._suspicions.get(target)
         failures = 1 if known is None else known.failures + 1
         base = known or Suspicion(
             target=target, until=now, lasted_s=0.0, since=now, reason="failing"
         )
         is_out = failures >= MOST_FAILURES
+        if now < base.until and (base.reason in _SEEN_LOST or not is_out):
+            self._suspicions[target] = replace(base, failures=failures)
+            return True
         until = now + FAILING_S if is_out else base.until
         self._suspicions[target] = replace(
             base, until=until, failures=failures, reason="failing"
