--- a/packages/router/fulmarward_router/exchange/tests/test_keeping.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_keeping.py
@@ -4,7 +4,9 @@
 from types import SimpleNamespace
 from unittest import mock
 
+from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_router.exchange import _keeping
+from fulmarward_router.exchange._attempt import Attempt
 from fulmarward_router.exchange._keeping import StreamKeeper
 
 
@@ -44,3 +46,51 @@
             async with asyncio.timeout(10.0):
                 while self.looks < before + 4:
                     await asyncio.sleep(0.01)
+
+
+class MovedStreamTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.now = 100.0
+        self.suspicions = SuspicionTable()
+        self.watch = mock.Mock()
+        context = SimpleNamespace(
+            dialect=None,
+            catalogue=None,
+            suspicions=self.suspicions,
+            ledger=None,
+            read_clock=lambda: self.now,
+        )
+        self.keeper = StreamKeeper(
+            context=context, watch=self.watch, finder=None, pipe=None
+        )
+        path = tuple(SimpleNamespace(target=name) for name in ("first", "second"))
+        self.attempt = Attempt(
+            work=None, engine=None, wanted=None, path=path, promise=None
+        )
+        self.keeper.add(self.attempt)
+
+    def _list_lost(self):
+        return [hop.target for hop in self.keeper._list_lost(self.attempt)]
+
+    def test_target_that_served_a_stream_after_its_loss_is_asked_first(self):
+        # An instance that was slow to hear took a sound target for lost. A stream went
+        # on through it and paused for 60 ms later: it was cut with "the first target is
+        # lost", or led around, though its target had served it all the time.
+        self.keeper.note_heard(self.attempt)
+        self.now += 0.01
+        self.suspicions.note_lost("first", now=self.now)
+        self.assertEqual(self._list_lost(), ["first"], "nothing came after that")
+        self.now += 0.03
+        self.keeper.note_heard(self.attempt)
+        self.now += 0.07
+        self.assertEqual(self._list_lost(), [])
+        self.keeper._probe_told(self.attempt, self.now)
+        self.watch.probe.assert_called_once_with(["first"])
+        self.suspicions.note_lost("first", now=self.now)
+        self.assertEqual(self._list_lost(), ["first"], "asked, and silent")
+
+    def test_stream_without_an_event_is_led_around_at_once(self):
+        self.suspicions.note_lost("second", now=99.9)
+        self.assertEqual(self._list_lost(), ["second"])
+        self.keeper._probe_told(self.attempt, self.now)
+        self.watch.probe.assert_not_called()
