A loss is none for a stream that its target served after it

What callers see, by the code: answers cut with "the first target is lost", or led to other targets, at a moment when the target served them.

Cause: an instance that is slow to hear takes a sound target for lost. Its streams go on, but for as long as the suspicion lasts, each of them that pauses for 60 ms is on a path with a lost target and is ended or led around. Nothing that came from the target in between counted, and a target known as lost was not asked again.

Why the mend holds: the time of a loss is when it was last seen here: by a silence that is found again, by the recheck, or by the confirmation of a peer's word. A stream whose last event came after that is led around only once the loss is seen again; when it is silent for 60 ms, the target is asked at once, as after a peer's word. All other streams, and those without an event yet, are led around as before. For them the target stays lost, and peers hear of it as before.

A target that is really lost: the last event comes before its loss is noted, since that takes a silence or a refused connection. Where a refused connection is noticed while bytes are under way, the stream gets these a few ms later and counts as served; then it falls silent, and is led around after 60 ms and a probe, as it would be had nobody else noticed. Before, it would have been led around after the 60 ms. A stream in that state can't be told from one that is served.

The time of a loss is that of its finding, not of the asking: an event that came while the target was asked counts as before the loss.

--- a/packages/core/fulmarward_core/suspicion/_table.py
+++ b/packages/core/fulmarward_core/suspicion/_table.py
@@ -52,13 +52,16 @@
     until: float
     #: Seconds for which it was left out the last time.
     lasted_s: float
-    #: When it was last suspected.
+    #: When it was last suspected; for a loss seen here, when that was last seen.
     since: float
     #: `lost`, `address` (another answers there), `full`, `failing`, `told` (by a peer)
     #: or `confirmed` (told, and seen here too).
     reason: str
     #: Failed answers in a row.
     failures: int = 0
+    #: Whether a stream moved through it after it was lost here, so that it is to be
+    #: asked again.
+    is_contested: bool = False
 
 
 class SuspicionTable:
@@ -78,9 +81,10 @@
         known = self._suspicions.get(target)
         if known is not None and now < known.until:
             if known.reason == _TOLD:
-                self._confirm(known)
+                self._confirm(known, now)
                 return True
             if known.reason in _SEEN_LOST:
+                self._suspicions[target] = replace(known, since=now, is_contested=False)
                 return False
         lasted_s = SUSPECT_S
         if known is not None and now - known.until < MOST_SUSPECT_S:
@@ -95,13 +99,13 @@
         self.revision += 1
         return True
 
-    def _confirm(self, told: Suspicion) -> None:
+    def _confirm(self, told: Suspicion, now: float) -> None:
         """What a peer told was seen here too.
 
         It is not told on, so that a loss which all instances see does not make each of
         them tell all others.
         """
-        self._suspicions[told.target] = replace(told, reason="confirmed")
+        self._suspicions[told.target] = replace(told, reason="confirmed", since=now)
         self.revision += 1
 
     def note_told(self, target: str, *, for_s: float, now: float) -> bool:
@@ -156,7 +160,9 @@
         known = self._suspicions.get(target)
         if known is not None and known.reason == "lost":
             until = max(known.until, now + SUSPECT_S)
-            self._suspicions[target] = replace(known, until=until)
+            self._suspicions[target] = replace(
+                known, until=until, since=now, is_contested=False
+            )
 
     def note_full(self, target: str, *, now: float) -> None:
         """A target refused for want of room, or since its layers change."""
@@ -223,6 +229,31 @@
         known = self._suspicions.get(target)
         return known is not None and now < known.until and known.reason in _SEEN_LOST
 
+    def is_lost_since(self, target: str, *, served_at: float, now: float) -> bool:
+        """Return whether a target is lost for a stream that it served last then.
+
+        Guards against a sound target that was taken for lost: streams go on through
+        it, and each that pauses would be ended. One that moved after the loss was last
+        seen was served by the target; it holds for that stream once it is seen again.
+        """
+        known = self._suspicions.get(target)
+        return self.is_lost(target, now=now) and served_at <= known.since
+
+    def note_moving(self, target: str, *, served_at: float, now: float) -> bool:
+        """A stream moved; return whether that speaks against a loss seen here."""
+        if not self.is_lost(target, now=now):
+            return False
+        if self.is_lost_since(target, served_at=served_at, now=now):
+            return False
+        known = self._suspicions[target]
+        self._suspicions[target] = replace(known, is_contested=True)
+        return True
+
+    def may_be_asked(self, target: str, *, now: float) -> bool:
+        """Return whether an answer of a target would say anything new."""
+        known = self._suspicions.get(target)
+        return not self.is_lost(target, now=now) or known.is_contested
+
     def is_told(self, target: str, *, now: float) -> bool:
         """Return whether a target counts as lost by a peer's word alone."""
         known = self._suspicions.get(target)
--- a/packages/core/fulmarward_core/suspicion/tests/test_table.py
+++ b/packages/core/fulmarward_core/suspicion/tests/test_table.py
@@ -59,6 +59,43 @@
         self.assertFalse(table.note_answered("t", now=0.1))
         self.assertTrue(table.is_lost("t", now=0.2))
 
+    def test_loss_is_none_for_a_stream_that_moved_after_it(self):
+        # Instances that were slow to hear took sound targets for lost. Streams went on
+        # through them, and each that then paused for 60 ms was ended or led around, for
+        # as long as the suspicion lasted.
+        table = SuspicionTable()
+        table.note_lost("t", now=1.0)
+        self.assertTrue(table.is_lost_since("t", served_at=0.99, now=1.1))
+        self.assertFalse(table.is_lost_since("t", served_at=1.05, now=1.1))
+        self.assertTrue(table.is_lost("t", now=1.1), "for all others")
+        self.assertFalse(table.note_lost("t", now=1.2), "no news")
+        self.assertTrue(table.is_lost_since("t", served_at=1.05, now=1.3))
+        self.assertTrue(table.is_suspect("t", now=1.0 + SUSPECT_S - 0.01))
+        self.assertFalse(table.is_suspect("t", now=1.0 + SUSPECT_S), "as long as told")
+
+    def test_loss_counts_from_when_it_was_last_seen_here(self):
+        table = SuspicionTable()
+        table.note_lost("asked-again", now=0.0)
+        table.extend("asked-again", now=1.5)
+        table.note_told("told", for_s=2.0, now=0.0)
+        self.assertFalse(table.is_lost_since("told", served_at=-1.0, now=0.5))
+        table.note_lost("told", now=1.5)
+        for name in ("asked-again", "told"):
+            with self.subTest(name):
+                self.assertTrue(table.is_lost_since(name, served_at=1.4, now=1.6))
+                self.assertFalse(table.is_lost_since(name, served_at=1.55, now=1.6))
+
+    def test_loss_that_a_stream_speaks_against_is_to_be_asked_about_again(self):
+        table = SuspicionTable()
+        table.note_lost("t", now=1.0)
+        self.assertFalse(table.note_moving("t", served_at=0.9, now=1.1))
+        self.assertFalse(table.may_be_asked("t", now=1.1), "known")
+        self.assertTrue(table.note_moving("t", served_at=1.05, now=1.2))
+        self.assertTrue(table.may_be_asked("t", now=1.2))
+        table.note_lost("t", now=1.3)
+        self.assertFalse(table.may_be_asked("t", now=1.4), "known anew")
+        self.assertTrue(table.may_be_asked("t", now=4.0), "it is over")
+
     def test_failing_target_is_left_out_and_ends_nothing_that_runs_there(self):
         # A target fails a part of its requests. Streams that it serves well were ended
         # since it counted as lost.
--- a/packages/router/fulmarward_router/exchange/_attempt.py
+++ b/packages/router/fulmarward_router/exchange/_attempt.py
@@ -37,6 +37,8 @@
         self.checking: asyncio.Task | None = None
         #: Seconds on the steady clock of the last sign of life.
         self.heard_at = 0.0
+        #: Seconds on the steady clock of the last event, before any without one.
+        self.served_at = float("-inf")
         self.checks = 0
         self.has_begun = False
         self.signs = SlowSigns()
--- a/packages/router/fulmarward_router/exchange/_keeping.py
+++ b/packages/router/fulmarward_router/exchange/_keeping.py
@@ -106,7 +106,7 @@
         if attempt.has_begun:
             self._mean_pause_s += _PAUSE_WEIGHT * (pause_s - self._mean_pause_s)
             attempt.signs.note_pause(pause_s)
-        attempt.heard_at = now
+        attempt.heard_at = attempt.served_at = now
         attempt.checks = 0
         attempt.has_begun = True
 
@@ -220,19 +220,23 @@
             self._watch.probe(suspects)
 
     def _probe_told(self, attempt: Attempt, now: float) -> None:
-        """Ask the targets of a silent stream that a peer lost whether they live.
+        """Ask the targets of a silent stream whose loss is not sure for it.
 
         A peer's word is no reason to end a stream: its own link may be at fault, and
-        streams pause for that long by themselves. A target that is lost is led around
-        a probe later.
+        streams pause for that long by themselves. Nor is a loss seen here after which
+        the stream moved: its target served it. Where these events were only under way
+        when the target was lost, nothing follows them, and the target is led around a
+        probe later.
         """
-        told = [
+        table, served_at = self._suspicions, attempt.served_at
+        unsure = [
             hop.target
             for hop in attempt.path
-            if self._suspicions.is_told(hop.target, now=now)
+            if table.is_told(hop.target, now=now)
+            or table.note_moving(hop.target, served_at=served_at, now=now)
         ]
-        if told:
-            self._watch.probe(told)
+        if unsure:
+            self._watch.probe(unsure)
 
     def _start_check(self, attempt: Attempt) -> None:
         if self._must_check(attempt):
@@ -255,9 +259,12 @@
         attempt.checking.add_done_callback(note_end)
 
     def _list_lost(self, attempt: Attempt) -> list[Hop]:
-        now = self._read_clock()
+        """Return the part of a path that was lost here after it last served."""
+        now, served_at, table = self._read_clock(), attempt.served_at, self._suspicions
         return [
-            hop for hop in attempt.path if self._suspicions.is_lost(hop.target, now=now)
+            hop
+            for hop in attempt.path
+            if table.is_lost_since(hop.target, served_at=served_at, now=now)
         ]
 
     def _must_check(self, attempt: Attempt) -> bool:
--- a/packages/router/fulmarward_router/exchange/_watching.py
+++ b/packages/router/fulmarward_router/exchange/_watching.py
@@ -130,7 +130,7 @@
             is_due = now - self._probed_at.get(name, float("-inf")) >= PROBE_AGAIN_S
             if record is None or not is_due:
                 continue
-            if not self._suspicions.is_lost(name, now=now):
+            if self._suspicions.may_be_asked(name, now=now):
                 self._probed_at[name] = now
                 records.append(record)
         return records
--- a/packages/router/fulmarward_router/exchange/tests/test_keeping.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_keeping.py
@@ -5,7 +5,7 @@
 from unittest import mock
 
 from fulmarward_core.suspicion import SuspicionTable
-from fulmarward_router.exchange import _keeping
+from fulmarward_router.exchange import LossWatch, _keeping
 from fulmarward_router.exchange._attempt import Attempt
 from fulmarward_router.exchange._keeping import StreamKeeper
 
@@ -89,6 +89,22 @@
         self.suspicions.note_lost("first", now=self.now)
         self.assertEqual(self._list_lost(), ["first"], "asked, and silent")
 
+    def test_watch_asks_a_lost_target_that_a_stream_speaks_against(self):
+        watch = LossWatch(
+            dialect=None,
+            catalogue=mock.Mock(find_target=lambda name: SimpleNamespace(name=name)),
+            suspicions=self.suspicions,
+            read_clock=lambda: self.now,
+            note_change=lambda: None,
+        )
+        self.suspicions.note_lost("first", now=self.now)
+        self.assertEqual(watch._list_due(["first"]), [])
+        self.now += 0.03
+        self.keeper.note_heard(self.attempt)
+        self.now += 0.07
+        self.keeper._probe_told(self.attempt, self.now)
+        self.assertEqual([r.name for r in watch._list_due(["first"])], ["first"])
+
     def test_stream_without_an_event_is_led_around_at_once(self):
         self.suspicions.note_lost("second", now=99.9)
         self.assertEqual(self._list_lost(), ["second"])
