--- a/packages/core/fulmarward_core/suspicion/tests/test_table.py
+++ b/packages/core/fulmarward_core/suspicion/tests/test_table.py
@@ -185,6 +185,20 @@
         self.assertEqual(table.list_suspects("abcd", now=0.1), frozenset())
         self.assertEqual(table.list_suspects("abcdef", now=0.1), frozenset("abc"))
 
+    def test_words_of_peers_lift_no_loss_that_was_seen_here(self):
+        # A peer whose link is full told that most targets are lost. With these, more
+        # than half of the pool would have been left out, so that nobody was: requests
+        # went to the one target that this instance itself had found silent.
+        table = SuspicionTable()
+        table.note_lost("a", now=0.0)
+        for name in "bcd":
+            table.note_told(name, for_s=2.0, now=0.0)
+        self.assertEqual(table.list_suspects("abcde", now=0.1), frozenset("a"))
+        self.assertEqual(table.list_suspects("abcdefgh", now=0.1), frozenset("abcd"))
+        for name in "bc":
+            table.note_lost(name, now=0.1)
+        self.assertEqual(table.list_suspects("abcde", now=0.2), frozenset(), "own")
+
     def test_what_peers_told_is_not_told_on(self):
         table = SuspicionTable()
         table.note_told("t", for_s=1.0, now=0.0)
