Words of peers lift no loss that was seen here

What callers see, by the code: requests sent to a target that this instance knew as silent, and refused or late, while a peer's own link was full.

Cause: nobody is left out when more than half of a pool would be, and a peer's word counted for that as much as what was seen here. A peer that hears nobody tells of many, and so lifted the losses that were sound.

Why the mend holds: where too many would be left out, those go first that only a peer lost. What was seen here stays in force unless it is more than half by itself, as before; a word that was seen here too (`confirmed`) counts as seen here.

--- a/packages/core/fulmarward_core/suspicion/_table.py
+++ b/packages/core/fulmarward_core/suspicion/_table.py
@@ -275,10 +275,12 @@
     def list_suspects(self, targets: Iterable[str], *, now: float) -> frozenset[str]:
         """Return which of a service's targets to leave out.
 
-        Nobody is left out when too many would be.
+        When too many would be, those are not that only a peer lost; when what was seen
+        here is too much by itself, nobody is.
         """
         names = list(targets)
+        most = len(names) * MOST_SUSPECTED
         suspects = [name for name in names if self.is_suspect(name, now=now)]
-        if len(suspects) > len(names) * MOST_SUSPECTED:
-            return frozenset()
-        return frozenset(suspects)
+        if len(suspects) > most:
+            suspects = [name for name in suspects if not self.is_told(name, now=now)]
+        return frozenset(suspects if len(suspects) <= most else ())
