--- a/packages/router/fulmarward_router/exchange/tests/test_watching.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_watching.py
@@ -216,3 +216,21 @@
         await asyncio.sleep(0.5)
         task.cancel()
         self.assertFalse(instance.table.is_lost("a", now=102.1))
+
+
+class AnswerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_answer_says_nothing_against_a_word_that_came_after_it(self):
+        # A target answers a probe at once and is killed. The probe waits on for others,
+        # a peer tells of the loss, and the probe's end took that word away: for two
+        # seconds new requests were sent to a target that was dead.
+        instance = _Instance(lambda now: "b")
+        instance.table.note_told("c", for_s=2.0, now=99.9)
+        instance.watch.probe("abc")
+        while instance.clock.now == 100.0:
+            await asyncio.sleep(0)
+        instance.table.note_told("a", for_s=2.0, now=instance.clock.now)
+        await instance.watch.check("abc")
+        now = instance.clock.now
+        self.assertEqual(instance.list_lost(), "b")
+        self.assertTrue(instance.table.is_told("a", now=now), "said after the answer")
+        self.assertFalse(instance.table.is_told("c", now=now), "said before it")
