An answer takes no word away that came after its question

What callers see, by the code: requests sent to a dead target for up to two seconds, although a peer had told of its loss.

Cause: the answers of a probe are noted when the whole round is over, up to 0.28 s after they came, and with that time. A peer's word that came in between was taken away, and its repeats counted for nothing for two seconds.

Why the mend holds: an answer is noted with the time at which the target was asked, and a word that came first after that stays. A silent stream through the target asks it anew, so that a wrong word falls with the next answer. A target that was only asked beside others is none that anybody suspected then, so that any word is later.

--- a/packages/core/fulmarward_core/suspicion/_table.py
+++ b/packages/core/fulmarward_core/suspicion/_table.py
@@ -69,7 +69,7 @@
 
     def __init__(self) -> None:
         self._suspicions: dict[str, Suspicion] = {}
-        #: When targets that a peer had lost answered here.
+        #: When targets that a peer had lost were asked here and answered.
         self._answered_at: dict[str, float] = {}
         #: Targets that refuse although they have room.
         self.refusals = RefusalTable()
@@ -130,16 +130,18 @@
         self.revision += 1
         return True
 
-    def note_answered(self, target: str, *, now: float) -> bool:
+    def note_answered(self, target: str, *, asked_at: float) -> bool:
         """A target answered a probe; return whether a peer's word falls with that.
 
         What is heard here goes before a word for as long as a suspicion lasts: the
-        peer repeats it with each of its heartbeats.
+        peer repeats it with each of its heartbeats. A word that came first after the
+        target was asked stays: the target may be gone since, and a probe's end waits
+        for others.
         """
         known = self._suspicions.get(target)
-        if known is None or known.reason != _TOLD:
+        if known is None or known.reason != _TOLD or asked_at < known.since:
             return False
-        self._answered_at[target] = now
+        self._answered_at[target] = asked_at
         del self._suspicions[target]
         return True
 
--- a/packages/core/fulmarward_core/suspicion/tests/test_table.py
+++ b/packages/core/fulmarward_core/suspicion/tests/test_table.py
@@ -48,15 +48,21 @@
     def test_answer_heard_here_goes_before_a_word_that_is_repeated(self):
         table = SuspicionTable()
         table.note_told("t", for_s=2.0, now=0.0)
-        self.assertTrue(table.note_answered("t", now=0.1))
+        self.assertTrue(table.note_answered("t", asked_at=0.1))
         self.assertFalse(table.note_told("t", for_s=1.7, now=0.3))
         self.assertFalse(table.is_suspect("t", now=0.3))
         self.assertTrue(table.note_told("t", for_s=2.0, now=0.1 + SUSPECT_S))
 
+    def test_word_that_came_after_the_question_stays(self):
+        table = SuspicionTable()
+        table.note_told("t", for_s=2.0, now=0.2)
+        self.assertFalse(table.note_answered("t", asked_at=0.1))
+        self.assertTrue(table.is_told("t", now=0.3))
+
     def test_answer_undoes_no_loss_that_was_seen_here(self):
         table = SuspicionTable()
         table.note_lost("t", now=0.0)
-        self.assertFalse(table.note_answered("t", now=0.1))
+        self.assertFalse(table.note_answered("t", asked_at=0.1))
         self.assertTrue(table.is_lost("t", now=0.2))
 
     def test_loss_is_none_for_a_stream_that_moved_after_it(self):
--- a/packages/router/fulmarward_router/exchange/_watching.py
+++ b/packages/router/fulmarward_router/exchange/_watching.py
@@ -225,7 +225,8 @@
     def _note_answered(self, targets: Iterable[str]) -> None:
         """Targets answered; peers' words that they are lost say nothing any more."""
         for target in targets:
-            if self._suspicions.note_answered(target, now=self._read_clock()):
+            asked_at = self._probed_at.get(target, float("-inf"))
+            if self._suspicions.note_answered(target, asked_at=asked_at):
                 log_event("target_answered", target=target)
 
     async def run(self) -> None:
