--- a/packages/core/fulmarward_core/suspicion/_table.py
+++ b/packages/core/fulmarward_core/suspicion/_table.py
@@ -52,13 +52,16 @@
     until: float
     #: Seconds for which it was left out the last time.
     lasted_s: float
-    #: When it was last suspected.
+    #: When it was last suspected; for a loss seen here, when that was last seen.
     since: float
     #: `lost`, `address` (another answers there), `full`, `failing`, `told` (by a peer)
     #: or `confirmed` (told, and seen here too).
     reason: str
     #: Failed answers in a row.
     failures: int = 0
+    #: Whether a stream moved through it after it was lost here, so that it is to be
+    #: asked again.
+    is_contested: bool = False
 
 
 class SuspicionTable:
@@ -66,7 +69,7 @@
 
     def __init__(self) -> None:
         self._suspicions: dict[str, Suspicion] = {}
-        #: When targets that a peer had lost answered here.
+        #: When targets that a peer had lost were asked here and answered.
         self._answered_at: dict[str, float] = {}
         #: Targets that refuse although they have room.
         self.refusals = RefusalTable()
@@ -78,9 +81,10 @@
         known = self._suspicions.get(target)
         if known is not None and now < known.until:
             if known.reason == _TOLD:
-                self._confirm(known)
+                self._confirm(known, now)
                 return True
             if known.reason in _SEEN_LOST:
+                self._suspicions[target] = replace(known, since=now, is_contested=False)
                 return False
         lasted_s = SUSPECT_S
         if known is not None and now - known.until < MOST_SUSPECT_S:
@@ -95,13 +99,13 @@
         self.revision += 1
         return True
 
-    def _confirm(self, told: Suspicion) -> None:
+    def _confirm(self, told: Suspicion, now: float) -> None:
         """What a peer told was seen here too.
 
         It is not told on, so that a loss which all instances see does not make each of
         them tell all others.
         """
-        self._suspicions[told.target] = replace(told, reason="confirmed")
+        self._suspicions[told.target] = replace(told, reason="confirmed", since=now)
         self.revision += 1
 
     def note_told(self, target: str, *, for_s: float, now: float) -> bool:
@@ -126,16 +130,18 @@
         self.revision += 1
         return True
 
-    def note_answered(self, target: str, *, now: float) -> bool:
+    def note_answered(self, target: str, *, asked_at: float) -> bool:
         """A target answered a probe; return whether a peer's word falls with that.
 
         What is heard here goes before a word for as long as a suspicion lasts: the
-        peer repeats it with each of its heartbeats.
+        peer repeats it with each of its heartbeats. A word that came first after the
+        target was asked stays: the target may be gone since, and a probe's end waits
+        for others.
         """
         known = self._suspicions.get(target)
-        if known is None or known.reason != _TOLD:
+        if known is None or known.reason != _TOLD or asked_at < known.since:
             return False
-        self._answered_at[target] = now
+        self._answered_at[target] = asked_at
         del self._suspicions[target]
         return True
 
@@ -156,7 +162,9 @@
         known = self._suspicions.get(target)
         if known is not None and known.reason == "lost":
             until = max(known.until, now + SUSPECT_S)
-            self._suspicions[target] = replace(known, until=until)
+            self._suspicions[target] = replace(
+                known, until=until, since=now, is_contested=False
+            )
 
     def note_full(self, target: str, *, now: float) -> None:
         """A target refused for want of room, or since its layers change."""
@@ -177,13 +185,22 @@
         )
 
     def note_failed(self, target: str, *, now: float) -> bool:
-        """A target answered with a failure; return whether it is left out now."""
+        """A target answered with a failure; return whether it is left out now.
+
+        Guards against a loss that is forgotten: a target that is lost breaks answers
+        off too, and these would count in the loss's place. What runs there would stand
+        still, and peers would not hear of it. A loss seen here stays what it is, and
+        any other suspicion does until the failures alone would leave the target out.
+        """
         known = self._suspicions.get(target)
         failures = 1 if known is None else known.failures + 1
         base = known or Suspicion(
             target=target, until=now, lasted_s=0.0, since=now, reason="failing"
         )
         is_out = failures >= MOST_FAILURES
+        if now < base.until and (base.reason in _SEEN_LOST or not is_out):
+            self._suspicions[target] = replace(base, failures=failures)
+            return True
         until = now + FAILING_S if is_out else base.until
         self._suspicions[target] = replace(
             base, until=until, failures=failures, reason="failing"
@@ -214,6 +231,31 @@
         known = self._suspicions.get(target)
         return known is not None and now < known.until and known.reason in _SEEN_LOST
 
+    def is_lost_since(self, target: str, *, served_at: float, now: float) -> bool:
+        """Return whether a target is lost for a stream that it served last then.
+
+        Guards against a sound target that was taken for lost: streams go on through
+        it, and each that pauses would be ended. One that moved after the loss was last
+        seen was served by the target; it holds for that stream once it is seen again.
+        """
+        known = self._suspicions.get(target)
+        return self.is_lost(target, now=now) and served_at <= known.since
+
+    def note_moving(self, target: str, *, served_at: float, now: float) -> bool:
+        """A stream moved; return whether that speaks against a loss seen here."""
+        if not self.is_lost(target, now=now):
+            return False
+        if self.is_lost_since(target, served_at=served_at, now=now):
+            return False
+        known = self._suspicions[target]
+        self._suspicions[target] = replace(known, is_contested=True)
+        return True
+
+    def may_be_asked(self, target: str, *, now: float) -> bool:
+        """Return whether an answer of a target would say anything new."""
+        known = self._suspicions.get(target)
+        return not self.is_lost(target, now=now) or known.is_contested
+
     def is_told(self, target: str, *, now: float) -> bool:
         """Return whether a target counts as lost by a peer's word alone."""
         known = self._suspicions.get(target)
@@ -235,10 +277,12 @@
     def list_suspects(self, targets: Iterable[str], *, now: float) -> frozenset[str]:
         """Return which of a service's targets to leave out.
 
-        Nobody is left out when too many would be.
+        When too many would be, those are not that only a peer lost; when what was seen
+        here is too much by itself, nobody is.
         """
         names = list(targets)
+        most = len(names) * MOST_SUSPECTED
         suspects = [name for name in names if self.is_suspect(name, now=now)]
-        if len(suspects) > len(names) * MOST_SUSPECTED:
-            return frozenset()
-        return frozenset(suspects)
+        if len(suspects) > most:
+            suspects = [name for name in suspects if not self.is_told(name, now=now)]
+        return frozenset(suspects if len(suspects) <= most else ())
--- a/packages/core/fulmarward_core/suspicion/tests/test_table.py
+++ b/packages/core/fulmarward_core/suspicion/tests/test_table.py
@@ -48,17 +48,60 @@
     def test_answer_heard_here_goes_before_a_word_that_is_repeated(self):
         table = SuspicionTable()
         table.note_told("t", for_s=2.0, now=0.0)
-        self.assertTrue(table.note_answered("t", now=0.1))
+        self.assertTrue(table.note_answered("t", asked_at=0.1))
         self.assertFalse(table.note_told("t", for_s=1.7, now=0.3))
         self.assertFalse(table.is_suspect("t", now=0.3))
         self.assertTrue(table.note_told("t", for_s=2.0, now=0.1 + SUSPECT_S))
 
+    def test_word_that_came_after_the_question_stays(self):
+        table = SuspicionTable()
+        table.note_told("t", for_s=2.0, now=0.2)
+        self.assertFalse(table.note_answered("t", asked_at=0.1))
+        self.assertTrue(table.is_told("t", now=0.3))
+
     def test_answer_undoes_no_loss_that_was_seen_here(self):
         table = SuspicionTable()
         table.note_lost("t", now=0.0)
-        self.assertFalse(table.note_answered("t", now=0.1))
+        self.assertFalse(table.note_answered("t", asked_at=0.1))
         self.assertTrue(table.is_lost("t", now=0.2))
 
+    def test_loss_is_none_for_a_stream_that_moved_after_it(self):
+        # Instances that were slow to hear took sound targets for lost. Streams went on
+        # through them, and each that then paused for 60 ms was ended or led around, for
+        # as long as the suspicion lasted.
+        table = SuspicionTable()
+        table.note_lost("t", now=1.0)
+        self.assertTrue(table.is_lost_since("t", served_at=0.99, now=1.1))
+        self.assertFalse(table.is_lost_since("t", served_at=1.05, now=1.1))
+        self.assertTrue(table.is_lost("t", now=1.1), "for all others")
+        self.assertFalse(table.note_lost("t", now=1.2), "no news")
+        self.assertTrue(table.is_lost_since("t", served_at=1.05, now=1.3))
+        self.assertTrue(table.is_suspect("t", now=1.0 + SUSPECT_S - 0.01))
+        self.assertFalse(table.is_suspect("t", now=1.0 + SUSPECT_S), "as long as told")
+
+    def test_loss_counts_from_when_it_was_last_seen_here(self):
+        table = SuspicionTable()
+        table.note_lost("asked-again", now=0.0)
+        table.extend("asked-again", now=1.5)
+        table.note_told("told", for_s=2.0, now=0.0)
+        self.assertFalse(table.is_lost_since("told", served_at=-1.0, now=0.5))
+        table.note_lost("told", now=1.5)
+        for name in ("asked-again", "told"):
+            with self.subTest(name):
+                self.assertTrue(table.is_lost_since(name, served_at=1.4, now=1.6))
+                self.assertFalse(table.is_lost_since(name, served_at=1.55, now=1.6))
+
+    def test_loss_that_a_stream_speaks_against_is_to_be_asked_about_again(self):
+        table = SuspicionTable()
+        table.note_lost("t", now=1.0)
+        self.assertFalse(table.note_moving("t", served_at=0.9, now=1.1))
+        self.assertFalse(table.may_be_asked("t", now=1.1), "known")
+        self.assertTrue(table.note_moving("t", served_at=1.05, now=1.2))
+        self.assertTrue(table.may_be_asked("t", now=1.2))
+        table.note_lost("t", now=1.3)
+        self.assertFalse(table.may_be_asked("t", now=1.4), "known anew")
+        self.assertTrue(table.may_be_asked("t", now=4.0), "it is over")
+
     def test_failing_target_is_left_out_and_ends_nothing_that_runs_there(self):
         # A target fails a part of its requests. Streams that it serves well were ended
         # since it counted as lost.
@@ -70,6 +113,30 @@
         self.assertTrue(table.note_lost("t", now=0.3))
         self.assertTrue(table.is_lost("t", now=0.4))
 
+    def test_failure_undoes_no_loss_that_was_seen_here(self):
+        # A target is killed. One stream's probe finds it lost; the broken answer of the
+        # next counted as a failure and took the loss's place. The other streams through
+        # it were led around no more, peers heard nothing, and nobody asked it again.
+        for reason in ("lost", "address"):
+            with self.subTest(reason):
+                table = SuspicionTable()
+                table.note_lost("t", now=0.0, reason=reason)
+                for now in (0.1, 0.2):
+                    self.assertTrue(table.note_failed("t", now=now), "left out")
+                self.assertTrue(table.is_lost("t", now=0.3))
+                self.assertFalse(table.is_lost("t", now=SUSPECT_S), "no longer")
+        table = SuspicionTable()
+        table.note_lost("t", now=0.0)
+        table.note_failed("t", now=0.1)
+        self.assertEqual([s.target for s in table.list_lost(now=0.3)], ["t"])
+        self.assertEqual(table.list_ending(now=1.3, ahead_s=0.8), ["t"])
+        table = SuspicionTable()
+        table.note_told("t", for_s=2.0, now=0.0)
+        table.note_failed("t", now=0.1)
+        self.assertTrue(table.is_told("t", now=0.2))
+        table.note_failed("t", now=0.2)
+        self.assertTrue(table.is_suspect("t", now=3.1), "it fails again and again")
+
     def test_full_target_is_not_lost(self):
         table = SuspicionTable()
         table.note_full("t", now=0.0)
@@ -124,6 +191,20 @@
         self.assertEqual(table.list_suspects("abcd", now=0.1), frozenset())
         self.assertEqual(table.list_suspects("abcdef", now=0.1), frozenset("abc"))
 
+    def test_words_of_peers_lift_no_loss_that_was_seen_here(self):
+        # A peer whose link is full told that most targets are lost. With these, more
+        # than half of the pool would have been left out, so that nobody was: requests
+        # went to the one target that this instance itself had found silent.
+        table = SuspicionTable()
+        table.note_lost("a", now=0.0)
+        for name in "bcd":
+            table.note_told(name, for_s=2.0, now=0.0)
+        self.assertEqual(table.list_suspects("abcde", now=0.1), frozenset("a"))
+        self.assertEqual(table.list_suspects("abcdefgh", now=0.1), frozenset("abcd"))
+        for name in "bc":
+            table.note_lost(name, now=0.1)
+        self.assertEqual(table.list_suspects("abcde", now=0.2), frozenset(), "own")
+
     def test_what_peers_told_is_not_told_on(self):
         table = SuspicionTable()
         table.note_told("t", for_s=1.0, now=0.0)
--- a/packages/router/fulmarward_router/exchange/_watching.py
+++ b/packages/router/fulmarward_router/exchange/_watching.py
@@ -130,7 +130,7 @@
             is_due = now - self._probed_at.get(name, float("-inf")) >= PROBE_AGAIN_S
             if record is None or not is_due:
                 continue
-            if not self._suspicions.is_lost(name, now=now):
+            if self._suspicions.may_be_asked(name, now=now):
                 self._probed_at[name] = now
                 records.append(record)
         return records
@@ -225,7 +225,8 @@
     def _note_answered(self, targets: Iterable[str]) -> None:
         """Targets answered; peers' words that they are lost say nothing any more."""
         for target in targets:
-            if self._suspicions.note_answered(target, now=self._read_clock()):
+            asked_at = self._probed_at.get(target, float("-inf"))
+            if self._suspicions.note_answered(target, asked_at=asked_at):
                 log_event("target_answered", target=target)
 
     async def run(self) -> None:
