--- /dev/null
+++ b/packages/router/fulmarward_router/placement/tests/test_placer.py
@@ -0,0 +1,231 @@
+import asyncio
+import contextlib
+import selectors
+import unittest
+from dataclasses import dataclass, replace
+
+from fulmarward_core.catalogue import KnownRow, TargetCatalogue
+from fulmarward_core.fleet import ServiceSpec
+from fulmarward_core.layers import plan_layers
+from fulmarward_core.layers.tests.fleets import ENGINE, make_fleet
+from fulmarward_core.suspicion import SuspicionTable
+from fulmarward_router.exchange import LossWatch
+from fulmarward_router.placement import Placer
+from fulmarward_router.ports import OrderOutcome, OrderResult, TargetReport
+
+#: A data centre with targets to spare, and one in which neighbours must close a gap.
+_SPARE = {"a": {"large": 5, "middle": 4, "small": 6}}
+_TIGHT = {"a": {"middle": 8, "small": 4}, "b": {"large": 6}}
+
+#: Seconds from a word on a lost target to the order: two looks, and some to spare.
+_TWO_LOOKS_S = 0.65
+
+#: Seconds by which each wait ends late.
+_LATE_S = 0.001
+
+#: Seconds between two heartbeats of a peer, each of which repeats its word.
+_BEAT_S = 0.4
+
+
+class _PlayedSelector(selectors.DefaultSelector):
+    """Waits take no time, the clock goes on by them."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 100.0
+
+    def select(self, timeout=None):
+        events = super().select(0)
+        if not events and timeout:
+            self.now += timeout + _LATE_S
+        return events
+
+
+def _play(work):
+    selector = _PlayedSelector()
+
+    def make_loop():
+        loop = asyncio.SelectorEventLoop(selector)
+        loop.time = lambda: selector.now
+        return loop
+
+    with asyncio.Runner(loop_factory=make_loop) as runner:
+        return runner.run(work(lambda: selector.now))
+
+
+class _Lease:
+    fencing = 7
+
+    def is_held(self):
+        return True
+
+    def drop(self):
+        raise AssertionError("the lease was dropped")
+
+
+@dataclass(frozen=True)
+class _Configuration:
+    services: dict
+
+
+@dataclass(frozen=True)
+class _Holder:
+    current: _Configuration
+
+
+class _Dialect:
+    """Targets that take orders; the silent ones answer nothing.
+
+    Where `hears` is false, no probe is answered in time, and longer calls are.
+    """
+
+    def __init__(self, silent, hears):
+        self._silent = silent
+        self._hears = hears
+        self.asked = []
+        self.orders = []
+
+    async def is_there(self, record, timeout_s):
+        self.asked.append(record.name)
+        if not self._hears:
+            await asyncio.sleep(timeout_s)
+            return False
+        return await self.read_report(record, timeout_s) is not None
+
+    async def read_report(self, record, timeout_s):
+        if record.name in self._silent:
+            await asyncio.sleep(timeout_s)
+            return None
+        return TargetReport(layers=record.layers, orders_accepted=1, pace=1.0)
+
+    async def order_layers(self, record, layers, *, fencing, orders_accepted):
+        self.orders.append((asyncio.get_running_loop().time(), record.name, layers))
+        return OrderResult(outcome=OrderOutcome.TAKEN)
+
+
+def _list_fleet(counts):
+    fleet = make_fleet(counts)
+    plan = plan_layers(ENGINE, fleet, instances=4)
+    layers = {item.target: item.layers for item in plan}
+    return [replace(target, layers=layers[target.name]) for target in fleet]
+
+
+def _list_rows(fleet):
+    return [
+        KnownRow(name=item.name, version=1, value=b"-", record=item, heard_at=100.0)
+        for item in fleet
+    ]
+
+
+class _Instance:
+    """The holder of the lease, whose peer tells it of losses."""
+
+    def __init__(self, read_clock, counts, silent=(), hears=True):
+        self.read_clock = read_clock
+        self.table = SuspicionTable()
+        self.dialect = _Dialect(silent, hears)
+        catalogue = TargetCatalogue()
+        catalogue.take_all(_list_rows(_list_fleet(counts)), 1, now=read_clock())
+        self.watch = LossWatch(
+            dialect=self.dialect,
+            catalogue=catalogue,
+            suspicions=self.table,
+            read_clock=read_clock,
+            note_change=lambda: None,
+        )
+        pool = ServiceSpec(name="pool", engine=ENGINE)
+        self.placer = Placer(
+            dialect=self.dialect,
+            lease=_Lease(),
+            configuration=_Holder(_Configuration({"pool": pool})),
+            catalogue=catalogue,
+            suspicions=self.table,
+            count_instances=lambda: 4,
+            read_clock=read_clock,
+        )
+
+    async def run(self, seconds, beat):
+        """Run for a while, with `beat` at each heartbeat of the peer."""
+        tasks = [
+            asyncio.create_task(self.placer.run()),
+            asyncio.create_task(self.watch.run()),
+        ]
+        # The first look is past.
+        await asyncio.sleep(0.4)
+        self.began_at = self.read_clock()
+        while self.read_clock() - self.began_at < seconds:
+            beat(self)
+            await asyncio.sleep(_BEAT_S)
+        for task in tasks:
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+
+    def list_orders(self):
+        """Return who was ordered to hold what, and when, from the first word on."""
+        return [
+            (round(at - self.began_at, 3), name, f"{layers.start}-{layers.end}")
+            for at, name, layers in self.dialect.orders
+        ]
+
+
+def _run(counts, beat, *, silent=(), hears=True, seconds=5.0):
+    async def work(read_clock):
+        instance = _Instance(read_clock, counts, silent, hears)
+        await instance.run(seconds, beat)
+        return instance
+
+    return _play(work)
+
+
+def _tell(*names):
+    """A peer's heartbeat that says that targets are lost."""
+
+    def beat(instance):
+        for name in names:
+            now = instance.read_clock()
+            instance.table.note_told(name, for_s=2.0, now=now)
+
+    return beat
+
+
+class DoubtedTargetsTest(unittest.TestCase):
+    def test_word_on_sound_targets_moves_no_layers(self):
+        # Callers are refused with 421 and 503 though all targets are sound. The link
+        # of one instance is full, it takes what it cannot hear for lost and tells the
+        # lease's holder; that sees a gap where there is none and moves the layers of a
+        # target, which refuses what runs through it.
+        instance = _run(_SPARE, _tell("a-large-4"))
+        self.assertEqual(instance.list_orders(), [])
+
+    def test_word_on_all_targets_moves_no_layers(self):
+        names = [target.name for target in _list_fleet(_SPARE)]
+        self.assertEqual(_run(_SPARE, _tell(*names)).list_orders(), [])
+
+    def test_silent_target_is_replaced_after_two_looks(self):
+        instance = _run(_SPARE, _tell("a-large-4"), silent=["a-large-4"])
+        [(after_s, name, layers)] = instance.list_orders()
+        self.assertEqual((name, layers), ("a-middle-0", "71-80"))
+        self.assertLessEqual(after_s, _TWO_LOOKS_S)
+
+    def test_target_lost_by_own_sight_is_replaced_without_a_word(self):
+        def beat(instance):
+            instance.watch.probe(["a-large-4"])
+
+        instance = _run(_SPARE, beat, silent=["a-large-4"])
+        [(after_s, name, layers)] = instance.list_orders()
+        self.assertEqual((name, layers), ("a-middle-0", "71-80"))
+        self.assertLessEqual(after_s, _TWO_LOOKS_S)
+
+    def test_neighbours_stand_in_once_a_target_was_silent_for_three_seconds(self):
+        instance = _run(_TIGHT, _tell("a-small-0"), silent=["a-small-0"])
+        orders = instance.list_orders()
+        ordered = [(name, layers) for _, name, layers in orders]
+        self.assertEqual(ordered, [("a-middle-0", "0-11"), ("a-middle-1", "11-21")])
+        for after_s, _, _ in orders:
+            self.assertGreaterEqual(after_s, 3.0)
+            self.assertLessEqual(after_s, 3.0 + _TWO_LOOKS_S)
+
+
+if __name__ == "__main__":
+    unittest.main()
