Layers move only for targets that are lost by the holder's own sight

Cause: that instance took what it could not hear for lost and told the holder of the lease. A told target did not count as a holder, so there were gaps that were none, and a spare target moved after two looks. A target that failed requests did not count as a holder either.

Why the mend holds: a target holds its layers until it is lost here, gone, leaving, or refusing unseen. A told one is asked by the holder itself as soon as a gap would open without it, beside witnesses: an answer lifts the word, a silence makes it lost. A holder that hears nobody believes nothing and moves nothing. An empty target that is told is given layers once it answered. One that fails requests is there: it is left out for three seconds, and taking over what it holds costs KV cache for much longer, so it holds its layers.

True losses are as quick: the time of a gap begins with the word, while the probe is under way. That time is now kept for each layer, and ends when the layer is held again: before, it was kept for the list of gaps and never ended, so that a target which was dark twice, shortly, was replaced at once the second time.

--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -221,6 +221,7 @@
             configuration=self.configuration,
             catalogue=self.catalogue,
             suspicions=self.suspicions,
+            ask=lambda targets: self.loss_watch.probe(targets),
             count_instances=self._count_instances,
             read_clock=clock,
         )
--- a/packages/router/fulmarward_router/placement/_placer.py
+++ b/packages/router/fulmarward_router/placement/_placer.py
@@ -1,7 +1,7 @@
 """The task that gives engines their layers while this instance holds the lease."""
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from fulmarward.observability import log_event
@@ -61,8 +61,38 @@
     started_ms: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class _Held:
+    """The layers that a target holds, or was ordered to hold."""
+
+    target: TargetRecord
+    layers: LayerRange
+
+
+def _list_held(
+    targets: Sequence[TargetRecord], pending: Mapping[str, LayerRange]
+) -> list[_Held]:
+    ranges = {target.name: target.layers for target in targets} | pending
+    return [
+        _Held(target=target, layers=layers)
+        for target in targets
+        if (layers := ranges[target.name]) is not None
+    ]
+
+
+def _overlap(one: LayerRange, other: LayerRange) -> bool:
+    return one.start < other.end and other.start < one.end
+
+
 class Placer:
-    """Plans a fleet that holds nothing, and repairs one that does."""
+    """Plans a fleet that holds nothing, and repairs one that does.
+
+    Guards against a peer whose own link is full: it tells that sound targets are lost,
+    there are gaps that are none, and a target whose layers change refuses what runs
+    through it. So a target counts as a holder until it is seen here not to answer, and
+    one that a peer lost is asked as soon as a gap would open without it. One that
+    fails requests is there, and holds its layers.
+    """
 
     def __init__(
         self,
@@ -72,6 +102,7 @@
         configuration: ConfigurationHolder,
         catalogue: TargetCatalogue,
         suspicions: SuspicionTable,
+        ask: Callable[[Iterable[str]], None],
         count_instances: Callable[[], int],
         read_clock: Callable[[], float],
     ) -> None:
@@ -80,11 +111,14 @@
         self._configuration = configuration
         self._catalogue = catalogue
         self._suspicions = suspicions
+        #: Begins to find out which of some targets are lost.
+        self._ask = ask
         self._count_instances = count_instances
         self._read_clock = read_clock
         self._pending: dict[str, _Pending] = {}
         self._first_seen: dict[str, float] = {}
-        self._gap_since: dict[tuple[str, str], float] = {}
+        #: Since when layers lack a holder beyond doubt, by service and data centre.
+        self._missing_since: dict[tuple[str, str], dict[int, float]] = {}
         #: Starts of targets that this instance has given an order.
         self._ordered: set[tuple[str, int]] = set()
 
@@ -99,13 +133,21 @@
                 if spec.engine is not None and spec.engine.kinds:
                     await self._look(spec.name, spec.engine)
 
+    def _list_present(self, service: str, now: float) -> list[TargetRecord]:
+        """Return the targets that the store lists and that are not leaving."""
+        return [
+            record
+            for record in self._catalogue.list_targets(now=now)
+            if record.service == service and not record.is_leaving
+        ]
+
     def _list_targets(self, service: str, now: float) -> list[TargetRecord]:
+        """Return the targets that hold layers, or may be given some."""
         records = [
             record
-            for record in self._catalogue.list_targets(now=now)
-            if record.service == service
-            and not record.is_leaving
-            and not self._suspicions.is_doubted(record.name, now=now)
+            for record in self._list_present(service, now)
+            if not self._suspicions.is_lost(record.name, now=now)
+            and not self._is_told_empty(record, now)
             and not self._leaves_unseen(record.name, now)
         ]
         names = {record.name for record in records}
@@ -121,14 +163,17 @@
         is_refusing = self._suspicions.refusals.is_refusing(target, now=now)
         return is_refusing and self._catalogue.may_lack_leaving(now=now)
 
-    def _list_doubted(self, service: str, now: float) -> list[TargetRecord]:
+    def _is_told_empty(self, record: TargetRecord, now: float) -> bool:
+        """Return whether a target holds nothing, and does not answer by a word."""
+        is_empty = record.layers is None and record.name not in self._pending
+        return is_empty and self._suspicions.is_told(record.name, now=now)
+
+    def _list_lost(self, service: str, now: float) -> list[TargetRecord]:
         """Return the targets that do not answer but may be back."""
         return [
             record
-            for record in self._catalogue.list_targets(now=now)
-            if record.service == service
-            and not record.is_leaving
-            and self._suspicions.is_doubted(record.name, now=now)
+            for record in self._list_present(service, now)
+            if self._suspicions.is_lost(record.name, now=now)
         ]
 
     async def _look(self, service: str, engine: EngineModel) -> None:
@@ -139,6 +184,8 @@
             return
         instances = self._count_instances()
         pending = {name: item.layers for name, item in self._pending.items()}
+        held = _list_held(targets, pending)
+        self._doubt_told(service, engine, held, now)
         is_blank = not pending and all(target.layers is None for target in targets)
         if is_blank:
             if not self._has_settled(targets, now):
@@ -149,7 +196,15 @@
             ]
         else:
             orders = plan_repairs(engine, targets, pending, instances=instances)
-            orders = [o for o in orders if self._is_due(o, engine, targets, now)]
+            by_name = {target.name: target for target in targets}
+            orders = [
+                order
+                for order in orders
+                if order.reason not in ("gap", "spare")
+                or self._is_due(
+                    order, by_name[order.assignment.target], engine, held, now
+                )
+            ]
         await self._send_all(targets, orders)
 
     def _has_settled(self, targets: Sequence[TargetRecord], now: float) -> bool:
@@ -169,35 +224,65 @@
             if is_done or is_anew or target is None or now >= item.until:
                 del self._pending[name]
 
+    def _doubt_told(
+        self, service: str, engine: EngineModel, held: Sequence[_Held], now: float
+    ) -> None:
+        """Ask the targets that a peer lost, and on which something depends here.
+
+        The time of a gap begins with the word, so that one that is true costs no more
+        for being made sure of.
+        """
+        asked = [
+            record.name
+            for record in self._list_present(service, now)
+            if self._is_told_empty(record, now)
+        ]
+        for data_centre in {item.target.data_centre for item in held}:
+            near = [item for item in held if item.target.data_centre == data_centre]
+            told = [
+                item.target.name
+                for item in near
+                if self._suspicions.is_told(item.target.name, now=now)
+            ]
+            sure = [item.layers for item in near if item.target.name not in told]
+            missing = find_gaps(engine.layers, sure)
+            self._note_missing((service, data_centre), missing, now)
+            if missing != find_gaps(engine.layers, [item.layers for item in near]):
+                asked += told
+        if asked:
+            self._ask(asked)
+
+    def _note_missing(
+        self, key: tuple[str, str], gaps: Sequence[LayerRange], now: float
+    ) -> None:
+        known = self._missing_since.get(key, {})
+        layers = [layer for gap in gaps for layer in range(gap.start, gap.end)]
+        self._missing_since[key] = {layer: known.get(layer, now) for layer in layers}
+
     def _is_due(
         self,
         order: LayerOrder,
+        target: TargetRecord,
         engine: EngineModel,
-        targets: Sequence[TargetRecord],
+        held: Sequence[_Held],
         now: float,
     ) -> bool:
-        """Whether an order is to be sent now: a gap must have lasted first."""
-        if order.reason not in ("gap", "spare"):
-            return True
-        target = next(t for t in targets if t.name == order.assignment.target)
-        near = [
-            t.layers
-            for t in targets
-            if t.data_centre == target.data_centre and t.layers is not None
-        ]
+        """Whether an order is to be sent now: the gap must have lasted first."""
+        data_centre = target.data_centre
+        near = [item.layers for item in held if item.target.data_centre == data_centre]
         gaps = find_gaps(engine.layers, near)
-        doubted = [
+        lost = [
             record.layers
-            for record in self._list_doubted(target.service, now)
-            if record.data_centre == target.data_centre and record.layers is not None
+            for record in self._list_lost(target.service, now)
+            if record.data_centre == data_centre and record.layers is not None
         ]
-        is_sure = find_gaps(engine.layers, near + doubted) == gaps
+        is_sure = find_gaps(engine.layers, near + lost) == gaps
         wait_s = SURE_GAP_S if is_sure or order.reason == "spare" else GAP_S
-        key = (target.data_centre, str(gaps))
-        for known in list(self._gap_since):
-            if known[0] == target.data_centre and known != key:
-                del self._gap_since[known]
-        return now - self._gap_since.setdefault(key, now) >= wait_s
+        since = self._missing_since.get((target.service, data_centre), {})
+        closed = [gap for gap in gaps if _overlap(gap, order.assignment.layers)]
+        layers = [layer for gap in closed for layer in range(gap.start, gap.end)]
+        begun_at = max((since.get(layer, now) for layer in layers), default=now)
+        return now - begun_at >= wait_s
 
     async def _send_all(
         self, targets: Sequence[TargetRecord], orders: Sequence[LayerOrder]
--- a/packages/router/fulmarward_router/placement/tests/test_placer.py
+++ b/packages/router/fulmarward_router/placement/tests/test_placer.py
@@ -110,6 +110,10 @@
     return [replace(target, layers=layers[target.name]) for target in fleet]
 
 
+def _take_layers(fleet, names):
+    return [replace(t, layers=None) if t.name in names else t for t in fleet]
+
+
 def _list_rows(fleet):
     return [
         KnownRow(name=item.name, version=1, value=b"-", record=item, heard_at=100.0)
@@ -120,12 +124,12 @@
 class _Instance:
     """The holder of the lease, whose peer tells it of losses."""
 
-    def __init__(self, read_clock, counts, silent=(), hears=True):
+    def __init__(self, read_clock, fleet, silent, hears):
         self.read_clock = read_clock
         self.table = SuspicionTable()
         self.dialect = _Dialect(silent, hears)
         catalogue = TargetCatalogue()
-        catalogue.take_all(_list_rows(_list_fleet(counts)), 1, now=read_clock())
+        catalogue.take_all(_list_rows(fleet), 1, now=read_clock())
         self.watch = LossWatch(
             dialect=self.dialect,
             catalogue=catalogue,
@@ -140,6 +144,7 @@
             configuration=_Holder(_Configuration({"pool": pool})),
             catalogue=catalogue,
             suspicions=self.table,
+            ask=self.watch.probe,
             count_instances=lambda: 4,
             read_clock=read_clock,
         )
@@ -150,8 +155,6 @@
             asyncio.create_task(self.placer.run()),
             asyncio.create_task(self.watch.run()),
         ]
-        # The first look is past.
-        await asyncio.sleep(0.4)
         self.began_at = self.read_clock()
         while self.read_clock() - self.began_at < seconds:
             beat(self)
@@ -169,9 +172,10 @@
         ]
 
 
-def _run(counts, beat, *, silent=(), hears=True, seconds=5.0):
+def _run(counts, beat, *, silent=(), hears=True, empty=(), seconds=5.0):
     async def work(read_clock):
-        instance = _Instance(read_clock, counts, silent, hears)
+        fleet = _take_layers(_list_fleet(counts), empty)
+        instance = _Instance(read_clock, fleet, silent, hears)
         await instance.run(seconds, beat)
         return instance
 
@@ -193,21 +197,55 @@
     def test_word_on_sound_targets_moves_no_layers(self):
         # Callers are refused with 421 and 503 though all targets are sound. The link
         # of one instance is full, it takes what it cannot hear for lost and tells the
-        # lease's holder; that sees a gap where there is none and moves the layers of a
-        # target, which refuses what runs through it.
+        # lease's holder; that saw a gap where there is none and moved the layers of a
+        # target, which refused what ran through it. Of a word on one sound target an
+        # order came after two looks.
         instance = _run(_SPARE, _tell("a-large-4"))
         self.assertEqual(instance.list_orders(), [])
+        # One that answered is not asked again while its answer counts.
+        self.assertLessEqual(instance.dialect.asked.count("a-large-4"), 3)
+
+    def test_told_target_on_which_nothing_depends_is_not_asked(self):
+        instance = _run(_SPARE, _tell("a-small-2"))
+        self.assertEqual(instance.dialect.asked, [])
+
+    def test_target_that_holds_nothing_is_asked_before_it_is_given_layers(self):
+        for silent, expected in (([], ["a-large-4"]), (["a-large-4"], ["a-middle-0"])):
+            with self.subTest(silent=silent):
+                instance = _run(
+                    _SPARE, _tell("a-large-4"), silent=silent, empty=["a-large-4"]
+                )
+                self.assertEqual([o[1] for o in instance.list_orders()], expected)
 
     def test_word_on_all_targets_moves_no_layers(self):
         names = [target.name for target in _list_fleet(_SPARE)]
         self.assertEqual(_run(_SPARE, _tell(*names)).list_orders(), [])
 
+    def test_target_that_fails_requests_holds_its_layers(self):
+        # A target that answers with failures is there, and holds what it holds; it is
+        # left out for three seconds, and a target that moves is away for longer.
+        def beat(instance):
+            instance.table.note_failed("a-large-4", now=instance.read_clock())
+
+        self.assertEqual(_run(_SPARE, beat).list_orders(), [])
+
+    def test_holder_that_hears_nobody_moves_no_layers(self):
+        instance = _run(_SPARE, _tell("a-large-4"), hears=False)
+        self.assertEqual(instance.list_orders(), [])
+
     def test_silent_target_is_replaced_after_two_looks(self):
         instance = _run(_SPARE, _tell("a-large-4"), silent=["a-large-4"])
         [(after_s, name, layers)] = instance.list_orders()
         self.assertEqual((name, layers), ("a-middle-0", "71-80"))
         self.assertLessEqual(after_s, _TWO_LOOKS_S)
 
+    def test_silent_target_is_replaced_beside_sound_ones_that_are_told(self):
+        told = _tell("a-large-4", "a-large-0", "a-small-2")
+        instance = _run(_SPARE, told, silent=["a-large-4"])
+        [(after_s, name, layers)] = instance.list_orders()
+        self.assertEqual((name, layers), ("a-middle-0", "71-80"))
+        self.assertLessEqual(after_s, _TWO_LOOKS_S)
+
     def test_target_lost_by_own_sight_is_replaced_without_a_word(self):
         def beat(instance):
             instance.watch.probe(["a-large-4"])
@@ -217,6 +255,25 @@
         self.assertEqual((name, layers), ("a-middle-0", "71-80"))
         self.assertLessEqual(after_s, _TWO_LOOKS_S)
 
+    def test_time_of_a_gap_that_was_closed_meanwhile_does_not_count(self):
+        # Twice a target is dark for less than the three seconds of a gap.
+        def beat(instance):
+            after_s = instance.read_clock() - instance.began_at
+            if after_s < 0.2 or 4.6 < after_s < 5.0:
+                instance.table.note_lost("a-small-0", now=instance.read_clock())
+
+        self.assertEqual(_run(_TIGHT, beat, seconds=6.5).list_orders(), [])
+
+    def test_data_centre_that_comes_back_empty_is_given_layers(self):
+        # One look plans its empty targets, and may have others of them take more.
+        for counts in (_TIGHT, {"a": {"middle": 9}, "b": {"large": 6}}):
+            fleet = _list_fleet(counts)
+            empty = {target.name for target in fleet if target.data_centre == "a"}
+            with self.subTest(counts=counts):
+                instance = _run(counts, lambda _: None, empty=empty, seconds=3.0)
+                ordered = {order[1] for order in instance.list_orders()}
+                self.assertEqual(ordered, empty)
+
     def test_neighbours_stand_in_once_a_target_was_silent_for_three_seconds(self):
         instance = _run(_TIGHT, _tell("a-small-0"), silent=["a-small-0"])
         orders = instance.list_orders()
