--- a/packages/router/fulmarward_router/placement/tests/test_placer.py
+++ b/packages/router/fulmarward_router/placement/tests/test_placer.py
@@ -284,5 +284,30 @@
             self.assertLessEqual(after_s, 3.0 + _TWO_LOOKS_S)
 
 
+class RefusingTargetsTest(unittest.TestCase):
+    """The store is out, and targets refuse although they seem to have room."""
+
+    def test_targets_that_leave_unseen_are_replaced(self):
+        def beat(instance):
+            now = instance.read_clock()
+            instance.table.refusals.take_told(["a-small-0"], now=now)
+
+        ordered = [order[1] for order in _run(_TIGHT, beat).list_orders()]
+        self.assertEqual(ordered, ["a-middle-0", "a-middle-1"])
+
+    def test_word_that_most_targets_refuse_moves_no_layers(self):
+        # While the store is out, sound targets are given other layers and refuse what
+        # runs through them. A peer hears little of what others promised, so that full
+        # targets seem to have room, and tells the lease's holder that they are leaving.
+        names = [target.name for target in _list_fleet(_TIGHT)]
+        told = [name for name in names if "middle" not in name]
+
+        def beat(instance):
+            instance.table.refusals.take_told(told, now=instance.read_clock())
+
+        self.assertGreater(len(told), len(names) / 2)
+        self.assertEqual(_run(_TIGHT, beat).list_orders(), [])
+
+
 if __name__ == "__main__":
     unittest.main()
