A word that most targets refuse moves no layers

What callers saw: 421 and 503 of sound targets while the store is out, since their layers are changed.

Cause: while the store is out, a target that a peer believes to be leaving counts as no holder, for any number of targets. A peer that does not hear what others promised takes full targets for ones with room, and their refusals for leaving.

Why the mend holds: nobody is believed to leave unseen where more than half of the service's targets would be, as with suspicions. Up to half a word counts as before: a refusal cannot be asked for, and without the word what a leaving target holds would be missing until the store is back.

--- a/packages/router/fulmarward_router/placement/_placer.py
+++ b/packages/router/fulmarward_router/placement/_placer.py
@@ -44,6 +44,12 @@
 GAP_S = 3.0
 SURE_GAP_S = 0.3
 
+#: Part of a service's targets that may count as leaving unseen. Load: a peer that does
+#: not hear what others promised takes full targets for ones with room, and their
+#: refusals for leaving; harm: sound targets are given other layers; reason: beyond
+#: half, the fault is more likely at who tells it.
+MOST_UNSEEN = 0.5
+
 #: Seconds for a target's report before an order.
 REPORT_S = 0.5
 
@@ -143,12 +149,14 @@
 
     def _list_targets(self, service: str, now: float) -> list[TargetRecord]:
         """Return the targets that hold layers, or may be given some."""
+        present = self._list_present(service, now)
+        unseen = self._list_unseen(present, now)
         records = [
             record
-            for record in self._list_present(service, now)
+            for record in present
             if not self._suspicions.is_lost(record.name, now=now)
             and not self._is_told_empty(record, now)
-            and not self._leaves_unseen(record.name, now)
+            and record.name not in unseen
         ]
         names = {record.name for record in records}
         for name in list(self._first_seen):
@@ -158,10 +166,20 @@
             self._first_seen.setdefault(record.name, now)
         return records
 
-    def _leaves_unseen(self, target: str, now: float) -> bool:
-        """Return whether a target is leaving while the store cannot say so."""
-        is_refusing = self._suspicions.refusals.is_refusing(target, now=now)
-        return is_refusing and self._catalogue.may_lack_leaving(now=now)
+    def _list_unseen(
+        self, present: Sequence[TargetRecord], now: float
+    ) -> frozenset[str]:
+        """Return the targets that are leaving while the store cannot say so.
+
+        Nobody is believed to when too many would be.
+        """
+        if not self._catalogue.may_lack_leaving(now=now):
+            return frozenset()
+        refusals = self._suspicions.refusals
+        names = [r.name for r in present if refusals.is_refusing(r.name, now=now)]
+        if len(names) > len(present) * MOST_UNSEEN:
+            return frozenset()
+        return frozenset(names)
 
     def _is_told_empty(self, record: TargetRecord, now: float) -> bool:
         """Return whether a target holds nothing, and does not answer by a word."""
