--- a/packages/router/fulmarward_router/exchange/tests/test_watching.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_watching.py
@@ -216,3 +216,21 @@
         await asyncio.sleep(0.5)
         task.cancel()
         self.assertFalse(instance.table.is_lost("a", now=102.1))
+
+
+class WitnessTest(unittest.IsolatedAsyncioTestCase):
+    # A target dies. Requests go on to it and fail, and streams through it stand still,
+    # for as long as all others are full or a peer's word lies on them.
+
+    async def test_loss_is_found_while_all_others_are_told_or_full(self):
+        for reason in ("told", "full"):
+            instance = _Instance(lambda now: "a", names="abcdefgh")
+            for name in "bcdefgh":
+                if reason == "told":
+                    instance.table.note_told(name, for_s=2.0, now=100.0)
+                else:
+                    instance.table.note_full(name, now=100.0)
+            instance.watch.probe("a")
+            await instance.watch.check("a")
+            with self.subTest(reason):
+                self.assertEqual(instance.list_lost(), "a")
