Full targets and those told of are asked beside a silent one where no others are left

What callers saw: a target that died was not led around while all others were full or told of by peers; requests to it failed and streams through it stood still. Cause: all under suspicion were barred from being asked beside it, so it was asked alone, and a silence that stands alone counts as the instance's own.

Why the mend holds: only those seen here to be lost are barred. Others without suspicion still go first, so that a told one that did die makes no round longer where there is a choice.

--- a/packages/core/fulmarward_core/silences/decisions.py
+++ b/packages/core/fulmarward_core/silences/decisions.py
@@ -122,11 +122,18 @@
 
 
 def choose_witnesses(
-    records: Sequence[TargetRecord], *, barred: Collection[str], count: int, turn: int
+    records: Sequence[TargetRecord],
+    *,
+    barred: Collection[str],
+    doubted: Collection[str] = (),
+    count: int,
+    turn: int,
 ) -> list[TargetRecord]:
     """Return whom to ask beside those in question, each in another data centre.
 
-    `barred` are those in question or under suspicion; another `turn` gives others.
+    `barred` are those in question or lost; another `turn` gives others. `doubted` are
+    asked only where too few others are left: the silence of one that died would make
+    the round longer, but without anybody beside it no loss is ever found.
     """
     sound = [r for r in records if not r.is_leaving and r.name not in barred]
     # A report of one that holds layers takes no slot.
@@ -136,7 +143,8 @@
         groups.setdefault(record.data_centre, []).append(record)
     centres = _rotate(list(groups), turn)
     ranks = zip_longest(*(_rotate(groups[name], turn) for name in centres))
-    return [record for record in chain(*ranks) if record is not None][:count]
+    ranked = [record for record in chain(*ranks) if record is not None]
+    return sorted(ranked, key=lambda record: record.name in doubted)[:count]
 
 
 def _rotate(items: list[_Item], turn: int) -> list[_Item]:
--- a/packages/core/fulmarward_core/silences/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/silences/tests/test_decisions.py
@@ -100,3 +100,19 @@
             with self.subTest(name):
                 found = choose_witnesses(records, barred=barred, count=count, turn=turn)
                 self.assertEqual("".join(record.name for record in found), expected)
+
+    def test_doubted_ones_are_asked_only_where_others_are_too_few(self):
+        records = [_make(n, "north") for n in "abc"] + [_make(n, "south") for n in "de"]
+        cases = [
+            # doubted, barred, count, expected
+            ("ad", "", 2, "be"),
+            ("abcd", "", 2, "ea"),
+            ("abcde", "", 2, "ad"),
+            ("abc", "de", 3, "abc"),
+        ]
+        for doubted, barred, count, expected in cases:
+            with self.subTest(doubted=doubted, barred=barred):
+                found = choose_witnesses(
+                    records, barred=barred, doubted=doubted, count=count, turn=0
+                )
+                self.assertEqual("".join(record.name for record in found), expected)
--- a/packages/router/fulmarward_router/exchange/_watching.py
+++ b/packages/router/fulmarward_router/exchange/_watching.py
@@ -195,19 +195,26 @@
         return self._read_clock() - began_at if is_there else None
 
     def _choose_witnesses(self, names: set[str], count: int) -> list[TargetRecord]:
-        """Return others to ask beside targets."""
+        """Return others to ask beside targets, none that was seen here to be lost.
+
+        Guards against a fleet of which all others are full or told of by peers: with
+        nobody to ask, each silence looks like this instance's own, and a target that
+        died is never led around. A full one has just answered, a told one may be sound.
+        """
         if not count:
             return []
         now = self._read_clock()
         self._turn += 1
         records = self._catalogue.list_targets(now=now)
-        suspects = {
-            record.name
-            for record in records
-            if self._suspicions.is_suspect(record.name, now=now)
-        }
+        all_names = {record.name for record in records}
+        lost = {n for n in all_names if self._suspicions.is_lost(n, now=now)}
+        suspects = {n for n in all_names if self._suspicions.is_suspect(n, now=now)}
         return choose_witnesses(
-            records, barred=names | suspects, count=count, turn=self._turn
+            records,
+            barred=names | lost,
+            doubted=suspects,
+            count=count,
+            turn=self._turn,
         )
 
     def _note_own_silence(self, asked_round: AskedRound) -> None:
--- a/packages/router/fulmarward_router/exchange/tests/test_watching.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_watching.py
@@ -220,7 +220,10 @@
 
 class WitnessTest(unittest.IsolatedAsyncioTestCase):
     # A target dies. Requests go on to it and fail, and streams through it stand still,
-    # for as long as all others are full or a peer's word lies on them.
+    # for as long as all others are full or a peer's word lies on them. Cause: all under
+    # suspicion were barred from being asked beside it, and a silence that stands alone
+    # counts as the instance's own. Evidence: with seven others told of, or full, the
+    # eighth was asked alone, and an own silence was noted each time.
 
     async def test_loss_is_found_while_all_others_are_told_or_full(self):
         for reason in ("told", "full"):
