Known red: an answer that comes during an own pause of 35 ms does not count

Reproduction with real sockets: the loop stands still once all others answered, until just after the time of the round; the last one's answer comes meanwhile.

--- a/packages/router/fulmarward_router/exchange/tests/test_watching.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_watching.py
@@ -1,5 +1,10 @@
 import asyncio
+import contextlib
+import socketserver
+import threading
+import time
 import unittest
+from collections import Counter
 from dataclasses import dataclass
 
 from fulmarward_core.suspicion import SuspicionTable
@@ -237,3 +242,101 @@
             await instance.watch.check("a")
             with self.subTest(reason):
                 self.assertEqual(instance.list_lost(), "a")
+
+
+class _Answer(socketserver.StreamRequestHandler):
+    """A target's end of a call: `a` answers once the pause began, or never."""
+
+    def handle(self):
+        is_slow = self.rfile.readline() == b"a\n"
+        if is_slow and self.server.is_dead:
+            self.rfile.read()
+            return
+        if is_slow:
+            self.server.pause.wait()
+        with contextlib.suppress(ConnectionError):
+            self.wfile.write(b"here\n")
+
+
+@contextlib.contextmanager
+def _serve_targets(*, is_dead):
+    """Serve targets from other threads, which a pause of this one does not stop."""
+    with socketserver.ThreadingTCPServer(("127.0.0.1", 0), _Answer) as server:
+        server.is_dead = is_dead
+        server.pause = threading.Event()
+        thread = threading.Thread(target=server.serve_forever, args=(0.01,))
+        thread.start()
+        try:
+            yield server
+        finally:
+            server.pause.set()
+            server.shutdown()
+            thread.join()
+
+
+class _PausedDialect:
+    """Calls targets behind real sockets; stands still once all but one answered."""
+
+    def __init__(self, server, pause_until):
+        self._server = server
+        self._pause_until = pause_until
+        self._answered = set()
+        self.asked = Counter()
+
+    async def is_there(self, record, timeout_s):
+        self.asked[record.name] += 1
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._call(record.name)
+        except TimeoutError:
+            return False
+
+    async def _call(self, name):
+        address = self._server.server_address
+        reader, writer = await asyncio.open_connection(*address)
+        try:
+            writer.write(f"{name}\n".encode())
+            is_there = await reader.readline() == b"here\n"
+        finally:
+            writer.close()
+        self._answered.add(name)
+        if self._answered == set("bcd"):
+            asyncio.get_running_loop().call_soon(self._pause)
+        return is_there
+
+    def _pause(self):
+        if not self._server.pause.is_set():
+            self._server.pause.set()
+            time.sleep(max(0.0, self._pause_until - time.monotonic()))
+
+
+class OwnPauseTest(unittest.IsolatedAsyncioTestCase):
+    # An instance reads thousands of routes, and stands still for 30 to 38 ms, just
+    # after it asked some targets whether they live. A target that answers in that time
+    # is led around for two seconds, streams through it are ended, and peers are told.
+
+    async def test_answer_that_comes_during_a_pause_counts(self):
+        for until_s in (0.038, 0.04, 0.042):
+            with self.subTest(until_s=until_s):
+                lost, _ = await self._probe(until_s)
+                self.assertEqual(lost, [])
+
+    async def _probe(self, until_s, *, is_dead=False):
+        """Return who is lost, and how often each was asked.
+
+        The pause lasts until so many seconds after the targets were asked.
+        """
+        table = SuspicionTable()
+        with _serve_targets(is_dead=is_dead) as server:
+            dialect = _PausedDialect(server, time.monotonic() + until_s)
+            watch = LossWatch(
+                dialect=dialect,
+                catalogue=_Catalogue("abcd"),
+                suspicions=table,
+                read_clock=time.monotonic,
+                note_change=lambda: None,
+            )
+            watch.probe("abcd")
+            await watch.check("abcd")
+        lost = table.list_lost(now=time.monotonic())
+        return [item.target for item in lost], dialect.asked
