A silence beside an own pause is asked again, not believed

What callers saw: a sound target was led around for two seconds and streams through it ended, after an instance had stood still for 30 to 38 ms. Cause: after a pause the loop sees the time-out before the answer that came meanwhile, the round counted as late only 15 ms after its end, and a single silent target is lost at once.

Why the mend holds: while a round asks, the loop's lateness is added up every 5 ms. With more than 10 ms of it in a round of 35 ms the silent ones are asked again for as short, and for 0.25 s if the instance pauses again. A silence of 35 ms counts only if 25 ms of it were listened to. Without a pause a single loss is found in 35 ms as before.

Not met: a packet of a probe that is lost itself; it looks like a silent target.

--- a/packages/core/fulmarward_core/silences/decisions.py
+++ b/packages/core/fulmarward_core/silences/decisions.py
@@ -28,6 +28,12 @@
 #: Seconds by which a probe's end may be late.
 MOST_LATE_S = 0.015
 
+#: Seconds of a short probe's time in which this instance may have stood still. Load: it
+#: reads thousands of routes, or does not get its processor; harm: what was answered
+#: meanwhile looks silent, and a sound target lost; reason: targets answer within 2 ms,
+#: and the rest of the time is more than that ten times over.
+MOST_PAUSE_S = 0.01
+
 #: Part of a probe's time after which the usual answer is late itself. Load: a link
 #: that fills up delays all answers, and cuts off some of them first.
 MOST_ANSWER_PART = 0.5
@@ -53,6 +59,8 @@
     #: Seconds that each was given, and that the round took in the end.
     limit_s: float
     took_s: float
+    #: Seconds of these in which this instance stood still, and heard nobody.
+    paused_s: float = 0.0
     #: Whether they are asked again, since some were silent.
     is_repeat: bool = False
 
@@ -67,6 +75,11 @@
         """Whether this instance was late itself."""
         return self.took_s > self.limit_s + MOST_LATE_S
 
+    @property
+    def is_paused(self) -> bool:
+        """Whether this instance stood still for too long to hear an answer in time."""
+        return self.paused_s > MOST_PAUSE_S
+
     @property
     def silent(self) -> tuple[str, ...]:
         """Names of those that did not answer."""
@@ -87,7 +100,13 @@
 
 
 def judge_round(asked_round: AskedRound) -> Finding:
-    """Return which targets are lost, or how to ask again."""
+    """Return which targets are lost, or how to ask again.
+
+    Guards against an own pause that ends with the time of a round: the time-out is seen
+    before the answers that came meanwhile, the round is not late, and a sound target
+    would be lost. The silent ones are asked again then, and for longer if this instance
+    pauses again.
+    """
     silent = asked_round.silent
     if not silent:
         return Finding()
@@ -96,9 +115,10 @@
         return Finding(lost=silent) if hears else Finding(is_own_silence=True)
     is_first = not asked_round.is_repeat
     is_most = is_first and len(silent) * 2 > len(asked_round.asked)
-    if not hears or asked_round.is_late or is_most:
+    is_paused_again = asked_round.is_paused and not is_first
+    if not hears or asked_round.is_late or is_most or is_paused_again:
         return Finding(again_s=CONFIRM_S)
-    if is_first and len(silent) > 1:
+    if is_first and (len(silent) > 1 or asked_round.is_paused):
         return Finding(again_s=PROBE_S)
     return Finding(lost=silent)
 
--- a/packages/core/fulmarward_core/silences/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/silences/tests/test_decisions.py
@@ -57,6 +57,32 @@
                 )
                 self.assertEqual(judge_round(asked_round), found)
 
+    def test_own_pause_within_a_round(self):
+        # An instance stood still for 34 ms of the 35, and took a sound target for lost
+        # whose answer had come meanwhile. What it did not listen to says nothing.
+        first, again, long = (PROBE_S, False), (PROBE_S, True), (CONFIRM_S, True)
+        cases = [
+            # name, round, seconds of the pause, who answered of a to d, finding
+            ("short pause", first, 0.009, "bcd", _lose("a")),
+            ("long pause", first, 0.011, "bcd", _SHORT),
+            ("long pause, all answer", first, 0.034, "abcd", Finding()),
+            ("long pause, most are silent", first, 0.034, "d", _LONG),
+            ("short pause again", again, 0.009, "bcd", _lose("a")),
+            ("long pause again", again, 0.011, "bcd", _LONG),
+            ("pause in a long round", long, 0.034, "bcd", _lose("a")),
+        ]
+        for name, (limit_s, is_repeat), paused_s, heard, found in cases:
+            with self.subTest(name):
+                asked_round = AskedRound(
+                    asked="abcd",
+                    answers=dict.fromkeys(heard, 0.002),
+                    limit_s=limit_s,
+                    took_s=limit_s,
+                    paused_s=paused_s,
+                    is_repeat=is_repeat,
+                )
+                self.assertEqual(judge_round(asked_round), found)
+
     def test_one_late_answer_of_several_says_nothing_of_the_link(self):
         asked_round = AskedRound(
             asked="abcd",
--- a/packages/router/fulmarward_router/exchange/_watching.py
+++ b/packages/router/fulmarward_router/exchange/_watching.py
@@ -40,6 +40,36 @@
 RECHECK_AHEAD_S = 0.8
 RECHECK_LOOK_S = 0.2
 
+#: Seconds between two looks whether this instance stands still while it asks. Harm:
+#: each is a turn of the loop; reason: several in the time of a short probe.
+PAUSE_LOOK_S = 0.005
+
+
+class _PauseMeter:
+    """Adds up for how long the loop stands still, from its making until it is read."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._paused_s = 0.0
+        self._look_later()
+
+    def _look_later(self) -> None:
+        self._due_at = self._loop.time() + PAUSE_LOOK_S
+        self._timer = self._loop.call_at(self._due_at, self._look)
+
+    def _look(self) -> None:
+        self._add()
+        self._look_later()
+
+    def _add(self) -> None:
+        self._paused_s += max(0.0, self._loop.time() - self._due_at)
+
+    def stop(self) -> float:
+        """Return the seconds of the pauses, and look no further."""
+        self._timer.cancel()
+        self._add()
+        return self._paused_s
+
 
 class LossWatch:
     """Asks targets whether they live, and first ones what their requests wait for.
@@ -154,6 +184,7 @@
                 silent=first.silent,
                 lost=finding.lost,
                 is_late=first.is_late,
+                is_paused=first.is_paused,
                 took_s=round(self._read_clock() - began_at, 4),
             )
         if finding.is_own_silence:
@@ -176,15 +207,20 @@
     ) -> AskedRound:
         """Ask targets whether they live, all in one moment."""
         began_at = self._read_clock()
-        times = await asyncio.gather(
-            *(self._time_answer(record, limit_s) for record in asked)
-        )
+        meter = _PauseMeter()
+        try:
+            times = await asyncio.gather(
+                *(self._time_answer(record, limit_s) for record in asked)
+            )
+        finally:
+            paused_s = meter.stop()
         pairs = zip(asked, times, strict=True)
         return AskedRound(
             asked=tuple(record.name for record in asked),
             answers={r.name: took_s for r, took_s in pairs if took_s is not None},
             limit_s=limit_s,
             took_s=self._read_clock() - began_at,
+            paused_s=paused_s,
             is_repeat=is_repeat,
         )
 
--- a/packages/router/fulmarward_router/exchange/tests/test_watching.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_watching.py
@@ -314,6 +314,10 @@
     # An instance reads thousands of routes, and stands still for 30 to 38 ms, just
     # after it asked some targets whether they live. A target that answers in that time
     # is led around for two seconds, streams through it are ended, and peers are told.
+    # Cause: after a pause the loop sees the time-out before the answer that came
+    # meanwhile, and the round counted as late only 15 ms after its end. Evidence: with
+    # real sockets, and the pause's end 3 to 7 ms after the round's, `a` was lost each
+    # time.
 
     async def test_answer_that_comes_during_a_pause_counts(self):
         for until_s in (0.038, 0.04, 0.042):
@@ -321,6 +325,11 @@
                 lost, _ = await self._probe(until_s)
                 self.assertEqual(lost, [])
 
+    async def test_target_that_died_is_found_beside_a_pause(self):
+        lost, asked = await self._probe(0.038, is_dead=True)
+        self.assertEqual(lost, ["a"])
+        self.assertGreaterEqual(asked["a"], 2)
+
     async def _probe(self, until_s, *, is_dead=False):
         """Return who is lost, and how often each was asked.
 
