--- a/packages/router/fulmarward_router/exchange/tests/test_watching.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_watching.py
@@ -349,3 +349,18 @@
             await watch.check("abcd")
         lost = table.list_lost(now=time.monotonic())
         return [item.target for item in lost], dialect.asked
+
+
+class NotSentTest(unittest.IsolatedAsyncioTestCase):
+    # A target goes dark just after it answered a probe. No connection to it is made in
+    # time, and each request that is sent to it costs its caller 0.35 s and a repeat,
+    # until 0.8 s after that answer.
+
+    async def test_target_that_went_dark_after_its_answer_is_asked_at_once(self):
+        instance = _Instance(lambda now: "a" if now > 100.1 else "")
+        instance.watch.probe("a")
+        await instance.watch.check("a")
+        instance.clock.now = 100.45
+        instance.watch.note_not_sent("a", is_refused=False, cause="time-out")
+        await instance.watch.check("a")
+        self.assertEqual(instance.list_lost(), "a")
