--- a/packages/router/fulmarward_router/exchange/tests/test_watching.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_watching.py
@@ -222,6 +222,21 @@
         task.cancel()
         self.assertFalse(instance.table.is_lost("a", now=102.1))
 
+    async def test_nobody_is_asked_for_a_moment_after_nobody_was_heard(self):
+        # Each probe is paid for, and one more on a link that is full. Without a pause
+        # between them, an instance whose streams stand still asks again at once.
+        instance = _Instance(_hear_nobody_until(110.0))
+        instance.watch.probe("abcd")
+        await instance.watch.check("abcd")
+        count, silent_at = len(instance.dialect.asked), instance.clock.now
+        for later_s, is_asked in ((0.0, False), (0.2, False), (0.26, True)):
+            instance.clock.now = silent_at + later_s
+            instance.watch.probe("abcd")
+            instance.watch.note_not_sent("e", is_refused=False, cause="time-out")
+            await instance.watch.check("abcde")
+            with self.subTest(later_s=later_s):
+                self.assertEqual(len(instance.dialect.asked) > count, is_asked)
+
 
 class WitnessTest(unittest.IsolatedAsyncioTestCase):
     # A target dies. Requests go on to it and fail, and streams through it stand still,
