--- a/packages/router/fulmarward_router/exchange/tests/test_watching.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_watching.py
@@ -400,3 +400,15 @@
             await instance.watch.check("a")
         asked = [name for name, _ in instance.dialect.asked]
         self.assertEqual(asked.count("a"), 1)
+
+
+class ReportTest(unittest.IsolatedAsyncioTestCase):
+    # A packet of the call for a first target's report is lost, and the report does not
+    # come. The target is sound, and answers all that is asked of it after that; it is
+    # led around for two seconds, streams through it are ended, and peers are told.
+
+    async def test_target_whose_report_alone_is_missing_is_not_lost(self):
+        instance = _Instance(lambda now: "a" if now < 100.03 else "")
+        report = await instance.watch.ask(_Record("a"))
+        self.assertIsNone(report)
+        self.assertEqual(instance.list_lost(), "")
