--- a/packages/router/fulmarward_router/mesh/tests/test_links.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_links.py
@@ -19,14 +19,18 @@
 
 
 class _Link:
-    """A link on which `messages` come before it ends, in order or broken."""
+    """A link on which `messages` come before it ends, in order or broken.
+
+    Nothing can be sent on it if there is a `send_error`.
+    """
 
     remote_address = ("10.0.0.1", 1)
 
-    def __init__(self, messages, steps, *, is_broken):
+    def __init__(self, messages, steps, *, is_broken, send_error):
         self._messages = messages
         self._steps = steps
         self._is_broken = is_broken
+        self._send_error = send_error
 
     async def __aiter__(self):
         for message in self._messages:
@@ -35,6 +39,8 @@
             raise ConnectionClosedError(None, None)
 
     async def send(self, data):
+        if self._send_error is not None:
+            raise self._send_error
         self._steps.append(decode_message(data))
 
 
@@ -64,7 +70,7 @@
 
 
 class AcceptedLinkTest(unittest.IsolatedAsyncioTestCase):
-    async def _accept(self, *messages, is_broken=False):
+    async def _accept(self, *messages, is_broken=False, send_error=None):
         own = make_beat("own").sender
         steps = []
         mesh = Mesh(
@@ -74,7 +80,8 @@
             read_clock=time.monotonic,
             count_bytes=lambda way, size: None,
         )
-        await mesh.accept(_Link(messages, steps, is_broken=is_broken))
+        link = _Link(messages, steps, is_broken=is_broken, send_error=send_error)
+        await mesh.accept(link)
         return steps
 
     async def test_row_is_acknowledged_before_it_is_read(self):
@@ -83,6 +90,14 @@
         heard = ConfigurationHeard(sender="own")
         self.assertEqual(await self._accept(_ROW), [heard, ("taken", _ROW)])
 
+    async def test_row_is_taken_in_though_its_receipt_finds_no_way_out(self):
+        # A small instance whose way out is full hears of a revoked key: the row has
+        # come, its receipt waits for a second, the link ends, and the row was dropped
+        # with it. The instance asked once more, and served the key meanwhile.
+        errors = (TimeoutError(), ConnectionClosedError(None, None))
+        found = [await self._accept(_ROW, send_error=error) for error in errors]
+        self.assertEqual(found, [[("taken", _ROW)]] * 2)
+
     async def test_what_peers_say_of_a_row_on_its_way_is_taken_in(self):
         for message in (
             ConfigurationDeferred(sender="peer"),
