A row is taken in whatever becomes of its receipt

Cause: the receipt of the configuration's row was awaited first. With no room on the way out for a second it ended the link, and the row that had come was dropped.

Why the mend holds: the receipt still goes first where it can, since reading takes time in which the teller could tell others; the row is taken in then, also when the receipt fails, and the link ends as before. A full way out still delays the row by up to a second.

--- a/packages/router/fulmarward_router/mesh/_links.py
+++ b/packages/router/fulmarward_router/mesh/_links.py
@@ -280,9 +280,7 @@
             if answer is not None:
                 await self._send(link, answer)
         elif isinstance(message, ConfigurationNews):
-            # Before it is read: the teller's link is free now, and reading takes time.
-            await self._send(link, ConfigurationHeard(sender=self._own.name))
-            self._news.take_news(message)
+            await self._take_row(link, message)
         elif isinstance(message, TargetsNews):
             self._news.take_news(message)
         elif isinstance(message, ConfigurationDeferred):
@@ -290,6 +288,18 @@
         elif isinstance(message, ConfigurationHeard):
             self._news.take_heard(message)
 
+    async def _take_row(self, link: Connection, news: ConfigurationNews) -> None:
+        """Say that a row has come, and take it in.
+
+        The word goes first: the teller's link is free now, and reading takes time.
+        Guards against a way out that is full: the word ends the link then, and the
+        row, which has come, would be asked for once more.
+        """
+        try:
+            await self._send(link, ConfigurationHeard(sender=self._own.name))
+        finally:
+            self._news.take_news(news)
+
     def _encode_beat(self, peer_centre: str | None) -> bytes:
         """Return the heartbeat for a peer; one encoding serves many for a moment.
 
--- a/packages/router/fulmarward_router/mesh/tests/test_links.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_links.py
@@ -93,7 +93,8 @@
     async def test_row_is_taken_in_though_its_receipt_finds_no_way_out(self):
         # A small instance whose way out is full hears of a revoked key: the row has
         # come, its receipt waits for a second, the link ends, and the row was dropped
-        # with it. The instance asked once more, and served the key meanwhile.
+        # with it: the receipt was awaited before the row was taken in. The instance
+        # asked once more, and served the key meanwhile.
         errors = (TimeoutError(), ConnectionClosedError(None, None))
         found = [await self._accept(_ROW, send_error=error) for error in errors]
         self.assertEqual(found, [[("taken", _ROW)]] * 2)
