--- a/packages/router/fulmarward_router/state/_watch.py
+++ b/packages/router/fulmarward_router/state/_watch.py
@@ -42,7 +42,9 @@
 _STALE_BEATS = 1.5
 _STALE_BEATS_BY_HUBS = 3.0
 
-#: Instances that wait for the configuration at the store where there are many.
+#: Instances that wait for the configuration at the store where there are many. Load: a
+#: version that all must have soon; harm: the store sends each the row unpacked, and
+#: whatever comes to it meanwhile waits; reason: with fewer the others have it later.
 CONFIGURATION_READERS = 4
 
 #: Seconds before the store is tried again after it was out, growing to the most.
