Tests with played time measure no pause of their own loop

The pause of a round is measured on the real loop; on a busy machine a pause of the test's process would make a round of played time ask again, and its bounds on time fail. The tests with real calls measure it as the product does; no assertion changes.

--- a/packages/router/fulmarward_router/exchange/tests/test_watching.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_watching.py
@@ -6,6 +6,7 @@
 import unittest
 from collections import Counter
 from dataclasses import dataclass
+from unittest import mock
 
 from fulmarward_core.silences import PROBE_S
 from fulmarward_core.suspicion import SuspicionTable
@@ -61,6 +62,21 @@
         return False
 
 
+class _CalmMeter:
+    """Measures no pause: where time is played, those of the test's own loop say nothing.
+
+    Guards against a verdict that turns on how busy the machine is.
+    """
+
+    def stop(self):
+        return 0.0
+
+
+_on_a_calm_loop = mock.patch(
+    "fulmarward_router.exchange._watching._PauseMeter", _CalmMeter
+)
+
+
 class _Clock:
     def __init__(self):
         self.now = 100.0
@@ -115,6 +131,7 @@
     return lost, clock.now - 100.0
 
 
+@_on_a_calm_loop
 class CheckTest(unittest.TestCase):
     def test_refused_path_is_known_whole_before_the_next_one_is_chosen(self):
         # Four targets crash together. A request is refused because of the first, its
@@ -138,6 +155,7 @@
         self.assertEqual(found, set("abcd"))
 
 
+@_on_a_calm_loop
 class ProbeTest(unittest.TestCase):
     def test_targets_that_fail_together_are_found_before_a_pause_is_too_long(self):
         # A group of four targets crashes. Streams stand still, and what lies on their
@@ -171,6 +189,7 @@
         self.assertLess(took_s, 0.04)
 
 
+@_on_a_calm_loop
 class OwnSilenceTest(unittest.IsolatedAsyncioTestCase):
     # Answers were cut in the middle at all instances, beside a new configuration. The
     # links of a few instances were full with it for seconds; their probes and reports
@@ -245,6 +264,7 @@
                 self.assertEqual(len(instance.dialect.asked) > count, is_asked)
 
 
+@_on_a_calm_loop
 class AnswerTest(unittest.IsolatedAsyncioTestCase):
     async def test_answer_says_nothing_against_a_word_that_came_after_it(self):
         # A target answers a probe at once and is killed. The probe waits on for others,
@@ -263,6 +283,7 @@
         self.assertFalse(instance.table.is_told("c", now=now), "said before it")
 
 
+@_on_a_calm_loop
 class WitnessTest(unittest.IsolatedAsyncioTestCase):
     # A target dies. Requests go on to it and fail, and streams through it stand still,
     # for as long as all others are full or a peer's word lies on them. Cause: all under
@@ -391,6 +412,7 @@
         return [item.target for item in lost], dialect.asked
 
 
+@_on_a_calm_loop
 class NotSentTest(unittest.IsolatedAsyncioTestCase):
     # A target goes dark just after it answered a probe. No connection to it is made in
     # time, and each request that is sent to it costs its caller 0.35 s and a repeat,
@@ -427,6 +449,7 @@
         self.assertEqual(asked.count("a"), 1)
 
 
+@_on_a_calm_loop
 class ReportTest(unittest.IsolatedAsyncioTestCase):
     # A packet of the call for a first target's report is lost, and the report does not
     # come. The target is sound, and answers all that is asked of it after that; it is
