--- a/packages/router/fulmarward_router/exchange/tests/test_watching.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_watching.py
@@ -63,7 +63,7 @@
 
 
 class _CalmMeter:
-    """Measures no pause: where time is played, those of the test's own loop say nothing.
+    """Measures no pause: those of the test's own loop say nothing of played time.
 
     Guards against a verdict that turns on how busy the machine is.
     """
