--- a/packages/core/fulmarward_core/suspicion/_table.py
+++ b/packages/core/fulmarward_core/suspicion/_table.py
@@ -261,11 +261,6 @@
         known = self._suspicions.get(target)
         return known is not None and now < known.until and known.reason == _TOLD
 
-    def is_doubted(self, target: str, *, now: float) -> bool:
-        """Return whether a target may not answer, by what was seen here or told."""
-        known = self._suspicions.get(target)
-        return known is not None and now < known.until and known.reason != "full"
-
     def list_lost(self, *, now: float) -> list[Suspicion]:
         """Return what this instance saw itself, for peers."""
         return [
