The quickest targets from a layer are worked out where they are used, without a cache

A choice of a path comes to each layer once, and what begins stands alone at its layer, so the kept list by layer and beginning was never read a second time. The property test against the plain way and the count of calls hold as they stand.

--- a/packages/core/fulmarward_core/paths/decisions.py
+++ b/packages/core/fulmarward_core/paths/decisions.py
@@ -224,7 +224,6 @@
         for stage in usable:
             for holders in self._holders[stage.layers.start : stage.layers.end]:
                 holders.append(stage)
-        self._best: dict[tuple[int, bool], list[tuple[Stage, float]]] = {}
 
     def _rate(self, stage: Stage) -> tuple[float, float, float]:
         """Return the time of a step through all layers, that of the whole prompt with
@@ -240,10 +239,12 @@
 
     def extend(self, reached: dict[int, dict[str, _Reach]], position: int) -> None:
         """Note the ways on from a layer that are the best to where they lead."""
+        # Whoever begins is the only one at its layer.
+        is_beginning = position == 0 and self._request.first is None
+        best = self._list_best(position, is_beginning)
         for reach in list(reached[position].values()):
-            is_beginning = reach.stage is None and self._request.first is None
             moves: dict[str, float | None] = {}
-            for stage, working in self._list_best(position, is_beginning):
+            for stage, working in best:
                 centre = stage.data_centre
                 if centre not in moves:
                     moves[centre] = self._find_moving(reach, centre, is_beginning)
@@ -264,18 +265,15 @@
         """Return the quickest stages from a layer on, one for each data centre and end,
         and their times: any other costs more for every way that leads there.
         """
-        key = (position, is_beginning)
-        if key not in self._best:
-            best: dict[tuple[str, int], tuple[Stage, float]] = {}
-            for stage in self._holders[position]:
-                if is_beginning and stage.first_running >= self._engine.slots:
-                    continue
-                working = self._estimate_ms(stage, position)
-                place = (stage.data_centre, stage.layers.end)
-                if place not in best or working < best[place][1]:
-                    best[place] = (stage, working)
-            self._best[key] = list(best.values())
-        return self._best[key]
+        best: dict[tuple[str, int], tuple[Stage, float]] = {}
+        for stage in self._holders[position]:
+            if is_beginning and stage.first_running >= self._engine.slots:
+                continue
+            working = self._estimate_ms(stage, position)
+            place = (stage.data_centre, stage.layers.end)
+            if place not in best or working < best[place][1]:
+                best[place] = (stage, working)
+        return best.values()
 
     def _estimate_ms(self, stage: Stage, position: int) -> float:
         """Return the time that a request spends at a stage from a layer on, in ms."""
