An attempt is let go once; whether an answer has begun is asked of the request

What an attempt holds was let go twice where a repeat follows; now once, before the wait. Whether an answer has begun was worked out in four places and handed on; it is a property of the request. The two ways to take a repeat share the taking.

--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -45,9 +45,7 @@
         """
         now = self.read_clock()
         is_allowed = may_repeat(work.make_tally(), now=now)
-        is_taken = is_allowed and self.find_allowance(work.service).take_repeat(
-            instances=self.count_instances(), now=now, part=part
-        )
+        is_taken = is_allowed and self._take_from_share(work, now, part)
         self._log_repeat(work, now, is_taken=is_taken, is_allowed=is_allowed)
         return is_taken
 
@@ -58,15 +56,18 @@
         be ended too, and cut. Return whether it was taken.
         """
         now = self.read_clock()
-        has_begun = work.request.get("answer") is not None
-        part = 1.0 if has_begun else UNBEGUN_PART
-        is_taken = may_run_again(work.make_tally(), now=now) and self.find_allowance(
-            work.service
-        ).take_repeat(instances=self.count_instances(), now=now, part=part)
+        part = 1.0 if work.has_begun else UNBEGUN_PART
+        is_allowed = may_run_again(work.make_tally(), now=now)
+        is_taken = is_allowed and self._take_from_share(work, now, part)
         if is_taken:
             self._log_repeat(work, now, is_taken=True, is_allowed=True)
         return is_taken
 
+    def _take_from_share(self, work: Work, now: float, part: float) -> bool:
+        return self.find_allowance(work.service).take_repeat(
+            instances=self.count_instances(), now=now, part=part
+        )
+
     async def await_repeat(self, work: Work, *, until: float) -> bool:
         """Take one more attempt for an answer that has begun, waiting for it if needed.
 
@@ -130,7 +131,7 @@
             allowed=round(count.allowed, 2),
             requests=count.requests,
             instances=instances,
-            has_begun=work.request.get("answer") is not None,
+            has_begun=work.has_begun,
         )
 
     def make_refusal(self, work: Work, *, cause: str, retry_after_s: float) -> Refused:
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -78,9 +78,7 @@
         work.last_event = work.facts.last_event
         answer: web.StreamResponse | None = None
         while True:
-            path = await self._room.await_path(
-                work, engine, wanted, has_begun=answer is not None
-            )
+            path = await self._room.await_path(work, engine, wanted)
             promise = self._ledger.promise(path, count_tokens_held(wanted))
             attempt = Attempt(
                 work=work, engine=engine, wanted=wanted, path=path, promise=promise
@@ -105,19 +103,20 @@
                 if answer.prepared:
                     await answer.write_eof()
                 return answer
-            except AttemptEnded as end:
-                work.runs += not end.is_not_run
-                answer = work.request.get("answer")
-                self._note_end(work, attempt, end)
-                self._finish(attempt)
-                await self._require_repeat(work, end, answer)
-                if not end.is_not_run or end.is_not_sent:
-                    # A first target that broke off, or was not reached, once is
-                    # likely to do it again.
-                    avoided = wanted.avoided | {attempt.first.target}
-                    wanted = replace(wanted, avoided=avoided)
+            except AttemptEnded as error:
+                end = error
             finally:
+                # Whoever waits for a repeat holds nothing.
                 self._finish(attempt)
+            work.runs += not end.is_not_run
+            answer = work.request.get("answer")
+            self._note_end(work, attempt, end)
+            await self._require_repeat(work, end, answer)
+            if not end.is_not_run or end.is_not_sent:
+                # A first target that broke off, or was not reached, once is likely to
+                # do it again.
+                avoided = wanted.avoided | {attempt.first.target}
+                wanted = replace(wanted, avoided=avoided)
             if work.last_event is not None and answer is not None:
                 work.resumes += 1
 
@@ -191,10 +190,7 @@
         return answer
 
     def _finish(self, attempt: Attempt) -> None:
-        """Let go of all that an attempt holds; closing the connection ends its work.
-
-        Doing so twice does nothing more: whoever waits for a repeat holds nothing.
-        """
+        """Let go of all that an attempt holds; closing the connection ends its work."""
         self.keeper.remove(attempt)
         self._ledger.release(attempt.promise)
         if attempt.timer is not None:
--- a/packages/router/fulmarward_router/exchange/_room.py
+++ b/packages/router/fulmarward_router/exchange/_room.py
@@ -64,12 +64,7 @@
         self._waiting: list[tuple[int, float]] = []
 
     async def await_path(
-        self,
-        work: Work,
-        engine: EngineModel,
-        wanted: PathRequest,
-        *,
-        has_begun: bool,
+        self, work: Work, engine: EngineModel, wanted: PathRequest
     ) -> tuple[Hop, ...]:
         """Return a path, waiting a little for room; raises `Refused` or `Cut`."""
         began_at = self._read_clock()
@@ -81,7 +76,7 @@
                     if path is not None:
                         return path
                 now = self._read_clock()
-                if now >= self._choose_end(work, has_begun, began_at, now):
+                if now >= self._choose_end(work, began_at, now):
                     break
                 if rank not in self._waiting:
                     bisect.insort(self._waiting, rank)
@@ -89,7 +84,7 @@
         finally:
             if rank in self._waiting:
                 self._waiting.remove(rank)
-        if has_begun:
+        if work.has_begun:
             raise Cut(cause="no path to go on")
         if self._finder.has_whole_model(work.service, engine):
             raise Refused(
@@ -113,11 +108,9 @@
         within = replace(wanted, may_cross=False)
         return self._finder.choose(work.service, engine, within)
 
-    def _choose_end(
-        self, work: Work, has_begun: bool, began_at: float, now: float
-    ) -> float:
+    def _choose_end(self, work: Work, began_at: float, now: float) -> float:
         """Return until when a request may wait for a path."""
-        if has_begun:
+        if work.has_begun:
             return find_resume_end(work)
         is_short = self._catalogue.may_be_short(now=now)
         patience_s = SHORT_PATIENCE_S if is_short else FULL_PATIENCE_S
--- a/packages/router/fulmarward_router/exchange/_work.py
+++ b/packages/router/fulmarward_router/exchange/_work.py
@@ -48,6 +48,11 @@
     repaths: int = 0
     resumes: int = 0
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether its answer has begun, and it cannot be refused any more."""
+        return self.request.get("answer") is not None
+
     def note_given(self, *, now: float) -> None:
         """Note that events go out to the caller.
 
