--- a/packages/router/fulmarward_router/placement/_placer.py
+++ b/packages/router/fulmarward_router/placement/_placer.py
@@ -147,9 +147,10 @@
             if record.service == service and not record.is_leaving
         ]
 
-    def _list_targets(self, service: str, now: float) -> list[TargetRecord]:
+    def _list_targets(
+        self, present: Sequence[TargetRecord], now: float
+    ) -> list[TargetRecord]:
         """Return the targets that hold layers, or may be given some."""
-        present = self._list_present(service, now)
         unseen = self._list_unseen(present, now)
         records = [
             record
@@ -186,24 +187,17 @@
         is_empty = record.layers is None and record.name not in self._pending
         return is_empty and self._suspicions.is_told(record.name, now=now)
 
-    def _list_lost(self, service: str, now: float) -> list[TargetRecord]:
-        """Return the targets that do not answer but may be back."""
-        return [
-            record
-            for record in self._list_present(service, now)
-            if self._suspicions.is_lost(record.name, now=now)
-        ]
-
     async def _look(self, service: str, engine: EngineModel) -> None:
         now = self._read_clock()
-        targets = self._list_targets(service, now)
+        present = self._list_present(service, now)
+        targets = self._list_targets(present, now)
         self._drop_pending(targets, now)
         if not targets or not self._lease.is_held():
             return
         instances = self._count_instances()
         pending = {name: item.layers for name, item in self._pending.items()}
         held = _list_held(targets, pending)
-        self._doubt_told(service, engine, held, now)
+        self._doubt_told(service, engine, present, held, now)
         is_blank = not pending and all(target.layers is None for target in targets)
         if is_blank:
             if not self._has_settled(targets, now):
@@ -215,12 +209,14 @@
         else:
             orders = plan_repairs(engine, targets, pending, instances=instances)
             by_name = {target.name: target for target in targets}
+            # Those that do not answer may be back.
+            lost = [r for r in present if self._suspicions.is_lost(r.name, now=now)]
             orders = [
                 order
                 for order in orders
                 if order.reason not in ("gap", "spare")
                 or self._is_due(
-                    order, by_name[order.assignment.target], engine, held, now
+                    order, by_name[order.assignment.target], engine, held, lost, now
                 )
             ]
         await self._send_all(targets, orders)
@@ -243,18 +239,19 @@
                 del self._pending[name]
 
     def _doubt_told(
-        self, service: str, engine: EngineModel, held: Sequence[_Held], now: float
+        self,
+        service: str,
+        engine: EngineModel,
+        present: Sequence[TargetRecord],
+        held: Sequence[_Held],
+        now: float,
     ) -> None:
         """Ask the targets that a peer lost, and on which something depends here.
 
         The time of a gap begins with the word, so that one that is true costs no more
         for being made sure of.
         """
-        asked = [
-            record.name
-            for record in self._list_present(service, now)
-            if self._is_told_empty(record, now)
-        ]
+        asked = [record.name for record in present if self._is_told_empty(record, now)]
         for data_centre in {item.target.data_centre for item in held}:
             near = [item for item in held if item.target.data_centre == data_centre]
             told = [
@@ -283,18 +280,19 @@
         target: TargetRecord,
         engine: EngineModel,
         held: Sequence[_Held],
+        lost: Sequence[TargetRecord],
         now: float,
     ) -> bool:
         """Whether an order is to be sent now: the gap must have lasted first."""
         data_centre = target.data_centre
         near = [item.layers for item in held if item.target.data_centre == data_centre]
         gaps = find_gaps(engine.layers, near)
-        lost = [
+        doubted = [
             record.layers
-            for record in self._list_lost(target.service, now)
+            for record in lost
             if record.data_centre == data_centre and record.layers is not None
         ]
-        is_sure = find_gaps(engine.layers, near + lost) == gaps
+        is_sure = find_gaps(engine.layers, near + doubted) == gaps
         wait_s = SURE_GAP_S if is_sure or order.reason == "spare" else GAP_S
         since = self._missing_since.get((target.service, data_centre), {})
         closed = [gap for gap in gaps if _overlap(gap, order.assignment.layers)]
