--- a/packages/router/fulmarward_router/exchange/_keeping.py
+++ b/packages/router/fulmarward_router/exchange/_keeping.py
@@ -147,7 +147,7 @@
             for attempt in list(self._open.values()):
                 is_silent = now - attempt.heard_at >= LEAST_STILL_S
                 if is_silent and attempt.checking is None and attempt.end is None:
-                    self._probe_told(attempt, now)
+                    self._probe_unsure(attempt, now)
                     self._start_check(attempt)
 
     async def _await_stream(self) -> None:
@@ -219,7 +219,7 @@
         if suspects:
             self._watch.probe(suspects)
 
-    def _probe_told(self, attempt: Attempt, now: float) -> None:
+    def _probe_unsure(self, attempt: Attempt, now: float) -> None:
         """Ask the targets of a silent stream whose loss is not sure for it.
 
         A peer's word is no reason to end a stream: its own link may be at fault, and
--- a/packages/router/fulmarward_router/exchange/tests/test_keeping.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_keeping.py
@@ -84,7 +84,7 @@
         self.keeper.note_heard(self.attempt)
         self.now += 0.07
         self.assertEqual(self._list_lost(), [])
-        self.keeper._probe_told(self.attempt, self.now)
+        self.keeper._probe_unsure(self.attempt, self.now)
         self.watch.probe.assert_called_once_with(["first"])
         self.suspicions.note_lost("first", now=self.now)
         self.assertEqual(self._list_lost(), ["first"], "asked, and silent")
@@ -102,11 +102,11 @@
         self.now += 0.03
         self.keeper.note_heard(self.attempt)
         self.now += 0.07
-        self.keeper._probe_told(self.attempt, self.now)
+        self.keeper._probe_unsure(self.attempt, self.now)
         self.assertEqual([r.name for r in watch._list_due(["first"])], ["first"])
 
     def test_stream_without_an_event_is_led_around_at_once(self):
         self.suspicions.note_lost("second", now=99.9)
         self.assertEqual(self._list_lost(), ["second"])
-        self.keeper._probe_told(self.attempt, self.now)
+        self.keeper._probe_unsure(self.attempt, self.now)
         self.watch.probe.assert_not_called()
