--- a/packages/core/fulmarward_core/loads/_ledger.py
+++ b/packages/core/fulmarward_core/loads/_ledger.py
@@ -93,7 +93,7 @@
         """Return this instance's own load by target, for peers."""
         return dict(self._own)
 
-    def take_told(
+    def merge_report(
         self, peer: str, loads: Mapping[str, TargetLoad], *, now: float
     ) -> None:
         """Take in what a peer tells of its own load."""
--- a/packages/core/fulmarward_core/loads/tests/test_loads.py
+++ b/packages/core/fulmarward_core/loads/tests/test_loads.py
@@ -32,7 +32,7 @@
     def test_word_of_a_silent_peer_does_not_count_for_long(self):
         # An instance dies with requests open; its load must not keep targets empty.
         ledger = LoadLedger()
-        ledger.take_told("peer", {"a": TargetLoad(running=5)}, now=0.0)
+        ledger.merge_report("peer", {"a": TargetLoad(running=5)}, now=0.0)
         self.assertEqual(ledger.sum_loads(now=1.0)["a"].running, 5)
         self.assertEqual(ledger.sum_loads(now=9.0), {})
 
@@ -57,7 +57,7 @@
         names = [f"t{place}" for place in range(99)]
         for place in range(19):
             told = {name: TargetLoad(kv=1.0, running=1) for name in names[place:][:60]}
-            ledger.take_told(f"peer-{place}", told, now=0.0)
+            ledger.merge_report(f"peer-{place}", told, now=0.0)
         sums = ledger.sum_loads(now=0.1)
         self.assertEqual(sums["t30"].running, 19)
         calls = count_calls(lambda: ledger.sum_loads(now=0.1))
@@ -84,7 +84,7 @@
             if step == "own":
                 promises.append(ledger.promise(_PATH, number))
             elif step == "told":
-                ledger.take_told(f"peer-{number}", loads, now=now)
+                ledger.merge_report(f"peer-{number}", loads, now=now)
                 told[number] = (now, loads)
             elif step == "centre":
                 ledger.take_centre(f"centre-{number}", loads, now=now)
@@ -122,7 +122,7 @@
         # Loads of single instances are told within their data centre only. Without the
         # others' sums a target elsewhere looks idle, and all send their requests there.
         ledger = LoadLedger()
-        ledger.take_told("peer", {"a": TargetLoad(running=2)}, now=0.0)
+        ledger.merge_report("peer", {"a": TargetLoad(running=2)}, now=0.0)
         ledger.take_centre("far", {"a": TargetLoad(running=7)}, now=0.0)
         self.assertEqual(ledger.sum_loads(now=0.1)["a"].running, 9)
         self.assertEqual(ledger.sum_nearby(now=0.1)["a"].running, 2)
--- a/packages/core/fulmarward_core/spread/__init__.py
+++ b/packages/core/fulmarward_core/spread/__init__.py
@@ -1,7 +1,13 @@
 """How a large row passes from instance to instance without filling their links."""
 
+from fulmarward_core.spread._fetch import FetchTimeout, PendingFetch
 from fulmarward_core.spread._packing import pack_value, unpack_value
-from fulmarward_core.spread._question import GivenUp, OpenQuestion
-from fulmarward_core.spread._tellings import Tellings
+from fulmarward_core.spread._transfers import TransferLimiter
 
-__all__ = ["GivenUp", "OpenQuestion", "Tellings", "pack_value", "unpack_value"]
+__all__ = [
+    "FetchTimeout",
+    "PendingFetch",
+    "TransferLimiter",
+    "pack_value",
+    "unpack_value",
+]
--- a/packages/core/fulmarward_core/spread/_question.py
+++ b/packages/core/fulmarward_core/spread/_fetch.py
@@ -13,7 +13,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class GivenUp:
+class FetchTimeout:
     """A question that had no answer."""
 
     #: Whom it went to.
@@ -29,7 +29,7 @@
     asked_at: float
 
 
-class OpenQuestion:
+class PendingFetch:
     """The one question for a newer version that is open, and who puts it off.
 
     Guards against a second row on a link that is still busy with the first: all peers
@@ -50,7 +50,7 @@
         self._open = _Question(peer=peer, known=known, asked_at=now)
         return True
 
-    def give_up(self, *, known: int, now: float) -> GivenUp | None:
+    def give_up(self, *, known: int, now: float) -> FetchTimeout | None:
         """Drop the question if it has been open for too long, and return it."""
         if self._open is None or now - self._open.asked_at < ASK_S:
             return None
@@ -65,16 +65,16 @@
         if self._is_open_at(peer):
             self._open = None
 
-    def note_lost(self, peer: str, *, known: int, now: float) -> GivenUp | None:
+    def note_lost(self, peer: str, *, known: int, now: float) -> FetchTimeout | None:
         """Drop the question if it went to `peer`, whose link has ended."""
         return self._drop(known, now) if self._is_open_at(peer) else None
 
     def _is_open_at(self, peer: str) -> bool:
         return self._open is not None and self._open.peer == peer
 
-    def _drop(self, known: int, now: float) -> GivenUp | None:
+    def _drop(self, known: int, now: float) -> FetchTimeout | None:
         """Drop the question; one that brought what is known now was answered."""
         question, self._open = self._open, None
         if question is None or question.known != known:
             return None
-        return GivenUp(peer=question.peer, after_s=now - question.asked_at)
+        return FetchTimeout(peer=question.peer, after_s=now - question.asked_at)
--- a/packages/core/fulmarward_core/spread/_tellings.py
+++ b/packages/core/fulmarward_core/spread/_transfers.py
@@ -18,7 +18,7 @@
     began_at: float
 
 
-class Tellings:
+class TransferLimiter:
     """The rows that are on their way, by peer.
 
     Guards against a link that is full with copies of one row while whoever has one
--- a/packages/core/fulmarward_core/spread/tests/test_question.py
+++ b/packages/core/fulmarward_core/spread/tests/test_fetch.py
@@ -1,12 +1,12 @@
 import unittest
 
-from fulmarward_core.spread import GivenUp, OpenQuestion
-from fulmarward_core.spread._question import ASK_S, DEFER_S
+from fulmarward_core.spread import FetchTimeout, PendingFetch
+from fulmarward_core.spread._fetch import ASK_S, DEFER_S
 
 
 class OpenQuestionTest(unittest.TestCase):
     def setUp(self):
-        self.question = OpenQuestion()
+        self.question = PendingFetch()
         self.assertTrue(self.question.ask("a", known=1, now=0.0))
 
     def _ask(self, peer, now, known=1):
@@ -25,7 +25,7 @@
     def test_silent_peer_is_given_up_and_another_one_asked(self):
         self.assertIsNone(self.question.give_up(known=1, now=ASK_S - 0.01))
         given_up = self.question.give_up(known=1, now=ASK_S)
-        self.assertEqual(given_up, GivenUp(peer="a", after_s=ASK_S))
+        self.assertEqual(given_up, FetchTimeout(peer="a", after_s=ASK_S))
         self.assertTrue(self._ask("b", ASK_S))
 
     def test_answered_question_is_not_told_as_given_up(self):
@@ -53,5 +53,5 @@
 
     def test_question_ends_with_its_link(self):
         given_up = self.question.note_lost("a", known=1, now=0.25)
-        self.assertEqual(given_up, GivenUp(peer="a", after_s=0.25))
+        self.assertEqual(given_up, FetchTimeout(peer="a", after_s=0.25))
         self.assertTrue(self._ask("b", 0.25))
--- a/packages/core/fulmarward_core/spread/tests/test_tellings.py
+++ b/packages/core/fulmarward_core/spread/tests/test_transfers.py
@@ -2,13 +2,13 @@
 
 from hypothesis import given, strategies as st
 
-from fulmarward_core.spread import Tellings
-from fulmarward_core.spread._tellings import MOST_UNDER_WAY_BYTES, TELL_S
+from fulmarward_core.spread import TransferLimiter
+from fulmarward_core.spread._transfers import MOST_UNDER_WAY_BYTES, TELL_S
 
 
 class TellingsTest(unittest.TestCase):
     def setUp(self):
-        self.tellings = Tellings()
+        self.tellings = TransferLimiter()
 
     def _begin(self, peers, size, now=0.0):
         return [peer for peer in peers if self.tellings.begin(peer, size, now=now)]
@@ -21,7 +21,7 @@
         ]
         for name, size, expected in cases:
             with self.subTest(name):
-                self.tellings = Tellings()
+                self.tellings = TransferLimiter()
                 self.assertEqual(len(self._begin("abcdefgh", size)), expected)
 
     def test_next_one_is_told_once_a_row_has_arrived_or_its_peer_is_silent(self):
@@ -42,7 +42,7 @@
         st.lists(st.tuples(st.booleans(), st.integers(0, 9), st.integers(1, 99_999)))
     )
     def test_never_more_under_way_than_the_link_may_bear(self, steps):
-        tellings, under_way = Tellings(), {}
+        tellings, under_way = TransferLimiter(), {}
         for is_question, peer, size in steps:
             if not is_question:
                 tellings.end(str(peer))
--- a/packages/core/fulmarward_core/suspicion/_refusals.py
+++ b/packages/core/fulmarward_core/suspicion/_refusals.py
@@ -59,7 +59,7 @@
             self._own.pop(target, None)
             self._told.pop(target, None)
 
-    def take_told(self, targets: Iterable[str], *, now: float) -> None:
+    def merge_reports(self, targets: Iterable[str], *, now: float) -> None:
         """Take in which targets a peer believes to be leaving."""
         for target in targets:
             self._told[target] = now
--- a/packages/core/fulmarward_core/suspicion/tests/test_refusals.py
+++ b/packages/core/fulmarward_core/suspicion/tests/test_refusals.py
@@ -41,7 +41,7 @@
         other = RefusalTable()
         for now in (0.0, 0.5):
             self.table.note_refused("t", now=now)
-        other.take_told(self.table.list_own(now=1.0), now=1.0)
+        other.merge_reports(self.table.list_own(now=1.0), now=1.0)
         self.assertTrue(other.is_refusing("t", now=1.1))
         self.assertEqual(other.list_own(now=1.1), [], "only own tries are told on")
         self.assertFalse(other.is_refusing("t", now=4.0))
--- a/packages/router/fulmarward_router/_status.py
+++ b/packages/router/fulmarward_router/_status.py
@@ -6,7 +6,7 @@
 from fulmarward_core.layers import count_holders, find_gaps
 from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_router._life import Life
-from fulmarward_router.mesh import MemberTable, MemberTold
+from fulmarward_router.mesh import InstanceIdentity, MemberTable
 from fulmarward_router.placement import LeaseKeeper
 from fulmarward_router.state import ConfigurationHolder, StoreWatch
 
@@ -14,7 +14,7 @@
 class Believer(Protocol):
     """The parts of an instance that a status is made of."""
 
-    own: MemberTold
+    own: InstanceIdentity
     life: Life
     members: MemberTable
     catalogue: TargetCatalogue
@@ -52,8 +52,8 @@
         },
         "instances": [
             {
-                "name": member.told.name,
-                "data_centre": member.told.data_centre,
+                "name": member.identity.name,
+                "data_centre": member.identity.data_centre,
                 "heard_s_ago": round(now - member.heard_at, 3),
                 "is_ready": member.state is not None and member.state.is_ready,
             }
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -40,7 +40,7 @@
     TargetClient,
     make_target_session,
 )
-from fulmarward_router.mesh import MemberTable, MemberTold, Mesh
+from fulmarward_router.mesh import InstanceIdentity, MemberTable, Mesh
 from fulmarward_router.placement import LeaseKeeper, Placer
 from fulmarward_router.ports import (
     RouterSettings,
@@ -144,7 +144,7 @@
         self._has_failed = False
         self.life = Life()
         self.metrics = make_router_metrics()
-        self.own = MemberTold(
+        self.own = InstanceIdentity(
             name=settings.name,
             boot=int(time.time() * 1000),
             data_centre=settings.data_centre,
@@ -171,10 +171,10 @@
             catalogue=self.catalogue,
             read_clock=clock,
             note_change=self._stir,
-            note_news=self.target_news.note,
+            note_targets=self.target_news.note,
             is_among_first=lambda count: self.knowledge.is_among_first(count),
             is_large=lambda: self.members.is_large,
-            read_beat_pause_s=lambda: self.members.beat_pause_s,
+            read_heartbeat_interval_s=lambda: self.members.heartbeat_interval_s,
         )
         self.knowledge = Knowledge(
             own=self.own,
@@ -191,7 +191,7 @@
             is_leaving=lambda: self.life.is_stopping,
             is_store_reachable=lambda: self.watch.out_since is None,
             note_change=self._stir,
-            note_news=self.target_news.note,
+            note_targets=self.target_news.note,
         )
         self.mesh = Mesh(
             own=self.own,
@@ -387,7 +387,7 @@
         if self.is_ready():
             own = (self.own.data_centre, self.own.caller_address)
         others = [
-            (m.told.data_centre, m.told.caller_address)
+            (m.identity.data_centre, m.identity.caller_address)
             for m in self.members.list_ready(now=now)
         ]
         return choose_addresses(own, others, data_centre=data_centre)
--- a/packages/router/fulmarward_router/mesh/_links.py
+++ b/packages/router/fulmarward_router/mesh/_links.py
@@ -12,107 +12,101 @@
 from fulmarward.observability import log_event
 from fulmarward_core.codec import MessageFault
 from fulmarward_router.mesh._codec import decode_message, encode_message
-from fulmarward_router.mesh._members import BEAT_S, CENTRE_NEWS_S, MemberTable
+from fulmarward_router.mesh._members import (
+    DATA_CENTRE_REPORT_INTERVAL_S,
+    HEARTBEAT_INTERVAL_S,
+    MemberTable,
+)
 from fulmarward_router.mesh._messages import (
-    AskConfiguration,
-    AskInstances,
-    AskPackedConfiguration,
-    AskTargets,
-    Beat,
+    CompressedConfiguration,
     ConfigurationDeferred,
-    ConfigurationHeard,
-    ConfigurationNews,
-    DataCentreNews,
-    Introduce,
-    MemberTold,
-    PackedConfigurationNews,
-    TargetsNews,
-    UnderstandsPacked,
+    ConfigurationReceived,
+    ConfigurationSnapshot,
+    DataCentreReport,
+    FetchCompressedConfiguration,
+    FetchConfiguration,
+    FetchInstances,
+    FetchTargets,
+    Heartbeat,
+    InstanceIdentity,
+    Introduction,
+    SupportsCompression,
+    TargetChanges,
 )
 
-#: Seconds for which one encoded heartbeat is sent to all. Reason: a third of the time
-#: between two of them.
-SAME_BEAT_S = 0.1
+#: Seconds for which an encoded heartbeat is reused for further links.
+REUSE_HEARTBEAT_S = 0.1
 
-#: Seconds for a link to be made, and for a ping to be answered. Load: links that fall
-#: silent without a reset; reason: far above any delay between data centres, and short
-#: against the bound of a configuration.
-OPEN_S = 0.6
-PING_S = 1.0
+#: Seconds for a link to open, and for a ping or a message to get through.
+OPEN_TIMEOUT_S = 0.6
+PING_TIMEOUT_S = 1.0
 
-#: Seconds between two pings of a link that a peer dialled. Load: a peer that fell
-#: silent for good; harm: its link is held open; reason: its missing heartbeats tell of
-#: it long before, so this only frees the link.
-ACCEPTED_PING_S = 20.0
+#: Seconds between pings of a link that a peer dialled; missing heartbeats show its
+#: silence long before.
+ACCEPTED_PING_INTERVAL_S = 20.0
 
-#: Least seconds between two heartbeats on a link. Load: many instances or targets are
-#: lost in the same moment, and each loss is told at once; harm: a heartbeat of 1 KB to
-#: each of 25 peers, 20 times within a moment, fills a link of 10 Mbit/s for 0.4 s;
-#: reason: short against the second in which an instance is to leave the lookup.
-LEAST_BEAT_S = 0.05
+#: Minimum seconds between two heartbeats on a link, so that a series of changes does
+#: not fill it.
+MIN_HEARTBEAT_INTERVAL_S = 0.05
 
-#: Seconds between two questions for the instances. Load: all start at once and hear of
-#: each other through the same hub; harm: each answer tells of all of them.
-ASK_INSTANCES_S = 0.5
+#: Seconds between two fetches of the list of instances.
+FETCH_INSTANCES_INTERVAL_S = 0.5
 
-#: Seconds for which a link is kept that is not wanted. Reason: a seed tells of the
+#: Seconds for which a link is kept that is no longer wanted; a seed introduces the
 #: others on it.
-UNWANTED_S = 1.0
+UNWANTED_DURATION_S = 1.0
 
-#: Seconds before a link that failed is dialled again, growing to the most.
+#: Seconds before a failed link is dialled again: the first pause, and the longest.
 RETRY_S = 0.2
-MOST_RETRY_S = 2.0
+MAX_RETRY_INTERVAL_S = 2.0
 
-#: Seconds after its start in which an instance is no hub. Load: all begin at once;
-#: harm: each finds nobody before it and links to the other data centres; reason: two
-#: heartbeats.
+#: Seconds after its start in which an instance is no hub: it knows nobody yet.
 HUB_AFTER_S = 1.0
 
 #: How often a seed is dialled that is not known to be an instance.
 SEED_TRIES = 5
 
-#: Largest message. Reason: the configuration's row is packed and has a tenth of this,
-#: and the rows of 4,100 targets are told in parts.
-MOST_BYTES = 4 << 20
+#: Upper bound of one message.
+MAX_MESSAGE_BYTES = 4 << 20
 
 
 #: What a peer is asked for, what it sends for it, and what else it may answer.
-Question = AskConfiguration | AskPackedConfiguration | AskTargets
-News = ConfigurationNews | PackedConfigurationNews | TargetsNews
-Answer = News | ConfigurationDeferred
+Fetch = FetchConfiguration | FetchCompressedConfiguration | FetchTargets
+Snapshot = ConfigurationSnapshot | CompressedConfiguration | TargetChanges
+Answer = Snapshot | ConfigurationDeferred
 
 
-class MeshNews(Protocol):
+class MeshState(Protocol):
     """What the rest of the instance gives to the mesh and takes from it."""
 
-    def make_beat(self, *, has_loads: bool = True) -> Beat:
+    def make_heartbeat(self, *, has_loads: bool = True) -> Heartbeat:
         """Return this instance's heartbeat, with its load or without."""
 
-    def take_beat(self, beat: Beat) -> list[Question]:
+    def merge_heartbeat(self, heartbeat: Heartbeat) -> list[Fetch]:
         """Take in a peer's heartbeat; return what to ask that peer for."""
 
-    def answer(self, question: Question) -> Answer | None:
+    def answer(self, question: Fetch) -> Answer | None:
         """Return the answer to a peer's question, `None` if there is none."""
 
-    def take_news(self, news: News) -> None:
+    def merge_snapshot(self, news: Snapshot) -> None:
         """Take in what a peer answered."""
 
-    def take_understands_packed(self, told: UnderstandsPacked) -> None:
+    def note_supports_compression(self, message: SupportsCompression) -> None:
         """Take in that a peer may be asked for the packed configuration."""
 
-    def take_deferred(self, told: ConfigurationDeferred) -> None:
+    def note_deferred(self, message: ConfigurationDeferred) -> None:
         """Take in that a peer tells others first."""
 
-    def take_heard(self, told: ConfigurationHeard) -> None:
+    def note_received(self, message: ConfigurationReceived) -> None:
         """Take in that a row has come to a peer."""
 
     def note_link_lost(self, peer: str) -> None:
         """The link that a peer dialled has ended, and what was asked on it."""
 
-    def make_centre_news(self, data_centre: str) -> DataCentreNews:
+    def make_data_centre_report(self, data_centre: str) -> DataCentreReport:
         """Return what this instance, as a hub, tells of a data centre."""
 
-    def take_centre_news(self, news: DataCentreNews) -> None:
+    def merge_data_centre(self, news: DataCentreReport) -> None:
         """Take in the loads that a hub tells of."""
 
 
@@ -122,9 +116,9 @@
     def __init__(
         self,
         *,
-        own: MemberTold,
+        own: InstanceIdentity,
         members: MemberTable,
-        news: MeshNews,
+        news: MeshState,
         read_clock: Callable[[], float],
         count_bytes: Callable[[str, int], None],
     ) -> None:
@@ -141,7 +135,7 @@
         #: Peer addresses to keep links to, and whether this instance is a hub.
         self._wanted: frozenset[str] = frozenset()
         self._is_hub = False
-        self._asked_instances_at = float("-inf")
+        self._fetched_instances_at = float("-inf")
         self._began_at = read_clock()
 
     def stir(self) -> None:
@@ -156,7 +150,7 @@
                 self._dial(seed, is_seed=True)
         while True:
             self._choose_links(self._read_clock())
-            await asyncio.sleep(BEAT_S)
+            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
     def _choose_links(self, now: float) -> None:
         """Dial whoever is to be linked; other links end by themselves."""
@@ -192,11 +186,11 @@
             try:
                 async with connect(
                     f"ws://{address}",
-                    open_timeout=OPEN_S,
-                    ping_interval=PING_S,
-                    ping_timeout=PING_S,
+                    open_timeout=OPEN_TIMEOUT_S,
+                    ping_interval=PING_TIMEOUT_S,
+                    ping_timeout=PING_TIMEOUT_S,
                     close_timeout=0.2,
-                    max_size=MOST_BYTES,
+                    max_size=MAX_MESSAGE_BYTES,
                     compression=None,
                     proxy=None,
                 ) as link:
@@ -207,17 +201,17 @@
                 log_event("peer_link_lost", peer=address, cause=repr(error))
             tries += 1
             await asyncio.sleep(pause_s)
-            pause_s = min(MOST_RETRY_S, pause_s * 2)
+            pause_s = min(MAX_RETRY_INTERVAL_S, pause_s * 2)
 
     async def _speak(self, link: Connection, address: str) -> None:
-        """Introduce this instance, then send heartbeats."""
+        """Introduction this instance, then send heartbeats."""
         await self._send(link, self._introduce(is_answer=False))
-        understands = UnderstandsPacked(sender=self._own.name, boot=self._own.boot)
+        understands = SupportsCompression(sender=self._own.name, boot=self._own.boot)
         await self._send(link, understands)
-        if self._must_ask_instances():
-            await self._send(link, AskInstances())
+        if self._must_fetch_instances():
+            await self._send(link, FetchInstances())
         listener = asyncio.create_task(self._listen(link, set()))
-        teller = _CentreTeller(members=self._members, news=self._news)
+        teller = _DataCentreReporter(members=self._members, news=self._news)
         unwanted_at = self._read_clock()
         try:
             while not listener.done():
@@ -225,38 +219,38 @@
                 now = self._read_clock()
                 if address in self._wanted:
                     unwanted_at = now
-                elif now - unwanted_at > UNWANTED_S:
+                elif now - unwanted_at > UNWANTED_DURATION_S:
                     log_event("peer_link_ended", peer=address)
                     return
                 centre = self._members.find_data_centre(address)
-                await self._send_data(link, self._encode_beat(centre))
+                await self._send_data(link, self._encode_heartbeat(centre))
                 if self._is_hub:
                     for news in teller.list_due(self._own.data_centre, centre, now=now):
                         await self._send(link, news)
-                await _wait_first(stirred, listener, self._members.beat_pause_s)
-                early_s = now + LEAST_BEAT_S - self._read_clock()
+                await _wait_first(stirred, listener, self._members.heartbeat_interval_s)
+                early_s = now + MIN_HEARTBEAT_INTERVAL_S - self._read_clock()
                 if early_s > 0:
                     await asyncio.sleep(early_s)
             listener.result()
         finally:
             listener.cancel()
 
-    def _introduce(self, *, is_answer: bool) -> Introduce:
+    def _introduce(self, *, is_answer: bool) -> Introduction:
         """Return the first message of a link, or the answer to a question.
 
         Where there are many instances, the others are told of only to who asks.
         """
-        known: tuple[MemberTold, ...] = ()
+        known: tuple[InstanceIdentity, ...] = ()
         if is_answer or not self._members.is_large:
-            known = tuple(member.told for member in self._members.list_all())
-        return Introduce(sender=self._own, known=known)
+            known = tuple(member.identity for member in self._members.list_all())
+        return Introduction(sender=self._own, known=known)
 
-    def _must_ask_instances(self) -> bool:
+    def _must_fetch_instances(self) -> bool:
         """Whether to ask now for the instances that a peer knows."""
         now = self._read_clock()
-        if now - self._asked_instances_at < ASK_INSTANCES_S:
+        if now - self._fetched_instances_at < FETCH_INSTANCES_INTERVAL_S:
             return False
-        self._asked_instances_at = now
+        self._fetched_instances_at = now
         return True
 
     async def _listen(self, link: Connection, senders: set[str]) -> None:
@@ -268,41 +262,41 @@
             except MessageFault as error:
                 log_event("peer_message_wrong", cause=str(error))
                 continue
-            if isinstance(message, Beat):
+            if isinstance(message, Heartbeat):
                 senders.add(message.sender.name)
             await self._take(link, message)
 
     async def _take(self, link: Connection, message: object) -> None:
         now = self._read_clock()
-        if isinstance(message, Introduce):
-            self._members.take_told([message.sender, *message.known], now=now)
-        elif isinstance(message, Beat):
-            self._members.take_beat(message, now=now)
-            for question in self._news.take_beat(message):
+        if isinstance(message, Introduction):
+            self._members.merge_members([message.sender, *message.known], now=now)
+        elif isinstance(message, Heartbeat):
+            self._members.merge_heartbeat(message, now=now)
+            for question in self._news.merge_heartbeat(message):
                 await self._send(link, question)
-        elif isinstance(message, AskInstances):
+        elif isinstance(message, FetchInstances):
             await self._send(link, self._introduce(is_answer=True))
-        elif isinstance(message, DataCentreNews):
-            self._news.take_centre_news(message)
-            has_unknown = self._members.take_news(message, now=now)
-            if has_unknown and self._must_ask_instances():
-                await self._send(link, AskInstances())
-        elif isinstance(message, Question):
+        elif isinstance(message, DataCentreReport):
+            self._news.merge_data_centre(message)
+            has_unknown = self._members.merge_snapshot(message, now=now)
+            if has_unknown and self._must_fetch_instances():
+                await self._send(link, FetchInstances())
+        elif isinstance(message, Fetch):
             answer = self._news.answer(message)
             if answer is not None:
                 await self._send(link, answer)
-        elif isinstance(message, PackedConfigurationNews):
+        elif isinstance(message, CompressedConfiguration):
             await self._take_row(link, message)
-        elif isinstance(message, ConfigurationNews | TargetsNews):
-            self._news.take_news(message)
-        elif isinstance(message, UnderstandsPacked):
-            self._news.take_understands_packed(message)
+        elif isinstance(message, ConfigurationSnapshot | TargetChanges):
+            self._news.merge_snapshot(message)
+        elif isinstance(message, SupportsCompression):
+            self._news.note_supports_compression(message)
         elif isinstance(message, ConfigurationDeferred):
-            self._news.take_deferred(message)
-        elif isinstance(message, ConfigurationHeard):
-            self._news.take_heard(message)
+            self._news.note_deferred(message)
+        elif isinstance(message, ConfigurationReceived):
+            self._news.note_received(message)
 
-    async def _take_row(self, link: Connection, news: PackedConfigurationNews) -> None:
+    async def _take_row(self, link: Connection, news: CompressedConfiguration) -> None:
         """Say that a row has come, and take it in.
 
         The word goes first: the teller's link is free now, and reading takes time.
@@ -310,11 +304,11 @@
         row, which has come, would be asked for once more.
         """
         try:
-            await self._send(link, ConfigurationHeard(sender=self._own.name))
+            await self._send(link, ConfigurationReceived(sender=self._own.name))
         finally:
-            self._news.take_news(news)
+            self._news.merge_snapshot(news)
 
-    def _encode_beat(self, peer_centre: str | None) -> bytes:
+    def _encode_heartbeat(self, peer_centre: str | None) -> bytes:
         """Return the heartbeat for a peer; one encoding serves many for a moment.
 
         Where there are many instances, each one's loads are told within the data
@@ -325,8 +319,8 @@
             has_loads = peer_centre == self._own.data_centre
         now = self._read_clock()
         at, stirred, data = self._encoded.get(has_loads, (float("-inf"), None, b""))
-        if now - at > SAME_BEAT_S or stirred is not self._stirred:
-            data = encode_message(self._news.make_beat(has_loads=has_loads))
+        if now - at > REUSE_HEARTBEAT_S or stirred is not self._stirred:
+            data = encode_message(self._news.make_heartbeat(has_loads=has_loads))
             self._encoded[has_loads] = (now, self._stirred, data)
         return data
 
@@ -335,7 +329,7 @@
 
     async def _send_data(self, link: Connection, data: bytes) -> None:
         self._count_bytes("out", len(data))
-        async with asyncio.timeout(PING_S):
+        async with asyncio.timeout(PING_TIMEOUT_S):
             await link.send(data)
 
     async def accept(self, link: Connection) -> None:
@@ -360,35 +354,35 @@
             self.accept,
             host,
             int(port),
-            ping_interval=ACCEPTED_PING_S,
-            ping_timeout=PING_S,
+            ping_interval=ACCEPTED_PING_INTERVAL_S,
+            ping_timeout=PING_TIMEOUT_S,
             close_timeout=0.2,
-            max_size=MOST_BYTES,
+            max_size=MAX_MESSAGE_BYTES,
             compression=None,
         )
 
 
-class _CentreTeller:
+class _DataCentreReporter:
     """What a hub still has to tell on one link."""
 
-    def __init__(self, *, members: MemberTable, news: MeshNews) -> None:
+    def __init__(self, *, members: MemberTable, news: MeshState) -> None:
         self._members = members
         self._news = news
-        self._told_at = float("-inf")
-        self._told_revision = -1
+        self._reported_at = float("-inf")
+        self._reported_revision = -1
 
     def list_due(
         self, own_centre: str, peer_centre: str | None, *, now: float
-    ) -> list[DataCentreNews]:
+    ) -> list[DataCentreReport]:
         """Return what is due: the own data centre to others, the others at home."""
-        is_news = self._members.revision != self._told_revision
-        if not is_news and now - self._told_at < CENTRE_NEWS_S:
+        is_news = self._members.revision != self._reported_revision
+        if not is_news and now - self._reported_at < DATA_CENTRE_REPORT_INTERVAL_S:
             return []
-        self._told_at, self._told_revision = now, self._members.revision
+        self._reported_at, self._reported_revision = now, self._members.revision
         centres = {own_centre}
         if peer_centre == own_centre:
             centres = self._members.list_data_centres() - {own_centre}
-        return [self._news.make_centre_news(name) for name in sorted(centres)]
+        return [self._news.make_data_centre_report(name) for name in sorted(centres)]
 
 
 async def _wait_first(
--- a/packages/router/fulmarward_router/mesh/_members.py
+++ b/packages/router/fulmarward_router/mesh/_members.py
@@ -5,45 +5,35 @@
 
 from fulmarward_core.overlay import FULL_MESH, Node, choose_hubs, choose_links
 from fulmarward_router.mesh._messages import (
-    Beat,
-    DataCentreNews,
-    InstanceTold,
-    MemberTold,
+    DataCentreReport,
+    Heartbeat,
+    InstanceIdentity,
+    InstanceReport,
 )
 
-#: Seconds without a heartbeat after which an instance is not given to callers. Load:
-#: heartbeats each 0.3 s over links that lose packets, and instances that are slowed
-#: down; harm: callers connect to a dead address and wait a second; reason: four
-#: heartbeats, so that one retransmission hides nobody.
+#: Seconds without a heartbeat after which an instance is not given to callers.
 FRESH_S = 1.3
 
 #: Seconds between two heartbeats with up to `FULL_MESH` instances; with more linked
-#: ones it grows, so that an instance's heartbeats cost alike. Load: FRESH_S decides who
-#: is given to callers; reason: four heartbeats fit in.
-BEAT_S = 0.3
+#: ones it grows, so that an instance's heartbeats cost the same.
+HEARTBEAT_INTERVAL_S = 0.3
 
-#: Heartbeats that may be missing before an instance counts as silent. Instances that
-#: are killed are noticed by the end of their links; this is for those that fall silent.
-_MISSING_BEATS = 3.0
+#: Heartbeats that may be missing before an instance counts as silent.
+_MAX_MISSED_HEARTBEATS = 3.0
 
-#: Words of a hub by which an instance of another data centre may be older: there the
-#: hub waits for its heartbeat and here for the next word, each passed on by one more.
-_HUB_WORDS = 2.0
+#: Report intervals by which an instance of another data centre may be older: its hub
+#: waits for its heartbeat, and the hub here for the other hub's report.
+_HUB_HOPS = 2.0
 
-#: Seconds for which a hub tries the same few instances of a silent data centre. Reason:
-#: a link is made or fails within a second.
+#: Seconds for which a hub tries the same few instances of a silent data centre.
 TURN_S = 2.0
 
 #: Seconds without a heartbeat after which an instance is no longer dialled, unless the
-#: store still lists it. Reason: longer than a process takes to start again and a
-#: partition to heal.
+#: store still lists it; longer than a restart or a short partition.
 FORGET_S = 45.0
 
-
-#: Seconds between two words of a hub on a data centre where nothing changed there.
-#: Harm: bytes between data centres are dear; reason: news of an instance that comes or
-#: goes are told at once, this only shows that the rest lives.
-CENTRE_NEWS_S = 1.0
+#: Seconds between two reports of a hub on a data centre in which nothing changed.
+DATA_CENTRE_REPORT_INTERVAL_S = 1.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -63,7 +53,7 @@
     """Another instance."""
 
     #: What is told of it.
-    told: MemberTold
+    identity: InstanceIdentity
     #: What it last said, `None` before that and after its link was lost.
     state: MemberState | None
     #: When it was last heard, or first told of; seconds on the steady clock.
@@ -80,7 +70,7 @@
 class MemberTable:
     """All other instances by name."""
 
-    def __init__(self, *, own: MemberTold) -> None:
+    def __init__(self, *, own: InstanceIdentity) -> None:
         self._own = own
         self._members: dict[str, Member] = {}
         #: Instances of the own data centre, and the data centre at each peer address;
@@ -90,49 +80,51 @@
         #: Rises whenever an instance comes, goes, or says something else of itself.
         self.revision = 0
 
-    def take_told(self, told: Iterable[MemberTold], *, now: float) -> None:
+    def merge_members(
+        self, identities: Iterable[InstanceIdentity], *, now: float
+    ) -> None:
         """Learn of instances; a later start of one replaces an earlier one."""
-        for item in told:
+        for item in identities:
             known = self._members.get(item.name)
             if item.name == self._own.name:
                 continue
-            if known is None or item.boot > known.told.boot:
-                self._put(Member(told=item, state=None, heard_at=now, noted_at=now))
+            if known is None or item.boot > known.identity.boot:
+                self._put(Member(identity=item, state=None, heard_at=now, noted_at=now))
 
-    def take_beat(self, beat: Beat, *, now: float) -> None:
+    def merge_heartbeat(self, heartbeat: Heartbeat, *, now: float) -> None:
         """Take in a heartbeat; one of an earlier start says nothing."""
-        name = beat.sender.name
+        name = heartbeat.sender.name
         known = self._members.get(name)
-        is_older = known is not None and beat.sender.boot < known.told.boot
+        is_older = known is not None and heartbeat.sender.boot < known.identity.boot
         if name == self._own.name or is_older:
             return
         state = MemberState(
-            is_ready=beat.is_ready,
-            is_leaving=beat.is_leaving,
-            is_store_reachable=beat.is_store_reachable,
+            is_ready=heartbeat.is_ready,
+            is_leaving=heartbeat.is_leaving,
+            is_store_reachable=heartbeat.is_store_reachable,
         )
         self._put(
             Member(
-                told=beat.sender,
+                identity=heartbeat.sender,
                 state=state,
                 heard_at=now,
                 noted_at=now,
-                sees_slow_streams=beat.sees_slow_streams,
+                sees_slow_streams=heartbeat.sees_slow_streams,
             )
         )
 
-    def take_news(self, news: DataCentreNews, *, now: float) -> bool:
+    def merge_snapshot(self, news: DataCentreReport, *, now: float) -> bool:
         """Take in a hub's word; return whether it tells of instances not known here."""
         has_unknown = False
         for item in news.instances:
             known = self._members.get(item.name)
             if item.name == self._own.name:
                 continue
-            if known is None or item.boot > known.told.boot:
+            if known is None or item.boot > known.identity.boot:
                 has_unknown = True
                 continue
             at = now - item.age_ms / 1000
-            if item.boot < known.told.boot or at <= known.noted_at:
+            if item.boot < known.identity.boot or at <= known.noted_at:
                 continue
             state = MemberState(
                 is_ready=item.is_ready,
@@ -141,7 +133,7 @@
             )
             self._put(
                 Member(
-                    told=known.told,
+                    identity=known.identity,
                     state=state if item.is_alive else None,
                     heard_at=at if item.is_alive else known.heard_at,
                     noted_at=at,
@@ -150,19 +142,21 @@
             )
         return has_unknown
 
-    def tell_of(self, data_centre: str, *, now: float) -> tuple[InstanceTold, ...]:
+    def report_members(
+        self, data_centre: str, *, now: float
+    ) -> tuple[InstanceReport, ...]:
         """Return what is known of the other instances of a data centre."""
-        fresh = {member.told.name for member in self.list_fresh(now=now)}
+        fresh = {member.identity.name for member in self.list_fresh(now=now)}
         return tuple(
-            _tell_member(member, is_fresh=member.told.name in fresh, now=now)
+            _report_member(member, is_fresh=member.identity.name in fresh, now=now)
             for member in self._members.values()
-            if member.told.data_centre == data_centre
+            if member.identity.data_centre == data_centre
         )
 
     def _put(self, member: Member) -> None:
-        known = self._members.get(member.told.name)
-        self._members[member.told.name] = member
-        is_same = known is not None and known.told == member.told
+        known = self._members.get(member.identity.name)
+        self._members[member.identity.name] = member
+        is_same = known is not None and known.identity == member.identity
         if not is_same:
             self._forget_counts()
         if not is_same or known.state != member.state:
@@ -193,49 +187,49 @@
         return len(self._members) >= FULL_MESH
 
     @property
-    def beat_pause_s(self) -> float:
+    def heartbeat_interval_s(self) -> float:
         """Seconds between two heartbeats on a link."""
         linked = len(self._members)
         if self.is_large:
             linked = self._count_nearby()
-        return BEAT_S * max(1.0, (linked + 1) / FULL_MESH)
+        return HEARTBEAT_INTERVAL_S * max(1.0, (linked + 1) / FULL_MESH)
 
     def _count_nearby(self) -> int:
         """Return how many others there are in the own data centre."""
         if self._nearby is None:
             own_centre = self._own.data_centre
             members = self._members.values()
-            self._nearby = sum(m.told.data_centre == own_centre for m in members)
+            self._nearby = sum(m.identity.data_centre == own_centre for m in members)
         return self._nearby
 
     @property
     def fresh_s(self) -> float:
         """Seconds after which an instance that is not heard counts as silent."""
-        return max(FRESH_S, _MISSING_BEATS * self.beat_pause_s)
+        return max(FRESH_S, _MAX_MISSED_HEARTBEATS * self.heartbeat_interval_s)
 
     def has_ended(self, name: str, boot: int) -> bool:
         """Return whether a later start of an instance than `boot` is known."""
         if name == self._own.name:
             return boot < self._own.boot
         known = self._members.get(name)
-        return known is not None and boot < known.told.boot
+        return known is not None and boot < known.identity.boot
 
     def find_data_centre(self, peer_address: str) -> str | None:
         """Return where the instance at a peer address stands, `None` if unknown."""
         if self._centres is None:
             self._centres = {}
             for member in self._members.values():
-                told = member.told
-                self._centres.setdefault(told.peer_address, told.data_centre)
+                identity = member.identity
+                self._centres.setdefault(identity.peer_address, identity.data_centre)
         return self._centres.get(peer_address)
 
     def list_nodes(self, *, now: float) -> list[Node]:
         """Return all others as far as links are concerned."""
-        fresh = {member.told.name for member in self.list_fresh(now=now)}
+        fresh = {member.identity.name for member in self.list_fresh(now=now)}
         return [
             Node(
                 name=name,
-                data_centre=member.told.data_centre,
+                data_centre=member.identity.data_centre,
                 is_alive=name in fresh and not member.state.is_leaving,
             )
             for name, member in self._members.items()
@@ -248,7 +242,7 @@
             self.list_nodes(now=now),
             turn=int(now / TURN_S),
         )
-        return frozenset(self._members[name].told.peer_address for name in names)
+        return frozenset(self._members[name].identity.peer_address for name in names)
 
     def is_hub(self, *, may_be_hub: bool, now: float) -> bool:
         """Return whether this instance tells other data centres of its own."""
@@ -273,12 +267,12 @@
         return any(
             member.sees_slow_streams
             for member in self.list_fresh(now=now)
-            if member.told.data_centre == self._own.data_centre
+            if member.identity.data_centre == self._own.data_centre
         )
 
     def list_data_centres(self) -> frozenset[str]:
         """Return the data centres of the other instances."""
-        return frozenset(m.told.data_centre for m in self._members.values())
+        return frozenset(m.identity.data_centre for m in self._members.values())
 
     def forget_silent(self, *, now: float) -> None:
         """Drop instances that were silent for long."""
@@ -295,12 +289,12 @@
     def list_fresh(self, *, now: float) -> list[Member]:
         """Return those that were heard lately."""
         direct_s = self.fresh_s
-        told_s = direct_s + _HUB_WORDS * CENTRE_NEWS_S
+        indirect_s = direct_s + _HUB_HOPS * DATA_CENTRE_REPORT_INTERVAL_S
         return [
             member
             for member in self._members.values()
             if member.state is not None
-            and now - member.heard_at <= (direct_s if member.is_direct else told_s)
+            and now - member.heard_at <= (direct_s if member.is_direct else indirect_s)
         ]
 
     def list_ready(self, *, now: float) -> list[Member]:
@@ -313,12 +307,12 @@
         return 1 + len(self.list_fresh(now=now))
 
 
-def _tell_member(member: Member, *, is_fresh: bool, now: float) -> InstanceTold:
+def _report_member(member: Member, *, is_fresh: bool, now: float) -> InstanceReport:
     state = member.state
     is_alive = is_fresh and state is not None
-    return InstanceTold(
-        name=member.told.name,
-        boot=member.told.boot,
+    return InstanceReport(
+        name=member.identity.name,
+        boot=member.identity.boot,
         age_ms=max(0, int((now - member.noted_at) * 1000)),
         is_alive=is_alive,
         is_ready=is_alive and state.is_ready,
--- a/packages/router/fulmarward_router/mesh/_messages.py
+++ b/packages/router/fulmarward_router/mesh/_messages.py
@@ -4,7 +4,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class MemberTold:
+class InstanceIdentity:
     """An instance as others should know it."""
 
     #: Name, and when its process started in ms since 1970.
@@ -17,7 +17,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class LoadTold:
+class LoadReport:
     """What the sender's requests take at one target."""
 
     target: str
@@ -28,7 +28,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class LossTold:
+class FailureReport:
     """A target that did not answer the sender."""
 
     target: str
@@ -37,7 +37,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class PaceTold:
+class PaceReport:
     """A target that is slow."""
 
     target: str
@@ -48,10 +48,10 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class Beat:
+class Heartbeat:
     """A heartbeat: how the sender is, what it knows, and what it takes."""
 
-    sender: MemberTold
+    sender: InstanceIdentity
     #: Whether it may be given to callers.
     is_ready: bool
     #: Whether it is stopping.
@@ -66,18 +66,18 @@
     #: Whether the store answers it.
     is_store_reachable: bool
     #: Its load, by target.
-    loads: tuple[LoadTold, ...]
+    loads: tuple[LoadReport, ...]
     #: Targets that it lost.
-    losses: tuple[LossTold, ...]
+    losses: tuple[FailureReport, ...]
     #: Targets that it believes to be leaving: they refuse although they have room.
     refusing: tuple[str, ...]
     #: Whether streams there look as if a target were slow, and which are.
     sees_slow_streams: bool
-    paces: tuple[PaceTold, ...]
+    paces: tuple[PaceReport, ...]
 
 
 @dataclass(frozen=True, kw_only=True)
-class InstanceTold:
+class InstanceReport:
     """What the sender last heard of another instance."""
 
     #: Name, and when its process started in ms since 1970.
@@ -94,44 +94,44 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class DataCentreNews:
+class DataCentreReport:
     """The instances of a data centre and what they take, told by a hub."""
 
     #: Name of the data centre.
     data_centre: str
     #: Its instances.
-    instances: tuple[InstanceTold, ...]
+    instances: tuple[InstanceReport, ...]
     #: Load of all of them together, by target.
-    loads: tuple[LoadTold, ...]
+    loads: tuple[LoadReport, ...]
     #: Slow targets there.
-    paces: tuple[PaceTold, ...]
+    paces: tuple[PaceReport, ...]
 
 
 @dataclass(frozen=True, kw_only=True)
-class AskInstances:
-    """Ask for all instances that are known; answered by `Introduce`."""
+class FetchInstances:
+    """Ask for all instances that are known; answered by `Introduction`."""
 
 
 @dataclass(frozen=True, kw_only=True)
-class Introduce:
+class Introduction:
     """The sender, and the instances that it tells of; first message on a link."""
 
-    sender: MemberTold
-    known: tuple[MemberTold, ...]
+    sender: InstanceIdentity
+    known: tuple[InstanceIdentity, ...]
 
 
 @dataclass(frozen=True, kw_only=True)
-class AskConfiguration:
+class FetchConfiguration:
     """Ask for the configuration if it is newer than the sender's.
 
-    For peers that have not said that they understand `AskPackedConfiguration`.
+    For peers that have not said that they understand `FetchCompressedConfiguration`.
     """
 
     version: int
 
 
 @dataclass(frozen=True, kw_only=True)
-class RowTold:
+class RowSnapshot:
     """A row of the store as it was read there."""
 
     key: str
@@ -141,15 +141,15 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class ConfigurationNews:
+class ConfigurationSnapshot:
     """The row that holds the configuration."""
 
-    row: RowTold
+    row: RowSnapshot
 
 
 @dataclass(frozen=True, kw_only=True)
-class UnderstandsPacked:
-    """The sender understands `AskPackedConfiguration`; told on each link it dials."""
+class SupportsCompression:
+    """The sender accepts compressed configurations; sent on each link it dials."""
 
     #: Name of the sender, and when its process started in ms since 1970.
     sender: str
@@ -157,7 +157,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class AskPackedConfiguration:
+class FetchCompressedConfiguration:
     """Ask for the configuration, packed, if it is newer than the sender's."""
 
     #: Name of who asks.
@@ -166,8 +166,8 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class PackedConfigurationNews:
-    """The row that holds the configuration; answered by `ConfigurationHeard`."""
+class CompressedConfiguration:
+    """The row that holds the configuration; answered by `ConfigurationReceived`."""
 
     key: str
     version: int
@@ -176,7 +176,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class ConfigurationHeard:
+class ConfigurationReceived:
     """The row has come here, whether or not it can be read."""
 
     sender: str
@@ -190,38 +190,38 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class AskTargets:
+class FetchTargets:
     """Ask for the targets' rows changed since a version of the store."""
 
     after: int
 
 
 @dataclass(frozen=True, kw_only=True)
-class TargetsNews:
+class TargetChanges:
     """Rows of targets changed between two versions of the store."""
 
     after: int
     version: int
     #: Milliseconds since the store confirmed that version.
     age_ms: int
-    rows: tuple[RowTold, ...]
+    rows: tuple[RowSnapshot, ...]
 
 
 #: All messages; a message's number is its place. A kind keeps its number and its
 #: fields: instances of other code read it while they are replaced one by one. What
 #: changes is a new kind at the end, which older code leaves unread.
 MESSAGES = (
-    Beat,
-    Introduce,
-    AskConfiguration,
-    ConfigurationNews,
-    AskTargets,
-    TargetsNews,
-    DataCentreNews,
-    AskInstances,
-    ConfigurationHeard,
+    Heartbeat,
+    Introduction,
+    FetchConfiguration,
+    ConfigurationSnapshot,
+    FetchTargets,
+    TargetChanges,
+    DataCentreReport,
+    FetchInstances,
+    ConfigurationReceived,
     ConfigurationDeferred,
-    AskPackedConfiguration,
-    PackedConfigurationNews,
-    UnderstandsPacked,
+    FetchCompressedConfiguration,
+    CompressedConfiguration,
+    SupportsCompression,
 )
--- a/packages/router/fulmarward_router/mesh/tests/test_dialled.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_dialled.py
@@ -8,14 +8,14 @@
 from websockets.exceptions import ConnectionClosedError
 
 from fulmarward_router.mesh import (
-    Beat,
+    Heartbeat,
     MemberTable,
     Mesh,
-    UnderstandsPacked,
+    SupportsCompression,
     decode_message,
 )
-from fulmarward_router.mesh._messages import AskInstances, Introduce
-from fulmarward_router.mesh.tests.test_members import make_beat
+from fulmarward_router.mesh._messages import FetchInstances, Introduction
+from fulmarward_router.mesh.tests.test_members import make_heartbeat
 
 
 class DialledLinkTest(unittest.IsolatedAsyncioTestCase):
@@ -31,15 +31,15 @@
         with contextlib.suppress(ConnectionClosedError):
             async for data in link:
                 self.heard.append(decode_message(data))
-                if isinstance(self.heard[-1], Beat):
+                if isinstance(self.heard[-1], Heartbeat):
                     self.has_beat.set()
 
     async def test_peer_knows_what_it_may_ask_before_it_hears_of_a_version(self):
         # A question that this instance understands worse, an unpacked row, would go
         # out for the first heartbeat of each new link.
-        own = make_beat("own").sender
+        own = make_heartbeat("own").sender
         news = mock.Mock()
-        news.make_beat.return_value = make_beat("own")
+        news.make_heartbeat.return_value = make_heartbeat("own")
         mesh = Mesh(
             own=own,
             members=MemberTable(own=own),
@@ -53,7 +53,9 @@
             await self.has_beat.wait()
         await mesh.close()
         kinds = [type(message) for message in self.heard[:4]]
-        self.assertEqual(kinds, [Introduce, UnderstandsPacked, AskInstances, Beat])
         self.assertEqual(
-            self.heard[1], UnderstandsPacked(sender=own.name, boot=own.boot)
+            kinds, [Introduction, SupportsCompression, FetchInstances, Heartbeat]
+        )
+        self.assertEqual(
+            self.heard[1], SupportsCompression(sender=own.name, boot=own.boot)
         )
--- a/packages/router/fulmarward_router/mesh/tests/test_links.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_links.py
@@ -4,21 +4,21 @@
 from websockets.exceptions import ConnectionClosedError
 
 from fulmarward_router.mesh import (
-    AskPackedConfiguration,
+    CompressedConfiguration,
     ConfigurationDeferred,
-    ConfigurationHeard,
-    ConfigurationNews,
+    ConfigurationReceived,
+    ConfigurationSnapshot,
+    FetchCompressedConfiguration,
     MemberTable,
     Mesh,
-    PackedConfigurationNews,
-    RowTold,
-    UnderstandsPacked,
+    RowSnapshot,
+    SupportsCompression,
     decode_message,
     encode_message,
 )
-from fulmarward_router.mesh.tests.test_members import make_beat
+from fulmarward_router.mesh.tests.test_members import make_heartbeat
 
-_ROW = PackedConfigurationNews(key="config", version=4, packed=b"x")
+_ROW = CompressedConfiguration(key="config", version=4, packed=b"x")
 
 
 class _Link:
@@ -53,22 +53,22 @@
     def __init__(self, steps):
         self._steps = steps
 
-    def take_beat(self, beat):
-        return [AskPackedConfiguration(sender="own", version=0)]
+    def merge_heartbeat(self, heartbeat):
+        return [FetchCompressedConfiguration(sender="own", version=0)]
 
     def answer(self, question):
         return ConfigurationDeferred(sender="own")
 
-    def take_news(self, news):
+    def merge_snapshot(self, news):
         self._steps.append(("taken", news))
 
-    def take_deferred(self, told):
+    def note_deferred(self, told):
         self._steps.append(("taken", told))
 
-    def take_understands_packed(self, told):
+    def note_supports_compression(self, told):
         self._steps.append(("taken", told))
 
-    def take_heard(self, told):
+    def note_received(self, told):
         self._steps.append(("taken", told))
 
     def note_link_lost(self, peer):
@@ -77,7 +77,7 @@
 
 class AcceptedLinkTest(unittest.IsolatedAsyncioTestCase):
     async def _accept(self, *messages, is_broken=False, send_error=None):
-        own = make_beat("own").sender
+        own = make_heartbeat("own").sender
         steps = []
         mesh = Mesh(
             own=own,
@@ -93,13 +93,13 @@
     async def test_row_is_acknowledged_before_it_is_read(self):
         # Reading thousands of routes takes a while, in which the teller could tell the
         # next peer.
-        heard = ConfigurationHeard(sender="own")
+        heard = ConfigurationReceived(sender="own")
         self.assertEqual(await self._accept(_ROW), [heard, ("taken", _ROW)])
 
     async def test_row_of_the_code_before_is_taken_in_without_a_receipt(self):
         # Its sender does not know the receipt.
-        told = RowTold(key="config", version=4, value=b"x")
-        news = ConfigurationNews(row=told)
+        told = RowSnapshot(key="config", version=4, value=b"x")
+        news = ConfigurationSnapshot(row=told)
         self.assertEqual(await self._accept(news), [("taken", news)])
 
     async def test_row_is_taken_in_though_its_receipt_finds_no_way_out(self):
@@ -114,22 +114,22 @@
     async def test_what_peers_say_of_a_row_on_its_way_is_taken_in(self):
         for message in (
             ConfigurationDeferred(sender="peer"),
-            ConfigurationHeard(sender="peer"),
-            UnderstandsPacked(sender="peer", boot=1),
+            ConfigurationReceived(sender="peer"),
+            SupportsCompression(sender="peer", boot=1),
         ):
             with self.subTest(message):
                 self.assertEqual(await self._accept(message), [("taken", message)])
 
     async def test_peer_that_asks_while_others_are_told_is_answered_at_once(self):
-        question = AskPackedConfiguration(sender="peer", version=0)
+        question = FetchCompressedConfiguration(sender="peer", version=0)
         deferred = ConfigurationDeferred(sender="own")
         self.assertEqual(await self._accept(question), [deferred])
 
     async def test_question_does_not_outlive_its_link(self):
         # The peer that was asked is killed, or ends a link that it does not need any
         # more; without this the next peer would be asked a second later.
-        asked = AskPackedConfiguration(sender="own", version=0)
+        asked = FetchCompressedConfiguration(sender="own", version=0)
         for is_broken in (False, True):
             with self.subTest(is_broken):
-                steps = await self._accept(make_beat(), is_broken=is_broken)
+                steps = await self._accept(make_heartbeat(), is_broken=is_broken)
                 self.assertEqual(steps, [asked, ("lost", "peer")])
--- a/packages/router/fulmarward_router/mesh/tests/test_waits.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_waits.py
@@ -4,12 +4,12 @@
 
 from fulmarward_router.mesh import MemberTable, Mesh
 from fulmarward_router.mesh._links import _wait_first
-from fulmarward_router.mesh.tests.test_members import make_beat
+from fulmarward_router.mesh.tests.test_members import make_heartbeat
 
 
 class BetweenHeartbeatsTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
-        own = make_beat("own").sender
+        own = make_heartbeat("own").sender
         self.mesh = Mesh(
             own=own,
             members=MemberTable(own=own),
--- a/packages/router/fulmarward_router/placement/tests/test_placer.py
+++ b/packages/router/fulmarward_router/placement/tests/test_placer.py
@@ -290,7 +290,7 @@
     def test_targets_that_leave_unseen_are_replaced(self):
         def beat(instance):
             now = instance.read_clock()
-            instance.table.refusals.take_told(["a-small-0"], now=now)
+            instance.table.refusals.merge_reports(["a-small-0"], now=now)
 
         ordered = [order[1] for order in _run(_TIGHT, beat).list_orders()]
         self.assertEqual(ordered, ["a-middle-0", "a-middle-1"])
@@ -303,7 +303,7 @@
         told = [name for name in names if "middle" not in name]
 
         def beat(instance):
-            instance.table.refusals.take_told(told, now=instance.read_clock())
+            instance.table.refusals.merge_reports(told, now=instance.read_clock())
 
         self.assertGreater(len(told), len(names) / 2)
         self.assertEqual(_run(_TIGHT, beat).list_orders(), [])
--- a/packages/router/fulmarward_router/state/_instances.py
+++ b/packages/router/fulmarward_router/state/_instances.py
@@ -7,7 +7,7 @@
 import cbor2
 
 from fulmarward.observability import log_event
-from fulmarward_router.mesh import MemberTable, MemberTold
+from fulmarward_router.mesh import InstanceIdentity, MemberTable
 from fulmarward_router.ports import ReplyLost, RowWrite, Store, StoreRefused
 
 #: The table with a row for each instance.
@@ -32,7 +32,7 @@
         self,
         *,
         store: Store,
-        own: MemberTold,
+        own: InstanceIdentity,
         members: MemberTable,
         read_clock: Callable[[], float],
     ) -> None:
@@ -56,9 +56,9 @@
                 log_event("instances_not_read", cause=repr(error))
                 await _sleep_about(RETRY_S)
                 continue
-            told = [_decode_instance(row.value) for row in read.rows]
+            identities = [_decode_instance(row.value) for row in read.rows]
             now = self._read_clock()
-            self._members.take_told([item for item in told if item], now=now)
+            self._members.merge_members([item for item in identities if item], now=now)
             await _sleep_about(READ_S)
 
     async def withdraw(self) -> None:
@@ -74,7 +74,7 @@
     await asyncio.sleep(seconds * random.uniform(1 - _SPREAD, 1 + _SPREAD))
 
 
-def _encode_instance(own: MemberTold) -> bytes:
+def _encode_instance(own: InstanceIdentity) -> bytes:
     fields = [
         own.name,
         own.boot,
@@ -85,14 +85,14 @@
     return cbor2.dumps(fields)
 
 
-def _decode_instance(value: bytes | None) -> MemberTold | None:
+def _decode_instance(value: bytes | None) -> InstanceIdentity | None:
     """Return the instance in a row, `None` if it cannot be read."""
     try:
         name, boot, data_centre, peer_address, caller_address = cbor2.loads(value)
     except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
         log_event("instance_row_wrong", cause=repr(error))
         return None
-    return MemberTold(
+    return InstanceIdentity(
         name=name,
         boot=boot,
         data_centre=data_centre,
--- a/packages/router/fulmarward_router/state/_news.py
+++ b/packages/router/fulmarward_router/state/_news.py
@@ -7,35 +7,35 @@
 from fulmarward_core.loads import LoadLedger, TargetLoad
 from fulmarward_core.paces import PaceTable
 from fulmarward_core.spread import (
-    GivenUp,
-    OpenQuestion,
-    Tellings,
+    FetchTimeout,
+    PendingFetch,
+    TransferLimiter,
     pack_value,
     unpack_value,
 )
 from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_router.mesh import (
     Answer,
-    AskConfiguration,
-    AskPackedConfiguration,
-    AskTargets,
-    Beat,
+    CompressedConfiguration,
     ConfigurationDeferred,
-    ConfigurationHeard,
-    ConfigurationNews,
-    DataCentreNews,
-    InstanceTold,
-    LoadTold,
-    LossTold,
+    ConfigurationReceived,
+    ConfigurationSnapshot,
+    DataCentreReport,
+    FailureReport,
+    Fetch,
+    FetchCompressedConfiguration,
+    FetchConfiguration,
+    FetchTargets,
+    Heartbeat,
+    InstanceIdentity,
+    InstanceReport,
+    LoadReport,
     MemberTable,
-    MemberTold,
-    News,
-    PaceTold,
-    PackedConfigurationNews,
-    Question,
-    RowTold,
-    TargetsNews,
-    UnderstandsPacked,
+    PaceReport,
+    RowSnapshot,
+    Snapshot,
+    SupportsCompression,
+    TargetChanges,
 )
 from fulmarward_router.ports import Row
 from fulmarward_router.state._configuration import ConfigurationHolder
@@ -43,19 +43,19 @@
 #: Seconds between two questions for targets' rows. Load: versions rise with each row
 #: that any target writes, so that every peer seems to know more; harm: a question for
 #: each heartbeat of each of them; reason: less than a reading's pause.
-ASK_PAUSE_S = 0.2
+FETCH_INTERVAL_S = 0.2
 
 #: Age in ms that says "never".
 _NEVER_MS = -1
 
 
 class Knowledge:
-    """Implements `mesh.MeshNews` on what this instance believes."""
+    """Implements `mesh.MeshState` on what this instance believes."""
 
     def __init__(
         self,
         *,
-        own: MemberTold,
+        own: InstanceIdentity,
         members: MemberTable,
         configuration: ConfigurationHolder,
         catalogue: TargetCatalogue,
@@ -69,7 +69,7 @@
         is_leaving: Callable[[], bool],
         is_store_reachable: Callable[[], bool],
         note_change: Callable[[], None],
-        note_news: Callable[[list[KnownRow]], None],
+        note_targets: Callable[[list[KnownRow]], None],
     ) -> None:
         self._own = own
         self._members = members
@@ -85,26 +85,26 @@
         self._is_leaving = is_leaving
         self._is_store_reachable = is_store_reachable
         self._note_change = note_change
-        self._note_news = note_news
-        self._asked_at = float("-inf")
-        self._question = OpenQuestion()
-        self._tellings = Tellings()
-        #: When the process of a name started that understands `AskPackedConfiguration`.
-        self._understand_packed: dict[str, int] = {}
-        #: Rows told to peers that have not said who asks.
-        self._told_unpacked = 0
+        self._note_news = note_targets
+        self._fetched_at = float("-inf")
+        self._fetch = PendingFetch()
+        self._transfers = TransferLimiter()
+        #: Start time (ms since 1970) of each peer that accepts compressed ones.
+        self._supports_compression: dict[str, int] = {}
+        #: Plain rows sent to peers that have not said who they are.
+        self._plain_transfers = 0
         #: The row in force as it travels, once a peer has asked for it.
         self._packed: tuple[Row, bytes | None] | None = None
 
-    def make_beat(self, *, has_loads: bool = True) -> Beat:
+    def make_heartbeat(self, *, has_loads: bool = True) -> Heartbeat:
         """Return this instance's heartbeat, with its load or without."""
         now = self._read_clock()
-        loads = _tell_loads(self._ledger.list_own() if has_loads else {})
+        loads = _report_loads(self._ledger.list_own() if has_loads else {})
         losses = tuple(
-            LossTold(target=item.target, for_ms=int((item.until - now) * 1000))
+            FailureReport(target=item.target, for_ms=int((item.until - now) * 1000))
             for item in self._suspicions.list_lost(now=now)
         )
-        return Beat(
+        return Heartbeat(
             sender=self._own,
             is_ready=self._is_ready(),
             is_leaving=self._is_leaving(),
@@ -117,12 +117,12 @@
             losses=losses,
             refusing=tuple(self._suspicions.refusals.list_own(now=now)),
             sees_slow_streams=self._sees_slow_streams(),
-            paces=self._tell_paces(now),
+            paces=self._report_paces(now),
         )
 
-    def _tell_paces(self, now: float) -> tuple[PaceTold, ...]:
+    def _report_paces(self, now: float) -> tuple[PaceReport, ...]:
         return tuple(
-            PaceTold(
+            PaceReport(
                 target=name,
                 percent=int(pace.factor * 100),
                 age_ms=max(0, _count_ms(pace.at, now)),
@@ -130,14 +130,14 @@
             for name, pace in self._paces.list_slow(now=now).items()
         )
 
-    def _take_paces(self, paces: Iterable[PaceTold], now: float) -> None:
-        for told in paces:
-            at = now - told.age_ms / 1000
-            if self._paces.note(told.target, told.percent / 100, at=at):
+    def _merge_paces(self, paces: Iterable[PaceReport], now: float) -> None:
+        for report in paces:
+            at = now - report.age_ms / 1000
+            if self._paces.note(report.target, report.percent / 100, at=at):
                 log_event(
                     "pace_changed",
-                    target=told.target,
-                    pace=told.percent / 100,
+                    target=report.target,
+                    pace=report.percent / 100,
                     source="peer",
                 )
 
@@ -152,7 +152,7 @@
             return False
         fresh = self._members.list_fresh(now=self._read_clock())
         names = [
-            member.told.name
+            member.identity.name
             for member in fresh
             if not member.state.is_leaving and member.state.is_store_reachable
         ]
@@ -171,80 +171,87 @@
             return False
         return not any(member.state.is_store_reachable for member in fresh)
 
-    def take_beat(self, beat: Beat) -> list[Question]:
+    def merge_heartbeat(self, heartbeat: Heartbeat) -> list[Fetch]:
         """Take in a peer's heartbeat; return what to ask it for."""
         now = self._read_clock()
-        self._ledger.take_told(beat.sender.name, _read_loads(beat.loads), now=now)
-        for loss in beat.losses:
+        self._ledger.merge_report(
+            heartbeat.sender.name, _read_loads(heartbeat.loads), now=now
+        )
+        for loss in heartbeat.losses:
             if self._suspicions.note_told(
                 loss.target, for_s=loss.for_ms / 1000, now=now
             ):
-                log_event("target_lost", target=loss.target, source=beat.sender.name)
-        self._suspicions.refusals.take_told(beat.refusing, now=now)
-        self._take_paces(beat.paces, now)
-        questions: list[Question] = []
+                log_event(
+                    "target_lost", target=loss.target, source=heartbeat.sender.name
+                )
+        self._suspicions.refusals.merge_reports(heartbeat.refusing, now=now)
+        self._merge_paces(heartbeat.paces, now)
+        questions: list[Fetch] = []
         own = self._configuration.version
-        if beat.configuration_version > own:
-            if self._must_ask(beat, now):
-                questions.append(self._make_question(beat.sender, own))
-        elif beat.configuration_version == own and beat.configuration_age_ms >= 0:
-            at = now - beat.configuration_age_ms / 1000
+        if heartbeat.configuration_version > own:
+            if self._must_fetch(heartbeat, now):
+                questions.append(self._make_fetch(heartbeat.sender, own))
+        elif (
+            heartbeat.configuration_version == own
+            and heartbeat.configuration_age_ms >= 0
+        ):
+            at = now - heartbeat.configuration_age_ms / 1000
             holder = self._configuration
             holder.confirmed_at = max(holder.confirmed_at, at)
-        if beat.targets_version > self._catalogue.version:
-            if now - self._asked_at < ASK_PAUSE_S:
+        if heartbeat.targets_version > self._catalogue.version:
+            if now - self._fetched_at < FETCH_INTERVAL_S:
                 return questions
-            self._asked_at = now
-            questions.append(AskTargets(after=self._catalogue.version))
-        elif beat.targets_age_ms >= 0:
-            at = now - beat.targets_age_ms / 1000
-            if beat.targets_version == self._catalogue.version:
-                self._catalogue.confirm(beat.targets_version, at=at)
+            self._fetched_at = now
+            questions.append(FetchTargets(after=self._catalogue.version))
+        elif heartbeat.targets_age_ms >= 0:
+            at = now - heartbeat.targets_age_ms / 1000
+            if heartbeat.targets_version == self._catalogue.version:
+                self._catalogue.confirm(heartbeat.targets_version, at=at)
         return questions
 
-    def _make_question(self, peer: MemberTold, version: int) -> Question:
+    def _make_fetch(self, peer: InstanceIdentity, version: int) -> Fetch:
         """Return the question for the configuration that a peer understands."""
-        if self._understand_packed.get(peer.name) == peer.boot:
-            return AskPackedConfiguration(sender=self._own.name, version=version)
-        return AskConfiguration(version=version)
+        if self._supports_compression.get(peer.name) == peer.boot:
+            return FetchCompressedConfiguration(sender=self._own.name, version=version)
+        return FetchConfiguration(version=version)
 
-    def take_understands_packed(self, told: UnderstandsPacked) -> None:
+    def note_supports_compression(self, message: SupportsCompression) -> None:
         """Take in that a peer may be asked for the packed configuration."""
-        self._understand_packed[told.sender] = told.boot
+        self._supports_compression[message.sender] = message.boot
 
-    def _must_ask(self, beat: Beat, now: float) -> bool:
+    def _must_fetch(self, heartbeat: Heartbeat, now: float) -> bool:
         """Return whether to ask the sender for the newer version that it tells of."""
-        peer, own = beat.sender.name, self._configuration.version
-        _log_given_up(
-            self._question.give_up(known=own, now=now), cause="no newer version came"
+        peer, own = heartbeat.sender.name, self._configuration.version
+        _log_fetch_timeout(
+            self._fetch.give_up(known=own, now=now), cause="no newer version came"
         )
-        if not self._question.ask(peer, known=own, now=now):
+        if not self._fetch.ask(peer, known=own, now=now):
             return False
         log_event(
-            "configuration_asked",
+            "configuration_requested",
             peer=peer,
-            version=beat.configuration_version,
+            version=heartbeat.configuration_version,
             known=own,
         )
         return True
 
-    def make_centre_news(self, data_centre: str) -> DataCentreNews:
+    def make_data_centre_report(self, data_centre: str) -> DataCentreReport:
         """Return what this instance, as a hub, tells of a data centre."""
         now = self._read_clock()
-        instances = self._members.tell_of(data_centre, now=now)
+        instances = self._members.report_members(data_centre, now=now)
         loads = self._ledger.find_centre_load(data_centre)
         if data_centre == self._own.data_centre:
-            instances = (*instances, self._tell_own())
+            instances = (*instances, self._report_own())
             loads = self._ledger.sum_nearby(now=now)
-        return DataCentreNews(
+        return DataCentreReport(
             data_centre=data_centre,
             instances=instances,
-            loads=_tell_loads(loads),
-            paces=self._tell_paces(now),
+            loads=_report_loads(loads),
+            paces=self._report_paces(now),
         )
 
-    def _tell_own(self) -> InstanceTold:
-        return InstanceTold(
+    def _report_own(self) -> InstanceReport:
+        return InstanceReport(
             name=self._own.name,
             boot=self._own.boot,
             age_ms=0,
@@ -254,47 +261,47 @@
             is_store_reachable=self._is_store_reachable(),
         )
 
-    def take_centre_news(self, news: DataCentreNews) -> None:
+    def merge_data_centre(self, news: DataCentreReport) -> None:
         """Take in the loads that a hub tells of."""
         if news.data_centre == self._own.data_centre:
             return
         now = self._read_clock()
         loads = _read_loads(news.loads)
         self._ledger.take_centre(news.data_centre, loads, now=now)
-        self._take_paces(news.paces, now)
+        self._merge_paces(news.paces, now)
 
-    def answer(self, question: Question) -> Answer | None:
+    def answer(self, question: Fetch) -> Answer | None:
         """Return the answer to a peer's question, `None` if there is none."""
-        if isinstance(question, AskPackedConfiguration):
-            return self._tell_packed(question)
-        if isinstance(question, AskConfiguration):
-            return self._tell_unpacked(question)
+        if isinstance(question, FetchCompressedConfiguration):
+            return self._send_compressed(question)
+        if isinstance(question, FetchConfiguration):
+            return self._send_plain(question)
         if not self._catalogue.knows_changes(after=question.after):
             return None
         rows = tuple(
-            RowTold(key=row.name, version=row.version, value=row.value)
+            RowSnapshot(key=row.name, version=row.version, value=row.value)
             for row in self._catalogue.list_rows(after=question.after)
         )
         now = self._read_clock()
-        return TargetsNews(
+        return TargetChanges(
             after=question.after,
             version=self._catalogue.version,
             age_ms=max(0, _count_ms(self._catalogue.confirmed_at, now)),
             rows=rows,
         )
 
-    def _tell_packed(self, question: AskPackedConfiguration) -> Answer | None:
+    def _send_compressed(self, question: FetchCompressedConfiguration) -> Answer | None:
         row = self._find_newer(question.version)
         if row is None:
             return None
         packed = self._pack(row)
         size = len(packed or b"")
-        if not self._tellings.begin(question.sender, size, now=self._read_clock()):
+        if not self._transfers.begin(question.sender, size, now=self._read_clock()):
             return ConfigurationDeferred(sender=self._own.name)
-        self._log_told(row, question.sender, known=question.version, packed=size)
-        return PackedConfigurationNews(key=row.key, version=row.version, packed=packed)
+        self._log_transfer(row, question.sender, known=question.version, packed=size)
+        return CompressedConfiguration(key=row.key, version=row.version, packed=packed)
 
-    def _tell_unpacked(self, question: AskConfiguration) -> Answer | None:
+    def _send_plain(self, question: FetchConfiguration) -> Answer | None:
         """Return the row as code reads it that understands no packed one.
 
         Such a peer says neither who it is nor that the row has come, and asks again
@@ -304,13 +311,13 @@
         if row is None:
             return None
         size = len(row.value or b"")
-        self._told_unpacked += 1
-        peer = f"unpacked {self._told_unpacked}"
-        if not self._tellings.begin(peer, size, now=self._read_clock()):
+        self._plain_transfers += 1
+        peer = f"unpacked {self._plain_transfers}"
+        if not self._transfers.begin(peer, size, now=self._read_clock()):
             return None
-        self._log_told(row, "", known=question.version, packed=size)
-        return ConfigurationNews(
-            row=RowTold(key=row.key, version=row.version, value=row.value)
+        self._log_transfer(row, "", known=question.version, packed=size)
+        return ConfigurationSnapshot(
+            row=RowSnapshot(key=row.key, version=row.version, value=row.value)
         )
 
     def _find_newer(self, version: int) -> Row | None:
@@ -319,9 +326,9 @@
             self._configuration.row if self._configuration.version > version else None
         )
 
-    def _log_told(self, row: Row, peer: str, *, known: int, packed: int) -> None:
+    def _log_transfer(self, row: Row, peer: str, *, known: int, packed: int) -> None:
         log_event(
-            "configuration_told",
+            "configuration_sent",
             peer=peer,
             version=self._configuration.version,
             known=known,
@@ -336,39 +343,39 @@
             self._packed = (row, packed)
         return self._packed[1]
 
-    def take_deferred(self, told: ConfigurationDeferred) -> None:
+    def note_deferred(self, message: ConfigurationDeferred) -> None:
         """Take in that a peer tells others first."""
-        self._question.note_deferred(told.sender, now=self._read_clock())
-        log_event("configuration_deferred", peer=told.sender)
+        self._fetch.note_deferred(message.sender, now=self._read_clock())
+        log_event("configuration_deferred", peer=message.sender)
 
-    def take_heard(self, told: ConfigurationHeard) -> None:
+    def note_received(self, message: ConfigurationReceived) -> None:
         """Take in that a row has come to a peer."""
-        self._tellings.end(told.sender)
+        self._transfers.end(message.sender)
 
     def note_link_lost(self, peer: str) -> None:
         """The link that a peer dialled has ended, and what was asked on it."""
-        self._tellings.end(peer)
-        given_up = self._question.note_lost(
+        self._transfers.end(peer)
+        given_up = self._fetch.note_lost(
             peer, known=self._configuration.version, now=self._read_clock()
         )
-        _log_given_up(given_up, cause="its link ended")
+        _log_fetch_timeout(given_up, cause="its link ended")
 
-    def take_news(self, news: News) -> None:
+    def merge_snapshot(self, news: Snapshot) -> None:
         """Take in what a peer answered."""
         now = self._read_clock()
-        if isinstance(news, PackedConfigurationNews):
-            self._take_packed(news, now)
+        if isinstance(news, CompressedConfiguration):
+            self._merge_compressed(news, now)
             return
-        if isinstance(news, ConfigurationNews):
-            told = news.row
-            row = Row(key=told.key, value=told.value, version=told.version)
-            self._take_configuration(row, now)
+        if isinstance(news, ConfigurationSnapshot):
+            snapshot = news.row
+            row = Row(key=snapshot.key, value=snapshot.value, version=snapshot.version)
+            self._merge_configuration(row, now)
             return
         rows = [
             self._decode_row(
-                Row(key=told.key, value=told.value, version=told.version), now=now
+                Row(key=item.key, value=item.value, version=item.version), now=now
             )
-            for told in news.rows
+            for item in news.rows
         ]
         # Rows changed before `after` may be missing here if this instance has since
         # fallen behind that version; then only the rows themselves are taken.
@@ -379,7 +386,7 @@
             self._catalogue.take_changes(rows, version, now=now, confirmed_at=at)
         )
 
-    def _take_packed(self, news: PackedConfigurationNews, now: float) -> None:
+    def _merge_compressed(self, news: CompressedConfiguration, now: float) -> None:
         """Put what a peer sent in force; wrong bytes change nothing."""
         try:
             value = None if news.packed is None else unpack_value(news.packed)
@@ -392,26 +399,26 @@
             )
             return
         row = Row(key=news.key, value=value, version=news.version)
-        self._take_configuration(row, now)
+        self._merge_configuration(row, now)
 
-    def _take_configuration(self, row: Row, now: float) -> None:
+    def _merge_configuration(self, row: Row, now: float) -> None:
         if self._configuration.take_row(row, source="peer", now=now):
             self._note_change()
 
 
-def _log_given_up(given_up: GivenUp | None, *, cause: str) -> None:
+def _log_fetch_timeout(given_up: FetchTimeout | None, *, cause: str) -> None:
     if given_up is not None:
         log_event(
-            "configuration_given_up",
+            "configuration_fetch_timed_out",
             peer=given_up.peer,
             after_s=round(given_up.after_s, 3),
             cause=cause,
         )
 
 
-def _tell_loads(loads: Mapping[str, TargetLoad]) -> tuple[LoadTold, ...]:
+def _report_loads(loads: Mapping[str, TargetLoad]) -> tuple[LoadReport, ...]:
     return tuple(
-        LoadTold(
+        LoadReport(
             target=target,
             kv=int(load.kv),
             running=load.running,
@@ -421,12 +428,12 @@
     )
 
 
-def _read_loads(told: Iterable[LoadTold]) -> dict[str, TargetLoad]:
+def _read_loads(reports: Iterable[LoadReport]) -> dict[str, TargetLoad]:
     return {
         item.target: TargetLoad(
             kv=item.kv, running=item.running, first_running=item.first_running
         )
-        for item in told
+        for item in reports
     }
 
 
--- a/packages/router/fulmarward_router/state/_watch.py
+++ b/packages/router/fulmarward_router/state/_watch.py
@@ -49,7 +49,7 @@
 
 #: Seconds before the store is tried again after it was out, growing to the most.
 RETRY_S = 0.15
-MOST_RETRY_S = 0.6
+MAX_RETRY_INTERVAL_S = 0.6
 
 
 class StoreWatch:
@@ -63,20 +63,20 @@
         catalogue: TargetCatalogue,
         read_clock: Callable[[], float],
         note_change: Callable[[], None],
-        note_news: Callable[[list[KnownRow]], None],
+        note_targets: Callable[[list[KnownRow]], None],
         is_among_first: Callable[[int], bool],
         is_large: Callable[[], bool],
-        read_beat_pause_s: Callable[[], float],
+        read_heartbeat_interval_s: Callable[[], float],
     ) -> None:
         self._store = store
         self._configuration = configuration
         self._catalogue = catalogue
         self._read_clock = read_clock
         self._note_change = note_change
-        self._note_news = note_news
+        self._note_news = note_targets
         self._is_among_first = is_among_first
         self._is_large = is_large
-        self._read_beat_pause_s = read_beat_pause_s
+        self._read_beat_pause_s = read_heartbeat_interval_s
         self._is_out: dict[str, bool] = {}
         #: Since when the store does not answer, `None` while it does.
         self.out_since: float | None = None
@@ -104,14 +104,14 @@
             except (StoreRefused, ReplyLost) as error:
                 self._note_out(table, error)
                 await asyncio.sleep(pause_s * random.uniform(0.7, 1.3))
-                pause_s = min(MOST_RETRY_S, pause_s * 2)
+                pause_s = min(MAX_RETRY_INTERVAL_S, pause_s * 2)
                 continue
             pause_s = RETRY_S
             self._note_in(table)
             version = read.version
-            self._take_configuration(read)
+            self._merge_configuration(read)
 
-    def _take_configuration(self, read: RowsRead) -> None:
+    def _merge_configuration(self, read: RowsRead) -> None:
         now = self._read_clock()
         self._configuration.confirmed_at = now
         taken = [
@@ -146,7 +146,7 @@
             except (StoreRefused, ReplyLost) as error:
                 self._note_out(self._store.targets_table, error)
                 await asyncio.sleep(pause_s * random.uniform(0.7, 1.3))
-                pause_s = min(MOST_RETRY_S, pause_s * 2)
+                pause_s = min(MAX_RETRY_INTERVAL_S, pause_s * 2)
                 continue
             pause_s = RETRY_S
             self._note_in(self._store.targets_table)
--- a/packages/router/fulmarward_router/tests/test_configuration_spread.py
+++ b/packages/router/fulmarward_router/tests/test_configuration_spread.py
@@ -4,13 +4,13 @@
 import unittest
 
 from fulmarward_router.mesh import (
-    AskPackedConfiguration,
-    AskTargets,
-    Beat,
+    CompressedConfiguration,
     ConfigurationDeferred,
-    ConfigurationHeard,
-    PackedConfigurationNews,
-    TargetsNews,
+    ConfigurationReceived,
+    FetchCompressedConfiguration,
+    FetchTargets,
+    Heartbeat,
+    TargetChanges,
     encode_message,
 )
 from fulmarward_router.ports import Row
@@ -151,10 +151,10 @@
         self._plan(self.now + _BEAT_S, self._beat_on, one)
 
     def _beat(self, one):
-        beat = self._wake(one).knowledge.make_beat()
-        size = len(encode_message(beat))
+        heartbeat = self._wake(one).knowledge.make_heartbeat()
+        size = len(encode_message(heartbeat))
         for other in self._links[one]:
-            self._send_sized(one, other, beat, size)
+            self._send_sized(one, other, heartbeat, size)
 
     def _send(self, one, other, message):
         self._send_sized(one, other, message, len(encode_message(message)))
@@ -186,24 +186,24 @@
 
     def _take(self, one, other, message):
         peer = self._wake(other)
-        if isinstance(message, Beat):
-            for question in peer.knowledge.take_beat(message):
+        if isinstance(message, Heartbeat):
+            for question in peer.knowledge.merge_heartbeat(message):
                 self._send(other, one, question)
-        elif isinstance(message, AskPackedConfiguration | AskTargets):
+        elif isinstance(message, FetchCompressedConfiguration | FetchTargets):
             answer = peer.knowledge.answer(message)
             if answer is not None:
                 self._send(other, one, answer)
-        elif isinstance(message, PackedConfigurationNews):
+        elif isinstance(message, CompressedConfiguration):
             name = f"i{other:03}"
-            self._send(other, one, ConfigurationHeard(sender=name))
-            peer.knowledge.take_news(message)
+            self._send(other, one, ConfigurationReceived(sender=name))
+            peer.knowledge.merge_snapshot(message)
             self._note(other)
-        elif isinstance(message, TargetsNews):
-            peer.knowledge.take_news(message)
+        elif isinstance(message, TargetChanges):
+            peer.knowledge.merge_snapshot(message)
         elif isinstance(message, ConfigurationDeferred):
-            peer.knowledge.take_deferred(message)
-        elif isinstance(message, ConfigurationHeard):
-            peer.knowledge.take_heard(message)
+            peer.knowledge.note_deferred(message)
+        elif isinstance(message, ConfigurationReceived):
+            peer.knowledge.note_received(message)
 
 
 class ConfigurationSpreadTest(unittest.TestCase):
--- a/packages/router/fulmarward_router/tests/test_knowledge.py
+++ b/packages/router/fulmarward_router/tests/test_knowledge.py
@@ -5,19 +5,19 @@
 from fulmarward_core.loads import LoadLedger
 from fulmarward_core.paces import PaceTable
 from fulmarward_core.spread import pack_value
-from fulmarward_core.spread._question import ASK_S
+from fulmarward_core.spread._fetch import ASK_S
 from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_router.mesh import (
-    AskPackedConfiguration,
-    AskTargets,
+    CompressedConfiguration,
     ConfigurationDeferred,
+    FetchCompressedConfiguration,
+    FetchTargets,
+    InstanceIdentity,
     MemberTable,
-    MemberTold,
-    PackedConfigurationNews,
-    TargetsNews,
-    UnderstandsPacked,
+    SupportsCompression,
+    TargetChanges,
 )
-from fulmarward_router.mesh.tests.test_members import make_beat
+from fulmarward_router.mesh.tests.test_members import make_heartbeat
 from fulmarward_router.ports import Row
 from fulmarward_router.state import ConfigurationHolder, Knowledge
 
@@ -39,13 +39,13 @@
         self.now = 100.0
         self.is_store_reachable = True
         self.is_leaving = False
-        self.members = MemberTable(own=make_beat(name).sender)
+        self.members = MemberTable(own=make_heartbeat(name).sender)
         self.configuration = ConfigurationHolder(decode=decode)
         self.catalogue = TargetCatalogue()
         self.suspicions = SuspicionTable()
         self.paces = PaceTable()
         self.knowledge = Knowledge(
-            own=MemberTold(
+            own=InstanceIdentity(
                 name=name,
                 boot=1,
                 data_centre="a",
@@ -65,7 +65,7 @@
             is_leaving=lambda: self.is_leaving,
             is_store_reachable=lambda: self.is_store_reachable,
             note_change=lambda: None,
-            note_news=lambda rows: None,
+            note_targets=lambda rows: None,
         )
 
     @staticmethod
@@ -80,22 +80,22 @@
 
     def meet(self, other):
         """Hear what another says of itself when it dials a link."""
-        sender = other.knowledge.make_beat().sender
-        told = UnderstandsPacked(sender=sender.name, boot=sender.boot)
-        self.knowledge.take_understands_packed(told)
+        sender = other.knowledge.make_heartbeat().sender
+        told = SupportsCompression(sender=sender.name, boot=sender.boot)
+        self.knowledge.note_supports_compression(told)
 
     def hear(self, other):
         """Take a heartbeat of another and ask what it makes this one ask."""
         self.meet(other)
-        beat = other.knowledge.make_beat()
-        self.members.take_beat(beat, now=self.now)
-        questions = self.knowledge.take_beat(beat)
+        heartbeat = other.knowledge.make_heartbeat()
+        self.members.merge_heartbeat(heartbeat, now=self.now)
+        questions = self.knowledge.merge_heartbeat(heartbeat)
         for question in questions:
             answer = other.knowledge.answer(question)
             if isinstance(answer, ConfigurationDeferred):
-                self.knowledge.take_deferred(answer)
+                self.knowledge.note_deferred(answer)
             elif answer is not None:
-                self.knowledge.take_news(answer)
+                self.knowledge.merge_snapshot(answer)
         return questions
 
 
@@ -125,15 +125,27 @@
         for peer in peers:
             peer.configuration.take_row(_make_row(4, b"7"), source="x", now=100.0)
             self.one.meet(peer)
-        beats = [peer.knowledge.make_beat() for peer in peers]
-        questions = [q for beat in beats for q in self.one.knowledge.take_beat(beat)]
-        asked = [AskPackedConfiguration(sender="one", version=0)]
+        heartbeats = [peer.knowledge.make_heartbeat() for peer in peers]
+        questions = [
+            q
+            for heartbeat in heartbeats
+            for q in self.one.knowledge.merge_heartbeat(heartbeat)
+        ]
+        asked = [FetchCompressedConfiguration(sender="one", version=0)]
         self.assertEqual(questions, asked)
         self.one.now += 0.25
-        again = [q for beat in beats for q in self.one.knowledge.take_beat(beat)]
+        again = [
+            q
+            for heartbeat in heartbeats
+            for q in self.one.knowledge.merge_heartbeat(heartbeat)
+        ]
         self.assertEqual(again, [])
         self.one.now += ASK_S
-        again = [q for beat in beats for q in self.one.knowledge.take_beat(beat)]
+        again = [
+            q
+            for heartbeat in heartbeats
+            for q in self.one.knowledge.merge_heartbeat(heartbeat)
+        ]
         self.assertEqual(again, asked)
 
     def test_peer_that_tells_others_is_passed_over_and_the_next_one_asked(self):
@@ -144,7 +156,7 @@
         for peer in (two, three):
             row = _make_row(4, b"7" + blanks)
             peer.configuration.take_row(row, source="x", now=100.0)
-        two.knowledge.answer(AskPackedConfiguration(sender="four", version=0))
+        two.knowledge.answer(FetchCompressedConfiguration(sender="four", version=0))
         self.assertEqual(len(self.one.hear(two)), 1)
         self.assertEqual(self.one.configuration.version, 0)
         self.assertEqual(self.one.hear(two), [])
@@ -153,24 +165,26 @@
 
     def test_question_ends_with_its_link_and_the_next_peer_is_asked(self):
         # The one that was asked is killed while its answer is on the way.
-        beats = []
+        heartbeats = []
         for name in ("two", "three"):
             peer = Peer(name)
             peer.configuration.take_row(_make_row(4, b"7"), source="x", now=100.0)
-            beats.append(peer.knowledge.make_beat())
-        take_beat = self.one.knowledge.take_beat
-        self.assertEqual([len(take_beat(beat)) for beat in beats], [1, 0])
+            heartbeats.append(peer.knowledge.make_heartbeat())
+        merge_heartbeat = self.one.knowledge.merge_heartbeat
+        self.assertEqual(
+            [len(merge_heartbeat(heartbeat)) for heartbeat in heartbeats], [1, 0]
+        )
         self.one.knowledge.note_link_lost("three")
-        self.assertEqual(take_beat(beats[1]), [])
+        self.assertEqual(merge_heartbeat(heartbeats[1]), [])
         self.one.knowledge.note_link_lost("two")
-        self.assertEqual(len(take_beat(beats[1])), 1)
+        self.assertEqual(len(merge_heartbeat(heartbeats[1])), 1)
 
     def test_damaged_configuration_changes_nothing(self):
         self.one.configuration.take_row(_make_row(4, b"7"), source="store", now=100.0)
         for packed in (b"", b"8", pack_value(b"8")[:-1], pack_value(b"no version")):
             with self.subTest(packed):
-                news = PackedConfigurationNews(key="config", version=9, packed=packed)
-                self.one.knowledge.take_news(news)
+                news = CompressedConfiguration(key="config", version=9, packed=packed)
+                self.one.knowledge.merge_snapshot(news)
                 self.assertEqual(self.one.configuration.version, 7)
                 self.assertEqual(self.one.configuration.row.value, b"7")
 
@@ -178,16 +192,18 @@
         self.one.configuration.take_row(_make_row(4, b"7"), source="store", now=100.0)
         self.two.configuration.take_row(_make_row(9, b"8"), source="store", now=100.0)
         self.assertEqual(self.two.hear(self.one), [])
-        self.two.knowledge.take_news(
-            self.one.knowledge.answer(AskPackedConfiguration(sender="two", version=0))
+        self.two.knowledge.merge_snapshot(
+            self.one.knowledge.answer(
+                FetchCompressedConfiguration(sender="two", version=0)
+            )
         )
         self.assertEqual(self.two.configuration.version, 8)
 
     def test_rows_since_a_version_not_known_here_do_not_pass_for_the_whole(self):
         # An answer to an older question comes late: what lies between is missing, and
         # the instance must not believe that it knows everything up to that version.
-        news = TargetsNews(after=50, version=60, age_ms=0, rows=())
-        self.two.knowledge.take_news(news)
+        news = TargetChanges(after=50, version=60, age_ms=0, rows=())
+        self.two.knowledge.merge_snapshot(news)
         self.assertEqual(self.two.catalogue.version, 0)
 
     def test_confirmation_is_passed_on_with_its_age(self):
@@ -202,7 +218,7 @@
         self.two.hear(self.one)
         self.assertTrue(self.two.suspicions.is_told("t", now=100.1))
         self.assertTrue(self.two.suspicions.is_suspect("t", now=100.1))
-        self.assertEqual(self.two.knowledge.make_beat().losses, ())
+        self.assertEqual(self.two.knowledge.make_heartbeat().losses, ())
 
     def test_slow_target_is_known_everywhere_with_the_age_of_its_report(self):
         self.one.paces.note("t", 12.0, at=99.0)
@@ -277,8 +293,8 @@
         self.assertEqual(self.one.catalogue.version, 9)
 
     def test_question_about_nothing_new_has_no_answer(self):
-        question = AskPackedConfiguration(sender="two", version=3)
+        question = FetchCompressedConfiguration(sender="two", version=3)
         self.assertIsNone(self.one.knowledge.answer(question))
-        answer = self.one.knowledge.answer(AskTargets(after=0))
+        answer = self.one.knowledge.answer(FetchTargets(after=0))
         self.assertEqual(answer.rows, ())
-        self.assertEqual(make_beat().is_store_reachable, True)
+        self.assertEqual(make_heartbeat().is_store_reachable, True)
--- a/packages/router/fulmarward_router/tests/test_rollout.py
+++ b/packages/router/fulmarward_router/tests/test_rollout.py
@@ -3,10 +3,10 @@
 
 import cbor2
 
-from fulmarward_core.spread._tellings import TELL_S
+from fulmarward_core.spread._transfers import TELL_S
 from fulmarward_router.mesh import (
-    AskConfiguration,
-    AskPackedConfiguration,
+    FetchCompressedConfiguration,
+    FetchConfiguration,
     decode_message,
     encode_message,
 )
@@ -36,10 +36,12 @@
         # until one of the same code, or the store, tells of the new version. The cause:
         # both messages had other fields under the numbers that they had before, and a
         # message with another number of fields is refused.
-        beat = self.two.knowledge.make_beat()
-        questions = [_encode_plain(q) for q in self.one.knowledge.take_beat(beat)]
+        heartbeat = self.two.knowledge.make_heartbeat()
+        questions = [
+            _encode_plain(q) for q in self.one.knowledge.merge_heartbeat(heartbeat)
+        ]
         self.assertEqual(questions, [_OLD_QUESTION])
-        self.one.knowledge.take_news(decode_message(cbor2.dumps(_OLD_NEWS)))
+        self.one.knowledge.merge_snapshot(decode_message(cbor2.dumps(_OLD_NEWS)))
         self.assertEqual(self.one.configuration.version, 7)
         question = decode_message(cbor2.dumps(_OLD_QUESTION))
         answer = self.two.knowledge.answer(question)
@@ -47,16 +49,18 @@
 
     def test_new_instances_tell_each_other_packed(self):
         self.one.meet(self.two)
-        beat = self.two.knowledge.make_beat()
-        asked = [AskPackedConfiguration(sender="one", version=0)]
-        self.assertEqual(self.one.knowledge.take_beat(beat), asked)
+        heartbeat = self.two.knowledge.make_heartbeat()
+        asked = [FetchCompressedConfiguration(sender="one", version=0)]
+        self.assertEqual(self.one.knowledge.merge_heartbeat(heartbeat), asked)
 
     def test_process_is_asked_as_it_understands_whatever_the_one_before_it_did(self):
         # A rollout is taken back: under the name of a new instance starts an old one.
         self.one.meet(self.two)
-        beat = self.two.knowledge.make_beat()
-        beat = replace(beat, sender=replace(beat.sender, boot=2))
-        questions = [_encode_plain(q) for q in self.one.knowledge.take_beat(beat)]
+        heartbeat = self.two.knowledge.make_heartbeat()
+        heartbeat = replace(heartbeat, sender=replace(heartbeat.sender, boot=2))
+        questions = [
+            _encode_plain(q) for q in self.one.knowledge.merge_heartbeat(heartbeat)
+        ]
         self.assertEqual(questions, [_OLD_QUESTION])
 
     def test_instances_of_the_code_before_fill_no_link(self):
@@ -64,7 +68,7 @@
         # those without an answer ask again, or somebody else, 0.2 s later.
         row = Row(key="config", version=5, value=b"8".rjust(80_000))
         self.two.configuration.take_row(row, source="store", now=100.0)
-        question = AskConfiguration(version=0)
+        question = FetchConfiguration(version=0)
         told = [self.two.knowledge.answer(question) for _ in range(9)]
         self.assertEqual(len([news for news in told if news is not None]), 1)
         self.two.now += TELL_S
