Metrics: processor time of each subsystem

Each task's steps are now added to the account of the subsystem that started it, and single activities within; shown as metrics and logged each 10 s (processor_time_measured).

--- a/packages/router/fulmarward_router/_metrics.py
+++ b/packages/router/fulmarward_router/_metrics.py
@@ -1,10 +1,12 @@
 """Counters and histograms of a routing instance."""
 
+import time
 from dataclasses import dataclass
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 
 from fulmarward.observability import count_dropped_lines, make_metric_maker
+from fulmarward_router._processor import ProcessorMeter
 from fulmarward_router.exchange import Work
 
 #: Bounds of the histograms, in seconds.
@@ -30,6 +32,11 @@
     #: Seconds to the first event and to the end, by `service`.
     first_event: Histogram
     whole: Histogram
+    #: Seconds for which a `subsystem` kept the loop busy, and an `activity` within it.
+    subsystem_time: Counter
+    activity_time: Counter
+    #: Processor time of the whole process, seconds.
+    process_time: Counter
     #: Configuration in force, targets known, log lines dropped.
     configuration: Gauge
     targets: Gauge
@@ -48,6 +55,13 @@
         peer_bytes=make.count("peer_bytes_total", "Bytes between instances."),
         first_event=make.histogram("first_event_seconds", "Time to the first event."),
         whole=make.histogram("request_seconds", "Time to the end of the answer."),
+        subsystem_time=make.count(
+            "subsystem_seconds_total", "Busy time of the loop, by subsystem."
+        ),
+        activity_time=make.count(
+            "activity_seconds_total", "Busy time of the loop, by activity."
+        ),
+        process_time=make.count("process_seconds_total", "Processor time used."),
         configuration=make.gauge("configuration_version", "Configuration in force."),
         targets=make.gauge("targets", "Targets known."),
         dropped_lines=make.gauge(
@@ -77,8 +91,15 @@
     metrics.whole.observe(labels, took_s)
 
 
-def refresh_gauges(metrics: RouterMetrics, *, version: int, targets: int) -> None:
-    """Set what is only looked at when it is read."""
+def refresh_metrics(
+    metrics: RouterMetrics, *, meter: ProcessorMeter, version: int, targets: int
+) -> None:
+    """Set what is only worked out when it is read."""
+    for subsystem, seconds in meter.subsystems.items():
+        metrics.subsystem_time.set({"subsystem": subsystem}, seconds)
+    for activity, seconds in meter.activities.items():
+        metrics.activity_time.set({"activity": activity}, seconds)
+    metrics.process_time.set({}, time.process_time())
     metrics.configuration.set({}, version)
     metrics.targets.set({}, targets)
     metrics.dropped_lines.set({}, count_dropped_lines())
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -4,7 +4,7 @@
 import logging
 import signal
 import time
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine, Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -26,7 +26,12 @@
 from fulmarward_router._metrics import (
     make_router_metrics,
     observe_request,
-    refresh_gauges,
+    refresh_metrics,
+)
+from fulmarward_router._processor import (
+    LOG_INTERVAL_S,
+    ProcessorMeter,
+    start_in_subsystem,
 )
 from fulmarward_router._status import describe_beliefs
 from fulmarward_router.exchange import (
@@ -40,7 +45,13 @@
     TargetClient,
     make_target_session,
 )
-from fulmarward_router.mesh import InstanceIdentity, MemberTable, Mesh
+from fulmarward_router.mesh import (
+    InstanceIdentity,
+    MemberTable,
+    Mesh,
+    decode_message,
+    encode_message,
+)
 from fulmarward_router.placement import LeaseKeeper, Placer
 from fulmarward_router.ports import (
     RouterSettings,
@@ -144,6 +155,7 @@
         self._has_failed = False
         self.life = Life()
         self.metrics = make_router_metrics()
+        self.meter = ProcessorMeter(read_clock=time.perf_counter)
         self.own = InstanceIdentity(
             name=settings.name,
             boot=int(time.time() * 1000),
@@ -164,7 +176,11 @@
             store_session, settings.store_address, self._count_call
         )
         self.dialect = parts.make_dialect(target_session, self._count_call)
-        self.configuration = ConfigurationHolder(decode=self.store.decode_configuration)
+        self.configuration = ConfigurationHolder(
+            decode=self.meter.measure(
+                "configuration_decoding", self.store.decode_configuration
+            )
+        )
         self.watch = StoreWatch(
             store=self.store,
             configuration=self.configuration,
@@ -199,6 +215,8 @@
             news=self.knowledge,
             read_clock=clock,
             count_bytes=self._count_bytes,
+            decode=self.meter.measure("message_decoding", decode_message),
+            encode=self.meter.measure("message_encoding", encode_message),
         )
         self.rows = InstanceRows(
             store=self.store,
@@ -323,10 +341,13 @@
         """Serve until told to stop; return whether a duty failed."""
         settings = self.settings
         log_event("started", boot=self.own.boot, first=settings.is_first_start)
+        self.meter.install(asyncio.get_running_loop())
         servers = await self._listen()
         peer_server = None
         if settings.peer_address:
-            peer_server = await self.mesh.listen(settings.peer_address)
+            peer_server = await start_in_subsystem(
+                "mesh", self.mesh.listen(settings.peer_address)
+            )
         duties = [
             self._start("configuration", self.watch.follow_configuration()),
             self._start("targets", self.watch.follow_targets()),
@@ -339,6 +360,7 @@
             self._start("losses", self.loss_watch.run()),
             self._start("readiness", self._become_ready()),
             self._start("settings", self._follow_settings()),
+            self._start("metrics", self._log_processor_time()),
         ]
         await self._signals.stop.wait()
         await self._stop()
@@ -359,8 +381,9 @@
         )
         operator = make_operator_handler(
             metrics=self.metrics,
-            refresh=lambda: refresh_gauges(
+            refresh=lambda: refresh_metrics(
                 self.metrics,
+                meter=self.meter,
                 version=self.configuration.version,
                 targets=len(self.catalogue.list_targets(now=self._clock())),
             ),
@@ -371,14 +394,17 @@
             read_idle_s=self.front.read_idle_s,
             most_header_bytes=MOST_HEADER_BYTES,
         )
+        ready = make_ready_handler(is_ready=self.is_ready)
         handlers = [
-            (settings.caller_address, front),
-            (settings.ready_address, make_ready_handler(is_ready=self.is_ready)),
-            (settings.lookup_address, lookup),
-            (settings.metrics_address, operator),
+            ("requests", settings.caller_address, front),
+            ("readiness", settings.ready_address, ready),
+            ("lookup", settings.lookup_address, lookup),
+            ("metrics", settings.metrics_address, operator),
         ]
         return [
-            await _serve(address, handler) for address, handler in handlers if address
+            await start_in_subsystem(subsystem, _serve(address, handler))
+            for subsystem, address, handler in handlers
+            if address
         ]
 
     def _list_addresses(self, data_centre: str) -> list[str]:
@@ -421,6 +447,16 @@
                 log_event("settings_read", is_told=is_told)
             self.settings = settings
 
+    async def _log_processor_time(self) -> None:
+        """Log now and then where the processor time goes, until cancelled."""
+        while True:
+            await asyncio.sleep(LOG_INTERVAL_S)
+            log_event(
+                "processor_time_measured",
+                subsystems=_round_values(self.meter.subsystems),
+                activities=_round_values(self.meter.activities),
+            )
+
     async def _stop(self) -> None:
         """Leave the lookup, serve what still comes, and end when nothing is open."""
         began_at = self._clock()
@@ -458,11 +494,15 @@
             self._has_failed = True
             self._signals.stop.set()
 
-        task = asyncio.create_task(duty, name=name)
+        task = start_in_subsystem(name, duty, name=name)
         task.add_done_callback(note_end)
         return task
 
 
+def _round_values(seconds: Mapping[str, float]) -> dict[str, float]:
+    return {name: round(value, 4) for name, value in seconds.items()}
+
+
 async def _serve(
     address: str, handler: web.Server | Callable[[web.BaseRequest], Awaitable]
 ) -> web.ServerRunner:
--- a/packages/router/fulmarward_router/mesh/_links.py
+++ b/packages/router/fulmarward_router/mesh/_links.py
@@ -121,12 +121,16 @@
         news: MeshState,
         read_clock: Callable[[], float],
         count_bytes: Callable[[str, int], None],
+        decode: Callable[[bytes], object] = decode_message,
+        encode: Callable[[object], bytes] = encode_message,
     ) -> None:
         self._own = own
         self._members = members
         self._news = news
         self._read_clock = read_clock
         self._count_bytes = count_bytes
+        self._decode = decode
+        self._encode = encode
         self._dialling: dict[str, asyncio.Task] = {}
         #: Ends the waits of all links, and is replaced by another one then.
         self._stirred = asyncio.get_running_loop().create_future()
@@ -258,7 +262,7 @@
         async for data in link:
             self._count_bytes("in", len(data))
             try:
-                message = decode_message(data)
+                message = self._decode(data)
             except MessageFault as error:
                 log_event("peer_message_wrong", cause=str(error))
                 continue
@@ -320,12 +324,12 @@
         now = self._read_clock()
         at, stirred, data = self._encoded.get(has_loads, (float("-inf"), None, b""))
         if now - at > REUSE_HEARTBEAT_S or stirred is not self._stirred:
-            data = encode_message(self._news.make_heartbeat(has_loads=has_loads))
+            data = self._encode(self._news.make_heartbeat(has_loads=has_loads))
             self._encoded[has_loads] = (now, self._stirred, data)
         return data
 
     async def _send(self, link: Connection, message: object) -> None:
-        await self._send_data(link, encode_message(message))
+        await self._send_data(link, self._encode(message))
 
     async def _send_data(self, link: Connection, data: bytes) -> None:
         self._count_bytes("out", len(data))
--- /dev/null
+++ b/packages/router/fulmarward_router/tests/test_processor.py
@@ -0,0 +1,64 @@
+import asyncio
+import unittest
+
+from fulmarward_router._processor import OTHER, ProcessorMeter, start_in_subsystem
+
+
+class _Clock:
+    """Time that passes only where a step spends it."""
+
+    def __init__(self):
+        self.now = 0.0
+
+    def __call__(self):
+        return self.now
+
+    def spend(self, seconds):
+        self.now += seconds
+
+
+class ProcessorMeterTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.clock = _Clock()
+        self.meter = ProcessorMeter(read_clock=self.clock)
+
+    async def _work(self, steps):
+        for seconds in steps:
+            self.clock.spend(seconds)
+            await asyncio.sleep(0)
+
+    async def test_steps_count_for_the_subsystem_that_started_them(self):
+        """Guards against a subsystem that takes the processor and is not named."""
+        self.meter.install(asyncio.get_running_loop())
+
+        async def start_another():
+            self.clock.spend(1.0)
+            await asyncio.create_task(self._work([2.0, 4.0]))
+
+        await start_in_subsystem("mesh", start_another())
+        await start_in_subsystem("requests", self._work([8.0]))
+        await asyncio.create_task(self._work([16.0]))
+        self.assertEqual(
+            dict(self.meter.subsystems), {"mesh": 7.0, "requests": 8.0, OTHER: 16.0}
+        )
+
+    async def test_cancelled_and_failed_tasks_end_as_without_a_meter(self):
+        """Guards against a meter that hides how a task ended."""
+        self.meter.install(asyncio.get_running_loop())
+
+        async def fail():
+            raise ValueError("broken")
+
+        waiting = start_in_subsystem("mesh", asyncio.sleep(60))
+        await asyncio.sleep(0)
+        waiting.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await waiting
+        with self.assertRaises(ValueError):
+            await start_in_subsystem("mesh", fail())
+
+    async def test_calls_count_for_their_activity(self):
+        decode = self.meter.measure("decoding", self.clock.spend)
+        decode(3.0)
+        decode(4.0)
+        self.assertEqual(dict(self.meter.activities), {"decoding": 7.0})
