Mesh: a round of heartbeats goes to all links in one step

Each link had a task, a timer and a wait of its own, and encoded reports on data centres for itself. One task sends a round to all links now; a link whose earlier bytes are unsent gets the next round's heartbeat, and pings still end one that is dead. A link that is not wanted is ended by who chooses links.

The tests of the wait of one link are replaced by tests of the sender: one task and one encoding a round, a change begins one round and not the next, one that comes during a round is sent, a saturated or closed link delays nobody.

--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -167,7 +167,7 @@
         self.catalogue = TargetCatalogue()
         self.suspicions = SuspicionTable()
         self.target_news = TargetNews(
-            suspicions=self.suspicions, note_urgent=self._stir
+            suspicions=self.suspicions, note_urgent=self._notify_peers
         )
         self.paces = PaceTable()
         self.ledger = LoadLedger()
@@ -186,7 +186,7 @@
             configuration=self.configuration,
             catalogue=self.catalogue,
             read_clock=clock,
-            note_change=self._stir,
+            note_change=self._notify_peers,
             note_targets=self.target_news.note,
             is_among_first=lambda count: self.knowledge.is_among_first(count),
             is_large=lambda: self.members.is_large,
@@ -206,7 +206,7 @@
             is_ready=self.is_ready,
             is_leaving=lambda: self.life.is_stopping,
             is_store_reachable=lambda: self.watch.out_since is None,
-            note_change=self._stir,
+            note_change=self._notify_peers,
             note_targets=self.target_news.note,
         )
         self.mesh = Mesh(
@@ -266,7 +266,7 @@
             catalogue=self.catalogue,
             suspicions=self.suspicions,
             read_clock=self._clock,
-            note_change=self._stir,
+            note_change=self._notify_peers,
         )
         self.engines = EngineService(
             context=context,
@@ -296,7 +296,7 @@
             is_watcher=lambda: self.members.is_first_nearby(now=self._clock()),
             sees_slow_streams=self._sees_slow_streams,
             read_clock=self._clock,
-            note_change=self._stir,
+            note_change=self._notify_peers,
         )
 
     def _sees_slow_streams(self) -> bool:
@@ -328,8 +328,8 @@
             return True
         return self.knowledge.is_among_first(1)
 
-    def _stir(self) -> None:
-        self.mesh.stir()
+    def _notify_peers(self) -> None:
+        self.mesh.notify()
 
     def _count_call(self, call: str, status: str) -> None:
         self.metrics.calls.inc({"call": call, "status": status})
@@ -426,7 +426,7 @@
         if self.life.state == "starting":
             self.life.become_ready()
             log_event("ready", configuration=self.configuration.version)
-            self._stir()
+            self._notify_peers()
 
     async def _follow_settings(self) -> None:
         """Read the settings again on SIGHUP, and now and then without one."""
@@ -462,7 +462,7 @@
         began_at = self._clock()
         grace_s = self.settings.grace_s
         self.life.begin_stop()
-        self._stir()
+        self._notify_peers()
         log_event("stopping", open_requests=self.front.open_requests.total())
         withdrawal = asyncio.create_task(self.rows.withdraw())
         while True:
--- a/packages/router/fulmarward_router/mesh/__init__.py
+++ b/packages/router/fulmarward_router/mesh/__init__.py
@@ -1,7 +1,7 @@
 """What instances tell each other, on links of their own or through hubs."""
 
 from fulmarward_router.mesh._codec import decode_message, encode_message
-from fulmarward_router.mesh._links import Answer, Fetch, Mesh, MeshState, Snapshot
+from fulmarward_router.mesh._links import Mesh
 from fulmarward_router.mesh._members import Member, MemberState, MemberTable
 from fulmarward_router.mesh._messages import (
     CompressedConfiguration,
@@ -22,6 +22,7 @@
     SupportsCompression,
     TargetChanges,
 )
+from fulmarward_router.mesh._state import Answer, Fetch, MeshState, Snapshot
 
 __all__ = [
     "Answer",
--- /dev/null
+++ b/packages/router/fulmarward_router/mesh/_heartbeats.py
@@ -0,0 +1,170 @@
+"""Heartbeats to all linked peers, sent together."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from websockets.asyncio.connection import Connection, broadcast
+
+from fulmarward.observability import log_event
+from fulmarward_router.mesh._members import (
+    DATA_CENTRE_REPORT_INTERVAL_S,
+    MemberTable,
+)
+from fulmarward_router.mesh._state import MeshState
+
+#: Minimum seconds between two rounds of heartbeats, so that a series of changes does
+#: not fill the links.
+MIN_HEARTBEAT_INTERVAL_S = 0.05
+
+#: Seconds for which an encoded heartbeat is reused for links that open meanwhile.
+REUSE_HEARTBEAT_S = 0.1
+
+#: Unsent bytes on a link above which it gets no heartbeat: the next one replaces it.
+MAX_UNSENT_BYTES = 1 << 16
+
+
+@dataclass(kw_only=True, eq=False)
+class PeerLink:
+    """An open link on which heartbeats are sent."""
+
+    connection: Connection
+    #: Where the peer listens, `IP:PORT`.
+    address: str
+    #: When the last reports on data centres were sent, and the revision of the members
+    #: that they held.
+    reported_at: float = float("-inf")
+    reported_revision: int = -1
+    #: Whether the last heartbeat was left out since earlier bytes were still unsent.
+    is_saturated: bool = False
+
+
+class HeartbeatSender:
+    """Sends each round of heartbeats in one step of one task.
+
+    Guards against a task, a timer and a wait for each link: in a large fleet these took
+    more processor time than the callers' requests.
+    """
+
+    def __init__(
+        self,
+        *,
+        data_centre: str,
+        members: MemberTable,
+        state: MeshState,
+        encode: Callable[[object], bytes],
+        read_clock: Callable[[], float],
+        count_bytes: Callable[[str, int], None],
+    ) -> None:
+        self._data_centre = data_centre
+        self._members = members
+        self._state = state
+        self._encode = encode
+        self._read_clock = read_clock
+        self._count_bytes = count_bytes
+        self._changed = asyncio.Event()
+        self._links: list[PeerLink] = []
+        #: Whether this instance reports to other data centres.
+        self.is_hub = False
+        #: Heartbeats by whether they hold the loads, and reports by data centre, as
+        #: encoded for this round, and when.
+        self._heartbeats: dict[bool, bytes] = {}
+        self._reports: dict[str, bytes] = {}
+        self._encoded_at = float("-inf")
+
+    def notify(self) -> None:
+        """Send the next round now: something changed that peers should know at once."""
+        self._changed.set()
+
+    def add(self, connection: Connection, address: str) -> PeerLink:
+        """Send heartbeats on a link from now on, the first one at once."""
+        link = PeerLink(connection=connection, address=address)
+        self._links.append(link)
+        now = self._read_clock()
+        if now - self._encoded_at > REUSE_HEARTBEAT_S or self._changed.is_set():
+            self._begin_round(now)
+        self._send(link, now)
+        return link
+
+    def remove(self, link: PeerLink) -> None:
+        """Send no more on a link."""
+        self._links.remove(link)
+
+    def list_links(self) -> list[PeerLink]:
+        """Return the links that are open."""
+        return list(self._links)
+
+    async def run(self) -> None:
+        """Send rounds of heartbeats, until cancelled."""
+        while True:
+            self._changed.clear()
+            now = self._read_clock()
+            self._begin_round(now)
+            for link in self._links:
+                self._send(link, now)
+            await self._await_change(self._members.heartbeat_interval_s)
+            early_s = now + MIN_HEARTBEAT_INTERVAL_S - self._read_clock()
+            if early_s > 0:
+                await asyncio.sleep(early_s)
+
+    async def _await_change(self, limit_s: float) -> None:
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+
+    def _begin_round(self, now: float) -> None:
+        """Encode anew whatever is sent from now on."""
+        self._encoded_at = now
+        self._heartbeats.clear()
+        self._reports.clear()
+
+    def _send(self, link: PeerLink, now: float) -> None:
+        unsent = link.connection.transport.get_write_buffer_size()
+        is_saturated = unsent > MAX_UNSENT_BYTES
+        if is_saturated and not link.is_saturated:
+            log_event("peer_link_saturated", peer=link.address, unsent=unsent)
+        link.is_saturated = is_saturated
+        if is_saturated:
+            return
+        peer_centre = self._members.find_data_centre(link.address)
+        self._write(link, self._find_heartbeat(peer_centre))
+        if self.is_hub:
+            for data_centre in self._list_due_reports(link, peer_centre, now):
+                self._write(link, self._find_report(data_centre))
+
+    def _write(self, link: PeerLink, data: bytes) -> None:
+        self._count_bytes("out", len(data))
+        broadcast([link.connection], data)
+
+    def _find_heartbeat(self, peer_centre: str | None) -> bytes:
+        """Return the heartbeat for peers of a data centre.
+
+        Where there are many instances, each one's loads go to its own data centre
+        only; the hubs report the sum to the others.
+        """
+        has_loads = not self._members.is_large or peer_centre == self._data_centre
+        if has_loads not in self._heartbeats:
+            heartbeat = self._state.make_heartbeat(has_loads=has_loads)
+            self._heartbeats[has_loads] = self._encode(heartbeat)
+        return self._heartbeats[has_loads]
+
+    def _find_report(self, data_centre: str) -> bytes:
+        if data_centre not in self._reports:
+            report = self._state.make_data_centre_report(data_centre)
+            self._reports[data_centre] = self._encode(report)
+        return self._reports[data_centre]
+
+    def _list_due_reports(
+        self, link: PeerLink, peer_centre: str | None, now: float
+    ) -> list[str]:
+        """Return the data centres to report on: the own one to others, others home."""
+        revision = self._members.revision
+        is_due = now - link.reported_at >= DATA_CENTRE_REPORT_INTERVAL_S
+        if revision == link.reported_revision and not is_due:
+            return []
+        link.reported_at, link.reported_revision = now, revision
+        if peer_centre != self._data_centre:
+            return [self._data_centre]
+        return sorted(self._members.list_data_centres() - {self._data_centre})
--- a/packages/router/fulmarward_router/mesh/_links.py
+++ b/packages/router/fulmarward_router/mesh/_links.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Protocol
 
 from websockets.asyncio.client import connect
 from websockets.asyncio.connection import Connection
@@ -12,30 +11,22 @@
 from fulmarward.observability import log_event
 from fulmarward_core.codec import MessageFault
 from fulmarward_router.mesh._codec import decode_message, encode_message
-from fulmarward_router.mesh._members import (
-    DATA_CENTRE_REPORT_INTERVAL_S,
-    HEARTBEAT_INTERVAL_S,
-    MemberTable,
-)
+from fulmarward_router.mesh._heartbeats import HeartbeatSender
+from fulmarward_router.mesh._members import HEARTBEAT_INTERVAL_S, MemberTable
 from fulmarward_router.mesh._messages import (
     CompressedConfiguration,
     ConfigurationDeferred,
     ConfigurationReceived,
     ConfigurationSnapshot,
     DataCentreReport,
-    FetchCompressedConfiguration,
-    FetchConfiguration,
     FetchInstances,
-    FetchTargets,
     Heartbeat,
     InstanceIdentity,
     Introduction,
     SupportsCompression,
     TargetChanges,
 )
-
-#: Seconds for which an encoded heartbeat is reused for further links.
-REUSE_HEARTBEAT_S = 0.1
+from fulmarward_router.mesh._state import Fetch, MeshState
 
 #: Seconds for a link to open, and for a ping or a message to get through.
 OPEN_TIMEOUT_S = 0.6
@@ -45,10 +36,6 @@
 #: silence long before.
 ACCEPTED_PING_INTERVAL_S = 20.0
 
-#: Minimum seconds between two heartbeats on a link, so that a series of changes does
-#: not fill it.
-MIN_HEARTBEAT_INTERVAL_S = 0.05
-
 #: Seconds between two fetches of the list of instances.
 FETCH_INSTANCES_INTERVAL_S = 0.5
 
@@ -70,46 +57,6 @@
 MAX_MESSAGE_BYTES = 4 << 20
 
 
-#: What a peer is asked for, what it sends for it, and what else it may answer.
-Fetch = FetchConfiguration | FetchCompressedConfiguration | FetchTargets
-Snapshot = ConfigurationSnapshot | CompressedConfiguration | TargetChanges
-Answer = Snapshot | ConfigurationDeferred
-
-
-class MeshState(Protocol):
-    """What the rest of the instance gives to the mesh and takes from it."""
-
-    def make_heartbeat(self, *, has_loads: bool = True) -> Heartbeat:
-        """Return this instance's heartbeat, with its load or without."""
-
-    def merge_heartbeat(self, heartbeat: Heartbeat) -> list[Fetch]:
-        """Take in a peer's heartbeat; return what to ask that peer for."""
-
-    def answer(self, question: Fetch) -> Answer | None:
-        """Return the answer to a peer's question, `None` if there is none."""
-
-    def merge_snapshot(self, news: Snapshot) -> None:
-        """Take in what a peer answered."""
-
-    def note_supports_compression(self, message: SupportsCompression) -> None:
-        """Take in that a peer may be asked for the packed configuration."""
-
-    def note_deferred(self, message: ConfigurationDeferred) -> None:
-        """Take in that a peer tells others first."""
-
-    def note_received(self, message: ConfigurationReceived) -> None:
-        """Take in that a row has come to a peer."""
-
-    def note_link_lost(self, peer: str) -> None:
-        """The link that a peer dialled has ended, and what was asked on it."""
-
-    def make_data_centre_report(self, data_centre: str) -> DataCentreReport:
-        """Return what this instance, as a hub, tells of a data centre."""
-
-    def merge_data_centre(self, news: DataCentreReport) -> None:
-        """Take in the loads that a hub tells of."""
-
-
 class Mesh:
     """One task for each link that this instance dials and for each that it accepts."""
 
@@ -131,44 +78,66 @@
         self._count_bytes = count_bytes
         self._decode = decode
         self._encode = encode
+        self._sender = HeartbeatSender(
+            data_centre=own.data_centre,
+            members=members,
+            state=news,
+            encode=encode,
+            read_clock=read_clock,
+            count_bytes=count_bytes,
+        )
         self._dialling: dict[str, asyncio.Task] = {}
-        #: Ends the waits of all links, and is replaced by another one then.
-        self._stirred = asyncio.get_running_loop().create_future()
-        #: Heartbeats encoded lately, with loads and without: when, for which stir.
-        self._encoded: dict[bool, tuple[float, asyncio.Future, bytes]] = {}
-        #: Peer addresses to keep links to, and whether this instance is a hub.
+        #: Peer addresses to keep links to.
         self._wanted: frozenset[str] = frozenset()
-        self._is_hub = False
+        #: Since when each open link is not wanted.
+        self._unwanted_since: dict[str, float] = {}
         self._fetched_instances_at = float("-inf")
         self._began_at = read_clock()
 
-    def stir(self) -> None:
-        """Send heartbeats now: something changed that peers should hear at once."""
-        self._stirred.set_result(None)
-        self._stirred = asyncio.get_running_loop().create_future()
+    def notify(self) -> None:
+        """Send heartbeats now: something changed that peers should know at once."""
+        self._sender.notify()
 
     async def run(self, seeds: tuple[str, ...]) -> None:
         """Keep a link to every instance that is known, until cancelled."""
         for seed in seeds:
             if seed != self._own.peer_address:
                 self._dial(seed, is_seed=True)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._sender.run())
+            group.create_task(self._follow_members())
+
+    async def _follow_members(self) -> None:
         while True:
             self._choose_links(self._read_clock())
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
     def _choose_links(self, now: float) -> None:
-        """Dial whoever is to be linked; other links end by themselves."""
+        """Dial whoever is to be linked, and end other links after a while."""
         self._members.forget_silent(now=now)
         # An instance that has just begun knows of nobody yet, and would be a hub.
         may_be_hub = now - self._began_at >= HUB_AFTER_S
         links = self._members.list_links(may_be_hub=may_be_hub, now=now)
         self._wanted = links - {self._own.peer_address, ""}
         is_hub = self._members.is_hub(may_be_hub=may_be_hub, now=now)
-        if is_hub != self._is_hub:
-            self._is_hub = is_hub
+        if is_hub != self._sender.is_hub:
+            self._sender.is_hub = is_hub
             log_event("hub_changed", is_hub=is_hub, links=len(self._wanted))
         for address in self._wanted:
             self._dial(address, is_seed=False)
+        self._end_unwanted(now)
+
+    def _end_unwanted(self, now: float) -> None:
+        """End links that are open and have not been wanted for a while."""
+        opened = {link.address for link in self._sender.list_links()}
+        self._unwanted_since = {
+            address: self._unwanted_since.get(address, now)
+            for address in opened - self._wanted
+        }
+        for address, since in self._unwanted_since.items():
+            if now - since > UNWANTED_DURATION_S:
+                log_event("peer_link_ended", peer=address)
+                self._dialling[address].cancel()
 
     async def close(self) -> None:
         """End all dialled links."""
@@ -207,37 +176,18 @@
             await asyncio.sleep(pause_s)
             pause_s = min(MAX_RETRY_INTERVAL_S, pause_s * 2)
 
-    async def _speak(self, link: Connection, address: str) -> None:
-        """Introduction this instance, then send heartbeats."""
-        await self._send(link, self._introduce(is_answer=False))
-        understands = SupportsCompression(sender=self._own.name, boot=self._own.boot)
-        await self._send(link, understands)
+    async def _speak(self, connection: Connection, address: str) -> None:
+        """Introduce this instance, then send heartbeats until the link ends."""
+        await self._send(connection, self._introduce(is_answer=False))
+        supports = SupportsCompression(sender=self._own.name, boot=self._own.boot)
+        await self._send(connection, supports)
         if self._must_fetch_instances():
-            await self._send(link, FetchInstances())
-        listener = asyncio.create_task(self._listen(link, set()))
-        teller = _DataCentreReporter(members=self._members, news=self._news)
-        unwanted_at = self._read_clock()
+            await self._send(connection, FetchInstances())
+        link = self._sender.add(connection, address)
         try:
-            while not listener.done():
-                stirred = self._stirred
-                now = self._read_clock()
-                if address in self._wanted:
-                    unwanted_at = now
-                elif now - unwanted_at > UNWANTED_DURATION_S:
-                    log_event("peer_link_ended", peer=address)
-                    return
-                centre = self._members.find_data_centre(address)
-                await self._send_data(link, self._encode_heartbeat(centre))
-                if self._is_hub:
-                    for news in teller.list_due(self._own.data_centre, centre, now=now):
-                        await self._send(link, news)
-                await _wait_first(stirred, listener, self._members.heartbeat_interval_s)
-                early_s = now + MIN_HEARTBEAT_INTERVAL_S - self._read_clock()
-                if early_s > 0:
-                    await asyncio.sleep(early_s)
-            listener.result()
+            await self._listen(connection, set())
         finally:
-            listener.cancel()
+            self._sender.remove(link)
 
     def _introduce(self, *, is_answer: bool) -> Introduction:
         """Return the first message of a link, or the answer to a question.
@@ -312,22 +262,6 @@
         finally:
             self._news.merge_snapshot(news)
 
-    def _encode_heartbeat(self, peer_centre: str | None) -> bytes:
-        """Return the heartbeat for a peer; one encoding serves many for a moment.
-
-        Where there are many instances, each one's loads are told within the data
-        centre only; the hubs tell the others the sum.
-        """
-        has_loads = True
-        if self._members.is_large:
-            has_loads = peer_centre == self._own.data_centre
-        now = self._read_clock()
-        at, stirred, data = self._encoded.get(has_loads, (float("-inf"), None, b""))
-        if now - at > REUSE_HEARTBEAT_S or stirred is not self._stirred:
-            data = self._encode(self._news.make_heartbeat(has_loads=has_loads))
-            self._encoded[has_loads] = (now, self._stirred, data)
-        return data
-
     async def _send(self, link: Connection, message: object) -> None:
         await self._send_data(link, self._encode(message))
 
@@ -364,39 +298,3 @@
             max_size=MAX_MESSAGE_BYTES,
             compression=None,
         )
-
-
-class _DataCentreReporter:
-    """What a hub still has to tell on one link."""
-
-    def __init__(self, *, members: MemberTable, news: MeshState) -> None:
-        self._members = members
-        self._news = news
-        self._reported_at = float("-inf")
-        self._reported_revision = -1
-
-    def list_due(
-        self, own_centre: str, peer_centre: str | None, *, now: float
-    ) -> list[DataCentreReport]:
-        """Return what is due: the own data centre to others, the others at home."""
-        is_news = self._members.revision != self._reported_revision
-        if not is_news and now - self._reported_at < DATA_CENTRE_REPORT_INTERVAL_S:
-            return []
-        self._reported_at, self._reported_revision = now, self._members.revision
-        centres = {own_centre}
-        if peer_centre == own_centre:
-            centres = self._members.list_data_centres() - {own_centre}
-        return [self._news.make_data_centre_report(name) for name in sorted(centres)]
-
-
-async def _wait_first(
-    stirred: asyncio.Future, listener: asyncio.Task, seconds: float
-) -> None:
-    """Wait until there is news, the link has ended or the time is up.
-
-    No task is made for it: there are fifty such waits a second in a large fleet, and
-    each turn of the loop asks the system for what has come.
-    """
-    await asyncio.wait(
-        {stirred, listener}, timeout=seconds, return_when=asyncio.FIRST_COMPLETED
-    )
--- a/packages/router/fulmarward_router/mesh/tests/test_heartbeats.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_heartbeats.py
@@ -2,53 +2,157 @@
 import unittest
 from unittest import mock
 
-from fulmarward_router.mesh import MemberTable, Mesh
-from fulmarward_router.mesh._links import _wait_first
+from msgspec.structs import replace
+from websockets.protocol import State
+
+from fulmarward_router.mesh import Heartbeat, MemberTable, decode_message
+from fulmarward_router.mesh._codec import encode_message
+from fulmarward_router.mesh._heartbeats import MAX_UNSENT_BYTES, HeartbeatSender
+from fulmarward_router.mesh._messages import DataCentreReport
 from fulmarward_router.mesh.tests.test_members import make_heartbeat
 
 
-class BetweenHeartbeatsTest(unittest.IsolatedAsyncioTestCase):
-    async def asyncSetUp(self):
-        own = make_heartbeat("own").sender
-        self.mesh = Mesh(
-            own=own,
-            members=MemberTable(own=own),
-            news=mock.Mock(),
-            read_clock=lambda: 0.0,
-            count_bytes=mock.Mock(),
+class _Connection:
+    """A connection that notes what is written on it."""
+
+    def __init__(self):
+        self.protocol = mock.Mock(state=State.OPEN)
+        self.protocol.send_binary = lambda data: self.sent.append(decode_message(data))
+        self.transport = mock.Mock()
+        self.transport.get_write_buffer_size.return_value = 0
+        self.send_in_progress = None
+        self.sent = []
+
+    def send_data(self):
+        pass
+
+    def count(self, kind):
+        return sum(isinstance(message, kind) for message in self.sent)
+
+
+class _State:
+    """Makes heartbeats and reports, and counts the heartbeats."""
+
+    def __init__(self):
+        self.made = 0
+
+    def make_heartbeat(self, *, has_loads=True):
+        self.made += 1
+        return make_heartbeat("own")
+
+    def make_data_centre_report(self, data_centre):
+        return DataCentreReport(
+            data_centre=data_centre, instances=(), loads=(), paces=()
+        )
+
+
+class HeartbeatSenderTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.own = make_heartbeat("own").sender
+        self.members = MemberTable(own=self.own)
+        self.state = _State()
+        self.sender = HeartbeatSender(
+            data_centre=self.own.data_centre,
+            members=self.members,
+            state=self.state,
+            encode=encode_message,
+            read_clock=lambda: asyncio.get_running_loop().time(),
+            count_bytes=lambda direction, size: None,
         )
-        self.listener = asyncio.create_task(asyncio.sleep(60.0))
-        self.addCleanup(self.listener.cancel)
-
-    async def _begin_wait(self, seconds):
-        wait = _wait_first(self.mesh._stirred, self.listener, seconds)
-        task = asyncio.create_task(wait)
-        await asyncio.sleep(0.02)
-        return task
-
-    async def test_wait_for_the_next_heartbeat_makes_no_task(self):
-        # An instance of a large fleet sends 50 heartbeats a second. A task was made and
-        # ended for each, and the loop turned four times for it, with nothing to do.
-        waiting = await self._begin_wait(60.0)
-        known = {asyncio.current_task(), self.listener, waiting}
-        self.assertEqual(asyncio.all_tasks() - known, set())
-        waiting.cancel()
-
-    async def test_wait_ends_with_news_with_the_link_and_with_time(self):
-        cases = [
-            ("news", 60.0, self.mesh.stir),
-            ("time", 0.05, lambda: None),
-            ("link", 60.0, self.listener.cancel),
+
+    def _open(self, count):
+        connections = [_Connection() for _ in range(count)]
+        for place, connection in enumerate(connections):
+            self.sender.add(connection, f"10.0.0.{place}:1")
+        return connections
+
+    def _start(self):
+        running = asyncio.create_task(self.sender.run())
+        self.addCleanup(running.cancel)
+        return running
+
+    async def _await_heartbeats(self, connections, count):
+        async with asyncio.timeout(10.0):
+            while any(item.count(Heartbeat) < count for item in connections):
+                await asyncio.sleep(0.005)
+
+    async def test_round_takes_one_task_and_one_encoding_for_all_links(self):
+        """Guards against a task and a wait for each link of a large fleet."""
+        connections = self._open(30)
+        self.assertEqual(self.state.made, 1)
+        running = self._start()
+        await self._await_heartbeats(connections, 2)
+        self.assertEqual(self.state.made, 2)
+        self.assertEqual(asyncio.all_tasks(), {asyncio.current_task(), running})
+
+    async def test_round_begins_with_a_change_and_with_time(self):
+        with mock.patch.object(
+            MemberTable, "heartbeat_interval_s", new_callable=mock.PropertyMock
+        ) as interval:
+            for name, seconds, act in (
+                ("change", 60.0, self.sender.notify),
+                ("time", 0.02, lambda: None),
+            ):
+                with self.subTest(name):
+                    interval.return_value = seconds
+                    connections = self._open(3)
+                    running = self._start()
+                    await self._await_heartbeats(connections, 2)
+                    act()
+                    await self._await_heartbeats(connections, 3)
+                    running.cancel()
+
+    async def test_change_begins_one_round_and_not_the_next(self):
+        connections = self._open(1)
+        with mock.patch.object(
+            MemberTable, "heartbeat_interval_s", new_callable=mock.PropertyMock
+        ) as interval:
+            interval.return_value = 60.0
+            self.sender.notify()
+            self._start()
+            await self._await_heartbeats(connections, 2)
+            await asyncio.sleep(0.2)
+            self.assertEqual(connections[0].count(Heartbeat), 2)
+
+    async def test_change_during_a_round_is_sent_with_the_next(self):
+        """Guards against a change that waits for a whole interval."""
+        connections = self._open(1)
+        with mock.patch.object(
+            MemberTable, "heartbeat_interval_s", new_callable=mock.PropertyMock
+        ) as interval:
+            interval.return_value = 60.0
+            self._start()
+            await self._await_heartbeats(connections, 2)
+            self.sender.notify()
+            await asyncio.sleep(0)
+            self.sender.notify()
+            await self._await_heartbeats(connections, 3)
+
+    async def test_saturated_link_gets_the_next_heartbeat_once_it_has_drained(self):
+        """Guards against heartbeats that pile up on a link that is full."""
+        full, free = self._open(2)
+        full.transport.get_write_buffer_size.return_value = MAX_UNSENT_BYTES + 1
+        self._start()
+        await self._await_heartbeats([free], 4)
+        self.assertEqual(full.count(Heartbeat), 1)
+        full.transport.get_write_buffer_size.return_value = 0
+        await self._await_heartbeats([full], 2)
+
+    async def test_closed_link_gets_nothing_and_ends_no_round(self):
+        closed, free = self._open(2)
+        closed.protocol.state = State.CLOSED
+        self._start()
+        await self._await_heartbeats([free], 3)
+        self.assertEqual(closed.count(Heartbeat), 1)
+
+    async def test_hub_reports_its_data_centre_to_others_and_others_at_home(self):
+        near = replace(self.own, name="near", peer_address="10.0.0.0:1")
+        far = replace(near, name="far", data_centre="far", peer_address="10.0.0.1:1")
+        self.members.merge_members([near, far], now=0.0)
+        self.sender.is_hub = True
+        home, away = self._open(2)
+        reported = [
+            [m.data_centre for m in item.sent if isinstance(m, DataCentreReport)]
+            for item in (home, away)
         ]
-        for name, seconds, act in cases:
-            with self.subTest(name):
-                waits = [await self._begin_wait(seconds) for _ in range(3)]
-                act()
-                async with asyncio.timeout(10.0):
-                    await asyncio.gather(*waits)
-
-    async def test_news_ends_one_wait_and_not_the_next(self):
-        self.mesh.stir()
-        waiting = await self._begin_wait(60.0)
-        self.assertFalse(waiting.done())
-        waiting.cancel()
+        self.assertEqual(reported, [["far"], [self.own.data_centre]])
