Failover: streams are supervised and rerouted; stalls in the field's terms

No change of behaviour: StreamSupervisor in place of StreamKeeper, stalled in place of still, drain in place of lead off; constants say what they are. Tests are unchanged but for names.

--- a/packages/core/fulmarward_core/stalls/__init__.py
+++ b/packages/core/fulmarward_core/stalls/__init__.py
@@ -1,9 +1,9 @@
 """Which targets may be lost, by the streams that stand still."""
 
 from fulmarward_core.stalls.decisions import (
-    LEAST_STILL_S,
+    MIN_STALL_S,
     StreamView,
-    find_still_targets,
+    find_stalled_targets,
 )
 
-__all__ = ["LEAST_STILL_S", "StreamView", "find_still_targets"]
+__all__ = ["MIN_STALL_S", "StreamView", "find_stalled_targets"]
--- a/packages/core/fulmarward_core/stalls/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/stalls/tests/test_decisions.py
@@ -1,6 +1,6 @@
 import unittest
 
-from fulmarward_core.stalls import StreamView, find_still_targets
+from fulmarward_core.stalls import StreamView, find_stalled_targets
 
 
 def _make(targets, silent_s):
@@ -22,9 +22,9 @@
         ]
         for name, streams, expected in cases:
             with self.subTest(name):
-                found = find_still_targets(streams, mean_pause_s=0.03)
+                found = find_stalled_targets(streams, mean_pause_s=0.03)
                 self.assertEqual("".join(found), expected)
 
     def test_slow_streams_are_given_more_time(self):
         streams = [_make("abc", 0.2)]
-        self.assertEqual(find_still_targets(streams, mean_pause_s=0.1), [])
+        self.assertEqual(find_stalled_targets(streams, mean_pause_s=0.1), [])
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -200,7 +200,7 @@
             suspicions=self.suspicions,
             paces=self.paces,
             ledger=self.ledger,
-            sees_slow_streams=lambda: self.engines.keeper.sees_slow_streams(),
+            sees_slow_streams=lambda: self.engines.supervisor.sees_slow_streams(),
             decode_row=self.watch.decode_row,
             read_clock=clock,
             is_ready=self.is_ready,
@@ -301,7 +301,7 @@
 
     def _sees_slow_streams(self) -> bool:
         """Return whether streams of this data centre look slow, here or at a peer."""
-        is_own = self.engines.keeper.sees_slow_streams()
+        is_own = self.engines.supervisor.sees_slow_streams()
         return is_own or self.members.sees_slow_streams(now=self._clock())
 
     def is_ready(self) -> bool:
@@ -355,7 +355,7 @@
             self._start("instances", self.rows.follow()),
             self._start("lease", self.lease.run()),
             self._start("placement", self.placer.run()),
-            self._start("streams", self.engines.keeper.run()),
+            self._start("streams", self.engines.supervisor.run()),
             self._start("paces", self._make_pace_watch().run()),
             self._start("losses", self.loss_watch.run()),
             self._start("readiness", self._become_ready()),
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -15,7 +15,7 @@
 from fulmarward_router.exchange._attempt import Attempt, AttemptEnded, describe_path
 from fulmarward_router.exchange._context import ServiceContext
 from fulmarward_router.exchange._events import EventSplitter, is_after
-from fulmarward_router.exchange._keeping import FIRST_CHECK_S, StreamKeeper
+from fulmarward_router.exchange._failover import FIRST_CHECK_S, StreamSupervisor
 from fulmarward_router.exchange._pipe import PipeGate
 from fulmarward_router.exchange._room import FULL_RETRY_S, RoomQueue, find_resume_end
 from fulmarward_router.exchange._send import AnswerLost, NotSent
@@ -67,7 +67,7 @@
             read_clock=context.read_clock,
         )
         #: Looks after the open streams; the instance runs it.
-        self.keeper = StreamKeeper(
+        self.supervisor = StreamSupervisor(
             context=context, watch=watch, finder=finder, pipe=pipe
         )
 
@@ -156,7 +156,7 @@
         self, work: Work, attempt: Attempt, answer: web.StreamResponse | None
     ) -> web.StreamResponse:
         """Run one attempt to the stream's end; raises `AttemptEnded` or `Refused`."""
-        self.keeper.add(attempt)
+        self.supervisor.add(attempt)
         now = self._read_clock()
         end = AttemptEnded(cause="deadline", is_not_run=False)
         loop = asyncio.get_running_loop()
@@ -191,7 +191,7 @@
 
     def _finish(self, attempt: Attempt) -> None:
         """Let go of all that an attempt holds; closing the connection ends its work."""
-        self.keeper.remove(attempt)
+        self.supervisor.remove(attempt)
         self._ledger.release(attempt.promise)
         if attempt.timer is not None:
             attempt.timer.cancel()
@@ -298,7 +298,7 @@
                 raise attempt.end
             if not data:
                 break
-            self.keeper.note_heard(attempt)
+            self.supervisor.note_heard(attempt)
             await self._give_on(work, splitter, data, answer)
         if splitter.pending:
             raise AttemptEnded(cause="ended inside an event", is_not_run=False)
--- a/packages/router/fulmarward_router/exchange/_keeping.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -6,7 +6,7 @@
 
 from fulmarward.observability import log_event
 from fulmarward_core.paths import Hop, count_tokens_held
-from fulmarward_core.stalls import LEAST_STILL_S, StreamView, find_still_targets
+from fulmarward_core.stalls import MIN_STALL_S, StreamView, find_stalled_targets
 from fulmarward_router.exchange._attempt import Attempt, AttemptEnded, describe_path
 from fulmarward_router.exchange._context import ServiceContext
 from fulmarward_router.exchange._pipe import PipeGate
@@ -15,49 +15,42 @@
 from fulmarward_router.ports import OrderOutcome
 
 #: Seconds without a first event, and between events, after which the first target is
-#: asked what the request waits for. Load: usual first events come after 100 to 200 ms
-#: and pauses are 30 to 60 ms, on paths with a lost target nothing comes at all; harm:
-#: each check is paid for; reason: several times the usual, and leaves time to go on
-#: before the caller leaves after two seconds.
+#: asked what the request waits for.
 FIRST_CHECK_S = 0.45
 PAUSE_CHECK_S = 0.3
 
-#: Seconds between two looks at all open streams.
-LOOK_S = 0.012
+#: Seconds between two checks of open streams while one of them is stalled.
+CHECK_INTERVAL_S = 0.012
 
-#: Seconds between two looks at the clock while no stream is open. Reason: only whether
-#: the loop is late is told by them.
-IDLE_LOOK_S = 0.1
+#: Seconds between two readings of the clock while no stream is open: only whether the
+#: loop is late is seen by them.
+IDLE_CHECK_INTERVAL_S = 0.1
 
-#: Seconds by which a look may be late. Harm: an instance that is short of processor
-#: time takes its own lateness for a target's silence; reason: half of the least silence
-#: that counts.
-MOST_LATE_S = 0.03
+#: Seconds by which a check may be late; later, an instance that is short of processor
+#: time would take its own lateness for a target's silence.
+MAX_LATENESS_S = 0.03
 
-#: Seconds by which a look may be late before the log tells of it.
-TOLD_LATE_S = 0.1
+#: Seconds of lateness from which on it is logged.
+LOGGED_LATENESS_S = 0.1
 
 #: Weight of the newest pause in the mean.
 _PAUSE_WEIGHT = 0.02
 
-#: Seconds between two checks of the same stream; a report is some hundred ms old.
-CHECK_AGAIN_S = 0.25
+#: Seconds between two reports that are read for the same stream.
+RECHECK_INTERVAL_S = 0.25
 
-#: Seconds between two streams that are led off leaving targets. Load: some five of each
-#: instance's streams pass through a target that leaves in two seconds; harm: their
-#: prompts are read again all at once, while others wait; reason: ten of them a second.
-LEAD_PAUSE_S = 0.1
+#: Seconds between two streams that are rerouted off leaving targets: each makes other
+#: targets read its whole prompt.
+DRAIN_INTERVAL_S = 0.1
 
-#: Ways around a lost target that are tried. Load: four targets that fail together, of
-#: which a stream finds one after the other; harm: each try takes an order and up to
-#: 70 ms; reason: after a refusal the whole way is probed, so that the second one knows.
-MOST_WAYS = 3
+#: Paths around lost targets that are tried for a stream at once.
+MAX_REROUTES = 3
 
-#: Checks that found nothing, after which the stream waits for what comes.
-MOST_CHECKS = 4
+#: Reports without a finding, after which a stream waits for what comes.
+MAX_CHECKS = 4
 
 
-class StreamKeeper:
+class StreamSupervisor:
     """Looks at all open streams of an instance."""
 
     def __init__(
@@ -85,7 +78,7 @@
         self._open: dict[int, Attempt] = {}
         self._added = asyncio.Event()
         #: When a stream was last led off a leaving target.
-        self._led_at = float("-inf")
+        self._drained_at = float("-inf")
         #: Mean pause between events lately, seconds.
         self._mean_pause_s = 0.035
 
@@ -130,22 +123,22 @@
         caller leaves after two seconds. The path is led around it, or the attempt is
         ended so that another can go on where this one stopped.
         """
-        looked_at = self._read_clock()
+        checked_at = self._read_clock()
         while True:
             if not self._open:
                 await self._await_stream()
-                looked_at = self._read_clock()
-            await asyncio.sleep(LOOK_S)
+                checked_at = self._read_clock()
+            await asyncio.sleep(CHECK_INTERVAL_S)
             now = self._read_clock()
-            late_s = now - looked_at - LOOK_S
-            is_late = late_s > MOST_LATE_S
-            looked_at = now
-            self._tell_late(late_s)
+            late_s = now - checked_at - CHECK_INTERVAL_S
+            is_late = late_s > MAX_LATENESS_S
+            checked_at = now
+            self._log_lateness(late_s)
             if not is_late:
-                self._probe_still(now)
-            self._lead_off_leaving(now)
+                self._probe_stalled(now)
+            self._drain_leaving(now)
             for attempt in list(self._open.values()):
-                is_silent = now - attempt.heard_at >= LEAST_STILL_S
+                is_silent = now - attempt.heard_at >= MIN_STALL_S
                 if is_silent and attempt.checking is None and attempt.end is None:
                     self._probe_unsure(attempt, now)
                     self._start_check(attempt)
@@ -160,22 +153,24 @@
         while not self._added.is_set():
             began_at = self._read_clock()
             try:
-                async with asyncio.timeout(IDLE_LOOK_S):
+                async with asyncio.timeout(IDLE_CHECK_INTERVAL_S):
                     await self._added.wait()
             except TimeoutError:
-                self._tell_late(self._read_clock() - began_at - IDLE_LOOK_S)
+                self._log_lateness(
+                    self._read_clock() - began_at - IDLE_CHECK_INTERVAL_S
+                )
 
-    def _tell_late(self, late_s: float) -> None:
-        if late_s > TOLD_LATE_S:
+    def _log_lateness(self, late_s: float) -> None:
+        if late_s > LOGGED_LATENESS_S:
             log_event("loop_late", late_s=round(late_s, 4), streams=len(self._open))
 
-    def _lead_off_leaving(self, now: float) -> None:
+    def _drain_leaving(self, now: float) -> None:
         """Lead streams around targets that are about to leave, a few at a time.
 
         Guards against a planned leave that cuts streams: a leaving target serves on
         for two seconds or a little longer, and answers take up to seven.
         """
-        if now - self._led_at < LEAD_PAUSE_S:
+        if now - self._drained_at < DRAIN_INTERVAL_S:
             return
         leaving = self._list_leaving(now)
         if not leaving:
@@ -185,7 +180,7 @@
             is_free = attempt.has_begun and attempt.checking is None
             if not hops or not is_free or attempt.end is not None:
                 continue
-            self._led_at = now
+            self._drained_at = now
             self._start_task(attempt, self._repath(attempt, hops, must=False))
             return
 
@@ -200,7 +195,7 @@
             )
         return self._leaving
 
-    def _probe_still(self, now: float) -> None:
+    def _probe_stalled(self, now: float) -> None:
         """Ask the targets at which all streams stand still whether they live.
 
         A target that is lost silences every stream that passes through it; one through
@@ -215,7 +210,7 @@
             for attempt in self._open.values()
             if attempt.has_begun and attempt.checking is None
         ]
-        suspects = find_still_targets(views, mean_pause_s=self._mean_pause_s)
+        suspects = find_stalled_targets(views, mean_pause_s=self._mean_pause_s)
         if suspects:
             self._watch.probe(suspects)
 
@@ -273,8 +268,8 @@
             return True
         silent_s = self._read_clock() - attempt.heard_at
         first_s = PAUSE_CHECK_S if attempt.has_begun else FIRST_CHECK_S
-        due_s = first_s + attempt.checks * CHECK_AGAIN_S
-        return silent_s >= due_s and attempt.checks < MOST_CHECKS
+        due_s = first_s + attempt.checks * RECHECK_INTERVAL_S
+        return silent_s >= due_s and attempt.checks < MAX_CHECKS
 
     async def _keep_alive(self, attempt: Attempt) -> None:
         """Find the lost target of a path, and lead the request around it."""
@@ -292,7 +287,7 @@
             if not attempt.has_begun or attempt.work.route.is_resumable:
                 raise AttemptEnded(cause="the first target is lost", is_not_run=False)
             return
-        for _ in range(MOST_WAYS):
+        for _ in range(MAX_REROUTES):
             if await self._repath(attempt, lost):
                 return
             lost = self._list_lost(attempt) or lost
--- a/packages/router/fulmarward_router/exchange/tests/test_keeping.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_failover.py
@@ -5,9 +5,9 @@
 from unittest import mock
 
 from fulmarward_core.suspicion import SuspicionTable
-from fulmarward_router.exchange import LossWatch, _keeping
+from fulmarward_router.exchange import LossWatch, _failover
 from fulmarward_router.exchange._attempt import Attempt
-from fulmarward_router.exchange._keeping import StreamKeeper
+from fulmarward_router.exchange._failover import StreamSupervisor
 
 
 class IdleKeeperTest(unittest.IsolatedAsyncioTestCase):
@@ -25,10 +25,10 @@
             ledger=None,
             read_clock=read_clock,
         )
-        self.keeper = StreamKeeper(
+        self.supervisor = StreamSupervisor(
             context=context, watch=mock.Mock(), finder=None, pipe=None
         )
-        task = asyncio.create_task(self.keeper.run())
+        task = asyncio.create_task(self.supervisor.run())
         self.addCleanup(task.cancel)
 
     async def test_no_stream_no_looks(self):
@@ -38,10 +38,10 @@
         self.assertLess(self.looks, 16)
 
     async def test_first_stream_is_looked_at_at_once(self):
-        with mock.patch.object(_keeping, "IDLE_LOOK_S", 60.0, create=True):
+        with mock.patch.object(_failover, "IDLE_CHECK_INTERVAL_S", 60.0, create=True):
             await asyncio.sleep(0.15)
             attempt = mock.Mock(path=(), checking=None, end=None, has_begun=True)
-            self.keeper.add(attempt)
+            self.supervisor.add(attempt)
             before = self.looks
             async with asyncio.timeout(10.0):
                 while self.looks < before + 4:
@@ -60,31 +60,31 @@
             ledger=None,
             read_clock=lambda: self.now,
         )
-        self.keeper = StreamKeeper(
+        self.supervisor = StreamSupervisor(
             context=context, watch=self.watch, finder=None, pipe=None
         )
         path = tuple(SimpleNamespace(target=name) for name in ("first", "second"))
         self.attempt = Attempt(
             work=None, engine=None, wanted=None, path=path, promise=None
         )
-        self.keeper.add(self.attempt)
+        self.supervisor.add(self.attempt)
 
     def _list_lost(self):
-        return [hop.target for hop in self.keeper._list_lost(self.attempt)]
+        return [hop.target for hop in self.supervisor._list_lost(self.attempt)]
 
     def test_target_that_served_a_stream_after_its_loss_is_asked_first(self):
         # An instance that was slow to hear took a sound target for lost. A stream went
         # on through it and paused for 60 ms later: it was cut with "the first target is
         # lost", or led around, though its target had served it all the time.
-        self.keeper.note_heard(self.attempt)
+        self.supervisor.note_heard(self.attempt)
         self.now += 0.01
         self.suspicions.note_lost("first", now=self.now)
         self.assertEqual(self._list_lost(), ["first"], "nothing came after that")
         self.now += 0.03
-        self.keeper.note_heard(self.attempt)
+        self.supervisor.note_heard(self.attempt)
         self.now += 0.07
         self.assertEqual(self._list_lost(), [])
-        self.keeper._probe_unsure(self.attempt, self.now)
+        self.supervisor._probe_unsure(self.attempt, self.now)
         self.watch.probe.assert_called_once_with(["first"])
         self.suspicions.note_lost("first", now=self.now)
         self.assertEqual(self._list_lost(), ["first"], "asked, and silent")
@@ -100,13 +100,13 @@
         self.suspicions.note_lost("first", now=self.now)
         self.assertEqual(watch._list_due(["first"]), [])
         self.now += 0.03
-        self.keeper.note_heard(self.attempt)
+        self.supervisor.note_heard(self.attempt)
         self.now += 0.07
-        self.keeper._probe_unsure(self.attempt, self.now)
+        self.supervisor._probe_unsure(self.attempt, self.now)
         self.assertEqual([r.name for r in watch._list_due(["first"])], ["first"])
 
     def test_stream_without_an_event_is_led_around_at_once(self):
         self.suspicions.note_lost("second", now=99.9)
         self.assertEqual(self._list_lost(), ["second"])
-        self.keeper._probe_unsure(self.attempt, self.now)
+        self.supervisor._probe_unsure(self.attempt, self.now)
         self.watch.probe.assert_not_called()
