Mesh: who was heard lately is kept until it changes

Who is fresh, who may act for all, and which links to keep were worked out by a walk through all members, ten times a second for the targets and the configuration each, three times for links, and for each request. They hold until somebody is silent for too long or says something else of itself; a property test compares them with the walk at each step, one counts calls.

--- a/packages/router/fulmarward_router/mesh/_links.py
+++ b/packages/router/fulmarward_router/mesh/_links.py
@@ -232,7 +232,7 @@
             await self._send(link, self._introduce(is_answer=True))
         elif isinstance(message, DataCentreReport):
             self._news.merge_data_centre(message)
-            has_unknown = self._members.merge_snapshot(message, now=now)
+            has_unknown = self._members.merge_data_centre(message, now=now)
             if has_unknown and self._must_fetch_instances():
                 await self._send(link, FetchInstances())
         elif isinstance(message, Fetch):
--- a/packages/router/fulmarward_router/mesh/_members.py
+++ b/packages/router/fulmarward_router/mesh/_members.py
@@ -1,6 +1,6 @@
 """The instances that are known, and what each last said of itself."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
 
 from fulmarward_core.overlay import FULL_MESH, Node, choose_hubs, choose_links
@@ -67,6 +67,25 @@
     sees_slow_streams: bool = False
 
 
+@dataclass(frozen=True, kw_only=True)
+class _View:
+    """What follows from who was heard lately.
+
+    It holds until one of them is silent for too long; heartbeats that say nothing else
+    than before only extend it.
+    """
+
+    #: The span in which it holds, seconds on the steady clock.
+    since: float
+    until: float
+    #: Until when each counts as heard lately, by name.
+    fresh: Mapping[str, float]
+    #: Those that may act for all, in order: they stay, and the store answers them.
+    acting: tuple[str, ...]
+    #: All instances, as far as links are concerned.
+    nodes: tuple[Node, ...]
+
+
 class MemberTable:
     """All other instances by name."""
 
@@ -77,6 +96,10 @@
         #: `None` until asked for again after who is known has changed.
         self._nearby: int | None = None
         self._centres: dict[str, str] | None = None
+        #: The view of the members, and the links and hubs chosen by it.
+        self._cached_view: _View | None = None
+        self._links: dict[tuple[bool, int], frozenset[str]] = {}
+        self._hubs: dict[bool, bool] = {}
         #: Rises whenever an instance comes, goes, or says something else of itself.
         self.revision = 0
 
@@ -113,7 +136,7 @@
             )
         )
 
-    def merge_snapshot(self, news: DataCentreReport, *, now: float) -> bool:
+    def merge_data_centre(self, news: DataCentreReport, *, now: float) -> bool:
         """Take in a hub's word; return whether it tells of instances not known here."""
         has_unknown = False
         for item in news.instances:
@@ -146,7 +169,7 @@
         self, data_centre: str, *, now: float
     ) -> tuple[InstanceReport, ...]:
         """Return what is known of the other instances of a data centre."""
-        fresh = {member.identity.name for member in self.list_fresh(now=now)}
+        fresh = self._find_view(now).fresh
         return tuple(
             _report_member(member, is_fresh=member.identity.name in fresh, now=now)
             for member in self._members.values()
@@ -159,6 +182,12 @@
         is_same = known is not None and known.identity == member.identity
         if not is_same:
             self._forget_counts()
+        elif (
+            known.state != member.state
+            or known.is_direct != member.is_direct
+            or not self._is_in_view(member)
+        ):
+            self._cached_view = None
         if not is_same or known.state != member.state:
             self.revision += 1
 
@@ -170,6 +199,11 @@
         """
         self._nearby = None
         self._centres = None
+        self._cached_view = None
+
+    def _is_in_view(self, member: Member) -> bool:
+        view = self._cached_view
+        return view is not None and member.identity.name in view.fresh
 
     def note_link_lost(self, name: str, *, now: float) -> None:
         """The link that an instance dialled has ended; it is silent until it dials.
@@ -223,32 +257,71 @@
                 self._centres.setdefault(identity.peer_address, identity.data_centre)
         return self._centres.get(peer_address)
 
-    def list_nodes(self, *, now: float) -> list[Node]:
-        """Return all others as far as links are concerned."""
-        fresh = {member.identity.name for member in self.list_fresh(now=now)}
-        return [
-            Node(
-                name=name,
-                data_centre=member.identity.data_centre,
-                is_alive=name in fresh and not member.state.is_leaving,
-            )
+    def _find_view(self, now: float) -> _View:
+        view = self._cached_view
+        if view is None or not view.since <= now <= view.until:
+            view = self._cached_view = self._make_view(now)
+            self._links.clear()
+            self._hubs.clear()
+        return view
+
+    def _make_view(self, now: float) -> _View:
+        direct_s = self.fresh_s
+        indirect_s = direct_s + _HUB_HOPS * DATA_CENTRE_REPORT_INTERVAL_S
+        ends = {
+            name: member.heard_at + (direct_s if member.is_direct else indirect_s)
             for name, member in self._members.items()
-        ]
+            if member.state is not None
+        }
+        fresh = {name: end for name, end in ends.items() if now <= end}
+        staying = {name for name in fresh if not self._members[name].state.is_leaving}
+        return _View(
+            since=now,
+            until=min(fresh.values(), default=float("inf")),
+            fresh=fresh,
+            acting=tuple(
+                sorted(
+                    name
+                    for name in staying
+                    if self._members[name].state.is_store_reachable
+                )
+            ),
+            nodes=tuple(
+                Node(
+                    name=name,
+                    data_centre=member.identity.data_centre,
+                    is_alive=name in staying,
+                )
+                for name, member in self._members.items()
+            ),
+        )
+
+    def list_nodes(self, *, now: float) -> tuple[Node, ...]:
+        """Return all others as far as links are concerned."""
+        return self._find_view(now).nodes
+
+    def list_acting(self, *, now: float) -> tuple[str, ...]:
+        """Return the names of others that may act for all, in order."""
+        return self._find_view(now).acting
 
     def list_links(self, *, may_be_hub: bool, now: float) -> frozenset[str]:
         """Return the peer addresses that this instance keeps links to."""
-        names = choose_links(
-            self._make_own_node(may_be_hub),
-            self.list_nodes(now=now),
-            turn=int(now / TURN_S),
-        )
-        return frozenset(self._members[name].identity.peer_address for name in names)
+        nodes, key = self.list_nodes(now=now), (may_be_hub, int(now / TURN_S))
+        if key not in self._links:
+            names = choose_links(self._make_own_node(may_be_hub), nodes, turn=key[1])
+            self._links[key] = frozenset(
+                self._members[name].identity.peer_address for name in names
+            )
+        return self._links[key]
 
     def is_hub(self, *, may_be_hub: bool, now: float) -> bool:
-        """Return whether this instance tells other data centres of its own."""
-        own = self._make_own_node(may_be_hub)
-        nodes = [*self.list_nodes(now=now), own]
-        return self.is_large and own.name in choose_hubs(nodes, own.data_centre)
+        """Return whether this instance reports its data centre to others."""
+        nodes = self.list_nodes(now=now)
+        if may_be_hub not in self._hubs:
+            own = self._make_own_node(may_be_hub)
+            hubs = choose_hubs([*nodes, own], own.data_centre)
+            self._hubs[may_be_hub] = self.is_large and own.name in hubs
+        return self._hubs[may_be_hub]
 
     def _make_own_node(self, may_be_hub: bool) -> Node:
         return Node(
@@ -288,14 +361,7 @@
 
     def list_fresh(self, *, now: float) -> list[Member]:
         """Return those that were heard lately."""
-        direct_s = self.fresh_s
-        indirect_s = direct_s + _HUB_HOPS * DATA_CENTRE_REPORT_INTERVAL_S
-        return [
-            member
-            for member in self._members.values()
-            if member.state is not None
-            and now - member.heard_at <= (direct_s if member.is_direct else indirect_s)
-        ]
+        return [self._members[name] for name in self._find_view(now).fresh]
 
     def list_ready(self, *, now: float) -> list[Member]:
         """Return those that callers may be sent to."""
@@ -304,7 +370,7 @@
 
     def count_instances(self, *, now: float) -> int:
         """Return how many instances serve, this one included."""
-        return 1 + len(self.list_fresh(now=now))
+        return 1 + len(self._find_view(now).fresh)
 
 
 def _report_member(member: Member, *, is_fresh: bool, now: float) -> InstanceReport:
--- a/packages/router/fulmarward_router/mesh/tests/test_members.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_members.py
@@ -159,6 +159,58 @@
                 expected = at[0] if at else None
                 self.assertEqual(table.find_data_centre(address), expected)
 
+    @given(
+        st.lists(
+            st.tuples(
+                st.integers(0, 6),
+                st.integers(0, 1),
+                st.sampled_from(["ready", "leaving", "told", "hub", "lost", "silent"]),
+                st.sampled_from([0.0, 0.1, 0.7, 2.0, 50.0]),
+            ),
+            max_size=60,
+        )
+    )
+    def test_kept_view_is_what_all_members_give_at_each_moment(self, steps):
+        """Guards against an instance that counts as heard too long or too short."""
+        table, now = MemberTable(own=make_heartbeat("own").sender), 0.0
+        for number, boot, step, pause_s in steps:
+            now += pause_s
+            heartbeat = make_heartbeat(
+                f"peer-{number}", boot, is_leaving=step == "leaving"
+            )
+            if step in ("ready", "leaving"):
+                table.merge_heartbeat(heartbeat, now=now)
+            elif step == "told":
+                table.merge_members([heartbeat.sender], now=now)
+            elif step == "hub":
+                report = _tell(heartbeat.sender.name, boot)
+                table.merge_data_centre(_make_news(report), now=now)
+            elif step == "lost":
+                table.note_link_lost(heartbeat.sender.name, now=now)
+            else:
+                table.forget_silent(now=now)
+            for at in (now, now + 0.05):
+                expected = table._make_view(at)
+                fresh = {m.identity.name for m in table.list_fresh(now=at)}
+                self.assertEqual(fresh, set(expected.fresh))
+                self.assertEqual(table.list_acting(now=at), expected.acting)
+                self.assertEqual(table.list_nodes(now=at), expected.nodes)
+                self.assertEqual(table.count_instances(now=at), 1 + len(fresh))
+
+    def test_choice_of_links_is_kept_while_nothing_changes(self):
+        """Guards against a walk through all members in each round of a large fleet."""
+        for number in range(79):
+            self.table.merge_heartbeat(make_heartbeat(f"peer-{number}"), now=0.0)
+        self.table.list_links(may_be_hub=True, now=0.1)
+        self.table.merge_heartbeat(make_heartbeat("peer-7"), now=0.2)
+        choose = lambda: (  # noqa: E731
+            self.table.list_links(may_be_hub=True, now=0.3),
+            self.table.is_hub(may_be_hub=True, now=0.3),
+            self.table.list_acting(now=0.3),
+        )
+        choose()
+        self.assertLess(count_calls(choose), 20)
+
     def test_own_name_is_no_other_instance(self):
         self.table.merge_heartbeat(make_heartbeat(name="own"), now=0.0)
         self.table.merge_members([make_heartbeat(name="own").sender], now=0.0)
@@ -194,7 +246,7 @@
         return [member.identity.name for member in self.table.list_ready(now=now)]
 
     def test_instance_is_given_to_callers_on_the_word_of_a_hub(self):
-        self.table.merge_snapshot(_make_news(_tell()), now=1.0)
+        self.table.merge_data_centre(_make_news(_tell()), now=1.0)
         self.assertEqual(self._list_ready(1.1), ["far"])
         # Its hub tells of it each second; with both hubs gone it is not given for long.
         self.assertEqual(self._list_ready(9.0), [])
@@ -202,12 +254,12 @@
     def test_what_is_newer_counts_whoever_tells_it(self):
         # Two hubs tell of an instance that was killed: one has seen its link end, the
         # other's word is from before and comes later.
-        self.table.merge_snapshot(
+        self.table.merge_data_centre(
             _make_news(_tell(age_ms=100, is_alive=False)), now=2.0
         )
-        self.table.merge_snapshot(_make_news(_tell(age_ms=400)), now=2.1)
+        self.table.merge_data_centre(_make_news(_tell(age_ms=400)), now=2.1)
         self.assertEqual(self._list_ready(2.2), [])
-        self.table.merge_snapshot(_make_news(_tell(age_ms=50)), now=2.4)
+        self.table.merge_data_centre(_make_news(_tell(age_ms=50)), now=2.4)
         self.assertEqual(self._list_ready(2.5), ["far"])
 
     def test_new_start_is_asked_for_and_an_older_one_ignored(self):
@@ -221,19 +273,19 @@
         for name, told, expected in cases:
             with self.subTest(name):
                 news = _make_news(told)
-                self.assertEqual(self.table.merge_snapshot(news, now=1.0), expected)
+                self.assertEqual(self.table.merge_data_centre(news, now=1.0), expected)
 
     def test_word_is_passed_on_with_its_age(self):
-        self.table.merge_snapshot(_make_news(_tell(age_ms=200)), now=1.0)
+        self.table.merge_data_centre(_make_news(_tell(age_ms=200)), now=1.0)
         self.assertEqual(self.table.report_members("a", now=1.3)[0].age_ms, 500)
         self.assertEqual(self.table.report_members("c", now=1.3), ())
 
     def test_revision_rises_with_what_peers_should_hear_at_once(self):
-        self.table.merge_snapshot(_make_news(_tell()), now=1.0)
+        self.table.merge_data_centre(_make_news(_tell()), now=1.0)
         before = self.table.revision
-        self.table.merge_snapshot(_make_news(_tell(age_ms=10)), now=2.0)
+        self.table.merge_data_centre(_make_news(_tell(age_ms=10)), now=2.0)
         self.assertEqual(self.table.revision, before)
-        self.table.merge_snapshot(
+        self.table.merge_data_centre(
             _make_news(_tell(age_ms=10, is_leaving=True)), now=3.0
         )
         self.assertGreater(self.table.revision, before)
--- a/packages/router/fulmarward_router/state/_news.py
+++ b/packages/router/fulmarward_router/state/_news.py
@@ -1,5 +1,6 @@
 """What an instance tells its peers, and what it takes from them."""
 
+import bisect
 from collections.abc import Callable, Iterable, Mapping
 
 from fulmarward.observability import log_event
@@ -150,13 +151,9 @@
         """
         if self._is_leaving() or not self._is_store_reachable():
             return False
-        fresh = self._members.list_fresh(now=self._read_clock())
-        names = [
-            member.identity.name
-            for member in fresh
-            if not member.state.is_leaving and member.state.is_store_reachable
-        ]
-        return self._own.name in sorted([*names, self._own.name])[:count]
+        others = self._members.list_acting(now=self._read_clock())
+        before = bisect.bisect_left(others, self._own.name)
+        return before < count
 
     def is_store_out(self) -> bool:
         """Return whether no instance reaches the store, as far as known here.
