Failover: open streams are checked when one may be stalled, not each 12 ms

While all streams move nothing can be found: the next check is when the first of them has been silent for long enough to count (a property test: nothing could be found before); while one is stalled the checks are 12 ms apart as before. Views of the streams are made only if one is stalled.

--- a/packages/core/fulmarward_core/stalls/__init__.py
+++ b/packages/core/fulmarward_core/stalls/__init__.py
@@ -3,7 +3,15 @@
 from fulmarward_core.stalls.decisions import (
     MIN_STALL_S,
     StreamView,
+    compute_check_delay_s,
+    compute_joint_stall_s,
     find_stalled_targets,
 )
 
-__all__ = ["MIN_STALL_S", "StreamView", "find_stalled_targets"]
+__all__ = [
+    "MIN_STALL_S",
+    "StreamView",
+    "compute_check_delay_s",
+    "compute_joint_stall_s",
+    "find_stalled_targets",
+]
--- a/packages/core/fulmarward_core/stalls/decisions.py
+++ b/packages/core/fulmarward_core/stalls/decisions.py
@@ -4,7 +4,7 @@
 any stream moves is sound. What is left may be lost, and is to be asked.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 #: Silence after which a stream counts as stalled: a multiple of the mean pause, and
@@ -29,6 +29,32 @@
     silent_s: float
 
 
+def compute_joint_stall_s(mean_pause_s: float) -> float:
+    """Return the seconds of silence up to which no stream counts as stalled.
+
+    `mean_pause_s` is the usual pause between two events of a stream.
+    """
+    return max(MIN_JOINT_STALL_S, mean_pause_s * JOINT_STALL_FACTOR)
+
+
+def compute_check_delay_s(
+    last_events: Iterable[float],
+    *,
+    mean_pause_s: float,
+    interval_s: float,
+    now: float,
+) -> float:
+    """Return the seconds until the next check of open streams.
+
+    `last_events` are when each stream last gave a sign of life, seconds on the steady
+    clock. Nothing can be found before one of them is silent for long enough to count;
+    from then on the checks are `interval_s` apart.
+    """
+    silence_s = min(MIN_STALL_S, compute_joint_stall_s(mean_pause_s))
+    due_at = min(last_events, default=now) + silence_s
+    return max(interval_s, due_at - now)
+
+
 def find_stalled_targets(
     streams: Sequence[StreamView], *, mean_pause_s: float
 ) -> list[str]:
@@ -37,7 +63,7 @@
     `mean_pause_s` is the usual pause between two events of a stream.
     """
     limit_s = max(MIN_STALL_S, mean_pause_s * STALL_FACTOR)
-    many_limit_s = max(MIN_JOINT_STALL_S, mean_pause_s * JOINT_STALL_FACTOR)
+    many_limit_s = compute_joint_stall_s(mean_pause_s)
     moving: set[str] = set()
     stalled: dict[str, int] = {}
     long_stalled: set[str] = set()
--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -6,7 +6,13 @@
 
 from fulmarward.observability import log_event
 from fulmarward_core.paths import Hop, count_tokens_held
-from fulmarward_core.stalls import MIN_STALL_S, StreamView, find_stalled_targets
+from fulmarward_core.stalls import (
+    MIN_STALL_S,
+    StreamView,
+    compute_check_delay_s,
+    compute_joint_stall_s,
+    find_stalled_targets,
+)
 from fulmarward_router.exchange._attempt import Attempt, AttemptEnded, describe_path
 from fulmarward_router.exchange._context import ServiceContext
 from fulmarward_router.exchange._pipe import PipeGate
@@ -128,9 +134,10 @@
             if not self._open:
                 await self._await_stream()
                 checked_at = self._read_clock()
-            await asyncio.sleep(CHECK_INTERVAL_S)
+            delay_s = self._compute_delay_s(checked_at)
+            await asyncio.sleep(delay_s)
             now = self._read_clock()
-            late_s = now - checked_at - CHECK_INTERVAL_S
+            late_s = now - checked_at - delay_s
             is_late = late_s > MAX_LATENESS_S
             checked_at = now
             self._log_lateness(late_s)
@@ -143,6 +150,18 @@
                     self._probe_unsure(attempt, now)
                     self._start_check(attempt)
 
+    def _compute_delay_s(self, now: float) -> float:
+        """Return the seconds until the open streams are to be checked again.
+
+        Guards against waking many times a second while all streams move.
+        """
+        return compute_check_delay_s(
+            (attempt.heard_at for attempt in self._open.values()),
+            mean_pause_s=self._mean_pause_s,
+            interval_s=CHECK_INTERVAL_S,
+            now=now,
+        )
+
     async def _await_stream(self) -> None:
         """Return once a stream is open.
 
@@ -202,13 +221,20 @@
         which any stream moves is sound. What is left is asked at once, all together:
         the one that does not answer is the lost one.
         """
+        begun = [
+            attempt
+            for attempt in self._open.values()
+            if attempt.has_begun and attempt.checking is None
+        ]
+        silent_at = now - compute_joint_stall_s(self._mean_pause_s)
+        if all(attempt.heard_at > silent_at for attempt in begun):
+            return
         views = [
             StreamView(
                 targets=tuple(hop.target for hop in attempt.path),
                 silent_s=now - attempt.heard_at,
             )
-            for attempt in self._open.values()
-            if attempt.has_begun and attempt.checking is None
+            for attempt in begun
         ]
         suspects = find_stalled_targets(views, mean_pause_s=self._mean_pause_s)
         if suspects:
