Metrics: bytes between peers are added up outside of the library

Adding to a counter with labels took 3.3 us for each message, 3 to 4 in 100 of an instance's profile (trial, cProfile); an own sum is set as the metric's value when it is read.

--- a/packages/router/fulmarward_router/_metrics.py
+++ b/packages/router/fulmarward_router/_metrics.py
@@ -1,6 +1,7 @@
 """Counters and histograms of a routing instance."""
 
 import time
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
@@ -92,9 +93,16 @@
 
 
 def refresh_metrics(
-    metrics: RouterMetrics, *, meter: ProcessorMeter, version: int, targets: int
+    metrics: RouterMetrics,
+    *,
+    meter: ProcessorMeter,
+    peer_bytes: Mapping[str, int],
+    version: int,
+    targets: int,
 ) -> None:
     """Set what is only worked out when it is read."""
+    for direction, size in peer_bytes.items():
+        metrics.peer_bytes.set({"direction": direction}, size)
     for subsystem, seconds in meter.subsystems.items():
         metrics.subsystem_time.set({"subsystem": subsystem}, seconds)
     for activity, seconds in meter.activities.items():
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -4,6 +4,7 @@
 import logging
 import signal
 import time
+from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine, Mapping
 from dataclasses import dataclass
 from typing import Protocol
@@ -153,6 +154,8 @@
         self._signals = signals
         self._clock = clock = time.monotonic
         self._has_failed = False
+        #: Bytes between peers by direction; the metric is set when it is read.
+        self._peer_bytes: Counter[str] = Counter()
         self.life = Life()
         self.metrics = make_router_metrics()
         self.meter = ProcessorMeter(read_clock=time.perf_counter)
@@ -335,7 +338,7 @@
         self.metrics.calls.inc({"call": call, "status": status})
 
     def _count_bytes(self, direction: str, size: int) -> None:
-        self.metrics.peer_bytes.add({"direction": direction}, size)
+        self._peer_bytes[direction] += size
 
     async def run(self) -> bool:
         """Serve until told to stop; return whether a duty failed."""
@@ -384,6 +387,7 @@
             refresh=lambda: refresh_metrics(
                 self.metrics,
                 meter=self.meter,
+                peer_bytes=self._peer_bytes,
                 version=self.configuration.version,
                 targets=len(self.catalogue.list_targets(now=self._clock())),
             ),
