Mesh: targets are fetched when something changed, not when they show that they live

The store's version rises with each heartbeat that any of 99 targets writes there, so that every peer seemed to know more, and each instance fetched changes five times a second, nearly always none. A heartbeat states the version after which nothing changed that matters; whoever knows all up to it knows as much, and takes its age for a confirmation. One that has just started states its first reading, and since it cannot tell what led to it, any peer is asked until that version is known. The message keeps its fields; beside instances of the code before, these fetch as before, and the older ones read at the store.

The three new tests fail on the code before (a fetch for each of 40 versions; no fetch of another peer).

--- a/packages/core/fulmarward_core/catalogue/_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/_catalogue.py
@@ -63,6 +63,8 @@
         self.version = 0
         #: The version from which on that holds: what went before it was never known.
         self._known_from = 0
+        #: Version of the last change that said something new.
+        self._last_changed = 0
         #: When that was last confirmed, here or by a peer; steady seconds.
         self.confirmed_at = float("-inf")
         #: Rises with each change of what `list_targets` returns.
@@ -73,6 +75,15 @@
         """Whether the whole list was read at least once."""
         return self.version > 0
 
+    @property
+    def stated_version(self) -> int:
+        """The version after which, up to `version`, nothing changed that matters.
+
+        Whoever knows all changes up to it knows as much as this catalogue. What went
+        before the first reading was never known, and counts as a change.
+        """
+        return min(self.version, max(self._known_from, self._last_changed))
+
     def may_be_short(self, *, now: float) -> bool:
         """Return whether targets that live may be missing, and are about to be back.
 
@@ -124,9 +135,12 @@
             self._forget(now)
         return news
 
-    def confirm(self, version: int, *, at: float) -> None:
-        """Note that nothing changed until `at`, as far as `version` is known here."""
-        if version <= self.version:
+    def confirm(self, stated_version: int, *, at: float) -> None:
+        """Note that a peer knew of no change after `stated_version` until `at`.
+
+        That holds here too if all changes up to it are known.
+        """
+        if stated_version <= self.version:
             self._note_confirmed(at)
 
     def _note_confirmed(self, at: float) -> None:
@@ -145,6 +159,7 @@
             self._rows[row.name] = row
             return False
         self._changed[row.name] = row.version
+        self._last_changed = max(self._last_changed, row.version)
         has_gone = row.value is None and known is not None and known.record is not None
         if has_gone and self._may_return(now):
             self._lapsed[row.name] = (known.record, now)
--- a/packages/router/fulmarward_router/mesh/_messages.py
+++ b/packages/router/fulmarward_router/mesh/_messages.py
@@ -55,7 +55,8 @@
     #: by the store, in ms ago (-1: never).
     configuration_version: int
     configuration_age_ms: int
-    #: Version of the store up to which it knows the targets, and ms since confirmed.
+    #: Version of the store after which it knows of no change of the targets, and ms
+    #: since that was confirmed.
     targets_version: int
     targets_age_ms: int
     #: Whether the store answers it.
--- a/packages/router/fulmarward_router/state/_news.py
+++ b/packages/router/fulmarward_router/state/_news.py
@@ -41,9 +41,7 @@
 from fulmarward_router.ports import Row
 from fulmarward_router.state._configuration import ConfigurationHolder
 
-#: Seconds between two questions for targets' rows. Load: versions rise with each row
-#: that any target writes, so that every peer seems to know more; harm: a question for
-#: each heartbeat of each of them; reason: less than a reading's pause.
+#: Seconds between two fetches of targets' changes.
 FETCH_INTERVAL_S = 0.2
 
 #: Age in ms that says "never".
@@ -88,6 +86,8 @@
         self._note_change = note_change
         self._note_news = note_targets
         self._fetched_at = float("-inf")
+        #: Newest version of the targets that a peer stated.
+        self._stated_version = 0
         self._fetch = PendingFetch()
         self._transfers = TransferLimiter()
         #: Start time (ms since 1970) of each peer that accepts compressed ones.
@@ -111,7 +111,7 @@
             is_leaving=self._is_leaving(),
             configuration_version=self._configuration.version,
             configuration_age_ms=_count_ms(self._configuration.confirmed_at, now),
-            targets_version=self._catalogue.version,
+            targets_version=self._catalogue.stated_version,
             targets_age_ms=_count_ms(self._catalogue.confirmed_at, now),
             is_store_reachable=self._is_store_reachable(),
             loads=loads,
@@ -195,17 +195,27 @@
             at = now - heartbeat.configuration_age_ms / 1000
             holder = self._configuration
             holder.confirmed_at = max(holder.confirmed_at, at)
-        if heartbeat.targets_version > self._catalogue.version:
-            if now - self._fetched_at < FETCH_INTERVAL_S:
-                return questions
-            self._fetched_at = now
-            questions.append(FetchTargets(after=self._catalogue.version))
-        elif heartbeat.targets_age_ms >= 0:
+        if heartbeat.targets_age_ms >= 0:
             at = now - heartbeat.targets_age_ms / 1000
-            if heartbeat.targets_version == self._catalogue.version:
-                self._catalogue.confirm(heartbeat.targets_version, at=at)
+            self._catalogue.confirm(heartbeat.targets_version, at=at)
+        if self._must_fetch_targets(heartbeat, now):
+            questions.append(FetchTargets(after=self._catalogue.version))
         return questions
 
+    def _must_fetch_targets(self, heartbeat: Heartbeat, now: float) -> bool:
+        """Return whether to ask the sender for changes of targets.
+
+        Whoever states the newest version may be unable to tell what led to it, having
+        just started: any peer is asked until all changes up to it are known.
+        """
+        self._stated_version = max(self._stated_version, heartbeat.targets_version)
+        if self._stated_version <= self._catalogue.version:
+            return False
+        if now - self._fetched_at < FETCH_INTERVAL_S:
+            return False
+        self._fetched_at = now
+        return True
+
     def _make_fetch(self, peer: InstanceIdentity, version: int) -> Fetch:
         """Return the question for the configuration that a peer understands."""
         if self._supports_compression.get(peer.name) == peer.boot:
--- a/packages/router/fulmarward_router/tests/test_knowledge.py
+++ b/packages/router/fulmarward_router/tests/test_knowledge.py
@@ -264,6 +264,53 @@
                     one.now += 10.0
                 self.assertEqual(one.knowledge.is_store_out(), expected)
 
+    def test_targets_that_show_that_they_live_are_no_reason_to_fetch(self):
+        """Guards against a fetch for each heartbeat that targets write at the store."""
+        self._share_target()
+        for step in range(1, 40):
+            now = self.one.now = self.two.now = 100.0 + step * 0.1
+            row = self._make_row(5 + step)
+            self.one.catalogue.take_changes([row], 5 + step, now=now)
+            self.assertEqual(self.two.hear(self.one), [])
+            self.assertAlmostEqual(self.two.catalogue.confirmed_at, now, places=2)
+
+    def test_target_that_leaves_is_fetched_at_once(self):
+        """Guards against work for a target that a peer knows to be leaving."""
+        self._share_target()
+        self.one.now = self.two.now = 101.0
+        leaving = self._make_row(9, b"leaving")
+        self.one.catalogue.take_changes([leaving], 12, now=101.0)
+        self.assertEqual(self.two.hear(self.one), [FetchTargets(after=5)])
+        self.assertEqual(self.two.catalogue.version, 12)
+        known = {row.name: row.value for row in self.two.catalogue.list_rows(after=0)}
+        self.assertEqual(known, {"t": b"leaving"})
+
+    def test_restarted_peer_makes_others_fetch_until_they_know_its_version(self):
+        """Guards against fetches without end that a restarted peer cannot answer."""
+        self._share_target()
+        three, row = Peer("three"), self._make_row(8)
+        self.two.now = 100.3
+        three.catalogue.take_all([row], 9, now=100.0)
+        self.assertEqual(self.two.hear(three), [FetchTargets(after=5)])
+        self.assertEqual(self.two.catalogue.version, 5)
+        self.one.catalogue.take_changes([row], 9, now=100.0)
+        self.one.now = self.two.now = 100.5
+        self.assertEqual(self.two.hear(self.one), [FetchTargets(after=5)])
+        for peer in (three, self.one):
+            self.two.now += 0.5
+            self.assertEqual(self.two.hear(peer), [])
+
+    def _make_row(self, version, value=b"x"):
+        return KnownRow(
+            name="t", version=version, value=value, record=None, heard_at=100.0
+        )
+
+    def _share_target(self):
+        """Let both instances know a target, the second one by the first."""
+        self.one.catalogue.take_all([self._make_row(5)], 5, now=100.0)
+        self.two.hear(self.one)
+        self.assertEqual(self.two.catalogue.version, 5)
+
     def test_restarted_instance_vouches_for_nothing_before_its_first_reading(self):
         # A plain target leaves for good; a moment later an instance starts, reads the
         # list, which the target is no longer on, and is ahead of all. An instance that
