Mesh: pings go with the rounds of heartbeats

A round sends the ping behind the heartbeat, at most each 0.6 s, and ends a link whose ping had no answer for a second or whose bytes stay unsent that long; a link that fell silent is found after 1.0 to 2.1 s, 1.0 to 2.0 s before.

Tests: a link without pongs and one whose bytes stay unsent are ended, sound ones are not.

--- a/packages/router/fulmarward_router/mesh/_heartbeats.py
+++ b/packages/router/fulmarward_router/mesh/_heartbeats.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from websockets.asyncio.connection import Connection, broadcast
+from websockets.protocol import State
 
 from fulmarward.observability import log_event
 from fulmarward_router.mesh._members import (
@@ -21,7 +22,13 @@
 REUSE_HEARTBEAT_S = 0.1
 
 #: Unsent bytes on a link above which it gets no heartbeat: the next one replaces it.
-MAX_UNSENT_BYTES = 1 << 16
+#: Well under what pauses the writing, so that a round waits for no link.
+MAX_UNSENT_BYTES = 1 << 13
+
+#: Minimum seconds between two pings of a link, on which nothing else comes back, and
+#: seconds after which a ping without an answer ends it.
+PING_INTERVAL_S = 0.6
+PING_TIMEOUT_S = 1.0
 
 
 @dataclass(kw_only=True, eq=False)
@@ -35,8 +42,11 @@
     #: that they held.
     reported_at: float = float("-inf")
     reported_revision: int = -1
-    #: Whether the last heartbeat was left out since earlier bytes were still unsent.
-    is_saturated: bool = False
+    #: Since when heartbeats are left out, as earlier bytes are still unsent.
+    saturated_at: float | None = None
+    #: When the last ping was sent, and the future of its answer.
+    pinged_at: float = float("-inf")
+    pong: asyncio.Future[float] | None = None
 
 
 class HeartbeatSender:
@@ -100,8 +110,9 @@
             self._changed.clear()
             now = self._read_clock()
             self._begin_round(now)
-            for link in self._links:
+            for link in list(self._links):
                 self._send(link, now)
+                await self._check(link, now)
             await self._await_change(self._members.heartbeat_interval_s)
             early_s = now + MIN_HEARTBEAT_INTERVAL_S - self._read_clock()
             if early_s > 0:
@@ -122,18 +133,38 @@
 
     def _send(self, link: PeerLink, now: float) -> None:
         unsent = link.connection.transport.get_write_buffer_size()
-        is_saturated = unsent > MAX_UNSENT_BYTES
-        if is_saturated and not link.is_saturated:
-            log_event("peer_link_saturated", peer=link.address, unsent=unsent)
-        link.is_saturated = is_saturated
-        if is_saturated:
+        if unsent > MAX_UNSENT_BYTES:
+            if link.saturated_at is None:
+                link.saturated_at = now
+                log_event("peer_link_saturated", peer=link.address, unsent=unsent)
             return
+        link.saturated_at = None
         peer_centre = self._members.find_data_centre(link.address)
         self._write(link, self._find_heartbeat(peer_centre))
         if self.is_hub:
             for data_centre in self._list_due_reports(link, peer_centre, now):
                 self._write(link, self._find_report(data_centre))
 
+    async def _check(self, link: PeerLink, now: float) -> None:
+        """Ping a link now and then, and end one on which nothing gets through.
+
+        Guards against a connection that fell silent without a reset: nothing but a
+        missing answer shows it.
+        """
+        connection = link.connection
+        if connection.protocol.state is not State.OPEN:
+            return
+        waits_since = link.saturated_at
+        if link.pong is not None and not link.pong.done():
+            waits_since = link.pinged_at
+        if waits_since is None:
+            if now - link.pinged_at >= PING_INTERVAL_S:
+                # The link is open and not saturated: this waits for nothing.
+                link.pong, link.pinged_at = await connection.ping(), now
+        elif now - waits_since >= PING_TIMEOUT_S:
+            log_event("peer_link_silent", peer=link.address, for_s=now - waits_since)
+            connection.transport.abort()
+
     def _write(self, link: PeerLink, data: bytes) -> None:
         self._count_bytes("out", len(data))
         broadcast([link.connection], data)
--- a/packages/router/fulmarward_router/mesh/_links.py
+++ b/packages/router/fulmarward_router/mesh/_links.py
@@ -28,9 +28,9 @@
 )
 from fulmarward_router.mesh._state import Fetch, MeshState
 
-#: Seconds for a link to open, and for a ping or a message to get through.
+#: Seconds for a link to open, and for a message to get through.
 OPEN_TIMEOUT_S = 0.6
-PING_TIMEOUT_S = 1.0
+SEND_TIMEOUT_S = 1.0
 
 #: Seconds between pings of a link that a peer dialled; missing heartbeats show its
 #: silence long before.
@@ -160,8 +160,8 @@
                 async with connect(
                     f"ws://{address}",
                     open_timeout=OPEN_TIMEOUT_S,
-                    ping_interval=PING_TIMEOUT_S,
-                    ping_timeout=PING_TIMEOUT_S,
+                    # The rounds of heartbeats ping.
+                    ping_interval=None,
                     close_timeout=0.2,
                     max_size=MAX_MESSAGE_BYTES,
                     compression=None,
@@ -267,7 +267,7 @@
 
     async def _send_data(self, link: Connection, data: bytes) -> None:
         self._count_bytes("out", len(data))
-        async with asyncio.timeout(PING_TIMEOUT_S):
+        async with asyncio.timeout(SEND_TIMEOUT_S):
             await link.send(data)
 
     async def accept(self, link: Connection) -> None:
@@ -293,7 +293,7 @@
             host,
             int(port),
             ping_interval=ACCEPTED_PING_INTERVAL_S,
-            ping_timeout=PING_TIMEOUT_S,
+            ping_timeout=SEND_TIMEOUT_S,
             close_timeout=0.2,
             max_size=MAX_MESSAGE_BYTES,
             compression=None,
--- a/packages/router/fulmarward_router/mesh/tests/test_heartbeats.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_heartbeats.py
@@ -22,10 +22,20 @@
         self.transport.get_write_buffer_size.return_value = 0
         self.send_in_progress = None
         self.sent = []
+        #: Pings without an answer.
+        self.pings = []
+        self.answers_pings = True
 
     def send_data(self):
         pass
 
+    async def ping(self):
+        pong = asyncio.get_running_loop().create_future()
+        if self.answers_pings:
+            pong.set_result(0.001)
+        self.pings.append(pong)
+        return pong
+
     def count(self, kind):
         return sum(isinstance(message, kind) for message in self.sent)
 
@@ -145,6 +155,28 @@
         await self._await_heartbeats([free], 3)
         self.assertEqual(closed.count(Heartbeat), 1)
 
+    async def test_link_on_which_pings_get_no_answer_is_ended(self):
+        """Guards against a connection that fell silent without a reset."""
+        silent, sound = self._open(2)
+        silent.answers_pings = False
+        self._start()
+        async with asyncio.timeout(10.0):
+            while not silent.transport.abort.called:
+                await asyncio.sleep(0.01)
+        self.assertEqual(len(silent.pings), 1)
+        self.assertGreater(len(sound.pings), 1)
+        self.assertFalse(sound.transport.abort.called)
+
+    async def test_link_whose_bytes_stay_unsent_is_ended(self):
+        """Guards against a silent link that is full, so that no ping is sent on it."""
+        (full,) = self._open(1)
+        full.transport.get_write_buffer_size.return_value = MAX_UNSENT_BYTES + 1
+        self._start()
+        async with asyncio.timeout(10.0):
+            while not full.transport.abort.called:
+                await asyncio.sleep(0.01)
+        self.assertEqual(full.pings, [])
+
     async def test_hub_reports_its_data_centre_to_others_and_others_at_home(self):
         near = replace(self.own, name="near", peer_address="10.0.0.0:1")
         far = replace(near, name="far", data_centre="far", peer_address="10.0.0.1:1")
