Requests: an answer that is cut leaves no traceback beside the log

A cut raised an error through the HTTP library's handler, which wrote a traceback of thirty lines to standard error for each: unstructured, without the rate limit of the log and blocking. Where hundreds of answers are cut in a second that is processor time besides. The connection is closed instead and nothing more can be written on it, so that the answer still shows as incomplete (no last chunk); the line request_ended says why, as before.

--- a/packages/router/fulmarward_router/exchange/_front.py
+++ b/packages/router/fulmarward_router/exchange/_front.py
@@ -136,7 +136,7 @@
             return self._refuse(request, work, refusal)
         except Cut as cut:
             outcome = f"cut: {cut.cause}"
-            raise ConnectionResetError(cut.cause) from cut
+            return _cut(request)
         except (ConnectionError, asyncio.CancelledError):
             outcome = "caller left"
             raise
@@ -292,5 +292,19 @@
         )
 
 
+def _cut(request: web.BaseRequest) -> web.StreamResponse:
+    """End the connection of an answer that has begun, so that it shows as incomplete.
+
+    Raises `ConnectionResetError` where none has begun. What is returned is not ended:
+    nothing more can be written once the connection is closing. Guards against the
+    traceback that the HTTP library writes beside the log for an error in a handler.
+    """
+    answer = request.get("answer")
+    if answer is None or request.transport is None:
+        raise ConnectionResetError("no answer to cut")
+    request.transport.close()
+    return answer
+
+
 def _find_id(work: Work | None) -> str | None:
     return None if work is None else work.facts.request_id
