--- a/packages/core/fulmarward_core/spread/__init__.py
+++ b/packages/core/fulmarward_core/spread/__init__.py
@@ -1,4 +1,4 @@
-"""How a large row passes from instance to instance without filling their links."""
+"""Dissemination of large snapshots without filling the links between instances."""
 
 from fulmarward_core.spread._fetch import FetchTimeout, PendingFetch
 from fulmarward_core.spread._packing import pack_value, unpack_value
--- a/packages/core/fulmarward_core/spread/tests/test_fetch.py
+++ b/packages/core/fulmarward_core/spread/tests/test_fetch.py
@@ -1,10 +1,10 @@
 import unittest
 
 from fulmarward_core.spread import FetchTimeout, PendingFetch
-from fulmarward_core.spread._fetch import ASK_S, DEFER_S
+from fulmarward_core.spread._fetch import DEFER_DURATION_S, FETCH_TIMEOUT_S
 
 
-class OpenQuestionTest(unittest.TestCase):
+class PendingFetchTest(unittest.TestCase):
     def setUp(self):
         self.question = PendingFetch()
         self.assertTrue(self.question.ask("a", known=1, now=0.0))
@@ -23,13 +23,13 @@
         self.assertFalse(self._ask("c", 0.06, known=2))
 
     def test_silent_peer_is_given_up_and_another_one_asked(self):
-        self.assertIsNone(self.question.give_up(known=1, now=ASK_S - 0.01))
-        given_up = self.question.give_up(known=1, now=ASK_S)
-        self.assertEqual(given_up, FetchTimeout(peer="a", after_s=ASK_S))
-        self.assertTrue(self._ask("b", ASK_S))
+        self.assertIsNone(self.question.give_up(known=1, now=FETCH_TIMEOUT_S - 0.01))
+        given_up = self.question.give_up(known=1, now=FETCH_TIMEOUT_S)
+        self.assertEqual(given_up, FetchTimeout(peer="a", after_s=FETCH_TIMEOUT_S))
+        self.assertTrue(self._ask("b", FETCH_TIMEOUT_S))
 
     def test_answered_question_is_not_told_as_given_up(self):
-        self.assertIsNone(self.question.give_up(known=2, now=ASK_S))
+        self.assertIsNone(self.question.give_up(known=2, now=FETCH_TIMEOUT_S))
 
     def test_row_that_cannot_be_read_is_not_asked_for_again_at_once(self):
         # It comes from each peer alike, and the version known here stays what it was.
@@ -40,7 +40,7 @@
         self.assertFalse(self._ask("a", 0.02))
         self.assertTrue(self._ask("b", 0.02))
         self.question.note_deferred("b", now=0.03)
-        self.assertTrue(self._ask("a", 0.02 + DEFER_S))
+        self.assertTrue(self._ask("a", 0.02 + DEFER_DURATION_S))
 
     def test_late_word_of_another_peer_closes_nothing(self):
         self.question.note_deferred("b", now=0.1)
--- a/packages/core/fulmarward_core/spread/tests/test_packing.py
+++ b/packages/core/fulmarward_core/spread/tests/test_packing.py
@@ -5,7 +5,7 @@
 from hypothesis import given, strategies as st
 
 from fulmarward_core.spread import pack_value, unpack_value
-from fulmarward_core.spread._packing import MOST_VALUE_BYTES
+from fulmarward_core.spread._packing import MAX_VALUE_BYTES
 
 
 class PackingTest(unittest.TestCase):
@@ -21,16 +21,14 @@
             ("cut off", packed[:-3]),
             ("changed on the way", packed[:9] + b"\xff" + packed[10:]),
             ("with more behind it", packed + b"x"),
-            ("larger than any row", zlib.compress(bytes(MOST_VALUE_BYTES + 1))),
+            ("larger than any row", zlib.compress(bytes(MAX_VALUE_BYTES + 1))),
         ]
         for name, data in cases:
             with self.subTest(name), self.assertRaises(ValueError):
                 unpack_value(data)
 
     def test_largest_value_comes_through(self):
-        self.assertEqual(
-            len(unpack_value(pack_value(bytes(MOST_VALUE_BYTES)))), 4 << 20
-        )
+        self.assertEqual(len(unpack_value(pack_value(bytes(MAX_VALUE_BYTES)))), 4 << 20)
 
     def test_few_bytes_that_unpack_to_many_fill_no_memory(self):
         # A message of 64 KB that holds 64 MB: only as much of it is unpacked as a row
@@ -40,4 +38,4 @@
         self.addCleanup(tracemalloc.stop)
         with self.assertRaisesRegex(ValueError, "at most"):
             unpack_value(packed)
-        self.assertLess(tracemalloc.get_traced_memory()[1], 4 * MOST_VALUE_BYTES)
+        self.assertLess(tracemalloc.get_traced_memory()[1], 4 * MAX_VALUE_BYTES)
--- a/packages/core/fulmarward_core/spread/tests/test_transfers.py
+++ b/packages/core/fulmarward_core/spread/tests/test_transfers.py
@@ -3,10 +3,10 @@
 from hypothesis import given, strategies as st
 
 from fulmarward_core.spread import TransferLimiter
-from fulmarward_core.spread._transfers import MOST_UNDER_WAY_BYTES, TELL_S
+from fulmarward_core.spread._transfers import MAX_IN_FLIGHT_BYTES, TRANSFER_TIMEOUT_S
 
 
-class TellingsTest(unittest.TestCase):
+class TransferLimiterTest(unittest.TestCase):
     def setUp(self):
         self.tellings = TransferLimiter()
 
@@ -15,9 +15,9 @@
 
     def test_how_many_are_told_at_once(self):
         cases = [
-            ("small rows", MOST_UNDER_WAY_BYTES // 5, 5),
-            ("large rows", MOST_UNDER_WAY_BYTES // 2, 2),
-            ("a row that takes it all", MOST_UNDER_WAY_BYTES * 8, 1),
+            ("small rows", MAX_IN_FLIGHT_BYTES // 5, 5),
+            ("large rows", MAX_IN_FLIGHT_BYTES // 2, 2),
+            ("a row that takes it all", MAX_IN_FLIGHT_BYTES * 8, 1),
         ]
         for name, size, expected in cases:
             with self.subTest(name):
@@ -25,10 +25,10 @@
                 self.assertEqual(len(self._begin("abcdefgh", size)), expected)
 
     def test_next_one_is_told_once_a_row_has_arrived_or_its_peer_is_silent(self):
-        self.assertEqual(self._begin("abc", MOST_UNDER_WAY_BYTES // 2), ["a", "b"])
+        self.assertEqual(self._begin("abc", MAX_IN_FLIGHT_BYTES // 2), ["a", "b"])
         self.tellings.end("a")
-        self.assertEqual(self._begin("bcd", MOST_UNDER_WAY_BYTES // 2, 0.5), ["c"])
-        later = self._begin("de", MOST_UNDER_WAY_BYTES // 2, TELL_S)
+        self.assertEqual(self._begin("bcd", MAX_IN_FLIGHT_BYTES // 2, 0.5), ["c"])
+        later = self._begin("de", MAX_IN_FLIGHT_BYTES // 2, TRANSFER_TIMEOUT_S)
         self.assertEqual(later, ["d"])
 
     def test_peer_that_asks_again_has_no_second_copy_under_way(self):
@@ -50,4 +50,4 @@
             elif tellings.begin(str(peer), size, now=0.0):
                 self.assertNotIn(peer, under_way)
                 under_way[peer] = size
-            self.assertLessEqual(sum(under_way.values()), MOST_UNDER_WAY_BYTES)
+            self.assertLessEqual(sum(under_way.values()), MAX_IN_FLIGHT_BYTES)
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -215,7 +215,7 @@
         self.mesh = Mesh(
             own=self.own,
             members=self.members,
-            news=self.knowledge,
+            state=self.knowledge,
             read_clock=clock,
             count_bytes=self._count_bytes,
             decode=self.meter.measure("message_decoding", decode_message),
--- a/packages/router/fulmarward_router/mesh/_links.py
+++ b/packages/router/fulmarward_router/mesh/_links.py
@@ -58,14 +58,14 @@
 
 
 class Mesh:
-    """One task for each link that this instance dials and for each that it accepts."""
+    """The links that this instance dials and those that it accepts, a task for each."""
 
     def __init__(
         self,
         *,
         own: InstanceIdentity,
         members: MemberTable,
-        news: MeshState,
+        state: MeshState,
         read_clock: Callable[[], float],
         count_bytes: Callable[[str, int], None],
         decode: Callable[[bytes], object] = decode_message,
@@ -73,7 +73,7 @@
     ) -> None:
         self._own = own
         self._members = members
-        self._news = news
+        self._state = state
         self._read_clock = read_clock
         self._count_bytes = count_bytes
         self._decode = decode
@@ -81,7 +81,7 @@
         self._sender = HeartbeatSender(
             data_centre=own.data_centre,
             members=members,
-            state=news,
+            state=state,
             encode=encode,
             read_clock=read_clock,
             count_bytes=count_bytes,
@@ -190,7 +190,7 @@
             self._sender.remove(link)
 
     def _introduce(self, *, is_answer: bool) -> Introduction:
-        """Return the first message of a link, or the answer to a question.
+        """Return the first message of a link, or the answer to a fetch.
 
         Where there are many instances, the others are told of only to who asks.
         """
@@ -226,29 +226,29 @@
             self._members.merge_members([message.sender, *message.known], now=now)
         elif isinstance(message, Heartbeat):
             self._members.merge_heartbeat(message, now=now)
-            for question in self._news.merge_heartbeat(message):
-                await self._send(link, question)
+            for fetch in self._state.merge_heartbeat(message):
+                await self._send(link, fetch)
         elif isinstance(message, FetchInstances):
             await self._send(link, self._introduce(is_answer=True))
         elif isinstance(message, DataCentreReport):
-            self._news.merge_data_centre(message)
+            self._state.merge_data_centre(message)
             has_unknown = self._members.merge_data_centre(message, now=now)
             if has_unknown and self._must_fetch_instances():
                 await self._send(link, FetchInstances())
         elif isinstance(message, Fetch):
-            answer = self._news.answer(message)
+            answer = self._state.answer(message)
             if answer is not None:
                 await self._send(link, answer)
         elif isinstance(message, CompressedConfiguration):
             await self._take_row(link, message)
         elif isinstance(message, ConfigurationSnapshot | TargetChanges):
-            self._news.merge_snapshot(message)
+            self._state.merge_snapshot(message)
         elif isinstance(message, SupportsCompression):
-            self._news.note_supports_compression(message)
+            self._state.note_supports_compression(message)
         elif isinstance(message, ConfigurationDeferred):
-            self._news.note_deferred(message)
+            self._state.note_deferred(message)
         elif isinstance(message, ConfigurationReceived):
-            self._news.note_received(message)
+            self._state.note_received(message)
 
     async def _take_row(self, link: Connection, news: CompressedConfiguration) -> None:
         """Say that a row has come, and take it in.
@@ -260,7 +260,7 @@
         try:
             await self._send(link, ConfigurationReceived(sender=self._own.name))
         finally:
-            self._news.merge_snapshot(news)
+            self._state.merge_snapshot(news)
 
     async def _send(self, link: Connection, message: object) -> None:
         await self._send_data(link, self._encode(message))
@@ -271,7 +271,7 @@
             await link.send(data)
 
     async def accept(self, link: Connection) -> None:
-        """Hear a link that a peer dialled; questions go back on the same link."""
+        """Hear a link that a peer dialled; fetches go back on the same link."""
         # A link that is closed in order says nothing of its peer: it may have become
         # needless. A killed process sends no closing frame.
         senders: set[str] = set()
@@ -283,7 +283,7 @@
                 self._members.note_link_lost(name, now=self._read_clock())
         finally:
             for name in senders:
-                self._news.note_link_lost(name)
+                self._state.note_link_lost(name)
 
     async def listen(self, address: str) -> Server:
         """Accept links of peers at `IP:PORT`."""
--- a/packages/router/fulmarward_router/mesh/_state.py
+++ b/packages/router/fulmarward_router/mesh/_state.py
@@ -26,31 +26,31 @@
     """What the rest of the instance gives to the mesh and takes from it."""
 
     def make_heartbeat(self, *, has_loads: bool = True) -> Heartbeat:
-        """Return this instance's heartbeat, with its load or without."""
+        """Return this instance's heartbeat, with its loads or without."""
 
     def merge_heartbeat(self, heartbeat: Heartbeat) -> list[Fetch]:
         """Take in a peer's heartbeat; return what to ask that peer for."""
 
-    def answer(self, question: Fetch) -> Answer | None:
-        """Return the answer to a peer's question, `None` if there is none."""
+    def answer(self, fetch: Fetch) -> Answer | None:
+        """Return the answer to a peer's fetch, `None` if there is none."""
 
-    def merge_snapshot(self, news: Snapshot) -> None:
+    def merge_snapshot(self, snapshot: Snapshot) -> None:
         """Take in what a peer answered."""
 
     def note_supports_compression(self, message: SupportsCompression) -> None:
         """Take in that a peer may be asked for the packed configuration."""
 
     def note_deferred(self, message: ConfigurationDeferred) -> None:
-        """Take in that a peer tells others first."""
+        """Take in that a peer sends to others first."""
 
     def note_received(self, message: ConfigurationReceived) -> None:
-        """Take in that a row has come to a peer."""
+        """Take in that a snapshot was received by a peer."""
 
     def note_link_lost(self, peer: str) -> None:
-        """The link that a peer dialled has ended, and what was asked on it."""
+        """The link that a peer dialled has ended, and what was fetched on it."""
 
     def make_data_centre_report(self, data_centre: str) -> DataCentreReport:
-        """Return what this instance, as a hub, tells of a data centre."""
+        """Return what this instance, as a hub, reports on a data centre."""
 
-    def merge_data_centre(self, news: DataCentreReport) -> None:
-        """Take in the loads that a hub tells of."""
+    def merge_data_centre(self, report: DataCentreReport) -> None:
+        """Take in the loads that a hub reports."""
--- a/packages/router/fulmarward_router/mesh/tests/test_dialled.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_dialled.py
@@ -43,7 +43,7 @@
         mesh = Mesh(
             own=own,
             members=MemberTable(own=own),
-            news=news,
+            state=news,
             read_clock=time.monotonic,
             count_bytes=mock.Mock(),
         )
--- a/packages/router/fulmarward_router/mesh/tests/test_links.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_links.py
@@ -47,7 +47,7 @@
         self._steps.append(decode_message(data))
 
 
-class _News:
+class _State:
     """Notes what the mesh gives to the instance, in order."""
 
     def __init__(self, steps):
@@ -82,7 +82,7 @@
         mesh = Mesh(
             own=own,
             members=MemberTable(own=own),
-            news=_News(steps),
+            state=_State(steps),
             read_clock=time.monotonic,
             count_bytes=lambda way, size: None,
         )
--- a/packages/router/fulmarward_router/state/_news.py
+++ b/packages/router/fulmarward_router/state/_news.py
@@ -84,7 +84,7 @@
         self._is_leaving = is_leaving
         self._is_store_reachable = is_store_reachable
         self._note_change = note_change
-        self._note_news = note_targets
+        self._note_targets = note_targets
         self._fetched_at = float("-inf")
         #: Newest version of the targets that a peer stated.
         self._stated_version = 0
@@ -183,11 +183,11 @@
                 )
         self._suspicions.refusals.merge_reports(heartbeat.refusing, now=now)
         self._merge_paces(heartbeat.paces, now)
-        questions: list[Fetch] = []
+        fetches: list[Fetch] = []
         own = self._configuration.version
         if heartbeat.configuration_version > own:
             if self._must_fetch(heartbeat, now):
-                questions.append(self._make_fetch(heartbeat.sender, own))
+                fetches.append(self._make_fetch(heartbeat.sender, own))
         elif (
             heartbeat.configuration_version == own
             and heartbeat.configuration_age_ms >= 0
@@ -199,8 +199,8 @@
             at = now - heartbeat.targets_age_ms / 1000
             self._catalogue.confirm(heartbeat.targets_version, at=at)
         if self._must_fetch_targets(heartbeat, now):
-            questions.append(FetchTargets(after=self._catalogue.version))
-        return questions
+            fetches.append(FetchTargets(after=self._catalogue.version))
+        return fetches
 
     def _must_fetch_targets(self, heartbeat: Heartbeat, now: float) -> bool:
         """Return whether to ask the sender for changes of targets.
@@ -217,7 +217,7 @@
         return True
 
     def _make_fetch(self, peer: InstanceIdentity, version: int) -> Fetch:
-        """Return the question for the configuration that a peer understands."""
+        """Return the fetch of the configuration that a peer understands."""
         if self._supports_compression.get(peer.name) == peer.boot:
             return FetchCompressedConfiguration(sender=self._own.name, version=version)
         return FetchConfiguration(version=version)
@@ -227,7 +227,7 @@
         self._supports_compression[message.sender] = message.boot
 
     def _must_fetch(self, heartbeat: Heartbeat, now: float) -> bool:
-        """Return whether to ask the sender for the newer version that it tells of."""
+        """Return whether to fetch the newer version that the sender reports."""
         peer, own = heartbeat.sender.name, self._configuration.version
         _log_fetch_timeout(
             self._fetch.give_up(known=own, now=now), cause="no newer version came"
@@ -277,44 +277,44 @@
         self._ledger.take_centre(news.data_centre, loads, now=now)
         self._merge_paces(news.paces, now)
 
-    def answer(self, question: Fetch) -> Answer | None:
-        """Return the answer to a peer's question, `None` if there is none."""
-        if isinstance(question, FetchCompressedConfiguration):
-            return self._send_compressed(question)
-        if isinstance(question, FetchConfiguration):
-            return self._send_plain(question)
-        if not self._catalogue.knows_changes(after=question.after):
+    def answer(self, fetch: Fetch) -> Answer | None:
+        """Return the answer to a peer's fetch, `None` if there is none."""
+        if isinstance(fetch, FetchCompressedConfiguration):
+            return self._send_compressed(fetch)
+        if isinstance(fetch, FetchConfiguration):
+            return self._send_plain(fetch)
+        if not self._catalogue.knows_changes(after=fetch.after):
             return None
         rows = tuple(
             RowSnapshot(key=row.name, version=row.version, value=row.value)
-            for row in self._catalogue.list_rows(after=question.after)
+            for row in self._catalogue.list_rows(after=fetch.after)
         )
         now = self._read_clock()
         return TargetChanges(
-            after=question.after,
+            after=fetch.after,
             version=self._catalogue.version,
             age_ms=max(0, _count_ms(self._catalogue.confirmed_at, now)),
             rows=rows,
         )
 
-    def _send_compressed(self, question: FetchCompressedConfiguration) -> Answer | None:
-        row = self._find_newer(question.version)
+    def _send_compressed(self, fetch: FetchCompressedConfiguration) -> Answer | None:
+        row = self._find_newer(fetch.version)
         if row is None:
             return None
         packed = self._pack(row)
         size = len(packed or b"")
-        if not self._transfers.begin(question.sender, size, now=self._read_clock()):
+        if not self._transfers.begin(fetch.sender, size, now=self._read_clock()):
             return ConfigurationDeferred(sender=self._own.name)
-        self._log_transfer(row, question.sender, known=question.version, packed=size)
+        self._log_transfer(row, fetch.sender, known=fetch.version, packed=size)
         return CompressedConfiguration(key=row.key, version=row.version, packed=packed)
 
-    def _send_plain(self, question: FetchConfiguration) -> Answer | None:
+    def _send_plain(self, fetch: FetchConfiguration) -> Answer | None:
         """Return the row as code reads it that understands no packed one.
 
         Such a peer says neither who it is nor that the row has come, and asks again
         when it has no answer. Guards against a link that is full with such rows.
         """
-        row = self._find_newer(question.version)
+        row = self._find_newer(fetch.version)
         if row is None:
             return None
         size = len(row.value or b"")
@@ -322,7 +322,7 @@
         peer = f"unpacked {self._plain_transfers}"
         if not self._transfers.begin(peer, size, now=self._read_clock()):
             return None
-        self._log_transfer(row, "", known=question.version, packed=size)
+        self._log_transfer(row, "", known=fetch.version, packed=size)
         return ConfigurationSnapshot(
             row=RowSnapshot(key=row.key, version=row.version, value=row.value)
         )
@@ -351,12 +351,12 @@
         return self._packed[1]
 
     def note_deferred(self, message: ConfigurationDeferred) -> None:
-        """Take in that a peer tells others first."""
+        """Take in that a peer sends to others first."""
         self._fetch.note_deferred(message.sender, now=self._read_clock())
         log_event("configuration_deferred", peer=message.sender)
 
     def note_received(self, message: ConfigurationReceived) -> None:
-        """Take in that a row has come to a peer."""
+        """Take in that a snapshot was received by a peer."""
         self._transfers.end(message.sender)
 
     def note_link_lost(self, peer: str) -> None:
@@ -389,7 +389,7 @@
         is_whole = news.after <= self._catalogue.version
         version = news.version if is_whole else 0
         at = now - news.age_ms / 1000
-        self._note_news(
+        self._note_targets(
             self._catalogue.take_changes(rows, version, now=now, confirmed_at=at)
         )
 
--- a/packages/router/fulmarward_router/state/_watch.py
+++ b/packages/router/fulmarward_router/state/_watch.py
@@ -39,8 +39,8 @@
 #: heartbeats on the way from a reader: one where all are linked to all, three where
 #: hubs pass it on. Reason: a reading, its time-out, and the way to here.
 STALE_S = 0.65
-_STALE_BEATS = 1.5
-_STALE_BEATS_BY_HUBS = 3.0
+_STALE_HEARTBEATS = 1.5
+_STALE_HEARTBEATS_BY_HUBS = 3.0
 
 #: Instances that wait for the configuration at the store where there are many. Load: a
 #: version that all must have soon; harm: the store sends each the row unpacked, and
@@ -76,7 +76,7 @@
         self._note_news = note_targets
         self._is_among_first = is_among_first
         self._is_large = is_large
-        self._read_beat_pause_s = read_heartbeat_interval_s
+        self._read_heartbeat_interval_s = read_heartbeat_interval_s
         self._is_out: dict[str, bool] = {}
         #: Since when the store does not answer, `None` while it does.
         self.out_since: float | None = None
@@ -164,8 +164,10 @@
         return self._is_stale(self._configuration.confirmed_at + CONFIGURATION_WAIT_S)
 
     def _is_stale(self, confirmed_at: float) -> bool:
-        beats = _STALE_BEATS_BY_HUBS if self._is_large() else _STALE_BEATS
-        limit_s = STALE_S + beats * self._read_beat_pause_s()
+        heartbeats = (
+            _STALE_HEARTBEATS_BY_HUBS if self._is_large() else _STALE_HEARTBEATS
+        )
+        limit_s = STALE_S + heartbeats * self._read_heartbeat_interval_s()
         return self._read_clock() - confirmed_at > limit_s
 
     async def _read_all(self) -> None:
--- a/packages/router/fulmarward_router/tests/test_knowledge.py
+++ b/packages/router/fulmarward_router/tests/test_knowledge.py
@@ -5,7 +5,7 @@
 from fulmarward_core.loads import LoadLedger
 from fulmarward_core.paces import PaceTable
 from fulmarward_core.spread import pack_value
-from fulmarward_core.spread._fetch import ASK_S
+from fulmarward_core.spread._fetch import FETCH_TIMEOUT_S
 from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_router.mesh import (
     CompressedConfiguration,
@@ -140,7 +140,7 @@
             for q in self.one.knowledge.merge_heartbeat(heartbeat)
         ]
         self.assertEqual(again, [])
-        self.one.now += ASK_S
+        self.one.now += FETCH_TIMEOUT_S
         again = [
             q
             for heartbeat in heartbeats
--- a/packages/router/fulmarward_router/tests/test_rollout.py
+++ b/packages/router/fulmarward_router/tests/test_rollout.py
@@ -3,7 +3,7 @@
 import cbor2
 from msgspec.structs import replace
 
-from fulmarward_core.spread._transfers import TELL_S
+from fulmarward_core.spread._transfers import TRANSFER_TIMEOUT_S
 from fulmarward_router.mesh import (
     FetchCompressedConfiguration,
     FetchConfiguration,
@@ -71,5 +71,5 @@
         question = FetchConfiguration(version=0)
         told = [self.two.knowledge.answer(question) for _ in range(9)]
         self.assertEqual(len([news for news in told if news is not None]), 1)
-        self.two.now += TELL_S
+        self.two.now += TRANSFER_TIMEOUT_S
         self.assertIsNotNone(self.two.knowledge.answer(question))
