Layers: name the constants in the field's terms

No change of behaviour: LEAST_KV_TOKENS is MIN_KV_TOKENS, find_most_kv is find_max_kv; comments say what a constant is.

--- a/packages/core/fulmarward_core/layers/decisions/__init__.py
+++ b/packages/core/fulmarward_core/layers/decisions/__init__.py
@@ -11,12 +11,12 @@
 from fulmarward_core.layers.decisions._coverage import count_holders, find_gaps
 from fulmarward_core.layers.decisions._plan import plan_layers
 from fulmarward_core.layers.decisions._repairs import GAP_KV_TOKENS, plan_repairs
-from fulmarward_core.layers.decisions._sizes import LEAST_KV_TOKENS, size_ranges
+from fulmarward_core.layers.decisions._sizes import MIN_KV_TOKENS, size_ranges
 from fulmarward_core.layers.decisions._types import Assignment, LayerOrder
 
 __all__ = [
     "GAP_KV_TOKENS",
-    "LEAST_KV_TOKENS",
+    "MIN_KV_TOKENS",
     "Assignment",
     "LayerOrder",
     "count_holders",
--- a/packages/core/fulmarward_core/layers/decisions/_plan.py
+++ b/packages/core/fulmarward_core/layers/decisions/_plan.py
@@ -9,12 +9,12 @@
     find_gaps,
 )
 from fulmarward_core.layers.decisions._sizes import (
-    LEAST_KV_TOKENS,
+    MIN_KV_TOKENS,
     can_hold_model,
     count_fast_kv,
     count_layers,
     find_fast_kinds,
-    find_most_kv,
+    find_max_kv,
     group_by_centre,
     size_ranges,
 )
@@ -31,12 +31,6 @@
     far as they reach, and goes on through slow ones of the same data centre; the loss
     of a fast engine leaves the slow ones that hold its layers, and the loss of a slow
     one is felt by few answers.
-
-    Load: 31 answers a second on 39 engines of four kinds, one to three of which are
-    lost at a time; harm: with ranges of all kinds mixed, an answer took 2.3 s and each
-    loss or restart hit all that were under way; figure: 1.5 s, and the mean worth of
-    ten days with trouble from 0.683 to 0.720 (0.677 to 0.706 and 0.768 to 0.793 on two
-    other fleets).
     """
     planned = _plan_by_speed(engine, targets, instances)
     return _plan_evenly(engine, targets) if planned is None else planned
@@ -54,7 +48,7 @@
     planned = list(chain)
     thin: list[TargetRecord] = []
     for centre, members in group_by_centre(slow).items():
-        if can_hold_model(engine, members, LEAST_KV_TOKENS):
+        if can_hold_model(engine, members, MIN_KV_TOKENS):
             planned += _plan_group(engine, members)
             continue
         near = [ranges[t.name] for t in fast if t.data_centre == centre]
@@ -106,7 +100,7 @@
     What is not held yet goes first, then what is held least. Returns `None` where a
     layer is still unheld.
     """
-    sizes = size_ranges(engine, [target.kind for target in targets], LEAST_KV_TOKENS)
+    sizes = size_ranges(engine, [target.kind for target in targets], MIN_KV_TOKENS)
     ranges = list(held)
     planned = []
     for target in _mix_kinds(targets):
@@ -141,7 +135,7 @@
     """
     assignments, thin = [], []
     for members in group_by_centre(targets).values():
-        if can_hold_model(engine, members, LEAST_KV_TOKENS):
+        if can_hold_model(engine, members, MIN_KV_TOKENS):
             assignments += _plan_group(engine, members)
         else:
             thin += members
@@ -159,15 +153,15 @@
     """
     ordered = _mix_kinds(targets)
     names = [target.kind for target in ordered]
-    most = size_ranges(engine, names, LEAST_KV_TOKENS)
+    most = size_ranges(engine, names, MIN_KV_TOKENS)
     copies = count_layers(most, ordered) // engine.layers
     if copies == 0:
         return _lay_out(engine, ordered, most)
     for wanted in (copies, max(1, copies - 1)):
         # Rounding at the end of each copy loses some layers, so ask for a few more.
         for spare in range(engine.layers + 1):
-            kv_tokens = find_most_kv(engine, ordered, wanted * engine.layers + spare)
-            if kv_tokens < LEAST_KV_TOKENS:
+            kv_tokens = find_max_kv(engine, ordered, wanted * engine.layers + spare)
+            if kv_tokens < MIN_KV_TOKENS:
                 break
             sizes = size_ranges(engine, names, kv_tokens)
             laid = _lay_out(engine, ordered, sizes)
--- a/packages/core/fulmarward_core/layers/decisions/_repairs.py
+++ b/packages/core/fulmarward_core/layers/decisions/_repairs.py
@@ -9,7 +9,7 @@
     find_gaps,
 )
 from fulmarward_core.layers.decisions._sizes import (
-    LEAST_KV_TOKENS,
+    MIN_KV_TOKENS,
     can_hold_model,
     count_fast_kv,
     find_fast_kinds,
@@ -18,14 +18,9 @@
 )
 from fulmarward_core.layers.decisions._types import Assignment, LayerOrder
 
-#: KV cache that the neighbours of a gap keep, in tokens, the roomiest that closes it.
-#: Load: one of a data centre's ten engines is gone for good, and what it held is as
-#: much as its two neighbours have room for only if they give up KV cache; harm: the
-#: data centre has no whole path, and its prompts cross the pipe that all share; reason:
-#: ten requests at once on a path of its own are more than none, and the others go
-#: elsewhere as before. Moving ranges in use instead took over 6 s, since layers that
-#: are given up wait for the answers that pass through them.
-GAP_KV_TOKENS = (LEAST_KV_TOKENS, 20_000, 10_000)
+#: KV cache that the neighbours of a gap keep, in tokens. The largest that closes it is
+#: chosen; the smallest still holds ten requests of the usual size.
+GAP_KV_TOKENS = (MIN_KV_TOKENS, 20_000, 10_000)
 
 
 def plan_repairs(
@@ -53,7 +48,7 @@
         if target.name in ranges:
             continue
         is_fast = target.kind in fast_kinds
-        kv_tokens = count_fast_kv(engine, instances) if is_fast else LEAST_KV_TOKENS
+        kv_tokens = count_fast_kv(engine, instances) if is_fast else MIN_KV_TOKENS
         size = size_ranges(engine, [target.kind], kv_tokens)[target.kind]
         layers = _choose_for_empty(engine, target, size, targets, ranges, fast_kinds)
         if layers is None:
@@ -76,9 +71,8 @@
 
     A fast engine takes what the fast ones lack, since slow ones may hold what its data
     centre lacks; then what the data centre lacks goes first, then the layers that are
-    held least nearby and everywhere. It is given as many layers as it may hold: one
-    that took only a small gap was worth little for the rest of the day, while others
-    kept little KV cache to stand in for it.
+    held least nearby and everywhere. It is given as many layers as it may hold, not
+    just what closes a small gap.
     """
     if size == 0:
         return None
@@ -144,7 +138,7 @@
     for kv_tokens in GAP_KV_TOKENS:
         sizes = size_ranges(engine, names, kv_tokens)
         orders = _extend_neighbours(gap, members, ranges, sizes, pending)
-        if not orders and kv_tokens == LEAST_KV_TOKENS:
+        if not orders and kv_tokens == MIN_KV_TOKENS:
             orders = _move_redundant(engine, gap, members, movable, ranges, sizes)
         if orders:
             return orders
@@ -161,10 +155,9 @@
 ) -> list[LayerOrder]:
     """Move a target into the gap whose layers others of the data centre hold as well.
 
-    Load: a data centre loses one of its slow engines; harm: its neighbours close the
-    gap with KV cache for 18 requests, and all paths of the data centre are as narrow
-    for the rest of the day; reason: few answers pass through an engine beside which a
-    fast one holds the same layers, so giving them up takes no time.
+    Guards against neighbours that give up KV cache for the gap: all paths of the data
+    centre would be as narrow. Few answers pass through an engine beside which a fast
+    one holds the same layers, so it gives them up at once.
     """
     # What is only ordered, of others or of the same target, may not be there yet.
     staying = [_intersect(member.layers, ranges[member.name]) for member in members]
--- a/packages/core/fulmarward_core/layers/decisions/_sizes.py
+++ b/packages/core/fulmarward_core/layers/decisions/_sizes.py
@@ -4,13 +4,11 @@
 
 from fulmarward_core.fleet import EngineModel, TargetRecord
 
-#: Least KV cache that an engine keeps beside its layers, in tokens. Load: usual
-#: prompts and answers of 900 to 1,000 tokens; harm: a path whose thinnest engine
-#: sheds while the others are idle; reason: 40 requests of the usual size at once.
-LEAST_KV_TOKENS = 36_000
+#: KV cache that an engine keeps beside its layers at least, in tokens: room for 40
+#: requests of the usual size.
+MIN_KV_TOKENS = 36_000
 
-#: How many times as long a step of the slowest kind must take for a kind to count as
-#: fast. Reason: kinds differ by 7% or by a factor of five and more, little between.
+#: How many times as long a step of the slowest kind must take for a kind to be fast.
 FAST_RATIO = 3.0
 
 #: Steps of the search for the KV cache that all engines can keep.
@@ -47,7 +45,7 @@
     return count_layers(sizes, targets) >= engine.layers
 
 
-def find_most_kv(
+def find_max_kv(
     engine: EngineModel, targets: Sequence[TargetRecord], layers: int
 ) -> float:
     """Return the most KV tokens that all can keep while they hold `layers` in sum."""
@@ -65,18 +63,11 @@
 def count_fast_kv(engine: EngineModel, instances: int) -> float:
     """Return the KV cache that a fast engine keeps, in tokens.
 
-    `LEAST_KV_TOKENS`, and one usual request of each instance. Load: most of 31 answers
-    a second, each open for 1.5 s, pass through the few fast engines, and each instance
-    may have sent one that the others do not know of yet; harm: with less, engines
-    preempt streams that run (86 instances, 40,000 tokens: 300 preempted in a day, 60
-    cut; worth 0.532 against 0.625 with equal KV cache everywhere); with more, fast
-    engines hold fewer layers and each answer is open for longer (9 instances: 1.63 s
-    with 64,000 tokens, 1.45 s with 40,000). Mean worth of ten days with trouble on
-    three fleets of 6 to 9 instances with 64,000, 40,000 and 28,000: 0.738 0.754 0.757,
-    0.706 0.702 0.674, 0.792 0.807 0.797.
+    Most answers pass through the few fast engines, and each instance may have sent one
+    that the others do not know of yet: there is room for one more request of each.
     """
     usual = engine.usual_prompt + engine.usual_answer
-    return LEAST_KV_TOKENS + instances * usual
+    return MIN_KV_TOKENS + instances * usual
 
 
 def find_fast_kinds(
--- a/packages/core/fulmarward_core/layers/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/layers/tests/test_decisions.py
@@ -11,7 +11,7 @@
     plan_layers,
     plan_repairs,
 )
-from fulmarward_core.layers.decisions import GAP_KV_TOKENS, LEAST_KV_TOKENS
+from fulmarward_core.layers.decisions import GAP_KV_TOKENS, MIN_KV_TOKENS
 from fulmarward_core.layers.tests.fleets import ENGINE, KINDS, make_fleet, make_target
 from fulmarward_core.layers.tests.load import play_load
 
@@ -315,7 +315,7 @@
         for target in after:
             room = count_kv_capacity(ENGINE, KINDS[target.kind], len(target.layers))
             room /= len(target.layers)
-            self.assertGreaterEqual(room, LEAST_KV_TOKENS - 1)
+            self.assertGreaterEqual(room, MIN_KV_TOKENS - 1)
 
     @settings(max_examples=60)
     @given(_COUNTS, st.sets(st.integers(0, 60)))
