Exchange: admission queue, rejected requests and pipe limiter in the field's terms

No change of behaviour. RoomQueue is AdmissionQueue (_admission), PipeGate is PipeLimiter (_pipe_limiter), the finder of paths has a module of that name; Refused is RejectedRequest, Cut is TruncatedResponse, patience is a timeout.

--- a/packages/router/fulmarward_router/exchange/_room.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -1,4 +1,4 @@
-"""Waiting for room on a path, in order of urgency and arrival."""
+"""Admission: waiting for room on a path, in order of urgency and arrival."""
 
 import asyncio
 import bisect
@@ -9,50 +9,45 @@
 from fulmarward_core.fleet import EngineModel
 from fulmarward_core.paths import Hop, PathRequest
 from fulmarward_core.results import ResultCode
-from fulmarward_router.exchange._pipe import PipeGate
-from fulmarward_router.exchange._stages import PathFinder
-from fulmarward_router.exchange._work import Cut, Refused, Work
-
-#: Seconds for which a request waits for room on a path before it is refused. Load: a
-#: burst, or a data centre without a whole path; harm: a caller that is refused has one
-#: more try and often meets the same crowd, one that waits too long leaves by itself
-#: after two seconds without an event; reason: answers end every 0.1 s or so at each
-#: instance, and half of the time that callers wait is left for the first event.
-FULL_PATIENCE_S = 0.9
-
-#: Seconds for which it waits while the list of targets may be short of living ones.
-#: Load: all instances begin anew, or the store comes back, and targets write their
-#: rows again within two seconds; harm: everything is refused although nothing is
-#: lost; reason: the first event then comes just before the caller leaves.
-SHORT_PATIENCE_S = 1.6
-
-#: Seconds after its last event for which a stream that has begun waits for a repeat
-#: and a path to go on. Reason: its caller leaves after two seconds without an event.
-RESUME_PATIENCE_S = 1.7
-
-#: Seconds between two looks for a path of a request that waits.
-WAIT_LOOK_S = 0.04
-
-#: Seconds after which a refused caller should come back. Reason: a caller has one more
-#: try; loading a range of layers, or the end of a few answers, takes about as long.
-FULL_RETRY_S = 0.8
+from fulmarward_router.exchange._path_finder import PathFinder
+from fulmarward_router.exchange._pipe_limiter import PipeLimiter
+from fulmarward_router.exchange._work import RejectedRequest, TruncatedResponse, Work
+
+#: Seconds for which a request waits for room on a path before it is rejected. Half of
+#: the time that callers wait is left for the first event.
+SATURATED_TIMEOUT_S = 0.9
+
+#: Seconds for which it waits while the list of targets may lack living ones: all
+#: instances begin anew, or the store comes back, and targets write their rows again.
+INCOMPLETE_TIMEOUT_S = 1.6
+
+#: Seconds after its last event for which a stream that has begun waits for a retry and
+#: a path to go on; its caller leaves after two seconds without an event.
+RESUME_TIMEOUT_S = 1.7
+
+#: Seconds between two searches for a path of a request that waits.
+POLL_INTERVAL_S = 0.04
+
+#: Seconds after which a rejected caller should come back. A range of layers loads, or a
+#: few answers end, in about that time.
+SATURATED_RETRY_S = 0.8
 ABSENT_RETRY_S = 1.5
 
 
 def find_resume_end(work: Work) -> float:
     """Return until when a stream that has begun may wait before it goes on."""
     heard_at = work.arrived_at if work.given_at is None else work.given_at
-    return min(work.deadline, heard_at + RESUME_PATIENCE_S)
+    return min(work.deadline, heard_at + RESUME_TIMEOUT_S)
 
 
-class RoomQueue:
+class AdmissionQueue:
     """The requests of an instance that wait for a path."""
 
     def __init__(
         self,
         *,
         finder: PathFinder,
-        pipe: PipeGate,
+        pipe: PipeLimiter,
         catalogue: TargetCatalogue,
         read_clock: Callable[[], float],
     ) -> None:
@@ -66,7 +61,10 @@
     async def await_path(
         self, work: Work, engine: EngineModel, wanted: PathRequest
     ) -> tuple[Hop, ...]:
-        """Return a path, waiting a little for room; raises `Refused` or `Cut`."""
+        """Return a path, waiting for room.
+
+        Raises `RejectedRequest`, or `TruncatedResponse` where an answer has begun.
+        """
         began_at = self._read_clock()
         rank = (work.urgency, work.arrived_at)
         try:
@@ -80,19 +78,19 @@
                     break
                 if rank not in self._waiting:
                     bisect.insort(self._waiting, rank)
-                await asyncio.sleep(WAIT_LOOK_S)
+                await asyncio.sleep(POLL_INTERVAL_S)
         finally:
             if rank in self._waiting:
                 self._waiting.remove(rank)
         if work.has_begun:
-            raise Cut(cause="no path to go on")
+            raise TruncatedResponse(cause="no path to go on")
         if self._finder.has_whole_model(work.service, engine):
-            raise Refused(
+            raise RejectedRequest(
                 ResultCode.QUEUE_FULL,
                 cause="no path has room",
-                retry_after_s=FULL_RETRY_S,
+                retry_after_s=SATURATED_RETRY_S,
             )
-        raise Refused(
+        raise RejectedRequest(
             ResultCode.NO_TARGET,
             cause="no path holds all layers",
             retry_after_s=ABSENT_RETRY_S,
@@ -112,6 +110,6 @@
         """Return until when a request may wait for a path."""
         if work.has_begun:
             return find_resume_end(work)
-        is_short = self._catalogue.may_be_short(now=now)
-        patience_s = SHORT_PATIENCE_S if is_short else FULL_PATIENCE_S
-        return min(work.deadline, began_at + patience_s)
+        is_incomplete = self._catalogue.may_be_short(now=now)
+        timeout_s = INCOMPLETE_TIMEOUT_S if is_incomplete else SATURATED_TIMEOUT_S
+        return min(work.deadline, began_at + timeout_s)
--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -12,7 +12,7 @@
 from fulmarward_core.results import ResultCode
 from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_router.exchange._send import TargetClient
-from fulmarward_router.exchange._work import Refused, Work
+from fulmarward_router.exchange._work import RejectedRequest, Work
 from fulmarward_router.ports import TargetDialect
 
 
@@ -134,13 +134,15 @@
             has_begun=work.has_begun,
         )
 
-    def make_refusal(self, work: Work, *, cause: str, retry_after_s: float) -> Refused:
+    def make_refusal(
+        self, work: Work, *, cause: str, retry_after_s: float
+    ) -> RejectedRequest:
         """Return the truthful end of a request that no target answered.
 
         When to come back is told where nothing ran and time is left.
         """
         code = choose_end(work.make_tally(), now=self.read_clock())
         has_run = code is not ResultCode.TARGET_REFUSED
-        return Refused(
+        return RejectedRequest(
             code, cause=cause, retry_after_s=None if has_run else retry_after_s
         )
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -12,16 +12,20 @@
 from fulmarward_core.loads import UNBEGUN_PART
 from fulmarward_core.paths import PathRequest, count_tokens_held
 from fulmarward_core.repeats import may_run_again
+from fulmarward_router.exchange._admission import (
+    SATURATED_RETRY_S,
+    AdmissionQueue,
+    find_resume_end,
+)
 from fulmarward_router.exchange._attempt import Attempt, AttemptEnded, describe_path
 from fulmarward_router.exchange._context import ServiceContext
 from fulmarward_router.exchange._events import EventSplitter, is_after
 from fulmarward_router.exchange._failover import FIRST_CHECK_S, StreamSupervisor
-from fulmarward_router.exchange._pipe import PipeGate
-from fulmarward_router.exchange._room import FULL_RETRY_S, RoomQueue, find_resume_end
+from fulmarward_router.exchange._path_finder import PathFinder
+from fulmarward_router.exchange._pipe_limiter import PipeLimiter
 from fulmarward_router.exchange._send import AnswerLost, NotSent
-from fulmarward_router.exchange._stages import PathFinder
 from fulmarward_router.exchange._watching import LossWatch
-from fulmarward_router.exchange._work import Cut, Work
+from fulmarward_router.exchange._work import TruncatedResponse, Work
 from fulmarward_router.ports import TargetCall
 
 #: Part by which an answer is expected to be longer than hinted.
@@ -55,12 +59,12 @@
             ledger=context.ledger,
             read_clock=context.read_clock,
         )
-        pipe = PipeGate(
+        pipe = PipeLimiter(
             catalogue=context.catalogue,
             count_instances=context.count_instances,
             read_clock=context.read_clock,
         )
-        self._room = RoomQueue(
+        self._admission = AdmissionQueue(
             finder=finder,
             pipe=pipe,
             catalogue=context.catalogue,
@@ -72,13 +76,16 @@
         )
 
     async def serve(self, work: Work) -> web.StreamResponse:
-        """Stream an answer to its end; raises `Refused` before it begins, or `Cut`."""
+        """Stream an answer to its end.
+
+        Raises `RejectedRequest` before it begins, `TruncatedResponse` afterwards.
+        """
         engine = work.configuration.services[work.service].engine
         wanted = self._want_path(work, engine)
         work.last_event = work.facts.last_event
         answer: web.StreamResponse | None = None
         while True:
-            path = await self._room.await_path(work, engine, wanted)
+            path = await self._admission.await_path(work, engine, wanted)
             promise = self._ledger.promise(path, count_tokens_held(wanted))
             attempt = Attempt(
                 work=work, engine=engine, wanted=wanted, path=path, promise=promise
@@ -145,17 +152,20 @@
             until = find_resume_end(work)
             if await self._context.await_repeat(work, until=until):
                 return
-            raise Cut(cause=end.cause)
+            raise TruncatedResponse(cause=end.cause)
         if self._context.take_repeat(work, part=UNBEGUN_PART):
             return
         raise self._context.make_refusal(
-            work, cause=end.cause, retry_after_s=FULL_RETRY_S
+            work, cause=end.cause, retry_after_s=SATURATED_RETRY_S
         )
 
     async def _run_attempt(
         self, work: Work, attempt: Attempt, answer: web.StreamResponse | None
     ) -> web.StreamResponse:
-        """Run one attempt to the stream's end; raises `AttemptEnded` or `Refused`."""
+        """Run one attempt to the stream's end.
+
+        Raises `AttemptEnded` or `RejectedRequest`.
+        """
         self.supervisor.add(attempt)
         now = self._read_clock()
         end = AttemptEnded(cause="deadline", is_not_run=False)
--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -15,8 +15,8 @@
 )
 from fulmarward_router.exchange._attempt import Attempt, AttemptEnded, describe_path
 from fulmarward_router.exchange._context import ServiceContext
-from fulmarward_router.exchange._pipe import PipeGate
-from fulmarward_router.exchange._stages import PathFinder
+from fulmarward_router.exchange._path_finder import PathFinder
+from fulmarward_router.exchange._pipe_limiter import PipeLimiter
 from fulmarward_router.exchange._watching import LossWatch
 from fulmarward_router.ports import OrderOutcome
 
@@ -65,7 +65,7 @@
         context: ServiceContext,
         watch: LossWatch,
         finder: PathFinder,
-        pipe: PipeGate,
+        pipe: PipeLimiter,
     ) -> None:
         self._context = context
         self._dialect = context.dialect
--- a/packages/router/fulmarward_router/exchange/_front.py
+++ b/packages/router/fulmarward_router/exchange/_front.py
@@ -20,7 +20,7 @@
 )
 from fulmarward_router.exchange._engines import EngineService
 from fulmarward_router.exchange._plain import PlainService
-from fulmarward_router.exchange._work import Cut, Refused, Work
+from fulmarward_router.exchange._work import RejectedRequest, TruncatedResponse, Work
 from fulmarward_router.ports import TargetDialect
 from fulmarward_router.state import ConfigurationHolder
 
@@ -131,10 +131,10 @@
             if self._is_stopping():
                 answer.force_close()
             return answer
-        except Refused as refusal:
+        except RejectedRequest as refusal:
             outcome = refusal.code.name.lower()
             return self._refuse(request, work, refusal)
-        except Cut as cut:
+        except TruncatedResponse as cut:
             outcome = f"cut: {cut.cause}"
             return _cut(request)
         except (ConnectionError, asyncio.CancelledError):
@@ -150,21 +150,23 @@
     async def _serve(self, work: Work) -> web.StreamResponse:
         spec = work.configuration.services.get(work.service)
         if spec is None:
-            raise Refused(ResultCode.NO_TARGET, cause="service", retry_after_s=1.0)
+            raise RejectedRequest(
+                ResultCode.NO_TARGET, cause="service", retry_after_s=1.0
+            )
         self._find_allowance(work.service).note_request(now=work.arrived_at)
         if spec.engine is None:
             return await self._plain.serve(work)
         if not self._takes_streams():
-            raise Refused(
+            raise RejectedRequest(
                 ResultCode.STOPPING, cause="stopping", retry_after_s=STOPPING_RETRY_S
             )
         return await self._engines.serve(work)
 
     async def _accept(self, request: web.BaseRequest, arrived_at: float) -> Work:
-        """Return the work that a request asks for; raises `Refused`."""
+        """Return the work that a request asks for; raises `RejectedRequest`."""
         configuration = self._configuration.current
         if configuration is None:
-            raise Refused(
+            raise RejectedRequest(
                 ResultCode.NOT_READY,
                 cause="no configuration yet",
                 retry_after_s=NOT_READY_RETRY_S,
@@ -173,10 +175,12 @@
         try:
             facts = self._dialect.read_caller(request.headers)
         except ValueError as error:
-            raise Refused(ResultCode.HEADER_MALFORMED, cause=str(error)) from error
+            raise RejectedRequest(
+                ResultCode.HEADER_MALFORMED, cause=str(error)
+            ) from error
         raw_path = request.raw_path
         if not raw_path.startswith("/"):
-            raise Refused(ResultCode.HEADER_MALFORMED, cause="no path")
+            raise RejectedRequest(ResultCode.HEADER_MALFORMED, cause="no path")
         path = raw_path.partition("?")[0]
         host = request.headers.get("Host", "")
         route = find_route(configuration, host=host, path=path)
@@ -203,7 +207,7 @@
             deadline=arrived_at + min(deadline_s, route.timeout_s),
         )
 
-    def _deny(self, code: ResultCode, cause: str, now: float) -> Refused:
+    def _deny(self, code: ResultCode, cause: str, now: float) -> RejectedRequest:
         """Return the refusal of what the configuration does not allow.
 
         Guards against an old configuration: where it may be out of date, the caller
@@ -211,12 +215,12 @@
         """
         age_s = now - self._configuration.confirmed_at
         if age_s > UNSURE_S:
-            return Refused(
+            return RejectedRequest(
                 ResultCode.NOT_READY,
                 cause=f"{cause}, configuration confirmed {age_s:.1f} s ago",
                 retry_after_s=NOT_READY_RETRY_S,
             )
-        return Refused(code, cause=cause)
+        return RejectedRequest(code, cause=cause)
 
     def _check_headers(
         self, request: web.BaseRequest, configuration: RoutingConfiguration
@@ -224,14 +228,16 @@
         size = len(request.method) + len(request.raw_path) + 12
         size += sum(len(k) + len(v) + 4 for k, v in request.raw_headers)
         if size > configuration.limits.header_bytes:
-            raise Refused(ResultCode.HEADERS_TOO_LARGE, cause="headers too large")
+            raise RejectedRequest(
+                ResultCode.HEADERS_TOO_LARGE, cause="headers too large"
+            )
 
     async def _read_body(
         self, request: web.BaseRequest, configuration: RoutingConfiguration
     ) -> bytes:
         limit = configuration.limits.body_bytes
         if request.content_length is not None and request.content_length > limit:
-            raise Refused(ResultCode.BODY_TOO_LARGE, cause="body too large")
+            raise RejectedRequest(ResultCode.BODY_TOO_LARGE, cause="body too large")
         if request.headers.get("Expect", "").lower() == "100-continue":
             await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         parts, size = [], 0
@@ -240,13 +246,17 @@
                 parts.append(part)
                 size += len(part)
                 if size > limit:
-                    raise Refused(ResultCode.BODY_TOO_LARGE, cause="body too large")
+                    raise RejectedRequest(
+                        ResultCode.BODY_TOO_LARGE, cause="body too large"
+                    )
         except (web.HTTPException, ValueError) as error:
-            raise Refused(ResultCode.BODY_MALFORMED, cause=repr(error)) from error
+            raise RejectedRequest(
+                ResultCode.BODY_MALFORMED, cause=repr(error)
+            ) from error
         return b"".join(parts)
 
     def _refuse(
-        self, request: web.BaseRequest, work: Work | None, refusal: Refused
+        self, request: web.BaseRequest, work: Work | None, refusal: RejectedRequest
     ) -> web.Response:
         status = _STATUSES.get(refusal.code, 503)
         headers = {"Content-Type": "application/json"}
--- a/packages/router/fulmarward_router/exchange/_pipe.py
+++ b/packages/router/fulmarward_router/exchange/_pipe_limiter.py
@@ -8,16 +8,12 @@
 from fulmarward_core.paths import Hop, PathRequest
 
 #: Seconds for which transfers between data centres may queue before a path that crosses
-#: counts as having no room. Load: some thirty streams pass through one target, and a
-#: way around it through another data centre moves each one's activations there and
-#: back, 37 ms each, one after another; or all instances begin anew and the first few
-#: targets that are known make a path that crosses ten times; harm: all that crosses
-#: stands still for 1.0 to 1.6 s, after a start for 6 s; reason: reading a prompt again
-#: on a whole path of another data centre takes about as long.
-MOST_PIPE_S = 0.12
+#: counts as having no room. Reading the prompt again on a whole path of another data
+#: centre takes about as long.
+MAX_QUEUED_S = 0.12
 
 
-class PipeGate:
+class PipeLimiter:
     """Counts the transfers that this instance and, by its measure, all others make."""
 
     def __init__(
@@ -50,7 +46,7 @@
         )
         now = self._read_clock()
         begins_at = max(now, self._taken_until)
-        if crossings and begins_at - now > MOST_PIPE_S:
+        if crossings and begins_at - now > MAX_QUEUED_S:
             return False
         taken_s = crossings * transfer_s * self._count_instances()
         self._taken_until = begins_at + taken_s
--- a/packages/router/fulmarward_router/exchange/_plain.py
+++ b/packages/router/fulmarward_router/exchange/_plain.py
@@ -11,7 +11,7 @@
 from fulmarward_router.exchange._context import ServiceContext
 from fulmarward_router.exchange._send import AnswerLost, NotSent
 from fulmarward_router.exchange._watching import LossWatch
-from fulmarward_router.exchange._work import Refused, Work
+from fulmarward_router.exchange._work import RejectedRequest, Work
 from fulmarward_router.ports import AnswerFacts, TargetCall
 
 #: Requests that a target is given at once, as a multiple of its slots. Load: bursts
@@ -51,7 +51,7 @@
         self._read_clock = context.read_clock
 
     async def serve(self, work: Work) -> web.StreamResponse:
-        """Return the answer of a target; raises `Refused`."""
+        """Return the answer of a target; raises `RejectedRequest`."""
         tried: set[str] = set()
         last_failure: web.Response | None = None
         while True:
@@ -75,7 +75,7 @@
                     return last_failure
                 raise self._make_refusal(work, "no more attempts")
 
-    def _make_refusal(self, work: Work, cause: str) -> Refused:
+    def _make_refusal(self, work: Work, cause: str) -> RejectedRequest:
         return self._context.make_refusal(work, cause=cause, retry_after_s=FULL_RETRY_S)
 
     async def _find_place(
@@ -94,7 +94,7 @@
             if work.attempts > 0 and not is_full:
                 raise self._make_refusal(work, "no other target")
             if not is_full:
-                raise Refused(
+                raise RejectedRequest(
                     ResultCode.NO_TARGET,
                     cause="no target",
                     retry_after_s=ABSENT_RETRY_S,
@@ -102,7 +102,7 @@
             if now >= until:
                 if work.runs > 0:
                     raise self._make_refusal(work, "others are full")
-                raise Refused(
+                raise RejectedRequest(
                     ResultCode.QUEUE_FULL, cause="full", retry_after_s=FULL_RETRY_S
                 )
             await asyncio.sleep(patience_s / 4)
@@ -140,7 +140,7 @@
     ) -> web.Response | None:
         """Send one attempt; return its answer, or `None` if another may be tried.
 
-        Raises `Refused` when the request may have run and must not run again.
+        Raises `RejectedRequest` when the request may have run and must not run again.
         """
         now = self._read_clock()
         call = TargetCall(
@@ -202,7 +202,9 @@
             self._suspicions.note_failed(target.name, now=now)
             if work.route.may_repeat:
                 return None
-            raise Refused(ResultCode.OUTCOME_UNKNOWN, cause="not the target's answer")
+            raise RejectedRequest(
+                ResultCode.OUTCOME_UNKNOWN, cause="not the target's answer"
+            )
         if status >= 500:
             self._note_attempt(work, target, f"failed, {status}", None)
             self._suspicions.note_failed(target.name, now=now)
--- a/packages/router/fulmarward_router/exchange/_work.py
+++ b/packages/router/fulmarward_router/exchange/_work.py
@@ -77,7 +77,7 @@
         )
 
 
-class Refused(Exception):
+class RejectedRequest(Exception):
     """The request gets a final answer of this instance's own.
 
     Raised only when nothing of an answer has gone out.
@@ -92,7 +92,7 @@
         self.retry_after_s = retry_after_s
 
 
-class Cut(Exception):
+class TruncatedResponse(Exception):
     """An answer that has begun cannot be completed; the connection must show it."""
 
     def __init__(self, *, cause: str) -> None:
