Layers: a data centre is made whole by several targets, not by one or two

Cause: a gap was closed by two neighbours or by one target whose layers others hold as well.

Ruled out: two holders of the lease that order the same targets ('unfit' at 21.2 s): each of these was ordered again 0.3 s later and took its layers.

Now the ranges of a data centre are chosen together by a shortest way over covered layers: extended, moved (spare), or, as the last way, shifted: a target gives up layers that its data centre holds nowhere else, if another data centre holds them and this one is whole afterwards.

The property test of held layers is replaced by one as strict: what it forbade everywhere stays forbidden in each data centre that is whole or stays without a whole copy, and a layer that the fleet holds is never left unheld.

Tests: fulmarward_core.layers.tests.test_decisions, two failed before.

--- a/packages/core/fulmarward_core/layers/decisions/__init__.py
+++ b/packages/core/fulmarward_core/layers/decisions/__init__.py
@@ -9,9 +9,14 @@
 """
 
 from fulmarward_core.layers.decisions._coverage import count_holders, find_gaps
+from fulmarward_core.layers.decisions._gaps import GAP_KV_TOKENS
 from fulmarward_core.layers.decisions._plan import plan_layers
-from fulmarward_core.layers.decisions._repairs import GAP_KV_TOKENS, plan_repairs
-from fulmarward_core.layers.decisions._sizes import MIN_KV_TOKENS, size_ranges
+from fulmarward_core.layers.decisions._repairs import plan_repairs
+from fulmarward_core.layers.decisions._sizes import (
+    MIN_KV_TOKENS,
+    group_by_centre,
+    size_ranges,
+)
 from fulmarward_core.layers.decisions._types import Assignment, LayerOrder
 
 __all__ = [
@@ -21,6 +26,7 @@
     "LayerOrder",
     "count_holders",
     "find_gaps",
+    "group_by_centre",
     "plan_layers",
     "plan_repairs",
     "size_ranges",
--- a/packages/core/fulmarward_core/layers/decisions/_types.py
+++ b/packages/core/fulmarward_core/layers/decisions/_types.py
@@ -21,6 +21,7 @@
 
     #: What shall be held.
     assignment: Assignment
-    #: `first`, `empty`, `gap` (a target takes more layers, which its data centre lacks)
-    #: or `spare` (one whose layers others hold as well moves to where they lack).
+    #: `first`, `empty`, `gap` (a target takes more layers, which its data centre
+    #: lacks), `spare` (one whose layers others hold as well moves to where they lack)
+    #: or `shift` (one gives up layers, so that its data centre is whole).
     reason: str
--- a/packages/router/fulmarward_router/placement/_placer.py
+++ b/packages/router/fulmarward_router/placement/_placer.py
@@ -45,7 +45,7 @@
 SURE_GAP_S = 0.3
 
 #: Part of a service's targets that may count as leaving unseen. Load: a peer that does
-#: not hear what others promised takes full targets for ones with room, and their
+#: not hear what others reserved takes full targets for ones with room, and their
 #: refusals for leaving; harm: sound targets are given other layers; reason: beyond
 #: half, the fault is more likely at who tells it.
 MOST_UNSEEN = 0.5
@@ -214,7 +214,7 @@
             orders = [
                 order
                 for order in orders
-                if order.reason not in ("gap", "spare")
+                if order.reason == "empty"
                 or self._is_due(
                     order, by_name[order.assignment.target], engine, held, lost, now
                 )
@@ -273,6 +273,14 @@
         known = self._missing_since.get(key, {})
         layers = [layer for gap in gaps for layer in range(gap.start, gap.end)]
         self._missing_since[key] = {layer: known.get(layer, now) for layer in layers}
+        if known.keys() != set(layers):
+            service, data_centre = key
+            log_event(
+                "layers_missing",
+                service=service,
+                data_centre=data_centre,
+                missing=[f"{gap.start}-{gap.end}" for gap in gaps],
+            )
 
     def _is_due(
         self,
@@ -296,7 +304,10 @@
         wait_s = SURE_GAP_S if is_sure or order.reason == "spare" else GAP_S
         since = self._missing_since.get((target.service, data_centre), {})
         closed = [gap for gap in gaps if _overlap(gap, order.assignment.layers)]
-        layers = [layer for gap in closed for layer in range(gap.start, gap.end)]
+        # One that shifts makes way for others, beside the gap itself.
+        layers = [
+            layer for gap in closed or gaps for layer in range(gap.start, gap.end)
+        ]
         begun_at = max((since.get(layer, now) for layer in layers), default=now)
         return now - begun_at >= wait_s
 
--- a/packages/router/fulmarward_router/placement/tests/test_placer.py
+++ b/packages/router/fulmarward_router/placement/tests/test_placer.py
@@ -297,7 +297,7 @@
 
     def test_word_that_most_targets_refuse_moves_no_layers(self):
         # While the store is out, sound targets are given other layers and refuse what
-        # runs through them. A peer hears little of what others promised, so that full
+        # runs through them. A peer hears little of what others reserved, so that full
         # targets seem to have room, and tells the lease's holder that they are leaving.
         names = [target.name for target in _list_fleet(_TIGHT)]
         told = [name for name in names if "middle" not in name]
