Logs: what a rejected request was short of, and which layers are missing where

Until now a full pipe and a full target both read 'no path has room', which took a trial copy to tell apart.

--- a/packages/router/fulmarward_router/_status.py
+++ b/packages/router/fulmarward_router/_status.py
@@ -1,9 +1,11 @@
 """What an instance believes, for an operator who asks it."""
 
+from collections.abc import Sequence
 from typing import Any, Protocol
 
 from fulmarward_core.catalogue import TargetCatalogue
-from fulmarward_core.layers import count_holders, find_gaps
+from fulmarward_core.fleet import TargetRecord
+from fulmarward_core.layers import count_holders, find_gaps, group_by_centre
 from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_router._life import Life
 from fulmarward_router.mesh import InstanceIdentity, MemberTable
@@ -94,14 +96,26 @@
     for spec in services.values():
         if spec.engine is None:
             continue
-        ranges = [
-            record.layers
+        holders = [
+            record
             for record in instance.catalogue.list_targets(now=now)
             if record.service == spec.name and record.layers is not None
         ]
-        gaps = find_gaps(spec.engine.layers, ranges)
+        layers = spec.engine.layers
+        ranges = [record.layers for record in holders]
         described[spec.name] = {
-            "least_holders": min(count_holders(spec.engine.layers, ranges)),
-            "missing": [[gap.start, gap.end] for gap in gaps],
+            "least_holders": min(count_holders(layers, ranges)),
+            "missing": _describe_missing(layers, holders),
+            "missing_by_data_centre": {
+                data_centre: _describe_missing(layers, members)
+                for data_centre, members in group_by_centre(holders).items()
+            },
         }
     return described
+
+
+def _describe_missing(
+    layers: int, holders: Sequence[TargetRecord]
+) -> list[tuple[int, int]]:
+    gaps = find_gaps(layers, [record.layers for record in holders])
+    return [(gap.start, gap.end) for gap in gaps]
--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -11,7 +11,12 @@
 from fulmarward_core.results import ResultCode
 from fulmarward_router.exchange._path_finder import PathFinder
 from fulmarward_router.exchange._pipe_limiter import PipeLimiter
-from fulmarward_router.exchange._work import RejectedRequest, TruncatedResponse, Work
+from fulmarward_router.exchange._work import (
+    RejectedRequest,
+    Shortage,
+    TruncatedResponse,
+    Work,
+)
 
 #: Seconds for which a request waits for room on a path before it is rejected. Half of
 #: the time that callers wait is left for the first event.
@@ -67,12 +72,14 @@
         """
         began_at = self._read_clock()
         rank = (work.urgency, work.arrived_at)
+        shortage = Shortage.KV_CACHE
         try:
             while True:
                 if not any(other < rank for other in self._waiting):
-                    path = self._choose_path(work, engine, wanted)
-                    if path is not None:
-                        return path
+                    found = self._choose_path(work, engine, wanted)
+                    if not isinstance(found, Shortage):
+                        return found
+                    shortage = found
                 now = self._read_clock()
                 if now >= self._choose_end(work, began_at, now):
                     break
@@ -89,22 +96,26 @@
                 ResultCode.QUEUE_FULL,
                 cause="no path has room",
                 retry_after_s=SATURATED_RETRY_S,
+                shortage=shortage,
             )
         raise RejectedRequest(
             ResultCode.NO_TARGET,
             cause="no path holds all layers",
             retry_after_s=ABSENT_RETRY_S,
+            shortage=Shortage.LAYERS,
         )
 
     def _choose_path(
         self, work: Work, engine: EngineModel, wanted: PathRequest
-    ) -> tuple[Hop, ...] | None:
-        """Return the best path, one within a data centre when the pipe is taken."""
+    ) -> tuple[Hop, ...] | Shortage:
+        """Return the best path, one within a data centre when the pipe is full."""
         path = self._finder.choose(work.service, engine, wanted)
-        if path is None or self._pipe.take(engine, wanted, path):
+        if path is None:
+            return Shortage.KV_CACHE
+        if self._pipe.take(engine, wanted, path):
             return path
         within = replace(wanted, may_cross=False)
-        return self._finder.choose(work.service, engine, within)
+        return self._finder.choose(work.service, engine, within) or Shortage.PIPE
 
     def _choose_end(self, work: Work, began_at: float, now: float) -> float:
         """Return until when a request may wait for a path."""
--- a/packages/router/fulmarward_router/exchange/_front.py
+++ b/packages/router/fulmarward_router/exchange/_front.py
@@ -273,6 +273,7 @@
             code=int(refusal.code),
             cause=refusal.cause,
             retry_after_s=refusal.retry_after_s,
+            shortage=None if refusal.shortage is None else refusal.shortage.value,
             configuration=self._configuration.version,
         )
         return answer
--- a/packages/router/fulmarward_router/exchange/_work.py
+++ b/packages/router/fulmarward_router/exchange/_work.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from enum import Enum
 
 from aiohttp import web
 
@@ -77,6 +78,17 @@
         )
 
 
+class Shortage(Enum):
+    """What a request that waits for a path is short of."""
+
+    #: No path of targets has room for its KV cache.
+    KV_CACHE = "kv_cache"
+    #: The paths with room cross data centres, and the pipe between them is full.
+    PIPE = "pipe"
+    #: There is no path: layers of the model are not held by any target.
+    LAYERS = "layers"
+
+
 class RejectedRequest(Exception):
     """The request gets a final answer of this instance's own.
 
@@ -84,12 +96,18 @@
     """
 
     def __init__(
-        self, code: ResultCode, *, cause: str, retry_after_s: float | None = None
+        self,
+        code: ResultCode,
+        *,
+        cause: str,
+        retry_after_s: float | None = None,
+        shortage: Shortage | None = None,
     ) -> None:
         super().__init__(cause)
         self.code = code
         self.cause = cause
         self.retry_after_s = retry_after_s
+        self.shortage = shortage
 
 
 class TruncatedResponse(Exception):
