--- a/packages/core/fulmarward_core/layers/tests/load.py
+++ b/packages/core/fulmarward_core/layers/tests/load.py
@@ -25,7 +25,7 @@
 
 
 def make_stages(engine, fleet, ledger, now):
-    """Return the targets as stages, with what the ledger has promised to them."""
+    """Return the targets as stages, with what the ledger has reserved to them."""
     loads = ledger.sum_loads(now=now)
     stages = []
     for target in fleet:
@@ -40,11 +40,11 @@
             kind=kind,
             layers=target.layers,
             kv_capacity=float(count_kv_capacity(engine, kind, len(target.layers))),
-            kv_promised=0.0 if load is None else load.kv,
+            kv_reserved=0.0 if load is None else load.kv,
             running=0 if load is None else load.running,
             first_running=0 if load is None else load.first_running,
             pace=1.0,
-            taste=1.0,
+            preference=1.0,
             is_usable=True,
         )
         stages.append(stage)
@@ -90,6 +90,6 @@
         begun += 1
         took_s = compute_answer_s(engine, stages, request, path)
         total_s += took_s
-        promise = ledger.promise(path, count_tokens_held(request))
-        heapq.heappush(ends, (now + took_s, begun, promise))
+        reservation = ledger.reserve(path, count_tokens_held(request))
+        heapq.heappush(ends, (now + took_s, begun, reservation))
     return PlayedLoad(begun=begun, refused=refused, mean_s=total_s / max(1, begun))
--- a/packages/core/fulmarward_core/loads/__init__.py
+++ b/packages/core/fulmarward_core/loads/__init__.py
@@ -6,13 +6,13 @@
     RepeatCount,
     RepeatTurn,
 )
-from fulmarward_core.loads._ledger import Load, LoadLedger, Promise, TargetLoad
+from fulmarward_core.loads._ledger import Load, LoadLedger, Reservation, TargetLoad
 
 __all__ = [
     "UNBEGUN_PART",
     "Load",
     "LoadLedger",
-    "Promise",
+    "Reservation",
     "RepeatAllowance",
     "RepeatCount",
     "RepeatTurn",
--- a/packages/core/fulmarward_core/loads/_ledger.py
+++ b/packages/core/fulmarward_core/loads/_ledger.py
@@ -1,4 +1,4 @@
-"""What runs on each target: this instance's own requests, and what peers told."""
+"""What runs on each target: this instance's own requests, and what peers report."""
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
@@ -6,9 +6,8 @@
 
 from fulmarward_core.paths import Hop
 
-#: Seconds for which a peer's word counts. Harm: the load of a dead peer keeps targets
-#: empty; reason: several of its heartbeats.
-_TOLD_S = 2.5
+#: Seconds for which a peer's report counts: several of its heartbeats.
+_REPORT_DURATION_S = 2.5
 
 
 class Load(Protocol):
@@ -29,7 +28,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class TargetLoad:
-    """What is promised to requests at one target."""
+    """What is reserved to requests at one target."""
 
     #: KV cache, tokens times layers.
     kv: float = 0.0
@@ -43,10 +42,10 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class Promise:
+class Reservation:
     """What one request takes at the targets of its path, until it is released."""
 
-    #: Number of the promise.
+    #: Number of the reservation.
     number: int
     #: Load by target.
     loads: Mapping[str, TargetLoad]
@@ -61,17 +60,17 @@
 
 
 class LoadLedger:
-    """Promises of this instance, and the sums that peers told."""
+    """Reservations of this instance, and the loads that peers report."""
 
     def __init__(self) -> None:
         self._own: dict[str, TargetLoad] = {}
-        self._open: dict[int, Promise] = {}
-        self._told: dict[str, tuple[float, Mapping[str, Load]]] = {}
+        self._open: dict[int, Reservation] = {}
+        self._reports: dict[str, tuple[float, Mapping[str, Load]]] = {}
         #: Sums of other data centres, by their name.
         self._centres: dict[str, tuple[float, Mapping[str, Load]]] = {}
         self._last = 0
 
-    def promise(self, path: Iterable[Hop], tokens: int) -> Promise:
+    def reserve(self, path: Iterable[Hop], tokens: int) -> Reservation:
         """Note that a request of that many tokens takes a path."""
         loads = {
             hop.target: TargetLoad(
@@ -81,25 +80,25 @@
             )
             for index, hop in enumerate(path)
         }
-        return self._open_promise(loads)
+        return self._open_reservation(loads)
 
-    def promise_one(self, target: str) -> Promise:
+    def reserve_one(self, target: str) -> Reservation:
         """Note that a request runs at one target of a plain service."""
-        return self._open_promise({target: TargetLoad(running=1, first_running=1)})
+        return self._open_reservation({target: TargetLoad(running=1, first_running=1)})
 
-    def _open_promise(self, loads: Mapping[str, TargetLoad]) -> Promise:
+    def _open_reservation(self, loads: Mapping[str, TargetLoad]) -> Reservation:
         self._last += 1
-        promise = Promise(number=self._last, loads=loads)
-        self._open[promise.number] = promise
+        reservation = Reservation(number=self._last, loads=loads)
+        self._open[reservation.number] = reservation
         for target, load in loads.items():
             self._own[target] = _add(self._own.get(target, _NO_LOAD), load)
-        return promise
+        return reservation
 
-    def release(self, promise: Promise) -> None:
+    def release(self, reservation: Reservation) -> None:
         """A request has ended; releasing it again changes nothing."""
-        if self._open.pop(promise.number, None) is None:
+        if self._open.pop(reservation.number, None) is None:
             return
-        for target, load in promise.loads.items():
+        for target, load in reservation.loads.items():
             left = _add(self._own[target], load, -1)
             if left.running <= 0:
                 del self._own[target]
@@ -111,22 +110,22 @@
         return dict(self._own)
 
     def merge_report(self, peer: str, loads: Mapping[str, Load], *, now: float) -> None:
-        """Take in what a peer tells of its own load."""
-        self._told[peer] = (now, loads)
+        """Take in a peer's report of its own load."""
+        self._reports[peer] = (now, loads)
 
-    def take_centre(
+    def merge_centre(
         self, data_centre: str, loads: Mapping[str, Load], *, now: float
     ) -> None:
         """Take in the load of all instances of another data centre together."""
         self._centres[data_centre] = (now, loads)
 
     def find_centre_load(self, data_centre: str) -> Mapping[str, Load]:
-        """Return what was last told of another data centre."""
+        """Return the last report on another data centre."""
         return self._centres.get(data_centre, (0.0, {}))[1]
 
     def sum_nearby(self, *, now: float) -> dict[str, TargetLoad]:
         """Return the load by target of this instance and those that it is linked to."""
-        return _sum_loads([self._own, *_list_lately(self._told, now)])
+        return _sum_loads([self._own, *_list_recent(self._reports, now)])
 
     def sum_loads(self, *, now: float) -> dict[str, TargetLoad]:
         """Return the load by target, of this instance and all others."""
@@ -140,24 +139,24 @@
 
     def _list_all(self, now: float) -> list[Mapping[str, Load]]:
         """Return all loads that count, the own ones first."""
-        told = _list_lately(self._told, now)
-        return [self._own, *told, *_list_lately(self._centres, now)]
+        reports = _list_recent(self._reports, now)
+        return [self._own, *reports, *_list_recent(self._centres, now)]
 
 
-def _list_lately(
-    told: dict[str, tuple[float, Mapping[str, Load]]], now: float
+def _list_recent(
+    reports: dict[str, tuple[float, Mapping[str, Load]]], now: float
 ) -> list[Mapping[str, Load]]:
-    """Return what was told lately; forget what is older."""
-    for teller, (at, _) in list(told.items()):
-        if now - at > _TOLD_S:
-            del told[teller]
-    return [loads for _, loads in told.values()]
+    """Return the loads that still count; forget older ones."""
+    for reporter, (at, _) in list(reports.items()):
+        if now - at > _REPORT_DURATION_S:
+            del reports[reporter]
+    return [loads for _, loads in reports.values()]
 
 
 def _sum_loads(many: Iterable[Mapping[str, Load]]) -> dict[str, TargetLoad]:
     """Return the sum by target.
 
-    A path is chosen from it several times a second, and a thousand loads were told: a
+    A path is chosen from it several times a second, and a thousand loads are known: a
     load is made for each target once, not for each addition.
     """
     sums: dict[str, list[float]] = {}
--- a/packages/core/fulmarward_core/loads/tests/test_loads.py
+++ b/packages/core/fulmarward_core/loads/tests/test_loads.py
@@ -19,14 +19,14 @@
 
 
 class LoadLedgerTest(unittest.TestCase):
-    def test_promise_counts_at_each_target_until_released(self):
+    def test_reservation_counts_at_each_target_until_released(self):
         ledger = LoadLedger()
-        promise = ledger.promise(_PATH, 100)
+        reservation = ledger.reserve(_PATH, 100)
         loads = ledger.sum_loads(now=0.0)
         self.assertEqual(loads["a"], TargetLoad(kv=600.0, running=1, first_running=1))
         self.assertEqual(loads["b"], TargetLoad(kv=200.0, running=1))
-        ledger.release(promise)
-        ledger.release(promise)
+        ledger.release(reservation)
+        ledger.release(reservation)
         self.assertEqual(ledger.sum_loads(now=0.0), {})
 
     def test_word_of_a_silent_peer_does_not_count_for_long(self):
@@ -78,19 +78,19 @@
     )
     def test_sum_is_what_adding_one_by_one_gives(self, steps):
         ledger = LoadLedger()
-        promises, told, centres = [], {}, {}
+        reservations, told, centres = [], {}, {}
         for place, (step, number, loads) in enumerate(steps):
             now = place * 0.4
             if step == "own":
-                promises.append(ledger.promise(_PATH, number))
+                reservations.append(ledger.reserve(_PATH, number))
             elif step == "told":
                 ledger.merge_report(f"peer-{number}", loads, now=now)
                 told[number] = (now, loads)
             elif step == "centre":
-                ledger.take_centre(f"centre-{number}", loads, now=now)
+                ledger.merge_centre(f"centre-{number}", loads, now=now)
                 centres[number] = (now, loads)
-            elif promises:
-                ledger.release(promises.pop())
+            elif reservations:
+                ledger.release(reservations.pop())
             near = [ledger.list_own(), *_list_late(told, now)]
             all_told = [*near, *_list_late(centres, now)]
             self.assertEqual(ledger.sum_nearby(now=now), _add_plainly(near))
@@ -123,7 +123,7 @@
         # others' sums a target elsewhere looks idle, and all send their requests there.
         ledger = LoadLedger()
         ledger.merge_report("peer", {"a": TargetLoad(running=2)}, now=0.0)
-        ledger.take_centre("far", {"a": TargetLoad(running=7)}, now=0.0)
+        ledger.merge_centre("far", {"a": TargetLoad(running=7)}, now=0.0)
         self.assertEqual(ledger.sum_loads(now=0.1)["a"].running, 9)
         self.assertEqual(ledger.sum_nearby(now=0.1)["a"].running, 2)
         self.assertEqual(ledger.sum_loads(now=9.0), {})
--- a/packages/core/fulmarward_core/paths/__init__.py
+++ b/packages/core/fulmarward_core/paths/__init__.py
@@ -5,7 +5,7 @@
     PathRequest,
     Stage,
     choose_path,
-    compute_taste,
+    compute_preference,
     count_tokens_held,
 )
 
@@ -14,6 +14,6 @@
     "PathRequest",
     "Stage",
     "choose_path",
-    "compute_taste",
+    "compute_preference",
     "count_tokens_held",
 ]
--- a/packages/core/fulmarward_core/paths/decisions.py
+++ b/packages/core/fulmarward_core/paths/decisions.py
@@ -13,40 +13,27 @@
 
 from fulmarward_core.fleet import AcceleratorKind, EngineModel, LayerRange
 
-#: Part of a target's KV cache that paths may plan with. Load: requests whose answers
-#: are longer than hinted; harm: the engine preempts its newest request in the middle
-#: of the stream; reason: leaves a tenth for what other instances sent meanwhile.
+#: Share of a target's KV cache that paths may plan with. The rest is for answers that
+#: are longer than hinted, and for what other instances sent meanwhile.
 PLANNED_KV = 0.9
 
-#: Milliseconds that a first hop outside the own data centre counts extra. Load: a
-#: balanced fleet; harm: answers cross data centres, which is paid for by the byte;
-#: reason: a tenth of the usual answer's time, so that a small difference of load moves
-#: nothing and a queue does.
+#: Milliseconds that a first hop outside of the own data centre counts extra: answers
+#: that cross are paid for by the byte.
 FAR_FIRST_MS = 200.0
 
-#: How often the pipe's transfer time counts. Load: all data centres' prompts meet in
-#: one pipe, one after another, and tokens of running answers wait behind them; harm:
-#: pauses of all streams that cross; reason: a prompt of 800 tokens holds the pipe for
-#: 37 ms, and a path that crosses must be worse than any crowding within a data centre.
-#: With 3 in place of 40, 0.7 prompts crossed for each request of a calm day.
+#: How often the pipe's transfer time counts. Transfers queue one after another, and
+#: tokens of running answers wait behind them, so that a path that crosses must be worse
+#: than any load within a data centre.
 PIPE_WEIGHT = 40.0
 
+#: Growth of a stage's cost with the share of its KV cache that is reserved, to the
+#: fourth power: none up to a half, four times the cost when nearly full.
+LOAD_PENALTY = 4.0
 
-#: Growth of a stage's cost with the part of its KV cache that is promised, to the
-#: fourth power. Load: a data centre that takes another's requests; harm: answers that
-#: grow longer than hinted push out the newest request; reason: nothing up to a half,
-#: four times the cost when nearly full. What runs slows each step besides, and that is
-#: in the step's time.
-CROWDING = 4.0
-
-
-#: Part by which instances differ in how they count a target's time. Load: a data centre
-#: loses a part of its model, and 79 instances send what ran there to others in the same
-#: moment, each knowing the others' choice only a second later; harm: all choose the
-#: same best path, its KV cache is full in 0.2 s and callers are refused (88 attempts in
-#: a second, 19 with this); reason: two paths that are this close are as good as each
-#: other, and usual pauses are a fifth of what answers may take.
-TASTE = 0.3
+#: Share by which instances differ in how they count a target's time. Guards against
+#: instances that all choose the same path in the same moment, each knowing the others'
+#: choice only later.
+PREFERENCE_SPREAD = 0.3
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -61,9 +48,9 @@
     kind: AcceleratorKind
     #: The layers that it holds.
     layers: LayerRange
-    #: KV cache in all, and promised to requests by all instances; tokens x layers.
+    #: KV cache in all, and reserved to requests by all instances; tokens x layers.
     kv_capacity: float
-    kv_promised: float
+    kv_reserved: float
     #: Requests that run there, as far as known.
     running: int
     #: Requests for which it is the first of the path.
@@ -71,7 +58,7 @@
     #: Factor on its times: over 1 when it is slow.
     pace: float
     #: Factor by which the instance that chooses counts its time.
-    taste: float
+    preference: float
     #: Whether it may take new work.
     is_usable: bool
 
@@ -104,13 +91,14 @@
     may_cross: bool = True
 
 
-def compute_taste(instance: str, target: str) -> float:
-    """Return the factor by which an instance counts a target's time, 1 to 1 + `TASTE`.
+def compute_preference(instance: str, target: str) -> float:
+    """Return the factor by which an instance counts a target's time.
 
-    It is the same at every call, so that an instance keeps to its paths.
+    It is between 1 and 1 + `PREFERENCE_SPREAD` and the same at every call, so that an
+    instance keeps to its paths.
     """
     digest = hashlib.blake2b(f"{instance}\n{target}".encode(), digest_size=2).digest()
-    return 1.0 + TASTE * int.from_bytes(digest) / 0xFFFF
+    return 1.0 + PREFERENCE_SPREAD * int.from_bytes(digest) / 0xFFFF
 
 
 def count_tokens_held(request: PathRequest) -> int:
@@ -179,7 +167,7 @@
         if stage.is_usable
         and stage.target not in request.avoided
         and stage.target != first
-        and stage.kv_promised + tokens * (stage.layers.end - stage.layers.start)
+        and stage.kv_reserved + tokens * (stage.layers.end - stage.layers.start)
         <= stage.kv_capacity * PLANNED_KV
     ]
 
@@ -227,15 +215,15 @@
 
     def _rate(self, stage: Stage) -> tuple[float, float, float]:
         """Return the time of a step through all layers, that of the whole prompt with
-        no regard to accelerator and pace, and the factor of crowding.
+        no regard to accelerator and pace, and the load penalty.
         """
         engine, request = self._engine, self._request
         batch = engine.step_ms + engine.sequence_ms * (stage.running + 1)
         context = engine.context_ms_per_k * stage.running
         prefill = request.prompt / engine.prefill_tokens_per_s * 1000
-        used = stage.kv_promised / max(stage.kv_capacity, 1.0)
+        used = stage.kv_reserved / max(stage.kv_capacity, 1.0)
         step = (batch + context) * stage.kind.step_factor
-        return step, prefill, 1 + CROWDING * used**4
+        return step, prefill, 1 + LOAD_PENALTY * used**4
 
     def extend(self, reached: dict[int, dict[str, _Reach]], position: int) -> None:
         """Note the ways on from a layer that are the best to where they lead."""
@@ -277,11 +265,11 @@
 
     def _estimate_ms(self, stage: Stage, position: int) -> float:
         """Return the time that a request spends at a stage from a layer on, in ms."""
-        step, prefill, crowding = self._rates[id(stage)]
+        step, prefill, penalty = self._rates[id(stage)]
         share = (stage.layers.end - position) / self._engine.layers
         work = step * share * stage.pace * self._request.answer
         work += prefill * (stage.kind.prefill_factor * share * stage.pace)
-        return work * crowding * stage.taste
+        return work * penalty * stage.preference
 
     def _find_moving(
         self, reach: _Reach, data_centre: str, is_beginning: bool
--- a/packages/core/fulmarward_core/paths/tests/plain.py
+++ b/packages/core/fulmarward_core/paths/tests/plain.py
@@ -6,8 +6,8 @@
 from fulmarward_core.fleet import EngineModel, LayerRange
 from fulmarward_core.paths import Hop, PathRequest, Stage, count_tokens_held
 from fulmarward_core.paths.decisions import (
-    CROWDING,
     FAR_FIRST_MS,
+    LOAD_PENALTY,
     PIPE_WEIGHT,
     PLANNED_KV,
 )
@@ -32,9 +32,9 @@
     step = (batch + context) * stage.kind.step_factor * share * stage.pace
     prefill = request.prompt / engine.prefill_tokens_per_s * 1000
     prefill *= stage.kind.prefill_factor * share * stage.pace
-    used = stage.kv_promised / max(stage.kv_capacity, 1.0)
-    crowding = 1 + CROWDING * used**4
-    return (step * request.answer + prefill) * crowding * stage.taste
+    used = stage.kv_reserved / max(stage.kv_capacity, 1.0)
+    penalty = 1 + LOAD_PENALTY * used**4
+    return (step * request.answer + prefill) * penalty * stage.preference
 
 
 def _estimate_hop_ms(
@@ -85,7 +85,7 @@
     if not stage.is_usable or stage.target in request.avoided:
         return False
     wanted = tokens * len(stage.layers)
-    return stage.kv_promised + wanted <= stage.kv_capacity * PLANNED_KV
+    return stage.kv_reserved + wanted <= stage.kv_capacity * PLANNED_KV
 
 
 def _extend(
--- a/packages/core/fulmarward_core/paths/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/paths/tests/test_decisions.py
@@ -12,7 +12,7 @@
     PathRequest,
     Stage,
     choose_path,
-    compute_taste,
+    compute_preference,
 )
 from fulmarward_core.paths.tests.plain import choose_path_plainly
 
@@ -28,11 +28,11 @@
         kind=KINDS[kind],
         layers=layers,
         kv_capacity=float(count_kv_capacity(ENGINE, KINDS[kind], len(layers))),
-        kv_promised=0.0,
+        kv_reserved=0.0,
         running=0,
         first_running=0,
         pace=1.0,
-        taste=1.0,
+        preference=1.0,
         is_usable=True,
     )
     return replace(stage, **changes)
@@ -78,15 +78,15 @@
             min(ENGINE.layers, start + size),
             centre=centre,
             kind=luck.choice(sorted(KINDS)),
-            kv_promised=float(promised),
+            kv_reserved=float(reserved),
             kv_capacity=luck.choice([1e6, 6e6]),
             running=luck.randrange(20),
             first_running=luck.choice([0, ENGINE.slots]),
             pace=luck.choice([1.0, 1.0, 12.0]),
-            taste=luck.choice([1.0, 1.3]),
+            preference=luck.choice([1.0, 1.3]),
             is_usable=luck.random() < 0.9,
         )
-        for place, (start, size, centre, promised) in enumerate(drawn)
+        for place, (start, size, centre, reserved) in enumerate(drawn)
     ]
 
 
@@ -128,10 +128,10 @@
                 start,
                 min(ENGINE.layers, start + size),
                 centre=centre,
-                kv_promised=float(promised),
+                kv_reserved=float(reserved),
                 kv_capacity=1e6,
             )
-            for place, (start, size, centre, promised) in enumerate(drawn)
+            for place, (start, size, centre, reserved) in enumerate(drawn)
         ]
         path = choose_path(ENGINE, stages, _REQUEST)
         if path is None:
@@ -173,7 +173,7 @@
         base = make_chain("a", "a")
         cases = {
             "suspect or leaving": [replace(base[3], is_usable=False)],
-            "without room": [replace(base[3], kv_promised=base[3].kv_capacity)],
+            "without room": [replace(base[3], kv_reserved=base[3].kv_capacity)],
         }
         for name, changed in cases.items():
             with self.subTest(name):
@@ -213,7 +213,9 @@
         used = Counter()
         for number in range(79):
             stages = [
-                replace(stage, taste=compute_taste(f"edge-{number}", stage.target))
+                replace(
+                    stage, preference=compute_preference(f"edge-{number}", stage.target)
+                )
                 for prefix in "bcde"
                 for stage in make_chain(prefix, prefix)
             ]
@@ -224,7 +226,7 @@
 
     def test_load_goes_to_the_emptier_of_two_holders(self):
         busy = [
-            replace(s, running=60, kv_promised=s.kv_capacity * 0.8)
+            replace(s, running=60, kv_reserved=s.kv_capacity * 0.8)
             for s in make_chain("a", "a")
         ]
         idle = make_chain("x", "a")
--- a/packages/router/fulmarward_router/exchange/_attempt.py
+++ b/packages/router/fulmarward_router/exchange/_attempt.py
@@ -5,7 +5,7 @@
 import aiohttp
 
 from fulmarward_core.fleet import EngineModel
-from fulmarward_core.loads import Promise
+from fulmarward_core.loads import Reservation
 from fulmarward_core.paces import SlowSigns
 from fulmarward_core.paths import Hop, PathRequest
 from fulmarward_router.exchange._work import Work
@@ -21,13 +21,13 @@
         engine: EngineModel,
         wanted: PathRequest,
         path: tuple[Hop, ...],
-        promise: Promise,
+        reservation: Reservation,
     ) -> None:
         self.work = work
         self.engine = engine
         self.wanted = wanted
         self.path = path
-        self.promise = promise
+        self.reservation = reservation
         #: The task that waits for the answer's head, and then the answer.
         self.head: asyncio.Task | None = None
         self.response: aiohttp.ClientResponse | None = None
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -86,9 +86,13 @@
         answer: web.StreamResponse | None = None
         while True:
             path = await self._admission.await_path(work, engine, wanted)
-            promise = self._ledger.promise(path, count_tokens_held(wanted))
+            reservation = self._ledger.reserve(path, count_tokens_held(wanted))
             attempt = Attempt(
-                work=work, engine=engine, wanted=wanted, path=path, promise=promise
+                work=work,
+                engine=engine,
+                wanted=wanted,
+                path=path,
+                reservation=reservation,
             )
             work.attempts += 1
             work.targets = tuple(hop.target for hop in path)
@@ -202,7 +206,7 @@
     def _finish(self, attempt: Attempt) -> None:
         """Let go of all that an attempt holds; closing the connection ends its work."""
         self.supervisor.remove(attempt)
-        self._ledger.release(attempt.promise)
+        self._ledger.release(attempt.reservation)
         if attempt.timer is not None:
             attempt.timer.cancel()
         if attempt.checking is not None:
--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -372,9 +372,9 @@
                 raise AttemptEnded(cause=cause, is_not_run=False)
             return False
         work.repaths += 1
-        promise = self._ledger.promise(path, count_tokens_held(wanted))
-        self._ledger.release(attempt.promise)
-        attempt.promise, attempt.path = promise, path
+        reservation = self._ledger.reserve(path, count_tokens_held(wanted))
+        self._ledger.release(attempt.reservation)
+        attempt.reservation, attempt.path = reservation, path
         attempt.heard_at = self._read_clock()
         attempt.checks = 0
         work.targets = tuple(hop.target for hop in path)
--- a/packages/router/fulmarward_router/exchange/_path_finder.py
+++ b/packages/router/fulmarward_router/exchange/_path_finder.py
@@ -6,7 +6,13 @@
 from fulmarward_core.fleet import EngineModel, TargetRecord, count_kv_capacity
 from fulmarward_core.loads import LoadLedger, TargetLoad
 from fulmarward_core.paces import PaceTable
-from fulmarward_core.paths import Hop, PathRequest, Stage, choose_path, compute_taste
+from fulmarward_core.paths import (
+    Hop,
+    PathRequest,
+    Stage,
+    choose_path,
+    compute_preference,
+)
 from fulmarward_core.suspicion import ROOM_PART, SuspicionTable
 
 
@@ -29,8 +35,8 @@
         self._ledger = ledger
         self._read_clock = read_clock
         self._instance = instance
-        #: Tastes by target; as many as there were targets since the start.
-        self._tastes: dict[str, float] = {}
+        #: Preferences by target; as many as there were targets since the start.
+        self._preferences: dict[str, float] = {}
 
     def list_stages(self, service: str, engine: EngineModel) -> list[Stage]:
         """Return all targets of a service that hold layers."""
@@ -55,16 +61,16 @@
                 engine,
                 loads.get(record.name, TargetLoad()),
                 pace=self._paces.find(record.name, now=now),
-                taste=self._find_taste(record.name),
+                preference=self._find_preference(record.name),
                 is_usable=not record.is_leaving and record.name not in suspects,
             )
             for record in records
         ]
 
-    def _find_taste(self, target: str) -> float:
-        if target not in self._tastes:
-            self._tastes[target] = compute_taste(self._instance, target)
-        return self._tastes[target]
+    def _find_preference(self, target: str) -> float:
+        if target not in self._preferences:
+            self._preferences[target] = compute_preference(self._instance, target)
+        return self._preferences[target]
 
     def choose(
         self, service: str, engine: EngineModel, wanted: PathRequest
@@ -73,7 +79,7 @@
         return choose_path(engine, self.list_stages(service, engine), wanted)
 
     def has_room(self, target: str, engine: EngineModel) -> bool:
-        """Return whether a target has room beyond doubt, by what is promised there."""
+        """Return whether a target has room beyond doubt, by what is reserved there."""
         record = self._catalogue.find_target(target)
         if record is None or record.layers is None or record.kind not in engine.kinds:
             return False
@@ -94,7 +100,7 @@
     load: TargetLoad,
     *,
     pace: float,
-    taste: float,
+    preference: float,
     is_usable: bool,
 ) -> Stage:
     kind = engine.kinds[record.kind]
@@ -105,10 +111,10 @@
         kind=kind,
         layers=record.layers,
         kv_capacity=float(count_kv_capacity(engine, kind, len(record.layers))),
-        kv_promised=load.kv,
+        kv_reserved=load.kv,
         running=load.running,
         first_running=load.first_running,
         pace=pace,
-        taste=taste,
+        preference=preference,
         is_usable=is_usable,
     )
--- a/packages/router/fulmarward_router/exchange/_plain.py
+++ b/packages/router/fulmarward_router/exchange/_plain.py
@@ -61,11 +61,11 @@
             tried.add(target.name)
             work.attempts += 1
             work.targets = (target.name,)
-            promise = self._ledger.promise_one(target.name)
+            reservation = self._ledger.reserve_one(target.name)
             try:
                 answer = await self._try_target(work, target)
             finally:
-                self._ledger.release(promise)
+                self._ledger.release(reservation)
             if isinstance(answer, web.Response):
                 if answer.status < 500:
                     return answer
--- a/packages/router/fulmarward_router/exchange/tests/test_failover.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_failover.py
@@ -65,7 +65,7 @@
         )
         path = tuple(SimpleNamespace(target=name) for name in ("first", "second"))
         self.attempt = Attempt(
-            work=None, engine=None, wanted=None, path=path, promise=None
+            work=None, engine=None, wanted=None, path=path, reservation=None
         )
         self.supervisor.add(self.attempt)
 
--- a/packages/router/fulmarward_router/state/_news.py
+++ b/packages/router/fulmarward_router/state/_news.py
@@ -274,7 +274,7 @@
             return
         now = self._read_clock()
         loads = _read_loads(news.loads)
-        self._ledger.take_centre(news.data_centre, loads, now=now)
+        self._ledger.merge_centre(news.data_centre, loads, now=now)
         self._merge_paces(news.paces, now)
 
     def answer(self, fetch: Fetch) -> Answer | None:
