Mesh: instances of a large data centre subscribe to two hubs

Now only the hubs, the first two by name, hear all others of their data centre. The others dial them, send their own state and loads, and get fleet reports back on the same link: what changed of instances and loads since the last one. The hub's sum holds the subscriber's own loads as of an update that it names, so that each takes its own part out and counts what it knows better. Loads are kept added up, not added anew for each choice of a path.

Old instances, which hear others only on links that these dial, are still dialled by all of their data centre; new kinds of messages stand at the end.

--- a/packages/core/fulmarward_core/loads/__init__.py
+++ b/packages/core/fulmarward_core/loads/__init__.py
@@ -6,12 +6,20 @@
     RepeatCount,
     RepeatTurn,
 )
-from fulmarward_core.loads._ledger import Load, LoadLedger, Reservation, TargetLoad
+from fulmarward_core.loads._ledger import (
+    FleetLoads,
+    LoadLedger,
+    LoadSnapshot,
+    Reservation,
+)
+from fulmarward_core.loads._sums import Load, TargetLoad
 
 __all__ = [
     "UNBEGUN_PART",
+    "FleetLoads",
     "Load",
     "LoadLedger",
+    "LoadSnapshot",
     "Reservation",
     "RepeatAllowance",
     "RepeatCount",
--- a/packages/core/fulmarward_core/overlay/__init__.py
+++ b/packages/core/fulmarward_core/overlay/__init__.py
@@ -7,6 +7,15 @@
     Node,
     choose_hubs,
     choose_links,
+    choose_subscriptions,
 )
 
-__all__ = ["FULL_MESH", "HUBS", "TRIED", "Node", "choose_hubs", "choose_links"]
+__all__ = [
+    "FULL_MESH",
+    "HUBS",
+    "TRIED",
+    "Node",
+    "choose_hubs",
+    "choose_links",
+    "choose_subscriptions",
+]
--- a/packages/core/fulmarward_core/suspicion/_refusals.py
+++ b/packages/core/fulmarward_core/suspicion/_refusals.py
@@ -70,6 +70,11 @@
             target for target, known in self._own.items() if known.show_leaving(now)
         ]
 
+    def list_all(self, *, now: float) -> list[str]:
+        """Return the targets believed to be leaving, by own tries or peers' reports."""
+        names = {*self._own, *self._told}
+        return [name for name in names if self.is_refusing(name, now=now)]
+
     def is_refusing(self, target: str, *, now: float) -> bool:
         """Return whether a target is believed to be leaving."""
         known = self._own.get(target)
--- a/packages/core/fulmarward_core/suspicion/_table.py
+++ b/packages/core/fulmarward_core/suspicion/_table.py
@@ -269,6 +269,16 @@
             if now < item.until and item.reason == "lost"
         ]
 
+    def list_reported(self, *, now: float) -> list[Suspicion]:
+        """Return what peers lost as far as that still counts, for those that do not
+        hear them.
+        """
+        return [
+            item
+            for item in self._suspicions.values()
+            if now < item.until and item.reason in (_TOLD, "confirmed")
+        ]
+
     def list_suspects(self, targets: Iterable[str], *, now: float) -> frozenset[str]:
         """Return which of a service's targets to leave out.
 
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -156,6 +156,8 @@
         self._has_failed = False
         #: Bytes between peers by direction; the metric is set when it is read.
         self._peer_bytes: Counter[str] = Counter()
+        #: Calls to the store and to targets, by kind.
+        self._calls: Counter[str] = Counter()
         self.life = Life()
         self.metrics = make_router_metrics()
         self.meter = ProcessorMeter(read_clock=time.perf_counter)
@@ -335,6 +337,7 @@
         self.mesh.notify()
 
     def _count_call(self, call: str, status: str) -> None:
+        self._calls[call] += 1
         self.metrics.calls.inc({"call": call, "status": status})
 
     def _count_bytes(self, direction: str, size: int) -> None:
@@ -363,7 +366,7 @@
             self._start("losses", self.loss_watch.run()),
             self._start("readiness", self._become_ready()),
             self._start("settings", self._follow_settings()),
-            self._start("metrics", self._log_processor_time()),
+            self._start("metrics", self._log_resources()),
         ]
         await self._signals.stop.wait()
         await self._stop()
@@ -451,14 +454,16 @@
                 log_event("settings_read", is_told=is_told)
             self.settings = settings
 
-    async def _log_processor_time(self) -> None:
-        """Log now and then where the processor time goes, until cancelled."""
+    async def _log_resources(self) -> None:
+        """Log now and then what this instance has used, until cancelled."""
         while True:
             await asyncio.sleep(LOG_INTERVAL_S)
             log_event(
-                "processor_time_measured",
+                "resources_measured",
                 subsystems=_round_values(self.meter.subsystems),
                 activities=_round_values(self.meter.activities),
+                calls=self._calls,
+                peer_bytes=self._peer_bytes,
             )
 
     async def _stop(self) -> None:
--- a/packages/router/fulmarward_router/mesh/__init__.py
+++ b/packages/router/fulmarward_router/mesh/__init__.py
@@ -13,18 +13,27 @@
     FetchCompressedConfiguration,
     FetchConfiguration,
     FetchTargets,
+    FleetReport,
     Heartbeat,
+    IncludedUpdate,
     InstanceIdentity,
     InstanceReport,
     LoadReport,
+    LoadUpdate,
     PaceReport,
     RowSnapshot,
+    Subscription,
     SupportsCompression,
     TargetChanges,
 )
-from fulmarward_router.mesh._state import Answer, Fetch, MeshState, Snapshot
+from fulmarward_router.mesh._state import Answer, Fetch, MeshState, Revisions, Snapshot
 
 __all__ = [
+    "FleetReport",
+    "IncludedUpdate",
+    "LoadUpdate",
+    "Revisions",
+    "Subscription",
     "Answer",
     "FetchConfiguration",
     "FetchCompressedConfiguration",
--- a/packages/router/fulmarward_router/mesh/_heartbeats.py
+++ b/packages/router/fulmarward_router/mesh/_heartbeats.py
@@ -12,7 +12,8 @@
     DATA_CENTRE_REPORT_INTERVAL_S,
     MemberTable,
 )
-from fulmarward_router.mesh._state import MeshState
+from fulmarward_router.mesh._messages import Subscription
+from fulmarward_router.mesh._state import MeshState, Revisions
 
 #: Minimum seconds between two rounds of heartbeats, so that a series of changes does
 #: not fill the links.
@@ -38,6 +39,16 @@
     connection: Connection
     #: Where the peer listens, `IP:PORT`.
     address: str
+    #: Whether this instance dialled it, and sees to it that it lives.
+    is_dialled: bool = True
+    #: What was last asked for on a dialled link.
+    subscription: Subscription | None = None
+    #: Whether the peer, a hub, takes the loads in messages of their own.
+    takes_updates: bool = False
+    #: Whether the last update on it had loads.
+    has_reported_loads: bool = False
+    #: What a subscriber that wants reports was told; `None` for others.
+    told: Revisions | None = None
     #: When the last reports on data centres were sent, and the revision of the members
     #: that they held.
     reported_at: float = float("-inf")
@@ -80,21 +91,23 @@
         #: encoded for this round, and when.
         self._heartbeats: dict[bool, bytes] = {}
         self._reports: dict[str, bytes] = {}
+        #: Fleet reports by what their subscribers were told before, and what they are
+        #: told by them; and the update of the own loads.
+        self._fleet_reports: dict[Revisions, tuple[bytes, Revisions]] = {}
+        self._update: bytes | None = None
         self._encoded_at = float("-inf")
 
     def notify(self) -> None:
         """Send the next round now: something changed that peers should know at once."""
         self._changed.set()
 
-    def add(self, connection: Connection, address: str) -> PeerLink:
+    def add(self, link: PeerLink) -> None:
         """Send heartbeats on a link from now on, the first one at once."""
-        link = PeerLink(connection=connection, address=address)
         self._links.append(link)
         now = self._read_clock()
         if now - self._encoded_at > REUSE_HEARTBEAT_S or self._changed.is_set():
             self._begin_round(now)
         self._send(link, now)
-        return link
 
     def remove(self, link: PeerLink) -> None:
         """Send no more on a link."""
@@ -113,11 +126,16 @@
             for link in list(self._links):
                 self._send(link, now)
                 await self._check(link, now)
-            await self._await_change(self._members.heartbeat_interval_s)
+            await self._await_change(self._find_interval_s())
             early_s = now + MIN_HEARTBEAT_INTERVAL_S - self._read_clock()
             if early_s > 0:
                 await asyncio.sleep(early_s)
 
+    def _find_interval_s(self) -> float:
+        if self.is_hub or self._state.has_loads():
+            return self._members.heartbeat_interval_s
+        return self._members.idle_interval_s
+
     async def _await_change(self, limit_s: float) -> None:
         try:
             async with asyncio.timeout(limit_s):
@@ -130,6 +148,8 @@
         self._encoded_at = now
         self._heartbeats.clear()
         self._reports.clear()
+        self._fleet_reports.clear()
+        self._update = None
 
     def _send(self, link: PeerLink, now: float) -> None:
         unsent = link.connection.transport.get_write_buffer_size()
@@ -139,9 +159,15 @@
                 log_event("peer_link_saturated", peer=link.address, unsent=unsent)
             return
         link.saturated_at = None
+        if link.told is not None:
+            data, link.told = self._find_fleet_report(link.told)
+            self._write(link, data)
+            return
         peer_centre = self._members.find_data_centre(link.address)
-        self._write(link, self._find_heartbeat(peer_centre))
-        if self.is_hub:
+        self._write(link, self._find_heartbeat(link, peer_centre))
+        if link.takes_updates:
+            self._send_update(link)
+        if self.is_hub and link.is_dialled:
             for data_centre in self._list_due_reports(link, peer_centre, now):
                 self._write(link, self._find_report(data_centre))
 
@@ -158,7 +184,7 @@
         if link.pong is not None and not link.pong.done():
             waits_since = link.pinged_at
         if waits_since is None:
-            if now - link.pinged_at >= PING_INTERVAL_S:
+            if link.is_dialled and now - link.pinged_at >= PING_INTERVAL_S:
                 # The link is open and not saturated: this waits for nothing.
                 link.pong, link.pinged_at = await connection.ping(), now
         elif now - waits_since >= PING_TIMEOUT_S:
@@ -169,18 +195,35 @@
         self._count_bytes("out", len(data))
         broadcast([link.connection], data)
 
-    def _find_heartbeat(self, peer_centre: str | None) -> bytes:
-        """Return the heartbeat for peers of a data centre.
+    def _find_heartbeat(self, link: PeerLink, peer_centre: str | None) -> bytes:
+        """Return the heartbeat for a link.
 
         Where there are many instances, each one's loads go to its own data centre
         only; the hubs report the sum to the others.
         """
-        has_loads = not self._members.is_large or peer_centre == self._data_centre
+        is_near = not self._members.is_large or peer_centre == self._data_centre
+        has_loads = is_near and link.is_dialled and not link.takes_updates
         if has_loads not in self._heartbeats:
             heartbeat = self._state.make_heartbeat(has_loads=has_loads)
             self._heartbeats[has_loads] = self._encode(heartbeat)
         return self._heartbeats[has_loads]
 
+    def _send_update(self, link: PeerLink) -> None:
+        """Send the own loads while there are any, and once when there are none."""
+        has_loads = self._state.has_loads()
+        if has_loads or link.has_reported_loads:
+            if self._update is None:
+                self._update = self._encode(self._state.make_load_update())
+            self._write(link, self._update)
+        link.has_reported_loads = has_loads
+
+    def _find_fleet_report(self, told: Revisions) -> tuple[bytes, Revisions]:
+        """Return the report for subscribers that were told so much, and what after."""
+        if told not in self._fleet_reports:
+            report, now_told = self._state.make_fleet_report(told)
+            self._fleet_reports[told] = self._encode(report), now_told
+        return self._fleet_reports[told]
+
     def _find_report(self, data_centre: str) -> bytes:
         if data_centre not in self._reports:
             report = self._state.make_data_centre_report(data_centre)
--- a/packages/router/fulmarward_router/mesh/_members.py
+++ b/packages/router/fulmarward_router/mesh/_members.py
@@ -3,21 +3,35 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
 
-from fulmarward_core.overlay import FULL_MESH, Node, choose_hubs, choose_links
+from fulmarward_core.overlay import (
+    FULL_MESH,
+    Node,
+    choose_hubs,
+    choose_links,
+    choose_subscriptions,
+)
 from fulmarward_router.mesh._messages import (
+    DataCentreAge,
     DataCentreReport,
+    FleetReport,
     Heartbeat,
     InstanceIdentity,
     InstanceReport,
+    MemberReport,
 )
 
 #: Seconds without a heartbeat after which an instance is not given to callers.
 FRESH_S = 1.3
 
-#: Seconds between two heartbeats with up to `FULL_MESH` instances; with more linked
-#: ones it grows, so that an instance's heartbeats cost the same.
+#: Seconds between two heartbeats with up to `FULL_MESH` instances; with more it grows,
+#: so that the heartbeats of those that are linked each to each cost the same.
 HEARTBEAT_INTERVAL_S = 0.3
 
+#: Seconds between two heartbeats of an instance that follows hubs, or is one: while
+#: requests of its own run, and while none do.
+SUBSCRIBER_INTERVAL_S = 0.4
+IDLE_SUBSCRIBER_INTERVAL_S = 0.6
+
 #: Heartbeats that may be missing before an instance counts as silent.
 _MAX_MISSED_HEARTBEATS = 3.0
 
@@ -32,6 +46,10 @@
 #: store still lists it; longer than a restart or a short partition.
 FORGET_S = 45.0
 
+#: Seconds for which an instance that was told of and not heard yet counts as alive in
+#: the choice of links: all that start together then choose the same hubs.
+NEW_DURATION_S = 2.0
+
 #: Seconds between two reports of a hub on a data centre in which nothing changed.
 DATA_CENTRE_REPORT_INTERVAL_S = 1.0
 
@@ -66,6 +84,11 @@
     #: other data centres are not told of it.
     sees_slow_streams: bool = False
 
+    @property
+    def is_new(self) -> bool:
+        """Whether it was told of, and neither heard nor lost since."""
+        return self.state is None and self.heard_at == self.noted_at
+
 
 @dataclass(frozen=True, kw_only=True)
 class _View:
@@ -82,8 +105,12 @@
     fresh: Mapping[str, float]
     #: Those that may act for all, in order: they stay, and the store answers them.
     acting: tuple[str, ...]
+    #: Those and the ones that were told of just now, in order.
+    presumed: tuple[str, ...]
     #: All instances, as far as links are concerned.
     nodes: tuple[Node, ...]
+    #: Peer addresses of the hubs that this instance follows, in order.
+    subscriptions: tuple[str, ...]
 
 
 class MemberTable:
@@ -102,6 +129,15 @@
         self._hubs: dict[bool, bool] = {}
         #: Rises whenever an instance comes, goes, or says something else of itself.
         self.revision = 0
+        #: The revision of the last change of each, and who was reported as alive.
+        self._changed: dict[str, int] = {}
+        self._reported_alive: frozenset[str] = frozenset()
+        #: Start times of those that must be dialled to hear anything.
+        self._needs_dialling: dict[str, int] = {}
+        #: Those that a hub reported, and as of when its reports on each data centre
+        #: hold.
+        self._reported: dict[str, Member] = {}
+        self._confirmed_at: dict[str, float] = {}
 
     def merge_members(
         self, identities: Iterable[InstanceIdentity], *, now: float
@@ -165,6 +201,109 @@
             )
         return has_unknown
 
+    def merge_fleet(self, report: FleetReport, *, now: float) -> None:
+        """Take in what a hub reports of all instances.
+
+        What was heard of an instance on a link of its own goes before.
+        """
+        if report.is_full:
+            listed = {item.identity.name for item in report.members}
+            for name in self._reported.keys() - listed:
+                self._merge_reported(replace(self._reported[name], state=None), now)
+        for item in report.members:
+            if item.identity.name == self._own.name:
+                continue
+            state = MemberState(
+                is_ready=item.is_ready,
+                is_leaving=item.is_leaving,
+                is_store_reachable=item.is_store_reachable,
+            )
+            member = Member(
+                identity=item.identity,
+                state=state if item.is_alive else None,
+                heard_at=now,
+                noted_at=now,
+                is_direct=False,
+            )
+            self._merge_reported(member, now)
+        for age in report.ages:
+            at = now - age.age_ms / 1000
+            known_at = self._confirmed_at.get(age.data_centre, float("-inf"))
+            self._confirmed_at[age.data_centre] = max(known_at, at)
+
+    def _merge_reported(self, member: Member, now: float) -> None:
+        """Take in what a hub knows of an instance; it counts where nothing is heard."""
+        name = member.identity.name
+        known = self._members.get(name)
+        if known is not None and known.identity.boot > member.identity.boot:
+            return
+        self._reported[name] = member
+        is_same_start = known is not None and known.identity == member.identity
+        if is_same_start and known.is_direct and now <= known.heard_at + self.fresh_s:
+            return
+        self._put(member)
+
+    def _fall_back(self, now: float) -> None:
+        """What hubs reported counts for those that are not heard directly any more."""
+        for name, member in list(self._members.items()):
+            reported = self._reported.get(name)
+            is_silent = member.state is None or now > member.heard_at + self.fresh_s
+            if (
+                reported is not None
+                and member.is_direct
+                and is_silent
+                and reported.identity == member.identity
+            ):
+                self._put(replace(reported, noted_at=member.noted_at))
+
+    def leave_hubs(self) -> None:
+        """Count on what is heard directly: this instance follows no hub any more."""
+        self._reported.clear()
+
+    def report_changes(self, *, after: int, now: float) -> tuple[MemberReport, ...]:
+        """Return what is known of the instances that changed after a revision."""
+        fresh = self._find_fresh(now)
+        return tuple(
+            _report_to_subscriber(self._members[name], is_fresh=name in fresh)
+            for name, revision in self._changed.items()
+            if revision > after and name in self._members
+        )
+
+    def _find_fresh(self, now: float) -> Mapping[str, float]:
+        """Return who was heard lately; who fell silent has changed by that."""
+        fresh = self._find_view(now).fresh
+        if fresh.keys() != self._reported_alive:
+            for name in fresh.keys() ^ self._reported_alive:
+                self._note_changed(name)
+            self._reported_alive = frozenset(fresh)
+        return fresh
+
+    def _note_changed(self, name: str) -> None:
+        self.revision += 1
+        self._changed[name] = self.revision
+
+    def report_ages(self, *, now: float) -> tuple[DataCentreAge, ...]:
+        """Return for how long nothing was heard of each data centre."""
+        heard_at: dict[str, float] = {self._own.data_centre: now}
+        for member in self._members.values():
+            centre = member.identity.data_centre
+            if member.state is not None and member.heard_at > heard_at.get(centre, 0.0):
+                heard_at[centre] = member.heard_at
+        return tuple(
+            DataCentreAge(data_centre=centre, age_ms=max(0, int((now - at) * 1000)))
+            for centre, at in heard_at.items()
+        )
+
+    def note_dialling(self, name: str, boot: int, *, is_needed: bool) -> None:
+        """Note whether an instance hears others only on links that they dial."""
+        if is_needed == (self._needs_dialling.get(name) == boot):
+            return
+        if is_needed:
+            self._needs_dialling[name] = boot
+        else:
+            del self._needs_dialling[name]
+        self._cached_view = None
+
     def report_members(
         self, data_centre: str, *, now: float
     ) -> tuple[InstanceReport, ...]:
@@ -189,7 +328,7 @@
         ):
             self._cached_view = None
         if not is_same or known.state != member.state:
-            self.revision += 1
+            self._note_changed(member.identity.name)
 
     def _forget_counts(self) -> None:
         """What is counted over all instances is counted anew when it is asked for.
@@ -220,14 +359,28 @@
         """Whether there are so many instances that not all are linked to all."""
         return len(self._members) >= FULL_MESH
 
+    @property
+    def has_hubs(self) -> bool:
+        """Whether the instances of this data centre are linked through hubs."""
+        return self.is_large and self._count_nearby() >= FULL_MESH
+
     @property
     def heartbeat_interval_s(self) -> float:
-        """Seconds between two heartbeats on a link."""
+        """Seconds between two heartbeats on a link, while requests run here."""
         linked = len(self._members)
-        if self.is_large:
+        if linked >= FULL_MESH:
             linked = self._count_nearby()
+            if linked >= FULL_MESH:
+                return SUBSCRIBER_INTERVAL_S
         return HEARTBEAT_INTERVAL_S * max(1.0, (linked + 1) / FULL_MESH)
 
+    @property
+    def idle_interval_s(self) -> float:
+        """Seconds between two heartbeats on a link, while no request runs here."""
+        return (
+            IDLE_SUBSCRIBER_INTERVAL_S if self.has_hubs else self.heartbeat_interval_s
+        )
+
     def _count_nearby(self) -> int:
         """Return how many others there are in the own data centre."""
         if self._nearby is None:
@@ -239,7 +392,7 @@
     @property
     def fresh_s(self) -> float:
         """Seconds after which an instance that is not heard counts as silent."""
-        return max(FRESH_S, _MAX_MISSED_HEARTBEATS * self.heartbeat_interval_s)
+        return max(FRESH_S, _MAX_MISSED_HEARTBEATS * self.idle_interval_s)
 
     def has_ended(self, name: str, boot: int) -> bool:
         """Return whether a later start of an instance than `boot` is known."""
@@ -257,6 +410,11 @@
                 self._centres.setdefault(identity.peer_address, identity.data_centre)
         return self._centres.get(peer_address)
 
+    def find_address(self, name: str) -> str:
+        """Return the peer address of an instance, empty if it is not known."""
+        known = self._members.get(name)
+        return "" if known is None else known.identity.peer_address
+
     def _find_view(self, now: float) -> _View:
         view = self._cached_view
         if view is None or not view.since <= now <= view.until:
@@ -266,36 +424,52 @@
         return view
 
     def _make_view(self, now: float) -> _View:
+        self._fall_back(now)
         direct_s = self.fresh_s
         indirect_s = direct_s + _HUB_HOPS * DATA_CENTRE_REPORT_INTERVAL_S
         ends = {
-            name: member.heard_at + (direct_s if member.is_direct else indirect_s)
+            name: self._find_heard_at(member)
+            + (direct_s if member.is_direct else indirect_s)
             for name, member in self._members.items()
             if member.state is not None
         }
         fresh = {name: end for name, end in ends.items() if now <= end}
         staying = {name for name in fresh if not self._members[name].state.is_leaving}
+        new = {
+            name: member.heard_at + NEW_DURATION_S
+            for name, member in self._members.items()
+            if member.is_new and now <= member.heard_at + NEW_DURATION_S
+        }
+        nodes = tuple(
+            Node(
+                name=name,
+                data_centre=member.identity.data_centre,
+                is_alive=name in staying or name in new,
+                needs_dialling=self._needs_dialling.get(name) == member.identity.boot,
+            )
+            for name, member in self._members.items()
+        )
+        subscriptions = choose_subscriptions(self._make_own_node(True), nodes)
+        acting = {n for n in staying if self._members[n].state.is_store_reachable}
         return _View(
             since=now,
-            until=min(fresh.values(), default=float("inf")),
+            until=min([*fresh.values(), *new.values()], default=float("inf")),
             fresh=fresh,
-            acting=tuple(
-                sorted(
-                    name
-                    for name in staying
-                    if self._members[name].state.is_store_reachable
-                )
-            ),
-            nodes=tuple(
-                Node(
-                    name=name,
-                    data_centre=member.identity.data_centre,
-                    is_alive=name in staying,
-                )
-                for name, member in self._members.items()
+            acting=tuple(sorted(acting)),
+            presumed=tuple(sorted(acting.union(new))),
+            nodes=nodes,
+            subscriptions=tuple(
+                self._members[name].identity.peer_address for name in subscriptions
             ),
         )
 
+    def _find_heard_at(self, member: Member) -> float:
+        """Return as of when what is known of an instance holds."""
+        if member.is_direct:
+            return member.heard_at
+        centre = member.identity.data_centre
+        return max(member.heard_at, self._confirmed_at.get(centre, float("-inf")))
+
     def list_nodes(self, *, now: float) -> tuple[Node, ...]:
         """Return all others as far as links are concerned."""
         return self._find_view(now).nodes
@@ -304,6 +478,10 @@
         """Return the names of others that may act for all, in order."""
         return self._find_view(now).acting
 
+    def list_presumed(self, *, now: float) -> tuple[str, ...]:
+        """Return those as well that were told of just now and not heard yet."""
+        return self._find_view(now).presumed
+
     def list_links(self, *, may_be_hub: bool, now: float) -> frozenset[str]:
         """Return the peer addresses that this instance keeps links to."""
         nodes, key = self.list_nodes(now=now), (may_be_hub, int(now / TURN_S))
@@ -314,6 +492,10 @@
             )
         return self._links[key]
 
+    def list_subscriptions(self, *, now: float) -> tuple[str, ...]:
+        """Return the peer addresses of the hubs to follow, first who reports."""
+        return self._find_view(now).subscriptions
+
     def is_hub(self, *, may_be_hub: bool, now: float) -> bool:
         """Return whether this instance reports its data centre to others."""
         nodes = self.list_nodes(now=now)
@@ -343,6 +525,11 @@
             if member.identity.data_centre == self._own.data_centre
         )
 
+    def follows_hubs(self, *, now: float) -> bool:
+        """Return whether hubs report the other instances to this one."""
+        view = self._find_view(now)
+        return bool(view.subscriptions) and bool(self._reported)
+
     def list_data_centres(self) -> frozenset[str]:
         """Return the data centres of the other instances."""
         return frozenset(m.identity.data_centre for m in self._members.values())
@@ -350,8 +537,11 @@
     def forget_silent(self, *, now: float) -> None:
         """Drop instances that were silent for long."""
         for name, member in list(self._members.items()):
-            if now - member.heard_at > FORGET_S:
+            if now - self._find_heard_at(member) > FORGET_S:
                 del self._members[name]
+                self._changed.pop(name, None)
+                self._reported.pop(name, None)
+                self._needs_dialling.pop(name, None)
                 self._forget_counts()
                 self.revision += 1
 
@@ -373,6 +563,18 @@
         return 1 + len(self._find_view(now).fresh)
 
 
+def _report_to_subscriber(member: Member, *, is_fresh: bool) -> MemberReport:
+    state = member.state
+    is_alive = is_fresh and state is not None
+    return MemberReport(
+        identity=member.identity,
+        is_alive=is_alive,
+        is_ready=is_alive and state.is_ready,
+        is_leaving=is_alive and state.is_leaving,
+        is_store_reachable=is_alive and state.is_store_reachable,
+    )
+
+
 def _report_member(member: Member, *, is_fresh: bool, now: float) -> InstanceReport:
     state = member.state
     is_alive = is_fresh and state is not None
--- a/packages/router/fulmarward_router/mesh/_messages.py
+++ b/packages/router/fulmarward_router/mesh/_messages.py
@@ -189,6 +189,74 @@
     rows: tuple[RowSnapshot, ...]
 
 
+class Subscription(Message, kw_only=True):
+    """Ask for heartbeats on a link that the sender dialled; sent on each of them.
+
+    Whoever sends it need not be dialled. A later one on the same link replaces it.
+    """
+
+    #: Name of the sender, and when its process started in ms since 1970.
+    sender: str
+    boot: int
+    #: Whether heartbeats are to come back on the link, and whether with reports on the
+    #: fleet, of which the first one is full.
+    wants_heartbeats: bool
+    wants_reports: bool
+
+
+class LoadUpdate(Message, kw_only=True):
+    """The sender's own loads, for a hub."""
+
+    sender: str
+    #: Rises with each update, over restarts as well.
+    sequence: int
+    loads: tuple[LoadReport, ...]
+
+
+class MemberReport(Message, kw_only=True):
+    """An instance as a hub knows it."""
+
+    identity: InstanceIdentity
+    #: Whether it lives, as far as known; the rest says nothing otherwise.
+    is_alive: bool
+    is_ready: bool
+    is_leaving: bool
+    is_store_reachable: bool
+
+
+class DataCentreAge(Message, kw_only=True):
+    """For how long a hub has had no news of a data centre."""
+
+    data_centre: str
+    age_ms: int
+
+
+class IncludedUpdate(Message, kw_only=True):
+    """The newest load update of an instance that a hub has added up."""
+
+    instance: str
+    sequence: int
+
+
+class FleetReport(Message, kw_only=True):
+    """What a hub knows of the fleet; sent to its subscribers in place of heartbeats."""
+
+    #: The hub's own heartbeat, without loads.
+    heartbeat: Heartbeat
+    #: Whether all is listed, or only what changed since the last report on the link.
+    is_full: bool
+    members: tuple[MemberReport, ...]
+    #: Instances that are not listed are as they were reported, as of this age.
+    ages: tuple[DataCentreAge, ...]
+    #: Load of all instances together, by target; a target without load has zeros.
+    loads: tuple[LoadReport, ...]
+    included: tuple[IncludedUpdate, ...]
+    #: Targets that instances of the data centre lost, and that they believe to be
+    #: leaving.
+    losses: tuple[FailureReport, ...]
+    refusing: tuple[str, ...]
+
+
 #: All messages; a message's number is its place. A kind keeps its number and its
 #: fields: instances of other code read it while they are replaced one by one. What
 #: changes is a new kind at the end, which older code leaves unread.
@@ -206,4 +274,7 @@
     FetchCompressedConfiguration,
     CompressedConfiguration,
     SupportsCompression,
+    Subscription,
+    LoadUpdate,
+    FleetReport,
 )
--- a/packages/router/fulmarward_router/mesh/_state.py
+++ b/packages/router/fulmarward_router/mesh/_state.py
@@ -1,5 +1,6 @@
 """What the mesh needs from the rest of the instance."""
 
+from dataclasses import dataclass
 from typing import Protocol
 
 from fulmarward_router.mesh._messages import (
@@ -11,11 +12,22 @@
     FetchCompressedConfiguration,
     FetchConfiguration,
     FetchTargets,
+    FleetReport,
     Heartbeat,
+    LoadUpdate,
     SupportsCompression,
     TargetChanges,
 )
 
+
+@dataclass(frozen=True, kw_only=True)
+class Revisions:
+    """Up to which changes of members and loads a subscriber was told."""
+
+    members: int = -1
+    loads: int = -1
+
+
 #: What a peer is asked for, what it sends for it, and what else it may answer.
 Fetch = FetchConfiguration | FetchCompressedConfiguration | FetchTargets
 Snapshot = ConfigurationSnapshot | CompressedConfiguration | TargetChanges
@@ -28,6 +40,23 @@
     def make_heartbeat(self, *, has_loads: bool = True) -> Heartbeat:
         """Return this instance's heartbeat, with its loads or without."""
 
+    def has_loads(self) -> bool:
+        """Return whether requests run here."""
+
+    def make_load_update(self) -> LoadUpdate:
+        """Return this instance's loads, for the hubs that it follows."""
+
+    def merge_load_update(self, update: LoadUpdate) -> None:
+        """Take in the loads of a subscriber."""
+
+    def make_fleet_report(self, told: Revisions) -> tuple[FleetReport, Revisions]:
+        """Return what changed of the fleet since a subscriber was told, and up to where
+        it is told by that.
+        """
+
+    def merge_fleet_report(self, report: FleetReport) -> bool:
+        """Take in a hub's report; return whether a full one is needed first."""
+
     def merge_heartbeat(self, heartbeat: Heartbeat) -> list[Fetch]:
         """Take in a peer's heartbeat; return what to ask that peer for."""
 
--- a/packages/router/fulmarward_router/placement/_placer.py
+++ b/packages/router/fulmarward_router/placement/_placer.py
@@ -135,6 +135,10 @@
             current = self._configuration.current
             if current is None or not self._catalogue.is_known:
                 continue
+            if not self._lease.is_held():
+                self._first_seen.clear()
+                self._missing_since.clear()
+                continue
             for spec in current.services.values():
                 if spec.engine is not None and spec.engine.kinds:
                     await self._look(spec.name, spec.engine)
--- a/packages/router/fulmarward_router/state/_instances.py
+++ b/packages/router/fulmarward_router/state/_instances.py
@@ -13,16 +13,15 @@
 #: The table with a row for each instance.
 INSTANCE_TABLE = "instances"
 
-#: Seconds between two readings of the other instances' rows. Load: instances that come
-#: while no peer reaches them; harm: each reading is paid for; reason: new instances
-#: dial the others themselves, so this is for what both missed.
-READ_S = 12.0
+#: Seconds between two readings of the other instances' rows: new instances dial the
+#: others themselves, so this is for what both missed.
+READ_INTERVAL_S = 12.0
 
 #: Seconds before the store is tried again.
-RETRY_S = 1.0
+RETRY_INTERVAL_S = 1.0
 
-#: Part by which pauses differ between instances. Reason: all begin in the same moment.
-_SPREAD = 0.2
+#: Share by which pauses differ between instances, which all begin in the same moment.
+_JITTER = 0.2
 
 
 class InstanceRows:
@@ -47,6 +46,10 @@
         write = RowWrite(table=INSTANCE_TABLE, key=self._own.name, value=value)
         is_written = False
         while True:
+            if is_written and self._members.follows_hubs(now=self._read_clock()):
+                # Its hubs read them.
+                await _sleep_about(RETRY_INTERVAL_S)
+                continue
             try:
                 if not is_written:
                     await self._store.transact([], [write])
@@ -54,12 +57,12 @@
                 read = await self._store.read_table(INSTANCE_TABLE)
             except (StoreRefused, ReplyLost) as error:
                 log_event("instances_not_read", cause=repr(error))
-                await _sleep_about(RETRY_S)
+                await _sleep_about(RETRY_INTERVAL_S)
                 continue
             identities = [_decode_instance(row.value) for row in read.rows]
             now = self._read_clock()
             self._members.merge_members([item for item in identities if item], now=now)
-            await _sleep_about(READ_S)
+            await _sleep_about(READ_INTERVAL_S)
 
     async def withdraw(self) -> None:
         """Take this instance's row out of the store, as far as the store answers."""
@@ -71,7 +74,7 @@
 
 
 async def _sleep_about(seconds: float) -> None:
-    await asyncio.sleep(seconds * random.uniform(1 - _SPREAD, 1 + _SPREAD))
+    await asyncio.sleep(seconds * random.uniform(1 - _JITTER, 1 + _JITTER))
 
 
 def _encode_instance(own: InstanceIdentity) -> bytes:
--- a/packages/router/fulmarward_router/state/_news.py
+++ b/packages/router/fulmarward_router/state/_knowledge.py
@@ -1,19 +1,14 @@
-"""What an instance tells its peers, and what it takes from them."""
+"""What an instance reports to its peers, and what it takes in of their reports."""
 
 import bisect
 from collections.abc import Callable, Iterable, Mapping
 
+from msgspec.structs import replace
+
 from fulmarward.observability import log_event
 from fulmarward_core.catalogue import KnownRow, TargetCatalogue
-from fulmarward_core.loads import Load, LoadLedger
+from fulmarward_core.loads import FleetLoads, Load, LoadLedger
 from fulmarward_core.paces import PaceTable
-from fulmarward_core.spread import (
-    FetchTimeout,
-    PendingFetch,
-    TransferLimiter,
-    pack_value,
-    unpack_value,
-)
 from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_router.mesh import (
     Answer,
@@ -27,12 +22,16 @@
     FetchCompressedConfiguration,
     FetchConfiguration,
     FetchTargets,
+    FleetReport,
     Heartbeat,
+    IncludedUpdate,
     InstanceIdentity,
     InstanceReport,
     LoadReport,
+    LoadUpdate,
     MemberTable,
     PaceReport,
+    Revisions,
     RowSnapshot,
     Snapshot,
     SupportsCompression,
@@ -40,10 +39,14 @@
 )
 from fulmarward_router.ports import Row
 from fulmarward_router.state._configuration import ConfigurationHolder
+from fulmarward_router.state._configuration_exchange import ConfigurationExchange
 
 #: Seconds between two fetches of targets' changes.
 FETCH_INTERVAL_S = 0.2
 
+#: Seconds after its start for which an instance may not have heard others that live.
+START_DURATION_S = 2.0
+
 #: Age in ms that says "never".
 _NEVER_MS = -1
 
@@ -85,17 +88,18 @@
         self._is_store_reachable = is_store_reachable
         self._note_change = note_change
         self._note_targets = note_targets
+        self._began_at = read_clock()
         self._fetched_at = float("-inf")
         #: Newest version of the targets that a peer stated.
         self._stated_version = 0
-        self._fetch = PendingFetch()
-        self._transfers = TransferLimiter()
-        #: Start time (ms since 1970) of each peer that accepts compressed ones.
-        self._supports_compression: dict[str, int] = {}
-        #: Plain rows sent to peers that have not said who they are.
-        self._plain_transfers = 0
-        #: The row in force as it travels, once a peer has asked for it.
-        self._packed: tuple[Row, bytes | None] | None = None
+        self._exchange = ConfigurationExchange(
+            name=own.name,
+            configuration=configuration,
+            read_clock=read_clock,
+            note_change=note_change,
+        )
+        #: The newest load update that each instance sent.
+        self._updates: dict[str, int] = {}
 
     def make_heartbeat(self, *, has_loads: bool = True) -> Heartbeat:
         """Return this instance's heartbeat, with its load or without."""
@@ -147,11 +151,18 @@
 
         They are the first by name of those that were heard lately, are not leaving
         and reach the store. Guards against one that the store turns away: it would
-        hold a duty that it cannot do.
+        hold a duty that it cannot do. One that has just started presumes that others
+        live which it has not heard yet, so that not all begin with the same duties.
         """
         if self._is_leaving() or not self._is_store_reachable():
             return False
-        others = self._members.list_acting(now=self._read_clock())
+        now = self._read_clock()
+        is_starting = now - self._began_at < START_DURATION_S
+        others = (
+            self._members.list_presumed(now=now)
+            if is_starting
+            else self._members.list_acting(now=now)
+        )
         before = bisect.bisect_left(others, self._own.name)
         return before < count
 
@@ -171,30 +182,14 @@
     def merge_heartbeat(self, heartbeat: Heartbeat) -> list[Fetch]:
         """Take in a peer's heartbeat; return what to ask it for."""
         now = self._read_clock()
-        self._ledger.merge_report(
-            heartbeat.sender.name, _read_loads(heartbeat.loads), now=now
-        )
-        for loss in heartbeat.losses:
-            if self._suspicions.note_told(
-                loss.target, for_s=loss.for_ms / 1000, now=now
-            ):
-                log_event(
-                    "target_lost", target=loss.target, source=heartbeat.sender.name
-                )
+        if heartbeat.loads or heartbeat.sender.name not in self._updates:
+            loads = _read_loads(heartbeat.loads)
+            self._ledger.merge_report(heartbeat.sender.name, loads, now=now)
+        self._merge_losses(heartbeat.losses, heartbeat.sender.name, now)
         self._suspicions.refusals.merge_reports(heartbeat.refusing, now=now)
         self._merge_paces(heartbeat.paces, now)
-        fetches: list[Fetch] = []
-        own = self._configuration.version
-        if heartbeat.configuration_version > own:
-            if self._must_fetch(heartbeat, now):
-                fetches.append(self._make_fetch(heartbeat.sender, own))
-        elif (
-            heartbeat.configuration_version == own
-            and heartbeat.configuration_age_ms >= 0
-        ):
-            at = now - heartbeat.configuration_age_ms / 1000
-            holder = self._configuration
-            holder.confirmed_at = max(holder.confirmed_at, at)
+        fetch = self._exchange.merge_heartbeat(heartbeat)
+        fetches = [] if fetch is None else [fetch]
         if heartbeat.targets_age_ms >= 0:
             at = now - heartbeat.targets_age_ms / 1000
             self._catalogue.confirm(heartbeat.targets_version, at=at)
@@ -216,31 +211,9 @@
         self._fetched_at = now
         return True
 
-    def _make_fetch(self, peer: InstanceIdentity, version: int) -> Fetch:
-        """Return the fetch of the configuration that a peer understands."""
-        if self._supports_compression.get(peer.name) == peer.boot:
-            return FetchCompressedConfiguration(sender=self._own.name, version=version)
-        return FetchConfiguration(version=version)
-
     def note_supports_compression(self, message: SupportsCompression) -> None:
         """Take in that a peer may be asked for the packed configuration."""
-        self._supports_compression[message.sender] = message.boot
-
-    def _must_fetch(self, heartbeat: Heartbeat, now: float) -> bool:
-        """Return whether to fetch the newer version that the sender reports."""
-        peer, own = heartbeat.sender.name, self._configuration.version
-        _log_fetch_timeout(
-            self._fetch.give_up(known=own, now=now), cause="no newer version came"
-        )
-        if not self._fetch.ask(peer, known=own, now=now):
-            return False
-        log_event(
-            "configuration_requested",
-            peer=peer,
-            version=heartbeat.configuration_version,
-            known=own,
-        )
-        return True
+        self._exchange.note_supports_compression(message)
 
     def make_data_centre_report(self, data_centre: str) -> DataCentreReport:
         """Return what this instance, as a hub, tells of a data centre."""
@@ -277,12 +250,90 @@
         self._ledger.merge_centre(news.data_centre, loads, now=now)
         self._merge_paces(news.paces, now)
 
+    def has_loads(self) -> bool:
+        """Return whether requests run here."""
+        return self._ledger.has_own()
+
+    def make_load_update(self) -> LoadUpdate:
+        """Return this instance's loads, for the hubs that it follows."""
+        snapshot = self._ledger.take_snapshot(self._own.boot)
+        return LoadUpdate(
+            sender=self._own.name,
+            sequence=snapshot.sequence,
+            loads=_report_loads(snapshot.loads),
+        )
+
+    def merge_load_update(self, update: LoadUpdate) -> None:
+        """Take in the loads of a subscriber."""
+        self._updates[update.sender] = update.sequence
+        loads = _read_loads(update.loads)
+        self._ledger.merge_report(update.sender, loads, now=self._read_clock())
+
+    def make_fleet_report(self, told: Revisions) -> tuple[FleetReport, Revisions]:
+        """Return what changed of the fleet since a subscriber was told, and up to where
+        it is told by that.
+        """
+        now = self._read_clock()
+        heartbeat = self.make_heartbeat(has_loads=False)
+        slow = self._members.sees_slow_streams(now=now)
+        members = self._members.report_changes(after=told.members, now=now)
+        loads = self._ledger.list_changes(after=told.loads, now=now)
+        report = FleetReport(
+            heartbeat=replace(
+                heartbeat, sees_slow_streams=heartbeat.sees_slow_streams or slow
+            ),
+            is_full=told.loads < 0,
+            members=members,
+            ages=self._members.report_ages(now=now),
+            loads=_report_loads(loads),
+            included=tuple(
+                IncludedUpdate(instance=name, sequence=self._updates[name])
+                for name in self._ledger.list_reporters()
+                if name in self._updates
+            ),
+            losses=tuple(
+                FailureReport(target=item.target, for_ms=int((item.until - now) * 1000))
+                for item in self._suspicions.list_reported(now=now)
+            ),
+            refusing=tuple(self._suspicions.refusals.list_all(now=now)),
+        )
+        now_told = Revisions(
+            members=self._members.revision, loads=self._ledger.revision
+        )
+        return report, now_told
+
+    def merge_fleet_report(self, report: FleetReport) -> bool:
+        """Take in a hub's report; return whether that was possible without a full one.
+
+        Its heartbeat and the instances that it lists are not taken in by that.
+        """
+        now, hub = self._read_clock(), report.heartbeat.sender.name
+        self._merge_losses(report.losses, hub, now)
+        self._suspicions.refusals.merge_reports(report.refusing, now=now)
+        included = {item.instance: item.sequence for item in report.included}
+        loads = FleetLoads(
+            hub=hub,
+            is_full=report.is_full,
+            loads=_read_loads(report.loads),
+            included=included.get(self._own.name),
+        )
+        return self._ledger.merge_fleet(loads, now=now)
+
+    def _merge_losses(
+        self, losses: Iterable[FailureReport], source: str, now: float
+    ) -> None:
+        for loss in losses:
+            if self._suspicions.note_told(
+                loss.target, for_s=loss.for_ms / 1000, now=now
+            ):
+                log_event("target_lost", target=loss.target, source=source)
+
     def answer(self, fetch: Fetch) -> Answer | None:
         """Return the answer to a peer's fetch, `None` if there is none."""
         if isinstance(fetch, FetchCompressedConfiguration):
-            return self._send_compressed(fetch)
+            return self._exchange.send_compressed(fetch)
         if isinstance(fetch, FetchConfiguration):
-            return self._send_plain(fetch)
+            return self._exchange.send_plain(fetch)
         if not self._catalogue.knows_changes(after=fetch.after):
             return None
         rows = tuple(
@@ -297,87 +348,27 @@
             rows=rows,
         )
 
-    def _send_compressed(self, fetch: FetchCompressedConfiguration) -> Answer | None:
-        row = self._find_newer(fetch.version)
-        if row is None:
-            return None
-        packed = self._pack(row)
-        size = len(packed or b"")
-        if not self._transfers.begin(fetch.sender, size, now=self._read_clock()):
-            return ConfigurationDeferred(sender=self._own.name)
-        self._log_transfer(row, fetch.sender, known=fetch.version, packed=size)
-        return CompressedConfiguration(key=row.key, version=row.version, packed=packed)
-
-    def _send_plain(self, fetch: FetchConfiguration) -> Answer | None:
-        """Return the row as code reads it that understands no packed one.
-
-        Such a peer says neither who it is nor that the row has come, and asks again
-        when it has no answer. Guards against a link that is full with such rows.
-        """
-        row = self._find_newer(fetch.version)
-        if row is None:
-            return None
-        size = len(row.value or b"")
-        self._plain_transfers += 1
-        peer = f"unpacked {self._plain_transfers}"
-        if not self._transfers.begin(peer, size, now=self._read_clock()):
-            return None
-        self._log_transfer(row, "", known=fetch.version, packed=size)
-        return ConfigurationSnapshot(
-            row=RowSnapshot(key=row.key, version=row.version, value=row.value)
-        )
-
-    def _find_newer(self, version: int) -> Row | None:
-        """Return the row in force if it is newer than a version."""
-        return (
-            self._configuration.row if self._configuration.version > version else None
-        )
-
-    def _log_transfer(self, row: Row, peer: str, *, known: int, packed: int) -> None:
-        log_event(
-            "configuration_sent",
-            peer=peer,
-            version=self._configuration.version,
-            known=known,
-            size=len(row.value or b""),
-            packed=packed,
-        )
-
-    def _pack(self, row: Row) -> bytes | None:
-        """Return the bytes of the row in force as they travel, packed once."""
-        if self._packed is None or self._packed[0] is not row:
-            packed = None if row.value is None else pack_value(row.value)
-            self._packed = (row, packed)
-        return self._packed[1]
-
     def note_deferred(self, message: ConfigurationDeferred) -> None:
         """Take in that a peer sends to others first."""
-        self._fetch.note_deferred(message.sender, now=self._read_clock())
-        log_event("configuration_deferred", peer=message.sender)
+        self._exchange.note_deferred(message)
 
     def note_received(self, message: ConfigurationReceived) -> None:
         """Take in that a snapshot was received by a peer."""
-        self._transfers.end(message.sender)
+        self._exchange.note_received(message)
 
     def note_link_lost(self, peer: str) -> None:
         """The link that a peer dialled has ended, and what was asked on it."""
-        self._transfers.end(peer)
-        given_up = self._fetch.note_lost(
-            peer, known=self._configuration.version, now=self._read_clock()
-        )
-        _log_fetch_timeout(given_up, cause="its link ended")
+        self._exchange.note_link_lost(peer)
 
     def merge_snapshot(self, news: Snapshot) -> None:
         """Take in what a peer answered."""
-        now = self._read_clock()
         if isinstance(news, CompressedConfiguration):
-            self._merge_compressed(news, now)
+            self._exchange.merge_compressed(news)
             return
         if isinstance(news, ConfigurationSnapshot):
-            snapshot = news.row
-            row = Row(key=snapshot.key, value=snapshot.value, version=snapshot.version)
-            self._merge_configuration(row, now)
+            self._exchange.merge_plain(news)
             return
+        now = self._read_clock()
         rows = [
             self._decode_row(
                 Row(key=item.key, value=item.value, version=item.version), now=now
@@ -393,35 +384,6 @@
             self._catalogue.take_changes(rows, version, now=now, confirmed_at=at)
         )
 
-    def _merge_compressed(self, news: CompressedConfiguration, now: float) -> None:
-        """Put what a peer sent in force; wrong bytes change nothing."""
-        try:
-            value = None if news.packed is None else unpack_value(news.packed)
-        except ValueError as error:
-            log_event(
-                "configuration_refused",
-                store_version=news.version,
-                source="peer",
-                cause=str(error),
-            )
-            return
-        row = Row(key=news.key, value=value, version=news.version)
-        self._merge_configuration(row, now)
-
-    def _merge_configuration(self, row: Row, now: float) -> None:
-        if self._configuration.take_row(row, source="peer", now=now):
-            self._note_change()
-
-
-def _log_fetch_timeout(given_up: FetchTimeout | None, *, cause: str) -> None:
-    if given_up is not None:
-        log_event(
-            "configuration_fetch_timed_out",
-            peer=given_up.peer,
-            after_s=round(given_up.after_s, 3),
-            cause=cause,
-        )
-
 
 def _report_loads(loads: Mapping[str, Load]) -> tuple[LoadReport, ...]:
     return tuple(
--- a/packages/router/fulmarward_router/state/_watch.py
+++ b/packages/router/fulmarward_router/state/_watch.py
@@ -28,6 +28,10 @@
 #: a change is known everywhere in under 1 s.
 TARGETS_PAUSE_S = 0.4
 
+#: Seconds between two checks whether this instance is to read by itself, by whether
+#: there are many instances.
+_CHECK_INTERVAL_S = {False: 0.1, True: 0.3}
+
 #: Seconds for which a reading of the targets waits when nothing changed.
 TARGETS_WAIT_S = 0.6
 
@@ -40,7 +44,7 @@
 #: hubs pass it on. Reason: a reading, its time-out, and the way to here.
 STALE_S = 0.65
 _STALE_HEARTBEATS = 1.5
-_STALE_HEARTBEATS_BY_HUBS = 3.0
+_STALE_HEARTBEATS_BY_HUBS = 4.0
 
 #: Instances that wait for the configuration at the store where there are many. Load: a
 #: version that all must have soon; harm: the store sends each the row unpacked, and
@@ -88,7 +92,7 @@
         pause_s = RETRY_S
         while True:
             if version is not None and not self._must_wait():
-                await asyncio.sleep(TARGETS_PAUSE_S / 4)
+                await asyncio.sleep(_CHECK_INTERVAL_S[self._is_large()])
                 continue
             try:
                 if version is None:
@@ -127,7 +131,7 @@
         is_whole = False
         while True:
             if is_whole and not self._must_read():
-                await asyncio.sleep(TARGETS_PAUSE_S / 4)
+                await asyncio.sleep(_CHECK_INTERVAL_S[self._is_large()])
                 continue
             try:
                 if is_whole:
