Lookup: callers are sent to as few instances as carry the load

Each instance of a large fleet was listed for callers, up to 64, beginning with those of the caller's data centre: with 39 instances in one, 25 of the 64 stood in others. What the fleet shares (retries, the pipe, room at targets) was split over 77 to 195 instances, each of which learns of the others' choices up to a second later. Now eight of a data centre are listed, four more for each 48 requests that run there, none of other data centres while there are eight, and whoever acts for all (a hub, and so the readers and the lease holder) last: what happens to them hits no caller. Fewer than eight: as before.

--- a/packages/router/fulmarward_router/_lookup.py
+++ b/packages/router/fulmarward_router/_lookup.py
@@ -1,6 +1,6 @@
 """Where callers are sent: the lookup, the readiness check and the metrics."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 import orjson
 from aiohttp import web
@@ -9,35 +9,14 @@
 from fulmarward.observability import log_event
 from fulmarward_router._metrics import RouterMetrics
 
-#: Seconds for which callers keep an answer. Load: instances that are killed; harm: a
-#: caller goes on to a dead address; a short time costs a call per caller and second,
-#: of half a millisecond; reason: as long as a lost instance stays listed here.
-LOOKUP_S = 1.0
-
-#: Most addresses in one answer. Reason: what callers read of it.
-MOST_ADDRESSES = 64
+#: Seconds for which callers keep an answer: as long as a lost instance stays listed.
+LOOKUP_DURATION_S = 1.0
 
 #: Paths that this instance answers on its own addresses.
 _READY_PATH = "/ready"
 _LOOKUP_PATH = "/lookup"
 
 
-def choose_addresses(
-    own: tuple[str, str] | None,
-    others: Sequence[tuple[str, str]],
-    *,
-    data_centre: str,
-) -> list[str]:
-    """Return the addresses to give to a caller in `data_centre`.
-
-    Each instance is its data centre and address. Those of the caller's own data centre
-    come first, so that they remain when there are more than fit.
-    """
-    instances = [*([own] if own else []), *others]
-    instances.sort(key=lambda item: (item[0] != data_centre, item[1]))
-    return [address for _, address in instances[:MOST_ADDRESSES]]
-
-
 def make_lookup_handler(
     *,
     list_instances: Callable[[str], list[str]],
@@ -51,7 +30,7 @@
         addresses = list_instances(request.query.get("zone", ""))
         if not addresses:
             return web.Response(status=503)
-        body = {"addresses": addresses, "ttlS": min(most_s, LOOKUP_S)}
+        body = {"addresses": addresses, "ttlS": min(most_s, LOOKUP_DURATION_S)}
         return web.Response(body=orjson.dumps(body), content_type="application/json")
 
     return answer
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -14,12 +14,12 @@
 
 from fulmarward.observability import log_event, start_logging, stop_logging
 from fulmarward_core.catalogue import TargetCatalogue
+from fulmarward_core.discovery import Candidate, choose_listed
 from fulmarward_core.loads import LoadLedger, RepeatAllowance
 from fulmarward_core.paces import PaceTable
 from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_router._life import Life
 from fulmarward_router._lookup import (
-    choose_addresses,
     make_lookup_handler,
     make_operator_handler,
     make_ready_handler,
@@ -416,14 +416,33 @@
 
     def _list_addresses(self, data_centre: str) -> list[str]:
         now = self._clock()
-        own = None
+        ready = [member.identity for member in self.members.list_ready(now=now)]
         if self.is_ready():
-            own = (self.own.data_centre, self.own.caller_address)
-        others = [
-            (m.identity.data_centre, m.identity.caller_address)
-            for m in self.members.list_ready(now=now)
+            ready.append(self.own)
+        candidates = [
+            Candidate(
+                name=item.name,
+                data_centre=item.data_centre,
+                address=item.caller_address,
+                has_duty=self.members.has_duty(item.name, now=now),
+            )
+            for item in ready
         ]
-        return choose_addresses(own, others, data_centre=data_centre)
+        return choose_listed(
+            candidates,
+            data_centre=data_centre,
+            open_requests=self._count_open(data_centre, now),
+        )
+
+    def _count_open(self, data_centre: str, now: float) -> int:
+        """Return how many requests run in a data centre, as far as known."""
+        records = self.catalogue.list_targets(now=now)
+        loads = self.ledger.sum_loads(now=now)
+        return sum(
+            loads[record.name].first_running
+            for record in records
+            if record.data_centre == data_centre and record.name in loads
+        )
 
     async def _become_ready(self) -> None:
         """Take callers once the configuration and the targets are known."""
--- a/packages/router/fulmarward_router/mesh/_members.py
+++ b/packages/router/fulmarward_router/mesh/_members.py
@@ -111,6 +111,8 @@
     nodes: tuple[Node, ...]
     #: Peer addresses of the hubs that this instance follows, in order.
     subscriptions: tuple[str, ...]
+    #: Names of the hubs of all data centres.
+    hubs: frozenset[str]
 
 
 class MemberTable:
@@ -449,7 +451,13 @@
             )
             for name, member in self._members.items()
         )
-        subscriptions = choose_subscriptions(self._make_own_node(True), nodes)
+        own = self._make_own_node(True)
+        subscriptions = choose_subscriptions(own, nodes)
+        hubs = {
+            hub
+            for centre in {node.data_centre for node in nodes}
+            for hub in choose_hubs([*nodes, own], centre)
+        }
         acting = {n for n in staying if self._members[n].state.is_store_reachable}
         return _View(
             since=now,
@@ -458,6 +466,7 @@
             acting=tuple(sorted(acting)),
             presumed=tuple(sorted(acting.union(new))),
             nodes=nodes,
+            hubs=frozenset(hubs),
             subscriptions=tuple(
                 self._members[name].identity.peer_address for name in subscriptions
             ),
@@ -512,6 +521,10 @@
             is_alive=may_be_hub,
         )
 
+    def has_duty(self, name: str, *, now: float) -> bool:
+        """Return whether an instance acts for others: a hub, a reader, the holder."""
+        return self.is_large and name in self._find_view(now).hubs
+
     def is_first_nearby(self, *, now: float) -> bool:
         """Return whether this instance is the first by name of its data centre."""
         nodes = [*self.list_nodes(now=now), self._make_own_node(True)]
