Quotas: what all instances share is split over those that serve

Each instance counted on 1/N of the retry budget and of the pipe between data centres: with 195 instances before 574 retries in ten seconds 2.06 each, though callers are sent to some 40 of them. Now three quarters are split over the instances that callers are sent to, by the list that everybody makes alone, and a quarter over all of them; the pipe limiter uses the same share, and fast targets keep KV cache for a request of each instance that chooses paths, not of each that exists. The names follow: retry budget, started, attempts; log events retry_taken, retry_denied and retry_awaited with the share.

Weighed and not taken: lots leased from a hub (what is listed in one data centre asks for about the same, since callers choose at random, so that there is little to lend), and shares by the requests of each (an instance whose share moved on within the window could be used twice).

--- a/packages/core/fulmarward_core/attempts/decisions.py
+++ b/packages/core/fulmarward_core/attempts/decisions.py
@@ -21,29 +21,29 @@
     #: and runs that it allows in all.
     most_attempts: int
     #: Whether running it again changes nothing.
-    is_repeatable: bool
+    is_idempotent: bool
     #: When its answer is due, seconds on the steady clock.
     deadline: float
 
 
-def may_repeat(tally: RequestTally, *, now: float) -> bool:
+def may_retry(tally: RequestTally, *, now: float) -> bool:
     """Return whether the request may be sent once more after its last attempt."""
     if now >= tally.deadline or tally.attempts > tally.most_attempts:
         return False
-    is_within = tally.is_repeatable and tally.runs < tally.most_attempts
+    is_within = tally.is_idempotent and tally.runs < tally.most_attempts
     return tally.runs == 0 or is_within
 
 
 def may_run_again(tally: RequestTally, *, now: float) -> bool:
     """Return whether one more run would be allowed if the attempt under way is lost."""
-    is_within = tally.is_repeatable and tally.runs + 1 < tally.most_attempts
+    is_within = tally.is_idempotent and tally.runs + 1 < tally.most_attempts
     return is_within and now < tally.deadline
 
 
 def choose_end(tally: RequestTally, *, now: float) -> ResultCode:
     """Return what the caller of a request without an answer is told, truthfully.
 
-    That nothing ran is said only where no attempt may have: the caller then repeats
+    That nothing ran is said only where no attempt may have: the caller then retries
     even what must not happen twice.
     """
     if tally.runs == 0 and now < tally.deadline:
--- a/packages/core/fulmarward_core/attempts/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/attempts/tests/test_decisions.py
@@ -2,10 +2,10 @@
 
 from hypothesis import given, strategies as st
 
-from fulmarward_core.repeats import (
+from fulmarward_core.attempts import (
     RequestTally,
     choose_end,
-    may_repeat,
+    may_retry,
     may_run_again,
 )
 from fulmarward_core.results import ResultCode
@@ -18,7 +18,7 @@
         "attempts": 1,
         "runs": 0,
         "most_attempts": 2,
-        "is_repeatable": True,
+        "is_idempotent": True,
         "deadline": DEADLINE,
     }
     return RequestTally(**(base | changes))
@@ -29,20 +29,20 @@
     attempts=st.integers(1, 6),
     runs=st.integers(0, 6),
     most_attempts=st.integers(1, 4),
-    is_repeatable=st.booleans(),
+    is_idempotent=st.booleans(),
     deadline=st.just(DEADLINE),
 ).filter(lambda tally: tally.runs <= tally.attempts)
 
 
-class MayRepeatTest(unittest.TestCase):
+class MayRetryTest(unittest.TestCase):
     def test_after_an_attempt(self):
         cases = [
             ("nobody had it", _tally(), True),
-            ("nobody had what must not run twice", _tally(is_repeatable=False), True),
+            ("nobody had what must not run twice", _tally(is_idempotent=False), True),
             ("it may have run", _tally(runs=1), True),
             (
                 "what must not run twice may have",
-                _tally(runs=1, is_repeatable=False),
+                _tally(runs=1, is_idempotent=False),
                 False,
             ),
             ("it may have run as often as allowed", _tally(attempts=2, runs=2), False),
@@ -51,11 +51,11 @@
         ]
         for name, tally, expected in cases:
             with self.subTest(name):
-                self.assertEqual(may_repeat(tally, now=1.0), expected)
+                self.assertEqual(may_retry(tally, now=1.0), expected)
 
     @given(TALLIES)
     def test_never_past_the_deadline(self, tally):
-        self.assertFalse(may_repeat(tally, now=DEADLINE))
+        self.assertFalse(may_retry(tally, now=DEADLINE))
         self.assertFalse(may_run_again(tally, now=DEADLINE))
 
     @given(TALLIES, st.lists(st.booleans(), min_size=8, max_size=8))
@@ -70,12 +70,12 @@
                 attempts=attempts,
                 runs=runs,
                 most_attempts=tally.most_attempts,
-                is_repeatable=tally.is_repeatable,
+                is_idempotent=tally.is_idempotent,
             )
-            if not may_repeat(current, now=1.0):
+            if not may_retry(current, now=1.0):
                 break
             attempts += 1
-        most_runs = tally.most_attempts if tally.is_repeatable else 1
+        most_runs = tally.most_attempts if tally.is_idempotent else 1
         self.assertLessEqual(runs, most_runs)
         self.assertLessEqual(attempts, tally.most_attempts + 1)
 
--- a/packages/core/fulmarward_core/loads/__init__.py
+++ b/packages/core/fulmarward_core/loads/__init__.py
@@ -1,13 +1,7 @@
-"""What runs on each target, and how many repeats are still allowed."""
+"""What runs on each target."""
 
-from fulmarward_core.loads._allowance import (
-    UNBEGUN_PART,
-    RepeatAllowance,
-    RepeatCount,
-    RepeatTurn,
-)
 from fulmarward_core.loads._ledger import (
-    FleetLoads,
+    HubLoads,
     LoadLedger,
     LoadSnapshot,
     Reservation,
@@ -15,14 +9,10 @@
 from fulmarward_core.loads._sums import Load, TargetLoad
 
 __all__ = [
-    "UNBEGUN_PART",
-    "FleetLoads",
+    "HubLoads",
     "Load",
     "LoadLedger",
     "LoadSnapshot",
     "Reservation",
-    "RepeatAllowance",
-    "RepeatCount",
-    "RepeatTurn",
     "TargetLoad",
 ]
--- a/packages/core/fulmarward_core/routes/_types.py
+++ b/packages/core/fulmarward_core/routes/_types.py
@@ -55,7 +55,7 @@
     is_resumable: bool
 
     @property
-    def may_repeat(self) -> bool:
+    def may_retry(self) -> bool:
         """Whether a request may run more than once."""
         if self.kind is RouteKind.STREAM:
             return self.is_resumable
--- a/packages/core/fulmarward_core/routes/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/routes/tests/test_decisions.py
@@ -88,4 +88,4 @@
         for kind, is_resumable, expected in cases:
             with self.subTest(kind=kind, is_resumable=is_resumable):
                 route = make_route("/a/", kind=kind, is_resumable=is_resumable)
-                self.assertEqual(route.may_repeat, expected)
+                self.assertEqual(route.may_retry, expected)
--- a/packages/router/fulmarward_router/_metrics.py
+++ b/packages/router/fulmarward_router/_metrics.py
@@ -23,7 +23,7 @@
     #: Requests by `service` and `outcome`.
     requests: Counter
     #: Attempts at targets beyond the first, by `service`.
-    repeats: Counter
+    retries: Counter
     #: Streams led around a lost target, and gone on with elsewhere, by `how`.
     moves: Counter
     #: Calls to the store and to targets, by `call` and `status`.
@@ -50,7 +50,7 @@
     return RouterMetrics(
         registry=make.registry,
         requests=make.count("requests_total", "Requests, by service and outcome."),
-        repeats=make.count("repeats_total", "Attempts beyond the first, by service."),
+        retries=make.count("retries_total", "Attempts beyond the first, by service."),
         moves=make.count("moves_total", "Streams moved, by how."),
         calls=make.count("calls_total", "Calls to the store and to targets."),
         peer_bytes=make.count("peer_bytes_total", "Bytes between instances."),
@@ -82,7 +82,7 @@
     labels = {"service": work.service}
     metrics.requests.inc({**labels, "outcome": kind})
     if work.attempts > 1:
-        metrics.repeats.add(labels, work.attempts - 1)
+        metrics.retries.add(labels, work.attempts - 1)
     if work.repaths:
         metrics.moves.add({"how": "path"}, work.repaths)
     if work.resumes:
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -14,11 +14,12 @@
 
 from fulmarward.observability import log_event, start_logging, stop_logging
 from fulmarward_core.catalogue import TargetCatalogue
-from fulmarward_core.discovery import Candidate, choose_listed
-from fulmarward_core.loads import LoadLedger, RepeatAllowance
+from fulmarward_core.loads import LoadLedger
 from fulmarward_core.paces import PaceTable
+from fulmarward_core.quotas import RetryBudget
 from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_router._life import Life
+from fulmarward_router._listing import CallerListing
 from fulmarward_router._lookup import (
     make_lookup_handler,
     make_operator_handler,
@@ -40,6 +41,7 @@
     CallerServer,
     EngineService,
     LossWatch,
+    OccupancyReader,
     PaceWatch,
     PlainService,
     ServiceContext,
@@ -175,8 +177,16 @@
             suspicions=self.suspicions, note_urgent=self._notify_peers
         )
         self.paces = PaceTable()
-        self.ledger = LoadLedger()
-        self._allowances: dict[str, RepeatAllowance] = {}
+        self.ledger = LoadLedger(note_changed=lambda: self.mesh.notify_loads())
+        self._budgets: dict[str, RetryBudget] = {}
+        self.listing = CallerListing(
+            own=self.own,
+            members=self.members,
+            catalogue=self.catalogue,
+            ledger=self.ledger,
+            is_ready=self.is_ready,
+            read_clock=clock,
+        )
         self.store = parts.make_store(
             store_session, settings.store_address, self._count_call
         )
@@ -245,7 +255,7 @@
             catalogue=self.catalogue,
             suspicions=self.suspicions,
             ask=lambda targets: self.loss_watch.probe(targets),
-            count_instances=self._count_instances,
+            count_choosers=self.listing.count_listed,
             read_clock=clock,
         )
         self.front = self._make_front(
@@ -260,8 +270,8 @@
             suspicions=self.suspicions,
             paces=self.paces,
             ledger=self.ledger,
-            find_allowance=self._find_allowance,
-            count_instances=self._count_instances,
+            find_budget=self._find_budget,
+            find_share=self.listing.find_share,
             instance=self.own.name,
             data_centre=self.settings.data_centre,
             read_clock=self._clock,
@@ -283,7 +293,7 @@
             configuration=self.configuration,
             engines=self.engines,
             plain=PlainService(context=context, watch=self.loss_watch),
-            find_allowance=self._find_allowance,
+            find_budget=self._find_budget,
             read_clock=self._clock,
             is_stopping=lambda: self.life.is_stopping,
             takes_streams=lambda: self.life.takes_streams,
@@ -304,6 +314,22 @@
             note_change=self._notify_peers,
         )
 
+    async def _read_occupancy(self) -> None:
+        reader = OccupancyReader(
+            dialect=self.dialect,
+            catalogue=self.catalogue,
+            ledger=self.ledger,
+            data_centre=self.own.data_centre,
+            is_reader=self._is_occupancy_reader,
+            read_clock=self._clock,
+        )
+        await reader.run()
+
+    def _is_occupancy_reader(self) -> bool:
+        """Return whether no hub reads the occupancy for this instance."""
+        now = self._clock()
+        return not self.members.has_hubs or self.members.is_first_nearby(now=now)
+
     def _sees_slow_streams(self) -> bool:
         """Return whether streams of this data centre look slow, here or at a peer."""
         is_own = self.engines.supervisor.sees_slow_streams()
@@ -313,17 +339,14 @@
         """Return whether callers may be sent here."""
         return self.life.state == "serving"
 
-    def _count_instances(self) -> int:
-        return self.members.count_instances(now=self._clock())
-
-    def _find_allowance(self, service: str) -> RepeatAllowance:
-        if service not in self._allowances:
-            self._allowances[service] = RepeatAllowance(
+    def _find_budget(self, service: str) -> RetryBudget:
+        if service not in self._budgets:
+            self._budgets[service] = RetryBudget(
                 ratio=self.settings.retry_ratio,
                 slack=self.settings.retry_slack,
                 window_s=self.settings.retry_window_s,
             )
-        return self._allowances[service]
+        return self._budgets[service]
 
     def _wants_lease(self) -> bool:
         """Whether this instance shall hold the lease: its holder, or the first."""
@@ -363,6 +386,7 @@
             self._start("placement", self.placer.run()),
             self._start("streams", self.engines.supervisor.run()),
             self._start("paces", self._make_pace_watch().run()),
+            self._start("occupancy", self._read_occupancy()),
             self._start("losses", self.loss_watch.run()),
             self._start("readiness", self._become_ready()),
             self._start("settings", self._follow_settings()),
@@ -383,7 +407,7 @@
     async def _listen(self) -> list[web.ServerRunner]:
         settings = self.settings
         lookup = make_lookup_handler(
-            list_instances=self._list_addresses, most_s=settings.most_lookup_s
+            list_instances=self.listing.list_addresses, most_s=settings.most_lookup_s
         )
         operator = make_operator_handler(
             metrics=self.metrics,
@@ -414,36 +438,6 @@
             if address
         ]
 
-    def _list_addresses(self, data_centre: str) -> list[str]:
-        now = self._clock()
-        ready = [member.identity for member in self.members.list_ready(now=now)]
-        if self.is_ready():
-            ready.append(self.own)
-        candidates = [
-            Candidate(
-                name=item.name,
-                data_centre=item.data_centre,
-                address=item.caller_address,
-                has_duty=self.members.has_duty(item.name, now=now),
-            )
-            for item in ready
-        ]
-        return choose_listed(
-            candidates,
-            data_centre=data_centre,
-            open_requests=self._count_open(data_centre, now),
-        )
-
-    def _count_open(self, data_centre: str, now: float) -> int:
-        """Return how many requests run in a data centre, as far as known."""
-        records = self.catalogue.list_targets(now=now)
-        loads = self.ledger.sum_loads(now=now)
-        return sum(
-            loads[record.name].first_running
-            for record in records
-            if record.data_centre == data_centre and record.name in loads
-        )
-
     async def _become_ready(self) -> None:
         """Take callers once the configuration and the targets are known."""
         await self.configuration.known.wait()
--- a/packages/router/fulmarward_router/exchange/_attempt.py
+++ b/packages/router/fulmarward_router/exchange/_attempt.py
@@ -69,15 +69,15 @@
         cause: str,
         is_not_run: bool,
         is_not_sent: bool = False,
-        has_repeat: bool = False,
+        has_retry: bool = False,
     ) -> None:
         super().__init__(cause)
         self.cause = cause
         self.is_not_run = is_not_run
         #: Whether the first target was not reached.
         self.is_not_sent = is_not_sent
-        #: Whether the repeat that follows was taken before it was ended.
-        self.has_repeat = has_repeat
+        #: Whether the retry that follows was taken before it was ended.
+        self.has_retry = has_retry
 
 
 def describe_path(path: tuple[Hop, ...]) -> str:
--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -5,10 +5,11 @@
 from dataclasses import dataclass
 
 from fulmarward.observability import log_event
+from fulmarward_core.attempts import choose_end, may_retry, may_run_again
 from fulmarward_core.catalogue import TargetCatalogue
-from fulmarward_core.loads import UNBEGUN_PART, LoadLedger, RepeatAllowance
+from fulmarward_core.loads import LoadLedger
 from fulmarward_core.paces import PaceTable
-from fulmarward_core.repeats import choose_end, may_repeat, may_run_again
+from fulmarward_core.quotas import UNSTARTED_SHARE, RetryBudget
 from fulmarward_core.results import ResultCode
 from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_router.exchange._send import TargetClient
@@ -28,75 +29,71 @@
     suspicions: SuspicionTable
     paces: PaceTable
     ledger: LoadLedger
-    #: Returns the repeats that a service may still be sent.
-    find_allowance: Callable[[str], RepeatAllowance]
-    #: Returns how many instances serve, this one included.
-    count_instances: Callable[[], int]
+    #: Returns the retries that a service may still be sent.
+    find_budget: Callable[[str], RetryBudget]
+    #: Returns the share of this instance in what all use together.
+    find_share: Callable[[], float]
     #: Name of this instance, and of its data centre.
     instance: str
     data_centre: str
     #: Returns seconds on the steady clock.
     read_clock: Callable[[], float]
 
-    def take_repeat(self, work: Work, *, part: float = 1.0) -> bool:
-        """Take one more attempt, if the route and the allowance of all have one.
+    def take_retry(self, work: Work, *, part: float = 1.0) -> bool:
+        """Take one more attempt, if the route and the budget of all have one.
 
-        Of this instance's share of the allowance it may use a `part`.
+        Of this instance's share of the budget it may use a `part`.
         """
         now = self.read_clock()
-        is_allowed = may_repeat(work.make_tally(), now=now)
+        is_allowed = may_retry(work.make_tally(), now=now)
         is_taken = is_allowed and self._take_from_share(work, now, part)
-        self._log_repeat(work, now, is_taken=is_taken, is_allowed=is_allowed)
+        self._log_retry(work, now, is_taken=is_taken, is_allowed=is_allowed)
         return is_taken
 
-    def take_repeat_ahead(self, work: Work) -> bool:
-        """Take the repeat for a request under way, before its attempt is ended.
+    def take_retry_ahead(self, work: Work) -> bool:
+        """Take the retry for a request under way, before its attempt is ended.
 
-        Guards against streams that all count on the same last repeat: the others would
+        Guards against streams that all count on the same last retry: the others would
         be ended too, and cut. Return whether it was taken.
         """
         now = self.read_clock()
-        part = 1.0 if work.has_begun else UNBEGUN_PART
+        part = 1.0 if work.has_begun else UNSTARTED_SHARE
         is_allowed = may_run_again(work.make_tally(), now=now)
         is_taken = is_allowed and self._take_from_share(work, now, part)
         if is_taken:
-            self._log_repeat(work, now, is_taken=True, is_allowed=True)
+            self._log_retry(work, now, is_taken=True, is_allowed=True)
         return is_taken
 
     def _take_from_share(self, work: Work, now: float, part: float) -> bool:
-        return self.find_allowance(work.service).take_repeat(
-            instances=self.count_instances(), now=now, part=part
+        return self.find_budget(work.service).take_retry(
+            share=self.find_share(), now=now, part=part
         )
 
-    async def await_repeat(self, work: Work, *, until: float) -> bool:
+    async def await_retry(self, work: Work, *, until: float) -> bool:
         """Take one more attempt for an answer that has begun, waiting for it if needed.
 
         Guards against an answer that is cut since the share is used up at this moment:
-        its caller waits on, the window slides, and the next repeat is soon free.
+        its caller waits on, the window slides, and the next retry is soon free.
         """
-        allowance = self.find_allowance(work.service)
-        allowance.begin_wait(until=until)
+        budget = self.find_budget(work.service)
+        budget.begin_wait(until=until)
         try:
-            is_taken = await self._take_turns(work, allowance, until)
+            is_taken = await self._take_turns(work, budget, until)
         finally:
-            allowance.end_wait(until=until)
+            budget.end_wait(until=until)
         now = self.read_clock()
-        is_allowed = may_repeat(work.make_tally(), now=now)
-        self._log_repeat(work, now, is_taken=is_taken, is_allowed=is_allowed)
+        is_allowed = may_retry(work.make_tally(), now=now)
+        self._log_retry(work, now, is_taken=is_taken, is_allowed=is_allowed)
         return is_taken
 
-    async def _take_turns(
-        self, work: Work, allowance: RepeatAllowance, until: float
-    ) -> bool:
-        """Ask for a repeat until there is one or it is of no use any more."""
+    async def _take_turns(self, work: Work, budget: RetryBudget, until: float) -> bool:
+        """Ask for a retry until there is one or it is of no use any more."""
         is_told = False
         while True:
             now = self.read_clock()
-            if not may_repeat(work.make_tally(), now=now):
+            if not may_retry(work.make_tally(), now=now):
                 return False
-            turn = allowance.take_turn(
-                until=until, instances=self.count_instances(), now=now
-            )
+            turn = budget.take_turn(until=until, share=self.find_share(), now=now)
             if turn.ask_at is None:
                 return turn.is_taken
             if not is_told:
@@ -106,23 +103,23 @@
 
     def _log_wait(self, work: Work, for_s: float) -> None:
         log_event(
-            "repeat_awaited",
+            "retry_awaited",
             request=work.facts.request_id,
             attempts=work.attempts,
             last_event=work.last_event,
             for_s=round(for_s, 3),
         )
 
-    def _log_repeat(
+    def _log_retry(
         self, work: Work, now: float, *, is_taken: bool, is_allowed: bool
     ) -> None:
         tally = work.make_tally()
-        instances = self.count_instances()
-        count = self.find_allowance(work.service).count(instances=instances, now=now)
+        share = self.find_share()
+        count = self.find_budget(work.service).count(share=share, now=now)
         log_event(
-            "repeat_taken" if is_taken else "repeat_denied",
+            "retry_taken" if is_taken else "retry_denied",
             request=work.facts.request_id,
-            cause=None if is_taken else ("allowance" if is_allowed else "route"),
+            cause=None if is_taken else ("budget" if is_allowed else "route"),
             attempts=tally.attempts,
             runs=tally.runs,
             most_attempts=tally.most_attempts,
@@ -130,7 +127,7 @@
             used=count.used,
             allowed=round(count.allowed, 2),
             requests=count.requests,
-            instances=instances,
+            share=round(share, 4),
             has_begun=work.has_begun,
         )
 
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -8,12 +8,11 @@
 from aiohttp import web
 
 from fulmarward.observability import log_event
+from fulmarward_core.attempts import may_run_again
 from fulmarward_core.fleet import EngineModel
-from fulmarward_core.loads import UNBEGUN_PART
 from fulmarward_core.paths import PathRequest, count_tokens_held
-from fulmarward_core.repeats import may_run_again
+from fulmarward_core.quotas import UNSTARTED_SHARE
 from fulmarward_router.exchange._admission import (
-    SATURATED_RETRY_S,
     AdmissionQueue,
     find_resume_end,
 )
@@ -61,7 +60,7 @@
         )
         pipe = PipeLimiter(
             catalogue=context.catalogue,
-            count_instances=context.count_instances,
+            find_share=context.find_share,
             read_clock=context.read_clock,
         )
         self._admission = AdmissionQueue(
@@ -117,12 +116,12 @@
             except AttemptEnded as error:
                 end = error
             finally:
-                # Whoever waits for a repeat holds nothing.
+                # Whoever waits for a retry holds nothing.
                 self._finish(attempt)
             work.runs += not end.is_not_run
             answer = work.request.get("answer")
             self._note_end(work, attempt, end)
-            await self._require_repeat(work, end, answer)
+            await self._require_retry(work, wanted, end, answer)
             if not end.is_not_run or end.is_not_sent:
                 # A first target that broke off, or was not reached, once is likely to
                 # do it again.
@@ -142,25 +141,32 @@
             data_centre=self._context.data_centre,
         )
 
-    async def _require_repeat(
-        self, work: Work, end: AttemptEnded, answer: web.StreamResponse | None
+    async def _require_retry(
+        self,
+        work: Work,
+        wanted: PathRequest,
+        end: AttemptEnded,
+        answer: web.StreamResponse | None,
     ) -> None:
         """Take one more attempt; raises what the caller is told if there is none.
 
-        An answer that has begun cannot be refused any more: it waits for a repeat as
+        An answer that has begun cannot be refused any more: it waits for a retry as
         long as its caller does.
         """
-        if end.has_repeat:
+        if end.has_retry:
             return
         if answer is not None:
             until = find_resume_end(work)
-            if await self._context.await_repeat(work, until=until):
+            if await self._context.await_retry(work, until=until):
                 return
             raise TruncatedResponse(cause=end.cause)
-        if self._context.take_repeat(work, part=UNBEGUN_PART):
+        if self._context.take_retry(work, part=UNSTARTED_SHARE):
             return
+        engine = work.configuration.services[work.service].engine
         raise self._context.make_refusal(
-            work, cause=end.cause, retry_after_s=SATURATED_RETRY_S
+            work,
+            cause=end.cause,
+            retry_after_s=self._admission.find_retry_after_s(work, engine, wanted),
         )
 
     async def _run_attempt(
@@ -246,8 +252,8 @@
             self._suspicions.refusals.note_taken(hop.target for hop in attempt.path)
             return None
         self._suspicions.note_failed(attempt.first.target, now=now)
-        may_repeat = may_run_again(work.make_tally(), now=now)
-        if answer is not None or may_repeat or not (is_own and facts.is_signed):
+        may_retry = may_run_again(work.make_tally(), now=now)
+        if answer is not None or may_retry or not (is_own and facts.is_signed):
             cause = f"failed, {response.status}"
             raise AttemptEnded(cause=cause, is_not_run=False)
         try:
--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -342,16 +342,16 @@
         if (
             must
             and self._pipe.count_crossings(path, attempt.path)
-            and self._context.take_repeat_ahead(work)
+            and self._context.take_retry_ahead(work)
         ):
             # Activations of the whole prompt would cross, those of all streams through
             # the lost target one after another: pauses of 0.35 to 0.6 s. Reading the
-            # prompt again on a whole path elsewhere takes under 0.1 s. Where no repeat
+            # prompt again on a whole path elsewhere takes under 0.1 s. Where no retry
             # is left, a pause is better than an answer that is cut.
             raise AttemptEnded(
                 cause="the way around a lost target crosses",
                 is_not_run=False,
-                has_repeat=True,
+                has_retry=True,
             )
         result = await self._dialect.order_path(record, work.facts.request_id, path)
         log_event(
--- a/packages/router/fulmarward_router/exchange/_front.py
+++ b/packages/router/fulmarward_router/exchange/_front.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from fulmarward.observability import log_event
-from fulmarward_core.loads import RepeatAllowance
+from fulmarward_core.quotas import RetryBudget
 from fulmarward_core.results import ResultCode
 from fulmarward_core.routes import (
     RoutingConfiguration,
@@ -92,7 +92,7 @@
         configuration: ConfigurationHolder,
         engines: EngineService,
         plain: PlainService,
-        find_allowance: Callable[[str], RepeatAllowance],
+        find_budget: Callable[[str], RetryBudget],
         read_clock: Callable[[], float],
         is_stopping: Callable[[], bool],
         takes_streams: Callable[[], bool],
@@ -102,7 +102,7 @@
         self._configuration = configuration
         self._engines = engines
         self._plain = plain
-        self._find_allowance = find_allowance
+        self._find_budget = find_budget
         self._read_clock = read_clock
         self._is_stopping = is_stopping
         self._takes_streams = takes_streams
@@ -153,7 +153,7 @@
             raise RejectedRequest(
                 ResultCode.NO_TARGET, cause="service", retry_after_s=1.0
             )
-        self._find_allowance(work.service).note_request(now=work.arrived_at)
+        self._find_budget(work.service).note_request(now=work.arrived_at)
         if spec.engine is None:
             return await self._plain.serve(work)
         if not self._takes_streams():
--- a/packages/router/fulmarward_router/exchange/_pipe_limiter.py
+++ b/packages/router/fulmarward_router/exchange/_pipe_limiter.py
@@ -20,11 +20,11 @@
         self,
         *,
         catalogue: TargetCatalogue,
-        count_instances: Callable[[], int],
+        find_share: Callable[[], float],
         read_clock: Callable[[], float],
     ) -> None:
         self._catalogue = catalogue
-        self._count_instances = count_instances
+        self._find_share = find_share
         self._read_clock = read_clock
         #: Until when transfers queue, as far as known here.
         self._taken_until = float("-inf")
@@ -37,8 +37,8 @@
     ) -> bool:
         """Reserve the transfers that a path takes; return whether they fit in.
 
-        All instances send requests the same way at the same time, so each counts its
-        own transfers as often as there are instances.
+        Others send requests the same way at the same time, so that an instance may
+        fill its share of the pipe only.
         """
         crossings = self.count_crossings(path)
         transfer_s = (
@@ -48,7 +48,7 @@
         begins_at = max(now, self._taken_until)
         if crossings and begins_at - now > MAX_QUEUED_S:
             return False
-        taken_s = crossings * transfer_s * self._count_instances()
+        taken_s = crossings * transfer_s / self._find_share()
         self._taken_until = begins_at + taken_s
         return True
 
--- a/packages/router/fulmarward_router/exchange/_plain.py
+++ b/packages/router/fulmarward_router/exchange/_plain.py
@@ -5,8 +5,8 @@
 from aiohttp import web
 
 from fulmarward.observability import log_event
+from fulmarward_core.attempts import may_run_again
 from fulmarward_core.fleet import TargetRecord
-from fulmarward_core.repeats import may_run_again
 from fulmarward_core.results import ResultCode
 from fulmarward_router.exchange._context import ServiceContext
 from fulmarward_router.exchange._send import AnswerLost, NotSent
@@ -23,7 +23,7 @@
 #: Part of the objective for which a request waits for a place before it is refused.
 PATIENCE = 0.12
 
-#: Seconds after which a request that may be repeated is given up at one target and
+#: Seconds after which a request that may be retried is given up at one target and
 #: sent to another. Load: targets that hang while their health is good; harm: callers
 #: wait for a second; reason: over 10 times the usual work, so that a slow target is
 #: left alone, and early enough to be served within the deadline.
@@ -70,7 +70,7 @@
                 if answer.status < 500:
                     return answer
                 last_failure = answer
-            if not self._context.take_repeat(work):
+            if not self._context.take_retry(work):
                 if last_failure is not None:
                     return last_failure
                 raise self._make_refusal(work, "no more attempts")
@@ -168,7 +168,7 @@
             work.runs += 1
             self._note_attempt(work, target, "answer lost", error)
             self._suspicions.note_failed(target.name, now=self._read_clock())
-            if work.route.may_repeat and self._read_clock() < work.deadline:
+            if work.route.may_retry and self._read_clock() < work.deadline:
                 return None
             raise self._make_refusal(work, "the answer was lost") from error
         finally:
@@ -200,7 +200,7 @@
         if not is_own or not facts.is_signed:
             self._note_attempt(work, target, f"not its answer, {status}", None)
             self._suspicions.note_failed(target.name, now=now)
-            if work.route.may_repeat:
+            if work.route.may_retry:
                 return None
             raise RejectedRequest(
                 ResultCode.OUTCOME_UNKNOWN, cause="not the target's answer"
--- a/packages/router/fulmarward_router/exchange/_work.py
+++ b/packages/router/fulmarward_router/exchange/_work.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from fulmarward_core.repeats import RequestTally
+from fulmarward_core.attempts import RequestTally
 from fulmarward_core.results import ResultCode
 from fulmarward_core.routes import Route, RoutingConfiguration, Team
 from fulmarward_router.ports import CallerFacts
@@ -73,7 +73,7 @@
             attempts=self.attempts,
             runs=self.runs,
             most_attempts=self.route.most_attempts,
-            is_repeatable=self.route.may_repeat,
+            is_idempotent=self.route.may_retry,
             deadline=self.deadline,
         )
 
--- a/packages/router/fulmarward_router/placement/_placer.py
+++ b/packages/router/fulmarward_router/placement/_placer.py
@@ -109,7 +109,7 @@
         catalogue: TargetCatalogue,
         suspicions: SuspicionTable,
         ask: Callable[[Iterable[str]], None],
-        count_instances: Callable[[], int],
+        count_choosers: Callable[[], int],
         read_clock: Callable[[], float],
     ) -> None:
         self._dialect = dialect
@@ -119,7 +119,8 @@
         self._suspicions = suspicions
         #: Begins to find out which of some targets are lost.
         self._ask = ask
-        self._count_instances = count_instances
+        #: Returns how many instances choose paths.
+        self._count_choosers = count_choosers
         self._read_clock = read_clock
         self._pending: dict[str, _Pending] = {}
         self._first_seen: dict[str, float] = {}
@@ -198,7 +199,7 @@
         self._drop_pending(targets, now)
         if not targets or not self._lease.is_held():
             return
-        instances = self._count_instances()
+        instances = self._count_choosers()
         pending = {name: item.layers for name, item in self._pending.items()}
         held = _list_held(targets, pending)
         self._doubt_told(service, engine, present, held, now)
--- a/packages/router/fulmarward_router/placement/tests/test_placer.py
+++ b/packages/router/fulmarward_router/placement/tests/test_placer.py
@@ -145,7 +145,7 @@
             catalogue=catalogue,
             suspicions=self.table,
             ask=self.watch.probe,
-            count_instances=lambda: 4,
+            count_choosers=lambda: 4,
             read_clock=read_clock,
         )
 
