Admission: loads between rounds, the own data centre first, occupancy at a start

By the paths that were chosen up to 124 requests ran through two targets with KV cache for 95.

Causes, each with its evidence: - loads travelled with the heartbeats, now over a hub: 0.4 s old in the mean, in which a data centre is sent 14 requests. They are now sent when they change, each 0.1 s at most, by instances that serve and to those that do. - all data centres sent to the one with the fastest targets: its answers take 0.9 s and others' 1.3 s, and 0.2 s for being elsewhere did not weigh that up. Nobody is served better by it: an answer is no more in time for ending sooner. Another data centre now counts one second, and its targets are planned with to seven tenths. - after a loss of all power nobody knows what engines still run for instances that are gone. One instance of a data centre reads that once at its start. - a caller whose request was refused by a full target was told to come back in 0.8 s although others had room; now in 0.05 s, which is in time for its objective.

Tests: test_heartbeats and test_subscriptions (loads between the rounds, also drawn), paths against the plain search by the new costs.

--- a/packages/core/fulmarward_core/loads/_ledger.py
+++ b/packages/core/fulmarward_core/loads/_ledger.py
@@ -1,7 +1,7 @@
 """What runs on each target: this instance's own requests, and what peers report."""
 
 from collections import deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 from fulmarward_core.loads._sums import (
@@ -41,7 +41,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class FleetLoads:
+class HubLoads:
     """What a hub reports of the loads of all instances together."""
 
     #: Name of the hub.
@@ -70,13 +70,17 @@
     a hub takes the hub's sum, without its own part of it, which it knows better.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, note_changed: Callable[[], None] = lambda: None) -> None:
+        #: Called whenever the load of a target changes.
+        self._note_changed = note_changed
         self._open: dict[int, Reservation] = {}
         self._last_number = 0
         self._all: dict[str, TargetLoad] = {}
         #: The number of the last change, and of the last one of each target.
         self.revision = 0
         self._changed: dict[str, int] = {}
+        #: The number of the last change of the own loads.
+        self.own_revision = 0
         self._own = LoadSum(note_changed=self._refresh)
         self._near = LoadSum(note_changed=self._refresh)
         self._far = LoadSum(note_changed=self._refresh)
@@ -110,12 +114,14 @@
         reservation = Reservation(number=self._last_number, loads=loads)
         self._open[reservation.number] = reservation
         self._own.add(loads)
+        self.own_revision = self.revision
         return reservation
 
     def release(self, reservation: Reservation) -> None:
         """A request has ended; releasing it again changes nothing."""
         if self._open.pop(reservation.number, None) is not None:
             self._own.subtract(reservation.loads)
+            self.own_revision = self.revision
 
     def list_own(self) -> Mapping[str, TargetLoad]:
         """Return this instance's own load by target, for peers."""
@@ -150,7 +156,7 @@
         """Take in the load of all instances of another data centre together."""
         _merge(self._centres, self._far, data_centre, loads, now)
 
-    def merge_fleet(self, report: FleetLoads, *, now: float) -> bool:
+    def merge_fleet(self, report: HubLoads, *, now: float) -> bool:
         """Take in a hub's report of the loads of all instances, this one included.
 
         Return whether it could be: what only changed says nothing without the full
@@ -243,6 +249,7 @@
         loads = [loads[target] for loads in parts if target in loads]
         self.revision += 1
         self._changed[target] = self.revision
+        self._note_changed()
         if not loads:
             self._all.pop(target, None)
             return
--- a/packages/core/fulmarward_core/paths/decisions.py
+++ b/packages/core/fulmarward_core/paths/decisions.py
@@ -17,15 +17,24 @@
 #: are longer than hinted, and for what other instances sent meanwhile.
 PLANNED_KV = 0.9
 
-#: Milliseconds that a first hop outside of the own data centre counts extra: answers
-#: that cross are paid for by the byte.
-FAR_FIRST_MS = 200.0
+#: The same for targets of other data centres, whose own instances know sooner what they
+#: send there.
+PLANNED_FAR_KV = 0.7
+
+#: Milliseconds that a first hop outside of the own data centre counts extra. Guards
+#: against all data centres that send to the one with the fastest targets: an answer is
+#: no more in time for being faster, and these targets are full.
+FAR_FIRST_MS = 1000.0
 
 #: How often the pipe's transfer time counts. Transfers queue one after another, and
 #: tokens of running answers wait behind them, so that a path that crosses must be worse
 #: than any load within a data centre.
 PIPE_WEIGHT = 40.0
 
+#: Milliseconds that each target of a path counts extra: a stream pauses whenever one of
+#: its targets is lost.
+HOP_MS = 40.0
+
 #: Growth of a stage's cost with the share of its KV cache that is reserved, to the
 #: fourth power: none up to a half, four times the cost when nearly full.
 LOAD_PENALTY = 4.0
@@ -310,7 +319,7 @@
                 if layer_ms is None or is_beginning and stage.target in self._full:
                     continue
                 end = stage.layers.end
-                total = cost + layer_ms * (end - position)
+                total = cost + HOP_MS + layer_ms * (end - position)
                 known = reached[end].get(centre)
                 if known is None or total < known.cost:
                     reached[end][centre] = _Reach(
@@ -362,7 +371,9 @@
         if occupancy is None:
             return None
         wanted = self._tokens * (stage.layers.end - stage.layers.start)
-        if occupancy.kv_reserved + wanted > stage.kv_capacity * PLANNED_KV:
+        is_near = stage.data_centre == self.request.data_centre
+        planned = PLANNED_KV if is_near else PLANNED_FAR_KV
+        if occupancy.kv_reserved + wanted > stage.kv_capacity * planned:
             return None
         engine = self._engine
         if occupancy.first_running >= engine.slots:
--- a/packages/core/fulmarward_core/paths/tests/plain.py
+++ b/packages/core/fulmarward_core/paths/tests/plain.py
@@ -7,8 +7,10 @@
 from fulmarward_core.paths import Hop, PathRequest, count_tokens_held
 from fulmarward_core.paths.decisions import (
     FAR_FIRST_MS,
+    HOP_MS,
     LOAD_PENALTY,
     PIPE_WEIGHT,
+    PLANNED_FAR_KV,
     PLANNED_KV,
 )
 from fulmarward_core.paths.tests.stages import LoadedStage
@@ -86,7 +88,9 @@
     if not stage.is_usable or stage.target in request.avoided:
         return False
     wanted = tokens * len(stage.layers)
-    return stage.kv_reserved + wanted <= stage.kv_capacity * PLANNED_KV
+    is_near = stage.data_centre == request.data_centre
+    planned = PLANNED_KV if is_near else PLANNED_FAR_KV
+    return stage.kv_reserved + wanted <= stage.kv_capacity * planned
 
 
 def _extend(
@@ -109,7 +113,7 @@
         moving = _estimate_hop_ms(engine, reach.data_centre, stage.data_centre, request)
     end = stage.layers.end
     working = _estimate_ms(engine, stage, end - position, request)
-    cost = reach.cost + moving + working
+    cost = reach.cost + moving + HOP_MS + working
     known = reached.setdefault(end, {}).get(stage.data_centre)
     if known is not None and known.cost <= cost:
         return
--- a/packages/router/fulmarward_router/exchange/__init__.py
+++ b/packages/router/fulmarward_router/exchange/__init__.py
@@ -3,6 +3,7 @@
 from fulmarward_router.exchange._context import ServiceContext
 from fulmarward_router.exchange._engines import EngineService
 from fulmarward_router.exchange._front import CallerFront, CallerServer
+from fulmarward_router.exchange._occupancy import OccupancyReader
 from fulmarward_router.exchange._paces import PaceWatch
 from fulmarward_router.exchange._plain import PlainService
 from fulmarward_router.exchange._send import TargetClient, make_target_session
@@ -14,6 +15,7 @@
     "CallerServer",
     "EngineService",
     "LossWatch",
+    "OccupancyReader",
     "PaceWatch",
     "PlainService",
     "ServiceContext",
--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -33,6 +33,10 @@
 #: Seconds between two searches for a path of a request that waits.
 POLL_INTERVAL_S = 0.04
 
+#: Seconds after which a caller should come back whose request a target refused while
+#: others have room: its next try is not counted as a retry of this one.
+REFUSED_RETRY_S = 0.05
+
 #: Seconds after which a rejected caller should come back. A range of layers loads, or a
 #: few answers end, in about that time.
 SATURATED_RETRY_S = 0.8
@@ -105,6 +109,13 @@
             shortage=Shortage.LAYERS,
         )
 
+    def find_retry_after_s(
+        self, work: Work, engine: EngineModel, wanted: PathRequest
+    ) -> float:
+        """Return after how long the caller of a refused request should come back."""
+        has_room = self._finder.choose(work.service, engine, wanted) is not None
+        return REFUSED_RETRY_S if has_room else SATURATED_RETRY_S
+
     def _choose_path(
         self, work: Work, engine: EngineModel, wanted: PathRequest
     ) -> tuple[Hop, ...] | Shortage:
--- a/packages/router/fulmarward_router/exchange/_paces.py
+++ b/packages/router/fulmarward_router/exchange/_paces.py
@@ -10,17 +10,13 @@
 from fulmarward_router.ports import TargetDialect
 
 #: Seconds between two readings of all reports of a data centre while streams are slow.
-#: Load: thirteen of 99 targets take twelve times as long for nine seconds; harm: a
-#: report is paid for like a probe, and one reading is 33 of them; reason: reports are
-#: some hundred ms old themselves, and a slow one counts for three readings.
-READ_S = 0.8
+READ_INTERVAL_S = 0.8
 
-#: Seconds for a report. Reason: one that takes longer is no news of a pace.
-REPORT_S = 0.25
+#: Seconds for a report.
+REPORT_TIMEOUT_S = 0.25
 
-#: Reports that are asked for at once. Load: instances with half a core; harm: 33 calls
-#: in one moment take 60 ms of it, and its streams wait; reason: a fourth of that.
-AT_ONCE = 8
+#: Reports that are asked for at once, so that the streams of an instance do not wait.
+MAX_CONCURRENT = 8
 
 
 class PaceWatch:
@@ -55,7 +51,7 @@
     async def run(self) -> None:
         """Read reports whenever there is a reason to, until cancelled."""
         while True:
-            await asyncio.sleep(READ_S)
+            await asyncio.sleep(READ_INTERVAL_S)
             now = self._read_clock()
             has_reason = self._sees_slow_streams() or self._paces.list_slow(now=now)
             if has_reason and self._is_watcher():
@@ -68,7 +64,7 @@
             if record.data_centre == self._data_centre and record.layers is not None
         ]
         changes = 0
-        for group in _split(records):
+        for group in split_records(records):
             readings = [self._read(record) for record in group]
             changes += sum(await asyncio.gather(*readings))
         if changes:
@@ -76,7 +72,7 @@
 
     async def _read(self, record: TargetRecord) -> bool:
         """Read a target's report; return whether it is news."""
-        report = await self._dialect.read_report(record, REPORT_S)
+        report = await self._dialect.read_report(record, REPORT_TIMEOUT_S)
         if report is None:
             return False
         at = self._read_clock()
@@ -86,6 +82,7 @@
         return True
 
 
-def _split(records: list[TargetRecord]) -> Iterator[list[TargetRecord]]:
-    for start in range(0, len(records), AT_ONCE):
-        yield records[start : start + AT_ONCE]
+def split_records(records: list[TargetRecord]) -> Iterator[list[TargetRecord]]:
+    """Yield groups of targets that are asked for their reports at once."""
+    for start in range(0, len(records), MAX_CONCURRENT):
+        yield records[start : start + MAX_CONCURRENT]
--- a/packages/router/fulmarward_router/exchange/_path_finder.py
+++ b/packages/router/fulmarward_router/exchange/_path_finder.py
@@ -19,6 +19,7 @@
 from fulmarward_core.suspicion import ROOM_PART, SuspicionTable
 
 _NO_LOAD = TargetLoad()
+_IDLE = Occupancy(kv_reserved=0.0, running=0, first_running=0, pace=1.0)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -118,10 +119,7 @@
 
     def _make_reader(self, known: _Known, now: float) -> ReadOccupancy:
         """Return what reads the load of a target that may take new work."""
-        excluded = known.leaving | self._suspicions.list_suspects(known.names, now=now)
-        if self._catalogue.may_lack_leaving(now=now):
-            refusals = self._suspicions.refusals
-            excluded |= {n for n in known.names if refusals.is_refusing(n, now=now)}
+        excluded = self._list_excluded(known, now)
         loads, paces = self._ledger.sum_loads(now=now), self._paces
 
         def read(stage: Stage) -> Occupancy | None:
@@ -137,6 +135,14 @@
 
         return read
 
+    def _list_excluded(self, known: _Known, now: float) -> frozenset[str]:
+        """Return the targets that take no new work, as far as known."""
+        excluded = known.leaving | self._suspicions.list_suspects(known.names, now=now)
+        if self._catalogue.may_lack_leaving(now=now):
+            refusals = self._suspicions.refusals
+            excluded |= {n for n in known.names if refusals.is_refusing(n, now=now)}
+        return excluded
+
     def has_room(self, target: str, engine: EngineModel) -> bool:
         """Return whether a target has room beyond doubt, by what is reserved there."""
         record = self._catalogue.find_target(target)
@@ -149,5 +155,12 @@
 
     def has_whole_model(self, service: str, engine: EngineModel) -> bool:
         """Return whether there is a path at all, room aside."""
+        now = self._read_clock()
+        known = self._find_known(service, engine, now)
+        excluded = self._list_excluded(known, now)
         wanted = PathRequest(prompt=0, answer=0, data_centre="")
-        return self.choose(service, engine, wanted) is not None
+
+        def read(stage: Stage) -> Occupancy | None:
+            return None if stage.target in excluded else _IDLE
+
+        return known.index.choose_path(wanted, read=read) is not None
--- a/packages/router/fulmarward_router/mesh/__init__.py
+++ b/packages/router/fulmarward_router/mesh/__init__.py
@@ -13,6 +13,7 @@
     FetchCompressedConfiguration,
     FetchConfiguration,
     FetchTargets,
+    FleetLoads,
     FleetReport,
     Heartbeat,
     IncludedUpdate,
@@ -29,6 +30,7 @@
 from fulmarward_router.mesh._state import Answer, Fetch, MeshState, Revisions, Snapshot
 
 __all__ = [
+    "FleetLoads",
     "FleetReport",
     "IncludedUpdate",
     "LoadUpdate",
--- a/packages/router/fulmarward_router/mesh/_heartbeats.py
+++ b/packages/router/fulmarward_router/mesh/_heartbeats.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from websockets.asyncio.connection import Connection, broadcast
 from websockets.protocol import State
@@ -22,6 +22,10 @@
 #: Seconds for which an encoded heartbeat is reused for links that open meanwhile.
 REUSE_HEARTBEAT_S = 0.1
 
+#: Minimum seconds between two messages with loads that changed. Requests that are sent
+#: meanwhile, by instances that do not know of each other's, meet at the same targets.
+LOADS_INTERVAL_S = 0.1
+
 #: Unsent bytes on a link above which it gets no heartbeat: the next one replaces it.
 #: Well under what pauses the writing, so that a round waits for no link.
 MAX_UNSENT_BYTES = 1 << 13
@@ -45,8 +49,11 @@
     subscription: Subscription | None = None
     #: Whether the peer, a hub, takes the loads in messages of their own.
     takes_updates: bool = False
-    #: Whether the last update on it had loads.
+    #: Whether the last update on it had loads, and the revision of these.
     has_reported_loads: bool = False
+    reported_loads: int = -1
+    #: Whether requests run at a subscriber.
+    is_busy: bool = False
     #: What a subscriber that wants reports was told; `None` for others.
     told: Revisions | None = None
     #: When the last reports on data centres were sent, and the revision of the members
@@ -84,6 +91,7 @@
         self._read_clock = read_clock
         self._count_bytes = count_bytes
         self._changed = asyncio.Event()
+        self._loads_changed = asyncio.Event()
         self._links: list[PeerLink] = []
         #: Whether this instance reports to other data centres.
         self.is_hub = False
@@ -96,12 +104,17 @@
         self._fleet_reports: dict[Revisions, tuple[bytes, Revisions]] = {}
         self._target_changes: dict[int, bytes | None] = {}
         self._update: bytes | None = None
+        self._fleet_loads: dict[int, tuple[bytes | None, int]] = {}
         self._encoded_at = float("-inf")
 
     def notify(self) -> None:
         """Send the next round now: something changed that peers should know at once."""
         self._changed.set()
 
+    def notify_loads(self) -> None:
+        """Send loads soon: some have changed."""
+        self._loads_changed.set()
+
     def add(self, link: PeerLink) -> None:
         """Send heartbeats on a link from now on, the first one at once."""
         self._links.append(link)
@@ -132,6 +145,41 @@
             if early_s > 0:
                 await asyncio.sleep(early_s)
 
+    async def run_loads(self) -> None:
+        """Send loads between the rounds to whoever plans with them, until cancelled.
+
+        A subscriber sends its own to its hubs, a hub all others' to busy subscribers.
+        """
+        while True:
+            await self._loads_changed.wait()
+            self._loads_changed.clear()
+            self._update = None
+            self._fleet_loads.clear()
+            for link in self._links:
+                if link.saturated_at is None:
+                    self._send_loads(link)
+            await asyncio.sleep(LOADS_INTERVAL_S)
+
+    def _send_loads(self, link: PeerLink) -> None:
+        if link.takes_updates:
+            if link.reported_loads != self._state.get_loads_revision():
+                self._send_update(link)
+            return
+        if link.told is None or not link.is_busy or link.told.loads < 0:
+            return
+        data, revision = self._find_fleet_loads(link.told.loads)
+        if data is not None:
+            self._write(link, data)
+        link.told = replace(link.told, loads=revision)
+
+    def _find_fleet_loads(self, after: int) -> tuple[bytes | None, int]:
+        """Return the loads for subscribers that were told so much, and what after."""
+        if after not in self._fleet_loads:
+            report, revision = self._state.make_fleet_loads(after)
+            data = None if report is None else self._encode(report)
+            self._fleet_loads[after] = data, revision
+        return self._fleet_loads[after]
+
     def _find_interval_s(self) -> float:
         if self.is_hub or self._state.has_loads():
             return self._members.heartbeat_interval_s
@@ -222,6 +270,7 @@
                 self._update = self._encode(self._state.make_load_update())
             self._write(link, self._update)
         link.has_reported_loads = has_loads
+        link.reported_loads = self._state.get_loads_revision()
 
     def _find_target_changes(self, after: int) -> bytes | None:
         """Return the changes of targets for subscribers that were told so much."""
--- a/packages/router/fulmarward_router/mesh/_links.py
+++ b/packages/router/fulmarward_router/mesh/_links.py
@@ -21,6 +21,7 @@
     ConfigurationSnapshot,
     DataCentreReport,
     FetchInstances,
+    FleetLoads,
     FleetReport,
     Heartbeat,
     InstanceIdentity,
@@ -117,6 +118,7 @@
             Introduction: self._take_introduction,
             Heartbeat: self._take_heartbeat,
             FleetReport: self._take_fleet_report,
+            FleetLoads: self._take_fleet_loads,
             LoadUpdate: self._take_update,
             Subscription: self._take_subscription,
             FetchInstances: self._take_fetch_instances,
@@ -135,6 +137,10 @@
         """Send heartbeats now: something changed that peers should know at once."""
         self._sender.notify()
 
+    def notify_loads(self) -> None:
+        """Send loads soon: some have changed."""
+        self._sender.notify_loads()
+
     async def run(self, seeds: tuple[str, ...]) -> None:
         """Keep a link to every instance that is known, until cancelled."""
         for seed in seeds:
@@ -142,6 +148,7 @@
                 self._dial(seed, is_seed=True)
         async with asyncio.TaskGroup() as group:
             group.create_task(self._sender.run())
+            group.create_task(self._sender.run_loads())
             group.create_task(self._follow_members())
 
     async def _follow_members(self) -> None:
@@ -337,7 +344,13 @@
             self._write(heard.connection, heard.link.subscription)
         await self._take_heartbeat(heard, message.heartbeat)
 
+    async def _take_fleet_loads(self, heard: _Heard, message: FleetLoads) -> None:
+        if not self._state.merge_fleet_loads(message) and heard.link is not None:
+            self._write(heard.connection, heard.link.subscription)
+
     async def _take_update(self, heard: _Heard, message: LoadUpdate) -> None:
+        if heard.link is not None:
+            heard.link.is_busy = bool(message.loads)
         self._state.merge_load_update(message)
 
     async def _take_subscription(self, heard: _Heard, message: Subscription) -> None:
--- a/packages/router/fulmarward_router/mesh/_messages.py
+++ b/packages/router/fulmarward_router/mesh/_messages.py
@@ -257,6 +257,15 @@
     refusing: tuple[str, ...]
 
 
+class FleetLoads(Message, kw_only=True):
+    """The loads that changed since a hub's last report on the link."""
+
+    #: Name of the hub.
+    sender: str
+    loads: tuple[LoadReport, ...]
+    included: tuple[IncludedUpdate, ...]
+
+
 #: All messages; a message's number is its place. A kind keeps its number and its
 #: fields: instances of other code read it while they are replaced one by one. What
 #: changes is a new kind at the end, which older code leaves unread.
@@ -277,4 +286,5 @@
     Subscription,
     LoadUpdate,
     FleetReport,
+    FleetLoads,
 )
--- a/packages/router/fulmarward_router/mesh/_state.py
+++ b/packages/router/fulmarward_router/mesh/_state.py
@@ -12,6 +12,7 @@
     FetchCompressedConfiguration,
     FetchConfiguration,
     FetchTargets,
+    FleetLoads,
     FleetReport,
     Heartbeat,
     LoadUpdate,
@@ -44,6 +45,19 @@
     def has_loads(self) -> bool:
         """Return whether requests run here."""
 
+    def get_loads_revision(self) -> int:
+        """Return the number of the last change of the own loads."""
+
+    def make_fleet_loads(self, after: int) -> tuple[FleetLoads | None, int]:
+        """Return the loads that changed after a revision, `None` if none did, and the
+        revision now.
+        """
+
+    def merge_fleet_loads(self, report: FleetLoads) -> bool:
+        """Take in a hub's loads; return whether that was possible without all others
+        first.
+        """
+
     def make_load_update(self) -> LoadUpdate:
         """Return this instance's loads, for the hubs that it follows."""
 
--- a/packages/router/fulmarward_router/mesh/tests/test_heartbeats.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_heartbeats.py
@@ -14,6 +14,7 @@
 )
 from fulmarward_router.mesh._messages import (
     DataCentreReport,
+    FleetLoads,
     FleetReport,
     LoadReport,
     LoadUpdate,
@@ -56,6 +57,7 @@
         self.made = 0
         self.reports = 0
         self.loads = ()
+        self.loads_revision = 0
 
     def make_heartbeat(self, *, has_loads=True):
         self.made += 1
@@ -64,6 +66,13 @@
     def has_loads(self):
         return bool(self.loads)
 
+    def get_loads_revision(self):
+        return self.loads_revision
+
+    def make_fleet_loads(self, after):
+        report = FleetLoads(sender="own", loads=self.loads, included=())
+        return (report if self.loads_revision > after else None), self.loads_revision
+
     def make_load_update(self):
         return LoadUpdate(sender="own", sequence=1, loads=self.loads)
 
@@ -256,3 +265,35 @@
         self.assertGreater(len(sent), 1)
         self.assertEqual([bool(loads) for loads in sent].count(False), 1)
         self.assertEqual(sent[-1], ())
+
+    async def test_loads_that_change_are_sent_between_the_rounds(self):
+        """Guards against instances that plan with loads as old as a heartbeat."""
+        hub, busy, idle = (_Connection() for _ in range(3))
+        links = [
+            PeerLink(connection=hub, address="", takes_updates=True),
+            PeerLink(
+                connection=busy,
+                address="",
+                is_dialled=False,
+                told=Revisions(loads=0),
+                is_busy=True,
+            ),
+            PeerLink(
+                connection=idle, address="", is_dialled=False, told=Revisions(loads=0)
+            ),
+        ]
+        self.sender._links = links
+        running = asyncio.create_task(self.sender.run_loads())
+        self.addCleanup(running.cancel)
+        for number in (1, 2):
+            self.state.loads = (
+                LoadReport(target="t", kv=number, running=1, first_running=1),
+            )
+            self.state.loads_revision = number
+            self.sender.notify_loads()
+            async with asyncio.timeout(10.0):
+                while busy.count(FleetLoads) < number:
+                    await asyncio.sleep(0.005)
+        self.assertEqual(hub.count(LoadUpdate), 2)
+        self.assertEqual([m.loads[0].kv for m in busy.sent], [1, 2])
+        self.assertEqual(idle.sent, [])
--- a/packages/router/fulmarward_router/ports.py
+++ b/packages/router/fulmarward_router/ports.py
@@ -232,6 +232,8 @@
     orders_accepted: int
     #: Factor on its times: over 1 when it is slow.
     pace: float
+    #: KV cache that its requests hold; tokens x layers.
+    kv_used: float = 0.0
     #: Requests that wait for a lost target; only of those it is the first hop of.
     stalled: tuple[StalledRequest, ...] = field(default=())
 
--- a/packages/router/fulmarward_router/state/_knowledge.py
+++ b/packages/router/fulmarward_router/state/_knowledge.py
@@ -7,7 +7,7 @@
 
 from fulmarward.observability import log_event
 from fulmarward_core.catalogue import KnownRow, TargetCatalogue
-from fulmarward_core.loads import FleetLoads, Load, LoadLedger
+from fulmarward_core.loads import HubLoads, Load, LoadLedger
 from fulmarward_core.paces import PaceTable
 from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_router.mesh import (
@@ -22,6 +22,7 @@
     FetchCompressedConfiguration,
     FetchConfiguration,
     FetchTargets,
+    FleetLoads,
     FleetReport,
     Heartbeat,
     IncludedUpdate,
@@ -261,6 +262,57 @@
         """Return whether requests run here."""
         return self._ledger.has_own()
 
+    def get_loads_revision(self) -> int:
+        """Return the number of the last change of the own loads."""
+        return self._ledger.own_revision
+
+    def make_fleet_loads(self, after: int) -> tuple[FleetLoads | None, int]:
+        """Return the loads that changed after a revision, `None` if none did, and the
+        revision now.
+        """
+        revision = self._ledger.revision
+        changes = self._ledger.list_changes(after=after, now=self._read_clock())
+        if not changes:
+            return None, revision
+        report = FleetLoads(
+            sender=self._own.name,
+            loads=_report_loads(changes),
+            included=self._list_included(),
+        )
+        return report, self._ledger.revision
+
+    def merge_fleet_loads(self, report: FleetLoads) -> bool:
+        """Take in a hub's loads; return whether that was possible without all others
+        first.
+        """
+        return self._merge_loads(
+            report.sender, report.loads, report.included, is_full=False
+        )
+
+    def _merge_loads(
+        self,
+        hub: str,
+        loads: Iterable[LoadReport],
+        included: Iterable[IncludedUpdate],
+        *,
+        is_full: bool,
+    ) -> bool:
+        own = [item for item in included if item.instance == self._own.name]
+        report = HubLoads(
+            hub=hub,
+            is_full=is_full,
+            loads=_read_loads(loads),
+            included=own[0].sequence if own else None,
+        )
+        return self._ledger.merge_fleet(report, now=self._read_clock())
+
+    def _list_included(self) -> tuple[IncludedUpdate, ...]:
+        return tuple(
+            IncludedUpdate(instance=name, sequence=self._updates[name])
+            for name in self._ledger.list_reporters()
+            if name in self._updates
+        )
+
     def make_load_update(self) -> LoadUpdate:
         """Return this instance's loads, for the hubs that it follows."""
         snapshot = self._ledger.take_snapshot(self._own.boot)
@@ -293,11 +345,7 @@
             members=members,
             ages=self._members.report_ages(now=now),
             loads=_report_loads(loads),
-            included=tuple(
-                IncludedUpdate(instance=name, sequence=self._updates[name])
-                for name in self._ledger.list_reporters()
-                if name in self._updates
-            ),
+            included=self._list_included(),
             losses=tuple(
                 FailureReport(target=item.target, for_ms=int((item.until - now) * 1000))
                 for item in self._suspicions.list_reported(now=now)
@@ -326,14 +374,9 @@
         now, hub = self._read_clock(), report.heartbeat.sender.name
         self._merge_losses(report.losses, hub, now)
         self._suspicions.refusals.merge_reports(report.refusing, now=now)
-        included = {item.instance: item.sequence for item in report.included}
-        loads = FleetLoads(
-            hub=hub,
-            is_full=report.is_full,
-            loads=_read_loads(report.loads),
-            included=included.get(self._own.name),
+        return self._merge_loads(
+            hub, report.loads, report.included, is_full=report.is_full
         )
-        return self._ledger.merge_fleet(loads, now=now)
 
     def _merge_losses(
         self, losses: Iterable[FailureReport], source: str, now: float
--- a/packages/router/fulmarward_router/tests/test_subscriptions.py
+++ b/packages/router/fulmarward_router/tests/test_subscriptions.py
@@ -1,4 +1,5 @@
 import unittest
+from dataclasses import replace
 
 from hypothesis import given, settings, strategies as st
 
@@ -68,10 +69,30 @@
             if hub not in self.dead:
                 self._tell(hub, name)
 
+    def play_loads(self):
+        """Members send their loads between the rounds, and the hubs those of all."""
+        for name in _MEMBERS:
+            for hub in _HUBS:
+                if hub not in self.dead:
+                    self._send_update(self.peers[name], self.peers[hub])
+        for name, hub in self.followed.items():
+            told = self.told.get(name)
+            if hub in self.dead or told is None:
+                continue
+            made = self.peers[hub].knowledge.make_fleet_loads(told.loads)
+            report, revision = made
+            self.told[name] = replace(told, loads=revision)
+            knowledge = self.peers[name].knowledge
+            if report and not knowledge.merge_fleet_loads(_carry(report)):
+                del self.told[name]
+
+    def _send_update(self, peer, hub):
+        hub.knowledge.merge_load_update(_carry(peer.knowledge.make_load_update()))
+
     def _report(self, name, hub):
         peer, hub = self.peers[name], self.peers[hub]
         self._send_heartbeat(peer, hub, has_loads=False)
-        hub.knowledge.merge_load_update(_carry(peer.knowledge.make_load_update()))
+        self._send_update(peer, hub)
 
     def _exchange(self, name, other):
         self._send_heartbeat(self.peers[name], self.peers[other], has_loads=True)
@@ -118,6 +139,7 @@
     st.tuples(st.just("reserve"), st.sampled_from([*_HUBS, *_MEMBERS]), _TARGETS),
     st.tuples(st.just("release")),
     st.tuples(st.just("round")),
+    st.tuples(st.just("loads")),
     st.tuples(st.just("follow"), st.sampled_from(_MEMBERS), st.sampled_from(_HUBS)),
 )
 
@@ -133,6 +155,7 @@
                 "reserve": centre.reserve,
                 "release": centre.release,
                 "round": centre.play_round,
+                "loads": centre.play_loads,
                 "follow": centre.follow,
             }[step]
             act(*arguments)
@@ -142,6 +165,16 @@
         for name in centre.peers:
             self.assertEqual(centre.count_believed(name), expected, name)
 
+    def test_loads_are_known_to_members_between_the_rounds(self):
+        """Guards against members that plan with loads as old as a round."""
+        centre = _Centre()
+        centre.play_round()
+        centre.reserve("m03", ["a", "b"])
+        centre.reserve("m04", ["a"])
+        centre.play_loads()
+        for name in _MEMBERS:
+            self.assertEqual(centre.count_believed(name), {"a": 2, "b": 1})
+
     def test_own_load_counts_at_once_and_once(self):
         """Guards against a member that plans with the hub's older view of itself."""
         centre = _Centre()
