--- /dev/null
+++ b/packages/core/fulmarward_core/probing/__init__.py
@@ -0,0 +1,21 @@
+"""Which of the targets that were probed are unreachable, judged beside controls."""
+
+from fulmarward_core.probing.decisions import (
+    CONFIRM_TIMEOUT_S,
+    PROBE_TIMEOUT_S,
+    ProbeRound,
+    ProbeVerdict,
+    choose_controls,
+    count_controls,
+    evaluate_round,
+)
+
+__all__ = [
+    "CONFIRM_TIMEOUT_S",
+    "PROBE_TIMEOUT_S",
+    "ProbeRound",
+    "ProbeVerdict",
+    "choose_controls",
+    "count_controls",
+    "evaluate_round",
+]
--- a/packages/core/fulmarward_core/silences/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/probing/tests/test_decisions.py
@@ -1,34 +1,37 @@
 import unittest
 from types import SimpleNamespace
 
-from fulmarward_core.silences import (
-    CONFIRM_S,
-    PROBE_S,
-    AskedRound,
-    Finding,
-    choose_witnesses,
-    count_witnesses,
-    judge_round,
+from fulmarward_core.probing import (
+    CONFIRM_TIMEOUT_S,
+    PROBE_TIMEOUT_S,
+    ProbeRound,
+    ProbeVerdict,
+    choose_controls,
+    count_controls,
+    evaluate_round,
 )
 
-_OWN = Finding(is_own_silence=True)
-_LONG = Finding(again_s=CONFIRM_S)
-_SHORT = Finding(again_s=PROBE_S)
+_OWN = ProbeVerdict(is_isolated=True)
+_LONG = ProbeVerdict(retry_timeout_s=CONFIRM_TIMEOUT_S)
+_SHORT = ProbeVerdict(retry_timeout_s=PROBE_TIMEOUT_S)
 
 
 def _lose(names):
-    return Finding(lost=tuple(names))
+    return ProbeVerdict(unreachable=tuple(names))
 
 
-class JudgeRoundTest(unittest.TestCase):
+class EvaluateRoundTest(unittest.TestCase):
     def test_findings(self):
-        # An instance whose own link was full heard nobody for seconds, took sound
-        # targets for lost and told all others. Only a silence beside an answer counts.
-        first, again, long = (PROBE_S, False), (PROBE_S, True), (CONFIRM_S, True)
+        """Guards against healthy targets being reported by an isolated instance."""
+        first, again, long = (
+            (PROBE_TIMEOUT_S, False),
+            (PROBE_TIMEOUT_S, True),
+            (CONFIRM_TIMEOUT_S, True),
+        )
         cases = [
             # name, round, asked, who answered, seconds of an answer, late by, finding
-            ("all answer", first, "abc", "abc", 0.002, 0, Finding()),
-            ("all answer, late", first, "abc", "abc", 0.03, 0.1, Finding()),
+            ("all answer", first, "abc", "abc", 0.002, 0, ProbeVerdict()),
+            ("all answer, late", first, "abc", "abc", 0.03, 0.1, ProbeVerdict()),
             ("one is silent", first, "abc", "bc", 0.002, 0, _lose("a")),
             ("one is silent, here late", first, "abc", "bc", 0.002, 0.02, _LONG),
             ("one is silent, answers late", first, "abc", "bc", 0.03, 0, _LONG),
@@ -48,24 +51,27 @@
         ]
         for name, (limit_s, is_repeat), asked, heard, answer_s, late_s, found in cases:
             with self.subTest(name):
-                asked_round = AskedRound(
-                    asked=asked,
+                probe_round = ProbeRound(
+                    probed=asked,
                     answers=dict.fromkeys(heard, answer_s),
-                    limit_s=limit_s,
+                    timeout_s=limit_s,
                     took_s=limit_s + late_s,
                     is_repeat=is_repeat,
                 )
-                self.assertEqual(judge_round(asked_round), found)
+                self.assertEqual(evaluate_round(probe_round), found)
 
     def test_own_pause_within_a_round(self):
-        # An instance stood still for 34 ms of the 35, and took a sound target for lost
-        # whose answer had come meanwhile. What it did not listen to says nothing.
-        first, again, long = (PROBE_S, False), (PROBE_S, True), (CONFIRM_S, True)
+        """Guards against answers that arrive while the event loop is blocked."""
+        first, again, long = (
+            (PROBE_TIMEOUT_S, False),
+            (PROBE_TIMEOUT_S, True),
+            (CONFIRM_TIMEOUT_S, True),
+        )
         cases = [
             # name, round, seconds of the pause, who answered of a to d, finding
             ("short pause", first, 0.009, "bcd", _lose("a")),
             ("long pause", first, 0.011, "bcd", _SHORT),
-            ("long pause, all answer", first, 0.034, "abcd", Finding()),
+            ("long pause, all answer", first, 0.034, "abcd", ProbeVerdict()),
             ("long pause, most are silent", first, 0.034, "d", _LONG),
             ("short pause again", again, 0.009, "bcd", _lose("a")),
             ("long pause again", again, 0.011, "bcd", _LONG),
@@ -73,28 +79,33 @@
         ]
         for name, (limit_s, is_repeat), paused_s, heard, found in cases:
             with self.subTest(name):
-                asked_round = AskedRound(
-                    asked="abcd",
+                probe_round = ProbeRound(
+                    probed="abcd",
                     answers=dict.fromkeys(heard, 0.002),
-                    limit_s=limit_s,
+                    timeout_s=limit_s,
                     took_s=limit_s,
                     paused_s=paused_s,
                     is_repeat=is_repeat,
                 )
-                self.assertEqual(judge_round(asked_round), found)
+                self.assertEqual(evaluate_round(probe_round), found)
 
     def test_one_late_answer_of_several_says_nothing_of_the_link(self):
-        asked_round = AskedRound(
-            asked="abcd",
+        probe_round = ProbeRound(
+            probed="abcd",
             answers={"b": 0.002, "c": 0.03, "d": 0.002},
-            limit_s=PROBE_S,
-            took_s=PROBE_S,
+            timeout_s=PROBE_TIMEOUT_S,
+            took_s=PROBE_TIMEOUT_S,
         )
-        self.assertEqual(judge_round(asked_round), _lose("a"))
+        self.assertEqual(evaluate_round(probe_round), _lose("a"))
 
     def test_answer_of_one_that_was_not_asked_is_refused(self):
         with self.assertRaises(ValueError):
-            AskedRound(asked="a", answers={"b": 0.1}, limit_s=PROBE_S, took_s=PROBE_S)
+            ProbeRound(
+                probed="a",
+                answers={"b": 0.1},
+                timeout_s=PROBE_TIMEOUT_S,
+                took_s=PROBE_TIMEOUT_S,
+            )
 
 
 def _make(name, data_centre, layers="0-10", is_leaving=False):
@@ -103,11 +114,11 @@
     )
 
 
-class WitnessTest(unittest.TestCase):
+class ControlTest(unittest.TestCase):
     def test_small_rounds_are_filled_up(self):
-        found = [count_witnesses(number) for number in range(1, 6)]
+        found = [count_controls(number) for number in range(1, 6)]
         self.assertEqual(found, [2, 1, 0, 0, 0])
-        self.assertEqual(count_witnesses(20, is_repeat=True), 2)
+        self.assertEqual(count_controls(20, is_repeat=True), 2)
 
     def test_choice(self):
         north = [_make("a", "north"), _make("b", "north"), _make("c", "north")]
@@ -122,23 +133,29 @@
             ("plain ones where there are no others", plain, "", 2, 7, "p"),
             ("nobody", [], "", 2, 5, ""),
         ]
-        for name, records, barred, count, turn, expected in cases:
+        for name, records, excluded, count, offset, expected in cases:
             with self.subTest(name):
-                found = choose_witnesses(records, barred=barred, count=count, turn=turn)
+                found = choose_controls(
+                    records, excluded=excluded, count=count, offset=offset
+                )
                 self.assertEqual("".join(record.name for record in found), expected)
 
     def test_doubted_ones_are_asked_only_where_others_are_too_few(self):
         records = [_make(n, "north") for n in "abc"] + [_make(n, "south") for n in "de"]
         cases = [
-            # doubted, barred, count, expected
+            # suspected, excluded, count, expected
             ("ad", "", 2, "be"),
             ("abcd", "", 2, "ea"),
             ("abcde", "", 2, "ad"),
             ("abc", "de", 3, "abc"),
         ]
-        for doubted, barred, count, expected in cases:
-            with self.subTest(doubted=doubted, barred=barred):
-                found = choose_witnesses(
-                    records, barred=barred, doubted=doubted, count=count, turn=0
+        for suspected, excluded, count, expected in cases:
+            with self.subTest(suspected=suspected, excluded=excluded):
+                found = choose_controls(
+                    records,
+                    excluded=excluded,
+                    suspected=suspected,
+                    count=count,
+                    offset=0,
                 )
                 self.assertEqual("".join(record.name for record in found), expected)
--- a/packages/core/fulmarward_core/suspicion/__init__.py
+++ b/packages/core/fulmarward_core/suspicion/__init__.py
@@ -1,17 +1,17 @@
-"""Which targets an instance does not trust for now, by what it and peers saw."""
+"""Which targets are excluded for now, by direct and indirect observation."""
 
-from fulmarward_core.suspicion._refusals import ROOM_PART, RefusalTable
+from fulmarward_core.suspicion._refusals import ROOM_SHARE, RefusalTable
 from fulmarward_core.suspicion._table import (
-    FULL_S,
-    SUSPECT_S,
+    SATURATED_DURATION_S,
+    SUSPECT_DURATION_S,
     Suspicion,
     SuspicionTable,
 )
 
 __all__ = [
-    "FULL_S",
-    "ROOM_PART",
-    "SUSPECT_S",
+    "SATURATED_DURATION_S",
+    "ROOM_SHARE",
+    "SUSPECT_DURATION_S",
     "RefusalTable",
     "Suspicion",
     "SuspicionTable",
--- a/packages/core/fulmarward_core/suspicion/_table.py
+++ b/packages/core/fulmarward_core/suspicion/_table.py
@@ -1,67 +1,61 @@
-"""Which targets an instance does not trust for now, by what it and peers saw."""
+"""Which targets are excluded for now, by direct and indirect observation."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
 from fulmarward_core.suspicion._refusals import RefusalTable
 
-#: Seconds for which a target is left out after it did not answer, doubled each time up
-#: to the most. Load: a target that is dark for seconds; harm: each try costs a caller
-#: half a second; reason: the store takes its row away after three heartbeats.
-SUSPECT_S = 2.0
-MOST_SUSPECT_S = 8.0
+#: Seconds for which a target that did not answer is excluded, doubled each time up to
+#: the maximum.
+SUSPECT_DURATION_S = 2.0
+MAX_SUSPECT_DURATION_S = 8.0
 
-#: Seconds for which a target is left out after it refused for want of room. Reason:
-#: about a fifth of the usual answer's time, in which some of its requests end.
-FULL_S = 0.4
+#: Seconds for which a target that rejected a request for want of room is excluded; some
+#: of its requests end in that time.
+SATURATED_DURATION_S = 0.4
 
-#: Seconds up to which that doubles while a target refuses again and again without
-#: serving in between, and after which it begins anew. Load: targets that are leaving
-#: and cannot say so, since the store is out: they refuse all that is new; harm: with
-#: 0.4 s each time, every request met three of them with its three attempts and was
-#: refused, for nine seconds; reason: two or three tries of each instance in that time.
-MOST_FULL_S = 3.2
-_FULL_AGAIN_S = 2.0
+#: Seconds up to which that doubles while a target rejects request after request, and
+#: after which it starts over. Guards against targets that leave during an outage of the
+#: store: every request would try several of them and run out of attempts.
+MAX_SATURATED_DURATION_S = 3.2
+_SATURATED_AGAIN_S = 2.0
 
-#: Seconds for which a target counts as failing after failed answers in a row.
-FAILING_S = 3.0
+#: Seconds for which a target is excluded after errors in a row.
+FAILING_DURATION_S = 3.0
 
-#: Failed answers in a row after which a target is left out. Load: targets that fail a
-#: part of their requests while healthy otherwise; reason: one failure is chance.
-MOST_FAILURES = 2
+#: Errors in a row after which a target is excluded; a single one is chance.
+MAX_ERRORS = 2
 
-#: Part of a service's targets that may be suspected. Load: an instance that is cut off
-#: itself, or a slowness of all; harm: everything is refused though targets are there;
-#: reason: beyond half, the fault is more likely here than there.
-MOST_SUSPECTED = 0.5
+#: Share of a service's targets that may be excluded. Beyond it the fault is more likely
+#: this instance's own.
+MAX_SUSPECTED_SHARE = 0.5
 
-
-#: Reasons that say that a target does not answer: seen here, also where a peer told of
-#: it first, or that another answers at its address.
-_SEEN_LOST = frozenset({"lost", "confirmed", "address"})
-_TOLD = "told"
+#: Reasons of targets that do not answer, as observed here; `address` where another
+#: target answers at the address.
+_DIRECT = frozenset({"unreachable", "confirmed", "address"})
+_INDIRECT = "indirect"
 
 
 @dataclass(frozen=True, kw_only=True)
 class Suspicion:
-    """Why and until when a target is left out."""
+    """Why and until when a target is excluded from new work."""
 
     #: Name of the target.
     target: str
     #: Until when, seconds on the steady clock.
     until: float
-    #: Seconds for which it was left out the last time.
+    #: Seconds for which it was excluded the last time.
     lasted_s: float
-    #: When it was last suspected; for a loss seen here, when that was last seen.
+    #: When it was last suspected; for a failure seen here, when that was last seen.
     since: float
-    #: `lost`, `address` (another answers there), `full`, `failing`, `told` (by a peer)
-    #: or `confirmed` (told, and seen here too).
+    #: `unreachable`, `address` (another target answers there), `saturated`, `failing`,
+    #: `indirect` (reported by a peer) or `confirmed` (reported, and seen here too).
     reason: str
-    #: Failed answers in a row.
-    failures: int = 0
-    #: Whether a stream moved through it after it was lost here, so that it is to be
-    #: asked again.
-    is_contested: bool = False
+    #: Errors in a row.
+    errors: int = 0
+    #: Whether a stream made progress through it after the failure was seen, so that it
+    #: is to be probed again.
+    is_contradicted: bool = False
 
 
 class SuspicionTable:
@@ -69,26 +63,34 @@
 
     def __init__(self) -> None:
         self._suspicions: dict[str, Suspicion] = {}
-        #: When targets that a peer had lost were asked here and answered.
+        #: When targets that a peer reported unreachable answered a probe from here.
         self._answered_at: dict[str, float] = {}
-        #: Targets that refuse although they have room.
+        #: Targets that reject work although they have room.
         self.refusals = RefusalTable()
-        #: Rises when a target comes under suspicion of being lost.
+        #: Rises when a target comes under suspicion of being unreachable.
         self.revision = 0
 
-    def note_lost(self, target: str, *, now: float, reason: str = "lost") -> bool:
-        """A target did not answer; return whether that is news."""
+    def record_failure(
+        self, target: str, *, now: float, reason: str = "unreachable"
+    ) -> bool:
+        """Record that a target did not answer.
+
+        Returns whether it was considered reachable before.
+        """
         known = self._suspicions.get(target)
         if known is not None and now < known.until:
-            if known.reason == _TOLD:
+            if known.reason == _INDIRECT:
                 self._confirm(known, now)
                 return True
-            if known.reason in _SEEN_LOST:
-                self._suspicions[target] = replace(known, since=now, is_contested=False)
+            if known.reason in _DIRECT:
+                self._suspicions[target] = replace(
+                    known, since=now, is_contradicted=False
+                )
                 return False
-        lasted_s = SUSPECT_S
-        if known is not None and now - known.until < MOST_SUSPECT_S:
-            lasted_s = min(MOST_SUSPECT_S, max(SUSPECT_S, known.lasted_s * 2))
+        lasted_s = SUSPECT_DURATION_S
+        if known is not None and now - known.until < MAX_SUSPECT_DURATION_S:
+            doubled_s = max(SUSPECT_DURATION_S, known.lasted_s * 2)
+            lasted_s = min(MAX_SUSPECT_DURATION_S, doubled_s)
         self._suspicions[target] = Suspicion(
             target=target,
             until=now + lasted_s,
@@ -99,195 +101,213 @@
         self.revision += 1
         return True
 
-    def _confirm(self, told: Suspicion, now: float) -> None:
-        """What a peer told was seen here too.
+    def _confirm(self, reported: Suspicion, now: float) -> None:
+        """Record that a reported failure was observed here too.
 
-        It is not told on, so that a loss which all instances see does not make each of
-        them tell all others.
+        It is not reported on: otherwise a failure that all instances observe would make
+        each of them notify all others.
         """
-        self._suspicions[told.target] = replace(told, reason="confirmed", since=now)
+        self._suspicions[reported.target] = replace(
+            reported, reason="confirmed", since=now
+        )
         self.revision += 1
 
-    def note_told(self, target: str, *, for_s: float, now: float) -> bool:
-        """A peer lost a target; return whether that is news.
+    def record_indirect_failure(
+        self, target: str, *, duration_s: float, now: float
+    ) -> bool:
+        """Exclude a target that a peer reported unreachable from new paths.
 
-        It is left out of new paths; what runs there is ended only by what is seen here
-        (`is_lost`). Guards against a peer whose own link is cut or full: it takes all
-        that it cannot hear for lost, and one word of it would end sound streams at
-        every instance.
+        Running streams are not aborted (`is_unreachable`): the peer may be isolated.
+
+        Returns whether the target was considered reachable before.
         """
         known = self._suspicions.get(target)
         if known is not None and now < known.until:
-            is_told = known.reason in (_TOLD, "confirmed")
-            if is_told and now + for_s > known.until:
-                self._suspicions[target] = replace(known, until=now + for_s)
+            is_reported = known.reason in (_INDIRECT, "confirmed")
+            if is_reported and now + duration_s > known.until:
+                self._suspicions[target] = replace(known, until=now + duration_s)
             return False
-        if now - self._answered_at.get(target, float("-inf")) < SUSPECT_S:
+        answered_at = self._answered_at.get(target, float("-inf"))
+        if now - answered_at < SUSPECT_DURATION_S:
             return False
         self._suspicions[target] = Suspicion(
-            target=target, until=now + for_s, lasted_s=for_s, since=now, reason=_TOLD
+            target=target,
+            until=now + duration_s,
+            lasted_s=duration_s,
+            since=now,
+            reason=_INDIRECT,
         )
         self.revision += 1
         return True
 
-    def note_answered(self, target: str, *, asked_at: float) -> bool:
-        """A target answered a probe; return whether a peer's word falls with that.
+    def record_answer(self, target: str, *, asked_at: float) -> bool:
+        """Record that a target answered a probe.
 
-        What is heard here goes before a word for as long as a suspicion lasts: the
-        peer repeats it with each of its heartbeats. A word that came first after the
-        target was asked stays: the target may be gone since, and a probe's end waits
-        for others.
+        A direct observation takes precedence over reports for as long as a suspicion
+        lasts, since the peer repeats its report with each heartbeat. A report that came
+        after the probe was sent stays: the target may have died since.
+
+        Returns whether a peer's report was dropped.
         """
         known = self._suspicions.get(target)
-        if known is None or known.reason != _TOLD or asked_at < known.since:
+        if known is None or known.reason != _INDIRECT or asked_at < known.since:
             return False
         self._answered_at[target] = asked_at
         del self._suspicions[target]
         return True
 
     def list_ending(self, *, now: float, ahead_s: float) -> list[str]:
-        """Return the targets lost here whose suspicion ends within `ahead_s`."""
+        """Return the targets unreachable from here whose suspicion ends soon.
+
+        That is within `ahead_s` seconds.
+        """
         return [
             name
             for name, item in self._suspicions.items()
-            if item.reason == "lost" and now < item.until <= now + ahead_s
+            if item.reason == "unreachable" and now < item.until <= now + ahead_s
         ]
 
     def extend(self, target: str, *, now: float) -> None:
-        """A lost target still does not answer: it is left out for longer.
+        """Exclude an unreachable target that still does not answer for longer.
 
-        Guards against a target that is away for longer than its suspicion: it would be
-        sent work again, by all instances at once.
+        Guards against all instances sending work to it again at the same moment.
         """
         known = self._suspicions.get(target)
-        if known is not None and known.reason == "lost":
-            until = max(known.until, now + SUSPECT_S)
+        if known is not None and known.reason == "unreachable":
+            until = max(known.until, now + SUSPECT_DURATION_S)
             self._suspicions[target] = replace(
-                known, until=until, since=now, is_contested=False
+                known, until=until, since=now, is_contradicted=False
             )
 
-    def note_full(self, target: str, *, now: float) -> None:
-        """A target refused for want of room, or since its layers change."""
+    def record_saturated(self, target: str, *, now: float) -> None:
+        """Record that a target rejected a request: no room, or its layers change."""
         known = self._suspicions.get(target)
         if known is not None and now < known.until:
             return
-        lasted_s = FULL_S
-        if known is not None and known.reason == "full":
-            if now - known.until < _FULL_AGAIN_S:
-                lasted_s = min(MOST_FULL_S, known.lasted_s * 2)
+        lasted_s = SATURATED_DURATION_S
+        if known is not None and known.reason == "saturated":
+            if now - known.until < _SATURATED_AGAIN_S:
+                lasted_s = min(MAX_SATURATED_DURATION_S, known.lasted_s * 2)
         self._suspicions[target] = Suspicion(
             target=target,
             until=now + lasted_s,
             lasted_s=lasted_s,
             since=now,
-            reason="full",
-            failures=0 if known is None else known.failures,
+            reason="saturated",
+            errors=0 if known is None else known.errors,
         )
 
-    def note_failed(self, target: str, *, now: float) -> bool:
-        """A target answered with a failure; return whether it is left out now.
+    def record_error(self, target: str, *, now: float) -> bool:
+        """Record that a target answered with an error, or broke its answer off.
+
+        Guards against errors that replace a known failure: an unreachable target breaks
+        answers off too. Streams through it would stall, and peers would hear nothing.
+        A failure seen here stays, and any other suspicion does until the errors alone
+        exclude the target.
 
-        Guards against a loss that is forgotten: a target that is lost breaks answers
-        off too, and these would count in the loss's place. What runs there would stand
-        still, and peers would not hear of it. A loss seen here stays what it is, and
-        any other suspicion does until the failures alone would leave the target out.
+        Returns whether the target is excluded now.
         """
         known = self._suspicions.get(target)
-        failures = 1 if known is None else known.failures + 1
+        errors = 1 if known is None else known.errors + 1
         base = known or Suspicion(
             target=target, until=now, lasted_s=0.0, since=now, reason="failing"
         )
-        is_out = failures >= MOST_FAILURES
-        if now < base.until and (base.reason in _SEEN_LOST or not is_out):
-            self._suspicions[target] = replace(base, failures=failures)
+        is_out = errors >= MAX_ERRORS
+        if now < base.until and (base.reason in _DIRECT or not is_out):
+            self._suspicions[target] = replace(base, errors=errors)
             return True
-        until = now + FAILING_S if is_out else base.until
+        until = now + FAILING_DURATION_S if is_out else base.until
         self._suspicions[target] = replace(
-            base, until=until, failures=failures, reason="failing"
+            base, until=until, errors=errors, reason="failing"
         )
         return is_out
 
-    def note_served(self, target: str, *, now: float) -> None:
-        """A target answered well."""
+    def record_success(self, target: str, *, now: float) -> None:
+        """Record that a target answered well."""
         known = self._suspicions.get(target)
         if known is not None and now >= known.until:
             del self._suspicions[target]
 
-    def note_restarted(self, target: str) -> None:
-        """A target began anew: what was seen of it before says nothing."""
+    def record_restart(self, target: str) -> None:
+        """Forget what was observed of a target before it restarted."""
         self._suspicions.pop(target, None)
 
     def is_suspect(self, target: str, *, now: float) -> bool:
-        """Return whether a target is to be left out."""
+        """Return whether a target is excluded from new work."""
         known = self._suspicions.get(target)
         return known is not None and now < known.until
 
-    def is_lost(self, target: str, *, now: float) -> bool:
-        """Return whether a target was seen here not to answer at all.
+    def is_unreachable(self, target: str, *, now: float) -> bool:
+        """Return whether a target was observed here not to answer at all.
 
-        Only this ends what runs there. A target that a peer lost, or that answers with
-        failures, may still serve.
+        Only this aborts what runs there: a target that a peer reported, or that answers
+        with errors, may still serve.
         """
         known = self._suspicions.get(target)
-        return known is not None and now < known.until and known.reason in _SEEN_LOST
+        return known is not None and now < known.until and known.reason in _DIRECT
 
-    def is_lost_since(self, target: str, *, served_at: float, now: float) -> bool:
-        """Return whether a target is lost for a stream that it served last then.
+    def is_unreachable_since(
+        self, target: str, *, served_at: float, now: float
+    ) -> bool:
+        """Return whether a target is unreachable for a stream that it served last then.
 
-        Guards against a sound target that was taken for lost: streams go on through
-        it, and each that pauses would be ended. One that moved after the loss was last
-        seen was served by the target; it holds for that stream once it is seen again.
+        Guards against aborting streams through a healthy target: one that made progress
+        after the failure was last seen is served by the target, until the failure is
+        seen again.
         """
         known = self._suspicions.get(target)
-        return self.is_lost(target, now=now) and served_at <= known.since
+        return self.is_unreachable(target, now=now) and served_at <= known.since
 
-    def note_moving(self, target: str, *, served_at: float, now: float) -> bool:
-        """A stream moved; return whether that speaks against a loss seen here."""
-        if not self.is_lost(target, now=now):
+    def record_progress(self, target: str, *, served_at: float, now: float) -> bool:
+        """Record that a stream made progress.
+
+        Returns whether that contradicts a failure seen here.
+        """
+        if not self.is_unreachable(target, now=now):
             return False
-        if self.is_lost_since(target, served_at=served_at, now=now):
+        if self.is_unreachable_since(target, served_at=served_at, now=now):
             return False
         known = self._suspicions[target]
-        self._suspicions[target] = replace(known, is_contested=True)
+        self._suspicions[target] = replace(known, is_contradicted=True)
         return True
 
-    def may_be_asked(self, target: str, *, now: float) -> bool:
-        """Return whether an answer of a target would say anything new."""
+    def may_probe(self, target: str, *, now: float) -> bool:
+        """Return whether probing a target can change what is known of it."""
         known = self._suspicions.get(target)
-        return not self.is_lost(target, now=now) or known.is_contested
+        return not self.is_unreachable(target, now=now) or known.is_contradicted
 
-    def is_told(self, target: str, *, now: float) -> bool:
-        """Return whether a target counts as lost by a peer's word alone."""
+    def is_indirect(self, target: str, *, now: float) -> bool:
+        """Return whether a target is excluded by a peer's report alone."""
         known = self._suspicions.get(target)
-        return known is not None and now < known.until and known.reason == _TOLD
+        return known is not None and now < known.until and known.reason == _INDIRECT
 
-    def list_lost(self, *, now: float) -> list[Suspicion]:
-        """Return what this instance saw itself, for peers."""
+    def list_direct_failures(self, *, now: float) -> list[Suspicion]:
+        """Return the failures observed here, for peers."""
         return [
             item
             for item in self._suspicions.values()
-            if now < item.until and item.reason == "lost"
+            if now < item.until and item.reason == "unreachable"
         ]
 
-    def list_reported(self, *, now: float) -> list[Suspicion]:
-        """Return what peers lost as far as that still counts, for those that do not
-        hear them.
-        """
+    def list_indirect_failures(self, *, now: float) -> list[Suspicion]:
+        """Return the failures that peers reported, for those that do not hear them."""
         return [
             item
             for item in self._suspicions.values()
-            if now < item.until and item.reason in (_TOLD, "confirmed")
+            if now < item.until and item.reason in (_INDIRECT, "confirmed")
         ]
 
     def list_suspects(self, targets: Iterable[str], *, now: float) -> frozenset[str]:
-        """Return which of a service's targets to leave out.
+        """Return which of a service's targets to exclude.
 
-        When too many would be, those are not that only a peer lost; when what was seen
-        here is too much by itself, nobody is.
+        Where these are too many, targets that only a peer reported are not among them;
+        where direct observations alone are too many, nobody is.
         """
         names = list(targets)
-        most = len(names) * MOST_SUSPECTED
+        max_suspects = len(names) * MAX_SUSPECTED_SHARE
         suspects = [name for name in names if self.is_suspect(name, now=now)]
-        if len(suspects) > most:
-            suspects = [name for name in suspects if not self.is_told(name, now=now)]
-        return frozenset(suspects if len(suspects) <= most else ())
+        if len(suspects) > max_suspects:
+            suspects = [
+                name for name in suspects if not self.is_indirect(name, now=now)
+            ]
+        return frozenset(suspects if len(suspects) <= max_suspects else ())
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -40,7 +40,7 @@
     CallerFront,
     CallerServer,
     EngineService,
-    LossWatch,
+    FailureDetector,
     OccupancyReader,
     PaceWatch,
     PlainService,
@@ -254,7 +254,7 @@
             configuration=self.configuration,
             catalogue=self.catalogue,
             suspicions=self.suspicions,
-            ask=lambda targets: self.loss_watch.probe(targets),
+            ask=lambda targets: self.failure_detector.probe(targets),
             count_choosers=self.listing.count_listed,
             read_clock=clock,
         )
@@ -276,7 +276,7 @@
             data_centre=self.settings.data_centre,
             read_clock=self._clock,
         )
-        self.loss_watch = LossWatch(
+        self.failure_detector = FailureDetector(
             dialect=self.dialect,
             catalogue=self.catalogue,
             suspicions=self.suspicions,
@@ -285,14 +285,14 @@
         )
         self.engines = EngineService(
             context=context,
-            watch=self.loss_watch,
+            watch=self.failure_detector,
             is_stopping=lambda: self.life.is_stopping,
         )
         return CallerFront(
             dialect=self.dialect,
             configuration=self.configuration,
             engines=self.engines,
-            plain=PlainService(context=context, watch=self.loss_watch),
+            plain=PlainService(context=context, watch=self.failure_detector),
             find_budget=self._find_budget,
             read_clock=self._clock,
             is_stopping=lambda: self.life.is_stopping,
@@ -387,7 +387,7 @@
             self._start("streams", self.engines.supervisor.run()),
             self._start("paces", self._make_pace_watch().run()),
             self._start("occupancy", self._read_occupancy()),
-            self._start("losses", self.loss_watch.run()),
+            self._start("losses", self.failure_detector.run()),
             self._start("readiness", self._become_ready()),
             self._start("settings", self._follow_settings()),
             self._start("metrics", self._log_resources()),
--- a/packages/router/fulmarward_router/exchange/__init__.py
+++ b/packages/router/fulmarward_router/exchange/__init__.py
@@ -2,19 +2,19 @@
 
 from fulmarward_router.exchange._context import ServiceContext
 from fulmarward_router.exchange._engines import EngineService
+from fulmarward_router.exchange._failure_detector import FailureDetector
 from fulmarward_router.exchange._front import CallerFront, CallerServer
 from fulmarward_router.exchange._occupancy import OccupancyReader
 from fulmarward_router.exchange._paces import PaceWatch
 from fulmarward_router.exchange._plain import PlainService
 from fulmarward_router.exchange._send import TargetClient, make_target_session
-from fulmarward_router.exchange._watching import LossWatch
 from fulmarward_router.exchange._work import Work
 
 __all__ = [
     "CallerFront",
     "CallerServer",
     "EngineService",
-    "LossWatch",
+    "FailureDetector",
     "OccupancyReader",
     "PaceWatch",
     "PlainService",
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -20,10 +20,10 @@
 from fulmarward_router.exchange._context import ServiceContext
 from fulmarward_router.exchange._events import EventSplitter, is_after
 from fulmarward_router.exchange._failover import FIRST_CHECK_S, StreamSupervisor
+from fulmarward_router.exchange._failure_detector import FailureDetector
 from fulmarward_router.exchange._path_finder import PathFinder
 from fulmarward_router.exchange._pipe_limiter import PipeLimiter
 from fulmarward_router.exchange._send import AnswerLost, NotSent
-from fulmarward_router.exchange._watching import LossWatch
 from fulmarward_router.exchange._work import TruncatedResponse, Work
 from fulmarward_router.ports import TargetCall
 
@@ -38,7 +38,7 @@
         self,
         *,
         context: ServiceContext,
-        watch: LossWatch,
+        watch: FailureDetector,
         is_stopping: Callable[[], bool],
     ) -> None:
         self._context = context
@@ -190,14 +190,14 @@
                 raise
             raise attempt.end from None
         except NotSent as error:
-            self._watch.note_not_sent(
+            self._watch.record_connect_failure(
                 attempt.first.target, is_refused=error.is_refused, cause=repr(error)
             )
             raise AttemptEnded(
                 cause=repr(error), is_not_run=True, is_not_sent=True
             ) from error
         except AnswerLost as error:
-            self._suspicions.note_failed(attempt.first.target, now=self._read_clock())
+            self._suspicions.record_error(attempt.first.target, now=self._read_clock())
             raise AttemptEnded(cause=repr(error), is_not_run=False) from error
         refusal = await self._judge_head(work, attempt, response, answer)
         if refusal is not None:
@@ -206,7 +206,7 @@
             answer = await self._begin_answer(work, response)
         await self._relay(work, attempt, answer)
         for hop in attempt.path:
-            self._suspicions.note_served(hop.target, now=self._read_clock())
+            self._suspicions.record_success(hop.target, now=self._read_clock())
         return answer
 
     def _finish(self, attempt: Attempt) -> None:
@@ -249,9 +249,11 @@
             raise AttemptEnded(cause=cause, is_not_run=True)
         is_own = facts.request_id == work.facts.request_id and facts.is_plain
         if response.status == 200 and is_own and facts.is_signed:
-            self._suspicions.refusals.note_taken(hop.target for hop in attempt.path)
+            self._suspicions.refusals.record_accepted(
+                hop.target for hop in attempt.path
+            )
             return None
-        self._suspicions.note_failed(attempt.first.target, now=now)
+        self._suspicions.record_error(attempt.first.target, now=now)
         may_retry = may_run_again(work.make_tally(), now=now)
         if answer is not None or may_retry or not (is_own and facts.is_signed):
             cause = f"failed, {response.status}"
@@ -279,12 +281,12 @@
         is_stalled = is_elsewhere and status == 503 and waited_s > FIRST_CHECK_S
         if is_stalled:
             await self._watch.check(path)
-            if self._suspicions.is_lost(at_fault, now=self._read_clock()):
+            if self._suspicions.is_unreachable(at_fault, now=self._read_clock()):
                 return
         now = self._read_clock()
-        self._suspicions.note_full(at_fault, now=now)
+        self._suspicions.record_saturated(at_fault, now=now)
         if self._finder.has_room(at_fault, attempt.engine):
-            if self._suspicions.refusals.note_refused(at_fault, now=now):
+            if self._suspicions.refusals.record_refusal(at_fault, now=now):
                 log_event("target_refusing", target=at_fault, status=status)
         if is_elsewhere and status == 503 and not is_stalled:
             await self._watch.check(path)
@@ -341,7 +343,7 @@
 
     def _note_broken(self, attempt: Attempt) -> None:
         """The first target closed the connection in the middle of its answer."""
-        self._suspicions.note_failed(attempt.first.target, now=self._read_clock())
+        self._suspicions.record_error(attempt.first.target, now=self._read_clock())
 
     def _note_end(self, work: Work, attempt: Attempt, end: AttemptEnded) -> None:
         log_event(
--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -15,9 +15,9 @@
 )
 from fulmarward_router.exchange._attempt import Attempt, AttemptEnded, describe_path
 from fulmarward_router.exchange._context import ServiceContext
+from fulmarward_router.exchange._failure_detector import FailureDetector
 from fulmarward_router.exchange._path_finder import PathFinder
 from fulmarward_router.exchange._pipe_limiter import PipeLimiter
-from fulmarward_router.exchange._watching import LossWatch
 from fulmarward_router.ports import OrderOutcome
 
 #: Seconds without a first event, and between events, after which the first target is
@@ -63,7 +63,7 @@
         self,
         *,
         context: ServiceContext,
-        watch: LossWatch,
+        watch: FailureDetector,
         finder: PathFinder,
         pipe: PipeLimiter,
     ) -> None:
@@ -253,8 +253,8 @@
         unsure = [
             hop.target
             for hop in attempt.path
-            if table.is_told(hop.target, now=now)
-            or table.note_moving(hop.target, served_at=served_at, now=now)
+            if table.is_indirect(hop.target, now=now)
+            or table.record_progress(hop.target, served_at=served_at, now=now)
         ]
         if unsure:
             self._watch.probe(unsure)
@@ -285,7 +285,7 @@
         return [
             hop
             for hop in attempt.path
-            if table.is_lost_since(hop.target, served_at=served_at, now=now)
+            if table.is_unreachable_since(hop.target, served_at=served_at, now=now)
         ]
 
     def _must_check(self, attempt: Attempt) -> bool:
@@ -305,7 +305,7 @@
             record = self._catalogue.find_target(attempt.first.target)
             if record is None:
                 return
-            await self._watch.ask(record)
+            await self._watch.fetch_report(record)
             lost = self._list_lost(attempt)
             if not lost:
                 return
@@ -383,4 +383,4 @@
     def _hold_against(self, path: tuple[Hop, ...], address: str) -> None:
         for hop in path:
             if hop.address == address:
-                self._suspicions.note_full(hop.target, now=self._read_clock())
+                self._suspicions.record_saturated(hop.target, now=self._read_clock())
--- a/packages/router/fulmarward_router/exchange/_path_finder.py
+++ b/packages/router/fulmarward_router/exchange/_path_finder.py
@@ -16,7 +16,7 @@
     StageIndex,
     compute_preference,
 )
-from fulmarward_core.suspicion import ROOM_PART, SuspicionTable
+from fulmarward_core.suspicion import ROOM_SHARE, SuspicionTable
 
 _NO_LOAD = TargetLoad()
 _IDLE = Occupancy(kv_reserved=0.0, running=0, first_running=0, pace=1.0)
@@ -151,7 +151,7 @@
         kind = engine.kinds[record.kind]
         capacity = count_kv_capacity(engine, kind, len(record.layers))
         load = self._ledger.find_load(target, now=self._read_clock())
-        return load.kv <= capacity * ROOM_PART
+        return load.kv <= capacity * ROOM_SHARE
 
     def has_whole_model(self, service: str, engine: EngineModel) -> bool:
         """Return whether there is a path at all, room aside."""
--- a/packages/router/fulmarward_router/exchange/_plain.py
+++ b/packages/router/fulmarward_router/exchange/_plain.py
@@ -9,8 +9,8 @@
 from fulmarward_core.fleet import TargetRecord
 from fulmarward_core.results import ResultCode
 from fulmarward_router.exchange._context import ServiceContext
+from fulmarward_router.exchange._failure_detector import FailureDetector
 from fulmarward_router.exchange._send import AnswerLost, NotSent
-from fulmarward_router.exchange._watching import LossWatch
 from fulmarward_router.exchange._work import RejectedRequest, Work
 from fulmarward_router.ports import AnswerFacts, TargetCall
 
@@ -40,7 +40,7 @@
 class PlainService:
     """Serves requests of services without engines."""
 
-    def __init__(self, *, context: ServiceContext, watch: LossWatch) -> None:
+    def __init__(self, *, context: ServiceContext, watch: FailureDetector) -> None:
         self._context = context
         self._watch = watch
         self._client = context.client
@@ -160,14 +160,14 @@
                 body = await self._client.read_body(response)
         except NotSent as error:
             self._note_attempt(work, target, "not sent", error)
-            self._watch.note_not_sent(
+            self._watch.record_connect_failure(
                 target.name, is_refused=error.is_refused, cause=repr(error)
             )
             return None
         except (AnswerLost, TimeoutError) as error:
             work.runs += 1
             self._note_attempt(work, target, "answer lost", error)
-            self._suspicions.note_failed(target.name, now=self._read_clock())
+            self._suspicions.record_error(target.name, now=self._read_clock())
             if work.route.may_retry and self._read_clock() < work.deadline:
                 return None
             raise self._make_refusal(work, "the answer was lost") from error
@@ -191,15 +191,15 @@
         if facts.is_not_run:
             self._note_attempt(work, target, f"not run, {status}", None)
             if facts.is_misdirected:
-                self._suspicions.note_lost(target.name, now=now, reason="address")
+                self._suspicions.record_failure(target.name, now=now, reason="address")
             else:
-                self._suspicions.note_full(target.name, now=now)
+                self._suspicions.record_saturated(target.name, now=now)
             return None
         work.runs += 1
         is_own = facts.request_id == work.facts.request_id and facts.is_plain
         if not is_own or not facts.is_signed:
             self._note_attempt(work, target, f"not its answer, {status}", None)
-            self._suspicions.note_failed(target.name, now=now)
+            self._suspicions.record_error(target.name, now=now)
             if work.route.may_retry:
                 return None
             raise RejectedRequest(
@@ -207,9 +207,9 @@
             )
         if status >= 500:
             self._note_attempt(work, target, f"failed, {status}", None)
-            self._suspicions.note_failed(target.name, now=now)
+            self._suspicions.record_error(target.name, now=now)
         else:
-            self._suspicions.note_served(target.name, now=now)
+            self._suspicions.record_success(target.name, now=now)
         headers = self._dialect.select_answer_headers(response.headers)
         return web.Response(status=status, body=body, headers=headers)
 
--- a/packages/router/fulmarward_router/exchange/tests/test_failover.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_failover.py
@@ -5,7 +5,7 @@
 from unittest import mock
 
 from fulmarward_core.suspicion import SuspicionTable
-from fulmarward_router.exchange import LossWatch, _failover
+from fulmarward_router.exchange import FailureDetector, _failover
 from fulmarward_router.exchange._attempt import Attempt
 from fulmarward_router.exchange._failover import StreamSupervisor
 
@@ -78,7 +78,7 @@
         # lost", or led around, though its target had served it all the time.
         self.supervisor.note_heard(self.attempt)
         self.now += 0.01
-        self.suspicions.note_lost("first", now=self.now)
+        self.suspicions.record_failure("first", now=self.now)
         self.assertEqual(self._list_lost(), ["first"], "nothing came after that")
         self.now += 0.03
         self.supervisor.note_heard(self.attempt)
@@ -86,18 +86,18 @@
         self.assertEqual(self._list_lost(), [])
         self.supervisor._probe_unsure(self.attempt, self.now)
         self.watch.probe.assert_called_once_with(["first"])
-        self.suspicions.note_lost("first", now=self.now)
+        self.suspicions.record_failure("first", now=self.now)
         self.assertEqual(self._list_lost(), ["first"], "asked, and silent")
 
     def test_watch_asks_a_lost_target_that_a_stream_speaks_against(self):
-        watch = LossWatch(
+        watch = FailureDetector(
             dialect=None,
             catalogue=mock.Mock(find_target=lambda name: SimpleNamespace(name=name)),
             suspicions=self.suspicions,
             read_clock=lambda: self.now,
             note_change=lambda: None,
         )
-        self.suspicions.note_lost("first", now=self.now)
+        self.suspicions.record_failure("first", now=self.now)
         self.assertEqual(watch._list_due(["first"]), [])
         self.now += 0.03
         self.supervisor.note_heard(self.attempt)
@@ -106,7 +106,7 @@
         self.assertEqual([r.name for r in watch._list_due(["first"])], ["first"])
 
     def test_stream_without_an_event_is_led_around_at_once(self):
-        self.suspicions.note_lost("second", now=99.9)
+        self.suspicions.record_failure("second", now=99.9)
         self.assertEqual(self._list_lost(), ["second"])
         self.supervisor._probe_unsure(self.attempt, self.now)
         self.watch.probe.assert_not_called()
--- a/packages/router/fulmarward_router/exchange/tests/test_watching.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_failure_detector.py
@@ -8,9 +8,9 @@
 from dataclasses import dataclass
 from unittest import mock
 
-from fulmarward_core.silences import PROBE_S
+from fulmarward_core.probing import PROBE_TIMEOUT_S
 from fulmarward_core.suspicion import SuspicionTable
-from fulmarward_router.exchange import LossWatch
+from fulmarward_router.exchange import FailureDetector
 from fulmarward_router.ports import TargetReport
 
 
@@ -45,7 +45,7 @@
 
     async def read_report(self, record, timeout_s):
         # A report is waited for while others are asked: its time-out comes after that.
-        if await self._answer(record, timeout_s, wait_s=2 * PROBE_S):
+        if await self._answer(record, timeout_s, wait_s=2 * PROBE_TIMEOUT_S):
             return TargetReport(layers=None, orders_accepted=0, pace=1.0)
         return None
 
@@ -73,7 +73,7 @@
 
 
 _on_a_calm_loop = mock.patch(
-    "fulmarward_router.exchange._watching._PauseMeter", _CalmMeter
+    "fulmarward_router.exchange._failure_detector._PauseMeter", _CalmMeter
 )
 
 
@@ -90,7 +90,7 @@
         self.table = SuspicionTable()
         self.told = 0
         self.dialect = _Dialect(self.clock, silent)
-        self.watch = LossWatch(
+        self.watch = FailureDetector(
             dialect=self.dialect,
             catalogue=_Catalogue(names),
             suspicions=self.table,
@@ -101,8 +101,8 @@
     def _tell(self):
         self.told += 1
 
-    def list_lost(self):
-        lost = self.table.list_lost(now=self.clock.now)
+    def list_direct_failures(self):
+        lost = self.table.list_direct_failures(now=self.clock.now)
         return "".join(sorted(item.target for item in lost))
 
 
@@ -116,7 +116,7 @@
     table = SuspicionTable() if table is None else table
 
     async def run():
-        watch = LossWatch(
+        watch = FailureDetector(
             dialect=_Dialect(clock, silent),
             catalogue=_Catalogue(),
             suspicions=table,
@@ -127,7 +127,7 @@
         await watch.check(names)
 
     asyncio.run(run())
-    lost = "".join(item.target for item in table.list_lost(now=clock.now))
+    lost = "".join(item.target for item in table.list_direct_failures(now=clock.now))
     return lost, clock.now - 100.0
 
 
@@ -141,7 +141,7 @@
         table = SuspicionTable()
 
         async def run():
-            watch = LossWatch(
+            watch = FailureDetector(
                 dialect=_Dialect(clock, lambda now: "abcd"),
                 catalogue=_Catalogue(),
                 suspicions=table,
@@ -151,7 +151,7 @@
             await asyncio.gather(watch.check("abcdefghij"), watch.check("cdefghijkl"))
 
         asyncio.run(run())
-        found = {item.target for item in table.list_lost(now=clock.now)}
+        found = {item.target for item in table.list_direct_failures(now=clock.now)}
         self.assertEqual(found, set("abcd"))
 
 
@@ -174,14 +174,14 @@
         # keeps its streams, the other is lost here too, and is not told on.
         table = SuspicionTable()
         for name in "ab":
-            table.note_told(name, for_s=2.0, now=100.0)
+            table.record_indirect_failure(name, duration_s=2.0, now=100.0)
         _probe("abcd", lambda now: "b", table)
         found = {
-            n: (table.is_suspect(n, now=100.1), table.is_lost(n, now=100.1))
+            n: (table.is_suspect(n, now=100.1), table.is_unreachable(n, now=100.1))
             for n in "ab"
         }
         self.assertEqual(found, {"a": (False, False), "b": (True, True)})
-        self.assertEqual(table.list_lost(now=100.1), [])
+        self.assertEqual(table.list_direct_failures(now=100.1), [])
 
     def test_single_silent_target_is_lost_at_once(self):
         lost, took_s = _probe("abcd", lambda now: "b")
@@ -206,16 +206,20 @@
             while instance.clock.now < 102.0:
                 instance.watch.probe(names)
                 await instance.watch.check(names)
-                self.assertEqual(instance.list_lost(), "", f"probed: {names}")
-                await instance.watch.ask(_Record("a"))
-                self.assertEqual(instance.list_lost(), "", f"asked, of: {names}")
+                self.assertEqual(
+                    instance.list_direct_failures(), "", f"probed: {names}"
+                )
+                await instance.watch.fetch_report(_Record("a"))
+                self.assertEqual(
+                    instance.list_direct_failures(), "", f"asked, of: {names}"
+                )
                 instance.clock.now += 0.012
             self.assertEqual(instance.told, 0)
 
     async def test_target_that_gives_no_report_while_others_answer_is_lost(self):
         instance = _Instance(lambda now: "a")
-        await instance.watch.ask(_Record("a"))
-        self.assertEqual(instance.list_lost(), "a")
+        await instance.watch.fetch_report(_Record("a"))
+        self.assertEqual(instance.list_direct_failures(), "a")
         self.assertLess(instance.clock.now - 100.0, 0.36)
 
     async def test_loss_is_found_once_others_are_heard_again(self):
@@ -227,26 +231,26 @@
             instance.watch.probe("abcd")
             await instance.watch.check("abcd")
             instance.clock.now += 0.012
-        self.assertEqual(instance.list_lost(), "a")
+        self.assertEqual(instance.list_direct_failures(), "a")
 
     async def test_single_target_is_lost_beside_others_as_quickly(self):
         # A peer told of it, so that nobody else of its path is asked.
         instance = _Instance(lambda now: "a")
         instance.watch.probe("a")
         await instance.watch.check("a")
-        self.assertEqual(instance.list_lost(), "a")
+        self.assertEqual(instance.list_direct_failures(), "a")
         self.assertLess(instance.clock.now - 100.0, 0.04)
 
     async def test_lost_target_is_not_left_out_for_longer_by_one_that_hears_nobody(
         self,
     ):
         instance = _Instance(_hear_nobody_until(110.0))
-        instance.table.note_lost("a", now=instance.clock.now)
+        instance.table.record_failure("a", now=instance.clock.now)
         instance.clock.now += 1.5
         task = asyncio.create_task(instance.watch.run())
         await asyncio.sleep(0.5)
         task.cancel()
-        self.assertFalse(instance.table.is_lost("a", now=102.1))
+        self.assertFalse(instance.table.is_unreachable("a", now=102.1))
 
     async def test_nobody_is_asked_for_a_moment_after_nobody_was_heard(self):
         # Each probe is paid for, and one more on a link that is full. Without a pause
@@ -258,7 +262,9 @@
         for later_s, is_asked in ((0.0, False), (0.2, False), (0.26, True)):
             instance.clock.now = silent_at + later_s
             instance.watch.probe("abcd")
-            instance.watch.note_not_sent("e", is_refused=False, cause="time-out")
+            instance.watch.record_connect_failure(
+                "e", is_refused=False, cause="time-out"
+            )
             await instance.watch.check("abcde")
             with self.subTest(later_s=later_s):
                 self.assertEqual(len(instance.dialect.asked) > count, is_asked)
@@ -271,16 +277,20 @@
         # a peer tells of the loss, and the probe's end took that word away: for two
         # seconds new requests were sent to a target that was dead.
         instance = _Instance(lambda now: "b")
-        instance.table.note_told("c", for_s=2.0, now=99.9)
+        instance.table.record_indirect_failure("c", duration_s=2.0, now=99.9)
         instance.watch.probe("abc")
         while instance.clock.now == 100.0:
             await asyncio.sleep(0)
-        instance.table.note_told("a", for_s=2.0, now=instance.clock.now)
+        instance.table.record_indirect_failure(
+            "a", duration_s=2.0, now=instance.clock.now
+        )
         await instance.watch.check("abc")
         now = instance.clock.now
-        self.assertEqual(instance.list_lost(), "b")
-        self.assertTrue(instance.table.is_told("a", now=now), "said after the answer")
-        self.assertFalse(instance.table.is_told("c", now=now), "said before it")
+        self.assertEqual(instance.list_direct_failures(), "b")
+        self.assertTrue(
+            instance.table.is_indirect("a", now=now), "said after the answer"
+        )
+        self.assertFalse(instance.table.is_indirect("c", now=now), "said before it")
 
 
 @_on_a_calm_loop
@@ -296,13 +306,15 @@
             instance = _Instance(lambda now: "a", names="abcdefgh")
             for name in "bcdefgh":
                 if reason == "told":
-                    instance.table.note_told(name, for_s=2.0, now=100.0)
+                    instance.table.record_indirect_failure(
+                        name, duration_s=2.0, now=100.0
+                    )
                 else:
-                    instance.table.note_full(name, now=100.0)
+                    instance.table.record_saturated(name, now=100.0)
             instance.watch.probe("a")
             await instance.watch.check("a")
             with self.subTest(reason):
-                self.assertEqual(instance.list_lost(), "a")
+                self.assertEqual(instance.list_direct_failures(), "a")
 
 
 class _Answer(socketserver.StreamRequestHandler):
@@ -399,7 +411,7 @@
         table = SuspicionTable()
         with _serve_targets(is_dead=is_dead) as server:
             dialect = _PausedDialect(server, time.monotonic() + until_s)
-            watch = LossWatch(
+            watch = FailureDetector(
                 dialect=dialect,
                 catalogue=_Catalogue("abcd"),
                 suspicions=table,
@@ -408,7 +420,7 @@
             )
             watch.probe("abcd")
             await watch.check("abcd")
-        lost = table.list_lost(now=time.monotonic())
+        lost = table.list_direct_failures(now=time.monotonic())
         return [item.target for item in lost], dialect.asked
 
 
@@ -425,17 +437,21 @@
         instance.watch.probe("a")
         await instance.watch.check("a")
         instance.clock.now = 100.45
-        instance.watch.note_not_sent("a", is_refused=False, cause="time-out")
+        instance.watch.record_connect_failure("a", is_refused=False, cause="time-out")
         await instance.watch.check("a")
-        self.assertEqual(instance.list_lost(), "a")
+        self.assertEqual(instance.list_direct_failures(), "a")
 
     async def test_many_failures_in_one_moment_make_one_probe(self):
         instance = _Instance(lambda now: "")
         for _ in range(5):
-            instance.watch.note_not_sent("a", is_refused=False, cause="time-out")
+            instance.watch.record_connect_failure(
+                "a", is_refused=False, cause="time-out"
+            )
         await asyncio.sleep(0)
         for _ in range(5):
-            instance.watch.note_not_sent("a", is_refused=False, cause="time-out")
+            instance.watch.record_connect_failure(
+                "a", is_refused=False, cause="time-out"
+            )
         await instance.watch.check("a")
         asked = [name for name, _ in instance.dialect.asked]
         self.assertEqual(asked.count("a"), 1)
@@ -460,6 +476,6 @@
     async def test_target_whose_report_alone_is_missing_is_not_lost(self):
         silences = iter("a")
         instance = _Instance(lambda now: next(silences, ""))
-        report = await instance.watch.ask(_Record("a"))
+        report = await instance.watch.fetch_report(_Record("a"))
         self.assertIsNone(report)
-        self.assertEqual(instance.list_lost(), "")
+        self.assertEqual(instance.list_direct_failures(), "")
--- a/packages/router/fulmarward_router/placement/_placer.py
+++ b/packages/router/fulmarward_router/placement/_placer.py
@@ -160,7 +160,7 @@
         records = [
             record
             for record in present
-            if not self._suspicions.is_lost(record.name, now=now)
+            if not self._suspicions.is_unreachable(record.name, now=now)
             and not self._is_told_empty(record, now)
             and record.name not in unseen
         ]
@@ -190,7 +190,7 @@
     def _is_told_empty(self, record: TargetRecord, now: float) -> bool:
         """Return whether a target holds nothing, and does not answer by a word."""
         is_empty = record.layers is None and record.name not in self._pending
-        return is_empty and self._suspicions.is_told(record.name, now=now)
+        return is_empty and self._suspicions.is_indirect(record.name, now=now)
 
     async def _look(self, service: str, engine: EngineModel) -> None:
         now = self._read_clock()
@@ -215,7 +215,9 @@
             orders = plan_repairs(engine, targets, pending, instances=instances)
             by_name = {target.name: target for target in targets}
             # Those that do not answer may be back.
-            lost = [r for r in present if self._suspicions.is_lost(r.name, now=now)]
+            lost = [
+                r for r in present if self._suspicions.is_unreachable(r.name, now=now)
+            ]
             orders = [
                 order
                 for order in orders
@@ -262,7 +264,7 @@
             told = [
                 item.target.name
                 for item in near
-                if self._suspicions.is_told(item.target.name, now=now)
+                if self._suspicions.is_indirect(item.target.name, now=now)
             ]
             sure = [item.layers for item in near if item.target.name not in told]
             missing = find_gaps(engine.layers, sure)
--- a/packages/router/fulmarward_router/placement/tests/test_placer.py
+++ b/packages/router/fulmarward_router/placement/tests/test_placer.py
@@ -9,7 +9,7 @@
 from fulmarward_core.layers import plan_layers
 from fulmarward_core.layers.tests.fleets import ENGINE, make_fleet
 from fulmarward_core.suspicion import SuspicionTable
-from fulmarward_router.exchange import LossWatch
+from fulmarward_router.exchange import FailureDetector
 from fulmarward_router.placement import Placer
 from fulmarward_router.ports import OrderOutcome, OrderResult, TargetReport
 
@@ -130,7 +130,7 @@
         self.dialect = _Dialect(silent, hears)
         catalogue = TargetCatalogue()
         catalogue.take_all(_list_rows(fleet), 1, now=read_clock())
-        self.watch = LossWatch(
+        self.watch = FailureDetector(
             dialect=self.dialect,
             catalogue=catalogue,
             suspicions=self.table,
@@ -188,7 +188,7 @@
     def beat(instance):
         for name in names:
             now = instance.read_clock()
-            instance.table.note_told(name, for_s=2.0, now=now)
+            instance.table.record_indirect_failure(name, duration_s=2.0, now=now)
 
     return beat
 
@@ -225,7 +225,7 @@
         # A target that answers with failures is there, and holds what it holds; it is
         # left out for three seconds, and a target that moves is away for longer.
         def beat(instance):
-            instance.table.note_failed("a-large-4", now=instance.read_clock())
+            instance.table.record_error("a-large-4", now=instance.read_clock())
 
         self.assertEqual(_run(_SPARE, beat).list_orders(), [])
 
@@ -260,7 +260,7 @@
         def beat(instance):
             after_s = instance.read_clock() - instance.began_at
             if after_s < 0.2 or 4.6 < after_s < 5.0:
-                instance.table.note_lost("a-small-0", now=instance.read_clock())
+                instance.table.record_failure("a-small-0", now=instance.read_clock())
 
         self.assertEqual(_run(_TIGHT, beat, seconds=6.5).list_orders(), [])
 
--- a/packages/router/fulmarward_router/state/_knowledge.py
+++ b/packages/router/fulmarward_router/state/_knowledge.py
@@ -110,7 +110,7 @@
         loads = _report_loads(self._ledger.list_own() if has_loads else {})
         losses = tuple(
             FailureReport(target=item.target, for_ms=int((item.until - now) * 1000))
-            for item in self._suspicions.list_lost(now=now)
+            for item in self._suspicions.list_direct_failures(now=now)
         )
         return Heartbeat(
             sender=self._own,
@@ -348,7 +348,7 @@
             included=self._list_included(),
             losses=tuple(
                 FailureReport(target=item.target, for_ms=int((item.until - now) * 1000))
-                for item in self._suspicions.list_reported(now=now)
+                for item in self._suspicions.list_indirect_failures(now=now)
             ),
             refusing=tuple(self._suspicions.refusals.list_all(now=now)),
         )
@@ -382,10 +382,10 @@
         self, losses: Iterable[FailureReport], source: str, now: float
     ) -> None:
         for loss in losses:
-            if self._suspicions.note_told(
-                loss.target, for_s=loss.for_ms / 1000, now=now
+            if self._suspicions.record_indirect_failure(
+                loss.target, duration_s=loss.for_ms / 1000, now=now
             ):
-                log_event("target_lost", target=loss.target, source=source)
+                log_event("target_unreachable", target=loss.target, source=source)
 
     def answer(self, fetch: Fetch) -> Answer | None:
         """Return the answer to a peer's fetch, `None` if there is none."""
--- a/packages/router/fulmarward_router/state/_target_news.py
+++ b/packages/router/fulmarward_router/state/_target_news.py
@@ -40,7 +40,7 @@
         known = self._started_ms.get(row.name)
         self._started_ms[row.name] = record.started_ms
         if known is None or known != record.started_ms:
-            self._suspicions.note_restarted(row.name)
+            self._suspicions.record_restart(row.name)
             log_event(
                 "target_known",
                 target=row.name,
--- a/packages/router/fulmarward_router/tests/test_knowledge.py
+++ b/packages/router/fulmarward_router/tests/test_knowledge.py
@@ -255,9 +255,9 @@
         self.assertAlmostEqual(self.two.configuration.confirmed_at, 99.0, places=2)
 
     def test_loss_of_a_target_is_told_once_and_not_told_on(self):
-        self.one.suspicions.note_lost("t", now=100.0)
+        self.one.suspicions.record_failure("t", now=100.0)
         self.two.hear(self.one)
-        self.assertTrue(self.two.suspicions.is_told("t", now=100.1))
+        self.assertTrue(self.two.suspicions.is_indirect("t", now=100.1))
         self.assertTrue(self.two.suspicions.is_suspect("t", now=100.1))
         self.assertEqual(self.two.knowledge.make_heartbeat().losses, ())
 
--- a/packages/router/fulmarward_router/tests/test_subscriptions.py
+++ b/packages/router/fulmarward_router/tests/test_subscriptions.py
@@ -218,14 +218,16 @@
 
     def test_what_one_member_lost_is_left_out_by_all(self):
         centre = _Centre()
-        centre.peers["m05"].suspicions.note_lost("t", now=centre.peers["m05"].now)
+        centre.peers["m05"].suspicions.record_failure("t", now=centre.peers["m05"].now)
         centre.play_round()
         centre.play_round()
         for name in _MEMBERS:
             peer = centre.peers[name]
             self.assertTrue(peer.suspicions.is_suspect("t", now=peer.now))
             # Only what is seen counts against what runs there.
-            self.assertEqual(peer.suspicions.is_lost("t", now=peer.now), name == "m05")
+            self.assertEqual(
+                peer.suspicions.is_unreachable("t", now=peer.now), name == "m05"
+            )
 
     def test_change_of_a_target_reaches_all_without_being_asked_for(self):
         """Guards against a fetch by each subscriber for each change."""
