--- a/packages/core/fulmarward_core/catalogue/_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/_catalogue.py
@@ -9,26 +9,21 @@
 
 from fulmarward_core.fleet import TargetRecord
 
-#: Seconds after the store's return in which targets whose rows lapsed meanwhile write
-#: them again. Load: an outage longer than three heartbeats; harm: every target counts
-#: as gone at once and every request is refused; reason: live targets are back within
-#: two seconds, and a leaving one may be sent work for that long in any case.
-RETURN_S = 1.9
+#: Seconds after the store's return in which targets whose rows expired meanwhile write
+#: them again.
+RETURN_DURATION_S = 1.9
 
-#: Seconds without any news, of the store or of a peer, after which rows may have lapsed
-#: though their targets live. Load: rows live for three heartbeats of 1.2 s; harm: with
-#: less, a target that left while one reading failed is sent work for longer than the
-#: two seconds in which it still serves; reason: well under the life of a row.
-OUTAGE_S = 2.0
+#: Seconds without a confirmation, by the store or a peer, after which rows may have
+#: expired although their targets live; less than the life of a row.
+EXPIRY_AGE_S = 2.0
 
-#: Seconds without any news, after which a target may have begun to leave unseen.
-#: Reason: over twice the pause between two readings, and a heartbeat.
-BEHIND_S = 1.2
+#: Seconds without a confirmation after which a target may have begun to leave unseen;
+#: over two readings and a heartbeat.
+STALE_AGE_S = 1.2
 
-#: Seconds for which the row of a target that is gone is remembered. Harm: a peer that
-#: is behind brings it back; reason: no news is older than a partition of half a minute
-#: that did not end in a full read.
-_REMEMBER_S = 60.0
+#: Seconds for which the row of a target that is gone is remembered. Guards against a
+#: peer with an older catalogue that brings it back.
+_TOMBSTONE_DURATION_S = 60.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -56,7 +51,7 @@
         self._changed: dict[str, int] = {}
         #: Records of targets whose rows went while the store was out.
         self._lapsed: dict[str, tuple[TargetRecord, float]] = {}
-        #: When news came again after nobody had any for `OUTAGE_S`.
+        #: When news came again after nobody had any for `EXPIRY_AGE_S`.
         self._regained_at = float("-inf")
         self._known_at = float("-inf")
         #: The store's version up to which every change is known.
@@ -91,11 +86,11 @@
         the store's return.
         """
         since = max(self._regained_at, self._known_at)
-        return now - since < RETURN_S or now - self.confirmed_at > OUTAGE_S
+        return now - since < RETURN_DURATION_S or now - self.confirmed_at > EXPIRY_AGE_S
 
     def may_lack_leaving(self, *, now: float) -> bool:
         """Return whether targets may be leaving without its being known here."""
-        return now - self.confirmed_at > BEHIND_S
+        return now - self.confirmed_at > STALE_AGE_S
 
     def take_all(self, rows: Iterable[KnownRow], version: int, *, now: float) -> None:
         """Take in a full reading of the table: rows that it lacks are gone."""
@@ -147,7 +142,7 @@
         """Note when the store, here or for a peer, last told what there is."""
         if at <= self.confirmed_at:
             return
-        if self.confirmed_at > float("-inf") and at - self.confirmed_at > OUTAGE_S:
+        if self.confirmed_at > float("-inf") and at - self.confirmed_at > EXPIRY_AGE_S:
             self._regained_at = at
         self.confirmed_at = at
 
@@ -170,13 +165,16 @@
 
     def _may_return(self, now: float) -> bool:
         """Whether a row that goes now may have lapsed while the store was out."""
-        return now - self._regained_at < RETURN_S
+        return now - self._regained_at < RETURN_DURATION_S
 
     def list_targets(self, *, now: float) -> list[TargetRecord]:
         """Return the targets that may be there, leaving ones included."""
         records = [row.record for row in self._rows.values() if row.record is not None]
         for name, (record, gone_at) in list(self._lapsed.items()):
-            if now - self._regained_at >= RETURN_S or now - gone_at >= RETURN_S:
+            if (
+                now - self._regained_at >= RETURN_DURATION_S
+                or now - gone_at >= RETURN_DURATION_S
+            ):
                 del self._lapsed[name]
                 self.revision += 1
             else:
@@ -212,7 +210,7 @@
 
     def _forget(self, now: float) -> None:
         for name, row in list(self._rows.items()):
-            if row.value is None and now - row.heard_at > _REMEMBER_S:
+            if row.value is None and now - row.heard_at > _TOMBSTONE_DURATION_S:
                 del self._rows[name], self._changed[name]
 
 
--- a/packages/core/fulmarward_core/catalogue/tests/test_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/tests/test_catalogue.py
@@ -3,7 +3,7 @@
 
 from hypothesis import given, settings, strategies as st
 
-from fulmarward_core.catalogue import RETURN_S, KnownRow, TargetCatalogue
+from fulmarward_core.catalogue import RETURN_DURATION_S, KnownRow, TargetCatalogue
 from fulmarward_core.layers.tests.fleets import make_target
 
 
@@ -66,7 +66,7 @@
         self.assertEqual(_list_names(catalogue, 15.2), ["a", "b"])
         self.assertTrue(catalogue.may_be_short(now=15.2))
         catalogue.take_changes([_make_row("a", 5)], 5, now=16.0)
-        self.assertEqual(_list_names(catalogue, 15.1 + RETURN_S + 0.1), ["a"])
+        self.assertEqual(_list_names(catalogue, 15.1 + RETURN_DURATION_S + 0.1), ["a"])
 
     def test_target_that_leaves_while_one_reading_fails_is_gone_at_once(self):
         # One instance is turned away by the store for a while and hears by a peer
--- a/packages/core/fulmarward_core/leases/_types.py
+++ b/packages/core/fulmarward_core/leases/_types.py
@@ -24,11 +24,12 @@
 
 @dataclass(frozen=True, kw_only=True)
 class LeaseTerms:
-    """How long a lease lasts. Load: holders that pause and clocks that drift.
+    """How long a lease lasts.
 
-    Harm: two holders at once. Reason: a holder counts from before it asked and stops
-    early, a successor counts from after it saw the row and waits longer, so that their
-    times do not meet while two clocks drift apart by less than `drift`.
+    Guards against two holders at once, by pauses or clocks that drift: a holder counts
+    from before it asked and stops early, a successor counts from after it saw the row
+    and waits longer. Their times do not meet while two clocks drift apart by less than
+    `drift`.
     """
 
     #: Seconds from the asking.
--- a/packages/core/fulmarward_core/leases/decisions.py
+++ b/packages/core/fulmarward_core/leases/decisions.py
@@ -16,13 +16,12 @@
     StoreOut,
 )
 
-#: Part of the held time after which a holder renews. Harm: one slow reply costs the
-#: lease; reason: two more tries fit in.
+#: Share of the term after which a holder renews: two more tries fit in.
 RENEW_AT = 1 / 3
 
-#: Writes of one instance that are remembered. Harm: memory that grows in an outage;
-#: reason: older ones lie so far back that their lease has lapsed.
-MOST_ASKED = 8
+#: Upper bound on the writes of one instance that are remembered; the leases of older
+#: ones have lapsed.
+MAX_REMEMBERED_WRITES = 8
 
 
 class StepKind(Enum):
@@ -56,11 +55,10 @@
     return now < state.held_until
 
 
-#: Seconds after a lease lapsed in which its holder may still learn that nobody reaches
-#: the store. Load: instances notice an outage one after the other, within 2.5 s of its
-#: beginning; harm: with more, one that lost its lease for a reason of its own takes a
-#: later outage for its cause and orders beside its successor.
-NOTICE_S = 2.0
+#: Seconds after its lease lapsed in which a holder may still learn that nobody reaches
+#: the store: instances notice an outage one after the other. Later, the outage is not
+#: what ended its lease.
+OUTAGE_NOTICE_S = 2.0
 
 
 def take_store_state(state: LeaseState, *, is_out: bool, now: float) -> LeaseState:
@@ -68,7 +66,7 @@
 
     A lease that lapses while the store answers others is another's to take.
     """
-    if is_out or not state.is_last_holder or now < state.held_until + NOTICE_S:
+    if is_out or not state.is_last_holder or now < state.held_until + OUTAGE_NOTICE_S:
         return state
     return replace(state, is_last_holder=False)
 
@@ -76,12 +74,11 @@
 def may_order_in_outage(state: LeaseState) -> bool:
     """Return whether this instance may go on ordering while nobody reaches the store.
 
-    Load: the store is out for 4 to 9 s, and engines leave or crash meanwhile; harm: the
-    lease lapses after three seconds, nobody can take it, and data centres stay without
-    a whole model until some seconds after the store's return; reason: the lease changes
-    hands in the store only, so the last holder is still the only one. Whether nobody
-    reaches the store is for the caller to know, and one that is wrong about it sends
-    the fencing number of its lapsed lease, which is lower than a successor's.
+    Guards against data centres that stay without a whole model during an outage of the
+    store, when nobody can take the lease. It changes hands in the store only, so that
+    the last holder is still the only one. The caller knows whether nobody reaches the
+    store; one that is wrong about it sends the fencing number of its lapsed lease,
+    which is lower than a successor's.
     """
     return state.is_last_holder
 
@@ -162,7 +159,7 @@
             state, asked_at={}, held_until=float("-inf"), is_last_holder=False
         )
     asked = {**state.asked_at, step.lease.token: now}
-    return replace(state, asked_at=dict(list(asked.items())[-MOST_ASKED:]))
+    return replace(state, asked_at=dict(list(asked.items())[-MAX_REMEMBERED_WRITES:]))
 
 
 def drop_hold(state: LeaseState) -> LeaseState:
--- a/packages/core/fulmarward_core/paces/_table.py
+++ b/packages/core/fulmarward_core/paces/_table.py
@@ -2,26 +2,20 @@
 
 from dataclasses import dataclass
 
-#: Factor from which a target counts as slow. Harm: paths that change for nothing;
-#: reason: a report is rounded and some hundred ms old.
-LEAST_SLOW = 1.2
-
-#: Seconds for which a report counts. Load: a target that is sound again; harm: it is
-#: left out for longer than it is slow; reason: reports are read twice in that time.
-PACE_S = 2.5
-
-#: Part of the longest pause that an answer may have, from which the mean of a stream's
-#: last pauses shows that a target on its path is slow. Load: targets that take twelve
-#: times as long; harm: with less, each crowd is taken for it and all reports are read;
-#: reason: streams pause for 35 to 60 ms of the 200 to 250 that they may.
-SLOW_PAUSE_PART = 0.4
-
-#: The same for the wait for the first event, as a part of its objective. Reason: first
-#: events come after 60 to 100 ms of 500.
-SLOW_FIRST_PART = 0.6
-
-#: Weight of the newest pause in the mean. Harm: one long pause, as over a lost target,
-#: is taken for slowness; reason: four or five pauses count.
+#: Slowdown from which a target counts as slow; reports are rounded and lag.
+MIN_SLOWDOWN = 1.2
+
+#: Seconds for which a report holds; reports are read twice in that time.
+REPORT_DURATION_S = 2.5
+
+#: Share of the pause that callers accept, from which the mean of a stream's last pauses
+#: suggests that a target on its path is slow. A busy target takes less.
+SLOW_PAUSE_SHARE = 0.4
+
+#: The same for the wait for the first event, as a share of its objective.
+SLOW_FIRST_SHARE = 0.6
+
+#: Weight of the newest pause in the mean, so that one long pause is no slowness.
 _PAUSE_WEIGHT = 0.25
 
 
@@ -49,26 +43,26 @@
         known = self._paces.get(target)
         if known is not None and known.at >= at:
             return False
-        was_slow = known is not None and known.factor >= LEAST_SLOW
+        was_slow = known is not None and known.factor >= MIN_SLOWDOWN
         self._paces[target] = Pace(factor=factor, at=at)
-        return was_slow != (factor >= LEAST_SLOW)
+        return was_slow != (factor >= MIN_SLOWDOWN)
 
     def find(self, target: str, *, now: float) -> float:
         """Return the factor on a target's times; 1 when it is not known as slow."""
         known = self._paces.get(target)
-        if known is None or now - known.at > PACE_S:
+        if known is None or now - known.at > REPORT_DURATION_S:
             return 1.0
         return max(1.0, known.factor)
 
     def list_slow(self, *, now: float) -> dict[str, Pace]:
         """Return the targets that are slow, for peers; forget old reports."""
         for name, pace in list(self._paces.items()):
-            if now - pace.at > PACE_S:
+            if now - pace.at > REPORT_DURATION_S:
                 del self._paces[name]
         return {
             name: pace
             for name, pace in self._paces.items()
-            if pace.factor >= LEAST_SLOW
+            if pace.factor >= MIN_SLOWDOWN
         }
 
 
@@ -95,6 +89,6 @@
         and `pause_s` are what the route allows for the first event and between events.
         """
         if not has_begun:
-            return silent_s > objective_s * SLOW_FIRST_PART
+            return silent_s > objective_s * SLOW_FIRST_SHARE
         mean_s = self._mean_pause_s
-        return mean_s is not None and mean_s > pause_s * SLOW_PAUSE_PART
+        return mean_s is not None and mean_s > pause_s * SLOW_PAUSE_SHARE
--- a/packages/core/fulmarward_core/paces/tests/test_table.py
+++ b/packages/core/fulmarward_core/paces/tests/test_table.py
@@ -1,6 +1,6 @@
 import unittest
 
-from fulmarward_core.paces import PACE_S, PaceTable, SlowSigns
+from fulmarward_core.paces import REPORT_DURATION_S, PaceTable, SlowSigns
 
 
 class PaceTableTest(unittest.TestCase):
@@ -17,8 +17,8 @@
         table = PaceTable()
         table.note("t", 12.0, at=1.0)
         self.assertEqual(set(table.list_slow(now=1.1)), {"t"})
-        self.assertEqual(table.find("t", now=1.1 + PACE_S), 1.0)
-        self.assertEqual(table.list_slow(now=1.1 + PACE_S), {})
+        self.assertEqual(table.find("t", now=1.1 + REPORT_DURATION_S), 1.0)
+        self.assertEqual(table.list_slow(now=1.1 + REPORT_DURATION_S), {})
 
     def test_fast_report_makes_no_target_faster(self):
         table = PaceTable()
--- a/packages/router/fulmarward_router/exchange/_plain.py
+++ b/packages/router/fulmarward_router/exchange/_plain.py
@@ -14,23 +14,19 @@
 from fulmarward_router.exchange._work import RejectedRequest, Work
 from fulmarward_router.ports import AnswerFacts, TargetCall
 
-#: Requests that a target is given at once, as a multiple of its slots. Load: bursts
-#: of work of about 20 ms with an objective of 100 ms; harm: what waits longer than
-#: that comes late, and a refused caller could have gone elsewhere; reason: three wait
-#: about 40 ms behind each slot.
-MOST_FILL = 3
-
-#: Part of the objective for which a request waits for a place before it is refused.
-PATIENCE = 0.12
-
-#: Seconds after which a request that may be retried is given up at one target and
-#: sent to another. Load: targets that hang while their health is good; harm: callers
-#: wait for a second; reason: over 10 times the usual work, so that a slow target is
-#: left alone, and early enough to be served within the deadline.
-GIVE_UP_S = 0.35
-
-#: Seconds after which a refused caller should come back: the usual work of what waits.
-FULL_RETRY_S = 0.3
+#: Requests that a target is given at once, as a multiple of its slots. More would wait
+#: there beyond their objective.
+MAX_FILL = 3
+
+#: Share of the objective for which a request waits for a place before it is rejected.
+SATURATED_TIMEOUT_SHARE = 0.12
+
+#: Seconds after which an attempt that may be retried is abandoned, for targets that
+#: hang while their health is good.
+ATTEMPT_TIMEOUT_S = 0.35
+
+#: Seconds after which a rejected caller should return: the usual work of what waits.
+SATURATED_RETRY_S = 0.3
 ABSENT_RETRY_S = 1.0
 
 #: Seconds that another data centre counts against a target, in requests per slot.
@@ -76,13 +72,15 @@
                 raise self._make_refusal(work, "no more attempts")
 
     def _make_refusal(self, work: Work, cause: str) -> RejectedRequest:
-        return self._context.make_refusal(work, cause=cause, retry_after_s=FULL_RETRY_S)
+        return self._context.make_refusal(
+            work, cause=cause, retry_after_s=SATURATED_RETRY_S
+        )
 
     async def _find_place(
         self, work: Work, tried: set[str], last_failure: web.Response | None
     ) -> TargetRecord | None:
         """Return the target to send to, waiting a little for a place."""
-        patience_s = work.route.objective_s * PATIENCE
+        patience_s = work.route.objective_s * SATURATED_TIMEOUT_SHARE
         until = self._read_clock() + patience_s
         while True:
             now = self._read_clock()
@@ -103,7 +101,7 @@
                 if work.runs > 0:
                     raise self._make_refusal(work, "others are full")
                 raise RejectedRequest(
-                    ResultCode.QUEUE_FULL, cause="full", retry_after_s=FULL_RETRY_S
+                    ResultCode.QUEUE_FULL, cause="full", retry_after_s=SATURATED_RETRY_S
                 )
             await asyncio.sleep(patience_s / 4)
 
@@ -128,7 +126,7 @@
 
         def has_place(record: TargetRecord) -> bool:
             load = loads.get(record.name)
-            return load is None or load.running < record.slots * MOST_FILL
+            return load is None or load.running < record.slots * MAX_FILL
 
         free = [record for record in usable if has_place(record)]
         if not free:
@@ -152,7 +150,7 @@
         )
         limit = work.deadline
         if may_run_again(work.make_tally(), now=now):
-            limit = min(limit, now + GIVE_UP_S)
+            limit = min(limit, now + ATTEMPT_TIMEOUT_S)
         response = None
         try:
             async with asyncio.timeout(max(0.0, limit - now)):
--- a/packages/router/fulmarward_router/exchange/_send.py
+++ b/packages/router/fulmarward_router/exchange/_send.py
@@ -17,10 +17,9 @@
 from fulmarward_router.exchange._work import Work
 from fulmarward_router.ports import TargetCall, TargetDialect
 
-#: Seconds for a connection to a target. Load: links that lose packets repeat the first
-#: one after a second, and dark targets never answer; harm: a caller waits for a dead
-#: target; reason: delays are under 1 ms, so an answer comes at once or not at all.
-CONNECT_S = 0.35
+#: Seconds for a connection to a target. Delays are under 1 ms, but a lost first packet
+#: is repeated after a second only.
+CONNECT_TIMEOUT_S = 0.35
 
 _SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
@@ -65,7 +64,7 @@
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
-        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_S),
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
     )
 
 
--- a/packages/router/fulmarward_router/placement/_placer.py
+++ b/packages/router/fulmarward_router/placement/_placer.py
@@ -23,38 +23,32 @@
 LOOK_S = 0.3
 
 #: Seconds without a new target after which a fleet that holds nothing is planned as
-#: one. Load: targets that start together write their rows over some seconds; harm: a
-#: plan made of the first few leaves gaps for good; reason: a few come in each half
-#: second, and loads before the first request are quick.
-SETTLE_S = 1.3
+#: one. Targets that start together register over some seconds, and a plan of the first
+#: few leaves gaps.
+SETTLE_DURATION_S = 1.3
 #: Seconds after the first target by which the plan is made in any case.
-MOST_SETTLE_S = 7.5
-
-#: Seconds for which an order counts as being carried out before its target's row is
-#: believed again. Reason: a range loads in about a second, and a row is a heartbeat
-#: and a reading old; an order without an answer may be carried out seconds later.
-PENDING_S = 6.0
-
-#: Seconds for which a gap must last before neighbours are given more layers, where a
-#: target that does not answer may be back with them, and where it is gone or leaving.
-#: Load: targets that are dark for some seconds; harm: KV cache given up for the rest of
-#: the day, though it was not needed; reason: other data centres serve meanwhile. A
-#: leaving target serves on for two seconds, in which its neighbours can be ready. A
-#: spare target that moves gives up nothing, and does so at once.
-GAP_S = 3.0
-SURE_GAP_S = 0.3
-
-#: Part of a service's targets that may count as leaving unseen. Load: a peer that does
-#: not hear what others reserved takes full targets for ones with room, and their
-#: refusals for leaving; harm: sound targets are given other layers; reason: beyond
-#: half, the fault is more likely at who tells it.
-MOST_UNSEEN = 0.5
+MAX_SETTLE_DURATION_S = 7.5
+
+#: Seconds for which an order counts as pending before its target's row is believed
+#: again; one without an answer may be carried out seconds later.
+PENDING_DURATION_S = 6.0
+
+#: Seconds for which a gap must last before neighbours are given more layers: where a
+#: target that does not answer may return, and where it is gone or leaving. A leaving
+#: target serves on for two seconds, in which its neighbours can be ready. A spare one
+#: is moved at once, since nothing is given up for it.
+MIN_GAP_DURATION_S = 3.0
+MIN_SURE_GAP_DURATION_S = 0.3
+
+#: Share of a service's targets that may count as leaving without notice. Beyond it the
+#: fault is more likely at the instance that reports it.
+MAX_UNANNOUNCED_SHARE = 0.5
 
 #: Seconds for a target's report before an order.
-REPORT_S = 0.5
+REPORT_TIMEOUT_S = 0.5
 
-#: Orders under way at once.
-MOST_ORDERS = 12
+#: Upper bound on orders in flight.
+MAX_ORDERS_IN_FLIGHT = 12
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -161,7 +155,7 @@
             record
             for record in present
             if not self._suspicions.is_unreachable(record.name, now=now)
-            and not self._is_told_empty(record, now)
+            and not self._is_reported_empty(record, now)
             and record.name not in unseen
         ]
         names = {record.name for record in records}
@@ -183,12 +177,12 @@
             return frozenset()
         refusals = self._suspicions.refusals
         names = [r.name for r in present if refusals.is_refusing(r.name, now=now)]
-        if len(names) > len(present) * MOST_UNSEEN:
+        if len(names) > len(present) * MAX_UNANNOUNCED_SHARE:
             return frozenset()
         return frozenset(names)
 
-    def _is_told_empty(self, record: TargetRecord, now: float) -> bool:
-        """Return whether a target holds nothing, and does not answer by a word."""
+    def _is_reported_empty(self, record: TargetRecord, now: float) -> bool:
+        """Return whether a target holds nothing and is unreachable by report."""
         is_empty = record.layers is None and record.name not in self._pending
         return is_empty and self._suspicions.is_indirect(record.name, now=now)
 
@@ -230,8 +224,8 @@
 
     def _has_settled(self, targets: Sequence[TargetRecord], now: float) -> bool:
         seen = [self._first_seen[target.name] for target in targets]
-        is_quiet = now - max(seen) >= SETTLE_S
-        return is_quiet or now - min(seen) >= MOST_SETTLE_S
+        is_quiet = now - max(seen) >= SETTLE_DURATION_S
+        return is_quiet or now - min(seen) >= MAX_SETTLE_DURATION_S
 
     def _drop_pending(self, targets: Sequence[TargetRecord], now: float) -> None:
         """Forget orders that show in their target's row, lasted too long, or whose
@@ -258,7 +252,9 @@
         The time of a gap begins with the word, so that one that is true costs no more
         for being made sure of.
         """
-        asked = [record.name for record in present if self._is_told_empty(record, now)]
+        asked = [
+            record.name for record in present if self._is_reported_empty(record, now)
+        ]
         for data_centre in {item.target.data_centre for item in held}:
             near = [item for item in held if item.target.data_centre == data_centre]
             told = [
@@ -308,7 +304,11 @@
             if record.data_centre == data_centre and record.layers is not None
         ]
         is_sure = find_gaps(engine.layers, near + doubted) == gaps
-        wait_s = SURE_GAP_S if is_sure or order.reason == "spare" else GAP_S
+        wait_s = (
+            MIN_SURE_GAP_DURATION_S
+            if is_sure or order.reason == "spare"
+            else MIN_GAP_DURATION_S
+        )
         since = self._missing_since.get((target.service, data_centre), {})
         closed = [gap for gap in gaps if _overlap(gap, order.assignment.layers)]
         # One that shifts makes way for others, beside the gap itself.
@@ -322,7 +322,7 @@
         self, targets: Sequence[TargetRecord], orders: Sequence[LayerOrder]
     ) -> None:
         by_name = {target.name: target for target in targets}
-        limit = asyncio.Semaphore(MOST_ORDERS)
+        limit = asyncio.Semaphore(MAX_ORDERS_IN_FLIGHT)
 
         async def send(order: LayerOrder) -> None:
             async with limit:
@@ -341,7 +341,7 @@
         fencing = self._lease.fencing
         self._pending[target.name] = _Pending(
             layers=layers,
-            until=self._read_clock() + PENDING_S,
+            until=self._read_clock() + PENDING_DURATION_S,
             started_ms=target.started_ms,
         )
         result = await self._dialect.order_layers(
@@ -372,7 +372,7 @@
         if target.layers is None and key not in self._ordered:
             self._ordered.add(key)
             return 0
-        report = await self._dialect.read_report(target, REPORT_S)
+        report = await self._dialect.read_report(target, REPORT_TIMEOUT_S)
         return None if report is None else report.orders_accepted
 
     def _take_result(
