--- a/packages/core/fulmarward_core/paths/__init__.py
+++ b/packages/core/fulmarward_core/paths/__init__.py
@@ -1,6 +1,9 @@
 """Through which targets a request runs the layers of its model."""
 
 from fulmarward_core.paths.decisions import (
+    DIRECT_TERMS,
+    HUB_TERMS,
+    FarTerms,
     Hop,
     Occupancy,
     PathRequest,
@@ -12,6 +15,9 @@
 )
 
 __all__ = [
+    "DIRECT_TERMS",
+    "HUB_TERMS",
+    "FarTerms",
     "Hop",
     "Occupancy",
     "PathRequest",
--- a/packages/core/fulmarward_core/paths/decisions.py
+++ b/packages/core/fulmarward_core/paths/decisions.py
@@ -10,6 +10,7 @@
 import hashlib
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
+from itertools import chain, permutations
 
 from fulmarward_core.fleet import AcceleratorKind, EngineModel, LayerRange
 
@@ -17,15 +18,6 @@
 #: are longer than hinted, and for what other instances sent meanwhile.
 PLANNED_KV = 0.9
 
-#: The same for targets of other data centres, whose own instances know sooner what they
-#: send there.
-PLANNED_FAR_KV = 0.7
-
-#: Milliseconds that a first hop outside of the own data centre counts extra. Guards
-#: against all data centres that send to the one with the fastest targets: an answer is
-#: no more in time for being faster, and these targets are full.
-FAR_FIRST_MS = 1000.0
-
 #: How often the pipe's transfer time counts. Transfers queue one after another, and
 #: tokens of running answers wait behind them, so that a path that crosses must be worse
 #: than any load within a data centre.
@@ -91,6 +83,28 @@
     layers: LayerRange
 
 
+@dataclass(frozen=True, kw_only=True)
+class FarTerms:
+    """How a choice weighs targets outside of the own data centre."""
+
+    #: Milliseconds that a first hop there counts extra.
+    first_ms: float
+    #: Share of their KV cache that paths may plan with.
+    planned_kv: float
+    #: Whether a path may cross data centres for being cheaper, not only where none of
+    #: them has a path of its own.
+    may_cross_for_cost: bool
+
+
+#: Terms where every instance hears the loads of all others at once.
+DIRECT_TERMS = FarTerms(first_ms=200.0, planned_kv=PLANNED_KV, may_cross_for_cost=True)
+
+#: Terms where hubs pass on what other data centres send, so that it is known late.
+#: Guards against all data centres that send to the one with the fastest targets: an
+#: answer is no more in time for being faster, and these targets are saturated.
+HUB_TERMS = FarTerms(first_ms=1000.0, planned_kv=0.7, may_cross_for_cost=False)
+
+
 @dataclass(frozen=True, kw_only=True)
 class PathRequest:
     """What a path is wanted for."""
@@ -106,6 +120,10 @@
     avoided: frozenset[str] = frozenset()
     #: Whether it may go on in another data centre than it began in.
     may_cross: bool = True
+    #: Share of the planned KV cache that it may fill.
+    kv_share: float = 1.0
+    #: How targets of other data centres count.
+    far: FarTerms = DIRECT_TERMS
 
 
 def compute_preference(instance: str, target: str) -> float:
@@ -152,14 +170,16 @@
 
 @dataclass(frozen=True, kw_only=True)
 class _Bound:
-    """What a path costs at least while nothing runs, for each token."""
+    """What a path costs at least while nothing runs: for each token, and in all."""
 
     answer_ms: float
     prompt_ms: float
+    hops_ms: float
 
     def estimate_ms(self, request: PathRequest) -> float:
         """Return what a request costs at least, in ms."""
-        return self.answer_ms * request.answer + self.prompt_ms * request.prompt
+        tokens_ms = self.answer_ms * request.answer + self.prompt_ms * request.prompt
+        return tokens_ms + self.hops_ms
 
 
 class StageIndex:
@@ -177,26 +197,36 @@
             held = self._holders[stage.layers.start : stage.layers.end]
             for by_centre in held:
                 by_centre.setdefault(stage.data_centre, []).append(stage)
-        self._bounds = {centre: self._bound(centre) for centre in self._holders[0]}
+        centres = {stage.data_centre for stage in self._stages.values()}
+        self._bounds = {
+            centre: self._bound(frozenset({centre})) for centre in self._holders[0]
+        }
+        self._fleet_bound = self._bound(frozenset(centres))
+        self._min_delay_ms = min(
+            (engine.delays_ms.get(pair, 1.0) for pair in permutations(centres, 2)),
+            default=_INFINITE,
+        )
 
-    def _bound(self, centre: str) -> _Bound:
-        """Return what the best path within a data centre costs at least."""
+    def _bound(self, centres: frozenset[str]) -> _Bound:
+        """Return what the best path within data centres costs at least."""
         layers = self.engine.layers
-        steps, prefills = [0.0] + [_INFINITE] * layers, [0.0] + [_INFINITE] * layers
+        steps, prefills, hops = ([0.0] + [_INFINITE] * layers for _ in range(3))
         for position, holders in enumerate(self._holders):
-            for stage in holders.get(centre, ()):
+            held = chain.from_iterable(holders.get(centre, ()) for centre in centres)
+            for stage in held:
                 end, kind = stage.layers.end, stage.kind
-                step = steps[position] + kind.step_factor * (end - position)
-                if step < steps[end]:
-                    steps[end] = step
-                prefill = prefills[position] + kind.prefill_factor * (end - position)
-                if prefill < prefills[end]:
-                    prefills[end] = prefill
+                width = end - position
+                step = steps[position] + kind.step_factor * width
+                prefill = prefills[position] + kind.prefill_factor * width
+                steps[end] = min(steps[end], step)
+                prefills[end] = min(prefills[end], prefill)
+                hops[end] = min(hops[end], hops[position] + 1)
         step_ms = self.engine.step_ms + self.engine.sequence_ms
         prefill_ms = 1000 / self.engine.prefill_tokens_per_s
         return _Bound(
             answer_ms=step_ms * steps[layers] / layers,
             prompt_ms=prefill_ms * prefills[layers] / layers,
+            hops_ms=HOP_MS * hops[layers],
         )
 
     def choose_path(
@@ -204,9 +234,10 @@
     ) -> tuple[Hop, ...] | None:
         """Return the hops of the cheapest path, or `None` when there is none with room.
 
-        A path within a data centre goes before all that cross: these fill the pipe that
-        all share. A target serves at most one part: having run its layers up to their
-        end, a path is past all that it holds.
+        A target serves at most one part: having run its layers up to their end, a path
+        is past all that it holds. Paths within one data centre are searched first, and
+        those that cross only where none was found or, if the request's terms allow it,
+        where one of them may be cheaper.
         """
         search = _Search(self.engine, request, read)
         first = request.first
@@ -218,10 +249,20 @@
             end = self._search_all(search, first.layers.end, start)
             return None if end is None else _list_hops(end, first)
         end = self._search_within(search)
-        if end is None and request.may_cross:
-            end = self._search_all(search, 0, {request.data_centre: _Reach(0.0)})
+        if request.may_cross and self._may_cross(search, end):
+            start = {request.data_centre: _Reach(0.0)}
+            end = self._search_all(search, 0, start) or end
         return None if end is None else _list_hops(end, None)
 
+    def _may_cross(self, search: "_Search", end: _Reach | None) -> bool:
+        """Return whether a path that crosses may go before one that was found."""
+        if end is None:
+            return True
+        if not search.request.far.may_cross_for_cost:
+            return False
+        crossing_ms = search.estimate_crossing_ms(self._min_delay_ms)
+        return self._fleet_bound.estimate_ms(search.request) + crossing_ms < end.cost
+
     def _search_within(self, search: "_Search") -> _Reach | None:
         """Return the end of the cheapest path that stays in one data centre."""
         request, best = search.request, None
@@ -230,7 +271,7 @@
             key=lambda centre: (centre != request.data_centre, centre),
         )
         for centre in centres:
-            far_ms = 0.0 if centre == request.data_centre else FAR_FIRST_MS
+            far_ms = 0.0 if centre == request.data_centre else request.far.first_ms
             least_ms = far_ms + self._bounds[centre].estimate_ms(request)
             if best is not None and least_ms >= best.cost:
                 continue
@@ -335,7 +376,7 @@
             moving = 0.0
             if origin != centre:
                 if is_beginning:
-                    moving = FAR_FIRST_MS
+                    moving = self.request.far.first_ms
                 elif not self.request.may_cross:
                     continue
                 else:
@@ -348,13 +389,17 @@
         """Return what it costs to go on in another data centre, in ms."""
         pair = before, after
         if pair not in self._moving_ms:
-            engine, request = self._engine, self.request
-            delay = engine.delays_ms.get(pair, 1.0)
-            bits = request.prompt * engine.activation_bytes * 8
-            transfer = bits / (engine.pipe_mbps * 1e3)
-            self._moving_ms[pair] = delay * request.answer + transfer * PIPE_WEIGHT
+            delay_ms = self._engine.delays_ms.get(pair, 1.0)
+            self._moving_ms[pair] = self.estimate_crossing_ms(delay_ms)
         return self._moving_ms[pair]
 
+    def estimate_crossing_ms(self, delay_ms: float) -> float:
+        """Return what it costs to go on over a link with that delay, in ms."""
+        engine, request = self._engine, self.request
+        bits = request.prompt * engine.activation_bytes * 8
+        transfer_ms = bits / (engine.pipe_mbps * 1e3)
+        return delay_ms * request.answer + transfer_ms * PIPE_WEIGHT
+
     def _find_layer_ms(self, stage: Stage) -> float | None:
         """Return the time that the request spends at a stage for each layer, in ms.
 
@@ -372,7 +417,8 @@
             return None
         wanted = self._tokens * (stage.layers.end - stage.layers.start)
         is_near = stage.data_centre == self.request.data_centre
-        planned = PLANNED_KV if is_near else PLANNED_FAR_KV
+        planned = PLANNED_KV if is_near else self.request.far.planned_kv
+        planned *= self.request.kv_share
         if occupancy.kv_reserved + wanted > stage.kv_capacity * planned:
             return None
         engine = self._engine
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -272,6 +272,7 @@
             ledger=self.ledger,
             find_budget=self._find_budget,
             find_share=self.listing.find_share,
+            is_large=lambda: self.members.is_large,
             instance=self.own.name,
             data_centre=self.settings.data_centre,
             read_clock=self._clock,
--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -33,6 +33,8 @@
     find_budget: Callable[[str], RetryBudget]
     #: Returns the share of this instance in what all use together.
     find_share: Callable[[], float]
+    #: Returns whether there are so many instances that hubs pass on what others send.
+    is_large: Callable[[], bool]
     #: Name of this instance, and of its data centre.
     instance: str
     data_centre: str
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -56,6 +56,7 @@
             suspicions=context.suspicions,
             paces=context.paces,
             ledger=context.ledger,
+            is_large=context.is_large,
             read_clock=context.read_clock,
         )
         pipe = PipeLimiter(
--- a/packages/router/fulmarward_router/exchange/_path_finder.py
+++ b/packages/router/fulmarward_router/exchange/_path_finder.py
@@ -1,13 +1,14 @@
 """The targets of an engine service as possible parts of a path."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from fulmarward_core.catalogue import TargetCatalogue
 from fulmarward_core.fleet import EngineModel, TargetRecord, count_kv_capacity
 from fulmarward_core.loads import LoadLedger, TargetLoad
 from fulmarward_core.paces import PaceTable
 from fulmarward_core.paths import (
+    HUB_TERMS,
     Hop,
     Occupancy,
     PathRequest,
@@ -45,8 +46,10 @@
         suspicions: SuspicionTable,
         paces: PaceTable,
         ledger: LoadLedger,
+        is_large: Callable[[], bool],
         read_clock: Callable[[], float],
     ) -> None:
+        self._is_large = is_large
         self._catalogue = catalogue
         self._suspicions = suspicions
         self._paces = paces
@@ -64,6 +67,8 @@
         """Return the best path now, `None` when there is none with room."""
         now = self._read_clock()
         known = self._find_known(service, engine, now)
+        if self._is_large():
+            wanted = replace(wanted, far=HUB_TERMS)
         return known.index.choose_path(wanted, read=self._make_reader(known, now))
 
     def _find_known(self, service: str, engine: EngineModel, now: float) -> _Known:
