Admission: requests that can be answered in time go first

Above the capacity requests waited in order of arrival, so that whoever was served had waited longest and was late; callers leave after two seconds and return once. Now answers that have started go first, then those that can still start within two thirds of their objective, then late ones, and these may fill 0.85 of the KV cache that paths may plan with, which keeps room for arrivals at other instances without a message.

--- /dev/null
+++ b/packages/core/fulmarward_core/queueing/__init__.py
@@ -0,0 +1,21 @@
+"""Which waiting request is served next, and when a rejected caller returns."""
+
+from fulmarward_core.queueing.decisions import (
+    LATE_KV_SHARE,
+    WaitClass,
+    WaitingRequest,
+    WaitQueue,
+    choose_retry_after_s,
+    classify_request,
+    find_kv_share,
+)
+
+__all__ = [
+    "LATE_KV_SHARE",
+    "WaitClass",
+    "WaitQueue",
+    "WaitingRequest",
+    "choose_retry_after_s",
+    "classify_request",
+    "find_kv_share",
+]
--- /dev/null
+++ b/packages/core/fulmarward_core/queueing/tests/test_decisions.py
@@ -0,0 +1,84 @@
+import unittest
+
+from fulmarward_core.queueing import (
+    LATE_KV_SHARE,
+    WaitClass,
+    WaitingRequest,
+    WaitQueue,
+    choose_retry_after_s,
+    classify_request,
+    find_kv_share,
+)
+
+
+def _make(key, *, arrived_at=0.0, **changes):
+    fields = {"urgency": 0, "objective_s": 1.0, "is_started": False}
+    return WaitingRequest(key=key, arrived_at=arrived_at, **(fields | changes))
+
+
+class ClassTest(unittest.TestCase):
+    def test_classes(self):
+        cases = [
+            # name, request, seconds that it waits, class
+            ("arrival", _make("a"), 0.0, WaitClass.ON_TIME),
+            ("in time", _make("a"), 0.6, WaitClass.ON_TIME),
+            ("late", _make("a"), 0.7, WaitClass.LATE),
+            ("started", _make("a", is_started=True), 5.0, WaitClass.STARTED),
+        ]
+        for name, request, waited_s, expected in cases:
+            with self.subTest(name):
+                self.assertEqual(classify_request(request, now=waited_s), expected)
+
+    def test_only_late_requests_leave_room(self):
+        shares = [find_kv_share(wait_class) for wait_class in WaitClass]
+        self.assertEqual(shares, [1.0, 1.0, LATE_KV_SHARE])
+        self.assertLess(LATE_KV_SHARE, 1.0)
+
+    def test_request_that_makes_no_sense_is_rejected(self):
+        with self.assertRaises(ValueError):
+            _make("a", objective_s=0.0)
+
+
+class WaitQueueTest(unittest.TestCase):
+    def test_order(self):
+        # Names in the order in which they are served at second 1.
+        requests = {
+            "started": _make("started", arrived_at=0.9, is_started=True, urgency=5),
+            "urgent": _make("urgent", arrived_at=0.9),
+            "first": _make("first", arrived_at=0.5, urgency=1),
+            "second": _make("second", arrived_at=0.8, urgency=1),
+            "late": _make("late", arrived_at=0.2),
+            "later": _make("later", arrived_at=0.25),
+        }
+        queue = WaitQueue()
+        for request in reversed(requests.values()):
+            queue.add(request)
+        found = []
+        while len(queue):
+            name = next(n for n in requests if queue.is_next(requests[n], now=1.0))
+            found.append(name)
+            queue.remove(requests.pop(name))
+        expected = ["started", "urgent", "first", "second", "late", "later"]
+        self.assertEqual(found, expected)
+
+    def test_arrival_asks_before_it_waits(self):
+        queue = WaitQueue()
+        queue.add(_make("first", arrived_at=0.0))
+        second = _make("second", arrived_at=0.1)
+        self.assertFalse(queue.is_next(second, now=0.1))
+        self.assertTrue(queue.is_next(second, now=0.7), "the first one is late")
+
+    def test_request_is_removed_whether_it_waits_or_not(self):
+        queue, request = WaitQueue(), _make("a")
+        queue.remove(request)
+        queue.add(request)
+        queue.add(request)
+        queue.remove(request)
+        self.assertEqual(len(queue), 0)
+
+
+class RetryAfterTest(unittest.TestCase):
+    def test_rejected_callers_return_apart(self):
+        found = [choose_retry_after_s(draw) for draw in (0.0, 0.5, 0.999)]
+        self.assertEqual(found, sorted(found))
+        self.assertGreater(found[-1] - found[0], 1.0)
--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -1,13 +1,22 @@
-"""Admission: waiting for room on a path, in order of urgency and arrival."""
+"""Admission: waiting for room on a path."""
 
 import asyncio
-import bisect
+import random
+from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import replace
 
 from fulmarward_core.catalogue import TargetCatalogue
 from fulmarward_core.fleet import EngineModel
 from fulmarward_core.paths import Hop, PathRequest
+from fulmarward_core.queueing import (
+    WaitClass,
+    WaitingRequest,
+    WaitQueue,
+    choose_retry_after_s,
+    classify_request,
+    find_kv_share,
+)
 from fulmarward_core.results import ResultCode
 from fulmarward_router.exchange._path_finder import PathFinder
 from fulmarward_router.exchange._pipe_limiter import PipeLimiter
@@ -37,11 +46,6 @@
 #: others have room: its next try is not counted as a retry of this one.
 REFUSED_RETRY_S = 0.05
 
-#: Seconds after which a rejected caller should come back. A range of layers loads, or a
-#: few answers end, in about that time.
-SATURATED_RETRY_S = 0.8
-ABSENT_RETRY_S = 1.5
-
 
 def find_resume_end(work: Work) -> float:
     """Return until when a stream that has begun may wait before it goes on."""
@@ -64,8 +68,8 @@
         self._pipe = pipe
         self._catalogue = catalogue
         self._read_clock = read_clock
-        #: Urgency and arrival of those that wait, first ones first.
-        self._waiting: list[tuple[int, float]] = []
+        #: Requests that wait, by service.
+        self._queues: defaultdict[str, WaitQueue] = defaultdict(WaitQueue)
 
     async def await_path(
         self, work: Work, engine: EngineModel, wanted: PathRequest
@@ -75,37 +79,38 @@
         Raises `RejectedRequest`, or `TruncatedResponse` where an answer has begun.
         """
         began_at = self._read_clock()
-        rank = (work.urgency, work.arrived_at)
+        queue = self._queues[work.service]
+        request = _make_request(work)
         shortage = Shortage.KV_CACHE
         try:
             while True:
-                if not any(other < rank for other in self._waiting):
-                    found = self._choose_path(work, engine, wanted)
+                now = self._read_clock()
+                if queue.is_next(request, now=now):
+                    wait_class = classify_request(request, now=now)
+                    found = self._choose_path(work, engine, wanted, wait_class)
                     if not isinstance(found, Shortage):
                         return found
                     shortage = found
                 now = self._read_clock()
                 if now >= self._choose_end(work, began_at, now):
                     break
-                if rank not in self._waiting:
-                    bisect.insort(self._waiting, rank)
+                queue.add(request)
                 await asyncio.sleep(POLL_INTERVAL_S)
         finally:
-            if rank in self._waiting:
-                self._waiting.remove(rank)
+            queue.remove(request)
         if work.has_begun:
             raise TruncatedResponse(cause="no path to go on")
         if self._finder.has_whole_model(work.service, engine):
             raise RejectedRequest(
                 ResultCode.QUEUE_FULL,
                 cause="no path has room",
-                retry_after_s=SATURATED_RETRY_S,
+                retry_after_s=choose_retry_after_s(random.random()),
                 shortage=shortage,
             )
         raise RejectedRequest(
             ResultCode.NO_TARGET,
             cause="no path holds all layers",
-            retry_after_s=ABSENT_RETRY_S,
+            retry_after_s=choose_retry_after_s(random.random()),
             shortage=Shortage.LAYERS,
         )
 
@@ -114,12 +119,17 @@
     ) -> float:
         """Return after how long the caller of a refused request should come back."""
         has_room = self._finder.choose(work.service, engine, wanted) is not None
-        return REFUSED_RETRY_S if has_room else SATURATED_RETRY_S
+        return REFUSED_RETRY_S if has_room else choose_retry_after_s(random.random())
 
     def _choose_path(
-        self, work: Work, engine: EngineModel, wanted: PathRequest
+        self,
+        work: Work,
+        engine: EngineModel,
+        wanted: PathRequest,
+        wait_class: WaitClass,
     ) -> tuple[Hop, ...] | Shortage:
         """Return the best path, one within a data centre when the pipe is full."""
+        wanted = replace(wanted, kv_share=find_kv_share(wait_class))
         path = self._finder.choose(work.service, engine, wanted)
         if path is None:
             return Shortage.KV_CACHE
@@ -135,3 +145,13 @@
         is_incomplete = self._catalogue.may_be_short(now=now)
         timeout_s = INCOMPLETE_TIMEOUT_S if is_incomplete else SATURATED_TIMEOUT_S
         return min(work.deadline, began_at + timeout_s)
+
+
+def _make_request(work: Work) -> WaitingRequest:
+    return WaitingRequest(
+        key=id(work),
+        urgency=work.urgency,
+        arrived_at=work.arrived_at,
+        objective_s=work.route.objective_s,
+        is_started=work.has_begun or work.last_event is not None,
+    )
