--- a/packages/core/fulmarward_core/listing/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/listing/tests/test_decisions.py
@@ -2,8 +2,8 @@
 
 from hypothesis import given, strategies as st
 
-from fulmarward_core.discovery import Candidate, choose_listed
-from fulmarward_core.discovery._listing import (
+from fulmarward_core.listing import Candidate, choose_listed
+from fulmarward_core.listing.decisions import (
     MAX_LISTED,
     MIN_LISTED,
     OPEN_REQUESTS_EACH,
--- a/packages/router/fulmarward_router/_listing.py
+++ b/packages/router/fulmarward_router/_listing.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from fulmarward_core.catalogue import TargetCatalogue
-from fulmarward_core.discovery import Candidate, choose_listed
+from fulmarward_core.listing import Candidate, choose_listed
 from fulmarward_core.loads import LoadLedger
 from fulmarward_core.quotas import compute_share
 from fulmarward_router.mesh import InstanceIdentity, MemberTable
--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -30,7 +30,7 @@
 
 #: Seconds between two readings of the clock while no stream is open: only whether the
 #: loop is late is seen by them.
-IDLE_CHECK_INTERVAL_S = 0.1
+IDLE_CHECK_INTERVAL_S = 0.5
 
 #: Seconds by which a check may be late; later, an instance that is short of processor
 #: time would take its own lateness for a target's silence.
--- a/packages/router/fulmarward_router/exchange/_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/_failure_detector.py
@@ -32,7 +32,7 @@
 #: between two checks for such ones. Longer than a heartbeat, so that peers are notified
 #: of the longer suspicion before theirs ends.
 RECHECK_AHEAD_S = 0.8
-RECHECK_INTERVAL_S = 0.2
+RECHECK_INTERVAL_S = 0.4
 
 #: Seconds between two checks whether the event loop is blocked during a round.
 PAUSE_CHECK_INTERVAL_S = 0.005
