--- a/packages/core/fulmarward_core/queueing/decisions.py
+++ b/packages/core/fulmarward_core/queueing/decisions.py
@@ -58,9 +58,9 @@
     is_started: bool
 
     def __post_init__(self) -> None:
-        if self.objective_s <= 0:
+        if self.objective_s < 0:
             raise ValueError(
-                f"expected an objective above 0 seconds, found {self.objective_s}"
+                f"expected an objective of 0 seconds or more, found {self.objective_s}"
             )
 
 
