Failure detector: the test's pause is one however late the others answer

Where the process was kept waiting before it asked, nothing was left of the pause, and without one a single missing answer beside three others is rightly enough.

The pause counts from the first call now and lasts twice what the product allows at least. What is checked is unchanged: the dead target is found, after a second probe.

--- a/packages/router/fulmarward_router/exchange/tests/test_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_failure_detector.py
@@ -9,6 +9,7 @@
 from unittest import mock
 
 from fulmarward_core.probing import PROBE_TIMEOUT_S
+from fulmarward_core.probing.decisions import MAX_PAUSE_S
 from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_router.exchange import FailureDetector
 from fulmarward_router.ports import TargetReport
@@ -348,16 +349,23 @@
 
 
 class _PausedDialect:
-    """Calls targets behind real sockets; stands still once all but one answered."""
+    """Calls targets behind real sockets; stands still once all but one answered.
 
-    def __init__(self, server, pause_until):
+    The pause lasts until so many seconds after the first call, and for long enough to
+    be one however late the others answer.
+    """
+
+    def __init__(self, server, pause_until_s):
         self._server = server
-        self._pause_until = pause_until
+        self._pause_until_s = pause_until_s
+        self._called_at = None
         self._answered = set()
         self.asked = Counter()
 
     async def is_there(self, record, timeout_s):
         self.asked[record.name] += 1
+        if self._called_at is None:
+            self._called_at = time.monotonic()
         try:
             async with asyncio.timeout(timeout_s):
                 return await self._call(record.name)
@@ -380,7 +388,8 @@
     def _pause(self):
         if not self._server.pause.is_set():
             self._server.pause.set()
-            time.sleep(max(0.0, self._pause_until - time.monotonic()))
+            pause_s = self._called_at + self._pause_until_s - time.monotonic()
+            time.sleep(max(2 * MAX_PAUSE_S, pause_s))
 
 
 class OwnPauseTest(unittest.IsolatedAsyncioTestCase):
@@ -410,7 +419,7 @@
         """
         table = SuspicionTable()
         with _serve_targets(is_dead=is_dead) as server:
-            dialect = _PausedDialect(server, time.monotonic() + until_s)
+            dialect = _PausedDialect(server, until_s)
             watch = FailureDetector(
                 dialect=dialect,
                 catalogue=_Catalogue("abcd"),
