--- a/packages/router/fulmarward_router/exchange/_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/_failure_detector.py
@@ -200,23 +200,23 @@
         self._note_answered(heard.difference(verdict.unreachable))
 
     async def _run_round(
-        self, records: list[TargetRecord], limit_s: float, *, is_repeat: bool = False
+        self, records: list[TargetRecord], timeout_s: float, *, is_repeat: bool = False
     ) -> ProbeRound:
         """Probe targets and, in the same moment, controls."""
         count = count_controls(len(records), is_repeat=is_repeat)
         names = {record.name for record in records}
         asked = records + self._choose_controls(names, count)
-        return await self._probe_round(asked, limit_s, is_repeat=is_repeat)
+        return await self._probe_round(asked, timeout_s, is_repeat=is_repeat)
 
     async def _probe_round(
-        self, asked: list[TargetRecord], limit_s: float, *, is_repeat: bool = False
+        self, asked: list[TargetRecord], timeout_s: float, *, is_repeat: bool = False
     ) -> ProbeRound:
         """Probe targets, all in one moment."""
         began_at = self._read_clock()
         meter = _PauseMeter()
         try:
             times = await asyncio.gather(
-                *(self._time_answer(record, limit_s) for record in asked)
+                *(self._time_answer(record, timeout_s) for record in asked)
             )
         finally:
             paused_s = meter.stop()
@@ -224,16 +224,18 @@
         return ProbeRound(
             probed=tuple(record.name for record in asked),
             answers={r.name: took_s for r, took_s in pairs if took_s is not None},
-            timeout_s=limit_s,
+            timeout_s=timeout_s,
             took_s=self._read_clock() - began_at,
             paused_s=paused_s,
             is_repeat=is_repeat,
         )
 
-    async def _time_answer(self, record: TargetRecord, limit_s: float) -> float | None:
+    async def _time_answer(
+        self, record: TargetRecord, timeout_s: float
+    ) -> float | None:
         """Return the seconds that a target's answer took, `None` without one."""
         began_at = self._read_clock()
-        is_there = await self._dialect.is_there(record, limit_s)
+        is_there = await self._dialect.is_there(record, timeout_s)
         return self._read_clock() - began_at if is_there else None
 
     def _choose_controls(self, names: set[str], count: int) -> list[TargetRecord]:
@@ -335,9 +337,9 @@
         Guards against a single call that fails, by a lost packet or an own pause:
         controls that are probed later show nothing of that moment.
         """
-        limit_s = REPORT_TIMEOUT_S - PROBE_TIMEOUT_S
+        timeout_s = REPORT_TIMEOUT_S - PROBE_TIMEOUT_S
         probe_round, report = await asyncio.gather(
-            self._run_round([record], limit_s), reading
+            self._run_round([record], timeout_s), reading
         )
         if report is not None:
             return
