Failure detector: a lost packet or one missing control makes no target unreachable

What callers saw: streams through healthy targets were ended or rerouted, and new requests kept away from them for two seconds.

Cause, two ways to the same wrong verdict. A target that misses one call of 35 ms was unreachable at once, and a call whose packet is lost is never answered in that time.

Change: a probe is up to three calls within the same timeout, the next one only while none is answered; a control that misses a round is probed in its own right before it is judged; a long round during most of which the loop was blocked shows nothing. The time to find a dead target stays as it was. `targets_probed` says for how long the loop was blocked, and which controls are suspected.

--- a/packages/core/fulmarward_core/probing/__init__.py
+++ b/packages/core/fulmarward_core/probing/__init__.py
@@ -2,6 +2,7 @@
 
 from fulmarward_core.probing.decisions import (
     CONFIRM_TIMEOUT_S,
+    PROBE_CALLS,
     PROBE_TIMEOUT_S,
     ProbeRound,
     ProbeVerdict,
@@ -12,6 +13,7 @@
 
 __all__ = [
     "CONFIRM_TIMEOUT_S",
+    "PROBE_CALLS",
     "PROBE_TIMEOUT_S",
     "ProbeRound",
     "ProbeVerdict",
--- a/packages/core/fulmarward_core/probing/decisions.py
+++ b/packages/core/fulmarward_core/probing/decisions.py
@@ -29,6 +29,13 @@
 #: that arrive meanwhile look missing.
 MAX_PAUSE_S = 0.01
 
+#: Calls that one probe makes, evenly apart, until one is answered. A single lost packet
+#: leaves a call unanswered for a second.
+PROBE_CALLS = 3
+
+#: Share of a long round for which the event loop may have been blocked.
+MAX_PAUSE_SHARE = 0.5
+
 #: Share of the timeout after which the usual answer counts as slow: a link that fills
 #: up delays all answers, and drops some of them first.
 MAX_ANSWER_SHARE = 0.5
@@ -58,6 +65,8 @@
     paused_s: float = 0.0
     #: Whether targets that did not answer before are probed again.
     is_repeat: bool = False
+    #: Names of those that are probed for comparison only.
+    controls: Collection[str] = ()
 
     def __post_init__(self) -> None:
         if not set(self.answers) <= set(self.probed):
@@ -75,11 +84,26 @@
         """Whether the event loop was blocked for too long to see answers in time."""
         return self.paused_s > MAX_PAUSE_S
 
+    @property
+    def is_mostly_paused(self) -> bool:
+        """Whether the event loop was blocked for most of the round."""
+        return self.paused_s > self.timeout_s * MAX_PAUSE_SHARE
+
     @property
     def missing(self) -> tuple[str, ...]:
         """Names of those that did not answer."""
         return tuple(name for name in self.probed if name not in self.answers)
 
+    @property
+    def missing_in_question(self) -> tuple[str, ...]:
+        """Names of those that did not answer, without the controls."""
+        return tuple(name for name in self.missing if name not in self.controls)
+
+    @property
+    def missing_controls(self) -> tuple[str, ...]:
+        """Names of the controls that did not answer."""
+        return tuple(name for name in self.missing if name in self.controls)
+
 
 @dataclass(frozen=True, kw_only=True)
 class ProbeVerdict:
@@ -91,6 +115,8 @@
     retry_timeout_s: float | None = None
     #: Whether this instance is isolated: the round says nothing about the targets.
     is_isolated: bool = False
+    #: Names of controls that did not answer: to be probed in their own right.
+    suspects: tuple[str, ...] = ()
 
 
 def evaluate_round(probe_round: ProbeRound) -> ProbeVerdict:
@@ -99,14 +125,21 @@
     Guards against a pause of the event loop that ends together with the round: the
     timeouts are handled before the answers that arrived meanwhile, the round is not
     late, and a healthy target would be unreachable.
+
+    One missing answer of a control makes it a suspect: the first one of a target in
+    question has been preceded by stalled streams or a failed connection.
     """
     missing = probe_round.missing
     if not missing:
         return ProbeVerdict()
+    found = ProbeVerdict(
+        unreachable=probe_round.missing_in_question,
+        suspects=probe_round.missing_controls,
+    )
     hears_controls = _hears_controls(probe_round)
     if probe_round.timeout_s >= CONFIRM_TIMEOUT_S:
-        if hears_controls:
-            return ProbeVerdict(unreachable=missing)
+        if hears_controls and not probe_round.is_mostly_paused:
+            return found
         return ProbeVerdict(is_isolated=True)
     is_first = not probe_round.is_repeat
     is_most = is_first and len(missing) * 2 > len(probe_round.probed)
@@ -115,7 +148,7 @@
         return ProbeVerdict(retry_timeout_s=CONFIRM_TIMEOUT_S)
     if is_first and (len(missing) > 1 or probe_round.is_paused):
         return ProbeVerdict(retry_timeout_s=PROBE_TIMEOUT_S)
-    return ProbeVerdict(unreachable=missing)
+    return found
 
 
 def _hears_controls(probe_round: ProbeRound) -> bool:
--- a/packages/core/fulmarward_core/probing/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/probing/tests/test_decisions.py
@@ -89,6 +89,47 @@
                 )
                 self.assertEqual(evaluate_round(probe_round), found)
 
+    def test_missing_control_is_probed_before_it_is_judged(self):
+        """Guards against excluding a healthy control that missed one short timeout."""
+        first, again, long = (
+            (PROBE_TIMEOUT_S, False),
+            (PROBE_TIMEOUT_S, True),
+            (CONFIRM_TIMEOUT_S, True),
+        )
+        cases = [
+            # round, who answered of a and the controls c to e, unreachable, suspects
+            (first, "acd", (), ("e",)),
+            (again, "cd", ("a",), ("e",)),
+            (long, "cd", ("a",), ("e",)),
+            (long, "acd", (), ("e",)),
+        ]
+        for (timeout_s, is_repeat), heard, unreachable, suspects in cases:
+            with self.subTest(timeout_s=timeout_s, heard=heard):
+                probe_round = ProbeRound(
+                    probed="acde",
+                    answers=dict.fromkeys(heard, 0.002),
+                    timeout_s=timeout_s,
+                    took_s=timeout_s,
+                    is_repeat=is_repeat,
+                    controls="cde",
+                )
+                found = ProbeVerdict(unreachable=unreachable, suspects=suspects)
+                self.assertEqual(evaluate_round(probe_round), found)
+
+    def test_round_that_was_mostly_paused_shows_nothing(self):
+        """Guards against a blocked event loop that hears some answers in time."""
+        for paused_s, found in ((0.1, _lose("a")), (0.2, _OWN)):
+            with self.subTest(paused_s=paused_s):
+                probe_round = ProbeRound(
+                    probed="abc",
+                    answers={"b": 0.002, "c": 0.002},
+                    timeout_s=CONFIRM_TIMEOUT_S,
+                    took_s=CONFIRM_TIMEOUT_S,
+                    paused_s=paused_s,
+                    is_repeat=True,
+                )
+                self.assertEqual(evaluate_round(probe_round), found)
+
     def test_one_late_answer_of_several_says_nothing_of_the_link(self):
         probe_round = ProbeRound(
             probed="abcd",
--- a/packages/router/fulmarward_router/exchange/_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/_failure_detector.py
@@ -9,8 +9,10 @@
 from fulmarward_core.fleet import TargetRecord
 from fulmarward_core.probing import (
     CONFIRM_TIMEOUT_S,
+    PROBE_CALLS,
     PROBE_TIMEOUT_S,
     ProbeRound,
+    ProbeVerdict,
     choose_controls,
     count_controls,
     evaluate_round,
@@ -64,6 +66,15 @@
         return self._paused_s
 
 
+async def _find_first_answer(calls: Iterable[asyncio.Task]) -> float | None:
+    """Return what the first call that is answered took, `None` if none is."""
+    for call in asyncio.as_completed(calls):
+        took_s = await call
+        if took_s is not None:
+            return took_s
+    return None
+
+
 class FailureDetector:
     """Probes targets, and reads from first targets what their requests wait for.
 
@@ -189,12 +200,13 @@
                 probed=len(first.probed),
                 missing=first.missing,
                 unreachable=verdict.unreachable,
+                suspects=verdict.suspects,
                 is_late=first.is_late,
                 is_paused=first.is_paused,
+                paused_s=round(first.paused_s, 4),
                 took_s=round(self._read_clock() - began_at, 4),
             )
-        if verdict.is_isolated:
-            self._record_isolated(probe_round)
+        self._take_verdict(probe_round, verdict)
         for target in verdict.unreachable:
             self.record_failure(target, cause="no answer to a probe")
         self._note_answered(heard.difference(verdict.unreachable))
@@ -205,13 +217,8 @@
         """Probe targets and, in the same moment, controls."""
         count = count_controls(len(records), is_repeat=is_repeat)
         names = {record.name for record in records}
-        asked = records + self._choose_controls(names, count)
-        return await self._probe_round(asked, timeout_s, is_repeat=is_repeat)
-
-    async def _probe_round(
-        self, asked: list[TargetRecord], timeout_s: float, *, is_repeat: bool = False
-    ) -> ProbeRound:
-        """Probe targets, all in one moment."""
+        controls = self._choose_controls(names, count)
+        asked = records + controls
         began_at = self._read_clock()
         meter = _PauseMeter()
         try:
@@ -228,12 +235,35 @@
             took_s=self._read_clock() - began_at,
             paused_s=paused_s,
             is_repeat=is_repeat,
+            controls=frozenset(record.name for record in controls),
         )
 
     async def _time_answer(
         self, record: TargetRecord, timeout_s: float
     ) -> float | None:
-        """Return the seconds that a target's answer took, `None` without one."""
+        """Return the seconds that a target's answer took, `None` without one.
+
+        Guards against a lost packet: the call that it belongs to is not answered in
+        time, however healthy the target is. Further calls follow until one is answered.
+        """
+        interval_s = timeout_s / PROBE_CALLS
+        calls: list[asyncio.Task] = []
+        try:
+            for number in range(PROBE_CALLS):
+                left_s = timeout_s - number * interval_s
+                calls.append(asyncio.create_task(self._time_call(record, left_s)))
+                done, _ = await asyncio.wait(
+                    calls, timeout=interval_s, return_when=asyncio.FIRST_COMPLETED
+                )
+                if done:
+                    break
+            return await _find_first_answer(calls)
+        finally:
+            for call in calls:
+                call.cancel()
+
+    async def _time_call(self, record: TargetRecord, timeout_s: float) -> float | None:
+        """Return the seconds that the answer to one call took, `None` without one."""
         began_at = self._read_clock()
         is_there = await self._dialect.is_there(record, timeout_s)
         return self._read_clock() - began_at if is_there else None
@@ -263,6 +293,13 @@
             offset=self._offset,
         )
 
+    def _take_verdict(self, probe_round: ProbeRound, verdict: ProbeVerdict) -> None:
+        """Take in what a round says of this instance and of the controls."""
+        if verdict.is_isolated:
+            self._record_isolated(probe_round)
+        if verdict.suspects:
+            self.probe(verdict.suspects)
+
     def _record_isolated(self, probe_round: ProbeRound) -> None:
         """Record that no control answered: the round shows nothing of the targets."""
         self._isolated_at = self._read_clock()
@@ -298,8 +335,7 @@
         """Exclude those for longer that still do not answer."""
         probe_round = await self._run_round(records, CONFIRM_TIMEOUT_S)
         verdict = evaluate_round(probe_round)
-        if verdict.is_isolated:
-            self._record_isolated(probe_round)
+        self._take_verdict(probe_round, verdict)
         for name in verdict.unreachable:
             now = self._read_clock()
             if self._suspicions.is_unreachable(name, now=now):
@@ -344,7 +380,6 @@
         if report is not None:
             return
         verdict = evaluate_round(probe_round)
-        if verdict.is_isolated:
-            self._record_isolated(probe_round)
+        self._take_verdict(probe_round, verdict)
         if record.name in verdict.unreachable:
             self.record_failure(record.name, cause="no report")
--- a/packages/router/fulmarward_router/exchange/tests/test_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_failure_detector.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from unittest import mock
 
-from fulmarward_core.probing import PROBE_TIMEOUT_S
+from fulmarward_core.probing import PROBE_CALLS, PROBE_TIMEOUT_S
 from fulmarward_core.probing.decisions import MAX_PAUSE_S
 from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_router.exchange import FailureDetector
@@ -488,3 +488,53 @@
         report = await instance.watch.fetch_report(_Record("a"))
         self.assertIsNone(report)
         self.assertEqual(instance.list_direct_failures(), "")
+
+
+class _LossyDialect:
+    """Targets behind a link that loses some calls; all others are answered at once."""
+
+    def __init__(self, lost):
+        self._lost = lost
+        self.asked = Counter()
+
+    async def is_there(self, record, timeout_s):
+        self.asked[record.name] += 1
+        if not self._lost(record.name, self.asked[record.name]):
+            return True
+        await asyncio.sleep(timeout_s)
+        return False
+
+
+@_on_a_calm_loop
+class LostPacketTest(unittest.IsolatedAsyncioTestCase):
+    async def probe(self, lost):
+        """Return the targets found unreachable by one probe of `a`."""
+        table = SuspicionTable()
+        detector = FailureDetector(
+            dialect=_LossyDialect(lost),
+            catalogue=_Catalogue("abcd"),
+            suspicions=table,
+            read_clock=time.monotonic,
+            note_change=lambda: None,
+        )
+        detector.probe("a")
+        for _ in range(3):
+            await detector.check("abcd")
+        failures = table.list_direct_failures(now=time.monotonic())
+        return [failure.target for failure in failures]
+
+    async def test_target_whose_first_call_is_lost_is_healthy(self):
+        """Guards against a single lost packet that aborts a target's streams."""
+        found = await self.probe(lambda name, call: name == "a" and call == 1)
+        self.assertEqual(found, [])
+
+    async def test_dead_target_is_found(self):
+        """Guards against repeated calls that hide a failure."""
+        self.assertEqual(await self.probe(lambda name, call: name == "a"), ["a"])
+
+    async def test_control_that_misses_one_round_is_healthy(self):
+        """Guards against excluding controls beside a target that died."""
+        found = await self.probe(
+            lambda name, call: name == "a" or (name == "c" and call <= PROBE_CALLS)
+        )
+        self.assertEqual(found, ["a"])
