Configuration: no final "no" from an instance that may be outdated

An answer of the store confirmed the configuration as of the moment it was read here, however long a saturated link had delayed it: now it counts from when it may have been given, and after a change the next call is a short one, so that the version is confirmed within 0.2 s. And an instance that had heard a peer state a newer version, but had not fetched it yet, still denied: it says 503 with Retry-After until the version is in force here.

--- a/packages/core/fulmarward_core/catalogue/__init__.py
+++ b/packages/core/fulmarward_core/catalogue/__init__.py
@@ -6,5 +6,12 @@
     KnownRow,
     TargetCatalogue,
 )
+from fulmarward_core.catalogue._confirmation import find_confirmed_at
 
-__all__ = ["EXPIRY_AGE_S", "RETURN_DURATION_S", "KnownRow", "TargetCatalogue"]
+__all__ = [
+    "EXPIRY_AGE_S",
+    "RETURN_DURATION_S",
+    "KnownRow",
+    "TargetCatalogue",
+    "find_confirmed_at",
+]
--- a/packages/router/fulmarward_router/exchange/_front.py
+++ b/packages/router/fulmarward_router/exchange/_front.py
@@ -214,13 +214,17 @@
         is asked to come back instead of being told "no" for good.
         """
         age_s = now - self._configuration.confirmed_at
-        if age_s > UNSURE_S:
-            return RejectedRequest(
-                ResultCode.NOT_READY,
-                cause=f"{cause}, configuration confirmed {age_s:.1f} s ago",
-                retry_after_s=NOT_READY_RETRY_S,
-            )
-        return RejectedRequest(code, cause=cause)
+        if self._configuration.is_outdated:
+            doubt = "a newer configuration is in force at a peer"
+        elif age_s > UNSURE_S:
+            doubt = f"configuration confirmed {age_s:.1f} s ago"
+        else:
+            return RejectedRequest(code, cause=cause)
+        return RejectedRequest(
+            ResultCode.NOT_READY,
+            cause=f"{cause}, {doubt}",
+            retry_after_s=NOT_READY_RETRY_S,
+        )
 
     def _check_headers(
         self, request: web.BaseRequest, configuration: RoutingConfiguration
--- /dev/null
+++ b/packages/router/fulmarward_router/exchange/tests/test_front.py
@@ -0,0 +1,71 @@
+import time
+import unittest
+from types import SimpleNamespace
+
+import aiohttp
+from aiohttp.test_utils import RawTestServer
+
+from fulmarward_core.routes import CallerLimits, RoutingConfiguration
+from fulmarward_router.exchange import CallerFront
+from fulmarward_router.ports import CallerFacts, Row
+from fulmarward_router.state import ConfigurationHolder
+
+
+def _decode(row):
+    limits = CallerLimits(header_bytes=9999, body_bytes=9999, header_s=1.0, idle_s=9.0)
+    return RoutingConfiguration(
+        version=row.version, routes={}, services={}, limits=limits
+    )
+
+
+class _Dialect:
+    def read_caller(self, headers):
+        return CallerFacts(
+            request_id="a",
+            deadline_s=1.0,
+            key=None,
+            last_event=None,
+            prompt_tokens=0,
+            most_answer_tokens=0,
+            hinted_answer_tokens=None,
+        )
+
+
+class UnknownRouteTest(unittest.IsolatedAsyncioTestCase):
+    async def ask(self, configuration):
+        """Return the status of a request for a route that is not known."""
+        front = CallerFront(
+            dialect=_Dialect(),
+            configuration=configuration,
+            engines=SimpleNamespace(),
+            plain=SimpleNamespace(),
+            find_budget=lambda service: None,
+            read_clock=time.monotonic,
+            is_stopping=lambda: False,
+            takes_streams=lambda: True,
+            observe=lambda work, outcome, took_s: None,
+        )
+        async with RawTestServer(front.handle) as server:
+            async with aiohttp.ClientSession() as session:
+                async with session.get(server.make_url("/nowhere")) as answer:
+                    return answer.status
+
+    async def test_route_is_denied_only_by_the_newest_configuration(self):
+        """Guards against a final 404 for a route that a newer configuration has."""
+        holder = ConfigurationHolder(decode=_decode)
+        row = Row(key="config", value=b"", version=7)
+        holder.take_row(row, source="store", now=time.monotonic())
+        cases = [
+            # seconds since the store confirmed it, version of a peer, status
+            (0.1, 7, 404),
+            (2.5, 7, 503),
+            (0.1, 8, 503),
+        ]
+        for age_s, reported, status in cases:
+            with self.subTest(age_s=age_s, reported=reported):
+                holder.confirmed_at = time.monotonic() - age_s
+                holder.record_reported(reported)
+                self.assertEqual(await self.ask(holder), status)
+        row = Row(key="config", value=b"", version=8)
+        holder.take_row(row, source="peer", now=time.monotonic())
+        self.assertEqual(await self.ask(holder), 404)
--- a/packages/router/fulmarward_router/state/_configuration.py
+++ b/packages/router/fulmarward_router/state/_configuration.py
@@ -18,6 +18,8 @@
         self.current: RoutingConfiguration | None = None
         #: When the store last confirmed it, here or by a peer; steady seconds.
         self.confirmed_at = float("-inf")
+        #: Newest version that a peer has in force.
+        self._reported_version = 0
         #: Set when the first configuration is in force.
         self.known = asyncio.Event()
 
@@ -26,6 +28,19 @@
         """Version in force; 0 before the first."""
         return 0 if self.current is None else self.current.version
 
+    @property
+    def is_outdated(self) -> bool:
+        """Whether a peer has a newer version in force."""
+        return self._reported_version > self.version
+
+    def record_reported(self, version: int) -> None:
+        """Record the version that a peer has in force."""
+        self._reported_version = max(self._reported_version, version)
+
+    def record_confirmation(self, *, at: float) -> None:
+        """Record that the store had nothing newer at a time on the steady clock."""
+        self.confirmed_at = max(self.confirmed_at, at)
+
     @property
     def row(self) -> Row | None:
         """The row that is in force, for peers."""
--- a/packages/router/fulmarward_router/state/_configuration_exchange.py
+++ b/packages/router/fulmarward_router/state/_configuration_exchange.py
@@ -55,6 +55,7 @@
     def merge_heartbeat(self, heartbeat: Heartbeat) -> Fetch | None:
         """Take in the version in force at a peer; return what to ask it for."""
         own, now = self._configuration.version, self._read_clock()
+        self._configuration.record_reported(heartbeat.configuration_version)
         if heartbeat.configuration_version > own:
             if self._must_fetch(heartbeat, now):
                 return self._make_fetch(heartbeat.sender, own)
@@ -63,8 +64,7 @@
             and heartbeat.configuration_age_ms >= 0
         ):
             at = now - heartbeat.configuration_age_ms / 1000
-            holder = self._configuration
-            holder.confirmed_at = max(holder.confirmed_at, at)
+            self._configuration.record_confirmation(at=at)
         return None
 
     def _must_fetch(self, heartbeat: Heartbeat, now: float) -> bool:
--- a/packages/router/fulmarward_router/state/_watch.py
+++ b/packages/router/fulmarward_router/state/_watch.py
@@ -5,7 +5,11 @@
 from collections.abc import Callable
 
 from fulmarward.observability import log_event
-from fulmarward_core.catalogue import KnownRow, TargetCatalogue
+from fulmarward_core.catalogue import (
+    KnownRow,
+    TargetCatalogue,
+    find_confirmed_at,
+)
 from fulmarward_router.ports import (
     HistoryGone,
     ReplyLost,
@@ -22,6 +26,10 @@
 #: and a machine makes about 30 calls a minute.
 CONFIGURATION_WAIT_S = 1.8
 
+#: The same after a change: only a call that ends without one confirms that there is
+#: nothing newer.
+RECHECK_WAIT_S = 0.2
+
 #: Seconds between two readings of the targets' changes. Load: 40 targets that write
 #: every 1.2 s, and 2 s in which a leaving target must not be sent work any more;
 #: harm: each call is paid for; reason: with a heartbeat's delay to the other instances
@@ -90,17 +98,19 @@
         table = self._store.configuration_table
         version: int | None = None
         pause_s = RETRY_S
+        has_changes = False
         while True:
             if version is not None and not self._must_wait():
                 await asyncio.sleep(_CHECK_INTERVAL_S[self._is_large()])
                 continue
+            asked_at = self._read_clock()
+            wait_s = 0.0
             try:
                 if version is None:
                     read = await self._store.read_table(table)
                 else:
-                    read = await self._store.follow_table(
-                        table, version, CONFIGURATION_WAIT_S
-                    )
+                    wait_s = RECHECK_WAIT_S if has_changes else CONFIGURATION_WAIT_S
+                    read = await self._store.follow_table(table, version, wait_s)
             except HistoryGone:
                 log_event("history_gone", table=table, version=version)
                 version = None
@@ -112,12 +122,19 @@
                 continue
             pause_s = RETRY_S
             self._note_in(table)
+            has_changes = version is None or bool(read.rows)
             version = read.version
-            self._merge_configuration(read)
-
-    def _merge_configuration(self, read: RowsRead) -> None:
+            confirmed_at = find_confirmed_at(
+                asked_at=asked_at,
+                wait_s=wait_s,
+                has_changes=has_changes,
+                now=self._read_clock(),
+            )
+            self._merge_configuration(read, confirmed_at)
+
+    def _merge_configuration(self, read: RowsRead, confirmed_at: float) -> None:
         now = self._read_clock()
-        self._configuration.confirmed_at = now
+        self._configuration.record_confirmation(at=confirmed_at)
         taken = [
             self._configuration.take_row(row, source="store", now=now)
             for row in read.rows
