--- a/packages/core/fulmarward_core/spread/__init__.py
+++ b/packages/core/fulmarward_core/spread/__init__.py
@@ -2,12 +2,13 @@
 
 from fulmarward_core.spread._fetch import FetchTimeout, PendingFetch
 from fulmarward_core.spread._packing import pack_value, unpack_value
-from fulmarward_core.spread._transfers import TransferLimiter
+from fulmarward_core.spread._transfers import TransferLimiter, find_max_in_flight
 
 __all__ = [
     "FetchTimeout",
     "PendingFetch",
     "TransferLimiter",
+    "find_max_in_flight",
     "pack_value",
     "unpack_value",
 ]
--- a/packages/core/fulmarward_core/spread/tests/test_transfers.py
+++ b/packages/core/fulmarward_core/spread/tests/test_transfers.py
@@ -2,8 +2,12 @@
 
 from hypothesis import given, strategies as st
 
-from fulmarward_core.spread import TransferLimiter
-from fulmarward_core.spread._transfers import MAX_IN_FLIGHT_BYTES, TRANSFER_TIMEOUT_S
+from fulmarward_core.spread import TransferLimiter, find_max_in_flight
+from fulmarward_core.spread._transfers import (
+    MAX_FAST_IN_FLIGHT_BYTES,
+    MAX_IN_FLIGHT_BYTES,
+    TRANSFER_TIMEOUT_S,
+)
 
 
 class TransferLimiterTest(unittest.TestCase):
@@ -24,6 +28,19 @@
                 self.tellings = TransferLimiter()
                 self.assertEqual(len(self._begin("abcdefgh", size)), expected)
 
+    def test_bytes_in_flight_follow_the_link(self):
+        """Guards against snapshots that saturate the smallest instances' links."""
+        cases = [
+            # bytes a second, bytes in flight
+            (None, MAX_IN_FLIGHT_BYTES),
+            (1_250_000, 62_500),
+            (2_500_000, 125_000),
+            (125_000_000, MAX_FAST_IN_FLIGHT_BYTES),
+        ]
+        for link_bytes_per_s, expected in cases:
+            with self.subTest(link_bytes_per_s=link_bytes_per_s):
+                self.assertEqual(find_max_in_flight(link_bytes_per_s), expected)
+
     def test_next_one_is_told_once_a_row_has_arrived_or_its_peer_is_silent(self):
         self.assertEqual(self._begin("abc", MAX_IN_FLIGHT_BYTES // 2), ["a", "b"])
         self.tellings.end("a")
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -223,6 +223,7 @@
             is_store_reachable=lambda: self.watch.out_since is None,
             note_change=self._notify_peers,
             note_targets=self.target_news.note,
+            link_bytes_per_s=settings.link_bytes_per_s,
         )
         self.mesh = Mesh(
             own=self.own,
--- a/packages/router/fulmarward_router/ports.py
+++ b/packages/router/fulmarward_router/ports.py
@@ -56,6 +56,8 @@
     retry_window_s: float
     #: Seconds after which work that depends on a lost target is cut off.
     stall_s: float
+    #: Bytes a second that the instance's own link carries, `None` if not known.
+    link_bytes_per_s: float | None = None
     #: Lines of the log: `debug`, `info`, `warning`.
     log_level: str = "info"
 
--- a/packages/router/fulmarward_router/state/_configuration_exchange.py
+++ b/packages/router/fulmarward_router/state/_configuration_exchange.py
@@ -7,6 +7,7 @@
     FetchTimeout,
     PendingFetch,
     TransferLimiter,
+    find_max_in_flight,
     pack_value,
     unpack_value,
 )
@@ -36,6 +37,7 @@
         *,
         name: str,
         configuration: ConfigurationHolder,
+        link_bytes_per_s: float | None,
         read_clock: Callable[[], float],
         note_change: Callable[[], None],
     ) -> None:
@@ -44,7 +46,9 @@
         self._read_clock = read_clock
         self._note_change = note_change
         self._fetch = PendingFetch()
-        self._transfers = TransferLimiter()
+        self._transfers = TransferLimiter(
+            max_bytes=find_max_in_flight(link_bytes_per_s)
+        )
         #: Start time (ms since 1970) of each peer that accepts compressed ones.
         self._supports_compression: dict[str, int] = {}
         #: Plain rows sent to peers that have not said who they are.
--- a/packages/router/fulmarward_router/state/_knowledge.py
+++ b/packages/router/fulmarward_router/state/_knowledge.py
@@ -73,6 +73,7 @@
         is_store_reachable: Callable[[], bool],
         note_change: Callable[[], None],
         note_targets: Callable[[list[KnownRow]], None],
+        link_bytes_per_s: float | None = None,
     ) -> None:
         self._own = own
         self._members = members
@@ -98,6 +99,7 @@
         self._exchange = ConfigurationExchange(
             name=own.name,
             configuration=configuration,
+            link_bytes_per_s=link_bytes_per_s,
             read_clock=read_clock,
             note_change=note_change,
         )
--- a/packages/router/fulmarward_router/tests/test_configuration_spread.py
+++ b/packages/router/fulmarward_router/tests/test_configuration_spread.py
@@ -36,6 +36,10 @@
 _MOST_WAIT_S = 0.1
 
 
+#: Seconds in which a version is to be in force everywhere.
+_IN_FORCE_S = 3.0
+
+
 class _Configuration:
     def __init__(self, version):
         self.version = version
@@ -71,8 +75,9 @@
 class _Fleet:
     """Instances in data centres, with links that take their time; time is played."""
 
-    def __init__(self, *, sizes):
+    def __init__(self, *, sizes, link=_LINK):
         self.now = 0.0
+        self._link = link
         self.peers = []
         self.in_force = {}
         self.waited_s = 0.0
@@ -84,7 +89,8 @@
         self._read_at = {}
         for centre, size in enumerate(sizes):
             for _ in range(size):
-                self.peers.append(Peer(f"i{len(self.peers):03}", decode=_decode))
+                name = f"i{len(self.peers):03}"
+                self.peers.append(Peer(name, decode=_decode, link_bytes_per_s=link))
                 self._centres.append(centre)
         hubs = {
             self._centres.index(centre) + n
@@ -105,14 +111,17 @@
             for other in self._links[one]:
                 self.peers[other].meet(self.peers[one])
 
-    def play(self, row, *, until):
-        """Tell the first instances of `row` by the store, and play on.
+    def play(self, *rows, until, interval_s=0.0):
+        """Tell the first instances of `rows` by the store, and play on.
 
-        Half a second after all have it nothing of it is on its way any more.
+        The rows come `interval_s` seconds apart. Half a second after all instances have
+        the last one nothing of it is on its way any more.
         """
         generator = random.Random(1)
-        for one, at in enumerate(_FROM_STORE):
-            self._plan(at, self._read, one, row)
+        self.last_version = json.loads(rows[-1].value)["version"]
+        for number, row in enumerate(rows):
+            for one, at in enumerate(_FROM_STORE):
+                self._plan(number * interval_s + at, self._read, one, row)
         for one in range(len(self.peers)):
             self._plan(generator.uniform(0.0, _BEAT_S), self._beat_on, one)
         while self._events and self._events[0][0] <= until:
@@ -128,7 +137,7 @@
     def _read(self, one, row):
         """The store sends the row as it is."""
         size = len(row.value)
-        at = self._pass_link(("in", one), size, from_store_s=size / _LINK)
+        at = self._pass_link(("in", one), size, from_store_s=size / self._link)
         self._plan(at, self._take_read, one, row)
 
     def _take_read(self, one, row):
@@ -142,7 +151,8 @@
 
     def _note(self, one):
         """Tell all of a version that has just come, once it is read."""
-        if one not in self.in_force and self.peers[one].configuration.version:
+        is_last = self.peers[one].configuration.version == self.last_version
+        if one not in self.in_force and is_last:
             self.in_force[one] = self.now + _READ_S
             self._plan(self.now + _READ_S, self._beat, one)
 
@@ -171,7 +181,7 @@
         The row from the store takes its size by the link's, and whatever comes beside
         it waits until it is through; what is noted is the rest.
         """
-        at = max(self.now, self._free.get(link, 0.0)) + size / _LINK
+        at = max(self.now, self._free.get(link, 0.0)) + size / self._link
         self._free[link] = at
         if from_store_s:
             self._read_at[link] = at
@@ -227,3 +237,21 @@
                 self.assertLessEqual(fleet.waited_s, _MOST_WAIT_S, found)
                 self.assertEqual(len(fleet.in_force), len(fleet.peers), found)
                 self.assertLessEqual(max(fleet.in_force.values()), most_s, found)
+
+    def test_versions_in_a_row_reach_all_over_slow_links(self):
+        """Guards against links that copies of several large versions keep saturated."""
+        cases = [
+            # Mbit/s, seconds between two versions
+            (10, 1.3),
+            (20, 0.3),
+            (100, 0.0625),
+        ]
+        for mbps, interval_s in cases:
+            with self.subTest(mbps=mbps, interval_s=interval_s):
+                fleet = _Fleet(sizes=(29, 26, 31), link=mbps * 125_000)
+                rows = [_make_row(7 + number, 1700) for number in range(4)]
+                last_at = 3 * interval_s
+                fleet.play(*rows, until=last_at + _IN_FORCE_S, interval_s=interval_s)
+                found = f"{len(fleet.in_force)} have it, waited {fleet.waited_s:.3f} s"
+                self.assertEqual(len(fleet.in_force), len(fleet.peers), found)
+                self.assertLessEqual(fleet.waited_s, _MOST_WAIT_S, found)
--- a/packages/router/fulmarward_router/tests/test_knowledge.py
+++ b/packages/router/fulmarward_router/tests/test_knowledge.py
@@ -35,7 +35,7 @@
 class Peer:
     """An instance's knowledge without links; `now` is its clock."""
 
-    def __init__(self, name, decode=_decode):
+    def __init__(self, name, decode=_decode, link_bytes_per_s=None):
         self.now = 100.0
         self.is_store_reachable = True
         self.is_leaving = False
@@ -67,6 +67,7 @@
             is_store_reachable=lambda: self.is_store_reachable,
             note_change=lambda: None,
             note_targets=lambda rows: None,
+            link_bytes_per_s=link_bytes_per_s,
         )
 
     @staticmethod
