Log: which plain target was chosen, on how old a list, and how much time was left

To follow a plain request that reached its target late (DRAIN), the line of its choice was missing; requests of engines have `path_chosen`.

--- a/packages/router/fulmarward_router/exchange/_plain.py
+++ b/packages/router/fulmarward_router/exchange/_plain.py
@@ -57,6 +57,7 @@
             tried.add(target.name)
             work.attempts += 1
             work.targets = (target.name,)
+            self._log_choice(work, target)
             reservation = self._ledger.reserve_one(target.name)
             try:
                 answer = await self._try_target(work, target)
@@ -71,6 +72,18 @@
                     return last_failure
                 raise self._make_refusal(work, "no more attempts")
 
+    def _log_choice(self, work: Work, target: TargetRecord) -> None:
+        now = self._read_clock()
+        log_event(
+            "target_chosen",
+            request=work.facts.request_id,
+            attempt=work.attempts,
+            target=target.name,
+            targets_version=self._catalogue.version,
+            targets_age_s=round(now - self._catalogue.confirmed_at, 3),
+            left_s=round(work.deadline - now, 3),
+        )
+
     def _make_refusal(self, work: Work, cause: str) -> RejectedRequest:
         return self._context.make_refusal(
             work, cause=cause, retry_after_s=SATURATED_RETRY_S
