Test harness: children have a process group of their own

The log shows i3, which the test had stopped with SIGSTOP, running again at 15:36:56.357; at that moment the shell ended that had started the run in the background.

Cause: when a shell ends, the kernel sends SIGHUP and SIGCONT to the process group that it leaves behind if a process in it is stopped.

--- a/packages/standins/fulmarward_standins/harness/_processes.py
+++ b/packages/standins/fulmarward_standins/harness/_processes.py
@@ -48,11 +48,19 @@
 
 
 async def start_process(name: str, command: list[str], folder: Path) -> Process:
-    """Start a child whose output goes to `NAME.log` in `folder`."""
+    """Start a child whose output goes to `NAME.log` in `folder`.
+
+    It has a process group of its own. Guards against a shell above that ends: the
+    kernel then continues all stopped processes of the group that it leaves behind.
+    """
     log = folder / f"{name}.log"
     with log.open("ab") as output:
         child = await asyncio.create_subprocess_exec(
-            *command, stdin=asyncio.subprocess.DEVNULL, stdout=output, stderr=output
+            *command,
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=output,
+            stderr=output,
+            process_group=0,
         )
     return Process(name=name, child=child, log=log)
 
