--- a/packages/router/fulmarward_router/exchange/_front.py
+++ b/packages/router/fulmarward_router/exchange/_front.py
@@ -32,10 +32,8 @@
 STOPPING_RETRY_S = 0.1
 
 #: Seconds without confirmation of the configuration after which a route or key that is
-#: not known may just be newer. Load: an instance that neither reaches the store nor a
-#: peer that does; harm: a caller is told for good that its route is not there, though
-#: it is; reason: the time in which a configuration is to be in force.
-UNSURE_S = 2.0
+#: not known may just be newer.
+MAX_CONFIRMATION_AGE_S = 2.0
 
 #: Seconds that a connection may stay idle before the first configuration.
 IDLE_S = 60.0
@@ -216,7 +214,7 @@
         age_s = now - self._configuration.confirmed_at
         if self._configuration.is_outdated:
             doubt = "a newer configuration is in force at a peer"
-        elif age_s > UNSURE_S:
+        elif age_s > MAX_CONFIRMATION_AGE_S:
             doubt = f"configuration confirmed {age_s:.1f} s ago"
         else:
             return RejectedRequest(code, cause=cause)
--- a/packages/router/fulmarward_router/exchange/tests/test_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_failure_detector.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import math
 import socketserver
 import threading
 import time
@@ -135,9 +136,7 @@
 @_on_a_calm_loop
 class CheckTest(unittest.TestCase):
     def test_refused_path_is_known_whole_before_the_next_one_is_chosen(self):
-        # Four targets crash together. A request is refused because of the first, its
-        # next path leads through the second and the last one through the third: its
-        # three attempts are gone after 7 ms, and its caller is refused.
+        """Guards against attempts used up by targets that failed together."""
         clock = _Clock()
         table = SuspicionTable()
 
@@ -159,8 +158,7 @@
 @_on_a_calm_loop
 class ProbeTest(unittest.TestCase):
     def test_targets_that_fail_together_are_found_before_a_pause_is_too_long(self):
-        # A group of four targets crashes. Streams stand still, and what lies on their
-        # paths is asked. The second probe took 0.25 s; a pause may take that in all.
+        """Guards against a pause of streams that a second, longer probe prolongs."""
         lost, took_s = _probe("abcdefghij", lambda now: "abcd")
         self.assertEqual(lost, "abcd")
         self.assertLess(took_s, 0.08)
@@ -171,8 +169,7 @@
         self.assertEqual(lost, "")
 
     def test_word_of_a_peer_is_settled_by_a_probe(self):
-        # A peer tells of two targets. The one that answers takes new work again and
-        # keeps its streams, the other is lost here too, and is not told on.
+        """Guards against a healthy target being excluded by a report alone."""
         table = SuspicionTable()
         for name in "ab":
             table.record_indirect_failure(name, duration_s=2.0, now=100.0)
@@ -191,7 +188,9 @@
 
 
 @_on_a_calm_loop
-class OwnSilenceTest(unittest.IsolatedAsyncioTestCase):
+class IsolatedObserverTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against an instance whose link is saturated accusing healthy targets."""
+
     # Answers were cut in the middle at all instances, beside a new configuration. The
     # links of a few instances were full with it for seconds; their probes and reports
     # went unanswered, they noted sound targets as lost and told all others. Cause: a
@@ -200,8 +199,7 @@
     # the targets that they named answered others all the while.
 
     async def test_instance_that_hears_nobody_believes_nobody_lost(self):
-        # Its streams stand still, so it probes what lies on their paths again
-        # and again (one target, a path, or all) and asks for the first one's report.
+        """Guards against an isolated observer that probes again and again."""
         for names in ("a", "abcd", "abcdefghijklmnopqrstuvwxyz"):
             instance = _Instance(_hear_nobody_until(102.0))
             while instance.clock.now < 102.0:
@@ -254,8 +252,7 @@
         self.assertFalse(instance.table.is_unreachable("a", now=102.1))
 
     async def test_nobody_is_asked_for_a_moment_after_nobody_was_heard(self):
-        # Each probe is paid for, and one more on a link that is full. Without a pause
-        # between them, an instance whose streams stand still asks again at once.
+        """Guards against probes that add to a saturated link."""
         instance = _Instance(_hear_nobody_until(110.0))
         instance.watch.probe("abcd")
         await instance.watch.check("abcd")
@@ -274,9 +271,7 @@
 @_on_a_calm_loop
 class AnswerTest(unittest.IsolatedAsyncioTestCase):
     async def test_answer_says_nothing_against_a_word_that_came_after_it(self):
-        # A target answers a probe at once and is killed. The probe waits on for others,
-        # a peer tells of the loss, and the probe's end took that word away: for two
-        # seconds new requests were sent to a target that was dead.
+        """Guards against an earlier answer that drops a later report."""
         instance = _Instance(lambda now: "b")
         instance.table.record_indirect_failure("c", duration_s=2.0, now=99.9)
         instance.watch.probe("abc")
@@ -295,12 +290,8 @@
 
 
 @_on_a_calm_loop
-class WitnessTest(unittest.IsolatedAsyncioTestCase):
-    # A target dies. Requests go on to it and fail, and streams through it stand still,
-    # for as long as all others are full or a peer's word lies on them. Cause: all under
-    # suspicion were barred from being asked beside it, and a silence that stands alone
-    # counts as the instance's own. Evidence: with seven others told of, or full, the
-    # eighth was asked alone, and an own silence was noted each time.
+class ControlsTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a failure never found while all controls are suspected."""
 
     async def test_loss_is_found_while_all_others_are_told_or_full(self):
         for reason in ("told", "full"):
@@ -393,13 +384,7 @@
 
 
 class OwnPauseTest(unittest.IsolatedAsyncioTestCase):
-    # An instance reads thousands of routes, and stands still for 30 to 38 ms, just
-    # after it asked some targets whether they live. A target that answers in that time
-    # is led around for two seconds, streams through it are ended, and peers are told.
-    # Cause: after a pause the loop sees the time-out before the answer that came
-    # meanwhile, and the round counted as late only 15 ms after its end. Evidence: with
-    # real sockets, and the pause's end 3 to 7 ms after the round's, `a` was lost each
-    # time.
+    """Guards against answers that arrive while the event loop is blocked."""
 
     async def test_answer_that_comes_during_a_pause_counts(self):
         for until_s in (0.038, 0.04, 0.042):
@@ -435,11 +420,7 @@
 
 @_on_a_calm_loop
 class NotSentTest(unittest.IsolatedAsyncioTestCase):
-    # A target goes dark just after it answered a probe. No connection to it is made in
-    # time, and each request that is sent to it costs its caller 0.35 s and a repeat,
-    # until 0.8 s after that answer. Cause: the answer kept it from being asked for that
-    # time. Evidence: its connection failed 0.45 s after the answer, and it was not
-    # found lost.
+    """Guards against a recent answer that keeps a dark target in use."""
 
     async def test_target_that_went_dark_after_its_answer_is_asked_at_once(self):
         instance = _Instance(lambda now: "a" if now > 100.1 else "")
@@ -475,12 +456,8 @@
 
 
 @_on_a_calm_loop
-class ReportTest(unittest.IsolatedAsyncioTestCase):
-    # A packet of the call for a first target's report is lost, and the report does not
-    # come. The target is sound, and answers all that is asked of it after that; it is
-    # led around for two seconds, streams through it are ended, and peers are told.
-    # Cause: the missing report was judged beside answers of others, asked 35 ms later.
-    # Evidence: with a silence to its first call alone, `a` was lost.
+class MissingReportTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against one missing report making a healthy target unreachable."""
 
     async def test_target_whose_report_alone_is_missing_is_not_lost(self):
         silences = iter("a")
@@ -499,9 +476,13 @@
 
     async def is_there(self, record, timeout_s):
         self.asked[record.name] += 1
-        if not self._lost(record.name, self.asked[record.name]):
+        call = self.asked[record.name]
+        if not self._lost(record.name, call):
             return True
-        await asyncio.sleep(timeout_s)
+        # It times out once the last call of its probe has been made.
+        last = math.ceil(call / PROBE_CALLS) * PROBE_CALLS
+        while self.asked[record.name] < last:
+            await asyncio.sleep(0.001)
         return False
 
 
@@ -514,13 +495,13 @@
             dialect=_LossyDialect(lost),
             catalogue=_Catalogue("abcd"),
             suspicions=table,
-            read_clock=time.monotonic,
+            read_clock=lambda: 100.0,
             note_change=lambda: None,
         )
         detector.probe("a")
         for _ in range(3):
             await detector.check("abcd")
-        failures = table.list_direct_failures(now=time.monotonic())
+        failures = table.list_direct_failures(now=100.0)
         return [failure.target for failure in failures]
 
     async def test_target_whose_first_call_is_lost_is_healthy(self):
--- a/packages/router/fulmarward_router/state/_watch.py
+++ b/packages/router/fulmarward_router/state/_watch.py
@@ -20,21 +20,16 @@
 )
 from fulmarward_router.state._configuration import ConfigurationHolder
 
-#: Seconds for which one call waits for a newer configuration. Load: connections that
-#: fall silent, and a bound of 2 s for a configuration to be in force; harm: each call
-#: is paid for; reason: together with a call's own time-out it stays within the bound
-#: and a machine makes about 30 calls a minute.
+#: Seconds for which one call waits for a newer configuration. Short enough to notice a
+#: silent connection before the configuration is to be in force.
 CONFIGURATION_WAIT_S = 1.8
 
 #: The same after a change: only a call that ends without one confirms that there is
 #: nothing newer.
 RECHECK_WAIT_S = 0.2
 
-#: Seconds between two readings of the targets' changes. Load: 40 targets that write
-#: every 1.2 s, and 2 s in which a leaving target must not be sent work any more;
-#: harm: each call is paid for; reason: with a heartbeat's delay to the other instances
-#: a change is known everywhere in under 1 s.
-TARGETS_PAUSE_S = 0.4
+#: Seconds between two readings of the targets' changes; each call is paid for.
+TARGETS_INTERVAL_S = 0.4
 
 #: Seconds between two checks whether this instance is to read by itself, by whether
 #: there are many instances.
@@ -43,23 +38,21 @@
 #: Seconds for which a reading of the targets waits when nothing changed.
 TARGETS_WAIT_S = 0.6
 
-#: Instances that read the targets for all. Load: one of them dies or is turned away;
-#: harm: each reader's calls are paid for; reason: with two, one death delays nothing.
+#: Instances that read the targets for all; with two, one death delays nothing.
 READERS = 2
 
-#: Seconds without confirmed news after which an instance reads by itself, beside the
-#: heartbeats on the way from a reader: one where all are linked to all, three where
-#: hubs pass it on. Reason: a reading, its time-out, and the way to here.
+#: Seconds without confirmed news after which an instance reads by itself, and the
+#: heartbeats for which it waits besides: on the way from a reader, where all are linked
+#: to all and where hubs pass news on.
 STALE_S = 0.65
 _STALE_HEARTBEATS = 1.5
 _STALE_HEARTBEATS_BY_HUBS = 4.0
 
-#: Instances that wait for the configuration at the store where there are many. Load: a
-#: version that all must have soon; harm: the store sends each the row unpacked, and
-#: whatever comes to it meanwhile waits; reason: with fewer the others have it later.
+#: Instances that wait for the configuration at the store where there are many: each is
+#: sent the row uncompressed.
 CONFIGURATION_READERS = 4
 
-#: Seconds before the store is tried again after it was out, growing to the most.
+#: Seconds before the store is tried again after it was out, growing to the maximum.
 RETRY_S = 0.15
 MAX_RETRY_INTERVAL_S = 0.6
 
@@ -171,7 +164,7 @@
                 continue
             pause_s = RETRY_S
             self._note_in(self._store.targets_table)
-            await asyncio.sleep(TARGETS_PAUSE_S)
+            await asyncio.sleep(TARGETS_INTERVAL_S)
 
     def _must_read(self) -> bool:
         is_stale = self._is_stale(self._catalogue.confirmed_at)
