--- a/packages/router/fulmarward_router/exchange/tests/test_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_failure_detector.py
@@ -495,7 +495,7 @@
 @_on_a_calm_loop
 class LostPacketTest(unittest.IsolatedAsyncioTestCase):
     async def probe(self, lost):
-        """Return the targets found unreachable by a probe of `a` beside two controls."""
+        """Return the targets found unreachable by a probe of `a` and two controls."""
         table = SuspicionTable()
         detector = FailureDetector(
             dialect=_LossyDialect(lost),
