--- a/packages/standins/fulmarward_standins/harness/_processes.py
+++ b/packages/standins/fulmarward_standins/harness/_processes.py
@@ -1,6 +1,7 @@
 """Child processes: started, watched, and ended by their own id only."""
 
 import asyncio
+import contextlib
 import os
 import signal
 from collections.abc import Awaitable, Callable
@@ -27,9 +28,13 @@
     log: Path
 
     def send(self, number: signal.Signals) -> None:
-        """Send a signal, if the process still runs."""
+        """Send a signal, if the process still runs.
+
+        One that has just ended may be gone before its return code is known here.
+        """
         if self.child.returncode is None:
-            os.kill(self.child.pid, number)
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.child.pid, number)
 
     async def stop(self) -> int:
         """Ask it to end and wait; kill it only when it does not."""
