Exchange: one list of a data centre's engines; rounds of the probing tests stand once

The readers of paces and of occupancy each listed the engines of their data centre that hold layers; list_engines serves both. Three tests of probe rounds made the same three rounds; assertions and cases are unchanged. Behaviour is unchanged.

--- a/packages/core/fulmarward_core/probing/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/probing/tests/test_decisions.py
@@ -11,6 +11,14 @@
     evaluate_round,
 )
 
+#: Timeout of a first round, of one that repeats it, and of a long one; whether each is
+#: a repeat.
+_ROUNDS = (
+    (PROBE_TIMEOUT_S, False),
+    (PROBE_TIMEOUT_S, True),
+    (CONFIRM_TIMEOUT_S, True),
+)
+
 _OWN = ProbeVerdict(is_isolated=True)
 _LONG = ProbeVerdict(retry_timeout_s=CONFIRM_TIMEOUT_S)
 _SHORT = ProbeVerdict(retry_timeout_s=PROBE_TIMEOUT_S)
@@ -23,11 +31,7 @@
 class EvaluateRoundTest(unittest.TestCase):
     def test_findings(self):
         """Guards against healthy targets being reported by an isolated instance."""
-        first, again, long = (
-            (PROBE_TIMEOUT_S, False),
-            (PROBE_TIMEOUT_S, True),
-            (CONFIRM_TIMEOUT_S, True),
-        )
+        first, again, long = _ROUNDS
         cases = [
             # name, round, asked, who answered, seconds of an answer, late by, finding
             ("all answer", first, "abc", "abc", 0.002, 0, ProbeVerdict()),
@@ -62,11 +66,7 @@
 
     def test_own_pause_within_a_round(self):
         """Guards against answers that arrive while the event loop is blocked."""
-        first, again, long = (
-            (PROBE_TIMEOUT_S, False),
-            (PROBE_TIMEOUT_S, True),
-            (CONFIRM_TIMEOUT_S, True),
-        )
+        first, again, long = _ROUNDS
         cases = [
             # name, round, seconds of the pause, who answered of a to d, finding
             ("short pause", first, 0.009, "bcd", _lose("a")),
@@ -91,11 +91,7 @@
 
     def test_missing_control_is_probed_before_it_is_judged(self):
         """Guards against excluding a healthy control that missed one short timeout."""
-        first, again, long = (
-            (PROBE_TIMEOUT_S, False),
-            (PROBE_TIMEOUT_S, True),
-            (CONFIRM_TIMEOUT_S, True),
-        )
+        first, again, long = _ROUNDS
         cases = [
             # round, who answered of a and the controls c to e, unreachable, suspects
             (first, "acd", (), ("e",)),
--- a/packages/router/fulmarward_router/exchange/_occupancy.py
+++ b/packages/router/fulmarward_router/exchange/_occupancy.py
@@ -11,7 +11,11 @@
 from fulmarward_core.catalogue import TargetCatalogue
 from fulmarward_core.fleet import TargetRecord
 from fulmarward_core.loads import LoadLedger, TargetLoad
-from fulmarward_router.exchange._paces import REPORT_TIMEOUT_S, split_records
+from fulmarward_router.exchange._paces import (
+    REPORT_TIMEOUT_S,
+    list_engines,
+    split_records,
+)
 from fulmarward_router.ports import TargetDialect
 
 #: Seconds after the targets are known in which this instance hears of its peers, so
@@ -65,13 +69,11 @@
 
     async def _read_all(self) -> dict[str, float]:
         """Return the KV cache that is held at each engine nearby."""
-        records = [
-            record
-            for record in self._catalogue.list_targets(now=self._read_clock())
-            if record.data_centre == self._data_centre and record.layers is not None
-        ]
+        engines = list_engines(
+            self._catalogue, data_centre=self._data_centre, now=self._read_clock()
+        )
         used: dict[str, float] = {}
-        for group in split_records(records):
+        for group in split_records(engines):
             held = await asyncio.gather(*map(self._read_kv, group))
             names = [record.name for record in group]
             used |= zip(names, held, strict=True)
--- a/packages/router/fulmarward_router/exchange/_paces.py
+++ b/packages/router/fulmarward_router/exchange/_paces.py
@@ -58,13 +58,9 @@
                 await self._read_all(now)
 
     async def _read_all(self, now: float) -> None:
-        records = [
-            record
-            for record in self._catalogue.list_targets(now=now)
-            if record.data_centre == self._data_centre and record.layers is not None
-        ]
         changes = 0
-        for group in split_records(records):
+        engines = list_engines(self._catalogue, data_centre=self._data_centre, now=now)
+        for group in split_records(engines):
             readings = [self._read(record) for record in group]
             changes += sum(await asyncio.gather(*readings))
         if changes:
@@ -82,6 +78,17 @@
         return True
 
 
+def list_engines(
+    catalogue: TargetCatalogue, *, data_centre: str, now: float
+) -> list[TargetRecord]:
+    """Return the targets of a data centre that hold layers of a model."""
+    return [
+        record
+        for record in catalogue.list_targets(now=now)
+        if record.data_centre == data_centre and record.layers is not None
+    ]
+
+
 def split_records(records: list[TargetRecord]) -> Iterator[list[TargetRecord]]:
     """Yield groups of targets that are asked for their reports at once."""
     for start in range(0, len(records), MAX_CONCURRENT):
