--- /dev/null
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_sends.py
@@ -0,0 +1,158 @@
+"""Orders of events while the bytes of a request wait for a link."""
+
+import asyncio
+import time
+import unittest
+from types import SimpleNamespace
+from unittest import mock
+
+from fulmarward_core.catalogue import KnownRow, TargetCatalogue
+from fulmarward_core.fleet import TargetRecord
+from fulmarward_core.loads import LoadLedger
+from fulmarward_core.paces import PaceTable
+from fulmarward_core.quotas import RetryBudget
+from fulmarward_core.results import ResultCode
+from fulmarward_core.routes import Route, RouteKind, ServiceShare
+from fulmarward_core.suspicion import SuspicionTable
+from fulmarward_router.exchange import (
+    PlainService,
+    ServiceContext,
+    TargetClient,
+    make_target_session,
+)
+from fulmarward_router.exchange._request_state import RejectedRequest, RequestState
+from fulmarward_router.exchange.tests.test_send import (
+    _BODY,
+    _Dialect,
+    _StalledTarget,
+)
+
+#: Seconds after an acknowledged leaving in which a target still takes requests.
+_DRAIN_S = 3.0
+
+#: Seconds that an attempt has to notice a change.
+_NOTICE_S = 0.6
+
+
+def _make_row(address, version, *, is_leaving):
+    record = TargetRecord(
+        name="t1",
+        service="plain",
+        address=address,
+        data_centre="a",
+        is_leaving=is_leaving,
+        slots=8,
+        remaining_warmup_s=0.0,
+        started_ms=1,
+        kind="",
+        layers=None,
+    )
+    return KnownRow(
+        name="t1", version=version, value=b"", record=record, heard_at=time.monotonic()
+    )
+
+
+class LateSendTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        #: Seconds by which the instance's clock has been put forward.
+        self.skipped_s = 0.0
+        session = make_target_session()
+        self.addAsyncCleanup(session.close)
+        self.catalogue = TargetCatalogue()
+        budget = RetryBudget(ratio=0.2, slack=0.0, window_s=10.0)
+        dialect = _Dialect()
+        self.context = ServiceContext(
+            client=TargetClient(session=session, dialect=dialect),
+            dialect=dialect,
+            catalogue=self.catalogue,
+            suspicions=SuspicionTable(),
+            paces=PaceTable(),
+            ledger=LoadLedger(),
+            find_budget=lambda service: budget,
+            find_share=lambda: 1.0,
+            is_large=lambda: False,
+            instance="one",
+            data_centre="a",
+            read_clock=self.read_clock,
+        )
+        self.plain = PlainService(context=self.context, failure_detector=mock.Mock())
+
+    def read_clock(self):
+        return time.monotonic() + self.skipped_s
+
+    def list_target(self, address, version, *, is_leaving=False):
+        row = _make_row(address, version, is_leaving=is_leaving)
+        self.catalogue.apply_changes([row], version, now=self.read_clock())
+
+    def serve(self, *, body, deadline_s):
+        """Start to serve a request that may not be repeated."""
+        route = Route(
+            name="r",
+            host="",
+            prefix="/",
+            kind=RouteKind.NON_IDEMPOTENT,
+            timeout_s=20.0,
+            objective_s=0.5,
+            pause_s=0.1,
+            priority=0,
+            shares=(ServiceShare(service="plain", weight=1.0),),
+            most_attempts=1,
+            is_public=True,
+            is_resumable=False,
+        )
+        now = self.read_clock()
+        state = RequestState(
+            request=SimpleNamespace(raw_path="/x", method="POST", get=lambda key: None),
+            headers={},
+            body=body,
+            facts=SimpleNamespace(request_id="a"),
+            configuration=None,
+            route=route,
+            team=None,
+            service="plain",
+            urgency=0,
+            arrived_at=now,
+            deadline=now + deadline_s,
+        )
+        serving = asyncio.create_task(self.plain.serve(state))
+        self.addAsyncCleanup(_cancel, serving)
+        return serving
+
+    async def stall(self, *, deadline_s):
+        """Start a request most of whose bytes stay in this instance's send buffer."""
+        target = _StalledTarget()
+        self.addCleanup(target.close)
+        self.list_target(target.address, 1)
+        serving = self.serve(body=_BODY, deadline_s=deadline_s)
+        connection = await target.accept()
+        connection.setblocking(False)
+        await asyncio.sleep(0.05)
+        return target, serving
+
+    async def read(self, target):
+        """Return what reaches the target once the link recovers."""
+        loop = asyncio.get_running_loop()
+        received = bytearray()
+        try:
+            async with asyncio.timeout(2.0):
+                while len(received) < len(_BODY):
+                    data = await loop.sock_recv(target._connection, 1 << 16)
+                    if not data:
+                        break
+                    received += data
+        except (ConnectionResetError, TimeoutError):
+            pass
+        return bytes(received)
+
+    async def test_unsent_request_is_not_delivered_after_its_deadline(self):
+        """A connection, a full link, the deadline, the link recovers."""
+        target, serving = await self.stall(deadline_s=0.3)
+        with self.assertRaises(RejectedRequest) as raised:
+            await serving
+        self.assertEqual(raised.exception.code, ResultCode.DEADLINE_PASSED)
+        self.assertLess(len(await self.read(target)), len(_BODY))
+
+
+async def _cancel(task):
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
