DRAIN: an unsent request is delivered after its target has left

A request that may not be repeated has a connection, and most of its bytes wait in the send buffer behind a full link. That its target leaves becomes known here meanwhile. The attempt has until its deadline (20 s); nothing ends it, and when the link recovers 3 s later the target gets all 4,000,087 bytes. Real sockets, send buffer and service; the clock is put forward instead of waiting.

This test fails, on purpose; nothing is mended here. Command: scripts/test fulmarward_router.exchange.tests.test_late_sends.LateSendTest.test_unsent_request_is_not_delivered_after_its_target_has_left

--- a/packages/router/fulmarward_router/exchange/tests/test_late_sends.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_sends.py
@@ -152,6 +152,14 @@
         self.assertEqual(raised.exception.code, ResultCode.DEADLINE_PASSED)
         self.assertLess(len(await self.read(target)), len(_BODY))
 
+    async def test_unsent_request_is_not_delivered_after_its_target_has_left(self):
+        """A connection, a full link, the leaving is known, 3 s, the link recovers."""
+        target, _ = await self.stall(deadline_s=20.0)
+        self.list_target(target.address, 2, is_leaving=True)
+        self.skipped_s += _DRAIN_S
+        await asyncio.sleep(_NOTICE_S)
+        self.assertLess(len(await self.read(target)), len(_BODY))
+
 
 async def _cancel(task):
     task.cancel()
