DRAIN: an instance that knows it is behind sends to a target that left

Heartbeats tell for 3.2 s that targets have changed, and the changes do not come. The choice of a plain target asks neither for the newest version that a peer has reported nor for the age of the catalogue: the request goes to the target that left.

This test fails, on purpose; nothing is mended here. Command: scripts/test fulmarward_router.tests.test_late_messages.KnownToBeBehindTest.test_target_that_left_gets_nothing_from_an_instance_known_to_be_behind

--- a/packages/router/fulmarward_router/tests/test_late_messages.py
+++ b/packages/router/fulmarward_router/tests/test_late_messages.py
@@ -180,6 +180,13 @@
                 self.reader.instance_state.make_heartbeat()
             )
 
+    def test_target_that_left_gets_nothing_from_an_instance_known_to_be_behind(self):
+        """A leaving, heartbeats that tell of a change, its row 3 s late, a request."""
+        self.reader.read_targets([make_target_row("t1", 5, is_leaving=True)], 5)
+        self.hear_reader(seconds=DRAIN_S + 0.2)
+        _, reached = self.peer.request("/v1/x")
+        self.assertNotIn("t1", reached)
+
     def test_new_key_is_not_denied_by_an_instance_known_to_be_behind(self):
         """A key is added, heartbeats that tell of it, its row 3 s late, a request."""
         self.reader.read_configuration(make_configuration_row(2))
