DRAIN: an instance that has heard nothing for 3.2 s sends to a target that left

No answer of the store and no heartbeat arrive for 3.2 s, and connections to targets do, as when links between instances wait for a retransmission. The choice of a plain target has no bound on the age of the catalogue; that of a path uses it only for targets that refuse. An outage of the store looks the same here: whoever mends this has to tell them apart.

This test fails, on purpose; nothing is mended here. Command: scripts/test fulmarward_router.tests.test_late_messages.SilenceTest.test_target_that_left_gets_nothing_after_a_silence

--- a/packages/router/fulmarward_router/tests/test_late_messages.py
+++ b/packages/router/fulmarward_router/tests/test_late_messages.py
@@ -204,6 +204,11 @@
         self.peer.read_targets(rows, 4)
         self.peer.now += DRAIN_S + 0.2
 
+    def test_target_that_left_gets_nothing_after_a_silence(self):
+        """All answers and heartbeats 3 s late, a leaving in their time, a request."""
+        _, reached = self.peer.request("/v1/x")
+        self.assertNotIn("t1", reached)
+
     def test_new_key_is_not_denied_after_a_silence(self):
         """All answers and heartbeats 3 s late, a new key in their time, a request."""
         self.assertEqual(self.peer.request("/keyed/x", key="k2"), (503, []))
