DRAIN: a removal that is known is ignored after a gap of the own link

The store is sound and removes a target. This instance hears nothing for 2.2 s, then the removal. A gap of more than 2 s counts as an outage of the store, and a row removed within 1.9 s after it may return: the target stays listed, and a request 3.05 s after the removal goes to it, 0.85 s after this instance has read that it is gone. With the removal 1 s late the test beside it holds.

This test fails, on purpose; nothing is mended here. Command: scripts/test fulmarward_router.tests.test_late_messages.RemovalTest.test_removed_target_gets_nothing_after_a_gap_of_the_own_link

--- a/packages/router/fulmarward_router/tests/test_late_messages.py
+++ b/packages/router/fulmarward_router/tests/test_late_messages.py
@@ -236,6 +236,10 @@
         """A removal, its row 1 s late, a request 3 s after the removal."""
         self.assertNotIn("t1", self.request_after_removal(heard_after_s=1.0))
 
+    def test_removed_target_gets_nothing_after_a_gap_of_the_own_link(self):
+        """A removal, nothing heard for 2.2 s, its row, a request 3 s after it."""
+        self.assertNotIn("t1", self.request_after_removal(heard_after_s=2.2))
+
 
 class RelayedConfirmationTest(unittest.TestCase):
     def request_after_relays(self, *, delay_s):
