CONFIG: an instance that knows it is behind runs requests with a dropped key

Heartbeats tell for 3.2 s of a newer configuration whose row does not come. A route or key that is not known gets 503 then, but one that the old version still has is served: 200, run by a target, with a key that the version in force has dropped.

This test fails, on purpose; nothing is mended here. Command: scripts/test fulmarward_router.tests.test_late_messages.KnownToBeBehindTest.test_dropped_key_runs_nothing_at_an_instance_known_to_be_behind

--- a/packages/router/fulmarward_router/tests/test_late_messages.py
+++ b/packages/router/fulmarward_router/tests/test_late_messages.py
@@ -187,6 +187,13 @@
         _, reached = self.peer.request("/v1/x")
         self.assertNotIn("t1", reached)
 
+    def test_dropped_key_runs_nothing_at_an_instance_known_to_be_behind(self):
+        """A key is dropped, heartbeats that tell of it, its row 3 s late, a request."""
+        self.reader.read_configuration(make_configuration_row(2))
+        self.hear_reader(seconds=CONFIGURATION_S + 0.2)
+        status, reached = self.peer.request("/keyed/x", key="k1")
+        self.assertEqual((status, reached), (503, []))
+
     def test_new_key_is_not_denied_by_an_instance_known_to_be_behind(self):
         """A key is added, heartbeats that tell of it, its row 3 s late, a request."""
         self.reader.read_configuration(make_configuration_row(2))
