CONFIG: a late heartbeat makes an old configuration deny what is in force

Found by the state machine (derandomized, 200 examples, so it needs no seed): a heartbeat, a new configuration, the heartbeat is delivered 1.5 s late, a request 3.05 s after the change: 404. The age in a heartbeat is taken off the time of its arrival, so its delay makes the confirmation younger than it is. A link may delay for 1.6 s before it is ended; up to 1.0 s the machine finds nothing. It needs that nothing is heard after that heartbeat: the next one would tell of the newer version.

This test fails, on purpose; nothing is mended here. Command: scripts/test fulmarward_router.tests.test_late_messages.LateConfirmationTest.test_late_heartbeat_denies_no_route_that_is_in_force

--- a/packages/router/fulmarward_router/tests/test_late_messages.py
+++ b/packages/router/fulmarward_router/tests/test_late_messages.py
@@ -160,6 +160,12 @@
     case.runTest()
 
 
+class LateConfirmationTest(unittest.TestCase):
+    def test_late_heartbeat_denies_no_route_that_is_in_force(self):
+        """A heartbeat as late as a link allows, a new route, a request 3 s later."""
+        _run(_DenialMachine)
+
+
 class KnownToBeBehindTest(unittest.TestCase):
     """A peer has told of a newer version, and its answer does not come."""
 
