CONFIG: the delays of relayed heartbeats add up until an old version denies

Three hops, each 0.5 s late and so far below the bound of a link: a confirmation looks 1.5 s younger than it is, and a request 3.05 s after the new route gets 404. With 0.1 s a hop it gets 503.

This test fails, on purpose; nothing is mended here. Command: scripts/test fulmarward_router.tests.test_late_messages.RelayedConfirmationTest.test_relayed_late_heartbeats_deny_no_route_that_is_in_force

--- a/packages/router/fulmarward_router/tests/test_late_messages.py
+++ b/packages/router/fulmarward_router/tests/test_late_messages.py
@@ -272,3 +272,7 @@
     def test_heartbeats_relayed_without_delay_deny_no_route_that_is_in_force(self):
         """Three hops 0.1 s late each, a new route, a request for it 3 s later."""
         self.assertEqual(self.request_after_relays(delay_s=0.1), 503)
+
+    def test_relayed_late_heartbeats_deny_no_route_that_is_in_force(self):
+        """Three hops 0.5 s late each, a new route, a request for it 3 s later."""
+        self.assertEqual(self.request_after_relays(delay_s=0.5), 503)
