LOST: a stream without a retry is ended as its first target is late

The link of a first target holds everything for 0.7 s: the stream pauses, and the target's probe has no answer while controls answer. The attempt is ended ('the first target is lost') before a retry is asked for; with none left the caller gets events 1 and 2, though event 3 comes after 0.7 s.

This test fails, on purpose; nothing is mended here. Command: scripts/test fulmarward_router.exchange.tests.test_late_streams.LateTargetTest.test_stream_without_a_retry_waits_for_a_late_first_target

--- a/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
@@ -359,6 +359,32 @@
         self.assertTrue(answer.is_complete)
 
 
+class LateTargetTest(_FedStreamTest):
+    async def run_silence(self, *, slack):
+        """Let a first target's link hold everything for 0.7 s; return the answer."""
+        for name, address in (("first", "h:1"), ("t2", "h:2"), ("t3", "h:3")):
+            self.list_target(name, address, (0, 2))
+        self.start_service(SimpleNamespace(open=self.open), slack=slack)
+        serving, request = self.serve()
+        for number in (1, 2):
+            self.send(number)
+            await asyncio.sleep(0.03)
+        first = self.opened_at[0]
+        self.dialect.silent = {first}
+        await asyncio.sleep(0.7)
+        self.dialect.silent = set()
+        self.send(3)
+        self.stream.events.put_nowait(b"")
+        await asyncio.wait([serving], timeout=2.5)
+        return request["answer"]
+
+    async def test_stream_without_a_retry_waits_for_a_late_first_target(self):
+        """A first target's link is full for 0.7 s, no retry is left, it goes on."""
+        answer = await self.run_silence(slack=0.0)
+        self.assertIn(b"id: 3", answer.received)
+        self.assertTrue(answer.is_complete)
+
+
 class ToldLossTest(_FedStreamTest):
     async def run_crash(self, *, is_told):
         """Let the first target of a stream crash; return what its caller receives.
