LOST: a begun stream does not resume on a target that only a peer takes for lost

Two targets hold the model. A peer, whose link may be full, tells of one that it is lost; the other one crashes. The begun stream has a retry, but the target that is told of is left out, as it is half of the targets and not more, and nobody probes it: only hops of open streams are. After 1.7 s the caller's connection is closed ('no path to resume on'), and the healthy target was never asked.

This test fails, on purpose; nothing is mended here. Command: scripts/test fulmarward_router.exchange.tests.test_late_streams.ToldLossTest.test_stream_resumes_on_a_target_that_only_a_peer_takes_for_lost

--- a/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
@@ -417,6 +417,12 @@
         self.assertIn(b"id: 3", answer.received)
         self.assertTrue(answer.is_complete)
 
+    async def test_stream_resumes_on_a_target_that_only_a_peer_takes_for_lost(self):
+        """A peer with a full link tells of a healthy target, the other one crashes."""
+        answer = await self.run_crash(is_told=True)
+        self.assertIn(b"id: 3", answer.received)
+        self.assertTrue(answer.is_complete)
+
 
 async def _cancel(task):
     task.cancel()
