DRAIN: answers of the store within their time limit tell of a leaving too late

A read of the targets waits up to 0.6 s and may take 1.5 s. The store answers with a change, a target leaves just after, and that answer and the next one are 1.4 s late each: with 0.4 s between two reads the leaving is known after 3.2 s, and a request after 3.05 s goes to the target. The catalogue takes itself for 1.65 s old then, as a read of the targets counts from its arrival; that of the configuration counts from when it may have been given. No heartbeat tells of it here. Real watch, catalogue and choice, explicit clock.

This test fails, on purpose; nothing is mended here. Command: scripts/test fulmarward_router.tests.test_late_answers.LateTargetsTest.test_target_that_left_gets_nothing_if_answers_are_late

--- a/packages/router/fulmarward_router/tests/test_late_answers.py
+++ b/packages/router/fulmarward_router/tests/test_late_answers.py
@@ -82,3 +82,7 @@
     def test_target_that_left_gets_nothing_if_answers_are_half_a_second_late(self):
         """An answer, a leaving, each answer 0.5 s late, a request 3 s later."""
         self.assertNotIn("t1", self.request_after_leaving(delay_s=0.5))
+
+    def test_target_that_left_gets_nothing_if_answers_are_late(self):
+        """An answer, a leaving, each answer 1.4 s late, a request 3 s later."""
+        self.assertNotIn("t1", self.request_after_leaving(delay_s=1.4))
