Tests of late connections: two orders that hold

A request whose connection is made a second after its choice (its first packet is lost), or whose event loop is blocked for 1 s in between, is not sent: the limit on connecting, 0.35 s, ends the attempt first.

--- a/packages/router/fulmarward_router/exchange/tests/test_late_sends.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_sends.py
@@ -1,6 +1,7 @@
 """Orders of events while the bytes of a request wait for a link."""
 
 import asyncio
+import socket
 import time
 import unittest
 from types import SimpleNamespace
@@ -160,6 +161,55 @@
         await asyncio.sleep(_NOTICE_S)
         self.assertLess(len(await self.read(target)), len(_BODY))
 
+    async def accept_all(self, listening, *, seconds):
+        """Return what arrives on all connections within that time."""
+        received = bytearray()
+        ends_at = time.monotonic() + seconds
+        connections = []
+        while time.monotonic() < ends_at:
+            await asyncio.sleep(0.01)
+            for source in [listening, *connections]:
+                try:
+                    if source is listening:
+                        connections.append(source.accept()[0])
+                        connections[-1].setblocking(False)
+                    else:
+                        received += source.recv(1 << 16)
+                except (BlockingIOError, ConnectionResetError):
+                    continue
+        for connection in connections:
+            connection.close()
+        return bytes(received)
+
+    def listen(self, backlog):
+        listening = socket.socket()
+        self.addCleanup(listening.close)
+        listening.bind(("127.0.0.1", 0))
+        listening.listen(backlog)
+        listening.setblocking(False)
+        host, port = listening.getsockname()
+        self.list_target(f"{host}:{port}", 1)
+        return listening
+
+    async def test_request_is_not_sent_on_a_connection_that_is_made_a_second_late(self):
+        """A choice, the connection's first packet is lost, the link recovers."""
+        listening = self.listen(0)
+        waiting = socket.create_connection(listening.getsockname())
+        self.addCleanup(waiting.close)
+        serving = self.serve(body=b"small", deadline_s=20.0)
+        await asyncio.wait([serving], timeout=0.7)
+        self.assertNotIn(b"small", await self.accept_all(listening, seconds=1.2))
+
+    async def test_request_is_not_sent_after_a_blocked_event_loop(self):
+        """A choice, the event loop blocked for 1 s, the connection is made."""
+        listening = self.listen(8)
+        serving = self.serve(body=b"small", deadline_s=20.0)
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        time.sleep(1.0)
+        await asyncio.wait([serving], timeout=0.2)
+        self.assertNotIn(b"small", await self.accept_all(listening, seconds=0.3))
+
 
 async def _cancel(task):
     task.cancel()
