Targets: a read counts from when the store may have given it

What callers saw: a request sent to a target 3.05 s after the target's leaving was acknowledged (DRAIN). The instance took itself for up to 1.5 s younger than it was, told its peers that age, and went on to pause 0.4 s and to wait up to 0.6 s for a further change.

Now it counts from when it was asked for, or from the end of its wait where it has no changes; an outdated catalogue is read again after 0.15 s and without waiting for a change. Evidence: test_late_answers (answers 1.4 s late: the leaving was known after 3.2 s and is known after 2.95 s) and both cases of test_watch fail without this change, 3 of 14 tests of these files, and pass with it.

--- a/packages/core/fulmarward_core/catalogue/_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/_catalogue.py
@@ -99,9 +99,17 @@
         return now - self.confirmed_at > STALE_AGE_S
 
     def apply_full_read(
-        self, rows: Iterable[KnownRow], version: int, *, now: float
+        self,
+        rows: Iterable[KnownRow],
+        version: int,
+        *,
+        now: float,
+        confirmed_at: float | None = None,
     ) -> None:
-        """Apply a full read of the table: rows that it lacks were removed."""
+        """Apply a full read of the table: rows that it lacks were removed.
+
+        `confirmed_at` is when the store confirmed them, if not at `now`.
+        """
         if version < self.version:
             return
         rows = list(rows)
@@ -112,7 +120,9 @@
             for name in missing
             if self._rows[name].value is not None
         ]
-        self.apply_changes([*rows, *removed], version, now=now)
+        self.apply_changes(
+            [*rows, *removed], version, now=now, confirmed_at=confirmed_at
+        )
 
     def apply_changes(
         self,
--- a/packages/router/fulmarward_router/state/_watch.py
+++ b/packages/router/fulmarward_router/state/_watch.py
@@ -166,7 +166,9 @@
                 continue
             pause_s = RETRY_S
             self._record_success(self._store.targets_table)
-            await asyncio.sleep(TARGETS_INTERVAL_S)
+            # An answer that was delayed may already be outdated.
+            is_stale = self._is_stale(self._catalogue.confirmed_at)
+            await asyncio.sleep(RETRY_S if is_stale else TARGETS_INTERVAL_S)
 
     def _must_read_targets(self) -> bool:
         is_stale = self._is_stale(self._catalogue.confirmed_at)
@@ -187,21 +189,36 @@
         return self._read_clock() - confirmed_at > limit_s
 
     async def _read_all(self) -> None:
+        asked_at = self._read_clock()
         read = await self._store.read_table(self._store.targets_table)
         now = self._read_clock()
         rows = [self.decode_row(row, now=now) for row in read.rows]
-        self._catalogue.apply_full_read(rows, read.version, now=now)
+        self._catalogue.apply_full_read(
+            rows, read.version, now=now, confirmed_at=asked_at
+        )
         log_event("targets_read", rows=len(rows), store_version=read.version)
         self._handle_target_changes(rows)
 
     async def _read_changes(self) -> None:
+        # An outdated catalogue needs the changes so far, not the next one.
+        is_stale = self._is_stale(self._catalogue.confirmed_at)
+        wait_s = 0.0 if is_stale else TARGETS_WAIT_S
+        asked_at = self._read_clock()
         read = await self._store.follow_table(
-            self._store.targets_table, self._catalogue.version, TARGETS_WAIT_S
+            self._store.targets_table, self._catalogue.version, wait_s
         )
         now = self._read_clock()
+        confirmed_at = find_confirmed_at(
+            asked_at=asked_at,
+            wait_s=wait_s,
+            has_changes=bool(read.rows),
+            now=now,
+        )
         rows = [self.decode_row(row, now=now) for row in read.rows]
         self._handle_target_changes(
-            self._catalogue.apply_changes(rows, read.version, now=now)
+            self._catalogue.apply_changes(
+                rows, read.version, now=now, confirmed_at=confirmed_at
+            )
         )
 
     def decode_row(self, row: Row, *, now: float) -> KnownRow:
