Mesh: what a peer confirms counts from when it was sent

What callers saw: 404 for a route that had been in force for 3.05 s (CONFIG), by an instance whose last heartbeat was 1.5 s late; or after three hops of 0.5 s each. Cause: the ages in heartbeats, reports of hubs and changes of targets were subtracted from the time of their arrival, so that every second in a send buffer or on a full link made a confirmation a second younger than it was, at each hop again. The limit on a silent link (1.6 s) does not bound that. The same held for the targets (DRAIN), for reported failures and for paces.

Peers now exchange `SendTime`: the sender's monotonic clock and the smallest difference that it has seen between its clock and the receiver's send times. From that a receiver knows the time at which a message was sent, never too late and too early by the shortest transit of the other direction at most (TransitClock), without synchronized clocks. An instance that has not been told yet takes a confirmation for worthless. Older releases neither get nor send it; theirs count as before.

Evidence: LateConfirmationTest (found by a state machine) and RelayedConfirmationTest fail with the code before. They called `merge_heartbeat` without a time in transit, which a link now always passes; they pass the one that their order forces.

--- a/packages/router/fulmarward_router/mesh/_heartbeats.py
+++ b/packages/router/fulmarward_router/mesh/_heartbeats.py
@@ -1,6 +1,7 @@
 """Sends heartbeats and reports on all links in common rounds."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
@@ -8,11 +9,12 @@
 from websockets.protocol import State
 
 from fulmarward.observability import log_event
+from fulmarward_core.transit import TransitClock
 from fulmarward_router.mesh._members import (
     DATA_CENTRE_REPORT_INTERVAL_S,
     MemberTable,
 )
-from fulmarward_router.mesh._messages import Subscription
+from fulmarward_router.mesh._messages import SendTime, Subscription
 from fulmarward_router.mesh._state import MeshState, Revisions
 
 #: Minimum seconds between two rounds of heartbeats, so that a series of changes does
@@ -45,6 +47,8 @@
     address: str
     #: Whether this instance dialled the link, and so checks that it is alive.
     is_dialled: bool = True
+    #: Measures the transit of messages; `None` unless the peer reads `SendTime`.
+    transit: TransitClock | None = None
     #: The last subscription sent on a dialled link.
     subscription: Subscription | None = None
     #: Whether the peer is a hub that expects loads in separate `LoadUpdate` messages.
@@ -67,6 +71,18 @@
     pong: asyncio.Future[float] | None = None
 
 
+def make_send_time(transit: TransitClock, *, now: float) -> SendTime:
+    """Return the message that says when those after it on the link were made.
+
+    The times are rounded so that a message never seems newer than it is.
+    """
+    offset_s = transit.find_offset_s(now=now)
+    return SendTime(
+        sent_ms=math.floor(now * 1000),
+        offset_ms=None if offset_s is None else math.ceil(offset_s * 1000),
+    )
+
+
 class HeartbeatSender:
     """Sends heartbeats to all links from a single task.
 
@@ -214,6 +230,10 @@
                 log_event("peer_link_saturated", peer=link.address, unsent=unsent)
             return
         link.saturated_at = None
+        if link.transit is not None:
+            # The time at which the messages were encoded, which may be some time ago.
+            sent = make_send_time(link.transit, now=self._encoded_at)
+            self._send_bytes(link, self._encode(sent))
         if link.subscriber_revisions is not None:
             # The changes precede the heartbeat, so that it does not trigger a fetch.
             changes = self._encode_target_changes(link.subscriber_revisions.targets)
--- a/packages/router/fulmarward_router/mesh/_links.py
+++ b/packages/router/fulmarward_router/mesh/_links.py
@@ -11,8 +11,13 @@
 
 from fulmarward.observability import log_event
 from fulmarward_core.codec import InvalidMessageError
+from fulmarward_core.transit import TransitClock
 from fulmarward_router.mesh._codec import decode_message, encode_message
-from fulmarward_router.mesh._heartbeats import HeartbeatSender, PeerLink
+from fulmarward_router.mesh._heartbeats import (
+    HeartbeatSender,
+    PeerLink,
+    make_send_time,
+)
 from fulmarward_router.mesh._members import HEARTBEAT_INTERVAL_S, MemberTable
 from fulmarward_router.mesh._messages import (
     CompressedConfiguration,
@@ -27,8 +32,10 @@
     InstanceIdentity,
     Introduction,
     LoadUpdate,
+    SendTime,
     Subscription,
     SupportsCompression,
+    SupportsSendTimes,
     TargetChanges,
 )
 from fulmarward_router.mesh._state import Fetch, MeshState, Revisions
@@ -58,6 +65,9 @@
 #: How often a seed is dialled while no instance is known at its address.
 SEED_ATTEMPTS = 5
 
+#: Seconds in transit from which on a peer's messages are logged as late.
+LOGGED_DELAY_S = 0.25
+
 MAX_MESSAGE_BYTES = 4 << 20
 
 
@@ -72,6 +82,13 @@
     senders: set[str] = field(default_factory=set)
     #: Whether the peer has sent a `Subscription`.
     subscribes: bool = False
+    #: Measures the transit of the peer's messages; `None` unless it sends `SendTime`.
+    transit: TransitClock | None = None
+    #: Seconds for which the latest messages were in transit at most; 0 if the peer does
+    #: not send `SendTime`.
+    delay_s: float = 0.0
+    #: Whether these messages are logged as late.
+    is_late: bool = False
     #: The sending side of a dialled link, or of one to a subscriber.
     link: PeerLink | None = None
 
@@ -112,6 +129,10 @@
         self._wanted: frozenset[str] = frozenset()
         #: Since when each open link has not been wanted.
         self._unwanted_since: dict[str, float] = {}
+        #: Start time in ms since 1970 of each instance that sends `SendTime`, and the
+        #: transit of messages on all its links. Never evicted: one entry per instance
+        #: ever linked.
+        self._transits: dict[str, tuple[int, TransitClock]] = {}
         #: Handlers by type of message.
         self._handlers: dict[type, Callable[..., Awaitable[None]]] = {
             Introduction: self._handle_introduction,
@@ -126,6 +147,8 @@
             ConfigurationSnapshot: self._handle_snapshot,
             TargetChanges: self._handle_snapshot,
             SupportsCompression: self._handle_supports_compression,
+            SupportsSendTimes: self._handle_supports_send_times,
+            SendTime: self._handle_send_time,
             ConfigurationDeferred: self._handle_deferred,
             ConfigurationReceived: self._handle_received,
         }
@@ -264,6 +287,7 @@
         await self._send(connection, self._make_introduction(is_answer=False))
         supports = SupportsCompression(sender=self._own.name, boot=self._own.boot)
         await self._send(connection, supports)
+        await self._send(connection, self._make_supports_send_times())
         if self._must_fetch_instances():
             await self._send(connection, FetchInstances())
         link = PeerLink(connection=connection, address=address)
@@ -281,6 +305,9 @@
             for name in receiver.senders:
                 self._state.handle_link_closed(name)
 
+    def _make_supports_send_times(self) -> SupportsSendTimes:
+        return SupportsSendTimes(sender=self._own.name, boot=self._own.boot)
+
     def _make_introduction(self, *, is_answer: bool) -> Introduction:
         """Return the first message of a link, or the answer to `FetchInstances`.
 
@@ -316,6 +343,9 @@
             await handle(receiver, message)
         elif isinstance(message, Fetch):
             answer = self._state.answer(message)
+            if isinstance(answer, TargetChanges) and receiver.transit is not None:
+                sent = make_send_time(receiver.transit, now=self._read_clock())
+                await self._send(receiver.connection, sent)
             if answer is not None:
                 await self._send(receiver.connection, answer)
 
@@ -336,7 +366,8 @@
                 sender.name, sender.boot, is_needed=needs_dialling
             )
         self._members.merge_heartbeat(message, now=self._read_clock())
-        for fetch in self._state.merge_heartbeat(message):
+        fetches = self._state.merge_heartbeat(message, delay_s=receiver.delay_s)
+        for fetch in fetches:
             await self._send(receiver.connection, fetch)
 
     async def _handle_fleet_report(
@@ -345,7 +376,8 @@
         if receiver.link is not None:
             receiver.link.expects_load_updates = True
         self._members.merge_fleet_report(message, now=self._read_clock())
-        if not self._state.merge_fleet_report(message) and receiver.link is not None:
+        is_merged = self._state.merge_fleet_report(message, delay_s=receiver.delay_s)
+        if not is_merged and receiver.link is not None:
             self._send_nowait(receiver.connection, receiver.link.subscription)
         await self._handle_heartbeat(receiver, message.heartbeat)
 
@@ -381,6 +413,7 @@
             connection=receiver.connection,
             address=self._members.find_address(message.sender),
             is_dialled=False,
+            transit=receiver.transit,
             subscriber_revisions=Revisions() if message.wants_reports else None,
         )
         self._sender.add(receiver.link)
@@ -393,7 +426,7 @@
     async def _handle_data_centre_report(
         self, receiver: _LinkReceiver, message: DataCentreReport
     ) -> None:
-        self._state.merge_data_centre(message)
+        self._state.merge_data_centre(message, delay_s=receiver.delay_s)
         now = self._read_clock()
         has_unknown = self._members.merge_data_centre(message, now=now)
         if has_unknown and self._must_fetch_instances():
@@ -402,7 +435,42 @@
     async def _handle_snapshot(
         self, receiver: _LinkReceiver, message: ConfigurationSnapshot | TargetChanges
     ) -> None:
-        self._state.merge_snapshot(message)
+        self._state.merge_snapshot(message, delay_s=receiver.delay_s)
+
+    async def _handle_supports_send_times(
+        self, receiver: _LinkReceiver, message: SupportsSendTimes
+    ) -> None:
+        """Send the times of messages on the link from now on, and expect the peer's."""
+        known = self._transits.get(message.sender)
+        if known is None or known[0] != message.boot:
+            known = self._transits[message.sender] = (message.boot, TransitClock())
+        receiver.transit = known[1]
+        receiver.delay_s = float("inf")
+        if receiver.link is not None:
+            receiver.link.transit = receiver.transit
+        if receiver.is_accepted:
+            await self._send(receiver.connection, self._make_supports_send_times())
+
+    async def _handle_send_time(
+        self, receiver: _LinkReceiver, message: SendTime
+    ) -> None:
+        if receiver.transit is None:
+            return
+        offset_ms = message.offset_ms
+        receiver.delay_s = receiver.transit.record(
+            sent_at=message.sent_ms / 1000,
+            offset_s=None if offset_ms is None else offset_ms / 1000,
+            now=self._read_clock(),
+        )
+        is_late = LOGGED_DELAY_S <= receiver.delay_s < float("inf")
+        if is_late != receiver.is_late:
+            receiver.is_late = is_late
+            log_event(
+                "peer_delay_changed",
+                peer=str(receiver.connection.remote_address),
+                senders=sorted(receiver.senders),
+                delay_s=round(receiver.delay_s, 3),
+            )
 
     async def _handle_supports_compression(
         self, receiver: _LinkReceiver, message: SupportsCompression
--- a/packages/router/fulmarward_router/mesh/_messages.py
+++ b/packages/router/fulmarward_router/mesh/_messages.py
@@ -198,6 +198,27 @@
     wants_reports: bool
 
 
+class SupportsSendTimes(Message, kw_only=True):
+    """The sender reads and sends `SendTime`; exchanged on each link."""
+
+    sender: str
+    #: When its process started, in ms since 1970.
+    boot: int
+
+
+class SendTime(Message, kw_only=True):
+    """When the messages that follow on the link were made.
+
+    Sent only to peers that have sent `SupportsSendTimes`.
+    """
+
+    #: Milliseconds on the sender's monotonic clock.
+    sent_ms: int
+    #: Smallest difference in ms between the sender's clock at the arrival of the
+    #: receiver's messages and their `sent_ms`; `None` before the first.
+    offset_ms: int | None
+
+
 class LoadUpdate(Message, kw_only=True):
     """The loads of the sender, for a hub."""
 
@@ -280,4 +301,6 @@
     LoadUpdate,
     FleetReport,
     FleetLoads,
+    SupportsSendTimes,
+    SendTime,
 )
--- a/packages/router/fulmarward_router/mesh/_state.py
+++ b/packages/router/fulmarward_router/mesh/_state.py
@@ -72,17 +72,22 @@
     def make_target_changes(self, after: int) -> TargetChanges | None:
         """Return the changes of targets after a version, `None` if none are known."""
 
-    def merge_fleet_report(self, report: FleetReport) -> bool:
+    def merge_fleet_report(self, report: FleetReport, *, delay_s: float = 0.0) -> bool:
         """Merge a hub's report; return whether that worked without a full report."""
 
-    def merge_heartbeat(self, heartbeat: Heartbeat) -> list[Fetch]:
-        """Merge a peer's heartbeat; return the fetches to send to the peer."""
+    def merge_heartbeat(
+        self, heartbeat: Heartbeat, *, delay_s: float = 0.0
+    ) -> list[Fetch]:
+        """Merge a peer's heartbeat; return the fetches to send to the peer.
+
+        `delay_s` is for how long it was delayed in transit.
+        """
 
     def answer(self, fetch: Fetch) -> Answer | None:
         """Return the answer to a peer's fetch, `None` if there is none."""
 
-    def merge_snapshot(self, snapshot: Snapshot) -> None:
-        """Merge the answer of a peer to a fetch."""
+    def merge_snapshot(self, snapshot: Snapshot, *, delay_s: float = 0.0) -> None:
+        """Merge the answer of a peer to a fetch, delayed in transit by `delay_s`."""
 
     def record_supports_compression(self, message: SupportsCompression) -> None:
         """Record that a peer answers fetches of the compressed configuration."""
@@ -99,5 +104,7 @@
     def make_data_centre_report(self, data_centre: str) -> DataCentreReport:
         """Return this instance's report, as a hub, on a data centre."""
 
-    def merge_data_centre(self, report: DataCentreReport) -> None:
+    def merge_data_centre(
+        self, report: DataCentreReport, *, delay_s: float = 0.0
+    ) -> None:
         """Merge the loads in a hub's report on its data centre."""
--- a/packages/router/fulmarward_router/mesh/tests/test_dialled.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_dialled.py
@@ -15,7 +15,11 @@
     SupportsCompression,
     decode_message,
 )
-from fulmarward_router.mesh._messages import FetchInstances, Introduction
+from fulmarward_router.mesh._messages import (
+    FetchInstances,
+    Introduction,
+    SupportsSendTimes,
+)
 from fulmarward_router.mesh.tests.test_members import make_heartbeat
 
 
@@ -53,12 +57,13 @@
         async with asyncio.timeout(10.0):
             await self.has_heartbeat.wait()
         await mesh.close()
-        kinds = [type(message) for message in self.received[:5]]
+        kinds = [type(message) for message in self.received[:6]]
         self.assertEqual(
             kinds,
             [
                 Introduction,
                 SupportsCompression,
+                SupportsSendTimes,
                 FetchInstances,
                 Subscription,
                 Heartbeat,
@@ -67,3 +72,39 @@
         self.assertEqual(
             self.received[1], SupportsCompression(sender=own.name, boot=own.boot)
         )
+
+
+class SendTimesTest(unittest.IsolatedAsyncioTestCase):
+    async def start(self, name, ahead_s):
+        """Start an instance whose clock is ahead; return its address."""
+        own = make_heartbeat(name).sender
+        state = mock.Mock()
+        state.make_heartbeat.return_value = make_heartbeat(name)
+        state.merge_heartbeat.side_effect = lambda heartbeat, *, delay_s: (
+            self.delays[name].append(delay_s) or []
+        )
+        mesh = Mesh(
+            own=own,
+            members=MemberTable(own=own),
+            state=state,
+            read_clock=lambda: time.monotonic() + ahead_s,
+            count_bytes=mock.Mock(),
+        )
+        server = await serve(mesh.accept, "127.0.0.1", 0)
+        self.addAsyncCleanup(server.wait_closed)
+        self.addCleanup(server.close)
+        return mesh, f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+    async def test_time_in_transit_is_known_though_the_clocks_differ(self):
+        """Guards against links whose heartbeats never confirm anything."""
+        self.delays = {"one": [], "two": []}
+        one, first = await self.start("one", 0.0)
+        two, second = await self.start("two", 5000.0)
+        for mesh, seed in ((one, second), (two, first)):
+            running = asyncio.create_task(mesh.run((seed,)))
+            self.addCleanup(running.cancel)
+        async with asyncio.timeout(10.0):
+            while not all(d and d[-1] < 5.0 for d in self.delays.values()):
+                await asyncio.sleep(0.02)
+        await one.close()
+        await two.close()
--- a/packages/router/fulmarward_router/mesh/tests/test_links.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_links.py
@@ -16,6 +16,7 @@
     decode_message,
     encode_message,
 )
+from fulmarward_router.mesh._messages import SendTime, SupportsSendTimes
 from fulmarward_router.mesh.tests.test_members import make_heartbeat
 
 _ROW = CompressedConfiguration(key="config", version=4, packed=b"x")
@@ -52,14 +53,17 @@
 
     def __init__(self, calls):
         self._calls = calls
+        #: Seconds in transit of each heartbeat.
+        self.delays = []
 
-    def merge_heartbeat(self, heartbeat):
+    def merge_heartbeat(self, heartbeat, *, delay_s):
+        self.delays.append(delay_s)
         return [FetchCompressedConfiguration(sender="own", version=0)]
 
     def answer(self, fetch):
         return ConfigurationDeferred(sender="own")
 
-    def merge_snapshot(self, snapshot):
+    def merge_snapshot(self, snapshot, *, delay_s=0.0):
         self._calls.append(("merged", snapshot))
 
     def record_deferred(self, message):
@@ -76,14 +80,21 @@
 
 
 class AcceptedLinkTest(unittest.IsolatedAsyncioTestCase):
-    async def _accept(self, *messages, is_broken=False, send_error=None):
+    async def _accept(
+        self,
+        *messages,
+        is_broken=False,
+        send_error=None,
+        read_clock=time.monotonic,
+    ):
         own = make_heartbeat("own").sender
         calls = []
+        self.state = _State(calls)
         mesh = Mesh(
             own=own,
             members=MemberTable(own=own),
-            state=_State(calls),
-            read_clock=time.monotonic,
+            state=self.state,
+            read_clock=read_clock,
             count_bytes=lambda direction, size: None,
         )
         link = _Link(messages, calls, is_broken=is_broken, send_error=send_error)
@@ -120,6 +131,28 @@
             with self.subTest(message):
                 self.assertEqual(await self._accept(message), [("merged", message)])
 
+    async def test_heartbeat_that_a_link_delayed_counts_from_when_it_was_sent(self):
+        """Guards against late confirmations that count from their arrival."""
+        supports = SupportsSendTimes(sender="peer", boot=1)
+        # The clocks differ by 2 s; a heartbeat was sent 3 s before it arrives.
+        sent = SendTime(sent_ms=95_000, offset_ms=-2_000)
+        calls = await self._accept(
+            supports, sent, make_heartbeat("peer"), read_clock=lambda: 100.0
+        )
+        self.assertIn(SupportsSendTimes(sender="own", boot=1), calls)
+        self.assertEqual(self.state.delays, [3.0])
+
+    async def test_heartbeat_without_a_send_time_may_be_of_any_age(self):
+        """Guards against the first heartbeat of a link, behind others on its way."""
+        supports = SupportsSendTimes(sender="peer", boot=1)
+        await self._accept(supports, make_heartbeat("peer"))
+        self.assertEqual(self.state.delays, [float("inf")])
+
+    async def test_heartbeat_of_a_release_without_send_times_counts_as_just_sent(self):
+        """Guards against instances that ignore all others during an upgrade."""
+        await self._accept(make_heartbeat("peer"))
+        self.assertEqual(self.state.delays, [0.0])
+
     async def test_fetch_during_other_transfers_is_deferred_at_once(self):
         fetch = FetchCompressedConfiguration(sender="peer", version=0)
         deferred = ConfigurationDeferred(sender="own")
--- a/packages/router/fulmarward_router/state/_configuration_exchange.py
+++ b/packages/router/fulmarward_router/state/_configuration_exchange.py
@@ -57,8 +57,11 @@
         #: The row that was last sent to peers, and its compressed value.
         self._compressed: tuple[Row, bytes | None] | None = None
 
-    def merge_heartbeat(self, heartbeat: Heartbeat) -> Fetch | None:
-        """Record the version that a peer has in force; return the fetch to send it."""
+    def merge_heartbeat(self, heartbeat: Heartbeat, *, sent_at: float) -> Fetch | None:
+        """Record the version that a peer has in force; return the fetch to send it.
+
+        `sent_at` is when the heartbeat was sent, in seconds on the monotonic clock.
+        """
         own, now = self._configuration.version, self._read_clock()
         self._configuration.record_reported(heartbeat.configuration_version)
         if heartbeat.configuration_version > own:
@@ -68,7 +71,7 @@
             heartbeat.configuration_version == own
             and heartbeat.configuration_age_ms >= 0
         ):
-            at = now - heartbeat.configuration_age_ms / 1000
+            at = sent_at - heartbeat.configuration_age_ms / 1000
             self._configuration.record_confirmation(at=at)
         return None
 
--- a/packages/router/fulmarward_router/state/_instance_state.py
+++ b/packages/router/fulmarward_router/state/_instance_state.py
@@ -140,9 +140,11 @@
             for name, pace in self._paces.list_slow(now=now).items()
         )
 
-    def _merge_paces(self, reports: Iterable[PaceReport], now: float) -> None:
+    def _merge_paces(self, reports: Iterable[PaceReport], sent_at: float) -> None:
+        if sent_at == float("-inf"):
+            return
         for report in reports:
-            at = now - report.age_ms / 1000
+            at = sent_at - report.age_ms / 1000
             if self._paces.note(report.target, report.percent / 100, at=at):
                 log_event(
                     "pace_changed",
@@ -184,19 +186,26 @@
             return False
         return not any(member.state.is_store_reachable for member in fresh)
 
-    def merge_heartbeat(self, heartbeat: Heartbeat) -> list[Fetch]:
-        """Merge a peer's heartbeat; return the fetches to send to the peer."""
+    def merge_heartbeat(
+        self, heartbeat: Heartbeat, *, delay_s: float = 0.0
+    ) -> list[Fetch]:
+        """Merge a peer's heartbeat; return the fetches to send to the peer.
+
+        `delay_s` is for how long it was delayed in transit. Guards against a
+        confirmation that counts as recent although a saturated link delayed it.
+        """
         now = self._read_clock()
+        sent_at = now - delay_s
         if heartbeat.loads or heartbeat.sender.name not in self._updates:
             loads = _index_loads(heartbeat.loads)
             self._ledger.merge_report(heartbeat.sender.name, loads, now=now)
-        self._merge_losses(heartbeat.losses, heartbeat.sender.name, now)
+        self._merge_losses(heartbeat.losses, heartbeat.sender.name, sent_at)
         self._suspicions.refusals.merge_reports(heartbeat.refusing, now=now)
-        self._merge_paces(heartbeat.paces, now)
-        fetch = self._exchange.merge_heartbeat(heartbeat)
+        self._merge_paces(heartbeat.paces, sent_at)
+        fetch = self._exchange.merge_heartbeat(heartbeat, sent_at=sent_at)
         fetches = [] if fetch is None else [fetch]
         if heartbeat.targets_age_ms >= 0:
-            at = now - heartbeat.targets_age_ms / 1000
+            at = sent_at - heartbeat.targets_age_ms / 1000
             self._catalogue.confirm(heartbeat.targets_version, at=at)
         if self._must_fetch_targets(heartbeat, now):
             fetches.append(FetchTargets(after=self._catalogue.version))
@@ -254,14 +263,16 @@
             is_store_reachable=self._is_store_reachable(),
         )
 
-    def merge_data_centre(self, report: DataCentreReport) -> None:
+    def merge_data_centre(
+        self, report: DataCentreReport, *, delay_s: float = 0.0
+    ) -> None:
         """Merge the loads in a hub's report on its data centre."""
         if report.data_centre == self._own.data_centre:
             return
         now = self._read_clock()
         loads = _index_loads(report.loads)
         self._ledger.merge_data_centre(report.data_centre, loads, now=now)
-        self._merge_paces(report.paces, now)
+        self._merge_paces(report.paces, now - delay_s)
 
     def has_loads(self) -> bool:
         """Return whether this instance has requests in flight."""
@@ -372,24 +383,26 @@
             return None
         return self._build_target_changes(after)
 
-    def merge_fleet_report(self, report: FleetReport) -> bool:
+    def merge_fleet_report(self, report: FleetReport, *, delay_s: float = 0.0) -> bool:
         """Merge a hub's report; return whether that was possible without a full report.
 
         The heartbeat in it and the instances that it lists are merged elsewhere.
         """
         now, hub = self._read_clock(), report.heartbeat.sender.name
-        self._merge_losses(report.losses, hub, now)
+        self._merge_losses(report.losses, hub, now - delay_s)
         self._suspicions.refusals.merge_reports(report.refusing, now=now)
         return self._merge_loads(
             hub, report.loads, report.included, is_full=report.is_full
         )
 
     def _merge_losses(
-        self, losses: Iterable[FailureReport], source: str, now: float
+        self, losses: Iterable[FailureReport], source: str, sent_at: float
     ) -> None:
+        now = self._read_clock()
         for loss in losses:
-            if self._suspicions.record_indirect_failure(
-                loss.target, duration_s=loss.for_ms / 1000, now=now
+            duration_s = sent_at + loss.for_ms / 1000 - now
+            if duration_s > 0 and self._suspicions.record_indirect_failure(
+                loss.target, duration_s=duration_s, now=now
             ):
                 log_event("target_unreachable", target=loss.target, source=source)
 
@@ -428,8 +441,8 @@
         """End the transfer to a peer, and a fetch from it: its link has closed."""
         self._exchange.handle_link_closed(peer)
 
-    def merge_snapshot(self, snapshot: Snapshot) -> None:
-        """Merge the answer of a peer to a fetch."""
+    def merge_snapshot(self, snapshot: Snapshot, *, delay_s: float = 0.0) -> None:
+        """Merge the answer of a peer to a fetch, delayed in transit by `delay_s`."""
         if isinstance(snapshot, CompressedConfiguration):
             self._exchange.merge_compressed(snapshot)
             return
@@ -447,7 +460,7 @@
         # are merged, but not the version.
         is_contiguous = snapshot.after <= self._catalogue.version
         version = snapshot.version if is_contiguous else 0
-        at = now - snapshot.age_ms / 1000
+        at = now - delay_s - snapshot.age_ms / 1000
         self._handle_target_changes(
             self._catalogue.apply_changes(rows, version, now=now, confirmed_at=at)
         )
--- a/packages/router/fulmarward_router/tests/test_late_messages.py
+++ b/packages/router/fulmarward_router/tests/test_late_messages.py
@@ -96,12 +96,14 @@
         if isinstance(message, ConfigurationDeferred):
             self.peer.instance_state.record_deferred(message)
             return
+        delay_s = self.now - sent_at
         if not isinstance(message, Heartbeat):
-            self.peer.instance_state.merge_snapshot(message)
+            self.peer.instance_state.merge_snapshot(message, delay_s=delay_s)
             received = ConfigurationReceived(sender="peer")
             self.reader.instance_state.record_received(received)
             return
-        for fetch in self.peer.instance_state.merge_heartbeat(message):
+        merge_heartbeat = self.peer.instance_state.merge_heartbeat
+        for fetch in merge_heartbeat(message, delay_s=delay_s):
             answer = self.reader.instance_state.answer(fetch)
             if answer is not None:
                 self._send(answer)
@@ -265,7 +267,7 @@
             heartbeat = sender.instance_state.make_heartbeat()
             for one in chain:
                 one.now += delay_s
-            receiver.instance_state.merge_heartbeat(heartbeat)
+            receiver.instance_state.merge_heartbeat(heartbeat, delay_s=delay_s)
         chain[-1].now = changed_at + CONFIGURATION_S + 0.05
         return chain[-1].request("/v2/x")[0]
 
