Tests of late streams: a waiting stream, and a resume on the only other holder

A stream that waits for room is not sent to a target that leaves meanwhile: the path is chosen anew after each wait. With the leaving targets taken out of what a choice leaves out, the test fails.

--- a/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
@@ -25,7 +25,7 @@
     TargetClient,
     make_target_session,
 )
-from fulmarward_router.exchange._request_state import RequestState
+from fulmarward_router.exchange._request_state import RejectedRequest, RequestState
 from fulmarward_router.exchange.tests.test_send import _BODY, _StalledTarget
 from fulmarward_router.ports import AnswerFacts, OrderOutcome, OrderResult, TargetReport
 
@@ -386,14 +386,16 @@
 
 
 class ToldLossTest(_FedStreamTest):
-    async def run_crash(self, *, is_told):
+    async def run_crash(self, *, is_told, layers=(0, 2)):
         """Let the first target of a stream crash; return what its caller receives.
 
-        The other target that holds the model is healthy; a peer may tell that it is
-        lost.
+        The other target that holds its layers is healthy; a peer may tell that it is
+        lost. Four more targets hold the layers that these two do not.
         """
         for name, address in (("t1", "h:1"), ("t2", "h:2")):
-            self.list_target(name, address, (0, 2))
+            self.list_target(name, address, layers)
+        for number in range(3, 7) if layers[1] < 2 else ():
+            self.list_target(f"t{number}", f"h:{number}", (layers[1], 2))
         self.start_service(SimpleNamespace(open=self.open), slack=100.0)
         serving, request = self.serve()
         for number in (1, 2):
@@ -417,6 +419,12 @@
         self.assertIn(b"id: 3", answer.received)
         self.assertTrue(answer.is_complete)
 
+    async def test_stream_resumes_on_the_other_holder_of_its_layers(self):
+        """A first target crashes, the only other holder of its layers is healthy."""
+        answer = await self.run_crash(is_told=False, layers=(0, 1))
+        self.assertIn(b"id: 3", answer.received)
+        self.assertTrue(answer.is_complete)
+
     async def test_stream_resumes_on_a_target_that_only_a_peer_takes_for_lost(self):
         """A peer with a full link tells of a healthy target, the other one crashes."""
         answer = await self.run_crash(is_told=True)
@@ -424,6 +432,21 @@
         self.assertTrue(answer.is_complete)
 
 
+class WaitingStreamTest(_FedStreamTest):
+    async def test_waiting_stream_is_not_sent_to_a_target_that_leaves_meanwhile(self):
+        """A full target, a stream waits, the target leaves, it has room again."""
+        self.list_target("t1", "h:1", (0, 2))
+        self.list_target("t2", "h:2", (0, 2), is_leaving=True)
+        self.start_service(SimpleNamespace(open=self.open), slack=0.0)
+        self.suspicions.record_saturated("t1", now=self.read_clock())
+        serving, _ = self.serve()
+        await asyncio.sleep(0.1)
+        self.list_target("t1", "h:1", (0, 2), is_leaving=True)
+        await asyncio.wait([serving], timeout=2.0)
+        self.assertIsInstance(serving.exception(), RejectedRequest)
+        self.assertEqual(self.opened_at, [])
+
+
 async def _cancel(task):
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
