LOST: a peer's word on the only other holder of its layers cuts a stream

After 1.7 s the caller's connection is closed with a retry left.

This test fails, on purpose; nothing is mended here. Command: scripts/test fulmarward_router.exchange.tests.test_late_streams.ToldLossTest.test_stream_resumes_on_the_only_other_holder_of_its_first_layers

--- a/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
@@ -431,6 +431,12 @@
         self.assertIn(b"id: 3", answer.received)
         self.assertTrue(answer.is_complete)
 
+    async def test_stream_resumes_on_the_only_other_holder_of_its_first_layers(self):
+        """The same, of six targets two of which hold the first layers."""
+        answer = await self.run_crash(is_told=True, layers=(0, 1))
+        self.assertIn(b"id: 3", answer.received)
+        self.assertTrue(answer.is_complete)
+
 
 class WaitingStreamTest(_FedStreamTest):
     async def test_waiting_stream_is_not_sent_to_a_target_that_leaves_meanwhile(self):
