Tests of late messages: two orders of removals that hold

A target that is known to leave and whose row expires in an outage stays out of choices (fails if the kept record does not say that it leaves). A row that a peer sends after the removal does not bring the target back (fails without tombstones).

--- a/packages/router/fulmarward_router/tests/test_late_messages.py
+++ b/packages/router/fulmarward_router/tests/test_late_messages.py
@@ -16,6 +16,7 @@
 from fulmarward_router.mesh import (
     ConfigurationDeferred,
     ConfigurationReceived,
+    FetchTargets,
     Heartbeat,
 )
 from fulmarward_router.mesh._heartbeats import PING_INTERVAL_S, PING_TIMEOUT_S
@@ -240,9 +241,9 @@
         """Return the targets reached 3 s after a removal that is heard late."""
         removed_at = self.peer.now
         self.peer.now = removed_at + heard_after_s
-        self.peer.read_targets([Row(key="t1", value=None, version=5)], 5)
+        self.peer.read_targets([Row(key="t1", value=None, version=6)], 6)
         self.peer.now = removed_at + DRAIN_S + 0.05
-        self.peer.read_targets([], 5)
+        self.peer.read_targets([], 6)
         return self.peer.request("/v1/x")[1]
 
     def test_removed_target_gets_nothing_if_its_removal_is_heard_late(self):
@@ -253,6 +254,23 @@
         """A removal, nothing heard for 2.2 s, its row, a request 3 s after it."""
         self.assertNotIn("t1", self.request_after_removal(heard_after_s=2.2))
 
+    def test_target_known_to_leave_gets_nothing_when_its_row_expires(self):
+        """A leaving, an outage of the store, the row expires in it, a request."""
+        self.peer.read_targets([make_target_row("t1", 5, is_leaving=True)], 5)
+        self.assertNotIn("t1", self.request_after_removal(heard_after_s=3.0))
+
+    def test_removed_target_gets_nothing_after_late_rows_of_a_peer(self):
+        """A removal, a row from before it that a peer sent late, a request."""
+        late = RoutingPeer("late")
+        rows = [make_target_row(name, 2 + n) for n, name in enumerate(_TARGETS)]
+        late.read_targets(rows, 4)
+        changes = late.instance_state.answer(FetchTargets(after=0))
+        self.peer.read_targets([Row(key="t1", value=None, version=5)], 5)
+        self.peer.instance_state.merge_snapshot(changes)
+        self.peer.now += DRAIN_S + 0.05
+        self.peer.read_targets([], 5)
+        self.assertNotIn("t1", self.peer.request("/v1/x")[1])
+
 
 class RelayedConfirmationTest(unittest.TestCase):
     def request_after_relays(self, *, delay_s):
