Mesh: a link that is ended delivers nothing more

What callers saw: 404 for a route in force for 3.05 s (CONFIG). Cause: a link whose peer did not answer was aborted, which discards what Python holds and not the send buffer of the kernel; behind a full link its heartbeats arrived 1.2 s after the end, as the newest word of that peer. The connection is reset now, as those of abandoned attempts are, by one function for both.

--- a/packages/router/fulmarward_router/exchange/_send.py
+++ b/packages/router/fulmarward_router/exchange/_send.py
@@ -7,8 +7,6 @@
 """
 
 import asyncio
-import socket
-import struct
 from functools import partial
 
 import aiohttp
@@ -16,6 +14,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from fulmarward_router._sockets import reset_connection
 from fulmarward_router.exchange._request_state import RequestState
 from fulmarward_router.ports import TargetCall, TargetDialect
 
@@ -40,10 +39,6 @@
     """The request was sent but no complete response came: it may have been executed."""
 
 
-#: `SO_LINGER` with a timeout of 0: closing discards unsent bytes and sends a reset.
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-
-
 class _ResettingHandler(ResponseHandler):
     """Connection of one attempt; it is reset unless the response is complete."""
 
@@ -56,9 +51,7 @@
         """
         is_answered = self._payload is not None and self._payload.is_eof()
         if self.transport is not None and not is_answered:
-            connection = self.transport.get_extra_info("socket")
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-            self.transport.abort()
+            reset_connection(self.transport)
         super().close()
 
     def connection_lost(self, exc: BaseException | None) -> None:
--- a/packages/router/fulmarward_router/mesh/_heartbeats.py
+++ b/packages/router/fulmarward_router/mesh/_heartbeats.py
@@ -10,6 +10,7 @@
 
 from fulmarward.observability import log_event
 from fulmarward_core.transit import TransitClock
+from fulmarward_router._sockets import reset_connection
 from fulmarward_router.mesh._members import (
     DATA_CENTRE_REPORT_INTERVAL_S,
     MemberTable,
@@ -272,7 +273,8 @@
             log_event(
                 "peer_link_timed_out", peer=link.address, for_s=now - unanswered_since
             )
-            connection.transport.abort()
+            # Heartbeats in the send buffer would arrive long after they were sent.
+            reset_connection(connection.transport)
 
     def _send_bytes(self, link: PeerLink, data: bytes) -> None:
         self._count_bytes("out", len(data))
