Attempts: unsent requests are withdrawn once their target has left

What targets saw: a request, or a stream, that reached them 3 s after their leaving had been acknowledged, and was known here too (DRAIN). Cause: between the choice of a target and the response nothing asked again whether the target stays. Bytes in a send buffer behind a full link were delivered whenever it recovered, up to the deadline: 20 s for streams.

While a response has not started, the target is looked up every 0.25 s. One that has been known to leave for 1 s has the requests reset that its host has not acknowledged (the kernel's send queue tells); what it has received it still serves.

--- a/packages/core/fulmarward_core/catalogue/_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/_catalogue.py
@@ -49,6 +49,8 @@
         self._rows: dict[str, KnownRow] = {}
         #: Version at which the content of each row last changed.
         self._changed_versions: dict[str, int] = {}
+        #: When each target that leaves, or was removed, became known to do so.
+        self._leaving_since: dict[str, float] = {}
         #: Records of rows that expired during an outage of the store, with the time.
         self._expired: dict[str, tuple[TargetRecord, float]] = {}
         #: When confirmations resumed after a gap of more than `EXPIRY_AGE_S`.
@@ -181,6 +183,10 @@
         elif row.record is not None:
             self._expired.pop(row.name, None)
         self._rows[row.name] = row
+        if row.record is None or row.record.is_leaving:
+            self._leaving_since.setdefault(row.name, now)
+        else:
+            self._leaving_since.pop(row.name, None)
         return True
 
     def _may_return(self, now: float) -> bool:
@@ -209,6 +215,15 @@
         expired = self._expired.get(name)
         return None if expired is None else expired[0]
 
+    def find_leaving_s(self, name: str, *, now: float) -> float:
+        """Return for how many seconds a target is known to leave or to be removed.
+
+        That is 0 for one that stays, or whose row may have expired while it is alive.
+        """
+        if name in self._expired or name not in self._leaving_since:
+            return 0.0
+        return now - self._leaving_since[name]
+
     def knows_changes(self, *, after: int) -> bool:
         """Return whether every change after a version is known here.
 
@@ -232,6 +247,7 @@
         for name, row in list(self._rows.items()):
             if row.value is None and now - row.heard_at > _TOMBSTONE_DURATION_S:
                 del self._rows[name], self._changed_versions[name]
+                self._leaving_since.pop(name, None)
 
 
 def _has_equal_content(one: KnownRow, other: KnownRow) -> bool:
--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+import aiohttp
+
 from fulmarward.observability import log_event
 from fulmarward_core.attempts import choose_result_code, may_retry, may_run_again
 from fulmarward_core.catalogue import TargetCatalogue
@@ -14,7 +16,14 @@
 from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_router.exchange._request_state import RejectedRequest, RequestState
 from fulmarward_router.exchange._send import TargetClient
-from fulmarward_router.ports import TargetDialect
+from fulmarward_router.ports import TargetCall, TargetDialect
+
+#: Seconds between two checks whether a target leaves that has not responded yet.
+LEAVING_CHECK_INTERVAL_S = 0.25
+
+#: Seconds for which a target is known to leave before requests that its host has not
+#: acknowledged are withdrawn. In that time it still accepts requests.
+UNDELIVERED_GRACE_S = 1.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -39,6 +48,35 @@
     #: Returns seconds on the monotonic clock.
     read_clock: Callable[[], float]
 
+    async def open(
+        self, state: RequestState, call: TargetCall
+    ) -> aiohttp.ClientResponse:
+        """Send a request, as `TargetClient.open` does, while its target stays.
+
+        Guards against a request that waits for a saturated link and is delivered after
+        its target has left.
+        """
+        loop = asyncio.get_running_loop()
+
+        def check() -> None:
+            nonlocal timer
+            left_s = self.catalogue.find_leaving_s(call.target, now=self.read_clock())
+            if left_s >= UNDELIVERED_GRACE_S:
+                if self.client.reset_undelivered(call.address):
+                    log_event(
+                        "undelivered_requests_reset",
+                        request=state.facts.request_id,
+                        target=call.target,
+                        left_s=round(left_s, 3),
+                    )
+            timer = loop.call_later(LEAVING_CHECK_INTERVAL_S, check)
+
+        timer = loop.call_later(LEAVING_CHECK_INTERVAL_S, check)
+        try:
+            return await self.client.open(state, call)
+        finally:
+            timer.cancel()
+
     def take_retry(self, state: RequestState, *, part: float = 1.0) -> bool:
         """Consume one retry, if the route and the retry budget allow it.
 
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -188,7 +188,7 @@
             state.deadline - now, attempt.abort, failure
         )
         call = self._make_call(state, attempt)
-        attempt.head_task = asyncio.create_task(self._client.open(state, call))
+        attempt.head_task = asyncio.create_task(self._context.open(state, call))
         try:
             response = attempt.response = await attempt.head_task
         except asyncio.CancelledError:
--- a/packages/router/fulmarward_router/exchange/_plain.py
+++ b/packages/router/fulmarward_router/exchange/_plain.py
@@ -179,7 +179,7 @@
         response = None
         try:
             async with asyncio.timeout(max(0.0, limit - now)):
-                response = await self._client.open(state, call)
+                response = await self._context.open(state, call)
                 body = await self._client.read_body(response)
         except NotSent as error:
             self._log_failed_attempt(state, target, "not sent", error)
--- a/packages/router/fulmarward_router/exchange/_send.py
+++ b/packages/router/fulmarward_router/exchange/_send.py
@@ -7,6 +7,8 @@
 """
 
 import asyncio
+from collections import defaultdict
+from contextvars import ContextVar
 from functools import partial
 
 import aiohttp
@@ -14,7 +16,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from fulmarward_router._sockets import reset_connection
+from fulmarward_router._sockets import has_unacknowledged, reset_connection
 from fulmarward_router.exchange._request_state import RequestState
 from fulmarward_router.ports import TargetCall, TargetDialect
 
@@ -39,9 +41,27 @@
     """The request was sent but no complete response came: it may have been executed."""
 
 
+class _Opening:
+    """A request whose response has not started, and its connection once it is made."""
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+
+
+#: The request for which the current task makes a connection.
+_current_opening: ContextVar[_Opening | None] = ContextVar("opening", default=None)
+
+
 class _ResettingHandler(ResponseHandler):
     """Connection of one attempt; it is reset unless the response is complete."""
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Attach the connection to its request."""
+        opening = _current_opening.get()
+        if opening is not None:
+            opening.transport = transport
+        super().connection_made(transport)
+
     def close(self) -> None:
         """Close the connection; one without a complete response is reset.
 
@@ -89,6 +109,8 @@
     ) -> None:
         self._session = session
         self._dialect = dialect
+        #: Requests whose responses have not started, by address of the target.
+        self._openings: defaultdict[str, set[_Opening]] = defaultdict(set)
 
     async def open(
         self, state: RequestState, call: TargetCall
@@ -97,6 +119,38 @@
 
         Raises `NotSent` or `AnswerLost`. Cancelling it closes the connection.
         """
+        opening = _Opening()
+        self._openings[call.address].add(opening)
+        token = _current_opening.set(opening)
+        try:
+            return await self._request(state, call)
+        finally:
+            _current_opening.reset(token)
+            self._remove_opening(call.address, opening)
+
+    def _remove_opening(self, address: str, opening: _Opening) -> None:
+        openings = self._openings[address]
+        openings.discard(opening)
+        if not openings:
+            del self._openings[address]
+
+    def reset_undelivered(self, address: str) -> bool:
+        """Reset the requests to a target that its host has not acknowledged.
+
+        Their `open` raises `AnswerLost`. Returns whether there were any.
+        """
+        undelivered = [
+            opening.transport
+            for opening in self._openings.get(address, ())
+            if opening.transport is not None and has_unacknowledged(opening.transport)
+        ]
+        for transport in undelivered:
+            reset_connection(transport)
+        return bool(undelivered)
+
+    async def _request(
+        self, state: RequestState, call: TargetCall
+    ) -> aiohttp.ClientResponse:
         headers = CIMultiDict(self._dialect.make_headers(state.headers, call))
         path = state.request.raw_path
         try:
