Attempts: unacknowledged bytes break the connection after 1.5 s

What a caller saw: a stream whose request waits behind a full or lossy link, and whose instance does not know of a leaving, stays until its deadline of 20 s; the target may get it many seconds after it was chosen (DRAIN). Cause: nothing bounds the time in transit of a request. Now the kernel breaks a connection whose bytes the target's host has not acknowledged for 1.5 s (TCP_USER_TIMEOUT), so that a request is at most that much older at its target than its choice; one that may be repeated is sent elsewhere, for any other the outcome is said to be unknown. The new case of test_send fails with a limit of 100 s and passes with 1.5 s (real sockets, a receiver that takes nothing).

--- a/packages/router/fulmarward_router/_sockets.py
+++ b/packages/router/fulmarward_router/_sockets.py
@@ -17,6 +17,13 @@
     transport.abort()
 
 
+def limit_unacknowledged(transport: asyncio.Transport, timeout_s: float) -> None:
+    """Break a connection once written bytes stay unacknowledged for that long."""
+    transport.get_extra_info("socket").setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(timeout_s * 1000)
+    )
+
+
 def has_unacknowledged(transport: asyncio.Transport) -> bool:
     """Return whether the other host has not acknowledged all that was written."""
     if transport.is_closing():
--- a/packages/router/fulmarward_router/exchange/_send.py
+++ b/packages/router/fulmarward_router/exchange/_send.py
@@ -16,7 +16,11 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from fulmarward_router._sockets import has_unacknowledged, reset_connection
+from fulmarward_router._sockets import (
+    has_unacknowledged,
+    limit_unacknowledged,
+    reset_connection,
+)
 from fulmarward_router.exchange._request_state import RequestState
 from fulmarward_router.ports import TargetCall, TargetDialect
 
@@ -27,6 +31,11 @@
 _SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
+#: Seconds for which a target's host may leave bytes of a request unacknowledged. On a
+#: saturated or lossy link they might arrive when the target has left.
+UNACKNOWLEDGED_TIMEOUT_S = 1.5
+
+
 class NotSent(Exception):
     """No connection was made, so the target has not received the request."""
 
@@ -56,7 +65,8 @@
     """Connection of one attempt; it is reset unless the response is complete."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Attach the connection to its request."""
+        """Attach the connection to its request, and bound its delivery."""
+        limit_unacknowledged(transport, UNACKNOWLEDGED_TIMEOUT_S)
         opening = _current_opening.get()
         if opening is not None:
             opening.transport = transport
--- a/packages/router/fulmarward_router/exchange/tests/test_send.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_send.py
@@ -76,6 +76,16 @@
         self.assertLess(len(received), len(_BODY))
         self.assertEqual(end, "reset")
 
+    async def test_request_that_is_not_acknowledged_is_given_up(self):
+        """Guards against a request that arrives after its target has left."""
+        attempt = self.open(_BODY)
+        await self.target.accept()
+        with self.assertRaises(AnswerLost):
+            await asyncio.wait_for(attempt, 30)
+        received, end = await asyncio.wait_for(self.target.read_to_end(), 30)
+        self.assertLess(len(received), len(_BODY))
+        self.assertEqual(end, "reset")
+
     async def test_connection_is_closed_in_order_after_a_complete_response(self):
         """Guards against resetting connections whose response is complete."""
         attempt = self.open(b"")
