Targets: a removed one is not listed again by a peer that is behind

Followed in its log: the instance starts and asks a peer for all targets; 50 ms later its own read of the whole table, version 327, lacks the target, which was removed at 321; 31 ms later the peer's answer, complete to 313, brings row 306, and it is listed as new. No change after 327 ever mentions it, so the removal is never learnt, and every confirmation vouches for it.

An unknown row that is no newer than that has been removed, and is skipped now. And a peer's answer with the whole table counts as that: a target that it lacks is removed here, or, if it is older than what is known, it is ignored.

--- a/packages/core/fulmarward_core/catalogue/_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/_catalogue.py
@@ -107,13 +107,14 @@
         *,
         now: float,
         confirmed_at: float | None = None,
-    ) -> None:
-        """Apply a full read of the table: rows that it lacks were removed.
+    ) -> list[KnownRow]:
+        """Apply a full read of the table; return the rows with new content.
 
+        Rows that it lacks were removed. One older than what is known is ignored.
         `confirmed_at` is when the store confirmed them, if not at `now`.
         """
         if version < self.version:
-            return
+            return []
         rows = list(rows)
         present = {row.name for row in rows}
         missing = [name for name, row in self._rows.items() if name not in present]
@@ -122,8 +123,12 @@
             for name in missing
             if self._rows[name].value is not None
         ]
-        self.apply_changes(
-            [*rows, *removed], version, now=now, confirmed_at=confirmed_at
+        return self._apply(
+            [*rows, *removed],
+            version,
+            now=now,
+            confirmed_at=now if confirmed_at is None else confirmed_at,
+            complete_to=0,
         )
 
     def apply_changes(
@@ -136,15 +141,40 @@
     ) -> list[KnownRow]:
         """Apply changed rows, complete up to `version`; return those with new content.
 
-        `confirmed_at` is when the store confirmed them, if not at `now`.
+        `confirmed_at` is when the store confirmed them, if not at `now`. Guards against
+        a peer that is behind: a row that is unknown here, although it is no newer than
+        what is completely known, has been removed and is not listed again.
         """
+        return self._apply(
+            rows,
+            version,
+            now=now,
+            confirmed_at=now if confirmed_at is None else confirmed_at,
+            complete_to=self.version,
+        )
+
+    def _apply(
+        self,
+        rows: Iterable[KnownRow],
+        version: int,
+        *,
+        now: float,
+        confirmed_at: float,
+        complete_to: int,
+    ) -> list[KnownRow]:
+        """Apply rows; skip unknown ones up to version `complete_to`."""
         if version >= self.version:
             if self.version == 0:
                 self._first_read_at = now
                 self._known_from = version
             self.version = version
-            self._note_confirmed(now if confirmed_at is None else confirmed_at)
-        changed = [row for row in rows if self._apply_row(row, now)]
+            self._note_confirmed(confirmed_at)
+        changed = [
+            row
+            for row in rows
+            if (row.name in self._rows or row.version > complete_to)
+            and self._apply_row(row, now)
+        ]
         if changed:
             self.revision += 1
             self._drop_tombstones(now)
--- a/packages/core/fulmarward_core/catalogue/tests/test_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/tests/test_catalogue.py
@@ -48,6 +48,16 @@
         catalogue.apply_full_read([_make_row("a", 1)], 5, now=1.0)
         self.assertEqual(_list_names(catalogue, 1.0), ["a"])
 
+    def test_removed_target_is_not_listed_again_by_a_peer_that_is_behind(self):
+        """Guards against a target that is used for ever after it was removed."""
+        catalogue = TargetCatalogue()
+        catalogue.apply_full_read([_make_row("a", 300)], 327, now=10.0)
+        behind = [_make_row("a", 300), _make_row("removed", 306)]
+        catalogue.apply_changes(behind, 313, now=10.1)
+        self.assertEqual(_list_names(catalogue, 10.2), ["a"])
+        catalogue.apply_changes([_make_row("new", 328)], 328, now=10.3)
+        self.assertEqual(_list_names(catalogue, 10.4), ["a", "new"])
+
     def test_older_full_read_is_ignored(self):
         catalogue = TargetCatalogue()
         catalogue.apply_full_read([_make_row("a", 9)], 9, now=0.0)
--- a/packages/router/fulmarward_router/state/_instance_state.py
+++ b/packages/router/fulmarward_router/state/_instance_state.py
@@ -456,11 +456,19 @@
             )
             for item in snapshot.rows
         ]
+        at = now - delay_s - snapshot.age_ms / 1000
+        if snapshot.after == 0:
+            # The whole table, in which removed targets are missing.
+            self._handle_target_changes(
+                self._catalogue.apply_full_read(
+                    rows, snapshot.version, now=now, confirmed_at=at
+                )
+            )
+            return
         # If this instance is behind `after`, changes before it are missing: the rows
         # are merged, but not the version.
         is_contiguous = snapshot.after <= self._catalogue.version
         version = snapshot.version if is_contiguous else 0
-        at = now - delay_s - snapshot.age_ms / 1000
         self._handle_target_changes(
             self._catalogue.apply_changes(rows, version, now=now, confirmed_at=at)
         )
--- a/packages/router/fulmarward_router/tests/test_instance_state.py
+++ b/packages/router/fulmarward_router/tests/test_instance_state.py
@@ -119,6 +119,25 @@
         self.assertEqual(self.two.configuration.version, 7)
         self.assertEqual(self.two.catalogue.version, 5)
 
+    def test_whole_table_of_a_peer_also_removes_targets(self):
+        """Guards against a removal between an own read and a peer's first one."""
+        rows = {
+            name: KnownRow(
+                name=name, version=at, value=b"x", record=None, heard_at=100.0
+            )
+            for name, at in (("kept", 5), ("removed", 6))
+        }
+        self.one.catalogue.apply_full_read([rows["kept"]], 9, now=100.0)
+        whole_table = self.one.instance_state.answer(FetchTargets(after=0))
+        self.two.catalogue.apply_full_read(rows.values(), 7, now=100.0)
+        self.two.instance_state.merge_snapshot(whole_table)
+        known = [
+            row.name
+            for row in self.two.catalogue.list_rows(after=0)
+            if row.value is not None
+        ]
+        self.assertEqual((known, self.two.catalogue.version), (["kept"], 9))
+
     def test_peer_without_news_does_not_prevent_fetches_from_others(self):
         """Guards against hubs whose heartbeats alternate so that only one is asked."""
         behind, ahead = Peer("behind"), Peer("ahead")
