Targets: a gap of the own link is no outage of the store

Cause: any gap of over 2 s in the own confirmations counted as an outage, after which rows that are missing for 1.9 s may have expired while their targets live. The fallback of large fleets, an own read after 2.25 s, is longer than these 2 s, so that each such gap brought removed targets back.

An outage now takes evidence: a call of this instance that failed, or a peer that says that it does not reach the store, since the last confirmation. RemovalTest fails without this and passes with it, unchanged.

--- a/packages/core/fulmarward_core/catalogue/_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/_catalogue.py
@@ -53,7 +53,9 @@
         self._leaving_since: dict[str, float] = {}
         #: Records of rows that expired during an outage of the store, with the time.
         self._expired: dict[str, tuple[TargetRecord, float]] = {}
-        #: When confirmations resumed after a gap of more than `EXPIRY_AGE_S`.
+        #: When the store was last known to be out, to this instance or a peer.
+        self._store_out_at = float("-inf")
+        #: When confirmations resumed after an outage of more than `EXPIRY_AGE_S`.
         self._recovered_at = float("-inf")
         #: When the whole table was first received, from the store or from a peer.
         self._first_read_at = float("-inf")
@@ -188,11 +190,18 @@
         if content_version <= self.version:
             self._note_confirmed(at)
 
+    def record_store_out(self, *, now: float) -> None:
+        """Record that the store did not answer this instance or a peer."""
+        self._store_out_at = now
+
     def _note_confirmed(self, at: float) -> None:
         """Record that the store confirmed the rows, here or to a peer."""
         if at <= self.confirmed_at:
             return
-        if self.confirmed_at > float("-inf") and at - self.confirmed_at > EXPIRY_AGE_S:
+        # Without an outage, only this instance did not hear of the store, and a row
+        # that is missing now was removed.
+        was_out = self._store_out_at > self.confirmed_at
+        if was_out and at - self.confirmed_at > EXPIRY_AGE_S:
             self._recovered_at = at
         self.confirmed_at = at
 
--- a/packages/router/fulmarward_router/state/_instance_state.py
+++ b/packages/router/fulmarward_router/state/_instance_state.py
@@ -204,6 +204,8 @@
         self._merge_paces(heartbeat.paces, sent_at)
         fetch = self._exchange.merge_heartbeat(heartbeat, sent_at=sent_at)
         fetches = [] if fetch is None else [fetch]
+        if not heartbeat.is_store_reachable:
+            self._catalogue.record_store_out(now=now)
         if heartbeat.targets_age_ms >= 0:
             at = sent_at - heartbeat.targets_age_ms / 1000
             self._catalogue.confirm(heartbeat.targets_version, at=at)
--- a/packages/router/fulmarward_router/state/_watch.py
+++ b/packages/router/fulmarward_router/state/_watch.py
@@ -233,6 +233,7 @@
 
     def _record_outage(self, table: str, error: Exception) -> None:
         now = self._read_clock()
+        self._catalogue.record_store_out(now=now)
         if not self._has_outage.get(table):
             log_event("store_lost", table=table, cause=repr(error))
         self._has_outage[table] = True
