Configuration: an instance that is known to be behind says so

What callers saw: 200 for a request with a key that had been dropped for over 3 s (CONFIG): the instance had heard for 3.2 s that a newer version is in force, its row did not come, and what the old version still allows was served without limit; only denials asked whether it is outdated.

Once a newer version has been missing for three quarters of the time in which it must be in force (a setting that was read and not used), requests get 503 with Retry-After 0.5 s; the caller's next try reaches another instance. A row that cannot be decoded here is no reason: waiting for it does not help, and the old configuration stays in force.

--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -301,6 +301,7 @@
             observe=lambda state, outcome, took_s: observe_request(
                 self.metrics, state, outcome, took_s
             ),
+            configuration_s=self.settings.configuration_s,
         )
 
     def _make_pace_monitor(self) -> PaceMonitor:
--- a/packages/router/fulmarward_router/exchange/_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/_caller_handler.py
@@ -39,6 +39,11 @@
 #: key may belong to a newer configuration.
 MAX_CONFIRMATION_AGE_S = 2.0
 
+#: Default of the seconds in which a new configuration must be in force, and the share
+#: of them for which one that is known to be outdated is still applied.
+DEFAULT_CONFIGURATION_S = 2.0
+MAX_OUTDATED_SHARE = 0.75
+
 #: Seconds that a connection may stay idle while there is no configuration.
 DEFAULT_IDLE_TIMEOUT_S = 60.0
 
@@ -100,8 +105,10 @@
         is_stopping: Callable[[], bool],
         accepts_streams: Callable[[], bool],
         observe: Callable[[RequestState | None, str, float], None],
+        configuration_s: float = DEFAULT_CONFIGURATION_S,
     ) -> None:
         self._dialect = dialect
+        self._max_outdated_s = configuration_s * MAX_OUTDATED_SHARE
         self._configuration = configuration
         self._engines = engines
         self._plain = plain
@@ -178,6 +185,14 @@
                 cause="no configuration yet",
                 retry_after_s=NOT_READY_RETRY_S,
             )
+        outdated_s = self._configuration.find_outdated_s(now=arrived_at)
+        if outdated_s > self._max_outdated_s:
+            # It may allow what is not allowed any more, such as a revoked key.
+            raise RejectedRequest(
+                ResultCode.NOT_READY,
+                cause=f"a newer configuration is missing for {outdated_s:.1f} s",
+                retry_after_s=NOT_READY_RETRY_S,
+            )
         self._check_headers(request, configuration)
         try:
             facts = self._dialect.read_caller(request.headers)
--- a/packages/router/fulmarward_router/exchange/tests/test_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_caller_handler.py
@@ -64,7 +64,7 @@
         for age_s, reported, status in cases:
             with self.subTest(age_s=age_s, reported=reported):
                 holder.confirmed_at = time.monotonic() - age_s
-                holder.record_reported(reported)
+                holder.record_reported(reported, now=time.monotonic())
                 self.assertEqual(await self.request_status(holder), status)
         row = Row(key="config", value=b"", version=8)
         holder.apply_row(row, source="peer", now=time.monotonic())
--- a/packages/router/fulmarward_router/state/_configuration.py
+++ b/packages/router/fulmarward_router/state/_configuration.py
@@ -21,6 +21,10 @@
         self.confirmed_at = float("-inf")
         #: Newest version that any peer has reported to be in force.
         self._reported_version = 0
+        #: Since when a newer version has been reported, `None` if none is.
+        self._outdated_since: float | None = None
+        #: Whether the newest row cannot be decoded here.
+        self._has_refused = False
         #: Set once a configuration is in force.
         self.available = asyncio.Event()
 
@@ -34,9 +38,21 @@
         """Whether a peer has reported a newer version."""
         return self._reported_version > self.version
 
-    def record_reported(self, version: int) -> None:
+    def record_reported(self, version: int, *, now: float) -> None:
         """Record the version that a peer reports to be in force."""
         self._reported_version = max(self._reported_version, version)
+        if self.is_outdated and self._outdated_since is None:
+            self._outdated_since = now
+
+    def find_outdated_s(self, *, now: float) -> float:
+        """Return for how many seconds a newer version has been missing here.
+
+        That is 0 if the newest row received here cannot be decoded: waiting for it does
+        not help, and the current configuration stays in force.
+        """
+        if self._outdated_since is None or self._has_refused:
+            return 0.0
+        return now - self._outdated_since
 
     def record_confirmation(self, *, at: float) -> None:
         """Record that the store had nothing newer at `at` on the monotonic clock."""
@@ -58,6 +74,7 @@
         try:
             configuration = self._decode(row)
         except ValueError as error:
+            self._has_refused = True
             log_event(
                 "configuration_refused",
                 store_version=row.version,
@@ -69,6 +86,8 @@
             return False
         previous, self.current = self.version, configuration
         self._row = row
+        self._has_refused = False
+        self._outdated_since = now if self.is_outdated else None
         log_event(
             "configuration_adopted",
             version=configuration.version,
--- a/packages/router/fulmarward_router/state/_configuration_exchange.py
+++ b/packages/router/fulmarward_router/state/_configuration_exchange.py
@@ -63,7 +63,7 @@
         `sent_at` is when the heartbeat was sent, in seconds on the monotonic clock.
         """
         own, now = self._configuration.version, self._read_clock()
-        self._configuration.record_reported(heartbeat.configuration_version)
+        self._configuration.record_reported(heartbeat.configuration_version, now=now)
         if heartbeat.configuration_version > own:
             if self._begin_fetch(heartbeat, now):
                 return self._make_fetch(heartbeat.sender, own)
