Streams: one that lost its target resumes on targets that answer

Cause: a path is chosen by what is believed, and the last attempt of a begun stream was spent on targets that nobody here had asked since.

--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -10,7 +10,8 @@
 from fulmarward.observability import log_event
 from fulmarward_core.attempts import may_run_again
 from fulmarward_core.fleet import EngineModel
-from fulmarward_core.paths import PathRequest, count_tokens_held
+from fulmarward_core.loads import Reservation
+from fulmarward_core.paths import Hop, PathRequest, count_tokens_held
 from fulmarward_core.quotas import UNSTARTED_SHARE
 from fulmarward_router.exchange._admission import (
     AdmissionQueue,
@@ -27,6 +28,9 @@
 from fulmarward_router.exchange._send import AnswerLost, NotSent
 from fulmarward_router.ports import TargetCall
 
+#: Paths that are probed in a row for a request that has run before.
+MAX_PROBED_PATHS = 3
+
 #: Factor by which a response is assumed to be longer than the caller's hint.
 HINT_MARGIN = 1.25
 
@@ -86,8 +90,7 @@
         state.last_event = state.facts.last_event
         answer: web.StreamResponse | None = None
         while True:
-            path = await self._admission.await_path(state, engine, wanted)
-            reservation = self._ledger.reserve(path, count_tokens_held(wanted))
+            path, reservation = await self._reserve_path(state, engine, wanted)
             attempt = Attempt(
                 state=state,
                 engine=engine,
@@ -132,6 +135,44 @@
             if state.last_event is not None and answer is not None:
                 state.resumes += 1
 
+    async def _reserve_path(
+        self, state: RequestState, engine: EngineModel, wanted: PathRequest
+    ) -> tuple[tuple[Hop, ...], Reservation]:
+        """Return a path and its reservation, waiting for capacity.
+
+        Raises `RejectedRequest` or `TruncatedResponse`. Guards against several targets
+        that fail together: a request that lost its first target would run on another
+        failed one, and would have no attempt left.
+        """
+        for probed in range(MAX_PROBED_PATHS + 1):
+            path = await self._admission.await_path(state, engine, wanted)
+            reservation = self._ledger.reserve(path, count_tokens_held(wanted))
+            if state.runs == 0 or probed == MAX_PROBED_PATHS:
+                break
+            is_reachable = False
+            try:
+                is_reachable = await self._is_reachable(path)
+            finally:
+                if not is_reachable:
+                    self._ledger.release(reservation)
+            if is_reachable:
+                break
+            log_event(
+                "path_unreachable",
+                request=state.facts.request_id,
+                path=describe_path(path),
+                last_event=state.last_event,
+            )
+        return path, reservation
+
+    async def _is_reachable(self, path: tuple[Hop, ...]) -> bool:
+        """Probe the targets of a path; return whether none is unreachable."""
+        await self._failure_detector.probe_and_wait(hop.target for hop in path)
+        now = self._read_clock()
+        return not any(
+            self._suspicions.is_unreachable(hop.target, now=now) for hop in path
+        )
+
     def _make_path_request(
         self, state: RequestState, engine: EngineModel
     ) -> PathRequest:
