Streams: a begun one is ended only with its retry in hand

What callers saw: events 1 and 2 and the end of their connection, while event 3 was 0.1 s (an order of a path answered late) or 0.7 s (a link that held everything) away, at a target that served on (LOST). Cause: 'the first target is lost', 'no way around' and 'no other path' ended the attempt and closed its connection first, and asked for a retry afterwards; only the way around that crosses data centres took it before. With the instance's share used up, or the route's attempts, nothing was left to wait for.

Now each of them takes the retry first. Without one the stream stays open, to go on by itself, be rerouted by a next order, or get a retry that becomes free, until 1.7 s after its last event, when its caller is about to disconnect; it is cut then, later than before, if its target is really lost. LateOrderTest and LateTargetTest fail without this and pass with it, unchanged; the 7 tests of test_retries pass.

--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -13,6 +13,7 @@
     compute_joint_stall_s,
     find_stalled_targets,
 )
+from fulmarward_router.exchange._admission import compute_resume_end
 from fulmarward_router.exchange._attempt import Attempt, AttemptFailed, describe_path
 from fulmarward_router.exchange._context import ServiceContext
 from fulmarward_router.exchange._failure_detector import FailureDetector
@@ -321,13 +322,33 @@
                 return
         if attempt.first in unreachable:
             if not attempt.has_begun or attempt.state.route.is_resumable:
-                raise AttemptFailed(cause="the first target is lost", is_not_run=False)
+                self._end_attempt(attempt, "the first target is lost")
             return
+        began_at = self._read_clock()
         for _ in range(MAX_REROUTES):
-            if await self._reroute(attempt, unreachable):
+            is_rerouted = await self._reroute(attempt, unreachable)
+            # An order may have been accepted although its answer was lost.
+            if is_rerouted or attempt.last_event_at > began_at:
                 return
             unreachable = self._list_unreachable(attempt) or unreachable
-        raise AttemptFailed(cause="no way around was taken", is_not_run=False)
+        self._end_attempt(attempt, "no way around was taken")
+        # The next orders may be answered; the stream may also go on by itself.
+        await asyncio.sleep(RECHECK_INTERVAL_S)
+
+    def _end_attempt(self, attempt: Attempt, cause: str) -> None:
+        """Raise `AttemptFailed`, unless the stream would be truncated by that.
+
+        A stream that has begun ends when it has a retry, or when its caller is about to
+        disconnect. Until then it may go on: what looks like a failure may be a link
+        that is saturated for a moment.
+        """
+        state = attempt.state
+        if not attempt.has_begun:
+            raise AttemptFailed(cause=cause, is_not_run=False)
+        if self._context.take_retry_early(state):
+            raise AttemptFailed(cause=cause, is_not_run=False, has_retry=True)
+        if self._read_clock() >= compute_resume_end(state):
+            raise AttemptFailed(cause=cause, is_not_run=False)
 
     async def _reroute(
         self, attempt: Attempt, avoided_hops: list[Hop], *, is_required: bool = True
@@ -348,7 +369,8 @@
         ):
             return False
         if path is None or record is None:
-            raise AttemptFailed(cause="no way around a lost target", is_not_run=False)
+            self._end_attempt(attempt, "no way around a lost target")
+            return False
         if (
             is_required
             and self._pipe.count_crossings(path, attempt.path)
@@ -380,8 +402,7 @@
                     [hop.target for hop in path]
                 )
             elif is_required:
-                cause = f"no other path: {result.outcome.value}"
-                raise AttemptFailed(cause=cause, is_not_run=False)
+                self._end_attempt(attempt, f"no other path: {result.outcome.value}")
             return False
         state.repaths += 1
         reservation = self._ledger.reserve(path, count_tokens_held(wanted))
