Streams: a peer's report alone does not keep a begun one from its last targets

Cause: a peer whose own link may be full had reported that target as unreachable; such reports exclude a target from all new paths, also from those of a begun stream that has no other, and nobody asked the target. Where such a stream finds no path it may now use targets that only peers report; they are probed first, as every path of a request that has run. Both cases of ToldLossTest fail without this and pass with it, unchanged.

--- a/packages/core/fulmarward_core/suspicion/_table.py
+++ b/packages/core/fulmarward_core/suspicion/_table.py
@@ -298,16 +298,19 @@
             if now < item.until and item.reason in (_INDIRECT, "confirmed")
         ]
 
-    def list_suspects(self, targets: Iterable[str], *, now: float) -> frozenset[str]:
+    def list_suspects(
+        self, targets: Iterable[str], *, now: float, includes_reported: bool = True
+    ) -> frozenset[str]:
         """Return which of a service's targets to exclude.
 
+        Without `includes_reported`, a peer's report alone does not exclude a target.
         If the suspects exceed `MAX_SUSPECTED_SHARE`, only those observed here are
         excluded; if these alone exceed it, no target is excluded.
         """
         names = list(targets)
         max_suspects = len(names) * MAX_SUSPECTED_SHARE
         suspects = [name for name in names if self.is_suspect(name, now=now)]
-        if len(suspects) > max_suspects:
+        if len(suspects) > max_suspects or not includes_reported:
             suspects = [
                 name for name in suspects if not self.is_indirect(name, now=now)
             ]
--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -135,6 +135,11 @@
         """Return the best path, or one within a data centre if the pipe is full."""
         wanted = replace(wanted, kv_share=find_kv_share(wait_class))
         path = self._finder.choose(state.service, engine, wanted)
+        if path is None and state.has_begun:
+            # The path is probed before it is used; a peer's own link may be at fault.
+            path = self._finder.choose(
+                state.service, engine, wanted, may_use_reported=True
+            )
         if path is None:
             return Shortage.KV_CACHE
         if self._pipe.reserve(engine, wanted, path):
--- a/packages/router/fulmarward_router/exchange/_path_finder.py
+++ b/packages/router/fulmarward_router/exchange/_path_finder.py
@@ -61,15 +61,27 @@
         self._targets_by_service: dict[str, _ServiceTargets] = {}
 
     def choose(
-        self, service: str, engine: EngineModel, wanted: PathRequest
+        self,
+        service: str,
+        engine: EngineModel,
+        wanted: PathRequest,
+        *,
+        may_use_reported: bool = False,
     ) -> tuple[Hop, ...] | None:
-        """Return the best path now, `None` if none has capacity."""
+        """Return the best path now, `None` if none has capacity.
+
+        With `may_use_reported`, it may pass through targets that only peers report as
+        unreachable.
+        """
         now = self._read_clock()
         targets = self._find_targets(service, engine, now)
         if self._is_large():
             wanted = replace(wanted, remote=HUB_TERMS)
         return targets.index.choose_path(
-            wanted, read=self._make_occupancy_reader(targets, now)
+            wanted,
+            read=self._make_occupancy_reader(
+                targets, now, may_use_reported=may_use_reported
+            ),
         )
 
     def _find_targets(
@@ -131,10 +143,10 @@
         return self._preferences[target]
 
     def _make_occupancy_reader(
-        self, targets: _ServiceTargets, now: float
+        self, targets: _ServiceTargets, now: float, *, may_use_reported: bool
     ) -> ReadOccupancy:
         """Return a function that reads a target's load, `None` if it is excluded."""
-        excluded = self._list_excluded(targets, now)
+        excluded = self._list_excluded(targets, now, may_use_reported=may_use_reported)
         loads, paces = self._ledger.sum_loads(now=now), self._paces
 
         def read(stage: Stage) -> Occupancy | None:
@@ -150,10 +162,12 @@
 
         return read
 
-    def _list_excluded(self, targets: _ServiceTargets, now: float) -> frozenset[str]:
+    def _list_excluded(
+        self, targets: _ServiceTargets, now: float, *, may_use_reported: bool = False
+    ) -> frozenset[str]:
         """Return the targets that get no new requests."""
         excluded = targets.leaving | self._suspicions.list_suspects(
-            targets.names, now=now
+            targets.names, now=now, includes_reported=not may_use_reported
         )
         if self._catalogue.may_miss_leaving(now=now):
             refusals = self._suspicions.refusals
