Refusals are logged with their request and what they were decided by

It now carries the id, the newest version that a peer has reported and how old this instance takes the configuration's confirmation to be; path_chosen carries the seconds left until the deadline, as target_chosen does. The two tests of test_caller_handler pass; the new one fails without the id.

--- a/packages/router/fulmarward_router/exchange/_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/_caller_handler.py
@@ -1,6 +1,7 @@
 """HTTP server for callers: parses each request and responds to it exactly once."""
 
 import asyncio
+import math
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -185,6 +186,8 @@
             raise RejectedRequest(
                 ResultCode.HEADER_MALFORMED, cause=str(error)
             ) from error
+        # A denied request has no state; its log line needs the id all the same.
+        request["request_id"] = facts.request_id
         raw_path = request.raw_path
         if not raw_path.startswith("/"):
             raise RejectedRequest(ResultCode.HEADER_MALFORMED, cause="no path")
@@ -284,16 +287,25 @@
             answer.force_close()
         log_event(
             "request_refused",
-            request=_get_request_id(state),
+            request=request.get("request_id"),
             status=status,
             code=int(rejection.code),
             cause=rejection.cause,
             retry_after_s=rejection.retry_after_s,
             shortage=None if rejection.shortage is None else rejection.shortage.value,
             configuration=self._configuration.version,
+            reported=self._configuration.reported_version,
+            confirmed_s_ago=self._find_confirmation_age_s(),
         )
         return answer
 
+    def _find_confirmation_age_s(self) -> float | None:
+        """Return how old this instance takes the confirmation of the configuration to
+        be, `None` without one.
+        """
+        age_s = self._read_clock() - self._configuration.confirmed_at
+        return round(age_s, 3) if math.isfinite(age_s) else None
+
     def _record_end(
         self, state: RequestState | None, outcome: str, arrived_at: float
     ) -> None:
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -97,15 +97,15 @@
             )
             state.attempts += 1
             state.targets = tuple(hop.target for hop in path)
+            now = self._read_clock()
             log_event(
                 "path_chosen",
                 request=state.facts.request_id,
                 attempt=state.attempts,
                 path=describe_path(path),
                 targets_version=self._catalogue.version,
-                targets_age_s=round(
-                    self._read_clock() - self._catalogue.confirmed_at, 3
-                ),
+                targets_age_s=round(now - self._catalogue.confirmed_at, 3),
+                left_s=round(state.deadline - now, 3),
                 prompt=wanted.prompt,
                 answer=wanted.answer,
                 last_event=state.last_event,
--- a/packages/router/fulmarward_router/exchange/tests/test_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_caller_handler.py
@@ -1,12 +1,13 @@
 import time
 import unittest
 from types import SimpleNamespace
+from unittest import mock
 
 import aiohttp
 from aiohttp.test_utils import RawTestServer
 
 from fulmarward_core.routes import CallerLimits, RoutingConfiguration
-from fulmarward_router.exchange import CallerHandler
+from fulmarward_router.exchange import CallerHandler, _caller_handler
 from fulmarward_router.ports import CallerFacts, Row
 from fulmarward_router.state import ConfigurationHolder
 
@@ -69,3 +70,32 @@
         row = Row(key="config", value=b"", version=8)
         holder.apply_row(row, source="peer", now=time.monotonic())
         self.assertEqual(await self.request_status(holder), 404)
+
+    async def test_refusal_is_logged_with_its_request_and_what_it_was_decided_by(self):
+        """A denied request has no state; without these values it cannot be traced."""
+        holder = ConfigurationHolder(decode=_decode)
+        row = Row(key="config", value=b"", version=7)
+        holder.apply_row(row, source="store", now=time.monotonic())
+        cases = [
+            # seconds since the last confirmation, a peer's version, what is logged
+            (0.5, 7, 0.5),
+            (0.5, 8, 0.5),
+            (float("inf"), 8, None),
+        ]
+        for age_s, reported, logged in cases:
+            with self.subTest(age_s=age_s, reported=reported):
+                holder.confirmed_at = time.monotonic() - age_s
+                holder.record_reported(reported)
+                with mock.patch.object(_caller_handler, "log_event") as log_event:
+                    await self.request_status(holder)
+                line = log_event.call_args_list[0]
+                self.assertEqual(line.args, ("request_refused",))
+                self.assertEqual(line.kwargs["request"], "a")
+                self.assertEqual(line.kwargs["configuration"], 7)
+                self.assertEqual(line.kwargs["reported"], reported)
+                if logged is None:
+                    self.assertIsNone(line.kwargs["confirmed_s_ago"])
+                else:
+                    self.assertAlmostEqual(
+                        line.kwargs["confirmed_s_ago"], logged, delta=0.3
+                    )
--- a/packages/router/fulmarward_router/state/_configuration.py
+++ b/packages/router/fulmarward_router/state/_configuration.py
@@ -20,7 +20,7 @@
         #: the monotonic clock.
         self.confirmed_at = float("-inf")
         #: Newest version that any peer has reported to be in force.
-        self._reported_version = 0
+        self.reported_version = 0
         #: Set once a configuration is in force.
         self.available = asyncio.Event()
 
@@ -32,11 +32,11 @@
     @property
     def is_outdated(self) -> bool:
         """Whether a peer has reported a newer version."""
-        return self._reported_version > self.version
+        return self.reported_version > self.version
 
     def record_reported(self, version: int) -> None:
         """Record the version that a peer reports to be in force."""
-        self._reported_version = max(self._reported_version, version)
+        self.reported_version = max(self.reported_version, version)
 
     def record_confirmation(self, *, at: float) -> None:
         """Record that the store had nothing newer at `at` on the monotonic clock."""
