A report that cannot confirm the targets is logged

The reports come from hubs whose first read is newer than the receiver's, so that they confirm nothing there. targets_unconfirmed names the peer, both versions and both ages, at most once a second.

--- a/packages/router/fulmarward_router/state/_instance_state.py
+++ b/packages/router/fulmarward_router/state/_instance_state.py
@@ -45,6 +45,9 @@
 #: Minimum seconds between two fetches of the same changes of targets.
 FETCH_INTERVAL_S = 0.2
 
+#: Minimum seconds between two log lines on reports that confirm no targets.
+UNCONFIRMED_LOG_INTERVAL_S = 1.0
+
 #: Seconds after its start in which an instance may not have heard all live ones yet.
 START_DURATION_S = 2.0
 
@@ -93,6 +96,7 @@
         self._started_at = read_clock()
         #: When changes of targets were last requested, and after which version.
         self._targets_fetched_at = float("-inf")
+        self._unconfirmed_logged_at = float("-inf")
         self._targets_fetched_after: int | None = None
         #: Newest version of the targets that any peer has reported.
         self._max_reported_version = 0
@@ -198,10 +202,33 @@
         if heartbeat.targets_age_ms >= 0:
             at = now - heartbeat.targets_age_ms / 1000
             self._catalogue.confirm(heartbeat.targets_version, at=at)
+            self._log_unconfirmed(heartbeat, now)
         if self._must_fetch_targets(heartbeat, now):
             fetches.append(FetchTargets(after=self._catalogue.version))
         return fetches
 
+    def _log_unconfirmed(self, heartbeat: Heartbeat, now: float) -> None:
+        """Log that a report cannot confirm the targets known here, once a second.
+
+        Its sender knows of a newer version. Unless the changes up to it arrive, targets
+        may leave unnoticed until this instance reads the store itself.
+        """
+        if (
+            heartbeat.targets_version <= self._catalogue.version
+            or not self._catalogue.may_miss_leaving(now=now)
+            or now - self._unconfirmed_logged_at < UNCONFIRMED_LOG_INTERVAL_S
+        ):
+            return
+        self._unconfirmed_logged_at = now
+        log_event(
+            "targets_unconfirmed",
+            peer=heartbeat.sender.name,
+            peer_version=heartbeat.targets_version,
+            peer_age_s=heartbeat.targets_age_ms / 1000,
+            version=self._catalogue.version,
+            age_s=round(now - self._catalogue.confirmed_at, 3),
+        )
+
     def _must_fetch_targets(self, heartbeat: Heartbeat, now: float) -> bool:
         """Return whether to fetch changes of targets from the sender.
 
--- a/packages/router/fulmarward_router/tests/test_instance_state.py
+++ b/packages/router/fulmarward_router/tests/test_instance_state.py
@@ -1,5 +1,6 @@
 import random
 import unittest
+from unittest import mock
 
 from fulmarward_core.catalogue import KnownRow, TargetCatalogue
 from fulmarward_core.loads import LoadLedger
@@ -19,7 +20,11 @@
 )
 from fulmarward_router.mesh.tests.test_members import make_heartbeat
 from fulmarward_router.ports import Row
-from fulmarward_router.state import ConfigurationHolder, InstanceState
+from fulmarward_router.state import (
+    ConfigurationHolder,
+    InstanceState,
+    _instance_state,
+)
 
 
 class _Configuration:
@@ -159,6 +164,30 @@
             self.one.now += 0.3
         self.assertEqual(self.one.catalogue.version, 7)
 
+    def test_report_that_cannot_confirm_the_targets_is_logged(self):
+        """A restarted hub reports a version whose changes it does not know."""
+        restarted = Peer("restarted")
+        row = KnownRow(name="t", version=5, value=b"x", record=None, heard_at=100.0)
+        self.one.catalogue.apply_full_read([row], 5, now=100.0)
+        cases = [
+            # seconds, the version of the restarted peer's first read, lines
+            (0.5, 9, 0),
+            (1.5, 9, 1),
+            (1.9, 9, 0),
+            (2.6, 9, 1),
+        ]
+        for after_s, version, lines in cases:
+            with self.subTest(after_s=after_s):
+                now = self.one.now = restarted.now = 100.0 + after_s
+                restarted.catalogue.apply_full_read([row], version, now=now)
+                with mock.patch.object(_instance_state, "log_event") as log_event:
+                    self.one.receive_heartbeat(restarted)
+                self.assertEqual(len(log_event.call_args_list), lines)
+        line = log_event.call_args.kwargs
+        self.assertEqual(line["peer"], "restarted")
+        self.assertEqual((line["peer_version"], line["version"]), (9, 5))
+        self.assertEqual((line["peer_age_s"], line["age_s"]), (0.0, 2.6))
+
     def test_new_configuration_is_fetched_once_though_all_peers_report_it(self):
         # The operator changes the configuration, and 76 peers report it at the same
         # moment. Each was asked for the whole row. The answers saturated the link for
