--- a/packages/router/fulmarward_router/state/_instance_state.py
+++ b/packages/router/fulmarward_router/state/_instance_state.py
@@ -1,6 +1,7 @@
 """Builds the reports of an instance to its peers and merges theirs."""
 
 import bisect
+import math
 from collections.abc import Callable, Iterable, Mapping
 
 from msgspec.structs import replace
@@ -220,13 +221,14 @@
         ):
             return
         self._unconfirmed_logged_at = now
+        age_s = now - self._catalogue.confirmed_at
         log_event(
             "targets_unconfirmed",
             peer=heartbeat.sender.name,
             peer_version=heartbeat.targets_version,
             peer_age_s=heartbeat.targets_age_ms / 1000,
             version=self._catalogue.version,
-            age_s=round(now - self._catalogue.confirmed_at, 3),
+            age_s=round(age_s, 3) if math.isfinite(age_s) else None,
         )
 
     def _must_fetch_targets(self, heartbeat: Heartbeat, now: float) -> bool:
--- a/packages/router/fulmarward_router/tests/test_instance_state.py
+++ b/packages/router/fulmarward_router/tests/test_instance_state.py
@@ -187,6 +187,9 @@
         self.assertEqual(line["peer"], "restarted")
         self.assertEqual((line["peer_version"], line["version"]), (9, 5))
         self.assertEqual((line["peer_age_s"], line["age_s"]), (0.0, 2.6))
+        with mock.patch.object(_instance_state, "log_event") as log_event:
+            self.two.receive_heartbeat(restarted)
+        self.assertIsNone(log_event.call_args.kwargs["age_s"])
 
     def test_new_configuration_is_fetched_once_though_all_peers_report_it(self):
         # The operator changes the configuration, and 76 peers report it at the same
