--- a/packages/router/fulmarward_router/state/_configuration.py
+++ b/packages/router/fulmarward_router/state/_configuration.py
@@ -20,7 +20,7 @@
         #: the monotonic clock.
         self.confirmed_at = float("-inf")
         #: Newest version that any peer has reported to be in force.
-        self._reported_version = 0
+        self.reported_version = 0
         #: Since when a newer version has been reported, `None` if none is.
         self._outdated_since: float | None = None
         #: Whether the newest row cannot be decoded here.
@@ -36,11 +36,11 @@
     @property
     def is_outdated(self) -> bool:
         """Whether a peer has reported a newer version."""
-        return self._reported_version > self.version
+        return self.reported_version > self.version
 
     def record_reported(self, version: int, *, now: float) -> None:
         """Record the version that a peer reports to be in force."""
-        self._reported_version = max(self._reported_version, version)
+        self.reported_version = max(self.reported_version, version)
         if self.is_outdated and self._outdated_since is None:
             self._outdated_since = now
 
