Mesh: the offset of the clocks is reported when a link opens

An instance that meets a peer took what the peer confirms for worthless until both had sent a round of heartbeats, up to a second, and that in the moment after a start in which few can confirm anything. Each side now sends its time, and the offset once it knows it, as soon as the link opens: 1.5 round trips. The new test of test_links lists the messages; without this only the first one is sent.

--- a/packages/core/fulmarward_core/transit/decisions.py
+++ b/packages/core/fulmarward_core/transit/decisions.py
@@ -21,6 +21,8 @@
         self._recorded_at = 0.0
         #: The same as last reported by the peer.
         self._reported_offset_s: float | None = None
+        #: Whether the peer has been sent an offset.
+        self.has_reported = False
 
     def find_offset_s(self, *, now: float) -> float | None:
         """Return the offset in seconds to report to the peer, `None` if unknown."""
--- a/packages/router/fulmarward_router/mesh/_heartbeats.py
+++ b/packages/router/fulmarward_router/mesh/_heartbeats.py
@@ -75,9 +75,11 @@
 def make_send_time(transit: TransitClock, *, now: float) -> SendTime:
     """Return the message that says when those after it on the link were made.
 
+    It reports the offset of the clocks, which `transit` notes as reported.
     The times are rounded so that a message never seems newer than it is.
     """
     offset_s = transit.find_offset_s(now=now)
+    transit.has_reported |= offset_s is not None
     return SendTime(
         sent_ms=math.floor(now * 1000),
         offset_ms=None if offset_s is None else math.ceil(offset_s * 1000),
--- a/packages/router/fulmarward_router/mesh/_links.py
+++ b/packages/router/fulmarward_router/mesh/_links.py
@@ -348,8 +348,7 @@
         elif isinstance(message, Fetch):
             answer = self._state.answer(message)
             if isinstance(answer, TargetChanges) and receiver.transit is not None:
-                sent = make_send_time(receiver.transit, now=self._read_clock())
-                await self._send(receiver.connection, sent)
+                await self._send_time(receiver)
             if answer is not None:
                 await self._send(receiver.connection, answer)
 
@@ -444,7 +443,10 @@
     async def _handle_supports_send_times(
         self, receiver: _LinkReceiver, message: SupportsSendTimes
     ) -> None:
-        """Send the times of messages on the link from now on, and expect the peer's."""
+        """Send the times of messages on the link from now on, and expect the peer's.
+
+        The accepting side sends one at once, as the peer needs it to report an offset.
+        """
         known = self._transits.get(message.sender)
         if known is None or known[0] != message.boot:
             known = self._transits[message.sender] = (message.boot, TransitClock())
@@ -454,6 +456,11 @@
             receiver.link.transit = receiver.transit
         if receiver.is_accepted:
             await self._send(receiver.connection, self._make_supports_send_times())
+            await self._send_time(receiver)
+
+    async def _send_time(self, receiver: _LinkReceiver) -> None:
+        sent = make_send_time(receiver.transit, now=self._read_clock())
+        await self._send(receiver.connection, sent)
 
     async def _handle_send_time(
         self, receiver: _LinkReceiver, message: SendTime
@@ -466,6 +473,8 @@
             offset_s=None if offset_ms is None else offset_ms / 1000,
             now=self._read_clock(),
         )
+        if not receiver.transit.has_reported:
+            await self._send_time(receiver)
         is_late = LOGGED_DELAY_S <= receiver.delay_s < float("inf")
         if is_late != receiver.is_late:
             receiver.is_late = is_late
--- a/packages/router/fulmarward_router/mesh/tests/test_links.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_links.py
@@ -142,6 +142,21 @@
         self.assertIn(SupportsSendTimes(sender="own", boot=1), calls)
         self.assertEqual(self.state.delays, [3.0])
 
+    async def test_offset_of_the_clocks_is_reported_before_the_next_heartbeat(self):
+        """Guards against confirmations that are worthless for a while after a start."""
+        calls = await self._accept(
+            SupportsSendTimes(sender="peer", boot=1),
+            SendTime(sent_ms=95_000, offset_ms=None),
+            SendTime(sent_ms=95_500, offset_ms=-4_000),
+            read_clock=lambda: 100.0,
+        )
+        expected = [
+            SupportsSendTimes(sender="own", boot=1),
+            SendTime(sent_ms=100_000, offset_ms=None),
+            SendTime(sent_ms=100_000, offset_ms=5_000),
+        ]
+        self.assertEqual(calls, expected)
+
     async def test_heartbeat_without_a_send_time_may_be_of_any_age(self):
         """Guards against the first heartbeat of a link, behind others on its way."""
         supports = SupportsSendTimes(sender="peer", boot=1)
