--- /dev/null
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_effects.py
@@ -0,0 +1,95 @@
+"""Effects on a stream that makes progress while an answer is awaited."""
+
+import asyncio
+import contextlib
+import socket
+import time
+from types import SimpleNamespace
+from unittest import mock
+
+from fulmarward_router.exchange import TargetClient
+from fulmarward_router.exchange._context import ServiceContext
+from fulmarward_router.exchange.tests.test_late_streams import (
+    _FedStreamTest,
+    _StreamTest,
+)
+from fulmarward_router.ports import OrderOutcome, OrderResult
+
+#: Bytes of a body that no socket buffers take.
+_LONG_BODY = bytes(64 << 20)
+
+#: Seconds for which a target streams without reading the rest of a body.
+_STREAMED_S = 4.0
+
+
+class ProgressTest(_FedStreamTest):
+    async def test_stream_that_goes_on_during_an_order_is_not_aborted(self):
+        """An order whose answer is lost is carried out; the stream has a retry."""
+        self.list_target("first", "h:1", (0, 1))
+        self.list_target("second", "h:2", (1, 2))
+        self.start_service(SimpleNamespace(open=self.open), slack=100.0)
+
+        async def order(path):
+            await asyncio.sleep(0.1)
+            self.send(3)
+            await asyncio.sleep(0.1)
+            return OrderResult(outcome=OrderOutcome.UNKNOWN)
+
+        self.dialect.order = order
+        serving, request = self.serve()
+        for number in (1, 2):
+            self.send(number)
+            await asyncio.sleep(0.03)
+        self.list_target("third", "h:3", (1, 2))
+        self.suspicions.record_failure("second", now=self.read_clock())
+        await asyncio.sleep(0.5)
+        self.send(4)
+        self.stream.events.put_nowait(b"")
+        await asyncio.wait([serving], timeout=2.5)
+        self.assertEqual(self.opened_at, ["first"])
+        self.assertIn(b"id: 4", request["answer"].received)
+
+    async def test_stream_without_a_retry_is_not_checked_all_the_time(self):
+        """Guards against many streams that take the processor while they wait."""
+        for name, address in (("first", "h:1"), ("t2", "h:2"), ("t3", "h:3")):
+            self.list_target(name, address, (0, 2))
+        self.start_service(SimpleNamespace(open=self.open), slack=0.0)
+        self.serve()
+        for number in (1, 2):
+            self.send(number)
+            await asyncio.sleep(0.03)
+        take = mock.Mock(return_value=False)
+        with mock.patch.object(ServiceContext, "take_retry_early", take):
+            now = self.read_clock()
+            self.suspicions.record_failure(self.opened_at[0], now=now)
+            await asyncio.sleep(1.0)
+        self.assertGreater(take.call_count, 0)
+        self.assertLess(take.call_count, 15)
+
+
+class UnreadBodyTest(_StreamTest):
+    async def test_stream_goes_on_while_its_target_does_not_read_a_long_body(self):
+        """A target answers before it has read a long body, and reads on later."""
+        loop = asyncio.get_running_loop()
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        listener.setblocking(False)
+        port = listener.getsockname()[1]
+        self.list_target("t1", f"127.0.0.1:{port}", (0, 2))
+        client = TargetClient(session=self.session, dialect=self.dialect)
+        self.start_service(client, slack=0.0)
+        serving, request = self.serve(body=_LONG_BODY)
+        connection, _ = await loop.sock_accept(listener)
+        self.addCleanup(connection.close)
+        await loop.sock_recv(connection, 1 << 12)
+        head = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+        await loop.sock_sendall(connection, head)
+        until, number = time.monotonic() + _STREAMED_S, 0
+        while time.monotonic() < until and not serving.done():
+            number += 1
+            with contextlib.suppress(ConnectionError):
+                event = b"id: %d\ndata: x\n\n" % number
+                await loop.sock_sendall(connection, event)
+            await asyncio.sleep(0.1)
+        self.assertFalse(serving.done(), f"ended after event {number}")
+        self.assertIn(b"id: %d\n" % (number - 2), request["answer"].received)
