Mesh: the age of a message grows until it is merged; members count as heard when they sent

A heartbeat that followed its SendTime 2 s late (a lost segment, a large report before it on a full link, a blocked loop) counted as just sent: the time in transit was computed at the SendTime and applied later. The link now keeps when its messages were sent. An instance whose heartbeat was 10 s old counted as heard now, with its callers and duties; it counts from its sending, unless the transit is not known yet. A deferred fetch was repeated on a link that had closed, so that no other peer was asked for 1 s. The stand-in of a link says now whether it is open.

--- a/packages/router/fulmarward_router/mesh/_links.py
+++ b/packages/router/fulmarward_router/mesh/_links.py
@@ -9,6 +9,7 @@
 from websockets.asyncio.connection import Connection, broadcast
 from websockets.asyncio.server import Server, serve
 from websockets.exceptions import WebSocketException
+from websockets.protocol import State
 
 from fulmarward.observability import log_event
 from fulmarward_core.codec import InvalidMessageError
@@ -86,14 +87,23 @@
     subscribes: bool = False
     #: Measures the transit of the peer's messages; `None` unless it sends `SendTime`.
     transit: TransitClock | None = None
-    #: Seconds for which the latest messages were in transit at most; 0 if the peer does
-    #: not send `SendTime`.
-    delay_s: float = 0.0
+    #: When the latest messages were sent at the earliest, in seconds on the clock here;
+    #: `None` if the peer does not send `SendTime`.
+    sent_at: float | None = None
     #: Whether these messages are logged as late.
     is_late: bool = False
     #: The sending side of a dialled link, or of one to a subscriber.
     link: PeerLink | None = None
 
+    def find_delay_s(self, *, now: float) -> float:
+        """Return for how many seconds at most a message was on its way until now."""
+        return 0.0 if self.sent_at is None else now - self.sent_at
+
+    def find_heard_at(self, *, now: float) -> float:
+        """Return when the peer was certainly alive; now if the transit is unknown."""
+        delay_s = self.find_delay_s(now=now)
+        return now if delay_s == float("inf") else now - delay_s
+
 
 class Mesh:
     """The links that this instance dials and accepts, with one task for each."""
@@ -368,8 +378,10 @@
             self._members.record_needs_dialling(
                 sender.name, sender.boot, is_needed=needs_dialling
             )
-        self._members.merge_heartbeat(message, now=self._read_clock())
-        fetches = self._state.merge_heartbeat(message, delay_s=receiver.delay_s)
+        now = self._read_clock()
+        self._members.merge_heartbeat(message, now=receiver.find_heard_at(now=now))
+        delay_s = receiver.find_delay_s(now=now)
+        fetches = self._state.merge_heartbeat(message, delay_s=delay_s)
         for fetch in fetches:
             await self._send(receiver.connection, fetch)
 
@@ -378,8 +390,10 @@
     ) -> None:
         if receiver.link is not None:
             receiver.link.expects_load_updates = True
-        self._members.merge_fleet_report(message, now=self._read_clock())
-        is_merged = self._state.merge_fleet_report(message, delay_s=receiver.delay_s)
+        now = self._read_clock()
+        self._members.merge_fleet_report(message, now=receiver.find_heard_at(now=now))
+        delay_s = receiver.find_delay_s(now=now)
+        is_merged = self._state.merge_fleet_report(message, delay_s=delay_s)
         if not is_merged and receiver.link is not None:
             self._send_nowait(receiver.connection, receiver.link.subscription)
         await self._handle_heartbeat(receiver, message.heartbeat)
@@ -429,16 +443,19 @@
     async def _handle_data_centre_report(
         self, receiver: _LinkReceiver, message: DataCentreReport
     ) -> None:
-        self._state.merge_data_centre(message, delay_s=receiver.delay_s)
         now = self._read_clock()
-        has_unknown = self._members.merge_data_centre(message, now=now)
+        self._state.merge_data_centre(message, delay_s=receiver.find_delay_s(now=now))
+        has_unknown = self._members.merge_data_centre(
+            message, now=receiver.find_heard_at(now=now)
+        )
         if has_unknown and self._must_fetch_instances():
             await self._send(receiver.connection, FetchInstances())
 
     async def _handle_snapshot(
         self, receiver: _LinkReceiver, message: ConfigurationSnapshot | TargetChanges
     ) -> None:
-        self._state.merge_snapshot(message, delay_s=receiver.delay_s)
+        delay_s = receiver.find_delay_s(now=self._read_clock())
+        self._state.merge_snapshot(message, delay_s=delay_s)
 
     async def _handle_supports_send_times(
         self, receiver: _LinkReceiver, message: SupportsSendTimes
@@ -451,7 +468,7 @@
         if known is None or known[0] != message.boot:
             known = self._transits[message.sender] = (message.boot, TransitClock())
         receiver.transit = known[1]
-        receiver.delay_s = float("inf")
+        receiver.sent_at = float("-inf")
         if receiver.link is not None:
             receiver.link.transit = receiver.transit
         if receiver.is_accepted:
@@ -468,21 +485,23 @@
         if receiver.transit is None:
             return
         offset_ms = message.offset_ms
-        receiver.delay_s = receiver.transit.record(
+        now = self._read_clock()
+        delay_s = receiver.transit.record(
             sent_at=message.sent_ms / 1000,
             offset_s=None if offset_ms is None else offset_ms / 1000,
-            now=self._read_clock(),
+            now=now,
         )
+        receiver.sent_at = now - delay_s
         if not receiver.transit.has_reported:
             await self._send_time(receiver)
-        is_late = LOGGED_DELAY_S <= receiver.delay_s < float("inf")
+        is_late = LOGGED_DELAY_S <= delay_s < float("inf")
         if is_late != receiver.is_late:
             receiver.is_late = is_late
             log_event(
                 "peer_delay_changed",
                 peer=str(receiver.connection.remote_address),
                 senders=sorted(receiver.senders),
-                delay_s=round(receiver.delay_s, 3),
+                delay_s=round(delay_s, 3),
             )
 
     async def _handle_supports_compression(
@@ -505,6 +524,8 @@
 
     async def _repeat_fetch(self, receiver: _LinkReceiver, peer: str) -> None:
         await asyncio.sleep(DEFER_DURATION_S * random.uniform(1.0, 1.5))
+        if receiver.connection.protocol.state is not State.OPEN:
+            return
         fetch = self._state.repeat_fetch(peer)
         if fetch is not None:
             self._send_nowait(receiver.connection, fetch)
--- a/packages/router/fulmarward_router/mesh/tests/test_links.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_links.py
@@ -1,7 +1,9 @@
 import time
 import unittest
+from types import SimpleNamespace
 
 from websockets.exceptions import ConnectionClosedError
+from websockets.protocol import State
 
 from fulmarward_router.mesh import (
     CompressedConfiguration,
@@ -35,10 +37,12 @@
         self._calls = calls
         self._is_broken = is_broken
         self._send_error = send_error
+        self.protocol = SimpleNamespace(state=State.OPEN)
 
     async def __aiter__(self):
         for message in self._messages:
             yield encode_message(message)
+        self.protocol.state = State.CLOSED
         if self._is_broken:
             raise ConnectionClosedError(None, None)
 
@@ -66,6 +70,9 @@
     def merge_snapshot(self, snapshot, *, delay_s=0.0):
         self._calls.append(("merged", snapshot))
 
+    def repeat_fetch(self, peer):
+        return None
+
     def record_deferred(self, message):
         self._calls.append(("merged", message))
 
