Targets: a list that was never confirmed confirms nothing

An instance whose targets came over a link of unknown transit, and that has not reached the store, answered a fetch with the age 0 ("never" is -1, and was cut off at 0): the receiver took the list as confirmed now and passed that on. A late report that its sender does not reach the store, and the targets that it takes for leaving, count from their sending. What has become known to leave may have left just after the list's last confirmation, so unsent requests are withdrawn 1 s after that, and not 1 s after the news.

--- a/packages/core/fulmarward_core/catalogue/_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/_catalogue.py
@@ -49,7 +49,7 @@
         self._rows: dict[str, KnownRow] = {}
         #: Version at which the content of each row last changed.
         self._changed_versions: dict[str, int] = {}
-        #: When each target that leaves, or was removed, became known to do so.
+        #: When each target that leaves, or was removed, did so at the earliest.
         self._leaving_since: dict[str, float] = {}
         #: Records of rows that expired during an outage of the store, with the time.
         self._expired: dict[str, tuple[TargetRecord, float]] = {}
@@ -165,6 +165,8 @@
         complete_to: int,
     ) -> list[KnownRow]:
         """Apply rows; skip unknown ones up to version `complete_to`."""
+        # What has changed may have changed just after the last confirmation.
+        changed_since = min(now, self.confirmed_at)
         if version >= self.version:
             if self.version == 0:
                 self._first_read_at = now
@@ -175,7 +177,7 @@
             row
             for row in rows
             if (row.name in self._rows or row.version > complete_to)
-            and self._apply_row(row, now)
+            and self._apply_row(row, now, changed_since)
         ]
         if changed:
             self.revision += 1
@@ -190,9 +192,9 @@
         if content_version <= self.version:
             self._note_confirmed(at)
 
-    def record_store_out(self, *, now: float) -> None:
+    def record_store_out(self, *, at: float) -> None:
         """Record that the store did not answer this instance or a peer."""
-        self._store_out_at = now
+        self._store_out_at = max(self._store_out_at, at)
 
     def _note_confirmed(self, at: float) -> None:
         """Record that the store confirmed the rows, here or to a peer."""
@@ -205,7 +207,7 @@
             self._recovered_at = at
         self.confirmed_at = at
 
-    def _apply_row(self, row: KnownRow, now: float) -> bool:
+    def _apply_row(self, row: KnownRow, now: float, changed_since: float) -> bool:
         known = self._rows.get(row.name)
         if known is not None and known.version >= row.version:
             return False
@@ -223,7 +225,7 @@
             self._expired.pop(row.name, None)
         self._rows[row.name] = row
         if row.record is None or row.record.is_leaving:
-            self._leaving_since.setdefault(row.name, now)
+            self._leaving_since.setdefault(row.name, changed_since)
         else:
             self._leaving_since.pop(row.name, None)
         return True
@@ -255,7 +257,7 @@
         return None if expired is None else expired[0]
 
     def find_leaving_s(self, name: str, *, now: float) -> float:
-        """Return for how many seconds a target is known to leave or to be removed.
+        """Return for how many seconds at most a target leaves or has been removed.
 
         That is 0 for one that stays, or whose row may have expired while it is alive.
         """
--- a/packages/core/fulmarward_core/catalogue/tests/test_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/tests/test_catalogue.py
@@ -71,7 +71,7 @@
         catalogue = TargetCatalogue()
         catalogue.apply_full_read([_make_row("a", 1), _make_row("b", 2)], 2, now=10.0)
         self.assertTrue(catalogue.may_be_incomplete(now=13.0))
-        catalogue.record_store_out(now=13.0)
+        catalogue.record_store_out(at=13.0)
         removed = [_make_row("a", 3, value=None), _make_row("b", 4, value=None)]
         catalogue.apply_changes(removed, 4, now=15.1)
         self.assertEqual(_list_names(catalogue, 15.2), ["a", "b"])
--- a/packages/router/fulmarward_router/state/_instance_state.py
+++ b/packages/router/fulmarward_router/state/_instance_state.py
@@ -55,6 +55,10 @@
 #: The age in ms that stands for "never".
 _NEVER_MS = -1
 
+#: The age in ms of changes of targets that were never confirmed here: too old to
+#: confirm anything.
+_UNKNOWN_AGE_MS = 86_400_000
+
 
 class InstanceState:
     """Implements `mesh.MeshState` on the tables of this instance."""
@@ -205,12 +209,12 @@
             loads = _index_loads(heartbeat.loads)
             self._ledger.merge_report(heartbeat.sender.name, loads, now=now)
         self._merge_losses(heartbeat.losses, heartbeat.sender.name, sent_at)
-        self._suspicions.refusals.merge_reports(heartbeat.refusing, now=now)
+        self._suspicions.refusals.merge_reports(heartbeat.refusing, now=sent_at)
         self._merge_paces(heartbeat.paces, sent_at)
         fetch = self._exchange.merge_heartbeat(heartbeat, sent_at=sent_at)
         fetches = [] if fetch is None else [fetch]
         if not heartbeat.is_store_reachable:
-            self._catalogue.record_store_out(now=now)
+            self._catalogue.record_store_out(at=sent_at)
         if heartbeat.targets_age_ms >= 0:
             at = sent_at - heartbeat.targets_age_ms / 1000
             self._catalogue.confirm(heartbeat.targets_version, at=at)
@@ -421,7 +425,7 @@
         """
         now, hub = self._read_clock(), report.heartbeat.sender.name
         self._merge_losses(report.losses, hub, now - delay_s)
-        self._suspicions.refusals.merge_reports(report.refusing, now=now)
+        self._suspicions.refusals.merge_reports(report.refusing, now=now - delay_s)
         return self._merge_loads(
             hub, report.loads, report.included, is_full=report.is_full
         )
@@ -452,11 +456,11 @@
             RowSnapshot(key=row.name, version=row.version, value=row.value)
             for row in self._catalogue.list_rows(after=after)
         )
-        now = self._read_clock()
+        age_ms = _compute_age_ms(self._catalogue.confirmed_at, self._read_clock())
         return TargetChanges(
             after=after,
             version=self._catalogue.version,
-            age_ms=max(0, _compute_age_ms(self._catalogue.confirmed_at, now)),
+            age_ms=_UNKNOWN_AGE_MS if age_ms == _NEVER_MS else age_ms,
             rows=rows,
         )
 
--- a/packages/router/fulmarward_router/state/_watch.py
+++ b/packages/router/fulmarward_router/state/_watch.py
@@ -233,7 +233,7 @@
 
     def _record_outage(self, table: str, error: Exception) -> None:
         now = self._read_clock()
-        self._catalogue.record_store_out(now=now)
+        self._catalogue.record_store_out(at=now)
         if not self._has_outage.get(table):
             log_event("store_lost", table=table, cause=repr(error))
         self._has_outage[table] = True
