Configuration: each missing version counts from its own first report

Found by the review of: a version that could not be decoded switched the guard off for the next one too; adopting an older version restarted the clock of a newer one that is missing; and a report counted from its arrival. OutdatedConfigurationTest (three cases) failed before.

--- a/packages/router/fulmarward_router/exchange/tests/test_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_caller_handler.py
@@ -65,7 +65,7 @@
         for age_s, reported, status in cases:
             with self.subTest(age_s=age_s, reported=reported):
                 holder.confirmed_at = time.monotonic() - age_s
-                holder.record_reported(reported, now=time.monotonic())
+                holder.record_reported(reported, at=time.monotonic())
                 self.assertEqual(await self.request_status(holder), status)
         row = Row(key="config", value=b"", version=8)
         holder.apply_row(row, source="peer", now=time.monotonic())
@@ -85,7 +85,7 @@
         for age_s, reported, logged in cases:
             with self.subTest(age_s=age_s, reported=reported):
                 holder.confirmed_at = time.monotonic() - age_s
-                holder.record_reported(reported, now=time.monotonic())
+                holder.record_reported(reported, at=time.monotonic())
                 with mock.patch.object(_caller_handler, "log_event") as log_event:
                     await self.request_status(holder)
                 line = log_event.call_args_list[0]
--- a/packages/router/fulmarward_router/state/_configuration.py
+++ b/packages/router/fulmarward_router/state/_configuration.py
@@ -21,10 +21,10 @@
         self.confirmed_at = float("-inf")
         #: Newest version that any peer has reported to be in force.
         self.reported_version = 0
-        #: Since when a newer version has been reported, `None` if none is.
-        self._outdated_since: float | None = None
-        #: Whether the newest row cannot be decoded here.
-        self._has_refused = False
+        #: When each newer version was first reported.
+        self._missing_since: dict[int, float] = {}
+        #: Newest version reported when a row could not be decoded here.
+        self._refused_version = 0
         #: Set once a configuration is in force.
         self.available = asyncio.Event()
 
@@ -38,21 +38,24 @@
         """Whether a peer has reported a newer version."""
         return self.reported_version > self.version
 
-    def record_reported(self, version: int, *, now: float) -> None:
-        """Record the version that a peer reports to be in force."""
+    def record_reported(self, version: int, *, at: float) -> None:
+        """Record the version that a peer reported to be in force at `at`."""
         self.reported_version = max(self.reported_version, version)
-        if self.is_outdated and self._outdated_since is None:
-            self._outdated_since = now
+        if version > self.version:
+            self._missing_since.setdefault(version, at)
 
     def find_outdated_s(self, *, now: float) -> float:
         """Return for how many seconds a newer version has been missing here.
 
-        That is 0 if the newest row received here cannot be decoded: waiting for it does
-        not help, and the current configuration stays in force.
+        One that cannot be decoded here does not count: waiting for it does not help,
+        and the current configuration stays in force.
         """
-        if self._outdated_since is None or self._has_refused:
-            return 0.0
-        return now - self._outdated_since
+        times = [
+            since
+            for version, since in self._missing_since.items()
+            if version > self._refused_version
+        ]
+        return now - min(times, default=now)
 
     def record_confirmation(self, *, at: float) -> None:
         """Record that the store had nothing newer at `at` on the monotonic clock."""
@@ -74,7 +77,7 @@
         try:
             configuration = self._decode(row)
         except ValueError as error:
-            self._has_refused = True
+            self._refused_version = self.reported_version
             log_event(
                 "configuration_refused",
                 store_version=row.version,
@@ -86,8 +89,11 @@
             return False
         previous, self.current = self.version, configuration
         self._row = row
-        self._has_refused = False
-        self._outdated_since = now if self.is_outdated else None
+        self._missing_since = {
+            version: since
+            for version, since in self._missing_since.items()
+            if version > configuration.version
+        }
         log_event(
             "configuration_adopted",
             version=configuration.version,
--- a/packages/router/fulmarward_router/state/_configuration_exchange.py
+++ b/packages/router/fulmarward_router/state/_configuration_exchange.py
@@ -63,7 +63,10 @@
         `sent_at` is when the heartbeat was sent, in seconds on the monotonic clock.
         """
         own, now = self._configuration.version, self._read_clock()
-        self._configuration.record_reported(heartbeat.configuration_version, now=now)
+        reported_at = now if sent_at == float("-inf") else sent_at
+        self._configuration.record_reported(
+            heartbeat.configuration_version, at=reported_at
+        )
         if heartbeat.configuration_version > own:
             if self._begin_fetch(heartbeat, now):
                 return self._make_fetch(heartbeat.sender, own)
