--- a/packages/router/fulmarward_router/_sockets.py
+++ b/packages/router/fulmarward_router/_sockets.py
@@ -18,7 +18,10 @@
 
 
 def limit_unacknowledged(transport: asyncio.Transport, timeout_s: float) -> None:
-    """Break a connection once written bytes stay unacknowledged for that long."""
+    """Break a connection once written bytes stay unacknowledged for that long.
+
+    A timeout of 0 removes the limit.
+    """
     transport.get_extra_info("socket").setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(timeout_s * 1000)
     )
--- a/packages/router/fulmarward_router/exchange/_send.py
+++ b/packages/router/fulmarward_router/exchange/_send.py
@@ -133,7 +133,11 @@
         self._openings[call.address].add(opening)
         token = _current_opening.set(opening)
         try:
-            return await self._request(state, call)
+            response = await self._request(state, call)
+            # A target may respond before it reads the whole body.
+            if opening.transport is not None and not opening.transport.is_closing():
+                limit_unacknowledged(opening.transport, 0)
+            return response
         finally:
             _current_opening.reset(token)
             self._remove_opening(call.address, opening)
