Test a late read of all targets and the order of early retries

Both fail on: a full read that is older than what is known reaches the handler of changes although the catalogue ignores it, and a stream that may go on takes the retry that a waiting one with less time left needs.

--- a/packages/router/fulmarward_router/exchange/tests/test_late_effects.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_effects.py
@@ -7,6 +7,7 @@
 from types import SimpleNamespace
 from unittest import mock
 
+from fulmarward_core.attempts import RequestTally
 from fulmarward_router.exchange import TargetClient
 from fulmarward_router.exchange._context import ServiceContext
 from fulmarward_router.exchange.tests.test_late_streams import (
@@ -67,6 +68,39 @@
         self.assertLess(take.call_count, 15)
 
 
+class RetryOrderTest(_StreamTest):
+    async def test_stream_that_may_go_on_leaves_the_retry_to_one_that_cannot(self):
+        """Guards against a stream that is truncated though a retry was free in time."""
+        client = TargetClient(session=self.session, dialect=self.dialect)
+        self.start_service(client, slack=2.0)
+        context, now = self.service._context, self.read_clock()
+        budget = context.find_budget("pool")
+        state = self.make_state(now)
+        budget.begin_wait(until=now + 0.1)
+        self.assertFalse(context.take_retry_early(state))
+        turn = budget.poll_retry(until=now + 0.1, share=1.0, now=now)
+        self.assertTrue(turn.is_taken)
+
+    def make_state(self, now):
+        """Return a stream that has begun and may wait for 1.7 s."""
+        tally = RequestTally(
+            attempts=1,
+            runs=0,
+            most_attempts=3,
+            is_idempotent=True,
+            deadline=now + 20.0,
+        )
+        return SimpleNamespace(
+            service="pool",
+            has_begun=True,
+            make_tally=lambda: tally,
+            facts=SimpleNamespace(request_id="a"),
+            deadline=now + 20.0,
+            arrived_at=now,
+            last_write_at=now,
+        )
+
+
 class UnreadBodyTest(_StreamTest):
     async def test_stream_goes_on_while_its_target_does_not_read_a_long_body(self):
         """A target answers before it has read a long body, and reads on later."""
--- a/packages/router/fulmarward_router/tests/test_late_beliefs.py
+++ b/packages/router/fulmarward_router/tests/test_late_beliefs.py
@@ -1,6 +1,7 @@
 """Beliefs that must count from when they were true, not from when they arrived."""
 
 import unittest
+from unittest import mock
 
 from fulmarward_router.exchange._caller_handler import (
     DEFAULT_CONFIGURATION_S,
@@ -8,7 +9,8 @@
 )
 from fulmarward_router.mesh import FetchTargets, RowSnapshot, TargetChanges
 from fulmarward_router.mesh.tests.test_members import make_heartbeat
-from fulmarward_router.ports import Row
+from fulmarward_router.ports import Row, RowsRead
+from fulmarward_router.state import StoreWatch
 from fulmarward_router.tests._routing_peer import RoutingPeer, make_target_row
 
 #: Seconds for which a link holds messages, longer than a refused target is avoided.
@@ -118,3 +120,28 @@
         peer.read_targets([make_target_row("t1", 5, is_leaving=True)], 5)
         left_s = peer.catalogue.find_leaving_s("t1", now=peer.now)
         self.assertGreaterEqual(left_s, _HELD_S)
+
+
+class LateReadTest(unittest.IsolatedAsyncioTestCase):
+    async def test_outdated_read_of_all_targets_changes_nothing(self):
+        """A read of the whole table is answered after a peer sent a newer version."""
+        peer = RoutingPeer("one")
+        handled = []
+        watch = StoreWatch(
+            store=mock.Mock(),
+            configuration=peer.configuration,
+            catalogue=peer.catalogue,
+            read_clock=lambda: peer.now,
+            notify_peers=lambda: None,
+            handle_target_changes=handled.extend,
+            is_among_first=lambda count: True,
+            is_large=lambda: False,
+            read_heartbeat_interval_s=lambda: 0.3,
+        )
+        watch.decode_row = peer._decode_row
+        answer = RowsRead(rows=(make_target_row("t1", 2),), version=4)
+        watch._store.read_table = mock.AsyncMock(return_value=answer)
+        peer.read_targets([make_target_row("t1", 7, is_leaving=True)], 7)
+        await watch._read_all()
+        self.assertTrue(peer.catalogue.find_target("t1").is_leaving)
+        self.assertEqual(handled, [])
