--- a/packages/router/fulmarward_router/exchange/tests/test_late_effects.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_effects.py
@@ -50,6 +50,38 @@
         self.assertEqual(self.opened_at, ["first"])
         self.assertIn(b"id: 4", request["answer"].received)
 
+    async def run_silence(self, open_stream):
+        """Let a first target's link hold everything for 0.9 s; return the answer."""
+        for name, address in (("first", "h:1"), ("t2", "h:2"), ("t3", "h:3")):
+            self.list_target(name, address, (0, 2))
+        self.start_service(SimpleNamespace(open=open_stream), slack=0.0)
+        serving, request = self.serve()
+        await asyncio.sleep(0.05)
+        self.dialect.silent = set(self.opened_at)
+        await asyncio.sleep(0.85)
+        self.dialect.silent = set()
+        self.send(1)
+        self.stream.events.put_nowait(b"")
+        await asyncio.wait([serving], timeout=1.0)
+        self.assertIsNone(serving.exception())
+        return request["answer"]
+
+    async def test_response_without_an_event_yet_waits_for_a_late_first_target(self):
+        """The response has started, then its first target's link is full for 0.9 s."""
+        answer = await self.run_silence(self.open)
+        self.assertIn(b"id: 1", answer.received)
+
+    async def test_request_without_a_response_yet_waits_for_a_late_first_target(self):
+        """A first target's link is full for 0.9 s before its response has started."""
+
+        async def open_late(state, call):
+            stream = await self.open(state, call)
+            await asyncio.sleep(0.9)
+            return stream
+
+        answer = await self.run_silence(open_late)
+        self.assertIn(b"id: 1", answer.received)
+
     async def test_stream_without_a_retry_is_not_checked_all_the_time(self):
         """Guards against many streams that take the processor while they wait."""
         for name, address in (("first", "h:1"), ("t2", "h:2"), ("t3", "h:3")):
--- a/packages/router/fulmarward_router/tests/test_late_beliefs.py
+++ b/packages/router/fulmarward_router/tests/test_late_beliefs.py
@@ -1,17 +1,24 @@
 """Beliefs that must count from when they were true, not from when they arrived."""
 
+import asyncio
 import unittest
 from unittest import mock
 
+from fulmarward_core.quotas import RetryBudget
 from fulmarward_router.exchange._caller_handler import (
     DEFAULT_CONFIGURATION_S,
     MAX_OUTDATED_SHARE,
 )
+from fulmarward_router.exchange._plain import ATTEMPT_TIMEOUT_S
 from fulmarward_router.mesh import FetchTargets, RowSnapshot, TargetChanges
 from fulmarward_router.mesh.tests.test_members import make_heartbeat
 from fulmarward_router.ports import Row, RowsRead
 from fulmarward_router.state import StoreWatch
-from fulmarward_router.tests._routing_peer import RoutingPeer, make_target_row
+from fulmarward_router.tests._routing_peer import (
+    RoutingPeer,
+    make_configuration_row,
+    make_target_row,
+)
 
 #: Seconds for which a link holds messages, longer than a refused target is avoided.
 _HELD_S = 4.0
@@ -145,3 +152,21 @@
         await watch._read_all()
         self.assertTrue(peer.catalogue.find_target("t1").is_leaving)
         self.assertEqual(handled, [])
+
+
+class SlowTargetTest(unittest.TestCase):
+    def test_request_without_a_retry_waits_for_its_target(self):
+        """A target takes longer than an attempt may, and no retry is left."""
+        peer = RoutingPeer("one")
+        peer.read_configuration(make_configuration_row(1))
+        peer.read_targets([make_target_row("t1", 2), make_target_row("t2", 3)], 4)
+        answer = peer.client.open
+
+        async def open_late(state, call):
+            await asyncio.sleep(2 * ATTEMPT_TIMEOUT_S)
+            return await answer(state, call)
+
+        peer.client.open = open_late
+        with mock.patch.object(RetryBudget, "take_retry", return_value=False):
+            status, _ = peer.request("/v1/x", key="k1")
+        self.assertEqual(status, 200)
