--- a/packages/router/fulmarward_router/exchange/tests/test_late_effects.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_effects.py
@@ -7,6 +7,7 @@
 from types import SimpleNamespace
 from unittest import mock
 
+from fulmarward_core.attempts import RequestTally
 from fulmarward_router.exchange import TargetClient
 from fulmarward_router.exchange._context import ServiceContext
 from fulmarward_router.exchange.tests.test_late_streams import (
@@ -49,6 +50,38 @@
         self.assertEqual(self.opened_at, ["first"])
         self.assertIn(b"id: 4", request["answer"].received)
 
+    async def run_silence(self, open_stream):
+        """Let a first target's link hold everything for 0.9 s; return the answer."""
+        for name, address in (("first", "h:1"), ("t2", "h:2"), ("t3", "h:3")):
+            self.list_target(name, address, (0, 2))
+        self.start_service(SimpleNamespace(open=open_stream), slack=0.0)
+        serving, request = self.serve()
+        await asyncio.sleep(0.05)
+        self.dialect.silent = set(self.opened_at)
+        await asyncio.sleep(0.85)
+        self.dialect.silent = set()
+        self.send(1)
+        self.stream.events.put_nowait(b"")
+        await asyncio.wait([serving], timeout=1.0)
+        self.assertIsNone(serving.exception())
+        return request["answer"]
+
+    async def test_response_without_an_event_yet_waits_for_a_late_first_target(self):
+        """The response has started, then its first target's link is full for 0.9 s."""
+        answer = await self.run_silence(self.open)
+        self.assertIn(b"id: 1", answer.received)
+
+    async def test_request_without_a_response_yet_waits_for_a_late_first_target(self):
+        """A first target's link is full for 0.9 s before its response has started."""
+
+        async def open_late(state, call):
+            stream = await self.open(state, call)
+            await asyncio.sleep(0.9)
+            return stream
+
+        answer = await self.run_silence(open_late)
+        self.assertIn(b"id: 1", answer.received)
+
     async def test_stream_without_a_retry_is_not_checked_all_the_time(self):
         """Guards against many streams that take the processor while they wait."""
         for name, address in (("first", "h:1"), ("t2", "h:2"), ("t3", "h:3")):
@@ -67,6 +100,39 @@
         self.assertLess(take.call_count, 15)
 
 
+class RetryOrderTest(_StreamTest):
+    async def test_stream_that_may_go_on_leaves_the_retry_to_one_that_cannot(self):
+        """Guards against a stream that is truncated though a retry was free in time."""
+        client = TargetClient(session=self.session, dialect=self.dialect)
+        self.start_service(client, slack=2.0)
+        context, now = self.service._context, self.read_clock()
+        budget = context.find_budget("pool")
+        state = self.make_state(now)
+        budget.begin_wait(until=now + 0.1)
+        self.assertFalse(context.take_retry_early(state))
+        turn = budget.poll_retry(until=now + 0.1, share=1.0, now=now)
+        self.assertTrue(turn.is_taken)
+
+    def make_state(self, now):
+        """Return a stream that has begun and may wait for 1.7 s."""
+        tally = RequestTally(
+            attempts=1,
+            runs=0,
+            most_attempts=3,
+            is_idempotent=True,
+            deadline=now + 20.0,
+        )
+        return SimpleNamespace(
+            service="pool",
+            has_begun=True,
+            make_tally=lambda: tally,
+            facts=SimpleNamespace(request_id="a"),
+            deadline=now + 20.0,
+            arrived_at=now,
+            last_write_at=now,
+        )
+
+
 class UnreadBodyTest(_StreamTest):
     async def test_stream_goes_on_while_its_target_does_not_read_a_long_body(self):
         """A target answers before it has read a long body, and reads on later."""
