--- a/packages/core/fulmarward_core/quotas/_retries.py
+++ b/packages/core/fulmarward_core/quotas/_retries.py
@@ -65,24 +65,33 @@
         self._drop_expired(now)
         self._requests.append(now)
 
-    def take_retry(self, *, share: float, now: float, part: float = 1.0) -> bool:
+    def take_retry(
+        self, *, share: float, now: float, part: float = 1.0, yields: bool = False
+    ) -> bool:
         """Take one retry if it fits in `part` of this instance's budget.
 
-        `share` is the share of this instance in the fixed budget of all instances.
+        `share` is the share of this instance in the fixed budget of all instances. One
+        that `yields` leaves a retry for each started answer that waits.
         Return whether a retry was taken.
         """
-        if not self.has_retry(share=share, now=now, part=part):
+        spared = len(self._waiting) if yields else 0
+        if not self.has_retry(share=share, now=now, part=part, spared=spared):
             return False
         self._retries.append(now)
         return True
 
-    def has_retry(self, *, share: float, now: float, part: float = 1.0) -> bool:
-        """Return whether a retry is available, without taking it."""
+    def has_retry(
+        self, *, share: float, now: float, part: float = 1.0, spared: int = 0
+    ) -> bool:
+        """Return whether a retry is available beside the `spared` ones.
+
+        It is not taken.
+        """
         usage = self.count(share=share, now=now)
         # A part of a share of one or two retries would round down to none, so the
         # first retry is available to any request.
         allowed = max(usage.allowed * part, min(usage.allowed, 1.0))
-        return usage.used + 1 <= allowed
+        return usage.used + 1 + spared <= allowed
 
     def begin_wait(self, *, until: float) -> None:
         """Register a started answer that waits for a retry until the given time."""
--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -92,19 +92,22 @@
         """Consume a retry for a running attempt before aborting it.
 
         Returns whether there was one. Guards against several streams that rely on the
-        same last retry: all would be aborted, and all but one truncated.
+        same last retry: all would be aborted, and all but one truncated. Streams that
+        have lost their attempt already come first.
         """
         now = self.read_clock()
         part = 1.0 if state.has_begun else UNSTARTED_SHARE
         is_allowed = may_run_again(state.make_tally(), now=now)
-        is_taken = is_allowed and self._take_from_budget(state, now, part)
+        is_taken = is_allowed and self._take_from_budget(state, now, part, yields=True)
         if is_taken:
             self._log_retry(state, now, is_taken=True, is_allowed=True)
         return is_taken
 
-    def _take_from_budget(self, state: RequestState, now: float, part: float) -> bool:
+    def _take_from_budget(
+        self, state: RequestState, now: float, part: float, *, yields: bool = False
+    ) -> bool:
         return self.find_budget(state.service).take_retry(
-            share=self.find_share(), now=now, part=part
+            share=self.find_share(), now=now, part=part, yields=yields
         )
 
     async def await_retry(self, state: RequestState, *, until: float) -> bool:
--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -347,7 +347,7 @@
         that is saturated for a moment.
         """
         state = attempt.state
-        if not attempt.has_begun:
+        if not state.has_begun:
             raise AttemptFailed(cause=cause, is_not_run=False)
         if self._context.take_retry_early(state):
             raise AttemptFailed(cause=cause, is_not_run=False, has_retry=True)
--- a/packages/router/fulmarward_router/state/_watch.py
+++ b/packages/router/fulmarward_router/state/_watch.py
@@ -193,11 +193,11 @@
         read = await self._store.read_table(self._store.targets_table)
         now = self._read_clock()
         rows = [self.decode_row(row, now=now) for row in read.rows]
-        self._catalogue.apply_full_read(
+        changed = self._catalogue.apply_full_read(
             rows, read.version, now=now, confirmed_at=asked_at
         )
         log_event("targets_read", rows=len(rows), store_version=read.version)
-        self._handle_target_changes(rows)
+        self._handle_target_changes(changed)
 
     async def _read_changes(self) -> None:
         # An outdated catalogue needs the changes so far, not the next one.
