--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -21,8 +21,8 @@
 #: Seconds between two checks whether a target leaves that has not responded yet.
 LEAVING_CHECK_INTERVAL_S = 0.25
 
-#: Seconds for which a target is known to leave before requests that its host has not
-#: acknowledged are withdrawn. In that time it still accepts requests.
+#: Seconds for which a target may have been leaving before requests that its host has
+#: not acknowledged are withdrawn. In that time it still accepts requests.
 UNDELIVERED_GRACE_S = 1.0
 
 
--- a/packages/router/fulmarward_router/mesh/_links.py
+++ b/packages/router/fulmarward_router/mesh/_links.py
@@ -90,7 +90,7 @@
     #: When the latest messages were sent at the earliest, in seconds on the clock here;
     #: `None` if the peer does not send `SendTime`.
     sent_at: float | None = None
-    #: Whether these messages are logged as late.
+    #: Whether these messages were logged as late.
     is_late: bool = False
     #: The sending side of a dialled link, or of one to a subscriber.
     link: PeerLink | None = None
