--- a/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
@@ -385,11 +385,11 @@
         self.assertTrue(answer.is_complete)
 
 
-class ToldLossTest(_FedStreamTest):
-    async def run_crash(self, *, is_told, layers=(0, 2)):
+class ReportedFailureTest(_FedStreamTest):
+    async def run_crash(self, *, is_reported, layers=(0, 2)):
         """Let the first target of a stream crash; return what its caller receives.
 
-        The other target that holds its layers is healthy; a peer may tell that it is
+        The other target that holds its layers is healthy; a peer may report that it is
         lost. Four more targets hold the layers that these two do not.
         """
         for name, address in (("t1", "h:1"), ("t2", "h:2")):
@@ -402,7 +402,7 @@
             self.send(number)
             await asyncio.sleep(0.03)
         other = "t2" if self.opened_at[0] == "t1" else "t1"
-        if is_told:
+        if is_reported:
             self.suspicions.record_indirect_failure(
                 other, duration_s=2.5, now=self.read_clock()
             )
@@ -415,25 +415,25 @@
 
     async def test_stream_resumes_on_the_other_target(self):
         """A first target crashes, the other one is healthy."""
-        answer = await self.run_crash(is_told=False)
+        answer = await self.run_crash(is_reported=False)
         self.assertIn(b"id: 3", answer.received)
         self.assertTrue(answer.is_complete)
 
     async def test_stream_resumes_on_the_other_holder_of_its_layers(self):
         """A first target crashes, the only other holder of its layers is healthy."""
-        answer = await self.run_crash(is_told=False, layers=(0, 1))
+        answer = await self.run_crash(is_reported=False, layers=(0, 1))
         self.assertIn(b"id: 3", answer.received)
         self.assertTrue(answer.is_complete)
 
     async def test_stream_resumes_on_a_target_that_only_a_peer_takes_for_lost(self):
-        """A peer with a full link tells of a healthy target, the other one crashes."""
-        answer = await self.run_crash(is_told=True)
+        """A peer with a full link reports a healthy target, the other one crashes."""
+        answer = await self.run_crash(is_reported=True)
         self.assertIn(b"id: 3", answer.received)
         self.assertTrue(answer.is_complete)
 
     async def test_stream_resumes_on_the_only_other_holder_of_its_first_layers(self):
         """The same, of six targets two of which hold the first layers."""
-        answer = await self.run_crash(is_told=True, layers=(0, 1))
+        answer = await self.run_crash(is_reported=True, layers=(0, 1))
         self.assertIn(b"id: 3", answer.received)
         self.assertTrue(answer.is_complete)
 
--- a/packages/router/fulmarward_router/tests/test_late_links.py
+++ b/packages/router/fulmarward_router/tests/test_late_links.py
@@ -33,7 +33,7 @@
 _COPY = bytes(200_000)
 _RECEIVE_BUFFER = 4096
 
-#: Seconds between two looks for bytes on a link.
+#: Seconds between two polls for bytes on a link.
 _POLL_S = 0.002
 
 
--- a/packages/router/fulmarward_router/tests/test_late_messages.py
+++ b/packages/router/fulmarward_router/tests/test_late_messages.py
@@ -170,7 +170,7 @@
 
 
 class KnownToBeBehindTest(unittest.TestCase):
-    """A peer has told of a newer version, and its answer does not come."""
+    """A peer has reported a newer version, and its answer does not come."""
 
     def setUp(self):
         self.reader, self.peer = RoutingPeer("reader"), RoutingPeer("peer")
@@ -190,21 +190,21 @@
             )
 
     def test_target_that_left_gets_nothing_from_an_instance_known_to_be_behind(self):
-        """A leaving, heartbeats that tell of a change, its row 3 s late, a request."""
+        """A leaving, heartbeats that report a change, its row 3 s late, a request."""
         self.reader.read_targets([make_target_row("t1", 5, is_leaving=True)], 5)
         self.hear_reader(seconds=DRAIN_S + 0.2)
         _, reached = self.peer.request("/v1/x")
         self.assertNotIn("t1", reached)
 
     def test_dropped_key_runs_nothing_at_an_instance_known_to_be_behind(self):
-        """A key is dropped, heartbeats that tell of it, its row 3 s late, a request."""
+        """A key is dropped, heartbeats that report it, its row 3 s late, a request."""
         self.reader.read_configuration(make_configuration_row(2))
         self.hear_reader(seconds=CONFIGURATION_S + 0.2)
         status, reached = self.peer.request("/keyed/x", key="k1")
         self.assertEqual((status, reached), (503, []))
 
     def test_new_key_is_not_denied_by_an_instance_known_to_be_behind(self):
-        """A key is added, heartbeats that tell of it, its row 3 s late, a request."""
+        """A key is added, heartbeats that report it, its row 3 s late, a request."""
         self.reader.read_configuration(make_configuration_row(2))
         self.hear_reader(seconds=CONFIGURATION_S + 0.2)
         self.assertEqual(self.peer.request("/keyed/x", key="k2"), (503, []))
