--- a/packages/router/fulmarward_router/exchange/_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/_caller_handler.py
@@ -40,9 +40,11 @@
 #: key may belong to a newer configuration.
 MAX_CONFIRMATION_AGE_S = 2.0
 
-#: Default of the seconds in which a new configuration must be in force, and the share
-#: of them for which one that is known to be outdated is still applied.
+#: Default of the seconds in which a new configuration must be in force.
 DEFAULT_CONFIGURATION_S = 2.0
+
+#: Share of that time for which a configuration is still applied after a peer reported a
+#: newer one.
 MAX_OUTDATED_SHARE = 0.75
 
 #: Seconds that a connection may stay idle while there is no configuration.
@@ -315,9 +317,7 @@
         return answer
 
     def _find_confirmation_age_s(self) -> float | None:
-        """Return how old this instance takes the confirmation of the configuration to
-        be, `None` without one.
-        """
+        """Return the seconds since the configuration was last confirmed, or `None`."""
         age_s = self._read_clock() - self._configuration.confirmed_at
         return round(age_s, 3) if math.isfinite(age_s) else None
 
--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -60,14 +60,15 @@
 
         def check() -> None:
             nonlocal timer
-            left_s = self.catalogue.find_leaving_s(call.target, now=self.read_clock())
-            if left_s >= UNDELIVERED_GRACE_S:
+            now = self.read_clock()
+            leaving_s = self.catalogue.find_leaving_s(call.target, now=now)
+            if leaving_s >= UNDELIVERED_GRACE_S:
                 if self.client.reset_undelivered(call.address):
                     log_event(
                         "undelivered_requests_reset",
                         request=state.facts.request_id,
                         target=call.target,
-                        left_s=round(left_s, 3),
+                        leaving_s=round(leaving_s, 3),
                     )
             timer = loop.call_later(LEAVING_CHECK_INTERVAL_S, check)
 
