Isolation: log and count what the incident's logs cannot tell apart

No change of logic. isolation_detected and isolation_ended say since when no target answers new connections of an instance, and when one last did; listing_changed says whether lookups return this instance; layers_unavailable names the layers that no usable target holds and the excluded targets by reason, so that a peer's report (indirect) is told from an own observation; the same as gauges fulmarward_isolated and fulmarward_excluded_targets, and in the status.

--- a/packages/core/fulmarward_core/suspicion/__init__.py
+++ b/packages/core/fulmarward_core/suspicion/__init__.py
@@ -4,6 +4,7 @@
 from fulmarward_core.suspicion._table import (
     SATURATED_DURATION_S,
     SUSPECT_DURATION_S,
+    SUSPICION_REASONS,
     Suspicion,
     SuspicionTable,
 )
@@ -12,6 +13,7 @@
     "SATURATED_DURATION_S",
     "LOW_OCCUPANCY_SHARE",
     "SUSPECT_DURATION_S",
+    "SUSPICION_REASONS",
     "RefusalTable",
     "Suspicion",
     "SuspicionTable",
--- a/packages/core/fulmarward_core/suspicion/_table.py
+++ b/packages/core/fulmarward_core/suspicion/_table.py
@@ -1,5 +1,6 @@
 """Temporary exclusion of targets, based on direct and indirect observations."""
 
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
@@ -36,6 +37,9 @@
 _DIRECT = frozenset({"unreachable", "confirmed", "address"})
 _INDIRECT = "indirect"
 
+#: All reasons of suspicions.
+SUSPICION_REASONS = (*sorted(_DIRECT), "failing", _INDIRECT, "saturated")
+
 
 @dataclass(frozen=True, kw_only=True)
 class Suspicion:
@@ -282,6 +286,17 @@
         known = self._suspicions.get(target)
         return known is not None and now < known.until and known.reason == _INDIRECT
 
+    def find_reason(self, target: str, *, now: float) -> str:
+        """Return why a target is excluded from new work, empty if it is not."""
+        known = self._suspicions.get(target)
+        return "" if known is None or now >= known.until else known.reason
+
+    def count_reasons(self, *, now: float) -> Counter[str]:
+        """Return the number of excluded targets by reason."""
+        return Counter(
+            item.reason for item in self._suspicions.values() if now < item.until
+        )
+
     def list_direct_failures(self, *, now: float) -> list[Suspicion]:
         """Return the failures observed here, to report to peers."""
         return [
--- a/packages/router/fulmarward_router/_listing.py
+++ b/packages/router/fulmarward_router/_listing.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from fulmarward.observability import log_event
 from fulmarward_core.catalogue import TargetCatalogue
 from fulmarward_core.listing import Candidate, choose_listed
 from fulmarward_core.loads import LoadLedger
@@ -70,9 +71,21 @@
     def _get_lists(self) -> _Lists:
         now = self._read_clock()
         if self._lists is None or now - self._lists.at > LIST_DURATION_S:
+            previous = self._lists
             self._lists = self._build_lists(now)
+            if previous is None or previous.listed != self._lists.listed:
+                self._log_change(self._lists)
         return self._lists
 
+    def _log_change(self, lists: _Lists) -> None:
+        """Log how many instances are listed, and whether this one is."""
+        log_event(
+            "listing_changed",
+            is_listed=self._own.caller_address in lists.listed,
+            listed=len(lists.listed),
+            instances=lists.instances,
+        )
+
     def _build_lists(self, now: float) -> _Lists:
         candidates = self._list_candidates(now)
         open_requests = self._count_open(now)
--- a/packages/router/fulmarward_router/_metrics.py
+++ b/packages/router/fulmarward_router/_metrics.py
@@ -7,6 +7,7 @@
 from aioprometheus import Counter, Gauge, Histogram, Registry
 
 from fulmarward.observability import count_dropped_lines, make_metric_factory
+from fulmarward_core.suspicion import SUSPICION_REASONS
 from fulmarward_router._processor import ProcessorMeter
 from fulmarward_router.exchange import RequestState
 
@@ -41,6 +42,10 @@
     configuration: Gauge
     targets: Gauge
     dropped_lines: Gauge
+    #: 1 while no target answers this instance.
+    isolated: Gauge
+    #: Targets that get no new work, by `reason`.
+    excluded_targets: Gauge
 
 
 def make_router_metrics() -> RouterMetrics:
@@ -73,6 +78,10 @@
         dropped_lines=factory.gauge(
             "log_lines_dropped", "Log lines dropped since the start."
         ),
+        isolated=factory.gauge("isolated", "1 while no target answers."),
+        excluded_targets=factory.gauge(
+            "excluded_targets", "Targets without new work, by reason."
+        ),
     )
 
 
@@ -104,6 +113,8 @@
     peer_bytes: Mapping[str, int],
     version: int,
     targets: int,
+    is_isolated: bool,
+    excluded_targets: Mapping[str, int],
 ) -> None:
     """Update the metrics that are computed only when they are read."""
     for direction, size in peer_bytes.items():
@@ -116,3 +127,7 @@
     metrics.configuration.set({}, version)
     metrics.targets.set({}, targets)
     metrics.dropped_lines.set({}, count_dropped_lines())
+    metrics.isolated.set({}, int(is_isolated))
+    for reason in SUSPICION_REASONS:
+        count = excluded_targets.get(reason, 0)
+        metrics.excluded_targets.set({"reason": reason}, count)
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -422,6 +422,8 @@
                 peer_bytes=self._peer_bytes,
                 version=self.configuration.version,
                 targets=len(self.catalogue.list_targets(now=self._clock())),
+                is_isolated=self.failure_detector.isolation.is_isolated,
+                excluded_targets=self.suspicions.count_reasons(now=self._clock()),
             ),
             describe=lambda: describe_status(self, now=self._clock()),
         )
--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
+from fulmarward.observability import log_event
 from fulmarward_core.catalogue import TargetCatalogue
 from fulmarward_core.fleet import EngineModel
 from fulmarward_core.paths import Hop, PathRequest
@@ -47,6 +48,10 @@
 REFUSED_RETRY_S = 0.05
 
 
+#: Minimum seconds between two log lines on missing layers.
+MISSING_LOG_INTERVAL_S = 1.0
+
+
 def compute_resume_end(state: RequestState) -> float:
     """Return until when a started stream may wait before it resumes."""
     last_active_at = (
@@ -72,6 +77,7 @@
         self._read_clock = read_clock
         #: Waiting requests by service.
         self._queues: defaultdict[str, WaitQueue] = defaultdict(WaitQueue)
+        self._missing_logged_at = float("-inf")
 
     async def await_path(
         self, state: RequestState, engine: EngineModel, wanted: PathRequest
@@ -109,6 +115,7 @@
                 retry_after_s=choose_retry_after_s(random.random()),
                 shortage=shortage,
             )
+        self._log_missing_layers(state.service, engine)
         raise RejectedRequest(
             ResultCode.NO_TARGET,
             cause="no path holds all layers",
@@ -116,6 +123,20 @@
             shortage=Shortage.LAYERS,
         )
 
+    def _log_missing_layers(self, service: str, engine: EngineModel) -> None:
+        """Log why no path holds all layers, once a second."""
+        now = self._read_clock()
+        if now - self._missing_logged_at < MISSING_LOG_INTERVAL_S:
+            return
+        self._missing_logged_at = now
+        exclusions = self._finder.describe_exclusions(service, engine)
+        log_event(
+            "layers_unavailable",
+            service=service,
+            missing=[f"{gap.start}-{gap.end}" for gap in exclusions.missing],
+            excluded=exclusions.reasons,
+        )
+
     def find_retry_after_s(
         self, state: RequestState, engine: EngineModel, wanted: PathRequest
     ) -> float:
--- a/packages/router/fulmarward_router/exchange/_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/_failure_detector.py
@@ -1,12 +1,14 @@
 """Detects unreachable targets by probes and by the reports of first targets."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Iterable
 
 from fulmarward.observability import log_event
 from fulmarward_core.catalogue import TargetCatalogue
 from fulmarward_core.fleet import TargetRecord
+from fulmarward_core.isolation import IsolationTracker
 from fulmarward_core.probing import (
     CONFIRM_TIMEOUT_S,
     PROBE_CALLS,
@@ -103,6 +105,8 @@
         self._probe_tasks: dict[asyncio.Task, frozenset[str]] = {}
         #: When no control answered, in seconds on the monotonic clock.
         self._isolated_at = float("-inf")
+        #: Whether any target answers this instance's probes.
+        self.isolation = IsolationTracker()
         #: Rotates the controls; instances start at different offsets.
         self._offset = random.randrange(1 << 16)
 
@@ -228,7 +232,7 @@
         finally:
             paused_s = meter.stop()
         pairs = zip(participants, times, strict=True)
-        return ProbeRound(
+        probe_round = ProbeRound(
             probed=tuple(record.name for record in participants),
             answers={r.name: took_s for r, took_s in pairs if took_s is not None},
             timeout_s=timeout_s,
@@ -237,6 +241,29 @@
             is_repeat=is_repeat,
             controls=frozenset(record.name for record in controls),
         )
+        if probe_round.answers:
+            self._record_contact()
+        return probe_round
+
+    def _record_contact(self) -> None:
+        """Record that a target answered a probe of this instance."""
+        now = self._read_clock()
+        since = self.isolation.since
+        if self.isolation.record_answer(now=now):
+            log_event("isolation_ended", lasted_s=round(now - since, 3))
+
+    def _record_silence(self, probe_round: ProbeRound) -> None:
+        """Record a round in which no target answered."""
+        now = self._read_clock()
+        answered_s_ago = now - self.isolation.answered_at
+        if self.isolation.record_silence(now=now):
+            log_event(
+                "isolation_detected",
+                probed=list(probe_round.probed),
+                answered_s_ago=(
+                    round(answered_s_ago, 3) if math.isfinite(answered_s_ago) else None
+                ),
+            )
 
     async def _time_answer(
         self, record: TargetRecord, timeout_s: float
@@ -312,6 +339,8 @@
             answered=len(probe_round.answers),
             took_s=round(probe_round.took_s, 4),
         )
+        if not probe_round.answers and not probe_round.is_mostly_paused:
+            self._record_silence(probe_round)
 
     def _record_answers(self, targets: Iterable[str]) -> None:
         """Record that targets answered, which overrides peers' reports."""
--- a/packages/router/fulmarward_router/exchange/_path_finder.py
+++ b/packages/router/fulmarward_router/exchange/_path_finder.py
@@ -1,10 +1,17 @@
 """Chooses a path of targets for a request to an engine service."""
 
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 
 from fulmarward_core.catalogue import TargetCatalogue
-from fulmarward_core.fleet import EngineModel, TargetRecord, compute_kv_capacity
+from fulmarward_core.fleet import (
+    EngineModel,
+    LayerRange,
+    TargetRecord,
+    compute_kv_capacity,
+)
+from fulmarward_core.layers import find_gaps
 from fulmarward_core.loads import LoadLedger, TargetLoad
 from fulmarward_core.paces import PaceTable
 from fulmarward_core.paths import (
@@ -35,6 +42,16 @@
     leaving: frozenset[str]
 
 
+@dataclass(frozen=True, kw_only=True)
+class PathExclusions:
+    """Why there is no path through all layers."""
+
+    #: Ranges of layers that no usable target holds.
+    missing: tuple[LayerRange, ...]
+    #: Number of excluded targets by reason: `leaving`, or that of their suspicion.
+    reasons: Mapping[str, int]
+
+
 class PathFinder:
     """Chooses paths by the targets' layers, loads, paces and suspicions."""
 
@@ -184,6 +201,26 @@
         load = self._ledger.find_load(target, now=self._read_clock())
         return load.kv <= capacity * LOW_OCCUPANCY_SHARE
 
+    def describe_exclusions(self, service: str, engine: EngineModel) -> PathExclusions:
+        """Return which layers no usable target holds, and why targets are excluded."""
+        now = self._read_clock()
+        targets = self._find_targets(service, engine, now)
+        excluded = self._list_excluded(targets, now)
+        reasons = Counter(
+            "leaving"
+            if name in targets.leaving
+            else self._suspicions.find_reason(name, now=now)
+            for name in excluded
+        )
+        usable = [
+            record.layers
+            for record in self._catalogue.list_targets(now=now)
+            if record.name in targets.names and record.name not in excluded
+        ]
+        return PathExclusions(
+            missing=tuple(find_gaps(engine.layers, usable)), reasons=reasons
+        )
+
     def has_whole_model(self, service: str, engine: EngineModel) -> bool:
         """Return whether there is a path, regardless of capacity."""
         now = self._read_clock()
