Failure detection: a refused connection is probed beside controls

Each of the four had its connections refused, which counted as proof that the target had stopped, and reported it; the four targets that hold layer 0, of 38, were excluded everywhere, and no path was left. What was ruled out: moved layers (no order before 17.1 s), occupied capacity (2 of 171 refusals), the lease (the second cut broke the rule without its holder).

A refused connection shows no more than one that times out: the target is probed beside controls, and is unreachable only if one of these answers. A target that has stopped refuses the probe too, so it is found in milliseconds, as before.

ConnectFailureTest awaits its calls now; the five simultaneous ones are made at once, as before, and must still cause one probe.

--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -237,8 +237,8 @@
                 raise
             raise attempt.failure from None
         except NotSent as error:
-            self._failure_detector.record_connect_failure(
-                attempt.first.target, is_refused=error.is_refused, cause=repr(error)
+            await self._failure_detector.record_connect_failure(
+                attempt.first.target, timeout_s=state.count_left(self._read_clock())
             )
             raise AttemptFailed(
                 cause=repr(error), is_not_run=True, is_not_sent=True
--- a/packages/router/fulmarward_router/exchange/_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/_failure_detector.py
@@ -116,21 +116,16 @@
             log_event("target_unreachable", target=target, source="own", cause=cause)
             self._notify_peers()
 
-    def record_connect_failure(
-        self, target: str, *, is_refused: bool, cause: str
-    ) -> None:
-        """Record that no connection to a target was made.
+    async def record_connect_failure(self, target: str, *, timeout_s: float) -> None:
+        """Probe a target to which no connection was made, beside controls.
 
-        A refused connection shows that the target has stopped. After a timeout, which
-        may be due to this instance's own link, the target is probed, even if it
-        answered just before; a probe that is already running is enough.
+        It is probed even if it answered just before; a probe that is already running is
+        enough. Returns after `timeout_s` at the latest. Guards against an isolated
+        instance: all targets refuse its connections, as a stopped target does.
         """
-        if is_refused:
-            self.record_failure(target, cause=cause)
-            return
         if not self._is_probing(target):
             self._probed_at.pop(target, None)
-        self.probe([target])
+        await self.probe_and_wait([target], timeout_s=timeout_s)
 
     def record_failed_address(self, address: str, *, cause: str) -> str | None:
         """Record that the target at an address is unreachable.
@@ -152,7 +147,9 @@
         self._probe_tasks[task] = frozenset(record.name for record in records)
         task.add_done_callback(lambda task: self._probe_tasks.pop(task, None))
 
-    async def probe_and_wait(self, targets: Iterable[str]) -> None:
+    async def probe_and_wait(
+        self, targets: Iterable[str], *, timeout_s: float | None = None
+    ) -> None:
         """Find out which targets of a rejected path are unreachable.
 
         Guards against several targets that fail together: a path that avoids the one
@@ -162,7 +159,7 @@
         self.probe(names)
         tasks = [task for task, probed in self._probe_tasks.items() if probed & names]
         if tasks:
-            await asyncio.wait(tasks)
+            await asyncio.wait(tasks, timeout=timeout_s)
 
     def _is_probing(self, target: str) -> bool:
         """Return whether a probe of a target is running."""
--- a/packages/router/fulmarward_router/exchange/_plain.py
+++ b/packages/router/fulmarward_router/exchange/_plain.py
@@ -183,8 +183,8 @@
                 body = await self._client.read_body(response)
         except NotSent as error:
             self._log_failed_attempt(state, target, "not sent", error)
-            self._failure_detector.record_connect_failure(
-                target.name, is_refused=error.is_refused, cause=repr(error)
+            await self._failure_detector.record_connect_failure(
+                target.name, timeout_s=state.count_left(self._read_clock())
             )
             return None
         except (AnswerLost, TimeoutError) as error:
--- a/packages/router/fulmarward_router/exchange/_request_state.py
+++ b/packages/router/fulmarward_router/exchange/_request_state.py
@@ -52,6 +52,10 @@
         """Whether the response has started, so that no status can be sent any more."""
         return self.request.get("answer") is not None
 
+    def count_left(self, now: float) -> float:
+        """Return the seconds until the answer is due, 0 if that has passed."""
+        return max(0.0, self.deadline - now)
+
     def record_write(self, *, now: float) -> None:
         """Record that events are being sent to the caller.
 
--- a/packages/router/fulmarward_router/exchange/_send.py
+++ b/packages/router/fulmarward_router/exchange/_send.py
@@ -37,13 +37,11 @@
 
 
 class NotSent(Exception):
-    """No connection was made, so the target has not received the request."""
+    """No connection was made, so the target has not received the request.
 
-    def __init__(self, cause: str, *, is_refused: bool) -> None:
-        super().__init__(cause)
-        #: Whether the target's host refused the connection. Otherwise the fault may be
-        #: the target's or that of this instance's own link.
-        self.is_refused = is_refused
+    Neither a refused connection nor a timeout shows whose fault it is: the target's or
+    that of this instance's own link.
+    """
 
 
 class AnswerLost(Exception):
@@ -176,11 +174,8 @@
                 skip_auto_headers=_SKIPPED_HEADERS,
                 allow_redirects=False,
             )
-        except aiohttp.ClientConnectorError as error:
-            is_refused = isinstance(error.os_error, ConnectionRefusedError)
-            raise NotSent(repr(error), is_refused=is_refused) from error
-        except aiohttp.ConnectionTimeoutError as error:
-            raise NotSent(repr(error), is_refused=False) from error
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise NotSent(repr(error)) from error
         except (aiohttp.ClientError, ValueError, OSError) as error:
             raise AnswerLost(repr(error)) from error
 
--- a/packages/router/fulmarward_router/exchange/tests/test_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_failure_detector.py
@@ -265,9 +265,7 @@
         for later_s, is_asked in ((0.0, False), (0.2, False), (0.26, True)):
             instance.clock.now = silent_at + later_s
             instance.detector.probe("abcd")
-            instance.detector.record_connect_failure(
-                "e", is_refused=False, cause="time-out"
-            )
+            await instance.detector.record_connect_failure("e", timeout_s=9.0)
             await instance.detector.probe_and_wait("abcde")
             with self.subTest(later_s=later_s):
                 self.assertEqual(len(instance.dialect.calls) > count, is_asked)
@@ -432,24 +430,16 @@
         instance.detector.probe("a")
         await instance.detector.probe_and_wait("a")
         instance.clock.now = 100.45
-        instance.detector.record_connect_failure(
-            "a", is_refused=False, cause="time-out"
-        )
+        await instance.detector.record_connect_failure("a", timeout_s=9.0)
         await instance.detector.probe_and_wait("a")
         self.assertEqual(instance.list_direct_failures(), "a")
 
     async def test_simultaneous_connect_failures_cause_one_probe(self):
         instance = _Instance(lambda now: "")
-        for _ in range(5):
-            instance.detector.record_connect_failure(
-                "a", is_refused=False, cause="time-out"
-            )
+        record = instance.detector.record_connect_failure
+        failures = [asyncio.create_task(record("a", timeout_s=9.0)) for _ in range(5)]
         await asyncio.sleep(0)
-        for _ in range(5):
-            instance.detector.record_connect_failure(
-                "a", is_refused=False, cause="time-out"
-            )
-        await instance.detector.probe_and_wait("a")
+        await asyncio.gather(*failures, *(record("a", timeout_s=9.0) for _ in "12345"))
         calls = [name for name, _ in instance.dialect.calls]
         self.assertEqual(calls.count("a"), 1)
 
