--- a/packages/core/fulmarward_core/isolation/__init__.py
+++ b/packages/core/fulmarward_core/isolation/__init__.py
@@ -1,5 +1,25 @@
-"""Whether an instance is isolated: none of its connections to targets is answered."""
+"""Which services an instance reaches, and through whom it serves the others."""
 
-from fulmarward_core.isolation._tracker import IsolationChange, IsolationTracker
+from fulmarward_core.isolation._contacts import (
+    Contact,
+    ContactEvent,
+    ContactTable,
+    ServiceContact,
+)
+from fulmarward_core.isolation.decisions import (
+    SAMPLE_SIZE,
+    RelayPeer,
+    choose_relay_peers,
+    choose_sample,
+)
 
-__all__ = ["IsolationChange", "IsolationTracker"]
+__all__ = [
+    "SAMPLE_SIZE",
+    "Contact",
+    "ContactEvent",
+    "ContactTable",
+    "RelayPeer",
+    "ServiceContact",
+    "choose_relay_peers",
+    "choose_sample",
+]
--- /dev/null
+++ b/packages/core/fulmarward_core/isolation/_contacts.py
@@ -0,0 +1,96 @@
+"""Whether the targets of each service answer new connections of this instance.
+
+If none does, either the service is down or this instance is isolated from it. A
+request that a peer serves meanwhile shows that the fault is on this side. Streams prove
+nothing: those that began earlier may go on while all new connections are refused.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Contact(Enum):
+    """What an instance knows of its connections to a service."""
+
+    #: Its targets answer, or nothing contradicts it.
+    REACHED = "reached"
+    #: No target answers.
+    UNREACHED = "unreached"
+    #: No target answers this instance, while a peer is served.
+    ISOLATED = "isolated"
+
+
+class ContactEvent(Enum):
+    """An observation of a service."""
+
+    #: None of its targets answered, in a sample of them.
+    SILENCE = "silence"
+    #: A target answered a new connection.
+    ANSWER = "answer"
+    #: A peer served a request that was relayed to it.
+    SERVED_BY_PEER = "served by peer"
+
+
+#: The state after an event; an event without an entry changes nothing.
+_TRANSITIONS = {
+    (Contact.REACHED, ContactEvent.SILENCE): Contact.UNREACHED,
+    (Contact.UNREACHED, ContactEvent.SERVED_BY_PEER): Contact.ISOLATED,
+    (Contact.UNREACHED, ContactEvent.ANSWER): Contact.REACHED,
+    (Contact.ISOLATED, ContactEvent.ANSWER): Contact.REACHED,
+}
+
+
+@dataclass(frozen=True, kw_only=True)
+class ServiceContact:
+    """The contact to one service."""
+
+    contact: Contact
+    #: Since when no target answers, in seconds on the monotonic clock.
+    since: float
+
+
+class ContactTable:
+    """The contact of one instance to each service."""
+
+    def __init__(self) -> None:
+        #: The services whose targets do not answer.
+        self._unreached: dict[str, ServiceContact] = {}
+
+    def find(self, service: str) -> Contact:
+        """Return the contact to a service."""
+        known = self._unreached.get(service)
+        return Contact.REACHED if known is None else known.contact
+
+    def is_reached(self, service: str) -> bool:
+        """Return whether requests to a service may be sent to its targets."""
+        return service not in self._unreached
+
+    @property
+    def reaches_all(self) -> bool:
+        """Whether no service is known to be unreached."""
+        return not self._unreached
+
+    @property
+    def is_isolated(self) -> bool:
+        """Whether a peer reaches a service that this instance does not."""
+        return any(
+            known.contact is Contact.ISOLATED for known in self._unreached.values()
+        )
+
+    def list_unreached(self) -> dict[str, ServiceContact]:
+        """Return the contact to each service that is not reached."""
+        return dict(self._unreached)
+
+    def apply(self, service: str, event: ContactEvent, *, now: float) -> bool:
+        """Apply an observation; return whether it changes the contact."""
+        before = self.find(service)
+        after = _TRANSITIONS.get((before, event), before)
+        if after is before:
+            return False
+        if after is Contact.REACHED:
+            del self._unreached[service]
+            return True
+        known = self._unreached.get(service)
+        since = now if known is None else known.since
+        self._unreached[service] = ServiceContact(contact=after, since=since)
+        return True
--- a/packages/core/fulmarward_core/suspicion/_table.py
+++ b/packages/core/fulmarward_core/suspicion/_table.py
@@ -237,6 +237,13 @@
         """Discard the observations of a target from before its restart."""
         self._suspicions.pop(target, None)
 
+    def discard_direct(self, targets: Iterable[str]) -> None:
+        """Discard what this instance observed of targets, but not peers' reports."""
+        for target in targets:
+            known = self._suspicions.get(target)
+            if known is not None and known.reason != _INDIRECT:
+                del self._suspicions[target]
+
     def is_suspect(self, target: str, *, now: float) -> bool:
         """Return whether a target is excluded from new work."""
         known = self._suspicions.get(target)
--- a/packages/router/fulmarward_router/_listing.py
+++ b/packages/router/fulmarward_router/_listing.py
@@ -5,6 +5,7 @@
 
 from fulmarward.observability import log_event
 from fulmarward_core.catalogue import TargetCatalogue
+from fulmarward_core.isolation import RelayPeer
 from fulmarward_core.listing import Candidate, choose_listed
 from fulmarward_core.loads import LoadLedger
 from fulmarward_core.quotas import compute_share
@@ -55,6 +56,17 @@
             return self._choose(self._list_candidates(now), data_centre, 0)
         return lists.addresses[data_centre]
 
+    def list_relay_peers(self) -> list[RelayPeer]:
+        """Return the peers that callers may be sent to, for requests of this one's."""
+        return [
+            RelayPeer(
+                name=member.identity.name,
+                data_centre=member.identity.data_centre,
+                address=member.identity.caller_address,
+            )
+            for member in self._members.list_ready(now=self._read_clock())
+        ]
+
     def count_listed(self) -> int:
         """Return how many instances are on any list."""
         return max(1, len(self._get_lists().listed))
--- a/packages/router/fulmarward_router/_metrics.py
+++ b/packages/router/fulmarward_router/_metrics.py
@@ -2,11 +2,12 @@
 
 import time
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 
 from fulmarward.observability import count_dropped_lines, make_metric_factory
+from fulmarward_core.isolation import ContactTable
 from fulmarward_core.suspicion import SUSPICION_REASONS
 from fulmarward_router._processor import ProcessorMeter
 from fulmarward_router.exchange import RequestState
@@ -42,8 +43,10 @@
     configuration: Gauge
     targets: Gauge
     dropped_lines: Gauge
-    #: 1 while no target answers this instance.
-    isolated: Gauge
+    #: 1 while no target answers, by `service`.
+    unreached: Gauge
+    #: Services whose gauge has been set; it is reset when they are reached again.
+    unreached_services: set[str] = field(default_factory=set)
     #: Targets that get no new work, by `reason`.
     excluded_targets: Gauge
 
@@ -78,7 +81,7 @@
         dropped_lines=factory.gauge(
             "log_lines_dropped", "Log lines dropped since the start."
         ),
-        isolated=factory.gauge("isolated", "1 while no target answers."),
+        unreached=factory.gauge("unreached", "1 while no target answers, by service."),
         excluded_targets=factory.gauge(
             "excluded_targets", "Targets without new work, by reason."
         ),
@@ -113,7 +116,7 @@
     peer_bytes: Mapping[str, int],
     version: int,
     targets: int,
-    is_isolated: bool,
+    contacts: ContactTable,
     excluded_targets: Mapping[str, int],
 ) -> None:
     """Update the metrics that are computed only when they are read."""
@@ -127,7 +130,11 @@
     metrics.configuration.set({}, version)
     metrics.targets.set({}, targets)
     metrics.dropped_lines.set({}, count_dropped_lines())
-    metrics.isolated.set({}, int(is_isolated))
+    metrics.unreached_services.update(contacts.list_unreached())
+    for service in metrics.unreached_services:
+        metrics.unreached.set(
+            {"service": service}, int(not contacts.is_reached(service))
+        )
     for reason in SUSPICION_REASONS:
         count = excluded_targets.get(reason, 0)
         metrics.excluded_targets.set({"reason": reason}, count)
--- a/packages/router/fulmarward_router/_status.py
+++ b/packages/router/fulmarward_router/_status.py
@@ -5,10 +5,10 @@
 
 from fulmarward_core.catalogue import TargetCatalogue
 from fulmarward_core.fleet import TargetRecord
+from fulmarward_core.isolation import ContactTable
 from fulmarward_core.layers import count_holders, find_gaps, group_by_data_centre
 from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_router._life import Life
-from fulmarward_router.exchange import FailureDetector
 from fulmarward_router.mesh import InstanceIdentity, MemberTable
 from fulmarward_router.placement import LeaseKeeper
 from fulmarward_router.state import ConfigurationHolder, StoreWatch
@@ -25,14 +25,13 @@
     configuration: ConfigurationHolder
     watch: StoreWatch
     lease: LeaseKeeper
-    failure_detector: FailureDetector
+    contacts: ContactTable
 
 
 def describe_status(instance: StatusSource, *, now: float) -> dict[str, Any]:
     """Return the status of an instance, with ages in seconds."""
     catalogue = instance.catalogue
     unreachable_since = instance.watch.unreachable_since
-    isolated_since = instance.failure_detector.isolation.since
     return {
         "instance": instance.own.name,
         "state": instance.life.state,
@@ -51,9 +50,14 @@
             "confirmed_s_ago": _count_age(catalogue.confirmed_at, now),
             "known": _describe_targets(instance, now),
         },
-        "isolated_for_s": (
-            None if isolated_since is None else round(now - isolated_since, 3)
-        ),
+        "unreached_services": [
+            {
+                "service": service,
+                "contact": known.contact.value,
+                "for_s": round(now - known.since, 3),
+            }
+            for service, known in instance.contacts.list_unreached().items()
+        ],
         "layers": _describe_layers(instance, now),
         "lease": {
             "holder": instance.lease.holder,
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -14,6 +14,7 @@
 
 from fulmarward.observability import log_event, start_logging, stop_logging
 from fulmarward_core.catalogue import TargetCatalogue
+from fulmarward_core.isolation import ContactTable
 from fulmarward_core.loads import LoadLedger
 from fulmarward_core.paces import PaceTable
 from fulmarward_core.quotas import RetryBudget
@@ -43,8 +44,10 @@
     FailureDetector,
     OccupancyReader,
     PaceMonitor,
+    PeerRelay,
     PlainService,
     ServiceContext,
+    StreamForwarder,
     TargetClient,
     make_target_session,
 )
@@ -172,6 +175,7 @@
         self.members = MemberTable(own=self.own)
         self.catalogue = TargetCatalogue()
         self.suspicions = SuspicionTable()
+        self.contacts = ContactTable()
         self.target_change_handler = TargetChangeHandler(
             suspicions=self.suspicions, notify_peers=self._notify_peers
         )
@@ -268,6 +272,7 @@
             dialect=self.dialect,
             catalogue=self.catalogue,
             suspicions=self.suspicions,
+            contacts=self.contacts,
             paces=self.paces,
             ledger=self.ledger,
             find_budget=self._find_budget,
@@ -281,19 +286,34 @@
             dialect=self.dialect,
             catalogue=self.catalogue,
             suspicions=self.suspicions,
+            contacts=self.contacts,
             read_clock=self._clock,
             notify_peers=self._notify_peers,
         )
+        forwarder = StreamForwarder(
+            dialect=self.dialect,
+            is_stopping=lambda: self.life.is_stopping,
+            read_clock=self._clock,
+        )
+        relay = PeerRelay(
+            context=context,
+            contact_monitor=self.failure_detector.contact_monitor,
+            forwarder=forwarder,
+            list_peers=self.listing.list_relay_peers,
+        )
         self.engines = EngineService(
             context=context,
             failure_detector=self.failure_detector,
-            is_stopping=lambda: self.life.is_stopping,
+            forwarder=forwarder,
+            relay=relay,
         )
         return CallerHandler(
             dialect=self.dialect,
             configuration=self.configuration,
             engines=self.engines,
-            plain=PlainService(context=context, failure_detector=self.failure_detector),
+            plain=PlainService(
+                context=context, failure_detector=self.failure_detector, relay=relay
+            ),
             find_budget=self._find_budget,
             read_clock=self._clock,
             is_stopping=lambda: self.life.is_stopping,
@@ -392,6 +412,7 @@
             self._start("paces", self._make_pace_monitor().run()),
             self._start("occupancy", self._read_occupancy()),
             self._start("losses", self.failure_detector.run()),
+            self._start("contacts", self.failure_detector.contact_monitor.run()),
             self._start("readiness", self._become_ready()),
             self._start("settings", self._follow_settings()),
             self._start("metrics", self._log_resources()),
@@ -422,7 +443,7 @@
                 peer_bytes=self._peer_bytes,
                 version=self.configuration.version,
                 targets=len(self.catalogue.list_targets(now=self._clock())),
-                is_isolated=self.failure_detector.isolation.is_isolated,
+                contacts=self.contacts,
                 excluded_targets=self.suspicions.count_reasons(now=self._clock()),
             ),
             describe=lambda: describe_status(self, now=self._clock()),
--- a/packages/router/fulmarward_router/exchange/__init__.py
+++ b/packages/router/fulmarward_router/exchange/__init__.py
@@ -4,9 +4,11 @@
 from fulmarward_router.exchange._context import ServiceContext
 from fulmarward_router.exchange._engines import EngineService
 from fulmarward_router.exchange._failure_detector import FailureDetector
+from fulmarward_router.exchange._forwarding import StreamForwarder
 from fulmarward_router.exchange._occupancy import OccupancyReader
 from fulmarward_router.exchange._paces import PaceMonitor
 from fulmarward_router.exchange._plain import PlainService
+from fulmarward_router.exchange._relay import PeerRelay
 from fulmarward_router.exchange._request_state import RequestState
 from fulmarward_router.exchange._send import TargetClient, make_target_session
 
@@ -17,8 +19,10 @@
     "FailureDetector",
     "OccupancyReader",
     "PaceMonitor",
+    "PeerRelay",
     "PlainService",
     "ServiceContext",
+    "StreamForwarder",
     "TargetClient",
     "RequestState",
     "make_target_session",
--- a/packages/router/fulmarward_router/exchange/_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/_caller_handler.py
@@ -58,6 +58,7 @@
     ResultCode.NO_TARGET: 503,
     ResultCode.QUEUE_FULL: 503,
     ResultCode.TARGET_REFUSED: 503,
+    ResultCode.TARGET_UNREACHABLE: 503,
     ResultCode.PATH_UNKNOWN: 404,
     ResultCode.TEAM_KEY_WRONG: 401,
     ResultCode.HEADER_MALFORMED: 400,
@@ -168,7 +169,9 @@
             raise RejectedRequest(
                 ResultCode.NO_TARGET, cause="service", retry_after_s=1.0
             )
-        self._find_budget(state.service).note_request(now=state.arrived_at)
+        if state.facts.relayed_by is None:
+            # A relayed request is counted where the caller sent it.
+            self._find_budget(state.service).note_request(now=state.arrived_at)
         if spec.engine is None:
             return await self._plain.serve(state)
         if not self._accepts_streams():
@@ -343,6 +346,8 @@
             repaths=state.repaths,
             resumes=state.resumes,
             targets=list(state.targets),
+            relayed_by=state.facts.relayed_by,
+            relayed_to=state.relayed_to,
             last_event=state.last_event,
             pause_s=round(state.longest_pause_s, 4),
             first_s=None if first_s is None else round(first_s, 4),
--- /dev/null
+++ b/packages/router/fulmarward_router/exchange/_contact_monitor.py
@@ -0,0 +1,165 @@
+"""Finds out which services an instance reaches, and when it reaches them again."""
+
+import asyncio
+import random
+from collections.abc import Callable, Collection, Iterable
+
+from fulmarward.observability import log_event
+from fulmarward_core.catalogue import TargetCatalogue
+from fulmarward_core.fleet import TargetRecord
+from fulmarward_core.isolation import (
+    SAMPLE_SIZE,
+    ContactEvent,
+    ContactTable,
+    choose_sample,
+)
+from fulmarward_core.suspicion import SuspicionTable
+from fulmarward_router.exchange._pause_meter import PauseMeter
+from fulmarward_router.ports import TargetDialect
+
+#: Seconds within which one target of a sample has to answer.
+SAMPLE_TIMEOUT_S = 0.5
+
+#: Share of that time for which the event loop may have been blocked.
+MAX_PAUSE_SHARE = 0.5
+
+#: Seconds between two checks whether an unreached service answers again, and targets
+#: probed in each.
+CHECK_INTERVAL_S = 0.4
+CHECK_SAMPLE_SIZE = 2
+
+
+class ContactMonitor:
+    """Keeps the contact table of an instance up to date.
+
+    Guards against an isolated instance, which goes on to send requests to targets that
+    cannot answer it, and would report all of them as failed.
+    """
+
+    def __init__(
+        self,
+        *,
+        dialect: TargetDialect,
+        catalogue: TargetCatalogue,
+        suspicions: SuspicionTable,
+        contacts: ContactTable,
+        read_clock: Callable[[], float],
+        notify_peers: Callable[[], None],
+    ) -> None:
+        self._dialect = dialect
+        self._catalogue = catalogue
+        self._suspicions = suspicions
+        self._contacts = contacts
+        self._read_clock = read_clock
+        self._notify_peers = notify_peers
+        #: Running samples by service.
+        self._samples: dict[str, asyncio.Task] = {}
+        #: Rotates the sampled targets; instances start at different offsets.
+        self._offset = random.randrange(1 << 16)
+
+    def verify(self, services: Iterable[str]) -> None:
+        """Start samples of services that may be unreached."""
+        for service in services:
+            if service in self._samples or not self._contacts.is_reached(service):
+                continue
+            task = asyncio.create_task(self._sample(service, SAMPLE_SIZE))
+            self._samples[service] = task
+            task.add_done_callback(lambda _, s=service: self._samples.pop(s, None))
+
+    async def wait(self, service: str, *, timeout_s: float) -> None:
+        """Wait for the running sample of a service, if there is one."""
+        task = self._samples.get(service)
+        if task is not None:
+            await asyncio.wait([task], timeout=timeout_s)
+
+    def record_answers(self, records: Iterable[TargetRecord]) -> None:
+        """Record that targets have answered new connections."""
+        for service in {record.service for record in records}:
+            self._apply(service, ContactEvent.ANSWER)
+
+    def record_served_by_peer(self, service: str, *, peer: str) -> None:
+        """Record that a peer has served a request that was relayed to it."""
+        self._apply(service, ContactEvent.SERVED_BY_PEER, peer=peer)
+
+    async def run(self) -> None:
+        """Check whether unreached services answer again, until cancelled."""
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            services = self._contacts.list_unreached()
+            await asyncio.gather(
+                *(self._sample(s, CHECK_SAMPLE_SIZE) for s in services)
+            )
+
+    async def _sample(self, service: str, count: int) -> None:
+        """Probe some targets of a service and record whether any of them answers."""
+        sample = self._choose_sample(service, count)
+        if not sample:
+            return
+        meter = PauseMeter()
+        try:
+            answers = await asyncio.gather(*(self._is_answering(r) for r in sample))
+        finally:
+            paused_s = meter.stop()
+        names = [record.name for record in sample]
+        if any(answers):
+            self._apply(service, ContactEvent.ANSWER)
+        elif paused_s <= SAMPLE_TIMEOUT_S * MAX_PAUSE_SHARE:
+            self._apply(service, ContactEvent.SILENCE, probed=names)
+
+    def _choose_sample(self, service: str, count: int) -> list[TargetRecord]:
+        now = self._read_clock()
+        self._offset += 1
+        records = self._list_records(service, now)
+        return choose_sample(
+            records,
+            unreachable=frozenset(
+                record.name
+                for record in records
+                if self._suspicions.is_unreachable(record.name, now=now)
+            ),
+            count=count,
+            offset=self._offset,
+        )
+
+    def _list_records(self, service: str, now: float) -> list[TargetRecord]:
+        records = self._catalogue.list_targets(now=now)
+        return [record for record in records if record.service == service]
+
+    async def _is_answering(self, record: TargetRecord) -> bool:
+        """Return whether a target answers a new connection.
+
+        A report of a plain target waits for a slot, so an accepted connection counts.
+        """
+        if record.layers is None:
+            return await self._dialect.is_accepting(record, SAMPLE_TIMEOUT_S)
+        return await self._dialect.is_responding(record, SAMPLE_TIMEOUT_S)
+
+    def _apply(
+        self,
+        service: str,
+        event: ContactEvent,
+        *,
+        probed: Collection[str] = (),
+        peer: str | None = None,
+    ) -> None:
+        """Apply an observation, and log what it changes."""
+        now = self._read_clock()
+        known = self._contacts.list_unreached().get(service)
+        was_isolated = self._contacts.is_isolated
+        if not self._contacts.apply(service, event, now=now):
+            return
+        log_event(
+            "service_contact_changed",
+            service=service,
+            contact=self._contacts.find(service).value,
+            observed=event.value,
+            probed=list(probed),
+            peer=peer,
+            unreached_for_s=None if known is None else round(now - known.since, 3),
+        )
+        if event is ContactEvent.ANSWER:
+            # What was observed meanwhile was the isolation of this instance.
+            names = [record.name for record in self._list_records(service, now)]
+            self._suspicions.discard_direct(names)
+        if self._contacts.is_isolated != was_isolated:
+            self._notify_peers()
--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -9,6 +9,7 @@
 from fulmarward.observability import log_event
 from fulmarward_core.attempts import choose_result_code, may_retry, may_run_again
 from fulmarward_core.catalogue import TargetCatalogue
+from fulmarward_core.isolation import ContactTable
 from fulmarward_core.loads import LoadLedger
 from fulmarward_core.paces import PaceTable
 from fulmarward_core.quotas import UNSTARTED_SHARE, RetryBudget
@@ -34,6 +35,8 @@
     dialect: TargetDialect
     catalogue: TargetCatalogue
     suspicions: SuspicionTable
+    #: Which services this instance reaches.
+    contacts: ContactTable
     paces: PaceTable
     ledger: LoadLedger
     #: Returns the retry budget of a service.
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -1,7 +1,6 @@
 """Serves requests to engine services: streams computed along a path of targets."""
 
 import asyncio
-from collections.abc import Callable
 from dataclasses import replace
 
 import aiohttp
@@ -19,11 +18,13 @@
 )
 from fulmarward_router.exchange._attempt import Attempt, AttemptFailed, describe_path
 from fulmarward_router.exchange._context import ServiceContext
-from fulmarward_router.exchange._events import EventSplitter, is_after
+from fulmarward_router.exchange._events import EventSplitter
 from fulmarward_router.exchange._failover import FIRST_CHECK_S, StreamSupervisor
 from fulmarward_router.exchange._failure_detector import FailureDetector
+from fulmarward_router.exchange._forwarding import StreamForwarder
 from fulmarward_router.exchange._path_finder import PathFinder
 from fulmarward_router.exchange._pipe_limiter import PipeLimiter
+from fulmarward_router.exchange._relay import PeerRelay
 from fulmarward_router.exchange._request_state import RequestState, TruncatedResponse
 from fulmarward_router.exchange._send import AnswerLost, NotSent
 from fulmarward_router.ports import TargetCall
@@ -43,9 +44,12 @@
         *,
         context: ServiceContext,
         failure_detector: FailureDetector,
-        is_stopping: Callable[[], bool],
+        forwarder: StreamForwarder,
+        relay: PeerRelay,
     ) -> None:
         self._context = context
+        self._forwarder = forwarder
+        self._relay = relay
         self._client = context.client
         self._dialect = context.dialect
         self._catalogue = context.catalogue
@@ -53,7 +57,6 @@
         self._ledger = context.ledger
         self._read_clock = context.read_clock
         self._failure_detector = failure_detector
-        self._is_stopping = is_stopping
         self._finder = finder = PathFinder(
             instance=context.instance,
             catalogue=context.catalogue,
@@ -90,6 +93,8 @@
         state.last_event = state.facts.last_event
         answer: web.StreamResponse | None = None
         while True:
+            if self._relay.is_needed(state.service):
+                return await self._relay.serve(state)
             path, reservation = await self._reserve_path(state, engine, wanted)
             attempt = Attempt(
                 state=state,
@@ -126,6 +131,9 @@
             state.runs += not failure.is_not_run
             answer = state.request.get("answer")
             self._log_failure(state, attempt, failure)
+            if failure.is_not_sent and self._relay.is_needed(state.service):
+                # No target has received it, so that it takes no retry.
+                continue
             await self._require_retry(state, wanted, failure, answer)
             if not failure.is_not_run or failure.is_not_sent:
                 # A first target that was unreachable or broke off its response is
@@ -250,8 +258,8 @@
         if refusal is not None:
             return refusal
         if answer is None:
-            answer = await self._begin_answer(state, response)
-        await self._relay(state, attempt, answer)
+            answer = await self._forwarder.begin_answer(state, response)
+        await self._forward_stream(state, attempt, answer)
         for hop in attempt.path:
             self._suspicions.record_success(hop.target, now=self._read_clock())
         return answer
@@ -338,18 +346,7 @@
         if is_elsewhere and status == 503 and not is_stalled:
             await self._failure_detector.probe_and_wait(path)
 
-    async def _begin_answer(
-        self, state: RequestState, response: aiohttp.ClientResponse
-    ) -> web.StreamResponse:
-        headers = self._dialect.select_answer_headers(response.headers)
-        answer = web.StreamResponse(status=response.status, headers=headers)
-        if self._is_stopping():
-            answer.force_close()
-        await answer.prepare(state.request)
-        state.request["answer"] = answer
-        return answer
-
-    async def _relay(
+    async def _forward_stream(
         self, state: RequestState, attempt: Attempt, answer: web.StreamResponse
     ) -> None:
         """Forward complete events as they arrive, until the stream ends."""
@@ -368,26 +365,10 @@
             if not data:
                 break
             self.supervisor.record_activity(attempt)
-            await self._forward_events(state, splitter, data, answer)
+            await self._forwarder.forward_events(state, splitter, data, answer)
         if splitter.pending:
             raise AttemptFailed(cause="ended inside an event", is_not_run=False)
 
-    async def _forward_events(
-        self, state: RequestState, splitter: EventSplitter, data: bytes, answer: object
-    ) -> None:
-        chunks = []
-        last = state.last_event
-        for event in splitter.feed(data):
-            if not is_after(event.id, last):
-                continue
-            chunks.append(event.data)
-            last = event.id if event.id is not None else last
-        if not chunks:
-            return
-        state.record_write(now=self._read_clock())
-        await answer.write(b"".join(chunks))
-        state.last_event = last
-
     def _record_broken_response(self, attempt: Attempt) -> None:
         """Record that the first target closed the connection during its response."""
         self._suspicions.record_error(attempt.first.target, now=self._read_clock())
--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -53,6 +53,10 @@
 #: Seconds before a stream without a retry is checked again.
 NO_RETRY_PAUSE_S = 0.1
 
+#: Seconds without an event after which a stream is resumed through a peer if its
+#: service is unreached. Half of the time for which its caller waits for the next event.
+UNREACHED_RESUME_S = 1.0
+
 #: Paths that are tried in a row when a stream is rerouted around unreachable targets.
 MAX_REROUTES = 3
 
@@ -301,18 +305,35 @@
 
     def _is_check_due(self, attempt: Attempt) -> bool:
         """Whether a stream is silent for too long or has an unreachable target."""
-        if self._list_unreachable(attempt):
+        if self._list_unreachable(attempt) or self._is_cut_off(attempt):
             return True
         silent_s = self._read_clock() - attempt.last_activity_at
         first_s = PAUSE_CHECK_S if attempt.has_begun else FIRST_CHECK_S
         due_s = first_s + attempt.checks * RECHECK_INTERVAL_S
         return silent_s >= due_s and attempt.checks < MAX_CHECKS
 
+    def _is_cut_off(self, attempt: Attempt) -> bool:
+        """Return whether a stream is silent since this instance lost its targets.
+
+        Streams go on while only new connections are refused.
+        """
+        state = attempt.state
+        silent_s = self._read_clock() - attempt.last_activity_at
+        return (
+            silent_s >= UNREACHED_RESUME_S
+            and state.route.is_resumable
+            and not self._context.contacts.is_reached(state.service)
+        )
+
     async def _recover(self, attempt: Attempt) -> None:
         """Find the unreachable targets of a path, and reroute the stream around them.
 
         Raises `AttemptFailed` if that is impossible.
         """
+        if self._is_cut_off(attempt):
+            self._end_attempt(attempt, "no target answers")
+            await asyncio.sleep(NO_RETRY_PAUSE_S)
+            return
         unreachable = self._list_unreachable(attempt)
         if not unreachable:
             attempt.checks += 1
--- a/packages/router/fulmarward_router/exchange/_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/_failure_detector.py
@@ -1,14 +1,13 @@
 """Detects unreachable targets by probes and by the reports of first targets."""
 
 import asyncio
-import math
 import random
 from collections.abc import Callable, Iterable
 
 from fulmarward.observability import log_event
 from fulmarward_core.catalogue import TargetCatalogue
 from fulmarward_core.fleet import TargetRecord
-from fulmarward_core.isolation import IsolationTracker
+from fulmarward_core.isolation import ContactTable
 from fulmarward_core.probing import (
     CONFIRM_TIMEOUT_S,
     PROBE_CALLS,
@@ -20,6 +19,8 @@
     evaluate_round,
 )
 from fulmarward_core.suspicion import SuspicionTable
+from fulmarward_router.exchange._contact_monitor import ContactMonitor
+from fulmarward_router.exchange._pause_meter import PauseMeter
 from fulmarward_router.ports import TargetDialect, TargetReport
 
 #: Seconds to wait for a first target's report; a stalled stream waits for it.
@@ -38,35 +39,6 @@
 RECHECK_AHEAD_S = 0.8
 RECHECK_INTERVAL_S = 0.4
 
-#: Seconds between two checks during a round whether the event loop is blocked.
-PAUSE_CHECK_INTERVAL_S = 0.005
-
-
-class _PauseMeter:
-    """Measures the total time for which the event loop is blocked."""
-
-    def __init__(self) -> None:
-        self._loop = asyncio.get_running_loop()
-        self._paused_s = 0.0
-        self._schedule()
-
-    def _schedule(self) -> None:
-        self._due_at = self._loop.time() + PAUSE_CHECK_INTERVAL_S
-        self._timer = self._loop.call_at(self._due_at, self._check)
-
-    def _check(self) -> None:
-        self._add()
-        self._schedule()
-
-    def _add(self) -> None:
-        self._paused_s += max(0.0, self._loop.time() - self._due_at)
-
-    def stop(self) -> float:
-        """Stop measuring and return the total of the pauses, in seconds."""
-        self._timer.cancel()
-        self._add()
-        return self._paused_s
-
 
 async def _find_first_answer(calls: Iterable[asyncio.Task]) -> float | None:
     """Return the duration of the first answered call, `None` if none is answered."""
@@ -91,6 +63,7 @@
         dialect: TargetDialect,
         catalogue: TargetCatalogue,
         suspicions: SuspicionTable,
+        contacts: ContactTable,
         read_clock: Callable[[], float],
         notify_peers: Callable[[], None],
     ) -> None:
@@ -105,8 +78,16 @@
         self._probe_tasks: dict[asyncio.Task, frozenset[str]] = {}
         #: When no control answered, in seconds on the monotonic clock.
         self._isolated_at = float("-inf")
-        #: Whether any target answers this instance's probes.
-        self.isolation = IsolationTracker()
+        #: Finds out whether a service without an answer is reached at all; its `run` is
+        #: started by the daemon.
+        self.contact_monitor = ContactMonitor(
+            dialect=dialect,
+            catalogue=catalogue,
+            suspicions=suspicions,
+            contacts=contacts,
+            read_clock=read_clock,
+            notify_peers=notify_peers,
+        )
         #: Rotates the controls; instances start at different offsets.
         self._offset = random.randrange(1 << 16)
 
@@ -115,6 +96,21 @@
         if self._suspicions.record_failure(target, now=self._read_clock()):
             log_event("target_unreachable", target=target, source="own", cause=cause)
             self._notify_peers()
+            self._verify_service(target)
+
+    def _verify_service(self, target: str) -> None:
+        """Sample the service of a target if none of its targets counts as reachable."""
+        now = self._read_clock()
+        failed = self._catalogue.find_target(target)
+        if failed is None:
+            return
+        is_any_left = any(
+            not self._suspicions.is_unreachable(record.name, now=now)
+            for record in self._catalogue.list_targets(now=now)
+            if record.service == failed.service and not record.is_leaving
+        )
+        if not is_any_left:
+            self.contact_monitor.verify([failed.service])
 
     async def record_connect_failure(self, target: str, *, timeout_s: float) -> None:
         """Probe a target to which no connection was made, beside controls.
@@ -125,7 +121,12 @@
         """
         if not self._is_probing(target):
             self._probed_at.pop(target, None)
+        ends_at = self._read_clock() + timeout_s
         await self.probe_and_wait([target], timeout_s=timeout_s)
+        record = self._catalogue.find_target(target)
+        if record is not None:
+            left_s = max(0.0, ends_at - self._read_clock())
+            await self.contact_monitor.wait(record.service, timeout_s=left_s)
 
     def record_failed_address(self, address: str, *, cause: str) -> str | None:
         """Record that the target at an address is unreachable.
@@ -221,7 +222,7 @@
         controls = self._choose_controls(names, count)
         participants = records + controls
         began_at = self._read_clock()
-        meter = _PauseMeter()
+        meter = PauseMeter()
         try:
             times = await asyncio.gather(
                 *(self._time_answer(record, timeout_s) for record in participants)
@@ -238,30 +239,12 @@
             is_repeat=is_repeat,
             controls=frozenset(record.name for record in controls),
         )
-        if probe_round.answers:
-            self._record_contact()
+        answered = [r for r in participants if r.name in probe_round.answers]
+        self.contact_monitor.record_answers(answered)
+        if not answered:
+            self.contact_monitor.verify({record.service for record in participants})
         return probe_round
 
-    def _record_contact(self) -> None:
-        """Record that a target answered a probe of this instance."""
-        now = self._read_clock()
-        since = self.isolation.since
-        if self.isolation.record_answer(now=now):
-            log_event("isolation_ended", lasted_s=round(now - since, 3))
-
-    def _record_silence(self, probe_round: ProbeRound) -> None:
-        """Record a round in which no target answered."""
-        now = self._read_clock()
-        answered_s_ago = now - self.isolation.answered_at
-        if self.isolation.record_silence(now=now):
-            log_event(
-                "isolation_detected",
-                probed=list(probe_round.probed),
-                answered_s_ago=(
-                    round(answered_s_ago, 3) if math.isfinite(answered_s_ago) else None
-                ),
-            )
-
     async def _time_answer(
         self, record: TargetRecord, timeout_s: float
     ) -> float | None:
@@ -336,8 +319,6 @@
             answered=len(probe_round.answers),
             took_s=round(probe_round.took_s, 4),
         )
-        if not probe_round.answers and not probe_round.is_mostly_paused:
-            self._record_silence(probe_round)
 
     def _record_answers(self, targets: Iterable[str]) -> None:
         """Record that targets answered, which overrides peers' reports."""
--- a/packages/router/fulmarward_router/exchange/_plain.py
+++ b/packages/router/fulmarward_router/exchange/_plain.py
@@ -10,6 +10,7 @@
 from fulmarward_core.results import ResultCode
 from fulmarward_router.exchange._context import ServiceContext
 from fulmarward_router.exchange._failure_detector import FailureDetector
+from fulmarward_router.exchange._relay import PeerRelay
 from fulmarward_router.exchange._request_state import RejectedRequest, RequestState
 from fulmarward_router.exchange._send import AnswerLost, NotSent
 from fulmarward_router.ports import AnswerFacts, TargetCall
@@ -39,9 +40,14 @@
     """Serves requests to services without engines."""
 
     def __init__(
-        self, *, context: ServiceContext, failure_detector: FailureDetector
+        self,
+        *,
+        context: ServiceContext,
+        failure_detector: FailureDetector,
+        relay: PeerRelay,
     ) -> None:
         self._context = context
+        self._relay = relay
         self._failure_detector = failure_detector
         self._client = context.client
         self._dialect = context.dialect
@@ -55,6 +61,8 @@
         tried: set[str] = set()
         last_failure: web.Response | None = None
         while True:
+            if self._relay.is_needed(state.service):
+                return await self._relay.serve(state)
             target = await self._await_target(state, tried, last_failure)
             if target is None:
                 return last_failure
@@ -71,6 +79,9 @@
                 if answer.status < 500:
                     return answer
                 last_failure = answer
+            if state.runs == 0 and self._relay.is_needed(state.service):
+                # No target has received it, so that it takes no retry.
+                continue
             if not self._context.take_retry(state):
                 if last_failure is not None:
                     return last_failure
--- /dev/null
+++ b/packages/router/fulmarward_router/exchange/_relay.py
@@ -0,0 +1,220 @@
+"""Relays callers' requests to a peer while this instance reaches no target.
+
+A peer handles a relayed request like one of its own callers', with the same key,
+request id and remaining time. It never relays it again.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+
+import aiohttp
+import orjson
+from aiohttp import web
+
+from fulmarward.observability import log_event
+from fulmarward_core.isolation import RelayPeer, choose_relay_peers
+from fulmarward_core.results import ResultCode
+from fulmarward_core.routes import RouteKind
+from fulmarward_router.exchange._admission import compute_resume_end
+from fulmarward_router.exchange._contact_monitor import ContactMonitor
+from fulmarward_router.exchange._context import ServiceContext
+from fulmarward_router.exchange._events import EventSplitter
+from fulmarward_router.exchange._forwarding import StreamForwarder
+from fulmarward_router.exchange._request_state import (
+    RejectedRequest,
+    RequestState,
+    TruncatedResponse,
+)
+from fulmarward_router.exchange._send import AnswerLost, NotSent
+
+#: Peers that a request is relayed to in turn. The first may be isolated as well, or may
+#: have ended, which is not known here yet.
+MAX_PEERS = 3
+
+#: Retry delay, in seconds, of a request that no peer can serve either.
+UNREACHED_RETRY_S = 1.0
+
+#: Retry delay, in seconds, of a relayed request: the peer that relayed it has others.
+RELAYED_RETRY_S = 0.1
+
+
+class _PeerFailed(Exception):
+    """A peer did not serve a relayed request completely."""
+
+    def __init__(self, cause: str, *, is_not_run: bool) -> None:
+        super().__init__(cause)
+        self.cause = cause
+        #: Whether no target has received the request through this peer.
+        self.is_not_run = is_not_run
+
+
+class PeerRelay:
+    """Serves requests through peers."""
+
+    def __init__(
+        self,
+        *,
+        context: ServiceContext,
+        contact_monitor: ContactMonitor,
+        forwarder: StreamForwarder,
+        list_peers: Callable[[], Sequence[RelayPeer]],
+    ) -> None:
+        self._context = context
+        self._contacts = context.contacts
+        self._contact_monitor = contact_monitor
+        self._forwarder = forwarder
+        #: Returns the peers that callers are sent to.
+        self._list_peers = list_peers
+        self._client = context.client
+        self._dialect = context.dialect
+        self._read_clock = context.read_clock
+
+    def is_needed(self, service: str) -> bool:
+        """Return whether this instance reaches no target of a service."""
+        return not self._contacts.is_reached(service)
+
+    async def serve(self, state: RequestState) -> web.StreamResponse:
+        """Return the response of a peer, or go on with a stream that has started.
+
+        Raises `RejectedRequest`, or `TruncatedResponse` if the response has started.
+        Cancelling it closes the connection, so that the peer stops its target.
+        """
+        if state.facts.relayed_by is not None:
+            raise self._make_rejection(state, "relayed", RELAYED_RETRY_S)
+        for peer in self._choose_peers():
+            left_s = state.count_left(self._read_clock())
+            state.relayed_to = peer.name
+            log_event(
+                "request_relayed",
+                request=state.facts.request_id,
+                peer=peer.name,
+                service=state.service,
+                runs=state.runs,
+                last_event=state.last_event,
+                left_s=round(left_s, 3),
+            )
+            try:
+                async with asyncio.timeout(left_s):
+                    return await self._relay(state, peer)
+            except TimeoutError:
+                # The peer has the same deadline, so nothing more can come.
+                failure = _PeerFailed("deadline", is_not_run=False)
+            except _PeerFailed as error:
+                failure = error
+            state.runs += not failure.is_not_run
+            log_event(
+                "relay_failed",
+                request=state.facts.request_id,
+                peer=peer.name,
+                cause=failure.cause,
+                is_not_run=failure.is_not_run,
+                last_event=state.last_event,
+            )
+            if not failure.is_not_run:
+                await self._require_retry(state, failure)
+        raise self._make_rejection(state, "no target answers", UNREACHED_RETRY_S)
+
+    def _choose_peers(self) -> list[RelayPeer]:
+        return choose_relay_peers(
+            self._list_peers(),
+            data_centre=self._context.data_centre,
+            count=MAX_PEERS,
+            offset=random.randrange(1 << 16),
+        )
+
+    def _make_rejection(
+        self, state: RequestState, cause: str, retry_after_s: float
+    ) -> RejectedRequest | TruncatedResponse:
+        """Return the exception that ends a request that no peer has served."""
+        if state.has_begun:
+            return TruncatedResponse(cause=cause)
+        if state.runs > 0:
+            return self._context.make_rejection(
+                state, cause=cause, retry_after_s=retry_after_s
+            )
+        return RejectedRequest(
+            ResultCode.TARGET_UNREACHABLE, cause=cause, retry_after_s=retry_after_s
+        )
+
+    async def _require_retry(self, state: RequestState, failure: _PeerFailed) -> None:
+        """Consume a retry, or raise the exception that ends the request."""
+        if state.has_begun:
+            until = compute_resume_end(state)
+            is_taken = await self._context.await_retry(state, until=until)
+        else:
+            is_taken = self._context.take_retry(state)
+        if not is_taken:
+            raise self._make_rejection(state, failure.cause, UNREACHED_RETRY_S)
+
+    async def _relay(self, state: RequestState, peer: RelayPeer) -> web.StreamResponse:
+        """Return the response of one peer; raises `_PeerFailed`."""
+        headers = self._dialect.make_relay_headers(
+            state.headers,
+            relayed_by=self._context.instance,
+            deadline_s=state.count_left(self._read_clock()),
+            last_event=state.last_event,
+        )
+        try:
+            response = await self._client.open_relay(state, peer.address, headers)
+        except NotSent as error:
+            raise _PeerFailed(repr(error), is_not_run=True) from error
+        except AnswerLost as error:
+            raise _PeerFailed(repr(error), is_not_run=False) from error
+        try:
+            return await self._forward(state, peer, response)
+        finally:
+            response.close()
+
+    async def _forward(
+        self, state: RequestState, peer: RelayPeer, response: aiohttp.ClientResponse
+    ) -> web.StreamResponse:
+        """Forward the response of a peer to the caller."""
+        facts = self._dialect.read_answer(response.status, response.headers)
+        if facts.is_signed:
+            self._contact_monitor.record_served_by_peer(state.service, peer=peer.name)
+        if response.status == 200:
+            if not facts.is_signed or facts.request_id != state.facts.request_id:
+                raise _PeerFailed("not a target's answer", is_not_run=False)
+            if state.route.kind is RouteKind.STREAM:
+                return await self._forward_stream(state, response)
+        try:
+            body = await self._client.read_body(response)
+        except AnswerLost as error:
+            raise _PeerFailed(repr(error), is_not_run=False) from error
+        if _is_unreached_there(response.status, body):
+            raise _PeerFailed("the peer reaches no target", is_not_run=True)
+        if state.has_begun:
+            raise _PeerFailed(f"status {response.status}", is_not_run=True)
+        headers = self._dialect.select_answer_headers(response.headers)
+        return web.Response(status=response.status, body=body, headers=headers)
+
+    async def _forward_stream(
+        self, state: RequestState, response: aiohttp.ClientResponse
+    ) -> web.StreamResponse:
+        answer = state.request.get("answer")
+        if answer is None:
+            answer = await self._forwarder.begin_answer(state, response)
+        splitter = EventSplitter()
+        while True:
+            try:
+                data = await response.content.readany()
+            except (aiohttp.ClientError, OSError) as error:
+                raise _PeerFailed(repr(error), is_not_run=False) from error
+            if not data:
+                break
+            await self._forwarder.forward_events(state, splitter, data, answer)
+        if splitter.pending:
+            raise _PeerFailed("ended inside an event", is_not_run=False)
+        await answer.write_eof()
+        return answer
+
+
+def _is_unreached_there(status: int, body: bytes) -> bool:
+    """Return whether a peer rejected a request since it reaches no target itself."""
+    if status != 503:
+        return False
+    try:
+        return orjson.loads(body)["error"]["code"] == ResultCode.TARGET_UNREACHABLE
+    except (ValueError, KeyError, TypeError):
+        return False
--- a/packages/router/fulmarward_router/exchange/_request_state.py
+++ b/packages/router/fulmarward_router/exchange/_request_state.py
@@ -46,6 +46,8 @@
     #: How often the stream was rerouted, and how often resumed by a new attempt.
     repaths: int = 0
     resumes: int = 0
+    #: Name of the peer that the request was last relayed to, empty if to none.
+    relayed_to: str = ""
 
     @property
     def has_begun(self) -> bool:
--- a/packages/router/fulmarward_router/exchange/_send.py
+++ b/packages/router/fulmarward_router/exchange/_send.py
@@ -127,18 +127,30 @@
 
         Raises `NotSent` or `AnswerLost`. Cancelling it closes the connection.
         """
+        headers = self._dialect.make_headers(state.headers, call)
+        return await self._open(state, call.address, headers)
+
+    async def open_relay(
+        self, state: RequestState, address: str, headers: list[tuple[str, str]]
+    ) -> aiohttp.ClientResponse:
+        """Send a request to a peer, as `open` does to a target."""
+        return await self._open(state, address, headers)
+
+    async def _open(
+        self, state: RequestState, address: str, headers: list[tuple[str, str]]
+    ) -> aiohttp.ClientResponse:
         opening = _Opening()
-        self._openings[call.address].add(opening)
+        self._openings[address].add(opening)
         token = _current_opening.set(opening)
         try:
-            response = await self._request(state, call)
+            response = await self._request(state, address, headers)
             # A target may respond before it reads the whole body.
             if opening.transport is not None and not opening.transport.is_closing():
                 limit_unacknowledged(opening.transport, 0)
             return response
         finally:
             _current_opening.reset(token)
-            self._remove_opening(call.address, opening)
+            self._remove_opening(address, opening)
 
     def _remove_opening(self, address: str, opening: _Opening) -> None:
         openings = self._openings[address]
@@ -161,15 +173,14 @@
         return bool(undelivered)
 
     async def _request(
-        self, state: RequestState, call: TargetCall
+        self, state: RequestState, address: str, headers: list[tuple[str, str]]
     ) -> aiohttp.ClientResponse:
-        headers = CIMultiDict(self._dialect.make_headers(state.headers, call))
         path = state.request.raw_path
         try:
             return await self._session.request(
                 state.request.method,
-                URL(f"http://{call.address}{path}", encoded=True),
-                headers=headers,
+                URL(f"http://{address}{path}", encoded=True),
+                headers=CIMultiDict(headers),
                 data=state.body or None,
                 skip_auto_headers=_SKIPPED_HEADERS,
                 allow_redirects=False,
--- a/packages/router/fulmarward_router/exchange/tests/test_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_caller_handler.py
@@ -29,6 +29,7 @@
             prompt_tokens=0,
             max_answer_tokens=0,
             hinted_answer_tokens=None,
+            relayed_by=None,
         )
 
 
--- a/packages/router/fulmarward_router/exchange/tests/test_failover.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_failover.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 from unittest import mock
 
+from fulmarward_core.isolation import ContactTable
 from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_router.exchange import FailureDetector, _failover
 from fulmarward_router.exchange._attempt import Attempt
@@ -98,6 +99,7 @@
             dialect=None,
             catalogue=mock.Mock(find_target=lambda name: SimpleNamespace(name=name)),
             suspicions=self.suspicions,
+            contacts=ContactTable(),
             read_clock=lambda: self.now,
             notify_peers=lambda: None,
         )
--- a/packages/router/fulmarward_router/exchange/tests/test_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_failure_detector.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from unittest import mock
 
+from fulmarward_core.isolation import ContactTable
 from fulmarward_core.probing import PROBE_CALLS, PROBE_TIMEOUT_S
 from fulmarward_core.probing.decisions import MAX_PAUSE_S
 from fulmarward_core.suspicion import SuspicionTable
@@ -22,6 +23,8 @@
     data_centre: str = "north"
     is_leaving: bool = False
     layers: str = "0-10"
+    service: str = "pool"
+    started_ms: int = 1
 
 
 class _Catalogue:
@@ -75,7 +78,7 @@
 
 
 _without_loop_pauses = mock.patch(
-    "fulmarward_router.exchange._failure_detector._PauseMeter", _ZeroPauseMeter
+    "fulmarward_router.exchange._failure_detector.PauseMeter", _ZeroPauseMeter
 )
 
 
@@ -96,6 +99,7 @@
             dialect=self.dialect,
             catalogue=_Catalogue(names),
             suspicions=self.table,
+            contacts=ContactTable(),
             read_clock=lambda: self.clock.now,
             notify_peers=self._count_notification,
         )
@@ -122,6 +126,7 @@
             dialect=_Dialect(clock, silent),
             catalogue=_Catalogue(),
             suspicions=table,
+            contacts=ContactTable(),
             read_clock=lambda: clock.now,
             notify_peers=lambda: None,
         )
@@ -147,6 +152,7 @@
                 dialect=_Dialect(clock, lambda now: "abcd"),
                 catalogue=_Catalogue(),
                 suspicions=table,
+                contacts=ContactTable(),
                 read_clock=lambda: clock.now,
                 notify_peers=lambda: None,
             )
@@ -412,6 +418,7 @@
                 dialect=dialect,
                 catalogue=_Catalogue("abcd"),
                 suspicions=table,
+                contacts=ContactTable(),
                 read_clock=time.monotonic,
                 notify_peers=lambda: None,
             )
@@ -498,6 +505,7 @@
             dialect=_LossyDialect(is_lost),
             catalogue=_Catalogue("acd"),
             suspicions=table,
+            contacts=ContactTable(),
             read_clock=lambda: 100.0,
             notify_peers=lambda: None,
         )
--- a/packages/router/fulmarward_router/exchange/tests/test_late_sends.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_sends.py
@@ -9,6 +9,7 @@
 
 from fulmarward_core.catalogue import KnownRow, TargetCatalogue
 from fulmarward_core.fleet import TargetRecord
+from fulmarward_core.isolation import ContactTable
 from fulmarward_core.loads import LoadLedger
 from fulmarward_core.paces import PaceTable
 from fulmarward_core.quotas import RetryBudget
@@ -67,6 +68,7 @@
             dialect=dialect,
             catalogue=self.catalogue,
             suspicions=SuspicionTable(),
+            contacts=ContactTable(),
             paces=PaceTable(),
             ledger=LoadLedger(),
             find_budget=lambda service: budget,
@@ -76,7 +78,11 @@
             data_centre="a",
             read_clock=self.read_clock,
         )
-        self.plain = PlainService(context=self.context, failure_detector=mock.Mock())
+        self.plain = PlainService(
+            context=self.context,
+            failure_detector=mock.Mock(),
+            relay=mock.Mock(is_needed=lambda service: False),
+        )
 
     def read_clock(self):
         return time.monotonic() + self.skipped_s
--- a/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
@@ -13,6 +13,7 @@
     ServiceSpec,
     TargetRecord,
 )
+from fulmarward_core.isolation import ContactTable
 from fulmarward_core.loads import LoadLedger
 from fulmarward_core.paces import PaceTable
 from fulmarward_core.quotas import RetryBudget
@@ -21,7 +22,9 @@
 from fulmarward_router.exchange import (
     EngineService,
     FailureDetector,
+    PeerRelay,
     ServiceContext,
+    StreamForwarder,
     TargetClient,
     make_target_session,
 )
@@ -131,8 +134,8 @@
         self.is_complete = True
 
 
-class _Service(EngineService):
-    async def _begin_answer(self, state, response):
+class _Forwarder(StreamForwarder):
+    async def begin_answer(self, state, response):
         state.request["answer"] = _Answer()
         return state.request["answer"]
 
@@ -183,6 +186,7 @@
             dialect=self.dialect,
             catalogue=self.catalogue,
             suspicions=self.suspicions,
+            contacts=(contacts := ContactTable()),
             paces=PaceTable(),
             ledger=LoadLedger(),
             find_budget=lambda service: budget,
@@ -196,11 +200,26 @@
             dialect=self.dialect,
             catalogue=self.catalogue,
             suspicions=self.suspicions,
+            contacts=contacts,
             read_clock=self.read_clock,
             notify_peers=lambda: None,
         )
-        self.service = _Service(
-            context=context, failure_detector=detector, is_stopping=lambda: False
+        forwarder = _Forwarder(
+            dialect=self.dialect,
+            is_stopping=lambda: False,
+            read_clock=self.read_clock,
+        )
+        relay = PeerRelay(
+            context=context,
+            contact_monitor=detector.contact_monitor,
+            forwarder=forwarder,
+            list_peers=lambda: [],
+        )
+        self.service = EngineService(
+            context=context,
+            failure_detector=detector,
+            forwarder=forwarder,
+            relay=relay,
         )
         self.start(self.service.supervisor.run())
 
@@ -231,6 +250,7 @@
             prompt_tokens=10,
             max_answer_tokens=10,
             hinted_answer_tokens=None,
+            relayed_by=None,
         )
         services = {"pool": ServiceSpec(name="pool", engine=_ENGINE)}
         now = self.read_clock()
--- a/packages/router/fulmarward_router/placement/tests/test_placer.py
+++ b/packages/router/fulmarward_router/placement/tests/test_placer.py
@@ -6,6 +6,7 @@
 
 from fulmarward_core.catalogue import KnownRow, TargetCatalogue
 from fulmarward_core.fleet import ServiceSpec
+from fulmarward_core.isolation import ContactTable
 from fulmarward_core.layers import plan_layers
 from fulmarward_core.layers.tests.fleets import ENGINE, make_fleet
 from fulmarward_core.suspicion import SuspicionTable
@@ -134,6 +135,7 @@
             dialect=self.dialect,
             catalogue=catalogue,
             suspicions=self.table,
+            contacts=ContactTable(),
             read_clock=read_clock,
             notify_peers=lambda: None,
         )
--- a/packages/router/fulmarward_router/ports.py
+++ b/packages/router/fulmarward_router/ports.py
@@ -175,6 +175,8 @@
     max_answer_tokens: int
     #: Caller's estimate of the tokens of the answer, or `None`.
     hinted_answer_tokens: int | None
+    #: Name of the instance that relayed the request, or `None`.
+    relayed_by: str | None
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -276,6 +278,16 @@
     ) -> list[tuple[str, str]]:
         """Return the headers of one attempt, derived from the caller's."""
 
+    def make_relay_headers(
+        self,
+        headers: Mapping[str, str],
+        *,
+        relayed_by: str,
+        deadline_s: float,
+        last_event: str | None,
+    ) -> list[tuple[str, str]]:
+        """Return the headers with which an instance relays a request to a peer."""
+
     def read_answer(self, status: int, headers: Mapping[str, str]) -> AnswerFacts:
         """Decode the status and headers of an answer."""
 
@@ -292,6 +304,9 @@
     async def is_responding(self, record: TargetRecord, timeout_s: float) -> bool:
         """Return whether a target answers in time, even if it has no report."""
 
+    async def is_accepting(self, record: TargetRecord, timeout_s: float) -> bool:
+        """Return whether a target accepts a connection in time; it gets no request."""
+
     async def order_layers(
         self,
         record: TargetRecord,
--- a/packages/router/fulmarward_router/tests/_routing_peer.py
+++ b/packages/router/fulmarward_router/tests/_routing_peer.py
@@ -9,6 +9,7 @@
 
 from fulmarward_core.catalogue import KnownRow
 from fulmarward_core.fleet import ServiceSpec, TargetRecord
+from fulmarward_core.isolation import ContactTable
 from fulmarward_core.quotas import RetryBudget
 from fulmarward_core.routes import (
     CallerLimits,
@@ -83,6 +84,7 @@
             prompt_tokens=0,
             max_answer_tokens=0,
             hinted_answer_tokens=None,
+            relayed_by=None,
         )
 
     def read_answer(self, status, headers):
@@ -127,6 +129,7 @@
             dialect=_Dialect(),
             catalogue=self.catalogue,
             suspicions=self.suspicions,
+            contacts=ContactTable(),
             paces=self.paces,
             ledger=self.ledger,
             find_budget=lambda service: budget,
@@ -140,7 +143,11 @@
             dialect=context.dialect,
             configuration=self.configuration,
             engines=SimpleNamespace(),
-            plain=PlainService(context=context, failure_detector=mock.Mock()),
+            plain=PlainService(
+                context=context,
+                failure_detector=mock.Mock(),
+                relay=mock.Mock(is_needed=lambda service: False),
+            ),
             find_budget=context.find_budget,
             read_clock=lambda: self.now,
             is_stopping=lambda: False,
