Lookup: an isolated instance leaves the list until a target answers it

A heartbeat now says that callers may not be sent to an instance while a peer has served a request for it that none of its own targets answers; silence alone is not enough, since the service may be down for all. If no instance is ready, all that are alive are listed.

--- a/packages/router/fulmarward_router/_listing.py
+++ b/packages/router/fulmarward_router/_listing.py
@@ -38,6 +38,7 @@
         catalogue: TargetCatalogue,
         ledger: LoadLedger,
         is_ready: Callable[[], bool],
+        is_isolated: Callable[[], bool],
         read_clock: Callable[[], float],
     ) -> None:
         self._own = own
@@ -45,6 +46,7 @@
         self._catalogue = catalogue
         self._ledger = ledger
         self._is_ready = is_ready
+        self._is_isolated = is_isolated
         self._read_clock = read_clock
         self._lists: _Lists | None = None
 
@@ -116,8 +118,13 @@
 
     def _list_candidates(self, now: float) -> list[Candidate]:
         ready = [member.identity for member in self._members.list_ready(now=now)]
-        if self._is_ready():
+        if self._is_ready() and not self._is_isolated():
             ready.append(self._own)
+        elif self._is_ready() and not ready:
+            # Without any instance that reaches targets, callers learn from all of them
+            # when to return.
+            staying = self._members.list_staying(now=now)
+            ready = [self._own, *(member.identity for member in staying)]
         return [
             Candidate(
                 name=item.name,
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -188,6 +188,7 @@
             catalogue=self.catalogue,
             ledger=self.ledger,
             is_ready=self.is_ready,
+            is_isolated=lambda: self.contacts.is_isolated,
             read_clock=clock,
         )
         self.store = adapter.make_store(
@@ -221,7 +222,7 @@
             sees_slow_streams=lambda: self.engines.supervisor.sees_slow_streams(),
             decode_row=self.watch.decode_row,
             read_clock=clock,
-            is_ready=self.is_ready,
+            is_ready=self.takes_callers,
             is_leaving=lambda: self.life.is_stopping,
             is_store_reachable=lambda: self.watch.unreachable_since is None,
             notify_peers=self._notify_peers,
@@ -360,9 +361,16 @@
         return is_own or self.members.sees_slow_streams(now=self._clock())
 
     def is_ready(self) -> bool:
-        """Return whether lookups may return this instance."""
+        """Return whether this instance serves requests."""
         return self.life.state == "serving"
 
+    def takes_callers(self) -> bool:
+        """Return whether callers may be sent to this instance.
+
+        An isolated one serves requests through its peers, which reach the targets.
+        """
+        return self.is_ready() and not self.contacts.is_isolated
+
     def _find_budget(self, service: str) -> RetryBudget:
         if service not in self._budgets:
             self._budgets[service] = RetryBudget(
--- a/packages/router/fulmarward_router/mesh/_members.py
+++ b/packages/router/fulmarward_router/mesh/_members.py
@@ -583,6 +583,10 @@
         fresh = self.list_fresh(now=now)
         return [m for m in fresh if m.state.is_ready and not m.state.is_leaving]
 
+    def list_staying(self, *, now: float) -> list[Member]:
+        """Return the instances that were heard lately and are not leaving."""
+        return [m for m in self.list_fresh(now=now) if not m.state.is_leaving]
+
     def count_instances(self, *, now: float) -> int:
         """Return the number of live instances, including this one."""
         return 1 + len(self._find_view(now).fresh)
