Roles: an isolated instance gives up the lease and reads no paces

While a peer serves what it does not reach, an instance releases the lease if a ready peer reaches the store; candidates for duties that need targets are the ready instances. The placer plans nothing for a service whose targets do not answer, and gaps count anew after that. Paces are read by the first ready instance of a data centre. A heartbeat reports no failures while any service is unreached, and no slow streams while isolated. Readers of the store go on: they need no targets.

--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -219,12 +219,13 @@
             suspicions=self.suspicions,
             paces=self.paces,
             ledger=self.ledger,
-            sees_slow_streams=lambda: self.engines.supervisor.sees_slow_streams(),
+            sees_slow_streams=self._sees_own_slow_streams,
             decode_row=self.watch.decode_row,
             read_clock=clock,
             is_ready=self.takes_callers,
             is_leaving=lambda: self.life.is_stopping,
             is_store_reachable=lambda: self.watch.unreachable_since is None,
+            reaches_all_services=lambda: self.contacts.reaches_all,
             notify_peers=self._notify_peers,
             handle_target_changes=self.target_change_handler.handle_changes,
             link_bytes_per_s=settings.link_bytes_per_s,
@@ -259,6 +260,7 @@
             configuration=self.configuration,
             catalogue=self.catalogue,
             suspicions=self.suspicions,
+            contacts=self.contacts,
             probe_targets=lambda targets: self.failure_detector.probe(targets),
             count_routing_instances=self.listing.count_listed,
             read_clock=clock,
@@ -331,7 +333,7 @@
             catalogue=self.catalogue,
             paces=self.paces,
             data_centre=self.own.data_centre,
-            is_reader=lambda: self.members.is_first_in_data_centre(now=self._clock()),
+            is_reader=self._is_pace_reader,
             sees_slow_streams=self._sees_slow_streams,
             read_clock=self._clock,
             notify_peers=self._notify_peers,
@@ -355,9 +357,19 @@
             now=now
         )
 
+    def _sees_own_slow_streams(self) -> bool:
+        """Return whether streams here are slow for another reason than isolation."""
+        is_isolated = self.contacts.is_isolated
+        return not is_isolated and self.engines.supervisor.sees_slow_streams()
+
+    def _is_pace_reader(self) -> bool:
+        """Return whether this instance reads the paces of its data centre."""
+        is_first = self.members.is_first_ready_in_data_centre(now=self._clock())
+        return is_first and not self.contacts.is_isolated
+
     def _sees_slow_streams(self) -> bool:
         """Return whether this instance or a peer nearby observes slow streams."""
-        is_own = self.engines.supervisor.sees_slow_streams()
+        is_own = self._sees_own_slow_streams()
         return is_own or self.members.sees_slow_streams(now=self._clock())
 
     def is_ready(self) -> bool:
@@ -384,9 +396,16 @@
         """Return whether this instance holds the lease or is the first candidate."""
         if self.life.is_stopping or not self.configuration.available.is_set():
             return False
+        if self.contacts.is_isolated and self._has_successor():
+            return False
         if self.lease.is_held():
             return True
-        return self.instance_state.is_among_first(1)
+        return self.instance_state.is_among_first(1, needs_targets=True)
+
+    def _has_successor(self) -> bool:
+        """Return whether a peer reaches the targets and the store."""
+        ready = self.members.list_ready(now=self._clock())
+        return any(member.state.is_store_reachable for member in ready)
 
     def _notify_peers(self) -> None:
         self.mesh.notify()
--- a/packages/router/fulmarward_router/mesh/_members.py
+++ b/packages/router/fulmarward_router/mesh/_members.py
@@ -542,6 +542,14 @@
         nodes = [*self.list_nodes(now=now), self._make_own_node(True)]
         return choose_hubs(nodes, self._own.data_centre)[0] == self._own.name
 
+    def is_first_ready_in_data_centre(self, *, now: float) -> bool:
+        """Return whether no ready instance of the data centre comes before this one."""
+        return not any(
+            member.identity.data_centre == self._own.data_centre
+            and member.identity.name < self._own.name
+            for member in self.list_ready(now=now)
+        )
+
     def sees_slow_streams(self, *, now: float) -> bool:
         """Return whether streams of an instance here indicate a slow target."""
         return any(
--- a/packages/router/fulmarward_router/placement/_placer.py
+++ b/packages/router/fulmarward_router/placement/_placer.py
@@ -7,6 +7,7 @@
 from fulmarward.observability import log_event
 from fulmarward_core.catalogue import TargetCatalogue
 from fulmarward_core.fleet import EngineModel, LayerRange, TargetRecord
+from fulmarward_core.isolation import ContactTable
 from fulmarward_core.layers import (
     Assignment,
     LayerOrder,
@@ -103,6 +104,7 @@
         configuration: ConfigurationHolder,
         catalogue: TargetCatalogue,
         suspicions: SuspicionTable,
+        contacts: ContactTable,
         probe_targets: Callable[[Iterable[str]], None],
         count_routing_instances: Callable[[], int],
         read_clock: Callable[[], float],
@@ -112,6 +114,7 @@
         self._configuration = configuration
         self._catalogue = catalogue
         self._suspicions = suspicions
+        self._contacts = contacts
         #: Starts probes that determine which of the given targets are unreachable.
         self._probe_targets = probe_targets
         #: Returns the number of instances that choose paths.
@@ -136,8 +139,21 @@
                 self._missing_since.clear()
                 continue
             for spec in current.services.values():
-                if spec.engine is not None and spec.engine.kinds:
+                if spec.engine is None or not spec.engine.kinds:
+                    continue
+                if self._contacts.is_reached(spec.name):
                     await self._reconcile(spec.name, spec.engine)
+                else:
+                    self._forget_gaps(spec.name)
+
+    def _forget_gaps(self, service: str) -> None:
+        """Forget the gaps of a service whose targets do not answer this instance.
+
+        Guards against moving layers as soon as they answer again: gaps that seemed to
+        last for long may be none.
+        """
+        for key in [key for key in self._missing_since if key[0] == service]:
+            del self._missing_since[key]
 
     def _list_present(self, service: str, now: float) -> list[TargetRecord]:
         """Return the targets in the store that are not leaving."""
--- a/packages/router/fulmarward_router/placement/tests/test_placer.py
+++ b/packages/router/fulmarward_router/placement/tests/test_placer.py
@@ -146,6 +146,7 @@
             configuration=_Holder(_Configuration({"pool": pool})),
             catalogue=catalogue,
             suspicions=self.table,
+            contacts=ContactTable(),
             probe_targets=self.failure_detector.probe,
             count_routing_instances=lambda: 4,
             read_clock=read_clock,
--- a/packages/router/fulmarward_router/state/_instance_state.py
+++ b/packages/router/fulmarward_router/state/_instance_state.py
@@ -79,6 +79,7 @@
         is_ready: Callable[[], bool],
         is_leaving: Callable[[], bool],
         is_store_reachable: Callable[[], bool],
+        reaches_all_services: Callable[[], bool],
         notify_peers: Callable[[], None],
         handle_target_changes: Callable[[list[KnownRow]], None],
         link_bytes_per_s: float | None = None,
@@ -96,6 +97,7 @@
         self._is_ready = is_ready
         self._is_leaving = is_leaving
         self._is_store_reachable = is_store_reachable
+        self._reaches_all_services = reaches_all_services
         self._notify_peers = notify_peers
         self._handle_target_changes = handle_target_changes
         self._started_at = read_clock()
@@ -119,9 +121,13 @@
         """Return this instance's heartbeat, with or without its loads."""
         now = self._read_clock()
         loads = _make_load_reports(self._ledger.list_own() if has_loads else {})
+        failures = self._suspicions.list_direct_failures(now=now)
+        if not self._reaches_all_services():
+            # What looks like failures may be the isolation of this instance.
+            failures = []
         losses = tuple(
             FailureReport(target=item.target, for_ms=int((item.until - now) * 1000))
-            for item in self._suspicions.list_direct_failures(now=now)
+            for item in failures
         )
         return Heartbeat(
             sender=self._own,
@@ -162,13 +168,15 @@
                     source="peer",
                 )
 
-    def is_among_first(self, count: int) -> bool:
+    def is_among_first(self, count: int, *, needs_targets: bool = False) -> bool:
         """Return whether this instance is one of the `count` that act for the fleet.
 
         These are the first by name of the fresh instances that are not leaving and
         reach the store. An instance that the store refuses is left out, as it could not
-        perform the duty. For a while after its start, an instance also counts those it
-        has not heard yet as alive, so that not all of them start with the same duties.
+        perform the duty; so are those that are not ready, such as isolated ones, for a
+        duty that `needs_targets`. For a while after its start, an instance also counts
+        those it has not heard yet as alive, so that not all of them start with the same
+        duties.
         """
         if self._is_leaving() or not self._is_store_reachable():
             return False
@@ -179,6 +187,9 @@
             if is_starting
             else self._members.list_duty_candidates(now=now)
         )
+        if needs_targets and not is_starting:
+            ready = {m.identity.name for m in self._members.list_ready(now=now)}
+            others = [name for name in others if name in ready]
         before = bisect.bisect_left(others, self._own.name)
         return before < count
 
--- a/packages/router/fulmarward_router/tests/test_instance_state.py
+++ b/packages/router/fulmarward_router/tests/test_instance_state.py
@@ -44,6 +44,7 @@
         self.now = 100.0
         self.is_store_reachable = True
         self.is_leaving = False
+        self.reaches_all_services = True
         self.members = MemberTable(own=make_heartbeat(name).sender)
         self.configuration = ConfigurationHolder(decode=decode)
         self.catalogue = TargetCatalogue()
@@ -69,6 +70,7 @@
             read_clock=lambda: self.now,
             is_ready=lambda: True,
             is_leaving=lambda: self.is_leaving,
+            reaches_all_services=lambda: self.reaches_all_services,
             is_store_reachable=lambda: self.is_store_reachable,
             notify_peers=lambda: None,
             handle_target_changes=lambda rows: None,
@@ -110,6 +112,28 @@
     return Row(key="config", value=value, version=version)
 
 
+class IsolatedReporterTest(unittest.TestCase):
+    def test_instance_without_targets_reports_no_failures(self):
+        """Guards against failures seen behind a cut that begins during a probe."""
+        peer = Peer("one")
+        peer.suspicions.record_failure("t1", now=peer.now)
+        self.assertEqual(len(peer.instance_state.make_heartbeat().losses), 1)
+        peer.reaches_all_services = False
+        self.assertEqual(peer.instance_state.make_heartbeat().losses, ())
+
+    def test_isolated_peer_is_no_candidate_for_duties_that_need_targets(self):
+        """Guards against a duty that stays vacant behind an isolated instance."""
+        peer = Peer("two")
+        peer.now += _instance_state.START_DURATION_S
+        peer.members.merge_heartbeat(
+            make_heartbeat("one", is_ready=False), now=peer.now
+        )
+        state = peer.instance_state
+        self.assertFalse(state.is_among_first(1))
+        self.assertTrue(state.is_among_first(1, needs_targets=True))
+        self.assertTrue(peer.members.is_first_ready_in_data_centre(now=peer.now))
+
+
 class InstanceStateTest(unittest.TestCase):
     def setUp(self):
         self.one, self.two = Peer("one"), Peer("two")
