Failure detection: a peer's report is verified by a probe of one's own

An instance that reaches only some targets (a data centre is cut off from it, say) has controls that answer, and rightly finds the others unreachable for itself; its peers excluded them all the same, unless they were more than half of a service. Few targets hold a layer, so two reports could leave no path.

In a large fleet only instances with requests in flight do so. A target that is really down stays excluded, now by an own observation.

--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -227,6 +227,7 @@
             is_store_reachable=lambda: self.watch.unreachable_since is None,
             reaches_all_services=lambda: self.contacts.reaches_all,
             notify_peers=self._notify_peers,
+            probe_targets=lambda targets: self.failure_detector.probe(targets),
             handle_target_changes=self.target_change_handler.handle_changes,
             link_bytes_per_s=settings.link_bytes_per_s,
         )
--- a/packages/router/fulmarward_router/state/_instance_state.py
+++ b/packages/router/fulmarward_router/state/_instance_state.py
@@ -81,6 +81,7 @@
         is_store_reachable: Callable[[], bool],
         reaches_all_services: Callable[[], bool],
         notify_peers: Callable[[], None],
+        probe_targets: Callable[[Iterable[str]], None],
         handle_target_changes: Callable[[list[KnownRow]], None],
         link_bytes_per_s: float | None = None,
     ) -> None:
@@ -99,6 +100,8 @@
         self._is_store_reachable = is_store_reachable
         self._reaches_all_services = reaches_all_services
         self._notify_peers = notify_peers
+        #: Starts probes that determine which of the given targets are unreachable.
+        self._probe_targets = probe_targets
         self._handle_target_changes = handle_target_changes
         self._started_at = read_clock()
         #: When changes of targets were last requested, and after which version.
@@ -445,12 +448,25 @@
         self, losses: Iterable[FailureReport], source: str, sent_at: float
     ) -> None:
         now = self._read_clock()
+        reported = []
         for loss in losses:
             duration_s = sent_at + loss.for_ms / 1000 - now
             if duration_s > 0 and self._suspicions.record_indirect_failure(
                 loss.target, duration_s=duration_s, now=now
             ):
                 log_event("target_unreachable", target=loss.target, source=source)
+                reported.append(loss.target)
+        if reported and self._must_verify():
+            self._probe_targets(reported)
+
+    def _must_verify(self) -> bool:
+        """Return whether to probe targets that a peer reports as unreachable.
+
+        Guards against a peer that reaches only some targets: this instance would avoid
+        healthy ones. In a large fleet only instances with requests in flight do so, so
+        that a failed target is not probed by hundreds of them.
+        """
+        return not self._members.is_large or self._ledger.has_own()
 
     def answer(self, fetch: Fetch) -> Answer | None:
         """Return the answer to a peer's fetch, `None` if there is none."""
--- a/packages/router/fulmarward_router/tests/test_instance_state.py
+++ b/packages/router/fulmarward_router/tests/test_instance_state.py
@@ -44,6 +44,8 @@
         self.now = 100.0
         self.is_store_reachable = True
         self.is_leaving = False
+        #: Names of the targets that were to be probed.
+        self.probed = []
         self.reaches_all_services = True
         self.members = MemberTable(own=make_heartbeat(name).sender)
         self.configuration = ConfigurationHolder(decode=decode)
@@ -73,6 +75,7 @@
             reaches_all_services=lambda: self.reaches_all_services,
             is_store_reachable=lambda: self.is_store_reachable,
             notify_peers=lambda: None,
+            probe_targets=self.probed.extend,
             handle_target_changes=lambda rows: None,
             link_bytes_per_s=link_bytes_per_s,
         )
