--- /dev/null
+++ b/packages/router/fulmarward_router/exchange/tests/test_relay.py
@@ -0,0 +1,157 @@
+import time
+import unittest
+from types import SimpleNamespace
+from unittest import mock
+
+import orjson
+
+from fulmarward_core.isolation import ContactEvent, ContactTable, RelayPeer
+from fulmarward_core.quotas import RetryBudget
+from fulmarward_core.results import ResultCode
+from fulmarward_core.routes import RouteKind
+from fulmarward_router.exchange import PeerRelay, RequestState, ServiceContext
+from fulmarward_router.exchange._request_state import RejectedRequest
+from fulmarward_router.exchange._send import AnswerLost, NotSent
+from fulmarward_router.ports import AnswerFacts
+
+_REJECTIONS = {
+    code: orjson.dumps({"error": {"code": int(code)}})
+    for code in (ResultCode.TARGET_UNREACHABLE, ResultCode.QUEUE_FULL)
+}
+
+
+class _Dialect:
+    def make_relay_headers(self, headers, **values):
+        return [(name, str(value)) for name, value in values.items()]
+
+    def read_answer(self, status, headers):
+        return AnswerFacts(
+            request_id="r1",
+            is_signed=status == 200,
+            is_not_run=False,
+            address_at_fault=None,
+            is_misdirected=False,
+            is_plain=True,
+        )
+
+    def select_answer_headers(self, headers):
+        return list(headers.items())
+
+
+class _Client:
+    """Peers that answer in turn, as listed: an exception, or a status and a body."""
+
+    def __init__(self, outcomes):
+        self.outcomes = list(outcomes)
+        self.asked = []
+
+    async def open_relay(self, state, address, headers):
+        self.asked.append(address)
+        outcome = self.outcomes.pop(0)
+        if isinstance(outcome, Exception):
+            raise outcome
+        status, self.body = outcome
+        return mock.Mock(status=status, headers={"Retry-After": "3"})
+
+    async def read_body(self, response):
+        return self.body
+
+
+class PlainRelayTest(unittest.IsolatedAsyncioTestCase):
+    async def relay(self, outcomes, *, kind, relayed_by=None, peers=3):
+        """Relay a request; return its status or result code, and the peers asked."""
+        self.client = _Client(outcomes)
+        self.contacts = ContactTable()
+        self.contacts.apply("plain", ContactEvent.SILENCE, now=0.0)
+        self.budget = RetryBudget(ratio=0.0, slack=10.0, window_s=10.0)
+        context = ServiceContext(
+            client=self.client,
+            dialect=_Dialect(),
+            catalogue=None,
+            suspicions=None,
+            contacts=self.contacts,
+            paces=None,
+            ledger=None,
+            find_budget=lambda service: self.budget,
+            find_share=lambda: 1.0,
+            is_large=lambda: False,
+            instance="one",
+            data_centre="a",
+            read_clock=time.monotonic,
+        )
+        monitor = mock.Mock()
+        relay = PeerRelay(
+            context=context,
+            contact_monitor=monitor,
+            forwarder=None,
+            list_peers=lambda: [
+                RelayPeer(name=f"p{n}", data_centre="a", address=f"p{n}:1")
+                for n in range(peers)
+            ],
+        )
+        route = SimpleNamespace(
+            kind=kind, most_attempts=3, may_retry=kind is RouteKind.IDEMPOTENT
+        )
+        now = time.monotonic()
+        state = RequestState(
+            request=mock.MagicMock(get=lambda name: None),
+            headers={},
+            body=b"",
+            facts=SimpleNamespace(request_id="r1", relayed_by=relayed_by),
+            configuration=None,
+            route=route,
+            team=None,
+            service="plain",
+            urgency=0,
+            arrived_at=now,
+            deadline=now + 60.0,
+        )
+        try:
+            answer = await relay.serve(state)
+        except RejectedRequest as rejection:
+            self.retry_after_s = rejection.retry_after_s
+            return rejection.code, len(self.client.asked)
+        self.answer = answer
+        return answer.status, len(self.client.asked)
+
+    def count_retries(self):
+        return self.budget.count(share=1.0, now=time.monotonic()).used
+
+    async def test_outcomes_at_peers(self):
+        """Guards against a request that may run twice, or is lost without need."""
+        once, again = RouteKind.NON_IDEMPOTENT, RouteKind.IDEMPOTENT
+        served = (200, b"whole")
+        isolated = (503, _REJECTIONS[ResultCode.TARGET_UNREACHABLE])
+        full = (503, _REJECTIONS[ResultCode.QUEUE_FULL])
+        cases = [
+            # kind, outcomes at the peers, result, peers asked, retries consumed
+            (once, [served], 200, 1, 0),
+            (once, [NotSent(""), served], 200, 2, 0),
+            (once, [isolated, served], 200, 2, 0),
+            (once, [AnswerLost(""), served], ResultCode.OUTCOME_UNKNOWN, 1, 0),
+            (again, [AnswerLost(""), served], 200, 2, 1),
+            (again, [full, served], 503, 1, 0),
+            (once, [isolated] * 3, ResultCode.TARGET_UNREACHABLE, 3, 0),
+            (once, [NotSent("")] * 3, ResultCode.TARGET_UNREACHABLE, 3, 0),
+        ]
+        for kind, outcomes, result, asked, retries in cases:
+            with self.subTest(kind=kind, outcomes=outcomes):
+                found = await self.relay(outcomes, kind=kind)
+                self.assertEqual(found, (result, asked))
+                self.assertEqual(self.count_retries(), retries)
+
+    async def test_rejection_of_a_peer_keeps_its_retry_delay(self):
+        full = (503, _REJECTIONS[ResultCode.QUEUE_FULL])
+        await self.relay([full], kind=RouteKind.IDEMPOTENT)
+        self.assertEqual(self.answer.headers["Retry-After"], "3")
+
+    async def test_relayed_request_is_not_relayed_again(self):
+        """Guards against a request that goes round among isolated instances."""
+        found = await self.relay([], kind=RouteKind.IDEMPOTENT, relayed_by="two")
+        self.assertEqual(found, (ResultCode.TARGET_UNREACHABLE, 0))
+        self.assertGreater(self.retry_after_s, 0.0)
+
+    async def test_request_is_refused_at_once_without_peers(self):
+        found = await self.relay([], kind=RouteKind.IDEMPOTENT, peers=0)
+        self.assertEqual(found, (ResultCode.TARGET_UNREACHABLE, 0))
+        self.assertGreater(self.retry_after_s, 0.0)
