Relay: runs go along, and peers that stop or start are passed over

A service that is down for all would have kept every instance from reporting failures of the others: reports are withheld by service. Suspicions for lack of capacity, which are answers of targets, outlast an isolation.

--- a/packages/core/fulmarward_core/isolation/_contacts.py
+++ b/packages/core/fulmarward_core/isolation/_contacts.py
@@ -65,11 +65,6 @@
         """Return whether requests to a service may be sent to its targets."""
         return service not in self._unreached
 
-    @property
-    def reaches_all(self) -> bool:
-        """Whether no service is known to be unreached."""
-        return not self._unreached
-
     @property
     def is_isolated(self) -> bool:
         """Whether a peer reaches a service that this instance does not."""
--- a/packages/core/fulmarward_core/suspicion/_table.py
+++ b/packages/core/fulmarward_core/suspicion/_table.py
@@ -238,10 +238,10 @@
         self._suspicions.pop(target, None)
 
     def discard_direct(self, targets: Iterable[str]) -> None:
-        """Discard what this instance observed of targets, but not peers' reports."""
+        """Discard the failures and errors that this instance observed of targets."""
         for target in targets:
             known = self._suspicions.get(target)
-            if known is not None and known.reason != _INDIRECT:
+            if known is not None and known.reason in _DIRECT | {"failing"}:
                 del self._suspicions[target]
 
     def is_suspect(self, target: str, *, now: float) -> bool:
--- a/packages/router/fulmarward_router/_listing.py
+++ b/packages/router/fulmarward_router/_listing.py
@@ -59,7 +59,8 @@
         return lists.addresses[data_centre]
 
     def list_relay_peers(self) -> list[RelayPeer]:
-        """Return the peers that callers may be sent to, for requests of this one's."""
+        """Return the peers that callers are sent to, for requests of this one's."""
+        listed = self._get_lists().listed
         return [
             RelayPeer(
                 name=member.identity.name,
@@ -67,6 +68,7 @@
                 address=member.identity.caller_address,
             )
             for member in self._members.list_ready(now=self._read_clock())
+            if member.identity.caller_address in listed
         ]
 
     def count_listed(self) -> int:
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -225,7 +225,7 @@
             is_ready=self.takes_callers,
             is_leaving=lambda: self.life.is_stopping,
             is_store_reachable=lambda: self.watch.unreachable_since is None,
-            reaches_all_services=lambda: self.contacts.reaches_all,
+            reaches_service=self.contacts.is_reached,
             notify_peers=self._notify_peers,
             probe_targets=lambda targets: self.failure_detector.probe(targets),
             handle_target_changes=self.target_change_handler.handle_changes,
--- a/packages/router/fulmarward_router/exchange/_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/_caller_handler.py
@@ -237,6 +237,8 @@
             urgency=find_urgency(route, team),
             arrived_at=arrived_at,
             deadline=arrived_at + min(deadline_s, route.timeout_s),
+            attempts=facts.runs_before,
+            runs=facts.runs_before,
         )
 
     def _make_denial(self, code: ResultCode, cause: str, now: float) -> RejectedRequest:
--- a/packages/router/fulmarward_router/exchange/_relay.py
+++ b/packages/router/fulmarward_router/exchange/_relay.py
@@ -39,6 +39,12 @@
 RELAYED_RETRY_S = 0.1
 
 
+#: Codes with which a peer rejects a request that another one may serve.
+_LOCAL_CODES = frozenset(
+    {ResultCode.TARGET_UNREACHABLE, ResultCode.NOT_READY, ResultCode.STOPPING}
+)
+
+
 class _PeerFailed(Exception):
     """A peer did not serve a relayed request completely."""
 
@@ -152,6 +158,7 @@
         headers = self._dialect.make_relay_headers(
             state.headers,
             relayed_by=self._context.instance,
+            runs=state.runs,
             deadline_s=state.count_left(self._read_clock()),
             last_event=state.last_event,
         )
@@ -182,8 +189,8 @@
             body = await self._client.read_body(response)
         except AnswerLost as error:
             raise _PeerFailed(repr(error), is_not_run=False) from error
-        if _is_unreached_there(response.status, body):
-            raise _PeerFailed("the peer reaches no target", is_not_run=True)
+        if _is_local_rejection(response.status, body):
+            raise _PeerFailed("rejected by the peer", is_not_run=True)
         if state.has_begun:
             raise _PeerFailed(f"status {response.status}", is_not_run=True)
         headers = self._dialect.select_answer_headers(response.headers)
@@ -210,11 +217,11 @@
         return answer
 
 
-def _is_unreached_there(status: int, body: bytes) -> bool:
-    """Return whether a peer rejected a request since it reaches no target itself."""
+def _is_local_rejection(status: int, body: bytes) -> bool:
+    """Return whether a peer rejected a request for a reason of its own."""
     if status != 503:
         return False
     try:
-        return orjson.loads(body)["error"]["code"] == ResultCode.TARGET_UNREACHABLE
+        return orjson.loads(body)["error"]["code"] in _LOCAL_CODES
     except (ValueError, KeyError, TypeError):
         return False
--- a/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
@@ -251,6 +251,7 @@
             max_answer_tokens=10,
             hinted_answer_tokens=None,
             relayed_by=None,
+            runs_before=0,
         )
         services = {"pool": ServiceSpec(name="pool", engine=_ENGINE)}
         now = self.read_clock()
--- a/packages/router/fulmarward_router/exchange/tests/test_relay.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_relay.py
@@ -16,7 +16,11 @@
 
 _REJECTIONS = {
     code: orjson.dumps({"error": {"code": int(code)}})
-    for code in (ResultCode.TARGET_UNREACHABLE, ResultCode.QUEUE_FULL)
+    for code in (
+        ResultCode.TARGET_UNREACHABLE,
+        ResultCode.STOPPING,
+        ResultCode.QUEUE_FULL,
+    )
 }
 
 
@@ -122,12 +126,14 @@
         once, again = RouteKind.NON_IDEMPOTENT, RouteKind.IDEMPOTENT
         served = (200, b"whole")
         isolated = (503, _REJECTIONS[ResultCode.TARGET_UNREACHABLE])
+        stopping = (503, _REJECTIONS[ResultCode.STOPPING])
         full = (503, _REJECTIONS[ResultCode.QUEUE_FULL])
         cases = [
             # kind, outcomes at the peers, result, peers asked, retries consumed
             (once, [served], 200, 1, 0),
             (once, [NotSent(""), served], 200, 2, 0),
             (once, [isolated, served], 200, 2, 0),
+            (once, [stopping, served], 200, 2, 0),
             (once, [AnswerLost(""), served], ResultCode.OUTCOME_UNKNOWN, 1, 0),
             (again, [AnswerLost(""), served], 200, 2, 1),
             (again, [full, served], 503, 1, 0),
--- a/packages/router/fulmarward_router/ports.py
+++ b/packages/router/fulmarward_router/ports.py
@@ -175,8 +175,10 @@
     max_answer_tokens: int
     #: Caller's estimate of the tokens of the answer, or `None`.
     hinted_answer_tokens: int | None
-    #: Name of the instance that relayed the request, or `None`.
+    #: Name of the instance that relayed the request, or `None`, and how many targets
+    #: may have executed it before.
     relayed_by: str | None
+    runs_before: int
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -283,6 +285,7 @@
         headers: Mapping[str, str],
         *,
         relayed_by: str,
+        runs: int,
         deadline_s: float,
         last_event: str | None,
     ) -> list[tuple[str, str]]:
--- a/packages/router/fulmarward_router/state/_instance_state.py
+++ b/packages/router/fulmarward_router/state/_instance_state.py
@@ -79,7 +79,7 @@
         is_ready: Callable[[], bool],
         is_leaving: Callable[[], bool],
         is_store_reachable: Callable[[], bool],
-        reaches_all_services: Callable[[], bool],
+        reaches_service: Callable[[str], bool],
         notify_peers: Callable[[], None],
         probe_targets: Callable[[Iterable[str]], None],
         handle_target_changes: Callable[[list[KnownRow]], None],
@@ -98,7 +98,7 @@
         self._is_ready = is_ready
         self._is_leaving = is_leaving
         self._is_store_reachable = is_store_reachable
-        self._reaches_all_services = reaches_all_services
+        self._reaches_service = reaches_service
         self._notify_peers = notify_peers
         #: Starts probes that determine which of the given targets are unreachable.
         self._probe_targets = probe_targets
@@ -124,13 +124,10 @@
         """Return this instance's heartbeat, with or without its loads."""
         now = self._read_clock()
         loads = _make_load_reports(self._ledger.list_own() if has_loads else {})
-        failures = self._suspicions.list_direct_failures(now=now)
-        if not self._reaches_all_services():
-            # What looks like failures may be the isolation of this instance.
-            failures = []
         losses = tuple(
             FailureReport(target=item.target, for_ms=int((item.until - now) * 1000))
-            for item in failures
+            for item in self._suspicions.list_direct_failures(now=now)
+            if self._is_reportable(item.target)
         )
         return Heartbeat(
             sender=self._own,
@@ -148,6 +145,14 @@
             paces=self._make_pace_reports(now),
         )
 
+    def _is_reportable(self, target: str) -> bool:
+        """Return whether to report the failure of a target to peers.
+
+        What looks like failures may be the isolation of this instance from a service.
+        """
+        record = self._catalogue.find_target(target)
+        return record is None or self._reaches_service(record.service)
+
     def _make_pace_reports(self, now: float) -> tuple[PaceReport, ...]:
         return tuple(
             PaceReport(
--- a/packages/router/fulmarward_router/tests/_routing_peer.py
+++ b/packages/router/fulmarward_router/tests/_routing_peer.py
@@ -85,6 +85,7 @@
             max_answer_tokens=0,
             hinted_answer_tokens=None,
             relayed_by=None,
+            runs_before=0,
         )
 
     def read_answer(self, status, headers):
--- a/packages/router/fulmarward_router/tests/test_instance_state.py
+++ b/packages/router/fulmarward_router/tests/test_instance_state.py
@@ -46,7 +46,7 @@
         self.is_leaving = False
         #: Names of the targets that were to be probed.
         self.probed = []
-        self.reaches_all_services = True
+        self.unreached = set()
         self.members = MemberTable(own=make_heartbeat(name).sender)
         self.configuration = ConfigurationHolder(decode=decode)
         self.catalogue = TargetCatalogue()
@@ -72,7 +72,7 @@
             read_clock=lambda: self.now,
             is_ready=lambda: True,
             is_leaving=lambda: self.is_leaving,
-            reaches_all_services=lambda: self.reaches_all_services,
+            reaches_service=lambda service: service not in self.unreached,
             is_store_reachable=lambda: self.is_store_reachable,
             notify_peers=lambda: None,
             probe_targets=self.probed.extend,
@@ -116,13 +116,17 @@
 
 
 class IsolatedReporterTest(unittest.TestCase):
-    def test_instance_without_targets_reports_no_failures(self):
+    def test_failures_of_an_unreached_service_are_not_reported(self):
         """Guards against failures seen behind a cut that begins during a probe."""
         peer = Peer("one")
-        peer.suspicions.record_failure("t1", now=peer.now)
-        self.assertEqual(len(peer.instance_state.make_heartbeat().losses), 1)
-        peer.reaches_all_services = False
-        self.assertEqual(peer.instance_state.make_heartbeat().losses, ())
+        services = {"t1": "pool", "t2": "plain"}
+        peer.catalogue.find_target = lambda name: mock.Mock(service=services[name])
+        for target in services:
+            peer.suspicions.record_failure(target, now=peer.now)
+        for unreached, expected in (({}, ["t1", "t2"]), ({"pool"}, ["t2"])):
+            peer.unreached = unreached
+            losses = peer.instance_state.make_heartbeat().losses
+            self.assertEqual([loss.target for loss in losses], expected)
 
     def test_isolated_peer_is_no_candidate_for_duties_that_need_targets(self):
         """Guards against a duty that stays vacant behind an isolated instance."""
