Relay: a peer that reaches no target either says so whatever ran before

A relayed request that had run once elsewhere was rejected with 502 (outcome unknown) by a peer that is isolated as well, in place of its own 2011, after which the next peer is asked. Found by reading; test_relayed_request_is_not_relayed_again has the case.

--- a/packages/router/fulmarward_router/exchange/_relay.py
+++ b/packages/router/fulmarward_router/exchange/_relay.py
@@ -87,7 +87,12 @@
         Cancelling it closes the connection, so that the peer stops its target.
         """
         if state.facts.relayed_by is not None:
-            raise self._make_rejection(state, "relayed", RELAYED_RETRY_S)
+            # Its runs are those at other instances, so that nothing has run here.
+            raise RejectedRequest(
+                ResultCode.TARGET_UNREACHABLE,
+                cause="relayed",
+                retry_after_s=RELAYED_RETRY_S,
+            )
         for peer in self._choose_peers():
             left_s = state.count_left(self._read_clock())
             state.relayed_to = peer.name
@@ -119,7 +124,7 @@
             )
             if not failure.is_not_run:
                 await self._require_retry(state, failure)
-        raise self._make_rejection(state, "no target answers", UNREACHED_RETRY_S)
+        raise self._make_rejection(state, "no target answers")
 
     def _choose_peers(self) -> list[RelayPeer]:
         return choose_relay_peers(
@@ -130,17 +135,19 @@
         )
 
     def _make_rejection(
-        self, state: RequestState, cause: str, retry_after_s: float
+        self, state: RequestState, cause: str
     ) -> RejectedRequest | TruncatedResponse:
         """Return the exception that ends a request that no peer has served."""
         if state.has_begun:
             return TruncatedResponse(cause=cause)
         if state.runs > 0:
             return self._context.make_rejection(
-                state, cause=cause, retry_after_s=retry_after_s
+                state, cause=cause, retry_after_s=UNREACHED_RETRY_S
             )
         return RejectedRequest(
-            ResultCode.TARGET_UNREACHABLE, cause=cause, retry_after_s=retry_after_s
+            ResultCode.TARGET_UNREACHABLE,
+            cause=cause,
+            retry_after_s=UNREACHED_RETRY_S,
         )
 
     async def _require_retry(self, state: RequestState, failure: _PeerFailed) -> None:
@@ -151,7 +158,7 @@
         else:
             is_taken = self._context.take_retry(state)
         if not is_taken:
-            raise self._make_rejection(state, failure.cause, UNREACHED_RETRY_S)
+            raise self._make_rejection(state, failure.cause)
 
     async def _relay(self, state: RequestState, peer: RelayPeer) -> web.StreamResponse:
         """Return the response of one peer; raises `_PeerFailed`."""
--- a/packages/router/fulmarward_router/exchange/tests/test_relay.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_relay.py
@@ -62,7 +62,7 @@
 
 
 class PlainRelayTest(unittest.IsolatedAsyncioTestCase):
-    async def relay(self, outcomes, *, kind, relayed_by=None, peers=3):
+    async def relay(self, outcomes, *, kind, relayed_by=None, peers=3, runs=0):
         """Relay a request; return its status or result code, and the peers asked."""
         self.client = _Client(outcomes)
         self.contacts = ContactTable()
@@ -109,6 +109,7 @@
             urgency=0,
             arrived_at=now,
             deadline=now + 60.0,
+            runs=runs,
         )
         try:
             answer = await relay.serve(state)
@@ -153,9 +154,12 @@
 
     async def test_relayed_request_is_not_relayed_again(self):
         """Guards against a request that goes round among isolated instances."""
-        found = await self.relay([], kind=RouteKind.IDEMPOTENT, relayed_by="two")
-        self.assertEqual(found, (ResultCode.TARGET_UNREACHABLE, 0))
-        self.assertGreater(self.retry_after_s, 0.0)
+        for runs in (0, 1):
+            found = await self.relay(
+                [], kind=RouteKind.IDEMPOTENT, relayed_by="two", runs=runs
+            )
+            self.assertEqual(found, (ResultCode.TARGET_UNREACHABLE, 0))
+            self.assertGreater(self.retry_after_s, 0.0)
 
     async def test_request_is_refused_at_once_without_peers(self):
         found = await self.relay([], kind=RouteKind.IDEMPOTENT, peers=0)
