Relay: targets are tried until it is certain that none answers

Until a service has been silent for a second, or a peer is served, silence only means that peers are asked first; an instance that gets a relayed request, or whose peers have not served one, tries its own targets.

--- a/packages/core/fulmarward_core/isolation/__init__.py
+++ b/packages/core/fulmarward_core/isolation/__init__.py
@@ -1,6 +1,7 @@
 """Which services an instance reaches, and through whom it serves the others."""
 
 from fulmarward_core.isolation._contacts import (
+    CERTAIN_AFTER_S,
     Contact,
     ContactEvent,
     ContactTable,
@@ -14,6 +15,7 @@
 )
 
 __all__ = [
+    "CERTAIN_AFTER_S",
     "SAMPLE_SIZE",
     "Contact",
     "ContactEvent",
--- a/packages/core/fulmarward_core/isolation/_contacts.py
+++ b/packages/core/fulmarward_core/isolation/_contacts.py
@@ -31,6 +31,10 @@
     SERVED_BY_PEER = "served by peer"
 
 
+#: Seconds without an answer after which a service counts as unreached for certain.
+#: Until then all its targets may just be slow to answer.
+CERTAIN_AFTER_S = 1.0
+
 #: The state after an event; an event without an entry changes nothing.
 _TRANSITIONS = {
     (Contact.REACHED, ContactEvent.SILENCE): Contact.UNREACHED,
@@ -48,6 +52,10 @@
     #: Since when no target answers, in seconds on the monotonic clock.
     since: float
 
+    def is_certain(self, *, now: float) -> bool:
+        """Return whether requests need not be tried at targets any more."""
+        return self.contact is Contact.ISOLATED or now - self.since >= CERTAIN_AFTER_S
+
 
 class ContactTable:
     """The contact of one instance to each service."""
@@ -61,6 +69,11 @@
         known = self._unreached.get(service)
         return Contact.REACHED if known is None else known.contact
 
+    def is_unreached_for_certain(self, service: str, *, now: float) -> bool:
+        """Return whether no target of a service is going to answer."""
+        known = self._unreached.get(service)
+        return known is not None and known.is_certain(now=now)
+
     def is_reached(self, service: str) -> bool:
         """Return whether requests to a service may be sent to its targets."""
         return service not in self._unreached
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -93,8 +93,11 @@
         state.last_event = state.facts.last_event
         answer: web.StreamResponse | None = None
         while True:
-            if self._relay.is_needed(state.service):
-                return await self._relay.serve(state)
+            if self._relay.is_needed(state):
+                relayed = await self._relay.serve(state)
+                if relayed is not None:
+                    return relayed
+                answer = state.request.get("answer")
             path, reservation = await self._reserve_path(state, engine, wanted)
             attempt = Attempt(
                 state=state,
@@ -131,7 +134,7 @@
             state.runs += not failure.is_not_run
             answer = state.request.get("answer")
             self._log_failure(state, attempt, failure)
-            if failure.is_not_sent and self._relay.is_needed(state.service):
+            if failure.is_not_sent and self._relay.is_needed(state):
                 # No target has received it, so that it takes no retry.
                 continue
             await self._require_retry(state, wanted, failure, answer)
--- a/packages/router/fulmarward_router/exchange/_plain.py
+++ b/packages/router/fulmarward_router/exchange/_plain.py
@@ -61,8 +61,10 @@
         tried: set[str] = set()
         last_failure: web.Response | None = None
         while True:
-            if self._relay.is_needed(state.service):
-                return await self._relay.serve(state)
+            if self._relay.is_needed(state):
+                relayed = await self._relay.serve(state)
+                if relayed is not None:
+                    return relayed
             target = await self._await_target(state, tried, last_failure)
             if target is None:
                 return last_failure
@@ -79,7 +81,7 @@
                 if answer.status < 500:
                     return answer
                 last_failure = answer
-            if state.runs == 0 and self._relay.is_needed(state.service):
+            if state.runs == 0 and self._relay.is_needed(state):
                 # No target has received it, so that it takes no retry.
                 continue
             if not self._context.take_retry(state):
--- a/packages/router/fulmarward_router/exchange/_relay.py
+++ b/packages/router/fulmarward_router/exchange/_relay.py
@@ -76,16 +76,29 @@
         self._dialect = context.dialect
         self._read_clock = context.read_clock
 
-    def is_needed(self, service: str) -> bool:
-        """Return whether this instance reaches no target of a service."""
-        return not self._contacts.is_reached(service)
+    def is_needed(self, state: RequestState) -> bool:
+        """Return whether to use `serve` instead of the targets of a service.
 
-    async def serve(self, state: RequestState) -> web.StreamResponse:
+        Guards against refusing requests everywhere because all targets were slow for a
+        moment: until it is certain that none answers, they are tried after the peers.
+        """
+        if self._contacts.is_reached(state.service):
+            return False
+        has_peers_left = state.facts.relayed_by is None and not state.is_relay_tried
+        return has_peers_left or self._is_certain(state)
+
+    def _is_certain(self, state: RequestState) -> bool:
+        now = self._read_clock()
+        return self._contacts.is_unreached_for_certain(state.service, now=now)
+
+    async def serve(self, state: RequestState) -> web.StreamResponse | None:
         """Return the response of a peer, or go on with a stream that has started.
 
-        Raises `RejectedRequest`, or `TruncatedResponse` if the response has started.
+        Returns `None` if no peer has served it and its targets may be tried. Raises
+        `RejectedRequest`, or `TruncatedResponse` if the response has started.
         Cancelling it closes the connection, so that the peer stops its target.
         """
+        state.is_relay_tried = True
         if state.facts.relayed_by is not None:
             # Its runs are those at other instances, so that nothing has run here.
             raise RejectedRequest(
@@ -124,6 +137,8 @@
             )
             if not failure.is_not_run:
                 await self._require_retry(state, failure)
+        if not self._is_certain(state):
+            return None
         raise self._make_rejection(state, "no target answers")
 
     def _choose_peers(self) -> list[RelayPeer]:
--- a/packages/router/fulmarward_router/exchange/_request_state.py
+++ b/packages/router/fulmarward_router/exchange/_request_state.py
@@ -48,6 +48,8 @@
     resumes: int = 0
     #: Name of the peer that the request was last relayed to, empty if to none.
     relayed_to: str = ""
+    #: Whether its peers have been tried.
+    is_relay_tried: bool = False
 
     @property
     def has_begun(self) -> bool:
--- a/packages/router/fulmarward_router/exchange/tests/test_late_sends.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_sends.py
@@ -81,7 +81,7 @@
         self.plain = PlainService(
             context=self.context,
             failure_detector=mock.Mock(),
-            relay=mock.Mock(is_needed=lambda service: False),
+            relay=mock.Mock(is_needed=lambda state: False),
         )
 
     def read_clock(self):
--- a/packages/router/fulmarward_router/exchange/tests/test_relay.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_relay.py
@@ -62,11 +62,14 @@
 
 
 class PlainRelayTest(unittest.IsolatedAsyncioTestCase):
-    async def relay(self, outcomes, *, kind, relayed_by=None, peers=3, runs=0):
+    async def relay(
+        self, outcomes, *, kind, relayed_by=None, peers=3, runs=0, is_certain=True
+    ):
         """Relay a request; return its status or result code, and the peers asked."""
         self.client = _Client(outcomes)
         self.contacts = ContactTable()
-        self.contacts.apply("plain", ContactEvent.SILENCE, now=0.0)
+        since = time.monotonic() - (60.0 if is_certain else 0.0)
+        self.contacts.apply("plain", ContactEvent.SILENCE, now=since)
         self.budget = RetryBudget(ratio=0.0, slack=10.0, window_s=10.0)
         context = ServiceContext(
             client=self.client,
@@ -116,6 +119,8 @@
         except RejectedRequest as rejection:
             self.retry_after_s = rejection.retry_after_s
             return rejection.code, len(self.client.asked)
+        if answer is None:
+            return None, len(self.client.asked)
         self.answer = answer
         return answer.status, len(self.client.asked)
 
@@ -161,6 +166,15 @@
             self.assertEqual(found, (ResultCode.TARGET_UNREACHABLE, 0))
             self.assertGreater(self.retry_after_s, 0.0)
 
+    async def test_targets_are_tried_until_it_is_certain_that_none_answers(self):
+        """Guards against refusals everywhere when all targets are slow for a moment."""
+        isolated = (503, _REJECTIONS[ResultCode.TARGET_UNREACHABLE])
+        for outcomes, peers in (([], 0), ([isolated, NotSent("")], 2)):
+            found = await self.relay(
+                outcomes, kind=RouteKind.IDEMPOTENT, peers=peers, is_certain=False
+            )
+            self.assertEqual(found, (None, peers))
+
     async def test_request_is_refused_at_once_without_peers(self):
         found = await self.relay([], kind=RouteKind.IDEMPOTENT, peers=0)
         self.assertEqual(found, (ResultCode.TARGET_UNREACHABLE, 0))
--- a/packages/router/fulmarward_router/tests/_routing_peer.py
+++ b/packages/router/fulmarward_router/tests/_routing_peer.py
@@ -147,7 +147,7 @@
             plain=PlainService(
                 context=context,
                 failure_detector=mock.Mock(),
-                relay=mock.Mock(is_needed=lambda service: False),
+                relay=mock.Mock(is_needed=lambda state: False),
             ),
             find_budget=context.find_budget,
             read_clock=lambda: self.now,
--- a/packages/router/fulmarward_router/tests/test_layout.py
+++ b/packages/router/fulmarward_router/tests/test_layout.py
@@ -74,6 +74,7 @@
             "stalls",
             "overlay",
             "paces",
+            "isolation",
             "repeats",
         ]
         found = [
