--- a/packages/core/fulmarward_core/isolation/_contacts.py
+++ b/packages/core/fulmarward_core/isolation/_contacts.py
@@ -24,7 +24,7 @@
     """An observation of a service."""
 
     #: None of its targets answered, in a sample of them.
-    SILENCE = "silence"
+    NO_ANSWER = "no answer"
     #: A target answered a new connection.
     ANSWER = "answer"
     #: A peer served a request that was relayed to it.
@@ -37,7 +37,7 @@
 
 #: The state after an event; an event without an entry changes nothing.
 _TRANSITIONS = {
-    (Contact.REACHED, ContactEvent.SILENCE): Contact.UNREACHED,
+    (Contact.REACHED, ContactEvent.NO_ANSWER): Contact.UNREACHED,
     (Contact.UNREACHED, ContactEvent.SERVED_BY_PEER): Contact.ISOLATED,
     (Contact.UNREACHED, ContactEvent.ANSWER): Contact.REACHED,
     (Contact.ISOLATED, ContactEvent.ANSWER): Contact.REACHED,
--- a/packages/core/fulmarward_core/isolation/tests/test_contacts.py
+++ b/packages/core/fulmarward_core/isolation/tests/test_contacts.py
@@ -2,8 +2,8 @@
 
 from fulmarward_core.isolation import Contact, ContactEvent, ContactTable
 
-_SILENCE, _ANSWER, _SERVED = (
-    ContactEvent.SILENCE,
+_NO_ANSWER, _ANSWER, _SERVED = (
+    ContactEvent.NO_ANSWER,
     ContactEvent.ANSWER,
     ContactEvent.SERVED_BY_PEER,
 )
@@ -16,12 +16,12 @@
             ([], Contact.REACHED),
             ([_ANSWER], Contact.REACHED),
             ([_SERVED], Contact.REACHED),
-            ([_SILENCE], Contact.UNREACHED),
-            ([_SILENCE, _SILENCE], Contact.UNREACHED),
-            ([_SILENCE, _ANSWER], Contact.REACHED),
-            ([_SILENCE, _SERVED], Contact.ISOLATED),
-            ([_SILENCE, _SERVED, _SILENCE], Contact.ISOLATED),
-            ([_SILENCE, _SERVED, _ANSWER], Contact.REACHED),
+            ([_NO_ANSWER], Contact.UNREACHED),
+            ([_NO_ANSWER, _NO_ANSWER], Contact.UNREACHED),
+            ([_NO_ANSWER, _ANSWER], Contact.REACHED),
+            ([_NO_ANSWER, _SERVED], Contact.ISOLATED),
+            ([_NO_ANSWER, _SERVED, _NO_ANSWER], Contact.ISOLATED),
+            ([_NO_ANSWER, _SERVED, _ANSWER], Contact.REACHED),
         ]
         for events, expected in cases:
             with self.subTest(events=events):
@@ -35,12 +35,12 @@
     def test_service_that_is_down_for_all_isolates_no_instance(self):
         """Guards against instances that leave the lookup when a service is down."""
         table = ContactTable()
-        table.apply("pool", _SILENCE, now=100.0)
+        table.apply("pool", _NO_ANSWER, now=100.0)
         self.assertFalse(table.is_isolated)
         self.assertTrue(table.is_reached("plain"))
 
-    def test_time_without_contact_counts_from_the_first_silence(self):
+    def test_time_without_contact_counts_from_the_first_missing_answer(self):
         table = ContactTable()
-        table.apply("pool", _SILENCE, now=100.0)
+        table.apply("pool", _NO_ANSWER, now=100.0)
         table.apply("pool", _SERVED, now=101.0)
         self.assertEqual(table.list_unreached()["pool"].since, 100.0)
--- a/packages/router/fulmarward_router/exchange/_contact_monitor.py
+++ b/packages/router/fulmarward_router/exchange/_contact_monitor.py
@@ -104,7 +104,7 @@
         if any(answers):
             self._apply(service, ContactEvent.ANSWER)
         elif paused_s <= SAMPLE_TIMEOUT_S * MAX_PAUSE_SHARE:
-            self._apply(service, ContactEvent.SILENCE, probed=names)
+            self._apply(service, ContactEvent.NO_ANSWER, probed=names)
 
     def _choose_sample(self, service: str, count: int) -> list[TargetRecord]:
         now = self._read_clock()
--- a/packages/router/fulmarward_router/exchange/tests/test_relay.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_relay.py
@@ -69,7 +69,7 @@
         self.client = _Client(outcomes)
         self.contacts = ContactTable()
         since = time.monotonic() - (60.0 if is_certain else 0.0)
-        self.contacts.apply("plain", ContactEvent.SILENCE, now=since)
+        self.contacts.apply("plain", ContactEvent.NO_ANSWER, now=since)
         self.budget = RetryBudget(ratio=0.0, slack=10.0, window_s=10.0)
         context = ServiceContext(
             client=self.client,
