Relay: a peer in doubt is the last resort

Since a relayed request that comes to a peer which is cut off as well, but not yet certain of it, is tried there and its failure was final.

Such a peer rejects the request again, so that the next one is asked; only if none serves it are those that rejected asked once more, as the last resort, and try their targets.

--- a/packages/router/fulmarward_router/exchange/_relay.py
+++ b/packages/router/fulmarward_router/exchange/_relay.py
@@ -48,11 +48,15 @@
 class _PeerFailed(Exception):
     """A peer did not serve a relayed request completely."""
 
-    def __init__(self, cause: str, *, is_not_run: bool) -> None:
+    def __init__(
+        self, cause: str, *, is_not_run: bool, is_rejection: bool = False
+    ) -> None:
         super().__init__(cause)
         self.cause = cause
         #: Whether no target has received the request through this peer.
         self.is_not_run = is_not_run
+        #: Whether the peer rejected it for a reason of its own.
+        self.is_rejection = is_rejection
 
 
 class PeerRelay:
@@ -80,12 +84,13 @@
         """Return whether to use `serve` instead of the targets of a service.
 
         Guards against refusing requests everywhere because all targets were slow for a
-        moment: until it is certain that none answers, they are tried after the peers.
+        moment: until it is certain that none answers, they are tried after the peers,
+        here and at peers that get a request as the last resort.
         """
         if self._contacts.is_reached(state.service):
             return False
-        has_peers_left = state.facts.relayed_by is None and not state.is_relay_tried
-        return has_peers_left or self._is_certain(state)
+        is_last = state.is_relay_tried or state.facts.is_last_resort
+        return not is_last or self._is_certain(state)
 
     def _is_certain(self, state: RequestState) -> bool:
         now = self._read_clock()
@@ -106,7 +111,26 @@
                 cause="relayed",
                 retry_after_s=RELAYED_RETRY_S,
             )
-        for peer in self._choose_peers():
+        peers = self._choose_peers()
+        for is_last_resort in (False, True):
+            answer, peers = await self._try_peers(
+                state, peers, is_last_resort=is_last_resort
+            )
+            if answer is not None:
+                return answer
+        if not self._is_certain(state):
+            return None
+        raise self._make_rejection(state, "no target answers")
+
+    async def _try_peers(
+        self, state: RequestState, peers: Sequence[RelayPeer], *, is_last_resort: bool
+    ) -> tuple[web.StreamResponse | None, list[RelayPeer]]:
+        """Return the response of the first peer that serves, and those that rejected.
+
+        Raises as `serve` does.
+        """
+        rejecting = []
+        for peer in peers:
             left_s = state.count_left(self._read_clock())
             state.relayed_to = peer.name
             log_event(
@@ -116,11 +140,15 @@
                 service=state.service,
                 runs=state.runs,
                 last_event=state.last_event,
+                is_last_resort=is_last_resort,
                 left_s=round(left_s, 3),
             )
             try:
                 async with asyncio.timeout(left_s):
-                    return await self._relay(state, peer)
+                    answer = await self._relay(
+                        state, peer, is_last_resort=is_last_resort
+                    )
+                return answer, []
             except TimeoutError:
                 # The peer has the same deadline, so nothing more can come.
                 failure = _PeerFailed("deadline", is_not_run=False)
@@ -137,9 +165,9 @@
             )
             if not failure.is_not_run:
                 await self._require_retry(state, failure)
-        if not self._is_certain(state):
-            return None
-        raise self._make_rejection(state, "no target answers")
+            if failure.is_rejection:
+                rejecting.append(peer)
+        return None, rejecting
 
     def _choose_peers(self) -> list[RelayPeer]:
         return choose_relay_peers(
@@ -175,12 +203,15 @@
         if not is_taken:
             raise self._make_rejection(state, failure.cause)
 
-    async def _relay(self, state: RequestState, peer: RelayPeer) -> web.StreamResponse:
+    async def _relay(
+        self, state: RequestState, peer: RelayPeer, *, is_last_resort: bool
+    ) -> web.StreamResponse:
         """Return the response of one peer; raises `_PeerFailed`."""
         headers = self._dialect.make_relay_headers(
             state.headers,
             relayed_by=self._context.instance,
             runs=state.runs,
+            is_last_resort=is_last_resort,
             deadline_s=state.count_left(self._read_clock()),
             last_event=state.last_event,
         )
@@ -212,7 +243,9 @@
         except AnswerLost as error:
             raise _PeerFailed(repr(error), is_not_run=False) from error
         if _is_local_rejection(response.status, body):
-            raise _PeerFailed("rejected by the peer", is_not_run=True)
+            raise _PeerFailed(
+                "rejected by the peer", is_not_run=True, is_rejection=True
+            )
         if state.has_begun:
             raise _PeerFailed(f"status {response.status}", is_not_run=True)
         headers = self._dialect.select_answer_headers(response.headers)
--- a/packages/router/fulmarward_router/exchange/tests/test_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_caller_handler.py
@@ -31,6 +31,7 @@
             hinted_answer_tokens=None,
             relayed_by=None,
             runs_before=0,
+            is_last_resort=False,
         )
 
 
--- a/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
@@ -252,6 +252,7 @@
             hinted_answer_tokens=None,
             relayed_by=None,
             runs_before=0,
+            is_last_resort=False,
         )
         services = {"pool": ServiceSpec(name="pool", engine=_ENGINE)}
         now = self.read_clock()
--- a/packages/router/fulmarward_router/exchange/tests/test_relay.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_relay.py
@@ -50,7 +50,7 @@
         self.asked = []
 
     async def open_relay(self, state, address, headers):
-        self.asked.append(address)
+        self.asked.append((address, dict(headers)["is_last_resort"]))
         outcome = self.outcomes.pop(0)
         if isinstance(outcome, Exception):
             raise outcome
@@ -104,7 +104,9 @@
             request=mock.MagicMock(get=lambda name: None),
             headers={},
             body=b"",
-            facts=SimpleNamespace(request_id="r1", relayed_by=relayed_by),
+            facts=SimpleNamespace(
+                request_id="r1", relayed_by=relayed_by, is_last_resort=False
+            ),
             configuration=None,
             route=route,
             team=None,
@@ -143,7 +145,8 @@
             (once, [AnswerLost(""), served], ResultCode.OUTCOME_UNKNOWN, 1, 0),
             (again, [AnswerLost(""), served], 200, 2, 1),
             (again, [full, served], 503, 1, 0),
-            (once, [isolated] * 3, ResultCode.TARGET_UNREACHABLE, 3, 0),
+            (once, [isolated] * 3 + [served], 200, 4, 0),
+            (once, [isolated] * 6, ResultCode.TARGET_UNREACHABLE, 6, 0),
             (once, [NotSent("")] * 3, ResultCode.TARGET_UNREACHABLE, 3, 0),
         ]
         for kind, outcomes, result, asked, retries in cases:
@@ -152,6 +155,15 @@
                 self.assertEqual(found, (result, asked))
                 self.assertEqual(self.count_retries(), retries)
 
+    async def test_peer_that_rejected_is_asked_again_as_the_last_resort(self):
+        """Guards against a peer in doubt that is asked before one that is not."""
+        isolated = (503, _REJECTIONS[ResultCode.TARGET_UNREACHABLE])
+        outcomes = [isolated, isolated, (200, b"whole")]
+        await self.relay(outcomes, kind=RouteKind.IDEMPOTENT, peers=2)
+        self.assertEqual(
+            [last for _, last in self.client.asked], [*["False"] * 2, "True"]
+        )
+
     async def test_rejection_of_a_peer_keeps_its_retry_delay(self):
         full = (503, _REJECTIONS[ResultCode.QUEUE_FULL])
         await self.relay([full], kind=RouteKind.IDEMPOTENT)
@@ -169,11 +181,11 @@
     async def test_targets_are_tried_until_it_is_certain_that_none_answers(self):
         """Guards against refusals everywhere when all targets are slow for a moment."""
         isolated = (503, _REJECTIONS[ResultCode.TARGET_UNREACHABLE])
-        for outcomes, peers in (([], 0), ([isolated, NotSent("")], 2)):
+        for outcomes, peers in (([], 0), ([isolated, NotSent(""), isolated], 2)):
             found = await self.relay(
                 outcomes, kind=RouteKind.IDEMPOTENT, peers=peers, is_certain=False
             )
-            self.assertEqual(found, (None, peers))
+            self.assertEqual(found, (None, len(outcomes)))
 
     async def test_request_is_refused_at_once_without_peers(self):
         found = await self.relay([], kind=RouteKind.IDEMPOTENT, peers=0)
--- a/packages/router/fulmarward_router/ports.py
+++ b/packages/router/fulmarward_router/ports.py
@@ -179,6 +179,9 @@
     #: may have executed it before.
     relayed_by: str | None
     runs_before: int
+    #: Whether no peer of that instance reaches targets for certain, so that this one
+    #: tries them.
+    is_last_resort: bool
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -286,6 +289,7 @@
         *,
         relayed_by: str,
         runs: int,
+        is_last_resort: bool,
         deadline_s: float,
         last_event: str | None,
     ) -> list[tuple[str, str]]:
