Isolation: a service is reached if a target accepts a connection

A sample asked for answers to reports, as probes do; but a target that is slow is reached. Its host accepts connections all the same, whereas all variants of a cut keep connections from being made.

test_service_is_unreached_only_if_no_target_accepts_connections fails before (a slow target counted as unreached).

--- a/packages/router/fulmarward_router/exchange/_contact_monitor.py
+++ b/packages/router/fulmarward_router/exchange/_contact_monitor.py
@@ -17,7 +17,7 @@
 from fulmarward_router.exchange._pause_meter import PauseMeter
 from fulmarward_router.ports import TargetDialect
 
-#: Seconds within which one target of a sample has to answer.
+#: Seconds within which one target of a sample has to accept a connection.
 SAMPLE_TIMEOUT_S = 0.5
 
 #: Share of that time for which the event loop may have been blocked.
@@ -91,13 +91,18 @@
             )
 
     async def _sample(self, service: str, count: int) -> None:
-        """Probe some targets of a service and record whether any of them answers."""
+        """Connect to some targets of a service and record whether any of them accepts.
+
+        No request is sent: targets that are all slow to answer are reached.
+        """
         sample = self._choose_sample(service, count)
         if not sample:
             return
         meter = PauseMeter()
         try:
-            answers = await asyncio.gather(*(self._is_answering(r) for r in sample))
+            answers = await asyncio.gather(
+                *(self._dialect.is_accepting(r, SAMPLE_TIMEOUT_S) for r in sample)
+            )
         finally:
             paused_s = meter.stop()
         names = [record.name for record in sample]
@@ -125,15 +130,6 @@
         records = self._catalogue.list_targets(now=now)
         return [record for record in records if record.service == service]
 
-    async def _is_answering(self, record: TargetRecord) -> bool:
-        """Return whether a target answers a new connection.
-
-        A report of a plain target waits for a slot, so an accepted connection counts.
-        """
-        if record.layers is None:
-            return await self._dialect.is_accepting(record, SAMPLE_TIMEOUT_S)
-        return await self._dialect.is_responding(record, SAMPLE_TIMEOUT_S)
-
     def _apply(
         self,
         service: str,
--- a/packages/router/fulmarward_router/exchange/tests/test_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_failure_detector.py
@@ -57,6 +57,9 @@
     async def is_responding(self, record, timeout_s):
         return await self._answer(record, timeout_s, wait_s=0)
 
+    async def is_accepting(self, record, timeout_s):
+        return await self.is_responding(record, timeout_s)
+
     async def _answer(self, record, timeout_s, *, wait_s):
         self.calls.append((record.name, timeout_s))
         if record.name not in self._silent(self._clock.now):
@@ -368,6 +371,9 @@
         self._answered = set()
         self.calls = Counter()
 
+    async def is_accepting(self, record, timeout_s):
+        return await self.is_responding(record, timeout_s)
+
     async def is_responding(self, record, timeout_s):
         self.calls[record.name] += 1
         if self._called_at is None:
@@ -488,6 +494,9 @@
         self._is_lost = is_lost
         self.calls = Counter()
 
+    async def is_accepting(self, record, timeout_s):
+        return await self.is_responding(record, timeout_s)
+
     async def is_responding(self, record, timeout_s):
         self.calls[record.name] += 1
         call = self.calls[record.name]
@@ -534,3 +543,36 @@
         """Guards against excluding a target that was probed for comparison only."""
         found = await self.probe(lambda name, call: name == "c" and call <= PROBE_CALLS)
         self.assertEqual(found, [])
+
+
+class _SlowDialect:
+    """Targets that accept connections but answer none of the requests."""
+
+    def __init__(self, *, accepts):
+        self._accepts = accepts
+
+    async def is_responding(self, record, timeout_s):
+        return False
+
+    async def is_accepting(self, record, timeout_s):
+        return self._accepts
+
+
+class ContactTest(unittest.IsolatedAsyncioTestCase):
+    async def test_service_is_unreached_only_if_no_target_accepts_connections(self):
+        """Guards against targets that are all slow and count as unreached."""
+        for accepts in (True, False):
+            contacts = ContactTable()
+            detector = FailureDetector(
+                dialect=_SlowDialect(accepts=accepts),
+                catalogue=_Catalogue("abcd"),
+                suspicions=SuspicionTable(),
+                contacts=contacts,
+                read_clock=time.monotonic,
+                notify_peers=lambda: None,
+            )
+            detector.probe("abcd")
+            await detector.probe_and_wait("abcd")
+            await detector.contact_monitor.wait("pool", timeout_s=9.0)
+            with self.subTest(accepts=accepts):
+                self.assertEqual(contacts.is_reached("pool"), accepts)
--- a/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
@@ -82,6 +82,9 @@
             is_plain=True,
         )
 
+    async def is_accepting(self, record, timeout_s):
+        return await self.is_responding(record, timeout_s)
+
     async def is_responding(self, record, timeout_s):
         if record.name in self.silent:
             await asyncio.sleep(timeout_s)
--- a/packages/router/fulmarward_router/placement/tests/test_placer.py
+++ b/packages/router/fulmarward_router/placement/tests/test_placer.py
@@ -86,6 +86,9 @@
         self.probed = []
         self.orders = []
 
+    async def is_accepting(self, record, timeout_s):
+        return await self.is_responding(record, timeout_s)
+
     async def is_responding(self, record, timeout_s):
         self.probed.append(record.name)
         if not self._receives_answers:
