--- a/packages/core/fulmarward_core/isolation/_contacts.py
+++ b/packages/core/fulmarward_core/isolation/_contacts.py
@@ -1,4 +1,4 @@
-"""Whether the targets of each service answer new connections of this instance.
+"""Whether the targets of each service accept connections of this instance.
 
 If none does, either the service is down or this instance is isolated from it. A
 request that a peer serves meanwhile shows that the fault is on this side. Streams prove
@@ -23,9 +23,9 @@
 class ContactEvent(Enum):
     """An observation of a service."""
 
-    #: None of its targets answered, in a sample of them.
+    #: No target of a sample accepted a connection.
     NO_ANSWER = "no answer"
-    #: A target answered a new connection.
+    #: A target accepted a connection, or answered a probe.
     ANSWER = "answer"
     #: A peer served a request that was relayed to it.
     SERVED_BY_PEER = "served by peer"
