--- a/packages/router/fulmarward_router/_metrics.py
+++ b/packages/router/fulmarward_router/_metrics.py
@@ -27,6 +27,9 @@
     retries: Counter
     #: Streams rerouted around an unreachable target or resumed elsewhere, by `how`.
     moves: Counter
+    #: Attempts at streams that ended without a complete response, by `service` and
+    #: `progress` of the response.
+    broken_attempts: Counter
     #: Calls to the store and to targets, by `call` and `status`.
     calls: Counter
     #: Bytes exchanged with peers, by `direction`.
@@ -61,6 +64,10 @@
             "retries_total", "Attempts beyond the first, by service."
         ),
         moves=factory.count("moves_total", "Streams moved, by how."),
+        broken_attempts=factory.count(
+            "broken_attempts_total",
+            "Attempts without a complete response, by service and progress.",
+        ),
         calls=factory.count("calls_total", "Calls to the store and to targets."),
         peer_bytes=factory.count("peer_bytes_total", "Bytes between instances."),
         first_event=factory.histogram(
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -310,6 +310,7 @@
             failure_detector=self.failure_detector,
             forwarder=forwarder,
             relay=relay,
+            count_broken_attempt=self._count_broken_attempt,
         )
         return CallerHandler(
             dialect=self.dialect,
@@ -415,6 +416,9 @@
         self._calls[call] += 1
         self.metrics.calls.inc({"call": call, "status": status})
 
+    def _count_broken_attempt(self, service: str, progress: str) -> None:
+        self.metrics.broken_attempts.inc({"service": service, "progress": progress})
+
     def _count_bytes(self, direction: str, size: int) -> None:
         self._peer_bytes[direction] += size
 
--- a/packages/router/fulmarward_router/exchange/_attempt.py
+++ b/packages/router/fulmarward_router/exchange/_attempt.py
@@ -1,6 +1,7 @@
 """One attempt at a stream, and the exception that ends it early."""
 
 import asyncio
+from enum import Enum
 
 import aiohttp
 
@@ -11,6 +12,17 @@
 from fulmarward_router.exchange._request_state import RequestState
 
 
+class Progress(Enum):
+    """How far the response of a target to one attempt has come."""
+
+    #: No response has started.
+    NO_RESPONSE = "no response"
+    #: The response has started, and no complete event has arrived.
+    NO_EVENT = "no event"
+    #: At least one complete event has arrived.
+    EVENTS = "events"
+
+
 class Attempt:
     """One attempt at a stream, with the resources that it holds."""
 
@@ -42,6 +54,8 @@
         self.last_event_at = float("-inf")
         self.checks = 0
         self.has_begun = False
+        #: Number of complete events that arrived.
+        self.events = 0
         self.slow_signs = SlowStreamDetector()
         #: Aborts the attempt at the request's deadline.
         self.deadline_timer: asyncio.TimerHandle | None = None
@@ -50,6 +64,13 @@
     def first(self) -> Hop:
         return self.path[0]
 
+    @property
+    def progress(self) -> "Progress":
+        """How far the response of the target has come."""
+        if self.response is None:
+            return Progress.NO_RESPONSE
+        return Progress.EVENTS if self.events else Progress.NO_EVENT
+
     def abort(self, failure: "AttemptFailed") -> None:
         """Abort the attempt; the task that awaits its response raises `failure`."""
         if self.failure is not None:
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -1,6 +1,7 @@
 """Serves requests to engine services: streams computed along a path of targets."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import replace
 
 import aiohttp
@@ -35,6 +36,9 @@
 #: Factor by which a response is assumed to be longer than the caller's hint.
 HINT_MARGIN = 1.25
 
+#: Upper bound on the parts of a prompt in one log line.
+MAX_LOGGED_PARTS = 16
+
 
 class EngineService:
     """Serves requests to services whose targets hold layers of a model."""
@@ -46,9 +50,12 @@
         failure_detector: FailureDetector,
         forwarder: StreamForwarder,
         relay: PeerRelay,
+        count_broken_attempt: Callable[[str, str], None],
     ) -> None:
         self._context = context
         self._forwarder = forwarder
+        #: Counts an attempt that broke off, by service and progress.
+        self._count_broken_attempt = count_broken_attempt
         self._relay = relay
         self._client = context.client
         self._dialect = context.dialect
@@ -120,6 +127,7 @@
                 prompt=wanted.prompt,
                 answer=wanted.answer,
                 last_event=state.last_event,
+                parts=state.facts.shared_parts[:MAX_LOGGED_PARTS],
             )
             try:
                 answer = await self._run_attempt(state, attempt, answer)
@@ -369,6 +377,7 @@
                 break
             self.supervisor.record_activity(attempt)
             await self._forwarder.forward_events(state, splitter, data, answer)
+            attempt.events = splitter.completed
         if splitter.pending:
             raise AttemptFailed(cause="ended inside an event", is_not_run=False)
 
@@ -387,4 +396,9 @@
             cause=failure.cause,
             attempt=state.attempts,
             last_event=state.last_event,
+            progress=attempt.progress.value,
+            events=attempt.events,
+            parts=state.facts.shared_parts[:MAX_LOGGED_PARTS],
         )
+        if not failure.is_not_run:
+            self._count_broken_attempt(state.service, attempt.progress.value)
--- a/packages/router/fulmarward_router/exchange/_events.py
+++ b/packages/router/fulmarward_router/exchange/_events.py
@@ -21,10 +21,13 @@
 
     def __init__(self) -> None:
         self._pending = b""
+        #: Number of events completed so far.
+        self.completed = 0
 
     def feed(self, data: bytes) -> list[Event]:
         """Append bytes and return the events that they complete."""
         *whole, self._pending = (self._pending + data).split(b"\n\n")
+        self.completed += len(whole)
         return [Event(data=item + b"\n\n", id=_parse_id(item)) for item in whole]
 
     @property
--- a/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
@@ -223,6 +223,7 @@
             failure_detector=detector,
             forwarder=forwarder,
             relay=relay,
+            count_broken_attempt=lambda service, progress: None,
         )
         self.start(self.service.supervisor.run())
 
@@ -256,6 +257,7 @@
             relayed_by=None,
             runs_before=0,
             is_last_resort=False,
+            shared_parts=(),
         )
         services = {"pool": ServiceSpec(name="pool", engine=_ENGINE)}
         now = self.read_clock()
--- a/packages/router/fulmarward_router/ports.py
+++ b/packages/router/fulmarward_router/ports.py
@@ -182,6 +182,8 @@
     #: Whether no peer of that instance reaches targets for certain, so that this one
     #: tries them.
     is_last_resort: bool
+    #: Ids of the parts of the prompt that other requests may share, in their order.
+    shared_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True)
