Streams: an empty response without length or chunks is not complete

Callers saw: 200 with an empty stream, as if it were whole, when the target's connection ended before the first event of a response that only the connection ends. Cause: such an end counted as the end of the response unless an event was half sent. Evidence: test_stream_that_ends_before_an_event_is_sent_again fails on ((200, b'') instead of 30 events). A whole stream without length is forwarded as before (third test).

--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -401,7 +401,7 @@
             await self._forwarder.forward_events(state, splitter, data, answer)
             attempt.events = splitter.completed
             self._crash_monitor.record_events(state, attempt)
-        if splitter.pending:
+        if splitter.pending or _is_empty(attempt):
             self._record_broken_response(attempt)
             raise AttemptFailed(
                 cause="ended inside an event", is_not_run=False, is_broken_off=True
@@ -429,3 +429,13 @@
         )
         if not failure.is_not_run:
             self._count_broken_attempt(state.service, attempt.progress.value)
+
+
+def _is_empty(attempt: Attempt) -> bool:
+    """Return whether a response that only its connection ends has no event.
+
+    Nothing else tells it from one that was broken off.
+    """
+    headers = attempt.response.headers
+    is_framed = "Content-Length" in headers or "Transfer-Encoding" in headers
+    return not is_framed and not attempt.events
