Operators: rejected prompt parts are listed, and one can be lifted

fulmarctl beliefs shows the parts that are rejected with team, evidence and targets; fulmarctl lift ADDRESS PART clears one at all instances, for weights or engines that have been mended.

--- a/packages/client/fulmarctl/_commands.py
+++ b/packages/client/fulmarctl/_commands.py
@@ -77,6 +77,21 @@
         reply = _call(fleet, "/status")
         print_reply(reply.body, as_json=self._as_json)
 
+    @defer
+    def lift(self, address: str, part: str) -> None:
+        """Accept prompts with PART again, which crashed targets, at all instances.
+
+        ADDRESS is the metrics address of a routing instance, `IP:PORT`; `beliefs` shows
+        there which parts are rejected. If targets crash under PART again, it is
+        rejected again. Needs no settings file.
+        """
+        fleet = Fleet(addresses=(address,), token="")
+        reply = _call(fleet, "/lift-prompt-part", {"part": str(part)})
+        if not reply.body["is_lifted"]:
+            detail = f"No crashes are known under the prompt part {part}."
+            print_failure(make_failure(ResultCode.NOT_FOUND, detail))
+        print_reply(reply.body, as_json=self._as_json)
+
     @defer
     def apply(
         self, file: str, base_epoch: int | None = None, wait_s: float = 10.0
--- a/packages/router/fulmarward_router/_lookup.py
+++ b/packages/router/fulmarward_router/_lookup.py
@@ -7,12 +7,17 @@
 from aioprometheus.renderer import render
 
 from fulmarward.observability import log_event
+from fulmarward_core.results import ResultCode
 from fulmarward_router._metrics import RouterMetrics
 
 #: Seconds for which callers cache a lookup, equal to the time for which a failed
 #: instance stays listed.
 LOOKUP_DURATION_S = 1.0
 
+#: Upper bound on the bytes of an operator's request, and on an id in a log line.
+MAX_OPERATOR_BYTES = 4096
+MAX_LOGGED_ID = 64
+
 _READY_PATH = "/ready"
 _LOOKUP_PATH = "/lookup"
 
@@ -69,7 +74,8 @@
             body = orjson.dumps(describe(), option=orjson.OPT_INDENT_2)
             return web.Response(body=body, content_type="application/json")
         if request.path == "/lift-prompt-part" and request.method == "POST":
-            return _lift(await request.read(), lift_prompt_part)
+            body = await request.content.read(MAX_OPERATOR_BYTES)
+            return _lift(body, lift_prompt_part)
         log_event("operator_request_refused", path=request.path)
         return web.Response(status=404)
 
@@ -83,8 +89,19 @@
     except (ValueError, KeyError, TypeError):
         part = None
     if not isinstance(part, str):
-        return web.Response(status=400, text='expected {"part": ID}')
+        return _respond_with_json(
+            {
+                "result": int(ResultCode.USAGE),
+                "error": {"message": 'expected {"part": ID}'},
+                "retry_after_ms": None,
+            },
+            status=400,
+        )
     is_lifted = lift_prompt_part(part)
-    log_event("prompt_part_lifted", part=part, is_known=is_lifted)
-    content = orjson.dumps({"part": part, "is_lifted": is_lifted})
-    return web.Response(body=content, content_type="application/json")
+    log_event("prompt_part_lifted", part=part[:MAX_LOGGED_ID], is_known=is_lifted)
+    return _respond_with_json({"part": part, "is_lifted": is_lifted}, status=200)
+
+
+def _respond_with_json(tree: object, *, status: int) -> web.Response:
+    body = orjson.dumps(tree)
+    return web.Response(body=body, status=status, content_type="application/json")
