Placement: a service that cannot be planned for ends no lease holder

Now the layers of that service stay as they are and the others are reconciled. test_service_that_cannot_be_planned_for_... fails before with IndexError.

--- a/packages/router/fulmarward_router/placement/_placer.py
+++ b/packages/router/fulmarward_router/placement/_placer.py
@@ -124,6 +124,8 @@
         self._first_seen: dict[str, float] = {}
         #: Since when each layer lacks a confirmed holder, by service and data centre.
         self._missing_since: dict[tuple[str, str], dict[int, float]] = {}
+        #: Services whose last reconciliation failed with an internal error.
+        self._failing_services: set[str] = set()
         #: Target processes (name, start time) to which this instance has sent an order.
         self._ordered: set[tuple[str, int]] = set()
 
@@ -142,10 +144,24 @@
                 if spec.engine is None or not spec.engine.kinds:
                     continue
                 if self._contacts.is_reached(spec.name):
-                    await self._reconcile(spec.name, spec.engine)
+                    await self._try_reconcile(spec.name, spec.engine)
                 else:
                     self._forget_gaps(spec.name)
 
+    async def _try_reconcile(self, service: str, engine: EngineModel) -> None:
+        """Reconcile a service; an internal error leaves its layers as they are.
+
+        Guards against a service that ends the lease holder, and then each successor.
+        """
+        try:
+            await self._reconcile(service, engine)
+        except Exception as error:
+            if service not in self._failing_services:
+                log_event("reconciliation_failed", exc_info=error, service=service)
+            self._failing_services.add(service)
+        else:
+            self._failing_services.discard(service)
+
     def _forget_gaps(self, service: str) -> None:
         """Forget the gaps of a service whose targets do not answer this instance.
 
--- a/packages/router/fulmarward_router/placement/tests/test_placer.py
+++ b/packages/router/fulmarward_router/placement/tests/test_placer.py
@@ -128,7 +128,9 @@
 class _Instance:
     """The lease holder, with a peer that reports unreachable targets."""
 
-    def __init__(self, read_clock, fleet, unresponsive, receives_answers):
+    def __init__(
+        self, read_clock, fleet, unresponsive, receives_answers, other_services
+    ):
         self.read_clock = read_clock
         self.table = SuspicionTable()
         self.dialect = _Dialect(unresponsive, receives_answers)
@@ -146,7 +148,7 @@
         self.placer = Placer(
             dialect=self.dialect,
             lease=_Lease(),
-            configuration=_Holder(_Configuration({"pool": pool})),
+            configuration=_Holder(_Configuration({**other_services, "pool": pool})),
             catalogue=catalogue,
             suspicions=self.table,
             contacts=ContactTable(),
@@ -186,10 +188,13 @@
     receives_answers=True,
     empty=(),
     seconds=5.0,
+    other_services=(),
 ):
     async def work(read_clock):
         fleet = _remove_layers(_make_placed_fleet(counts), empty)
-        instance = _Instance(read_clock, fleet, unresponsive, receives_answers)
+        instance = _Instance(
+            read_clock, fleet, unresponsive, receives_answers, dict(other_services)
+        )
         await instance.run(seconds, on_heartbeat)
         return instance
 
@@ -258,6 +263,17 @@
         self.assertEqual((name, layers), ("a-middle-0", "71-80"))
         self.assertLessEqual(after_s, _TWO_PASSES_S)
 
+    def test_service_that_cannot_be_planned_for_delays_no_other(self):
+        """Guards against a service that ends one lease holder after the other."""
+        broken = ServiceSpec(name="pool", engine=replace(ENGINE, layers=0))
+        instance = _run(
+            _SPARE,
+            _report_losses("a-large-4"),
+            unresponsive={"a-large-4"},
+            other_services={"broken": broken},
+        )
+        self.assertNotEqual(instance.list_orders(), [])
+
     def test_unresponsive_target_is_replaced_among_false_reports(self):
         reported = _report_losses("a-large-4", "a-large-0", "a-small-2")
         instance = _run(_SPARE, reported, unresponsive=["a-large-4"])
