Tests of the crash monitor: waiting for peers' records, answers, what does not count

Two of the five fail if requests do not wait for the records of a peer after a start or a pause; the fleet tests do not show that, as links are opened faster than requests come.

--- /dev/null
+++ b/packages/router/fulmarward_router/exchange/tests/test_crash_monitor.py
@@ -0,0 +1,146 @@
+import asyncio
+import unittest
+from types import SimpleNamespace
+from unittest import mock
+
+from fulmarward_core.results import ResultCode
+from fulmarward_router.exchange._attempt import AttemptFailed, Progress
+from fulmarward_router.exchange._crash_monitor import CrashMonitor
+from fulmarward_router.exchange._request_state import (
+    RejectedRequest,
+    TruncatedResponse,
+)
+from fulmarward_router.state import PoisonKnowledge
+
+
+class _Catalogue:
+    def __init__(self, target):
+        self._target = target
+
+    def find_target(self, name):
+        return self._target
+
+
+class CrashMonitorTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.now = 100.0
+        self.fetches = []
+        self.notified = []
+        self.poison = PoisonKnowledge(
+            read_clock=lambda: self.now,
+            notify_peers=self.notified.append,
+            fetch_from_peers=lambda: self.fetches.append(self.now),
+        )
+        self.start()
+
+    def start(self, *, has_ended=True, is_leaving=False, is_reached=True):
+        """Make the monitor of an instance before one target, which may have ended."""
+        self.detector = SimpleNamespace(probe_again=mock.AsyncMock())
+        context = SimpleNamespace(
+            poison=self.poison,
+            catalogue=_Catalogue(SimpleNamespace(is_leaving=is_leaving)),
+            suspicions=SimpleNamespace(is_unreachable=lambda name, now: has_ended),
+            contacts=SimpleNamespace(is_reached=lambda service: is_reached),
+            read_clock=lambda: self.now,
+        )
+        self.monitor = CrashMonitor(
+            context=context,
+            failure_detector=self.detector,
+            count_crash=lambda service, progress: None,
+        )
+
+    def make_state(self, *, runs=0, has_begun=False, parts=("x",)):
+        return SimpleNamespace(
+            facts=SimpleNamespace(request_id="r", shared_parts=parts),
+            team=None,
+            service="pool",
+            runs=runs,
+            attempts=runs,
+            has_begun=has_begun,
+            count_left=lambda now: 5.0,
+        )
+
+    async def crash(self, number, *, events=0, is_broken_off=True):
+        """Break off an attempt at a target, whose response had started."""
+        self.now += 1.0
+        attempt = SimpleNamespace(
+            first=SimpleNamespace(target=f"i-{number}"),
+            events=events,
+            is_proven=False,
+            progress=Progress.EVENTS if events else Progress.NO_EVENT,
+        )
+        failure = AttemptFailed(cause="", is_not_run=False, is_broken_off=is_broken_off)
+        self.monitor.record_events(self.make_state(), attempt)
+        await self.monitor.examine(self.make_state(), attempt, failure)
+
+    async def test_request_waits_for_the_records_of_a_peer(self):
+        """Guards against an instance that learns by crashing another target."""
+        running = asyncio.create_task(self.poison.run())
+        self.addCleanup(running.cancel)
+        await asyncio.sleep(0)
+        admitted = asyncio.create_task(self.monitor.admit(self.make_state()))
+        await asyncio.sleep(0)
+        for number in range(3):
+            await self.crash(number)
+        self.assertFalse(admitted.done())
+        self.poison.record_current()
+        with self.assertRaises(RejectedRequest):
+            await admitted
+        self.assertEqual(self.fetches, [100.0])
+
+    async def test_request_waits_again_after_a_pause_of_the_instance(self):
+        """Guards against an instance that wakes up with what it knew before."""
+        self.poison.record_current()
+        await self.monitor.admit(self.make_state())
+        self.now += 5.0
+        admitted = asyncio.create_task(self.monitor.admit(self.make_state()))
+        await asyncio.sleep(0)
+        self.assertFalse(admitted.done())
+        self.assertEqual(self.fetches, [105.0])
+        self.poison.record_current()
+        await admitted
+
+    async def test_answers(self):
+        cases = [
+            (2, {}, ResultCode.PROMPT_SUSPENDED),
+            (3, {}, ResultCode.PROMPT_BLOCKED),
+            (2, {"runs": 1}, ResultCode.PROMPT_CRASHED),
+            (3, {"runs": 1}, ResultCode.PROMPT_CRASHED),
+        ]
+        for crashes, state, code in cases:
+            with self.subTest(crashes=crashes, **state):
+                self.setUp()
+                for number in range(crashes):
+                    await self.crash(number)
+                with self.assertRaises(RejectedRequest) as caught:
+                    self.monitor.check(self.make_state(**state))
+                self.assertEqual(caught.exception.code, code)
+                has_delay = caught.exception.retry_after_s is not None
+                self.assertEqual(has_delay, code is ResultCode.PROMPT_SUSPENDED)
+                with self.assertRaises(TruncatedResponse):
+                    self.monitor.check(self.make_state(**state, has_begun=True))
+                self.monitor.check(self.make_state(parts=("y",)))
+
+    async def test_only_crashes_under_unproven_requests_count(self):
+        """Guards against parts that are accused by failures of another kind."""
+        cases = [
+            ({"has_ended": False}, {}),
+            ({"is_leaving": True}, {}),
+            ({"is_reached": False}, {}),
+            ({}, {"events": 4}),
+            ({}, {"is_broken_off": False}),
+        ]
+        for instance, crash in cases:
+            with self.subTest(**instance, **crash):
+                self.start(**instance)
+                for number in range(4):
+                    await self.crash(number, **crash)
+                self.assertEqual(self.poison.findings, ())
+
+    async def test_peers_are_notified_once_of_what_changes_together(self):
+        await self.crash(1)
+        self.poison.record_crash(
+            target="i-1", team="", parts=["w", "x"], is_strong=True
+        )
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.notified, [["w", "x"]])
