Crashing prompts: blocked parts are kept in the store

Callers would see: after all instances stopped at once, as in a loss of power, the part ends targets again until it is found once more. Now the instances that saw it crash write a row for a blocked part (table poison), remove it when the part is cleared or lifted, and renew it hourly while it is requested; each instance reads the table once at its start.

--- a/packages/core/fulmarward_core/poison/_table.py
+++ b/packages/core/fulmarward_core/poison/_table.py
@@ -154,6 +154,10 @@
         self._seen_at.update((part, now) for part in due)
         return due
 
+    def list_parts(self) -> frozenset[str]:
+        """Return the parts that have records."""
+        return frozenset(self._crashes)
+
     def list_seen(self, parts: Iterable[str] | None = None) -> list[SeenPart]:
         """Return the records of the given parts, by default of all."""
         names = list(self._crashes) if parts is None else parts
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -70,6 +70,7 @@
     InstanceRows,
     InstanceState,
     PoisonKnowledge,
+    PoisonRows,
     StoreWatch,
     TargetChangeHandler,
 )
@@ -184,6 +185,7 @@
             read_clock=clock,
             notify_peers=lambda parts: self.mesh.notify_poison(parts),
             fetch_from_peers=lambda: self.mesh.fetch_poison(),
+            record_block_changed=lambda parts: self.poison_rows.record_changed(parts),
         )
         self.paces = PaceTable()
         self.ledger = LoadLedger(note_changed=lambda: self.mesh.notify_loads())
@@ -247,6 +249,9 @@
             decode=self.meter.measure("message_decoding", decode_message),
             encode=self.meter.measure("message_encoding", encode_message),
         )
+        self.poison_rows = PoisonRows(
+            store=self.store, poison=self.poison, read_wall_clock=time.time
+        )
         self.rows = InstanceRows(
             store=self.store,
             own=self.own,
@@ -451,6 +456,7 @@
             self._start("mesh", self.mesh.run(settings.seeds)),
             self._start("instances", self.rows.follow()),
             self._start("poison", self.poison.run()),
+            self._start("poison_rows", self.poison_rows.run()),
             self._start("lease", self.lease.run()),
             self._start("placement", self.placer.run()),
             self._start("streams", self.engines.supervisor.run()),
--- a/packages/router/fulmarward_router/exchange/tests/test_crash_monitor.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_crash_monitor.py
@@ -26,10 +26,12 @@
         self.now = 100.0
         self.fetches = []
         self.notified = []
+        self.written = []
         self.poison = PoisonKnowledge(
             read_clock=lambda: self.now,
             notify_peers=self.notified.append,
             fetch_from_peers=lambda: self.fetches.append(self.now),
+            record_block_changed=self.written.append,
         )
         self.start()
 
@@ -144,3 +146,20 @@
         )
         await asyncio.sleep(0.05)
         self.assertEqual(self.notified, [["w", "x"]])
+
+    async def test_block_that_a_peers_crash_completes_is_written(self):
+        """Guards against a block that no instance takes for its own to write."""
+        peer = PoisonKnowledge(
+            read_clock=lambda: self.now,
+            notify_peers=lambda parts: None,
+            fetch_from_peers=lambda: None,
+            record_block_changed=lambda parts: None,
+        )
+        await self.crash(1)
+        for number in (2, 3):
+            self.now += 1.0
+            peer.record_crash(
+                target=f"i-{number}", team="", parts=["x"], is_strong=True
+            )
+        self.poison.merge(peer.make_reports(), source="peer", delay_s=0.0)
+        self.assertIn(["x"], self.written)
--- a/packages/router/fulmarward_router/state/__init__.py
+++ b/packages/router/fulmarward_router/state/__init__.py
@@ -4,6 +4,7 @@
 from fulmarward_router.state._instance_state import InstanceState
 from fulmarward_router.state._instances import InstanceRows
 from fulmarward_router.state._poison import PoisonKnowledge
+from fulmarward_router.state._poison_rows import PoisonRows
 from fulmarward_router.state._target_changes import TargetChangeHandler
 from fulmarward_router.state._watch import StoreWatch
 
@@ -12,6 +13,7 @@
     "InstanceRows",
     "InstanceState",
     "PoisonKnowledge",
+    "PoisonRows",
     "StoreWatch",
     "TargetChangeHandler",
 ]
--- a/packages/router/fulmarward_router/state/_poison.py
+++ b/packages/router/fulmarward_router/state/_poison.py
@@ -39,13 +39,21 @@
         read_clock: Callable[[], float],
         notify_peers: Callable[[Sequence[str]], None],
         fetch_from_peers: Callable[[], None],
+        record_block_changed: Callable[[Sequence[str]], None],
     ) -> None:
         self._read_clock = read_clock
+        #: Called with the parts that this instance blocked or accepted again, and with
+        #: blocked ones that are still requested.
+        self._record_block_changed = record_block_changed
         #: Sends the records of the given parts to all peers.
         self._notify_peers = notify_peers
         self._fetch_from_peers = fetch_from_peers
         self._table = PoisonTable()
         self._logged: dict[frozenset[str], tuple[Verdict, str | None]] = {}
+        self._blocked: frozenset[str] = frozenset()
+        #: Parts under which this instance itself saw a target crash; these it writes to
+        #: the store.
+        self._own_parts: set[str] = set()
         self._pending: set[str] = set()
         self._current = asyncio.Event()
         self._checked_at = read_clock()
@@ -88,10 +96,15 @@
         """The parts that are suspended or blocked, the best founded first."""
         return self._table.findings
 
+    def is_blocked(self, part: str) -> bool:
+        """Return whether requests with a part are rejected until it is cleared."""
+        return part in _list_blocked(self._table.findings)
+
     def record_crash(
-        self, *, target: str, team: str, parts: Iterable[str], is_strong: bool
+        self, *, target: str, team: str, parts: Collection[str], is_strong: bool
     ) -> None:
         """Record that a target crashed under a request."""
+        self._own_parts.update(parts)
         changed = self._table.record_crash(
             target=target,
             team=team,
@@ -120,7 +133,9 @@
         now = self._read_clock()
         finding = self._table.find_rejection(parts, team=team, now=now)
         if finding is not None and finding.verdict is Verdict.BLOCKED:
-            self._collect(self._table.renew(finding, now=now))
+            renewed = self._table.renew(finding, now=now)
+            self._collect(renewed)
+            self._record_block_changed(renewed)
         return finding
 
     def make_reports(
@@ -148,13 +163,23 @@
         sent_at = now - (delay_s if math.isfinite(delay_s) else 0.0)
         seen_parts = [_read_report(report, sent_at) for report in reports]
         changed = self._table.merge(seen_parts, now=now)
-        self._log_findings(source)
+        if changed:
+            blocked = self._update_findings(source) & self._own_parts
+            self._record_block_changed(sorted(blocked))
         return changed
 
     def _handle_changes(self, changed: Collection[str], *, source: str) -> None:
         if changed:
-            self._log_findings(source)
             self._collect(changed)
+            self._record_block_changed(sorted(self._update_findings(source)))
+
+    def _update_findings(self, source: str) -> frozenset[str]:
+        """Log what changed in the findings; return the parts whose block changed."""
+        before = self._blocked
+        self._log_findings(source)
+        self._blocked = _list_blocked(self._table.findings)
+        self._own_parts.intersection_update(self._table.list_parts())
+        return before ^ self._blocked
 
     def _collect(self, parts: Iterable[str]) -> None:
         """Notify peers of parts soon, together with those that follow at once."""
@@ -188,6 +213,15 @@
         self._logged = found
 
 
+def _list_blocked(findings: Iterable[PoisonFinding]) -> frozenset[str]:
+    return frozenset(
+        part
+        for finding in findings
+        if finding.verdict is Verdict.BLOCKED
+        for part in finding.parts
+    )
+
+
 def _count_ms(at: float, now: float) -> int:
     return max(0, int((now - at) * 1000))
 
--- /dev/null
+++ b/packages/router/fulmarward_router/state/_poison_rows.py
@@ -0,0 +1,115 @@
+"""Keeps blocked prompt parts in the store, for when all instances stop at once."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+import cbor2
+
+from fulmarward.observability import log_event
+from fulmarward_core.poison import BLOCK_RETENTION_S
+from fulmarward_router.mesh import CrashReport, PoisonPartReport
+from fulmarward_router.ports import ReplyLost, Row, RowWrite, Store, StoreRefused
+from fulmarward_router.state._poison import PoisonKnowledge
+
+#: The store's table with a row for each blocked part.
+POISON_TABLE = "poison"
+
+#: Seconds before a failed call to the store is retried.
+RETRY_INTERVAL_S = 1.0
+
+#: Milliseconds between the crashes of a part that is read, whose times are not kept.
+_CRASH_SPACING_MS = 1000
+
+
+class PoisonRows:
+    """Reads the rows once and writes those of parts whose block changes."""
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        poison: PoisonKnowledge,
+        read_wall_clock: Callable[[], float],
+    ) -> None:
+        self._store = store
+        self._poison = poison
+        #: Returns seconds since 1970, which outlast the process.
+        self._read_wall_clock = read_wall_clock
+        self._changed = asyncio.Queue[str]()
+
+    def record_changed(self, parts: Sequence[str]) -> None:
+        """Write the rows of parts soon, as this instance blocked or accepted them."""
+        for part in parts:
+            self._changed.put_nowait(part)
+
+    async def run(self) -> None:
+        """Read all rows, then write those that change, until cancelled."""
+        while not await self._read():
+            await asyncio.sleep(RETRY_INTERVAL_S)
+        while True:
+            part = await self._changed.get()
+            while not await self._write(part):
+                await asyncio.sleep(RETRY_INTERVAL_S)
+
+    async def _read(self) -> bool:
+        """Merge all rows; return whether the store answered."""
+        try:
+            read = await self._store.read_table(POISON_TABLE)
+        except (StoreRefused, ReplyLost) as error:
+            log_event("poison_rows_read_failed", cause=repr(error))
+            return False
+        now = self._read_wall_clock()
+        reports = [_decode_row(row, now=now) for row in read.rows]
+        known = [report for report in reports if report is not None]
+        self._poison.merge(known, source="store", delay_s=0.0)
+        return True
+
+    async def _write(self, part: str) -> bool:
+        """Write or remove the row of a part; return whether the store answered."""
+        value = None
+        if self._poison.is_blocked(part):
+            [report] = self._poison.make_reports([part])
+            value = _encode_row(report, now=self._read_wall_clock())
+        write = RowWrite(table=POISON_TABLE, key=part, value=value)
+        try:
+            await self._store.transact([], [write])
+        except (StoreRefused, ReplyLost) as error:
+            log_event("poison_row_write_failed", part=part, cause=repr(error))
+            return False
+        log_event("poison_row_written", part=part, is_blocked=value is not None)
+        return True
+
+
+def _encode_row(report: PoisonPartReport, *, now: float) -> bytes:
+    crashes = [
+        [crash.target, crash.team, crash.is_strong, crash.is_trusted]
+        for crash in report.crashes
+        if not crash.is_cleared
+    ]
+    return cbor2.dumps([now, crashes])
+
+
+def _decode_row(row: Row, *, now: float) -> PoisonPartReport | None:
+    """Return the records in a row, `None` if it is malformed or too old."""
+    try:
+        written_at, items = cbor2.loads(row.value)
+        age_s = max(0.0, now - float(written_at))
+        crashes = tuple(
+            CrashReport(
+                target=str(target),
+                team=str(team),
+                age_ms=int(age_s * 1000) + number * _CRASH_SPACING_MS,
+                is_strong=bool(is_strong),
+                is_trusted=bool(is_trusted),
+                is_cleared=False,
+            )
+            for number, (target, team, is_strong, is_trusted) in enumerate(items)
+        )
+    except (cbor2.CBORDecodeError, TypeError, ValueError, OverflowError) as error:
+        log_event("poison_row_refused", part=row.key, cause=repr(error))
+        return None
+    if age_s > BLOCK_RETENTION_S:
+        return None
+    return PoisonPartReport(
+        part=row.key, seen_age_ms=int(age_s * 1000), crashes=crashes
+    )
--- a/packages/router/fulmarward_router/tests/_poison.py
+++ b/packages/router/fulmarward_router/tests/_poison.py
@@ -11,6 +11,7 @@
         read_clock=read_clock,
         notify_peers=lambda parts: None,
         fetch_from_peers=lambda: None,
+        record_block_changed=lambda parts: None,
     )
     poison.record_current()
     return poison
