Crashing prompts: a suspended request that has run is not told to stay away

Callers saw, in a unit test only: 400, do not repeat, for a request that ran while its prompt was merely suspended, which may be a bystander. It gets the usual answer for one whose outcome is unknown now; 400 is for blocked parts alone.

--- a/packages/router/fulmarward_router/exchange/_crash_monitor.py
+++ b/packages/router/fulmarward_router/exchange/_crash_monitor.py
@@ -22,6 +22,9 @@
 #: Seconds to wait for the confirmation that a target has ended.
 CONFIRM_CRASH_TIMEOUT_S = 0.4
 
+#: Shortest retry delay, in seconds, of a request whose prompt is suspended.
+MIN_RETRY_S = 0.1
+
 
 class CrashMonitor:
     """Relates crashes of targets to the parts of the prompts that they were given."""
@@ -33,6 +36,7 @@
         failure_detector: FailureDetector,
         count_crash: Callable[[str, str], None],
     ) -> None:
+        self._context = context
         self._poison = context.poison
         self._catalogue = context.catalogue
         self._suspicions = context.suspicions
@@ -78,13 +82,18 @@
         self, state: RequestState, finding: PoisonFinding, cause: str
     ) -> RejectedRequest:
         """Return the answer; only one that may change soon invites a retry."""
-        if state.runs > 0:
-            return RejectedRequest(ResultCode.PROMPT_CRASHED, cause=cause)
+        has_run = state.runs > 0
         if finding.verdict is Verdict.BLOCKED:
-            return RejectedRequest(ResultCode.PROMPT_BLOCKED, cause=cause)
+            crashed, blocked = ResultCode.PROMPT_CRASHED, ResultCode.PROMPT_BLOCKED
+            return RejectedRequest(crashed if has_run else blocked, cause=cause)
         left_s = finding.last_crash_at + SUSPENSION_S - self._read_clock()
+        retry_after_s = max(MIN_RETRY_S, left_s)
+        if has_run:
+            return self._context.make_rejection(
+                state, cause=cause, retry_after_s=retry_after_s
+            )
         return RejectedRequest(
-            ResultCode.PROMPT_SUSPENDED, cause=cause, retry_after_s=max(0.1, left_s)
+            ResultCode.PROMPT_SUSPENDED, cause=cause, retry_after_s=retry_after_s
         )
 
     def record_events(self, state: RequestState, attempt: Attempt) -> None:
