Crashing prompts: many blocked parts do not keep the event loop busy

Found by measuring: with a table full of blocked parts (512 then), each new crash weighed all parts again for each finding; filling it did not end within ten minutes. Now only the parts that were in the explained crashes are weighed again, from a heap; a request is compared with findings only if it has one of their parts; and the bounds are 256 parts, 64 of which only one team is known.

--- a/packages/core/fulmarward_core/poison/_table.py
+++ b/packages/core/fulmarward_core/poison/_table.py
@@ -19,8 +19,8 @@
 
 #: Upper bounds on the parts with records, on those of which only one team is known, and
 #: on the records of one part.
-MAX_PARTS = 512
-_MAX_PARTS_PER_TEAM = 128
+MAX_PARTS = 256
+_MAX_PARTS_PER_TEAM = 64
 _MAX_CRASHES_PER_PART = 16
 
 #: Upper bound on the parts remembered as proven harmless.
@@ -63,6 +63,8 @@
         self._proven_at: OrderedDict[str, float] = OrderedDict()
         self._expired_at = float("-inf")
         self._findings: tuple[PoisonFinding, ...] = ()
+        #: The parts in any finding.
+        self._found_parts: frozenset[str] = frozenset()
 
     @property
     def findings(self) -> tuple[PoisonFinding, ...]:
@@ -133,7 +135,7 @@
         self, parts: Collection[str], *, team: str, now: float
     ) -> PoisonFinding | None:
         """Return the finding for which a request is rejected, `None` if it is not."""
-        if not self._findings or not parts:
+        if self._found_parts.isdisjoint(parts):
             return None
         self._expire(now)
         for finding in self._findings:
@@ -226,6 +228,9 @@
         self._findings = find_poison(
             record for records in self._crashes.values() for record in records.values()
         )
+        self._found_parts = frozenset(
+            part for finding in self._findings for part in finding.parts
+        )
 
     def _list_blocked(self) -> set[str]:
         return {
@@ -254,6 +259,8 @@
 
         Guards against a team that fills the table: its own parts go first.
         """
+        if len(self._crashes) <= _MAX_PARTS_PER_TEAM:
+            return
         blocked = self._list_blocked()
         order = sorted(self._seen_at, key=lambda p: (p in blocked, self._seen_at[p]))
         by_team: dict[str, list[str]] = {}
--- a/packages/core/fulmarward_core/poison/decisions.py
+++ b/packages/core/fulmarward_core/poison/decisions.py
@@ -9,6 +9,7 @@
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 from enum import Enum
+from heapq import heapify, heappop, heappush
 
 #: Events after which a response has proven that its prompt does not crash the target.
 MIN_PROVEN_EVENTS = 4
@@ -85,23 +86,37 @@
 
 
 def find_poison(crashes: Iterable[CrashRecord]) -> tuple[PoisonFinding, ...]:
-    """Return the parts that explain the crashes, those with most evidence first."""
-    open_crashes = _index_by_part(_drop_outweighed(crashes))
+    """Return the parts that explain the crashes, those with most evidence first.
+
+    Each step takes the part with most evidence and drops the crashes that it explains;
+    only the parts that were in these are weighed again.
+    """
+    index = _index_by_part(_drop_outweighed(crashes))
+    parts_by_target = _index_by_target(index)
+    evidence = {part: _sum_evidence(records) for part, records in index.items()}
+    queue = [(-weight, part) for part, weight in evidence.items()]
+    heapify(queue)
     findings: list[PoisonFinding] = []
-    while open_crashes:
-        evidence = {part: _sum_evidence(c) for part, c in open_crashes.items()}
-        best = max(evidence, key=lambda part: (evidence[part], part))
-        if evidence[best] < _SUSPENSION_EVIDENCE:
-            break
-        targets = {crash.target for crash in open_crashes[best]}
+    while queue and -queue[0][0] >= _SUSPENSION_EVIDENCE:
+        weight, part = heappop(queue)
+        if evidence.get(part) != -weight:
+            continue
+        targets = {crash.target for crash in index[part]}
+        affected = {other for name in targets for other in parts_by_target[name]}
         group = [
-            part
-            for part, records in open_crashes.items()
-            if evidence[part] == evidence[best]
-            and {crash.target for crash in records} == targets
+            other
+            for other in sorted(affected & index.keys())
+            if evidence[other] == -weight
+            and {crash.target for crash in index[other]} == targets
         ]
-        findings.append(_make_finding(group, open_crashes, evidence[best]))
-        open_crashes = _drop_explained(open_crashes, targets)
+        findings.append(_make_finding(group, index, -weight))
+        for other in affected & index.keys():
+            index[other] = [c for c in index[other] if c.target not in targets]
+            evidence[other] = _sum_evidence(index[other])
+            if not index[other]:
+                del index[other], evidence[other]
+            else:
+                heappush(queue, (-evidence[other], other))
     return tuple(findings)
 
 
@@ -119,6 +134,17 @@
     return dict(index)
 
 
+def _index_by_target(
+    crashes: Mapping[str, list[CrashRecord]],
+) -> dict[str, set[str]]:
+    """Return the parts that were in the crash of each target."""
+    index: defaultdict[str, set[str]] = defaultdict(set)
+    for part, records in crashes.items():
+        for crash in records:
+            index[crash.target].add(part)
+    return dict(index)
+
+
 def _sum_evidence(crashes: Iterable[CrashRecord]) -> float:
     """Return the evidence of the crashes of one part, each episode counted once.
 
@@ -149,14 +175,3 @@
         targets=frozenset(crash.target for crash in records),
         last_crash_at=max(crash.at for crash in records),
     )
-
-
-def _drop_explained(
-    crashes: Mapping[str, list[CrashRecord]], targets: Collection[str]
-) -> dict[str, list[CrashRecord]]:
-    """Return the crashes of other targets."""
-    return {
-        part: left
-        for part, records in crashes.items()
-        if (left := [crash for crash in records if crash.target not in targets])
-    }
--- a/packages/core/fulmarward_core/poison/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/poison/tests/test_decisions.py
@@ -1,6 +1,7 @@
 import random
 import unittest
 
+from fulmarward_core.codec.tests.calls import count_calls
 from fulmarward_core.poison import CrashRecord, Verdict, find_poison
 
 
@@ -86,3 +87,19 @@
             self.assertEqual(finding.team, expected)
             self.assertTrue(finding.matches({"x", "other"}, "a"))
             self.assertEqual(finding.matches({"x"}, "c"), expected is None)
+
+    def test_work_grows_with_the_records(self):
+        """Guards against an event loop that many blocked parts keep busy."""
+
+        def count(parts):
+            records = [
+                make_crash(f"x{part}", 3 * part + number)
+                for part in range(parts)
+                for number in range(3)
+            ]
+            found = []
+            calls = count_calls(lambda: found.extend(find_poison(records)))
+            self.assertEqual(len(found), parts)
+            return calls
+
+        self.assertLess(count(200), 6 * count(50))
