--- a/packages/core/fulmarward_core/poison/decisions.py
+++ b/packages/core/fulmarward_core/poison/decisions.py
@@ -98,18 +98,20 @@
     heapify(queue)
     findings: list[PoisonFinding] = []
     while queue and -queue[0][0] >= _SUSPENSION_EVIDENCE:
-        weight, part = heappop(queue)
-        if evidence.get(part) != -weight:
+        negated, part = heappop(queue)
+        weight = -negated
+        if evidence.get(part) != weight:
+            # It was weighed again since, and is in the queue with its new weight.
             continue
         targets = {crash.target for crash in index[part]}
         affected = {other for name in targets for other in parts_by_target[name]}
         group = [
             other
             for other in sorted(affected & index.keys())
-            if evidence[other] == -weight
+            if evidence[other] == weight
             and {crash.target for crash in index[other]} == targets
         ]
-        findings.append(_make_finding(group, index, -weight))
+        findings.append(_make_finding(group, index, weight))
         for other in affected & index.keys():
             index[other] = [c for c in index[other] if c.target not in targets]
             evidence[other] = _sum_evidence(index[other])
@@ -123,8 +125,8 @@
 def _drop_outweighed(crashes: Iterable[CrashRecord]) -> list[CrashRecord]:
     """Return the records that are not cleared, of each target the strongest ones."""
     records = [crash for crash in crashes if not crash.is_cleared]
-    explained = {crash.target for crash in records if crash.is_strong}
-    return [c for c in records if c.is_strong or c.target not in explained]
+    with_strong = {crash.target for crash in records if crash.is_strong}
+    return [c for c in records if c.is_strong or c.target not in with_strong]
 
 
 def _index_by_part(crashes: Iterable[CrashRecord]) -> dict[str, list[CrashRecord]]:
