--- a/packages/core/fulmarward_core/poison/_table.py
+++ b/packages/core/fulmarward_core/poison/_table.py
@@ -44,10 +44,11 @@
 
 @dataclass(frozen=True, kw_only=True)
 class SeenPart:
-    """The records of a part, and when it was last in a request that mattered."""
+    """The records of a part, and when a crash or rejection last involved it."""
 
     part: str
-    #: When it crashed a target or was rejected, in seconds on the monotonic clock.
+    #: When a target last crashed under it, or a request with it was last rejected, in
+    #: seconds on the monotonic clock.
     seen_at: float
     crashes: tuple[CrashRecord, ...]
 
@@ -68,7 +69,7 @@
 
     @property
     def findings(self) -> tuple[PoisonFinding, ...]:
-        """What follows from the records, the best founded first."""
+        """What follows from the records, those with most evidence first."""
         return self._findings
 
     def record_crash(
--- a/packages/router/fulmarward_router/mesh/_messages.py
+++ b/packages/router/fulmarward_router/mesh/_messages.py
@@ -288,7 +288,7 @@
     team: str
     #: Milliseconds since the crash.
     age_ms: int
-    #: What the request was doing, and what is known of the part.
+    #: As in `fulmarward_core.poison.CrashRecord`.
     is_strong: bool
     is_trusted: bool
     is_cleared: bool
--- a/packages/router/fulmarward_router/state/_poison.py
+++ b/packages/router/fulmarward_router/state/_poison.py
@@ -93,7 +93,7 @@
 
     @property
     def findings(self) -> tuple[PoisonFinding, ...]:
-        """The parts that are suspended or blocked, the best founded first."""
+        """The parts that are suspended or blocked, those with most evidence first."""
         return self._table.findings
 
     def is_blocked(self, part: str) -> bool:
