Log which request a broken attempt belongs to, and count messages by kind

The incident's log could not tell whether the requests under which targets ended were the same one, which request cleared the records of a part, or what the instances sent each other when they used all of their processor time. No change of behaviour: the fingerprint is computed only when an attempt is examined or lost.

--- a/packages/core/fulmarward_core/poison/__init__.py
+++ b/packages/core/fulmarward_core/poison/__init__.py
@@ -1,5 +1,9 @@
 """Parts of prompts that crash the targets that write an answer for them."""
 
+from fulmarward_core.poison._fingerprint import (
+    compute_fingerprint,
+    compute_head_fingerprint,
+)
 from fulmarward_core.poison._table import (
     BLOCK_RETENTION_S,
     MAX_PARTS,
@@ -25,5 +29,7 @@
     "PoisonTable",
     "SeenPart",
     "Verdict",
+    "compute_fingerprint",
+    "compute_head_fingerprint",
     "find_poison",
 ]
--- a/packages/router/fulmarward_router/_metrics.py
+++ b/packages/router/fulmarward_router/_metrics.py
@@ -40,6 +40,8 @@
     calls: Counter
     #: Bytes exchanged with peers, by `direction`.
     peer_bytes: Counter
+    #: Messages received from peers, by `kind`.
+    peer_messages: Counter
     #: Seconds from arrival to the first event and to the end, by `service`.
     first_event: Histogram
     request_duration: Histogram
@@ -83,6 +85,9 @@
         ),
         calls=factory.count("calls_total", "Calls to the store and to targets."),
         peer_bytes=factory.count("peer_bytes_total", "Bytes between instances."),
+        peer_messages=factory.count(
+            "peer_messages_total", "Messages received from instances, by kind."
+        ),
         first_event=factory.histogram(
             "first_event_seconds", "Time to the first event."
         ),
@@ -134,6 +139,7 @@
     *,
     meter: ProcessorMeter,
     peer_bytes: Mapping[str, int],
+    peer_messages: Mapping[str, int],
     version: int,
     targets: int,
     contacts: ContactTable,
@@ -143,6 +149,8 @@
     """Update the metrics that are computed only when they are read."""
     for direction, size in peer_bytes.items():
         metrics.peer_bytes.set({"direction": direction}, size)
+    for kind, count in peer_messages.items():
+        metrics.peer_messages.set({"kind": kind}, count)
     for subsystem, seconds in meter.subsystems.items():
         metrics.subsystem_time.set({"subsystem": subsystem}, seconds)
     for activity, seconds in meter.activities.items():
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -162,6 +162,8 @@
         self._has_failed = False
         #: Bytes exchanged with peers by direction; the metric is set when it is read.
         self._peer_bytes: Counter[str] = Counter()
+        #: Messages received from peers by type.
+        self._peer_messages: Counter[str] = Counter()
         #: Calls to the store and to targets, by kind.
         self._calls: Counter[str] = Counter()
         self.life = Life()
@@ -246,6 +248,7 @@
             poison=self.poison,
             read_clock=clock,
             count_bytes=self._count_bytes,
+            count_message=self._count_message,
             decode=self.meter.measure("message_decoding", decode_message),
             encode=self.meter.measure("message_encoding", encode_message),
         )
@@ -436,6 +439,9 @@
     def _count_crash(self, service: str, progress: str) -> None:
         self.metrics.crashes.inc({"service": service, "progress": progress})
 
+    def _count_message(self, kind: str) -> None:
+        self._peer_messages[kind] += 1
+
     def _count_bytes(self, direction: str, size: int) -> None:
         self._peer_bytes[direction] += size
 
@@ -492,6 +498,7 @@
                 self.metrics,
                 meter=self.meter,
                 peer_bytes=self._peer_bytes,
+                peer_messages=self._peer_messages,
                 version=self.configuration.version,
                 targets=len(self.catalogue.list_targets(now=self._clock())),
                 contacts=self.contacts,
@@ -558,6 +565,7 @@
                 activities=_round_values(self.meter.activities),
                 calls=self._calls,
                 peer_bytes=self._peer_bytes,
+                peer_messages=self._peer_messages,
             )
 
     async def _stop(self) -> None:
--- a/packages/router/fulmarward_router/exchange/_crash_monitor.py
+++ b/packages/router/fulmarward_router/exchange/_crash_monitor.py
@@ -59,7 +59,7 @@
         if the response has started.
         """
         finding = self._poison.find_rejection(
-            state.facts.shared_parts, team=_get_team(state)
+            state.facts.shared_parts, team=state.team_name
         )
         if finding is None:
             return
@@ -105,7 +105,9 @@
         """Record that a target has written enough, or all, of a response."""
         attempt.is_proven = True
         if state.facts.shared_parts:
-            self._poison.record_proven(state.facts.shared_parts)
+            self._poison.record_proven(
+                state.facts.shared_parts, request_id=state.facts.request_id
+            )
 
     async def examine(
         self, state: RequestState, attempt: Attempt, failure: AttemptFailed
@@ -139,17 +141,15 @@
             has_crashed=has_crashed,
             progress=attempt.progress.value,
             events=attempt.events,
+            team=state.team_name,
+            fingerprint=state.fingerprint,
         )
         if not has_crashed:
             return
         self._count_crash(state.service, attempt.progress.value)
         self._poison.record_crash(
             target=target,
-            team=_get_team(state),
+            team=state.team_name,
             parts=state.facts.shared_parts,
             is_strong=attempt.progress is Progress.NO_EVENT,
         )
-
-
-def _get_team(state: RequestState) -> str:
-    return "" if state.team is None else state.team.name
--- a/packages/router/fulmarward_router/exchange/_plain.py
+++ b/packages/router/fulmarward_router/exchange/_plain.py
@@ -263,4 +263,5 @@
             outcome=outcome,
             cause=repr(error) if error else "",
             attempt=state.attempts,
+            fingerprint=state.fingerprint if isinstance(error, AnswerLost) else None,
         )
--- a/packages/router/fulmarward_router/exchange/_request_state.py
+++ b/packages/router/fulmarward_router/exchange/_request_state.py
@@ -3,10 +3,12 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import cached_property
 
 from aiohttp import web
 
 from fulmarward_core.attempts import RequestTally
+from fulmarward_core.poison import compute_fingerprint, compute_head_fingerprint
 from fulmarward_core.results import ResultCode
 from fulmarward_core.routes import Route, RoutingConfiguration, Team
 from fulmarward_router.ports import CallerFacts
@@ -56,6 +58,27 @@
         """Whether the response has started, so that no status can be sent any more."""
         return self.request.get("answer") is not None
 
+    @property
+    def team_name(self) -> str:
+        """The name of the caller's team, empty if there is none."""
+        return "" if self.team is None else self.team.name
+
+    @cached_property
+    def head_fingerprint(self) -> str:
+        """The digest of all of the request but the content of its body."""
+        return compute_head_fingerprint(
+            method=self.request.method,
+            host=self.headers.get("Host", ""),
+            path=self.request.raw_path,
+            team=self.team_name,
+            body_bytes=len(self.body),
+        )
+
+    @cached_property
+    def fingerprint(self) -> str:
+        """The digest of the whole request; computed once it is asked for."""
+        return compute_fingerprint(self.head_fingerprint, self.body)
+
     def count_left(self, now: float) -> float:
         """Return the seconds until the answer is due, 0 if that has passed."""
         return max(0.0, self.deadline - now)
--- a/packages/router/fulmarward_router/exchange/tests/test_crash_monitor.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_crash_monitor.py
@@ -57,7 +57,8 @@
     def make_state(self, *, runs=0, has_begun=False, parts=("x",)):
         return SimpleNamespace(
             facts=SimpleNamespace(request_id="r", shared_parts=parts),
-            team=None,
+            team_name="",
+            fingerprint="request",
             service="pool",
             runs=runs,
             attempts=runs,
--- a/packages/router/fulmarward_router/mesh/_links.py
+++ b/packages/router/fulmarward_router/mesh/_links.py
@@ -121,6 +121,7 @@
         poison: PoisonSource,
         read_clock: Callable[[], float],
         count_bytes: Callable[[str, int], None],
+        count_message: Callable[[str], None] = lambda kind: None,
         decode: Callable[[bytes], object] = decode_message,
         encode: Callable[[object], bytes] = encode_message,
     ) -> None:
@@ -130,6 +131,8 @@
         self._poison = poison
         self._read_clock = read_clock
         self._count_bytes = count_bytes
+        #: Counts a received message, by the name of its type.
+        self._count_message = count_message
         self._decode = decode
         self._encode = encode
         self._sender = HeartbeatSender(
@@ -392,6 +395,7 @@
             except InvalidMessageError as error:
                 log_event("peer_message_refused", cause=str(error))
                 continue
+            self._count_message(type(message).__name__)
             await self._handle_message(receiver, message)
 
     async def _handle_message(self, receiver: _LinkReceiver, message: object) -> None:
--- a/packages/router/fulmarward_router/state/_poison.py
+++ b/packages/router/fulmarward_router/state/_poison.py
@@ -114,9 +114,11 @@
         )
         self._handle_changes(changed, source="own")
 
-    def record_proven(self, parts: Iterable[str]) -> None:
+    def record_proven(self, parts: Iterable[str], *, request_id: str) -> None:
         """Record that a request with these parts was answered by a live target."""
         cleared = self._table.record_proven(parts, now=self._read_clock())
+        if cleared:
+            log_event("crash_records_cleared", request=request_id, parts=cleared)
         self._handle_changes(cleared, source="own")
 
     def lift(self, part: str) -> bool:
