--- a/packages/core/fulmarward_core/poison/tests/test_table.py
+++ b/packages/core/fulmarward_core/poison/tests/test_table.py
@@ -78,6 +78,23 @@
         for report in reports:
             self.assertEqual(tables[0].merge(report, now=50.0), [])
 
+    def test_reports_settle_although_a_part_has_more_crashes_than_are_kept(self):
+        """Guards against records that instances send each other without end."""
+        tables = [PoisonTable() for _ in range(3)]
+        for number in range(90):
+            table = tables[number % len(tables)]
+            self.crash(number, table=table)
+            if number % 10 == 9:
+                table.record_proven(["x"], now=float(number))
+        changes = []
+        for _ in range(len(tables)):
+            changes = [
+                one.merge(other.list_seen(), now=100.0)
+                for one in tables
+                for other in tables
+            ]
+        self.assertFalse(any(changes))
+
     def test_blocked_part_is_kept_while_any_instance_sees_requests_with_it(self):
         """Guards against an instance that forgets and crashes another target."""
         other = PoisonTable()
