Keep the same crash records of a part at all instances

Cause: a part keeps at most 16 crashes; one more pushed out a cleared one, whichever came first. Two instances with different crashes took each other's for new, pushed out what the other had, and relayed it, without end. A common part reached 16 crashes as nothing stopped the request.

Class: a merge that is not idempotent, as what it drops depends on the order of arrival. Now the records that stay are the first of a total order that is the same everywhere, uncleared ones first, and one that is not kept is no change.

test_reports_settle_although_a_part_has_more_crashes_than_are_kept failed before.

--- a/packages/core/fulmarward_core/poison/_table.py
+++ b/packages/core/fulmarward_core/poison/_table.py
@@ -209,12 +209,13 @@
         key = (record.target, record.team)
         known = records.get(key)
         if known is None:
-            if len(records) >= _MAX_CRASHES_PER_PART:
-                cleared = [k for k, item in records.items() if item.is_cleared]
-                if not cleared:
-                    return False
-                del records[cleared[0]]
             records[key] = record
+            if len(records) > _MAX_CRASHES_PER_PART:
+                # All instances must keep the same ones, or each would take those that
+                # another one dropped for new.
+                dropped = max(records, key=lambda k: (records[k].is_cleared, k))
+                del records[dropped]
+                return dropped != key
             return True
         merged = replace(
             known,
