--- a/packages/client/fulmarctl/_commands.py
+++ b/packages/client/fulmarctl/_commands.py
@@ -78,17 +78,17 @@
         print_reply(reply.body, as_json=self._as_json)
 
     @defer
-    def lift(self, address: str, part: str) -> None:
-        """Accept prompts with PART again, which crashed targets, at all instances.
+    def lift(self, address: str, pattern: str) -> None:
+        """Accept requests with PATTERN again, which crashed targets, at all instances.
 
         ADDRESS is the metrics address of a routing instance, `IP:PORT`; `beliefs` shows
-        there which parts are rejected. If targets crash under PART again, it is
+        there which patterns are rejected. If targets crash under PATTERN again, it is
         rejected again. Needs no settings file.
         """
         fleet = Fleet(addresses=(address,), token="")
-        reply = _call(fleet, "/lift-prompt-part", {"part": str(part)})
+        reply = _call(fleet, "/lift-crash-pattern", {"pattern": str(pattern)})
         if not reply.body["is_lifted"]:
-            detail = f"No crashes are known under the prompt part {part}."
+            detail = f"No crashes are known under the pattern {pattern}."
             print_failure(make_failure(ResultCode.NOT_FOUND, detail))
         print_reply(reply.body, as_json=self._as_json)
 
--- a/packages/core/fulmarward_core/poison/__init__.py
+++ b/packages/core/fulmarward_core/poison/__init__.py
@@ -6,9 +6,9 @@
 )
 from fulmarward_core.poison._table import (
     BLOCK_RETENTION_S,
-    MAX_PARTS,
+    MAX_PATTERNS,
     PoisonTable,
-    SeenPart,
+    SeenPattern,
 )
 from fulmarward_core.poison.decisions import (
     MIN_PROVEN_EVENTS,
@@ -21,13 +21,13 @@
 
 __all__ = [
     "BLOCK_RETENTION_S",
-    "MAX_PARTS",
+    "MAX_PATTERNS",
     "MIN_PROVEN_EVENTS",
     "SUSPENSION_S",
     "CrashRecord",
     "PoisonFinding",
     "PoisonTable",
-    "SeenPart",
+    "SeenPattern",
     "Verdict",
     "compute_fingerprint",
     "compute_head_fingerprint",
--- a/packages/core/fulmarward_core/poison/_table.py
+++ b/packages/core/fulmarward_core/poison/_table.py
@@ -1,4 +1,4 @@
-"""The crashes of targets that parts of prompts may have caused.
+"""The crashes of targets that patterns of prompts may have caused.
 
 Tables of several instances are merged by the union of their records, of which each only
 ever gains properties. So all instances reach the same findings, in whatever order they
@@ -17,25 +17,25 @@
     find_poison,
 )
 
-#: Upper bounds on the parts with records, on those of which only one team is known, and
-#: on the records of one part.
-MAX_PARTS = 256
-_MAX_PARTS_PER_TEAM = 64
-_MAX_CRASHES_PER_PART = 16
+#: Upper bounds on the patterns with records, on those of which only one team is known,
+#: and on the records of one pattern.
+MAX_PATTERNS = 256
+_MAX_PATTERNS_PER_TEAM = 64
+_MAX_CRASHES_PER_PATTERN = 16
 
-#: Upper bound on the parts remembered as proven harmless.
-_MAX_PROVEN_PARTS = 4096
+#: Upper bound on the patterns remembered as proven harmless.
+_MAX_PROVEN_PATTERNS = 4096
 
-#: Seconds for which a part counts as trusted after it was proven harmless.
+#: Seconds for which a pattern counts as trusted after it was proven harmless.
 _TRUST_DURATION_S = 30.0
 
-#: Seconds for which the records of a part are kept that is not blocked.
+#: Seconds for which the records of a pattern are kept that is not blocked.
 _RECORD_RETENTION_S = 600.0
 
-#: Seconds for which a blocked part is kept after it was last in a request.
+#: Seconds for which a blocked pattern is kept after it was last in a request.
 BLOCK_RETENTION_S = 24 * 3600.0
 
-#: Seconds after which peers are notified again that a blocked part is still requested.
+#: Seconds after which peers are notified again that a blocked pattern still comes.
 _RENEWAL_INTERVAL_S = 3600.0
 
 #: Seconds between two checks for records to drop.
@@ -43,10 +43,10 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class SeenPart:
-    """The records of a part, and when a crash or rejection last involved it."""
+class SeenPattern:
+    """The records of a pattern, and when a crash or rejection last involved it."""
 
-    part: str
+    pattern: str
     #: When a target last crashed under it, or a request with it was last rejected, in
     #: seconds on the monotonic clock.
     seen_at: float
@@ -54,18 +54,18 @@
 
 
 class PoisonTable:
-    """The crash records by part, and what follows from them."""
+    """The crash records by pattern, and what follows from them."""
 
     def __init__(self) -> None:
-        #: Records by part, and by target and team.
+        #: Records by pattern, and by target and team.
         self._crashes: dict[str, dict[tuple[str, str], CrashRecord]] = {}
         self._seen_at: dict[str, float] = {}
-        #: When each part was last proven harmless, the oldest first.
+        #: When each pattern was last proven harmless, the oldest first.
         self._proven_at: OrderedDict[str, float] = OrderedDict()
         self._expired_at = float("-inf")
         self._findings: tuple[PoisonFinding, ...] = ()
-        #: The parts in any finding.
-        self._found_parts: frozenset[str] = frozenset()
+        #: The patterns in any finding.
+        self._found_patterns: frozenset[str] = frozenset()
 
     @property
     def findings(self) -> tuple[PoisonFinding, ...]:
@@ -77,127 +77,127 @@
         *,
         target: str,
         team: str,
-        parts: Iterable[str],
+        patterns: Iterable[str],
         is_strong: bool,
         now: float,
     ) -> list[str]:
-        """Record a target that crashed under a request; return the parts changed."""
+        """Record a target that crashed under a request; return the patterns changed."""
         records = [
             CrashRecord(
-                part=part,
+                pattern=pattern,
                 target=target,
                 team=team,
                 at=now,
                 is_strong=is_strong,
-                is_trusted=now - self._find_proven_at(part) < _TRUST_DURATION_S,
+                is_trusted=now - self._find_proven_at(pattern) < _TRUST_DURATION_S,
             )
-            for part in parts
+            for pattern in patterns
         ]
         return self._add(records, now=now)
 
-    def merge(self, seen_parts: Iterable[SeenPart], *, now: float) -> list[str]:
-        """Merge the records of a peer; return the parts of which it knew more."""
+    def merge(self, seen_patterns: Iterable[SeenPattern], *, now: float) -> list[str]:
+        """Merge the records of a peer; return the patterns of which it knew more."""
         changed = []
-        for seen in seen_parts:
-            known_at = self._seen_at.get(seen.part, float("-inf"))
+        for seen in seen_patterns:
+            known_at = self._seen_at.get(seen.pattern, float("-inf"))
             is_changed = bool(self._add(seen.crashes, now=now))
-            if seen.part in self._crashes:
-                self._seen_at[seen.part] = max(known_at, seen.seen_at)
+            if seen.pattern in self._crashes:
+                self._seen_at[seen.pattern] = max(known_at, seen.seen_at)
                 is_changed |= seen.seen_at - known_at > _RENEWAL_INTERVAL_S / 2
             if is_changed:
-                changed.append(seen.part)
+                changed.append(seen.pattern)
         return changed
 
-    def record_proven(self, parts: Iterable[str], *, now: float) -> list[str]:
-        """Record that a request with these parts was answered by a target that lives.
+    def record_proven(self, patterns: Iterable[str], *, now: float) -> list[str]:
+        """Record that a target that lives answered a request with these patterns.
 
-        Returns the parts whose records are cleared by that.
+        Returns the patterns whose records are cleared by that.
         """
         cleared = []
-        for part in parts:
-            self._proven_at[part] = now
-            self._proven_at.move_to_end(part)
-            if part in self._crashes and self._clear(part):
-                cleared.append(part)
-        while len(self._proven_at) > _MAX_PROVEN_PARTS:
+        for pattern in patterns:
+            self._proven_at[pattern] = now
+            self._proven_at.move_to_end(pattern)
+            if pattern in self._crashes and self._clear(pattern):
+                cleared.append(pattern)
+        while len(self._proven_at) > _MAX_PROVEN_PATTERNS:
             self._proven_at.popitem(last=False)
         if cleared:
             self._update_findings()
         return cleared
 
-    def lift(self, part: str) -> bool:
-        """Clear the records of a part; return whether there were any."""
-        is_changed = part in self._crashes and self._clear(part)
+    def lift(self, pattern: str) -> bool:
+        """Clear the records of a pattern; return whether there were any."""
+        is_changed = pattern in self._crashes and self._clear(pattern)
         if is_changed:
             self._update_findings()
         return is_changed
 
     def find_rejection(
-        self, parts: Collection[str], *, team: str, now: float
+        self, patterns: Collection[str], *, team: str, now: float
     ) -> PoisonFinding | None:
         """Return the finding for which a request is rejected, `None` if it is not."""
-        if self._found_parts.isdisjoint(parts):
+        if self._found_patterns.isdisjoint(patterns):
             return None
         self._expire(now)
         for finding in self._findings:
             is_over = now - finding.last_crash_at >= SUSPENSION_S
             if finding.verdict is Verdict.SUSPENDED and is_over:
                 continue
-            if finding.matches(parts, team):
+            if finding.matches(patterns, team):
                 return finding
         return None
 
     def renew(self, finding: PoisonFinding, *, now: float) -> list[str]:
-        """Record a request with blocked parts; return those to notify peers of."""
+        """Record a request with blocked patterns; return those to notify peers of."""
         due = [
-            part
-            for part in finding.parts
-            if now - self._seen_at.get(part, now) >= _RENEWAL_INTERVAL_S
+            pattern
+            for pattern in finding.patterns
+            if now - self._seen_at.get(pattern, now) >= _RENEWAL_INTERVAL_S
         ]
-        self._seen_at.update((part, now) for part in due)
+        self._seen_at.update((pattern, now) for pattern in due)
         return due
 
-    def list_parts(self) -> frozenset[str]:
-        """Return the parts that have records."""
+    def list_patterns(self) -> frozenset[str]:
+        """Return the patterns that have records."""
         return frozenset(self._crashes)
 
-    def list_seen(self, parts: Iterable[str] | None = None) -> list[SeenPart]:
-        """Return the records of the given parts, by default of all."""
-        names = list(self._crashes) if parts is None else parts
+    def list_seen(self, patterns: Iterable[str] | None = None) -> list[SeenPattern]:
+        """Return the records of the given patterns, by default of all."""
+        names = list(self._crashes) if patterns is None else patterns
         return [
-            SeenPart(
-                part=part,
-                seen_at=self._seen_at[part],
-                crashes=tuple(self._crashes[part].values()),
+            SeenPattern(
+                pattern=pattern,
+                seen_at=self._seen_at[pattern],
+                crashes=tuple(self._crashes[pattern].values()),
             )
-            for part in names
-            if part in self._crashes
+            for pattern in names
+            if pattern in self._crashes
         ]
 
-    def _find_proven_at(self, part: str) -> float:
-        return self._proven_at.get(part, float("-inf"))
+    def _find_proven_at(self, pattern: str) -> float:
+        return self._proven_at.get(pattern, float("-inf"))
 
-    def _clear(self, part: str) -> bool:
-        """Mark the records of a part as cleared; return whether any was not."""
-        records = self._crashes[part]
+    def _clear(self, pattern: str) -> bool:
+        """Mark the records of a pattern as cleared; return whether any was not."""
+        records = self._crashes[pattern]
         is_changed = any(not record.is_cleared for record in records.values())
-        self._crashes[part] = {
+        self._crashes[pattern] = {
             key: replace(record, is_cleared=True) for key, record in records.items()
         }
         return is_changed
 
     def _add(self, records: Iterable[CrashRecord], *, now: float) -> list[str]:
-        """Merge single records; return the parts that changed."""
+        """Merge single records; return the patterns that changed."""
         changed: dict[str, None] = {}
         for record in records:
             if now - record.at > BLOCK_RETENTION_S:
                 continue
-            if self._find_proven_at(record.part) > record.at:
+            if self._find_proven_at(record.pattern) > record.at:
                 record = replace(record, is_cleared=True)
             if self._add_one(record):
-                changed[record.part] = None
-                seen_at = self._seen_at.get(record.part, float("-inf"))
-                self._seen_at[record.part] = max(seen_at, record.at)
+                changed[record.pattern] = None
+                seen_at = self._seen_at.get(record.pattern, float("-inf"))
+                self._seen_at[record.pattern] = max(seen_at, record.at)
         if changed:
             self._expire(now)
             self._evict()
@@ -205,12 +205,12 @@
         return list(changed)
 
     def _add_one(self, record: CrashRecord) -> bool:
-        records = self._crashes.setdefault(record.part, {})
+        records = self._crashes.setdefault(record.pattern, {})
         key = (record.target, record.team)
         known = records.get(key)
         if known is None:
             records[key] = record
-            if len(records) > _MAX_CRASHES_PER_PART:
+            if len(records) > _MAX_CRASHES_PER_PATTERN:
                 # All instances must keep the same ones, or each would take those that
                 # another one dropped for new.
                 dropped = max(records, key=lambda k: (records[k].is_cleared, k))
@@ -230,54 +230,54 @@
         self._findings = find_poison(
             record for records in self._crashes.values() for record in records.values()
         )
-        self._found_parts = frozenset(
-            part for finding in self._findings for part in finding.parts
+        self._found_patterns = frozenset(
+            pattern for finding in self._findings for pattern in finding.patterns
         )
 
     def _list_blocked(self) -> set[str]:
         return {
-            part
+            pattern
             for finding in self._findings
             if finding.verdict is Verdict.BLOCKED
-            for part in finding.parts
+            for pattern in finding.patterns
         }
 
     def _expire(self, now: float) -> None:
-        """Drop the parts that were not seen for long enough."""
+        """Drop the patterns that were not seen for long enough."""
         if now - self._expired_at < _EXPIRY_INTERVAL_S:
             return
         self._expired_at = now
         blocked = self._list_blocked()
         expired = [
-            part
-            for part, seen_at in self._seen_at.items()
+            pattern
+            for pattern, seen_at in self._seen_at.items()
             if now - seen_at
-            > (BLOCK_RETENTION_S if part in blocked else _RECORD_RETENTION_S)
+            > (BLOCK_RETENTION_S if pattern in blocked else _RECORD_RETENTION_S)
         ]
         self._drop(expired)
 
     def _evict(self) -> None:
-        """Drop the least useful parts beyond the bounds.
+        """Drop the least useful patterns beyond the bounds.
 
-        Guards against a team that fills the table: its own parts go first.
+        Guards against a team that fills the table: its own patterns go first.
         """
-        if len(self._crashes) <= _MAX_PARTS_PER_TEAM:
+        if len(self._crashes) <= _MAX_PATTERNS_PER_TEAM:
             return
         blocked = self._list_blocked()
         order = sorted(self._seen_at, key=lambda p: (p in blocked, self._seen_at[p]))
         by_team: dict[str, list[str]] = {}
-        for part in order:
-            teams = {record.team for record in self._crashes[part].values()}
+        for pattern in order:
+            teams = {record.team for record in self._crashes[pattern].values()}
             if len(teams) == 1:
-                by_team.setdefault(teams.pop(), []).append(part)
-        for parts in by_team.values():
-            self._drop(parts[: max(0, len(parts) - _MAX_PARTS_PER_TEAM)])
-        left = [part for part in order if part in self._crashes]
-        self._drop(left[: max(0, len(left) - MAX_PARTS)])
-
-    def _drop(self, parts: Iterable[str]) -> None:
-        dropped = list(parts)
-        for part in dropped:
-            del self._crashes[part], self._seen_at[part]
+                by_team.setdefault(teams.pop(), []).append(pattern)
+        for patterns in by_team.values():
+            self._drop(patterns[: max(0, len(patterns) - _MAX_PATTERNS_PER_TEAM)])
+        left = [pattern for pattern in order if pattern in self._crashes]
+        self._drop(left[: max(0, len(left) - MAX_PATTERNS)])
+
+    def _drop(self, patterns: Iterable[str]) -> None:
+        dropped = list(patterns)
+        for pattern in dropped:
+            del self._crashes[pattern], self._seen_at[pattern]
         if dropped:
             self._update_findings()
--- a/packages/core/fulmarward_core/poison/decisions.py
+++ b/packages/core/fulmarward_core/poison/decisions.py
@@ -1,8 +1,8 @@
-"""Decides from crashes of targets which parts of prompts caused them.
+"""Decides from crashes of targets which patterns of prompts caused them.
 
 A crash ends all requests on a target, so that each of them that had not got far is a
-candidate. The cause is the part that all the crashes have in common; what ran beside it
-is explained by it.
+candidate. The cause is the pattern that all the crashes have in common; what ran beside
+it is explained by it.
 """
 
 from collections import defaultdict
@@ -15,16 +15,16 @@
 MIN_PROVEN_EVENTS = 4
 
 #: Weights of a crash in the evidence. A candidate whose response had started without an
-#: event was just being written; others more likely ran beside it. A trusted part has
+#: event was just being written; others more likely ran beside it. A trusted pattern has
 #: been proven harmless a short time before.
 _WEAK_WEIGHT = 0.5
 _TRUSTED_WEIGHT = 0.5
 
-#: Evidence from which a part is suspended, and blocked.
+#: Evidence from which a pattern is suspended, and blocked.
 _SUSPENSION_EVIDENCE = 2.0
 _BLOCK_EVIDENCE = 3.0
 
-#: Seconds for which a suspended part is rejected after its last crash.
+#: Seconds for which a suspended pattern is rejected after its last crash.
 SUSPENSION_S = 2.0
 
 #: Seconds within which crashes count as one: targets that share a cause of their own,
@@ -34,9 +34,9 @@
 
 @dataclass(frozen=True, kw_only=True)
 class CrashRecord:
-    """A target that crashed while a request with a part may have been the cause."""
+    """A target that crashed while a request with a pattern may have been the cause."""
 
-    part: str
+    pattern: str
     #: Name of the target, which is new with each of its starts.
     target: str
     #: Team of the request, empty if it has none.
@@ -45,20 +45,20 @@
     at: float
     #: Whether the response had started and no event had arrived.
     is_strong: bool
-    #: Whether the part had been proven harmless shortly before.
+    #: Whether the pattern had been proven harmless shortly before.
     is_trusted: bool
-    #: Whether the part was proven harmless, or lifted by an operator, afterwards.
+    #: Whether the pattern was proven harmless, or lifted by an operator, afterwards.
     is_cleared: bool = False
 
     @property
     def weight(self) -> float:
-        """The contribution to the evidence against the part."""
+        """The contribution to the evidence against the pattern."""
         weight = 1.0 if self.is_strong else _WEAK_WEIGHT
         return weight * _TRUSTED_WEIGHT if self.is_trusted else weight
 
 
 class Verdict(Enum):
-    """What to do with requests that have the parts of a finding."""
+    """What to do with requests that have the patterns of a finding."""
 
     #: Reject them for a short time, until in-flight requests have shown more.
     SUSPENDED = "suspended"
@@ -70,8 +70,8 @@
 class PoisonFinding:
     """Parts of which one crashes targets; all of them were in the same crashes."""
 
-    parts: frozenset[str]
-    #: The only team whose requests had the parts; `None` if there are several.
+    patterns: frozenset[str]
+    #: The only team whose requests had the patterns; `None` if there are several.
     team: str | None
     verdict: Verdict
     evidence: float
@@ -80,31 +80,33 @@
     targets: frozenset[str]
     last_crash_at: float
 
-    def matches(self, parts: Collection[str], team: str) -> bool:
-        """Return whether a request with these parts is to be rejected."""
-        return (self.team is None or self.team == team) and self.parts.issubset(parts)
+    def matches(self, patterns: Collection[str], team: str) -> bool:
+        """Return whether a request with these patterns is to be rejected."""
+        return (self.team is None or self.team == team) and self.patterns.issubset(
+            patterns
+        )
 
 
 def find_poison(crashes: Iterable[CrashRecord]) -> tuple[PoisonFinding, ...]:
-    """Return the parts that explain the crashes, those with most evidence first.
+    """Return the patterns that explain the crashes, those with most evidence first.
 
-    Each step takes the part with most evidence and drops the crashes that it explains;
-    only the parts that were in these are weighed again.
+    Each step takes the pattern with most evidence and drops the crashes that it
+    explains; only the patterns that were in these are weighed again.
     """
-    index = _index_by_part(_drop_outweighed(crashes))
-    parts_by_target = _index_by_target(index)
-    evidence = {part: _sum_evidence(records) for part, records in index.items()}
-    queue = [(-weight, part) for part, weight in evidence.items()]
+    index = _index_by_pattern(_drop_outweighed(crashes))
+    patterns_by_target = _index_by_target(index)
+    evidence = {pattern: _sum_evidence(records) for pattern, records in index.items()}
+    queue = [(-weight, pattern) for pattern, weight in evidence.items()]
     heapify(queue)
     findings: list[PoisonFinding] = []
     while queue and -queue[0][0] >= _SUSPENSION_EVIDENCE:
-        negated, part = heappop(queue)
+        negated, pattern = heappop(queue)
         weight = -negated
-        if evidence.get(part) != weight:
+        if evidence.get(pattern) != weight:
             # It was weighed again since, and is in the queue with its new weight.
             continue
-        targets = {crash.target for crash in index[part]}
-        affected = {other for name in targets for other in parts_by_target[name]}
+        targets = {crash.target for crash in index[pattern]}
+        affected = {other for name in targets for other in patterns_by_target[name]}
         group = [
             other
             for other in sorted(affected & index.keys())
@@ -129,26 +131,26 @@
     return [c for c in records if c.is_strong or c.target not in with_strong]
 
 
-def _index_by_part(crashes: Iterable[CrashRecord]) -> dict[str, list[CrashRecord]]:
+def _index_by_pattern(crashes: Iterable[CrashRecord]) -> dict[str, list[CrashRecord]]:
     index: defaultdict[str, list[CrashRecord]] = defaultdict(list)
     for crash in crashes:
-        index[crash.part].append(crash)
+        index[crash.pattern].append(crash)
     return dict(index)
 
 
 def _index_by_target(
     crashes: Mapping[str, list[CrashRecord]],
 ) -> dict[str, set[str]]:
-    """Return the parts that were in the crash of each target."""
+    """Return the patterns that were in the crash of each target."""
     index: defaultdict[str, set[str]] = defaultdict(set)
-    for part, records in crashes.items():
+    for pattern, records in crashes.items():
         for crash in records:
-            index[crash.target].add(part)
+            index[crash.target].add(pattern)
     return dict(index)
 
 
 def _sum_evidence(crashes: Iterable[CrashRecord]) -> float:
-    """Return the evidence of the crashes of one part, each episode counted once.
+    """Return the evidence of the crashes of one pattern, each episode counted once.
 
     A target may have several records, as each instance saw it end at another time.
     """
@@ -166,11 +168,11 @@
 def _make_finding(
     group: Iterable[str], crashes: Mapping[str, list[CrashRecord]], evidence: float
 ) -> PoisonFinding:
-    records = [crash for part in group for crash in crashes[part]]
+    records = [crash for pattern in group for crash in crashes[pattern]]
     teams = {crash.team for crash in records}
     is_blocked = evidence >= _BLOCK_EVIDENCE
     return PoisonFinding(
-        parts=frozenset(group),
+        patterns=frozenset(group),
         team=teams.pop() if len(teams) == 1 else None,
         verdict=Verdict.BLOCKED if is_blocked else Verdict.SUSPENDED,
         evidence=evidence,
--- a/packages/core/fulmarward_core/poison/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/poison/tests/test_decisions.py
@@ -5,10 +5,10 @@
 from fulmarward_core.poison import CrashRecord, Verdict, find_poison
 
 
-def make_crash(part, target, *, at=None, team="t", strong=True, trusted=False):
+def make_crash(pattern, target, *, at=None, team="t", strong=True, trusted=False):
     """Return a record of a crash, one second after that of the target before."""
     return CrashRecord(
-        part=part,
+        pattern=pattern,
         target=f"i-{target}",
         team=team,
         at=float(target) if at is None else at,
@@ -17,18 +17,18 @@
     )
 
 
-def make_crashes(part, targets, **options):
-    return [make_crash(part, target, **options) for target in targets]
+def make_crashes(pattern, targets, **options):
+    return [make_crash(pattern, target, **options) for target in targets]
 
 
 class FindPoisonTest(unittest.TestCase):
     def find(self, *series):
-        """Return parts and verdicts, which do not depend on the order of records."""
+        """Return patterns and verdicts, which do not depend on the order of records."""
         records = [record for crashes in series for record in crashes]
         found = find_poison(records)
         random.Random(1).shuffle(records)
         self.assertEqual(find_poison(records), found)
-        return [("".join(sorted(f.parts)), f.verdict) for f in found]
+        return [("".join(sorted(f.patterns)), f.verdict) for f in found]
 
     def test_evidence(self):
         blocked, suspended = Verdict.BLOCKED, Verdict.SUSPENDED
@@ -63,7 +63,7 @@
                 [("x", blocked)],
             ),
             (
-                "always with another part",
+                "always with another pattern",
                 [make_crashes("x", range(3)), make_crashes("y", range(3))],
                 [("xy", blocked)],
             ),
@@ -78,7 +78,7 @@
                 self.assertEqual(self.find(*series), expected)
 
     def test_team(self):
-        """Guards against a team that has another team's parts rejected."""
+        """Guards against a team that has another team's patterns rejected."""
         for teams, expected in [("aaa", "a"), ("aab", None)]:
             records = [
                 make_crash("x", target, team=team) for target, team in enumerate(teams)
@@ -89,17 +89,17 @@
             self.assertEqual(finding.matches({"x"}, "c"), expected is None)
 
     def test_work_grows_with_the_records(self):
-        """Guards against an event loop that many blocked parts keep busy."""
+        """Guards against an event loop that many blocked patterns keep busy."""
 
-        def count(parts):
+        def count(patterns):
             records = [
-                make_crash(f"x{part}", 3 * part + number)
-                for part in range(parts)
+                make_crash(f"x{pattern}", 3 * pattern + number)
+                for pattern in range(patterns)
                 for number in range(3)
             ]
             found = []
             calls = count_calls(lambda: found.extend(find_poison(records)))
-            self.assertEqual(len(found), parts)
+            self.assertEqual(len(found), patterns)
             return calls
 
         self.assertLess(count(200), 6 * count(50))
--- a/packages/core/fulmarward_core/poison/tests/test_table.py
+++ b/packages/core/fulmarward_core/poison/tests/test_table.py
@@ -3,7 +3,7 @@
 
 from fulmarward_core.poison import (
     BLOCK_RETENTION_S,
-    MAX_PARTS,
+    MAX_PATTERNS,
     SUSPENSION_S,
     PoisonTable,
     Verdict,
@@ -14,17 +14,17 @@
     def setUp(self):
         self.table = PoisonTable()
 
-    def crash(self, number, *parts, now=None, team="t", table=None):
+    def crash(self, number, *patterns, now=None, team="t", table=None):
         return (table or self.table).record_crash(
             target=f"i-{number}",
             team=team,
-            parts=parts or ("x",),
+            patterns=patterns or ("x",),
             is_strong=True,
             now=float(number) if now is None else now,
         )
 
-    def find(self, *parts, now, table=None, team="t"):
-        finding = (table or self.table).find_rejection(parts, team=team, now=now)
+    def find(self, *patterns, now, table=None, team="t"):
+        finding = (table or self.table).find_rejection(patterns, team=team, now=now)
         return None if finding is None else finding.verdict
 
     def test_part_that_crashes_targets_is_rejected_and_its_neighbours_are_not(self):
@@ -38,7 +38,7 @@
         self.assertIsNone(self.find("first", "rare", "y", now=5.1))
 
     def test_proven_part_is_cleared_also_of_crashes_reported_later(self):
-        """Guards against a lasting suspicion of a part that most requests carry."""
+        """Guards against a lasting suspicion of a pattern that most requests carry."""
         for number in range(1, 4):
             self.crash(number)
         self.assertEqual(self.table.record_proven(["x", "y"], now=4.0), ["x"])
@@ -63,8 +63,8 @@
         tables = [PoisonTable() for _ in range(3)]
         draw = random.Random(5)
         for number in range(20):
-            parts = draw.sample(["a", "b", "c", "x"], 2)
-            self.crash(number, *parts, table=draw.choice(tables))
+            patterns = draw.sample(["a", "b", "c", "x"], 2)
+            self.crash(number, *patterns, table=draw.choice(tables))
             if number % 7 == 0:
                 draw.choice(tables).record_proven(["a"], now=float(number))
         for _ in range(2):
@@ -105,8 +105,8 @@
         for _ in range(30):
             now += 3600.0
             [finding] = self.table.findings
-            for part in self.table.renew(finding, now=now):
-                other.merge(self.table.list_seen([part]), now=now)
+            for pattern in self.table.renew(finding, now=now):
+                other.merge(self.table.list_seen([pattern]), now=now)
         self.assertEqual(self.find("x", now=now, table=other), Verdict.BLOCKED)
         now += BLOCK_RETENTION_S + 1.0
         self.assertIsNone(self.find("x", now=now))
@@ -116,8 +116,8 @@
         """Guards against a table that a caller fills without bound."""
         for number in range(1, 4):
             self.crash(number)
-        for number in range(10, 10 + 2 * MAX_PARTS):
+        for number in range(10, 10 + 2 * MAX_PATTERNS):
             self.crash(number, f"junk{number}", team="other")
-            self.table.record_proven([f"part{number}"], now=float(number))
+            self.table.record_proven([f"pattern{number}"], now=float(number))
         self.assertEqual(self.find("x", now=5000.0), Verdict.BLOCKED)
-        self.assertLess(len(self.table.list_seen()), MAX_PARTS)
+        self.assertLess(len(self.table.list_seen()), MAX_PATTERNS)
--- a/packages/router/fulmarward_router/_lookup.py
+++ b/packages/router/fulmarward_router/_lookup.py
@@ -59,9 +59,9 @@
     metrics: RouterMetrics,
     refresh: Callable[[], None],
     describe: Callable[[], object],
-    lift_prompt_part: Callable[[str], bool],
+    lift_crash_pattern: Callable[[str], bool],
 ) -> Callable[[web.BaseRequest], web.Response]:
-    """Return the handler of `/metrics`, `/status` and `/lift-prompt-part`."""
+    """Return the handler of `/metrics`, `/status` and `/lift-crash-pattern`."""
 
     async def answer(request: web.BaseRequest) -> web.Response:
         if request.path == "/metrics":
@@ -73,33 +73,35 @@
         if request.path == "/status":
             body = orjson.dumps(describe(), option=orjson.OPT_INDENT_2)
             return web.Response(body=body, content_type="application/json")
-        if request.path == "/lift-prompt-part" and request.method == "POST":
+        if request.path == "/lift-crash-pattern" and request.method == "POST":
             body = await request.content.read(MAX_OPERATOR_BYTES)
-            return _lift(body, lift_prompt_part)
+            return _lift(body, lift_crash_pattern)
         log_event("operator_request_refused", path=request.path)
         return web.Response(status=404)
 
     return answer
 
 
-def _lift(body: bytes, lift_prompt_part: Callable[[str], bool]) -> web.Response:
-    """Accept requests with a part of prompts again, and answer whether it was known."""
+def _lift(body: bytes, lift_crash_pattern: Callable[[str], bool]) -> web.Response:
+    """Accept requests that match a pattern again, and answer whether it was known."""
     try:
-        part = orjson.loads(body)["part"]
+        pattern = orjson.loads(body)["pattern"]
     except (ValueError, KeyError, TypeError):
-        part = None
-    if not isinstance(part, str):
+        pattern = None
+    if not isinstance(pattern, str):
         return _respond_with_json(
             {
                 "result": int(ResultCode.USAGE),
-                "error": {"message": 'expected {"part": ID}'},
+                "error": {"message": 'expected {"pattern": ID}'},
                 "retry_after_ms": None,
             },
             status=400,
         )
-    is_lifted = lift_prompt_part(part)
-    log_event("prompt_part_lifted", part=part[:MAX_LOGGED_ID], is_known=is_lifted)
-    return _respond_with_json({"part": part, "is_lifted": is_lifted}, status=200)
+    is_lifted = lift_crash_pattern(pattern)
+    log_event(
+        "crash_pattern_lifted", pattern=pattern[:MAX_LOGGED_ID], is_known=is_lifted
+    )
+    return _respond_with_json({"pattern": pattern, "is_lifted": is_lifted}, status=200)
 
 
 def _respond_with_json(tree: object, *, status: int) -> web.Response:
--- a/packages/router/fulmarward_router/_metrics.py
+++ b/packages/router/fulmarward_router/_metrics.py
@@ -34,8 +34,8 @@
     #: Targets that crashed under a request, counted for each such request, by `service`
     #: and `progress`.
     crashes: Counter
-    #: Prompt parts whose requests are rejected, by `verdict`.
-    rejected_prompt_parts: Gauge
+    #: Patterns whose requests are rejected, by `verdict`.
+    rejected_crash_patterns: Gauge
     #: Calls to the store and to targets, by `call` and `status`.
     calls: Counter
     #: Bytes exchanged with peers, by `direction`.
@@ -80,8 +80,9 @@
             "crashed_attempts_total",
             "Attempts whose target crashed, by service and progress.",
         ),
-        rejected_prompt_parts=factory.gauge(
-            "rejected_prompt_parts", "Parts of prompts that are rejected, by verdict."
+        rejected_crash_patterns=factory.gauge(
+            "rejected_crash_patterns",
+            "Patterns of requests that are rejected, by verdict.",
         ),
         calls=factory.count("calls_total", "Calls to the store and to targets."),
         peer_bytes=factory.count("peer_bytes_total", "Bytes between instances."),
@@ -166,11 +167,11 @@
         )
     for verdict in Verdict:
         count = sum(
-            len(finding.parts)
+            len(finding.patterns)
             for finding in poison_findings
             if finding.verdict is verdict
         )
-        metrics.rejected_prompt_parts.set({"verdict": verdict.value}, count)
+        metrics.rejected_crash_patterns.set({"verdict": verdict.value}, count)
     for reason in SUSPICION_REASONS:
         count = excluded_targets.get(reason, 0)
         metrics.excluded_targets.set({"reason": reason}, count)
--- a/packages/router/fulmarward_router/_status.py
+++ b/packages/router/fulmarward_router/_status.py
@@ -59,9 +59,9 @@
             }
             for service, known in instance.contacts.list_unreached().items()
         ],
-        "rejected_prompt_parts": [
+        "rejected_crash_patterns": [
             {
-                "parts": sorted(finding.parts),
+                "patterns": sorted(finding.patterns),
                 "team": finding.team,
                 "verdict": finding.verdict.value,
                 "evidence": finding.evidence,
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -185,9 +185,11 @@
         )
         self.poison = PoisonKnowledge(
             read_clock=clock,
-            notify_peers=lambda parts: self.mesh.notify_poison(parts),
+            notify_peers=lambda patterns: self.mesh.notify_poison(patterns),
             fetch_from_peers=lambda: self.mesh.fetch_poison(),
-            record_block_changed=lambda parts: self.poison_rows.record_changed(parts),
+            record_block_changed=lambda patterns: self.poison_rows.record_changed(
+                patterns
+            ),
         )
         self.paces = PaceTable()
         self.ledger = LoadLedger(note_changed=lambda: self.mesh.notify_loads())
@@ -506,7 +508,7 @@
                 poison_findings=self.poison.findings,
             ),
             describe=lambda: describe_status(self, now=self._clock()),
-            lift_prompt_part=self.poison.lift,
+            lift_crash_pattern=self.poison.lift,
         )
         caller_server = CallerServer(
             self.caller_handler.handle,
--- a/packages/router/fulmarward_router/exchange/_crash_monitor.py
+++ b/packages/router/fulmarward_router/exchange/_crash_monitor.py
@@ -63,12 +63,12 @@
         )
         if finding is None:
             return
-        parts = ", ".join(sorted(finding.parts))
-        cause = f"targets crash under the prompt part {parts}"
+        patterns = ", ".join(sorted(finding.patterns))
+        cause = f"targets crash under the prompt part {patterns}"
         log_event(
-            "prompt_rejected",
+            "crash_pattern_matched",
             request=state.facts.request_id,
-            parts=sorted(finding.parts),
+            patterns=sorted(finding.patterns),
             verdict=finding.verdict.value,
             evidence=finding.evidence,
             last_crash_s_ago=round(self._read_clock() - finding.last_crash_at, 3),
@@ -150,6 +150,6 @@
         self._poison.record_crash(
             target=target,
             team=state.team_name,
-            parts=state.facts.shared_parts,
+            patterns=state.facts.shared_parts,
             is_strong=attempt.progress is Progress.NO_EVENT,
         )
--- a/packages/router/fulmarward_router/exchange/tests/test_crash_monitor.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_crash_monitor.py
@@ -146,7 +146,7 @@
     async def test_peers_are_notified_once_of_what_changes_together(self):
         await self.crash(1)
         self.poison.record_crash(
-            target="i-1", team="", parts=["w", "x"], is_strong=True
+            target="i-1", team="", patterns=["w", "x"], is_strong=True
         )
         await asyncio.sleep(0.05)
         self.assertEqual(self.notified, [["w", "x"]])
@@ -155,15 +155,15 @@
         """Guards against a block that no instance takes for its own to write."""
         peer = PoisonKnowledge(
             read_clock=lambda: self.now,
-            notify_peers=lambda parts: None,
+            notify_peers=lambda patterns: None,
             fetch_from_peers=lambda: None,
-            record_block_changed=lambda parts: None,
+            record_block_changed=lambda patterns: None,
         )
         await self.crash(1)
         for number in (2, 3):
             self.now += 1.0
             peer.record_crash(
-                target=f"i-{number}", team="", parts=["x"], is_strong=True
+                target=f"i-{number}", team="", patterns=["x"], is_strong=True
             )
         self.poison.merge(peer.make_reports(), source="peer", delay_s=0.0)
         self.assertIn(["x"], self.written)
--- a/packages/router/fulmarward_router/mesh/__init__.py
+++ b/packages/router/fulmarward_router/mesh/__init__.py
@@ -23,7 +23,7 @@
     LoadReport,
     LoadUpdate,
     PaceReport,
-    PoisonPartReport,
+    PatternReport,
     RowSnapshot,
     Subscription,
     SupportsCompression,
@@ -40,7 +40,7 @@
 
 __all__ = [
     "CrashReport",
-    "PoisonPartReport",
+    "PatternReport",
     "PoisonSource",
     "FleetLoads",
     "FleetReport",
--- a/packages/router/fulmarward_router/mesh/_links.py
+++ b/packages/router/fulmarward_router/mesh/_links.py
@@ -36,7 +36,7 @@
     InstanceIdentity,
     Introduction,
     LoadUpdate,
-    PoisonPartReport,
+    PatternReport,
     PoisonReport,
     PoisonSnapshot,
     SendTime,
@@ -189,9 +189,9 @@
         """Send the loads soon, as some have changed."""
         self._sender.notify_loads()
 
-    def notify_poison(self, parts: Sequence[str]) -> None:
-        """Send the records of crashes under these parts to all peers."""
-        self._relay_poison(parts, except_to=None)
+    def notify_poison(self, patterns: Sequence[str]) -> None:
+        """Send the records of crashes under these patterns to all peers."""
+        self._relay_poison(patterns, except_to=None)
 
     def fetch_poison(self) -> None:
         """Request the records of crashes from all peers."""
@@ -199,11 +199,11 @@
             self._send_nowait(link.connection, FetchPoison(sender=self._own.name))
 
     def _relay_poison(
-        self, parts: Sequence[str], *, except_to: Connection | None
+        self, patterns: Sequence[str], *, except_to: Connection | None
     ) -> None:
         """Send records on all links but the one on which they arrived."""
         report = PoisonReport(
-            sender=self._own.name, parts=self._poison.make_reports(parts)
+            sender=self._own.name, patterns=self._poison.make_reports(patterns)
         )
         data = self._encode(report)
         for link in self._sender.list_links():
@@ -361,7 +361,7 @@
         """
         reports = self._poison.make_reports()
         if reports:
-            report = PoisonReport(sender=self._own.name, parts=reports)
+            report = PoisonReport(sender=self._own.name, patterns=reports)
             await self._send(connection, report)
         await self._send(connection, FetchPoison(sender=self._own.name))
 
@@ -585,7 +585,7 @@
     async def _handle_poison_report(
         self, receiver: _LinkReceiver, message: PoisonReport
     ) -> None:
-        self._merge_poison(receiver, message.sender, message.parts)
+        self._merge_poison(receiver, message.sender, message.patterns)
 
     async def _handle_fetch_poison(
         self, receiver: _LinkReceiver, message: FetchPoison
@@ -593,14 +593,14 @@
         snapshot = PoisonSnapshot(
             sender=self._own.name,
             is_current=self._poison.is_current,
-            parts=self._poison.make_reports(),
+            patterns=self._poison.make_reports(),
         )
         await self._send(receiver.connection, snapshot)
 
     async def _handle_poison_snapshot(
         self, receiver: _LinkReceiver, message: PoisonSnapshot
     ) -> None:
-        self._merge_poison(receiver, message.sender, message.parts)
+        self._merge_poison(receiver, message.sender, message.patterns)
         if message.is_current:
             self._poison.record_current()
 
@@ -608,10 +608,10 @@
         self,
         receiver: _LinkReceiver,
         sender: str,
-        parts: Sequence[PoisonPartReport],
+        patterns: Sequence[PatternReport],
     ) -> None:
         delay_s = receiver.find_delay_s(now=self._read_clock())
-        changed = self._poison.merge(parts, source=sender, delay_s=delay_s)
+        changed = self._poison.merge(patterns, source=sender, delay_s=delay_s)
         if changed:
             self._relay_poison(changed, except_to=receiver.connection)
 
--- a/packages/router/fulmarward_router/mesh/_messages.py
+++ b/packages/router/fulmarward_router/mesh/_messages.py
@@ -281,7 +281,7 @@
 
 
 class CrashReport(Message, kw_only=True):
-    """A target that crashed while a request with a part may have been the cause."""
+    """A target that crashed while a request with a pattern may have been the cause."""
 
     target: str
     #: Team of the request, empty if it has none.
@@ -294,11 +294,11 @@
     is_cleared: bool
 
 
-class PoisonPartReport(Message, kw_only=True):
-    """The crashes that a part of prompts may have caused."""
+class PatternReport(Message, kw_only=True):
+    """The crashes that a pattern of prompts may have caused."""
 
-    part: str
-    #: Milliseconds since the part was last in a request that crashed or was rejected.
+    pattern: str
+    #: Milliseconds since it was last in a request that crashed or was rejected.
     seen_age_ms: int
     crashes: tuple[CrashReport, ...]
 
@@ -307,7 +307,7 @@
     """Records of crashes that changed; relayed by those to whom they are new."""
 
     sender: str
-    parts: tuple[PoisonPartReport, ...]
+    patterns: tuple[PatternReport, ...]
 
 
 class FetchPoison(Message, kw_only=True):
@@ -322,7 +322,7 @@
     sender: str
     #: Whether the sender itself has had the records of its peers since its start.
     is_current: bool
-    parts: tuple[PoisonPartReport, ...]
+    patterns: tuple[PatternReport, ...]
 
 
 #: All messages; the number of a message on the wire is its index here. A message keeps
--- a/packages/router/fulmarward_router/mesh/_state.py
+++ b/packages/router/fulmarward_router/mesh/_state.py
@@ -17,7 +17,7 @@
     FleetReport,
     Heartbeat,
     LoadUpdate,
-    PoisonPartReport,
+    PatternReport,
     SupportsCompression,
     TargetChanges,
 )
@@ -126,11 +126,11 @@
         """Record that a peer has sent all its records."""
 
     def make_reports(
-        self, parts: Iterable[str] | None = None
-    ) -> tuple[PoisonPartReport, ...]:
-        """Return the records of the given parts, by default of all."""
+        self, patterns: Iterable[str] | None = None
+    ) -> tuple[PatternReport, ...]:
+        """Return the records of the given patterns, by default of all."""
 
     def merge(
-        self, reports: Iterable[PoisonPartReport], *, source: str, delay_s: float
+        self, reports: Iterable[PatternReport], *, source: str, delay_s: float
     ) -> list[str]:
-        """Merge the records of a peer; return the parts of which it knew more."""
+        """Merge the records of a peer; return the patterns of which it knew more."""
--- a/packages/router/fulmarward_router/mesh/tests/test_poison_relay.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_poison_relay.py
@@ -6,7 +6,7 @@
     CrashReport,
     MemberTable,
     Mesh,
-    PoisonPartReport,
+    PatternReport,
     decode_message,
 )
 from fulmarward_router.mesh._links import _LinkReceiver
@@ -16,7 +16,7 @@
 
 
 def make_part(name, *targets):
-    """Return the report of a part under which targets crashed, a second apart."""
+    """Return the report of a pattern under which targets crashed, a second apart."""
     crashes = tuple(
         CrashReport(
             target=target,
@@ -28,7 +28,7 @@
         )
         for number, target in enumerate(targets)
     )
-    return PoisonPartReport(part=name, seen_age_ms=0, crashes=crashes)
+    return PatternReport(pattern=name, seen_age_ms=0, crashes=crashes)
 
 
 class PoisonRelayTest(unittest.IsolatedAsyncioTestCase):
@@ -53,25 +53,28 @@
         with mock.patch("fulmarward_router.mesh._links.broadcast") as broadcast:
             await self.mesh._handle_message(receiver, message)
         return [
-            (connection, [part.part for part in decode_message(call.args[1]).parts])
+            (
+                connection,
+                [pattern.pattern for pattern in decode_message(call.args[1]).patterns],
+            )
             for call in broadcast.call_args_list
             for connection in call.args[0]
         ]
 
     async def test_new_crashes_are_relayed_once_to_all_other_links(self):
         """Guards against instances behind a hub that never learn of a crash."""
-        report = PoisonReport(sender="peer", parts=(make_part("x", "i-1", "i-2"),))
+        report = PoisonReport(sender="peer", patterns=(make_part("x", "i-1", "i-2"),))
         self.assertEqual(await self.receive(report), [("b", ["x"]), ("c", ["x"])])
         self.assertEqual(await self.receive(report), [])
 
     async def test_snapshot_is_merged_and_only_that_of_a_current_peer_suffices(self):
         """Guards against two instances that start together and know nothing."""
-        parts = (make_part("x", "i-1", "i-2", "i-3"),)
+        patterns = (make_part("x", "i-1", "i-2", "i-3"),)
         with mock.patch.object(self.poison, "record_current") as record_current:
             for is_current in (False, True):
                 record_current.assert_not_called()
                 snapshot = PoisonSnapshot(
-                    sender="peer", is_current=is_current, parts=parts
+                    sender="peer", is_current=is_current, patterns=patterns
                 )
                 await self.receive(snapshot)
             record_current.assert_called_once_with()
--- a/packages/router/fulmarward_router/state/_poison.py
+++ b/packages/router/fulmarward_router/state/_poison.py
@@ -9,10 +9,10 @@
     CrashRecord,
     PoisonFinding,
     PoisonTable,
-    SeenPart,
+    SeenPattern,
     Verdict,
 )
-from fulmarward_router.mesh import CrashReport, PoisonPartReport
+from fulmarward_router.mesh import CrashReport, PatternReport
 
 #: Seconds for which changes are collected before peers are notified: a crash ends many
 #: requests at the same time.
@@ -42,10 +42,10 @@
         record_block_changed: Callable[[Sequence[str]], None],
     ) -> None:
         self._read_clock = read_clock
-        #: Called with the parts that this instance blocked or accepted again, and with
-        #: blocked ones that are still requested.
+        #: Called with the patterns that this instance blocked or accepted again, and
+        #: with blocked ones that still come.
         self._record_block_changed = record_block_changed
-        #: Sends the records of the given parts to all peers.
+        #: Sends the records of the given patterns to all peers.
         self._notify_peers = notify_peers
         self._fetch_from_peers = fetch_from_peers
         self._table = PoisonTable()
@@ -53,7 +53,7 @@
         self._blocked: frozenset[str] = frozenset()
         #: Parts under which this instance itself saw a target crash; these it writes to
         #: the store.
-        self._own_parts: set[str] = set()
+        self._own_patterns: set[str] = set()
         self._pending: set[str] = set()
         self._current = asyncio.Event()
         self._checked_at = read_clock()
@@ -93,47 +93,47 @@
 
     @property
     def findings(self) -> tuple[PoisonFinding, ...]:
-        """The parts that are suspended or blocked, those with most evidence first."""
+        """The suspended and blocked patterns, those with most evidence first."""
         return self._table.findings
 
-    def is_blocked(self, part: str) -> bool:
-        """Return whether requests with a part are rejected until it is cleared."""
-        return part in _list_blocked(self._table.findings)
+    def is_blocked(self, pattern: str) -> bool:
+        """Return whether requests with a pattern are rejected until it is cleared."""
+        return pattern in _list_blocked(self._table.findings)
 
     def record_crash(
-        self, *, target: str, team: str, parts: Collection[str], is_strong: bool
+        self, *, target: str, team: str, patterns: Collection[str], is_strong: bool
     ) -> None:
         """Record that a target crashed under a request."""
-        self._own_parts.update(parts)
+        self._own_patterns.update(patterns)
         changed = self._table.record_crash(
             target=target,
             team=team,
-            parts=parts,
+            patterns=patterns,
             is_strong=is_strong,
             now=self._read_clock(),
         )
         self._handle_changes(changed, source="own")
 
-    def record_proven(self, parts: Iterable[str], *, request_id: str) -> None:
-        """Record that a request with these parts was answered by a live target."""
-        cleared = self._table.record_proven(parts, now=self._read_clock())
+    def record_proven(self, patterns: Iterable[str], *, request_id: str) -> None:
+        """Record that a request with these patterns was answered by a live target."""
+        cleared = self._table.record_proven(patterns, now=self._read_clock())
         if cleared:
-            log_event("crash_records_cleared", request=request_id, parts=cleared)
+            log_event("crash_records_cleared", request=request_id, patterns=cleared)
         self._handle_changes(cleared, source="own")
 
-    def lift(self, part: str) -> bool:
-        """Forget the crashes of a part; return whether there were any."""
-        is_lifted = self._table.lift(part)
+    def lift(self, pattern: str) -> bool:
+        """Forget the crashes of a pattern; return whether there were any."""
+        is_lifted = self._table.lift(pattern)
         if is_lifted:
-            self._handle_changes([part], source="operator")
+            self._handle_changes([pattern], source="operator")
         return is_lifted
 
     def find_rejection(
-        self, parts: Collection[str], *, team: str
+        self, patterns: Collection[str], *, team: str
     ) -> PoisonFinding | None:
         """Return the finding for which a request is rejected, `None` if it is not."""
         now = self._read_clock()
-        finding = self._table.find_rejection(parts, team=team, now=now)
+        finding = self._table.find_rejection(patterns, team=team, now=now)
         if finding is not None and finding.verdict is Verdict.BLOCKED:
             renewed = self._table.renew(finding, now=now)
             self._collect(renewed)
@@ -141,32 +141,32 @@
         return finding
 
     def make_reports(
-        self, parts: Iterable[str] | None = None
-    ) -> tuple[PoisonPartReport, ...]:
-        """Return the records of the given parts, by default of all."""
+        self, patterns: Iterable[str] | None = None
+    ) -> tuple[PatternReport, ...]:
+        """Return the records of the given patterns, by default of all."""
         now = self._read_clock()
         return tuple(
-            PoisonPartReport(
-                part=seen.part,
+            PatternReport(
+                pattern=seen.pattern,
                 seen_age_ms=_count_ms(seen.seen_at, now),
                 crashes=tuple(_make_report(item, now) for item in seen.crashes),
             )
-            for seen in self._table.list_seen(parts)
+            for seen in self._table.list_seen(patterns)
         )
 
     def merge(
-        self, reports: Iterable[PoisonPartReport], *, source: str, delay_s: float
+        self, reports: Iterable[PatternReport], *, source: str, delay_s: float
     ) -> list[str]:
-        """Merge the records of a peer; return the parts of which it knew more.
+        """Merge the records of a peer; return the patterns of which it knew more.
 
         `delay_s` is for how long they were delayed in transit, infinite if unknown.
         """
         now = self._read_clock()
         sent_at = now - (delay_s if math.isfinite(delay_s) else 0.0)
-        seen_parts = [_read_report(report, sent_at) for report in reports]
-        changed = self._table.merge(seen_parts, now=now)
+        seen_patterns = [_read_report(report, sent_at) for report in reports]
+        changed = self._table.merge(seen_patterns, now=now)
         if changed:
-            blocked = self._update_findings(source) & self._own_parts
+            blocked = self._update_findings(source) & self._own_patterns
             self._record_block_changed(sorted(blocked))
         return changed
 
@@ -176,17 +176,17 @@
             self._record_block_changed(sorted(self._update_findings(source)))
 
     def _update_findings(self, source: str) -> frozenset[str]:
-        """Log what changed in the findings; return the parts whose block changed."""
+        """Log what changed in the findings; return the patterns whose block changed."""
         before = self._blocked
         self._log_findings(source)
         self._blocked = _list_blocked(self._table.findings)
-        self._own_parts.intersection_update(self._table.list_parts())
+        self._own_patterns.intersection_update(self._table.list_patterns())
         return before ^ self._blocked
 
-    def _collect(self, parts: Iterable[str]) -> None:
-        """Notify peers of parts soon, together with those that follow at once."""
+    def _collect(self, patterns: Iterable[str]) -> None:
+        """Notify peers of patterns soon, together with those that follow at once."""
         is_scheduled = bool(self._pending)
-        self._pending.update(parts)
+        self._pending.update(patterns)
         if self._pending and not is_scheduled:
             asyncio.get_running_loop().call_later(_COLLECT_S, self._flush)
 
@@ -196,31 +196,35 @@
 
     def _log_findings(self, source: str) -> None:
         """Log the findings that are new, and those that no longer hold."""
-        found = {item.parts: (item.verdict, item.team) for item in self._table.findings}
+        found = {
+            item.patterns: (item.verdict, item.team) for item in self._table.findings
+        }
         if found == self._logged:
             return
         for item in self._table.findings:
-            if self._logged.get(item.parts) != found[item.parts]:
+            if self._logged.get(item.patterns) != found[item.patterns]:
                 log_event(
-                    "prompt_parts_rejected",
-                    parts=sorted(item.parts),
+                    "crash_patterns_rejected",
+                    patterns=sorted(item.patterns),
                     team=item.team,
                     verdict=item.verdict.value,
                     evidence=item.evidence,
                     targets=sorted(item.targets),
                     source=source,
                 )
-        for parts in self._logged.keys() - found.keys():
-            log_event("prompt_parts_accepted", parts=sorted(parts), source=source)
+        for patterns in self._logged.keys() - found.keys():
+            log_event(
+                "crash_patterns_accepted", patterns=sorted(patterns), source=source
+            )
         self._logged = found
 
 
 def _list_blocked(findings: Iterable[PoisonFinding]) -> frozenset[str]:
     return frozenset(
-        part
+        pattern
         for finding in findings
         if finding.verdict is Verdict.BLOCKED
-        for part in finding.parts
+        for pattern in finding.patterns
     )
 
 
@@ -239,13 +243,13 @@
     )
 
 
-def _read_report(report: PoisonPartReport, sent_at: float) -> SeenPart:
-    return SeenPart(
-        part=report.part,
+def _read_report(report: PatternReport, sent_at: float) -> SeenPattern:
+    return SeenPattern(
+        pattern=report.pattern,
         seen_at=sent_at - report.seen_age_ms / 1000,
         crashes=tuple(
             CrashRecord(
-                part=report.part,
+                pattern=report.pattern,
                 target=item.target,
                 team=item.team,
                 at=sent_at - item.age_ms / 1000,
--- a/packages/router/fulmarward_router/state/_poison_rows.py
+++ b/packages/router/fulmarward_router/state/_poison_rows.py
@@ -1,4 +1,4 @@
-"""Keeps blocked prompt parts in the store, for when all instances stop at once."""
+"""Keeps blocked prompt patterns in the store, for when all instances stop at once."""
 
 import asyncio
 from collections.abc import Callable, Sequence
@@ -7,22 +7,22 @@
 
 from fulmarward.observability import log_event
 from fulmarward_core.poison import BLOCK_RETENTION_S
-from fulmarward_router.mesh import CrashReport, PoisonPartReport
+from fulmarward_router.mesh import CrashReport, PatternReport
 from fulmarward_router.ports import ReplyLost, Row, RowWrite, Store, StoreRefused
 from fulmarward_router.state._poison import PoisonKnowledge
 
-#: The store's table with a row for each blocked part.
+#: The store's table with a row for each blocked pattern.
 POISON_TABLE = "poison"
 
 #: Seconds before a failed call to the store is retried.
 RETRY_INTERVAL_S = 1.0
 
-#: Milliseconds between the crashes of a part that is read, whose times are not kept.
+#: Milliseconds between the crashes of a pattern that is read, whose times are not kept.
 _CRASH_SPACING_MS = 1000
 
 
 class PoisonRows:
-    """Reads the rows once and writes those of parts whose block changes."""
+    """Reads the rows once and writes those of patterns whose block changes."""
 
     def __init__(
         self,
@@ -37,18 +37,18 @@
         self._read_wall_clock = read_wall_clock
         self._changed = asyncio.Queue[str]()
 
-    def record_changed(self, parts: Sequence[str]) -> None:
-        """Write the rows of parts soon, as this instance blocked or accepted them."""
-        for part in parts:
-            self._changed.put_nowait(part)
+    def record_changed(self, patterns: Sequence[str]) -> None:
+        """Write the rows of patterns soon that this instance blocked or accepted."""
+        for pattern in patterns:
+            self._changed.put_nowait(pattern)
 
     async def run(self) -> None:
         """Read all rows, then write those that change, until cancelled."""
         while not await self._read():
             await asyncio.sleep(RETRY_INTERVAL_S)
         while True:
-            part = await self._changed.get()
-            while not await self._write(part):
+            pattern = await self._changed.get()
+            while not await self._write(pattern):
                 await asyncio.sleep(RETRY_INTERVAL_S)
 
     async def _read(self) -> bool:
@@ -64,23 +64,23 @@
         self._poison.merge(known, source="store", delay_s=0.0)
         return True
 
-    async def _write(self, part: str) -> bool:
-        """Write or remove the row of a part; return whether the store answered."""
+    async def _write(self, pattern: str) -> bool:
+        """Write or remove the row of a pattern; return whether the store answered."""
         value = None
-        if self._poison.is_blocked(part):
-            [report] = self._poison.make_reports([part])
+        if self._poison.is_blocked(pattern):
+            [report] = self._poison.make_reports([pattern])
             value = _encode_row(report, now=self._read_wall_clock())
-        write = RowWrite(table=POISON_TABLE, key=part, value=value)
+        write = RowWrite(table=POISON_TABLE, key=pattern, value=value)
         try:
             await self._store.transact([], [write])
         except (StoreRefused, ReplyLost) as error:
-            log_event("poison_row_write_failed", part=part, cause=repr(error))
+            log_event("poison_row_write_failed", pattern=pattern, cause=repr(error))
             return False
-        log_event("poison_row_written", part=part, is_blocked=value is not None)
+        log_event("poison_row_written", pattern=pattern, is_blocked=value is not None)
         return True
 
 
-def _encode_row(report: PoisonPartReport, *, now: float) -> bytes:
+def _encode_row(report: PatternReport, *, now: float) -> bytes:
     crashes = [
         [crash.target, crash.team, crash.is_strong, crash.is_trusted]
         for crash in report.crashes
@@ -89,7 +89,7 @@
     return cbor2.dumps([now, crashes])
 
 
-def _decode_row(row: Row, *, now: float) -> PoisonPartReport | None:
+def _decode_row(row: Row, *, now: float) -> PatternReport | None:
     """Return the records in a row, `None` if it is malformed or too old."""
     try:
         written_at, items = cbor2.loads(row.value)
@@ -106,10 +106,10 @@
             for number, (target, team, is_strong, is_trusted) in enumerate(items)
         )
     except (cbor2.CBORDecodeError, TypeError, ValueError, OverflowError) as error:
-        log_event("poison_row_refused", part=row.key, cause=repr(error))
+        log_event("poison_row_refused", pattern=row.key, cause=repr(error))
         return None
     if age_s > BLOCK_RETENTION_S:
         return None
-    return PoisonPartReport(
-        part=row.key, seen_age_ms=int(age_s * 1000), crashes=crashes
+    return PatternReport(
+        pattern=row.key, seen_age_ms=int(age_s * 1000), crashes=crashes
     )
