Reject whole requests that crash targets

Cause: crashes were recorded under the shared parts of prompts alone. The request's part was also in sound requests, each of which cleared it; a request without shared parts, or to a plain service, was never examined. Class: the identity of an input is a set of names at several levels (a part, the whole request), and only one level was looked at.

Now crashes are recorded under the request's fingerprint (method, host, path with query, team, body) as well, in the same table, exchanged, kept and lifted in the same way. Three crashes without an answer in between block it; a whole request counts fully whether or not a response had started, as nothing tells that of plain services. The narrowest pattern that explains all crashes is blocked; requests that were in the same ones are told apart by the next crash. A whole request is not suspended: its repeats would all return at once. Bodies are hashed only when an attempt broke off, or when a request with the same head has records. Plain attempts are examined while the request goes on, so that its retry is not delayed. A target is named by its process, so that one that starts again under its name counts again, and all targets of a service may be down. Findings are computed when they are used, not for each of the requests a crash ends.

In test_crash_monitor the isolated instance has heard nothing for two seconds, which was not part of the case before; one that has just heard from the target is a case of its own.

--- a/packages/core/fulmarward_core/fleet/_types.py
+++ b/packages/core/fulmarward_core/fleet/_types.py
@@ -104,6 +104,11 @@
     #: The layers that it has loaded, or `None`.
     layers: LayerRange | None
 
+    @property
+    def process_name(self) -> str:
+        """The name of its process, also if it starts again under its own name."""
+        return f"{self.name}@{self.started_ms}" if self.started_ms else self.name
+
 
 def compute_kv_capacity(engine: EngineModel, kind: AcceleratorKind, layers: int) -> int:
     """Return the KV cache capacity beside `layers` loaded layers.
--- a/packages/core/fulmarward_core/poison/__init__.py
+++ b/packages/core/fulmarward_core/poison/__init__.py
@@ -1,8 +1,9 @@
-"""Parts of prompts that crash the targets that write an answer for them."""
+"""Requests, and parts of prompts, that crash the targets that run them."""
 
 from fulmarward_core.poison._fingerprint import (
     compute_fingerprint,
     compute_head_fingerprint,
+    find_head_fingerprint,
 )
 from fulmarward_core.poison._table import (
     BLOCK_RETENTION_S,
@@ -31,5 +32,6 @@
     "Verdict",
     "compute_fingerprint",
     "compute_head_fingerprint",
+    "find_head_fingerprint",
     "find_poison",
 ]
--- a/packages/core/fulmarward_core/poison/_fingerprint.py
+++ b/packages/core/fulmarward_core/poison/_fingerprint.py
@@ -2,6 +2,9 @@
 
 from hashlib import blake2b
 
+#: What the fingerprint of a request begins with. Ids of prompt parts never do.
+_PREFIX = "request:"
+
 #: Bytes of the digests of what precedes the body, and of the whole request.
 _HEAD_DIGEST_BYTES = 4
 _DIGEST_BYTES = 12
@@ -20,6 +23,13 @@
 
 
 def compute_fingerprint(head: str, body: bytes) -> str:
-    """Return the digest of a request, which begins with that of its head."""
+    """Return the fingerprint of a request, which contains that of its head."""
     digest = blake2b(body, digest_size=_DIGEST_BYTES, key=head.encode())
-    return f"{head}-{digest.hexdigest()}"
+    return f"{_PREFIX}{head}-{digest.hexdigest()}"
+
+
+def find_head_fingerprint(pattern: str) -> str | None:
+    """Return the head in the fingerprint of a request, `None` for another pattern."""
+    if not pattern.startswith(_PREFIX):
+        return None
+    return pattern.removeprefix(_PREFIX).partition("-")[0]
--- a/packages/core/fulmarward_core/poison/_table.py
+++ b/packages/core/fulmarward_core/poison/_table.py
@@ -1,14 +1,15 @@
-"""The crashes of targets that patterns of prompts may have caused.
+"""The crashes of targets that patterns of requests may have caused.
 
 Tables of several instances are merged by the union of their records, of which each only
 ever gains properties. So all instances reach the same findings, in whatever order they
 hear of the crashes.
 """
 
-from collections import OrderedDict
-from collections.abc import Collection, Iterable
+from collections import Counter, OrderedDict
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, replace
 
+from fulmarward_core.poison._fingerprint import find_head_fingerprint
 from fulmarward_core.poison.decisions import (
     SUSPENSION_S,
     CrashRecord,
@@ -19,13 +20,19 @@
 
 #: Upper bounds on the patterns with records, on those of which only one team is known,
 #: and on the records of one pattern.
-MAX_PATTERNS = 256
-_MAX_PATTERNS_PER_TEAM = 64
+MAX_PATTERNS = 1024
+_MAX_PATTERNS_PER_TEAM = 512
 _MAX_CRASHES_PER_PATTERN = 16
 
 #: Upper bound on the patterns remembered as proven harmless.
 _MAX_PROVEN_PATTERNS = 4096
 
+#: Patterns by which a table grows before its bounds are enforced again.
+_EVICTION_SLACK = 32
+
+#: Crashes that a pattern of a finding has at least.
+_MIN_CRASHES = 2
+
 #: Seconds for which a pattern counts as trusted after it was proven harmless.
 _TRUST_DURATION_S = 30.0
 
@@ -62,7 +69,13 @@
         self._seen_at: dict[str, float] = {}
         #: When each pattern was last proven harmless, the oldest first.
         self._proven_at: OrderedDict[str, float] = OrderedDict()
+        #: How many whole requests have records, by the fingerprint of their heads.
+        self._request_heads: Counter[str] = Counter()
         self._expired_at = float("-inf")
+        #: Number of patterns above which the bounds are enforced.
+        self._evict_above = _MAX_PATTERNS_PER_TEAM
+        #: Whether the findings are to be updated before they are used.
+        self._is_outdated = False
         self._findings: tuple[PoisonFinding, ...] = ()
         #: The patterns in any finding.
         self._found_patterns: frozenset[str] = frozenset()
@@ -70,8 +83,18 @@
     @property
     def findings(self) -> tuple[PoisonFinding, ...]:
         """What follows from the records, those with most evidence first."""
+        if self._is_outdated:
+            self._update_findings()
         return self._findings
 
+    @property
+    def request_heads(self) -> Mapping[str, int]:
+        """The fingerprints of the heads of requests with records.
+
+        Only a request with one of them may be known by its own fingerprint.
+        """
+        return self._request_heads
+
     def record_crash(
         self,
         *,
@@ -79,17 +102,21 @@
         team: str,
         patterns: Iterable[str],
         is_strong: bool,
+        at: float,
         now: float,
     ) -> list[str]:
-        """Record a target that crashed under a request; return the patterns changed."""
+        """Record a target that crashed at a time under a request with these patterns.
+
+        Returns the patterns whose records changed.
+        """
         records = [
             CrashRecord(
                 pattern=pattern,
                 target=target,
                 team=team,
-                at=now,
+                at=at,
                 is_strong=is_strong,
-                is_trusted=now - self._find_proven_at(pattern) < _TRUST_DURATION_S,
+                is_trusted=at - self._find_proven_at(pattern) < _TRUST_DURATION_S,
             )
             for pattern in patterns
         ]
@@ -121,25 +148,26 @@
                 cleared.append(pattern)
         while len(self._proven_at) > _MAX_PROVEN_PATTERNS:
             self._proven_at.popitem(last=False)
-        if cleared:
-            self._update_findings()
+        self._is_outdated |= bool(cleared)
         return cleared
 
     def lift(self, pattern: str) -> bool:
         """Clear the records of a pattern; return whether there were any."""
         is_changed = pattern in self._crashes and self._clear(pattern)
-        if is_changed:
-            self._update_findings()
+        self._is_outdated |= is_changed
         return is_changed
 
     def find_rejection(
         self, patterns: Collection[str], *, team: str, now: float
     ) -> PoisonFinding | None:
         """Return the finding for which a request is rejected, `None` if it is not."""
-        if self._found_patterns.isdisjoint(patterns):
+        if all(len(self._crashes.get(p, ())) < _MIN_CRASHES for p in patterns):
             return None
         self._expire(now)
-        for finding in self._findings:
+        findings = self.findings
+        if self._found_patterns.isdisjoint(patterns):
+            return None
+        for finding in findings:
             is_over = now - finding.last_crash_at >= SUSPENSION_S
             if finding.verdict is Verdict.SUSPENDED and is_over:
                 continue
@@ -199,13 +227,16 @@
                 seen_at = self._seen_at.get(record.pattern, float("-inf"))
                 self._seen_at[record.pattern] = max(seen_at, record.at)
         if changed:
+            self._is_outdated = True
             self._expire(now)
             self._evict()
-            self._update_findings()
-        return list(changed)
+        return [pattern for pattern in changed if pattern in self._crashes]
 
     def _add_one(self, record: CrashRecord) -> bool:
-        records = self._crashes.setdefault(record.pattern, {})
+        if record.pattern not in self._crashes:
+            self._crashes[record.pattern] = {}
+            self._count_head(record.pattern, 1)
+        records = self._crashes[record.pattern]
         key = (record.target, record.team)
         known = records.get(key)
         if known is None:
@@ -226,7 +257,16 @@
         records[key] = merged
         return merged != known
 
+    def _count_head(self, pattern: str, change: int) -> None:
+        head = find_head_fingerprint(pattern)
+        if head is None:
+            return
+        self._request_heads[head] += change
+        if not self._request_heads[head]:
+            del self._request_heads[head]
+
     def _update_findings(self) -> None:
+        self._is_outdated = False
         self._findings = find_poison(
             record for records in self._crashes.values() for record in records.values()
         )
@@ -237,7 +277,7 @@
     def _list_blocked(self) -> set[str]:
         return {
             pattern
-            for finding in self._findings
+            for finding in self.findings
             if finding.verdict is Verdict.BLOCKED
             for pattern in finding.patterns
         }
@@ -257,14 +297,16 @@
         self._drop(expired)
 
     def _evict(self) -> None:
-        """Drop the least useful patterns beyond the bounds.
+        """Drop the least useful patterns beyond the bounds, with fewest crashes first.
 
-        Guards against a team that fills the table: its own patterns go first.
+        Guards against a team that fills the table: its own patterns go first. A crash
+        adds a pattern for each request that ran beside the one that caused it.
         """
-        if len(self._crashes) <= _MAX_PATTERNS_PER_TEAM:
+        if len(self._crashes) <= self._evict_above:
             return
-        blocked = self._list_blocked()
-        order = sorted(self._seen_at, key=lambda p: (p in blocked, self._seen_at[p]))
+        order = sorted(
+            self._seen_at, key=lambda p: (self._count_crashes(p), self._seen_at[p])
+        )
         by_team: dict[str, list[str]] = {}
         for pattern in order:
             teams = {record.team for record in self._crashes[pattern].values()}
@@ -274,10 +316,21 @@
             self._drop(patterns[: max(0, len(patterns) - _MAX_PATTERNS_PER_TEAM)])
         left = [pattern for pattern in order if pattern in self._crashes]
         self._drop(left[: max(0, len(left) - MAX_PATTERNS)])
+        self._schedule_eviction()
+
+    def _schedule_eviction(self) -> None:
+        slack = len(self._crashes) + _EVICTION_SLACK
+        self._evict_above = max(_MAX_PATTERNS_PER_TEAM, slack)
+
+    def _count_crashes(self, pattern: str) -> int:
+        """Return the number of crashes of which the pattern has not been cleared."""
+        return sum(not crash.is_cleared for crash in self._crashes[pattern].values())
 
     def _drop(self, patterns: Iterable[str]) -> None:
         dropped = list(patterns)
         for pattern in dropped:
             del self._crashes[pattern], self._seen_at[pattern]
+            self._count_head(pattern, -1)
         if dropped:
-            self._update_findings()
+            self._is_outdated = True
+            self._schedule_eviction()
--- a/packages/core/fulmarward_core/poison/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/poison/tests/test_decisions.py
@@ -4,6 +4,9 @@
 from fulmarward_core.codec.tests.calls import count_calls
 from fulmarward_core.poison import CrashRecord, Verdict, find_poison
 
+#: Fingerprints of whole requests.
+_REQUEST, _OTHER = "request:a-1", "request:b-2"
+
 
 def make_crash(pattern, target, *, at=None, team="t", strong=True, trusted=False):
     """Return a record of a crash, one second after that of the target before."""
@@ -77,6 +80,59 @@
             with self.subTest(name):
                 self.assertEqual(self.find(*series), expected)
 
+    def test_whole_requests(self):
+        blocked = Verdict.BLOCKED
+        weak = {"strong": False}
+        cases = [
+            ("two crashes", [make_crashes(_REQUEST, [1, 2])], []),
+            ("three", [make_crashes(_REQUEST, [1, 2, 3])], [(_REQUEST, blocked)]),
+            (
+                "before the head",
+                [make_crashes(_REQUEST, [1, 2, 3], **weak)],
+                [(_REQUEST, blocked)],
+            ),
+            ("at the same time", [make_crashes(_REQUEST, range(9), at=1.0)], []),
+            (
+                "with a part that only it has",
+                [make_crashes(_REQUEST, range(3)), make_crashes("x", range(3))],
+                [(_REQUEST, blocked)],
+            ),
+            (
+                "with a part that crashed another target",
+                [make_crashes(_REQUEST, range(3)), make_crashes("x", range(4))],
+                [("x", blocked)],
+            ),
+            (
+                "beside another that was not being written",
+                [
+                    make_crashes(_REQUEST, range(3)),
+                    make_crashes(_OTHER, range(3), **weak),
+                ],
+                [(_REQUEST, blocked)],
+            ),
+            (
+                "beside one whose response had started",
+                [
+                    make_crashes(_REQUEST, range(3), **weak),
+                    make_crashes(_OTHER, range(2)),
+                ],
+                [(_REQUEST, blocked)],
+            ),
+            (
+                "always beside another",
+                [make_crashes(_REQUEST, range(3)), make_crashes(_OTHER, range(3))],
+                [],
+            ),
+            (
+                "once without the other",
+                [make_crashes(_REQUEST, range(4)), make_crashes(_OTHER, range(3))],
+                [(_REQUEST, blocked)],
+            ),
+        ]
+        for name, series, expected in cases:
+            with self.subTest(name):
+                self.assertEqual(self.find(*series), expected)
+
     def test_team(self):
         """Guards against a team that has another team's patterns rejected."""
         for teams, expected in [("aaa", "a"), ("aab", None)]:
--- a/packages/core/fulmarward_core/poison/tests/test_table.py
+++ b/packages/core/fulmarward_core/poison/tests/test_table.py
@@ -9,6 +9,9 @@
     Verdict,
 )
 
+#: Requests that run on a target at the same time.
+_SLOTS = 128
+
 
 class PoisonTableTest(unittest.TestCase):
     def setUp(self):
@@ -20,6 +23,7 @@
             team=team,
             patterns=patterns or ("x",),
             is_strong=True,
+            at=float(number) if now is None else now,
             now=float(number) if now is None else now,
         )
 
@@ -49,6 +53,14 @@
         self.table.merge(reporter.list_seen(), now=5.0)
         self.assertIsNone(self.find("x", now=5.0))
 
+    def test_request_that_ran_beside_many_others_is_found(self):
+        """Guards against records that are pushed out by what ran on the same target."""
+        for number in range(3):
+            for other in range(_SLOTS):
+                self.crash(number, f"request:{other:x}-{number}")
+            self.crash(number, "request:a-0")
+        self.assertEqual(self.find("request:a-0", now=3.0), Verdict.BLOCKED)
+
     def test_lifted_part_is_rejected_again_only_after_new_crashes(self):
         for number in range(1, 4):
             self.crash(number)
@@ -120,4 +132,5 @@
             self.crash(number, f"junk{number}", team="other")
             self.table.record_proven([f"pattern{number}"], now=float(number))
         self.assertEqual(self.find("x", now=5000.0), Verdict.BLOCKED)
+        self.assertEqual(len(self.table.request_heads), 0)
         self.assertLess(len(self.table.list_seen()), MAX_PATTERNS)
--- a/packages/core/fulmarward_core/results/_codes.py
+++ b/packages/core/fulmarward_core/results/_codes.py
@@ -40,6 +40,7 @@
     PATH_UNKNOWN = 1011
     HEADERS_TOO_LARGE = 1012
     PROMPT_BLOCKED = 1013
+    REQUEST_BLOCKED = 1014
     OVER_SHARE = 2001
     QUEUE_FULL = 2002
     DEADLINE_TOO_NEAR = 2003
@@ -59,6 +60,7 @@
     DEADLINE_PASSED = 3003
     STREAM_LOST = 3004
     PROMPT_CRASHED = 3005
+    REQUEST_CRASHED = 3006
     OUTCOME_UNKNOWN = 4001
     INSTANCE_STOPPED = 4002
     ABANDONED = 4003
@@ -158,6 +160,9 @@
     ResultCode.PROMPT_BLOCKED: _make_entry(
         400, _INVALID, _NOT_RUN, 10, "A part of the prompt crashes targets."
     ),
+    ResultCode.REQUEST_BLOCKED: _make_entry(
+        400, _INVALID, _NOT_RUN, 10, "The request crashes targets."
+    ),
     ResultCode.OVER_SHARE: _make_entry(
         429, "rate_limit_error", _NOT_RUN, 20, "The team is over the share it was sold."
     ),
@@ -227,6 +232,9 @@
     ResultCode.PROMPT_CRASHED: _make_entry(
         400, _INVALID, _FAILED, 30, "The prompt crashed a target; do not repeat it."
     ),
+    ResultCode.REQUEST_CRASHED: _make_entry(
+        400, _INVALID, _FAILED, 30, "The request crashed a target; do not repeat it."
+    ),
     ResultCode.OUTCOME_UNKNOWN: _make_entry(
         502, _SERVER, _UNKNOWN, 40, "It cannot be known whether the request ran."
     ),
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -40,6 +40,7 @@
 from fulmarward_router.exchange import (
     CallerHandler,
     CallerServer,
+    CrashMonitor,
     EngineService,
     FailureDetector,
     OccupancyReader,
@@ -312,6 +313,11 @@
             read_clock=self._clock,
             notify_peers=self._notify_peers,
         )
+        crash_monitor = CrashMonitor(
+            context=context,
+            failure_detector=self.failure_detector,
+            count_crash=self._count_crash,
+        )
         forwarder = StreamForwarder(
             dialect=self.dialect,
             is_stopping=lambda: self.life.is_stopping,
@@ -321,6 +327,7 @@
             context=context,
             contact_monitor=self.failure_detector.contact_monitor,
             forwarder=forwarder,
+            crash_monitor=crash_monitor,
             list_peers=self.listing.list_relay_peers,
         )
         self.engines = EngineService(
@@ -328,15 +335,18 @@
             failure_detector=self.failure_detector,
             forwarder=forwarder,
             relay=relay,
+            crash_monitor=crash_monitor,
             count_broken_attempt=self._count_broken_attempt,
-            count_crash=self._count_crash,
         )
         return CallerHandler(
             dialect=self.dialect,
             configuration=self.configuration,
             engines=self.engines,
             plain=PlainService(
-                context=context, failure_detector=self.failure_detector, relay=relay
+                context=context,
+                failure_detector=self.failure_detector,
+                relay=relay,
+                crash_monitor=crash_monitor,
             ),
             find_budget=self._find_budget,
             read_clock=self._clock,
--- a/packages/router/fulmarward_router/exchange/__init__.py
+++ b/packages/router/fulmarward_router/exchange/__init__.py
@@ -2,6 +2,7 @@
 
 from fulmarward_router.exchange._caller_handler import CallerHandler, CallerServer
 from fulmarward_router.exchange._context import ServiceContext
+from fulmarward_router.exchange._crash_monitor import CrashMonitor
 from fulmarward_router.exchange._engines import EngineService
 from fulmarward_router.exchange._failure_detector import FailureDetector
 from fulmarward_router.exchange._forwarding import StreamForwarder
@@ -15,6 +16,7 @@
 __all__ = [
     "CallerHandler",
     "CallerServer",
+    "CrashMonitor",
     "EngineService",
     "FailureDetector",
     "OccupancyReader",
--- a/packages/router/fulmarward_router/exchange/_attempt.py
+++ b/packages/router/fulmarward_router/exchange/_attempt.py
@@ -5,7 +5,7 @@
 
 import aiohttp
 
-from fulmarward_core.fleet import EngineModel
+from fulmarward_core.fleet import EngineModel, TargetRecord
 from fulmarward_core.loads import Reservation
 from fulmarward_core.paces import SlowStreamDetector
 from fulmarward_core.paths import Hop, PathRequest
@@ -34,12 +34,15 @@
         wanted: PathRequest,
         path: tuple[Hop, ...],
         reservation: Reservation,
+        record: TargetRecord | None,
     ) -> None:
         self.state = state
         self.engine = engine
         self.wanted = wanted
         self.path = path
         self.reservation = reservation
+        #: The first target as it was known when the attempt began.
+        self.record = record
         #: Task that waits for the response headers, and the response once they arrived.
         self.head_task: asyncio.Task | None = None
         self.response: aiohttp.ClientResponse | None = None
--- a/packages/router/fulmarward_router/exchange/_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/_caller_handler.py
@@ -66,6 +66,8 @@
     ResultCode.HEADERS_TOO_LARGE: 431,
     ResultCode.PROMPT_BLOCKED: 400,
     ResultCode.PROMPT_CRASHED: 400,
+    ResultCode.REQUEST_BLOCKED: 400,
+    ResultCode.REQUEST_CRASHED: 400,
     ResultCode.BODY_MALFORMED: 400,
     ResultCode.BODY_TOO_LARGE: 413,
     ResultCode.DEADLINE_PASSED: 504,
--- a/packages/router/fulmarward_router/exchange/_crash_monitor.py
+++ b/packages/router/fulmarward_router/exchange/_crash_monitor.py
@@ -1,13 +1,17 @@
-"""Rejects requests whose prompts crash targets, and records crashes under requests."""
+"""Rejects requests that crash targets, and records crashes under requests."""
 
-from collections.abc import Callable
+import asyncio
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 from fulmarward.observability import log_event
+from fulmarward_core.fleet import TargetRecord
 from fulmarward_core.poison import (
     MIN_PROVEN_EVENTS,
     SUSPENSION_S,
     PoisonFinding,
     Verdict,
+    find_head_fingerprint,
 )
 from fulmarward_core.results import ResultCode
 from fulmarward_router.exchange._attempt import Attempt, AttemptFailed, Progress
@@ -22,12 +26,40 @@
 #: Seconds to wait for the confirmation that a target has ended.
 CONFIRM_CRASH_TIMEOUT_S = 0.4
 
+#: Seconds since a target was heard from in which it must have ended itself, although
+#: this instance reaches no other target of the service: all of them may have ended.
+MAX_CONTACT_AGE_S = 1.0
+
 #: Shortest retry delay, in seconds, of a request whose prompt is suspended.
 MIN_RETRY_S = 0.1
 
+#: Codes of requests that have not run and that have, by whether a whole request is
+#: blocked or a part of its prompt.
+_BLOCKED_CODES = {
+    (False, False): ResultCode.PROMPT_BLOCKED,
+    (False, True): ResultCode.PROMPT_CRASHED,
+    (True, False): ResultCode.REQUEST_BLOCKED,
+    (True, True): ResultCode.REQUEST_CRASHED,
+}
+
+
+@dataclass(frozen=True, kw_only=True)
+class BrokenResponse:
+    """A response that its target broke off."""
+
+    #: The target as it was known when the request was sent.
+    target: TargetRecord
+    progress: Progress
+    #: Number of complete events that had arrived.
+    events: int
+    #: When the target was last heard from, and when the response broke off, in seconds
+    #: on the monotonic clock.
+    heard_at: float
+    broken_at: float
+
 
 class CrashMonitor:
-    """Relates crashes of targets to the parts of the prompts that they were given."""
+    """Relates crashes of targets to the requests that they were given."""
 
     def __init__(
         self,
@@ -45,26 +77,29 @@
         self._failure_detector = failure_detector
         #: Counts a target that crashed under a request, by service and progress.
         self._count_crash = count_crash
+        #: Running examinations that no request waits for.
+        self._examinations: set[asyncio.Task] = set()
 
     async def admit(self, state: RequestState) -> None:
         """Check a request before its first attempt; raises as `check` does."""
-        if state.facts.shared_parts:
-            await self._poison.await_current()
-            self.check(state)
+        await self._poison.await_current()
+        self.check(state)
 
     def check(self, state: RequestState) -> None:
         """Check a request before each attempt.
 
-        Raises `RejectedRequest` if its prompt crashes targets, or `TruncatedResponse`
-        if the response has started.
+        Raises `RejectedRequest` if it crashes targets, or `TruncatedResponse` if the
+        response has started.
         """
         finding = self._poison.find_rejection(
-            state.facts.shared_parts, team=state.team_name
+            self._list_known_patterns(state), team=state.team_name
         )
         if finding is None:
             return
+        is_request = _names_requests(finding.patterns)
         patterns = ", ".join(sorted(finding.patterns))
-        cause = f"targets crash under the prompt part {patterns}"
+        what = "this request" if is_request else "the prompt part"
+        cause = f"targets crash under {what} {patterns}"
         log_event(
             "crash_pattern_matched",
             request=state.facts.request_id,
@@ -78,14 +113,25 @@
             raise TruncatedResponse(cause=cause)
         raise self._make_rejection(state, finding, cause)
 
+    def _list_known_patterns(self, state: RequestState) -> list[str]:
+        """Return the patterns of a request that may have records.
+
+        Its body is not read unless a request with the same head has some.
+        """
+        patterns = list(state.facts.shared_parts)
+        heads = self._poison.request_heads
+        if heads and state.head_fingerprint in heads:
+            patterns.append(state.fingerprint)
+        return patterns
+
     def _make_rejection(
         self, state: RequestState, finding: PoisonFinding, cause: str
     ) -> RejectedRequest:
         """Return the answer; only one that may change soon invites a retry."""
         has_run = state.runs > 0
         if finding.verdict is Verdict.BLOCKED:
-            crashed, blocked = ResultCode.PROMPT_CRASHED, ResultCode.PROMPT_BLOCKED
-            return RejectedRequest(crashed if has_run else blocked, cause=cause)
+            is_request = _names_requests(finding.patterns)
+            return RejectedRequest(_BLOCKED_CODES[is_request, has_run], cause=cause)
         left_s = finding.last_crash_at + SUSPENSION_S - self._read_clock()
         retry_after_s = max(MIN_RETRY_S, left_s)
         if has_run:
@@ -99,29 +145,48 @@
     def record_events(self, state: RequestState, attempt: Attempt) -> None:
         """Record how many events of an attempt have arrived."""
         if not attempt.is_proven and attempt.events >= MIN_PROVEN_EVENTS:
-            self.record_proven(state, attempt)
+            attempt.is_proven = True
+            self.record_proven(state)
 
-    def record_proven(self, state: RequestState, attempt: Attempt) -> None:
+    def record_proven(self, state: RequestState) -> None:
         """Record that a target has written enough, or all, of a response."""
-        attempt.is_proven = True
-        if state.facts.shared_parts:
-            self._poison.record_proven(
-                state.facts.shared_parts, request_id=state.facts.request_id
-            )
+        patterns = self._list_known_patterns(state)
+        if patterns:
+            self._poison.record_proven(patterns, request_id=state.facts.request_id)
 
-    async def examine(
+    async def examine_attempt(
         self, state: RequestState, attempt: Attempt, failure: AttemptFailed
     ) -> None:
+        """Examine an attempt at a stream, unless it was ended by this instance."""
+        if not failure.is_broken_off or attempt.is_proven or attempt.record is None:
+            return
+        broken = BrokenResponse(
+            target=attempt.record,
+            progress=attempt.progress,
+            events=attempt.events,
+            heard_at=attempt.last_activity_at,
+            broken_at=self._read_clock(),
+        )
+        await self.examine(state, broken)
+
+    def start_examination(self, state: RequestState, broken: BrokenResponse) -> None:
+        """Examine a broken response while its request goes on."""
+        task = asyncio.create_task(self.examine(state, broken))
+        self._examinations.add(task)
+        task.add_done_callback(self._handle_examined)
+
+    def _handle_examined(self, task: asyncio.Task) -> None:
+        self._examinations.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log_event("internal_error_caught", exc_info=task.exception(), request=None)
+
+    async def examine(self, state: RequestState, broken: BrokenResponse) -> None:
         """Record the crash of a target that broke off its response, if it was one.
 
         The target is probed beside controls: it may have broken off this response
         alone, or this instance may have lost its link.
         """
-        if not failure.is_broken_off or attempt.is_proven:
-            return
-        if not state.facts.shared_parts:
-            return
-        target = attempt.first.target
+        target = broken.target.name
         record = self._catalogue.find_target(target)
         if record is None or record.is_leaving:
             return
@@ -129,27 +194,50 @@
         await self._failure_detector.probe_again(
             target, timeout_s=min(left_s, CONFIRM_CRASH_TIMEOUT_S)
         )
-        now = self._read_clock()
-        has_ended = self._suspicions.is_unreachable(target, now=now) or (
-            self._catalogue.find_target(target) is None
-        )
-        has_crashed = has_ended and self._contacts.is_reached(state.service)
+        patterns = self._list_accused(state, broken) if self._has_ended(broken) else []
         log_event(
             "broken_attempt_examined",
             request=state.facts.request_id,
             target=target,
-            has_crashed=has_crashed,
-            progress=attempt.progress.value,
-            events=attempt.events,
+            has_crashed=bool(patterns),
+            progress=broken.progress.value,
+            events=broken.events,
             team=state.team_name,
             fingerprint=state.fingerprint,
         )
-        if not has_crashed:
+        if not patterns:
             return
-        self._count_crash(state.service, attempt.progress.value)
+        self._count_crash(state.service, broken.progress.value)
         self._poison.record_crash(
-            target=target,
+            target=broken.target.process_name,
             team=state.team_name,
-            patterns=state.facts.shared_parts,
-            is_strong=attempt.progress is Progress.NO_EVENT,
+            patterns=patterns,
+            is_strong=broken.progress is Progress.NO_EVENT,
+            at=broken.broken_at,
         )
+
+    def _has_ended(self, broken: BrokenResponse) -> bool:
+        """Return whether the process of a target that was probed has ended."""
+        target = broken.target.name
+        current = self._catalogue.find_target(target)
+        return (
+            current is None
+            or current.process_name != broken.target.process_name
+            or self._suspicions.is_unreachable(target, now=self._read_clock())
+        )
+
+    def _list_accused(self, state: RequestState, broken: BrokenResponse) -> list[str]:
+        """Return the patterns of a request that may have crashed its target.
+
+        None if this instance may have been isolated from the service when the response
+        broke off. A part, which many requests have, is not accused while none of the
+        targets is reached.
+        """
+        if self._contacts.is_reached(state.service):
+            return [*state.facts.shared_parts, state.fingerprint]
+        has_contact = broken.broken_at - broken.heard_at <= MAX_CONTACT_AGE_S
+        return [state.fingerprint] if has_contact else []
+
+
+def _names_requests(patterns: Iterable[str]) -> bool:
+    return any(find_head_fingerprint(pattern) is not None for pattern in patterns)
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -55,8 +55,8 @@
         failure_detector: FailureDetector,
         forwarder: StreamForwarder,
         relay: PeerRelay,
+        crash_monitor: CrashMonitor,
         count_broken_attempt: Callable[[str, str], None],
-        count_crash: Callable[[str, str], None],
     ) -> None:
         self._context = context
         self._forwarder = forwarder
@@ -70,9 +70,7 @@
         self._ledger = context.ledger
         self._read_clock = context.read_clock
         self._failure_detector = failure_detector
-        self._crash_monitor = CrashMonitor(
-            context=context, failure_detector=failure_detector, count_crash=count_crash
-        )
+        self._crash_monitor = crash_monitor
         self._finder = finder = PathFinder(
             instance=context.instance,
             catalogue=context.catalogue,
@@ -128,6 +126,7 @@
                 wanted=wanted,
                 path=path,
                 reservation=reservation,
+                record=self._catalogue.find_target(path[0].target),
             )
             state.attempts += 1
             state.targets = tuple(hop.target for hop in path)
@@ -161,7 +160,7 @@
             if failure.is_not_sent and self._relay.is_needed(state):
                 # No target has received it, so that it takes no retry.
                 continue
-            await self._crash_monitor.examine(state, attempt, failure)
+            await self._crash_monitor.examine_attempt(state, attempt, failure)
             self._crash_monitor.check(state)
             await self._require_retry(state, wanted, failure, answer)
             if not failure.is_not_run or failure.is_not_sent:
@@ -406,7 +405,7 @@
             raise AttemptFailed(
                 cause="ended inside an event", is_not_run=False, is_broken_off=True
             )
-        self._crash_monitor.record_proven(state, attempt)
+        self._crash_monitor.record_proven(state)
 
     def _record_broken_response(self, attempt: Attempt) -> None:
         """Record that the first target closed the connection during its response."""
--- a/packages/router/fulmarward_router/exchange/_plain.py
+++ b/packages/router/fulmarward_router/exchange/_plain.py
@@ -2,13 +2,16 @@
 
 import asyncio
 
+import aiohttp
 from aiohttp import web
 
 from fulmarward.observability import log_event
 from fulmarward_core.attempts import may_run_again
 from fulmarward_core.fleet import TargetRecord
 from fulmarward_core.results import ResultCode
+from fulmarward_router.exchange._attempt import Progress
 from fulmarward_router.exchange._context import ServiceContext
+from fulmarward_router.exchange._crash_monitor import BrokenResponse, CrashMonitor
 from fulmarward_router.exchange._failure_detector import FailureDetector
 from fulmarward_router.exchange._relay import PeerRelay
 from fulmarward_router.exchange._request_state import RejectedRequest, RequestState
@@ -45,8 +48,10 @@
         context: ServiceContext,
         failure_detector: FailureDetector,
         relay: PeerRelay,
+        crash_monitor: CrashMonitor,
     ) -> None:
         self._context = context
+        self._crash_monitor = crash_monitor
         self._relay = relay
         self._failure_detector = failure_detector
         self._client = context.client
@@ -58,6 +63,7 @@
 
     async def serve(self, state: RequestState) -> web.StreamResponse:
         """Return a target's response; raises `RejectedRequest`."""
+        await self._crash_monitor.admit(state)
         tried: set[str] = set()
         last_failure: web.Response | None = None
         while True:
@@ -68,6 +74,8 @@
             target = await self._await_target(state, tried, last_failure)
             if target is None:
                 return last_failure
+            # It may have waited for a target with capacity.
+            self._crash_monitor.check(state)
             tried.add(target.name)
             state.attempts += 1
             state.targets = (target.name,)
@@ -202,6 +210,8 @@
             return None
         except (AnswerLost, TimeoutError) as error:
             state.runs += 1
+            if isinstance(error, AnswerLost):
+                self._start_examination(state, target, response, sent_at=now)
             self._log_failed_attempt(state, target, "answer lost", error)
             self._suspicions.record_error(target.name, now=self._read_clock())
             if state.route.may_retry and self._read_clock() < state.deadline:
@@ -213,6 +223,28 @@
         facts = self._dialect.read_answer(response.status, response.headers)
         return self._evaluate_response(state, target, facts, response, body)
 
+    def _start_examination(
+        self,
+        state: RequestState,
+        target: TargetRecord,
+        response: aiohttp.ClientResponse | None,
+        *,
+        sent_at: float,
+    ) -> None:
+        """Find out whether a target that broke off its response has ended.
+
+        The request does not wait for it.
+        """
+        has_head = response is not None
+        broken = BrokenResponse(
+            target=target,
+            progress=Progress.NO_EVENT if has_head else Progress.NO_RESPONSE,
+            events=0,
+            heard_at=sent_at,
+            broken_at=self._read_clock(),
+        )
+        self._crash_monitor.start_examination(state, broken)
+
     def _evaluate_response(
         self,
         state: RequestState,
@@ -233,7 +265,9 @@
             return None
         state.runs += 1
         is_own = facts.request_id == state.facts.request_id and facts.is_plain
-        if not is_own or not facts.is_signed:
+        if is_own and facts.is_signed:
+            self._crash_monitor.record_proven(state)
+        else:
             self._log_failed_attempt(state, target, f"not its answer, {status}", None)
             self._suspicions.record_error(target.name, now=now)
             if state.route.may_retry:
--- a/packages/router/fulmarward_router/exchange/_relay.py
+++ b/packages/router/fulmarward_router/exchange/_relay.py
@@ -19,6 +19,7 @@
 from fulmarward_router.exchange._admission import compute_resume_end
 from fulmarward_router.exchange._contact_monitor import ContactMonitor
 from fulmarward_router.exchange._context import ServiceContext
+from fulmarward_router.exchange._crash_monitor import CrashMonitor
 from fulmarward_router.exchange._events import EventSplitter
 from fulmarward_router.exchange._forwarding import StreamForwarder
 from fulmarward_router.exchange._request_state import (
@@ -68,12 +69,14 @@
         context: ServiceContext,
         contact_monitor: ContactMonitor,
         forwarder: StreamForwarder,
+        crash_monitor: CrashMonitor,
         list_peers: Callable[[], Sequence[RelayPeer]],
     ) -> None:
         self._context = context
         self._contacts = context.contacts
         self._contact_monitor = contact_monitor
         self._forwarder = forwarder
+        self._crash_monitor = crash_monitor
         #: Returns the peers that callers are sent to.
         self._list_peers = list_peers
         self._client = context.client
@@ -131,6 +134,8 @@
         """
         rejecting = []
         for peer in peers:
+            # It may have crashed a target of the peer before.
+            self._crash_monitor.check(state)
             left_s = state.count_left(self._read_clock())
             state.relayed_to = peer.name
             log_event(
--- a/packages/router/fulmarward_router/exchange/tests/test_crash_monitor.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_crash_monitor.py
@@ -3,6 +3,7 @@
 from types import SimpleNamespace
 from unittest import mock
 
+from fulmarward_core.poison import find_head_fingerprint
 from fulmarward_core.results import ResultCode
 from fulmarward_router.exchange._attempt import AttemptFailed, Progress
 from fulmarward_router.exchange._crash_monitor import CrashMonitor
@@ -38,9 +39,10 @@
     def start(self, *, has_ended=True, is_leaving=False, is_reached=True):
         """Make the monitor of an instance before one target, which may have ended."""
         self.detector = SimpleNamespace(probe_again=mock.AsyncMock())
+        self.record = SimpleNamespace(name="", process_name="i", is_leaving=is_leaving)
         context = SimpleNamespace(
             poison=self.poison,
-            catalogue=_Catalogue(SimpleNamespace(is_leaving=is_leaving)),
+            catalogue=_Catalogue(self.record),
             suspicions=SimpleNamespace(is_unreachable=lambda name, now: has_ended),
             contacts=SimpleNamespace(is_reached=lambda service: is_reached),
             read_clock=lambda: self.now,
@@ -54,11 +56,14 @@
             count_crash=lambda service, progress: None,
         )
 
-    def make_state(self, *, runs=0, has_begun=False, parts=("x",)):
+    def make_state(
+        self, *, runs=0, has_begun=False, parts=("x",), fingerprint="request:a-0"
+    ):
         return SimpleNamespace(
             facts=SimpleNamespace(request_id="r", shared_parts=parts),
             team_name="",
-            fingerprint="request",
+            head_fingerprint=find_head_fingerprint(fingerprint),
+            fingerprint=fingerprint,
             service="pool",
             runs=runs,
             attempts=runs,
@@ -66,18 +71,26 @@
             count_left=lambda now: 5.0,
         )
 
-    async def crash(self, number, *, events=0, is_broken_off=True):
-        """Break off an attempt at a target, whose response had started."""
+    async def crash(
+        self, number, *, events=0, is_broken_off=True, silent_s=0.0, **request
+    ):
+        """Break off an attempt at a target, whose response had started.
+
+        By default each request has another body.
+        """
         self.now += 1.0
+        state = self.make_state(**{"fingerprint": f"request:a-{number}", **request})
         attempt = SimpleNamespace(
-            first=SimpleNamespace(target=f"i-{number}"),
+            record=SimpleNamespace(name=f"i-{number}", process_name=f"i-{number}"),
             events=events,
             is_proven=False,
             progress=Progress.EVENTS if events else Progress.NO_EVENT,
+            last_activity_at=self.now - silent_s,
         )
         failure = AttemptFailed(cause="", is_not_run=False, is_broken_off=is_broken_off)
-        self.monitor.record_events(self.make_state(), attempt)
-        await self.monitor.examine(self.make_state(), attempt, failure)
+        self.monitor.record_events(state, attempt)
+        self.record.process_name = f"i-{number}"
+        await self.monitor.examine_attempt(state, attempt, failure)
 
     async def test_request_waits_for_the_records_of_a_peer(self):
         """Guards against an instance that learns by crashing another target."""
@@ -127,12 +140,55 @@
                     self.monitor.check(self.make_state(**state, has_begun=True))
                 self.monitor.check(self.make_state(parts=("y",)))
 
+    async def test_whole_request_that_crashes_targets_is_rejected(self):
+        """Guards against a request that has no part of its own to be known by."""
+        cases = [
+            ("without parts", {"parts": ()}, {}),
+            ("with a sound part", {}, {}),
+            ("while no other target is reached", {}, {"is_reached": False}),
+        ]
+        for name, request, instance in cases:
+            with self.subTest(name):
+                self.setUp()
+                self.start(**instance)
+                sound = self.make_state(fingerprint="request:a-9", **request)
+                same = {"fingerprint": "request:a-0", **request}
+                for number in range(3):
+                    self.monitor.check(self.make_state(**same))
+                    await self.crash(number, **same)
+                    self.monitor.record_proven(sound)
+                for runs, code in [
+                    (0, ResultCode.REQUEST_BLOCKED),
+                    (1, ResultCode.REQUEST_CRASHED),
+                ]:
+                    with self.assertRaises(RejectedRequest) as caught:
+                        self.monitor.check(self.make_state(runs=runs, **same))
+                    self.assertEqual(caught.exception.code, code)
+                    self.assertIsNone(caught.exception.retry_after_s)
+                self.monitor.check(sound)
+                self.monitor.record_proven(self.make_state(**same))
+                self.monitor.check(self.make_state(**same))
+
+    async def test_process_that_started_again_under_its_name_has_ended(self):
+        """Guards against a crash that is not seen as the target is back at once."""
+        self.start(has_ended=False)
+        for number in range(3):
+            await self.crash(number, fingerprint="request:a-0")
+        self.assertEqual(self.poison.findings, ())
+        with mock.patch.object(self.detector, "probe_again") as probe_again:
+            probe_again.side_effect = lambda target, timeout_s: setattr(
+                self.record, "process_name", "started again"
+            )
+            for number in range(3):
+                await self.crash(number, fingerprint="request:a-0")
+        self.assertEqual(len(self.poison.findings), 1)
+
     async def test_only_crashes_under_unproven_requests_count(self):
         """Guards against parts that are accused by failures of another kind."""
         cases = [
             ({"has_ended": False}, {}),
             ({"is_leaving": True}, {}),
-            ({"is_reached": False}, {}),
+            ({"is_reached": False}, {"silent_s": 2.0}),
             ({}, {"events": 4}),
             ({}, {"is_broken_off": False}),
         ]
@@ -146,10 +202,10 @@
     async def test_peers_are_notified_once_of_what_changes_together(self):
         await self.crash(1)
         self.poison.record_crash(
-            target="i-1", team="", patterns=["w", "x"], is_strong=True
+            target="i-1", team="", patterns=["w", "x"], is_strong=True, at=self.now
         )
         await asyncio.sleep(0.05)
-        self.assertEqual(self.notified, [["w", "x"]])
+        self.assertEqual(self.notified, [["request:a-1", "w", "x"]])
 
     async def test_block_that_a_peers_crash_completes_is_written(self):
         """Guards against a block that no instance takes for its own to write."""
@@ -163,7 +219,11 @@
         for number in (2, 3):
             self.now += 1.0
             peer.record_crash(
-                target=f"i-{number}", team="", patterns=["x"], is_strong=True
+                target=f"i-{number}",
+                team="",
+                patterns=["x"],
+                is_strong=True,
+                at=self.now,
             )
         self.poison.merge(peer.make_reports(), source="peer", delay_s=0.0)
         self.assertIn(["x"], self.written)
--- a/packages/router/fulmarward_router/exchange/tests/test_failover.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_failover.py
@@ -70,7 +70,12 @@
         )
         path = tuple(SimpleNamespace(target=name) for name in ("first", "second"))
         self.attempt = Attempt(
-            state=None, engine=None, wanted=None, path=path, reservation=None
+            state=None,
+            engine=None,
+            wanted=None,
+            path=path,
+            reservation=None,
+            record=None,
         )
         self.supervisor.add(self.attempt)
 
--- a/packages/router/fulmarward_router/exchange/tests/test_late_sends.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_sends.py
@@ -28,7 +28,7 @@
     _Dialect,
     _StalledTarget,
 )
-from fulmarward_router.tests._poison import make_poison_knowledge
+from fulmarward_router.tests._poison import make_crash_monitor, make_poison_knowledge
 
 #: Seconds after an acknowledged leaving in which a target still takes requests.
 _DRAIN_S = 3.0
@@ -80,10 +80,12 @@
             data_centre="a",
             read_clock=self.read_clock,
         )
+        detector = mock.Mock(probe_again=mock.AsyncMock())
         self.plain = PlainService(
             context=self.context,
-            failure_detector=mock.Mock(),
+            failure_detector=detector,
             relay=mock.Mock(is_needed=lambda state: False),
+            crash_monitor=make_crash_monitor(self.context, detector),
         )
 
     def read_clock(self):
@@ -114,7 +116,7 @@
             request=SimpleNamespace(raw_path="/x", method="POST", get=lambda key: None),
             headers={},
             body=body,
-            facts=SimpleNamespace(request_id="a"),
+            facts=SimpleNamespace(request_id="a", shared_parts=()),
             configuration=None,
             route=route,
             team=None,
--- a/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
@@ -31,7 +31,7 @@
 from fulmarward_router.exchange._request_state import RejectedRequest, RequestState
 from fulmarward_router.exchange.tests.test_send import _BODY, _StalledTarget
 from fulmarward_router.ports import AnswerFacts, OrderOutcome, OrderResult, TargetReport
-from fulmarward_router.tests._poison import make_poison_knowledge
+from fulmarward_router.tests._poison import make_crash_monitor, make_poison_knowledge
 
 #: Seconds after an acknowledged leaving in which a target still takes requests.
 _DRAIN_S = 3.0
@@ -214,10 +214,12 @@
             is_stopping=lambda: False,
             read_clock=self.read_clock,
         )
+        crash_monitor = make_crash_monitor(context, detector)
         relay = PeerRelay(
             context=context,
             contact_monitor=detector.contact_monitor,
             forwarder=forwarder,
+            crash_monitor=crash_monitor,
             list_peers=lambda: [],
         )
         self.service = EngineService(
@@ -225,8 +227,8 @@
             failure_detector=detector,
             forwarder=forwarder,
             relay=relay,
+            crash_monitor=crash_monitor,
             count_broken_attempt=lambda service, progress: None,
-            count_crash=lambda service, progress: None,
         )
         self.start(self.service.supervisor.run())
 
--- a/packages/router/fulmarward_router/exchange/tests/test_relay.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_relay.py
@@ -13,7 +13,7 @@
 from fulmarward_router.exchange._request_state import RejectedRequest
 from fulmarward_router.exchange._send import AnswerLost, NotSent
 from fulmarward_router.ports import AnswerFacts
-from fulmarward_router.tests._poison import make_poison_knowledge
+from fulmarward_router.tests._poison import make_crash_monitor, make_poison_knowledge
 
 _REJECTIONS = {
     code: orjson.dumps({"error": {"code": int(code)}})
@@ -93,6 +93,7 @@
             context=context,
             contact_monitor=monitor,
             forwarder=None,
+            crash_monitor=make_crash_monitor(context, None),
             list_peers=lambda: [
                 RelayPeer(name=f"p{n}", data_centre="a", address=f"p{n}:1")
                 for n in range(peers)
@@ -107,7 +108,10 @@
             headers={},
             body=b"",
             facts=SimpleNamespace(
-                request_id="r1", relayed_by=relayed_by, is_last_resort=False
+                request_id="r1",
+                relayed_by=relayed_by,
+                is_last_resort=False,
+                shared_parts=(),
             ),
             configuration=None,
             route=route,
--- a/packages/router/fulmarward_router/state/_poison.py
+++ b/packages/router/fulmarward_router/state/_poison.py
@@ -1,8 +1,8 @@
-"""Which prompts crash targets: what this instance saw, and what its peers report."""
+"""Which requests crash targets: what this instance saw, and what its peers report."""
 
 import asyncio
 import math
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 
 from fulmarward.observability import log_event
 from fulmarward_core.poison import (
@@ -54,7 +54,10 @@
         #: Parts under which this instance itself saw a target crash; these it writes to
         #: the store.
         self._own_patterns: set[str] = set()
+        #: Patterns whose records changed here, to notify peers of.
         self._pending: set[str] = set()
+        #: From whom the latest of them are known.
+        self._source = "own"
         self._current = asyncio.Event()
         self._checked_at = read_clock()
 
@@ -70,7 +73,7 @@
     async def await_current(self) -> None:
         """Wait for the records of peers after a start or a pause, a second at most.
 
-        Guards against learning of a crashing prompt by crashing another target.
+        Guards against learning of a crashing request by crashing another target.
         """
         if self._read_clock() - self._checked_at > _PAUSE_S:
             self._begin_sync()
@@ -100,16 +103,28 @@
         """Return whether requests with a pattern are rejected until it is cleared."""
         return pattern in _list_blocked(self._table.findings)
 
+    @property
+    def request_heads(self) -> Mapping[str, int]:
+        """The fingerprints of the heads of requests with records."""
+        return self._table.request_heads
+
     def record_crash(
-        self, *, target: str, team: str, patterns: Collection[str], is_strong: bool
+        self,
+        *,
+        target: str,
+        team: str,
+        patterns: Collection[str],
+        is_strong: bool,
+        at: float,
     ) -> None:
-        """Record that a target crashed under a request."""
+        """Record that a target crashed at a time under a request."""
         self._own_patterns.update(patterns)
         changed = self._table.record_crash(
             target=target,
             team=team,
             patterns=patterns,
             is_strong=is_strong,
+            at=at,
             now=self._read_clock(),
         )
         self._handle_changes(changed, source="own")
@@ -166,14 +181,16 @@
         seen_patterns = [_read_report(report, sent_at) for report in reports]
         changed = self._table.merge(seen_patterns, now=now)
         if changed:
-            blocked = self._update_findings(source) & self._own_patterns
-            self._record_block_changed(sorted(blocked))
+            blocked = self._update_findings(source)
+            written = blocked & (self._own_patterns | self._pending)
+            self._record_block_changed(sorted(written))
         return changed
 
     def _handle_changes(self, changed: Collection[str], *, source: str) -> None:
+        """Notify peers, and update the findings, once for what changes together."""
         if changed:
+            self._source = source
             self._collect(changed)
-            self._record_block_changed(sorted(self._update_findings(source)))
 
     def _update_findings(self, source: str) -> frozenset[str]:
         """Log what changed in the findings; return the patterns whose block changed."""
@@ -184,7 +201,7 @@
         return before ^ self._blocked
 
     def _collect(self, patterns: Iterable[str]) -> None:
-        """Notify peers of patterns soon, together with those that follow at once."""
+        """Handle changed patterns soon, together with those that follow at once."""
         is_scheduled = bool(self._pending)
         self._pending.update(patterns)
         if self._pending and not is_scheduled:
@@ -193,6 +210,7 @@
     def _flush(self) -> None:
         pending, self._pending = sorted(self._pending), set()
         self._notify_peers(pending)
+        self._record_block_changed(sorted(self._update_findings(self._source)))
 
     def _log_findings(self, source: str) -> None:
         """Log the findings that are new, and those that no longer hold."""
--- a/packages/router/fulmarward_router/tests/_routing_peer.py
+++ b/packages/router/fulmarward_router/tests/_routing_peer.py
@@ -21,7 +21,7 @@
 )
 from fulmarward_router.exchange import CallerHandler, PlainService, ServiceContext
 from fulmarward_router.ports import AnswerFacts, CallerFacts, Row
-from fulmarward_router.tests._poison import make_poison_knowledge
+from fulmarward_router.tests._poison import make_crash_monitor, make_poison_knowledge
 from fulmarward_router.tests.test_instance_state import Peer
 
 #: Seconds from an acknowledged change until requests must be handled by it.
@@ -151,6 +151,7 @@
                 context=context,
                 failure_detector=mock.Mock(),
                 relay=mock.Mock(is_needed=lambda state: False),
+                crash_monitor=make_crash_monitor(context, mock.Mock()),
             ),
             find_budget=context.find_budget,
             read_clock=lambda: self.now,
