Trust a request that was answered a moment before its targets ended

A popular request is in flight whenever a target ends. Once it has records, each answer clears them; but nothing was known of its answers before the first crash, so that three targets that end within 0.2 s could have blocked it for good. The trust of parts applies, six crashes in a row in place of three.

--- a/packages/core/fulmarward_core/poison/_table.py
+++ b/packages/core/fulmarward_core/poison/_table.py
@@ -142,15 +142,22 @@
         """
         cleared = []
         for pattern in patterns:
-            self._proven_at[pattern] = now
-            self._proven_at.move_to_end(pattern)
+            self.record_answered(pattern, at=now)
             if pattern in self._crashes and self._clear(pattern):
                 cleared.append(pattern)
-        while len(self._proven_at) > _MAX_PROVEN_PATTERNS:
-            self._proven_at.popitem(last=False)
         self._is_outdated |= bool(cleared)
         return cleared
 
+    def record_answered(self, pattern: str, *, at: float) -> None:
+        """Record that a target answered a request with a pattern at a time.
+
+        Crashes recorded until now stay as they are; later ones weigh less.
+        """
+        self._proven_at[pattern] = max(at, self._find_proven_at(pattern))
+        self._proven_at.move_to_end(pattern)
+        if len(self._proven_at) > _MAX_PROVEN_PATTERNS:
+            self._proven_at.popitem(last=False)
+
     def lift(self, pattern: str) -> bool:
         """Clear the records of a pattern; return whether there were any."""
         is_changed = pattern in self._crashes and self._clear(pattern)
--- a/packages/router/fulmarward_router/exchange/_crash_monitor.py
+++ b/packages/router/fulmarward_router/exchange/_crash_monitor.py
@@ -14,6 +14,7 @@
     find_head_fingerprint,
 )
 from fulmarward_core.results import ResultCode
+from fulmarward_router.exchange._answered_requests import AnsweredRequests
 from fulmarward_router.exchange._attempt import Attempt, AttemptFailed, Progress
 from fulmarward_router.exchange._context import ServiceContext
 from fulmarward_router.exchange._failure_detector import FailureDetector
@@ -77,6 +78,7 @@
         self._failure_detector = failure_detector
         #: Counts a target that crashed under a request, by service and progress.
         self._count_crash = count_crash
+        self._answered = AnsweredRequests()
         #: Running examinations that no request waits for.
         self._examinations: set[asyncio.Task] = set()
 
@@ -150,6 +152,7 @@
 
     def record_proven(self, state: RequestState) -> None:
         """Record that a target has written enough, or all, of a response."""
+        self._answered.record(state, now=self._read_clock())
         patterns = self._list_known_patterns(state)
         if patterns:
             self._poison.record_proven(patterns, request_id=state.facts.request_id)
@@ -208,6 +211,9 @@
         if not patterns:
             return
         self._count_crash(state.service, broken.progress.value)
+        answered_at = self._answered.find_answered_at(state)
+        if answered_at is not None:
+            self._poison.record_answered(state.fingerprint, at=answered_at)
         self._poison.record_crash(
             target=broken.target.process_name,
             team=state.team_name,
--- a/packages/router/fulmarward_router/exchange/tests/test_crash_monitor.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_crash_monitor.py
@@ -62,6 +62,9 @@
         return SimpleNamespace(
             facts=SimpleNamespace(request_id="r", shared_parts=parts),
             team_name="",
+            request=SimpleNamespace(method="POST", raw_path="/"),
+            headers={},
+            body=fingerprint.encode(),
             head_fingerprint=find_head_fingerprint(fingerprint),
             fingerprint=fingerprint,
             service="pool",
@@ -169,6 +172,17 @@
                 self.monitor.record_proven(self.make_state(**same))
                 self.monitor.check(self.make_state(**same))
 
+    async def test_request_that_was_answered_a_moment_ago_is_trusted(self):
+        """Guards against a popular request that is in flight whenever targets end."""
+        self.monitor.record_proven(self.make_state(fingerprint="request:a-0"))
+        for number in range(3):
+            await self.crash(number, fingerprint="request:a-0")
+        self.monitor.check(self.make_state(fingerprint="request:a-0"))
+        for number in range(3, 6):
+            await self.crash(number, fingerprint="request:a-0")
+        with self.assertRaises(RejectedRequest):
+            self.monitor.check(self.make_state(fingerprint="request:a-0"))
+
     async def test_process_that_started_again_under_its_name_has_ended(self):
         """Guards against a crash that is not seen as the target is back at once."""
         self.start(has_ended=False)
--- a/packages/router/fulmarward_router/state/_poison.py
+++ b/packages/router/fulmarward_router/state/_poison.py
@@ -136,6 +136,10 @@
             log_event("crash_records_cleared", request=request_id, patterns=cleared)
         self._handle_changes(cleared, source="own")
 
+    def record_answered(self, pattern: str, *, at: float) -> None:
+        """Record that a request was answered at a time, before it became suspect."""
+        self._table.record_answered(pattern, at=at)
+
     def lift(self, pattern: str) -> bool:
         """Forget the crashes of a pattern; return whether there were any."""
         is_lifted = self._table.lift(pattern)
