Log, count and list the limits that targets name

Nothing told that a target names Server-Limit, which, since when, or how many requests it is sent all the same. No change of behaviour: what is read is logged, shown in the status and counted.

--- a/packages/router/fulmarward_router/_metrics.py
+++ b/packages/router/fulmarward_router/_metrics.py
@@ -10,6 +10,7 @@
 from fulmarward_core.isolation import ContactTable
 from fulmarward_core.poison import PoisonFinding, Verdict
 from fulmarward_core.suspicion import SUSPICION_REASONS
+from fulmarward_core.target_limits import LimitTable
 from fulmarward_router._processor import ProcessorMeter
 from fulmarward_router.exchange import RequestState
 
@@ -36,6 +37,9 @@
     crashes: Counter
     #: Patterns whose requests are rejected, by `verdict`.
     rejected_crash_patterns: Gauge
+    #: Targets that have named a limit, and requests sent to such targets.
+    limited_targets: Gauge
+    limited_requests: Counter
     #: Calls to the store and to targets, by `call` and `status`.
     calls: Counter
     #: Bytes exchanged with peers, by `direction`.
@@ -84,6 +88,12 @@
             "rejected_crash_patterns",
             "Patterns of requests that are rejected, by verdict.",
         ),
+        limited_targets=factory.gauge(
+            "limited_targets", "Targets that have named a limit."
+        ),
+        limited_requests=factory.count(
+            "limited_requests_total", "Requests sent to targets with a limit."
+        ),
         calls=factory.count("calls_total", "Calls to the store and to targets."),
         peer_bytes=factory.count("peer_bytes_total", "Bytes between instances."),
         peer_messages=factory.count(
@@ -146,6 +156,7 @@
     contacts: ContactTable,
     excluded_targets: Mapping[str, int],
     poison_findings: Sequence[PoisonFinding],
+    limits: LimitTable,
 ) -> None:
     """Update the metrics that are computed only when they are read."""
     for direction, size in peer_bytes.items():
@@ -172,6 +183,8 @@
             if finding.verdict is verdict
         )
         metrics.rejected_crash_patterns.set({"verdict": verdict.value}, count)
+    limited = [item for item in limits.list_known().values() if item.per_s is not None]
+    metrics.limited_targets.set({}, len(limited))
     for reason in SUSPICION_REASONS:
         count = excluded_targets.get(reason, 0)
         metrics.excluded_targets.set({"reason": reason}, count)
--- a/packages/router/fulmarward_router/_status.py
+++ b/packages/router/fulmarward_router/_status.py
@@ -11,7 +11,12 @@
 from fulmarward_router._life import Life
 from fulmarward_router.mesh import InstanceIdentity, MemberTable
 from fulmarward_router.placement import LeaseKeeper
-from fulmarward_router.state import ConfigurationHolder, PoisonKnowledge, StoreWatch
+from fulmarward_router.state import (
+    ConfigurationHolder,
+    PoisonKnowledge,
+    StoreWatch,
+    TargetLimits,
+)
 
 
 class StatusSource(Protocol):
@@ -27,6 +32,7 @@
     lease: LeaseKeeper
     contacts: ContactTable
     poison: PoisonKnowledge
+    target_limits: TargetLimits
 
 
 def describe_status(instance: StatusSource, *, now: float) -> dict[str, Any]:
@@ -70,6 +76,15 @@
             }
             for finding in instance.poison.findings
         ],
+        "target_limits": [
+            {
+                "target": target,
+                "per_s": known.per_s,
+                "observed_s_ago": round(now - known.observed_at, 3),
+            }
+            for target, known in instance.target_limits.table.list_known().items()
+            if known.per_s is not None
+        ],
         "layers": _describe_layers(instance, now),
         "lease": {
             "holder": instance.lease.holder,
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -74,6 +74,7 @@
     PoisonRows,
     StoreWatch,
     TargetChangeHandler,
+    TargetLimits,
 )
 
 #: Fraction of the time between SIGTERM and SIGKILL in which new long requests are
@@ -192,6 +193,13 @@
                 patterns
             ),
         )
+        self.target_limits = TargetLimits(
+            read_clock=clock,
+            list_targets=lambda: {
+                record.name for record in self.catalogue.list_targets(now=clock())
+            },
+            count_sent=lambda: self.metrics.limited_requests.inc({}),
+        )
         self.paces = PaceTable()
         self.ledger = LoadLedger(note_changed=lambda: self.mesh.notify_loads())
         self._budgets: dict[str, RetryBudget] = {}
@@ -297,6 +305,7 @@
             contacts=self.contacts,
             paces=self.paces,
             poison=self.poison,
+            target_limits=self.target_limits,
             ledger=self.ledger,
             find_budget=self._find_budget,
             find_share=self.listing.find_share,
@@ -516,6 +525,7 @@
                 contacts=self.contacts,
                 excluded_targets=self.suspicions.count_reasons(now=self._clock()),
                 poison_findings=self.poison.findings,
+                limits=self.target_limits.table,
             ),
             describe=lambda: describe_status(self, now=self._clock()),
             lift_crash_pattern=self.poison.lift,
--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -18,7 +18,7 @@
 from fulmarward_router.exchange._request_state import RejectedRequest, RequestState
 from fulmarward_router.exchange._send import TargetClient
 from fulmarward_router.ports import TargetCall, TargetDialect
-from fulmarward_router.state import PoisonKnowledge
+from fulmarward_router.state import PoisonKnowledge, TargetLimits
 
 #: Seconds between two checks whether a target leaves that has not responded yet.
 LEAVING_CHECK_INTERVAL_S = 0.25
@@ -41,6 +41,8 @@
     paces: PaceTable
     #: Which prompts crash targets.
     poison: PoisonKnowledge
+    #: Which targets have named a limit.
+    target_limits: TargetLimits
     ledger: LoadLedger
     #: Returns the retry budget of a service.
     find_budget: Callable[[str], RetryBudget]
@@ -79,10 +81,14 @@
             timer = loop.call_later(LEAVING_CHECK_INTERVAL_S, check)
 
         timer = loop.call_later(LEAVING_CHECK_INTERVAL_S, check)
+        self.target_limits.record_sent(call.target)
         try:
-            return await self.client.open(state, call)
+            response = await self.client.open(state, call)
         finally:
             timer.cancel()
+        facts = self.dialect.read_answer(response.status, response.headers)
+        self.target_limits.record_answer(call.target, facts)
+        return response
 
     def take_retry(self, state: RequestState, *, part: float = 1.0) -> bool:
         """Consume one retry, if the route and the retry budget allow it.
--- a/packages/router/fulmarward_router/exchange/tests/test_relay.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_relay.py
@@ -14,6 +14,7 @@
 from fulmarward_router.exchange._send import AnswerLost, NotSent
 from fulmarward_router.ports import AnswerFacts
 from fulmarward_router.tests._poison import make_crash_monitor, make_poison_knowledge
+from fulmarward_router.tests._target_limits import make_target_limits
 
 _REJECTIONS = {
     code: orjson.dumps({"error": {"code": int(code)}})
@@ -74,6 +75,7 @@
         self.budget = RetryBudget(ratio=0.0, slack=10.0, window_s=10.0)
         context = ServiceContext(
             poison=make_poison_knowledge(),
+            target_limits=make_target_limits(),
             client=self.client,
             dialect=_Dialect(),
             catalogue=None,
--- a/packages/router/fulmarward_router/ports.py
+++ b/packages/router/fulmarward_router/ports.py
@@ -221,6 +221,11 @@
     is_misdirected: bool
     #: Whether the body has no content encoding, which only an intermediary adds.
     is_plain: bool
+    #: Requests a second that the target accepts from all instances; `None` if it names
+    #: no limit.
+    limit_per_s: float | None = None
+    #: What it names instead of a limit that can be decoded, or `None`.
+    malformed_limit: str | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/router/fulmarward_router/state/__init__.py
+++ b/packages/router/fulmarward_router/state/__init__.py
@@ -6,6 +6,7 @@
 from fulmarward_router.state._poison import PoisonKnowledge
 from fulmarward_router.state._poison_rows import PoisonRows
 from fulmarward_router.state._target_changes import TargetChangeHandler
+from fulmarward_router.state._target_limits import TargetLimits
 from fulmarward_router.state._watch import StoreWatch
 
 __all__ = [
@@ -16,4 +17,5 @@
     "PoisonRows",
     "StoreWatch",
     "TargetChangeHandler",
+    "TargetLimits",
 ]
--- a/packages/router/fulmarward_router/tests/_routing_peer.py
+++ b/packages/router/fulmarward_router/tests/_routing_peer.py
@@ -22,6 +22,7 @@
 from fulmarward_router.exchange import CallerHandler, PlainService, ServiceContext
 from fulmarward_router.ports import AnswerFacts, CallerFacts, Row
 from fulmarward_router.tests._poison import make_crash_monitor, make_poison_knowledge
+from fulmarward_router.tests._target_limits import make_target_limits
 from fulmarward_router.tests.test_instance_state import Peer
 
 #: Seconds from an acknowledged change until requests must be handled by it.
@@ -129,6 +130,7 @@
         budget = RetryBudget(ratio=0.2, slack=100.0, window_s=10.0)
         context = ServiceContext(
             poison=make_poison_knowledge(),
+            target_limits=make_target_limits(),
             client=self.client,
             dialect=_Dialect(),
             catalogue=self.catalogue,
