Keep the limit that a target names over all instances together

What callers saw: a target in need that named 1.4 requests a second received 15 in 4 s (13 allowed), and up to 23 a second in plays of our own; it got slower for all. Cause: no instance read Server-Limit, so that targets were chosen by load alone. Class: a bound that belongs to one target and to all who call it, kept by each caller for itself or by none.

Each limited target has a keeper among the instances, chosen by rendezvous hashing over those that stay (the hubs in a large fleet). It hands out a permit for each request over the links between instances, a quarter of a second of the limit at most at once; whoever gets none holds the target back until the keeper's time and goes on to another target at once. Choice of plain targets, first hops of paths, queueing and the retry delay know of it; if all that could serve are held back, the request is rejected at once. A new keeper begins without permits, unused ones expire after 0.25 s, and without an answer of the keeper nothing is sent. Limits spread by one report a change, which each instance relays once, and on new links; the newest answer counts. A target that accepts nothing is tried every five seconds. Malformed limits are logged and ignored.

--- a/packages/core/fulmarward_core/target_limits/__init__.py
+++ b/packages/core/fulmarward_core/target_limits/__init__.py
@@ -1,9 +1,21 @@
 """The requests a second that targets accept from all instances together."""
 
+from fulmarward_core.target_limits._permits import PermitGrant, PermitKeeper
 from fulmarward_core.target_limits._table import (
     MAX_LIMIT_PER_S,
     KnownLimit,
     LimitTable,
 )
+from fulmarward_core.target_limits._usage import PERMIT_DURATION_S, PermitUsage
+from fulmarward_core.target_limits.decisions import choose_keeper
 
-__all__ = ["MAX_LIMIT_PER_S", "KnownLimit", "LimitTable"]
+__all__ = [
+    "MAX_LIMIT_PER_S",
+    "PERMIT_DURATION_S",
+    "KnownLimit",
+    "LimitTable",
+    "PermitGrant",
+    "PermitKeeper",
+    "PermitUsage",
+    "choose_keeper",
+]
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -194,11 +194,17 @@
             ),
         )
         self.target_limits = TargetLimits(
+            own=self.own.name,
             read_clock=clock,
             list_targets=lambda: {
                 record.name for record in self.catalogue.list_targets(now=clock())
             },
+            list_keepers=lambda: self.members.list_keepers(
+                is_own_staying=not self.life.is_stopping, now=clock()
+            ),
+            get_links=lambda: self.mesh,
             count_sent=lambda: self.metrics.limited_requests.inc({}),
+            count_held_back=lambda: self.metrics.held_back_requests.inc({}),
         )
         self.paces = PaceTable()
         self.ledger = LoadLedger(note_changed=lambda: self.mesh.notify_loads())
@@ -257,6 +263,7 @@
             members=self.members,
             state=self.instance_state,
             poison=self.poison,
+            limits=self.target_limits,
             read_clock=clock,
             count_bytes=self._count_bytes,
             count_message=self._count_message,
--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -27,6 +27,7 @@
     Shortage,
     TruncatedResponse,
 )
+from fulmarward_router.state import TargetLimits
 
 #: Seconds for which a request waits for capacity on a path before it is rejected. This
 #: leaves half of the time that callers wait for the first event.
@@ -48,10 +49,21 @@
 REFUSED_RETRY_S = 0.05
 
 
+#: Shortest retry delay, in seconds, while all targets are limited.
+MIN_LIMITED_RETRY_S = 0.2
+
 #: Minimum seconds between two log lines on missing layers.
 MISSING_LOG_INTERVAL_S = 1.0
 
 
+def choose_limited_retry_s(wait_s: float) -> float:
+    """Return the retry delay of a request whose targets accept no more for `wait_s`.
+
+    It is spread, so that those that were rejected do not return at the same moment.
+    """
+    return max(MIN_LIMITED_RETRY_S, wait_s) * random.uniform(1.0, 2.0)
+
+
 def compute_resume_end(state: RequestState) -> float:
     """Return until when a started stream may wait before it resumes."""
     last_active_at = (
@@ -69,8 +81,10 @@
         finder: PathFinder,
         pipe: PipeLimiter,
         catalogue: TargetCatalogue,
+        limits: TargetLimits,
         read_clock: Callable[[], float],
     ) -> None:
+        self._limits = limits
         self._finder = finder
         self._pipe = pipe
         self._catalogue = catalogue
@@ -97,8 +111,12 @@
                     wait_class = classify_request(request, now=now)
                     found = self._choose_path(state, engine, wanted, wait_class)
                     if not isinstance(found, Shortage):
-                        return found
+                        if await self._may_send(state, found):
+                            return found
+                        continue
                     shortage = found
+                    if shortage is Shortage.LIMIT and not state.has_begun:
+                        break
                 now = self._read_clock()
                 if now >= self._compute_wait_end(state, began_at, now):
                     break
@@ -108,6 +126,14 @@
             queue.remove(request)
         if state.has_begun:
             raise TruncatedResponse(cause="no path to resume on")
+        if shortage is Shortage.LIMIT:
+            # A permit goes to whoever asks first, so that waiting here gains nothing.
+            raise RejectedRequest(
+                ResultCode.QUEUE_FULL,
+                cause="all targets are limited",
+                retry_after_s=choose_limited_retry_s(self._limits.find_wait_s()),
+                shortage=shortage,
+            )
         if self._finder.has_whole_model(state.service, engine):
             raise RejectedRequest(
                 ResultCode.QUEUE_FULL,
@@ -123,6 +149,12 @@
             shortage=Shortage.LAYERS,
         )
 
+    async def _may_send(self, state: RequestState, path: tuple[Hop, ...]) -> bool:
+        """Return whether the first target of a path accepts the request now."""
+        return await self._limits.acquire(
+            path[0].target, request_id=state.facts.request_id
+        )
+
     def _log_missing_layers(self, service: str, engine: EngineModel) -> None:
         """Log why no path holds all layers, once a second."""
         now = self._read_clock()
@@ -161,6 +193,11 @@
             path = self._finder.choose(
                 state.service, engine, wanted, may_use_reported=True
             )
+        if path is None and self._limits.list_held_back():
+            limited = self._finder.choose(
+                state.service, engine, wanted, ignores_limits=True
+            )
+            return Shortage.KV_CACHE if limited is None else Shortage.LIMIT
         if path is None:
             return Shortage.KV_CACHE
         if self._pipe.reserve(engine, wanted, path):
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -78,6 +78,7 @@
             paces=context.paces,
             ledger=context.ledger,
             is_large=context.is_large,
+            list_held_back=context.target_limits.list_held_back,
             read_clock=context.read_clock,
         )
         pipe = PipeLimiter(
@@ -89,6 +90,7 @@
             finder=finder,
             pipe=pipe,
             catalogue=context.catalogue,
+            limits=context.target_limits,
             read_clock=context.read_clock,
         )
         #: Monitors the open streams; its `run` is started by the daemon.
--- a/packages/router/fulmarward_router/exchange/_path_finder.py
+++ b/packages/router/fulmarward_router/exchange/_path_finder.py
@@ -64,9 +64,12 @@
         paces: PaceTable,
         ledger: LoadLedger,
         is_large: Callable[[], bool],
+        list_held_back: Callable[[], frozenset[str]],
         read_clock: Callable[[], float],
     ) -> None:
         self._is_large = is_large
+        #: Returns the targets to which this instance may send no requests for now.
+        self._list_held_back = list_held_back
         self._catalogue = catalogue
         self._suspicions = suspicions
         self._paces = paces
@@ -84,11 +87,12 @@
         wanted: PathRequest,
         *,
         may_use_reported: bool = False,
+        ignores_limits: bool = False,
     ) -> tuple[Hop, ...] | None:
         """Return the best path now, `None` if none has capacity.
 
         With `may_use_reported`, it may pass through targets that only peers report as
-        unreachable.
+        unreachable. With `ignores_limits`, it may begin at a target that is held back.
         """
         now = self._read_clock()
         targets = self._find_targets(service, engine, now)
@@ -97,7 +101,10 @@
         return targets.index.choose_path(
             wanted,
             read=self._make_occupancy_reader(
-                targets, now, may_use_reported=may_use_reported
+                targets,
+                now,
+                may_use_reported=may_use_reported,
+                held_back=frozenset() if ignores_limits else self._list_held_back(),
             ),
         )
 
@@ -160,9 +167,17 @@
         return self._preferences[target]
 
     def _make_occupancy_reader(
-        self, targets: _ServiceTargets, now: float, *, may_use_reported: bool
+        self,
+        targets: _ServiceTargets,
+        now: float,
+        *,
+        may_use_reported: bool,
+        held_back: frozenset[str],
     ) -> ReadOccupancy:
-        """Return a function that reads a target's load, `None` if it is excluded."""
+        """Return a function that reads a target's load, `None` if it is excluded.
+
+        A target that is held back has no slot for a path to begin at.
+        """
         excluded = self._list_excluded(targets, now, may_use_reported=may_use_reported)
         loads, paces = self._ledger.sum_loads(now=now), self._paces
 
@@ -173,7 +188,11 @@
             return Occupancy(
                 kv_reserved=load.kv,
                 running=load.running,
-                first_running=load.first_running,
+                first_running=(
+                    targets.engine.slots
+                    if stage.target in held_back
+                    else load.first_running
+                ),
                 pace=paces.find(stage.target, now=now),
             )
 
--- a/packages/router/fulmarward_router/exchange/_plain.py
+++ b/packages/router/fulmarward_router/exchange/_plain.py
@@ -9,12 +9,17 @@
 from fulmarward_core.attempts import may_run_again
 from fulmarward_core.fleet import TargetRecord
 from fulmarward_core.results import ResultCode
+from fulmarward_router.exchange._admission import choose_limited_retry_s
 from fulmarward_router.exchange._attempt import Progress
 from fulmarward_router.exchange._context import ServiceContext
 from fulmarward_router.exchange._crash_monitor import BrokenResponse, CrashMonitor
 from fulmarward_router.exchange._failure_detector import FailureDetector
 from fulmarward_router.exchange._relay import PeerRelay
-from fulmarward_router.exchange._request_state import RejectedRequest, RequestState
+from fulmarward_router.exchange._request_state import (
+    RejectedRequest,
+    RequestState,
+    Shortage,
+)
 from fulmarward_router.exchange._send import AnswerLost, NotSent
 from fulmarward_router.ports import AnswerFacts, TargetCall
 
@@ -58,6 +63,7 @@
         self._dialect = context.dialect
         self._catalogue = context.catalogue
         self._suspicions = context.suspicions
+        self._limits = context.target_limits
         self._ledger = context.ledger
         self._read_clock = context.read_clock
 
@@ -127,7 +133,11 @@
             now = self._read_clock()
             target, is_full = self._choose_target(state.service, tried, now)
             if target is not None:
-                return target
+                if await self._limits.acquire(
+                    target.name, request_id=state.facts.request_id
+                ):
+                    return target
+                continue
             if last_failure is not None:
                 return None
             if state.attempts > 0 and not is_full:
@@ -138,6 +148,8 @@
                     cause="no target",
                     retry_after_s=ABSENT_RETRY_S,
                 )
+            if self._are_limited(state.service, tried, now):
+                raise self._make_limited_rejection(state)
             if now >= until:
                 if state.runs > 0:
                     raise self._make_rejection(state, "others are full")
@@ -146,17 +158,44 @@
                 )
             await asyncio.sleep(timeout_s / 4)
 
-    def _choose_target(
+    def _are_limited(self, service: str, tried: set[str], now: float) -> bool:
+        """Return whether each target that could serve a request is held back."""
+        held_back = self._limits.list_held_back()
+        usable = self._list_usable(service, tried, now)
+        return all(record.name in held_back for record in usable)
+
+    def _make_limited_rejection(self, state: RequestState) -> RejectedRequest:
+        cause = "all targets are limited"
+        retry_after_s = choose_limited_retry_s(self._limits.find_wait_s())
+        if state.runs > 0:
+            return self._context.make_rejection(
+                state, cause=cause, retry_after_s=retry_after_s
+            )
+        return RejectedRequest(
+            ResultCode.QUEUE_FULL,
+            cause=cause,
+            retry_after_s=retry_after_s,
+            shortage=Shortage.LIMIT,
+        )
+
+    def _list_usable(
         self, service: str, tried: set[str], now: float
-    ) -> tuple[TargetRecord | None, bool]:
-        """Return the least loaded target, or `None` and whether the others are full."""
+    ) -> list[TargetRecord]:
+        """Return the targets that are not excluded and were not tried."""
         records = [
             record
             for record in self._catalogue.list_targets(now=now)
             if record.service == service and not record.is_leaving
         ]
         suspects = self._suspicions.list_suspects([r.name for r in records], now=now)
-        usable = [r for r in records if r.name not in suspects and r.name not in tried]
+        return [r for r in records if r.name not in suspects and r.name not in tried]
+
+    def _choose_target(
+        self, service: str, tried: set[str], now: float
+    ) -> tuple[TargetRecord | None, bool]:
+        """Return the least loaded target, or `None` and whether the others are full."""
+        usable = self._list_usable(service, tried, now)
+        held_back = self._limits.list_held_back()
         loads = self._ledger.sum_loads(now=now)
 
         def compute_score(record: TargetRecord) -> float:
@@ -171,7 +210,9 @@
 
         def has_capacity(record: TargetRecord) -> bool:
             load = loads.get(record.name)
-            return load is None or load.running < record.slots * MAX_REQUESTS_PER_SLOT
+            running = 0 if load is None else load.running
+            is_free = running < record.slots * MAX_REQUESTS_PER_SLOT
+            return is_free and record.name not in held_back
 
         free = [record for record in usable if has_capacity(record)]
         if not free:
--- a/packages/router/fulmarward_router/exchange/_request_state.py
+++ b/packages/router/fulmarward_router/exchange/_request_state.py
@@ -116,6 +116,8 @@
     PIPE = "pipe"
     #: Some layers of the model are not loaded on any usable target.
     LAYERS = "layers"
+    #: All targets that could serve it have been sent as much as they accept.
+    LIMIT = "limit"
 
 
 class RejectedRequest(Exception):
--- a/packages/router/fulmarward_router/mesh/__init__.py
+++ b/packages/router/fulmarward_router/mesh/__init__.py
@@ -24,14 +24,17 @@
     LoadUpdate,
     PaceReport,
     PatternReport,
+    PermitsGranted,
     RowSnapshot,
     Subscription,
     SupportsCompression,
     TargetChanges,
+    TargetLimitReport,
 )
 from fulmarward_router.mesh._state import (
     Answer,
     Fetch,
+    LimitSource,
     MeshState,
     PoisonSource,
     Revisions,
@@ -39,6 +42,9 @@
 )
 
 __all__ = [
+    "LimitSource",
+    "PermitsGranted",
+    "TargetLimitReport",
     "CrashReport",
     "PatternReport",
     "PoisonSource",
--- /dev/null
+++ b/packages/router/fulmarward_router/mesh/_limits.py
@@ -0,0 +1,174 @@
+"""Exchanges the limits of targets with peers, and asks keepers for permits."""
+
+import math
+from collections import OrderedDict
+from collections.abc import Callable, Sequence
+from itertools import count
+
+from msgspec.structs import replace
+from websockets.asyncio.connection import Connection
+
+from fulmarward_router.mesh._heartbeats import PeerLink
+from fulmarward_router.mesh._members import MemberTable
+from fulmarward_router.mesh._messages import (
+    AskPermits,
+    FetchLimits,
+    InstanceIdentity,
+    LimitReport,
+    PermitsGranted,
+    TargetLimitReport,
+)
+from fulmarward_router.mesh._state import LimitSource
+
+#: Sequence of a report that is not relayed.
+_NOT_RELAYED = 0
+
+#: Milliseconds after which an instance may ask again if the keeper is not reached.
+_NO_KEEPER_WAIT_MS = 200
+
+#: Upper bound on the questions that were relayed and may still be answered.
+_MAX_RELAYED = 4096
+
+
+class LimitExchange:
+    """The messages about limits on the links of one instance."""
+
+    def __init__(
+        self,
+        *,
+        own: InstanceIdentity,
+        members: MemberTable,
+        limits: LimitSource,
+        list_links: Callable[[], Sequence[PeerLink]],
+        send: Callable[[Connection, object], None],
+        read_clock: Callable[[], float],
+    ) -> None:
+        self._own = own
+        self._members = members
+        self._limits = limits
+        self._list_links = list_links
+        self._send = send
+        self._read_clock = read_clock
+        self._sequence = _NOT_RELAYED
+        #: Start time and sequence of the latest report of each instance. Never evicted:
+        #: one entry per instance ever heard.
+        self._latest: dict[str, tuple[int, int]] = {}
+        self._numbers = count(1)
+        #: Where the answers to relayed questions go, and their numbers there.
+        self._relayed: OrderedDict[int, tuple[Connection, int]] = OrderedDict()
+
+    def notify(self, reports: Sequence[TargetLimitReport]) -> None:
+        """Send limits that changed here to all instances."""
+        self._sequence += 1
+        self._send_to_all(self._make_report(self._sequence, reports), except_to=None)
+
+    def open_link(self, connection: Connection) -> None:
+        """Send all limits on a new link, and request those that the peer knows."""
+        self.answer_fetch(connection)
+        self._send(connection, FetchLimits())
+
+    def answer_fetch(self, connection: Connection) -> None:
+        """Send all limits to a peer, if there are any."""
+        reports = self._limits.make_reports()
+        if reports:
+            self._send(connection, self._make_report(_NOT_RELAYED, reports))
+
+    def merge(
+        self, message: LimitReport, *, delay_s: float, received_on: Connection
+    ) -> None:
+        """Merge a report, and relay it if it is the first time that it arrives."""
+        if message.origin == self._own.name:
+            return
+        if message.sequence != _NOT_RELAYED:
+            latest = self._latest.get(message.origin, (0, _NOT_RELAYED))
+            if (message.boot, message.sequence) <= latest:
+                return
+            self._latest[message.origin] = message.boot, message.sequence
+        delay_s = delay_s if math.isfinite(delay_s) else 0.0
+        self._limits.merge(message.limits, source=message.origin, delay_s=delay_s)
+        if message.sequence != _NOT_RELAYED:
+            self._send_to_all(_add_age(message, delay_s), except_to=received_on)
+
+    def ask(self, keeper: str, *, target: str, milli_per_s: int) -> int | None:
+        """Ask a keeper for permits; return the number of the question.
+
+        Returns `None` if neither the keeper nor a hub is linked.
+        """
+        question = AskPermits(
+            sender=self._own.name,
+            number=next(self._numbers),
+            target=target,
+            milli_per_s=milli_per_s,
+            is_relayed=False,
+        )
+        link = self._find_link(keeper)
+        if link is None:
+            hubs = self._members.list_subscriptions(now=self._read_clock())
+            link = next((x for x in self._list_links() if x.address in hubs), None)
+        if link is None:
+            return None
+        self._send(link.connection, question)
+        return question.number
+
+    def answer_question(self, question: AskPermits, connection: Connection) -> None:
+        """Answer an instance that needs permits, or relay its question once."""
+        keeper = self._limits.find_keeper(question.target)
+        if keeper == self._own.name:
+            answer = self._limits.grant(
+                question.target,
+                instance=question.sender,
+                number=question.number,
+                milli_per_s=question.milli_per_s,
+            )
+            self._send(connection, answer)
+            return
+        link = None if keeper is None else self._find_link(keeper)
+        if question.is_relayed or link is None:
+            wait_ms = _NO_KEEPER_WAIT_MS
+            denied = PermitsGranted(number=question.number, count=0, wait_ms=wait_ms)
+            self._send(connection, denied)
+            return
+        number = next(self._numbers)
+        self._relayed[number] = connection, question.number
+        if len(self._relayed) > _MAX_RELAYED:
+            self._relayed.popitem(last=False)
+        relayed = replace(question, number=number, is_relayed=True)
+        self._send(link.connection, relayed)
+
+    def handle_granted(self, answer: PermitsGranted) -> None:
+        """Handle the answer to a question of this instance, or to a relayed one."""
+        asked = self._relayed.pop(answer.number, None)
+        if asked is None:
+            self._limits.handle_granted(answer)
+            return
+        connection, number = asked
+        self._send(connection, replace(answer, number=number))
+
+    def _make_report(
+        self, sequence: int, reports: Sequence[TargetLimitReport]
+    ) -> LimitReport:
+        return LimitReport(
+            origin=self._own.name,
+            boot=self._own.boot,
+            sequence=sequence,
+            limits=tuple(reports),
+        )
+
+    def _send_to_all(
+        self, message: LimitReport, *, except_to: Connection | None
+    ) -> None:
+        for link in self._list_links():
+            if link.connection is not except_to:
+                self._send(link.connection, message)
+
+    def _find_link(self, instance: str) -> PeerLink | None:
+        address = self._members.find_address(instance)
+        return next((x for x in self._list_links() if x.address == address), None)
+
+
+def _add_age(message: LimitReport, delay_s: float) -> LimitReport:
+    delay_ms = int(delay_s * 1000)
+    limits = tuple(
+        replace(limit, age_ms=limit.age_ms + delay_ms) for limit in message.limits
+    )
+    return replace(message, limits=limits)
--- a/packages/router/fulmarward_router/mesh/_links.py
+++ b/packages/router/fulmarward_router/mesh/_links.py
@@ -21,22 +21,27 @@
     PeerLink,
     make_send_time,
 )
+from fulmarward_router.mesh._limits import LimitExchange
 from fulmarward_router.mesh._members import HEARTBEAT_INTERVAL_S, MemberTable
 from fulmarward_router.mesh._messages import (
+    AskPermits,
     CompressedConfiguration,
     ConfigurationDeferred,
     ConfigurationReceived,
     ConfigurationSnapshot,
     DataCentreReport,
     FetchInstances,
+    FetchLimits,
     FetchPoison,
     FleetLoads,
     FleetReport,
     Heartbeat,
     InstanceIdentity,
     Introduction,
+    LimitReport,
     LoadUpdate,
     PatternReport,
+    PermitsGranted,
     PoisonReport,
     PoisonSnapshot,
     SendTime,
@@ -44,8 +49,15 @@
     SupportsCompression,
     SupportsSendTimes,
     TargetChanges,
+    TargetLimitReport,
+)
+from fulmarward_router.mesh._state import (
+    Fetch,
+    LimitSource,
+    MeshState,
+    PoisonSource,
+    Revisions,
 )
-from fulmarward_router.mesh._state import Fetch, MeshState, PoisonSource, Revisions
 
 #: Seconds in which a link must open, and in which a message must be sent.
 OPEN_TIMEOUT_S = 0.6
@@ -119,6 +131,7 @@
         members: MemberTable,
         state: MeshState,
         poison: PoisonSource,
+        limits: LimitSource,
         read_clock: Callable[[], float],
         count_bytes: Callable[[str, int], None],
         count_message: Callable[[str], None] = lambda kind: None,
@@ -143,6 +156,14 @@
             read_clock=read_clock,
             count_bytes=count_bytes,
         )
+        self._limits = LimitExchange(
+            own=own,
+            members=members,
+            limits=limits,
+            list_links=self._sender.list_links,
+            send=self._send_nowait,
+            read_clock=read_clock,
+        )
         self._dial_tasks: dict[str, asyncio.Task] = {}
         #: Tasks that repeat deferred fetches.
         self._repeat_tasks: set[asyncio.Task] = set()
@@ -177,6 +198,10 @@
             PoisonReport: self._handle_poison_report,
             FetchPoison: self._handle_fetch_poison,
             PoisonSnapshot: self._handle_poison_snapshot,
+            LimitReport: self._handle_limit_report,
+            FetchLimits: self._handle_fetch_limits,
+            AskPermits: self._handle_ask_permits,
+            PermitsGranted: self._handle_permits_granted,
         }
         self._fetched_instances_at = float("-inf")
         self._started_at = read_clock()
@@ -193,6 +218,17 @@
         """Send the records of crashes under these patterns to all peers."""
         self._relay_poison(patterns, except_to=None)
 
+    def notify_limits(self, reports: Sequence[TargetLimitReport]) -> None:
+        """Send limits that changed here to all instances."""
+        self._limits.notify(reports)
+
+    def ask_permits(self, keeper: str, *, target: str, milli_per_s: int) -> int | None:
+        """Ask the keeper of a target for permits.
+
+        Returns the number that its answer has, `None` if there is no link to it.
+        """
+        return self._limits.ask(keeper, target=target, milli_per_s=milli_per_s)
+
     def fetch_poison(self) -> None:
         """Request the records of crashes from all peers."""
         for link in self._sender.list_links():
@@ -339,6 +375,7 @@
         if self._must_fetch_instances():
             await self._send(connection, FetchInstances())
         await self._exchange_poison(connection)
+        self._limits.open_link(connection)
         link = PeerLink(connection=connection, address=address)
         hubs = self._members.list_subscriptions(now=self._read_clock())
         self._subscribe(link, hubs)
@@ -615,6 +652,27 @@
         if changed:
             self._relay_poison(changed, except_to=receiver.connection)
 
+    async def _handle_limit_report(
+        self, receiver: _LinkReceiver, message: LimitReport
+    ) -> None:
+        delay_s = receiver.find_delay_s(now=self._read_clock())
+        self._limits.merge(message, delay_s=delay_s, received_on=receiver.connection)
+
+    async def _handle_fetch_limits(
+        self, receiver: _LinkReceiver, message: FetchLimits
+    ) -> None:
+        self._limits.answer_fetch(receiver.connection)
+
+    async def _handle_ask_permits(
+        self, receiver: _LinkReceiver, message: AskPermits
+    ) -> None:
+        self._limits.answer_question(message, receiver.connection)
+
+    async def _handle_permits_granted(
+        self, receiver: _LinkReceiver, message: PermitsGranted
+    ) -> None:
+        self._limits.handle_granted(message)
+
     async def _handle_compressed_configuration(
         self, receiver: _LinkReceiver, message: CompressedConfiguration
     ) -> None:
--- a/packages/router/fulmarward_router/mesh/_members.py
+++ b/packages/router/fulmarward_router/mesh/_members.py
@@ -595,6 +595,18 @@
         """Return the instances that were heard lately and are not leaving."""
         return [m for m in self.list_fresh(now=now) if not m.state.is_leaving]
 
+    def list_keepers(self, *, is_own_staying: bool, now: float) -> set[str]:
+        """Return the names of the instances that keep what the whole fleet shares.
+
+        In a large fleet these are the hubs, which every instance reaches.
+        """
+        names = {member.identity.name for member in self.list_staying(now=now)}
+        if is_own_staying:
+            names.add(self._own.name)
+        if not self.is_large:
+            return names
+        return names & self._find_view(now).hubs or names
+
     def count_instances(self, *, now: float) -> int:
         """Return the number of live instances, including this one."""
         return 1 + len(self._find_view(now).fresh)
--- a/packages/router/fulmarward_router/mesh/_messages.py
+++ b/packages/router/fulmarward_router/mesh/_messages.py
@@ -325,6 +325,54 @@
     patterns: tuple[PatternReport, ...]
 
 
+class TargetLimitReport(Message, kw_only=True):
+    """What a target says of the requests that it accepts."""
+
+    target: str
+    #: Thousandths of a request a second, from all instances together; -1 without limit.
+    milli_per_s: int
+    #: Milliseconds since the answer that says so.
+    age_ms: int
+
+
+class LimitReport(Message, kw_only=True):
+    """Limits that changed at an instance; each instance relays it once."""
+
+    #: The instance that observed the change, and when its process started, in ms since
+    #: 1970.
+    origin: str
+    boot: int
+    #: Increases with each report of that process; 0 for one that is not relayed.
+    sequence: int
+    limits: tuple[TargetLimitReport, ...]
+
+
+class FetchLimits(Message, kw_only=True):
+    """Requests all limits that the peer knows; answered by `LimitReport`."""
+
+
+class AskPermits(Message, kw_only=True):
+    """Asks for permits to send requests to a target; answered by `PermitsGranted`."""
+
+    sender: str
+    #: Number of the question, new for each one of its sender.
+    number: int
+    target: str
+    #: The limit as the sender knows it, as in `TargetLimitReport`.
+    milli_per_s: int
+    #: Whether a hub relays it to the keeper, to which its sender has no link.
+    is_relayed: bool
+
+
+class PermitsGranted(Message, kw_only=True):
+    """The answer of the keeper of a target's permits."""
+
+    number: int
+    #: Number of requests that may be sent, and ms to wait before asking again.
+    count: int
+    wait_ms: int
+
+
 #: All messages; the number of a message on the wire is its index here. A message keeps
 #: its number and its fields, as instances of different releases exchange it during a
 #: rolling update. A change is a new message at the end, which older releases ignore.
@@ -351,4 +399,8 @@
     PoisonReport,
     FetchPoison,
     PoisonSnapshot,
+    LimitReport,
+    FetchLimits,
+    AskPermits,
+    PermitsGranted,
 )
--- a/packages/router/fulmarward_router/mesh/_state.py
+++ b/packages/router/fulmarward_router/mesh/_state.py
@@ -18,8 +18,10 @@
     Heartbeat,
     LoadUpdate,
     PatternReport,
+    PermitsGranted,
     SupportsCompression,
     TargetChanges,
+    TargetLimitReport,
 )
 
 
@@ -134,3 +136,26 @@
         self, reports: Iterable[PatternReport], *, source: str, delay_s: float
     ) -> list[str]:
         """Merge the records of a peer; return the patterns of which it knew more."""
+
+
+class LimitSource(Protocol):
+    """The limits of targets, and the permits for them, that instances exchange."""
+
+    def make_reports(self) -> tuple[TargetLimitReport, ...]:
+        """Return all limits that this instance knows."""
+
+    def merge(
+        self, reports: Iterable[TargetLimitReport], *, source: str, delay_s: float
+    ) -> None:
+        """Merge limits that an instance has observed, delayed in transit."""
+
+    def find_keeper(self, target: str) -> str | None:
+        """Return the name of the instance that keeps the permits of a target."""
+
+    def grant(
+        self, target: str, *, instance: str, number: int, milli_per_s: int
+    ) -> PermitsGranted:
+        """Return the answer to an instance that asks this one, the keeper."""
+
+    def handle_granted(self, message: PermitsGranted) -> None:
+        """Handle the answer of a keeper."""
--- a/packages/router/fulmarward_router/mesh/tests/test_dialled.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_dialled.py
@@ -17,12 +17,14 @@
 )
 from fulmarward_router.mesh._messages import (
     FetchInstances,
+    FetchLimits,
     FetchPoison,
     Introduction,
     SupportsSendTimes,
 )
 from fulmarward_router.mesh.tests.test_members import make_heartbeat
 from fulmarward_router.tests._poison import make_poison_knowledge
+from fulmarward_router.tests._target_limits import make_target_limits
 
 
 class DialledLinkTest(unittest.IsolatedAsyncioTestCase):
@@ -49,6 +51,7 @@
         state.make_heartbeat.return_value = make_heartbeat("own")
         mesh = Mesh(
             poison=make_poison_knowledge(),
+            limits=make_target_limits(),
             own=own,
             members=MemberTable(own=own),
             state=state,
@@ -60,7 +63,7 @@
         async with asyncio.timeout(10.0):
             await self.has_heartbeat.wait()
         await mesh.close()
-        kinds = [type(message) for message in self.received[:7]]
+        kinds = [type(message) for message in self.received[:8]]
         self.assertEqual(
             kinds,
             [
@@ -69,6 +72,7 @@
                 SupportsSendTimes,
                 FetchInstances,
                 FetchPoison,
+                FetchLimits,
                 Subscription,
                 Heartbeat,
             ],
@@ -89,6 +93,7 @@
         )
         mesh = Mesh(
             poison=make_poison_knowledge(),
+            limits=make_target_limits(),
             own=own,
             members=MemberTable(own=own),
             state=state,
--- a/packages/router/fulmarward_router/mesh/tests/test_late_parts.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_late_parts.py
@@ -13,6 +13,7 @@
 from fulmarward_router.mesh.tests.test_links import _Link, _State
 from fulmarward_router.mesh.tests.test_members import make_heartbeat
 from fulmarward_router.tests._poison import make_poison_knowledge
+from fulmarward_router.tests._target_limits import make_target_limits
 from fulmarward_router.tests.test_instance_state import Peer
 
 #: Seconds for which a segment is lost, or a large message arrives in parts.
@@ -43,6 +44,7 @@
         own = make_heartbeat("own").sender
         self.mesh = Mesh(
             poison=make_poison_knowledge(),
+            limits=make_target_limits(),
             own=own,
             members=MemberTable(own=own),
             state=self.state,
@@ -82,6 +84,7 @@
         one = Peer("one")
         mesh = Mesh(
             poison=make_poison_knowledge(),
+            limits=make_target_limits(),
             own=make_heartbeat("one").sender,
             members=one.members,
             state=one.instance_state,
--- a/packages/router/fulmarward_router/mesh/tests/test_links.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_links.py
@@ -21,6 +21,7 @@
 from fulmarward_router.mesh._messages import SendTime, SupportsSendTimes
 from fulmarward_router.mesh.tests.test_members import make_heartbeat
 from fulmarward_router.tests._poison import make_poison_knowledge
+from fulmarward_router.tests._target_limits import make_target_limits
 
 _ROW = CompressedConfiguration(key="config", version=4, packed=b"x")
 
@@ -100,6 +101,7 @@
         self.state = _State(calls)
         mesh = Mesh(
             poison=make_poison_knowledge(),
+            limits=make_target_limits(),
             own=own,
             members=MemberTable(own=own),
             state=self.state,
--- a/packages/router/fulmarward_router/mesh/tests/test_poison_relay.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_poison_relay.py
@@ -13,6 +13,7 @@
 from fulmarward_router.mesh._messages import PoisonReport, PoisonSnapshot
 from fulmarward_router.mesh.tests.test_members import make_heartbeat
 from fulmarward_router.tests._poison import make_poison_knowledge
+from fulmarward_router.tests._target_limits import make_target_limits
 
 
 def make_part(name, *targets):
@@ -40,6 +41,7 @@
             members=MemberTable(own=own),
             state=None,
             poison=self.poison,
+            limits=make_target_limits(),
             read_clock=lambda: 100.0,
             count_bytes=lambda direction, size: None,
         )
--- a/packages/router/fulmarward_router/tests/_target_limits.py
+++ b/packages/router/fulmarward_router/tests/_target_limits.py
@@ -5,8 +5,14 @@
 from fulmarward_router.state import TargetLimits
 
 
-def make_target_limits(read_clock=time.monotonic):
-    """Return the knowledge of an instance that knows of no limit."""
+def make_target_limits(read_clock=time.monotonic, *, targets=(), links=None):
+    """Return the knowledge of an instance without peers that knows of no limit."""
     return TargetLimits(
-        read_clock=read_clock, list_targets=lambda: (), count_sent=lambda: None
+        own="one",
+        read_clock=read_clock,
+        list_targets=lambda: targets,
+        list_keepers=lambda: ("one",),
+        get_links=lambda: links,
+        count_sent=lambda: None,
+        count_held_back=lambda: None,
     )
