Hand out permits for the share of the fleet that is heard only

Found by reading the keeper's choice: instances that are cut off from each other form groups, each with a keeper of its own, and each would hand out the whole limit. A keeper now hands out the part that its group is of all instances that have not announced their leaving.

--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -202,6 +202,7 @@
             list_keepers=lambda: self.members.list_keepers(
                 is_own_staying=not self.life.is_stopping, now=clock()
             ),
+            find_heard_share=lambda: self.members.find_heard_share(now=clock()),
             get_links=lambda: self.mesh,
             count_sent=lambda: self.metrics.limited_requests.inc({}),
             count_held_back=lambda: self.metrics.held_back_requests.inc({}),
--- a/packages/router/fulmarward_router/mesh/_members.py
+++ b/packages/router/fulmarward_router/mesh/_members.py
@@ -607,6 +607,17 @@
             return names
         return names & self._find_view(now).hubs or names
 
+    def find_heard_share(self, *, now: float) -> float:
+        """Return which share of the instances that did not leave is still heard.
+
+        Below 1, others may be cut off from this instance and go on by themselves.
+        """
+        known = sum(
+            member.state is not None and not member.state.is_leaving
+            for member in self._members.values()
+        )
+        return (1 + len(self.list_staying(now=now))) / (1 + known)
+
     def count_instances(self, *, now: float) -> int:
         """Return the number of live instances, including this one."""
         return 1 + len(self._find_view(now).fresh)
--- a/packages/router/fulmarward_router/mesh/tests/test_members.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_members.py
@@ -97,6 +97,16 @@
         self.table.merge_heartbeat(make_heartbeat(), now=0.2)
         self.assertEqual(len(self.table.list_ready(now=0.3)), 1)
 
+    def test_share_that_is_heard_leaves_out_those_that_left(self):
+        """Guards against a part of the fleet that acts for the whole."""
+        for name in ("peer", "silent", "leaving"):
+            heartbeat = make_heartbeat(name, is_leaving=name == "leaving")
+            self.table.merge_heartbeat(heartbeat, now=0.0)
+        self.assertEqual(self.table.find_heard_share(now=0.1), 1.0)
+        now = FRESH_S + 0.1
+        self.table.merge_heartbeat(make_heartbeat("peer"), now=now)
+        self.assertEqual(self.table.find_heard_share(now=now), 2 / 3)
+
     def test_large_fleet_has_longer_heartbeat_intervals_and_timeouts(self):
         few = self.table.heartbeat_interval_s
         for number in range(79):
--- a/packages/router/fulmarward_router/state/_target_limits.py
+++ b/packages/router/fulmarward_router/state/_target_limits.py
@@ -58,6 +58,7 @@
         read_clock: Callable[[], float],
         list_targets: Callable[[], Collection[str]],
         list_keepers: Callable[[], Collection[str]],
+        find_heard_share: Callable[[], float],
         get_links: Callable[[], PeerLinks],
         count_sent: Callable[[], None],
         count_held_back: Callable[[], None],
@@ -69,6 +70,8 @@
         #: keep permits.
         self._list_targets = list_targets
         self._list_keepers = list_keepers
+        #: Returns the share of the fleet that is heard: the rest may have a keeper too.
+        self._find_heard_share = find_heard_share
         self._get_links = get_links
         #: Count a request that is sent to a limited target, and one that gets no
         #: permit.
@@ -180,6 +183,7 @@
 
     def _grant(self, target: str, *, instance: str, per_s: float) -> PermitGrant:
         now = self._read_clock()
+        per_s *= self._find_heard_share()
         keeper = self._kept.get(target)
         if keeper is None:
             keeper = self._kept[target] = PermitKeeper(per_s=per_s, now=now)
--- a/packages/router/fulmarward_router/tests/_target_limits.py
+++ b/packages/router/fulmarward_router/tests/_target_limits.py
@@ -12,6 +12,7 @@
         read_clock=read_clock,
         list_targets=lambda: targets,
         list_keepers=lambda: ("one",),
+        find_heard_share=lambda: 1.0,
         get_links=lambda: links,
         count_sent=lambda: None,
         count_held_back=lambda: None,
--- a/packages/router/fulmarward_router/tests/test_target_limits.py
+++ b/packages/router/fulmarward_router/tests/test_target_limits.py
@@ -78,6 +78,17 @@
         self.assertEqual(self.limits.list_held_back(), frozenset())
         self.assertTrue(await self.limits.acquire("t", request_id="r"))
 
+    async def test_keeper_that_hears_a_part_of_the_fleet_hands_out_that_part(self):
+        """Guards against two groups that are cut off and take the whole limit each."""
+        self.limits._find_heard_share = lambda: 0.25
+        self.answer(4.0)
+        granted = 0
+        for _ in range(100):
+            self.now += 0.1
+            if "t" not in self.limits.list_held_back():
+                granted += await self.limits.acquire("t", request_id="r")
+        self.assertIn(granted, (9, 10, 11))
+
     async def test_target_is_held_back_while_its_keeper_is_silent(self):
         """Guards against an instance that takes permits which it was not granted."""
         self.limits._list_keepers = lambda: ("peer",)
