Keep limits of targets that are not known yet

Found by reading: an instance that starts receives its peers' limits with the first link, often before it has read the targets, and forgot them at once as those of targets that were removed; it would have sent to limited targets until one answered. Targets that are not in the fleet are forgotten once there are more than 64. test_limit_is_kept_that_is_known_before_its_target is new.

--- a/packages/core/fulmarward_core/target_limits/_table.py
+++ b/packages/core/fulmarward_core/target_limits/_table.py
@@ -33,6 +33,10 @@
         self._limits[target] = KnownLimit(per_s=per_s, observed_at=observed_at)
         return known is None or known.per_s != per_s
 
+    def __len__(self) -> int:
+        """Return the number of targets that have named a limit, now or before."""
+        return len(self._limits)
+
     def find(self, target: str) -> float | None:
         """Return the requests a second that a target accepts, `None` without limit."""
         known = self._limits.get(target)
--- a/packages/router/fulmarward_router/state/_target_limits.py
+++ b/packages/router/fulmarward_router/state/_target_limits.py
@@ -27,6 +27,9 @@
 #: Shortest time, in seconds, for which a target is held back.
 MIN_HELD_BACK_S = 0.02
 
+#: Upper bound on the targets with a limit that are not in the fleet.
+MAX_UNKNOWN_TARGETS = 64
+
 #: Upper bound on the text of a malformed limit in a log line.
 _MAX_LOGGED_TEXT = 32
 
@@ -262,8 +265,13 @@
         return True
 
     def _forget_removed(self) -> None:
-        """Forget the targets that are not in the fleet any more."""
+        """Forget the targets that are not in the fleet any more, once there are many.
+
+        A target that is not in the fleet may not be known here yet.
+        """
         targets = self._list_targets()
+        if len(self.table) <= len(targets) + MAX_UNKNOWN_TARGETS:
+            return
         self.table.retain(targets)
         self._kept = {t: keeper for t, keeper in self._kept.items() if t in targets}
 
--- a/packages/router/fulmarward_router/tests/test_target_limits.py
+++ b/packages/router/fulmarward_router/tests/test_target_limits.py
@@ -1,7 +1,10 @@
 import unittest
 
 from fulmarward_router.ports import AnswerFacts
-from fulmarward_router.state._target_limits import KEEPER_SILENT_DURATION_S
+from fulmarward_router.state._target_limits import (
+    KEEPER_SILENT_DURATION_S,
+    MAX_UNKNOWN_TARGETS,
+)
 from fulmarward_router.tests._target_limits import make_target_limits
 
 
@@ -99,6 +102,16 @@
         self.now += KEEPER_SILENT_DURATION_S
         self.assertEqual(self.limits.list_held_back(), frozenset())
 
+    def test_limit_is_kept_that_is_known_before_its_target(self):
+        """Guards against an instance that starts and forgets what its peers sent."""
+        self.answer(1.0)
+        started = make_target_limits(lambda: self.now, links=self.links)
+        started.merge(self.limits.make_reports(), source="peer", delay_s=0.0)
+        self.assertEqual(started.table.find("t"), 1.0)
+        for number in range(2 * MAX_UNKNOWN_TARGETS):
+            started.record_answer(f"t{number}", make_facts(1.0))
+        self.assertLessEqual(len(started.table), MAX_UNKNOWN_TARGETS + 1)
+
     async def test_newest_limit_of_any_instance_counts(self):
         other = make_target_limits(lambda: self.now, targets=("t",), links=self.links)
         self.answer(1.0)
