Ask each keeper once for a request

Found by reading: a request asked for permits again and again while the keepers were silent for longer than their targets are held back, past the time for which it may wait.

--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -107,18 +107,17 @@
         try:
             while True:
                 now = self._read_clock()
+                wait_end = self._compute_wait_end(state, began_at, now)
                 if queue.is_next(request, now=now):
-                    wait_class = classify_request(request, now=now)
-                    found = self._choose_path(state, engine, wanted, wait_class)
+                    found = await self._find_permitted_path(
+                        state, engine, wanted, request, wait_end=wait_end
+                    )
                     if not isinstance(found, Shortage):
-                        if await self._may_send(state, found):
-                            return found
-                        continue
+                        return found
                     shortage = found
                     if shortage is Shortage.LIMIT and not state.has_begun:
                         break
-                now = self._read_clock()
-                if now >= self._compute_wait_end(state, began_at, now):
+                if self._read_clock() >= wait_end:
                     break
                 queue.add(request)
                 await asyncio.sleep(POLL_INTERVAL_S)
@@ -149,11 +148,28 @@
             shortage=Shortage.LAYERS,
         )
 
-    async def _may_send(self, state: RequestState, path: tuple[Hop, ...]) -> bool:
-        """Return whether the first target of a path accepts the request now."""
-        return await self._limits.acquire(
-            path[0].target, request_id=state.facts.request_id
-        )
+    async def _find_permitted_path(
+        self,
+        state: RequestState,
+        engine: EngineModel,
+        wanted: PathRequest,
+        request: WaitingRequest,
+        *,
+        wait_end: float,
+    ) -> tuple[Hop, ...] | Shortage:
+        """Return the best path whose first target accepts the request now."""
+        while True:
+            wait_class = classify_request(request, now=self._read_clock())
+            path = self._choose_path(state, engine, wanted, wait_class)
+            if isinstance(path, Shortage):
+                return path
+            if await self._limits.acquire(
+                path[0].target, request_id=state.facts.request_id
+            ):
+                return path
+            # The keepers may be silent for longer than their targets are held back.
+            if self._read_clock() >= wait_end:
+                return Shortage.LIMIT
 
     def _log_missing_layers(self, service: str, engine: EngineModel) -> None:
         """Log why no path holds all layers, once a second."""
--- a/packages/router/fulmarward_router/exchange/_plain.py
+++ b/packages/router/fulmarward_router/exchange/_plain.py
@@ -129,17 +129,22 @@
         """
         timeout_s = state.route.objective_s * SATURATED_TIMEOUT_SHARE
         until = self._read_clock() + timeout_s
+        # Targets without a permit for this request.
+        denied: set[str] = set()
         while True:
             now = self._read_clock()
-            target, is_full = self._choose_target(state.service, tried, now)
+            target, is_full = self._choose_target(state.service, tried | denied, now)
             if target is not None:
                 if await self._limits.acquire(
                     target.name, request_id=state.facts.request_id
                 ):
                     return target
+                denied.add(target.name)
                 continue
             if last_failure is not None:
                 return None
+            if self._are_limited(state.service, tried, denied, now):
+                raise self._make_limited_rejection(state)
             if state.attempts > 0 and not is_full:
                 raise self._make_rejection(state, "no other target")
             if not is_full:
@@ -148,8 +153,6 @@
                     cause="no target",
                     retry_after_s=ABSENT_RETRY_S,
                 )
-            if self._are_limited(state.service, tried, now):
-                raise self._make_limited_rejection(state)
             if now >= until:
                 if state.runs > 0:
                     raise self._make_rejection(state, "others are full")
@@ -157,12 +160,14 @@
                     ResultCode.QUEUE_FULL, cause="full", retry_after_s=SATURATED_RETRY_S
                 )
             await asyncio.sleep(timeout_s / 4)
+            denied.clear()
 
-    def _are_limited(self, service: str, tried: set[str], now: float) -> bool:
-        """Return whether each target that could serve a request is held back."""
-        held_back = self._limits.list_held_back()
-        usable = self._list_usable(service, tried, now)
-        return all(record.name in held_back for record in usable)
+    def _are_limited(
+        self, service: str, tried: set[str], denied: set[str], now: float
+    ) -> bool:
+        """Return whether each target that could serve a request has no permit."""
+        names = {record.name for record in self._list_usable(service, tried, now)}
+        return bool(names) and names <= denied | self._limits.list_held_back()
 
     def _make_limited_rejection(self, state: RequestState) -> RejectedRequest:
         cause = "all targets are limited"
--- a/packages/router/fulmarward_router/exchange/tests/test_late_sends.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_sends.py
@@ -22,7 +22,11 @@
     TargetClient,
     make_target_session,
 )
-from fulmarward_router.exchange._request_state import RejectedRequest, RequestState
+from fulmarward_router.exchange._request_state import (
+    RejectedRequest,
+    RequestState,
+    Shortage,
+)
 from fulmarward_router.exchange.tests.test_send import (
     _BODY,
     _Dialect,
@@ -131,6 +135,22 @@
         self.addAsyncCleanup(_cancel, serving)
         return serving
 
+    async def test_request_does_not_ask_for_permits_without_end(self):
+        """Guards against a request that waits for keepers which are all silent."""
+
+        async def deny(target, *, request_id):
+            await asyncio.sleep(0.01)
+            return False
+
+        self.plain._limits = SimpleNamespace(
+            acquire=deny, list_held_back=frozenset, find_wait_s=lambda: 0.1
+        )
+        self.list_target("127.0.0.1:1", 1)
+        serving = self.serve(body=b"", deadline_s=5.0)
+        with self.assertRaises(RejectedRequest) as caught:
+            await asyncio.wait_for(serving, 2.0)
+        self.assertIs(caught.exception.shortage, Shortage.LIMIT)
+
     async def stall(self, *, deadline_s):
         """Start a request most of whose bytes stay in this instance's send buffer."""
         target = _StalledTarget()
