--- a/packages/standins/fulmarward_standins/harness/_ports.py
+++ b/packages/standins/fulmarward_standins/harness/_ports.py
@@ -5,6 +5,7 @@
 import random
 import socket
 import tempfile
+import time
 from pathlib import Path
 from typing import TextIO
 
@@ -15,11 +16,18 @@
 #: Ports per block. A fleet of 60 instances needs 181.
 BLOCK_PORTS = 500
 
+#: Seconds for which a port is not returned again. Nothing listens on it yet while its
+#: process starts, nor while an instance that was killed is about to start again.
+RESERVED_S = 60.0
+
 _GENERATOR = random.SystemRandom()
 
 #: Open lock files of the blocks that this process has locked, by first port.
 _LOCKED_BLOCKS: dict[int, TextIO] = {}
 
+#: When each port was last returned, in seconds on the monotonic clock.
+_RETURNED_AT: dict[int, float] = {}
+
 
 def _open_lock(first: int) -> TextIO:
     folder = Path(tempfile.gettempdir()) / f"fulmarward-ports-{os.getuid()}"
@@ -49,8 +57,12 @@
 
 
 def _list_block_ports() -> list[int]:
+    reserved_since = time.monotonic() - RESERVED_S
     ports = [
-        port for first in _LOCKED_BLOCKS for port in range(first, first + BLOCK_PORTS)
+        port
+        for first in _LOCKED_BLOCKS
+        for port in range(first, first + BLOCK_PORTS)
+        if _RETURNED_AT.get(port, float("-inf")) < reserved_since
     ]
     _GENERATOR.shuffle(ports)
     return ports
@@ -77,9 +89,13 @@
 
 
 def find_ports(count: int) -> list[int]:
-    """Return `count` distinct ports on which nothing listens now."""
+    """Return `count` distinct ports on which nothing listens now.
+
+    None of them is returned again for `RESERVED_S`.
+    """
     while True:
         ports = _find_free_ports(count)
         if len(ports) == count:
+            _RETURNED_AT.update((port, time.monotonic()) for port in ports)
             return ports
         _lock_block()
