Do not hold callers back while all instances start together

Requests wait after a start for the records of a peer that has them, at most a second; if all start together none has, and plain requests, which wait as well now, would be late. The rows of the store name all that is blocked, and are read at once. Found by reading; test_instance_is_current_once_the_store_has_answered fails without it (a peer's answer or the second alone make an instance current).

--- a/packages/router/fulmarward_router/state/_poison.py
+++ b/packages/router/fulmarward_router/state/_poison.py
@@ -67,7 +67,7 @@
         return self._current.is_set()
 
     def record_current(self) -> None:
-        """Record that a peer has sent all its records."""
+        """Record that a peer, or the store, has sent all its records."""
         self._current.set()
 
     async def await_current(self) -> None:
--- a/packages/router/fulmarward_router/state/_poison_rows.py
+++ b/packages/router/fulmarward_router/state/_poison_rows.py
@@ -1,4 +1,4 @@
-"""Keeps blocked prompt patterns in the store, for when all instances stop at once."""
+"""Keeps blocked patterns in the store, for when all instances stop at once."""
 
 import asyncio
 from collections.abc import Callable, Sequence
@@ -62,6 +62,9 @@
         reports = [_decode_row(row, now=now) for row in read.rows]
         known = [report for report in reports if report is not None]
         self._poison.merge(known, source="store", delay_s=0.0)
+        # All that is blocked is known now, also if all instances start together and
+        # none has records for the others.
+        self._poison.record_current()
         return True
 
     async def _write(self, pattern: str) -> bool:
