--- a/packages/core/fulmarward_core/poison/decisions.py
+++ b/packages/core/fulmarward_core/poison/decisions.py
@@ -134,9 +134,9 @@
             if ranks[other] == rank
             and {crash.target for crash in index[other]} == targets
         ]
-        accused = _choose_accused(group, rank.evidence)
-        if accused:
-            findings.append(_make_finding(accused, index, rank.evidence))
+        rejected = _choose_rejected(group, rank.evidence)
+        if rejected:
+            findings.append(_make_finding(rejected, index, rank.evidence))
         for other in affected & index.keys():
             index[other] = [c for c in index[other] if c.target not in targets]
             ranks[other] = _rank(index[other])
@@ -151,7 +151,7 @@
     return -rank.evidence, -rank.strong, -rank.targets, pattern
 
 
-def _choose_accused(group: list[str], evidence: float) -> list[str]:
+def _choose_rejected(group: list[str], evidence: float) -> list[str]:
     """Return those of the patterns in the same crashes whose requests are rejected.
 
     A whole request explains them more closely than its parts. It is not suspended, as
--- a/packages/router/fulmarward_router/exchange/_crash_monitor.py
+++ b/packages/router/fulmarward_router/exchange/_crash_monitor.py
@@ -197,7 +197,7 @@
         await self._failure_detector.probe_again(
             target, timeout_s=min(left_s, CONFIRM_CRASH_TIMEOUT_S)
         )
-        patterns = self._list_accused(state, broken) if self._has_ended(broken) else []
+        patterns = self._list_suspects(state, broken) if self._has_ended(broken) else []
         log_event(
             "broken_attempt_examined",
             request=state.facts.request_id,
@@ -232,11 +232,11 @@
             or self._suspicions.is_unreachable(target, now=self._read_clock())
         )
 
-    def _list_accused(self, state: RequestState, broken: BrokenResponse) -> list[str]:
+    def _list_suspects(self, state: RequestState, broken: BrokenResponse) -> list[str]:
         """Return the patterns of a request that may have crashed its target.
 
         None if this instance may have been isolated from the service when the response
-        broke off. A part, which many requests have, is not accused while none of the
+        broke off. A part, which many requests have, is no candidate while none of the
         targets is reached.
         """
         if self._contacts.is_reached(state.service):
