--- a/packages/core/fulmarward_core/target_limits/_usage.py
+++ b/packages/core/fulmarward_core/target_limits/_usage.py
@@ -10,14 +10,14 @@
     def __init__(self) -> None:
         #: Unused permits by target, as the times until which they are valid.
         self._permits: dict[str, list[float]] = {}
-        #: Until when each target is held back.
-        self._held_back_until: dict[str, float] = {}
+        #: Until when each target is throttled.
+        self._throttled_until: dict[str, float] = {}
 
     def add(self, target: str, count: int, *, now: float) -> None:
         """Record permits that were granted now."""
         valid = [at for at in self._permits.get(target, ()) if at >= now]
         self._permits[target] = valid + [now + PERMIT_DURATION_S] * count
-        self._held_back_until.pop(target, None)
+        self._throttled_until.pop(target, None)
 
     def take(self, target: str, *, now: float) -> bool:
         """Use a permit; return whether there was one."""
@@ -26,28 +26,28 @@
             self._permits[target] = valid[1:]
         return bool(valid)
 
-    def hold_back(self, target: str, *, until: float) -> None:
+    def throttle(self, target: str, *, until: float) -> None:
         """Record that a target gets no requests until a time."""
-        self._held_back_until[target] = until
+        self._throttled_until[target] = until
 
     def release(self, target: str) -> None:
-        """Record that a target may be asked for again at once."""
-        self._held_back_until.pop(target, None)
+        """Record that a target is not throttled any more."""
+        self._throttled_until.pop(target, None)
 
-    def find_held_back_s(self, target: str, *, now: float) -> float:
-        """Return the seconds for which a target is still held back."""
-        return max(0.0, self._held_back_until.get(target, now) - now)
+    def find_throttled_s(self, target: str, *, now: float) -> float:
+        """Return the seconds for which a target is still throttled."""
+        return max(0.0, self._throttled_until.get(target, now) - now)
 
-    def list_held_back(self, *, now: float) -> frozenset[str]:
+    def list_throttled(self, *, now: float) -> frozenset[str]:
         """Return the targets that get no requests now."""
-        if not self._held_back_until:
+        if not self._throttled_until:
             return frozenset()
-        self._held_back_until = {
-            name: until for name, until in self._held_back_until.items() if until > now
+        self._throttled_until = {
+            name: until for name, until in self._throttled_until.items() if until > now
         }
-        return frozenset(self._held_back_until)
+        return frozenset(self._throttled_until)
 
     def find_wait_s(self, *, now: float) -> float:
-        """Return the seconds until the first target is not held back any more."""
-        left = [until - now for until in self._held_back_until.values()]
+        """Return the seconds until the first target is not throttled any more."""
+        left = [until - now for until in self._throttled_until.values()]
         return max(0.0, min(left, default=0.0))
--- a/packages/core/fulmarward_core/target_limits/decisions.py
+++ b/packages/core/fulmarward_core/target_limits/decisions.py
@@ -4,11 +4,11 @@
 from collections.abc import Collection
 
 
-def choose_keeper(target: str, instances: Collection[str]) -> str | None:
+def choose_owner(target: str, instances: Collection[str]) -> str | None:
     """Return the instance that keeps the permits of a target, `None` without any.
 
     All instances that know the same ones choose the same, and when one joins or leaves
-    only its own targets change their keeper (rendezvous hashing).
+    only its own targets change their owner (rendezvous hashing).
     """
     return max(instances, key=lambda name: _weigh(target, name), default=None)
 
--- a/packages/core/fulmarward_core/target_limits/tests/test_permits.py
+++ b/packages/core/fulmarward_core/target_limits/tests/test_permits.py
@@ -4,36 +4,36 @@
 from fulmarward_core.target_limits import (
     PERMIT_DURATION_S,
     LimitTable,
-    PermitKeeper,
+    PermitBucket,
     PermitUsage,
-    choose_keeper,
+    choose_owner,
 )
 
 
 def play(*, per_s, instances, duration_s=60.0, request_s=0.01, changes=()):
     """Return when permits are used by instances that all need one all the time.
 
-    Each of the `changes` is a time at which another instance becomes the keeper.
+    Each of the `changes` is a time at which another instance becomes the owner.
     """
     draw = random.Random(3)
-    keeper = PermitKeeper(per_s=per_s, now=0.0)
+    owner = PermitBucket(per_s=per_s, now=0.0)
     usages = {f"n{number}": PermitUsage() for number in range(instances)}
     used, now, left = [], 0.0, sorted(changes)
     while now < duration_s:
         if left and now >= left[0]:
             left.pop(0)
-            keeper = PermitKeeper(per_s=per_s, now=now)
+            owner = PermitBucket(per_s=per_s, now=now)
         name = draw.choice(list(usages))
         usage = usages[name]
         if usage.take("t", now=now):
             used.append(now)
-        elif "t" not in usage.list_held_back(now=now):
-            grant = keeper.grant(name, draw=draw.random(), now=now)
+        elif "t" not in usage.list_throttled(now=now):
+            grant = owner.grant(name, draw=draw.random(), now=now)
             usage.add("t", grant.count, now=now)
             if usage.take("t", now=now):
                 used.append(now)
             if not grant.count:
-                usage.hold_back("t", until=now + grant.wait_s)
+                usage.throttle("t", until=now + grant.wait_s)
         now += request_s
     return used
 
@@ -51,8 +51,8 @@
                     self.assertLessEqual(count, most)
                 self.assertGreater(len(used), 0.8 * 60.0 * per_s)
 
-    def test_new_keeper_begins_without_permits(self):
-        """Guards against permits that are used twice when their keeper changes."""
+    def test_new_owner_begins_without_permits(self):
+        """Guards against permits that are used twice when their owner changes."""
         used = play(per_s=1.4, instances=7, changes=[10.0 + 0.1 * n for n in range(99)])
         self.assertLessEqual(sum(10.0 <= at < 19.9 for at in used), 1)
 
@@ -67,21 +67,21 @@
         usage.add("t", 2, now=1.0)
         self.assertTrue(usage.take("t", now=1.1))
         self.assertFalse(usage.take("t", now=1.1 + PERMIT_DURATION_S))
-        usage.hold_back("t", until=3.0)
-        self.assertEqual(usage.list_held_back(now=2.5), {"t"})
+        usage.throttle("t", until=3.0)
+        self.assertEqual(usage.list_throttled(now=2.5), {"t"})
         self.assertEqual(usage.find_wait_s(now=2.5), 0.5)
-        self.assertEqual(usage.list_held_back(now=3.0), frozenset())
+        self.assertEqual(usage.list_throttled(now=3.0), frozenset())
 
-    def test_keeper_changes_only_for_targets_of_those_that_join_or_leave(self):
+    def test_owner_changes_only_for_targets_of_those_that_join_or_leave(self):
         names = [f"n{number}" for number in range(7)]
         targets = [f"t{number}" for number in range(200)]
-        before = {target: choose_keeper(target, names) for target in targets}
+        before = {target: choose_owner(target, names) for target in targets}
         self.assertEqual(set(before.values()), set(names))
-        for target, keeper in before.items():
+        for target, owner in before.items():
             left = [name for name in names if name != "n3"]
-            if keeper != "n3":
-                self.assertEqual(choose_keeper(target, left), keeper)
-        self.assertIsNone(choose_keeper("t", []))
+            if owner != "n3":
+                self.assertEqual(choose_owner(target, left), owner)
+        self.assertIsNone(choose_owner("t", []))
 
 
 class LimitTableTest(unittest.TestCase):
--- a/packages/router/fulmarward_router/_metrics.py
+++ b/packages/router/fulmarward_router/_metrics.py
@@ -41,7 +41,7 @@
     limited_targets: Gauge
     limited_requests: Counter
     #: Requests that got no permit for the target chosen first.
-    held_back_requests: Counter
+    throttled_requests: Counter
     #: Calls to the store and to targets, by `call` and `status`.
     calls: Counter
     #: Bytes exchanged with peers, by `direction`.
@@ -96,8 +96,8 @@
         limited_requests=factory.count(
             "limited_requests_total", "Requests sent to targets with a limit."
         ),
-        held_back_requests=factory.count(
-            "held_back_requests_total", "Requests without a permit for their target."
+        throttled_requests=factory.count(
+            "throttled_requests_total", "Requests without a permit for their target."
         ),
         calls=factory.count("calls_total", "Calls to the store and to targets."),
         peer_bytes=factory.count("peer_bytes_total", "Bytes between instances."),
--- a/packages/router/fulmarward_router/_status.py
+++ b/packages/router/fulmarward_router/_status.py
@@ -80,7 +80,7 @@
             {
                 "target": target,
                 "per_s": known.per_s,
-                "keeper": instance.target_limits.find_keeper(target),
+                "owner": instance.target_limits.find_owner(target),
                 "observed_s_ago": round(now - known.observed_at, 3),
             }
             for target, known in instance.target_limits.table.list_known().items()
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -199,13 +199,13 @@
             list_targets=lambda: {
                 record.name for record in self.catalogue.list_targets(now=clock())
             },
-            list_keepers=lambda: self.members.list_keepers(
+            list_owner_candidates=lambda: self.members.list_owner_candidates(
                 is_own_staying=not self.life.is_stopping, now=clock()
             ),
-            find_heard_share=lambda: self.members.find_heard_share(now=clock()),
+            find_reachable_share=lambda: self.members.find_reachable_share(now=clock()),
             get_links=lambda: self.mesh,
             count_sent=lambda: self.metrics.limited_requests.inc({}),
-            count_held_back=lambda: self.metrics.held_back_requests.inc({}),
+            count_throttled=lambda: self.metrics.throttled_requests.inc({}),
         )
         self.paces = PaceTable()
         self.ledger = LoadLedger(note_changed=lambda: self.mesh.notify_loads())
--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -167,7 +167,7 @@
                 path[0].target, request_id=state.facts.request_id
             ):
                 return path
-            # The keepers may be silent for longer than their targets are held back.
+            # The owners may be silent for longer than their targets are throttled.
             if self._read_clock() >= wait_end:
                 return Shortage.LIMIT
 
@@ -209,7 +209,7 @@
             path = self._finder.choose(
                 state.service, engine, wanted, may_use_reported=True
             )
-        if path is None and self._limits.list_held_back():
+        if path is None and self._limits.list_throttled():
             limited = self._finder.choose(
                 state.service, engine, wanted, ignores_limits=True
             )
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -78,7 +78,7 @@
             paces=context.paces,
             ledger=context.ledger,
             is_large=context.is_large,
-            list_held_back=context.target_limits.list_held_back,
+            list_throttled=context.target_limits.list_throttled,
             read_clock=context.read_clock,
         )
         pipe = PipeLimiter(
--- a/packages/router/fulmarward_router/exchange/_path_finder.py
+++ b/packages/router/fulmarward_router/exchange/_path_finder.py
@@ -64,12 +64,12 @@
         paces: PaceTable,
         ledger: LoadLedger,
         is_large: Callable[[], bool],
-        list_held_back: Callable[[], frozenset[str]],
+        list_throttled: Callable[[], frozenset[str]],
         read_clock: Callable[[], float],
     ) -> None:
         self._is_large = is_large
         #: Returns the targets to which this instance may send no requests for now.
-        self._list_held_back = list_held_back
+        self._list_throttled = list_throttled
         self._catalogue = catalogue
         self._suspicions = suspicions
         self._paces = paces
@@ -92,7 +92,7 @@
         """Return the best path now, `None` if none has capacity.
 
         With `may_use_reported`, it may pass through targets that only peers report as
-        unreachable. With `ignores_limits`, it may begin at a target that is held back.
+        unreachable. With `ignores_limits`, it may begin at a target that is throttled.
         """
         now = self._read_clock()
         targets = self._find_targets(service, engine, now)
@@ -104,7 +104,7 @@
                 targets,
                 now,
                 may_use_reported=may_use_reported,
-                held_back=frozenset() if ignores_limits else self._list_held_back(),
+                throttled=frozenset() if ignores_limits else self._list_throttled(),
             ),
         )
 
@@ -172,11 +172,11 @@
         now: float,
         *,
         may_use_reported: bool,
-        held_back: frozenset[str],
+        throttled: frozenset[str],
     ) -> ReadOccupancy:
         """Return a function that reads a target's load, `None` if it is excluded.
 
-        A target that is held back has no slot for a path to begin at.
+        A target that is throttled has no slot for a path to begin at.
         """
         excluded = self._list_excluded(targets, now, may_use_reported=may_use_reported)
         loads, paces = self._ledger.sum_loads(now=now), self._paces
@@ -190,7 +190,7 @@
                 running=load.running,
                 first_running=(
                     targets.engine.slots
-                    if stage.target in held_back
+                    if stage.target in throttled
                     else load.first_running
                 ),
                 pace=paces.find(stage.target, now=now),
--- a/packages/router/fulmarward_router/exchange/_plain.py
+++ b/packages/router/fulmarward_router/exchange/_plain.py
@@ -167,7 +167,7 @@
     ) -> bool:
         """Return whether each target that could serve a request has no permit."""
         names = {record.name for record in self._list_usable(service, tried, now)}
-        return bool(names) and names <= denied | self._limits.list_held_back()
+        return bool(names) and names <= denied | self._limits.list_throttled()
 
     def _make_limited_rejection(self, state: RequestState) -> RejectedRequest:
         cause = "all targets are limited"
@@ -200,7 +200,7 @@
     ) -> tuple[TargetRecord | None, bool]:
         """Return the least loaded target, or `None` and whether the others are full."""
         usable = self._list_usable(service, tried, now)
-        held_back = self._limits.list_held_back()
+        throttled = self._limits.list_throttled()
         loads = self._ledger.sum_loads(now=now)
 
         def compute_score(record: TargetRecord) -> float:
@@ -217,7 +217,7 @@
             load = loads.get(record.name)
             running = 0 if load is None else load.running
             is_free = running < record.slots * MAX_REQUESTS_PER_SLOT
-            return is_free and record.name not in held_back
+            return is_free and record.name not in throttled
 
         free = [record for record in usable if has_capacity(record)]
         if not free:
--- a/packages/router/fulmarward_router/exchange/tests/test_late_sends.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_sends.py
@@ -136,14 +136,14 @@
         return serving
 
     async def test_request_does_not_ask_for_permits_without_end(self):
-        """Guards against a request that waits for keepers which are all silent."""
+        """Guards against a request that waits for owners which are all silent."""
 
         async def deny(target, *, request_id):
             await asyncio.sleep(0.01)
             return False
 
         self.plain._limits = SimpleNamespace(
-            acquire=deny, list_held_back=frozenset, find_wait_s=lambda: 0.1
+            acquire=deny, list_throttled=frozenset, find_wait_s=lambda: 0.1
         )
         self.list_target("127.0.0.1:1", 1)
         serving = self.serve(body=b"", deadline_s=5.0)
--- a/packages/router/fulmarward_router/mesh/_limits.py
+++ b/packages/router/fulmarward_router/mesh/_limits.py
@@ -1,4 +1,4 @@
-"""Exchanges the limits of targets with peers, and asks keepers for permits."""
+"""Exchanges the limits of targets with peers, and requests permits from owners."""
 
 import math
 from collections import OrderedDict
@@ -11,10 +11,10 @@
 from fulmarward_router.mesh._heartbeats import PeerLink
 from fulmarward_router.mesh._members import MemberTable
 from fulmarward_router.mesh._messages import (
-    AskPermits,
     FetchLimits,
     InstanceIdentity,
     LimitReport,
+    PermitRequest,
     PermitsGranted,
     TargetLimitReport,
 )
@@ -23,10 +23,10 @@
 #: Sequence of a report that is not relayed.
 _NOT_RELAYED = 0
 
-#: Milliseconds after which an instance may ask again if the keeper is not reached.
-_NO_KEEPER_WAIT_MS = 200
+#: Milliseconds after which a request may be repeated if the owner is not reached.
+_NO_OWNER_WAIT_MS = 200
 
-#: Upper bound on the questions that were relayed and may still be answered.
+#: Upper bound on the relayed requests that may still be answered.
 _MAX_RELAYED = 4096
 
 
@@ -54,7 +54,7 @@
         #: one entry per instance ever heard.
         self._latest: dict[str, tuple[int, int]] = {}
         self._numbers = count(1)
-        #: Where the answers to relayed questions go, and their numbers there.
+        #: Where the answers to relayed requests go, and their numbers there.
         self._relayed: OrderedDict[int, tuple[Connection, int]] = OrderedDict()
 
     def notify(self, reports: Sequence[TargetLimitReport]) -> None:
@@ -89,59 +89,61 @@
         if message.sequence != _NOT_RELAYED:
             self._send_to_all(_add_age(message, delay_s), except_to=received_on)
 
-    def ask(self, keeper: str, *, target: str, milli_per_s: int) -> int | None:
-        """Ask a keeper for permits; return the number of the question.
+    def request_permits(
+        self, owner: str, *, target: str, milli_per_s: int
+    ) -> int | None:
+        """Request permits from an owner; return the number of the request.
 
-        Returns `None` if neither the keeper nor a hub is linked.
+        Returns `None` if neither the owner nor a hub is linked.
         """
-        question = AskPermits(
+        request = PermitRequest(
             sender=self._own.name,
             number=next(self._numbers),
             target=target,
             milli_per_s=milli_per_s,
             is_relayed=False,
         )
-        link = self._find_link(keeper)
+        link = self._find_link(owner)
         if link is None:
             hubs = self._members.list_subscriptions(now=self._read_clock())
             link = next((x for x in self._list_links() if x.address in hubs), None)
         if link is None:
             return None
-        self._send(link.connection, question)
-        return question.number
+        self._send(link.connection, request)
+        return request.number
 
-    def answer_question(self, question: AskPermits, connection: Connection) -> None:
-        """Answer an instance that needs permits, or relay its question once."""
-        keeper = self._limits.find_keeper(question.target)
-        if keeper == self._own.name:
+    def handle_request(self, request: PermitRequest, connection: Connection) -> None:
+        """Answer an instance that needs permits, or relay its request once."""
+        owner = self._limits.find_owner(request.target)
+        if owner == self._own.name:
             answer = self._limits.grant(
-                question.target,
-                instance=question.sender,
-                number=question.number,
-                milli_per_s=question.milli_per_s,
+                request.target,
+                instance=request.sender,
+                number=request.number,
+                milli_per_s=request.milli_per_s,
             )
             self._send(connection, answer)
             return
-        link = None if keeper is None else self._find_link(keeper)
-        if question.is_relayed or link is None:
-            wait_ms = _NO_KEEPER_WAIT_MS
-            denied = PermitsGranted(number=question.number, count=0, wait_ms=wait_ms)
+        link = None if owner is None else self._find_link(owner)
+        if request.is_relayed or link is None:
+            wait_ms = _NO_OWNER_WAIT_MS
+            denied = PermitsGranted(number=request.number, count=0, wait_ms=wait_ms)
             self._send(connection, denied)
             return
         number = next(self._numbers)
-        self._relayed[number] = connection, question.number
+        self._relayed[number] = connection, request.number
         if len(self._relayed) > _MAX_RELAYED:
             self._relayed.popitem(last=False)
-        relayed = replace(question, number=number, is_relayed=True)
+        relayed = replace(request, number=number, is_relayed=True)
         self._send(link.connection, relayed)
 
     def handle_granted(self, answer: PermitsGranted) -> None:
-        """Handle the answer to a question of this instance, or to a relayed one."""
-        asked = self._relayed.pop(answer.number, None)
-        if asked is None:
+        """Handle the answer to a request of this instance, or to a relayed one."""
+        origin = self._relayed.pop(answer.number, None)
+        if origin is None:
             self._limits.handle_granted(answer)
             return
-        connection, number = asked
+        connection, number = origin
         self._send(connection, replace(answer, number=number))
 
     def _make_report(
--- a/packages/router/fulmarward_router/mesh/_links.py
+++ b/packages/router/fulmarward_router/mesh/_links.py
@@ -24,7 +24,6 @@
 from fulmarward_router.mesh._limits import LimitExchange
 from fulmarward_router.mesh._members import HEARTBEAT_INTERVAL_S, MemberTable
 from fulmarward_router.mesh._messages import (
-    AskPermits,
     CompressedConfiguration,
     ConfigurationDeferred,
     ConfigurationReceived,
@@ -41,6 +40,7 @@
     LimitReport,
     LoadUpdate,
     PatternReport,
+    PermitRequest,
     PermitsGranted,
     PoisonReport,
     PoisonSnapshot,
@@ -200,7 +200,7 @@
             PoisonSnapshot: self._handle_poison_snapshot,
             LimitReport: self._handle_limit_report,
             FetchLimits: self._handle_fetch_limits,
-            AskPermits: self._handle_ask_permits,
+            PermitRequest: self._handle_permit_request,
             PermitsGranted: self._handle_permits_granted,
         }
         self._fetched_instances_at = float("-inf")
@@ -222,12 +222,16 @@
         """Send limits that changed here to all instances."""
         self._limits.notify(reports)
 
-    def ask_permits(self, keeper: str, *, target: str, milli_per_s: int) -> int | None:
-        """Ask the keeper of a target for permits.
+    def request_permits(
+        self, owner: str, *, target: str, milli_per_s: int
+    ) -> int | None:
+        """Request permits for a target from its owner.
 
         Returns the number that its answer has, `None` if there is no link to it.
         """
-        return self._limits.ask(keeper, target=target, milli_per_s=milli_per_s)
+        return self._limits.request_permits(
+            owner, target=target, milli_per_s=milli_per_s
+        )
 
     def fetch_poison(self) -> None:
         """Request the records of crashes from all peers."""
@@ -663,10 +667,10 @@
     ) -> None:
         self._limits.answer_fetch(receiver.connection)
 
-    async def _handle_ask_permits(
-        self, receiver: _LinkReceiver, message: AskPermits
+    async def _handle_permit_request(
+        self, receiver: _LinkReceiver, message: PermitRequest
     ) -> None:
-        self._limits.answer_question(message, receiver.connection)
+        self._limits.handle_request(message, receiver.connection)
 
     async def _handle_permits_granted(
         self, receiver: _LinkReceiver, message: PermitsGranted
--- a/packages/router/fulmarward_router/mesh/_members.py
+++ b/packages/router/fulmarward_router/mesh/_members.py
@@ -595,7 +595,7 @@
         """Return the instances that were heard lately and are not leaving."""
         return [m for m in self.list_fresh(now=now) if not m.state.is_leaving]
 
-    def list_keepers(self, *, is_own_staying: bool, now: float) -> set[str]:
+    def list_owner_candidates(self, *, is_own_staying: bool, now: float) -> set[str]:
         """Return the names of the instances that keep what the whole fleet shares.
 
         In a large fleet these are the hubs, which every instance reaches.
@@ -607,7 +607,7 @@
             return names
         return names & self._find_view(now).hubs or names
 
-    def find_heard_share(self, *, now: float) -> float:
+    def find_reachable_share(self, *, now: float) -> float:
         """Return which share of the instances that did not leave is still heard.
 
         Below 1, others may be cut off from this instance and go on by themselves.
--- a/packages/router/fulmarward_router/mesh/_messages.py
+++ b/packages/router/fulmarward_router/mesh/_messages.py
@@ -351,24 +351,24 @@
     """Requests all limits that the peer knows; answered by `LimitReport`."""
 
 
-class AskPermits(Message, kw_only=True):
-    """Asks for permits to send requests to a target; answered by `PermitsGranted`."""
+class PermitRequest(Message, kw_only=True):
+    """Requests permits to send to a target; answered by `PermitsGranted`."""
 
     sender: str
-    #: Number of the question, new for each one of its sender.
+    #: Number of the request, new for each one of its sender.
     number: int
     target: str
     #: The limit as the sender knows it, as in `TargetLimitReport`.
     milli_per_s: int
-    #: Whether a hub relays it to the keeper, to which its sender has no link.
+    #: Whether a hub relays it to the owner, to which its sender has no link.
     is_relayed: bool
 
 
 class PermitsGranted(Message, kw_only=True):
-    """The answer of the keeper of a target's permits."""
+    """The answer of the owner of a target's permits."""
 
     number: int
-    #: Number of requests that may be sent, and ms to wait before asking again.
+    #: Number of requests that may be sent, and ms to wait before the next request.
     count: int
     wait_ms: int
 
@@ -401,6 +401,6 @@
     PoisonSnapshot,
     LimitReport,
     FetchLimits,
-    AskPermits,
+    PermitRequest,
     PermitsGranted,
 )
--- a/packages/router/fulmarward_router/mesh/_state.py
+++ b/packages/router/fulmarward_router/mesh/_state.py
@@ -149,13 +149,13 @@
     ) -> None:
         """Merge limits that an instance has observed, delayed in transit."""
 
-    def find_keeper(self, target: str) -> str | None:
+    def find_owner(self, target: str) -> str | None:
         """Return the name of the instance that keeps the permits of a target."""
 
     def grant(
         self, target: str, *, instance: str, number: int, milli_per_s: int
     ) -> PermitsGranted:
-        """Return the answer to an instance that asks this one, the keeper."""
+        """Return the answer of this instance, the owner, to a request for permits."""
 
     def handle_granted(self, message: PermitsGranted) -> None:
-        """Handle the answer of a keeper."""
+        """Handle the answer of an owner."""
--- a/packages/router/fulmarward_router/mesh/tests/test_limits.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_limits.py
@@ -3,16 +3,16 @@
 
 from fulmarward_router.mesh import PermitsGranted, TargetLimitReport
 from fulmarward_router.mesh._limits import LimitExchange
-from fulmarward_router.mesh._messages import AskPermits, LimitReport
+from fulmarward_router.mesh._messages import LimitReport, PermitRequest
 
 _LIMITED = TargetLimitReport(target="t", milli_per_s=1400, age_ms=0)
 
 
 class _Limits:
-    """The knowledge of an instance, which is the keeper if `keeper` is its name."""
+    """The knowledge of an instance, which is the owner if `owner` is its name."""
 
     def __init__(self):
-        self.keeper = "own"
+        self.owner = "own"
         self.merged, self.granted = [], []
 
     def make_reports(self):
@@ -21,8 +21,8 @@
     def merge(self, reports, *, source, delay_s):
         self.merged.append((source, reports))
 
-    def find_keeper(self, target):
-        return self.keeper
+    def find_owner(self, target):
+        return self.owner
 
     def grant(self, target, *, instance, number, milli_per_s):
         return PermitsGranted(number=number, count=1, wait_ms=0)
@@ -70,23 +70,23 @@
         self.assertEqual(len(self.limits.merged), 4)
 
     def ask(self, *, is_relayed=False):
-        question = AskPermits(
+        request = PermitRequest(
             sender="peer",
             number=7,
             target="t",
             milli_per_s=1400,
             is_relayed=is_relayed,
         )
-        self.exchange.answer_question(question, "b")
+        self.exchange.handle_request(request, "b")
 
-    def test_question_is_answered_by_the_keeper(self):
+    def test_request_is_answered_by_the_owner(self):
         self.ask()
         answer = PermitsGranted(number=7, count=1, wait_ms=0)
         self.assertEqual(self.sent, [("b", answer)])
 
-    def test_question_is_relayed_by_a_hub_once(self):
-        """Guards against an instance without a link to the keeper."""
-        self.limits.keeper = "c"
+    def test_request_is_relayed_by_a_hub_once(self):
+        """Guards against an instance without a link to the owner."""
+        self.limits.owner = "c"
         self.ask()
         [(connection, relayed)] = self.sent
         self.assertEqual((connection, relayed.is_relayed), ("c", True))
@@ -98,19 +98,19 @@
         self.exchange.handle_granted(answer)
         self.assertEqual(self.limits.granted, [answer])
 
-    def test_question_to_an_instance_that_is_not_the_keeper_is_denied(self):
+    def test_request_to_an_instance_that_is_not_the_owner_is_denied(self):
         """Guards against two instances that hand out permits of one target."""
-        for keeper, is_relayed in [("c", True), ("unknown", False), (None, False)]:
+        for owner, is_relayed in [("c", True), ("unknown", False), (None, False)]:
             self.sent.clear()
-            self.limits.keeper = keeper
+            self.limits.owner = owner
             self.ask(is_relayed=is_relayed)
             [(connection, answer)] = self.sent
             self.assertEqual((connection, answer.count), ("b", 0))
             self.assertGreater(answer.wait_ms, 0)
 
-    def test_question_goes_to_a_hub_if_the_keeper_is_not_linked(self):
-        for keeper, expected in [("c", "c"), ("far", "hub")]:
+    def test_request_goes_to_a_hub_if_the_owner_is_not_linked(self):
+        for owner, expected in [("c", "c"), ("far", "hub")]:
             self.sent.clear()
-            number = self.exchange.ask(keeper, target="t", milli_per_s=1400)
-            [(connection, question)] = self.sent
-            self.assertEqual((connection, question.number), (expected, number))
+            number = self.exchange.request_permits(owner, target="t", milli_per_s=1400)
+            [(connection, request)] = self.sent
+            self.assertEqual((connection, request.number), (expected, number))
--- a/packages/router/fulmarward_router/mesh/tests/test_members.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_members.py
@@ -102,10 +102,10 @@
         for name in ("peer", "silent", "leaving"):
             heartbeat = make_heartbeat(name, is_leaving=name == "leaving")
             self.table.merge_heartbeat(heartbeat, now=0.0)
-        self.assertEqual(self.table.find_heard_share(now=0.1), 1.0)
+        self.assertEqual(self.table.find_reachable_share(now=0.1), 1.0)
         now = FRESH_S + 0.1
         self.table.merge_heartbeat(make_heartbeat("peer"), now=now)
-        self.assertEqual(self.table.find_heard_share(now=now), 2 / 3)
+        self.assertEqual(self.table.find_reachable_share(now=now), 2 / 3)
 
     def test_large_fleet_has_longer_heartbeat_intervals_and_timeouts(self):
         few = self.table.heartbeat_interval_s
--- a/packages/router/fulmarward_router/state/_target_limits.py
+++ b/packages/router/fulmarward_router/state/_target_limits.py
@@ -10,22 +10,22 @@
 from fulmarward_core.target_limits import (
     MAX_LIMIT_PER_S,
     LimitTable,
+    PermitBucket,
     PermitGrant,
-    PermitKeeper,
     PermitUsage,
-    choose_keeper,
+    choose_owner,
 )
 from fulmarward_router.mesh import PermitsGranted, TargetLimitReport
 from fulmarward_router.ports import AnswerFacts
 
-#: Seconds to wait for the answer of a keeper.
-KEEPER_TIMEOUT_S = 0.15
+#: Seconds to wait for the answer of an owner.
+OWNER_TIMEOUT_S = 0.15
 
-#: Seconds for which a target is held back if its keeper does not answer.
-KEEPER_SILENT_DURATION_S = 0.3
+#: Seconds for which a target is throttled if its owner does not answer.
+OWNER_SILENT_DURATION_S = 0.3
 
-#: Shortest time, in seconds, for which a target is held back.
-MIN_HELD_BACK_S = 0.02
+#: Shortest time, in seconds, for which a target is throttled.
+MIN_THROTTLE_S = 0.02
 
 #: Upper bound on the targets with a limit that are not in the fleet.
 MAX_UNKNOWN_TARGETS = 64
@@ -38,20 +38,22 @@
 
 
 class PeerLinks(Protocol):
-    """Sends limits and questions to other instances."""
+    """Sends limits and requests for permits to other instances."""
 
     def notify_limits(self, reports: Sequence[TargetLimitReport]) -> None:
         """Send limits that changed here to all instances."""
 
-    def ask_permits(self, keeper: str, *, target: str, milli_per_s: int) -> int | None:
-        """Ask a keeper; return the number of its answer, `None` if it is not linked."""
+    def request_permits(
+        self, owner: str, *, target: str, milli_per_s: int
+    ) -> int | None:
+        """Request permits; return the number of the answer, `None` without a link."""
 
 
 class TargetLimits:
     """The limits of the targets, and this instance's part in keeping them.
 
-    A limit holds for all instances together. One of them, the keeper of the target,
-    hands out a permit for each request; without one the target is held back.
+    A limit holds for all instances together. One of them, the owner of the target,
+    hands out a permit for each request; without one the target is throttled.
     """
 
     def __init__(
@@ -60,11 +62,11 @@
         own: str,
         read_clock: Callable[[], float],
         list_targets: Callable[[], Collection[str]],
-        list_keepers: Callable[[], Collection[str]],
-        find_heard_share: Callable[[], float],
+        list_owner_candidates: Callable[[], Collection[str]],
+        find_reachable_share: Callable[[], float],
         get_links: Callable[[], PeerLinks],
         count_sent: Callable[[], None],
-        count_held_back: Callable[[], None],
+        count_throttled: Callable[[], None],
     ) -> None:
         #: Name of this instance.
         self._own = own
@@ -72,93 +74,95 @@
         #: Returns the names of the targets in the fleet, and of the instances that may
         #: keep permits.
         self._list_targets = list_targets
-        self._list_keepers = list_keepers
-        #: Returns the share of the fleet that is heard: the rest may have a keeper too.
-        self._find_heard_share = find_heard_share
+        self._list_owner_candidates = list_owner_candidates
+        #: Returns the share of the fleet that is heard: the rest may have an owner too.
+        self._find_reachable_share = find_reachable_share
         self._get_links = get_links
         #: Count a request that is sent to a limited target, and one that gets no
         #: permit.
         self._count_sent = count_sent
-        self._count_held_back = count_held_back
+        self._count_throttled = count_throttled
         self.table = LimitTable()
         self._usage = PermitUsage()
         #: The targets whose permits this instance keeps.
-        self._kept: dict[str, PermitKeeper] = {}
-        #: Questions without an answer yet, by number: the target, and the future that
+        self._buckets: dict[str, PermitBucket] = {}
+        #: Requests without an answer yet, by number: the target, and the future that
         #: is done with the answer.
-        self._questions: dict[int, tuple[str, asyncio.Future[None]]] = {}
+        self._pending: dict[int, tuple[str, asyncio.Future[None]]] = {}
         #: The malformed limit that was last logged, by target.
         self._malformed: dict[str, str] = {}
 
-    def list_held_back(self) -> frozenset[str]:
+    def list_throttled(self) -> frozenset[str]:
         """Return the targets that get no requests for now."""
-        return self._usage.list_held_back(now=self._read_clock())
+        return self._usage.list_throttled(now=self._read_clock())
 
     def find_wait_s(self) -> float:
         """Return the seconds until a target may get a request again."""
         return self._usage.find_wait_s(now=self._read_clock())
 
-    def find_keeper(self, target: str) -> str | None:
+    def find_owner(self, target: str) -> str | None:
         """Return the name of the instance that keeps the permits of a target."""
-        return choose_keeper(target, self._list_keepers())
+        return choose_owner(target, self._list_owner_candidates())
 
     async def acquire(self, target: str, *, request_id: str) -> bool:
         """Return whether a request may be sent to a target now.
 
-        If not, the target is held back for some time. Waits for its keeper, for
-        `KEEPER_TIMEOUT_S` at most.
+        If not, the target is throttled for some time. Waits for its owner, for
+        `OWNER_TIMEOUT_S` at most.
         """
         per_s = self.table.find(target)
         if per_s is None:
             return True
         if self._usage.take(target, now=self._read_clock()):
             return True
-        keeper = self.find_keeper(target)
-        if keeper == self._own:
+        owner = self.find_owner(target)
+        if owner == self._own:
             self._apply(target, self._grant(target, instance=self._own, per_s=per_s))
         else:
-            await self._ask(keeper, target, per_s)
+            await self._request_permits(owner, target, per_s)
         now = self._read_clock()
         is_granted = self._usage.take(target, now=now)
         if not is_granted:
-            self._count_held_back()
+            self._count_throttled()
             log_event(
-                "target_held_back",
+                "target_throttled",
                 request=request_id,
                 target=target,
                 per_s=per_s,
-                keeper=keeper,
-                wait_s=round(self._usage.find_held_back_s(target, now=now), 3),
+                owner=owner,
+                wait_s=round(self._usage.find_throttled_s(target, now=now), 3),
             )
         return is_granted
 
-    async def _ask(self, keeper: str | None, target: str, per_s: float) -> None:
-        """Ask a keeper for permits, and hold the target back if it does not answer."""
+    async def _request_permits(
+        self, owner: str | None, target: str, per_s: float
+    ) -> None:
+        """Request permits from an owner; throttle the target if it does not answer."""
         number = None
-        if keeper is not None:
-            number = self._get_links().ask_permits(
-                keeper, target=target, milli_per_s=_count_milli(per_s)
+        if owner is not None:
+            number = self._get_links().request_permits(
+                owner, target=target, milli_per_s=_count_milli(per_s)
             )
         if number is not None:
             future = asyncio.get_running_loop().create_future()
-            self._questions[number] = target, future
+            self._pending[number] = target, future
             try:
-                async with asyncio.timeout(KEEPER_TIMEOUT_S):
+                async with asyncio.timeout(OWNER_TIMEOUT_S):
                     await future
                 return
             except TimeoutError:
-                log_event("permit_keeper_silent", keeper=keeper, target=target)
+                log_event("permit_owner_timed_out", owner=owner, target=target)
             finally:
-                self._questions.pop(number, None)
-        until = self._read_clock() + KEEPER_SILENT_DURATION_S
-        self._usage.hold_back(target, until=until)
+                self._pending.pop(number, None)
+        until = self._read_clock() + OWNER_SILENT_DURATION_S
+        self._usage.throttle(target, until=until)
 
     def handle_granted(self, message: PermitsGranted) -> None:
-        """Handle the answer of a keeper; one that is late is not used."""
-        question = self._questions.pop(message.number, None)
-        if question is None:
+        """Handle the answer of an owner; one that is late is not used."""
+        pending = self._pending.pop(message.number, None)
+        if pending is None:
             return
-        target, future = question
+        target, future = pending
         grant = PermitGrant(count=message.count, wait_s=message.wait_ms / 1000)
         self._apply(target, grant)
         if not future.done():
@@ -169,16 +173,16 @@
         if grant.count:
             self._usage.add(target, grant.count, now=now)
         else:
-            wait_s = max(MIN_HELD_BACK_S, grant.wait_s)
-            self._usage.hold_back(target, until=now + wait_s)
+            wait_s = max(MIN_THROTTLE_S, grant.wait_s)
+            self._usage.throttle(target, until=now + wait_s)
 
     def grant(
         self, target: str, *, instance: str, number: int, milli_per_s: int
     ) -> PermitsGranted:
-        """Return the answer to an instance that asks this one, the keeper."""
+        """Return the answer of this instance, the owner, to a request for permits."""
         per_s = self.table.find(target)
         if per_s is None:
-            # The asker has heard of the limit first.
+            # The other instance has heard of the limit first.
             per_s = milli_per_s / 1000
         grant = self._grant(target, instance=instance, per_s=per_s)
         wait_ms = math.ceil(grant.wait_s * 1000)
@@ -186,13 +190,13 @@
 
     def _grant(self, target: str, *, instance: str, per_s: float) -> PermitGrant:
         now = self._read_clock()
-        per_s *= self._find_heard_share()
-        keeper = self._kept.get(target)
-        if keeper is None:
-            keeper = self._kept[target] = PermitKeeper(per_s=per_s, now=now)
-            log_event("permits_kept", target=target, per_s=per_s)
-        keeper.set_limit(per_s, now=now)
-        return keeper.grant(instance, draw=random.random(), now=now)
+        per_s *= self._find_reachable_share()
+        bucket = self._buckets.get(target)
+        if bucket is None:
+            bucket = self._buckets[target] = PermitBucket(per_s=per_s, now=now)
+            log_event("permit_bucket_created", target=target, per_s=per_s)
+        bucket.set_limit(per_s, now=now)
+        return bucket.grant(instance, draw=random.random(), now=now)
 
     def record_sent(self, target: str) -> None:
         """Record that a request is being sent to a target."""
@@ -273,7 +277,7 @@
         if len(self.table) <= len(targets) + MAX_UNKNOWN_TARGETS:
             return
         self.table.retain(targets)
-        self._kept = {t: keeper for t, keeper in self._kept.items() if t in targets}
+        self._buckets = {t: owner for t, owner in self._buckets.items() if t in targets}
 
     def _log_malformed(self, target: str, text: str) -> None:
         if self._malformed.get(target) == text:
--- a/packages/router/fulmarward_router/tests/_target_limits.py
+++ b/packages/router/fulmarward_router/tests/_target_limits.py
@@ -11,9 +11,9 @@
         own="one",
         read_clock=read_clock,
         list_targets=lambda: targets,
-        list_keepers=lambda: ("one",),
-        find_heard_share=lambda: 1.0,
+        list_owner_candidates=lambda: ("one",),
+        find_reachable_share=lambda: 1.0,
         get_links=lambda: links,
         count_sent=lambda: None,
-        count_held_back=lambda: None,
+        count_throttled=lambda: None,
     )
--- a/packages/router/fulmarward_router/tests/test_target_limits.py
+++ b/packages/router/fulmarward_router/tests/test_target_limits.py
@@ -2,8 +2,8 @@
 
 from fulmarward_router.ports import AnswerFacts
 from fulmarward_router.state._target_limits import (
-    KEEPER_SILENT_DURATION_S,
     MAX_UNKNOWN_TARGETS,
+    OWNER_SILENT_DURATION_S,
 )
 from fulmarward_router.tests._target_limits import make_target_limits
 
@@ -30,8 +30,8 @@
     def notify_limits(self, reports):
         self.notified += reports
 
-    def ask_permits(self, keeper, *, target, milli_per_s):
-        self.asked.append((keeper, target, milli_per_s))
+    def request_permits(self, owner, *, target, milli_per_s):
+        self.asked.append((owner, target, milli_per_s))
         return len(self.asked)
 
 
@@ -71,36 +71,36 @@
         granted = 0
         for _ in range(100):
             self.now += 0.1
-            if "t" not in self.limits.list_held_back():
+            if "t" not in self.limits.list_throttled():
                 granted += await self.limits.acquire("t", request_id="r")
         self.assertIn(granted, (9, 10, 11))
         while await self.limits.acquire("t", request_id="r"):
             pass
-        self.assertIn("t", self.limits.list_held_back())
+        self.assertIn("t", self.limits.list_throttled())
         self.answer(None)
-        self.assertEqual(self.limits.list_held_back(), frozenset())
+        self.assertEqual(self.limits.list_throttled(), frozenset())
         self.assertTrue(await self.limits.acquire("t", request_id="r"))
 
-    async def test_keeper_that_hears_a_part_of_the_fleet_hands_out_that_part(self):
+    async def test_owner_that_hears_a_part_of_the_fleet_hands_out_that_part(self):
         """Guards against two groups that are cut off and take the whole limit each."""
-        self.limits._find_heard_share = lambda: 0.25
+        self.limits._find_reachable_share = lambda: 0.25
         self.answer(4.0)
         granted = 0
         for _ in range(100):
             self.now += 0.1
-            if "t" not in self.limits.list_held_back():
+            if "t" not in self.limits.list_throttled():
                 granted += await self.limits.acquire("t", request_id="r")
         self.assertIn(granted, (9, 10, 11))
 
-    async def test_target_is_held_back_while_its_keeper_is_silent(self):
+    async def test_target_is_held_back_while_its_owner_is_silent(self):
         """Guards against an instance that takes permits which it was not granted."""
-        self.limits._list_keepers = lambda: ("peer",)
+        self.limits._list_owner_candidates = lambda: ("peer",)
         self.answer(1.0)
         self.assertFalse(await self.limits.acquire("t", request_id="r"))
         self.assertEqual(self.links.asked, [("peer", "t", 1000)])
-        self.assertIn("t", self.limits.list_held_back())
-        self.now += KEEPER_SILENT_DURATION_S
-        self.assertEqual(self.limits.list_held_back(), frozenset())
+        self.assertIn("t", self.limits.list_throttled())
+        self.now += OWNER_SILENT_DURATION_S
+        self.assertEqual(self.limits.list_throttled(), frozenset())
 
     def test_limit_is_kept_that_is_known_before_its_target(self):
         """Guards against an instance that starts and forgets what its peers sent."""
