Do not wait for one silent owner of a limit after another

Found by reading the diff: a plain request whose targets are all limited waited up to 0.15 s for the owner of each, whatever time it had left. Once the time is over for which it may wait for capacity, only targets without a limit are tried. test_request_does_not_wait_for_one_silent_owner_after_another fails without it (eight owners asked, 1.2 s of a deadline of 1 s); it covers requests without end as well, and replaces that test.

--- a/packages/core/fulmarward_core/target_limits/_table.py
+++ b/packages/core/fulmarward_core/target_limits/_table.py
@@ -42,6 +42,12 @@
         known = self._limits.get(target)
         return None if known is None else known.per_s
 
+    def list_limited(self) -> frozenset[str]:
+        """Return the targets that have a limit now."""
+        return frozenset(
+            target for target, known in self._limits.items() if known.per_s is not None
+        )
+
     def list_known(self) -> dict[str, KnownLimit]:
         """Return what is known by target, also of limits that are lifted."""
         return dict(self._limits)
--- a/packages/router/fulmarward_router/exchange/_plain.py
+++ b/packages/router/fulmarward_router/exchange/_plain.py
@@ -140,6 +140,9 @@
                 ):
                     return target
                 denied.add(target.name)
+                if self._read_clock() >= until:
+                    # Each further owner may be silent as well.
+                    denied |= self._limits.table.list_limited()
                 continue
             if last_failure is not None:
                 return None
--- a/packages/router/fulmarward_router/exchange/tests/test_late_sends.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_sends.py
@@ -16,6 +16,7 @@
 from fulmarward_core.results import ResultCode
 from fulmarward_core.routes import Route, RouteKind, ServiceShare
 from fulmarward_core.suspicion import SuspicionTable
+from fulmarward_core.target_limits import LimitTable
 from fulmarward_router.exchange import (
     PlainService,
     ServiceContext,
@@ -42,9 +43,9 @@
 _NOTICE_S = 0.6
 
 
-def _make_row(address, version, *, is_leaving):
+def _make_row(address, version, *, is_leaving, name="t1"):
     record = TargetRecord(
-        name="t1",
+        name=name,
         service="plain",
         address=address,
         data_centre="a",
@@ -56,7 +57,7 @@
         layers=None,
     )
     return KnownRow(
-        name="t1", version=version, value=b"", record=record, heard_at=time.monotonic()
+        name=name, version=version, value=b"", record=record, heard_at=time.monotonic()
     )
 
 
@@ -135,21 +136,33 @@
         self.addAsyncCleanup(_cancel, serving)
         return serving
 
-    async def test_request_does_not_ask_for_permits_without_end(self):
-        """Guards against a request that waits for owners which are all silent."""
+    async def test_request_does_not_wait_for_one_silent_owner_after_another(self):
+        """Guards against a request that is answered after its deadline."""
+        requested = []
 
-        async def deny(target, *, request_id):
-            await asyncio.sleep(0.01)
+        async def time_out(target, *, request_id):
+            await asyncio.sleep(0)
+            requested.append(target)
+            self.skipped_s += 0.15
             return False
 
+        table = LimitTable()
+        for number in range(1, 9):
+            name = f"t{number}"
+            row = _make_row("127.0.0.1:1", number, is_leaving=False, name=name)
+            self.catalogue.apply_changes([row], number, now=self.read_clock())
+            table.record(name, per_s=1.0, observed_at=1.0)
         self.plain._limits = SimpleNamespace(
-            acquire=deny, list_throttled=frozenset, find_wait_s=lambda: 0.1
+            acquire=time_out,
+            list_throttled=frozenset,
+            find_wait_s=lambda: 0.1,
+            table=table,
         )
-        self.list_target("127.0.0.1:1", 1)
-        serving = self.serve(body=b"", deadline_s=5.0)
+        serving = self.serve(body=b"", deadline_s=1.0)
         with self.assertRaises(RejectedRequest) as caught:
             await asyncio.wait_for(serving, 2.0)
         self.assertIs(caught.exception.shortage, Shortage.LIMIT)
+        self.assertEqual(len(requested), 1)
 
     async def stall(self, *, deadline_s):
         """Start a request most of whose bytes stay in this instance's send buffer."""
