--- a/packages/router/fulmarward_router/exchange/tests/test_relay.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_relay.py
@@ -9,7 +9,12 @@
 from fulmarward_core.quotas import RetryBudget
 from fulmarward_core.results import ResultCode
 from fulmarward_core.routes import RouteKind
-from fulmarward_router.exchange import PeerRelay, RequestState, ServiceContext
+from fulmarward_router.exchange import (
+    CrashMonitor,
+    PeerRelay,
+    RequestState,
+    ServiceContext,
+)
 from fulmarward_router.exchange._request_state import RejectedRequest
 from fulmarward_router.exchange._send import AnswerLost, NotSent
 from fulmarward_router.ports import AnswerFacts
@@ -163,6 +168,15 @@
                 self.assertEqual(found, (result, asked))
                 self.assertEqual(self.count_retries(), retries)
 
+    async def test_request_that_became_blocked_is_not_sent_to_the_next_peer(self):
+        """Guards against a request that crashes a target behind each peer."""
+        blocked = RejectedRequest(ResultCode.REQUEST_CRASHED, cause="")
+        with mock.patch.object(CrashMonitor, "check", side_effect=[None, blocked]):
+            found = await self.relay(
+                [AnswerLost(""), (200, b"whole")], kind=RouteKind.IDEMPOTENT
+            )
+        self.assertEqual(found, (ResultCode.REQUEST_CRASHED, 1))
+
     async def test_peer_that_rejected_is_asked_again_as_the_last_resort(self):
         """Guards against a peer in doubt that is asked before one that is not."""
         isolated = (503, _REJECTIONS[ResultCode.TARGET_UNREACHABLE])
