Log and count what a request's attempt and its relay did

Attempts of plain requests now have the number of connections made for them, and request_resent is logged where it is more than one. service_contact_changed has the age of the last answer, request_relayed the peers that could be chosen, and relays are counted by outcome. No decision changes.

--- a/packages/router/fulmarward_router/_metrics.py
+++ b/packages/router/fulmarward_router/_metrics.py
@@ -42,6 +42,8 @@
     limited_requests: Counter
     #: Requests that got no permit for the target chosen first.
     throttled_requests: Counter
+    #: Requests that were relayed to a peer, by `service` and `outcome` there.
+    relays: Counter
     #: Calls to the store and to targets, by `call` and `status`.
     calls: Counter
     #: Bytes exchanged with peers, by `direction`.
@@ -99,6 +101,9 @@
         throttled_requests=factory.count(
             "throttled_requests_total", "Requests without a permit for their target."
         ),
+        relays=factory.count(
+            "relays_total", "Requests relayed to a peer, by service and outcome."
+        ),
         calls=factory.count("calls_total", "Calls to the store and to targets."),
         peer_bytes=factory.count("peer_bytes_total", "Bytes between instances."),
         peer_messages=factory.count(
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -346,6 +346,7 @@
             forwarder=forwarder,
             crash_monitor=crash_monitor,
             list_peers=self.listing.list_relay_peers,
+            count_relay=self._count_relay,
         )
         self.engines = EngineService(
             context=context,
@@ -465,6 +466,9 @@
     def _count_broken_attempt(self, service: str, progress: str) -> None:
         self.metrics.broken_attempts.inc({"service": service, "progress": progress})
 
+    def _count_relay(self, service: str, outcome: str) -> None:
+        self.metrics.relays.inc({"service": service, "outcome": outcome})
+
     def _count_crash(self, service: str, progress: str) -> None:
         self.metrics.crashes.inc({"service": service, "progress": progress})
 
--- a/packages/router/fulmarward_router/exchange/_contact_monitor.py
+++ b/packages/router/fulmarward_router/exchange/_contact_monitor.py
@@ -52,6 +52,8 @@
         self._contacts = contacts
         self._read_clock = read_clock
         self._notify_peers = notify_peers
+        #: When each service last answered, in seconds on the monotonic clock.
+        self._answered_at: dict[str, float] = {}
         #: Running samples by service.
         self._samples: dict[str, asyncio.Task] = {}
         #: Rotates the sampled targets; instances start at different offsets.
@@ -140,6 +142,9 @@
     ) -> None:
         """Apply an observation, and log what it changes."""
         now = self._read_clock()
+        answered_at = self._answered_at.get(service)
+        if event is ContactEvent.ANSWER:
+            self._answered_at[service] = now
         known = self._contacts.list_unreached().get(service)
         was_isolated = self._contacts.is_isolated
         if not self._contacts.apply(service, event, now=now):
@@ -152,6 +157,7 @@
             probed=list(probed),
             peer=peer,
             unreached_for_s=None if known is None else round(now - known.since, 3),
+            answered_s_ago=None if answered_at is None else round(now - answered_at, 3),
         )
         if event is ContactEvent.ANSWER:
             # What was observed meanwhile was the isolation of this instance.
--- a/packages/router/fulmarward_router/exchange/_plain.py
+++ b/packages/router/fulmarward_router/exchange/_plain.py
@@ -346,5 +346,6 @@
             outcome=outcome,
             cause=repr(error) if error else "",
             attempt=state.attempts,
+            connections=getattr(error, "connections", None),
             fingerprint=state.fingerprint if isinstance(error, AnswerLost) else None,
         )
--- a/packages/router/fulmarward_router/exchange/_relay.py
+++ b/packages/router/fulmarward_router/exchange/_relay.py
@@ -71,6 +71,7 @@
         forwarder: StreamForwarder,
         crash_monitor: CrashMonitor,
         list_peers: Callable[[], Sequence[RelayPeer]],
+        count_relay: Callable[[str, str], None],
     ) -> None:
         self._context = context
         self._contacts = context.contacts
@@ -79,6 +80,8 @@
         self._crash_monitor = crash_monitor
         #: Returns the peers that callers are sent to.
         self._list_peers = list_peers
+        #: Counts a relayed request, by service and outcome.
+        self._count_relay = count_relay
         self._client = context.client
         self._dialect = context.dialect
         self._read_clock = context.read_clock
@@ -142,6 +145,8 @@
                 "request_relayed",
                 request=state.facts.request_id,
                 peer=peer.name,
+                peers=len(peers),
+                data_centres=sorted({each.data_centre for each in peers}),
                 service=state.service,
                 runs=state.runs,
                 last_event=state.last_event,
@@ -153,6 +158,7 @@
                     answer = await self._relay(
                         state, peer, is_last_resort=is_last_resort
                     )
+                self._count_relay(state.service, "served")
                 return answer, []
             except TimeoutError:
                 # The peer has the same deadline, so nothing more can come.
@@ -160,6 +166,8 @@
             except _PeerFailed as error:
                 failure = error
             state.runs += not failure.is_not_run
+            outcome = "not run" if failure.is_not_run else "may have run"
+            self._count_relay(state.service, outcome)
             log_event(
                 "relay_failed",
                 request=state.facts.request_id,
--- a/packages/router/fulmarward_router/exchange/_send.py
+++ b/packages/router/fulmarward_router/exchange/_send.py
@@ -16,6 +16,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from fulmarward.observability import log_event
 from fulmarward_router._sockets import (
     has_unacknowledged,
     limit_unacknowledged,
@@ -36,7 +37,14 @@
 UNACKNOWLEDGED_TIMEOUT_S = 1.5
 
 
-class NotSent(Exception):
+class SendFailed(Exception):
+    """A request had no complete response."""
+
+    #: Number of connections that were made for the request.
+    connections = 0
+
+
+class NotSent(SendFailed):
     """No connection was made, so the target has not received the request.
 
     Neither a refused connection nor a timeout shows whose fault it is: the target's or
@@ -44,7 +52,7 @@
     """
 
 
-class AnswerLost(Exception):
+class AnswerLost(SendFailed):
     """The request was sent but no complete response came: it may have been executed."""
 
 
@@ -53,6 +61,8 @@
 
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
+        #: Number of connections that were made for it.
+        self.connections = 0
 
 
 #: The request for which the current task makes a connection.
@@ -68,6 +78,7 @@
         opening = _current_opening.get()
         if opening is not None:
             opening.transport = transport
+            opening.connections += 1
         super().connection_made(transport)
 
     def close(self) -> None:
@@ -148,9 +159,20 @@
             if opening.transport is not None and not opening.transport.is_closing():
                 limit_unacknowledged(opening.transport, 0)
             return response
+        except SendFailed as error:
+            error.connections = opening.connections
+            raise
         finally:
             _current_opening.reset(token)
             self._remove_opening(address, opening)
+            if opening.connections > 1:
+                log_event(
+                    "request_resent",
+                    request=state.facts.request_id,
+                    method=state.request.method,
+                    address=address,
+                    connections=opening.connections,
+                )
 
     def _remove_opening(self, address: str, opening: _Opening) -> None:
         openings = self._openings[address]
--- a/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
@@ -223,6 +223,7 @@
             forwarder=forwarder,
             crash_monitor=crash_monitor,
             list_peers=lambda: [],
+            count_relay=lambda service, outcome: None,
         )
         self.service = EngineService(
             context=context,
--- a/packages/router/fulmarward_router/exchange/tests/test_relay.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_relay.py
@@ -105,6 +105,7 @@
                 RelayPeer(name=f"p{n}", data_centre="a", address=f"p{n}:1")
                 for n in range(peers)
             ],
+            count_relay=mock.Mock(),
         )
         route = SimpleNamespace(
             kind=kind, most_attempts=3, may_retry=kind is RouteKind.IDEMPOTENT
