--- a/packages/router/fulmarward_router/exchange/tests/test_send.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_send.py
@@ -3,8 +3,9 @@
 import unittest
 from types import SimpleNamespace
 
+from fulmarward_router._sockets import reset_connection
 from fulmarward_router.exchange import TargetClient, make_target_session
-from fulmarward_router.exchange._send import AnswerLost
+from fulmarward_router.exchange._send import AnswerLost, SendFailed
 
 #: More than the socket buffers of both ends hold together.
 _BODY = b"x" * 4_000_000
@@ -51,6 +52,56 @@
         self._listening.close()
 
 
+class _BreakingTarget:
+    """A target that reads a request and closes, or resets, the connection."""
+
+    def __init__(self, *, is_reset):
+        self._is_reset = is_reset
+        #: Number of requests that arrived.
+        self.received = 0
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._handle, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    async def _handle(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        self.received += 1
+        # A target that has ended refuses further connections.
+        self._server.close()
+        if self._is_reset:
+            reset_connection(writer.transport)
+        writer.close()
+
+
+class BrokenOffTest(unittest.IsolatedAsyncioTestCase):
+    async def test_request_arrives_once_for_each_attempt(self):
+        """Guards against a client that repeats some methods below the attempt."""
+        methods = ("GET", "HEAD", "PUT", "DELETE", "OPTIONS", "POST", "PATCH")
+        cases = [(m, is_reset) for m in methods for is_reset in (False, True)]
+        outcomes = [await self.send(m, is_reset=is_reset) for m, is_reset in cases]
+        expected = [(AnswerLost, 1)] * len(cases)
+        self.assertEqual(outcomes, expected, cases)
+
+    async def send(self, method, *, is_reset):
+        """Return the class of the error, and how often the request arrived."""
+        target = _BreakingTarget(is_reset=is_reset)
+        await target.start()
+        async with make_target_session() as session:
+            client = TargetClient(session=session, dialect=_Dialect())
+            state = SimpleNamespace(
+                headers={},
+                body=b"",
+                request=SimpleNamespace(method=method, raw_path="/x"),
+                facts=SimpleNamespace(request_id="r1"),
+            )
+            call = SimpleNamespace(address=target.address)
+            with self.assertRaises(SendFailed) as raised:
+                await client.open(state, call)
+        return type(raised.exception), target.received
+
+
 class AbandonedAttemptTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.session = make_target_session()
