Send a request once for each attempt, whatever its method

Callers of a GET that ends targets were told 503, not run, and so sent it on: a request under which three targets had ended was sent 8 times more, 18 ended in all. aiohttp repeats GET, HEAD, PUT, DELETE and OPTIONS on a new connection when the first is lost before a response. The target had ended, so the second was refused, and its error was the attempt's: not sent. No run was counted, nothing was examined, the retry budget and at-most-once did not hold: a PUT on a route that may run once could run twice.

The middleware that calls of the product's own dialect had for this now serves all requests to targets and peers: the lost connection ends the attempt as one that may have run.

--- a/packages/instance/fulmarward/targets/_service.py
+++ b/packages/instance/fulmarward/targets/_service.py
@@ -4,6 +4,8 @@
 
 import aiohttp
 
+from fulmarward.http import send_once
+
 
 @dataclass(frozen=True, kw_only=True)
 class ServiceRequest:
@@ -45,27 +47,6 @@
     detail: str
 
 
-class _ConnectionLost(Exception):
-    """The connection was lost after the call may have been sent."""
-
-
-async def _send_once(
-    request: aiohttp.ClientRequest, send: aiohttp.ClientHandlerType
-) -> aiohttp.ClientResponse:
-    """Make a lost connection end the call instead of being retried by aiohttp.
-
-    aiohttp resends a GET, PUT or DELETE when the connection is lost, although the call
-    may not be safe to repeat, so that one attempt runs twice. It retries only after
-    its own exceptions, so this raises a different one.
-    """
-    try:
-        return await send(request)
-    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
-        raise
-    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise _ConnectionLost(type(error).__name__) from error
-
-
 async def call_service(
     session: aiohttp.ClientSession,
     address: str,
@@ -98,12 +79,12 @@
             headers=headers,
             timeout=timeout,
             allow_redirects=False,
-            middlewares=[_send_once],
+            middlewares=[send_once],
         ) as response:
             body = await response.read()
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
         return ServiceRefused(detail=type(error).__name__)
-    except (_ConnectionLost, aiohttp.ClientError, TimeoutError) as error:
+    except (aiohttp.ClientError, TimeoutError) as error:
         return ServiceUncertain(detail=str(error) or type(error).__name__)
     if response.headers.get("X-Not-Run") == "1":
         return ServiceRefused(detail="the service refused the call")
--- a/packages/router/fulmarward_router/exchange/_send.py
+++ b/packages/router/fulmarward_router/exchange/_send.py
@@ -16,6 +16,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from fulmarward.http import send_once
 from fulmarward.observability import log_event
 from fulmarward_router._sockets import (
     has_unacknowledged,
@@ -107,7 +108,7 @@
 
 
 def make_target_session() -> aiohttp.ClientSession:
-    """Return a client that opens a connection per request; needs a running loop."""
+    """Return a client that opens one connection per request; needs a running loop."""
     connector = aiohttp.TCPConnector(
         limit=0, force_close=True, enable_cleanup_closed=False
     )
@@ -116,6 +117,7 @@
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
+        middlewares=[send_once],
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
     )
 
