Relay requests to peers of other data centres too

Four isolated instances of one data centre refused all their callers for the whole cut: a request was relayed to the three nearest peers, all of them cut off as well, so that no peer ever served one, none of the four learned that it is isolated, and all stayed listed. Data centres of up to three instances never showed it, as the third peer was from elsewhere.

One peer of each data centre is asked before a second one of any, and peers that rejected a relayed request in the last second come last.

--- a/packages/core/fulmarward_core/isolation/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/isolation/tests/test_decisions.py
@@ -44,13 +44,30 @@
 
 
 class RelayPeersTest(unittest.TestCase):
-    def test_peers_nearby_come_first_in_rotation(self):
+    def choose(self, names, *, unreached=(), count=3, offset=0):
         peers = [
             RelayPeer(name=name, data_centre=name[0], address=f"{name}:1")
-            for name in ("a1", "a2", "b1")
+            for name in names
         ]
-        for offset, expected in ((0, ["a1", "a2", "b1"]), (1, ["a2", "a1", "b1"])):
-            chosen = choose_relay_peers(peers, data_centre="a", count=3, offset=offset)
-            self.assertEqual([peer.name for peer in chosen], expected)
-        chosen = choose_relay_peers([], data_centre="a", count=3, offset=1)
-        self.assertEqual(chosen, [])
+        chosen = choose_relay_peers(
+            peers, unreached=unreached, data_centre="a", count=count, offset=offset
+        )
+        return [peer.name for peer in chosen]
+
+    def test_peer_nearby_comes_first_in_rotation(self):
+        names = ["a1", "a2", "b1"]
+        self.assertEqual(self.choose(names), ["a1", "b1", "a2"])
+        self.assertEqual(self.choose(names, offset=1), ["a2", "b1", "a1"])
+        self.assertEqual(self.choose([], offset=1), [])
+
+    def test_all_data_centres_come_before_a_second_peer_of_one(self):
+        """Guards against a whole data centre that asks only its own instances."""
+        names = ["a1", "a2", "a3", "b1", "b2", "c1"]
+        for offset in range(4):
+            chosen = self.choose(names, offset=offset)
+            self.assertEqual({name[0] for name in chosen}, {"a", "b", "c"})
+
+    def test_peers_known_to_reach_nothing_come_last(self):
+        """Guards against requests that wait for peers which rejected others."""
+        chosen = self.choose(["a1", "a2", "b1"], unreached={"a1", "b1"})
+        self.assertEqual(chosen, ["a2", "a1", "b1"])
--- a/packages/router/fulmarward_router/exchange/_relay.py
+++ b/packages/router/fulmarward_router/exchange/_relay.py
@@ -31,7 +31,11 @@
 
 #: Peers that a request is relayed to in turn. The first may be isolated as well, or may
 #: have ended, which is not known here yet.
-MAX_PEERS = 3
+MAX_PEERS = 4
+
+#: Seconds for which a peer that rejected a relayed request, as it does not reach the
+#: service either, is asked after the others.
+UNREACHED_PEER_DURATION_S = 1.0
 
 #: Retry delay, in seconds, of a request that no peer can serve either.
 UNREACHED_RETRY_S = 1.0
@@ -85,6 +89,8 @@
         self._client = context.client
         self._dialect = context.dialect
         self._read_clock = context.read_clock
+        #: When a peer last rejected a request to a service, by service and peer.
+        self._rejected_at: dict[tuple[str, str], float] = {}
 
     def is_needed(self, state: RequestState) -> bool:
         """Return whether to use `serve` instead of the targets of a service.
@@ -117,7 +123,7 @@
                 cause="relayed",
                 retry_after_s=RELAYED_RETRY_S,
             )
-        peers = self._choose_peers()
+        peers = self._choose_peers(state.service)
         for is_last_resort in (False, True):
             answer, peers = await self._try_peers(
                 state, peers, is_last_resort=is_last_resort
@@ -179,12 +185,18 @@
             if not failure.is_not_run:
                 await self._require_retry(state, failure)
             if failure.is_rejection:
+                self._rejected_at[state.service, peer.name] = self._read_clock()
                 rejecting.append(peer)
         return None, rejecting
 
-    def _choose_peers(self) -> list[RelayPeer]:
+    def _choose_peers(self, service: str) -> list[RelayPeer]:
+        since = self._read_clock() - UNREACHED_PEER_DURATION_S
+        self._rejected_at = {
+            key: at for key, at in self._rejected_at.items() if at > since
+        }
         return choose_relay_peers(
             self._list_peers(),
+            unreached={peer for of, peer in self._rejected_at if of == service},
             data_centre=self._context.data_centre,
             count=MAX_PEERS,
             offset=random.randrange(1 << 16),
