Take an accepted connection for contact only shortly after an answer

Callers of an instance whose connections are accepted by something between, and then reset or never answered, were told 502 or 504 for the whole cut: one of the sampled targets accepted a connection, so the service counted as reached and nothing was relayed. The samples ask for an answer now. That all targets may be slow for a moment, for which acceptance was made the criterion, still holds: for a second after the last answer of a service an accepted connection is enough.

test_slow_service_that_accepts_connections_is_reached_for_a_moment replaces the test that wanted acceptance to count for ever; its third case fails before this change.

--- a/packages/core/fulmarward_core/isolation/_contacts.py
+++ b/packages/core/fulmarward_core/isolation/_contacts.py
@@ -1,4 +1,4 @@
-"""Whether the targets of each service accept connections of this instance.
+"""Whether the targets of each service answer this instance.
 
 If none does, either the service is down or this instance is isolated from it. A
 request that a peer serves meanwhile shows that the fault is on this side. Streams prove
@@ -23,9 +23,9 @@
 class ContactEvent(Enum):
     """An observation of a service."""
 
-    #: No target of a sample accepted a connection.
+    #: No target of a sample answered.
     NO_ANSWER = "no answer"
-    #: A target accepted a connection, or answered a probe.
+    #: A target answered a probe, or accepted a connection shortly after an answer.
     ANSWER = "answer"
     #: A peer served a request that was relayed to it.
     SERVED_BY_PEER = "served by peer"
@@ -63,6 +63,9 @@
     def __init__(self) -> None:
         #: The services whose targets do not answer.
         self._unreached: dict[str, ServiceContact] = {}
+        #: When a target of each service last answered, in seconds on the monotonic
+        #: clock.
+        self._answered_at: dict[str, float] = {}
 
     def find(self, service: str) -> Contact:
         """Return the contact to a service."""
@@ -89,8 +92,21 @@
         """Return the contact to each service that is not reached."""
         return dict(self._unreached)
 
+    def record_response(self, service: str, *, now: float) -> None:
+        """Record that a target has answered a request.
+
+        It does not end an isolation: the connection may be older than that.
+        """
+        self._answered_at[service] = now
+
+    def find_silence_s(self, service: str, *, now: float) -> float:
+        """Return the seconds since a target last answered, infinite if none has."""
+        return now - self._answered_at.get(service, float("-inf"))
+
     def apply(self, service: str, event: ContactEvent, *, now: float) -> bool:
         """Apply an observation; return whether it changes the contact."""
+        if event is ContactEvent.ANSWER:
+            self.record_response(service, now=now)
         before = self.find(service)
         after = _TRANSITIONS.get((before, event), before)
         if after is before:
--- a/packages/router/fulmarward_router/exchange/_contact_monitor.py
+++ b/packages/router/fulmarward_router/exchange/_contact_monitor.py
@@ -1,8 +1,9 @@
 """Finds out which services an instance reaches, and when it reaches them again."""
 
 import asyncio
+import math
 import random
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Coroutine, Iterable
 
 from fulmarward.observability import log_event
 from fulmarward_core.catalogue import TargetCatalogue
@@ -17,9 +18,13 @@
 from fulmarward_router.exchange._pause_meter import PauseMeter
 from fulmarward_router.ports import TargetDialect
 
-#: Seconds within which one target of a sample has to accept a connection.
+#: Seconds within which one target of a sample has to answer.
 SAMPLE_TIMEOUT_S = 0.5
 
+#: Seconds after an answer in which an accepted connection counts as one as well: all
+#: targets may be slow for a moment.
+ACCEPTANCE_DURATION_S = 1.0
+
 #: Share of that time for which the event loop may have been blocked.
 MAX_PAUSE_SHARE = 0.5
 
@@ -52,9 +57,7 @@
         self._contacts = contacts
         self._read_clock = read_clock
         self._notify_peers = notify_peers
-        #: When each service last answered, in seconds on the monotonic clock.
-        self._answered_at: dict[str, float] = {}
-        #: Running samples by service.
+        #: Running samples and checks by service.
         self._samples: dict[str, asyncio.Task] = {}
         #: Rotates the sampled targets; instances start at different offsets.
         self._offset = random.randrange(1 << 16)
@@ -62,11 +65,13 @@
     def verify(self, services: Iterable[str]) -> None:
         """Start samples of services that may be unreached."""
         for service in services:
-            if service in self._samples or not self._contacts.is_reached(service):
-                continue
-            task = asyncio.create_task(self._sample(service, SAMPLE_SIZE))
-            self._samples[service] = task
-            task.add_done_callback(lambda _, s=service: self._samples.pop(s, None))
+            if service not in self._samples and self._contacts.is_reached(service):
+                self._start(service, self._sample(service, SAMPLE_SIZE))
+
+    def _start(self, service: str, sampling: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(sampling)
+        self._samples[service] = task
+        task.add_done_callback(lambda _: self._samples.pop(service, None))
 
     async def wait(self, service: str, *, timeout_s: float) -> None:
         """Wait for the running sample of a service, if there is one."""
@@ -84,7 +89,7 @@
         self._apply(service, ContactEvent.SERVED_BY_PEER, peer=peer)
 
     async def run(self) -> None:
-        """Check whether unreached services answer again, until cancelled."""
+        """Check services without recent answers, until cancelled."""
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
             services = self._contacts.list_unreached()
@@ -93,17 +98,22 @@
             )
 
     async def _sample(self, service: str, count: int) -> None:
-        """Connect to some targets of a service and record whether any of them accepts.
+        """Probe some targets of a service and record whether any of them answers.
 
-        No request is sent: targets that are all slow to answer are reached.
+        Shortly after an answer it is enough that one accepts a connection, as all may
+        be slow for a moment. Later it is not: what accepts may be something between.
         """
         sample = self._choose_sample(service, count)
         if not sample:
             return
+        silence_s = self._contacts.find_silence_s(service, now=self._read_clock())
+        probes = [self._dialect.is_responding]
+        if silence_s < ACCEPTANCE_DURATION_S:
+            probes.append(self._dialect.is_accepting)
         meter = PauseMeter()
         try:
             answers = await asyncio.gather(
-                *(self._dialect.is_accepting(r, SAMPLE_TIMEOUT_S) for r in sample)
+                *(probe(r, SAMPLE_TIMEOUT_S) for r in sample for probe in probes)
             )
         finally:
             paused_s = meter.stop()
@@ -142,9 +152,7 @@
     ) -> None:
         """Apply an observation, and log what it changes."""
         now = self._read_clock()
-        answered_at = self._answered_at.get(service)
-        if event is ContactEvent.ANSWER:
-            self._answered_at[service] = now
+        silence_s = self._contacts.find_silence_s(service, now=now)
         known = self._contacts.list_unreached().get(service)
         was_isolated = self._contacts.is_isolated
         if not self._contacts.apply(service, event, now=now):
@@ -157,7 +165,7 @@
             probed=list(probed),
             peer=peer,
             unreached_for_s=None if known is None else round(now - known.since, 3),
-            answered_s_ago=None if answered_at is None else round(now - answered_at, 3),
+            answered_s_ago=round(silence_s, 3) if math.isfinite(silence_s) else None,
         )
         if event is ContactEvent.ANSWER:
             # What was observed meanwhile was the isolation of this instance.
--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -86,6 +86,7 @@
             response = await self.client.open(state, call)
         finally:
             timer.cancel()
+        self.contacts.record_response(state.service, now=self.read_clock())
         facts = self.dialect.read_answer(response.status, response.headers)
         self.target_limits.record_answer(call.target, facts)
         return response
--- a/packages/router/fulmarward_router/exchange/tests/test_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_failure_detector.py
@@ -14,6 +14,7 @@
 from fulmarward_core.probing.decisions import MAX_PAUSE_S
 from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_router.exchange import FailureDetector
+from fulmarward_router.exchange._contact_monitor import ACCEPTANCE_DURATION_S
 from fulmarward_router.ports import TargetReport
 
 
@@ -559,10 +560,17 @@
 
 
 class ContactTest(unittest.IsolatedAsyncioTestCase):
-    async def test_service_is_unreached_only_if_no_target_accepts_connections(self):
+    async def test_slow_service_that_accepts_connections_is_reached_for_a_moment(self):
         """Guards against targets that are all slow and count as unreached."""
-        for accepts in (True, False):
+        cases = [
+            # whether targets accept connections, seconds since one has answered
+            (True, 0.0, True),
+            (False, 0.0, False),
+            (True, ACCEPTANCE_DURATION_S, False),
+        ]
+        for accepts, silence_s, is_reached in cases:
             contacts = ContactTable()
+            contacts.record_response("pool", now=time.monotonic() - silence_s)
             detector = FailureDetector(
                 dialect=_SlowDialect(accepts=accepts),
                 catalogue=_Catalogue("abcd"),
@@ -574,5 +582,5 @@
             detector.probe("abcd")
             await detector.probe_and_wait("abcd")
             await detector.contact_monitor.wait("pool", timeout_s=9.0)
-            with self.subTest(accepts=accepts):
-                self.assertEqual(contacts.is_reached("pool"), accepts)
+            with self.subTest(accepts=accepts, silence_s=silence_s):
+                self.assertEqual(contacts.is_reached("pool"), is_reached)
