Find out whether services are reached before callers do

An instance that is idle, or starts, while it is cut off from all targets tried them for its first callers, for up to a second each: plain requests with a deadline of a second failed. It learned of the cut by those requests only. Now one target of each service that has not answered for 1.2 s (3 s in a fleet with hubs) is probed, and a sample if it does not answer; an instance that starts does so before it is ready.

--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -329,6 +329,7 @@
             contacts=self.contacts,
             read_clock=self._clock,
             notify_peers=self._notify_peers,
+            is_large=lambda: self.members.is_large,
         )
         crash_monitor = CrashMonitor(
             context=context,
@@ -565,6 +566,7 @@
         await self.configuration.available.wait()
         while not self.catalogue.is_known:
             await asyncio.sleep(0.02)
+        await self.failure_detector.contact_monitor.check_all()
         if self.life.state == "starting":
             self.life.become_ready()
             log_event("serving_started", configuration=self.configuration.version)
--- a/packages/router/fulmarward_router/exchange/_contact_monitor.py
+++ b/packages/router/fulmarward_router/exchange/_contact_monitor.py
@@ -21,6 +21,15 @@
 #: Seconds within which one target of a sample has to answer.
 SAMPLE_TIMEOUT_S = 0.5
 
+#: Seconds without an answer of a service after which one of its targets is probed: an
+#: instance without requests would not notice that it is isolated. Longer in a large
+#: fleet, where most instances have few requests.
+IDLE_CHECK_S = 1.2
+LARGE_IDLE_CHECK_S = 3.0
+
+#: Seconds to wait for the answer to that probe before a sample is taken.
+IDLE_CHECK_TIMEOUT_S = 0.35
+
 #: Seconds after an answer in which an accepted connection counts as one as well: all
 #: targets may be slow for a moment.
 ACCEPTANCE_DURATION_S = 1.0
@@ -50,7 +59,9 @@
         contacts: ContactTable,
         read_clock: Callable[[], float],
         notify_peers: Callable[[], None],
+        is_large: Callable[[], bool],
     ) -> None:
+        self._is_large = is_large
         self._dialect = dialect
         self._catalogue = catalogue
         self._suspicions = suspicions
@@ -92,11 +103,41 @@
         """Check services without recent answers, until cancelled."""
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
+            self._check_idle()
             services = self._contacts.list_unreached()
             await asyncio.gather(
                 *(self._sample(s, CHECK_SAMPLE_SIZE) for s in services)
             )
 
+    async def check_all(self) -> None:
+        """Find out which services this instance reaches, from which it has no answer.
+
+        Guards against an instance that starts while it is isolated: its first callers
+        would wait for targets that cannot be reached.
+        """
+        self._check_idle()
+        if self._samples:
+            await asyncio.wait(list(self._samples.values()))
+
+    def _check_idle(self) -> None:
+        """Start checks of the services that have not answered for a while."""
+        now = self._read_clock()
+        interval_s = LARGE_IDLE_CHECK_S if self._is_large() else IDLE_CHECK_S
+        services = {record.service for record in self._catalogue.list_targets(now=now)}
+        for service in services - self._samples.keys():
+            is_idle = self._contacts.find_silence_s(service, now=now) >= interval_s
+            if is_idle and self._contacts.is_reached(service):
+                self._start(service, self._check(service))
+
+    async def _check(self, service: str) -> None:
+        """Probe one target of a service, and a sample if it does not answer."""
+        # The last of the two is another one each time.
+        for record in self._choose_sample(service, 2)[-1:]:
+            if await self._dialect.is_responding(record, IDLE_CHECK_TIMEOUT_S):
+                self._apply(service, ContactEvent.ANSWER)
+                return
+        await self._sample(service, SAMPLE_SIZE)
+
     async def _sample(self, service: str, count: int) -> None:
         """Probe some targets of a service and record whether any of them answers.
 
--- a/packages/router/fulmarward_router/exchange/_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/_failure_detector.py
@@ -66,6 +66,7 @@
         contacts: ContactTable,
         read_clock: Callable[[], float],
         notify_peers: Callable[[], None],
+        is_large: Callable[[], bool] = lambda: False,
     ) -> None:
         self._dialect = dialect
         self._catalogue = catalogue
@@ -87,6 +88,7 @@
             contacts=contacts,
             read_clock=read_clock,
             notify_peers=notify_peers,
+            is_large=is_large,
         )
         #: Rotates the controls; instances start at different offsets.
         self._offset = random.randrange(1 << 16)
