Read and log what a target demands with Retry-After and Server-Leaving

Logs could not tell whether a target asked for a pause, and for how long, or whether an answer named it as leaving; only the status was known. No decision changes.

--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -17,12 +17,15 @@
 from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_router.exchange._request_state import RejectedRequest, RequestState
 from fulmarward_router.exchange._send import TargetClient
-from fulmarward_router.ports import TargetCall, TargetDialect
+from fulmarward_router.ports import AnswerFacts, TargetCall, TargetDialect
 from fulmarward_router.state import PoisonKnowledge, TargetLimits
 
 #: Seconds between two checks whether a target leaves that has not responded yet.
 LEAVING_CHECK_INTERVAL_S = 0.25
 
+#: Upper bound on the text of a malformed header in a log line.
+MAX_LOGGED_TEXT = 32
+
 #: Seconds for which a target may have been leaving before requests that its host has
 #: not acknowledged are withdrawn. In that time it still accepts requests.
 UNDELIVERED_GRACE_S = 1.0
@@ -89,6 +92,7 @@
         self.contacts.record_response(state.service, now=self.read_clock())
         facts = self.dialect.read_answer(response.status, response.headers)
         self.target_limits.record_answer(call.target, facts)
+        _log_demands(state, call, facts)
         return response
 
     def take_retry(self, state: RequestState, *, part: float = 1.0) -> bool:
@@ -200,3 +204,23 @@
         return RejectedRequest(
             code, cause=cause, retry_after_s=None if has_run else retry_after_s
         )
+
+
+def _log_demands(state: RequestState, call: TargetCall, facts: AnswerFacts) -> None:
+    """Log what an answer of a target demands of this instance, except its limit."""
+    if facts.backoff_s is not None or facts.malformed_backoff is not None:
+        text = facts.malformed_backoff
+        log_event(
+            "target_backoff_requested",
+            request=state.facts.request_id,
+            target=call.target,
+            for_s=facts.backoff_s,
+            malformed=None if text is None else text[:MAX_LOGGED_TEXT],
+        )
+    if facts.is_leaving:
+        log_event(
+            "target_leave_announced",
+            request=state.facts.request_id,
+            target=call.target,
+            source="answer",
+        )
--- a/packages/router/fulmarward_router/ports.py
+++ b/packages/router/fulmarward_router/ports.py
@@ -226,6 +226,13 @@
     limit_per_s: float | None = None
     #: What it names instead of a limit that can be decoded, or `None`.
     malformed_limit: str | None = None
+    #: Seconds for which a target that rejected the request wants no other one from this
+    #: instance; `None` if it does not say so.
+    backoff_s: float | None = None
+    #: What it says instead of a duration that can be decoded, or `None`.
+    malformed_backoff: str | None = None
+    #: Whether the target says that it is shutting down.
+    is_leaving: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/router/fulmarward_router/state/_target_changes.py
+++ b/packages/router/fulmarward_router/state/_target_changes.py
@@ -53,5 +53,8 @@
         if record.is_leaving and row.name not in self._leaving:
             self._leaving.add(row.name)
             log_event(
-                "target_leave_announced", target=row.name, store_version=row.version
+                "target_leave_announced",
+                target=row.name,
+                source="store",
+                store_version=row.version,
             )
