Keep the pause that a target demands with Retry-After

A target that had answered an instance 503 with Retry-After: 3 got 3 and 7 requests from it in that time, 36 in 1.5 s in a test where two of three targets asked. The header was not read: a rejection made the target suspected of being saturated, for 0.4 s doubled to 3.2 s, and a suspicion is not renewed while it runs, is replaced by others, and is ignored where too many are suspected. What a target says of itself was filed among what others guess of it.

It is a demand now, kept where limits of the rate are: all that send ask there whether this instance may send to a target, and if not, when. It holds for this instance alone, a shorter one does not end a longer one, an hour is the most, a new start of the target ends it. A later hop of a path receives from the first, not from this instance, so that a target with a pause is used there if there is no other. If all targets that could serve a request are limited or have a pause, it is rejected at once with the time of the first of these, spread over as long again, 2 s at most; retry delays after failed attempts say the same.

--- a/packages/core/fulmarward_core/target_limits/_usage.py
+++ b/packages/core/fulmarward_core/target_limits/_usage.py
@@ -46,8 +46,3 @@
             name: until for name, until in self._throttled_until.items() if until > now
         }
         return frozenset(self._throttled_until)
-
-    def find_wait_s(self, *, now: float) -> float:
-        """Return the seconds until the first target is not throttled any more."""
-        left = [until - now for until in self._throttled_until.values()]
-        return max(0.0, min(left, default=0.0))
--- a/packages/core/fulmarward_core/target_limits/tests/test_permits.py
+++ b/packages/core/fulmarward_core/target_limits/tests/test_permits.py
@@ -69,7 +69,7 @@
         self.assertFalse(usage.take("t", now=1.1 + PERMIT_DURATION_S))
         usage.throttle("t", until=3.0)
         self.assertEqual(usage.list_throttled(now=2.5), {"t"})
-        self.assertEqual(usage.find_wait_s(now=2.5), 0.5)
+        self.assertEqual(usage.find_throttled_s("t", now=2.5), 0.5)
         self.assertEqual(usage.list_throttled(now=3.0), frozenset())
 
     def test_owner_changes_only_for_targets_of_those_that_join_or_leave(self):
--- a/packages/router/fulmarward_router/_metrics.py
+++ b/packages/router/fulmarward_router/_metrics.py
@@ -40,6 +40,8 @@
     #: Targets that have named a limit, and requests sent to such targets.
     limited_targets: Gauge
     limited_requests: Counter
+    #: Targets that want no requests of this instance now.
+    backed_off_targets: Gauge
     #: Requests that got no permit for the target chosen first.
     throttled_requests: Counter
     #: Requests that were relayed to a peer, by `service` and `outcome` there.
@@ -95,6 +97,9 @@
         limited_targets=factory.gauge(
             "limited_targets", "Targets that have named a limit."
         ),
+        backed_off_targets=factory.gauge(
+            "backed_off_targets", "Targets that want no requests of this instance."
+        ),
         limited_requests=factory.count(
             "limited_requests_total", "Requests sent to targets with a limit."
         ),
@@ -167,6 +172,7 @@
     excluded_targets: Mapping[str, int],
     poison_findings: Sequence[PoisonFinding],
     limits: LimitTable,
+    backed_off_targets: int,
 ) -> None:
     """Update the metrics that are computed only when they are read."""
     for direction, size in peer_bytes.items():
@@ -195,6 +201,7 @@
         metrics.rejected_crash_patterns.set({"verdict": verdict.value}, count)
     limited = [item for item in limits.list_known().values() if item.per_s is not None]
     metrics.limited_targets.set({}, len(limited))
+    metrics.backed_off_targets.set({}, backed_off_targets)
     for reason in SUSPICION_REASONS:
         count = excluded_targets.get(reason, 0)
         metrics.excluded_targets.set({"reason": reason}, count)
--- a/packages/router/fulmarward_router/_status.py
+++ b/packages/router/fulmarward_router/_status.py
@@ -86,6 +86,15 @@
             for target, known in instance.target_limits.table.list_known().items()
             if known.per_s is not None
         ],
+        "target_backoffs": [
+            {
+                "target": target,
+                "left_s": round(
+                    instance.target_limits.backoffs.find_left_s(target, now=now), 3
+                ),
+            }
+            for target in sorted(instance.target_limits.list_backed_off())
+        ],
         "layers": _describe_layers(instance, now),
         "lease": {
             "holder": instance.lease.holder,
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -183,7 +183,9 @@
         self.suspicions = SuspicionTable()
         self.contacts = ContactTable()
         self.target_change_handler = TargetChangeHandler(
-            suspicions=self.suspicions, notify_peers=self._notify_peers
+            suspicions=self.suspicions,
+            notify_peers=self._notify_peers,
+            record_restart=lambda target: self.target_limits.record_restart(target),
         )
         self.poison = PoisonKnowledge(
             read_clock=clock,
@@ -539,6 +541,7 @@
                 excluded_targets=self.suspicions.count_reasons(now=self._clock()),
                 poison_findings=self.poison.findings,
                 limits=self.target_limits.table,
+                backed_off_targets=len(self.target_limits.list_backed_off()),
             ),
             describe=lambda: describe_status(self, now=self._clock()),
             lift_crash_pattern=self.poison.lift,
--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -52,6 +52,9 @@
 #: Shortest retry delay, in seconds, while all targets are limited.
 MIN_LIMITED_RETRY_S = 0.2
 
+#: Seconds over which callers that were rejected meanwhile return at most.
+MAX_RETRY_SPREAD_S = 2.0
+
 #: Minimum seconds between two log lines on missing layers.
 MISSING_LOG_INTERVAL_S = 1.0
 
@@ -61,7 +64,8 @@
 
     It is spread, so that those that were rejected do not return at the same moment.
     """
-    return max(MIN_LIMITED_RETRY_S, wait_s) * random.uniform(1.0, 2.0)
+    wait_s = max(MIN_LIMITED_RETRY_S, wait_s)
+    return wait_s + random.uniform(0.0, min(wait_s, MAX_RETRY_SPREAD_S))
 
 
 def compute_resume_end(state: RequestState) -> float:
@@ -130,7 +134,7 @@
             raise RejectedRequest(
                 ResultCode.QUEUE_FULL,
                 cause="all targets are limited",
-                retry_after_s=choose_limited_retry_s(self._limits.find_wait_s()),
+                retry_after_s=self._find_limited_retry_s(state.service, engine),
                 shortage=shortage,
             )
         if self._finder.has_whole_model(state.service, engine):
@@ -189,10 +193,19 @@
         self, state: RequestState, engine: EngineModel, wanted: PathRequest
     ) -> float:
         """Return the retry delay for a request that a target refused."""
-        has_capacity = self._finder.choose(state.service, engine, wanted) is not None
-        return (
-            REFUSED_RETRY_S if has_capacity else choose_retry_after_s(random.random())
-        )
+        service = state.service
+        if self._finder.choose(service, engine, wanted) is not None:
+            return REFUSED_RETRY_S
+        if self._limits.list_throttled():
+            if self._finder.choose(service, engine, wanted, ignores_limits=True):
+                return self._find_limited_retry_s(service, engine)
+        return choose_retry_after_s(random.random())
+
+    def _find_limited_retry_s(self, service: str, engine: EngineModel) -> float:
+        """Return the retry delay while all first targets of paths are throttled."""
+        names = self._finder.list_first_targets(service, engine)
+        throttled = self._limits.list_throttled().intersection(names)
+        return choose_limited_retry_s(self._limits.find_wait_s(throttled))
 
     def _choose_path(
         self,
--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -9,6 +9,7 @@
 from fulmarward.observability import log_event
 from fulmarward_core.attempts import choose_result_code, may_retry, may_run_again
 from fulmarward_core.catalogue import TargetCatalogue
+from fulmarward_core.fleet import TargetRecord
 from fulmarward_core.isolation import ContactTable
 from fulmarward_core.loads import LoadLedger
 from fulmarward_core.paces import PaceTable
@@ -23,9 +24,6 @@
 #: Seconds between two checks whether a target leaves that has not responded yet.
 LEAVING_CHECK_INTERVAL_S = 0.25
 
-#: Upper bound on the text of a malformed header in a log line.
-MAX_LOGGED_TEXT = 32
-
 #: Seconds for which a target may have been leaving before requests that its host has
 #: not acknowledged are withdrawn. In that time it still accepts requests.
 UNDELIVERED_GRACE_S = 1.0
@@ -84,6 +82,7 @@
             timer = loop.call_later(LEAVING_CHECK_INTERVAL_S, check)
 
         timer = loop.call_later(LEAVING_CHECK_INTERVAL_S, check)
+        sent_to = self.catalogue.find_target(call.target)
         self.target_limits.record_sent(call.target)
         try:
             response = await self.client.open(state, call)
@@ -92,9 +91,20 @@
         self.contacts.record_response(state.service, now=self.read_clock())
         facts = self.dialect.read_answer(response.status, response.headers)
         self.target_limits.record_answer(call.target, facts)
-        _log_demands(state, call, facts)
+        if facts.is_own and not self._has_restarted(call.target, sent_to):
+            self.target_limits.record_backoff(
+                _list_demanding(call, facts), facts, request_id=state.facts.request_id
+            )
+            _log_leaving(state, call, facts)
         return response
 
+    def _has_restarted(self, target: str, sent_to: TargetRecord | None) -> bool:
+        """Return whether a target has started again since a request was sent to it."""
+        current = self.catalogue.find_target(target)
+        if sent_to is None or current is None:
+            return False
+        return current.process_name != sent_to.process_name
+
     def take_retry(self, state: RequestState, *, part: float = 1.0) -> bool:
         """Consume one retry, if the route and the retry budget allow it.
 
@@ -206,17 +216,17 @@
         )
 
 
-def _log_demands(state: RequestState, call: TargetCall, facts: AnswerFacts) -> None:
-    """Log what an answer of a target demands of this instance, except its limit."""
-    if facts.backoff_s is not None or facts.malformed_backoff is not None:
-        text = facts.malformed_backoff
-        log_event(
-            "target_backoff_requested",
-            request=state.facts.request_id,
-            target=call.target,
-            for_s=facts.backoff_s,
-            malformed=None if text is None else text[:MAX_LOGGED_TEXT],
-        )
+def _list_demanding(call: TargetCall, facts: AnswerFacts) -> list[str]:
+    """Return the targets for which a rejection demands a pause.
+
+    That is the target that answered. If it names another one of the path as the cause,
+    it may pass on the demand of that one, so that both get it.
+    """
+    causes = [h.target for h in call.path if h.address == facts.address_at_fault]
+    return [call.target, *(name for name in causes if name != call.target)]
+
+
+def _log_leaving(state: RequestState, call: TargetCall, facts: AnswerFacts) -> None:
     if facts.is_leaving:
         log_event(
             "target_leave_announced",
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -67,6 +67,7 @@
         self._dialect = context.dialect
         self._catalogue = context.catalogue
         self._suspicions = context.suspicions
+        self._limits = context.target_limits
         self._ledger = context.ledger
         self._read_clock = context.read_clock
         self._failure_detector = failure_detector
@@ -79,6 +80,7 @@
             ledger=context.ledger,
             is_large=context.is_large,
             list_throttled=context.target_limits.list_throttled,
+            list_backed_off=context.target_limits.list_backed_off,
             read_clock=context.read_clock,
         )
         pipe = PipeLimiter(
@@ -187,18 +189,21 @@
             reservation = self._ledger.reserve(path, count_tokens_held(wanted))
             if state.runs == 0 or probed == MAX_PROBED_PATHS:
                 break
-            is_reachable = False
+            is_usable = False
             try:
                 is_reachable = await self._is_reachable(path)
+                is_backed_off = path[0].target in self._limits.list_backed_off()
+                is_usable = is_reachable and not is_backed_off
             finally:
-                if not is_reachable:
+                if not is_usable:
                     self._ledger.release(reservation)
-            if is_reachable:
+            if is_usable:
                 break
             log_event(
                 "path_unreachable",
                 request=state.facts.request_id,
                 path=describe_path(path),
+                is_backed_off=is_backed_off,
                 last_event=state.last_event,
             )
         return path, reservation
@@ -371,6 +376,8 @@
             if self._suspicions.is_unreachable(at_fault, now=self._read_clock()):
                 return
         now = self._read_clock()
+        if at_fault in self._limits.list_backed_off():
+            return
         self._suspicions.record_saturated(at_fault, now=now)
         if self._finder.has_capacity(at_fault, attempt.engine):
             if self._suspicions.refusals.record_refusal(at_fault, now=now):
--- a/packages/router/fulmarward_router/exchange/_path_finder.py
+++ b/packages/router/fulmarward_router/exchange/_path_finder.py
@@ -65,11 +65,14 @@
         ledger: LoadLedger,
         is_large: Callable[[], bool],
         list_throttled: Callable[[], frozenset[str]],
+        list_backed_off: Callable[[], frozenset[str]],
         read_clock: Callable[[], float],
     ) -> None:
         self._is_large = is_large
         #: Returns the targets to which this instance may send no requests for now.
         self._list_throttled = list_throttled
+        #: Returns those of them that want no requests of this instance.
+        self._list_backed_off = list_backed_off
         self._catalogue = catalogue
         self._suspicions = suspicions
         self._paces = paces
@@ -93,20 +96,40 @@
 
         With `may_use_reported`, it may pass through targets that only peers report as
         unreachable. With `ignores_limits`, it may begin at a target that is throttled.
+
+        It passes through a target that wants no requests of this instance only if there
+        is no other: a later hop receives them from the first, not from this instance.
         """
         now = self._read_clock()
         targets = self._find_targets(service, engine, now)
         if self._is_large():
             wanted = replace(wanted, remote=HUB_TERMS)
-        return targets.index.choose_path(
-            wanted,
-            read=self._make_occupancy_reader(
+        throttled = frozenset() if ignores_limits else self._list_throttled()
+        backed_off = throttled & self._list_backed_off()
+        path = None
+        for avoided in (backed_off, frozenset()) if backed_off else (backed_off,):
+            read = self._make_occupancy_reader(
                 targets,
                 now,
                 may_use_reported=may_use_reported,
-                throttled=frozenset() if ignores_limits else self._list_throttled(),
-            ),
-        )
+                throttled=throttled,
+                avoided=avoided,
+            )
+            path = path or targets.index.choose_path(wanted, read=read)
+        return path
+
+    def list_first_targets(self, service: str, engine: EngineModel) -> list[str]:
+        """Return the targets at which a path may begin, regardless of capacity."""
+        now = self._read_clock()
+        targets = self._find_targets(service, engine, now)
+        excluded = self._list_excluded(targets, now)
+        return [
+            record.name
+            for record in self._catalogue.list_targets(now=now)
+            if record.name in targets.names
+            and record.name not in excluded
+            and record.layers.start == 0
+        ]
 
     def _find_targets(
         self, service: str, engine: EngineModel, now: float
@@ -173,12 +196,15 @@
         *,
         may_use_reported: bool,
         throttled: frozenset[str],
+        avoided: frozenset[str],
     ) -> ReadOccupancy:
         """Return a function that reads a target's load, `None` if it is excluded.
 
         A target that is throttled has no slot for a path to begin at.
         """
-        excluded = self._list_excluded(targets, now, may_use_reported=may_use_reported)
+        excluded = avoided | self._list_excluded(
+            targets, now, may_use_reported=may_use_reported
+        )
         loads, paces = self._ledger.sum_loads(now=now), self._paces
 
         def read(stage: Stage) -> Occupancy | None:
--- a/packages/router/fulmarward_router/exchange/_plain.py
+++ b/packages/router/fulmarward_router/exchange/_plain.py
@@ -117,9 +117,17 @@
 
     def _make_rejection(self, state: RequestState, cause: str) -> RejectedRequest:
         return self._context.make_rejection(
-            state, cause=cause, retry_after_s=SATURATED_RETRY_S
+            state, cause=cause, retry_after_s=self._find_retry_after_s(state.service)
         )
 
+    def _find_retry_after_s(self, service: str) -> float:
+        """Return when a target of a service may accept a request, in seconds."""
+        now = self._read_clock()
+        names = {record.name for record in self._list_usable(service, set(), now)}
+        if names and names <= self._limits.list_throttled():
+            return choose_limited_retry_s(self._limits.find_wait_s(names))
+        return SATURATED_RETRY_S
+
     async def _await_target(
         self, state: RequestState, tried: set[str], last_failure: web.Response | None
     ) -> TargetRecord | None:
@@ -147,7 +155,7 @@
             if last_failure is not None:
                 return None
             if self._are_limited(state.service, tried, denied, now):
-                raise self._make_limited_rejection(state)
+                raise self._make_limited_rejection(state, now)
             if state.attempts > 0 and not is_full:
                 raise self._make_rejection(state, "no other target")
             if not is_full:
@@ -172,9 +180,14 @@
         names = {record.name for record in self._list_usable(service, tried, now)}
         return bool(names) and names <= denied | self._limits.list_throttled()
 
-    def _make_limited_rejection(self, state: RequestState) -> RejectedRequest:
+    def _make_limited_rejection(
+        self, state: RequestState, now: float
+    ) -> RejectedRequest:
         cause = "all targets are limited"
-        retry_after_s = choose_limited_retry_s(self._limits.find_wait_s())
+        usable = self._list_usable(state.service, set(), now)
+        retry_after_s = choose_limited_retry_s(
+            self._limits.find_wait_s({record.name for record in usable})
+        )
         if state.runs > 0:
             return self._context.make_rejection(
                 state, cause=cause, retry_after_s=retry_after_s
@@ -309,7 +322,7 @@
             self._log_failed_attempt(state, target, f"not run, {status}", None)
             if facts.is_misdirected:
                 self._suspicions.record_failure(target.name, now=now, reason="address")
-            else:
+            elif target.name not in self._limits.list_backed_off():
                 self._suspicions.record_saturated(target.name, now=now)
             return None
         state.runs += 1
--- a/packages/router/fulmarward_router/exchange/tests/test_late_sends.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_sends.py
@@ -155,7 +155,7 @@
         self.plain._limits = SimpleNamespace(
             acquire=time_out,
             list_throttled=frozenset,
-            find_wait_s=lambda: 0.1,
+            find_wait_s=lambda targets: 0.1,
             table=table,
         )
         serving = self.serve(body=b"", deadline_s=1.0)
--- a/packages/router/fulmarward_router/ports.py
+++ b/packages/router/fulmarward_router/ports.py
@@ -234,6 +234,11 @@
     #: Whether the target says that it is shutting down.
     is_leaving: bool = False
 
+    @property
+    def is_own(self) -> bool:
+        """Whether the answer is the target's own, as far as it shows."""
+        return (self.is_signed or self.is_not_run) and not self.is_misdirected
+
 
 @dataclass(frozen=True, kw_only=True)
 class StalledRequest:
--- a/packages/router/fulmarward_router/state/_target_changes.py
+++ b/packages/router/fulmarward_router/state/_target_changes.py
@@ -8,12 +8,18 @@
 
 
 class TargetChangeHandler:
-    """Logs changes of targets and clears the suspicion of a restarted one."""
+    """Logs changes of targets and forgets what is believed of a restarted one."""
 
     def __init__(
-        self, *, suspicions: SuspicionTable, notify_peers: Callable[[], None]
+        self,
+        *,
+        suspicions: SuspicionTable,
+        notify_peers: Callable[[], None],
+        record_restart: Callable[[str], None],
     ) -> None:
         self._suspicions = suspicions
+        #: Called with the name of a target that has started.
+        self._record_restart = record_restart
         self._notify_peers = notify_peers
         #: Start time of each known target, in ms since 1970, and the names of those
         #: that are leaving.
@@ -42,6 +48,7 @@
         self._started_ms[row.name] = record.started_ms
         if known is None or known != record.started_ms:
             self._suspicions.record_restart(row.name)
+            self._record_restart(row.name)
             log_event(
                 "target_started",
                 target=row.name,
--- a/packages/router/fulmarward_router/state/_target_limits.py
+++ b/packages/router/fulmarward_router/state/_target_limits.py
@@ -1,4 +1,4 @@
-"""Which targets have named a limit, and the permits to send requests to them."""
+"""What targets demand of this instance: limits of the rate, and pauses."""
 
 import asyncio
 import math
@@ -9,6 +9,7 @@
 from fulmarward.observability import log_event
 from fulmarward_core.target_limits import (
     MAX_LIMIT_PER_S,
+    BackoffTable,
     LimitTable,
     PermitBucket,
     PermitGrant,
@@ -50,10 +51,11 @@
 
 
 class TargetLimits:
-    """The limits of the targets, and this instance's part in keeping them.
+    """Whether this instance may send to a target now, by what the target demands.
 
-    A limit holds for all instances together. One of them, the owner of the target,
-    hands out a permit for each request; without one the target is throttled.
+    A limit of the rate holds for all instances together. One of them, the owner of the
+    target, hands out a permit for each request; without one the target is throttled. A
+    pause holds for this instance alone.
     """
 
     def __init__(
@@ -83,6 +85,7 @@
         self._count_sent = count_sent
         self._count_throttled = count_throttled
         self.table = LimitTable()
+        self.backoffs = BackoffTable()
         self._usage = PermitUsage()
         #: The targets whose permits this instance keeps.
         self._buckets: dict[str, PermitBucket] = {}
@@ -94,11 +97,25 @@
 
     def list_throttled(self) -> frozenset[str]:
         """Return the targets that get no requests for now."""
-        return self._usage.list_throttled(now=self._read_clock())
+        now = self._read_clock()
+        throttled = self._usage.list_throttled(now=now)
+        return throttled | self.backoffs.list_backed_off(now=now)
+
+    def list_backed_off(self) -> frozenset[str]:
+        """Return the targets that want no requests of this instance now."""
+        return self.backoffs.list_backed_off(now=self._read_clock())
 
-    def find_wait_s(self) -> float:
-        """Return the seconds until a target may get a request again."""
-        return self._usage.find_wait_s(now=self._read_clock())
+    def find_wait_s(self, targets: Collection[str]) -> float:
+        """Return the seconds until the first of the targets may get a request again."""
+        now = self._read_clock()
+        waits = (
+            max(
+                self._usage.find_throttled_s(target, now=now),
+                self.backoffs.find_left_s(target, now=now),
+            )
+            for target in targets
+        )
+        return min(waits, default=0.0)
 
     def find_owner(self, target: str) -> str | None:
         """Return the name of the instance that keeps the permits of a target."""
@@ -110,6 +127,8 @@
         If not, the target is throttled for some time. Waits for its owner, for
         `OWNER_TIMEOUT_S` at most.
         """
+        if target in self.list_backed_off():
+            return False
         per_s = self.table.find(target)
         if per_s is None:
             return True
@@ -120,6 +139,9 @@
             self._apply(target, self._grant(target, instance=self._own, per_s=per_s))
         else:
             await self._request_permits(owner, target, per_s)
+        if target in self.list_backed_off():
+            # It was rejected by the target while it waited for the owner.
+            return False
         now = self._read_clock()
         is_granted = self._usage.take(target, now=now)
         if not is_granted:
@@ -203,13 +225,46 @@
         if self.table.find(target) is not None:
             self._count_sent()
 
+    def record_backoff(
+        self, targets: Iterable[str], facts: AnswerFacts, *, request_id: str
+    ) -> None:
+        """Record the pause that an answer demands for targets, if it does.
+
+        A malformed one demands nothing.
+        """
+        now = self._read_clock()
+        for target in targets:
+            if facts.malformed_backoff is not None:
+                log_event(
+                    "target_backoff_refused",
+                    request=request_id,
+                    target=target,
+                    text=facts.malformed_backoff[:_MAX_LOGGED_TEXT],
+                )
+            if facts.backoff_s is None:
+                continue
+            before_s = self.backoffs.find_left_s(target, now=now)
+            if self.backoffs.record(target, duration_s=facts.backoff_s, now=now):
+                log_event(
+                    "target_backoff_requested",
+                    request=request_id,
+                    target=target,
+                    requested_s=facts.backoff_s,
+                    for_s=round(self.backoffs.find_left_s(target, now=now), 3),
+                    left_before_s=round(before_s, 3),
+                )
+
+    def record_restart(self, target: str) -> None:
+        """Record that a target has started again, so that it demands no pause."""
+        if self.backoffs.forget(target):
+            log_event("target_backoff_ended", target=target, cause="restart")
+
     def record_answer(self, target: str, facts: AnswerFacts) -> None:
         """Record what an answer of a target says of its limit.
 
         A malformed limit says nothing, nor does an answer that may be another's.
         """
-        is_own = (facts.is_signed or facts.is_not_run) and not facts.is_misdirected
-        if not is_own:
+        if not facts.is_own:
             return
         if facts.malformed_limit is not None:
             self._log_malformed(target, facts.malformed_limit)
