Count a target as leaving that says so in an answer

A target that named itself as leaving in all its answers, while its row was ready, got 91 and 97 of 100 requests later than drainMs after the first such answer, from the instance that had passed it on, and as many from its peers. The header was not read; only the store's row, or two refusals in a row during an outage, made a target leave.

The answer is the target's own word on its process: from then on the catalogue has it as leaving, whatever rows say, read or unread, until a row of another process comes (born, or a new name). So paths, plain requests, rerouting, the placement of layers and samples treat it as one whose row says so. LeavingReport carries it to all instances, each of which relays it once; how that is done is now shared with the limits. A message at the end: earlier releases ignore it.

--- a/packages/core/fulmarward_core/catalogue/__init__.py
+++ b/packages/core/fulmarward_core/catalogue/__init__.py
@@ -4,6 +4,7 @@
     EXPIRY_AGE_S,
     RECOVERY_DURATION_S,
     KnownRow,
+    LeaveAnnouncement,
     TargetCatalogue,
 )
 from fulmarward_core.catalogue._confirmation import find_confirmed_at
@@ -12,6 +13,7 @@
     "EXPIRY_AGE_S",
     "RECOVERY_DURATION_S",
     "KnownRow",
+    "LeaveAnnouncement",
     "TargetCatalogue",
     "find_confirmed_at",
 ]
--- a/packages/core/fulmarward_core/catalogue/_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/_catalogue.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from fulmarward_core.fleet import TargetRecord
 
@@ -42,6 +42,20 @@
     heard_at: float
 
 
+#: Upper bound on the targets remembered as having announced that they leave.
+_MAX_ANNOUNCED = 1024
+
+
+@dataclass(frozen=True, kw_only=True)
+class LeaveAnnouncement:
+    """A target's own word that it leaves, beside what its row says."""
+
+    #: Name of the process that leaves.
+    process: str
+    #: When it said so, in seconds on the monotonic clock.
+    at: float
+
+
 class TargetCatalogue:
     """The rows of all targets, and when they were last confirmed."""
 
@@ -51,6 +65,9 @@
         self._changed_versions: dict[str, int] = {}
         #: When each target that leaves, or was removed, did so at the earliest.
         self._leaving_since: dict[str, float] = {}
+        #: Targets that announced that they leave, by name, the oldest first. A process
+        #: that leaves never stays after all, so that this ends with the next start.
+        self._announced: dict[str, LeaveAnnouncement] = {}
         #: Records of rows that expired during an outage of the store, with the time.
         self._expired: dict[str, tuple[TargetRecord, float]] = {}
         #: When the store was last known to be out, to this instance or a peer.
@@ -207,7 +224,48 @@
             self._recovered_at = at
         self.confirmed_at = at
 
+    def announce_leaving(self, name: str, *, process: str, at: float) -> bool:
+        """Record that a process of a target has announced that it leaves.
+
+        From then on it counts as leaving, whatever its row says. Returns whether it
+        counted as staying before, or is not known.
+        """
+        known = self._announced.get(name)
+        record = self.find_target(name)
+        is_other = record is not None and record.process_name != process
+        if is_other or (known is not None and known.process == process):
+            return False
+        self._announced[name] = LeaveAnnouncement(process=process, at=at)
+        if len(self._announced) > _MAX_ANNOUNCED:
+            del self._announced[next(iter(self._announced))]
+        if record is None or record.is_leaving:
+            return record is None
+        leaving = replace(record, is_leaving=True)
+        if name in self._expired:
+            self._expired[name] = leaving, self._expired[name][1]
+        else:
+            self._rows[name] = replace(self._rows[name], record=leaving)
+        self._leaving_since.setdefault(name, at)
+        self.revision += 1
+        return True
+
+    def list_announced(self) -> dict[str, LeaveAnnouncement]:
+        """Return the targets that announced that they leave."""
+        return dict(self._announced)
+
+    def _apply_announcement(self, row: KnownRow) -> KnownRow:
+        """Return a row in which a target that announced that it leaves does so."""
+        announced = self._announced.get(row.name)
+        if announced is None or row.record is None or row.record.is_leaving:
+            return row
+        if row.record.process_name != announced.process:
+            # It has started again.
+            del self._announced[row.name]
+            return row
+        return replace(row, record=replace(row.record, is_leaving=True))
+
     def _apply_row(self, row: KnownRow, now: float, changed_since: float) -> bool:
+        row = self._apply_announcement(row)
         known = self._rows.get(row.name)
         if known is not None and known.version >= row.version:
             return False
@@ -289,6 +347,7 @@
             if row.value is None and now - row.heard_at > _TOMBSTONE_DURATION_S:
                 del self._rows[name], self._changed_versions[name]
                 self._leaving_since.pop(name, None)
+                self._announced.pop(name, None)
 
 
 def _has_equal_content(one: KnownRow, other: KnownRow) -> bool:
--- a/packages/core/fulmarward_core/catalogue/tests/test_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/tests/test_catalogue.py
@@ -1,5 +1,6 @@
 import random
 import unittest
+from dataclasses import replace
 
 from hypothesis import given, settings, strategies as st
 
@@ -113,3 +114,46 @@
         catalogue.apply_changes([_make_row("a", 3, value=None)], 3, now=1.0)
         rows = catalogue.list_rows(after=2)
         self.assertEqual([(row.name, row.value) for row in rows], [("a", None)])
+
+
+class AnnouncementTest(unittest.TestCase):
+    """A target may say in an answer that it leaves, while its row says nothing."""
+
+    def make_row(self, version, *, started_ms=1, **changes):
+        row = _make_row("t", version, value=b"%d" % version)
+        record = replace(row.record, started_ms=started_ms, **changes)
+        return replace(row, record=record)
+
+    def test_target_that_announced_it_leaves_whatever_its_row_says(self):
+        """Guards against a row that is older than the answer."""
+        catalogue = TargetCatalogue()
+        catalogue.apply_full_read([self.make_row(1)], 1, now=0.0)
+        process = catalogue.find_target("t").process_name
+        self.assertTrue(catalogue.announce_leaving("t", process=process, at=1.0))
+        self.assertFalse(catalogue.announce_leaving("t", process=process, at=2.0))
+        self.assertEqual(catalogue.find_leaving_s("t", now=3.0), 2.0)
+        for version in (2, 3):
+            catalogue.apply_changes(
+                [self.make_row(version, slots=version)], version, now=2.0
+            )
+            [record] = catalogue.list_targets(now=2.0)
+            self.assertTrue(record.is_leaving)
+        catalogue.apply_changes([self.make_row(4, started_ms=2)], 4, now=3.0)
+        self.assertFalse(catalogue.find_target("t").is_leaving)
+        self.assertEqual(catalogue.list_announced(), {})
+
+    def test_announcement_of_a_target_that_is_not_known_yet_is_kept(self):
+        """Guards against a peer's report that arrives before the target's row."""
+        catalogue = TargetCatalogue()
+        process = self.make_row(1).record.process_name
+        self.assertTrue(catalogue.announce_leaving("t", process=process, at=1.0))
+        catalogue.apply_full_read([self.make_row(1)], 1, now=2.0)
+        self.assertTrue(catalogue.find_target("t").is_leaving)
+
+    def test_announcement_of_an_earlier_process_is_ignored(self):
+        """Guards against an answer that arrives after the target has started again."""
+        catalogue = TargetCatalogue()
+        catalogue.apply_full_read([self.make_row(1, started_ms=2)], 1, now=0.0)
+        earlier = self.make_row(1).record.process_name
+        self.assertFalse(catalogue.announce_leaving("t", process=earlier, at=1.0))
+        self.assertFalse(catalogue.find_target("t").is_leaving)
--- a/packages/router/fulmarward_router/_status.py
+++ b/packages/router/fulmarward_router/_status.py
@@ -118,6 +118,7 @@
 
 
 def _describe_targets(instance: StatusSource, now: float) -> list[dict[str, Any]]:
+    announced = instance.catalogue.list_announced()
     return [
         {
             "name": record.name,
@@ -131,6 +132,7 @@
                 else [record.layers.start, record.layers.end]
             ),
             "is_leaving": record.is_leaving,
+            "has_announced_leaving": record.name in announced,
             "is_suspect": instance.suspicions.is_suspect(record.name, now=now),
         }
         for record in instance.catalogue.list_targets(now=now)
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -70,6 +70,7 @@
     ConfigurationHolder,
     InstanceRows,
     InstanceState,
+    LeavingTargets,
     PoisonKnowledge,
     PoisonRows,
     StoreWatch,
@@ -209,6 +210,11 @@
             count_sent=lambda: self.metrics.limited_requests.inc({}),
             count_throttled=lambda: self.metrics.throttled_requests.inc({}),
         )
+        self.leaving_targets = LeavingTargets(
+            catalogue=self.catalogue,
+            read_clock=clock,
+            get_links=lambda: self.mesh,
+        )
         self.paces = PaceTable()
         self.ledger = LoadLedger(note_changed=lambda: self.mesh.notify_loads())
         self._budgets: dict[str, RetryBudget] = {}
@@ -267,6 +273,7 @@
             state=self.instance_state,
             poison=self.poison,
             limits=self.target_limits,
+            leaving=self.leaving_targets,
             read_clock=clock,
             count_bytes=self._count_bytes,
             count_message=self._count_message,
@@ -316,6 +323,7 @@
             paces=self.paces,
             poison=self.poison,
             target_limits=self.target_limits,
+            leaving_targets=self.leaving_targets,
             ledger=self.ledger,
             find_budget=self._find_budget,
             find_share=self.listing.find_share,
--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -19,7 +19,7 @@
 from fulmarward_router.exchange._request_state import RejectedRequest, RequestState
 from fulmarward_router.exchange._send import TargetClient
 from fulmarward_router.ports import AnswerFacts, TargetCall, TargetDialect
-from fulmarward_router.state import PoisonKnowledge, TargetLimits
+from fulmarward_router.state import LeavingTargets, PoisonKnowledge, TargetLimits
 
 #: Seconds between two checks whether a target leaves that has not responded yet.
 LEAVING_CHECK_INTERVAL_S = 0.25
@@ -44,6 +44,8 @@
     poison: PoisonKnowledge
     #: Which targets have named a limit.
     target_limits: TargetLimits
+    #: Which targets have said that they leave.
+    leaving_targets: LeavingTargets
     ledger: LoadLedger
     #: Returns the retry budget of a service.
     find_budget: Callable[[str], RetryBudget]
@@ -95,7 +97,12 @@
             self.target_limits.record_backoff(
                 _list_demanding(call, facts), facts, request_id=state.facts.request_id
             )
-            _log_leaving(state, call, facts)
+            # A rejection that names another target of the path may pass on its headers.
+            is_of_target = facts.address_at_fault in (None, call.address)
+            if facts.is_leaving and is_of_target and sent_to is not None:
+                self.leaving_targets.record_answer(
+                    sent_to, request_id=state.facts.request_id
+                )
         return response
 
     def _has_restarted(self, target: str, sent_to: TargetRecord | None) -> bool:
@@ -224,13 +231,3 @@
     """
     causes = [h.target for h in call.path if h.address == facts.address_at_fault]
     return [call.target, *(name for name in causes if name != call.target)]
-
-
-def _log_leaving(state: RequestState, call: TargetCall, facts: AnswerFacts) -> None:
-    if facts.is_leaving:
-        log_event(
-            "target_leave_announced",
-            request=state.facts.request_id,
-            target=call.target,
-            source="answer",
-        )
--- a/packages/router/fulmarward_router/exchange/tests/test_late_sends.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_sends.py
@@ -34,7 +34,10 @@
     _StalledTarget,
 )
 from fulmarward_router.tests._poison import make_crash_monitor, make_poison_knowledge
-from fulmarward_router.tests._target_limits import make_target_limits
+from fulmarward_router.tests._target_limits import (
+    make_leaving_targets,
+    make_target_limits,
+)
 
 #: Seconds after an acknowledged leaving in which a target still takes requests.
 _DRAIN_S = 3.0
@@ -73,6 +76,7 @@
         self.context = ServiceContext(
             poison=make_poison_knowledge(),
             target_limits=make_target_limits(),
+            leaving_targets=make_leaving_targets(),
             client=TargetClient(session=session, dialect=dialect),
             dialect=dialect,
             catalogue=self.catalogue,
--- a/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
@@ -32,7 +32,10 @@
 from fulmarward_router.exchange.tests.test_send import _BODY, _StalledTarget
 from fulmarward_router.ports import AnswerFacts, OrderOutcome, OrderResult, TargetReport
 from fulmarward_router.tests._poison import make_crash_monitor, make_poison_knowledge
-from fulmarward_router.tests._target_limits import make_target_limits
+from fulmarward_router.tests._target_limits import (
+    make_leaving_targets,
+    make_target_limits,
+)
 
 #: Seconds after an acknowledged leaving in which a target still takes requests.
 _DRAIN_S = 3.0
@@ -189,6 +192,7 @@
         context = ServiceContext(
             poison=make_poison_knowledge(),
             target_limits=make_target_limits(),
+            leaving_targets=make_leaving_targets(),
             client=client,
             dialect=self.dialect,
             catalogue=self.catalogue,
--- a/packages/router/fulmarward_router/exchange/tests/test_relay.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_relay.py
@@ -19,7 +19,10 @@
 from fulmarward_router.exchange._send import AnswerLost, NotSent
 from fulmarward_router.ports import AnswerFacts
 from fulmarward_router.tests._poison import make_crash_monitor, make_poison_knowledge
-from fulmarward_router.tests._target_limits import make_target_limits
+from fulmarward_router.tests._target_limits import (
+    make_leaving_targets,
+    make_target_limits,
+)
 
 _REJECTIONS = {
     code: orjson.dumps({"error": {"code": int(code)}})
@@ -81,6 +84,7 @@
         context = ServiceContext(
             poison=make_poison_knowledge(),
             target_limits=make_target_limits(),
+            leaving_targets=make_leaving_targets(),
             client=self.client,
             dialect=_Dialect(),
             catalogue=None,
--- a/packages/router/fulmarward_router/mesh/__init__.py
+++ b/packages/router/fulmarward_router/mesh/__init__.py
@@ -20,6 +20,7 @@
     IncludedUpdate,
     InstanceIdentity,
     InstanceReport,
+    LeavingTargetReport,
     LoadReport,
     LoadUpdate,
     PaceReport,
@@ -34,6 +35,7 @@
 from fulmarward_router.mesh._state import (
     Answer,
     Fetch,
+    LeavingSource,
     LimitSource,
     MeshState,
     PoisonSource,
@@ -42,6 +44,8 @@
 )
 
 __all__ = [
+    "LeavingSource",
+    "LeavingTargetReport",
     "LimitSource",
     "PermitsGranted",
     "TargetLimitReport",
--- a/packages/router/fulmarward_router/mesh/_limits.py
+++ b/packages/router/fulmarward_router/mesh/_limits.py
@@ -1,6 +1,5 @@
 """Exchanges the limits of targets with peers, and requests permits from owners."""
 
-import math
 from collections import OrderedDict
 from collections.abc import Callable, Sequence
 from itertools import count
@@ -8,6 +7,11 @@
 from msgspec.structs import replace
 from websockets.asyncio.connection import Connection
 
+from fulmarward_router.mesh._dissemination import (
+    NOT_RELAYED,
+    Dissemination,
+    find_finite_delay_s,
+)
 from fulmarward_router.mesh._heartbeats import PeerLink
 from fulmarward_router.mesh._members import MemberTable
 from fulmarward_router.mesh._messages import (
@@ -20,9 +24,6 @@
 )
 from fulmarward_router.mesh._state import LimitSource
 
-#: Sequence of a report that is not relayed.
-_NOT_RELAYED = 0
-
 #: Milliseconds after which a request may be repeated if the owner is not reached.
 _NO_OWNER_WAIT_MS = 200
 
@@ -49,18 +50,15 @@
         self._list_links = list_links
         self._send = send
         self._read_clock = read_clock
-        self._sequence = _NOT_RELAYED
-        #: Start time and sequence of the latest report of each instance. Never evicted:
-        #: one entry per instance ever heard.
-        self._latest: dict[str, tuple[int, int]] = {}
+        self._dissemination = Dissemination(own=own, list_links=list_links, send=send)
         self._numbers = count(1)
         #: Where the answers to relayed requests go, and their numbers there.
         self._relayed: OrderedDict[int, tuple[Connection, int]] = OrderedDict()
 
     def notify(self, reports: Sequence[TargetLimitReport]) -> None:
         """Send limits that changed here to all instances."""
-        self._sequence += 1
-        self._send_to_all(self._make_report(self._sequence, reports), except_to=None)
+        sequence = self._dissemination.next_sequence()
+        self._dissemination.send_to_all(self._make_report(sequence, reports))
 
     def open_link(self, connection: Connection) -> None:
         """Send all limits on a new link, and request those that the peer knows."""
@@ -71,23 +69,19 @@
         """Send all limits to a peer, if there are any."""
         reports = self._limits.make_reports()
         if reports:
-            self._send(connection, self._make_report(_NOT_RELAYED, reports))
+            self._send(connection, self._make_report(NOT_RELAYED, reports))
 
     def merge(
         self, message: LimitReport, *, delay_s: float, received_on: Connection
     ) -> None:
         """Merge a report, and relay it if it is the first time that it arrives."""
-        if message.origin == self._own.name:
+        if not self._dissemination.is_new(message):
             return
-        if message.sequence != _NOT_RELAYED:
-            latest = self._latest.get(message.origin, (0, _NOT_RELAYED))
-            if (message.boot, message.sequence) <= latest:
-                return
-            self._latest[message.origin] = message.boot, message.sequence
-        delay_s = delay_s if math.isfinite(delay_s) else 0.0
+        delay_s = find_finite_delay_s(delay_s)
         self._limits.merge(message.limits, source=message.origin, delay_s=delay_s)
-        if message.sequence != _NOT_RELAYED:
-            self._send_to_all(_add_age(message, delay_s), except_to=received_on)
+        if message.sequence != NOT_RELAYED:
+            delayed = _add_age(message, delay_s)
+            self._dissemination.send_to_all(delayed, except_to=received_on)
 
     def request_permits(
         self, owner: str, *, target: str, milli_per_s: int
@@ -156,13 +150,6 @@
             limits=tuple(reports),
         )
 
-    def _send_to_all(
-        self, message: LimitReport, *, except_to: Connection | None
-    ) -> None:
-        for link in self._list_links():
-            if link.connection is not except_to:
-                self._send(link.connection, message)
-
     def _find_link(self, instance: str) -> PeerLink | None:
         address = self._members.find_address(instance)
         return next((x for x in self._list_links() if x.address == address), None)
--- a/packages/router/fulmarward_router/mesh/_links.py
+++ b/packages/router/fulmarward_router/mesh/_links.py
@@ -21,6 +21,7 @@
     PeerLink,
     make_send_time,
 )
+from fulmarward_router.mesh._leaving import LeavingExchange
 from fulmarward_router.mesh._limits import LimitExchange
 from fulmarward_router.mesh._members import HEARTBEAT_INTERVAL_S, MemberTable
 from fulmarward_router.mesh._messages import (
@@ -37,6 +38,8 @@
     Heartbeat,
     InstanceIdentity,
     Introduction,
+    LeavingReport,
+    LeavingTargetReport,
     LimitReport,
     LoadUpdate,
     PatternReport,
@@ -53,6 +56,7 @@
 )
 from fulmarward_router.mesh._state import (
     Fetch,
+    LeavingSource,
     LimitSource,
     MeshState,
     PoisonSource,
@@ -132,6 +136,7 @@
         state: MeshState,
         poison: PoisonSource,
         limits: LimitSource,
+        leaving: LeavingSource,
         read_clock: Callable[[], float],
         count_bytes: Callable[[str, int], None],
         count_message: Callable[[str], None] = lambda kind: None,
@@ -164,6 +169,12 @@
             send=self._send_nowait,
             read_clock=read_clock,
         )
+        self._leaving = LeavingExchange(
+            own=own,
+            leaving=leaving,
+            list_links=self._sender.list_links,
+            send=self._send_nowait,
+        )
         self._dial_tasks: dict[str, asyncio.Task] = {}
         #: Tasks that repeat deferred fetches.
         self._repeat_tasks: set[asyncio.Task] = set()
@@ -202,6 +213,7 @@
             FetchLimits: self._handle_fetch_limits,
             PermitRequest: self._handle_permit_request,
             PermitsGranted: self._handle_permits_granted,
+            LeavingReport: self._handle_leaving_report,
         }
         self._fetched_instances_at = float("-inf")
         self._started_at = read_clock()
@@ -222,6 +234,10 @@
         """Send limits that changed here to all instances."""
         self._limits.notify(reports)
 
+    def notify_leaving(self, reports: Sequence[LeavingTargetReport]) -> None:
+        """Send to all instances which targets said here that they leave."""
+        self._leaving.notify(reports)
+
     def request_permits(
         self, owner: str, *, target: str, milli_per_s: int
     ) -> int | None:
@@ -380,6 +396,7 @@
             await self._send(connection, FetchInstances())
         await self._exchange_poison(connection)
         self._limits.open_link(connection)
+        self._leaving.send_all(connection)
         link = PeerLink(connection=connection, address=address)
         hubs = self._members.list_subscriptions(now=self._read_clock())
         self._subscribe(link, hubs)
@@ -665,7 +682,15 @@
     async def _handle_fetch_limits(
         self, receiver: _LinkReceiver, message: FetchLimits
     ) -> None:
+        # An instance that dials asks for what it may have missed by this one message.
         self._limits.answer_fetch(receiver.connection)
+        self._leaving.send_all(receiver.connection)
+
+    async def _handle_leaving_report(
+        self, receiver: _LinkReceiver, message: LeavingReport
+    ) -> None:
+        delay_s = receiver.find_delay_s(now=self._read_clock())
+        self._leaving.merge(message, delay_s=delay_s, received_on=receiver.connection)
 
     async def _handle_permit_request(
         self, receiver: _LinkReceiver, message: PermitRequest
--- a/packages/router/fulmarward_router/mesh/_messages.py
+++ b/packages/router/fulmarward_router/mesh/_messages.py
@@ -373,6 +373,26 @@
     wait_ms: int
 
 
+class LeavingTargetReport(Message, kw_only=True):
+    """A target that said in an answer that it leaves."""
+
+    target: str
+    #: Name of its process, as `fulmarward_core.fleet.TargetRecord.process_name`.
+    process: str
+    #: Milliseconds since the answer.
+    age_ms: int
+
+
+class LeavingReport(Message, kw_only=True):
+    """Targets that said to an instance that they leave; each one relays it once."""
+
+    #: As in `LimitReport`.
+    origin: str
+    boot: int
+    sequence: int
+    targets: tuple[LeavingTargetReport, ...]
+
+
 #: All messages; the number of a message on the wire is its index here. A message keeps
 #: its number and its fields, as instances of different releases exchange it during a
 #: rolling update. A change is a new message at the end, which older releases ignore.
@@ -403,4 +423,5 @@
     FetchLimits,
     PermitRequest,
     PermitsGranted,
+    LeavingReport,
 )
--- a/packages/router/fulmarward_router/mesh/_state.py
+++ b/packages/router/fulmarward_router/mesh/_state.py
@@ -16,6 +16,7 @@
     FleetLoads,
     FleetReport,
     Heartbeat,
+    LeavingTargetReport,
     LoadUpdate,
     PatternReport,
     PermitsGranted,
@@ -138,6 +139,18 @@
         """Merge the records of a peer; return the patterns of which it knew more."""
 
 
+class LeavingSource(Protocol):
+    """The targets that said that they leave, which instances exchange."""
+
+    def make_reports(self) -> tuple[LeavingTargetReport, ...]:
+        """Return all of them that this instance knows."""
+
+    def merge(
+        self, reports: Iterable[LeavingTargetReport], *, source: str, delay_s: float
+    ) -> None:
+        """Merge what targets said to an instance, delayed in transit."""
+
+
 class LimitSource(Protocol):
     """The limits of targets, and the permits for them, that instances exchange."""
 
--- a/packages/router/fulmarward_router/mesh/tests/test_dialled.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_dialled.py
@@ -24,7 +24,10 @@
 )
 from fulmarward_router.mesh.tests.test_members import make_heartbeat
 from fulmarward_router.tests._poison import make_poison_knowledge
-from fulmarward_router.tests._target_limits import make_target_limits
+from fulmarward_router.tests._target_limits import (
+    make_leaving_targets,
+    make_target_limits,
+)
 
 
 class DialledLinkTest(unittest.IsolatedAsyncioTestCase):
@@ -52,6 +55,7 @@
         mesh = Mesh(
             poison=make_poison_knowledge(),
             limits=make_target_limits(),
+            leaving=make_leaving_targets(),
             own=own,
             members=MemberTable(own=own),
             state=state,
@@ -94,6 +98,7 @@
         mesh = Mesh(
             poison=make_poison_knowledge(),
             limits=make_target_limits(),
+            leaving=make_leaving_targets(),
             own=own,
             members=MemberTable(own=own),
             state=state,
--- a/packages/router/fulmarward_router/mesh/tests/test_late_parts.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_late_parts.py
@@ -13,7 +13,10 @@
 from fulmarward_router.mesh.tests.test_links import _Link, _State
 from fulmarward_router.mesh.tests.test_members import make_heartbeat
 from fulmarward_router.tests._poison import make_poison_knowledge
-from fulmarward_router.tests._target_limits import make_target_limits
+from fulmarward_router.tests._target_limits import (
+    make_leaving_targets,
+    make_target_limits,
+)
 from fulmarward_router.tests.test_instance_state import Peer
 
 #: Seconds for which a segment is lost, or a large message arrives in parts.
@@ -45,6 +48,7 @@
         self.mesh = Mesh(
             poison=make_poison_knowledge(),
             limits=make_target_limits(),
+            leaving=make_leaving_targets(),
             own=own,
             members=MemberTable(own=own),
             state=self.state,
@@ -85,6 +89,7 @@
         mesh = Mesh(
             poison=make_poison_knowledge(),
             limits=make_target_limits(),
+            leaving=make_leaving_targets(),
             own=make_heartbeat("one").sender,
             members=one.members,
             state=one.instance_state,
--- a/packages/router/fulmarward_router/mesh/tests/test_links.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_links.py
@@ -21,7 +21,10 @@
 from fulmarward_router.mesh._messages import SendTime, SupportsSendTimes
 from fulmarward_router.mesh.tests.test_members import make_heartbeat
 from fulmarward_router.tests._poison import make_poison_knowledge
-from fulmarward_router.tests._target_limits import make_target_limits
+from fulmarward_router.tests._target_limits import (
+    make_leaving_targets,
+    make_target_limits,
+)
 
 _ROW = CompressedConfiguration(key="config", version=4, packed=b"x")
 
@@ -102,6 +105,7 @@
         mesh = Mesh(
             poison=make_poison_knowledge(),
             limits=make_target_limits(),
+            leaving=make_leaving_targets(),
             own=own,
             members=MemberTable(own=own),
             state=self.state,
--- a/packages/router/fulmarward_router/mesh/tests/test_poison_relay.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_poison_relay.py
@@ -13,7 +13,10 @@
 from fulmarward_router.mesh._messages import PoisonReport, PoisonSnapshot
 from fulmarward_router.mesh.tests.test_members import make_heartbeat
 from fulmarward_router.tests._poison import make_poison_knowledge
-from fulmarward_router.tests._target_limits import make_target_limits
+from fulmarward_router.tests._target_limits import (
+    make_leaving_targets,
+    make_target_limits,
+)
 
 
 def make_part(name, *targets):
@@ -42,6 +45,7 @@
             state=None,
             poison=self.poison,
             limits=make_target_limits(),
+            leaving=make_leaving_targets(),
             read_clock=lambda: 100.0,
             count_bytes=lambda direction, size: None,
         )
--- a/packages/router/fulmarward_router/state/__init__.py
+++ b/packages/router/fulmarward_router/state/__init__.py
@@ -3,6 +3,7 @@
 from fulmarward_router.state._configuration import ConfigurationHolder
 from fulmarward_router.state._instance_state import InstanceState
 from fulmarward_router.state._instances import InstanceRows
+from fulmarward_router.state._leaving_targets import LeavingTargets
 from fulmarward_router.state._poison import PoisonKnowledge
 from fulmarward_router.state._poison_rows import PoisonRows
 from fulmarward_router.state._target_changes import TargetChangeHandler
@@ -17,5 +18,6 @@
     "PoisonRows",
     "StoreWatch",
     "TargetChangeHandler",
+    "LeavingTargets",
     "TargetLimits",
 ]
--- a/packages/router/fulmarward_router/tests/_routing_peer.py
+++ b/packages/router/fulmarward_router/tests/_routing_peer.py
@@ -22,7 +22,10 @@
 from fulmarward_router.exchange import CallerHandler, PlainService, ServiceContext
 from fulmarward_router.ports import AnswerFacts, CallerFacts, Row
 from fulmarward_router.tests._poison import make_crash_monitor, make_poison_knowledge
-from fulmarward_router.tests._target_limits import make_target_limits
+from fulmarward_router.tests._target_limits import (
+    make_leaving_targets,
+    make_target_limits,
+)
 from fulmarward_router.tests.test_instance_state import Peer
 
 #: Seconds from an acknowledged change until requests must be handled by it.
@@ -131,6 +134,7 @@
         context = ServiceContext(
             poison=make_poison_knowledge(),
             target_limits=make_target_limits(),
+            leaving_targets=make_leaving_targets(),
             client=self.client,
             dialect=_Dialect(),
             catalogue=self.catalogue,
--- a/packages/router/fulmarward_router/tests/_target_limits.py
+++ b/packages/router/fulmarward_router/tests/_target_limits.py
@@ -1,8 +1,9 @@
-"""Knowledge of targets' limits for tests of its users."""
+"""Knowledge of what targets demand, for tests of its users."""
 
 import time
 
-from fulmarward_router.state import TargetLimits
+from fulmarward_core.catalogue import TargetCatalogue
+from fulmarward_router.state import LeavingTargets, TargetLimits
 
 
 def make_target_limits(read_clock=time.monotonic, *, targets=(), links=None):
@@ -17,3 +18,12 @@
         count_sent=lambda: None,
         count_throttled=lambda: None,
     )
+
+
+def make_leaving_targets(read_clock=time.monotonic, *, catalogue=None, links=None):
+    """Return the knowledge of an instance that no target has told that it leaves."""
+    return LeavingTargets(
+        catalogue=TargetCatalogue() if catalogue is None else catalogue,
+        read_clock=read_clock,
+        get_links=lambda: links,
+    )
