Names and comments after reading the change as a newcomer

find_answer_age_s for the age of the last answer, a protocol in place of Any for messages that are relayed once, and three comments that a reader had to guess at. No decision changes.

--- a/packages/core/fulmarward_core/catalogue/_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/_catalogue.py
@@ -48,11 +48,11 @@
 
 @dataclass(frozen=True, kw_only=True)
 class LeaveAnnouncement:
-    """A target's own word that it leaves, beside what its row says."""
+    """What a target said in an answer, beside what its row says: that it leaves."""
 
     #: Name of the process that leaves.
     process: str
-    #: When it said so, in seconds on the monotonic clock.
+    #: When the answer arrived, in seconds on the monotonic clock.
     at: float
 
 
--- a/packages/core/fulmarward_core/isolation/_contacts.py
+++ b/packages/core/fulmarward_core/isolation/_contacts.py
@@ -99,7 +99,7 @@
         """
         self._answered_at[service] = now
 
-    def find_silence_s(self, service: str, *, now: float) -> float:
+    def find_answer_age_s(self, service: str, *, now: float) -> float:
         """Return the seconds since a target last answered, infinite if none has."""
         return now - self._answered_at.get(service, float("-inf"))
 
--- a/packages/core/fulmarward_core/target_limits/_backoffs.py
+++ b/packages/core/fulmarward_core/target_limits/_backoffs.py
@@ -1,7 +1,7 @@
 """The pauses that targets demand of an instance."""
 
-#: Longest pause that is kept, in seconds: a target could not be reached before it
-#: starts again.
+#: Longest pause that is kept, in seconds. Guards against a wrong value that excludes a
+#: target until its next start.
 MAX_BACKOFF_S = 3600.0
 
 
--- a/packages/router/fulmarward_router/exchange/_contact_monitor.py
+++ b/packages/router/fulmarward_router/exchange/_contact_monitor.py
@@ -125,13 +125,13 @@
         interval_s = LARGE_IDLE_CHECK_S if self._is_large() else IDLE_CHECK_S
         services = {record.service for record in self._catalogue.list_targets(now=now)}
         for service in services - self._samples.keys():
-            is_idle = self._contacts.find_silence_s(service, now=now) >= interval_s
+            is_idle = self._contacts.find_answer_age_s(service, now=now) >= interval_s
             if is_idle and self._contacts.is_reached(service):
                 self._start(service, self._check(service))
 
     async def _check(self, service: str) -> None:
         """Probe one target of a service, and a sample if it does not answer."""
-        # The last of the two is another one each time.
+        # The first of a sample is the target that started last; the second rotates.
         for record in self._choose_sample(service, 2)[-1:]:
             if await self._dialect.is_responding(record, IDLE_CHECK_TIMEOUT_S):
                 self._apply(service, ContactEvent.ANSWER)
@@ -147,9 +147,9 @@
         sample = self._choose_sample(service, count)
         if not sample:
             return
-        silence_s = self._contacts.find_silence_s(service, now=self._read_clock())
+        answer_age_s = self._contacts.find_answer_age_s(service, now=self._read_clock())
         probes = [self._dialect.is_responding]
-        if silence_s < ACCEPTANCE_DURATION_S:
+        if answer_age_s < ACCEPTANCE_DURATION_S:
             probes.append(self._dialect.is_accepting)
         meter = PauseMeter()
         try:
@@ -193,7 +193,7 @@
     ) -> None:
         """Apply an observation, and log what it changes."""
         now = self._read_clock()
-        silence_s = self._contacts.find_silence_s(service, now=now)
+        answer_age_s = self._contacts.find_answer_age_s(service, now=now)
         known = self._contacts.list_unreached().get(service)
         was_isolated = self._contacts.is_isolated
         if not self._contacts.apply(service, event, now=now):
@@ -206,7 +206,9 @@
             probed=list(probed),
             peer=peer,
             unreached_for_s=None if known is None else round(now - known.since, 3),
-            answered_s_ago=round(silence_s, 3) if math.isfinite(silence_s) else None,
+            answered_s_ago=round(answer_age_s, 3)
+            if math.isfinite(answer_age_s)
+            else None,
         )
         if event is ContactEvent.ANSWER:
             # What was observed meanwhile was the isolation of this instance.
--- a/packages/router/fulmarward_router/exchange/tests/test_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_failure_detector.py
@@ -568,9 +568,9 @@
             (False, 0.0, False),
             (True, ACCEPTANCE_DURATION_S, False),
         ]
-        for accepts, silence_s, is_reached in cases:
+        for accepts, answer_age_s, is_reached in cases:
             contacts = ContactTable()
-            contacts.record_response("pool", now=time.monotonic() - silence_s)
+            contacts.record_response("pool", now=time.monotonic() - answer_age_s)
             detector = FailureDetector(
                 dialect=_SlowDialect(accepts=accepts),
                 catalogue=_Catalogue("abcd"),
@@ -582,5 +582,5 @@
             detector.probe("abcd")
             await detector.probe_and_wait("abcd")
             await detector.contact_monitor.wait("pool", timeout_s=9.0)
-            with self.subTest(accepts=accepts, silence_s=silence_s):
+            with self.subTest(accepts=accepts, answer_age_s=answer_age_s):
                 self.assertEqual(contacts.is_reached("pool"), is_reached)
--- a/packages/router/fulmarward_router/mesh/_dissemination.py
+++ b/packages/router/fulmarward_router/mesh/_dissemination.py
@@ -2,7 +2,7 @@
 
 import math
 from collections.abc import Callable, Sequence
-from typing import Any
+from typing import Protocol
 
 from websockets.asyncio.connection import Connection
 
@@ -13,6 +13,16 @@
 NOT_RELAYED = 0
 
 
+class Report(Protocol):
+    """A message that each instance relays once."""
+
+    #: The instance that sent it first, and when its process started, in ms since 1970.
+    origin: str
+    boot: int
+    #: Increases with each report of that process; `NOT_RELAYED` for other messages.
+    sequence: int
+
+
 class Dissemination:
     """Numbers the reports of this instance, and recognizes those that are new."""
 
@@ -36,8 +46,8 @@
         self._sequence += 1
         return self._sequence
 
-    def is_new(self, message: Any) -> bool:  # noqa: ANN401
-        """Return whether a report, with its origin and sequence, was not seen before.
+    def is_new(self, message: Report) -> bool:
+        """Return whether a report was not seen before.
 
         One that is not relayed is new unless it is of this instance.
         """
--- a/packages/router/fulmarward_router/tests/_target_limits.py
+++ b/packages/router/fulmarward_router/tests/_target_limits.py
@@ -21,7 +21,7 @@
 
 
 def make_leaving_targets(read_clock=time.monotonic, *, catalogue=None, links=None):
-    """Return the knowledge of an instance that no target has told that it leaves."""
+    """Return the knowledge of an instance that knows of no leaving target."""
     return LeavingTargets(
         catalogue=TargetCatalogue() if catalogue is None else catalogue,
         read_clock=read_clock,
