Keep a pause until another process of the target is known

A target's row may expire and return during a pause; the change was taken for a new start, which ended the pause early. The table has the process that demanded it, and only a row of another one ends it. Found by reading; the new test of the table fails with the code before, which had no process to compare.

--- a/packages/core/fulmarward_core/target_limits/tests/test_backoffs.py
+++ b/packages/core/fulmarward_core/target_limits/tests/test_backoffs.py
@@ -19,14 +19,17 @@
             with self.subTest(demands=demands):
                 table = BackoffTable()
                 for at, duration_s in demands:
-                    table.record("t", duration_s=duration_s, now=at)
+                    table.record("t", process="p", duration_s=duration_s, now=at)
                 self.assertEqual(table.find_left_s("t", now=10.0), left_s)
                 listed = table.list_backed_off(now=10.0)
                 self.assertEqual(listed, {"t"} if left_s else frozenset())
 
-    def test_new_start_ends_a_pause(self):
+    def test_only_a_new_process_ends_a_pause(self):
+        """Guards against a row that expires and returns during a pause."""
         table = BackoffTable()
-        table.record("t", duration_s=60.0, now=1.0)
-        self.assertTrue(table.forget("t"))
+        table.record("t", process="p", duration_s=60.0, now=1.0)
+        self.assertFalse(table.record_process("t", process="p"))
+        self.assertEqual(table.list_backed_off(now=1.0), {"t"})
+        self.assertTrue(table.record_process("t", process="q"))
         self.assertEqual(table.list_backed_off(now=1.0), frozenset())
-        self.assertFalse(table.forget("t"))
+        self.assertFalse(table.record_process("t", process="q"))
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -186,7 +186,7 @@
         self.target_change_handler = TargetChangeHandler(
             suspicions=self.suspicions,
             notify_peers=self._notify_peers,
-            record_restart=lambda target: self.target_limits.record_restart(target),
+            record_process=lambda record: self.target_limits.record_process(record),
         )
         self.poison = PoisonKnowledge(
             read_clock=clock,
--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -93,24 +93,34 @@
         self.contacts.record_response(state.service, now=self.read_clock())
         facts = self.dialect.read_answer(response.status, response.headers)
         self.target_limits.record_answer(call.target, facts)
-        if facts.is_own and not self._has_restarted(call.target, sent_to):
-            self.target_limits.record_backoff(
-                _list_demanding(call, facts), facts, request_id=state.facts.request_id
-            )
-            # A rejection that names another target of the path may pass on its headers.
-            is_of_target = facts.address_at_fault in (None, call.address)
-            if facts.is_leaving and is_of_target and sent_to is not None:
-                self.leaving_targets.record_answer(
-                    sent_to, request_id=state.facts.request_id
-                )
+        if facts.is_own and sent_to is not None:
+            self._record_demands(state, call, facts, sent_to)
         return response
 
-    def _has_restarted(self, target: str, sent_to: TargetRecord | None) -> bool:
-        """Return whether a target has started again since a request was sent to it."""
-        current = self.catalogue.find_target(target)
-        if sent_to is None or current is None:
-            return False
-        return current.process_name != sent_to.process_name
+    def _record_demands(
+        self,
+        state: RequestState,
+        call: TargetCall,
+        facts: AnswerFacts,
+        sent_to: TargetRecord,
+    ) -> None:
+        """Record what an answer demands, unless its target has started again since."""
+        current = self.catalogue.find_target(call.target)
+        if current is not None and current.process_name != sent_to.process_name:
+            return
+        request_id = state.facts.request_id
+        # A rejection that names another target of the path as the cause may pass on the
+        # demand of that one, so that both get the pause.
+        causes = [h.target for h in call.path if h.address == facts.address_at_fault]
+        records = [self.catalogue.find_target(n) for n in causes if n != call.target]
+        self.target_limits.record_backoff(
+            [sent_to, *(record for record in records if record is not None)],
+            facts,
+            request_id=request_id,
+        )
+        is_of_target = facts.address_at_fault in (None, call.address)
+        if facts.is_leaving and is_of_target:
+            self.leaving_targets.record_answer(sent_to, request_id=request_id)
 
     def take_retry(self, state: RequestState, *, part: float = 1.0) -> bool:
         """Consume one retry, if the route and the retry budget allow it.
@@ -221,13 +231,3 @@
         return RejectedRequest(
             code, cause=cause, retry_after_s=None if has_run else retry_after_s
         )
-
-
-def _list_demanding(call: TargetCall, facts: AnswerFacts) -> list[str]:
-    """Return the targets for which a rejection demands a pause.
-
-    That is the target that answered. If it names another one of the path as the cause,
-    it may pass on the demand of that one, so that both get it.
-    """
-    causes = [h.target for h in call.path if h.address == facts.address_at_fault]
-    return [call.target, *(name for name in causes if name != call.target)]
--- a/packages/router/fulmarward_router/state/_target_changes.py
+++ b/packages/router/fulmarward_router/state/_target_changes.py
@@ -4,6 +4,7 @@
 
 from fulmarward.observability import log_event
 from fulmarward_core.catalogue import KnownRow
+from fulmarward_core.fleet import TargetRecord
 from fulmarward_core.suspicion import SuspicionTable
 
 
@@ -15,11 +16,11 @@
         *,
         suspicions: SuspicionTable,
         notify_peers: Callable[[], None],
-        record_restart: Callable[[str], None],
+        record_process: Callable[[TargetRecord], None],
     ) -> None:
         self._suspicions = suspicions
-        #: Called with the name of a target that has started.
-        self._record_restart = record_restart
+        #: Called with a target that has started, or is known again.
+        self._record_process = record_process
         self._notify_peers = notify_peers
         #: Start time of each known target, in ms since 1970, and the names of those
         #: that are leaving.
@@ -48,7 +49,7 @@
         self._started_ms[row.name] = record.started_ms
         if known is None or known != record.started_ms:
             self._suspicions.record_restart(row.name)
-            self._record_restart(row.name)
+            self._record_process(record)
             log_event(
                 "target_started",
                 target=row.name,
--- a/packages/router/fulmarward_router/state/_target_limits.py
+++ b/packages/router/fulmarward_router/state/_target_limits.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from fulmarward.observability import log_event
+from fulmarward_core.fleet import TargetRecord
 from fulmarward_core.target_limits import (
     MAX_LIMIT_PER_S,
     BackoffTable,
@@ -226,14 +227,15 @@
             self._count_sent()
 
     def record_backoff(
-        self, targets: Iterable[str], facts: AnswerFacts, *, request_id: str
+        self, targets: Iterable[TargetRecord], facts: AnswerFacts, *, request_id: str
     ) -> None:
         """Record the pause that an answer demands for targets, if it does.
 
         A malformed one demands nothing.
         """
         now = self._read_clock()
-        for target in targets:
+        for record in targets:
+            target = record.name
             if facts.malformed_backoff is not None:
                 log_event(
                     "target_backoff_refused",
@@ -244,7 +246,12 @@
             if facts.backoff_s is None:
                 continue
             before_s = self.backoffs.find_left_s(target, now=now)
-            if self.backoffs.record(target, duration_s=facts.backoff_s, now=now):
+            if self.backoffs.record(
+                target,
+                process=record.process_name,
+                duration_s=facts.backoff_s,
+                now=now,
+            ):
                 log_event(
                     "target_backoff_requested",
                     request=request_id,
@@ -254,10 +261,10 @@
                     left_before_s=round(before_s, 3),
                 )
 
-    def record_restart(self, target: str) -> None:
-        """Record that a target has started again, so that it demands no pause."""
-        if self.backoffs.forget(target):
-            log_event("target_backoff_ended", target=target, cause="restart")
+    def record_process(self, record: TargetRecord) -> None:
+        """Record the process of a target: a new one has demanded no pause."""
+        if self.backoffs.record_process(record.name, process=record.process_name):
+            log_event("target_backoff_ended", target=record.name, cause="restart")
 
     def record_answer(self, target: str, facts: AnswerFacts) -> None:
         """Record what an answer of a target says of its limit.
