--- a/packages/router/fulmarward_router/exchange/_relay.py
+++ b/packages/router/fulmarward_router/exchange/_relay.py
@@ -33,8 +33,8 @@
 #: have ended, which is not known here yet.
 MAX_PEERS = 4
 
-#: Seconds for which a peer that rejected a relayed request, as it does not reach the
-#: service either, is asked after the others.
+#: Seconds for which a peer that rejected a relayed request for a reason of its own (it
+#: does not reach the service, is not ready, or stops) is asked after the others.
 UNREACHED_PEER_DURATION_S = 1.0
 
 #: Retry delay, in seconds, of a request that no peer can serve either.
