Name each cause for which a started answer is cut

The outcome of a cut answer was free text, so that neither log nor metrics could tell an exhausted route from an exhausted budget, nor an attempt that this instance ended from one that its target broke off. CutCause names the causes, in request_ended (cut_cause) and in cut_responses_total; attempt_failed has ended_by. Nothing is decided differently. An attempt whose caller leaves still has no attempt_failed; request_ended says so.

--- a/packages/router/fulmarward_router/_metrics.py
+++ b/packages/router/fulmarward_router/_metrics.py
@@ -25,6 +25,8 @@
     registry: Registry
     #: Requests by `service` and `outcome`.
     requests: Counter
+    #: Responses that had started and were not completed, by `service` and `cause`.
+    cuts: Counter
     #: Attempts at targets beyond the first, by `service`.
     retries: Counter
     #: Streams rerouted around an unreachable target or resumed elsewhere, by `how`.
@@ -78,6 +80,9 @@
     return RouterMetrics(
         registry=factory.registry,
         requests=factory.count("requests_total", "Requests, by service and outcome."),
+        cuts=factory.count(
+            "cut_responses_total", "Started responses not completed, by cause."
+        ),
         retries=factory.count(
             "retries_total", "Attempts beyond the first, by service."
         ),
@@ -149,6 +154,8 @@
         return
     labels = {"service": state.service}
     metrics.requests.inc({**labels, "outcome": kind})
+    if state.cut_cause is not None:
+        metrics.cuts.inc({**labels, "cause": state.cut_cause.value})
     if state.attempts > 1:
         metrics.retries.add(labels, state.attempts - 1)
     if state.repaths:
--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -22,6 +22,7 @@
 from fulmarward_router.exchange._path_finder import PathFinder
 from fulmarward_router.exchange._pipe_limiter import PipeLimiter
 from fulmarward_router.exchange._request_state import (
+    CutCause,
     RejectedRequest,
     RequestState,
     Shortage,
@@ -128,7 +129,7 @@
         finally:
             queue.remove(request)
         if state.has_begun:
-            raise TruncatedResponse(cause="no path to resume on")
+            raise TruncatedResponse(CutCause.NO_PATH)
         if shortage is Shortage.LIMIT:
             # A permit goes to whoever asks first, so that waiting here gains nothing.
             raise RejectedRequest(
--- a/packages/router/fulmarward_router/exchange/_attempt.py
+++ b/packages/router/fulmarward_router/exchange/_attempt.py
@@ -23,6 +23,16 @@
     EVENTS = "events"
 
 
+class EndedBy(Enum):
+    """Who ended an attempt that failed."""
+
+    #: The first target: it refused, or closed the connection.
+    TARGET = "target"
+    #: This instance, which took the target or its path for lost.
+    INSTANCE = "instance"
+    DEADLINE = "deadline"
+
+
 class Attempt:
     """One attempt at a stream, with the resources that it holds."""
 
@@ -98,6 +108,7 @@
         is_not_sent: bool = False,
         has_retry: bool = False,
         is_broken_off: bool = False,
+        ended_by: EndedBy = EndedBy.TARGET,
     ) -> None:
         super().__init__(cause)
         self.cause = cause
@@ -109,6 +120,7 @@
         #: Whether the first target closed the connection before its response was
         #: complete.
         self.is_broken_off = is_broken_off
+        self.ended_by = ended_by
 
 
 def describe_path(path: tuple[Hop, ...]) -> str:
--- a/packages/router/fulmarward_router/exchange/_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/_caller_handler.py
@@ -22,6 +22,7 @@
 from fulmarward_router.exchange._engines import EngineService
 from fulmarward_router.exchange._plain import PlainService
 from fulmarward_router.exchange._request_state import (
+    CutCause,
     RejectedRequest,
     RequestState,
     TruncatedResponse,
@@ -154,13 +155,16 @@
             outcome = rejection.code.name.lower()
             return self._make_error_response(request, state, rejection)
         except TruncatedResponse as truncated:
-            outcome = f"cut: {truncated.cause}"
+            outcome = f"cut: {truncated.describe()}"
+            state.cut_cause = truncated.cause
             return _close_connection(request)
         except (ConnectionError, asyncio.CancelledError):
             outcome = "caller left"
             raise
         except Exception as error:
             outcome = f"error: {error!r}"
+            if state is not None and state.has_begun:
+                state.cut_cause = CutCause.INTERNAL_ERROR
             log_event(
                 "internal_error_caught", exc_info=error, request=_get_request_id(state)
             )
@@ -345,6 +349,7 @@
             "request_ended",
             request=state.facts.request_id,
             outcome=outcome,
+            cut_cause=None if state.cut_cause is None else state.cut_cause.value,
             route=state.route.name,
             service=state.service,
             team=None if state.team is None else state.team.name,
--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -16,7 +16,11 @@
 from fulmarward_core.quotas import UNSTARTED_SHARE, RetryBudget
 from fulmarward_core.results import ResultCode
 from fulmarward_core.suspicion import SuspicionTable
-from fulmarward_router.exchange._request_state import RejectedRequest, RequestState
+from fulmarward_router.exchange._request_state import (
+    CutCause,
+    RejectedRequest,
+    RequestState,
+)
 from fulmarward_router.exchange._send import TargetClient
 from fulmarward_router.ports import AnswerFacts, TargetCall, TargetDialect
 from fulmarward_router.state import LeavingTargets, PoisonKnowledge, TargetLimits
@@ -219,6 +223,14 @@
             has_begun=state.has_begun,
         )
 
+    def find_cut_cause(self, state: RequestState) -> CutCause:
+        """Return why a started response without a retry cannot be resumed."""
+        now = self.read_clock()
+        if now >= state.deadline:
+            return CutCause.DEADLINE
+        is_allowed = may_retry(state.make_tally(), now=now)
+        return CutCause.NO_RETRY if is_allowed else CutCause.NO_RUN
+
     def make_rejection(
         self, state: RequestState, *, cause: str, retry_after_s: float
     ) -> RejectedRequest:
--- a/packages/router/fulmarward_router/exchange/_crash_monitor.py
+++ b/packages/router/fulmarward_router/exchange/_crash_monitor.py
@@ -19,6 +19,7 @@
 from fulmarward_router.exchange._context import ServiceContext
 from fulmarward_router.exchange._failure_detector import FailureDetector
 from fulmarward_router.exchange._request_state import (
+    CutCause,
     RejectedRequest,
     RequestState,
     TruncatedResponse,
@@ -112,7 +113,7 @@
             attempts=state.attempts,
         )
         if state.has_begun:
-            raise TruncatedResponse(cause=cause)
+            raise TruncatedResponse(CutCause.CRASHES_TARGETS, detail=cause)
         raise self._make_rejection(state, finding, cause)
 
     def _list_known_patterns(self, state: RequestState) -> list[str]:
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -17,7 +17,12 @@
     AdmissionQueue,
     compute_resume_end,
 )
-from fulmarward_router.exchange._attempt import Attempt, AttemptFailed, describe_path
+from fulmarward_router.exchange._attempt import (
+    Attempt,
+    AttemptFailed,
+    EndedBy,
+    describe_path,
+)
 from fulmarward_router.exchange._context import ServiceContext
 from fulmarward_router.exchange._crash_monitor import CrashMonitor
 from fulmarward_router.exchange._events import EventSplitter
@@ -247,7 +252,9 @@
             until = compute_resume_end(state)
             if await self._context.await_retry(state, until=until):
                 return
-            raise TruncatedResponse(cause=failure.cause)
+            raise TruncatedResponse(
+                self._context.find_cut_cause(state), detail=failure.cause
+            )
         if self._context.take_retry(state, part=UNSTARTED_SHARE):
             return
         engine = state.configuration.services[state.service].engine
@@ -266,7 +273,9 @@
         """
         self.supervisor.add(attempt)
         now = self._read_clock()
-        failure = AttemptFailed(cause="deadline", is_not_run=False)
+        failure = AttemptFailed(
+            cause="deadline", is_not_run=False, ended_by=EndedBy.DEADLINE
+        )
         loop = asyncio.get_running_loop()
         attempt.deadline_timer = loop.call_later(
             state.deadline - now, attempt.abort, failure
@@ -429,6 +438,7 @@
             target=attempt.first.target,
             outcome="not run" if failure.is_not_run else "may have run",
             cause=failure.cause,
+            ended_by=failure.ended_by.value,
             attempt=state.attempts,
             last_event=state.last_event,
             progress=attempt.progress.value,
--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -14,7 +14,12 @@
     find_stalled_targets,
 )
 from fulmarward_router.exchange._admission import compute_resume_end
-from fulmarward_router.exchange._attempt import Attempt, AttemptFailed, describe_path
+from fulmarward_router.exchange._attempt import (
+    Attempt,
+    AttemptFailed,
+    EndedBy,
+    describe_path,
+)
 from fulmarward_router.exchange._context import ServiceContext
 from fulmarward_router.exchange._failure_detector import FailureDetector
 from fulmarward_router.exchange._path_finder import PathFinder
@@ -284,7 +289,9 @@
             error = task.exception()
             if not isinstance(error, AttemptFailed):
                 log_event("internal_error_caught", exc_info=error, request=None)
-                error = AttemptFailed(cause=repr(error), is_not_run=False)
+                error = AttemptFailed(
+                    cause=repr(error), is_not_run=False, ended_by=EndedBy.INSTANCE
+                )
             attempt.abort(error)
 
         attempt.check_task = asyncio.create_task(task)
@@ -369,11 +376,20 @@
         """
         state = attempt.state
         if not state.has_begun:
-            raise AttemptFailed(cause=cause, is_not_run=False)
+            raise AttemptFailed(
+                cause=cause, is_not_run=False, ended_by=EndedBy.INSTANCE
+            )
         if self._context.take_retry_early(state):
-            raise AttemptFailed(cause=cause, is_not_run=False, has_retry=True)
+            raise AttemptFailed(
+                cause=cause,
+                is_not_run=False,
+                has_retry=True,
+                ended_by=EndedBy.INSTANCE,
+            )
         if self._read_clock() >= compute_resume_end(state):
-            raise AttemptFailed(cause=cause, is_not_run=False)
+            raise AttemptFailed(
+                cause=cause, is_not_run=False, ended_by=EndedBy.INSTANCE
+            )
 
     async def _reroute(
         self, attempt: Attempt, avoided_hops: list[Hop], *, is_required: bool = True
@@ -409,6 +425,7 @@
                 cause="the way around a lost target crosses",
                 is_not_run=False,
                 has_retry=True,
+                ended_by=EndedBy.INSTANCE,
             )
         ordered_at = self._read_clock()
         result = await self._dialect.order_path(record, state.facts.request_id, path)
--- a/packages/router/fulmarward_router/exchange/_relay.py
+++ b/packages/router/fulmarward_router/exchange/_relay.py
@@ -23,6 +23,7 @@
 from fulmarward_router.exchange._events import EventSplitter
 from fulmarward_router.exchange._forwarding import StreamForwarder
 from fulmarward_router.exchange._request_state import (
+    CutCause,
     RejectedRequest,
     RequestState,
     TruncatedResponse,
@@ -207,7 +208,7 @@
     ) -> RejectedRequest | TruncatedResponse:
         """Return the exception that ends a request that no peer has served."""
         if state.has_begun:
-            return TruncatedResponse(cause=cause)
+            return TruncatedResponse(CutCause.NO_PEER, detail=cause)
         if state.runs > 0:
             return self._context.make_rejection(
                 state, cause=cause, retry_after_s=UNREACHED_RETRY_S
--- a/packages/router/fulmarward_router/exchange/_request_state.py
+++ b/packages/router/fulmarward_router/exchange/_request_state.py
@@ -14,6 +14,20 @@
 from fulmarward_router.ports import CallerFacts
 
 
+class CutCause(Enum):
+    """Why a response that has started is not completed."""
+
+    #: The route allows no further attempt or run.
+    NO_RUN = "no run left"
+    #: The retry budget has no retry while the caller waits.
+    NO_RETRY = "no retry left"
+    NO_PATH = "no path to resume on"
+    NO_PEER = "no target answers, and no peer serves it"
+    DEADLINE = "deadline"
+    CRASHES_TARGETS = "targets crash under it"
+    INTERNAL_ERROR = "internal error"
+
+
 @dataclass(kw_only=True)
 class RequestState:
     """State of a caller's request; the fields from `attempts` on are mutable."""
@@ -52,6 +66,8 @@
     relayed_to: str = ""
     #: Whether its peers have been tried.
     is_relay_tried: bool = False
+    #: Why its started response was cut, `None` unless it was.
+    cut_cause: CutCause | None = None
 
     @property
     def has_begun(self) -> bool:
@@ -147,6 +163,12 @@
     The caller's connection is closed, so that the response is seen as incomplete.
     """
 
-    def __init__(self, *, cause: str) -> None:
-        super().__init__(cause)
+    def __init__(self, cause: CutCause, *, detail: str = "") -> None:
+        super().__init__(cause.value)
         self.cause = cause
+        #: What ended the last attempt, for the log.
+        self.detail = detail
+
+    def describe(self) -> str:
+        """Format the cause for the log."""
+        return ": ".join(filter(None, (self.cause.value, self.detail)))
