--- a/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
@@ -187,6 +187,14 @@
         )
         self.catalogue.apply_changes([row], self.version, now=now)
 
+    def remove_target(self, name):
+        self.version += 1
+        now = self.read_clock()
+        row = KnownRow(
+            name=name, version=self.version, value=None, record=None, heard_at=now
+        )
+        self.catalogue.apply_changes([row], self.version, now=now)
+
     def start_service(self, client, *, slack):
         budget = RetryBudget(ratio=0.0, slack=slack, window_s=10.0)
         context = ServiceContext(
@@ -244,7 +252,7 @@
         self.addAsyncCleanup(_cancel, task)
         return task
 
-    def serve(self, *, body=b""):
+    def serve(self, *, body=b"", most_attempts=3):
         """Start to serve a stream that has 20 s; return its task and its request."""
         route = Route(
             name="r",
@@ -256,7 +264,7 @@
             pause_s=0.1,
             priority=0,
             shares=(ServiceShare(service="pool", weight=1.0),),
-            most_attempts=3,
+            most_attempts=most_attempts,
             is_public=True,
             is_resumable=True,
         )
