Take a target for ended once another has taken its address

Callers saw streams that had begun cut, and others rejected: after a target had ended and the next one had started at its address, both stood in the catalogue until the row of the first expired. Paths led through both (rejected with 400), or through the first, where the next one rejected them with 421; each rejection used up an attempt of the stream.

Cause: rows were kept by name alone, although an address belongs to one process at a time.

A target whose address another has taken since it last wrote its row counts as ended; its streams are rerouted, as where another target answers a probe. One that writes its row again is listed again, so that a foreign row cannot hide it.

--- a/packages/core/fulmarward_core/catalogue/_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/_catalogue.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
+from fulmarward_core.catalogue._addresses import AddressTable
 from fulmarward_core.fleet import TargetRecord
 
 #: Seconds after an outage of the store within which targets write their rows again if
@@ -40,6 +41,8 @@
     record: TargetRecord | None
     #: When this version became known here, in seconds on the monotonic clock.
     heard_at: float
+    #: Name of the target that has taken its address, `None` if none has.
+    superseded_by: str | None = None
 
 
 #: Upper bound on the targets remembered as having announced that they leave.
@@ -68,6 +71,7 @@
         #: Targets that announced that they leave, by name, the oldest first. A process
         #: that leaves never stays after all, so that this ends with the next start.
         self._announced: dict[str, LeaveAnnouncement] = {}
+        self._addresses = AddressTable()
         #: Records of rows that expired during an outage of the store, with the time.
         self._expired: dict[str, tuple[TargetRecord, float]] = {}
         #: When the store was last known to be out, to this instance or a peer.
@@ -196,6 +200,7 @@
             if (row.name in self._rows or row.version > complete_to)
             and self._apply_row(row, now, changed_since)
         ]
+        changed = [*self._apply_superseded(now, changed_since), *changed]
         if changed:
             self.revision += 1
             self._drop_tombstones(now)
@@ -269,6 +274,7 @@
         known = self._rows.get(row.name)
         if known is not None and known.version >= row.version:
             return False
+        self._addresses.apply(row.name, row.record, version=row.version)
         if known is not None and _has_equal_content(known, row):
             self._rows[row.name] = row
             return False
@@ -288,17 +294,43 @@
             self._leaving_since.pop(row.name, None)
         return True
 
+    def _apply_superseded(self, now: float, changed_since: float) -> list[KnownRow]:
+        """Return rows without records for the targets that have lost their addresses.
+
+        Such a target has ended, although its row stays in the store until it expires.
+        """
+        superseded, regained = self._addresses.take_changes()
+        if superseded or regained:
+            self.revision += 1
+        for name in regained:
+            record = self._rows[name].record
+            if record is not None and not record.is_leaving:
+                self._leaving_since.pop(name, None)
+        for name in superseded:
+            self._leaving_since.setdefault(name, changed_since)
+        return [
+            replace(
+                self._rows[name], record=None, heard_at=now, superseded_by=successor
+            )
+            for name, successor in superseded.items()
+        ]
+
     def _may_return(self, now: float) -> bool:
         """Return whether a row removed now may have expired during an outage."""
         return now - self._recovered_at < RECOVERY_DURATION_S
 
     def list_targets(self, *, now: float) -> list[TargetRecord]:
         """Return the targets that may be alive, including leaving ones."""
-        records = [row.record for row in self._rows.values() if row.record is not None]
+        records = [
+            row.record
+            for row in self._rows.values()
+            if row.record is not None and not self._addresses.is_superseded(row.name)
+        ]
         for name, (record, expired_at) in list(self._expired.items()):
             if (
                 now - self._recovered_at >= RECOVERY_DURATION_S
                 or now - expired_at >= RECOVERY_DURATION_S
+                or self._addresses.is_taken(record.address)
             ):
                 del self._expired[name]
                 self.revision += 1
@@ -310,7 +342,7 @@
         """Return the target of that name, or `None` if it is not listed."""
         row = self._rows.get(name)
         if row is not None and row.record is not None:
-            return row.record
+            return None if self._addresses.is_superseded(name) else row.record
         expired = self._expired.get(name)
         return None if expired is None else expired[0]
 
@@ -346,6 +378,7 @@
         for name, row in list(self._rows.items()):
             if row.value is None and now - row.heard_at > _TOMBSTONE_DURATION_S:
                 del self._rows[name], self._changed_versions[name]
+                self._addresses.forget(name)
                 self._leaving_since.pop(name, None)
                 self._announced.pop(name, None)
 
--- a/packages/router/fulmarward_router/state/_target_changes.py
+++ b/packages/router/fulmarward_router/state/_target_changes.py
@@ -33,7 +33,9 @@
             # Peers must stop sending requests there too.
             self._notify_peers()
         for row in rows:
-            if row.record is None:
+            if row.superseded_by is not None:
+                self._handle_superseded(row)
+            elif row.record is None:
                 self._handle_removal(row)
             else:
                 self._handle_record(row)
@@ -43,6 +45,18 @@
         if self._started_ms.pop(row.name, None) is not None:
             log_event("target_removed", target=row.name, store_version=row.version)
 
+    def _handle_superseded(self, row: KnownRow) -> None:
+        """Have the streams through a target rerouted whose address is another's."""
+        self._leaving.discard(row.name)
+        self._started_ms.pop(row.name, None)
+        self._suspicions.record_failure(row.name, now=row.heard_at, reason="address")
+        log_event(
+            "target_superseded",
+            target=row.name,
+            successor=row.superseded_by,
+            store_version=row.version,
+        )
+
     def _handle_record(self, row: KnownRow) -> None:
         record = row.record
         known = self._started_ms.get(row.name)
