Log and report the era of the store

The era, since when it is known and the number of restores are in the status and the metrics. Nothing that is decided changes.

--- a/packages/router/fulmarward_router/_metrics.py
+++ b/packages/router/fulmarward_router/_metrics.py
@@ -66,6 +66,9 @@
     configuration: Gauge
     targets: Gauge
     dropped_lines: Gauge
+    #: The store's era, and how often it has risen since the start.
+    store_era: Gauge
+    store_restores: Gauge
     #: 1 while no target answers, by `service`.
     unreached: Gauge
     #: Services whose gauge has been set; it is reset when they are reached again.
@@ -137,6 +140,10 @@
         dropped_lines=factory.gauge(
             "log_lines_dropped", "Log lines dropped since the start."
         ),
+        store_era=factory.gauge("store_era", "Era of the store."),
+        store_restores=factory.gauge(
+            "store_restores", "Returns of the store from a copy since the start."
+        ),
         unreached=factory.gauge("unreached", "1 while no target answers, by service."),
         excluded_targets=factory.gauge(
             "excluded_targets", "Targets without new work, by reason."
@@ -175,6 +182,8 @@
     peer_messages: Mapping[str, int],
     version: int,
     targets: int,
+    store_era: int | None,
+    store_restores: int,
     contacts: ContactTable,
     excluded_targets: Mapping[str, int],
     poison_findings: Sequence[PoisonFinding],
@@ -193,6 +202,9 @@
     metrics.process_time.set({}, time.process_time())
     metrics.configuration.set({}, version)
     metrics.targets.set({}, targets)
+    if store_era is not None:
+        metrics.store_era.set({}, store_era)
+    metrics.store_restores.set({}, store_restores)
     metrics.dropped_lines.set({}, count_dropped_lines())
     metrics.unreached_services.update(contacts.list_unreached())
     for service in metrics.unreached_services:
--- a/packages/router/fulmarward_router/_status.py
+++ b/packages/router/fulmarward_router/_status.py
@@ -51,6 +51,9 @@
             "out_for_s": None
             if unreachable_since is None
             else round(now - unreachable_since, 3),
+            "era": instance.watch.era,
+            "era_known_for_s": _count_age(instance.watch.era_since, now),
+            "restores": instance.watch.restores,
         },
         "targets": {
             "store_version": catalogue.version,
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -545,6 +545,8 @@
                 peer_messages=self._peer_messages,
                 version=self.configuration.version,
                 targets=len(self.catalogue.list_targets(now=self._clock())),
+                store_era=self.watch.era,
+                store_restores=self.watch.restores,
                 contacts=self.contacts,
                 excluded_targets=self.suspicions.count_reasons(now=self._clock()),
                 poison_findings=self.poison.findings,
--- a/packages/router/fulmarward_router/ports.py
+++ b/packages/router/fulmarward_router/ports.py
@@ -137,6 +137,14 @@
     configuration_table: str
     targets_table: str
 
+    @property
+    def era(self) -> int | None:
+        """The store's era, `None` if it has not named one.
+
+        It rises each time that the store comes back from an older copy of its rows.
+        What it acknowledged after that copy is lost, and versions are given out again.
+        """
+
     async def read_table(self, table: str) -> RowsRead:
         """Return all rows of a table."""
 
--- a/packages/router/fulmarward_router/state/_watch.py
+++ b/packages/router/fulmarward_router/state/_watch.py
@@ -87,6 +87,11 @@
         self._has_outage: dict[str, bool] = {}
         #: Since when the store has been unreachable, `None` while it answers.
         self.unreachable_since: float | None = None
+        #: The store's era, `None` before the first, and since when it is known.
+        self.era: int | None = None
+        self.era_since = float("-inf")
+        #: How often the era has risen.
+        self.restores = 0
 
     async def follow_configuration(self) -> None:
         """Keep the configuration up to date with the store, until cancelled."""
@@ -107,7 +112,8 @@
                     wait_s = RECHECK_WAIT_S if has_changes else CONFIGURATION_WAIT_S
                     read = await self._store.follow_table(table, version, wait_s)
             except HistoryExpired:
-                log_event("history_expired", table=table, version=version)
+                self._record_era()
+                log_event("history_expired", table=table, version=version, era=self.era)
                 version = None
                 continue
             except (StoreRefused, ReplyLost) as error:
@@ -152,10 +158,12 @@
                     await self._read_all()
                 is_complete = True
             except HistoryExpired:
+                self._record_era()
                 log_event(
                     "history_expired",
                     table=self._store.targets_table,
                     version=self._catalogue.version,
+                    era=self.era,
                 )
                 is_complete = False
                 continue
@@ -196,7 +204,15 @@
         changed = self._catalogue.apply_full_read(
             rows, read.version, now=now, confirmed_at=asked_at
         )
-        log_event("targets_read", rows=len(rows), store_version=read.version)
+        self._record_era()
+        log_event(
+            "targets_read",
+            rows=len(rows),
+            store_version=read.version,
+            era=self.era,
+            changed=len(changed),
+            is_applied=self._catalogue.version == read.version,
+        )
         self._handle_target_changes(changed)
 
     async def _read_changes(self) -> None:
@@ -240,7 +256,26 @@
         if self.unreachable_since is None:
             self.unreachable_since = now
 
+    def _record_era(self) -> None:
+        """Record the era that the store's last answers have named."""
+        before, self.era = self.era, self._store.era
+        if self.era == before:
+            return
+        self.era_since = self._read_clock()
+        if before is None:
+            log_event("store_era_known", era=self.era)
+            return
+        self.restores += 1
+        log_event(
+            "store_restored",
+            era=self.era,
+            before=before,
+            configuration=self._configuration.version,
+            targets_version=self._catalogue.version,
+        )
+
     def _record_success(self, table: str) -> None:
+        self._record_era()
         if self._has_outage.get(table):
             log_event("store_regained", table=table)
         self._has_outage[table] = False
--- a/packages/router/fulmarward_router/tests/test_late_answers.py
+++ b/packages/router/fulmarward_router/tests/test_late_answers.py
@@ -27,6 +27,8 @@
 
     targets_table = "targets"
 
+    era = None
+
     def __init__(self, *, delay_s, peer):
         self._delay_s = delay_s
         self._peer = peer
--- a/packages/router/fulmarward_router/tests/test_watch.py
+++ b/packages/router/fulmarward_router/tests/test_watch.py
@@ -16,6 +16,7 @@
     """A store without changes whose answers arrive `delay_s` late."""
 
     targets_table = "targets"
+    era = None
 
     def __init__(self, peer):
         self._peer = peer
