Limit a begun stream by its runs, not by refused attempts

The limit of attempts held for them as for a request that can still be rejected, so that two resumptions refused with 421 ended them.

A begun answer is now limited by its runs, its deadline, the retry budget and the patience of its caller. Each refusal in a row doubles the pause before the next resumption, so that one stream does not take all retries.

--- a/packages/core/fulmarward_core/attempts/decisions.py
+++ b/packages/core/fulmarward_core/attempts/decisions.py
@@ -1,7 +1,8 @@
 """Whether a request may be retried, and which result its caller gets if not.
 
 Two counters decide. Attempts count every send, including those that reached no target:
-each costs a connection, so the limit of the route applies to all of them. Runs count
+each costs a connection, so the limit of the route applies to all of them. Once the
+answer has begun it cannot be rejected any more, and only runs are limited. Runs count
 the attempts that a target may have started: a request that ran twice may have had its
 effect twice.
 """
@@ -25,11 +26,14 @@
     is_idempotent: bool
     #: When the answer is due, in seconds on the monotonic clock.
     deadline: float
+    #: Whether the answer has begun.
+    has_begun: bool = False
 
 
 def may_retry(tally: RequestTally, *, now: float) -> bool:
     """Return whether the request may be retried after its last attempt ended."""
-    if now >= tally.deadline or tally.attempts > tally.most_attempts:
+    has_attempts_left = tally.has_begun or tally.attempts <= tally.most_attempts
+    if now >= tally.deadline or not has_attempts_left:
         return False
     has_runs_left = tally.is_idempotent and tally.runs < tally.most_attempts
     return tally.runs == 0 or has_runs_left
--- a/packages/core/fulmarward_core/attempts/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/attempts/tests/test_decisions.py
@@ -52,6 +52,17 @@
             ),
             ("refused by each target", _make_tally(attempts=3), False),
             ("refused after a run", _make_tally(attempts=2, runs=1), True),
+            ("refused twice after a run", _make_tally(attempts=3, runs=1), False),
+            (
+                "refused twice after a run that began the answer",
+                _make_tally(attempts=3, runs=1, has_begun=True),
+                True,
+            ),
+            (
+                "ran as often as allowed, has begun",
+                _make_tally(attempts=3, runs=2, has_begun=True),
+                False,
+            ),
         ]
         for name, tally, expected in cases:
             with self.subTest(name):
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -43,6 +43,11 @@
 #: Paths that are probed in a row for a request that has run before.
 MAX_PROBED_PATHS = 3
 
+#: Seconds before a stream whose resumption was refused is sent again, after the first
+#: refusal and at most; doubled with each.
+REFUSED_PAUSE_S = 0.02
+MAX_REFUSED_PAUSE_S = 0.3
+
 #: Factor by which a response is assumed to be longer than the caller's hint.
 HINT_MARGIN = 1.25
 
@@ -250,6 +255,7 @@
             return
         if answer is not None:
             until = compute_resume_end(state)
+            await self._space_resumptions(state, failure, until)
             if await self._context.await_retry(state, until=until):
                 return
             raise TruncatedResponse(
@@ -264,6 +270,21 @@
             retry_after_s=self._admission.find_retry_after_s(state, engine, wanted),
         )
 
+    async def _space_resumptions(
+        self, state: RequestState, failure: AttemptFailed, until: float
+    ) -> None:
+        """Wait longer after each refusal of a resumption, until `until` at most.
+
+        Guards against one stream that takes all retries while targets refuse it.
+        """
+        if not failure.is_not_run:
+            state.refused_resumes = 0
+            return
+        pause_s = REFUSED_PAUSE_S * 2**state.refused_resumes
+        left_s = max(0.0, until - self._read_clock())
+        state.refused_resumes += 1
+        await asyncio.sleep(min(pause_s, MAX_REFUSED_PAUSE_S, left_s))
+
     async def _run_attempt(
         self, state: RequestState, attempt: Attempt, answer: web.StreamResponse | None
     ) -> web.StreamResponse:
--- a/packages/router/fulmarward_router/exchange/_request_state.py
+++ b/packages/router/fulmarward_router/exchange/_request_state.py
@@ -62,6 +62,8 @@
     #: How often the stream was rerouted, and how often resumed by a new attempt.
     repaths: int = 0
     resumes: int = 0
+    #: How often in a row its resumption was refused.
+    refused_resumes: int = 0
     #: Name of the peer that the request was last relayed to, empty if to none.
     relayed_to: str = ""
     #: Whether its peers have been tried.
@@ -120,6 +122,7 @@
             most_attempts=self.route.most_attempts,
             is_idempotent=self.route.may_retry,
             deadline=self.deadline,
+            has_begun=self.has_begun,
         )
 
 
