Count runs only where a target that lives began to answer

What may have run and what the limit of the route counts are now two numbers. Statuses that promise "not run", and requests that may run once, still go by all runs that may have happened. The limit leaves out attempts without a response, and runs at targets whose process has certainly ended: removed, started again, or broken off and unreachable by a probe; once found, it holds. A silent target has not ended. A stream without a run left probes the targets that broke it off before it is cut. Two runs at one target count once, as the limit is one of targets.

The state in test_late_effects gets the new field; its checks are unchanged.

--- a/packages/core/fulmarward_core/attempts/decisions.py
+++ b/packages/core/fulmarward_core/attempts/decisions.py
@@ -4,7 +4,8 @@
 each costs a connection, so the limit of the route applies to all of them. Once the
 answer has begun it cannot be rejected any more, and only runs are limited. Runs count
 the attempts that a target may have started: a request that ran twice may have had its
-effect twice.
+effect twice. The limit of the route leaves out those of them that are `uncounted`; what
+a caller is told, and that a request with an effect runs once, does not.
 """
 
 from dataclasses import dataclass
@@ -28,6 +29,14 @@
     deadline: float
     #: Whether the answer has begun.
     has_begun: bool = False
+    #: Number of runs that the limit of the route leaves out: those that no target began
+    #: to answer, and those at targets that have ended.
+    uncounted_runs: int = 0
+
+    @property
+    def counted_runs(self) -> int:
+        """The number of runs that the limit of the route applies to."""
+        return self.runs - self.uncounted_runs
 
 
 def may_retry(tally: RequestTally, *, now: float) -> bool:
@@ -35,13 +44,14 @@
     has_attempts_left = tally.has_begun or tally.attempts <= tally.most_attempts
     if now >= tally.deadline or not has_attempts_left:
         return False
-    has_runs_left = tally.is_idempotent and tally.runs < tally.most_attempts
+    has_runs_left = tally.is_idempotent and tally.counted_runs < tally.most_attempts
     return tally.runs == 0 or has_runs_left
 
 
 def may_run_again(tally: RequestTally, *, now: float) -> bool:
     """Return whether a retry would be allowed if the current attempt is lost."""
-    has_runs_left = tally.is_idempotent and tally.runs + 1 < tally.most_attempts
+    counted_runs = tally.counted_runs + 1
+    has_runs_left = tally.is_idempotent and counted_runs < tally.most_attempts
     return has_runs_left and now < tally.deadline
 
 
--- a/packages/core/fulmarward_core/attempts/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/attempts/tests/test_decisions.py
@@ -63,6 +63,16 @@
                 _make_tally(attempts=3, runs=2, has_begun=True),
                 False,
             ),
+            (
+                "ran at a target that has ended",
+                _make_tally(attempts=2, runs=2, uncounted_runs=1),
+                True,
+            ),
+            (
+                "ran at a target that has ended, not idempotent",
+                _make_tally(runs=1, uncounted_runs=1, is_idempotent=False),
+                False,
+            ),
         ]
         for name, tally, expected in cases:
             with self.subTest(name):
@@ -101,6 +111,12 @@
             ("not run", _make_tally(), 1.0, ResultCode.TARGET_REFUSED),
             ("may have run", _make_tally(runs=1), 1.0, ResultCode.OUTCOME_UNKNOWN),
             ("too late", _make_tally(), DEADLINE, ResultCode.DEADLINE_PASSED),
+            (
+                "ran at a target that has ended",
+                _make_tally(runs=1, uncounted_runs=1),
+                1.0,
+                ResultCode.OUTCOME_UNKNOWN,
+            ),
             (
                 "too late, may have run",
                 _make_tally(runs=1),
--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -7,7 +7,12 @@
 import aiohttp
 
 from fulmarward.observability import log_event
-from fulmarward_core.attempts import choose_result_code, may_retry, may_run_again
+from fulmarward_core.attempts import (
+    RequestTally,
+    choose_result_code,
+    may_retry,
+    may_run_again,
+)
 from fulmarward_core.catalogue import TargetCatalogue
 from fulmarward_core.fleet import TargetRecord
 from fulmarward_core.isolation import ContactTable
@@ -20,6 +25,7 @@
     CutCause,
     RejectedRequest,
     RequestState,
+    Run,
 )
 from fulmarward_router.exchange._send import TargetClient
 from fulmarward_router.ports import AnswerFacts, TargetCall, TargetDialect
@@ -126,13 +132,31 @@
         if facts.is_leaving and is_of_target:
             self.leaving_targets.record_answer(sent_to, request_id=request_id)
 
+    def make_tally(self, state: RequestState) -> RequestTally:
+        """Return the attempt counts and limits of a request now."""
+        now = self.read_clock()
+        for run in state.failed_runs:
+            run.has_ended = run.has_ended or self._has_ended(run, now)
+        return state.make_tally()
+
+    def _has_ended(self, run: Run, now: float) -> bool:
+        """Return whether the process that ran a request has certainly ended.
+
+        A target that is silent may go on, so that its connection must have broken off.
+        """
+        current = self.catalogue.find_target(run.target.name)
+        if current is None or current.process_name != run.target.process_name:
+            return True
+        is_unreachable = self.suspicions.is_unreachable(run.target.name, now=now)
+        return run.is_broken_off and is_unreachable
+
     def take_retry(self, state: RequestState, *, part: float = 1.0) -> bool:
         """Consume one retry, if the route and the retry budget allow it.
 
         The request may use only a `part` of this instance's share of the budget.
         """
         now = self.read_clock()
-        is_allowed = may_retry(state.make_tally(), now=now)
+        is_allowed = may_retry(self.make_tally(state), now=now)
         is_taken = is_allowed and self._take_from_budget(state, now, part)
         self._log_retry(state, now, is_taken=is_taken, is_allowed=is_allowed)
         return is_taken
@@ -146,7 +170,7 @@
         """
         now = self.read_clock()
         part = 1.0 if state.has_begun else UNSTARTED_SHARE
-        is_allowed = may_run_again(state.make_tally(), now=now)
+        is_allowed = may_run_again(self.make_tally(state), now=now)
         is_taken = is_allowed and self._take_from_budget(state, now, part, yields=True)
         if is_taken:
             self._log_retry(state, now, is_taken=True, is_allowed=True)
@@ -172,7 +196,7 @@
         finally:
             budget.end_wait(until=until)
         now = self.read_clock()
-        is_allowed = may_retry(state.make_tally(), now=now)
+        is_allowed = may_retry(self.make_tally(state), now=now)
         self._log_retry(state, now, is_taken=is_taken, is_allowed=is_allowed)
         return is_taken
 
@@ -183,7 +207,7 @@
         is_logged = False
         while True:
             now = self.read_clock()
-            if not may_retry(state.make_tally(), now=now):
+            if not may_retry(self.make_tally(state), now=now):
                 return False
             turn = budget.poll_retry(until=until, share=self.find_share(), now=now)
             if turn.poll_at is None:
@@ -205,7 +229,7 @@
     def _log_retry(
         self, state: RequestState, now: float, *, is_taken: bool, is_allowed: bool
     ) -> None:
-        tally = state.make_tally()
+        tally = self.make_tally(state)
         share = self.find_share()
         count = self.find_budget(state.service).count(share=share, now=now)
         log_event(
@@ -214,6 +238,7 @@
             cause=None if is_taken else ("budget" if is_allowed else "route"),
             attempts=tally.attempts,
             runs=tally.runs,
+            uncounted_runs=tally.uncounted_runs,
             most_attempts=tally.most_attempts,
             left_s=round(tally.deadline - now, 3),
             used=count.used,
@@ -228,7 +253,7 @@
         now = self.read_clock()
         if now >= state.deadline:
             return CutCause.DEADLINE
-        is_allowed = may_retry(state.make_tally(), now=now)
+        is_allowed = may_retry(self.make_tally(state), now=now)
         return CutCause.NO_RETRY if is_allowed else CutCause.NO_RUN
 
     def make_rejection(
@@ -238,7 +263,7 @@
 
         It has a retry delay only if no target executed anything and time is left.
         """
-        code = choose_result_code(state.make_tally(), now=self.read_clock())
+        code = choose_result_code(self.make_tally(state), now=self.read_clock())
         has_run = code is not ResultCode.TARGET_REFUSED
         return RejectedRequest(
             code, cause=cause, retry_after_s=None if has_run else retry_after_s
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from fulmarward.observability import log_event
-from fulmarward_core.attempts import may_run_again
+from fulmarward_core.attempts import may_retry, may_run_again
 from fulmarward_core.fleet import EngineModel
 from fulmarward_core.loads import Reservation
 from fulmarward_core.paths import Hop, PathRequest, count_tokens_held
@@ -21,6 +21,7 @@
     Attempt,
     AttemptFailed,
     EndedBy,
+    Progress,
     describe_path,
 )
 from fulmarward_router.exchange._context import ServiceContext
@@ -35,6 +36,7 @@
 from fulmarward_router.exchange._request_state import (
     RejectedRequest,
     RequestState,
+    Run,
     TruncatedResponse,
 )
 from fulmarward_router.exchange._send import AnswerLost, NotSent
@@ -48,6 +50,9 @@
 REFUSED_PAUSE_S = 0.02
 MAX_REFUSED_PAUSE_S = 0.3
 
+#: Seconds to wait for the confirmation that a target has ended.
+CONFIRM_END_TIMEOUT_S = 0.4
+
 #: Factor by which a response is assumed to be longer than the caller's hint.
 HINT_MARGIN = 1.25
 
@@ -168,7 +173,7 @@
             finally:
                 # A request that waits for a retry must not hold any resources.
                 self._release(attempt)
-            state.runs += not failure.is_not_run
+            _record_run(state, attempt, failure)
             answer = state.request.get("answer")
             self._log_failure(state, attempt, failure)
             if failure.is_not_sent and self._relay.is_needed(state):
@@ -255,6 +260,7 @@
             return
         if answer is not None:
             until = compute_resume_end(state)
+            await self._confirm_ends(state)
             await self._space_resumptions(state, failure, until)
             if await self._context.await_retry(state, until=until):
                 return
@@ -270,6 +276,23 @@
             retry_after_s=self._admission.find_retry_after_s(state, engine, wanted),
         )
 
+    async def _confirm_ends(self, state: RequestState) -> None:
+        """Probe the targets that broke off a stream that has no run left.
+
+        Its runs do not count where the target has ended, which the list of targets
+        tells seconds later.
+        """
+        if may_retry(self._context.make_tally(state), now=self._read_clock()):
+            return
+        timeout_s = min(CONFIRM_END_TIMEOUT_S, state.count_left(self._read_clock()))
+        broken_off = {run.target.name for run in state.failed_runs if run.is_broken_off}
+        await asyncio.gather(
+            *(
+                self._failure_detector.probe_again(target, timeout_s=timeout_s)
+                for target in broken_off
+            )
+        )
+
     async def _space_resumptions(
         self, state: RequestState, failure: AttemptFailed, until: float
     ) -> None:
@@ -376,7 +399,7 @@
             )
             return None
         self._suspicions.record_error(attempt.first.target, now=now)
-        may_retry = may_run_again(state.make_tally(), now=now)
+        may_retry = may_run_again(self._context.make_tally(state), now=now)
         if answer is not None or may_retry or not (is_own and facts.is_signed):
             cause = f"failed, {response.status}"
             raise AttemptFailed(cause=cause, is_not_run=False)
@@ -470,6 +493,18 @@
             self._count_broken_attempt(state.service, attempt.progress.value)
 
 
+def _record_run(state: RequestState, attempt: Attempt, failure: AttemptFailed) -> None:
+    """Count a failed attempt that a target may have run."""
+    if failure.is_not_run:
+        return
+    state.runs += 1
+    if attempt.progress is Progress.NO_RESPONSE:
+        state.unanswered_runs += 1
+    elif attempt.record is not None:
+        run = Run(target=attempt.record, is_broken_off=failure.is_broken_off)
+        state.failed_runs.append(run)
+
+
 def _is_empty(attempt: Attempt) -> bool:
     """Return whether a response that only its connection ends has no event.
 
--- a/packages/router/fulmarward_router/exchange/_request_state.py
+++ b/packages/router/fulmarward_router/exchange/_request_state.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from fulmarward_core.attempts import RequestTally
+from fulmarward_core.fleet import TargetRecord
 from fulmarward_core.poison import compute_fingerprint, compute_head_fingerprint
 from fulmarward_core.results import ResultCode
 from fulmarward_core.routes import Route, RoutingConfiguration, Team
@@ -28,6 +29,17 @@
     INTERNAL_ERROR = "internal error"
 
 
+@dataclass(kw_only=True)
+class Run:
+    """A run that a target began to answer, and that failed."""
+
+    target: TargetRecord
+    #: Whether the target closed the connection.
+    is_broken_off: bool
+    #: Whether the process of the target is known to have ended.
+    has_ended: bool = False
+
+
 @dataclass(kw_only=True)
 class RequestState:
     """State of a caller's request; the fields from `attempts` on are mutable."""
@@ -49,6 +61,9 @@
     #: Attempts so far, and how many of them a target may have executed.
     attempts: int = 0
     runs: int = 0
+    #: How many of these runs no target began to answer, and others at known targets.
+    unanswered_runs: int = 0
+    failed_runs: list[Run] = field(default_factory=list)
     #: Targets of the latest attempt, for the log.
     targets: tuple[str, ...] = field(default=())
     #: When the first and the latest event were sent to the caller, in seconds on the
@@ -123,8 +138,14 @@
             is_idempotent=self.route.may_retry,
             deadline=self.deadline,
             has_begun=self.has_begun,
+            uncounted_runs=self._count_uncounted_runs(),
         )
 
+    def _count_uncounted_runs(self) -> int:
+        """Return how many runs are left out: the limit is one of targets that live."""
+        living = {r.target.process_name for r in self.failed_runs if not r.has_ended}
+        return self.unanswered_runs + len(self.failed_runs) - len(living)
+
 
 class Shortage(Enum):
     """Resource that a request waiting for a path lacks."""
--- a/packages/router/fulmarward_router/exchange/tests/test_late_effects.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_effects.py
@@ -126,6 +126,7 @@
             service="pool",
             has_begun=True,
             make_tally=lambda: tally,
+            failed_runs=(),
             facts=SimpleNamespace(request_id="a"),
             deadline=now + 20.0,
             arrived_at=now,
