Avoid and charge the target of a path that was lost

A stream whose later hop was lost avoided its first target for the rest of its time, and an error of the first was recorded when it closed the connection because of the later one. Where few targets hold the first layers, callers saw the stream cut with "no path to resume on" beside a sound first target, and two such losses excluded that target from all new work.

A failed attempt names the later hops that it was lost for; the next attempt avoids these, and may run at the same first target again. A response that was broken off is charged to the hops that are unreachable by then (the first target breaks off only after it has waited for them), and to the first if none is.

--- a/packages/router/fulmarward_router/exchange/_attempt.py
+++ b/packages/router/fulmarward_router/exchange/_attempt.py
@@ -109,6 +109,7 @@
         has_retry: bool = False,
         is_broken_off: bool = False,
         ended_by: EndedBy = EndedBy.TARGET,
+        lost: frozenset[str] = frozenset(),
     ) -> None:
         super().__init__(cause)
         self.cause = cause
@@ -121,6 +122,8 @@
         #: complete.
         self.is_broken_off = is_broken_off
         self.ended_by = ended_by
+        #: Targets behind the first that it failed for; none if it failed for the first.
+        self.lost = lost
 
 
 def describe_path(path: tuple[Hop, ...]) -> str:
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -183,10 +183,10 @@
             self._crash_monitor.check(state)
             await self._require_retry(state, wanted, failure, answer)
             if not failure.is_not_run or failure.is_not_sent:
-                # A first target that was unreachable or broke off its response is
-                # likely to fail again.
-                avoided = wanted.avoided | {attempt.first.target}
-                wanted = replace(wanted, avoided=avoided)
+                # A target that was unreachable or broke off its response is likely to
+                # fail again.
+                lost = failure.lost or {attempt.first.target}
+                wanted = replace(wanted, avoided=wanted.avoided | lost)
             if state.last_event is not None and answer is not None:
                 state.resumes += 1
 
@@ -450,10 +450,7 @@
             except (aiohttp.ClientError, OSError) as error:
                 if attempt.failure is not None:
                     raise attempt.failure from error
-                self._record_broken_response(attempt)
-                raise AttemptFailed(
-                    cause=repr(error), is_not_run=False, is_broken_off=True
-                ) from error
+                raise self._record_broken_response(attempt, repr(error)) from error
             if attempt.failure is not None:
                 raise attempt.failure
             if not data:
@@ -463,15 +460,30 @@
             attempt.events = splitter.completed
             self._crash_monitor.record_events(state, attempt)
         if splitter.pending or _is_empty(attempt):
-            self._record_broken_response(attempt)
-            raise AttemptFailed(
-                cause="ended inside an event", is_not_run=False, is_broken_off=True
-            )
+            raise self._record_broken_response(attempt, "ended inside an event")
         self._crash_monitor.record_proven(state)
 
-    def _record_broken_response(self, attempt: Attempt) -> None:
-        """Record that the first target closed the connection during its response."""
-        self._suspicions.record_error(attempt.first.target, now=self._read_clock())
+    def _record_broken_response(self, attempt: Attempt, cause: str) -> AttemptFailed:
+        """Record that the first target closed the connection during its response.
+
+        It does so, too, once a later target of its path has been silent for long. It is
+        charged to those that are unreachable, and otherwise to the first.
+        """
+        now = self._read_clock()
+        unreachable = {
+            hop.target
+            for hop in attempt.path
+            if self._suspicions.is_unreachable(hop.target, now=now)
+        }
+        is_first = not unreachable or attempt.first.target in unreachable
+        if is_first:
+            self._suspicions.record_error(attempt.first.target, now=now)
+        return AttemptFailed(
+            cause=cause,
+            is_not_run=False,
+            is_broken_off=True,
+            lost=frozenset() if is_first else frozenset(unreachable),
+        )
 
     def _log_failure(
         self, state: RequestState, attempt: Attempt, failure: AttemptFailed
@@ -483,6 +495,7 @@
             outcome="not run" if failure.is_not_run else "may have run",
             cause=failure.cause,
             ended_by=failure.ended_by.value,
+            lost=sorted(failure.lost),
             attempt=state.attempts,
             last_event=state.last_event,
             progress=attempt.progress.value,
--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -1,7 +1,7 @@
 """Reroutes open streams around unreachable targets and off leaving ones."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterable
 from dataclasses import replace
 
 from fulmarward.observability import log_event
@@ -363,32 +363,31 @@
             if is_rerouted or attempt.last_event_at > began_at:
                 return
             unreachable = self._list_unreachable(attempt) or unreachable
-        self._end_attempt(attempt, "no way around was taken")
+        self._end_attempt(attempt, "no way around was taken", unreachable)
         # The next orders may be answered; the stream may also go on by itself.
         await asyncio.sleep(NO_RETRY_PAUSE_S)
 
-    def _end_attempt(self, attempt: Attempt, cause: str) -> None:
+    def _end_attempt(
+        self, attempt: Attempt, cause: str, lost_hops: Iterable[Hop] = ()
+    ) -> None:
         """Raise `AttemptFailed`, unless the stream would be truncated by that.
 
+        The `lost_hops` are avoided by the next attempt, in place of the first target.
+
         A stream that has begun ends when it has a retry, or when its caller is about to
         disconnect. Until then it may go on: what looks like a failure may be a link
         that is saturated for a moment.
         """
         state = attempt.state
-        if not state.has_begun:
-            raise AttemptFailed(
-                cause=cause, is_not_run=False, ended_by=EndedBy.INSTANCE
-            )
-        if self._context.take_retry_early(state):
+        has_retry = state.has_begun and self._context.take_retry_early(state)
+        is_over = self._read_clock() >= compute_resume_end(state)
+        if not state.has_begun or has_retry or is_over:
             raise AttemptFailed(
                 cause=cause,
                 is_not_run=False,
-                has_retry=True,
+                has_retry=has_retry,
                 ended_by=EndedBy.INSTANCE,
-            )
-        if self._read_clock() >= compute_resume_end(state):
-            raise AttemptFailed(
-                cause=cause, is_not_run=False, ended_by=EndedBy.INSTANCE
+                lost=frozenset(hop.target for hop in lost_hops),
             )
 
     async def _reroute(
@@ -410,7 +409,7 @@
         ):
             return False
         if path is None or record is None:
-            self._end_attempt(attempt, "no way around a lost target")
+            self._end_attempt(attempt, "no way around a lost target", avoided_hops)
             return False
         if (
             is_required
@@ -426,6 +425,7 @@
                 is_not_run=False,
                 has_retry=True,
                 ended_by=EndedBy.INSTANCE,
+                lost=avoided,
             )
         ordered_at = self._read_clock()
         result = await self._dialect.order_path(record, state.facts.request_id, path)
@@ -445,7 +445,8 @@
                     [hop.target for hop in path]
                 )
             elif is_required and attempt.last_event_at <= ordered_at:
-                self._end_attempt(attempt, f"no other path: {result.outcome.value}")
+                cause = f"no other path: {result.outcome.value}"
+                self._end_attempt(attempt, cause, avoided_hops)
             return False
         state.repaths += 1
         reservation = self._ledger.reserve(path, count_tokens_held(wanted))
