--- a/packages/core/fulmarward_core/quotas/tests/test_retries.py
+++ b/packages/core/fulmarward_core/quotas/tests/test_retries.py
@@ -110,6 +110,15 @@
         self.assertEqual(self.take_all(now=0.1), 4)
         self.assertEqual(self.take_all(now=0.2, part=UNSTARTED_SHARE), 0)
 
+    def test_answers_ended_early_leave_a_part_to_those_that_lost_their_target(self):
+        """Guards against a silence that uses up the retries of real losses."""
+        taken = 0
+        while self.budget.take_retry(share=1.0, now=0.0, yields=True):
+            taken += 1
+        self.assertGreaterEqual(taken, 3, "a silence may last")
+        self.assertGreaterEqual(self.take_all(now=0.1), 2)
+        self.assertFalse(self.budget.take_retry(share=1.0, now=0.2, yields=True))
+
     def test_small_share_still_allows_an_unstarted_request_one_retry(self):
         # In a large fleet a share is one or two retries, and half of one rounds down to
         # none: a request that its first target refused was rejected although other
--- a/packages/router/fulmarward_router/exchange/tests/test_late_effects.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_effects.py
@@ -4,6 +4,7 @@
 import contextlib
 import socket
 import time
+from collections import Counter
 from types import SimpleNamespace
 from unittest import mock
 
@@ -12,6 +13,7 @@
 from fulmarward_router.exchange._context import ServiceContext
 from fulmarward_router.exchange.tests.test_late_streams import (
     _FedStreamTest,
+    _Stream,
     _StreamTest,
 )
 from fulmarward_router.ports import OrderOutcome, OrderResult
@@ -100,6 +102,56 @@
         self.assertLess(take.call_count, 15)
 
 
+class SilenceAndLossTest(_StreamTest):
+    """Streams on three targets with two retries; one target is silent, one is lost."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        #: The first target of each attempt, and its response.
+        self.opened = []
+
+    async def open(self, state, call):
+        stream = _Stream()
+        self.opened.append((call.target, stream))
+        self.start(self.feed(call.target, stream))
+        return stream
+
+    async def feed(self, target, stream):
+        """Send the events of a response, and its end, unless its target is silent."""
+        for number in range(1, 100):
+            while target in self.dialect.silent:
+                await asyncio.sleep(0.02)
+            stream.events.put_nowait(b"id: %d\ndata: x\n\n" % number)
+            await asyncio.sleep(0.03)
+        stream.events.put_nowait(b"")
+
+    async def test_silence_leaves_a_retry_to_the_streams_of_a_lost_target(self):
+        """Guards against a silence that uses up the retries of real losses."""
+        for name in ("t1", "t2", "t3"):
+            self.list_target(name, f"{name}:1", (0, 2))
+        self.start_service(SimpleNamespace(open=self.open), slack=3.0)
+        served = []
+        targets = Counter()
+        while len(targets) < 2 or targets.most_common()[0][1] < 3:
+            self.assertLess(len(served), 12, "one target is never chosen")
+            served.append(self.serve())
+            await asyncio.sleep(0.06)
+            targets = Counter(target for target, _ in self.opened)
+        silent, lost = (target for target, _ in targets.most_common(2))
+        self.dialect.silent = {silent}
+        async with asyncio.timeout(2.0):
+            while len(self.opened) == len(served):
+                await asyncio.sleep(0.02)
+        await asyncio.sleep(0.3)
+        next(s for target, s in self.opened if target == lost).close()
+        await asyncio.sleep(0.3)
+        self.dialect.silent = set()
+        await asyncio.wait([task for task, _ in served], timeout=6.0)
+        outcomes = [repr(t.exception()) if t.done() else "open" for t, _ in served]
+        self.assertEqual(set(outcomes), {"None"})
+        self.assertTrue(all(r["answer"].is_complete for _, r in served))
+
+
 class RetryOrderTest(_StreamTest):
     async def test_stream_that_may_go_on_leaves_the_retry_to_one_that_cannot(self):
         """Guards against a stream that is truncated though a retry was free in time."""
--- a/packages/router/fulmarward_router/placement/tests/test_placer.py
+++ b/packages/router/fulmarward_router/placement/tests/test_placer.py
@@ -1,6 +1,5 @@
 import asyncio
 import contextlib
-import selectors
 import unittest
 from dataclasses import dataclass, replace
 
@@ -13,6 +12,7 @@
 from fulmarward_router.exchange import FailureDetector
 from fulmarward_router.placement import Placer
 from fulmarward_router.ports import OrderOutcome, OrderResult, TargetReport
+from fulmarward_router.tests._simulated_time import run_simulated
 
 #: A fleet with spare targets, and one in which neighbours must close a gap.
 _SPARE = {"a": {"large": 5, "middle": 4, "small": 6}}
@@ -21,39 +21,10 @@
 #: Maximum seconds from a report to the order: two passes and a margin.
 _TWO_PASSES_S = 0.65
 
-#: Seconds by which each timer overruns.
-_TIMER_OVERRUN_S = 0.001
-
 #: Seconds between two heartbeats of a peer, each of which repeats its reports.
 _HEARTBEAT_INTERVAL_S = 0.4
 
 
-class _SimulatedSelector(selectors.DefaultSelector):
-    """Advances a simulated clock instead of waiting."""
-
-    def __init__(self):
-        super().__init__()
-        self.now = 100.0
-
-    def select(self, timeout=None):
-        events = super().select(0)
-        if not events and timeout:
-            self.now += timeout + _TIMER_OVERRUN_S
-        return events
-
-
-def _run_simulated(work):
-    selector = _SimulatedSelector()
-
-    def make_loop():
-        loop = asyncio.SelectorEventLoop(selector)
-        loop.time = lambda: selector.now
-        return loop
-
-    with asyncio.Runner(loop_factory=make_loop) as runner:
-        return runner.run(work(lambda: selector.now))
-
-
 class _Lease:
     fencing = 7
 
@@ -198,7 +169,7 @@
         await instance.run(seconds, on_heartbeat)
         return instance
 
-    return _run_simulated(work)
+    return run_simulated(work)
 
 
 def _report_losses(*names):
