A change of the configuration makes no index of targets anew

What callers saw: after a change, choosing a path for the requests under way and the new ones took about fifteen times as long, as long as requests of two versions were open; an instance with many of them is late for everything else.

Cause: each version brought new objects for the same services, and the finder kept one index a service, compared by identity: requests of two versions in turns made it anew each time.

The finder keeps the indexes of the last four versions of a service under one revision of the catalogue, and shares an index between versions that are equal.

--- a/packages/router/fulmarward_router/exchange/_path_finder.py
+++ b/packages/router/fulmarward_router/exchange/_path_finder.py
@@ -29,6 +29,10 @@
 _NO_LOAD = TargetLoad()
 _IDLE = Occupancy(kv_reserved=0.0, running=0, first_running=0, pace=1.0)
 
+#: Versions of a service of which the targets are kept indexed. Requests under way use
+#: the version with which they began.
+_MAX_INDEXED_VERSIONS = 4
+
 
 @dataclass(frozen=True, kw_only=True)
 class _ServiceTargets:
@@ -81,7 +85,8 @@
         self._instance = instance
         #: Cached preferences by target. Never evicted: one entry per target ever seen.
         self._preferences: dict[str, float] = {}
-        self._targets_by_service: dict[str, _ServiceTargets] = {}
+        #: The targets of each service under its latest versions, the newest index last.
+        self._targets_by_service: dict[str, list[_ServiceTargets]] = {}
 
     def choose(
         self,
@@ -138,15 +143,18 @@
         # Drops rows that have expired while the store is unreachable; this may advance
         # the revision.
         records = self._catalogue.list_targets(now=now)
-        targets = self._targets_by_service.get(service)
         revision = self._catalogue.revision
-        if (
-            targets is None
-            or targets.revision != revision
-            or targets.engine is not engine
-        ):
-            targets = self._index_targets(service, engine, records, revision)
-            self._targets_by_service[service] = targets
+        indexed = self._targets_by_service.get(service, [])
+        if indexed and indexed[-1].revision != revision:
+            indexed = []
+        for targets in indexed:
+            if targets.engine is engine:
+                return targets
+        for targets in indexed:
+            if targets.engine == engine:
+                return targets
+        targets = self._index_targets(service, engine, records, revision)
+        self._targets_by_service[service] = [*indexed, targets][-_MAX_INDEXED_VERSIONS:]
         return targets
 
     def _index_targets(
