Tests: a stream that was lost by as many targets as its route allows

The route limits the number of targets, so that a stream may run again at one that has run it. test_runs_at_targets_that_live_count asked for a cut there; in its place, test_stream_runs_at_no_more_targets_than_its_route_allows asks that no third target gets it, also where the two cannot be used.

--- a/packages/core/fulmarward_core/paths/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/paths/tests/test_decisions.py
@@ -316,3 +316,13 @@
         idle = make_chain("x", "a")
         path = choose_path(ENGINE, busy + idle, _REQUEST)
         self.assertTrue(all(name.startswith("x") for name in _list_targets(path)))
+
+
+class FirstTargetTest(unittest.TestCase):
+    def test_path_begins_at_one_of_the_named_targets(self):
+        """Guards against a request that runs at more targets than its route allows."""
+        stages = [*make_chain("near", "a"), *make_chain("far", "b")]
+        request = replace(_REQUEST, first_targets=frozenset({"far0", "unknown"}))
+        self.assertEqual(_list_targets(choose_path(ENGINE, stages, request))[0], "far0")
+        stages[len(stages) // 2] = replace(stages[len(stages) // 2], is_usable=False)
+        self.assertIsNone(choose_path(ENGINE, stages, request))
--- a/packages/router/fulmarward_router/exchange/tests/test_ended_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_ended_streams.py
@@ -13,6 +13,7 @@
 from fulmarward_core.poison import MIN_PROVEN_EVENTS
 from fulmarward_core.results import ResultCode
 from fulmarward_core.routes import Route, RouteKind
+from fulmarward_core.suspicion._table import MAX_ERRORS
 from fulmarward_router.exchange import CallerHandler
 from fulmarward_router.exchange._request_state import (
     CutCause,
@@ -157,14 +158,28 @@
         await self.await_attempt(3)
         await self.check_completes(attempt=3)
 
-    async def test_runs_at_targets_that_live_count(self):
-        """Guards against more runs than the route allows."""
+    async def test_stream_without_runs_left_goes_on_where_it_has_run(self):
+        """Guards against a cut of a stream whose targets are all sound."""
+        self.begin()
+        for attempt in range(1, 6):
+            await self.await_attempt(attempt)
+            await self.send(attempt, attempt=attempt)
+            await self.lose(attempt, removed=False)
+        await self.await_attempt(6)
+        await self.check_completes(attempt=6)
+        self.assertEqual(len({call.target for call in self.calls}), 2)
+
+    async def test_stream_runs_at_no_more_targets_than_its_route_allows(self):
+        """Guards against a third target while the two that have run it live."""
         self.begin()
         for attempt in (1, 2):
             await self.await_attempt(attempt)
             await self.send(attempt, attempt=attempt)
+            for _ in range(MAX_ERRORS):
+                target = self.calls[attempt - 1].target
+                self.suspicions.record_error(target, now=self.read_clock())
             await self.lose(attempt, removed=False)
-        await self.check_cut(CutCause.NO_RUN)
+        await self.check_cut(CutCause.NO_PATH)
         self.assertEqual(len(self.calls), 2)
 
     async def test_attempt_without_a_response_is_no_run(self):
