--- a/packages/core/fulmarward_core/paths/decisions.py
+++ b/packages/core/fulmarward_core/paths/decisions.py
@@ -121,6 +121,8 @@
     first: Hop | None = None
     #: Targets that must not be used.
     avoided: frozenset[str] = frozenset()
+    #: Targets at which the path may begin, `None` if at any.
+    first_targets: frozenset[str] | None = None
     #: Whether the path may span several data centres.
     may_cross: bool = True
     #: Share of the planned KV cache that it may fill.
@@ -367,7 +369,7 @@
             cost, before = cheapest
             for stage in stages:
                 layer_ms = self._get_layer_ms(stage)
-                if layer_ms is None or is_start and stage.target in self._full_targets:
+                if layer_ms is None or is_start and not self._may_begin(stage):
                     continue
                 end = stage.layers.end
                 total = cost + HOP_COST_MS + layer_ms * (end - position)
@@ -377,6 +379,12 @@
                         total, stage=stage, position=position, before=before
                     )
 
+    def _may_begin(self, stage: Stage) -> bool:
+        """Return whether the path may begin at a stage."""
+        names = self.request.first_targets
+        is_allowed = names is None or stage.target in names
+        return is_allowed and stage.target not in self._full_targets
+
     def _choose_origin(
         self, paths: Sequence[tuple[str, _PartialPath]], centre: str, is_start: bool
     ) -> tuple[float, _PartialPath] | None:
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from fulmarward.observability import log_event
-from fulmarward_core.attempts import may_retry, may_run_again
+from fulmarward_core.attempts import may_only_rerun, may_retry, may_run_again
 from fulmarward_core.fleet import EngineModel
 from fulmarward_core.loads import Reservation
 from fulmarward_core.paths import Hop, PathRequest, count_tokens_held
@@ -187,9 +187,21 @@
                 # fail again.
                 lost = failure.lost or {attempt.first.target}
                 wanted = replace(wanted, avoided=wanted.avoided | lost)
+            wanted = self._limit_first_targets(state, wanted)
             if state.last_event is not None and answer is not None:
                 state.resumes += 1
 
+    def _limit_first_targets(
+        self, state: RequestState, wanted: PathRequest
+    ) -> PathRequest:
+        """Have a path begin where a stream has run, if it may run nowhere else."""
+        if not may_only_rerun(self._context.make_tally(state)):
+            return replace(wanted, first_targets=None)
+        reusable = state.list_reusable_targets()
+        return replace(
+            wanted, avoided=wanted.avoided - reusable, first_targets=reusable
+        )
+
     async def _reserve_path(
         self, state: RequestState, engine: EngineModel, wanted: PathRequest
     ) -> tuple[tuple[Hop, ...], Reservation]:
@@ -282,7 +294,8 @@
         Its runs do not count where the target has ended, which the list of targets
         tells seconds later.
         """
-        if may_retry(self._context.make_tally(state), now=self._read_clock()):
+        tally = self._context.make_tally(state)
+        if may_retry(tally, now=self._read_clock()) and not may_only_rerun(tally):
             return
         timeout_s = min(CONFIRM_END_TIMEOUT_S, state.count_left(self._read_clock()))
         broken_off = {run.target.name for run in state.failed_runs if run.is_broken_off}
--- a/packages/router/fulmarward_router/exchange/_request_state.py
+++ b/packages/router/fulmarward_router/exchange/_request_state.py
@@ -139,8 +139,13 @@
             deadline=self.deadline,
             has_begun=self.has_begun,
             uncounted_runs=self._count_uncounted_runs(),
+            reusable_targets=len(self.list_reusable_targets()),
         )
 
+    def list_reusable_targets(self) -> frozenset[str]:
+        """Return the targets that have run it and are not known to have ended."""
+        return frozenset(r.target.name for r in self.failed_runs if not r.has_ended)
+
     def _count_uncounted_runs(self) -> int:
         """Return how many runs are left out: the limit is one of targets that live."""
         living = {r.target.process_name for r in self.failed_runs if not r.has_ended}
--- a/packages/router/fulmarward_router/exchange/tests/test_ended_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_ended_streams.py
@@ -161,12 +161,12 @@
     async def test_stream_without_runs_left_goes_on_where_it_has_run(self):
         """Guards against a cut of a stream whose targets are all sound."""
         self.begin()
-        for attempt in range(1, 6):
+        for attempt in range(1, 4):
             await self.await_attempt(attempt)
             await self.send(attempt, attempt=attempt)
             await self.lose(attempt, removed=False)
-        await self.await_attempt(6)
-        await self.check_completes(attempt=6)
+        await self.await_attempt(4)
+        await self.check_completes(attempt=4)
         self.assertEqual(len({call.target for call in self.calls}), 2)
 
     async def test_stream_runs_at_no_more_targets_than_its_route_allows(self):
