Bound the targets that a stream may end

Since runs at targets that ended do not count, a stream that ends each of its targets after its first events would have been resumed until its deadline. Without the bound the test is not cut after its sixth target.

--- a/packages/router/fulmarward_router/exchange/_request_state.py
+++ b/packages/router/fulmarward_router/exchange/_request_state.py
@@ -14,6 +14,10 @@
 from fulmarward_core.routes import Route, RoutingConfiguration, Team
 from fulmarward_router.ports import CallerFacts
 
+#: Runs of a request, without an answer or at targets that ended, that the limit of its
+#: route leaves out. More may mean that it is the request that ends them.
+MAX_UNCOUNTED_RUNS = 4
+
 
 class CutCause(Enum):
     """Why a response that has started is not completed."""
@@ -148,8 +152,10 @@
 
     def _count_uncounted_runs(self) -> int:
         """Return how many runs are left out: the limit is one of targets that live."""
-        living = {r.target.process_name for r in self.failed_runs if not r.has_ended}
-        return self.unanswered_runs + len(self.failed_runs) - len(living)
+        living = [r.target.process_name for r in self.failed_runs if not r.has_ended]
+        repeated = len(living) - len(set(living))
+        uncounted = self.unanswered_runs + len(self.failed_runs) - len(living)
+        return repeated + min(uncounted, MAX_UNCOUNTED_RUNS)
 
 
 class Shortage(Enum):
--- a/packages/router/fulmarward_router/exchange/tests/test_ended_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_ended_streams.py
@@ -16,6 +16,7 @@
 from fulmarward_core.suspicion._table import MAX_ERRORS
 from fulmarward_router.exchange import CallerHandler
 from fulmarward_router.exchange._request_state import (
+    MAX_UNCOUNTED_RUNS,
     CutCause,
     RejectedRequest,
     TruncatedResponse,
@@ -158,6 +159,16 @@
         await self.await_attempt(3)
         await self.check_completes(attempt=3)
 
+    async def test_stream_that_ends_its_targets_is_cut(self):
+        """Guards against a stream that is resumed until no target is left."""
+        self.begin(targets=12)
+        for attempt in range(1, 3 + MAX_UNCOUNTED_RUNS):
+            await self.await_attempt(attempt)
+            await self.send(attempt, attempt=attempt)
+            await self.lose(attempt, removed=True)
+        await self.check_cut(CutCause.NO_RUN)
+        self.assertEqual(len(self.calls), 2 + MAX_UNCOUNTED_RUNS)
+
     async def test_stream_without_runs_left_goes_on_where_it_has_run(self):
         """Guards against a cut of a stream whose targets are all sound."""
         self.begin()
