--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -144,11 +144,14 @@
 
         A target that is silent may go on, so that its connection must have broken off.
         """
-        current = self.catalogue.find_target(run.target.name)
-        if current is None or current.process_name != run.target.process_name:
-            return True
         is_unreachable = self.suspicions.is_unreachable(run.target.name, now=now)
-        return run.is_broken_off and is_unreachable
+        is_refused = run.is_broken_off and is_unreachable
+        return is_refused or self.has_process_ended(run.target)
+
+    def has_process_ended(self, target: TargetRecord) -> bool:
+        """Return whether a target was removed, or has started again, since `target`."""
+        current = self.catalogue.find_target(target.name)
+        return current is None or current.process_name != target.process_name
 
     def take_retry(self, state: RequestState, *, part: float = 1.0) -> bool:
         """Consume one retry, if the route and the retry budget allow it.
--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -13,7 +13,6 @@
     compute_joint_stall_s,
     find_stalled_targets,
 )
-from fulmarward_router.exchange._admission import compute_resume_end
 from fulmarward_router.exchange._attempt import (
     Attempt,
     AttemptFailed,
@@ -374,14 +373,17 @@
 
         The `lost_hops` are avoided by the next attempt, in place of the first target.
 
-        A stream that has begun ends when it has a retry, or when its caller is about to
-        disconnect. Until then it may go on: what looks like a failure may be a link
-        that is saturated for a moment.
+        A stream that has begun only ends when it has a retry, or when the process of
+        its first target has. Until then it may go on: what looks like a failure may be
+        a link that is saturated for a moment.
         """
         state = attempt.state
-        has_retry = state.has_begun and self._context.take_retry_early(state)
-        is_over = self._read_clock() >= compute_resume_end(state)
-        if not state.has_begun or has_retry or is_over:
+        has_ended = attempt.record is not None and self._context.has_process_ended(
+            attempt.record
+        )
+        may_go_on = state.has_begun and not has_ended
+        has_retry = may_go_on and self._context.take_retry_early(state)
+        if has_retry or not may_go_on:
             raise AttemptFailed(
                 cause=cause,
                 is_not_run=False,
--- a/packages/router/fulmarward_router/exchange/tests/test_ended_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_ended_streams.py
@@ -238,6 +238,20 @@
         await self.check_completes(attempt=1)
         self.assertEqual(len(self.calls), 1)
 
+    async def test_stream_leaves_a_silent_target_that_was_removed(self):
+        """Guards against a stream that waits for a process that has ended."""
+        self.begin(most_attempts=1)
+        await self.await_attempt(1)
+        await self.send(1, attempt=1)
+        first = self.calls[0].target
+        self.dialect.silent = {first}
+        self.suspicions.record_failure(first, now=self.read_clock())
+        await asyncio.sleep(0.3)
+        self.assertEqual(len(self.calls), 1)
+        self.remove_target(first)
+        await self.await_attempt(2)
+        await self.check_completes(attempt=2)
+
     async def test_attempt_is_not_aborted_before_there_is_a_path_to_resume_on(self):
         """Guards against a silent target that goes on, and whose stream is gone."""
         self.begin(targets=1)
