Abort a silent stream only where a path to resume on exists

A begun stream whose target was silent was aborted as soon as a retry was free, and only then a path was looked for: callers saw it cut with "no path to resume on" although its target went on. The retry was spent for nothing, too.

The attempt now goes on until there is a path without the lost targets, by the same choice as the resumption makes. A stream at an instance that reaches no target is still resumed through a peer.

--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -373,24 +373,44 @@
 
         The `lost_hops` are avoided by the next attempt, in place of the first target.
 
-        A stream that has begun only ends when it has a retry, or when the process of
-        its first target has. Until then it may go on: what looks like a failure may be
-        a link that is saturated for a moment.
+        A stream that has begun only ends when it has a retry and a path to resume on,
+        or when the process of its first target has ended. Until then it may go on: what
+        looks like a failure may be a link that is saturated for a moment.
         """
         state = attempt.state
         has_ended = attempt.record is not None and self._context.has_process_ended(
             attempt.record
         )
         may_go_on = state.has_begun and not has_ended
-        has_retry = may_go_on and self._context.take_retry_early(state)
+        lost = frozenset(hop.target for hop in lost_hops)
+        has_retry = (
+            may_go_on
+            and self._has_other_path(attempt, lost)
+            and self._context.take_retry_early(state)
+        )
         if has_retry or not may_go_on:
             raise AttemptFailed(
                 cause=cause,
                 is_not_run=False,
                 has_retry=has_retry,
                 ended_by=EndedBy.INSTANCE,
-                lost=frozenset(hop.target for hop in lost_hops),
+                lost=lost,
+            )
+
+    def _has_other_path(self, attempt: Attempt, lost: frozenset[str]) -> bool:
+        """Return whether a stream can be resumed without the targets that are lost."""
+        state = attempt.state
+        if not self._context.contacts.is_reached(state.service):
+            # It is resumed through a peer.
+            return True
+        avoided = attempt.wanted.avoided | (lost or {attempt.first.target})
+        wanted = replace(attempt.wanted, avoided=avoided)
+        return any(
+            self._finder.choose(
+                state.service, attempt.engine, wanted, may_use_reported=is_last
             )
+            for is_last in (False, True)
+        )
 
     async def _reroute(
         self, attempt: Attempt, avoided_hops: list[Hop], *, is_required: bool = True
