Take a target that broke off for ended only if it refuses connections

A target that broke off a stream and did not answer a probe just after counted as ended, so that its run did not. The stream could have run on more targets than its route allows.

A stream without a run left now also tries to connect to these targets. The run is left out if the connection is refused and the probe, beside controls, has no answer: an instance that is cut off is refused by sound targets, too.

The test of a target that broke off is replaced by a stricter one: its address refuses connections; one that is silent at an open port counts.

--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -25,7 +25,6 @@
     CutCause,
     RejectedRequest,
     RequestState,
-    Run,
 )
 from fulmarward_router.exchange._send import TargetClient
 from fulmarward_router.ports import AnswerFacts, TargetCall, TargetDialect
@@ -134,20 +133,10 @@
 
     def make_tally(self, state: RequestState) -> RequestTally:
         """Return the attempt counts and limits of a request now."""
-        now = self.read_clock()
         for run in state.failed_runs:
-            run.has_ended = run.has_ended or self._has_ended(run, now)
+            run.has_ended = run.has_ended or self.has_process_ended(run.target)
         return state.make_tally()
 
-    def _has_ended(self, run: Run, now: float) -> bool:
-        """Return whether the process that ran a request has certainly ended.
-
-        A target that is silent may go on, so that its connection must have broken off.
-        """
-        is_unreachable = self.suspicions.is_unreachable(run.target.name, now=now)
-        is_refused = run.is_broken_off and is_unreachable
-        return is_refused or self.has_process_ended(run.target)
-
     def has_process_ended(self, target: TargetRecord) -> bool:
         """Return whether a target was removed, or has started again, since `target`."""
         current = self.catalogue.find_target(target.name)
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -39,7 +39,11 @@
     Run,
     TruncatedResponse,
 )
-from fulmarward_router.exchange._send import AnswerLost, NotSent
+from fulmarward_router.exchange._send import (
+    AnswerLost,
+    NotSent,
+    is_connection_refused,
+)
 from fulmarward_router.ports import TargetCall
 
 #: Paths that are probed in a row for a request that has run before.
@@ -289,23 +293,32 @@
         )
 
     async def _confirm_ends(self, state: RequestState) -> None:
-        """Probe the targets that broke off a stream that has no run left.
+        """Ask the targets that broke off a stream that has no run left.
 
         Its runs do not count where the target has ended, which the list of targets
-        tells seconds later.
+        tells seconds later. A target that is only silent accepts connections or lets
+        them wait; an instance that is cut off is refused by targets that are sound.
         """
         tally = self._context.make_tally(state)
         if may_retry(tally, now=self._read_clock()) and not may_only_rerun(tally):
             return
         timeout_s = min(CONFIRM_END_TIMEOUT_S, state.count_left(self._read_clock()))
-        broken_off = {run.target.name for run in state.failed_runs if run.is_broken_off}
+        broken_off = [run for run in state.failed_runs if run.is_broken_off]
         await asyncio.gather(
-            *(
-                self._failure_detector.probe_again(target, timeout_s=timeout_s)
-                for target in broken_off
-            )
+            *(self._confirm_end(run, timeout_s=timeout_s) for run in broken_off)
         )
 
+    async def _confirm_end(self, run: Run, *, timeout_s: float) -> None:
+        """Record that a target has ended, if it refuses connections beside controls."""
+        target = run.target
+        _, is_refused = await asyncio.gather(
+            self._failure_detector.probe_again(target.name, timeout_s=timeout_s),
+            is_connection_refused(target.address, timeout_s=timeout_s),
+        )
+        now = self._read_clock()
+        is_unreachable = self._suspicions.is_unreachable(target.name, now=now)
+        run.has_ended = run.has_ended or (is_refused and is_unreachable)
+
     async def _space_resumptions(
         self, state: RequestState, failure: AttemptFailed, until: float
     ) -> None:
--- a/packages/router/fulmarward_router/exchange/_send.py
+++ b/packages/router/fulmarward_router/exchange/_send.py
@@ -220,3 +220,17 @@
             return await response.read()
         except (aiohttp.ClientError, OSError) as error:
             raise AnswerLost(repr(error)) from error
+
+
+async def is_connection_refused(address: str, *, timeout_s: float) -> bool:
+    """Return whether nothing listens at an address, as after its process has ended."""
+    host, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    return False
--- a/packages/router/fulmarward_router/exchange/tests/test_ended_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_ended_streams.py
@@ -1,6 +1,7 @@
 """Losses after which a stream that has begun must go on, and those that end it."""
 
 import asyncio
+import socket
 import time
 import unittest
 from types import SimpleNamespace
@@ -65,9 +66,11 @@
         stream.status = status
         return stream
 
-    def begin(self, *, targets=4, slack=100.0, most_attempts=2):
+    def begin(self, *, targets=4, slack=100.0, most_attempts=2, port=None):
+        """Serve a stream; its targets are on loopback addresses if `port` is given."""
         for number in range(1, targets + 1):
-            self.list_target(f"t{number}", f"h:{number}", (0, 2))
+            address = f"h:{number}" if port is None else f"127.0.0.{number}:{port}"
+            self.list_target(f"t{number}", address, (0, 2))
         self.begin_listed(slack=slack, most_attempts=most_attempts)
 
     def begin_listed(self, *, slack=100.0, most_attempts=2):
@@ -146,11 +149,9 @@
         await self.await_attempt(4)
         await self.check_completes(attempt=4)
 
-    async def test_run_at_a_target_that_refuses_probes_after_it_broke_off_is_no_run(
-        self,
-    ):
+    async def test_runs_at_targets_that_broke_off_and_refuse_do_not_count(self):
         """Guards against a row of an ended target that is removed seconds later."""
-        self.begin()
+        self.begin(port=1)
         for attempt in (1, 2):
             await self.await_attempt(attempt)
             await self.send(attempt, attempt=attempt)
@@ -159,6 +160,22 @@
         await self.await_attempt(3)
         await self.check_completes(attempt=3)
 
+    async def test_runs_at_targets_that_broke_off_and_are_silent_count(self):
+        """Guards against more runs than the route allows, beside silent targets."""
+        port = 0
+        for number in range(1, 5):
+            listener = socket.create_server((f"127.0.0.{number}", port))
+            self.addCleanup(listener.close)
+            port = listener.getsockname()[1]
+        self.begin(port=port)
+        for attempt in (1, 2):
+            await self.await_attempt(attempt)
+            await self.send(attempt, attempt=attempt)
+            self.dialect.silent.add(self.calls[attempt - 1].target)
+            await self.lose(attempt, removed=False)
+        await self.check_cut(CutCause.NO_PATH)
+        self.assertEqual(len(self.calls), 2)
+
     async def test_stream_that_ends_its_targets_is_cut(self):
         """Guards against a stream that is resumed until no target is left."""
         self.begin(targets=12)
