Targets that are lost at once stay excluded

What callers saw: after four targets were lost at the same time, requests went to them again every two seconds, each instance trying anew, until the store listed them as gone.

Cause: lost targets are probed again shortly before their exclusion ends. A round of three or more took no controls, as targets in question serve as controls for each other. If all of them are dead, no answer comes, the round looks like isolation of this instance, and no exclusion is extended.

Such a round repeats the probes of missing targets and takes two controls, as the repeats of a first round do.

Evidence: test_dead_targets_stay_excluded, which failed before: four dead targets, 15 s of simulated time, none usable at any moment.

--- a/packages/router/fulmarward_router/exchange/_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/_failure_detector.py
@@ -346,8 +346,12 @@
                 await self._recheck(known)
 
     async def _recheck(self, records: list[TargetRecord]) -> None:
-        """Extend the suspicion of targets that still do not answer."""
-        probe_round = await self._run_round(records, CONFIRM_TIMEOUT_S)
+        """Extend the suspicion of targets that still do not answer.
+
+        There are controls however many targets are in question: if all of them are
+        lost, they can't serve as controls for each other.
+        """
+        probe_round = await self._run_round(records, CONFIRM_TIMEOUT_S, is_repeat=True)
         verdict = evaluate_round(probe_round)
         self._apply_verdict(probe_round, verdict)
         for name in verdict.unreachable:
