A target that was silent gets new requests soon after it answers

What callers saw: a sound target that did not answer for a second was excluded for 2 s, for 4 and 8 s when it happened again, while it answered all the time; its load fell to the others, and requests were refused for lack of room.

Cause: nothing ended an exclusion observed here. The target was probed again only shortly before the end, to prolong it, and every repetition doubled it, whether the target was silent or had crashed.

How a target was found unreachable is kept: silent to a probe here, closed connections, or waited for by another target. A silent one is probed again after 0.3 s and then with pauses that grow to 1.2 s, by the instances that report it, and an answer ends its exclusion (target_regained). One that another target waits for is treated so only if it is silent here too: the link between the two may be down. Crashing targets keep the doubling.

--- a/packages/core/fulmarward_core/probing/decisions.py
+++ b/packages/core/fulmarward_core/probing/decisions.py
@@ -67,6 +67,8 @@
     is_repeat: bool = False
     #: Names of the targets that are probed for comparison only.
     controls: Collection[str] = ()
+    #: Names of the targets that refused the connection or broke it off.
+    closed: Collection[str] = ()
 
     def __post_init__(self) -> None:
         if not set(self.answers) <= set(self.probed):
--- a/packages/core/fulmarward_core/suspicion/__init__.py
+++ b/packages/core/fulmarward_core/suspicion/__init__.py
@@ -5,6 +5,7 @@
     SATURATED_DURATION_S,
     SUSPECT_DURATION_S,
     SUSPICION_REASONS,
+    FailureKind,
     Suspicion,
     SuspicionTable,
 )
@@ -14,6 +15,7 @@
     "LOW_OCCUPANCY_SHARE",
     "SUSPECT_DURATION_S",
     "SUSPICION_REASONS",
+    "FailureKind",
     "RefusalTable",
     "Suspicion",
     "SuspicionTable",
--- a/packages/core/fulmarward_core/suspicion/_table.py
+++ b/packages/core/fulmarward_core/suspicion/_table.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
+from enum import Enum
 
 from fulmarward_core.suspicion._refusals import RefusalTable
 
@@ -11,6 +12,16 @@
 SUSPECT_DURATION_S = 2.0
 MAX_SUSPECT_DURATION_S = 8.0
 
+#: Seconds before a target that did not answer is probed again, and the factor by which
+#: each further pause is longer, up to the maximum.
+FIRST_PROBE_PAUSE_S = 0.3
+_PROBE_PAUSE_GROWTH = 1.6
+MAX_PROBE_PAUSE_S = 1.2
+
+#: Seconds after an answer in which peers' reports of a target are ignored: the peers
+#: that learn of the answer no longer send them after a heartbeat interval.
+_REGAINED_HOLD_S = 0.8
+
 #: Seconds for which a target that rejected a request for lack of capacity is excluded.
 #: Some of its running requests complete in that time.
 SATURATED_DURATION_S = 0.4
@@ -41,6 +52,17 @@
 SUSPICION_REASONS = (*sorted(_DIRECT), "failing", _INDIRECT, "saturated")
 
 
+class FailureKind(Enum):
+    """How a target was found unreachable."""
+
+    #: It did not answer a probe of this instance in time.
+    SILENT = "silent"
+    #: Another target waits for it.
+    STALLED = "stalled"
+    #: It refused a connection or broke it off.
+    CLOSED = "closed"
+
+
 @dataclass(frozen=True, kw_only=True)
 class Suspicion:
     """Why and until when a target is excluded from new work."""
@@ -56,6 +78,12 @@
     #: `unreachable`, `address` (another target answers there), `saturated`, `failing`,
     #: `indirect` (reported by a peer) or `confirmed` (reported, and observed here too).
     reason: str
+    #: For a failure observed here: how, and since when the target is excluded.
+    kind: FailureKind = FailureKind.CLOSED
+    began_at: float = 0.0
+    #: When to probe the target again, and the pause before that, in seconds.
+    probe_at: float = float("inf")
+    probe_pause_s: float = FIRST_PROBE_PAUSE_S
     #: Consecutive errors.
     errors: int = 0
     #: Whether a stream through it made progress after the failure was observed, so that
@@ -68,15 +96,20 @@
 
     def __init__(self) -> None:
         self._suspicions: dict[str, Suspicion] = {}
-        #: When targets that a peer reported unreachable answered this instance's probe.
-        self._answered_at: dict[str, float] = {}
+        #: Until when peers' reports of targets that have answered are ignored.
+        self._ignored_until: dict[str, float] = {}
         #: Targets that reject work despite spare capacity.
         self.refusals = RefusalTable()
         #: Incremented when a target is newly suspected of being unreachable.
         self.revision = 0
 
     def record_failure(
-        self, target: str, *, now: float, reason: str = "unreachable"
+        self,
+        target: str,
+        *,
+        now: float,
+        reason: str = "unreachable",
+        kind: FailureKind = FailureKind.CLOSED,
     ) -> bool:
         """Record that a target did not answer.
 
@@ -85,35 +118,52 @@
         known = self._suspicions.get(target)
         if known is not None and now < known.until:
             if known.reason == _INDIRECT:
-                self._confirm(known, now)
+                self._confirm(known, kind, now)
                 return True
             if known.reason in _DIRECT:
+                is_closed = kind is FailureKind.CLOSED
                 self._suspicions[target] = replace(
-                    known, since=now, is_contradicted=False
+                    known,
+                    since=now,
+                    is_contradicted=False,
+                    kind=kind if is_closed else known.kind,
                 )
                 return False
-        lasted_s = SUSPECT_DURATION_S
-        if known is not None and now - known.until < MAX_SUSPECT_DURATION_S:
-            doubled_s = max(SUSPECT_DURATION_S, known.lasted_s * 2)
-            lasted_s = min(MAX_SUSPECT_DURATION_S, doubled_s)
         self._suspicions[target] = Suspicion(
             target=target,
-            until=now + lasted_s,
+            until=now + (lasted_s := self._find_duration_s(known, kind, now)),
             lasted_s=lasted_s,
             since=now,
             reason=reason,
+            kind=kind,
+            began_at=now,
+            probe_at=_find_first_probe(kind, now),
         )
         self.revision += 1
         return True
 
-    def _confirm(self, reported: Suspicion, now: float) -> None:
+    @staticmethod
+    def _find_duration_s(
+        known: Suspicion | None, kind: FailureKind, now: float
+    ) -> float:
+        """Return the seconds for which to exclude a target after a new failure.
+
+        They grow while it fails again and again, unless it was silent: then an answer
+        ends the exclusion, however long it is.
+        """
+        is_repeated = known is not None and now - known.until < MAX_SUSPECT_DURATION_S
+        if not is_repeated or kind is FailureKind.SILENT:
+            return SUSPECT_DURATION_S
+        return min(MAX_SUSPECT_DURATION_S, max(SUSPECT_DURATION_S, known.lasted_s * 2))
+
+    def _confirm(self, reported: Suspicion, kind: FailureKind, now: float) -> None:
         """Record that a reported failure was observed here too.
 
         The observation is not reported to peers: otherwise a failure that all instances
         observe would make each of them notify all others.
         """
         self._suspicions[reported.target] = replace(
-            reported, reason="confirmed", since=now
+            reported, reason="confirmed", since=now, kind=kind, began_at=now
         )
         self.revision += 1
 
@@ -132,8 +182,7 @@
             if is_reported and now + duration_s > known.until:
                 self._suspicions[target] = replace(known, until=now + duration_s)
             return False
-        answered_at = self._answered_at.get(target, float("-inf"))
-        if now - answered_at < SUSPECT_DURATION_S:
+        if now < self._ignored_until.get(target, float("-inf")):
             return False
         self._suspicions[target] = Suspicion(
             target=target,
@@ -157,10 +206,71 @@
         known = self._suspicions.get(target)
         if known is None or known.reason != _INDIRECT or asked_at < known.since:
             return False
-        self._answered_at[target] = asked_at
+        self._ignored_until[target] = asked_at + SUSPECT_DURATION_S
         del self._suspicions[target]
         return True
 
+    def record_regained(
+        self, target: str, *, asked_at: float, now: float
+    ) -> float | None:
+        """Record that a target found silent here answered a probe.
+
+        One whose connections were closed stays excluded, and so does one for which
+        other targets wait although it answers here.
+
+        Returns the seconds for which it was excluded, `None` if it stays as it was.
+        """
+        known = self._suspicions.get(target)
+        if known is None or known.reason != "unreachable" or asked_at < known.since:
+            return None
+        if known.kind is not FailureKind.SILENT:
+            self._suspicions[target] = replace(known, probe_at=float("inf"))
+            return None
+        self._ignored_until[target] = asked_at + _REGAINED_HOLD_S
+        del self._suspicions[target]
+        return now - known.began_at
+
+    def merge_regained(
+        self, target: str, *, answered_at: float, now: float
+    ) -> float | None:
+        """Record that a target answered a peer that had found it silent.
+
+        A failure that this instance itself reports is kept until the target answers
+        here too, which is tried at once: only the link between them may have failed.
+
+        Returns the seconds for which it was excluded, `None` if it stays as it was.
+        """
+        known = self._suspicions.get(target)
+        if known is not None and answered_at < known.since:
+            return None
+        self._ignored_until[target] = max(
+            answered_at + _REGAINED_HOLD_S,
+            self._ignored_until.get(target, float("-inf")),
+        )
+        if known is None or now >= known.until:
+            return None
+        if known.reason == "unreachable" and known.kind is not FailureKind.CLOSED:
+            self._suspicions[target] = replace(known, probe_at=now)
+        is_confirmed = known.reason == "confirmed"
+        is_ended = known.reason == _INDIRECT or (
+            is_confirmed and known.kind is not FailureKind.CLOSED
+        )
+        if not is_ended:
+            return None
+        del self._suspicions[target]
+        return now - (known.began_at if is_confirmed else known.since)
+
+    def list_due_probes(self, *, now: float) -> list[str]:
+        """Return the unreachable targets that may answer again and are to be probed.
+
+        Only targets that this instance itself found unreachable are included.
+        """
+        return [
+            name
+            for name, item in self._suspicions.items()
+            if item.reason == "unreachable" and item.probe_at <= now < item.until
+        ]
+
     def list_expiring(self, *, now: float, ahead_s: float) -> list[str]:
         """Return the unreachable targets whose suspicion ends within `ahead_s` seconds.
 
@@ -172,7 +282,9 @@
             if item.reason == "unreachable" and now < item.until <= now + ahead_s
         ]
 
-    def extend(self, target: str, *, now: float) -> None:
+    def extend(
+        self, target: str, *, now: float, kind: FailureKind = FailureKind.CLOSED
+    ) -> None:
         """Extend the exclusion of an unreachable target that still does not answer.
 
         Guards against all instances sending work to it again at the same time.
@@ -180,8 +292,16 @@
         known = self._suspicions.get(target)
         if known is not None and known.reason == "unreachable":
             until = max(known.until, now + SUSPECT_DURATION_S)
+            pause_s = min(MAX_PROBE_PAUSE_S, known.probe_pause_s * _PROBE_PAUSE_GROWTH)
+            is_silent = kind is FailureKind.SILENT
             self._suspicions[target] = replace(
-                known, until=until, since=now, is_contradicted=False
+                known,
+                until=until,
+                since=now,
+                is_contradicted=False,
+                kind=kind,
+                probe_at=now + pause_s if is_silent else float("inf"),
+                probe_pause_s=pause_s,
             )
 
     def record_saturated(self, target: str, *, now: float) -> None:
@@ -337,3 +457,9 @@
                 name for name in suspects if not self.is_indirect(name, now=now)
             ]
         return frozenset(suspects if len(suspects) <= max_suspects else ())
+
+
+def _find_first_probe(kind: FailureKind, now: float) -> float:
+    """Return when to probe a target again that was found unreachable."""
+    is_closed = kind is FailureKind.CLOSED
+    return float("inf") if is_closed else now + FIRST_PROBE_PAUSE_S
--- a/packages/core/fulmarward_core/suspicion/tests/test_table.py
+++ b/packages/core/fulmarward_core/suspicion/tests/test_table.py
@@ -1,8 +1,10 @@
 import unittest
+from itertools import pairwise
 
 from fulmarward_core.suspicion import (
     SATURATED_DURATION_S,
     SUSPECT_DURATION_S,
+    FailureKind,
     SuspicionTable,
 )
 
@@ -77,6 +79,53 @@
         self.assertFalse(table.record_answer("t", asked_at=0.1))
         self.assertTrue(table.is_unreachable("t", now=0.2))
 
+    def test_answer_ends_the_exclusion_of_a_silent_target_only(self):
+        """Guards against requests to a target that crashed or that others miss."""
+        for kind, excluded_s in [
+            (FailureKind.SILENT, 1.0),
+            (FailureKind.STALLED, None),
+            (FailureKind.CLOSED, None),
+        ]:
+            table = SuspicionTable()
+            table.record_failure("t", now=1.0, kind=kind)
+            self.assertIsNone(table.record_regained("t", asked_at=0.9, now=1.1))
+            self.assertTrue(table.is_unreachable("t", now=1.1), "asked before")
+            found = table.record_regained("t", asked_at=1.9, now=2.0)
+            with self.subTest(kind):
+                self.assertEqual(found, excluded_s)
+                self.assertEqual(table.is_unreachable("t", now=2.0), excluded_s is None)
+
+    def test_silent_target_that_closes_connections_later_has_crashed(self):
+        """Guards against requests to a target whose host ended it after a silence."""
+        table = SuspicionTable()
+        table.record_failure("t", now=0.0, kind=FailureKind.SILENT)
+        table.extend("t", now=0.5, kind=FailureKind.CLOSED)
+        self.assertEqual(table.list_due_probes(now=2.4), [])
+        self.assertIsNone(table.record_regained("t", asked_at=0.6, now=0.7))
+        self.assertTrue(table.is_unreachable("t", now=2.4))
+
+    def test_stalled_target_that_is_silent_here_too_gets_requests_after_it(self):
+        table = SuspicionTable()
+        table.record_failure("t", now=0.0, kind=FailureKind.STALLED)
+        self.assertEqual(table.list_due_probes(now=0.4), ["t"])
+        table.extend("t", now=0.6, kind=FailureKind.SILENT)
+        self.assertIsNotNone(table.record_regained("t", asked_at=1.1, now=1.2))
+
+    def test_silent_target_is_probed_with_growing_pauses(self):
+        """Guards against probes, which are priced, of a target that is dead."""
+        table, now, times = SuspicionTable(), 0.0, []
+        table.record_failure("t", now=now, kind=FailureKind.SILENT)
+        while now < 10.0:
+            now += 1 / 16
+            if table.list_due_probes(now=now):
+                times.append(now)
+                table.extend("t", now=now, kind=FailureKind.SILENT)
+        pauses = [after - before for before, after in pairwise(times)]
+        self.assertLess(times[0], 0.4)
+        self.assertEqual(pauses, sorted(pauses))
+        self.assertGreater(pauses[-1], 1.1)
+        self.assertLess(pauses[-1], SUSPECT_DURATION_S)
+
     def test_failure_is_ignored_for_a_stream_that_progressed_after_it(self):
         # Guards against slow instances that take healthy targets for unreachable.
         # Streams went on through these targets, but each that paused for 60 ms was
@@ -175,7 +224,7 @@
             if not table.is_suspect("t", now=now):
                 attempts += 1
                 table.record_saturated("t", now=now)
-            now += 0.05
+            now += 1 / 16
         self.assertLessEqual(attempts, 6)
 
     def test_success_resets_the_backoff_of_a_saturated_target(self):
--- a/packages/router/fulmarward_router/exchange/_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/_failure_detector.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
 
 from fulmarward.observability import log_event
 from fulmarward_core.catalogue import TargetCatalogue
@@ -18,7 +19,7 @@
     count_controls,
     evaluate_round,
 )
-from fulmarward_core.suspicion import SuspicionTable
+from fulmarward_core.suspicion import FailureKind, SuspicionTable
 from fulmarward_router.exchange._contact_monitor import ContactMonitor
 from fulmarward_router.exchange._pause_meter import PauseMeter
 from fulmarward_router.ports import TargetDialect, TargetReport
@@ -33,20 +34,43 @@
 #: would only add to a saturated link.
 ISOLATED_HOLD_S = 0.25
 
-#: Seconds before a suspicion expires at which the target is probed again, and seconds
-#: between two checks for such targets. The former is longer than a heartbeat, so that
-#: peers learn of the extended suspicion before theirs expires.
+#: Seconds before a suspicion expires at which the target is probed again. Longer than a
+#: heartbeat, so that peers learn of the extended suspicion before theirs expires.
 RECHECK_AHEAD_S = 0.8
+
+#: Seconds between two checks whether targets are to be probed again, without and with
+#: any that this instance found unreachable.
 RECHECK_INTERVAL_S = 0.4
+BUSY_RECHECK_INTERVAL_S = 0.1
+
+#: Share of its timeout before which a call that fails was refused or broke off.
+_CLOSED_SHARE = 0.9
+
 
+@dataclass(frozen=True, kw_only=True)
+class _CallResult:
+    """How a probe's call ended."""
 
-async def _find_first_answer(calls: Iterable[asyncio.Task]) -> float | None:
-    """Return the duration of the first answered call, `None` if none is answered."""
+    #: Seconds until the answer, `None` without one.
+    answered_s: float | None
+    #: Whether the connection was refused or broke off.
+    is_closed: bool = False
+
+
+async def _find_result(calls: Iterable[asyncio.Task]) -> _CallResult:
+    """Return the first answered call; without one, whether all were closed."""
+    results = []
     for call in asyncio.as_completed(calls):
-        took_s = await call
-        if took_s is not None:
-            return took_s
-    return None
+        result = await call
+        if result.answered_s is not None:
+            return result
+        results.append(result)
+    are_closed = all(result.is_closed for result in results)
+    return _CallResult(answered_s=None, is_closed=are_closed)
+
+
+def _ignore_regained(targets: Sequence[str], asked_at: float) -> None:
+    """Notify no peers."""
 
 
 class FailureDetector:
@@ -67,7 +91,10 @@
         read_clock: Callable[[], float],
         notify_peers: Callable[[], None],
         is_large: Callable[[], bool] = lambda: False,
+        notify_regained: Callable[[Sequence[str], float], None] = _ignore_regained,
     ) -> None:
+        #: Tells peers which targets have answered, and when they were asked.
+        self._notify_regained = notify_regained
         self._dialect = dialect
         self._catalogue = catalogue
         self._suspicions = suspicions
@@ -93,10 +120,17 @@
         #: Rotates the controls; instances start at different offsets.
         self._offset = random.randrange(1 << 16)
 
-    def record_failure(self, target: str, *, cause: str) -> None:
+    def record_failure(self, target: str, *, cause: str, kind: FailureKind) -> None:
         """Record that a target is unreachable."""
-        if self._suspicions.record_failure(target, now=self._read_clock()):
-            log_event("target_unreachable", target=target, source="own", cause=cause)
+        now = self._read_clock()
+        if self._suspicions.record_failure(target, now=now, kind=kind):
+            log_event(
+                "target_unreachable",
+                target=target,
+                source="own",
+                cause=cause,
+                kind=kind.value,
+            )
             self._notify_peers()
             self._verify_service(target)
 
@@ -134,14 +168,16 @@
             self._probed_at.pop(target, None)
         await self.probe_and_wait([target], timeout_s=timeout_s)
 
-    def record_failed_address(self, address: str, *, cause: str) -> str | None:
-        """Record that the target at an address is unreachable.
+    def record_stalled_address(self, address: str) -> str | None:
+        """Record that another target waits for the target at an address.
 
         Returns its name if it is known.
         """
         for record in self._catalogue.list_targets(now=self._read_clock()):
             if record.address == address:
-                self.record_failure(record.name, cause=cause)
+                self.record_failure(
+                    record.name, cause="stalled", kind=FailureKind.STALLED
+                )
                 return record.name
         return None
 
@@ -216,7 +252,11 @@
             )
         self._apply_verdict(probe_round, verdict)
         for target in verdict.unreachable:
-            self.record_failure(target, cause="no answer to a probe")
+            self.record_failure(
+                target,
+                cause="no answer to a probe",
+                kind=_find_kind(probe_round, target),
+            )
         self._record_answers(answered.difference(verdict.unreachable))
 
     async def _run_round(
@@ -230,20 +270,28 @@
         began_at = self._read_clock()
         meter = PauseMeter()
         try:
-            times = await asyncio.gather(
+            results = await asyncio.gather(
                 *(self._time_answer(record, timeout_s) for record in participants)
             )
         finally:
             paused_s = meter.stop()
-        pairs = zip(participants, times, strict=True)
+        by_name = {
+            record.name: result
+            for record, result in zip(participants, results, strict=True)
+        }
         probe_round = ProbeRound(
             probed=tuple(record.name for record in participants),
-            answers={r.name: took_s for r, took_s in pairs if took_s is not None},
+            answers={
+                name: result.answered_s
+                for name, result in by_name.items()
+                if result.answered_s is not None
+            },
             timeout_s=timeout_s,
             took_s=self._read_clock() - began_at,
             paused_s=paused_s,
             is_repeat=is_repeat,
             controls=frozenset(record.name for record in controls),
+            closed=frozenset(n for n, result in by_name.items() if result.is_closed),
         )
         answered = [r for r in participants if r.name in probe_round.answers]
         self.contact_monitor.record_answers(answered)
@@ -251,10 +299,8 @@
             self.contact_monitor.verify({record.service for record in participants})
         return probe_round
 
-    async def _time_answer(
-        self, record: TargetRecord, timeout_s: float
-    ) -> float | None:
-        """Return the seconds until a target answered, `None` if it did not.
+    async def _time_answer(self, record: TargetRecord, timeout_s: float) -> _CallResult:
+        """Return how soon a target answered, or how it did not.
 
         Guards against a lost packet, which delays the answer of even a healthy target
         beyond the timeout: further calls follow until one is answered.
@@ -270,16 +316,20 @@
                 )
                 if done:
                     break
-            return await _find_first_answer(calls)
+            return await _find_result(calls)
         finally:
             for call in calls:
                 call.cancel()
 
-    async def _time_call(self, record: TargetRecord, timeout_s: float) -> float | None:
-        """Return the seconds that one call took, `None` if it was not answered."""
+    async def _time_call(self, record: TargetRecord, timeout_s: float) -> _CallResult:
+        """Return how soon one call was answered, or how it was not."""
         began_at = self._read_clock()
         is_responding = await self._dialect.is_responding(record, timeout_s)
-        return self._read_clock() - began_at if is_responding else None
+        took_s = self._read_clock() - began_at
+        if is_responding:
+            return _CallResult(answered_s=took_s)
+        is_closed = took_s < timeout_s * _CLOSED_SHARE
+        return _CallResult(answered_s=None, is_closed=is_closed)
 
     def _choose_controls(self, names: set[str], count: int) -> list[TargetRecord]:
         """Choose controls for a round, none of them unreachable from this instance.
@@ -327,20 +377,51 @@
         )
 
     def _record_answers(self, targets: Iterable[str]) -> None:
-        """Record that targets answered, which overrides peers' reports."""
+        """Record that targets answered, which overrides peers' reports and silence."""
         for target in targets:
             asked_at = self._probed_at.get(target, float("-inf"))
             if self._suspicions.record_answer(target, asked_at=asked_at):
                 log_event("target_answered", target=target)
+            self._record_regained([target], asked_at)
+
+    def _record_regained(self, targets: Iterable[str], asked_at: float) -> None:
+        """Record that targets answered that may have been silent, and notify peers."""
+        regained = []
+        for target in targets:
+            excluded_s = self._suspicions.record_regained(
+                target, asked_at=asked_at, now=self._read_clock()
+            )
+            if excluded_s is not None:
+                regained.append(target)
+                log_event(
+                    "target_regained",
+                    target=target,
+                    source="own",
+                    for_s=round(excluded_s, 3),
+                )
+        if regained:
+            self._notify_regained(regained, asked_at)
 
     async def run(self) -> None:
-        """Probe unreachable targets before their suspicion expires, until cancelled."""
+        """Probe unreachable targets again, until cancelled.
+
+        Those that were silent may go on at any time. The others are probed before their
+        suspicion expires.
+        """
         while True:
-            await asyncio.sleep(RECHECK_INTERVAL_S)
-            due = self._suspicions.list_expiring(
-                now=self._read_clock(), ahead_s=RECHECK_AHEAD_S
+            is_busy = bool(
+                self._suspicions.list_direct_failures(now=self._read_clock())
             )
-            records = [self._catalogue.find_target(name) for name in due]
+            interval_s = BUSY_RECHECK_INTERVAL_S if is_busy else RECHECK_INTERVAL_S
+            await asyncio.sleep(interval_s)
+            now = self._read_clock()
+            if now - self._isolated_at < RECHECK_INTERVAL_S:
+                continue
+            due = {
+                *self._suspicions.list_due_probes(now=now),
+                *self._suspicions.list_expiring(now=now, ahead_s=RECHECK_AHEAD_S),
+            }
+            records = [self._catalogue.find_target(name) for name in sorted(due)]
             known = [record for record in records if record is not None]
             if known:
                 await self._recheck(known)
@@ -351,14 +432,22 @@
         There are controls however many targets are in question: if all of them are
         lost, they can't serve as controls for each other.
         """
+        asked_at = self._read_clock()
         probe_round = await self._run_round(records, CONFIRM_TIMEOUT_S, is_repeat=True)
         verdict = evaluate_round(probe_round)
         self._apply_verdict(probe_round, verdict)
         for name in verdict.unreachable:
             now = self._read_clock()
             if self._suspicions.is_unreachable(name, now=now):
-                self._suspicions.extend(name, now=now)
-                log_event("target_still_unreachable", target=name, source="own")
+                kind = _find_kind(probe_round, name)
+                self._suspicions.extend(name, now=now, kind=kind)
+                log_event(
+                    "target_still_unreachable",
+                    target=name,
+                    source="own",
+                    kind=kind.value,
+                )
+        self._record_regained(probe_round.answers, asked_at)
 
     async def fetch_report(self, record: TargetRecord) -> TargetReport | None:
         """Return a target's report, and record the stalled targets it names."""
@@ -380,7 +469,7 @@
         if report is None:
             return None
         for address in {stalled.address for stalled in report.stalled}:
-            self.record_failed_address(address, cause="stalled")
+            self.record_stalled_address(address)
         return report
 
     async def _evaluate_missing_report(
@@ -400,4 +489,11 @@
         verdict = evaluate_round(probe_round)
         self._apply_verdict(probe_round, verdict)
         if record.name in verdict.unreachable:
-            self.record_failure(record.name, cause="no report")
+            kind = _find_kind(probe_round, record.name)
+            self.record_failure(record.name, cause="no report", kind=kind)
+
+
+def _find_kind(probe_round: ProbeRound, target: str) -> FailureKind:
+    """Return how a target without an answer failed in a round."""
+    is_closed = target in probe_round.closed
+    return FailureKind.CLOSED if is_closed else FailureKind.SILENT
