Never write a rejection into a response that has begun

A relayed stream whose instance lost contact in its middle raised RejectedRequest("relayed"), and the caller handler wrote a 503 head between the events: the caller read "HTTP/1.1 503" as the size of a chunk. Found by reading; BegunResponseTest shows it.

The relay cuts such a stream, so that the instance that relayed it resumes it elsewhere. Other places raise a rejection only before the answer has begun, by reading; the handler no longer relies on that: it cuts a begun response whatever is raised, as an internal error with the rejection's cause.

--- a/packages/router/fulmarward_router/exchange/_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/_caller_handler.py
@@ -152,11 +152,17 @@
                 answer.force_close()
             return answer
         except RejectedRequest as rejection:
+            if state is not None and state.has_begun:
+                # No status can be sent any more.
+                truncated = TruncatedResponse(
+                    CutCause.INTERNAL_ERROR, detail=rejection.cause
+                )
+                outcome = _record_cut(state, truncated)
+                return _close_connection(request)
             outcome = rejection.code.name.lower()
             return self._make_error_response(request, state, rejection)
         except TruncatedResponse as truncated:
-            outcome = f"cut: {truncated.describe()}"
-            state.cut_cause = truncated.cause
+            outcome = _record_cut(state, truncated)
             return _close_connection(request)
         except (ConnectionError, asyncio.CancelledError):
             outcome = "caller left"
@@ -367,6 +373,12 @@
         )
 
 
+def _record_cut(state: RequestState, truncated: TruncatedResponse) -> str:
+    """Record why a started response is cut; return the outcome for the log."""
+    state.cut_cause = truncated.cause
+    return f"cut: {truncated.describe()}"
+
+
 def _close_connection(request: web.BaseRequest) -> web.StreamResponse:
     """Close the connection of a started response, so that it is seen as incomplete.
 
--- a/packages/router/fulmarward_router/exchange/_relay.py
+++ b/packages/router/fulmarward_router/exchange/_relay.py
@@ -118,6 +118,8 @@
         """
         state.is_relay_tried = True
         if state.facts.relayed_by is not None:
+            if state.has_begun:
+                raise TruncatedResponse(CutCause.NO_PEER, detail="relayed")
             # Its runs are those at other instances, so that nothing has run here.
             raise RejectedRequest(
                 ResultCode.TARGET_UNREACHABLE,
