Let no error of this program end a stream that goes on

An error in a check of an open stream aborted its attempt, and one while a loss was examined or while events were forwarded closed the caller's connection, as "internal error".

The error of a check is logged with the request's id and leaves the stream alone; the next check follows after half a second. An unexpected error in an attempt counts as an attempt that failed and may have run, so that the stream is resumed if it may. One in the examination of a loss is logged. Errors of the caller's own connection still end the request.

--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -168,7 +168,7 @@
                 parts=state.facts.shared_parts[:MAX_LOGGED_PARTS],
             )
             try:
-                answer = await self._run_attempt(state, attempt, answer)
+                answer = await self._run_guarded(state, attempt, answer)
                 if answer.prepared:
                     await answer.write_eof()
                 return answer
@@ -183,7 +183,7 @@
             if failure.is_not_sent and self._relay.is_needed(state):
                 # No target has received it, so that it takes no retry.
                 continue
-            await self._crash_monitor.examine_attempt(state, attempt, failure)
+            await self._examine(state, attempt, failure)
             self._crash_monitor.check(state)
             await self._require_retry(state, wanted, failure, answer)
             if not failure.is_not_run or failure.is_not_sent:
@@ -334,6 +334,32 @@
         state.refused_resumes += 1
         await asyncio.sleep(min(pause_s, MAX_REFUSED_PAUSE_S, left_s))
 
+    async def _examine(
+        self, state: RequestState, attempt: Attempt, failure: AttemptFailed
+    ) -> None:
+        """Examine a failed attempt; an error of that does not end the request."""
+        try:
+            await self._crash_monitor.examine_attempt(state, attempt, failure)
+        except Exception as error:
+            _log_internal_error(state, error)
+
+    async def _run_guarded(
+        self, state: RequestState, attempt: Attempt, answer: web.StreamResponse | None
+    ) -> web.StreamResponse:
+        """Run one attempt as `_run_attempt` does; any other error is a failed attempt.
+
+        A connection error is one of the caller's connection, which ends the request.
+        """
+        try:
+            return await self._run_attempt(state, attempt, answer)
+        except (AttemptFailed, RejectedRequest, TruncatedResponse, ConnectionError):
+            raise
+        except Exception as error:
+            _log_internal_error(state, error)
+            raise AttemptFailed(
+                cause=repr(error), is_not_run=False, ended_by=EndedBy.INSTANCE
+            ) from error
+
     async def _run_attempt(
         self, state: RequestState, attempt: Attempt, answer: web.StreamResponse | None
     ) -> web.StreamResponse:
@@ -532,6 +558,10 @@
             self._count_broken_attempt(state.service, attempt.progress.value)
 
 
+def _log_internal_error(state: RequestState, error: Exception) -> None:
+    log_event("internal_error_caught", exc_info=error, request=state.facts.request_id)
+
+
 def _record_run(state: RequestState, attempt: Attempt, failure: AttemptFailed) -> None:
     """Count a failed attempt that a target may have run."""
     if failure.is_not_run:
--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -57,6 +57,9 @@
 #: Seconds before a stream without a retry is checked again.
 NO_RETRY_PAUSE_S = 0.1
 
+#: Seconds before a stream is checked again after an error of a check.
+ERROR_PAUSE_S = 0.5
+
 #: Seconds without an event after which a stream is resumed through a peer if its
 #: service is unreached. Half of the time for which its caller waits for the next event.
 UNREACHED_RESUME_S = 1.0
@@ -279,19 +282,27 @@
             self._start_task(attempt, self._recover(attempt))
 
     def _start_task(self, attempt: Attempt, task: Coroutine[None, None, None]) -> None:
-        """Start the attempt's only check or reroute task; its failure aborts it."""
+        """Start the attempt's only check or reroute task.
 
-        def handle_end(task: asyncio.Task) -> None:
+        `AttemptFailed` aborts the attempt; any other error leaves it alone.
+        """
+
+        def allow_next() -> None:
             attempt.check_task = None
-            if task.cancelled() or task.exception() is None:
+
+        def handle_end(task: asyncio.Task) -> None:
+            error = None if task.cancelled() else task.exception()
+            if error is None or isinstance(error, AttemptFailed):
+                allow_next()
+                if error is not None:
+                    attempt.abort(error)
                 return
-            error = task.exception()
-            if not isinstance(error, AttemptFailed):
-                log_event("internal_error_caught", exc_info=error, request=None)
-                error = AttemptFailed(
-                    cause=repr(error), is_not_run=False, ended_by=EndedBy.INSTANCE
-                )
-            attempt.abort(error)
+            log_event(
+                "internal_error_caught",
+                exc_info=error,
+                request=attempt.state.facts.request_id,
+            )
+            asyncio.get_running_loop().call_later(ERROR_PAUSE_S, allow_next)
 
         attempt.check_task = asyncio.create_task(task)
         attempt.check_task.add_done_callback(handle_end)
