Cut no begun stream for a suspension that ends while its caller waits

A begun stream that lost its target was cut if a part of its prompt was suspended, also by crashes under other requests and also if a target had long written it.

A stream of which a target has written MIN_PROVEN_EVENTS is not the cause of any crash: neither a suspended nor a blocked pattern ends it. Any other begun stream waits for the end of a suspension while its caller waits; a blocked pattern ends it at once, as before. Whether a request is sent before its answer has begun is decided as before.

--- a/packages/router/fulmarward_router/exchange/_crash_monitor.py
+++ b/packages/router/fulmarward_router/exchange/_crash_monitor.py
@@ -94,9 +94,7 @@
         Raises `RejectedRequest` if it crashes targets, or `TruncatedResponse` if the
         response has started.
         """
-        finding = self._poison.find_rejection(
-            self._list_known_patterns(state), team=state.team_name
-        )
+        finding = self._find_rejection(state)
         if finding is None:
             return
         is_request = _names_requests(finding.patterns)
@@ -116,6 +114,30 @@
             raise TruncatedResponse(CutCause.CRASHES_TARGETS, detail=cause)
         raise self._make_rejection(state, finding, cause)
 
+    async def await_clearance(self, state: RequestState, *, until: float) -> None:
+        """Check a request as `check` does, once it is not suspended any more.
+
+        A started response waits until `until` at most: it cannot be sent again later.
+        """
+        while state.has_begun:
+            finding, now = self._find_rejection(state), self._read_clock()
+            if finding is None or finding.verdict is Verdict.BLOCKED or now >= until:
+                break
+            left_s = finding.last_crash_at + SUSPENSION_S - now
+            await asyncio.sleep(min(max(MIN_RETRY_S, left_s), until - now))
+        self.check(state)
+
+    def _find_rejection(self, state: RequestState) -> PoisonFinding | None:
+        """Return why a request is rejected, `None` if it is not.
+
+        A response that is proven to crash no target is not the cause of any crash.
+        """
+        if state.is_proven:
+            return None
+        return self._poison.find_rejection(
+            self._list_known_patterns(state), team=state.team_name
+        )
+
     def _list_known_patterns(self, state: RequestState) -> list[str]:
         """Return the patterns of a request that may have records.
 
@@ -148,7 +170,7 @@
     def record_events(self, state: RequestState, attempt: Attempt) -> None:
         """Record how many events of an attempt have arrived."""
         if not attempt.is_proven and attempt.events >= MIN_PROVEN_EVENTS:
-            attempt.is_proven = True
+            attempt.is_proven = state.is_proven = True
             self.record_proven(state)
 
     def record_proven(self, state: RequestState) -> None:
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -140,9 +140,13 @@
             try:
                 # It may have waited, for capacity or for a retry.
                 self._crash_monitor.check(state)
-            except (RejectedRequest, TruncatedResponse):
+            except RejectedRequest:
                 self._ledger.release(reservation)
                 raise
+            except TruncatedResponse:
+                self._ledger.release(reservation)
+                await self._await_clearance(state)
+                continue
             attempt = Attempt(
                 state=state,
                 engine=engine,
@@ -184,7 +188,7 @@
                 # No target has received it, so that it takes no retry.
                 continue
             await self._examine(state, attempt, failure)
-            self._crash_monitor.check(state)
+            await self._await_clearance(state)
             await self._require_retry(state, wanted, failure, answer)
             if not failure.is_not_run or failure.is_not_sent:
                 # A target that was unreachable or broke off its response is likely to
@@ -334,6 +338,11 @@
         state.refused_resumes += 1
         await asyncio.sleep(min(pause_s, MAX_REFUSED_PAUSE_S, left_s))
 
+    async def _await_clearance(self, state: RequestState) -> None:
+        """Check whether the request crashes targets, while its caller waits."""
+        until = compute_resume_end(state)
+        await self._crash_monitor.await_clearance(state, until=until)
+
     async def _examine(
         self, state: RequestState, attempt: Attempt, failure: AttemptFailed
     ) -> None:
--- a/packages/router/fulmarward_router/exchange/_request_state.py
+++ b/packages/router/fulmarward_router/exchange/_request_state.py
@@ -87,6 +87,8 @@
     relayed_to: str = ""
     #: Whether its peers have been tried.
     is_relay_tried: bool = False
+    #: Whether a target has written so much of the response that it crashes none.
+    is_proven: bool = False
     #: Why its started response was cut, `None` unless it was.
     cut_cause: CutCause | None = None
 
