Resume a stream at a target that it was lost at if there is no other

A stream avoids the targets that it was lost at for the rest of its time. Where no other path is left it was cut with "no path to resume on", although the target that had broken it off, or had been silent, served other requests (OnlyTargetTest, which failed before).

Such a path is tried last; it is probed before it is used, as every path of a request that has run.

--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -223,6 +223,12 @@
             path = self._finder.choose(
                 state.service, engine, wanted, may_use_reported=True
             )
+        if path is None and state.has_begun and wanted.avoided:
+            # A target that it was lost at may go on; it is probed, too.
+            again = replace(wanted, avoided=frozenset())
+            path = self._finder.choose(
+                state.service, engine, again, may_use_reported=True
+            )
         if path is None and self._limits.list_throttled():
             limited = self._finder.choose(
                 state.service, engine, wanted, ignores_limits=True
--- a/packages/router/fulmarward_router/exchange/tests/test_ended_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_ended_streams.py
@@ -243,6 +243,17 @@
         await self.check_completes(attempt=2)
 
 
+class OnlyTargetTest(_EndedStreamTest):
+    async def test_stream_resumes_at_the_only_target_that_broke_it_off(self):
+        """Guards against a stream without a path beside a target that lives."""
+        self.begin(targets=1)
+        await self.await_attempt(1)
+        await self.send(1, attempt=1)
+        await self.lose(1, removed=False)
+        await self.await_attempt(2)
+        await self.check_completes(attempt=2)
+
+
 class SilentTargetTest(_EndedStreamTest):
     async def test_silence_does_not_end_a_stream_without_a_retry(self):
         """Guards against an instance that ends a stream before its caller does."""
