Let a begun stream wait for a retry or a path as long as its caller

A begun stream that had lost its target was cut 1.7 s after its last event, also on routes whose callers wait longer: four times the objective or eight times the pause of the route, if that is more than 2 s (PROTOCOL.md). It now waits until 0.3 s before its caller leaves. For routes with an objective of up to 0.5 s and a pause of up to 0.25 s that is 1.7 s, as before.

--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -38,9 +38,14 @@
 #: instances restart or the store returns, targets have to write their rows again.
 INCOMPLETE_TIMEOUT_S = 1.6
 
-#: Seconds after its last event for which a started stream waits for a retry and a path
-#: to resume on; its caller disconnects after 2 s without an event.
-RESUME_TIMEOUT_S = 1.7
+#: Callers disconnect after the longest of these without an event: some seconds, some
+#: times the objective of the first event, and some times that of the pause.
+CALLER_TIMEOUT_S = 2.0
+CALLER_TIMEOUT_OBJECTIVES = 4
+CALLER_TIMEOUT_PAUSES = 8
+
+#: Seconds before that at which a started stream stops waiting for a retry or a path.
+RESUME_MARGIN_S = 0.3
 
 #: Seconds between two searches for a path by a waiting request.
 POLL_INTERVAL_S = 0.04
@@ -70,11 +75,19 @@
 
 
 def compute_resume_end(state: RequestState) -> float:
-    """Return until when a started stream may wait before it resumes."""
+    """Return until when a started stream may wait before it resumes.
+
+    Its caller is about to disconnect then.
+    """
     last_active_at = (
         state.arrived_at if state.last_write_at is None else state.last_write_at
     )
-    return min(state.deadline, last_active_at + RESUME_TIMEOUT_S)
+    timeout_s = max(
+        CALLER_TIMEOUT_S,
+        CALLER_TIMEOUT_OBJECTIVES * state.route.objective_s,
+        CALLER_TIMEOUT_PAUSES * state.route.pause_s,
+    )
+    return min(state.deadline, last_active_at + timeout_s - RESUME_MARGIN_S)
 
 
 class AdmissionQueue:
--- a/packages/router/fulmarward_router/exchange/tests/test_ended_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_ended_streams.py
@@ -16,6 +16,7 @@
 from fulmarward_core.routes import Route, RouteKind
 from fulmarward_core.suspicion._table import MAX_ERRORS
 from fulmarward_router.exchange import CallerHandler
+from fulmarward_router.exchange._admission import compute_resume_end
 from fulmarward_router.exchange._request_state import (
     MAX_UNCOUNTED_RUNS,
     CutCause,
@@ -243,6 +244,25 @@
         await self.check_completes(attempt=2)
 
 
+class CallerTimeoutTest(unittest.TestCase):
+    def test_stream_waits_as_long_as_its_caller(self):
+        """Guards against a stream that is cut while its caller waits for it."""
+        cases = [
+            # objective, pause, seconds left, how long the stream waits
+            (0.5, 0.2, 20.0, 1.7),
+            (1.0, 0.2, 20.0, 3.7),
+            (0.5, 0.5, 20.0, 3.7),
+            (1.0, 0.2, 2.0, 2.0),
+        ]
+        for objective_s, pause_s, left_s, expected_s in cases:
+            with self.subTest(objective_s=objective_s, pause_s=pause_s, left_s=left_s):
+                route = SimpleNamespace(objective_s=objective_s, pause_s=pause_s)
+                state = SimpleNamespace(
+                    deadline=left_s, last_write_at=0.0, arrived_at=0.0, route=route
+                )
+                self.assertAlmostEqual(compute_resume_end(state), expected_s)
+
+
 class OnlyTargetTest(_EndedStreamTest):
     async def test_stream_resumes_at_the_only_target_that_broke_it_off(self):
         """Guards against a stream without a path beside a target that lives."""
