Silence of a target leaves retries to streams that lost theirs

What callers saw: while one target was silent for a moment, its streams were ended early and resumed elsewhere until no retry was left; a stream whose target broke off meanwhile was cut in the middle of its answer.

Cause: a stream ended early may take any retry of the budget but those of started answers that wait already. A loss a moment later finds none.

Streams whose target may still go on use three quarters of the budget and leave at least one whole retry. Beyond that they wait, as without a retry: they go on with their target, or take a retry as lost ones when their caller can wait no longer.

--- a/packages/core/fulmarward_core/quotas/_retries.py
+++ b/packages/core/fulmarward_core/quotas/_retries.py
@@ -16,6 +16,10 @@
 #: Those can still be rejected cleanly, whereas a started answer would be truncated.
 UNSTARTED_SHARE = 0.5
 
+#: Part of the usable budget that is open to started answers whose target may still go
+#: on; in addition they leave a whole retry. The rest is for those that lost theirs.
+EARLY_SHARE = 0.75
+
 #: Bounds on the interval at which a started answer polls for a retry, in seconds. Each
 #: request of a caller adds to the budget, so a retry may become available early.
 MIN_POLL_INTERVAL_S = 0.02
@@ -71,15 +75,23 @@
         """Take one retry if it fits in `part` of this instance's budget.
 
         `share` is the share of this instance in the fixed budget of all instances. One
-        that `yields` leaves a retry for each started answer that waits.
+        that `yields` has a target that may still go on: it leaves a part of the budget
+        to those that lost theirs, and a retry for each started answer that waits.
         Return whether a retry was taken.
         """
         spared = len(self._waiting) if yields else 0
+        if yields and not self._has_early_retry(share=share, now=now):
+            return False
         if not self.has_retry(share=share, now=now, part=part, spared=spared):
             return False
         self._retries.append(now)
         return True
 
+    def _has_early_retry(self, *, share: float, now: float) -> bool:
+        """Return whether a retry is available beside those kept for real losses."""
+        usage = self.count(share=share, now=now)
+        return usage.used + 1 <= min(usage.allowed * EARLY_SHARE, usage.allowed - 1)
+
     def has_retry(
         self, *, share: float, now: float, part: float = 1.0, spared: int = 0
     ) -> bool:
--- a/packages/router/fulmarward_router/exchange/tests/test_late_effects.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_effects.py
@@ -125,6 +125,13 @@
             await asyncio.sleep(0.03)
         stream.events.put_nowait(b"")
 
+    async def await_attempts(self, count, *, within_s):
+        """Wait until that many attempts were begun, for a limited time."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(within_s):
+                while len(self.opened) < count:
+                    await asyncio.sleep(0.01)
+
     async def test_silence_leaves_a_retry_to_the_streams_of_a_lost_target(self):
         """Guards against a silence that uses up the retries of real losses."""
         for name in ("t1", "t2", "t3"):
@@ -139,12 +146,11 @@
             targets = Counter(target for target, _ in self.opened)
         silent, lost = (target for target, _ in targets.most_common(2))
         self.dialect.silent = {silent}
-        async with asyncio.timeout(2.0):
-            while len(self.opened) == len(served):
-                await asyncio.sleep(0.02)
-        await asyncio.sleep(0.3)
+        await self.await_attempts(len(served) + 1, within_s=2.0)
+        # The other streams of the silent target have been checked as well.
+        await asyncio.sleep(0.1)
         next(s for target, s in self.opened if target == lost).close()
-        await asyncio.sleep(0.3)
+        await self.await_attempts(len(served) + 2, within_s=0.2)
         self.dialect.silent = set()
         await asyncio.wait([task for task, _ in served], timeout=6.0)
         outcomes = [repr(t.exception()) if t.done() else "open" for t, _ in served]
