Known red: a target that a foreign row hides stays hidden at a peer

A target that writes its row again is listed again where the store is read. A rewrite with equal content is not sent to peers, so that an instance that knows the rows from peers alone goes on to hide it. Fails each time.

--- a/packages/core/fulmarward_core/catalogue/tests/test_addresses.py
+++ b/packages/core/fulmarward_core/catalogue/tests/test_addresses.py
@@ -76,3 +76,16 @@
         self.apply(_make_row("moved", 2, address="10.0.0.2:1", started_ms=2))
         self.apply(_make_row("next", 3))
         self.assertEqual(self.list_names(), ["moved", "next"])
+
+    def test_live_target_is_listed_where_only_peers_send_rows(self):
+        """Guards against a foreign row that hides a live target from one instance."""
+        self.apply(_make_row("live", 1))
+        self.apply(_make_row("foreign", 2))
+        fed = TargetCatalogue()
+        known = self.catalogue.version
+        fed.apply_changes(self.catalogue.list_rows(after=0), known, now=0.0)
+        self.apply(_make_row("live", 3))
+        rows = self.catalogue.list_rows(after=known)
+        fed.apply_changes(rows, self.catalogue.version, now=0.0)
+        listed = sorted(record.name for record in fed.list_targets(now=0.0))
+        self.assertEqual(listed, self.list_names())
