Let a stream that may go on at certain targets only wait beside the queue

A begun stream without runs left waits for the targets that have run it. It stood at the head of the queue meanwhile, so that other requests were rejected beside targets with room, and it went on to wait for these targets when they had ended. It now waits beside the queue, and what it may use is found out anew with each search.

--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -112,10 +112,16 @@
         self._missing_logged_at = float("-inf")
 
     async def await_path(
-        self, state: RequestState, engine: EngineModel, wanted: PathRequest
+        self,
+        state: RequestState,
+        engine: EngineModel,
+        find_wanted: Callable[[], PathRequest],
     ) -> tuple[Hop, ...]:
         """Return a path, waiting for capacity.
 
+        A request that may begin at certain targets only waits beside the queue, as it
+        would hold up those that may use any.
+
         Raises `RejectedRequest`, or `TruncatedResponse` if the response has started.
         """
         began_at = self._read_clock()
@@ -126,7 +132,9 @@
             while True:
                 now = self._read_clock()
                 wait_end = self._compute_wait_end(state, began_at, now)
-                if queue.is_next(request, now=now):
+                wanted = find_wanted()
+                is_bound = wanted.first_targets is not None
+                if is_bound or queue.is_next(request, now=now):
                     found = await self._find_permitted_path(
                         state, engine, wanted, request, wait_end=wait_end
                     )
@@ -137,7 +145,10 @@
                         break
                 if self._read_clock() >= wait_end:
                     break
-                queue.add(request)
+                if is_bound:
+                    queue.remove(request)
+                else:
+                    queue.add(request)
                 await asyncio.sleep(POLL_INTERVAL_S)
         finally:
             queue.remove(request)
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -195,7 +195,6 @@
                 # fail again.
                 lost = failure.lost or {attempt.first.target}
                 wanted = replace(wanted, avoided=wanted.avoided | lost)
-            wanted = self._limit_first_targets(state, wanted)
             if state.last_event is not None and answer is not None:
                 state.resumes += 1
 
@@ -204,7 +203,7 @@
     ) -> PathRequest:
         """Have a path begin where a stream has run, if it may run nowhere else."""
         if not may_only_rerun(self._context.make_tally(state)):
-            return replace(wanted, first_targets=None)
+            return wanted
         reusable = state.list_reusable_targets()
         return replace(
             wanted, avoided=wanted.avoided - reusable, first_targets=reusable
@@ -220,7 +219,9 @@
         failed one, and would have no attempt left.
         """
         for probed in range(MAX_PROBED_PATHS + 1):
-            path = await self._admission.await_path(state, engine, wanted)
+            path = await self._admission.await_path(
+                state, engine, lambda: self._limit_first_targets(state, wanted)
+            )
             reservation = self._ledger.reserve(path, count_tokens_held(wanted))
             if state.runs == 0 or probed == MAX_PROBED_PATHS:
                 break
