--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -131,7 +131,7 @@
         await self._crash_monitor.admit(state)
         answer: web.StreamResponse | None = None
         while True:
-            if self._relay.is_needed(state):
+            if self._may_relay(state):
                 relayed = await self._relay.serve(state)
                 if relayed is not None:
                     return relayed
@@ -184,7 +184,7 @@
             _record_run(state, attempt, failure)
             answer = state.request.get("answer")
             self._log_failure(state, attempt, failure)
-            if failure.is_not_sent and self._relay.is_needed(state):
+            if failure.is_not_sent and self._may_relay(state):
                 # No target has received it, so that it takes no retry.
                 continue
             await self._examine(state, attempt, failure)
@@ -198,6 +198,11 @@
             if state.last_event is not None and answer is not None:
                 state.resumes += 1
 
+    def _may_relay(self, state: RequestState) -> bool:
+        """Return whether to relay a request, for which its peer chooses the targets."""
+        is_bound = may_only_rerun(self._context.make_tally(state))
+        return not is_bound and self._relay.is_needed(state)
+
     def _limit_first_targets(
         self, state: RequestState, wanted: PathRequest
     ) -> PathRequest:
