Pause before a stream that is lost again and again without an event

A stream that was broken off at once by each target, or lost by the same fault of this program, was resumed in a loop and took all retries of the instance. Refused resumptions were already spaced; now all that bring no event are.

--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -49,10 +49,10 @@
 #: Paths that are probed in a row for a request that has run before.
 MAX_PROBED_PATHS = 3
 
-#: Seconds before a stream whose resumption was refused is sent again, after the first
-#: refusal and at most; doubled with each.
-REFUSED_PAUSE_S = 0.02
-MAX_REFUSED_PAUSE_S = 0.3
+#: Seconds before a stream whose resumption brought no event is sent again, after the
+#: first such resumption and at most; doubled with each.
+FRUITLESS_PAUSE_S = 0.02
+MAX_FRUITLESS_PAUSE_S = 0.3
 
 #: Seconds to wait for the confirmation that a target has ended.
 CONFIRM_END_TIMEOUT_S = 0.4
@@ -332,17 +332,20 @@
     async def _space_resumptions(
         self, state: RequestState, failure: AttemptFailed, until: float
     ) -> None:
-        """Wait longer after each refusal of a resumption, until `until` at most.
+        """Wait longer after each resumption without an event, until `until` at most.
 
-        Guards against one stream that takes all retries while targets refuse it.
+        Guards against one stream that takes all retries while targets refuse it or
+        break it off at once.
         """
-        if not failure.is_not_run:
-            state.refused_resumes = 0
+        has_progressed = state.last_event != state.last_event_at_loss
+        state.last_event_at_loss = state.last_event
+        if has_progressed and not failure.is_not_run:
+            state.fruitless_resumes = 0
             return
-        pause_s = REFUSED_PAUSE_S * 2**state.refused_resumes
+        pause_s = FRUITLESS_PAUSE_S * 2**state.fruitless_resumes
         left_s = max(0.0, until - self._read_clock())
-        state.refused_resumes += 1
-        await asyncio.sleep(min(pause_s, MAX_REFUSED_PAUSE_S, left_s))
+        state.fruitless_resumes += 1
+        await asyncio.sleep(min(pause_s, MAX_FRUITLESS_PAUSE_S, left_s))
 
     async def _await_clearance(self, state: RequestState) -> None:
         """Check whether the request crashes targets, while its caller waits."""
--- a/packages/router/fulmarward_router/exchange/_request_state.py
+++ b/packages/router/fulmarward_router/exchange/_request_state.py
@@ -81,8 +81,10 @@
     #: How often the stream was rerouted, and how often resumed by a new attempt.
     repaths: int = 0
     resumes: int = 0
-    #: How often in a row its resumption was refused.
-    refused_resumes: int = 0
+    #: How often in a row its resumption brought no event, and the latest event when it
+    #: was last lost.
+    fruitless_resumes: int = 0
+    last_event_at_loss: str | None = None
     #: Name of the peer that the request was last relayed to, empty if to none.
     relayed_to: str = ""
     #: Whether its peers have been tried.
