Let a silent stream take the last retry before its caller leaves

Retries are kept for streams that have lost their target. A stream whose target stayed silent got none of these until its caller left, although they were free. It may now take one when its caller is about to leave.

--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -153,9 +153,11 @@
         self._log_retry(state, now, is_taken=is_taken, is_allowed=is_allowed)
         return is_taken
 
-    def take_retry_early(self, state: RequestState) -> bool:
+    def take_retry_early(self, state: RequestState, *, is_last: bool = False) -> bool:
         """Consume a retry for a running attempt before aborting it.
 
+        One that `is_last`, as its caller is about to leave, may be any that is free.
+
         Returns whether there was one. Guards against several streams that rely on the
         same last retry: all would be aborted, and all but one truncated. Streams that
         have lost their attempt already come first.
@@ -163,7 +165,9 @@
         now = self.read_clock()
         part = 1.0 if state.has_begun else UNSTARTED_SHARE
         is_allowed = may_run_again(self.make_tally(state), now=now)
-        is_taken = is_allowed and self._take_from_budget(state, now, part, yields=True)
+        is_taken = is_allowed and self._take_from_budget(
+            state, now, part, yields=not is_last
+        )
         if is_taken:
             self._log_retry(state, now, is_taken=True, is_allowed=True)
         return is_taken
--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -13,6 +13,7 @@
     compute_joint_stall_s,
     find_stalled_targets,
 )
+from fulmarward_router.exchange._admission import compute_resume_end
 from fulmarward_router.exchange._attempt import (
     Attempt,
     AttemptFailed,
@@ -394,10 +395,11 @@
         )
         may_go_on = state.has_begun and not has_ended
         lost = frozenset(hop.target for hop in lost_hops)
+        is_last = self._read_clock() >= compute_resume_end(state)
         has_retry = (
             may_go_on
             and self._has_other_path(attempt, lost)
-            and self._context.take_retry_early(state)
+            and self._context.take_retry_early(state, is_last=is_last)
         )
         if has_retry or not may_go_on:
             raise AttemptFailed(
