Count runs without an answer while a request can still be rejected

A request without an answer was sent to a third living target where its route allows two, as attempts without an answer did not count. They are left out for answers that have begun only, which could not be rejected.

--- a/packages/router/fulmarward_router/exchange/_request_state.py
+++ b/packages/router/fulmarward_router/exchange/_request_state.py
@@ -158,7 +158,10 @@
         """Return how many runs are left out: the limit is one of targets that live."""
         living = [r.target.process_name for r in self.failed_runs if not r.has_ended]
         repeated = len(living) - len(set(living))
-        uncounted = self.unanswered_runs + len(self.failed_runs) - len(living)
+        uncounted = len(self.failed_runs) - len(living)
+        if self.has_begun:
+            # A request without an answer can still be rejected.
+            uncounted += self.unanswered_runs
         return repeated + min(uncounted, MAX_UNCOUNTED_RUNS)
 
 
