Tell peers that a target has its address after all

A rewrite of a row with equal content is not sent to peers, so that one that gets its rows from peers alone went on to hide a live target whose address a foreign row names. Found by the review; the test failed before.

--- a/packages/core/fulmarward_core/catalogue/_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/_catalogue.py
@@ -303,7 +303,10 @@
         if superseded or regained:
             self.revision += 1
         for name in regained:
-            record = self._rows[name].record
+            record, version = self._rows[name].record, self._rows[name].version
+            # Peers must learn of it, although the content is the same.
+            self._changed_versions[name] = version
+            self._last_changed = max(self._last_changed, version)
             if record is not None and not record.is_leaving:
                 self._leaving_since.pop(name, None)
         for name in superseded:
