End no stream for a peer that does not exist

A silent stream whose service counted as unreached was aborted to be resumed through a peer; without any peer it was cut. It now goes on until there is one.

--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -116,7 +116,11 @@
         )
         #: Monitors the open streams; its `run` is started by the daemon.
         self.supervisor = StreamSupervisor(
-            context=context, failure_detector=failure_detector, finder=finder, pipe=pipe
+            context=context,
+            failure_detector=failure_detector,
+            finder=finder,
+            pipe=pipe,
+            has_peers=relay.has_peers,
         )
 
     async def serve(self, state: RequestState) -> web.StreamResponse:
--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -1,7 +1,7 @@
 """Reroutes open streams around unreachable targets and off leaving ones."""
 
 import asyncio
-from collections.abc import Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import replace
 
 from fulmarward.observability import log_event
@@ -82,8 +82,11 @@
         failure_detector: FailureDetector,
         finder: PathFinder,
         pipe: PipeLimiter,
+        has_peers: Callable[[], bool] = lambda: False,
     ) -> None:
         self._context = context
+        #: Returns whether there is a peer through which a stream may be resumed.
+        self._has_peers = has_peers
         self._dialect = context.dialect
         self._catalogue = context.catalogue
         self._suspicions = context.suspicions
@@ -341,6 +344,7 @@
             silent_s >= UNREACHED_RESUME_S
             and state.route.is_resumable
             and not self._context.contacts.is_reached(state.service)
+            and self._has_peers()
         )
 
     async def _recover(self, attempt: Attempt) -> None:
--- a/packages/router/fulmarward_router/exchange/_relay.py
+++ b/packages/router/fulmarward_router/exchange/_relay.py
@@ -93,6 +93,10 @@
         #: When a peer last rejected a request to a service, by service and peer.
         self._rejected_at: dict[tuple[str, str], float] = {}
 
+    def has_peers(self) -> bool:
+        """Return whether there is a peer that callers are sent to."""
+        return bool(self._list_peers())
+
     def is_needed(self, state: RequestState) -> bool:
         """Return whether to use `serve` instead of the targets of a service.
 
