End no begun stream for a fault between two attempts

An exception of this program while a path was searched for a begun stream cut it at once. It is logged, and the search is repeated while the caller waits.

--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -140,7 +140,13 @@
                 if relayed is not None:
                     return relayed
                 answer = state.request.get("answer")
-            path, reservation = await self._reserve_path(state, engine, wanted)
+            try:
+                path, reservation = await self._reserve_path(state, engine, wanted)
+            except (RejectedRequest, TruncatedResponse):
+                raise
+            except Exception as error:
+                await self._handle_own_fault(state, error)
+                continue
             try:
                 # It may have waited, for capacity or for a retry.
                 self._crash_monitor.check(state)
@@ -202,6 +208,15 @@
             if state.last_event is not None and answer is not None:
                 state.resumes += 1
 
+    async def _handle_own_fault(self, state: RequestState, error: Exception) -> None:
+        """Log a fault of this program; raise it unless a begun stream may go on."""
+        if not state.has_begun or self._read_clock() >= compute_resume_end(state):
+            raise error
+        log_event(
+            "internal_error_caught", exc_info=error, request=state.facts.request_id
+        )
+        await asyncio.sleep(MAX_FRUITLESS_PAUSE_S)
+
     def _may_relay(self, state: RequestState) -> bool:
         """Return whether to relay a request, for which its peer chooses the targets."""
         is_bound = may_only_rerun(self._context.make_tally(state))
