--- a/packages/router/fulmarward_router/exchange/_request_state.py
+++ b/packages/router/fulmarward_router/exchange/_request_state.py
@@ -16,7 +16,7 @@
 
 #: Runs of a request, without an answer or at targets that ended, that the limit of its
 #: route leaves out. More may mean that it is the request that ends them.
-MAX_UNCOUNTED_RUNS = 4
+MAX_UNCOUNTED_RUNS = 2
 
 
 class CutCause(Enum):
