--- a/packages/core/fulmarward_core/attempts/__init__.py
+++ b/packages/core/fulmarward_core/attempts/__init__.py
@@ -3,15 +3,15 @@
 from fulmarward_core.attempts.decisions import (
     RequestTally,
     choose_result_code,
-    may_only_rerun,
     may_retry,
     may_run_again,
+    must_reuse_targets,
 )
 
 __all__ = [
     "RequestTally",
     "choose_result_code",
-    "may_only_rerun",
+    "must_reuse_targets",
     "may_retry",
     "may_run_again",
 ]
--- a/packages/core/fulmarward_core/attempts/decisions.py
+++ b/packages/core/fulmarward_core/attempts/decisions.py
@@ -32,7 +32,6 @@
     #: Number of runs that the limit of the route leaves out: those that no target began
     #: to answer, and those at targets that have ended.
     uncounted_runs: int = 0
-
     #: Number of targets that have run it and live. The limit of the route is one of
     #: targets, so that a begun answer may go on at these.
     reusable_targets: int = 0
@@ -48,11 +47,13 @@
     has_attempts_left = tally.has_begun or tally.attempts <= tally.most_attempts
     if now >= tally.deadline or not has_attempts_left:
         return False
-    has_runs_left = tally.counted_runs < tally.most_attempts or may_only_rerun(tally)
-    return tally.runs == 0 or tally.is_idempotent and has_runs_left
+    if tally.runs == 0:
+        return True
+    has_runs_left = tally.counted_runs < tally.most_attempts
+    return tally.is_idempotent and (has_runs_left or must_reuse_targets(tally))
 
 
-def may_only_rerun(tally: RequestTally) -> bool:
+def must_reuse_targets(tally: RequestTally) -> bool:
     """Return whether a begun answer may go on only where it has already run."""
     is_used_up = tally.counted_runs >= tally.most_attempts
     return tally.has_begun and is_used_up and tally.reusable_targets > 0
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from fulmarward.observability import log_event
-from fulmarward_core.attempts import may_only_rerun, may_retry, may_run_again
+from fulmarward_core.attempts import may_retry, may_run_again, must_reuse_targets
 from fulmarward_core.fleet import EngineModel
 from fulmarward_core.loads import Reservation
 from fulmarward_core.paths import Hop, PathRequest, count_tokens_held
@@ -219,14 +219,14 @@
 
     def _may_relay(self, state: RequestState) -> bool:
         """Return whether to relay a request, for which its peer chooses the targets."""
-        is_bound = may_only_rerun(self._context.make_tally(state))
+        is_bound = must_reuse_targets(self._context.make_tally(state))
         return not is_bound and self._relay.is_needed(state)
 
     def _limit_first_targets(
         self, state: RequestState, wanted: PathRequest
     ) -> PathRequest:
         """Have a path begin where a stream has run, if it may run nowhere else."""
-        if not may_only_rerun(self._context.make_tally(state)):
+        if not must_reuse_targets(self._context.make_tally(state)):
             return wanted
         reusable = state.list_reusable_targets()
         return replace(
@@ -329,7 +329,7 @@
         them wait; an instance that is cut off is refused by targets that are sound.
         """
         tally = self._context.make_tally(state)
-        if may_retry(tally, now=self._read_clock()) and not may_only_rerun(tally):
+        if may_retry(tally, now=self._read_clock()) and not must_reuse_targets(tally):
             return
         timeout_s = min(CONFIRM_END_TIMEOUT_S, state.count_left(self._read_clock()))
         broken_off = [run for run in state.failed_runs if run.is_broken_off]
--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -62,7 +62,7 @@
 ERROR_PAUSE_S = 0.5
 
 #: Seconds without an event after which a stream is resumed through a peer if its
-#: service is unreached. Half of the time for which its caller waits for the next event.
+#: service is unreached. Callers wait for at least twice as long.
 UNREACHED_RESUME_S = 1.0
 
 #: Paths that are tried in a row when a stream is rerouted around unreachable targets.
