Peers learn that a silent target answers again

What callers saw: after a target's silence only the instance that had found it sent it requests again; its peers avoided it until the time that had been reported to them passed, up to two seconds later.

Cause: a peer's exclusion ended only by its own probe or with time, and one that it had confirmed was never probed again.

RegainedReport, a new message at the end that older releases ignore, says which targets answer again; each instance relays it once, as LeavingReport. It ends an exclusion that was reported, or reported and confirmed by silence here, if the answer is newer than the observation. An instance that reports the failure itself keeps it, as its own link may be down, and probes at once.

--- a/packages/core/fulmarward_core/suspicion/tests/test_table.py
+++ b/packages/core/fulmarward_core/suspicion/tests/test_table.py
@@ -111,6 +111,39 @@
         table.extend("t", now=0.6, kind=FailureKind.SILENT)
         self.assertIsNotNone(table.record_regained("t", asked_at=1.1, now=1.2))
 
+    def test_answer_to_a_peer_ends_its_report(self):
+        """Guards against peers that exclude a target after it answers again."""
+        for is_confirmed in (False, True):
+            table = SuspicionTable()
+            table.record_indirect_failure("t", duration_s=2.0, now=1.0)
+            if is_confirmed:
+                table.record_failure("t", now=1.1, kind=FailureKind.SILENT)
+            self.assertIsNone(table.merge_regained("t", answered_at=0.9, now=1.2))
+            self.assertTrue(table.is_suspect("t", now=1.2), "answered before")
+            with self.subTest(is_confirmed=is_confirmed):
+                found = table.merge_regained("t", answered_at=1.5, now=1.6)
+                self.assertIsNotNone(found)
+                self.assertFalse(table.is_suspect("t", now=1.6))
+
+    def test_late_report_does_not_exclude_a_target_that_answers_again(self):
+        """Guards against a report that a hub relays after the answer."""
+        table = SuspicionTable()
+        table.merge_regained("t", answered_at=1.0, now=1.1)
+        table.record_indirect_failure("t", duration_s=1.5, now=1.2)
+        self.assertFalse(table.is_suspect("t", now=1.2))
+        table.record_indirect_failure("t", duration_s=2.0, now=2.0)
+        self.assertTrue(table.is_suspect("t", now=2.0), "silent again")
+
+    def test_answer_to_a_peer_does_not_end_what_was_observed_here(self):
+        """Guards against requests over a link that is down, or to a crashed target."""
+        for kind, due in [(FailureKind.SILENT, ["t"]), (FailureKind.CLOSED, [])]:
+            table = SuspicionTable()
+            table.record_failure("t", now=1.0, kind=kind)
+            with self.subTest(kind):
+                self.assertIsNone(table.merge_regained("t", answered_at=1.1, now=1.2))
+                self.assertTrue(table.is_unreachable("t", now=1.2))
+                self.assertEqual(table.list_due_probes(now=1.2), due)
+
     def test_silent_target_is_probed_with_growing_pauses(self):
         """Guards against probes, which are priced, of a target that is dead."""
         table, now, times = SuspicionTable(), 0.0, []
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -5,7 +5,7 @@
 import signal
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable, Coroutine, Mapping
+from collections.abc import Awaitable, Callable, Coroutine, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -56,6 +56,7 @@
     InstanceIdentity,
     MemberTable,
     Mesh,
+    RegainedTargetReport,
     decode_message,
     encode_message,
 )
@@ -340,6 +341,7 @@
             read_clock=self._clock,
             notify_peers=self._notify_peers,
             is_large=lambda: self.members.is_large,
+            notify_regained=self._notify_regained,
         )
         crash_monitor = CrashMonitor(
             context=context,
@@ -467,6 +469,13 @@
         ready = self.members.list_ready(now=self._clock())
         return any(member.state.is_store_reachable for member in ready)
 
+    def _notify_regained(self, targets: Sequence[str], asked_at: float) -> None:
+        """Tell all instances which silent targets answer again."""
+        age_ms = int((self._clock() - asked_at) * 1000)
+        self.mesh.notify_regained(
+            [RegainedTargetReport(target=name, age_ms=age_ms) for name in targets]
+        )
+
     def _notify_peers(self) -> None:
         self.mesh.notify()
 
--- a/packages/router/fulmarward_router/mesh/_links.py
+++ b/packages/router/fulmarward_router/mesh/_links.py
@@ -47,6 +47,8 @@
     PermitsGranted,
     PoisonReport,
     PoisonSnapshot,
+    RegainedReport,
+    RegainedTargetReport,
     SendTime,
     Subscription,
     SupportsCompression,
@@ -54,6 +56,7 @@
     TargetChanges,
     TargetLimitReport,
 )
+from fulmarward_router.mesh._regained import RegainedExchange
 from fulmarward_router.mesh._state import (
     Fetch,
     LeavingSource,
@@ -175,6 +178,12 @@
             list_links=self._sender.list_links,
             send=self._send_nowait,
         )
+        self._regained = RegainedExchange(
+            own=own,
+            state=state,
+            list_links=self._sender.list_links,
+            send=self._send_nowait,
+        )
         self._dial_tasks: dict[str, asyncio.Task] = {}
         #: Tasks that repeat deferred fetches.
         self._repeat_tasks: set[asyncio.Task] = set()
@@ -214,6 +223,7 @@
             PermitRequest: self._handle_permit_request,
             PermitsGranted: self._handle_permits_granted,
             LeavingReport: self._handle_leaving_report,
+            RegainedReport: self._handle_regained_report,
         }
         self._fetched_instances_at = float("-inf")
         self._started_at = read_clock()
@@ -238,6 +248,10 @@
         """Send to all instances which targets said here that they leave."""
         self._leaving.notify(reports)
 
+    def notify_regained(self, reports: Sequence[RegainedTargetReport]) -> None:
+        """Send to all instances which silent targets answer again."""
+        self._regained.notify(reports)
+
     def request_permits(
         self, owner: str, *, target: str, milli_per_s: int
     ) -> int | None:
@@ -692,6 +706,12 @@
         delay_s = receiver.find_delay_s(now=self._read_clock())
         self._leaving.merge(message, delay_s=delay_s, received_on=receiver.connection)
 
+    async def _handle_regained_report(
+        self, receiver: _LinkReceiver, message: RegainedReport
+    ) -> None:
+        delay_s = receiver.find_delay_s(now=self._read_clock())
+        self._regained.merge(message, delay_s=delay_s, received_on=receiver.connection)
+
     async def _handle_permit_request(
         self, receiver: _LinkReceiver, message: PermitRequest
     ) -> None:
--- a/packages/router/fulmarward_router/mesh/_messages.py
+++ b/packages/router/fulmarward_router/mesh/_messages.py
@@ -393,6 +393,24 @@
     targets: tuple[LeavingTargetReport, ...]
 
 
+class RegainedTargetReport(Message, kw_only=True):
+    """A target that answers an instance which had found it silent."""
+
+    target: str
+    #: Milliseconds since the probe that it answered was sent.
+    age_ms: int
+
+
+class RegainedReport(Message, kw_only=True):
+    """Targets that answer again; each instance relays it once."""
+
+    #: As in `LimitReport`.
+    origin: str
+    boot: int
+    sequence: int
+    targets: tuple[RegainedTargetReport, ...]
+
+
 #: All messages; the number of a message on the wire is its index here. A message keeps
 #: its number and its fields, as instances of different releases exchange it during a
 #: rolling update. A change is a new message at the end, which older releases ignore.
@@ -424,4 +442,5 @@
     PermitRequest,
     PermitsGranted,
     LeavingReport,
+    RegainedReport,
 )
--- a/packages/router/fulmarward_router/mesh/_state.py
+++ b/packages/router/fulmarward_router/mesh/_state.py
@@ -20,6 +20,7 @@
     LoadUpdate,
     PatternReport,
     PermitsGranted,
+    RegainedTargetReport,
     SupportsCompression,
     TargetChanges,
     TargetLimitReport,
@@ -88,6 +89,11 @@
         `delay_s` is for how long it was delayed in transit.
         """
 
+    def merge_regained(
+        self, reports: Iterable[RegainedTargetReport], *, source: str, delay_s: float
+    ) -> None:
+        """Merge which targets answer an instance again, delayed in transit."""
+
     def answer(self, fetch: Fetch) -> Answer | None:
         """Return the answer to a peer's fetch, `None` if there is none."""
 
--- a/packages/router/fulmarward_router/state/_instance_state.py
+++ b/packages/router/fulmarward_router/state/_instance_state.py
@@ -33,6 +33,7 @@
     LoadUpdate,
     MemberTable,
     PaceReport,
+    RegainedTargetReport,
     Revisions,
     RowSnapshot,
     Snapshot,
@@ -464,6 +465,25 @@
         if reported and self._must_verify():
             self._probe_targets(reported)
 
+    def merge_regained(
+        self, reports: Iterable[RegainedTargetReport], *, source: str, delay_s: float
+    ) -> None:
+        """Merge which targets answer an instance again, delayed in transit."""
+        now = self._read_clock()
+        for report in reports:
+            excluded_s = self._suspicions.merge_regained(
+                report.target,
+                answered_at=now - delay_s - report.age_ms / 1000,
+                now=now,
+            )
+            if excluded_s is not None:
+                log_event(
+                    "target_regained",
+                    target=report.target,
+                    source=source,
+                    for_s=round(excluded_s, 3),
+                )
+
     def _must_verify(self) -> bool:
         """Return whether to probe targets that a peer reports as unreachable.
 
