--- a/packages/core/fulmarward_core/routes/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/routes/tests/test_decisions.py
@@ -1,5 +1,9 @@
 import unittest
+from dataclasses import replace
 
+from hypothesis import given, strategies as st
+
+from fulmarward_core.codec.tests.calls import count_calls
 from fulmarward_core.routes import (
     CallerLimits,
     Route,
@@ -43,7 +47,47 @@
 )
 
 
+class _CountedPath(str):
+    """A path each comparison of which is a call."""
+
+    __slots__ = ()
+
+    def startswith(self, prefix):
+        return super().startswith(prefix)
+
+
+def _replace_routes(prefixes):
+    """Return the configuration with these prefixes, the longest first."""
+    routes = [make_route(p, name=str(n)) for n, p in enumerate(prefixes)]
+    routes.sort(key=lambda route: -len(route.prefix))
+    return replace(_CONFIGURATION, routes={"h.example": tuple(routes)})
+
+
 class RoutesTest(unittest.TestCase):
+    def test_many_routes_do_not_slow_each_request(self):
+        """Guards against requests that compare their path with thousands of routes."""
+        configuration = _replace_routes([f"/longer/{n}/" for n in range(2000)] + ["/"])
+
+        def find():
+            return find_route(configuration, host="h.example", path=_CountedPath("/x"))
+
+        self.assertEqual(find().prefix, "/")
+        self.assertLess(count_calls(find), 100)
+
+    @given(
+        prefixes=st.lists(st.text("/ab", max_size=5), max_size=12),
+        path=st.text("/ab", max_size=8),
+    )
+    def test_route_is_the_first_with_the_longest_prefix(self, prefixes, path):
+        configuration = _replace_routes(prefixes)
+        matching = [
+            route
+            for route in configuration.routes["h.example"]
+            if path.startswith(route.prefix)
+        ]
+        found = find_route(configuration, host="h.example", path=path)
+        self.assertIs(found, matching[0] if matching else None)
+
     def test_longest_matching_prefix_is_chosen(self):
         cases = [
             ("h.example", "/a/b/c", "/a/b/"),
