Order what is known by the store's era, then by its version

What callers saw: requests handled by a configuration older than one acknowledged over 2 s before (CONFIG), and requests to targets that had said that they leave (DRAIN). The store had come back from a copy, and its versions had gone back from 124 to 114.

Cause: all that is read was compared with what is known by the store's version alone. Everything written after the copy counted as old until the counter had passed the lost version. A read after a lost version whose number was given out again got no 410 and skipped what was written below it, and a condition on it could hold for another row.

A version now is one number that is ordered by era first. The configuration goes by the operator's version. The first read of an era is a copy: what is newer here stays until it is written again, a process that leaves does so whatever the copy says, and targets that the copy lacks are listed for as long as after an outage.

--- a/packages/core/fulmarward_core/catalogue/_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/_catalogue.py
@@ -9,6 +9,7 @@
 
 from fulmarward_core.catalogue._addresses import AddressTable
 from fulmarward_core.fleet import TargetRecord
+from fulmarward_core.store_versions import find_era, find_number
 
 #: Seconds after an outage of the store within which targets write their rows again if
 #: these expired during the outage.
@@ -72,6 +73,12 @@
         #: that leaves never stays after all, so that this ends with the next start.
         self._announced: dict[str, LeaveAnnouncement] = {}
         self._addresses = AddressTable()
+        #: When the latest process known of each target started, in ms since 1970; kept
+        #: while its row is.
+        self._started_ms: dict[str, int] = {}
+        #: Versions of the rows that were kept when the store came back from a copy that
+        #: says otherwise, until they are written again.
+        self._kept: dict[str, int] = {}
         #: Records of rows that expired during an outage of the store, with the time.
         self._expired: dict[str, tuple[TargetRecord, float]] = {}
         #: When the store was last known to be out, to this instance or a peer.
@@ -134,11 +141,15 @@
         """Apply a full read of the table; return the rows with new content.
 
         Rows that it lacks were removed. One older than what is known is ignored.
-        `confirmed_at` is when the store confirmed them, if not at `now`.
+        `confirmed_at` is when the store confirmed them, if not at `now`. The first read
+        of a new era returns a copy, and what is newer than the copy stays as known.
         """
         if version < self.version:
             return []
         rows = list(rows)
+        if self._is_restored(version):
+            self._kept.clear()
+            rows = [self._choose_row(row, version, now=now) for row in rows]
         present = {row.name for row in rows}
         missing = [name for name, row in self._rows.items() if name not in present]
         removed = [
@@ -188,6 +199,8 @@
         """Apply rows; skip unknown ones up to version `complete_to`."""
         # What has changed may have changed just after the last confirmation.
         changed_since = min(now, self.confirmed_at)
+        if self._is_restored(version):
+            self._handle_restore(version, now=now)
         if version >= self.version:
             if self.version == 0:
                 self._first_read_at = now
@@ -206,12 +219,68 @@
             self._drop_tombstones(now)
         return changed
 
+    def _is_restored(self, version: int) -> bool:
+        """Return whether a version is of a later era than what is known."""
+        return self.version > 0 and find_era(version) > find_era(self.version)
+
+    def _handle_restore(self, version: int, *, now: float) -> None:
+        """Prepare for the rows of a new era, in which the store lost its last changes.
+
+        Targets that leave do so whatever the copy says, and those that the copy lacks
+        may write their rows again, as after an outage.
+        """
+        for row in list(self._rows.values()):
+            if row.record is not None and row.record.is_leaving:
+                process, since = row.record.process_name, self._leaving_since[row.name]
+                self._announced.setdefault(
+                    row.name, LeaveAnnouncement(process=process, at=since)
+                )
+        self._recovered_at = now
+        # Peers that know the lost history only must request what was chosen here.
+        self._last_changed = max(self._last_changed, version)
+
+    def _choose_row(self, row: KnownRow, version: int, *, now: float) -> KnownRow:
+        """Return a row of a restored store, or what is known if that is newer.
+
+        Versions up to the copy's are the same in both histories. A row that was written
+        since then may have a lower version than the lost ones; targets write their rows
+        often, and then it is taken.
+        """
+        known = self._rows.get(row.name)
+        if (
+            known is None
+            or row.name in self._expired
+            or _was_written_since(row, known)
+            or self._is_later_process(row)
+            or _is_leaving_of_same_process(row, known)
+        ):
+            return row
+        if not _has_equal_content(known, row):
+            self._kept[row.name] = version
+        return replace(known, version=version, heard_at=now)
+
+    def _is_later_process(self, row: KnownRow) -> bool:
+        known_ms = self._started_ms.get(row.name)
+        return row.record is not None and (
+            known_ms is None or row.record.started_ms > known_ms
+        )
+
+    def list_kept_rows(self) -> list[KnownRow]:
+        """Return the rows that stay as known although the store's copy differs."""
+        return [
+            self._rows[name]
+            for name, version in self._kept.items()
+            if name in self._rows and self._rows[name].version == version
+        ]
+
     def confirm(self, content_version: int, *, at: float) -> None:
         """Record that a peer knew of no change after `content_version` until `at`.
 
         It also confirms this catalogue if all changes up to that version are known.
+        What a peer knows of an earlier era confirms nothing.
         """
-        if content_version <= self.version:
+        is_of_era = find_era(content_version) == find_era(self.version)
+        if is_of_era and content_version <= self.version:
             self._note_confirmed(at)
 
     def record_store_out(self, *, at: float) -> None:
@@ -288,6 +357,8 @@
         elif row.record is not None:
             self._expired.pop(row.name, None)
         self._rows[row.name] = row
+        if row.record is not None:
+            self._started_ms[row.name] = row.record.started_ms
         if row.record is None or row.record.is_leaving:
             self._leaving_since.setdefault(row.name, changed_since)
         else:
@@ -384,6 +455,29 @@
                 self._addresses.forget(name)
                 self._leaving_since.pop(name, None)
                 self._announced.pop(name, None)
+                self._started_ms.pop(name, None)
+                self._kept.pop(name, None)
+
+
+def _was_written_since(row: KnownRow, known: KnownRow) -> bool:
+    """Return whether a row of a restored store was certainly written after `known`.
+
+    A number that was given out twice shows by the other content.
+    """
+    number, known_number = find_number(row.version), find_number(known.version)
+    return number > known_number or (
+        number == known_number and row.value != known.value
+    )
+
+
+def _is_leaving_of_same_process(row: KnownRow, known: KnownRow) -> bool:
+    """Return whether a row says that the known process of its target leaves."""
+    return (
+        row.record is not None
+        and known.record is not None
+        and row.record.is_leaving
+        and row.record.process_name == known.record.process_name
+    )
 
 
 def _has_equal_content(one: KnownRow, other: KnownRow) -> bool:
--- a/packages/core/fulmarward_core/catalogue/tests/test_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/tests/test_catalogue.py
@@ -6,6 +6,7 @@
 
 from fulmarward_core.catalogue import RECOVERY_DURATION_S, KnownRow, TargetCatalogue
 from fulmarward_core.layers.tests.fleets import make_target
+from fulmarward_core.store_versions import make_store_version
 
 
 def _make_row(name, version, *, value=b"x", record=True, at=0.0):
@@ -157,3 +158,116 @@
         earlier = self.make_row(1).record.process_name
         self.assertFalse(catalogue.announce_leaving("t", process=earlier, at=1.0))
         self.assertFalse(catalogue.find_target("t").is_leaving)
+
+
+def _in_era(era, number):
+    return make_store_version(era, number)
+
+
+class RestoredStoreTest(unittest.TestCase):
+    """The store comes back from an older copy of its rows."""
+
+    def setUp(self):
+        self.catalogue = TargetCatalogue()
+
+    def make_row(self, era, number, *, name="t", started_ms=1, slots=8, **changes):
+        row = _make_row(name, _in_era(era, number))
+        record = replace(row.record, started_ms=started_ms, slots=slots, **changes)
+        return replace(row, value=repr(record).encode(), record=record)
+
+    def make_removed(self, era, number):
+        return _make_row("t", _in_era(era, number), value=None, at=101.0)
+
+    def read_all(self, era, version, *rows, now):
+        self.catalogue.apply_full_read(rows, _in_era(era, version), now=now)
+
+    def apply(self, row, now):
+        self.catalogue.apply_changes([row], row.version, now=now)
+
+    def describe(self, now):
+        """Return the slots and the leaving of the target, `False` if it is gone."""
+        targets = {t.name: t for t in self.catalogue.list_targets(now=now)}
+        return ("t" in targets) and (targets["t"].slots, targets["t"].is_leaving)
+
+    def test_what_is_newer_than_the_copy_stays_until_it_is_written_again(self):
+        """Guards against targets that leave or are gone, but ready in the copy."""
+        make = self.make_row
+        cases = [
+            # known last, in the copy, expected then
+            ("leaving", make(1, 20, is_leaving=True), make(2, 10), (8, True)),
+            ("gone", self.make_removed(1, 20), make(2, 10), False),
+            (
+                "gone, leaving",
+                self.make_removed(1, 20),
+                make(2, 10, is_leaving=True),
+                False,
+            ),
+            ("changed", make(1, 20, slots=9), make(2, 10), (9, False)),
+            ("restarted", make(1, 20, started_ms=2, slots=9), make(2, 10), (9, False)),
+            ("missed", make(1, 20), make(2, 21, slots=9), (9, False)),
+            ("given twice", make(1, 20), make(2, 20, slots=9), (9, False)),
+            ("leaves now", make(1, 20), make(2, 12, is_leaving=True), (8, True)),
+            ("starts now", make(1, 20), make(2, 12, started_ms=2, slots=9), (9, False)),
+        ]
+        for name, known, copied, expected in cases:
+            with self.subTest(name):
+                self.setUp()
+                self.read_all(1, 10, make(1, 10, slots=8), now=100.0)
+                self.apply(known, 101.0)
+                self.read_all(2, 25, copied, now=102.0)
+                self.assertEqual(self.describe(102.0), expected)
+                self.assertEqual(self.catalogue.version, _in_era(2, 25))
+                self.apply(make(2, 26, started_ms=3, slots=7), 103.0)
+                self.assertEqual(self.describe(103.0), (7, False))
+
+    def test_target_that_is_gone_is_known_again_once_its_row_is_written(self):
+        """Guards against a target that expired wrongly and is not used again."""
+        self.read_all(1, 10, self.make_row(1, 10), now=100.0)
+        self.apply(self.make_removed(1, 20), 101.0)
+        self.read_all(2, 12, self.make_row(2, 10), now=102.0)
+        self.assertEqual([row.name for row in self.catalogue.list_kept_rows()], ["t"])
+        self.apply(self.make_row(2, 13), 102.5)
+        self.assertEqual(self.describe(102.5), (8, False))
+        self.assertEqual(self.catalogue.list_kept_rows(), [])
+
+    def test_target_that_the_copy_lacks_stays_until_it_has_had_time_to_write(self):
+        """Guards against a live target that counts as gone for a lost row."""
+        self.read_all(1, 10, now=100.0)
+        self.apply(self.make_row(1, 20), 101.0)
+        self.read_all(2, 10, now=102.0)
+        self.assertEqual(self.describe(102.0), (8, False))
+        self.assertFalse(self.describe(102.0 + RECOVERY_DURATION_S + 0.1))
+
+    def test_leaving_process_leaves_also_if_its_row_is_written_as_ready(self):
+        """Guards against a heartbeat that is carried out late, after the restore."""
+        self.read_all(1, 10, self.make_row(1, 10), now=100.0)
+        self.apply(self.make_row(1, 20, is_leaving=True), 101.0)
+        self.read_all(2, 12, self.make_row(2, 10), now=102.0)
+        self.apply(self.make_row(2, 14, slots=9), 102.5)
+        self.assertEqual(self.describe(102.5), (9, True))
+
+    def test_peer_of_an_earlier_era_confirms_nothing(self):
+        """Guards against an instance that does not know of the restore."""
+        self.read_all(2, 10, now=100.0)
+        for version, confirmed_at in ((_in_era(1, 8), 100.0), (_in_era(2, 8), 101.0)):
+            self.catalogue.confirm(version, at=101.0)
+            self.assertEqual(self.catalogue.confirmed_at, confirmed_at)
+
+    def test_peer_that_knows_the_lost_history_gets_all_that_is_newer(self):
+        """Guards against a peer that never learns what the copy says otherwise."""
+        self.read_all(1, 10, self.make_row(1, 10), now=100.0)
+        self.apply(self.make_row(1, 20, slots=9), 101.0)
+        self.read_all(2, 12, self.make_row(2, 10), now=102.0)
+        self.assertEqual(self.catalogue.content_version, _in_era(2, 12))
+        self.apply(self.make_row(2, 13, is_leaving=True), 103.0)
+        self.assertTrue(self.catalogue.knows_changes(after=_in_era(1, 20)))
+        rows = self.catalogue.list_rows(after=_in_era(1, 20))
+        self.assertEqual([row.version for row in rows], [_in_era(2, 13)])
+
+    def test_versions_are_compared_over_two_restores(self):
+        """Guards against a second copy that is older than the first restore."""
+        self.read_all(1, 10, self.make_row(1, 10), now=100.0)
+        self.apply(self.make_row(1, 20, is_leaving=True), 101.0)
+        self.read_all(2, 12, self.make_row(2, 10), now=102.0)
+        self.read_all(3, 11, self.make_row(3, 10), now=103.0)
+        self.assertEqual(self.describe(103.0), (8, True))
--- a/packages/router/fulmarward_router/placement/_lease.py
+++ b/packages/router/fulmarward_router/placement/_lease.py
@@ -31,6 +31,7 @@
 )
 from fulmarward_router.ports import (
     Committed,
+    HistoryExpired,
     ReplyLost,
     Row,
     RowCondition,
@@ -172,7 +173,7 @@
             outcome = await self._store.transact([condition], [write])
         except StoreRefused:
             return StoreUnavailable()
-        except ReplyLost:
+        except (ReplyLost, HistoryExpired):
             return WriteLost()
         if isinstance(outcome, Committed):
             return LeaseWritten(lease=step.lease, version=outcome.version)
--- a/packages/router/fulmarward_router/ports.py
+++ b/packages/router/fulmarward_router/ports.py
@@ -70,7 +70,7 @@
     key: str
     #: Its bytes, or `None` if it was removed.
     value: bytes | None
-    #: Version of its last change, from a counter of the whole store.
+    #: Version of its last change, as `fulmarward_core.store_versions`, like all others.
     version: int
 
 
@@ -109,7 +109,10 @@
 
 
 class HistoryExpired(Exception):
-    """The store no longer holds the changes since the requested version."""
+    """The store no longer holds the requested version, or the changes since then.
+
+    The call had no effect.
+    """
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -131,7 +134,10 @@
 
 
 class Store(Protocol):
-    """The platform's store of rows; calls raise `StoreRefused` or `ReplyLost`."""
+    """The platform's store of rows; calls raise `StoreRefused` or `ReplyLost`.
+
+    Those that depend on a version raise `HistoryExpired` if it is of an earlier era.
+    """
 
     #: Names of the tables with the operator's configuration and with the targets.
     configuration_table: str
@@ -145,6 +151,9 @@
         What it acknowledged after that copy is lost, and versions are given out again.
         """
 
+    def note_era(self, era: int) -> None:
+        """Record an era that a peer has learned from the store."""
+
     async def read_table(self, table: str) -> RowsRead:
         """Return all rows of a table."""
 
--- a/packages/router/fulmarward_router/state/_configuration.py
+++ b/packages/router/fulmarward_router/state/_configuration.py
@@ -5,6 +5,7 @@
 
 from fulmarward.observability import log_event
 from fulmarward_core.routes import RoutingConfiguration
+from fulmarward_core.store_versions import find_era
 from fulmarward_router.ports import Row
 
 
@@ -70,9 +71,10 @@
         """Adopt the configuration in `row` if it is newer; return whether it was.
 
         A row that cannot be decoded is refused, and the current configuration stays in
-        force.
+        force. The operator's version decides, since a row that is older for the store
+        may be newer after the store lost its last changes.
         """
-        if self._row is not None and row.version <= self._row.version:
+        if self._is_older_row(row):
             return False
         try:
             configuration = self._decode(row)
@@ -105,3 +107,11 @@
         )
         self.available.set()
         return True
+
+    def _is_older_row(self, row: Row) -> bool:
+        """Return whether the store changed a row before the one in force, or is it."""
+        return (
+            self._row is not None
+            and find_era(row.version) == find_era(self._row.version)
+            and row.version <= self._row.version
+        )
--- a/packages/router/fulmarward_router/state/_watch.py
+++ b/packages/router/fulmarward_router/state/_watch.py
@@ -10,6 +10,7 @@
     TargetCatalogue,
     find_confirmed_at,
 )
+from fulmarward_core.store_versions import find_era
 from fulmarward_router.ports import (
     HistoryExpired,
     ReplyLost,
@@ -99,7 +100,9 @@
         version: int | None = None
         pause_s = RETRY_S
         has_changes = False
+        has_expired = False
         while True:
+            self._note_known_era()
             if version is not None and not self._must_follow_configuration():
                 await asyncio.sleep(_CHECK_INTERVAL_S[self._is_large()])
                 continue
@@ -115,6 +118,9 @@
                 self._record_era()
                 log_event("history_expired", table=table, version=version, era=self.era)
                 version = None
+                if has_expired:
+                    await asyncio.sleep(RETRY_S)
+                has_expired = True
                 continue
             except (StoreRefused, ReplyLost) as error:
                 self._record_outage(table, error)
@@ -122,6 +128,7 @@
                 pause_s = min(MAX_RETRY_INTERVAL_S, pause_s * 2)
                 continue
             pause_s = RETRY_S
+            has_expired = wait_s == 0.0 and has_expired
             self._record_success(table)
             has_changes = version is None or bool(read.rows)
             version = read.version
@@ -146,14 +153,16 @@
     async def follow_targets(self) -> None:
         """Keep the catalogue up to date, by reads or by peers' reports."""
         pause_s = RETRY_S
-        is_complete = False
+        is_complete = has_expired = False
         while True:
+            self._note_known_era()
             if is_complete and not self._must_read_targets():
                 await asyncio.sleep(_CHECK_INTERVAL_S[self._is_large()])
                 continue
             try:
                 if is_complete:
                     await self._read_changes()
+                    has_expired = False
                 else:
                     await self._read_all()
                 is_complete = True
@@ -166,6 +175,9 @@
                     era=self.era,
                 )
                 is_complete = False
+                if has_expired:
+                    await asyncio.sleep(RETRY_S)
+                has_expired = True
                 continue
             except (StoreRefused, ReplyLost) as error:
                 self._record_outage(self._store.targets_table, error)
@@ -198,6 +210,7 @@
 
     async def _read_all(self) -> None:
         asked_at = self._read_clock()
+        era = find_era(self._catalogue.version)
         read = await self._store.read_table(self._store.targets_table)
         now = self._read_clock()
         rows = [self.decode_row(row, now=now) for row in read.rows]
@@ -213,8 +226,19 @@
             changed=len(changed),
             is_applied=self._catalogue.version == read.version,
         )
+        self._log_kept(era, read)
         self._handle_target_changes(changed)
 
+    def _log_kept(self, era: int, read: RowsRead) -> None:
+        """Log which targets stay as known although a copy says otherwise."""
+        kept = self._catalogue.list_kept_rows()
+        if kept and find_era(read.version) > era:
+            log_event(
+                "targets_kept",
+                store_version=read.version,
+                targets=[row.name for row in kept],
+            )
+
     async def _read_changes(self) -> None:
         # An outdated catalogue needs the changes so far, not the next one.
         is_stale = self._is_stale(self._catalogue.confirmed_at)
@@ -256,6 +280,11 @@
         if self.unreachable_since is None:
             self.unreachable_since = now
 
+    def _note_known_era(self) -> None:
+        """Record an era that this instance has learned from a peer."""
+        self._store.note_era(find_era(self._catalogue.version))
+        self._record_era()
+
     def _record_era(self) -> None:
         """Record the era that the store's last answers have named."""
         before, self.era = self.era, self._store.era
--- a/packages/router/fulmarward_router/tests/test_late_answers.py
+++ b/packages/router/fulmarward_router/tests/test_late_answers.py
@@ -29,6 +29,9 @@
 
     era = None
 
+    def note_era(self, era):
+        pass
+
     def __init__(self, *, delay_s, peer):
         self._delay_s = delay_s
         self._peer = peer
--- a/packages/router/fulmarward_router/tests/test_watch.py
+++ b/packages/router/fulmarward_router/tests/test_watch.py
@@ -18,6 +18,9 @@
     targets_table = "targets"
     era = None
 
+    def note_era(self, era):
+        pass
+
     def __init__(self, peer):
         self._peer = peer
         self.delay_s = 0.0
