Tell peers the store's era, and what binds after a restore

Cause: heartbeats, fetches and changes of targets carry bare versions. A peer that follows the lost history confirmed what the restored store has replaced, also the configuration; an instance that knows only the copy had no way to learn the rest.

Versions in messages name the era for peers that say that they read it (SupportsStoreEras, a new message at the end); others get and send the store's own numbers, which confirm and replace nothing once the store names an era. What a peer of an earlier era confirms does not count. Rows that were kept and targets that were gone are sent on new links and when a restored store is read.

--- a/packages/core/fulmarward_core/catalogue/_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/_catalogue.py
@@ -187,6 +187,27 @@
             complete_to=self.version,
         )
 
+    def apply_kept_rows(
+        self, rows: Iterable[KnownRow], *, now: float
+    ) -> list[KnownRow]:
+        """Apply the rows that a peer kept; return those with new content.
+
+        A row kept at the version of the store's own row replaces that. One that is
+        unknown here, although it is no newer than what is completely known, is ignored.
+        """
+        changed_since = min(now, self.confirmed_at)
+        usable = [
+            row for row in rows if row.name in self._rows or row.version > self.version
+        ]
+        changed = [
+            row
+            for row in usable
+            if self._apply_row(row, now, changed_since, is_kept=True)
+        ]
+        self._kept.update({row.name: row.version for row in usable})
+        self.revision += bool(changed)
+        return changed
+
     def _apply(
         self,
         rows: Iterable[KnownRow],
@@ -199,7 +220,8 @@
         """Apply rows; skip unknown ones up to version `complete_to`."""
         # What has changed may have changed just after the last confirmation.
         changed_since = min(now, self.confirmed_at)
-        if self._is_restored(version):
+        is_restored = self._is_restored(version)
+        if is_restored:
             self._handle_restore(version, now=now)
         if version >= self.version:
             if self.version == 0:
@@ -213,6 +235,8 @@
             if (row.name in self._rows or row.version > complete_to)
             and self._apply_row(row, now, changed_since)
         ]
+        if is_restored:
+            self._keep_tombstones(version)
         changed = [*self._apply_superseded(now, changed_since), *changed]
         if changed:
             self.revision += 1
@@ -261,10 +285,21 @@
 
     def _is_later_process(self, row: KnownRow) -> bool:
         known_ms = self._started_ms.get(row.name)
-        return row.record is not None and (
-            known_ms is None or row.record.started_ms > known_ms
+        return (
+            row.record is not None
+            and known_ms is not None
+            and row.record.started_ms > known_ms
         )
 
+    def _keep_tombstones(self, version: int) -> None:
+        """Keep targets that were gone, also if a peer's copy lists them."""
+        era = find_era(version)
+        for name, row in self._rows.items():
+            is_lost = find_era(row.version) < era and name not in self._expired
+            if row.value is None and is_lost:
+                self._rows[name] = replace(row, version=version)
+                self._kept[name] = version
+
     def list_kept_rows(self) -> list[KnownRow]:
         """Return the rows that stay as known although the store's copy differs."""
         return [
@@ -338,10 +373,17 @@
             return row
         return replace(row, record=replace(row.record, is_leaving=True))
 
-    def _apply_row(self, row: KnownRow, now: float, changed_since: float) -> bool:
+    def _apply_row(
+        self,
+        row: KnownRow,
+        now: float,
+        changed_since: float,
+        *,
+        is_kept: bool = False,
+    ) -> bool:
         row = self._apply_announcement(row)
         known = self._rows.get(row.name)
-        if known is not None and known.version >= row.version:
+        if known is not None and known.version >= row.version + is_kept:
             return False
         self._addresses.apply(row.name, row.record, version=row.version)
         if known is not None and _has_equal_content(known, row):
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -247,6 +247,7 @@
             is_among_first=lambda count: self.instance_state.is_among_first(count),
             is_large=lambda: self.members.is_large,
             read_heartbeat_interval_s=lambda: self.members.heartbeat_interval_s,
+            handle_restored=self._report_restored,
         )
         self.instance_state = InstanceState(
             own=self.own,
@@ -479,6 +480,12 @@
     def _notify_peers(self) -> None:
         self.mesh.notify()
 
+    def _report_restored(self) -> None:
+        """Send to peers what binds although the restored store does not have it."""
+        self.mesh.notify_kept()
+        self.leaving_targets.notify_all()
+        self._notify_peers()
+
     def _count_call(self, call: str, status: str) -> None:
         self._calls[call] += 1
         self.metrics.calls.inc({"call": call, "status": status})
--- a/packages/router/fulmarward_router/mesh/_heartbeats.py
+++ b/packages/router/fulmarward_router/mesh/_heartbeats.py
@@ -11,6 +11,7 @@
 from fulmarward.observability import log_event
 from fulmarward_core.transit import TransitClock
 from fulmarward_router._sockets import reset_connection
+from fulmarward_router.mesh._eras import remove_eras
 from fulmarward_router.mesh._members import (
     DATA_CENTRE_REPORT_INTERVAL_S,
     MemberTable,
@@ -50,6 +51,8 @@
     is_dialled: bool = True
     #: Measures the transit of messages; `None` unless the peer reads `SendTime`.
     transit: TransitClock | None = None
+    #: Whether the peer reads versions that name eras of the store.
+    supports_eras: bool = False
     #: The last subscription sent on a dialled link.
     subscription: Subscription | None = None
     #: Whether the peer is a hub that expects loads in separate `LoadUpdate` messages.
@@ -114,14 +117,14 @@
         self._links: list[PeerLink] = []
         #: Whether this instance reports to other data centres.
         self.is_hub = False
-        #: Messages encoded in this round: heartbeats by whether they have the loads,
-        #: and reports by data centre.
-        self._heartbeats: dict[bool, bytes] = {}
+        #: Messages encoded in this round: heartbeats by whether they have the loads and
+        #: the eras of versions, and reports by data centre.
+        self._heartbeats: dict[tuple[bool, bool], bytes] = {}
         self._reports: dict[str, bytes] = {}
-        #: Fleet reports by the revisions that their subscribers had before, with those
-        #: that they have afterwards.
-        self._fleet_reports: dict[Revisions, tuple[bytes, Revisions]] = {}
-        self._target_changes: dict[int, bytes | None] = {}
+        #: Fleet reports by the revisions that their subscribers had before and whether
+        #: they have eras, with the revisions that the subscribers have afterwards.
+        self._fleet_reports: dict[tuple[Revisions, bool], tuple[bytes, Revisions]] = {}
+        self._target_changes: dict[tuple[int, bool], bytes | None] = {}
         self._load_update: bytes | None = None
         self._fleet_loads: dict[int, tuple[bytes | None, int]] = {}
         self._encoded_at = float("-inf")
@@ -239,11 +242,13 @@
             self._send_bytes(link, self._encode(sent))
         if link.subscriber_revisions is not None:
             # The changes precede the heartbeat, so that it does not trigger a fetch.
-            changes = self._encode_target_changes(link.subscriber_revisions.targets)
+            changes = self._encode_target_changes(
+                link.subscriber_revisions.targets, has_eras=link.supports_eras
+            )
             if changes is not None:
                 self._send_bytes(link, changes)
             data, link.subscriber_revisions = self._encode_fleet_report(
-                link.subscriber_revisions
+                link.subscriber_revisions, has_eras=link.supports_eras
             )
             self._send_bytes(link, data)
             return
@@ -290,10 +295,16 @@
         """
         is_near = not self._members.is_large or peer_centre == self._data_centre
         has_loads = is_near and link.is_dialled and not link.expects_load_updates
-        if has_loads not in self._heartbeats:
+        key = has_loads, link.supports_eras
+        if key not in self._heartbeats:
             heartbeat = self._state.make_heartbeat(has_loads=has_loads)
-            self._heartbeats[has_loads] = self._encode(heartbeat)
-        return self._heartbeats[has_loads]
+            self._heartbeats[key] = self._encode_versions(
+                heartbeat, has_eras=link.supports_eras
+            )
+        return self._heartbeats[key]
+
+    def _encode_versions(self, message: object, *, has_eras: bool) -> bytes:
+        return self._encode(message if has_eras else remove_eras(message))
 
     def _send_load_update(self, link: PeerLink) -> None:
         """Send the own loads while there are any, and once when there are none."""
@@ -305,22 +316,30 @@
         link.has_reported_loads = has_loads
         link.reported_loads = self._state.get_loads_revision()
 
-    def _encode_target_changes(self, after: int) -> bytes | None:
+    def _encode_target_changes(self, after: int, *, has_eras: bool) -> bytes | None:
         """Return the encoded changes of targets after a version, `None` if unknown."""
-        if after not in self._target_changes:
+        key = after, has_eras
+        if key not in self._target_changes:
             changes = self._state.make_target_changes(after) if after >= 0 else None
-            data = None if changes is None else self._encode(changes)
-            self._target_changes[after] = data
-        return self._target_changes[after]
+            self._target_changes[key] = (
+                None
+                if changes is None
+                else self._encode_versions(changes, has_eras=has_eras)
+            )
+        return self._target_changes[key]
 
-    def _encode_fleet_report(self, known: Revisions) -> tuple[bytes, Revisions]:
+    def _encode_fleet_report(
+        self, known: Revisions, *, has_eras: bool
+    ) -> tuple[bytes, Revisions]:
         """Return the encoded report of what changed after the revisions `known`, and
         the revisions that a subscriber has after it.
         """
-        if known not in self._fleet_reports:
+        key = known, has_eras
+        if key not in self._fleet_reports:
             report, revisions = self._state.make_fleet_report(known)
-            self._fleet_reports[known] = self._encode(report), revisions
-        return self._fleet_reports[known]
+            data = self._encode_versions(report, has_eras=has_eras)
+            self._fleet_reports[key] = data, revisions
+        return self._fleet_reports[key]
 
     def _encode_data_centre_report(self, data_centre: str) -> bytes:
         if data_centre not in self._reports:
--- a/packages/router/fulmarward_router/mesh/_links.py
+++ b/packages/router/fulmarward_router/mesh/_links.py
@@ -16,6 +16,7 @@
 from fulmarward_core.spread import DEFER_DURATION_S
 from fulmarward_core.transit import TransitClock
 from fulmarward_router.mesh._codec import decode_message, encode_message
+from fulmarward_router.mesh._eras import remove_eras
 from fulmarward_router.mesh._heartbeats import (
     HeartbeatSender,
     PeerLink,
@@ -33,6 +34,7 @@
     FetchInstances,
     FetchLimits,
     FetchPoison,
+    FetchTargets,
     FleetLoads,
     FleetReport,
     Heartbeat,
@@ -53,6 +55,7 @@
     Subscription,
     SupportsCompression,
     SupportsSendTimes,
+    SupportsStoreEras,
     TargetChanges,
     TargetLimitReport,
 )
@@ -113,6 +116,8 @@
     #: When the latest messages were sent at the earliest, in seconds on the clock here;
     #: `None` if the peer does not send `SendTime`.
     sent_at: float | None = None
+    #: Whether the peer reads and sends versions that name eras of the store.
+    supports_eras: bool = False
     #: Whether these messages were logged as late.
     is_late: bool = False
     #: The sending side of a dialled link, or of one to a subscriber.
@@ -224,6 +229,7 @@
             PermitsGranted: self._handle_permits_granted,
             LeavingReport: self._handle_leaving_report,
             RegainedReport: self._handle_regained_report,
+            SupportsStoreEras: self._handle_supports_store_eras,
         }
         self._fetched_instances_at = float("-inf")
         self._started_at = read_clock()
@@ -252,6 +258,13 @@
         """Send to all instances which silent targets answer again."""
         self._regained.notify(reports)
 
+    def notify_kept(self) -> None:
+        """Send which targets stay as known here although the store's copy differs."""
+        kept = self._state.make_kept_changes()
+        for link in self._sender.list_links():
+            if kept is not None and link.supports_eras:
+                self._send_nowait(link.connection, kept)
+
     def request_permits(
         self, owner: str, *, target: str, milli_per_s: int
     ) -> int | None:
@@ -406,6 +419,7 @@
         supports = SupportsCompression(sender=self._own.name, boot=self._own.boot)
         await self._send(connection, supports)
         await self._send(connection, self._make_supports_send_times())
+        await self._send(connection, SupportsStoreEras(sender=self._own.name))
         if self._must_fetch_instances():
             await self._send(connection, FetchInstances())
         await self._exchange_poison(connection)
@@ -475,11 +489,16 @@
         if handle is not None:
             await handle(receiver, message)
         elif isinstance(message, Fetch):
-            answer = self._state.answer(message)
+            has_numbers = isinstance(message, FetchTargets)
+            answer = (
+                self._state.answer_without_eras(message)
+                if has_numbers and not receiver.supports_eras
+                else self._state.answer(message)
+            )
             if isinstance(answer, TargetChanges) and receiver.transit is not None:
                 await self._send_time(receiver)
             if answer is not None:
-                await self._send(receiver.connection, answer)
+                await self._send_versions(receiver, answer)
 
     async def _handle_introduction(
         self, receiver: _LinkReceiver, message: Introduction
@@ -502,7 +521,7 @@
         delay_s = receiver.find_delay_s(now=now)
         fetches = self._state.merge_heartbeat(message, delay_s=delay_s)
         for fetch in fetches:
-            await self._send(receiver.connection, fetch)
+            await self._send_versions(receiver, fetch)
 
     async def _handle_fleet_report(
         self, receiver: _LinkReceiver, message: FleetReport
@@ -550,6 +569,7 @@
             address=self._members.find_address(message.sender),
             is_dialled=False,
             transit=receiver.transit,
+            supports_eras=receiver.supports_eras,
             subscriber_revisions=Revisions() if message.wants_reports else None,
         )
         self._sender.add(receiver.link)
@@ -594,6 +614,27 @@
             await self._send(receiver.connection, self._make_supports_send_times())
             await self._send_time(receiver)
 
+    async def _handle_supports_store_eras(
+        self, receiver: _LinkReceiver, message: SupportsStoreEras
+    ) -> None:
+        """Send versions that name eras from now on; the accepting side answers."""
+        receiver.supports_eras = True
+        if receiver.link is not None:
+            receiver.link.supports_eras = True
+        if receiver.is_accepted:
+            supports = SupportsStoreEras(sender=self._own.name)
+            await self._send(receiver.connection, supports)
+        kept = self._state.make_kept_changes()
+        if kept is not None:
+            await self._send(receiver.connection, kept)
+
+    async def _send_versions(self, receiver: _LinkReceiver, message: object) -> None:
+        """Send a message with versions as the peer reads them."""
+        is_known = receiver.supports_eras
+        await self._send(
+            receiver.connection, message if is_known else remove_eras(message)
+        )
+
     async def _send_time(self, receiver: _LinkReceiver) -> None:
         sent = make_send_time(receiver.transit, now=self._read_clock())
         await self._send(receiver.connection, sent)
--- a/packages/router/fulmarward_router/mesh/_messages.py
+++ b/packages/router/fulmarward_router/mesh/_messages.py
@@ -411,6 +411,15 @@
     targets: tuple[RegainedTargetReport, ...]
 
 
+class SupportsStoreEras(Message, kw_only=True):
+    """The sender's versions name eras of the store, and it reads those that do.
+
+    Exchanged on each link. Other peers get the store's own numbers.
+    """
+
+    sender: str
+
+
 #: All messages; the number of a message on the wire is its index here. A message keeps
 #: its number and its fields, as instances of different releases exchange it during a
 #: rolling update. A change is a new message at the end, which older releases ignore.
@@ -443,4 +452,5 @@
     PermitsGranted,
     LeavingReport,
     RegainedReport,
+    SupportsStoreEras,
 )
--- a/packages/router/fulmarward_router/mesh/_state.py
+++ b/packages/router/fulmarward_router/mesh/_state.py
@@ -97,6 +97,15 @@
     def answer(self, fetch: Fetch) -> Answer | None:
         """Return the answer to a peer's fetch, `None` if there is none."""
 
+    def answer_without_eras(self, fetch: FetchTargets) -> Answer | None:
+        """Return the answer to a fetch whose versions are the store's own numbers."""
+
+    def make_kept_changes(self) -> TargetChanges | None:
+        """Return the targets that stay as known although the store's copy differs.
+
+        `None` if there are none.
+        """
+
     def merge_snapshot(self, snapshot: Snapshot, *, delay_s: float = 0.0) -> None:
         """Merge the answer of a peer to a fetch, delayed in transit by `delay_s`."""
 
--- a/packages/router/fulmarward_router/mesh/tests/test_dialled.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_dialled.py
@@ -21,6 +21,7 @@
     FetchPoison,
     Introduction,
     SupportsSendTimes,
+    SupportsStoreEras,
 )
 from fulmarward_router.mesh.tests.test_members import make_heartbeat
 from fulmarward_router.tests._poison import make_poison_knowledge
@@ -51,6 +52,7 @@
         # fetch of the uncompressed row.
         own = make_heartbeat("own").sender
         state = mock.Mock()
+        state.make_kept_changes.return_value = None
         state.make_heartbeat.return_value = make_heartbeat("own")
         mesh = Mesh(
             poison=make_poison_knowledge(),
@@ -67,13 +69,14 @@
         async with asyncio.timeout(10.0):
             await self.has_heartbeat.wait()
         await mesh.close()
-        kinds = [type(message) for message in self.received[:8]]
+        kinds = [type(message) for message in self.received[:9]]
         self.assertEqual(
             kinds,
             [
                 Introduction,
                 SupportsCompression,
                 SupportsSendTimes,
+                SupportsStoreEras,
                 FetchInstances,
                 FetchPoison,
                 FetchLimits,
@@ -91,6 +94,7 @@
         """Start an instance whose clock is ahead; return its address."""
         own = make_heartbeat(name).sender
         state = mock.Mock()
+        state.make_kept_changes.return_value = None
         state.make_heartbeat.return_value = make_heartbeat(name)
         state.merge_heartbeat.side_effect = lambda heartbeat, *, delay_s: (
             self.delays[name].append(delay_s) or []
--- a/packages/router/fulmarward_router/state/_configuration_exchange.py
+++ b/packages/router/fulmarward_router/state/_configuration_exchange.py
@@ -57,10 +57,13 @@
         #: The row that was last sent to peers, and its compressed value.
         self._compressed: tuple[Row, bytes | None] | None = None
 
-    def merge_heartbeat(self, heartbeat: Heartbeat, *, sent_at: float) -> Fetch | None:
+    def merge_heartbeat(
+        self, heartbeat: Heartbeat, *, sent_at: float, is_confirming: bool = True
+    ) -> Fetch | None:
         """Record the version that a peer has in force; return the fetch to send it.
 
         `sent_at` is when the heartbeat was sent, in seconds on the monotonic clock.
+        `is_confirming` is whether what the peer has may count as confirmed here.
         """
         own, now = self._configuration.version, self._read_clock()
         reported_at = now if sent_at == float("-inf") else sent_at
@@ -71,7 +74,8 @@
             if self._begin_fetch(heartbeat, now):
                 return self._make_fetch(heartbeat.sender, own)
         elif (
-            heartbeat.configuration_version == own
+            is_confirming
+            and heartbeat.configuration_version == own
             and heartbeat.configuration_age_ms >= 0
         ):
             at = sent_at - heartbeat.configuration_age_ms / 1000
--- a/packages/router/fulmarward_router/state/_instance_state.py
+++ b/packages/router/fulmarward_router/state/_instance_state.py
@@ -10,6 +10,11 @@
 from fulmarward_core.catalogue import KnownRow, TargetCatalogue
 from fulmarward_core.loads import HubReport, Load, LoadLedger
 from fulmarward_core.paces import PaceTable
+from fulmarward_core.store_versions import (
+    find_era,
+    find_number,
+    make_store_version,
+)
 from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_router.mesh import (
     Answer,
@@ -231,7 +236,13 @@
         self._merge_losses(heartbeat.losses, heartbeat.sender.name, sent_at)
         self._suspicions.refusals.merge_reports(heartbeat.refusing, now=sent_at)
         self._merge_paces(heartbeat.paces, sent_at)
-        fetch = self._exchange.merge_heartbeat(heartbeat, sent_at=sent_at)
+        # What a peer confirms that follows a lost history may have been replaced.
+        is_of_era = find_era(heartbeat.targets_version) >= find_era(
+            self._catalogue.version
+        )
+        fetch = self._exchange.merge_heartbeat(
+            heartbeat, sent_at=sent_at, is_confirming=is_of_era
+        )
         fetches = [] if fetch is None else [fetch]
         if not heartbeat.is_store_reachable:
             self._catalogue.record_store_out(at=sent_at)
@@ -503,11 +514,32 @@
             return None
         return self._build_target_changes(fetch.after)
 
-    def _build_target_changes(self, after: int) -> TargetChanges:
-        rows = tuple(
-            RowSnapshot(key=row.name, version=row.version, value=row.value)
-            for row in self._catalogue.list_rows(after=after)
+    def answer_without_eras(self, fetch: FetchTargets) -> Answer | None:
+        """Return the answer to a fetch whose versions are the store's own numbers."""
+        if fetch.after > 0:
+            era = find_era(self._catalogue.version)
+            after = make_store_version(era, find_number(fetch.after))
+            fetch = FetchTargets(after=after)
+        return self.answer(fetch)
+
+    def make_kept_changes(self) -> TargetChanges | None:
+        """Return the targets that stay as known although the store's copy differs.
+
+        They name no version up to which changes are known, so that a peer merges just
+        these rows. `None` if there are none.
+        """
+        rows = self._catalogue.list_kept_rows()
+        if not rows:
+            return None
+        return TargetChanges(
+            after=self._catalogue.version,
+            version=0,
+            age_ms=_UNKNOWN_AGE_MS,
+            rows=tuple(map(_make_snapshot, rows)),
         )
+
+    def _build_target_changes(self, after: int) -> TargetChanges:
+        rows = tuple(map(_make_snapshot, self._catalogue.list_rows(after=after)))
         age_ms = _compute_age_ms(self._catalogue.confirmed_at, self._read_clock())
         return TargetChanges(
             after=after,
@@ -547,6 +579,10 @@
             )
             for item in snapshot.rows
         ]
+        if snapshot.version == 0 and snapshot.after > 0:
+            changed = self._catalogue.apply_kept_rows(rows, now=now)
+            self._handle_target_changes(changed)
+            return
         at = now - delay_s - snapshot.age_ms / 1000
         if snapshot.after == 0:
             # The whole table, in which removed targets are missing.
@@ -565,6 +601,10 @@
         )
 
 
+def _make_snapshot(row: KnownRow) -> RowSnapshot:
+    return RowSnapshot(key=row.name, version=row.version, value=row.value)
+
+
 def _make_load_reports(loads: Mapping[str, Load]) -> tuple[LoadReport, ...]:
     return tuple(
         LoadReport(
--- a/packages/router/fulmarward_router/state/_leaving_targets.py
+++ b/packages/router/fulmarward_router/state/_leaving_targets.py
@@ -47,6 +47,12 @@
         )
         self._get_links().notify_leaving(self.make_reports([record.name]))
 
+    def notify_all(self) -> None:
+        """Send to all instances which targets are known here to leave."""
+        reports = self.make_reports()
+        if reports:
+            self._get_links().notify_leaving(reports)
+
     def make_reports(
         self, targets: Iterable[str] | None = None
     ) -> tuple[LeavingTargetReport, ...]:
--- a/packages/router/fulmarward_router/state/_watch.py
+++ b/packages/router/fulmarward_router/state/_watch.py
@@ -75,6 +75,7 @@
         is_among_first: Callable[[int], bool],
         is_large: Callable[[], bool],
         read_heartbeat_interval_s: Callable[[], float],
+        handle_restored: Callable[[], None] = lambda: None,
     ) -> None:
         self._store = store
         self._configuration = configuration
@@ -85,6 +86,8 @@
         self._is_among_first = is_among_first
         self._is_large = is_large
         self._read_heartbeat_interval_s = read_heartbeat_interval_s
+        #: Called when the targets were read anew from a restored store.
+        self._handle_restored = handle_restored
         self._has_outage: dict[str, bool] = {}
         #: Since when the store has been unreachable, `None` while it answers.
         self.unreachable_since: float | None = None
@@ -210,7 +213,7 @@
 
     async def _read_all(self) -> None:
         asked_at = self._read_clock()
-        era = find_era(self._catalogue.version)
+        before = self._catalogue.version
         read = await self._store.read_table(self._store.targets_table)
         now = self._read_clock()
         rows = [self.decode_row(row, now=now) for row in read.rows]
@@ -226,13 +229,15 @@
             changed=len(changed),
             is_applied=self._catalogue.version == read.version,
         )
-        self._log_kept(era, read)
         self._handle_target_changes(changed)
+        if 0 < before and find_era(before) < find_era(self._catalogue.version):
+            self._log_kept(read)
+            self._handle_restored()
 
-    def _log_kept(self, era: int, read: RowsRead) -> None:
+    def _log_kept(self, read: RowsRead) -> None:
         """Log which targets stay as known although a copy says otherwise."""
         kept = self._catalogue.list_kept_rows()
-        if kept and find_era(read.version) > era:
+        if kept:
             log_event(
                 "targets_kept",
                 store_version=read.version,
