Keep a target that ended unused when the store is restored

A copy lists both targets of an address; a row that is only kept after a restore counted as written again, and the target that ended would have been used until it expired once more. The test failed before.

--- a/packages/core/fulmarward_core/catalogue/_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/_catalogue.py
@@ -385,7 +385,10 @@
         known = self._rows.get(row.name)
         if known is not None and known.version >= row.version + is_kept:
             return False
-        self._addresses.apply(row.name, row.record, version=row.version)
+        is_written = known is None or row.record is not known.record
+        if is_written or row.record is None:
+            # One that is only kept after a restore was not written again.
+            self._addresses.apply(row.name, row.record, version=row.version)
         if known is not None and _has_equal_content(known, row):
             self._rows[row.name] = row
             return False
--- a/packages/core/fulmarward_core/catalogue/tests/test_addresses.py
+++ b/packages/core/fulmarward_core/catalogue/tests/test_addresses.py
@@ -4,6 +4,7 @@
 
 from fulmarward_core.catalogue import KnownRow, TargetCatalogue
 from fulmarward_core.layers.tests.fleets import make_target
+from fulmarward_core.store_versions import make_store_version
 
 
 def _make_row(name, version, *, address="10.0.0.1:1", started_ms=0, is_there=True):
@@ -89,3 +90,11 @@
         fed.apply_changes(rows, self.catalogue.version, now=0.0)
         listed = sorted(record.name for record in fed.list_targets(now=0.0))
         self.assertEqual(listed, self.list_names())
+
+    def test_target_that_ended_stays_unused_when_the_store_is_restored(self):
+        """Guards against a copy that lists both targets of an address."""
+        rows = [_make_row("ended", 1), _make_row("next", 2)]
+        self.catalogue.apply_full_read(rows, 9, now=0.0)
+        copy = [_make_row(row.name, make_store_version(1, row.version)) for row in rows]
+        self.catalogue.apply_full_read(copy, make_store_version(1, 8), now=1.0)
+        self.assertEqual(self.list_names(), ["next"])
