Give out no fencing number again after the store lost the lease

Cause: the next number was the one in the row plus one, and a copy has an older row. A condition on a version of the lost history could hold for a row that was written since, and a write whose reply was lost was recognized in it.

Numbers of an era of the store begin at era * 10**6, and are above all seen in the row. The first row of a new era ends an own lease, its writes are no longer recognized, and no lease is acquired for a term, as one that was lost may still be held.

--- a/packages/core/fulmarward_core/leases/_types.py
+++ b/packages/core/fulmarward_core/leases/_types.py
@@ -12,7 +12,7 @@
     #: Name and boot number of the holder. An empty name means that it was released.
     holder: str
     boot: int
-    #: Fencing number; incremented whenever the lease is acquired.
+    #: Fencing number; increases whenever the lease is acquired.
     fencing: int
     #: Unique per write, so that a write whose reply was lost can be recognized.
     token: str
@@ -69,10 +69,15 @@
     own_name: str
     own_boot: int
     phase: Phase = Phase.UNSURE
-    #: The row as last read, its version, and since when it has been unchanged.
+    #: The row as last read, its version as `fulmarward_core.store_versions`, and since
+    #: when it has been unchanged.
     lease: Lease = ABSENT_LEASE
     version: int = 0
     unchanged_since: float = float("-inf")
+    #: Highest fencing number seen in the row, and the end of any lease that the store
+    #: lost as it came back from a copy.
+    highest_fencing: int = 0
+    lost_until: float = float("-inf")
     #: End of this instance's lease, in seconds on its monotonic clock.
     held_until: float = float("-inf")
     #: The fencing number of that lease.
@@ -88,7 +93,7 @@
 class LeaseRead:
     """The row was read, or a rejected write returned it."""
 
-    #: The lease and version of the row.
+    #: The lease and version of the row; the version names the era if it is absent.
     lease: Lease
     version: int
 
--- a/packages/core/fulmarward_core/leases/decisions.py
+++ b/packages/core/fulmarward_core/leases/decisions.py
@@ -15,6 +15,7 @@
     ReplyLost,
     StoreUnavailable,
 )
+from fulmarward_core.store_versions import find_era
 
 #: Share of the term after which a holder renews. Leaves time for two more attempts.
 RENEWAL_SHARE = 1 / 3
@@ -24,6 +25,11 @@
 MAX_REMEMBERED_WRITES = 8
 
 
+#: Fencing numbers of each era of the store. Guards against a number that is given out
+#: again after the store lost the row with it.
+_FENCING_PER_ERA = 10**6
+
+
 class StepKind(Enum):
     """Kind of the next action on a lease."""
 
@@ -117,11 +123,19 @@
 def _step_watching(
     state: LeaseState, terms: LeaseTerms, token: str, wanted: bool, now: float
 ) -> Step:
-    free_from = state.unchanged_since + terms.takeover_wait_s
-    is_free = not state.lease.holder or now >= free_from
-    if not (wanted and is_free):
-        return Step(kind=StepKind.WAIT, until=free_from)
-    return _write(state, token, state.own_name, state.lease.fencing + 1)
+    free_from = state.lost_until
+    if state.lease.holder:
+        free_from = max(free_from, state.unchanged_since + terms.takeover_wait_s)
+    if not wanted or now < free_from:
+        until = state.unchanged_since + terms.takeover_wait_s
+        return Step(kind=StepKind.WAIT, until=max(free_from, until))
+    return _write(state, token, state.own_name, _find_next_fencing(state))
+
+
+def _find_next_fencing(state: LeaseState) -> int:
+    """Return a fencing number above all that were given out, also those lost."""
+    lowest = find_era(state.version) * _FENCING_PER_ERA
+    return max(state.highest_fencing, lowest) + 1
 
 
 def _step_holding(
@@ -193,9 +207,15 @@
 
     Guards against a lost reply: the row has the token of the write that was committed,
     and the term counts from the start of that write. A row of this instance with an
-    unknown token is treated like another instance's: its term must end first.
+    unknown token is treated like another instance's: its term must end first. So is
+    each row of a restored store, whose version may have been given out twice; any lease
+    that the store lost must end first, too.
     """
     lease = event.lease
+    if state.version > 0 and find_era(event.version) > find_era(state.version):
+        state = replace(
+            state, write_started_at={}, lost_until=now + terms.takeover_wait_s
+        )
     has_changed = (event.version, lease) != (state.version, state.lease)
     seen = replace(
         state,
@@ -204,6 +224,7 @@
         version=event.version,
         unchanged_since=now if has_changed else state.unchanged_since,
         is_last_holder=False,
+        highest_fencing=max(state.highest_fencing, lease.fencing),
     )
     is_own = (lease.holder, lease.boot) == (state.own_name, state.own_boot)
     if not is_own or lease.token not in state.write_started_at:
--- a/packages/router/fulmarward_router/placement/_lease.py
+++ b/packages/router/fulmarward_router/placement/_lease.py
@@ -29,6 +29,7 @@
     record_write,
     update_store_state,
 )
+from fulmarward_core.store_versions import find_era, make_store_version
 from fulmarward_router.ports import (
     Committed,
     HistoryExpired,
@@ -162,7 +163,7 @@
             read = await self._store.read_table(LEASE_TABLE)
         except (StoreRefused, ReplyLost):
             return StoreUnavailable()
-        return _find_lease(read.rows)
+        return _find_lease(read.rows, era=find_era(read.version))
 
     async def _write(self, step: Step) -> LeaseEvent:
         self._state = record_write(self._state, step, now=self._read_clock())
@@ -177,10 +178,10 @@
             return WriteLost()
         if isinstance(outcome, Committed):
             return LeaseWritten(lease=step.lease, version=outcome.version)
-        return _find_lease(outcome.rows)
+        return _find_lease(outcome.rows, era=find_era(step.version))
 
 
-def _find_lease(rows: tuple[Row, ...]) -> LeaseRead:
+def _find_lease(rows: tuple[Row, ...], *, era: int) -> LeaseRead:
     """Return the lease in `rows`; a row that cannot be decoded counts as released."""
     for row in rows:
         if row.key != LEASE_KEY or row.value is None:
@@ -192,4 +193,4 @@
         except (ValueError, TypeError) as error:
             log_event("lease_row_refused", cause=str(error))
             return LeaseRead(lease=ABSENT_LEASE, version=row.version)
-    return LeaseRead(lease=ABSENT_LEASE, version=0)
+    return LeaseRead(lease=ABSENT_LEASE, version=make_store_version(era, 0))
