Write own rows again when the store has lost them

What callers saw: nothing yet; instances would not have found one whose row was lost, and a blocked pattern would have been accepted again had all instances stopped.

Cause: an instance wrote its row once, at its start, and a blocked pattern's row when it was blocked.

Both are written again in a new era of the store: the own row as it is, those of blocked patterns that the copy lacks on condition that no other instance has written them. A row that was withdrawn is not written again.

--- a/packages/router/fulmarward_router/state/_instances.py
+++ b/packages/router/fulmarward_router/state/_instances.py
@@ -39,21 +39,33 @@
         self._own = own
         self._members = members
         self._read_clock = read_clock
+        self._is_withdrawn = False
 
     async def follow(self) -> None:
-        """Write the row once and read the others' periodically, until cancelled."""
+        """Write the row, and read the others' periodically, until cancelled.
+
+        The row is written again if the store came back from a copy, which may lack it.
+        """
         value = _encode_instance(self._own)
         write = RowWrite(table=INSTANCE_TABLE, key=self._own.name, value=value)
-        is_written = False
+        # The era of the store in which the row was written.
+        written_era: int | None = None
+        is_written, read_at = False, self._read_clock()
         while True:
+            has_row = is_written and self._store.era == written_era
+            is_written = has_row or self._is_withdrawn
             if is_written and self._members.follows_hubs(now=self._read_clock()):
                 # The hubs read the rows and report the instances.
                 await _sleep_with_jitter(RETRY_INTERVAL_S)
                 continue
+            if is_written and self._read_clock() < read_at:
+                await _sleep_with_jitter(RETRY_INTERVAL_S)
+                continue
             try:
                 if not is_written:
                     await self._store.transact([], [write])
-                    is_written = True
+                    _log_rewritten(written_era, self._store.era)
+                    is_written, written_era = True, self._store.era
                 read = await self._store.read_table(INSTANCE_TABLE)
             except (StoreRefused, ReplyLost) as error:
                 log_event("instances_read_failed", cause=repr(error))
@@ -62,10 +74,11 @@
             identities = [_decode_instance(row.value) for row in read.rows]
             now = self._read_clock()
             self._members.merge_members([item for item in identities if item], now=now)
-            await _sleep_with_jitter(READ_INTERVAL_S)
+            read_at = now + _vary(READ_INTERVAL_S)
 
     async def withdraw(self) -> None:
         """Delete this instance's row; a failure of the store is only logged."""
+        self._is_withdrawn = True
         write = RowWrite(table=INSTANCE_TABLE, key=self._own.name, value=None)
         try:
             await self._store.transact([], [write])
@@ -74,7 +87,16 @@
 
 
 async def _sleep_with_jitter(seconds: float) -> None:
-    await asyncio.sleep(seconds * random.uniform(1 - _JITTER, 1 + _JITTER))
+    await asyncio.sleep(_vary(seconds))
+
+
+def _vary(seconds: float) -> float:
+    return seconds * random.uniform(1 - _JITTER, 1 + _JITTER)
+
+
+def _log_rewritten(before: int | None, era: int | None) -> None:
+    if before is not None:
+        log_event("instance_row_rewritten", era=era, before=before)
 
 
 def _encode_instance(own: InstanceIdentity) -> bytes:
--- a/packages/router/fulmarward_router/state/_poison_rows.py
+++ b/packages/router/fulmarward_router/state/_poison_rows.py
@@ -1,14 +1,26 @@
 """Keeps blocked patterns in the store, for when all instances stop at once."""
 
 import asyncio
+import random
 from collections.abc import Callable, Sequence
 
 import cbor2
 
 from fulmarward.observability import log_event
 from fulmarward_core.poison import BLOCK_RETENTION_S
+from fulmarward_core.store_versions import find_era, make_store_version
 from fulmarward_router.mesh import CrashReport, PatternReport
-from fulmarward_router.ports import ReplyLost, Row, RowWrite, Store, StoreRefused
+from fulmarward_router.ports import (
+    Conflict,
+    HistoryExpired,
+    ReplyLost,
+    Row,
+    RowCondition,
+    RowsRead,
+    RowWrite,
+    Store,
+    StoreRefused,
+)
 from fulmarward_router.state._poison import PoisonKnowledge
 
 #: The store's table with a row for each blocked pattern.
@@ -22,7 +34,10 @@
 
 
 class PoisonRows:
-    """Reads the rows once and writes those of patterns whose block changes."""
+    """Reads the rows once and writes those of patterns whose block changes.
+
+    Writes those again that the store lost as it came back from a copy.
+    """
 
     def __init__(
         self,
@@ -46,11 +61,58 @@
         """Read all rows, then write those that change, until cancelled."""
         while not await self._read():
             await asyncio.sleep(RETRY_INTERVAL_S)
+        era = self._store.era
         while True:
-            pattern = await self._changed.get()
+            try:
+                async with asyncio.timeout(RETRY_INTERVAL_S):
+                    pattern = await self._changed.get()
+            except TimeoutError:
+                if era != self._store.era and await self._write_lost():
+                    era = self._store.era
+                continue
             while not await self._write(pattern):
                 await asyncio.sleep(RETRY_INTERVAL_S)
 
+    async def _write_lost(self) -> bool:
+        """Correct the rows of a restored store; return whether it answered.
+
+        All instances do so. Conditions leave the rows that another has just written.
+        """
+        blocked = {
+            pattern
+            for finding in self._poison.findings
+            for pattern in finding.patterns
+            if self._poison.is_blocked(pattern)
+        }
+        if not blocked:
+            return True
+        await asyncio.sleep(random.uniform(0.0, RETRY_INTERVAL_S / 2))
+        try:
+            read = await self._store.read_table(POISON_TABLE)
+            for pattern in sorted(blocked - {row.key for row in read.rows}):
+                await self._write_if_absent(pattern, read)
+        except (StoreRefused, ReplyLost, HistoryExpired) as error:
+            log_event("poison_rows_read_failed", cause=repr(error))
+            return False
+        return True
+
+    async def _write_if_absent(self, pattern: str, read: RowsRead) -> None:
+        condition = RowCondition(
+            table=POISON_TABLE,
+            key=pattern,
+            version=make_store_version(find_era(read.version), 0),
+        )
+        write = RowWrite(
+            table=POISON_TABLE, key=pattern, value=self._encode_block(pattern)
+        )
+        outcome = await self._store.transact([condition], [write])
+        if not isinstance(outcome, Conflict):
+            log_event("poison_row_written", pattern=pattern, is_blocked=True)
+
+    def _encode_block(self, pattern: str) -> bytes:
+        [report] = self._poison.make_reports([pattern])
+        return _encode_row(report, now=self._read_wall_clock())
+
     async def _read(self) -> bool:
         """Merge all rows; return whether the store answered."""
         try:
@@ -71,8 +133,7 @@
         """Write or remove the row of a pattern; return whether the store answered."""
         value = None
         if self._poison.is_blocked(pattern):
-            [report] = self._poison.make_reports([pattern])
-            value = _encode_row(report, now=self._read_wall_clock())
+            value = self._encode_block(pattern)
         write = RowWrite(table=POISON_TABLE, key=pattern, value=value)
         try:
             await self._store.transact([], [write])
