--- a/packages/core/fulmarward_core/catalogue/_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/_catalogue.py
@@ -255,14 +255,25 @@
         """
         for row in list(self._rows.values()):
             if row.record is not None and row.record.is_leaving:
-                process, since = row.record.process_name, self._leaving_since[row.name]
-                self._announced.setdefault(
-                    row.name, LeaveAnnouncement(process=process, at=since)
-                )
+                self._announce_known_leaving(row)
         self._recovered_at = now
         # Peers that know the lost history only must request what was chosen here.
         self._last_changed = max(self._last_changed, version)
 
+    def _announce_known_leaving(self, row: KnownRow) -> None:
+        known = self._announced.get(row.name)
+        process = row.record.process_name
+        if known is None or known.process != process:
+            self._record_announcement(
+                row.name,
+                LeaveAnnouncement(process=process, at=self._leaving_since[row.name]),
+            )
+
+    def _record_announcement(self, name: str, announcement: LeaveAnnouncement) -> None:
+        self._announced[name] = announcement
+        if len(self._announced) > _MAX_ANNOUNCED:
+            del self._announced[next(iter(self._announced))]
+
     def _choose_row(self, row: KnownRow, version: int, *, now: float) -> KnownRow:
         """Return a row of a restored store, or what is known if that is newer.
 
@@ -344,9 +355,7 @@
         is_other = record is not None and record.process_name != process
         if is_other or (known is not None and known.process == process):
             return False
-        self._announced[name] = LeaveAnnouncement(process=process, at=at)
-        if len(self._announced) > _MAX_ANNOUNCED:
-            del self._announced[next(iter(self._announced))]
+        self._record_announcement(name, LeaveAnnouncement(process=process, at=at))
         if record is None or record.is_leaving:
             return record is None
         leaving = replace(record, is_leaving=True)
