The route of a request is found by its prefix, not by trying all

What callers saw: after a version that added thousands of routes to a host, each request took longer in the event loop, and all streams of the instance with it.

Cause: the path was compared with the routes of its host one after the other.

The routes of a host are indexed by prefix, once a version; a request looks up one prefix for each length that occurs.

--- a/packages/core/fulmarward_core/routes/_types.py
+++ b/packages/core/fulmarward_core/routes/_types.py
@@ -1,8 +1,9 @@
 """Types of the routing configuration, which takes effect only as a whole."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import cached_property
 
 from fulmarward_core.fleet import ServiceSpec
 
@@ -97,3 +98,30 @@
     teams_by_key: Mapping[str, Team] = field(default_factory=dict)
     #: Whether routes that are not public require a team key.
     requires_team_key: bool = False
+
+    @cached_property
+    def route_indexes(self) -> Mapping[str, "RouteIndex"]:
+        """The routes of each host, to be found by their prefixes."""
+        return {host: RouteIndex(routes) for host, routes in self.routes.items()}
+
+
+class RouteIndex:
+    """The routes of a host by prefix.
+
+    Guards against requests that compare their path with thousands of routes.
+    """
+
+    def __init__(self, routes: Iterable[Route]) -> None:
+        self._by_prefix: dict[str, Route] = {}
+        for route in routes:
+            self._by_prefix.setdefault(route.prefix, route)
+        #: Lengths of the prefixes, the longest first.
+        self._lengths = sorted({len(p) for p in self._by_prefix}, reverse=True)
+
+    def find(self, path: str) -> Route | None:
+        """Return the route with the longest prefix of `path`, or `None`."""
+        for length in self._lengths:
+            route = self._by_prefix.get(path[:length])
+            if route is not None and len(route.prefix) == length:
+                return route
+        return None
--- a/packages/core/fulmarward_core/routes/decisions.py
+++ b/packages/core/fulmarward_core/routes/decisions.py
@@ -16,10 +16,8 @@
     `host` is the Host header as received; its port and case are ignored.
     """
     hostname = host.rsplit(":", 1)[0] if not host.endswith("]") else host
-    for route in configuration.routes.get(hostname.lower(), ()):
-        if path.startswith(route.prefix):
-            return route
-    return None
+    index = configuration.route_indexes.get(hostname.lower())
+    return None if index is None else index.find(path)
 
 
 def find_team(configuration: RoutingConfiguration, key: str | None) -> Team | None:
