Tests: what the review of the store's eras found

Four share a cause: an instance that learns of a new era by a peer's changes skips the choice between known rows and the copy's that a full read makes, and is never reconciled. Two concern a kept row that has the number of the read, one a leaving that only an expired record has, and one a live target whose ended predecessor the copy lists at its address.

--- a/packages/core/fulmarward_core/catalogue/tests/test_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/tests/test_catalogue.py
@@ -271,3 +271,112 @@
         self.read_all(2, 12, self.make_row(2, 10), now=102.0)
         self.read_all(3, 11, self.make_row(3, 10), now=103.0)
         self.assertEqual(self.describe(103.0), (8, True))
+
+    def test_process_is_not_replaced_by_its_predecessor_after_two_restores(self):
+        """Guards against a kept row that has the number of the copy's own row."""
+        self.read_all(1, 10, self.make_row(1, 10), now=100.0)
+        self.apply(self.make_row(1, 20, started_ms=2, slots=9), 101.0)
+        self.read_all(2, 10, self.make_row(2, 10), now=102.0)
+        self.assertEqual(self.describe(102.0), (9, False))
+        self.read_all(3, 10, self.make_row(3, 10), now=103.0)
+        self.assertEqual(self.describe(103.0), (9, False))
+
+    def test_target_that_is_gone_stays_so_after_two_restores(self):
+        """Guards against a kept removal that has the number of the copy's row."""
+        self.read_all(1, 10, self.make_row(1, 10), now=100.0)
+        self.apply(self.make_removed(1, 20), 101.0)
+        self.read_all(2, 10, self.make_row(2, 10), now=102.0)
+        self.assertFalse(self.describe(102.0))
+        self.read_all(3, 10, self.make_row(3, 10), now=103.0)
+        self.assertFalse(self.describe(103.0))
+
+    def test_target_that_expired_while_it_left_leaves_after_a_restore(self):
+        """Guards against a leaving that is forgotten with an expired row."""
+        self.read_all(1, 10, self.make_row(1, 10), now=100.0)
+        self.apply(self.make_row(1, 11, is_leaving=True), 100.1)
+        self.catalogue.record_store_out(at=103.0)
+        self.apply(self.make_removed(1, 14), 103.1)
+        self.assertEqual(self.describe(103.1), (8, True))
+        self.read_all(2, 12, self.make_row(2, 10), now=103.5)
+        self.assertIn(self.describe(103.5), (False, (8, True)))
+
+    def test_live_target_stays_although_the_copy_lists_its_predecessor(self):
+        """Guards against a live target that is out for an ended one at its address."""
+        old = self.make_row(1, 10, name="old", address="10.0.0.1:1")
+        new = self.make_row(1, 20, started_ms=2, address="10.0.0.1:1")
+        self.read_all(1, 10, old, now=100.0)
+        self.apply(new, 101.0)
+        self.assertEqual(_list_names(self.catalogue, 101.0), ["t"])
+        copied = self.make_row(2, 10, name="old", address="10.0.0.1:1")
+        self.read_all(2, 10, copied, now=102.0)
+        self.assertEqual(_list_names(self.catalogue, 102.0), ["t"])
+
+
+class RestoredStoreByPeerTest(unittest.TestCase):
+    """An instance learns of a restored store by the changes of a peer."""
+
+    make_row = RestoredStoreTest.make_row
+
+    def setUp(self):
+        self.reader, self.follower = TargetCatalogue(), TargetCatalogue()
+
+    def send_changes(self, *, now):
+        """Have the follower merge what the reader sends of its changes."""
+        after = self.follower.version
+        self.assertTrue(self.reader.knows_changes(after=after))
+        rows = self.reader.list_rows(after=after)
+        self.follower.apply_changes(rows, self.reader.version, now=now)
+
+    def test_target_that_only_the_follower_knew_does_not_stay_for_ever(self):
+        """Guards against an ended target whose row the restored store never had."""
+        for catalogue in (self.reader, self.follower):
+            catalogue.apply_full_read([], _in_era(1, 10), now=100.0)
+        self.follower.apply_changes([self.make_row(1, 14)], _in_era(1, 14), now=101.0)
+        self.reader.apply_full_read([], _in_era(2, 10), now=103.0)
+        self.send_changes(now=103.0)
+        self.assertEqual(_list_names(self.follower, 103.0), ["t"])
+        self.reader.apply_changes([], _in_era(2, 30), now=120.0)
+        self.send_changes(now=120.0)
+        self.assertEqual(_list_names(self.follower, 120.0), [])
+
+    def test_target_that_is_gone_is_not_listed_by_a_reader_that_was_behind(self):
+        """Guards against a copy that is new to the reader, but not to the follower."""
+        row = self.make_row(1, 9)
+        self.reader.apply_full_read([], _in_era(1, 8), now=100.0)
+        self.follower.apply_full_read([row], _in_era(1, 9), now=100.0)
+        removed = _make_row("t", _in_era(1, 20), value=None, at=101.0)
+        self.follower.apply_changes([removed], _in_era(1, 20), now=101.0)
+        self.assertEqual(_list_names(self.follower, 101.0), [])
+        self.reader.apply_full_read([self.make_row(2, 9)], _in_era(2, 10), now=103.0)
+        self.send_changes(now=103.0)
+        self.assertEqual(_list_names(self.follower, 103.0), [])
+
+    def test_live_target_that_only_the_follower_lost_is_listed_again(self):
+        """Guards against a live target that is out for ever at one instance."""
+        row = self.make_row(1, 9)
+        for catalogue in (self.reader, self.follower):
+            catalogue.apply_full_read([row], _in_era(1, 10), now=100.0)
+        removed = _make_row("t", _in_era(1, 14), value=None, at=101.0)
+        self.follower.apply_changes([removed], _in_era(1, 14), now=101.0)
+        self.reader.apply_full_read([self.make_row(2, 9)], _in_era(2, 10), now=103.0)
+        self.send_changes(now=103.0)
+        for number in range(11, 20):
+            written, now = self.make_row(2, number), 93.0 + number
+            self.reader.apply_changes([written], _in_era(2, number), now=now)
+            self.send_changes(now=now)
+        self.assertEqual(_list_names(self.reader, 112.0), ["t"])
+        self.assertEqual(_list_names(self.follower, 112.0), ["t"])
+
+    def test_own_read_after_the_changes_of_a_peer_brings_no_older_process(self):
+        """Guards against a copy whose first read here is not the first of its era."""
+        old = self.make_row(1, 9)
+        for catalogue in (self.reader, self.follower):
+            catalogue.apply_full_read([old], _in_era(1, 10), now=100.0)
+        new = self.make_row(1, 20, started_ms=2, slots=9)
+        self.follower.apply_changes([new], _in_era(1, 20), now=101.0)
+        copied = self.make_row(2, 9)
+        self.reader.apply_full_read([copied], _in_era(2, 10), now=103.0)
+        self.send_changes(now=103.0)
+        self.assertEqual(self.follower.find_target("t").started_ms, 2)
+        self.follower.apply_full_read([copied], _in_era(2, 10), now=103.2)
+        self.assertEqual(self.follower.find_target("t").started_ms, 2)
