Keep a live target although a copy lists the ended one at its address

The row of the live target was lost, so that it counted as expired for a moment; it was left out all that time, as the target that ended still had its address. Found by the review; the test failed before.

--- a/packages/core/fulmarward_core/catalogue/_addresses.py
+++ b/packages/core/fulmarward_core/catalogue/_addresses.py
@@ -39,8 +39,9 @@
         return name in self._superseded
 
     def is_taken(self, address: str) -> bool:
-        """Return whether a listed target has an address."""
-        return bool(self._names.get(address))
+        """Return whether a target that was not superseded has an address."""
+        names = self._names.get(address, ())
+        return any(name not in self._superseded for name in names)
 
     def take_changes(self) -> tuple[dict[str, str], set[str]]:
         """Return what has changed since the last call.
