Choose between what is known and a copy also with a peer's changes

What callers would have seen: an instance that learned of a restore by a peer's changes merged these as they came. A target that only it had known stayed for ever, one that only it had lost stayed away, one that it knew to be gone was listed again.

Changes that lead into a new era are now all rows of the peer, and are handled as the instance's own first read of the era; the first write of each row in an era is sent to peers, also with equal content. Rows that are kept keep the number under which they were written, for the next restore, and a target that had expired while it left goes on leaving.

--- a/packages/core/fulmarward_core/catalogue/_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/_catalogue.py
@@ -79,6 +79,10 @@
         #: Versions of the rows that were kept when the store came back from a copy that
         #: says otherwise, until they are written again.
         self._kept: dict[str, int] = {}
+        #: Numbers of the versions in which these were written.
+        self._kept_numbers: dict[str, int] = {}
+        #: Targets that have not written their rows since the store was restored.
+        self._unwritten: set[str] = set()
         #: Records of rows that expired during an outage of the store, with the time.
         self._expired: dict[str, tuple[TargetRecord, float]] = {}
         #: When the store was last known to be out, to this instance or a peer.
@@ -177,8 +181,13 @@
 
         `confirmed_at` is when the store confirmed them, if not at `now`. Guards against
         a peer that is behind: a row that is unknown here, although it is no newer than
-        what is completely known, has been removed and is not listed again.
+        what is completely known, has been removed and is not listed again. Changes up
+        to a version of a later era are all rows.
         """
+        if self._is_restored(version):
+            return self.apply_full_read(
+                rows, version, now=now, confirmed_at=confirmed_at
+            )
         return self._apply(
             rows,
             version,
@@ -255,18 +264,21 @@
         """
         for row in list(self._rows.values()):
             if row.record is not None and row.record.is_leaving:
-                self._announce_known_leaving(row)
+                self._announce_known_leaving(row.name, row.record)
+        for name, (record, _) in self._expired.items():
+            if record.is_leaving:
+                self._announce_known_leaving(name, record)
+        self._unwritten = set(self._rows)
         self._recovered_at = now
         # Peers that know the lost history only must request what was chosen here.
         self._last_changed = max(self._last_changed, version)
 
-    def _announce_known_leaving(self, row: KnownRow) -> None:
-        known = self._announced.get(row.name)
-        process = row.record.process_name
+    def _announce_known_leaving(self, name: str, record: TargetRecord) -> None:
+        known, process = self._announced.get(name), record.process_name
         if known is None or known.process != process:
+            since = self._leaving_since[name]
             self._record_announcement(
-                row.name,
-                LeaveAnnouncement(process=process, at=self._leaving_since[row.name]),
+                name, LeaveAnnouncement(process=process, at=since)
             )
 
     def _record_announcement(self, name: str, announcement: LeaveAnnouncement) -> None:
@@ -285,15 +297,25 @@
         if (
             known is None
             or row.name in self._expired
-            or _was_written_since(row, known)
+            or _was_written_since(row, known, number=self._find_written_number(known))
             or self._is_later_process(row)
             or _is_leaving_of_same_process(row, known)
         ):
             return row
-        if not _has_equal_content(known, row):
-            self._kept[row.name] = version
+        if _has_equal_content(known, row):
+            return replace(known, version=row.version, heard_at=now)
+        self._keep(known, version)
         return replace(known, version=version, heard_at=now)
 
+    def _find_written_number(self, row: KnownRow) -> int:
+        """Return the number of the version in which a known row was written."""
+        return self._kept_numbers.get(row.name, find_number(row.version))
+
+    def _keep(self, row: KnownRow, version: int) -> None:
+        """Keep a row at a version of the copy, until it is written again."""
+        self._kept_numbers[row.name] = self._find_written_number(row)
+        self._kept[row.name] = version
+
     def _is_later_process(self, row: KnownRow) -> bool:
         known_ms = self._started_ms.get(row.name)
         return (
@@ -308,8 +330,8 @@
         for name, row in self._rows.items():
             is_lost = find_era(row.version) < era and name not in self._expired
             if row.value is None and is_lost:
+                self._keep(row, version)
                 self._rows[name] = replace(row, version=version)
-                self._kept[name] = version
 
     def list_kept_rows(self) -> list[KnownRow]:
         """Return the rows that stay as known although the store's copy differs."""
@@ -394,12 +416,21 @@
         known = self._rows.get(row.name)
         if known is not None and known.version >= row.version + is_kept:
             return False
+        # One that is only kept after a restore was not written again.
         is_written = known is None or row.record is not known.record
         if is_written or row.record is None:
-            # One that is only kept after a restore was not written again.
             self._addresses.apply(row.name, row.record, version=row.version)
+        if is_written:
+            self._kept_numbers.pop(row.name, None)
+        is_first_write = is_written and row.name in self._unwritten
+        if is_first_write:
+            # Peers may have another row than this instance.
+            self._unwritten.discard(row.name)
         if known is not None and _has_equal_content(known, row):
             self._rows[row.name] = row
+            if is_first_write:
+                self._changed_versions[row.name] = row.version
+                self._last_changed = max(self._last_changed, row.version)
             return False
         self._changed_versions[row.name] = row.version
         self._last_changed = max(self._last_changed, row.version)
@@ -490,7 +521,8 @@
         were removed before its first read, and a peer that requested changes from it
         would miss the removals. A peer without any rows (`after` is 0) misses none.
         """
-        return after == 0 or after >= self._known_from
+        is_of_earlier_era = find_era(after) < find_era(self.version)
+        return after == 0 or is_of_earlier_era or after >= self._known_from
 
     def list_rows(self, *, after: int) -> list[KnownRow]:
         """Return the rows whose content changed after a version, including removals.
@@ -498,7 +530,11 @@
         Targets rewrite their rows periodically to show that they are alive. A rewrite
         with equal content is not sent to peers, since these learn from the store's
         version that the row was not removed. This saves over 99 % of the bytes.
+
+        After a version of an earlier era these are all rows, as after a restore.
         """
+        if 0 < after and find_era(after) < find_era(self.version):
+            return list(self._rows.values())
         changed = self._changed_versions
         return [row for row in self._rows.values() if changed[row.name] > after]
 
@@ -511,17 +547,18 @@
                 self._announced.pop(name, None)
                 self._started_ms.pop(name, None)
                 self._kept.pop(name, None)
+                self._kept_numbers.pop(name, None)
+                self._unwritten.discard(name)
 
 
-def _was_written_since(row: KnownRow, known: KnownRow) -> bool:
+def _was_written_since(row: KnownRow, known: KnownRow, *, number: int) -> bool:
     """Return whether a row of a restored store was certainly written after `known`.
 
-    A number that was given out twice shows by the other content.
+    `number` is that of the version in which `known` was written; one that was given out
+    twice shows by the other content.
     """
-    number, known_number = find_number(row.version), find_number(known.version)
-    return number > known_number or (
-        number == known_number and row.value != known.value
-    )
+    new_number = find_number(row.version)
+    return new_number > number or (new_number == number and row.value != known.value)
 
 
 def _is_leaving_of_same_process(row: KnownRow, known: KnownRow) -> bool:
