--- a/packages/core/fulmarward_core/catalogue/_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/_catalogue.py
@@ -302,8 +302,9 @@
             or _is_leaving_of_same_process(row, known)
         ):
             return row
-        if _has_equal_content(known, row):
+        if known.value is not None and _has_equal_content(known, row):
             return replace(known, version=row.version, heard_at=now)
+        # A target that is gone may be listed by the copy, if not by this peer.
         self._keep(known, version)
         return replace(known, version=version, heard_at=now)
 
