--- a/packages/core/fulmarward_core/catalogue/tests/test_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/tests/test_catalogue.py
@@ -380,3 +380,14 @@
         self.assertEqual(self.follower.find_target("t").started_ms, 2)
         self.follower.apply_full_read([copied], _in_era(2, 10), now=103.2)
         self.assertEqual(self.follower.find_target("t").started_ms, 2)
+
+    def test_kept_row_that_arrives_late_is_passed_on(self):
+        """Guards against instances behind a hub that never learn what was kept."""
+        copied = self.make_row(2, 9)
+        for catalogue in (self.reader, self.follower):
+            catalogue.apply_full_read([copied], _in_era(2, 12), now=103.0)
+        kept = _make_row("t", _in_era(2, 10), value=None, at=103.1)
+        self.reader.apply_kept_rows([kept], now=103.1)
+        self.assertEqual(_list_names(self.reader, 103.1), [])
+        self.send_changes(now=103.2)
+        self.assertEqual(_list_names(self.follower, 103.2), [])
