--- a/packages/core/fulmarward_core/suspicion/_table.py
+++ b/packages/core/fulmarward_core/suspicion/_table.py
@@ -129,9 +129,10 @@
                     kind=kind if is_closed else known.kind,
                 )
                 return False
+        lasted_s = self._find_duration_s(known, kind, now)
         self._suspicions[target] = Suspicion(
             target=target,
-            until=now + (lasted_s := self._find_duration_s(known, kind, now)),
+            until=now + lasted_s,
             lasted_s=lasted_s,
             since=now,
             reason=reason,
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -212,9 +212,7 @@
         """Log a fault of this program; raise it unless a begun stream may go on."""
         if not state.has_begun or self._read_clock() >= compute_resume_end(state):
             raise error
-        log_event(
-            "internal_error_caught", exc_info=error, request=state.facts.request_id
-        )
+        _log_internal_error(state, error)
         await asyncio.sleep(MAX_FRUITLESS_PAUSE_S)
 
     def _may_relay(self, state: RequestState) -> bool:
