Probe a target that a peer regained beside an own observation

What callers saw: an instance could avoid a target for up to two seconds after its silence, although a peer had told that it answers. Cause: the peer's answer counts from when its probe was sent; an instance whose own probe ended between the two kept its exclusion, and never probes what a peer reports. Such a target is probed once, at once.

--- a/packages/core/fulmarward_core/suspicion/_table.py
+++ b/packages/core/fulmarward_core/suspicion/_table.py
@@ -48,6 +48,9 @@
 _DIRECT = frozenset({"unreachable", "confirmed", "address"})
 _INDIRECT = "indirect"
 
+#: Reasons for which this instance has probed a target itself, and may do so again.
+_PROBED = frozenset({"unreachable", "confirmed"})
+
 #: All reasons of suspicions.
 SUSPICION_REASONS = (*sorted(_DIRECT), "failing", _INDIRECT, "saturated")
 
@@ -222,7 +225,7 @@
         Returns the seconds for which it was excluded, `None` if it stays as it was.
         """
         known = self._suspicions.get(target)
-        if known is None or known.reason != "unreachable" or asked_at < known.since:
+        if known is None or known.reason not in _PROBED or asked_at < known.since:
             return None
         if known.kind is not FailureKind.SILENT:
             self._suspicions[target] = replace(known, probe_at=float("inf"))
@@ -236,13 +239,16 @@
     ) -> float | None:
         """Record that a target answered a peer that had found it silent.
 
-        A failure that this instance itself reports is kept until the target answers
-        here too, which is tried at once: only the link between them may have failed.
+        A failure that this instance itself reports, or has observed since, is kept
+        until the target answers here too, which is tried at once: only the link between
+        them may have failed.
 
         Returns the seconds for which it was excluded, `None` if it stays as it was.
         """
         known = self._suspicions.get(target)
         if known is not None and answered_at < known.since:
+            if known.reason == "confirmed" and known.kind is FailureKind.SILENT:
+                self._suspicions[target] = replace(known, probe_at=now)
             return None
         self._ignored_until[target] = max(
             answered_at + _REGAINED_HOLD_S,
@@ -264,12 +270,13 @@
     def list_due_probes(self, *, now: float) -> list[str]:
         """Return the unreachable targets that may answer again and are to be probed.
 
-        Only targets that this instance itself found unreachable are included.
+        Only targets that this instance itself found unreachable are included; one that
+        a peer had reported before, once the peer had an answer.
         """
         return [
             name
             for name, item in self._suspicions.items()
-            if item.reason == "unreachable" and item.probe_at <= now < item.until
+            if item.reason in _PROBED and item.probe_at <= now < item.until
         ]
 
     def list_expiring(self, *, now: float, ahead_s: float) -> list[str]:
@@ -291,6 +298,11 @@
         Guards against all instances sending work to it again at the same time.
         """
         known = self._suspicions.get(target)
+        if known is not None and known.reason == "confirmed":
+            # The peer that reports it extends the exclusion.
+            self._suspicions[target] = replace(
+                known, since=now, kind=kind, probe_at=float("inf")
+            )
         if known is not None and known.reason == "unreachable":
             until = max(known.until, now + SUSPECT_DURATION_S)
             pause_s = min(MAX_PROBE_PAUSE_S, known.probe_pause_s * _PROBE_PAUSE_GROWTH)
--- a/packages/core/fulmarward_core/suspicion/tests/test_table.py
+++ b/packages/core/fulmarward_core/suspicion/tests/test_table.py
@@ -125,6 +125,21 @@
                 self.assertIsNotNone(found)
                 self.assertFalse(table.is_suspect("t", now=1.6))
 
+    def test_answer_to_a_peer_beside_an_own_observation_is_verified_here(self):
+        """Guards against a silence that ends just as this instance observes it."""
+        table = SuspicionTable()
+        table.record_indirect_failure("t", duration_s=2.0, now=1.0)
+        table.record_failure("t", now=1.2, kind=FailureKind.SILENT)
+        self.assertEqual(table.list_due_probes(now=1.3), [])
+        self.assertIsNone(table.merge_regained("t", answered_at=1.1, now=1.3))
+        self.assertTrue(table.is_unreachable("t", now=1.3))
+        self.assertEqual(table.list_due_probes(now=1.3), ["t"])
+        table.extend("t", now=1.4, kind=FailureKind.SILENT)
+        self.assertEqual(table.list_due_probes(now=1.9), [], "probed once")
+        table.merge_regained("t", answered_at=1.35, now=1.5)
+        self.assertIsNotNone(table.record_regained("t", asked_at=1.6, now=1.7))
+        self.assertFalse(table.is_suspect("t", now=1.7))
+
     def test_late_report_does_not_exclude_a_target_that_answers_again(self):
         """Guards against a report that a hub relays after the answer."""
         table = SuspicionTable()
