Comments of begun streams and probes in the field's terms

Words of our own in the new lines (tell, told, lost at, taken for lost, MOST_), and comments that a reader had to guess at. Names, comments and docstrings only; tests unchanged but for one name.

--- a/packages/core/fulmarward_core/catalogue/_addresses.py
+++ b/packages/core/fulmarward_core/catalogue/_addresses.py
@@ -30,7 +30,7 @@
         self._names: defaultdict[str, set[str]] = defaultdict(set)
         #: The version of the latest row of each superseded target.
         self._superseded: dict[str, int] = {}
-        #: Changes that were not taken yet.
+        #: Changes since the last call of `take_changes`.
         self._new_superseded: dict[str, str] = {}
         self._new_regained: set[str] = set()
 
--- a/packages/core/fulmarward_core/quotas/_retries.py
+++ b/packages/core/fulmarward_core/quotas/_retries.py
@@ -16,8 +16,9 @@
 #: Those can still be rejected cleanly, whereas a started answer would be truncated.
 UNSTARTED_SHARE = 0.5
 
-#: Part of the usable budget that is open to started answers whose target may still go
-#: on; in addition they leave a whole retry. The rest is for those that lost theirs.
+#: Part of the usable budget that is open to started answers whose target may still
+#: respond; they also leave one whole retry. The rest is for those that lost their
+#: target.
 EARLY_SHARE = 0.75
 
 #: Bounds on the interval at which a started answer polls for a retry, in seconds. Each
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -471,7 +471,7 @@
         return any(member.state.is_store_reachable for member in ready)
 
     def _notify_regained(self, targets: Sequence[str], asked_at: float) -> None:
-        """Tell all instances which silent targets answer again."""
+        """Notify all instances that targets answer again."""
         age_ms = int((self._clock() - asked_at) * 1000)
         self.mesh.notify_regained(
             [RegainedTargetReport(target=name, age_ms=age_ms) for name in targets]
--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -38,13 +38,14 @@
 #: instances restart or the store returns, targets have to write their rows again.
 INCOMPLETE_TIMEOUT_S = 1.6
 
-#: Callers disconnect after the longest of these without an event: some seconds, some
-#: times the objective of the first event, and some times that of the pause.
+#: Callers disconnect after the longest of these without an event: the seconds, and
+#: these multiples of the route's objective for the first event and for pauses.
 CALLER_TIMEOUT_S = 2.0
 CALLER_TIMEOUT_OBJECTIVES = 4
 CALLER_TIMEOUT_PAUSES = 8
 
-#: Seconds before that at which a started stream stops waiting for a retry or a path.
+#: Seconds before its caller disconnects at which a started stream stops waiting for a
+#: retry or a path.
 RESUME_MARGIN_S = 0.3
 
 #: Seconds between two searches for a path by a waiting request.
@@ -248,7 +249,7 @@
                 state.service, engine, wanted, may_use_reported=True
             )
         if path is None and state.has_begun and wanted.avoided:
-            # A target that it was lost at may go on; it is probed, too.
+            # A target that broke it off may serve it; the path is probed before use.
             again = replace(wanted, avoided=frozenset())
             path = self._finder.choose(
                 state.service, engine, again, may_use_reported=True
--- a/packages/router/fulmarward_router/exchange/_attempt.py
+++ b/packages/router/fulmarward_router/exchange/_attempt.py
@@ -28,7 +28,7 @@
 
     #: The first target: it refused, or closed the connection.
     TARGET = "target"
-    #: This instance, which took the target or its path for lost.
+    #: This instance, as the target or its path was considered unreachable.
     INSTANCE = "instance"
     DEADLINE = "deadline"
 
@@ -122,7 +122,7 @@
         #: complete.
         self.is_broken_off = is_broken_off
         self.ended_by = ended_by
-        #: Targets behind the first that it failed for; none if it failed for the first.
+        #: Later targets of the path that caused the failure; empty if the first did.
         self.lost = lost
 
 
--- a/packages/router/fulmarward_router/exchange/_crash_monitor.py
+++ b/packages/router/fulmarward_router/exchange/_crash_monitor.py
@@ -115,9 +115,10 @@
         raise self._make_rejection(state, finding, cause)
 
     async def await_clearance(self, state: RequestState, *, until: float) -> None:
-        """Check a request as `check` does, once it is not suspended any more.
+        """Check a request as `check` does, once its suspension has ended.
 
-        A started response waits until `until` at most: it cannot be sent again later.
+        A started response waits for that, until `until` at most, since its caller
+        cannot be asked to retry.
         """
         while state.has_begun:
             finding, now = self._find_rejection(state), self._read_clock()
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -320,11 +320,11 @@
         )
 
     async def _confirm_ends(self, state: RequestState) -> None:
-        """Ask the targets that broke off a stream that has no run left.
+        """Check the targets that broke off a stream that has no run left.
 
         Its runs do not count where the target has ended, which the list of targets
-        tells seconds later. A target that is only silent accepts connections or lets
-        them wait; an instance that is cut off is refused by targets that are sound.
+        shows only seconds later. One that is only silent accepts connections or leaves
+        them pending; an isolated instance is refused by healthy targets.
         """
         tally = self._context.make_tally(state)
         if may_retry(tally, now=self._read_clock()) and not must_reuse_targets(tally):
--- a/packages/router/fulmarward_router/exchange/_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/_failure_detector.py
@@ -93,7 +93,7 @@
         is_large: Callable[[], bool] = lambda: False,
         notify_regained: Callable[[Sequence[str], float], None] = _ignore_regained,
     ) -> None:
-        #: Tells peers which targets have answered, and when they were asked.
+        #: Notifies peers which targets have answered, and when they were probed.
         self._notify_regained = notify_regained
         self._dialect = dialect
         self._catalogue = catalogue
@@ -430,7 +430,7 @@
         """Extend the suspicion of targets that still do not answer.
 
         There are controls however many targets are in question: if all of them are
-        lost, they can't serve as controls for each other.
+        unreachable, they cannot serve as controls for each other.
         """
         asked_at = self._read_clock()
         probe_round = await self._run_round(records, CONFIRM_TIMEOUT_S, is_repeat=True)
--- a/packages/router/fulmarward_router/exchange/_request_state.py
+++ b/packages/router/fulmarward_router/exchange/_request_state.py
@@ -65,7 +65,7 @@
     #: Attempts so far, and how many of them a target may have executed.
     attempts: int = 0
     runs: int = 0
-    #: How many of these runs no target began to answer, and others at known targets.
+    #: How many of these runs had no response, and those that had one.
     unanswered_runs: int = 0
     failed_runs: list[Run] = field(default_factory=list)
     #: Targets of the latest attempt, for the log.
@@ -208,7 +208,7 @@
     def __init__(self, cause: CutCause, *, detail: str = "") -> None:
         super().__init__(cause.value)
         self.cause = cause
-        #: What ended the last attempt, for the log.
+        #: Why the last attempt failed, for the log.
         self.detail = detail
 
     def describe(self) -> str:
--- a/packages/router/fulmarward_router/exchange/tests/test_waiting_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_waiting_streams.py
@@ -8,7 +8,7 @@
 from fulmarward_router.exchange.tests.test_ended_streams import _EndedStreamTest
 
 #: Retries that one stream may take in half a second.
-_MOST_CALLS = 8
+_MAX_CALLS = 8
 
 
 class RerunTest(_EndedStreamTest):
@@ -76,7 +76,7 @@
         self.service._client.open = open_lost
         await self.lose(1, removed=False)
         await asyncio.sleep(0.5)
-        self.assertLessEqual(len(self.calls), _MOST_CALLS)
+        self.assertLessEqual(len(self.calls), _MAX_CALLS)
 
     async def test_fault_of_this_program_spares_the_retry_budget(self):
         """Guards against a fault that repeats and takes the retries of all streams."""
@@ -89,7 +89,7 @@
         while self.read_clock() < ends_at:
             self.streams[-1].events.put_nowait(b"id: 2\ndata: x\n\n")
             await asyncio.sleep(0.005)
-        self.assertLessEqual(len(self.calls), _MOST_CALLS)
+        self.assertLessEqual(len(self.calls), _MAX_CALLS)
 
 
 class LastRetryTest(_EndedStreamTest):
