--- a/packages/core/fulmarward_core/attempts/decisions.py
+++ b/packages/core/fulmarward_core/attempts/decisions.py
@@ -4,8 +4,8 @@
 each costs a connection, so the limit of the route applies to all of them. Once the
 answer has begun it cannot be rejected any more, and only runs are limited. Runs count
 the attempts that a target may have started: a request that ran twice may have had its
-effect twice. The limit of the route leaves out those of them that are `uncounted`; the
-result code, and that a request with an effect runs once, does not.
+effect twice. The limit of the route leaves out those of them that are `uncounted`; what
+decides on the result code, and on requests that may run only once, is their total.
 """
 
 from dataclasses import dataclass
