Bound what is received of one response, where the bytes arrive

A target that sent without end took all memory of an instance (1,804 MB of 200), or held a connection until the deadline. The limits are settings. A target whose response is ended counts like one that broke it off.

Ruled out: gzip is not unpacked (no bytes beyond those on the wire were held); the memory was that of the compressed bytes, held twice as they were joined.

--- a/packages/instance/fulmarward/_daemon.py
+++ b/packages/instance/fulmarward/_daemon.py
@@ -31,6 +31,7 @@
     run_summaries,
     watch_drains,
 )
+from fulmarward.http import ResponseGuard
 from fulmarward.keys import (
     answer_forwarded_call,
     answer_forwarded_completion,
@@ -240,8 +241,9 @@
     the stop was requested, and not caused by a background task that failed.
     """
     traces = start_logging(instance=settings.name, level=settings.log_level)
-    connector = aiohttp.TCPConnector(limit=MAX_CONNECTIONS)
-    async with aiohttp.ClientSession(connector=connector) as session:
+    guard = ResponseGuard()
+    connector_options = {"limit": MAX_CONNECTIONS}
+    async with guard.make_session(connector_options=connector_options) as session:
         instance = make_instance(settings, secrets, session, traces)
         links = instance.links = _make_links(instance)
         stop, expedited = instance.stop_requested, asyncio.Event()
--- a/packages/instance/fulmarward/targets/_engine.py
+++ b/packages/instance/fulmarward/targets/_engine.py
@@ -172,6 +172,9 @@
                 return
             lines = (stream.unfinished_line + data).split(b"\n")
             stream.unfinished_line = lines.pop()
+            guard = stream.response.guard
+            if len(stream.unfinished_line) > guard.limits.event_bytes:
+                raise guard.reject(stream.response, "event_bytes")
             batch = parse_events(
                 [orjson.loads(line) for line in lines],
                 request=stream.request,
--- a/packages/router/fulmarward_router/_metrics.py
+++ b/packages/router/fulmarward_router/_metrics.py
@@ -75,6 +75,8 @@
     unreached_services: set[str] = field(default_factory=set)
     #: Targets that get no new work, by `reason`.
     excluded_targets: Gauge
+    #: Responses of targets, peers and the store that exceeded a `limit`.
+    rejected_responses: Counter
 
 
 def make_router_metrics() -> RouterMetrics:
@@ -148,6 +150,9 @@
         excluded_targets=factory.gauge(
             "excluded_targets", "Targets without new work, by reason."
         ),
+        rejected_responses=factory.count(
+            "rejected_responses_total", "Responses that exceeded a limit, by limit."
+        ),
     )
 
 
@@ -189,6 +194,7 @@
     poison_findings: Sequence[PoisonFinding],
     limits: LimitTable,
     backed_off_targets: int,
+    rejected_responses: Mapping[str, int],
 ) -> None:
     """Update the metrics that are computed only when they are read."""
     for direction, size in peer_bytes.items():
@@ -221,6 +227,8 @@
     limited = [item for item in limits.list_known().values() if item.per_s is not None]
     metrics.limited_targets.set({}, len(limited))
     metrics.backed_off_targets.set({}, backed_off_targets)
+    for limit, count in rejected_responses.items():
+        metrics.rejected_responses.set({"limit": limit}, count)
     for reason in SUSPICION_REASONS:
         count = excluded_targets.get(reason, 0)
         metrics.excluded_targets.set({"reason": reason}, count)
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -12,6 +12,7 @@
 import aiohttp
 from aiohttp import web
 
+from fulmarward.http import ResponseGuard, ResponseLimits
 from fulmarward.observability import log_event, start_logging, stop_logging
 from fulmarward_core.catalogue import TargetCatalogue
 from fulmarward_core.isolation import ContactTable
@@ -93,6 +94,9 @@
 #: configuration, which is checked after the request is read.
 MAX_HEADER_BYTES = 1 << 16
 
+#: Limits of the store's responses, of which the largest is a whole table.
+STORE_LIMITS = ResponseLimits(whole_bytes=32 << 20, held_bytes=64 << 20)
+
 #: Seconds between two checks for open requests while stopping.
 _DRAIN_POLL_INTERVAL_S = 0.05
 
@@ -129,9 +133,11 @@
     """Run an instance until SIGTERM; return whether no background task failed."""
     start_logging(instance=settings.name, level=settings.log_level)
     signals = _watch_signals()
-    target_session = make_target_session()
-    store_session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=10.0),
+    guard = ResponseGuard(limits=settings.response_limits)
+    store_guard = ResponseGuard(limits=STORE_LIMITS)
+    target_session = make_target_session(guard)
+    store_session = store_guard.make_session(
+        connector_options={"limit": 0, "keepalive_timeout": 10.0},
         cookie_jar=aiohttp.DummyCookieJar(),
     )
     async with target_session, store_session:
@@ -140,6 +146,8 @@
             adapter=adapter,
             target_session=target_session,
             store_session=store_session,
+            guard=guard,
+            store_guard=store_guard,
             signals=signals,
         )
         has_failed = await instance.run()
@@ -157,9 +165,13 @@
         adapter: PlatformAdapter,
         target_session: aiohttp.ClientSession,
         store_session: aiohttp.ClientSession,
+        guard: ResponseGuard,
+        store_guard: ResponseGuard,
         signals: _Signals,
     ) -> None:
         self.settings = settings
+        self._guard = guard
+        self._store_guard = store_guard
         self._adapter = adapter
         self._signals = signals
         self._clock = clock = time.monotonic
@@ -353,6 +365,7 @@
             dialect=self.dialect,
             is_stopping=lambda: self.life.is_stopping,
             read_clock=self._clock,
+            read_limits=lambda: self._guard.limits,
         )
         relay = PeerRelay(
             context=context,
@@ -568,6 +581,7 @@
                 poison_findings=self.poison.findings,
                 limits=self.target_limits.table,
                 backed_off_targets=len(self.target_limits.list_backed_off()),
+                rejected_responses=self._guard.excesses + self._store_guard.excesses,
             ),
             describe=lambda: describe_status(self, now=self._clock()),
             lift_crash_pattern=self.poison.lift,
@@ -619,6 +633,7 @@
             if is_signalled or settings != self.settings:
                 log_event("settings_read", is_told=is_signalled)
             self.settings = settings
+            self._guard.limits = settings.response_limits
 
     async def _log_resources(self) -> None:
         """Log the resource usage of this instance periodically, until cancelled."""
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -530,20 +530,19 @@
     ) -> None:
         """Forward complete events as they arrive, until the stream ends."""
         splitter = EventSplitter()
-        content = attempt.response.content
         while True:
             try:
-                data = await content.readany()
+                events = await self._forwarder.read_events(attempt.response, splitter)
             except (aiohttp.ClientError, OSError) as error:
                 if attempt.failure is not None:
                     raise attempt.failure from error
                 raise self._record_broken_response(attempt, repr(error)) from error
             if attempt.failure is not None:
                 raise attempt.failure
-            if not data:
+            if events is None:
                 break
             self.supervisor.record_activity(attempt)
-            await self._forwarder.forward_events(state, splitter, data, answer)
+            await self._forwarder.forward_events(state, events, answer)
             attempt.events = splitter.completed
             self._crash_monitor.record_events(state, attempt)
         if splitter.pending or _is_empty(attempt):
--- a/packages/router/fulmarward_router/exchange/_events.py
+++ b/packages/router/fulmarward_router/exchange/_events.py
@@ -3,13 +3,15 @@
 from dataclasses import dataclass
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class Event:
     """One complete event."""
 
     #: Includes the terminating blank line.
     data: bytes
     id: str | None
+    #: Whether it has data; one without is a comment, or only sets fields.
+    has_data: bool
 
 
 class EventSplitter:
@@ -21,26 +23,39 @@
 
     def __init__(self) -> None:
         self._pending = b""
-        #: Number of events completed so far.
+        #: Number of events with data completed so far.
         self.completed = 0
+        #: Bytes received since the last event with data.
+        self._comment_bytes = 0
 
     def feed(self, data: bytes) -> list[Event]:
         """Append bytes and return the events that they complete."""
         *whole, self._pending = (self._pending + data).split(b"\n\n")
-        self.completed += len(whole)
-        return [Event(data=item + b"\n\n", id=_parse_id(item)) for item in whole]
+        events = [_parse(item) for item in whole]
+        for event in events:
+            self.completed += event.has_data
+            size = 0 if event.has_data else self._comment_bytes + len(event.data)
+            self._comment_bytes = size
+        return events
 
     @property
     def pending(self) -> bytes:
         """Bytes after the last complete event."""
         return self._pending
 
+    @property
+    def unused_bytes(self) -> int:
+        """Number of bytes received since the last event with data."""
+        return self._comment_bytes + len(self._pending)
+
 
-def _parse_id(event: bytes) -> str | None:
-    for line in event.split(b"\n"):
-        if line.startswith(b"id:"):
-            return line[3:].strip().decode("latin-1")
-    return None
+def _parse(item: bytes) -> Event:
+    event_id, has_data = None, False
+    for line in item.split(b"\n"):
+        if event_id is None and line.startswith(b"id:"):
+            event_id = line[3:].strip().decode("latin-1")
+        has_data = has_data or line.startswith(b"data")
+    return Event(data=item + b"\n\n", id=event_id, has_data=has_data)
 
 
 def is_after(event_id: str | None, last: str | None) -> bool:
--- a/packages/router/fulmarward_router/exchange/_forwarding.py
+++ b/packages/router/fulmarward_router/exchange/_forwarding.py
@@ -1,11 +1,12 @@
 """Forwards the events of a stream to the caller."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import aiohttp
 from aiohttp import web
 
-from fulmarward_router.exchange._events import EventSplitter, is_after
+from fulmarward.http import BoundedResponse, ResponseLimits
+from fulmarward_router.exchange._events import Event, EventSplitter, is_after
 from fulmarward_router.exchange._request_state import RequestState
 from fulmarward_router.ports import TargetDialect
 
@@ -19,10 +20,13 @@
         dialect: TargetDialect,
         is_stopping: Callable[[], bool],
         read_clock: Callable[[], float],
+        read_limits: Callable[[], ResponseLimits] = ResponseLimits,
     ) -> None:
         self._dialect = dialect
         self._is_stopping = is_stopping
         self._read_clock = read_clock
+        #: Returns the limits of responses that are in force.
+        self._read_limits = read_limits
 
     async def begin_answer(
         self, state: RequestState, response: aiohttp.ClientResponse
@@ -36,17 +40,31 @@
         state.request["answer"] = answer
         return answer
 
+    async def read_events(
+        self, response: BoundedResponse, splitter: EventSplitter
+    ) -> list[Event] | None:
+        """Return the events that have arrived, `None` at the end of the stream.
+
+        Raises `aiohttp.ClientError` or `OSError`.
+        """
+        data = await response.content.readany()
+        if not data:
+            return None
+        events = splitter.feed(data)
+        if splitter.unused_bytes > self._read_limits().event_bytes:
+            raise response.guard.reject(response, "event_bytes")
+        return events
+
     async def forward_events(
         self,
         state: RequestState,
-        splitter: EventSplitter,
-        data: bytes,
+        events: Iterable[Event],
         answer: web.StreamResponse,
     ) -> None:
-        """Forward the events that `data` completes, without those already sent."""
+        """Forward events to the caller, without those already sent."""
         chunks = []
         last = state.last_event
-        for event in splitter.feed(data):
+        for event in events:
             if not is_after(event.id, last):
                 continue
             chunks.append(event.data)
--- a/packages/router/fulmarward_router/exchange/_relay.py
+++ b/packages/router/fulmarward_router/exchange/_relay.py
@@ -292,12 +292,12 @@
         splitter = EventSplitter()
         while True:
             try:
-                data = await response.content.readany()
+                events = await self._forwarder.read_events(response, splitter)
             except (aiohttp.ClientError, OSError) as error:
                 raise _PeerFailed(repr(error), is_not_run=False) from error
-            if not data:
+            if events is None:
                 break
-            await self._forwarder.forward_events(state, splitter, data, answer)
+            await self._forwarder.forward_events(state, events, answer)
         if splitter.pending:
             raise _PeerFailed("ended inside an event", is_not_run=False)
         await answer.write_eof()
--- a/packages/router/fulmarward_router/exchange/_send.py
+++ b/packages/router/fulmarward_router/exchange/_send.py
@@ -9,14 +9,16 @@
 import asyncio
 from collections import defaultdict
 from contextvars import ContextVar
-from functools import partial
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 from multidict import CIMultiDict
 from yarl import URL
 
-from fulmarward.http import send_once
+from fulmarward.http import (
+    BoundedHandler,
+    ResponseGuard,
+    send_once,
+)
 from fulmarward.observability import log_event
 from fulmarward_router._sockets import (
     has_unacknowledged,
@@ -70,7 +72,7 @@
 _current_opening: ContextVar[_Opening | None] = ContextVar("opening", default=None)
 
 
-class _ResettingHandler(ResponseHandler):
+class _ResettingHandler(BoundedHandler):
     """Connection of one attempt; it is reset unless the response is complete."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -107,14 +109,15 @@
         super().connection_lost(exc)
 
 
-def make_target_session() -> aiohttp.ClientSession:
+def make_target_session(guard: ResponseGuard) -> aiohttp.ClientSession:
     """Return a client that opens one connection per request; needs a running loop."""
-    connector = aiohttp.TCPConnector(
-        limit=0, force_close=True, enable_cleanup_closed=False
-    )
-    connector._factory = partial(_ResettingHandler, loop=asyncio.get_running_loop())
-    return aiohttp.ClientSession(
-        connector=connector,
+    return guard.make_session(
+        connector_options={
+            "limit": 0,
+            "force_close": True,
+            "enable_cleanup_closed": False,
+        },
+        make_handler=_ResettingHandler,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         middlewares=[send_once],
--- a/packages/router/fulmarward_router/exchange/tests/test_late_sends.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_sends.py
@@ -7,6 +7,7 @@
 from types import SimpleNamespace
 from unittest import mock
 
+from fulmarward.http import ResponseGuard
 from fulmarward_core.catalogue import KnownRow, TargetCatalogue
 from fulmarward_core.fleet import TargetRecord
 from fulmarward_core.isolation import ContactTable
@@ -68,7 +69,7 @@
     async def asyncSetUp(self):
         #: Seconds by which the instance's clock has been put forward.
         self.skipped_s = 0.0
-        session = make_target_session()
+        session = make_target_session(ResponseGuard())
         self.addAsyncCleanup(session.close)
         self.catalogue = TargetCatalogue()
         budget = RetryBudget(ratio=0.2, slack=0.0, window_s=10.0)
--- a/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
@@ -5,6 +5,7 @@
 import unittest
 from types import SimpleNamespace
 
+from fulmarward.http import ResponseGuard
 from fulmarward_core.catalogue import KnownRow, TargetCatalogue
 from fulmarward_core.fleet import (
     AcceleratorKind,
@@ -157,7 +158,7 @@
     async def asyncSetUp(self):
         #: Seconds by which the instance's clock has been put forward.
         self.skipped_s = 0.0
-        self.session = make_target_session()
+        self.session = make_target_session(ResponseGuard())
         self.addAsyncCleanup(self.session.close)
         self.dialect = _Dialect()
         self.catalogue = TargetCatalogue()
--- a/packages/router/fulmarward_router/exchange/tests/test_send.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_send.py
@@ -3,6 +3,7 @@
 import unittest
 from types import SimpleNamespace
 
+from fulmarward.http import ResponseGuard
 from fulmarward_router._sockets import reset_connection
 from fulmarward_router.exchange import TargetClient, make_target_session
 from fulmarward_router.exchange._send import AnswerLost, SendFailed
@@ -88,7 +89,7 @@
         """Return the class of the error, and how often the request arrived."""
         target = _BreakingTarget(is_reset=is_reset)
         await target.start()
-        async with make_target_session() as session:
+        async with make_target_session(ResponseGuard()) as session:
             client = TargetClient(session=session, dialect=_Dialect())
             state = SimpleNamespace(
                 headers={},
@@ -104,7 +105,7 @@
 
 class AbandonedAttemptTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
-        self.session = make_target_session()
+        self.session = make_target_session(ResponseGuard())
         self.addAsyncCleanup(self.session.close)
         self.target = _StalledTarget()
         self.addCleanup(self.target.close)
--- a/packages/router/fulmarward_router/ports.py
+++ b/packages/router/fulmarward_router/ports.py
@@ -9,6 +9,7 @@
 from enum import Enum
 from typing import Protocol
 
+from fulmarward.http import ResponseLimits
 from fulmarward_core.fleet import LayerRange, TargetRecord
 from fulmarward_core.paths import Hop
 from fulmarward_core.routes import RoutingConfiguration
@@ -59,6 +60,8 @@
     stall_s: float
     #: Bandwidth of the instance's own link in bytes per second, `None` if unknown.
     link_bytes_per_s: float | None = None
+    #: What is accepted of one response of a target or peer.
+    response_limits: ResponseLimits = ResponseLimits()
     #: Log level: `debug`, `info` or `warning`.
     log_level: str = "info"
 
