--- a/packages/core/fulmarward_core/layers/decisions/_plan.py
+++ b/packages/core/fulmarward_core/layers/decisions/_plan.py
@@ -13,9 +13,9 @@
     can_hold_model,
     count_fast_kv,
     count_layers,
-    find_fast_kinds,
     find_max_kv,
     group_by_data_centre,
+    group_kinds,
     size_ranges,
 )
 from fulmarward_core.layers.decisions._types import Assignment
@@ -26,11 +26,12 @@
 ) -> list[Assignment]:
     """Return the initial layers of each target for a fleet with `instances` instances.
 
-    The fast engines of all data centres form one chain, and the slow engines of each
-    data centre form a copy of the model. An answer uses fast engines for the layers
-    that they cover and slow engines of the same data centre for the rest. When a fast
-    engine is lost, slow engines still hold its layers; the loss of a slow engine
-    affects few answers.
+    Engines of one tier of speed in a data centre form copies of the model by
+    themselves where their memory allows it, so that no token waits for a slower one.
+    The other fast engines of all data centres form one chain: an answer uses them for
+    the layers that they cover and slower engines of the same data centre for the rest.
+    When a fast engine is lost, slower engines still hold its layers; the loss of a slow
+    engine affects few answers.
     """
     planned = _plan_by_speed(engine, targets, instances)
     return _plan_uniformly(engine, targets) if planned is None else planned
@@ -39,13 +40,21 @@
 def _plan_by_speed(
     engine: EngineModel, targets: Sequence[TargetRecord], instances: int
 ) -> list[Assignment] | None:
-    """Plan fast and slow engines separately; `None` if that leaves layers unheld."""
-    fast_kinds = find_fast_kinds(engine, targets)
-    fast = [target for target in targets if target.kind in fast_kinds]
-    slow = [target for target in targets if target.kind not in fast_kinds]
+    """Plan each tier of speed separately; `None` if that leaves layers unheld."""
+    *fast_tiers, slowest = group_kinds(engine, targets) or [frozenset()]
+    planned: list[Assignment] = []
+    fast: list[TargetRecord] = []
+    for kinds in fast_tiers:
+        members = [target for target in targets if target.kind in kinds]
+        for group in group_by_data_centre(members).values():
+            if can_hold_model(engine, group, MIN_KV_TOKENS):
+                planned += _plan_group(engine, group)
+            else:
+                fast += group
+    slow = [target for target in targets if target.kind in slowest]
     chain = _plan_chain(engine, fast, count_fast_kv(engine, instances))
     ranges = {item.target: item.layers for item in chain}
-    planned = list(chain)
+    planned += chain
     incomplete: list[TargetRecord] = []
     for centre, members in group_by_data_centre(slow).items():
         if can_hold_model(engine, members, MIN_KV_TOKENS):
--- a/packages/core/fulmarward_core/layers/decisions/_sizes.py
+++ b/packages/core/fulmarward_core/layers/decisions/_sizes.py
@@ -7,9 +7,9 @@
 #: Minimum KV cache of an engine in tokens: enough for 40 requests of typical size.
 MIN_KV_TOKENS = 36_000
 
-#: A kind counts as fast if a step of the slowest kind takes at least this many times
-#: as long.
-FAST_RATIO = 3.0
+#: Kinds whose steps differ by less than this factor share copies of the model. A token
+#: that passes through both waits for the slower one, so that others stay apart.
+TIER_RATIO = 1.5
 
 #: Bisection steps of `find_max_kv`.
 _SEARCH_STEPS = 24
@@ -71,19 +71,26 @@
     return MIN_KV_TOKENS + instances * request_tokens
 
 
+def group_kinds(
+    engine: EngineModel, targets: Iterable[TargetRecord]
+) -> list[frozenset[str]]:
+    """Return the kinds of targets in tiers of similar speed, the fastest tier first."""
+    kinds = {target.kind for target in targets if target.kind in engine.kinds}
+    tiers: list[list[str]] = []
+    for name in sorted(kinds, key=lambda name: (engine.kinds[name].step_factor, name)):
+        factor = engine.kinds[name].step_factor
+        if tiers and factor < engine.kinds[tiers[-1][0]].step_factor * TIER_RATIO:
+            tiers[-1].append(name)
+        else:
+            tiers.append([name])
+    return [frozenset(names) for names in tiers]
+
+
 def find_fast_kinds(
     engine: EngineModel, targets: Iterable[TargetRecord]
 ) -> frozenset[str]:
-    """Return the kinds whose steps are `FAST_RATIO` times shorter than the slowest."""
-    factors = {
-        target.kind: engine.kinds[target.kind].step_factor
-        for target in targets
-        if target.kind in engine.kinds
-    }
-    slowest = max(factors.values(), default=0.0)
-    return frozenset(
-        name for name, factor in factors.items() if factor * FAST_RATIO <= slowest
-    )
+    """Return the kinds of all tiers but the slowest one."""
+    return frozenset().union(*group_kinds(engine, targets)[:-1])
 
 
 def group_by_data_centre(
