--- a/packages/core/fulmarward_core/layers/tests/fleets.py
+++ b/packages/core/fulmarward_core/layers/tests/fleets.py
@@ -35,6 +35,38 @@
     delays_ms={("a", "b"): 0.25, ("b", "a"): 0.25},
 )
 
+#: A model on engines of three speeds, each more than twice as fast as the next.
+THREE_SPEEDS = EngineModel(
+    model="m",
+    slots=96,
+    layers=80,
+    layer_mb=1750,
+    kv_bytes_per_token=1_180_000,
+    activation_bytes=59_000,
+    pipe_mbps=11_000,
+    step_ms=1.02,
+    sequence_ms=0.00918,
+    context_ms_per_k=0.0123,
+    prefill_tokens_per_s=164_000,
+    mean_prompt_tokens=764,
+    mean_answer_tokens=233,
+    kinds={
+        kind.name: kind
+        for kind in (
+            AcceleratorKind(
+                name="large", memory_mb=72_000, step_factor=2.4, prefill_factor=3.2
+            ),
+            AcceleratorKind(
+                name="middle", memory_mb=43_200, step_factor=5.6, prefill_factor=2.7
+            ),
+            AcceleratorKind(
+                name="small", memory_mb=21_600, step_factor=16, prefill_factor=8.2
+            ),
+        )
+    },
+    delays_ms={("a", "b"): 0.3, ("b", "a"): 0.3},
+)
+
 
 def make_target(name, data_centre, kind, layers=None):
     return TargetRecord(
--- a/packages/core/fulmarward_core/layers/tests/load.py
+++ b/packages/core/fulmarward_core/layers/tests/load.py
@@ -6,6 +6,7 @@
 
 import heapq
 import random
+from collections import Counter
 from dataclasses import dataclass
 
 from fulmarward_core.fleet import compute_kv_capacity
@@ -23,6 +24,8 @@
     refused: int
     #: Mean duration of an answer in seconds.
     mean_s: float
+    #: Number of answers by the slowest kind of engine on their path.
+    by_slowest_kind: Counter[str]
 
 
 def make_stages(engine, fleet, ledger, now):
@@ -72,6 +75,7 @@
     rng = random.Random(seed)
     ledger = LoadLedger()
     ends = []
+    by_slowest_kind = Counter()
     now, started, refused, total_s = 0.0, 0, 0, 0.0
     while now < for_s:
         now += rng.expovariate(rate_per_s)
@@ -91,8 +95,17 @@
         started += 1
         duration_s = compute_answer_s(engine, stages, request, path)
         total_s += duration_s
+        used = {stage.kind for stage in stages if stage.target in _list_targets(path)}
+        by_slowest_kind[max(used, key=lambda kind: kind.step_factor).name] += 1
         reservation = ledger.reserve(path, count_tokens_held(request))
         heapq.heappush(ends, (now + duration_s, started, reservation))
     return SimulatedLoad(
-        started=started, refused=refused, mean_s=total_s / max(1, started)
+        started=started,
+        refused=refused,
+        mean_s=total_s / max(1, started),
+        by_slowest_kind=by_slowest_kind,
     )
+
+
+def _list_targets(path):
+    return {hop.target for hop in path}
--- a/packages/core/fulmarward_core/layers/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/layers/tests/test_decisions.py
@@ -12,7 +12,13 @@
     plan_repairs,
 )
 from fulmarward_core.layers.decisions import GAP_KV_TOKENS, MIN_KV_TOKENS
-from fulmarward_core.layers.tests.fleets import ENGINE, KINDS, make_fleet, make_target
+from fulmarward_core.layers.tests.fleets import (
+    ENGINE,
+    KINDS,
+    THREE_SPEEDS,
+    make_fleet,
+    make_target,
+)
 from fulmarward_core.layers.tests.load import simulate_load
 
 _COUNTS = st.dictionaries(
@@ -70,7 +76,41 @@
     ]
 
 
+#: A fleet with three speeds, and answers a second that it usually serves.
+_THREE_SPEEDS_FLEET = {
+    "a": {"large": 4, "middle": 6, "small": 14},
+    "b": {"large": 2, "middle": 9, "small": 22},
+    "c": {"large": 2, "middle": 15, "small": 12},
+}
+_THREE_SPEEDS_RATE_PER_S = 129
+
+
 class PlanLayersTest(unittest.TestCase):
+    def test_answers_pass_the_slowest_engines_only_if_the_others_are_full(self):
+        """Guards against copies of the model in which fast engines wait for slow ones.
+
+        With two speeds, the fast engines need the others for the layers that they lack.
+        """
+        for engine, counts, rate_per_s, slow_share in (
+            (THREE_SPEEDS, _THREE_SPEEDS_FLEET, _THREE_SPEEDS_RATE_PER_S, 0.05),
+            (ENGINE, _THREE_DATA_CENTRES, 31, 1.0),
+        ):
+            with self.subTest(kinds=sorted(engine.kinds), rate_per_s=rate_per_s):
+                fleet = make_fleet(counts)
+                planned = _apply(fleet, plan_layers(engine, fleet, instances=24))
+                result = simulate_load(
+                    engine,
+                    planned,
+                    rate_per_s=rate_per_s,
+                    for_s=6,
+                    data_centres=sorted(counts),
+                    seed=1,
+                )
+                self.assertEqual(result.refused, 0)
+                slowest = max(engine.kinds.values(), key=lambda kind: kind.step_factor)
+                slow = result.by_slowest_kind[slowest.name]
+                self.assertLessEqual(slow, result.started * slow_share)
+
     def test_each_data_centre_that_can_holds_the_whole_model(self):
         fleet = make_fleet(_THREE_DATA_CENTRES)
         planned = _apply(fleet, plan_layers(ENGINE, fleet, instances=7))
