--- a/packages/core/fulmarward_core/quotas/_retries.py
+++ b/packages/core/fulmarward_core/quotas/_retries.py
@@ -12,10 +12,15 @@
 #: instances may join or leave before all others know of it.
 USABLE_SHARE = 0.7
 
-#: Part of the usable budget that is open to requests whose answer has not started.
-#: Those can still be rejected cleanly, whereas a started answer would be truncated.
+#: Part of the usable budget that is open in any case to requests whose answer has not
+#: started. Those can still be rejected cleanly, whereas a started answer would be
+#: truncated.
 UNSTARTED_SHARE = 0.5
 
+#: Retries kept for each started answer: the loss of a target ends only some of them,
+#: and these may wait for a retry.
+RETRIES_PER_STARTED_ANSWER = 0.25
+
 #: Part of the usable budget that is open to started answers whose target may still
 #: respond; they also leave one whole retry. The rest is for those that lost their
 #: target.
@@ -106,6 +111,18 @@
         allowed = max(usage.allowed * part, min(usage.allowed, 1.0))
         return usage.used + 1 + spared <= allowed
 
+    def find_unstarted_part(
+        self, *, started_answers: int, share: float, now: float
+    ) -> float:
+        """Return the part open to requests whose answer has not started.
+
+        It is all that the started answers of this instance may not need, as after a
+        restart, when there are none and targets reject many requests.
+        """
+        allowed = self.count(share=share, now=now).allowed
+        kept = started_answers * RETRIES_PER_STARTED_ANSWER
+        return max(UNSTARTED_SHARE, 1 - kept / allowed) if allowed else UNSTARTED_SHARE
+
     def begin_wait(self, *, until: float) -> None:
         """Register a started answer that waits for a retry until the given time."""
         bisect.insort(self._waiting, until)
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -12,7 +12,6 @@
 from fulmarward_core.fleet import EngineModel
 from fulmarward_core.loads import Reservation
 from fulmarward_core.paths import Hop, PathRequest, count_tokens_held
-from fulmarward_core.quotas import UNSTARTED_SHARE
 from fulmarward_router.exchange._admission import (
     AdmissionQueue,
     compute_resume_end,
@@ -310,7 +309,8 @@
             raise TruncatedResponse(
                 self._context.find_cut_cause(state), detail=failure.cause
             )
-        if self._context.take_retry(state, part=UNSTARTED_SHARE):
+        started_answers = self.supervisor.count_started(state.service)
+        if self._context.take_retry(state, started_answers=started_answers):
             return
         engine = state.configuration.services[state.service].engine
         raise self._context.make_rejection(
