Revert "Read the load of engines for the first requests after a start"

What the engines are full of is not the streams of before but the requests that instances send at the same time without knowing of each other: 151 to an engine of 96 slots within 0.6 s.

--- a/packages/core/fulmarward_core/loads/_ledger.py
+++ b/packages/core/fulmarward_core/loads/_ledger.py
@@ -16,9 +16,6 @@
 #: Seconds for which a report is valid; several heartbeats.
 _REPORT_DURATION_S = 2.5
 
-#: Seconds for which a target's own report counts.
-_READING_DURATION_S = 1.0
-
 #: Snapshots of the own loads that are kept until a hub reports which one it included.
 _MAX_SNAPSHOTS = 32
 
@@ -87,11 +84,8 @@
         self._own_sum = LoadSum(note_changed=self._refresh)
         self._peer_sum = LoadSum(note_changed=self._refresh)
         self._centre_sum = LoadSum(note_changed=self._refresh)
-        self._reading_sum = LoadSum(note_changed=self._refresh)
         self._peer_reports: dict[str, _Report] = {}
         self._centre_reports: dict[str, _Report] = {}
-        #: What targets said of their load themselves, by target.
-        self._readings: dict[str, _Report] = {}
         #: The hub that is followed, the time of its last report, its sum, and the part
         #: of this instance in that sum.
         self._hub: str | None = None
@@ -142,27 +136,6 @@
         """Return the peers whose reports are included."""
         return list(self._peer_reports)
 
-    def follows_hub(self, *, now: float) -> bool:
-        """Return whether a hub reports the loads of all instances."""
-        self._expire(now)
-        return self._hub is not None
-
-    def has_reading(self, target: str, *, now: float) -> bool:
-        """Return whether the load that a target named itself is known."""
-        self._expire(now)
-        return target in self._readings
-
-    def record_reading(self, target: str, *, kv: float, now: float) -> None:
-        """Record the KV cache that a target has in use, for some time.
-
-        Only what no instance has reported counts, and a hub's reports replace it.
-        """
-        if self.follows_hub(now=now):
-            return
-        reported = self._totals.get(target, NO_LOAD).kv
-        load = TargetLoad(kv=max(0.0, kv - reported))
-        _merge(self._readings, self._reading_sum, target, {target: load}, now)
-
     def take_snapshot(self, sequence: int) -> LoadSnapshot:
         """Return a snapshot of the own loads for hubs, and keep it for their reports.
 
@@ -260,24 +233,15 @@
 
     def _expire(self, now: float) -> None:
         """Remove expired reports."""
-        for reports, total, duration_s in (
-            (self._peer_reports, self._peer_sum, _REPORT_DURATION_S),
-            (self._centre_reports, self._centre_sum, _REPORT_DURATION_S),
-            (self._readings, self._reading_sum, _READING_DURATION_S),
-        ):
-            _drop_expired(reports, total, now - duration_s)
+        _drop_expired(self._peer_reports, self._peer_sum, now)
+        _drop_expired(self._centre_reports, self._centre_sum, now)
         if self._hub is not None and now - self._hub_reported_at > _REPORT_DURATION_S:
             self.leave_hub()
 
     def _refresh(self, target: str) -> None:
         """Recompute the total load of a target."""
         if self._hub is None:
-            parts = (
-                self._own_sum.loads,
-                self._peer_sum.loads,
-                self._centre_sum.loads,
-                self._reading_sum.loads,
-            )
+            parts = (self._own_sum.loads, self._peer_sum.loads, self._centre_sum.loads)
         else:
             parts = (self._own_sum.loads, self._hub_loads)
         loads = [loads[target] for loads in parts if target in loads]
@@ -321,7 +285,11 @@
     reports[reporter] = _Report(at=now, loads=loads)
 
 
-def _drop_expired(reports: dict[str, _Report], total: LoadSum, before: float) -> None:
-    old = [reporter for reporter, report in reports.items() if report.at < before]
+def _drop_expired(reports: dict[str, _Report], total: LoadSum, now: float) -> None:
+    old = [
+        reporter
+        for reporter, report in reports.items()
+        if now - report.at > _REPORT_DURATION_S
+    ]
     for reporter in old:
         total.subtract(reports.pop(reporter).loads)
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -28,7 +28,6 @@
 from fulmarward_router.exchange._events import EventSplitter
 from fulmarward_router.exchange._failover import FIRST_CHECK_S, StreamSupervisor
 from fulmarward_router.exchange._failure_detector import FailureDetector
-from fulmarward_router.exchange._first_loads import FirstLoads
 from fulmarward_router.exchange._forwarding import StreamForwarder
 from fulmarward_router.exchange._path_finder import PathFinder
 from fulmarward_router.exchange._pipe_limiter import PipeLimiter
@@ -49,9 +48,6 @@
 #: Paths that are probed in a row for a request that has run before.
 MAX_PROBED_PATHS = 3
 
-#: Paths whose engines are read in a row for a request after a start.
-MAX_READ_PATHS = 8
-
 #: Seconds before a stream whose resumption brought no event is sent again, after the
 #: first such resumption and at most; doubled with each.
 FRUITLESS_PAUSE_S = 0.02
@@ -105,12 +101,6 @@
             list_backed_off=context.target_limits.list_backed_off,
             read_clock=context.read_clock,
         )
-        self._first_loads = FirstLoads(
-            dialect=context.dialect,
-            catalogue=context.catalogue,
-            ledger=context.ledger,
-            read_clock=context.read_clock,
-        )
         pipe = PipeLimiter(
             catalogue=context.catalogue,
             find_share=context.find_share,
@@ -250,7 +240,9 @@
         failed one, and would have no attempt left.
         """
         for probed in range(MAX_PROBED_PATHS + 1):
-            path = await self._await_path(state, engine, wanted)
+            path = await self._admission.await_path(
+                state, engine, lambda: self._limit_first_targets(state, wanted)
+            )
             reservation = self._ledger.reserve(path, count_tokens_held(wanted))
             if state.runs == 0 or probed == MAX_PROBED_PATHS:
                 break
@@ -273,20 +265,6 @@
             )
         return path, reservation
 
-    async def _await_path(
-        self, state: RequestState, engine: EngineModel, wanted: PathRequest
-    ) -> tuple[Hop, ...]:
-        """Return a path, chosen again if what its engines say of their load is news."""
-        for _ in range(MAX_READ_PATHS):
-            path = await self._admission.await_path(
-                state, engine, lambda: self._limit_first_targets(state, wanted)
-            )
-            if not await self._first_loads.read(
-                path, request_id=state.facts.request_id
-            ):
-                break
-        return path
-
     async def _is_reachable(self, path: tuple[Hop, ...]) -> bool:
         """Probe the targets of a path; return whether none is unreachable."""
         await self._failure_detector.probe_and_wait(hop.target for hop in path)
