--- a/packages/core/fulmarward_core/loads/_ledger.py
+++ b/packages/core/fulmarward_core/loads/_ledger.py
@@ -136,6 +136,16 @@
         """Return the peers whose reports are included."""
         return list(self._peer_reports)
 
+    def find_scale(self, instances: int, *, now: float) -> float:
+        """Return by which factor the load of all `instances` may exceed the known one.
+
+        It is 1 with the reports of a hub, or of all peers.
+        """
+        self._expire(now)
+        if self._hub is not None:
+            return 1.0
+        return max(1.0, instances / (1 + len(self._peer_reports)))
+
     def take_snapshot(self, sequence: int) -> LoadSnapshot:
         """Return a snapshot of the own loads for hubs, and keep it for their reports.
 
--- a/packages/core/fulmarward_core/paths/__init__.py
+++ b/packages/core/fulmarward_core/paths/__init__.py
@@ -12,6 +12,7 @@
     StageIndex,
     compute_preference,
     count_tokens_held,
+    scale_kv,
 )
 
 __all__ = [
@@ -26,4 +27,5 @@
     "StageIndex",
     "compute_preference",
     "count_tokens_held",
+    "scale_kv",
 ]
--- a/packages/core/fulmarward_core/paths/decisions.py
+++ b/packages/core/fulmarward_core/paths/decisions.py
@@ -31,6 +31,9 @@
 #: almost none up to a half, four times the cost when it is nearly full.
 LOAD_PENALTY = 4.0
 
+#: Share of a target's KV cache that estimated loads fill at most.
+ESTIMATED_KV_SHARE = 0.75
+
 #: Range by which instances weight the time of the same target differently, as a share.
 #: Guards against instances that all choose the same path at once because they learn of
 #: each other's choice only later.
@@ -141,6 +144,16 @@
     return 1.0 + PREFERENCE_SPREAD * int.from_bytes(digest) / 0xFFFF
 
 
+def scale_kv(kv_reserved: float, scale: float, *, capacity: float) -> float:
+    """Return the KV cache reserved if other instances send to a target as this one.
+
+    An estimate fills the target up to a share only: it makes other paths cheaper, and
+    leaves this one to requests that have no other.
+    """
+    limit = capacity * ESTIMATED_KV_SHARE
+    return max(kv_reserved, min(kv_reserved * scale, limit))
+
+
 def count_tokens_held(request: PathRequest) -> int:
     """Return the KV cache that a request occupies when it ends, in tokens."""
     return request.prompt + request.answer
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -342,6 +342,7 @@
             find_budget=self._find_budget,
             find_share=self.listing.find_share,
             is_large=lambda: self.members.is_large,
+            count_known_instances=self.members.count_known,
             instance=self.own.name,
             data_centre=self.settings.data_centre,
             read_clock=self._clock,
--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -67,6 +67,8 @@
     data_centre: str
     #: Returns seconds on the monotonic clock.
     read_clock: Callable[[], float]
+    #: Returns how many instances are known of, whether they are reached or not.
+    count_known_instances: Callable[[], int] = lambda: 1
 
     async def open(
         self, state: RequestState, call: TargetCall
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -97,6 +97,7 @@
             paces=context.paces,
             ledger=context.ledger,
             is_large=context.is_large,
+            count_known_instances=context.count_known_instances,
             list_throttled=context.target_limits.list_throttled,
             list_backed_off=context.target_limits.list_backed_off,
             read_clock=context.read_clock,
--- a/packages/router/fulmarward_router/exchange/_path_finder.py
+++ b/packages/router/fulmarward_router/exchange/_path_finder.py
@@ -23,9 +23,13 @@
     Stage,
     StageIndex,
     compute_preference,
+    scale_kv,
 )
 from fulmarward_core.suspicion import LOW_OCCUPANCY_SHARE, SuspicionTable
 
+#: Seconds after the start in which the loads of the other instances are estimated.
+SCALED_DURATION_S = 3.0
+
 _NO_LOAD = TargetLoad()
 _IDLE = Occupancy(kv_reserved=0.0, running=0, first_running=0, pace=1.0)
 
@@ -71,8 +75,11 @@
         list_throttled: Callable[[], frozenset[str]],
         list_backed_off: Callable[[], frozenset[str]],
         read_clock: Callable[[], float],
+        count_known_instances: Callable[[], int] = lambda: 1,
     ) -> None:
         self._is_large = is_large
+        self._count_known_instances = count_known_instances
+        self._started_at = read_clock()
         #: Returns the targets to which this instance may send no requests for now.
         self._list_throttled = list_throttled
         #: Returns those of them that want no requests of this instance.
@@ -214,14 +221,17 @@
             targets, now, may_use_reported=may_use_reported
         )
         loads, paces = self._ledger.sum_loads(now=now), self._paces
+        scale = 1.0
+        if now - self._started_at < SCALED_DURATION_S:
+            scale = self._ledger.find_scale(self._count_known_instances(), now=now)
 
         def read(stage: Stage) -> Occupancy | None:
             if stage.target in excluded:
                 return None
             load = loads.get(stage.target, _NO_LOAD)
             return Occupancy(
-                kv_reserved=load.kv,
-                running=load.running,
+                kv_reserved=scale_kv(load.kv, scale, capacity=stage.kv_capacity),
+                running=int(load.running * scale),
                 first_running=(
                     targets.engine.slots
                     if stage.target in throttled
--- a/packages/router/fulmarward_router/mesh/_members.py
+++ b/packages/router/fulmarward_router/mesh/_members.py
@@ -618,6 +618,10 @@
         )
         return (1 + len(self.list_staying(now=now))) / (1 + known)
 
+    def count_known(self) -> int:
+        """Return the number of instances ever heard of, including this one."""
+        return 1 + len(self._members)
+
     def count_instances(self, *, now: float) -> int:
         """Return the number of live instances, including this one."""
         return 1 + len(self._find_view(now).fresh)
