--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -31,10 +31,6 @@
 FIRST_CHECK_S = 0.45
 PAUSE_CHECK_S = 0.3
 
-#: Seconds without an event after which a stream through a target that was found
-#: unreachable counts as silent: longer than an event is in transit.
-REPORTED_STALL_S = 0.02
-
 #: Seconds between two checks of open streams while one of them is stalled.
 CHECK_INTERVAL_S = 0.012
 
@@ -174,27 +170,11 @@
                 self._probe_stalled(now)
             self._drain_leaving_targets(now)
             for attempt in list(self._attempts.values()):
-                is_idle = attempt.check_task is None and attempt.failure is None
-                if is_idle and self._is_silent(attempt, now):
+                is_silent = now - attempt.last_activity_at >= MIN_STALL_S
+                if is_silent and attempt.check_task is None and attempt.failure is None:
                     self._probe_unconfirmed(attempt, now)
                     self._start_check(attempt)
 
-    def _is_silent(self, attempt: Attempt, now: float) -> bool:
-        """Return whether a stream may have stalled.
-
-        One through a target that this instance or a peer found unreachable has, unless
-        events were still in transit; others pause for longer between two events.
-        """
-        silent_s = now - attempt.last_activity_at
-        if silent_s < REPORTED_STALL_S or silent_s >= MIN_STALL_S:
-            return silent_s >= MIN_STALL_S
-        table = self._suspicions
-        return any(
-            table.is_indirect(hop.target, now=now)
-            or table.is_unreachable(hop.target, now=now)
-            for hop in attempt.path
-        )
-
     def _compute_delay_s(self, now: float) -> float:
         """Return the seconds until the next check of the open streams.
 
