--- a/packages/core/fulmarward_core/quotas/tests/test_retries.py
+++ b/packages/core/fulmarward_core/quotas/tests/test_retries.py
@@ -173,3 +173,47 @@
         self.assertTrue(self.budget.has_retry(share=1.0, now=0.0))
         self.assertEqual(self.take_all(now=0.0), 7)
         self.assertFalse(self.budget.has_retry(share=1.0, now=0.0))
+
+
+class UnstartedPartTest(unittest.TestCase):
+    """Budgets of an instance that targets reject requests of, by the work's figures."""
+
+    #: Fixed budget, listed instances, and requests of one of them within a window.
+    works = ((338.0, 32, 60), (322.0, 30, 55))
+
+    def play(self, slack, listed, requests, *, started_answers):
+        """Return how many rejected requests are sent again, and what is left then."""
+        budget = RetryBudget(ratio=0.2, slack=slack, window_s=10.0)
+        for _ in range(requests):
+            budget.note_request(now=0.0)
+        share, sent = 1 / listed, 0
+        for _ in range(requests):
+            part = budget.find_unstarted_part(
+                started_answers=started_answers, share=share, now=0.0
+            )
+            sent += budget.take_retry(share=share, now=0.0, part=part)
+        usage = budget.count(share=share, now=0.0)
+        return sent, usage.allowed - usage.used
+
+    def test_rejected_requests_may_use_all_after_a_restart(self):
+        """Guards against refusals while the budget is kept for answers of nobody."""
+        for work in self.works:
+            with self.subTest(work):
+                sent, left = self.play(*work, started_answers=0)
+                self.assertGreaterEqual(sent, 14)
+                self.assertLess(left, 1.0)
+
+    def test_started_answers_keep_what_a_loss_may_take(self):
+        """Guards against truncated answers, as rejected requests used all retries."""
+        for work in self.works:
+            with self.subTest(work):
+                _, left = self.play(*work, started_answers=8)
+                self.assertGreaterEqual(left, 2.0)
+
+    def test_many_started_answers_leave_half(self):
+        """Guards against an instance that serves streams and repeats no request."""
+        for work in self.works:
+            with self.subTest(work):
+                sent, left = self.play(*work, started_answers=100)
+                self.assertGreaterEqual(sent, 7)
+                self.assertGreaterEqual(left, sent)
