Plan slow engines beside whole copies of the fast ones

A data centre whose fast engines hold the model by themselves, and whose slow ones cannot, was planned uniformly: the slow ones were told that nobody nearby holds any layer.

--- a/packages/core/fulmarward_core/layers/decisions/_plan.py
+++ b/packages/core/fulmarward_core/layers/decisions/_plan.py
@@ -43,24 +43,27 @@
     """Plan each tier of speed separately; `None` if that leaves layers unheld."""
     *fast_tiers, slowest = group_kinds(engine, targets) or [frozenset()]
     planned: list[Assignment] = []
-    fast: list[TargetRecord] = []
+    in_chain: list[TargetRecord] = []
     for kinds in fast_tiers:
         members = [target for target in targets if target.kind in kinds]
         for group in group_by_data_centre(members).values():
             if can_hold_model(engine, group, MIN_KV_TOKENS):
                 planned += _plan_group(engine, group)
             else:
-                fast += group
+                in_chain += group
     slow = [target for target in targets if target.kind in slowest]
-    chain = _plan_chain(engine, fast, count_fast_kv(engine, instances))
-    ranges = {item.target: item.layers for item in chain}
-    planned += chain
+    planned += _plan_chain(engine, in_chain, count_fast_kv(engine, instances))
+    ranges = {item.target: item.layers for item in planned}
     incomplete: list[TargetRecord] = []
     for centre, members in group_by_data_centre(slow).items():
         if can_hold_model(engine, members, MIN_KV_TOKENS):
             planned += _plan_group(engine, members)
             continue
-        held_nearby = [ranges[t.name] for t in fast if t.data_centre == centre]
+        held_nearby = [
+            ranges[target.name]
+            for target in targets
+            if target.name in ranges and target.data_centre == centre
+        ]
         rest = _plan_complement(engine, members, held_nearby)
         if rest is None:
             incomplete += members
