--- a/packages/instance/fulmarward/http/_bounded.py
+++ b/packages/instance/fulmarward/http/_bounded.py
@@ -45,6 +45,10 @@
                 raise ValueError(f"{name}: expected more than 0, found {value}")
 
 
+#: Bytes of a response from which on it is checked. Most responses end before, and
+#: streams arrive in thousands of small parts.
+CHECKED_BYTES = 8 << 10
+
 #: Bytes of framing that a chunk may have for each byte of its content. The smallest
 #: chunk has one byte of content, and five of framing.
 FRAMING_RATIO = 8
@@ -181,6 +185,8 @@
             )
         self._sent_bytes += len(data)
         super().data_received(data)
+        if self._sent_bytes < CHECKED_BYTES and not self._interim_responses:
+            return
         limit = self._find_excess()
         if limit is not None:
             self._end(limit)
@@ -189,11 +195,10 @@
         """Return the limit that the response exceeds, `None` if it exceeds none."""
         limits = self._guard.limits
         body_bytes = 0 if self._body is None else self._body.total_bytes
-        framing_bytes = self._sent_bytes - body_bytes * FRAMING_RATIO
         used = {
             "interim_responses": self._interim_responses,
             "total_bytes": max(self._sent_bytes, body_bytes),
-            "framing_bytes": framing_bytes,
+            "framing_bytes": self._sent_bytes - body_bytes * FRAMING_RATIO,
         }
         exceeded = (
             name for name, value in used.items() if value > getattr(limits, name)
