Give up a caller's body that does not arrive in time

A body that consists of framing, such as the extension of a chunk, was read without end. It is answered 408 at the request's deadline; the connection ends 2 s later, not 10 s.

--- a/packages/router/fulmarward_router/exchange/_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/_caller_handler.py
@@ -51,6 +51,10 @@
 #: Seconds that a connection may stay idle while there is no configuration.
 DEFAULT_IDLE_TIMEOUT_S = 60.0
 
+#: Seconds for which the rest of a rejected request is read, so that its caller gets the
+#: rejection before the connection is reset.
+LINGERING_TIME_S = 2.0
+
 #: HTTP status of each rejection by this instance. 503 promises that no target executed
 #: the request.
 _STATUSES = {
@@ -71,6 +75,7 @@
     ResultCode.REQUEST_CRASHED: 400,
     ResultCode.BODY_MALFORMED: 400,
     ResultCode.BODY_TOO_LARGE: 413,
+    ResultCode.BODY_TOO_SLOW: 408,
     ResultCode.DEADLINE_PASSED: 504,
     ResultCode.OUTCOME_UNKNOWN: 502,
 }
@@ -92,6 +97,7 @@
             access_log=None,
             max_field_size=max_header_bytes,
             max_line_size=max_header_bytes,
+            lingering_time=LINGERING_TIME_S,
         )
         self._read_idle_timeout_s = read_idle_timeout_s
 
@@ -238,8 +244,11 @@
                 raise self._make_denial(
                     ResultCode.TEAM_KEY_WRONG, "no team", arrived_at
                 )
-        body = await self._read_body(request, configuration)
         deadline_s = facts.deadline_s if facts.deadline_s else DEFAULT_TIMEOUT_S
+        deadline = arrived_at + min(deadline_s, route.timeout_s)
+        body = await self._read_body(
+            request, configuration, timeout_s=deadline - self._read_clock()
+        )
         return RequestState(
             request=request,
             headers=request.headers,
@@ -251,7 +260,7 @@
             service=choose_service(route, facts.request_id),
             urgency=find_urgency(route, team),
             arrived_at=arrived_at,
-            deadline=arrived_at + min(deadline_s, route.timeout_s),
+            deadline=deadline,
             attempts=facts.runs_before,
             runs=facts.runs_before,
         )
@@ -286,8 +295,13 @@
             )
 
     async def _read_body(
-        self, request: web.BaseRequest, configuration: RoutingConfiguration
+        self,
+        request: web.BaseRequest,
+        configuration: RoutingConfiguration,
+        *,
+        timeout_s: float,
     ) -> bytes:
+        """Return the body of a request; raises `RejectedRequest`."""
         limit = configuration.limits.body_bytes
         if request.content_length is not None and request.content_length > limit:
             raise RejectedRequest(ResultCode.BODY_TOO_LARGE, cause="body too large")
@@ -295,13 +309,18 @@
             await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         parts, size = [], 0
         try:
-            async for part in request.content.iter_any():
-                parts.append(part)
-                size += len(part)
-                if size > limit:
-                    raise RejectedRequest(
-                        ResultCode.BODY_TOO_LARGE, cause="body too large"
-                    )
+            async with asyncio.timeout(timeout_s):
+                async for part in request.content.iter_any():
+                    parts.append(part)
+                    size += len(part)
+                    if size > limit:
+                        raise RejectedRequest(
+                            ResultCode.BODY_TOO_LARGE, cause="body too large"
+                        )
+        except TimeoutError as error:
+            raise RejectedRequest(
+                ResultCode.BODY_TOO_SLOW, cause="the body did not arrive in time"
+            ) from error
         except (web.HTTPException, ValueError) as error:
             raise RejectedRequest(
                 ResultCode.BODY_MALFORMED, cause=repr(error)
