--- a/packages/router/fulmarward_router/exchange/_path_finder.py
+++ b/packages/router/fulmarward_router/exchange/_path_finder.py
@@ -78,6 +78,7 @@
         count_known_instances: Callable[[], int] = lambda: 1,
     ) -> None:
         self._is_large = is_large
+        #: Returns how many instances are known of, whether they are reached or not.
         self._count_known_instances = count_known_instances
         self._started_at = read_clock()
         #: Returns the targets to which this instance may send no requests for now.
@@ -221,6 +222,8 @@
             targets, now, may_use_reported=may_use_reported
         )
         loads, paces = self._ledger.sum_loads(now=now), self._paces
+        # Instances that start at the same moment send to the same targets until they
+        # learn of each other: each takes the load of the others for its own.
         scale = 1.0
         if now - self._started_at < SCALED_DURATION_S:
             scale = self._ledger.find_scale(self._count_known_instances(), now=now)
--- a/packages/router/fulmarward_router/exchange/_send.py
+++ b/packages/router/fulmarward_router/exchange/_send.py
@@ -14,11 +14,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from fulmarward.http import (
-    BoundedHandler,
-    ResponseGuard,
-    send_once,
-)
+from fulmarward.http import BoundedHandler, ResponseGuard, send_once
 from fulmarward.observability import log_event
 from fulmarward_router._sockets import (
     has_unacknowledged,
