--- a/packages/core/fulmarward_core/quotas/_retries.py
+++ b/packages/core/fulmarward_core/quotas/_retries.py
@@ -5,6 +5,7 @@
 """
 
 import bisect
+import math
 from collections import deque
 from dataclasses import dataclass
 
@@ -17,9 +18,9 @@
 #: truncated.
 UNSTARTED_SHARE = 0.5
 
-#: Retries kept for each started answer: the loss of a target ends only some of them,
-#: and these may wait for a retry.
-RETRIES_PER_STARTED_ANSWER = 0.25
+#: Retries kept for each open answer, one at least: the loss of a target ends only some
+#: of them, and these may wait for a retry.
+RETRIES_PER_OPEN_ANSWER = 0.25
 
 #: Part of the usable budget that is open to started answers whose target may still
 #: respond; they also leave one whole retry. The rest is for those that lost their
@@ -112,15 +113,15 @@
         return usage.used + 1 + spared <= allowed
 
     def find_unstarted_part(
-        self, *, started_answers: int, share: float, now: float
+        self, *, open_answers: int, share: float, now: float
     ) -> float:
         """Return the part open to requests whose answer has not started.
 
-        It is all that the started answers of this instance may not need, as after a
-        restart, when there are none and targets reject many requests.
+        It is all that the answers of this instance may not need, also those that start
+        later: few after a restart, when targets reject many requests.
         """
         allowed = self.count(share=share, now=now).allowed
-        kept = started_answers * RETRIES_PER_STARTED_ANSWER
+        kept = max(1, math.ceil(open_answers * RETRIES_PER_OPEN_ANSWER))
         return max(UNSTARTED_SHARE, 1 - kept / allowed) if allowed else UNSTARTED_SHARE
 
     def begin_wait(self, *, until: float) -> None:
--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -145,19 +145,19 @@
         return current is None or current.process_name != target.process_name
 
     def take_retry(
-        self, state: RequestState, *, started_answers: int | None = None
+        self, state: RequestState, *, open_answers: int | None = None
     ) -> bool:
         """Consume one retry, if the route and the retry budget allow it.
 
         A request whose answer has not started may use only the part of the budget that
-        the number of `started_answers` leaves; `None` if it may use all of it.
+        the number of `open_answers` leaves; `None` if it may use all of it.
         """
         now = self.read_clock()
         is_allowed = may_retry(self.make_tally(state), now=now)
         part = 1.0
-        if started_answers is not None:
+        if open_answers is not None:
             part = self.find_budget(state.service).find_unstarted_part(
-                started_answers=started_answers, share=self.find_share(), now=now
+                open_answers=open_answers, share=self.find_share(), now=now
             )
         is_taken = is_allowed and self._take_from_budget(state, now, part)
         self._log_retry(state, now, is_taken=is_taken, is_allowed=is_allowed)
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -310,8 +310,8 @@
             raise TruncatedResponse(
                 self._context.find_cut_cause(state), detail=failure.cause
             )
-        started_answers = self.supervisor.count_started(state.service)
-        if self._context.take_retry(state, started_answers=started_answers):
+        open_answers = self.supervisor.count_open(state.service)
+        if self._context.take_retry(state, open_answers=open_answers):
             return
         engine = state.configuration.services[state.service].engine
         raise self._context.make_rejection(
--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -127,12 +127,9 @@
         attempt.checks = 0
         attempt.has_begun = True
 
-    def count_started(self, service: str) -> int:
-        """Return how many answers of a service are open that have started."""
-        return sum(
-            attempt.state.service == service and attempt.state.has_begun
-            for attempt in self._attempts.values()
-        )
+    def count_open(self, service: str) -> int:
+        """Return how many answers of a service are open, started or not."""
+        return sum(a.state.service == service for a in self._attempts.values())
 
     def sees_slow_streams(self) -> bool:
         """Return whether any stream here shows signs of a slow target on its path."""
