Count only fields named data as data; smaller limits of the store's responses

A flood of fields that merely begin with the same letters counted as events, up to the limit of a whole stream. The store's responses might hold 64 MiB, twice what an instance may grow by; the largest that is needed, a configuration of 4 MiB in base64, has 6. The new test of the splitter fails before.

--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -94,8 +94,9 @@
 #: configuration, which is checked after the request is read.
 MAX_HEADER_BYTES = 1 << 16
 
-#: Limits of the store's responses, of which the largest is a whole table.
-STORE_LIMITS = ResponseLimits(whole_bytes=32 << 20, held_bytes=64 << 20)
+#: Limits of the store's responses, of which the largest is a whole table or a
+#: configuration. Joining a response needs its size once more.
+STORE_LIMITS = ResponseLimits(whole_bytes=12 << 20, held_bytes=14 << 20)
 
 #: Seconds between two checks for open requests while stopping.
 _DRAIN_POLL_INTERVAL_S = 0.05
--- a/packages/router/fulmarward_router/exchange/_events.py
+++ b/packages/router/fulmarward_router/exchange/_events.py
@@ -54,7 +54,7 @@
     for line in item.split(b"\n"):
         if event_id is None and line.startswith(b"id:"):
             event_id = line[3:].strip().decode("latin-1")
-        has_data = has_data or line.startswith(b"data")
+        has_data = has_data or line == b"data" or line.startswith(b"data:")
     return Event(data=item + b"\n\n", id=event_id, has_data=has_data)
 
 
--- a/packages/router/fulmarward_router/exchange/tests/test_events.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_events.py
@@ -16,6 +16,15 @@
         self.assertEqual([event.id for event in events], [str(n) for n in range(count)])
         self.assertEqual(b"".join(e.data for e in events) + splitter.pending, data)
 
+    def test_bytes_without_data_are_counted_until_an_event_has_some(self):
+        """Guards against a flood of comments, or of fields that only resemble data."""
+        splitter = EventSplitter()
+        for part in (b": here\n\n", b"database: x\n\n", b"id: 1\n\n", b"data"):
+            splitter.feed(part)
+        self.assertEqual((splitter.completed, splitter.unused_bytes), (0, 32))
+        splitter.feed(b": x\n\n")
+        self.assertEqual((splitter.completed, splitter.unused_bytes), (1, 0))
+
     def test_order_of_ids(self):
         cases = [
             (None, "3", True),
