Release a rejected response's bytes at once

The error of a rejected body refers to the frame that reads it, the frame to the response and the response to the error: its parts stayed until a garbage collection.

--- a/packages/instance/fulmarward/http/_bounded.py
+++ b/packages/instance/fulmarward/http/_bounded.py
@@ -112,6 +112,9 @@
                         raise error
             return b"".join(parts)
         finally:
+            # An error refers to this frame, and the response to the error: without
+            # this, the bytes stay until the next garbage collection.
+            parts.clear()
             del self._held[response]
 
     def reject(self, response: aiohttp.ClientResponse, limit: str) -> ResponseTooLarge:
