Keep no reference from a rejected response to its error

What is left of the buffers of a rejected response stayed until a garbage collection, as the response held its error and the error the frames of its readers. The store's whole responses are limited to 8 MiB, all together to 10: the largest that is needed, a configuration of 4 MiB, has 6.

--- a/packages/instance/fulmarward/http/_bounded.py
+++ b/packages/instance/fulmarward/http/_bounded.py
@@ -107,27 +107,29 @@
                     raise self.reject(response, "whole_bytes")
                 if sum(self._held.values()) > self.limits.held_bytes:
                     largest = max(self._held, key=self._held.__getitem__)
-                    error = self.reject(largest, "held_bytes")
+                    error = self._record(largest, "held_bytes")
+                    if largest is not response:
+                        # Its reader gets the error instead of the closing.
+                        largest.content.set_exception(error)
+                    largest.close()
                     if largest is response:
                         raise error
             return b"".join(parts)
         finally:
-            # An error refers to this frame, and the response to the error: without
-            # this, the bytes stay until the next garbage collection.
+            # An error refers to this frame, and may be kept: its bytes must not be.
             parts.clear()
             del self._held[response]
 
     def reject(self, response: aiohttp.ClientResponse, limit: str) -> ResponseTooLarge:
-        """End a response that exceeded a limit; return the error that its reader gets.
-
-        The caller raises it if it is the reader.
-        """
-        address = f"{response.url.host}:{response.url.port}"
-        error = self.record_excess(limit, address)
-        response.content.set_exception(error)
+        """End a response that exceeded a limit; return the error for its reader."""
+        error = self._record(response, limit)
         response.close()
         return error
 
+    def _record(self, response: aiohttp.ClientResponse, limit: str) -> ResponseTooLarge:
+        address = f"{response.url.host}:{response.url.port}"
+        return self.record_excess(limit, address)
+
     def record_excess(self, limit: str, address: str) -> ResponseTooLarge:
         """Log and count a response that exceeded a limit; return the error for it."""
         self.excesses[limit] += 1
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -96,7 +96,7 @@
 
 #: Limits of the store's responses, of which the largest is a whole table or a
 #: configuration. Joining a response needs its size once more.
-STORE_LIMITS = ResponseLimits(whole_bytes=12 << 20, held_bytes=14 << 20)
+STORE_LIMITS = ResponseLimits(whole_bytes=8 << 20, held_bytes=10 << 20)
 
 #: Seconds between two checks for open requests while stopping.
 _DRAIN_POLL_INTERVAL_S = 0.05
