--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -160,7 +160,7 @@
                 open_answers=open_answers, share=self.find_share(), now=now
             )
         is_taken = is_allowed and self._take_from_budget(state, now, part)
-        self._log_retry(state, now, is_taken=is_taken, is_allowed=is_allowed)
+        self._log_retry(state, now, is_taken=is_taken, is_allowed=is_allowed, part=part)
         return is_taken
 
     def take_retry_early(self, state: RequestState, *, is_last: bool = False) -> bool:
@@ -233,7 +233,13 @@
         )
 
     def _log_retry(
-        self, state: RequestState, now: float, *, is_taken: bool, is_allowed: bool
+        self,
+        state: RequestState,
+        now: float,
+        *,
+        is_taken: bool,
+        is_allowed: bool,
+        part: float = 1.0,
     ) -> None:
         tally = self.make_tally(state)
         share = self.find_share()
@@ -249,6 +255,7 @@
             left_s=round(tally.deadline - now, 3),
             used=count.used,
             allowed=round(count.allowed, 2),
+            part=round(part, 3),
             requests=count.requests,
             share=round(share, 4),
             has_begun=state.has_begun,
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -175,6 +175,7 @@
                 path=describe_path(path),
                 targets_version=self._catalogue.version,
                 targets_age_s=round(now - self._catalogue.confirmed_at, 3),
+                load_scale=round(self._finder.find_load_scale(now=now), 2),
                 left_s=round(state.deadline - now, 3),
                 prompt=wanted.prompt,
                 answer=wanted.answer,
--- a/packages/router/fulmarward_router/exchange/_path_finder.py
+++ b/packages/router/fulmarward_router/exchange/_path_finder.py
@@ -131,6 +131,16 @@
             path = path or targets.index.choose_path(wanted, read=read)
         return path
 
+    def find_load_scale(self, *, now: float) -> float:
+        """Return by which factor the load of a target may exceed the known one.
+
+        Instances that start at the same moment send to the same targets until they
+        learn of each other, so each estimates the others' load by its own.
+        """
+        if now - self._started_at >= SCALED_DURATION_S:
+            return 1.0
+        return self._ledger.find_scale(self._count_known_instances(), now=now)
+
     def list_first_targets(self, service: str, engine: EngineModel) -> list[str]:
         """Return the targets at which a path may begin, regardless of capacity."""
         now = self._read_clock()
@@ -222,11 +232,7 @@
             targets, now, may_use_reported=may_use_reported
         )
         loads, paces = self._ledger.sum_loads(now=now), self._paces
-        # Instances that start at the same moment send to the same targets until they
-        # learn of each other: each takes the load of the others for its own.
-        scale = 1.0
-        if now - self._started_at < SCALED_DURATION_S:
-            scale = self._ledger.find_scale(self._count_known_instances(), now=now)
+        scale = self.find_load_scale(now=now)
 
         def read(stage: Stage) -> Occupancy | None:
             if stage.target in excluded:
