--- a/packages/core/fulmarward_core/layers/tests/fleets.py
+++ b/packages/core/fulmarward_core/layers/tests/fleets.py
@@ -68,6 +68,16 @@
 )
 
 
+#: A fleet of the engines of `THREE_SPEEDS`, and answers a second that it usually
+#: serves.
+THREE_SPEEDS_FLEET = {
+    "a": {"large": 4, "middle": 6, "small": 14},
+    "b": {"large": 2, "middle": 9, "small": 22},
+    "c": {"large": 2, "middle": 15, "small": 12},
+}
+THREE_SPEEDS_RATE_PER_S = 129
+
+
 def make_target(name, data_centre, kind, layers=None):
     return TargetRecord(
         name=name,
--- a/packages/core/fulmarward_core/layers/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/layers/tests/test_decisions.py
@@ -16,6 +16,8 @@
     ENGINE,
     KINDS,
     THREE_SPEEDS,
+    THREE_SPEEDS_FLEET,
+    THREE_SPEEDS_RATE_PER_S,
     make_fleet,
     make_target,
 )
@@ -76,15 +78,6 @@
     ]
 
 
-#: A fleet with three speeds, and answers a second that it usually serves.
-_THREE_SPEEDS_FLEET = {
-    "a": {"large": 4, "middle": 6, "small": 14},
-    "b": {"large": 2, "middle": 9, "small": 22},
-    "c": {"large": 2, "middle": 15, "small": 12},
-}
-_THREE_SPEEDS_RATE_PER_S = 129
-
-
 class PlanLayersTest(unittest.TestCase):
     def test_answers_pass_the_slowest_engines_only_if_the_others_are_full(self):
         """Guards against copies of the model in which fast engines wait for slow ones.
@@ -92,7 +85,7 @@
         With two speeds, the fast engines need the others for the layers that they lack.
         """
         for engine, counts, rate_per_s, slow_share in (
-            (THREE_SPEEDS, _THREE_SPEEDS_FLEET, _THREE_SPEEDS_RATE_PER_S, 0.05),
+            (THREE_SPEEDS, THREE_SPEEDS_FLEET, THREE_SPEEDS_RATE_PER_S, 0.05),
             (ENGINE, _THREE_DATA_CENTRES, 31, 1.0),
         ):
             with self.subTest(kinds=sorted(engine.kinds), rate_per_s=rate_per_s):
--- a/packages/router/fulmarward_router/exchange/tests/test_common_start.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_common_start.py
@@ -3,7 +3,12 @@
 from dataclasses import replace
 
 from fulmarward_core.layers import plan_layers
-from fulmarward_core.layers.tests.fleets import ENGINE, THREE_SPEEDS, make_fleet
+from fulmarward_core.layers.tests.fleets import (
+    ENGINE,
+    THREE_SPEEDS,
+    THREE_SPEEDS_FLEET,
+    make_fleet,
+)
 from fulmarward_core.loads import LoadLedger
 from fulmarward_core.paces import PaceTable
 from fulmarward_core.paths import PathRequest, count_tokens_held
@@ -19,11 +24,6 @@
     "b": {"large": 2, "middle": 13, "small": 22},
     "c": {"large": 1, "middle": 22, "small": 12},
 }
-_THREE_SPEEDS_FLEET = {
-    "a": {"large": 4, "middle": 6, "small": 14},
-    "b": {"large": 2, "middle": 9, "small": 22},
-    "c": {"large": 2, "middle": 15, "small": 12},
-}
 
 
 class _Catalogue:
@@ -41,7 +41,7 @@
 
 class CommonStartTest(unittest.TestCase):
     def play_start(self, engine, counts, *, known):
-        """Return the requests by first target, and the most KV cache of any target.
+        """Return the requests by first target.
 
         `known` is the number of instances that each of them knows of.
         """
@@ -82,7 +82,7 @@
         """
         for engine, counts in (
             (ENGINE, _TWO_SPEEDS_FLEET),
-            (THREE_SPEEDS, _THREE_SPEEDS_FLEET),
+            (THREE_SPEEDS, THREE_SPEEDS_FLEET),
         ):
             with self.subTest(kinds=sorted(engine.kinds)):
                 alone = self.play_start(engine, counts, known=1)
