Paths: measure the KV cache that a service can plan with

Admission by urgency reserves a share of the capacity, so it has to know how much there is. The layer with the least KV cache limits it, as every request needs all layers. CapacityTest: idle, half full, a range that is held twice, a layer that is missing.

--- a/packages/core/fulmarward_core/paths/decisions.py
+++ b/packages/core/fulmarward_core/paths/decisions.py
@@ -10,7 +10,7 @@
 import hashlib
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
-from itertools import chain, permutations
+from itertools import accumulate, chain, permutations
 
 from fulmarward_core.fleet import AcceleratorKind, EngineModel, LayerRange
 
@@ -85,6 +85,18 @@
     layers: LayerRange
 
 
+@dataclass(frozen=True, kw_only=True)
+class KvCapacity:
+    """KV cache for requests of a service, in tokens x layers of the model.
+
+    The layer with the least KV cache limits both, as every request needs all layers.
+    """
+
+    #: What paths may plan with, and how much of it is not reserved.
+    planned: float
+    free: float
+
+
 @dataclass(frozen=True, kw_only=True)
 class RemoteTerms:
     """How targets in other data centres are weighted."""
@@ -248,6 +260,25 @@
             hops_ms=HOP_COST_MS * hops[layers],
         )
 
+    def measure_capacity(self, *, read: ReadOccupancy) -> KvCapacity:
+        """Return the KV cache of all targets that are not excluded."""
+        layers = self.engine.layers
+        planned, free = ([0.0] * (layers + 1) for _ in range(2))
+        for stage in self._stages.values():
+            occupancy = read(stage)
+            if occupancy is None or not len(stage.layers):
+                continue
+            planned_kv = stage.kv_capacity * USABLE_KV_SHARE
+            free_kv = max(0.0, planned_kv - occupancy.kv_reserved)
+            # Differences between neighbouring layers, summed up below.
+            for sums, kv in ((planned, planned_kv), (free, free_kv)):
+                sums[stage.layers.start] += kv / len(stage.layers)
+                sums[stage.layers.end] -= kv / len(stage.layers)
+        return KvCapacity(
+            planned=max(0.0, min(accumulate(planned[:layers])) * layers),
+            free=max(0.0, min(accumulate(free[:layers])) * layers),
+        )
+
     def choose_path(
         self, request: PathRequest, *, read: ReadOccupancy
     ) -> tuple[Hop, ...] | None:
--- a/packages/core/fulmarward_core/paths/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/paths/tests/test_decisions.py
@@ -97,6 +97,27 @@
     ]
 
 
+class CapacityTest(unittest.TestCase):
+    def test_scarcest_layer_limits_the_capacity(self):
+        """Guards against reserving room that no complete path has."""
+        whole = make_chain("a", "a")
+        spare = make_chain("b", "b", kv_reserved=1e12)[1:]
+        used = [replace(stage, kv_reserved=stage.kv_capacity / 2) for stage in whole]
+        planned_kv = 0.9 * sum(stage.kv_capacity for stage in whole)
+        cases = [
+            ("idle", whole, planned_kv, planned_kv),
+            ("half full", used, planned_kv, planned_kv * 4 / 9),
+            ("first layers once", whole + spare, planned_kv, planned_kv),
+            ("a layer is missing", whole[1:], 0.0, 0.0),
+        ]
+        for name, stages, planned, free in cases:
+            with self.subTest(name):
+                index = StageIndex(engine=ENGINE, stages=stages)
+                found = index.measure_capacity(read=read_stage)
+                self.assertAlmostEqual(found.planned, planned, delta=1.0)
+                self.assertAlmostEqual(found.free, free, delta=1.0)
+
+
 class ChoiceCostTest(unittest.TestCase):
     def test_each_target_is_evaluated_once(self):
         # Each answer chooses a path among all targets of its service. With 99 targets
--- a/packages/router/fulmarward_router/exchange/_path_finder.py
+++ b/packages/router/fulmarward_router/exchange/_path_finder.py
@@ -17,6 +17,7 @@
 from fulmarward_core.paths import (
     HUB_TERMS,
     Hop,
+    KvCapacity,
     Occupancy,
     PathRequest,
     ReadOccupancy,
@@ -33,6 +34,10 @@
 _NO_LOAD = TargetLoad()
 _IDLE = Occupancy(kv_reserved=0.0, running=0, first_running=0, pace=1.0)
 
+#: Seconds for which the measured capacity of a service is reused: each waiting request
+#: asks for it in each of its searches.
+CAPACITY_DURATION_S = 0.05
+
 #: Versions of a service of which the targets are kept indexed. Requests under way use
 #: the version with which they began.
 _MAX_INDEXED_VERSIONS = 4
@@ -93,6 +98,8 @@
         self._instance = instance
         #: Cached preferences by target. Never evicted: one entry per target ever seen.
         self._preferences: dict[str, float] = {}
+        #: The capacity of each service, and when it was measured.
+        self._capacities: dict[str, tuple[float, KvCapacity]] = {}
         #: The targets of each service under its latest versions, the newest index last.
         self._targets_by_service: dict[str, list[_ServiceTargets]] = {}
 
@@ -131,6 +138,23 @@
             path = path or targets.index.choose_path(wanted, read=read)
         return path
 
+    def measure_capacity(self, service: str, engine: EngineModel) -> KvCapacity:
+        """Return the KV cache of the usable targets of a service."""
+        now = self._read_clock()
+        measured_at, capacity = self._capacities.get(service, (float("-inf"), None))
+        if capacity is None or now - measured_at > CAPACITY_DURATION_S:
+            targets = self._find_targets(service, engine, now)
+            read = self._make_occupancy_reader(
+                targets,
+                now,
+                may_use_reported=False,
+                throttled=frozenset(),
+                avoided=frozenset(),
+            )
+            capacity = targets.index.measure_capacity(read=read)
+            self._capacities[service] = now, capacity
+        return capacity
+
     def find_load_scale(self, *, now: float) -> float:
         """Return by which factor the load of a target may exceed the known one.
 
