Let a few observers of each data centre verify and recheck targets

Cause: on every busy instance of a large fleet probed each target that a peer reported, and every instance that had found a target silent probed it again until it answered.

Change: in a large fleet two listed instances of each data centre, chosen by rendezvous hashing, do both and notify the others, also if their answer refutes a report. Checks before a suspicion expires stay at each instance. Small fleets are as before.

--- a/packages/core/fulmarward_core/target_limits/__init__.py
+++ b/packages/core/fulmarward_core/target_limits/__init__.py
@@ -8,7 +8,6 @@
     LimitTable,
 )
 from fulmarward_core.target_limits._usage import PERMIT_DURATION_S, PermitUsage
-from fulmarward_core.target_limits.decisions import choose_owner
 
 __all__ = [
     "MAX_BACKOFF_S",
@@ -20,5 +19,4 @@
     "PermitGrant",
     "PermitBucket",
     "PermitUsage",
-    "choose_owner",
 ]
--- a/packages/core/fulmarward_core/target_limits/tests/test_permits.py
+++ b/packages/core/fulmarward_core/target_limits/tests/test_permits.py
@@ -1,12 +1,12 @@
 import random
 import unittest
 
+from fulmarward_core.rendezvous import choose_first
 from fulmarward_core.target_limits import (
     PERMIT_DURATION_S,
     LimitTable,
     PermitBucket,
     PermitUsage,
-    choose_owner,
 )
 
 
@@ -75,13 +75,13 @@
     def test_owner_changes_only_for_targets_of_those_that_join_or_leave(self):
         names = [f"n{number}" for number in range(7)]
         targets = [f"t{number}" for number in range(200)]
-        before = {target: choose_owner(target, names) for target in targets}
+        before = {target: choose_first(target, names) for target in targets}
         self.assertEqual(set(before.values()), set(names))
         for target, owner in before.items():
             left = [name for name in names if name != "n3"]
             if owner != "n3":
-                self.assertEqual(choose_owner(target, left), owner)
-        self.assertIsNone(choose_owner("t", []))
+                self.assertEqual(choose_first(target, left), owner)
+        self.assertIsNone(choose_first("t", []))
 
 
 class LimitTableTest(unittest.TestCase):
--- a/packages/router/fulmarward_router/_listing.py
+++ b/packages/router/fulmarward_router/_listing.py
@@ -9,8 +9,13 @@
 from fulmarward_core.listing import Candidate, choose_listed
 from fulmarward_core.loads import LoadLedger
 from fulmarward_core.quotas import compute_share
+from fulmarward_core.rendezvous import is_among_first
 from fulmarward_router.mesh import InstanceIdentity, MemberTable
 
+#: Instances of each data centre that observe a target on behalf of the others. With a
+#: single one, a pause of it would delay what all others know of the target.
+OBSERVERS = 2
+
 #: Seconds for which lists are cached, since many callers look up at the same time.
 LIST_DURATION_S = 0.25
 
@@ -75,6 +80,22 @@
         """Return how many instances are on any list."""
         return max(1, len(self._get_lists().listed))
 
+    def is_observer(self, target: str) -> bool:
+        """Return whether this instance probes a target on behalf of others.
+
+        In a large fleet, a few listed instances of each data centre do so: their own
+        requests give them evidence on most targets anyway. Guards against a failed
+        target that is probed by each instance.
+        """
+        if not self._members.is_large:
+            return True
+        return is_among_first(
+            target,
+            own=self._own.caller_address,
+            instances=self._get_lists().addresses.get(self._own.data_centre, []),
+            count=OBSERVERS,
+        )
+
     def find_share(self) -> float:
         """Return this instance's share of the quotas that all instances share."""
         lists = self._get_lists()
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -280,6 +280,7 @@
             notify_peers=self._notify_peers,
             probe_targets=lambda targets: self.failure_detector.probe(targets),
             handle_target_changes=self.target_change_handler.handle_changes,
+            is_observer=self.listing.is_observer,
             link_bytes_per_s=settings.link_bytes_per_s,
         )
         self.mesh = Mesh(
@@ -357,6 +358,7 @@
             notify_peers=self._notify_peers,
             is_large=lambda: self.members.is_large,
             notify_regained=self._notify_regained,
+            is_observer=self.listing.is_observer,
         )
         crash_monitor = CrashMonitor(
             context=context,
--- a/packages/router/fulmarward_router/exchange/_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/_failure_detector.py
@@ -92,9 +92,13 @@
         notify_peers: Callable[[], None],
         is_large: Callable[[], bool] = lambda: False,
         notify_regained: Callable[[Sequence[str], float], None] = _ignore_regained,
+        is_observer: Callable[[str], bool] = lambda target: True,
     ) -> None:
         #: Notifies peers which targets have answered, and when they were probed.
         self._notify_regained = notify_regained
+        #: Returns whether this instance probes a target on behalf of others.
+        self._is_observer = is_observer
+        self._is_large = is_large
         self._dialect = dialect
         self._catalogue = catalogue
         self._suspicions = suspicions
@@ -382,6 +386,9 @@
             asked_at = self._probed_at.get(target, float("-inf"))
             if self._suspicions.record_answer(target, asked_at=asked_at):
                 log_event("target_answered", target=target)
+                if self._is_large() and self._is_observer(target):
+                    # Others do not verify the report, which this answer refutes.
+                    self._notify_regained([target], asked_at)
             self._record_regained([target], asked_at)
 
     def _record_regained(self, targets: Iterable[str], asked_at: float) -> None:
@@ -405,8 +412,8 @@
     async def run(self) -> None:
         """Probe unreachable targets again, until cancelled.
 
-        Those that were silent may go on at any time. The others are probed before their
-        suspicion expires.
+        Those that were silent may go on at any time; only observers probe them, and
+        notify the others. All others are probed before their suspicion expires.
         """
         while True:
             is_busy = bool(
@@ -417,8 +424,9 @@
             now = self._read_clock()
             if now - self._isolated_at < RECHECK_INTERVAL_S:
                 continue
+            silent = self._suspicions.list_due_probes(now=now)
             due = {
-                *self._suspicions.list_due_probes(now=now),
+                *filter(self._is_observer, silent),
                 *self._suspicions.list_expiring(now=now, ahead_s=RECHECK_AHEAD_S),
             }
             records = [self._catalogue.find_target(name) for name in sorted(due)]
--- a/packages/router/fulmarward_router/exchange/tests/test_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_failure_detector.py
@@ -13,8 +13,13 @@
 from fulmarward_core.probing import PROBE_CALLS, PROBE_TIMEOUT_S
 from fulmarward_core.probing.decisions import MAX_PAUSE_S
 from fulmarward_core.suspicion import SuspicionTable
+from fulmarward_core.suspicion._table import FIRST_PROBE_PAUSE_S, SUSPECT_DURATION_S
 from fulmarward_router.exchange import FailureDetector
 from fulmarward_router.exchange._contact_monitor import ACCEPTANCE_DURATION_S
+from fulmarward_router.exchange._failure_detector import (
+    BUSY_RECHECK_INTERVAL_S,
+    RECHECK_AHEAD_S,
+)
 from fulmarward_router.ports import TargetReport
 
 
@@ -94,10 +99,19 @@
 class _Instance:
     """An instance's failure detector, with what it would tell its peers."""
 
-    def __init__(self, silent, names="abcdefghijklmnopqrstuvwxyz"):
+    def __init__(
+        self,
+        silent,
+        names="abcdefghijklmnopqrstuvwxyz",
+        *,
+        is_large=False,
+        is_observer=lambda target: True,
+    ):
         self.clock = _Clock()
         self.table = SuspicionTable()
         self.notifications = 0
+        #: Targets of which it notified its peers that they answer.
+        self.regained = []
         self.dialect = _Dialect(self.clock, silent)
         self.detector = FailureDetector(
             dialect=self.dialect,
@@ -106,6 +120,9 @@
             contacts=ContactTable(),
             read_clock=lambda: self.clock.now,
             notify_peers=self._count_notification,
+            notify_regained=lambda targets, asked_at: self.regained.extend(targets),
+            is_large=lambda: is_large,
+            is_observer=is_observer,
         )
 
     def _count_notification(self):
@@ -302,6 +319,49 @@
         self.assertFalse(instance.table.is_indirect("c", now=now), "reported before")
 
 
+@_without_loop_pauses
+class ObserverTest(unittest.IsolatedAsyncioTestCase):
+    async def _recheck_silent(self, *, is_observer):
+        """Return which targets are probed again after one was found silent."""
+        instance = _Instance(
+            lambda now: "b", is_large=True, is_observer=lambda target: is_observer
+        )
+        await instance.detector.probe_and_wait("abc")
+        self.assertEqual(instance.list_direct_failures(), "b")
+        instance.dialect.calls.clear()
+        instance.clock.now += FIRST_PROBE_PAUSE_S
+        checking = asyncio.create_task(instance.detector.run())
+        await asyncio.sleep(2 * BUSY_RECHECK_INTERVAL_S)
+        checking.cancel()
+        return {name for name, _ in instance.dialect.calls}
+
+    async def test_silent_target_is_probed_again_by_its_observers_only(self):
+        """Guards against probes of a failed target by each instance."""
+        self.assertIn("b", await self._recheck_silent(is_observer=True))
+        self.assertEqual(await self._recheck_silent(is_observer=False), set())
+
+    async def test_suspicion_that_expires_is_checked_by_each_instance(self):
+        """Guards against requests to a target that nobody has seen answer."""
+        instance = _Instance(
+            lambda now: "b", is_large=True, is_observer=lambda target: False
+        )
+        await instance.detector.probe_and_wait("abc")
+        instance.clock.now += SUSPECT_DURATION_S - RECHECK_AHEAD_S + 0.1
+        checking = asyncio.create_task(instance.detector.run())
+        await asyncio.sleep(2 * BUSY_RECHECK_INTERVAL_S)
+        checking.cancel()
+        self.assertEqual(instance.list_direct_failures(), "b")
+
+    async def test_observer_refutes_the_report_of_an_isolated_peer(self):
+        """Guards against a healthy target that all others avoid on a peer's word."""
+        for is_large in (True, False):
+            with self.subTest(is_large=is_large):
+                instance = _Instance(lambda now: "", is_large=is_large)
+                instance.table.record_indirect_failure("a", duration_s=2.0, now=99.9)
+                await instance.detector.probe_and_wait("abc")
+                self.assertEqual(instance.regained, ["a"] if is_large else [])
+
+
 @_without_loop_pauses
 class ControlsTest(unittest.IsolatedAsyncioTestCase):
     """Guards against a failure that is never found while all controls are suspected."""
--- a/packages/router/fulmarward_router/state/_instance_state.py
+++ b/packages/router/fulmarward_router/state/_instance_state.py
@@ -89,8 +89,11 @@
         notify_peers: Callable[[], None],
         probe_targets: Callable[[Iterable[str]], None],
         handle_target_changes: Callable[[list[KnownRow]], None],
+        is_observer: Callable[[str], bool] = lambda target: True,
         link_bytes_per_s: float | None = None,
     ) -> None:
+        #: Returns whether this instance verifies what peers report of a target.
+        self._is_observer = is_observer
         self._own = own
         self._members = members
         self._configuration = configuration
@@ -473,8 +476,9 @@
             ):
                 log_event("target_unreachable", target=loss.target, source=source)
                 reported.append(loss.target)
-        if reported and self._must_verify():
-            self._probe_targets(reported)
+        to_verify = [target for target in reported if self._is_observer(target)]
+        if to_verify:
+            self._probe_targets(to_verify)
 
     def merge_regained(
         self, reports: Iterable[RegainedTargetReport], *, source: str, delay_s: float
@@ -495,15 +499,6 @@
                     for_s=round(excluded_s, 3),
                 )
 
-    def _must_verify(self) -> bool:
-        """Return whether to probe targets that a peer reports as unreachable.
-
-        Guards against a peer that reaches only some targets: this instance would avoid
-        healthy ones. In a large fleet only instances with requests in flight do so, so
-        that a failed target is not probed by hundreds of them.
-        """
-        return not self._members.is_large or self._ledger.has_own()
-
     def answer(self, fetch: Fetch) -> Answer | None:
         """Return the answer to a peer's fetch, `None` if there is none."""
         if isinstance(fetch, FetchCompressedConfiguration):
--- a/packages/router/fulmarward_router/state/_target_limits.py
+++ b/packages/router/fulmarward_router/state/_target_limits.py
@@ -8,6 +8,7 @@
 
 from fulmarward.observability import log_event
 from fulmarward_core.fleet import TargetRecord
+from fulmarward_core.rendezvous import choose_first
 from fulmarward_core.target_limits import (
     MAX_LIMIT_PER_S,
     BackoffTable,
@@ -15,7 +16,6 @@
     PermitBucket,
     PermitGrant,
     PermitUsage,
-    choose_owner,
 )
 from fulmarward_router.mesh import PermitsGranted, TargetLimitReport
 from fulmarward_router.ports import AnswerFacts
@@ -120,7 +120,7 @@
 
     def find_owner(self, target: str) -> str | None:
         """Return the name of the instance that keeps the permits of a target."""
-        return choose_owner(target, self._list_owner_candidates())
+        return choose_first(target, self._list_owner_candidates())
 
     async def acquire(self, target: str, *, request_id: str) -> bool:
         """Return whether a request may be sent to a target now.
--- a/packages/router/fulmarward_router/tests/test_instance_state.py
+++ b/packages/router/fulmarward_router/tests/test_instance_state.py
@@ -46,6 +46,7 @@
         self.is_leaving = False
         #: Names of the targets that were to be probed.
         self.probed = []
+        self.observed = None
         self.unreached = set()
         self.members = MemberTable(own=make_heartbeat(name).sender)
         self.configuration = ConfigurationHolder(decode=decode)
@@ -77,6 +78,7 @@
             notify_peers=lambda: None,
             probe_targets=self.probed.extend,
             handle_target_changes=lambda rows: None,
+            is_observer=lambda name: self.observed is None or name in self.observed,
             link_bytes_per_s=link_bytes_per_s,
         )
 
@@ -348,6 +350,15 @@
         self.assertTrue(self.two.suspicions.is_suspect("t", now=100.1))
         self.assertEqual(self.two.instance_state.make_heartbeat().losses, ())
 
+    def test_reported_failure_is_verified_by_the_observers_of_the_target(self):
+        """Guards against probes of one target by each instance that hears of it."""
+        self.two.observed = {"u"}
+        for name in "tu":
+            self.one.suspicions.record_failure(name, now=100.0)
+        self.two.receive_heartbeat(self.one)
+        self.assertEqual(self.two.probed, ["u"])
+        self.assertTrue(self.two.suspicions.is_suspect("t", now=100.1))
+
     def test_slow_target_is_reported_with_the_age_of_its_pace(self):
         self.one.paces.note("t", 12.0, at=99.0)
         self.two.receive_heartbeat(self.one)
