Count streams as stalled only beyond the pauses that others end by themselves

Cause: streams of one target pause together while it reads another prompt. Three of them silent for 40 ms (1.3 times the mean pause) made an instance probe all targets of their path, although the same streams had paused for 50 to 70 ms before.

Change: in a large fleet a stream counts as stalled after 1.2 times the longest recent pause, at most 0.4 of the pause that callers accept, and never sooner than before. A path that is checked before a retry leaves out targets that serve another stream just now, and an instance to which no callers are sent checks idle services each 9 s in place of 3 s.

--- a/packages/core/fulmarward_core/stalls/__init__.py
+++ b/packages/core/fulmarward_core/stalls/__init__.py
@@ -1,17 +1,23 @@
 """Detection of targets that may have failed, based on stalled streams."""
 
 from fulmarward_core.stalls.decisions import (
+    MIN_JOINT_STALL_S,
     MIN_STALL_S,
+    StallThresholds,
     StreamView,
     compute_check_delay_s,
-    compute_joint_stall_s,
+    compute_stall_thresholds,
+    decay_longest_pause_s,
     find_stalled_targets,
 )
 
 __all__ = [
+    "MIN_JOINT_STALL_S",
     "MIN_STALL_S",
+    "StallThresholds",
     "StreamView",
     "compute_check_delay_s",
-    "compute_joint_stall_s",
+    "compute_stall_thresholds",
+    "decay_longest_pause_s",
     "find_stalled_targets",
 ]
--- a/packages/core/fulmarward_core/stalls/decisions.py
+++ b/packages/core/fulmarward_core/stalls/decisions.py
@@ -18,6 +18,17 @@
 JOINT_STALL_FACTOR = 1.3
 MIN_JOINT_STALL_S = 0.04
 
+#: Multiple of the longest recent pause that streams have ended by themselves. Streams
+#: of one target pause together while it reads another prompt.
+LONGEST_PAUSE_FACTOR = 1.2
+
+#: Share of the pause that callers accept after which a stream counts as stalled however
+#: long others have paused. The rest is needed to probe its targets and to reroute it.
+MAX_STALL_SHARE = 0.4
+
+#: Weight of the mean pause in the longest recent pause, at each event.
+LONGEST_PAUSE_DECAY = 0.002
+
 
 @dataclass(frozen=True, kw_only=True)
 class StreamView:
@@ -29,12 +40,40 @@
     silent_s: float
 
 
-def compute_joint_stall_s(mean_pause_s: float) -> float:
-    """Return the seconds without an event up to which no stream counts as stalled.
+@dataclass(frozen=True, kw_only=True)
+class StallThresholds:
+    """Seconds without an event after which streams count as stalled."""
+
+    #: For each of several streams of one target, and for a single stream.
+    joint_s: float
+    single_s: float
+
+
+def compute_stall_thresholds(
+    *,
+    mean_pause_s: float,
+    longest_pause_s: float = 0.0,
+    accepted_pause_s: float = float("inf"),
+) -> StallThresholds:
+    """Return when streams count as stalled.
 
-    `mean_pause_s` is the mean pause between two events of a stream.
+    `mean_pause_s` is the mean pause between two events of a stream, `longest_pause_s`
+    the longest recent one, and `accepted_pause_s` the longest that callers accept.
     """
-    return max(MIN_JOINT_STALL_S, mean_pause_s * JOINT_STALL_FACTOR)
+    usual_s = longest_pause_s * LONGEST_PAUSE_FACTOR
+    usual_s = min(usual_s, accepted_pause_s * MAX_STALL_SHARE)
+    return StallThresholds(
+        joint_s=max(MIN_JOINT_STALL_S, mean_pause_s * JOINT_STALL_FACTOR, usual_s),
+        single_s=max(MIN_STALL_S, mean_pause_s * STALL_FACTOR, usual_s),
+    )
+
+
+def decay_longest_pause_s(
+    longest_pause_s: float, *, pause_s: float, mean_pause_s: float
+) -> float:
+    """Return the longest recent pause after one more pause that an event has ended."""
+    decay_s = (longest_pause_s - mean_pause_s) * LONGEST_PAUSE_DECAY
+    return max(pause_s, longest_pause_s - decay_s)
 
 
 def compute_check_delay_s(
@@ -50,30 +89,26 @@
     monotonic clock. No stream counts as stalled before one of them has been silent for
     long enough; from then on checks are `interval_s` apart.
     """
-    silence_s = min(MIN_STALL_S, compute_joint_stall_s(mean_pause_s))
+    thresholds = compute_stall_thresholds(mean_pause_s=mean_pause_s)
+    silence_s = min(MIN_STALL_S, thresholds.joint_s)
     due_at = min(last_events, default=now) + silence_s
     return max(interval_s, due_at - now)
 
 
 def find_stalled_targets(
-    streams: Sequence[StreamView], *, mean_pause_s: float
+    streams: Sequence[StreamView], *, thresholds: StallThresholds
 ) -> list[str]:
-    """Return the targets at which all streams are stalled, in order of appearance.
-
-    `mean_pause_s` is the mean pause between two events of a stream.
-    """
-    stall_s = max(MIN_STALL_S, mean_pause_s * STALL_FACTOR)
-    joint_stall_s = compute_joint_stall_s(mean_pause_s)
+    """Return the targets at which all streams are stalled, in order of appearance."""
     active: set[str] = set()
     stalled: dict[str, int] = {}
     long_stalled: set[str] = set()
     for stream in streams:
-        if stream.silent_s < joint_stall_s:
+        if stream.silent_s < thresholds.joint_s:
             active.update(stream.targets)
             continue
         for name in stream.targets:
             stalled[name] = stalled.get(name, 0) + 1
-        if stream.silent_s >= stall_s:
+        if stream.silent_s >= thresholds.single_s:
             long_stalled.update(stream.targets)
     return [
         name
--- a/packages/core/fulmarward_core/stalls/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/stalls/tests/test_decisions.py
@@ -6,6 +6,8 @@
     MIN_STALL_S,
     StreamView,
     compute_check_delay_s,
+    compute_stall_thresholds,
+    decay_longest_pause_s,
     find_stalled_targets,
 )
 
@@ -14,6 +16,11 @@
     return StreamView(targets=tuple(targets), silent_s=silent_s)
 
 
+def _find_stalled(streams, **pauses):
+    thresholds = compute_stall_thresholds(**pauses)
+    return find_stalled_targets(streams, thresholds=thresholds)
+
+
 class FindStalledTargetsTest(unittest.TestCase):
     def test_stalled_targets(self):
         # A stalled stream alone does not show which of the engines on its path failed.
@@ -33,12 +40,44 @@
         ]
         for name, streams, expected in cases:
             with self.subTest(name):
-                targets = find_stalled_targets(streams, mean_pause_s=0.03)
+                targets = _find_stalled(streams, mean_pause_s=0.03)
                 self.assertEqual("".join(targets), expected)
 
     def test_slow_streams_are_given_more_time(self):
         streams = [_make_stream("abc", 0.2)]
-        self.assertEqual(find_stalled_targets(streams, mean_pause_s=0.1), [])
+        self.assertEqual(_find_stalled(streams, mean_pause_s=0.1), [])
+
+    def test_usual_pauses_are_no_stalls_while_callers_accept_them(self):
+        """Guards against probes whenever a target reads the prompt of another stream.
+
+        A pause of which callers accept only a little more counts however usual it is.
+        """
+        cases = [
+            ("as long as usual", 0.06, 0.06, 0.25, ""),
+            ("longer than usual", 0.08, 0.06, 0.25, "abc"),
+            ("too long for callers", 0.11, 0.2, 0.25, "abc"),
+            ("callers accept less", 0.09, 0.2, 0.2, "abc"),
+        ]
+        for name, silent_s, longest_s, accepted_s, expected in cases:
+            with self.subTest(name):
+                targets = _find_stalled(
+                    [_make_stream("abc", silent_s)] * 3,
+                    mean_pause_s=0.03,
+                    longest_pause_s=longest_s,
+                    accepted_pause_s=accepted_s,
+                )
+                self.assertEqual("".join(targets), expected)
+
+    def test_longest_pause_is_forgotten_over_many_events(self):
+        """Guards against one long pause that delays the detection ever after."""
+        longest_s = 0.3
+        for _ in range(2000):
+            longest_s = decay_longest_pause_s(
+                longest_s, pause_s=0.03, mean_pause_s=0.03
+            )
+        self.assertLess(longest_s, 0.04)
+        longest_s = decay_longest_pause_s(longest_s, pause_s=0.07, mean_pause_s=0.03)
+        self.assertEqual(longest_s, 0.07)
 
 
 class CheckDelayTest(unittest.TestCase):
@@ -65,7 +104,7 @@
         silences = [age + elapsed_s for age in ages]
         self.assertLess(max(silences), MIN_STALL_S)
         streams = [_make_stream("abc", silent_s) for silent_s in silences]
-        self.assertEqual(find_stalled_targets(streams, mean_pause_s=pause_s), [])
+        self.assertEqual(_find_stalled(streams, mean_pause_s=pause_s), [])
 
     def test_stalled_streams_are_checked_often_and_active_ones_rarely(self):
         for name, ages, expected in (
--- a/packages/router/fulmarward_router/_listing.py
+++ b/packages/router/fulmarward_router/_listing.py
@@ -80,6 +80,10 @@
         """Return how many instances are on any list."""
         return max(1, len(self._get_lists().listed))
 
+    def is_own_listed(self) -> bool:
+        """Return whether callers are sent to this instance."""
+        return self._own.caller_address in self._get_lists().listed
+
     def is_observer(self, target: str) -> bool:
         """Return whether this instance probes a target on behalf of others.
 
@@ -100,7 +104,7 @@
         """Return this instance's share of the quotas that all instances share."""
         lists = self._get_lists()
         return compute_share(
-            is_listed=self._own.caller_address in lists.listed,
+            is_listed=self.is_own_listed(),
             listed=len(lists.listed),
             instances=lists.instances,
         )
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -359,6 +359,7 @@
             is_large=lambda: self.members.is_large,
             notify_regained=self._notify_regained,
             is_observer=self.listing.is_observer,
+            is_listed=self.listing.is_own_listed,
         )
         crash_monitor = CrashMonitor(
             context=context,
--- a/packages/router/fulmarward_router/exchange/_contact_monitor.py
+++ b/packages/router/fulmarward_router/exchange/_contact_monitor.py
@@ -27,6 +27,9 @@
 IDLE_CHECK_S = 1.2
 LARGE_IDLE_CHECK_S = 3.0
 
+#: The same for an instance of a large fleet to which no callers are sent.
+UNLISTED_IDLE_CHECK_S = 9.0
+
 #: Seconds to wait for the answer to that probe before a sample is taken.
 IDLE_CHECK_TIMEOUT_S = 0.35
 
@@ -60,8 +63,11 @@
         read_clock: Callable[[], float],
         notify_peers: Callable[[], None],
         is_large: Callable[[], bool],
+        is_listed: Callable[[], bool] = lambda: True,
     ) -> None:
         self._is_large = is_large
+        #: Returns whether callers are sent to this instance.
+        self._is_listed = is_listed
         self._dialect = dialect
         self._catalogue = catalogue
         self._suspicions = suspicions
@@ -122,7 +128,10 @@
     def _check_idle(self) -> None:
         """Start checks of the services that have not answered for a while."""
         now = self._read_clock()
-        interval_s = LARGE_IDLE_CHECK_S if self._is_large() else IDLE_CHECK_S
+        interval_s = IDLE_CHECK_S
+        if self._is_large():
+            is_listed = self._is_listed()
+            interval_s = LARGE_IDLE_CHECK_S if is_listed else UNLISTED_IDLE_CHECK_S
         services = {record.service for record in self._catalogue.list_targets(now=now)}
         for service in services - self._samples.keys():
             is_idle = self._contacts.find_answer_age_s(service, now=now) >= interval_s
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -268,8 +268,15 @@
         return path, reservation
 
     async def _is_reachable(self, path: tuple[Hop, ...]) -> bool:
-        """Probe the targets of a path; return whether none is unreachable."""
-        await self._failure_detector.probe_and_wait(hop.target for hop in path)
+        """Probe the targets of a path; return whether none is unreachable.
+
+        In a large fleet, those that serve another stream right now are not probed.
+        """
+        active = frozenset()
+        if self._context.is_large():
+            active = self.supervisor.list_active_targets(now=self._read_clock())
+        names = [hop.target for hop in path if hop.target not in active]
+        await self._failure_detector.probe_and_wait(names)
         now = self._read_clock()
         return not any(
             self._suspicions.is_unreachable(hop.target, now=now) for hop in path
--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -7,10 +7,13 @@
 from fulmarward.observability import log_event
 from fulmarward_core.paths import Hop, count_tokens_held
 from fulmarward_core.stalls import (
+    MIN_JOINT_STALL_S,
     MIN_STALL_S,
+    StallThresholds,
     StreamView,
     compute_check_delay_s,
-    compute_joint_stall_s,
+    compute_stall_thresholds,
+    decay_longest_pause_s,
     find_stalled_targets,
 )
 from fulmarward_router.exchange._admission import compute_resume_end
@@ -105,6 +108,8 @@
         self._last_drain_at = float("-inf")
         #: Moving average of the pause between events, in seconds.
         self._mean_pause_s = 0.035
+        #: Longest recent pause that an event has ended, in seconds.
+        self._longest_pause_s = 0.0
 
     def add(self, attempt: Attempt) -> None:
         """Start monitoring an attempt."""
@@ -122,6 +127,11 @@
         pause_s = now - attempt.last_activity_at
         if attempt.has_begun:
             self._mean_pause_s += _PAUSE_WEIGHT * (pause_s - self._mean_pause_s)
+            self._longest_pause_s = decay_longest_pause_s(
+                self._longest_pause_s,
+                pause_s=pause_s,
+                mean_pause_s=self._mean_pause_s,
+            )
             attempt.slow_signs.note_pause(pause_s)
         attempt.last_activity_at = attempt.last_event_at = now
         attempt.checks = 0
@@ -252,7 +262,10 @@
             for attempt in self._attempts.values()
             if attempt.has_begun and attempt.check_task is None
         ]
-        silent_since = now - compute_joint_stall_s(self._mean_pause_s)
+        if not begun:
+            return
+        thresholds = self._compute_stall_thresholds(begun)
+        silent_since = now - thresholds.joint_s
         if all(attempt.last_activity_at > silent_since for attempt in begun):
             return
         views = [
@@ -262,10 +275,35 @@
             )
             for attempt in begun
         ]
-        suspects = find_stalled_targets(views, mean_pause_s=self._mean_pause_s)
+        suspects = find_stalled_targets(views, thresholds=thresholds)
         if suspects:
             self._failure_detector.probe(suspects)
 
+    def _compute_stall_thresholds(self, begun: Iterable[Attempt]) -> StallThresholds:
+        """Return when streams count as stalled.
+
+        In a large fleet, streams that pause as long as others did are no reason for
+        probes: hundreds of instances would probe most targets all the time. The limit
+        leaves callers the time to be rerouted.
+        """
+        if not self._context.is_large():
+            return compute_stall_thresholds(mean_pause_s=self._mean_pause_s)
+        return compute_stall_thresholds(
+            mean_pause_s=self._mean_pause_s,
+            longest_pause_s=self._longest_pause_s,
+            accepted_pause_s=min(attempt.state.route.pause_s for attempt in begun),
+        )
+
+    def list_active_targets(self, *, now: float) -> frozenset[str]:
+        """Return the targets through which a stream has made progress just now."""
+        active_since = now - MIN_JOINT_STALL_S
+        return frozenset(
+            hop.target
+            for attempt in self._attempts.values()
+            if attempt.last_event_at >= active_since
+            for hop in attempt.path
+        )
+
     def _probe_unconfirmed(self, attempt: Attempt, now: float) -> None:
         """Probe the targets of a silent stream whose failure is not confirmed for it.
 
--- a/packages/router/fulmarward_router/exchange/_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/_failure_detector.py
@@ -93,6 +93,7 @@
         is_large: Callable[[], bool] = lambda: False,
         notify_regained: Callable[[Sequence[str], float], None] = _ignore_regained,
         is_observer: Callable[[str], bool] = lambda target: True,
+        is_listed: Callable[[], bool] = lambda: True,
     ) -> None:
         #: Notifies peers which targets have answered, and when they were probed.
         self._notify_regained = notify_regained
@@ -120,6 +121,7 @@
             read_clock=read_clock,
             notify_peers=notify_peers,
             is_large=is_large,
+            is_listed=is_listed,
         )
         #: Rotates the controls; instances start at different offsets.
         self._offset = random.randrange(1 << 16)
--- a/packages/router/fulmarward_router/exchange/tests/test_failover.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_failover.py
@@ -25,6 +25,7 @@
             suspicions=mock.Mock(),
             ledger=None,
             read_clock=read_clock,
+            is_large=lambda: False,
         )
         self.supervisor = StreamSupervisor(
             context=context, failure_detector=mock.Mock(), finder=None, pipe=None
