--- a/packages/core/fulmarward_core/queueing/__init__.py
+++ b/packages/core/fulmarward_core/queueing/__init__.py
@@ -2,6 +2,7 @@
 
 from fulmarward_core.queueing.decisions import (
     LATE_KV_SHARE,
+    ON_TIME_SHARE,
     WaitClass,
     WaitingRequest,
     WaitQueue,
@@ -12,6 +13,7 @@
 
 __all__ = [
     "LATE_KV_SHARE",
+    "ON_TIME_SHARE",
     "WaitClass",
     "WaitQueue",
     "WaitingRequest",
--- a/packages/core/fulmarward_core/queueing/decisions.py
+++ b/packages/core/fulmarward_core/queueing/decisions.py
@@ -6,6 +6,7 @@
 arrivals at any other instance find room without coordination.
 """
 
+import math
 from collections.abc import Hashable
 from dataclasses import dataclass
 from enum import IntEnum
@@ -56,12 +57,18 @@
     objective_s: float
     #: Whether a part of its answer was already sent.
     is_started: bool
+    #: KV cache that it needs, in tokens x layers. Without effect in `WaitQueue`.
+    kv: float = 0.0
+    #: Whether its caller was promised capacity. Without effect in `WaitQueue`.
+    is_promised: bool = False
 
     def __post_init__(self) -> None:
         if self.objective_s < 0:
             raise ValueError(
                 f"objective_s must not be negative, found {self.objective_s}"
             )
+        if not (math.isfinite(self.kv) and self.kv >= 0):
+            raise ValueError(f"kv must be finite and not negative, found {self.kv}")
 
 
 def classify_request(request: WaitingRequest, *, now: float) -> WaitClass:
