Reservations: tests under load with classes of callers

The decisions of the reservations had no test of what callers get. The simulation of queueing knows one class only, and instances that know nothing of each other's callers.

ClassDemand checks its fields without dataclasses.fields, which took a quarter of a simulation.

--- a/packages/core/fulmarward_core/demand/_types.py
+++ b/packages/core/fulmarward_core/demand/_types.py
@@ -1,7 +1,7 @@
 """Values that describe the demand for a service."""
 
 import math
-from dataclasses import dataclass, fields
+from dataclasses import dataclass
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -26,9 +26,9 @@
     promised_kv: float
 
     def __post_init__(self) -> None:
-        for field in fields(self):
-            value = getattr(self, field.name)
-            if not (math.isfinite(value) and value >= 0):
+        for name, value in vars(self).items():
+            # The comparison is false for NaN too.
+            if not 0 <= value < math.inf:
                 raise ValueError(
-                    f"{field.name} must be finite and not negative, found {value}"
+                    f"{name} must be finite and not negative, found {value}"
                 )
--- a/packages/core/fulmarward_core/queueing/tests/load.py
+++ b/packages/core/fulmarward_core/queueing/tests/load.py
@@ -2,11 +2,12 @@
 
 import heapq
 import random
-from collections import Counter, deque
-from collections.abc import Callable
+from collections import Counter, defaultdict, deque
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from fulmarward_core.demand import ClassDemand
 from fulmarward_core.queueing import (
     WaitingRequest,
     WaitQueue,
@@ -14,6 +15,7 @@
     classify_request,
     find_kv_share,
 )
+from fulmarward_core.reservations import ClassQueue, ClassSettings
 
 #: Length of a simulation step, and delay until other instances' requests are known.
 STEP_S = 0.04
@@ -24,6 +26,8 @@
 FIRST_EVENT_S = 0.15
 TIMEOUT_S = 0.9
 PLANNED_SHARE = 0.9
+#: Span over which the rate of arrivals is measured.
+RATE_WINDOW_S = 1.0
 
 INSTANCES = 20
 
@@ -36,6 +40,8 @@
     first_attempt_at: float
     arrived_at: float
     service_s: float
+    urgency: int = 0
+    objective_s: float = OBJECTIVE_S
     attempts: int = 1
 
 
@@ -46,6 +52,8 @@
     on_time: int = 0
     late: int = 0
     rejected: int = 0
+    #: Callers answered in time, late, and rejected, by urgency.
+    by_class: dict[int, Counter] = field(default_factory=lambda: defaultdict(Counter))
     #: Callers answered in time, and all callers, by the second of their first attempt.
     on_time_at: Counter = field(default_factory=Counter)
     total_at: Counter = field(default_factory=Counter)
@@ -62,6 +70,11 @@
     def served_share(self):
         return (self.on_time + self.late) / self.total
 
+    def find_class_share(self, urgency, *results):
+        """Return the share of the callers of a class that had one of the results."""
+        counts = self.by_class[urgency]
+        return sum(counts[result] for result in results) / counts.total()
+
     def find_worst_share(self, width_s=4):
         """Return the lowest share answered in time within any span of `width_s`."""
         spans = range(max(self.total_at) - width_s + 2)
@@ -78,70 +91,158 @@
     def arrive(self, caller: Caller, now: float) -> None:
         """Register a caller."""
 
-    def find_limit(self, caller: Caller, now: float) -> float:
-        """Return the share of the capacity that a caller may fill."""
+    def find_limit(self, caller: Caller, now: float, places: float) -> float:
+        """Return the share of the capacity `places` that a caller may fill."""
 
     def find_retry_after_s(self) -> float:
         """Return the retry delay of a rejected caller."""
 
-    def sort(self, waiting: list[Caller], now: float) -> list[Caller]:
-        """Return the waiting callers in the order in which they are served."""
+    def find_next(self, waiting: list[Caller], now: float) -> Caller:
+        """Return the waiting caller that is served first."""
 
+    def record_sent(self, caller: Caller) -> None:
+        """Register that a caller is served; it is removed next."""
 
-class ArrivalOrderPolicy:
-    """Baseline: callers are served in order of arrival, with one limit for all."""
+    def remove(self, caller: Caller) -> None:
+        """Register that a caller no longer waits."""
 
-    def arrive(self, caller, now):
-        pass
+    def list_own(self, now: float) -> Sequence[ClassDemand]:
+        """Return the demand at this instance."""
+        return ()
 
-    def find_limit(self, caller, now):
+    def learn(self, total: Sequence[ClassDemand], own: Sequence[ClassDemand]) -> None:
+        """Take over the last known demand of all instances, and its own share in it."""
+
+
+class ArrivalOrderPolicy(Policy):
+    """Baseline: callers are served in order of arrival, with one limit for all."""
+
+    def find_limit(self, caller, now, places):
         return PLANNED_SHARE
 
     def find_retry_after_s(self):
         return 0.8
 
-    def sort(self, waiting, now):
-        return sorted(waiting, key=lambda caller: caller.arrived_at)
+    def find_next(self, waiting, now):
+        return min(waiting, key=lambda caller: caller.arrived_at)
 
 
-class OnTimeFirstPolicy:
+class OnTimeFirstPolicy(Policy):
     """The policy of `fulmarward_core.queueing`."""
 
     def __init__(self, rng):
         self._rng = rng
         self._requests = {}
+        self._queue = self._make_queue()
+
+    def _make_queue(self):
+        return WaitQueue()
 
     def arrive(self, caller, now):
-        self._requests[caller.number] = WaitingRequest(
+        self._requests[caller.number] = request = WaitingRequest(
             key=caller.number,
-            urgency=0,
+            urgency=caller.urgency,
             arrived_at=now,
-            objective_s=OBJECTIVE_S,
+            objective_s=caller.objective_s,
             is_started=False,
+            kv=1.0,
         )
+        self._queue.add(request)
 
-    def find_limit(self, caller, now):
+    def find_limit(self, caller, now, places):
         wait_class = classify_request(self._requests[caller.number], now=now)
         return PLANNED_SHARE * find_kv_share(wait_class)
 
     def find_retry_after_s(self):
         return choose_retry_after_s(self._rng.random())
 
-    def sort(self, waiting, now):
-        queue = WaitQueue()
-        for caller in waiting:
-            queue.add(self._requests[caller.number])
-        remaining, ordered = list(waiting), []
-        while remaining:
-            next_caller = next(
-                caller
-                for caller in remaining
-                if queue.is_next(self._requests[caller.number], now=now)
-            )
-            ordered.append(next_caller)
-            remaining.remove(next_caller)
-            queue.remove(self._requests[next_caller.number])
-        return ordered
+    def find_next(self, waiting, now):
+        return next(
+            caller
+            for caller in waiting
+            if self._queue.is_next(self._requests[caller.number], now=now)
+        )
+
+    def remove(self, caller):
+        self._queue.remove(self._requests.pop(caller.number))
+
+
+class LocalUrgencyPolicy(OnTimeFirstPolicy):
+    """Baseline: strict order by urgency at each instance, with the limits of today."""
+
+    def find_next(self, waiting, now):
+        def rank(caller):
+            wait_class = classify_request(self._requests[caller.number], now=now)
+            return caller.urgency, wait_class, caller.arrived_at
+
+        return min(waiting, key=rank)
+
+
+class ReservingPolicy(OnTimeFirstPolicy):
+    """The policy of `fulmarward_core.reservations`."""
+
+    def __init__(self, rng, *, lowest_urgency, settings=None):
+        self._settings = settings or ClassSettings()
+        super().__init__(rng)
+        self._lowest_urgency = lowest_urgency
+        self._arrived = deque()
+        self._known, self._known_own = (), ()
+
+    def _make_queue(self):
+        return ClassQueue(settings=self._settings)
+
+    def arrive(self, caller, now):
+        super().arrive(caller, now)
+        self._arrived.append((now, caller.urgency))
+        self._queue.record_arrival(self._requests[caller.number])
+
+    def find_limit(self, caller, now, places):
+        return PLANNED_SHARE * self._queue.find_kv_share(
+            self._requests[caller.number],
+            demands=_sum_demands([*self._known, *self.list_own(now)], self._known_own),
+            planned_kv=places * PLANNED_SHARE,
+            lowest_urgency=self._lowest_urgency,
+            now=now,
+        )
+
+    def record_sent(self, caller):
+        self._queue.record_admitted(self._requests[caller.number])
+
+    def list_own(self, now):
+        while self._arrived and self._arrived[0][0] < now - RATE_WINDOW_S:
+            self._arrived.popleft()
+        rates = Counter(urgency for _, urgency in self._arrived)
+        waiting = self._queue.sum_waiting(now=now)
+        return [
+            _make_demand(u, *waiting.get(u, (0.0, 0.0)), rates[u] / RATE_WINDOW_S)
+            for u in rates.keys() | waiting.keys()
+        ]
+
+    def learn(self, total, own):
+        self._known, self._known_own = total, own
+
+
+def _make_demand(urgency, on_time_kv, late_kv, arriving_kv_per_s):
+    return ClassDemand(
+        urgency=urgency,
+        on_time_kv=on_time_kv,
+        late_kv=late_kv,
+        arriving_kv_per_s=arriving_kv_per_s,
+        released_kv_per_s=0.0,
+        promised_kv=0.0,
+    )
+
+
+def _sum_demands(added, subtracted=()):
+    """Return the sums of demands by class."""
+    sums = defaultdict(lambda: [0.0, 0.0, 0.0])
+    for sign, demands in ((1, added), (-1, subtracted)):
+        for demand in demands:
+            values = sums[demand.urgency]
+            values[0] += sign * demand.on_time_kv
+            values[1] += sign * demand.late_kv
+            values[2] += sign * demand.arriving_kv_per_s
+    return [_make_demand(urgency, *values) for urgency, values in sums.items()]
 
 
 class _Instance:
@@ -164,39 +265,47 @@
     *,
     seed: int,
     find_places: Callable[[float], float],
-    find_rate: Callable[[float], float],
+    find_rates: Mapping[int, Callable[[float], float]],
+    objectives_s: Mapping[int, float] | None = None,
     duration_s: float,
 ) -> Outcome:
     """Return the results of callers that arrive during `duration_s` seconds.
 
     Each instance knows the number of running requests with a delay, and adds the
-    requests that it sent itself in the meantime.
+    requests that it sent itself in the meantime. `find_rates` and `objectives_s` are by
+    urgency.
     """
+    objectives_s = objectives_s or dict.fromkeys(find_rates, OBJECTIVE_S)
     rng = random.Random(seed)
     instances = [_Instance(make_policy(rng)) for _ in range(INSTANCES)]
     outcome = Outcome()
     running: list[float] = []
-    running_history: deque[int] = deque(maxlen=round(REPORT_LAG_S / STEP_S) + 1)
+    lag_steps = round(REPORT_LAG_S / STEP_S)
+    running_history: deque[int] = deque(maxlen=lag_steps + 1)
+    demand_history: deque[list] = deque(maxlen=lag_steps + 1)
     retrying: list[tuple[float, int, Caller]] = []
     number, now = 0, 0.0
     while now < duration_s + 2 * DEADLINE_S / 3:
         while running and running[0] <= now:
             heapq.heappop(running)
         arrived = []
-        # Ten draws per step approximate a Poisson process.
-        chance = find_rate(now) * STEP_S / 10 if now < duration_s else 0.0
-        for _ in range(sum(rng.random() < chance for _ in range(10))):
-            number += 1
-            service_s = max(0.5, rng.gauss(1.6, 0.4))
-            arrived.append(
-                Caller(
-                    number=number,
-                    first_attempt_at=now,
-                    arrived_at=now,
-                    service_s=service_s,
+        # Ten draws per step and class approximate a Poisson process.
+        for urgency, find_rate in find_rates.items():
+            chance = find_rate(now) * STEP_S / 10 if now < duration_s else 0.0
+            for _ in range(sum(rng.random() < chance for _ in range(10))):
+                number += 1
+                service_s = max(0.5, rng.gauss(1.6, 0.4))
+                arrived.append(
+                    Caller(
+                        number=number,
+                        first_attempt_at=now,
+                        arrived_at=now,
+                        service_s=service_s,
+                        urgency=urgency,
+                        objective_s=objectives_s[urgency],
+                    )
                 )
-            )
-            outcome.total_at[int(now)] += 1
+                outcome.total_at[int(now)] += 1
         while retrying and retrying[0][0] <= now:
             arrived.append(heapq.heappop(retrying)[2])
         for caller in arrived:
@@ -208,20 +317,29 @@
             find_places(now),
             running_history[0] if running_history else 0,
         )
+        reports = demand_history[0] if demand_history else [()] * len(instances)
+        total = _sum_demands(demand for report in reports for demand in report)
+        for instance, report in zip(instances, reports, strict=True):
+            instance.policy.learn(total, report)
         for instance in rng.sample(instances, len(instances)):
-            waiting = instance.policy.sort(instance.waiting, now)
+            policy, waiting = instance.policy, instance.waiting
             while waiting:
-                limit = places * instance.policy.find_limit(waiting[0], now)
+                caller = policy.find_next(waiting, now)
+                limit = places * policy.find_limit(caller, now, places)
                 if known_running + instance.count_sent(now) + 1 > limit:
                     break
                 if len(running) + 1 > places:
                     break
-                caller = waiting.pop(0)
+                waiting.remove(caller)
+                policy.record_sent(caller)
+                policy.remove(caller)
                 instance.record_sent(now)
                 heapq.heappush(running, now + caller.service_s)
                 is_on_time = (
-                    now + FIRST_EVENT_S - caller.first_attempt_at <= OBJECTIVE_S
+                    now + FIRST_EVENT_S - caller.first_attempt_at <= caller.objective_s
                 )
+                result = "on time" if is_on_time else "late"
+                outcome.by_class[caller.urgency][result] += 1
                 outcome.on_time += is_on_time
                 outcome.late += not is_on_time
                 outcome.on_time_at[int(caller.first_attempt_at)] += is_on_time
@@ -229,8 +347,11 @@
             for caller in waiting:
                 if now - caller.arrived_at < TIMEOUT_S:
                     instance.waiting.append(caller)
-                elif caller.attempts > 1:
+                    continue
+                policy.remove(caller)
+                if caller.attempts > 1:
                     outcome.rejected += 1
+                    outcome.by_class[caller.urgency]["rejected"] += 1
                 else:
                     caller.attempts += 1
                     left_s = caller.first_attempt_at + DEADLINE_S - now
@@ -238,5 +359,6 @@
                     entry = now + retry_s, caller.number, caller
                     heapq.heappush(retrying, entry)
         running_history.append(len(running))
+        demand_history.append([i.policy.list_own(now) for i in instances])
         now += STEP_S
     return outcome
--- a/packages/core/fulmarward_core/queueing/tests/test_load.py
+++ b/packages/core/fulmarward_core/queueing/tests/test_load.py
@@ -18,7 +18,7 @@
         make_policy,
         seed=seed,
         find_places=lambda now: _PLACES * places(now),
-        find_rate=lambda now: _FULL_RATE * rate(now),
+        find_rates={0: lambda now: _FULL_RATE * rate(now)},
         duration_s=20.0,
     )
 
