Sum the demand of each class over all instances

`fulmarward_core.demand` keeps the demand of this instance by service and urgency and the reports of others, which expire 1.5 s after they were made. The sums are kept incrementally in integers, so that the cost does not grow with the number of reports. `fulmarward_core.routes` tells which services have classes; the others keep their behaviour.

--- /dev/null
+++ b/packages/core/fulmarward_core/demand/_reports.py
@@ -0,0 +1,131 @@
+"""The last reports of peers or data centres on their demand, until they expire."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from fulmarward_core.demand._sums import Demands, DemandSum, get_amounts
+
+#: Seconds for which a report is valid after it was made. Sources without valid report
+#: count as without demand.
+REPORT_DURATION_S = 1.5
+
+#: Bounds on what is kept, and on one report.
+MAX_SOURCES = 4096
+MAX_SERVICES = 64
+MAX_CLASSES = 16
+
+#: Largest amount in a report; a float represents integers exactly up to it.
+MAX_AMOUNT = 2.0**53
+
+
+@dataclass(frozen=True, kw_only=True)
+class DemandSnapshot:
+    """The demands that a source reported."""
+
+    #: When the report was made, in seconds on the monotonic clock here.
+    at: float
+    #: Demand by service.
+    demands: Demands
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Report:
+    """The last report of a source; without demands after it has expired."""
+
+    boot: int
+    at: float
+    demands: Demands
+    #: Whether the source was neither removed nor has the report expired.
+    is_valid: bool = True
+
+
+class ReportSet:
+    """The last report of each source, and the sum of those that are valid."""
+
+    def __init__(self, *, note_changed: Callable[[], None]) -> None:
+        #: Called whenever the sum changes.
+        self._note_changed = note_changed
+        self._reports: dict[str, _Report] = {}
+        self.sum = DemandSum()
+        #: No report expires before this time.
+        self.next_expiry = float("inf")
+
+    def merge(
+        self, source: str, demands: Demands, *, boot: int, at: float, now: float
+    ) -> bool:
+        """Replace what a source reported; return whether the report was applied.
+
+        One that has expired, is older than the known one or exceeds a bound is ignored.
+        """
+        known = self._reports.get(source)
+        if not _is_within_bounds(demands) or not now - at <= REPORT_DURATION_S:
+            return False
+        if known is None and not self._make_room(now):
+            return False
+        if known is not None and (boot, at) < (known.boot, known.at):
+            return False
+        self._set(source, _Report(boot=boot, at=min(at, now), demands=demands))
+        self.next_expiry = min(self.next_expiry, at + REPORT_DURATION_S)
+        return True
+
+    def remove(self, source: str) -> None:
+        """Drop what a source reported, but keep its start time for older reports."""
+        known = self._reports.get(source)
+        if known is not None:
+            self._invalidate(source, known)
+
+    def expire(self, now: float) -> None:
+        """Drop the reports that are too old."""
+        if now <= self.next_expiry:
+            return
+        self.next_expiry = float("inf")
+        for source, report in list(self._reports.items()):
+            if not report.is_valid:
+                continue
+            if now - report.at > REPORT_DURATION_S:
+                self._invalidate(source, report)
+            else:
+                end = report.at + REPORT_DURATION_S
+                self.next_expiry = min(self.next_expiry, end)
+
+    def list_valid(self) -> dict[str, DemandSnapshot]:
+        """Return the valid reports by source."""
+        return {
+            source: DemandSnapshot(at=report.at, demands=report.demands)
+            for source, report in self._reports.items()
+            if report.is_valid
+        }
+
+    def _invalidate(self, source: str, report: _Report) -> None:
+        self._set(
+            source,
+            _Report(boot=report.boot, at=report.at, demands={}, is_valid=False),
+        )
+
+    def _set(self, source: str, report: _Report) -> None:
+        known = self._reports.get(source)
+        known_demands: Demands = {} if known is None else known.demands
+        self._reports[source] = report
+        if known_demands != report.demands:
+            self.sum.subtract(known_demands)
+            self.sum.add(report.demands)
+            self._note_changed()
+
+    def _make_room(self, now: float) -> bool:
+        """Return whether one more source fits; drop those without demand if needed."""
+        if len(self._reports) < MAX_SOURCES:
+            return True
+        self.expire(now)
+        self._reports = {
+            source: report for source, report in self._reports.items() if report.demands
+        }
+        return len(self._reports) < MAX_SOURCES
+
+
+def _is_within_bounds(demands: Demands) -> bool:
+    return len(demands) <= MAX_SERVICES and all(
+        len(classes) <= MAX_CLASSES
+        and len({demand.urgency for demand in classes}) == len(classes)
+        and all(max(get_amounts(demand)) <= MAX_AMOUNT for demand in classes)
+        for classes in demands.values()
+    )
--- /dev/null
+++ b/packages/core/fulmarward_core/demand/_sums.py
@@ -0,0 +1,113 @@
+"""Sums of demands by service and urgency, updated incrementally."""
+
+import math
+from collections.abc import Iterable, Mapping
+from operator import add, attrgetter, sub
+
+from fulmarward_core.demand._types import ClassDemand
+
+#: Demand by service, each class once.
+Demands = Mapping[str, tuple[ClassDemand, ...]]
+
+#: Amounts of a class, in the order of the fields of `ClassDemand` after its urgency.
+Amounts = tuple[float, float, float, float, float]
+
+NO_AMOUNTS: Amounts = (0.0, 0.0, 0.0, 0.0, 0.0)
+
+get_amounts = attrgetter(
+    "on_time_kv", "late_kv", "arriving_kv_per_s", "released_kv_per_s", "promised_kv"
+)
+
+
+def make_class_demand(urgency: int, amounts: Amounts) -> ClassDemand:
+    """Return the demand of a class from its amounts."""
+    on_time_kv, late_kv, arriving_kv_per_s, released_kv_per_s, promised_kv = amounts
+    return ClassDemand(
+        urgency=urgency,
+        on_time_kv=float(on_time_kv),
+        late_kv=float(late_kv),
+        arriving_kv_per_s=float(arriving_kv_per_s),
+        released_kv_per_s=float(released_kv_per_s),
+        promised_kv=float(promised_kv),
+    )
+
+
+def make_class_demands(classes: Mapping[int, Amounts]) -> tuple[ClassDemand, ...]:
+    """Return the demands of the classes of a service that have any, in order."""
+    return tuple(
+        make_class_demand(urgency, classes[urgency])
+        for urgency in sorted(classes)
+        if any(classes[urgency])
+    )
+
+
+def add_classes(all_classes: Iterable[Mapping[int, Amounts]]) -> dict[int, Amounts]:
+    """Return the sum by urgency."""
+    total: dict[int, Amounts] = {}
+    for classes in all_classes:
+        for urgency, amounts in classes.items():
+            known = total.get(urgency)
+            total[urgency] = (
+                amounts if known is None else tuple(map(add, known, amounts))
+            )
+    return total
+
+
+def find_larger_classes(
+    one: Mapping[int, Amounts], other: Mapping[int, Amounts]
+) -> dict[int, Amounts]:
+    """Return the larger one of each amount by urgency."""
+    return {
+        urgency: tuple(
+            map(max, one.get(urgency, NO_AMOUNTS), other.get(urgency, NO_AMOUNTS))
+        )
+        for urgency in {*one, *other}
+    }
+
+
+class DemandSum:
+    """The sum of many demands, with subtraction.
+
+    The amounts are rounded up to integers, so that subtraction leaves no remainder.
+    """
+
+    def __init__(self) -> None:
+        self._sums: dict[str, dict[int, Amounts]] = {}
+        #: Number of reports in each sum.
+        self._counts: dict[tuple[str, int], int] = {}
+
+    def list_services(self) -> list[str]:
+        """Return the services with demand."""
+        return list(self._sums)
+
+    def find_classes(self, service: str) -> Mapping[int, Amounts]:
+        """Return the amounts of a service by urgency."""
+        return self._sums.get(service, {})
+
+    def add(self, demands: Demands) -> None:
+        """Add the demands of one reporter."""
+        for service, urgency, amounts in _list_amounts(demands):
+            classes = self._sums.setdefault(service, {})
+            known = classes.get(urgency, NO_AMOUNTS)
+            classes[urgency] = tuple(map(add, known, amounts))
+            key = service, urgency
+            self._counts[key] = self._counts.get(key, 0) + 1
+
+    def subtract(self, demands: Demands) -> None:
+        """Subtract demands that were added before."""
+        for service, urgency, amounts in _list_amounts(demands):
+            classes = self._sums[service]
+            key = service, urgency
+            self._counts[key] -= 1
+            if self._counts[key]:
+                classes[urgency] = tuple(map(sub, classes[urgency], amounts))
+                continue
+            del classes[urgency], self._counts[key]
+            if not classes:
+                del self._sums[service]
+
+
+def _list_amounts(demands: Demands) -> Iterable[tuple[str, int, Amounts]]:
+    for service, classes in demands.items():
+        for demand in classes:
+            yield service, demand.urgency, tuple(map(math.ceil, get_amounts(demand)))
--- /dev/null
+++ b/packages/core/fulmarward_core/demand/_table.py
@@ -0,0 +1,264 @@
+"""Demand of each class: requests of this instance, and reports of others."""
+
+import math
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+from fulmarward_core.demand._rates import RateWindow
+from fulmarward_core.demand._reports import (
+    MAX_AMOUNT,
+    MAX_CLASSES,
+    MAX_SERVICES,
+    DemandSnapshot,
+    ReportSet,
+)
+from fulmarward_core.demand._sums import (
+    Amounts,
+    Demands,
+    add_classes,
+    find_larger_classes,
+    make_class_demands,
+)
+from fulmarward_core.demand._types import ClassDemand
+
+#: Seconds for which a sum is reused while nothing is recorded or reported. Waiting
+#: requests ask for it many times a second, and only the rates change in between.
+_REUSE_S = 0.02
+
+
+@dataclass(kw_only=True)
+class _OwnClass:
+    """What this instance recorded for a class."""
+
+    on_time_kv: float = 0.0
+    late_kv: float = 0.0
+    promised_kv: float = 0.0
+    arrivals: RateWindow = field(default_factory=RateWindow)
+    releases: RateWindow = field(default_factory=RateWindow)
+
+    def find_amounts(self, now: float) -> Amounts:
+        return (
+            self.on_time_kv,
+            self.late_kv,
+            self.arrivals.find_rate(now=now),
+            self.releases.find_rate(now=now),
+            self.promised_kv,
+        )
+
+
+@dataclass(frozen=True, kw_only=True)
+class _CachedSum:
+    """The sum of a service, and while it may be reused."""
+
+    revision: int
+    since: float
+    until: float
+    demands: tuple[ClassDemand, ...]
+
+
+class DemandTable:
+    """Demand by service and urgency, of this instance and of those that report theirs.
+
+    Amounts are in tokens x layers of KV cache, times in seconds on the monotonic clock.
+    """
+
+    def __init__(self, *, own: str, data_centre: str = "") -> None:
+        #: Names of this instance and of its data centre.
+        self._own_name = own
+        self._data_centre = data_centre
+        self._own: dict[str, dict[int, _OwnClass]] = {}
+        #: Increases with each change, apart from the rates that fall with time.
+        self.revision = 0
+        self._peers = ReportSet(note_changed=self._note_changed)
+        self._other_centres = ReportSet(note_changed=self._note_changed)
+        #: The report of a hub on the data centre of this instance.
+        self._own_centre = ReportSet(note_changed=self._note_changed)
+        self._report_sets = (self._peers, self._other_centres, self._own_centre)
+        self._cached_sums: dict[str, _CachedSum] = {}
+
+    def _note_changed(self) -> None:
+        self.revision += 1
+
+    def record_arrival(
+        self, service: str, urgency: int, kv: float, *, now: float
+    ) -> None:
+        """Record that a request arrived which needs `kv`."""
+        _check_amounts(kv)
+        self._change(service, urgency, now, lambda it: it.arrivals.add(kv, now=now))
+
+    def record_released(
+        self, service: str, urgency: int, kv: float, *, now: float
+    ) -> None:
+        """Record that a request of a class released `kv`."""
+        _check_amounts(kv)
+        self._change(service, urgency, now, lambda it: it.releases.add(kv, now=now))
+
+    def set_waiting(
+        self,
+        service: str,
+        urgency: int,
+        *,
+        on_time_kv: float,
+        late_kv: float,
+        now: float,
+    ) -> None:
+        """Replace what the waiting requests of a class need at this instance."""
+        _check_amounts(on_time_kv, late_kv)
+
+        def replace(known: _OwnClass) -> None:
+            known.on_time_kv, known.late_kv = on_time_kv, late_kv
+
+        self._change(service, urgency, now, replace)
+
+    def set_promised(
+        self, service: str, urgency: int, kv: float, *, now: float
+    ) -> None:
+        """Replace what this instance has promised to rejected callers of a class."""
+        _check_amounts(kv)
+
+        def replace(known: _OwnClass) -> None:
+            known.promised_kv = kv
+
+        self._change(service, urgency, now, replace)
+
+    def _change(
+        self,
+        service: str,
+        urgency: int,
+        now: float,
+        change: Callable[[_OwnClass], None],
+    ) -> None:
+        """Change what is recorded for a class; ignored if there are too many classes.
+
+        Classes without demand make room for new ones.
+        """
+        if service not in self._own and len(self._own) >= MAX_SERVICES:
+            self._drop_idle(now)
+            if len(self._own) >= MAX_SERVICES:
+                return
+        classes = self._own.setdefault(service, {})
+        if urgency not in classes and len(classes) >= MAX_CLASSES:
+            return
+        change(classes.setdefault(urgency, _OwnClass()))
+        self.revision += 1
+
+    def _drop_idle(self, now: float) -> None:
+        self._own = {
+            service: classes
+            for service, classes in self._own.items()
+            if any(any(known.find_amounts(now)) for known in classes.values())
+        }
+
+    def _find_own_classes(self, service: str, now: float) -> dict[int, Amounts]:
+        return {
+            urgency: known.find_amounts(now)
+            for urgency, known in self._own.get(service, {}).items()
+        }
+
+    def list_own(self, *, now: float) -> Demands:
+        """Return the demand of this instance by service, for its peers."""
+        demands = {
+            service: make_class_demands(self._find_own_classes(service, now))
+            for service in self._own
+        }
+        return {service: found for service, found in demands.items() if found}
+
+    def merge_report(
+        self, source: str, demands: Demands, *, boot: int, at: float, now: float
+    ) -> bool:
+        """Replace what another instance reported of its own demand.
+
+        `boot` is when its process started and `at` when the report was made. Returns
+        whether it was applied: one that has expired, is of an earlier start, is older
+        than the known one or exceeds a bound is ignored.
+        """
+        if source == self._own_name:
+            return False
+        return self._peers.merge(source, demands, boot=boot, at=at, now=now)
+
+    def merge_data_centre(
+        self, data_centre: str, demands: Demands, *, at: float, now: float
+    ) -> bool:
+        """Replace the sum that a hub reported for a data centre, also for the own one.
+
+        Of the reports of several hubs the newest one counts. Returns whether it was
+        applied, as `merge_report` does.
+        """
+        is_own = data_centre == self._data_centre
+        reports = self._own_centre if is_own else self._other_centres
+        return reports.merge(data_centre, demands, boot=0, at=at, now=now)
+
+    def remove(self, source: str) -> None:
+        """Drop what an instance reported, as it leaves."""
+        self._peers.remove(source)
+
+    def sum(self, service: str, *, now: float) -> tuple[ClassDemand, ...]:
+        """Return the demand of a service at all instances, by class in order.
+
+        A hub's sum of the own data centre may be older than what this instance knows
+        itself, so the larger one of both counts.
+        """
+        self._expire(now)
+        known = self._cached_sums.get(service)
+        if (
+            known is not None
+            and known.revision == self.revision
+            and known.since <= now <= known.until
+        ):
+            return known.demands
+        near = self._sum_direct(service, now)
+        reported = self._own_centre.sum.find_classes(service)
+        if reported:
+            near = find_larger_classes(near, reported)
+        far = self._other_centres.sum.find_classes(service)
+        demands = make_class_demands(add_classes([near, far]))
+        if service not in self._cached_sums and len(self._cached_sums) >= MAX_SERVICES:
+            self._cached_sums.clear()
+        self._cached_sums[service] = _CachedSum(
+            revision=self.revision, since=now, until=now + _REUSE_S, demands=demands
+        )
+        return demands
+
+    def sum_data_centre(self, *, now: float) -> Demands:
+        """Return the demand by service of this instance and its directly linked peers.
+
+        A hub reports it as that of its data centre.
+        """
+        self._expire(now)
+        services = sorted({*self._own, *self._peers.sum.list_services()})
+        demands = {
+            service: make_class_demands(self._sum_direct(service, now))[:MAX_CLASSES]
+            for service in services
+        }
+        listed = [item for item in demands.items() if item[1]]
+        return dict(listed[:MAX_SERVICES])
+
+    def list_data_centres(self, *, now: float) -> Mapping[str, DemandSnapshot]:
+        """Return the valid reports on other data centres, for a hub to pass on."""
+        self._expire(now)
+        return self._other_centres.list_valid()
+
+    def find_oldest_report_age_s(self, *, now: float) -> float | None:
+        """Return the age of the oldest report in the sums, `None` if there is none."""
+        self._expire(now)
+        times = [
+            report.at
+            for reports in self._report_sets
+            for report in reports.list_valid().values()
+        ]
+        return now - min(times) if times else None
+
+    def _sum_direct(self, service: str, now: float) -> dict[int, Amounts]:
+        own = self._find_own_classes(service, now)
+        return add_classes([own, self._peers.sum.find_classes(service)])
+
+    def _expire(self, now: float) -> None:
+        for reports in self._report_sets:
+            reports.expire(now)
+
+
+def _check_amounts(*amounts: float) -> None:
+    """Raise `ValueError` unless all amounts are within bounds."""
+    for amount in amounts:
+        if not (0 <= amount <= MAX_AMOUNT and math.isfinite(amount)):
+            raise ValueError(f"expected a number from 0 to 2^53, found {amount}")
--- a/packages/core/fulmarward_core/routes/__init__.py
+++ b/packages/core/fulmarward_core/routes/__init__.py
@@ -13,6 +13,8 @@
     find_route,
     find_team,
     find_urgency,
+    list_class_services,
+    list_urgencies,
 )
 
 __all__ = [
@@ -26,4 +28,6 @@
     "find_route",
     "find_team",
     "find_urgency",
+    "list_class_services",
+    "list_urgencies",
 ]
--- a/packages/core/fulmarward_core/routes/_types.py
+++ b/packages/core/fulmarward_core/routes/_types.py
@@ -7,6 +7,9 @@
 
 from fulmarward_core.fleet import ServiceSpec
 
+#: Least urgent value that targets accept; 0 is served first.
+LEAST_URGENT = 9
+
 
 class RouteKind(Enum):
     """Kind of requests on a route, which decides whether they may be retried."""
@@ -104,6 +107,36 @@
         """The routes of each host, to be found by their prefixes."""
         return {host: RouteIndex(routes) for host, routes in self.routes.items()}
 
+    @cached_property
+    def urgencies_by_service(self) -> Mapping[str, tuple[int, ...]]:
+        """The urgencies that requests of each service with a route may have, sorted."""
+        of_teams = {
+            limit_urgency(team.priority)
+            for team in self.teams_by_key.values()
+            if team.priority is not None
+        }
+        found: dict[str, set[int]] = {}
+        for routes in self.routes.values():
+            for route in routes:
+                for share in route.shares:
+                    urgencies = found.setdefault(share.service, set(of_teams))
+                    urgencies.add(limit_urgency(route.priority))
+        return {service: tuple(sorted(found[service])) for service in found}
+
+    @cached_property
+    def class_services(self) -> frozenset[str]:
+        """The services whose requests may differ in their urgency."""
+        return frozenset(
+            service
+            for service, urgencies in self.urgencies_by_service.items()
+            if len(urgencies) > 1
+        )
+
+
+def limit_urgency(priority: int) -> int:
+    """Return the urgency that a priority stands for."""
+    return max(0, min(LEAST_URGENT, priority))
+
 
 class RouteIndex:
     """The routes of a host by prefix.
--- a/packages/core/fulmarward_core/routes/decisions.py
+++ b/packages/core/fulmarward_core/routes/decisions.py
@@ -2,10 +2,12 @@
 
 import xxhash
 
-from fulmarward_core.routes._types import Route, RoutingConfiguration, Team
-
-#: Least urgent value that targets accept; 0 is served first.
-LEAST_URGENT = 9
+from fulmarward_core.routes._types import (
+    Route,
+    RoutingConfiguration,
+    Team,
+    limit_urgency,
+)
 
 
 def find_route(
@@ -30,7 +32,26 @@
     priority = route.priority
     if team is not None and team.priority is not None:
         priority = team.priority
-    return max(0, min(LEAST_URGENT, priority))
+    return limit_urgency(priority)
+
+
+def list_urgencies(
+    configuration: RoutingConfiguration, service: str
+) -> tuple[int, ...]:
+    """Return the urgencies that requests of a service may have, the most urgent first.
+
+    These are the priorities of its routes, and those that teams have instead. Empty if
+    no route leads to the service.
+    """
+    return configuration.urgencies_by_service.get(service, ())
+
+
+def list_class_services(configuration: RoutingConfiguration) -> frozenset[str]:
+    """Return the services with classes: their requests may differ in their urgency.
+
+    Their routes have more than one priority, or a team has another one than a route.
+    """
+    return configuration.class_services
 
 
 def choose_service(route: Route, request_id: str) -> str:
--- a/packages/core/fulmarward_core/routes/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/routes/tests/test_decisions.py
@@ -15,6 +15,8 @@
     find_route,
     find_team,
     find_urgency,
+    list_class_services,
+    list_urgencies,
 )
 
 
@@ -112,6 +114,30 @@
         self.assertEqual(find_urgency(route, Team(name="t", priority=None)), 3)
         self.assertEqual(find_urgency(route, None), 3)
 
+    def test_services_have_classes_by_routes_or_teams(self):
+        """Guards against new behaviour where all requests are equally urgent."""
+        one, two = make_route("/a/"), make_route("/b/", priority=5)
+        other = make_route("/c/", shares=(ServiceShare(service="two", weight=1.0),))
+        cases = [
+            ("one route", (one,), None, (3,)),
+            ("equal routes", (one, replace(two, priority=3)), None, (3,)),
+            ("routes", (two, one, other), None, (3, 5)),
+            ("a team", (one,), 0, (0, 3)),
+            ("an equal team", (one,), 3, (3,)),
+            ("beyond the least urgent", (replace(one, priority=9),), 12, (9,)),
+        ]
+        for name, routes, priority, expected in cases:
+            with self.subTest(name):
+                configuration = replace(
+                    _CONFIGURATION,
+                    routes={"h.example": routes},
+                    teams_by_key={"k": Team(name="t", priority=priority)},
+                )
+                self.assertEqual(list_urgencies(configuration, "one"), expected)
+                classes = {"one"} if len(expected) > 1 else set()
+                self.assertEqual(list_class_services(configuration), classes)
+                self.assertEqual(list_urgencies(configuration, "no"), ())
+
     def test_split_follows_weights_and_is_deterministic(self):
         shares = (
             ServiceShare(service="one", weight=90.0),
