Send the demand of each class to the other instances

A report between two rounds is preceded by a `SendTime`, as its age would otherwise count from the last round. Nothing is sent while no service has classes. An instance that leaves reports no demand, and its peers drop what it reported. A report of an earlier start, too old or with an invalid number is ignored.

--- a/packages/core/fulmarward_core/demand/tests/test_table.py
+++ b/packages/core/fulmarward_core/demand/tests/test_table.py
@@ -27,8 +27,11 @@
     def test_numbers_that_are_negative_or_not_finite_are_refused(self):
         """Guards against a sum that is NaN at all instances because of one report."""
         for value in (float("nan"), float("inf"), -1.0):
-            with self.subTest(value), self.assertRaises(ValueError):
-                make_demand(late_kv=value)
+            with self.subTest(value):
+                with self.assertRaises(ValueError):
+                    make_demand(late_kv=value)
+                with self.assertRaises(ValueError):
+                    DemandTable(own="").record_arrival("s", 0, value, now=100.0)
 
 
 class DemandTableTest(unittest.TestCase):
@@ -101,13 +104,10 @@
         self.assertFalse(self._merge("peer", 4.0, boot=1))
         self.assertFalse(self._merge("peer", 4.0, boot=1, at=110.0, now=110.0))
         self.assertTrue(self._merge("peer", 8.0, boot=3, at=109.9, now=110.0))
+        # Nor is an older one of the same start.
+        self.assertFalse(self._merge("peer", 9.0, boot=3, at=109.8, now=110.0))
         self.assertEqual(self._sum_waiting(110.0), 8.0)
 
-    def test_older_report_of_the_same_start_is_ignored(self):
-        self._merge("peer", 2.0)
-        self.assertFalse(self._merge("peer", 4.0, at=99.9))
-        self.assertEqual(self._sum_waiting(), 2.0)
-
     def test_sum_of_a_hub_replaces_none_of_the_newer_own_demand(self):
         """Guards against counting twice what a hub's sum has, and against its delay."""
         self.table.set_waiting("s", 0, on_time_kv=3.0, late_kv=0.0, now=100.0)
@@ -150,11 +150,6 @@
             self.table.set_promised(name, 0, 1.0, now=110.0)
         self.assertEqual(len(self.table.list_own(now=110.0)), MAX_SERVICES)
 
-    def test_invalid_own_amounts_are_refused(self):
-        for kv in (float("nan"), -1.0, float("inf")):
-            with self.subTest(kv), self.assertRaises(ValueError):
-                self.table.record_arrival("s", 0, kv, now=100.0)
-
     @given(
         st.lists(
             st.tuples(
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -15,6 +15,7 @@
 from fulmarward.http import ResponseGuard, ResponseLimits
 from fulmarward.observability import log_event, start_logging, stop_logging
 from fulmarward_core.catalogue import TargetCatalogue
+from fulmarward_core.demand import DemandTable
 from fulmarward_core.isolation import ContactTable
 from fulmarward_core.loads import LoadLedger
 from fulmarward_core.paces import PaceTable
@@ -231,6 +232,7 @@
         )
         self.paces = PaceTable()
         self.ledger = LoadLedger(note_changed=lambda: self.mesh.notify_loads())
+        self.demands = DemandTable(own=self.own.name, data_centre=self.own.data_centre)
         self._budgets: dict[str, RetryBudget] = {}
         self.listing = CallerListing(
             own=self.own,
@@ -270,6 +272,7 @@
             suspicions=self.suspicions,
             paces=self.paces,
             ledger=self.ledger,
+            demands=self.demands,
             sees_slow_streams=self._sees_own_slow_streams,
             decode_row=self.watch.decode_row,
             read_clock=clock,
@@ -347,6 +350,8 @@
             instance=self.own.name,
             data_centre=self.settings.data_centre,
             read_clock=self._clock,
+            demands=self.demands,
+            list_class_services=self.instance_state.list_class_services,
         )
         self.failure_detector = FailureDetector(
             dialect=self.dialect,
--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import aiohttp
 
@@ -14,6 +14,7 @@
     may_run_again,
 )
 from fulmarward_core.catalogue import TargetCatalogue
+from fulmarward_core.demand import DemandTable
 from fulmarward_core.fleet import TargetRecord
 from fulmarward_core.isolation import ContactTable
 from fulmarward_core.loads import LoadLedger
@@ -69,6 +70,10 @@
     read_clock: Callable[[], float]
     #: Returns how many instances are known of, whether they are reached or not.
     count_known_instances: Callable[[], int] = lambda: 1
+    #: Demand of each class, of this instance and of the others.
+    demands: DemandTable = field(default_factory=lambda: DemandTable(own=""))
+    #: Returns the services with classes by the configuration in force.
+    list_class_services: Callable[[], frozenset[str]] = frozenset
 
     async def open(
         self, state: RequestState, call: TargetCall
--- a/packages/router/fulmarward_router/mesh/__init__.py
+++ b/packages/router/fulmarward_router/mesh/__init__.py
@@ -4,12 +4,14 @@
 from fulmarward_router.mesh._links import Mesh
 from fulmarward_router.mesh._members import Member, MemberState, MemberTable
 from fulmarward_router.mesh._messages import (
+    ClassDemandReport,
     CompressedConfiguration,
     ConfigurationDeferred,
     ConfigurationReceived,
     ConfigurationSnapshot,
     CrashReport,
     DataCentreReport,
+    DemandReport,
     FailureReport,
     FetchCompressedConfiguration,
     FetchConfiguration,
@@ -35,6 +37,7 @@
 )
 from fulmarward_router.mesh._state import (
     Answer,
+    DemandScope,
     Fetch,
     LeavingSource,
     LimitSource,
@@ -45,6 +48,9 @@
 )
 
 __all__ = [
+    "ClassDemandReport",
+    "DemandReport",
+    "DemandScope",
     "LeavingSource",
     "LeavingTargetReport",
     "LimitSource",
--- a/packages/router/fulmarward_router/mesh/_heartbeats.py
+++ b/packages/router/fulmarward_router/mesh/_heartbeats.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 from websockets.asyncio.connection import Connection, broadcast
 from websockets.protocol import State
@@ -11,13 +11,14 @@
 from fulmarward.observability import log_event
 from fulmarward_core.transit import TransitClock
 from fulmarward_router._sockets import reset_connection
+from fulmarward_router.mesh._demands import DemandEncoder, SentDemands
 from fulmarward_router.mesh._eras import remove_eras
 from fulmarward_router.mesh._members import (
     DATA_CENTRE_REPORT_INTERVAL_S,
     MemberTable,
 )
 from fulmarward_router.mesh._messages import SendTime, Subscription
-from fulmarward_router.mesh._state import MeshState, Revisions
+from fulmarward_router.mesh._state import DemandScope, MeshState, Revisions
 
 #: Minimum seconds between two rounds of heartbeats, so that a series of changes does
 #: not saturate the links.
@@ -64,6 +65,8 @@
     is_busy: bool = False
     #: The revisions that a subscriber to reports has; `None` for other peers.
     subscriber_revisions: Revisions | None = None
+    #: What was sent about demand.
+    demands: SentDemands = field(default_factory=SentDemands)
     #: When the last reports on data centres were sent, and the members' revision in
     #: them.
     reported_at: float = float("-inf")
@@ -127,6 +130,7 @@
         self._target_changes: dict[tuple[int, bool], bytes | None] = {}
         self._load_update: bytes | None = None
         self._fleet_loads: dict[int, tuple[bytes | None, int]] = {}
+        self._demands = DemandEncoder(state=state, encode=encode)
         self._encoded_at = float("-inf")
 
     def notify(self) -> None:
@@ -178,9 +182,12 @@
             self._loads_changed.clear()
             self._load_update = None
             self._fleet_loads.clear()
+            self._demands.clear()
             for link in self._links:
                 if link.saturated_at is None:
                     self._send_loads(link)
+                    if link.expects_load_updates or link.is_busy:
+                        self._send_demands(link, self._read_clock())
             await asyncio.sleep(LOADS_INTERVAL_S)
 
     def _send_loads(self, link: PeerLink) -> None:
@@ -199,6 +206,40 @@
             self._send_bytes(link, data)
         link.subscriber_revisions = replace(link.subscriber_revisions, loads=revision)
 
+    def _send_demands(
+        self, link: PeerLink, now: float, *, has_send_time: bool = False
+    ) -> None:
+        """Send the demand that is due on a link.
+
+        Its age counts from the last `SendTime` on the link, so it needs one of its own
+        unless the round has sent one.
+        """
+        due = self._demands.encode_due(
+            link.demands, self._choose_demand_scopes(link), now=now
+        )
+        if due and link.transit is not None and not has_send_time:
+            self._send_time(link, now)
+        for data in due:
+            self._send_bytes(link, data)
+
+    def _choose_demand_scopes(self, link: PeerLink) -> tuple[DemandScope, ...]:
+        """Return whose demand a peer gets; the same as of the loads."""
+        if link.subscriber_revisions is not None:
+            return DemandScope.OWN_DATA_CENTRE, DemandScope.OTHER_DATA_CENTRES
+        if not link.is_dialled:
+            return ()
+        if not self._members.is_large:
+            return (DemandScope.INSTANCE,)
+        if self._members.find_data_centre(link.address) != self._data_centre:
+            return (DemandScope.OWN_DATA_CENTRE,) if self.is_hub else ()
+        if self.is_hub:
+            return DemandScope.INSTANCE, DemandScope.OTHER_DATA_CENTRES
+        return (DemandScope.INSTANCE,)
+
+    def _send_time(self, link: PeerLink, at: float) -> None:
+        sent = make_send_time(link.transit, now=at)
+        self._send_bytes(link, self._encode(sent))
+
     def _encode_fleet_loads(self, after: int) -> tuple[bytes | None, int]:
         """Return the encoded loads changed since a revision, and the new revision."""
         if after not in self._fleet_loads:
@@ -227,6 +268,7 @@
         self._fleet_reports.clear()
         self._target_changes.clear()
         self._load_update = None
+        self._demands.clear()
 
     def _send(self, link: PeerLink, now: float) -> None:
         unsent = link.connection.transport.get_write_buffer_size()
@@ -238,8 +280,7 @@
         link.saturated_at = None
         if link.transit is not None:
             # The time at which the messages were encoded, which may be some time ago.
-            sent = make_send_time(link.transit, now=self._encoded_at)
-            self._send_bytes(link, self._encode(sent))
+            self._send_time(link, self._encoded_at)
         if link.subscriber_revisions is not None:
             # The changes precede the heartbeat, so that it does not trigger a fetch.
             changes = self._encode_target_changes(
@@ -251,6 +292,7 @@
                 link.subscriber_revisions, has_eras=link.supports_eras
             )
             self._send_bytes(link, data)
+            self._send_demands(link, now, has_send_time=True)
             return
         peer_centre = self._members.find_data_centre(link.address)
         self._send_bytes(link, self._encode_heartbeat(link, peer_centre))
@@ -259,6 +301,7 @@
         if self.is_hub and link.is_dialled:
             for data_centre in self._list_due_reports(link, peer_centre, now):
                 self._send_bytes(link, self._encode_data_centre_report(data_centre))
+        self._send_demands(link, now, has_send_time=True)
 
     async def _check_liveness(self, link: PeerLink, now: float) -> None:
         """Ping a link periodically, and abort it if it is silent.
--- a/packages/router/fulmarward_router/mesh/_links.py
+++ b/packages/router/fulmarward_router/mesh/_links.py
@@ -31,6 +31,7 @@
     ConfigurationReceived,
     ConfigurationSnapshot,
     DataCentreReport,
+    DemandReport,
     FetchInstances,
     FetchLimits,
     FetchPoison,
@@ -209,6 +210,7 @@
             FleetReport: self._handle_fleet_report,
             FleetLoads: self._handle_fleet_loads,
             LoadUpdate: self._handle_load_update,
+            DemandReport: self._handle_demand_report,
             Subscription: self._handle_subscription,
             FetchInstances: self._handle_fetch_instances,
             DataCentreReport: self._handle_data_centre_report,
@@ -549,6 +551,12 @@
             receiver.link.is_busy = bool(message.loads)
         self._state.merge_load_update(message)
 
+    async def _handle_demand_report(
+        self, receiver: _LinkReceiver, message: DemandReport
+    ) -> None:
+        delay_s = receiver.find_delay_s(now=self._read_clock())
+        self._state.merge_demands(message, delay_s=delay_s)
+
     async def _handle_subscription(
         self, receiver: _LinkReceiver, message: Subscription
     ) -> None:
--- a/packages/router/fulmarward_router/mesh/_messages.py
+++ b/packages/router/fulmarward_router/mesh/_messages.py
@@ -420,6 +420,35 @@
     sender: str
 
 
+class ClassDemandReport(Message, kw_only=True):
+    """The demand for one service with one urgency, rounded up.
+
+    The amounts are as in `fulmarward_core.demand.ClassDemand`.
+    """
+
+    service: str
+    urgency: int
+    on_time_kv: int
+    late_kv: int
+    arriving_kv_per_s: int
+    released_kv_per_s: int
+    promised_kv: int
+
+
+class DemandReport(Message, kw_only=True):
+    """The demand of an instance, or of all instances of a data centre."""
+
+    #: Name of the instance or data centre.
+    source: str
+    is_data_centre: bool
+    #: When the process of the instance started, in ms since 1970; 0 for a data centre.
+    boot: int
+    #: Milliseconds since the report was made, rounded up.
+    age_ms: int
+    #: One for each class; none if there is no demand any more.
+    demands: tuple[ClassDemandReport, ...]
+
+
 #: All messages; the number of a message on the wire is its index here. A message keeps
 #: its number and its fields, as instances of different releases exchange it during a
 #: rolling update. A change is a new message at the end, which older releases ignore.
@@ -453,4 +482,5 @@
     LeavingReport,
     RegainedReport,
     SupportsStoreEras,
+    DemandReport,
 )
--- a/packages/router/fulmarward_router/mesh/_state.py
+++ b/packages/router/fulmarward_router/mesh/_state.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from enum import Enum
 from typing import Protocol
 
 from fulmarward_router.mesh._messages import (
@@ -10,6 +11,7 @@
     ConfigurationReceived,
     ConfigurationSnapshot,
     DataCentreReport,
+    DemandReport,
     FetchCompressedConfiguration,
     FetchConfiguration,
     FetchTargets,
@@ -36,6 +38,17 @@
     targets: int = -1
 
 
+class DemandScope(Enum):
+    """Whose demand a peer is sent."""
+
+    #: That of this instance.
+    INSTANCE = "instance"
+    #: The sum of the data centre of this instance, a hub.
+    OWN_DATA_CENTRE = "own_data_centre"
+    #: What other hubs reported for their data centres.
+    OTHER_DATA_CENTRES = "other_data_centres"
+
+
 #: Requests to a peer, the data that it returns, and all answers that it may give.
 Fetch = FetchConfiguration | FetchCompressedConfiguration | FetchTargets
 Snapshot = ConfigurationSnapshot | CompressedConfiguration | TargetChanges
@@ -70,6 +83,12 @@
     def merge_load_update(self, update: LoadUpdate) -> None:
         """Merge the loads of a subscriber."""
 
+    def make_demand_reports(self, scope: DemandScope) -> tuple[DemandReport, ...]:
+        """Return the reports on demand, also on none; empty without classes."""
+
+    def merge_demands(self, report: DemandReport, *, delay_s: float = 0.0) -> None:
+        """Merge the demand of an instance or data centre, delayed in transit."""
+
     def make_fleet_report(self, known: Revisions) -> tuple[FleetReport, Revisions]:
         """Return the changes of the fleet since the revisions that a subscriber has,
         and the revisions that it has after this report.
--- a/packages/router/fulmarward_router/mesh/tests/test_dialled.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_dialled.py
@@ -53,6 +53,7 @@
         own = make_heartbeat("own").sender
         state = mock.Mock()
         state.make_kept_changes.return_value = None
+        state.make_demand_reports.return_value = ()
         state.make_heartbeat.return_value = make_heartbeat("own")
         mesh = Mesh(
             poison=make_poison_knowledge(),
@@ -95,6 +96,7 @@
         own = make_heartbeat(name).sender
         state = mock.Mock()
         state.make_kept_changes.return_value = None
+        state.make_demand_reports.return_value = ()
         state.make_heartbeat.return_value = make_heartbeat(name)
         state.merge_heartbeat.side_effect = lambda heartbeat, *, delay_s: (
             self.delays[name].append(delay_s) or []
--- a/packages/router/fulmarward_router/mesh/tests/test_heartbeats.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_heartbeats.py
@@ -58,6 +58,7 @@
         self.reports = 0
         self.loads = ()
         self.loads_revision = 0
+        self.demand_reports = {}
 
     def make_heartbeat(self, *, has_loads=True):
         self.heartbeats += 1
@@ -76,6 +77,9 @@
     def make_load_update(self):
         return LoadUpdate(sender="own", sequence=1, loads=self.loads)
 
+    def make_demand_reports(self, scope):
+        return self.demand_reports.get(scope, ())
+
     def make_target_changes(self, after):
         return None
 
--- a/packages/router/fulmarward_router/state/_instance_state.py
+++ b/packages/router/fulmarward_router/state/_instance_state.py
@@ -8,8 +8,10 @@
 
 from fulmarward.observability import log_event
 from fulmarward_core.catalogue import KnownRow, TargetCatalogue
+from fulmarward_core.demand import DemandTable
 from fulmarward_core.loads import HubReport, Load, LoadLedger
 from fulmarward_core.paces import PaceTable
+from fulmarward_core.routes import list_class_services
 from fulmarward_core.store_versions import (
     find_era,
     find_number,
@@ -23,6 +25,8 @@
     ConfigurationReceived,
     ConfigurationSnapshot,
     DataCentreReport,
+    DemandReport,
+    DemandScope,
     FailureReport,
     Fetch,
     FetchCompressedConfiguration,
@@ -48,6 +52,7 @@
 from fulmarward_router.ports import Row
 from fulmarward_router.state._configuration import ConfigurationHolder
 from fulmarward_router.state._configuration_exchange import ConfigurationExchange
+from fulmarward_router.state._demand_reports import make_demand_report, read_demands
 
 #: Minimum seconds between two fetches of the same changes of targets.
 FETCH_INTERVAL_S = 0.2
@@ -79,6 +84,7 @@
         suspicions: SuspicionTable,
         paces: PaceTable,
         ledger: LoadLedger,
+        demands: DemandTable,
         sees_slow_streams: Callable[[], bool],
         decode_row: Callable[..., KnownRow],
         read_clock: Callable[[], float],
@@ -98,6 +104,7 @@
         self._suspicions = suspicions
         self._paces = paces
         self._ledger = ledger
+        self._demands = demands
         self._sees_slow_streams = sees_slow_streams
         self._decode_row = decode_row
         self._read_clock = read_clock
@@ -123,6 +130,12 @@
             read_clock=read_clock,
             notify_peers=notify_peers,
         )
+        #: Makes the reports on demand of each scope, for the services with classes.
+        self._demand_reports = {
+            DemandScope.INSTANCE: self._report_own_demand,
+            DemandScope.OWN_DATA_CENTRE: self._report_own_centre,
+            DemandScope.OTHER_DATA_CENTRES: self._report_other_centres,
+        }
         #: Sequence number of the newest load update of each instance.
         self._updates: dict[str, int] = {}
 
@@ -233,6 +246,8 @@
         if heartbeat.loads or heartbeat.sender.name not in self._updates:
             loads = _index_loads(heartbeat.loads)
             self._ledger.merge_report(heartbeat.sender.name, loads, now=now)
+        if heartbeat.is_leaving:
+            self._demands.remove(heartbeat.sender.name)
         self._merge_losses(heartbeat.losses, heartbeat.sender.name, sent_at)
         self._suspicions.refusals.merge_reports(heartbeat.refusing, now=sent_at)
         self._merge_paces(heartbeat.paces, sent_at)
@@ -410,6 +425,61 @@
         loads = _index_loads(update.loads)
         self._ledger.merge_report(update.sender, loads, now=self._read_clock())
 
+    def list_class_services(self) -> frozenset[str]:
+        """Return the services with classes by the configuration in force."""
+        current = self._configuration.current
+        return frozenset() if current is None else list_class_services(current)
+
+    def make_demand_reports(self, scope: DemandScope) -> tuple[DemandReport, ...]:
+        """Return the reports on demand, also on none; empty without classes."""
+        services = self.list_class_services()
+        return self._demand_reports[scope](services) if services else ()
+
+    def _report_own_demand(self, services: frozenset[str]) -> tuple[DemandReport, ...]:
+        """Return the report of this instance, which has no demand while it leaves."""
+        now = self._read_clock()
+        demands = {} if self._is_leaving() else self._demands.list_own(now=now)
+        report = make_demand_report(
+            self._own.name, demands, services=services, boot=self._own.boot
+        )
+        return (report,)
+
+    def _report_own_centre(self, services: frozenset[str]) -> tuple[DemandReport, ...]:
+        """Return the sum of the data centre, as made now.
+
+        The reports in it may be older. Those of an instance that is gone stay in it
+        until they expire here.
+        """
+        demands = self._demands.sum_data_centre(now=self._read_clock())
+        return (make_demand_report(self._own.data_centre, demands, services=services),)
+
+    def _report_other_centres(
+        self, services: frozenset[str]
+    ) -> tuple[DemandReport, ...]:
+        now = self._read_clock()
+        return tuple(
+            make_demand_report(
+                name, known.demands, services=services, age_s=now - known.at
+            )
+            for name, known in self._demands.list_data_centres(now=now).items()
+        )
+
+    def merge_demands(self, report: DemandReport, *, delay_s: float = 0.0) -> None:
+        """Merge the demand of an instance or data centre, delayed in transit."""
+        now = self._read_clock()
+        try:
+            demands = read_demands(report)
+        except (ValueError, OverflowError) as error:
+            log_event("demand_refused", source=report.source, cause=str(error))
+            return
+        at = now - delay_s - report.age_ms / 1000
+        if report.is_data_centre:
+            self._demands.merge_data_centre(report.source, demands, at=at, now=now)
+        elif not self._members.has_ended(report.source, report.boot):
+            self._demands.merge_report(
+                report.source, demands, boot=report.boot, at=at, now=now
+            )
+
     def make_fleet_report(self, known: Revisions) -> tuple[FleetReport, Revisions]:
         """Return the changes of the fleet since the revisions that a subscriber has,
         and the revisions that it has after this report.
--- a/packages/router/fulmarward_router/tests/test_instance_state.py
+++ b/packages/router/fulmarward_router/tests/test_instance_state.py
@@ -3,6 +3,7 @@
 from unittest import mock
 
 from fulmarward_core.catalogue import KnownRow, TargetCatalogue
+from fulmarward_core.demand import DemandTable
 from fulmarward_core.loads import LoadLedger
 from fulmarward_core.paces import PaceTable
 from fulmarward_core.spread import pack_value
@@ -53,6 +54,7 @@
         self.suspicions = SuspicionTable()
         self.paces = PaceTable()
         self.ledger = LoadLedger()
+        self.demands = DemandTable(own=name, data_centre="a")
         self.instance_state = InstanceState(
             own=InstanceIdentity(
                 name=name,
@@ -67,6 +69,7 @@
             suspicions=self.suspicions,
             paces=self.paces,
             ledger=self.ledger,
+            demands=self.demands,
             sees_slow_streams=lambda: False,
             decode_row=self._decode_row,
             read_clock=lambda: self.now,
