--- a/packages/core/fulmarward_core/demand/_types.py
+++ b/packages/core/fulmarward_core/demand/_types.py
@@ -1,4 +1,4 @@
-"""Values that describe the demand for a service."""
+"""Types of the demand for capacity."""
 
 import math
 from dataclasses import dataclass
@@ -6,29 +6,34 @@
 
 @dataclass(frozen=True, kw_only=True)
 class ClassDemand:
-    """The demand of one class: all requests of one service with one urgency.
+    """Demand of the requests of one service with one urgency.
 
-    Amounts of KV cache are in tokens x layers. Raises `ValueError` if a number is
-    negative or not finite, so that a faulty report never enters a sum.
+    Amounts of KV cache ("kv") are in tokens x layers. Raises `ValueError` for a number
+    that is negative or not finite.
     """
 
-    #: 0 is served first.
+    #: Number of the priority, 0 first.
     urgency: int
-    #: KV cache needed by waiting requests that are on time.
+    #: KV cache that waiting requests need which are on time.
     on_time_kv: float
-    #: KV cache needed by waiting requests that are late.
+    #: KV cache that waiting requests need which are late.
     late_kv: float
-    #: KV cache needed by arriving requests, per second.
+    #: KV cache that arriving requests need per second, mean of the last second or so.
     arriving_kv_per_s: float
-    #: KV cache released by finished requests, per second.
+    #: KV cache that requests of the class release per second, the same mean.
     released_kv_per_s: float
     #: KV cache promised to rejected callers.
     promised_kv: float
 
     def __post_init__(self) -> None:
-        for name, value in vars(self).items():
-            # The comparison is false for NaN too.
-            if not 0 <= value < math.inf:
-                raise ValueError(
-                    f"{name} must be finite and not negative, found {value}"
-                )
+        values = (
+            self.urgency,
+            self.on_time_kv,
+            self.late_kv,
+            self.arriving_kv_per_s,
+            self.released_kv_per_s,
+            self.promised_kv,
+        )
+        for value in values:
+            if not (value >= 0 and math.isfinite(value)):
+                raise ValueError(f"expected a finite number from 0 on, found {value}")
