Core: estimates of waits, and promised returns

Cause: a request that can't be served in time waits 0.9 s before it is rejected, and its caller is told 2 to 4 s, whatever the load is. Nothing holds capacity for its return.

Not called by the router yet.

--- /dev/null
+++ b/packages/core/fulmarward_core/waits/tests/test_decisions.py
@@ -0,0 +1,84 @@
+import math
+import unittest
+
+from fulmarward_core.waits import (
+    MAX_RETURN_S,
+    MIN_RETURN_S,
+    ReleaseMeter,
+    choose_return_s,
+    estimate_wait_s,
+    may_promise,
+    must_reject,
+)
+
+
+class ReleaseMeterTest(unittest.TestCase):
+    def test_rates(self):
+        cases = [
+            # name, times of releases of 10 each, now, rate
+            ("none", [], 1.0, None),
+            ("one at once", [5.0], 5.0, 20.0),
+            ("steady, half a window", [0.0, 0.25, 0.5, 0.75], 1.0, 40.0),
+            ("steady", [i / 4 for i in range(40)], 9.9, 40.0),
+            ("in one entry", [1.0, 1.01, 1.02, 1.03], 2.0, 40.0),
+            ("a window ago", [1.0, 1.05], 3.0, None),
+            ("after a pause", [1.0, 8.0], 8.5, 20.0),
+        ]
+        for name, times, now, expected in cases:
+            meter = ReleaseMeter()
+            for at in times:
+                meter.record(10.0, now=at)
+            with self.subTest(name):
+                self.assertEqual(meter.measure(now=now), expected)
+
+
+class EstimateTest(unittest.TestCase):
+    def test_estimates(self):
+        cases = [
+            # name, ahead, free, released, arriving above, estimate of 10 kv, rejected
+            ("free", 0.0, 10.0, 20.0, 0.0, 0.0, False),
+            ("full", 0.0, 0.0, 20.0, 0.0, 0.5, False),
+            ("at the margin", 17.0, 0.0, 20.0, 0.0, 1.35, False),
+            ("behind others", 30.0, 0.0, 20.0, 0.0, 2.0, True),
+            ("overfull", 0.0, -30.0, 20.0, 0.0, 2.0, True),
+            ("above takes half", 0.0, 0.0, 20.0, 10.0, 1.0, False),
+            ("above takes all", 0.0, 0.0, 20.0, 20.0, math.inf, True),
+            ("none ahead, above takes all", 0.0, 10.0, 20.0, 20.0, 0.0, False),
+            ("nothing measured", 30.0, 0.0, None, 0.0, None, False),
+            ("nothing released", 30.0, 0.0, 0.0, 0.0, None, False),
+        ]
+        for name, ahead, free, released, arriving, expected, is_rejected in cases:
+            found = estimate_wait_s(
+                kv=10.0,
+                kv_ahead=ahead,
+                free_kv=free,
+                released_kv_per_s=released,
+                arriving_above_kv_per_s=arriving,
+            )
+            with self.subTest(name):
+                self.assertEqual(found, expected)
+                self.assertEqual(must_reject(found, left_s=0.9), is_rejected)
+
+    def test_return_delays(self):
+        """Guards against callers with one common delay at the bounds of the range."""
+        cases = [
+            # name, estimate, delay at a draw of 0, of 0.5 and of almost 1, promised
+            ("short", 0.0, MIN_RETURN_S, 0.625, 0.75, True),
+            ("usual", 2.0, 1.6, 2.0, 2.4, True),
+            ("longest", 5.0, 4.0, 5.0, MAX_RETURN_S, True),
+            ("too long", 5.1, 4.0, 5.0, MAX_RETURN_S, False),
+            ("infinite", math.inf, 4.0, 5.0, MAX_RETURN_S, False),
+            ("none", None, 2.0, 3.0, 4.0, False),
+            ("no number", math.nan, 2.0, 3.0, 4.0, False),
+        ]
+        for name, estimate, *expected, is_promised in cases:
+            draws = (0.0, 0.5, 1 - 1e-12)
+            found = [choose_return_s(estimate, draw=draw) for draw in draws]
+            with self.subTest(name):
+                for delay, expected_delay in zip(found, expected, strict=True):
+                    self.assertAlmostEqual(delay, expected_delay)
+                self.assertEqual(may_promise(estimate), is_promised)
+
+    def test_caller_that_can_not_honour_the_delay_gets_no_promise(self):
+        self.assertFalse(may_promise(2.0, honoured_s=2.3))
+        self.assertTrue(may_promise(2.0, honoured_s=2.5))
