Router: instances exchange promises to rejected callers

Cause: a caller that was told when to return may come to another instance, also after the one that rejected it is gone.

Change: ReturnPromises, the last message, carries promises made and redeemed, batched over 0.1 s and bounded to 256 of each, over the dissemination of RegainedReport. A new link gets the 256 promises that are due first. state.PromisedReturns wraps the ledger, logs return_promised, return_kept and return_early, and is a field of ServiceContext; return_promises_total counts by outcome. The decoder refuses unknown message numbers and the link goes on, so older releases get the message too; they log one line for each and do not relay it.

Admission does not call this yet.

--- a/packages/router/fulmarward_router/_metrics.py
+++ b/packages/router/fulmarward_router/_metrics.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 
@@ -11,6 +11,7 @@
 from fulmarward_core.poison import PoisonFinding, Verdict
 from fulmarward_core.suspicion import SUSPICION_REASONS
 from fulmarward_core.target_limits import LimitTable
+from fulmarward_core.waits import PromiseCounts
 from fulmarward_router._processor import ProcessorMeter
 from fulmarward_router.exchange import RequestState
 
@@ -77,6 +78,8 @@
     excluded_targets: Gauge
     #: Responses of targets, peers and the store that exceeded a `limit`.
     rejected_responses: Counter
+    #: Promises to rejected callers, by `outcome`: the fields of `PromiseCounts`.
+    return_promises: Counter
 
 
 def make_router_metrics() -> RouterMetrics:
@@ -153,6 +156,9 @@
         rejected_responses=factory.count(
             "rejected_responses_total", "Responses that exceeded a limit, by limit."
         ),
+        return_promises=factory.count(
+            "return_promises_total", "Promises to rejected callers, by outcome."
+        ),
     )
 
 
@@ -195,6 +201,7 @@
     limits: LimitTable,
     backed_off_targets: int,
     rejected_responses: Mapping[str, int],
+    promises: PromiseCounts,
 ) -> None:
     """Update the metrics that are computed only when they are read."""
     for direction, size in peer_bytes.items():
@@ -227,6 +234,8 @@
     limited = [item for item in limits.list_known().values() if item.per_s is not None]
     metrics.limited_targets.set({}, len(limited))
     metrics.backed_off_targets.set({}, backed_off_targets)
+    for outcome, count in asdict(promises).items():
+        metrics.return_promises.set({"outcome": outcome}, count)
     for limit, count in rejected_responses.items():
         metrics.rejected_responses.set({"limit": limit}, count)
     for reason in SUSPICION_REASONS:
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -60,6 +60,7 @@
     RegainedTargetReport,
     decode_message,
     encode_message,
+    name_process,
 )
 from fulmarward_router.placement import LeaseKeeper, Placer
 from fulmarward_router.ports import (
@@ -75,6 +76,7 @@
     LeavingTargets,
     PoisonKnowledge,
     PoisonRows,
+    PromisedReturns,
     StoreWatch,
     TargetChangeHandler,
     TargetLimits,
@@ -229,6 +231,11 @@
             read_clock=clock,
             get_links=lambda: self.mesh,
         )
+        self.promised_returns = PromisedReturns(
+            source=name_process(self.own.name, self.own.boot),
+            read_clock=clock,
+            notify_peers=lambda: self.mesh.notify_promises(),
+        )
         self.paces = PaceTable()
         self.ledger = LoadLedger(note_changed=lambda: self.mesh.notify_loads())
         self._budgets: dict[str, RetryBudget] = {}
@@ -289,6 +296,7 @@
             poison=self.poison,
             limits=self.target_limits,
             leaving=self.leaving_targets,
+            promises=self.promised_returns,
             read_clock=clock,
             count_bytes=self._count_bytes,
             count_message=self._count_message,
@@ -344,6 +352,7 @@
             find_share=self.listing.find_share,
             is_large=lambda: self.members.is_large,
             count_known_instances=self.members.count_known,
+            promised_returns=self.promised_returns,
             instance=self.own.name,
             data_centre=self.settings.data_centre,
             read_clock=self._clock,
@@ -583,6 +592,7 @@
                 poison_findings=self.poison.findings,
                 limits=self.target_limits.table,
                 backed_off_targets=len(self.target_limits.list_backed_off()),
+                promises=self.promised_returns.counts,
                 rejected_responses=self._guard.excesses + self._store_guard.excesses,
             ),
             describe=lambda: describe_status(self, now=self._clock()),
--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import aiohttp
 
@@ -28,7 +28,12 @@
 )
 from fulmarward_router.exchange._send import TargetClient
 from fulmarward_router.ports import AnswerFacts, TargetCall, TargetDialect
-from fulmarward_router.state import LeavingTargets, PoisonKnowledge, TargetLimits
+from fulmarward_router.state import (
+    LeavingTargets,
+    PoisonKnowledge,
+    PromisedReturns,
+    TargetLimits,
+)
 
 #: Seconds between two checks whether a target leaves that has not responded yet.
 LEAVING_CHECK_INTERVAL_S = 0.25
@@ -69,6 +74,8 @@
     read_clock: Callable[[], float]
     #: Returns how many instances are known of, whether they are reached or not.
     count_known_instances: Callable[[], int] = lambda: 1
+    #: Promises of capacity to rejected callers.
+    promised_returns: PromisedReturns = field(default_factory=PromisedReturns)
 
     async def open(
         self, state: RequestState, call: TargetCall
--- a/packages/router/fulmarward_router/mesh/__init__.py
+++ b/packages/router/fulmarward_router/mesh/__init__.py
@@ -26,13 +26,17 @@
     PaceReport,
     PatternReport,
     PermitsGranted,
+    RedeemedPromise,
     RegainedTargetReport,
+    ReturnPromise,
+    ReturnPromises,
     RowSnapshot,
     Subscription,
     SupportsCompression,
     TargetChanges,
     TargetLimitReport,
 )
+from fulmarward_router.mesh._promises import name_process
 from fulmarward_router.mesh._state import (
     Answer,
     Fetch,
@@ -40,6 +44,7 @@
     LimitSource,
     MeshState,
     PoisonSource,
+    PromiseSource,
     Revisions,
     Snapshot,
 )
@@ -53,6 +58,11 @@
     "CrashReport",
     "PatternReport",
     "PoisonSource",
+    "PromiseSource",
+    "RedeemedPromise",
+    "ReturnPromise",
+    "ReturnPromises",
+    "name_process",
     "RegainedTargetReport",
     "FleetLoads",
     "FleetReport",
--- a/packages/router/fulmarward_router/mesh/_links.py
+++ b/packages/router/fulmarward_router/mesh/_links.py
@@ -51,6 +51,7 @@
     PoisonSnapshot,
     RegainedReport,
     RegainedTargetReport,
+    ReturnPromises,
     SendTime,
     Subscription,
     SupportsCompression,
@@ -59,6 +60,7 @@
     TargetChanges,
     TargetLimitReport,
 )
+from fulmarward_router.mesh._promises import NoPromises, PromiseExchange
 from fulmarward_router.mesh._regained import RegainedExchange
 from fulmarward_router.mesh._state import (
     Fetch,
@@ -66,6 +68,7 @@
     LimitSource,
     MeshState,
     PoisonSource,
+    PromiseSource,
     Revisions,
 )
 
@@ -148,6 +151,7 @@
         read_clock: Callable[[], float],
         count_bytes: Callable[[str, int], None],
         count_message: Callable[[str], None] = lambda kind: None,
+        promises: PromiseSource | None = None,
         decode: Callable[[bytes], object] = decode_message,
         encode: Callable[[object], bytes] = encode_message,
     ) -> None:
@@ -189,6 +193,15 @@
             list_links=self._sender.list_links,
             send=self._send_nowait,
         )
+        self._promises = PromiseExchange(
+            own=own,
+            promises=NoPromises() if promises is None else promises,
+            list_links=self._sender.list_links,
+            send=self._send_nowait,
+            call_later=lambda delay_s, function: asyncio.get_running_loop().call_later(
+                delay_s, function
+            ),
+        )
         self._dial_tasks: dict[str, asyncio.Task] = {}
         #: Tasks that repeat deferred fetches.
         self._repeat_tasks: set[asyncio.Task] = set()
@@ -230,6 +243,7 @@
             LeavingReport: self._handle_leaving_report,
             RegainedReport: self._handle_regained_report,
             SupportsStoreEras: self._handle_supports_store_eras,
+            ReturnPromises: self._handle_return_promises,
         }
         self._fetched_instances_at = float("-inf")
         self._started_at = read_clock()
@@ -258,6 +272,10 @@
         """Send to all instances which silent targets answer again."""
         self._regained.notify(reports)
 
+    def notify_promises(self) -> None:
+        """Send soon which promises were made or redeemed here."""
+        self._promises.notify()
+
     def notify_kept(self) -> None:
         """Send which targets stay as known here although the store's copy differs."""
         kept = self._state.make_kept_changes()
@@ -425,6 +443,7 @@
         await self._exchange_poison(connection)
         self._limits.open_link(connection)
         self._leaving.send_all(connection)
+        self._promises.send_all(connection)
         link = PeerLink(connection=connection, address=address)
         hubs = self._members.list_subscriptions(now=self._read_clock())
         self._subscribe(link, hubs)
@@ -740,6 +759,7 @@
         # An instance that dials asks for what it may have missed by this one message.
         self._limits.answer_fetch(receiver.connection)
         self._leaving.send_all(receiver.connection)
+        self._promises.send_all(receiver.connection)
 
     async def _handle_leaving_report(
         self, receiver: _LinkReceiver, message: LeavingReport
@@ -753,6 +773,12 @@
         delay_s = receiver.find_delay_s(now=self._read_clock())
         self._regained.merge(message, delay_s=delay_s, received_on=receiver.connection)
 
+    async def _handle_return_promises(
+        self, receiver: _LinkReceiver, message: ReturnPromises
+    ) -> None:
+        delay_s = receiver.find_delay_s(now=self._read_clock())
+        self._promises.merge(message, delay_s=delay_s, received_on=receiver.connection)
+
     async def _handle_permit_request(
         self, receiver: _LinkReceiver, message: PermitRequest
     ) -> None:
--- a/packages/router/fulmarward_router/mesh/_messages.py
+++ b/packages/router/fulmarward_router/mesh/_messages.py
@@ -420,6 +420,42 @@
     sender: str
 
 
+class ReturnPromise(Message, kw_only=True):
+    """Capacity that is promised to a rejected caller when it returns."""
+
+    #: The process that made it, as `fulmarward_router.mesh.name_process`, empty for the
+    #: origin of the message; and the number of the promise there.
+    source: str
+    number: int
+    #: As `fulmarward_core.waits.shorten_fingerprint`.
+    fingerprint: bytes
+    service: str
+    urgency: int
+    #: KV cache that the request needs, in tokens times layers.
+    kv: int
+    #: Milliseconds until it is due; negative after that.
+    due_ms: int
+
+
+class RedeemedPromise(Message, kw_only=True):
+    """A promise whose caller has returned and been served."""
+
+    #: As in `ReturnPromise`.
+    source: str
+    number: int
+
+
+class ReturnPromises(Message, kw_only=True):
+    """Promises made and redeemed at an instance; each instance relays them once."""
+
+    #: As in `LimitReport`.
+    origin: str
+    boot: int
+    sequence: int
+    promises: tuple[ReturnPromise, ...]
+    redeemed: tuple[RedeemedPromise, ...]
+
+
 #: All messages; the number of a message on the wire is its index here. A message keeps
 #: its number and its fields, as instances of different releases exchange it during a
 #: rolling update. A change is a new message at the end, which older releases ignore.
@@ -453,4 +489,5 @@
     LeavingReport,
     RegainedReport,
     SupportsStoreEras,
+    ReturnPromises,
 )
--- a/packages/router/fulmarward_router/mesh/_state.py
+++ b/packages/router/fulmarward_router/mesh/_state.py
@@ -1,6 +1,6 @@
 """The interface between the mesh and the rest of the instance."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -20,7 +20,9 @@
     LoadUpdate,
     PatternReport,
     PermitsGranted,
+    RedeemedPromise,
     RegainedTargetReport,
+    ReturnPromise,
     SupportsCompression,
     TargetChanges,
     TargetLimitReport,
@@ -187,3 +189,28 @@
 
     def handle_granted(self, message: PermitsGranted) -> None:
         """Handle the answer of an owner."""
+
+
+class PromiseSource(Protocol):
+    """The promises to rejected callers, which instances exchange."""
+
+    def take_changes(
+        self, limit: int
+    ) -> tuple[Sequence[ReturnPromise], Sequence[RedeemedPromise]]:
+        """Return what was promised and redeemed here and not sent yet.
+
+        At most `limit` of each.
+        """
+
+    def make_reports(self, limit: int) -> Sequence[ReturnPromise]:
+        """Return at most `limit` of the open promises, those that are due first."""
+
+    def merge(
+        self,
+        promises: Iterable[ReturnPromise],
+        redeemed: Iterable[RedeemedPromise],
+        *,
+        source: str,
+        delay_s: float,
+    ) -> None:
+        """Merge what a process promised and redeemed, delayed in transit."""
--- a/packages/router/fulmarward_router/state/__init__.py
+++ b/packages/router/fulmarward_router/state/__init__.py
@@ -6,6 +6,7 @@
 from fulmarward_router.state._leaving_targets import LeavingTargets
 from fulmarward_router.state._poison import PoisonKnowledge
 from fulmarward_router.state._poison_rows import PoisonRows
+from fulmarward_router.state._return_promises import PromisedReturns
 from fulmarward_router.state._target_changes import TargetChangeHandler
 from fulmarward_router.state._target_limits import TargetLimits
 from fulmarward_router.state._watch import StoreWatch
@@ -16,6 +17,7 @@
     "InstanceState",
     "PoisonKnowledge",
     "PoisonRows",
+    "PromisedReturns",
     "StoreWatch",
     "TargetChangeHandler",
     "LeavingTargets",
