--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -61,6 +61,7 @@
     RegainedTargetReport,
     decode_message,
     encode_message,
+    name_process,
 )
 from fulmarward_router.placement import LeaseKeeper, Placer
 from fulmarward_router.ports import (
@@ -76,6 +77,7 @@
     LeavingTargets,
     PoisonKnowledge,
     PoisonRows,
+    PromisedReturns,
     StoreWatch,
     TargetChangeHandler,
     TargetLimits,
@@ -230,6 +232,11 @@
             read_clock=clock,
             get_links=lambda: self.mesh,
         )
+        self.promised_returns = PromisedReturns(
+            source=name_process(self.own.name, self.own.boot),
+            read_clock=clock,
+            notify_peers=lambda: self.mesh.notify_promises(),
+        )
         self.paces = PaceTable()
         self.ledger = LoadLedger(note_changed=lambda: self.mesh.notify_loads())
         self.demands = DemandTable(own=self.own.name, data_centre=self.own.data_centre)
@@ -293,6 +300,7 @@
             poison=self.poison,
             limits=self.target_limits,
             leaving=self.leaving_targets,
+            promises=self.promised_returns,
             read_clock=clock,
             count_bytes=self._count_bytes,
             count_message=self._count_message,
@@ -348,6 +356,7 @@
             find_share=self.listing.find_share,
             is_large=lambda: self.members.is_large,
             count_known_instances=self.members.count_known,
+            promised_returns=self.promised_returns,
             instance=self.own.name,
             data_centre=self.settings.data_centre,
             read_clock=self._clock,
@@ -591,6 +600,7 @@
                 poison_findings=self.poison.findings,
                 limits=self.target_limits.table,
                 backed_off_targets=len(self.target_limits.list_backed_off()),
+                promises=self.promised_returns.counts,
                 rejected_responses=self._guard.excesses + self._store_guard.excesses,
             ),
             describe=lambda: describe_status(self, now=self._clock()),
--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -29,7 +29,12 @@
 )
 from fulmarward_router.exchange._send import TargetClient
 from fulmarward_router.ports import AnswerFacts, TargetCall, TargetDialect
-from fulmarward_router.state import LeavingTargets, PoisonKnowledge, TargetLimits
+from fulmarward_router.state import (
+    LeavingTargets,
+    PoisonKnowledge,
+    PromisedReturns,
+    TargetLimits,
+)
 
 #: Seconds between two checks whether a target leaves that has not responded yet.
 LEAVING_CHECK_INTERVAL_S = 0.25
@@ -74,6 +79,8 @@
     demands: DemandTable = field(default_factory=lambda: DemandTable(own=""))
     #: Returns the services with classes by the configuration in force.
     list_class_services: Callable[[], frozenset[str]] = frozenset
+    #: Promises of capacity to rejected callers.
+    promised_returns: PromisedReturns = field(default_factory=PromisedReturns)
 
     async def open(
         self, state: RequestState, call: TargetCall
--- a/packages/router/fulmarward_router/mesh/__init__.py
+++ b/packages/router/fulmarward_router/mesh/__init__.py
@@ -28,13 +28,17 @@
     PaceReport,
     PatternReport,
     PermitsGranted,
+    RedeemedPromise,
     RegainedTargetReport,
+    ReturnPromise,
+    ReturnPromises,
     RowSnapshot,
     Subscription,
     SupportsCompression,
     TargetChanges,
     TargetLimitReport,
 )
+from fulmarward_router.mesh._promises import name_process
 from fulmarward_router.mesh._state import (
     Answer,
     DemandScope,
@@ -43,6 +47,7 @@
     LimitSource,
     MeshState,
     PoisonSource,
+    PromiseSource,
     Revisions,
     Snapshot,
 )
@@ -59,6 +64,11 @@
     "CrashReport",
     "PatternReport",
     "PoisonSource",
+    "PromiseSource",
+    "RedeemedPromise",
+    "ReturnPromise",
+    "ReturnPromises",
+    "name_process",
     "RegainedTargetReport",
     "FleetLoads",
     "FleetReport",
