--- a/packages/core/fulmarward_core/waits/_promises.py
+++ b/packages/core/fulmarward_core/waits/_promises.py
@@ -5,7 +5,7 @@
 """
 
 import math
-from bisect import bisect_left, bisect_right, insort
+from bisect import bisect_left, insort
 from collections import OrderedDict, defaultdict
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, replace
@@ -55,6 +55,11 @@
     due_at: float
 
 
+#: What is kept of a promise in the order of due times: the due time, which comes first,
+#: the key, the urgency and the KV cache. Sums of thousands of them need no look-ups.
+_Entry = tuple[float, PromiseKey, int, float]
+
+
 class ReturnStatus(Enum):
     """How the time of a request relates to the promise for it."""
 
@@ -115,10 +120,8 @@
         self._number = 0
         self._open: dict[PromiseKey, Promise] = {}
         #: Open promises in the order of their due times, by fingerprint and service.
-        self._by_fingerprint: defaultdict[bytes, list[tuple[float, PromiseKey]]]
-        self._by_fingerprint = defaultdict(list)
-        self._by_service: defaultdict[str, list[tuple[float, PromiseKey]]]
-        self._by_service = defaultdict(list)
+        self._by_fingerprint: defaultdict[bytes, list[_Entry]] = defaultdict(list)
+        self._by_service: defaultdict[str, list[_Entry]] = defaultdict(list)
         #: Promises in the order in which they expire; some are not open any more.
         self._expiring: list[tuple[float, PromiseKey]] = []
         #: Redeemed promises, with the time until which they are remembered. Messages
@@ -214,11 +217,10 @@
         """
         sums: defaultdict[int, float] = defaultdict(float)
         order = self._by_service.get(service, [])
-        begin = bisect_left(order, since, key=_get_due_at)
-        end = bisect_right(order, at, key=_get_due_at)
-        for _, key in order[begin:end]:
-            promise = self._open[key]
-            sums[promise.urgency] += promise.kv
+        begin = bisect_left(order, (since,))
+        end = bisect_left(order, (math.nextafter(at, math.inf),))
+        for _, _, urgency, kv in order[begin:end]:
+            sums[urgency] += kv
         return dict(sums)
 
     def list_open(self, *, now: float) -> Iterator[Promise]:
@@ -255,14 +257,14 @@
         return closed
 
     def _add(self, promise: Promise) -> None:
-        entry = promise.due_at, promise.key
+        entry = _make_entry(promise)
         self._open[promise.key] = promise
         insort(self._by_fingerprint[promise.fingerprint], entry)
         insort(self._by_service[promise.service], entry)
         heappush(self._expiring, (promise.due_at + PROMISE_GRACE_S, promise.key))
 
     def _close(self, promise: Promise) -> None:
-        entry = promise.due_at, promise.key
+        entry = _make_entry(promise)
         del self._open[promise.key]
         orders = [
             (self._by_fingerprint, promise.fingerprint),
@@ -297,8 +299,8 @@
         self._counts = replace(self._counts, **{name: getattr(self._counts, name) + 1})
 
 
-def _get_due_at(entry: tuple[float, PromiseKey]) -> float:
-    return entry[0]
+def _make_entry(promise: Promise) -> _Entry:
+    return promise.due_at, promise.key, promise.urgency, promise.kv
 
 
 def _is_due(promise: Promise, now: float) -> bool:
