--- a/packages/core/fulmarward_core/waits/_promises.py
+++ b/packages/core/fulmarward_core/waits/_promises.py
@@ -5,7 +5,7 @@
 """
 
 import math
-from bisect import bisect_left, bisect_right, insort
+from bisect import bisect_left, insort
 from collections import OrderedDict, defaultdict
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, replace
@@ -26,6 +26,10 @@
 PROMISE_EARLY_S = 0.3
 PROMISE_GRACE_S = 3.0
 
+#: Seconds after its due time for which capacity is held for a promise. Otherwise
+#: callers that give up would keep it from others for the whole of `PROMISE_GRACE_S`.
+PROMISE_HOLD_S = 0.1
+
 
 class PromiseKey(NamedTuple):
     """Identifies a promise in the fleet."""
@@ -51,6 +55,11 @@
     due_at: float
 
 
+#: What is kept of a promise in the order of due times: the due time, which comes first,
+#: the key, the urgency and the KV cache. Sums of thousands of them need no look-ups.
+_Entry = tuple[float, PromiseKey, int, float]
+
+
 class ReturnStatus(Enum):
     """How the time of a request relates to the promise for it."""
 
@@ -111,10 +120,8 @@
         self._number = 0
         self._open: dict[PromiseKey, Promise] = {}
         #: Open promises in the order of their due times, by fingerprint and service.
-        self._by_fingerprint: defaultdict[bytes, list[tuple[float, PromiseKey]]]
-        self._by_fingerprint = defaultdict(list)
-        self._by_service: defaultdict[str, list[tuple[float, PromiseKey]]]
-        self._by_service = defaultdict(list)
+        self._by_fingerprint: defaultdict[bytes, list[_Entry]] = defaultdict(list)
+        self._by_service: defaultdict[str, list[_Entry]] = defaultdict(list)
         #: Promises in the order in which they expire; some are not open any more.
         self._expiring: list[tuple[float, PromiseKey]] = []
         #: Redeemed promises, with the time until which they are remembered. Messages
@@ -194,19 +201,26 @@
     ) -> Mapping[int, float]:
         """Return by urgency the KV cache promised to callers due within some seconds.
 
-        It includes what has been due and was not redeemed yet.
+        It includes what was due in the last `PROMISE_HOLD_S` and not redeemed yet.
         """
         self._drop_old(now)
-        return self.find_promised_before(service, at=now + due_within_s)
+        return self.find_promised_before(
+            service, at=now + due_within_s, since=now - PROMISE_HOLD_S
+        )
 
-    def find_promised_before(self, service: str, *, at: float) -> Mapping[int, float]:
-        """Return by urgency the KV cache promised to callers due until a time."""
+    def find_promised_before(
+        self, service: str, *, at: float, since: float = -math.inf
+    ) -> Mapping[int, float]:
+        """Return by urgency the KV cache promised to callers due until a time.
+
+        Those that were due before `since` are left out.
+        """
         sums: defaultdict[int, float] = defaultdict(float)
         order = self._by_service.get(service, [])
-        end = bisect_right(order, at, key=lambda item: item[0])
-        for _, key in order[:end]:
-            promise = self._open[key]
-            sums[promise.urgency] += promise.kv
+        begin = bisect_left(order, (since,))
+        end = bisect_left(order, (math.nextafter(at, math.inf),))
+        for _, _, urgency, kv in order[begin:end]:
+            sums[urgency] += kv
         return dict(sums)
 
     def list_open(self, *, now: float) -> Iterator[Promise]:
@@ -243,14 +257,14 @@
         return closed
 
     def _add(self, promise: Promise) -> None:
-        entry = promise.due_at, promise.key
+        entry = _make_entry(promise)
         self._open[promise.key] = promise
         insort(self._by_fingerprint[promise.fingerprint], entry)
         insort(self._by_service[promise.service], entry)
         heappush(self._expiring, (promise.due_at + PROMISE_GRACE_S, promise.key))
 
     def _close(self, promise: Promise) -> None:
-        entry = promise.due_at, promise.key
+        entry = _make_entry(promise)
         del self._open[promise.key]
         orders = [
             (self._by_fingerprint, promise.fingerprint),
@@ -285,6 +299,10 @@
         self._counts = replace(self._counts, **{name: getattr(self._counts, name) + 1})
 
 
+def _make_entry(promise: Promise) -> _Entry:
+    return promise.due_at, promise.key, promise.urgency, promise.kv
+
+
 def _is_due(promise: Promise, now: float) -> bool:
     return promise.due_at - PROMISE_EARLY_S <= now
 
