--- a/packages/core/fulmarward_core/demand/_reports.py
+++ b/packages/core/fulmarward_core/demand/_reports.py
@@ -1,9 +1,14 @@
 """The last reports of peers or data centres on their demand, until they expire."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
-from fulmarward_core.demand._sums import Demands, DemandSum, get_amounts
+from fulmarward_core.demand._sums import (
+    ClassAmounts,
+    Demands,
+    DemandSum,
+    round_amounts,
+)
 
 #: Seconds for which a report is valid after it was made. Sources without valid report
 #: count as without demand.
@@ -15,7 +20,7 @@
 MAX_CLASSES = 16
 
 #: Largest amount in a report; a float represents integers exactly up to it.
-MAX_AMOUNT = 2.0**53
+MAX_AMOUNT = 2**53
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -28,13 +33,15 @@
     demands: Demands
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class _Report:
     """The last report of a source; without demands after it has expired."""
 
     boot: int
     at: float
-    demands: Demands
+    demands: Demands = field(default_factory=dict)
+    #: The demands as they are in the sum.
+    amounts: ClassAmounts = field(default_factory=dict)
     #: Whether the source was neither removed nor has the report expired.
     is_valid: bool = True
 
@@ -58,13 +65,15 @@
         One that has expired, is older than the known one or exceeds a bound is ignored.
         """
         known = self._reports.get(source)
-        if not _is_within_bounds(demands) or not now - at <= REPORT_DURATION_S:
+        amounts = round_amounts(demands)
+        if not now - at <= REPORT_DURATION_S or not _is_within_bounds(demands, amounts):
             return False
         if known is None and not self._make_room(now):
             return False
         if known is not None and (boot, at) < (known.boot, known.at):
             return False
-        self._set(source, _Report(boot=boot, at=min(at, now), demands=demands))
+        report = _Report(boot=boot, at=min(at, now), demands=demands, amounts=amounts)
+        self._set(source, report)
         self.next_expiry = min(self.next_expiry, at + REPORT_DURATION_S)
         return True
 
@@ -97,18 +106,15 @@
         }
 
     def _invalidate(self, source: str, report: _Report) -> None:
-        self._set(
-            source,
-            _Report(boot=report.boot, at=report.at, demands={}, is_valid=False),
-        )
+        ended = _Report(boot=report.boot, at=report.at, is_valid=False)
+        self._set(source, ended)
 
     def _set(self, source: str, report: _Report) -> None:
         known = self._reports.get(source)
-        known_demands: Demands = {} if known is None else known.demands
+        amounts: ClassAmounts = {} if known is None else known.amounts
         self._reports[source] = report
-        if known_demands != report.demands:
-            self.sum.subtract(known_demands)
-            self.sum.add(report.demands)
+        if amounts != report.amounts:
+            self.sum.replace(amounts, report.amounts)
             self._note_changed()
 
     def _make_room(self, now: float) -> bool:
@@ -122,10 +128,12 @@
         return len(self._reports) < MAX_SOURCES
 
 
-def _is_within_bounds(demands: Demands) -> bool:
-    return len(demands) <= MAX_SERVICES and all(
-        len(classes) <= MAX_CLASSES
-        and len({demand.urgency for demand in classes}) == len(classes)
-        and all(max(get_amounts(demand)) <= MAX_AMOUNT for demand in classes)
-        for classes in demands.values()
+def _is_within_bounds(demands: Demands, amounts: ClassAmounts) -> bool:
+    """Return whether a report has no class twice, nor too many or too large ones."""
+    sizes = [len(classes) for classes in demands.values()]
+    return (
+        len(sizes) <= MAX_SERVICES
+        and max(sizes, default=0) <= MAX_CLASSES
+        and sum(sizes) == len(amounts)
+        and all(max(item) <= MAX_AMOUNT for item in amounts.values())
     )
--- a/packages/core/fulmarward_core/demand/_sums.py
+++ b/packages/core/fulmarward_core/demand/_sums.py
@@ -1,8 +1,8 @@
 """Sums of demands by service and urgency, updated incrementally."""
 
 import math
+import operator
 from collections.abc import Iterable, Mapping
-from operator import add, attrgetter, sub
 
 from fulmarward_core.demand._types import ClassDemand
 
@@ -14,7 +14,10 @@
 
 NO_AMOUNTS: Amounts = (0.0, 0.0, 0.0, 0.0, 0.0)
 
-get_amounts = attrgetter(
+#: Integer amounts of one reporter by service and urgency.
+ClassAmounts = Mapping[tuple[str, int], Amounts]
+
+get_amounts = operator.attrgetter(
     "on_time_kv", "late_kv", "arriving_kv_per_s", "released_kv_per_s", "promised_kv"
 )
 
@@ -48,7 +51,7 @@
         for urgency, amounts in classes.items():
             known = total.get(urgency)
             total[urgency] = (
-                amounts if known is None else tuple(map(add, known, amounts))
+                amounts if known is None else tuple(map(operator.add, known, amounts))
             )
     return total
 
@@ -68,7 +71,7 @@
 class DemandSum:
     """The sum of many demands, with subtraction.
 
-    The amounts are rounded up to integers, so that subtraction leaves no remainder.
+    The amounts are integers, so that subtraction leaves no remainder.
     """
 
     def __init__(self) -> None:
@@ -84,30 +87,49 @@
         """Return the amounts of a service by urgency."""
         return self._sums.get(service, {})
 
-    def add(self, demands: Demands) -> None:
-        """Add the demands of one reporter."""
-        for service, urgency, amounts in _list_amounts(demands):
+    def add(self, amounts: ClassAmounts) -> None:
+        """Add the amounts of one reporter."""
+        for key, added in amounts.items():
+            service, urgency = key
             classes = self._sums.setdefault(service, {})
-            known = classes.get(urgency, NO_AMOUNTS)
-            classes[urgency] = tuple(map(add, known, amounts))
-            key = service, urgency
+            known = classes.get(urgency)
+            classes[urgency] = (
+                added if known is None else tuple(map(operator.add, known, added))
+            )
             self._counts[key] = self._counts.get(key, 0) + 1
 
-    def subtract(self, demands: Demands) -> None:
-        """Subtract demands that were added before."""
-        for service, urgency, amounts in _list_amounts(demands):
+    def subtract(self, amounts: ClassAmounts) -> None:
+        """Subtract amounts that were added before."""
+        for key, removed in amounts.items():
+            service, urgency = key
             classes = self._sums[service]
-            key = service, urgency
             self._counts[key] -= 1
             if self._counts[key]:
-                classes[urgency] = tuple(map(sub, classes[urgency], amounts))
+                classes[urgency] = tuple(map(operator.sub, classes[urgency], removed))
                 continue
             del classes[urgency], self._counts[key]
             if not classes:
                 del self._sums[service]
 
-
-def _list_amounts(demands: Demands) -> Iterable[tuple[str, int, Amounts]]:
-    for service, classes in demands.items():
-        for demand in classes:
-            yield service, demand.urgency, tuple(map(math.ceil, get_amounts(demand)))
+    def replace(self, known: ClassAmounts, current: ClassAmounts) -> None:
+        """Replace the amounts of one reporter."""
+        if known.keys() != current.keys():
+            self.subtract(known)
+            self.add(current)
+            return
+        for key, added in current.items():
+            removed = known[key]
+            if added != removed:
+                service, urgency = key
+                change = map(operator.sub, added, removed)
+                classes = self._sums[service]
+                classes[urgency] = tuple(map(operator.add, classes[urgency], change))
+
+
+def round_amounts(demands: Demands) -> ClassAmounts:
+    """Return the amounts by class, rounded up to integers."""
+    return {
+        (service, demand.urgency): tuple(map(math.ceil, get_amounts(demand)))
+        for service, classes in demands.items()
+        for demand in classes
+    }
--- a/packages/core/fulmarward_core/demand/_table.py
+++ b/packages/core/fulmarward_core/demand/_table.py
@@ -1,6 +1,5 @@
 """Demand of each class: requests of this instance, and reports of others."""
 
-import math
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
@@ -211,7 +210,7 @@
         if reported:
             near = find_larger_classes(near, reported)
         far = self._other_centres.sum.find_classes(service)
-        demands = make_class_demands(add_classes([near, far]))
+        demands = make_class_demands(add_classes([near, far]) if far else near)
         if service not in self._cached_sums and len(self._cached_sums) >= MAX_SERVICES:
             self._cached_sums.clear()
         self._cached_sums[service] = _CachedSum(
@@ -260,5 +259,5 @@
 def _check_amounts(*amounts: float) -> None:
     """Raise `ValueError` unless all amounts are within bounds."""
     for amount in amounts:
-        if not (0 <= amount <= MAX_AMOUNT and math.isfinite(amount)):
+        if not 0 <= amount <= MAX_AMOUNT:
             raise ValueError(f"expected a number from 0 to 2^53, found {amount}")
--- a/packages/core/fulmarward_core/demand/_types.py
+++ b/packages/core/fulmarward_core/demand/_types.py
@@ -35,5 +35,5 @@
             self.promised_kv,
         )
         for value in values:
-            if not (value >= 0 and math.isfinite(value)):
+            if not 0 <= value < math.inf:
                 raise ValueError(f"expected a finite number from 0 on, found {value}")
