Admit requests by urgency over all instances, and promise rejected ones a return

Change: a service whose routes or teams differ in priority has its waiting requests in a ClassQueue, reports their demand to the fleet, and lets each fill the share that is not reserved for higher classes. A request that can't have capacity in time is rejected at once, is told when capacity comes, and is promised it if the caller honours that delay; a caller that returns early does not wait. Answers that end wake the waiting requests. Services with equal priorities keep the former queue (UniformRequests).

--- a/packages/core/fulmarward_core/reservations/decisions.py
+++ b/packages/core/fulmarward_core/reservations/decisions.py
@@ -100,13 +100,13 @@
     """
 
     def __init__(self, *, settings: ClassSettings) -> None:
-        self._settings = settings
+        self.settings = settings
         #: By urgency.
         self._balances: defaultdict[int, float] = defaultdict(float)
 
     def record_arrival(self, urgency: int) -> None:
         """Record that a request of a class arrived."""
-        balance = self._balances[urgency] + self._settings.min_class_share
+        balance = self._balances[urgency] + self.settings.min_class_share
         self._balances[urgency] = min(MAX_CREDIT, balance)
 
     def has_credit(self, urgency: int) -> bool:
@@ -149,12 +149,17 @@
     def __len__(self) -> int:
         return len(self._entries)
 
+    def configure(self, settings: ClassSettings) -> None:
+        """Apply other settings from now on; the credit so far stays."""
+        self._minimum_share.settings = settings
+
     def record_arrival(self, request: WaitingRequest) -> None:
         """Record that a request arrived, once for each, whether it has to wait or not.
 
-        The continuation of a started answer has no effect on the minimum share.
+        The continuation of a started answer has no effect on the minimum share. Neither
+        has a promised return: the first attempt of its caller was counted.
         """
-        if not request.is_started:
+        if not request.is_started and not request.is_promised:
             self._minimum_share.record_arrival(request.urgency)
             self._first_rank = None
 
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -357,6 +357,7 @@
             is_large=lambda: self.members.is_large,
             count_known_instances=self.members.count_known,
             promised_returns=self.promised_returns,
+            read_class_settings=lambda: self.settings.class_settings,
             instance=self.own.name,
             data_centre=self.settings.data_centre,
             read_clock=self._clock,
--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -1,24 +1,18 @@
 """Admission control: queues requests until a path has capacity."""
 
-import asyncio
+import math
 import random
-from collections import defaultdict
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from fulmarward.observability import log_event
 from fulmarward_core.catalogue import TargetCatalogue
 from fulmarward_core.fleet import EngineModel
-from fulmarward_core.paths import Hop, PathRequest
-from fulmarward_core.queueing import (
-    WaitClass,
-    WaitingRequest,
-    WaitQueue,
-    choose_retry_after_s,
-    classify_request,
-    find_kv_share,
-)
+from fulmarward_core.paths import Hop, PathRequest, count_tokens_held
+from fulmarward_core.queueing import WaitingRequest, choose_retry_after_s
 from fulmarward_core.results import ResultCode
+from fulmarward_core.routes import list_class_services
+from fulmarward_core.waits import PromisedReturn, ReturnStatus, must_reject
 from fulmarward_router.exchange._path_finder import PathFinder
 from fulmarward_router.exchange._pipe_limiter import PipeLimiter
 from fulmarward_router.exchange._request_state import (
@@ -28,7 +22,8 @@
     Shortage,
     TruncatedResponse,
 )
-from fulmarward_router.state import TargetLimits
+from fulmarward_router.exchange._waiting import ReturnPlan, WaitingRequests
+from fulmarward_router.state import PromisedReturns, TargetLimits
 
 #: Seconds for which a request waits for capacity on a path before it is rejected. This
 #: leaves half of the time that callers wait for the first event.
@@ -48,9 +43,6 @@
 #: retry or a path.
 RESUME_MARGIN_S = 0.3
 
-#: Seconds between two searches for a path by a waiting request.
-POLL_INTERVAL_S = 0.04
-
 #: Retry delay, in seconds, of a request that a target refused while others have
 #: capacity; the caller's next request does not count as a retry of this one.
 REFUSED_RETRY_S = 0.05
@@ -62,10 +54,27 @@
 #: Seconds over which callers that were rejected meanwhile return at most.
 MAX_RETRY_SPREAD_S = 2.0
 
+#: Shortest retry delay, in seconds, of a caller that returned too early.
+MIN_EARLY_RETRY_S = 0.3
+
+#: Share of the time left until its deadline up to which a caller honours a retry delay.
+HONOURED_SHARE = 1 / 3
+
 #: Minimum seconds between two log lines on missing layers.
 MISSING_LOG_INTERVAL_S = 1.0
 
 
+@dataclass(frozen=True, kw_only=True)
+class Rejection:
+    """Why a request is rejected for want of capacity."""
+
+    cause: str
+    #: Retry delay in seconds, `None` if it is to be estimated.
+    return_s: float | None = None
+    #: Estimated wait in seconds, `None` if it did not decide.
+    estimate_s: float | None = None
+
+
 def choose_limited_retry_s(wait_s: float) -> float:
     """Return the retry delay of a request whose targets accept no more for `wait_s`.
 
@@ -101,15 +110,18 @@
         pipe: PipeLimiter,
         catalogue: TargetCatalogue,
         limits: TargetLimits,
+        find_waiting: Callable[[RequestState, EngineModel], WaitingRequests],
+        promised_returns: PromisedReturns,
         read_clock: Callable[[], float],
     ) -> None:
+        #: Returns the requests that wait for the service of a request.
+        self._find_waiting = find_waiting
+        self._promised_returns = promised_returns
         self._limits = limits
         self._finder = finder
         self._pipe = pipe
         self._catalogue = catalogue
         self._read_clock = read_clock
-        #: Waiting requests by service.
-        self._queues: defaultdict[str, WaitQueue] = defaultdict(WaitQueue)
         self._missing_logged_at = float("-inf")
 
     async def await_path(
@@ -126,33 +138,52 @@
         Raises `RejectedRequest`, or `TruncatedResponse` if the response has started.
         """
         began_at = self._read_clock()
-        queue = self._queues[state.service]
-        request = _make_request(state)
+        waiting = self._find_waiting(state, engine)
+        returned = self._find_return(state)
+        request = _make_request(
+            state,
+            engine,
+            find_wanted(),
+            is_promised=returned.status is ReturnStatus.DUE,
+        )
+        waiting.record_arrival(request, now=began_at)
         shortage = Shortage.KV_CACHE
+        rejection: Rejection | None = None
+        has_searched = False
         try:
             while True:
                 now = self._read_clock()
                 wait_end = self._compute_wait_end(state, began_at, now)
                 wanted = find_wanted()
                 is_bound = wanted.first_targets is not None
-                if is_bound or queue.is_next(request, now=now):
+                if is_bound or waiting.is_next(request, now=now):
                     found = await self._find_permitted_path(
-                        state, engine, wanted, request, wait_end=wait_end
+                        state, engine, wanted, request, waiting, wait_end=wait_end
                     )
                     if not isinstance(found, Shortage):
+                        waiting.record_admitted(request, now=self._read_clock())
+                        self._redeem(state, returned)
                         return found
                     shortage = found
                     if shortage is Shortage.LIMIT and not state.has_begun:
                         break
-                if self._read_clock() >= wait_end:
+                now = self._read_clock()
+                if now >= wait_end:
                     break
+                if not has_searched and shortage is Shortage.KV_CACHE:
+                    rejection = self._find_early_rejection(
+                        state, request, waiting, returned, left_s=wait_end - now
+                    )
+                    if rejection is not None:
+                        break
+                has_searched = True
                 if is_bound:
-                    queue.remove(request)
+                    waiting.remove(request, now=now)
                 else:
-                    queue.add(request)
-                await asyncio.sleep(POLL_INTERVAL_S)
+                    waiting.add(request, now=now)
+                await waiting.await_release()
         finally:
-            queue.remove(request)
+            waiting.remove(request, now=self._read_clock())
         if state.has_begun:
             raise TruncatedResponse(CutCause.NO_PATH)
         if shortage is Shortage.LIMIT:
@@ -164,10 +195,11 @@
                 shortage=shortage,
             )
         if self._finder.has_whole_model(state.service, engine):
+            rejection = rejection or Rejection(cause="no path has room")
             raise RejectedRequest(
                 ResultCode.QUEUE_FULL,
-                cause="no path has room",
-                retry_after_s=choose_retry_after_s(random.random()),
+                cause=rejection.cause,
+                retry_after_s=self._plan_return(state, request, waiting, rejection),
                 shortage=shortage,
             )
         self._log_missing_layers(state.service, engine)
@@ -178,19 +210,97 @@
             shortage=Shortage.LAYERS,
         )
 
+    def _find_return(self, state: RequestState) -> PromisedReturn:
+        """Return whether the caller of a request was promised capacity."""
+        if state.has_begun or not _has_classes(state):
+            return PromisedReturn(status=ReturnStatus.UNKNOWN)
+        return self._promised_returns.find(state.fingerprint)
+
+    def _redeem(self, state: RequestState, returned: PromisedReturn) -> None:
+        """Close the promise for a request that has found a path."""
+        if returned.status is not ReturnStatus.UNKNOWN:
+            self._promised_returns.redeem(
+                state.fingerprint, request_id=state.facts.request_id
+            )
+
+    def _find_early_rejection(
+        self,
+        state: RequestState,
+        request: WaitingRequest,
+        waiting: WaitingRequests,
+        returned: PromisedReturn,
+        *,
+        left_s: float,
+    ) -> Rejection | None:
+        """Return why a request without a path now is not to wait, `None` if it is.
+
+        A caller that returns too early would take what others were promised.
+        """
+        if request.is_started:
+            return None
+        if returned.status is ReturnStatus.EARLY:
+            self._promised_returns.record_early(
+                returned, request_id=state.facts.request_id
+            )
+            return Rejection(
+                cause="returned before the time that it was told",
+                return_s=max(MIN_EARLY_RETRY_S, returned.left_s),
+            )
+        estimate_s = waiting.estimate_wait_s(request, now=self._read_clock())
+        if not must_reject(estimate_s, left_s=left_s):
+            return None
+        return Rejection(cause="no path will have room in time", estimate_s=estimate_s)
+
+    def _plan_return(
+        self,
+        state: RequestState,
+        request: WaitingRequest,
+        waiting: WaitingRequests,
+        rejection: Rejection,
+    ) -> float:
+        """Return the retry delay of a rejected request, and promise it capacity."""
+        now = self._read_clock()
+        plan = ReturnPlan(return_s=rejection.return_s or 0.0, is_promised=False)
+        if rejection.return_s is None:
+            honoured_s = (state.deadline - now) * HONOURED_SHARE
+            plan = waiting.plan_return(request, honoured_s=honoured_s, now=now)
+        if plan.is_promised:
+            self._promised_returns.promise(
+                state.fingerprint,
+                state.service,
+                state.urgency,
+                request.kv,
+                return_s=plan.return_s,
+                request_id=state.facts.request_id,
+            )
+        values = waiting.describe(request, now=now)
+        if values:
+            log_event(
+                "admission_denied",
+                request=state.facts.request_id,
+                service=state.service,
+                cause=rejection.cause,
+                waited_s=round(now - state.arrived_at, 3),
+                estimate_s=_round_estimate(rejection.estimate_s),
+                return_s=round(plan.return_s, 3),
+                **values,
+            )
+        return plan.return_s
+
     async def _find_permitted_path(
         self,
         state: RequestState,
         engine: EngineModel,
         wanted: PathRequest,
         request: WaitingRequest,
+        waiting: WaitingRequests,
         *,
         wait_end: float,
     ) -> tuple[Hop, ...] | Shortage:
         """Return the best path whose first target accepts the request now."""
         while True:
-            wait_class = classify_request(request, now=self._read_clock())
-            path = self._choose_path(state, engine, wanted, wait_class)
+            kv_share = waiting.find_kv_share(request, now=self._read_clock())
+            path = self._choose_path(state, engine, replace(wanted, kv_share=kv_share))
             if isinstance(path, Shortage):
                 return path
             if await self._limits.acquire(
@@ -238,10 +348,8 @@
         state: RequestState,
         engine: EngineModel,
         wanted: PathRequest,
-        wait_class: WaitClass,
     ) -> tuple[Hop, ...] | Shortage:
         """Return the best path, or one within a data centre if the pipe is full."""
-        wanted = replace(wanted, kv_share=find_kv_share(wait_class))
         path = self._finder.choose(state.service, engine, wanted)
         if path is None and state.has_begun:
             # The path is probed before it is used; a peer's own link may be at fault.
@@ -277,11 +385,30 @@
         return min(state.deadline, began_at + timeout_s)
 
 
-def _make_request(state: RequestState) -> WaitingRequest:
+def _has_classes(state: RequestState) -> bool:
+    return state.service in list_class_services(state.configuration)
+
+
+def _round_estimate(estimate_s: float | None) -> float | None:
+    """Return an estimate for the log, `None` if it is unknown or infinite."""
+    if estimate_s is None or not math.isfinite(estimate_s):
+        return None
+    return round(estimate_s, 3)
+
+
+def _make_request(
+    state: RequestState,
+    engine: EngineModel,
+    wanted: PathRequest,
+    *,
+    is_promised: bool,
+) -> WaitingRequest:
     return WaitingRequest(
         key=id(state),
         urgency=state.urgency,
         arrived_at=state.arrived_at,
         objective_s=state.route.objective_s,
         is_started=state.has_begun or state.last_event is not None,
+        kv=float(count_tokens_held(wanted) * engine.layers),
+        is_promised=is_promised,
     )
--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -20,6 +20,7 @@
 from fulmarward_core.loads import LoadLedger
 from fulmarward_core.paces import PaceTable
 from fulmarward_core.quotas import UNSTARTED_SHARE, RetryBudget
+from fulmarward_core.reservations import ClassSettings
 from fulmarward_core.results import ResultCode
 from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_router.exchange._request_state import (
@@ -79,6 +80,8 @@
     demands: DemandTable = field(default_factory=lambda: DemandTable(own=""))
     #: Returns the services with classes by the configuration in force.
     list_class_services: Callable[[], frozenset[str]] = frozenset
+    #: Returns the settings of the admission by urgency.
+    read_class_settings: Callable[[], ClassSettings] = ClassSettings
     #: Promises of capacity to rejected callers.
     promised_returns: PromisedReturns = field(default_factory=PromisedReturns)
 
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -1,6 +1,7 @@
 """Serves requests to engine services: streams computed along a path of targets."""
 
 import asyncio
+from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -12,6 +13,7 @@
 from fulmarward_core.fleet import EngineModel
 from fulmarward_core.loads import Reservation
 from fulmarward_core.paths import Hop, PathRequest, count_tokens_held
+from fulmarward_core.routes import list_class_services, list_urgencies
 from fulmarward_router.exchange._admission import (
     AdmissionQueue,
     compute_resume_end,
@@ -43,6 +45,11 @@
     NotSent,
     is_connection_refused,
 )
+from fulmarward_router.exchange._waiting import (
+    ClassRequests,
+    UniformRequests,
+    WaitingRequests,
+)
 from fulmarward_router.ports import TargetCall
 
 #: Paths that are probed in a row for a request that has run before.
@@ -112,8 +119,14 @@
             pipe=pipe,
             catalogue=context.catalogue,
             limits=context.target_limits,
+            find_waiting=self._find_waiting,
+            promised_returns=context.promised_returns,
             read_clock=context.read_clock,
         )
+        #: Waiting requests by service, for services without and with classes.
+        self._uniform_requests: defaultdict[str, UniformRequests]
+        self._uniform_requests = defaultdict(UniformRequests)
+        self._class_requests: dict[str, ClassRequests] = {}
         #: Monitors the open streams; its `run` is started by the daemon.
         self.supervisor = StreamSupervisor(
             context=context,
@@ -123,6 +136,31 @@
             has_peers=relay.has_peers,
         )
 
+    def _find_waiting(
+        self, state: RequestState, engine: EngineModel
+    ) -> WaitingRequests:
+        """Return the requests that wait for the service of a request."""
+        service, configuration = state.service, state.configuration
+        if service not in list_class_services(configuration):
+            return self._uniform_requests[service]
+        if service not in self._class_requests:
+            promised = self._context.promised_returns
+            self._class_requests[service] = ClassRequests(
+                service=service,
+                demands=self._context.demands,
+                sum_promised=lambda due_within_s: promised.sum_kv(
+                    service, due_within_s=due_within_s
+                ),
+                settings=self._context.read_class_settings(),
+            )
+        waiting = self._class_requests[service]
+        waiting.configure(
+            settings=self._context.read_class_settings(),
+            lowest_urgency=max(list_urgencies(configuration, service)),
+            measure_capacity=lambda: self._finder.measure_capacity(service, engine),
+        )
+        return waiting
+
     async def serve(self, state: RequestState) -> web.StreamResponse:
         """Stream a complete response to the caller.
 
@@ -184,6 +222,7 @@
             )
             try:
                 answer = await self._run_guarded(state, attempt, answer)
+                self._record_released(attempt)
                 if answer.prepared:
                     await answer.write_eof()
                 return answer
@@ -450,6 +489,18 @@
             self._suspicions.record_success(hop.target, now=self._read_clock())
         return answer
 
+    def _record_released(self, attempt: Attempt) -> None:
+        """Record that a complete answer releases its KV cache.
+
+        What failed attempts release may be that of a target that is gone.
+        """
+        state, engine = attempt.state, attempt.engine
+        self._find_waiting(state, engine).record_released(
+            state.urgency,
+            float(count_tokens_held(attempt.wanted) * engine.layers),
+            now=self._read_clock(),
+        )
+
     def _release(self, attempt: Attempt) -> None:
         """Release what an attempt holds; the closed connection stops the targets."""
         self.supervisor.remove(attempt)
--- /dev/null
+++ b/packages/router/fulmarward_router/exchange/_waiting.py
@@ -0,0 +1,322 @@
+"""The requests that wait at this instance, and how much capacity each may fill."""
+
+import asyncio
+import random
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, replace
+from typing import Protocol
+
+from fulmarward_core.demand import ClassDemand, DemandTable
+from fulmarward_core.paths import KvCapacity
+from fulmarward_core.queueing import (
+    WaitingRequest,
+    WaitQueue,
+    choose_retry_after_s,
+    classify_request,
+    find_kv_share,
+)
+from fulmarward_core.reservations import LAG_S, ClassQueue, ClassSettings
+from fulmarward_core.waits import (
+    choose_return_s,
+    estimate_return_s,
+    estimate_wait_s,
+    may_promise,
+)
+
+#: Seconds between two searches for a path by a waiting request.
+POLL_INTERVAL_S = 0.04
+
+
+@dataclass(frozen=True, kw_only=True)
+class ReturnPlan:
+    """When a rejected caller is told to return, and whether it is promised capacity."""
+
+    return_s: float
+    is_promised: bool
+
+
+class WaitingRequests(Protocol):
+    """The requests for one service that wait at one instance."""
+
+    def record_arrival(self, request: WaitingRequest, *, now: float) -> None:
+        """Record a request that asks for a path for the first time."""
+
+    def add(self, request: WaitingRequest, *, now: float) -> None:
+        """Add a request; adding it again has no effect."""
+
+    def remove(self, request: WaitingRequest, *, now: float) -> None:
+        """Remove a request if it is there."""
+
+    def is_next(self, request: WaitingRequest, *, now: float) -> bool:
+        """Return whether no waiting request is served before this one."""
+
+    def find_kv_share(self, request: WaitingRequest, *, now: float) -> float:
+        """Return the share of the planned KV cache that a request may fill now."""
+
+    def record_admitted(self, request: WaitingRequest, *, now: float) -> None:
+        """Record that a request has found a path."""
+
+    def record_released(self, urgency: int, kv: float, *, now: float) -> None:
+        """Record that an answer has ended and released its KV cache."""
+
+    async def await_release(self) -> None:
+        """Wait until capacity may have been released."""
+
+    def estimate_wait_s(self, request: WaitingRequest, *, now: float) -> float | None:
+        """Return the seconds until a new request has capacity, `None` if unknown."""
+
+    def plan_return(
+        self, request: WaitingRequest, *, honoured_s: float, now: float
+    ) -> ReturnPlan:
+        """Return when the caller of a rejected request should return.
+
+        `honoured_s` is the longest retry delay that the caller honours.
+        """
+
+    def describe(
+        self, request: WaitingRequest, *, now: float
+    ) -> Mapping[str, float | int | None]:
+        """Return the values that decided on a request, for the log."""
+
+
+class UniformRequests:
+    """Waiting requests of a service without classes."""
+
+    def __init__(self) -> None:
+        self._queue = WaitQueue()
+
+    def record_arrival(self, request: WaitingRequest, *, now: float) -> None:
+        """Do nothing: without classes, arrivals reserve no capacity."""
+
+    def add(self, request: WaitingRequest, *, now: float) -> None:
+        """Add a request; adding it again has no effect."""
+        self._queue.add(request)
+
+    def remove(self, request: WaitingRequest, *, now: float) -> None:
+        """Remove a request if it is there."""
+        self._queue.remove(request)
+
+    def is_next(self, request: WaitingRequest, *, now: float) -> bool:
+        """Return whether no waiting request is served before this one."""
+        return self._queue.is_next(request, now=now)
+
+    def find_kv_share(self, request: WaitingRequest, *, now: float) -> float:
+        """Return the share of the planned KV cache that a request may fill now."""
+        return find_kv_share(classify_request(request, now=now))
+
+    def record_admitted(self, request: WaitingRequest, *, now: float) -> None:
+        """Do nothing: without classes, there are no shares to account for."""
+
+    def record_released(self, urgency: int, kv: float, *, now: float) -> None:
+        """Do nothing: without classes, waits are not estimated."""
+
+    async def await_release(self) -> None:
+        """Wait until the next search."""
+        await asyncio.sleep(POLL_INTERVAL_S)
+
+    def estimate_wait_s(self, request: WaitingRequest, *, now: float) -> float | None:
+        """Return `None`: without classes, waits are not estimated."""
+        return None
+
+    def plan_return(
+        self, request: WaitingRequest, *, honoured_s: float, now: float
+    ) -> ReturnPlan:
+        """Return a random retry delay without a promise."""
+        return_s = choose_retry_after_s(random.random())
+        return ReturnPlan(return_s=return_s, is_promised=False)
+
+    def describe(
+        self, request: WaitingRequest, *, now: float
+    ) -> Mapping[str, float | int | None]:
+        """Return nothing: the order alone decides."""
+        return {}
+
+
+class ClassRequests:
+    """Waiting requests of a service with classes; reports their demand to the fleet."""
+
+    def __init__(
+        self,
+        *,
+        service: str,
+        demands: DemandTable,
+        sum_promised: Callable[[float], Mapping[int, float]],
+        settings: ClassSettings,
+    ) -> None:
+        self._service = service
+        self._demands = demands
+        #: Returns by urgency the KV cache promised to callers due within some seconds.
+        self._sum_promised = sum_promised
+        self._queue = ClassQueue(settings=settings)
+        self._measure_capacity: Callable[[], KvCapacity] | None = None
+        self._lowest_urgency = 0
+        #: Urgencies whose waiting requests were reported last.
+        self._reported: frozenset[int] = frozenset()
+        self._released = asyncio.Event()
+
+    def configure(
+        self,
+        *,
+        settings: ClassSettings,
+        lowest_urgency: int,
+        measure_capacity: Callable[[], KvCapacity],
+    ) -> None:
+        """Apply the settings and the configuration in force, also to those waiting."""
+        self._queue.configure(settings)
+        self._lowest_urgency = lowest_urgency
+        self._measure_capacity = measure_capacity
+
+    def record_arrival(self, request: WaitingRequest, *, now: float) -> None:
+        """Record a request that asks for a path for the first time."""
+        self._queue.record_arrival(request)
+        if not request.is_started:
+            self._demands.record_arrival(
+                self._service, request.urgency, request.kv, now=now
+            )
+
+    def add(self, request: WaitingRequest, *, now: float) -> None:
+        """Add a request; adding it again only refreshes what is reported."""
+        self._queue.add(request)
+        self._report(now)
+
+    def remove(self, request: WaitingRequest, *, now: float) -> None:
+        """Remove a request if it is there."""
+        self._queue.remove(request)
+        if self._reported:
+            self._report(now)
+
+    def is_next(self, request: WaitingRequest, *, now: float) -> bool:
+        """Return whether no waiting request is served before this one."""
+        return self._queue.is_next(request, now=now)
+
+    def find_kv_share(self, request: WaitingRequest, *, now: float) -> float:
+        """Return the share of the planned KV cache that a request may fill now."""
+        return self._queue.find_kv_share(
+            request,
+            demands=self._sum_demands(now),
+            planned_kv=self._measure_capacity().planned,
+            lowest_urgency=self._lowest_urgency,
+            now=now,
+        )
+
+    def record_admitted(self, request: WaitingRequest, *, now: float) -> None:
+        """Record that a request has found a path."""
+        self._queue.record_admitted(request)
+
+    def record_released(self, urgency: int, kv: float, *, now: float) -> None:
+        """Record that an answer has ended, and wake the waiting requests."""
+        self._demands.record_released(self._service, urgency, kv, now=now)
+        released, self._released = self._released, asyncio.Event()
+        released.set()
+
+    async def await_release(self) -> None:
+        """Wait until an answer ends here, or until others may have ended elsewhere."""
+        try:
+            async with asyncio.timeout(POLL_INTERVAL_S):
+                await self._released.wait()
+        except TimeoutError:
+            return
+
+    def estimate_wait_s(self, request: WaitingRequest, *, now: float) -> float | None:
+        """Return the seconds until a new request has capacity, `None` if unknown.
+
+        All requests of its class that wait on time, at any instance, are ahead of it.
+        The share that it may fill accounts for those of higher classes.
+        """
+        demands = self._sum_demands(now)
+        capacity = self._measure_capacity()
+        if not capacity.planned:
+            # Layers are missing for a moment: the release says nothing about the wait.
+            return None
+        share = self.find_kv_share(request, now=now)
+        return estimate_wait_s(
+            kv=request.kv,
+            kv_ahead=sum(d.on_time_kv for d in demands if d.urgency == request.urgency),
+            free_kv=capacity.free - (1 - share) * capacity.planned,
+            released_kv_per_s=sum(d.released_kv_per_s for d in demands),
+            arriving_above_kv_per_s=_sum_arriving_above(demands, request.urgency),
+        )
+
+    def plan_return(
+        self, request: WaitingRequest, *, honoured_s: float, now: float
+    ) -> ReturnPlan:
+        """Return when the caller of a rejected request should return.
+
+        Requests of its class and of higher ones, waiting or promised, go before it.
+        """
+        demands = self._sum_demands(now)
+        promised = self._sum_promised(float("inf"))
+        preceding = [d for d in demands if d.urgency <= request.urgency]
+        estimate_s = estimate_return_s(
+            kv=request.kv,
+            kv_ahead=sum(d.on_time_kv + d.late_kv for d in preceding),
+            promised_kv=sum(
+                kv for urgency, kv in promised.items() if urgency <= request.urgency
+            ),
+            free_kv=self._measure_capacity().free,
+            released_kv_per_s=sum(d.released_kv_per_s for d in demands),
+            arriving_above_kv_per_s=_sum_arriving_above(demands, request.urgency),
+        )
+        return ReturnPlan(
+            return_s=choose_return_s(estimate_s, draw=random.random()),
+            is_promised=may_promise(estimate_s, honoured_s=honoured_s),
+        )
+
+    def describe(
+        self, request: WaitingRequest, *, now: float
+    ) -> Mapping[str, float | int | None]:
+        """Return the values that decided on a request, for the log."""
+        demands = self._sum_demands(now)
+        capacity = self._measure_capacity()
+        age_s = self._demands.find_oldest_report_age_s(now=now)
+        return {
+            "urgency": request.urgency,
+            "is_promised": request.is_promised,
+            "kv": int(request.kv),
+            "kv_share": round(self.find_kv_share(request, now=now), 3),
+            "free_kv": int(capacity.free),
+            "planned_kv": int(capacity.planned),
+            "waiting_kv": int(sum(d.on_time_kv + d.late_kv for d in demands)),
+            "waiting_above_kv": int(
+                sum(
+                    d.on_time_kv + d.late_kv
+                    for d in demands
+                    if d.urgency < request.urgency
+                )
+            ),
+            "promised_kv": int(sum(self._sum_promised(float("inf")).values())),
+            "released_kv_per_s": int(sum(d.released_kv_per_s for d in demands)),
+            "arriving_above_kv_per_s": int(
+                _sum_arriving_above(demands, request.urgency)
+            ),
+            "report_age_s": None if age_s is None else round(age_s, 3),
+        }
+
+    def _sum_demands(self, now: float) -> Sequence[ClassDemand]:
+        """Return the demand of all instances, with what is promised and due soon."""
+        demands = self._demands.sum(self._service, now=now)
+        promised = self._sum_promised(LAG_S)
+        if not promised:
+            return demands
+        return [
+            replace(demand, promised_kv=promised.get(demand.urgency, 0.0))
+            for demand in demands
+        ]
+
+    def _report(self, now: float) -> None:
+        """Update the demand of this instance by what waits here."""
+        waiting = self._queue.sum_waiting(now=now)
+        for urgency in self._reported | waiting.keys():
+            on_time_kv, late_kv = waiting.get(urgency, (0.0, 0.0))
+            self._demands.set_waiting(
+                self._service,
+                urgency,
+                on_time_kv=on_time_kv,
+                late_kv=late_kv,
+                now=now,
+            )
+        self._reported = frozenset(waiting)
+
+
+def _sum_arriving_above(demands: Sequence[ClassDemand], urgency: int) -> float:
+    return sum(d.arriving_kv_per_s for d in demands if d.urgency < urgency)
--- a/packages/router/fulmarward_router/exchange/tests/test_ended_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_ended_streams.py
@@ -415,7 +415,9 @@
                 headers={},
                 body=b"",
                 facts=SimpleNamespace(request_id="a", relayed_by=None),
-                configuration=SimpleNamespace(services={"pool": spec}, version=1),
+                configuration=SimpleNamespace(
+                    services={"pool": spec}, version=1, class_services=frozenset()
+                ),
                 route=route,
                 team=None,
                 service="pool",
--- a/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
@@ -288,7 +288,9 @@
             headers={},
             body=body,
             facts=facts,
-            configuration=SimpleNamespace(services=services),
+            configuration=SimpleNamespace(
+                services=services, class_services=frozenset()
+            ),
             route=route,
             team=None,
             service="pool",
--- a/packages/router/fulmarward_router/ports.py
+++ b/packages/router/fulmarward_router/ports.py
@@ -12,6 +12,7 @@
 from fulmarward.http import ResponseLimits
 from fulmarward_core.fleet import LayerRange, TargetRecord
 from fulmarward_core.paths import Hop
+from fulmarward_core.reservations import ClassSettings
 from fulmarward_core.routes import RoutingConfiguration
 
 
@@ -62,6 +63,8 @@
     link_bytes_per_s: float | None = None
     #: What is accepted of one response of a target or peer.
     response_limits: ResponseLimits = ResponseLimits()
+    #: Admission of requests to services whose routes have different priorities.
+    class_settings: ClassSettings = ClassSettings()
     #: Log level: `debug`, `info` or `warning`.
     log_level: str = "info"
 
