Shorten the builders of demand in the tests

The builders listed each field of a demand although only one or two differ from zero. They take the names from the classes; no check changes.

--- a/packages/core/fulmarward_core/demand/tests/test_table.py
+++ b/packages/core/fulmarward_core/demand/tests/test_table.py
@@ -8,15 +8,8 @@
 
 
 def make_demand(urgency=0, **changes):
-    values = {
-        "on_time_kv": 0.0,
-        "late_kv": 0.0,
-        "arriving_kv_per_s": 0.0,
-        "released_kv_per_s": 0.0,
-        "promised_kv": 0.0,
-        **changes,
-    }
-    return ClassDemand(urgency=urgency, **values)
+    values = dict.fromkeys(ClassDemand.__dataclass_fields__, 0.0)
+    return ClassDemand(**{**values, "urgency": urgency, **changes})
 
 
 def _make_waiting(kv, service="s"):
--- a/packages/router/fulmarward_router/mesh/tests/test_demands.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_demands.py
@@ -29,15 +29,8 @@
 
 
 def make_demand_report(source="peer", *, has_demand=True, **changes):
-    item = ClassDemandReport(
-        service="s",
-        urgency=0,
-        on_time_kv=5,
-        late_kv=0,
-        arriving_kv_per_s=0,
-        released_kv_per_s=0,
-        promised_kv=0,
-    )
+    amounts = dict.fromkeys(ClassDemandReport.__struct_fields__, 0)
+    item = ClassDemandReport(**{**amounts, "service": "s", "on_time_kv": 5})
     values = {"is_data_centre": False, "boot": 1, "age_ms": 0, **changes}
     demands = (item,) if has_demand else ()
     return DemandReport(source=source, **{"demands": demands, **values})
