--- a/packages/router/fulmarward_router/_listing.py
+++ b/packages/router/fulmarward_router/_listing.py
@@ -16,6 +16,9 @@
 #: single one, a pause of it would delay what all others know of the target.
 OBSERVERS = 2
 
+#: Upper bound on the targets whose observers are cached.
+MAX_OBSERVED = 8192
+
 #: Seconds for which lists are cached, since many callers look up at the same time.
 LIST_DURATION_S = 0.25
 
@@ -54,6 +57,10 @@
         self._is_isolated = is_isolated
         self._read_clock = read_clock
         self._lists: _Lists | None = None
+        #: Whether this instance observes a target, by its name, and the listed
+        #: addresses by which that was chosen.
+        self._is_observer_of: dict[str, bool] = {}
+        self._observers_listed: list[str] = []
 
     def list_addresses(self, data_centre: str) -> list[str]:
         """Return the addresses that a lookup from a data centre returns."""
@@ -93,12 +100,18 @@
         """
         if not self._members.is_large:
             return True
-        return is_among_first(
-            target,
-            own=self._own.caller_address,
-            instances=self._get_lists().addresses.get(self._own.data_centre, []),
-            count=OBSERVERS,
-        )
+        listed = self._get_lists().addresses.get(self._own.data_centre, [])
+        if listed != self._observers_listed or len(self._is_observer_of) > MAX_OBSERVED:
+            self._observers_listed = listed
+            self._is_observer_of.clear()
+        if target not in self._is_observer_of:
+            self._is_observer_of[target] = is_among_first(
+                target,
+                own=self._own.caller_address,
+                instances=listed,
+                count=OBSERVERS,
+            )
+        return self._is_observer_of[target]
 
     def find_share(self) -> float:
         """Return this instance's share of the quotas that all instances share."""
