Reserve promised capacity also of classes without other demand

Cause: ClassRequests put the promised KV cache into the demands of the classes that the table lists. A class whose callers were all rejected and wait for their return has no demand there, so that its promises reserved nothing, and a lower class took them.

Change: a class with promises only is added to the sums.

--- a/packages/router/fulmarward_router/exchange/_waiting.py
+++ b/packages/router/fulmarward_router/exchange/_waiting.py
@@ -293,14 +293,21 @@
         }
 
     def _sum_demands(self, now: float) -> Sequence[ClassDemand]:
-        """Return the demand of all instances, with what is promised and due soon."""
+        """Return the demand of all instances, with what is promised and due soon.
+
+        A class whose callers all wait for their return has no other demand.
+        """
         demands = self._demands.sum(self._service, now=now)
         promised = self._sum_promised(LAG_S)
         if not promised:
             return demands
+        known = {demand.urgency: demand for demand in demands}
         return [
-            replace(demand, promised_kv=promised.get(demand.urgency, 0.0))
-            for demand in demands
+            replace(
+                known.get(urgency) or _make_idle_demand(urgency),
+                promised_kv=promised.get(urgency, 0.0),
+            )
+            for urgency in sorted(known.keys() | promised.keys())
         ]
 
     def _report(self, now: float) -> None:
@@ -318,5 +325,16 @@
         self._reported = frozenset(waiting)
 
 
+def _make_idle_demand(urgency: int) -> ClassDemand:
+    return ClassDemand(
+        urgency=urgency,
+        on_time_kv=0.0,
+        late_kv=0.0,
+        arriving_kv_per_s=0.0,
+        released_kv_per_s=0.0,
+        promised_kv=0.0,
+    )
+
+
 def _sum_arriving_above(demands: Sequence[ClassDemand], urgency: int) -> float:
     return sum(d.arriving_kv_per_s for d in demands if d.urgency < urgency)
--- /dev/null
+++ b/packages/router/fulmarward_router/exchange/tests/test_waiting.py
@@ -0,0 +1,52 @@
+"""The waiting requests of a service with classes, and the demand that they report."""
+
+import unittest
+
+from fulmarward_core.demand import DemandTable
+from fulmarward_core.paths import KvCapacity
+from fulmarward_core.queueing import WaitingRequest
+from fulmarward_core.reservations import ClassSettings
+from fulmarward_router.exchange._waiting import ClassRequests
+
+_NOW = 100.0
+
+
+def _make_request(key, *, urgency=0, kv=10.0, is_promised=False):
+    return WaitingRequest(
+        key=key,
+        urgency=urgency,
+        arrived_at=_NOW,
+        objective_s=1.0,
+        is_started=False,
+        kv=kv,
+        is_promised=is_promised,
+    )
+
+
+class _ClassRequestsTest(unittest.TestCase):
+    def setUp(self):
+        self.demands = DemandTable(own="a")
+        #: By urgency.
+        self.promised = {}
+        self.capacity = KvCapacity(planned=1000.0, free=0.0)
+        self.waiting = ClassRequests(
+            service="pool",
+            demands=self.demands,
+            sum_promised=lambda due_within_s: self.promised,
+            settings=ClassSettings(),
+        )
+        self.waiting.configure(
+            settings=ClassSettings(),
+            lowest_urgency=2,
+            measure_capacity=lambda: self.capacity,
+        )
+
+
+class PromisedTest(_ClassRequestsTest):
+    def test_promised_capacity_of_a_class_without_other_demand_is_reserved(self):
+        """Guards against lower classes that take what rejected callers return for."""
+        self.promised = {0: 200.0}
+        request = _make_request("b", urgency=1)
+        self.waiting.record_arrival(request, now=_NOW)
+        share = self.waiting.find_kv_share(request, now=_NOW)
+        self.assertAlmostEqual(share, 0.8)
