Let callers that return as told wait for their promised capacity

Cause: a request with a due promise was rejected on arrival by the estimate, which puts all waiting requests of its class ahead of it and counts all arrivals of higher classes. It precedes the former, and its capacity is reserved.

Change: requests with a due promise are not rejected early.

Measured: with 1000 kv waiting in its class and 50 kv/s released, a due return gets the path found by its second search; before, it was rejected on arrival (PromisedReturnTest fails). Requests without a promise are still rejected on arrival.

--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -234,9 +234,10 @@
     ) -> Rejection | None:
         """Return why a request without a path now is not to wait, `None` if it is.
 
-        A caller that returns too early would take what others were promised.
+        A caller that returns too early would take what others were promised. One that
+        returns as told precedes those for whom the estimate is made.
         """
-        if request.is_started:
+        if request.is_started or request.is_promised:
             return None
         if returned.status is ReturnStatus.EARLY:
             self._promised_returns.record_early(
--- /dev/null
+++ b/packages/router/fulmarward_router/exchange/tests/test_admission.py
@@ -0,0 +1,100 @@
+"""Requests of a service with classes that ask for a path."""
+
+import time
+import unittest
+from types import SimpleNamespace
+from unittest import mock
+
+from fulmarward_core.demand import DemandTable
+from fulmarward_core.paths import KvCapacity, PathRequest
+from fulmarward_core.reservations import ClassSettings
+from fulmarward_router.exchange._admission import AdmissionQueue
+from fulmarward_router.exchange._request_state import RejectedRequest, RequestState
+from fulmarward_router.exchange._waiting import ClassRequests
+from fulmarward_router.state import PromisedReturns
+
+_ENGINE = SimpleNamespace(layers=2)
+_PATH = (SimpleNamespace(target="t1"),)
+
+
+class _Request(dict):
+    raw_path = "/x"
+    method = "POST"
+
+
+class _AdmissionTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.wanted = PathRequest(prompt=30, answer=20, data_centre="a")
+        self.demands = DemandTable(own="a")
+        self.promised = PromisedReturns()
+        self.waiting = ClassRequests(
+            service="pool",
+            demands=self.demands,
+            sum_promised=lambda due_within_s: self.promised.sum_kv(
+                "pool", due_within_s=due_within_s
+            ),
+            settings=ClassSettings(),
+        )
+        self.waiting.configure(
+            settings=ClassSettings(),
+            lowest_urgency=2,
+            measure_capacity=lambda: KvCapacity(planned=1000.0, free=0.0),
+        )
+        #: Chooses a path; `None` if none has room.
+        self.choose = mock.Mock(return_value=None)
+        self.admission = AdmissionQueue(
+            finder=mock.Mock(choose=self.choose),
+            pipe=mock.Mock(),
+            catalogue=mock.Mock(may_be_incomplete=lambda now: False),
+            limits=mock.Mock(
+                acquire=mock.AsyncMock(return_value=True),
+                list_throttled=lambda: frozenset(),
+            ),
+            find_waiting=lambda state, engine: self.waiting,
+            promised_returns=self.promised,
+            read_clock=time.monotonic,
+        )
+
+    def make_state(self, *, urgency=1):
+        now = time.monotonic()
+        return RequestState(
+            request=_Request(),
+            headers={},
+            body=b"",
+            facts=SimpleNamespace(request_id="a"),
+            configuration=SimpleNamespace(class_services=frozenset({"pool"})),
+            route=SimpleNamespace(objective_s=1.0),
+            team=None,
+            service="pool",
+            urgency=urgency,
+            arrived_at=now,
+            deadline=now + 20.0,
+        )
+
+    async def await_path(self, state):
+        return await self.admission.await_path(state, _ENGINE, lambda: self.wanted)
+
+    def make_contention(self):
+        """Let requests of the class need all of the release for 20 s."""
+        now = time.monotonic()
+        self.demands.record_released("pool", 0, 50.0, now=now)
+        self.demands.set_waiting("pool", 1, on_time_kv=1000.0, late_kv=0.0, now=now)
+
+
+class PromisedReturnTest(_AdmissionTest):
+    async def test_due_return_is_not_rejected_for_those_that_it_precedes(self):
+        """Guards against callers that return as told and are rejected on arrival."""
+        self.make_contention()
+        state = self.make_state()
+        self.promised.promise(
+            state.fingerprint, "pool", 1, 100.0, return_s=0.1, request_id="a"
+        )
+        self.choose.side_effect = [None, _PATH]
+        self.assertEqual(await self.await_path(state), _PATH)
+        self.assertEqual(self.promised.counts.kept, 1)
+
+    async def test_others_are_rejected_on_arrival(self):
+        """Guards against requests that wait although they can't be served in time."""
+        self.make_contention()
+        with self.assertRaisesRegex(RejectedRequest, "no path will have room in time"):
+            await self.await_path(self.make_state())
