Count a request that seeks several paths once

Cause: await_path runs again for each attempt, and for each path that turns out to be unreachable. Each time it counted an arrival, so that requests retried after the loss of a target raised the credit and the reported demand of their class; and it looked for a promise again, and redeemed that of another caller with an equal request.

Change: RequestState.has_sought_path; only the first search counts and has a promise.

--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -146,7 +146,9 @@
             find_wanted(),
             is_promised=returned.status is ReturnStatus.DUE,
         )
-        waiting.record_arrival(request, now=began_at)
+        if not state.has_sought_path:
+            waiting.record_arrival(request, now=began_at)
+        state.has_sought_path = True
         shortage = Shortage.KV_CACHE
         rejection: Rejection | None = None
         has_searched = False
@@ -211,8 +213,12 @@
         )
 
     def _find_return(self, state: RequestState) -> PromisedReturn:
-        """Return whether the caller of a request was promised capacity."""
-        if state.has_begun or not _has_classes(state):
+        """Return whether the caller of a request was promised capacity.
+
+        A request that seeks another path has redeemed its promise; others of equal
+        requests belong to their callers.
+        """
+        if state.has_begun or state.has_sought_path or not _has_classes(state):
             return PromisedReturn(status=ReturnStatus.UNKNOWN)
         return self._promised_returns.find(state.fingerprint)
 
--- a/packages/router/fulmarward_router/exchange/_request_state.py
+++ b/packages/router/fulmarward_router/exchange/_request_state.py
@@ -62,6 +62,9 @@
     #: Seconds on the monotonic clock.
     arrived_at: float
     deadline: float
+    #: Whether it has asked for a path before, for an earlier attempt or in place of a
+    #: path that was unreachable.
+    has_sought_path: bool = False
     #: Attempts so far, and how many of them a target may have executed.
     attempts: int = 0
     runs: int = 0
--- a/packages/router/fulmarward_router/exchange/tests/test_admission.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_admission.py
@@ -98,3 +98,26 @@
         self.make_contention()
         with self.assertRaisesRegex(RejectedRequest, "no path will have room in time"):
             await self.await_path(self.make_state())
+
+
+class RepeatedTest(_AdmissionTest):
+    async def test_request_that_needs_another_path_counts_once(self):
+        """Guards against retries that raise the demand of their class."""
+        self.choose.return_value = _PATH
+        state = self.make_state()
+        for _ in range(3):
+            await self.await_path(state)
+        [demand] = self.demands.list_own(now=time.monotonic())["pool"]
+        self.assertLess(demand.arriving_kv_per_s, 1.5 * 100)
+
+    async def test_request_that_needs_another_path_redeems_one_promise(self):
+        """Guards against retries that take what callers with equal requests got."""
+        self.choose.return_value = _PATH
+        state = self.make_state()
+        for _ in range(2):
+            self.promised.promise(
+                state.fingerprint, "pool", 1, 100.0, return_s=0.1, request_id="a"
+            )
+        for _ in range(2):
+            await self.await_path(state)
+        self.assertEqual(self.promised.counts.kept, 1)
