Bound the KV cache of a request by what callers may declare

Cause: the tokens of a request are those that its caller declares. A negative length hint, or 10^16 tokens, raised a ValueError in WaitingRequest or DemandTable, which ended the request with an internal error, also where a path was free; 10^400 an OverflowError. The first applies to services without classes too.

Change: compute_request_kv limits the amount to 0 to 2^40; 8,192 waiting requests of that size fit in the sum of a report.

Measured: all three requests get a path; before, each raised (SizeTest fails).

--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -8,7 +8,7 @@
 from fulmarward.observability import log_event
 from fulmarward_core.catalogue import TargetCatalogue
 from fulmarward_core.fleet import EngineModel
-from fulmarward_core.paths import Hop, PathRequest, count_tokens_held
+from fulmarward_core.paths import Hop, PathRequest
 from fulmarward_core.queueing import WaitingRequest, choose_retry_after_s
 from fulmarward_core.results import ResultCode
 from fulmarward_core.routes import list_class_services
@@ -22,7 +22,11 @@
     Shortage,
     TruncatedResponse,
 )
-from fulmarward_router.exchange._waiting import ReturnPlan, WaitingRequests
+from fulmarward_router.exchange._waiting import (
+    ReturnPlan,
+    WaitingRequests,
+    compute_request_kv,
+)
 from fulmarward_router.state import PromisedReturns, TargetLimits
 
 #: Seconds for which a request waits for capacity on a path before it is rejected. This
@@ -416,6 +420,6 @@
         arrived_at=state.arrived_at,
         objective_s=state.route.objective_s,
         is_started=state.has_begun or state.last_event is not None,
-        kv=float(count_tokens_held(wanted) * engine.layers),
+        kv=compute_request_kv(wanted, engine),
         is_promised=is_promised,
     )
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -49,6 +49,7 @@
     ClassRequests,
     UniformRequests,
     WaitingRequests,
+    compute_request_kv,
 )
 from fulmarward_router.ports import TargetCall
 
@@ -497,7 +498,7 @@
         state, engine = attempt.state, attempt.engine
         self._find_waiting(state, engine).record_released(
             state.urgency,
-            float(count_tokens_held(attempt.wanted) * engine.layers),
+            compute_request_kv(attempt.wanted, engine),
             now=self._read_clock(),
         )
 
--- a/packages/router/fulmarward_router/exchange/_waiting.py
+++ b/packages/router/fulmarward_router/exchange/_waiting.py
@@ -7,7 +7,8 @@
 from typing import Protocol
 
 from fulmarward_core.demand import ClassDemand, DemandTable
-from fulmarward_core.paths import KvCapacity
+from fulmarward_core.fleet import EngineModel
+from fulmarward_core.paths import KvCapacity, PathRequest, count_tokens_held
 from fulmarward_core.queueing import (
     WaitingRequest,
     WaitQueue,
@@ -26,6 +27,10 @@
 #: Seconds between two searches for a path by a waiting request.
 POLL_INTERVAL_S = 0.04
 
+#: Upper bound on the KV cache of one request, in tokens x layers. Callers declare their
+#: numbers of tokens; the sum of thousands of requests must fit in a demand report.
+MAX_REQUEST_KV = 2**40
+
 
 @dataclass(frozen=True, kw_only=True)
 class ReturnPlan:
@@ -35,6 +40,12 @@
     is_promised: bool
 
 
+def compute_request_kv(wanted: PathRequest, engine: EngineModel) -> float:
+    """Return the KV cache that a request needs, in tokens x layers, within bounds."""
+    kv = count_tokens_held(wanted) * engine.layers
+    return float(max(0, min(kv, MAX_REQUEST_KV)))
+
+
 class WaitingRequests(Protocol):
     """The requests for one service that wait at one instance."""
 
--- a/packages/router/fulmarward_router/exchange/tests/test_admission.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_admission.py
@@ -121,3 +121,13 @@
         for _ in range(2):
             await self.await_path(state)
         self.assertEqual(self.promised.counts.kept, 1)
+
+
+class SizeTest(_AdmissionTest):
+    async def test_any_number_of_tokens_is_admitted_or_rejected(self):
+        """Guards against headers of callers that end a request by an exception."""
+        for prompt, answer in ((10**400, 20), (10**16, 20), (0, -100)):
+            with self.subTest(prompt=prompt, answer=answer):
+                self.wanted = PathRequest(prompt=prompt, answer=answer, data_centre="a")
+                self.choose.side_effect = [None, _PATH]
+                self.assertEqual(await self.await_path(self.make_state()), _PATH)
