Sum the waiting requests once per interval, not in each search

Cause: each search of a waiting request reported the demand of its service again, and each report sums all waiting requests of the instance. The cost grew with their square.

Change: a request that is in the queue already refreshes the report only if the last one is older than the interval between two searches.

ReportTest fails before: 50 reports of 50 requests in place of 1.

--- a/packages/router/fulmarward_router/exchange/_waiting.py
+++ b/packages/router/fulmarward_router/exchange/_waiting.py
@@ -163,6 +163,7 @@
         self._lowest_urgency = 0
         #: Urgencies whose waiting requests were reported last.
         self._reported: frozenset[int] = frozenset()
+        self._reported_at = float("-inf")
         self._released = asyncio.Event()
 
     def configure(
@@ -186,9 +187,16 @@
             )
 
     def add(self, request: WaitingRequest, *, now: float) -> None:
-        """Add a request; adding it again only refreshes what is reported."""
+        """Add a request; adding it again only refreshes what is reported.
+
+        It refreshes that once per interval, as requests turn late: each waiting request
+        is added again in each of its searches, and each report sums all of them.
+        """
+        known_count = len(self._queue)
         self._queue.add(request)
-        self._report(now)
+        is_new = len(self._queue) > known_count
+        if is_new or now - self._reported_at >= POLL_INTERVAL_S:
+            self._report(now)
 
     def remove(self, request: WaitingRequest, *, now: float) -> None:
         """Remove a request if it is there."""
@@ -339,6 +347,7 @@
                 now=now,
             )
         self._reported = frozenset(waiting)
+        self._reported_at = now
 
 
 def _make_idle_demand(urgency: int) -> ClassDemand:
--- a/packages/router/fulmarward_router/exchange/tests/test_waiting.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_waiting.py
@@ -6,7 +6,7 @@
 from fulmarward_core.paths import KvCapacity
 from fulmarward_core.queueing import WaitingRequest
 from fulmarward_core.reservations import ClassSettings
-from fulmarward_router.exchange._waiting import ClassRequests
+from fulmarward_router.exchange._waiting import POLL_INTERVAL_S, ClassRequests
 
 _NOW = 100.0
 
@@ -64,3 +64,28 @@
             estimates.append(self.waiting.estimate_wait_s(request, now=_NOW))
         self.assertEqual(estimates[:3], [float("inf")] * 3)
         self.assertLess(estimates[3], 1.0)
+
+
+class ReportTest(_ClassRequestsTest):
+    def setUp(self):
+        super().setUp()
+        self.requests = [_make_request(number) for number in range(50)]
+        for request in self.requests:
+            self.waiting.add(request, now=_NOW)
+
+    def search_again(self, *, now):
+        """Add all requests again as their searches do; return the changes reported."""
+        revision = self.demands.revision
+        for request in self.requests:
+            self.waiting.add(request, now=now)
+        return self.demands.revision - revision
+
+    def test_searches_of_an_interval_sum_the_waiting_requests_once(self):
+        """Guards against a cost of polling that grows with the square of the queue."""
+        self.assertEqual(self.search_again(now=_NOW + POLL_INTERVAL_S), 1)
+
+    def test_requests_that_turn_late_are_reported_by_the_next_search(self):
+        """Guards against late requests that reserve capacity as if on time."""
+        self.search_again(now=_NOW + 0.9)
+        [demand] = self.demands.list_own(now=_NOW + 0.9)["pool"]
+        self.assertEqual((demand.on_time_kv, demand.late_kv), (0.0, 500.0))
