--- a/packages/router/fulmarward_router/exchange/tests/test_admission.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_admission.py
@@ -55,13 +55,13 @@
             read_clock=time.monotonic,
         )
 
-    def make_state(self, *, urgency=1):
+    def make_state(self, *, urgency=1, relayed_by=None):
         now = time.monotonic()
         return RequestState(
             request=_Request(),
             headers={},
             body=b"",
-            facts=SimpleNamespace(request_id="a"),
+            facts=SimpleNamespace(request_id="a", relayed_by=relayed_by),
             configuration=SimpleNamespace(class_services=frozenset({"pool"})),
             route=SimpleNamespace(objective_s=1.0),
             team=None,
@@ -99,6 +99,17 @@
         with self.assertRaisesRegex(RejectedRequest, "no path will have room in time"):
             await self.await_path(self.make_state())
 
+    async def test_rejected_request_is_promised_capacity_unless_relayed(self):
+        """Guards against promises of several peers to a caller that hears of none."""
+        for relayed_by, count in ((None, 1), ("b", 0)):
+            with self.subTest(relayed_by=relayed_by):
+                self.setUp()
+                self.make_contention()
+                self.demands.record_released("pool", 0, 600.0, now=time.monotonic())
+                with self.assertRaises(RejectedRequest):
+                    await self.await_path(self.make_state(relayed_by=relayed_by))
+                self.assertEqual(self.promised.counts.made, count)
+
 
 class RepeatedTest(_AdmissionTest):
     async def test_request_that_needs_another_path_counts_once(self):
