Apply the configuration of new requests only to those that wait

Cause: each search for a path and each complete answer applied the configuration with which its request had begun to the waiting requests of the service. While answers of an older configuration ran, the lowest class and the engine model changed back with each of them.

Change: only the first search of a request applies its configuration.

--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -140,23 +140,30 @@
     def _find_waiting(
         self, state: RequestState, engine: EngineModel
     ) -> WaitingRequests:
-        """Return the requests that wait for the service of a request."""
+        """Return the requests that wait for the service of a request.
+
+        A request that seeks another path may have begun under an older configuration,
+        so that only new ones apply theirs.
+        """
         service, configuration = state.service, state.configuration
         if service not in list_class_services(configuration):
             return self._uniform_requests[service]
-        if service not in self._class_requests:
+        waiting = self._class_requests.get(service)
+        if waiting is not None and state.has_sought_path:
+            return waiting
+        settings = self._context.read_class_settings()
+        if waiting is None:
             promised = self._context.promised_returns
-            self._class_requests[service] = ClassRequests(
+            waiting = self._class_requests[service] = ClassRequests(
                 service=service,
                 demands=self._context.demands,
                 sum_promised=lambda due_within_s: promised.sum_kv(
                     service, due_within_s=due_within_s
                 ),
-                settings=self._context.read_class_settings(),
+                settings=settings,
             )
-        waiting = self._class_requests[service]
         waiting.configure(
-            settings=self._context.read_class_settings(),
+            settings=settings,
             lowest_urgency=max(list_urgencies(configuration, service)),
             measure_capacity=lambda: self._finder.measure_capacity(service, engine),
         )
