Wake the waiting requests after an answer has released its capacity

Cause: a complete answer woke the waiting requests before its end was written to the caller, and released its KV cache after that. With a caller that reads slowly they found no room and waited for the next poll, 40 ms later or more.

Change: the release is recorded once it is done.

Measured: while the end waits for the caller, nothing is recorded; before, it was recorded with the reservation still held (ReleaseTest fails).

--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -228,9 +228,10 @@
                 last_event=state.last_event,
                 parts=state.facts.shared_parts[:MAX_LOGGED_PARTS],
             )
+            is_complete = False
             try:
                 answer = await self._run_guarded(state, attempt, answer)
-                self._record_released(attempt)
+                is_complete = True
                 if answer.prepared:
                     await answer.write_eof()
                 return answer
@@ -239,6 +240,8 @@
             finally:
                 # A request that waits for a retry must not hold any resources.
                 self._release(attempt)
+                if is_complete:
+                    self._record_released(attempt)
             _record_run(state, attempt, failure)
             answer = state.request.get("answer")
             self._log_failure(state, attempt, failure)
@@ -498,7 +501,9 @@
         return answer
 
     def _record_released(self, attempt: Attempt) -> None:
-        """Record that a complete answer releases its KV cache.
+        """Record that a complete answer has released its KV cache.
+
+        Waiting requests are woken by it, and would find no room before the release.
 
         What failed attempts release may be that of a target that is gone.
         """
--- a/packages/router/fulmarward_router/exchange/tests/test_engines.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_engines.py
@@ -1,6 +1,8 @@
 """The waiting requests of engine services, and the release of their answers."""
 
+import asyncio
 from types import SimpleNamespace
+from unittest import mock
 
 from fulmarward_core.queueing import WaitingRequest
 from fulmarward_router.exchange.tests.test_ended_streams import _EndedStreamTest
@@ -32,3 +34,25 @@
         )
         # Late requests of the lowest class only are limited without other demand.
         self.assertEqual(waiting.find_kv_share(late, now=now), 1.0)
+
+
+class ReleaseTest(_EndedStreamTest):
+    async def test_waiting_requests_are_woken_after_the_release(self):
+        """Guards against requests that are woken while a slow caller holds capacity."""
+        self.begin()
+        await self.await_attempt(1)
+        await self.send(1, attempt=1)
+        is_written = asyncio.Event()
+        self.request["answer"].write_eof = is_written.wait
+        held = []
+        ledger = self.service._ledger
+        self.service._record_released = mock.Mock(
+            side_effect=lambda attempt: held.append(ledger.has_own())
+        )
+        self.streams[0].events.put_nowait(b"id: 2\ndata: [DONE]\n\n")
+        self.streams[0].events.put_nowait(b"")
+        await asyncio.sleep(0.1)
+        is_written.set()
+        async with asyncio.timeout(5.0):
+            await asyncio.wait([self.serving])
+        self.assertEqual(held, [False])
