Estimate no wait while targets may be missing from the catalogue

Cause: for some time after an outage of the store, or after all instances restart, requests wait up to 1.6 s, as targets have yet to write their rows. The estimate knows the capacity of the listed targets only, and rejected these requests on arrival.

Change: no early rejection while the catalogue may be incomplete.

Measured: the second search finds a path; before, the request was rejected on arrival (IncompleteTest fails).

--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -257,7 +257,11 @@
                 cause="returned before the time that it was told",
                 return_s=max(MIN_EARLY_RETRY_S, returned.left_s),
             )
-        estimate_s = waiting.estimate_wait_s(request, now=self._read_clock())
+        now = self._read_clock()
+        if self._catalogue.may_be_incomplete(now=now):
+            # The capacity of targets that have yet to write their rows is not known.
+            return None
+        estimate_s = waiting.estimate_wait_s(request, now=now)
         if not must_reject(estimate_s, left_s=left_s):
             return None
         return Rejection(cause="no path will have room in time", estimate_s=estimate_s)
--- a/packages/router/fulmarward_router/exchange/tests/test_admission.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_admission.py
@@ -24,6 +24,7 @@
 
 class _AdmissionTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
+        self.is_incomplete = False
         self.wanted = PathRequest(prompt=30, answer=20, data_centre="a")
         self.demands = DemandTable(own="a")
         self.promised = PromisedReturns()
@@ -45,7 +46,7 @@
         self.admission = AdmissionQueue(
             finder=mock.Mock(choose=self.choose),
             pipe=mock.Mock(),
-            catalogue=mock.Mock(may_be_incomplete=lambda now: False),
+            catalogue=mock.Mock(may_be_incomplete=lambda now: self.is_incomplete),
             limits=mock.Mock(
                 acquire=mock.AsyncMock(return_value=True),
                 list_throttled=lambda: frozenset(),
@@ -81,6 +82,15 @@
         self.demands.set_waiting("pool", 1, on_time_kv=1000.0, late_kv=0.0, now=now)
 
 
+class IncompleteTest(_AdmissionTest):
+    async def test_request_waits_while_targets_may_be_missing(self):
+        """Guards against rejections while targets write their rows after an outage."""
+        self.is_incomplete = True
+        self.make_contention()
+        self.choose.side_effect = [None, _PATH]
+        self.assertEqual(await self.await_path(self.make_state()), _PATH)
+
+
 class PromisedReturnTest(_AdmissionTest):
     async def test_due_return_is_not_rejected_for_those_that_it_precedes(self):
         """Guards against callers that return as told and are rejected on arrival."""
