Test that services with equal priorities are admitted as before

The tests play contention and open promises beside a service without classes: it waits 0.9 s, is told 2 to 4 s, keeps the order by wait class first, and fills 1.0 and, when late, 0.85 of the planned KV cache.

--- a/packages/router/fulmarward_router/exchange/tests/test_admission.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_admission.py
@@ -1,5 +1,6 @@
 """Requests of a service with classes that ask for a path."""
 
+import asyncio
 import time
 import unittest
 from types import SimpleNamespace
@@ -10,7 +11,7 @@
 from fulmarward_core.reservations import ClassSettings
 from fulmarward_router.exchange._admission import AdmissionQueue
 from fulmarward_router.exchange._request_state import RejectedRequest, RequestState
-from fulmarward_router.exchange._waiting import ClassRequests
+from fulmarward_router.exchange._waiting import ClassRequests, UniformRequests
 from fulmarward_router.state import PromisedReturns
 
 _ENGINE = SimpleNamespace(layers=2)
@@ -56,8 +57,8 @@
             read_clock=time.monotonic,
         )
 
-    def make_state(self, *, urgency=1, relayed_by=None):
-        now = time.monotonic()
+    def make_state(self, *, urgency=1, relayed_by=None, waited_s=0.0):
+        now = time.monotonic() - waited_s
         return RequestState(
             request=_Request(),
             headers={},
@@ -152,3 +153,56 @@
                 self.wanted = PathRequest(prompt=prompt, answer=answer, data_centre="a")
                 self.choose.side_effect = [None, _PATH]
                 self.assertEqual(await self.await_path(self.make_state()), _PATH)
+
+
+class UniformTest(_AdmissionTest):
+    """Guards against changes for services whose routes have equal priorities."""
+
+    def setUp(self):
+        super().setUp()
+        self.waiting = UniformRequests()
+        self.make_contention()
+
+    def make_state(self, **values):
+        state = super().make_state(**values)
+        state.configuration = SimpleNamespace(class_services=frozenset())
+        return state
+
+    async def test_request_waits_and_returns_without_a_promise(self):
+        """Guards against rejections on arrival, and against promises."""
+        state = self.make_state()
+        self.promised.promise(
+            state.fingerprint, "pool", 1, 100.0, return_s=5.0, request_id="a"
+        )
+        with self.assertRaisesRegex(RejectedRequest, "no path has room") as caught:
+            await self.await_path(state)
+        self.assertGreaterEqual(time.monotonic() - state.arrived_at, 0.9)
+        self.assertGreaterEqual(caught.exception.retry_after_s, 2.0)
+        self.assertLessEqual(caught.exception.retry_after_s, 4.0)
+        counts = self.promised.counts
+        self.assertEqual((counts.made, counts.early, counts.kept), (1, 0, 0))
+
+    async def test_only_late_requests_leave_capacity_free(self):
+        """Guards against capacity that is reserved for other urgencies."""
+        self.choose.return_value = _PATH
+        for waited_s, share in ((0.0, 1.0), (0.8, 0.85)):
+            with self.subTest(waited_s=waited_s):
+                await self.await_path(self.make_state(urgency=2, waited_s=waited_s))
+                self.assertEqual(self.choose.call_args.args[2].kv_share, share)
+
+    async def test_request_on_time_precedes_a_more_urgent_late_one(self):
+        """Guards against the order of classes."""
+        served = []
+
+        def choose(service, engine, wanted, **options):
+            return _PATH if time.monotonic() >= opens_at else None
+
+        async def run(state):
+            await self.await_path(state)
+            served.append(state.urgency)
+
+        opens_at = time.monotonic() + 0.1
+        self.choose.side_effect = choose
+        late = self.make_state(urgency=0, waited_s=0.8)
+        await asyncio.gather(run(late), run(self.make_state(urgency=2)))
+        self.assertEqual(served, [2, 0])
