Promise capacity to a caller once

Cause: a caller that returned as told and was rejected after its wait was promised capacity again, beside the promise that it had not redeemed. Callers retry once, so that the second one reserved capacity for no one.

Change: a request with a due promise gets no other.

Measured: one promise after the second rejection, before two (PromisedReturnTest fails).

--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -282,14 +282,16 @@
         """Return the retry delay of a rejected request, and promise it capacity.
 
         A relayed request gets no promise: the peer that relayed it asks others, and its
-        caller is not told this delay.
+        caller is not told this delay. Neither does one that was promised before, as
+        callers retry once.
         """
         now = self._read_clock()
         plan = ReturnPlan(return_s=rejection.return_s or 0.0, is_promised=False)
         if rejection.return_s is None:
             honoured_s = (state.deadline - now) * HONOURED_SHARE
             plan = waiting.plan_return(request, honoured_s=honoured_s, now=now)
-        if plan.is_promised and state.facts.relayed_by is None:
+        is_new = not request.is_promised and state.facts.relayed_by is None
+        if plan.is_promised and is_new:
             self._promised_returns.promise(
                 state.fingerprint,
                 state.service,
--- a/packages/router/fulmarward_router/exchange/tests/test_admission.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_admission.py
@@ -137,6 +137,17 @@
                     await self.await_path(self.make_state(relayed_by=relayed_by))
                 self.assertEqual(self.promised.counts.made, count)
 
+    async def test_due_return_that_is_rejected_gets_no_second_promise(self):
+        """Guards against capacity that is reserved for callers that do not return."""
+        self.demands.record_released("pool", 0, 600.0, now=time.monotonic())
+        state = self.make_state()
+        self.promised.promise(
+            state.fingerprint, "pool", 1, 100.0, return_s=0.1, request_id="a"
+        )
+        with self.assertRaises(RejectedRequest):
+            await self.await_path(state)
+        self.assertEqual(self.promised.counts.made, 1)
+
 
 class RepeatedTest(_AdmissionTest):
     async def test_request_that_needs_another_path_counts_once(self):
