--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -8,7 +8,7 @@
 from fulmarward.observability import log_event
 from fulmarward_core.catalogue import TargetCatalogue
 from fulmarward_core.fleet import EngineModel
-from fulmarward_core.paths import Hop, PathRequest, count_tokens_held
+from fulmarward_core.paths import Hop, PathRequest
 from fulmarward_core.queueing import WaitingRequest, choose_retry_after_s
 from fulmarward_core.results import ResultCode
 from fulmarward_core.routes import list_class_services
@@ -22,7 +22,11 @@
     Shortage,
     TruncatedResponse,
 )
-from fulmarward_router.exchange._waiting import ReturnPlan, WaitingRequests
+from fulmarward_router.exchange._waiting import (
+    ReturnPlan,
+    WaitingRequests,
+    compute_request_kv,
+)
 from fulmarward_router.state import PromisedReturns, TargetLimits
 
 #: Seconds for which a request waits for capacity on a path before it is rejected. This
@@ -146,7 +150,9 @@
             find_wanted(),
             is_promised=returned.status is ReturnStatus.DUE,
         )
-        waiting.record_arrival(request, now=began_at)
+        if not state.has_sought_path:
+            waiting.record_arrival(request, now=began_at)
+        state.has_sought_path = True
         shortage = Shortage.KV_CACHE
         rejection: Rejection | None = None
         has_searched = False
@@ -195,7 +201,13 @@
                 shortage=shortage,
             )
         if self._finder.has_whole_model(state.service, engine):
-            rejection = rejection or Rejection(cause="no path has room")
+            return_s: float | None = None
+            if shortage is Shortage.PIPE:
+                # The estimate is one of KV cache, and says nothing about a full pipe.
+                return_s = choose_retry_after_s(random.random())
+            rejection = rejection or Rejection(
+                cause="no path has room", return_s=return_s
+            )
             raise RejectedRequest(
                 ResultCode.QUEUE_FULL,
                 cause=rejection.cause,
@@ -211,8 +223,12 @@
         )
 
     def _find_return(self, state: RequestState) -> PromisedReturn:
-        """Return whether the caller of a request was promised capacity."""
-        if state.has_begun or not _has_classes(state):
+        """Return whether the caller of a request was promised capacity.
+
+        A request that seeks another path has redeemed its promise; others of equal
+        requests belong to their callers.
+        """
+        if state.has_begun or state.has_sought_path or not _has_classes(state):
             return PromisedReturn(status=ReturnStatus.UNKNOWN)
         return self._promised_returns.find(state.fingerprint)
 
@@ -234,9 +250,10 @@
     ) -> Rejection | None:
         """Return why a request without a path now is not to wait, `None` if it is.
 
-        A caller that returns too early would take what others were promised.
+        A caller that returns too early would take what others were promised. One that
+        returns as told precedes those for whom the estimate is made.
         """
-        if request.is_started:
+        if request.is_started or request.is_promised:
             return None
         if returned.status is ReturnStatus.EARLY:
             self._promised_returns.record_early(
@@ -246,7 +263,11 @@
                 cause="returned before the time that it was told",
                 return_s=max(MIN_EARLY_RETRY_S, returned.left_s),
             )
-        estimate_s = waiting.estimate_wait_s(request, now=self._read_clock())
+        now = self._read_clock()
+        if self._catalogue.may_be_incomplete(now=now):
+            # The capacity of targets that have yet to write their rows is not known.
+            return None
+        estimate_s = waiting.estimate_wait_s(request, now=now)
         if not must_reject(estimate_s, left_s=left_s):
             return None
         return Rejection(cause="no path will have room in time", estimate_s=estimate_s)
@@ -258,13 +279,19 @@
         waiting: WaitingRequests,
         rejection: Rejection,
     ) -> float:
-        """Return the retry delay of a rejected request, and promise it capacity."""
+        """Return the retry delay of a rejected request, and promise it capacity.
+
+        A relayed request gets no promise: the peer that relayed it asks others, and its
+        caller is not told this delay. Neither does one that was promised before, as
+        callers retry once.
+        """
         now = self._read_clock()
         plan = ReturnPlan(return_s=rejection.return_s or 0.0, is_promised=False)
         if rejection.return_s is None:
             honoured_s = (state.deadline - now) * HONOURED_SHARE
             plan = waiting.plan_return(request, honoured_s=honoured_s, now=now)
-        if plan.is_promised:
+        is_new = not request.is_promised and state.facts.relayed_by is None
+        if plan.is_promised and is_new:
             self._promised_returns.promise(
                 state.fingerprint,
                 state.service,
@@ -409,6 +436,6 @@
         arrived_at=state.arrived_at,
         objective_s=state.route.objective_s,
         is_started=state.has_begun or state.last_event is not None,
-        kv=float(count_tokens_held(wanted) * engine.layers),
+        kv=compute_request_kv(wanted, engine),
         is_promised=is_promised,
     )
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -49,6 +49,7 @@
     ClassRequests,
     UniformRequests,
     WaitingRequests,
+    compute_request_kv,
 )
 from fulmarward_router.ports import TargetCall
 
@@ -139,23 +140,30 @@
     def _find_waiting(
         self, state: RequestState, engine: EngineModel
     ) -> WaitingRequests:
-        """Return the requests that wait for the service of a request."""
+        """Return the requests that wait for the service of a request.
+
+        A request that seeks another path may have begun under an older configuration,
+        so that only new ones apply theirs.
+        """
         service, configuration = state.service, state.configuration
         if service not in list_class_services(configuration):
             return self._uniform_requests[service]
-        if service not in self._class_requests:
+        waiting = self._class_requests.get(service)
+        if waiting is not None and state.has_sought_path:
+            return waiting
+        settings = self._context.read_class_settings()
+        if waiting is None:
             promised = self._context.promised_returns
-            self._class_requests[service] = ClassRequests(
+            waiting = self._class_requests[service] = ClassRequests(
                 service=service,
                 demands=self._context.demands,
                 sum_promised=lambda due_within_s: promised.sum_kv(
                     service, due_within_s=due_within_s
                 ),
-                settings=self._context.read_class_settings(),
+                settings=settings,
             )
-        waiting = self._class_requests[service]
         waiting.configure(
-            settings=self._context.read_class_settings(),
+            settings=settings,
             lowest_urgency=max(list_urgencies(configuration, service)),
             measure_capacity=lambda: self._finder.measure_capacity(service, engine),
         )
@@ -220,9 +228,10 @@
                 last_event=state.last_event,
                 parts=state.facts.shared_parts[:MAX_LOGGED_PARTS],
             )
+            is_complete = False
             try:
                 answer = await self._run_guarded(state, attempt, answer)
-                self._record_released(attempt)
+                is_complete = True
                 if answer.prepared:
                     await answer.write_eof()
                 return answer
@@ -231,6 +240,8 @@
             finally:
                 # A request that waits for a retry must not hold any resources.
                 self._release(attempt)
+                if is_complete:
+                    self._record_released(attempt)
             _record_run(state, attempt, failure)
             answer = state.request.get("answer")
             self._log_failure(state, attempt, failure)
@@ -490,14 +501,16 @@
         return answer
 
     def _record_released(self, attempt: Attempt) -> None:
-        """Record that a complete answer releases its KV cache.
+        """Record that a complete answer has released its KV cache.
+
+        Waiting requests are woken by it, and would find no room before the release.
 
         What failed attempts release may be that of a target that is gone.
         """
         state, engine = attempt.state, attempt.engine
         self._find_waiting(state, engine).record_released(
             state.urgency,
-            float(count_tokens_held(attempt.wanted) * engine.layers),
+            compute_request_kv(attempt.wanted, engine),
             now=self._read_clock(),
         )
 
--- a/packages/router/fulmarward_router/exchange/_waiting.py
+++ b/packages/router/fulmarward_router/exchange/_waiting.py
@@ -7,7 +7,8 @@
 from typing import Protocol
 
 from fulmarward_core.demand import ClassDemand, DemandTable
-from fulmarward_core.paths import KvCapacity
+from fulmarward_core.fleet import EngineModel
+from fulmarward_core.paths import KvCapacity, PathRequest, count_tokens_held
 from fulmarward_core.queueing import (
     WaitingRequest,
     WaitQueue,
@@ -26,6 +27,10 @@
 #: Seconds between two searches for a path by a waiting request.
 POLL_INTERVAL_S = 0.04
 
+#: Upper bound on the KV cache of one request, in tokens x layers. Callers declare their
+#: numbers of tokens; the sum of thousands of requests must fit in a demand report.
+MAX_REQUEST_KV = 2**40
+
 
 @dataclass(frozen=True, kw_only=True)
 class ReturnPlan:
@@ -35,6 +40,12 @@
     is_promised: bool
 
 
+def compute_request_kv(wanted: PathRequest, engine: EngineModel) -> float:
+    """Return the KV cache that a request needs, in tokens x layers, within bounds."""
+    kv = count_tokens_held(wanted) * engine.layers
+    return float(max(0, min(kv, MAX_REQUEST_KV)))
+
+
 class WaitingRequests(Protocol):
     """The requests for one service that wait at one instance."""
 
@@ -152,6 +163,7 @@
         self._lowest_urgency = 0
         #: Urgencies whose waiting requests were reported last.
         self._reported: frozenset[int] = frozenset()
+        self._reported_at = float("-inf")
         self._released = asyncio.Event()
 
     def configure(
@@ -175,9 +187,16 @@
             )
 
     def add(self, request: WaitingRequest, *, now: float) -> None:
-        """Add a request; adding it again only refreshes what is reported."""
+        """Add a request; adding it again only refreshes what is reported.
+
+        It refreshes that once per interval, as requests turn late: each waiting request
+        is added again in each of its searches, and each report sums all of them.
+        """
+        known_count = len(self._queue)
         self._queue.add(request)
-        self._report(now)
+        is_new = len(self._queue) > known_count
+        if is_new or now - self._reported_at >= POLL_INTERVAL_S:
+            self._report(now)
 
     def remove(self, request: WaitingRequest, *, now: float) -> None:
         """Remove a request if it is there."""
@@ -221,9 +240,12 @@
         """Return the seconds until a new request has capacity, `None` if unknown.
 
         All requests of its class that wait on time, at any instance, are ahead of it.
-        The share that it may fill accounts for those of higher classes.
+        The share that it may fill accounts for those of higher classes. A class with
+        credit is served before what arrives of these; otherwise its requests would be
+        rejected on arrival while higher classes take all of the release.
         """
         demands = self._sum_demands(now)
+        has_credit = self._queue.has_credit(request.urgency)
         capacity = self._measure_capacity()
         if not capacity.planned:
             # Layers are missing for a moment: the release says nothing about the wait.
@@ -234,7 +256,9 @@
             kv_ahead=sum(d.on_time_kv for d in demands if d.urgency == request.urgency),
             free_kv=capacity.free - (1 - share) * capacity.planned,
             released_kv_per_s=sum(d.released_kv_per_s for d in demands),
-            arriving_above_kv_per_s=_sum_arriving_above(demands, request.urgency),
+            arriving_above_kv_per_s=(
+                0.0 if has_credit else _sum_arriving_above(demands, request.urgency)
+            ),
         )
 
     def plan_return(
@@ -293,14 +317,21 @@
         }
 
     def _sum_demands(self, now: float) -> Sequence[ClassDemand]:
-        """Return the demand of all instances, with what is promised and due soon."""
+        """Return the demand of all instances, with what is promised and due soon.
+
+        A class whose callers all wait for their return has no other demand.
+        """
         demands = self._demands.sum(self._service, now=now)
         promised = self._sum_promised(LAG_S)
         if not promised:
             return demands
+        known = {demand.urgency: demand for demand in demands}
         return [
-            replace(demand, promised_kv=promised.get(demand.urgency, 0.0))
-            for demand in demands
+            replace(
+                known.get(urgency) or _make_idle_demand(urgency),
+                promised_kv=promised.get(urgency, 0.0),
+            )
+            for urgency in sorted(known.keys() | promised.keys())
         ]
 
     def _report(self, now: float) -> None:
@@ -316,6 +347,18 @@
                 now=now,
             )
         self._reported = frozenset(waiting)
+        self._reported_at = now
+
+
+def _make_idle_demand(urgency: int) -> ClassDemand:
+    return ClassDemand(
+        urgency=urgency,
+        on_time_kv=0.0,
+        late_kv=0.0,
+        arriving_kv_per_s=0.0,
+        released_kv_per_s=0.0,
+        promised_kv=0.0,
+    )
 
 
 def _sum_arriving_above(demands: Sequence[ClassDemand], urgency: int) -> float:
