Test admission by urgency against a finder with a given capacity

Cause: AdmissionQueue, ClassRequests and UniformRequests had no tests of their own; only the decisions below them had.

Change: test_admission.py runs them in simulated time as EngineService connects them, with the real DemandTable and PromisedReturns. The tests cover the order by urgency, reserved demand of peers, expired reports, services with equal priorities, early rejection, promised and early returns, the minimum share without a measured release, wake-ups, changed settings and configurations, and promises of a peer that is gone.

--- /dev/null
+++ b/packages/router/fulmarward_router/exchange/tests/test_admission.py
@@ -0,0 +1,396 @@
+"""Admission of requests under contention, in simulated time."""
+
+import asyncio
+import functools
+import unittest
+from types import SimpleNamespace
+from unittest import mock
+
+from fulmarward_core.demand import DemandTable
+from fulmarward_core.paths import KvCapacity, PathRequest
+from fulmarward_core.reservations import ClassSettings
+from fulmarward_core.routes import RoutingConfiguration, ServiceShare
+from fulmarward_router.exchange import _engines
+from fulmarward_router.exchange._request_state import RejectedRequest
+from fulmarward_router.state import PromisedReturns
+from fulmarward_router.tests._simulated_time import run_simulated
+from fulmarward_router.tests._target_limits import make_target_limits
+
+#: Parts of `EngineService` that admission does not use.
+_UNUSED = (
+    "failure_detector",
+    "forwarder",
+    "relay",
+    "crash_monitor",
+    "count_broken_attempt",
+)
+
+_ENGINE = SimpleNamespace(layers=2)
+
+#: KV cache that paths may plan with, in tokens x layers.
+_PLANNED_KV = 100.0
+
+#: Seconds within which a request is admitted that need not wait for a poll.
+_AT_ONCE_S = 0.01
+
+#: The same for one that is admitted at its next poll.
+_POLLED_S = 0.06
+
+
+def _make_configuration(priorities):
+    shares = (ServiceShare(service="pool", weight=1.0),)
+    routes = tuple(SimpleNamespace(priority=p, shares=shares) for p in priorities)
+    return RoutingConfiguration(
+        version=1, routes={"": routes}, services={}, limits=None
+    )
+
+
+def _make_fingerprint(name):
+    return f"request-{name.encode().hex():0<16}"
+
+
+class _Finder:
+    """Finds a path while the share of the KV cache allows it, and reserves it."""
+
+    used_kv = 0.0
+
+    def choose(self, service, engine, wanted, **options):
+        kv = (wanted.prompt + wanted.answer) * engine.layers
+        if self.used_kv + kv > _PLANNED_KV * wanted.kv_share:
+            return None
+        self.used_kv += kv
+        return (SimpleNamespace(target="t1"),)
+
+    def measure_capacity(self, service, engine):
+        return KvCapacity(planned=_PLANNED_KV, free=_PLANNED_KV - self.used_kv)
+
+    def has_whole_model(self, service, engine):
+        return True
+
+
+class _Instance:
+    """The admission at an instance whose targets have a given capacity."""
+
+    def __init__(self, read_clock, *, used_kv, priorities=(0, 1, 2)):
+        self.read_clock = read_clock
+        self.started_at = read_clock()
+        self.configuration = _make_configuration(priorities)
+        self.settings = ClassSettings()
+        self.demands = DemandTable(own="one")
+        self.promised = PromisedReturns(source="one", read_clock=read_clock)
+        self.finder = _Finder()
+        self.finder.used_kv = used_kv
+        #: Times of admission, and time and retry delay of rejections, by request.
+        self.admitted = {}
+        self.rejected = {}
+        self.tasks = []
+        context = mock.Mock(
+            read_clock=read_clock,
+            demands=self.demands,
+            promised_returns=self.promised,
+            target_limits=make_target_limits(read_clock),
+            read_class_settings=lambda: self.settings,
+        )
+        context.catalogue.may_be_incomplete.return_value = False
+        pipe = SimpleNamespace(reserve=lambda *args: True)
+        with (
+            mock.patch.object(_engines, "PathFinder", lambda **options: self.finder),
+            mock.patch.object(_engines, "PipeLimiter", lambda **options: pipe),
+        ):
+            self.service = _engines.EngineService(
+                context=context,
+                **dict.fromkeys(_UNUSED, mock.Mock()),
+            )
+
+    def count_elapsed(self):
+        return self.read_clock() - self.started_at
+
+    async def advance_to(self, elapsed_s):
+        await asyncio.sleep(max(0.0, elapsed_s - self.count_elapsed()))
+
+    def make_state(self, name, *, urgency=0, objective_s=1.0):
+        return SimpleNamespace(
+            facts=SimpleNamespace(request_id=name),
+            configuration=self.configuration,
+            route=SimpleNamespace(objective_s=objective_s),
+            service="pool",
+            urgency=urgency,
+            arrived_at=self.read_clock(),
+            deadline=self.read_clock() + 30.0,
+            has_begun=False,
+            last_event=None,
+            fingerprint=_make_fingerprint(name),
+        )
+
+    def send(self, name, *, kv=10, label=None, **options):
+        """Let a request arrive; the same name stands for an equal request."""
+        wanted = PathRequest(prompt=0, answer=kv // _ENGINE.layers, data_centre="a")
+        state = self.make_state(name, **options)
+        work = self._admit(label or name, state, wanted)
+        self.tasks.append(asyncio.create_task(work))
+
+    async def _admit(self, label, state, wanted):
+        try:
+            await self.service._admission.await_path(state, _ENGINE, lambda: wanted)
+        except RejectedRequest as error:
+            self.rejected[label] = self.count_elapsed(), error.retry_after_s
+        else:
+            self.admitted[label] = self.count_elapsed()
+
+    def finish(self, kv, *, state=None):
+        """End an answer; it releases its KV cache."""
+        self.finder.used_kv -= kv
+        wanted = PathRequest(prompt=0, answer=kv / _ENGINE.layers, data_centre="a")
+        state = state or self.make_state("ended")
+        self.service._record_released(
+            SimpleNamespace(state=state, engine=_ENGINE, wanted=wanted)
+        )
+
+    def merge_report(self, *, urgency, on_time_kv, age_s):
+        now = self.read_clock()
+        peer = DemandTable(own="two")
+        peer.set_waiting("pool", urgency, on_time_kv=on_time_kv, late_kv=0.0, now=now)
+        demands = peer.list_own(now=now)
+        self.demands.merge_report("two", demands, boot=1, at=now - age_s, now=now)
+
+
+def _promise(promised, name, *, urgency=1, kv=10.0, return_s=1.0):
+    fingerprint = _make_fingerprint(name)
+    promised.promise(
+        fingerprint, "pool", urgency, kv, return_s=return_s, request_id=name
+    )
+
+
+def _simulate(work):
+    """Run a test in simulated time, without the log and with the mean retry delay."""
+
+    @functools.wraps(work)
+    def run_test(self):
+        with (
+            mock.patch("fulmarward_router.exchange._admission.log_event"),
+            mock.patch("fulmarward_router.state._return_promises.log_event"),
+            mock.patch("random.random", return_value=0.5),
+        ):
+            run_simulated(functools.partial(work, self))
+
+    return run_test
+
+
+class UrgencyTest(unittest.TestCase):
+    @_simulate
+    async def test_late_urgent_request_precedes_lower_one_on_time(self, read_clock):
+        """Guards against an order in which the wait class precedes the urgency."""
+        it = _Instance(read_clock, used_kv=100)
+        it.send("low", urgency=2, objective_s=1.0)
+        await it.advance_to(0.1)
+        it.send("urgent", urgency=0, objective_s=0.5)
+        await it.advance_to(0.5)
+        it.finish(10)
+        await it.advance_to(0.55)
+        self.assertEqual(list(it.admitted), ["urgent"])
+        it.finish(40)
+        await it.advance_to(0.6)
+        self.assertEqual(list(it.admitted), ["urgent", "low"])
+
+    @_simulate
+    async def test_reported_demand_of_higher_classes_is_reserved(self, read_clock):
+        """Guards against taking what waits elsewhere, and against outdated reports."""
+        # Reports are valid for 1.5 s, and these are 1.0 s old.
+        for reported, admitted_s in ((0, 0.5), (1, 0.0), (2, 0.0)):
+            with self.subTest(reported=reported):
+                it = _Instance(read_clock, used_kv=70)
+                it.merge_report(urgency=reported, on_time_kv=40.0, age_s=1.0)
+                it.send("request", urgency=1)
+                await it.advance_to(0.8)
+                self.assertGreaterEqual(it.admitted["request"], admitted_s)
+                self.assertLess(it.admitted["request"], admitted_s + _POLLED_S)
+
+    @_simulate
+    async def test_instance_without_reports_decides_by_its_own_demand(self, read_clock):
+        """Guards against an instance that admits nothing while its peers are silent."""
+        it = _Instance(read_clock, used_kv=70)
+        it.send("urgent", urgency=0, kv=40)
+        await it.advance_to(0.5)
+        it.send("low", urgency=1)
+        await it.advance_to(0.89)
+        self.assertEqual(it.admitted, {})
+        await it.advance_to(1.0)
+        self.assertEqual([*it.rejected, *it.admitted], ["urgent", "low"])
+
+    @_simulate
+    async def test_lowest_class_gets_its_minimum_share(self, read_clock):
+        """Guards against starvation while higher classes fill all capacity."""
+        for is_measured in (False,):
+            with self.subTest(is_measured=is_measured):
+                it = _Instance(read_clock, used_kv=100)
+                for step in range(100):
+                    await it.advance_to(step * 0.05)
+                    it.send(f"urgent{step}", urgency=0)
+                    if step % 2:
+                        it.send(f"low{step}", urgency=2)
+                        await asyncio.sleep(0.01)
+                        if is_measured:
+                            it.finish(10)
+                        else:
+                            it.finder.used_kv -= 10
+                await it.advance_to(6.0)
+                # A quarter of 50; the lowest class gets no more beside the urgent one.
+                count = sum(name.startswith("low") for name in it.admitted)
+                self.assertIn(count, (12, 13))
+
+
+class UniformTest(unittest.TestCase):
+    @_simulate
+    async def test_service_with_equal_priorities_is_served_as_before(self, read_clock):
+        """Guards against a change for services without classes."""
+        it = _Instance(read_clock, used_kv=100, priorities=(1, 1))
+        it.finish(0)
+        it.send("late", urgency=1, objective_s=0.5)
+        await it.advance_to(0.4)
+        it.send("on time", urgency=1, objective_s=1.0)
+        await it.advance_to(0.5)
+        it.finish(20)
+        await it.advance_to(1.5)
+        # Late requests fill 85 of 100, and 90 are used once the other is admitted.
+        self.assertEqual(list(it.admitted), ["on time"])
+        ended_s, retry_after_s = it.rejected["late"]
+        self.assertAlmostEqual(ended_s, 0.9, delta=0.05)
+        self.assertAlmostEqual(retry_after_s, 3.0)
+        self.assertEqual(it.demands.list_own(now=read_clock()), {})
+        self.assertEqual(it.promised.counts.made, 0)
+
+
+class ReturnTest(unittest.TestCase):
+    @_simulate
+    async def test_request_without_capacity_in_time_is_rejected(self, read_clock):
+        """Guards against a rejection after the wait, and a delay without reason."""
+        # 13.5 released count as 15 per second: the window begins with 0.9 s. The
+        # estimated return is the wait divided by the promised share of 0.4.
+        cases = (
+            (13.5, 24, 0.0, 4.0, 1),
+            (13.5, 80, 0.0, 5.0, 0),
+            (0, 24, 0.9, 3.0, 0),
+        )
+        for released_kv, kv, ended_s, retry_after_s, promises in cases:
+            with self.subTest(released_kv=released_kv, kv=kv):
+                it = _Instance(read_clock, used_kv=100 + released_kv)
+                if released_kv:
+                    it.finish(released_kv)
+                it.send("request", kv=kv, objective_s=0.5)
+                await it.advance_to(1.2)
+                found_s, found_retry_s = it.rejected["request"]
+                self.assertAlmostEqual(found_s, ended_s, delta=0.5 / 8)
+                self.assertAlmostEqual(found_retry_s, retry_after_s, delta=0.1)
+                self.assertEqual(it.promised.counts.made, promises)
+
+    @_simulate
+    async def test_caller_that_returns_when_told_precedes_its_level(self, read_clock):
+        """Guards against a promise that is not kept, or is kept twice."""
+        it = _Instance(read_clock, used_kv=100)
+        _promise(it.promised, "promised")
+        await it.advance_to(0.7)
+        it.send("first", urgency=1)
+        await it.advance_to(1.0)
+        it.send("promised", urgency=1)
+        it.send("promised", urgency=1, label="equal")
+        it.finish(10)
+        await it.advance_to(1.1)
+        self.assertEqual(list(it.admitted), ["promised"])
+        self.assertEqual(it.promised.counts.kept, 1)
+        it.finish(10)
+        it.finish(10)
+        await it.advance_to(1.2)
+        self.assertEqual(it.promised.counts.kept, 1)
+        self.assertEqual(len(it.promised.take_changes(9)[1]), 1)
+
+    @_simulate
+    async def test_caller_that_returns_early(self, read_clock):
+        """Guards against early returns that wait, or are rejected beside capacity."""
+        for used_kv, is_admitted in ((100, False), (80, True)):
+            with self.subTest(used_kv=used_kv):
+                it = _Instance(read_clock, used_kv=used_kv)
+                _promise(it.promised, "promised")
+                await it.advance_to(0.2)
+                it.send("promised", urgency=1)
+                await it.advance_to(0.2 + _AT_ONCE_S)
+                open_kv = it.promised.sum_kv("pool", due_within_s=9.0)
+                self.assertEqual("promised" in it.admitted, is_admitted)
+                self.assertEqual(open_kv, {} if is_admitted else {1: 10.0})
+                if not is_admitted:
+                    self.assertAlmostEqual(it.rejected["promised"][1], 0.8, delta=0.01)
+
+    @_simulate
+    async def test_promise_of_a_peer_that_is_gone_counts(self, read_clock):
+        """Guards against promises that end with the instance that made them."""
+        peer = PromisedReturns(source="two", read_clock=read_clock)
+        _promise(peer, "promised", urgency=0, kv=40.0, return_s=0.2)
+        promises, redeemed = peer.take_changes(9)
+        for arrived_kv in (1.0,):
+            with self.subTest(arrived_kv=arrived_kv):
+                it = _Instance(read_clock, used_kv=70)
+                it.demands.record_arrival("pool", 0, arrived_kv, now=read_clock())
+                it.merge_report(urgency=0, on_time_kv=1.0, age_s=0.0)
+                it.promised.merge(promises, redeemed, source="two", delay_s=0.0)
+                it.demands.remove("two")
+                it.send("low", urgency=1)
+                await asyncio.sleep(_AT_ONCE_S)
+                self.assertEqual(it.admitted, {}, "reserved for the promise")
+                it.finish(15)
+                it.send("promised", urgency=0, kv=40)
+                await asyncio.sleep(_AT_ONCE_S)
+                self.assertEqual(list(it.admitted), ["promised"])
+                self.assertEqual(it.promised.counts.kept, 1)
+
+
+class WakeTest(unittest.TestCase):
+    @_simulate
+    async def test_end_of_an_answer_wakes_waiting_requests(self, read_clock):
+        """Guards against capacity that is unused until the next poll."""
+        orders = [("a", 0), ("b", 0)], [("a", 0), ("b", 1)]
+        for order in orders:
+            with self.subTest(order=order):
+                it = _Instance(read_clock, used_kv=100)
+                for name, urgency in order:
+                    it.send(name, urgency=urgency)
+                await it.advance_to(0.085)
+                it.finish(40)
+                await asyncio.sleep(_AT_ONCE_S)
+                self.assertEqual(len(it.admitted), len(order))
+
+
+class ChangeTest(unittest.TestCase):
+    @_simulate
+    async def test_changed_setting_applies_to_waiting_requests(self, read_clock):
+        """Guards against a minimum share that is that of the start."""
+        for share, first in ((0.0, "urgent"), (1.0, "low")):
+            with self.subTest(share=share):
+                it = _Instance(read_clock, used_kv=100)
+                it.settings = ClassSettings(min_class_share=0.0)
+                it.send("low", urgency=2)
+                it.send("urgent", urgency=0)
+                await it.advance_to(0.1)
+                it.settings = ClassSettings(min_class_share=share)
+                it.send("next", urgency=2)
+                await it.advance_to(0.2)
+                it.finish(10)
+                await it.advance_to(0.3)
+                self.assertEqual(list(it.admitted), [first])
+
+    @_simulate
+    async def test_changed_configuration_applies_to_waiting_requests(self, read_clock):
+        """Guards against the classes of an earlier configuration.
+
+        Late requests of the lowest class fill 85 of 100, those of others 100.
+        """
+        for is_old_answer in (False,):
+            with self.subTest(is_old_answer=is_old_answer):
+                it = _Instance(read_clock, used_kv=100, priorities=(0, 1))
+                old_state = it.make_state("old", urgency=1)
+                it.send("request", urgency=1, objective_s=0.5)
+                await it.advance_to(0.5)
+                it.configuration = _make_configuration((0, 1, 2))
+                it.send("next", urgency=2, kv=80)
+                await it.advance_to(0.6)
+                it.finish(10, state=old_state if is_old_answer else None)
+                await it.advance_to(0.6 + _AT_ONCE_S)
+                self.assertEqual(list(it.admitted), ["request"])
