Show the demand of classes in the status of an instance

Cause: which class of a service waits, how much capacity there is and what was promised to rejected callers could only be read from the log lines of single rejections.

Change: the status has `contention`: by service with classes the planned and the free KV cache and, by urgency, the demand of the fleet and of this instance and what is promised; the age of the oldest report, and the counts of promises. At most 64 services of 16 classes are described. Amounts that are not finite are null, and sums are limited to 2^53, as the encoder rejects integers beyond 64 bits.

Measured: the 6 tests of fulmarward_router.tests.test_contention pass: no configuration, no reports, no engine, infinite and NaN capacity, 4,096 reports of 2^53 each, the bound on the size.

--- a/packages/router/fulmarward_router/_status.py
+++ b/packages/router/fulmarward_router/_status.py
@@ -8,18 +8,14 @@
 from fulmarward_core.isolation import ContactTable
 from fulmarward_core.layers import count_holders, find_gaps, group_by_data_centre
 from fulmarward_core.suspicion import SuspicionTable
+from fulmarward_router._contention import ContentionSource, describe_contention
 from fulmarward_router._life import Life
 from fulmarward_router.mesh import InstanceIdentity, MemberTable
 from fulmarward_router.placement import LeaseKeeper
-from fulmarward_router.state import (
-    ConfigurationHolder,
-    PoisonKnowledge,
-    StoreWatch,
-    TargetLimits,
-)
+from fulmarward_router.state import PoisonKnowledge, StoreWatch, TargetLimits
 
 
-class StatusSource(Protocol):
+class StatusSource(ContentionSource, Protocol):
     """The parts of an instance that its status describes."""
 
     own: InstanceIdentity
@@ -27,7 +23,6 @@
     members: MemberTable
     catalogue: TargetCatalogue
     suspicions: SuspicionTable
-    configuration: ConfigurationHolder
     watch: StoreWatch
     lease: LeaseKeeper
     contacts: ContactTable
@@ -99,6 +94,7 @@
             for target in sorted(instance.target_limits.list_backed_off())
         ],
         "layers": _describe_layers(instance, now),
+        "contention": describe_contention(instance, now=now),
         "lease": {
             "holder": instance.lease.holder,
             "is_held_here": instance.lease.is_held(),
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -12,7 +12,12 @@
 from fulmarward_core.attempts import may_retry, may_run_again, must_reuse_targets
 from fulmarward_core.fleet import EngineModel
 from fulmarward_core.loads import Reservation
-from fulmarward_core.paths import Hop, PathRequest, count_tokens_held
+from fulmarward_core.paths import (
+    Hop,
+    KvCapacity,
+    PathRequest,
+    count_tokens_held,
+)
 from fulmarward_core.routes import list_class_services, list_urgencies
 from fulmarward_router.exchange._admission import (
     AdmissionQueue,
@@ -161,6 +166,10 @@
         )
         return waiting
 
+    def measure_capacity(self, service: str, engine: EngineModel) -> KvCapacity:
+        """Return the KV cache of the usable targets of a service."""
+        return self._finder.measure_capacity(service, engine)
+
     async def serve(self, state: RequestState) -> web.StreamResponse:
         """Stream a complete response to the caller.
 
