--- a/packages/router/fulmarward_router/_metrics.py
+++ b/packages/router/fulmarward_router/_metrics.py
@@ -80,6 +80,12 @@
     rejected_responses: Counter
     #: Promises to rejected callers, by `outcome`: the fields of `PromiseCounts`.
     return_promises: Counter
+    #: Requests that the admission by urgency rejected, by `service`, `urgency` and
+    #: `cause`: the events `admission_denied`.
+    denials: Counter
+    #: Seconds from asking for a path to its choice, by `service` and `urgency`, of
+    #: requests of services with classes.
+    admission_wait: Histogram
 
 
 def make_router_metrics() -> RouterMetrics:
@@ -159,6 +165,14 @@
         return_promises=factory.count(
             "return_promises_total", "Promises to rejected callers, by outcome."
         ),
+        denials=factory.count(
+            "admission_denials_total",
+            "Requests rejected for want of capacity, by service, urgency and cause.",
+        ),
+        admission_wait=factory.histogram(
+            "admission_wait_seconds",
+            "Time for which admitted requests waited, by service and urgency.",
+        ),
     )
 
 
@@ -185,6 +199,22 @@
     metrics.request_duration.observe(labels, took_s)
 
 
+def count_denial(
+    metrics: RouterMetrics, service: str, urgency: int, cause: str
+) -> None:
+    """Count a request that the admission by urgency rejected."""
+    labels = {"service": service, "urgency": str(urgency), "cause": cause}
+    metrics.denials.inc(labels)
+
+
+def observe_admission_wait(
+    metrics: RouterMetrics, service: str, urgency: int, waited_s: float
+) -> None:
+    """Record for how long an admitted request waited."""
+    labels = {"service": service, "urgency": str(urgency)}
+    metrics.admission_wait.observe(labels, waited_s)
+
+
 def refresh_metrics(
     metrics: RouterMetrics,
     *,
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine, Mapping, Sequence
 from dataclasses import dataclass
+from functools import partial
 from typing import Protocol
 
 import aiohttp
@@ -29,7 +30,9 @@
     make_ready_handler,
 )
 from fulmarward_router._metrics import (
+    count_denial,
     make_router_metrics,
+    observe_admission_wait,
     observe_request,
     refresh_metrics,
 )
@@ -402,6 +405,8 @@
             relay=relay,
             crash_monitor=crash_monitor,
             count_broken_attempt=self._count_broken_attempt,
+            count_denial=partial(count_denial, self.metrics),
+            observe_wait=partial(observe_admission_wait, self.metrics),
         )
         return CallerHandler(
             dialect=self.dialect,
--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -113,7 +113,14 @@
         find_waiting: Callable[[RequestState, EngineModel], WaitingRequests],
         promised_returns: PromisedReturns,
         read_clock: Callable[[], float],
+        count_denial: Callable[[str, int, str], None],
+        observe_wait: Callable[[str, int, float], None],
     ) -> None:
+        #: Counts a rejection in a service with classes, by service, urgency and cause.
+        self._count_denial = count_denial
+        #: Records for how many seconds an admitted request of such a service waited, by
+        #: service and urgency.
+        self._observe_wait = observe_wait
         #: Returns the requests that wait for the service of a request.
         self._find_waiting = find_waiting
         self._promised_returns = promised_returns
@@ -161,7 +168,9 @@
                         state, engine, wanted, request, waiting, wait_end=wait_end
                     )
                     if not isinstance(found, Shortage):
-                        waiting.record_admitted(request, now=self._read_clock())
+                        now = self._read_clock()
+                        waiting.record_admitted(request, now=now)
+                        self._record_wait(state, request, now - began_at)
                         self._redeem(state, returned)
                         return found
                     shortage = found
@@ -216,6 +225,13 @@
             return PromisedReturn(status=ReturnStatus.UNKNOWN)
         return self._promised_returns.find(state.fingerprint)
 
+    def _record_wait(
+        self, state: RequestState, request: WaitingRequest, waited_s: float
+    ) -> None:
+        """Record for how long a request waited that has not started."""
+        if not request.is_started and _has_classes(state):
+            self._observe_wait(state.service, state.urgency, waited_s)
+
     def _redeem(self, state: RequestState, returned: PromisedReturn) -> None:
         """Close the promise for a request that has found a path."""
         if returned.status is not ReturnStatus.UNKNOWN:
@@ -275,6 +291,7 @@
             )
         values = waiting.describe(request, now=now)
         if values:
+            self._count_denial(state.service, state.urgency, rejection.cause)
             log_event(
                 "admission_denied",
                 request=state.facts.request_id,
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -87,6 +87,8 @@
         relay: PeerRelay,
         crash_monitor: CrashMonitor,
         count_broken_attempt: Callable[[str, str], None],
+        count_denial: Callable[[str, int, str], None],
+        observe_wait: Callable[[str, int, float], None],
     ) -> None:
         self._context = context
         self._forwarder = forwarder
@@ -127,6 +129,8 @@
             find_waiting=self._find_waiting,
             promised_returns=context.promised_returns,
             read_clock=context.read_clock,
+            count_denial=count_denial,
+            observe_wait=observe_wait,
         )
         #: Waiting requests by service, for services without and with classes.
         self._uniform_requests: defaultdict[str, UniformRequests]
--- a/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
@@ -245,6 +245,8 @@
             relay=relay,
             crash_monitor=crash_monitor,
             count_broken_attempt=lambda service, progress: None,
+            count_denial=lambda service, urgency, cause: None,
+            observe_wait=lambda service, urgency, waited_s: None,
         )
         self.start(self.service.supervisor.run())
 
