--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -12,7 +12,12 @@
 from fulmarward_core.attempts import may_retry, may_run_again, must_reuse_targets
 from fulmarward_core.fleet import EngineModel
 from fulmarward_core.loads import Reservation
-from fulmarward_core.paths import Hop, PathRequest, count_tokens_held
+from fulmarward_core.paths import (
+    Hop,
+    KvCapacity,
+    PathRequest,
+    count_tokens_held,
+)
 from fulmarward_core.routes import list_class_services, list_urgencies
 from fulmarward_router.exchange._admission import (
     AdmissionQueue,
@@ -83,6 +88,8 @@
         relay: PeerRelay,
         crash_monitor: CrashMonitor,
         count_broken_attempt: Callable[[str, str], None],
+        count_denial: Callable[[str, int, str], None],
+        observe_wait: Callable[[str, int, float], None],
     ) -> None:
         self._context = context
         self._forwarder = forwarder
@@ -123,6 +130,8 @@
             find_waiting=self._find_waiting,
             promised_returns=context.promised_returns,
             read_clock=context.read_clock,
+            count_denial=count_denial,
+            observe_wait=observe_wait,
         )
         #: Waiting requests by service, for services without and with classes.
         self._uniform_requests: defaultdict[str, UniformRequests]
@@ -169,6 +178,10 @@
         )
         return waiting
 
+    def measure_capacity(self, service: str, engine: EngineModel) -> KvCapacity:
+        """Return the KV cache of the usable targets of a service."""
+        return self._finder.measure_capacity(service, engine)
+
     async def serve(self, state: RequestState) -> web.StreamResponse:
         """Stream a complete response to the caller.
 
