Test the admission of a service with classes by the real parts of an instance

No test served a request of such a service by EngineService, PathFinder and LoadLedger: a complete answer is measured as one release, and a request beside full targets is rejected with a delay within bounds and finite values in its log line.

--- a/packages/router/fulmarward_router/exchange/tests/test_engines.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_engines.py
@@ -1,10 +1,12 @@
 """The waiting requests of engine services, and the release of their answers."""
 
 import asyncio
+import math
 from types import SimpleNamespace
 from unittest import mock
 
 from fulmarward_core.queueing import WaitingRequest
+from fulmarward_router.exchange._request_state import RejectedRequest
 from fulmarward_router.exchange.tests.test_ended_streams import _EndedStreamTest
 from fulmarward_router.exchange.tests.test_late_streams import _ENGINE
 
@@ -56,3 +58,58 @@
         async with asyncio.timeout(5.0):
             await asyncio.wait([self.serving])
         self.assertEqual(held, [False])
+
+
+class ClassServiceTest(_EndedStreamTest):
+    """Serves streams of a service with classes by the real parts of an instance."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        services = frozenset({"pool"})
+        replaced = {
+            "_engines.list_class_services": lambda configuration: services,
+            "_engines.list_urgencies": lambda configuration, service: (0, 1),
+            "_admission.list_class_services": lambda configuration: services,
+        }
+        for name, function in replaced.items():
+            patch = mock.patch(f"fulmarward_router.exchange.{name}", function)
+            patch.start()
+            self.addCleanup(patch.stop)
+
+    async def complete(self):
+        """Serve a stream until its end."""
+        self.begin()
+        await self.await_attempt(1)
+        await self.send(1, attempt=1)
+        await self.check_completes(attempt=1)
+
+    async def test_complete_answer_is_released_once(self):
+        """Guards against a release that is not measured, or twice."""
+        await self.complete()
+        [demand] = self.service._context.demands.list_own(now=self.read_clock())["pool"]
+        self.assertAlmostEqual(demand.released_kv_per_s, 40.0, delta=5.0)
+        self.assertEqual((demand.on_time_kv, demand.late_kv), (0.0, 0.0))
+
+    async def test_request_beside_full_targets_is_rejected_with_its_reasons(self):
+        """Guards against values that cannot be measured, logged or sent."""
+        await self.complete()
+        finder = self.service._finder
+        planned = finder.measure_capacity("pool", _ENGINE).planned
+        for number in range(1, 5):
+            hop = SimpleNamespace(target=f"t{number}", layers=range(2))
+            self.service._ledger.reserve((hop,), int(planned))
+        self.skipped_s += 0.1
+        with mock.patch("fulmarward_router.exchange._admission.log_event") as log:
+            serving, _ = self.serve()
+            async with asyncio.timeout(5.0):
+                await asyncio.wait([serving])
+        self.assertIsInstance(serving.exception(), RejectedRequest)
+        self.assertTrue(0.5 <= serving.exception().retry_after_s <= 6.0)
+        [values] = [
+            call.kwargs
+            for call in log.call_args_list
+            if call.args == ("admission_denied",)
+        ]
+        numbers = [value for value in values.values() if isinstance(value, float | int)]
+        self.assertTrue(all(map(math.isfinite, numbers)), values)
+        self.assertEqual((values["kv"], values["free_kv"]), (40, 0))
