Honour a promise at the service for which it was made

Cause: a promise was looked up by the fingerprint of the request alone. A route with shares of several services chooses by the request id, so that a returning request may go to another service. There it preceded others without reserved capacity, or was rejected as early.

Change: a promise of another service has no effect; it expires.

Measured: such requests are rejected by the estimate of their service; before, one waited and one was rejected as early (PromisedReturnTest fails).

--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -226,11 +226,15 @@
         """Return whether the caller of a request was promised capacity.
 
         A request that seeks another path has redeemed its promise; others of equal
-        requests belong to their callers.
+        requests belong to their callers. A route may lead the same request to another
+        service on its return, where nothing was promised.
         """
+        unknown = PromisedReturn(status=ReturnStatus.UNKNOWN)
         if state.has_begun or state.has_sought_path or not _has_classes(state):
-            return PromisedReturn(status=ReturnStatus.UNKNOWN)
-        return self._promised_returns.find(state.fingerprint)
+            return unknown
+        found = self._promised_returns.find(state.fingerprint)
+        is_here = found.promise is not None and found.promise.service == state.service
+        return found if is_here else unknown
 
     def _redeem(self, state: RequestState, returned: PromisedReturn) -> None:
         """Close the promise for a request that has found a path."""
--- a/packages/router/fulmarward_router/exchange/tests/test_admission.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_admission.py
@@ -148,6 +148,19 @@
             await self.await_path(state)
         self.assertEqual(self.promised.counts.made, 1)
 
+    async def test_promise_of_another_service_has_no_effect(self):
+        """Guards against precedence without capacity on routes to two services."""
+        self.make_contention()
+        for return_s in (0.1, 5.0):
+            with self.subTest(return_s=return_s):
+                state = self.make_state()
+                state.request.raw_path = f"/{return_s}"
+                self.promised.promise(
+                    state.fingerprint, "b", 1, 9.0, return_s=return_s, request_id="a"
+                )
+                with self.assertRaisesRegex(RejectedRequest, "room in time"):
+                    await self.await_path(state)
+
 
 class RepeatedTest(_AdmissionTest):
     async def test_request_that_needs_another_path_counts_once(self):
