--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -235,11 +235,15 @@
         """Return whether the caller of a request was promised capacity.
 
         A request that seeks another path has redeemed its promise; others of equal
-        requests belong to their callers.
+        requests belong to their callers. A route may lead the same request to another
+        service on its return, where nothing was promised.
         """
+        unknown = PromisedReturn(status=ReturnStatus.UNKNOWN)
         if state.has_begun or state.has_sought_path or not _has_classes(state):
-            return PromisedReturn(status=ReturnStatus.UNKNOWN)
-        return self._promised_returns.find(state.fingerprint)
+            return unknown
+        found = self._promised_returns.find(state.fingerprint)
+        is_here = found.promise is not None and found.promise.service == state.service
+        return found if is_here else unknown
 
     def _record_wait(
         self, state: RequestState, request: WaitingRequest, waited_s: float
@@ -267,9 +271,10 @@
         """Return why a request without a path now is not to wait, `None` if it is.
 
         A caller that returns too early would take what others were promised. One that
-        returns as told precedes those for whom the estimate is made.
+        returns as told precedes those for whom the estimate is made. A request that a
+        target may have run is not rejected early, as its rejection tells that none has.
         """
-        if request.is_started or request.is_promised:
+        if request.is_started or request.is_promised or state.runs > 0:
             return None
         if returned.status is ReturnStatus.EARLY:
             self._promised_returns.record_early(
