--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -517,17 +517,20 @@
         """Record that a complete answer has released its KV cache.
 
         Waiting requests are woken by it, and would find no room before the release.
-
-        What failed attempts release may be that of a target that is gone.
+        What failed attempts release may be that of a target that is gone. The answer
+        may have begun under an older configuration, in which its service had no classes
+        or others.
         """
-        # By the configuration in force, which may differ from that of the answer.
-        waiting = self._class_requests.get(attempt.state.service)
-        if waiting is not None:
-            waiting.record_released(
-                attempt.state.urgency,
-                compute_request_kv(attempt.wanted, attempt.engine),
-                now=self._read_clock(),
-            )
+        state = attempt.state
+        if state.service not in self._class_requests:
+            if state.service not in list_class_services(state.configuration):
+                return
+            self._find_waiting(state, attempt.engine)
+        self._class_requests[state.service].record_released(
+            state.urgency,
+            compute_request_kv(attempt.wanted, attempt.engine),
+            now=self._read_clock(),
+        )
 
     def _release(self, attempt: Attempt) -> None:
         """Release what an attempt holds; the closed connection stops the targets."""
--- a/packages/router/fulmarward_router/exchange/tests/test_admission_queue.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_admission_queue.py
@@ -123,6 +123,7 @@
             last_event=None,
             fingerprint=_make_fingerprint(name),
             has_sought_path=False,
+            runs=0,
         )
 
     def send(self, name, *, kv=10, label=None, **options):
