Probe slow targets less often for stalled streams

Cause: slow targets stall streams of all instances again and again, and each instance probed all targets of such a path every 0.8 s.

Change: in a large fleet the interval between two such probes of a target doubles with each answer, up to 3.2 s, and is 0.8 s again after 6 s without one or after a failure. Instances probe at different times, so that one of them finds a failed target as soon as before, and reports it.

--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -277,7 +277,7 @@
         ]
         suspects = find_stalled_targets(views, thresholds=thresholds)
         if suspects:
-            self._failure_detector.probe(suspects)
+            self._failure_detector.probe_stalled(suspects)
 
     def _compute_stall_thresholds(self, begun: Iterable[Attempt]) -> StallThresholds:
         """Return when streams count as stalled.
--- a/packages/router/fulmarward_router/exchange/_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/_failure_detector.py
@@ -30,6 +30,14 @@
 #: Seconds between two probes of the same target that answered.
 PROBE_INTERVAL_S = 0.8
 
+#: Seconds between two probes for stalled streams of a target that answers them, in a
+#: large fleet: doubled after each answer, up to the maximum. Slow targets stall streams
+#: of many instances again and again, and each instance probes at another time.
+MAX_STALL_PROBE_INTERVAL_S = 3.2
+
+#: Seconds without a probe after which that interval is the shortest one again.
+STALL_RESET_S = 6.0
+
 #: Seconds without probes after a round in which no control answered: further probes
 #: would only add to a saturated link.
 ISOLATED_HOLD_S = 0.25
@@ -107,6 +115,9 @@
         self._notify_peers = notify_peers
         self._report_tasks: dict[str, asyncio.Task] = {}
         self._probed_at: dict[str, float] = {}
+        #: Seconds between two probes for stalled streams, by target. One entry for each
+        #: target that was ever probed for them.
+        self._stall_intervals_s: dict[str, float] = {}
         #: Running probe rounds, with the targets of each.
         self._probe_tasks: dict[asyncio.Task, frozenset[str]] = {}
         #: When no control answered, in seconds on the monotonic clock.
@@ -129,6 +140,7 @@
     def record_failure(self, target: str, *, cause: str, kind: FailureKind) -> None:
         """Record that a target is unreachable."""
         now = self._read_clock()
+        self._stall_intervals_s.pop(target, None)
         if self._suspicions.record_failure(target, now=now, kind=kind):
             log_event(
                 "target_unreachable",
@@ -187,6 +199,28 @@
                 return record.name
         return None
 
+    def probe_stalled(self, targets: Iterable[str]) -> None:
+        """Start a task that finds out which targets of stalled streams are unreachable.
+
+        In a large fleet, targets that have answered such probes are probed less often.
+        """
+        if not self._is_large():
+            self.probe(targets)
+            return
+        now = self._read_clock()
+        due = []
+        for target in targets:
+            elapsed_s = now - self._probed_at.get(target, float("-inf"))
+            interval_s = PROBE_INTERVAL_S
+            if elapsed_s < STALL_RESET_S:
+                interval_s = self._stall_intervals_s.get(target, PROBE_INTERVAL_S)
+            if elapsed_s >= interval_s:
+                self._stall_intervals_s[target] = min(
+                    MAX_STALL_PROBE_INTERVAL_S, 2 * interval_s
+                )
+                due.append(target)
+        self.probe(due)
+
     def probe(self, targets: Iterable[str]) -> None:
         """Start a task that finds out which of the targets are unreachable."""
         records = self._list_due(targets)
--- a/packages/router/fulmarward_router/exchange/tests/test_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_failure_detector.py
@@ -18,6 +18,8 @@
 from fulmarward_router.exchange._contact_monitor import ACCEPTANCE_DURATION_S
 from fulmarward_router.exchange._failure_detector import (
     BUSY_RECHECK_INTERVAL_S,
+    MAX_STALL_PROBE_INTERVAL_S,
+    PROBE_INTERVAL_S,
     RECHECK_AHEAD_S,
 )
 from fulmarward_router.ports import TargetReport
@@ -352,6 +354,29 @@
         checking.cancel()
         self.assertEqual(instance.list_direct_failures(), "b")
 
+    async def test_slow_target_is_probed_less_often_for_stalled_streams(self):
+        """Guards against probes of slow targets by each instance all the time."""
+        for is_large, expected in ((True, 3), (False, 10)):
+            with self.subTest(is_large=is_large):
+                instance = _Instance(lambda now: "", is_large=is_large)
+                for _ in range(10):
+                    instance.detector.probe_stalled("abc")
+                    while instance.detector._probe_tasks:
+                        await asyncio.sleep(0.001)
+                    instance.clock.now += 1.01 * PROBE_INTERVAL_S
+                calls = Counter(name for name, _ in instance.dialect.calls)
+                self.assertEqual(calls["a"], expected)
+
+    async def test_slow_target_that_fails_is_found_by_its_next_probe(self):
+        """Guards against a failed target that counts as slow for ever."""
+        instance = _Instance(lambda now: "b" if now > 104.0 else "", is_large=True)
+        for wait_s in (2 * PROBE_INTERVAL_S + 0.1, MAX_STALL_PROBE_INTERVAL_S + 0.1, 0):
+            instance.detector.probe_stalled("abc")
+            while instance.detector._probe_tasks:
+                await asyncio.sleep(0.01)
+            instance.clock.now += wait_s
+        self.assertEqual(instance.list_direct_failures(), "b")
+
     async def test_observer_refutes_the_report_of_an_isolated_peer(self):
         """Guards against a healthy target that all others avoid on a peer's word."""
         for is_large in (True, False):
