--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -201,9 +201,21 @@
             waiting.remove(request, now=self._read_clock())
         if state.has_begun:
             raise TruncatedResponse(CutCause.NO_PATH)
+        raise self._make_rejection(state, engine, request, waiting, shortage, rejection)
+
+    def _make_rejection(
+        self,
+        state: RequestState,
+        engine: EngineModel,
+        request: WaitingRequest,
+        waiting: WaitingRequests,
+        shortage: Shortage,
+        rejection: Rejection | None,
+    ) -> RejectedRequest:
+        """Return the rejection of a request that found no path."""
         if shortage is Shortage.LIMIT:
             # A permit goes to whoever asks first, so that waiting here gains nothing.
-            raise RejectedRequest(
+            return RejectedRequest(
                 ResultCode.QUEUE_FULL,
                 cause="all targets are limited",
                 retry_after_s=self._find_limited_retry_s(state.service, engine),
@@ -217,14 +229,14 @@
             rejection = rejection or Rejection(
                 cause="no path has room", return_s=return_s
             )
-            raise RejectedRequest(
+            return RejectedRequest(
                 ResultCode.QUEUE_FULL,
                 cause=rejection.cause,
                 retry_after_s=self._plan_return(state, request, waiting, rejection),
                 shortage=shortage,
             )
         self._log_missing_layers(state.service, engine)
-        raise RejectedRequest(
+        return RejectedRequest(
             ResultCode.NO_TARGET,
             cause="no path holds all layers",
             retry_after_s=choose_retry_after_s(random.random()),
