--- a/packages/core/fulmarward_core/waits/_promises.py
+++ b/packages/core/fulmarward_core/waits/_promises.py
@@ -51,7 +51,7 @@
     urgency: int
     #: KV cache that the request needs, in tokens times layers.
     kv: float
-    #: When the caller was told to return, in seconds on the monotonic clock.
+    #: When the caller is expected to return, in seconds on the monotonic clock.
     due_at: float
 
 
--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -282,9 +282,10 @@
     ) -> Rejection | None:
         """Return why a request without a path now is not to wait, `None` if it is.
 
-        A caller that returns too early would take what others were promised. One that
-        returns as told precedes those for whom the estimate is made. A request that a
-        target may have run is not rejected early, as its rejection tells that none has.
+        A caller that returns before its retry delay would take what others were
+        promised. One whose promise is due precedes those for whom the estimate is made.
+        A request that a target may have run is not rejected early, as a rejection
+        means that none has.
         """
         if request.is_started or request.is_promised or state.runs > 0:
             return None
@@ -293,7 +294,7 @@
                 returned, request_id=state.facts.request_id
             )
             return Rejection(
-                cause="returned before the time that it was told",
+                cause="returned before its retry delay",
                 return_s=max(MIN_EARLY_RETRY_S, returned.left_s),
             )
         now = self._read_clock()
@@ -315,7 +316,7 @@
         """Return the retry delay of a rejected request, and promise it capacity.
 
         A relayed request gets no promise: the peer that relayed it asks others, and its
-        caller is not told this delay. Neither does one that was promised before, as
+        caller does not receive this delay. Neither does one that was promised before:
         callers retry once.
         """
         now = self._read_clock()
--- a/packages/router/fulmarward_router/exchange/_waiting.py
+++ b/packages/router/fulmarward_router/exchange/_waiting.py
@@ -34,7 +34,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class ReturnPlan:
-    """When a rejected caller is told to return, and whether it is promised capacity."""
+    """The retry delay of a rejected caller, and whether it is promised capacity."""
 
     return_s: float
     is_promised: bool
