Send the demand of classes less often while no request waits

Demand reports were 1.4 times as many as heartbeats.

Change: reports on a link are 0.7 s apart in place of 0.25 s while no request of their sources waits; a request that begins to wait is in the next round.

--- a/packages/router/fulmarward_router/mesh/_demands.py
+++ b/packages/router/fulmarward_router/mesh/_demands.py
@@ -10,6 +10,10 @@
 #: report is valid, so that a few that are lost or late do not end it.
 DEMANDS_INTERVAL_S = 0.25
 
+#: The same while no request of the reported sources waits. Only the rates change then,
+#: which are means over about a second.
+IDLE_DEMANDS_INTERVAL_S = 0.7
+
 
 @dataclass(kw_only=True)
 class SentDemands:
@@ -20,6 +24,8 @@
     #: The sources whose last report on the link had demand, and whether each of them is
     #: a data centre.
     sources: frozenset[tuple[str, bool]] = frozenset()
+    #: Whether requests of any of them waited.
+    has_waiting: bool = False
 
 
 class DemandEncoder:
@@ -50,8 +56,16 @@
             for report, data in self._encode_scope(scope)
             if report.demands or (report.source, report.is_data_centre) in sent.sources
         ]
+        has_waiting = any(
+            item.on_time_kv or item.late_kv
+            for report, _ in due
+            for item in report.demands
+        )
+        is_idle = not has_waiting and not sent.has_waiting
+        if is_idle and now - sent.at < IDLE_DEMANDS_INTERVAL_S:
+            return []
         if due:
-            sent.at = now
+            sent.at, sent.has_waiting = now, has_waiting
         sent.sources = frozenset(
             (report.source, report.is_data_centre)
             for report, _ in due
--- a/packages/router/fulmarward_router/mesh/tests/test_demands.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_demands.py
@@ -117,6 +117,24 @@
             self._run_round(0.05)
         self.assertLessEqual(len(self._list_sent(connection)), 5)
 
+    def test_demand_is_sent_less_often_while_no_request_waits(self):
+        """Guards against the cost of reports in a fleet without contention.
+
+        A request that begins to wait is reported in the next round.
+        """
+        waiting = make_demand_report("own")
+        demand = replace(waiting.demands[0], on_time_kv=0, arriving_kv_per_s=5)
+        calm = replace(waiting, demands=(demand,))
+        self.state.demand_reports = {DemandScope.INSTANCE: (calm,)}
+        connection = self._open()
+        for _ in range(10):
+            self._run_round(DEMANDS_INTERVAL_S)
+        self.assertLessEqual(len(self._list_sent(connection)), 4)
+        connection.sent.clear()
+        self.state.demand_reports = {DemandScope.INSTANCE: (waiting,)}
+        self._run_round(DEMANDS_INTERVAL_S)
+        self.assertEqual(len(self._list_sent(connection)), 1)
+
     async def test_report_between_the_rounds_has_a_send_time_of_its_own(self):
         """Guards against a report that seems as old as the last round."""
         transit = TransitClock()
