Probe a target that answers a peer again at each instance that found it silent

Cause: only observers probe silent targets again in a large fleet. An instance that had found a target silent and is no observer kept it excluded, up to the check before its suspicion ends, although a peer reported that it answers.

Change: such a target counts as one that has answered a peer, and is probed at once, as before observers were introduced.

Measured: 29 tests of the failure detector and 34 of suspicion pass; the new one fails without the change.

--- a/packages/core/fulmarward_core/suspicion/_table.py
+++ b/packages/core/fulmarward_core/suspicion/_table.py
@@ -92,6 +92,8 @@
     #: Whether a stream through it made progress after the failure was observed, so that
     #: the target has to be probed again.
     is_contradicted: bool = False
+    #: Whether it has answered a peer since, so that it is to be probed here as well.
+    has_answered_peer: bool = False
 
 
 class SuspicionTable:
@@ -248,7 +250,9 @@
         known = self._suspicions.get(target)
         if known is not None and answered_at < known.since:
             if known.reason == "confirmed" and known.kind is FailureKind.SILENT:
-                self._suspicions[target] = replace(known, probe_at=now)
+                self._suspicions[target] = replace(
+                    known, probe_at=now, has_answered_peer=True
+                )
             return None
         self._ignored_until[target] = max(
             answered_at + _REGAINED_HOLD_S,
@@ -257,7 +261,9 @@
         if known is None or now >= known.until:
             return None
         if known.reason == "unreachable" and known.kind is not FailureKind.CLOSED:
-            self._suspicions[target] = replace(known, probe_at=now)
+            self._suspicions[target] = replace(
+                known, probe_at=now, has_answered_peer=True
+            )
         is_confirmed = known.reason == "confirmed"
         is_ended = known.reason == _INDIRECT or (
             is_confirmed and known.kind is not FailureKind.CLOSED
@@ -279,6 +285,11 @@
             if item.reason in _PROBED and item.probe_at <= now < item.until
         ]
 
+    def has_answered_peer(self, target: str) -> bool:
+        """Return whether an unreachable target has answered a peer since."""
+        known = self._suspicions.get(target)
+        return known is not None and known.has_answered_peer
+
     def list_expiring(self, *, now: float, ahead_s: float) -> list[str]:
         """Return the unreachable targets whose suspicion ends within `ahead_s` seconds.
 
@@ -301,7 +312,11 @@
         if known is not None and known.reason == "confirmed":
             # The peer that reports it extends the exclusion.
             self._suspicions[target] = replace(
-                known, since=now, kind=kind, probe_at=float("inf")
+                known,
+                since=now,
+                kind=kind,
+                probe_at=float("inf"),
+                has_answered_peer=False,
             )
         if known is not None and known.reason == "unreachable":
             until = max(known.until, now + SUSPECT_DURATION_S)
@@ -315,6 +330,7 @@
                 kind=kind,
                 probe_at=now + pause_s if is_silent else float("inf"),
                 probe_pause_s=pause_s,
+                has_answered_peer=False,
             )
 
     def record_saturated(self, target: str, *, now: float) -> None:
--- a/packages/router/fulmarward_router/exchange/_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/_failure_detector.py
@@ -462,7 +462,7 @@
                 continue
             silent = self._suspicions.list_due_probes(now=now)
             due = {
-                *filter(self._is_observer, silent),
+                *filter(self._must_recheck, silent),
                 *self._suspicions.list_expiring(now=now, ahead_s=RECHECK_AHEAD_S),
             }
             records = [self._catalogue.find_target(name) for name in sorted(due)]
@@ -470,6 +470,14 @@
             if known:
                 await self._recheck(known)
 
+    def _must_recheck(self, target: str) -> bool:
+        """Return whether to probe a silent target again before its suspicion ends.
+
+        One that has answered a peer is probed by each instance: only the link between
+        them may have failed.
+        """
+        return self._is_observer(target) or self._suspicions.has_answered_peer(target)
+
     async def _recheck(self, records: list[TargetRecord]) -> None:
         """Extend the suspicion of targets that still do not answer.
 
--- a/packages/router/fulmarward_router/exchange/tests/test_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_failure_detector.py
@@ -342,6 +342,23 @@
         self.assertIn("b", await self._recheck_silent(is_observer=True))
         self.assertEqual(await self._recheck_silent(is_observer=False), set())
 
+    async def test_target_that_answers_a_peer_is_probed_by_each_instance(self):
+        """Guards against avoiding a target that peers reach again."""
+        instance = _Instance(
+            lambda now: "b" if now < 100.2 else "",
+            is_large=True,
+            is_observer=lambda target: False,
+        )
+        await instance.detector.probe_and_wait("abc")
+        self.assertEqual(instance.list_direct_failures(), "b")
+        instance.clock.now += 0.3
+        now = instance.clock.now
+        instance.table.merge_regained("b", answered_at=now, now=now)
+        checking = asyncio.create_task(instance.detector.run())
+        await asyncio.sleep(2 * BUSY_RECHECK_INTERVAL_S)
+        checking.cancel()
+        self.assertEqual(instance.list_direct_failures(), "")
+
     async def test_suspicion_that_expires_is_checked_by_each_instance(self):
         """Guards against requests to a target that nobody has seen answer."""
         instance = _Instance(
