Record the latest rejections of an instance and serve them at /denials

Cause: why a request was rejected could only be found in the log.

GET /denials?request=ID has the records with the seconds for which the instance has run and for which none is missing; invalid parameters get 400.

--- a/packages/router/fulmarward_router/_lookup.py
+++ b/packages/router/fulmarward_router/_lookup.py
@@ -1,6 +1,6 @@
 """Handlers of the lookup, the readiness check, the metrics and the status."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import orjson
 from aiohttp import web
@@ -9,6 +9,7 @@
 from fulmarward.observability import log_event
 from fulmarward_core.results import ResultCode
 from fulmarward_router._metrics import RouterMetrics
+from fulmarward_router.state import MAX_REQUEST_ID_BYTES, find_request_id_fault
 
 #: Seconds for which callers cache a lookup, equal to the time for which a failed
 #: instance stays listed.
@@ -59,9 +60,10 @@
     metrics: RouterMetrics,
     refresh: Callable[[], None],
     describe: Callable[[], object],
+    describe_denials: Callable[[str], object],
     lift_crash_pattern: Callable[[str], bool],
 ) -> Callable[[web.BaseRequest], web.Response]:
-    """Return the handler of `/metrics`, `/status` and `/lift-crash-pattern`."""
+    """Return the handler of the paths that operators call."""
 
     async def answer(request: web.BaseRequest) -> web.Response:
         if request.path == "/metrics":
@@ -73,6 +75,10 @@
         if request.path == "/status":
             body = orjson.dumps(describe(), option=orjson.OPT_INDENT_2)
             return web.Response(body=body, content_type="application/json")
+        if request.path == "/denials" and request.method == "GET":
+            return _answer_denials(
+                request.query.getall("request", []), describe_denials
+            )
         if request.path == "/lift-crash-pattern" and request.method == "POST":
             body = await request.content.read(MAX_OPERATOR_BYTES)
             return _lift(body, lift_crash_pattern)
@@ -89,14 +95,7 @@
     except (ValueError, KeyError, TypeError):
         pattern = None
     if not isinstance(pattern, str):
-        return _respond_with_json(
-            {
-                "result": int(ResultCode.USAGE),
-                "error": {"message": 'expected {"pattern": ID}'},
-                "retry_after_ms": None,
-            },
-            status=400,
-        )
+        return _refuse('expected {"pattern": ID}')
     is_lifted = lift_crash_pattern(pattern)
     log_event(
         "crash_pattern_lifted", pattern=pattern[:MAX_LOGGED_ID], is_known=is_lifted
@@ -104,6 +103,29 @@
     return _respond_with_json({"pattern": pattern, "is_lifted": is_lifted}, status=200)
 
 
+def _answer_denials(
+    request_ids: Sequence[str], describe_denials: Callable[[str], object]
+) -> web.Response:
+    """Return the recorded rejections of the only id of a query."""
+    found = f"{len(request_ids)} parameters"
+    if len(request_ids) == 1:
+        found = find_request_id_fault(request_ids[0])
+    if found is not None:
+        expected = f"expected request=ID of 1 to {MAX_REQUEST_ID_BYTES} bytes"
+        return _refuse(f"{expected}, found {found}")
+    return _respond_with_json(describe_denials(request_ids[0]), status=200)
+
+
+def _refuse(message: str) -> web.Response:
+    """Return the response to an invalid request of an operator."""
+    body = {
+        "result": int(ResultCode.USAGE),
+        "error": {"message": message},
+        "retry_after_ms": None,
+    }
+    return _respond_with_json(body, status=400)
+
+
 def _respond_with_json(tree: object, *, status: int) -> web.Response:
     body = orjson.dumps(tree)
     return web.Response(body=body, status=status, content_type="application/json")
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -8,7 +8,7 @@
 from collections.abc import Awaitable, Callable, Coroutine, Mapping, Sequence
 from dataclasses import dataclass
 from functools import partial
-from typing import Protocol
+from typing import Any, Protocol
 
 import aiohttp
 from aiohttp import web
@@ -81,6 +81,7 @@
     PoisonKnowledge,
     PoisonRows,
     PromisedReturns,
+    RecentDenials,
     StoreWatch,
     TargetChangeHandler,
     TargetLimits,
@@ -182,6 +183,7 @@
         self._adapter = adapter
         self._signals = signals
         self._clock = clock = time.monotonic
+        self._started_at = clock()
         self._has_failed = False
         #: Bytes exchanged with peers by direction; the metric is set when it is read.
         self._peer_bytes: Counter[str] = Counter()
@@ -240,6 +242,7 @@
             read_clock=clock,
             notify_peers=lambda: self.mesh.notify_promises(),
         )
+        self.denials = RecentDenials(since=self._started_at)
         self.paces = PaceTable()
         self.ledger = LoadLedger(note_changed=lambda: self.mesh.notify_loads())
         self.demands = DemandTable(own=self.own.name, data_centre=self.own.data_centre)
@@ -425,6 +428,7 @@
             observe=lambda state, outcome, took_s: observe_request(
                 self.metrics, state, outcome, took_s
             ),
+            record_denial=self.denials.record,
             configuration_s=self.settings.configuration_s,
         )
 
@@ -610,6 +614,7 @@
                 rejected_responses=self._guard.excesses + self._store_guard.excesses,
             ),
             describe=lambda: describe_status(self, now=self._clock()),
+            describe_denials=self._describe_denials,
             lift_crash_pattern=self.poison.lift,
         )
         caller_server = CallerServer(
@@ -630,6 +635,16 @@
             if address
         ]
 
+    def _describe_denials(self, request_id: str) -> dict[str, Any]:
+        """Return the recorded rejections of a request, and the seconds they cover."""
+        now = self._clock()
+        return {
+            "instance": self.own.name,
+            "running_s": round(now - self._started_at, 3),
+            "covered_s": round(self.denials.measure_coverage_s(now=now), 3),
+            "denials": self.denials.describe(request_id, now=now),
+        }
+
     async def _become_ready(self) -> None:
         """Become ready once the configuration and the targets are known."""
         await self.configuration.available.wait()
--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -18,6 +18,7 @@
 from fulmarward_router.exchange._request_state import (
     CutCause,
     RejectedRequest,
+    RejectionValues,
     RequestState,
     Shortage,
     TruncatedResponse,
@@ -229,11 +230,13 @@
             rejection = rejection or Rejection(
                 cause="no path has room", return_s=return_s
             )
+            return_s, values = self._plan_return(state, request, waiting, rejection)
             return RejectedRequest(
                 ResultCode.QUEUE_FULL,
                 cause=rejection.cause,
-                retry_after_s=self._plan_return(state, request, waiting, rejection),
+                retry_after_s=return_s,
                 shortage=shortage,
+                values=values,
             )
         self._log_missing_layers(state.service, engine)
         return RejectedRequest(
@@ -312,9 +315,11 @@
         request: WaitingRequest,
         waiting: WaitingRequests,
         rejection: Rejection,
-    ) -> float:
+    ) -> tuple[float, RejectionValues]:
         """Return the retry delay of a rejected request, and promise it capacity.
 
+        It is returned with the values that decided.
+
         A relayed request gets no promise: the peer that relayed it asks others, and its
         caller does not receive this delay. Neither does one that was promised before:
         callers retry once.
@@ -325,8 +330,9 @@
             honoured_s = (state.deadline - now) * HONOURED_SHARE
             plan = waiting.plan_return(request, honoured_s=honoured_s, now=now)
         is_new = not request.is_promised and state.facts.relayed_by is None
+        is_return_promised = False
         if plan.is_promised and is_new:
-            self._promised_returns.promise(
+            is_return_promised = self._promised_returns.promise(
                 state.fingerprint,
                 state.service,
                 state.urgency,
@@ -335,6 +341,7 @@
                 request_id=state.facts.request_id,
             )
         values = waiting.describe(request, now=now)
+        estimate_s = _round_estimate(rejection.estimate_s)
         if values:
             self._count_denial(state.service, state.urgency, rejection.cause)
             log_event(
@@ -343,11 +350,15 @@
                 service=state.service,
                 cause=rejection.cause,
                 waited_s=round(now - state.arrived_at, 3),
-                estimate_s=_round_estimate(rejection.estimate_s),
+                estimate_s=estimate_s,
                 return_s=round(plan.return_s, 3),
                 **values,
             )
-        return plan.return_s
+        return plan.return_s, RejectionValues(
+            estimate_s=estimate_s,
+            is_return_promised=is_return_promised,
+            measured=values,
+        )
 
     async def _find_permitted_path(
         self,
--- a/packages/router/fulmarward_router/exchange/_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/_caller_handler.py
@@ -28,7 +28,7 @@
     TruncatedResponse,
 )
 from fulmarward_router.ports import TargetDialect
-from fulmarward_router.state import ConfigurationHolder
+from fulmarward_router.state import ConfigurationHolder, Denial
 
 #: Seconds that a request without a deadline may take.
 DEFAULT_TIMEOUT_S = 30.0
@@ -55,6 +55,9 @@
 #: rejection before the connection is reset.
 LINGERING_TIME_S = 2.0
 
+#: Characters of a cause that are kept for operators, as it may quote a target.
+MAX_KEPT_CAUSE = 256
+
 #: HTTP status of each rejection by this instance. 503 promises that no target executed
 #: the request.
 _STATUSES = {
@@ -121,6 +124,7 @@
         is_stopping: Callable[[], bool],
         accepts_streams: Callable[[], bool],
         observe: Callable[[RequestState | None, str, float], None],
+        record_denial: Callable[[Denial], None] = lambda denial: None,
         configuration_s: float = DEFAULT_CONFIGURATION_S,
     ) -> None:
         self._dialect = dialect
@@ -133,6 +137,8 @@
         self._is_stopping = is_stopping
         self._accepts_streams = accepts_streams
         self._observe = observe
+        #: Keeps a rejection for operators.
+        self._record_denial = record_denial
         #: Number of open requests by service.
         self.open_requests: Counter[str] = Counter()
 
@@ -166,6 +172,9 @@
                 outcome = _record_cut(state, truncated)
                 return _close_connection(request)
             outcome = rejection.code.name.lower()
+            if state is not None and rejection.retry_after_s is not None:
+                # Without a retry delay, it may have run or is not to be repeated.
+                self._record_denial(self._describe_denial(state, rejection))
             return self._make_error_response(request, state, rejection)
         except TruncatedResponse as truncated:
             outcome = _record_cut(state, truncated)
@@ -355,6 +364,25 @@
         )
         return answer
 
+    def _describe_denial(
+        self, state: RequestState, rejection: RejectedRequest
+    ) -> Denial:
+        now = self._read_clock()
+        return Denial(
+            request_id=state.facts.request_id,
+            denied_at=now,
+            service=state.service,
+            urgency=state.urgency,
+            cause=rejection.cause[:MAX_KEPT_CAUSE],
+            shortage=None if rejection.shortage is None else rejection.shortage.value,
+            waited_s=now - state.arrived_at,
+            estimate_s=rejection.values.estimate_s,
+            return_s=rejection.retry_after_s,
+            is_return_promised=rejection.values.is_return_promised,
+            is_relayed=state.facts.relayed_by is not None,
+            values=rejection.values.measured,
+        )
+
     def _find_confirmation_age_s(self) -> float | None:
         """Return the seconds since the configuration was last confirmed, or `None`."""
         age_s = self._read_clock() - self._configuration.confirmed_at
--- a/packages/router/fulmarward_router/exchange/_request_state.py
+++ b/packages/router/fulmarward_router/exchange/_request_state.py
@@ -181,6 +181,18 @@
     LIMIT = "limit"
 
 
+@dataclass(frozen=True, kw_only=True)
+class RejectionValues:
+    """What decided on a request that is rejected for want of capacity."""
+
+    #: Estimated wait in seconds; `None` if it did not decide or is infinite.
+    estimate_s: float | None = None
+    #: Whether the caller was promised capacity on its return.
+    is_return_promised: bool = False
+    #: Further values of the event `admission_denied`; empty without classes.
+    measured: Mapping[str, float | int | None] = field(default_factory=dict)
+
+
 class RejectedRequest(Exception):
     """This instance responds to the request with an error.
 
@@ -194,12 +206,14 @@
         cause: str,
         retry_after_s: float | None = None,
         shortage: Shortage | None = None,
+        values: RejectionValues | None = None,
     ) -> None:
         super().__init__(cause)
         self.code = code
         self.cause = cause
         self.retry_after_s = retry_after_s
         self.shortage = shortage
+        self.values = values or RejectionValues()
 
 
 class TruncatedResponse(Exception):
--- a/packages/router/fulmarward_router/exchange/tests/test_admission.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_admission.py
@@ -10,7 +10,11 @@
 from fulmarward_core.paths import KvCapacity, PathRequest
 from fulmarward_core.reservations import ClassSettings
 from fulmarward_router.exchange._admission import AdmissionQueue
-from fulmarward_router.exchange._request_state import RejectedRequest, RequestState
+from fulmarward_router.exchange._request_state import (
+    RejectedRequest,
+    RequestState,
+    Shortage,
+)
 from fulmarward_router.exchange._waiting import ClassRequests, UniformRequests
 from fulmarward_router.state import PromisedReturns
 
@@ -108,6 +112,7 @@
             await self.await_path(self.make_state(waited_s=0.5))
         self.assertGreaterEqual(caught.exception.retry_after_s, 2.0)
         self.assertEqual(self.promised.counts.made, 0)
+        self.assertEqual(caught.exception.shortage, Shortage.PIPE)
 
 
 class PromisedReturnTest(_AdmissionTest):
@@ -135,9 +140,11 @@
                 self.setUp()
                 self.make_contention()
                 self.demands.record_released("pool", 0, 600.0, now=time.monotonic())
-                with self.assertRaises(RejectedRequest):
+                with self.assertRaises(RejectedRequest) as caught:
                     await self.await_path(self.make_state(relayed_by=relayed_by))
                 self.assertEqual(self.promised.counts.made, count)
+                values = caught.exception.values
+                self.assertEqual(values.is_return_promised, bool(count))
 
     async def test_due_return_that_is_rejected_gets_no_second_promise(self):
         """Guards against capacity that is reserved for callers that do not return."""
--- a/packages/router/fulmarward_router/state/__init__.py
+++ b/packages/router/fulmarward_router/state/__init__.py
@@ -1,6 +1,12 @@
 """The state of an instance: configuration, targets, peers' reports, the store."""
 
 from fulmarward_router.state._configuration import ConfigurationHolder
+from fulmarward_router.state._denials import (
+    MAX_REQUEST_ID_BYTES,
+    Denial,
+    RecentDenials,
+    find_request_id_fault,
+)
 from fulmarward_router.state._instance_state import InstanceState
 from fulmarward_router.state._instances import InstanceRows
 from fulmarward_router.state._leaving_targets import LeavingTargets
@@ -12,14 +18,18 @@
 from fulmarward_router.state._watch import StoreWatch
 
 __all__ = [
+    "MAX_REQUEST_ID_BYTES",
     "ConfigurationHolder",
+    "Denial",
     "InstanceRows",
     "InstanceState",
     "PoisonKnowledge",
     "PoisonRows",
     "PromisedReturns",
+    "RecentDenials",
     "StoreWatch",
     "TargetChangeHandler",
     "LeavingTargets",
     "TargetLimits",
+    "find_request_id_fault",
 ]
