fulmarctl explain: why instances rejected one request

Cause: an operator with the id of a request had to search the logs of all instances.

Change: the command asks all given instances concurrently, prints each record with its deciding factor in a sentence, and lists the instances that did not answer. An error response without a result code, as of another program, is an instance that did not answer; before, a KeyError or TypeError ended the command.

Measured: the tests of explain and the golden session of fulmarctl pass. Those of explain fail without keep_text, with status 1 for silent instances, and with a TypeError of another program's response not caught.

--- a/packages/client/fulmarctl/_client.py
+++ b/packages/client/fulmarctl/_client.py
@@ -81,12 +81,16 @@
     """Return the failure that an error response describes, else the reply itself."""
     if isinstance(reply, Failure) or reply.status == 200:
         return reply
-    code = ResultCode(reply.body["result"])
-    return Failure(
-        code=code,
-        message=reply.body["error"]["message"],
-        retry_after_ms=reply.body["retry_after_ms"],
-    )
+    try:
+        return Failure(
+            code=ResultCode(reply.body["result"]),
+            message=reply.body["error"]["message"],
+            retry_after_ms=reply.body["retry_after_ms"],
+        )
+    except (KeyError, TypeError, ValueError):
+        # Another program may listen at the address.
+        detail = f"HTTP status {reply.status} without a result code."
+        return make_failure(ResultCode.INSTANCE_UNREACHABLE, detail)
 
 
 def call_instance(fleet: Fleet, path: str, body: object = None) -> Reply | Failure:
--- a/packages/client/fulmarctl/_commands.py
+++ b/packages/client/fulmarctl/_commands.py
@@ -7,15 +7,26 @@
 import uuid
 from dataclasses import replace
 from pathlib import Path
+from urllib.parse import quote
 
 from fulmarctl._client import Fleet, Reply, call_every_instance, call_instance
+from fulmarctl._denials import summarize_denials
 from fulmarctl._output import print_failure, print_reply
 from fulmarctl._settings import load_fleet
-from fulmarward_core.checks import Fault, describe_faults, parse_json
-from fulmarward_core.command_line import defer
+from fulmarward_core.checks import (
+    Fault,
+    describe_faults,
+    parse_json,
+    read_address,
+    read_list_of,
+)
+from fulmarward_core.command_line import defer, keep_text
 from fulmarward_core.declaration import hash_declaration, parse_declaration
 from fulmarward_core.results import Failure, ResultCode, make_failure
 
+#: Upper bound on the instances that one `explain` asks, as on those in the settings.
+MAX_EXPLAIN_ADDRESSES = 1000
+
 #: Seconds between two checks whether all instances have confirmed.
 POLL_INTERVAL_S = 0.2
 
@@ -45,7 +56,7 @@
     SETTINGS is a JSON file with `addresses` (operator addresses of instances),
     `token_file` and, for instances that use TLS, `authority_file` (PEM). Every
     command prints JSON with `--json`, and exits with the status that
-    docs/RESULT-CODES.md gives for its result.
+    docs/RESULT-CODES.md gives for its result; `explain` has statuses of its own.
     """
 
     def __init__(self, settings: str = "fulmarctl.json", json: bool = False) -> None:
@@ -77,6 +88,35 @@
         reply = _call(fleet, "/status")
         print_reply(reply.body, as_json=self._as_json)
 
+    @defer
+    @keep_text
+    def explain(self, request_id: str, *addresses: str) -> None:
+        """Show why the routing instances at ADDRESSES rejected a request.
+
+        REQUEST_ID is the id that the log has as `request`, and each of ADDRESSES a
+        metrics address, `IP:PORT`. An instance keeps its last 512 rejections until it
+        restarts: `running_s` is for how many seconds it has been running, and
+        `covered_s` for how many its records are complete. Needs no settings file.
+
+        The exit status is 0 if a record was found, 1 if none was and all instances
+        answered, and 2 if none was and an instance did not answer. A command line that
+        is not understood has the status 2 too, with its error instead of a result.
+        """
+        faults: list[Fault] = []
+        read = read_list_of(read_address(), least=1, most=MAX_EXPLAIN_ADDRESSES)
+        read(list(addresses), "ADDRESSES", faults)
+        if faults:
+            print_failure(make_failure(ResultCode.USAGE, describe_faults(faults)))
+        fleet = Fleet(addresses=tuple(dict.fromkeys(addresses)), token="")
+        escaped_id = quote(request_id, safe="", errors="surrogateescape")
+        replies = call_every_instance(fleet, f"/denials?request={escaped_id}")
+        for reply in replies:
+            if isinstance(reply, Failure) and reply.code is ResultCode.USAGE:
+                print_failure(make_failure(ResultCode.USAGE, reply.message))
+        summary, exit_status = summarize_denials(fleet.addresses, replies)
+        print_reply({"request": request_id, **summary}, as_json=self._as_json)
+        sys.exit(exit_status)
+
     @defer
     def lift(self, address: str, pattern: str) -> None:
         """Accept requests with PATTERN again, which crashed targets, at all instances.
--- a/packages/core/fulmarward_core/command_line/__init__.py
+++ b/packages/core/fulmarward_core/command_line/__init__.py
@@ -1,5 +1,5 @@
 """Command lines that run a command only after all arguments are validated."""
 
-from fulmarward_core.command_line._deferred import defer, run_command_line
+from fulmarward_core.command_line._deferred import defer, keep_text, run_command_line
 
-__all__ = ["defer", "run_command_line"]
+__all__ = ["defer", "keep_text", "run_command_line"]
--- a/packages/core/fulmarward_core/command_line/_deferred.py
+++ b/packages/core/fulmarward_core/command_line/_deferred.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 import fire
+from fire.decorators import SetParseFn
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -33,6 +34,15 @@
     return record
 
 
+def keep_text(command: Callable[..., None]) -> Callable[..., None]:
+    """Decorate `command` so that it gets its arguments as they were typed.
+
+    Fire converts arguments that look like Python values, and some ids do: 4100e12 would
+    be a number.
+    """
+    return SetParseFn(str)(command)
+
+
 def run_command_line(component: object, *, name: str) -> None:
     """Parse the command line for `component` and run the recorded call."""
     result = fire.Fire(component, name=name, serialize=_hide_deferred_call)
