Let requests that wait use more of other data centres

Targets of other data centres were used up to 0.7 of their KV cache only, times the share of the request's level.

Ruled out: the order of classes and what is reserved for them; shares were 0.84 to 1.0.

Change: in a large fleet, a request that has found no path in a service with classes may use 0.85 of the KV cache of other data centres. Services without classes are as before.

--- a/packages/core/fulmarward_core/paths/__init__.py
+++ b/packages/core/fulmarward_core/paths/__init__.py
@@ -3,6 +3,7 @@
 from fulmarward_core.paths.decisions import (
     DIRECT_TERMS,
     HUB_TERMS,
+    HUB_WAIT_TERMS,
     Hop,
     KvCapacity,
     Occupancy,
@@ -19,6 +20,7 @@
 __all__ = [
     "DIRECT_TERMS",
     "HUB_TERMS",
+    "HUB_WAIT_TERMS",
     "RemoteTerms",
     "Hop",
     "KvCapacity",
--- a/packages/core/fulmarward_core/paths/decisions.py
+++ b/packages/core/fulmarward_core/paths/decisions.py
@@ -9,7 +9,7 @@
 
 import hashlib
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from itertools import accumulate, chain, permutations
 
 from fulmarward_core.fleet import AcceleratorKind, EngineModel, LayerRange
@@ -122,6 +122,11 @@
     first_hop_ms=1000.0, usable_kv_share=0.7, may_cross_for_cost=False
 )
 
+#: Used for requests that have waited in a service whose demand all instances know, so
+#: that a data centre that has lost targets can use the others. A twentieth is left for
+#: what is sent there before its load is known.
+HUB_WAIT_TERMS = replace(HUB_TERMS, usable_kv_share=USABLE_KV_SHARE - 0.05)
+
 
 @dataclass(frozen=True, kw_only=True)
 class PathRequest:
@@ -144,6 +149,8 @@
     kv_share: float = 1.0
     #: How targets in other data centres are weighted.
     remote: RemoteTerms = DIRECT_TERMS
+    #: Whether it has waited for capacity in a service whose demand all instances know.
+    has_waited: bool = False
 
 
 def compute_preference(instance: str, target: str) -> float:
--- a/packages/core/fulmarward_core/paths/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/paths/tests/test_decisions.py
@@ -10,6 +10,7 @@
 from fulmarward_core.paths import (
     DIRECT_TERMS,
     HUB_TERMS,
+    HUB_WAIT_TERMS,
     Hop,
     PathRequest,
     StageIndex,
@@ -266,6 +267,23 @@
                 path = choose_path(ENGINE, slow + fast, replace(_REQUEST, remote=terms))
                 self.assertEqual(_list_targets(path)[0][0], expected)
 
+    def test_waiting_request_may_fill_more_of_another_data_centre(self):
+        """Guards against a wait for the own data centre while another has capacity."""
+        full = [replace(s, kv_reserved=s.kv_capacity) for s in make_chain("a", "a")]
+        for used, terms, is_found in (
+            (0.75, HUB_TERMS, False),
+            (0.75, HUB_WAIT_TERMS, True),
+            (0.86, HUB_WAIT_TERMS, False),
+        ):
+            with self.subTest(used=used, terms=terms):
+                remote = [
+                    replace(s, kv_reserved=s.kv_capacity * used)
+                    for s in make_chain("b", "b")
+                ]
+                request = replace(_REQUEST, remote=terms)
+                path = choose_path(ENGINE, full + remote, request)
+                self.assertEqual(path is not None, is_found)
+
     def test_crossing_path_is_chosen_if_there_is_no_other(self):
         own = [s for s in make_chain("a", "a") if s.target != "a40"]
         other = [s for s in make_chain("b", "b") if s.target == "b40"]
--- a/packages/router/fulmarward_router/exchange/_path_finder.py
+++ b/packages/router/fulmarward_router/exchange/_path_finder.py
@@ -16,6 +16,7 @@
 from fulmarward_core.paces import PaceTable
 from fulmarward_core.paths import (
     HUB_TERMS,
+    HUB_WAIT_TERMS,
     Hop,
     KvCapacity,
     Occupancy,
@@ -125,7 +126,8 @@
         now = self._read_clock()
         targets = self._find_targets(service, engine, now)
         if self._is_large():
-            wanted = replace(wanted, remote=HUB_TERMS)
+            remote = HUB_WAIT_TERMS if wanted.has_waited else HUB_TERMS
+            wanted = replace(wanted, remote=remote)
         throttled = frozenset() if ignores_limits else self._list_throttled()
         backed_off = throttled & self._list_backed_off()
         path = None
--- a/packages/router/fulmarward_router/exchange/tests/test_admission_queue.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_admission_queue.py
@@ -55,9 +55,14 @@
     """Finds a path while the share of the KV cache allows it, and reserves it."""
 
     used_kv = 0.0
+    #: Capacity of other data centres for requests that have waited.
+    remote_kv = 0.0
 
     def choose(self, service, engine, wanted, **options):
         kv = (wanted.prompt + wanted.answer) * engine.layers
+        if wanted.has_waited and self.remote_kv >= kv:
+            self.remote_kv -= kv
+            return (SimpleNamespace(target="t2"),)
         if self.used_kv + kv > _PLANNED_KV * wanted.kv_share:
             return None
         self.used_kv += kv
@@ -244,6 +249,20 @@
                 self.assertIn(count, (12, 13))
 
 
+class OtherDataCentreTest(unittest.TestCase):
+    @_simulate
+    async def test_waiting_request_uses_another_data_centre(self, read_clock):
+        """Guards against rejections while another data centre has capacity."""
+        for priorities, is_admitted in (((0, 1, 2), True), ((0, 0), False)):
+            with self.subTest(priorities=priorities):
+                it = _Instance(read_clock, used_kv=100, priorities=priorities)
+                it.finder.remote_kv = 10
+                it.send("request", urgency=0)
+                await it.advance_to(0.1)
+                self.assertEqual(it.admitted == {}, not is_admitted)
+                await it.advance_to(1.0)
+
+
 class UniformTest(unittest.TestCase):
     @_simulate
     async def test_service_with_equal_priorities_is_served_as_before(self, read_clock):
