Remove the promised KV cache that instances record of themselves

Cause: only tests called DemandTable.set_promised. Instances send their promises one by one, and ClassRequests adds those that are due to the sums from its own ledger.

Change: set_promised and the recorded value are gone; the field of the reports stays, so that older releases can read them, and is 0 in what an instance reports of itself. The tests that used it check the same with a report of a peer and with waiting requests.

--- a/packages/core/fulmarward_core/demand/_table.py
+++ b/packages/core/fulmarward_core/demand/_table.py
@@ -31,17 +31,18 @@
 
     on_time_kv: float = 0.0
     late_kv: float = 0.0
-    promised_kv: float = 0.0
     arrivals: RateWindow = field(default_factory=RateWindow)
     releases: RateWindow = field(default_factory=RateWindow)
 
     def find_amounts(self, now: float) -> Amounts:
+        # Promises are sent one by one, not as a sum.
+        promised_kv = 0.0
         return (
             self.on_time_kv,
             self.late_kv,
             self.arrivals.find_rate(now=now),
             self.releases.find_rate(now=now),
-            self.promised_kv,
+            promised_kv,
         )
 
 
@@ -109,17 +110,6 @@
 
         self._change(service, urgency, now, replace)
 
-    def set_promised(
-        self, service: str, urgency: int, kv: float, *, now: float
-    ) -> None:
-        """Replace what this instance has promised to rejected callers of a class."""
-        _check_amounts(kv)
-
-        def replace(known: _OwnClass) -> None:
-            known.promised_kv = kv
-
-        self._change(service, urgency, now, replace)
-
     def _change(
         self,
         service: str,
--- a/packages/core/fulmarward_core/demand/tests/test_table.py
+++ b/packages/core/fulmarward_core/demand/tests/test_table.py
@@ -53,7 +53,8 @@
 
     def test_own_demand_and_all_reports_are_summed_by_class(self):
         self.table.set_waiting("s", 0, on_time_kv=1.0, late_kv=2.0, now=100.0)
-        self.table.set_promised("s", 1, 4.0, now=100.0)
+        promised = {"s": (make_demand(1, promised_kv=4.0),)}
+        self.table.merge_report("other", promised, boot=1, at=100.0, now=100.0)
         self.table.set_waiting("other", 0, on_time_kv=64.0, late_kv=0.0, now=100.0)
         self._merge("peer", 8.0)
         self._merge_centre("b", 16.0)
@@ -140,7 +141,7 @@
             )
             self.assertFalse(is_merged)
         for name in services:
-            self.table.set_promised(name, 0, 1.0, now=110.0)
+            self.table.set_waiting(name, 0, on_time_kv=1.0, late_kv=0.0, now=110.0)
         self.assertEqual(len(self.table.list_own(now=110.0)), MAX_SERVICES)
 
     @given(
--- a/packages/router/fulmarward_router/tests/test_demands.py
+++ b/packages/router/fulmarward_router/tests/test_demands.py
@@ -60,7 +60,9 @@
                     self.assertEqual(reports, ())
 
     def test_services_without_classes_are_left_out(self):
-        self.one.demands.set_promised("other", 0, 5.0, now=self.one.now)
+        self.one.demands.set_waiting(
+            "other", 0, on_time_kv=5.0, late_kv=0.0, now=self.one.now
+        )
         (report,) = self.one.instance_state.make_demand_reports(DemandScope.INSTANCE)
         self.assertEqual([item.service for item in report.demands], [_SERVICE])
 
