Remove ReleaseMeter, which only a simulation used

Cause: instances measure the rate of release by DemandTable, over the last second. The load tests of waits measured it by ReleaseMeter over 2 s, so they tested other code than what decides.

Change: the simulation uses DemandTable too. ReleaseMeter goes with its own test; the rates of DemandTable are tested in test_table. No check, bound or seed of the load tests is changed.

--- a/packages/core/fulmarward_core/waits/__init__.py
+++ b/packages/core/fulmarward_core/waits/__init__.py
@@ -14,7 +14,6 @@
     ReturnStatus,
     shorten_fingerprint,
 )
-from fulmarward_core.waits._release_meter import RELEASE_WINDOW_S, ReleaseMeter
 from fulmarward_core.waits.decisions import (
     MAX_RETURN_S,
     MIN_RETURN_S,
@@ -38,14 +37,12 @@
     "PROMISE_HOLD_S",
     "PROMISED_SHARE",
     "REJECT_MARGIN",
-    "RELEASE_WINDOW_S",
     "RETURN_JITTER",
     "Promise",
     "PromiseCounts",
     "PromiseKey",
     "PromiseLedger",
     "PromisedReturn",
-    "ReleaseMeter",
     "ReturnStatus",
     "choose_return_s",
     "estimate_return_s",
--- a/packages/core/fulmarward_core/waits/tests/load.py
+++ b/packages/core/fulmarward_core/waits/tests/load.py
@@ -6,6 +6,7 @@
 from collections import defaultdict, deque
 from dataclasses import dataclass, field, replace
 
+from fulmarward_core.demand import DemandTable
 from fulmarward_core.queueing import LATE_KV_SHARE, choose_retry_after_s
 from fulmarward_core.queueing.decisions import ON_TIME_SHARE
 from fulmarward_core.queueing.tests.load import (
@@ -21,7 +22,6 @@
 )
 from fulmarward_core.waits import (
     PromiseLedger,
-    ReleaseMeter,
     ReturnStatus,
     choose_return_s,
     estimate_return_s,
@@ -92,7 +92,7 @@
 class _Instance:
     def __init__(self, name):
         self.waiting, self.sent_at = [], deque()
-        self.ledger, self.meter = PromiseLedger(source=name), ReleaseMeter()
+        self.ledger, self.demands = PromiseLedger(source=name), DemandTable(own=name)
         #: Waiting promised, on-time and late callers, and the rate of release.
         self.reports = deque([(0, 0, 0, 0.0)], maxlen=round(REPORT_LAG_S / STEP_S) + 1)
 
@@ -105,7 +105,7 @@
 
     def make_report(self, now):
         levels = [_find_level(caller, now) for caller in self.waiting]
-        rate = self.meter.measure(now=now) or 0.0
+        rate = sum(d.released_kv_per_s for d in self.demands.sum("s", now=now))
         return *(levels.count(level) for level in range(3)), rate
 
     def report(self, now):
@@ -175,7 +175,7 @@
     def _release(self):
         while self.running and self.running[0][0] <= self.now:
             _, _, instance = heapq.heappop(self.running)
-            instance.meter.record(1.0, now=self.now)
+            instance.demands.record_released("s", 0, 1.0, now=self.now)
 
     def _deliver(self):
         while self.messages and self.messages[0][0] <= self.now:
--- a/packages/core/fulmarward_core/waits/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/waits/tests/test_decisions.py
@@ -4,7 +4,6 @@
 from fulmarward_core.waits import (
     MAX_RETURN_S,
     MIN_RETURN_S,
-    ReleaseMeter,
     choose_return_s,
     estimate_return_s,
     estimate_wait_s,
@@ -13,26 +12,6 @@
 )
 
 
-class ReleaseMeterTest(unittest.TestCase):
-    def test_rates(self):
-        cases = [
-            # name, times of releases of 10 each, now, rate
-            ("none", [], 1.0, None),
-            ("one at once", [5.0], 5.0, 20.0),
-            ("steady, half a window", [0.0, 0.25, 0.5, 0.75], 1.0, 40.0),
-            ("steady", [i / 4 for i in range(40)], 9.9, 40.0),
-            ("in one entry", [1.0, 1.01, 1.02, 1.03], 2.0, 40.0),
-            ("a window ago", [1.0, 1.05], 3.0, None),
-            ("after a pause", [1.0, 8.0], 8.5, 20.0),
-        ]
-        for name, times, now, expected in cases:
-            meter = ReleaseMeter()
-            for at in times:
-                meter.record(10.0, now=at)
-            with self.subTest(name):
-                self.assertEqual(meter.measure(now=now), expected)
-
-
 class EstimateTest(unittest.TestCase):
     def test_estimates(self):
         cases = [
