--- a/packages/core/fulmarward_core/waits/__init__.py
+++ b/packages/core/fulmarward_core/waits/__init__.py
@@ -1,5 +1,6 @@
 """Estimates of how long requests wait, and promised returns of rejected callers."""
 
+from fulmarward_core.waits._kv_ahead import KvAhead
 from fulmarward_core.waits._promises import (
     FINGERPRINT_BYTES,
     MAX_OPEN_PROMISES,
@@ -14,7 +15,6 @@
     ReturnStatus,
     shorten_fingerprint,
 )
-from fulmarward_core.waits._release_meter import RELEASE_WINDOW_S, ReleaseMeter
 from fulmarward_core.waits.decisions import (
     MAX_RETURN_S,
     MIN_RETURN_S,
@@ -38,14 +38,13 @@
     "PROMISE_HOLD_S",
     "PROMISED_SHARE",
     "REJECT_MARGIN",
-    "RELEASE_WINDOW_S",
     "RETURN_JITTER",
+    "KvAhead",
     "Promise",
     "PromiseCounts",
     "PromiseKey",
     "PromiseLedger",
     "PromisedReturn",
-    "ReleaseMeter",
     "ReturnStatus",
     "choose_return_s",
     "estimate_return_s",
--- a/packages/core/fulmarward_core/waits/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/waits/tests/test_decisions.py
@@ -4,7 +4,7 @@
 from fulmarward_core.waits import (
     MAX_RETURN_S,
     MIN_RETURN_S,
-    ReleaseMeter,
+    KvAhead,
     choose_return_s,
     estimate_return_s,
     estimate_wait_s,
@@ -13,24 +13,30 @@
 )
 
 
-class ReleaseMeterTest(unittest.TestCase):
-    def test_rates(self):
+class KvAheadTest(unittest.TestCase):
+    def test_releases_go_to_those_that_came_first(self):
+        """Guards against counting what came later, and what has been served."""
         cases = [
-            # name, times of releases of 10 each, now, rate
-            ("none", [], 1.0, None),
-            ("one at once", [5.0], 5.0, 20.0),
-            ("steady, half a window", [0.0, 0.25, 0.5, 0.75], 1.0, 40.0),
-            ("steady", [i / 4 for i in range(40)], 9.9, 40.0),
-            ("in one entry", [1.0, 1.01, 1.02, 1.03], 2.0, 40.0),
-            ("a window ago", [1.0, 1.05], 3.0, None),
-            ("after a pause", [1.0, 8.0], 8.5, 20.0),
+            # name, updates as (time, waiting, released per second), left of 40 kv
+            ("on arrival", [(0.0, 40.0, 20.0)], 40.0),
+            ("others came later", [(0.0, 40.0, 0.0), (1.0, 90.0, 0.0)], 40.0),
+            ("half released", [(1.0, 90.0, 20.0)], 20.0),
+            ("in steps", [(0.5, 90.0, 20.0), (1.0, 90.0, 40.0)], 10.0),
+            ("all released", [(4.0, 90.0, 20.0)], 0.0),
+            ("higher classes take more", [(1.0, 90.0, -20.0)], 40.0),
+            ("others gave up", [(1.0, 5.0, 0.0)], 5.0),
+            ("others are late for now", [(0.5, 0.0, 0.0), (1.0, 90.0, 0.0)], 40.0),
+            ("nobody else waits", [(1.0, -10.0, 0.0)], 0.0),
+            ("two updates at once", [(1.0, 90.0, 20.0), (1.0, 90.0, 20.0)], 20.0),
         ]
-        for name, times, now, expected in cases:
-            meter = ReleaseMeter()
-            for at in times:
-                meter.record(10.0, now=at)
+        for name, updates, expected in cases:
+            ahead = KvAhead(40.0, now=0.0)
+            for now, waiting_kv, released in updates:
+                found = ahead.update(
+                    waiting_kv=waiting_kv, released_kv_per_s=released, now=now
+                )
             with self.subTest(name):
-                self.assertEqual(meter.measure(now=now), expected)
+                self.assertAlmostEqual(found, expected)
 
 
 class EstimateTest(unittest.TestCase):
