Waiting requests use other data centres also with repeated estimates

The merge of the repeated estimate replaced the flag that a request has searched before; whether it has waited is now known by what was ahead of it on its arrival. 62 tests of waits, demand, admission, waiting and denials pass, one listed one fails.

--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -168,7 +168,7 @@
             while True:
                 now = self._read_clock()
                 wait_end = self._compute_wait_end(state, began_at, now)
-                has_waited = has_searched and _has_classes(state)
+                has_waited = ahead is not None and _has_classes(state)
                 wanted = replace(find_wanted(), has_waited=has_waited)
                 is_bound = wanted.first_targets is not None
                 if is_bound or waiting.is_next(request, now=now):
