Close a caller's connection without an error that aiohttp logs

Change: the handler closes the connection and returns the unfinished response; an internal error before a response still gets a 500. The end of the request is logged as before (`caller left`, `internal_error_caught`).

--- a/packages/router/fulmarward_router/exchange/_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/_caller_handler.py
@@ -179,9 +179,12 @@
         except TruncatedResponse as truncated:
             outcome = _record_cut(state, truncated)
             return _close_connection(request)
-        except (ConnectionError, asyncio.CancelledError):
+        except asyncio.CancelledError:
             outcome = "caller left"
             raise
+        except ConnectionError:
+            outcome = "caller left"
+            return _close_connection(request)
         except Exception as error:
             outcome = f"error: {error!r}"
             if state is not None and state.has_begun:
@@ -189,7 +192,11 @@
             log_event(
                 "internal_error_caught", exc_info=error, request=_get_request_id(state)
             )
-            raise ConnectionResetError("internal error") from error
+            if request.get("answer") is not None:
+                return _close_connection(request)
+            answer = web.Response(status=500)
+            answer.force_close()
+            return answer
         finally:
             self._record_end(state, outcome, arrived_at)
 
@@ -427,17 +434,15 @@
 
 
 def _close_connection(request: web.BaseRequest) -> web.StreamResponse:
-    """Close the connection of a started response, so that it is seen as incomplete.
+    """Close the connection, so that a started response is seen as incomplete.
 
-    Raises `ConnectionResetError` if none has started. The returned response is left
-    unfinished, as nothing can be written to a closing connection. Guards against the
-    traceback that aiohttp writes outside the log when a handler raises an error.
+    The returned response is left unfinished, as nothing can be written to a closing
+    connection. Guards against the traceback that aiohttp writes outside the log when a
+    handler raises an error.
     """
-    answer = request.get("answer")
-    if answer is None or request.transport is None:
-        raise ConnectionResetError("no response to truncate")
-    request.transport.close()
-    return answer
+    if request.transport is not None:
+        request.transport.close()
+    return request.get("answer") or web.StreamResponse()
 
 
 def _get_request_id(state: RequestState | None) -> str | None:
--- a/packages/router/fulmarward_router/exchange/tests/test_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_caller_handler.py
@@ -4,6 +4,7 @@
 from unittest import mock
 
 import aiohttp
+from aiohttp import web
 from aiohttp.test_utils import RawTestServer
 
 from fulmarward_core.routes import CallerLimits, RoutingConfiguration
@@ -35,6 +36,63 @@
         )
 
 
+class AbandonedResponseTest(unittest.IsolatedAsyncioTestCase):
+    async def fail_to_write(self, request, error, *, has_begun):
+        """Return the response of a handler in which an error is raised."""
+        handler = CallerHandler(
+            dialect=_Dialect(),
+            configuration=SimpleNamespace(),
+            engines=SimpleNamespace(),
+            plain=SimpleNamespace(),
+            find_budget=lambda service: None,
+            read_clock=time.monotonic,
+            is_stopping=lambda: False,
+            accepts_streams=lambda: True,
+            observe=lambda state, outcome, took_s: None,
+        )
+
+        async def fail(request, arrived_at):
+            if has_begun:
+                request["answer"] = answer = web.StreamResponse()
+                await answer.prepare(request)
+                await answer.write(b"event")
+            raise error
+
+        with (
+            mock.patch.object(handler, "_parse_request", fail),
+            mock.patch.object(_caller_handler, "log_event"),
+        ):
+            return await handler.handle(request)
+
+    async def read_status(self, error, *, has_begun):
+        """Return the status that a caller gets, `None` if its response is cut."""
+
+        async def handle(request):
+            return await self.fail_to_write(request, error, has_begun=has_begun)
+
+        async with RawTestServer(handle) as server, aiohttp.ClientSession() as session:
+            try:
+                async with session.get(server.make_url("/")) as answer:
+                    await answer.read()
+                    return answer.status
+            except aiohttp.ClientError:
+                return None
+
+    async def test_error_leaves_no_traceback_and_no_whole_response(self):
+        """Guards against tracebacks outside the log, and a cut taken for an end."""
+        cases = [
+            (ConnectionResetError("gone"), False, None),
+            (ConnectionResetError("gone"), True, None),
+            (ValueError("fault"), False, 500),
+            (ValueError("fault"), True, None),
+        ]
+        for error, has_begun, status in cases:
+            with self.subTest(error=error, has_begun=has_begun):
+                with self.assertNoLogs("aiohttp.server"):
+                    found = await self.read_status(error, has_begun=has_begun)
+                self.assertEqual(found, status)
+
+
 class UnknownRouteTest(unittest.IsolatedAsyncioTestCase):
     async def request_status(self, configuration):
         """Return the status of a request for an unknown route."""
