Let routes decide between requests of teams with the same priority

Change: the urgency of a class is ten times the priority of the team plus that of the route. The team still precedes the route, and targets are told its priority as before. Classes are those that requests can have: the priority of a route counts alone only where a request may come without a team or from one without a priority. Services whose routes have equal priorities are served as before.

--- a/packages/core/fulmarward_core/routes/__init__.py
+++ b/packages/core/fulmarward_core/routes/__init__.py
@@ -10,6 +10,7 @@
 )
 from fulmarward_core.routes.decisions import (
     choose_service,
+    find_class_urgency,
     find_route,
     find_team,
     find_urgency,
@@ -27,6 +28,7 @@
     "choose_service",
     "find_route",
     "find_team",
+    "find_class_urgency",
     "find_urgency",
     "list_class_services",
     "list_urgencies",
--- a/packages/core/fulmarward_core/routes/_types.py
+++ b/packages/core/fulmarward_core/routes/_types.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 from functools import cached_property
+from itertools import chain
 
 from fulmarward_core.fleet import ServiceSpec
 
@@ -109,23 +110,23 @@
 
     @cached_property
     def urgencies_by_service(self) -> Mapping[str, tuple[int, ...]]:
-        """The urgencies that requests of each service with a route may have, sorted."""
-        of_teams = {
-            limit_urgency(team.priority)
-            for team in self.teams_by_key.values()
-            if team.priority is not None
-        }
+        """The class urgencies of each service with a route, sorted."""
+        of_teams = {team.priority for team in self.teams_by_key.values()}
         found: dict[str, set[int]] = {}
-        for routes in self.routes.values():
-            for route in routes:
-                for share in route.shares:
-                    urgencies = found.setdefault(share.service, set(of_teams))
-                    urgencies.add(limit_urgency(route.priority))
+        for route in chain.from_iterable(self.routes.values()):
+            may_lack_team = route.is_public or not self.requires_team_key
+            priorities = {*of_teams, None} if may_lack_team else of_teams
+            urgencies = {
+                combine_urgencies(of_team=priority, of_route=route.priority)
+                for priority in priorities
+            }
+            for share in route.shares:
+                found.setdefault(share.service, set()).update(urgencies)
         return {service: tuple(sorted(found[service])) for service in found}
 
     @cached_property
     def class_services(self) -> frozenset[str]:
-        """The services whose requests may differ in their urgency."""
+        """The services whose requests may differ in their class urgency."""
         return frozenset(
             service
             for service, urgencies in self.urgencies_by_service.items()
@@ -138,6 +139,17 @@
     return max(0, min(LEAST_URGENT, priority))
 
 
+def combine_urgencies(*, of_team: int | None, of_route: int) -> int:
+    """Return the class urgency of a team's requests on a route, by both priorities.
+
+    The priority of the team precedes that of the route, which decides between requests
+    of teams with the same priority. A team without one has that of the route.
+    """
+    urgency = limit_urgency(of_route)
+    first = urgency if of_team is None else limit_urgency(of_team)
+    return first * (LEAST_URGENT + 1) + urgency
+
+
 class RouteIndex:
     """The routes of a host by prefix.
 
--- a/packages/core/fulmarward_core/routes/decisions.py
+++ b/packages/core/fulmarward_core/routes/decisions.py
@@ -6,6 +6,7 @@
     Route,
     RoutingConfiguration,
     Team,
+    combine_urgencies,
     limit_urgency,
 )
 
@@ -35,13 +36,18 @@
     return limit_urgency(priority)
 
 
+def find_class_urgency(route: Route, team: Team | None) -> int:
+    """Return the urgency of the class of a request, see `combine_urgencies`."""
+    of_team = None if team is None else team.priority
+    return combine_urgencies(of_team=of_team, of_route=route.priority)
+
+
 def list_urgencies(
     configuration: RoutingConfiguration, service: str
 ) -> tuple[int, ...]:
-    """Return the urgencies that requests of a service may have, the most urgent first.
+    """Return the urgencies of the classes of a service, the most urgent first.
 
-    These are the priorities of its routes, and those that teams have instead. Empty if
-    no route leads to the service.
+    Empty if no route leads to the service.
     """
     return configuration.urgencies_by_service.get(service, ())
 
@@ -49,7 +55,7 @@
 def list_class_services(configuration: RoutingConfiguration) -> frozenset[str]:
     """Return the services with classes: their requests may differ in their urgency.
 
-    Their routes have more than one priority, or a team has another one than a route.
+    Their routes or the teams have more than one priority.
     """
     return configuration.class_services
 
--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -266,7 +266,7 @@
     ) -> None:
         """Record for how long a request waited that has not started."""
         if not request.is_started and _has_classes(state):
-            self._observe_wait(state.service, state.urgency, waited_s)
+            self._observe_wait(state.service, state.class_urgency, waited_s)
 
     def _redeem(self, state: RequestState, returned: PromisedReturn) -> None:
         """Close the promise for a request that has found a path."""
@@ -339,7 +339,7 @@
             is_return_promised = self._promised_returns.promise(
                 state.fingerprint,
                 state.service,
-                state.urgency,
+                state.class_urgency,
                 request.kv,
                 return_s=plan.return_s,
                 request_id=state.facts.request_id,
@@ -347,7 +347,7 @@
         values = waiting.describe(request, now=now)
         estimate_s = _round_estimate(rejection.estimate_s)
         if values:
-            self._count_denial(state.service, state.urgency, rejection.cause)
+            self._count_denial(state.service, state.class_urgency, rejection.cause)
             log_event(
                 "admission_denied",
                 request=state.facts.request_id,
@@ -482,7 +482,7 @@
 ) -> WaitingRequest:
     return WaitingRequest(
         key=id(state),
-        urgency=state.urgency,
+        urgency=state.class_urgency,
         arrived_at=state.arrived_at,
         objective_s=state.route.objective_s,
         is_started=state.has_begun or state.last_event is not None,
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -527,7 +527,7 @@
                 return
             self._find_waiting(state, attempt.engine)
         self._class_requests[state.service].record_released(
-            state.urgency,
+            state.class_urgency,
             compute_request_kv(attempt.wanted, attempt.engine),
             now=self._read_clock(),
         )
--- a/packages/router/fulmarward_router/exchange/_request_state.py
+++ b/packages/router/fulmarward_router/exchange/_request_state.py
@@ -58,10 +58,13 @@
     route: Route
     team: Team | None
     service: str
+    #: Urgency that targets are told.
     urgency: int
     #: Seconds on the monotonic clock.
     arrived_at: float
     deadline: float
+    #: Urgency of its class, which decides on its admission.
+    class_urgency: int = 0
     #: Whether it has asked for a path before, for an earlier attempt or in place of a
     #: path that was unreachable.
     has_sought_path: bool = False
