Keep the reports of the fleet apart from the table of demands

Cause: the shares of teams (design 0022, part C) need the reports of peers, hubs and data centres with other amounts; they were part of DemandTable.

Change: FleetReports holds them and their sums by service and any class. DemandTable has one, with its own rounding and bounds. No change of behaviour.

--- a/packages/core/fulmarward_core/demand/__init__.py
+++ b/packages/core/fulmarward_core/demand/__init__.py
@@ -1,14 +1,27 @@
 """Demand of each class of requests, from own requests and reports of peers."""
 
-from fulmarward_core.demand._reports import REPORT_DURATION_S, DemandSnapshot
-from fulmarward_core.demand._sums import Demands
+from fulmarward_core.demand._fleet_reports import FleetReports
+from fulmarward_core.demand._reports import (
+    MAX_AMOUNT,
+    MAX_CLASSES,
+    MAX_SERVICES,
+    REPORT_DURATION_S,
+    ReportSnapshot,
+)
+from fulmarward_core.demand._sums import Amounts, ClassAmounts, Demands
 from fulmarward_core.demand._table import DemandTable
 from fulmarward_core.demand._types import ClassDemand
 
 __all__ = [
+    "MAX_AMOUNT",
+    "MAX_CLASSES",
+    "MAX_SERVICES",
     "REPORT_DURATION_S",
+    "Amounts",
+    "ClassAmounts",
     "ClassDemand",
-    "DemandSnapshot",
     "DemandTable",
     "Demands",
+    "FleetReports",
+    "ReportSnapshot",
 ]
--- a/packages/core/fulmarward_core/demand/_reports.py
+++ b/packages/core/fulmarward_core/demand/_reports.py
@@ -1,14 +1,13 @@
-"""The last reports of peers or data centres on their demand, until they expire."""
+"""The last reports of peers or data centres on amounts, until they expire."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from typing import Any
 
-from fulmarward_core.demand._sums import (
-    ClassAmounts,
-    Demands,
-    DemandSum,
-    round_amounts,
-)
+from fulmarward_core.demand._sums import AmountSum, ClassAmounts, Demands
+
+#: What a source reports: by service, an entry for each class.
+Entries = Mapping[str, tuple[Any, ...]]
 
 #: Seconds for which a report is valid after it was made. Sources without valid report
 #: count as without demand.
@@ -24,13 +23,13 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class DemandSnapshot:
-    """The demands that a source reported."""
+class ReportSnapshot:
+    """What a source reported."""
 
     #: When the report was made, in seconds on the monotonic clock here.
     at: float
-    #: Demand by service.
-    demands: Demands
+    #: Entries by service; for demands, one for each class.
+    demands: Entries
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -39,7 +38,7 @@
 
     boot: int
     at: float
-    demands: Demands = field(default_factory=dict)
+    demands: Entries = field(default_factory=dict)
     #: The demands as they are in the sum.
     amounts: ClassAmounts = field(default_factory=dict)
     #: Whether the source was neither removed nor has the report expired.
@@ -49,24 +48,35 @@
 class ReportSet:
     """The last report of each source, and the sum of those that are valid."""
 
-    def __init__(self, *, note_changed: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        *,
+        note_changed: Callable[[], None],
+        read_amounts: Callable[[Entries], ClassAmounts],
+        is_within_bounds: Callable[[Entries, ClassAmounts], bool],
+    ) -> None:
         #: Called whenever the sum changes.
         self._note_changed = note_changed
+        #: Returns the amounts in the entries of a report, rounded to integers.
+        self._read_amounts = read_amounts
+        self._is_within_bounds = is_within_bounds
         self._reports: dict[str, _Report] = {}
-        self.sum = DemandSum()
+        self.sum = AmountSum()
         #: No report expires before this time.
         self.next_expiry = float("inf")
 
     def merge(
-        self, source: str, demands: Demands, *, boot: int, at: float, now: float
+        self, source: str, demands: Entries, *, boot: int, at: float, now: float
     ) -> bool:
         """Replace what a source reported; return whether the report was applied.
 
         One that has expired, is older than the known one or exceeds a bound is ignored.
         """
         known = self._reports.get(source)
-        amounts = round_amounts(demands)
-        if not now - at <= REPORT_DURATION_S or not _is_within_bounds(demands, amounts):
+        amounts = self._read_amounts(demands)
+        if not now - at <= REPORT_DURATION_S:
+            return False
+        if not self._is_within_bounds(demands, amounts):
             return False
         if known is None and not self._make_room(now):
             return False
@@ -97,10 +107,10 @@
                 end = report.at + REPORT_DURATION_S
                 self.next_expiry = min(self.next_expiry, end)
 
-    def list_valid(self) -> dict[str, DemandSnapshot]:
+    def list_valid(self) -> dict[str, ReportSnapshot]:
         """Return the valid reports by source."""
         return {
-            source: DemandSnapshot(at=report.at, demands=report.demands)
+            source: ReportSnapshot(at=report.at, demands=report.demands)
             for source, report in self._reports.items()
             if report.is_valid
         }
@@ -128,7 +138,7 @@
         return len(self._reports) < MAX_SOURCES
 
 
-def _is_within_bounds(demands: Demands, amounts: ClassAmounts) -> bool:
+def is_within_bounds(demands: Demands, amounts: ClassAmounts) -> bool:
     """Return whether a report has no class twice, nor too many or too large ones."""
     sizes = [len(classes) for classes in demands.values()]
     return (
--- a/packages/core/fulmarward_core/demand/_sums.py
+++ b/packages/core/fulmarward_core/demand/_sums.py
@@ -2,20 +2,22 @@
 
 import math
 import operator
-from collections.abc import Iterable, Mapping
+from collections.abc import Hashable, Iterable, Mapping
 
 from fulmarward_core.demand._types import ClassDemand
 
 #: Demand by service, each class once.
 Demands = Mapping[str, tuple[ClassDemand, ...]]
 
-#: Amounts of a class, in the order of the fields of `ClassDemand` after its urgency.
-Amounts = tuple[float, float, float, float, float]
+#: Amounts of a class, as many for each class of a sum: for demands, in the order of the
+#: fields of `ClassDemand` after its urgency.
+Amounts = tuple[float, ...]
 
-NO_AMOUNTS: Amounts = (0.0, 0.0, 0.0, 0.0, 0.0)
+#: What amounts are summed by within a service: for demands, the urgency.
+ClassKey = Hashable
 
-#: Integer amounts of one reporter by service and urgency.
-ClassAmounts = Mapping[tuple[str, int], Amounts]
+#: Integer amounts of one reporter by service and class.
+ClassAmounts = Mapping[tuple[str, ClassKey], Amounts]
 
 get_amounts = operator.attrgetter(
     "on_time_kv", "late_kv", "arriving_kv_per_s", "released_kv_per_s", "promised_kv"
@@ -44,56 +46,56 @@
     )
 
 
-def add_classes(all_classes: Iterable[Mapping[int, Amounts]]) -> dict[int, Amounts]:
-    """Return the sum by urgency."""
-    total: dict[int, Amounts] = {}
+def add_classes(
+    all_classes: Iterable[Mapping[ClassKey, Amounts]],
+) -> dict[ClassKey, Amounts]:
+    """Return the sum by class."""
+    total: dict[ClassKey, Amounts] = {}
     for classes in all_classes:
-        for urgency, amounts in classes.items():
-            known = total.get(urgency)
-            total[urgency] = (
+        for key, amounts in classes.items():
+            known = total.get(key)
+            total[key] = (
                 amounts if known is None else tuple(map(operator.add, known, amounts))
             )
     return total
 
 
 def find_larger_classes(
-    one: Mapping[int, Amounts], other: Mapping[int, Amounts]
-) -> dict[int, Amounts]:
-    """Return the larger one of each amount by urgency."""
-    return {
-        urgency: tuple(
-            map(max, one.get(urgency, NO_AMOUNTS), other.get(urgency, NO_AMOUNTS))
-        )
-        for urgency in {*one, *other}
-    }
+    one: Mapping[ClassKey, Amounts], other: Mapping[ClassKey, Amounts]
+) -> dict[ClassKey, Amounts]:
+    """Return the larger one of each amount by class."""
+    larger = {**one, **other}
+    for key in one.keys() & other.keys():
+        larger[key] = tuple(map(max, one[key], other[key]))
+    return larger
 
 
-class DemandSum:
-    """The sum of many demands, with subtraction.
+class AmountSum:
+    """The sum of the amounts of many reporters, with subtraction.
 
     The amounts are integers, so that subtraction leaves no remainder.
     """
 
     def __init__(self) -> None:
-        self._sums: dict[str, dict[int, Amounts]] = {}
+        self._sums: dict[str, dict[ClassKey, Amounts]] = {}
         #: Number of reports in each sum.
-        self._counts: dict[tuple[str, int], int] = {}
+        self._counts: dict[tuple[str, ClassKey], int] = {}
 
     def list_services(self) -> list[str]:
-        """Return the services with demand."""
+        """Return the services with amounts."""
         return list(self._sums)
 
-    def find_classes(self, service: str) -> Mapping[int, Amounts]:
-        """Return the amounts of a service by urgency."""
+    def find_classes(self, service: str) -> Mapping[ClassKey, Amounts]:
+        """Return the amounts of a service by class."""
         return self._sums.get(service, {})
 
     def add(self, amounts: ClassAmounts) -> None:
         """Add the amounts of one reporter."""
         for key, added in amounts.items():
-            service, urgency = key
+            service, class_key = key
             classes = self._sums.setdefault(service, {})
-            known = classes.get(urgency)
-            classes[urgency] = (
+            known = classes.get(class_key)
+            classes[class_key] = (
                 added if known is None else tuple(map(operator.add, known, added))
             )
             self._counts[key] = self._counts.get(key, 0) + 1
@@ -101,13 +103,15 @@
     def subtract(self, amounts: ClassAmounts) -> None:
         """Subtract amounts that were added before."""
         for key, removed in amounts.items():
-            service, urgency = key
+            service, class_key = key
             classes = self._sums[service]
             self._counts[key] -= 1
             if self._counts[key]:
-                classes[urgency] = tuple(map(operator.sub, classes[urgency], removed))
+                classes[class_key] = tuple(
+                    map(operator.sub, classes[class_key], removed)
+                )
                 continue
-            del classes[urgency], self._counts[key]
+            del classes[class_key], self._counts[key]
             if not classes:
                 del self._sums[service]
 
@@ -120,10 +124,12 @@
         for key, added in current.items():
             removed = known[key]
             if added != removed:
-                service, urgency = key
+                service, class_key = key
                 change = map(operator.sub, added, removed)
                 classes = self._sums[service]
-                classes[urgency] = tuple(map(operator.add, classes[urgency], change))
+                classes[class_key] = tuple(
+                    map(operator.add, classes[class_key], change)
+                )
 
 
 def round_amounts(demands: Demands) -> ClassAmounts:
--- a/packages/core/fulmarward_core/demand/_table.py
+++ b/packages/core/fulmarward_core/demand/_table.py
@@ -3,20 +3,20 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
+from fulmarward_core.demand._fleet_reports import FleetReports
 from fulmarward_core.demand._rates import RateWindow
 from fulmarward_core.demand._reports import (
     MAX_AMOUNT,
     MAX_CLASSES,
     MAX_SERVICES,
-    DemandSnapshot,
-    ReportSet,
+    ReportSnapshot,
+    is_within_bounds,
 )
 from fulmarward_core.demand._sums import (
     Amounts,
     Demands,
-    add_classes,
-    find_larger_classes,
     make_class_demands,
+    round_amounts,
 )
 from fulmarward_core.demand._types import ClassDemand
 
@@ -62,17 +62,16 @@
     """
 
     def __init__(self, *, own: str, data_centre: str = "") -> None:
-        #: Names of this instance and of its data centre.
-        self._own_name = own
-        self._data_centre = data_centre
         self._own: dict[str, dict[int, _OwnClass]] = {}
         #: Increases with each change, apart from the rates that fall with time.
         self.revision = 0
-        self._peers = ReportSet(note_changed=self._note_changed)
-        self._other_centres = ReportSet(note_changed=self._note_changed)
-        #: The report of a hub on the data centre of this instance.
-        self._own_centre = ReportSet(note_changed=self._note_changed)
-        self._report_sets = (self._peers, self._other_centres, self._own_centre)
+        self._reports = FleetReports(
+            own=own,
+            data_centre=data_centre,
+            note_changed=self._note_changed,
+            read_amounts=round_amounts,
+            is_within_bounds=is_within_bounds,
+        )
         self._cached_sums: dict[str, _CachedSum] = {}
 
     def _note_changed(self) -> None:
@@ -171,9 +170,7 @@
         whether it was applied: one that has expired, is of an earlier start, is older
         than the known one or exceeds a bound is ignored.
         """
-        if source == self._own_name:
-            return False
-        return self._peers.merge(source, demands, boot=boot, at=at, now=now)
+        return self._reports.merge_report(source, demands, boot=boot, at=at, now=now)
 
     def merge_data_centre(
         self, data_centre: str, demands: Demands, *, at: float, now: float
@@ -183,13 +180,11 @@
         Of the reports of several hubs the newest one counts. Returns whether it was
         applied, as `merge_report` does.
         """
-        is_own = data_centre == self._data_centre
-        reports = self._own_centre if is_own else self._other_centres
-        return reports.merge(data_centre, demands, boot=0, at=at, now=now)
+        return self._reports.merge_data_centre(data_centre, demands, at=at, now=now)
 
     def remove(self, source: str) -> None:
         """Drop what an instance reported, as it leaves."""
-        self._peers.remove(source)
+        self._reports.remove(source)
 
     def sum(self, service: str, *, now: float) -> tuple[ClassDemand, ...]:
         """Return the demand of a service at all instances, by class in order.
@@ -197,7 +192,7 @@
         A hub's sum of the own data centre may be older than what this instance knows
         itself, so the larger one of both counts.
         """
-        self._expire(now)
+        self._reports.expire(now=now)
         known = self._cached_sums.get(service)
         if (
             known is not None
@@ -206,11 +201,7 @@
         ):
             return known.demands
         near = self._sum_direct(service, now)
-        reported = self._own_centre.sum.find_classes(service)
-        if reported:
-            near = find_larger_classes(near, reported)
-        far = self._other_centres.sum.find_classes(service)
-        demands = make_class_demands(add_classes([near, far]) if far else near)
+        demands = make_class_demands(self._reports.sum(service, near))
         if service not in self._cached_sums and len(self._cached_sums) >= MAX_SERVICES:
             self._cached_sums.clear()
         self._cached_sums[service] = _CachedSum(
@@ -223,8 +214,8 @@
 
         A hub reports it as that of its data centre.
         """
-        self._expire(now)
-        services = sorted({*self._own, *self._peers.sum.list_services()})
+        self._reports.expire(now=now)
+        services = sorted({*self._own, *self._reports.list_direct_services()})
         demands = {
             service: make_class_demands(self._sum_direct(service, now))[:MAX_CLASSES]
             for service in services
@@ -232,28 +223,19 @@
         listed = [item for item in demands.items() if item[1]]
         return dict(listed[:MAX_SERVICES])
 
-    def list_data_centres(self, *, now: float) -> Mapping[str, DemandSnapshot]:
+    def list_data_centres(self, *, now: float) -> Mapping[str, ReportSnapshot]:
         """Return the valid reports on other data centres, for a hub to pass on."""
-        self._expire(now)
-        return self._other_centres.list_valid()
+        self._reports.expire(now=now)
+        return self._reports.list_data_centres()
 
     def find_oldest_report_age_s(self, *, now: float) -> float | None:
         """Return the age of the oldest report in the sums, `None` if there is none."""
-        self._expire(now)
-        times = [
-            report.at
-            for reports in self._report_sets
-            for report in reports.list_valid().values()
-        ]
-        return now - min(times) if times else None
+        self._reports.expire(now=now)
+        return self._reports.find_oldest_age_s(now=now)
 
     def _sum_direct(self, service: str, now: float) -> dict[int, Amounts]:
         own = self._find_own_classes(service, now)
-        return add_classes([own, self._peers.sum.find_classes(service)])
-
-    def _expire(self, now: float) -> None:
-        for reports in self._report_sets:
-            reports.expire(now)
+        return self._reports.sum_direct(service, own)
 
 
 def _check_amounts(*amounts: float) -> None:
