Add the decisions of shares of teams

Change: fulmarward_core.team_shares holds the used and waiting KV cache by service, urgency and team with the reports of others, the order by relative use, and the share that leaves free what less-served teams wait for. WaitQueue and ClassQueue take an order of teams; without one, all teams are equal. The simulation of queueing knows teams.

--- a/packages/core/fulmarward_core/queueing/__init__.py
+++ b/packages/core/fulmarward_core/queueing/__init__.py
@@ -3,6 +3,8 @@
 from fulmarward_core.queueing.decisions import (
     LATE_KV_SHARE,
     ON_TIME_SHARE,
+    EqualTeams,
+    TeamOrder,
     WaitClass,
     WaitingRequest,
     WaitQueue,
@@ -14,6 +16,8 @@
 __all__ = [
     "LATE_KV_SHARE",
     "ON_TIME_SHARE",
+    "EqualTeams",
+    "TeamOrder",
     "WaitClass",
     "WaitQueue",
     "WaitingRequest",
--- a/packages/core/fulmarward_core/queueing/decisions.py
+++ b/packages/core/fulmarward_core/queueing/decisions.py
@@ -10,6 +10,7 @@
 from collections.abc import Hashable
 from dataclasses import dataclass
 from enum import IntEnum
+from typing import Protocol
 
 #: Share of its objective that a request may spend waiting and still count as on time.
 #: The rest is needed for its first event.
@@ -61,6 +62,8 @@
     kv: float = 0.0
     #: Whether its caller was promised capacity. Without effect in `WaitQueue`.
     is_promised: bool = False
+    #: Name of its team, empty if it has none. Without effect without a `TeamOrder`.
+    team: str = ""
 
     def __post_init__(self) -> None:
         if self.objective_s < 0:
@@ -90,10 +93,33 @@
     return MIN_RETRY_AFTER_S + (MAX_RETRY_AFTER_S - MIN_RETRY_AFTER_S) * draw
 
 
+class TeamOrder(Protocol):
+    """The order of the teams of a service, as `fulmarward_core.team_shares`."""
+
+    def find_revision(self, *, now: float) -> Hashable:
+        """Return a value that differs whenever the relative uses may differ."""
+
+    def find_relative_use(self, request: WaitingRequest, *, now: float) -> float:
+        """Return the relative use of its team; the lowest one is served first."""
+
+
+class EqualTeams:
+    """Makes no difference between teams."""
+
+    def find_revision(self, *, now: float) -> Hashable:
+        """Return always the same."""
+        return None
+
+    def find_relative_use(self, request: WaitingRequest, *, now: float) -> float:
+        """Return the same for all requests."""
+        return 0.0
+
+
 class WaitQueue:
     """The requests for one service that wait at one instance."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, team_order: TeamOrder | None = None) -> None:
+        self._team_order = team_order or EqualTeams()
         self._waiting: dict[Hashable, WaitingRequest] = {}
 
     def __len__(self) -> int:
@@ -112,10 +138,17 @@
 
         The request need not be in the queue: new arrivals check before they are added.
         """
-        rank = _rank(request, now)
-        return not any(_rank(other, now) < rank for other in self._waiting.values())
-
-
-def _rank(request: WaitingRequest, now: float) -> tuple[WaitClass, int, float]:
-    wait_class = classify_request(request, now=now)
-    return wait_class, request.urgency, request.arrived_at
+        rank = self._rank(request, now)
+        return not any(
+            self._rank(other, now) < rank for other in self._waiting.values()
+        )
+
+    def _rank(
+        self, request: WaitingRequest, now: float
+    ) -> tuple[WaitClass, int, float, float]:
+        return (
+            classify_request(request, now=now),
+            request.urgency,
+            self._team_order.find_relative_use(request, now=now),
+            request.arrived_at,
+        )
--- a/packages/core/fulmarward_core/queueing/tests/load.py
+++ b/packages/core/fulmarward_core/queueing/tests/load.py
@@ -16,6 +16,7 @@
     find_kv_share,
 )
 from fulmarward_core.reservations import ClassQueue, ClassSettings
+from fulmarward_core.team_shares import TeamShares, TeamTable
 
 #: Length of a simulation step, and delay until other instances' requests are known.
 STEP_S = 0.04
@@ -28,6 +29,8 @@
 PLANNED_SHARE = 0.9
 #: Span over which the rate of arrivals is measured.
 RATE_WINDOW_S = 1.0
+#: Time between two reports of an instance on its teams.
+TEAM_REPORT_INTERVAL_S = 0.24
 
 INSTANCES = 20
 
@@ -43,6 +46,7 @@
     urgency: int = 0
     objective_s: float = OBJECTIVE_S
     attempts: int = 1
+    team: str = ""
 
 
 @dataclass(kw_only=True)
@@ -54,6 +58,8 @@
     rejected: int = 0
     #: Callers answered in time, late, and rejected, by urgency.
     by_class: dict[int, Counter] = field(default_factory=lambda: defaultdict(Counter))
+    #: The same by team.
+    by_team: dict[str, Counter] = field(default_factory=lambda: defaultdict(Counter))
     #: Callers answered in time, and all callers, by the second of their first attempt.
     on_time_at: Counter = field(default_factory=Counter)
     total_at: Counter = field(default_factory=Counter)
@@ -72,8 +78,16 @@
 
     def find_class_share(self, urgency, *results):
         """Return the share of the callers of a class that had one of the results."""
-        counts = self.by_class[urgency]
-        return sum(counts[result] for result in results) / counts.total()
+        return _find_share(self.by_class[urgency], results)
+
+    def find_team_share(self, teams, *results):
+        """Return the share of the callers of some teams that had one of the results."""
+        counts = sum((self.by_team[team] for team in teams), Counter())
+        return _find_share(counts, results)
+
+    def record(self, caller, result):
+        self.by_class[caller.urgency][result] += 1
+        self.by_team[caller.team][result] += 1
 
     def find_worst_share(self, width_s=4):
         """Return the lowest share answered in time within any span of `width_s`."""
@@ -85,6 +99,10 @@
         )
 
 
+def _find_share(counts, results):
+    return sum(counts[result] for result in results) / counts.total()
+
+
 class Policy(Protocol):
     """How an instance orders and limits its waiting callers."""
 
@@ -103,6 +121,9 @@
     def record_sent(self, caller: Caller) -> None:
         """Register that a caller is served; it is removed next."""
 
+    def record_ended(self, caller: Caller) -> None:
+        """Register that the answer to a caller has ended."""
+
     def remove(self, caller: Caller) -> None:
         """Register that a caller no longer waits."""
 
@@ -113,6 +134,13 @@
     def learn(self, total: Sequence[ClassDemand], own: Sequence[ClassDemand]) -> None:
         """Take over the last known demand of all instances, and its own share in it."""
 
+    def list_teams(self, now: float) -> Mapping[str, tuple]:
+        """Return what the teams use at this instance."""
+        return {}
+
+    def merge_teams(self, source: str, uses: Mapping[str, tuple], at: float) -> None:
+        """Take over what another instance reported of its teams a lag ago."""
+
 
 class ArrivalOrderPolicy(Policy):
     """Baseline: callers are served in order of arrival, with one limit for all."""
@@ -146,6 +174,7 @@
             objective_s=caller.objective_s,
             is_started=False,
             kv=1.0,
+            team=caller.team,
         )
         self._queue.add(request)
 
@@ -202,9 +231,13 @@
             demands=_sum_demands([*self._known, *self.list_own(now)], self._known_own),
             planned_kv=places * PLANNED_SHARE,
             lowest_urgency=self._lowest_urgency,
+            team_share=self._find_team_share(caller, now, places),
             now=now,
         )
 
+    def _find_team_share(self, caller, now, places):
+        return 1.0
+
     def record_sent(self, caller):
         self._queue.record_admitted(self._requests[caller.number])
 
@@ -222,6 +255,60 @@
         self._known, self._known_own = total, own
 
 
+class TeamSharing:
+    """Adds the policy of `fulmarward_core.team_shares` to a policy with a queue."""
+
+    def __init__(self, rng, *, team_settings, **settings):
+        self._table = TeamTable(own="")
+        self._shares = TeamShares(service="s", table=self._table)
+        self._shares.settings = team_settings
+        super().__init__(rng, **settings)
+
+    def arrive(self, caller, now):
+        super().arrive(caller, now)
+        self._shares.add(self._requests[caller.number])
+
+    def record_sent(self, caller):
+        super().record_sent(caller)
+        self._shares.record_admitted(self._requests[caller.number])
+
+    def record_ended(self, caller):
+        self._table.record_ended(caller.number)
+
+    def remove(self, caller):
+        self._shares.remove(self._requests[caller.number])
+        super().remove(caller)
+
+    def list_teams(self, now):
+        return self._table.list_own(now=now)
+
+    def merge_teams(self, source, uses, at):
+        self._table.merge_report(source, uses, boot=0, at=at, now=at + REPORT_LAG_S)
+
+    def _find_team_share(self, caller, now, places):
+        return self._shares.find_kv_share(
+            self._requests[caller.number], planned_kv=places * PLANNED_SHARE, now=now
+        )
+
+
+class TeamPolicy(TeamSharing, OnTimeFirstPolicy):
+    """Shares of teams in a service without classes."""
+
+    def _make_queue(self):
+        return WaitQueue(team_order=self._shares)
+
+    def find_limit(self, caller, now, places):
+        limit = super().find_limit(caller, now, places)
+        return min(limit, PLANNED_SHARE * self._find_team_share(caller, now, places))
+
+
+class ReservingTeamPolicy(TeamSharing, ReservingPolicy):
+    """Shares of teams in a service with classes."""
+
+    def _make_queue(self):
+        return ClassQueue(settings=self._settings, team_order=self._shares)
+
+
 def _make_demand(urgency, on_time_kv, late_kv, arriving_kv_per_s):
     return ClassDemand(
         urgency=urgency,
@@ -268,26 +355,32 @@
     find_rates: Mapping[int, Callable[[float], float]],
     objectives_s: Mapping[int, float] | None = None,
     duration_s: float,
+    teams: Mapping[str, float] | None = None,
+    choose_instance: Callable[[Caller], int] | None = None,
 ) -> Outcome:
     """Return the results of callers that arrive during `duration_s` seconds.
 
     Each instance knows the number of running requests with a delay, and adds the
     requests that it sent itself in the meantime. `find_rates` and `objectives_s` are by
-    urgency.
+    urgency, and `teams` are the weights with which callers are of a team. Callers ask
+    random instances unless `choose_instance` returns the number of one.
     """
     objectives_s = objectives_s or dict.fromkeys(find_rates, OBJECTIVE_S)
     rng = random.Random(seed)
     instances = [_Instance(make_policy(rng)) for _ in range(INSTANCES)]
     outcome = Outcome()
-    running: list[float] = []
+    running: list[tuple[float, int, Caller, _Instance]] = []
+    team_reports: deque[tuple[float, int, Mapping[str, tuple]]] = deque()
+    reported_at = 0.0
     lag_steps = round(REPORT_LAG_S / STEP_S)
     running_history: deque[int] = deque(maxlen=lag_steps + 1)
     demand_history: deque[list] = deque(maxlen=lag_steps + 1)
     retrying: list[tuple[float, int, Caller]] = []
     number, now = 0, 0.0
     while now < duration_s + 2 * DEADLINE_S / 3:
-        while running and running[0] <= now:
-            heapq.heappop(running)
+        while running and running[0][0] <= now:
+            _, _, ended, instance = heapq.heappop(running)
+            instance.policy.record_ended(ended)
         arrived = []
         # Ten draws per step and class approximate a Poisson process.
         for urgency, find_rate in find_rates.items():
@@ -303,6 +396,7 @@
                         service_s=service_s,
                         urgency=urgency,
                         objective_s=objectives_s[urgency],
+                        team=_draw_team(rng, teams),
                     )
                 )
                 outcome.total_at[int(now)] += 1
@@ -310,7 +404,11 @@
             arrived.append(heapq.heappop(retrying)[2])
         for caller in arrived:
             caller.arrived_at = now
-            instance = rng.choice(instances)
+            instance = (
+                instances[choose_instance(caller)]
+                if choose_instance
+                else rng.choice(instances)
+            )
             instance.policy.arrive(caller, now)
             instance.waiting.append(caller)
         places, known_running = (
@@ -321,6 +419,11 @@
         total = _sum_demands(demand for report in reports for demand in report)
         for instance, report in zip(instances, reports, strict=True):
             instance.policy.learn(total, report)
+        while team_reports and team_reports[0][0] <= now - REPORT_LAG_S:
+            at, source, uses = team_reports.popleft()
+            for position, instance in enumerate(instances):
+                if position != source:
+                    instance.policy.merge_teams(str(source), uses, at)
         for instance in rng.sample(instances, len(instances)):
             policy, waiting = instance.policy, instance.waiting
             while waiting:
@@ -334,12 +437,13 @@
                 policy.record_sent(caller)
                 policy.remove(caller)
                 instance.record_sent(now)
-                heapq.heappush(running, now + caller.service_s)
+                entry = now + caller.service_s, caller.number, caller, instance
+                heapq.heappush(running, entry)
                 is_on_time = (
                     now + FIRST_EVENT_S - caller.first_attempt_at <= caller.objective_s
                 )
                 result = "on time" if is_on_time else "late"
-                outcome.by_class[caller.urgency][result] += 1
+                outcome.record(caller, result)
                 outcome.on_time += is_on_time
                 outcome.late += not is_on_time
                 outcome.on_time_at[int(caller.first_attempt_at)] += is_on_time
@@ -351,7 +455,7 @@
                 policy.remove(caller)
                 if caller.attempts > 1:
                     outcome.rejected += 1
-                    outcome.by_class[caller.urgency]["rejected"] += 1
+                    outcome.record(caller, "rejected")
                 else:
                     caller.attempts += 1
                     left_s = caller.first_attempt_at + DEADLINE_S - now
@@ -360,5 +464,14 @@
                     heapq.heappush(retrying, entry)
         running_history.append(len(running))
         demand_history.append([i.policy.list_own(now) for i in instances])
+        if now - reported_at >= TEAM_REPORT_INTERVAL_S:
+            reported_at = now
+            for source, instance in enumerate(instances):
+                team_reports.append((now, source, instance.policy.list_teams(now)))
         now += STEP_S
     return outcome
+
+
+def _draw_team(rng, teams):
+    """Return a team by its weight; draws nothing without teams."""
+    return rng.choices([*teams], [*teams.values()])[0] if teams else ""
--- a/packages/core/fulmarward_core/reservations/decisions.py
+++ b/packages/core/fulmarward_core/reservations/decisions.py
@@ -16,6 +16,8 @@
 from fulmarward_core.queueing import (
     LATE_KV_SHARE,
     ON_TIME_SHARE,
+    EqualTeams,
+    TeamOrder,
     WaitClass,
     WaitingRequest,
     classify_request,
@@ -119,8 +121,8 @@
 
 
 #: What precedes the order of arrival: whether it has not started, its urgency, whether
-#: it is late.
-_Group = tuple[bool, int, bool]
+#: it is late; and its team.
+_Group = tuple[bool, int, bool, str]
 
 #: Order within a group: whether it was not promised, its time of arrival, and its
 #: number in the queue, which makes it unique.
@@ -131,11 +133,16 @@
     """The requests for one service that wait at one instance, ordered by urgency.
 
     The order is: started answers, the first request of a class with credit, then by
-    urgency, on time before late, promised before not promised, and arrival. `now` must
-    not decrease from call to call.
+    urgency, on time before late, promised before not promised, the relative use of the
+    teams, and arrival. `now` must not decrease from call to call.
     """
 
-    def __init__(self, *, settings: ClassSettings) -> None:
+    def __init__(
+        self, *, settings: ClassSettings, team_order: TeamOrder | None = None
+    ) -> None:
+        self._team_order = team_order or EqualTeams()
+        #: The revision of the teams' order that the first rank is of.
+        self._team_revision: Hashable = None
         self._minimum_share = MinimumShare(settings=settings)
         self._count = 0
         self._entries: dict[Hashable, _Entry] = {}
@@ -192,7 +199,7 @@
         if entry is None:
             return
         for is_late in (False, True):
-            _discard(self._groups[_make_group(request, is_late=is_late)], entry)
+            self._discard(_make_group(request, is_late=is_late), entry)
         self._first_rank = None
 
     def is_next(self, request: WaitingRequest, *, now: float) -> bool:
@@ -204,6 +211,9 @@
         self._move_late(now)
         if not self._entries:
             return True
+        revision = self._team_order.find_revision(now=now)
+        if revision != self._team_revision:
+            self._first_rank, self._team_revision = None, revision
         if self._first_rank is None:
             heads = (entries[0][-1] for entries in self._groups.values() if entries)
             self._first_rank = min(self._rank(head, now) for head in heads)
@@ -216,12 +226,14 @@
         demands: Sequence[ClassDemand],
         planned_kv: float,
         lowest_urgency: int,
+        team_share: float = 1.0,
         now: float,
     ) -> float:
         """Return the share of the planned KV cache that a request may fill.
 
         `demands` and `planned_kv` are those of `compute_kv_share`, and `lowest_urgency`
-        is the urgency of the lowest class of the service.
+        is the urgency of the lowest class of the service. Without credit for its class,
+        a request may fill `team_share` at most.
         """
         if request.is_started:
             return 1.0
@@ -229,7 +241,8 @@
         is_lowest = request.urgency >= lowest_urgency
         if is_lowest and all(demand.urgency == request.urgency for demand in known):
             # Without competing classes, the service is served as one without classes.
-            return find_kv_share(classify_request(request, now=now))
+            share = find_kv_share(classify_request(request, now=now))
+            return min(share, team_share)
         has_higher = any(demand.urgency < request.urgency for demand in known)
         if has_higher and self._minimum_share.has_credit(request.urgency):
             return 1.0
@@ -239,6 +252,7 @@
             level = replace(level, is_late=False)
             known = [replace(demand, arriving_kv_per_s=0.0) for demand in known]
         share = compute_kv_share(level=level, demands=known, planned_kv=planned_kv)
+        share = min(share, team_share)
         return min(share, LATE_KV_SHARE) if is_lowest and level.is_late else share
 
     def sum_waiting(self, *, now: float) -> Mapping[int, tuple[float, float]]:
@@ -248,7 +262,7 @@
         """
         self._move_late(now)
         sums: dict[int, tuple[float, float]] = {}
-        for (_, urgency, is_late), entries in self._groups.items():
+        for (_, urgency, is_late, _), entries in self._groups.items():
             if entries:
                 kv = sum(request.kv for *_, request in entries)
                 on_time_kv, late_kv = sums.get(urgency, (0.0, 0.0))
@@ -264,10 +278,19 @@
             heapq.heappop(self._turning_late)
             entry = self._entries.get(request.key)
             if entry is not None and entry[2] == number:
-                _discard(self._groups[_make_group(request, is_late=False)], entry)
+                self._discard(_make_group(request, is_late=False), entry)
                 insort(self._groups[_make_group(request, is_late=True)], entry)
                 self._first_rank = None
 
+    def _discard(self, group: _Group, entry: _Entry) -> None:
+        """Remove an entry from a group if it is there, and the group if it is empty."""
+        entries = self._groups[group]
+        index = bisect_left(entries, entry)
+        if index < len(entries) and entries[index] is entry:
+            del entries[index]
+        if not entries:
+            del self._groups[group]
+
     def _rank(
         self, request: WaitingRequest, now: float
     ) -> tuple[bool | int | float, ...]:
@@ -284,12 +307,13 @@
             request.urgency,
             wait_class is WaitClass.LATE,
             not request.is_promised,
+            self._team_order.find_relative_use(request, now=now),
             request.arrived_at,
         )
 
 
 def _make_group(request: WaitingRequest, *, is_late: bool) -> _Group:
-    return not request.is_started, request.urgency, is_late
+    return not request.is_started, request.urgency, is_late, request.team
 
 
 def _find_level(request: WaitingRequest, now: float) -> Level:
@@ -304,10 +328,3 @@
         or demand.arriving_kv_per_s > 0
         or demand.promised_kv > 0
     )
-
-
-def _discard(entries: list[_Entry], entry: _Entry) -> None:
-    """Remove an entry from a sorted list if it is there."""
-    index = bisect_left(entries, entry)
-    if index < len(entries) and entries[index] is entry:
-        del entries[index]
