Apply the shares of teams at an instance, with the setting teamShares

Waiting requests of engine services, with and without classes, are ordered and limited by the use of their team, which lasts from the admission until an attempt ends. The estimated wait counts what teams with about the same use wait for; with all of the class, a team with little use was rejected on arrival for the queue of a large one. admission_denied has team_share and team_relative_use.

--- a/packages/core/fulmarward_core/queueing/tests/load.py
+++ b/packages/core/fulmarward_core/queueing/tests/load.py
@@ -261,7 +261,7 @@
     def __init__(self, rng, *, team_settings, **settings):
         self._table = TeamTable(own="")
         self._shares = TeamShares(service="s", table=self._table)
-        self._shares.settings = team_settings
+        self._shares.configure(team_settings)
         super().__init__(rng, **settings)
 
     def arrive(self, caller, now):
--- a/packages/core/fulmarward_core/team_shares/_shares.py
+++ b/packages/core/fulmarward_core/team_shares/_shares.py
@@ -22,6 +22,13 @@
         self._service = service
         self._table = table
         self.settings = TeamSettings()
+        self._settings_revision = 0
+
+    def configure(self, settings: TeamSettings) -> None:
+        """Apply other settings from now on, also to the requests that wait."""
+        if settings != self.settings:
+            self.settings = settings
+            self._settings_revision += 1
 
     @property
     def is_enabled(self) -> bool:
@@ -33,7 +40,7 @@
         if not self.is_enabled:
             return None
         self._table.expire(now=now)
-        return self._table.revision, id(self.settings)
+        return self._table.revision, self._settings_revision
 
     def find_relative_use(self, request: WaitingRequest, *, now: float) -> float:
         """Return the relative use of the team of a request.
--- a/packages/core/fulmarward_core/team_shares/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/team_shares/tests/test_decisions.py
@@ -71,7 +71,7 @@
             hold = TeamHold(service="s", urgency=0, team=team, kv=1.0)
             table.record_running(f"running {number}", hold)
         shares = TeamShares(service="s", table=table)
-        shares.settings = TeamSettings(is_enabled=is_enabled)
+        shares.configure(TeamSettings(is_enabled=is_enabled))
         queue, order = makes_queue(shares), []
         waiting = list(requests)
         for request in waiting:
@@ -128,7 +128,7 @@
         """Guards against an order by the use of some time ago."""
         table = TeamTable(own="")
         shares = TeamShares(service="s", table=table)
-        shares.settings = TeamSettings(is_enabled=True)
+        shares.configure(TeamSettings(is_enabled=True))
         queue = ClassQueue(settings=ClassSettings(), team_order=shares)
         first, second = _make_request(1, "a"), _make_request(2, "b", arrived_at=0.1)
         queue.add(first)
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -22,6 +22,7 @@
 from fulmarward_core.paces import PaceTable
 from fulmarward_core.quotas import RetryBudget
 from fulmarward_core.suspicion import SuspicionTable
+from fulmarward_core.team_shares import TeamTable
 from fulmarward_router._life import Life
 from fulmarward_router._listing import CallerListing
 from fulmarward_router._lookup import (
@@ -246,6 +247,7 @@
         self.paces = PaceTable()
         self.ledger = LoadLedger(note_changed=lambda: self.mesh.notify_loads())
         self.demands = DemandTable(own=self.own.name, data_centre=self.own.data_centre)
+        self.teams = TeamTable(own=self.own.name, data_centre=self.own.data_centre)
         self._budgets: dict[str, RetryBudget] = {}
         self.listing = CallerListing(
             own=self.own,
@@ -368,6 +370,8 @@
             data_centre=self.settings.data_centre,
             read_clock=self._clock,
             demands=self.demands,
+            teams=self.teams,
+            read_team_settings=lambda: self.settings.team_settings,
             list_class_services=self.instance_state.list_class_services,
         )
         self.failure_detector = FailureDetector(
--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -121,10 +121,11 @@
         count_denial: Callable[[str, int, str], None],
         observe_wait: Callable[[str, int, float], None],
     ) -> None:
-        #: Counts a rejection in a service with classes, by service, urgency and cause.
+        #: Counts a rejection in a service with classes or shares of teams, by service,
+        #: urgency and cause.
         self._count_denial = count_denial
-        #: Records for how many seconds an admitted request of such a service waited, by
-        #: service and urgency.
+        #: Records for how many seconds an admitted request of a service with classes
+        #: waited, by service and urgency.
         self._observe_wait = observe_wait
         #: Returns the requests that wait for the service of a request.
         self._find_waiting = find_waiting
@@ -484,4 +485,5 @@
         is_started=state.has_begun or state.last_event is not None,
         kv=compute_request_kv(wanted, engine),
         is_promised=is_promised,
+        team=state.team_name,
     )
--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -23,6 +23,7 @@
 from fulmarward_core.reservations import ClassSettings
 from fulmarward_core.results import ResultCode
 from fulmarward_core.suspicion import SuspicionTable
+from fulmarward_core.team_shares import TeamSettings, TeamTable
 from fulmarward_router.exchange._request_state import (
     CutCause,
     RejectedRequest,
@@ -82,6 +83,9 @@
     list_class_services: Callable[[], frozenset[str]] = frozenset
     #: Returns the settings of the admission by urgency.
     read_class_settings: Callable[[], ClassSettings] = ClassSettings
+    #: What the teams use in each class, and the settings of their shares.
+    teams: TeamTable = field(default_factory=lambda: TeamTable(own=""))
+    read_team_settings: Callable[[], TeamSettings] = TeamSettings
     #: Promises of capacity to rejected callers.
     promised_returns: PromisedReturns = field(default_factory=PromisedReturns)
 
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -1,7 +1,6 @@
 """Serves requests to engine services: streams computed along a path of targets."""
 
 import asyncio
-from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -19,6 +18,7 @@
     count_tokens_held,
 )
 from fulmarward_core.routes import list_class_services, list_urgencies
+from fulmarward_core.team_shares import TeamShares
 from fulmarward_router.exchange._admission import (
     AdmissionQueue,
     compute_resume_end,
@@ -134,9 +134,10 @@
             observe_wait=observe_wait,
         )
         #: Waiting requests by service, for services without and with classes.
-        self._uniform_requests: defaultdict[str, UniformRequests]
-        self._uniform_requests = defaultdict(UniformRequests)
+        self._uniform_requests: dict[str, UniformRequests] = {}
         self._class_requests: dict[str, ClassRequests] = {}
+        self._teams = context.teams
+        self._team_shares: dict[str, TeamShares] = {}
         #: Monitors the open streams; its `run` is started by the daemon.
         self.supervisor = StreamSupervisor(
             context=context,
@@ -155,8 +156,16 @@
         so that only new ones apply theirs.
         """
         service, configuration = state.service, state.configuration
+        team_shares = self._find_team_shares(service)
         if service not in list_class_services(configuration):
-            return self._uniform_requests[service]
+            uniform = self._uniform_requests.get(service)
+            if uniform is None:
+                uniform = UniformRequests(team_shares=team_shares)
+                self._uniform_requests[service] = uniform
+            uniform.configure(
+                measure_capacity=lambda: self._finder.measure_capacity(service, engine)
+            )
+            return uniform
         waiting = self._class_requests.get(service)
         if waiting is not None and state.has_sought_path:
             return waiting
@@ -170,6 +179,7 @@
                     service, due_within_s=due_within_s
                 ),
                 settings=settings,
+                team_shares=team_shares,
             )
         waiting.configure(
             settings=settings,
@@ -178,6 +188,15 @@
         )
         return waiting
 
+    def _find_team_shares(self, service: str) -> TeamShares:
+        """Return the shares of teams in a service, with the settings in force."""
+        shares = self._team_shares.get(service)
+        if shares is None:
+            shares = TeamShares(service=service, table=self._teams)
+            self._team_shares[service] = shares
+        shares.configure(self._context.read_team_settings())
+        return shares
+
     def measure_capacity(self, service: str, engine: EngineModel) -> KvCapacity:
         """Return the KV cache of the usable targets of a service."""
         return self._finder.measure_capacity(service, engine)
@@ -188,6 +207,12 @@
         Raises `RejectedRequest` before the response starts, `TruncatedResponse`
         afterwards.
         """
+        try:
+            return await self._serve(state)
+        finally:
+            self._teams.record_ended(id(state))
+
+    async def _serve(self, state: RequestState) -> web.StreamResponse:
         engine = state.configuration.services[state.service].engine
         wanted = self._make_path_request(state, engine)
         state.last_event = state.facts.last_event
@@ -253,6 +278,7 @@
             finally:
                 # A request that waits for a retry must not hold any resources.
                 self._release(attempt)
+                self._teams.record_ended(id(state))
                 if is_complete:
                     self._record_released(attempt)
             _record_run(state, attempt, failure)
@@ -319,6 +345,7 @@
             finally:
                 if not is_usable:
                     self._ledger.release(reservation)
+                    self._teams.record_ended(id(state))
             if is_usable:
                 break
             log_event(
--- a/packages/router/fulmarward_router/exchange/_waiting.py
+++ b/packages/router/fulmarward_router/exchange/_waiting.py
@@ -17,6 +17,7 @@
     find_kv_share,
 )
 from fulmarward_core.reservations import LAG_S, ClassQueue, ClassSettings
+from fulmarward_core.team_shares import TeamShares, TeamTable
 from fulmarward_core.waits import (
     choose_return_s,
     estimate_return_s,
@@ -90,8 +91,14 @@
 class UniformRequests:
     """Waiting requests of a service without classes."""
 
-    def __init__(self) -> None:
-        self._queue = WaitQueue()
+    def __init__(self, *, team_shares: TeamShares | None = None) -> None:
+        self._team_shares = team_shares or _make_unshared()
+        self._queue = WaitQueue(team_order=self._team_shares)
+        self._measure_capacity: Callable[[], KvCapacity] | None = None
+
+    def configure(self, *, measure_capacity: Callable[[], KvCapacity]) -> None:
+        """Apply the configuration in force, also to those waiting."""
+        self._measure_capacity = measure_capacity
 
     def record_arrival(self, request: WaitingRequest, *, now: float) -> None:
         """Do nothing: without classes, arrivals reserve no capacity."""
@@ -99,10 +106,12 @@
     def add(self, request: WaitingRequest, *, now: float) -> None:
         """Add a request; adding it again has no effect."""
         self._queue.add(request)
+        self._team_shares.add(request)
 
     def remove(self, request: WaitingRequest, *, now: float) -> None:
         """Remove a request if it is there."""
         self._queue.remove(request)
+        self._team_shares.remove(request)
 
     def is_next(self, request: WaitingRequest, *, now: float) -> bool:
         """Return whether no waiting request is served before this one."""
@@ -110,10 +119,18 @@
 
     def find_kv_share(self, request: WaitingRequest, *, now: float) -> float:
         """Return the share of the planned KV cache that a request may fill now."""
-        return find_kv_share(classify_request(request, now=now))
+        share = find_kv_share(classify_request(request, now=now))
+        if not self._team_shares.is_enabled:
+            return share
+        planned_kv = self._measure_capacity().planned
+        return min(
+            share,
+            self._team_shares.find_kv_share(request, planned_kv=planned_kv, now=now),
+        )
 
     def record_admitted(self, request: WaitingRequest, *, now: float) -> None:
-        """Do nothing: without classes, there are no shares to account for."""
+        """Record that a request has found a path, for the use of its team."""
+        self._team_shares.record_admitted(request)
 
     async def await_release(self) -> None:
         """Wait until the next search."""
@@ -133,8 +150,21 @@
     def describe(
         self, request: WaitingRequest, *, now: float
     ) -> Mapping[str, float | int | None]:
-        """Return nothing: the order alone decides."""
-        return {}
+        """Return the values that decided on a request, for the log.
+
+        None without shares of teams: the order alone decides.
+        """
+        if not self._team_shares.is_enabled:
+            return {}
+        capacity = self._measure_capacity()
+        return {
+            "urgency": request.urgency,
+            "kv": int(request.kv),
+            "kv_share": round(self.find_kv_share(request, now=now), 3),
+            "free_kv": int(capacity.free),
+            "planned_kv": int(capacity.planned),
+            **self._team_shares.describe(request, planned_kv=capacity.planned, now=now),
+        }
 
 
 class ClassRequests:
@@ -147,12 +177,14 @@
         demands: DemandTable,
         sum_promised: Callable[[float], Mapping[int, float]],
         settings: ClassSettings,
+        team_shares: TeamShares | None = None,
     ) -> None:
+        self._team_shares = team_shares or _make_unshared()
         self._service = service
         self._demands = demands
         #: Returns by urgency the KV cache promised to callers due within some seconds.
         self._sum_promised = sum_promised
-        self._queue = ClassQueue(settings=settings)
+        self._queue = ClassQueue(settings=settings, team_order=self._team_shares)
         self._measure_capacity: Callable[[], KvCapacity] | None = None
         self._lowest_urgency = 0
         #: Urgencies whose waiting requests were reported last.
@@ -188,6 +220,7 @@
         """
         known_count = len(self._queue)
         self._queue.add(request)
+        self._team_shares.add(request)
         is_new = len(self._queue) > known_count
         if is_new or now - self._reported_at >= POLL_INTERVAL_S:
             self._report(now)
@@ -195,6 +228,7 @@
     def remove(self, request: WaitingRequest, *, now: float) -> None:
         """Remove a request if it is there."""
         self._queue.remove(request)
+        self._team_shares.remove(request)
         if self._reported:
             self._report(now)
 
@@ -204,17 +238,22 @@
 
     def find_kv_share(self, request: WaitingRequest, *, now: float) -> float:
         """Return the share of the planned KV cache that a request may fill now."""
+        planned_kv = self._measure_capacity().planned
         return self._queue.find_kv_share(
             request,
             demands=self._sum_demands(now),
-            planned_kv=self._measure_capacity().planned,
+            planned_kv=planned_kv,
             lowest_urgency=self._lowest_urgency,
+            team_share=self._team_shares.find_kv_share(
+                request, planned_kv=planned_kv, now=now
+            ),
             now=now,
         )
 
     def record_admitted(self, request: WaitingRequest, *, now: float) -> None:
         """Record that a request has found a path, and wake the one that is next."""
         self._queue.record_admitted(request)
+        self._team_shares.record_admitted(request)
         self._wake()
 
     def record_released(self, urgency: int, kv: float, *, now: float) -> None:
@@ -237,10 +276,11 @@
     def estimate_wait_s(self, request: WaitingRequest, *, now: float) -> float | None:
         """Return the seconds until a new request has capacity, `None` if unknown.
 
-        All requests of its class that wait on time, at any instance, are ahead of it.
-        The share that it may fill accounts for those of higher classes. A class with
-        credit is served before what arrives of these; otherwise its requests would be
-        rejected on arrival while higher classes take all of the release.
+        All requests of its class that wait on time, at any instance, are ahead of it;
+        with shares of teams, only those of teams with about the same use. The share
+        that it may fill accounts for those of higher classes. A class with credit is
+        served before what arrives of these; otherwise its requests would be rejected on
+        arrival while higher classes take all of the release.
         """
         demands = self._sum_demands(now)
         has_credit = self._queue.has_credit(request.urgency)
@@ -249,9 +289,10 @@
             # Layers are missing for a moment: the release says nothing about the wait.
             return None
         share = self.find_kv_share(request, now=now)
+        on_time_kv = sum(d.on_time_kv for d in demands if d.urgency == request.urgency)
         return estimate_wait_s(
             kv=request.kv,
-            kv_ahead=sum(d.on_time_kv for d in demands if d.urgency == request.urgency),
+            kv_ahead=min(on_time_kv, self._team_shares.sum_level_kv(request, now=now)),
             free_kv=capacity.free - (1 - share) * capacity.planned,
             released_kv_per_s=sum(d.released_kv_per_s for d in demands),
             arriving_above_kv_per_s=(
@@ -312,6 +353,7 @@
                 _sum_arriving_above(demands, request.urgency)
             ),
             "report_age_s": None if age_s is None else round(age_s, 3),
+            **self._team_shares.describe(request, planned_kv=capacity.planned, now=now),
         }
 
     def _sum_demands(self, now: float) -> Sequence[ClassDemand]:
@@ -348,6 +390,11 @@
         self._reported_at = now
 
 
+def _make_unshared() -> TeamShares:
+    """Return shares of teams that are not in force."""
+    return TeamShares(service="", table=TeamTable(own=""))
+
+
 def _make_idle_demand(urgency: int) -> ClassDemand:
     return ClassDemand(
         urgency=urgency,
--- a/packages/router/fulmarward_router/exchange/tests/test_admission_queue.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_admission_queue.py
@@ -10,6 +10,7 @@
 from fulmarward_core.paths import KvCapacity, PathRequest
 from fulmarward_core.reservations import ClassSettings
 from fulmarward_core.routes import RoutingConfiguration, ServiceShare
+from fulmarward_core.team_shares import TeamSettings, TeamTable, TeamUse
 from fulmarward_router.exchange import _engines
 from fulmarward_router.exchange._request_state import RejectedRequest
 from fulmarward_router.state import PromisedReturns
@@ -79,6 +80,8 @@
         self.configuration = _make_configuration(priorities)
         self.settings = ClassSettings()
         self.demands = DemandTable(own="one")
+        self.teams = TeamTable(own="one")
+        self.team_settings = TeamSettings()
         self.promised = PromisedReturns(source="one", read_clock=read_clock)
         self.finder = _Finder()
         self.finder.used_kv = used_kv
@@ -92,6 +95,8 @@
             promised_returns=self.promised,
             target_limits=make_target_limits(read_clock),
             read_class_settings=lambda: self.settings,
+            teams=self.teams,
+            read_team_settings=lambda: self.team_settings,
         )
         context.catalogue.may_be_incomplete.return_value = False
         pipe = SimpleNamespace(reserve=lambda *args: True)
@@ -110,12 +115,13 @@
     async def advance_to(self, elapsed_s):
         await asyncio.sleep(max(0.0, elapsed_s - self.count_elapsed()))
 
-    def make_state(self, name, *, urgency=0, objective_s=1.0):
+    def make_state(self, name, *, urgency=0, objective_s=1.0, team=""):
         return SimpleNamespace(
             facts=SimpleNamespace(request_id=name, relayed_by=None),
             configuration=self.configuration,
             route=SimpleNamespace(objective_s=objective_s),
             service="pool",
+            team_name=team,
             urgency=urgency,
             arrived_at=self.read_clock(),
             deadline=self.read_clock() + 30.0,
@@ -265,6 +271,94 @@
         self.assertEqual(it.promised.counts.made, 0)
 
 
+class TeamTest(unittest.TestCase):
+    def _report(self, it, *uses, urgency=0):
+        """Merge what a peer reports of teams with their used and waiting KV cache."""
+        teams = tuple(
+            TeamUse(urgency=urgency, team=team, used_kv=used, waiting_kv=waiting)
+            for team, used, waiting in uses
+        )
+        now = it.read_clock()
+        it.teams.merge_report("two", {"pool": teams}, boot=1, at=now, now=now)
+
+    @_simulate
+    async def test_order_and_share_by_the_use_of_teams(self, read_clock):
+        """Guards against a team that takes what others wait for.
+
+        Without the setting, order and share are those of arrival.
+        """
+        cases = [
+            # priorities, whether shares are enabled, order
+            ((1, 1), True, ["other"]),
+            ((0, 1), True, ["other"]),
+            ((1, 1), False, ["large", "other"]),
+            ((0, 1), False, ["large", "other"]),
+        ]
+        for priorities, is_enabled, order in cases:
+            with self.subTest(priorities, is_enabled=is_enabled):
+                it = _Instance(read_clock, used_kv=100, priorities=priorities)
+                it.team_settings = TeamSettings(is_enabled=is_enabled)
+                self._report(it, ("large", 80.0, 0.0), ("other", 10.0, 20.0))
+                it.send("large", team="large")
+                await it.advance_to(0.1)
+                it.send("other", team="other")
+                await it.advance_to(0.2)
+                # Two have room, but a peer's requests of the other team wait for one.
+                it.finder.used_kv -= 20
+                await it.advance_to(0.3)
+                self.assertEqual(list(it.admitted), order)
+                await it.advance_to(1.2)
+                uses = it.teams.list_uses("pool", now=read_clock())
+                waiting_kv = {use.team: use.waiting_kv for use in uses}
+                # The peer's report is valid until 1.5 s.
+                self.assertEqual(waiting_kv, {"large": 0.0, "other": 20.0})
+
+    @_simulate
+    async def test_unused_share_is_lent(self, read_clock):
+        """Guards against capacity that is kept for a team without waiting requests."""
+        it = _Instance(read_clock, used_kv=80, priorities=(1, 1))
+        it.team_settings = TeamSettings(is_enabled=True)
+        self._report(it, ("large", 80.0, 30.0), ("other", 0.0, 0.0))
+        it.send("first", team="large")
+        it.send("second", team="large")
+        await asyncio.sleep(_AT_ONCE_S)
+        self.assertEqual(list(it.admitted), ["first", "second"])
+
+    @_simulate
+    async def test_team_with_less_use_is_not_rejected_for_the_queue_of_another(
+        self, read_clock
+    ):
+        """Guards against an estimate that counts requests that are served later."""
+        for is_enabled in (True, False):
+            with self.subTest(is_enabled=is_enabled):
+                it = _Instance(read_clock, used_kv=113)
+                it.team_settings = TeamSettings(is_enabled=is_enabled)
+                it.finish(13)
+                it.merge_report(urgency=0, on_time_kv=50.0, age_s=0.0)
+                self._report(it, ("large", 80.0, 50.0))
+                it.send("other", team="other")
+                await it.advance_to(_AT_ONCE_S)
+                self.assertEqual(list(it.rejected), [] if is_enabled else ["other"])
+
+    @_simulate
+    async def test_rejection_has_the_values_of_the_team(self, read_clock):
+        """Guards against a rejection that operators cannot explain."""
+        for priorities in ((1, 1), (0, 1)):
+            it = _Instance(read_clock, used_kv=100, priorities=priorities)
+            it.team_settings = TeamSettings(is_enabled=True)
+            self._report(it, ("large", 80.0, 0.0), ("other", 10.0, 20.0))
+            with (
+                self.subTest(priorities),
+                mock.patch("fulmarward_router.exchange._admission.log_event") as log,
+            ):
+                it.send("large", team="large")
+                await it.advance_to(1.0)
+                values = log.call_args.kwargs
+                self.assertEqual(log.call_args.args, ("admission_denied",))
+                self.assertEqual(values["team_share"], 0.8)
+                self.assertEqual(values["team_relative_use"], 80)
+
+
 class ReturnTest(unittest.TestCase):
     @_simulate
     async def test_request_without_capacity_in_time_is_rejected(self, read_clock):
--- a/packages/router/fulmarward_router/exchange/tests/test_engines.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_engines.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import math
+from dataclasses import replace
 from types import SimpleNamespace
 from unittest import mock
 
 from fulmarward_core.queueing import WaitingRequest
+from fulmarward_core.team_shares import TeamSettings
 from fulmarward_router.exchange._request_state import RejectedRequest
 from fulmarward_router.exchange.tests.test_ended_streams import _EndedStreamTest
 from fulmarward_router.exchange.tests.test_late_streams import _ENGINE
@@ -60,6 +62,33 @@
         self.assertEqual(held, [False])
 
 
+class TeamTest(_EndedStreamTest):
+    def list_used(self):
+        uses = self.service._context.teams.list_uses("pool", now=self.read_clock())
+        return [(use.used_kv, use.waiting_kv) for use in uses]
+
+    async def test_use_of_a_team_lasts_until_its_last_attempt_ends(self):
+        """Guards against a use that stays, is counted twice, or is never counted."""
+        for is_enabled, expected in ((True, [(40.0, 0.0)]), (False, [])):
+            with self.subTest(is_enabled=is_enabled):
+                self.calls.clear()
+                self.streams.clear()
+                self.begin()
+                settings = TeamSettings(is_enabled=is_enabled)
+                self.service._context = replace(
+                    self.service._context, read_team_settings=lambda s=settings: s
+                )
+                await self.await_attempt(1)
+                await self.send(1, attempt=1)
+                self.assertEqual(self.list_used(), expected)
+                await self.lose(1, removed=True)
+                await self.await_attempt(2)
+                await self.send(2, attempt=2)
+                self.assertEqual(self.list_used(), expected)
+                await self.check_completes(attempt=2)
+                self.assertEqual(self.list_used(), [])
+
+
 class ClassServiceTest(_EndedStreamTest):
     """Serves streams of a service with classes by the real parts of an instance."""
 
--- a/packages/router/fulmarward_router/ports.py
+++ b/packages/router/fulmarward_router/ports.py
@@ -14,6 +14,7 @@
 from fulmarward_core.paths import Hop
 from fulmarward_core.reservations import ClassSettings
 from fulmarward_core.routes import RoutingConfiguration
+from fulmarward_core.team_shares import TeamSettings
 
 
 class SettingsError(Exception):
@@ -65,6 +66,8 @@
     response_limits: ResponseLimits = ResponseLimits()
     #: Admission of requests to services whose routes have different priorities.
     class_settings: ClassSettings = ClassSettings()
+    #: Shares of teams in the capacity of services.
+    team_settings: TeamSettings = TeamSettings()
     #: Log level: `debug`, `info` or `warning`.
     log_level: str = "info"
 
