Exchange the uses of teams between instances

Change: TeamReport is sent on the links and in the rounds of DemandReport while a request of the class waits anywhere, and once more after that; hubs sum and pass it on. The encoder of reports and the set of reports are those of the demand. Instances without teamShares neither send nor read it; older releases ignore it.

--- a/packages/core/fulmarward_core/demand/_reports.py
+++ b/packages/core/fulmarward_core/demand/_reports.py
@@ -29,17 +29,17 @@
     #: When the report was made, in seconds on the monotonic clock here.
     at: float
     #: Entries by service; for demands, one for each class.
-    demands: Entries
+    entries: Entries
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _Report:
-    """The last report of a source; without demands after it has expired."""
+    """The last report of a source; without entries after it has expired."""
 
     boot: int
     at: float
-    demands: Entries = field(default_factory=dict)
-    #: The demands as they are in the sum.
+    entries: Entries = field(default_factory=dict)
+    #: The amounts in the entries, as they are in the sum.
     amounts: ClassAmounts = field(default_factory=dict)
     #: Whether the source was neither removed nor has the report expired.
     is_valid: bool = True
@@ -66,23 +66,23 @@
         self.next_expiry = float("inf")
 
     def merge(
-        self, source: str, demands: Entries, *, boot: int, at: float, now: float
+        self, source: str, entries: Entries, *, boot: int, at: float, now: float
     ) -> bool:
         """Replace what a source reported; return whether the report was applied.
 
         One that has expired, is older than the known one or exceeds a bound is ignored.
         """
         known = self._reports.get(source)
-        amounts = self._read_amounts(demands)
+        amounts = self._read_amounts(entries)
         if not now - at <= REPORT_DURATION_S:
             return False
-        if not self._is_within_bounds(demands, amounts):
+        if not self._is_within_bounds(entries, amounts):
             return False
         if known is None and not self._make_room(now):
             return False
         if known is not None and (boot, at) < (known.boot, known.at):
             return False
-        report = _Report(boot=boot, at=min(at, now), demands=demands, amounts=amounts)
+        report = _Report(boot=boot, at=min(at, now), entries=entries, amounts=amounts)
         self._set(source, report)
         self.next_expiry = min(self.next_expiry, at + REPORT_DURATION_S)
         return True
@@ -110,7 +110,7 @@
     def list_valid(self) -> dict[str, ReportSnapshot]:
         """Return the valid reports by source."""
         return {
-            source: ReportSnapshot(at=report.at, demands=report.demands)
+            source: ReportSnapshot(at=report.at, entries=report.entries)
             for source, report in self._reports.items()
             if report.is_valid
         }
@@ -128,12 +128,12 @@
             self._note_changed()
 
     def _make_room(self, now: float) -> bool:
-        """Return whether one more source fits; drop those without demand if needed."""
+        """Return whether one more source fits; drop those without entries if needed."""
         if len(self._reports) < MAX_SOURCES:
             return True
         self.expire(now)
         self._reports = {
-            source: report for source, report in self._reports.items() if report.demands
+            source: report for source, report in self._reports.items() if report.entries
         }
         return len(self._reports) < MAX_SOURCES
 
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -288,6 +288,8 @@
             paces=self.paces,
             ledger=self.ledger,
             demands=self.demands,
+            teams=self.teams,
+            read_team_settings=lambda: self.settings.team_settings,
             sees_slow_streams=self._sees_own_slow_streams,
             decode_row=self.watch.decode_row,
             read_clock=clock,
--- a/packages/router/fulmarward_router/mesh/__init__.py
+++ b/packages/router/fulmarward_router/mesh/__init__.py
@@ -37,6 +37,8 @@
     SupportsCompression,
     TargetChanges,
     TargetLimitReport,
+    TeamReport,
+    TeamUseReport,
 )
 from fulmarward_router.mesh._promises import name_process
 from fulmarward_router.mesh._state import (
@@ -61,6 +63,8 @@
     "LimitSource",
     "PermitsGranted",
     "TargetLimitReport",
+    "TeamReport",
+    "TeamUseReport",
     "CrashReport",
     "PatternReport",
     "PoisonSource",
--- a/packages/router/fulmarward_router/mesh/_heartbeats.py
+++ b/packages/router/fulmarward_router/mesh/_heartbeats.py
@@ -11,7 +11,11 @@
 from fulmarward.observability import log_event
 from fulmarward_core.transit import TransitClock
 from fulmarward_router._sockets import reset_connection
-from fulmarward_router.mesh._demands import DemandEncoder, SentDemands
+from fulmarward_router.mesh._demands import (
+    SentReports,
+    make_demand_encoder,
+    make_team_encoder,
+)
 from fulmarward_router.mesh._eras import remove_eras
 from fulmarward_router.mesh._members import (
     DATA_CENTRE_REPORT_INTERVAL_S,
@@ -65,8 +69,9 @@
     is_busy: bool = False
     #: The revisions that a subscriber to reports has; `None` for other peers.
     subscriber_revisions: Revisions | None = None
-    #: What was sent about demand.
-    demands: SentDemands = field(default_factory=SentDemands)
+    #: What was sent about demand, and about teams.
+    demands: SentReports = field(default_factory=SentReports)
+    teams: SentReports = field(default_factory=SentReports)
     #: When the last reports on data centres were sent, and the members' revision in
     #: them.
     reported_at: float = float("-inf")
@@ -130,7 +135,8 @@
         self._target_changes: dict[tuple[int, bool], bytes | None] = {}
         self._load_update: bytes | None = None
         self._fleet_loads: dict[int, tuple[bytes | None, int]] = {}
-        self._demands = DemandEncoder(state=state, encode=encode)
+        self._demands = make_demand_encoder(state=state, encode=encode)
+        self._teams = make_team_encoder(state=state, encode=encode)
         self._encoded_at = float("-inf")
 
     def notify(self) -> None:
@@ -183,6 +189,7 @@
             self._load_update = None
             self._fleet_loads.clear()
             self._demands.clear()
+            self._teams.clear()
             for link in self._links:
                 if link.saturated_at is None:
                     self._send_loads(link)
@@ -209,14 +216,16 @@
     def _send_demands(
         self, link: PeerLink, now: float, *, has_send_time: bool = False
     ) -> None:
-        """Send the demand that is due on a link.
+        """Send the demand and the uses of teams that are due on a link.
 
-        Its age counts from the last `SendTime` on the link, so it needs one of its own
-        unless the round has sent one.
+        Their age counts from the last `SendTime` on the link, so they need one of their
+        own unless the round has sent one.
         """
-        due = self._demands.encode_due(
-            link.demands, self._choose_demand_scopes(link), now=now
-        )
+        scopes = self._choose_demand_scopes(link)
+        due = [
+            *self._demands.encode_due(link.demands, scopes, now=now),
+            *self._teams.encode_due(link.teams, scopes, now=now),
+        ]
         if due and link.transit is not None and not has_send_time:
             self._send_time(link, now)
         for data in due:
@@ -269,6 +278,7 @@
         self._target_changes.clear()
         self._load_update = None
         self._demands.clear()
+        self._teams.clear()
 
     def _send(self, link: PeerLink, now: float) -> None:
         unsent = link.connection.transport.get_write_buffer_size()
--- a/packages/router/fulmarward_router/mesh/_links.py
+++ b/packages/router/fulmarward_router/mesh/_links.py
@@ -60,6 +60,7 @@
     SupportsStoreEras,
     TargetChanges,
     TargetLimitReport,
+    TeamReport,
 )
 from fulmarward_router.mesh._promises import NoPromises, PromiseExchange
 from fulmarward_router.mesh._regained import RegainedExchange
@@ -246,6 +247,7 @@
             RegainedReport: self._handle_regained_report,
             SupportsStoreEras: self._handle_supports_store_eras,
             ReturnPromises: self._handle_return_promises,
+            TeamReport: self._handle_team_report,
         }
         self._fetched_instances_at = float("-inf")
         self._started_at = read_clock()
@@ -576,6 +578,12 @@
         delay_s = receiver.find_delay_s(now=self._read_clock())
         self._state.merge_demands(message, delay_s=delay_s)
 
+    async def _handle_team_report(
+        self, receiver: _LinkReceiver, message: TeamReport
+    ) -> None:
+        delay_s = receiver.find_delay_s(now=self._read_clock())
+        self._state.merge_teams(message, delay_s=delay_s)
+
     async def _handle_subscription(
         self, receiver: _LinkReceiver, message: Subscription
     ) -> None:
--- a/packages/router/fulmarward_router/mesh/_messages.py
+++ b/packages/router/fulmarward_router/mesh/_messages.py
@@ -485,6 +485,32 @@
     redeemed: tuple[RedeemedPromise, ...]
 
 
+class TeamUseReport(Message, kw_only=True):
+    """What one team uses of a service with one urgency, rounded up.
+
+    The amounts are as in `fulmarward_core.team_shares.TeamUse`.
+    """
+
+    service: str
+    urgency: int
+    #: Name of the team, empty for requests without one; at most 256 bytes.
+    team: str
+    used_kv: int
+    waiting_kv: int
+
+
+class TeamReport(Message, kw_only=True):
+    """What the teams use at an instance, or at all instances of a data centre."""
+
+    #: As in `DemandReport`.
+    source: str
+    is_data_centre: bool
+    boot: int
+    age_ms: int
+    #: One for each team of a class that waits; none if no class waits any more.
+    uses: tuple[TeamUseReport, ...]
+
+
 #: All messages; the number of a message on the wire is its index here. A message keeps
 #: its number and its fields, as instances of different releases exchange it during a
 #: rolling update. A change is a new message at the end, which older releases ignore.
@@ -520,4 +546,5 @@
     SupportsStoreEras,
     DemandReport,
     ReturnPromises,
+    TeamReport,
 )
--- a/packages/router/fulmarward_router/mesh/_state.py
+++ b/packages/router/fulmarward_router/mesh/_state.py
@@ -28,6 +28,7 @@
     SupportsCompression,
     TargetChanges,
     TargetLimitReport,
+    TeamReport,
 )
 
 
@@ -41,7 +42,7 @@
 
 
 class DemandScope(Enum):
-    """Whose demand a peer is sent."""
+    """Whose demand and uses of teams a peer is sent."""
 
     #: That of this instance.
     INSTANCE = "instance"
@@ -91,6 +92,12 @@
     def merge_demands(self, report: DemandReport, *, delay_s: float = 0.0) -> None:
         """Merge the demand of an instance or data centre, delayed in transit."""
 
+    def make_team_reports(self, scope: DemandScope) -> tuple[TeamReport, ...]:
+        """Return the reports on teams, also on none; empty without their shares."""
+
+    def merge_teams(self, report: TeamReport, *, delay_s: float = 0.0) -> None:
+        """Merge the uses at an instance or data centre, delayed in transit."""
+
     def make_fleet_report(self, known: Revisions) -> tuple[FleetReport, Revisions]:
         """Return the changes of the fleet since the revisions that a subscriber has,
         and the revisions that it has after this report.
--- a/packages/router/fulmarward_router/mesh/tests/test_demands.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_demands.py
@@ -16,6 +16,8 @@
     ClassDemandReport,
     SendTime,
     SupportsSendTimes,
+    TeamReport,
+    TeamUseReport,
 )
 from fulmarward_router.mesh._state import Revisions
 from fulmarward_router.mesh.tests.test_heartbeats import _Connection, _State
@@ -36,6 +38,13 @@
     return DemandReport(source=source, **{"demands": demands, **values})
 
 
+def make_team_report(source="peer", *, has_uses=True, **changes):
+    item = TeamUseReport(service="s", urgency=0, team="a", used_kv=4, waiting_kv=5)
+    values = {"is_data_centre": False, "boot": 1, "age_ms": 0, **changes}
+    uses = (item,) if has_uses else ()
+    return TeamReport(source=source, **{"uses": uses, **values})
+
+
 _REPORTS = {
     DemandScope.INSTANCE: (make_demand_report("own"),),
     DemandScope.OWN_DATA_CENTRE: (make_demand_report("a", is_data_centre=True),),
@@ -96,6 +105,24 @@
                 sent = self._list_sent(self._open(**values))
                 self.assertEqual([item.source for item in sent], expected)
 
+    def test_teams_are_sent_like_the_demand(self):
+        """Guards against uses that are counted twice, are late, or never end."""
+        self.state.demand_reports = {}
+        self.state.team_reports = {
+            DemandScope.INSTANCE: (make_team_report("own"),),
+            DemandScope.OTHER_DATA_CENTRES: (make_team_report("b"),),
+        }
+        connection = self._open()
+        self._run_round(DEMANDS_INTERVAL_S / 2)
+        self._run_round(DEMANDS_INTERVAL_S / 2)
+        none = make_team_report("own", has_uses=False)
+        self.state.team_reports = {DemandScope.INSTANCE: (none,)}
+        for _ in range(3):
+            self._run_round(DEMANDS_INTERVAL_S)
+        sent = [m for m in connection.sent if isinstance(m, TeamReport)]
+        found = [(item.source, len(item.uses)) for item in sent]
+        self.assertEqual(found, [("own", 1), ("own", 1), ("own", 0)])
+
     def test_peers_of_a_full_mesh_get_the_own_demand_only(self):
         sent = self._list_sent(self._open(address="10.0.0.1:1"))
         self.assertEqual([item.source for item in sent], ["own"])
@@ -159,6 +186,7 @@
         state.merge_demands = lambda report, *, delay_s: self.merged.append(
             (report, delay_s)
         )
+        state.merge_teams = state.merge_demands
         self.merged = []
         mesh = Mesh(
             own=own,
@@ -174,16 +202,18 @@
         return state
 
     async def test_report_is_merged_with_its_delay(self):
-        report = make_demand_report()
+        reports = [make_demand_report(), make_team_report()]
         supports = SupportsSendTimes(sender="peer", boot=1)
         sent = SendTime(sent_ms=95_000, offset_ms=-2_000)
-        await self._accept(supports, sent, report, read_clock=lambda: 100.0)
-        self.assertEqual(self.merged, [(report, 3.0)])
+        await self._accept(supports, sent, *reports, read_clock=lambda: 100.0)
+        self.assertEqual(self.merged, [(report, 3.0) for report in reports])
 
     async def test_older_release_goes_on_after_a_report(self):
         """Guards against a link that a message unknown to the peer's release ends."""
-        older = MessageCodec(messages=MESSAGES[: MESSAGES.index(DemandReport)])
-        state = await self._accept(
-            make_demand_report(), make_heartbeat("peer"), decode=older.decode
-        )
-        self.assertEqual((self.merged, state.delays), ([], [0.0]))
+        for report in (make_demand_report(), make_team_report()):
+            with self.subTest(type(report)):
+                older = MessageCodec(messages=MESSAGES[: MESSAGES.index(type(report))])
+                state = await self._accept(
+                    report, make_heartbeat("peer"), decode=older.decode
+                )
+                self.assertEqual((self.merged, state.delays), ([], [0.0]))
--- a/packages/router/fulmarward_router/mesh/tests/test_dialled.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_dialled.py
@@ -54,6 +54,7 @@
         state = mock.Mock()
         state.make_kept_changes.return_value = None
         state.make_demand_reports.return_value = ()
+        state.make_team_reports.return_value = ()
         state.make_heartbeat.return_value = make_heartbeat("own")
         mesh = Mesh(
             poison=make_poison_knowledge(),
@@ -97,6 +98,7 @@
         state = mock.Mock()
         state.make_kept_changes.return_value = None
         state.make_demand_reports.return_value = ()
+        state.make_team_reports.return_value = ()
         state.make_heartbeat.return_value = make_heartbeat(name)
         state.merge_heartbeat.side_effect = lambda heartbeat, *, delay_s: (
             self.delays[name].append(delay_s) or []
--- a/packages/router/fulmarward_router/mesh/tests/test_heartbeats.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_heartbeats.py
@@ -59,6 +59,7 @@
         self.loads = ()
         self.loads_revision = 0
         self.demand_reports = {}
+        self.team_reports = {}
 
     def make_heartbeat(self, *, has_loads=True):
         self.heartbeats += 1
@@ -80,6 +81,9 @@
     def make_demand_reports(self, scope):
         return self.demand_reports.get(scope, ())
 
+    def make_team_reports(self, scope):
+        return self.team_reports.get(scope, ())
+
     def make_target_changes(self, after):
         return None
 
--- a/packages/router/fulmarward_router/state/_instance_state.py
+++ b/packages/router/fulmarward_router/state/_instance_state.py
@@ -18,6 +18,7 @@
     make_store_version,
 )
 from fulmarward_core.suspicion import SuspicionTable
+from fulmarward_core.team_shares import TeamSettings, TeamTable
 from fulmarward_router.mesh import (
     Answer,
     CompressedConfiguration,
@@ -48,11 +49,13 @@
     Snapshot,
     SupportsCompression,
     TargetChanges,
+    TeamReport,
 )
 from fulmarward_router.ports import Row
 from fulmarward_router.state._configuration import ConfigurationHolder
 from fulmarward_router.state._configuration_exchange import ConfigurationExchange
 from fulmarward_router.state._demand_reports import make_demand_report, read_demands
+from fulmarward_router.state._team_reports import make_team_report, read_team_uses
 
 #: Minimum seconds between two fetches of the same changes of targets.
 FETCH_INTERVAL_S = 0.2
@@ -85,6 +88,8 @@
         paces: PaceTable,
         ledger: LoadLedger,
         demands: DemandTable,
+        teams: TeamTable,
+        read_team_settings: Callable[[], TeamSettings],
         sees_slow_streams: Callable[[], bool],
         decode_row: Callable[..., KnownRow],
         read_clock: Callable[[], float],
@@ -108,6 +113,8 @@
         self._paces = paces
         self._ledger = ledger
         self._demands = demands
+        self._teams = teams
+        self._read_team_settings = read_team_settings
         self._sees_slow_streams = sees_slow_streams
         self._decode_row = decode_row
         self._read_clock = read_clock
@@ -139,6 +146,12 @@
             DemandScope.OWN_DATA_CENTRE: self._report_own_centre,
             DemandScope.OTHER_DATA_CENTRES: self._report_other_centres,
         }
+        #: Makes the reports on teams of each scope.
+        self._team_reports = {
+            DemandScope.INSTANCE: self._report_own_teams,
+            DemandScope.OWN_DATA_CENTRE: self._report_teams_of_own_centre,
+            DemandScope.OTHER_DATA_CENTRES: self._report_teams_of_other_centres,
+        }
         #: Sequence number of the newest load update of each instance.
         self._updates: dict[str, int] = {}
 
@@ -251,6 +264,7 @@
             self._ledger.merge_report(heartbeat.sender.name, loads, now=now)
         if heartbeat.is_leaving:
             self._demands.remove(heartbeat.sender.name)
+            self._teams.remove(heartbeat.sender.name)
         self._merge_losses(heartbeat.losses, heartbeat.sender.name, sent_at)
         self._suspicions.refusals.merge_reports(heartbeat.refusing, now=sent_at)
         self._merge_paces(heartbeat.paces, sent_at)
@@ -462,7 +476,7 @@
         now = self._read_clock()
         return tuple(
             make_demand_report(
-                name, known.demands, services=services, age_s=now - known.at
+                name, known.entries, services=services, age_s=now - known.at
             )
             for name, known in self._demands.list_data_centres(now=now).items()
         )
@@ -483,6 +497,49 @@
                 report.source, demands, boot=report.boot, at=at, now=now
             )
 
+    def make_team_reports(self, scope: DemandScope) -> tuple[TeamReport, ...]:
+        """Return the reports on teams, also on none; empty without their shares."""
+        if not self._read_team_settings().is_enabled:
+            return ()
+        return self._team_reports[scope](self._read_clock())
+
+    def _report_own_teams(self, now: float) -> tuple[TeamReport, ...]:
+        """Return the report of this instance, which has no uses while it leaves."""
+        uses = {} if self._is_leaving() else self._teams.list_own(now=now)
+        return (make_team_report(self._own.name, uses, boot=self._own.boot),)
+
+    def _report_teams_of_own_centre(self, now: float) -> tuple[TeamReport, ...]:
+        """Return the sum of the data centre, as made now, like that of the demand."""
+        uses = self._teams.sum_data_centre(now=now)
+        return (make_team_report(self._own.data_centre, uses),)
+
+    def _report_teams_of_other_centres(self, now: float) -> tuple[TeamReport, ...]:
+        return tuple(
+            make_team_report(name, known.entries, age_s=now - known.at)
+            for name, known in self._teams.list_data_centres(now=now).items()
+        )
+
+    def merge_teams(self, report: TeamReport, *, delay_s: float = 0.0) -> None:
+        """Merge the uses at an instance or data centre, delayed in transit.
+
+        Without shares of teams here, reports of instances that have them are ignored.
+        """
+        if not self._read_team_settings().is_enabled:
+            return
+        now = self._read_clock()
+        try:
+            uses = read_team_uses(report)
+        except (ValueError, OverflowError) as error:
+            log_event("team_report_refused", source=report.source, cause=str(error))
+            return
+        at = now - delay_s - report.age_ms / 1000
+        if report.is_data_centre:
+            self._teams.merge_data_centre(report.source, uses, at=at, now=now)
+        elif not self._members.has_ended(report.source, report.boot):
+            self._teams.merge_report(
+                report.source, uses, boot=report.boot, at=at, now=now
+            )
+
     def make_fleet_report(self, known: Revisions) -> tuple[FleetReport, Revisions]:
         """Return the changes of the fleet since the revisions that a subscriber has,
         and the revisions that it has after this report.
--- a/packages/router/fulmarward_router/tests/test_instance_state.py
+++ b/packages/router/fulmarward_router/tests/test_instance_state.py
@@ -9,6 +9,7 @@
 from fulmarward_core.spread import pack_value
 from fulmarward_core.spread._fetch import FETCH_TIMEOUT_S
 from fulmarward_core.suspicion import SuspicionTable
+from fulmarward_core.team_shares import TeamSettings, TeamTable
 from fulmarward_router.mesh import (
     CompressedConfiguration,
     ConfigurationDeferred,
@@ -56,6 +57,8 @@
         self.paces = PaceTable()
         self.ledger = LoadLedger()
         self.demands = DemandTable(own=name, data_centre="a")
+        self.teams = TeamTable(own=name, data_centre="a")
+        self.team_settings = TeamSettings()
         self.instance_state = InstanceState(
             own=InstanceIdentity(
                 name=name,
@@ -71,6 +74,8 @@
             paces=self.paces,
             ledger=self.ledger,
             demands=self.demands,
+            teams=self.teams,
+            read_team_settings=lambda: self.team_settings,
             sees_slow_streams=lambda: False,
             decode_row=self._decode_row,
             read_clock=lambda: self.now,
