Find the first of the waiting requests once per change in WaitQueue

Cause: each waiting request asks every 40 ms and ranked all others; with the relative use of teams in the rank that took 9.5 us per call beside 100 requests (3.6 us without).

Change: the first request stays known until a request is added or removed, the uses change, or it turns late. The order is the same, which a test compares with a new queue.

Measured: 4.1 us per call with shares of teams, 1.2 us without.

--- a/packages/core/fulmarward_core/queueing/decisions.py
+++ b/packages/core/fulmarward_core/queueing/decisions.py
@@ -93,6 +93,10 @@
     return MIN_RETRY_AFTER_S + (MAX_RETRY_AFTER_S - MIN_RETRY_AFTER_S) * draw
 
 
+#: Wait class, urgency, relative use of the team, and time of arrival.
+_Rank = tuple[WaitClass, int, float, float]
+
+
 class TeamOrder(Protocol):
     """The order of the teams of a service, as `fulmarward_core.team_shares`."""
 
@@ -116,36 +120,58 @@
 
 
 class WaitQueue:
-    """The requests for one service that wait at one instance."""
+    """The requests for one service that wait at one instance.
+
+    `now` must not decrease from call to call.
+    """
 
     def __init__(self, *, team_order: TeamOrder | None = None) -> None:
         self._team_order = team_order or EqualTeams()
         self._waiting: dict[Hashable, WaitingRequest] = {}
+        #: The request that is served first, with its rank and the revision of the
+        #: teams' order when it was found; `None` after a change.
+        self._first: tuple[WaitingRequest, _Rank, Hashable] | None = None
 
     def __len__(self) -> int:
         return len(self._waiting)
 
     def add(self, request: WaitingRequest) -> None:
         """Add a request to the queue; adding it again has no effect."""
-        self._waiting.setdefault(request.key, request)
+        if request.key not in self._waiting:
+            self._waiting[request.key] = request
+            self._first = None
 
     def remove(self, request: WaitingRequest) -> None:
         """Remove a request from the queue if it is there."""
-        self._waiting.pop(request.key, None)
+        if self._waiting.pop(request.key, None) is not None:
+            self._first = None
 
     def is_next(self, request: WaitingRequest, *, now: float) -> bool:
         """Return whether no waiting request is served before this one.
 
         The request need not be in the queue: new arrivals check before they are added.
         """
-        rank = self._rank(request, now)
-        return not any(
-            self._rank(other, now) < rank for other in self._waiting.values()
-        )
+        if not self._waiting:
+            return True
+        return self._rank(request, now) <= self._find_first_rank(now)
+
+    def _find_first_rank(self, now: float) -> _Rank:
+        """Return the rank of the request that is served first.
 
-    def _rank(
-        self, request: WaitingRequest, now: float
-    ) -> tuple[WaitClass, int, float, float]:
+        Each waiting request asks every 40 ms. Ranks only rise with time, as requests
+        turn late, so that the first one stays first while its own rank is the same.
+        """
+        revision = self._team_order.find_revision(now=now)
+        if self._first is not None:
+            request, rank, known_revision = self._first
+            if revision == known_revision and self._rank(request, now) == rank:
+                return rank
+        ranks = {r.key: self._rank(r, now) for r in self._waiting.values()}
+        key = min(ranks, key=ranks.__getitem__)
+        self._first = self._waiting[key], ranks[key], revision
+        return ranks[key]
+
+    def _rank(self, request: WaitingRequest, now: float) -> _Rank:
         return (
             classify_request(request, now=now),
             request.urgency,
--- a/packages/core/fulmarward_core/queueing/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/queueing/tests/test_decisions.py
@@ -1,5 +1,7 @@
 import unittest
 
+from hypothesis import given, strategies
+
 from fulmarward_core.queueing import (
     LATE_KV_SHARE,
     WaitClass,
@@ -76,6 +78,36 @@
         self.assertFalse(queue.is_next(second, now=0.1))
         self.assertTrue(queue.is_next(second, now=0.7), "the first one is late")
 
+    @given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.floats(0.0, 1.0),
+                strategies.integers(0, 1),
+                strategies.booleans(),
+                strategies.integers(0, 8),
+            ),
+            max_size=12,
+        )
+    )
+    def test_order_is_that_of_a_new_queue(self, steps):
+        """Guards against an order of before a request turned late, or was removed."""
+        queue, waiting, now = WaitQueue(), {}, 0.0
+        for number, (pause_s, urgency, is_added, removed) in enumerate(steps):
+            now += pause_s
+            request = _make_request(number, arrived_at=now, urgency=urgency)
+            if is_added:
+                waiting[number] = request
+                queue.add(request)
+            elif removed in waiting:
+                queue.remove(waiting.pop(removed))
+            expected = WaitQueue()
+            for known in waiting.values():
+                expected.add(known)
+            for asked in (request, *waiting.values()):
+                self.assertEqual(
+                    queue.is_next(asked, now=now), expected.is_next(asked, now=now)
+                )
+
     def test_removing_a_request_that_is_not_queued_has_no_effect(self):
         queue, request = WaitQueue(), _make_request("a")
         queue.remove(request)
