Show the uses of teams in the status, and explain rejections by them

Change: contention in the status has the used and waiting KV cache by service, class and team. fulmarctl explain names teams with less use where they left the share. A team whose name is not valid UTF-8 is not reported.

--- a/packages/client/fulmarctl/_denials.py
+++ b/packages/client/fulmarctl/_denials.py
@@ -31,6 +31,12 @@
 def _explain_room(denial: Mapping[str, Any]) -> str:
     waited = f"It waited {denial.get('waited_s')} s and no path had room"
     share = denial.get("kv_share")
+    team_share = denial.get("team_share")
+    if share is not None and team_share is not None and share == team_share < 1:
+        return (
+            f"{waited} in the share {share} of KV cache that teams which use less "
+            "leave to its team."
+        )
     above = ("waiting_above_kv", "arriving_above_kv_per_s")
     if share is None or share >= 1 or not any(denial.get(name) for name in above):
         return f"{waited}."
--- a/packages/client/fulmarctl/tests/test_explain.py
+++ b/packages/client/fulmarctl/tests/test_explain.py
@@ -5,6 +5,8 @@
 
 from aiohttp import web
 
+from fulmarctl._denials import explain_denial
+
 _DENIAL = {
     "request": "4100e12",
     "cause": "no path will have room in time",
@@ -94,3 +96,25 @@
             status, output, errors = await self.run_explain(*words)
             self.assertEqual((status, output), (2, ""))
             self.assertIn(text, errors)
+
+
+class RoomTest(unittest.TestCase):
+    def test_what_leaves_a_share_is_named(self):
+        """Guards against a rejection by a team's share that classes seem to cause."""
+        cases = [
+            # share of the team, of the request, kv waiting above, part of the sentence
+            (None, 0.8, 5, "higher classes leave"),
+            (0.9, 0.8, 5, "higher classes leave"),
+            (0.8, 0.8, 5, "teams which use less leave"),
+            (1.0, 1.0, 0, "no path had room."),
+        ]
+        for team_share, kv_share, waiting_kv, expected in cases:
+            with self.subTest(team_share=team_share, kv_share=kv_share):
+                denial = {
+                    "cause": "no path has room",
+                    "waited_s": 0.9,
+                    "kv_share": kv_share,
+                    "team_share": team_share,
+                    "waiting_above_kv": waiting_kv,
+                }
+                self.assertIn(expected, explain_denial(denial))
--- a/packages/core/fulmarward_core/demand/_fleet_reports.py
+++ b/packages/core/fulmarward_core/demand/_fleet_reports.py
@@ -88,6 +88,11 @@
         """Return the amounts of this instance and of its directly linked peers."""
         return add_classes([own, self._peers.sum.find_classes(service)])
 
+    def list_services(self) -> list[str]:
+        """Return the services of which any report has amounts."""
+        sums = [reports.sum.list_services() for reports in self._report_sets]
+        return sorted({service for services in sums for service in services})
+
     def list_direct_services(self) -> list[str]:
         """Return the services of which directly linked peers reported amounts."""
         return self._peers.sum.list_services()
--- a/packages/core/fulmarward_core/team_shares/_table.py
+++ b/packages/core/fulmarward_core/team_shares/_table.py
@@ -143,11 +143,19 @@
             }
         return self._cached[key]
 
+    def list_services(self) -> list[str]:
+        """Return the services with uses at any instance, by name."""
+        return sorted({*self._own, *self._reports.list_services()})
+
     def list_uses(self, service: str, *, now: float) -> tuple[TeamUse, ...]:
         """Return the uses of a service at all instances, as they would be reported."""
         self._reports.expire(now=now)
         return _list_teams(self._sum(service), lambda urgency: True)
 
+    def list_own_uses(self, service: str) -> tuple[TeamUse, ...]:
+        """Return the uses of a service at this instance, also while nothing waits."""
+        return _list_teams(self._find_own(service), lambda urgency: True)
+
     def list_own(self, *, now: float) -> TeamUses:
         """Return the uses at this instance of the classes that wait at any instance."""
         self._reports.expire(now=now)
@@ -166,6 +174,11 @@
             sorted(services),
         )
 
+    def find_oldest_report_age_s(self, *, now: float) -> float | None:
+        """Return the age of the oldest report in the sums, `None` if there is none."""
+        self._reports.expire(now=now)
+        return self._reports.find_oldest_age_s(now=now)
+
     def list_data_centres(self, *, now: float) -> Mapping[str, ReportSnapshot]:
         """Return the valid reports on other data centres, for a hub to pass on."""
         self._reports.expire(now=now)
@@ -222,7 +235,7 @@
     """Return the teams with the most KV cache in each listed class, by urgency."""
     classes: defaultdict[int, list[TeamUse]] = defaultdict(list)
     for (urgency, team), (used, waiting) in teams.items():
-        if is_listed(urgency) and len(team.encode()) <= MAX_TEAM_BYTES:
+        if is_listed(urgency) and _may_report(team):
             classes[urgency].append(
                 TeamUse(
                     urgency=urgency,
@@ -238,6 +251,15 @@
     )
 
 
+def _may_report(team: str) -> bool:
+    """Return whether the name of a team can be sent, and is short enough."""
+    try:
+        return len(team.encode()) <= MAX_TEAM_BYTES
+    except UnicodeEncodeError:
+        # JSON may contain halves of surrogate pairs.
+        return False
+
+
 def _rank_size(use: TeamUse) -> tuple[float, str]:
     return -use.used_kv - use.waiting_kv, use.team
 
@@ -264,6 +286,6 @@
             return False
         if any(urgencies.count(urgency) > MAX_TEAMS for urgency in set(urgencies)):
             return False
-        if any(len(use.team.encode()) > MAX_TEAM_BYTES for use in teams):
+        if not all(_may_report(use.team) for use in teams):
             return False
     return all(max(item) <= MAX_AMOUNT for item in amounts.values())
--- a/packages/core/fulmarward_core/team_shares/tests/test_table.py
+++ b/packages/core/fulmarward_core/team_shares/tests/test_table.py
@@ -78,7 +78,8 @@
 
     def test_largest_teams_are_reported(self):
         """Guards against messages that grow with the number of teams."""
-        self.table.record_waiting("long", _make_hold("é" * MAX_TEAM_BYTES, 1e9))
+        for name in ("é" * MAX_TEAM_BYTES, "\ud800"):
+            self.table.record_waiting(name, _make_hold(name, 1e9))
         for number in range(MAX_TEAMS + 1):
             self.table.record_waiting(number, _make_hold(str(number), 1.0 + number))
         listed = [use.team for use in self.table.list_own(now=100.0)["s"]]
--- a/packages/router/fulmarward_router/_contention.py
+++ b/packages/router/fulmarward_router/_contention.py
@@ -1,4 +1,4 @@
-"""Demand, capacity and promises of services with classes, for the status."""
+"""Demand, capacity, promises and uses of teams, for the status."""
 
 import math
 from collections.abc import Mapping, Sequence
@@ -13,6 +13,7 @@
     list_class_services,
     list_urgencies,
 )
+from fulmarward_core.team_shares import TeamTable, TeamUse
 from fulmarward_router.state import ConfigurationHolder, PromisedReturns
 
 #: Bounds on the services and the classes of each that are described.
@@ -36,6 +37,7 @@
 
     configuration: ConfigurationHolder
     demands: DemandTable
+    teams: TeamTable
     promised_returns: PromisedReturns
     engines: CapacitySource
 
@@ -45,6 +47,7 @@
 
     At most `MAX_SERVICES` services with `MAX_CLASSES` classes each are described, the
     first by name and the most urgent ones. An amount that is not finite is `None`.
+    The uses of teams are those of services with and without classes.
     """
     configuration = instance.configuration.current
     names = [] if configuration is None else sorted(list_class_services(configuration))
@@ -67,6 +70,38 @@
         },
         "omitted_services": max(0, len(names) - MAX_SERVICES),
         "promises": asdict(instance.promised_returns.counts),
+        "teams": {
+            service: _describe_teams(instance.teams, service, now)
+            for service in instance.teams.list_services()[:MAX_SERVICES]
+        },
+    }
+
+
+def _describe_teams(teams: TeamTable, service: str, now: float) -> list[dict[str, Any]]:
+    """Return what the teams use and wait for, those with the most in each class.
+
+    The fleet's uses are known while a request of the class waits anywhere.
+    """
+    fleet = {(u.urgency, u.team): u for u in teams.list_uses(service, now=now)}
+    own = {(u.urgency, u.team): u for u in teams.list_own_uses(service)}
+    return [
+        {
+            "urgency": urgency,
+            "team": team,
+            "fleet": _describe_use(use),
+            "own": _describe_use(own.get((urgency, team))),
+        }
+        for (urgency, team), use in fleet.items()
+    ]
+
+
+def _describe_use(use: TeamUse | None) -> dict[str, int | None] | None:
+    """Return the amounts of a team, `None` if it has no use."""
+    if use is None:
+        return None
+    return {
+        "used_kv": _round_kv(use.used_kv),
+        "waiting_kv": _round_kv(use.waiting_kv),
     }
 
 
--- a/packages/router/fulmarward_router/tests/test_contention.py
+++ b/packages/router/fulmarward_router/tests/test_contention.py
@@ -7,6 +7,7 @@
 from fulmarward_core.demand import ClassDemand, DemandTable
 from fulmarward_core.layers.tests.fleets import ENGINE
 from fulmarward_core.paths import KvCapacity
+from fulmarward_core.team_shares import TeamHold, TeamTable, TeamUse
 from fulmarward_core.waits import PromiseCounts
 from fulmarward_router._contention import (
     MAX_CLASSES,
@@ -31,6 +32,7 @@
     def setUp(self):
         self.capacity = KvCapacity(planned=1000.4, free=200.0)
         self.demands = DemandTable(own="one")
+        self.teams = TeamTable(own="one")
         self.promised_returns = PromisedReturns(read_clock=lambda: _NOW)
 
     def describe(self, configuration):
@@ -38,6 +40,7 @@
         source = SimpleNamespace(
             configuration=SimpleNamespace(current=configuration),
             demands=self.demands,
+            teams=self.teams,
             promised_returns=self.promised_returns,
             engines=SimpleNamespace(measure_capacity=lambda *_: self.capacity),
         )
@@ -115,6 +118,25 @@
             described, {"urgency": 1, "fleet": fleet, "own": own, "promised_kv": 40}
         )
 
+    def test_uses_of_teams(self):
+        """Guards against uses of peers that are shown as those of this instance."""
+        self.assertEqual(self.describe(None)["teams"], {})
+        hold = TeamHold(service="plain", urgency=1, team="a", kv=5.0)
+        self.teams.record_running("request", hold)
+        uses = {
+            "plain": tuple(
+                TeamUse(urgency=1, team=team, used_kv=7.0, waiting_kv=2.0**53)
+                for team in ("a", "b")
+            )
+        }
+        for peer in ("two", "three"):
+            self.teams.merge_report(peer, uses, boot=1, at=_NOW, now=_NOW)
+        [a, b] = self.describe(make_configuration((0, 1)))["teams"]["plain"]
+        fleet = {"used_kv": 19, "waiting_kv": MAX_SHOWN_KV}
+        own = {"used_kv": 5, "waiting_kv": 0}
+        self.assertEqual(a, {"urgency": 1, "team": "a", "fleet": fleet, "own": own})
+        self.assertEqual((b["fleet"]["used_kv"], b["own"]), (14, None))
+
     def test_amounts_that_are_infinite_or_too_large(self):
         """Guards against amounts that cannot be rounded or encoded."""
         for capacity in (math.inf, math.nan):
