--- a/packages/core/fulmarward_core/reservations/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/reservations/tests/test_decisions.py
@@ -195,3 +195,16 @@
                     now=now,
                 )
                 self.assertAlmostEqual(found, expected)
+
+    def test_share_of_a_team(self):
+        """Guards against a class that gets less than its minimum share by a team's."""
+        for credits, expected in (((), 0.6), ((1,), 1.0)):
+            found = _make_queue(*credits).find_kv_share(
+                _make_request("a", urgency=1),
+                demands=[_make_demand(0, late_kv=100.0)],
+                planned_kv=_PLANNED_KV,
+                lowest_urgency=2,
+                team_share=0.6,
+                now=0.0,
+            )
+            self.assertEqual(found, expected)
