Send reports on teams each 0.25 s while any request of their class waits

Cause: an instance at which none waits sent its uses 0.7 s apart, so that they were older than the 0.5 s for which the tolerance of relative use is made.

Change: the longer interval does not apply to TeamReport, which is sent only while a request waits at some instance.

Measured: mesh.tests.test_demands and tests.test_team_reports 13 pass; the first fails with the longer interval.

--- a/packages/router/fulmarward_router/mesh/_demands.py
+++ b/packages/router/fulmarward_router/mesh/_demands.py
@@ -50,7 +50,7 @@
     ) -> None:
         self._make_reports = make_reports
         self._list_entries = list_entries
-        #: Returns whether requests wait by the entries of a report.
+        #: Returns whether requests wait, given the entries of a report.
         self._has_waiting = has_waiting
         self._encode = encode
         #: The reports of this round, each with its encoding.
@@ -116,10 +116,13 @@
 def make_team_encoder(
     *, state: MeshState, encode: Callable[[object], bytes]
 ) -> ReportEncoder:
-    """Return an encoder of the reports on teams."""
+    """Return an encoder of the reports on teams.
+
+    A class is listed only while a request of it waits at any instance.
+    """
     return ReportEncoder(
         make_reports=lambda scope: state.make_team_reports(scope),
         list_entries=lambda report: report.uses,
-        has_waiting=lambda uses: any(item.waiting_kv for item in uses),
+        has_waiting=bool,
         encode=encode,
     )
