--- a/packages/client/fulmarctl/tests/test_explain.py
+++ b/packages/client/fulmarctl/tests/test_explain.py
@@ -5,6 +5,8 @@
 
 from aiohttp import web
 
+from fulmarctl._denials import explain_denial
+
 _DENIAL = {
     "request": "4100e12",
     "cause": "no path will have room in time",
@@ -94,3 +96,14 @@
             status, output, errors = await self.run_explain(*words)
             self.assertEqual((status, output), (2, ""))
             self.assertIn(text, errors)
+
+
+class RoomTest(unittest.TestCase):
+    def test_what_leaves_a_share_is_named(self):
+        """Guards against a rejection by a team's share that classes seem to cause."""
+        known = {"cause": "no path has room", "kv_share": 0.8, "waiting_above_kv": 5}
+        higher, teams = "higher classes leave", "teams which use less leave"
+        for team_share, expected in ((None, higher), (0.9, higher), (0.8, teams)):
+            with self.subTest(team_share=team_share):
+                sentence = explain_denial({**known, "team_share": team_share})
+                self.assertIn(expected, sentence)
--- a/packages/core/fulmarward_core/queueing/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/queueing/tests/test_decisions.py
@@ -1,3 +1,4 @@
+import random
 import unittest
 
 from fulmarward_core.queueing import (
@@ -76,6 +77,24 @@
         self.assertFalse(queue.is_next(second, now=0.1))
         self.assertTrue(queue.is_next(second, now=0.7), "the first one is late")
 
+    def test_order_is_that_of_a_new_queue(self):
+        """Guards against an order of before a request turned late, or was removed."""
+        rng, queue, waiting, now = random.Random(1), WaitQueue(), [], 0.0
+        for number in range(300):
+            now += rng.random() / 5
+            request = _make_request(number, arrived_at=now, urgency=number % 2)
+            if rng.random() < 0.55:
+                queue.add(request)
+                waiting.append(request)
+            elif waiting:
+                queue.remove(waiting.pop(rng.randrange(len(waiting))))
+            expected = WaitQueue()
+            for known in waiting:
+                expected.add(known)
+            for asked in (request, *waiting):
+                is_next = expected.is_next(asked, now=now)
+                self.assertEqual(queue.is_next(asked, now=now), is_next)
+
     def test_removing_a_request_that_is_not_queued_has_no_effect(self):
         queue, request = WaitQueue(), _make_request("a")
         queue.remove(request)
