--- a/packages/router/fulmarward_router/exchange/_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/_failure_detector.py
@@ -38,11 +38,6 @@
 #: Seconds without a probe after which that interval is the shortest one again.
 STALL_RESET_S = 6.0
 
-#: Seconds for which a probe round of a large fleet collects targets while another round
-#: runs. When many targets fail at once, each stream and each peer's report asks for a
-#: few of them; rounds of their own, with controls, take the time of the event loop.
-COLLECT_S = 0.008
-
 #: Seconds without probes after a round in which no control answered: further probes
 #: would only add to a saturated link.
 ISOLATED_HOLD_S = 0.25
@@ -125,8 +120,6 @@
         self._stall_intervals_s: dict[str, float] = {}
         #: Running probe rounds, with the targets of each.
         self._probe_tasks: dict[asyncio.Task, frozenset[str]] = {}
-        #: The targets of the round that is collecting, and its task, `None` if none is.
-        self._collecting: tuple[list[TargetRecord], asyncio.Task] | None = None
         #: When no control answered, in seconds on the monotonic clock.
         self._isolated_at = float("-inf")
         #: Finds out whether a service without an answer is reached at all; its `run` is
@@ -229,35 +222,14 @@
         self.probe(due)
 
     def probe(self, targets: Iterable[str]) -> None:
-        """Start a task that finds out which of the targets are unreachable.
-
-        In a large fleet, a round that is collecting targets takes them.
-        """
+        """Start a task that finds out which of the targets are unreachable."""
         records = self._list_due(targets)
         if not records:
             return
-        names = frozenset(record.name for record in records)
-        if self._collecting is not None:
-            collected, task = self._collecting
-            collected.extend(records)
-            self._probe_tasks[task] |= names
-            return
-        must_collect = self._is_large() and bool(self._probe_tasks)
-        probing = self._collect_and_probe if must_collect else self._probe_all
-        task = asyncio.create_task(probing(records))
-        if must_collect:
-            self._collecting = records, task
-        self._probe_tasks[task] = names
+        task = asyncio.create_task(self._probe_all(records))
+        self._probe_tasks[task] = frozenset(record.name for record in records)
         task.add_done_callback(lambda task: self._probe_tasks.pop(task, None))
 
-    async def _collect_and_probe(self, records: list[TargetRecord]) -> None:
-        """Probe targets together with those that are added within `COLLECT_S`."""
-        try:
-            await asyncio.sleep(COLLECT_S)
-        finally:
-            self._collecting = None
-        await self._probe_all(records)
-
     async def probe_and_wait(
         self, targets: Iterable[str], *, timeout_s: float | None = None
     ) -> None:
--- a/packages/router/fulmarward_router/exchange/tests/test_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_failure_detector.py
@@ -371,29 +371,6 @@
         checking.cancel()
         self.assertEqual(instance.list_direct_failures(), "b")
 
-    async def test_targets_that_fail_at_once_share_a_round(self):
-        """Guards against controls for each of many reported targets."""
-        for is_large, expected in ((True, 2), (False, 8)):
-            with self.subTest(is_large=is_large):
-                instance = _Instance(lambda now: "", is_large=is_large)
-                for target in "abcd":
-                    instance.detector.probe(target)
-                while instance.detector._probe_tasks:
-                    await asyncio.sleep(0.001)
-                names = [name for name, _ in instance.dialect.calls]
-                self.assertLessEqual(set("abcd"), set(names))
-                self.assertEqual(len(names) - 4, expected)
-
-    async def test_target_found_silent_in_a_shared_round_is_unreachable(self):
-        """Guards against a failed target that is lost among others in a round."""
-        instance = _Instance(lambda now: "c", is_large=True)
-        waiting = [
-            asyncio.create_task(instance.detector.probe_and_wait(name))
-            for name in "abcd"
-        ]
-        await asyncio.gather(*waiting)
-        self.assertEqual(instance.list_direct_failures(), "c")
-
     async def test_slow_target_is_probed_less_often_for_stalled_streams(self):
         """Guards against probes of slow targets by each instance all the time."""
         for is_large, expected in ((True, 3), (False, 10)):
