Record the demand of an urgent class beside many others

Cause (found by a review): a service records 16 classes at most, and with the priorities of teams and routes it can have 100; the 17th was ignored, also the most urgent one, and classes without demand stayed.

Change: a class without demand makes room, or else the least urgent one.

Measured: the new test fails without the change; 34 tests of demand and admission pass.

--- a/packages/core/fulmarward_core/demand/_table.py
+++ b/packages/core/fulmarward_core/demand/_table.py
@@ -118,7 +118,8 @@
     ) -> None:
         """Change what is recorded for a class; ignored if there are too many classes.
 
-        Classes without demand make room for new ones.
+        Classes without demand make room for new ones, and so does the least urgent one
+        for one that is more urgent.
         """
         if service not in self._own and len(self._own) >= MAX_SERVICES:
             self._drop_idle(now)
@@ -126,7 +127,8 @@
                 return
         classes = self._own.setdefault(service, {})
         if urgency not in classes and len(classes) >= MAX_CLASSES:
-            return
+            if not _make_room(classes, urgency, now):
+                return
         change(classes.setdefault(urgency, _OwnClass()))
         self.revision += 1
 
@@ -228,6 +230,16 @@
         return self._reports.sum_direct(service, own)
 
 
+def _make_room(classes: dict[int, _OwnClass], urgency: int, now: float) -> bool:
+    """Drop a class for one of `urgency`; return whether there was one to drop."""
+    idle = [u for u, known in classes.items() if not any(known.find_amounts(now))]
+    dropped = max(idle or classes)
+    if not idle and dropped < urgency:
+        return False
+    del classes[dropped]
+    return True
+
+
 def _check_amounts(*amounts: float) -> None:
     """Raise `ValueError` unless all amounts are within bounds."""
     for amount in amounts:
--- a/packages/core/fulmarward_core/demand/tests/test_table.py
+++ b/packages/core/fulmarward_core/demand/tests/test_table.py
@@ -4,7 +4,7 @@
 from hypothesis import given, strategies as st
 
 from fulmarward_core.demand import REPORT_DURATION_S, ClassDemand, DemandTable
-from fulmarward_core.demand._reports import MAX_SERVICES, MAX_SOURCES
+from fulmarward_core.demand._reports import MAX_CLASSES, MAX_SERVICES, MAX_SOURCES
 
 
 def make_demand(urgency=0, **changes):
@@ -163,6 +163,19 @@
             table.sum("s", now=now)
         self.assertEqual(table.sum("s", now=now + 2 * REPORT_DURATION_S), ())
 
+    def test_urgent_class_is_counted_beside_many_others(self):
+        """Guards against demand of the most urgent class that nobody knows."""
+        for urgency in range(1, MAX_CLASSES + 1):
+            self.table.set_waiting("s", urgency, on_time_kv=1, late_kv=0, now=100.0)
+        self.table.set_waiting("s", 0, on_time_kv=1, late_kv=0, now=100.0)
+        self.table.set_waiting("s", 99, on_time_kv=1, late_kv=0, now=100.0)
+        found = [demand.urgency for demand in self.table.sum("s", now=100.0)]
+        self.assertEqual(found, list(range(MAX_CLASSES)))
+        self.table.set_waiting("s", 3, on_time_kv=0, late_kv=0, now=100.0)
+        self.table.set_waiting("s", 99, on_time_kv=1, late_kv=0, now=100.0)
+        found = [demand.urgency for demand in self.table.sum("s", now=100.0)]
+        self.assertEqual(found, [*(u for u in range(MAX_CLASSES) if u != 3), 99])
+
     def test_sum_is_reused_until_something_changes(self):
         """Guards against summing for each of hundreds of waiting requests."""
         for number in range(200):
