Count the priorities of teams only where requests have a team

Cause (found by a review): without required keys, and on public routes, requests have no team, but the priorities of all teams were listed as classes of the service. It got the admission by classes, with a lowest class that no request has.

Change: such routes have the priority of the route alone. The test has the cases of required keys, public routes and teams without a priority.

--- a/packages/core/fulmarward_core/routes/_types.py
+++ b/packages/core/fulmarward_core/routes/_types.py
@@ -114,8 +114,8 @@
         of_teams = {team.priority for team in self.teams_by_key.values()}
         found: dict[str, set[int]] = {}
         for route in chain.from_iterable(self.routes.values()):
-            may_lack_team = route.is_public or not self.requires_team_key
-            priorities = {*of_teams, None} if may_lack_team else of_teams
+            has_team = self.requires_team_key and not route.is_public
+            priorities = of_teams if has_team else {None}
             urgencies = {
                 combine_urgencies(of_team=priority, of_route=route.priority)
                 for priority in priorities
