Reject no waiting request for the arrivals of a moment; group by team with shares only

Cause (found by a review): the repeated estimate is infinite as soon as arrivals of higher classes reach the releases of the last second, so that one arrival rejected a request that was next (at 0.205 s, admitted at 0.401 s with the estimate on arrival only). What waits in higher classes reduces its share already.

Change: an infinite estimate rejects on arrival only; requests have a team only while the shares are in force.

Measured: the new test fails without the change.

--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -158,6 +158,7 @@
             engine,
             find_wanted(),
             is_promised=returned.status is ReturnStatus.DUE,
+            has_team_shares=waiting.has_team_shares,
         )
         if not state.has_sought_path:
             waiting.record_arrival(request, now=began_at)
@@ -310,6 +311,10 @@
             # The capacity of targets that have yet to write their rows is not known.
             return None
         estimate_s = waiting.estimate_wait_s(request, ahead=ahead, now=now)
+        if ahead is not None and estimate_s == math.inf:
+            # A single arrival of a higher class can exceed the releases of a moment,
+            # and what waits in higher classes has reduced its share already.
+            return None
         if not must_reject(estimate_s, left_s=left_s):
             return None
         return Rejection(cause="no path will have room in time", estimate_s=estimate_s)
@@ -480,6 +485,7 @@
     wanted: PathRequest,
     *,
     is_promised: bool,
+    has_team_shares: bool,
 ) -> WaitingRequest:
     return WaitingRequest(
         key=id(state),
@@ -489,5 +495,5 @@
         is_started=state.has_begun or state.last_event is not None,
         kv=compute_request_kv(wanted, engine),
         is_promised=is_promised,
-        team=state.team_name,
+        team=state.team_name if has_team_shares else "",
     )
--- a/packages/router/fulmarward_router/exchange/_waiting.py
+++ b/packages/router/fulmarward_router/exchange/_waiting.py
@@ -70,6 +70,10 @@
 class WaitingRequests(Protocol):
     """The requests for one service that wait at one instance."""
 
+    @property
+    def has_team_shares(self) -> bool:
+        """Whether the shares of teams are in force."""
+
     def record_arrival(self, request: WaitingRequest, *, now: float) -> None:
         """Record a request that asks for a path for the first time."""
 
@@ -124,6 +128,11 @@
         self._queue = WaitQueue(team_order=self._team_shares)
         self._measure_capacity: Callable[[], KvCapacity] | None = None
 
+    @property
+    def has_team_shares(self) -> bool:
+        """Whether the shares of teams are in force."""
+        return self._team_shares.is_enabled
+
     def configure(self, *, measure_capacity: Callable[[], KvCapacity]) -> None:
         """Apply the configuration in force, also to those waiting."""
         self._measure_capacity = measure_capacity
@@ -229,6 +238,11 @@
         #: shares of teams.
         self._supplies: dict[tuple[Level, str], tuple[float, _LevelSupply | None]] = {}
 
+    @property
+    def has_team_shares(self) -> bool:
+        """Whether the shares of teams are in force."""
+        return self._team_shares.is_enabled
+
     def configure(
         self,
         *,
@@ -329,8 +343,7 @@
 
         `ahead` is that of a request that waits, `None` if it arrives now.
         """
-        team = request.team if self._team_shares.is_enabled else ""
-        key = _find_level(request, now), team
+        key = _find_level(request, now), request.team
         measured_at, supply = self._supplies.get(key, (float("-inf"), None))
         if ahead is None or now - measured_at >= SUPPLY_REUSE_S:
             supply = self._measure_supply(request, now=now)
--- a/packages/router/fulmarward_router/exchange/tests/test_admission_queue.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_admission_queue.py
@@ -412,6 +412,24 @@
         await it.advance_to(1.2)
         self.assertAlmostEqual(it.rejected["request"][0], 0.2, delta=_POLLED_S)
 
+    @_simulate
+    async def test_single_arrival_of_a_higher_class_rejects_no_waiting_request(
+        self, read_clock
+    ):
+        """Guards against rates that are equal for a moment.
+
+        10 are released and 10 of the higher class arrive in the last second.
+        """
+        it = _Instance(read_clock, used_kv=110)
+        it.finish(10)
+        it.send("low", urgency=1)
+        await it.advance_to(0.2)
+        it.send("urgent", urgency=0)
+        await it.advance_to(0.4)
+        it.finder.used_kv -= 40
+        await it.advance_to(0.6)
+        self.assertEqual(list(it.admitted), ["urgent", "low"])
+
     @_simulate
     async def test_later_requests_elsewhere_do_not_count(self, read_clock):
         """Guards against the rejection of a request that is next.
