Require the class urgency of a request; end the use of a team that waits for clearance

A request state without it was of the most urgent class, and tests of the urgency set the other one only.

--- a/packages/core/fulmarward_core/paths/decisions.py
+++ b/packages/core/fulmarward_core/paths/decisions.py
@@ -122,9 +122,9 @@
     first_hop_ms=1000.0, usable_kv_share=0.7, may_cross_for_cost=False
 )
 
-#: Used for requests that have waited in a service whose demand all instances know, so
-#: that a data centre that has lost targets can use the others. A twentieth is left for
-#: what is sent there before its load is known.
+#: Used for waiting requests of services with classes, so that a data centre that has
+#: lost targets can use the others. A twentieth is left for what is sent there before
+#: its load is known.
 HUB_WAIT_TERMS = replace(HUB_TERMS, usable_kv_share=USABLE_KV_SHARE - 0.05)
 
 
@@ -149,7 +149,7 @@
     kv_share: float = 1.0
     #: How targets in other data centres are weighted.
     remote: RemoteTerms = DIRECT_TERMS
-    #: Whether it has waited for capacity in a service whose demand all instances know.
+    #: Whether it waits for capacity in a service with classes.
     has_waited: bool = False
 
 
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -239,6 +239,7 @@
                 raise
             except TruncatedResponse:
                 self._ledger.release(reservation)
+                self._teams.record_ended(id(state))
                 await self._await_clearance(state)
                 continue
             attempt = Attempt(
--- a/packages/router/fulmarward_router/exchange/_request_state.py
+++ b/packages/router/fulmarward_router/exchange/_request_state.py
@@ -60,11 +60,11 @@
     service: str
     #: Urgency that targets are told.
     urgency: int
+    #: Urgency of its class, which decides on its admission.
+    class_urgency: int
     #: Seconds on the monotonic clock.
     arrived_at: float
     deadline: float
-    #: Urgency of its class, which decides on its admission.
-    class_urgency: int = 0
     #: Whether it has asked for a path before, for an earlier attempt or in place of a
     #: path that was unreachable.
     has_sought_path: bool = False
--- a/packages/router/fulmarward_router/exchange/tests/test_admission.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_admission.py
@@ -76,6 +76,7 @@
             team=None,
             service="pool",
             urgency=urgency,
+            class_urgency=urgency,
             arrived_at=now,
             deadline=now + 20.0,
         )
--- a/packages/router/fulmarward_router/exchange/tests/test_ended_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_ended_streams.py
@@ -422,6 +422,7 @@
                 team=None,
                 service="pool",
                 urgency=0,
+                class_urgency=0,
                 arrived_at=arrived_at,
                 deadline=arrived_at + 9.0,
             )
--- a/packages/router/fulmarward_router/exchange/tests/test_late_sends.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_sends.py
@@ -134,6 +134,7 @@
             team=None,
             service="plain",
             urgency=0,
+            class_urgency=0,
             arrived_at=now,
             deadline=now + deadline_s,
         )
--- a/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
@@ -297,6 +297,7 @@
             team=None,
             service="pool",
             urgency=0,
+            class_urgency=0,
             arrived_at=now,
             deadline=now + 20.0,
         )
--- a/packages/router/fulmarward_router/exchange/tests/test_relay.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_relay.py
@@ -130,6 +130,7 @@
             team=None,
             service="plain",
             urgency=0,
+            class_urgency=0,
             arrived_at=now,
             deadline=now + 60.0,
             runs=runs,
--- a/packages/router/fulmarward_router/exchange/tests/test_request_state.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_request_state.py
@@ -29,6 +29,7 @@
         team=None,
         service="s",
         urgency=5,
+        class_urgency=55,
         arrived_at=0.0,
         deadline=20.0,
     )
