Give no classes to services whose routes have equal priorities

Cause: teams of different priority alone made classes, so that admission by urgency, estimates, promises and the wider use of other data centres were in force where routes have equal priorities. The requirement is that such services are served as before.

Change: a service has classes if routes of different priorities lead to it; the teams only order them.

--- a/packages/core/fulmarward_core/routes/_types.py
+++ b/packages/core/fulmarward_core/routes/_types.py
@@ -126,11 +126,14 @@
 
     @cached_property
     def class_services(self) -> frozenset[str]:
-        """The services whose requests may differ in their class urgency."""
+        """The services to which routes of different priorities lead."""
+        found: dict[str, set[int]] = {}
+        for route in chain.from_iterable(self.routes.values()):
+            for share in route.shares:
+                urgencies = found.setdefault(share.service, set())
+                urgencies.add(limit_urgency(route.priority))
         return frozenset(
-            service
-            for service, urgencies in self.urgencies_by_service.items()
-            if len(urgencies) > 1
+            service for service, urgencies in found.items() if len(urgencies) > 1
         )
 
 
--- a/packages/core/fulmarward_core/routes/decisions.py
+++ b/packages/core/fulmarward_core/routes/decisions.py
@@ -53,9 +53,9 @@
 
 
 def list_class_services(configuration: RoutingConfiguration) -> frozenset[str]:
-    """Return the services with classes: their requests may differ in their urgency.
+    """Return the services with classes: their routes have more than one priority.
 
-    Their routes or the teams have more than one priority.
+    Teams with different priorities alone make no classes.
     """
     return configuration.class_services
 
