Name the reasons not to wait apart from early returns; plainer comments

"Early" named both a rejection before the end of the wait and a return before its delay. The comment of a class's urgency described the priority that it was before. Two encoders wrapped methods without need. No behaviour is changed.

--- a/packages/core/fulmarward_core/demand/_types.py
+++ b/packages/core/fulmarward_core/demand/_types.py
@@ -12,7 +12,7 @@
     that is negative or not finite.
     """
 
-    #: Number of the priority, 0 first.
+    #: Urgency of the class, 0 first; see `fulmarward_core.routes.combine_urgencies`.
     urgency: int
     #: KV cache that waiting requests need which are on time.
     on_time_kv: float
--- a/packages/core/fulmarward_core/waits/tests/load.py
+++ b/packages/core/fulmarward_core/waits/tests/load.py
@@ -36,7 +36,7 @@
 LAG_S = 0.3
 MIN_KV_SHARE = 0.5
 
-#: Attempts of callers that return as told and early, and the delay of the latter.
+#: Attempts of callers that return on time and early, and the delay of the latter.
 ATTEMPTS = {False: 2, True: 4}
 EARLY_RETURN_S = 0.1
 
@@ -45,7 +45,7 @@
 
 @dataclass(kw_only=True)
 class ReturningCaller(Caller):
-    """A caller that may return earlier than it was told."""
+    """A caller that may return before its retry delay."""
 
     returns_early: bool
     #: Whether its promise was due when it arrived.
--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -190,7 +190,7 @@
                 if now >= wait_end:
                     break
                 if shortage is Shortage.KV_CACHE:
-                    rejection = self._find_early_rejection(
+                    rejection = self._find_reason_not_to_wait(
                         state, request, waiting, returned, ahead, left_s=wait_end - now
                     )
                     if rejection is not None:
@@ -277,7 +277,7 @@
                 state.fingerprint, request_id=state.facts.request_id
             )
 
-    def _find_early_rejection(
+    def _find_reason_not_to_wait(
         self,
         state: RequestState,
         request: WaitingRequest,
--- a/packages/router/fulmarward_router/exchange/_request_state.py
+++ b/packages/router/fulmarward_router/exchange/_request_state.py
@@ -58,7 +58,7 @@
     route: Route
     team: Team | None
     service: str
-    #: Urgency that targets are told.
+    #: Urgency that is sent to targets.
     urgency: int
     #: Urgency of its class, which decides on its admission.
     class_urgency: int
--- a/packages/router/fulmarward_router/exchange/tests/test_admission.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_admission.py
@@ -118,7 +118,7 @@
 
 class PromisedReturnTest(_AdmissionTest):
     async def test_due_return_is_not_rejected_for_those_that_it_precedes(self):
-        """Guards against callers that return as told and are rejected on arrival."""
+        """Guards against callers that return on time and are rejected on arrival."""
         self.make_contention()
         state = self.make_state()
         self.promised.promise(
--- a/packages/router/fulmarward_router/mesh/_demands.py
+++ b/packages/router/fulmarward_router/mesh/_demands.py
@@ -104,7 +104,7 @@
 ) -> ReportEncoder:
     """Return an encoder of the reports on demand."""
     return ReportEncoder(
-        make_reports=lambda scope: state.make_demand_reports(scope),
+        make_reports=state.make_demand_reports,
         list_entries=lambda report: report.demands,
         has_waiting=lambda demands: any(
             item.on_time_kv or item.late_kv for item in demands
@@ -121,7 +121,7 @@
     A class is listed only while a request of it waits at any instance.
     """
     return ReportEncoder(
-        make_reports=lambda scope: state.make_team_reports(scope),
+        make_reports=state.make_team_reports,
         list_entries=lambda report: report.uses,
         has_waiting=bool,
         encode=encode,
