--- a/packages/router/fulmarward_router/exchange/tests/test_admission_queue.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_admission_queue.py
@@ -357,6 +357,20 @@
                 await it.advance_to(_AT_ONCE_S)
                 self.assertEqual(list(it.rejected), [] if is_enabled else ["other"])
 
+    @_simulate
+    async def test_requests_are_grouped_by_team_with_shares_only(self, read_clock):
+        """Guards against searches that take longer the more teams there are."""
+        for is_enabled, count in ((True, 3), (False, 1)):
+            with self.subTest(is_enabled=is_enabled):
+                it = _Instance(read_clock, used_kv=100)
+                it.team_settings = TeamSettings(is_enabled=is_enabled)
+                for team in ("a", "b", "c"):
+                    it.send(team, urgency=1, team=team)
+                await it.advance_to(0.1)
+                groups = it.service._class_requests["pool"]._queue._groups
+                self.assertEqual(sum(map(bool, groups.values())), count)
+                await it.advance_to(1.2)
+
     @_simulate
     async def test_rejection_has_the_values_of_the_team(self, read_clock):
         """Guards against a rejection that operators cannot explain."""
--- a/packages/router/fulmarward_router/exchange/tests/test_engines.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_engines.py
@@ -8,7 +8,11 @@
 
 from fulmarward_core.queueing import WaitingRequest
 from fulmarward_core.team_shares import TeamSettings
-from fulmarward_router.exchange._request_state import RejectedRequest
+from fulmarward_router.exchange._request_state import (
+    CutCause,
+    RejectedRequest,
+    TruncatedResponse,
+)
 from fulmarward_router.exchange.tests.test_ended_streams import _EndedStreamTest
 from fulmarward_router.exchange.tests.test_late_streams import _ENGINE
 
@@ -83,6 +87,27 @@
         await self.check_completes(attempt=2)
         self.assertEqual(self.list_used(), [])
 
+    async def test_request_that_waits_for_clearance_uses_nothing(self):
+        """Guards against a team that is charged for capacity it has released."""
+        self.begin()
+        settings = TeamSettings(is_enabled=True)
+        self.service._context = replace(
+            self.service._context, read_team_settings=lambda: settings
+        )
+        used = []
+
+        async def await_clearance(state):
+            used.append(sum(used_kv for used_kv, _ in self.list_used()))
+
+        # Before it seeks a path, and each time that it has found one.
+        checks = [None, TruncatedResponse(CutCause.INTERNAL_ERROR), None, None]
+        with (
+            mock.patch.object(self.service._crash_monitor, "check", side_effect=checks),
+            mock.patch.object(self.service, "_await_clearance", await_clearance),
+        ):
+            await self.await_attempt(1)
+        self.assertEqual(used, [0.0])
+
 
 class ClassServiceTest(_EndedStreamTest):
     """Serves streams of a service with classes by the real parts of an instance."""
