--- a/packages/router/fulmarward_router/mesh/_demands.py
+++ b/packages/router/fulmarward_router/mesh/_demands.py
@@ -103,8 +103,13 @@
     *, state: MeshState, encode: Callable[[object], bytes]
 ) -> ReportEncoder:
     """Return an encoder of the reports on demand."""
+
+    def make_reports(scope: DemandScope) -> Sequence[Report]:
+        # Looked up in each round: mesh states that never report need not have it.
+        return state.make_demand_reports(scope)
+
     return ReportEncoder(
-        make_reports=state.make_demand_reports,
+        make_reports=make_reports,
         list_entries=lambda report: report.demands,
         has_waiting=lambda demands: any(
             item.on_time_kv or item.late_kv for item in demands
@@ -120,8 +125,13 @@
 
     A class is listed only while a request of it waits at any instance.
     """
+
+    def make_reports(scope: DemandScope) -> Sequence[Report]:
+        # Looked up in each round: mesh states that never report need not have it.
+        return state.make_team_reports(scope)
+
     return ReportEncoder(
-        make_reports=state.make_team_reports,
+        make_reports=make_reports,
         list_entries=lambda report: report.uses,
         has_waiting=bool,
         encode=encode,
