--- a/packages/router/fulmarward_router/_processor.py
+++ b/packages/router/fulmarward_router/_processor.py
@@ -110,6 +110,11 @@
         return call
 
 
+def get_subsystem() -> str:
+    """Return the subsystem of the current task."""
+    return _SUBSYSTEM.get()
+
+
 def start_in_subsystem(
     subsystem: str, coroutine: Coroutine[Any, Any, _Result], *, name: str | None = None
 ) -> "asyncio.Task[_Result]":
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -4,7 +4,7 @@
 import logging
 import signal
 import time
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Awaitable, Callable, Coroutine, Mapping, Sequence
 from dataclasses import dataclass
 from functools import partial
@@ -40,6 +40,7 @@
 from fulmarward_router._processor import (
     LOG_INTERVAL_S,
     ProcessorMeter,
+    get_subsystem,
     start_in_subsystem,
 )
 from fulmarward_router._status import describe_status
@@ -190,8 +191,10 @@
         self._peer_bytes: Counter[str] = Counter()
         #: Messages received from peers by type.
         self._peer_messages: Counter[str] = Counter()
-        #: Calls to the store and to targets, by kind.
+        #: Calls to the store and to targets, by kind, and by the subsystem that made
+        #: them.
         self._calls: Counter[str] = Counter()
+        self._calls_by_subsystem: defaultdict[str, Counter[str]] = defaultdict(Counter)
         self.life = Life()
         self.metrics = make_router_metrics()
         self.meter = ProcessorMeter(read_clock=time.perf_counter)
@@ -536,6 +539,7 @@
 
     def _count_call(self, call: str, status: str) -> None:
         self._calls[call] += 1
+        self._calls_by_subsystem[get_subsystem()][call] += 1
         self.metrics.calls.inc({"call": call, "status": status})
 
     def _count_broken_attempt(self, service: str, progress: str) -> None:
@@ -691,6 +695,7 @@
                 subsystems=_round_values(self.meter.subsystems),
                 activities=_round_values(self.meter.activities),
                 calls=self._calls,
+                calls_by_subsystem=self._calls_by_subsystem,
                 peer_bytes=self._peer_bytes,
                 peer_messages=self._peer_messages,
             )
--- a/packages/router/fulmarward_router/tests/test_processor.py
+++ b/packages/router/fulmarward_router/tests/test_processor.py
@@ -1,7 +1,12 @@
 import asyncio
 import unittest
 
-from fulmarward_router._processor import OTHER, ProcessorMeter, start_in_subsystem
+from fulmarward_router._processor import (
+    OTHER,
+    ProcessorMeter,
+    get_subsystem,
+    start_in_subsystem,
+)
 
 
 class _Clock:
@@ -42,6 +47,20 @@
             dict(self.meter.subsystems), {"mesh": 7.0, "requests": 8.0, OTHER: 16.0}
         )
 
+    async def test_subsystem_is_that_of_the_task_that_started_the_current_one(self):
+        """Guards against calls that are counted for a wrong subsystem."""
+
+        async def get_in_another_task():
+            return await asyncio.create_task(self._get_subsystem())
+
+        self.assertEqual(
+            await start_in_subsystem("mesh", get_in_another_task()), "mesh"
+        )
+        self.assertEqual(get_subsystem(), OTHER)
+
+    async def _get_subsystem(self):
+        return get_subsystem()
+
     async def test_cancelled_and_failed_tasks_end_as_without_the_meter(self):
         """Guards against a meter that swallows cancellations or exceptions."""
         self.meter.install(asyncio.get_running_loop())
