Let followers of a large fleet call a lost store each 2.4 s at most

Cause: while the store resets calls, each instance of a large fleet retries two tables each 0.6 s, although two to four readers find out for all when it answers again. Instances without a table read as before, and so do the readers. Test: test_followers_of_a_large_fleet_call_a_lost_store_less_often (fails before); 9 tests of test_watch and test_restored_store pass.

--- a/packages/router/fulmarward_router/state/_watch.py
+++ b/packages/router/fulmarward_router/state/_watch.py
@@ -59,6 +59,10 @@
 RETRY_S = 0.15
 MAX_RETRY_INTERVAL_S = 0.6
 
+#: The same for an instance of a large fleet that is no reader. The readers notice first
+#: that the store answers again, and confirm what it knows before its next call.
+MAX_FOLLOWER_RETRY_INTERVAL_S = 2.4
+
 
 class StoreWatch:
     """Follows the store's tables and tracks whether the store is reachable."""
@@ -128,7 +132,9 @@
             except (StoreRefused, ReplyLost) as error:
                 self._record_outage(table, error)
                 await asyncio.sleep(pause_s * random.uniform(0.7, 1.3))
-                pause_s = min(MAX_RETRY_INTERVAL_S, pause_s * 2)
+                pause_s = self._lengthen_pause(
+                    pause_s, readers=CONFIGURATION_READERS, is_known=version is not None
+                )
                 continue
             pause_s = RETRY_S
             has_expired = wait_s == 0.0 and has_expired
@@ -185,7 +191,9 @@
             except (StoreRefused, ReplyLost) as error:
                 self._record_outage(self._store.targets_table, error)
                 await asyncio.sleep(pause_s * random.uniform(0.7, 1.3))
-                pause_s = min(MAX_RETRY_INTERVAL_S, pause_s * 2)
+                pause_s = self._lengthen_pause(
+                    pause_s, readers=READERS, is_known=is_complete
+                )
                 continue
             pause_s = RETRY_S
             self._record_success(self._store.targets_table)
@@ -193,6 +201,17 @@
             is_stale = self._is_stale(self._catalogue.confirmed_at)
             await asyncio.sleep(RETRY_S if is_stale else TARGETS_INTERVAL_S)
 
+    def _lengthen_pause(self, pause_s: float, *, readers: int, is_known: bool) -> float:
+        """Return the pause after the next failed call to the store.
+
+        Without a table, an instance cannot serve, and reads as often as a reader.
+        """
+        is_follower = (
+            is_known and self._is_large() and not self._is_among_first(readers)
+        )
+        limit_s = MAX_FOLLOWER_RETRY_INTERVAL_S if is_follower else MAX_RETRY_INTERVAL_S
+        return min(limit_s, pause_s * 2)
+
     def _must_read_targets(self) -> bool:
         is_stale = self._is_stale(self._catalogue.confirmed_at)
         return is_stale or self._is_among_first(READERS)
--- a/packages/router/fulmarward_router/tests/test_watch.py
+++ b/packages/router/fulmarward_router/tests/test_watch.py
@@ -1,8 +1,14 @@
+import asyncio
 import unittest
+from unittest import mock
 
-from fulmarward_router.ports import RowsRead
+from fulmarward_router.ports import RowsRead, StoreRefused
 from fulmarward_router.state import StoreWatch
-from fulmarward_router.state._watch import TARGETS_WAIT_S
+from fulmarward_router.state._watch import (
+    MAX_FOLLOWER_RETRY_INTERVAL_S,
+    MAX_RETRY_INTERVAL_S,
+    TARGETS_WAIT_S,
+)
 from fulmarward_router.tests.test_instance_state import Peer
 
 #: Seconds for which a saturated link delays an answer of the store.
@@ -24,6 +30,7 @@
     def __init__(self, peer):
         self._peer = peer
         self.delay_s = 0.0
+        self.is_out = False
         #: Seconds for which each call would wait for changes.
         self.waits = []
 
@@ -32,6 +39,8 @@
 
     async def follow_table(self, table, after, wait_s):
         self.waits.append(wait_s)
+        if self.is_out:
+            raise StoreRefused("out")
         self._peer.now += wait_s + self.delay_s
         return RowsRead(rows=(), version=after)
 
@@ -41,19 +50,22 @@
         self.peer = Peer("one")
         self.store = _Store(self.peer)
 
-    async def read_changes(self, *, aged_s=0.0):
-        """Read the whole table and, `aged_s` later, its changes."""
-        watch = StoreWatch(
+    def make_watch(self, *, is_large=False, is_reader=True):
+        return StoreWatch(
             store=self.store,
             configuration=self.peer.configuration,
             catalogue=self.peer.catalogue,
             read_clock=lambda: self.peer.now,
             notify_peers=lambda: None,
             handle_target_changes=lambda rows: None,
-            is_among_first=lambda count: True,
-            is_large=lambda: False,
+            is_among_first=lambda count: is_reader,
+            is_large=lambda: is_large,
             read_heartbeat_interval_s=lambda: 0.3,
         )
+
+    async def read_changes(self, *, aged_s=0.0):
+        """Read the whole table and, `aged_s` later, its changes."""
+        watch = self.make_watch()
         await watch._read_all()
         self.peer.now += aged_s
         await watch._read_changes()
@@ -72,3 +84,35 @@
             with self.subTest(name):
                 await self.read_changes(aged_s=aged_s)
                 self.assertEqual(self.store.waits.pop(), wait_s)
+
+    async def test_followers_of_a_large_fleet_call_a_lost_store_less_often(self):
+        """Guards against an outage of the store that each instance keeps asking."""
+        cases = [
+            # is_large, is_reader, longest pause
+            (True, False, MAX_FOLLOWER_RETRY_INTERVAL_S),
+            (True, True, MAX_RETRY_INTERVAL_S),
+            (False, False, MAX_RETRY_INTERVAL_S),
+        ]
+        for is_large, is_reader, longest_s in cases:
+            with self.subTest(is_large=is_large, is_reader=is_reader):
+                pauses = await self.record_pauses_of_an_outage(is_large, is_reader)
+                self.assertLessEqual(max(pauses), longest_s * 1.3)
+                self.assertGreaterEqual(max(pauses), longest_s * 0.7)
+
+    async def record_pauses_of_an_outage(self, is_large, is_reader):
+        """Return the pauses between calls in 20 s without the store."""
+        self.store.is_out = False
+        watch = self.make_watch(is_large=is_large, is_reader=is_reader)
+        pauses, ends_at = [], self.peer.now + 20.0
+
+        async def sleep(seconds):
+            self.store.is_out = True
+            pauses.append(seconds)
+            self.peer.now += seconds
+            if self.peer.now >= ends_at:
+                raise asyncio.CancelledError
+
+        with mock.patch("fulmarward_router.state._watch.asyncio.sleep", sleep):
+            with self.assertRaises(asyncio.CancelledError):
+                await watch.follow_targets()
+        return pauses
