Send losses of targets to all instances at once, in a message of their own

LossReport is a new last message. SendTime precedes it, so that its age does not include the time since the last heartbeat. Nothing sends it yet.

--- a/packages/core/fulmarward_core/suspicion/_table.py
+++ b/packages/core/fulmarward_core/suspicion/_table.py
@@ -174,11 +174,18 @@
         self.revision += 1
 
     def record_indirect_failure(
-        self, target: str, *, duration_s: float, now: float
+        self,
+        target: str,
+        *,
+        duration_s: float,
+        now: float,
+        observed_at: float | None = None,
     ) -> bool:
         """Exclude a target from new paths because a peer reported it unreachable.
 
         Running streams are not aborted (`is_unreachable`): the peer may be isolated.
+        `observed_at` is when the peer observed the failure, by default now: answers to
+        probes sent after that refute the report.
 
         Returns whether the target was considered reachable before.
         """
@@ -194,7 +201,7 @@
             target=target,
             until=now + duration_s,
             lasted_s=duration_s,
-            since=now,
+            since=now if observed_at is None else min(now, observed_at),
             reason=_INDIRECT,
         )
         self.revision += 1
--- a/packages/router/fulmarward_router/mesh/_dissemination.py
+++ b/packages/router/fulmarward_router/mesh/_dissemination.py
@@ -23,6 +23,10 @@
     sequence: int
 
 
+def _send_no_time(link: PeerLink) -> None:
+    """Send nothing before a report."""
+
+
 class Dissemination:
     """Numbers the reports of this instance, and recognizes those that are new."""
 
@@ -32,10 +36,14 @@
         own: InstanceIdentity,
         list_links: Callable[[], Sequence[PeerLink]],
         send: Callable[[Connection, object], None],
+        send_time: Callable[[PeerLink], None] = _send_no_time,
     ) -> None:
         self._own = own
         self._list_links = list_links
         self._send = send
+        #: Sends the time on a link before a report. Without it, the report counts as
+        #: sent with the last heartbeat.
+        self._send_time = send_time
         self._sequence = NOT_RELAYED
         #: Start time and sequence of the latest report of each instance. Never evicted:
         #: one entry per instance ever heard.
@@ -67,6 +75,7 @@
         """Send a message on all links but one."""
         for link in self._list_links():
             if link.connection is not except_to:
+                self._send_time(link)
                 self._send(link.connection, message)
 
 
--- a/packages/router/fulmarward_router/mesh/_links.py
+++ b/packages/router/fulmarward_router/mesh/_links.py
@@ -24,6 +24,7 @@
 )
 from fulmarward_router.mesh._leaving import LeavingExchange
 from fulmarward_router.mesh._limits import LimitExchange
+from fulmarward_router.mesh._losses import LossExchange
 from fulmarward_router.mesh._members import HEARTBEAT_INTERVAL_S, MemberTable
 from fulmarward_router.mesh._messages import (
     CompressedConfiguration,
@@ -45,6 +46,7 @@
     LeavingTargetReport,
     LimitReport,
     LoadUpdate,
+    LossReport,
     PatternReport,
     PermitRequest,
     PermitsGranted,
@@ -138,6 +140,11 @@
         return now if delay_s == float("inf") else now - delay_s
 
 
+def _call_later(delay_s: float, function: Callable[[], None]) -> None:
+    """Call a function of the running event loop after some seconds."""
+    asyncio.get_running_loop().call_later(delay_s, function)
+
+
 class Mesh:
     """The links that this instance dials and accepts, with one task for each."""
 
@@ -195,14 +202,21 @@
             list_links=self._sender.list_links,
             send=self._send_nowait,
         )
+        self._losses = LossExchange(
+            own=own,
+            state=state,
+            list_links=self._sender.list_links,
+            send=self._send_nowait,
+            send_time=self._send_time_nowait,
+            call_later=_call_later,
+            read_clock=read_clock,
+        )
         self._promises = PromiseExchange(
             own=own,
             promises=NoPromises() if promises is None else promises,
             list_links=self._sender.list_links,
             send=self._send_nowait,
-            call_later=lambda delay_s, function: asyncio.get_running_loop().call_later(
-                delay_s, function
-            ),
+            call_later=_call_later,
         )
         self._dial_tasks: dict[str, asyncio.Task] = {}
         #: Tasks that repeat deferred fetches.
@@ -245,6 +259,7 @@
             PermitsGranted: self._handle_permits_granted,
             LeavingReport: self._handle_leaving_report,
             RegainedReport: self._handle_regained_report,
+            LossReport: self._handle_loss_report,
             SupportsStoreEras: self._handle_supports_store_eras,
             ReturnPromises: self._handle_return_promises,
             TeamReport: self._handle_team_report,
@@ -276,6 +291,10 @@
         """Send to all instances which silent targets answer again."""
         self._regained.notify(reports)
 
+    def notify_lost(self, target: str) -> None:
+        """Send to all instances soon that a target was found unreachable here."""
+        self._losses.notify(target)
+
     def notify_promises(self) -> None:
         """Send soon which promises were made or redeemed here."""
         self._promises.notify()
@@ -374,6 +393,12 @@
         self._count_bytes("out", len(data))
         broadcast([connection], data)
 
+    def _send_time_nowait(self, link: PeerLink) -> None:
+        """Send the time on a link if its peer reads it."""
+        if link.transit is not None:
+            sent = make_send_time(link.transit, now=self._read_clock())
+            self._send_nowait(link.connection, sent)
+
     def _close_unwanted(self, now: float) -> None:
         """Close dialled links that have been unwanted for `UNWANTED_DURATION_S`."""
         links = self._sender.list_links()
@@ -789,6 +814,12 @@
         delay_s = receiver.find_delay_s(now=self._read_clock())
         self._regained.merge(message, delay_s=delay_s, received_on=receiver.connection)
 
+    async def _handle_loss_report(
+        self, receiver: _LinkReceiver, message: LossReport
+    ) -> None:
+        delay_s = receiver.find_delay_s(now=self._read_clock())
+        self._losses.merge(message, delay_s=delay_s, received_on=receiver.connection)
+
     async def _handle_return_promises(
         self, receiver: _LinkReceiver, message: ReturnPromises
     ) -> None:
--- a/packages/router/fulmarward_router/mesh/_messages.py
+++ b/packages/router/fulmarward_router/mesh/_messages.py
@@ -511,6 +511,31 @@
     uses: tuple[TeamUseReport, ...]
 
 
+class LostTargetReport(Message, kw_only=True):
+    """A target that an instance found unreachable by itself."""
+
+    target: str
+    #: Milliseconds for which the instance still excludes it.
+    for_ms: int
+    #: Milliseconds since the instance last observed the failure.
+    age_ms: int
+    #: Whether connections to it are refused or break off, rather than stay silent.
+    is_closed: bool
+
+
+class LossReport(Message, kw_only=True):
+    """Targets just found unreachable in a large fleet; each instance relays them once.
+
+    Heartbeats report them as well, in all fleets.
+    """
+
+    #: As in `LimitReport`.
+    origin: str
+    boot: int
+    sequence: int
+    losses: tuple[LostTargetReport, ...]
+
+
 #: All messages; the number of a message on the wire is its index here. A message keeps
 #: its number and its fields, as instances of different releases exchange it during a
 #: rolling update. A change is a new message at the end, which older releases ignore.
@@ -547,4 +572,5 @@
     DemandReport,
     ReturnPromises,
     TeamReport,
+    LossReport,
 )
--- a/packages/router/fulmarward_router/mesh/_state.py
+++ b/packages/router/fulmarward_router/mesh/_state.py
@@ -20,6 +20,7 @@
     Heartbeat,
     LeavingTargetReport,
     LoadUpdate,
+    LostTargetReport,
     PatternReport,
     PermitsGranted,
     RedeemedPromise,
@@ -117,6 +118,14 @@
         `delay_s` is for how long it was delayed in transit.
         """
 
+    def make_loss_reports(self, targets: Iterable[str]) -> Sequence[LostTargetReport]:
+        """Return which of the targets this instance itself finds unreachable."""
+
+    def merge_losses(
+        self, losses: Iterable[LostTargetReport], *, source: str, delay_s: float
+    ) -> None:
+        """Merge which targets an instance found unreachable, delayed in transit."""
+
     def merge_regained(
         self, reports: Iterable[RegainedTargetReport], *, source: str, delay_s: float
     ) -> None:
--- a/packages/router/fulmarward_router/state/_instance_state.py
+++ b/packages/router/fulmarward_router/state/_instance_state.py
@@ -17,7 +17,7 @@
     find_number,
     make_store_version,
 )
-from fulmarward_core.suspicion import SuspicionTable
+from fulmarward_core.suspicion import FailureKind, SuspicionTable
 from fulmarward_core.team_shares import TeamSettings, TeamTable
 from fulmarward_router.mesh import (
     Answer,
@@ -41,6 +41,7 @@
     InstanceReport,
     LoadReport,
     LoadUpdate,
+    LostTargetReport,
     MemberTable,
     PaceReport,
     RegainedTargetReport,
@@ -594,15 +595,61 @@
     def _merge_losses(
         self, losses: Iterable[FailureReport], source: str, sent_at: float
     ) -> None:
+        now = self._read_clock()
+        self._exclude_reported(
+            [(loss.target, sent_at + loss.for_ms / 1000 - now, now) for loss in losses],
+            source,
+        )
+
+    def make_loss_reports(self, targets: Iterable[str]) -> list[LostTargetReport]:
+        """Return which of the targets this instance itself finds unreachable."""
+        now = self._read_clock()
+        names = set(targets)
+        return [
+            LostTargetReport(
+                target=item.target,
+                for_ms=int((item.until - now) * 1000),
+                age_ms=int((now - item.since) * 1000),
+                is_closed=item.kind is FailureKind.CLOSED,
+            )
+            for item in self._suspicions.list_direct_failures(now=now)
+            if item.target in names and self._is_reportable(item.target)
+        ]
+
+    def merge_losses(
+        self, losses: Iterable[LostTargetReport], *, source: str, delay_s: float
+    ) -> None:
+        """Merge which targets an instance found unreachable, delayed in transit."""
+        now = self._read_clock()
+        sent_at = now - delay_s
+        self._exclude_reported(
+            [
+                (
+                    loss.target,
+                    sent_at + loss.for_ms / 1000 - now,
+                    sent_at - max(0, loss.age_ms) / 1000,
+                )
+                for loss in losses
+            ],
+            source,
+        )
+
+    def _exclude_reported(
+        self, losses: Iterable[tuple[str, float, float]], source: str
+    ) -> None:
+        """Exclude targets that a peer reported, and verify those observed here.
+
+        Each loss is a target, the seconds for which to exclude it, and when the failure
+        was observed, in seconds on the monotonic clock.
+        """
         now = self._read_clock()
         reported = []
-        for loss in losses:
-            duration_s = sent_at + loss.for_ms / 1000 - now
+        for target, duration_s, observed_at in losses:
             if duration_s > 0 and self._suspicions.record_indirect_failure(
-                loss.target, duration_s=duration_s, now=now
+                target, duration_s=duration_s, now=now, observed_at=observed_at
             ):
-                log_event("target_unreachable", target=loss.target, source=source)
-                reported.append(loss.target)
+                log_event("target_unreachable", target=target, source=source)
+                reported.append(target)
         to_verify = [target for target in reported if self._is_observer(target)]
         if to_verify:
             self._probe_targets(to_verify)
--- a/packages/router/fulmarward_router/tests/test_instance_state.py
+++ b/packages/router/fulmarward_router/tests/test_instance_state.py
@@ -367,6 +367,20 @@
         self.assertEqual(self.two.probed, ["u"])
         self.assertTrue(self.two.suspicions.is_suspect("t", now=100.1))
 
+    def test_loss_that_is_sent_at_once_is_a_report_from_its_observation_on(self):
+        """Guards against a wrong report that answers after the loss don't refute."""
+        for name in "tu":
+            self.one.suspicions.record_failure(name, now=100.0)
+        losses = self.one.instance_state.make_loss_reports(["t", "reachable"])
+        self.assertEqual([loss.target for loss in losses], ["t"])
+        self.two.now = 100.1
+        self.two.instance_state.merge_losses(losses, source="one", delay_s=0.1)
+        self.assertTrue(self.two.suspicions.is_indirect("t", now=101.9))
+        self.assertFalse(self.two.suspicions.is_suspect("t", now=102.1))
+        self.assertEqual(self.two.probed, ["t"], "by its observer")
+        self.assertFalse(self.two.suspicions.record_answer("t", asked_at=99.9))
+        self.assertTrue(self.two.suspicions.record_answer("t", asked_at=100.05))
+
     def test_slow_target_is_reported_with_the_age_of_its_pace(self):
         self.one.paces.note("t", 12.0, at=99.0)
         self.two.receive_heartbeat(self.one)
