Report a target that is found unreachable at once in large fleets

Losses found by an instance itself went to others with heartbeats only. The failure detector now also hands them to the mesh, which sends LossReport. A loss that a peer had reported, or of a service that the instance does not reach, is not sent.

--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -387,6 +387,7 @@
             read_clock=self._clock,
             notify_peers=self._notify_peers,
             is_large=lambda: self.members.is_large,
+            notify_lost=lambda target: self.mesh.notify_lost(target),
             notify_regained=self._notify_regained,
             is_observer=self.listing.is_observer,
             is_listed=self.listing.is_own_listed,
--- a/packages/router/fulmarward_router/exchange/_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/_failure_detector.py
@@ -77,6 +77,10 @@
     return _CallResult(answered_s=None, is_closed=are_closed)
 
 
+def _ignore_lost(target: str) -> None:
+    """Notify no peers."""
+
+
 def _ignore_regained(targets: Sequence[str], asked_at: float) -> None:
     """Notify no peers."""
 
@@ -99,10 +103,14 @@
         read_clock: Callable[[], float],
         notify_peers: Callable[[], None],
         is_large: Callable[[], bool] = lambda: False,
+        notify_lost: Callable[[str], None] = _ignore_lost,
         notify_regained: Callable[[Sequence[str], float], None] = _ignore_regained,
         is_observer: Callable[[str], bool] = lambda target: True,
         is_listed: Callable[[], bool] = lambda: True,
     ) -> None:
+        #: Notifies all peers at once, sooner than heartbeats, that a target was found
+        #: unreachable. Called in large fleets only.
+        self._notify_lost = notify_lost
         #: Notifies peers which targets have answered, and when they were probed.
         self._notify_regained = notify_regained
         #: Returns whether this instance probes a target on behalf of others.
@@ -150,6 +158,8 @@
                 kind=kind.value,
             )
             self._notify_peers()
+            if self._is_large():
+                self._notify_lost(target)
             self._verify_service(target)
 
     def _verify_service(self, target: str) -> None:
--- a/packages/router/fulmarward_router/exchange/tests/test_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_failure_detector.py
@@ -114,6 +114,8 @@
         self.notifications = 0
         #: Targets of which it notified its peers that they answer.
         self.regained = []
+        #: Targets of which it notified its peers at once that they are lost.
+        self.lost = []
         self.dialect = _Dialect(self.clock, silent)
         self.detector = FailureDetector(
             dialect=self.dialect,
@@ -122,6 +124,7 @@
             contacts=ContactTable(),
             read_clock=lambda: self.clock.now,
             notify_peers=self._count_notification,
+            notify_lost=self.lost.append,
             notify_regained=lambda targets, asked_at: self.regained.extend(targets),
             is_large=lambda: is_large,
             is_observer=is_observer,
@@ -394,6 +397,15 @@
             instance.clock.now += wait_s
         self.assertEqual(instance.list_direct_failures(), "b")
 
+    async def test_loss_is_sent_at_once_in_a_large_fleet_only(self):
+        """Guards against instances that each find the same loss by their own probes."""
+        for is_large in (True, False):
+            with self.subTest(is_large=is_large):
+                instance = _Instance(lambda now: "b", is_large=is_large)
+                await instance.detector.probe_and_wait("abc")
+                self.assertEqual(instance.lost, ["b"] if is_large else [])
+                self.assertEqual(instance.notifications, 1, "heartbeats as before")
+
     async def test_observer_refutes_the_report_of_an_isolated_peer(self):
         """Guards against a healthy target that all others avoid on a peer's word."""
         for is_large in (True, False):
--- a/packages/router/fulmarward_router/tests/test_instance_state.py
+++ b/packages/router/fulmarward_router/tests/test_instance_state.py
@@ -137,6 +137,8 @@
             peer.unreached = unreached
             losses = peer.instance_state.make_heartbeat().losses
             self.assertEqual([loss.target for loss in losses], expected)
+            losses = peer.instance_state.make_loss_reports(services)
+            self.assertEqual([loss.target for loss in losses], expected)
 
     def test_isolated_peer_is_no_candidate_for_duties_that_need_targets(self):
         """Guards against a duty that stays vacant behind an isolated instance."""
@@ -381,6 +383,12 @@
         self.assertFalse(self.two.suspicions.record_answer("t", asked_at=99.9))
         self.assertTrue(self.two.suspicions.record_answer("t", asked_at=100.05))
 
+    def test_loss_that_a_peer_reported_is_not_sent_again(self):
+        """Guards against a message from each instance that confirms a loss."""
+        self.one.suspicions.record_indirect_failure("t", duration_s=2.0, now=100.0)
+        self.assertTrue(self.one.suspicions.record_failure("t", now=100.0))
+        self.assertEqual(self.one.instance_state.make_loss_reports(["t"]), [])
+
     def test_slow_target_is_reported_with_the_age_of_its_pace(self):
         self.one.paces.note("t", 12.0, at=99.0)
         self.two.receive_heartbeat(self.one)
