Probe just the reported target of a silent stream in large fleets

The reported target is now probed first, with controls. The rest of the path is probed if it answers, if it serves another stream, if the stream made progress after the failure was observed, or after 60 ms more of silence. A stream is rerouted only after a probe of this instance, as before. Small fleets are unchanged.

--- a/packages/core/fulmarward_core/stalls/__init__.py
+++ b/packages/core/fulmarward_core/stalls/__init__.py
@@ -3,6 +3,7 @@
 from fulmarward_core.stalls.decisions import (
     MIN_JOINT_STALL_S,
     MIN_STALL_S,
+    REPORT_HOLD_S,
     StallThresholds,
     StreamView,
     compute_check_delay_s,
@@ -14,6 +15,7 @@
 __all__ = [
     "MIN_JOINT_STALL_S",
     "MIN_STALL_S",
+    "REPORT_HOLD_S",
     "StallThresholds",
     "StreamView",
     "compute_check_delay_s",
--- a/packages/core/fulmarward_core/stalls/decisions.py
+++ b/packages/core/fulmarward_core/stalls/decisions.py
@@ -27,6 +27,10 @@
 #: the order of another path to the next event.
 MAX_STALL_SHARE = 0.24
 
+#: Seconds for which the report of a peer on a target may explain why a stream is
+#: stalled. A probe of that target ends after 35 to 70 ms.
+REPORT_HOLD_S = 0.06
+
 #: Weight of the mean pause in the longest recent pause, at each event.
 LONGEST_PAUSE_DECAY = 0.002
 
@@ -39,6 +43,8 @@
     targets: tuple[str, ...]
     #: Seconds since its last event.
     silent_s: float
+    #: Those of its targets that a peer reported and that have not answered since.
+    reported: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -99,7 +105,11 @@
 def find_stalled_targets(
     streams: Sequence[StreamView], *, thresholds: StallThresholds
 ) -> list[str]:
-    """Return the targets at which all streams are stalled, in order of appearance."""
+    """Return the targets at which all streams are stalled, in order of appearance.
+
+    A stream that passes through a target that a peer reported is no reason to probe
+    the rest of its path, until it is silent for `REPORT_HOLD_S` more.
+    """
     active: set[str] = set()
     stalled: dict[str, int] = {}
     long_stalled: set[str] = set()
@@ -111,8 +121,16 @@
             stalled[name] = stalled.get(name, 0) + 1
         if stream.silent_s >= thresholds.single_s:
             long_stalled.update(stream.targets)
+    held_until_s = max(MIN_STALL_S, thresholds.joint_s) + REPORT_HOLD_S
+    in_question: set[str] = set()
+    for stream in streams:
+        # A report does not explain the silence if its target serves other streams.
+        reported = stream.reported - active
+        is_explained = reported and stream.silent_s < held_until_s
+        in_question.update(reported if is_explained else stream.targets)
     return [
         name
         for name, count in stalled.items()
-        if name not in active and (name in long_stalled or count >= JOINT_STALL_COUNT)
+        if name in in_question - active
+        and (name in long_stalled or count >= JOINT_STALL_COUNT)
     ]
--- a/packages/core/fulmarward_core/stalls/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/stalls/tests/test_decisions.py
@@ -4,6 +4,7 @@
 
 from fulmarward_core.stalls import (
     MIN_STALL_S,
+    REPORT_HOLD_S,
     StreamView,
     compute_check_delay_s,
     compute_stall_thresholds,
@@ -12,8 +13,10 @@
 )
 
 
-def _make_stream(targets, silent_s):
-    return StreamView(targets=tuple(targets), silent_s=silent_s)
+def _make_stream(targets, silent_s, reported=""):
+    return StreamView(
+        targets=tuple(targets), silent_s=silent_s, reported=frozenset(reported)
+    )
 
 
 def _find_stalled(streams, **pauses):
@@ -68,6 +71,30 @@
                 )
                 self.assertEqual("".join(targets), expected)
 
+    def test_report_of_a_target_explains_a_stalled_stream_for_a_while(self):
+        """Guards against probes of whole paths for a failure that a peer has found.
+
+        What other streams show of a target is found as early as without the report.
+        """
+        silent_s, late_s = 0.08, MIN_STALL_S + REPORT_HOLD_S + 0.001
+        reported = _make_stream("abc", silent_s, "b")
+        cases = [
+            ("reported", [reported], "b"),
+            ("silent for longer", [_make_stream("abc", late_s, "b")], "abc"),
+            ("serves another", [reported, _make_stream("b", 0.01)], "ac"),
+            ("two reported", [_make_stream("abc", silent_s, "bc")], "bc"),
+            ("another stream", [reported, _make_stream("cd", silent_s)], "bcd"),
+            (
+                "joint stall",
+                [_make_stream("abc", 0.05, "b")] * 2 + [_make_stream("cd", 0.05)],
+                "c",
+            ),
+        ]
+        for name, streams, expected in cases:
+            with self.subTest(name):
+                targets = _find_stalled(streams, mean_pause_s=0.03)
+                self.assertEqual("".join(targets), expected)
+
     def test_longest_pause_is_forgotten_over_many_events(self):
         """Guards against one long pause that delays the detection ever after."""
         longest_s = 0.3
--- a/packages/core/fulmarward_core/suspicion/_table.py
+++ b/packages/core/fulmarward_core/suspicion/_table.py
@@ -449,6 +449,15 @@
         known = self._suspicions.get(target)
         return known is not None and now < known.until and known.reason == _INDIRECT
 
+    def is_reported_since(self, target: str, *, served_at: float, now: float) -> bool:
+        """Return whether a peer's report alone excludes a target that served then.
+
+        A stream that made progress after the peer observed the failure is not silent
+        for that reason.
+        """
+        known = self._suspicions.get(target)
+        return self.is_indirect(target, now=now) and served_at <= known.since
+
     def find_reason(self, target: str, *, now: float) -> str:
         """Return why a target is excluded from new work, empty if it is not."""
         known = self._suspicions.get(target)
--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -255,7 +255,9 @@
 
         A failed target stalls every stream that passes through it; a target through
         which any stream makes progress is healthy. All others are probed concurrently
-        to find the one that does not answer.
+        to find the one that does not answer. In a large fleet, targets that a peer
+        reported are probed first, and the rest of their paths only if they answer or
+        the silence lasts: most failures are found by some instance before all others.
         """
         begun = [
             attempt
@@ -272,6 +274,7 @@
             StreamView(
                 targets=tuple(hop.target for hop in attempt.path),
                 silent_s=now - attempt.last_activity_at,
+                reported=self._list_reported(attempt, now),
             )
             for attempt in begun
         ]
@@ -279,6 +282,20 @@
         if suspects:
             self._failure_detector.probe_stalled(suspects)
 
+    def _list_reported(self, attempt: Attempt, now: float) -> frozenset[str]:
+        """Return the targets whose reported failure may explain a stream's silence.
+
+        None in a small fleet.
+        """
+        if not self._context.is_large():
+            return frozenset()
+        table, last_event_at = self._suspicions, attempt.last_event_at
+        return frozenset(
+            hop.target
+            for hop in attempt.path
+            if table.is_reported_since(hop.target, served_at=last_event_at, now=now)
+        )
+
     def _compute_stall_thresholds(self, begun: Iterable[Attempt]) -> StallThresholds:
         """Return when streams count as stalled.
 
--- a/packages/router/fulmarward_router/exchange/tests/test_failover.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_failover.py
@@ -54,6 +54,7 @@
 class ProgressAfterFailureTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.now = 100.0
+        self.is_large = False
         self.suspicions = SuspicionTable()
         self.failure_detector = mock.Mock()
         context = SimpleNamespace(
@@ -62,6 +63,7 @@
             suspicions=self.suspicions,
             ledger=None,
             read_clock=lambda: self.now,
+            is_large=lambda: self.is_large,
         )
         self.supervisor = StreamSupervisor(
             context=context,
@@ -71,7 +73,7 @@
         )
         path = tuple(SimpleNamespace(target=name) for name in ("first", "second"))
         self.attempt = Attempt(
-            state=None,
+            state=SimpleNamespace(route=SimpleNamespace(pause_s=0.25)),
             engine=None,
             wanted=None,
             path=path,
@@ -122,3 +124,38 @@
         self.assertEqual(self._list_unreachable(), ["second"])
         self.supervisor._probe_unconfirmed(self.attempt, self.now)
         self.failure_detector.probe.assert_not_called()
+
+    def _probe_stalled(self, silent_s):
+        """Return which targets are probed once the stream is silent for so long."""
+        self.failure_detector.reset_mock()
+        self.now = self.attempt.last_event_at + silent_s
+        self.supervisor._probe_stalled(self.now)
+        calls = self.failure_detector.probe_stalled.call_args_list
+        return [name for call in calls for name in call.args[0]]
+
+    def test_silent_stream_probes_just_the_target_that_a_peer_reported(self):
+        """Guards against probes of whole paths by each instance after a loss.
+
+        The rest is probed if that target answers, or if the silence lasts, and at once
+        if the stream made progress after the failure was observed.
+        """
+        self.is_large = True
+        path = ["first", "second"]
+        self.supervisor.record_activity(self.attempt)
+        self.assertEqual(self._probe_stalled(0.09), path, "not reported")
+        self.suspicions.record_indirect_failure("second", duration_s=2.0, now=100.05)
+        self.assertEqual(self._probe_stalled(0.09), ["second"])
+        self.assertEqual(self._list_unreachable(), [], "until probed here")
+        self.assertEqual(self._probe_stalled(0.121), path, "silent for longer")
+        self.suspicions.record_answer("second", asked_at=100.06)
+        self.assertEqual(self._probe_stalled(0.1), path, "answered")
+        self.suspicions.record_indirect_failure("first", duration_s=9.0, now=100.1)
+        self.now = 100.2
+        self.supervisor.record_activity(self.attempt)
+        self.assertEqual(self._probe_stalled(0.1), path, "served since")
+
+    def test_silent_stream_of_a_small_fleet_probes_its_path(self):
+        """Guards against another detection in fleets where nothing was to change."""
+        self.supervisor.record_activity(self.attempt)
+        self.suspicions.record_indirect_failure("second", duration_s=2.0, now=100.05)
+        self.assertEqual(self._probe_stalled(0.09), ["first", "second"])
