--- a/packages/core/fulmarward_core/stalls/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/stalls/tests/test_decisions.py
@@ -78,17 +78,14 @@
         """
         silent_s, late_s = 0.08, MIN_STALL_S + REPORT_HOLD_S + 0.001
         reported = _make_stream("abc", silent_s, "b")
+        early = _make_stream("abc", 0.05, "b")
         cases = [
             ("reported", [reported], "b"),
             ("silent for longer", [_make_stream("abc", late_s, "b")], "abc"),
             ("serves another", [reported, _make_stream("b", 0.01)], "ac"),
             ("two reported", [_make_stream("abc", silent_s, "bc")], "bc"),
             ("another stream", [reported, _make_stream("cd", silent_s)], "bcd"),
-            (
-                "joint stall",
-                [_make_stream("abc", 0.05, "b")] * 2 + [_make_stream("cd", 0.05)],
-                "c",
-            ),
+            ("joint stall", [early, early, _make_stream("cd", 0.05)], "c"),
         ]
         for name, streams, expected in cases:
             with self.subTest(name):
--- a/packages/router/fulmarward_router/mesh/tests/test_promises.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_promises.py
@@ -6,6 +6,7 @@
 from fulmarward_core.poison import compute_fingerprint
 from fulmarward_core.waits import MAX_OPEN_PROMISES, ReturnStatus
 from fulmarward_router.mesh import (
+    LossReport,
     MemberTable,
     Mesh,
     ReturnPromises,
@@ -155,12 +156,18 @@
 class OlderReleaseTest(unittest.IsolatedAsyncioTestCase):
     async def test_older_release_ignores_the_message(self):
         """Guards against links that break during a rolling update."""
-        message = ReturnPromises(
-            origin="a", boot=1, sequence=1, promises=(), redeemed=()
-        )
+        start = {"origin": "a", "boot": 1, "sequence": 1}
+        for message in (
+            ReturnPromises(**start, promises=(), redeemed=()),
+            LossReport(**start, losses=()),
+        ):
+            with self.subTest(type(message)):
+                await self._send_to_older_release(message)
+
+    async def _send_to_older_release(self, message):
         recorded = []
         own = make_heartbeat("own").sender
-        number = MESSAGES.index(ReturnPromises)
+        number = MESSAGES.index(type(message))
         mesh = Mesh(
             poison=make_poison_knowledge(),
             limits=make_target_limits(),
