Let observers take over a reported loss, and send prolonged exclusions at once

Heartbeats carry the losses of an instance within its data centre only: a hub's heartbeat to the hubs of others has just its own losses. So an instance elsewhere that confirms a LossReport is left with an exclusion that nobody there prolongs or checks, and after 2 s requests go to the lost target. Before LossReport, such an instance found the loss by itself.

In large fleets, an observer that confirms a reported loss now reports it and probes the target again, as the one that found it. A recheck without an answer is sent as a LossReport too. The relay pause is 0.5 s, so that these are relayed.

--- a/packages/core/fulmarward_core/suspicion/_table.py
+++ b/packages/core/fulmarward_core/suspicion/_table.py
@@ -115,16 +115,22 @@
         now: float,
         reason: str = "unreachable",
         kind: FailureKind = FailureKind.CLOSED,
+        takes_over: bool = False,
     ) -> bool:
         """Record that a target did not answer.
 
+        If it `takes_over`, this instance from now on reports a failure that a peer has
+        reported, and probes the target again, as if it had found the failure first.
+
         Returns whether it was considered reachable before.
         """
-        known = self._suspicions.get(target)
-        if known is not None and now < known.until:
-            if known.reason == _INDIRECT:
+        known, reported_s = self._suspicions.get(target), 0.0
+        if self.is_indirect(target, now=now):
+            if not takes_over:
                 self._confirm(known, kind, now)
                 return True
+            known, reported_s = None, known.until - now
+        if known is not None and now < known.until:
             if known.reason in _DIRECT:
                 is_closed = kind is FailureKind.CLOSED
                 self._suspicions[target] = replace(
@@ -134,7 +140,7 @@
                     kind=kind if is_closed else known.kind,
                 )
                 return False
-        lasted_s = self._find_duration_s(known, kind, now)
+        lasted_s = max(self._find_duration_s(known, kind, now), reported_s)
         self._suspicions[target] = Suspicion(
             target=target,
             until=now + lasted_s,
--- a/packages/core/fulmarward_core/suspicion/tests/test_table.py
+++ b/packages/core/fulmarward_core/suspicion/tests/test_table.py
@@ -95,6 +95,17 @@
                 self.assertEqual(found, excluded_s)
                 self.assertEqual(table.is_unreachable("t", now=2.0), excluded_s is None)
 
+    def test_report_that_is_taken_over_is_a_failure_found_here(self):
+        """Guards against a silence that nobody watches, and a shorter exclusion."""
+        table = SuspicionTable()
+        table.record_indirect_failure("t", duration_s=4.0, now=0.0)
+        failure = {"kind": FailureKind.SILENT, "takes_over": True}
+        self.assertTrue(table.record_failure("t", now=0.1, **failure))
+        self.assertFalse(table.record_failure("t", now=0.2, **failure), "known")
+        [found] = table.list_direct_failures(now=3.9)
+        self.assertAlmostEqual(found.until, 4.0)
+        self.assertEqual(table.list_due_probes(now=0.5), ["t"])
+
     def test_silent_target_that_closes_connections_later_has_crashed(self):
         """Guards against requests to a target whose host ended it after a silence."""
         table = SuspicionTable()
--- a/packages/router/fulmarward_router/exchange/_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/_failure_detector.py
@@ -109,7 +109,7 @@
         is_listed: Callable[[], bool] = lambda: True,
     ) -> None:
         #: Notifies all peers at once, sooner than heartbeats, that a target was found
-        #: unreachable. Called in large fleets only.
+        #: unreachable, or still is. Called in large fleets only.
         self._notify_lost = notify_lost
         #: Notifies peers which targets have answered, and when they were probed.
         self._notify_regained = notify_regained
@@ -149,7 +149,12 @@
         """Record that a target is unreachable."""
         now = self._read_clock()
         self._stall_intervals_s.pop(target, None)
-        if self._suspicions.record_failure(target, now=now, kind=kind):
+        # Reports reach other data centres without the heartbeats that repeat them.
+        # Observers there repeat them, so that the exclusion does not end too early.
+        takes_over = self._is_large() and self._is_observer(target)
+        if self._suspicions.record_failure(
+            target, now=now, kind=kind, takes_over=takes_over
+        ):
             log_event(
                 "target_unreachable",
                 target=target,
@@ -503,6 +508,8 @@
             if self._suspicions.is_unreachable(name, now=now):
                 kind = _find_kind(probe_round, name)
                 self._suspicions.extend(name, now=now, kind=kind)
+                if self._is_large():
+                    self._notify_lost(name)
                 log_event(
                     "target_still_unreachable",
                     target=name,
--- a/packages/router/fulmarward_router/exchange/tests/test_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_failure_detector.py
@@ -406,6 +406,25 @@
                 self.assertEqual(instance.lost, ["b"] if is_large else [])
                 self.assertEqual(instance.notifications, 1, "heartbeats as before")
 
+    async def test_observer_repeats_the_report_of_a_lost_target(self):
+        """Guards against an exclusion that ends where no heartbeats prolong it."""
+        for is_observer, expected in ((True, "bb"), (False, "b")):
+            with self.subTest(is_observer=is_observer):
+                instance = _Instance(
+                    lambda now: "b",
+                    is_large=True,
+                    is_observer=lambda target, result=is_observer: result,
+                )
+                instance.table.record_indirect_failure("b", duration_s=2.0, now=99.9)
+                await instance.detector.probe_and_wait("abc")
+                found = instance.list_direct_failures()
+                self.assertEqual(found, "b" if is_observer else "", "others confirm")
+                instance.clock.now += SUSPECT_DURATION_S - RECHECK_AHEAD_S + 0.1
+                checking = asyncio.create_task(instance.detector.run())
+                await asyncio.sleep(2 * BUSY_RECHECK_INTERVAL_S)
+                checking.cancel()
+                self.assertEqual("".join(instance.lost), expected)
+
     async def test_observer_refutes_the_report_of_an_isolated_peer(self):
         """Guards against a healthy target that all others avoid on a peer's word."""
         for is_large in (True, False):
--- a/packages/router/fulmarward_router/mesh/_losses.py
+++ b/packages/router/fulmarward_router/mesh/_losses.py
@@ -27,8 +27,10 @@
 MAX_MESSAGES_PER_S = 20
 
 #: Seconds for which the loss of a target that was sent is not relayed again. Up to 30
-#: instances find the same loss by themselves within 50 ms.
-RELAY_PAUSE_S = 1.0
+#: instances find the same loss by themselves within 50 ms. Shorter than the pause
+#: between the reports that prolong an exclusion: those of a crashed target follow after
+#: 1.2 s.
+RELAY_PAUSE_S = 0.5
 
 
 class LossExchange:
