Fair queueing of admission as a module of its own

Team shares and admission control both divide capacity by weights, and the mechanism was private to admission (design 0023, part C). fulmarward_core.fair_queueing has it now, for flows with any keys and costs, and admission uses it for teams and for the urgencies within a team.

--- a/packages/core/fulmarward_core/admission/_types.py
+++ b/packages/core/fulmarward_core/admission/_types.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from fulmarward_core.declaration import Urgency
+from fulmarward_core.fair_queueing import FlowSchedule
 from fulmarward_core.results import ResultCode
 
 
@@ -58,28 +59,6 @@
     promised: float = 0.0
 
 
-@dataclass(kw_only=True)
-class Flow:
-    """A queue that shares a schedule with others in proportion to its weight."""
-
-    #: A flow of weight 2 receives twice the service of one of weight 1.
-    weight: float
-    #: Start tag of its next item, in the virtual time of the schedule.
-    start_tag: float = 0.0
-    #: Seconds of queued service.
-    backlog_s: float = 0.0
-
-
-@dataclass(kw_only=True)
-class FlowSchedule:
-    """Start-time fair queueing (SFQ) over several flows."""
-
-    #: Flows by key.
-    flows: dict[object, Flow] = field(default_factory=dict)
-    #: Start tag of the item that was served last.
-    virtual_time: float = 0.0
-
-
 @dataclass(kw_only=True)
 class FairQueue:
     """Requests that wait for a place in one pool.
