--- a/packages/core/fulmarward_core/team_shares/decisions.py
+++ b/packages/core/fulmarward_core/team_shares/decisions.py
@@ -1,7 +1,15 @@
-"""Which team is served first, and how much capacity each leaves to the others."""
+"""Which team is served first, and how much capacity each leaves to the others.
+
+Teams are ordered by tags, as the flows of `fulmarward_core.fair_queueing`. There a tag
+grows with what a flow was served at one instance. Here it is what a team holds at all
+instances at present, its relative use. The order has to agree with the limits of
+`compute_team_share`: with start tags, a request that had to leave capacity to other
+teams was first in the queue, and theirs waited behind it.
+"""
 
 from collections.abc import Mapping
 
+from fulmarward_core.fair_queueing import compute_tag
 from fulmarward_core.reservations import MIN_KV_SHARE
 from fulmarward_core.team_shares._types import TeamSettings, TeamUse
 
@@ -20,7 +28,9 @@
     no use.
     """
     use = uses.get(team)
-    return 0.0 if use is None else use.used_kv / settings.find_weight(team)
+    if use is None:
+        return 0.0
+    return compute_tag(use.used_kv, weight=settings.find_weight(team))
 
 
 def compute_team_share(
