Label the metric of calls with the subsystem that makes them

The log line resources_measured lists calls by subsystem, the metric did not, so that a dashboard could not tell probes of streams from those of retries. The label has the values that the log line has. Tests: fulmarward_router.tests.test_processor, 5 passed.

--- a/packages/router/fulmarward_router/_metrics.py
+++ b/packages/router/fulmarward_router/_metrics.py
@@ -49,7 +49,8 @@
     throttled_requests: Counter
     #: Requests that were relayed to a peer, by `service` and `outcome` there.
     relays: Counter
-    #: Calls to the store and to targets, by `call` and `status`.
+    #: Calls to the store and to targets, by `call`, `status` and the `subsystem` that
+    #: made them.
     calls: Counter
     #: Bytes exchanged with peers, by `direction`.
     peer_bytes: Counter
@@ -128,7 +129,9 @@
         relays=factory.count(
             "relays_total", "Requests relayed to a peer, by service and outcome."
         ),
-        calls=factory.count("calls_total", "Calls to the store and to targets."),
+        calls=factory.count(
+            "calls_total", "Calls to the store and to targets, by subsystem."
+        ),
         peer_bytes=factory.count("peer_bytes_total", "Bytes between instances."),
         peer_messages=factory.count(
             "peer_messages_total", "Messages received from instances, by kind."
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -539,8 +539,10 @@
 
     def _count_call(self, call: str, status: str) -> None:
         self._calls[call] += 1
-        self._calls_by_subsystem[get_subsystem()][call] += 1
-        self.metrics.calls.inc({"call": call, "status": status})
+        subsystem = get_subsystem()
+        self._calls_by_subsystem[subsystem][call] += 1
+        labels = {"call": call, "status": status, "subsystem": subsystem}
+        self.metrics.calls.inc(labels)
 
     def _count_broken_attempt(self, service: str, progress: str) -> None:
         self.metrics.broken_attempts.inc({"service": service, "progress": progress})
--- a/packages/router/fulmarward_router/tests/test_processor.py
+++ b/packages/router/fulmarward_router/tests/test_processor.py
@@ -1,12 +1,16 @@
 import asyncio
 import unittest
+from collections import Counter, defaultdict
+from types import SimpleNamespace
 
+from fulmarward_router._metrics import make_router_metrics
 from fulmarward_router._processor import (
     OTHER,
     ProcessorMeter,
     get_subsystem,
     start_in_subsystem,
 )
+from fulmarward_router.daemon import _Instance
 
 
 class _Clock:
@@ -61,6 +65,23 @@
     async def _get_subsystem(self):
         return get_subsystem()
 
+    async def test_calls_are_counted_for_the_subsystem_that_makes_them(self):
+        """Guards against a metric that does not tell why targets are probed."""
+        metrics = make_router_metrics()
+        instance = SimpleNamespace(
+            _calls=Counter(), _calls_by_subsystem=defaultdict(Counter), metrics=metrics
+        )
+
+        async def count_call():
+            _Instance._count_call(instance, "/report", "200")
+
+        for subsystem in ("paces", "streams", "paces"):
+            await start_in_subsystem(subsystem, count_call())
+        labels = {"call": "/report", "status": "200"}
+        for subsystem, expected in (("paces", 2), ("streams", 1)):
+            count = metrics.calls.get({**labels, "subsystem": subsystem})
+            self.assertEqual(count, expected)
+
     async def test_cancelled_and_failed_tasks_end_as_without_the_meter(self):
         """Guards against a meter that swallows cancellations or exceptions."""
         self.meter.install(asyncio.get_running_loop())
