Do not probe targets of a retried path that have answered since the failure

Before a retry, all targets of its path were probed that served no stream, also if a control, a pace poll or a probe for another purpose had just been answered by them. The client of targets now records each answer to a report request in a table (fulmarward_core.evidence), whatever its purpose. In large fleets, a target that has answered a request made after the failed attempt broke off is not probed again for 0.8 s, the interval between two probes for one purpose; a running probe is awaited as before, and targets reported or found unreachable are probed as before.

A refusal at once that names a later target had the whole path probed. A run whose target is known to have ended is not checked again.

--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -17,6 +17,7 @@
 from fulmarward.observability import log_event, start_logging, stop_logging
 from fulmarward_core.catalogue import TargetCatalogue
 from fulmarward_core.demand import DemandTable
+from fulmarward_core.evidence import EvidenceTable
 from fulmarward_core.isolation import ContactTable
 from fulmarward_core.loads import LoadLedger
 from fulmarward_core.paces import PaceTable
@@ -123,9 +124,15 @@
         """Return the client of the store."""
 
     def make_dialect(
-        self, session: aiohttp.ClientSession, count: Callable
+        self,
+        session: aiohttp.ClientSession,
+        count: Callable,
+        evidence: EvidenceTable,
     ) -> TargetDialect:
-        """Return the codec and client for the formats of callers and targets."""
+        """Return the codec and client for the formats of callers and targets.
+
+        It records the answers to report requests in `evidence`.
+        """
 
     def load_settings(self) -> RouterSettings:
         """Reload the settings; raises `SettingsError`."""
@@ -209,10 +216,14 @@
         self.catalogue = TargetCatalogue()
         self.suspicions = SuspicionTable()
         self.contacts = ContactTable()
+        self.evidence = EvidenceTable(
+            is_known=lambda name: self.catalogue.find_target(name) is not None
+        )
         self.target_change_handler = TargetChangeHandler(
             suspicions=self.suspicions,
             notify_peers=self._notify_peers,
             record_process=lambda record: self.target_limits.record_process(record),
+            forget_answers=self.evidence.forget,
         )
         self.poison = PoisonKnowledge(
             read_clock=clock,
@@ -264,7 +275,9 @@
         self.store = adapter.make_store(
             store_session, settings.store_address, self._count_call
         )
-        self.dialect = adapter.make_dialect(target_session, self._count_call)
+        self.dialect = adapter.make_dialect(
+            target_session, self._count_call, self.evidence
+        )
         self.configuration = ConfigurationHolder(
             decode=self.meter.measure(
                 "configuration_decoding", self.store.decode_configuration
@@ -361,6 +374,7 @@
             suspicions=self.suspicions,
             contacts=self.contacts,
             paces=self.paces,
+            evidence=self.evidence,
             poison=self.poison,
             target_limits=self.target_limits,
             leaving_targets=self.leaving_targets,
--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -15,6 +15,7 @@
 )
 from fulmarward_core.catalogue import TargetCatalogue
 from fulmarward_core.demand import DemandTable
+from fulmarward_core.evidence import EvidenceTable
 from fulmarward_core.fleet import TargetRecord
 from fulmarward_core.isolation import ContactTable
 from fulmarward_core.loads import LoadLedger
@@ -46,6 +47,12 @@
 UNDELIVERED_GRACE_S = 1.0
 
 
+#: Seconds for which the answer of a target replaces a probe: the interval after which a
+#: target that has answered a probe is probed again (`PROBE_INTERVAL_S`), so that a lost
+#: target is found no later than by probes alone.
+EVIDENCE_DURATION_S = 0.8
+
+
 @dataclass(frozen=True, kw_only=True)
 class ServiceContext:
     """Fleet state and clients that the request handlers share."""
@@ -86,9 +93,28 @@
     #: What the teams use in each class, and the settings of their shares.
     teams: TeamTable = field(default_factory=lambda: TeamTable(own=""))
     read_team_settings: Callable[[], TeamSettings] = TeamSettings
+    #: When targets last answered a report request, for whatever purpose.
+    evidence: EvidenceTable = field(
+        default_factory=lambda: EvidenceTable(is_known=lambda target: True)
+    )
     #: Promises of capacity to rejected callers.
     promised_returns: PromisedReturns = field(default_factory=PromisedReturns)
 
+    def has_answered_since(self, target: str, at: float) -> bool:
+        """Return whether a target need not be probed, as it has answered since `at`.
+
+        Only in large fleets, and not if it was found or reported unreachable. An answer
+        counts for `EVIDENCE_DURATION_S`.
+        """
+        now = self.read_clock()
+        at = max(at, now - EVIDENCE_DURATION_S)
+        return (
+            self.is_large()
+            and self.evidence.answered_since(target, at)
+            and not self.suspicions.is_unreachable(target, now=now)
+            and not self.suspicions.is_indirect(target, now=now)
+        )
+
     async def open(
         self, state: RequestState, call: TargetCall
     ) -> aiohttp.ClientResponse:
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -17,6 +17,7 @@
     PathRequest,
     count_tokens_held,
 )
+from fulmarward_core.probing import PROBE_TIMEOUT_S
 from fulmarward_core.routes import list_class_services, list_urgencies
 from fulmarward_core.team_shares import TeamShares
 from fulmarward_router.exchange._admission import (
@@ -276,6 +277,7 @@
                 return answer
             except AttemptFailed as error:
                 failure = error
+                state.failed_at = self._read_clock()
             finally:
                 # A request that waits for a retry must not hold any resources.
                 self._release(attempt)
@@ -340,7 +342,7 @@
                 break
             is_usable = False
             try:
-                is_reachable = await self._is_reachable(path)
+                is_reachable = await self._is_reachable(path, since=state.failed_at)
                 is_backed_off = path[0].target in self._limits.list_backed_off()
                 is_usable = is_reachable and not is_backed_off
             finally:
@@ -358,21 +360,28 @@
             )
         return path, reservation
 
-    async def _is_reachable(self, path: tuple[Hop, ...]) -> bool:
-        """Probe the targets of a path; return whether none is unreachable.
-
-        In a large fleet, those that serve another stream right now are not probed.
-        """
-        active = frozenset()
-        if self._context.is_large():
-            active = self.supervisor.list_active_targets(now=self._read_clock())
-        names = [hop.target for hop in path if hop.target not in active]
-        await self._failure_detector.probe_and_wait(names)
+    async def _is_reachable(self, path: tuple[Hop, ...], *, since: float) -> bool:
+        """Probe the targets of a path; return whether none is unreachable."""
+        await self._probe_path(path, since=since)
         now = self._read_clock()
         return not any(
             self._suspicions.is_unreachable(hop.target, now=now) for hop in path
         )
 
+    async def _probe_path(self, path: tuple[Hop, ...], *, since: float) -> None:
+        """Find out which targets of a path are unreachable.
+
+        In a large fleet, those that serve another stream right now are not probed, and
+        neither are those that have answered a report request made at `since` or later.
+        """
+        names = [hop.target for hop in path]
+        answered = []
+        if self._context.is_large():
+            active = self.supervisor.list_active_targets(now=self._read_clock())
+            names = [name for name in names if name not in active]
+            answered = [n for n in names if self._context.has_answered_since(n, since)]
+        await self._failure_detector.probe_and_wait(names, answered=answered)
+
     def _make_path_request(
         self, state: RequestState, engine: EngineModel
     ) -> PathRequest:
@@ -437,6 +446,8 @@
 
     async def _confirm_end(self, run: Run, *, timeout_s: float) -> None:
         """Record that a target has ended, if it refuses connections beside controls."""
+        if run.has_ended and self._context.is_large():
+            return
         target = run.target
         _, is_refused = await asyncio.gather(
             self._failure_detector.probe_again(target.name, timeout_s=timeout_s),
@@ -625,7 +636,8 @@
             if hop.address == address:
                 at_fault = hop.target
         is_elsewhere = at_fault != attempt.first.target
-        waited_s = self._read_clock() - attempt.last_activity_at
+        refused_at = self._read_clock()
+        waited_s = refused_at - attempt.last_activity_at
         path = [hop.target for hop in attempt.path]
         # A refusal is late if a target is unreachable, but also if this instance's own
         # link delays it; probing the path tells them apart.
@@ -642,7 +654,27 @@
             if self._suspicions.refusals.record_refusal(at_fault, now=now):
                 log_event("target_refusal_recorded", target=at_fault, status=status)
         if is_elsewhere and status == 503 and not is_stalled:
-            await self._failure_detector.probe_and_wait(path)
+            await self._probe_refused_path(attempt, at_fault, since=refused_at)
+
+    async def _probe_refused_path(
+        self, attempt: Attempt, at_fault: str, *, since: float
+    ) -> None:
+        """Find out which targets of a path are unreachable that was refused at once.
+
+        In a large fleet, the target named as the cause is probed first. If it answers,
+        it had no capacity, and the refusal is no sign that others are lost. Otherwise
+        the others are probed once the first round for it has ended. Its first target
+        has just answered.
+        """
+        path = attempt.path
+        if self._context.is_large():
+            await self._failure_detector.probe_and_wait(
+                [at_fault], timeout_s=PROBE_TIMEOUT_S
+            )
+            if self._context.has_answered_since(at_fault, since):
+                return
+            path = path[1:]
+        await self._probe_path(path, since=since)
 
     async def _forward_stream(
         self, state: RequestState, attempt: Attempt, answer: web.StreamResponse
--- a/packages/router/fulmarward_router/exchange/_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/_failure_detector.py
@@ -231,15 +231,21 @@
         task.add_done_callback(lambda task: self._probe_tasks.pop(task, None))
 
     async def probe_and_wait(
-        self, targets: Iterable[str], *, timeout_s: float | None = None
+        self,
+        targets: Iterable[str],
+        *,
+        timeout_s: float | None = None,
+        answered: Iterable[str] = (),
     ) -> None:
         """Find out which targets of a rejected path are unreachable.
 
+        For those that have `answered` another request, only running probes are awaited.
+
         Guards against several targets that fail together: a path that avoids the one
         reported would use the next, until the request has no attempts left.
         """
         names = frozenset(targets)
-        self.probe(names)
+        self.probe(names.difference(answered))
         tasks = [task for task, probed in self._probe_tasks.items() if probed & names]
         if tasks:
             await asyncio.wait(tasks, timeout=timeout_s)
--- a/packages/router/fulmarward_router/exchange/_request_state.py
+++ b/packages/router/fulmarward_router/exchange/_request_state.py
@@ -91,6 +91,8 @@
     #: was last lost.
     fruitless_resumes: int = 0
     last_event_at_loss: str | None = None
+    #: When its latest attempt failed, in seconds on the monotonic clock.
+    failed_at: float = float("-inf")
     #: Name of the peer that the request was last relayed to, empty if to none.
     relayed_to: str = ""
     #: Whether its peers have been tried.
--- a/packages/router/fulmarward_router/exchange/tests/test_engines.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_engines.py
@@ -8,6 +8,7 @@
 
 from fulmarward_core.queueing import WaitingRequest
 from fulmarward_core.team_shares import TeamSettings
+from fulmarward_router.exchange._context import EVIDENCE_DURATION_S
 from fulmarward_router.exchange._request_state import (
     CutCause,
     RejectedRequest,
@@ -109,6 +110,74 @@
         self.assertEqual(used, [0.0])
 
 
+class PathCheckTest(_EndedStreamTest):
+    """Checks paths of three targets in a large fleet, in which answers are recorded."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        names = ("t1", "t2", "t3")
+        for name in (*names, "t4", "t5"):
+            self.list_target(name, f"{name}:1", (0, 2))
+        self.path = tuple(SimpleNamespace(target=n, address=f"{n}:1") for n in names)
+        #: Targets that were probed, without controls.
+        self.probed = set()
+        answer = self.dialect.is_responding
+
+        async def is_responding(record, timeout_s):
+            asked_at = self.read_clock()
+            is_answered = await answer(record, timeout_s)
+            if is_answered:
+                self.evidence.record(record.name, asked_at=asked_at, pace=None)
+            return is_answered
+
+        self.dialect.is_responding = is_responding
+        self.start_service(SimpleNamespace(open=self.open), slack=0.0)
+        context = replace(self.service._context, is_large=lambda: True)
+        self.service._context = context
+        self.evidence = context.evidence
+        detector = self.service._failure_detector
+        probe_all = detector._probe_all
+
+        async def record_probed(records):
+            self.probed.update(record.name for record in records)
+            await probe_all(records)
+
+        detector._probe_all = record_probed
+
+    async def test_path_whose_targets_answered_since_a_failure_is_not_probed(self):
+        """Guards against needless probes, and against answers before the failure."""
+        failed_at = self.read_clock()
+        self.evidence.record("t1", asked_at=failed_at - 0.1, pace=None)
+        for name in ("t2", "t3"):
+            self.evidence.record(name, asked_at=failed_at, pace=None)
+        # A probe of this target may confirm what a peer reported after its answer.
+        self.suspicions.record_indirect_failure("t3", duration_s=2.0, now=failed_at)
+        self.assertTrue(await self.service._is_reachable(self.path, since=failed_at))
+        self.assertEqual(self.probed, {"t1", "t3"})
+        self.probed.clear()
+        self.assertTrue(await self.service._is_reachable(self.path, since=failed_at))
+        self.assertEqual(self.probed, set())
+        self.skipped_s += EVIDENCE_DURATION_S
+        self.dialect.silent = {"t2"}
+        self.assertFalse(await self.service._is_reachable(self.path, since=failed_at))
+
+    async def test_refusal_by_a_target_that_answers_causes_no_other_probes(self):
+        """Guards against probes of whole paths, and against lost targets not found."""
+        attempt = SimpleNamespace(path=self.path)
+        for silent, probed in ((set(), {"t2"}), ({"t2", "t3"}, {"t2", "t3"})):
+            self.probed.clear()
+            self.dialect.silent = silent
+            self.skipped_s += 2 * EVIDENCE_DURATION_S
+            with self.subTest(silent=silent):
+                await self.service._probe_refused_path(
+                    attempt, "t2", since=self.read_clock()
+                )
+                self.assertEqual(self.probed, probed)
+                now = self.read_clock()
+                lost = {n for n in probed if self.suspicions.is_unreachable(n, now=now)}
+                self.assertEqual(lost, silent)
+
+
 class ClassServiceTest(_EndedStreamTest):
     """Serves streams of a service with classes by the real parts of an instance."""
 
--- a/packages/router/fulmarward_router/state/_target_changes.py
+++ b/packages/router/fulmarward_router/state/_target_changes.py
@@ -17,10 +17,14 @@
         suspicions: SuspicionTable,
         notify_peers: Callable[[], None],
         record_process: Callable[[TargetRecord], None],
+        forget_answers: Callable[[str], None] = lambda target: None,
     ) -> None:
         self._suspicions = suspicions
         #: Called with a target that has started, or is known again.
         self._record_process = record_process
+        #: Called with a target that has left, or whose answers were those of another
+        #: process.
+        self._forget_answers = forget_answers
         self._notify_peers = notify_peers
         #: Start time of each known target, in ms since 1970, and the names of those
         #: that are leaving.
@@ -42,6 +46,7 @@
 
     def _handle_removal(self, row: KnownRow) -> None:
         self._leaving.discard(row.name)
+        self._forget_answers(row.name)
         if self._started_ms.pop(row.name, None) is not None:
             log_event("target_removed", target=row.name, store_version=row.version)
 
@@ -49,6 +54,7 @@
         """Have the streams through a target rerouted whose address is another's."""
         self._leaving.discard(row.name)
         self._started_ms.pop(row.name, None)
+        self._forget_answers(row.name)
         self._suspicions.record_failure(row.name, now=row.heard_at, reason="address")
         log_event(
             "target_superseded",
@@ -63,6 +69,7 @@
         self._started_ms[row.name] = record.started_ms
         if known is None or known != record.started_ms:
             self._suspicions.record_restart(row.name)
+            self._forget_answers(row.name)
             self._record_process(record)
             log_event(
                 "target_started",
