Poll the paces of targets that may be slow more often than others

In large fleets, targets known to be slow and those on paths of slow streams of the polling instance are now read each 0.8 s and the others in turn each 3.2 s, none of them if another request has read its pace within that time. Each instance notes the paces that its own probes have read, so that slow targets on paths of the streams of peers are found by the probes of those. Small fleets are polled as before.

Tests: core paces, exchange test_paces and test_failover: 14 passed; platform test_target_limits (instances with this change): 5 passed.

--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -465,6 +465,9 @@
             sees_slow_streams=self._sees_slow_streams,
             read_clock=self._clock,
             notify_peers=self._notify_peers,
+            evidence=self.evidence,
+            is_large=lambda: self.members.is_large,
+            list_slow_targets=self.engines.supervisor.list_slow_targets,
         )
 
     async def _read_occupancy(self) -> None:
--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -1,7 +1,7 @@
 """Reroutes open streams around unreachable targets and off leaving ones."""
 
 import asyncio
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Iterable, Iterator
 from dataclasses import replace
 
 from fulmarward.observability import log_event
@@ -143,16 +143,25 @@
 
     def sees_slow_streams(self) -> bool:
         """Return whether any stream here shows signs of a slow target on its path."""
+        return any(True for _ in self._iterate_slow())
+
+    def list_slow_targets(self) -> frozenset[str]:
+        """Return the targets on the paths of streams that show signs of a slow one."""
+        return frozenset(
+            hop.target for attempt in self._iterate_slow() for hop in attempt.path
+        )
+
+    def _iterate_slow(self) -> Iterator[Attempt]:
+        """Yield the streams that show signs of a slow target on their paths."""
         now = self._read_clock()
-        return any(
-            attempt.slow_signs.is_slow(
+        for attempt in self._attempts.values():
+            if attempt.slow_signs.is_slow(
                 silent_s=now - attempt.last_activity_at,
                 has_begun=attempt.has_begun,
                 objective_s=attempt.state.route.objective_s,
                 pause_s=attempt.state.route.pause_s,
-            )
-            for attempt in self._attempts.values()
-        )
+            ):
+                yield attempt
 
     async def run(self) -> None:
         """Check all open streams repeatedly, until cancelled.
--- a/packages/router/fulmarward_router/exchange/_paces.py
+++ b/packages/router/fulmarward_router/exchange/_paces.py
@@ -1,17 +1,21 @@
 """Measures which targets are slow, on one instance of each data centre."""
 
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 from fulmarward.observability import log_event
 from fulmarward_core.catalogue import TargetCatalogue
+from fulmarward_core.evidence import EvidenceTable
 from fulmarward_core.fleet import TargetRecord
-from fulmarward_core.paces import PaceTable
+from fulmarward_core.paces import (
+    POLL_INTERVAL_S,
+    REPORT_DURATION_S,
+    SLOW_READ_INTERVAL_S,
+    PaceTable,
+    choose_polled_targets,
+)
 from fulmarward_router.ports import TargetDialect
 
-#: Seconds between two polls of all reports of a data centre while streams are slow.
-READ_INTERVAL_S = 0.8
-
 #: Seconds to wait for a report.
 REPORT_TIMEOUT_S = 0.25
 
@@ -25,6 +29,10 @@
     Guards against targets that are slow but still answer probes: paths would keep using
     them, streams would stall there, and callers disconnect after 2 s without an event.
     One instance polls for its data centre and shares the results.
+
+    In a small fleet, it polls all targets. In a large one, it reads paces that no other
+    request has read within their interval, more often those of targets that may be
+    slow. All instances share what their own requests have read.
     """
 
     def __init__(
@@ -38,6 +46,9 @@
         sees_slow_streams: Callable[[], bool],
         read_clock: Callable[[], float],
         notify_peers: Callable[[], None],
+        evidence: EvidenceTable,
+        is_large: Callable[[], bool],
+        list_slow_targets: Callable[[], frozenset[str]],
     ) -> None:
         self._dialect = dialect
         self._catalogue = catalogue
@@ -47,34 +58,86 @@
         self._sees_slow_streams = sees_slow_streams
         self._read_clock = read_clock
         self._notify_peers = notify_peers
+        #: The paces that requests for any purpose have read.
+        self._evidence = evidence
+        self._is_large = is_large
+        #: Returns the targets on the paths of slow streams of this instance.
+        self._list_slow_targets = list_slow_targets
+        #: When each target was last polled, in seconds on the monotonic clock. Bounded
+        #: by the catalogue.
+        self._polled_at: dict[str, float] = {}
 
     async def run(self) -> None:
         """Poll reports while streams or targets are slow, until cancelled."""
         while True:
-            await asyncio.sleep(READ_INTERVAL_S)
+            interval_s = POLL_INTERVAL_S if self._is_large() else SLOW_READ_INTERVAL_S
+            await asyncio.sleep(interval_s)
             now = self._read_clock()
-            has_reason = self._sees_slow_streams() or self._paces.list_slow(now=now)
-            if has_reason and self._is_reader():
-                await self._read_reports(now)
+            if self._sees_slow_streams() or self._paces.list_slow(now=now):
+                await self._poll(now)
 
-    async def _read_reports(self, now: float) -> None:
-        changes = 0
+    async def _poll(self, now: float) -> None:
+        """Update the paces, and notify peers if any target became slow or normal."""
         engines = list_engines(self._catalogue, data_centre=self._data_centre, now=now)
-        for group in batch_records(engines):
-            readings = [self._read_report(record) for record in group]
-            changes += sum(await asyncio.gather(*readings))
+        changes = 0
+        if self._is_large():
+            changes += self._note_readings(engines, now)
+        if self._is_reader():
+            due = self._choose_due(engines, now) if self._is_large() else engines
+            changes += await self._read_reports(due)
         if changes:
             self._notify_peers()
 
+    def _note_readings(self, engines: Iterable[TargetRecord], now: float) -> int:
+        """Note what other requests have read; return how many paces have changed."""
+        changes = 0
+        for record in engines:
+            reading = self._evidence.find_reading(record.name)
+            if reading is not None and now - reading.asked_at < REPORT_DURATION_S:
+                changes += self._note(record, reading.pace, at=reading.asked_at)
+        return changes
+
+    def _choose_due(
+        self, engines: list[TargetRecord], now: float
+    ) -> list[TargetRecord]:
+        """Return the targets to poll now, in a large fleet."""
+        records = {record.name: record for record in engines}
+        polled_at = {n: at for n, at in self._polled_at.items() if n in records}
+
+        def find_read_at(target: str) -> float:
+            reading = self._evidence.find_reading(target)
+            at = float("-inf") if reading is None else reading.asked_at
+            return max(at, polled_at.get(target, at))
+
+        due = choose_polled_targets(
+            list(records),
+            may_be_slow=self._list_slow_targets() | set(self._paces.list_slow(now=now)),
+            read_at=find_read_at,
+            now=now,
+        )
+        self._polled_at = polled_at | dict.fromkeys(due, now)
+        return [records[name] for name in due]
+
+    async def _read_reports(self, records: list[TargetRecord]) -> int:
+        """Read the reports of targets; return how many paces have changed."""
+        changes = 0
+        for group in batch_records(records):
+            readings = [self._read_report(record) for record in group]
+            changes += sum(await asyncio.gather(*readings))
+        return changes
+
     async def _read_report(self, record: TargetRecord) -> bool:
         """Read a target's report; return whether its pace has changed."""
         report = await self._dialect.read_report(record, REPORT_TIMEOUT_S)
         if report is None:
             return False
-        at = self._read_clock()
-        if not self._paces.note(record.name, report.pace, at=at):
+        return self._note(record, report.pace, at=self._read_clock())
+
+    def _note(self, record: TargetRecord, pace: float, *, at: float) -> bool:
+        """Note the pace of a target; return whether it became slow or normal."""
+        if not self._paces.note(record.name, pace, at=at):
             return False
-        log_event("pace_changed", target=record.name, pace=report.pace, source="own")
+        log_event("pace_changed", target=record.name, pace=pace, source="own")
         return True
 
 
