Give requests of classes no path that ends after their deadline

A path now has an estimate: the prefill over its hops and, for each token of the expected answer, the steps of its hops at their load and pace and the delays between data centres. In services with classes, a path whose estimate exceeds the time left counts as no capacity, with the cause 'no path is fast enough' and the shortage 'speed'; such a request waits beside the queue, and is promised nothing. Started answers, and requests that a target may have run, take any path, and nothing changes where the estimate is not known. Without a hint, the answer counts as at most the mean of the service, since the caller's limit is often far above its length.

path_chosen has estimate_s, and path_seconds_total compares estimated and actual durations of whole answers.

--- a/packages/core/fulmarward_core/paths/decisions.py
+++ b/packages/core/fulmarward_core/paths/decisions.py
@@ -10,7 +10,7 @@
 import hashlib
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, replace
-from itertools import accumulate, chain, permutations
+from itertools import accumulate, chain, pairwise, permutations
 
 from fulmarward_core.fleet import AcceleratorKind, EngineModel, LayerRange
 
@@ -135,6 +135,9 @@
     #: Tokens of the prompt, and expected tokens of the answer.
     prompt: int
     answer: int
+    #: Tokens that the answer is likely to have, from which the duration of a path is
+    #: estimated; `None` if as many as `answer`, which may be the caller's limit.
+    likely_answer: int | None = None
     #: Data centre of the sending instance.
     data_centre: str
     #: Fixed first hop, when a running request is rerouted around a failed target.
@@ -178,6 +181,23 @@
     return request.prompt + request.answer
 
 
+def _compute_step_ms(engine: EngineModel, running: int) -> float:
+    """Return the time of a step through all layers beside running requests, in ms."""
+    step_ms = engine.step_ms + engine.sequence_ms * (running + 1)
+    return step_ms + engine.context_ms_per_k * running
+
+
+def _compute_prefill_ms(engine: EngineModel, request: PathRequest) -> float:
+    """Return the time of the prefill of a prompt through all layers, in ms."""
+    return request.prompt / engine.prefill_tokens_per_s * 1000
+
+
+def _compute_transfer_ms(engine: EngineModel, request: PathRequest) -> float:
+    """Return the time of a prompt's activations on the link, in ms."""
+    bits = request.prompt * engine.activation_bytes * 8
+    return bits / (engine.pipe_mbps * 1e3)
+
+
 class _PartialPath:
     """The cheapest way to run all layers below a position, ending in a data centre.
 
@@ -286,6 +306,38 @@
             free=max(0.0, min(accumulate(free[:layers])) * layers),
         )
 
+    def estimate_duration_s(
+        self, path: Sequence[Hop], request: PathRequest, *, read: ReadOccupancy
+    ) -> float | None:
+        """Return the seconds that a request is likely to take on a path.
+
+        It is the prefill of the prompt, and for each token of the answer the steps of
+        all hops at their load and pace and the delays between data centres. `None` if
+        it is not known: without step times, or without the load of a target.
+        """
+        engine, tokens = self.engine, request.answer
+        if request.likely_answer is not None:
+            tokens = request.likely_answer
+        if engine.step_ms <= 0:
+            return None
+        prefill_ms = _compute_prefill_ms(engine, request)
+        total_ms, centres = 0.0, []
+        for hop in path:
+            stage = self._stages.get(hop.target)
+            occupancy = None if stage is None else read(stage)
+            if occupancy is None:
+                return None
+            step_ms = _compute_step_ms(engine, occupancy.running) * tokens
+            hop_ms = step_ms * stage.kind.step_factor
+            hop_ms += prefill_ms * stage.kind.prefill_factor
+            total_ms += hop_ms * occupancy.pace * len(hop.layers) / engine.layers
+            centres.append(stage.data_centre)
+        for pair in pairwise(centres):
+            if pair[0] != pair[1]:
+                delay_ms = engine.delays_ms.get(pair, 1.0)
+                total_ms += delay_ms * tokens + _compute_transfer_ms(engine, request)
+        return total_ms / 1000
+
     def choose_path(
         self, request: PathRequest, *, read: ReadOccupancy
     ) -> tuple[Hop, ...] | None:
@@ -396,7 +448,7 @@
         self._avoided = request.avoided
         if request.first is not None:
             self._avoided = request.avoided | {request.first.target}
-        self._prefill_ms = request.prompt / engine.prefill_tokens_per_s * 1000
+        self._prefill_ms = _compute_prefill_ms(engine, request)
         #: Time per layer by target, in ms; `None` if it must not be used.
         self._layer_ms: dict[str, float | None] = {}
         #: Targets with no free slot.
@@ -464,9 +516,8 @@
 
     def estimate_crossing_ms(self, delay_ms: float) -> float:
         """Return the cost of crossing a link with the given delay, in ms."""
-        engine, request = self._engine, self.request
-        bits = request.prompt * engine.activation_bytes * 8
-        transfer_ms = bits / (engine.pipe_mbps * 1e3)
+        request = self.request
+        transfer_ms = _compute_transfer_ms(self._engine, request)
         return delay_ms * request.answer + transfer_ms * LINK_TRANSFER_WEIGHT
 
     def _get_layer_ms(self, stage: Stage) -> float | None:
@@ -493,9 +544,7 @@
         engine = self._engine
         if occupancy.first_running >= engine.slots:
             self._full_targets.add(stage.target)
-        running = occupancy.running
-        step = engine.step_ms + engine.sequence_ms * (running + 1)
-        step += engine.context_ms_per_k * running
+        step = _compute_step_ms(engine, occupancy.running)
         work = step * stage.kind.step_factor * self.request.answer
         work += self._prefill_ms * stage.kind.prefill_factor
         used = occupancy.kv_reserved / max(stage.kv_capacity, 1.0)
--- a/packages/core/fulmarward_core/paths/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/paths/tests/test_decisions.py
@@ -365,3 +365,38 @@
         self.assertEqual(_list_targets(choose_path(ENGINE, stages, request))[0], "far0")
         stages[len(stages) // 2] = replace(stages[len(stages) // 2], is_usable=False)
         self.assertIsNone(choose_path(ENGINE, stages, request))
+
+
+class DurationTest(unittest.TestCase):
+    def estimate_s(self, stages, request=_REQUEST, engine=ENGINE):
+        index = StageIndex(engine=engine, stages=stages)
+        path = tuple(
+            Hop(target=s.target, address=s.address, layers=s.layers) for s in stages
+        )
+        return index.estimate_duration_s(path, request, read=read_stage)
+
+    def test_duration_is_the_prefill_and_the_steps_of_all_hops(self):
+        """Guards against an estimate without the load, the pace or the network."""
+        near = make_chain("a", "a", running=9)
+        kind = KINDS["middle"]
+        step_ms = ENGINE.step_ms + 10 * ENGINE.sequence_ms + 9 * ENGINE.context_ms_per_k
+        prefill_s = 800 / ENGINE.prefill_tokens_per_s * kind.prefill_factor
+        expected_s = prefill_s + 0.150 * step_ms * kind.step_factor
+        self.assertAlmostEqual(self.estimate_s(near), expected_s)
+        half_slow = [replace(s, pace=3.0) for s in near[:5]] + near[5:]
+        self.assertAlmostEqual(self.estimate_s(half_slow), 2 * expected_s)
+        crossing = near[:5] + [replace(s, data_centre="b") for s in near[5:]]
+        bits = 800 * ENGINE.activation_bytes * 8
+        network_s = 0.150 * 0.25 + bits / (ENGINE.pipe_mbps * 1e6)
+        self.assertAlmostEqual(self.estimate_s(crossing), expected_s + network_s)
+        short = replace(_REQUEST, likely_answer=15)
+        self.assertAlmostEqual(
+            self.estimate_s(near, short) - prefill_s, (expected_s - prefill_s) / 10
+        )
+
+    def test_duration_is_unknown_without_step_times_or_a_load(self):
+        """Guards against requests that are rejected for an estimate of nothing."""
+        stages = make_chain("a", "a")
+        self.assertIsNone(self.estimate_s(stages, engine=replace(ENGINE, step_ms=0.0)))
+        stages[3] = replace(stages[3], is_usable=False)
+        self.assertIsNone(self.estimate_s(stages))
--- a/packages/router/fulmarward_router/_metrics.py
+++ b/packages/router/fulmarward_router/_metrics.py
@@ -81,6 +81,9 @@
     rejected_responses: Counter
     #: Promises to rejected callers, by `outcome`: the fields of `PromiseCounts`.
     return_promises: Counter
+    #: Seconds of the paths that served a whole answer, by `service` and `kind`:
+    #: `estimated` or `actual`.
+    path_duration: Counter
     #: Requests that the admission by urgency rejected, by `service`, `urgency` and
     #: `cause`: the events `admission_denied`.
     denials: Counter
@@ -168,6 +171,10 @@
         return_promises=factory.count(
             "return_promises_total", "Promises to rejected callers, by outcome."
         ),
+        path_duration=factory.count(
+            "path_seconds_total",
+            "Durations of paths that served a whole answer, estimated and actual.",
+        ),
         denials=factory.count(
             "admission_denials_total",
             "Requests rejected for want of capacity, by service, urgency and cause.",
@@ -218,6 +225,14 @@
     metrics.admission_wait.observe(labels, waited_s)
 
 
+def observe_path_duration(
+    metrics: RouterMetrics, service: str, estimated_s: float, actual_s: float
+) -> None:
+    """Record the estimated and the actual duration of a path."""
+    for kind, seconds in (("estimated", estimated_s), ("actual", actual_s)):
+        metrics.path_duration.add({"service": service, "kind": kind}, seconds)
+
+
 def refresh_metrics(
     metrics: RouterMetrics,
     *,
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -35,6 +35,7 @@
     count_denial,
     make_router_metrics,
     observe_admission_wait,
+    observe_path_duration,
     observe_request,
     refresh_metrics,
 )
@@ -433,6 +434,7 @@
             count_broken_attempt=self._count_broken_attempt,
             count_denial=partial(count_denial, self.metrics),
             observe_wait=partial(observe_admission_wait, self.metrics),
+            observe_duration=partial(observe_path_duration, self.metrics),
         )
         return CallerHandler(
             dialect=self.dialect,
--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -145,8 +145,8 @@
     ) -> tuple[Hop, ...]:
         """Return a path, waiting for capacity.
 
-        A request that may begin at certain targets only waits beside the queue, as it
-        would hold up those that may use any.
+        A request that may begin at certain targets only, or for which all paths are too
+        slow, waits beside the queue, as it would hold up those that may use any.
 
         Raises `RejectedRequest`, or `TruncatedResponse` if the response has started.
         """
@@ -189,14 +189,14 @@
                 now = self._read_clock()
                 if now >= wait_end:
                     break
-                if shortage is Shortage.KV_CACHE:
+                if shortage in (Shortage.KV_CACHE, Shortage.SPEED):
                     rejection = self._find_reason_not_to_wait(
                         state, request, waiting, returned, ahead, left_s=wait_end - now
                     )
                     if rejection is not None:
                         break
                 ahead = ahead or waiting.track_ahead(request, now=now)
-                if is_bound:
+                if is_bound or shortage is Shortage.SPEED:
                     waiting.remove(request, now=now)
                 else:
                     waiting.add(request, now=now)
@@ -226,13 +226,15 @@
                 shortage=shortage,
             )
         if self._finder.has_whole_model(state.service, engine):
-            return_s: float | None = None
-            if shortage is Shortage.PIPE:
-                # The estimate is one of KV cache, and says nothing about a full pipe.
-                return_s = choose_retry_after_s(random.random())
-            rejection = rejection or Rejection(
-                cause="no path has room", return_s=return_s
-            )
+            if rejection is None:
+                rejection = Rejection(cause="no path has room")
+            if shortage is Shortage.SPEED and rejection.return_s is None:
+                rejection = replace(rejection, cause="no path is fast enough")
+            if shortage in (Shortage.PIPE, Shortage.SPEED):
+                # The estimate is one of KV cache, and says nothing about a full pipe or
+                # slow targets.
+                return_s = rejection.return_s or choose_retry_after_s(random.random())
+                rejection = replace(rejection, return_s=return_s)
             return_s, values = self._plan_return(state, request, waiting, rejection)
             return RejectedRequest(
                 ResultCode.QUEUE_FULL,
@@ -452,10 +454,38 @@
             return Shortage.KV_CACHE if limited is None else Shortage.LIMIT
         if path is None:
             return Shortage.KV_CACHE
+        if self._is_too_slow(state, engine, wanted, path):
+            return Shortage.SPEED
         if self._pipe.reserve(engine, wanted, path):
             return path
         within = replace(wanted, may_cross=False)
-        return self._finder.choose(state.service, engine, within) or Shortage.PIPE
+        path = self._finder.choose(state.service, engine, within)
+        if path is None:
+            return Shortage.PIPE
+        is_too_slow = self._is_too_slow(state, engine, within, path)
+        return Shortage.SPEED if is_too_slow else path
+
+    def _is_too_slow(
+        self,
+        state: RequestState,
+        engine: EngineModel,
+        wanted: PathRequest,
+        path: tuple[Hop, ...],
+    ) -> bool:
+        """Return whether a path is likely to end after the deadline; keep the estimate.
+
+        Guards against streams that take capacity and are cut at their deadline. One
+        that has started, or that a target may have run, takes any path: its caller
+        would have to start over.
+        """
+        state.path_estimate_s = self._finder.estimate_duration_s(
+            state.service, engine, wanted, path
+        )
+        if state.has_begun or state.last_event is not None or state.runs > 0:
+            return False
+        if state.path_estimate_s is None or not _has_classes(state):
+            return False
+        return state.path_estimate_s > state.count_left(self._read_clock())
 
     def _compute_wait_end(
         self, state: RequestState, began_at: float, now: float
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -77,6 +77,10 @@
 MAX_LOGGED_PARTS = 16
 
 
+def _ignore_duration(service: str, estimated_s: float, actual_s: float) -> None:
+    """Record nothing."""
+
+
 class EngineService:
     """Serves requests to services whose targets hold layers of a model."""
 
@@ -91,7 +95,10 @@
         count_broken_attempt: Callable[[str, str], None],
         count_denial: Callable[[str, int, str], None],
         observe_wait: Callable[[str, int, float], None],
+        observe_duration: Callable[[str, float, float], None] = _ignore_duration,
     ) -> None:
+        #: Records the estimated and the actual seconds of a path, by service.
+        self._observe_duration = observe_duration
         self._context = context
         self._forwarder = forwarder
         #: Counts an attempt that broke off, by service and progress.
@@ -263,6 +270,7 @@
                 targets_age_s=round(now - self._catalogue.confirmed_at, 3),
                 load_scale=round(self._finder.find_load_scale(now=now), 2),
                 left_s=round(state.deadline - now, 3),
+                estimate_s=_round_estimate(state.path_estimate_s),
                 prompt=wanted.prompt,
                 answer=wanted.answer,
                 last_event=state.last_event,
@@ -284,6 +292,7 @@
                 self._teams.record_ended(id(state))
                 if is_complete:
                     self._record_released(attempt)
+                    self._record_duration(state, self._read_clock() - now)
             _record_run(state, attempt, failure)
             answer = state.request.get("answer")
             self._log_failure(state, attempt, failure)
@@ -301,6 +310,12 @@
             if state.last_event is not None and answer is not None:
                 state.resumes += 1
 
+    def _record_duration(self, state: RequestState, actual_s: float) -> None:
+        """Record how long a path took that has served a whole answer."""
+        is_whole = state.facts.last_event is None and not state.resumes
+        if is_whole and not state.repaths and state.path_estimate_s is not None:
+            self._observe_duration(state.service, state.path_estimate_s, actual_s)
+
     async def _handle_own_fault(self, state: RequestState, error: Exception) -> None:
         """Log a fault of this program; raise it unless a begun stream may go on."""
         if not state.has_begun or self._read_clock() >= compute_resume_end(state):
@@ -389,9 +404,14 @@
         expected = facts.max_answer_tokens or engine.mean_answer_tokens
         if facts.hinted_answer_tokens:
             expected = min(expected, int(facts.hinted_answer_tokens * HINT_MARGIN))
+        is_bound_only = facts.max_answer_tokens and not facts.hinted_answer_tokens
         return PathRequest(
             prompt=facts.prompt_tokens or engine.mean_prompt_tokens,
             answer=expected,
+            # The caller's limit is often far above the length of the answer.
+            likely_answer=min(expected, engine.mean_answer_tokens)
+            if is_bound_only
+            else None,
             data_centre=self._context.data_centre,
         )
 
@@ -743,6 +763,10 @@
             self._count_broken_attempt(state.service, attempt.progress.value)
 
 
+def _round_estimate(estimate_s: float | None) -> float | None:
+    return None if estimate_s is None else round(estimate_s, 3)
+
+
 def _log_internal_error(state: RequestState, error: Exception) -> None:
     log_event("internal_error_caught", exc_info=error, request=state.facts.request_id)
 
--- a/packages/router/fulmarward_router/exchange/_path_finder.py
+++ b/packages/router/fulmarward_router/exchange/_path_finder.py
@@ -1,7 +1,7 @@
 """Chooses a path of targets for a request to an engine service."""
 
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, replace
 
 from fulmarward_core.catalogue import TargetCatalogue
@@ -142,6 +142,33 @@
             path = path or targets.index.choose_path(wanted, read=read)
         return path
 
+    def estimate_duration_s(
+        self,
+        service: str,
+        engine: EngineModel,
+        wanted: PathRequest,
+        path: Sequence[Hop],
+    ) -> float | None:
+        """Return the seconds that a request is likely to take on a path now.
+
+        `None` if it is not known. Unlike in the choice of a path, loads are not scaled
+        after the start: a load that is only assumed must not exclude a path.
+        """
+        now = self._read_clock()
+        loads = self._ledger.sum_loads(now=now)
+
+        def read(stage: Stage) -> Occupancy:
+            load = loads.get(stage.target, _NO_LOAD)
+            return Occupancy(
+                kv_reserved=load.kv,
+                running=load.running,
+                first_running=load.first_running,
+                pace=self._paces.find(stage.target, now=now),
+            )
+
+        index = self._find_targets(service, engine, now).index
+        return index.estimate_duration_s(path, wanted, read=read)
+
     def measure_capacity(self, service: str, engine: EngineModel) -> KvCapacity:
         """Return the KV cache of the usable targets of a service."""
         now = self._read_clock()
--- a/packages/router/fulmarward_router/exchange/_request_state.py
+++ b/packages/router/fulmarward_router/exchange/_request_state.py
@@ -91,6 +91,8 @@
     #: was last lost.
     fruitless_resumes: int = 0
     last_event_at_loss: str | None = None
+    #: How long its latest path was likely to take, in seconds; `None` if not known.
+    path_estimate_s: float | None = None
     #: When its latest attempt failed, in seconds on the monotonic clock.
     failed_at: float = float("-inf")
     #: Name of the peer that the request was last relayed to, empty if to none.
@@ -178,6 +180,8 @@
 
     #: No path has enough free KV cache.
     KV_CACHE = "kv_cache"
+    #: All paths with capacity are likely to end after the deadline.
+    SPEED = "speed"
     #: All paths with capacity cross data centres, and the link between them is full.
     PIPE = "pipe"
     #: Some layers of the model are not loaded on any usable target.
--- a/packages/router/fulmarward_router/exchange/tests/test_admission.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_admission.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 import unittest
+from dataclasses import replace
 from types import SimpleNamespace
 from unittest import mock
 
@@ -31,6 +32,8 @@
     def setUp(self):
         self.is_incomplete = False
         self.has_pipe = True
+        #: Estimated duration of any path, in seconds.
+        self.duration_s = None
         self.wanted = PathRequest(prompt=30, answer=20, data_centre="a")
         self.demands = DemandTable(own="a")
         self.promised = PromisedReturns()
@@ -50,7 +53,9 @@
         #: Chooses a path; `None` if none has room.
         self.choose = mock.Mock(return_value=None)
         self.admission = AdmissionQueue(
-            finder=mock.Mock(choose=self.choose),
+            finder=mock.Mock(
+                choose=self.choose, estimate_duration_s=lambda *_: self.duration_s
+            ),
             pipe=mock.Mock(reserve=lambda engine, wanted, path: self.has_pipe),
             catalogue=mock.Mock(may_be_incomplete=lambda now: self.is_incomplete),
             limits=mock.Mock(
@@ -116,6 +121,41 @@
         self.assertEqual(caught.exception.shortage, Shortage.PIPE)
 
 
+class SpeedTest(_AdmissionTest):
+    async def test_request_gets_no_path_that_ends_after_its_deadline(self):
+        """Guards against streams that are cut at their deadline, which is in 20 s.
+
+        A request that is rejected for it must not hold up others meanwhile.
+        """
+        self.choose.return_value, self.duration_s = _PATH, 25.0
+        slow = asyncio.create_task(self.await_path(self.make_state()))
+        await asyncio.sleep(0.1)
+        other = self.make_state()
+        other.deadline += 10.0
+        async with asyncio.timeout(0.1):
+            self.assertEqual(await self.await_path(other), _PATH)
+        self.assertFalse(slow.done())
+        with self.assertRaises(RejectedRequest) as caught:
+            await slow
+        self.assertEqual(caught.exception.cause, "no path is fast enough")
+        self.assertEqual(caught.exception.shortage, Shortage.SPEED)
+        self.assertGreaterEqual(caught.exception.retry_after_s, 2.0)
+        self.assertEqual(self.promised.counts.made, 0)
+
+    async def test_others_take_any_path(self):
+        """Guards against started answers that end, and against a change by default."""
+        self.choose.return_value, self.duration_s = _PATH, 25.0
+        for changes in (
+            {"runs": 1},
+            {"last_event": "1"},
+            {"configuration": SimpleNamespace(class_services=frozenset())},
+        ):
+            state = replace(self.make_state(), **changes)
+            async with asyncio.timeout(0.1):
+                self.assertEqual(await self.await_path(state), _PATH)
+            self.assertEqual(state.path_estimate_s, 25.0)
+
+
 class PromisedReturnTest(_AdmissionTest):
     async def test_due_return_is_not_rejected_for_those_that_it_precedes(self):
         """Guards against callers that return on time and are rejected on arrival."""
--- a/packages/router/fulmarward_router/exchange/tests/test_admission_queue.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_admission_queue.py
@@ -77,6 +77,9 @@
         self.used_kv += kv
         return (SimpleNamespace(target="t1"),)
 
+    def estimate_duration_s(self, service, engine, wanted, path):
+        return None
+
     def measure_capacity(self, service, engine):
         return KvCapacity(planned=_PLANNED_KV, free=_PLANNED_KV - self.used_kv)
 
