--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -17,6 +17,7 @@
 from fulmarward.observability import log_event, start_logging, stop_logging
 from fulmarward_core.catalogue import TargetCatalogue
 from fulmarward_core.demand import DemandTable
+from fulmarward_core.evidence import EvidenceTable
 from fulmarward_core.isolation import ContactTable
 from fulmarward_core.loads import LoadLedger
 from fulmarward_core.paces import PaceTable
@@ -34,6 +35,7 @@
     count_denial,
     make_router_metrics,
     observe_admission_wait,
+    observe_path_duration,
     observe_request,
     refresh_metrics,
 )
@@ -123,9 +125,15 @@
         """Return the client of the store."""
 
     def make_dialect(
-        self, session: aiohttp.ClientSession, count: Callable
+        self,
+        session: aiohttp.ClientSession,
+        count: Callable,
+        evidence: EvidenceTable,
     ) -> TargetDialect:
-        """Return the codec and client for the formats of callers and targets."""
+        """Return the codec and client for the formats of callers and targets.
+
+        It records the answers to report requests in `evidence`.
+        """
 
     def load_settings(self) -> RouterSettings:
         """Reload the settings; raises `SettingsError`."""
@@ -209,10 +217,14 @@
         self.catalogue = TargetCatalogue()
         self.suspicions = SuspicionTable()
         self.contacts = ContactTable()
+        self.evidence = EvidenceTable(
+            is_known=lambda name: self.catalogue.find_target(name) is not None
+        )
         self.target_change_handler = TargetChangeHandler(
             suspicions=self.suspicions,
             notify_peers=self._notify_peers,
             record_process=lambda record: self.target_limits.record_process(record),
+            forget_answers=self.evidence.forget,
         )
         self.poison = PoisonKnowledge(
             read_clock=clock,
@@ -264,7 +276,9 @@
         self.store = adapter.make_store(
             store_session, settings.store_address, self._count_call
         )
-        self.dialect = adapter.make_dialect(target_session, self._count_call)
+        self.dialect = adapter.make_dialect(
+            target_session, self._count_call, self.evidence
+        )
         self.configuration = ConfigurationHolder(
             decode=self.meter.measure(
                 "configuration_decoding", self.store.decode_configuration
@@ -361,6 +375,7 @@
             suspicions=self.suspicions,
             contacts=self.contacts,
             paces=self.paces,
+            evidence=self.evidence,
             poison=self.poison,
             target_limits=self.target_limits,
             leaving_targets=self.leaving_targets,
@@ -420,6 +435,7 @@
             count_broken_attempt=self._count_broken_attempt,
             count_denial=partial(count_denial, self.metrics),
             observe_wait=partial(observe_admission_wait, self.metrics),
+            observe_duration=partial(observe_path_duration, self.metrics),
         )
         return CallerHandler(
             dialect=self.dialect,
@@ -452,6 +468,9 @@
             sees_slow_streams=self._sees_slow_streams,
             read_clock=self._clock,
             notify_peers=self._notify_peers,
+            evidence=self.evidence,
+            is_large=lambda: self.members.is_large,
+            list_slow_targets=self.engines.supervisor.list_slow_targets,
         )
 
     async def _read_occupancy(self) -> None:
@@ -540,8 +559,10 @@
 
     def _count_call(self, call: str, status: str) -> None:
         self._calls[call] += 1
-        self._calls_by_subsystem[get_subsystem()][call] += 1
-        self.metrics.calls.inc({"call": call, "status": status})
+        subsystem = get_subsystem()
+        self._calls_by_subsystem[subsystem][call] += 1
+        labels = {"call": call, "status": status, "subsystem": subsystem}
+        self.metrics.calls.inc(labels)
 
     def _count_broken_attempt(self, service: str, progress: str) -> None:
         self.metrics.broken_attempts.inc({"service": service, "progress": progress})
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -17,6 +17,7 @@
     PathRequest,
     count_tokens_held,
 )
+from fulmarward_core.probing import PROBE_TIMEOUT_S
 from fulmarward_core.routes import list_class_services, list_urgencies
 from fulmarward_core.team_shares import TeamShares
 from fulmarward_router.exchange._admission import (
@@ -76,6 +77,10 @@
 MAX_LOGGED_PARTS = 16
 
 
+def _ignore_duration(service: str, estimated_s: float, actual_s: float) -> None:
+    """Record nothing."""
+
+
 class EngineService:
     """Serves requests to services whose targets hold layers of a model."""
 
@@ -90,7 +95,10 @@
         count_broken_attempt: Callable[[str, str], None],
         count_denial: Callable[[str, int, str], None],
         observe_wait: Callable[[str, int, float], None],
+        observe_duration: Callable[[str, float, float], None] = _ignore_duration,
     ) -> None:
+        #: Records the estimated and the actual seconds of a path, by service.
+        self._observe_duration = observe_duration
         self._context = context
         self._forwarder = forwarder
         #: Counts an attempt that broke off, by service and progress.
@@ -262,6 +270,7 @@
                 targets_age_s=round(now - self._catalogue.confirmed_at, 3),
                 load_scale=round(self._finder.find_load_scale(now=now), 2),
                 left_s=round(state.deadline - now, 3),
+                estimate_s=_round_estimate(state.path_estimate_s),
                 prompt=wanted.prompt,
                 answer=wanted.answer,
                 last_event=state.last_event,
@@ -276,12 +285,14 @@
                 return answer
             except AttemptFailed as error:
                 failure = error
+                state.failed_at = self._read_clock()
             finally:
                 # A request that waits for a retry must not hold any resources.
                 self._release(attempt)
                 self._teams.record_ended(id(state))
                 if is_complete:
                     self._record_released(attempt)
+                    self._record_duration(state, self._read_clock() - now)
             _record_run(state, attempt, failure)
             answer = state.request.get("answer")
             self._log_failure(state, attempt, failure)
@@ -299,6 +310,12 @@
             if state.last_event is not None and answer is not None:
                 state.resumes += 1
 
+    def _record_duration(self, state: RequestState, actual_s: float) -> None:
+        """Record how long a path took that has served a whole answer."""
+        is_whole = state.facts.last_event is None and not state.resumes
+        if is_whole and not state.repaths and state.path_estimate_s is not None:
+            self._observe_duration(state.service, state.path_estimate_s, actual_s)
+
     async def _handle_own_fault(self, state: RequestState, error: Exception) -> None:
         """Log a fault of this program; raise it unless a begun stream may go on."""
         if not state.has_begun or self._read_clock() >= compute_resume_end(state):
@@ -340,7 +357,7 @@
                 break
             is_usable = False
             try:
-                is_reachable = await self._is_reachable(path)
+                is_reachable = await self._is_reachable(path, since=state.failed_at)
                 is_backed_off = path[0].target in self._limits.list_backed_off()
                 is_usable = is_reachable and not is_backed_off
             finally:
@@ -358,21 +375,28 @@
             )
         return path, reservation
 
-    async def _is_reachable(self, path: tuple[Hop, ...]) -> bool:
-        """Probe the targets of a path; return whether none is unreachable.
-
-        In a large fleet, those that serve another stream right now are not probed.
-        """
-        active = frozenset()
-        if self._context.is_large():
-            active = self.supervisor.list_active_targets(now=self._read_clock())
-        names = [hop.target for hop in path if hop.target not in active]
-        await self._failure_detector.probe_and_wait(names)
+    async def _is_reachable(self, path: tuple[Hop, ...], *, since: float) -> bool:
+        """Probe the targets of a path; return whether none is unreachable."""
+        await self._probe_path(path, since=since)
         now = self._read_clock()
         return not any(
             self._suspicions.is_unreachable(hop.target, now=now) for hop in path
         )
 
+    async def _probe_path(self, path: tuple[Hop, ...], *, since: float) -> None:
+        """Find out which targets of a path are unreachable.
+
+        In a large fleet, those that serve another stream right now are not probed, and
+        neither are those that have answered a report request made at `since` or later.
+        """
+        names = [hop.target for hop in path]
+        answered = []
+        if self._context.is_large():
+            active = self.supervisor.list_active_targets(now=self._read_clock())
+            names = [name for name in names if name not in active]
+            answered = [n for n in names if self._context.has_answered_since(n, since)]
+        await self._failure_detector.probe_and_wait(names, answered=answered)
+
     def _make_path_request(
         self, state: RequestState, engine: EngineModel
     ) -> PathRequest:
@@ -380,9 +404,14 @@
         expected = facts.max_answer_tokens or engine.mean_answer_tokens
         if facts.hinted_answer_tokens:
             expected = min(expected, int(facts.hinted_answer_tokens * HINT_MARGIN))
+        is_bound_only = facts.max_answer_tokens and not facts.hinted_answer_tokens
         return PathRequest(
             prompt=facts.prompt_tokens or engine.mean_prompt_tokens,
             answer=expected,
+            # The caller's limit is often far above the length of the answer.
+            likely_answer=min(expected, engine.mean_answer_tokens)
+            if is_bound_only
+            else None,
             data_centre=self._context.data_centre,
         )
 
@@ -437,6 +466,8 @@
 
     async def _confirm_end(self, run: Run, *, timeout_s: float) -> None:
         """Record that a target has ended, if it refuses connections beside controls."""
+        if run.has_ended and self._context.is_large():
+            return
         target = run.target
         _, is_refused = await asyncio.gather(
             self._failure_detector.probe_again(target.name, timeout_s=timeout_s),
@@ -625,7 +656,8 @@
             if hop.address == address:
                 at_fault = hop.target
         is_elsewhere = at_fault != attempt.first.target
-        waited_s = self._read_clock() - attempt.last_activity_at
+        refused_at = self._read_clock()
+        waited_s = refused_at - attempt.last_activity_at
         path = [hop.target for hop in attempt.path]
         # A refusal is late if a target is unreachable, but also if this instance's own
         # link delays it; probing the path tells them apart.
@@ -642,7 +674,27 @@
             if self._suspicions.refusals.record_refusal(at_fault, now=now):
                 log_event("target_refusal_recorded", target=at_fault, status=status)
         if is_elsewhere and status == 503 and not is_stalled:
-            await self._failure_detector.probe_and_wait(path)
+            await self._probe_refused_path(attempt, at_fault, since=refused_at)
+
+    async def _probe_refused_path(
+        self, attempt: Attempt, at_fault: str, *, since: float
+    ) -> None:
+        """Find out which targets of a path are unreachable that was refused at once.
+
+        In a large fleet, the target named as the cause is probed first. If it answers,
+        it had no capacity, and the refusal is no sign that others are lost. Otherwise
+        the others are probed once the first round for it has ended. Its first target
+        has just answered.
+        """
+        path = attempt.path
+        if self._context.is_large():
+            await self._failure_detector.probe_and_wait(
+                [at_fault], timeout_s=PROBE_TIMEOUT_S
+            )
+            if self._context.has_answered_since(at_fault, since):
+                return
+            path = path[1:]
+        await self._probe_path(path, since=since)
 
     async def _forward_stream(
         self, state: RequestState, attempt: Attempt, answer: web.StreamResponse
@@ -711,6 +763,10 @@
             self._count_broken_attempt(state.service, attempt.progress.value)
 
 
+def _round_estimate(estimate_s: float | None) -> float | None:
+    return None if estimate_s is None else round(estimate_s, 3)
+
+
 def _log_internal_error(state: RequestState, error: Exception) -> None:
     log_event("internal_error_caught", exc_info=error, request=state.facts.request_id)
 
