Plain services: serve waiting requests by urgency and arrival

Requests that waited for a target of a plain service polled for it, and the one that polled first was served, whatever its priority. Where routes of the service have different priorities, they now wait in a ClassQueue without a minimum share, and the next one is woken when this instance has an answer. All other services poll as before.

--- a/packages/core/fulmarward_core/reservations/decisions.py
+++ b/packages/core/fulmarward_core/reservations/decisions.py
@@ -215,10 +215,20 @@
         if revision != self._team_revision:
             self._first_rank, self._team_revision = None, revision
         if self._first_rank is None:
-            heads = (entries[0][-1] for entries in self._groups.values() if entries)
-            self._first_rank = min(self._rank(head, now) for head in heads)
+            self._first_rank = min(self._rank(head, now) for head in self._list_heads())
         return self._rank(request, now) <= self._first_rank
 
+    def find_first(self, *, now: float) -> WaitingRequest | None:
+        """Return the request that is served first, `None` if none waits."""
+        self._move_late(now)
+        return min(
+            self._list_heads(), key=lambda head: self._rank(head, now), default=None
+        )
+
+    def _list_heads(self) -> list[WaitingRequest]:
+        """Return the first request of each group."""
+        return [entries[0][-1] for entries in self._groups.values() if entries]
+
     def find_kv_share(
         self,
         request: WaitingRequest,
--- a/packages/router/fulmarward_router/exchange/_plain.py
+++ b/packages/router/fulmarward_router/exchange/_plain.py
@@ -8,6 +8,7 @@
 from fulmarward.observability import log_event
 from fulmarward_core.attempts import may_run_again
 from fulmarward_core.fleet import TargetRecord
+from fulmarward_core.queueing import WaitingRequest
 from fulmarward_core.results import ResultCode
 from fulmarward_router.exchange._admission import choose_limited_retry_s
 from fulmarward_router.exchange._attempt import Progress
@@ -21,6 +22,7 @@
     Shortage,
 )
 from fulmarward_router.exchange._send import AnswerLost, NotSent
+from fulmarward_router.exchange._waiting import PlainRequests
 from fulmarward_router.ports import AnswerFacts, TargetCall
 
 #: Concurrent requests sent to a target, as a multiple of its slots. More would queue
@@ -66,6 +68,8 @@
         self._limits = context.target_limits
         self._ledger = context.ledger
         self._read_clock = context.read_clock
+        #: Waiting requests of the services with classes, by service.
+        self._waiting: dict[str, PlainRequests] = {}
 
     async def serve(self, state: RequestState) -> web.StreamResponse:
         """Return a target's response; raises `RejectedRequest`."""
@@ -91,6 +95,7 @@
                 answer = await self._try_target(state, target)
             finally:
                 self._ledger.release(reservation)
+                self._wake(state.service)
             if isinstance(answer, web.Response):
                 if answer.status < 500:
                     return answer
@@ -134,14 +139,44 @@
         """Return the target to send to, waiting briefly for one with capacity.
 
         Returns `None` if there is none and a failure from an earlier attempt remains.
+
+        In a service with classes, a request only gets a target if no more urgent one
+        waits. One that has tried a target waits beside the queue, as it may not use
+        that one again and would hold up those that may.
         """
+        service = state.service
+        if tried or service not in self._context.list_class_services():
+            return await self._poll_target(state, tried, last_failure)
+        waiting = self._waiting.setdefault(service, PlainRequests())
+        request = _make_waiting_request(state)
+        try:
+            return await self._poll_target(
+                state, tried, last_failure, waiting=waiting, request=request
+            )
+        finally:
+            waiting.remove(request, now=self._read_clock())
+
+    async def _poll_target(
+        self,
+        state: RequestState,
+        tried: set[str],
+        last_failure: web.Response | None,
+        *,
+        waiting: PlainRequests | None = None,
+        request: WaitingRequest | None = None,
+    ) -> TargetRecord | None:
+        """Return the target as `_await_target` does; `waiting` has it wait in order."""
         timeout_s = state.route.objective_s * SATURATED_TIMEOUT_SHARE
         until = self._read_clock() + timeout_s
         # Targets without a permit for this request.
         denied: set[str] = set()
         while True:
             now = self._read_clock()
-            target, is_full = self._choose_target(state.service, tried | denied, now)
+            target, is_full = None, True
+            if waiting is None or waiting.is_next(request, now=now):
+                target, is_full = self._choose_target(
+                    state.service, tried | denied, now
+                )
             if target is not None:
                 if await self._limits.acquire(
                     target.name, request_id=state.facts.request_id
@@ -170,9 +205,18 @@
                 raise RejectedRequest(
                     ResultCode.QUEUE_FULL, cause="full", retry_after_s=SATURATED_RETRY_S
                 )
-            await asyncio.sleep(timeout_s / 4)
+            if waiting is None:
+                await asyncio.sleep(timeout_s / 4)
+            else:
+                await waiting.await_release(request, timeout_s=timeout_s / 4)
             denied.clear()
 
+    def _wake(self, service: str) -> None:
+        """Have the next request for a service look for a target with capacity."""
+        waiting = self._waiting.get(service)
+        if waiting is not None:
+            waiting.wake(now=self._read_clock())
+
     def _are_limited(
         self, service: str, tried: set[str], denied: set[str], now: float
     ) -> bool:
@@ -362,3 +406,13 @@
             connections=getattr(error, "connections", None),
             fingerprint=state.fingerprint if isinstance(error, AnswerLost) else None,
         )
+
+
+def _make_waiting_request(state: RequestState) -> WaitingRequest:
+    return WaitingRequest(
+        key=id(state),
+        urgency=state.class_urgency,
+        arrived_at=state.arrived_at,
+        objective_s=state.route.objective_s,
+        is_started=False,
+    )
--- a/packages/router/fulmarward_router/exchange/_waiting.py
+++ b/packages/router/fulmarward_router/exchange/_waiting.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Hashable, Mapping, Sequence
 from dataclasses import dataclass, replace
 from typing import Protocol
 
@@ -487,6 +487,49 @@
         self._reported_at = now
 
 
+class PlainRequests:
+    """Waiting requests of a plain service with classes, by urgency and arrival.
+
+    No minimum share of a class applies: a burst of a lower class earns credit faster
+    than targets answer, and would delay the higher classes.
+    """
+
+    def __init__(self) -> None:
+        self._queue = ClassQueue(settings=ClassSettings(min_class_share=0.0))
+        #: By the key of the request; set when a target may have capacity for it.
+        self._released: dict[Hashable, asyncio.Event] = {}
+
+    def remove(self, request: WaitingRequest, *, now: float) -> None:
+        """Remove a request if it is there, and wake the one that is next."""
+        if self._released.pop(request.key, None) is not None:
+            self._queue.remove(request)
+            self.wake(now=now)
+
+    def is_next(self, request: WaitingRequest, *, now: float) -> bool:
+        """Return whether no waiting request is served before this one."""
+        return self._queue.is_next(request, now=now)
+
+    def wake(self, *, now: float) -> None:
+        """Wake the request that is next, as a target may have capacity.
+
+        Waking all of them would cost time in proportion to their square.
+        """
+        first = self._queue.find_first(now=now)
+        if first is not None:
+            self._released[first.key].set()
+
+    async def await_release(self, request: WaitingRequest, *, timeout_s: float) -> None:
+        """Add a request, and wait until it is woken, for `timeout_s` at most."""
+        self._queue.add(request)
+        released = self._released.setdefault(request.key, asyncio.Event())
+        released.clear()
+        try:
+            async with asyncio.timeout(timeout_s):
+                await released.wait()
+        except TimeoutError:
+            return
+
+
 def _make_unshared() -> TeamShares:
     """Return shares of teams that are not in force."""
     return TeamShares(service="", table=TeamTable(own=""))
--- /dev/null
+++ b/packages/router/fulmarward_router/exchange/tests/test_plain.py
@@ -0,0 +1,85 @@
+"""The order in which requests of plain services get a target."""
+
+import asyncio
+import time
+import unittest
+from dataclasses import replace
+from unittest import mock
+
+from aiohttp import web
+
+from fulmarward_core.catalogue import TargetCatalogue
+from fulmarward_core.loads import LoadLedger
+from fulmarward_core.suspicion import SuspicionTable
+from fulmarward_router.exchange import PlainService
+from fulmarward_router.exchange.tests.test_late_sends import _make_row
+from fulmarward_router.tests._target_limits import make_target_limits
+
+
+class OrderTest(unittest.IsolatedAsyncioTestCase):
+    """A target whose three places are in use, and 20 waiting of the lowest class."""
+
+    async def start(self, *, class_services):
+        row = _make_row("127.0.0.1:1", 1, is_leaving=False)
+        row = replace(row, record=replace(row.record, slots=1))
+        context = mock.Mock(
+            catalogue=TargetCatalogue(),
+            suspicions=SuspicionTable(),
+            target_limits=make_target_limits(),
+            ledger=LoadLedger(),
+            data_centre="a",
+            read_clock=time.monotonic,
+            list_class_services=lambda: class_services,
+        )
+        context.catalogue.apply_changes([row], 1, now=time.monotonic())
+        relay = mock.Mock(is_needed=lambda state: False)
+        monitor = mock.Mock(admit=mock.AsyncMock())
+        self.plain = PlainService(
+            context=context, failure_detector=None, relay=relay, crash_monitor=monitor
+        )
+        self.plain._try_target = self.answer
+        self.sent, self.answers = [], asyncio.Semaphore(0)
+        await self.serve(*(f"low-{number}" for number in range(23)))
+        self.assertEqual(self.sent, ["low-0", "low-1", "low-2"])
+        self.sent.clear()
+
+    async def answer(self, state, target):
+        self.sent.append(state.facts.request_id)
+        await self.answers.acquire()
+        return web.Response(status=200)
+
+    async def release(self, count):
+        for _ in range(count):
+            self.answers.release()
+            await asyncio.sleep(0.005)
+
+    async def serve(self, *names, urgency=2):
+        """Start requests that wait for 1.2 s, and without classes poll each 0.3 s."""
+        for name in names:
+            state = mock.Mock(
+                service="plain", class_urgency=urgency, attempts=0, runs=0
+            )
+            state.arrived_at, state.deadline = time.monotonic(), time.monotonic() + 20
+            state.facts.request_id, state.route.objective_s = name, 10.0
+            task = asyncio.create_task(self.plain.serve(state))
+            self.addCleanup(task.cancel)
+            await asyncio.sleep(0.001)
+        return task
+
+    async def test_burst_of_the_lowest_class_does_not_delay_the_highest(self):
+        """Guards against a target for whoever asks first, one left idle, and waits for
+        a request that is gone."""
+        await self.start(class_services={"plain"})
+        await self.serve("middle", urgency=1)
+        gone = await self.serve("gone", urgency=0)
+        await self.serve("high-0", "high-1", urgency=0)
+        gone.cancel()
+        await self.release(5)
+        self.assertEqual(self.sent, ["high-0", "high-1", "middle", "low-3", "low-4"])
+
+    async def test_without_classes_the_one_that_asks_first_is_served(self):
+        """Guards against another order for services whose routes are equally urgent."""
+        await self.start(class_services=frozenset())
+        await self.release(1)
+        await self.serve("arrives")
+        self.assertEqual(self.sent, ["arrives"])
