Plain services: a minimum share for waiting lower classes

In the order by urgency, a class of a plain service got no target while higher ones alone exceeded the capacity, against what OPERATORS.md says of minClassShare. A waiting class now gets credit for each request that is admitted from a higher one, so that by default one in five goes to it. Credit for arrivals, as at services with engines, would have a burst of the lowest class precede the highest.

--- a/packages/core/fulmarward_core/reservations/decisions.py
+++ b/packages/core/fulmarward_core/reservations/decisions.py
@@ -176,6 +176,18 @@
             self._minimum_share.record_admitted(request.urgency)
             self._first_rank = None
 
+    def record_passed_over(self, request: WaitingRequest) -> None:
+        """Credit the lower classes that wait while a request is admitted.
+
+        It takes the place of `record_arrival` where a burst of a lower class may not
+        precede the higher ones: credit grows with what is admitted of these, not with
+        the burst.
+        """
+        for urgency in {head.urgency for head in self._list_heads()}:
+            if urgency > request.urgency:
+                self._minimum_share.record_arrival(urgency)
+        self._first_rank = None
+
     def has_credit(self, urgency: int) -> bool:
         """Return whether a class is owed the admission of a request."""
         return self._minimum_share.has_credit(urgency)
--- a/packages/router/fulmarward_router/exchange/_plain.py
+++ b/packages/router/fulmarward_router/exchange/_plain.py
@@ -147,12 +147,16 @@
         service = state.service
         if tried or service not in self._context.list_class_services():
             return await self._poll_target(state, tried, last_failure)
-        waiting = self._waiting.setdefault(service, PlainRequests())
+        settings = self._context.read_class_settings()
+        waiting = self._waiting.setdefault(service, PlainRequests(settings=settings))
+        waiting.configure(settings)
         request = _make_waiting_request(state)
         try:
-            return await self._poll_target(
+            target = await self._poll_target(
                 state, tried, last_failure, waiting=waiting, request=request
             )
+            waiting.record_admitted(request)
+            return target
         finally:
             waiting.remove(request, now=self._read_clock())
 
--- a/packages/router/fulmarward_router/exchange/_waiting.py
+++ b/packages/router/fulmarward_router/exchange/_waiting.py
@@ -490,12 +490,13 @@
 class PlainRequests:
     """Waiting requests of a plain service with classes, by urgency and arrival.
 
-    No minimum share of a class applies: a burst of a lower class earns credit faster
-    than targets answer, and would delay the higher classes.
+    The minimum share of a class is one of the requests that are admitted from higher
+    ones while it waits. As one of its own arrivals, a burst of a lower class would earn
+    credit faster than targets answer, and delay the higher classes.
     """
 
-    def __init__(self) -> None:
-        self._queue = ClassQueue(settings=ClassSettings(min_class_share=0.0))
+    def __init__(self, *, settings: ClassSettings) -> None:
+        self._queue = ClassQueue(settings=settings)
         #: By the key of the request; set when a target may have capacity for it.
         self._released: dict[Hashable, asyncio.Event] = {}
 
@@ -509,6 +510,15 @@
         """Return whether no waiting request is served before this one."""
         return self._queue.is_next(request, now=now)
 
+    def configure(self, settings: ClassSettings) -> None:
+        """Apply other settings from now on."""
+        self._queue.configure(settings)
+
+    def record_admitted(self, request: WaitingRequest) -> None:
+        """Record that a request has found a target."""
+        self._queue.record_admitted(request)
+        self._queue.record_passed_over(request)
+
     def wake(self, *, now: float) -> None:
         """Wake the request that is next, as a target may have capacity.
 
--- a/packages/router/fulmarward_router/exchange/tests/test_plain.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_plain.py
@@ -10,6 +10,7 @@
 
 from fulmarward_core.catalogue import TargetCatalogue
 from fulmarward_core.loads import LoadLedger
+from fulmarward_core.reservations import ClassSettings
 from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_router.exchange import PlainService
 from fulmarward_router.exchange.tests.test_late_sends import _make_row
@@ -30,6 +31,7 @@
             data_centre="a",
             read_clock=time.monotonic,
             list_class_services=lambda: class_services,
+            read_class_settings=ClassSettings,
         )
         context.catalogue.apply_changes([row], 1, now=time.monotonic())
         relay = mock.Mock(is_needed=lambda state: False)
@@ -77,6 +79,14 @@
         await self.release(5)
         self.assertEqual(self.sent, ["high-0", "high-1", "middle", "low-3", "low-4"])
 
+    async def test_lowest_class_is_not_starved_by_the_highest(self):
+        """Guards against an order without the minimum share, a quarter by default."""
+        await self.start(class_services={"plain"})
+        await self.serve(*(f"high-{number}" for number in range(20)), urgency=0)
+        await self.release(15)
+        lows = [place for place, name in enumerate(self.sent) if "low" in name]
+        self.assertEqual(lows, [4, 9, 14])
+
     async def test_without_classes_the_one_that_asks_first_is_served(self):
         """Guards against another order for services whose routes are equally urgent."""
         await self.start(class_services=frozenset())
