Plain services: leave the queue while awaiting a permit for a target

A request that was next for a plain service kept its place while it awaited a permit from the owner of a target's limit. While the owner is silent, requests behind it got no target, also not one without a limit. It now leaves the queue for that time. Nobody is woken then, as its capacity is only reserved after the permit; the others find other targets by polling.

--- a/packages/router/fulmarward_router/exchange/_plain.py
+++ b/packages/router/fulmarward_router/exchange/_plain.py
@@ -158,7 +158,8 @@
             waiting.record_admitted(request)
             return target
         finally:
-            waiting.remove(request, now=self._read_clock())
+            waiting.remove(request)
+            waiting.wake(now=self._read_clock())
 
     async def _poll_target(
         self,
@@ -182,6 +183,9 @@
                     state.service, tried | denied, now
                 )
             if target is not None:
+                if waiting is not None:
+                    # The owner of its limit may be silent; others need not wait for it.
+                    waiting.remove(request)
                 if await self._limits.acquire(
                     target.name, request_id=state.facts.request_id
                 ):
--- a/packages/router/fulmarward_router/exchange/_waiting.py
+++ b/packages/router/fulmarward_router/exchange/_waiting.py
@@ -500,11 +500,10 @@
         #: By the key of the request; set when a target may have capacity for it.
         self._released: dict[Hashable, asyncio.Event] = {}
 
-    def remove(self, request: WaitingRequest, *, now: float) -> None:
-        """Remove a request if it is there, and wake the one that is next."""
-        if self._released.pop(request.key, None) is not None:
-            self._queue.remove(request)
-            self.wake(now=now)
+    def remove(self, request: WaitingRequest) -> None:
+        """Remove a request if it is there."""
+        self._queue.remove(request)
+        self._released.pop(request.key, None)
 
     def is_next(self, request: WaitingRequest, *, now: float) -> bool:
         """Return whether no waiting request is served before this one."""
--- a/packages/router/fulmarward_router/exchange/tests/test_plain.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_plain.py
@@ -87,6 +87,21 @@
         lows = [place for place, name in enumerate(self.sent) if "low" in name]
         self.assertEqual(lows, [4, 9, 14])
 
+    async def test_request_that_awaits_a_permit_holds_up_nobody(self):
+        """Guards against idle targets while the owner of another's limit is silent."""
+        await self.start(class_services={"plain"})
+
+        async def acquire(target, *, request_id):
+            if request_id == "high":
+                await asyncio.sleep(9.0)
+            return True
+
+        self.plain._limits = mock.Mock(list_throttled=frozenset, acquire=acquire)
+        await self.serve("high", urgency=0)
+        await self.release(1)
+        await asyncio.sleep(0.4)
+        self.assertEqual(self.sent, ["low-3"])
+
     async def test_without_classes_the_one_that_asks_first_is_served(self):
         """Guards against another order for services whose routes are equally urgent."""
         await self.start(class_services=frozenset())
