--- a/packages/core/fulmarward_core/reservations/decisions.py
+++ b/packages/core/fulmarward_core/reservations/decisions.py
@@ -176,6 +176,18 @@
             self._minimum_share.record_admitted(request.urgency)
             self._first_rank = None
 
+    def record_passed_over(self, request: WaitingRequest) -> None:
+        """Credit the lower classes that wait while a request is admitted.
+
+        It takes the place of `record_arrival` where a burst of a lower class may not
+        precede the higher ones: credit grows with what is admitted of these, not with
+        the burst.
+        """
+        for urgency in {head.urgency for head in self._list_heads()}:
+            if urgency > request.urgency:
+                self._minimum_share.record_arrival(urgency)
+        self._first_rank = None
+
     def has_credit(self, urgency: int) -> bool:
         """Return whether a class is owed the admission of a request."""
         return self._minimum_share.has_credit(urgency)
@@ -215,10 +227,20 @@
         if revision != self._team_revision:
             self._first_rank, self._team_revision = None, revision
         if self._first_rank is None:
-            heads = (entries[0][-1] for entries in self._groups.values() if entries)
-            self._first_rank = min(self._rank(head, now) for head in heads)
+            self._first_rank = min(self._rank(head, now) for head in self._list_heads())
         return self._rank(request, now) <= self._first_rank
 
+    def find_first(self, *, now: float) -> WaitingRequest | None:
+        """Return the request that is served first, `None` if none waits."""
+        self._move_late(now)
+        return min(
+            self._list_heads(), key=lambda head: self._rank(head, now), default=None
+        )
+
+    def _list_heads(self) -> list[WaitingRequest]:
+        """Return the first request of each group."""
+        return [entries[0][-1] for entries in self._groups.values() if entries]
+
     def find_kv_share(
         self,
         request: WaitingRequest,
--- a/packages/router/fulmarward_router/exchange/_waiting.py
+++ b/packages/router/fulmarward_router/exchange/_waiting.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Hashable, Mapping, Sequence
 from dataclasses import dataclass, replace
 from typing import Protocol
 
@@ -487,6 +487,58 @@
         self._reported_at = now
 
 
+class PlainRequests:
+    """Waiting requests of a plain service with classes, by urgency and arrival.
+
+    The minimum share of a class is one of the requests that are admitted from higher
+    ones while it waits. As one of its own arrivals, a burst of a lower class would earn
+    credit faster than targets answer, and delay the higher classes.
+    """
+
+    def __init__(self, *, settings: ClassSettings) -> None:
+        self._queue = ClassQueue(settings=settings)
+        #: By the key of the request; set when a target may have capacity for it.
+        self._released: dict[Hashable, asyncio.Event] = {}
+
+    def remove(self, request: WaitingRequest) -> None:
+        """Remove a request if it is there."""
+        self._queue.remove(request)
+        self._released.pop(request.key, None)
+
+    def is_next(self, request: WaitingRequest, *, now: float) -> bool:
+        """Return whether no waiting request is served before this one."""
+        return self._queue.is_next(request, now=now)
+
+    def configure(self, settings: ClassSettings) -> None:
+        """Apply other settings from now on."""
+        self._queue.configure(settings)
+
+    def record_admitted(self, request: WaitingRequest) -> None:
+        """Record that a request has found a target."""
+        self._queue.record_admitted(request)
+        self._queue.record_passed_over(request)
+
+    def wake(self, *, now: float) -> None:
+        """Wake the request that is next, as a target may have capacity.
+
+        Waking all of them would cost time in proportion to their square.
+        """
+        first = self._queue.find_first(now=now)
+        if first is not None:
+            self._released[first.key].set()
+
+    async def await_release(self, request: WaitingRequest, *, timeout_s: float) -> None:
+        """Add a request, and wait until it is woken, for `timeout_s` at most."""
+        self._queue.add(request)
+        released = self._released.setdefault(request.key, asyncio.Event())
+        released.clear()
+        try:
+            async with asyncio.timeout(timeout_s):
+                await released.wait()
+        except TimeoutError:
+            return
+
+
 def _make_unshared() -> TeamShares:
     """Return shares of teams that are not in force."""
     return TeamShares(service="", table=TeamTable(own=""))
