--- a/packages/core/fulmarward_core/forecasts/decisions.py
+++ b/packages/core/fulmarward_core/forecasts/decisions.py
@@ -10,8 +10,8 @@
 #: Seconds after the last observation up to which the slope is extrapolated at most.
 MAX_EXTRAPOLATION_S = 2.0
 
-#: Bound on the slope per second, as a share of the level. A wave of 15 s with a swing of
-#: 0.55 grows by 0.28 at most. A step would otherwise be exceeded by half for a second.
+#: Bound on the slope per second, as a share of the level. A wave of 15 s with a swing
+#: of 0.55 grows by 0.28 at most. A step would otherwise be exceeded by half.
 MAX_SLOPE_SHARE = 0.3
 
 
--- a/packages/core/fulmarward_core/paths/decisions.py
+++ b/packages/core/fulmarward_core/paths/decisions.py
@@ -108,6 +108,8 @@
     #: Whether a path may cross data centres because that is cheaper, and not only if no
     #: data centre has a complete path.
     may_cross_for_cost: bool
+    #: Data centres whose targets paths may use, `None` if all.
+    data_centres: frozenset[str] | None = None
 
 
 #: Used when every instance receives the loads of all others directly.
@@ -269,9 +271,24 @@
 
     def measure_capacity(self, *, read: ReadOccupancy) -> KvCapacity:
         """Return the KV cache of all targets that are not excluded."""
+        return self._measure_stages(self._stages.values(), read)
+
+    def measure_capacities(self, *, read: ReadOccupancy) -> dict[str, KvCapacity]:
+        """Return the KV cache by data centre, each as `measure_capacity` does."""
+        stages: dict[str, list[Stage]] = {}
+        for stage in self._stages.values():
+            stages.setdefault(stage.data_centre, []).append(stage)
+        return {
+            centre: self._measure_stages(listed, read)
+            for centre, listed in stages.items()
+        }
+
+    def _measure_stages(
+        self, stages: Iterable[Stage], read: ReadOccupancy
+    ) -> KvCapacity:
         layers = self.engine.layers
         planned, free = ([0.0] * (layers + 1) for _ in range(2))
-        for stage in self._stages.values():
+        for stage in stages:
             occupancy = read(stage)
             if occupancy is None or not len(stage.layers):
                 continue
@@ -486,6 +503,9 @@
             return None
         required = self._tokens * (stage.layers.end - stage.layers.start)
         is_local = stage.data_centre == self.request.data_centre
+        usable_centres = self.request.remote.data_centres
+        if usable_centres is not None and stage.data_centre not in usable_centres:
+            return None
         planned = USABLE_KV_SHARE if is_local else self.request.remote.usable_kv_share
         planned *= self.request.kv_share
         if occupancy.kv_reserved + required > stage.kv_capacity * planned:
--- a/packages/core/fulmarward_core/paths/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/paths/tests/test_decisions.py
@@ -117,6 +117,12 @@
                 found = index.measure_capacity(read=read_stage)
                 self.assertAlmostEqual(found.planned, planned, delta=1.0)
                 self.assertAlmostEqual(found.free, free, delta=1.0)
+                elsewhere = [
+                    replace(s, data_centre="z", target=f"{s.target}z") for s in stages
+                ]
+                both = StageIndex(engine=ENGINE, stages=[*stages, *elsewhere])
+                by_centre = both.measure_capacities(read=read_stage)
+                self.assertEqual(by_centre["z"], found)
 
 
 class ChoiceCostTest(unittest.TestCase):
@@ -267,6 +273,15 @@
                 path = choose_path(ENGINE, slow + fast, replace(_REQUEST, remote=terms))
                 self.assertEqual(_list_targets(path)[0][0], expected)
 
+    def test_only_named_data_centres_are_used(self):
+        """Guards against requests that overflow into a data centre that overflows."""
+        stages = [*make_chain("b", "b"), *make_chain("c", "c")]
+        for usable, expected in (({"a", "c"}, "c"), ({"a", "b"}, "b"), ({"a"}, None)):
+            terms = replace(HUB_TERMS, data_centres=frozenset(usable))
+            path = choose_path(ENGINE, stages, replace(_REQUEST, remote=terms))
+            found = None if path is None else _list_targets(path)[0][0]
+            self.assertEqual(found, expected)
+
     def test_waiting_request_may_fill_more_of_another_data_centre(self):
         """Guards against a wait for the own data centre while another has capacity."""
         full = [replace(s, kv_reserved=s.kv_capacity) for s in make_chain("a", "a")]
