Return the demand of a service by data centre

The overflow between data centres needs the demand of each of them, with its age. DemandTable kept it, but returned the sum only. A data centre without demand sends no reports, so that the table also names those whose last report of demand has expired: these may be cut off, and must not count as idle.

--- a/packages/core/fulmarward_core/demand/__init__.py
+++ b/packages/core/fulmarward_core/demand/__init__.py
@@ -10,7 +10,7 @@
 )
 from fulmarward_core.demand._sums import Amounts, ClassAmounts, Demands
 from fulmarward_core.demand._table import DemandTable
-from fulmarward_core.demand._types import ClassDemand
+from fulmarward_core.demand._types import CentreDemand, ClassDemand
 
 __all__ = [
     "MAX_AMOUNT",
@@ -18,6 +18,7 @@
     "MAX_SERVICES",
     "REPORT_DURATION_S",
     "Amounts",
+    "CentreDemand",
     "ClassAmounts",
     "ClassDemand",
     "DemandTable",
--- a/packages/core/fulmarward_core/demand/_fleet_reports.py
+++ b/packages/core/fulmarward_core/demand/_fleet_reports.py
@@ -76,9 +76,7 @@
         may be older than what this instance knows itself, so the larger one of both
         counts.
         """
-        reported = self._own_centre.sum.find_classes(service)
-        if reported:
-            near = find_larger_classes(near, reported)
+        near = self.sum_near(service, near)
         far = self._other_centres.sum.find_classes(service)
         return add_classes([near, far]) if far else near
 
@@ -101,6 +99,17 @@
         """Return the valid reports on other data centres, for a hub to pass on."""
         return self._other_centres.list_valid()
 
+    def sum_near(
+        self, service: str, near: Mapping[ClassKey, Amounts]
+    ) -> Mapping[ClassKey, Amounts]:
+        """Return the amounts of a service in the own data centre, as `sum` does."""
+        reported = self._own_centre.sum.find_classes(service)
+        return find_larger_classes(near, reported) if reported else near
+
+    def list_silent_centres(self) -> frozenset[str]:
+        """Return the other data centres whose last report expired with entries."""
+        return self._other_centres.list_silent()
+
     def find_oldest_age_s(self, *, now: float) -> float | None:
         """Return the age of the oldest report in the sums, `None` if there is none."""
         times = [
--- a/packages/core/fulmarward_core/demand/_reports.py
+++ b/packages/core/fulmarward_core/demand/_reports.py
@@ -43,6 +43,8 @@
     amounts: ClassAmounts = field(default_factory=dict)
     #: Whether the source was neither removed nor has the report expired.
     is_valid: bool = True
+    #: Whether the report expired while it had entries.
+    is_silent: bool = False
 
 
 class ReportSet:
@@ -102,7 +104,7 @@
             if not report.is_valid:
                 continue
             if now - report.at > REPORT_DURATION_S:
-                self._invalidate(source, report)
+                self._invalidate(source, report, is_silent=bool(report.entries))
             else:
                 end = report.at + REPORT_DURATION_S
                 self.next_expiry = min(self.next_expiry, end)
@@ -115,8 +117,21 @@
             if report.is_valid
         }
 
-    def _invalidate(self, source: str, report: _Report) -> None:
-        ended = _Report(boot=report.boot, at=report.at, is_valid=False)
+    def list_silent(self) -> frozenset[str]:
+        """Return the sources that sent nothing after a report with entries.
+
+        One that has none left says so once, and is not among them.
+        """
+        return frozenset(
+            source for source, report in self._reports.items() if report.is_silent
+        )
+
+    def _invalidate(
+        self, source: str, report: _Report, *, is_silent: bool = False
+    ) -> None:
+        ended = _Report(
+            boot=report.boot, at=report.at, is_valid=False, is_silent=is_silent
+        )
         self._set(source, ended)
 
     def _set(self, source: str, report: _Report) -> None:
--- a/packages/core/fulmarward_core/demand/_table.py
+++ b/packages/core/fulmarward_core/demand/_table.py
@@ -18,7 +18,7 @@
     make_class_demands,
     round_amounts,
 )
-from fulmarward_core.demand._types import ClassDemand
+from fulmarward_core.demand._types import CentreDemand, ClassDemand
 
 #: Seconds for which a sum is reused while nothing is recorded or reported. Waiting
 #: requests ask for it many times a second, and only the rates change in between.
@@ -63,6 +63,7 @@
     """
 
     def __init__(self, *, own: str, data_centre: str = "") -> None:
+        self._data_centre = data_centre
         self._own: dict[str, dict[int, _OwnClass]] = {}
         #: Increases with each change, apart from the rates that fall with time.
         self.revision = 0
@@ -220,6 +221,31 @@
         self._reports.expire(now=now)
         return self._reports.list_data_centres()
 
+    def sum_by_data_centre(
+        self, service: str, *, now: float
+    ) -> dict[str, CentreDemand]:
+        """Return the demand of a service by data centre, where it is known.
+
+        Others are without demand, unless `list_silent_data_centres` names them.
+        """
+        self._reports.expire(now=now)
+        near = self._reports.sum_near(service, self._sum_direct(service, now))
+        own = CentreDemand(demands=make_class_demands(near), age_s=0.0)
+        return {
+            **{
+                name: CentreDemand(
+                    demands=known.entries.get(service, ()), age_s=now - known.at
+                )
+                for name, known in self._reports.list_data_centres().items()
+            },
+            self._data_centre: own,
+        }
+
+    def list_silent_data_centres(self, *, now: float) -> frozenset[str]:
+        """Return the others that reported demand, but not within the last 1.5 s."""
+        self._reports.expire(now=now)
+        return self._reports.list_silent_centres()
+
     def find_oldest_report_age_s(self, *, now: float) -> float | None:
         """Return the age of the oldest report in the sums, `None` if there is none."""
         self._reports.expire(now=now)
--- a/packages/core/fulmarward_core/demand/_types.py
+++ b/packages/core/fulmarward_core/demand/_types.py
@@ -37,3 +37,13 @@
         for value in values:
             if not 0 <= value < math.inf:
                 raise ValueError(f"expected a finite number from 0 on, found {value}")
+
+
+@dataclass(frozen=True, kw_only=True)
+class CentreDemand:
+    """Demand of the requests of one service that arrived in one data centre."""
+
+    #: By class, in order.
+    demands: tuple[ClassDemand, ...]
+    #: Age of the report on it in seconds; 0 for the own data centre.
+    age_s: float
--- a/packages/core/fulmarward_core/demand/tests/test_table.py
+++ b/packages/core/fulmarward_core/demand/tests/test_table.py
@@ -77,6 +77,25 @@
         self.assertEqual(self.table.list_data_centres(now=end + 0.01), {})
         self.assertIsNone(self.table.find_oldest_report_age_s(now=end + 0.01))
 
+    def test_data_centres_are_told_apart(self):
+        """Guards against a data centre that was cut off and counts as idle."""
+        self.table.set_waiting("s", 0, on_time_kv=1.0, late_kv=0.0, now=100.0)
+        self._merge("one", 10.0)
+        self._merge_centre("a", 5.0)
+        self._merge_centre("b", 100.0, at=99.0)
+        self.table.merge_data_centre("c", {}, at=100.0, now=100.0)
+        found = self.table.sum_by_data_centre("s", now=100.0)
+        waiting = {
+            name: (sum(item.on_time_kv for item in known.demands), known.age_s)
+            for name, known in found.items()
+        }
+        self.assertEqual(waiting, {"a": (11.0, 0.0), "b": (100.0, 1.0), "c": (0, 0.0)})
+        later = 101.6
+        self.assertEqual(self.table.sum_by_data_centre("s", now=later).keys(), {"a"})
+        self.assertEqual(self.table.list_silent_data_centres(now=later), {"b"})
+        self.table.merge_data_centre("b", {}, at=later, now=later)
+        self.assertEqual(self.table.list_silent_data_centres(now=104.0), frozenset())
+
     def test_leaving_peer_counts_no_more_at_once(self):
         self._merge("peer", 2.0)
         self.table.remove("peer")
