Balance data centres by overflow

Demand and capacity differ between data centres and change within seconds, but requests used other data centres only after they found no capacity in their own.

In large fleets, requests of services with classes overflow, and of all others with the new setting dataCentreBalancing. OverflowPlanner decides at most each 0.1 s, when a path is sought; each request draws once whether it overflows, and its first search uses the terms of the plan. One that finds no path with them is sought a path like all others. With the setting, DemandTable has the demand of all services with engines, and it is reported like that of services with classes. Without it, services without classes draw nothing, record nothing and send nothing.

--- a/packages/core/fulmarward_core/overflow/decisions.py
+++ b/packages/core/fulmarward_core/overflow/decisions.py
@@ -27,8 +27,12 @@
 #: Seconds after which a report no longer counts, neither as demand nor as capacity.
 REPORT_DURATION_S = 1.5
 
-#: Minimum seconds between two decisions on a service.
+#: Minimum seconds between two decisions on a service, and the same while the need is at
+#: most `CALM_SHARE` of the capacity. A decision takes 0.8 ms of processor time with 93
+#: targets, for each service that receives requests.
 DECISION_INTERVAL_S = 0.1
+CALM_INTERVAL_S = 0.3
+CALM_SHARE = 0.6
 
 #: Seconds for which demand is forecast; for data centres that requests are sent to it
 #: is longer, as these requests stay there for seconds.
@@ -139,7 +143,11 @@
 
     def is_due(self, *, now: float) -> bool:
         """Return whether the last decision is old enough for another one."""
-        return now - self._decided_at >= DECISION_INTERVAL_S
+        plan = self.plan
+        is_calm = plan.need_kv <= CALM_SHARE * plan.capacity_kv
+        is_calm = is_calm and not plan.is_overflowing
+        interval_s = CALM_INTERVAL_S if is_calm else DECISION_INTERVAL_S
+        return now - self._decided_at >= interval_s
 
     def update(
         self, reports: Mapping[str, CentreReport], *, now: float
--- a/packages/core/fulmarward_core/paths/decisions.py
+++ b/packages/core/fulmarward_core/paths/decisions.py
@@ -153,6 +153,9 @@
     remote: RemoteTerms = DIRECT_TERMS
     #: Whether it waits for capacity in a service with classes.
     has_waited: bool = False
+    #: A number from 0 to 1; it overflows if this is below the share that does. `None`
+    #: where data centres are not balanced.
+    overflow_draw: float | None = None
 
 
 def compute_preference(instance: str, target: str) -> float:
@@ -290,14 +293,17 @@
         planned, free = ([0.0] * (layers + 1) for _ in range(2))
         for stage in stages:
             occupancy = read(stage)
-            if occupancy is None or not len(stage.layers):
+            start, end = stage.layers.start, stage.layers.end
+            if occupancy is None or start == end:
                 continue
             planned_kv = stage.kv_capacity * USABLE_KV_SHARE
             free_kv = max(0.0, planned_kv - occupancy.kv_reserved)
             # Differences between neighbouring layers, summed up below.
-            for sums, kv in ((planned, planned_kv), (free, free_kv)):
-                sums[stage.layers.start] += kv / len(stage.layers)
-                sums[stage.layers.end] -= kv / len(stage.layers)
+            planned_kv, free_kv = planned_kv / (end - start), free_kv / (end - start)
+            planned[start] += planned_kv
+            planned[end] -= planned_kv
+            free[start] += free_kv
+            free[end] -= free_kv
         return KvCapacity(
             planned=max(0.0, min(accumulate(planned[:layers])) * layers),
             free=max(0.0, min(accumulate(free[:layers])) * layers),
--- a/packages/router/fulmarward_router/_metrics.py
+++ b/packages/router/fulmarward_router/_metrics.py
@@ -83,6 +83,7 @@
     #: Requests that the admission by urgency rejected, by `service`, `urgency` and
     #: `cause`: the events `admission_denied`.
     denials: Counter
+    remote_requests: Counter
     #: Seconds from asking for a path to its choice, by `service` and `urgency`, of
     #: requests of services with classes.
     admission_wait: Histogram
@@ -169,6 +170,10 @@
             "admission_denials_total",
             "Requests rejected for want of capacity, by service, urgency and cause.",
         ),
+        remote_requests=factory.count(
+            "remote_requests_total",
+            "Requests sent to other data centres, by service and overflow.",
+        ),
         admission_wait=factory.histogram(
             "admission_wait_seconds",
             "Time for which admitted requests waited, by service and urgency.",
@@ -207,6 +212,12 @@
     metrics.denials.inc(labels)
 
 
+def count_remote(metrics: RouterMetrics, service: str, is_overflowing: bool) -> None:
+    """Count a request whose path uses targets of another data centre."""
+    labels = {"service": service, "overflow": str(is_overflowing).lower()}
+    metrics.remote_requests.inc(labels)
+
+
 def observe_admission_wait(
     metrics: RouterMetrics, service: str, urgency: int, waited_s: float
 ) -> None:
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -32,6 +32,7 @@
 )
 from fulmarward_router._metrics import (
     count_denial,
+    count_remote,
     make_router_metrics,
     observe_admission_wait,
     observe_request,
@@ -293,6 +294,7 @@
             demands=self.demands,
             teams=self.teams,
             read_team_settings=lambda: self.settings.team_settings,
+            balances_data_centres=lambda: self.settings.balances_data_centres,
             sees_slow_streams=self._sees_own_slow_streams,
             decode_row=self.watch.decode_row,
             read_clock=clock,
@@ -378,6 +380,10 @@
             teams=self.teams,
             read_team_settings=lambda: self.settings.team_settings,
             list_class_services=self.instance_state.list_class_services,
+            balances_data_centres=lambda: self.settings.balances_data_centres,
+            list_reached_centres=lambda: self.members.list_fresh_data_centres(
+                now=self._clock()
+            ),
         )
         self.failure_detector = FailureDetector(
             dialect=self.dialect,
@@ -419,6 +425,7 @@
             count_broken_attempt=self._count_broken_attempt,
             count_denial=partial(count_denial, self.metrics),
             observe_wait=partial(observe_admission_wait, self.metrics),
+            count_remote=partial(count_remote, self.metrics),
         )
         return CallerHandler(
             dialect=self.dialect,
--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -120,7 +120,10 @@
         read_clock: Callable[[], float],
         count_denial: Callable[[str, int, str], None],
         observe_wait: Callable[[str, int, float], None],
+        balances_data_centres: Callable[[], bool] = lambda: False,
     ) -> None:
+        #: Returns whether requests to services without classes may overflow too.
+        self._balances_data_centres = balances_data_centres
         #: Counts a rejection in a service with classes or shares of teams, by service,
         #: urgency and cause.
         self._count_denial = count_denial
@@ -166,12 +169,15 @@
         shortage = Shortage.KV_CACHE
         rejection: Rejection | None = None
         ahead: KvAhead | None = None
+        overflow_draw = self._draw_overflow(state)
         try:
             while True:
                 now = self._read_clock()
                 wait_end = self._compute_wait_end(state, began_at, now)
                 has_waited = ahead is not None and _has_classes(state)
-                wanted = replace(find_wanted(), has_waited=has_waited)
+                wanted = replace(
+                    find_wanted(), has_waited=has_waited, overflow_draw=overflow_draw
+                )
                 is_bound = wanted.first_targets is not None
                 if is_bound or waiting.is_next(request, now=now):
                     found = await self._find_permitted_path(
@@ -196,6 +202,9 @@
                     if rejection is not None:
                         break
                 ahead = ahead or waiting.track_ahead(request, now=now)
+                if overflow_draw is not None:
+                    # It has found no capacity: from now on it takes any path.
+                    overflow_draw = 1.0
                 if is_bound:
                     waiting.remove(request, now=now)
                 else:
@@ -207,6 +216,15 @@
             raise TruncatedResponse(CutCause.NO_PATH)
         raise self._make_rejection(state, engine, request, waiting, shortage, rejection)
 
+    def _draw_overflow(self, state: RequestState) -> float | None:
+        """Return the number that decides whether a request overflows.
+
+        `None` where data centres are not balanced. A started answer takes any path.
+        """
+        if not _has_classes(state) and not self._balances_data_centres():
+            return None
+        return 1.0 if state.has_begun else random.random()
+
     def _make_rejection(
         self,
         state: RequestState,
--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -83,6 +83,10 @@
     list_class_services: Callable[[], frozenset[str]] = frozenset
     #: Returns the settings of the admission by urgency.
     read_class_settings: Callable[[], ClassSettings] = ClassSettings
+    #: Returns whether services without classes are balanced between data centres too.
+    balances_data_centres: Callable[[], bool] = lambda: False
+    #: Returns the other data centres with an instance that was heard recently.
+    list_reached_centres: Callable[[], frozenset[str]] = frozenset
     #: What the teams use in each class, and the settings of their shares.
     teams: TeamTable = field(default_factory=lambda: TeamTable(own=""))
     read_team_settings: Callable[[], TeamSettings] = TeamSettings
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -32,10 +32,12 @@
 )
 from fulmarward_router.exchange._context import ServiceContext
 from fulmarward_router.exchange._crash_monitor import CrashMonitor
+from fulmarward_router.exchange._demand_recorder import DemandRecorder
 from fulmarward_router.exchange._events import EventSplitter
 from fulmarward_router.exchange._failover import FIRST_CHECK_S, StreamSupervisor
 from fulmarward_router.exchange._failure_detector import FailureDetector
 from fulmarward_router.exchange._forwarding import StreamForwarder
+from fulmarward_router.exchange._overflow import OverflowPlanner
 from fulmarward_router.exchange._path_finder import PathFinder
 from fulmarward_router.exchange._pipe_limiter import PipeLimiter
 from fulmarward_router.exchange._relay import PeerRelay
@@ -90,8 +92,12 @@
         count_broken_attempt: Callable[[str, str], None],
         count_denial: Callable[[str, int, str], None],
         observe_wait: Callable[[str, int, float], None],
+        count_remote: Callable[[str, bool], None] = lambda service, overflows: None,
     ) -> None:
         self._context = context
+        #: Counts a request that is sent to another data centre, by service and whether
+        #: requests of the service overflow.
+        self._count_remote = count_remote
         self._forwarder = forwarder
         #: Counts an attempt that broke off, by service and progress.
         self._count_broken_attempt = count_broken_attempt
@@ -116,6 +122,18 @@
             list_throttled=context.target_limits.list_throttled,
             list_backed_off=context.target_limits.list_backed_off,
             read_clock=context.read_clock,
+            find_overflow=lambda service, engine: self._overflow.find_plan(
+                service, engine
+            ),
+        )
+        self._overflow = OverflowPlanner(
+            data_centre=context.data_centre,
+            demands=context.demands,
+            measure_capacities=lambda service, engine: finder.measure_capacities(
+                service, engine
+            ),
+            list_reached_centres=context.list_reached_centres,
+            read_clock=context.read_clock,
         )
         pipe = PipeLimiter(
             catalogue=context.catalogue,
@@ -132,6 +150,7 @@
             read_clock=context.read_clock,
             count_denial=count_denial,
             observe_wait=observe_wait,
+            balances_data_centres=context.balances_data_centres,
         )
         #: Waiting requests by service, for services without and with classes.
         self._uniform_requests: dict[str, UniformRequests] = {}
@@ -160,7 +179,12 @@
         if service not in list_class_services(configuration):
             uniform = self._uniform_requests.get(service)
             if uniform is None:
-                uniform = UniformRequests(team_shares=team_shares)
+                recorder = DemandRecorder(
+                    service=service,
+                    demands=self._context.demands,
+                    is_enabled=self._context.balances_data_centres,
+                )
+                uniform = UniformRequests(recorder=recorder, team_shares=team_shares)
                 self._uniform_requests[service] = uniform
             uniform.configure(
                 measure_capacity=lambda: self._finder.measure_capacity(service, engine)
@@ -252,6 +276,9 @@
             )
             state.attempts += 1
             state.targets = tuple(hop.target for hop in path)
+            if state.attempts == 1 and self._is_remote(path):
+                is_overflowing = self._overflow.is_overflowing(state.service)
+                self._count_remote(state.service, is_overflowing)
             now = self._read_clock()
             log_event(
                 "path_chosen",
@@ -299,6 +326,14 @@
             if state.last_event is not None and answer is not None:
                 state.resumes += 1
 
+    def _is_remote(self, path: tuple[Hop, ...]) -> bool:
+        """Return whether a path uses targets of another data centre."""
+        records = [self._catalogue.find_target(hop.target) for hop in path]
+        return any(
+            record is not None and record.data_centre != self._context.data_centre
+            for record in records
+        )
+
     async def _handle_own_fault(self, state: RequestState, error: Exception) -> None:
         """Log a fault of this program; raise it unless a begun stream may go on."""
         if not state.has_begun or self._read_clock() >= compute_resume_end(state):
@@ -550,14 +585,15 @@
         or others.
         """
         state = attempt.state
+        kv = compute_request_kv(attempt.wanted, attempt.engine)
+        now = self._read_clock()
         if state.service not in self._class_requests:
-            if state.service not in list_class_services(state.configuration):
+            waiting = self._find_waiting(state, attempt.engine)
+            if isinstance(waiting, UniformRequests):
+                waiting.recorder.record_released(state.class_urgency, kv, now=now)
                 return
-            self._find_waiting(state, attempt.engine)
         self._class_requests[state.service].record_released(
-            state.class_urgency,
-            compute_request_kv(attempt.wanted, attempt.engine),
-            now=self._read_clock(),
+            state.class_urgency, kv, now=now
         )
 
     def _release(self, attempt: Attempt) -> None:
--- a/packages/router/fulmarward_router/exchange/_path_finder.py
+++ b/packages/router/fulmarward_router/exchange/_path_finder.py
@@ -13,6 +13,7 @@
 )
 from fulmarward_core.layers import find_gaps
 from fulmarward_core.loads import LoadLedger, TargetLoad
+from fulmarward_core.overflow import OverflowPlan
 from fulmarward_core.paces import PaceTable
 from fulmarward_core.paths import (
     HUB_TERMS,
@@ -84,7 +85,12 @@
         list_backed_off: Callable[[], frozenset[str]],
         read_clock: Callable[[], float],
         count_known_instances: Callable[[], int] = lambda: 1,
+        find_overflow: Callable[[str, EngineModel], OverflowPlan] = (
+            lambda service, engine: OverflowPlan()
+        ),
     ) -> None:
+        #: Returns what share of the requests of a service overflow now.
+        self._find_overflow = find_overflow
         self._is_large = is_large
         #: Returns how many instances are known of, whether they are reached or not.
         self._count_known_instances = count_known_instances
@@ -125,9 +131,7 @@
         """
         now = self._read_clock()
         targets = self._find_targets(service, engine, now)
-        if self._is_large():
-            remote = HUB_WAIT_TERMS if wanted.has_waited else HUB_TERMS
-            wanted = replace(wanted, remote=remote)
+        searches = self._list_searches(service, engine, wanted)
         throttled = frozenset() if ignores_limits else self._list_throttled()
         backed_off = throttled & self._list_backed_off()
         path = None
@@ -139,9 +143,27 @@
                 throttled=throttled,
                 avoided=avoided,
             )
-            path = path or targets.index.choose_path(wanted, read=read)
+            for search in searches:
+                path = path or targets.index.choose_path(search, read=read)
         return path
 
+    def _list_searches(
+        self, service: str, engine: EngineModel, wanted: PathRequest
+    ) -> list[PathRequest]:
+        """Return the request under the terms that are in force, the preferred first.
+
+        One that overflows and finds no capacity is sought a path like all others.
+        """
+        if not self._is_large():
+            return [wanted]
+        remote = HUB_WAIT_TERMS if wanted.has_waited else HUB_TERMS
+        searches = [replace(wanted, remote=remote)]
+        if wanted.overflow_draw is not None:
+            plan = self._find_overflow(service, engine)
+            if wanted.overflow_draw < plan.share:
+                searches.insert(0, replace(wanted, remote=plan.terms))
+        return searches
+
     def measure_capacity(self, service: str, engine: EngineModel) -> KvCapacity:
         """Return the KV cache of the usable targets of a service."""
         now = self._read_clock()
@@ -162,6 +184,21 @@
             self._capacities[service] = now + duration_s, capacity
         return capacity
 
+    def measure_capacities(
+        self, service: str, engine: EngineModel
+    ) -> dict[str, KvCapacity]:
+        """Return the KV cache of the usable targets of a service by data centre."""
+        now = self._read_clock()
+        targets = self._find_targets(service, engine, now)
+        read = self._make_occupancy_reader(
+            targets,
+            now,
+            may_use_reported=False,
+            throttled=frozenset(),
+            avoided=frozenset(),
+        )
+        return targets.index.measure_capacities(read=read)
+
     def find_load_scale(self, *, now: float) -> float:
         """Return by which factor the load of a target may exceed the known one.
 
--- a/packages/router/fulmarward_router/exchange/_waiting.py
+++ b/packages/router/fulmarward_router/exchange/_waiting.py
@@ -26,6 +26,7 @@
     estimate_wait_s,
     may_promise,
 )
+from fulmarward_router.exchange._demand_recorder import DemandRecorder
 
 #: Seconds between two searches for a path by a waiting request.
 POLL_INTERVAL_S = 0.04
@@ -123,7 +124,14 @@
 class UniformRequests:
     """Waiting requests of a service without classes."""
 
-    def __init__(self, *, team_shares: TeamShares | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        recorder: DemandRecorder | None = None,
+        team_shares: TeamShares | None = None,
+    ) -> None:
+        #: Records the demand where data centres are balanced.
+        self.recorder = recorder or _make_idle_recorder()
         self._team_shares = team_shares or _make_unshared()
         self._queue = WaitQueue(team_order=self._team_shares)
         self._measure_capacity: Callable[[], KvCapacity] | None = None
@@ -138,17 +146,20 @@
         self._measure_capacity = measure_capacity
 
     def record_arrival(self, request: WaitingRequest, *, now: float) -> None:
-        """Do nothing: without classes, arrivals reserve no capacity."""
+        """Record a request that asks for a path for the first time."""
+        self.recorder.record_arrival(request, now=now)
 
     def add(self, request: WaitingRequest, *, now: float) -> None:
         """Add a request; adding it again has no effect."""
         self._queue.add(request)
         self._team_shares.add(request)
+        self.recorder.add(request, now=now)
 
     def remove(self, request: WaitingRequest, *, now: float) -> None:
         """Remove a request if it is there."""
         self._queue.remove(request)
         self._team_shares.remove(request)
+        self.recorder.remove(request, now=now)
 
     def is_next(self, request: WaitingRequest, *, now: float) -> bool:
         """Return whether no waiting request is served before this one."""
@@ -492,6 +503,13 @@
     return TeamShares(service="", table=TeamTable(own=""))
 
 
+def _make_idle_recorder() -> DemandRecorder:
+    """Return a recorder that records nothing."""
+    return DemandRecorder(
+        service="", demands=DemandTable(own=""), is_enabled=lambda: False
+    )
+
+
 def _make_idle_demand(urgency: int) -> ClassDemand:
     return ClassDemand(
         urgency=urgency,
--- a/packages/router/fulmarward_router/exchange/tests/test_admission_queue.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_admission_queue.py
@@ -63,11 +63,16 @@
 class _Finder:
     """Finds a path while the share of the KV cache allows it, and reserves it."""
 
+    def __init__(self):
+        #: The draws of the requests that sought a path, in order.
+        self.draws = []
+
     used_kv = 0.0
     #: Capacity of other data centres for requests that have waited.
     remote_kv = 0.0
 
     def choose(self, service, engine, wanted, **options):
+        self.draws.append(wanted.overflow_draw)
         kv = (wanted.prompt + wanted.answer) * engine.layers
         if wanted.has_waited and self.remote_kv >= kv:
             self.remote_kv -= kv
@@ -95,6 +100,7 @@
         self.demands = DemandTable(own="one")
         self.teams = TeamTable(own="one")
         self.team_settings = TeamSettings()
+        self.balances_data_centres = False
         self.promised = PromisedReturns(source="one", read_clock=read_clock)
         self.finder = _Finder()
         self.finder.used_kv = used_kv
@@ -110,6 +116,7 @@
             read_class_settings=lambda: self.settings,
             teams=self.teams,
             read_team_settings=lambda: self.team_settings,
+            balances_data_centres=lambda: self.balances_data_centres,
         )
         context.catalogue.may_be_incomplete.return_value = False
         pipe = SimpleNamespace(reserve=lambda *args: True)
@@ -299,6 +306,36 @@
         self.assertEqual(it.promised.counts.made, 0)
 
 
+class BalanceTest(unittest.TestCase):
+    @_simulate
+    async def test_demand_and_overflow_follow_the_setting(self, read_clock):
+        """Guards against a change for services without classes and setting."""
+        for priorities, is_balanced, is_in_force in (
+            ((1, 1), False, False),
+            ((1, 1), True, True),
+            ((0, 1), False, True),
+        ):
+            with self.subTest(priorities, is_balanced=is_balanced):
+                it = _Instance(read_clock, used_kv=100, priorities=priorities)
+                it.balances_data_centres = is_balanced
+                it.send("request", urgency=1)
+                await it.advance_to(0.1)
+                # Only its first search may overflow.
+                draws = [0.5, 1.0] if is_in_force else [None, None]
+                self.assertEqual(it.finder.draws[:2], draws)
+                waiting = it.demands.list_own(now=read_clock())
+                self.assertEqual(list(waiting), ["pool"] if is_in_force else [])
+                for (demand,) in waiting.values():
+                    self.assertEqual((demand.urgency, demand.on_time_kv), (1, 10.0))
+                    self.assertGreater(demand.arriving_kv_per_s, 0.0)
+                it.finish(20, state=it.make_state("ended", urgency=1))
+                await it.advance_to(0.2)
+                self.assertEqual(list(it.admitted), ["request"])
+                for (demand,) in it.demands.list_own(now=read_clock()).values():
+                    self.assertEqual(demand.on_time_kv, 0.0)
+                    self.assertGreater(demand.released_kv_per_s, 0.0)
+
+
 class TeamTest(unittest.TestCase):
     def _report(self, it, *uses, urgency=0):
         """Merge what a peer reports of teams with their used and waiting KV cache."""
--- a/packages/router/fulmarward_router/exchange/tests/test_path_finder.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_path_finder.py
@@ -39,12 +39,12 @@
 _REQUEST = PathRequest(prompt=10, answer=10, data_centre="a")
 
 
-def _make_row(name, version):
+def _make_row(name, version, data_centre="a"):
     record = TargetRecord(
         name=name,
         service="pool",
         address=f"{name}:1",
-        data_centre="a",
+        data_centre=data_centre,
         is_leaving=False,
         slots=8,
         remaining_warmup_s=0.0,
--- a/packages/router/fulmarward_router/mesh/_members.py
+++ b/packages/router/fulmarward_router/mesh/_members.py
@@ -586,6 +586,10 @@
         """Return the instances that were heard lately."""
         return [self._members[name] for name in self._find_view(now).fresh]
 
+    def list_fresh_data_centres(self, *, now: float) -> frozenset[str]:
+        """Return the data centres with an instance that was heard recently."""
+        return frozenset(m.identity.data_centre for m in self.list_fresh(now=now))
+
     def list_ready(self, *, now: float) -> list[Member]:
         """Return the instances that callers may be sent to."""
         fresh = self.list_fresh(now=now)
--- a/packages/router/fulmarward_router/ports.py
+++ b/packages/router/fulmarward_router/ports.py
@@ -68,6 +68,8 @@
     class_settings: ClassSettings = ClassSettings()
     #: Shares of teams in the capacity of services.
     team_settings: TeamSettings = TeamSettings()
+    #: Whether services without classes are balanced between data centres too.
+    balances_data_centres: bool = False
     #: Log level: `debug`, `info` or `warning`.
     log_level: str = "info"
 
--- a/packages/router/fulmarward_router/state/_instance_state.py
+++ b/packages/router/fulmarward_router/state/_instance_state.py
@@ -90,6 +90,7 @@
         demands: DemandTable,
         teams: TeamTable,
         read_team_settings: Callable[[], TeamSettings],
+        balances_data_centres: Callable[[], bool] = lambda: False,
         sees_slow_streams: Callable[[], bool],
         decode_row: Callable[..., KnownRow],
         read_clock: Callable[[], float],
@@ -115,6 +116,8 @@
         self._demands = demands
         self._teams = teams
         self._read_team_settings = read_team_settings
+        #: Returns whether the demand of services without classes is reported too.
+        self._balances_data_centres = balances_data_centres
         self._sees_slow_streams = sees_slow_streams
         self._decode_row = decode_row
         self._read_clock = read_clock
@@ -447,9 +450,23 @@
         current = self._configuration.current
         return frozenset() if current is None else list_class_services(current)
 
+    def _list_reported_services(self) -> frozenset[str]:
+        """Return the services whose demand is reported to other instances."""
+        current = self._configuration.current
+        if current is None or not self._balances_data_centres():
+            return self.list_class_services()
+        return frozenset(
+            name
+            for name, service in current.services.items()
+            if service.engine is not None
+        )
+
     def make_demand_reports(self, scope: DemandScope) -> tuple[DemandReport, ...]:
-        """Return the reports on demand, also on none; empty without classes."""
-        services = self.list_class_services()
+        """Return the reports on demand, also on none; empty if no service has any.
+
+        Without balanced data centres, these are the services with classes.
+        """
+        services = self._list_reported_services()
         return self._demand_reports[scope](services) if services else ()
 
     def _report_own_demand(self, services: frozenset[str]) -> tuple[DemandReport, ...]:
--- a/packages/router/fulmarward_router/tests/test_demands.py
+++ b/packages/router/fulmarward_router/tests/test_demands.py
@@ -1,4 +1,6 @@
+import dataclasses
 import unittest
+from types import SimpleNamespace
 
 from msgspec.structs import replace
 
@@ -66,6 +68,22 @@
         (report,) = self.one.instance_state.make_demand_reports(DemandScope.INSTANCE)
         self.assertEqual([item.service for item in report.demands], [_SERVICE])
 
+    def test_services_without_classes_are_reported_where_they_are_balanced(self):
+        """Guards against overflow that does not know the demand elsewhere."""
+        services = {
+            _SERVICE: SimpleNamespace(engine=object()),
+            "plain": SimpleNamespace(engine=None),
+        }
+        self.one.configuration.current = dataclasses.replace(
+            make_configuration(3), services=services
+        )
+        self.one.balances_data_centres = True
+        self.one.demands.set_waiting(
+            "plain", 0, on_time_kv=5.0, late_kv=0.0, now=self.one.now
+        )
+        (report,) = self.one.instance_state.make_demand_reports(DemandScope.INSTANCE)
+        self.assertEqual([item.service for item in report.demands], [_SERVICE])
+
     def test_peer_that_leaves_counts_no_more_at_once(self):
         self._send(self.one, self.two)
         self.one.is_leaving = True
--- a/packages/router/fulmarward_router/tests/test_instance_state.py
+++ b/packages/router/fulmarward_router/tests/test_instance_state.py
@@ -59,6 +59,7 @@
         self.demands = DemandTable(own=name, data_centre="a")
         self.teams = TeamTable(own=name, data_centre="a")
         self.team_settings = TeamSettings()
+        self.balances_data_centres = False
         self.instance_state = InstanceState(
             own=InstanceIdentity(
                 name=name,
@@ -76,6 +77,7 @@
             demands=self.demands,
             teams=self.teams,
             read_team_settings=lambda: self.team_settings,
+            balances_data_centres=lambda: self.balances_data_centres,
             sees_slow_streams=lambda: False,
             decode_row=self._decode_row,
             read_clock=lambda: self.now,
