Leave out of lookups what a hub has lost

An instance with links of its own kept another one listed until that was silent for 1.3 s or more, although a hub had already reported it as lost, and for up to 0.25 s more as lists are cached. Callers were sent to an instance that is gone.

With dataCentreBalancing, or while a service has classes, such an instance is left out at once until it is heard again, as long as at least half of its data centre's instances stay. Lists are made again when an instance is lost.

--- a/packages/core/fulmarward_core/listing/decisions.py
+++ b/packages/core/fulmarward_core/listing/decisions.py
@@ -7,6 +7,7 @@
 """
 
 import math
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -36,6 +37,8 @@
     #: Whether it has duties for other instances, as hubs do, so that callers should
     #: rather avoid it.
     has_duty: bool
+    #: Whether a hub lost its link and nothing confirmed it since.
+    is_lost: bool = False
 
 
 def choose_listed(
@@ -46,6 +49,7 @@
     `open_requests` counts the requests that run in that data centre; the list grows
     with it. The same candidates give the same list on every instance.
     """
+    candidates = _leave_out_lost(candidates)
     local = [item for item in candidates if item.data_centre == data_centre]
     local.sort(key=lambda item: (item.has_duty, item.name))
     if len(local) < MIN_LISTED:
@@ -56,3 +60,18 @@
         math.ceil(open_requests / OPEN_REQUESTS_PER_INSTANCE / LIST_STEP) * LIST_STEP
     )
     return [item.address for item in local[: min(MAX_LISTED, max(MIN_LISTED, count))]]
+
+
+def _leave_out_lost(candidates: Sequence[Candidate]) -> list[Candidate]:
+    """Return the candidates without those that are lost.
+
+    A data centre of which more than half would be left out keeps all of its instances:
+    then the link of the hub may be at fault.
+    """
+    counts = Counter(item.data_centre for item in candidates)
+    lost = Counter(item.data_centre for item in candidates if item.is_lost)
+    return [
+        item
+        for item in candidates
+        if not item.is_lost or 2 * lost[item.data_centre] > counts[item.data_centre]
+    ]
--- a/packages/core/fulmarward_core/listing/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/listing/tests/test_decisions.py
@@ -1,4 +1,5 @@
 import unittest
+from dataclasses import replace
 
 from hypothesis import given, strategies as st
 
@@ -55,6 +56,16 @@
         listed_without_local = choose_listed(fleet, data_centre="c", open_requests=0)
         self.assertEqual(len(listed_without_local), MAX_LISTED)
 
+    def test_lost_instances_are_left_out_unless_most_are_lost(self):
+        """Guards against callers sent to an instance that is gone, or to none."""
+        for lost_count, expected in ((1, 15), (8, 8), (9, 16)):
+            fleet = [
+                replace(item, is_lost=number < lost_count)
+                for number, item in enumerate(_make_fleet({"a": 16}))
+            ]
+            listed = choose_listed(fleet, data_centre="a", open_requests=1000)
+            self.assertEqual(len(listed), expected)
+
     @given(st.integers(8, 60), st.integers(0, 3000), st.integers(0, 3000))
     def test_more_load_only_adds_instances(self, count, less, more):
         fleet = _make_fleet({"a": count})
--- a/packages/router/fulmarward_router/_listing.py
+++ b/packages/router/fulmarward_router/_listing.py
@@ -33,6 +33,8 @@
     listed: frozenset[str]
     #: Number of all instances, including this one.
     instances: int
+    #: Revision of the losses of instances that it includes.
+    lost_revision: int
 
 
 class CallerListing:
@@ -48,7 +50,10 @@
         is_ready: Callable[[], bool],
         is_isolated: Callable[[], bool],
         read_clock: Callable[[], float],
+        leaves_out_lost: Callable[[], bool] = lambda: False,
     ) -> None:
+        #: Returns whether instances are left out as soon as a hub has lost them.
+        self._leaves_out_lost = leaves_out_lost
         self._own = own
         self._members = members
         self._catalogue = catalogue
@@ -124,13 +129,19 @@
 
     def _get_lists(self) -> _Lists:
         now = self._read_clock()
-        if self._lists is None or now - self._lists.at > LIST_DURATION_S:
+        if self._lists is None or self._is_outdated(self._lists, now):
             previous = self._lists
             self._lists = self._build_lists(now)
             if previous is None or previous.listed != self._lists.listed:
                 self._log_change(self._lists)
         return self._lists
 
+    def _is_outdated(self, lists: _Lists, now: float) -> bool:
+        if now - lists.at > LIST_DURATION_S:
+            return True
+        is_changed = lists.lost_revision != self._members.lost_revision
+        return is_changed and self._leaves_out_lost()
+
     def _log_change(self, lists: _Lists) -> None:
         """Log how many instances are listed, and whether this one is."""
         log_event(
@@ -154,6 +165,7 @@
             addresses=addresses,
             listed=frozenset(item for each in addresses.values() for item in each),
             instances=self._members.count_instances(now=now),
+            lost_revision=self._members.lost_revision,
         )
 
     def _list_candidates(self, now: float) -> list[Candidate]:
@@ -165,12 +177,14 @@
             # when to return.
             staying = self._members.list_staying(now=now)
             ready = [self._own, *(member.identity for member in staying)]
+        lost = self._members.list_lost() if self._leaves_out_lost() else ()
         return [
             Candidate(
                 name=item.name,
                 data_centre=item.data_centre,
                 address=item.caller_address,
                 has_duty=self._members.has_duty(item.name, now=now),
+                is_lost=item.name in lost,
             )
             for item in ready
         ]
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -261,6 +261,10 @@
             is_ready=self.is_ready,
             is_isolated=lambda: self.contacts.is_isolated,
             read_clock=clock,
+            leaves_out_lost=lambda: (
+                self.settings.balances_data_centres
+                or bool(self.instance_state.list_class_services())
+            ),
         )
         self.store = adapter.make_store(
             store_session, settings.store_address, self._count_call
--- a/packages/router/fulmarward_router/mesh/_members.py
+++ b/packages/router/fulmarward_router/mesh/_members.py
@@ -134,6 +134,8 @@
         self._reported_alive: frozenset[str] = frozenset()
         #: Start times of the instances that only receive on links that others dial.
         self._needs_dialling: dict[str, int] = {}
+        #: Increases whenever an instance is lost, here or at a hub.
+        self.lost_revision = 0
         #: Instances reported by a hub, and the time up to which its reports confirm
         #: each data centre.
         self._reported: dict[str, Member] = {}
@@ -239,7 +241,13 @@
         known = self._members.get(name)
         if known is not None and known.identity.boot > member.identity.boot:
             return
+        reported = self._reported.get(name)
+        if member.state is None and (reported is None or reported.state is not None):
+            self.lost_revision += 1
         self._reported[name] = member
+        if member.state is None and reported is not None and reported.state is None:
+            # A full report repeats the loss, which heartbeats may have refuted since.
+            self._reported[name] = replace(member, noted_at=reported.noted_at)
         is_same_start = known is not None and known.identity == member.identity
         if is_same_start and known.is_direct and now <= known.heard_at + self.fresh_s:
             return
@@ -355,6 +363,7 @@
         known = self._members.get(name)
         if known is not None:
             self._set_member(replace(known, state=None, noted_at=now))
+            self.lost_revision += 1
 
     @property
     def is_large(self) -> bool:
@@ -595,6 +604,22 @@
         fresh = self.list_fresh(now=now)
         return [m for m in fresh if m.state.is_ready and not m.state.is_leaving]
 
+    def list_lost(self) -> frozenset[str]:
+        """Return those that a hub reported as lost and no heartbeat confirmed since.
+
+        Those that are not heard on links of their own are not ready any more, and are
+        left out.
+        """
+        return frozenset(
+            name
+            for name, reported in self._reported.items()
+            if reported.state is None
+            and name in self._members
+            and self._members[name].state is not None
+            and self._members[name].identity == reported.identity
+            and self._members[name].heard_at < reported.noted_at
+        )
+
     def list_staying(self, *, now: float) -> list[Member]:
         """Return the instances that were heard lately and are not leaving."""
         return [m for m in self.list_fresh(now=now) if not m.state.is_leaving]
--- a/packages/router/fulmarward_router/mesh/tests/test_members.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_members.py
@@ -6,6 +6,7 @@
 from fulmarward_core.overlay import FULL_MESH
 from fulmarward_router.mesh import (
     DataCentreReport,
+    FleetReport,
     Heartbeat,
     InstanceIdentity,
     InstanceReport,
@@ -19,6 +20,7 @@
     HEARTBEAT_INTERVAL_S,
     SUBSCRIBER_INTERVAL_S,
 )
+from fulmarward_router.mesh._messages import MemberReport
 
 
 def make_heartbeat(name="peer", boot=1, **changes):
@@ -222,6 +224,30 @@
                 self.assertEqual(table.list_nodes(now=at), expected.nodes)
                 self.assertEqual(table.count_instances(now=at), 1 + len(fresh))
 
+    def test_loss_at_a_hub_counts_until_the_next_heartbeat(self):
+        """Guards against an instance that is listed for as long as it may be silent."""
+        heartbeat = make_heartbeat("peer")
+        lost = MemberReport(
+            identity=heartbeat.sender,
+            is_alive=False,
+            is_ready=False,
+            is_leaving=False,
+            is_store_reachable=False,
+        )
+        report = FleetReport(
+            heartbeat=make_heartbeat("hub"),
+            is_full=True,
+            members=(lost,),
+            **dict.fromkeys(("ages", "loads", "included", "losses", "refusing"), ()),
+        )
+        self.table.merge_heartbeat(heartbeat, now=0.0)
+        self.table.merge_fleet_report(report, now=0.1)
+        self.assertEqual(self.table.list_lost(), {"peer"})
+        self.assertEqual(self.table.lost_revision, 1)
+        self.table.merge_heartbeat(heartbeat, now=0.2)
+        self.table.merge_fleet_report(report, now=0.3)
+        self.assertEqual(self.table.list_lost(), frozenset())
+
     def test_choice_of_links_is_cached_while_nothing_changes(self):
         """Guards against an iteration over all members in each round."""
         for number in range(79):
--- a/packages/router/fulmarward_router/tests/test_listing.py
+++ b/packages/router/fulmarward_router/tests/test_listing.py
@@ -23,6 +23,8 @@
             for number in range(size)
         ]
         self.alive = list(self.identities)
+        self.lost = set()
+        self.leaves_out_lost = False
         self.listings = {own.name: self._make_listing(own) for own in self.identities}
 
     def _make_listing(self, own):
@@ -33,6 +35,10 @@
             ],
             count_instances=lambda now: len(self.alive),
             has_duty=lambda name, now: False,
+            list_lost=lambda: self.lost,
+        )
+        type(members).lost_revision = mock.PropertyMock(
+            side_effect=lambda: len(self.lost)
         )
         return CallerListing(
             own=own,
@@ -42,6 +48,7 @@
             is_ready=lambda: True,
             is_isolated=lambda: False,
             read_clock=lambda: self.now,
+            leaves_out_lost=lambda: self.leaves_out_lost,
         )
 
     def list_observers(self, target):
@@ -73,3 +80,15 @@
     def test_all_instances_of_a_small_fleet_observe_each_target(self):
         """Guards against other failure detection in a small fleet than before."""
         self.assertEqual(len(_Fleet(5).list_observers("t")), 5)
+
+
+class LostTest(unittest.TestCase):
+    def test_lost_instance_is_left_out_at_once(self):
+        """Guards against callers sent to an instance that is gone."""
+        for is_in_force, expected in ((False, 5), (True, 4)):
+            fleet = _Fleet(5)
+            fleet.leaves_out_lost = is_in_force
+            listing = fleet.listings["edge-00"]
+            self.assertEqual(len(listing.list_addresses("a")), 5)
+            fleet.lost.add("edge-01")
+            self.assertEqual(len(listing.list_addresses("a")), expected)
