--- a/packages/core/fulmarward_core/overflow/tests/test_overflow.py
+++ b/packages/core/fulmarward_core/overflow/tests/test_overflow.py
@@ -2,6 +2,7 @@
 
 import math
 import unittest
+from dataclasses import replace
 from functools import cache
 
 from fulmarward_core.overflow import (
@@ -14,8 +15,6 @@
 )
 from fulmarward_core.overflow.tests.load import FULL_RATE, Simulation
 
-_SEEDS = range(1, 4)
-
 
 def _find_waves(at):
     swing = 0.55 * math.sin(math.tau * at / 15.0)
@@ -30,20 +29,20 @@
 @cache
 def _run(find_rates, *, has_overflow):
     return [
-        Simulation(has_overflow=has_overflow, seed=seed).run(find_rates, end_s=60.0)
-        for seed in _SEEDS
+        Simulation(find_rates, has_overflow=has_overflow, seed=seed, end_s=60.0)
+        for seed in (1, 2, 3)
     ]
 
 
-def _make_report(need=10.0, *, free=500.0, age_s=0.0):
-    return CentreReport(
-        arriving_kv_per_s=need,
-        waiting_kv=0.0,
-        released_kv_per_s=10.0,
-        planned_kv=1000.0,
-        free_kv=free,
-        age_s=age_s,
-    )
+_IDLE = CentreReport(
+    arriving_kv_per_s=10.0,
+    waiting_kv=0.0,
+    released_kv_per_s=10.0,
+    planned_kv=1000.0,
+    free_kv=500.0,
+    age_s=0.0,
+)
+_FULL = replace(_IDLE, arriving_kv_per_s=400.0, free_kv=0.0)
 
 
 class LoadTest(unittest.TestCase):
@@ -74,51 +73,43 @@
 
 class BoundsTest(unittest.TestCase):
     def setUp(self):
-        self.overflow = Overflow(data_centre="a")
-        self.now = 100.0
+        self.overflow, self.now = Overflow(data_centre="a"), 100.0
 
-    def decide(self, duration_s, **reports):
-        """Return the plan after the same reports for some seconds."""
+    def decide(self, duration_s, *reports):
+        """Return the plan after the same reports of a, b and c for some seconds."""
         for _ in range(round(duration_s / 0.1) + 1):
             self.now += 0.1
-            plan = self.overflow.update(reports, now=self.now)
+            known = dict(zip("abc", reports, strict=False))
+            plan = self.overflow.update(known, now=self.now)
         return plan
 
     def test_start_and_end_are_delayed(self):
         """Guards against overflow for a single burst, or its end in a lull."""
-        full, idle = _make_report(400.0, free=0.0), _make_report()
-        self.assertFalse(self.decide(START_S - 0.1, a=full, b=idle).is_overflowing)
-        self.assertTrue(self.decide(START_S, a=full, b=idle).is_overflowing)
-        self.assertTrue(self.decide(END_S - 0.2, a=idle, b=idle).is_overflowing)
-        self.assertFalse(self.decide(END_S, a=idle, b=idle).is_overflowing)
+        self.assertFalse(self.decide(START_S - 0.1, _FULL, _IDLE).is_overflowing)
+        self.assertTrue(self.decide(START_S, _FULL, _IDLE).is_overflowing)
+        self.assertTrue(self.decide(END_S - 0.2, _IDLE, _IDLE).is_overflowing)
+        self.assertFalse(self.decide(END_S, _IDLE, _IDLE).is_overflowing)
 
     def test_at_most_half_overflows_and_not_beyond_the_spare_capacity(self):
         """Guards against moving all load elsewhere, or more than fits there."""
-        full = _make_report(400.0, free=0.0)
-        plan = self.decide(1.0, a=full, b=_make_report())
-        self.assertEqual(plan.share, MAX_OVERFLOW_SHARE)
-        plan = self.decide(1.0, a=full, b=_make_report(free=50.0))
-        self.assertLessEqual(plan.share * 400.0, 50.0)
-        self.assertGreater(plan.share, 0.0)
+        self.assertEqual(self.decide(1.0, _FULL, _IDLE).share, MAX_OVERFLOW_SHARE)
+        plan = self.decide(1.0, _FULL, replace(_IDLE, free_kv=50.0))
+        self.assertTrue(0 < plan.share * 400.0 <= 50.0)
 
     def test_old_reports_and_missing_data_centres_do_not_count(self):
         """Guards against requests that are sent where nobody is known to be."""
-        full = _make_report(400.0, free=0.0)
-        self.assertIn(
-            "b", self.decide(1.0, a=full, b=_make_report()).terms.data_centres
-        )
-        old = _make_report(age_s=REPORT_DURATION_S + 0.1)
-        for reports in ({"a": full, "b": old}, {"a": full}):
-            plan = self.decide(1.0, **reports)
+        plan = self.decide(1.0, _FULL, _IDLE)
+        self.assertEqual(plan.terms.data_centres, {"a", "b"})
+        old = replace(_IDLE, age_s=REPORT_DURATION_S + 0.1)
+        for reports in ((_FULL, old), (_FULL,)):
+            plan = self.decide(1.0, *reports)
             self.assertEqual((plan.share, plan.spare_kv), (0.0, 0.0))
             self.assertEqual(plan.terms.data_centres, {"a"})
             self.assertTrue(plan.is_overflowing)
 
     def test_data_centres_that_overflow_are_sent_nothing(self):
         """Guards against two data centres that send to each other."""
-        full = _make_report(400.0, free=0.0)
-        plan = self.decide(1.0, a=full, b=full, c=_make_report())
+        plan = self.decide(1.0, _FULL, _FULL, _IDLE)
         self.assertEqual(plan.terms.data_centres, {"a", "c"})
-        alone = self.decide(1.0, a=full, b=_make_report(), c=_make_report())
-        self.assertLess(plan.share, alone.share)
-        self.assertEqual(self.decide(1.0, a=full, b=full).share, 0.0)
+        self.assertLess(plan.share, self.decide(1.0, _FULL, _IDLE, _IDLE).share)
+        self.assertEqual(self.decide(1.0, _FULL, _FULL).share, 0.0)
--- a/packages/router/fulmarward_router/exchange/tests/test_overflow.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_overflow.py
@@ -5,26 +5,20 @@
 from unittest import mock
 
 from fulmarward_core.catalogue import TargetCatalogue
-from fulmarward_core.demand import ClassDemand, DemandTable
+from fulmarward_core.demand import DemandTable
+from fulmarward_core.demand.tests.test_table import make_demand
 from fulmarward_core.loads import LoadLedger
 from fulmarward_core.overflow import OVERFLOW_TERMS, OverflowPlan
-from fulmarward_core.paces import PaceTable
 from fulmarward_core.paths import Hop, KvCapacity
-from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_router.exchange._overflow import OverflowPlanner
-from fulmarward_router.exchange._path_finder import PathFinder
 from fulmarward_router.exchange.tests.test_path_finder import (
     _ENGINE,
     _REQUEST,
     _make_row,
+    make_finder,
 )
 
 
-def _make_demands(kv):
-    demand = dict.fromkeys(ClassDemand.__dataclass_fields__, 0.0)
-    return {"pool": (ClassDemand(**{**demand, "urgency": 0, "on_time_kv": kv}),)}
-
-
 class PlannerTest(unittest.TestCase):
     def setUp(self):
         self.now = 100.0
@@ -68,7 +62,8 @@
 
         An idle one sends no reports, and is used.
         """
-        self.demands.merge_data_centre("b", _make_demands(1.0), at=100.0, now=100.0)
+        demands = {"pool": (make_demand(on_time_kv=1.0),)}
+        self.demands.merge_data_centre("b", demands, at=100.0, now=100.0)
         self.assertEqual(self.advance(0.5).terms.data_centres, set("abc"))
         self.assertEqual(self.advance(1.5).terms.data_centres, set("ac"))
         self.reached = frozenset("b")
@@ -86,15 +81,10 @@
         )
         plan = OverflowPlan(is_overflowing=True, share=0.4, terms=terms)
         find_overflow = mock.Mock(side_effect=lambda service, engine: plan)
-        finder = PathFinder(
-            instance="one",
-            catalogue=catalogue,
-            suspicions=SuspicionTable(),
-            paces=PaceTable(),
+        finder = make_finder(
+            catalogue,
             ledger=ledger,
             is_large=lambda: True,
-            list_throttled=frozenset,
-            list_backed_off=frozenset,
             read_clock=lambda: 200.0,
             find_overflow=find_overflow,
         )
--- a/packages/router/fulmarward_router/exchange/tests/test_path_finder.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_path_finder.py
@@ -57,6 +57,22 @@
     )
 
 
+def make_finder(catalogue, **options):
+    return PathFinder(
+        instance="one",
+        catalogue=catalogue,
+        suspicions=SuspicionTable(),
+        paces=PaceTable(),
+        **{
+            "ledger": LoadLedger(),
+            "is_large": lambda: False,
+            "list_throttled": frozenset,
+            "list_backed_off": frozenset,
+            **options,
+        },
+    )
+
+
 class IndexTest(unittest.TestCase):
     """Guards against a change of the configuration that slows requests under way."""
 
@@ -64,17 +80,7 @@
         self.now = 100.0
         self.catalogue = TargetCatalogue()
         self.catalogue.apply_changes([_make_row("t1", 1)], 1, now=100.0)
-        self.finder = PathFinder(
-            instance="one",
-            catalogue=self.catalogue,
-            suspicions=SuspicionTable(),
-            paces=PaceTable(),
-            ledger=LoadLedger(),
-            is_large=lambda: False,
-            list_throttled=frozenset,
-            list_backed_off=frozenset,
-            read_clock=lambda: self.now,
-        )
+        self.finder = make_finder(self.catalogue, read_clock=lambda: self.now)
 
     def count_indexes(self, engines):
         """Return how many indexes are built to choose a path for each engine."""
