--- a/packages/core/fulmarward_core/paths/decisions.py
+++ b/packages/core/fulmarward_core/paths/decisions.py
@@ -108,6 +108,8 @@
     #: Whether a path may cross data centres because that is cheaper, and not only if no
     #: data centre has a complete path.
     may_cross_for_cost: bool
+    #: Data centres whose targets paths may use, `None` if all.
+    data_centres: frozenset[str] | None = None
 
 
 #: Used when every instance receives the loads of all others directly.
@@ -154,6 +156,9 @@
     remote: RemoteTerms = DIRECT_TERMS
     #: Whether it waits for capacity in a service with classes.
     has_waited: bool = False
+    #: A number from 0 to 1; it overflows if this is below the share that does. `None`
+    #: where data centres are not balanced.
+    overflow_draw: float | None = None
 
 
 def compute_preference(instance: str, target: str) -> float:
@@ -289,18 +294,36 @@
 
     def measure_capacity(self, *, read: ReadOccupancy) -> KvCapacity:
         """Return the KV cache of all targets that are not excluded."""
+        return self._measure_stages(self._stages.values(), read)
+
+    def measure_capacities(self, *, read: ReadOccupancy) -> dict[str, KvCapacity]:
+        """Return the KV cache by data centre, each as `measure_capacity` does."""
+        stages: dict[str, list[Stage]] = {}
+        for stage in self._stages.values():
+            stages.setdefault(stage.data_centre, []).append(stage)
+        return {
+            centre: self._measure_stages(listed, read)
+            for centre, listed in stages.items()
+        }
+
+    def _measure_stages(
+        self, stages: Iterable[Stage], read: ReadOccupancy
+    ) -> KvCapacity:
         layers = self.engine.layers
         planned, free = ([0.0] * (layers + 1) for _ in range(2))
-        for stage in self._stages.values():
+        for stage in stages:
             occupancy = read(stage)
-            if occupancy is None or not len(stage.layers):
+            start, end = stage.layers.start, stage.layers.end
+            if occupancy is None or start == end:
                 continue
             planned_kv = stage.kv_capacity * USABLE_KV_SHARE
             free_kv = max(0.0, planned_kv - occupancy.kv_reserved)
             # Differences between neighbouring layers, summed up below.
-            for sums, kv in ((planned, planned_kv), (free, free_kv)):
-                sums[stage.layers.start] += kv / len(stage.layers)
-                sums[stage.layers.end] -= kv / len(stage.layers)
+            planned_kv, free_kv = planned_kv / (end - start), free_kv / (end - start)
+            planned[start] += planned_kv
+            planned[end] -= planned_kv
+            free[start] += free_kv
+            free[end] -= free_kv
         return KvCapacity(
             planned=max(0.0, min(accumulate(planned[:layers])) * layers),
             free=max(0.0, min(accumulate(free[:layers])) * layers),
@@ -537,6 +560,9 @@
             return None
         required = self._tokens * (stage.layers.end - stage.layers.start)
         is_local = stage.data_centre == self.request.data_centre
+        usable_centres = self.request.remote.data_centres
+        if usable_centres is not None and stage.data_centre not in usable_centres:
+            return None
         planned = USABLE_KV_SHARE if is_local else self.request.remote.usable_kv_share
         planned *= self.request.kv_share
         if occupancy.kv_reserved + required > stage.kv_capacity * planned:
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -33,6 +33,7 @@
 )
 from fulmarward_router._metrics import (
     count_denial,
+    count_remote,
     make_router_metrics,
     observe_admission_wait,
     observe_path_duration,
@@ -272,6 +273,10 @@
             is_ready=self.is_ready,
             is_isolated=lambda: self.contacts.is_isolated,
             read_clock=clock,
+            leaves_out_lost=lambda: (
+                self.settings.balances_data_centres
+                or bool(self.instance_state.list_class_services())
+            ),
         )
         self.store = adapter.make_store(
             store_session, settings.store_address, self._count_call
@@ -307,6 +312,7 @@
             demands=self.demands,
             teams=self.teams,
             read_team_settings=lambda: self.settings.team_settings,
+            balances_data_centres=lambda: self.settings.balances_data_centres,
             sees_slow_streams=self._sees_own_slow_streams,
             decode_row=self.watch.decode_row,
             read_clock=clock,
@@ -393,6 +399,10 @@
             teams=self.teams,
             read_team_settings=lambda: self.settings.team_settings,
             list_class_services=self.instance_state.list_class_services,
+            balances_data_centres=lambda: self.settings.balances_data_centres,
+            list_reached_centres=lambda: self.members.list_fresh_data_centres(
+                now=self._clock()
+            ),
         )
         self.failure_detector = FailureDetector(
             dialect=self.dialect,
@@ -436,6 +446,7 @@
             count_denial=partial(count_denial, self.metrics),
             observe_wait=partial(observe_admission_wait, self.metrics),
             observe_duration=partial(observe_path_duration, self.metrics),
+            count_remote=partial(count_remote, self.metrics),
         )
         return CallerHandler(
             dialect=self.dialect,
