--- a/packages/core/fulmarward_core/probing/__init__.py
+++ b/packages/core/fulmarward_core/probing/__init__.py
@@ -7,6 +7,7 @@
     ProbeRound,
     ProbeVerdict,
     choose_controls,
+    count_calls,
     count_controls,
     evaluate_round,
 )
@@ -18,6 +19,7 @@
     "ProbeRound",
     "ProbeVerdict",
     "choose_controls",
+    "count_calls",
     "count_controls",
     "evaluate_round",
 ]
--- a/packages/core/fulmarward_core/probing/decisions.py
+++ b/packages/core/fulmarward_core/probing/decisions.py
@@ -33,6 +33,10 @@
 #: call's answer by a second.
 PROBE_CALLS = 3
 
+#: The same for a short round of a large fleet. Where many instances probe a target at
+#: the same time, it answers after 10 to 20 ms, and calls further apart are enough.
+LARGE_FLEET_PROBE_CALLS = 2
+
 #: Share of a long round for which the event loop may have been blocked.
 MAX_PAUSE_SHARE = 0.5
 
@@ -121,6 +125,12 @@
     suspects: tuple[str, ...] = ()
 
 
+def count_calls(timeout_s: float, *, is_large: bool) -> int:
+    """Return how many calls a probe makes at most until one is answered."""
+    is_short = timeout_s < CONFIRM_TIMEOUT_S
+    return LARGE_FLEET_PROBE_CALLS if is_large and is_short else PROBE_CALLS
+
+
 def evaluate_round(probe_round: ProbeRound) -> ProbeVerdict:
     """Return which targets are unreachable, or how to probe them again.
 
--- a/packages/router/fulmarward_router/exchange/_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/_failure_detector.py
@@ -11,11 +11,11 @@
 from fulmarward_core.isolation import ContactTable
 from fulmarward_core.probing import (
     CONFIRM_TIMEOUT_S,
-    PROBE_CALLS,
     PROBE_TIMEOUT_S,
     ProbeRound,
     ProbeVerdict,
     choose_controls,
+    count_calls,
     count_controls,
     evaluate_round,
 )
@@ -366,10 +366,11 @@
         Guards against a lost packet, which delays the answer of even a healthy target
         beyond the timeout: further calls follow until one is answered.
         """
-        interval_s = timeout_s / PROBE_CALLS
+        count = count_calls(timeout_s, is_large=self._is_large())
+        interval_s = timeout_s / count
         calls: list[asyncio.Task] = []
         try:
-            for number in range(PROBE_CALLS):
+            for number in range(count):
                 left_s = timeout_s - number * interval_s
                 calls.append(asyncio.create_task(self._time_call(record, left_s)))
                 done, _ = await asyncio.wait(
--- a/packages/router/fulmarward_router/exchange/tests/test_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_failure_detector.py
@@ -10,7 +10,7 @@
 from unittest import mock
 
 from fulmarward_core.isolation import ContactTable
-from fulmarward_core.probing import PROBE_CALLS, PROBE_TIMEOUT_S
+from fulmarward_core.probing import PROBE_CALLS, PROBE_TIMEOUT_S, count_calls
 from fulmarward_core.probing.decisions import MAX_PAUSE_S
 from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_core.suspicion._table import FIRST_PROBE_PAUSE_S, SUSPECT_DURATION_S
@@ -624,8 +624,9 @@
 class _LossyDialect:
     """Targets that answer at once, except for calls that a lossy link drops."""
 
-    def __init__(self, is_lost):
+    def __init__(self, is_lost, *, calls_per_probe=PROBE_CALLS):
         self._is_lost = is_lost
+        self._calls_per_probe = calls_per_probe
         self.calls = Counter()
 
     async def is_accepting(self, record, timeout_s):
@@ -637,7 +638,7 @@
         if not self._is_lost(record.name, call):
             return True
         # The lost call times out once the last call of its probe has been made.
-        last_call = math.ceil(call / PROBE_CALLS) * PROBE_CALLS
+        last_call = math.ceil(call / self._calls_per_probe) * self._calls_per_probe
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_MAX_CALL_S):
                 while self.calls[record.name] < last_call:
@@ -647,11 +648,13 @@
 
 @_without_loop_pauses
 class LostPacketTest(unittest.IsolatedAsyncioTestCase):
-    async def probe(self, is_lost):
+    async def probe(self, is_lost, *, is_large=False):
         """Return the targets found unreachable by a probe of `a` and two controls."""
         table = SuspicionTable()
+        calls = count_calls(PROBE_TIMEOUT_S, is_large=is_large)
         detector = FailureDetector(
-            dialect=_LossyDialect(is_lost),
+            dialect=_LossyDialect(is_lost, calls_per_probe=calls),
+            is_large=lambda: is_large,
             catalogue=_Catalogue("acd"),
             suspicions=table,
             contacts=ContactTable(),
@@ -666,12 +669,21 @@
 
     async def test_target_whose_first_call_is_lost_is_healthy(self):
         """Guards against a single lost packet that aborts a target's streams."""
-        found = await self.probe(lambda name, call: name == "a" and call == 1)
-        self.assertEqual(found, [])
+        for is_large in (False, True):
+            with self.subTest(is_large=is_large):
+                found = await self.probe(
+                    lambda name, call: name == "a" and call == 1, is_large=is_large
+                )
+                self.assertEqual(found, [])
 
     async def test_dead_target_is_found(self):
         """Guards against repeated calls that hide a failure."""
-        self.assertEqual(await self.probe(lambda name, call: name == "a"), ["a"])
+        for is_large in (False, True):
+            with self.subTest(is_large=is_large):
+                found = await self.probe(
+                    lambda name, call: name == "a", is_large=is_large
+                )
+                self.assertEqual(found, ["a"])
 
     async def test_control_that_misses_one_round_is_healthy(self):
         """Guards against excluding a target that was probed for comparison only."""
