Count streams through slow targets as stalled later; a shorter hold for reports

A stream through a target that is known to be slow now counts as stalled later by that factor, up to the pause that callers accept; until then it shows nothing about its targets. The report of a peer on a target explains a stall for 20 ms, not 60: a second lost target of the same path would be found late. Tests: 47 of stalls, failover and the detector pass; the two new ones fail before.

--- a/packages/core/fulmarward_core/stalls/decisions.py
+++ b/packages/core/fulmarward_core/stalls/decisions.py
@@ -28,8 +28,9 @@
 MAX_STALL_SHARE = 0.24
 
 #: Seconds for which the report of a peer on a target may explain why a stream is
-#: stalled. A probe of that target ends after 35 to 70 ms.
-REPORT_HOLD_S = 0.06
+#: stalled: a target that refuses connections does so after 10 to 20 ms. A longer time
+#: would delay the detection of a second lost target on the same path.
+REPORT_HOLD_S = 0.02
 
 #: Weight of the mean pause in the longest recent pause, at each event.
 LONGEST_PAUSE_DECAY = 0.002
@@ -45,6 +46,8 @@
     silent_s: float
     #: Those of its targets that a peer reported and that have not answered since.
     reported: frozenset[str] = frozenset()
+    #: Factor by which the slowest of its targets is known to be slow; 1 if none is.
+    slowdown: float = 1.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -54,6 +57,13 @@
     #: For each of several streams of one target, and for a single stream.
     joint_s: float
     single_s: float
+    #: The pause that callers accept, up to which streams through slow targets are not
+    #: stalled.
+    accepted_s: float = float("inf")
+
+    def scale(self, threshold_s: float, slowdown: float) -> float:
+        """Return a threshold for a stream whose pauses are longer by a factor."""
+        return max(threshold_s, min(threshold_s * slowdown, self.accepted_s))
 
 
 def compute_stall_thresholds(
@@ -72,6 +82,7 @@
     return StallThresholds(
         joint_s=max(MIN_JOINT_STALL_S, mean_pause_s * JOINT_STALL_FACTOR, usual_s),
         single_s=max(MIN_STALL_S, mean_pause_s * STALL_FACTOR, usual_s),
+        accepted_s=accepted_pause_s,
     )
 
 
@@ -108,7 +119,10 @@
     """Return the targets at which all streams are stalled, in order of appearance.
 
     A stream that passes through a target that a peer reported is no reason to probe
-    the rest of its path, until it is silent for `REPORT_HOLD_S` more.
+    the rest of its path, until it is silent for `REPORT_HOLD_S` more. One that passes
+    through a slow target counts as stalled later by that factor, up to the pause that
+    callers accept, as its pauses are longer; until then it shows nothing about its
+    targets.
     """
     active: set[str] = set()
     stalled: dict[str, int] = {}
@@ -117,11 +131,13 @@
         if stream.silent_s < thresholds.joint_s:
             active.update(stream.targets)
             continue
+        if stream.silent_s < thresholds.scale(thresholds.joint_s, stream.slowdown):
+            continue
         for name in stream.targets:
             stalled[name] = stalled.get(name, 0) + 1
-        if stream.silent_s >= thresholds.single_s:
+        if stream.silent_s >= thresholds.scale(thresholds.single_s, stream.slowdown):
             long_stalled.update(stream.targets)
-    held_until_s = max(MIN_STALL_S, thresholds.joint_s) + REPORT_HOLD_S
+    held_until_s = thresholds.single_s + REPORT_HOLD_S
     in_question: set[str] = set()
     for stream in streams:
         # A report does not explain the silence if its target serves other streams.
--- a/packages/core/fulmarward_core/stalls/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/stalls/tests/test_decisions.py
@@ -1,10 +1,12 @@
 import unittest
+from dataclasses import replace
 
 from hypothesis import given, strategies as st
 
 from fulmarward_core.stalls import (
     MIN_STALL_S,
     REPORT_HOLD_S,
+    STALL_FACTOR,
     StreamView,
     compute_check_delay_s,
     compute_stall_thresholds,
@@ -76,7 +78,7 @@
 
         What other streams show of a target is found as early as without the report.
         """
-        silent_s, late_s = 0.08, MIN_STALL_S + REPORT_HOLD_S + 0.001
+        silent_s, late_s = 0.08, STALL_FACTOR * 0.03 + REPORT_HOLD_S + 0.001
         reported = _make_stream("abc", silent_s, "b")
         early = _make_stream("abc", 0.05, "b")
         cases = [
@@ -92,6 +94,24 @@
                 targets = _find_stalled(streams, mean_pause_s=0.03)
                 self.assertEqual("".join(targets), expected)
 
+    def test_stream_through_a_slow_target_is_stalled_later(self):
+        """Guards against probes for each pause of a slow path.
+
+        Its silence does not show either that its targets are healthy.
+        """
+        slow = StreamView(targets=("a", "b"), silent_s=0.2, slowdown=4.0)
+        stalled = _make_stream("bc", 0.2)
+        cases = [
+            ("slow", [slow], ""),
+            ("slow, silent for longer", [replace(slow, silent_s=0.4)], "ab"),
+            ("not slow", [replace(slow, slowdown=1.0)], "ab"),
+            ("beside a stalled one", [slow, stalled], "bc"),
+        ]
+        for name, streams, expected in cases:
+            with self.subTest(name):
+                targets = _find_stalled(streams, mean_pause_s=0.03)
+                self.assertEqual("".join(targets), expected)
+
     def test_longest_pause_is_forgotten_over_many_events(self):
         """Guards against one long pause that delays the detection ever after."""
         longest_s = 0.3
--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -284,6 +284,7 @@
                 targets=tuple(hop.target for hop in attempt.path),
                 silent_s=now - attempt.last_activity_at,
                 reported=self._list_reported(attempt, now),
+                slowdown=self._find_slowdown(attempt, now),
             )
             for attempt in begun
         ]
@@ -291,6 +292,17 @@
         if suspects:
             self._failure_detector.probe_stalled(suspects)
 
+    def _find_slowdown(self, attempt: Attempt, now: float) -> float:
+        """Return by which factor the pauses of a stream are likely to be longer.
+
+        Always 1 in a small fleet. Guards against a large one in which each instance
+        probes the paths of all streams while some targets are slow.
+        """
+        if not self._context.is_large():
+            return 1.0
+        paces = (self._context.paces.find(h.target, now=now) for h in attempt.path)
+        return max(1.0, *paces)
+
     def _list_reported(self, attempt: Attempt, now: float) -> frozenset[str]:
         """Return the targets whose reported failure may explain a stream's silence.
 
--- a/packages/router/fulmarward_router/exchange/tests/test_failover.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_failover.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 from fulmarward_core.isolation import ContactTable
+from fulmarward_core.paces import PaceTable
 from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_router.exchange import FailureDetector, _failover
 from fulmarward_router.exchange._attempt import Attempt
@@ -55,6 +56,7 @@
     def setUp(self):
         self.now = 100.0
         self.is_large = False
+        self.paces = PaceTable()
         self.suspicions = SuspicionTable()
         self.failure_detector = mock.Mock()
         context = SimpleNamespace(
@@ -64,6 +66,7 @@
             ledger=None,
             read_clock=lambda: self.now,
             is_large=lambda: self.is_large,
+            paces=self.paces,
         )
         self.supervisor = StreamSupervisor(
             context=context,
@@ -133,6 +136,16 @@
         calls = self.failure_detector.probe_stalled.call_args_list
         return [name for call in calls for name in call.args[0]]
 
+    def test_pause_of_a_path_with_a_slow_target_causes_no_probes(self):
+        """Guards against probes by each instance while targets are slow."""
+        self.supervisor.record_activity(self.attempt)
+        self.paces.note("second", 9.0, at=100.0)
+        self.assertEqual(self._probe_stalled(0.09), ["first", "second"], "small fleet")
+        self.is_large = True
+        self.assertEqual(self._probe_stalled(0.2), [])
+        path = ["first", "second"]
+        self.assertEqual(self._probe_stalled(0.26), path, "longer than accepted")
+
     def test_silent_stream_probes_just_the_target_that_a_peer_reported(self):
         """Guards against probes of whole paths by each instance after a loss.
 
