--- a/packages/core/fulmarward_core/demand/tests/test_table.py
+++ b/packages/core/fulmarward_core/demand/tests/test_table.py
@@ -77,7 +77,7 @@
         self.assertEqual(self.table.list_data_centres(now=end + 0.01), {})
         self.assertIsNone(self.table.find_oldest_report_age_s(now=end + 0.01))
 
-    def test_data_centres_are_told_apart(self):
+    def test_demand_is_kept_apart_by_data_centre(self):
         """Guards against a data centre that was cut off and counts as idle."""
         self.table.set_waiting("s", 0, on_time_kv=1.0, late_kv=0.0, now=100.0)
         self._merge("one", 10.0)
--- a/packages/router/fulmarward_router/exchange/_path_finder.py
+++ b/packages/router/fulmarward_router/exchange/_path_finder.py
@@ -197,13 +197,7 @@
         reused_until, capacity = self._capacities.get(service, (float("-inf"), None))
         if capacity is None or now > reused_until:
             targets = self._find_targets(service, engine, now)
-            read = self._make_occupancy_reader(
-                targets,
-                now,
-                may_use_reported=False,
-                throttled=frozenset(),
-                avoided=frozenset(),
-            )
+            read = self._make_usable_reader(targets, now)
             capacity = targets.index.measure_capacity(read=read)
             duration_s = max(
                 CAPACITY_DURATION_S, len(targets.names) * CAPACITY_DURATION_S_PER_TARGET
@@ -217,14 +211,20 @@
         """Return the KV cache of the usable targets of a service by data centre."""
         now = self._read_clock()
         targets = self._find_targets(service, engine, now)
-        read = self._make_occupancy_reader(
+        read = self._make_usable_reader(targets, now)
+        return targets.index.measure_capacities(read=read)
+
+    def _make_usable_reader(
+        self, targets: _ServiceTargets, now: float
+    ) -> ReadOccupancy:
+        """Return a function that reads the load of usable targets, throttled or not."""
+        return self._make_occupancy_reader(
             targets,
             now,
             may_use_reported=False,
             throttled=frozenset(),
             avoided=frozenset(),
         )
-        return targets.index.measure_capacities(read=read)
 
     def find_load_scale(self, *, now: float) -> float:
         """Return by which factor the load of a target may exceed the known one.
--- a/packages/router/fulmarward_router/tests/test_processor.py
+++ b/packages/router/fulmarward_router/tests/test_processor.py
@@ -66,7 +66,7 @@
         return get_subsystem()
 
     async def test_calls_are_counted_for_the_subsystem_that_makes_them(self):
-        """Guards against a metric that does not tell why targets are probed."""
+        """Guards against a metric that does not show why targets are probed."""
         metrics = make_router_metrics()
         instance = SimpleNamespace(
             _calls=Counter(), _calls_by_subsystem=defaultdict(Counter), metrics=metrics
