Send the loss of a target once, not each time that its exclusion is prolonged

Suspected, not shown by a profile: each recheck of a lost target by an observer went to all instances, each of which relays it on a dozen links. Observers that took a loss over prolong it by their heartbeats in their own data centre, so that the message is needless.

--- a/packages/router/fulmarward_router/exchange/_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/_failure_detector.py
@@ -109,7 +109,7 @@
         is_listed: Callable[[], bool] = lambda: True,
     ) -> None:
         #: Notifies all peers at once, sooner than heartbeats, that a target was found
-        #: unreachable, or still is. Called in large fleets only.
+        #: unreachable. Called in large fleets only.
         self._notify_lost = notify_lost
         #: Notifies peers which targets have answered, and when they were probed.
         self._notify_regained = notify_regained
@@ -515,8 +515,6 @@
             if self._suspicions.is_unreachable(name, now=now):
                 kind = _find_kind(probe_round, name)
                 self._suspicions.extend(name, now=now, kind=kind)
-                if self._is_large():
-                    self._notify_lost(name)
                 log_event(
                     "target_still_unreachable",
                     target=name,
--- a/packages/router/fulmarward_router/mesh/_losses.py
+++ b/packages/router/fulmarward_router/mesh/_losses.py
@@ -27,9 +27,8 @@
 MAX_MESSAGES_PER_S = 20
 
 #: Seconds for which the loss of a target that was sent is not relayed again. Up to 30
-#: instances find the same loss by themselves within 50 ms. Shorter than the pause
-#: between the reports that prolong an exclusion: those of a crashed target follow after
-#: 1.2 s. With 12 links and 11 lost targets, relays take less than 4 KB/s.
+#: instances find the same loss by themselves within 50 ms. Observers prolong the
+#: exclusion by their heartbeats.
 RELAY_PAUSE_S = 1.0
 
 
