Bound the time for which a peer's report excludes a target

A report's duration was taken as it came, from heartbeats and from loss reports. Own exclusions last 8 s at most, so that a longer one can only be a wrong number.

--- a/packages/core/fulmarward_core/suspicion/__init__.py
+++ b/packages/core/fulmarward_core/suspicion/__init__.py
@@ -2,6 +2,7 @@
 
 from fulmarward_core.suspicion._refusals import LOW_OCCUPANCY_SHARE, RefusalTable
 from fulmarward_core.suspicion._table import (
+    MAX_SUSPECT_DURATION_S,
     SATURATED_DURATION_S,
     SUSPECT_DURATION_S,
     SUSPICION_REASONS,
@@ -11,6 +12,7 @@
 )
 
 __all__ = [
+    "MAX_SUSPECT_DURATION_S",
     "SATURATED_DURATION_S",
     "LOW_OCCUPANCY_SHARE",
     "SUSPECT_DURATION_S",
--- a/packages/core/fulmarward_core/suspicion/_table.py
+++ b/packages/core/fulmarward_core/suspicion/_table.py
@@ -191,10 +191,12 @@
 
         Running streams are not aborted (`is_unreachable`): the peer may be isolated.
         `observed_at` is when the peer observed the failure, by default now: answers to
-        probes sent after that refute the report.
+        probes sent after that refute the report. No instance excludes a target for
+        longer than `MAX_SUSPECT_DURATION_S`, so that a longer `duration_s` is cut.
 
         Returns whether the target was considered reachable before.
         """
+        duration_s = min(duration_s, MAX_SUSPECT_DURATION_S)
         known = self._suspicions.get(target)
         if known is not None and now < known.until:
             is_reported = known.reason in (_INDIRECT, "confirmed")
--- a/packages/core/fulmarward_core/suspicion/tests/test_table.py
+++ b/packages/core/fulmarward_core/suspicion/tests/test_table.py
@@ -2,6 +2,7 @@
 from itertools import pairwise
 
 from fulmarward_core.suspicion import (
+    MAX_SUSPECT_DURATION_S,
     SATURATED_DURATION_S,
     SUSPECT_DURATION_S,
     FailureKind,
@@ -95,6 +96,15 @@
                 self.assertEqual(found, excluded_s)
                 self.assertEqual(table.is_unreachable("t", now=2.0), excluded_s is None)
 
+    def test_report_excludes_for_no_longer_than_a_failure_found_here(self):
+        """Guards against a peer's wrong number that excludes a target for hours."""
+        table = SuspicionTable()
+        for _ in range(2):
+            table.record_indirect_failure("t", duration_s=9e9, now=0.0)
+            until = MAX_SUSPECT_DURATION_S
+            self.assertTrue(table.is_indirect("t", now=until - 0.1))
+            self.assertFalse(table.is_indirect("t", now=until + 0.1))
+
     def test_report_that_is_taken_over_is_a_failure_found_here(self):
         """Guards against a silence that nobody watches, and a shorter exclusion."""
         table = SuspicionTable()
