--- a/review/stand/stand.py
+++ b/review/stand/stand.py
@@ -771,6 +771,7 @@
         plain=3,
         pool=("a100s",) * 3,
         is_ready=True,
+        make_worker=None,
         **changes,
     ):
         """Start the platform, the workers and the instances.
@@ -779,11 +780,14 @@
         """
         await self.store.server.start()
         self.store.put("op", "config", make_configuration(**changes))
+        make_worker = make_worker or Worker
         for number in range(plain):
-            self.workers.append(Worker(self, f"i-app{number}", zone=ZONES[number % 3]))
+            self.workers.append(
+                make_worker(self, f"i-app{number}", zone=ZONES[number % 3])
+            )
         for number, kind in enumerate(pool):
             self.workers.append(
-                Worker(self, f"i-gpu{number}", zone=ZONES[number % 3], kind=kind)
+                make_worker(self, f"i-gpu{number}", zone=ZONES[number % 3], kind=kind)
             )
         for worker in self.workers:
             await worker.start()
