--- a/review/stand/stand.py
+++ b/review/stand/stand.py
@@ -654,14 +654,13 @@
         self.process.send_signal(number)
 
     async def stop(self):
+        """End the process, also one that is just being started."""
         self.is_kept = False
-        if self.process is not None and self.process.returncode is None:
-            with contextlib.suppress(ProcessLookupError):
-                self.process.send_signal(signal.SIGCONT)
-                self.process.kill()
-            await self.process.wait()
-        if self._task is not None:
-            self._task.cancel()
+        while self._task is not None and not self._task.done():
+            if self.process is not None and self.process.returncode is None:
+                with contextlib.suppress(ProcessLookupError):
+                    self.process.kill()
+            await asyncio.sleep(0.02)
 
     async def is_ready(self):
         answer = await ask(self.ready, "GET", "/ready", timeout_s=1.0)
@@ -889,10 +888,13 @@
     async def play():
         case = Case(folder, **options)
         case.note(f"trouble: {case.trouble}")
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(limit_s):
                 broken = await run(case)
-        except (CannotRun, TimeoutError, OSError) as error:
+        except (CannotRun, TimeoutError, OSError, asyncio.CancelledError) as error:
             case.note(f"the case couldn't run: {error!r}")
             print(f"couldn't run: {error!r}")
             return 2
