--- a/review/stand/stand.py
+++ b/review/stand/stand.py
@@ -287,18 +287,15 @@
         self._changed = asyncio.Event()
         self.server = HttpServer(self._handle)
 
-    def put(self, table, key, value):
+    def put(self, table, key, value, part=""):
         """Write or remove a row, as the operator, a worker or another writer does."""
         raw = (
             json.dumps(value).encode() if not isinstance(value, bytes | None) else value
         )
         self.version += 1
-        self._write(table, key, raw)
+        self.rows[table, part, key] = (self.version, raw)
         self._notify()
 
-    def _write(self, table, key, raw):
-        self.rows[table, "", key] = (self.version, raw)
-
     def _notify(self):
         self._changed.set()
         self._changed = asyncio.Event()
