--- a/review/stand/stand.py
+++ b/review/stand/stand.py
@@ -856,6 +856,8 @@
         return answer
 
     async def stop(self):
+        for instance in self.instances:
+            instance.is_kept = False
         for instance in self.instances:
             await instance.stop()
         if self._beats is not None:
