Log who closed a caller's connection first, and why a silent stream is not resumed

A cancelled handler was logged as 'caller left' whoever cancelled it, so that the log could not tell a caller who left from an instance that closed; nor was anything logged for a stream that stays at a silent target until its caller leaves.

request_ended gets closed_by, close_cause, silent_s and leave_cause; a handler that ends without a connection closed by the caller is 'interrupted'. resumption_withheld names why a silent stream is not resumed elsewhere. left_responses_total counts started responses whose callers left, by silence or on their own. No decision changes.

--- a/packages/router/fulmarward_router/_metrics.py
+++ b/packages/router/fulmarward_router/_metrics.py
@@ -28,6 +28,8 @@
     requests: Counter
     #: Responses that had started and were not completed, by `service` and `cause`.
     cuts: Counter
+    #: Responses that had started and whose callers left, by `service` and `cause`.
+    left_responses: Counter
     #: Attempts at targets beyond the first, by `service`.
     retries: Counter
     #: Streams rerouted around an unreachable target or resumed elsewhere, by `how`.
@@ -104,6 +106,9 @@
         cuts=factory.count(
             "cut_responses_total", "Started responses not completed, by cause."
         ),
+        left_responses=factory.count(
+            "left_responses_total", "Started responses left by their callers, by cause."
+        ),
         retries=factory.count(
             "retries_total", "Attempts beyond the first, by service."
         ),
@@ -205,6 +210,8 @@
     metrics.requests.inc({**labels, "outcome": kind})
     if state.cut_cause is not None:
         metrics.cuts.inc({**labels, "cause": state.cut_cause.value})
+    if state.leave_cause is not None:
+        metrics.left_responses.inc({**labels, "cause": state.leave_cause.value})
     if state.attempts > 1:
         metrics.retries.add(labels, state.attempts - 1)
     if state.repaths:
--- /dev/null
+++ b/packages/router/fulmarward_router/exchange/_caller_connection.py
@@ -0,0 +1,63 @@
+"""Connections of callers, and who closed them first."""
+
+import asyncio
+from enum import Enum
+
+from aiohttp import web
+
+
+class ClosedBy(Enum):
+    """Who closed a caller's connection first."""
+
+    #: The caller: it closed or reset the connection, or is not reachable any more.
+    CALLER = "caller"
+    #: This instance.
+    INSTANCE = "instance"
+
+
+class CallerConnection(web.RequestHandler):
+    """A caller's connection, which records who closed it first."""
+
+    __slots__ = ("close_cause", "closed_by")
+
+    def __init__(self, *args: object, **options: object) -> None:
+        super().__init__(*args, **options)
+        #: `None` while the connection is open.
+        self.closed_by: ClosedBy | None = None
+        #: How it was closed, empty while it is open.
+        self.close_cause = ""
+
+    def eof_received(self) -> None:
+        """Record that the caller closed the connection."""
+        self._record_closed(ClosedBy.CALLER, "end of file")
+        super().eof_received()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Record who closed the connection, and end its request.
+
+        Without an error and an end of file before, it was closed here.
+        """
+        if exc is None:
+            self._record_closed(ClosedBy.INSTANCE, "closed")
+        else:
+            self._record_closed(ClosedBy.CALLER, repr(exc))
+        super().connection_lost(exc)
+
+    def _record_closed(self, closed_by: ClosedBy, cause: str) -> None:
+        if self.closed_by is None:
+            self.closed_by, self.close_cause = closed_by, cause
+
+
+def find_closer(request: web.BaseRequest) -> ClosedBy | None:
+    """Return who closed the connection of a request, `None` while it is open."""
+    connection = request.protocol
+    if isinstance(connection, CallerConnection):
+        return connection.closed_by
+    transport: asyncio.Transport | None = request.transport
+    is_open = transport is not None and not transport.is_closing()
+    return None if is_open else ClosedBy.CALLER
+
+
+def find_close_cause(request: web.BaseRequest) -> str:
+    """Return how the connection of a request was closed, empty while it is open."""
+    return getattr(request.protocol, "close_cause", "")
--- a/packages/router/fulmarward_router/exchange/_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/_caller_handler.py
@@ -4,7 +4,6 @@
 import math
 from collections import Counter
 from collections.abc import Awaitable, Callable
-from typing import Any
 
 import orjson
 from aiohttp import web
@@ -20,10 +19,18 @@
     find_team,
     find_urgency,
 )
+from fulmarward_router.exchange._admission import compute_resume_end
+from fulmarward_router.exchange._caller_connection import (
+    CallerConnection,
+    ClosedBy,
+    find_close_cause,
+    find_closer,
+)
 from fulmarward_router.exchange._engines import EngineService
 from fulmarward_router.exchange._plain import PlainService
 from fulmarward_router.exchange._request_state import (
     CutCause,
+    LeaveCause,
     RejectedRequest,
     RequestState,
     TruncatedResponse,
@@ -105,9 +112,10 @@
         )
         self._read_idle_timeout_s = read_idle_timeout_s
 
-    def __call__(self) -> Any:  # noqa: ANN401
+    def __call__(self) -> CallerConnection:
+        """Return the handler of a new connection."""
         self._kwargs["keepalive_timeout"] = self._read_idle_timeout_s()
-        return super().__call__()
+        return CallerConnection(self, loop=self._loop, **self._kwargs)
 
 
 class CallerHandler:
@@ -181,10 +189,10 @@
             outcome = _record_cut(state, truncated)
             return _close_connection(request)
         except asyncio.CancelledError:
-            outcome = "caller left"
+            outcome = self._record_interruption(request, state, "handler cancelled")
             raise
-        except ConnectionError:
-            outcome = "caller left"
+        except ConnectionError as error:
+            outcome = self._record_interruption(request, state, repr(error))
             return _close_connection(request)
         except Exception as error:
             outcome = f"error: {error!r}"
@@ -199,7 +207,21 @@
             answer.force_close()
             return answer
         finally:
-            self._record_end(state, outcome, arrived_at)
+            self._record_end(request, state, outcome, arrived_at)
+
+    def _record_interruption(
+        self, request: web.BaseRequest, state: RequestState | None, cause: str
+    ) -> str:
+        """Return the outcome of a request whose handler was interrupted.
+
+        Its caller has left only if it closed the connection first.
+        """
+        if find_closer(request) is not ClosedBy.CALLER:
+            return f"interrupted: {cause}"
+        if state is not None and state.has_begun:
+            is_silent = self._read_clock() >= compute_resume_end(state)
+            state.leave_cause = LeaveCause.SILENCE if is_silent else LeaveCause.OWN
+        return "caller left"
 
     async def _serve(self, state: RequestState) -> web.StreamResponse:
         spec = state.configuration.services.get(state.service)
@@ -398,20 +420,29 @@
         return round(age_s, 3) if math.isfinite(age_s) else None
 
     def _record_end(
-        self, state: RequestState | None, outcome: str, arrived_at: float
+        self,
+        request: web.BaseRequest,
+        state: RequestState | None,
+        outcome: str,
+        arrived_at: float,
     ) -> None:
-        took_s = self._read_clock() - arrived_at
+        now = self._read_clock()
+        took_s = now - arrived_at
         self._observe(state, outcome, took_s)
         if state is None:
             return
         first_s = (
             None if state.first_event_at is None else state.first_event_at - arrived_at
         )
+        closed_by = find_closer(request)
         log_event(
             "request_ended",
             request=state.facts.request_id,
             outcome=outcome,
             cut_cause=None if state.cut_cause is None else state.cut_cause.value,
+            closed_by=None if closed_by is None else closed_by.value,
+            close_cause=find_close_cause(request),
+            leave_cause=None if state.leave_cause is None else state.leave_cause.value,
             route=state.route.name,
             service=state.service,
             team=None if state.team is None else state.team.name,
@@ -424,6 +455,7 @@
             relayed_to=state.relayed_to,
             last_event=state.last_event,
             pause_s=round(state.longest_pause_s, 4),
+            silent_s=round(now - (state.last_write_at or arrived_at), 4),
             first_s=None if first_s is None else round(first_s, 4),
             took_s=round(took_s, 4),
         )
--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -135,6 +135,7 @@
             attempt.slow_signs.note_pause(pause_s)
         attempt.last_activity_at = attempt.last_event_at = now
         attempt.checks = 0
+        attempt.withheld_cause = ""
         attempt.has_begun = True
 
     def count_open(self, service: str) -> int:
@@ -445,6 +446,7 @@
             await self._failure_detector.fetch_report(record)
             unreachable = self._list_unreachable(attempt)
             if not unreachable:
+                self._log_withheld(attempt, "silent", "all targets answer")
                 return
         if attempt.first in unreachable:
             if not attempt.has_begun or attempt.state.route.is_resumable:
@@ -480,11 +482,8 @@
         may_go_on = state.has_begun and not has_ended
         lost = frozenset(hop.target for hop in lost_hops)
         is_last = self._read_clock() >= compute_resume_end(state)
-        has_retry = (
-            may_go_on
-            and self._has_other_path(attempt, lost)
-            and self._context.take_retry_early(state, is_last=is_last)
-        )
+        has_path = may_go_on and self._has_other_path(attempt, lost)
+        has_retry = has_path and self._context.take_retry_early(state, is_last=is_last)
         if has_retry or not may_go_on:
             raise AttemptFailed(
                 cause=cause,
@@ -493,6 +492,22 @@
                 ended_by=EndedBy.INSTANCE,
                 lost=lost,
             )
+        self._log_withheld(attempt, cause, "no retry" if has_path else "no other path")
+
+    def _log_withheld(self, attempt: Attempt, cause: str, withheld_cause: str) -> None:
+        """Log once for each cause that a silent stream is not resumed elsewhere."""
+        if attempt.withheld_cause == withheld_cause:
+            return
+        attempt.withheld_cause = withheld_cause
+        log_event(
+            "resumption_withheld",
+            request=attempt.state.facts.request_id,
+            target=attempt.first.target,
+            cause=cause,
+            withheld_cause=withheld_cause,
+            silent_s=round(self._read_clock() - attempt.last_activity_at, 3),
+            last_event=attempt.state.last_event,
+        )
 
     def _has_other_path(self, attempt: Attempt, lost: frozenset[str]) -> bool:
         """Return whether a stream can be resumed without the targets that are lost."""
--- a/packages/router/fulmarward_router/exchange/_request_state.py
+++ b/packages/router/fulmarward_router/exchange/_request_state.py
@@ -33,6 +33,15 @@
     INTERNAL_ERROR = "internal error"
 
 
+class LeaveCause(Enum):
+    """Why a caller has left a response that has started."""
+
+    #: It waited for the next event as long as callers do.
+    SILENCE = "silence"
+    #: It left earlier, for a reason of its own.
+    OWN = "own"
+
+
 @dataclass(kw_only=True)
 class Run:
     """A run that a target began to answer, and that failed."""
@@ -103,6 +112,8 @@
     is_proven: bool = False
     #: Why its started response was cut, `None` unless it was.
     cut_cause: CutCause | None = None
+    #: Why its caller left the started response, `None` unless it did.
+    leave_cause: LeaveCause | None = None
 
     @property
     def has_begun(self) -> bool:
--- /dev/null
+++ b/packages/router/fulmarward_router/exchange/tests/test_caller_connection.py
@@ -0,0 +1,80 @@
+import asyncio
+import unittest
+from types import SimpleNamespace
+from unittest import mock
+
+from aiohttp import web
+
+from fulmarward_router.exchange import CallerHandler, CallerServer, _caller_handler
+
+_REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+class InterruptionTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.handler = CallerHandler(
+            dialect=SimpleNamespace(),
+            configuration=SimpleNamespace(),
+            engines=SimpleNamespace(),
+            plain=SimpleNamespace(),
+            find_budget=lambda service: None,
+            read_clock=asyncio.get_running_loop().time,
+            is_stopping=lambda: False,
+            accepts_streams=lambda: True,
+            observe=self.observe,
+        )
+        self.outcomes = asyncio.Queue()
+        self.requests = asyncio.Queue()
+        server = CallerServer(
+            self.handler.handle,
+            read_idle_timeout_s=lambda: 60.0,
+            max_header_bytes=8190,
+        )
+        runner = web.ServerRunner(server, shutdown_timeout=0.0)
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        self.address = runner.addresses[0]
+        patches = [
+            mock.patch.object(self.handler, "_parse_request", self.wait),
+            mock.patch.object(_caller_handler, "log_event"),
+        ]
+        for patch in patches:
+            patch.start()
+            self.addCleanup(patch.stop)
+
+    def observe(self, state, outcome, took_s):
+        self.outcomes.put_nowait(outcome)
+
+    async def wait(self, request, arrived_at):
+        self.requests.put_nowait((request, asyncio.current_task()))
+        await asyncio.Event().wait()
+
+    async def end(self, end):
+        """Return the outcome of a request that waits, and is ended by `end`."""
+        _, writer = await asyncio.open_connection(*self.address)
+        self.addCleanup(writer.close)
+        writer.write(_REQUEST)
+        async with asyncio.timeout(5.0):
+            request, task = await self.requests.get()
+            end(request, task, writer)
+            return await self.outcomes.get()
+
+    async def test_only_a_connection_that_the_caller_closed_counts_as_left(self):
+        """Guards against callers blamed for answers that this instance ended."""
+        cases = [
+            (lambda request, task, writer: writer.close(), "caller left"),
+            (lambda request, task, writer: writer.transport.abort(), "caller left"),
+            (
+                lambda request, task, writer: request.transport.close(),
+                "interrupted: handler cancelled",
+            ),
+            (
+                lambda request, task, writer: task.cancel(),
+                "interrupted: handler cancelled",
+            ),
+        ]
+        for end, outcome in cases:
+            with self.subTest(outcome=outcome):
+                self.assertEqual(await self.end(end), outcome)
