--- a/packages/router/fulmarward_router/exchange/tests/test_ended_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_ended_streams.py
@@ -300,6 +300,20 @@
         await self.await_attempt(2)
         await self.check_completes(attempt=2)
 
+    async def test_stream_stays_at_a_silent_target_whose_entry_lapsed(self):
+        """Guards against a stream that is ended, without a retry, for a lapsed entry."""
+        self.begin(slack=0.0)
+        await self.await_attempt(1)
+        await self.send(1, attempt=1)
+        first = self.calls[0].target
+        self.dialect.silent = {first}
+        self.suspicions.record_failure(first, now=self.read_clock())
+        self.remove_target(first)
+        await asyncio.sleep(0.5)
+        self.dialect.silent = set()
+        await self.check_completes(attempt=1)
+        self.assertEqual(len(self.calls), 1)
+
     async def test_attempt_is_not_aborted_before_there_is_a_path_to_resume_on(self):
         """Guards against a silent target that goes on, and whose stream is gone."""
         self.begin(targets=1)
