Abort a begun stream only with a retry in hand

Callers saw a begun stream closed in the middle although its target was silent for a moment only: an entry that lapsed in the list counted as an ended process, for which the attempt was aborted at once, with or without a retry. Without one the response was then cut 0.3 s before its caller would leave, or at once if that time had passed.

Cause: a belief about the process (the list) went before what the instance itself sees (an open connection). Class: a conclusion from missing news ends what still works.

Fix: whatever is believed of its target, a begun stream is aborted only once a retry is taken and a path exists. One whose target is gone may take any free retry, and the run there is not counted; if the process has ended, its connection breaks off by itself.

test_stream_stays_at_a_silent_target_whose_entry_lapsed: TruncatedResponse('no retry left') before, passes now; 41 tests of ended, late and waiting streams pass.

--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -212,10 +212,13 @@
         self._log_retry(state, now, is_taken=is_taken, is_allowed=is_allowed, part=part)
         return is_taken
 
-    def take_retry_early(self, state: RequestState, *, is_last: bool = False) -> bool:
+    def take_retry_early(
+        self, state: RequestState, *, is_last: bool = False, is_counted: bool = True
+    ) -> bool:
         """Consume a retry for a running attempt before aborting it.
 
         One that `is_last`, as its caller is about to leave, may be any that is free.
+        The running attempt `is_counted` as a run unless its target is gone.
 
         Returns whether there was one. Guards against several streams that rely on the
         same last retry: all would be aborted, and all but one truncated. Streams that
@@ -223,7 +226,11 @@
         """
         now = self.read_clock()
         part = 1.0 if state.has_begun else UNSTARTED_SHARE
-        is_allowed = may_run_again(self.make_tally(state), now=now)
+        tally = self.make_tally(state)
+        if is_counted:
+            is_allowed = may_run_again(tally, now=now)
+        else:
+            is_allowed = may_retry(tally, now=now)
         is_taken = is_allowed and self._take_from_budget(
             state, now, part, yields=not is_last
         )
--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -471,29 +471,38 @@
 
         The `lost_hops` are avoided by the next attempt, in place of the first target.
 
-        A stream that has begun only ends when it has a retry and a path to resume on,
-        or when the process of its first target has ended. Until then it may go on: what
-        looks like a failure may be a link that is saturated for a moment.
+        A stream that has begun only ends with a retry in hand and a path to resume on.
+        Until then it may go on: what looks like a failure may be a link that is
+        saturated for a moment, and a target that is silent may lose its entry in the
+        list before it goes on. If its process has ended, its connection breaks off.
         """
         state = attempt.state
-        has_ended = attempt.record is not None and self._context.has_process_ended(
+        lost = frozenset(hop.target for hop in lost_hops)
+        if not state.has_begun:
+            raise self._make_failure(cause, lost, has_retry=False)
+        is_gone = attempt.record is not None and self._context.has_process_ended(
             attempt.record
         )
-        may_go_on = state.has_begun and not has_ended
-        lost = frozenset(hop.target for hop in lost_hops)
-        is_last = self._read_clock() >= compute_resume_end(state)
-        has_path = may_go_on and self._has_other_path(attempt, lost)
-        has_retry = has_path and self._context.take_retry_early(state, is_last=is_last)
-        if has_retry or not may_go_on:
-            raise AttemptFailed(
-                cause=cause,
-                is_not_run=False,
-                has_retry=has_retry,
-                ended_by=EndedBy.INSTANCE,
-                lost=lost,
-            )
+        is_last = is_gone or self._read_clock() >= compute_resume_end(state)
+        has_path = self._has_other_path(attempt, lost)
+        if has_path and self._context.take_retry_early(
+            state, is_last=is_last, is_counted=not is_gone
+        ):
+            raise self._make_failure(cause, lost, has_retry=True)
         self._log_withheld(attempt, cause, "no retry" if has_path else "no other path")
 
+    @staticmethod
+    def _make_failure(
+        cause: str, lost: frozenset[str], *, has_retry: bool
+    ) -> AttemptFailed:
+        return AttemptFailed(
+            cause=cause,
+            is_not_run=False,
+            has_retry=has_retry,
+            ended_by=EndedBy.INSTANCE,
+            lost=lost,
+        )
+
     def _log_withheld(self, attempt: Attempt, cause: str, withheld_cause: str) -> None:
         """Log once for each cause that a silent stream is not resumed elsewhere."""
         if attempt.withheld_cause == withheld_cause:
--- a/packages/router/fulmarward_router/exchange/tests/test_ended_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_ended_streams.py
@@ -301,7 +301,7 @@
         await self.check_completes(attempt=2)
 
     async def test_stream_stays_at_a_silent_target_whose_entry_lapsed(self):
-        """Guards against a stream that is ended, without a retry, for a lapsed entry."""
+        """Guards against a stream that is ended, without a retry, for a lapsed row."""
         self.begin(slack=0.0)
         await self.await_attempt(1)
         await self.send(1, attempt=1)
