Refuse an answer whose head has the parts of two

A target that stopped inside its head and went on with another response got its first status line and headers joined with those of the second: callers could get a success of which no target had sent the whole head.

Cause: the parser takes whatever follows the cut as the rest of the line, if that makes a proper header. Class: an answer is judged by its parts, not as a whole. The connection now refuses a head in which another status line begins, for targets, peers, reports, orders and the store alike; the attempt counts as one that may have run.

--- a/packages/instance/fulmarward/http/_bounded.py
+++ b/packages/instance/fulmarward/http/_bounded.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import re
 from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -14,6 +15,7 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import RawResponseMessage
 
 from fulmarward.observability import log_event
 
@@ -54,6 +56,14 @@
 FRAMING_RATIO = 8
 
 
+#: Where another response begins.
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] \d{3}")
+
+
+class JoinedHeads(aiohttp.ClientPayloadError):
+    """A head that was cut, and completed by the start of another response."""
+
+
 class ResponseTooLarge(aiohttp.ClientPayloadError):
     """A response exceeded one of its limits; the message names the limit."""
 
@@ -178,6 +188,9 @@
         if 100 <= message.code < 200 and message.code != 101:
             self._interim_responses += 1
             return
+        if _has_status_line(message):
+            self._reject_joined()
+            return
         self._body = body
         self._stop_head_timer()
         super().feed_data(data, size)
@@ -216,13 +229,26 @@
         transport, body = self.transport, self._body
         if transport is None or transport.is_closing():
             return
-        host, port = (transport.get_extra_info("peername") or ("", 0))[:2]
-        error = self._guard.record_excess(limit, f"{host}:{port}")
+        error = self._guard.record_excess(limit, self._find_address())
         if body is not None and not body.is_eof():
             body.set_exception(error)
         self.set_exception(error)
         transport.abort()
 
+    def _reject_joined(self) -> None:
+        """End a response whose head has parts of two, and reset the connection."""
+        self._stop_head_timer()
+        log_event("joined_heads_rejected", address=self._find_address())
+        self.set_exception(JoinedHeads("another response begins inside its head"))
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _find_address(self) -> str:
+        """Return the address of the other host, as `HOST:PORT`."""
+        peer = self.transport and self.transport.get_extra_info("peername")
+        host, port = (peer or ("", 0))[:2]
+        return f"{host}:{port}"
+
     def _stop_head_timer(self) -> None:
         if self._head_timer is not None:
             self._head_timer.cancel()
@@ -232,3 +258,10 @@
         """Stop the timer of the head."""
         self._stop_head_timer()
         super().connection_lost(exc)
+
+
+def _has_status_line(message: RawResponseMessage) -> bool:
+    """Return whether another response begins inside a parsed head."""
+    reason = message.reason.encode("utf-8", "surrogateescape")
+    values = [value for _, value in message.raw_headers]
+    return any(map(_STATUS_LINE.search, (reason, *values)))
