Resume begun streams that stay silent although their targets answer

Cause: an accepted reroute ended all checks of the stream for its caller's patience, and four checks without a finding ended them for good. Class: a step that was accepted is taken for one that worked.

A begun stream that may be resumed is, with a retry in hand and a path, 0.6 s after its new path was accepted without an event, or once it was silent for a second and its caller is about to leave. A silence that ends by itself before uses up nothing.

--- a/packages/core/fulmarward_core/stalls/__init__.py
+++ b/packages/core/fulmarward_core/stalls/__init__.py
@@ -5,11 +5,13 @@
     MIN_STALL_S,
     REPORT_HOLD_S,
     STALL_FACTOR,
+    SilenceCause,
     StallThresholds,
     StreamView,
     compute_check_delay_s,
     compute_stall_thresholds,
     decay_longest_pause_s,
+    find_silence_cause,
     find_stalled_targets,
 )
 
@@ -18,10 +20,12 @@
     "MIN_STALL_S",
     "REPORT_HOLD_S",
     "STALL_FACTOR",
+    "SilenceCause",
     "StallThresholds",
     "StreamView",
     "compute_check_delay_s",
     "compute_stall_thresholds",
     "decay_longest_pause_s",
+    "find_silence_cause",
     "find_stalled_targets",
 ]
--- a/packages/core/fulmarward_core/stalls/decisions.py
+++ b/packages/core/fulmarward_core/stalls/decisions.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
+from enum import Enum
 
 #: Time without an event after which a stream counts as stalled: a multiple of the mean
 #: pause, and the minimum in seconds.
@@ -35,6 +36,20 @@
 #: Weight of the mean pause in the longest recent pause, at each event.
 LONGEST_PAUSE_DECAY = 0.002
 
+#: Seconds in which a stream gets an event after its new path was accepted. Transfers
+#: of the tokens so far may queue up between data centres.
+MAX_REROUTE_PAUSE_S = 0.6
+
+#: Seconds for which targets that answer may be silent before they go on by themselves.
+MAX_SILENCE_S = 1.0
+
+
+class SilenceCause(Enum):
+    """Why a stream is to be resumed elsewhere although all its targets answer."""
+
+    REROUTED = "no event on its new path"
+    CALLER_LEAVES = "silent until its caller leaves"
+
 
 @dataclass(frozen=True, kw_only=True)
 class StreamView:
@@ -113,6 +128,22 @@
     return max(interval_s, due_at - now)
 
 
+def find_silence_cause(
+    *, silent_s: float, is_rerouted: bool, left_s: float
+) -> SilenceCause | None:
+    """Return why a stream whose targets answer is to be resumed elsewhere, or `None`.
+
+    `silent_s` is the time since its last event, or since its new path was accepted if
+    it `is_rerouted`; `left_s` is the time until it has to be resumed before its caller
+    leaves. Both are in seconds.
+    """
+    if is_rerouted and silent_s >= MAX_REROUTE_PAUSE_S:
+        return SilenceCause.REROUTED
+    if left_s <= 0 and silent_s >= MAX_SILENCE_S:
+        return SilenceCause.CALLER_LEAVES
+    return None
+
+
 def find_stalled_targets(
     streams: Sequence[StreamView], *, thresholds: StallThresholds
 ) -> list[str]:
--- a/packages/router/fulmarward_router/exchange/_attempt.py
+++ b/packages/router/fulmarward_router/exchange/_attempt.py
@@ -67,6 +67,8 @@
         self.last_event_at = float("-inf")
         self.checks = 0
         self.has_begun = False
+        #: Whether its path was changed since its last event.
+        self.is_rerouted = False
         #: Why its stream was last left at a target that is silent, empty if it was not.
         self.withheld_cause = ""
         #: Number of complete events that arrived, and whether these, or the end of the
--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -9,11 +9,13 @@
 from fulmarward_core.stalls import (
     MIN_JOINT_STALL_S,
     MIN_STALL_S,
+    SilenceCause,
     StallThresholds,
     StreamView,
     compute_check_delay_s,
     compute_stall_thresholds,
     decay_longest_pause_s,
+    find_silence_cause,
     find_stalled_targets,
 )
 from fulmarward_router.exchange._admission import compute_resume_end
@@ -136,6 +138,7 @@
         attempt.last_activity_at = attempt.last_event_at = now
         attempt.checks = 0
         attempt.withheld_cause = ""
+        attempt.is_rerouted = False
         attempt.has_begun = True
 
     def count_open(self, service: str) -> int:
@@ -409,11 +412,25 @@
         """Whether a stream is silent for too long or has an unreachable target."""
         if self._list_unreachable(attempt) or self._is_cut_off(attempt):
             return True
+        if self._find_silence_cause(attempt) is not None:
+            return True
         silent_s = self._read_clock() - attempt.last_activity_at
         first_s = PAUSE_CHECK_S if attempt.has_begun else FIRST_CHECK_S
         due_s = first_s + attempt.checks * RECHECK_INTERVAL_S
         return silent_s >= due_s and attempt.checks < MAX_CHECKS
 
+    def _find_silence_cause(self, attempt: Attempt) -> SilenceCause | None:
+        """Return why a begun stream is to be resumed although its targets answer."""
+        state = attempt.state
+        if not state.has_begun or not state.route.is_resumable:
+            return None
+        now = self._read_clock()
+        return find_silence_cause(
+            silent_s=now - attempt.last_activity_at,
+            is_rerouted=attempt.is_rerouted,
+            left_s=compute_resume_end(state) - now,
+        )
+
     def _is_cut_off(self, attempt: Attempt) -> bool:
         """Return whether a stream is silent since this instance lost its targets.
 
@@ -438,6 +455,11 @@
             await asyncio.sleep(NO_RETRY_PAUSE_S)
             return
         unreachable = self._list_unreachable(attempt)
+        silence_cause = self._find_silence_cause(attempt)
+        if not unreachable and silence_cause is not None:
+            self._end_attempt(attempt, silence_cause.value)
+            await asyncio.sleep(NO_RETRY_PAUSE_S)
+            return
         if not unreachable:
             attempt.checks += 1
             record = self._catalogue.find_target(attempt.first.target)
@@ -597,6 +619,7 @@
         attempt.reservation, attempt.path = reservation, path
         attempt.last_activity_at = self._read_clock()
         attempt.checks = 0
+        attempt.is_rerouted = True
         state.targets = tuple(hop.target for hop in path)
         return True
 
