Resume a silent begun stream where it has run, once it may run nowhere else

Cause: a retry for a running attempt was granted only if its route allowed another target, while a begun answer whose attempt had failed may go on at the targets that have run it. Class: two places answer the same question (may this answer go on?) differently.

--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from fulmarward.observability import log_event
+from fulmarward_core.attempts import uses_last_run
 from fulmarward_core.paths import Hop, count_tokens_held
 from fulmarward_core.stalls import (
     MIN_JOINT_STALL_S,
@@ -506,7 +507,7 @@
             attempt.record
         )
         is_last = is_gone or self._read_clock() >= compute_resume_end(state)
-        has_path = self._has_other_path(attempt, lost)
+        has_path = self._has_other_path(attempt, lost, is_gone=is_gone)
         if has_path and self._context.take_retry_early(
             state, is_last=is_last, is_counted=not is_gone
         ):
@@ -540,14 +541,20 @@
             last_event=attempt.state.last_event,
         )
 
-    def _has_other_path(self, attempt: Attempt, lost: frozenset[str]) -> bool:
+    def _has_other_path(
+        self, attempt: Attempt, lost: frozenset[str], *, is_gone: bool
+    ) -> bool:
         """Return whether a stream can be resumed without the targets that are lost."""
         state = attempt.state
         if not self._context.contacts.is_reached(state.service):
             # It is resumed through a peer.
             return True
-        avoided = attempt.wanted.avoided | (lost or {attempt.first.target})
+        first = attempt.first.target
+        avoided = attempt.wanted.avoided | (lost or {first})
         wanted = replace(attempt.wanted, avoided=avoided)
+        if not is_gone and uses_last_run(self._context.make_tally(state)):
+            reusable = state.list_reusable_targets() | {first}
+            wanted = replace(wanted, avoided=avoided - reusable, first_targets=reusable)
         return any(
             self._finder.choose(
                 state.service, attempt.engine, wanted, may_use_reported=is_last
