--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -531,14 +531,23 @@
         if attempt.withheld_cause == withheld_cause:
             return
         attempt.withheld_cause = withheld_cause
+        state, now = attempt.state, self._read_clock()
+        budget = self._context.find_budget(state.service)
+        usage = budget.count(share=self._context.find_share(), now=now)
+        tally = self._context.make_tally(state)
         log_event(
             "resumption_withheld",
-            request=attempt.state.facts.request_id,
+            request=state.facts.request_id,
             target=attempt.first.target,
             cause=cause,
             withheld_cause=withheld_cause,
-            silent_s=round(self._read_clock() - attempt.last_activity_at, 3),
-            last_event=attempt.state.last_event,
+            silent_s=round(now - attempt.last_activity_at, 3),
+            last_event=state.last_event,
+            used=usage.used,
+            allowed=round(usage.allowed, 2),
+            runs=tally.runs,
+            uncounted_runs=tally.uncounted_runs,
+            most_attempts=tally.most_attempts,
         )
 
     def _has_other_path(
