Judge the rows of targets in one place, with typed reasons

A row of another writer with a field nested some 1,000 deep raised RecursionError from decode_target, which ended the task that follows the targets, and with it the instance.

Cause: the message of the error quotes the value with repr, which is recursive, and the JSON parser takes 1,023 levels. Class: decoded at the edge, judged nowhere: each reader raised what it happened to raise, and version, sequence and the types in layers were not looked at.

judge_target of the core takes fields of any type and returns a record or a RowFault; no message quotes a value and no check recurses. platform/ only translates names. Slots are 1 to 10**6, layers end by 10**4, other integers are 0 to 2**53, texts up to 200 bytes. KnownRow keeps the fault.

--- a/packages/core/fulmarward_core/catalogue/_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/_catalogue.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, replace
 
 from fulmarward_core.catalogue._addresses import AddressTable
-from fulmarward_core.fleet import TargetRecord
+from fulmarward_core.fleet import RowFault, TargetRecord
 from fulmarward_core.store_versions import find_era, find_number
 
 #: Seconds after an outage of the store within which targets write their rows again if
@@ -44,6 +44,8 @@
     heard_at: float
     #: Name of the target that has taken its address, `None` if none has.
     superseded_by: str | None = None
+    #: Why the row describes no usable target, `None` if it does or was removed.
+    fault: RowFault | None = None
 
 
 #: Upper bound on the targets remembered as having announced that they leave.
--- a/packages/core/fulmarward_core/fleet/__init__.py
+++ b/packages/core/fulmarward_core/fleet/__init__.py
@@ -8,12 +8,16 @@
     TargetRecord,
     compute_kv_capacity,
 )
+from fulmarward_core.fleet.decisions import RowFault, judge_target, read_layers
 
 __all__ = [
     "AcceleratorKind",
     "EngineModel",
     "LayerRange",
+    "RowFault",
     "ServiceSpec",
     "TargetRecord",
     "compute_kv_capacity",
+    "judge_target",
+    "read_layers",
 ]
--- a/packages/router/fulmarward_router/ports.py
+++ b/packages/router/fulmarward_router/ports.py
@@ -10,7 +10,7 @@
 from typing import Protocol
 
 from fulmarward.http import ResponseLimits
-from fulmarward_core.fleet import LayerRange, TargetRecord
+from fulmarward_core.fleet import LayerRange, RowFault, TargetRecord
 from fulmarward_core.paths import Hop
 from fulmarward_core.reservations import ClassSettings
 from fulmarward_core.routes import RoutingConfiguration
@@ -182,8 +182,11 @@
         Raises `ValueError` if the configuration is malformed.
         """
 
-    def decode_target(self, row: Row) -> TargetRecord | None:
-        """Return the target in a row, `None` if the row is malformed."""
+    def decode_target(self, row: Row) -> TargetRecord | RowFault | None:
+        """Return the target in a row, or why there is none; `None` if it is removed.
+
+        Raises nothing, whatever the bytes of the row are.
+        """
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/router/fulmarward_router/state/_watch.py
+++ b/packages/router/fulmarward_router/state/_watch.py
@@ -10,6 +10,7 @@
     TargetCatalogue,
     find_confirmed_at,
 )
+from fulmarward_core.fleet import RowFault
 from fulmarward_core.store_versions import find_era
 from fulmarward_router.ports import (
     HistoryExpired,
@@ -287,12 +288,15 @@
 
     def decode_row(self, row: Row, *, now: float) -> KnownRow:
         """Return a row of the targets' table in the form that the catalogue stores."""
+        decoded = self._store.decode_target(row)
+        is_fault = isinstance(decoded, RowFault)
         return KnownRow(
             name=row.key,
             version=row.version,
             value=row.value,
-            record=self._store.decode_target(row),
+            record=None if is_fault else decoded,
             heard_at=now,
+            fault=decoded if is_fault else None,
         )
 
     def _record_outage(self, table: str, error: Exception) -> None:
