Take a row for a target only if its address is IP:PORT

Hosts with `/` or `@` changed the URL that was called, and ports were taken in notations that no other program reads.

Cause: what followed the last colon only had to be an integer for int(), and the host was not looked at. Class: decoded at the edge, judged nowhere.

An address is an IPv4 address or an IPv6 address in brackets, and a port from 1 to 65535 in decimal digits without a leading zero. Nothing is looked up for it any more.

--- a/packages/core/fulmarward_core/fleet/decisions.py
+++ b/packages/core/fulmarward_core/fleet/decisions.py
@@ -4,8 +4,10 @@
 or a sum, relies on these checks.
 """
 
+import re
 from collections.abc import Callable, Mapping
 from enum import Enum
+from ipaddress import IPv4Address, IPv6Address
 
 from fulmarward_core.fleet._types import LayerRange, TargetRecord
 
@@ -21,6 +23,14 @@
 #: Upper bound on other integers: the largest one that any JSON writer stores exactly.
 MAX_INTEGER = 2**53
 
+#: Highest port of an address.
+MAX_PORT = 65535
+
+#: An IPv4 address, or an IPv6 address in brackets, and a port in decimal notation.
+_ADDRESS = re.compile(
+    r"(?:(?P<ipv4>[0-9.]+)|\[(?P<ipv6>[0-9a-fA-F:.]+)\]):(?P<port>[1-9][0-9]{0,4})"
+)
+
 
 class RowFault(Enum):
     """Why a row describes no target that may be used."""
@@ -86,13 +96,14 @@
 
 
 def _is_address(value: object) -> bool:
-    if not _is_text(value):
+    match = _ADDRESS.fullmatch(value) if _is_text(value) else None
+    if match is None or int(match["port"]) > MAX_PORT:
         return False
-    host, _, port = value.rpartition(":")
     try:
-        return bool(host) and 0 < int(port) < 65536
+        IPv6Address(match["ipv6"]) if match["ipv6"] else IPv4Address(match["ipv4"])
     except ValueError:
         return False
+    return True
 
 
 def _is_bool(value: object) -> bool:
