Start background tasks again that fail, in place of ending the instance

Cause: an error of any background task that nobody foresaw stopped the whole instance, and all instances read the same rows. A CancelledError of an inner task that somebody else cancelled ended a duty without a line in the log.

Class: one error is given to all that the process does.

A supervisor keeps the tasks running: it logs the error (the first, each new type, one in 30 s), counts it by duty, and starts the task again after a pause that grows to a bound of its own table. Only the task's own cancellation ends it. The three parts of the mesh are supervised one by one. An instance becomes ready although its first check of the targets fails.

In the table of cases, readiness now fails in become_ready in place of check_all, as a failed check_all is no longer tried again: a test of its own asserts that the instance serves in that case.

--- a/packages/router/fulmarward_router/_metrics.py
+++ b/packages/router/fulmarward_router/_metrics.py
@@ -58,6 +58,8 @@
     peer_bytes: Counter
     #: Messages received from peers, by `kind`.
     peer_messages: Counter
+    #: Failures of background tasks, by `duty`.
+    task_failures: Counter
     #: Seconds from arrival to the first event and to the end, by `service`.
     first_event: Histogram
     request_duration: Histogram
@@ -147,6 +149,9 @@
         peer_messages=factory.count(
             "peer_messages_total", "Messages received from instances, by kind."
         ),
+        task_failures=factory.count(
+            "task_failures_total", "Failures of background tasks, by duty."
+        ),
         first_event=factory.histogram(
             "first_event_seconds", "Time to the first event."
         ),
--- a/packages/router/fulmarward_router/_status.py
+++ b/packages/router/fulmarward_router/_status.py
@@ -10,6 +10,7 @@
 from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_router._contention import ContentionSource, describe_contention
 from fulmarward_router._life import Life
+from fulmarward_router._supervision import TaskSupervisor
 from fulmarward_router.mesh import InstanceIdentity, MemberTable
 from fulmarward_router.placement import LeaseKeeper
 from fulmarward_router.state import PoisonKnowledge, StoreWatch, TargetLimits
@@ -28,6 +29,7 @@
     contacts: ContactTable
     poison: PoisonKnowledge
     target_limits: TargetLimits
+    supervisor: TaskSupervisor
 
 
 def describe_status(instance: StatusSource, *, now: float) -> dict[str, Any]:
@@ -37,6 +39,16 @@
     return {
         "instance": instance.own.name,
         "state": instance.life.state,
+        "failed_tasks": [
+            {
+                "duty": duty,
+                "failures": failures.total,
+                "in_a_row": failures.in_a_row,
+                "cause": failures.cause,
+                "failed_s_ago": round(now - failures.failed_at, 3),
+            }
+            for duty, failures in sorted(instance.supervisor.failures.items())
+        ],
         "configuration": {
             "version": instance.configuration.version,
             "confirmed_s_ago": _count_age(instance.configuration.confirmed_at, now),
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -1,7 +1,6 @@
 """Assembles an instance and runs it until it is stopped."""
 
 import asyncio
-import logging
 import signal
 import time
 from collections import Counter, defaultdict
@@ -47,6 +46,7 @@
     start_in_subsystem,
 )
 from fulmarward_router._status import describe_status
+from fulmarward_router._supervision import TaskSupervisor
 from fulmarward_router.exchange import (
     CallerHandler,
     CallerServer,
@@ -148,8 +148,8 @@
     reload: asyncio.Event
 
 
-async def run_router(settings: RouterSettings, adapter: PlatformAdapter) -> bool:
-    """Run an instance until SIGTERM; return whether no background task failed."""
+async def run_router(settings: RouterSettings, adapter: PlatformAdapter) -> None:
+    """Run an instance until SIGTERM."""
     start_logging(instance=settings.name, level=settings.log_level)
     signals = _watch_signals()
     guard = ResponseGuard(limits=settings.response_limits)
@@ -169,9 +169,8 @@
             store_guard=store_guard,
             signals=signals,
         )
-        has_failed = await instance.run()
+        await instance.run()
     stop_logging()
-    return not has_failed
 
 
 class _Instance:
@@ -195,7 +194,6 @@
         self._signals = signals
         self._clock = clock = time.monotonic
         self._started_at = clock()
-        self._has_failed = False
         #: Bytes exchanged with peers by direction; the metric is set when it is read.
         self._peer_bytes: Counter[str] = Counter()
         #: Messages received from peers by type.
@@ -207,6 +205,10 @@
         self.life = Life()
         self.metrics = make_router_metrics()
         self.meter = ProcessorMeter(read_clock=time.perf_counter)
+        self.supervisor = TaskSupervisor(
+            read_clock=clock,
+            count_failure=lambda duty: self.metrics.task_failures.inc({"duty": duty}),
+        )
         self.own = InstanceIdentity(
             name=settings.name,
             boot=int(time.time() * 1000),
@@ -339,6 +341,7 @@
             count_message=self._count_message,
             decode=self.meter.measure("message_decoding", decode_message),
             encode=self.meter.measure("message_encoding", encode_message),
+            supervise=self.supervisor.run,
         )
         self.poison_rows = PoisonRows(
             store=self.store, poison=self.poison, read_wall_clock=time.time
@@ -590,8 +593,8 @@
     def _count_bytes(self, direction: str, size: int) -> None:
         self._peer_bytes[direction] += size
 
-    async def run(self) -> bool:
-        """Serve until a stop is requested; return whether a background task failed."""
+    async def run(self) -> None:
+        """Serve until a stop is requested."""
         settings = self.settings
         log_event("instance_started", boot=self.own.boot, first=settings.is_first_start)
         self.meter.install(asyncio.get_running_loop())
@@ -602,22 +605,22 @@
                 "mesh", self.mesh.listen(settings.peer_address)
             )
         background_tasks = [
-            self._start("configuration", self.watch.follow_configuration()),
-            self._start("targets", self.watch.follow_targets()),
-            self._start("mesh", self.mesh.run(settings.seeds)),
-            self._start("instances", self.rows.follow()),
-            self._start("poison", self.poison.run()),
-            self._start("poison_rows", self.poison_rows.run()),
-            self._start("lease", self.lease.run()),
-            self._start("placement", self.placer.run()),
-            self._start("streams", self.engines.supervisor.run()),
-            self._start("paces", self._make_pace_monitor().run()),
-            self._start("occupancy", self._read_occupancy()),
-            self._start("losses", self.failure_detector.run()),
-            self._start("contacts", self.failure_detector.contact_monitor.run()),
-            self._start("readiness", self._become_ready()),
-            self._start("settings", self._follow_settings()),
-            self._start("metrics", self._log_resources()),
+            self._start("configuration", self.watch.follow_configuration),
+            self._start("targets", self.watch.follow_targets),
+            self._start("mesh", lambda: self.mesh.run(settings.seeds)),
+            self._start("instances", self.rows.follow),
+            self._start("poison", self.poison.run),
+            self._start("poison_rows", self.poison_rows.run),
+            self._start("lease", self.lease.run),
+            self._start("placement", self.placer.run),
+            self._start("streams", self.engines.supervisor.run),
+            self._start("paces", lambda: self._make_pace_monitor().run()),
+            self._start("occupancy", self._read_occupancy),
+            self._start("losses", self.failure_detector.run),
+            self._start("contacts", self.failure_detector.contact_monitor.run),
+            self._start("readiness", self._become_ready),
+            self._start("settings", self._follow_settings),
+            self._start("metrics", self._log_resources),
         ]
         await self._signals.stop.wait()
         await self._stop()
@@ -629,7 +632,6 @@
         for runner in servers:
             await runner.cleanup()
         log_event("instance_stopped")
-        return self._has_failed
 
     async def _listen(self) -> list[web.ServerRunner]:
         settings = self.settings
@@ -693,7 +695,12 @@
         await self.configuration.available.wait()
         while not self.catalogue.is_known:
             await asyncio.sleep(0.02)
-        await self.failure_detector.contact_monitor.check_all()
+        try:
+            await self.failure_detector.contact_monitor.check_all()
+        except Exception as error:
+            # An instance that does not know which targets it reaches serves callers
+            # better than none.
+            self.supervisor.record_failure("readiness", error)
         if self.life.state == "starting":
             self.life.become_ready()
             log_event("serving_started", configuration=self.configuration.version)
@@ -760,24 +767,11 @@
         self.life.finish_stop()
         log_event("grace_period_ended", cut=self.caller_handler.open_requests.total())
 
-    def _start(self, name: str, coroutine: Coroutine[None, None, None]) -> asyncio.Task:
-        """Start a background task; if it fails, the instance stops."""
-
-        def handle_end(task: asyncio.Task) -> None:
-            if task.cancelled() or task.exception() is None:
-                return
-            log_event(
-                "background_task_failed",
-                level=logging.CRITICAL,
-                duty=name,
-                exc_info=task.exception(),
-            )
-            self._has_failed = True
-            self._signals.stop.set()
-
-        task = start_in_subsystem(name, coroutine, name=name)
-        task.add_done_callback(handle_end)
-        return task
+    def _start(
+        self, duty: str, begin: Callable[[], Coroutine[Any, Any, None]]
+    ) -> asyncio.Task:
+        """Start a background task that goes on after an error."""
+        return start_in_subsystem(duty, self.supervisor.run(duty, begin), name=duty)
 
 
 def _round_values(seconds: Mapping[str, float]) -> dict[str, float]:
--- a/packages/router/fulmarward_router/mesh/_links.py
+++ b/packages/router/fulmarward_router/mesh/_links.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Coroutine, Sequence
 from dataclasses import dataclass, field
+from typing import Any
 
 from websockets.asyncio.client import connect
 from websockets.asyncio.connection import Connection, broadcast
@@ -145,6 +146,11 @@
     asyncio.get_running_loop().call_later(delay_s, function)
 
 
+async def _run_once(duty: str, begin: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    """Run the coroutine that `begin` makes; an error ends it."""
+    await begin()
+
+
 class Mesh:
     """The links that this instance dials and accepts, with one task for each."""
 
@@ -163,8 +169,13 @@
         promises: PromiseSource | None = None,
         decode: Callable[[bytes], object] = decode_message,
         encode: Callable[[object], bytes] = encode_message,
+        supervise: Callable[
+            [str, Callable[[], Coroutine[Any, Any, None]]], Coroutine[Any, Any, None]
+        ] = _run_once,
     ) -> None:
         self._own = own
+        #: Keeps the coroutines of a named duty running.
+        self._supervise = supervise
         self._members = members
         self._state = state
         self._poison = poison
@@ -341,9 +352,9 @@
             if seed != self._own.peer_address:
                 self._dial(seed, is_seed=True)
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._sender.run())
-            group.create_task(self._sender.run_loads())
-            group.create_task(self._follow_members())
+            group.create_task(self._supervise("heartbeats", self._sender.run))
+            group.create_task(self._supervise("loads", self._sender.run_loads))
+            group.create_task(self._supervise("links", self._follow_members))
 
     async def _follow_members(self) -> None:
         while True:
--- a/packages/router/fulmarward_router/tests/test_daemon.py
+++ b/packages/router/fulmarward_router/tests/test_daemon.py
@@ -8,6 +8,7 @@
 from fulmarward.http import ResponseGuard
 from fulmarward_core.routes import RoutingConfiguration
 from fulmarward_router import daemon
+from fulmarward_router._status import describe_status
 from fulmarward_router.ports import RouterSettings, RowsRead, StoreRefused
 from fulmarward_router.tests._simulated_time import run_simulated
 
@@ -26,7 +27,7 @@
     ("losses", "failure_detector._suspicions.list_direct_failures"),
     ("contacts", "failure_detector.contact_monitor._check_idle"),
     ("occupancy", "_is_occupancy_reader"),
-    ("readiness", "failure_detector.contact_monitor.check_all"),
+    ("readiness", "life.become_ready"),
     ("settings", "_adapter.load_settings"),
 ]
 
@@ -133,6 +134,23 @@
 
 
 class UnforeseenErrorTest(unittest.TestCase):
+    def test_instance_becomes_ready_although_its_first_check_fails(self):
+        """Guards against instances that all start and none of which serves."""
+
+        async def play(read_clock):
+            instance = make_instance(read_clock)
+            check = mock.AsyncMock(side_effect=UnicodeError)
+            instance.failure_detector.contact_monitor.check_all = check
+            running = asyncio.create_task(instance.run())
+            await asyncio.sleep(RESTART_S)
+            is_ready = instance.is_ready()
+            described = describe_status(instance, now=read_clock())
+            instance._signals.stop.set()
+            await running
+            return is_ready, [task["duty"] for task in described["failed_tasks"]]
+
+        self.assertEqual(run_simulated(play), (True, ["readiness"]))
+
     def test_unforeseen_error_of_a_pass_ends_no_instance(self):
         """Guards against a single odd value that ends all instances."""
 
@@ -154,3 +172,20 @@
                     )
                     self.assertFalse(is_stopped)
                     self.assertGreater(calls, 2)
+
+    def test_task_that_ends_is_started_again(self):
+        """Guards against following that ends without a line in the log."""
+
+        async def play(read_clock):
+            instance = make_instance(read_clock)
+            instance.rows.follow = mock.AsyncMock()
+            running = asyncio.create_task(instance.run())
+            await asyncio.sleep(RESTART_S)
+            instance._signals.stop.set()
+            await running
+            return instance.rows.follow.await_count, instance.supervisor.failures
+
+        runs, failures = run_simulated(play)
+        self.assertGreater(runs, 2)
+        self.assertLess(runs, 20)
+        self.assertEqual(failures["instances"].total, runs)
