Prepare a version of the configuration in steps, and adopt it as a whole

Callers saw streams stand still, and requests wait, while an instance adopted a version: all routes were decoded, and the store's base64 before them, at a stretch, and the first request and the first peer that asked paid for the indexes, the urgencies and the compression. Class: work in proportion to the configuration between two turns of the loop.

Now it is prepared in steps (`Steps`, a generator of core and adapter that knows no loop), between which `ConfigurationHolder.apply_row`, a coroutine now, yields to the loop. The tables that requests look up are built with the version, and `RoutingConfiguration` computes nothing later. What a peer sent compressed is passed on as it is.

Order: the row of the newest change is prepared first. One that is prepared already waits and goes on, since the newer may be refused, or older for the operator. The same row from two sources is prepared once. A confirmation of the store is recorded once what it sent is in force: before, nothing could come between. No peer is asked for a newer version while one is prepared, as each instance that reads the store itself would be sent the row a second time. A version that is reported while another is prepared and then refused is still missed.

Tests that apply rows run the coroutine at once; their decoders return steps; the routes of test_admission_queue get the prefix that each route has, as the index is now built with the configuration. What they check is unchanged.

--- a/packages/core/fulmarward_core/routes/__init__.py
+++ b/packages/core/fulmarward_core/routes/__init__.py
@@ -1,12 +1,15 @@
 """Routing configuration, and the choice of route, team and service for a request."""
 
 from fulmarward_core.routes._types import (
+    ROUTES_PER_STEP,
     CallerLimits,
     Route,
     RouteKind,
+    RouteTables,
     RoutingConfiguration,
     ServiceShare,
     Team,
+    build_tables,
 )
 from fulmarward_core.routes.decisions import (
     choose_service,
@@ -19,12 +22,15 @@
 )
 
 __all__ = [
+    "ROUTES_PER_STEP",
     "CallerLimits",
     "Route",
     "RouteKind",
+    "RouteTables",
     "RoutingConfiguration",
     "ServiceShare",
     "Team",
+    "build_tables",
     "choose_service",
     "find_route",
     "find_team",
--- a/packages/core/fulmarward_core/routes/_types.py
+++ b/packages/core/fulmarward_core/routes/_types.py
@@ -1,16 +1,20 @@
 """Types of the routing configuration, which takes effect only as a whole."""
 
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from bisect import insort
+from collections.abc import Iterable, Mapping, Set
+from dataclasses import InitVar, dataclass, field
 from enum import Enum
-from functools import cached_property
-from itertools import chain
+from operator import neg
 
 from fulmarward_core.fleet import ServiceSpec
+from fulmarward_core.steps import Steps, finish_steps
 
 #: Least urgent value that targets accept; 0 is served first.
 LEAST_URGENT = 9
 
+#: Routes that one step of building the tables handles.
+ROUTES_PER_STEP = 500
+
 
 class RouteKind(Enum):
     """Kind of requests on a route, which decides whether they may be retried."""
@@ -102,39 +106,93 @@
     teams_by_key: Mapping[str, Team] = field(default_factory=dict)
     #: Whether routes that are not public require a team key.
     requires_team_key: bool = False
+    #: The tables, if they are known; computed otherwise.
+    known_tables: InitVar["RouteTables | None"] = None
+    tables: "RouteTables" = field(init=False, compare=False, repr=False)
+
+    def __post_init__(self, known_tables: "RouteTables | None") -> None:
+        tables = known_tables or finish_steps(
+            build_tables(
+                self.routes,
+                priorities={team.priority for team in self.teams_by_key.values()},
+                requires_team_key=self.requires_team_key,
+            )
+        )
+        object.__setattr__(self, "tables", tables)
 
-    @cached_property
+    @property
     def route_indexes(self) -> Mapping[str, "RouteIndex"]:
         """The routes of each host, to be found by their prefixes."""
-        return {host: RouteIndex(routes) for host, routes in self.routes.items()}
+        return self.tables.route_indexes
 
-    @cached_property
+    @property
     def urgencies_by_service(self) -> Mapping[str, tuple[int, ...]]:
         """The class urgencies of each service with a route, sorted."""
-        of_teams = {team.priority for team in self.teams_by_key.values()}
-        found: dict[str, set[int]] = {}
-        for route in chain.from_iterable(self.routes.values()):
-            has_team = self.requires_team_key and not route.is_public
-            priorities = of_teams if has_team else {None}
-            urgencies = {
-                combine_urgencies(of_team=priority, of_route=route.priority)
-                for priority in priorities
-            }
-            for share in route.shares:
-                found.setdefault(share.service, set()).update(urgencies)
-        return {service: tuple(sorted(found[service])) for service in found}
+        return self.tables.urgencies_by_service
 
-    @cached_property
+    @property
     def class_services(self) -> frozenset[str]:
         """The services to which routes of different priorities lead."""
-        found: dict[str, set[int]] = {}
-        for route in chain.from_iterable(self.routes.values()):
+        return self.tables.class_services
+
+
+@dataclass(frozen=True, kw_only=True)
+class RouteTables:
+    """What requests look up; see the properties of `RoutingConfiguration`."""
+
+    route_indexes: Mapping[str, "RouteIndex"]
+    urgencies_by_service: Mapping[str, tuple[int, ...]]
+    class_services: frozenset[str]
+
+
+def build_tables(
+    routes: Mapping[str, Iterable[Route]],
+    *,
+    priorities: Set[int | None],
+    requires_team_key: bool,
+) -> Steps[RouteTables]:
+    """Build the tables of routes by host, in steps.
+
+    `priorities` are those of all teams, see `Team.priority`.
+    """
+    indexes: dict[str, RouteIndex] = {}
+    #: Priorities of the routes to each service, by whether they require a team key.
+    found: dict[str, set[tuple[int, bool]]] = {}
+    count = 0
+    for host, items in routes.items():
+        index = indexes[host] = RouteIndex(())
+        for route in items:
+            index.add(route)
+            kind = (route.priority, requires_team_key and not route.is_public)
             for share in route.shares:
-                urgencies = found.setdefault(share.service, set())
-                urgencies.add(limit_urgency(route.priority))
-        return frozenset(
-            service for service, urgencies in found.items() if len(urgencies) > 1
-        )
+                found.setdefault(share.service, set()).add(kind)
+            count += 1
+            if count % ROUTES_PER_STEP == 0:
+                yield
+    return RouteTables(
+        route_indexes=indexes,
+        urgencies_by_service={
+            service: _list_urgencies(kinds, priorities)
+            for service, kinds in found.items()
+        },
+        class_services=frozenset(
+            service
+            for service, kinds in found.items()
+            if len({limit_urgency(priority) for priority, _ in kinds}) > 1
+        ),
+    )
+
+
+def _list_urgencies(
+    kinds: Iterable[tuple[int, bool]], priorities: Set[int | None]
+) -> tuple[int, ...]:
+    """Return the class urgencies of routes by priority and whether they have teams."""
+    urgencies = {
+        combine_urgencies(of_team=of_team, of_route=of_route)
+        for of_route, has_team in kinds
+        for of_team in (priorities if has_team else {None})
+    }
+    return tuple(sorted(urgencies))
 
 
 def limit_urgency(priority: int) -> int:
@@ -161,10 +219,17 @@
 
     def __init__(self, routes: Iterable[Route]) -> None:
         self._by_prefix: dict[str, Route] = {}
-        for route in routes:
-            self._by_prefix.setdefault(route.prefix, route)
         #: Lengths of the prefixes, the longest first.
-        self._lengths = sorted({len(p) for p in self._by_prefix}, reverse=True)
+        self._lengths: list[int] = []
+        for route in routes:
+            self.add(route)
+
+    def add(self, route: Route) -> None:
+        """Add a route; of those with the same prefix the first is found."""
+        self._by_prefix.setdefault(route.prefix, route)
+        length = len(route.prefix)
+        if length not in self._lengths:
+            insort(self._lengths, length, key=neg)
 
     def find(self, path: str) -> Route | None:
         """Return the route with the longest prefix of `path`, or `None`."""
--- a/packages/core/fulmarward_core/spread/__init__.py
+++ b/packages/core/fulmarward_core/spread/__init__.py
@@ -5,7 +5,7 @@
     FetchTimeout,
     PendingFetch,
 )
-from fulmarward_core.spread._packing import pack_value, unpack_value
+from fulmarward_core.spread._packing import pack_in_steps, pack_value, unpack_value
 from fulmarward_core.spread._transfers import TransferLimiter, find_max_in_flight
 
 __all__ = [
@@ -14,6 +14,7 @@
     "PendingFetch",
     "TransferLimiter",
     "find_max_in_flight",
+    "pack_in_steps",
     "pack_value",
     "unpack_value",
 ]
--- a/packages/core/fulmarward_core/spread/tests/test_packing.py
+++ b/packages/core/fulmarward_core/spread/tests/test_packing.py
@@ -4,8 +4,8 @@
 
 from hypothesis import given, strategies as st
 
-from fulmarward_core.spread import pack_value, unpack_value
-from fulmarward_core.spread._packing import MAX_VALUE_BYTES
+from fulmarward_core.spread import pack_in_steps, pack_value, unpack_value
+from fulmarward_core.spread._packing import BYTES_PER_STEP, MAX_VALUE_BYTES
 
 
 class PackingTest(unittest.TestCase):
@@ -13,6 +13,12 @@
     def test_round_trip(self, value):
         self.assertEqual(unpack_value(pack_value(value)), value)
 
+    def test_value_is_compressed_in_steps(self):
+        """Guards against an event loop that stands still while a value is packed."""
+        value = bytes(5 * BYTES_PER_STEP + 1)
+        steps = list(pack_in_steps(value))
+        self.assertEqual(len(steps), 6)
+
     def test_invalid_data_is_rejected(self):
         packed = pack_value(b"routes" * 100)
         cases = [
--- a/packages/router/fulmarward_router/_processor.py
+++ b/packages/router/fulmarward_router/_processor.py
@@ -11,6 +11,8 @@
 from functools import wraps
 from typing import Any, ParamSpec, TypeVar
 
+from fulmarward_core.steps import Steps
+
 #: Seconds between two log lines with the totals of the subsystems.
 LOG_INTERVAL_S = 10.0
 
@@ -109,6 +111,23 @@
 
         return call
 
+    def measure_steps(
+        self, activity: str, function: Callable[_Arguments, Steps[_Result]]
+    ) -> Callable[_Arguments, Steps[_Result]]:
+        """Return `function` wrapped so that its steps count towards `activity`."""
+
+        @wraps(function)
+        def call(*args: _Arguments.args, **kwargs: _Arguments.kwargs) -> Steps[_Result]:
+            take_step = self.measure(activity, function(*args, **kwargs).send)
+            while True:
+                try:
+                    take_step(None)
+                except StopIteration as stop:
+                    return stop.value
+                yield
+
+        return call
+
 
 def get_subsystem() -> str:
     """Return the subsystem of the current task."""
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -259,6 +259,8 @@
             read_clock=clock,
             notify_peers=lambda: self.mesh.notify_promises(),
         )
+        #: Tasks that adopt configurations which peers sent.
+        self._adoptions: set[asyncio.Task] = set()
         self.denials = RecentDenials(since=self._started_at)
         self.paces = PaceTable()
         self.ledger = LoadLedger(note_changed=lambda: self.mesh.notify_loads())
@@ -285,7 +287,7 @@
             target_session, self._count_call, self.evidence
         )
         self.configuration = ConfigurationHolder(
-            decode=self.meter.measure(
+            decode=self.meter.measure_steps(
                 "configuration_decoding", self.store.decode_configuration
             )
         )
@@ -323,6 +325,7 @@
             notify_peers=self._notify_peers,
             probe_targets=lambda targets: self.failure_detector.probe(targets),
             handle_target_changes=self.target_change_handler.handle_changes,
+            start_task=self._start_adoption,
             is_observer=self.listing.is_observer,
             link_bytes_per_s=settings.link_bytes_per_s,
         )
@@ -779,6 +782,18 @@
         task.add_done_callback(handle_end)
         return task
 
+    def _start_adoption(self, coroutine: Coroutine[None, None, None]) -> None:
+        """Start a task that adopts a configuration; if it fails, another is fetched."""
+
+        def handle_end(task: asyncio.Task) -> None:
+            self._adoptions.discard(task)
+            if not task.cancelled() and task.exception() is not None:
+                log_event("internal_error_caught", exc_info=task.exception())
+
+        task = start_in_subsystem("configuration", coroutine)
+        self._adoptions.add(task)
+        task.add_done_callback(handle_end)
+
 
 def _round_values(seconds: Mapping[str, float]) -> dict[str, float]:
     return {name: round(value, 4) for name, value in seconds.items()}
--- a/packages/router/fulmarward_router/exchange/tests/test_admission_queue.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_admission_queue.py
@@ -43,7 +43,8 @@
 def _make_configuration(priorities):
     shares = (ServiceShare(service="pool", weight=1.0),)
     routes = tuple(
-        SimpleNamespace(priority=p, shares=shares, is_public=False) for p in priorities
+        SimpleNamespace(prefix="/", priority=p, shares=shares, is_public=False)
+        for p in priorities
     )
     return RoutingConfiguration(
         version=1,
--- a/packages/router/fulmarward_router/exchange/tests/test_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_caller_handler.py
@@ -15,6 +15,7 @@
 
 def _decode(row):
     limits = CallerLimits(header_bytes=9999, body_bytes=9999, header_s=1.0, idle_s=9.0)
+    yield
     return RoutingConfiguration(
         version=row.version, routes={}, services={}, limits=limits
     )
@@ -116,7 +117,7 @@
         """Guards against a final 404 for a route that a newer configuration has."""
         holder = ConfigurationHolder(decode=_decode)
         row = Row(key="config", value=b"", version=7)
-        holder.apply_row(row, source="store", now=time.monotonic())
+        await holder.apply_row(row, source="store")
         cases = [
             # seconds since the last confirmation, a peer's version, expected status
             (0.1, 7, 404),
@@ -129,14 +130,14 @@
                 holder.record_reported(reported, at=time.monotonic())
                 self.assertEqual(await self.request_status(holder), status)
         row = Row(key="config", value=b"", version=8)
-        holder.apply_row(row, source="peer", now=time.monotonic())
+        await holder.apply_row(row, source="peer")
         self.assertEqual(await self.request_status(holder), 404)
 
     async def test_refusal_is_logged_with_its_request_and_what_it_was_decided_by(self):
         """A denied request has no state; without these values it cannot be traced."""
         holder = ConfigurationHolder(decode=_decode)
         row = Row(key="config", value=b"", version=7)
-        holder.apply_row(row, source="store", now=time.monotonic())
+        await holder.apply_row(row, source="store")
         cases = [
             # seconds since the last confirmation, a peer's version, what is logged
             (0.5, 7, 0.5),
--- a/packages/router/fulmarward_router/ports.py
+++ b/packages/router/fulmarward_router/ports.py
@@ -14,6 +14,7 @@
 from fulmarward_core.paths import Hop
 from fulmarward_core.reservations import ClassSettings
 from fulmarward_core.routes import RoutingConfiguration
+from fulmarward_core.steps import Steps
 from fulmarward_core.team_shares import TeamSettings
 
 
@@ -176,9 +177,11 @@
     ) -> Committed | Conflict:
         """Write all rows atomically if the conditions hold."""
 
-    def decode_configuration(self, row: Row) -> RoutingConfiguration | None:
+    def decode_configuration(self, row: Row) -> Steps[RoutingConfiguration | None]:
         """Return the configuration in a row, `None` if the row holds something else.
 
+        It is decoded in steps, of which none takes the event loop for long.
+
         Raises `ValueError` if the configuration is malformed.
         """
 
--- a/packages/router/fulmarward_router/state/_configuration.py
+++ b/packages/router/fulmarward_router/state/_configuration.py
@@ -1,10 +1,14 @@
 """The configuration in force. It is replaced as a whole, by newer versions only."""
 
 import asyncio
+import time
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from fulmarward.observability import log_event
 from fulmarward_core.routes import RoutingConfiguration
+from fulmarward_core.spread import pack_in_steps
+from fulmarward_core.steps import Steps
 from fulmarward_core.store_versions import find_era
 from fulmarward_router.ports import Row
 
@@ -12,9 +16,20 @@
 class ConfigurationHolder:
     """Holds the newest configuration that this instance could decode."""
 
-    def __init__(self, *, decode: Callable[[Row], RoutingConfiguration | None]) -> None:
+    def __init__(
+        self,
+        *,
+        decode: Callable[[Row], Steps[RoutingConfiguration | None]],
+        read_clock: Callable[[], float] = time.perf_counter,
+    ) -> None:
         self._decode = decode
+        #: Measures the steps of a preparation, in seconds.
+        self._read_clock = read_clock
+        #: The preparations that have not ended, by the version of their rows.
+        self._preparations: dict[int, _Preparation] = {}
         self._row: Row | None = None
+        #: Compressed value of the row in force, as it is sent to peers.
+        self.packed: bytes | None = None
         #: The configuration in force, `None` before the first.
         self.current: RoutingConfiguration | None = None
         #: When the store last confirmed it, to this instance or to a peer; seconds on
@@ -62,24 +77,45 @@
         """Record that the store had nothing newer at `at` on the monotonic clock."""
         self.confirmed_at = max(self.confirmed_at, at)
 
+    @property
+    def is_preparing(self) -> bool:
+        """Whether a row has been received that may be newer and is not yet in force."""
+        return bool(self._preparations)
+
     @property
     def row(self) -> Row | None:
         """The row of the configuration in force, as it is sent to peers."""
         return self._row
 
-    def apply_row(self, row: Row, *, source: str, now: float) -> bool:
+    async def apply_row(
+        self, row: Row, *, source: str, packed: bytes | None = None
+    ) -> bool:
         """Adopt the configuration in `row` if it is newer; return whether it was.
 
-        A row that cannot be decoded is refused, and the current configuration stays in
-        force. The operator's version decides, since a row that is older for the store
-        may be newer after the store lost its last changes.
+        It is prepared in steps, between which other tasks run, and put into force as a
+        whole. `packed` is the compressed value if it is known. A row that cannot be
+        decoded is refused, and the current configuration stays in force. The operator's
+        version decides, since a row that is older for the store may be newer after the
+        store lost its last changes.
         """
-        if self._is_older_row(row):
-            return False
+        while not self._is_older_row(row):
+            same = self._preparations.get(row.version)
+            if same is None:
+                return await self._prepare_and_adopt(row, source, packed)
+            await same.ended.wait()
+        return False
+
+    async def _prepare_and_adopt(
+        self, row: Row, source: str, packed: bytes | None
+    ) -> bool:
+        # One that is reported while the row is prepared is not this one.
+        reported_version = self.reported_version
+        preparation = _Preparation(row, read_clock=self._read_clock)
+        self._preparations[row.version] = preparation
         try:
-            configuration = self._decode(row)
+            prepared = await self._run_steps(preparation, packed)
         except ValueError as error:
-            self._refused_version = self.reported_version
+            self._refused_version = max(self._refused_version, reported_version)
             log_event(
                 "configuration_refused",
                 store_version=row.version,
@@ -87,10 +123,48 @@
                 cause=str(error),
             )
             return False
-        if configuration is None or configuration.version <= self.version:
+        finally:
+            del self._preparations[row.version]
+            preparation.ended.set()
+        if prepared is None or prepared.configuration.version <= self.version:
             return False
+        self._adopt(prepared, preparation, source=source)
+        return True
+
+    async def _run_steps(
+        self, preparation: "_Preparation", packed: bytes | None
+    ) -> "_Prepared | None":
+        """Prepare a row; return `None` if it holds no newer configuration.
+
+        It waits while the row of a newer change is prepared, and goes on afterwards, as
+        that one may be refused, or older for the operator.
+        """
+        steps = self._prepare(preparation.row, packed)
+        while not preparation.take_step(steps):
+            await asyncio.sleep(0)
+            while (newest := self._find_newest()) is not preparation:
+                await newest.ended.wait()
+        return preparation.result
+
+    def _find_newest(self) -> "_Preparation":
+        """Return the preparation of the newest row, for which the others wait."""
+        return self._preparations[max(self._preparations)]
+
+    def _prepare(self, row: Row, packed: bytes | None) -> Steps["_Prepared | None"]:
+        configuration = yield from self._decode(row)
+        if configuration is None or configuration.version <= self.version:
+            return None
+        if packed is None and row.value is not None:
+            packed = yield from pack_in_steps(row.value)
+        routes = sum(len(routes) for routes in configuration.routes.values())
+        return _Prepared(configuration=configuration, packed=packed, routes=routes)
+
+    def _adopt(
+        self, prepared: "_Prepared", preparation: "_Preparation", *, source: str
+    ) -> None:
+        row, configuration = preparation.row, prepared.configuration
         previous, self.current = self.version, configuration
-        self._row = row
+        self._row, self.packed = row, prepared.packed
         self._missing_since = {
             version: since
             for version, since in self._missing_since.items()
@@ -103,10 +177,11 @@
             store_version=row.version,
             source=source,
             size=len(row.value or b""),
-            routes=sum(len(routes) for routes in configuration.routes.values()),
+            routes=prepared.routes,
+            prepared_s=round(self._read_clock() - preparation.began_at, 4),
+            longest_step_s=round(preparation.longest_step_s, 4),
         )
         self.available.set()
-        return True
 
     def _is_older_row(self, row: Row) -> bool:
         """Return whether the store changed a row before the one in force, or is it."""
@@ -115,3 +190,41 @@
             and find_era(row.version) == find_era(self._row.version)
             and row.version <= self._row.version
         )
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Prepared:
+    """A configuration that can be put into force."""
+
+    configuration: RoutingConfiguration
+    #: Compressed value of its row, as it is sent to peers.
+    packed: bytes | None
+    #: Number of routes.
+    routes: int
+
+
+class _Preparation:
+    """Progress of the preparation of a row."""
+
+    def __init__(self, row: Row, *, read_clock: Callable[[], float]) -> None:
+        self.row = row
+        self._read_clock = read_clock
+        #: When it began, and its longest step, in seconds on the clock.
+        self.began_at = read_clock()
+        self.longest_step_s = 0.0
+        #: Set once it has succeeded or failed.
+        self.ended = asyncio.Event()
+        self.result: _Prepared | None = None
+
+    def take_step(self, steps: Steps[_Prepared | None]) -> bool:
+        """Take the next step; return whether it was the last."""
+        began_at = self._read_clock()
+        try:
+            next(steps)
+        except StopIteration as stop:
+            self.result = stop.value
+            return True
+        finally:
+            step_s = self._read_clock() - began_at
+            self.longest_step_s = max(self.longest_step_s, step_s)
+        return False
--- a/packages/router/fulmarward_router/state/_configuration_exchange.py
+++ b/packages/router/fulmarward_router/state/_configuration_exchange.py
@@ -1,6 +1,6 @@
 """Fetches the configuration from peers and sends it to them."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 
 from fulmarward.observability import log_event
 from fulmarward_core.spread import (
@@ -8,7 +8,6 @@
     PendingFetch,
     TransferLimiter,
     find_max_in_flight,
-    pack_value,
     unpack_value,
 )
 from fulmarward_router.mesh import (
@@ -40,11 +39,13 @@
         link_bytes_per_s: float | None,
         read_clock: Callable[[], float],
         notify_peers: Callable[[], None],
+        start_task: Callable[[Coroutine[None, None, None]], object],
     ) -> None:
         self._name = name
         self._configuration = configuration
         self._read_clock = read_clock
         self._notify_peers = notify_peers
+        self._start_task = start_task
         self._pending_fetch = PendingFetch()
         self._transfers = TransferLimiter(
             max_bytes=find_max_in_flight(link_bytes_per_s)
@@ -54,8 +55,6 @@
         self._supports_compression: dict[str, int] = {}
         #: Number of uncompressed rows sent; such a fetch does not name its sender.
         self._plain_transfers = 0
-        #: The row that was last sent to peers, and its compressed value.
-        self._compressed: tuple[Row, bytes | None] | None = None
 
     def merge_heartbeat(
         self, heartbeat: Heartbeat, *, sent_at: float, is_confirming: bool = True
@@ -71,7 +70,10 @@
             heartbeat.configuration_version, at=reported_at
         )
         if heartbeat.configuration_version > own:
-            if self._begin_fetch(heartbeat, now):
+            # What is being prepared is probably this version.
+            if not self._configuration.is_preparing and self._begin_fetch(
+                heartbeat, now
+            ):
                 return self._make_fetch(heartbeat.sender, own)
         elif (
             is_confirming
@@ -114,7 +116,7 @@
         row = self._find_newer(fetch.version)
         if row is None:
             return None
-        compressed = self._compress(row)
+        compressed = self._configuration.packed
         size = len(compressed or b"")
         if not self._transfers.begin(fetch.sender, size, now=self._read_clock()):
             return ConfigurationDeferred(sender=self._name)
@@ -161,13 +163,6 @@
             packed=sent_bytes,
         )
 
-    def _compress(self, row: Row) -> bytes | None:
-        """Return the compressed value of the row in force; it is compressed once."""
-        if self._compressed is None or self._compressed[0] is not row:
-            compressed = None if row.value is None else pack_value(row.value)
-            self._compressed = (row, compressed)
-        return self._compressed[1]
-
     def record_deferred(self, message: ConfigurationDeferred) -> None:
         """Record that a peer cannot answer yet, as it is sending to other peers."""
         self._pending_fetch.note_deferred(message.sender, now=self._read_clock())
@@ -198,12 +193,13 @@
         _log_fetch_timeout(timed_out, cause="link closed")
 
     def merge_plain(self, snapshot: ConfigurationSnapshot) -> None:
-        """Adopt the configuration that a peer sent."""
+        """Start to adopt the configuration that a peer sent."""
         row = snapshot.row
-        self._merge(Row(key=row.key, value=row.value, version=row.version))
+        row = Row(key=row.key, value=row.value, version=row.version)
+        self._start_task(self._merge(row, packed=None))
 
     def merge_compressed(self, snapshot: CompressedConfiguration) -> None:
-        """Adopt the configuration that a peer sent; damaged bytes are refused."""
+        """Start to adopt what a peer sent; damaged bytes are refused."""
         try:
             value = None if snapshot.packed is None else unpack_value(snapshot.packed)
         except ValueError as error:
@@ -214,10 +210,11 @@
                 cause=str(error),
             )
             return
-        self._merge(Row(key=snapshot.key, value=value, version=snapshot.version))
+        row = Row(key=snapshot.key, value=value, version=snapshot.version)
+        self._start_task(self._merge(row, packed=snapshot.packed))
 
-    def _merge(self, row: Row) -> None:
-        if self._configuration.apply_row(row, source="peer", now=self._read_clock()):
+    async def _merge(self, row: Row, *, packed: bytes | None) -> None:
+        if await self._configuration.apply_row(row, source="peer", packed=packed):
             self._notify_peers()
 
 
--- a/packages/router/fulmarward_router/state/_instance_state.py
+++ b/packages/router/fulmarward_router/state/_instance_state.py
@@ -2,7 +2,7 @@
 
 import bisect
 import math
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Coroutine, Iterable, Mapping
 
 from msgspec.structs import replace
 
@@ -102,6 +102,7 @@
         notify_peers: Callable[[], None],
         probe_targets: Callable[[Iterable[str]], None],
         handle_target_changes: Callable[[list[KnownRow]], None],
+        start_task: Callable[[Coroutine[None, None, None]], object],
         is_observer: Callable[[str], bool] = lambda target: True,
         link_bytes_per_s: float | None = None,
     ) -> None:
@@ -143,6 +144,7 @@
             link_bytes_per_s=link_bytes_per_s,
             read_clock=read_clock,
             notify_peers=notify_peers,
+            start_task=start_task,
         )
         #: Makes the reports on demand of each scope, for the services with classes.
         self._demand_reports = {
--- a/packages/router/fulmarward_router/state/_watch.py
+++ b/packages/router/fulmarward_router/state/_watch.py
@@ -147,15 +147,15 @@
                 has_changes=has_changes,
                 now=self._read_clock(),
             )
-            self._merge_configuration(read, confirmed_at)
+            await self._merge_configuration(read, confirmed_at)
 
-    def _merge_configuration(self, read: RowsRead, confirmed_at: float) -> None:
-        now = self._read_clock()
-        self._configuration.record_confirmation(at=confirmed_at)
+    async def _merge_configuration(self, read: RowsRead, confirmed_at: float) -> None:
         adopted = [
-            self._configuration.apply_row(row, source="store", now=now)
+            await self._configuration.apply_row(row, source="store")
             for row in read.rows
         ]
+        # What was read is in force only now.
+        self._configuration.record_confirmation(at=confirmed_at)
         if any(adopted):
             self._notify_peers()
 
--- a/packages/router/fulmarward_router/tests/_routing_peer.py
+++ b/packages/router/fulmarward_router/tests/_routing_peer.py
@@ -21,6 +21,7 @@
 )
 from fulmarward_router.exchange import CallerHandler, PlainService, ServiceContext
 from fulmarward_router.ports import AnswerFacts, CallerFacts, Row
+from fulmarward_router.tests._coroutines import run_at_once
 from fulmarward_router.tests._poison import make_crash_monitor, make_poison_knowledge
 from fulmarward_router.tests._target_limits import (
     make_leaving_targets,
@@ -43,6 +44,7 @@
 
 
 def _decode_configuration(row):
+    yield
     version = int(row.value)
     routes = tuple(
         Route(
@@ -205,7 +207,7 @@
     def read_configuration(self, row):
         """Apply the store's row, confirmed now."""
         self.configuration.record_confirmation(at=self.now)
-        self.configuration.apply_row(row, source="store", now=self.now)
+        run_at_once(self.configuration.apply_row(row, source="store"))
 
     def request(self, path, *, key=None):
         """Return the status of a caller's request, and the targets that it reached."""
--- a/packages/router/fulmarward_router/tests/test_configuration_spread.py
+++ b/packages/router/fulmarward_router/tests/test_configuration_spread.py
@@ -15,6 +15,7 @@
     encode_message,
 )
 from fulmarward_router.ports import Row
+from fulmarward_router.tests._coroutines import run_at_once
 from fulmarward_router.tests.test_instance_state import Peer
 
 #: Bandwidth of a small instance's link in bytes per second: 20 Mbit/s.
@@ -48,6 +49,7 @@
 
 
 def _decode(row):
+    yield
     return _Configuration(json.loads(row.value)["version"])
 
 
@@ -153,7 +155,7 @@
 
     def _merge_store_row(self, one, row):
         peer = self._advance_peer(one)
-        peer.configuration.apply_row(row, source="store", now=self.now)
+        run_at_once(peer.configuration.apply_row(row, source="store"))
         self._record_in_force(one)
 
     def _advance_peer(self, one):
--- a/packages/router/fulmarward_router/tests/test_instance_state.py
+++ b/packages/router/fulmarward_router/tests/test_instance_state.py
@@ -27,6 +27,7 @@
     InstanceState,
     _instance_state,
 )
+from fulmarward_router.tests._coroutines import run_at_once
 
 
 class _Configuration:
@@ -36,6 +37,7 @@
 
 
 def _decode(row):
+    yield
     return _Configuration(int(row.value))
 
 
@@ -88,6 +90,7 @@
             notify_peers=lambda: None,
             probe_targets=self.probed.extend,
             handle_target_changes=lambda rows: None,
+            start_task=run_at_once,
             is_observer=lambda name: self.observed is None or name in self.observed,
             link_bytes_per_s=link_bytes_per_s,
         )
@@ -162,7 +165,9 @@
     def test_instance_refused_by_the_store_gets_changes_from_a_peer(self):
         # The store serves one instance and refuses the other. Both must learn of a
         # revoked key, or of a leaving target, within the time limit.
-        self.one.configuration.apply_row(_make_row(4, b"7"), source="store", now=100.0)
+        run_at_once(
+            self.one.configuration.apply_row(_make_row(4, b"7"), source="store")
+        )
         row = KnownRow(name="t", version=5, value=b"x", record=None, heard_at=100.0)
         self.one.catalogue.apply_full_read([row], 5, now=100.0)
         self.two.receive_heartbeat(self.one)
@@ -261,7 +266,7 @@
         # two seconds; probes timed out, and their targets counted as unreachable.
         peers = [Peer(f"peer{number}") for number in range(76)]
         for peer in peers:
-            peer.configuration.apply_row(_make_row(4, b"7"), source="x", now=100.0)
+            run_at_once(peer.configuration.apply_row(_make_row(4, b"7"), source="x"))
             self.one.record_compression_support(peer)
         heartbeats = [peer.instance_state.make_heartbeat() for peer in peers]
         fetches = [
@@ -293,7 +298,7 @@
         two, three = Peer("two"), Peer("three")
         for peer in (two, three):
             row = _make_row(4, b"7" + blanks)
-            peer.configuration.apply_row(row, source="x", now=100.0)
+            run_at_once(peer.configuration.apply_row(row, source="x"))
         two.instance_state.answer(
             FetchCompressedConfiguration(sender="four", version=0)
         )
@@ -308,7 +313,7 @@
         heartbeats = []
         for name in ("two", "three"):
             peer = Peer(name)
-            peer.configuration.apply_row(_make_row(4, b"7"), source="x", now=100.0)
+            run_at_once(peer.configuration.apply_row(_make_row(4, b"7"), source="x"))
             heartbeats.append(peer.instance_state.make_heartbeat())
         merge_heartbeat = self.one.instance_state.merge_heartbeat
         self.assertEqual(
@@ -320,7 +325,9 @@
         self.assertEqual(len(merge_heartbeat(heartbeats[1])), 1)
 
     def test_damaged_configuration_changes_nothing(self):
-        self.one.configuration.apply_row(_make_row(4, b"7"), source="store", now=100.0)
+        run_at_once(
+            self.one.configuration.apply_row(_make_row(4, b"7"), source="store")
+        )
         for packed in (b"", b"8", pack_value(b"8")[:-1], pack_value(b"no version")):
             with self.subTest(packed):
                 snapshot = CompressedConfiguration(
@@ -331,8 +338,12 @@
                 self.assertEqual(self.one.configuration.row.value, b"7")
 
     def test_older_configuration_changes_nothing(self):
-        self.one.configuration.apply_row(_make_row(4, b"7"), source="store", now=100.0)
-        self.two.configuration.apply_row(_make_row(9, b"8"), source="store", now=100.0)
+        run_at_once(
+            self.one.configuration.apply_row(_make_row(4, b"7"), source="store")
+        )
+        run_at_once(
+            self.two.configuration.apply_row(_make_row(9, b"8"), source="store")
+        )
         self.assertEqual(self.two.receive_heartbeat(self.one), [])
         self.two.instance_state.merge_snapshot(
             self.one.instance_state.answer(
@@ -350,7 +361,7 @@
 
     def test_confirmation_is_passed_on_with_its_age(self):
         for peer in (self.one, self.two):
-            peer.configuration.apply_row(_make_row(4, b"7"), source="x", now=100.0)
+            run_at_once(peer.configuration.apply_row(_make_row(4, b"7"), source="x"))
         self.one.configuration.confirmed_at = 99.0
         self.two.receive_heartbeat(self.one)
         self.assertAlmostEqual(self.two.configuration.confirmed_at, 99.0, places=2)
--- a/packages/router/fulmarward_router/tests/test_late_beliefs.py
+++ b/packages/router/fulmarward_router/tests/test_late_beliefs.py
@@ -14,6 +14,7 @@
 from fulmarward_router.mesh.tests.test_members import make_heartbeat
 from fulmarward_router.ports import Row, RowsRead
 from fulmarward_router.state import StoreWatch
+from fulmarward_router.tests._coroutines import run_at_once
 from fulmarward_router.tests._routing_peer import (
     RoutingPeer,
     make_configuration_row,
@@ -49,7 +50,7 @@
     def setUp(self):
         self.peer = RoutingPeer("one")
         self.holder = self.peer.configuration
-        self.holder.apply_row(_make_row(1), source="store", now=100.0)
+        run_at_once(self.holder.apply_row(_make_row(1), source="store"))
 
     def _report(self, version, **delay):
         heartbeat = make_heartbeat("peer", configuration_version=version)
@@ -62,7 +63,7 @@
     def test_version_after_one_that_was_refused_is_missed(self):
         """A version that cannot be decoded, then one that revokes a key is late."""
         self.peer.read_targets([make_target_row("t1", 2)], 4)
-        self.holder.apply_row(_make_row(2, b"?"), source="store", now=100.0)
+        run_at_once(self.holder.apply_row(_make_row(2, b"?"), source="store"))
         self._report(3)
         self.peer.now += 10.0
         self.assertFalse(self._is_served())
@@ -71,7 +72,7 @@
         """Version 3 revokes a key, version 2 arrives from a peer that is behind."""
         self._report(3)
         self.peer.now += 1.4
-        self.holder.apply_row(_make_row(2), source="peer", now=self.peer.now)
+        run_at_once(self.holder.apply_row(_make_row(2), source="peer"))
         self.peer.now += 1.4
         outdated_s = self.holder.find_outdated_s(now=self.peer.now)
         self.assertGreater(outdated_s, _MAX_OUTDATED_S)
--- a/packages/router/fulmarward_router/tests/test_restored_store.py
+++ b/packages/router/fulmarward_router/tests/test_restored_store.py
@@ -6,6 +6,7 @@
 from fulmarward_router.mesh._eras import remove_eras
 from fulmarward_router.ports import Row
 from fulmarward_router.tests._routing_peer import RoutingPeer, make_target_row
+from fulmarward_router.tests.test_instance_state import _decode
 
 
 def _make_row(name, era, number, *, is_leaving=False):
@@ -68,7 +69,7 @@
         """Guards against a peer that ignores what was written after the restore."""
         row = Row(key="config", value=b"7", version=make_store_version(1, 5))
         for peer in (self.one, self.two):
-            peer.configuration._decode = lambda row: _Configuration(int(row.value))
+            peer.configuration._decode = _decode
             peer.read_configuration(row)
         confirmed_at = self.one.configuration.confirmed_at
         _read_all(self.one, 2, 4, _make_row("t", 2, 3))
@@ -132,9 +133,3 @@
                 self.assertEqual(_list_staying(new), ["u"])
                 _read_change(new, 2, 116, _make_row("t", 2, 116))
                 self.assertEqual(_list_staying(new), ["t", "u"])
-
-
-class _Configuration:
-    def __init__(self, version):
-        self.version = version
-        self.routes = {}
--- a/packages/router/fulmarward_router/tests/test_rollout.py
+++ b/packages/router/fulmarward_router/tests/test_rollout.py
@@ -11,6 +11,7 @@
     encode_message,
 )
 from fulmarward_router.ports import Row
+from fulmarward_router.tests._coroutines import run_at_once
 from fulmarward_router.tests.test_instance_state import Peer
 
 #: Messages of a release without compression: the fetch has the version of its sender,
@@ -27,7 +28,7 @@
     def setUp(self):
         self.one, self.two = Peer("one"), Peer("two")
         row = Row(key="config", version=4, value=b"7")
-        self.two.configuration.apply_row(row, source="store", now=100.0)
+        run_at_once(self.two.configuration.apply_row(row, source="store"))
 
     def test_old_and_new_releases_send_each_other_the_configuration(self):
         # During a rolling update, the operator revokes a key. A new instance rejected
@@ -71,7 +72,7 @@
         # They all ask at once, and neither name themselves nor acknowledge a row. Those
         # without an answer ask again, or another peer, 0.2 s later.
         row = Row(key="config", version=5, value=b"8".rjust(80_000))
-        self.two.configuration.apply_row(row, source="store", now=100.0)
+        run_at_once(self.two.configuration.apply_row(row, source="store"))
         fetch = FetchConfiguration(version=0)
         answers = [self.two.instance_state.answer(fetch) for _ in range(9)]
         self.assertEqual(len([item for item in answers if item is not None]), 1)
