Take a row for a target only if a header can hold its name

A row that is proper but for its key (a line break, a NUL) was chosen as a target: callers got 502 for requests that may run once, although nothing was ever sent, as the header with the name could not be made.

Cause: any text that is not empty counted as a name. Class: decoded at the edge, judged nowhere.

--- a/packages/core/fulmarward_core/fleet/decisions.py
+++ b/packages/core/fulmarward_core/fleet/decisions.py
@@ -31,6 +31,9 @@
     r"(?:(?P<ipv4>[0-9.]+)|\[(?P<ipv6>[0-9a-fA-F:.]+)\]):(?P<port>[1-9][0-9]{0,4})"
 )
 
+#: Printable ASCII without spaces at its ends, as a header may hold it.
+_NAME = re.compile(r"[!-~](?:[ -~]*[!-~])?")
+
 
 class RowFault(Enum):
     """Why a row describes no target that may be used."""
@@ -56,7 +59,7 @@
     `fields` holds a value of any type for each key of `_CHECKS`, `None` for one that
     the row lacks; `layers` is a pair of such values, or `None`.
     """
-    if not _is_text(name):
+    if len(name) > MAX_TEXT_BYTES or not _NAME.fullmatch(name):
         return RowFault.NAME
     for field, (fault, is_valid) in _CHECKS.items():
         if not is_valid(fields[field]):
