Take a row for an instance only if each of its fields is proper

Cause: the reader checked the number of fields, not their types or values; a name of a type that can't be hashed failed where the members are merged.

Class: decoded at the edge, judged nowhere. The judgement is in one place of the core now (identities), by type, length and form: texts are printable, addresses are IP:PORT (addresses), the name is the key of the row, so that a row can't replace another instance. A row that describes no instance is logged once per version, with its key.

--- a/packages/router/fulmarward_router/state/_instances.py
+++ b/packages/router/fulmarward_router/state/_instances.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import cbor2
 
 from fulmarward.observability import log_event
+from fulmarward_core.identities import MAX_NAME_BYTES, find_fault
 from fulmarward_router.mesh import InstanceIdentity, MemberTable
-from fulmarward_router.ports import ReplyLost, RowWrite, Store, StoreRefused
+from fulmarward_router.ports import ReplyLost, Row, RowWrite, Store, StoreRefused
 
 #: The store's table with a row for each instance.
 INSTANCE_TABLE = "instances"
@@ -40,6 +41,8 @@
         self._members = members
         self._read_clock = read_clock
         self._is_withdrawn = False
+        #: Versions of the rows that describe no instance, by key.
+        self._refused: dict[str, int] = {}
 
     async def follow(self) -> None:
         """Write the row, and read the others' periodically, until cancelled.
@@ -71,11 +74,25 @@
                 log_event("instances_read_failed", cause=repr(error))
                 await _sleep_with_jitter(RETRY_INTERVAL_S)
                 continue
-            identities = [_decode_instance(row.value) for row in read.rows]
             now = self._read_clock()
-            self._members.merge_members([item for item in identities if item], now=now)
+            self._members.merge_members(self._decode(read.rows), now=now)
             read_at = now + _vary(READ_INTERVAL_S)
 
+    def _decode(self, rows: Iterable[Row]) -> list[InstanceIdentity]:
+        """Return the instances in rows; log each version that describes none once."""
+        decoded = [(row, _decode_instance(row)) for row in rows]
+        refused = {row.key: row.version for row, item in decoded if _is_fault(item)}
+        for row, item in decoded:
+            if _is_fault(item) and self._refused.get(row.key) != row.version:
+                log_event(
+                    "instance_row_refused",
+                    key=row.key[:MAX_NAME_BYTES],
+                    store_version=row.version,
+                    cause=item,
+                )
+        self._refused = refused
+        return [item for _, item in decoded if not _is_fault(item)]
+
     async def withdraw(self) -> None:
         """Delete this instance's row; a failure of the store is only logged."""
         self._is_withdrawn = True
@@ -99,6 +116,10 @@
         log_event("instance_row_rewritten", era=era, before=before)
 
 
+def _is_fault(item: InstanceIdentity | str) -> bool:
+    return isinstance(item, str)
+
+
 def _encode_instance(own: InstanceIdentity) -> bytes:
     fields = [
         own.name,
@@ -110,13 +131,16 @@
     return cbor2.dumps(fields)
 
 
-def _decode_instance(value: bytes | None) -> InstanceIdentity | None:
-    """Return the instance in a row, `None` if it cannot be decoded."""
+def _decode_instance(row: Row) -> InstanceIdentity | str:
+    """Return the instance in a row, or why it describes none."""
     try:
-        name, boot, data_centre, peer_address, caller_address = cbor2.loads(value)
-    except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
-        log_event("instance_row_refused", cause=repr(error))
-        return None
+        fields = cbor2.loads(row.value)
+    except Exception as error:
+        return repr(error)
+    fault = find_fault(row.key, fields)
+    if fault is not None:
+        return fault.value
+    name, boot, data_centre, peer_address, caller_address = fields
     return InstanceIdentity(
         name=name,
         boot=boot,
