Judge the row of the lease, and count an odd one as held

What callers saw: an odd row of the lease ended the task that keeps it (and all instances, as they all read it), or let an instance take the lease at once, beside the holder whose row was overwritten and who sends orders until its term ends.

Cause: the fields of the row were taken whatever their types, and a row that can't be read counted as released, though it says nothing about the holder before it.

Class: decoded at the edge, judged nowhere. leases.read_lease is the one place that judges the row; an odd one stands for an unknown holder, whose term must end like any other's. If the task fails, it abandons the lease: the outcome of a write may be unknown, and nothing would renew it.

--- a/packages/core/fulmarward_core/leases/__init__.py
+++ b/packages/core/fulmarward_core/leases/__init__.py
@@ -1,7 +1,9 @@
 """Leases in the platform's table: one holder per pool, with a fencing number."""
 
+from fulmarward_core.leases._rows import read_lease
 from fulmarward_core.leases._types import (
     ABSENT_LEASE,
+    UNKNOWN_LEASE,
     Lease,
     LeaseEvent,
     LeaseRead,
@@ -37,6 +39,8 @@
     "Step",
     "StepKind",
     "StoreUnavailable",
+    "UNKNOWN_LEASE",
+    "read_lease",
     "choose_step",
     "abandon_lease",
     "may_order",
--- a/packages/core/fulmarward_core/leases/_types.py
+++ b/packages/core/fulmarward_core/leases/_types.py
@@ -21,6 +21,10 @@
 #: The lease that an absent row stands for.
 ABSENT_LEASE = Lease(holder="", boot=0, fencing=0, token="")
 
+#: The lease that an odd row stands for. Its writer is not known, and the term of the
+#: holder whose row it replaced may not have ended.
+UNKNOWN_LEASE = Lease(holder="unknown", boot=0, fencing=0, token="")
+
 
 @dataclass(frozen=True, kw_only=True)
 class LeaseTerms:
--- a/packages/router/fulmarward_router/placement/_lease.py
+++ b/packages/router/fulmarward_router/placement/_lease.py
@@ -10,6 +10,7 @@
 from fulmarward.observability import log_event
 from fulmarward_core.leases import (
     ABSENT_LEASE,
+    UNKNOWN_LEASE,
     Lease,
     LeaseEvent,
     LeaseRead,
@@ -26,6 +27,7 @@
     choose_step,
     may_order,
     may_order_in_outage,
+    read_lease,
     record_write,
     update_store_state,
 )
@@ -81,6 +83,8 @@
         #: Whether orders are sent under a lease that expired during a store outage.
         self._is_held_over = False
         self._read_clock = read_clock
+        #: Version of the last row that holds no lease.
+        self._refused_version: int | None = None
         self._state = LeaseState(own_name=name, own_boot=boot)
 
     @property
@@ -113,8 +117,13 @@
 
     async def run(self) -> None:
         """Keep or watch the lease until cancelled."""
-        while True:
-            await asyncio.sleep(await self._step())
+        try:
+            while True:
+                await asyncio.sleep(await self._step())
+        except BaseException:
+            # The outcome of a write may be unknown, and nothing renews the lease now.
+            self.abandon()
+            raise
 
     async def _step(self) -> float:
         now = self._read_clock()
@@ -163,7 +172,7 @@
             read = await self._store.read_table(LEASE_TABLE)
         except (StoreRefused, ReplyLost):
             return StoreUnavailable()
-        return _find_lease(read.rows, era=find_era(read.version))
+        return self._find_lease(read.rows, era=find_era(read.version))
 
     async def _write(self, step: Step) -> LeaseEvent:
         self._state = record_write(self._state, step, now=self._read_clock())
@@ -178,19 +187,23 @@
             return WriteLost()
         if isinstance(outcome, Committed):
             return LeaseWritten(lease=step.lease, version=outcome.version)
-        return _find_lease(outcome.rows, era=find_era(step.version))
+        return self._find_lease(outcome.rows, era=find_era(step.version))
 
+    def _find_lease(self, rows: tuple[Row, ...], *, era: int) -> LeaseRead:
+        """Return the lease in `rows`, an unknown one for a row that holds none."""
+        for row in rows:
+            if row.key == LEASE_KEY and row.value is not None:
+                return LeaseRead(lease=self._decode_lease(row), version=row.version)
+        return LeaseRead(lease=ABSENT_LEASE, version=make_store_version(era, 0))
 
-def _find_lease(rows: tuple[Row, ...], *, era: int) -> LeaseRead:
-    """Return the lease in `rows`; a row that cannot be decoded counts as released."""
-    for row in rows:
-        if row.key != LEASE_KEY or row.value is None:
-            continue
+    def _decode_lease(self, row: Row) -> Lease:
         try:
-            return LeaseRead(
-                lease=Lease(**orjson.loads(row.value)), version=row.version
-            )
-        except (ValueError, TypeError) as error:
-            log_event("lease_row_refused", cause=str(error))
-            return LeaseRead(lease=ABSENT_LEASE, version=row.version)
-    return LeaseRead(lease=ABSENT_LEASE, version=make_store_version(era, 0))
+            lease = read_lease(orjson.loads(row.value))
+        except ValueError:
+            lease = None
+        if lease is not None:
+            return lease
+        if row.version != self._refused_version:
+            self._refused_version = row.version
+            log_event("lease_row_refused", key=row.key, store_version=row.version)
+        return UNKNOWN_LEASE
