--- a/packages/router/fulmarward_router/tests/test_poison_rows.py
+++ b/packages/router/fulmarward_router/tests/test_poison_rows.py
@@ -2,7 +2,9 @@
 from types import SimpleNamespace
 from unittest import mock
 
-from fulmarward_router.ports import RowsRead, StoreRefused
+import cbor2
+
+from fulmarward_router.ports import Row, RowsRead, StoreRefused
 from fulmarward_router.state import PoisonKnowledge, PoisonRows
 
 
@@ -21,3 +23,50 @@
         for is_current in (False, True):
             await rows._read()
             self.assertEqual(poison.is_current, is_current)
+
+
+#: The crashes in a row: target, team, whether it is strong, and trusted.
+CRASHES = [[f"t{number}", "team", True, False] for number in range(5)]
+
+ODD_ROWS = [
+    ("pattern", b""),
+    ("pattern", b"\x81" * 5000),
+    ("pattern", cbor2.dumps([10.0])),
+    ("pattern", cbor2.dumps([10.0, 5])),
+    ("pattern", cbor2.dumps(["10", CRASHES])),
+    ("pattern", cbor2.dumps([float("nan"), CRASHES])),
+    ("pattern", cbor2.dumps([10**400, CRASHES])),
+    ("pattern", cbor2.dumps([True, CRASHES])),
+    ("pattern", cbor2.dumps([10.0, [[5, "team", True, False]] * 5])),
+    ("pattern", cbor2.dumps([10.0, [["t", [], True, False]] * 5])),
+    ("pattern", cbor2.dumps([10.0, [["t", "team", "yes", False]] * 5])),
+    ("pattern", cbor2.dumps([10.0, [["t" * 1000, "team", True, False]] * 5])),
+    ("pattern", cbor2.dumps([10.0, CRASHES * 1000])),
+    ("", cbor2.dumps([10.0, CRASHES])),
+    ("pat\r\ntern", cbor2.dumps([10.0, CRASHES])),
+    ("p" * 1000, cbor2.dumps([10.0, CRASHES])),
+]
+
+
+class OddRowTest(unittest.IsolatedAsyncioTestCase):
+    async def read_patterns(self, *rows):
+        poison = PoisonKnowledge(
+            read_clock=lambda: 100.0,
+            notify_peers=lambda patterns: None,
+            fetch_from_peers=lambda: None,
+            record_block_changed=lambda patterns: None,
+        )
+        read = RowsRead(rows=rows, version=1)
+        store = SimpleNamespace(read_table=mock.AsyncMock(return_value=read))
+        await PoisonRows(
+            store=store, poison=poison, read_wall_clock=lambda: 10.0
+        )._read()
+        return {report.pattern for report in poison.make_reports()}
+
+    async def test_odd_row_harms_no_other(self):
+        """Guards against rows of another writer that end the reading, or spread."""
+        proper = Row(key="proper", value=cbor2.dumps([10.0, CRASHES]), version=1)
+        for key, value in ODD_ROWS:
+            with self.subTest(key=key[:40], value=value[:40]):
+                odd = Row(key=key, value=value, version=1)
+                self.assertEqual(await self.read_patterns(odd, proper), {"proper"})
