Judge the rows of blocked patterns in one place

What callers saw: nothing yet; an odd row was made into records of crashes, which are sent to all peers, and thousands of them exceed the size of a message and break links.

Cause: values of any type were turned into texts, truth values and times, without a bound. Class: decoded at the edge, judged nowhere. poison.is_block_row judges a row by types, lengths and number; nothing is converted. One that fails in another way than expected (cbor2 has many) is refused too.

Evidence: OddRowTest failed for 11 of 16 rows before, and passes; test_crashing_prompts and test_restored_store pass.

--- a/packages/core/fulmarward_core/poison/__init__.py
+++ b/packages/core/fulmarward_core/poison/__init__.py
@@ -5,6 +5,7 @@
     compute_head_fingerprint,
     find_head_fingerprint,
 )
+from fulmarward_core.poison._rows import is_block_row
 from fulmarward_core.poison._table import (
     BLOCK_RETENTION_S,
     MAX_PATTERNS,
@@ -34,4 +35,5 @@
     "compute_head_fingerprint",
     "find_head_fingerprint",
     "find_poison",
+    "is_block_row",
 ]
--- a/packages/core/fulmarward_core/poison/_table.py
+++ b/packages/core/fulmarward_core/poison/_table.py
@@ -22,7 +22,7 @@
 #: and on the records of one pattern.
 MAX_PATTERNS = 1024
 _MAX_PATTERNS_PER_TEAM = 512
-_MAX_CRASHES_PER_PATTERN = 16
+MAX_CRASHES_PER_PATTERN = 16
 
 #: Upper bound on the patterns remembered as proven harmless.
 _MAX_PROVEN_PATTERNS = 4096
@@ -248,7 +248,7 @@
         known = records.get(key)
         if known is None:
             records[key] = record
-            if len(records) > _MAX_CRASHES_PER_PATTERN:
+            if len(records) > MAX_CRASHES_PER_PATTERN:
                 # All instances must keep the same ones, or each would take those that
                 # another one dropped for new.
                 dropped = max(records, key=lambda k: (records[k].is_cleared, k))
--- a/packages/router/fulmarward_router/state/_poison_rows.py
+++ b/packages/router/fulmarward_router/state/_poison_rows.py
@@ -7,7 +7,7 @@
 import cbor2
 
 from fulmarward.observability import log_event
-from fulmarward_core.poison import BLOCK_RETENTION_S
+from fulmarward_core.poison import BLOCK_RETENTION_S, is_block_row
 from fulmarward_core.store_versions import find_era, make_store_version
 from fulmarward_router.mesh import CrashReport, PatternReport
 from fulmarward_router.ports import (
@@ -29,6 +29,9 @@
 #: Seconds before a failed call to the store is retried.
 RETRY_INTERVAL_S = 1.0
 
+#: Maximum characters of the key of a refused row in a log line.
+MAX_LOGGED_KEY = 200
+
 #: Milliseconds between the crashes of a pattern that is read, whose times are not kept.
 _CRASH_SPACING_MS = 1000
 
@@ -156,24 +159,30 @@
 def _decode_row(row: Row, *, now: float) -> PatternReport | None:
     """Return the records in a row, `None` if it is malformed or too old."""
     try:
-        written_at, items = cbor2.loads(row.value)
-        age_s = max(0.0, now - float(written_at))
-        crashes = tuple(
-            CrashReport(
-                target=str(target),
-                team=str(team),
-                age_ms=int(age_s * 1000) + number * _CRASH_SPACING_MS,
-                is_strong=bool(is_strong),
-                is_trusted=bool(is_trusted),
-                is_cleared=False,
-            )
-            for number, (target, team, is_strong, is_trusted) in enumerate(items)
-        )
-    except (cbor2.CBORDecodeError, TypeError, ValueError, OverflowError) as error:
-        log_event("poison_row_refused", pattern=row.key, cause=repr(error))
-        return None
+        fields = cbor2.loads(row.value)
+    except Exception as error:
+        return _refuse(row, cause=repr(error))
+    if not is_block_row(row.key, fields):
+        return _refuse(row, cause="expected a time and crashes")
+    written_at, items = fields
+    age_s = max(0, now - written_at)
     if age_s > BLOCK_RETENTION_S:
         return None
+    crashes = tuple(
+        CrashReport(
+            target=target,
+            team=team,
+            age_ms=int(age_s * 1000) + number * _CRASH_SPACING_MS,
+            is_strong=is_strong,
+            is_trusted=is_trusted,
+            is_cleared=False,
+        )
+        for number, (target, team, is_strong, is_trusted) in enumerate(items)
+    )
     return PatternReport(
         pattern=row.key, seen_age_ms=int(age_s * 1000), crashes=crashes
     )
+
+
+def _refuse(row: Row, *, cause: str) -> None:
+    log_event("poison_row_refused", pattern=row.key[:MAX_LOGGED_KEY], cause=cause)
