Keep a begun stream that no peer may take while its instance is cut off

Callers got no more of a begun stream on the last run of its route once its instance had reached no target of the service for a second, although its targets went on afterwards.

Cause: a stream of a service that is not reached counted as one that a peer resumes, while the engine service relays no stream that may only go on where it has run. Class: two places answer the same question differently.

--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -555,13 +555,14 @@
     ) -> bool:
         """Return whether a stream can be resumed without the targets that are lost."""
         state = attempt.state
+        is_bound = not is_gone and uses_last_run(self._context.make_tally(state))
         if not self._context.contacts.is_reached(state.service):
-            # It is resumed through a peer.
-            return True
+            # It is resumed through a peer, which does not know where it has run.
+            return not is_bound
         first = attempt.first.target
         avoided = attempt.wanted.avoided | (lost or {first})
         wanted = replace(attempt.wanted, avoided=avoided)
-        if not is_gone and uses_last_run(self._context.make_tally(state)):
+        if is_bound:
             reusable = state.list_reusable_targets() | {first}
             wanted = replace(wanted, avoided=avoided - reusable, first_targets=reusable)
         return any(
