--- a/packages/router/fulmarward_router/exchange/tests/test_kept_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_kept_streams.py
@@ -1,8 +1,12 @@
 """Begun streams that stay at their targets, as they could not be resumed better."""
 
 import asyncio
+from unittest import mock
 
+from fulmarward_core.fleet import TargetRecord
+from fulmarward_router.exchange.tests import test_late_streams
 from fulmarward_router.exchange.tests.test_ended_streams import _EndedStreamTest
+from fulmarward_router.ports import OrderOutcome, OrderResult
 
 
 class UnreachedServiceTest(_EndedStreamTest):
@@ -16,3 +20,47 @@
         await asyncio.sleep(1.3)
         await self.check_completes(attempt=1)
         self.assertEqual(len(self.calls), 1)
+
+
+class CrossingTest(_EndedStreamTest):
+    def list_target(self, name, address, layers, **options):
+        """List a target; those that do not hold the first layer are elsewhere."""
+        with mock.patch.object(test_late_streams, "TargetRecord", self.make_record):
+            super().list_target(name, address, layers, **options)
+
+    def make_record(self, **fields):
+        if fields["layers"].start:
+            fields["data_centre"] = "b"
+        return TargetRecord(**fields)
+
+    async def accept_order(self, path):
+        self.orders.append(path)
+        return OrderResult(outcome=OrderOutcome.TAKEN)
+
+    async def begin_crossing(self, *, most_attempts):
+        """Begin a stream along a path that crosses, as all others do."""
+        self.orders = []
+        self.dialect.order = self.accept_order
+        for number, layers in ((1, (0, 1)), (2, (0, 1)), (3, (1, 2)), (4, (1, 2))):
+            self.list_target(f"t{number}", f"h:{number}", layers)
+        self.begin_listed(most_attempts=most_attempts)
+        await self.await_attempt(1)
+        await self.send(1, attempt=1)
+        self.pipe = self.service.supervisor._pipe
+
+    def lose_second_target(self):
+        lost = self.calls[0].path[1].target
+        self.suspicions.record_failure(lost, now=self.read_clock())
+
+    async def test_stream_is_rerouted_if_all_ways_around_a_lost_target_cross(self):
+        """Guards against a prompt that is computed anew behind the same full link."""
+        for most_attempts in (1, 3):
+            with self.subTest(most_attempts=most_attempts):
+                await self.asyncSetUp()
+                await self.begin_crossing(most_attempts=most_attempts)
+                # Its transfers wait for those of others.
+                self.pipe._busy_until = self.read_clock() + 100.0
+                self.lose_second_target()
+                await asyncio.sleep(0.4)
+                self.assertEqual((len(self.calls), len(self.orders)), (1, 1))
+                await self.check_completes(attempt=1)
