Resume a stream instead of a way that crosses only if another way does not

Callers waited for the whole prompt to be computed anew, behind the link between the data centres that the resumption was to avoid, and lost a retry; with a full link the stream waited for it without an attempt, up to a cut.

Cause: the attempt was aborted if its way around a lost target crosses, without a look whether another path does not. Class: a step is taken without asking whether it can do better.

--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -551,7 +551,12 @@
         )
 
     def _has_other_path(
-        self, attempt: Attempt, lost: frozenset[str], *, is_gone: bool
+        self,
+        attempt: Attempt,
+        lost: frozenset[str],
+        *,
+        is_gone: bool,
+        may_cross: bool = True,
     ) -> bool:
         """Return whether a stream can be resumed without the targets that are lost."""
         state = attempt.state
@@ -561,7 +566,7 @@
             return not is_bound
         first = attempt.first.target
         avoided = attempt.wanted.avoided | (lost or {first})
-        wanted = replace(attempt.wanted, avoided=avoided)
+        wanted = replace(attempt.wanted, avoided=avoided, may_cross=may_cross)
         if is_bound:
             reusable = state.list_reusable_targets() | {first}
             wanted = replace(wanted, avoided=avoided - reusable, first_targets=reusable)
@@ -596,12 +601,13 @@
         if (
             is_required
             and self._pipe.count_crossings(path, attempt.path)
+            and self._has_other_path(attempt, avoided, is_gone=False, may_cross=False)
             and self._context.take_retry_early(state)
         ):
             # The activations of the whole prompt would cross data centres, one after
             # another for all streams through the failed target: pauses of 0.35 to
-            # 0.6 s. Recomputing the prompt on a new path takes under 0.1 s. If no
-            # retry is left, a pause is better than a truncated response.
+            # 0.6 s. Recomputing the prompt within a data centre takes under 0.1 s. If
+            # no retry is left, a pause is better than a truncated response.
             raise AttemptFailed(
                 cause="the way around a lost target crosses",
                 is_not_run=False,
