--- a/packages/router/fulmarward_router/exchange/tests/test_kept_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_kept_streams.py
@@ -52,6 +52,11 @@
         lost = self.calls[0].path[1].target
         self.suspicions.record_failure(lost, now=self.read_clock())
 
+    async def await_order(self):
+        async with asyncio.timeout(2.0):
+            while not self.orders:
+                await asyncio.sleep(0.01)
+
     async def test_stream_is_rerouted_if_all_ways_around_a_lost_target_cross(self):
         """Guards against a prompt that is computed anew behind the same full link."""
         for most_attempts in (1, 3):
@@ -64,3 +69,13 @@
                 await asyncio.sleep(0.4)
                 self.assertEqual((len(self.calls), len(self.orders)), (1, 1))
                 await self.check_completes(attempt=1)
+
+    async def test_stream_is_not_aborted_for_a_path_that_the_full_link_refuses(self):
+        """Guards against a stream that is cut while its accepted path may serve it."""
+        await self.begin_crossing(most_attempts=2)
+        self.lose_second_target()
+        await self.await_order()
+        self.pipe._busy_until = self.read_clock() + 100.0
+        await asyncio.sleep(1.0)
+        await self.check_completes(attempt=1)
+        self.assertEqual(len(self.calls), 1)
