Abort a begun stream only for a path that the full link would not refuse

Callers of a stream whose new path had been accepted were cut ('no path to resume on'): after 0.6 s without an event the attempt was aborted for a path that crosses data centres, which the admission then refused for the full link until the caller was about to leave. A full link is also why the new path brings nothing for so long.

Cause: the search before an abort knows no full link, the search after it does. Class: two places answer the same question differently.

test_stream_is_not_aborted_for_a_path_that_the_full_link_refuses: TruncatedResponse before, passes now; tests of kept, rerouted, ended and waiting streams, of failover and of the admission queue pass (69).

--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -566,6 +566,8 @@
             return not is_bound
         first = attempt.first.target
         avoided = attempt.wanted.avoided | (lost or {first})
+        # A path that crosses is refused while the link between data centres is full.
+        may_cross = may_cross and not self._pipe.is_full()
         wanted = replace(attempt.wanted, avoided=avoided, may_cross=may_cross)
         if is_bound:
             reusable = state.list_reusable_targets() | {first}
--- a/packages/router/fulmarward_router/exchange/_pipe_limiter.py
+++ b/packages/router/fulmarward_router/exchange/_pipe_limiter.py
@@ -32,6 +32,10 @@
         #: When the estimated queue will be empty.
         self._busy_until = float("-inf")
 
+    def is_full(self) -> bool:
+        """Return whether no path that crosses data centres would get link time now."""
+        return self._busy_until - self._read_clock() > MAX_QUEUED_S
+
     def reserve(
         self,
         engine: EngineModel,
@@ -46,10 +50,9 @@
         transfer_s = (
             wanted.prompt * engine.activation_bytes * 8 / (engine.pipe_mbps * 1e6)
         )
-        now = self._read_clock()
-        begins_at = max(now, self._busy_until)
-        if crossings and begins_at - now > MAX_QUEUED_S:
+        if crossings and self.is_full():
             return False
+        begins_at = max(self._read_clock(), self._busy_until)
         taken_s = crossings * transfer_s / self._find_share()
         self._busy_until = begins_at + taken_s
         return True
