--- a/packages/router/fulmarward_router/exchange/tests/test_kept_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_kept_streams.py
@@ -1,4 +1,4 @@
-"""Begun streams that stay at their targets, as they could not be resumed better."""
+"""Where begun streams stay, or go on, as no other path would be better."""
 
 import asyncio
 from unittest import mock
@@ -79,3 +79,18 @@
         await asyncio.sleep(1.0)
         await self.check_completes(attempt=1)
         self.assertEqual(len(self.calls), 1)
+
+
+class BoundStreamTest(_EndedStreamTest):
+    async def test_stream_without_runs_left_leaves_the_target_that_is_silent(self):
+        """Guards against a last retry at the target whose silence it is taken for."""
+        self.begin()
+        for attempt in (1, 2):
+            await self.await_attempt(attempt)
+            await self.send(attempt, attempt=attempt)
+            await self.lose(attempt, removed=False)
+        await self.await_attempt(3)
+        await self.send(3, attempt=3)
+        await self.await_attempt(4)
+        self.assertNotEqual(self.calls[3].target, self.calls[2].target)
+        await self.check_completes(attempt=4)
