Resume a stream without runs left at another target than the silent one

Callers of a stream that had run at as many targets as its route allows, and was silent at one of them, left: the last retry went to that target again, although the other was sound.

Cause: where a stream may run only at the targets that have run it, none of these was avoided. Class: a limit replaces what was learned about a target.

Such a stream now begins where it was last lost only if it can begin at no other. test_stream_without_runs_left_leaves_the_target_that_is_silent: both attempts at one target before (3 of 3 runs), passes now; 47 tests of kept, rerouted, ended and waiting streams and of engines pass.

--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -365,15 +365,23 @@
         return not is_bound and self._relay.is_needed(state)
 
     def _limit_first_targets(
-        self, state: RequestState, wanted: PathRequest
+        self, state: RequestState, engine: EngineModel, wanted: PathRequest
     ) -> PathRequest:
-        """Have a path begin where a stream has run, if it may run nowhere else."""
+        """Have a path begin where a stream has run, if it may run nowhere else.
+
+        It begins where the stream was last lost only if there is no other path.
+        """
         if not must_reuse_targets(self._context.make_tally(state)):
             return wanted
         reusable = state.list_reusable_targets()
-        return replace(
+        bound = replace(
             wanted, avoided=wanted.avoided - reusable, first_targets=reusable
         )
+        latest = frozenset({state.failed_runs[-1].target.name})
+        others = reusable - (latest & wanted.avoided)
+        elsewhere = replace(bound, first_targets=others)
+        has_path = self._finder.choose(state.service, engine, elsewhere) is not None
+        return elsewhere if has_path else bound
 
     async def _reserve_path(
         self, state: RequestState, engine: EngineModel, wanted: PathRequest
@@ -386,7 +394,7 @@
         """
         for probed in range(MAX_PROBED_PATHS + 1):
             path = await self._admission.await_path(
-                state, engine, lambda: self._limit_first_targets(state, wanted)
+                state, engine, lambda: self._limit_first_targets(state, engine, wanted)
             )
             reservation = self._ledger.reserve(path, count_tokens_held(wanted))
             if state.runs == 0 or probed == MAX_PROBED_PATHS:
