--- a/packages/router/fulmarward_router/exchange/tests/test_kept_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_kept_streams.py
@@ -4,6 +4,7 @@
 from unittest import mock
 
 from fulmarward_core.fleet import TargetRecord
+from fulmarward_router.exchange._request_state import MAX_UNCOUNTED_RUNS
 from fulmarward_router.exchange.tests import test_late_streams
 from fulmarward_router.exchange.tests.test_ended_streams import _EndedStreamTest
 from fulmarward_router.ports import OrderOutcome, OrderResult
@@ -94,3 +95,20 @@
         await self.await_attempt(4)
         self.assertNotEqual(self.calls[3].target, self.calls[2].target)
         await self.check_completes(attempt=4)
+
+
+class GoneTargetTest(_EndedStreamTest):
+    async def test_stream_whose_silent_targets_are_removed_is_not_resumed_for_ever(
+        self,
+    ):
+        """Guards against a run beyond those that streams broken off get."""
+        self.begin(targets=12)
+        for attempt in range(1, 3 + MAX_UNCOUNTED_RUNS):
+            await self.await_attempt(attempt)
+            await self.send(attempt, attempt=attempt)
+            target = self.calls[attempt - 1].target
+            self.dialect.silent.add(target)
+            self.suspicions.record_failure(target, now=self.read_clock())
+            self.remove_target(target)
+        await asyncio.sleep(0.6)
+        self.assertEqual(len(self.calls), 2 + MAX_UNCOUNTED_RUNS)
