--- /dev/null
+++ b/packages/router/fulmarward_router/exchange/tests/test_kept_streams.py
@@ -0,0 +1,114 @@
+"""Where begun streams stay, or go on, as no other path would be better."""
+
+import asyncio
+from unittest import mock
+
+from fulmarward_core.fleet import TargetRecord
+from fulmarward_router.exchange._request_state import MAX_UNCOUNTED_RUNS
+from fulmarward_router.exchange.tests import test_late_streams
+from fulmarward_router.exchange.tests.test_ended_streams import _EndedStreamTest
+from fulmarward_router.ports import OrderOutcome, OrderResult
+
+
+class UnreachedServiceTest(_EndedStreamTest):
+    async def test_stream_that_no_peer_may_serve_stays_while_no_target_answers(self):
+        """Guards against a stream that is cut as its instance was cut off for 1 s."""
+        self.begin(most_attempts=1)
+        await self.await_attempt(1)
+        await self.send(1, attempt=1)
+        self.service.supervisor._has_peers = lambda: True
+        self.service._context.contacts.is_reached = lambda service: False
+        await asyncio.sleep(1.3)
+        await self.check_completes(attempt=1)
+        self.assertEqual(len(self.calls), 1)
+
+
+class CrossingTest(_EndedStreamTest):
+    def list_target(self, name, address, layers, **options):
+        """List a target; those that do not hold the first layer are elsewhere."""
+        with mock.patch.object(test_late_streams, "TargetRecord", self.make_record):
+            super().list_target(name, address, layers, **options)
+
+    def make_record(self, **fields):
+        if fields["layers"].start:
+            fields["data_centre"] = "b"
+        return TargetRecord(**fields)
+
+    async def accept_order(self, path):
+        self.orders.append(path)
+        return OrderResult(outcome=OrderOutcome.TAKEN)
+
+    async def begin_crossing(self, *, most_attempts):
+        """Begin a stream along a path that crosses, as all others do."""
+        self.orders = []
+        self.dialect.order = self.accept_order
+        for number, layers in ((1, (0, 1)), (2, (0, 1)), (3, (1, 2)), (4, (1, 2))):
+            self.list_target(f"t{number}", f"h:{number}", layers)
+        self.begin_listed(most_attempts=most_attempts)
+        await self.await_attempt(1)
+        await self.send(1, attempt=1)
+        self.pipe = self.service.supervisor._pipe
+
+    def lose_second_target(self):
+        lost = self.calls[0].path[1].target
+        self.suspicions.record_failure(lost, now=self.read_clock())
+
+    async def await_order(self):
+        async with asyncio.timeout(2.0):
+            while not self.orders:
+                await asyncio.sleep(0.01)
+
+    async def test_stream_is_rerouted_if_all_ways_around_a_lost_target_cross(self):
+        """Guards against a prompt that is computed anew behind the same full link."""
+        for most_attempts in (1, 3):
+            with self.subTest(most_attempts=most_attempts):
+                await self.asyncSetUp()
+                await self.begin_crossing(most_attempts=most_attempts)
+                # Its transfers wait for those of others.
+                self.pipe._busy_until = self.read_clock() + 100.0
+                self.lose_second_target()
+                await asyncio.sleep(0.4)
+                self.assertEqual((len(self.calls), len(self.orders)), (1, 1))
+                await self.check_completes(attempt=1)
+
+    async def test_stream_is_not_aborted_for_a_path_that_the_full_link_refuses(self):
+        """Guards against a stream that is cut while its accepted path may serve it."""
+        await self.begin_crossing(most_attempts=2)
+        self.lose_second_target()
+        await self.await_order()
+        self.pipe._busy_until = self.read_clock() + 100.0
+        await asyncio.sleep(1.0)
+        await self.check_completes(attempt=1)
+        self.assertEqual(len(self.calls), 1)
+
+
+class BoundStreamTest(_EndedStreamTest):
+    async def test_stream_without_runs_left_leaves_the_target_that_is_silent(self):
+        """Guards against a last retry at the target whose silence it is taken for."""
+        self.begin()
+        for attempt in (1, 2):
+            await self.await_attempt(attempt)
+            await self.send(attempt, attempt=attempt)
+            await self.lose(attempt, removed=False)
+        await self.await_attempt(3)
+        await self.send(3, attempt=3)
+        await self.await_attempt(4)
+        self.assertNotEqual(self.calls[3].target, self.calls[2].target)
+        await self.check_completes(attempt=4)
+
+
+class GoneTargetTest(_EndedStreamTest):
+    async def test_stream_whose_silent_targets_are_removed_is_not_resumed_for_ever(
+        self,
+    ):
+        """Guards against a run beyond those that streams broken off get."""
+        self.begin(targets=12)
+        for attempt in range(1, 3 + MAX_UNCOUNTED_RUNS):
+            await self.await_attempt(attempt)
+            await self.send(attempt, attempt=attempt)
+            target = self.calls[attempt - 1].target
+            self.dialect.silent.add(target)
+            self.suspicions.record_failure(target, now=self.read_clock())
+            self.remove_target(target)
+        await asyncio.sleep(0.6)
+        self.assertEqual(len(self.calls), 2 + MAX_UNCOUNTED_RUNS)
