--- a/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
@@ -196,7 +196,7 @@
         )
         self.catalogue.apply_changes([row], self.version, now=now)
 
-    def start_service(self, client, *, slack):
+    def start_service(self, client, *, slack, find_share=lambda: 1.0, **options):
         budget = RetryBudget(ratio=0.0, slack=slack, window_s=10.0)
         context = ServiceContext(
             poison=make_poison_knowledge(),
@@ -210,11 +210,12 @@
             paces=PaceTable(),
             ledger=LoadLedger(),
             find_budget=lambda service: budget,
-            find_share=lambda: 1.0,
+            find_share=find_share,
             is_large=lambda: False,
             instance="one",
             data_centre="a",
             read_clock=self.read_clock,
+            **options,
         )
         detector = FailureDetector(
             dialect=self.dialect,
