Lend unused retries to instances whose begun streams need them

Callers got truncated answers ('no retry left') from an instance whose share of the retry budget was used up, while other instances had used none of theirs.

Cause: the budget of a service holds for the sum over all instances, is kept by a fixed split, and the loss of a target hits few instances hard. Class: a limit of the sum binds one instance while it lies unused at others.

An instance that denies a retry to a begun stream asks its peers in the background; a lender takes what it doesn't need for its own begun answers from its own budget, and counts it as used until a window after the last time at which it may be used. The borrower has 0.5 s from its request. So every use is counted by one instance, whatever messages are lost, late or repeated; nothing is sent while no begun stream is denied a retry. In large fleets a hub without one asks up to four of its peers. Older releases ignore both messages.

Both tests of test_retry_loans failed before ('no retry left'; a silent stream not resumed within 5 s) and pass now, the lost one with its retry used within 0.2 s. The new test of two processes in test_retries is cut with 'no retry left' if nothing is lent (trial), and passes. The state machine of test_loans (three instances, clocks that differ by 2 in 100, messages late, lost and repeated, restarts, changing shares) fails in trials in which the lender counts for as long as the borrower may use or shorter, answers count twice or late, or borrowed retries do not expire.

--- a/packages/core/fulmarward_core/quotas/_retries.py
+++ b/packages/core/fulmarward_core/quotas/_retries.py
@@ -1,7 +1,7 @@
 """The retry budget of a service, which holds for all instances together.
 
 Each instance uses its share of the fixed budget, plus a ratio of its own requests, so
-a retry needs no call to other instances.
+a retry needs no call to other instances. What it does not need it lends to others.
 """
 
 import bisect
@@ -9,6 +9,14 @@
 from collections import deque
 from dataclasses import dataclass
 
+from fulmarward_core.quotas._loans import (
+    LENT_DURATION_S,
+    MAX_LOAN,
+    BorrowedRetries,
+    Loan,
+    LoanKey,
+)
+
 #: Share of the budget that is used. The rest is a margin, since windows slide, and
 #: instances may join or leave before all others know of it.
 USABLE_SHARE = 0.7
@@ -37,7 +45,7 @@
 class RetryUsage:
     """Current usage of a budget."""
 
-    #: Retries within the window, and how many are allowed.
+    #: Retries within the window, with those that were lent, and how many are allowed.
     used: int
     allowed: float
     #: Caller requests within the window.
@@ -50,6 +58,8 @@
 
     #: Whether a retry was taken from the budget.
     is_taken: bool
+    #: Whether another instance had lent it.
+    is_borrowed: bool = False
     #: When to poll again, in seconds on the monotonic clock; `None` to stop polling.
     poll_at: float | None = None
 
@@ -63,6 +73,10 @@
         self._window_s = window_s
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
+        #: Retries lent to other instances, in the order of the grants.
+        self._lent: dict[LoanKey, Loan] = {}
+        #: Retries lent by other instances, for answers that have started.
+        self.borrowed = BorrowedRetries()
         #: Times until which started answers wait for a retry, sorted.
         self._waiting: list[float] = []
 
@@ -70,6 +84,10 @@
         for times in (self._requests, self._retries):
             while times and times[0] <= now - self._window_s:
                 times.popleft()
+        for key, loan in list(self._lent.items()):
+            if loan.until > now - self._window_s:
+                break
+            del self._lent[key]
 
     def note_request(self, *, now: float) -> None:
         """Count a caller's request for the service."""
@@ -94,6 +112,32 @@
         self._retries.append(now)
         return True
 
+    def take_borrowed(self, *, now: float, yields: bool = False) -> bool:
+        """Take a retry that another instance has lent; return whether there was one.
+
+        One that `yields` leaves a retry for each started answer that waits.
+        """
+        spared = len(self._waiting) if yields else 0
+        return self.borrowed.take(now=now, spared=spared)
+
+    def lend(
+        self, key: LoanKey, *, count: int, open_answers: int, share: float, now: float
+    ) -> int:
+        """Take up to `count` retries for another instance; return how many.
+
+        Those that the `open_answers` of this instance may need are kept. A repeated
+        request takes no more.
+        """
+        usage = self.count(share=share, now=now)
+        if key in self._lent:
+            return self._lent[key].count
+        kept = _count_kept(open_answers) + len(self._waiting)
+        spare = math.floor(usage.allowed - usage.used - kept)
+        lent = max(0, min(count, spare, MAX_LOAN))
+        if lent:
+            self._lent[key] = Loan(count=lent, until=now + LENT_DURATION_S)
+        return lent
+
     def _has_early_retry(self, *, share: float, now: float) -> bool:
         """Return whether a retry is available beside those kept for real losses."""
         usage = self.count(share=share, now=now)
@@ -121,7 +165,7 @@
         later: few after a restart, when targets reject many requests.
         """
         allowed = self.count(share=share, now=now).allowed
-        kept = max(1, math.ceil(open_answers * RETRIES_PER_OPEN_ANSWER))
+        kept = _count_kept(open_answers)
         return max(UNSTARTED_SHARE, 1 - kept / allowed) if allowed else UNSTARTED_SHARE
 
     def begin_wait(self, *, until: float) -> None:
@@ -137,7 +181,10 @@
 
         Answers with the earliest `until` are served first.
         """
-        is_first = not any(other < until for other in self._waiting)
+        earlier = sum(other < until for other in self._waiting)
+        if self.borrowed.take(now=now, spared=earlier):
+            return RetryDecision(is_taken=True, is_borrowed=True)
+        is_first = not earlier
         if is_first and self.take_retry(share=share, now=now):
             return RetryDecision(is_taken=True)
         if now >= until:
@@ -158,7 +205,12 @@
         self._drop_expired(now)
         allowed = self._slack * share + self._ratio * len(self._requests)
         return RetryUsage(
-            used=len(self._retries),
+            used=len(self._retries) + sum(loan.count for loan in self._lent.values()),
             allowed=allowed * USABLE_SHARE,
             requests=len(self._requests),
         )
+
+
+def _count_kept(open_answers: int) -> int:
+    """Return how many retries are kept for the open answers of an instance."""
+    return max(1, math.ceil(open_answers * RETRIES_PER_OPEN_ANSWER))
--- a/packages/router/fulmarward_router/_metrics.py
+++ b/packages/router/fulmarward_router/_metrics.py
@@ -32,6 +32,8 @@
     left_responses: Counter
     #: Attempts at targets beyond the first, by `service`.
     retries: Counter
+    #: Retries that instances lend each other, by `service` and `outcome` here.
+    retry_loans: Counter
     #: Streams rerouted around an unreachable target or resumed elsewhere, by `how`.
     moves: Counter
     #: Attempts at streams that ended without a complete response, by `service` and
@@ -112,6 +114,9 @@
         retries=factory.count(
             "retries_total", "Attempts beyond the first, by service."
         ),
+        retry_loans=factory.count(
+            "retry_loans_total", "Retries lent, borrowed or denied, by service."
+        ),
         moves=factory.count("moves_total", "Streams moved, by how."),
         broken_attempts=factory.count(
             "broken_attempts_total",
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -87,6 +87,7 @@
     PoisonRows,
     PromisedReturns,
     RecentDenials,
+    RetryLoans,
     StoreWatch,
     TargetChangeHandler,
     TargetLimits,
@@ -102,6 +103,9 @@
 #: lookups for one to three seconds.
 MIN_DRAIN_DURATION_S = 3.5
 
+#: Seconds after its start before an instance lends retries.
+LENDING_DELAY_S = 5.0
+
 #: Maximum bytes of one header that the parser accepts. It is above any limit of a
 #: configuration, which is checked after the request is read.
 MAX_HEADER_BYTES = 1 << 16
@@ -259,6 +263,17 @@
             read_clock=clock,
             notify_peers=lambda: self.mesh.notify_promises(),
         )
+        self.retry_loans = RetryLoans(
+            own=self.own.name,
+            boot=self.own.boot,
+            read_clock=clock,
+            find_budget=self._find_budget,
+            find_share=lambda: self.listing.find_share(),
+            count_open=lambda service: self.engines.supervisor.count_open(service),
+            may_lend=self._may_lend,
+            get_links=lambda: self.mesh,
+            count_loans=self._count_loans,
+        )
         self.denials = RecentDenials(since=self._started_at)
         self.paces = PaceTable()
         self.ledger = LoadLedger(note_changed=lambda: self.mesh.notify_loads())
@@ -334,6 +349,7 @@
             limits=self.target_limits,
             leaving=self.leaving_targets,
             promises=self.promised_returns,
+            loans=self.retry_loans,
             read_clock=clock,
             count_bytes=self._count_bytes,
             count_message=self._count_message,
@@ -391,6 +407,7 @@
             is_large=lambda: self.members.is_large,
             count_known_instances=self.members.count_known,
             promised_returns=self.promised_returns,
+            request_loan=self.retry_loans.request,
             read_class_settings=lambda: self.settings.class_settings,
             instance=self.own.name,
             data_centre=self.settings.data_centre,
@@ -537,6 +554,20 @@
             )
         return self._budgets[service]
 
+    def _may_lend(self, service: str) -> bool:
+        """Return whether retries of a service are lent to other instances.
+
+        An instance that has just started may not know all others yet, and takes its
+        share for larger than it is.
+        """
+        configuration = self.configuration.current
+        return (
+            self.is_ready()
+            and self._clock() - self._started_at >= LENDING_DELAY_S
+            and configuration is not None
+            and service in configuration.services
+        )
+
     def _wants_lease(self) -> bool:
         """Return whether this instance holds the lease or is the first candidate."""
         if self.life.is_stopping or not self.configuration.available.is_set():
@@ -581,6 +612,9 @@
     def _count_relay(self, service: str, outcome: str) -> None:
         self.metrics.relays.inc({"service": service, "outcome": outcome})
 
+    def _count_loans(self, service: str, outcome: str, count: int) -> None:
+        self.metrics.retry_loans.add({"service": service, "outcome": outcome}, count)
+
     def _count_crash(self, service: str, progress: str) -> None:
         self.metrics.crashes.inc({"service": service, "progress": progress})
 
--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -20,7 +20,7 @@
 from fulmarward_core.isolation import ContactTable
 from fulmarward_core.loads import LoadLedger
 from fulmarward_core.paces import PaceTable
-from fulmarward_core.quotas import UNSTARTED_SHARE, RetryBudget
+from fulmarward_core.quotas import UNSTARTED_SHARE, RetryBudget, RetryDecision
 from fulmarward_core.reservations import ClassSettings
 from fulmarward_core.results import ResultCode
 from fulmarward_core.suspicion import SuspicionTable
@@ -103,6 +103,8 @@
     )
     #: Promises of capacity to rejected callers.
     promised_returns: PromisedReturns = field(default_factory=PromisedReturns)
+    #: Borrows a retry of a service in the background for a started answer, by request.
+    request_loan: Callable[[str, str], None] = lambda service, request_id: None
 
     def has_answered_since(self, target: str, at: float) -> bool:
         """Return whether a target need not be probed, as it has answered since `at`.
@@ -222,7 +224,8 @@
 
         Returns whether there was one. Guards against several streams that rely on the
         same last retry: all would be aborted, and all but one truncated. Streams that
-        have lost their attempt already come first.
+        have lost their attempt already come first. If there is none for a started
+        answer, one is requested from the peers, for its next check.
         """
         now = self.read_clock()
         part = 1.0 if state.has_begun else UNSTARTED_SHARE
@@ -231,11 +234,22 @@
             is_allowed = may_run_again(tally, now=now)
         else:
             is_allowed = may_retry(tally, now=now)
-        is_taken = is_allowed and self._take_from_budget(
+        if not is_allowed:
+            return False
+        budget = self.find_budget(state.service)
+        is_borrowed = state.has_begun and budget.take_borrowed(
+            now=now, yields=not is_last
+        )
+        is_taken = is_borrowed or self._take_from_budget(
             state, now, part, yields=not is_last
         )
         if is_taken:
-            self._log_retry(state, now, is_taken=True, is_allowed=True)
+            budget.borrowed.end_need(state.facts.request_id)
+            self._log_retry(
+                state, now, is_taken=True, is_allowed=True, is_borrowed=is_borrowed
+            )
+        elif state.has_begun:
+            self.request_loan(state.service, state.facts.request_id)
         return is_taken
 
     def _take_from_budget(
@@ -254,26 +268,34 @@
         budget = self.find_budget(state.service)
         budget.begin_wait(until=until)
         try:
-            is_taken = await self._poll_budget(state, budget, until)
+            decision = await self._poll_budget(state, budget, until)
         finally:
             budget.end_wait(until=until)
+            budget.borrowed.end_need(state.facts.request_id)
         now = self.read_clock()
         is_allowed = may_retry(self.make_tally(state), now=now)
-        self._log_retry(state, now, is_taken=is_taken, is_allowed=is_allowed)
-        return is_taken
+        self._log_retry(
+            state,
+            now,
+            is_taken=decision.is_taken,
+            is_allowed=is_allowed,
+            is_borrowed=decision.is_borrowed,
+        )
+        return decision.is_taken
 
     async def _poll_budget(
         self, state: RequestState, budget: RetryBudget, until: float
-    ) -> bool:
+    ) -> RetryDecision:
         """Poll the budget until it grants a retry or the request may not retry."""
         is_logged = False
         while True:
             now = self.read_clock()
             if not may_retry(self.make_tally(state), now=now):
-                return False
+                return RetryDecision(is_taken=False)
             turn = budget.poll_retry(until=until, share=self.find_share(), now=now)
             if turn.poll_at is None:
-                return turn.is_taken
+                return turn
+            self.request_loan(state.service, state.facts.request_id)
             if not is_logged:
                 self._log_wait(state, until - now)
             is_logged = True
@@ -296,6 +318,7 @@
         is_taken: bool,
         is_allowed: bool,
         part: float = 1.0,
+        is_borrowed: bool = False,
     ) -> None:
         tally = self.make_tally(state)
         share = self.find_share()
@@ -315,6 +338,7 @@
             requests=count.requests,
             share=round(share, 4),
             has_begun=state.has_begun,
+            is_borrowed=is_borrowed,
         )
 
     def find_cut_cause(self, state: RequestState) -> CutCause:
--- a/packages/router/fulmarward_router/mesh/_links.py
+++ b/packages/router/fulmarward_router/mesh/_links.py
@@ -24,6 +24,7 @@
 )
 from fulmarward_router.mesh._leaving import LeavingExchange
 from fulmarward_router.mesh._limits import LimitExchange
+from fulmarward_router.mesh._loans import LoanExchange, NoLoans
 from fulmarward_router.mesh._losses import LossExchange
 from fulmarward_router.mesh._members import HEARTBEAT_INTERVAL_S, MemberTable
 from fulmarward_router.mesh._messages import (
@@ -54,6 +55,8 @@
     PoisonSnapshot,
     RegainedReport,
     RegainedTargetReport,
+    RetryLoanAnswer,
+    RetryLoanRequest,
     ReturnPromises,
     SendTime,
     Subscription,
@@ -70,6 +73,7 @@
     Fetch,
     LeavingSource,
     LimitSource,
+    LoanSource,
     MeshState,
     PoisonSource,
     PromiseSource,
@@ -161,6 +165,7 @@
         count_bytes: Callable[[str, int], None],
         count_message: Callable[[str], None] = lambda kind: None,
         promises: PromiseSource | None = None,
+        loans: LoanSource | None = None,
         decode: Callable[[bytes], object] = decode_message,
         encode: Callable[[object], bytes] = encode_message,
     ) -> None:
@@ -218,6 +223,12 @@
             send=self._send_nowait,
             call_later=_call_later,
         )
+        self._loans = LoanExchange(
+            loans=NoLoans() if loans is None else loans,
+            list_links=self._sender.list_links,
+            is_hub=lambda: self._sender.is_hub,
+            send=self._send_nowait,
+        )
         self._dial_tasks: dict[str, asyncio.Task] = {}
         #: Tasks that repeat deferred fetches.
         self._repeat_tasks: set[asyncio.Task] = set()
@@ -263,6 +274,8 @@
             SupportsStoreEras: self._handle_supports_store_eras,
             ReturnPromises: self._handle_return_promises,
             TeamReport: self._handle_team_report,
+            RetryLoanRequest: self._handle_retry_loan_request,
+            RetryLoanAnswer: self._handle_retry_loan_answer,
         }
         self._fetched_instances_at = float("-inf")
         self._started_at = read_clock()
@@ -317,6 +330,14 @@
             owner, target=target, milli_per_s=milli_per_s
         )
 
+    def list_lenders(self) -> list[str]:
+        """Return the peer addresses of the instances that may be asked for retries."""
+        return self._loans.list_lenders()
+
+    def request_retries(self, lender: str, request: RetryLoanRequest) -> None:
+        """Request retries from the instance at an address."""
+        self._loans.request(lender, request)
+
     def fetch_poison(self) -> None:
         """Request the records of crashes from all peers."""
         for link in self._sender.list_links():
@@ -836,6 +857,16 @@
     ) -> None:
         self._limits.handle_granted(message)
 
+    async def _handle_retry_loan_request(
+        self, receiver: _LinkReceiver, message: RetryLoanRequest
+    ) -> None:
+        self._loans.handle_request(message, receiver.connection)
+
+    async def _handle_retry_loan_answer(
+        self, receiver: _LinkReceiver, message: RetryLoanAnswer
+    ) -> None:
+        self._loans.handle_answer(message)
+
     async def _handle_compressed_configuration(
         self, receiver: _LinkReceiver, message: CompressedConfiguration
     ) -> None:
--- a/packages/router/fulmarward_router/mesh/_messages.py
+++ b/packages/router/fulmarward_router/mesh/_messages.py
@@ -536,6 +536,34 @@
     losses: tuple[LostTargetReport, ...]
 
 
+class RetryLoanRequest(Message, kw_only=True):
+    """Requests unused retries for started answers; answered by `RetryLoanAnswer`."""
+
+    #: The instance that needs them, and when its process started, in ms since 1970.
+    borrower: str
+    boot: int
+    #: Number of the request, new for each one of that process.
+    number: int
+    service: str
+    #: Number of retries that it needs.
+    count: int
+    #: Whether a hub relays it.
+    is_relayed: bool
+
+
+class RetryLoanAnswer(Message, kw_only=True):
+    """Retries that an instance lends, for a short time after they were requested."""
+
+    #: As in the request.
+    borrower: str
+    boot: int
+    number: int
+    #: Number of retries that the borrower may use.
+    count: int
+    #: Whether a hub relayed the request.
+    is_relayed: bool
+
+
 #: All messages; the number of a message on the wire is its index here. A message keeps
 #: its number and its fields, as instances of different releases exchange it during a
 #: rolling update. A change is a new message at the end, which older releases ignore.
@@ -573,4 +601,6 @@
     ReturnPromises,
     TeamReport,
     LossReport,
+    RetryLoanRequest,
+    RetryLoanAnswer,
 )
--- a/packages/router/fulmarward_router/mesh/_state.py
+++ b/packages/router/fulmarward_router/mesh/_state.py
@@ -25,6 +25,8 @@
     PermitsGranted,
     RedeemedPromise,
     RegainedTargetReport,
+    RetryLoanAnswer,
+    RetryLoanRequest,
     ReturnPromise,
     SupportsCompression,
     TargetChanges,
@@ -226,6 +228,16 @@
         """Handle the answer of an owner."""
 
 
+class LoanSource(Protocol):
+    """The retries that instances lend each other."""
+
+    def lend(self, request: RetryLoanRequest) -> RetryLoanAnswer:
+        """Return the answer of this instance to a request for retries."""
+
+    def handle_answer(self, answer: RetryLoanAnswer) -> None:
+        """Handle the answer to a request of this instance."""
+
+
 class PromiseSource(Protocol):
     """The promises to rejected callers, which instances exchange."""
 
--- a/packages/router/fulmarward_router/state/__init__.py
+++ b/packages/router/fulmarward_router/state/__init__.py
@@ -12,6 +12,7 @@
 from fulmarward_router.state._leaving_targets import LeavingTargets
 from fulmarward_router.state._poison import PoisonKnowledge
 from fulmarward_router.state._poison_rows import PoisonRows
+from fulmarward_router.state._retry_loans import RetryLoans
 from fulmarward_router.state._return_promises import PromisedReturns
 from fulmarward_router.state._target_changes import TargetChangeHandler
 from fulmarward_router.state._target_limits import TargetLimits
@@ -27,6 +28,7 @@
     "PoisonRows",
     "PromisedReturns",
     "RecentDenials",
+    "RetryLoans",
     "StoreWatch",
     "TargetChangeHandler",
     "LeavingTargets",
