Ask instances that callers use first for retries, also through hubs

In a large fleet most instances are listed for no callers, and their share of the budget is less than one whole retry. A hub that asks four peers at random may find none of those that have some (read from the code, not seen in a run).

Cause and class: a choice that ignores where a resource is. The borrower and the hub both choose among listed instances first, and leave out those that had none within the last second.

--- a/packages/router/fulmarward_router/_listing.py
+++ b/packages/router/fulmarward_router/_listing.py
@@ -88,6 +88,15 @@
             if member.identity.caller_address in listed
         ]
 
+    def list_peer_addresses(self) -> frozenset[str]:
+        """Return the peer addresses of the others that callers are sent to."""
+        listed = self._get_lists().listed
+        return frozenset(
+            member.identity.peer_address
+            for member in self._members.list_ready(now=self._read_clock())
+            if member.identity.caller_address in listed
+        )
+
     def count_listed(self) -> int:
         """Return how many instances are on any list."""
         return max(1, len(self._get_lists().listed))
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -271,6 +271,7 @@
             find_share=lambda: self.listing.find_share(),
             count_open=lambda service: self.engines.supervisor.count_open(service),
             may_lend=self._may_lend,
+            list_listed=lambda: self.listing.list_peer_addresses(),
             get_links=lambda: self.mesh,
             count_loans=self._count_loans,
         )
--- a/packages/router/fulmarward_router/mesh/_loans.py
+++ b/packages/router/fulmarward_router/mesh/_loans.py
@@ -1,8 +1,7 @@
 """Exchanges requests for retries with peers, and relays them as a hub."""
 
-import random
 from collections import OrderedDict
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass, field
 
 from msgspec.structs import replace
@@ -23,6 +22,12 @@
 class NoLoans:
     """The source of an instance that lends nothing."""
 
+    def choose_lender(self, service: str, lenders: Collection[str]) -> str | None:
+        """Return none."""
+
+    def record_denied(self, service: str, lender: str, *, is_relayed: bool) -> None:
+        """Ignore a denial."""
+
     def lend(self, request: RetryLoanRequest) -> RetryLoanAnswer:
         """Return a denial."""
         return _make_denial(request)
@@ -38,8 +43,8 @@
     request: RetryLoanRequest
     #: Where it came from.
     connection: Connection
-    #: The links to the peers that were asked.
-    asked: list[Connection] = field(default_factory=list)
+    #: Peer addresses of those that were asked.
+    asked: list[str] = field(default_factory=list)
 
 
 class LoanExchange:
@@ -87,20 +92,21 @@
     def _relay(self, key: LoanKey) -> None:
         """Relay a request to a further peer, or answer it if there is none."""
         relayed = self._relayed[key]
-        connections = [
-            link.connection
+        connections = {
+            link.address: link.connection
             for link in self._list_links()
             if link.connection is not relayed.connection
-            and link.connection not in relayed.asked
-        ]
-        if not connections or len(relayed.asked) == MAX_RELAYS:
+            and link.address
+            and link.address not in relayed.asked
+        }
+        lender = self._loans.choose_lender(relayed.request.service, connections)
+        if lender is None or len(relayed.asked) == MAX_RELAYS:
             del self._relayed[key]
             denial = replace(_make_denial(relayed.request), is_relayed=True)
             self._send(relayed.connection, denial)
             return
-        connection = random.choice(connections)
-        relayed.asked.append(connection)
-        self._send(connection, replace(relayed.request, is_relayed=True))
+        relayed.asked.append(lender)
+        self._send(connections[lender], replace(relayed.request, is_relayed=True))
 
     def handle_answer(self, answer: RetryLoanAnswer) -> None:
         """Handle the answer to a request of this instance, or to a relayed one."""
@@ -110,6 +116,10 @@
         elif answer.count > 0:
             self._send(self._relayed.pop(key).connection, answer)
         else:
+            relayed = self._relayed[key]
+            self._loans.record_denied(
+                relayed.request.service, relayed.asked[-1], is_relayed=False
+            )
             self._relay(key)
 
 
--- a/packages/router/fulmarward_router/mesh/_state.py
+++ b/packages/router/fulmarward_router/mesh/_state.py
@@ -1,6 +1,6 @@
 """The interface between the mesh and the rest of the instance."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
@@ -231,6 +231,12 @@
 class LoanSource(Protocol):
     """The retries that instances lend each other."""
 
+    def choose_lender(self, service: str, lenders: Collection[str]) -> str | None:
+        """Return the address of one that may have a retry, `None` without any."""
+
+    def record_denied(self, service: str, lender: str, *, is_relayed: bool) -> None:
+        """Record that a lender, or those that it asked, had no retry left."""
+
     def lend(self, request: RetryLoanRequest) -> RetryLoanAnswer:
         """Return the answer of this instance to a request for retries."""
 
--- a/packages/router/fulmarward_router/mesh/tests/test_loans.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_loans.py
@@ -21,13 +21,17 @@
     def setUp(self):
         self.lent = 0
         self.is_hub = True
-        self.sent, self.handled = [], []
+        self.sent, self.handled, self.denied = [], [], []
         self.exchange = LoanExchange(
             loans=SimpleNamespace(
                 lend=lambda request: _make_answer(
                     self.lent, is_relayed=request.is_relayed
                 ),
                 handle_answer=self.handled.append,
+                choose_lender=lambda service, lenders: min(lenders, default=None),
+                record_denied=lambda service, lender, is_relayed: self.denied.append(
+                    lender
+                ),
             ),
             list_links=lambda: [
                 SimpleNamespace(connection=name, address=f"{name}:1")
@@ -63,6 +67,7 @@
         asked = [connection for connection, _ in self.sent]
         self.assertEqual(len(set(asked)), 2)
         self.assertNotIn("peer", asked)
+        self.assertEqual(self.denied, [f"{asked[0]}:1"])
         self.assertTrue(all(request.is_relayed for _, request in self.sent))
         answer = _make_answer(2, is_relayed=True)
         self.exchange.handle_answer(answer)
--- a/packages/router/fulmarward_router/state/_retry_loans.py
+++ b/packages/router/fulmarward_router/state/_retry_loans.py
@@ -60,6 +60,7 @@
         find_share: Callable[[], float],
         count_open: Callable[[str], int],
         may_lend: Callable[[str], bool],
+        list_listed: Callable[[], Collection[str]],
         get_links: Callable[[], LoanLinks],
         count_loans: Callable[[str, str, int], None],
     ) -> None:
@@ -73,6 +74,9 @@
         self._count_open = count_open
         #: Returns whether retries of a service are lent.
         self._may_lend = may_lend
+        #: Returns the peer addresses of the instances that callers are sent to: these
+        #: have most of each budget.
+        self._list_listed = list_listed
         self._get_links = get_links
         #: Counts retries by service and by what became of them.
         self._count_loans = count_loans
@@ -131,13 +135,18 @@
             self.record_denied(service, lender, is_relayed=False)
 
     def choose_lender(self, service: str, lenders: Collection[str]) -> str | None:
-        """Return one of the lenders that may have a retry, `None` without any."""
+        """Return one of the lenders that may have a retry, `None` without any.
+
+        Those that callers are sent to come first.
+        """
         now = self._read_clock()
         self._denied_until = {
             denied: until for denied, until in self._denied_until.items() if until > now
         }
         untried = [x for x in lenders if (service, x) not in self._denied_until]
-        return random.choice(untried) if untried else None
+        listed = self._list_listed()
+        candidates = [address for address in untried if address in listed] or untried
+        return random.choice(candidates) if candidates else None
 
     def record_denied(self, service: str, lender: str, *, is_relayed: bool) -> None:
         """Record that a lender, or those that it asked, had no retry left."""
--- a/packages/router/fulmarward_router/tests/_retry_loans.py
+++ b/packages/router/fulmarward_router/tests/_retry_loans.py
@@ -27,7 +27,9 @@
         self.loans[request.borrower].handle_answer(answer)
 
 
-def make_retry_loans(own, *, links, find_budget, share, read_clock):
+def make_retry_loans(
+    own, *, links, find_budget, share, read_clock, list_listed=lambda: ()
+):
     """Return what an instance lends and borrows; it has no open answers."""
     return RetryLoans(
         own=own,
@@ -37,6 +39,7 @@
         find_share=lambda: share,
         count_open=lambda service: 0,
         may_lend=lambda service: True,
+        list_listed=list_listed,
         get_links=lambda: links,
         count_loans=lambda service, outcome, count: None,
     )
