--- a/packages/router/fulmarward_router/mesh/_state.py
+++ b/packages/router/fulmarward_router/mesh/_state.py
@@ -1,6 +1,6 @@
 """The interface between the mesh and the rest of the instance."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
@@ -25,6 +25,8 @@
     PermitsGranted,
     RedeemedPromise,
     RegainedTargetReport,
+    RetryLoanAnswer,
+    RetryLoanRequest,
     ReturnPromise,
     SupportsCompression,
     TargetChanges,
@@ -226,6 +228,22 @@
         """Handle the answer of an owner."""
 
 
+class LoanSource(Protocol):
+    """The retries that instances lend each other."""
+
+    def choose_lender(self, service: str, lenders: Collection[str]) -> str | None:
+        """Return the address of one that may have a retry, `None` without any."""
+
+    def record_denied(self, service: str, lender: str, *, is_relayed: bool) -> None:
+        """Record that a lender, or those that it asked, had no retry left."""
+
+    def lend(self, request: RetryLoanRequest) -> RetryLoanAnswer:
+        """Return the answer of this instance to a request for retries."""
+
+    def handle_answer(self, answer: RetryLoanAnswer) -> None:
+        """Handle the answer to a request of this instance."""
+
+
 class PromiseSource(Protocol):
     """The promises to rejected callers, which instances exchange."""
 
