--- a/packages/core/fulmarward_core/routes/_types.py
+++ b/packages/core/fulmarward_core/routes/_types.py
@@ -13,7 +13,7 @@
 LEAST_URGENT = 9
 
 #: Routes that one step of building the tables handles.
-ROUTES_PER_STEP = 500
+ROUTES_PER_STEP = 1000
 
 
 class RouteKind(Enum):
