--- a/packages/router/fulmarward_router/tests/test_configuration_preparation.py
+++ b/packages/router/fulmarward_router/tests/test_configuration_preparation.py
@@ -112,5 +112,6 @@
         )
         await asyncio.sleep(0)
         self.assertEqual(one.instance_state.merge_heartbeat(heartbeat), [])
+        self.assertIsNone(one.instance_state.repeat_fetch("two"))
         await task
         self.assertEqual(len(one.instance_state.merge_heartbeat(heartbeat)), 1)
