Do not repeat a deferred fetch while the version is prepared

A peer that deferred a fetch was asked again while the row that the store had sent meanwhile was prepared, and sent it a second time (106 KB packed with the 14,000 routes of test_large_configuration). Cause: a version counts as missing until it is in force, and since it is prepared in steps that is later than its arrival. Same class as the heartbeat that starts a fetch, which checks `is_preparing` already. If the row is refused, the next heartbeat starts a fetch anew. test_no_peer_is_asked_for_a_version_that_is_being_prepared failed before (a fetch where None is expected) and passes.

--- a/packages/router/fulmarward_router/state/_configuration_exchange.py
+++ b/packages/router/fulmarward_router/state/_configuration_exchange.py
@@ -174,7 +174,7 @@
         That is `None` if a newer version has arrived or another peer was asked.
         """
         own, now = self._configuration.version, self._read_clock()
-        if not self._configuration.is_outdated:
+        if self._configuration.is_preparing or not self._configuration.is_outdated:
             return None
         if not self._pending_fetch.try_start(peer, known=own, now=now):
             return None
