Log, count and show the rows that describe no usable target

An operator could not see that a row in the list of targets was ignored, nor why. A target whose row became odd was logged as removed, and peers were sent a heartbeat at once for each change of an odd row, also if nothing was ever sent there.

Cause: such a row was told apart from a removed one only by its bytes. Class: a decision without a log line.

Peers are only notified if the target was used.

--- a/packages/core/fulmarward_core/catalogue/_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/_catalogue.py
@@ -500,6 +500,10 @@
                 records.append(record)
         return records
 
+    def list_refused(self) -> list[KnownRow]:
+        """Return the rows that describe no usable target."""
+        return [row for row in self._rows.values() if row.fault is not None]
+
     def find_target(self, name: str) -> TargetRecord | None:
         """Return the target of that name, or `None` if it is not listed."""
         row = self._rows.get(name)
--- a/packages/core/fulmarward_core/fleet/__init__.py
+++ b/packages/core/fulmarward_core/fleet/__init__.py
@@ -8,9 +8,15 @@
     TargetRecord,
     compute_kv_capacity,
 )
-from fulmarward_core.fleet.decisions import RowFault, judge_target, read_layers
+from fulmarward_core.fleet.decisions import (
+    MAX_TEXT_BYTES,
+    RowFault,
+    judge_target,
+    read_layers,
+)
 
 __all__ = [
+    "MAX_TEXT_BYTES",
     "AcceleratorKind",
     "EngineModel",
     "LayerRange",
--- a/packages/router/fulmarward_router/_metrics.py
+++ b/packages/router/fulmarward_router/_metrics.py
@@ -79,6 +79,8 @@
     unreached_services: set[str] = field(default_factory=set)
     #: Targets that get no new work, by `reason`.
     excluded_targets: Gauge
+    #: Rows that describe no usable target, by `reason`.
+    refused_rows: Counter
     #: Responses of targets, peers and the store that exceeded a `limit`.
     rejected_responses: Counter
     #: Promises to rejected callers, by `outcome`: the fields of `PromiseCounts`.
@@ -173,6 +175,9 @@
         excluded_targets=factory.gauge(
             "excluded_targets", "Targets without new work, by reason."
         ),
+        refused_rows=factory.count(
+            "refused_target_rows_total", "Rows without a usable target, by reason."
+        ),
         rejected_responses=factory.count(
             "rejected_responses_total", "Responses that exceeded a limit, by limit."
         ),
--- a/packages/router/fulmarward_router/_status.py
+++ b/packages/router/fulmarward_router/_status.py
@@ -4,7 +4,7 @@
 from typing import Any, Protocol
 
 from fulmarward_core.catalogue import TargetCatalogue
-from fulmarward_core.fleet import TargetRecord
+from fulmarward_core.fleet import MAX_TEXT_BYTES, TargetRecord
 from fulmarward_core.isolation import ContactTable
 from fulmarward_core.layers import count_holders, find_gaps, group_by_data_centre
 from fulmarward_core.suspicion import SuspicionTable
@@ -14,6 +14,9 @@
 from fulmarward_router.placement import LeaseKeeper
 from fulmarward_router.state import PoisonKnowledge, StoreWatch, TargetLimits
 
+#: Upper bound on the rows without a usable target that a status lists.
+MAX_REFUSED_ROWS = 100
+
 
 class StatusSource(ContentionSource, Protocol):
     """The parts of an instance that its status describes."""
@@ -54,6 +57,7 @@
             "store_version": catalogue.version,
             "confirmed_s_ago": _count_age(catalogue.confirmed_at, now),
             "known": _describe_targets(instance, now),
+            "refused_rows": _describe_refused(catalogue),
         },
         "unreached_services": [
             {
@@ -138,6 +142,19 @@
     ]
 
 
+def _describe_refused(catalogue: TargetCatalogue) -> list[dict[str, Any]]:
+    """Return the rows that describe no usable target, the latest first."""
+    refused = sorted(catalogue.list_refused(), key=lambda row: -row.version)
+    return [
+        {
+            "name": row.name[:MAX_TEXT_BYTES],
+            "reason": row.fault.value,
+            "store_version": row.version,
+        }
+        for row in refused[:MAX_REFUSED_ROWS]
+    ]
+
+
 def _describe_layers(instance: StatusSource, now: float) -> dict[str, Any]:
     """Return the coverage and the missing layers of each engine service."""
     current = instance.configuration.current
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -226,6 +226,9 @@
             notify_peers=self._notify_peers,
             record_process=lambda record: self.target_limits.record_process(record),
             forget_answers=self.evidence.forget,
+            count_refused=lambda fault: self.metrics.refused_rows.inc(
+                {"reason": fault.value}
+            ),
         )
         self.poison = PoisonKnowledge(
             read_clock=clock,
--- a/packages/router/fulmarward_router/state/_target_changes.py
+++ b/packages/router/fulmarward_router/state/_target_changes.py
@@ -4,7 +4,7 @@
 
 from fulmarward.observability import log_event
 from fulmarward_core.catalogue import KnownRow
-from fulmarward_core.fleet import TargetRecord
+from fulmarward_core.fleet import MAX_TEXT_BYTES, RowFault, TargetRecord
 from fulmarward_core.suspicion import SuspicionTable
 
 
@@ -18,7 +18,9 @@
         notify_peers: Callable[[], None],
         record_process: Callable[[TargetRecord], None],
         forget_answers: Callable[[str], None] = lambda target: None,
+        count_refused: Callable[[RowFault], None] = lambda fault: None,
     ) -> None:
+        self._count_refused = count_refused
         self._suspicions = suspicions
         #: Called with a target that has started, or is known again.
         self._record_process = record_process
@@ -33,17 +35,38 @@
 
     def handle_changes(self, rows: list[KnownRow]) -> None:
         """Handle rows that have changed."""
-        if any(row.record is None or row.record.is_leaving for row in rows):
+        if any(self._is_loss(row) for row in rows):
             # Peers must stop sending requests there too.
             self._notify_peers()
         for row in rows:
             if row.superseded_by is not None:
                 self._handle_superseded(row)
+            elif row.fault is not None:
+                self._handle_refused(row)
             elif row.record is None:
                 self._handle_removal(row)
             else:
                 self._handle_record(row)
 
+    def _is_loss(self, row: KnownRow) -> bool:
+        """Return whether a row means that a target gets no more requests."""
+        if row.fault is not None:
+            return row.name in self._started_ms
+        return row.record is None or row.record.is_leaving
+
+    def _handle_refused(self, row: KnownRow) -> None:
+        """Log a row that describes no usable target, once for each content."""
+        self._leaving.discard(row.name)
+        self._forget_answers(row.name)
+        self._count_refused(row.fault)
+        log_event(
+            "target_row_refused",
+            target=row.name[:MAX_TEXT_BYTES],
+            reason=row.fault.value,
+            store_version=row.version,
+            was_used=self._started_ms.pop(row.name, None) is not None,
+        )
+
     def _handle_removal(self, row: KnownRow) -> None:
         self._leaving.discard(row.name)
         self._forget_answers(row.name)
