Leave open whether a target has ended whose row was overwritten

A target whose row another writer overwrites goes on with what it runs. Its runs counted as ended, so that a request could be sent to one target more than its route allows, and a response that it broke off counted as a crash, for which its prompt can be blocked.

Cause: no record in the catalogue meant that the target was removed. Class: an absent belief taken for an observation.

TargetCatalogue.has_ended is the one place that says so, and is false for a row that was refused: the target gets no new request, its streams go on, and they are only ended or moved for what is observed of the target itself.

--- a/packages/core/fulmarward_core/catalogue/_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/_catalogue.py
@@ -512,6 +512,17 @@
         expired = self._expired.get(name)
         return None if expired is None else expired[0]
 
+    def has_ended(self, target: TargetRecord) -> bool:
+        """Return whether a target was removed, or has started again, since `target`.
+
+        That is not known of one whose row describes no usable target any more.
+        """
+        row = self._rows.get(target.name)
+        if row is not None and row.fault is not None:
+            return False
+        current = self.find_target(target.name)
+        return current is None or current.process_name != target.process_name
+
     def find_leaving_s(self, name: str, *, now: float) -> float:
         """Return for how many seconds at most a target leaves or has been removed.
 
--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -190,8 +190,7 @@
 
     def has_process_ended(self, target: TargetRecord) -> bool:
         """Return whether a target was removed, or has started again, since `target`."""
-        current = self.catalogue.find_target(target.name)
-        return current is None or current.process_name != target.process_name
+        return self.catalogue.has_ended(target)
 
     def take_retry(
         self, state: RequestState, *, open_answers: int | None = None
--- a/packages/router/fulmarward_router/exchange/_crash_monitor.py
+++ b/packages/router/fulmarward_router/exchange/_crash_monitor.py
@@ -248,12 +248,9 @@
 
     def _has_ended(self, broken: BrokenResponse) -> bool:
         """Return whether the process of a target that was probed has ended."""
-        target = broken.target.name
-        current = self._catalogue.find_target(target)
-        return (
-            current is None
-            or current.process_name != broken.target.process_name
-            or self._suspicions.is_unreachable(target, now=self._read_clock())
+        target = broken.target
+        return self._catalogue.has_ended(target) or self._suspicions.is_unreachable(
+            target.name, now=self._read_clock()
         )
 
     def _list_suspects(self, state: RequestState, broken: BrokenResponse) -> list[str]:
--- a/packages/router/fulmarward_router/exchange/tests/test_crash_monitor.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_crash_monitor.py
@@ -21,6 +21,9 @@
     def find_target(self, name):
         return self._target
 
+    def has_ended(self, target):
+        return self.find_target(target.name).process_name != target.process_name
+
 
 class CrashMonitorTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
