Keep a reload signal pending until its handler is set

What operators saw: a SIGHUP within half a second of a start ended the process, as the default action of the signal does, and it was started again.

Cause: the handlers are set when the loop runs, after all modules are imported.

Class: a signal is handled later than it may come. The first statement of the program blocks the signal; it stays pending and is unblocked once the handler is set, so that the settings are read again and no reload is lost.

--- a/deploy/start_instance.py
+++ b/deploy/start_instance.py
@@ -4,11 +4,17 @@
 first answer. Its callers retry once, and that retry has to find the instance serving.
 """
 
-import asyncio
-import gc
-import os
-import sys
-from pathlib import Path
+import signal
+
+# The default action of a reload signal ends the process. It stays pending until the
+# handlers are set.
+signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+
+import asyncio  # noqa: E402
+import gc  # noqa: E402
+import os  # noqa: E402
+import sys  # noqa: E402
+from pathlib import Path  # noqa: E402
 
 _ROOT = Path(__file__).resolve().parents[1]
 for _folder in ("platform", "packages/router", "packages/instance", "packages/core"):
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -793,9 +793,11 @@
 
 
 def _watch_signals() -> _Signals:
+    """Handle signals from now on, also a SIGHUP that was blocked since the start."""
     signals = _Signals(stop=asyncio.Event(), reload=asyncio.Event())
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, signals.stop.set)
     loop.add_signal_handler(signal.SIGHUP, signals.reload.set)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     return signals
