Test: one odd message, link or address harms the others (fails)

An error in the handler of a message breaks its link; one on a link ends the heartbeats on all; an address that can't be dialled ends the task of its link with an error, which is started again ten times a second (UnicodeError, ValueError).

--- a/packages/router/fulmarward_router/mesh/tests/test_dialled.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_dialled.py
@@ -91,6 +91,26 @@
         )
 
 
+class OddAddressTest(unittest.IsolatedAsyncioTestCase):
+    async def test_address_that_cannot_be_dialled_is_lost_like_any_other(self):
+        """Guards against an error that no dialling is known to raise."""
+        own = make_heartbeat("own").sender
+        mesh = Mesh(
+            poison=make_poison_knowledge(),
+            limits=make_target_limits(),
+            leaving=make_leaving_targets(),
+            own=own,
+            members=MemberTable(own=own),
+            state=mock.Mock(),
+            read_clock=time.monotonic,
+            count_bytes=mock.Mock(),
+        )
+        with mock.patch("fulmarward_router.mesh._links.RETRY_S", 0.0):
+            for address in ("batch..0.localhost:9", "10.0.0.1:70000", "a\nb:1", ":"):
+                with self.subTest(address=address):
+                    await mesh._maintain_link(address, is_seed=True)
+
+
 class SendTimesTest(unittest.IsolatedAsyncioTestCase):
     async def start(self, name, ahead_s):
         """Start an instance whose clock is ahead; return its address."""
--- a/packages/router/fulmarward_router/mesh/tests/test_heartbeats.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_heartbeats.py
@@ -139,6 +139,13 @@
             while any(item.count(Heartbeat) < count for item in connections):
                 await asyncio.sleep(0.005)
 
+    async def test_error_on_one_link_delays_no_other(self):
+        """Guards against an instance that all peers take for dead by one odd link."""
+        odd, *others = self._open(3)
+        odd.transport.get_write_buffer_size = mock.Mock(side_effect=ValueError)
+        self._start()
+        await self._await_heartbeats(others, 3)
+
     async def test_round_takes_one_task_and_one_encoding_for_all_links(self):
         """Guards against a task and a timer for each link of a large fleet."""
         connections = self._open(30)
--- a/packages/router/fulmarward_router/mesh/tests/test_links.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_links.py
@@ -1,6 +1,7 @@
 import time
 import unittest
 from types import SimpleNamespace
+from unittest import mock
 
 from websockets.exceptions import ConnectionClosedError
 from websockets.protocol import State
@@ -137,6 +138,12 @@
         found = [await self._accept(_ROW, send_error=error) for error in errors]
         self.assertEqual(found, [[("merged", _ROW)]] * 2)
 
+    async def test_message_that_cannot_be_handled_harms_no_other(self):
+        """Guards against links that break again and again by one odd message."""
+        with mock.patch.object(_State, "record_received", side_effect=ValueError):
+            calls = await self._accept(ConfigurationReceived(sender="x"), _ROW)
+        self.assertIn(("merged", _ROW), calls)
+
     async def test_messages_about_transfers_are_passed_to_the_state(self):
         for message in (
             ConfigurationDeferred(sender="peer"),
