Contain an error of one message, link or address in it

What callers saw: nothing yet; by one message that a handler can't process, the links to its sender broke each time it was sent, and its later messages were lost; by one link with an error, all peers took the instance for dead; the task for an address that can't be dialled ended and was started again ten times a second.

Cause: only the errors that the network raises were expected around all that is done for a message, a link and an address.

Class: one error is given to all that the process does. An unforeseen error is now recorded by the supervisor (log, metric, status) and costs the one message, what was due on that link in this round, or the one attempt to dial, which has its growing pause. Errors of the network break a link as before.

--- a/packages/router/fulmarward_router/_supervision.py
+++ b/packages/router/fulmarward_router/_supervision.py
@@ -46,6 +46,7 @@
     "links": DutyTerms(restart=_PROMPT),
     "heartbeats": DutyTerms(restart=_PROMPT),
     "loads": DutyTerms(restart=_PROMPT),
+    "messages": DutyTerms(restart=_PROMPT),
     "instances": DutyTerms(restart=_PERIODIC),
     "poison": DutyTerms(restart=_PERIODIC),
     "poison_rows": DutyTerms(restart=_PERIODIC),
@@ -101,23 +102,21 @@
             except asyncio.CancelledError as error:
                 if asyncio.current_task().cancelling():
                     raise
-                pause_s = self.record_failure(duty, error)
+                failures = self.record_failure(duty, error)
             except Exception as error:
-                pause_s = self.record_failure(duty, error)
-            await asyncio.sleep(pause_s)
+                failures = self.record_failure(duty, error)
+            await asyncio.sleep(compute_pause_s(failures, terms.restart))
 
-    def record_failure(self, duty: str, error: BaseException, **details: str) -> float:
-        """Count and log an error; return the seconds until the next attempt.
-
-        `details` go into the log line.
-        """
+    def record_failure(
+        self, duty: str, error: BaseException, **details: str
+    ) -> DutyFailures:
+        """Count and log an error of a task; `details` go into the log line."""
         now = self._read_clock()
         failures = record_failure(
             self.failures.get(duty, DutyFailures()),
             cause=type(error).__name__,
             now=now,
         )
-        pause_s = compute_pause_s(failures, self._duties[duty].restart)
         if must_log(failures, now=now):
             failures = record_logged(failures, now=now)
             log_event(
@@ -125,10 +124,9 @@
                 level=logging.ERROR,
                 duty=duty,
                 failures=failures.total,
-                restarts_in_s=round(pause_s, 3),
                 exc_info=error,
                 **details,
             )
         self.failures[duty] = failures
         self._count_failure(duty)
-        return pause_s
+        return failures
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -342,6 +342,7 @@
             decode=self.meter.measure("message_decoding", decode_message),
             encode=self.meter.measure("message_encoding", encode_message),
             supervise=self.supervisor.run,
+            record_failure=self.supervisor.record_failure,
         )
         self.poison_rows = PoisonRows(
             store=self.store, poison=self.poison, read_wall_clock=time.time
--- a/packages/router/fulmarward_router/mesh/_heartbeats.py
+++ b/packages/router/fulmarward_router/mesh/_heartbeats.py
@@ -97,6 +97,11 @@
     )
 
 
+def log_failure(duty: str, error: BaseException, **details: str) -> None:
+    """Log an unforeseen error in a duty."""
+    log_event("background_task_failed", duty=duty, exc_info=error, **details)
+
+
 class HeartbeatSender:
     """Sends heartbeats to all links from a single task.
 
@@ -113,7 +118,10 @@
         encode: Callable[[object], bytes],
         read_clock: Callable[[], float],
         count_bytes: Callable[[str, int], None],
+        record_failure: Callable[..., object] = log_failure,
     ) -> None:
+        #: Records an unforeseen error in a duty.
+        self._record_failure = record_failure
         self._data_centre = data_centre
         self._members = members
         self._state = state
@@ -170,8 +178,11 @@
             now = self._read_clock()
             self._begin_round(now)
             for link in list(self._links):
-                self._send(link, now)
-                await self._check_liveness(link, now)
+                try:
+                    self._send(link, now)
+                    await self._check_liveness(link, now)
+                except Exception as error:
+                    self._record_failure("heartbeats", error, peer=link.address)
             await self._await_change(self._choose_interval_s())
             remaining_s = now + MIN_HEARTBEAT_INTERVAL_S - self._read_clock()
             if remaining_s > 0:
@@ -192,11 +203,18 @@
             self._teams.clear()
             for link in self._links:
                 if link.saturated_at is None:
-                    self._send_loads(link)
-                    if link.expects_load_updates or link.is_busy:
-                        self._send_demands(link, self._read_clock())
+                    self._try_send_loads(link)
             await asyncio.sleep(LOADS_INTERVAL_S)
 
+    def _try_send_loads(self, link: PeerLink) -> None:
+        """Send the loads on a link; an error leaves the other links alone."""
+        try:
+            self._send_loads(link)
+            if link.expects_load_updates or link.is_busy:
+                self._send_demands(link, self._read_clock())
+        except Exception as error:
+            self._record_failure("loads", error, peer=link.address)
+
     def _send_loads(self, link: PeerLink) -> None:
         if link.expects_load_updates:
             if link.reported_loads != self._state.get_loads_revision():
--- a/packages/router/fulmarward_router/mesh/_links.py
+++ b/packages/router/fulmarward_router/mesh/_links.py
@@ -21,6 +21,7 @@
 from fulmarward_router.mesh._heartbeats import (
     HeartbeatSender,
     PeerLink,
+    log_failure,
     make_send_time,
 )
 from fulmarward_router.mesh._leaving import LeavingExchange
@@ -172,7 +173,10 @@
         supervise: Callable[
             [str, Callable[[], Coroutine[Any, Any, None]]], Coroutine[Any, Any, None]
         ] = _run_once,
+        record_failure: Callable[..., object] = log_failure,
     ) -> None:
+        #: Records an unforeseen error in a duty.
+        self._record_failure = record_failure
         self._own = own
         #: Keeps the coroutines of a named duty running.
         self._supervise = supervise
@@ -192,6 +196,7 @@
             encode=encode,
             read_clock=read_clock,
             count_bytes=count_bytes,
+            record_failure=record_failure,
         )
         self._limits = LimitExchange(
             own=own,
@@ -467,6 +472,8 @@
                     await self._run_dialled_link(link, address)
             except (OSError, TimeoutError, WebSocketException) as error:
                 log_event("peer_link_lost", peer=address, cause=repr(error))
+            except Exception as error:
+                self._record_failure("links", error, peer=address)
             attempts += 1
             await asyncio.sleep(pause_s)
             pause_s = min(MAX_RETRY_INTERVAL_S, pause_s * 2)
@@ -536,12 +543,22 @@
         async for data in receiver.connection:
             self._count_bytes("in", len(data))
             try:
-                message = self._decode(data)
-            except InvalidMessageError as error:
-                log_event("peer_message_refused", cause=str(error))
-                continue
-            self._count_message(type(message).__name__)
-            await self._handle_message(receiver, message)
+                await self._handle_data(receiver, data)
+            except (OSError, TimeoutError, WebSocketException):
+                # The link has failed, not the message.
+                raise
+            except Exception as error:
+                peer = str(receiver.connection.remote_address)
+                self._record_failure("messages", error, peer=peer)
+
+    async def _handle_data(self, receiver: _LinkReceiver, data: bytes) -> None:
+        try:
+            message = self._decode(data)
+        except InvalidMessageError as error:
+            log_event("peer_message_refused", cause=str(error))
+            return
+        self._count_message(type(message).__name__)
+        await self._handle_message(receiver, message)
 
     async def _handle_message(self, receiver: _LinkReceiver, message: object) -> None:
         handle = self._handlers.get(type(message))
