Test: an unforeseen error in one row keeps the others from being applied (fails)

Of two rows the first leads to an error: the second target stays unknown, the second row of the configuration isn't looked at, and the change of the second target isn't handled.

--- a/packages/router/fulmarward_router/tests/test_watch.py
+++ b/packages/router/fulmarward_router/tests/test_watch.py
@@ -2,8 +2,9 @@
 import unittest
 from unittest import mock
 
-from fulmarward_router.ports import RowsRead, StoreRefused
-from fulmarward_router.state import StoreWatch
+from fulmarward_core.fleet import TargetRecord
+from fulmarward_router.ports import Row, RowsRead, StoreRefused
+from fulmarward_router.state import StoreWatch, TargetChangeHandler
 from fulmarward_router.state._watch import (
     MAX_FOLLOWER_RETRY_INTERVAL_S,
     MAX_RETRY_INTERVAL_S,
@@ -116,3 +117,86 @@
             with self.assertRaises(asyncio.CancelledError):
                 await watch.follow_targets()
         return pauses
+
+
+def make_target(name):
+    return TargetRecord(
+        name=name,
+        service="plain",
+        address=f"{name}:1",
+        data_centre="one",
+        is_leaving=False,
+        slots=4,
+        remaining_warmup_s=0.0,
+        started_ms=1,
+        kind="",
+        layers=None,
+    )
+
+
+class OddRowTest(unittest.IsolatedAsyncioTestCase):
+    """One row leads to an error that nobody foresaw."""
+
+    def setUp(self):
+        self.peer = Peer("one")
+        self.store = _Store(self.peer)
+        self.rows = tuple(
+            Row(key=key, value=b"x", version=version)
+            for version, key in enumerate(("odd", "proper"), start=1)
+        )
+        self.store.read_table = mock.AsyncMock(
+            return_value=RowsRead(rows=self.rows, version=5)
+        )
+        self.handled = []
+        self.configuration = mock.Mock()
+        self.watch = StoreWatch(
+            store=self.store,
+            configuration=self.configuration,
+            catalogue=self.peer.catalogue,
+            read_clock=lambda: self.peer.now,
+            notify_peers=lambda: None,
+            handle_target_changes=self.handled.extend,
+            is_among_first=lambda count: True,
+            is_large=lambda: False,
+            read_heartbeat_interval_s=lambda: 0.3,
+        )
+
+    async def test_target_beside_an_odd_row_is_known(self):
+        """Guards against a list that no instance can read because of one row."""
+
+        def decode(row):
+            if row.key == "odd":
+                raise RecursionError
+            return make_target(row.key)
+
+        self.store.decode_target = decode
+        await self.watch._read_all()
+        self.assertEqual([row.name for row in self.handled if row.record], ["proper"])
+
+    async def test_configuration_beside_an_odd_row_is_adopted(self):
+        """Guards against a row that keeps all later ones from being adopted."""
+        self.configuration.apply_row.side_effect = [RecursionError, True]
+        read = RowsRead(rows=self.rows, version=5)
+        # The error has the whole table read again.
+        with self.assertRaises(RecursionError):
+            self.watch._merge_configuration(read, 0.0)
+        self.assertEqual(self.configuration.apply_row.call_count, 2)
+
+    async def test_changes_beside_one_that_cannot_be_handled_are_handled(self):
+        """Guards against a restart that stays unknown because of another target."""
+        started = []
+
+        def record_process(record):
+            if record.name == "odd":
+                raise ValueError
+            started.append(record.name)
+
+        handler = TargetChangeHandler(
+            suspicions=self.peer.suspicions,
+            notify_peers=lambda: None,
+            record_process=record_process,
+        )
+        self.store.decode_target = lambda row: make_target(row.key)
+        rows = [self.watch.decode_row(row, now=0.0) for row in self.rows]
+        handler.handle_changes(rows)
+        self.assertEqual(started, ["proper"])
