Apply the rows beside one that leads to an unforeseen error

What callers saw: nothing since rows are judged in one place, and all instances without targets or a new configuration before that, as the first row with an error nobody foresaw kept all others of the read from being applied, again and again.

Cause: rows are decoded, adopted and handled in one pass with one end.

Class: one error is given to all that the process does. Each row is decoded and handled by itself: a target with such a row isn't used, an error in the handling of a changed target is recorded with its name. In the configuration, the rows after it are applied, and then the error has the whole table read again, so that none is passed over.

--- a/packages/router/fulmarward_router/_supervision.py
+++ b/packages/router/fulmarward_router/_supervision.py
@@ -63,6 +63,11 @@
 }
 
 
+def log_failure(duty: str, error: BaseException, **details: str) -> None:
+    """Log an unforeseen error in a duty, where no supervisor records it."""
+    log_event("background_task_failed", duty=duty, exc_info=error, **details)
+
+
 class _TaskEnded(Exception):
     """A task has ended that should run until it is cancelled."""
 
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -228,6 +228,7 @@
             notify_peers=self._notify_peers,
             record_process=lambda record: self.target_limits.record_process(record),
             forget_answers=self.evidence.forget,
+            record_failure=self.supervisor.record_failure,
         )
         self.poison = PoisonKnowledge(
             read_clock=clock,
@@ -302,6 +303,7 @@
             is_large=lambda: self.members.is_large,
             read_heartbeat_interval_s=lambda: self.members.heartbeat_interval_s,
             handle_restored=self._report_restored,
+            record_failure=self.supervisor.record_failure,
         )
         self.instance_state = InstanceState(
             own=self.own,
--- a/packages/router/fulmarward_router/mesh/_heartbeats.py
+++ b/packages/router/fulmarward_router/mesh/_heartbeats.py
@@ -11,6 +11,7 @@
 from fulmarward.observability import log_event
 from fulmarward_core.transit import TransitClock
 from fulmarward_router._sockets import reset_connection
+from fulmarward_router._supervision import log_failure
 from fulmarward_router.mesh._demands import (
     SentReports,
     make_demand_encoder,
@@ -97,11 +98,6 @@
     )
 
 
-def log_failure(duty: str, error: BaseException, **details: str) -> None:
-    """Log an unforeseen error in a duty."""
-    log_event("background_task_failed", duty=duty, exc_info=error, **details)
-
-
 class HeartbeatSender:
     """Sends heartbeats to all links from a single task.
 
--- a/packages/router/fulmarward_router/mesh/_links.py
+++ b/packages/router/fulmarward_router/mesh/_links.py
@@ -16,12 +16,12 @@
 from fulmarward_core.codec import InvalidMessageError
 from fulmarward_core.spread import DEFER_DURATION_S
 from fulmarward_core.transit import TransitClock
+from fulmarward_router._supervision import log_failure
 from fulmarward_router.mesh._codec import decode_message, encode_message
 from fulmarward_router.mesh._eras import remove_eras
 from fulmarward_router.mesh._heartbeats import (
     HeartbeatSender,
     PeerLink,
-    log_failure,
     make_send_time,
 )
 from fulmarward_router.mesh._leaving import LeavingExchange
--- a/packages/router/fulmarward_router/state/_target_changes.py
+++ b/packages/router/fulmarward_router/state/_target_changes.py
@@ -6,6 +6,10 @@
 from fulmarward_core.catalogue import KnownRow
 from fulmarward_core.fleet import TargetRecord
 from fulmarward_core.suspicion import SuspicionTable
+from fulmarward_router._supervision import log_failure
+
+#: Maximum characters of the name of a target in a log line about an error.
+MAX_LOGGED_NAME = 200
 
 
 class TargetChangeHandler:
@@ -18,7 +22,10 @@
         notify_peers: Callable[[], None],
         record_process: Callable[[TargetRecord], None],
         forget_answers: Callable[[str], None] = lambda target: None,
+        record_failure: Callable[..., object] = log_failure,
     ) -> None:
+        #: Records an unforeseen error in a duty.
+        self._record_failure = record_failure
         self._suspicions = suspicions
         #: Called with a target that has started, or is known again.
         self._record_process = record_process
@@ -32,17 +39,24 @@
         self._leaving: set[str] = set()
 
     def handle_changes(self, rows: list[KnownRow]) -> None:
-        """Handle rows that have changed."""
+        """Handle rows that have changed; an error in one leaves the others alone."""
         if any(row.record is None or row.record.is_leaving for row in rows):
             # Peers must stop sending requests there too.
             self._notify_peers()
         for row in rows:
-            if row.superseded_by is not None:
-                self._handle_superseded(row)
-            elif row.record is None:
-                self._handle_removal(row)
-            else:
-                self._handle_record(row)
+            try:
+                self._handle_change(row)
+            except Exception as error:
+                name = row.name[:MAX_LOGGED_NAME]
+                self._record_failure("targets", error, target=name)
+
+    def _handle_change(self, row: KnownRow) -> None:
+        if row.superseded_by is not None:
+            self._handle_superseded(row)
+        elif row.record is None:
+            self._handle_removal(row)
+        else:
+            self._handle_record(row)
 
     def _handle_removal(self, row: KnownRow) -> None:
         self._leaving.discard(row.name)
--- a/packages/router/fulmarward_router/state/_watch.py
+++ b/packages/router/fulmarward_router/state/_watch.py
@@ -11,6 +11,7 @@
     find_confirmed_at,
 )
 from fulmarward_core.store_versions import find_era
+from fulmarward_router._supervision import log_failure
 from fulmarward_router.ports import (
     HistoryExpired,
     ReplyLost,
@@ -63,6 +64,9 @@
 #: that the store answers again, and confirm what it knows before its next call.
 MAX_FOLLOWER_RETRY_INTERVAL_S = 2.4
 
+#: Maximum characters of the key of a row in a log line.
+MAX_LOGGED_KEY = 200
+
 
 class StoreWatch:
     """Follows the store's tables and tracks whether the store is reachable."""
@@ -80,7 +84,10 @@
         is_large: Callable[[], bool],
         read_heartbeat_interval_s: Callable[[], float],
         handle_restored: Callable[[], None] = lambda: None,
+        record_failure: Callable[..., object] = log_failure,
     ) -> None:
+        #: Records an unforeseen error in a duty.
+        self._record_failure = record_failure
         self._store = store
         self._configuration = configuration
         self._catalogue = catalogue
@@ -150,14 +157,25 @@
             self._merge_configuration(read, confirmed_at)
 
     def _merge_configuration(self, read: RowsRead, confirmed_at: float) -> None:
+        """Apply the rows of a read, also those after one that fails.
+
+        Raises the first error, after which the whole table is read again.
+        """
         now = self._read_clock()
         self._configuration.record_confirmation(at=confirmed_at)
-        adopted = [
-            self._configuration.apply_row(row, source="store", now=now)
-            for row in read.rows
-        ]
-        if any(adopted):
+        errors = []
+        has_adopted = False
+        for row in read.rows:
+            try:
+                has_adopted |= self._configuration.apply_row(
+                    row, source="store", now=now
+                )
+            except Exception as error:
+                errors.append(error)
+        if has_adopted:
             self._notify_peers()
+        if errors:
+            raise errors[0]
 
     async def follow_targets(self) -> None:
         """Keep the catalogue up to date, by reads or by peers' reports."""
@@ -235,7 +253,7 @@
         before = self._catalogue.version
         read = await self._store.read_table(self._store.targets_table)
         now = self._read_clock()
-        rows = [self.decode_row(row, now=now) for row in read.rows]
+        rows = [self._try_decode(row, now=now) for row in read.rows]
         changed = self._catalogue.apply_full_read(
             rows, read.version, now=now, confirmed_at=asked_at
         )
@@ -278,13 +296,27 @@
             has_changes=bool(read.rows),
             now=now,
         )
-        rows = [self.decode_row(row, now=now) for row in read.rows]
+        rows = [self._try_decode(row, now=now) for row in read.rows]
         self._handle_target_changes(
             self._catalogue.apply_changes(
                 rows, read.version, now=now, confirmed_at=confirmed_at
             )
         )
 
+    def _try_decode(self, row: Row, *, now: float) -> KnownRow:
+        """Decode a row; one that leads to an unforeseen error describes no target."""
+        try:
+            return self.decode_row(row, now=now)
+        except Exception as error:
+            self._record_failure("targets", error, key=row.key[:MAX_LOGGED_KEY])
+        return KnownRow(
+            name=row.key,
+            version=row.version,
+            value=row.value,
+            record=None,
+            heard_at=now,
+        )
+
     def decode_row(self, row: Row, *, now: float) -> KnownRow:
         """Return a row of the targets' table in the form that the catalogue stores."""
         return KnownRow(
--- a/packages/router/fulmarward_router/tests/test_layout.py
+++ b/packages/router/fulmarward_router/tests/test_layout.py
@@ -77,6 +77,10 @@
             "isolation",
             "poison",
             "repeats",
+            "addresses",
+            "identities",
+            "leases",
+            "supervision",
         ]
         found = [
             (str(path.relative_to(core)), module)
