--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -235,6 +235,7 @@
             count_refused=lambda fault: self.metrics.refused_rows.inc(
                 {"reason": fault.value}
             ),
+            record_failure=self.supervisor.record_failure,
         )
         self.poison = PoisonKnowledge(
             read_clock=clock,
@@ -323,6 +324,7 @@
             is_large=lambda: self.members.is_large,
             read_heartbeat_interval_s=lambda: self.members.heartbeat_interval_s,
             handle_restored=self._report_restored,
+            record_failure=self.supervisor.record_failure,
         )
         self.instance_state = InstanceState(
             own=self.own,
@@ -365,6 +367,7 @@
             decode=self.meter.measure("message_decoding", decode_message),
             encode=self.meter.measure("message_encoding", encode_message),
             supervise=self.supervisor.run,
+            record_failure=self.supervisor.record_failure,
         )
         self.poison_rows = PoisonRows(
             store=self.store, poison=self.poison, read_wall_clock=time.time
@@ -846,9 +849,11 @@
 
 
 def _watch_signals() -> _Signals:
+    """Handle signals from now on, also a SIGHUP that was blocked since the start."""
     signals = _Signals(stop=asyncio.Event(), reload=asyncio.Event())
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, signals.stop.set)
     loop.add_signal_handler(signal.SIGHUP, signals.reload.set)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     return signals
--- a/packages/router/fulmarward_router/state/_target_changes.py
+++ b/packages/router/fulmarward_router/state/_target_changes.py
@@ -6,6 +6,10 @@
 from fulmarward_core.catalogue import KnownRow
 from fulmarward_core.fleet import MAX_TEXT_BYTES, RowFault, TargetRecord
 from fulmarward_core.suspicion import SuspicionTable
+from fulmarward_router._supervision import log_failure
+
+#: Maximum characters of the name of a target in a log line about an error.
+MAX_LOGGED_NAME = 200
 
 
 class TargetChangeHandler:
@@ -19,8 +23,11 @@
         record_process: Callable[[TargetRecord], None],
         forget_answers: Callable[[str], None] = lambda target: None,
         count_refused: Callable[[RowFault], None] = lambda fault: None,
+        record_failure: Callable[..., object] = log_failure,
     ) -> None:
         self._count_refused = count_refused
+        #: Records an unforeseen error in a duty.
+        self._record_failure = record_failure
         self._suspicions = suspicions
         #: Called with a target that has started, or is known again.
         self._record_process = record_process
@@ -34,19 +41,26 @@
         self._leaving: set[str] = set()
 
     def handle_changes(self, rows: list[KnownRow]) -> None:
-        """Handle rows that have changed."""
+        """Handle rows that have changed; an error in one leaves the others alone."""
         if any(self._is_loss(row) for row in rows):
             # Peers must stop sending requests there too.
             self._notify_peers()
         for row in rows:
-            if row.superseded_by is not None:
-                self._handle_superseded(row)
-            elif row.fault is not None:
-                self._handle_refused(row)
-            elif row.record is None:
-                self._handle_removal(row)
-            else:
-                self._handle_record(row)
+            try:
+                self._handle_change(row)
+            except Exception as error:
+                name = row.name[:MAX_LOGGED_NAME]
+                self._record_failure("targets", error, target=name)
+
+    def _handle_change(self, row: KnownRow) -> None:
+        if row.superseded_by is not None:
+            self._handle_superseded(row)
+        elif row.fault is not None:
+            self._handle_refused(row)
+        elif row.record is None:
+            self._handle_removal(row)
+        else:
+            self._handle_record(row)
 
     def _is_loss(self, row: KnownRow) -> bool:
         """Return whether a row means that a target gets no more requests."""
