Judge an abort by the state that a begun stream would have after it

A stream whose silent targets were removed one after another got a fifth attempt, where one that is broken off by four targets gets none: a request that ends its targets goes on to end another one.

Cause: a run at a target that is gone was not counted before the abort, and nothing was asked after it, since its retry was taken already; only two such runs are left out. Class: two places answer the same question differently, as for streams without runs left.

The supervisor now asks may_retry and must_reuse_targets, as after a loss, of the state in which the running attempt is lost; find_lost_state and the handler count a run in one function. may_run_again is again what it was for requests without an answer.

--- a/packages/core/fulmarward_core/attempts/__init__.py
+++ b/packages/core/fulmarward_core/attempts/__init__.py
@@ -6,14 +6,12 @@
     may_retry,
     may_run_again,
     must_reuse_targets,
-    uses_last_run,
 )
 
 __all__ = [
     "RequestTally",
     "choose_result_code",
     "must_reuse_targets",
-    "uses_last_run",
     "may_retry",
     "may_run_again",
 ]
--- a/packages/core/fulmarward_core/attempts/decisions.py
+++ b/packages/core/fulmarward_core/attempts/decisions.py
@@ -60,17 +60,10 @@
 
 
 def may_run_again(tally: RequestTally, *, now: float) -> bool:
-    """Return whether a retry would be allowed if the current attempt is lost.
-
-    A begun answer may then go on where it runs now, if it may run nowhere else.
-    """
-    has_runs_left = tally.has_begun or not uses_last_run(tally)
-    return tally.is_idempotent and has_runs_left and now < tally.deadline
-
-
-def uses_last_run(tally: RequestTally) -> bool:
-    """Return whether the current attempt is the last run at another target."""
-    return tally.counted_runs + 1 >= tally.most_attempts
+    """Return whether a retry would be allowed if the current attempt is lost."""
+    counted_runs = tally.counted_runs + 1
+    has_runs_left = tally.is_idempotent and counted_runs < tally.most_attempts
+    return has_runs_left and now < tally.deadline
 
 
 def choose_result_code(tally: RequestTally, *, now: float) -> ResultCode:
--- a/packages/router/fulmarward_router/exchange/_attempt.py
+++ b/packages/router/fulmarward_router/exchange/_attempt.py
@@ -1,6 +1,7 @@
 """One attempt at a stream, and the exception that ends it early."""
 
 import asyncio
+from dataclasses import replace
 from enum import Enum
 
 import aiohttp
@@ -9,7 +10,7 @@
 from fulmarward_core.loads import Reservation
 from fulmarward_core.paces import SlowStreamDetector
 from fulmarward_core.paths import Hop, PathRequest
-from fulmarward_router.exchange._request_state import RequestState
+from fulmarward_router.exchange._request_state import RequestState, Run
 
 
 class Progress(Enum):
@@ -133,3 +134,21 @@
 def describe_path(path: tuple[Hop, ...]) -> str:
     """Format a path for the log."""
     return " ".join(f"{h.target}:{h.layers.start}-{h.layers.end}" for h in path)
+
+
+def record_run(state: RequestState, attempt: Attempt, *, is_broken_off: bool) -> None:
+    """Count a failed attempt that a target may have run."""
+    state.runs += 1
+    if attempt.progress is Progress.NO_RESPONSE:
+        state.unanswered_runs += 1
+    elif attempt.record is not None:
+        run = Run(target=attempt.record, is_broken_off=is_broken_off)
+        state.failed_runs.append(run)
+
+
+def find_lost_state(attempt: Attempt) -> RequestState:
+    """Return the state that a request would have if its running attempt were lost."""
+    state = attempt.state
+    lost = replace(state, failed_runs=list(state.failed_runs))
+    record_run(lost, attempt, is_broken_off=False)
+    return lost
--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -213,12 +213,17 @@
         return is_taken
 
     def take_retry_early(
-        self, state: RequestState, *, is_last: bool = False, is_counted: bool = True
+        self,
+        state: RequestState,
+        *,
+        lost_state: RequestState | None = None,
+        is_last: bool = False,
     ) -> bool:
         """Consume a retry for a running attempt before aborting it.
 
-        One that `is_last`, as its caller is about to leave, may be any that is free.
-        The running attempt `is_counted` as a run unless its target is gone.
+        One that `is_last`, as its caller is about to leave, may be any that is free. An
+        answer that has begun is judged by its `lost_state`, as it
+        would be if that attempt were lost.
 
         Returns whether there was one. Guards against several streams that rely on the
         same last retry: all would be aborted, and all but one truncated. Streams that
@@ -226,11 +231,10 @@
         """
         now = self.read_clock()
         part = 1.0 if state.has_begun else UNSTARTED_SHARE
-        tally = self.make_tally(state)
-        if is_counted:
-            is_allowed = may_run_again(tally, now=now)
+        if lost_state is None:
+            is_allowed = may_run_again(self.make_tally(state), now=now)
         else:
-            is_allowed = may_retry(tally, now=now)
+            is_allowed = may_retry(self.make_tally(lost_state), now=now)
         is_taken = is_allowed and self._take_from_budget(
             state, now, part, yields=not is_last
         )
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -29,8 +29,8 @@
     Attempt,
     AttemptFailed,
     EndedBy,
-    Progress,
     describe_path,
+    record_run,
 )
 from fulmarward_router.exchange._context import ServiceContext
 from fulmarward_router.exchange._crash_monitor import CrashMonitor
@@ -321,7 +321,8 @@
                 if is_complete:
                     self._record_released(attempt)
                     self._record_duration(state, self._read_clock() - now)
-            _record_run(state, attempt, failure)
+            if not failure.is_not_run:
+                record_run(state, attempt, is_broken_off=failure.is_broken_off)
             answer = state.request.get("answer")
             self._log_failure(state, attempt, failure)
             if failure.is_not_sent and self._may_relay(state):
@@ -812,18 +813,6 @@
     log_event("internal_error_caught", exc_info=error, request=state.facts.request_id)
 
 
-def _record_run(state: RequestState, attempt: Attempt, failure: AttemptFailed) -> None:
-    """Count a failed attempt that a target may have run."""
-    if failure.is_not_run:
-        return
-    state.runs += 1
-    if attempt.progress is Progress.NO_RESPONSE:
-        state.unanswered_runs += 1
-    elif attempt.record is not None:
-        run = Run(target=attempt.record, is_broken_off=failure.is_broken_off)
-        state.failed_runs.append(run)
-
-
 def _is_empty(attempt: Attempt) -> bool:
     """Return whether a response that only its connection ends has no event.
 
--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 from fulmarward.observability import log_event
-from fulmarward_core.attempts import uses_last_run
+from fulmarward_core.attempts import must_reuse_targets
 from fulmarward_core.paths import Hop, count_tokens_held
 from fulmarward_core.stalls import (
     MIN_JOINT_STALL_S,
@@ -25,6 +25,7 @@
     AttemptFailed,
     EndedBy,
     describe_path,
+    find_lost_state,
 )
 from fulmarward_router.exchange._context import ServiceContext
 from fulmarward_router.exchange._failure_detector import FailureDetector
@@ -507,9 +508,10 @@
             attempt.record
         )
         is_last = is_gone or self._read_clock() >= compute_resume_end(state)
-        has_path = self._has_other_path(attempt, lost, is_gone=is_gone)
+        has_path = self._has_other_path(attempt, lost)
+        lost_state = find_lost_state(attempt)
         if has_path and self._context.take_retry_early(
-            state, is_last=is_last, is_counted=not is_gone
+            state, lost_state=lost_state, is_last=is_last
         ):
             raise self._make_failure(cause, lost, has_retry=True)
         self._log_withheld(attempt, cause, "no retry" if has_path else "no other path")
@@ -555,12 +557,12 @@
         attempt: Attempt,
         lost: frozenset[str],
         *,
-        is_gone: bool,
         may_cross: bool = True,
     ) -> bool:
         """Return whether a stream can be resumed without the targets that are lost."""
         state = attempt.state
-        is_bound = not is_gone and uses_last_run(self._context.make_tally(state))
+        lost_state = find_lost_state(attempt)
+        is_bound = must_reuse_targets(self._context.make_tally(lost_state))
         if not self._context.contacts.is_reached(state.service):
             # It is resumed through a peer, which does not know where it has run.
             return not is_bound
@@ -570,7 +572,7 @@
         may_cross = may_cross and not self._pipe.is_full()
         wanted = replace(attempt.wanted, avoided=avoided, may_cross=may_cross)
         if is_bound:
-            reusable = state.list_reusable_targets() | {first}
+            reusable = lost_state.list_reusable_targets()
             wanted = replace(wanted, avoided=avoided - reusable, first_targets=reusable)
         return any(
             self._finder.choose(
@@ -600,11 +602,12 @@
         if path is None or record is None:
             self._end_attempt(attempt, "no way around a lost target", avoided_hops)
             return False
+        lost_state = find_lost_state(attempt) if state.has_begun else None
         if (
             is_required
             and self._pipe.count_crossings(path, attempt.path)
-            and self._has_other_path(attempt, avoided, is_gone=False, may_cross=False)
-            and self._context.take_retry_early(state)
+            and self._has_other_path(attempt, avoided, may_cross=False)
+            and self._context.take_retry_early(state, lost_state=lost_state)
         ):
             # The activations of the whole prompt would cross data centres, one after
             # another for all streams through the failed target: pauses of 0.35 to
