Accept a head that names a protocol and an address

Callers of a target whose answers pass through a proxy got 502 for sound answers (or a second run where that is allowed): the check for a second head took a header such as 'Via: HTTP/1.1 192.0.2.7:8080' for the start of another response.

Cause: three digits after the protocol counted as a status. A status line goes on with a space or ends there. Class: a part of a pattern taken for the whole.

test_head_that_names_a_protocol_and_an_address_is_whole: AnswerLost before, passes now with the five other tests of cut heads. Still refused: a header that quotes a whole status line, as 'X-Upstream: HTTP/1.1 200 OK', which cannot be told from a joined head by the line alone.

--- a/packages/instance/fulmarward/http/_bounded.py
+++ b/packages/instance/fulmarward/http/_bounded.py
@@ -57,7 +57,7 @@
 
 
 #: Where another response begins.
-_STATUS_LINE = re.compile(rb"HTTP/1\.[01] \d{3}")
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] \d{3}(?: |$)")
 
 
 class JoinedHeads(aiohttp.ClientPayloadError):
