--- a/packages/router/fulmarward_router/exchange/tests/test_kept_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_kept_streams.py
@@ -1,12 +1,14 @@
 """Where begun streams stay, or go on, as no other path would be better."""
 
 import asyncio
+from dataclasses import replace
 from unittest import mock
 
 from fulmarward_core.fleet import TargetRecord
 from fulmarward_router.exchange._request_state import MAX_UNCOUNTED_RUNS
 from fulmarward_router.exchange.tests import test_late_streams
 from fulmarward_router.exchange.tests.test_ended_streams import _EndedStreamTest
+from fulmarward_router.exchange.tests.test_rerouted_streams import _SilentPathTest
 from fulmarward_router.ports import OrderOutcome, OrderResult
 
 
@@ -112,3 +114,22 @@
             self.remove_target(target)
         await asyncio.sleep(0.6)
         self.assertEqual(len(self.calls), 2 + MAX_UNCOUNTED_RUNS)
+
+
+class DeclaredPauseTest(_SilentPathTest):
+    accept_order = CrossingTest.accept_order
+    await_order = CrossingTest.await_order
+
+    async def test_rerouted_stream_may_pause_as_long_as_its_route_declares(self):
+        """Guards against a retry that is used up by a pause its caller accepts."""
+        self.orders = []
+        self.dialect.order = self.accept_order
+        await self.begin_path()
+        attempt = next(iter(self.service.supervisor._attempts.values()))
+        attempt.state.route = replace(attempt.state.route, pause_s=1.0)
+        lost = self.calls[0].path[1].target
+        self.suspicions.record_failure(lost, now=self.read_clock())
+        await self.await_order()
+        await asyncio.sleep(0.8)
+        await self.check_completes(attempt=1)
+        self.assertEqual(len(self.calls), 1)
