--- a/packages/router/fulmarward_router/exchange/tests/test_kept_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_kept_streams.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 from fulmarward_core.fleet import TargetRecord
+from fulmarward_core.queueing import WaitingRequest
 from fulmarward_router.exchange._request_state import MAX_UNCOUNTED_RUNS
 from fulmarward_router.exchange.tests import test_late_streams
 from fulmarward_router.exchange.tests.test_ended_streams import _EndedStreamTest
@@ -133,3 +134,21 @@
         await asyncio.sleep(0.8)
         await self.check_completes(attempt=1)
         self.assertEqual(len(self.calls), 1)
+
+
+class LastMomentTest(_SilentPathTest):
+    async def test_stream_whose_caller_leaves_is_resumed_before_others_that_wait(self):
+        """Guards against a stream that is aborted only to be cut behind others."""
+        await self.begin_path()
+        attempt = next(iter(self.service.supervisor._attempts.values()))
+        state = attempt.state
+        waiting = self.service._find_waiting(state, attempt.engine)
+        other = WaitingRequest(
+            key="other",
+            urgency=0,
+            arrived_at=state.arrived_at - 1.0,
+            objective_s=state.route.objective_s,
+            is_started=True,
+        )
+        waiting.add(other, now=self.read_clock())
+        await self.await_resumed()
