Search a path out of turn for a begun stream that may wait no longer

Callers that wait for a silent stream were cut 0.3 s before they would leave: the attempt was aborted for a path that existed, and the request then stood behind other begun answers in the queue, in which it may not wait at that time.

Cause: the abort comes at the end of the time that the search after it has. Class: two places answer the same question differently.

--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -179,7 +179,9 @@
                     find_wanted(), has_waited=has_waited, overflow_draw=overflow_draw
                 )
                 is_bound = wanted.first_targets is not None
-                if is_bound or waiting.is_next(request, now=now):
+                # A started answer that may wait no longer searches out of turn.
+                is_final = state.has_begun and now >= wait_end
+                if is_bound or is_final or waiting.is_next(request, now=now):
                     found = await self._find_permitted_path(
                         state, engine, wanted, request, waiting, wait_end=wait_end
                     )
