--- a/packages/router/fulmarward_router/exchange/tests/test_kept_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_kept_streams.py
@@ -152,3 +152,23 @@
         )
         waiting.add(other, now=self.read_clock())
         await self.await_resumed()
+
+
+class LapsedEntryTest(_EndedStreamTest):
+    async def test_run_at_a_target_whose_entry_came_back_counts(self):
+        """Guards against more living targets than the route allows."""
+        self.begin()
+        await self.await_attempt(1)
+        await self.send(1, attempt=1)
+        first = self.calls[0]
+        self.dialect.silent = {first.target}
+        self.suspicions.record_failure(first.target, now=self.read_clock())
+        self.remove_target(first.target)
+        await self.await_attempt(2)
+        self.list_target(first.target, first.address, (0, 2))
+        self.dialect.silent = set()
+        await self.send(2, attempt=2)
+        await self.lose(2, removed=False)
+        await self.await_attempt(3)
+        await self.check_completes(attempt=3)
+        self.assertEqual(len({call.target for call in self.calls}), 2)
