Count a run at a target whose entry came back

A request ran at more living targets than its route allows: the entry of its silent target lapsed in the list, its run there was left out of the limit, and stayed left out after the entry had come back with the same process.

Cause: a conclusion from the list was kept when the list no longer gave it. Class: a conclusion from missing news outlives them. What remains is that a target refused connections, which its process cannot undo.

--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -185,7 +185,8 @@
     def make_tally(self, state: RequestState) -> RequestTally:
         """Return the attempt counts and limits of a request now."""
         for run in state.failed_runs:
-            run.has_ended = run.has_ended or self.has_process_ended(run.target)
+            # An entry that has lapsed may come back with the same process.
+            run.has_ended = run.is_refused or self.has_process_ended(run.target)
         return state.make_tally()
 
     def has_process_ended(self, target: TargetRecord) -> bool:
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -520,7 +520,7 @@
         )
         now = self._read_clock()
         is_unreachable = self._suspicions.is_unreachable(target.name, now=now)
-        run.has_ended = run.has_ended or (is_refused and is_unreachable)
+        run.is_refused = run.is_refused or (is_refused and is_unreachable)
 
     async def _space_resumptions(
         self, state: RequestState, failure: AttemptFailed, until: float
--- a/packages/router/fulmarward_router/exchange/_request_state.py
+++ b/packages/router/fulmarward_router/exchange/_request_state.py
@@ -49,7 +49,9 @@
     target: TargetRecord
     #: Whether the target closed the connection.
     is_broken_off: bool
-    #: Whether the process of the target is known to have ended.
+    #: Whether the target refused connections afterwards, while controls answered.
+    is_refused: bool = False
+    #: Whether its process has ended: it refused connections, or is not listed now.
     has_ended: bool = False
 
 
