--- a/packages/router/fulmarward_router/exchange/tests/test_caller_connection.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_caller_connection.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 
 from fulmarward_router.exchange import CallerHandler, CallerServer, _caller_handler
+from fulmarward_router.exchange._caller_connection import ClosedBy, find_closer
 
 _REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 
@@ -78,3 +79,27 @@
         for end, outcome in cases:
             with self.subTest(outcome=outcome):
                 self.assertEqual(await self.end(end), outcome)
+
+
+class CutConnectionTest(unittest.IsolatedAsyncioTestCase):
+    async def test_connection_of_a_cut_response_counts_as_closed_here(self):
+        """Guards against a log line of a cut that does not name who closed first."""
+        closers = asyncio.Queue()
+
+        async def handle(request):
+            answer = _caller_handler._close_connection(request)
+            closers.put_nowait(find_closer(request))
+            return answer
+
+        server = CallerServer(
+            handle, read_idle_timeout_s=lambda: 60.0, max_header_bytes=8190
+        )
+        runner = web.ServerRunner(server, shutdown_timeout=0.0)
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        _, writer = await asyncio.open_connection(*runner.addresses[0])
+        self.addCleanup(writer.close)
+        writer.write(_REQUEST)
+        async with asyncio.timeout(5.0):
+            self.assertIs(await closers.get(), ClosedBy.INSTANCE)
