Name this instance as the first to close the connection of a cut response

The line of a cut said nothing on who closed first (closed_by was empty): it is written before the connection is gone, and only its end was recorded. Class: a value is read before it is written. No decision changes.

test_connection_of_a_cut_response_counts_as_closed_here: None before, passes now; 27 tests of callers' connections, their handler and ended streams pass.

--- a/packages/router/fulmarward_router/exchange/_caller_connection.py
+++ b/packages/router/fulmarward_router/exchange/_caller_connection.py
@@ -43,6 +43,12 @@
             self._record_closed(ClosedBy.CALLER, repr(exc))
         super().connection_lost(exc)
 
+    def close_here(self, cause: str) -> None:
+        """Close the connection, unless that is under way."""
+        if self.transport is not None and not self.transport.is_closing():
+            self._record_closed(ClosedBy.INSTANCE, cause)
+            self.transport.close()
+
     def _record_closed(self, closed_by: ClosedBy, cause: str) -> None:
         if self.closed_by is None:
             self.closed_by, self.close_cause = closed_by, cause
--- a/packages/router/fulmarward_router/exchange/_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/_caller_handler.py
@@ -474,7 +474,9 @@
     connection. Guards against the traceback that aiohttp writes outside the log when a
     handler raises an error.
     """
-    if request.transport is not None:
+    if isinstance(request.protocol, CallerConnection):
+        request.protocol.close_here("response cut")
+    elif request.transport is not None:
         request.transport.close()
     return request.get("answer") or web.StreamResponse()
 
