--- a/packages/router/fulmarward_router/exchange/tests/test_kept_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_kept_streams.py
@@ -6,6 +6,7 @@
 
 from fulmarward_core.fleet import TargetRecord
 from fulmarward_core.queueing import WaitingRequest
+from fulmarward_router.exchange import _failover
 from fulmarward_router.exchange._request_state import MAX_UNCOUNTED_RUNS
 from fulmarward_router.exchange.tests import test_late_streams
 from fulmarward_router.exchange.tests.test_ended_streams import _EndedStreamTest
@@ -172,3 +173,16 @@
         await self.await_attempt(3)
         await self.check_completes(attempt=3)
         self.assertEqual(len({call.target for call in self.calls}), 2)
+
+
+class WithheldTest(_SilentPathTest):
+    async def test_causes_that_alternate_are_logged_once_each(self):
+        """Guards against ten lines a second for each silent stream."""
+        await self.begin_path()
+        supervisor = self.service.supervisor
+        attempt = next(iter(supervisor._attempts.values()))
+        with mock.patch.object(_failover, "log_event") as log:
+            for _ in range(10):
+                supervisor._log_withheld(attempt, "silent", "no retry")
+                supervisor._log_withheld(attempt, "silent", "no other path")
+        self.assertEqual(log.call_count, 2)
