Log each cause for which a silent stream stays once, also if they alternate

An instance with many silent streams could write ten lines a second for each: 'no retry' and 'no other path' may alternate with every check, and only the latest cause was kept.

test_causes_that_alternate_are_logged_once_each: 20 lines before, 2 now; 9 tests of kept streams pass.

--- a/packages/router/fulmarward_router/exchange/_attempt.py
+++ b/packages/router/fulmarward_router/exchange/_attempt.py
@@ -70,8 +70,8 @@
         self.has_begun = False
         #: Whether its path was changed since its last event.
         self.is_rerouted = False
-        #: Why its stream was last left at a target that is silent, empty if it was not.
-        self.withheld_cause = ""
+        #: Why its stream was left at its silent target, since its last event.
+        self.withheld_causes: set[str] = set()
         #: Number of complete events that arrived, and whether these, or the end of the
         #: response, prove that the prompt does not crash the target.
         self.events = 0
--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -139,7 +139,7 @@
             attempt.slow_signs.note_pause(pause_s)
         attempt.last_activity_at = attempt.last_event_at = now
         attempt.checks = 0
-        attempt.withheld_cause = ""
+        attempt.withheld_causes.clear()
         attempt.is_rerouted = False
         attempt.has_begun = True
 
@@ -531,9 +531,9 @@
 
     def _log_withheld(self, attempt: Attempt, cause: str, withheld_cause: str) -> None:
         """Log once for each cause that a silent stream is not resumed elsewhere."""
-        if attempt.withheld_cause == withheld_cause:
+        if withheld_cause in attempt.withheld_causes:
             return
-        attempt.withheld_cause = withheld_cause
+        attempt.withheld_causes.add(withheld_cause)
         state, now = attempt.state, self._read_clock()
         budget = self._context.find_budget(state.service)
         usage = budget.count(share=self._context.find_share(), now=now)
