--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -187,7 +187,8 @@
     def make_tally(self, state: RequestState) -> RequestTally:
         """Return the attempt counts and limits of a request now."""
         for run in state.failed_runs:
-            run.has_ended = run.has_ended or self.has_process_ended(run.target)
+            # An entry that has lapsed may come back with the same process.
+            run.has_ended = run.is_refused or self.has_process_ended(run.target)
         return state.make_tally()
 
     def has_process_ended(self, target: TargetRecord) -> bool:
@@ -214,12 +215,17 @@
         return is_taken
 
     def take_retry_early(
-        self, state: RequestState, *, is_last: bool = False, is_counted: bool = True
+        self,
+        state: RequestState,
+        *,
+        lost_state: RequestState | None = None,
+        is_last: bool = False,
     ) -> bool:
         """Consume a retry for a running attempt before aborting it.
 
-        One that `is_last`, as its caller is about to leave, may be any that is free.
-        The running attempt `is_counted` as a run unless its target is gone.
+        One that `is_last`, as its caller is about to leave, may be any that is free. An
+        answer that has begun is judged by its `lost_state`, as it
+        would be if that attempt were lost.
 
         Returns whether there was one. Guards against several streams that rely on the
         same last retry: all would be aborted, and all but one truncated. Streams that
@@ -228,11 +234,10 @@
         """
         now = self.read_clock()
         part = 1.0 if state.has_begun else UNSTARTED_SHARE
-        tally = self.make_tally(state)
-        if is_counted:
-            is_allowed = may_run_again(tally, now=now)
+        if lost_state is None:
+            is_allowed = may_run_again(self.make_tally(state), now=now)
         else:
-            is_allowed = may_retry(tally, now=now)
+            is_allowed = may_retry(self.make_tally(lost_state), now=now)
         if not is_allowed:
             return False
         budget = self.find_budget(state.service)
--- a/packages/router/fulmarward_router/exchange/tests/test_kept_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_kept_streams.py
@@ -1,12 +1,16 @@
 """Where begun streams stay, or go on, as no other path would be better."""
 
 import asyncio
+from dataclasses import replace
 from unittest import mock
 
 from fulmarward_core.fleet import TargetRecord
+from fulmarward_core.queueing import WaitingRequest
+from fulmarward_router.exchange import _failover
 from fulmarward_router.exchange._request_state import MAX_UNCOUNTED_RUNS
 from fulmarward_router.exchange.tests import test_late_streams
 from fulmarward_router.exchange.tests.test_ended_streams import _EndedStreamTest
+from fulmarward_router.exchange.tests.test_rerouted_streams import _SilentPathTest
 from fulmarward_router.ports import OrderOutcome, OrderResult
 
 
@@ -112,3 +116,73 @@
             self.remove_target(target)
         await asyncio.sleep(0.6)
         self.assertEqual(len(self.calls), 2 + MAX_UNCOUNTED_RUNS)
+
+
+class DeclaredPauseTest(_SilentPathTest):
+    accept_order = CrossingTest.accept_order
+    await_order = CrossingTest.await_order
+
+    async def test_rerouted_stream_may_pause_as_long_as_its_route_declares(self):
+        """Guards against a retry that is used up by a pause its caller accepts."""
+        self.orders = []
+        self.dialect.order = self.accept_order
+        await self.begin_path()
+        attempt = next(iter(self.service.supervisor._attempts.values()))
+        attempt.state.route = replace(attempt.state.route, pause_s=1.0)
+        lost = self.calls[0].path[1].target
+        self.suspicions.record_failure(lost, now=self.read_clock())
+        await self.await_order()
+        await asyncio.sleep(0.8)
+        await self.check_completes(attempt=1)
+        self.assertEqual(len(self.calls), 1)
+
+
+class LastMomentTest(_SilentPathTest):
+    async def test_stream_whose_caller_leaves_is_resumed_before_others_that_wait(self):
+        """Guards against a stream that is aborted only to be cut behind others."""
+        await self.begin_path()
+        attempt = next(iter(self.service.supervisor._attempts.values()))
+        state = attempt.state
+        waiting = self.service._find_waiting(state, attempt.engine)
+        other = WaitingRequest(
+            key="other",
+            urgency=0,
+            arrived_at=state.arrived_at - 1.0,
+            objective_s=state.route.objective_s,
+            is_started=True,
+        )
+        waiting.add(other, now=self.read_clock())
+        await self.await_resumed()
+
+
+class LapsedEntryTest(_EndedStreamTest):
+    async def test_run_at_a_target_whose_entry_came_back_counts(self):
+        """Guards against more living targets than the route allows."""
+        self.begin()
+        await self.await_attempt(1)
+        await self.send(1, attempt=1)
+        first = self.calls[0]
+        self.dialect.silent = {first.target}
+        self.suspicions.record_failure(first.target, now=self.read_clock())
+        self.remove_target(first.target)
+        await self.await_attempt(2)
+        self.list_target(first.target, first.address, (0, 2))
+        self.dialect.silent = set()
+        await self.send(2, attempt=2)
+        await self.lose(2, removed=False)
+        await self.await_attempt(3)
+        await self.check_completes(attempt=3)
+        self.assertEqual(len({call.target for call in self.calls}), 2)
+
+
+class WithheldTest(_SilentPathTest):
+    async def test_causes_that_alternate_are_logged_once_each(self):
+        """Guards against ten lines a second for each silent stream."""
+        await self.begin_path()
+        supervisor = self.service.supervisor
+        attempt = next(iter(supervisor._attempts.values()))
+        with mock.patch.object(_failover, "log_event") as log:
+            for _ in range(10):
+                supervisor._log_withheld(attempt, "silent", "no retry")
+                supervisor._log_withheld(attempt, "silent", "no other path")
+        self.assertEqual(log.call_count, 2)
--- a/packages/router/fulmarward_router/state/_watch.py
+++ b/packages/router/fulmarward_router/state/_watch.py
@@ -169,12 +169,12 @@
                 has_adopted |= await self._configuration.apply_row(row, source="store")
             except Exception as error:
                 errors.append(error)
-        # What was read is in force only now.
-        self._configuration.record_confirmation(at=confirmed_at)
         if has_adopted:
             self._notify_peers()
         if errors:
             raise errors[0]
+        # What was read is in force only now.
+        self._configuration.record_confirmation(at=confirmed_at)
 
     async def follow_targets(self) -> None:
         """Keep the catalogue up to date, by reads or by peers' reports."""
