--- a/packages/router/fulmarward_router/tests/test_watch.py
+++ b/packages/router/fulmarward_router/tests/test_watch.py
@@ -175,11 +175,13 @@
 
     async def test_configuration_beside_an_odd_row_is_adopted(self):
         """Guards against a row that keeps all later ones from being adopted."""
-        self.configuration.apply_row.side_effect = [RecursionError, True]
+        self.configuration.apply_row = mock.AsyncMock(
+            side_effect=[RecursionError, True]
+        )
         read = RowsRead(rows=self.rows, version=5)
         # The error has the whole table read again.
         with self.assertRaises(RecursionError):
-            self.watch._merge_configuration(read, 0.0)
+            await self.watch._merge_configuration(read, 0.0)
         self.assertEqual(self.configuration.apply_row.call_count, 2)
 
     async def test_changes_beside_one_that_cannot_be_handled_are_handled(self):
