Send nothing to targets of services that the configuration does not name

Cause: what chooses targets without a request for them looked at all that are listed. Class: a choice without the policy that requests follow.

NamedTargets lists those of named services to the failure and contact checks, the paces and the occupancy, which waits for the configuration. In the catalogue only such targets take addresses. A target that is chosen by its name may be of any service, so that streams to a service that a new version lacks go on. /status shows is_service_named.

Four tests of test_unnamed_services failed before with the same set-up without the view, and pass; one wrote the same record object twice, which no decoder does, and writes a copy now.

--- a/packages/core/fulmarward_core/catalogue/__init__.py
+++ b/packages/core/fulmarward_core/catalogue/__init__.py
@@ -8,12 +8,14 @@
     TargetCatalogue,
 )
 from fulmarward_core.catalogue._confirmation import find_confirmed_at
+from fulmarward_core.catalogue._named import NamedTargets
 
 __all__ = [
     "EXPIRY_AGE_S",
     "RECOVERY_DURATION_S",
     "KnownRow",
     "LeaveAnnouncement",
+    "NamedTargets",
     "TargetCatalogue",
     "find_confirmed_at",
 ]
--- a/packages/core/fulmarward_core/catalogue/_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/_catalogue.py
@@ -4,7 +4,7 @@
 source, in any order and repeatedly: the highest version of a row wins.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
 from fulmarward_core.catalogue._addresses import AddressTable
@@ -65,7 +65,11 @@
 class TargetCatalogue:
     """The rows of all targets, and when they were last confirmed."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self, *, is_used_service: Callable[[str], bool] = lambda service: True
+    ) -> None:
+        #: Returns whether the targets of a service may take the addresses of others.
+        self._is_used_service = is_used_service
         self._rows: dict[str, KnownRow] = {}
         #: Version at which the content of each row last changed.
         self._changed_versions: dict[str, int] = {}
@@ -422,7 +426,7 @@
         # One that is only kept after a restore was not written again.
         is_written = known is None or row.record is not known.record
         if is_written or row.record is None:
-            self._addresses.apply(row.name, row.record, version=row.version)
+            self._apply_address(row)
         if is_written:
             self._kept_numbers.pop(row.name, None)
         is_first_write = is_written and row.name in self._unwritten
@@ -453,6 +457,12 @@
             self._leaving_since.pop(row.name, None)
         return True
 
+    def _apply_address(self, row: KnownRow) -> None:
+        is_used = row.record is not None and self._is_used_service(row.record.service)
+        self._addresses.apply(
+            row.name, row.record if is_used else None, version=row.version
+        )
+
     def _apply_superseded(self, now: float, changed_since: float) -> list[KnownRow]:
         """Return rows without records for the targets that have lost their addresses.
 
--- /dev/null
+++ b/packages/core/fulmarward_core/catalogue/_named.py
@@ -0,0 +1,43 @@
+"""The targets of the services that the configuration names."""
+
+from collections.abc import Callable, Container
+
+from fulmarward_core.catalogue._catalogue import TargetCatalogue
+from fulmarward_core.fleet import TargetRecord
+
+
+class NamedTargets:
+    """A view of a catalogue for what chooses targets without a request for them.
+
+    Other writers may list their own servers, which must not get probes either. A target
+    that is chosen by its name may be of any service: streams to a service that a new
+    configuration lacks go on.
+    """
+
+    def __init__(
+        self,
+        *,
+        catalogue: TargetCatalogue,
+        get_services: Callable[[], Container[str] | None],
+    ) -> None:
+        self._catalogue = catalogue
+        #: Returns the names of the services, `None` without a configuration.
+        self._get_services = get_services
+
+    @property
+    def is_known(self) -> bool:
+        """Whether the whole list and the services are known."""
+        return self._catalogue.is_known and self._get_services() is not None
+
+    def list_targets(self, *, now: float) -> list[TargetRecord]:
+        """Return the targets of the services that may be alive."""
+        services = self._get_services() or ()
+        return [
+            record
+            for record in self._catalogue.list_targets(now=now)
+            if record.service in services
+        ]
+
+    def find_target(self, name: str) -> TargetRecord | None:
+        """Return the target of that name, of any service, or `None`."""
+        return self._catalogue.find_target(name)
--- a/packages/router/fulmarward_router/_status.py
+++ b/packages/router/fulmarward_router/_status.py
@@ -122,10 +122,13 @@
 
 def _describe_targets(instance: StatusSource, now: float) -> list[dict[str, Any]]:
     announced = instance.catalogue.list_announced()
+    current = instance.configuration.current
+    services = () if current is None else current.services
     return [
         {
             "name": record.name,
             "service": record.service,
+            "is_service_named": record.service in services,
             "address": record.address,
             "data_centre": record.data_centre,
             "kind": record.kind,
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -15,9 +15,10 @@
 
 from fulmarward.http import ResponseGuard, ResponseLimits
 from fulmarward.observability import log_event, start_logging, stop_logging
-from fulmarward_core.catalogue import TargetCatalogue
+from fulmarward_core.catalogue import NamedTargets, TargetCatalogue
 from fulmarward_core.demand import DemandTable
 from fulmarward_core.evidence import EvidenceTable
+from fulmarward_core.fleet import ServiceSpec
 from fulmarward_core.isolation import ContactTable
 from fulmarward_core.loads import LoadLedger
 from fulmarward_core.paces import PaceTable
@@ -215,7 +216,10 @@
             caller_address=settings.caller_address,
         )
         self.members = MemberTable(own=self.own)
-        self.catalogue = TargetCatalogue()
+        self.catalogue = TargetCatalogue(is_used_service=self._is_used_service)
+        self._named_targets = NamedTargets(
+            catalogue=self.catalogue, get_services=self._get_services
+        )
         self.suspicions = SuspicionTable()
         self.contacts = ContactTable()
         self.evidence = EvidenceTable(
@@ -409,7 +413,7 @@
         )
         self.failure_detector = FailureDetector(
             dialect=self.dialect,
-            catalogue=self.catalogue,
+            catalogue=self._named_targets,
             suspicions=self.suspicions,
             contacts=self.contacts,
             read_clock=self._clock,
@@ -472,10 +476,20 @@
             configuration_s=self.settings.configuration_s,
         )
 
+    def _get_services(self) -> Mapping[str, ServiceSpec] | None:
+        """Return the services that the configuration names, `None` without one."""
+        current = self.configuration.current
+        return None if current is None else current.services
+
+    def _is_used_service(self, service: str) -> bool:
+        """Return whether the configuration names a service, true without one."""
+        services = self._get_services()
+        return services is None or service in services
+
     def _make_pace_monitor(self) -> PaceMonitor:
         return PaceMonitor(
             dialect=self.dialect,
-            catalogue=self.catalogue,
+            catalogue=self._named_targets,
             paces=self.paces,
             data_centre=self.own.data_centre,
             is_reader=self._is_pace_reader,
@@ -490,7 +504,7 @@
     async def _read_occupancy(self) -> None:
         reader = OccupancyReader(
             dialect=self.dialect,
-            catalogue=self.catalogue,
+            catalogue=self._named_targets,
             ledger=self.ledger,
             data_centre=self.own.data_centre,
             is_reader=self._is_occupancy_reader,
--- a/packages/router/fulmarward_router/exchange/_contact_monitor.py
+++ b/packages/router/fulmarward_router/exchange/_contact_monitor.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Collection, Coroutine, Iterable
 
 from fulmarward.observability import log_event
-from fulmarward_core.catalogue import TargetCatalogue
+from fulmarward_core.catalogue import NamedTargets
 from fulmarward_core.fleet import TargetRecord
 from fulmarward_core.isolation import (
     SAMPLE_SIZE,
@@ -57,7 +57,7 @@
         self,
         *,
         dialect: TargetDialect,
-        catalogue: TargetCatalogue,
+        catalogue: NamedTargets,
         suspicions: SuspicionTable,
         contacts: ContactTable,
         read_clock: Callable[[], float],
--- a/packages/router/fulmarward_router/exchange/_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/_failure_detector.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from fulmarward.observability import log_event
-from fulmarward_core.catalogue import TargetCatalogue
+from fulmarward_core.catalogue import NamedTargets
 from fulmarward_core.fleet import TargetRecord
 from fulmarward_core.isolation import ContactTable
 from fulmarward_core.probing import (
@@ -97,7 +97,7 @@
         self,
         *,
         dialect: TargetDialect,
-        catalogue: TargetCatalogue,
+        catalogue: NamedTargets,
         suspicions: SuspicionTable,
         contacts: ContactTable,
         read_clock: Callable[[], float],
--- a/packages/router/fulmarward_router/exchange/_occupancy.py
+++ b/packages/router/fulmarward_router/exchange/_occupancy.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 
 from fulmarward.observability import log_event
-from fulmarward_core.catalogue import TargetCatalogue
+from fulmarward_core.catalogue import NamedTargets
 from fulmarward_core.fleet import TargetRecord
 from fulmarward_core.loads import LoadLedger, TargetLoad
 from fulmarward_router.exchange._paces import (
@@ -38,7 +38,7 @@
         self,
         *,
         dialect: TargetDialect,
-        catalogue: TargetCatalogue,
+        catalogue: NamedTargets,
         ledger: LoadLedger,
         data_centre: str,
         is_reader: Callable[[], bool],
--- a/packages/router/fulmarward_router/exchange/_paces.py
+++ b/packages/router/fulmarward_router/exchange/_paces.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterable, Iterator
 
 from fulmarward.observability import log_event
-from fulmarward_core.catalogue import TargetCatalogue
+from fulmarward_core.catalogue import NamedTargets
 from fulmarward_core.evidence import EvidenceTable
 from fulmarward_core.fleet import TargetRecord
 from fulmarward_core.paces import (
@@ -39,7 +39,7 @@
         self,
         *,
         dialect: TargetDialect,
-        catalogue: TargetCatalogue,
+        catalogue: NamedTargets,
         paces: PaceTable,
         data_centre: str,
         is_reader: Callable[[], bool],
@@ -142,7 +142,7 @@
 
 
 def list_engines(
-    catalogue: TargetCatalogue, *, data_centre: str, now: float
+    catalogue: NamedTargets, *, data_centre: str, now: float
 ) -> list[TargetRecord]:
     """Return the targets in a data centre that have layers of a model loaded."""
     return [
--- a/packages/router/fulmarward_router/tests/test_unnamed_services.py
+++ b/packages/router/fulmarward_router/tests/test_unnamed_services.py
@@ -50,7 +50,11 @@
 
     def write(self, record, version):
         row = KnownRow(
-            name=record.name, version=version, value=b"x", record=record, heard_at=0.0
+            name=record.name,
+            version=version,
+            value=b"x",
+            record=replace(record),
+            heard_at=0.0,
         )
         self.catalogue.apply_changes([row], version, now=0.0)
 
