--- a/packages/router/fulmarward_router/exchange/tests/test_path_finder.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_path_finder.py
@@ -120,6 +120,24 @@
         engines = [replace(_ENGINE) for _ in range(10)]
         self.assertEqual(self.count_indexes(engines * 2), 1)
 
+    def test_target_that_does_not_fit_the_model_ends_no_other_path(self):
+        """Guards against one row for which no path is found for any request."""
+        odd = [
+            {"layers": LayerRange(start=0, end=5)},
+            {"layers": LayerRange(start=7, end=9)},
+            {"layers": LayerRange(start=1, end=10**4)},
+            {"kind": "unheard of"},
+            {"kind": "", "data_centre": "unheard of"},
+        ]
+        rows = [_make_row(f"x{number}", number + 2) for number in range(len(odd))]
+        rows = [
+            replace(row, record=replace(row.record, **changes))
+            for row, changes in zip(rows, odd, strict=True)
+        ]
+        self.catalogue.apply_changes(rows, 9, now=100.0)
+        path = self.finder.choose("pool", _ENGINE, _REQUEST)
+        self.assertEqual([hop.target for hop in path], ["t1"])
+
     def test_change_of_a_target_is_seen_under_all_versions(self):
         """Guards against a path to a target that has left, under an older version."""
         engines = [_ENGINE, replace(_ENGINE, step_ms=2.0)]
--- a/packages/router/fulmarward_router/placement/tests/test_placer.py
+++ b/packages/router/fulmarward_router/placement/tests/test_placer.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, replace
 
 from fulmarward_core.catalogue import KnownRow, TargetCatalogue
-from fulmarward_core.fleet import ServiceSpec
+from fulmarward_core.fleet import LayerRange, ServiceSpec
 from fulmarward_core.isolation import ContactTable
 from fulmarward_core.layers import plan_layers
 from fulmarward_core.layers.tests.fleets import ENGINE, make_fleet
@@ -160,9 +160,10 @@
     empty=(),
     seconds=5.0,
     other_services=(),
+    others=(),
 ):
     async def work(read_clock):
-        fleet = _remove_layers(_make_placed_fleet(counts), empty)
+        fleet = [*_remove_layers(_make_placed_fleet(counts), empty), *others]
         instance = _Instance(
             read_clock, fleet, unresponsive, receives_answers, dict(other_services)
         )
@@ -194,6 +195,19 @@
         # A target that answered is not probed again while its answer is valid.
         self.assertLessEqual(instance.dialect.probed.count("a-large-4"), 3)
 
+    def test_target_that_does_not_fit_the_model_gets_no_order(self):
+        """Guards against one row that keeps all layers of a service where they are."""
+        fleet = _make_placed_fleet(_SPARE)
+        beyond = LayerRange(start=ENGINE.layers + 1, end=ENGINE.layers + 9)
+        for changes in ({"layers": beyond}, {"kind": "unheard of", "layers": None}):
+            odd = replace(fleet[0], name="odd", **changes)
+            with self.subTest(changes):
+                instance = _run(
+                    _SPARE, _report_losses(), empty=["a-large-4"], others=[odd]
+                )
+                ordered = [name for _, name, _ in instance.list_orders()]
+                self.assertEqual(ordered, ["a-large-4"])
+
     def test_reported_target_that_closes_no_gap_is_not_probed(self):
         instance = _run(_SPARE, _report_losses("a-small-2"))
         self.assertEqual(instance.dialect.probed, [])
