Use no target whose kind or layers its service does not have

A row with layers beyond those of the model, whole and proper otherwise, ended every request of its service: IndexError as the index of paths was built. Targets of a kind that the configuration does not name were listed for the placement and got probes.

Cause: the layers of a record were used as positions in the model without a comparison. Class: decoded at the edge, judged nowhere.

find_misfit of the core says why the configured services cannot use a target; paths, placement and all that chooses targets to probe ask it. An unknown data centre is no misfit: its delays have a default.

--- a/packages/core/fulmarward_core/catalogue/_named.py
+++ b/packages/core/fulmarward_core/catalogue/_named.py
@@ -1,27 +1,27 @@
-"""The targets of the services that the configuration names."""
+"""The targets that the services of the configuration can use."""
 
-from collections.abc import Callable, Container
+from collections.abc import Callable, Mapping
 
 from fulmarward_core.catalogue._catalogue import TargetCatalogue
-from fulmarward_core.fleet import TargetRecord
+from fulmarward_core.fleet import ServiceSpec, TargetRecord, find_misfit
 
 
 class NamedTargets:
     """A view of a catalogue for what chooses targets without a request for them.
 
     Other writers may list their own servers, which must not get probes either. A target
-    that is chosen by its name may be of any service: streams to a service that a new
-    configuration lacks go on.
+    that is chosen by its name may be any: streams to a service that a new configuration
+    lacks go on.
     """
 
     def __init__(
         self,
         *,
         catalogue: TargetCatalogue,
-        get_services: Callable[[], Container[str] | None],
+        get_services: Callable[[], Mapping[str, ServiceSpec] | None],
     ) -> None:
         self._catalogue = catalogue
-        #: Returns the names of the services, `None` without a configuration.
+        #: Returns the services by name, `None` without a configuration.
         self._get_services = get_services
 
     @property
@@ -30,12 +30,12 @@
         return self._catalogue.is_known and self._get_services() is not None
 
     def list_targets(self, *, now: float) -> list[TargetRecord]:
-        """Return the targets of the services that may be alive."""
-        services = self._get_services() or ()
+        """Return the targets that may be alive and that a service can use."""
+        services = self._get_services() or {}
         return [
             record
             for record in self._catalogue.list_targets(now=now)
-            if record.service in services
+            if find_misfit(record, services) is None
         ]
 
     def find_target(self, name: str) -> TargetRecord | None:
--- a/packages/core/fulmarward_core/fleet/__init__.py
+++ b/packages/core/fulmarward_core/fleet/__init__.py
@@ -11,6 +11,8 @@
 from fulmarward_core.fleet.decisions import (
     MAX_TEXT_BYTES,
     RowFault,
+    find_engine_misfit,
+    find_misfit,
     judge_target,
     read_layers,
 )
@@ -24,6 +26,8 @@
     "ServiceSpec",
     "TargetRecord",
     "compute_kv_capacity",
+    "find_engine_misfit",
+    "find_misfit",
     "judge_target",
     "read_layers",
 ]
--- a/packages/core/fulmarward_core/fleet/decisions.py
+++ b/packages/core/fulmarward_core/fleet/decisions.py
@@ -9,7 +9,12 @@
 from enum import Enum
 from ipaddress import IPv4Address, IPv6Address
 
-from fulmarward_core.fleet._types import LayerRange, TargetRecord
+from fulmarward_core.fleet._types import (
+    EngineModel,
+    LayerRange,
+    ServiceSpec,
+    TargetRecord,
+)
 
 #: Maximum length of a text, in bytes.
 MAX_TEXT_BYTES = 200
@@ -51,6 +56,10 @@
     STARTED = "started"
     KIND = "kind"
     LAYERS = "layers"
+    #: Faults of a whole row that the configuration has no use for.
+    UNNAMED_SERVICE = "unnamed_service"
+    UNNAMED_KIND = "unnamed_kind"
+    LAYERS_BEYOND_MODEL = "layers_beyond_model"
 
 
 def judge_target(name: str, fields: Mapping[str, object]) -> TargetRecord | RowFault:
@@ -78,6 +87,25 @@
     )
 
 
+def find_misfit(
+    record: TargetRecord, services: Mapping[str, ServiceSpec]
+) -> RowFault | None:
+    """Return why the configured services cannot use a target, `None` if they can."""
+    if record.service not in services:
+        return RowFault.UNNAMED_SERVICE
+    engine = services[record.service].engine
+    return None if engine is None else find_engine_misfit(record, engine)
+
+
+def find_engine_misfit(record: TargetRecord, engine: EngineModel) -> RowFault | None:
+    """Return why a target cannot run its part of a model, `None` if it can."""
+    if record.kind not in engine.kinds:
+        return RowFault.UNNAMED_KIND
+    if record.layers is not None and record.layers.end > engine.layers:
+        return RowFault.LAYERS_BEYOND_MODEL
+    return None
+
+
 def read_layers(value: tuple[object, object] | None) -> LayerRange | None:
     """Return the layers between a pair of bounds, `None` if these enclose none."""
     if value is None or not _is_optional_range(value):
--- a/packages/router/fulmarward_router/_status.py
+++ b/packages/router/fulmarward_router/_status.py
@@ -4,7 +4,7 @@
 from typing import Any, Protocol
 
 from fulmarward_core.catalogue import TargetCatalogue
-from fulmarward_core.fleet import MAX_TEXT_BYTES, TargetRecord
+from fulmarward_core.fleet import MAX_TEXT_BYTES, TargetRecord, find_misfit
 from fulmarward_core.isolation import ContactTable
 from fulmarward_core.layers import count_holders, find_gaps, group_by_data_centre
 from fulmarward_core.suspicion import SuspicionTable
@@ -123,12 +123,12 @@
 def _describe_targets(instance: StatusSource, now: float) -> list[dict[str, Any]]:
     announced = instance.catalogue.list_announced()
     current = instance.configuration.current
-    services = () if current is None else current.services
+    services = {} if current is None else current.services
     return [
         {
             "name": record.name,
             "service": record.service,
-            "is_service_named": record.service in services,
+            "misfit": None if misfit is None else misfit.value,
             "address": record.address,
             "data_centre": record.data_centre,
             "kind": record.kind,
@@ -142,6 +142,7 @@
             "is_suspect": instance.suspicions.is_suspect(record.name, now=now),
         }
         for record in instance.catalogue.list_targets(now=now)
+        for misfit in [find_misfit(record, services)]
     ]
 
 
--- a/packages/router/fulmarward_router/exchange/_path_finder.py
+++ b/packages/router/fulmarward_router/exchange/_path_finder.py
@@ -10,6 +10,7 @@
     LayerRange,
     TargetRecord,
     compute_kv_capacity,
+    find_engine_misfit,
 )
 from fulmarward_core.layers import find_gaps
 from fulmarward_core.loads import LoadLedger, TargetLoad
@@ -282,7 +283,7 @@
             for record in records
             if record.service == service
             and record.layers is not None
-            and record.kind in engine.kinds
+            and find_engine_misfit(record, engine) is None
         ]
         stages = [self._make_stage(record, engine) for record in own]
         return _ServiceTargets(
--- a/packages/router/fulmarward_router/placement/_placer.py
+++ b/packages/router/fulmarward_router/placement/_placer.py
@@ -6,7 +6,12 @@
 
 from fulmarward.observability import log_event
 from fulmarward_core.catalogue import TargetCatalogue
-from fulmarward_core.fleet import EngineModel, LayerRange, TargetRecord
+from fulmarward_core.fleet import (
+    EngineModel,
+    LayerRange,
+    TargetRecord,
+    find_engine_misfit,
+)
 from fulmarward_core.isolation import ContactTable
 from fulmarward_core.layers import (
     Assignment,
@@ -171,12 +176,16 @@
         for key in [key for key in self._missing_since if key[0] == service]:
             del self._missing_since[key]
 
-    def _list_present(self, service: str, now: float) -> list[TargetRecord]:
-        """Return the targets in the store that are not leaving."""
+    def _list_present(
+        self, service: str, engine: EngineModel, now: float
+    ) -> list[TargetRecord]:
+        """Return the targets in the store that fit the model and are not leaving."""
         return [
             record
             for record in self._catalogue.list_targets(now=now)
-            if record.service == service and not record.is_leaving
+            if record.service == service
+            and not record.is_leaving
+            and find_engine_misfit(record, engine) is None
         ]
 
     def _list_targets(
@@ -221,7 +230,7 @@
 
     async def _reconcile(self, service: str, engine: EngineModel) -> None:
         now = self._read_clock()
-        present = self._list_present(service, now)
+        present = self._list_present(service, engine, now)
         targets = self._list_targets(present, now)
         self._drop_pending(targets, now)
         if not targets or not self._lease.is_held():
--- a/packages/router/fulmarward_router/tests/test_unnamed_services.py
+++ b/packages/router/fulmarward_router/tests/test_unnamed_services.py
@@ -3,9 +3,9 @@
 from types import SimpleNamespace
 
 from fulmarward_core.catalogue import KnownRow, NamedTargets, TargetCatalogue
-from fulmarward_core.fleet import LayerRange
+from fulmarward_core.fleet import LayerRange, ServiceSpec
 from fulmarward_core.isolation import ContactTable
-from fulmarward_core.layers.tests.fleets import make_target
+from fulmarward_core.layers.tests.fleets import ENGINE, make_target
 from fulmarward_core.loads import LoadLedger
 from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_router.exchange import FailureDetector, OccupancyReader
@@ -30,7 +30,8 @@
 
 class UnnamedServiceTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
-        self.services, self.now = {"pool"}, 0.0
+        pool = ServiceSpec(name="pool", engine=ENGINE)
+        self.services, self.now = {"pool": pool}, 0.0
         self.catalogue = TargetCatalogue(
             is_used_service=lambda service: service in self.services
         )
@@ -91,6 +92,6 @@
         """Guards against another writer who names the address of a target."""
         self.write(self.other, 3)
         self.assertIsNotNone(self.catalogue.find_target("own"))
-        self.services.add("index")
+        self.services["index"] = ServiceSpec(name="index", engine=None)
         self.write(self.other, 4)
         self.assertIsNone(self.catalogue.find_target("own"))
