--- a/packages/router/fulmarward_router/tests/test_refused_rows.py
+++ b/packages/router/fulmarward_router/tests/test_refused_rows.py
@@ -24,11 +24,15 @@
     def setUp(self):
         self.catalogue = TargetCatalogue()
         self.refused, self.notified = [], []
-        self.handler = TargetChangeHandler(
+        self.handler = self.make_handler()
+
+    def make_handler(self, **options):
+        return TargetChangeHandler(
             suspicions=SuspicionTable(),
             notify_peers=lambda: self.notified.append(True),
             record_process=lambda record: None,
             count_refused=self.refused.append,
+            **options,
         )
 
     def apply(self, row):
@@ -61,6 +65,19 @@
         self.assertEqual(self.catalogue.list_refused(), [])
         self.assertIsNotNone(self.catalogue.find_target("t"))
 
+    def test_target_that_no_service_uses_is_visible(self):
+        """Guards against a target that gets nothing and no line says why."""
+        misfits = {}
+        self.handler = self.make_handler(list_misfits=lambda: dict(misfits))
+        self.assertEqual(self.apply(_make_row(1)), ["target_started"])
+        for fault in (RowFault.UNNAMED_SERVICE, RowFault.UNNAMED_KIND):
+            misfits["t"] = fault
+            self.assertEqual(self.apply(_make_row(2)), ["target_misfit"])
+            self.assertEqual(self.apply(_make_row(3)), [])
+        self.assertEqual(
+            self.refused, [RowFault.UNNAMED_SERVICE, RowFault.UNNAMED_KIND]
+        )
+
     def test_target_of_a_refused_row_has_not_ended(self):
         """Guards against runs that count as ended, and crashes that were none."""
         record = _make_row(1).record
