--- a/packages/router/fulmarward_router/exchange/tests/test_failover.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_failover.py
@@ -10,6 +10,7 @@
 from fulmarward_router.exchange import FailureDetector, _failover
 from fulmarward_router.exchange._attempt import Attempt
 from fulmarward_router.exchange._failover import StreamSupervisor
+from fulmarward_router.tests._simulated_time import run_simulated
 
 
 class IdleSupervisorTest(unittest.IsolatedAsyncioTestCase):
@@ -52,6 +53,45 @@
                     await asyncio.sleep(0.01)
 
 
+class OddStreamTest(unittest.TestCase):
+    def test_error_in_the_check_of_a_stream_leaves_the_others_alone(self):
+        """Guards against streams that nobody checks because of another one."""
+
+        async def play(read_clock):
+            context = SimpleNamespace(
+                dialect=None,
+                catalogue=mock.Mock(revision=1, list_targets=lambda now: []),
+                suspicions=mock.Mock(),
+                ledger=None,
+                read_clock=read_clock,
+                is_large=lambda: False,
+            )
+            supervisor = StreamSupervisor(
+                context=context, failure_detector=mock.Mock(), finder=None, pipe=None
+            )
+            attempts = [
+                mock.Mock(path=(), check_task=None, failure=None, has_begun=False)
+                for _ in range(2)
+            ]
+            checked = []
+
+            def start_check(attempt):
+                if attempt is attempts[0]:
+                    raise ValueError
+                checked.append(attempt)
+
+            supervisor._start_check = start_check
+            supervisor._probe_stalled = mock.Mock(side_effect=ValueError)
+            running = asyncio.create_task(supervisor.run())
+            for attempt in attempts:
+                supervisor.add(attempt)
+            await asyncio.sleep(2.0)
+            running.cancel()
+            return len(checked)
+
+        self.assertGreater(run_simulated(play), 2)
+
+
 class ProgressAfterFailureTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.now = 100.0
