Check the streams beside one whose check fails

What callers saw: nothing yet; with an unforeseen error in the check of one stream, no stream after it was checked, so that those on a dead target stayed silent until their callers left.

Cause: all streams are checked in one pass with one end.

Class: one error is given to all that the process does. Each step of a pass and the check of each stream are tried, and the first error is raised after them: the supervisor logs and counts it and starts the task again after 0.012 to 0.1 s. In the test the task runs under the supervisor now, as it does in an instance.

--- a/packages/router/fulmarward_router/_supervision.py
+++ b/packages/router/fulmarward_router/_supervision.py
@@ -30,7 +30,9 @@
     is_finite: bool = False
 
 
-#: For tasks that open streams and callers wait for.
+#: For the task that checks open streams, whose callers leave soon.
+_STREAMS = RestartTerms(first_pause_s=0.012, max_pause_s=0.1)
+#: For others that open streams and callers wait for.
 _PROMPT = RestartTerms(first_pause_s=0.05, max_pause_s=0.5)
 #: For tasks that call the store, each of whose calls is paid for.
 _STORE = RestartTerms(first_pause_s=0.15, max_pause_s=2.4)
@@ -52,7 +54,7 @@
     "poison_rows": DutyTerms(restart=_PERIODIC),
     "lease": DutyTerms(restart=_STORE),
     "placement": DutyTerms(restart=_PROMPT),
-    "streams": DutyTerms(restart=_PROMPT),
+    "streams": DutyTerms(restart=_STREAMS),
     "paces": DutyTerms(restart=_PERIODIC),
     "occupancy": DutyTerms(restart=_PERIODIC, is_finite=True),
     "losses": DutyTerms(restart=_PROMPT),
--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable, Coroutine, Iterable, Iterator
 from dataclasses import replace
+from functools import partial
 
 from fulmarward.observability import log_event
 from fulmarward_core.paths import Hop, count_tokens_held
@@ -186,14 +187,30 @@
             is_late = late_s > MAX_LATENESS_S
             checked_at = now
             self._log_lateness(late_s)
-            if not is_late:
-                self._probe_stalled(now)
-            self._drain_leaving_targets(now)
-            for attempt in list(self._attempts.values()):
-                is_silent = now - attempt.last_activity_at >= MIN_STALL_S
-                if is_silent and attempt.check_task is None and attempt.failure is None:
-                    self._probe_unconfirmed(attempt, now)
-                    self._start_check(attempt)
+            self._check_all(now, is_late=is_late)
+
+    def _check_all(self, now: float, *, is_late: bool) -> None:
+        """Check all streams; raises the first error once all are checked."""
+        steps = [] if is_late else [self._probe_stalled]
+        steps.append(self._drain_leaving_targets)
+        steps.extend(
+            partial(self._check_silent, attempt)
+            for attempt in self._attempts.values()
+            if now - attempt.last_activity_at >= MIN_STALL_S
+        )
+        errors = []
+        for step in steps:
+            try:
+                step(now)
+            except Exception as error:
+                errors.append(error)
+        if errors:
+            raise errors[0]
+
+    def _check_silent(self, attempt: Attempt, now: float) -> None:
+        if attempt.check_task is None and attempt.failure is None:
+            self._probe_unconfirmed(attempt, now)
+            self._start_check(attempt)
 
     def _compute_delay_s(self, now: float) -> float:
         """Return the seconds until the next check of the open streams.
--- a/packages/router/fulmarward_router/exchange/tests/test_failover.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_failover.py
@@ -7,6 +7,7 @@
 from fulmarward_core.isolation import ContactTable
 from fulmarward_core.paces import PaceTable
 from fulmarward_core.suspicion import SuspicionTable
+from fulmarward_router._supervision import TaskSupervisor
 from fulmarward_router.exchange import FailureDetector, _failover
 from fulmarward_router.exchange._attempt import Attempt
 from fulmarward_router.exchange._failover import StreamSupervisor
@@ -82,7 +83,8 @@
 
             supervisor._start_check = start_check
             supervisor._probe_stalled = mock.Mock(side_effect=ValueError)
-            running = asyncio.create_task(supervisor.run())
+            tasks = TaskSupervisor(read_clock=read_clock, count_failure=mock.Mock())
+            running = asyncio.create_task(tasks.run("streams", supervisor.run))
             for attempt in attempts:
                 supervisor.add(attempt)
             await asyncio.sleep(2.0)
