Test: a blocked pattern whose write fails is never written (fails)

The writes of two patterns fail once each by an unforeseen error: neither is written in 20 s, and both blocks would be forgotten if all instances stop at once.

--- a/packages/router/fulmarward_router/tests/test_poison_rows.py
+++ b/packages/router/fulmarward_router/tests/test_poison_rows.py
@@ -1,11 +1,14 @@
+import asyncio
 import unittest
 from types import SimpleNamespace
 from unittest import mock
 
 import cbor2
 
+from fulmarward_router._supervision import TaskSupervisor
 from fulmarward_router.ports import Row, RowsRead, StoreRefused
 from fulmarward_router.state import PoisonKnowledge, PoisonRows
+from fulmarward_router.tests._simulated_time import run_simulated
 
 
 class PoisonRowsTest(unittest.IsolatedAsyncioTestCase):
@@ -48,6 +51,38 @@
 ]
 
 
+class FailedWriteTest(unittest.TestCase):
+    def test_pattern_whose_write_failed_is_written_later(self):
+        """Guards against a block that is forgotten by an error of one write."""
+
+        async def play(read_clock):
+            written = []
+
+            async def transact(conditions, writes):
+                written.append(writes[0].key)
+                if len(written) < 3:
+                    raise ValueError
+
+            read = RowsRead(rows=(), version=1)
+            store = SimpleNamespace(
+                era=None,
+                read_table=mock.AsyncMock(return_value=read),
+                transact=transact,
+            )
+            poison = mock.Mock()
+            poison.is_blocked.return_value = False
+            rows = PoisonRows(store=store, poison=poison, read_wall_clock=read_clock)
+            rows.record_changed(["one", "two"])
+            tasks = TaskSupervisor(read_clock=read_clock, count_failure=mock.Mock())
+            running = asyncio.create_task(tasks.run("poison_rows", rows.run))
+            await asyncio.sleep(20.0)
+            running.cancel()
+            return written
+
+        written = run_simulated(play)
+        self.assertEqual(sorted(written[2:]), ["one", "two"])
+
+
 class OddRowTest(unittest.IsolatedAsyncioTestCase):
     async def read_patterns(self, *rows):
         poison = PoisonKnowledge(
