Keep a blocked pattern queued until its row is written

What callers saw: nothing yet; a block whose write met an unforeseen error was not stored, and forgotten if all instances stopped at once.

Cause: the pattern was taken from the queue first. Class: state lost between two steps of a task that is started again. The pattern goes to the end of the queue, so that the others come first.

--- a/packages/router/fulmarward_router/state/_poison_rows.py
+++ b/packages/router/fulmarward_router/state/_poison_rows.py
@@ -73,8 +73,16 @@
                 if era != self._store.era and await self._write_lost():
                     era = self._store.era
                 continue
+            await self._write_until_stored(pattern)
+
+    async def _write_until_stored(self, pattern: str) -> None:
+        """Write the row of a pattern; after an error, the other patterns come first."""
+        try:
             while not await self._write(pattern):
                 await asyncio.sleep(RETRY_INTERVAL_S)
+        except BaseException:
+            self._changed.put_nowait(pattern)
+            raise
 
     async def _write_lost(self) -> bool:
         """Correct the rows of a restored store; return whether it answered.
