--- a/packages/router/fulmarward_router/tests/test_daemon.py
+++ b/packages/router/fulmarward_router/tests/test_daemon.py
@@ -1,4 +1,5 @@
 import asyncio
+import gc
 import time
 import unittest
 from operator import attrgetter
@@ -189,3 +190,28 @@
         self.assertGreater(runs, 2)
         self.assertLess(runs, 20)
         self.assertEqual(failures["instances"].total, runs)
+
+    def test_errors_of_callbacks_and_forgotten_tasks_are_recorded(self):
+        """Guards against internal errors that no operator sees."""
+
+        async def fail():
+            raise KeyError
+
+        def fail_at_once():
+            raise ValueError
+
+        async def play(read_clock):
+            instance = make_instance(read_clock)
+            running = asyncio.create_task(instance.run())
+            await asyncio.sleep(1.0)
+            asyncio.get_running_loop().call_soon(fail_at_once)
+            forgotten = asyncio.create_task(fail())
+            await asyncio.sleep(1.0)
+            del forgotten
+            gc.collect()
+            instance._signals.stop.set()
+            await running
+            return instance.supervisor.failures
+
+        failures = run_simulated(play)
+        self.assertEqual(failures["callbacks"].total, 2)
