Test: hubs ask the same silent peer for each borrower's retries (fails)

A request that a hub relays to a silent instance is lost, and nothing tells the hub: the next request may go there too, while the borrower's stream waits. The test sees both of two requests at the same peer.

--- a/packages/router/fulmarward_router/mesh/tests/test_loans.py
+++ b/packages/router/fulmarward_router/mesh/tests/test_loans.py
@@ -21,17 +21,20 @@
     def setUp(self):
         self.lent = 0
         self.is_hub = True
-        self.sent, self.handled, self.denied = [], [], []
+        self.sent, self.handled, self.denied = [], [], set()
         self.exchange = LoanExchange(
             loans=SimpleNamespace(
                 lend=lambda request: _make_answer(
                     self.lent, is_relayed=request.is_relayed
                 ),
                 handle_answer=self.handled.append,
-                choose_lender=lambda service, lenders: min(lenders, default=None),
-                record_denied=lambda service, lender, is_relayed: self.denied.append(
+                choose_lender=lambda service, lenders: min(
+                    set(lenders) - self.denied, default=None
+                ),
+                record_denied=lambda service, lender, is_relayed: self.denied.add(
                     lender
                 ),
+                record_granted=lambda service, lender: self.denied.discard(lender),
             ),
             list_links=lambda: [
                 SimpleNamespace(connection=name, address=f"{name}:1")
@@ -67,14 +70,22 @@
         asked = [connection for connection, _ in self.sent]
         self.assertEqual(len(set(asked)), 2)
         self.assertNotIn("peer", asked)
-        self.assertEqual(self.denied, [f"{asked[0]}:1"])
         self.assertTrue(all(request.is_relayed for _, request in self.sent))
         answer = _make_answer(2, is_relayed=True)
         self.exchange.handle_answer(answer)
         self.assertEqual(self.sent[2:], [("peer", answer)])
+        self.assertEqual(self.denied, {f"{asked[0]}:1"})
         self.exchange.handle_answer(answer)
         self.assertEqual(len(self.sent), 3)
 
+    def test_hub_does_not_wait_for_a_silent_peer_twice(self):
+        """Guards against a silent instance that is asked for each borrower."""
+        for number in (1, 2):
+            request = replace(_REQUEST, number=number)
+            self.exchange.handle_request(request, "peer")
+        asked = [connection for connection, _ in self.sent]
+        self.assertEqual(len(set(asked)), 2)
+
     def test_hub_asks_few(self):
         """Guards against a request that goes to all instances."""
         self.exchange.handle_request(_REQUEST, "peer")
