Ask a silent instance for retries once, not for each borrower

A hub relays a request for retries to one instance after another, and learns nothing of one that is silent: the next request could go there too, and the borrower left that hub alone for a second, for most of the time that a begun stream waits. Read from the code.

Cause and class: a choice that remembers answers only, so that silence goes unseen. The hub now leaves an instance out from the moment it is asked until it grants something, for a second at most, and in large fleets a hub that did not answer is asked again after 0.25 s.

--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -272,6 +272,7 @@
             count_open=lambda service: self.engines.supervisor.count_open(service),
             may_lend=self._may_lend,
             list_listed=lambda: self.listing.list_peer_addresses(),
+            is_large=lambda: self.members.is_large,
             get_links=lambda: self.mesh,
             count_loans=self._count_loans,
         )
--- a/packages/router/fulmarward_router/mesh/_loans.py
+++ b/packages/router/fulmarward_router/mesh/_loans.py
@@ -28,6 +28,9 @@
     def record_denied(self, service: str, lender: str, *, is_relayed: bool) -> None:
         """Ignore a denial."""
 
+    def record_granted(self, service: str, lender: str) -> None:
+        """Ignore a grant."""
+
     def lend(self, request: RetryLoanRequest) -> RetryLoanAnswer:
         """Return a denial."""
         return _make_denial(request)
@@ -99,13 +102,16 @@
             and link.address
             and link.address not in relayed.asked
         }
-        lender = self._loans.choose_lender(relayed.request.service, connections)
+        service = relayed.request.service
+        lender = self._loans.choose_lender(service, connections)
         if lender is None or len(relayed.asked) == MAX_RELAYS:
             del self._relayed[key]
             denial = replace(_make_denial(relayed.request), is_relayed=True)
             self._send(relayed.connection, denial)
             return
         relayed.asked.append(lender)
+        # Until it answers, so that a silent one is not asked for each request.
+        self._loans.record_denied(service, lender, is_relayed=False)
         self._send(connections[lender], replace(relayed.request, is_relayed=True))
 
     def handle_answer(self, answer: RetryLoanAnswer) -> None:
@@ -114,12 +120,11 @@
         if key not in self._relayed:
             self._loans.handle_answer(answer)
         elif answer.count > 0:
-            self._send(self._relayed.pop(key).connection, answer)
+            relayed = self._relayed.pop(key)
+            service, lender = relayed.request.service, relayed.asked[-1]
+            self._loans.record_granted(service, lender)
+            self._send(relayed.connection, answer)
         else:
-            relayed = self._relayed[key]
-            self._loans.record_denied(
-                relayed.request.service, relayed.asked[-1], is_relayed=False
-            )
             self._relay(key)
 
 
--- a/packages/router/fulmarward_router/mesh/_state.py
+++ b/packages/router/fulmarward_router/mesh/_state.py
@@ -237,6 +237,9 @@
     def record_denied(self, service: str, lender: str, *, is_relayed: bool) -> None:
         """Record that a lender, or those that it asked, had no retry left."""
 
+    def record_granted(self, service: str, lender: str) -> None:
+        """Record that a lender had a retry."""
+
     def lend(self, request: RetryLoanRequest) -> RetryLoanAnswer:
         """Return the answer of this instance to a request for retries."""
 
--- a/packages/router/fulmarward_router/state/_retry_loans.py
+++ b/packages/router/fulmarward_router/state/_retry_loans.py
@@ -20,6 +20,9 @@
 DENIED_DURATION_S = 1.0
 RELAYED_DENIED_DURATION_S = 0.1
 
+#: The same for a hub that did not answer: it may wait for an instance that is silent.
+SILENT_HUB_DURATION_S = 0.25
+
 #: Upper bound on the requests whose answers may still arrive.
 _MAX_ASKED = 256
 
@@ -61,6 +64,7 @@
         count_open: Callable[[str], int],
         may_lend: Callable[[str], bool],
         list_listed: Callable[[], Collection[str]],
+        is_large: Callable[[], bool],
         get_links: Callable[[], LoanLinks],
         count_loans: Callable[[str, str, int], None],
     ) -> None:
@@ -77,6 +81,8 @@
         #: Returns the peer addresses of the instances that callers are sent to: these
         #: have most of each budget.
         self._list_listed = list_listed
+        #: Returns whether the fleet is so large that most peers are reached by hubs.
+        self._is_large = is_large
         self._get_links = get_links
         #: Counts retries by service and by what became of them.
         self._count_loans = count_loans
@@ -132,7 +138,9 @@
                 await answered
         except TimeoutError:
             self._log_denied(service, lender, cause="timeout")
-            self.record_denied(service, lender, is_relayed=False)
+            is_hub = self._is_large()
+            silent_s = SILENT_HUB_DURATION_S if is_hub else DENIED_DURATION_S
+            self._denied_until[service, lender] = self._read_clock() + silent_s
 
     def choose_lender(self, service: str, lenders: Collection[str]) -> str | None:
         """Return one of the lenders that may have a retry, `None` without any.
@@ -154,6 +162,10 @@
         until = self._read_clock() + duration_s
         self._denied_until[service, lender] = until
 
+    def record_granted(self, service: str, lender: str) -> None:
+        """Record that a lender had a retry."""
+        self._denied_until.pop((service, lender), None)
+
     def handle_answer(self, answer: RetryLoanAnswer) -> None:
         """Handle the answer to a request; what is late or not asked for is not used."""
         if (answer.borrower, answer.boot) != (self._own, self._boot):
--- a/packages/router/fulmarward_router/tests/_retry_loans.py
+++ b/packages/router/fulmarward_router/tests/_retry_loans.py
@@ -40,6 +40,7 @@
         count_open=lambda service: 0,
         may_lend=lambda service: True,
         list_listed=list_listed,
+        is_large=lambda: False,
         get_links=lambda: links,
         count_loans=lambda service, outcome, count: None,
     )
