Log and count targets that no configured service can use

An operator saw a target of another writer's service, or of an unknown kind, only as one that had started.

Cause: whether a target is used depends on the configuration too, which may come later than the row. Class: a decision without a log line.

target_misfit has the name and the reason, whenever it appears or changes; it is counted with the refused rows. The handler of target changes compares after each read, so that a configuration that comes after the rows, or changes, is followed too.

test_target_that_no_service_uses_is_visible failed before and passes.

--- a/packages/core/fulmarward_core/catalogue/_named.py
+++ b/packages/core/fulmarward_core/catalogue/_named.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Mapping
 
 from fulmarward_core.catalogue._catalogue import TargetCatalogue
-from fulmarward_core.fleet import ServiceSpec, TargetRecord, find_misfit
+from fulmarward_core.fleet import RowFault, ServiceSpec, TargetRecord, find_misfit
 
 
 class NamedTargets:
@@ -38,6 +38,17 @@
             if find_misfit(record, services) is None
         ]
 
+    def list_misfits(self, *, now: float) -> dict[str, RowFault]:
+        """Return why listed targets cannot be used; none without a configuration."""
+        services = self._get_services()
+        if services is None:
+            return {}
+        faults = {
+            record.name: find_misfit(record, services)
+            for record in self._catalogue.list_targets(now=now)
+        }
+        return {name: fault for name, fault in faults.items() if fault is not None}
+
     def find_target(self, name: str) -> TargetRecord | None:
         """Return the target of that name, of any service, or `None`."""
         return self._catalogue.find_target(name)
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -230,6 +230,7 @@
             notify_peers=self._notify_peers,
             record_process=lambda record: self.target_limits.record_process(record),
             forget_answers=self.evidence.forget,
+            list_misfits=lambda: self._named_targets.list_misfits(now=clock()),
             count_refused=lambda fault: self.metrics.refused_rows.inc(
                 {"reason": fault.value}
             ),
--- a/packages/router/fulmarward_router/state/_target_changes.py
+++ b/packages/router/fulmarward_router/state/_target_changes.py
@@ -19,8 +19,12 @@
         record_process: Callable[[TargetRecord], None],
         forget_answers: Callable[[str], None] = lambda target: None,
         count_refused: Callable[[RowFault], None] = lambda fault: None,
+        list_misfits: Callable[[], dict[str, RowFault]] = dict,
     ) -> None:
         self._count_refused = count_refused
+        #: Returns why listed targets cannot be used by the configured services.
+        self._list_misfits = list_misfits
+        self._misfits: dict[str, RowFault] = {}
         self._suspicions = suspicions
         #: Called with a target that has started, or is known again.
         self._record_process = record_process
@@ -47,6 +51,15 @@
                 self._handle_removal(row)
             else:
                 self._handle_record(row)
+        self._handle_misfits()
+
+    def _handle_misfits(self) -> None:
+        """Log which targets cannot be used, if that is new or for another reason."""
+        before, self._misfits = self._misfits, self._list_misfits()
+        for name, fault in self._misfits.items():
+            if before.get(name) is not fault:
+                self._count_refused(fault)
+                log_event("target_misfit", target=name, reason=fault.value)
 
     def _is_loss(self, row: KnownRow) -> bool:
         """Return whether a row means that a target gets no more requests."""
