Connect to refused IPv6 addresses without their brackets too

The extended test_ipv6_address_is_connected_to_without_its_brackets failed before ('[::1]' as the second host) and passes.

--- a/packages/router/fulmarward_router/exchange/_send.py
+++ b/packages/router/fulmarward_router/exchange/_send.py
@@ -226,7 +226,7 @@
     host, _, port = address.rpartition(":")
     try:
         async with asyncio.timeout(timeout_s):
-            _, writer = await asyncio.open_connection(host, int(port))
+            _, writer = await asyncio.open_connection(host.strip("[]"), int(port))
     except ConnectionRefusedError:
         return True
     except (OSError, TimeoutError):
