--- a/packages/router/fulmarward_router/state/_target_changes.py
+++ b/packages/router/fulmarward_router/state/_target_changes.py
@@ -24,10 +24,14 @@
         forget_answers: Callable[[str], None] = lambda target: None,
         count_refused: Callable[[RowFault], None] = lambda fault: None,
         record_failure: Callable[..., object] = log_failure,
+        list_misfits: Callable[[], dict[str, RowFault]] = dict,
     ) -> None:
         self._count_refused = count_refused
         #: Records an unforeseen error in a duty.
         self._record_failure = record_failure
+        #: Returns why listed targets cannot be used by the configured services.
+        self._list_misfits = list_misfits
+        self._misfits: dict[str, RowFault] = {}
         self._suspicions = suspicions
         #: Called with a target that has started, or is known again.
         self._record_process = record_process
@@ -51,6 +55,7 @@
             except Exception as error:
                 name = row.name[:MAX_LOGGED_NAME]
                 self._record_failure("targets", error, target=name)
+        self._handle_misfits()
 
     def _handle_change(self, row: KnownRow) -> None:
         if row.superseded_by is not None:
@@ -62,6 +67,14 @@
         else:
             self._handle_record(row)
 
+    def _handle_misfits(self) -> None:
+        """Log which targets cannot be used, if that is new or for another reason."""
+        before, self._misfits = self._misfits, self._list_misfits()
+        for name, fault in self._misfits.items():
+            if before.get(name) is not fault:
+                self._count_refused(fault)
+                log_event("target_misfit", target=name, reason=fault.value)
+
     def _is_loss(self, row: KnownRow) -> bool:
         """Return whether a row means that a target gets no more requests."""
         if row.fault is not None:
