Record the errors of callbacks and of tasks that nobody awaits

What operators saw: nothing in the log, as the loop writes such errors to standard error as text; no metric and no status had them.

Cause: the loop's own handler was in place. Class: an internal error that is not reported. They are recorded as failures of the duty callbacks, bounded like all others.

--- a/packages/router/fulmarward_router/_supervision.py
+++ b/packages/router/fulmarward_router/_supervision.py
@@ -39,8 +39,10 @@
 #: For all others.
 _PERIODIC = RestartTerms(first_pause_s=0.2, max_pause_s=5.0)
 
-#: The background tasks of an instance. Each starts anew: what it knows is kept by the
-#: objects that it works on, and those that follow a table begin with a full read.
+#: The background tasks of an instance, and what else has errors that nobody expects:
+#: `messages` of peers, and `callbacks` with tasks that nobody awaits. Each task starts
+#: anew: what it knows is kept by the objects that it works on, and those that follow a
+#: table begin with a full read.
 DUTIES: Mapping[str, DutyTerms] = {
     "configuration": DutyTerms(restart=_STORE),
     "targets": DutyTerms(restart=_STORE),
@@ -62,6 +64,7 @@
     "readiness": DutyTerms(restart=_PROMPT, is_finite=True),
     "settings": DutyTerms(restart=_PERIODIC),
     "metrics": DutyTerms(restart=_PERIODIC),
+    "callbacks": DutyTerms(restart=_PERIODIC),
 }
 
 
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -600,7 +600,9 @@
         """Serve until a stop is requested."""
         settings = self.settings
         log_event("instance_started", boot=self.own.boot, first=settings.is_first_start)
-        self.meter.install(asyncio.get_running_loop())
+        loop = asyncio.get_running_loop()
+        self.meter.install(loop)
+        loop.set_exception_handler(self._handle_loop_error)
         servers = await self._listen()
         peer_server = None
         if settings.peer_address:
@@ -770,6 +772,16 @@
         self.life.finish_stop()
         log_event("grace_period_ended", cut=self.caller_handler.open_requests.total())
 
+    def _handle_loop_error(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        """Record an error of a callback, or of a task that nobody awaits."""
+        error = context.get("exception")
+        if error is None:
+            loop.default_exception_handler(context)
+            return
+        self.supervisor.record_failure("callbacks", error, source=context["message"])
+
     def _start(
         self, duty: str, begin: Callable[[], Coroutine[Any, Any, None]]
     ) -> asyncio.Task:
