Test: a stream that runs again at one target may run at another

A stream that ran twice at its only target, and was silent there, was left alone while another target was listed: a repeated run counted as one at a further target in the decision to abort, and not after it.

--- a/packages/router/fulmarward_router/exchange/tests/test_kept_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_kept_streams.py
@@ -100,6 +100,21 @@
         self.assertNotEqual(self.calls[3].target, self.calls[2].target)
         await self.check_completes(attempt=4)
 
+    async def test_stream_that_runs_again_at_one_target_may_run_at_another(self):
+        """Guards against a repeated run that is taken for one at a further target."""
+        self.begin(targets=1)
+        for attempt in (1, 2):
+            await self.await_attempt(attempt)
+            await self.send(attempt, attempt=attempt)
+            if attempt == 1:
+                await self.lose(attempt, removed=False)
+        self.list_target("t2", "h:2", (0, 2))
+        self.dialect.silent = {"t1"}
+        self.suspicions.record_failure("t1", now=self.read_clock())
+        async with asyncio.timeout(1.0):
+            await self.await_attempt(3)
+        self.assertEqual(self.calls[2].target, "t2")
+
 
 class GoneTargetTest(_EndedStreamTest):
     async def test_stream_whose_silent_targets_are_removed_is_not_resumed_for_ever(
