Take no row for an instance whose start is in the future

What callers saw: nothing yet; a row with the name of an instance and a late start would make all others take its heartbeats for those of an earlier process, and leave it out.

Cause: the start of a process was any number. Class: decoded at the edge, judged nowhere. An instance whose own clock is far behind refuses all rows, and learns of the others by its seeds and by those who dial it.

--- a/packages/router/fulmarward_router/state/_instances.py
+++ b/packages/router/fulmarward_router/state/_instances.py
@@ -40,6 +40,7 @@
         self._own = own
         self._members = members
         self._read_clock = read_clock
+        self._started_at = read_clock()
         self._is_withdrawn = False
         #: Versions of the rows that describe no instance, by key.
         self._refused: dict[str, int] = {}
@@ -80,7 +81,9 @@
 
     def _decode(self, rows: Iterable[Row]) -> list[InstanceIdentity]:
         """Return the instances in rows; log each version that describes none once."""
-        decoded = [(row, _decode_instance(row)) for row in rows]
+        running_ms = (self._read_clock() - self._started_at) * 1000
+        now_ms = self._own.boot + running_ms
+        decoded = [(row, _decode_instance(row, now_ms=now_ms)) for row in rows]
         refused = {row.key: row.version for row, item in decoded if _is_fault(item)}
         for row, item in decoded:
             if _is_fault(item) and self._refused.get(row.key) != row.version:
@@ -131,13 +134,13 @@
     return cbor2.dumps(fields)
 
 
-def _decode_instance(row: Row) -> InstanceIdentity | str:
+def _decode_instance(row: Row, *, now_ms: float) -> InstanceIdentity | str:
     """Return the instance in a row, or why it describes none."""
     try:
         fields = cbor2.loads(row.value)
     except Exception as error:
         return repr(error)
-    fault = find_fault(row.key, fields)
+    fault = find_fault(row.key, fields, now_ms=now_ms)
     if fault is not None:
         return fault.value
     name, boot, data_centre, peer_address, caller_address = fields
