Say whether a withheld resumption lacked a run or a retry

'no retry' named the budget, its early part, the route and the deadline alike, so that a trace could not tell them apart (found by the review).

--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -6,7 +6,7 @@
 from functools import partial
 
 from fulmarward.observability import log_event
-from fulmarward_core.attempts import must_reuse_targets
+from fulmarward_core.attempts import may_retry, must_reuse_targets
 from fulmarward_core.paths import Hop, count_tokens_held
 from fulmarward_core.stalls import (
     MIN_JOINT_STALL_S,
@@ -522,12 +522,15 @@
         lost = frozenset(hop.target for hop in lost_hops)
         if not state.has_begun:
             raise self._make_failure(cause, lost, has_retry=False)
+        now, lost_state = self._read_clock(), find_lost_state(attempt)
+        if not may_retry(self._context.make_tally(lost_state), now=now):
+            self._log_withheld(attempt, cause, "no run")
+            return
         is_gone = attempt.record is not None and self._context.has_process_ended(
             attempt.record
         )
-        is_last = is_gone or self._read_clock() >= compute_resume_end(state)
+        is_last = is_gone or now >= compute_resume_end(state)
         has_path = self._has_other_path(attempt, lost)
-        lost_state = find_lost_state(attempt)
         if has_path and self._context.take_retry_early(
             state, lost_state=lost_state, is_last=is_last
         ):
