--- a/packages/router/fulmarward_router/placement/tests/test_lease.py
+++ b/packages/router/fulmarward_router/placement/tests/test_lease.py
@@ -16,7 +16,9 @@
 ODD_VALUES = [
     b"",
     b"\xff",
+    b"5",
     b"[" * 2000,
+    b"[" * 1000 + b"]" * 1000,
     b"[1, 2, 3, 4]",
     orjson.dumps(FIELDS | {"more": 1}),
     *(
@@ -25,7 +27,11 @@
             ("holder", 5),
             ("holder", []),
             ("holder", "o\r\n"),
+            ("holder", None),
             ("boot", "1"),
+            ("boot", None),
+            ("boot", True),
+            ("boot", -1),
             ("boot", {}),
             ("fencing", None),
             ("fencing", True),
@@ -34,6 +40,8 @@
             ("fencing", 2**64 - 1),
             ("fencing", -1),
             ("token", []),
+            ("token", None),
+            ("token", 1),
         ]
     ),
 ]
