--- a/packages/router/fulmarward_router/mesh/_links.py
+++ b/packages/router/fulmarward_router/mesh/_links.py
@@ -543,7 +543,11 @@
         async for data in receiver.connection:
             self._count_bytes("in", len(data))
             try:
-                await self._handle_data(receiver, data)
+                message = self._decode(data)
+                self._count_message(type(message).__name__)
+                await self._handle_message(receiver, message)
+            except InvalidMessageError as error:
+                log_event("peer_message_refused", cause=str(error))
             except (OSError, TimeoutError, WebSocketException):
                 # The link has failed, not the message.
                 raise
@@ -551,15 +555,6 @@
                 peer = str(receiver.connection.remote_address)
                 self._record_failure("messages", error, peer=peer)
 
-    async def _handle_data(self, receiver: _LinkReceiver, data: bytes) -> None:
-        try:
-            message = self._decode(data)
-        except InvalidMessageError as error:
-            log_event("peer_message_refused", cause=str(error))
-            return
-        self._count_message(type(message).__name__)
-        await self._handle_message(receiver, message)
-
     async def _handle_message(self, receiver: _LinkReceiver, message: object) -> None:
         handle = self._handlers.get(type(message))
         if handle is not None:
