Count only usable targets as holders of layers in the status

The status of an instance said that a model has holders for all layers although a target of a kind that the configuration does not name was the only one; its streams were rejected.

Cause: the status had its own idea of a holder. It asks find_engine_misfit now, as paths and placement do. Seen by test_odd_rows_harm_nothing_but_themselves, which waits for the whole model by the status: 503 among the answers before, none with this.

--- a/packages/router/fulmarward_router/_status.py
+++ b/packages/router/fulmarward_router/_status.py
@@ -4,7 +4,12 @@
 from typing import Any, Protocol
 
 from fulmarward_core.catalogue import TargetCatalogue
-from fulmarward_core.fleet import MAX_TEXT_BYTES, TargetRecord, find_misfit
+from fulmarward_core.fleet import (
+    MAX_TEXT_BYTES,
+    TargetRecord,
+    find_engine_misfit,
+    find_misfit,
+)
 from fulmarward_core.isolation import ContactTable
 from fulmarward_core.layers import count_holders, find_gaps, group_by_data_centre
 from fulmarward_core.suspicion import SuspicionTable
@@ -182,7 +187,9 @@
         holders = [
             record
             for record in instance.catalogue.list_targets(now=now)
-            if record.service == spec.name and record.layers is not None
+            if record.service == spec.name
+            and record.layers is not None
+            and find_engine_misfit(record, spec.engine) is None
         ]
         layers = spec.engine.layers
         ranges = [record.layers for record in holders]
