Let only targets that can be used take the address of another

A row of a named service, but of a kind that is not named or with layers beyond the model, took the address of the target that it names until that wrote its row again.

Cause: only the service of a row was compared with the configuration. The catalogue asks for the whole record now.

--- a/packages/core/fulmarward_core/catalogue/_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/_catalogue.py
@@ -66,10 +66,10 @@
     """The rows of all targets, and when they were last confirmed."""
 
     def __init__(
-        self, *, is_used_service: Callable[[str], bool] = lambda service: True
+        self, *, may_be_used: Callable[[TargetRecord], bool] = lambda record: True
     ) -> None:
-        #: Returns whether the targets of a service may take the addresses of others.
-        self._is_used_service = is_used_service
+        #: Returns whether a target may take the address of another one.
+        self._may_be_used = may_be_used
         self._rows: dict[str, KnownRow] = {}
         #: Version at which the content of each row last changed.
         self._changed_versions: dict[str, int] = {}
@@ -458,7 +458,7 @@
         return True
 
     def _apply_address(self, row: KnownRow) -> None:
-        is_used = row.record is not None and self._is_used_service(row.record.service)
+        is_used = row.record is not None and self._may_be_used(row.record)
         self._addresses.apply(
             row.name, row.record if is_used else None, version=row.version
         )
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -17,7 +17,7 @@
 from fulmarward_core.catalogue import NamedTargets, TargetCatalogue
 from fulmarward_core.demand import DemandTable
 from fulmarward_core.evidence import EvidenceTable
-from fulmarward_core.fleet import ServiceSpec
+from fulmarward_core.fleet import ServiceSpec, TargetRecord, find_misfit
 from fulmarward_core.isolation import ContactTable
 from fulmarward_core.loads import LoadLedger
 from fulmarward_core.paces import PaceTable
@@ -222,7 +222,7 @@
             caller_address=settings.caller_address,
         )
         self.members = MemberTable(own=self.own)
-        self.catalogue = TargetCatalogue(is_used_service=self._is_used_service)
+        self.catalogue = TargetCatalogue(may_be_used=self._may_be_used)
         self._named_targets = NamedTargets(
             catalogue=self.catalogue, get_services=self._get_services
         )
@@ -510,10 +510,10 @@
         current = self.configuration.current
         return None if current is None else current.services
 
-    def _is_used_service(self, service: str) -> bool:
-        """Return whether the configuration names a service, true without one."""
+    def _may_be_used(self, record: TargetRecord) -> bool:
+        """Return whether the services can use a target, true without any."""
         services = self._get_services()
-        return services is None or service in services
+        return services is None or find_misfit(record, services) is None
 
     def _make_pace_monitor(self) -> PaceMonitor:
         return PaceMonitor(
--- a/packages/router/fulmarward_router/tests/test_unnamed_services.py
+++ b/packages/router/fulmarward_router/tests/test_unnamed_services.py
@@ -33,7 +33,7 @@
         pool = ServiceSpec(name="pool", engine=ENGINE)
         self.services, self.now = {"pool": pool}, 0.0
         self.catalogue = TargetCatalogue(
-            is_used_service=lambda service: service in self.services
+            may_be_used=lambda record: record.service in self.services
         )
         self.dialect = _Dialect()
         self.parts = {
