--- a/packages/core/fulmarward_core/fleet/decisions.py
+++ b/packages/core/fulmarward_core/fleet/decisions.py
@@ -7,8 +7,8 @@
 import re
 from collections.abc import Callable, Mapping
 from enum import Enum
-from ipaddress import IPv4Address, IPv6Address
 
+from fulmarward_core.addresses import is_address
 from fulmarward_core.fleet._types import (
     EngineModel,
     LayerRange,
@@ -28,14 +28,6 @@
 #: Upper bound on other integers: the largest one that any JSON writer stores exactly.
 MAX_INTEGER = 2**53
 
-#: Highest port of an address.
-MAX_PORT = 65535
-
-#: An IPv4 address, or an IPv6 address in brackets, and a port in decimal notation.
-_ADDRESS = re.compile(
-    r"(?:(?P<ipv4>[0-9.]+)|\[(?P<ipv6>[0-9a-fA-F:.]+)\]):(?P<port>[1-9][0-9]{0,4})"
-)
-
 #: Printable ASCII without spaces at its ends, as a header may hold it.
 _NAME = re.compile(r"[!-~](?:[ -~]*[!-~])?")
 
@@ -126,17 +118,6 @@
     return value is None or value == "" or _is_text(value)
 
 
-def _is_address(value: object) -> bool:
-    match = _ADDRESS.fullmatch(value) if _is_text(value) else None
-    if match is None or int(match["port"]) > MAX_PORT:
-        return False
-    try:
-        IPv6Address(match["ipv6"]) if match["ipv6"] else IPv4Address(match["ipv4"])
-    except ValueError:
-        return False
-    return True
-
-
 def _is_bool(value: object) -> bool:
     return type(value) is bool
 
@@ -167,7 +148,7 @@
 #: The fault of an invalid value and the check of a valid one, by field.
 _CHECKS: Mapping[str, tuple[RowFault, Callable[[object], bool]]] = {
     "service": (RowFault.SERVICE, _is_text),
-    "address": (RowFault.ADDRESS, _is_address),
+    "address": (RowFault.ADDRESS, is_address),
     "data_centre": (RowFault.DATA_CENTRE, _is_text),
     "software": (RowFault.SOFTWARE, _is_text),
     "slots": (RowFault.SLOTS, _is_slots),
