--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -573,13 +573,7 @@
             most_attempts=tally.most_attempts,
         )
 
-    def _has_other_path(
-        self,
-        attempt: Attempt,
-        lost: frozenset[str],
-        *,
-        may_cross: bool = True,
-    ) -> bool:
+    def _has_other_path(self, attempt: Attempt, lost: frozenset[str]) -> bool:
         """Return whether a stream can be resumed without the targets that are lost."""
         state = attempt.state
         lost_state = find_lost_state(attempt)
@@ -590,8 +584,9 @@
         first = attempt.first.target
         avoided = attempt.wanted.avoided | (lost or {first})
         # A path that crosses is refused while the link between data centres is full.
-        may_cross = may_cross and not self._pipe.is_full()
-        wanted = replace(attempt.wanted, avoided=avoided, may_cross=may_cross)
+        wanted = replace(
+            attempt.wanted, avoided=avoided, may_cross=not self._pipe.is_full()
+        )
         if is_bound:
             reusable = lost_state.list_reusable_targets()
             wanted = replace(wanted, avoided=avoided - reusable, first_targets=reusable)
@@ -627,7 +622,6 @@
         if (
             is_required
             and self._pipe.count_crossings(path, attempt.path)
-            and self._has_other_path(attempt, avoided, may_cross=False)
             and self._context.take_retry_early(state, lost_state=lost_state)
         ):
             # The activations of the whole prompt would cross data centres, one after
