--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -224,8 +224,8 @@
         """Consume a retry for a running attempt before aborting it.
 
         One that `is_last`, as its caller is about to leave, may be any that is free. An
-        answer that has begun is judged by its `lost_state`, as it
-        would be if that attempt were lost.
+        answer that has begun is judged by its `lost_state`, as it would be if that
+        attempt were lost.
 
         Returns whether there was one. Guards against several streams that rely on the
         same last retry: all would be aborted, and all but one truncated. Streams that
