Log why a request needs no key, and which parts a version has

A request that ran without a team could not be told apart from one on a public route, nor a version with an empty list of teams from one without a list.

request_ended has key_waiver (public_route, no_teams or null), configuration_adopted has services, teams (null without a list) and keys. The decision is a function of its own, find_key_waiver; what it decides is what _parse_request decided.

Three tests used a stand-in of the configuration each; two share one now, which has the fields that are counted. KeyWaiverTest fails if an empty list waives the key.

--- a/packages/core/fulmarward_core/routes/__init__.py
+++ b/packages/core/fulmarward_core/routes/__init__.py
@@ -3,6 +3,7 @@
 from fulmarward_core.routes._types import (
     ROUTES_PER_STEP,
     CallerLimits,
+    KeyWaiver,
     Route,
     RouteKind,
     RouteTables,
@@ -14,6 +15,7 @@
 from fulmarward_core.routes.decisions import (
     choose_service,
     find_class_urgency,
+    find_key_waiver,
     find_route,
     find_team,
     find_urgency,
@@ -24,6 +26,7 @@
 __all__ = [
     "ROUTES_PER_STEP",
     "CallerLimits",
+    "KeyWaiver",
     "Route",
     "RouteKind",
     "RouteTables",
@@ -35,6 +38,7 @@
     "find_route",
     "find_team",
     "find_class_urgency",
+    "find_key_waiver",
     "find_urgency",
     "list_class_services",
     "list_urgencies",
--- a/packages/core/fulmarward_core/routes/_types.py
+++ b/packages/core/fulmarward_core/routes/_types.py
@@ -24,6 +24,14 @@
     STREAM = "stream"
 
 
+class KeyWaiver(Enum):
+    """Why a request needs no team key."""
+
+    PUBLIC_ROUTE = "public_route"
+    #: The configuration has no list of teams; with an empty one, no key is valid.
+    NO_TEAMS = "no_teams"
+
+
 @dataclass(frozen=True, kw_only=True)
 class ServiceShare:
     """A service with its share of a route's traffic."""
--- a/packages/core/fulmarward_core/routes/decisions.py
+++ b/packages/core/fulmarward_core/routes/decisions.py
@@ -3,6 +3,7 @@
 import xxhash
 
 from fulmarward_core.routes._types import (
+    KeyWaiver,
     Route,
     RoutingConfiguration,
     Team,
@@ -23,6 +24,15 @@
     return None if index is None else index.find(path)
 
 
+def find_key_waiver(
+    configuration: RoutingConfiguration, route: Route
+) -> KeyWaiver | None:
+    """Return why requests on a route need no team key, `None` if they need one."""
+    if route.is_public:
+        return KeyWaiver.PUBLIC_ROUTE
+    return None if configuration.requires_team_key else KeyWaiver.NO_TEAMS
+
+
 def find_team(configuration: RoutingConfiguration, key: str | None) -> Team | None:
     """Return the team that owns `key`, or `None`."""
     return None if key is None else configuration.teams_by_key.get(key)
--- a/packages/core/fulmarward_core/routes/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/routes/tests/test_decisions.py
@@ -6,6 +6,7 @@
 from fulmarward_core.codec.tests.calls import count_calls
 from fulmarward_core.routes import (
     CallerLimits,
+    KeyWaiver,
     Route,
     RouteKind,
     RoutingConfiguration,
@@ -13,6 +14,7 @@
     Team,
     choose_service,
     find_class_urgency,
+    find_key_waiver,
     find_route,
     find_team,
     find_urgency,
@@ -66,6 +68,24 @@
     return replace(_CONFIGURATION, routes={"h.example": tuple(routes)})
 
 
+class KeyWaiverTest(unittest.TestCase):
+    def test_only_public_routes_and_configurations_without_teams_need_no_key(self):
+        """Guards against a last team that takes the requirement of a key with it."""
+        without_list = replace(_CONFIGURATION, teams_by_key={}, requires_team_key=False)
+        empty_list = replace(without_list, requires_team_key=True)
+        cases = [
+            # configuration, is the route public, waiver
+            (_CONFIGURATION, False, None),
+            (empty_list, False, None),
+            (without_list, False, KeyWaiver.NO_TEAMS),
+            *((c, True, KeyWaiver.PUBLIC_ROUTE) for c in (_CONFIGURATION, empty_list)),
+        ]
+        for configuration, is_public, expected in cases:
+            with self.subTest(expected=expected, is_public=is_public):
+                route = make_route("/a/", is_public=is_public)
+                self.assertIs(find_key_waiver(configuration, route), expected)
+
+
 class RoutesTest(unittest.TestCase):
     def test_many_routes_do_not_slow_each_request(self):
         """Guards against requests that compare their path with thousands of routes."""
--- a/packages/router/fulmarward_router/exchange/_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/_caller_handler.py
@@ -15,6 +15,7 @@
     RoutingConfiguration,
     choose_service,
     find_class_urgency,
+    find_key_waiver,
     find_route,
     find_team,
     find_urgency,
@@ -317,7 +318,8 @@
         if route is None:
             raise self._make_denial(ResultCode.PATH_UNKNOWN, "no route", arrived_at)
         team = None
-        if configuration.requires_team_key and not route.is_public:
+        key_waiver = find_key_waiver(configuration, route)
+        if key_waiver is None:
             team = find_team(configuration, facts.key)
             if team is None:
                 raise self._make_denial(
@@ -340,6 +342,7 @@
             configuration=configuration,
             route=route,
             team=team,
+            key_waiver=key_waiver,
             service=service,
             urgency=find_urgency(route, team),
             class_urgency=find_class_urgency(route, team),
@@ -490,6 +493,7 @@
             route=state.route.name,
             service=state.service,
             team=None if state.team is None else state.team.name,
+            key_waiver=None if state.key_waiver is None else state.key_waiver.value,
             configuration=state.configuration.version,
             attempts=state.attempts,
             repaths=state.repaths,
--- a/packages/router/fulmarward_router/exchange/_request_state.py
+++ b/packages/router/fulmarward_router/exchange/_request_state.py
@@ -11,7 +11,7 @@
 from fulmarward_core.fleet import TargetRecord
 from fulmarward_core.poison import compute_fingerprint, compute_head_fingerprint
 from fulmarward_core.results import ResultCode
-from fulmarward_core.routes import Route, RoutingConfiguration, Team
+from fulmarward_core.routes import KeyWaiver, Route, RoutingConfiguration, Team
 from fulmarward_router.ports import CallerFacts
 
 #: Runs of a request, without an answer or at targets that ended, that the limit of its
@@ -77,6 +77,8 @@
     #: Seconds on the monotonic clock.
     arrived_at: float
     deadline: float
+    #: Why it needs no team key, `None` if it needs one.
+    key_waiver: KeyWaiver | None = None
     #: Whether it has asked for a path before, for an earlier attempt or in place of a
     #: path that was unreachable.
     has_sought_path: bool = False
--- a/packages/router/fulmarward_router/state/_configuration.py
+++ b/packages/router/fulmarward_router/state/_configuration.py
@@ -178,6 +178,9 @@
             source=source,
             size=len(row.value or b""),
             routes=prepared.routes,
+            services=len(configuration.services),
+            teams=_count_teams(configuration),
+            keys=len(configuration.teams_by_key),
             prepared_s=round(self._read_clock() - preparation.began_at, 4),
             longest_step_s=round(preparation.longest_step_s, 4),
         )
@@ -192,6 +195,13 @@
         )
 
 
+def _count_teams(configuration: RoutingConfiguration) -> int | None:
+    """Return the number of teams that have a key, `None` without a list of teams."""
+    if not configuration.requires_team_key:
+        return None
+    return len({team.name for team in configuration.teams_by_key.values()})
+
+
 @dataclass(frozen=True, kw_only=True)
 class _Prepared:
     """A configuration that can be put into force."""
--- a/packages/router/fulmarward_router/tests/test_configuration_spread.py
+++ b/packages/router/fulmarward_router/tests/test_configuration_spread.py
@@ -16,7 +16,7 @@
 )
 from fulmarward_router.ports import Row
 from fulmarward_router.tests._coroutines import run_at_once
-from fulmarward_router.tests.test_instance_state import Peer
+from fulmarward_router.tests.test_instance_state import Peer, _Configuration
 
 #: Bandwidth of a small instance's link in bytes per second: 20 Mbit/s.
 _LINK_BYTES_PER_S = 2_500_000
@@ -42,12 +42,6 @@
 _MAX_SPREAD_S = 3.0
 
 
-class _Configuration:
-    def __init__(self, version):
-        self.version = version
-        self.routes = {}
-
-
 def _decode(row):
     yield
     return _Configuration(json.loads(row.value)["version"])
--- a/packages/router/fulmarward_router/tests/test_instance_state.py
+++ b/packages/router/fulmarward_router/tests/test_instance_state.py
@@ -33,7 +33,8 @@
 class _Configuration:
     def __init__(self, version):
         self.version = version
-        self.routes = {}
+        self.routes = self.services = self.teams_by_key = {}
+        self.requires_team_key = False
 
 
 def _decode(row):
