Reject a request without time left at once

Cause: the deadline was judged by its truth, so that 0 counted as no header. Its presence decides now.

Evidence: DeadlineTest fails with the handler as it was, for 0 and for -1; the module passes now.

--- a/packages/router/fulmarward_router/exchange/_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/_caller_handler.py
@@ -37,7 +37,7 @@
     TruncatedResponse,
 )
 from fulmarward_router.exchange._stop_gate import StopGate
-from fulmarward_router.ports import TargetDialect
+from fulmarward_router.ports import CallerFacts, TargetDialect
 from fulmarward_router.state import ConfigurationHolder, Denial
 
 #: Seconds that a request without a deadline may take.
@@ -325,7 +325,7 @@
                 raise self._make_denial(
                     ResultCode.TEAM_KEY_WRONG, "no team", arrived_at
                 )
-        deadline_s = facts.deadline_s if facts.deadline_s else DEFAULT_TIMEOUT_S
+        deadline_s = _find_deadline_s(facts)
         deadline = arrived_at + min(deadline_s, route.timeout_s)
         service = choose_service(route, facts.request_id)
         self._stop_gate.check(
@@ -510,6 +510,17 @@
         )
 
 
+def _find_deadline_s(facts: CallerFacts) -> float:
+    """Return the seconds that a request may take; raises `RejectedRequest`."""
+    if facts.deadline_s is None:
+        return DEFAULT_TIMEOUT_S
+    if facts.deadline_s <= 0:
+        raise RejectedRequest(
+            ResultCode.DEADLINE_TOO_NEAR, cause="the caller has no time left"
+        )
+    return facts.deadline_s
+
+
 def _record_cut(state: RequestState, truncated: TruncatedResponse) -> str:
     """Record why a started response is cut; return the outcome for the log."""
     state.cut_cause = truncated.cause
--- a/packages/router/fulmarward_router/exchange/tests/test_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_caller_handler.py
@@ -7,7 +7,9 @@
 from aiohttp import web
 from aiohttp.test_utils import RawTestServer
 
+from fulmarward_core.fleet import ServiceSpec
 from fulmarward_core.routes import CallerLimits, RoutingConfiguration
+from fulmarward_core.routes.tests.test_decisions import make_route
 from fulmarward_router.exchange import CallerHandler, _caller_handler
 from fulmarward_router.ports import CallerFacts, Row
 from fulmarward_router.state import ConfigurationHolder
@@ -22,10 +24,13 @@
 
 
 class _Dialect:
+    def __init__(self, *, deadline_s=1.0):
+        self._deadline_s = deadline_s
+
     def read_caller(self, headers):
         return CallerFacts(
             request_id="a",
-            deadline_s=1.0,
+            deadline_s=self._deadline_s,
             key=None,
             last_event=None,
             prompt_tokens=0,
@@ -93,6 +98,59 @@
                 self.assertEqual(found, status)
 
 
+class DeadlineTest(unittest.IsolatedAsyncioTestCase):
+    async def request(self, deadline_s):
+        """Return the status of a request, and how many seconds a target gets for it."""
+        found = []
+
+        async def serve(state):
+            found.append(state.deadline - state.arrived_at)
+            return web.Response()
+
+        route = make_route("/a/", timeout_s=90.0, is_public=True)
+        configuration = RoutingConfiguration(
+            version=1,
+            routes={"127.0.0.1": (route,)},
+            services={"one": ServiceSpec(name="one", engine=None)},
+            limits=CallerLimits(
+                header_bytes=9999, body_bytes=9999, header_s=1.0, idle_s=9.0
+            ),
+        )
+        handler = CallerHandler(
+            dialect=_Dialect(deadline_s=deadline_s),
+            configuration=SimpleNamespace(
+                current=configuration,
+                version=1,
+                reported_version=1,
+                confirmed_at=time.monotonic(),
+                find_outdated_s=lambda now: 0.0,
+            ),
+            engines=SimpleNamespace(),
+            plain=SimpleNamespace(serve=serve),
+            find_budget=lambda service: mock.Mock(),
+            read_clock=time.monotonic,
+            is_stopping=lambda: False,
+            observe=lambda state, outcome, took_s: None,
+        )
+        async with RawTestServer(handler.handle) as server:
+            async with aiohttp.ClientSession() as session:
+                async with session.get(server.make_url("/a/x")) as answer:
+                    return answer.status, found
+
+    async def test_request_without_time_left_is_rejected_at_once(self):
+        """Guards against a deadline of 0 that counts as none."""
+        for deadline_s, expected in [
+            (0.0, (503, [])),
+            (-1.0, (503, [])),
+            (0.25, (200, [0.25])),
+            (None, (200, [_caller_handler.DEFAULT_TIMEOUT_S])),
+        ]:
+            with self.subTest(deadline_s=deadline_s):
+                status, found = await self.request(deadline_s)
+                rounded = [round(seconds, 6) for seconds in found]
+                self.assertEqual((status, rounded), expected)
+
+
 class UnknownRouteTest(unittest.IsolatedAsyncioTestCase):
     async def request_status(self, configuration):
         """Return the status of a request for an unknown route."""
