Read reports of engines by the kinds of their fields

An engine whose report said leaving: 'false' was drained, one with loading: 'false' counted as loading, and layers or adapters written as a text were read letter by letter ('04' gave the layers '0' to '4', 'ab' the adapters a and b).

Cause: as in the configuration, truth and iteration decided where the kind should. Reports, what an engine holds and events of its cache are decoded into typed structures; one that does not fit is a broken reply, as malformed JSON is, so that what was known before stays.

--- a/packages/instance/fulmarward/targets/_engine.py
+++ b/packages/instance/fulmarward/targets/_engine.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 import aiohttp
+import msgspec
 import orjson
 
 from fulmarward_core.requests import StreamEvent, parse_events
@@ -28,7 +29,14 @@
 SHORT_CALL_S = 2.0
 
 #: Raised by a call whose response is missing, incomplete or malformed.
-CALL_ERRORS = (aiohttp.ClientError, TimeoutError, ValueError, KeyError, TypeError)
+CALL_ERRORS = (
+    aiohttp.ClientError,
+    TimeoutError,
+    ValueError,
+    KeyError,
+    TypeError,
+    msgspec.MsgspecError,
+)
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/instance/fulmarward/targets/_reports.py
+++ b/packages/instance/fulmarward/targets/_reports.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 import aiohttp
-import orjson
+import msgspec
 
 from fulmarward.targets._engine import CALL_ERRORS, SHORT_CALL_S, StreamBroken
 from fulmarward_core.placement import DesiredState, ReportedState
@@ -27,19 +27,53 @@
     size: int
 
 
-def parse_held(body: dict) -> ReportedState:
-    """Parse what an engine holds; raises `KeyError` or `ValueError`."""
-    first, end = body["layers"]
+class _HeldDocument(msgspec.Struct, frozen=True, kw_only=True):
+    """What an engine reports to hold."""
+
+    model: str
+    version: str
+    layers: tuple[int, int]
+    adapters: tuple[str, ...]
+    role: str
+    fencing: int
+    loading: bool
+
+
+class _LoadDocument(msgspec.Struct, frozen=True, kw_only=True):
+    """An engine's load report."""
+
+    running: int
+    waiting: int
+    leaving: bool
+    held: _HeldDocument
+
+
+class _EventDocument(msgspec.Struct, frozen=True, kw_only=True):
+    """An event of an engine's prefix cache."""
+
+    sequence: int
+    event: str
+    prefix: str
+
+
+class _EventsDocument(msgspec.Struct, frozen=True, kw_only=True):
+    events: tuple[_EventDocument, ...]
+
+
+def parse_held(body: object) -> ReportedState:
+    """Parse what an engine holds; raises `msgspec.ValidationError`."""
+    return _make_state(msgspec.convert(body, _HeldDocument))
+
+
+def _make_state(held: _HeldDocument) -> ReportedState:
     state = DesiredState(
-        model=body["model"],
-        version=body["version"],
-        layers=(first, end),
-        adapters=tuple(sorted(body["adapters"])),
-        role=body["role"],
-    )
-    return ReportedState(
-        state=state, fencing=body["fencing"], is_loading=bool(body["loading"])
+        model=held.model,
+        version=held.version,
+        layers=held.layers,
+        adapters=tuple(sorted(held.adapters)),
+        role=held.role,
     )
+    return ReportedState(state=state, fencing=held.fencing, is_loading=held.loading)
 
 
 def measure_answer(answer: aiohttp.ClientResponse, body: bytes) -> int:
@@ -60,14 +94,13 @@
             skip_auto_headers=_OMITTED_HEADERS,
         ) as answer:
             text = await answer.read()
-        body = orjson.loads(text)
-        load = LoadReport(
-            running=body["running"], waiting=body["waiting"], received_at=now
-        )
+        report = msgspec.json.decode(text, type=_LoadDocument)
         return EngineReport(
-            load=load,
-            is_leaving=bool(body["leaving"]),
-            held=parse_held(body["held"]),
+            load=LoadReport(
+                running=report.running, waiting=report.waiting, received_at=now
+            ),
+            is_leaving=report.leaving,
+            held=_make_state(report.held),
             size=measure_answer(answer, text),
         )
     except CALL_ERRORS as error:
@@ -99,8 +132,8 @@
         ) as answer:
             text = await answer.read()
         events = tuple(
-            (int(item["sequence"]), item["event"] == "stored", str(item["prefix"]))
-            for item in orjson.loads(text)["events"]
+            (item.sequence, item.event == "stored", item.prefix)
+            for item in msgspec.json.decode(text, type=_EventsDocument).events
         )
         return CacheEvents(events=events, size=measure_answer(answer, text))
     except CALL_ERRORS as error:
