Show a refused version in the status and the metrics

Operators saw a refused version in the log of each instance only. /status and fulmarctl beliefs have its store version, its source and the path of the malformed field until a later version is adopted; fulmarward_configuration_refused is 1 for as long.

--- a/packages/client/fulmarctl/_commands.py
+++ b/packages/client/fulmarctl/_commands.py
@@ -80,9 +80,10 @@
         """Show the state of the fleet as the routing instance at ADDRESS knows it.
 
         ADDRESS is its metrics address, `IP:PORT`. The state has the configuration's
-        version and age, the targets with the layers that they hold, the layers that
-        no target holds, the lease holder, the demand of services with classes, and
-        since when the store is unreachable. Needs no settings file.
+        version and age, why a later one was refused, the targets with the layers that
+        they hold, the layers that no target holds, the lease holder, the demand of
+        services with classes, and since when the store is unreachable. Needs no
+        settings file.
         """
         fleet = Fleet(addresses=(address,), token="")
         reply = _call(fleet, "/status")
--- a/packages/router/fulmarward_router/_metrics.py
+++ b/packages/router/fulmarward_router/_metrics.py
@@ -70,8 +70,10 @@
     activity_time: Counter
     #: CPU time of the whole process, in seconds.
     process_time: Counter
-    #: Configuration in force, targets known, log lines dropped.
+    #: Configuration in force, whether a later row was refused, targets known, log lines
+    #: dropped.
     configuration: Gauge
+    configuration_refused: Gauge
     targets: Gauge
     dropped_lines: Gauge
     #: The store's era, and how often it has risen since the start.
@@ -173,6 +175,9 @@
         ),
         process_time=factory.count("process_seconds_total", "Processor time used."),
         configuration=factory.gauge("configuration_version", "Configuration in force."),
+        configuration_refused=factory.gauge(
+            "configuration_refused", "Whether a later configuration was refused."
+        ),
         targets=factory.gauge("targets", "Targets known."),
         dropped_lines=factory.gauge(
             "log_lines_dropped", "Log lines dropped since the start."
@@ -278,6 +283,7 @@
     targets: int,
     store_era: int | None,
     store_restores: int,
+    is_configuration_refused: bool,
     contacts: ContactTable,
     excluded_targets: Mapping[str, int],
     poison_findings: Sequence[PoisonFinding],
@@ -297,6 +303,7 @@
         metrics.activity_time.set({"activity": activity}, seconds)
     metrics.process_time.set({}, time.process_time())
     metrics.configuration.set({}, version)
+    metrics.configuration_refused.set({}, int(is_configuration_refused))
     metrics.targets.set({}, targets)
     if store_era is not None:
         metrics.store_era.set({}, store_era)
--- a/packages/router/fulmarward_router/_status.py
+++ b/packages/router/fulmarward_router/_status.py
@@ -1,6 +1,7 @@
 """The status of an instance: its current view of the system, for operators."""
 
 from collections.abc import Sequence
+from dataclasses import asdict
 from typing import Any, Protocol
 
 from fulmarward_core.catalogue import TargetCatalogue
@@ -44,6 +45,7 @@
     """Return the status of an instance, with ages in seconds."""
     catalogue = instance.catalogue
     unreachable_since = instance.watch.unreachable_since
+    refusal = instance.configuration.refusal
     return {
         "instance": instance.own.name,
         "state": instance.life.state,
@@ -60,6 +62,7 @@
         "configuration": {
             "version": instance.configuration.version,
             "confirmed_s_ago": _count_age(instance.configuration.confirmed_at, now),
+            "refused": None if refusal is None else asdict(refusal),
         },
         "store": {
             "is_reachable": unreachable_since is None,
--- a/packages/router/fulmarward_router/state/_configuration.py
+++ b/packages/router/fulmarward_router/state/_configuration.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 
 from fulmarward.observability import log_event
 from fulmarward_core.routes import RoutingConfiguration
@@ -13,6 +13,18 @@
 from fulmarward_router.ports import Row
 
 
+@dataclass(frozen=True, kw_only=True)
+class Refusal:
+    """A row that could not be decoded, so that the one in force stays."""
+
+    #: Version of the row in the store.
+    store_version: int
+    #: Who sent the row: `store` or `peer`.
+    source: str
+    #: The field that is malformed, with what was expected of it.
+    cause: str
+
+
 class ConfigurationHolder:
     """Holds the newest configuration that this instance could decode."""
 
@@ -35,6 +47,8 @@
         #: When the store last confirmed it, to this instance or to a peer; seconds on
         #: the monotonic clock.
         self.confirmed_at = float("-inf")
+        #: The row that was refused last, `None` once a configuration was adopted since.
+        self.refusal: Refusal | None = None
         #: Newest version that any peer has reported to be in force.
         self.reported_version = 0
         #: When each newer version was first reported.
@@ -116,12 +130,10 @@
             prepared = await self._run_steps(preparation, packed)
         except ValueError as error:
             self._refused_version = max(self._refused_version, reported_version)
-            log_event(
-                "configuration_refused",
-                store_version=row.version,
-                source=source,
-                cause=str(error),
+            self.refusal = Refusal(
+                store_version=row.version, source=source, cause=str(error)
             )
+            log_event("configuration_refused", **asdict(self.refusal))
             return False
         finally:
             del self._preparations[row.version]
@@ -164,6 +176,7 @@
     ) -> None:
         row, configuration = preparation.row, prepared.configuration
         previous, self.current = self.version, configuration
+        self.refusal = None
         self._row, self.packed = row, prepared.packed
         self._missing_since = {
             version: since
