Judge the known targets again once the services are known

A row of another writer with the address of a target hid that target at an instance that had read the rows before its first configuration, until the target wrote its row again; of several such rows at one address only the latest was logged.

Cause: without a configuration each row counted as that of a target that may be used (_may_be_used returned true for what it could not judge), so that it took the address, and nothing looked at it again when the configuration came. Such a row holds no address now, and a version with other services than the one before has all known rows judged again (TargetCatalogue.update_addresses).

--- a/packages/core/fulmarward_core/catalogue/_addresses.py
+++ b/packages/core/fulmarward_core/catalogue/_addresses.py
@@ -43,6 +43,10 @@
         names = self._names.get(address, ())
         return any(name not in self._superseded for name in names)
 
+    def holds_address(self, name: str) -> bool:
+        """Return whether a target was applied with an address."""
+        return name in self._holders
+
     def take_changes(self) -> tuple[dict[str, str], set[str]]:
         """Return what has changed since the last call.
 
--- a/packages/core/fulmarward_core/catalogue/_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/_catalogue.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
+from operator import attrgetter
 
 from fulmarward_core.catalogue._addresses import AddressTable
 from fulmarward_core.fleet import RowFault, TargetRecord
@@ -463,6 +464,18 @@
             row.name, row.record if is_used else None, version=row.version
         )
 
+    def update_addresses(self, *, now: float) -> list[KnownRow]:
+        """Apply which targets may be used now; return those that lost their addresses.
+
+        The services decide on it, which another configuration may change.
+        """
+        for row in sorted(self._rows.values(), key=attrgetter("version")):
+            if row.record is None:
+                continue
+            if self._may_be_used(row.record) != self._addresses.holds_address(row.name):
+                self._apply_address(row)
+        return self._apply_superseded(now, now)
+
     def _apply_superseded(self, now: float, changed_since: float) -> list[KnownRow]:
         """Return rows without records for the targets that have lost their addresses.
 
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -328,7 +328,8 @@
         self.configuration = ConfigurationHolder(
             decode=self.meter.measure_steps(
                 "configuration_decoding", self.store.decode_configuration
-            )
+            ),
+            handle_services_changed=self._handle_services_changed,
         )
         self.watch = StoreWatch(
             store=self.store,
@@ -534,9 +535,14 @@
         return None if current is None else current.services
 
     def _may_be_used(self, record: TargetRecord) -> bool:
-        """Return whether the services can use a target, true without any."""
+        """Return whether the services can use a target, false while none are known."""
         services = self._get_services()
-        return services is None or find_misfit(record, services) is None
+        return services is not None and find_misfit(record, services) is None
+
+    def _handle_services_changed(self) -> None:
+        """Judge the known targets by the services of a configuration."""
+        changed = self.catalogue.update_addresses(now=self._clock())
+        self.target_change_handler.handle_changes(changed)
 
     def _make_pace_monitor(self) -> PaceMonitor:
         return PaceMonitor(
--- a/packages/router/fulmarward_router/state/_configuration.py
+++ b/packages/router/fulmarward_router/state/_configuration.py
@@ -33,8 +33,11 @@
         *,
         decode: Callable[[Row], Steps[RoutingConfiguration | None]],
         read_clock: Callable[[], float] = time.perf_counter,
+        handle_services_changed: Callable[[], None] = lambda: None,
     ) -> None:
         self._decode = decode
+        #: Called once a configuration with other services than before is in force.
+        self._handle_services_changed = handle_services_changed
         #: Measures the steps of a preparation, in seconds.
         self._read_clock = read_clock
         #: The preparations that have not ended, by the version of their rows.
@@ -175,8 +178,8 @@
         self, prepared: "_Prepared", preparation: "_Preparation", *, source: str
     ) -> None:
         row, configuration = preparation.row, prepared.configuration
-        previous, self.current = self.version, configuration
-        self.refusal = None
+        previous, before = self.version, self.current
+        self.current, self.refusal = configuration, None
         self._row, self.packed = row, prepared.packed
         self._missing_since = {
             version: since
@@ -198,6 +201,8 @@
             longest_step_s=round(preparation.longest_step_s, 4),
         )
         self.available.set()
+        if before is None or before.services != configuration.services:
+            self._handle_services_changed()
 
     def _is_older_row(self, row: Row) -> bool:
         """Return whether the store changed a row before the one in force, or is it."""
--- a/packages/router/fulmarward_router/tests/test_configuration_preparation.py
+++ b/packages/router/fulmarward_router/tests/test_configuration_preparation.py
@@ -48,6 +48,25 @@
         async with asyncio.timeout(5.0):
             return await asyncio.gather(*tasks)
 
+    async def test_targets_are_judged_again_once_services_have_changed(self):
+        """Guards against targets that are judged by services of an older version."""
+        judged_by = []
+        services = {1: {}, 2: {}, 3: {"pool": 1}, 4: {"pool": 1}, 5: {}}
+
+        def decode(row):
+            yield
+            configuration = _Configuration(int(row.value))
+            configuration.services = services[configuration.version]
+            return configuration
+
+        holder = ConfigurationHolder(
+            decode=decode,
+            handle_services_changed=lambda: judged_by.append(holder.version),
+        )
+        for version in services:
+            await holder.apply_row(make_row(version), source="store")
+        self.assertEqual(judged_by, [1, 3, 5])
+
     async def test_rows_that_arrive_meanwhile(self):
         """Guards against versions in the wrong order, and ones that are lost."""
         cases = [
--- a/packages/router/fulmarward_router/tests/test_unnamed_services.py
+++ b/packages/router/fulmarward_router/tests/test_unnamed_services.py
@@ -88,6 +88,25 @@
         await self.make_detector().probe_and_wait(["lost"])
         self.assertEqual(self.dialect.sent, {"own", "lost"})
 
+    def test_rows_read_before_the_services_are_known_take_no_address(self):
+        """Guards against a target that another writer's row hides at a start."""
+        pool, self.services = self.services, {}
+        self.write(replace(self.own, name="late"), 3)
+        for name, version in [("x0", 4), ("x1", 5)]:
+            self.write(replace(self.own, name=name, service="index"), version)
+        self.assertEqual(self.catalogue.update_addresses(now=0.0), [])
+        self.services = pool
+        superseded = self.catalogue.update_addresses(now=0.0)
+        self.assertEqual([row.name for row in superseded], ["own"])
+        listed = {record.name for record in self.catalogue.list_targets(now=0.0)}
+        self.assertEqual(listed, {"late", "other", "x0", "x1"})
+        # The service is taken away, and comes back.
+        self.services = {}
+        self.assertEqual(self.catalogue.update_addresses(now=0.0), [])
+        self.services = pool
+        self.assertEqual(self.catalogue.update_addresses(now=0.0), [])
+        self.assertIsNone(self.catalogue.find_target("own"))
+
     def test_no_address_is_taken(self):
         """Guards against another writer who names the address of a target."""
         self.write(self.other, 3)
