Keep a control that has answered when a probe round is repeated

Four dead targets were not excluded, and got requests again: the instance took itself for isolated although a control had just answered it.

No answer in a round means that the instance is isolated, so nothing is concluded.

A repeated round chooses those that have answered first. One that is isolated since then gets no answer from them either.

--- a/packages/core/fulmarward_core/probing/decisions.py
+++ b/packages/core/fulmarward_core/probing/decisions.py
@@ -188,6 +188,7 @@
     *,
     excluded: Collection[str],
     suspected: Collection[str] = (),
+    answered: Collection[str] = (),
     count: int,
     offset: int,
 ) -> list[TargetRecord]:
@@ -196,7 +197,7 @@
     `excluded` holds the targets in question and the unreachable ones; `offset` rotates
     the choice. `suspected` targets are chosen only if there are too few others: a dead
     control prolongs the round, but without any control no target is ever found to be
-    unreachable.
+    unreachable. Those that have just `answered` are chosen first.
     """
     healthy = [r for r in records if not r.is_leaving and r.name not in excluded]
     # A report of a target that holds layers does not occupy a slot.
@@ -207,7 +208,8 @@
     centres = _rotate(list(groups), offset)
     ranks = zip_longest(*(_rotate(groups[name], offset) for name in centres))
     ranked = [record for record in chain(*ranks) if record is not None]
-    return sorted(ranked, key=lambda record: record.name in suspected)[:count]
+    ranked.sort(key=lambda r: (r.name not in answered, r.name in suspected))
+    return ranked[:count]
 
 
 def _rotate(items: list[_Item], offset: int) -> list[_Item]:
--- a/packages/router/fulmarward_router/exchange/_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/_failure_detector.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass
 
 from fulmarward.observability import log_event
@@ -295,7 +295,7 @@
             known = [self._catalogue.find_target(name) for name in probe_round.missing]
             missing = [record for record in known if record is not None]
             probe_round = await self._run_round(
-                missing, verdict.retry_timeout_s, is_repeat=True
+                missing, verdict.retry_timeout_s, is_repeat=True, answered=answered
             )
             answered.update(probe_round.answers)
             verdict = evaluate_round(probe_round)
@@ -321,12 +321,20 @@
         self._record_answers(answered.difference(verdict.unreachable))
 
     async def _run_round(
-        self, records: list[TargetRecord], timeout_s: float, *, is_repeat: bool = False
+        self,
+        records: list[TargetRecord],
+        timeout_s: float,
+        *,
+        is_repeat: bool = False,
+        answered: Collection[str] = (),
     ) -> ProbeRound:
-        """Probe targets and controls concurrently."""
+        """Probe targets and controls concurrently.
+
+        `answered` holds those that answered in earlier rounds.
+        """
         count = count_controls(len(records), is_repeat=is_repeat)
         names = {record.name for record in records}
-        controls = self._choose_controls(names, count)
+        controls = self._choose_controls(names, count, answered=answered)
         participants = records + controls
         began_at = self._read_clock()
         meter = PauseMeter()
@@ -393,13 +401,16 @@
         is_closed = took_s < timeout_s * _CLOSED_SHARE
         return _CallResult(answered_s=None, is_closed=is_closed)
 
-    def _choose_controls(self, names: set[str], count: int) -> list[TargetRecord]:
+    def _choose_controls(
+        self, names: set[str], count: int, *, answered: Collection[str]
+    ) -> list[TargetRecord]:
         """Choose controls for a round, none of them unreachable from this instance.
 
         Suspected targets may serve as controls: a saturated one has just answered, and
         one reported by a peer may be healthy. Guards against a fleet where all other
         targets are suspected: without a control, every missing answer looks like this
-        instance's own isolation.
+        instance's own isolation. A repeated round keeps a control that has answered:
+        otherwise, it may draw unreachable ones only.
         """
         if not count:
             return []
@@ -415,6 +426,7 @@
             records,
             excluded=names | unreachable,
             suspected=suspects,
+            answered=answered,
             count=count,
             offset=self._offset,
         )
--- a/packages/router/fulmarward_router/exchange/tests/test_silent_targets.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_silent_targets.py
@@ -191,6 +191,20 @@
         found = [_run(partial(scenario, names=names)) for names in ("a", "abcd")]
         self.assertEqual(found, [set(), set()])
 
+    def test_dead_targets_are_found_whichever_controls_are_drawn(self):
+        """Guards against a repeated round whose controls are other dead targets."""
+
+        async def scenario(instance, offset):
+            instance.detector._offset = offset
+            instance.dialect.silent |= set("abcd")
+            return await instance.find_lost("abcd")
+
+        # The first round chooses among 11 controls, the second one among 10.
+        for offset in range(11 * 10):
+            with self.subTest(offset=offset):
+                found = _run(partial(scenario, offset=offset))
+                self.assertEqual(found, set("abcd"))
+
     def test_crashing_target_is_excluded_for_longer_each_time(self):
         """Guards against requests to a target that crashes again and again."""
 
