--- a/packages/core/fulmarward_core/platform/decisions.py
+++ b/packages/core/fulmarward_core/platform/decisions.py
@@ -46,7 +46,7 @@
     kind: CallKind,
     *,
     instances: int,
-    is_for_operator: bool,
+    bypasses_circuit: bool,
     now: float,
 ) -> Admitted | Rejected:
     """Return whether and when a call may start, with `instances` alive in the fleet.
@@ -54,7 +54,7 @@
     Calls for operators bypass the circuit breaker: they are rare, people wait for them,
     and the platform's actual response is more useful than a rejection.
     """
-    if not is_for_operator:
+    if not bypasses_circuit:
         rejection = _ADMIT[limiter.circuit](limiter, now)
         if rejection is not None:
             return rejection
--- a/packages/core/fulmarward_core/platform/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/platform/tests/test_decisions.py
@@ -23,9 +23,9 @@
 )
 
 
-def _admit(limiter, now, *, kind=CallKind.READ, instances=330, is_for_operator=False):
+def _admit(limiter, now, *, kind=CallKind.READ, instances=330, bypasses_circuit=False):
     return admit_call(
-        limiter, kind, instances=instances, is_for_operator=is_for_operator, now=now
+        limiter, kind, instances=instances, bypasses_circuit=bypasses_circuit, now=now
     )
 
 
@@ -85,7 +85,7 @@
             self.assertIsInstance(_admit(limiter, 0.0), Admitted)
             record_failure(limiter, now=0.0, generator=generator)
         self.assertEqual(_admit(limiter, 0.0), Rejected(reason="circuit_open"))
-        self.assertIsInstance(_admit(limiter, 0.0, is_for_operator=True), Admitted)
+        self.assertIsInstance(_admit(limiter, 0.0, bypasses_circuit=True), Admitted)
         self.assertIsInstance(_admit(limiter, 1.0), Admitted)
         self.assertEqual(_admit(limiter, 1.0), Rejected(reason="circuit_probing"))
         record_failure(limiter, now=1.0, generator=generator)
--- a/packages/instance/fulmarward/operators/_server.py
+++ b/packages/instance/fulmarward/operators/_server.py
@@ -19,7 +19,7 @@
 from fulmarward.health import change_drain
 from fulmarward.observability import log_event
 from fulmarward.placement import read_placement
-from fulmarward.platform import call_for_operator
+from fulmarward.platform import bypass_circuit
 from fulmarward_core.checks import (
     Field,
     describe_faults,
@@ -139,7 +139,7 @@
             log_event("operator_refused", path=request.path, address=request.remote)
             return make_failure_response(make_failure(ResultCode.OPERATOR_KEY_WRONG))
         try:
-            with call_for_operator():
+            with bypass_circuit():
                 return await handler(request)
         except (web.HTTPNotFound, web.HTTPMethodNotAllowed):
             return make_failure_response(make_failure(ResultCode.PATH_UNKNOWN))
--- a/packages/instance/fulmarward/platform/_adapter.py
+++ b/packages/instance/fulmarward/platform/_adapter.py
@@ -29,17 +29,17 @@
 #: second each. If the platform stays slow, calls would pile up on both sides.
 MAX_CONCURRENT_CALLS = 16
 
-_IS_FOR_OPERATOR: ContextVar[bool] = ContextVar("is_for_operator", default=False)
+_BYPASSES_CIRCUIT: ContextVar[bool] = ContextVar("bypasses_circuit", default=False)
 
 
 @contextmanager
-def call_for_operator() -> Iterator[None]:
-    """Let calls in the context pass an open circuit: an operator waits for them."""
-    token = _IS_FOR_OPERATOR.set(True)
+def bypass_circuit() -> Iterator[None]:
+    """Let calls in the context pass an open circuit."""
+    token = _BYPASSES_CIRCUIT.set(True)
     try:
         yield
     finally:
-        _IS_FOR_OPERATOR.reset(token)
+        _BYPASSES_CIRCUIT.reset(token)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -171,7 +171,7 @@
         platform.limiter,
         kind,
         instances=platform.count_instances(),
-        is_for_operator=_IS_FOR_OPERATOR.get(),
+        bypasses_circuit=_BYPASSES_CIRCUIT.get(),
         now=platform.read_clock(),
     )
     if isinstance(verdict, Rejected):
