Call the platform before a configuration is confirmed by peers

An instance confirmed epoch 1 as the newest and served by it while the platform held 2 (deterministic, KNOWN-RED configuration.confirm-after-lost-replies).

Cause: lost replies of writes open the circuit of this instance's calls. The read that confirms was then rejected here, without a call, and counted as an outage of the platform, in which the word of peers is enough; they know epoch 1. An open circuit says that calls failed, not what the platform holds.

One that the rate limit rejects confirms nothing, and is repeated.

--- a/packages/instance/fulmarward/configuration/_adopt.py
+++ b/packages/instance/fulmarward/configuration/_adopt.py
@@ -14,7 +14,7 @@
 from fulmarward.configuration._heads import HEAD_KEY, HEAD_TABLE, parse_head
 from fulmarward.observability import log_event
 from fulmarward.peers import HeadReply, HeadRequest, PeerLinks, PeerLost
-from fulmarward.platform import PlatformUnavailable, read_row
+from fulmarward.platform import PlatformUnavailable, bypass_circuit, read_row
 from fulmarward_core.configuration import (
     Adoption,
     Head,
@@ -176,29 +176,36 @@
 async def confirm_newest(instance: Instance, links: PeerLinks) -> bool:
     """Adopt the newest configuration; return whether it is known and active here.
 
-    The platform is authoritative. While it is unavailable, all known peers are asked:
+    The platform is authoritative, and is called even if earlier calls failed: it may
+    hold what no peer knows. While it is unavailable, all known peers are asked:
     either one that has itself confirmed its configuration must reply, or all of them.
     An instance that starts or resumes with an outdated file or none must not serve by
     it; alone it cannot confirm that it has the newest.
     """
-    row = await read_row(instance.platform, HEAD_TABLE, HEAD_KEY)
+    with bypass_circuit():
+        row = await read_row(instance.platform, HEAD_TABLE, HEAD_KEY)
     if not isinstance(row, PlatformUnavailable):
         sources = _list_sources(instance, links, [])
         is_adopted = await adopt_head(instance, parse_head(row), sources)
         return is_adopted and instance.snapshot.head.epoch > 0
+    if not row.is_called:
+        _log_unconfirmed(row)
+        return False
     answers = await _request_heads(links, list_peers(instance))
     if not is_newest_known(
         [None if reply is None else reply.is_confirmed for reply in answers.values()]
     ):
-        log_event(
-            "configuration_confirmation_failed",
-            level=logging.WARNING,
-            reason=row.detail,
-        )
+        _log_unconfirmed(row)
         return False
     return await _adopt_highest(instance, links, answers)
 
 
+def _log_unconfirmed(row: PlatformUnavailable) -> None:
+    log_event(
+        "configuration_confirmation_failed", level=logging.WARNING, reason=row.detail
+    )
+
+
 async def _adopt_highest(
     instance: Instance, links: PeerLinks, answers: Mapping[str, HeadReply | None]
 ) -> bool:
--- a/packages/instance/fulmarward/configuration/tests/test_machine.py
+++ b/packages/instance/fulmarward/configuration/tests/test_machine.py
@@ -1,5 +1,6 @@
 import asyncio
 import logging
+import random
 import unittest
 from unittest import mock
 
@@ -19,6 +20,7 @@
 from fulmarward.configuration._readiness import record_tick
 from fulmarward.configuration.tests.fakes import FakeFleet
 from fulmarward_core.declaration import hash_declaration
+from fulmarward_core.platform import CircuitState, record_failure
 from fulmarward_core.results import CODES, ExecutionState
 
 _NAMES = ("a", "b", "c")
@@ -272,6 +274,20 @@
         )
         self.assertEqual(instance.snapshot.head.epoch, 2)
 
+    async def test_file_is_not_confirmed_by_peers_while_the_platform_answers(self):
+        """Guards against an open circuit that is taken for an outage."""
+        instance, links = self.fleet.instances["a"], self.fleet.links["a"]
+        await self._apply(1)
+        await poll_platform(instance, links)
+        self.fleet.instances["b"].lifecycle.become_ready()
+        await self._apply(2)
+        self.fleet.instances["b"].adopt_snapshot(instance.snapshot)
+        limiter, now = instance.platform.limiter, instance.platform.read_clock()
+        while limiter.circuit is not CircuitState.OPEN:
+            record_failure(limiter, now=now, generator=random.Random(1))
+        self.assertTrue(await confirm_newest(instance, links))
+        self.assertEqual(instance.snapshot.head.epoch, 2)
+
     async def test_frozen_instance_serves_no_old_file(self):
         # An instance is frozen while a new file is applied. When it resumes, its first
         # caller could be served by the old file, since no task has run yet. It must
--- a/packages/instance/fulmarward/platform/_adapter.py
+++ b/packages/instance/fulmarward/platform/_adapter.py
@@ -123,6 +123,9 @@
 
     #: The error that was seen.
     detail: str
+    #: Whether the platform was called. Otherwise, the rate limit or the circuit breaker
+    #: of this instance rejected the call, which says nothing about the platform.
+    is_called: bool = True
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -175,7 +178,7 @@
         now=platform.read_clock(),
     )
     if isinstance(verdict, Rejected):
-        return PlatformUnavailable(detail=verdict.reason)
+        return PlatformUnavailable(detail=verdict.reason, is_called=False)
     await asyncio.sleep(verdict.seconds)
     async with platform.call_slots:
         outcome = await _send(platform, method, path, **options)
@@ -224,6 +227,8 @@
 
 
 def _to_unavailable(outcome: PlatformUnavailable | Uncertain) -> PlatformUnavailable:
+    if isinstance(outcome, PlatformUnavailable):
+        return outcome
     return PlatformUnavailable(detail=outcome.detail)
 
 
