Pass on what was kept after a restore of the store when it arrives late

A target that was gone stayed listed at instances behind a hub, as the copy of the store lists it: the hub had learnt from a peer that it is gone, after it had sent its own rows, and never sent that again.

Cause: rows that are kept have versions of the copy, which a hub's followers know already, so that neither a fetch nor the reported version shows them. An instance to which kept rows are news sends its own kept rows on its links, once for each news, and they are among the rows of every fetch.

--- a/packages/core/fulmarward_core/catalogue/_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/_catalogue.py
@@ -588,12 +588,19 @@
         with equal content is not sent to peers, since these learn from the store's
         version that the row was not removed. This saves over 99 % of the bytes.
 
-        After a version of an earlier era these are all rows, as after a restore.
+        After a version of an earlier era these are all rows, as after a restore. Rows
+        that were kept are always among them: they may have arrived late, with versions
+        that the peer knows already.
         """
         if 0 < after and find_era(after) < find_era(self.version):
             return list(self._rows.values())
         changed = self._changed_versions
-        return [row for row in self._rows.values() if changed[row.name] > after]
+        kept = {row.name for row in self.list_kept_rows()}
+        return [
+            row
+            for row in self._rows.values()
+            if changed[row.name] > after or row.name in kept
+        ]
 
     def _drop_tombstones(self, now: float) -> None:
         for name, row in list(self._rows.items()):
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -367,6 +367,7 @@
             probe_targets=lambda targets: self.failure_detector.probe(targets),
             handle_target_changes=self.target_change_handler.handle_changes,
             start_task=self._start_adoption,
+            notify_kept=lambda: self.mesh.notify_kept(),
             is_observer=self.listing.is_observer,
             link_bytes_per_s=settings.link_bytes_per_s,
         )
--- a/packages/router/fulmarward_router/state/_instance_state.py
+++ b/packages/router/fulmarward_router/state/_instance_state.py
@@ -103,6 +103,7 @@
         probe_targets: Callable[[Iterable[str]], None],
         handle_target_changes: Callable[[list[KnownRow]], None],
         start_task: Callable[[Coroutine[None, None, None]], object],
+        notify_kept: Callable[[], None] = lambda: None,
         is_observer: Callable[[str], bool] = lambda target: True,
         link_bytes_per_s: float | None = None,
     ) -> None:
@@ -128,6 +129,8 @@
         self._is_store_reachable = is_store_reachable
         self._reaches_service = reaches_service
         self._notify_peers = notify_peers
+        #: Sends peers the targets that stay as known although the store's copy differs.
+        self._notify_kept = notify_kept
         #: Starts probes that determine which of the given targets are unreachable.
         self._probe_targets = probe_targets
         self._handle_target_changes = handle_target_changes
@@ -770,6 +773,9 @@
         if snapshot.version == 0 and snapshot.after > 0:
             changed = self._catalogue.apply_kept_rows(rows, now=now)
             self._handle_target_changes(changed)
+            if changed:
+                # The store's version does not show peers that something has changed.
+                self._notify_kept()
             return
         at = now - delay_s - snapshot.age_ms / 1000
         if snapshot.after == 0:
--- a/packages/router/fulmarward_router/tests/test_restored_store.py
+++ b/packages/router/fulmarward_router/tests/test_restored_store.py
@@ -1,6 +1,7 @@
 """Instances exchange what they know while the store comes back from a copy."""
 
 import unittest
+from unittest import mock
 
 from fulmarward_core.store_versions import make_store_version
 from fulmarward_router.mesh._eras import remove_eras
@@ -110,6 +111,23 @@
         new.instance_state.merge_snapshot(self.two.instance_state.make_kept_changes())
         self.assertEqual(_list_staying(new), ["u"])
 
+    def test_what_was_kept_is_passed_on_once(self):
+        """Guards against instances behind a hub that never learn of it."""
+        gone = Row(key="t", value=None, version=make_store_version(1, 121))
+        _read_change(self.one, 1, 121, gone)
+        _read_all(self.one, 2, 114, _make_row("t", 2, 9), _make_row("u", 2, 10))
+        kept = self.one.instance_state.make_kept_changes()
+        hub = RoutingPeer("hub")
+        hub.instance_state._notify_kept = notify_kept = mock.Mock()
+        _read_all(hub, 2, 115, _make_row("t", 2, 9), _make_row("u", 2, 10))
+        for _ in range(2):
+            hub.instance_state.merge_snapshot(kept)
+        notify_kept.assert_called_once_with()
+        behind = RoutingPeer("behind")
+        _read_all(behind, 2, 115, _make_row("t", 2, 9), _make_row("u", 2, 10))
+        behind.instance_state.merge_snapshot(hub.instance_state.make_kept_changes())
+        self.assertEqual(_list_staying(behind), ["u"])
+
     def test_instance_that_starts_after_the_loss_learns_what_was_kept(self):
         """Guards against a target that is gone, used as the copy lists it."""
         _read_change(
