Count a target as leaving since it may have lost its address

A target that loses its address as a configuration comes into force counted as leaving from that moment, while another one may have had the address since the list was last confirmed.

Evidence: the extended test of rows that are read before the services fails before; the modules of unnamed services and the catalogue pass.

--- a/packages/core/fulmarward_core/catalogue/_catalogue.py
+++ b/packages/core/fulmarward_core/catalogue/_catalogue.py
@@ -465,16 +465,16 @@
         )
 
     def update_addresses(self, *, now: float) -> list[KnownRow]:
-        """Apply which targets may be used now; return those that lost their addresses.
+        """Judge again which targets hold an address; return those that lost theirs.
 
-        The services decide on it, which another configuration may change.
+        To be called when the services that decide on it have changed.
         """
         for row in sorted(self._rows.values(), key=attrgetter("version")):
             if row.record is None:
                 continue
             if self._may_be_used(row.record) != self._addresses.holds_address(row.name):
                 self._apply_address(row)
-        return self._apply_superseded(now, now)
+        return self._apply_superseded(now, min(now, self.confirmed_at))
 
     def _apply_superseded(self, now: float, changed_since: float) -> list[KnownRow]:
         """Return rows without records for the targets that have lost their addresses.
--- a/packages/router/fulmarward_router/tests/test_unnamed_services.py
+++ b/packages/router/fulmarward_router/tests/test_unnamed_services.py
@@ -96,8 +96,9 @@
             self.write(replace(self.own, name=name, service="index"), version)
         self.assertEqual(self.catalogue.update_addresses(now=0.0), [])
         self.services = pool
-        superseded = self.catalogue.update_addresses(now=0.0)
+        superseded = self.catalogue.update_addresses(now=3.0)
         self.assertEqual([row.name for row in superseded], ["own"])
+        self.assertEqual(self.catalogue.find_leaving_s("own", now=3.0), 3.0)
         listed = {record.name for record in self.catalogue.list_targets(now=0.0)}
         self.assertEqual(listed, {"late", "other", "x0", "x1"})
         # The service is taken away, and comes back.
