--- a/packages/core/fulmarward_core/routes/tests/test_decisions.py
+++ b/packages/core/fulmarward_core/routes/tests/test_decisions.py
@@ -70,7 +70,7 @@
 
 class KeyWaiverTest(unittest.TestCase):
     def test_only_public_routes_and_configurations_without_teams_need_no_key(self):
-        """Guards against a last team that takes the requirement of a key with it."""
+        """Guards against a version without teams that lets everybody in."""
         without_list = replace(_CONFIGURATION, teams_by_key={}, requires_team_key=False)
         empty_list = replace(without_list, requires_team_key=True)
         cases = [
--- a/packages/router/fulmarward_router/_status.py
+++ b/packages/router/fulmarward_router/_status.py
@@ -45,7 +45,7 @@
     """Return the status of an instance, with ages in seconds."""
     catalogue = instance.catalogue
     unreachable_since = instance.watch.unreachable_since
-    refusal = instance.configuration.refusal
+    refused_row = instance.configuration.refused_row
     return {
         "instance": instance.own.name,
         "state": instance.life.state,
@@ -62,7 +62,7 @@
         "configuration": {
             "version": instance.configuration.version,
             "confirmed_s_ago": _count_age(instance.configuration.confirmed_at, now),
-            "refused": None if refusal is None else asdict(refusal),
+            "refused": None if refused_row is None else asdict(refused_row),
         },
         "store": {
             "is_reachable": unreachable_since is None,
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -750,7 +750,7 @@
                 peer_bytes=self._peer_bytes,
                 peer_messages=self._peer_messages,
                 version=self.configuration.version,
-                is_configuration_refused=self.configuration.refusal is not None,
+                is_configuration_refused=self.configuration.refused_row is not None,
                 targets=len(self.catalogue.list_targets(now=self._clock())),
                 store_era=self.watch.era,
                 store_restores=self.watch.restores,
--- a/packages/router/fulmarward_router/state/_configuration.py
+++ b/packages/router/fulmarward_router/state/_configuration.py
@@ -14,7 +14,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class Refusal:
+class RefusedRow:
     """A row that could not be decoded, so that the one in force stays."""
 
     #: Version of the row in the store.
@@ -51,7 +51,7 @@
         #: the monotonic clock.
         self.confirmed_at = float("-inf")
         #: The row that was refused last, `None` once a configuration was adopted since.
-        self.refusal: Refusal | None = None
+        self.refused_row: RefusedRow | None = None
         #: Newest version that any peer has reported to be in force.
         self.reported_version = 0
         #: When each newer version was first reported.
@@ -133,10 +133,10 @@
             prepared = await self._run_steps(preparation, packed)
         except ValueError as error:
             self._refused_version = max(self._refused_version, reported_version)
-            self.refusal = Refusal(
+            self.refused_row = RefusedRow(
                 store_version=row.version, source=source, cause=str(error)
             )
-            log_event("configuration_refused", **asdict(self.refusal))
+            log_event("configuration_refused", **asdict(self.refused_row))
             return False
         finally:
             del self._preparations[row.version]
@@ -179,7 +179,7 @@
     ) -> None:
         row, configuration = preparation.row, prepared.configuration
         previous, before = self.version, self.current
-        self.current, self.refusal = configuration, None
+        self.current, self.refused_row = configuration, None
         self._row, self.packed = row, prepared.packed
         self._missing_since = {
             version: since
