Count a connection that a failed write has closed as closed by its caller

Cause: a failed write marks the transport as closing, and the connection is reported as lost in the next turn of the event loop. A stream that writes once more in the same turn finds nobody recorded as who closed it, which counted as this instance. All that this instance closes is recorded now (forced closes and shutdowns too), so that a closing connection without a record is the caller's.

Evidence: a script that resets a connection while the loop has no turn gets 'caller left' with one write and 'interrupted' with three before, 'caller left' with both now; test_caller_has_left_before_its_connection_counts_as_lost fails before.

--- a/packages/router/fulmarward_router/exchange/_caller_connection.py
+++ b/packages/router/fulmarward_router/exchange/_caller_connection.py
@@ -45,10 +45,36 @@
 
     def close_here(self, cause: str) -> None:
         """Close the connection, unless that is under way."""
-        if self.transport is not None and not self.transport.is_closing():
+        if self._is_open:
             self._record_closed(ClosedBy.INSTANCE, cause)
             self.transport.close()
 
+    def force_close(self) -> None:
+        """Record that the connection is closed here, and close it."""
+        if self._is_open:
+            self._record_closed(ClosedBy.INSTANCE, "closed")
+        super().force_close()
+
+    async def shutdown(self, timeout: float | None = 15.0) -> None:
+        """Record that the connection is closed here, and end its request."""
+        if self._is_open:
+            self._record_closed(ClosedBy.INSTANCE, "shut down")
+        await super().shutdown(timeout)
+
+    def find_closer(self) -> ClosedBy | None:
+        """Return who closed the connection, `None` while it is open.
+
+        A failed write closes the transport before `connection_lost` is called. All that
+        this instance closes is recorded.
+        """
+        if self.closed_by is None and not self._is_open:
+            return ClosedBy.CALLER
+        return self.closed_by
+
+    @property
+    def _is_open(self) -> bool:
+        return self.transport is not None and not self.transport.is_closing()
+
     def _record_closed(self, closed_by: ClosedBy, cause: str) -> None:
         if self.closed_by is None:
             self.closed_by, self.close_cause = closed_by, cause
@@ -58,7 +84,7 @@
     """Return who closed the connection of a request, `None` while it is open."""
     connection = request.protocol
     if isinstance(connection, CallerConnection):
-        return connection.closed_by
+        return connection.find_closer()
     transport: asyncio.Transport | None = request.transport
     is_open = transport is not None and not transport.is_closing()
     return None if is_open else ClosedBy.CALLER
--- a/packages/router/fulmarward_router/exchange/tests/test_caller_connection.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_caller_connection.py
@@ -1,5 +1,8 @@
 import asyncio
 import gzip
+import socket
+import struct
+import time
 import unittest
 import zlib
 from types import SimpleNamespace
@@ -12,6 +15,9 @@
 from fulmarward_router.exchange._caller_connection import ClosedBy, find_closer
 from fulmarward_router.exchange._request_state import RejectedRequest
 
+#: Option of a socket by which closing it resets its connection.
+_RESET = struct.pack("ii", 1, 0)
+
 _REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 
 
@@ -83,6 +89,38 @@
             with self.subTest(outcome=outcome):
                 self.assertEqual(await self.end(end), outcome)
 
+    async def test_caller_has_left_before_its_connection_counts_as_lost(self):
+        """Guards against a caller's reset that is logged as an interruption."""
+        client = socket.create_connection(self.address)
+        client.sendall(_REQUEST)
+        async with asyncio.timeout(5.0):
+            request, _ = await self.requests.get()
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+            client.close()
+            while not request.transport.is_closing():
+                # The event loop gets no turn in which it would notice the reset.
+                time.sleep(0.001)
+                request.transport.write(b"x")
+            self.assertIs(find_closer(request), ClosedBy.CALLER)
+            self.assertEqual(await self.outcomes.get(), "caller left")
+
+    async def test_connection_that_the_server_ends_counts_as_closed_here(self):
+        """Guards against callers blamed for a stop or a forced close."""
+        for end in (
+            lambda connection: connection.force_close(),
+            lambda connection: asyncio.ensure_future(connection.shutdown(0.1)),
+        ):
+            _, writer = await asyncio.open_connection(*self.address)
+            self.addCleanup(writer.close)
+            writer.write(_REQUEST)
+            async with asyncio.timeout(5.0):
+                request, _ = await self.requests.get()
+                ended = end(request.protocol)
+                await self.outcomes.get()
+                self.assertIs(find_closer(request), ClosedBy.INSTANCE)
+                if ended is not None:
+                    await ended
+
 
 class CutConnectionTest(unittest.IsolatedAsyncioTestCase):
     async def test_connection_of_a_cut_response_counts_as_closed_here(self):
