--- a/packages/instance/fulmarward/configuration/tests/test_machine.py
+++ b/packages/instance/fulmarward/configuration/tests/test_machine.py
@@ -20,7 +20,7 @@
 from fulmarward.configuration._readiness import record_tick
 from fulmarward.configuration.tests.fakes import FakeFleet
 from fulmarward_core.declaration import hash_declaration
-from fulmarward_core.platform import CircuitState, record_failure
+from fulmarward_core.platform import Bucket, CallKind, CircuitState, record_failure
 from fulmarward_core.results import CODES, ExecutionState
 
 _NAMES = ("a", "b", "c")
@@ -288,6 +288,18 @@
         self.assertTrue(await confirm_newest(instance, links))
         self.assertEqual(instance.snapshot.head.epoch, 2)
 
+    async def test_call_that_was_not_made_confirms_nothing(self):
+        """Guards against the rate limit of an instance taken for an outage."""
+        instance, links = self.fleet.instances["a"], self.fleet.links["a"]
+        await self._apply(1)
+        await poll_platform(instance, links)
+        self.fleet.instances["b"].lifecycle.become_ready()
+        platform = instance.platform
+        platform.limiter.buckets[CallKind.READ] = Bucket(
+            tokens=-1e6, refilled_at=platform.read_clock()
+        )
+        self.assertFalse(await confirm_newest(instance, links))
+
     async def test_frozen_instance_serves_no_old_file(self):
         # An instance is frozen while a new file is applied. When it resumes, its first
         # caller could be served by the old file, since no task has run yet. It must
