Log each ended attempt of a request, and whether its run counts

The logs could not tell the three hypotheses of docs/incidents/runs-without-a-response.md apart: attempt_failed says that an attempt may have run, but nothing says whether the route's limit counts it. request_ended now has ended_attempts: the first target of each attempt (or the peer), how far its answer came, and why its run is left out, if it is.

--- a/packages/router/fulmarward_router/exchange/_attempt.py
+++ b/packages/router/fulmarward_router/exchange/_attempt.py
@@ -13,7 +13,7 @@
 from fulmarward_core.paces import SlowStreamDetector
 from fulmarward_core.paths import Hop, PathRequest
 from fulmarward_router.exchange._events import Event, EventSplitter
-from fulmarward_router.exchange._request_state import RequestState, Run
+from fulmarward_router.exchange._request_state import EndedAttempt, RequestState, Run
 
 if TYPE_CHECKING:
     from fulmarward_router.exchange._resumption import Resumption
@@ -179,16 +179,37 @@
 def record_run(state: RequestState, attempt: Attempt, *, is_broken_off: bool) -> None:
     """Count a failed attempt that a target may have run."""
     state.runs += 1
-    if attempt.progress is Progress.NO_RESPONSE:
-        state.unanswered_runs += 1
-    elif attempt.record is not None:
-        run = Run(target=attempt.record, is_broken_off=is_broken_off)
+    run = None
+    if attempt.record is not None:
+        run = Run(
+            target=attempt.record,
+            is_answered=attempt.progress is not Progress.NO_RESPONSE,
+            is_broken_off=is_broken_off,
+        )
         state.failed_runs.append(run)
+    record_ended(state, attempt, may_have_run=True, run=run)
+
+
+def record_ended(
+    state: RequestState, attempt: Attempt, *, may_have_run: bool, run: Run | None = None
+) -> None:
+    """Record an attempt that has ended, for the log."""
+    ended = EndedAttempt(
+        target=attempt.first.target,
+        progress=attempt.progress.value,
+        may_have_run=may_have_run,
+        run=run,
+    )
+    state.ended_attempts.append(ended)
 
 
 def find_lost_state(attempt: Attempt) -> RequestState:
     """Return the state that a request would have if its running attempt were lost."""
     state = attempt.state
-    lost = replace(state, failed_runs=list(state.failed_runs))
+    lost = replace(
+        state,
+        failed_runs=list(state.failed_runs),
+        ended_attempts=state.ended_attempts.copy(),
+    )
     record_run(lost, attempt, is_broken_off=False)
     return lost
--- a/packages/router/fulmarward_router/exchange/_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/_caller_handler.py
@@ -499,6 +499,7 @@
             repaths=state.repaths,
             resumes=state.resumes,
             targets=list(state.targets),
+            ended_attempts=state.describe_attempts(),
             relayed_by=state.facts.relayed_by,
             relayed_to=state.relayed_to,
             last_event=state.last_event,
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -30,6 +30,7 @@
     AttemptFailed,
     EndedBy,
     describe_path,
+    record_ended,
     record_run,
 )
 from fulmarward_router.exchange._context import ServiceContext
@@ -304,6 +305,7 @@
             except asyncio.CancelledError:
                 # It is under way, and may run.
                 state.runs += 1
+                record_ended(state, attempt, may_have_run=True)
                 raise
             except AttemptFailed as error:
                 failure = error
@@ -313,9 +315,12 @@
                 # A request that waits for a retry must not hold any resources.
                 self._release(attempt)
                 if is_complete:
+                    record_ended(state, attempt, may_have_run=True)
                     self._record_released(attempt)
                     self._record_duration(state, self._read_clock() - began_at)
-            if not failure.is_not_run:
+            if failure.is_not_run:
+                record_ended(state, attempt, may_have_run=False)
+            else:
                 record_run(state, attempt, is_broken_off=failure.is_broken_off)
             answer = state.request.get("answer")
             self._log_failure(state, attempt, failure)
@@ -463,7 +468,8 @@
         bound = replace(
             wanted, avoided=wanted.avoided - reusable, first_targets=reusable
         )
-        latest = frozenset({state.failed_runs[-1].target.name})
+        answered = [run for run in state.failed_runs if run.is_answered]
+        latest = frozenset({answered[-1].target.name})
         others = reusable - (latest & wanted.avoided)
         elsewhere = replace(bound, first_targets=others)
         has_path = self._finder.choose(state.service, engine, elsewhere) is not None
--- a/packages/router/fulmarward_router/exchange/_plain.py
+++ b/packages/router/fulmarward_router/exchange/_plain.py
@@ -22,6 +22,7 @@
 from fulmarward_router.exchange._parallel_attempts import Attempt, ParallelAttempts
 from fulmarward_router.exchange._relay import PeerRelay
 from fulmarward_router.exchange._request_state import (
+    EndedAttempt,
     RejectedRequest,
     RequestState,
     Shortage,
@@ -494,7 +495,9 @@
                 response = await self._context.open(state, call)
                 body = await self._client.read_body(response)
         except NotSent as error:
-            self._log_failed_attempt(state, target, "not sent", error)
+            self._log_failed_attempt(
+                state, target, "not sent", error, may_have_run=False
+            )
             await self._failure_detector.record_connect_failure(
                 target.name, timeout_s=state.count_left(self._read_clock())
             )
@@ -553,7 +556,9 @@
         now = self._read_clock()
         status = response.status
         if facts.is_not_run:
-            self._log_failed_attempt(state, target, f"not run, {status}", None)
+            self._log_failed_attempt(
+                state, target, f"not run, {status}", None, may_have_run=False
+            )
             if facts.is_misdirected:
                 self._suspicions.record_failure(target.name, now=now, reason="address")
             elif target.name not in self._limits.list_backed_off():
@@ -585,7 +590,15 @@
         target: TargetRecord,
         outcome: str,
         error: Exception | None,
+        *,
+        may_have_run: bool = True,
     ) -> None:
+        ended = EndedAttempt(
+            target=target.name,
+            progress=outcome,
+            may_have_run=may_have_run,
+        )
+        state.ended_attempts.append(ended)
         log_event(
             "attempt_failed",
             request=state.facts.request_id,
--- a/packages/router/fulmarward_router/exchange/_relay.py
+++ b/packages/router/fulmarward_router/exchange/_relay.py
@@ -29,6 +29,7 @@
 from fulmarward_router.exchange._forwarding import StreamForwarder, is_of_caller
 from fulmarward_router.exchange._request_state import (
     CutCause,
+    EndedAttempt,
     RejectedRequest,
     RequestState,
     TruncatedResponse,
@@ -347,6 +348,12 @@
     ) -> None:
         """Count and log that a peer did not serve a request completely."""
         state.runs += not failure.is_not_run
+        ended = EndedAttempt(
+            target=peer.name,
+            progress="relayed",
+            may_have_run=not failure.is_not_run,
+        )
+        state.ended_attempts.append(ended)
         outcome = "not run" if failure.is_not_run else "may have run"
         self._count_relay(state.service, outcome)
         log_event(
--- a/packages/router/fulmarward_router/exchange/_request_state.py
+++ b/packages/router/fulmarward_router/exchange/_request_state.py
@@ -1,6 +1,7 @@
 """State of a caller's request, and the exceptions that end it."""
 
-from collections.abc import Mapping
+from collections import deque
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 from functools import cached_property
@@ -18,6 +19,9 @@
 #: route leaves out. More may mean that it is the request that ends them.
 MAX_UNCOUNTED_RUNS = 2
 
+#: Upper bound on the latest attempts that are described in the log.
+MAX_LOGGED_ATTEMPTS = 16
+
 
 class CutCause(Enum):
     """Why a response that has started is not completed."""
@@ -43,11 +47,21 @@
     OWN = "own"
 
 
-@dataclass(kw_only=True)
+class Exclusion(Enum):
+    """Why the limit of a route leaves out a run."""
+
+    ENDED = "its target has ended"
+    NO_RESPONSE = "no response"
+    REPEATED = "its target has run it before"
+
+
+@dataclass(kw_only=True, eq=False)
 class Run:
-    """A run that a target began to answer, and that failed."""
+    """A run that failed or was given up."""
 
     target: TargetRecord
+    #: Whether its target began to answer.
+    is_answered: bool
     #: Whether the target closed the connection.
     is_broken_off: bool
     #: Whether the target refused connections afterwards, while controls answered.
@@ -56,6 +70,20 @@
     has_ended: bool = False
 
 
+@dataclass(frozen=True, kw_only=True)
+class EndedAttempt:
+    """An attempt that has ended, for the log."""
+
+    #: Name of its first target, or of the peer that it was relayed to.
+    target: str
+    #: How far the response came.
+    progress: str
+    #: Whether a target may have run it.
+    may_have_run: bool
+    #: Its run, `None` unless it may have run, failed, and its target was known.
+    run: Run | None = None
+
+
 @dataclass(kw_only=True)
 class RequestState:
     """State of a caller's request; the fields from `attempts` on are mutable."""
@@ -85,9 +113,12 @@
     #: Attempts so far, and how many of them a target may have executed.
     attempts: int = 0
     runs: int = 0
-    #: How many of these runs had no response, and those that had one.
-    unanswered_runs: int = 0
+    #: Those of these runs that failed at a target that was known.
     failed_runs: list[Run] = field(default_factory=list)
+    #: The latest attempts that have ended, in this order, for the log.
+    ended_attempts: deque[EndedAttempt] = field(
+        default_factory=lambda: deque(maxlen=MAX_LOGGED_ATTEMPTS)
+    )
     #: Targets of the latest attempt, for the log.
     targets: tuple[str, ...] = field(default=())
     #: When the first and the latest event were sent to the caller, in seconds on the
@@ -181,17 +212,54 @@
 
     def list_reusable_targets(self) -> frozenset[str]:
         """Return the targets that have run it and are not known to have ended."""
-        return frozenset(r.target.name for r in self.failed_runs if not r.has_ended)
+        return frozenset(
+            r.target.name for r in self.failed_runs if r.is_answered and not r.has_ended
+        )
+
+    def describe_attempts(self) -> list[dict[str, str]]:
+        """Describe the latest attempts that have ended, for the log.
+
+        `limit` says whether the limit of the route counts the run, or why not.
+        """
+        exclusions = dict(self._find_exclusions())
+        return [
+            {
+                "target": attempt.target,
+                "progress": attempt.progress,
+                "limit": _describe_limit(attempt, exclusions.get(attempt.run)),
+            }
+            for attempt in self.ended_attempts
+        ]
 
     def _count_uncounted_runs(self) -> int:
-        """Return how many runs are left out: the limit is one of targets that live."""
-        living = [r.target.process_name for r in self.failed_runs if not r.has_ended]
-        repeated = len(living) - len(set(living))
-        uncounted = len(self.failed_runs) - len(living)
-        if self.has_begun:
-            # A request without an answer can still be rejected.
-            uncounted += self.unanswered_runs
-        return repeated + min(uncounted, MAX_UNCOUNTED_RUNS)
+        """Return how many runs the limit of the route leaves out."""
+        return sum(exclusion is not None for _, exclusion in self._find_exclusions())
+
+    def _find_exclusions(self) -> Iterator[tuple[Run, Exclusion | None]]:
+        """Return each failed run, and why the limit leaves it out, if it does."""
+        living: set[str] = set()
+        left = MAX_UNCOUNTED_RUNS
+        for run in self.failed_runs:
+            exclusion = None
+            if run.has_ended:
+                exclusion = Exclusion.ENDED
+            elif self.has_begun and not run.is_answered:
+                # A request without an answer can still be rejected.
+                exclusion = Exclusion.NO_RESPONSE
+            elif run.target.process_name in living:
+                yield run, Exclusion.REPEATED
+                continue
+            else:
+                living.add(run.target.process_name)
+            if exclusion is not None:
+                left -= 1
+            yield run, exclusion if left >= 0 else None
+
+
+def _describe_limit(attempt: EndedAttempt, exclusion: Exclusion | None) -> str:
+    if not attempt.may_have_run:
+        return "not run"
+    return "counted" if exclusion is None else exclusion.value
 
 
 class Shortage(Enum):
--- a/packages/router/fulmarward_router/exchange/_resumption.py
+++ b/packages/router/fulmarward_router/exchange/_resumption.py
@@ -28,6 +28,7 @@
     EndedBy,
     describe_path,
     find_lost_state,
+    record_ended,
     record_run,
 )
 from fulmarward_router.exchange._context import ServiceContext
@@ -230,6 +231,8 @@
             if not is_ready:
                 if is_run:
                     record_run(state, successor, is_broken_off=False)
+                else:
+                    record_ended(state, successor, may_have_run=False)
                 self._release(successor)
 
     async def _watch(self, successor: Attempt) -> None:
--- a/packages/router/fulmarward_router/exchange/tests/test_request_state.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_request_state.py
@@ -1,7 +1,9 @@
 import unittest
+from types import SimpleNamespace
 
 from fulmarward_core.routes import Route, RouteKind, RoutingConfiguration
 from fulmarward_router.exchange import RequestState
+from fulmarward_router.exchange._request_state import EndedAttempt, Run
 
 
 def _make_state():
@@ -45,3 +47,34 @@
             state.record_write(now=now)
         self.assertAlmostEqual(state.longest_pause_s, 0.5)
         self.assertEqual((state.first_event_at, state.last_write_at), (1.0, 1.62))
+
+
+class EndedAttemptTest(unittest.TestCase):
+    def test_log_says_which_runs_the_limit_counts(self):
+        """Guards against a run at too many targets that the log does not show."""
+        state = _make_state()
+        state.request = {"answer": object()}
+        cases = [
+            # target, whether it has ended, whether it may have run, the limit
+            ("a", False, True, "counted"),
+            ("a", False, True, "its target has run it before"),
+            ("b", True, True, "its target has ended"),
+            ("c", False, False, "not run"),
+        ]
+        for name, has_ended, may_have_run, _ in cases:
+            target = SimpleNamespace(name=name, process_name=name)
+            run = Run(
+                target=target,
+                is_answered=True,
+                is_broken_off=False,
+                has_ended=has_ended,
+            )
+            if may_have_run:
+                state.failed_runs.append(run)
+            state.ended_attempts.append(
+                EndedAttempt(
+                    target=name, progress="events", may_have_run=may_have_run, run=run
+                )
+            )
+        described = [each["limit"] for each in state.describe_attempts()]
+        self.assertEqual(described, [limit for *_, limit in cases])
