--- /dev/null
+++ b/packages/router/fulmarward_router/exchange/tests/test_limited_targets.py
@@ -0,0 +1,48 @@
+"""At how many targets a stream runs that has begun."""
+
+import asyncio
+
+from fulmarward_router.exchange.tests.test_resumptions import _SilentStreamTest
+
+
+class LimitedTargetTest(_SilentStreamTest):
+    def check_limited(self, most):
+        """Check that the stream was sent to at most so many targets."""
+        self.assertLessEqual(len({call.target for call in self.calls}), most)
+
+    async def test_target_without_a_response_counts_once_its_stream_breaks_off(self):
+        """Guards against a third target while the silent second may run it."""
+        self.statuses = [200, None]
+        await self.begin_silent()
+        await self.await_attempt(2)
+        await self.send(2, attempt=1)
+        self.silence(self.calls[1].target)
+        await self.lose(1, removed=False)
+        await self.await_attempt(3)
+        self.check_limited(2)
+        await self.check_completes(attempt=3)
+
+    async def test_target_without_a_response_counts_beside_an_open_stream(self):
+        """Guards against a third target while the silent first is still open."""
+        self.statuses = [200, None]
+        await self.begin_silent()
+        await self.await_attempt(2)
+        await self.send(2, attempt=1)
+        for call in self.calls:
+            self.silence(call.target)
+        await asyncio.sleep(1.0)
+        self.check_limited(2)
+        await self.check_completes(attempt=1)
+
+    async def test_first_target_without_a_response_counts_once_another_has_begun(self):
+        """Guards against a third target beside a first one that never answered."""
+        self.statuses = [None]
+        self.begin()
+        await self.await_attempt(1)
+        self.silence(self.calls[0].target)
+        await self.await_attempt(2)
+        await self.send(1, attempt=2)
+        await self.lose(2, removed=False)
+        await self.await_attempt(3)
+        self.check_limited(2)
+        await self.check_completes(attempt=3)
