Count a run without a response towards the limit of its route

Cause: record_run kept an attempt without a response in a number of its own, and the limit left that number out once the answer had begun. The target has the request in its queue and works on it, whatever came back.

Every run at a known target is kept alike now, and only those at targets that have ended are left out (at most MAX_ENDED_RUNS, as before). A target that has not answered is also one at which the stream may go on.

--- a/packages/core/fulmarward_core/attempts/decisions.py
+++ b/packages/core/fulmarward_core/attempts/decisions.py
@@ -29,11 +29,11 @@
     deadline: float
     #: Whether the answer has begun.
     has_begun: bool = False
-    #: Number of runs that the limit of the route leaves out: those that no target began
-    #: to answer, and those at targets that have ended.
+    #: Number of runs that the limit of the route leaves out: those at targets that have
+    #: ended, and further ones at the same target.
     uncounted_runs: int = 0
-    #: Number of targets that have run it and live. The limit of the route is one of
-    #: targets, so that a begun answer may go on at these.
+    #: Number of targets that may have run it and are not known to have ended. The limit
+    #: of the route is one of targets, so that a begun answer may go on at these.
     reusable_targets: int = 0
 
     @property
--- a/packages/router/fulmarward_router/exchange/_attempt.py
+++ b/packages/router/fulmarward_router/exchange/_attempt.py
@@ -181,11 +181,7 @@
     state.runs += 1
     run = None
     if attempt.record is not None:
-        run = Run(
-            target=attempt.record,
-            is_answered=attempt.progress is not Progress.NO_RESPONSE,
-            is_broken_off=is_broken_off,
-        )
+        run = Run(target=attempt.record, is_broken_off=is_broken_off)
         state.failed_runs.append(run)
     record_ended(state, attempt, may_have_run=True, run=run)
 
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -468,8 +468,7 @@
         bound = replace(
             wanted, avoided=wanted.avoided - reusable, first_targets=reusable
         )
-        answered = [run for run in state.failed_runs if run.is_answered]
-        latest = frozenset({answered[-1].target.name})
+        latest = frozenset({state.failed_runs[-1].target.name})
         others = reusable - (latest & wanted.avoided)
         elsewhere = replace(bound, first_targets=others)
         has_path = self._finder.choose(state.service, engine, elsewhere) is not None
--- a/packages/router/fulmarward_router/exchange/_request_state.py
+++ b/packages/router/fulmarward_router/exchange/_request_state.py
@@ -15,9 +15,9 @@
 from fulmarward_core.routes import KeyWaiver, Route, RoutingConfiguration, Team
 from fulmarward_router.ports import CallerFacts
 
-#: Runs of a request, without an answer or at targets that ended, that the limit of its
-#: route leaves out. More may mean that it is the request that ends them.
-MAX_UNCOUNTED_RUNS = 2
+#: Runs of a request at targets that ended that the limit of its route leaves out. More
+#: may mean that it is the request that ends them.
+MAX_ENDED_RUNS = 2
 
 #: Upper bound on the latest attempts that are described in the log.
 MAX_LOGGED_ATTEMPTS = 16
@@ -51,7 +51,6 @@
     """Why the limit of a route leaves out a run."""
 
     ENDED = "its target has ended"
-    NO_RESPONSE = "no response"
     REPEATED = "its target has run it before"
 
 
@@ -60,8 +59,6 @@
     """A run that failed or was given up."""
 
     target: TargetRecord
-    #: Whether its target began to answer.
-    is_answered: bool
     #: Whether the target closed the connection.
     is_broken_off: bool
     #: Whether the target refused connections afterwards, while controls answered.
@@ -212,9 +209,7 @@
 
     def list_reusable_targets(self) -> frozenset[str]:
         """Return the targets that have run it and are not known to have ended."""
-        return frozenset(
-            r.target.name for r in self.failed_runs if r.is_answered and not r.has_ended
-        )
+        return frozenset(r.target.name for r in self.failed_runs if not r.has_ended)
 
     def describe_attempts(self) -> list[dict[str, str]]:
         """Describe the latest attempts that have ended, for the log.
@@ -237,23 +232,17 @@
 
     def _find_exclusions(self) -> Iterator[tuple[Run, Exclusion | None]]:
         """Return each failed run, and why the limit leaves it out, if it does."""
-        living: set[str] = set()
-        left = MAX_UNCOUNTED_RUNS
+        counted: set[str] = set()
+        ended = 0
         for run in self.failed_runs:
             exclusion = None
-            if run.has_ended:
+            if run.has_ended and ended < MAX_ENDED_RUNS:
+                ended += 1
                 exclusion = Exclusion.ENDED
-            elif self.has_begun and not run.is_answered:
-                # A request without an answer can still be rejected.
-                exclusion = Exclusion.NO_RESPONSE
-            elif run.target.process_name in living:
-                yield run, Exclusion.REPEATED
-                continue
-            else:
-                living.add(run.target.process_name)
-            if exclusion is not None:
-                left -= 1
-            yield run, exclusion if left >= 0 else None
+            elif run.target.process_name in counted:
+                exclusion = Exclusion.REPEATED
+            counted.add(run.target.process_name)
+            yield run, exclusion
 
 
 def _describe_limit(attempt: EndedAttempt, exclusion: Exclusion | None) -> str:
