Send a relayed request to one target

A peer that was sent a request with no run before could use as many targets as the route allows, and the instance that relayed it counted one run. The next peer then got a request with one run: with a limit of two, three targets could run it.

A relayed request gets one target at its peer, beside those that have ended; what is counted is then what was sent. The instance that relayed it asks another peer while one is silent, as before. test_relayed_stream_runs_at_one_ target failed before (2 targets). 40 tests of relays and limits passed.

--- a/packages/router/fulmarward_router/exchange/_request_state.py
+++ b/packages/router/fulmarward_router/exchange/_request_state.py
@@ -199,7 +199,7 @@
         return RequestTally(
             attempts=self.attempts,
             runs=self.runs,
-            most_attempts=self.route.most_attempts,
+            most_attempts=self._find_most_attempts(),
             is_idempotent=self.route.may_retry and not self.is_unresumable,
             deadline=self.deadline,
             has_begun=self.has_begun,
@@ -207,6 +207,16 @@
             reusable_targets=len(self.list_reusable_targets()),
         )
 
+    def _find_most_attempts(self) -> int:
+        """Return the number of targets that it may use here or has used elsewhere.
+
+        A relayed request gets one target here, since the instance that relayed it
+        counts each peer as one.
+        """
+        if self.facts.relayed_by is None:
+            return self.route.most_attempts
+        return min(self.route.most_attempts, self.facts.runs_before + 1)
+
     def list_reusable_targets(self) -> frozenset[str]:
         """Return the targets that have run it and are not known to have ended."""
         return frozenset(r.target.name for r in self.failed_runs if not r.has_ended)
--- a/packages/router/fulmarward_router/exchange/tests/test_limited_targets.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_limited_targets.py
@@ -49,3 +49,17 @@
         await self.await_attempt(3)
         self.check_limited(2)
         await self.check_completes(attempt=3)
+
+
+class RelayedTargetTest(_SilentStreamTest):
+    async def test_relayed_stream_runs_at_one_target(self):
+        """Guards against two targets that the relaying instance counts as one."""
+        self.begin()
+        await self.await_attempt(1)
+        await self.send(1, attempt=1)
+        [attempt] = self.service.supervisor._attempts.values()
+        attempt.state.facts.relayed_by = "two"
+        self.silence(self.calls[0].target)
+        await asyncio.sleep(1.0)
+        self.assertEqual(len(self.calls), 1)
+        await self.check_completes(attempt=1)
