Give a relayed stream back although its target may still run it

A relayed stream that its target broke off stayed at an instance that reaches no target: with one target allowed it counts as bound to that one, and bound streams are not given back.

--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -452,8 +452,7 @@
 
     def _may_relay(self, state: RequestState) -> bool:
         """Return whether to relay a request, for which its peer chooses the targets."""
-        is_bound = must_reuse_targets(self._context.make_tally(state))
-        return not is_bound and self._relay.is_needed(state)
+        return not self._relay.is_bound(state) and self._relay.is_needed(state)
 
     def _limit_first_targets(
         self, state: RequestState, engine: EngineModel, wanted: PathRequest
--- a/packages/router/fulmarward_router/exchange/_relay.py
+++ b/packages/router/fulmarward_router/exchange/_relay.py
@@ -241,13 +241,17 @@
             ask_at = self._read_clock() + interval_s
         return None
 
-    def _is_bound(self, state: RequestState) -> bool:
-        """Return whether a stream may only go on where it has run; no peer knows it."""
-        return must_reuse_targets(self._context.make_tally(state))
+    def is_bound(self, state: RequestState) -> bool:
+        """Return whether a stream may only go on where it has run; no peer knows it.
+
+        One that was relayed here can go on at other peers of the one that relayed it.
+        """
+        is_own = state.facts.relayed_by is None
+        return is_own and must_reuse_targets(self._context.make_tally(state))
 
     def _is_without_targets(self, state: RequestState) -> bool:
         """Return whether the targets of a started stream need not be tried now."""
-        if self._is_bound(state):
+        if self.is_bound(state):
             return False
         if state.facts.relayed_by is not None:
             # The peer that relayed it can ask others.
@@ -284,7 +288,7 @@
         """
         rejecting = []
         for peer in peers:
-            if self._is_bound(state):
+            if self.is_bound(state):
                 break
             # It may have crashed a target of the peer before.
             await self._check_crashes(state)
@@ -739,7 +743,7 @@
     def _take_way_out(self, state: RequestState, peer: RelayPeer) -> bool:
         """Consume a retry for the stream of a silent peer that can go on elsewhere."""
         lost_state = replace(state, runs=state.runs + 1)
-        if not state.route.is_resumable or self._is_bound(lost_state):
+        if not state.route.is_resumable or self.is_bound(lost_state):
             return False
         others = [each for each in self._list_peers() if each.name != peer.name]
         if not others and self._is_certain(state):
