--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -30,6 +30,7 @@
     CutCause,
     RejectedRequest,
     RequestState,
+    Run,
 )
 from fulmarward_router.exchange._send import TargetClient
 from fulmarward_router.exchange._stop_gate import StopGate
@@ -199,9 +200,29 @@
         """Return the attempt counts and limits of a request now."""
         for run in state.failed_runs:
             # An entry that has lapsed may come back with the same process.
-            run.has_ended = run.is_refused or self.has_process_ended(run.target)
+            run.has_ended = self._has_run_ended(run)
         return state.make_tally()
 
+    def _has_run_ended(self, run: Run) -> bool:
+        """Return whether the target of a run is known to have ended or be cut off.
+
+        A target that leaves without saying so works on after its entry was removed: it
+        answers probes, and its connections do not break off.
+        """
+        if run.is_refused or self.catalogue.has_been_replaced(run.target):
+            return True
+        if not self.has_process_ended(run.target):
+            return False
+        name = run.target.name
+        if self.catalogue.find_target(name) is not None:
+            # Another process has its name.
+            return True
+        # Targets without an entry are probed no more.
+        run.is_unreachable = run.is_unreachable or self.suspicions.is_unreachable(
+            name, now=self.read_clock()
+        )
+        return run.is_broken_off or run.is_unreachable
+
     def has_process_ended(self, target: TargetRecord) -> bool:
         """Return whether a target was removed, or has started again, since `target`."""
         return self.catalogue.has_ended(target)
--- a/packages/router/fulmarward_router/exchange/_request_state.py
+++ b/packages/router/fulmarward_router/exchange/_request_state.py
@@ -63,7 +63,9 @@
     is_broken_off: bool
     #: Whether the target refused connections afterwards, while controls answered.
     is_refused: bool = False
-    #: Whether its process has ended: it refused connections, or is not listed now.
+    #: Whether it was found unreachable since its entry was removed.
+    is_unreachable: bool = False
+    #: Whether its process is known to have ended.
     has_ended: bool = False
 
 
--- a/packages/router/fulmarward_router/exchange/tests/test_limited_targets.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_limited_targets.py
@@ -5,11 +5,13 @@
 from fulmarward_router.exchange.tests.test_resumptions import _SilentStreamTest
 
 
-class LimitedTargetTest(_SilentStreamTest):
+class _LimitedTargetTest(_SilentStreamTest):
     def check_limited(self, most):
         """Check that the stream was sent to at most so many targets."""
         self.assertLessEqual(len({call.target for call in self.calls}), most)
 
+
+class LimitedTargetTest(_LimitedTargetTest):
     async def test_target_without_a_response_counts_once_its_stream_breaks_off(self):
         """Guards against a third target while the silent second may run it."""
         self.statuses = [200, None]
@@ -63,3 +65,18 @@
         await asyncio.sleep(1.0)
         self.assertEqual(len(self.calls), 1)
         await self.check_completes(attempt=1)
+
+
+class RemovedTargetTest(_LimitedTargetTest):
+    async def test_removed_target_that_answers_probes_counts(self):
+        """Guards against a third target while one that leaves works on."""
+        self.statuses = [200, None]
+        self.begin()
+        await self.await_attempt(1)
+        await self.send(1, attempt=1)
+        self.remove_target(self.calls[0].target)
+        await self.await_attempt(2)
+        self.silence(self.calls[1].target)
+        await asyncio.sleep(1.0)
+        self.check_limited(2)
+        await self.check_completes(attempt=1)
--- a/packages/router/fulmarward_router/exchange/tests/test_target_schedules.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_target_schedules.py
@@ -283,6 +283,19 @@
 
 
 class TargetScheduleTest(unittest.TestCase):
+    def run_schedule(self, schedule):
+        async def run(read_clock):
+            self.world = _World(read_clock)
+            return await self.world.run_schedule(schedule)
+
+        return run_simulated(run)
+
+    def test_frozen_target_whose_entry_was_removed_counts(self):
+        """Guards against a target taken for ended that is only frozen."""
+        schedule = [(0.5, Step.FREEZE, 0), (0.5, Step.FREEZE, 0), (0.5, Step.REMOVE, 0)]
+        counted, _, _ = self.run_schedule(schedule)
+        self.assertLessEqual(len(counted), _MOST_ATTEMPTS, self.world.story)
+
     @seed(82)
     @settings(max_examples=100, deadline=None, database=None)
     @given(_SCHEDULES)
@@ -290,12 +303,7 @@
         self, schedule
     ):
         """Guards against a run at too many targets, and a cut that is needless."""
-
-        async def run(read_clock):
-            self.world = _World(read_clock)
-            return await self.world.run_schedule(schedule)
-
-        counted, helpful, numbers = run_simulated(run)
+        counted, helpful, numbers = self.run_schedule(schedule)
         self.assertLessEqual(len(counted), _MOST_ATTEMPTS, self.world.story)
         self.assertEqual(helpful, [], self.world.story)
         self.assertEqual(numbers, list(range(1, len(numbers) + 1)))
