Count no run at a target that was never connected to

Since runs without a response count, an attempt that was given up before its connection was made counted too: a stream whose second target is dark (no answer to the first packet) had no target left, though nothing was sent to it. Such an attempt has not run and never will.

A cancelled request tells how many connections were made for it; one without any is not run and not sent, like one whose connection was refused. So its caller is also told truthfully that it has not run, if nothing else has.

--- a/packages/router/fulmarward_router/exchange/_attempt.py
+++ b/packages/router/fulmarward_router/exchange/_attempt.py
@@ -66,6 +66,8 @@
         #: Task that waits for the response headers, and the response once they arrived.
         self.head_task: asyncio.Task | None = None
         self.response: aiohttp.ClientResponse | None = None
+        #: Whether it was cancelled before a connection to the first target was made.
+        self.is_unsent = False
         self.splitter = EventSplitter()
         #: Events that arrived before the attempt took the place of another one.
         self.early_events: list[Event] = []
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -701,13 +701,16 @@
         `AttemptFailed`.
         """
         call = self._make_call(state, attempt)
-        attempt.head_task = asyncio.create_task(self._context.open(state, call))
+        attempt.head_task = asyncio.create_task(self._send(attempt, call))
         try:
             response = attempt.response = await attempt.head_task
         except asyncio.CancelledError as error:
-            if attempt.failure is None or is_of_caller(error):
+            failure = attempt.failure
+            if failure is None or is_of_caller(error):
                 raise
-            raise attempt.failure from None
+            if attempt.is_unsent:
+                failure.is_not_run = failure.is_not_sent = True
+            raise failure from None
         except NotSent as error:
             await self._failure_detector.record_connect_failure(
                 attempt.first.target, timeout_s=state.count_left(self._read_clock())
@@ -728,6 +731,14 @@
             raise attempt.failure
         return await self._evaluate_head(state, attempt, response, answer)
 
+    async def _send(self, attempt: Attempt, call: TargetCall) -> aiohttp.ClientResponse:
+        """Send an attempt, and record if it is cancelled without a connection."""
+        try:
+            return await self._context.open(attempt.state, call)
+        except asyncio.CancelledError as error:
+            attempt.is_unsent = getattr(error, "connections", None) == 0
+            raise
+
     def _record_released(self, attempt: Attempt) -> None:
         """Record that a complete answer has released its KV cache.
 
--- a/packages/router/fulmarward_router/exchange/_resumption.py
+++ b/packages/router/fulmarward_router/exchange/_resumption.py
@@ -224,6 +224,7 @@
             self._log_failed(attempt, successor, error.cause, is_run=is_run)
             return None
         except asyncio.CancelledError:
+            is_run = not successor.is_unsent
             self._log_failed(attempt, successor, "not needed", is_run=is_run)
             raise
         finally:
--- a/packages/router/fulmarward_router/exchange/_send.py
+++ b/packages/router/fulmarward_router/exchange/_send.py
@@ -137,7 +137,8 @@
     ) -> aiohttp.ClientResponse:
         """Send a request and return its response once the headers have arrived.
 
-        Raises `NotSent` or `AnswerLost`. Cancelling it closes the connection.
+        Raises `NotSent` or `AnswerLost`. Cancelling it closes the connection; the
+        `CancelledError` has the number of `connections` that were made.
         """
         headers = self._dialect.make_headers(state.headers, call)
         return await self._open(state, call.address, headers)
@@ -160,7 +161,7 @@
             if opening.transport is not None and not opening.transport.is_closing():
                 limit_unacknowledged(opening.transport, 0)
             return response
-        except SendFailed as error:
+        except (SendFailed, asyncio.CancelledError) as error:
             error.connections = opening.connections
             raise
         finally:
--- a/packages/router/fulmarward_router/exchange/tests/test_late_sends.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_sends.py
@@ -128,7 +128,7 @@
             request=SimpleNamespace(raw_path="/x", method="POST", get=lambda key: None),
             headers={},
             body=body,
-            facts=SimpleNamespace(request_id="a", shared_parts=()),
+            facts=SimpleNamespace(request_id="a", relayed_by=None, shared_parts=()),
             configuration=None,
             route=route,
             team=None,
--- a/packages/router/fulmarward_router/exchange/tests/test_limited_targets.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_limited_targets.py
@@ -80,3 +80,35 @@
         await asyncio.sleep(1.0)
         self.check_limited(2)
         await self.check_completes(attempt=1)
+
+
+class UnsentTest(_LimitedTargetTest):
+    async def open(self, state, call):
+        try:
+            return await super().open(state, call)
+        except asyncio.CancelledError as error:
+            error.connections = 0
+            raise
+
+    async def test_target_that_was_never_connected_to_does_not_count(self):
+        """Guards against a stream without a target left for one that got nothing."""
+        self.statuses = [200, None]
+        await self.begin_silent()
+        await self.await_attempt(2)
+        self.silence(self.calls[1].target)
+        await self.await_attempt(3)
+        self.check_limited(3)
+        await self.send(2, attempt=3)
+        await self.check_completes(attempt=3)
+
+    async def test_connection_that_was_not_needed_does_not_count(self):
+        """Guards against a run of an attempt that was given up before it was sent."""
+        self.statuses = [200, None]
+        await self.begin_silent()
+        await self.await_attempt(2)
+        await self.send(2, attempt=1)
+        self.silence(self.calls[1].target)
+        await self.lose(1, removed=False)
+        await self.await_attempt(3)
+        self.assertNotIn(self.calls[2].target, [c.target for c in self.calls[:2]])
+        await self.check_completes(attempt=3)
--- a/packages/router/fulmarward_router/exchange/tests/test_send.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_send.py
@@ -111,11 +111,14 @@
         self.addCleanup(self.target.close)
         self.client = TargetClient(session=self.session, dialect=_Dialect())
 
-    def open(self, body):
+    def send(self, body):
         request = SimpleNamespace(raw_path="/x", method="POST")
         state = SimpleNamespace(headers={}, request=request, body=body)
         call = SimpleNamespace(address=self.target.address)
-        return asyncio.create_task(self.client.open(state, call))
+        return self.client.open(state, call)
+
+    def open(self, body):
+        return asyncio.create_task(self.send(body))
 
     async def test_queued_request_of_an_abandoned_attempt_is_not_delivered(self):
         """Guards against a target that executes a request after its deadline."""
@@ -128,6 +131,41 @@
         self.assertLess(len(received), len(_BODY))
         self.assertEqual(end, "reset")
 
+    async def count_connections(self, attempt):
+        """Return how many connections were made for an attempt that is cancelled."""
+        counted = []
+
+        async def observe():
+            try:
+                await attempt
+            except asyncio.CancelledError as error:
+                counted.append(error.connections)
+
+        observing = asyncio.create_task(observe())
+        await asyncio.sleep(0.05)
+        observing.cancel()
+        await observing
+        return counted[0]
+
+    async def test_cancelled_attempt_says_whether_it_was_connected(self):
+        """Guards against a run that is counted at a target that got nothing."""
+        counting = asyncio.create_task(self.count_connections(self.send(b"")))
+        await self.target.accept()
+        self.assertEqual(await counting, 1)
+        # A listener whose queue is full answers no further connection.
+        with socket.socket() as full:
+            full.bind(("127.0.0.1", 0))
+            full.listen(0)
+            address = full.getsockname()
+            for _ in range(4):
+                waiting = socket.socket()
+                self.addCleanup(waiting.close)
+                waiting.setblocking(False)
+                waiting.connect_ex(address)
+            host, port = address
+            self.target.address = f"{host}:{port}"
+            self.assertEqual(await self.count_connections(self.send(b"")), 0)
+
     async def test_request_that_is_not_acknowledged_is_given_up(self):
         """Guards against a request that arrives after its target has left."""
         attempt = self.open(_BODY)
