Known red: a stream is cut beside a target that reset it twice

Two errors exclude a target from all paths. A docstring says that targets which may have run a stream can be used again.

--- a/packages/router/fulmarward_router/exchange/_request_state.py
+++ b/packages/router/fulmarward_router/exchange/_request_state.py
@@ -220,7 +220,7 @@
         return min(self.route.most_attempts, self.facts.runs_before + 1)
 
     def list_reusable_targets(self) -> frozenset[str]:
-        """Return the targets that have run it and are not known to have ended."""
+        """Return the targets that may have run it and are not known to have ended."""
         return frozenset(r.target.name for r in self.failed_runs if not r.has_ended)
 
     def describe_attempts(self) -> list[dict[str, str]]:
--- a/packages/router/fulmarward_router/exchange/tests/test_target_schedules.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_target_schedules.py
@@ -296,6 +296,16 @@
         counted, _, _ = self.run_schedule(schedule)
         self.assertLessEqual(len(counted), _MOST_ATTEMPTS, self.world.story)
 
+    def test_stream_goes_on_at_a_target_that_broke_it_off_twice(self):
+        """Guards against a cut beside a target that lives, after two resets by it."""
+        schedule = [
+            (0.5, Step.FREEZE, 0),
+            (0.5, Step.BREAK_OFF, 0),
+            (0.5, Step.BREAK_OFF, 0),
+        ]
+        _, helpful, _ = self.run_schedule(schedule)
+        self.assertEqual(helpful, [], self.world.story)
+
     @seed(82)
     @settings(max_examples=100, deadline=None, database=None)
     @given(_SCHEDULES)
