Test: start times of targets are an argument, plainer names in the schedules

Read-through of the new tests: _StreamTest.list_target takes started_ms, so that the drawn schedules need no patched constructor; sends and steps are recorded.

--- a/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
@@ -168,7 +168,7 @@
     def read_clock(self):
         return time.monotonic() + self.skipped_s
 
-    def list_target(self, name, address, layers, *, is_leaving=False):
+    def list_target(self, name, address, layers, *, is_leaving=False, started_ms=1):
         self.version += 1
         now = self.read_clock()
         record = TargetRecord(
@@ -179,7 +179,7 @@
             is_leaving=is_leaving,
             slots=8,
             remaining_warmup_s=0.0,
-            started_ms=1,
+            started_ms=started_ms,
             kind="big",
             layers=LayerRange(start=layers[0], end=layers[1]),
         )
--- a/packages/router/fulmarward_router/exchange/tests/test_target_schedules.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_target_schedules.py
@@ -12,7 +12,6 @@
 from hypothesis import given, seed, settings, strategies as st
 
 from fulmarward_core.catalogue import TargetCatalogue
-from fulmarward_core.fleet import TargetRecord
 from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_router.exchange import _engines
 from fulmarward_router.exchange._request_state import (
@@ -63,6 +62,8 @@
 
 @dataclass(kw_only=True)
 class _Target:
+    """A process that serves streams, as it is in truth."""
+
     name: str
     address: str
     started_ms: int = 1
@@ -78,10 +79,12 @@
 
     @property
     def counts(self):
+        """Whether the limit of the route counts it."""
         return self.has_run and self.lives and not self.is_cut_off
 
     @property
     def is_sound(self):
+        """Whether it could serve a stream now."""
         is_hindered = self.is_frozen or self.is_mute or self.is_cut_off
         return self.lives and self.is_listed and not is_hindered
 
@@ -122,36 +125,35 @@
         self.list_process(target)
 
     def list_process(self, target, *, is_leaving=False):
-        make_record = TargetRecord
-
-        def make_started(**values):
-            return make_record(**{**values, "started_ms": target.started_ms})
-
-        module = "fulmarward_router.exchange.tests.test_late_streams.TargetRecord"
-        with mock.patch(module, make_started):
-            self.list_target(target.name, target.address, (0, 2), is_leaving=is_leaving)
+        self.list_target(
+            target.name,
+            target.address,
+            (0, 2),
+            is_leaving=is_leaving,
+            started_ms=target.started_ms,
+        )
 
-    def tell(self, *words):
+    def record(self, *words):
         self.story.append((round(self.read_clock() - 100.0, 3), *words))
 
     async def open(self, state, call):
         target = self.targets[call.target]
         self.latest = target
         if target.is_cut_off:
-            self.tell("not connected", target.name)
+            self.record("not connected", target.name)
             await asyncio.sleep(_CONNECT_TIMEOUT_S)
             raise NotSent("timeout")
         if not target.lives:
-            self.tell("connection refused", target.name)
+            self.record("connection refused", target.name)
             raise NotSent("refused")
         stream = _Stream()
         fate = self.fates.pop(0) if self.fates else None
         if fate is Step.REFUSE:
-            self.tell("rejected", target.name)
+            self.record("rejected", target.name)
             stream.status = 421
             return stream
         target.is_mute = target.is_mute or fate is Step.MUTE
-        self.tell("sent", target.name)
+        self.record("sent", target.name)
         target.has_run = True
         target.streams.append(stream)
         while target.is_frozen or target.is_mute or target.is_cut_off:
@@ -181,7 +183,7 @@
 
     def take(self, step, target):
         """Have a step happen to a target."""
-        self.tell(step.name, target.name)
+        self.record(step.name, target.name)
         if step is Step.FREEZE:
             target.is_frozen = True
             self.dialect.silent.add(target.name)
@@ -264,7 +266,7 @@
             ]
             if len(ended) <= MAX_ENDED_RUNS:
                 helpful = self.list_helpful()
-        self.tell("ended", repr(serving.exception()) if serving.done() else "open")
+        self.record("ended", repr(serving.exception()) if serving.done() else "open")
         received = getattr(request.get("answer"), "received", b"")
         numbers = [int(n) for n in re.findall(rb"id: (\d+)\n", received)]
         for task in self.tasks:
