Quote no exception in the error that a caller gets

What callers saw: a stream whose last attempt failed, and a request that no peer served, got a 502 or 503 whose message was the exception. For a broken answer it had the address and name of the target, the team, the path, the headers that were sent, and bytes of the answer; for a refused connection the target's address.

Cause: the rejection took the cause of the failed attempt, which is written for the log, as its own, and a rejection's cause is the message for the caller.

Change: a rejection has a constant cause, `no more attempts` or `no more peers`, and the failure as a `detail` that is only logged, as a cut stream has. Plain requests had constant messages already. Logged errors are bounded to 512 characters and no longer list the headers that were sent, which to a peer include the caller's credential.

--- a/packages/client/fulmarctl/_denials.py
+++ b/packages/client/fulmarctl/_denials.py
@@ -82,6 +82,10 @@
     "no more attempts": _make_constant(
         "Targets rejected it, and it was allowed no further attempt."
     ),
+    "no more peers": _make_constant(
+        "No target of the service answered the instance, the peers that it asked did"
+        " not serve it, and it was allowed no further attempt."
+    ),
     "no target answers": _make_constant(
         "No target of the service answered the instance, and no peer served it."
     ),
--- a/packages/router/fulmarward_router/exchange/_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/_caller_handler.py
@@ -434,6 +434,7 @@
             status=status,
             code=int(rejection.code),
             cause=rejection.cause,
+            detail=rejection.detail[:MAX_KEPT_CAUSE] or None,
             retry_after_s=rejection.retry_after_s,
             shortage=None if rejection.shortage is None else rejection.shortage.value,
             configuration=self._configuration.version,
--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -434,7 +434,7 @@
         return CutCause.NO_RETRY if is_allowed else CutCause.NO_RUN
 
     def make_rejection(
-        self, state: RequestState, *, cause: str, retry_after_s: float
+        self, state: RequestState, *, cause: str, retry_after_s: float, detail: str = ""
     ) -> RejectedRequest:
         """Return the rejection of a request that no target has answered.
 
@@ -443,5 +443,8 @@
         code = choose_result_code(self.make_tally(state), now=self.read_clock())
         has_run = code is not ResultCode.TARGET_REFUSED
         return RejectedRequest(
-            code, cause=cause, retry_after_s=None if has_run else retry_after_s
+            code,
+            cause=cause,
+            retry_after_s=None if has_run else retry_after_s,
+            detail=detail,
         )
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -579,7 +579,8 @@
         engine = state.configuration.services[state.service].engine
         raise self._context.make_rejection(
             state,
-            cause=failure.cause,
+            cause="no more attempts",
+            detail=failure.cause,
             retry_after_s=self._admission.find_retry_after_s(state, engine, wanted),
         )
 
--- a/packages/router/fulmarward_router/exchange/_relay.py
+++ b/packages/router/fulmarward_router/exchange/_relay.py
@@ -487,16 +487,19 @@
             offset=random.randrange(1 << 16),
         )
 
-    def _make_rejection(self, state: RequestState, cause: str) -> RejectedRequest:
+    def _make_rejection(
+        self, state: RequestState, cause: str, *, detail: str = ""
+    ) -> RejectedRequest:
         """Return the rejection of a request that no peer has served."""
         if state.runs > 0:
             return self._context.make_rejection(
-                state, cause=cause, retry_after_s=UNREACHED_RETRY_S
+                state, cause=cause, retry_after_s=UNREACHED_RETRY_S, detail=detail
             )
         return RejectedRequest(
             ResultCode.TARGET_UNREACHABLE,
             cause=cause,
             retry_after_s=UNREACHED_RETRY_S,
+            detail=detail,
         )
 
     async def _require_retry(self, state: RequestState, failure: _PeerFailed) -> None:
@@ -512,7 +515,7 @@
             raise TruncatedResponse(
                 self._context.find_cut_cause(state), detail=failure.cause
             )
-        raise self._make_rejection(state, failure.cause)
+        raise self._make_rejection(state, "no more peers", detail=failure.cause)
 
     async def _relay(
         self, state: RequestState, peer: RelayPeer, *, is_last_resort: bool
--- a/packages/router/fulmarward_router/exchange/_request_state.py
+++ b/packages/router/fulmarward_router/exchange/_request_state.py
@@ -306,10 +306,14 @@
         retry_after_s: float | None = None,
         shortage: Shortage | None = None,
         values: RejectionValues | None = None,
+        detail: str = "",
     ) -> None:
         super().__init__(cause)
         self.code = code
+        #: Text for the caller, in words of this program.
         self.cause = cause
+        #: Why the last attempt failed, for the log. It may quote a target.
+        self.detail = detail
         self.retry_after_s = retry_after_s
         self.shortage = shortage
         self.values = values or RejectionValues()
--- a/packages/router/fulmarward_router/exchange/_send.py
+++ b/packages/router/fulmarward_router/exchange/_send.py
@@ -36,6 +36,10 @@
 UNACKNOWLEDGED_TIMEOUT_S = 1.5
 
 
+#: Characters that are logged of an error, as it may quote a target.
+MAX_DESCRIPTION_LENGTH = 512
+
+
 class SendFailed(Exception):
     """A request had no complete response."""
 
@@ -210,16 +214,21 @@
                 allow_redirects=False,
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            raise NotSent(repr(error)) from error
+            raise NotSent(_describe(error)) from error
         except (aiohttp.ClientError, ValueError, OSError) as error:
-            raise AnswerLost(repr(error)) from error
+            raise AnswerLost(_describe(error)) from error
 
     async def read_body(self, response: aiohttp.ClientResponse) -> bytes:
         """Return the complete body of a response; raises `AnswerLost`."""
         try:
             return await response.read()
         except (aiohttp.ClientError, OSError) as error:
-            raise AnswerLost(repr(error)) from error
+            raise AnswerLost(_describe(error)) from error
+
+
+def _describe(error: Exception) -> str:
+    """Format an error for the log: bounded, and without the headers that were sent."""
+    return f"{type(error).__name__}: {error}"[:MAX_DESCRIPTION_LENGTH]
 
 
 async def is_connection_refused(address: str, *, timeout_s: float) -> bool:
