Refuse a response whose status line is none of HTTP/1

What callers saw: `HTTP/1.1 0 ` with the fields and the body of a worker that had sent `HTTP/1.1 000`; likewise 001 to 099, 600 to 999, and a 101 that nobody asked for. RTSP/1.0, HTTP/0.9 and HTTP/2.0 were taken for HTTP/1.

Cause: what the parser accepts was taken for an answer. It is lenient by its settings, and each reader judged only what it needs: a status below 500 is a success, any status but 421 a sign of life, an order that was not taken refused, and so a write.

Change: connections keep the bytes of a head until it has been parsed and check its status line, and those of interim responses before it, in the one place through which the bytes of all HTTP clients of an instance pass. A response that fails is reset and logged, and its reader gets an error it already handles for a lost answer: it may have run, it counts against its target, and it proves nothing. What the parser returns is not enough, as it gives neither the protocol's name nor what it skipped.

--- a/packages/instance/fulmarward/http/_bounded.py
+++ b/packages/instance/fulmarward/http/_bounded.py
@@ -18,6 +18,7 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import RawResponseMessage
 
+from fulmarward.http._heads import MalformedHeadError, check_heads
 from fulmarward.observability import log_event
 
 _MIB = 1 << 20
@@ -184,6 +185,8 @@
         self._guard = guard
         self._sent_bytes = 0
         self._interim_responses = 0
+        #: What was received until the end of the head, `b""` after it.
+        self._heads = bytearray()
         self._body: aiohttp.StreamReader | None = None
         self._head_timer: asyncio.TimerHandle | None = None
 
@@ -191,6 +194,7 @@
         """Prepare for the response to the next request."""
         self._sent_bytes = 0
         self._interim_responses = 0
+        self._heads = bytearray()
         self._body = None
         super().set_response_params(**options)
 
@@ -200,9 +204,17 @@
         if 100 <= message.code < 200 and message.code != 101:
             self._interim_responses += 1
             return
+        try:
+            if self._body is None:
+                check_heads(self._heads, interim_responses=self._interim_responses)
+        except MalformedHeadError as error:
+            self._reject_head("malformed_head_rejected", error)
+            return
         if _has_status_line(message):
-            self._reject_joined()
+            error = JoinedHeads("another response begins inside its head")
+            self._reject_head("joined_heads_rejected", error)
             return
+        self._heads = bytearray()
         self._body = body
         self._stop_head_timer()
         super().feed_data(data, size)
@@ -214,6 +226,8 @@
                 self._guard.limits.head_s, self._end, "head_s"
             )
         self._sent_bytes += len(data)
+        if self._body is None:
+            self._heads += data
         super().data_received(data)
         if self._sent_bytes < CHECKED_BYTES and not self._interim_responses:
             return
@@ -247,11 +261,11 @@
         self.set_exception(error)
         transport.abort()
 
-    def _reject_joined(self) -> None:
-        """End a response whose head has parts of two, and reset the connection."""
+    def _reject_head(self, event: str, error: aiohttp.ClientPayloadError) -> None:
+        """End a response whose head is none, and reset the connection."""
         self._stop_head_timer()
-        log_event("joined_heads_rejected", address=self._find_address())
-        self.set_exception(JoinedHeads("another response begins inside its head"))
+        log_event(event, address=self._find_address(), cause=str(error))
+        self.set_exception(error)
         if self.transport is not None:
             self.transport.abort()
 
--- /dev/null
+++ b/packages/instance/fulmarward/http/_heads.py
@@ -0,0 +1,39 @@
+"""Decides whether the start of a response is a head of HTTP/1, by its bytes.
+
+The parser is lenient: it accepts statuses that are none, and other protocols, which
+what it returns does not tell.
+"""
+
+import re
+
+import aiohttp
+
+#: Bytes that are quoted of a malformed line.
+MAX_QUOTED_BYTES = 64
+
+_INTERIM_STATUS = re.compile(rb"(?:\r?\n)*+HTTP/1\.[01] 1\d\d(?: [^\n]*+)?\r?\n")
+_FINAL_STATUS = re.compile(rb"(?:\r?\n)*+HTTP/1\.[01] [2-5]\d\d(?: [^\n]*+)?\r?\n")
+
+#: Lines of fields.
+_FIELDS = re.compile(rb"(?:[^\r\n][^\n]*+\n)*+")
+_END = re.compile(rb"\r?\n")
+
+
+class MalformedHeadError(aiohttp.ClientPayloadError):
+    """The start of a response is no head of HTTP/1; the message quotes its line."""
+
+
+def check_heads(data: bytes, *, interim_responses: int) -> None:
+    """Check the heads of a response and of the interim ones before it.
+
+    Raises `MalformedHeadError`. Interim responses have a status from 100 to 199, the
+    final one from 200 to 599 (RFC 9110, section 15); `data` may contain a body too.
+    """
+    position = 0
+    for status in [*[_INTERIM_STATUS] * interim_responses, _FINAL_STATUS]:
+        for part in (status, _FIELDS, _END):
+            match = part.match(data, position)
+            if match is None:
+                line = data[position : position + MAX_QUOTED_BYTES].partition(b"\n")[0]
+                raise MalformedHeadError(f"no head of HTTP/1: {bytes(line)!r}")
+            position = match.end()
--- /dev/null
+++ b/packages/instance/fulmarward/http/tests/test_heads.py
@@ -0,0 +1,89 @@
+import asyncio
+import unittest
+
+import aiohttp
+
+from fulmarward.http import ResponseGuard
+
+_STATUS = b"HTTP/1.1 200 OK\r\n"
+
+_REST = b"Content-Length: 2\r\n\r\nok"
+
+_BROKEN_STATUS_LINES = (
+    b"HTTP/1.1 000 Trouble",
+    b"HTTP/1.1 000",
+    b"HTTP/1.1 099 Trouble",
+    b"HTTP/1.1 101 Switching Protocols",
+    b"HTTP/1.1 600 Trouble",
+    b"HTTP/1.1 999 Trouble",
+    b"HTTP/1.1 20 OK",
+    b"HTTP/1.1 +20 OK",
+    b"HTTP/1.1 0200 OK",
+    b"HTTP/0.9 200 OK",
+    b"HTTP/2.0 200 OK",
+    b"RTSP/1.0 200 OK",
+    b"ICY 200 OK",
+    b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Trouble",
+    b"RTSP/1.0 100 Continue\r\n\r\nHTTP/1.1 200 OK",
+)
+
+
+class HeadTest(unittest.IsolatedAsyncioTestCase):
+    """Answers of a source that writes raw bytes and then closes."""
+
+    async def asyncSetUp(self):
+        options = {"limit": 0, "force_close": True}
+        self.session = ResponseGuard().make_session(connector_options=options)
+        self.addAsyncCleanup(self.session.close)
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.addCleanup(self.server.close)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def serve(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        for part in self.parts:
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(0)
+        writer.close()
+
+    async def read(self, *parts, method="GET"):
+        """Return the status and the body of an answer that consists of bytes."""
+        self.parts = parts
+        url = f"http://127.0.0.1:{self.port}/"
+        async with asyncio.timeout(5), self.session.request(method, url) as response:
+            return response.status, await response.read()
+
+    async def check_broken(self, data):
+        """Check that bytes are no answer, also if they arrive one at a time."""
+        head = data[: data.rindex(b"\r\n\r\n") + 4]
+        for method, sent in (("GET", data), ("POST", data), ("HEAD", head)):
+            for parts in ([sent], [sent[i : i + 1] for i in range(len(sent))]):
+                with self.subTest(data, method=method, parts=len(parts)):
+                    with self.assertRaises(aiohttp.ClientError):
+                        await self.read(*parts, method=method)
+
+    async def test_status_line_that_is_none(self):
+        """Guards against a status that no answer has, or another protocol's."""
+        for line in _BROKEN_STATUS_LINES:
+            await self.check_broken(line + b"\r\n" + _REST)
+
+    async def test_sound_status_lines(self):
+        """Guards against a proper answer that is refused for its status."""
+        for status in range(200, 600):
+            for reason in ("", " Nicht gefunden: \xe9"):
+                line = f"HTTP/1.1 {status}{reason}\r\n".encode("latin-1")
+                rest, body = _REST, b"ok"
+                if status in (204, 304):
+                    rest, body = b"\r\n", b""
+                with self.subTest(line):
+                    found = await self.read(line + rest)
+                    self.assertEqual(found, (status, body))
+
+    async def test_sound_answer_after_interim_ones(self):
+        """Guards against a proper answer that is refused for what precedes it."""
+        interim = b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+        data = interim * 2 + _STATUS + _REST
+        self.assertEqual(await self.read(data), (200, b"ok"))
+        parts = [data[i : i + 1] for i in range(len(data))]
+        self.assertEqual(await self.read(*parts), (200, b"ok"))
