Refuse a response whose field names are none of HTTP/1

What callers saw: 200 with the body of a worker whose head had a blank before its first name or after a name of the framing. ` X-Broken: 1` became a field `X-Broken`; `Transfer-Encoding : broken` was passed on as it was, beside the `Transfer-Encoding` or `Content-Length` of the instance, so that a caller may read another body than was sent.

Cause: the parser, lenient by its settings, drops blanks after the status line, and accepts them after `Content-Length`, `Transfer-Encoding` and `Connection`, which then frame nothing. Other blanks, and control bytes, it refuses: that half was handled.

Change: the lines of a head are checked against the grammar of RFC 9112, section 5, folded values included, where the status line is.

--- a/packages/instance/fulmarward/http/_heads.py
+++ b/packages/instance/fulmarward/http/_heads.py
@@ -1,7 +1,7 @@
 """Decides whether the start of a response is a head of HTTP/1, by its bytes.
 
-The parser is lenient: it accepts statuses that are none, and other protocols, which
-what it returns does not tell.
+The parser is lenient: it accepts statuses and protocols that are none, and drops blanks
+around the names of some fields, so that what it returns does not tell.
 """
 
 import re
@@ -14,8 +14,10 @@
 _INTERIM_STATUS = re.compile(rb"(?:\r?\n)*+HTTP/1\.[01] 1\d\d(?: [^\n]*+)?\r?\n")
 _FINAL_STATUS = re.compile(rb"(?:\r?\n)*+HTTP/1\.[01] [2-5]\d\d(?: [^\n]*+)?\r?\n")
 
-#: Lines of fields.
-_FIELDS = re.compile(rb"(?:[^\r\n][^\n]*+\n)*+")
+#: Fields, whose values may be folded (RFC 9112, section 5.2).
+_FIELDS = re.compile(
+    rb"(?:[!#$%&'*+.^_`|~0-9A-Za-z-]++:[^\n]*+\n(?:[ \t][^\n]*+\n)*+)*+"
+)
 _END = re.compile(rb"\r?\n")
 
 
--- a/packages/instance/fulmarward/http/tests/test_heads.py
+++ b/packages/instance/fulmarward/http/tests/test_heads.py
@@ -87,3 +87,32 @@
         self.assertEqual(await self.read(data), (200, b"ok"))
         parts = [data[i : i + 1] for i in range(len(data))]
         self.assertEqual(await self.read(*parts), (200, b"ok"))
+
+    async def test_name_that_is_none(self):
+        """Guards against a line that is passed on, and framing that is ignored."""
+        names = [b"", b" X-Odd", b"\tX-Odd", b"X-Odd\t"]
+        for name in (b"X-Odd", b"Content-Length", b"Transfer-Encoding", b"Connection"):
+            names += [name + b" ", name[:4] + b" " + name[4:]]
+        for byte in (0, 1, 11, 27, 34, 64, 91, 127, 233):
+            names += [b"X-O" + bytes([byte]) + b"dd", b"Upgrade" + bytes([byte])]
+        for name in names:
+            await self.check_broken(_STATUS + name + b": 2\r\nX-A: 1\r\n\r\nok")
+        await self.check_broken(_STATUS + b"X-A: 1\r\nno colon\r\n\r\nok")
+        await self.check_broken(
+            b"HTTP/1.1 103 Hints\r\n Link: a\r\n\r\n" + _STATUS + _REST
+        )
+
+    async def test_sound_fields(self):
+        """Guards against a proper answer that is refused for its fields."""
+        fields = [
+            b"!#$%&'*+-.^_`|~09azAZ: 1\r\n",
+            b"X-Empty:\r\nX-Long: " + b"a" * 7000 + b"\r\n",
+            b"X-Folded: a\r\n b: c\r\n\td\r\n",
+            b'Content-Type: text/plain; a="b:c"\r\n' * 2,
+            b"X-Text: \xe9\xff\r\n",
+            b"X-A: 1\n",
+            b"".join(b"X-%d: 1\r\n" % number for number in range(120)),
+        ]
+        for field in fields:
+            with self.subTest(field[:40]):
+                self.assertEqual(await self.read(_STATUS + field + _REST), (200, b"ok"))
