Refuse a response with transfer codings that are not decoded

What callers saw: 200 with a body that was not the worker's. With `Transfer-Encoding: gzip`, an unknown coding or `chunked, gzip` the field was dropped, as it is one of a connection, and the body passed on as it was encoded, under the instance's own framing. `chunked` twice was decoded once.

Cause: the parser decodes `chunked` and reads anything else until the connection ends. An instance never offers another coding, so that none may be sent to it (RFC 9112, section 7.4).

Change: a response has no transfer coding or `chunked` once, or is refused where the status line is.

--- a/packages/instance/fulmarward/http/_bounded.py
+++ b/packages/instance/fulmarward/http/_bounded.py
@@ -18,7 +18,11 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import RawResponseMessage
 
-from fulmarward.http._heads import MalformedHeadError, check_heads
+from fulmarward.http._heads import (
+    MalformedHeadError,
+    check_heads,
+    check_transfer_codings,
+)
 from fulmarward.observability import log_event
 
 _MIB = 1 << 20
@@ -206,7 +210,7 @@
             return
         try:
             if self._body is None:
-                check_heads(self._heads, interim_responses=self._interim_responses)
+                self._check_head(message)
         except MalformedHeadError as error:
             self._reject_head("malformed_head_rejected", error)
             return
@@ -261,6 +265,12 @@
         self.set_exception(error)
         transport.abort()
 
+    def _check_head(self, message: RawResponseMessage) -> None:
+        """Raise `MalformedHeadError` if what was parsed as a head is none."""
+        check_heads(self._heads, interim_responses=self._interim_responses)
+        codings = message.headers.getall("Transfer-Encoding", ())
+        check_transfer_codings(codings)
+
     def _reject_head(self, event: str, error: aiohttp.ClientPayloadError) -> None:
         """End a response whose head is none, and reset the connection."""
         self._stop_head_timer()
--- a/packages/instance/fulmarward/http/_heads.py
+++ b/packages/instance/fulmarward/http/_heads.py
@@ -5,6 +5,7 @@
 """
 
 import re
+from collections.abc import Iterable
 
 import aiohttp
 
@@ -39,3 +40,14 @@
                 line = data[position : position + MAX_QUOTED_BYTES].partition(b"\n")[0]
                 raise MalformedHeadError(f"no head of HTTP/1: {bytes(line)!r}")
             position = match.end()
+
+
+def check_transfer_codings(values: Iterable[str]) -> None:
+    """Check the values of `Transfer-Encoding`, of which only `chunked` is decoded.
+
+    Raises `MalformedHeadError`. Others must not be sent to a client that has not
+    offered them (RFC 9112, section 7.4), and their body would be passed on encoded.
+    """
+    codings = [coding.strip(" \t").lower() for v in values for coding in v.split(",")]
+    if codings not in ([], ["chunked"]):
+        raise MalformedHeadError(f"transfer codings: {codings!r}"[:MAX_QUOTED_BYTES])
--- a/packages/instance/fulmarward/http/tests/test_heads.py
+++ b/packages/instance/fulmarward/http/tests/test_heads.py
@@ -116,3 +116,20 @@
         for field in fields:
             with self.subTest(field[:40]):
                 self.assertEqual(await self.read(_STATUS + field + _REST), (200, b"ok"))
+
+    async def test_transfer_coding_that_is_not_decoded(self):
+        """Guards against a body that is passed on as it was encoded."""
+        for codings in (b"gzip", b"xchunked", b"chunked, gzip", b"chunked, chunked"):
+            for field in (codings, b"chunked\r\nTransfer-Encoding: " + codings):
+                await self.check_broken(
+                    _STATUS + b"Transfer-Encoding: " + field + b"\r\n\r\n"
+                    b"2\r\nok\r\n0\r\n\r\n"
+                )
+
+    async def test_chunks(self):
+        """Guards against a proper answer that is refused for its framing."""
+        for coding in (b"chunked", b"Chunked ", b"\tchunked"):
+            with self.subTest(coding):
+                head = _STATUS + b"Transfer-Encoding: " + coding + b"\r\n\r\n"
+                found = await self.read(head, b"2\r\nok\r\n0\r\n\r\n")
+                self.assertEqual(found, (200, b"ok"))
