Quote no exception in the failure of a call of a service

What callers saw, at the daemon of the product's own dialect: a call whose reply was lost failed with code 4001 and the text of the exception, which for a broken reply has its bytes and the address of the service.

Cause: the detail of a call that may have run was the error, and details are part of the message for the caller.

Evidence: test_broken_replies, failing before in 4 of 4 cases: "no head of HTTP/1: b'HTTP/1.1 000 broken\r'", and for a length that is none '400, message="Invalid character in Content-Length: ...", url='http://127.0.0.1:43129/x''.

Change: the detail is a constant sentence, and the error is logged, bounded, as `service_reply_lost` under the request's id. Other details of this daemon for lost replies are names of types.

Measured: the test passes.

--- a/packages/instance/fulmarward/targets/_service.py
+++ b/packages/instance/fulmarward/targets/_service.py
@@ -5,6 +5,10 @@
 import aiohttp
 
 from fulmarward.http import send_once
+from fulmarward.observability import log_event
+
+#: Characters that are logged of an error, as it may quote the service.
+MAX_CAUSE_LENGTH = 512
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -85,7 +89,14 @@
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
         return ServiceRefused(detail=type(error).__name__)
     except (aiohttp.ClientError, TimeoutError) as error:
-        return ServiceUncertain(detail=str(error) or type(error).__name__)
+        log_event(
+            "service_reply_lost",
+            request=service_request.request,
+            attempt=service_request.attempt,
+            address=address,
+            cause=f"{type(error).__name__}: {error}"[:MAX_CAUSE_LENGTH],
+        )
+        return ServiceUncertain(detail="The reply of the service was lost.")
     if response.headers.get("X-Not-Run") == "1":
         return ServiceRefused(detail="the service refused the call")
     return ServiceAnswer(
