Take no broken reply for one of an instance in fulmarctl

What operators saw: a reply with the status 000, or with a blank before its first field, was read like any other. With a JSON body that has a result code, an apply that may have been carried out was reported as refused.

Cause: the client had a connection of its own that accepts what the parser accepts.

Evidence: test_reply_that_is_none_is_a_failure, failing before in 2 of 2 cases: `Reply(status=0, body={'result': 2003, ...})` and status 200.

Change: the client's sessions are made by ResponseGuard, as those of instances are, so that heads are checked in the same place; such a reply is INSTANCE_UNREACHABLE, whose outcome is unknown.

--- a/packages/client/fulmarctl/_client.py
+++ b/packages/client/fulmarctl/_client.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 
+from fulmarward.http import ResponseGuard
 from fulmarward_core.results import Failure, ResultCode, make_failure
 
 #: Timeout of one call, in seconds.
@@ -40,6 +41,13 @@
     body: Any
 
 
+def _make_session() -> aiohttp.ClientSession:
+    """Return a client that refuses replies that are none; needs a running loop."""
+    return ResponseGuard().make_session(
+        connector_options={}, timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+    )
+
+
 async def _read_reply(response: aiohttp.ClientResponse) -> Reply:
     """Return a reply; raises `ValueError` if it is too large or no JSON.
 
@@ -79,9 +87,8 @@
 
 
 async def _call_first(fleet: Fleet, path: str, body: object) -> Reply | Failure:
-    timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
     outcome: Reply | Failure = make_failure(ResultCode.INSTANCE_UNREACHABLE)
-    async with aiohttp.ClientSession(timeout=timeout) as session:
+    async with _make_session() as session:
         for address in fleet.addresses:
             outcome = await _call_one(session, fleet, address, path, body)
             if isinstance(outcome, Reply):
@@ -90,8 +97,7 @@
 
 
 async def _call_all(fleet: Fleet, path: str) -> list[Reply | Failure]:
-    timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
-    async with aiohttp.ClientSession(timeout=timeout) as session:
+    async with _make_session() as session:
         calls = [
             _call_one(session, fleet, address, path, None)
             for address in fleet.addresses
--- a/packages/client/fulmarctl/tests/test_endless_replies.py
+++ b/packages/client/fulmarctl/tests/test_endless_replies.py
@@ -59,3 +59,15 @@
                 outcome, _ = await self.call(_HEAD + head, block, sent_bytes=1)
                 self.assertIsInstance(outcome, Failure)
                 self.assertIs(outcome.code, ResultCode.INSTANCE_UNREACHABLE)
+
+    async def test_reply_that_is_none_is_a_failure(self):
+        """Guards against a refusal by what may have been carried out."""
+        body = b'{"result": 2003, "error": {"message": ""}}'
+        rest = b"\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
+        for start in (b"HTTP/1.1 000 OK", b"HTTP/1.1 200 OK\r\n X-A: x"):
+            with self.subTest(start):
+                outcome, _ = await self.call(
+                    start + rest % len(body), body, sent_bytes=1
+                )
+                self.assertIsInstance(outcome, Failure)
+                self.assertIs(outcome.code, ResultCode.INSTANCE_UNREACHABLE)
