Refuse a response with a control byte in a field's value

What callers saw: a connection that was closed without any answer. The value of a worker's field was taken over and could not be written, after the attempt had been counted as a success; no other target was asked.

Cause: the parser, lenient by its settings, accepts control bytes other than CR and NUL in values; what writes the answer does not.

Change: the grammar of values is checked with that of names: tabs, blanks, visible characters and bytes over 127, also in folded lines.

--- a/packages/instance/fulmarward/http/_heads.py
+++ b/packages/instance/fulmarward/http/_heads.py
@@ -15,9 +15,12 @@
 _INTERIM_STATUS = re.compile(rb"(?:\r?\n)*+HTTP/1\.[01] 1\d\d(?: [^\n]*+)?\r?\n")
 _FINAL_STATUS = re.compile(rb"(?:\r?\n)*+HTTP/1\.[01] [2-5]\d\d(?: [^\n]*+)?\r?\n")
 
+#: The rest of a line of a field, without control bytes but tabs.
+_VALUE = rb"[\t\x20-\x7e\x80-\xff]*+\r?\n"
+
 #: Fields, whose values may be folded (RFC 9112, section 5.2).
 _FIELDS = re.compile(
-    rb"(?:[!#$%&'*+.^_`|~0-9A-Za-z-]++:[^\n]*+\n(?:[ \t][^\n]*+\n)*+)*+"
+    rb"(?:[!#$%&'*+.^_`|~0-9A-Za-z-]++:" + _VALUE + rb"(?:[ \t]" + _VALUE + rb")*+)*+"
 )
 _END = re.compile(rb"\r?\n")
 
--- a/packages/instance/fulmarward/http/tests/test_heads.py
+++ b/packages/instance/fulmarward/http/tests/test_heads.py
@@ -102,6 +102,13 @@
             b"HTTP/1.1 103 Hints\r\n Link: a\r\n\r\n" + _STATUS + _REST
         )
 
+    async def test_value_that_is_none(self):
+        """Guards against a value that cannot be passed on."""
+        for byte in (0, 1, 11, 13, 27, 127):
+            for value in (b"a%cb", b"%c", b"a\r\n b%cc"):
+                field = b"X-Odd: " + value % byte + b"\r\n"
+                await self.check_broken(_STATUS + field + _REST)
+
     async def test_sound_fields(self):
         """Guards against a proper answer that is refused for its fields."""
         fields = [
