--- a/packages/instance/fulmarward/http/_bounded.py
+++ b/packages/instance/fulmarward/http/_bounded.py
@@ -189,7 +189,7 @@
         self._guard = guard
         self._sent_bytes = 0
         self._interim_responses = 0
-        #: What was received until the end of the head, `b""` after it.
+        #: What was received until the end of the head; empty after it.
         self._heads = bytearray()
         self._body: aiohttp.StreamReader | None = None
         self._head_timer: asyncio.TimerHandle | None = None
