--- a/packages/client/fulmarctl/_client.py
+++ b/packages/client/fulmarctl/_client.py
@@ -42,7 +42,7 @@
 
 
 def _make_session() -> aiohttp.ClientSession:
-    """Return a client that refuses replies that are none; needs a running loop."""
+    """Return a client that rejects malformed replies; needs a running loop."""
     return ResponseGuard().make_session(
         connector_options={}, timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
     )
--- a/packages/client/fulmarctl/tests/test_endless_replies.py
+++ b/packages/client/fulmarctl/tests/test_endless_replies.py
@@ -60,8 +60,8 @@
                 self.assertIsInstance(outcome, Failure)
                 self.assertIs(outcome.code, ResultCode.INSTANCE_UNREACHABLE)
 
-    async def test_reply_that_is_none_is_a_failure(self):
-        """Guards against a refusal by what may have been carried out."""
+    async def test_malformed_reply_is_a_failure(self):
+        """Guards against an apply that may stand and is reported as refused."""
         body = b'{"result": 2003, "error": {"message": ""}}'
         rest = b"\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
         for start in (b"HTTP/1.1 000 OK", b"HTTP/1.1 200 OK\r\n X-A: x"):
--- a/packages/instance/fulmarward/http/_bounded.py
+++ b/packages/instance/fulmarward/http/_bounded.py
@@ -266,13 +266,13 @@
         transport.abort()
 
     def _check_head(self, message: RawResponseMessage) -> None:
-        """Raise `MalformedHeadError` if what was parsed as a head is none."""
+        """Raise `MalformedHeadError` unless the received head is well-formed."""
         check_heads(self._heads, interim_responses=self._interim_responses)
         codings = message.headers.getall("Transfer-Encoding", ())
         check_transfer_codings(codings)
 
     def _reject_head(self, event: str, error: aiohttp.ClientPayloadError) -> None:
-        """End a response whose head is none, and reset the connection."""
+        """End a response whose head is invalid, and reset the connection."""
         self._stop_head_timer()
         log_event(event, address=self._find_address(), cause=str(error))
         self.set_exception(error)
--- a/packages/instance/fulmarward/http/_heads.py
+++ b/packages/instance/fulmarward/http/_heads.py
@@ -1,7 +1,7 @@
-"""Decides whether the start of a response is a head of HTTP/1, by its bytes.
+"""Checks that the head of a response is well-formed HTTP/1, by its bytes.
 
-The parser is lenient: it accepts statuses and protocols that are none, and drops blanks
-around the names of some fields, so that what it returns does not tell.
+The parser is lenient: it accepts invalid status codes and other protocols, and drops
+blanks around some field names, which its result does not show.
 """
 
 import re
@@ -15,10 +15,10 @@
 _INTERIM_STATUS = re.compile(rb"(?:\r?\n)*+HTTP/1\.[01] 1\d\d(?: [^\n]*+)?\r?\n")
 _FINAL_STATUS = re.compile(rb"(?:\r?\n)*+HTTP/1\.[01] [2-5]\d\d(?: [^\n]*+)?\r?\n")
 
-#: The rest of a line of a field, without control bytes but tabs.
+#: A field value up to the end of its line: no control bytes except tabs.
 _VALUE = rb"[\t\x20-\x7e\x80-\xff]*+\r?\n"
 
-#: Fields, whose values may be folded (RFC 9112, section 5.2).
+#: Field lines, whose values may be folded (RFC 9112, section 5.2).
 _FIELDS = re.compile(
     rb"(?:[!#$%&'*+.^_`|~0-9A-Za-z-]++:" + _VALUE + rb"(?:[ \t]" + _VALUE + rb")*+)*+"
 )
@@ -26,11 +26,11 @@
 
 
 class MalformedHeadError(aiohttp.ClientPayloadError):
-    """The start of a response is no head of HTTP/1; the message quotes its line."""
+    """The head of a response is malformed; the message quotes the invalid part."""
 
 
 def check_heads(data: bytes, *, interim_responses: int) -> None:
-    """Check the heads of a response and of the interim ones before it.
+    """Check the head of a response, and those of the interim responses before it.
 
     Raises `MalformedHeadError`. Interim responses have a status from 100 to 199, the
     final one from 200 to 599 (RFC 9110, section 15); `data` may contain a body too.
@@ -41,7 +41,7 @@
             match = part.match(data, position)
             if match is None:
                 line = data[position : position + MAX_QUOTED_BYTES].partition(b"\n")[0]
-                raise MalformedHeadError(f"no head of HTTP/1: {bytes(line)!r}")
+                raise MalformedHeadError(f"malformed head: {bytes(line)!r}")
             position = match.end()
 
 
--- a/packages/instance/fulmarward/http/tests/test_heads.py
+++ b/packages/instance/fulmarward/http/tests/test_heads.py
@@ -9,7 +9,7 @@
 
 _REST = b"Content-Length: 2\r\n\r\nok"
 
-_BROKEN_STATUS_LINES = (
+_INVALID_STATUS_LINES = (
     b"HTTP/1.1 000 Trouble",
     b"HTTP/1.1 000",
     b"HTTP/1.1 099 Trouble",
@@ -29,7 +29,7 @@
 
 
 class HeadTest(unittest.IsolatedAsyncioTestCase):
-    """Answers of a source that writes raw bytes and then closes."""
+    """Responses of a source that writes raw bytes and then closes."""
 
     async def asyncSetUp(self):
         options = {"limit": 0, "force_close": True}
@@ -48,14 +48,14 @@
         writer.close()
 
     async def read(self, *parts, method="GET"):
-        """Return the status and the body of an answer that consists of bytes."""
+        """Return the status and the body of a response that consists of bytes."""
         self.parts = parts
         url = f"http://127.0.0.1:{self.port}/"
         async with asyncio.timeout(5), self.session.request(method, url) as response:
             return response.status, await response.read()
 
-    async def check_broken(self, data):
-        """Check that bytes are no answer, also if they arrive one at a time."""
+    async def check_rejected(self, data):
+        """Check that a response is rejected, also if it arrives a byte at a time."""
         head = data[: data.rindex(b"\r\n\r\n") + 4]
         for method, sent in (("GET", data), ("POST", data), ("HEAD", head)):
             for parts in ([sent], [sent[i : i + 1] for i in range(len(sent))]):
@@ -63,13 +63,13 @@
                     with self.assertRaises(aiohttp.ClientError):
                         await self.read(*parts, method=method)
 
-    async def test_status_line_that_is_none(self):
-        """Guards against a status that no answer has, or another protocol's."""
-        for line in _BROKEN_STATUS_LINES:
-            await self.check_broken(line + b"\r\n" + _REST)
+    async def test_invalid_status_line(self):
+        """Guards against an invalid status code, or another protocol, read as HTTP."""
+        for line in _INVALID_STATUS_LINES:
+            await self.check_rejected(line + b"\r\n" + _REST)
 
-    async def test_sound_status_lines(self):
-        """Guards against a proper answer that is refused for its status."""
+    async def test_valid_status_lines(self):
+        """Guards against a valid response that is refused for its status."""
         for status in range(200, 600):
             for reason in ("", " Nicht gefunden: \xe9"):
                 line = f"HTTP/1.1 {status}{reason}\r\n".encode("latin-1")
@@ -80,15 +80,15 @@
                     found = await self.read(line + rest)
                     self.assertEqual(found, (status, body))
 
-    async def test_sound_answer_after_interim_ones(self):
-        """Guards against a proper answer that is refused for what precedes it."""
+    async def test_valid_response_after_interim_ones(self):
+        """Guards against a valid response that is refused for what precedes it."""
         interim = b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
         data = interim * 2 + _STATUS + _REST
         self.assertEqual(await self.read(data), (200, b"ok"))
         parts = [data[i : i + 1] for i in range(len(data))]
         self.assertEqual(await self.read(*parts), (200, b"ok"))
 
-    async def test_name_that_is_none(self):
+    async def test_invalid_field_name(self):
         """Guards against a line that is passed on, and framing that is ignored."""
         names = [b"", b" X-Odd", b"\tX-Odd", b"X-Odd\t"]
         for name in (b"X-Odd", b"Content-Length", b"Transfer-Encoding", b"Connection"):
@@ -96,21 +96,21 @@
         for byte in (0, 1, 11, 27, 34, 64, 91, 127, 233):
             names += [b"X-O" + bytes([byte]) + b"dd", b"Upgrade" + bytes([byte])]
         for name in names:
-            await self.check_broken(_STATUS + name + b": 2\r\nX-A: 1\r\n\r\nok")
-        await self.check_broken(_STATUS + b"X-A: 1\r\nno colon\r\n\r\nok")
-        await self.check_broken(
+            await self.check_rejected(_STATUS + name + b": 2\r\nX-A: 1\r\n\r\nok")
+        await self.check_rejected(_STATUS + b"X-A: 1\r\nno colon\r\n\r\nok")
+        await self.check_rejected(
             b"HTTP/1.1 103 Hints\r\n Link: a\r\n\r\n" + _STATUS + _REST
         )
 
-    async def test_value_that_is_none(self):
+    async def test_invalid_field_value(self):
         """Guards against a value that cannot be passed on."""
         for byte in (0, 1, 11, 13, 27, 127):
             for value in (b"a%cb", b"%c", b"a\r\n b%cc"):
                 field = b"X-Odd: " + value % byte + b"\r\n"
-                await self.check_broken(_STATUS + field + _REST)
+                await self.check_rejected(_STATUS + field + _REST)
 
-    async def test_sound_fields(self):
-        """Guards against a proper answer that is refused for its fields."""
+    async def test_valid_fields(self):
+        """Guards against a valid response that is refused for its fields."""
         fields = [
             b"!#$%&'*+-.^_`|~09azAZ: 1\r\n",
             b"X-Empty:\r\nX-Long: " + b"a" * 7000 + b"\r\n",
@@ -124,17 +124,17 @@
             with self.subTest(field[:40]):
                 self.assertEqual(await self.read(_STATUS + field + _REST), (200, b"ok"))
 
-    async def test_transfer_coding_that_is_not_decoded(self):
+    async def test_unsupported_transfer_coding(self):
         """Guards against a body that is passed on as it was encoded."""
         for codings in (b"gzip", b"xchunked", b"chunked, gzip", b"chunked, chunked"):
             for field in (codings, b"chunked\r\nTransfer-Encoding: " + codings):
-                await self.check_broken(
+                await self.check_rejected(
                     _STATUS + b"Transfer-Encoding: " + field + b"\r\n\r\n"
                     b"2\r\nok\r\n0\r\n\r\n"
                 )
 
     async def test_chunks(self):
-        """Guards against a proper answer that is refused for its framing."""
+        """Guards against a valid response that is refused for its framing."""
         for coding in (b"chunked", b"Chunked ", b"\tchunked"):
             with self.subTest(coding):
                 head = _STATUS + b"Transfer-Encoding: " + coding + b"\r\n\r\n"
