--- a/packages/router/fulmarward_router/exchange/_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/_caller_handler.py
@@ -64,7 +64,7 @@
 #: rejection before the connection is reset.
 LINGERING_TIME_S = 2.0
 
-#: Characters of a cause that are kept for operators, as it may quote a target.
+#: Characters of a cause that are kept for operators, and of a detail that is logged.
 MAX_KEPT_CAUSE = 256
 
 #: HTTP status of each rejection by this instance. 503 promises that no target executed
--- a/packages/router/fulmarward_router/exchange/_send.py
+++ b/packages/router/fulmarward_router/exchange/_send.py
@@ -37,7 +37,7 @@
 
 
 #: Characters that are logged of an error, as it may quote a target.
-MAX_DESCRIPTION_LENGTH = 512
+MAX_CAUSE_LENGTH = 512
 
 
 class SendFailed(Exception):
@@ -228,7 +228,7 @@
 
 def _describe(error: Exception) -> str:
     """Format an error for the log: bounded, and without the headers that were sent."""
-    return f"{type(error).__name__}: {error}"[:MAX_DESCRIPTION_LENGTH]
+    return f"{type(error).__name__}: {error}"[:MAX_CAUSE_LENGTH]
 
 
 async def is_connection_refused(address: str, *, timeout_s: float) -> bool:
--- a/packages/router/fulmarward_router/exchange/tests/test_relay.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_relay.py
@@ -140,12 +140,21 @@
             answer = await relay.serve(state)
         except RejectedRequest as rejection:
             self.retry_after_s = rejection.retry_after_s
+            self.cause = rejection.cause
             return rejection.code, len(self.client.asked)
         if answer is None:
             return None, len(self.client.asked)
         self.answer = answer
         return answer.status, len(self.client.asked)
 
+    async def test_rejection_does_not_quote_the_failure_of_a_peer(self):
+        """Guards against an address of a peer in the message for a caller."""
+        for failure in (AnswerLost("192.0.2.7:1"), NotSent("192.0.2.7:1")):
+            with self.subTest(failure):
+                self.cause = None
+                await self.relay([failure] * 3, kind=RouteKind.NON_IDEMPOTENT)
+                self.assertNotIn("192.0.2.7", self.cause)
+
     def count_retries(self):
         return self.budget.count(share=1.0, now=time.monotonic()).used
 
