--- a/review/6/case.py
+++ b/review/6/case.py
@@ -15,8 +15,8 @@
 
 import stand2  # noqa: E402
 
-INSTANCES, CLIENTS_EACH = 3, 2
-CALM_S, AFTER_S, PAUSE_S = 8.0, 6.0, 0.25
+INSTANCES, CLIENTS_EACH = 3, 4
+CALM_S, AFTER_S, PAUSE_S = 6.0, 5.0, 0.4
 #: LOST: "closes that connection without an answer, more than three times".
 MOST_LOST = 3
 
--- a/review/stand2/stand2.py
+++ b/review/stand2/stand2.py
@@ -25,6 +25,8 @@
 HOST = "ficu95.example"
 KEY = "n2ctnfzs989anu6wsjnb"
 POOL, APP = "huvo11a", "wuno96b"
+#: A second service of model workers, which a later version may add.
+SECOND = "wiso27c"
 ZONE = "palermo-a"
 
 #: The bounds of the sheet of `sites/orus-fulmarward.toml`.
@@ -64,12 +66,18 @@
     }
 
 
-def make_configuration(version, routes):
-    """Return a configuration, as the users' example has it."""
+def make_configuration(version, routes, *, has_second=False):
+    """Return a configuration, as the users' example has it, also of two models."""
+    model = {"name": "mivu420000", "pace": 1.0, "loadS": 14.0, "warmS": 1.0}
+    second = {
+        "name": SECOND, "healthPath": "/healthz", "maxConnections": 1078,
+        "protocol": "h1", "tls": False, "engine": ENGINE | {"models": [model]},
+    }
     return {
         "version": version,
         "routes": routes,
         "services": [
+            *([second] if has_second else []),
             {"name": POOL, "healthPath": "/healthz", "maxConnections": 1078,
              "protocol": "h1", "tls": False, "engine": ENGINE},
             {"name": APP, "healthPath": "/healthz", "maxConnections": 110,
@@ -219,19 +227,24 @@
         self.service, self.kind = service, kind
         self.address = ""
         self.layers = None
+        #: Its state in the store, and the version of its software.
+        self.state, self.version = "ready", "v1"
+        #: What its streams end their lines with, as `text/event-stream` allows.
+        self.line_end = "\n"
         self.sequence = self.beats = self.running = 0
         self.events, self.pause_s, self.work_s = 30, 0.05, 0.0225
         #: What ran here: the attempt, and whether its whole answer was written.
         self.runs = []
         self._record = record
-        self._streams = streams
+        self.streams = streams
 
     def make_row(self):
         """Return the worker's entry in the store."""
         self.beats += 1
         row = {
             "service": self.service, "address": self.address, "zone": ZONE,
-            "version": "v1", "slots": 96 if self.kind else 6, "state": "ready",
+            "version": self.version, "slots": 96 if self.kind else 6,
+            "state": self.state,
             "coldRemainingMs": 0, "sequence": self.beats,
         }
         if self.kind:
@@ -271,7 +284,7 @@
         head = {"X-Attempt-Id": attempt, "X-Server-Stamp": f"{self.id}.{attempt}"}
         self.running += 1
         try:
-            if self._streams(request.path):
+            if self.streams(request.path):
                 answer = await self._stream(request, head, int(after or 0))
             else:
                 await asyncio.sleep(self.work_s)
@@ -289,7 +302,8 @@
         await answer.prepare(request)
         for number in range(after + 1, self.events + 1):
             await asyncio.sleep(self.pause_s)
-            await answer.write(f"id: {number}\ndata: piece {number}\n\n".encode())
+            lines = [f"id: {number}", f"data: piece {number}", "", ""]
+            await answer.write(self.line_end.join(lines).encode())
         await answer.write_eof()
         return answer
 
@@ -400,26 +414,48 @@
         self._store_address = await self.listen(self.store.make_app())
         self.store.put("op", "config", configuration)
         for service, kind, count in ((POOL, "a100s", pool), (APP, "", app)):
-            for _ in range(count):
-                worker = Worker(
-                    service=service, kind=kind, record=self.record, streams=streams
-                )
-                worker.address = await self.listen(worker.make_app())
-                self.workers.append(worker)
+            await self.add_workers(service, kind, count, streams)
         self._tasks.append(asyncio.create_task(self._beat()))
         controls = [f"127.0.0.1:{find_port()}" for _ in range(instances)]
         for number, control in enumerate(controls):
             await self._start_instance(f"edge-{ZONE}-{number + 1}", control, controls[:3])
         await self.await_ready()
 
+    async def add_workers(self, service, kind, count, streams):
+        """Start empty workers, which write their entries from now on."""
+        added = []
+        for _ in range(count):
+            worker = Worker(
+                service=service, kind=kind, record=self.record, streams=streams
+            )
+            worker.address = await self.listen(worker.make_app())
+            self.workers.append(worker)
+            added.append(worker)
+        return added
+
+    async def replace(self, old, *, version, line_end):
+        """Replace a worker as planned: the new one starts first, the old one drains."""
+        [new] = await self.add_workers(old.service, old.kind, 1, old.streams)
+        new.version, new.line_end = version, line_end
+        self.record.note(f"release: {new.id} {version} starts in place of {old.id}")
+        await asyncio.sleep(0.5)
+        old.state = "draining"
+        await asyncio.sleep(BOUNDS["drainMs"] / 1000 + 1.5)
+        while old.running:
+            await asyncio.sleep(0.05)
+        self.workers.remove(old)
+        self.store.put("servers", old.id, None)
+        self.record.note(f"release: {old.id} has left")
+
     async def _beat(self):
         """Have each worker write its entry each `heartbeatMs`, and on a change."""
         written = {}
         while True:
             for worker in self.workers:
-                layers, at = written.get(worker.id, (None, 0.0))
-                if layers != worker.layers or time.monotonic() - at >= 1.2:
-                    written[worker.id] = worker.layers, time.monotonic()
+                said = worker.layers, worker.state
+                before, at = written.get(worker.id, (None, 0.0))
+                if said != before or time.monotonic() - at >= 1.2:
+                    written[worker.id] = said, time.monotonic()
                     self.store.put("servers", worker.id, worker.make_row())
             await asyncio.sleep(0.05)
 
