--- a/review/stand2/stand2.py
+++ b/review/stand2/stand2.py
@@ -233,6 +233,10 @@
         self.line_end = "\n"
         self.sequence = self.beats = self.running = 0
         self.events, self.pause_s, self.work_s = 30, 0.05, 0.0225
+        #: Until when it is silent, in seconds on the monotonic clock, and whether its
+        #: entry is gone although it serves on.
+        self.silent_until = 0.0
+        self.is_unlisted = False
         #: What ran here: the attempt, and whether its whole answer was written.
         self.runs = []
         self._record = record
@@ -259,7 +263,12 @@
         app.router.add_route("*", "/{path:.*}", self._serve)
         return app
 
+    async def _keep_silence(self):
+        while (left := self.silent_until - time.monotonic()) > 0:
+            await asyncio.sleep(left)
+
     async def _serve(self, request):
+        await self._keep_silence()
         if request.headers.get("X-Target-Instance", self.id) != self.id:
             return web.Response(status=421, headers={"X-Instance-Id": self.id})
         if self.kind and request.path == "/report":
@@ -302,6 +311,7 @@
         await answer.prepare(request)
         for number in range(after + 1, self.events + 1):
             await asyncio.sleep(self.pause_s)
+            await self._keep_silence()
             lines = [f"id: {number}", f"data: piece {number}", "", ""]
             await answer.write(self.line_end.join(lines).encode())
         await answer.write_eof()
@@ -433,6 +443,12 @@
             added.append(worker)
         return added
 
+    def unlist(self, worker):
+        """Have a worker leave that never reports `draining`: its entry is removed."""
+        worker.is_unlisted = True
+        self.store.put("servers", worker.id, None)
+        self.record.note(f"the entry of {worker.id} is removed; it serves on")
+
     async def replace(self, old, *, version, line_end):
         """Replace a worker as planned: the new one starts first, the old one drains."""
         [new] = await self.add_workers(old.service, old.kind, 1, old.streams)
@@ -452,6 +468,8 @@
         written = {}
         while True:
             for worker in self.workers:
+                if worker.is_unlisted or worker.silent_until > time.monotonic():
+                    continue
                 said = worker.layers, worker.state
                 before, at = written.get(worker.id, (None, 0.0))
                 if said != before or time.monotonic() - at >= 1.2:
