--- a/review/stand2/stand2.py
+++ b/review/stand2/stand2.py
@@ -8,6 +8,7 @@
 import asyncio
 import base64
 import contextlib
+import fcntl
 import json
 import os
 import random
@@ -89,21 +90,42 @@
     }
 
 
-_ports = set()
+#: Ports below the system's ephemeral ones, in blocks of which a process locks one, so
+#: that scripts that run side by side never choose the same port.
+FIRST_PORT, END_PORT, BLOCK_PORTS = 12_000, 32_000, 500
+_locks, _free_ports = [], []
+
+
+def _lock_block():
+    """Lock a block of ports until this process ends; note its ports as free."""
+    folder = Path(tempfile.gettempdir()) / f"fulmarward-ports-{os.getuid()}"
+    folder.mkdir(exist_ok=True)
+    blocks = list(range(FIRST_PORT, END_PORT, BLOCK_PORTS))
+    random.shuffle(blocks)
+    for first in blocks:
+        lock = (folder / str(first)).open("w")
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            lock.close()
+            continue
+        _locks.append(lock)
+        _free_ports.extend(range(first, first + BLOCK_PORTS))
+        return
+    raise RuntimeError("expected a free block of ports")
 
 
 def find_port():
-    """Return a free port below the system's ephemeral ones."""
+    """Return a free port that was not returned before."""
     while True:
-        port = random.randrange(14_000, 31_000)
-        if port in _ports:
-            continue
+        if not _free_ports:
+            _lock_block()
+        port = _free_ports.pop(0)
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
             except OSError:
                 continue
-        _ports.add(port)
         return port
 
 
@@ -531,7 +553,7 @@
 
     async def await_ready(self):
         """Wait until all instances are ready and all layers are held."""
-        until = time.monotonic() + 30
+        until = time.monotonic() + 45
         while time.monotonic() < until:
             held = [w.layers for w in self.workers if w.layers]
             covered = {n for part in held for n in range(part["from"], part["to"])}
