Engine services: the choice of paths gets a module of its own

What chooses and reserves is EnginePaths now, in _engine_paths.py, so that another way of delivering a response can use it. No change of behaviour: the bodies of the methods are the same, but that a refusal and a release are given their path or request instead of an attempt. Tests name the new owner of what they patch.

--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -10,18 +10,11 @@
 from fulmarward.observability import log_event
 from fulmarward_core.attempts import may_retry, may_run_again, must_reuse_targets
 from fulmarward_core.fleet import EngineModel
-from fulmarward_core.loads import Reservation
 from fulmarward_core.paths import (
-    Hop,
     KvCapacity,
     PathRequest,
-    count_tokens_held,
 )
-from fulmarward_core.probing import PROBE_TIMEOUT_S
-from fulmarward_core.routes import list_class_services, list_urgencies
-from fulmarward_core.team_shares import TeamShares
 from fulmarward_router.exchange._admission import (
-    AdmissionQueue,
     compute_resume_end,
     round_estimate,
 )
@@ -35,14 +28,11 @@
 )
 from fulmarward_router.exchange._context import ServiceContext
 from fulmarward_router.exchange._crash_monitor import CrashMonitor
-from fulmarward_router.exchange._demand_recorder import DemandRecorder
+from fulmarward_router.exchange._engine_paths import EnginePaths
 from fulmarward_router.exchange._events import Event
-from fulmarward_router.exchange._failover import FIRST_CHECK_S, StreamSupervisor
+from fulmarward_router.exchange._failover import StreamSupervisor
 from fulmarward_router.exchange._failure_detector import FailureDetector
 from fulmarward_router.exchange._forwarding import StreamForwarder, is_of_caller
-from fulmarward_router.exchange._overflow import OverflowPlanner
-from fulmarward_router.exchange._path_finder import PathFinder
-from fulmarward_router.exchange._pipe_limiter import PipeLimiter
 from fulmarward_router.exchange._relay import PeerRelay, RelayedStream
 from fulmarward_router.exchange._request_state import (
     RejectedRequest,
@@ -51,23 +41,13 @@
     TruncatedResponse,
 )
 from fulmarward_router.exchange._resumption import StreamResumer, Successor
-from fulmarward_router.exchange._room_claims import RoomClaims
 from fulmarward_router.exchange._send import (
     AnswerLost,
     NotSent,
     is_connection_refused,
 )
-from fulmarward_router.exchange._waiting import (
-    ClassRequests,
-    UniformRequests,
-    WaitingRequests,
-    compute_request_kv,
-)
 from fulmarward_router.ports import TargetCall
 
-#: Paths that are probed in a row for a request that has run before.
-MAX_PROBED_PATHS = 3
-
 #: Seconds before a stream whose resumption brought no event is sent again, after the
 #: first such resumption and at most; doubled with each.
 FRUITLESS_PAUSE_S = 0.02
@@ -76,9 +56,6 @@
 #: Seconds to wait for the confirmation that a target has ended.
 CONFIRM_END_TIMEOUT_S = 0.4
 
-#: Factor by which a response is assumed to be longer than the caller's hint.
-HINT_MARGIN = 1.25
-
 #: Upper bound on the parts of a prompt in one log line.
 MAX_LOGGED_PARTS = 16
 
@@ -118,71 +95,31 @@
         self._dialect = context.dialect
         self._catalogue = context.catalogue
         self._suspicions = context.suspicions
-        self._limits = context.target_limits
         self._ledger = context.ledger
         self._read_clock = context.read_clock
         self._failure_detector = failure_detector
         self._crash_monitor = crash_monitor
-        self._finder = finder = PathFinder(
-            instance=context.instance,
-            catalogue=context.catalogue,
-            suspicions=context.suspicions,
-            paces=context.paces,
-            ledger=context.ledger,
-            is_large=context.is_large,
-            count_known_instances=context.count_known_instances,
-            list_throttled=context.target_limits.list_throttled,
-            list_backed_off=context.target_limits.list_backed_off,
-            read_clock=context.read_clock,
-            find_overflow=lambda service, engine: self._overflow.find_plan(
-                service, engine
-            ),
-        )
-        self._overflow = OverflowPlanner(
-            data_centre=context.data_centre,
-            demands=context.demands,
-            measure_capacities=lambda service, engine: finder.measure_capacities(
-                service, engine
+        #: Finds and reserves paths, for which requests wait there.
+        self._paths = paths = EnginePaths(
+            context=context,
+            failure_detector=failure_detector,
+            list_active_targets=lambda: self.supervisor.list_active_targets(
+                now=context.read_clock()
             ),
-            list_reached_centres=context.list_reached_centres,
-            read_clock=context.read_clock,
-        )
-        pipe = PipeLimiter(
-            catalogue=context.catalogue,
-            find_share=context.find_share,
-            read_clock=context.read_clock,
-        )
-        #: Silent streams of this instance that have found no room.
-        self._room_claims = room_claims = RoomClaims()
-        self._admission = AdmissionQueue(
-            finder=finder,
-            pipe=pipe,
-            catalogue=context.catalogue,
-            limits=context.target_limits,
-            find_waiting=self._find_waiting,
-            promised_returns=context.promised_returns,
-            read_clock=context.read_clock,
             count_denial=count_denial,
             observe_wait=observe_wait,
-            balances_data_centres=context.balances_data_centres,
-            is_room_kept=lambda service: room_claims.has_any(
-                service, now=context.read_clock()
-            ),
         )
-        #: Waiting requests by service, for services without and with classes.
-        self._uniform_requests: dict[str, UniformRequests] = {}
-        self._class_requests: dict[str, ClassRequests] = {}
         self._teams = context.teams
-        self._team_shares: dict[str, TeamShares] = {}
+        self._room_claims = paths.room_claims
         self._resumer = StreamResumer(
             context=context,
-            admission=self._admission,
-            room_claims=room_claims,
+            admission=paths.admission,
+            room_claims=paths.room_claims,
             crash_monitor=crash_monitor,
             forwarder=forwarder,
             relay=relay,
-            limit_first_targets=self._limit_first_targets,
-            is_reachable=self._is_reachable,
+            limit_first_targets=paths.limit_first_targets,
+            is_reachable=paths.is_reachable,
             open_response=self._open_response,
             release=self._release,
         )
@@ -190,71 +127,16 @@
         self.supervisor = StreamSupervisor(
             context=context,
             failure_detector=failure_detector,
-            finder=finder,
-            pipe=pipe,
-            room_claims=room_claims,
+            finder=paths.finder,
+            pipe=paths.pipe,
+            room_claims=paths.room_claims,
             begin_resumption=self._resumer.begin,
             has_peers=relay.has_peers,
         )
 
-    def _find_waiting(
-        self, state: RequestState, engine: EngineModel
-    ) -> WaitingRequests:
-        """Return the requests that wait for the service of a request.
-
-        A request that seeks another path may have begun under an older configuration,
-        so that only new ones apply theirs.
-        """
-        service, configuration = state.service, state.configuration
-        team_shares = self._find_team_shares(service)
-        if service not in list_class_services(configuration):
-            uniform = self._uniform_requests.get(service)
-            if uniform is None:
-                recorder = DemandRecorder(
-                    service=service,
-                    demands=self._context.demands,
-                    is_enabled=self._context.balances_data_centres,
-                )
-                uniform = UniformRequests(recorder=recorder, team_shares=team_shares)
-                self._uniform_requests[service] = uniform
-            uniform.configure(
-                measure_capacity=lambda: self._finder.measure_capacity(service, engine)
-            )
-            return uniform
-        waiting = self._class_requests.get(service)
-        if waiting is not None and state.has_sought_path:
-            return waiting
-        settings = self._context.read_class_settings()
-        if waiting is None:
-            promised = self._context.promised_returns
-            waiting = self._class_requests[service] = ClassRequests(
-                service=service,
-                demands=self._context.demands,
-                sum_promised=lambda due_within_s: promised.sum_kv(
-                    service, due_within_s=due_within_s
-                ),
-                settings=settings,
-                team_shares=team_shares,
-            )
-        waiting.configure(
-            settings=settings,
-            lowest_urgency=max(list_urgencies(configuration, service)),
-            measure_capacity=lambda: self._finder.measure_capacity(service, engine),
-        )
-        return waiting
-
-    def _find_team_shares(self, service: str) -> TeamShares:
-        """Return the shares of teams in a service, with the settings in force."""
-        shares = self._team_shares.get(service)
-        if shares is None:
-            shares = TeamShares(service=service, table=self._teams)
-            self._team_shares[service] = shares
-        shares.configure(self._context.read_team_settings())
-        return shares
-
     def measure_capacity(self, service: str, engine: EngineModel) -> KvCapacity:
         """Return the KV cache of the usable targets of a service."""
-        return self._finder.measure_capacity(service, engine)
+        return self._paths.finder.measure_capacity(service, engine)
 
     async def serve(self, state: RequestState) -> web.StreamResponse:
         """Stream a complete response to the caller.
@@ -270,7 +152,7 @@
 
     async def _serve(self, state: RequestState) -> web.StreamResponse:
         engine = state.configuration.services[state.service].engine
-        wanted = self._make_path_request(state, engine)
+        wanted = self._paths.make_request(state, engine)
         state.last_event = state.facts.last_event
         await self._crash_monitor.admit(state)
         answer: web.StreamResponse | None = None
@@ -316,7 +198,7 @@
                 self._release(attempt)
                 if is_complete:
                     record_ended(state, attempt, may_have_run=True)
-                    self._record_released(attempt)
+                    self._paths.record_released(state, attempt.engine, attempt.wanted)
                     self._record_duration(state, self._read_clock() - began_at)
             if failure.is_not_run:
                 record_ended(state, attempt, may_have_run=False)
@@ -374,7 +256,7 @@
         Raises `RejectedRequest` or `TruncatedResponse`.
         """
         try:
-            path, reservation = await self._reserve_path(state, engine, wanted)
+            path, reservation = await self._paths.reserve(state, engine, wanted)
         except (RejectedRequest, TruncatedResponse):
             raise
         except (Exception, asyncio.CancelledError) as error:
@@ -402,8 +284,8 @@
             admission_key=id(state),
         )
         state.attempts += 1
-        if state.attempts == 1 and self._is_remote(path):
-            is_overflowing = self._overflow.is_overflowing(state.service)
+        if state.attempts == 1 and self._paths.is_remote(path):
+            is_overflowing = self._paths.overflow.is_overflowing(state.service)
             self._count_remote(state.service, is_overflowing)
         now = self._read_clock()
         log_event(
@@ -413,7 +295,7 @@
             path=describe_path(path),
             targets_version=self._catalogue.version,
             targets_age_s=round(now - self._catalogue.confirmed_at, 3),
-            load_scale=round(self._finder.find_load_scale(now=now), 2),
+            load_scale=round(self._paths.finder.find_load_scale(now=now), 2),
             left_s=round(state.deadline - now, 3),
             estimate_s=round_estimate(state.path_estimate_s),
             prompt=wanted.prompt,
@@ -429,14 +311,6 @@
         if is_whole and not state.repaths and state.path_estimate_s is not None:
             self._observe_duration(state.service, state.path_estimate_s, actual_s)
 
-    def _is_remote(self, path: tuple[Hop, ...]) -> bool:
-        """Return whether a path uses targets of another data centre."""
-        records = [self._catalogue.find_target(hop.target) for hop in path]
-        return any(
-            record is not None and record.data_centre != self._context.data_centre
-            for record in records
-        )
-
     async def _handle_own_fault(
         self, state: RequestState, error: BaseException
     ) -> None:
@@ -454,102 +328,6 @@
         """Return whether to relay a request, for which its peer chooses the targets."""
         return not self._relay.is_bound(state) and self._relay.is_needed(state)
 
-    def _limit_first_targets(
-        self, state: RequestState, engine: EngineModel, wanted: PathRequest
-    ) -> PathRequest:
-        """Have a path begin where a stream has run, if it may run nowhere else.
-
-        It begins where the stream was last lost only if there is no other path.
-        """
-        if not must_reuse_targets(self._context.make_tally(state)):
-            return wanted
-        reusable = state.list_reusable_targets()
-        bound = replace(
-            wanted, avoided=wanted.avoided - reusable, first_targets=reusable
-        )
-        latest = frozenset({state.failed_runs[-1].target.name})
-        others = reusable - (latest & wanted.avoided)
-        elsewhere = replace(bound, first_targets=others)
-        has_path = self._finder.choose(state.service, engine, elsewhere) is not None
-        return elsewhere if has_path else bound
-
-    async def _reserve_path(
-        self, state: RequestState, engine: EngineModel, wanted: PathRequest
-    ) -> tuple[tuple[Hop, ...], Reservation]:
-        """Return a path and its reservation, waiting for capacity.
-
-        Raises `RejectedRequest` or `TruncatedResponse`. Guards against several targets
-        that fail together: a request that lost its first target would run on another
-        failed one, and would have no attempt left.
-        """
-        for probed in range(MAX_PROBED_PATHS + 1):
-            path = await self._admission.await_path(
-                state, engine, lambda: self._limit_first_targets(state, engine, wanted)
-            )
-            reservation = self._ledger.reserve(path, count_tokens_held(wanted))
-            self._room_claims.end_search(state)
-            if state.runs == 0 or probed == MAX_PROBED_PATHS:
-                break
-            is_usable = False
-            try:
-                is_reachable = await self._is_reachable(path, since=state.failed_at)
-                is_backed_off = path[0].target in self._limits.list_backed_off()
-                is_usable = is_reachable and not is_backed_off
-            finally:
-                if not is_usable:
-                    self._ledger.release(reservation)
-                    self._teams.record_ended(id(state))
-            if is_usable:
-                break
-            log_event(
-                "path_unreachable",
-                request=state.facts.request_id,
-                path=describe_path(path),
-                is_backed_off=is_backed_off,
-                last_event=state.last_event,
-            )
-        return path, reservation
-
-    async def _is_reachable(self, path: tuple[Hop, ...], *, since: float) -> bool:
-        """Probe the targets of a path; return whether none is unreachable."""
-        await self._probe_path(path, since=since)
-        now = self._read_clock()
-        return not any(
-            self._suspicions.is_unreachable(hop.target, now=now) for hop in path
-        )
-
-    async def _probe_path(self, path: tuple[Hop, ...], *, since: float) -> None:
-        """Find out which targets of a path are unreachable.
-
-        In a large fleet, those that serve another stream right now are not probed, and
-        neither are those that have answered a report request made at `since` or later.
-        """
-        names = [hop.target for hop in path]
-        answered = []
-        if self._context.is_large():
-            active = self.supervisor.list_active_targets(now=self._read_clock())
-            names = [name for name in names if name not in active]
-            answered = [n for n in names if self._context.has_answered_since(n, since)]
-        await self._failure_detector.probe_and_wait(names, answered=answered)
-
-    def _make_path_request(
-        self, state: RequestState, engine: EngineModel
-    ) -> PathRequest:
-        facts = state.facts
-        expected = facts.max_answer_tokens or engine.mean_answer_tokens
-        if facts.hinted_answer_tokens:
-            expected = min(expected, int(facts.hinted_answer_tokens * HINT_MARGIN))
-        is_bound_only = facts.max_answer_tokens and not facts.hinted_answer_tokens
-        return PathRequest(
-            prompt=facts.prompt_tokens or engine.mean_prompt_tokens,
-            answer=expected,
-            # The caller's limit is often far above the length of the answer.
-            likely_answer=min(expected, engine.mean_answer_tokens)
-            if is_bound_only
-            else None,
-            data_centre=self._context.data_centre,
-        )
-
     async def _require_retry(
         self,
         state: RequestState,
@@ -581,7 +359,9 @@
             state,
             cause="no more attempts",
             detail=failure.cause,
-            retry_after_s=self._admission.find_retry_after_s(state, engine, wanted),
+            retry_after_s=self._paths.admission.find_retry_after_s(
+                state, engine, wanted
+            ),
         )
 
     async def _confirm_ends(self, state: RequestState) -> None:
@@ -740,26 +520,6 @@
             attempt.is_unsent = getattr(error, "connections", None) == 0
             raise
 
-    def _record_released(self, attempt: Attempt) -> None:
-        """Record that a complete answer has released its KV cache.
-
-        Waiting requests are woken by it, and would find no room before the release.
-        What failed attempts release may be that of a target that is gone. The answer
-        may have begun under an older configuration, in which its service had no classes
-        or others.
-        """
-        state = attempt.state
-        kv = compute_request_kv(attempt.wanted, attempt.engine)
-        now = self._read_clock()
-        if state.service not in self._class_requests:
-            waiting = self._find_waiting(state, attempt.engine)
-            if isinstance(waiting, UniformRequests):
-                waiting.recorder.record_released(state.class_urgency, kv, now=now)
-                return
-        self._class_requests[state.service].record_released(
-            state.class_urgency, kv, now=now
-        )
-
     def _release(self, attempt: Attempt) -> None:
         """Release what an attempt holds; the closed connection stops the targets."""
         self.supervisor.remove(attempt)
@@ -796,7 +556,13 @@
         facts = self._dialect.read_answer(response.status, response.headers)
         now = self._read_clock()
         if facts.is_not_run:
-            await self._record_refusal(attempt, facts.address_at_fault, response.status)
+            await self._paths.record_refusal(
+                attempt.path,
+                attempt.engine,
+                address_at_fault=facts.address_at_fault,
+                status=response.status,
+                sent_at=attempt.last_activity_at,
+            )
             cause = f"not run, {response.status}, {facts.address_at_fault}"
             raise AttemptFailed(cause=cause, is_not_run=True)
         is_own = facts.request_id == state.facts.request_id and facts.is_plain
@@ -817,55 +583,6 @@
         headers = self._dialect.select_answer_headers(response.headers)
         return web.Response(status=response.status, body=body, headers=headers)
 
-    async def _record_refusal(
-        self, attempt: Attempt, address: str | None, status: int
-    ) -> None:
-        """Record a refusal for the target that caused it, not for the first target."""
-        at_fault = attempt.first.target
-        for hop in attempt.path:
-            if hop.address == address:
-                at_fault = hop.target
-        is_elsewhere = at_fault != attempt.first.target
-        refused_at = self._read_clock()
-        waited_s = refused_at - attempt.last_activity_at
-        path = [hop.target for hop in attempt.path]
-        # A refusal is late if a target is unreachable, but also if this instance's own
-        # link delays it; probing the path tells them apart.
-        is_stalled = is_elsewhere and status == 503 and waited_s > FIRST_CHECK_S
-        if is_stalled:
-            await self._failure_detector.probe_and_wait(path)
-            if self._suspicions.is_unreachable(at_fault, now=self._read_clock()):
-                return
-        now = self._read_clock()
-        if at_fault in self._limits.list_backed_off():
-            return
-        self._suspicions.record_saturated(at_fault, now=now)
-        if self._finder.has_capacity(at_fault, attempt.engine):
-            if self._suspicions.refusals.record_refusal(at_fault, now=now):
-                log_event("target_refusal_recorded", target=at_fault, status=status)
-        if is_elsewhere and status == 503 and not is_stalled:
-            await self._probe_refused_path(attempt, at_fault, since=refused_at)
-
-    async def _probe_refused_path(
-        self, attempt: Attempt, at_fault: str, *, since: float
-    ) -> None:
-        """Find out which targets of a path are unreachable that was refused at once.
-
-        In a large fleet, the target named as the cause is probed first. If it answers,
-        it had no capacity, and the refusal is no sign that others are lost. Otherwise
-        the others are probed once the first round for it has ended. Its first target
-        has just answered.
-        """
-        path = attempt.path
-        if self._context.is_large():
-            await self._failure_detector.probe_and_wait(
-                [at_fault], timeout_s=PROBE_TIMEOUT_S
-            )
-            if self._context.has_answered_since(at_fault, since):
-                return
-            path = path[1:]
-        await self._probe_path(path, since=since)
-
     async def _forward_stream(
         self, state: RequestState, attempt: Attempt, answer: web.StreamResponse
     ) -> None:
--- a/packages/router/fulmarward_router/exchange/tests/test_admission_queue.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_admission_queue.py
@@ -11,7 +11,7 @@
 from fulmarward_core.reservations import ClassSettings
 from fulmarward_core.routes import RoutingConfiguration, ServiceShare, Team
 from fulmarward_core.team_shares import TeamSettings, TeamTable, TeamUse
-from fulmarward_router.exchange import _engines
+from fulmarward_router.exchange import _engine_paths, _engines
 from fulmarward_router.exchange._request_state import RejectedRequest
 from fulmarward_router.state import PromisedReturns
 from fulmarward_router.tests._simulated_time import run_simulated
@@ -125,8 +125,10 @@
         context.catalogue.may_be_incomplete.return_value = False
         pipe = SimpleNamespace(reserve=lambda *args: True)
         with (
-            mock.patch.object(_engines, "PathFinder", lambda **options: self.finder),
-            mock.patch.object(_engines, "PipeLimiter", lambda **options: pipe),
+            mock.patch.object(
+                _engine_paths, "PathFinder", lambda **options: self.finder
+            ),
+            mock.patch.object(_engine_paths, "PipeLimiter", lambda **options: pipe),
         ):
             self.service = _engines.EngineService(
                 context=context,
@@ -166,7 +168,9 @@
 
     async def _admit(self, label, state, wanted):
         try:
-            await self.service._admission.await_path(state, _ENGINE, lambda: wanted)
+            await self.service._paths.admission.await_path(
+                state, _ENGINE, lambda: wanted
+            )
         except RejectedRequest as error:
             self.rejected[label] = self.count_elapsed(), error.retry_after_s
         else:
@@ -177,9 +181,7 @@
         self.finder.used_kv -= kv
         wanted = PathRequest(prompt=0, answer=kv / _ENGINE.layers, data_centre="a")
         state = state or self.make_state("ended")
-        self.service._record_released(
-            SimpleNamespace(state=state, engine=_ENGINE, wanted=wanted)
-        )
+        self.service._paths.record_released(state, _ENGINE, wanted)
 
     def merge_report(self, *, urgency, on_time_kv, age_s):
         now = self.read_clock()
@@ -408,7 +410,7 @@
                 for team in ("a", "b", "c"):
                     it.send(team, urgency=1, team=team)
                 await it.advance_to(0.1)
-                groups = it.service._class_requests["pool"]._queue._groups
+                groups = it.service._paths._class_requests["pool"]._queue._groups
                 self.assertEqual(sum(map(bool, groups.values())), count)
                 await it.advance_to(1.2)
 
--- a/packages/router/fulmarward_router/exchange/tests/test_engines.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_engines.py
@@ -32,11 +32,11 @@
         """Guards against shares that alternate while answers begun before run."""
         self.start_service(SimpleNamespace(open=self.open), slack=0.0)
         older = _make_state((0, 1), has_sought_path=False)
-        self.service._find_waiting(older, _ENGINE)
+        self.service._paths.find_waiting(older, _ENGINE)
         newer = _make_state((0, 1, 2), has_sought_path=False)
-        waiting = self.service._find_waiting(newer, _ENGINE)
+        waiting = self.service._paths.find_waiting(newer, _ENGINE)
         older.has_sought_path = True
-        self.assertIs(self.service._find_waiting(older, _ENGINE), waiting)
+        self.assertIs(self.service._paths.find_waiting(older, _ENGINE), waiting)
         now = self.read_clock()
         late = WaitingRequest(
             key="a", urgency=1, arrived_at=now - 5.0, objective_s=1.0, is_started=False
@@ -55,8 +55,8 @@
         self.request["answer"].write_eof = is_written.wait
         held = []
         ledger = self.service._ledger
-        self.service._record_released = mock.Mock(
-            side_effect=lambda attempt: held.append(ledger.has_own())
+        self.service._paths.record_released = mock.Mock(
+            side_effect=lambda *args: held.append(ledger.has_own())
         )
         self.streams[0].events.put_nowait(b"id: 2\ndata: [DONE]\n\n")
         self.streams[0].events.put_nowait(b"")
@@ -76,7 +76,7 @@
         """Guards against a use that stays, is counted twice, or is never counted."""
         self.begin()
         settings = TeamSettings(is_enabled=True)
-        self.service._context = replace(
+        self.service._paths._context = replace(
             self.service._context, read_team_settings=lambda: settings
         )
         for attempt in (1, 2):
@@ -92,7 +92,7 @@
         """Guards against a team that is charged for capacity it has released."""
         self.begin()
         settings = TeamSettings(is_enabled=True)
-        self.service._context = replace(
+        self.service._paths._context = replace(
             self.service._context, read_team_settings=lambda: settings
         )
         used = []
@@ -133,7 +133,7 @@
         self.dialect.is_responding = is_responding
         self.start_service(SimpleNamespace(open=self.open), slack=0.0)
         context = replace(self.service._context, is_large=lambda: True)
-        self.service._context = context
+        self.service._paths._context = context
         self.evidence = context.evidence
         detector = self.service._failure_detector
         probe_all = detector._probe_all
@@ -152,25 +152,30 @@
             self.evidence.record(name, asked_at=failed_at, pace=None)
         # A probe of this target may confirm what a peer reported after its answer.
         self.suspicions.record_indirect_failure("t3", duration_s=2.0, now=failed_at)
-        self.assertTrue(await self.service._is_reachable(self.path, since=failed_at))
+        self.assertTrue(
+            await self.service._paths.is_reachable(self.path, since=failed_at)
+        )
         self.assertEqual(self.probed, {"t1", "t3"})
         self.probed.clear()
-        self.assertTrue(await self.service._is_reachable(self.path, since=failed_at))
+        self.assertTrue(
+            await self.service._paths.is_reachable(self.path, since=failed_at)
+        )
         self.assertEqual(self.probed, set())
         self.skipped_s += EVIDENCE_DURATION_S
         self.dialect.silent = {"t2"}
-        self.assertFalse(await self.service._is_reachable(self.path, since=failed_at))
+        self.assertFalse(
+            await self.service._paths.is_reachable(self.path, since=failed_at)
+        )
 
     async def test_refusal_by_a_target_that_answers_causes_no_other_probes(self):
         """Guards against probes of whole paths, and against lost targets not found."""
-        attempt = SimpleNamespace(path=self.path)
         for silent, probed in ((set(), {"t2"}), ({"t2", "t3"}, {"t2", "t3"})):
             self.probed.clear()
             self.dialect.silent = silent
             self.skipped_s += 2 * EVIDENCE_DURATION_S
             with self.subTest(silent=silent):
-                await self.service._probe_refused_path(
-                    attempt, "t2", since=self.read_clock()
+                await self.service._paths._probe_refused_path(
+                    self.path, "t2", since=self.read_clock()
                 )
                 self.assertEqual(self.probed, probed)
                 now = self.read_clock()
@@ -185,8 +190,8 @@
         await super().asyncSetUp()
         services = frozenset({"pool"})
         replaced = {
-            "_engines.list_class_services": lambda configuration: services,
-            "_engines.list_urgencies": lambda configuration, service: (0, 1),
+            "_engine_paths.list_class_services": lambda configuration: services,
+            "_engine_paths.list_urgencies": lambda configuration, service: (0, 1),
             "_admission.list_class_services": lambda configuration: services,
         }
         for name, function in replaced.items():
@@ -211,7 +216,7 @@
     async def test_request_beside_full_targets_is_rejected_with_its_reasons(self):
         """Guards against values that cannot be measured, logged or sent."""
         await self.complete()
-        finder = self.service._finder
+        finder = self.service._paths.finder
         planned = finder.measure_capacity("pool", _ENGINE).planned
         for number in range(1, 5):
             hop = SimpleNamespace(target=f"t{number}", layers=range(2))
--- a/packages/router/fulmarward_router/exchange/tests/test_errors_between_attempts.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_errors_between_attempts.py
@@ -25,11 +25,11 @@
     async def test_cancelled_probe_of_a_path(self):
         """Guards against a request that ends with a task that nobody ended for it."""
         await self.run_error(
-            lambda: self.service, "_probe_path", asyncio.CancelledError()
+            lambda: self.service._paths, "probe", asyncio.CancelledError()
         )
 
     async def test_failed_probe_of_a_path(self):
-        await self.run_error(lambda: self.service, "_probe_path", RuntimeError("x"))
+        await self.run_error(lambda: self.service._paths, "probe", RuntimeError("x"))
 
     async def test_fault_in_the_confirmation_of_ends(self):
         """Guards against a stream that is cut by a single fault of this program."""
--- a/packages/router/fulmarward_router/exchange/tests/test_full_fleets.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_full_fleets.py
@@ -65,7 +65,7 @@
 class ReleasedRoomTest(_FullFleetTest):
     async def await_search(self):
         """Return once the silent stream has found no path beside its own."""
-        choose, is_over = self.service._finder.choose, asyncio.Event()
+        choose, is_over = self.service._paths.finder.choose, asyncio.Event()
 
         def watch(service, engine, wanted, **options):
             path = choose(service, engine, wanted, **options)
@@ -73,7 +73,7 @@
                 is_over.set()
             return path
 
-        self.service._finder.choose = watch
+        self.service._paths.finder.choose = watch
         async with asyncio.timeout(1.0):
             await is_over.wait()
 
@@ -119,7 +119,7 @@
         self.fill("t2")
         supervisor = self.service.supervisor
         attempt = next(iter(supervisor._attempts.values()))
-        finder = self.service._finder
+        finder = self.service._paths.finder
         with mock.patch.object(finder, "choose", wraps=finder.choose) as choose:
             supervisor._resume_elsewhere(attempt, "silent")
         self.assertLessEqual(choose.call_count, 3)
@@ -230,7 +230,7 @@
         other = WaitingRequest(
             key="x", urgency=0, arrived_at=0.0, objective_s=0.5, is_started=True
         )
-        self.service._uniform_requests["pool"].add(other, now=self.read_clock())
+        self.service._paths._uniform_requests["pool"].add(other, now=self.read_clock())
         self.silence("t2")
         await asyncio.sleep(1.8)
         self.assertFalse(self.is_closed(1))
@@ -239,7 +239,7 @@
     async def test_stream_stays_if_its_first_target_takes_no_more(self):
         """Guards against a stream that is ended for room where it may not be sent."""
         await self.begin_full()
-        self.service._finder._list_throttled = lambda: frozenset({"t1"})
+        self.service._paths.finder._list_throttled = lambda: frozenset({"t1"})
         self.silence("t2")
         await asyncio.sleep(1.8)
         self.assertFalse(self.is_closed(1))
@@ -248,7 +248,7 @@
     async def test_stream_that_breaks_off_meanwhile_takes_one_retry(self):
         """Guards against a retry for an attempt that its target has ended already."""
         await self.begin_full()
-        try_path = self.service._admission.try_path
+        try_path = self.service._paths.admission.try_path
 
         async def lose_and_try(*args, **options):
             if not self.is_closed(1):
@@ -256,7 +256,7 @@
                 await asyncio.sleep(0.01)
             return await try_path(*args, **options)
 
-        self.service._admission.try_path = lose_and_try
+        self.service._paths.admission.try_path = lose_and_try
         self.restart("t2", (1, 2))
         await self.await_attempt(2)
         budget = self.service._context.find_budget("pool")
--- a/packages/router/fulmarward_router/exchange/tests/test_kept_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_kept_streams.py
@@ -164,7 +164,7 @@
         await self.begin_path()
         attempt = next(iter(self.service.supervisor._attempts.values()))
         state = attempt.state
-        waiting = self.service._find_waiting(state, attempt.engine)
+        waiting = self.service._paths.find_waiting(state, attempt.engine)
         other = WaitingRequest(
             key="other",
             urgency=0,
--- a/packages/router/fulmarward_router/exchange/tests/test_resumptions.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_resumptions.py
@@ -79,7 +79,7 @@
         self.begin()
         await self.await_attempt(1)
         await self.send(1, attempt=1)
-        choose = self.service._finder.choose
+        choose = self.service._paths.finder.choose
         found = []
 
         def choose_once(*args, **options):
@@ -87,7 +87,7 @@
             found.append(None if found else choose(*args, **options))
             return found[-1]
 
-        self.service._finder.choose = choose_once
+        self.service._paths.finder.choose = choose_once
         self.silence(self.calls[0].target)
         await asyncio.sleep(2 * _WATCH_S)
         self.assertGreater(len(found), 1)
--- a/packages/router/fulmarward_router/exchange/tests/test_waiting_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_waiting_streams.py
@@ -130,7 +130,7 @@
         self.begin()
         await self.await_attempt(1)
         await self.send(1, attempt=1)
-        finder = self.service._finder
+        finder = self.service._paths.finder
         choose, faults = finder.choose, [RuntimeError("fault")]
 
         def choose_or_fail(*args, **options):
