Plain services: the delivery of whole responses gets a module of its own

PlainService chose targets, waited for them, sent attempts beside each other and delivered their responses. What delivers is WholeResponses now, which asks a TargetChoice where a request may run and tells it what became of it, so that targets of another kind of service can stand behind it. Tests name the new owner of what they patch; no check changed.

--- a/packages/router/fulmarward_router/exchange/tests/test_plain.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_plain.py
@@ -15,6 +15,7 @@
 from fulmarward_core.suspicion._table import MAX_ERRORS
 from fulmarward_router.exchange import PlainService
 from fulmarward_router.exchange._send import AnswerLost
+from fulmarward_router.exchange._whole_responses import Placement
 from fulmarward_router.exchange.tests.test_late_sends import _make_row
 from fulmarward_router.tests._target_limits import make_target_limits
 
@@ -41,13 +42,13 @@
         self.plain = PlainService(
             context=context, failure_detector=None, relay=relay, crash_monitor=monitor
         )
-        self.plain._try_target = self.answer
+        self.plain._responses.try_target = self.answer
         self.sent, self.answers = [], asyncio.Semaphore(0)
         await self.serve(*(f"low-{number}" for number in range(23)))
         self.assertEqual(self.sent, ["low-0", "low-1", "low-2"])
         self.sent.clear()
 
-    async def answer(self, state, target):
+    async def answer(self, state, targets, placement):
         self.sent.append(state.facts.request_id)
         await self.answers.acquire()
         return web.Response(status=200)
@@ -141,8 +142,16 @@
         state = mock.Mock(runs=0, attempts=1, deadline=time.monotonic() + 20.0)
         catalogue.apply_changes([rows[0]], 1, now=time.monotonic())
         for _ in range(MAX_ERRORS):
-            await plain._try_target(state, rows[0].record)
+            await _try_target(plain, state, rows[0].record)
         self.assertFalse(suspicions.is_suspect("t1", now=time.monotonic()))
-        await plain._try_target(state, rows[1].record)
-        await plain._try_target(state, rows[1].record)
+        await _try_target(plain, state, rows[1].record)
+        await _try_target(plain, state, rows[1].record)
         self.assertTrue(suspicions.is_suspect("t1", now=time.monotonic()))
+
+
+async def _try_target(plain, state, record):
+    """Send one attempt to a target of the service, as it is known."""
+    placement = Placement(
+        target=record.name, address=record.address, record=record, reservation=None
+    )
+    await plain._responses.try_target(state, plain.choose_targets(state), placement)
--- a/packages/router/fulmarward_router/exchange/tests/test_relays_beside.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_relays_beside.py
@@ -40,7 +40,7 @@
                 return len(calls) > 1
 
             relay.is_needed = is_needed
-            plain._relay = relay
+            plain._responses._relay = relay
             state = instance.make_state()
             outcome = await instance.serve(state)
             return outcome, state
--- a/packages/router/fulmarward_router/tests/test_late_beliefs.py
+++ b/packages/router/fulmarward_router/tests/test_late_beliefs.py
@@ -9,7 +9,7 @@
     DEFAULT_CONFIGURATION_S,
     MAX_OUTDATED_SHARE,
 )
-from fulmarward_router.exchange._plain import ATTEMPT_TIMEOUT_S
+from fulmarward_router.exchange._whole_responses import ATTEMPT_TIMEOUT_S
 from fulmarward_router.mesh import FetchTargets, RowSnapshot, TargetChanges
 from fulmarward_router.mesh.tests.test_members import make_heartbeat
 from fulmarward_router.ports import Row, RowsRead
