Routes: their kind decides how a response is delivered, not their service

On an idempotent route 201 to 404 were run twice. First workers counted as failing, so that streams beside got 503.

Cause: whether the service has an engine chose both the targets and the way of delivery. EngineService takes each 200 for events: a body without any "ended inside an event", was cut and charged; each other status was charged and, where the route allows, retried. The same on a stream's own route for 201 to 404.

Change: EngineService serves streams only on routes of streams. All others go to WholeResponses, as at a plain service, with PathTargets behind: capacity, queue, team and retries as a stream that has not begun, no bound on silence, no charge for being late. A stream's route passes other statuses below 500 on, uncharged.

--- a/packages/core/fulmarward_core/paths/decisions.py
+++ b/packages/core/fulmarward_core/paths/decisions.py
@@ -159,6 +159,9 @@
     first: Hop | None = None
     #: Targets that must not be used.
     avoided: frozenset[str] = frozenset()
+    #: Whether its tokens are those of an average request, as none are known, so that
+    #: no path is too slow for it.
+    has_unknown_length: bool = False
     #: Targets at which the path may begin, `None` if at any.
     first_targets: frozenset[str] | None = None
     #: Whether the path may span several data centres.
--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -251,11 +251,13 @@
         wanted: PathRequest,
         *,
         key: Hashable,
+        yields: bool = False,
     ) -> tuple[Hop, ...] | Shortage:
-        """Return a path for a started answer without waiting, or what it lacks.
+        """Return a path for another attempt without waiting, or what it lacks.
 
         Its team is charged under `key` until that has ended. Other started answers that
-        wait precede it, unless its caller is about to leave.
+        wait precede it, unless its caller is about to leave; one that `yields` is
+        preceded by all that wait.
         """
         now = self._read_clock()
         resume_at = compute_resume_start(state)
@@ -270,6 +272,8 @@
             ),
             key=key,
         )
+        if yields and not self._may_search(state, request, waiting):
+            return Shortage.QUEUE
         if now < resume_at and not waiting.is_next(request, now=now):
             return Shortage.QUEUE
         wanted = replace(wanted, overflow_draw=self._draw_overflow(state))
@@ -600,6 +604,8 @@
         that has started, or that a target may have run, takes any path: its caller
         would have to start over.
         """
+        if wanted.has_unknown_length:
+            return False
         state.path_estimate_s = self._finder.estimate_duration_s(
             state.service, engine, wanted, path
         )
--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -44,6 +44,7 @@
 
 if TYPE_CHECKING:
     from fulmarward_router.exchange._attempt import Attempt
+    from fulmarward_router.exchange._whole_responses import Placement
 
 #: Seconds between two checks whether a target leaves that has not responded yet.
 LEAVING_CHECK_INTERVAL_S = 0.25
@@ -237,7 +238,7 @@
         is_first_gone = record is not None and self.has_process_ended(record)
         return is_first_gone or bool(self.list_replaced(attempt))
 
-    def list_replaced(self, attempt: "Attempt") -> list[str]:
+    def list_replaced(self, attempt: "Attempt | Placement") -> list[str]:
         """Return the targets of an attempt's path whose processes were replaced."""
         records = (attempt.records.get(hop.target) for hop in attempt.path)
         return [
--- a/packages/router/fulmarward_router/exchange/_engine_paths.py
+++ b/packages/router/fulmarward_router/exchange/_engine_paths.py
@@ -16,7 +16,7 @@
 from fulmarward_core.probing import PROBE_TIMEOUT_S
 from fulmarward_core.routes import list_class_services, list_urgencies
 from fulmarward_core.team_shares import TeamShares
-from fulmarward_router.exchange._admission import AdmissionQueue
+from fulmarward_router.exchange._admission import AdmissionQueue, round_estimate
 from fulmarward_router.exchange._attempt import describe_path
 from fulmarward_router.exchange._context import ServiceContext
 from fulmarward_router.exchange._demand_recorder import DemandRecorder
@@ -40,6 +40,9 @@
 #: Factor by which a response is assumed to be longer than the caller's hint.
 HINT_MARGIN = 1.25
 
+#: Upper bound on the parts of a prompt in one log line.
+MAX_LOGGED_PARTS = 16
+
 
 class EnginePaths:
     """Finds paths through the targets that hold the layers of a model.
@@ -53,11 +56,18 @@
         context: ServiceContext,
         failure_detector: FailureDetector,
         list_active_targets: Callable[[], Collection[str]],
+        count_open: Callable[[str], int],
         count_denial: Callable[[str, int, str], None],
         observe_wait: Callable[[str, int, float], None],
+        count_remote: Callable[[str, bool], None],
     ) -> None:
         #: Returns the targets that serve a stream right now.
         self._list_active_targets = list_active_targets
+        #: Returns how many streams of a service have begun.
+        self._count_open = count_open
+        #: Counts a request that is sent to another data centre, by service and whether
+        #: requests of the service overflow.
+        self._count_remote = count_remote
         self._context = context
         self._catalogue = context.catalogue
         self._suspicions = context.suspicions
@@ -323,7 +333,62 @@
             path = path[1:]
         await self.probe(path, since=since)
 
-    def is_remote(self, path: tuple[Hop, ...]) -> bool:
+    def charge_broken(
+        self, path: tuple[Hop, ...], replaced: Collection[str]
+    ) -> frozenset[str]:
+        """Charge what broke off a response; return the later targets that did.
+
+        A first target also does so once a later one of its path has been silent for
+        long. It is charged to those that are unreachable or were `replaced`, and
+        otherwise to the first. A new process is not charged for the old one.
+        """
+        now = self._read_clock()
+        first = path[0].target
+        unreachable = {
+            hop.target
+            for hop in path
+            if self._suspicions.is_unreachable(hop.target, now=now)
+        }
+        lost = frozenset(replaced) | unreachable
+        if lost and first not in lost:
+            return lost
+        if first not in replaced:
+            self._suspicions.record_error(first, now=now)
+        return frozenset()
+
+    def take_unstarted_retry(self, state: RequestState) -> bool:
+        """Consume a retry for a request whose answer has not begun.
+
+        Streams that have begun are left a part of the budget.
+        """
+        open_answers = self._count_open(state.service)
+        return self._context.take_retry(state, open_answers=open_answers)
+
+    def record_chosen(
+        self, state: RequestState, wanted: PathRequest, path: tuple[Hop, ...]
+    ) -> None:
+        """Count and log the path of an attempt that begins."""
+        if state.attempts == 1 and self._is_remote(path):
+            is_overflowing = self.overflow.is_overflowing(state.service)
+            self._count_remote(state.service, is_overflowing)
+        now = self._read_clock()
+        log_event(
+            "path_chosen",
+            request=state.facts.request_id,
+            attempt=state.attempts,
+            path=describe_path(path),
+            targets_version=self._catalogue.version,
+            targets_age_s=round(now - self._catalogue.confirmed_at, 3),
+            load_scale=round(self.finder.find_load_scale(now=now), 2),
+            left_s=round(state.deadline - now, 3),
+            estimate_s=round_estimate(state.path_estimate_s),
+            prompt=wanted.prompt,
+            answer=wanted.answer,
+            last_event=state.last_event,
+            parts=state.facts.shared_parts[:MAX_LOGGED_PARTS],
+        )
+
+    def _is_remote(self, path: tuple[Hop, ...]) -> bool:
         """Return whether a path uses targets of another data centre."""
         records = [self._catalogue.find_target(hop.target) for hop in path]
         return any(
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -14,25 +14,25 @@
     KvCapacity,
     PathRequest,
 )
+from fulmarward_core.routes import RouteKind
 from fulmarward_router.exchange._admission import (
     compute_resume_end,
-    round_estimate,
 )
 from fulmarward_router.exchange._attempt import (
     Attempt,
     AttemptFailed,
     EndedBy,
-    describe_path,
     record_ended,
     record_run,
 )
 from fulmarward_router.exchange._context import ServiceContext
 from fulmarward_router.exchange._crash_monitor import CrashMonitor
-from fulmarward_router.exchange._engine_paths import EnginePaths
+from fulmarward_router.exchange._engine_paths import MAX_LOGGED_PARTS, EnginePaths
 from fulmarward_router.exchange._events import Event
 from fulmarward_router.exchange._failover import StreamSupervisor
 from fulmarward_router.exchange._failure_detector import FailureDetector
 from fulmarward_router.exchange._forwarding import StreamForwarder, is_of_caller
+from fulmarward_router.exchange._path_targets import PathTargets
 from fulmarward_router.exchange._relay import PeerRelay, RelayedStream
 from fulmarward_router.exchange._request_state import (
     RejectedRequest,
@@ -46,6 +46,7 @@
     NotSent,
     is_connection_refused,
 )
+from fulmarward_router.exchange._whole_responses import WholeResponses
 from fulmarward_router.ports import TargetCall
 
 #: Seconds before a stream whose resumption brought no event is sent again, after the
@@ -56,9 +57,6 @@
 #: Seconds to wait for the confirmation that a target has ended.
 CONFIRM_END_TIMEOUT_S = 0.4
 
-#: Upper bound on the parts of a prompt in one log line.
-MAX_LOGGED_PARTS = 16
-
 
 def _ignore_duration(service: str, estimated_s: float, actual_s: float) -> None:
     """Record nothing."""
@@ -84,9 +82,6 @@
         #: Records the estimated and the actual seconds of a path, by service.
         self._observe_duration = observe_duration
         self._context = context
-        #: Counts a request that is sent to another data centre, by service and whether
-        #: requests of the service overflow.
-        self._count_remote = count_remote
         self._forwarder = forwarder
         #: Counts an attempt that broke off, by service and progress.
         self._count_broken_attempt = count_broken_attempt
@@ -106,8 +101,16 @@
             list_active_targets=lambda: self.supervisor.list_active_targets(
                 now=context.read_clock()
             ),
+            count_open=lambda service: self.supervisor.count_open(service),
             count_denial=count_denial,
             observe_wait=observe_wait,
+            count_remote=count_remote,
+        )
+        self._responses = WholeResponses(
+            context=context,
+            failure_detector=failure_detector,
+            relay=relay,
+            crash_monitor=crash_monitor,
         )
         self._teams = context.teams
         self._room_claims = paths.room_claims
@@ -139,18 +142,30 @@
         return self._paths.finder.measure_capacity(service, engine)
 
     async def serve(self, state: RequestState) -> web.StreamResponse:
-        """Stream a complete response to the caller.
+        """Serve a request as its route demands: a stream, or a whole response.
 
         Raises `RejectedRequest` before the response starts, `TruncatedResponse`
         afterwards.
         """
         try:
-            return await self._serve(state)
+            if state.route.kind is RouteKind.STREAM:
+                return await self._serve_stream(state)
+            return await self._responses.serve(state, self._choose_targets(state))
         finally:
             self._teams.record_ended(id(state))
             self._room_claims.end_search(state)
 
-    async def _serve(self, state: RequestState) -> web.StreamResponse:
+    def _choose_targets(self, state: RequestState) -> PathTargets:
+        """Return the paths of a request, none of which has been tried."""
+        return PathTargets(
+            state=state,
+            engine=state.configuration.services[state.service].engine,
+            context=self._context,
+            paths=self._paths,
+            responses=self._responses,
+        )
+
+    async def _serve_stream(self, state: RequestState) -> web.StreamResponse:
         engine = state.configuration.services[state.service].engine
         wanted = self._paths.make_request(state, engine)
         state.last_event = state.facts.last_event
@@ -284,25 +299,7 @@
             admission_key=id(state),
         )
         state.attempts += 1
-        if state.attempts == 1 and self._paths.is_remote(path):
-            is_overflowing = self._paths.overflow.is_overflowing(state.service)
-            self._count_remote(state.service, is_overflowing)
-        now = self._read_clock()
-        log_event(
-            "path_chosen",
-            request=state.facts.request_id,
-            attempt=state.attempts,
-            path=describe_path(path),
-            targets_version=self._catalogue.version,
-            targets_age_s=round(now - self._catalogue.confirmed_at, 3),
-            load_scale=round(self._paths.finder.find_load_scale(now=now), 2),
-            left_s=round(state.deadline - now, 3),
-            estimate_s=round_estimate(state.path_estimate_s),
-            prompt=wanted.prompt,
-            answer=wanted.answer,
-            last_event=state.last_event,
-            parts=state.facts.shared_parts[:MAX_LOGGED_PARTS],
-        )
+        self._paths.record_chosen(state, wanted, path)
         return attempt
 
     def _record_duration(self, state: RequestState, actual_s: float) -> None:
@@ -351,8 +348,7 @@
             raise TruncatedResponse(
                 self._context.find_cut_cause(state), detail=failure.cause
             )
-        open_answers = self.supervisor.count_open(state.service)
-        if self._context.take_retry(state, open_answers=open_answers):
+        if self._paths.take_unstarted_retry(state):
             return
         engine = state.configuration.services[state.service].engine
         raise self._context.make_rejection(
@@ -571,11 +567,14 @@
                 hop.target for hop in attempt.path
             )
             return None
-        self._suspicions.record_error(attempt.first.target, now=now)
-        may_retry = may_run_again(self._context.make_tally(state), now=now)
-        if answer is not None or may_retry or not (is_own and facts.is_signed):
-            cause = f"failed, {response.status}"
-            raise AttemptFailed(cause=cause, is_not_run=False)
+        is_own = is_own and facts.is_signed
+        is_final = is_own and response.status < 500 and answer is None
+        if not is_final:
+            self._suspicions.record_error(attempt.first.target, now=now)
+            may_retry = may_run_again(self._context.make_tally(state), now=now)
+            if answer is not None or may_retry or not is_own:
+                cause = f"failed, {response.status}"
+                raise AttemptFailed(cause=cause, is_not_run=False)
         try:
             body = await self._client.read_body(response)
         except AnswerLost as error:
@@ -627,27 +626,15 @@
         self._crash_monitor.record_events(state, attempt)
 
     def _record_broken_response(self, attempt: Attempt, cause: str) -> AttemptFailed:
-        """Record that the first target closed the connection during its response.
-
-        It does so, too, once a later target of its path has been silent for long. It is
-        charged to those that are unreachable or were replaced, and otherwise to the
-        first. A new process is not charged for the old one.
-        """
-        now = self._read_clock()
-        replaced = frozenset(self._context.list_replaced(attempt))
-        lost = replaced | {
-            hop.target
-            for hop in attempt.path
-            if self._suspicions.is_unreachable(hop.target, now=now)
-        }
-        is_first = not lost or attempt.first.target in lost
-        if is_first and attempt.first.target not in replaced:
-            self._suspicions.record_error(attempt.first.target, now=now)
+        """Record that the first target closed the connection during its response."""
+        lost = self._paths.charge_broken(
+            attempt.path, self._context.list_replaced(attempt)
+        )
         return AttemptFailed(
             cause=cause,
             is_not_run=False,
             is_broken_off=True,
-            lost=frozenset() if is_first else lost,
+            lost=lost,
         )
 
     def _log_failure(
--- a/packages/router/fulmarward_router/exchange/_plain.py
+++ b/packages/router/fulmarward_router/exchange/_plain.py
@@ -293,7 +293,7 @@
         return Placement(
             target=target.name,
             address=target.address,
-            record=target,
+            records={target.name: target},
             reservation=self._context.ledger.reserve_one(target.name),
         )
 
--- a/packages/router/fulmarward_router/exchange/_whole_responses.py
+++ b/packages/router/fulmarward_router/exchange/_whole_responses.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 from functools import partial
 from typing import Protocol
@@ -56,8 +56,9 @@
     #: Name and address of the target that gets the request.
     target: str
     address: str
-    #: The target as it was known when it was chosen, `None` if it has left since.
-    record: TargetRecord | None
+    #: The targets of its path as they were known when they were chosen, but for those
+    #: that have left since.
+    records: Mapping[str, TargetRecord]
     reservation: Reservation
     #: The path that begins there, empty for a service without an engine.
     path: tuple[Hop, ...] = ()
@@ -66,6 +67,11 @@
     #: Whether a target has answered the request, and its capacity is released.
     is_answered: bool = False
 
+    @property
+    def record(self) -> TargetRecord | None:
+        """The target that gets the request as it was known, `None` if it has left."""
+        return self.records.get(self.target)
+
 
 class TargetChoice(Protocol):
     """The targets of one request: where it may run, and what is recorded of them."""
--- a/packages/router/fulmarward_router/exchange/tests/test_plain.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_plain.py
@@ -152,6 +152,9 @@
 async def _try_target(plain, state, record):
     """Send one attempt to a target of the service, as it is known."""
     placement = Placement(
-        target=record.name, address=record.address, record=record, reservation=None
+        target=record.name,
+        address=record.address,
+        records={record.name: record},
+        reservation=None,
     )
     await plain._responses.try_target(state, plain.choose_targets(state), placement)
