Requests: each attempt carries the caller's Last-Event-Id

Cause: the caller's header is dropped, as the instance writes its own, and only the way to engine services wrote one; a relay wrote the last event that the system has sent, which is none there.

Change: the last event of a request is the caller's from its arrival until the system has sent one, and each attempt and relay carries it. In the queue, only a stream counts as resumed for it.

--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -11,7 +11,7 @@
 from fulmarward_core.paths import Hop, PathRequest
 from fulmarward_core.queueing import WaitingRequest, choose_retry_after_s
 from fulmarward_core.results import ResultCode
-from fulmarward_core.routes import list_class_services
+from fulmarward_core.routes import RouteKind, list_class_services
 from fulmarward_core.waits import KvAhead, PromisedReturn, ReturnStatus, must_reject
 from fulmarward_router.exchange._path_finder import PathFinder
 from fulmarward_router.exchange._pipe_limiter import PipeLimiter
@@ -631,6 +631,11 @@
     return state.service in list_class_services(state.configuration)
 
 
+def _is_resumed(state: RequestState) -> bool:
+    """Return whether a caller goes on with a stream that was broken off."""
+    return state.last_event is not None and state.route.kind is RouteKind.STREAM
+
+
 def round_estimate(estimate_s: float | None) -> float | None:
     """Return an estimate for the log, `None` if it is unknown or infinite."""
     if estimate_s is None or not math.isfinite(estimate_s):
@@ -651,7 +656,7 @@
         urgency=state.class_urgency,
         arrived_at=state.arrived_at,
         objective_s=state.route.objective_s,
-        is_started=state.has_begun or state.last_event is not None,
+        is_started=state.has_begun or _is_resumed(state),
         kv=compute_request_kv(wanted, engine),
         is_promised=is_promised,
         team=state.team_name if has_team_shares else "",
--- a/packages/router/fulmarward_router/exchange/_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/_caller_handler.py
@@ -348,6 +348,7 @@
             class_urgency=find_class_urgency(route, team),
             arrived_at=arrived_at,
             deadline=deadline,
+            last_event=facts.last_event,
             attempts=facts.runs_before,
             runs=facts.runs_before,
         )
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -168,7 +168,6 @@
     async def _serve_stream(self, state: RequestState) -> web.StreamResponse:
         engine = state.configuration.services[state.service].engine
         wanted = self._paths.make_request(state, engine)
-        state.last_event = state.facts.last_event
         await self._crash_monitor.admit(state)
         answer: web.StreamResponse | None = None
         successor: Successor | None = None
--- a/packages/router/fulmarward_router/exchange/_path_targets.py
+++ b/packages/router/fulmarward_router/exchange/_path_targets.py
@@ -109,6 +109,7 @@
             deadline_s=state.deadline - self._context.read_clock(),
             urgency=state.urgency,
             path=placement.path,
+            last_event=state.last_event,
         )
 
     def record_sent(self, placement: Placement) -> None:
--- a/packages/router/fulmarward_router/exchange/_plain.py
+++ b/packages/router/fulmarward_router/exchange/_plain.py
@@ -306,6 +306,7 @@
             team=None if state.team is None else state.team.name,
             deadline_s=state.deadline - self._context.read_clock(),
             urgency=None,
+            last_event=state.last_event,
         )
 
     def record_sent(self, placement: Placement) -> None:
--- a/packages/router/fulmarward_router/exchange/_request_state.py
+++ b/packages/router/fulmarward_router/exchange/_request_state.py
@@ -124,7 +124,8 @@
     #: monotonic clock; `None` before the first.
     first_event_at: float | None = None
     last_write_at: float | None = None
-    #: Id of the latest event sent to the caller, `None` before the first.
+    #: Id of the latest event sent to the caller; before the first, the one that it has
+    #: named itself, `None` if none.
     last_event: str | None = None
     #: Whether an event without a number was sent to the caller: no other target can go
     #: on with the stream without repeating or losing events.
--- a/packages/router/fulmarward_router/exchange/tests/test_admission.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_admission.py
@@ -10,6 +10,7 @@
 from fulmarward_core.demand import DemandTable
 from fulmarward_core.paths import KvCapacity, PathRequest
 from fulmarward_core.reservations import ClassSettings
+from fulmarward_core.routes import RouteKind
 from fulmarward_router.exchange._admission import AdmissionQueue
 from fulmarward_router.exchange._request_state import (
     RejectedRequest,
@@ -77,7 +78,7 @@
             body=b"",
             facts=SimpleNamespace(request_id="a", relayed_by=relayed_by),
             configuration=SimpleNamespace(class_services=frozenset({"pool"})),
-            route=SimpleNamespace(objective_s=1.0),
+            route=SimpleNamespace(objective_s=1.0, kind=RouteKind.STREAM),
             team=None,
             service="pool",
             urgency=urgency,
