Limits of routes: a run stops counting only on proof that its target has ended

Cause: a run was left out once its target had no entry and was found unreachable or had broken off. A sound target may do all of that, and the finding was kept for good, as targets without an entry are probed no more.

ProcessEnds keeps it by process; targets of streams that may go on nowhere else are connected to.

--- a/packages/router/fulmarward_router/exchange/_attempt.py
+++ b/packages/router/fulmarward_router/exchange/_attempt.py
@@ -178,12 +178,12 @@
     return " ".join(f"{h.target}:{h.layers.start}-{h.layers.end}" for h in path)
 
 
-def record_run(state: RequestState, attempt: Attempt, *, is_broken_off: bool) -> None:
+def record_run(state: RequestState, attempt: Attempt) -> None:
     """Count a failed attempt that a target may have run."""
     state.runs += 1
     run = None
     if attempt.record is not None:
-        run = Run(target=attempt.record, is_broken_off=is_broken_off)
+        run = Run(target=attempt.record)
         state.failed_runs.append(run)
     record_ended(state, attempt, may_have_run=True, run=run)
 
@@ -209,5 +209,5 @@
         failed_runs=list(state.failed_runs),
         ended_attempts=state.ended_attempts.copy(),
     )
-    record_run(lost, attempt, is_broken_off=False)
+    record_run(lost, attempt)
     return lost
--- a/packages/router/fulmarward_router/exchange/_context.py
+++ b/packages/router/fulmarward_router/exchange/_context.py
@@ -26,6 +26,7 @@
 from fulmarward_core.results import ResultCode
 from fulmarward_core.suspicion import SuspicionTable
 from fulmarward_core.team_shares import TeamSettings, TeamTable
+from fulmarward_router.exchange._process_ends import ProcessEnds
 from fulmarward_router.exchange._request_state import (
     CutCause,
     RejectedRequest,
@@ -112,6 +113,8 @@
     promised_returns: PromisedReturns = field(default_factory=PromisedReturns)
     #: Borrows a retry of a service in the background for a started answer, by request.
     request_loan: Callable[[str, str], None] = lambda service, request_id: None
+    #: Which processes of targets have ended, for the runs that the limit counts.
+    process_ends: ProcessEnds = field(default_factory=ProcessEnds)
     #: Decides which requests are sent to a target while the instance stops.
     stop_gate: StopGate = field(default_factory=StopGate)
 
@@ -200,29 +203,24 @@
     def make_tally(self, state: RequestState) -> RequestTally:
         """Return the attempt counts and limits of a request now."""
         for run in state.failed_runs:
-            # An entry that has lapsed may come back with the same process.
+            # A target that is cut off may be reached again.
             run.has_ended = self._has_run_ended(run)
         return state.make_tally()
 
     def _has_run_ended(self, run: Run) -> bool:
         """Return whether the target of a run is known to have ended or be cut off.
 
-        A target that leaves without saying so works on after its entry was removed: it
-        answers probes, and its connections do not break off.
+        Neither silence, a removed entry nor a connection that broke off shows that: a
+        target that leaves without saying so works on.
         """
-        if run.is_refused or self.catalogue.has_been_replaced(run.target):
+        target = run.target
+        if self.catalogue.has_been_replaced(target):
             return True
-        if not self.has_process_ended(run.target):
-            return False
-        name = run.target.name
-        if self.catalogue.find_target(name) is not None:
-            # Another process has its name.
+        if self.process_ends.has_ended(target, now=self.read_clock()):
             return True
-        # Targets without an entry are probed no more.
-        run.is_unreachable = run.is_unreachable or self.suspicions.is_unreachable(
-            name, now=self.read_clock()
-        )
-        return run.is_broken_off or run.is_unreachable
+        # Another process has its name.
+        is_listed = self.catalogue.find_target(target.name) is not None
+        return is_listed and self.has_process_ended(target)
 
     def has_process_ended(self, target: TargetRecord) -> bool:
         """Return whether a target was removed, or has started again, since `target`."""
--- a/packages/router/fulmarward_router/exchange/_engine_paths.py
+++ b/packages/router/fulmarward_router/exchange/_engine_paths.py
@@ -4,8 +4,8 @@
 from dataclasses import replace
 
 from fulmarward.observability import log_event
-from fulmarward_core.attempts import must_reuse_targets
-from fulmarward_core.fleet import EngineModel
+from fulmarward_core.attempts import may_retry, must_reuse_targets
+from fulmarward_core.fleet import EngineModel, TargetRecord
 from fulmarward_core.loads import Reservation
 from fulmarward_core.paths import (
     Hop,
@@ -25,6 +25,10 @@
 from fulmarward_router.exchange._overflow import OverflowPlanner
 from fulmarward_router.exchange._path_finder import PathFinder
 from fulmarward_router.exchange._pipe_limiter import PipeLimiter
+from fulmarward_router.exchange._process_ends import (
+    CHECK_TIMEOUT_S,
+    ProcessEndChecker,
+)
 from fulmarward_router.exchange._request_state import RequestState
 from fulmarward_router.exchange._room_claims import RoomClaims
 from fulmarward_router.exchange._waiting import (
@@ -121,6 +125,11 @@
                 service, now=context.read_clock()
             ),
         )
+        self._end_checker = ProcessEndChecker(
+            ends=context.process_ends,
+            failure_detector=failure_detector,
+            read_clock=context.read_clock,
+        )
         #: Waiting requests by service, for services without and with classes.
         self._uniform_requests: dict[str, UniformRequests] = {}
         self._class_requests: dict[str, ClassRequests] = {}
@@ -210,6 +219,8 @@
         """
         if not must_reuse_targets(self._context.make_tally(state)):
             return wanted
+        # It is asked again until there is a path; ends that are found lift the limit.
+        self.check_ends(state)
         reusable = state.list_reusable_targets()
         bound = replace(
             wanted, avoided=wanted.avoided - reusable, first_targets=reusable
@@ -257,6 +268,23 @@
             )
         return path, reservation
 
+    def check_ends(self, state: RequestState) -> None:
+        """Start to check the targets of a stream that may run nowhere else."""
+        if must_reuse_targets(self._context.make_tally(state)):
+            self._end_checker.start(_list_running(state))
+
+    async def confirm_ends(self, state: RequestState) -> None:
+        """Check the targets of a stream that has no run left.
+
+        Its runs do not count where the target has ended, which the list of targets
+        shows only seconds later.
+        """
+        tally, now = self._context.make_tally(state), self._read_clock()
+        if may_retry(tally, now=now) and not must_reuse_targets(tally):
+            return
+        timeout_s = min(CHECK_TIMEOUT_S, state.count_left(now))
+        await self._end_checker.check(_list_running(state), timeout_s=timeout_s)
+
     async def is_reachable(self, path: tuple[Hop, ...], *, since: float) -> bool:
         """Probe the targets of a path; return whether none is unreachable."""
         await self.probe(path, since=since)
@@ -416,3 +444,8 @@
         self._class_requests[state.service].record_released(
             state.class_urgency, kv, now=now
         )
+
+
+def _list_running(state: RequestState) -> list[TargetRecord]:
+    """Return the targets that may still run a request, as far as is known."""
+    return [run.target for run in state.failed_runs if not run.has_ended]
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from fulmarward.observability import log_event
-from fulmarward_core.attempts import may_retry, may_run_again, must_reuse_targets
+from fulmarward_core.attempts import may_run_again
 from fulmarward_core.fleet import EngineModel
 from fulmarward_core.paths import (
     KvCapacity,
@@ -37,14 +37,12 @@
 from fulmarward_router.exchange._request_state import (
     RejectedRequest,
     RequestState,
-    Run,
     TruncatedResponse,
 )
 from fulmarward_router.exchange._resumption import StreamResumer, Successor
 from fulmarward_router.exchange._send import (
     AnswerLost,
     NotSent,
-    is_connection_refused,
 )
 from fulmarward_router.exchange._whole_responses import WholeResponses
 from fulmarward_router.ports import TargetCall
@@ -54,9 +52,6 @@
 FRUITLESS_PAUSE_S = 0.02
 MAX_FRUITLESS_PAUSE_S = 0.3
 
-#: Seconds to wait for the confirmation that a target has ended.
-CONFIRM_END_TIMEOUT_S = 0.4
-
 
 def _ignore_duration(service: str, estimated_s: float, actual_s: float) -> None:
     """Record nothing."""
@@ -135,6 +130,7 @@
             room_claims=paths.room_claims,
             begin_resumption=self._resumer.begin,
             has_peers=relay.has_peers,
+            check_ends=paths.check_ends,
         )
 
     def measure_capacity(self, service: str, engine: EngineModel) -> KvCapacity:
@@ -217,7 +213,7 @@
             if failure.is_not_run:
                 record_ended(state, attempt, may_have_run=False)
             else:
-                record_run(state, attempt, is_broken_off=failure.is_broken_off)
+                record_run(state, attempt)
             answer = state.request.get("answer")
             self._log_failure(state, attempt, failure)
             if successor is not None:
@@ -340,7 +336,7 @@
             return
         if answer is not None:
             until = compute_resume_end(state)
-            await self._confirm_ends(state)
+            await self._paths.confirm_ends(state)
             await self._space_resumptions(state, failure, until)
             if await self._context.await_retry(state, until=until):
                 return
@@ -359,35 +355,6 @@
             ),
         )
 
-    async def _confirm_ends(self, state: RequestState) -> None:
-        """Check the targets that broke off a stream that has no run left.
-
-        Its runs do not count where the target has ended, which the list of targets
-        shows only seconds later. One that is only silent accepts connections or leaves
-        them pending; an isolated instance is refused by healthy targets.
-        """
-        tally = self._context.make_tally(state)
-        if may_retry(tally, now=self._read_clock()) and not must_reuse_targets(tally):
-            return
-        timeout_s = min(CONFIRM_END_TIMEOUT_S, state.count_left(self._read_clock()))
-        broken_off = [run for run in state.failed_runs if run.is_broken_off]
-        await asyncio.gather(
-            *(self._confirm_end(run, timeout_s=timeout_s) for run in broken_off)
-        )
-
-    async def _confirm_end(self, run: Run, *, timeout_s: float) -> None:
-        """Record that a target has ended, if it refuses connections beside controls."""
-        if run.has_ended and self._context.is_large():
-            return
-        target = run.target
-        _, is_refused = await asyncio.gather(
-            self._failure_detector.probe_again(target.name, timeout_s=timeout_s),
-            is_connection_refused(target.address, timeout_s=timeout_s),
-        )
-        now = self._read_clock()
-        is_unreachable = self._suspicions.is_unreachable(target.name, now=now)
-        run.is_refused = run.is_refused or (is_refused and is_unreachable)
-
     async def _space_resumptions(
         self, state: RequestState, failure: AttemptFailed, until: float
     ) -> None:
--- a/packages/router/fulmarward_router/exchange/_failover.py
+++ b/packages/router/fulmarward_router/exchange/_failover.py
@@ -32,6 +32,7 @@
 from fulmarward_router.exchange._failure_detector import FailureDetector
 from fulmarward_router.exchange._path_finder import PathFinder
 from fulmarward_router.exchange._pipe_limiter import PipeLimiter
+from fulmarward_router.exchange._request_state import RequestState
 from fulmarward_router.exchange._room_claims import RoomClaims
 from fulmarward_router.ports import OrderOutcome
 
@@ -94,8 +95,11 @@
         room_claims: RoomClaims,
         begin_resumption: Callable[[Attempt, str, frozenset[str]], None],
         has_peers: Callable[[], bool] = lambda: False,
+        check_ends: Callable[[RequestState], None] = lambda state: None,
     ) -> None:
         self._context = context
+        #: Finds out whether targets have ended that leave a stream no other one.
+        self._check_ends = check_ends
         #: Tries a further attempt beside a silent one, which stays open.
         self._begin_resumption = begin_resumption
         #: Returns whether there is a peer through which a stream may be resumed.
@@ -571,6 +575,7 @@
         if not may_retry(self._context.make_tally(lost_state), now=now):
             self._log_withheld(attempt, cause, "no run")
             return False
+        self._check_ends(lost_state)
         is_gone = self._context.has_path_ended(attempt)
         is_last = is_gone or now >= compute_resume_start(state)
         if not self._has_other_path(attempt, lost):
--- a/packages/router/fulmarward_router/exchange/_failure_detector.py
+++ b/packages/router/fulmarward_router/exchange/_failure_detector.py
@@ -24,6 +24,9 @@
 from fulmarward_router.exchange._pause_meter import PauseMeter
 from fulmarward_router.ports import TargetDialect, TargetReport
 
+#: Number of other targets that are connected to beside one that may have ended.
+CONNECT_CONTROLS = 2
+
 #: Seconds to wait for a first target's report; a stalled stream waits for it.
 REPORT_TIMEOUT_S = 0.35
 
@@ -431,6 +434,14 @@
             offset=self._offset,
         )
 
+    async def is_control_reached(self, target: str, *, timeout_s: float) -> bool:
+        """Return whether another target than this accepts a connection in time."""
+        controls = self._choose_controls({target}, CONNECT_CONTROLS, answered=())
+        accepted = await asyncio.gather(
+            *(self._dialect.is_accepting(record, timeout_s) for record in controls)
+        )
+        return any(accepted)
+
     def _apply_verdict(self, probe_round: ProbeRound, verdict: ProbeVerdict) -> None:
         """Apply what a round shows about this instance and the controls."""
         if verdict.is_isolated:
--- a/packages/router/fulmarward_router/exchange/_request_state.py
+++ b/packages/router/fulmarward_router/exchange/_request_state.py
@@ -59,13 +59,7 @@
     """A run that failed or was given up."""
 
     target: TargetRecord
-    #: Whether the target closed the connection.
-    is_broken_off: bool
-    #: Whether the target refused connections afterwards, while controls answered.
-    is_refused: bool = False
-    #: Whether it was found unreachable since its entry was removed.
-    is_unreachable: bool = False
-    #: Whether its process is known to have ended.
+    #: Whether its process is known to have ended, or be cut off now.
     has_ended: bool = False
 
 
--- a/packages/router/fulmarward_router/exchange/_resumption.py
+++ b/packages/router/fulmarward_router/exchange/_resumption.py
@@ -177,7 +177,7 @@
             attempt.state.runs += 1
             successor.response.close()
         elif successor is not None:
-            record_run(successor.state, successor, is_broken_off=False)
+            record_run(successor.state, successor)
             self._release(successor)
 
     async def take_over(
@@ -231,7 +231,7 @@
             watch.cancel()
             if not is_ready:
                 if is_run:
-                    record_run(state, successor, is_broken_off=False)
+                    record_run(state, successor)
                 else:
                     record_ended(state, successor, may_have_run=False)
                 self._release(successor)
--- a/packages/router/fulmarward_router/exchange/_send.py
+++ b/packages/router/fulmarward_router/exchange/_send.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections import defaultdict
 from contextvars import ContextVar
+from enum import Enum
 
 import aiohttp
 from multidict import CIMultiDict
@@ -231,16 +232,29 @@
     return f"{type(error).__name__}: {error}"[:MAX_CAUSE_LENGTH]
 
 
-async def is_connection_refused(address: str, *, timeout_s: float) -> bool:
-    """Return whether nothing listens at an address, as after its process has ended."""
+class ConnectOutcome(Enum):
+    """How an attempt to connect ended."""
+
+    ACCEPTED = "accepted"
+    #: Nothing listens at the address, as after its process has ended.
+    REFUSED = "refused"
+    #: The host has not answered in time.
+    UNANSWERED = "unanswered"
+    #: Nothing that concerns the process, as for an address that is none.
+    FAILED = "failed"
+
+
+async def try_connection(address: str, *, timeout_s: float) -> ConnectOutcome:
+    """Return how an attempt to connect to an address ends; nothing is sent."""
     host, _, port = address.rpartition(":")
     try:
         async with asyncio.timeout(timeout_s):
             _, writer = await asyncio.open_connection(host.strip("[]"), int(port))
     except ConnectionRefusedError:
-        return True
-    except (OSError, TimeoutError, ValueError):
-        # An address may be none that can be connected to.
-        return False
+        return ConnectOutcome.REFUSED
+    except TimeoutError:
+        return ConnectOutcome.UNANSWERED
+    except (OSError, ValueError):
+        return ConnectOutcome.FAILED
     writer.close()
-    return False
+    return ConnectOutcome.ACCEPTED
