Placement: what belongs to a service is kept by a placer of its own

Two services that started together fared alike.

Cause: one table of first sightings and one of open orders served all services, and the pass over each dropped what is not of that service. So no fleet without layers was ever quiet for long enough to be planned, and open orders were forgotten. Passes also waited for each other's slow targets.

Change: ServicePlacer holds what belongs to one service, and is dropped with it once its orders have ended. Placer runs the passes beside each other.

--- a/packages/router/fulmarward_router/placement/_placer.py
+++ b/packages/router/fulmarward_router/placement/_placer.py
@@ -1,8 +1,9 @@
 """The task that assigns layers to engines while this instance holds the lease."""
 
 import asyncio
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
+from functools import partial
 
 from fulmarward.observability import log_event
 from fulmarward_core.catalogue import TargetCatalogue
@@ -91,6 +92,97 @@
 
 
 class Placer:
+    """Runs the placement of each engine service while this instance holds the lease.
+
+    What belongs to a service is kept by its own `ServicePlacer`, and its passes run
+    beside those of the others: slow targets of one hold up no repair of another.
+    """
+
+    def __init__(
+        self,
+        *,
+        dialect: TargetDialect,
+        lease: LeaseKeeper,
+        configuration: ConfigurationHolder,
+        catalogue: TargetCatalogue,
+        suspicions: SuspicionTable,
+        contacts: ContactTable,
+        probe_targets: Callable[[Iterable[str]], None],
+        count_routing_instances: Callable[[], int],
+        read_clock: Callable[[], float],
+    ) -> None:
+        self._lease = lease
+        self._configuration = configuration
+        self._catalogue = catalogue
+        self._contacts = contacts
+        self._read_clock = read_clock
+        #: Makes the placer of a service.
+        self._make_service = partial(
+            ServicePlacer,
+            dialect=dialect,
+            lease=lease,
+            catalogue=catalogue,
+            suspicions=suspicions,
+            probe_targets=probe_targets,
+            count_routing_instances=count_routing_instances,
+            read_clock=read_clock,
+        )
+        self._services: dict[str, ServicePlacer] = {}
+        #: Running passes by service.
+        self._passes: dict[str, asyncio.Task[None]] = {}
+
+    async def run(self) -> None:
+        """Reconcile every engine service at a fixed interval until cancelled."""
+        try:
+            while True:
+                await asyncio.sleep(RECONCILE_INTERVAL_S)
+                self._begin_passes()
+        finally:
+            await self._end_passes()
+
+    def _begin_passes(self) -> None:
+        """Begin a pass over each service whose last one has ended."""
+        current = self._configuration.current
+        if current is None or not self._catalogue.is_known:
+            return
+        engines = {
+            spec.name: spec.engine
+            for spec in current.services.values()
+            if spec.engine is not None and spec.engine.kinds
+        }
+        self._drop_services(engines.keys())
+        if not self._lease.is_held():
+            for placer in self._services.values():
+                placer.forget()
+            return
+        for name, engine in engines.items():
+            if name not in self._services:
+                self._services[name] = self._make_service(service=name)
+            placer = self._services[name]
+            if not self._contacts.is_reached(name):
+                placer.forget_gaps()
+            elif name not in self._passes:
+                task = asyncio.create_task(placer.try_reconcile(engine))
+                self._passes[name] = task
+                task.add_done_callback(lambda _, name=name: self._passes.pop(name))
+
+    def _drop_services(self, names: Collection[str]) -> None:
+        """Drop the services that are not named any more and have no open order."""
+        now = self._read_clock()
+        self._services = {
+            name: placer
+            for name, placer in self._services.items()
+            if name in names or name in self._passes or placer.has_open_orders(now)
+        }
+
+    async def _end_passes(self) -> None:
+        passes = list(self._passes.values())
+        for task in passes:
+            task.cancel()
+        await asyncio.gather(*passes, return_exceptions=True)
+
+
+class ServicePlacer:
     """Plans the layers of a fleet that holds none, and closes gaps in one that does.
 
     A peer whose own link is saturated reports healthy targets as unreachable. Acting on
@@ -104,22 +196,20 @@
     def __init__(
         self,
         *,
+        service: str,
         dialect: TargetDialect,
         lease: LeaseKeeper,
-        configuration: ConfigurationHolder,
         catalogue: TargetCatalogue,
         suspicions: SuspicionTable,
-        contacts: ContactTable,
         probe_targets: Callable[[Iterable[str]], None],
         count_routing_instances: Callable[[], int],
         read_clock: Callable[[], float],
     ) -> None:
+        self._service = service
         self._dialect = dialect
         self._lease = lease
-        self._configuration = configuration
         self._catalogue = catalogue
         self._suspicions = suspicions
-        self._contacts = contacts
         #: Starts probes that determine which of the given targets are unreachable.
         self._probe_targets = probe_targets
         #: Returns the number of instances that choose paths.
@@ -127,63 +217,52 @@
         self._read_clock = read_clock
         self._pending: dict[str, _PendingOrder] = {}
         self._first_seen: dict[str, float] = {}
-        #: Since when each layer lacks a confirmed holder, by service and data centre.
-        self._missing_since: dict[tuple[str, str], dict[int, float]] = {}
-        #: Services whose last reconciliation failed with an internal error.
-        self._failing_services: set[str] = set()
+        #: Since when each layer lacks a confirmed holder, by data centre.
+        self._missing_since: dict[str, dict[int, float]] = {}
+        #: Whether the last reconciliation failed with an internal error.
+        self._is_failing = False
         #: Target processes (name, start time) to which this instance has sent an order.
         self._ordered: set[tuple[str, int]] = set()
 
-    async def run(self) -> None:
-        """Reconcile every engine service at a fixed interval until cancelled."""
-        while True:
-            await asyncio.sleep(RECONCILE_INTERVAL_S)
-            current = self._configuration.current
-            if current is None or not self._catalogue.is_known:
-                continue
-            if not self._lease.is_held():
-                self._first_seen.clear()
-                self._missing_since.clear()
-                continue
-            for spec in current.services.values():
-                if spec.engine is None or not spec.engine.kinds:
-                    continue
-                if self._contacts.is_reached(spec.name):
-                    await self._try_reconcile(spec.name, spec.engine)
-                else:
-                    self._forget_gaps(spec.name)
-
-    async def _try_reconcile(self, service: str, engine: EngineModel) -> None:
-        """Reconcile a service; an internal error leaves its layers as they are.
+    def forget(self) -> None:
+        """Forget what was seen of the fleet, as another instance holds the lease."""
+        self._first_seen.clear()
+        self._missing_since.clear()
+
+    def has_open_orders(self, now: float) -> bool:
+        """Return whether a target may still carry out an order."""
+        return any(now < item.until for item in self._pending.values())
+
+    async def try_reconcile(self, engine: EngineModel) -> None:
+        """Reconcile the service; an internal error leaves its layers as they are.
 
         Guards against a service that ends the lease holder, and then each successor.
         """
         try:
-            await self._reconcile(service, engine)
+            await self._reconcile(engine)
         except Exception as error:
-            if service not in self._failing_services:
-                log_event("reconciliation_failed", exc_info=error, service=service)
-            self._failing_services.add(service)
+            if not self._is_failing:
+                log_event(
+                    "reconciliation_failed", exc_info=error, service=self._service
+                )
+            self._is_failing = True
         else:
-            self._failing_services.discard(service)
+            self._is_failing = False
 
-    def _forget_gaps(self, service: str) -> None:
-        """Forget the gaps of a service whose targets do not answer this instance.
+    def forget_gaps(self) -> None:
+        """Forget the gaps, as the targets do not answer this instance.
 
         Guards against moving layers as soon as they answer again: gaps that seemed to
         last for long may be none.
         """
-        for key in [key for key in self._missing_since if key[0] == service]:
-            del self._missing_since[key]
+        self._missing_since.clear()
 
-    def _list_present(
-        self, service: str, engine: EngineModel, now: float
-    ) -> list[TargetRecord]:
+    def _list_present(self, engine: EngineModel, now: float) -> list[TargetRecord]:
         """Return the targets in the store that fit the model and are not leaving."""
         return [
             record
             for record in self._catalogue.list_targets(now=now)
-            if record.service == service
+            if record.service == self._service
             and not record.is_leaving
             and find_engine_misfit(record, engine) is None
         ]
@@ -228,9 +307,9 @@
         is_empty = record.layers is None and record.name not in self._pending
         return is_empty and self._suspicions.is_indirect(record.name, now=now)
 
-    async def _reconcile(self, service: str, engine: EngineModel) -> None:
+    async def _reconcile(self, engine: EngineModel) -> None:
         now = self._read_clock()
-        present = self._list_present(service, engine, now)
+        present = self._list_present(engine, now)
         targets = self._list_targets(present, now)
         self._drop_pending(targets, now)
         if not targets or not self._lease.is_held():
@@ -238,7 +317,7 @@
         instances = self._count_routing_instances()
         pending = {name: item.layers for name, item in self._pending.items()}
         holders = _list_layer_holders(targets, pending)
-        self._verify_reported_losses(service, engine, present, holders, now)
+        self._verify_reported_losses(engine, present, holders, now)
         is_empty_fleet = not pending and all(
             target.layers is None for target in targets
         )
@@ -290,7 +369,6 @@
 
     def _verify_reported_losses(
         self,
-        service: str,
         engine: EngineModel,
         present: Sequence[TargetRecord],
         holders: Sequence[_LayerHolder],
@@ -315,23 +393,24 @@
                 item.layers for item in local if item.target.name not in reported
             ]
             missing = find_gaps(engine.layers, confirmed)
-            self._record_missing((service, data_centre), missing, now)
+            self._record_missing(data_centre, missing, now)
             if missing != find_gaps(engine.layers, [item.layers for item in local]):
                 to_probe += reported
         if to_probe:
             self._probe_targets(to_probe)
 
     def _record_missing(
-        self, key: tuple[str, str], gaps: Sequence[LayerRange], now: float
+        self, data_centre: str, gaps: Sequence[LayerRange], now: float
     ) -> None:
-        previous = self._missing_since.get(key, {})
+        previous = self._missing_since.get(data_centre, {})
         layers = [layer for gap in gaps for layer in range(gap.start, gap.end)]
-        self._missing_since[key] = {layer: previous.get(layer, now) for layer in layers}
+        self._missing_since[data_centre] = {
+            layer: previous.get(layer, now) for layer in layers
+        }
         if previous.keys() != set(layers):
-            service, data_centre = key
             log_event(
                 "missing_layers_changed",
-                service=service,
+                service=self._service,
                 data_centre=data_centre,
                 missing=[f"{gap.start}-{gap.end}" for gap in gaps],
             )
@@ -362,7 +441,7 @@
             if is_confirmed or order.reason == "spare"
             else MIN_GAP_DURATION_S
         )
-        since = self._missing_since.get((target.service, data_centre), {})
+        since = self._missing_since.get(data_centre, {})
         closed_gaps = [gap for gap in gaps if _overlap(gap, order.assignment.layers)]
         # An order that overlaps no gap shifts layers to make room for other orders.
         layers = [
