--- a/packages/router/fulmarward_router/exchange/_admission.py
+++ b/packages/router/fulmarward_router/exchange/_admission.py
@@ -65,7 +65,7 @@
 #: Share of the time left until its deadline up to which a caller honours a retry delay.
 HONOURED_SHARE = 1 / 3
 
-#: Minimum seconds between two log lines on missing layers.
+#: Minimum seconds between two log lines on missing layers of a service.
 MISSING_LOG_INTERVAL_S = 1.0
 
 
@@ -156,7 +156,8 @@
         self._pipe = pipe
         self._catalogue = catalogue
         self._read_clock = read_clock
-        self._missing_logged_at = float("-inf")
+        #: When missing layers were last logged, by service.
+        self._missing_logged_at: dict[str, float] = {}
 
     async def await_path(
         self,
@@ -517,11 +518,12 @@
                 return Shortage.LIMIT
 
     def _log_missing_layers(self, service: str, engine: EngineModel) -> None:
-        """Log why no path holds all layers, once a second."""
+        """Log why no path of a service holds all layers, once a second."""
         now = self._read_clock()
-        if now - self._missing_logged_at < MISSING_LOG_INTERVAL_S:
+        logged_at = self._missing_logged_at.get(service, float("-inf"))
+        if now - logged_at < MISSING_LOG_INTERVAL_S:
             return
-        self._missing_logged_at = now
+        self._missing_logged_at[service] = now
         exclusions = self._finder.describe_exclusions(service, engine)
         log_event(
             "layers_unavailable",
--- a/packages/router/fulmarward_router/exchange/tests/test_admission.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_admission.py
@@ -157,6 +157,28 @@
             self.assertEqual(state.path_estimate_s, 25.0)
 
 
+class MissingLayersTest(_AdmissionTest):
+    async def test_missing_layers_of_each_service_are_logged(self):
+        """Guards against a service whose missing layers hide those of another."""
+        finder = self.admission._finder
+        finder.has_whole_model.return_value = False
+        finder.describe_exclusions.return_value = SimpleNamespace(
+            missing=(), reasons={}
+        )
+        with mock.patch("fulmarward_router.exchange._admission.log_event") as log:
+            for service in ("pool", "other", "pool"):
+                state = replace(self.make_state(), service=service)
+                state.deadline = state.arrived_at
+                with self.assertRaises(RejectedRequest):
+                    await self.await_path(state)
+        services = [
+            call.kwargs["service"]
+            for call in log.call_args_list
+            if call.args == ("layers_unavailable",)
+        ]
+        self.assertEqual(services, ["pool", "other"])
+
+
 class PromisedReturnTest(_AdmissionTest):
     async def test_due_return_is_not_rejected_for_those_that_it_precedes(self):
         """Guards against callers that return on time and are rejected on arrival."""
