Streams: events of a service without an engine are forwarded as they arrive

Callers saw: the first event of such a stream came with its last, so that those who wait 2 s for it left; one whose target stopped after an event got no part of it, and 504 at its deadline. PROTOCOL.md: "Events are forwarded as they arrive".

Cause: a service without an engine read each response whole, whatever the route.

Change: PlainStreams forwards the events of a stream's route from the targets that the service chooses. A stream that breaks off, or whose target is silent, goes on at another target where route, runs and retries allow it, and is cut otherwise. Sending, charging and ending an attempt stay in WholeResponses.

--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -505,6 +505,7 @@
             plain=PlainService(
                 context=context,
                 failure_detector=self.failure_detector,
+                forwarder=forwarder,
                 relay=relay,
                 crash_monitor=crash_monitor,
             ),
--- a/packages/router/fulmarward_router/exchange/_plain.py
+++ b/packages/router/fulmarward_router/exchange/_plain.py
@@ -8,10 +8,13 @@
 from fulmarward_core.fleet import TargetRecord
 from fulmarward_core.queueing import WaitingRequest
 from fulmarward_core.results import ResultCode
+from fulmarward_core.routes import RouteKind
 from fulmarward_router.exchange._admission import choose_limited_retry_s
 from fulmarward_router.exchange._context import ServiceContext
 from fulmarward_router.exchange._crash_monitor import CrashMonitor
 from fulmarward_router.exchange._failure_detector import FailureDetector
+from fulmarward_router.exchange._forwarding import StreamForwarder
+from fulmarward_router.exchange._plain_streams import PlainStreams
 from fulmarward_router.exchange._relay import PeerRelay
 from fulmarward_router.exchange._request_state import (
     RejectedRequest,
@@ -47,6 +50,7 @@
         *,
         context: ServiceContext,
         failure_detector: FailureDetector,
+        forwarder: StreamForwarder,
         relay: PeerRelay,
         crash_monitor: CrashMonitor,
     ) -> None:
@@ -62,12 +66,26 @@
             relay=relay,
             crash_monitor=crash_monitor,
         )
+        self._streams = PlainStreams(
+            context=context,
+            forwarder=forwarder,
+            relay=relay,
+            crash_monitor=crash_monitor,
+            responses=self._responses,
+        )
         #: Waiting requests of the services with classes, by service.
         self._waiting: dict[str, PlainRequests] = {}
 
     async def serve(self, state: RequestState) -> web.StreamResponse:
-        """Return a target's response; raises `RejectedRequest`."""
-        return await self._responses.serve(state, self.choose_targets(state))
+        """Serve a request as its route demands: a stream, or a whole response.
+
+        Raises `RejectedRequest` before the response starts, `TruncatedResponse`
+        afterwards.
+        """
+        targets = self.choose_targets(state)
+        if state.route.kind is RouteKind.STREAM:
+            return await self._streams.serve(state, targets)
+        return await self._responses.serve(state, targets)
 
     def choose_targets(self, state: RequestState) -> "PlainTargets":
         """Return the targets of a request, none of which has been tried."""
--- a/packages/router/fulmarward_router/exchange/_whole_responses.py
+++ b/packages/router/fulmarward_router/exchange/_whole_responses.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Collection, Mapping
+from collections.abc import Awaitable, Callable, Collection, Mapping
 from dataclasses import dataclass, field
 from functools import partial
 from typing import Protocol
@@ -31,6 +31,7 @@
     EndedAttempt,
     RejectedRequest,
     RequestState,
+    TruncatedResponse,
 )
 from fulmarward_router.exchange._send import AnswerLost, NotSent
 from fulmarward_router.ports import AnswerFacts, TargetCall
@@ -73,6 +74,17 @@
         return self.records.get(self.target)
 
 
+#: Sends a call and returns its response once that has started.
+OpenResponse = Callable[[TargetCall], Awaitable[aiohttp.ClientResponse]]
+
+#: Returns the body of a response, or the caller's one once it has been streamed.
+ReadResponse = Callable[[aiohttp.ClientResponse], Awaitable[bytes | web.StreamResponse]]
+
+
+class AttemptLeft(AnswerLost):
+    """An attempt is given up for another one, as its target is silent."""
+
+
 class TargetChoice(Protocol):
     """The targets of one request: where it may run, and what is recorded of them."""
 
@@ -178,7 +190,7 @@
             if not targets.take_retry():
                 if last_failure is not None:
                     return last_failure
-                raise self._make_rejection(state, targets, "no more attempts")
+                raise self.make_end(state, targets, "no more attempts")
 
     def _begin(
         self, state: RequestState, targets: TargetChoice, placement: Placement
@@ -334,9 +346,12 @@
             patience_s=round(self._find_patience_s(state), 3),
         )
 
-    def _make_rejection(
+    def make_end(
         self, state: RequestState, targets: TargetChoice, cause: str
-    ) -> RejectedRequest:
+    ) -> RejectedRequest | TruncatedResponse:
+        """Return the exception that ends a request without another attempt."""
+        if state.has_begun:
+            return TruncatedResponse(self._context.find_cut_cause(state), detail=cause)
         return self._context.make_rejection(
             state, cause=cause, retry_after_s=targets.find_retry_after_s()
         )
@@ -349,13 +364,49 @@
         Raises `RejectedRequest` if the request may have been executed and must not be
         executed again.
         """
+        return await self._try(
+            state,
+            targets,
+            placement,
+            open_response=partial(self._context.open, state),
+            read=self._client.read_body,
+        )
+
+    async def send(
+        self,
+        state: RequestState,
+        targets: TargetChoice,
+        placement: Placement,
+        *,
+        open_response: OpenResponse,
+        read: ReadResponse,
+    ) -> web.StreamResponse | None:
+        """Begin an attempt whose response is opened and read by the caller.
+
+        Returns and raises as `try_target` does; a stream is returned as read.
+        """
+        self._begin(state, targets, placement)
+        return await self._try(
+            state, targets, placement, open_response=open_response, read=read
+        )
+
+    async def _try(
+        self,
+        state: RequestState,
+        targets: TargetChoice,
+        placement: Placement,
+        *,
+        open_response: OpenResponse,
+        read: ReadResponse,
+    ) -> web.StreamResponse | None:
+        """Send one attempt, as `try_target` and `send` do."""
         now = self._read_clock()
         call = targets.make_call(placement)
         response = None
         try:
             async with asyncio.timeout(max(0.0, state.deadline - now)):
-                response = await self._context.open(state, call)
-                body = await self._client.read_body(response)
+                response = await open_response(call)
+                body = await read(response)
         except NotSent as error:
             self._log_failed_attempt(
                 state, placement, "not sent", error, may_have_run=False
@@ -367,13 +418,13 @@
         except (AnswerLost, TimeoutError) as error:
             state.runs += 1
             is_late = not isinstance(error, AnswerLost)
-            if not is_late:
+            if not is_late and not isinstance(error, AttemptLeft):
                 self._start_examination(state, placement, response, sent_at=now)
             self._log_failed_attempt(state, placement, "answer lost", error)
             targets.record_lost(placement, is_late=is_late)
             if state.route.may_retry and self._read_clock() < state.deadline:
                 return None
-            raise self._make_rejection(state, targets, "the answer was lost") from error
+            raise self.make_end(state, targets, "the answer was lost") from error
         except asyncio.CancelledError:
             # It is under way, and may run.
             state.runs += 1
@@ -391,8 +442,18 @@
                 placement, facts, status=response.status, sent_at=now
             )
             return None
+        if isinstance(body, web.StreamResponse):
+            state.runs += 1
+            self._crash_monitor.record_proven(state)
+            self._record_answered(targets, placement)
+            return body
         return self._evaluate_response(state, targets, placement, facts, response, body)
 
+    @staticmethod
+    def _record_answered(targets: TargetChoice, placement: Placement) -> None:
+        placement.is_answered = True
+        targets.record_success(placement)
+
     def _start_examination(
         self,
         state: RequestState,
@@ -445,8 +506,7 @@
             self._log_failed_attempt(state, placement, f"failed, {status}", None)
             targets.record_failure(placement)
         else:
-            placement.is_answered = True
-            targets.record_success(placement)
+            self._record_answered(targets, placement)
         headers = self._dialect.select_answer_headers(response.headers)
         return web.Response(status=status, body=body, headers=headers)
 
--- a/packages/router/fulmarward_router/exchange/tests/test_late_sends.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_sends.py
@@ -96,6 +96,7 @@
         self.plain = PlainService(
             context=self.context,
             failure_detector=detector,
+            forwarder=mock.Mock(),
             relay=mock.Mock(is_needed=lambda state: False),
             crash_monitor=make_crash_monitor(self.context, detector),
         )
--- a/packages/router/fulmarward_router/exchange/tests/test_plain.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_plain.py
@@ -40,7 +40,11 @@
         relay = mock.Mock(is_needed=lambda state: False)
         monitor = mock.Mock(admit=mock.AsyncMock())
         self.plain = PlainService(
-            context=context, failure_detector=None, relay=relay, crash_monitor=monitor
+            context=context,
+            failure_detector=None,
+            forwarder=None,
+            relay=relay,
+            crash_monitor=monitor,
         )
         self.plain._responses.try_target = self.answer
         self.sent, self.answers = [], asyncio.Semaphore(0)
@@ -136,6 +140,7 @@
         plain = PlainService(
             context=context,
             failure_detector=None,
+            forwarder=None,
             relay=mock.Mock(),
             crash_monitor=mock.Mock(),
         )
--- a/packages/router/fulmarward_router/exchange/tests/test_slow_targets.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_slow_targets.py
@@ -143,6 +143,7 @@
         self.plain = PlainService(
             context=context,
             failure_detector=mock.Mock(),
+            forwarder=mock.Mock(),
             relay=self.relay,
             crash_monitor=mock.Mock(admit=mock.AsyncMock()),
         )
--- a/packages/router/fulmarward_router/tests/_routing_peer.py
+++ b/packages/router/fulmarward_router/tests/_routing_peer.py
@@ -165,6 +165,7 @@
             plain=PlainService(
                 context=context,
                 failure_detector=mock.Mock(),
+                forwarder=mock.Mock(),
                 relay=mock.Mock(is_needed=lambda state: False),
                 crash_monitor=make_crash_monitor(context, mock.Mock()),
             ),
