Streams without an engine: no late failure, no charge at the deadline

Read through before the landing, no caller was seen to meet these: an earlier 500 could be returned after a later attempt had begun the response; a begun stream was cut at once while its prompt was suspended, and is to wait as others do; a target was charged for a stream that its deadline ends; a response whose caller leaves as it arrives stayed open; the fleet was searched each 0.1 s for a silent stream.

Run: test_route_kinds, test_plain, test_slow_targets, test_late_sends, test_relays_beside, test_late_streams and test_late_aborts, 62 passed.

--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -40,10 +40,7 @@
     TruncatedResponse,
 )
 from fulmarward_router.exchange._resumption import StreamResumer, Successor
-from fulmarward_router.exchange._send import (
-    AnswerLost,
-    NotSent,
-)
+from fulmarward_router.exchange._send import AnswerLost, NotSent, close_response
 from fulmarward_router.exchange._whole_responses import WholeResponses
 from fulmarward_router.ports import TargetCall
 
@@ -494,7 +491,7 @@
             attempt.check_task.cancel()
         if attempt.head_task is not None:
             attempt.head_task.cancel()
-            attempt.head_task.add_done_callback(_close_response)
+            attempt.head_task.add_done_callback(close_response)
 
     def _make_call(self, state: RequestState, attempt: Attempt) -> TargetCall:
         return TargetCall(
@@ -624,12 +621,6 @@
             self._count_broken_attempt(state.service, attempt.progress.value)
 
 
-def _close_response(head_task: asyncio.Task[aiohttp.ClientResponse]) -> None:
-    """Close a response, also one whose head nobody has awaited."""
-    if not head_task.cancelled() and head_task.exception() is None:
-        head_task.result().close()
-
-
 def _log_internal_error(state: RequestState, error: BaseException) -> None:
     log_event("internal_error_caught", exc_info=error, request=state.facts.request_id)
 
--- a/packages/router/fulmarward_router/exchange/_plain.py
+++ b/packages/router/fulmarward_router/exchange/_plain.py
@@ -375,7 +375,12 @@
         self._suspicions.record_error(placement.target, now=self._context.read_clock())
 
     def record_lost(self, placement: Placement, *, is_late: bool) -> None:
-        """Charge a target without a whole answer, unless another process has come."""
+        """Charge a target without a whole answer, unless another process has come.
+
+        A stream that its deadline ends says nothing against its target.
+        """
+        if is_late and self._state.has_begun:
+            return
         if not self._context.catalogue.has_been_replaced(placement.record):
             self.record_hanging(placement.target)
 
--- a/packages/router/fulmarward_router/exchange/_plain_streams.py
+++ b/packages/router/fulmarward_router/exchange/_plain_streams.py
@@ -12,7 +12,7 @@
 )
 from fulmarward_router.exchange._context import ServiceContext
 from fulmarward_router.exchange._crash_monitor import CrashMonitor
-from fulmarward_router.exchange._events import EventSplitter
+from fulmarward_router.exchange._events import Event, EventSplitter
 from fulmarward_router.exchange._forwarding import StreamForwarder
 from fulmarward_router.exchange._relay import PeerRelay
 from fulmarward_router.exchange._request_state import (
@@ -21,7 +21,7 @@
     RequestState,
     TruncatedResponse,
 )
-from fulmarward_router.exchange._send import AnswerLost
+from fulmarward_router.exchange._send import AnswerLost, close_response
 from fulmarward_router.exchange._whole_responses import (
     AttemptLeft,
     Placement,
@@ -30,9 +30,10 @@
 )
 from fulmarward_router.ports import TargetCall
 
-#: Seconds between two looks for a target that goes on with a begun stream, and the
-#: shortest silence before another one is looked for.
+#: Seconds between two looks for a target that goes on with a stream, and at most after
+#: ones that found none. Each look costs more the larger the fleet is.
 SEARCH_INTERVAL_S = 0.1
+MAX_SEARCH_INTERVAL_S = 0.4
 
 
 class PlainStreams:
@@ -94,7 +95,7 @@
                 # No target has received it, so that it takes no retry.
                 continue
             if not await self._take_retry(state, targets):
-                if last_failure is not None:
+                if last_failure is not None and not state.has_begun:
                     return last_failure
                 raise self._responses.make_end(state, targets, "no more attempts")
 
@@ -129,8 +130,10 @@
         """
         successors: list[Placement] = []
         try:
-            self._crash_monitor.check(state)
+            until = compute_resume_end(state)
+            await self._crash_monitor.await_clearance(state, until=until)
             self._context.check_may_begin(state)
+            state.resumes += state.has_begun
             answer = await self._responses.send(
                 state,
                 targets,
@@ -161,15 +164,19 @@
         Raises `AttemptLeft` if a target that does not respond is left for another.
         """
         opening = asyncio.create_task(self._context.open(state, call))
+        interval_s = SEARCH_INTERVAL_S
         try:
             while True:
                 left_s = compute_resume_start(state) - self._read_clock()
-                await asyncio.wait([opening], timeout=max(SEARCH_INTERVAL_S, left_s))
+                await asyncio.wait([opening], timeout=max(interval_s, left_s))
                 if opening.done():
                     return opening.result()
                 await self._leave(state, targets, successors)
-        finally:
+                interval_s = min(2 * interval_s, MAX_SEARCH_INTERVAL_S)
+        except BaseException:
             opening.cancel()
+            opening.add_done_callback(close_response)
+            raise
 
     async def _leave(
         self, state: RequestState, targets: TargetChoice, successors: list[Placement]
@@ -237,15 +244,16 @@
         successors: list[Placement],
         response: aiohttp.ClientResponse,
         splitter: EventSplitter,
-    ) -> list | None:
+    ) -> list[Event] | None:
         """Return events as `StreamForwarder.read_events` does.
 
         Raises `AnswerLost`, as `AttemptLeft` if a silent target is left for another.
         """
+        interval_s = SEARCH_INTERVAL_S
         while True:
             left_s = compute_resume_start(state) - self._read_clock()
             try:
-                async with asyncio.timeout(max(SEARCH_INTERVAL_S, left_s)) as silence:
+                async with asyncio.timeout(max(interval_s, left_s)) as silence:
                     return await self._forwarder.read_events(response, splitter)
             except TimeoutError:
                 if not silence.expired():
@@ -253,6 +261,7 @@
             except (aiohttp.ClientError, OSError) as error:
                 raise AnswerLost(repr(error)) from error
             await self._leave(state, targets, successors)
+            interval_s = min(2 * interval_s, MAX_SEARCH_INTERVAL_S)
 
     async def _take_retry(self, state: RequestState, targets: TargetChoice) -> bool:
         """Consume a retry; a begun stream waits for one as long as its caller."""
--- a/packages/router/fulmarward_router/exchange/_send.py
+++ b/packages/router/fulmarward_router/exchange/_send.py
@@ -227,6 +227,12 @@
             raise AnswerLost(_describe(error)) from error
 
 
+def close_response(head_task: asyncio.Task[aiohttp.ClientResponse]) -> None:
+    """Close a response, also one whose head nobody has awaited."""
+    if not head_task.cancelled() and head_task.exception() is None:
+        head_task.result().close()
+
+
 def _describe(error: Exception) -> str:
     """Format an error for the log: bounded, and without the headers that were sent."""
     return f"{type(error).__name__}: {error}"[:MAX_CAUSE_LENGTH]
