--- a/packages/router/fulmarward_router/exchange/_process_ends.py
+++ b/packages/router/fulmarward_router/exchange/_process_ends.py
@@ -19,8 +19,8 @@
 CHECK_TIMEOUT_S = 0.4
 CHECK_INTERVAL_S = 0.1
 
-#: Seconds without an answer to any connection after which a host counts as cut off. A
-#: lost packet is sent again after a second.
+#: Seconds without an answer to any connection after which a host counts as cut off. At
+#: least two are tried in that time, as the first packet of one may be lost.
 MIN_UNANSWERED_S = 0.75
 
 #: Seconds for which that holds without another check.
