Engine services: drop a method that nothing calls

EnginePaths.measure_capacity was moved with the others; EngineService asks the finder. Run: test_engines, test_admission_queue, test_overflow, test_full_fleets and test_request_state, 53 passed.

--- a/packages/router/fulmarward_router/exchange/_engine_paths.py
+++ b/packages/router/fulmarward_router/exchange/_engine_paths.py
@@ -9,7 +9,6 @@
 from fulmarward_core.loads import Reservation
 from fulmarward_core.paths import (
     Hop,
-    KvCapacity,
     PathRequest,
     count_tokens_held,
 )
@@ -189,10 +188,6 @@
         shares.configure(self._context.read_team_settings())
         return shares
 
-    def measure_capacity(self, service: str, engine: EngineModel) -> KvCapacity:
-        """Return the KV cache of the usable targets of a service."""
-        return self.finder.measure_capacity(service, engine)
-
     def make_request(self, state: RequestState, engine: EngineModel) -> PathRequest:
         """Return what path a request needs, with the means of the model if unknown."""
         facts = state.facts
