Logs: what was expected of requests around a planned stop, and how far they came

The log did not tell whether a request that a stop ended had come before or after SIGTERM, nor what was expected of it when it was passed on, and a request that ended before it was routed had no last line.

late_request_taken is written for each request that a stopping instance takes, request_ended says when in the stop a request ended and how far it had come, and read_requests_dropped counts requests that were read on a connection that was closed here. No decision is changed.

--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -207,8 +207,6 @@
         self._signals = signals
         self._clock = clock = time.monotonic
         self._started_at = clock()
-        #: When a stop was requested, in seconds on the monotonic clock.
-        self._stop_began_at: float | None = None
         #: Bytes exchanged with peers by direction; the metric is set when it is read.
         self._peer_bytes: Counter[str] = Counter()
         #: Messages received from peers by type.
@@ -523,13 +521,7 @@
 
     def _describe_conditions(self, service: str) -> dict[str, Any]:
         """Return what may end a request to a service at this instance, for the log."""
-        stopping_s = None
-        if self._stop_began_at is not None:
-            stopping_s = round(self._clock() - self._stop_began_at, 3)
-        return {
-            "is_reached": self.contacts.is_reached(service),
-            "stopping_s": stopping_s,
-        }
+        return {"is_reached": self.contacts.is_reached(service)}
 
     def _get_services(self) -> Mapping[str, ServiceSpec] | None:
         """Return the services that the configuration names, `None` without one."""
@@ -852,7 +844,6 @@
 
         Returns the schedule for what closing takes, as known at the end of the answers.
         """
-        self._stop_began_at = schedule.began_at
         self.life.begin_stop()
         self.stop_gate.begin(schedule)
         self._notify_peers()
--- a/packages/router/fulmarward_router/exchange/_caller_connection.py
+++ b/packages/router/fulmarward_router/exchange/_caller_connection.py
@@ -5,6 +5,8 @@
 
 from aiohttp import web
 
+from fulmarward.observability import log_event
+
 
 class ClosedBy(Enum):
     """Who closed a caller's connection first."""
@@ -41,6 +43,13 @@
             self._record_closed(ClosedBy.INSTANCE, "closed")
         else:
             self._record_closed(ClosedBy.CALLER, repr(exc))
+        if self._messages and self.closed_by is ClosedBy.INSTANCE:
+            log_event(
+                "read_requests_dropped",
+                count=len(self._messages),
+                peer=str(self.peername),
+                close_cause=self.close_cause,
+            )
         super().connection_lost(exc)
 
     def close_here(self, cause: str) -> None:
--- a/packages/router/fulmarward_router/exchange/_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/_caller_handler.py
@@ -36,7 +36,7 @@
     RequestState,
     TruncatedResponse,
 )
-from fulmarward_router.exchange._stop_gate import StopGate
+from fulmarward_router.exchange._stop_gate import OpenRequest, Phase, StopGate
 from fulmarward_router.ports import CallerFacts, TargetDialect
 from fulmarward_router.state import ConfigurationHolder, Denial
 
@@ -92,6 +92,9 @@
     ResultCode.OUTCOME_UNKNOWN: 502,
 }
 
+#: Outcomes of requests without a state that have a line `request_refused`.
+_LOGGED_OUTCOMES = frozenset(code.name.lower() for code in ResultCode)
+
 
 class CallerServer(web.Server):
     """Accepts callers' connections, with the configured idle timeout."""
@@ -198,9 +201,7 @@
             return _close_connection(request)
         except asyncio.CancelledError as error:
             if open_request.is_ended:
-                outcome, answer = self._end_by_stop(
-                    request, state, is_answered=open_request.is_answered
-                )
+                outcome, answer = self._end_by_stop(request, open_request)
                 return answer
             outcome = self._record_interruption(request, state, error)
             raise
@@ -221,20 +222,22 @@
             return answer
         finally:
             self._stop_gate.close(open_request)
-            self._record_end(request, state, outcome, arrived_at)
+            self._record_end(request, open_request, outcome, arrived_at)
 
     def _end_by_stop(
-        self, request: web.BaseRequest, state: RequestState | None, *, is_answered: bool
+        self, request: web.BaseRequest, open_request: OpenRequest
     ) -> tuple[str, web.StreamResponse]:
         """Return the outcome and the answer of a request that the stop has ended.
 
         What ran at other instances is known to the one that relayed the request.
         """
-        if state is not None and (is_answered or state.has_begun):
+        state = open_request.state
+        open_request.ended_in = phase = _find_phase(open_request)
+        if phase in (Phase.RESPONDING, Phase.WRITING):
             self.ended["cut"] += 1
             outcome = _record_cut(state, TruncatedResponse(CutCause.STOPPING))
             return outcome, _close_connection(request)
-        if state is not None and state.runs > state.facts.runs_before:
+        if phase is Phase.SENT:
             self.ended["unknown"] += 1
             rejection = RejectedRequest(
                 ResultCode.OUTCOME_UNKNOWN, cause="the instance stops"
@@ -329,7 +332,11 @@
         deadline = arrived_at + min(deadline_s, route.timeout_s)
         service = choose_service(route, facts.request_id)
         self._stop_gate.check(
-            service, route.name, deadline=deadline, now=self._read_clock()
+            service,
+            route.name,
+            deadline=deadline,
+            request_id=facts.request_id,
+            now=self._read_clock(),
         )
         body = await self._read_body(
             request, configuration, timeout_s=deadline - self._read_clock()
@@ -471,26 +478,37 @@
     def _record_end(
         self,
         request: web.BaseRequest,
-        state: RequestState | None,
+        open_request: OpenRequest,
         outcome: str,
         arrived_at: float,
     ) -> None:
+        state = open_request.state
         now = self._read_clock()
         took_s = now - arrived_at
         self._observe(state, outcome, took_s)
+        closed_by = find_closer(request)
+        ended_in = open_request.ended_in
+        end = {
+            "outcome": outcome,
+            "closed_by": None if closed_by is None else closed_by.value,
+            "close_cause": find_close_cause(request),
+            "took_s": round(took_s, 4),
+            "stopping_s": None,
+            "ended_in": None if ended_in is None else ended_in.value,
+            **self._stop_gate.describe(now=now),
+        }
         if state is None:
+            if outcome not in _LOGGED_OUTCOMES or ended_in is not None:
+                log_event("request_ended", request=request.get("request_id"), **end)
             return
         first_s = (
             None if state.first_event_at is None else state.first_event_at - arrived_at
         )
-        closed_by = find_closer(request)
         log_event(
             "request_ended",
+            **end,
             request=state.facts.request_id,
-            outcome=outcome,
             cut_cause=None if state.cut_cause is None else state.cut_cause.value,
-            closed_by=None if closed_by is None else closed_by.value,
-            close_cause=find_close_cause(request),
             leave_cause=None if state.leave_cause is None else state.leave_cause.value,
             route=state.route.name,
             service=state.service,
@@ -508,11 +526,22 @@
             pause_s=round(state.longest_pause_s, 4),
             silent_s=round(now - (state.last_write_at or arrived_at), 4),
             first_s=None if first_s is None else round(first_s, 4),
-            took_s=round(took_s, 4),
             **self._describe_conditions(state.service),
         )
 
 
+def _find_phase(open_request: OpenRequest) -> Phase:
+    state = open_request.state
+    if state is None:
+        return Phase.READING
+    if open_request.is_answered:
+        return Phase.WRITING
+    if state.has_begun:
+        return Phase.RESPONDING
+    is_sent = state.runs > state.facts.runs_before
+    return Phase.SENT if is_sent else Phase.WAITING
+
+
 def _find_deadline_s(facts: CallerFacts) -> float:
     """Return the seconds that a request may take; raises `RejectedRequest`."""
     if facts.deadline_s is None:
--- a/packages/router/fulmarward_router/exchange/_stop_gate.py
+++ b/packages/router/fulmarward_router/exchange/_stop_gate.py
@@ -1,7 +1,9 @@
 """Which requests a stopping instance takes, and how it ends those it has taken."""
 
 import asyncio
+from enum import Enum
 
+from fulmarward.observability import log_event
 from fulmarward_core.durations import DurationTable
 from fulmarward_core.results import ResultCode
 from fulmarward_core.shutdown import StopSchedule, estimate_duration_s
@@ -11,6 +13,21 @@
 STOPPING_RETRY_S = 0.1
 
 
+class Phase(Enum):
+    """How far a request had come as the stop ended it."""
+
+    #: Its head or body was being read.
+    READING = "reading"
+    #: No target had got it here.
+    WAITING = "waiting"
+    #: A target or a peer had got it, and no response had started.
+    SENT = "sent"
+    #: Its response had started.
+    RESPONDING = "responding"
+    #: Its whole response was being written.
+    WRITING = "writing"
+
+
 class OpenRequest:
     """A request from its arrival until its answer is written."""
 
@@ -20,6 +37,8 @@
         self.state: RequestState | None = None
         #: Whether its answer is known, so that no other can be sent.
         self.is_answered = False
+        #: How far it had come as the stop ended it, `None` unless it did.
+        self.ended_in: Phase | None = None
         #: How often its task was cancelled to end it.
         self._ends = 0
 
@@ -88,6 +107,7 @@
         *,
         path_s: float | None = None,
         deadline: float,
+        request_id: str,
         now: float,
     ) -> None:
         """Raise `RejectedRequest` if a request could not be ended in time.
@@ -98,14 +118,35 @@
             return
         if self._has_ended:
             raise self.make_rejection()
+        longest_s = self.durations.find_longest_s(service, route, now=now)
+        open_s = self._find_oldest_s(service, route, now)
+        left_s = max(0.0, deadline - now)
         expected_s = estimate_duration_s(
-            self.durations.find_longest_s(service, route, now=now),
-            open_s=self._find_oldest_s(service, route, now),
-            path_s=path_s,
-            left_s=max(0.0, deadline - now),
+            longest_s, open_s=open_s, path_s=path_s, left_s=left_s
         )
         if not self._schedule.may_take(expected_s, now=now):
             raise self.make_rejection(expected_s)
+        log_event(
+            "late_request_taken",
+            request=request_id,
+            service=service,
+            route=route,
+            expected_s=round(expected_s, 3),
+            longest_s=_round(longest_s),
+            open_s=round(open_s, 3),
+            path_s=_round(path_s),
+            left_s=round(left_s, 3),
+            **self.describe(now=now),
+        )
+
+    def describe(self, *, now: float) -> dict[str, float]:
+        """Return how far a stop has come, for the log; empty if none has begun."""
+        if self._schedule is None:
+            return {}
+        return {
+            "stopping_s": round(now - self._schedule.began_at, 3),
+            "answers_end_in_s": round(self._schedule.answers_end_at - now, 3),
+        }
 
     def check_may_begin(self, state: RequestState, *, now: float) -> None:
         """Raise `RejectedRequest` if a request is not to be sent to its first target.
@@ -120,6 +161,7 @@
                 state.route.name,
                 path_s=state.path_estimate_s,
                 deadline=state.deadline,
+                request_id=state.facts.request_id,
                 now=now,
             )
 
@@ -155,3 +197,7 @@
         return RejectedRequest(
             ResultCode.STOPPING, cause=cause, retry_after_s=STOPPING_RETRY_S
         )
+
+
+def _round(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 3)
--- a/packages/router/fulmarward_router/exchange/tests/test_stop_gate.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_stop_gate.py
@@ -6,6 +6,7 @@
 
 from fulmarward_core.results import ResultCode
 from fulmarward_core.shutdown import StopSchedule
+from fulmarward_router.exchange import _caller_handler
 from fulmarward_router.exchange._request_state import RejectedRequest
 from fulmarward_router.exchange.tests.test_ended_streams import _EndedStreamTest
 from fulmarward_router.ports import CallerFacts
@@ -164,6 +165,34 @@
                 self.check_refused(await self.end(asked))
                 self.assertEqual(self.peer.client.reached, [])
 
+    async def test_last_line_says_how_far_the_request_had_come(self):
+        """Guards against requests that a stop ends without a line in the log."""
+
+        async def wait(*args, **options):
+            await asyncio.Event().wait()
+
+        cases = (
+            (lambda peer: peer.handler, "_read_body", "reading"),
+            (lambda peer: peer.handler._plain, "_await_target", "waiting"),
+            (lambda peer: peer.client, "open", "sent"),
+        )
+        for find_owner, name, phase in cases:
+            self.setUp()
+            await self.asyncSetUp()
+            with (
+                self.subTest(phase),
+                mock.patch.object(find_owner(self.peer), name, wait),
+                mock.patch.object(_caller_handler, "log_event") as log_event,
+            ):
+                asked = self.ask()
+                await asyncio.sleep(0.02)
+                self.begin_stop(1.0)
+                await self.end(asked)
+                last = log_event.call_args_list[-1]
+                self.assertEqual(last.args, ("request_ended",))
+                self.assertEqual(last.kwargs["ended_in"], phase)
+                self.assertEqual(last.kwargs["stopping_s"], 0.0)
+
     async def test_request_that_catches_its_end_is_ended_again(self):
         """Guards against a stop that waits for a request without end."""
         caught = asyncio.Event()
