Planned stops: links to peers are closed with a handshake

Peers of an instance that stopped logged accepted_link_lost with code 1011, an internal error, and marked it as silent, as if it had died. No request ended with that: relayed ones have connections of their own.

Cause: mesh.close() cancelled the tasks of the dialled links. websockets leaves the context of a connection with code 1011 when an exception leaves it, and a cancellation is one. The accepted links were closed by a task that nobody awaited, so that the process could end before.

Now the dialled links are closed as going away before their tasks are cancelled, and the server of the accepted ones is awaited, both for as long as the schedule of the stop allows.

test_links_to_peers_are_closed_as_planned failed before with ConnectionClosedError(Close(code=1011, ...)), and passes now.

--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -11,6 +11,7 @@
 
 import aiohttp
 from aiohttp import web
+from websockets.asyncio.server import Server
 
 from fulmarward.http import ResponseGuard, ResponseLimits
 from fulmarward.observability import log_event, start_logging, stop_logging
@@ -714,17 +715,21 @@
         schedule = await self._stop(schedule)
         for task in background_tasks:
             task.cancel()
-        await self._close(schedule, servers)
-        if peer_server is not None:
-            peer_server.close()
+        await self._close(schedule, servers, peer_server)
         log_event("instance_stopped")
 
     async def _close(
-        self, schedule: StopSchedule, servers: Sequence[web.ServerRunner]
+        self,
+        schedule: StopSchedule,
+        servers: Sequence[web.ServerRunner],
+        peer_server: Server | None,
     ) -> None:
         """Close all connections, for as long as the schedule allows."""
         closing = [runner.cleanup() for runner in servers]
         closing.append(self.mesh.close())
+        if peer_server is not None:
+            peer_server.close()
+            closing.append(peer_server.wait_closed())
         try:
             async with asyncio.timeout(schedule.waits_end_at - self._clock()):
                 await asyncio.gather(*closing)
--- a/packages/router/fulmarward_router/mesh/_links.py
+++ b/packages/router/fulmarward_router/mesh/_links.py
@@ -462,9 +462,18 @@
                 closing.add_done_callback(self._closing_tasks.discard)
 
     async def close(self) -> None:
-        """Cancel the tasks of all dialled links, and the fetches to repeat."""
-        for task in [*self._dial_tasks.values(), *self._repeat_tasks]:
-            task.cancel()
+        """Close all dialled links with a closing handshake, and end their tasks.
+
+        A task that is cancelled first reports an internal error to its peer, which then
+        takes this instance for dead.
+        """
+        links = [link for link in self._sender.list_links() if link.is_dialled]
+        closing = [link.connection.close(CloseCode.GOING_AWAY) for link in links]
+        try:
+            await asyncio.gather(*closing, return_exceptions=True)
+        finally:
+            for task in [*self._dial_tasks.values(), *self._repeat_tasks]:
+                task.cancel()
 
     def _dial(self, address: str, *, is_seed: bool) -> None:
         if address in self._dial_tasks:
