Planned stops: requests sent ahead are answered before their connection closes

Callers that had sent requests ahead on one connection got the answer to the first, and then a closed connection: the further ones had been read whole while that answer was written, and ended without any.

Cause: while stopping, each answer closed its connection, whatever had been read behind it. Requests that were read were not counted as taken until they began.

Now an answer closes its connection only if nothing was read behind it. What was read is answered in turn, by the same rule as others that come after SIGTERM. The head of a stream no longer says that the connection will close: more may be sent while it lasts.

--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -475,7 +475,6 @@
         )
         forwarder = StreamForwarder(
             dialect=self.dialect,
-            is_stopping=lambda: self.life.is_stopping,
             read_clock=self._clock,
             read_limits=lambda: self._guard.limits,
         )
--- a/packages/router/fulmarward_router/exchange/_caller_connection.py
+++ b/packages/router/fulmarward_router/exchange/_caller_connection.py
@@ -80,6 +80,11 @@
             return ClosedBy.CALLER
         return self.closed_by
 
+    def close_after(self, answer: web.StreamResponse) -> None:
+        """Close the connection after an answer, unless requests behind it were read."""
+        if not self._messages:
+            answer.force_close()
+
     @property
     def _is_open(self) -> bool:
         return self.transport is not None and not self.transport.is_closing()
@@ -102,3 +107,11 @@
 def find_close_cause(request: web.BaseRequest) -> str:
     """Return how the connection of a request was closed, empty while it is open."""
     return getattr(request.protocol, "close_cause", "")
+
+
+def close_after(request: web.BaseRequest, answer: web.StreamResponse) -> None:
+    """Close the connection of a request as `CallerConnection.close_after` does."""
+    if isinstance(request.protocol, CallerConnection):
+        request.protocol.close_after(answer)
+    else:
+        answer.force_close()
--- a/packages/router/fulmarward_router/exchange/_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/_caller_handler.py
@@ -24,6 +24,7 @@
 from fulmarward_router.exchange._caller_connection import (
     CallerConnection,
     ClosedBy,
+    close_after,
     find_close_cause,
     find_closer,
 )
@@ -176,10 +177,12 @@
             open_request.state = state
             answer = await self._serve(state)
             outcome = f"status {answer.status}"
-            if self._is_stopping():
-                answer.force_close()
+            if self._is_stopping() and not answer.prepared:
+                close_after(request, answer)
             open_request.is_answered = True
             await _write(request, answer)
+            if self._is_stopping():
+                close_after(request, answer)
             return answer
         except RejectedRequest as rejection:
             if state is not None and state.has_begun:
@@ -428,8 +431,10 @@
             headers["Retry-After"] = f"{rejection.retry_after_s:g}"
         body = {"error": {"code": int(rejection.code), "message": rejection.cause}}
         answer = web.Response(status=status, body=orjson.dumps(body), headers=headers)
-        if self._is_stopping() or (state is None and not request.content.is_eof()):
+        if state is None and not request.content.is_eof():
             answer.force_close()
+        elif self._is_stopping():
+            close_after(request, answer)
         log_event(
             "request_refused",
             request=request.get("request_id"),
--- a/packages/router/fulmarward_router/exchange/_forwarding.py
+++ b/packages/router/fulmarward_router/exchange/_forwarding.py
@@ -48,12 +48,10 @@
         self,
         *,
         dialect: TargetDialect,
-        is_stopping: Callable[[], bool],
         read_clock: Callable[[], float],
         read_limits: Callable[[], ResponseLimits] = ResponseLimits,
     ) -> None:
         self._dialect = dialect
-        self._is_stopping = is_stopping
         self._read_clock = read_clock
         #: Returns the limits of responses that are in force.
         self._read_limits = read_limits
@@ -67,8 +65,6 @@
         """
         headers = self._dialect.select_answer_headers(response.headers)
         answer = web.StreamResponse(status=response.status, headers=headers)
-        if self._is_stopping():
-            answer.force_close()
         with _writing():
             await answer.prepare(state.request)
         state.request["answer"] = answer
--- a/packages/router/fulmarward_router/exchange/tests/test_events.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_events.py
@@ -79,9 +79,7 @@
         """Guards against tiny events of one stream that delay all other requests."""
         data = b"data\n\n" * 40_000
         content = SimpleNamespace(readany=mock.AsyncMock(return_value=data))
-        forwarder = StreamForwarder(
-            dialect=None, is_stopping=lambda: False, read_clock=lambda: 0.0
-        )
+        forwarder = StreamForwarder(dialect=None, read_clock=lambda: 0.0)
         turns = 0
 
         async def count_turns():
@@ -106,9 +104,7 @@
         reads = [data, b""]
         content = SimpleNamespace(readany=mock.AsyncMock(side_effect=reads))
         response = SimpleNamespace(content=content, guard=None)
-        forwarder = StreamForwarder(
-            dialect=None, is_stopping=lambda: False, read_clock=lambda: 0.0
-        )
+        forwarder = StreamForwarder(dialect=None, read_clock=lambda: 0.0)
         splitter = EventSplitter()
         reading = asyncio.create_task(forwarder.read_events(response, splitter))
         await asyncio.sleep(0)
--- a/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_late_streams.py
@@ -227,7 +227,6 @@
         )
         forwarder = _Forwarder(
             dialect=self.dialect,
-            is_stopping=lambda: False,
             read_clock=self.read_clock,
         )
         crash_monitor = make_crash_monitor(context, detector)
