Planned stops: a request that is being read is refused as the stop begins

A caller whose body was under way at SIGTERM got its 503 only once the rest had come, or at the end of the answers if it never did, although its deadline was known before the body was read and lay beyond the end.

Cause: the gate knew of a deadline only from the state of a request, which there is none of before its body is there.

The deadline is recorded before the body is read, and the gate judges by it what is open when the stop begins. The test, on the code before: TimeoutError after 5 s (15 passed, 1 failed); now 16 passed.

--- a/packages/router/fulmarward_router/exchange/_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/_caller_handler.py
@@ -171,7 +171,7 @@
         arrived_at = self._read_clock()
         state: RequestState | None = None
         outcome = "left"
-        open_request = self._stop_gate.open()
+        open_request = self._stop_gate.open(request)
         try:
             state = await self._parse_request(request, arrived_at)
             open_request.state = state
@@ -335,6 +335,7 @@
         self._stop_gate.check(
             deadline=deadline, request_id=facts.request_id, now=self._read_clock()
         )
+        request["deadline"] = deadline
         body = await self._read_body(
             request, configuration, timeout_s=deadline - self._read_clock()
         )
--- a/packages/router/fulmarward_router/exchange/_stop_gate.py
+++ b/packages/router/fulmarward_router/exchange/_stop_gate.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from enum import Enum
 
+from aiohttp import web
+
 from fulmarward.observability import log_event
 from fulmarward_core.results import ResultCode
 from fulmarward_core.shutdown import StopSchedule
@@ -31,9 +33,10 @@
 class OpenRequest:
     """A request from its arrival until its answer is written."""
 
-    def __init__(self, task: asyncio.Task | None) -> None:
+    def __init__(self, request: web.BaseRequest, task: asyncio.Task | None) -> None:
+        self._request = request
         self._task = task
-        #: Its state, `None` until it is routed.
+        #: Its state, `None` until its body is read.
         self.state: RequestState | None = None
         #: Whether its answer is known, so that no other can be sent.
         self.is_answered = False
@@ -42,6 +45,11 @@
         #: How often its task was cancelled to end it.
         self._ends = 0
 
+    @property
+    def deadline(self) -> float | None:
+        """When its answer is due, on the monotonic clock; `None` until it is routed."""
+        return self._request.get("deadline")
+
     @property
     def is_ended(self) -> bool:
         """Whether it was ended because the instance stops."""
@@ -77,21 +85,21 @@
         """
         self._schedule = schedule
         for request in self._open:
-            state = request.state
-            if state is None or is_sent(state):
+            state, deadline = request.state, request.deadline
+            if deadline is None or (state is not None and is_sent(state)):
                 continue
-            if not request.is_ended and not schedule.may_take(state.deadline):
+            if not request.is_ended and not schedule.may_take(deadline):
                 request.end()
 
     def count_open(self) -> int:
         """Return how many requests are open, those that are being read included."""
         return len(self._open)
 
-    def open(self) -> OpenRequest:
+    def open(self, request: web.BaseRequest) -> OpenRequest:
         """Record that the current task serves a request."""
-        request = OpenRequest(asyncio.current_task())
-        self._open.add(request)
-        return request
+        open_request = OpenRequest(request, asyncio.current_task())
+        self._open.add(open_request)
+        return open_request
 
     def close(self, request: OpenRequest) -> None:
         """Record that the answer to a request is written."""
--- a/packages/router/fulmarward_router/exchange/tests/test_stop_gate.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_stop_gate.py
@@ -111,6 +111,19 @@
         self.assertEqual(self.peer.client.reached, [])
         self.assertEqual(asked.cancelling(), 0)
 
+    async def test_request_that_is_being_read_is_refused_as_the_stop_begins(self):
+        """Guards against a refusal that waits for the rest of a body."""
+
+        async def read(*args, **options):
+            await asyncio.Event().wait()
+
+        with mock.patch.object(self.peer.handler, "_read_body", read):
+            asked = self.ask()
+            await asyncio.sleep(0.02)
+            self.begin_stop(2.0)
+            async with asyncio.timeout(5.0):
+                self.check_refused(await asked)
+
     async def test_request_at_its_target_goes_on_as_the_stop_begins(self):
         """Guards against ending what was taken before the stop."""
         with mock.patch.object(self.peer.client, "open", self.hang):
