Planned stops: the process ends once refused bodies are read

A caller that writes its whole body before it reads got a reset connection in place of its 503: the instance had refused the request before it read the body, counted it as closed, and ended, as none was open, while the chunks were still coming. Seen with http.client against an instance with a grace time of 4 s: of six callers that each sent a body for 1 s, the three whose bodies outlasted the process got BrokenPipeError, the other three 503.

Cause: the rest of the body of a refused request is read for up to 2 s by the HTTP library, after the handler has returned; the stop waits for handlers only.

The stop now waits for such bodies too, as long as the library reads them, but not beyond the end of the answers.

--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -870,8 +870,10 @@
             )
             schedule = replace(schedule, load=load)
             self.stop_gate.begin(schedule)
-            elapsed_s = self._clock() - schedule.began_at
-            if self.stop_gate.count_open() == 0 and elapsed_s >= idle_s:
+            now = self._clock()
+            is_idle = self.stop_gate.count_open() == 0
+            is_idle = is_idle and not self.stop_gate.has_unread(now=now)
+            if is_idle and now - schedule.began_at >= idle_s:
                 break
         withdrawal.cancel()
         self.life.end_requests()
--- a/packages/router/fulmarward_router/exchange/_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/_caller_handler.py
@@ -223,6 +223,9 @@
             return answer
         finally:
             self._stop_gate.close(open_request)
+            if not request.content.is_eof():
+                until = self._read_clock() + LINGERING_TIME_S
+                self._stop_gate.record_unread(request, until=until)
             self._record_end(request, open_request, outcome, arrived_at)
 
     def _end_by_stop(
--- a/packages/router/fulmarward_router/exchange/_stop_gate.py
+++ b/packages/router/fulmarward_router/exchange/_stop_gate.py
@@ -76,6 +76,8 @@
         self._schedule: StopSchedule | None = None
         self._has_ended = False
         self._open: set[OpenRequest] = set()
+        #: Answered requests whose bodies are still read, and until when at most.
+        self._unread: list[tuple[web.BaseRequest, float]] = []
 
     def begin(self, schedule: StopSchedule) -> None:
         """Take only requests that are ended in time from now on.
@@ -106,6 +108,23 @@
         self._open.discard(request)
         request.close()
 
+    def record_unread(self, request: web.BaseRequest, *, until: float) -> None:
+        """Record that the body of an answered request is read until its end."""
+        if self._schedule is not None:
+            self._unread.append((request, until))
+
+    def has_unread(self, *, now: float) -> bool:
+        """Return whether a caller still sends the body of an answered request.
+
+        It would lose the answer if its connection were reset.
+        """
+        self._unread = [
+            (request, until)
+            for request, until in self._unread
+            if now < until and not request.content.is_eof() and _is_connected(request)
+        ]
+        return bool(self._unread)
+
     def end_all(self) -> None:
         """End all open requests, and take none from now on.
 
@@ -163,6 +182,10 @@
         )
 
 
+def _is_connected(request: web.BaseRequest) -> bool:
+    return request.transport is not None and not request.transport.is_closing()
+
+
 def is_sent(state: RequestState) -> bool:
     """Return whether a target or a peer may have got a request from here."""
     return state.attempts > state.facts.runs_before or state.relayed_to != ""
