Streams of engines: one that its caller does not read ends at its deadline

Such a stream was taken after SIGTERM, as its deadline of 1 s lay before the end, and went on until the stop cut it after 3.8 s (a caller that reads nothing, 400 events of 60 kB, a grace time of 4 s); the stream of a plain service beside it ended after 1.0 s.

Cause: at its deadline the attempt is aborted by closing the response of its target. That ends reading, but not a write that waits for the caller, so that the deadline was no bound on the answer.

The write has the deadline too.

--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -414,12 +414,9 @@
         """
         self.supervisor.add(attempt)
         now = self._read_clock()
-        failure = AttemptFailed(
-            cause="deadline", is_not_run=False, ended_by=EndedBy.DEADLINE
-        )
         loop = asyncio.get_running_loop()
         attempt.deadline_timer = loop.call_later(
-            state.deadline - now, attempt.abort, failure
+            state.deadline - now, attempt.abort, _make_deadline_failure()
         )
         if attempt.response is None:
             refusal = await self._open_response(state, attempt, answer)
@@ -581,7 +578,11 @@
             self._resumer.end(attempt)
         attempt.is_writing = True
         try:
-            await self._forwarder.forward_events(state, events, answer)
+            # Aborting the attempt does not end a write that its caller does not read.
+            async with asyncio.timeout(state.count_left(self._read_clock())):
+                await self._forwarder.forward_events(state, events, answer)
+        except TimeoutError as error:
+            raise _make_deadline_failure() from error
         finally:
             attempt.is_writing = False
         attempt.last_activity_at = self._read_clock()
@@ -621,6 +622,10 @@
             self._count_broken_attempt(state.service, attempt.progress.value)
 
 
+def _make_deadline_failure() -> AttemptFailed:
+    return AttemptFailed(cause="deadline", is_not_run=False, ended_by=EndedBy.DEADLINE)
+
+
 def _log_internal_error(state: RequestState, error: BaseException) -> None:
     log_event("internal_error_caught", exc_info=error, request=state.facts.request_id)
 
--- a/packages/router/fulmarward_router/exchange/tests/test_stop_gate.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_stop_gate.py
@@ -7,7 +7,7 @@
 from fulmarward_core.results import ResultCode
 from fulmarward_core.shutdown import StopSchedule
 from fulmarward_router.exchange import _caller_handler
-from fulmarward_router.exchange._request_state import RejectedRequest
+from fulmarward_router.exchange._request_state import CutCause, RejectedRequest
 from fulmarward_router.exchange.tests.test_ended_streams import _EndedStreamTest
 from fulmarward_router.ports import CallerFacts
 from fulmarward_router.tests._routing_peer import (
@@ -278,3 +278,22 @@
         with self.assertRaises(asyncio.CancelledError):
             await self.serving
         self.assertEqual(state.runs, 1)
+
+    async def test_stream_that_its_caller_does_not_read_ends_at_its_deadline(self):
+        """Guards against a stream that is taken for its deadline, and outlasts it."""
+
+        async def admit(monitor, state):
+            state.deadline = self.read_clock() + 0.3
+
+        async def write(data):
+            await asyncio.Event().wait()
+
+        with mock.patch(
+            "fulmarward_router.exchange._crash_monitor.CrashMonitor.admit", admit
+        ):
+            self.begin()
+            await self.await_attempt(1)
+        await self.send(1, attempt=1)
+        self.request["answer"].write = write
+        self.streams[0].events.put_nowait(b"id: 2\ndata: x\n\n")
+        await self.check_cut(CutCause.DEADLINE)
