Callers: an answer that is not read ends at its deadline

A whole answer, or the last bytes of a stream, that waited in the buffers for a caller who does not read stayed open beyond the deadline by which it had been taken, at a stop until the end of the answers.

Cause: the deadline bounds what is read from targets; writing the answer had no bound.

The handler stops waiting for the write at the deadline and closes the connection. The test on the code before: TimeoutError after 5 s (17 passed, 1 failed); now 18 passed.

--- a/packages/router/fulmarward_router/exchange/_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/_caller_handler.py
@@ -180,7 +180,7 @@
             if self._is_stopping() and not answer.prepared:
                 close_after(request, answer)
             open_request.is_answered = True
-            await _write(request, answer)
+            await self._write_in_time(state, answer)
             if self._is_stopping():
                 close_after(request, answer)
             return answer
@@ -228,6 +228,16 @@
                 self._stop_gate.record_unread(request, until=until)
             self._record_end(request, open_request, outcome, arrived_at)
 
+    async def _write_in_time(
+        self, state: RequestState, answer: web.StreamResponse
+    ) -> None:
+        """Write an answer; raises `TruncatedResponse` at the deadline."""
+        try:
+            async with asyncio.timeout(state.count_left(self._read_clock())):
+                await _write(state.request, answer)
+        except TimeoutError as error:
+            raise TruncatedResponse(CutCause.DEADLINE, detail="not read") from error
+
     def _end_by_stop(
         self, request: web.BaseRequest, open_request: OpenRequest
     ) -> tuple[str, web.StreamResponse]:
--- a/packages/router/fulmarward_router/exchange/tests/test_stop_gate.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_stop_gate.py
@@ -1,5 +1,6 @@
 import asyncio
 import unittest
+from dataclasses import replace
 from unittest import mock
 
 from aiohttp.test_utils import make_mocked_request
@@ -211,6 +212,23 @@
                 self.assertEqual(last.kwargs["ended_in"], phase)
                 self.assertEqual(last.kwargs["stopping_s"], 0.0)
 
+    async def test_answer_that_is_not_read_ends_at_its_deadline(self):
+        """Guards against an answer that is taken for its deadline, and outlasts it."""
+
+        async def write(*args):
+            await asyncio.Event().wait()
+
+        facts = replace(_make_facts(runs_before=0), deadline_s=0.2)
+        with (
+            mock.patch.object(_caller_handler, "_write", write),
+            mock.patch.object(_caller_handler, "log_event") as log_event,
+        ):
+            async with asyncio.timeout(5.0):
+                await self.ask(facts)
+        last = log_event.call_args_list[-1]
+        self.assertEqual(last.kwargs["cut_cause"], CutCause.DEADLINE.value)
+        self.assertEqual(self.gate.count_open(), 0)
+
     async def test_request_that_catches_its_end_is_ended_again(self):
         """Guards against a stop that waits for a request without end."""
         caught = asyncio.Event()
