Planned stops: a request without a connection yet is refused, not unknown

A request that the stop ended while the connection to its target or peer was being made got 502 OUTCOME_UNKNOWN without Retry-After, although no byte of it had left: a caller that may not run it twice had to give up.

Cause: every cancelled send counted as a run, also those of which the client reports that no connection was made.

Such a send is no run any more, for whole answers, streams and relays. The relay has no test of its own for this.

--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -40,7 +40,12 @@
     TruncatedResponse,
 )
 from fulmarward_router.exchange._resumption import StreamResumer, Successor
-from fulmarward_router.exchange._send import AnswerLost, NotSent, close_response
+from fulmarward_router.exchange._send import (
+    AnswerLost,
+    NotSent,
+    close_response,
+    is_unsent,
+)
 from fulmarward_router.exchange._whole_responses import WholeResponses
 from fulmarward_router.ports import TargetCall
 
@@ -192,9 +197,9 @@
                     await answer.write_eof()
                 return answer
             except asyncio.CancelledError:
-                # It is under way, and may run.
-                state.runs += 1
-                record_ended(state, attempt, may_have_run=True)
+                # With a connection, it is under way, and may run.
+                state.runs += not attempt.is_unsent
+                record_ended(state, attempt, may_have_run=not attempt.is_unsent)
                 raise
             except AttemptFailed as error:
                 failure = error
@@ -473,7 +478,7 @@
         try:
             return await self._context.open(attempt.state, call)
         except asyncio.CancelledError as error:
-            attempt.is_unsent = getattr(error, "connections", None) == 0
+            attempt.is_unsent = is_unsent(error)
             raise
 
     def _release(self, attempt: Attempt) -> None:
--- a/packages/router/fulmarward_router/exchange/_relay.py
+++ b/packages/router/fulmarward_router/exchange/_relay.py
@@ -34,7 +34,7 @@
     RequestState,
     TruncatedResponse,
 )
-from fulmarward_router.exchange._send import AnswerLost, NotSent
+from fulmarward_router.exchange._send import AnswerLost, NotSent, is_unsent
 
 #: Peers that a request is relayed to in turn. The first may be isolated as well, or may
 #: have ended, which is not known here yet.
@@ -308,8 +308,8 @@
                 failure = error
             except (Exception, asyncio.CancelledError) as error:
                 if not state.has_begun or is_of_caller(error):
-                    # It is under way, and may run.
-                    state.runs += 1
+                    # With a connection, it is under way, and may run.
+                    state.runs += not is_unsent(error)
                     raise
                 failure = _make_own_failure(state, error)
             self._record_failed(state, peer, failure)
--- a/packages/router/fulmarward_router/exchange/_send.py
+++ b/packages/router/fulmarward_router/exchange/_send.py
@@ -60,6 +60,11 @@
     """The request was sent but no complete response came: it may have been executed."""
 
 
+def is_unsent(error: BaseException) -> bool:
+    """Return whether an error ended a request before it had a connection."""
+    return getattr(error, "connections", None) == 0
+
+
 class _Opening:
     """A request whose response has not started, and its connection once it is made."""
 
--- a/packages/router/fulmarward_router/exchange/_whole_responses.py
+++ b/packages/router/fulmarward_router/exchange/_whole_responses.py
@@ -33,7 +33,7 @@
     RequestState,
     TruncatedResponse,
 )
-from fulmarward_router.exchange._send import AnswerLost, NotSent
+from fulmarward_router.exchange._send import AnswerLost, NotSent, is_unsent
 from fulmarward_router.ports import AnswerFacts, TargetCall
 
 #: Minimum seconds after which another attempt may begin beside a retryable one, for
@@ -425,9 +425,9 @@
             if state.route.may_retry and self._read_clock() < state.deadline:
                 return None
             raise self.make_end(state, targets, "the answer was lost") from error
-        except asyncio.CancelledError:
-            # It is under way, and may run.
-            state.runs += 1
+        except asyncio.CancelledError as error:
+            # With a connection, it is under way, and may run.
+            state.runs += not is_unsent(error)
             raise
         finally:
             if response is not None:
--- a/packages/router/fulmarward_router/exchange/tests/test_stop_gate.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_stop_gate.py
@@ -36,6 +36,15 @@
     )
 
 
+async def _connect(state, call):
+    """Open a request whose connection is never made, as `TargetClient.open` does."""
+    try:
+        await asyncio.Event().wait()
+    except asyncio.CancelledError as error:
+        error.connections = 0
+        raise
+
+
 class _StoppingTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.peer = RoutingPeer("one")
@@ -168,6 +177,13 @@
         self.assertNotIn("Retry-After", answer.headers)
         self.assertEqual(self.peer.handler.ended, {"unknown": 1})
 
+    async def test_request_without_a_connection_is_refused(self):
+        """Guards against an unknown outcome of a request that was sent nowhere."""
+        self.peer.client.open = _connect
+        asked = self.ask()
+        await asyncio.sleep(0.02)
+        self.check_refused(await self.end(asked))
+
     async def test_waiting_request_is_refused(self):
         """Guards against runs at other instances that are taken for runs here."""
         for runs_before in (0, 1):
@@ -297,6 +313,17 @@
             await self.serving
         self.assertEqual(state.runs, 1)
 
+    async def test_stream_without_a_connection_has_not_run(self):
+        """Guards against an unknown outcome of a stream that was sent nowhere."""
+        self.open = _connect
+        self.begin()
+        await asyncio.sleep(0.1)
+        state = next(iter(self.service.supervisor._attempts.values())).state
+        self.serving.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await self.serving
+        self.assertEqual(state.runs, 0)
+
     async def test_stream_that_its_caller_does_not_read_ends_at_its_deadline(self):
         """Guards against a stream that is taken for its deadline, and outlasts it."""
 
