--- a/packages/router/fulmarward_router/exchange/_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/_caller_handler.py
@@ -171,7 +171,7 @@
         arrived_at = self._read_clock()
         state: RequestState | None = None
         outcome = "left"
-        open_request = self._stop_gate.open()
+        open_request = self._stop_gate.open(request)
         try:
             state = await self._parse_request(request, arrived_at)
             open_request.state = state
@@ -180,7 +180,7 @@
             if self._is_stopping() and not answer.prepared:
                 close_after(request, answer)
             open_request.is_answered = True
-            await _write(request, answer)
+            await self._write_in_time(state, answer)
             if self._is_stopping():
                 close_after(request, answer)
             return answer
@@ -223,8 +223,21 @@
             return answer
         finally:
             self._stop_gate.close(open_request)
+            if not request.content.is_eof():
+                until = self._read_clock() + LINGERING_TIME_S
+                self._stop_gate.record_unread(request, until=until)
             self._record_end(request, open_request, outcome, arrived_at)
 
+    async def _write_in_time(
+        self, state: RequestState, answer: web.StreamResponse
+    ) -> None:
+        """Write an answer; raises `TruncatedResponse` at the deadline."""
+        try:
+            async with asyncio.timeout(state.count_left(self._read_clock())):
+                await _write(state.request, answer)
+        except TimeoutError as error:
+            raise TruncatedResponse(CutCause.DEADLINE, detail="not read") from error
+
     def _end_by_stop(
         self, request: web.BaseRequest, open_request: OpenRequest
     ) -> tuple[str, web.StreamResponse]:
@@ -335,6 +348,7 @@
         self._stop_gate.check(
             deadline=deadline, request_id=facts.request_id, now=self._read_clock()
         )
+        request["deadline"] = deadline
         body = await self._read_body(
             request, configuration, timeout_s=deadline - self._read_clock()
         )
--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -40,7 +40,12 @@
     TruncatedResponse,
 )
 from fulmarward_router.exchange._resumption import StreamResumer, Successor
-from fulmarward_router.exchange._send import AnswerLost, NotSent, close_response
+from fulmarward_router.exchange._send import (
+    AnswerLost,
+    NotSent,
+    close_response,
+    is_unsent,
+)
 from fulmarward_router.exchange._whole_responses import WholeResponses
 from fulmarward_router.ports import TargetCall
 
@@ -192,9 +197,9 @@
                     await answer.write_eof()
                 return answer
             except asyncio.CancelledError:
-                # It is under way, and may run.
-                state.runs += 1
-                record_ended(state, attempt, may_have_run=True)
+                # With a connection, it is under way, and may run.
+                state.runs += not attempt.is_unsent
+                record_ended(state, attempt, may_have_run=not attempt.is_unsent)
                 raise
             except AttemptFailed as error:
                 failure = error
@@ -208,6 +213,7 @@
                     self._paths.record_released(state, attempt.engine, attempt.wanted)
                     self._record_duration(state, self._read_clock() - began_at)
             if failure.is_not_run:
+                state.sends -= 1
                 record_ended(state, attempt, may_have_run=False)
             else:
                 record_run(state, attempt)
@@ -291,6 +297,7 @@
             admission_key=id(state),
         )
         state.attempts += 1
+        state.sends += 1
         self._paths.record_chosen(state, wanted, path)
         return attempt
 
@@ -414,12 +421,9 @@
         """
         self.supervisor.add(attempt)
         now = self._read_clock()
-        failure = AttemptFailed(
-            cause="deadline", is_not_run=False, ended_by=EndedBy.DEADLINE
-        )
         loop = asyncio.get_running_loop()
         attempt.deadline_timer = loop.call_later(
-            state.deadline - now, attempt.abort, failure
+            state.deadline - now, attempt.abort, _make_deadline_failure()
         )
         if attempt.response is None:
             refusal = await self._open_response(state, attempt, answer)
@@ -476,7 +480,7 @@
         try:
             return await self._context.open(attempt.state, call)
         except asyncio.CancelledError as error:
-            attempt.is_unsent = getattr(error, "connections", None) == 0
+            attempt.is_unsent = is_unsent(error)
             raise
 
     def _release(self, attempt: Attempt) -> None:
@@ -581,7 +585,11 @@
             self._resumer.end(attempt)
         attempt.is_writing = True
         try:
-            await self._forwarder.forward_events(state, events, answer)
+            # Aborting the attempt does not end a write that its caller does not read.
+            async with asyncio.timeout(state.count_left(self._read_clock())):
+                await self._forwarder.forward_events(state, events, answer)
+        except TimeoutError as error:
+            raise _make_deadline_failure() from error
         finally:
             attempt.is_writing = False
         attempt.last_activity_at = self._read_clock()
@@ -621,6 +629,10 @@
             self._count_broken_attempt(state.service, attempt.progress.value)
 
 
+def _make_deadline_failure() -> AttemptFailed:
+    return AttemptFailed(cause="deadline", is_not_run=False, ended_by=EndedBy.DEADLINE)
+
+
 def _log_internal_error(state: RequestState, error: BaseException) -> None:
     log_event("internal_error_caught", exc_info=error, request=state.facts.request_id)
 
--- a/packages/router/fulmarward_router/exchange/_relay.py
+++ b/packages/router/fulmarward_router/exchange/_relay.py
@@ -34,7 +34,7 @@
     RequestState,
     TruncatedResponse,
 )
-from fulmarward_router.exchange._send import AnswerLost, NotSent
+from fulmarward_router.exchange._send import AnswerLost, NotSent, is_unsent
 
 #: Peers that a request is relayed to in turn. The first may be isolated as well, or may
 #: have ended, which is not known here yet.
@@ -308,8 +308,8 @@
                 failure = error
             except (Exception, asyncio.CancelledError) as error:
                 if not state.has_begun or is_of_caller(error):
-                    # It is under way, and may run.
-                    state.runs += 1
+                    # With a connection, it is under way, and may run.
+                    state.runs += not is_unsent(error)
                     raise
                 failure = _make_own_failure(state, error)
             self._record_failed(state, peer, failure)
@@ -334,6 +334,7 @@
     ) -> None:
         """Log that a request is sent to a peer, and record that for its last line."""
         state.relayed_to = peer.name
+        state.sends += 1
         log_event(
             "request_relayed",
             request=state.facts.request_id,
@@ -352,6 +353,7 @@
     ) -> None:
         """Count and log that a peer did not serve a request completely."""
         state.runs += not failure.is_not_run
+        state.sends -= failure.is_not_run
         ended = EndedAttempt(
             target=peer.name,
             progress="relayed",
--- a/packages/router/fulmarward_router/exchange/_stop_gate.py
+++ b/packages/router/fulmarward_router/exchange/_stop_gate.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from enum import Enum
 
+from aiohttp import web
+
 from fulmarward.observability import log_event
 from fulmarward_core.results import ResultCode
 from fulmarward_core.shutdown import StopSchedule
@@ -31,9 +33,10 @@
 class OpenRequest:
     """A request from its arrival until its answer is written."""
 
-    def __init__(self, task: asyncio.Task | None) -> None:
+    def __init__(self, request: web.BaseRequest, task: asyncio.Task | None) -> None:
+        self._request = request
         self._task = task
-        #: Its state, `None` until it is routed.
+        #: Its state, `None` until its body is read.
         self.state: RequestState | None = None
         #: Whether its answer is known, so that no other can be sent.
         self.is_answered = False
@@ -42,6 +45,11 @@
         #: How often its task was cancelled to end it.
         self._ends = 0
 
+    @property
+    def deadline(self) -> float | None:
+        """When its answer is due, on the monotonic clock; `None` until it is routed."""
+        return self._request.get("deadline")
+
     @property
     def is_ended(self) -> bool:
         """Whether it was ended because the instance stops."""
@@ -68,6 +76,8 @@
         self._schedule: StopSchedule | None = None
         self._has_ended = False
         self._open: set[OpenRequest] = set()
+        #: Answered requests whose bodies are still read, and until when at most.
+        self._unread: list[tuple[web.BaseRequest, float]] = []
 
     def begin(self, schedule: StopSchedule) -> None:
         """Take only requests that are ended in time from now on.
@@ -77,27 +87,44 @@
         """
         self._schedule = schedule
         for request in self._open:
-            state = request.state
-            if state is None or is_sent(state):
+            state, deadline = request.state, request.deadline
+            if deadline is None or (state is not None and state.sends > 0):
                 continue
-            if not request.is_ended and not schedule.may_take(state.deadline):
+            if not request.is_ended and not schedule.may_take(deadline):
                 request.end()
 
     def count_open(self) -> int:
         """Return how many requests are open, those that are being read included."""
         return len(self._open)
 
-    def open(self) -> OpenRequest:
+    def open(self, request: web.BaseRequest) -> OpenRequest:
         """Record that the current task serves a request."""
-        request = OpenRequest(asyncio.current_task())
-        self._open.add(request)
-        return request
+        open_request = OpenRequest(request, asyncio.current_task())
+        self._open.add(open_request)
+        return open_request
 
     def close(self, request: OpenRequest) -> None:
         """Record that the answer to a request is written."""
         self._open.discard(request)
         request.close()
 
+    def record_unread(self, request: web.BaseRequest, *, until: float) -> None:
+        """Record that the body of an answered request is read until its end."""
+        if self._schedule is not None:
+            self._unread.append((request, until))
+
+    def has_unread(self, *, now: float) -> bool:
+        """Return whether a caller still sends the body of an answered request.
+
+        It would lose the answer if its connection were reset.
+        """
+        self._unread = [
+            (request, until)
+            for request, until in self._unread
+            if now < until and not request.content.is_eof() and _is_connected(request)
+        ]
+        return bool(self._unread)
+
     def end_all(self) -> None:
         """End all open requests, and take none from now on.
 
@@ -136,7 +163,7 @@
         """
         if self._schedule is None or state.has_begun:
             return
-        if state.runs == state.facts.runs_before:
+        if state.sends == 0:
             self.check(
                 deadline=state.deadline, request_id=state.facts.request_id, now=now
             )
@@ -155,6 +182,5 @@
         )
 
 
-def is_sent(state: RequestState) -> bool:
-    """Return whether a target or a peer may have got a request from here."""
-    return state.attempts > state.facts.runs_before or state.relayed_to != ""
+def _is_connected(request: web.BaseRequest) -> bool:
+    return request.transport is not None and not request.transport.is_closing()
--- a/packages/router/fulmarward_router/exchange/_whole_responses.py
+++ b/packages/router/fulmarward_router/exchange/_whole_responses.py
@@ -33,7 +33,7 @@
     RequestState,
     TruncatedResponse,
 )
-from fulmarward_router.exchange._send import AnswerLost, NotSent
+from fulmarward_router.exchange._send import AnswerLost, NotSent, is_unsent
 from fulmarward_router.ports import AnswerFacts, TargetCall
 
 #: Minimum seconds after which another attempt may begin beside a retryable one, for
@@ -196,6 +196,7 @@
         self, state: RequestState, targets: TargetChoice, placement: Placement
     ) -> None:
         state.attempts += 1
+        state.sends += 1
         state.targets = _list_names(placement)
         targets.record_sent(placement)
 
@@ -425,9 +426,9 @@
             if state.route.may_retry and self._read_clock() < state.deadline:
                 return None
             raise self.make_end(state, targets, "the answer was lost") from error
-        except asyncio.CancelledError:
-            # It is under way, and may run.
-            state.runs += 1
+        except asyncio.CancelledError as error:
+            # With a connection, it is under way, and may run.
+            state.runs += not is_unsent(error)
             raise
         finally:
             if response is not None:
@@ -520,6 +521,7 @@
         may_have_run: bool = True,
     ) -> None:
         state.failed_at = self._read_clock()
+        state.sends -= not may_have_run
         ended = EndedAttempt(
             target=placement.target,
             progress=outcome,
--- a/packages/router/fulmarward_router/exchange/tests/test_stop_gate.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_stop_gate.py
@@ -1,5 +1,6 @@
 import asyncio
 import unittest
+from dataclasses import replace
 from unittest import mock
 
 from aiohttp.test_utils import make_mocked_request
@@ -7,7 +8,7 @@
 from fulmarward_core.results import ResultCode
 from fulmarward_core.shutdown import StopSchedule
 from fulmarward_router.exchange import _caller_handler
-from fulmarward_router.exchange._request_state import RejectedRequest
+from fulmarward_router.exchange._request_state import CutCause, RejectedRequest
 from fulmarward_router.exchange.tests.test_ended_streams import _EndedStreamTest
 from fulmarward_router.ports import CallerFacts
 from fulmarward_router.tests._routing_peer import (
@@ -35,6 +36,15 @@
     )
 
 
+async def _connect(state, call):
+    """Open a request whose connection is never made, as `TargetClient.open` does."""
+    try:
+        await asyncio.Event().wait()
+    except asyncio.CancelledError as error:
+        error.connections = 0
+        raise
+
+
 class _StoppingTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.peer = RoutingPeer("one")
@@ -111,6 +121,39 @@
         self.assertEqual(self.peer.client.reached, [])
         self.assertEqual(asked.cancelling(), 0)
 
+    async def test_request_that_is_being_read_is_refused_as_the_stop_begins(self):
+        """Guards against a refusal that waits for the rest of a body."""
+
+        async def read(*args, **options):
+            await asyncio.Event().wait()
+
+        with mock.patch.object(self.peer.handler, "_read_body", read):
+            asked = self.ask()
+            await asyncio.sleep(0.02)
+            self.begin_stop(2.0)
+            async with asyncio.timeout(5.0):
+                self.check_refused(await asked)
+
+    async def test_refused_request_that_waits_is_refused_as_the_stop_begins(self):
+        """Guards against a late refusal of what its target has not run."""
+        dialect, plain = self.peer.handler._dialect, self.peer.handler._plain
+        facts = replace(dialect.read_answer(503, {}), is_not_run=True)
+        dialect.read_answer = lambda status, headers: facts
+        poll_target = plain._poll_target
+
+        async def poll(state, tried, is_last):
+            if tried:
+                await asyncio.Event().wait()
+            return await poll_target(state, tried, is_last)
+
+        plain._poll_target = poll
+        asked = self.ask()
+        await self.await_sent()
+        await asyncio.sleep(0.02)
+        self.begin_stop(2.0)
+        async with asyncio.timeout(5.0):
+            self.check_refused(await asked)
+
     async def test_request_at_its_target_goes_on_as_the_stop_begins(self):
         """Guards against ending what was taken before the stop."""
         with mock.patch.object(self.peer.client, "open", self.hang):
@@ -154,6 +197,13 @@
         self.assertNotIn("Retry-After", answer.headers)
         self.assertEqual(self.peer.handler.ended, {"unknown": 1})
 
+    async def test_request_without_a_connection_is_refused(self):
+        """Guards against an unknown outcome of a request that was sent nowhere."""
+        self.peer.client.open = _connect
+        asked = self.ask()
+        await asyncio.sleep(0.02)
+        self.check_refused(await self.end(asked))
+
     async def test_waiting_request_is_refused(self):
         """Guards against runs at other instances that are taken for runs here."""
         for runs_before in (0, 1):
@@ -198,6 +248,23 @@
                 self.assertEqual(last.kwargs["ended_in"], phase)
                 self.assertEqual(last.kwargs["stopping_s"], 0.0)
 
+    async def test_answer_that_is_not_read_ends_at_its_deadline(self):
+        """Guards against an answer that is taken for its deadline, and outlasts it."""
+
+        async def write(*args):
+            await asyncio.Event().wait()
+
+        facts = replace(_make_facts(runs_before=0), deadline_s=0.2)
+        with (
+            mock.patch.object(_caller_handler, "_write", write),
+            mock.patch.object(_caller_handler, "log_event") as log_event,
+        ):
+            async with asyncio.timeout(5.0):
+                await self.ask(facts)
+        last = log_event.call_args_list[-1]
+        self.assertEqual(last.kwargs["cut_cause"], CutCause.DEADLINE.value)
+        self.assertEqual(self.gate.count_open(), 0)
+
     async def test_request_that_catches_its_end_is_ended_again(self):
         """Guards against a stop that waits for a request without end."""
         caught = asyncio.Event()
@@ -265,3 +332,33 @@
         with self.assertRaises(asyncio.CancelledError):
             await self.serving
         self.assertEqual(state.runs, 1)
+
+    async def test_stream_without_a_connection_has_not_run(self):
+        """Guards against an unknown outcome of a stream that was sent nowhere."""
+        self.open = _connect
+        self.begin()
+        await asyncio.sleep(0.1)
+        state = next(iter(self.service.supervisor._attempts.values())).state
+        self.serving.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await self.serving
+        self.assertEqual(state.runs, 0)
+
+    async def test_stream_that_its_caller_does_not_read_ends_at_its_deadline(self):
+        """Guards against a stream that is taken for its deadline, and outlasts it."""
+
+        async def admit(monitor, state):
+            state.deadline = self.read_clock() + 0.3
+
+        async def write(data):
+            await asyncio.Event().wait()
+
+        with mock.patch(
+            "fulmarward_router.exchange._crash_monitor.CrashMonitor.admit", admit
+        ):
+            self.begin()
+            await self.await_attempt(1)
+        await self.send(1, attempt=1)
+        self.request["answer"].write = write
+        self.streams[0].events.put_nowait(b"id: 2\ndata: x\n\n")
+        await self.check_cut(CutCause.DEADLINE)
