Planned stops: a connection is closed once its answers have arrived

Callers that read slowly got a part of an answer, and a reset, although the instance had logged the whole of it as written (status 200).

Cause: while stopping, an answer counted as ended once the operating system had it, and its connection was closed. If its caller sent another request on that connection, the kernel reset it, and dropped what it still held of the answer.

Now a stopping instance looks at what the kernel holds (TIOCOUTQ) after each answer, and before a rejection. The connection is closed, and the instance may end, once the caller's system has all of it, or at the end of the answers.

--- a/packages/router/fulmarward_router/exchange/_caller_connection.py
+++ b/packages/router/fulmarward_router/exchange/_caller_connection.py
@@ -1,12 +1,21 @@
 """Connections of callers, and who closed them first."""
 
 import asyncio
+import fcntl
+import sys
+import termios
 from enum import Enum
 
 from aiohttp import web
 
 from fulmarward.observability import log_event
 
+#: Size of the number that the kernel returns.
+_INT_BYTES = 4
+
+#: Seconds between two looks at what a caller has yet to get.
+_DELIVERY_POLL_INTERVAL_S = 0.02
+
 
 class ClosedBy(Enum):
     """Who closed a caller's connection first."""
@@ -85,6 +94,19 @@
         if not self._messages:
             answer.force_close()
 
+    def count_undelivered(self) -> int:
+        """Return how many bytes of answers the caller's system does not have yet.
+
+        Guards against answers that the kernel drops: it resets a connection that was
+        closed here once its caller sends another request.
+        """
+        if not self._is_open:
+            return 0
+        sock = self.transport.get_extra_info("socket")
+        held = fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(_INT_BYTES))
+        written = self.transport.get_write_buffer_size()
+        return written + int.from_bytes(held, sys.byteorder)
+
     @property
     def _is_open(self) -> bool:
         return self.transport is not None and not self.transport.is_closing()
@@ -109,6 +131,14 @@
     return getattr(request.protocol, "close_cause", "")
 
 
+async def await_delivery(request: web.BaseRequest) -> None:
+    """Return once earlier answers on a connection have arrived, or it is closed."""
+    connection = request.protocol
+    if isinstance(connection, CallerConnection):
+        while connection.count_undelivered() > 0:
+            await asyncio.sleep(_DELIVERY_POLL_INTERVAL_S)
+
+
 def close_after(request: web.BaseRequest, answer: web.StreamResponse) -> None:
     """Close the connection of a request as `CallerConnection.close_after` does."""
     if isinstance(request.protocol, CallerConnection):
--- a/packages/router/fulmarward_router/exchange/_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/_caller_handler.py
@@ -24,6 +24,7 @@
 from fulmarward_router.exchange._caller_connection import (
     CallerConnection,
     ClosedBy,
+    await_delivery,
     close_after,
     find_close_cause,
     find_closer,
@@ -182,6 +183,7 @@
             open_request.is_answered = True
             await _write(request, answer)
             if self._is_stopping():
+                await _await_delivery(request, open_request)
                 close_after(request, answer)
             return answer
         except RejectedRequest as rejection:
@@ -196,6 +198,9 @@
             if state is not None and rejection.retry_after_s is not None:
                 # Without a retry delay, it may have run or is not to be repeated.
                 self._record_denial(self._describe_denial(state, rejection))
+            if self._is_stopping():
+                # The connection may be closed after the rejection.
+                await _await_delivery(request, open_request)
             return self._make_error_response(request, state, rejection)
         except TruncatedResponse as truncated:
             outcome = _record_cut(state, truncated)
@@ -577,6 +582,15 @@
         transport.set_write_buffer_limits()
 
 
+async def _await_delivery(request: web.BaseRequest, open_request: OpenRequest) -> None:
+    """Wait until earlier answers have arrived, or until the stop ends the request."""
+    try:
+        await await_delivery(request)
+    except asyncio.CancelledError:
+        if not open_request.is_ended:
+            raise
+
+
 def _close_connection(request: web.BaseRequest) -> web.StreamResponse:
     """Close the connection, so that a started response is seen as incomplete.
 
