Planned stops: requests read while an answer is written are refused

Callers that sent a request while the answer before it was still being written, or read, got no answer to it: the connection was closed after the first.

Cause: the head of a whole answer says while stopping that its connection will be closed. What was read after that head was dropped with the connection (read_requests_dropped), seconds later if the caller reads slowly.

Now the head says so as before, but what was read meanwhile gets 503 with Retry-After before the connection is closed. It is never passed on: a caller that has seen the head may have sent it elsewhere.

--- a/packages/router/fulmarward_router/exchange/_caller_connection.py
+++ b/packages/router/fulmarward_router/exchange/_caller_connection.py
@@ -29,7 +29,7 @@
 class CallerConnection(web.RequestHandler):
     """A caller's connection, which records who closed it first."""
 
-    __slots__ = ("close_cause", "closed_by")
+    __slots__ = ("close_cause", "closed_by", "is_close_announced")
 
     def __init__(self, *args: object, **options: object) -> None:
         super().__init__(*args, **options)
@@ -37,6 +37,8 @@
         self.closed_by: ClosedBy | None = None
         #: How it was closed, empty while it is open.
         self.close_cause = ""
+        #: Whether an answer said that it will be closed.
+        self.is_close_announced = False
 
     def eof_received(self) -> None:
         """Record that the caller closed the connection."""
@@ -89,6 +91,15 @@
             return ClosedBy.CALLER
         return self.closed_by
 
+    def announce_close(self, answer: web.StreamResponse) -> None:
+        """Say in an answer that it is the last, unless requests behind it were read.
+
+        Requests may still be read while it is written; they get an answer too.
+        """
+        if not self._messages:
+            answer.headers["Connection"] = "close"
+            self.is_close_announced = True
+
     def close_after(self, answer: web.StreamResponse) -> None:
         """Close the connection after an answer, unless requests behind it were read."""
         if not self._messages:
@@ -131,6 +142,20 @@
     return getattr(request.protocol, "close_cause", "")
 
 
+def announce_close(request: web.BaseRequest, answer: web.StreamResponse) -> None:
+    """Announce the close of a connection as `CallerConnection.announce_close` does."""
+    if isinstance(request.protocol, CallerConnection):
+        request.protocol.announce_close(answer)
+    else:
+        answer.force_close()
+
+
+def is_close_announced(request: web.BaseRequest) -> bool:
+    """Return whether an earlier answer said that the connection will be closed."""
+    connection = request.protocol
+    return isinstance(connection, CallerConnection) and connection.is_close_announced
+
+
 async def await_delivery(request: web.BaseRequest) -> None:
     """Return once earlier answers on a connection have arrived, or it is closed."""
     connection = request.protocol
--- a/packages/router/fulmarward_router/exchange/_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/_caller_handler.py
@@ -24,10 +24,12 @@
 from fulmarward_router.exchange._caller_connection import (
     CallerConnection,
     ClosedBy,
+    announce_close,
     await_delivery,
     close_after,
     find_close_cause,
     find_closer,
+    is_close_announced,
 )
 from fulmarward_router.exchange._engines import EngineService
 from fulmarward_router.exchange._plain import PlainService
@@ -179,7 +181,7 @@
             answer = await self._serve(state)
             outcome = f"status {answer.status}"
             if self._is_stopping() and not answer.prepared:
-                close_after(request, answer)
+                announce_close(request, answer)
             open_request.is_answered = True
             await _write(request, answer)
             if self._is_stopping():
@@ -337,6 +339,9 @@
         deadline_s = _find_deadline_s(facts)
         deadline = arrived_at + min(deadline_s, route.timeout_s)
         service = choose_service(route, facts.request_id)
+        if is_close_announced(request):
+            # Its caller may send it again elsewhere.
+            raise self._stop_gate.make_rejection(now=self._read_clock())
         self._stop_gate.check(
             deadline=deadline, request_id=facts.request_id, now=self._read_clock()
         )
