Planned stops: refusals of waiting requests wait until earlier answers arrived

Callers that read slowly, with a further request sent ahead, got a part of the answer before it, and a reset.

Cause: a request that waits here as the stop begins is ended by its cancellation. The refusal on that way closed the connection without a look at what the kernel still held of the earlier answer.

Now all three ways of ending a request wait for that. A request that was rejected may be ended as a waiting one meanwhile, and waits on.

--- a/packages/router/fulmarward_router/exchange/_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/_caller_handler.py
@@ -185,7 +185,7 @@
             open_request.is_answered = True
             await _write(request, answer)
             if self._is_stopping():
-                await _await_delivery(request, open_request)
+                await self._await_delivery(request, open_request)
                 close_after(request, answer)
             return answer
         except RejectedRequest as rejection:
@@ -202,7 +202,7 @@
                 self._record_denial(self._describe_denial(state, rejection))
             if self._is_stopping():
                 # The connection may be closed after the rejection.
-                await _await_delivery(request, open_request)
+                await self._await_delivery(request, open_request)
             return self._make_error_response(request, state, rejection)
         except TruncatedResponse as truncated:
             outcome = _record_cut(state, truncated)
@@ -210,6 +210,7 @@
         except asyncio.CancelledError as error:
             if open_request.is_ended:
                 outcome, answer = self._end_by_stop(request, open_request)
+                await self._await_delivery(request, open_request)
                 return answer
             outcome = self._record_interruption(request, state, error)
             raise
@@ -232,6 +233,18 @@
             self._stop_gate.close(open_request)
             self._record_end(request, open_request, outcome, arrived_at)
 
+    async def _await_delivery(
+        self, request: web.BaseRequest, open_request: OpenRequest
+    ) -> None:
+        """Wait until earlier answers have arrived, or until the stop ends all."""
+        while not self._stop_gate.has_ended:
+            try:
+                return await await_delivery(request)
+            except asyncio.CancelledError:
+                # One that was to wait for a target may be ended, with its answer known.
+                if not open_request.is_ended:
+                    raise
+
     def _end_by_stop(
         self, request: web.BaseRequest, open_request: OpenRequest
     ) -> tuple[str, web.StreamResponse]:
@@ -587,15 +600,6 @@
         transport.set_write_buffer_limits()
 
 
-async def _await_delivery(request: web.BaseRequest, open_request: OpenRequest) -> None:
-    """Wait until earlier answers have arrived, or until the stop ends the request."""
-    try:
-        await await_delivery(request)
-    except asyncio.CancelledError:
-        if not open_request.is_ended:
-            raise
-
-
 def _close_connection(request: web.BaseRequest) -> web.StreamResponse:
     """Close the connection, so that a started response is seen as incomplete.
 
--- a/packages/router/fulmarward_router/exchange/_stop_gate.py
+++ b/packages/router/fulmarward_router/exchange/_stop_gate.py
@@ -66,7 +66,8 @@
         #: Returns whether callers that are refused find another instance.
         self._has_peers = has_peers
         self._schedule: StopSchedule | None = None
-        self._has_ended = False
+        #: Whether all open requests were ended, and none is taken any more.
+        self.has_ended = False
         self._open: set[OpenRequest] = set()
 
     def begin(self, schedule: StopSchedule) -> None:
@@ -103,7 +104,7 @@
 
         May be called again for requests that have caught their cancellation.
         """
-        self._has_ended = True
+        self.has_ended = True
         for request in self._open:
             request.end()
 
@@ -111,7 +112,7 @@
         """Raise `RejectedRequest` if a request may last beyond the end of the stop."""
         if self._schedule is None:
             return
-        if self._has_ended or not self._schedule.may_take(deadline):
+        if self.has_ended or not self._schedule.may_take(deadline):
             raise self.make_rejection(now=now)
         log_event(
             "late_request_taken",
