Planned stops: requests read behind others count as open

Callers that had sent many requests ahead got no answer to the last of them: the process ended.

Cause: the instance ends once no request is open, and one counted from the moment at which it is begun. Refusals are written within one turn of the loop, so that between two of them none was open, however many had been read behind.

Now those count too, for the end of the stop and for what closing takes.

--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -770,6 +770,7 @@
             read_idle_timeout_s=self.caller_handler.read_idle_timeout_s,
             max_header_bytes=MAX_HEADER_BYTES,
         )
+        self.stop_gate.count_read = caller_server.count_read
         ready = make_ready_handler(is_ready=self.is_ready)
         handlers = [
             ("requests", settings.caller_address, caller_server),
--- a/packages/router/fulmarward_router/exchange/_caller_connection.py
+++ b/packages/router/fulmarward_router/exchange/_caller_connection.py
@@ -118,6 +118,11 @@
         written = self.transport.get_write_buffer_size()
         return written + int.from_bytes(held, sys.byteorder)
 
+    @property
+    def read_requests(self) -> int:
+        """The number of requests that were read and not begun."""
+        return len(self._messages)
+
     @property
     def _is_open(self) -> bool:
         return self.transport is not None and not self.transport.is_closing()
--- a/packages/router/fulmarward_router/exchange/_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/_caller_handler.py
@@ -127,6 +127,10 @@
         self._kwargs["keepalive_timeout"] = self._read_idle_timeout_s()
         return CallerConnection(self, loop=self._loop, **self._kwargs)
 
+    def count_read(self) -> int:
+        """Return how many requests were read behind those that are being served."""
+        return sum(connection.read_requests for connection in self.connections)
+
 
 class CallerHandler:
     """Routes each request to its service and records how it ended."""
--- a/packages/router/fulmarward_router/exchange/_stop_gate.py
+++ b/packages/router/fulmarward_router/exchange/_stop_gate.py
@@ -69,6 +69,8 @@
         #: Whether all open requests were ended, and none is taken any more.
         self.has_ended = False
         self._open: set[OpenRequest] = set()
+        #: Returns how many requests were read behind those that are being served.
+        self.count_read: Callable[[], int] = lambda: 0
 
     def begin(self, schedule: StopSchedule) -> None:
         """Take only requests that are ended in time from now on.
@@ -85,8 +87,11 @@
                 request.end()
 
     def count_open(self) -> int:
-        """Return how many requests are open, those that are being read included."""
-        return len(self._open)
+        """Return how many requests are open, those that are being read included.
+
+        Those that were read behind others get an answer too, once it is their turn.
+        """
+        return len(self._open) + self.count_read()
 
     def open(self) -> OpenRequest:
         """Record that the current task serves a request."""
