--- a/packages/router/fulmarward_router/exchange/_caller_connection.py
+++ b/packages/router/fulmarward_router/exchange/_caller_connection.py
@@ -6,6 +6,10 @@
 from aiohttp import StreamReader, web
 
 from fulmarward.observability import log_event
+from fulmarward_router._sockets import has_unacknowledged
+
+#: Seconds between two looks at what a caller has yet to get.
+_DELIVERY_POLL_INTERVAL_S = 0.02
 
 
 class ClosedBy(Enum):
@@ -20,7 +24,13 @@
 class CallerConnection(web.RequestHandler):
     """A caller's connection, which records who closed it first."""
 
-    __slots__ = ("_has_part_of_head", "_latest_body", "close_cause", "closed_by")
+    __slots__ = (
+        "_has_part_of_head",
+        "_latest_body",
+        "close_cause",
+        "closed_by",
+        "is_close_announced",
+    )
 
     def __init__(self, *args: object, **options: object) -> None:
         super().__init__(*args, **options)
@@ -32,6 +42,8 @@
         self._latest_body: StreamReader | None = None
         #: Whether bytes of a head were read that is not whole.
         self._has_part_of_head = False
+        #: Whether an answer said that it will be closed.
+        self.is_close_announced = False
 
     def data_received(self, data: bytes) -> None:
         """Parse what has arrived, and record whether it ends inside a head.
@@ -100,11 +112,34 @@
             return ClosedBy.CALLER
         return self.closed_by
 
+    def announce_close(self, answer: web.StreamResponse) -> None:
+        """Say in an answer that it is the last, unless requests behind it were read.
+
+        Requests may still be read while it is written; they get an answer too.
+        """
+        if not self._messages:
+            answer.headers["Connection"] = "close"
+            self.is_close_announced = True
+
     def close_after(self, answer: web.StreamResponse) -> None:
         """Close the connection after an answer, unless requests behind it were read."""
         if not self._messages:
             answer.force_close()
 
+    @property
+    def has_undelivered(self) -> bool:
+        """Whether the caller's system does not have all that was written yet.
+
+        Guards against answers that the kernel drops: it resets a connection that was
+        closed here once its caller sends another request.
+        """
+        return self.transport is not None and has_unacknowledged(self.transport)
+
+    @property
+    def read_requests(self) -> int:
+        """The number of requests that were read and not begun."""
+        return len(self._messages)
+
     @property
     def _is_open(self) -> bool:
         return self.transport is not None and not self.transport.is_closing()
@@ -129,6 +164,28 @@
     return getattr(request.protocol, "close_cause", "")
 
 
+def announce_close(request: web.BaseRequest, answer: web.StreamResponse) -> None:
+    """Announce the close of a connection as `CallerConnection.announce_close` does."""
+    if isinstance(request.protocol, CallerConnection):
+        request.protocol.announce_close(answer)
+    else:
+        answer.force_close()
+
+
+def is_close_announced(request: web.BaseRequest) -> bool:
+    """Return whether an earlier answer said that the connection will be closed."""
+    connection = request.protocol
+    return isinstance(connection, CallerConnection) and connection.is_close_announced
+
+
+async def await_delivery(request: web.BaseRequest) -> None:
+    """Return once earlier answers on a connection have arrived, or it is closed."""
+    connection = request.protocol
+    if isinstance(connection, CallerConnection):
+        while connection.has_undelivered:
+            await asyncio.sleep(_DELIVERY_POLL_INTERVAL_S)
+
+
 def close_after(request: web.BaseRequest, answer: web.StreamResponse) -> None:
     """Close the connection of a request as `CallerConnection.close_after` does."""
     if isinstance(request.protocol, CallerConnection):
--- a/packages/router/fulmarward_router/exchange/_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/_caller_handler.py
@@ -24,9 +24,12 @@
 from fulmarward_router.exchange._caller_connection import (
     CallerConnection,
     ClosedBy,
+    announce_close,
+    await_delivery,
     close_after,
     find_close_cause,
     find_closer,
+    is_close_announced,
 )
 from fulmarward_router.exchange._engines import EngineService
 from fulmarward_router.exchange._plain import PlainService
@@ -124,6 +127,10 @@
         self._kwargs["keepalive_timeout"] = self._read_idle_timeout_s()
         return CallerConnection(self, loop=self._loop, **self._kwargs)
 
+    def count_read(self) -> int:
+        """Return how many requests were read behind those that are being served."""
+        return sum(connection.read_requests for connection in self.connections)
+
 
 class CallerHandler:
     """Routes each request to its service and records how it ended."""
@@ -178,10 +185,11 @@
             answer = await self._serve(state)
             outcome = f"status {answer.status}"
             if self._is_stopping() and not answer.prepared:
-                close_after(request, answer)
+                announce_close(request, answer)
             open_request.is_answered = True
             await self._write_in_time(state, answer)
             if self._is_stopping():
+                await self._await_delivery(request, open_request)
                 close_after(request, answer)
             return answer
         except RejectedRequest as rejection:
@@ -196,6 +204,9 @@
             if state is not None and rejection.retry_after_s is not None:
                 # Without a retry delay, it may have run or is not to be repeated.
                 self._record_denial(self._describe_denial(state, rejection))
+            if self._is_stopping():
+                # The connection may be closed after the rejection.
+                await self._await_delivery(request, open_request)
             return self._make_error_response(request, state, rejection)
         except TruncatedResponse as truncated:
             outcome = _record_cut(state, truncated)
@@ -203,6 +214,7 @@
         except asyncio.CancelledError as error:
             if open_request.is_ended:
                 outcome, answer = self._end_by_stop(request, open_request)
+                await self._await_delivery(request, open_request)
                 return answer
             outcome = self._record_interruption(request, state, error)
             raise
@@ -238,6 +250,18 @@
         except TimeoutError as error:
             raise TruncatedResponse(CutCause.DEADLINE, detail="not read") from error
 
+    async def _await_delivery(
+        self, request: web.BaseRequest, open_request: OpenRequest
+    ) -> None:
+        """Wait until earlier answers have arrived, or until the stop ends all."""
+        while not self._stop_gate.has_ended:
+            try:
+                return await await_delivery(request)
+            except asyncio.CancelledError:
+                # One that was to wait for a target may be ended, with its answer known.
+                if not open_request.is_ended:
+                    raise
+
     def _end_by_stop(
         self, request: web.BaseRequest, open_request: OpenRequest
     ) -> tuple[str, web.StreamResponse]:
@@ -345,6 +369,9 @@
         deadline_s = _find_deadline_s(facts)
         deadline = arrived_at + min(deadline_s, route.timeout_s)
         service = choose_service(route, facts.request_id)
+        if is_close_announced(request):
+            # Its caller may send it again elsewhere.
+            raise self._stop_gate.make_rejection(now=self._read_clock())
         self._stop_gate.check(
             deadline=deadline, request_id=facts.request_id, now=self._read_clock()
         )
--- a/packages/router/fulmarward_router/exchange/_stop_gate.py
+++ b/packages/router/fulmarward_router/exchange/_stop_gate.py
@@ -74,10 +74,13 @@
         #: Returns whether callers that are refused find another instance.
         self._has_peers = has_peers
         self._schedule: StopSchedule | None = None
-        self._has_ended = False
+        #: Whether all open requests were ended, and none is taken any more.
+        self.has_ended = False
         self._open: set[OpenRequest] = set()
         #: Answered requests whose bodies are still read, and until when at most.
         self._unread: list[tuple[web.BaseRequest, float]] = []
+        #: Returns how many requests were read behind those that are being served.
+        self.count_read: Callable[[], int] = lambda: 0
 
     def begin(self, schedule: StopSchedule) -> None:
         """Take only requests that are ended in time from now on.
@@ -94,8 +97,11 @@
                 request.end()
 
     def count_open(self) -> int:
-        """Return how many requests are open, those that are being read included."""
-        return len(self._open)
+        """Return how many requests are open, those that are being read included.
+
+        Those that were read behind others get an answer too, once it is their turn.
+        """
+        return len(self._open) + self.count_read()
 
     def open(self, request: web.BaseRequest) -> OpenRequest:
         """Record that the current task serves a request."""
@@ -130,7 +136,7 @@
 
         May be called again for requests that have caught their cancellation.
         """
-        self._has_ended = True
+        self.has_ended = True
         for request in self._open:
             request.end()
 
@@ -138,7 +144,7 @@
         """Raise `RejectedRequest` if a request may last beyond the end of the stop."""
         if self._schedule is None:
             return
-        if self._has_ended or not self._schedule.may_take(deadline):
+        if self.has_ended or not self._schedule.may_take(deadline):
             raise self.make_rejection(now=now)
         log_event(
             "late_request_taken",
