Planned stops: a request that its target has refused is refused at once

A request that no target had run, as the first one refused it or was not reached, waited on as the stop began, for up to 1.6 s for a path, and was refused then: it was not sent again without a bound, and not told so either. A peer's refusal had the same effect.

Cause: two rules of one question. What the stop begins with counted every attempt as sent, and every request that was ever relayed; the check before a send counted runs.

Both count the sends now of which it is not known that they did not run.

--- a/packages/router/fulmarward_router/exchange/_engines.py
+++ b/packages/router/fulmarward_router/exchange/_engines.py
@@ -213,6 +213,7 @@
                     self._paths.record_released(state, attempt.engine, attempt.wanted)
                     self._record_duration(state, self._read_clock() - began_at)
             if failure.is_not_run:
+                state.sends -= 1
                 record_ended(state, attempt, may_have_run=False)
             else:
                 record_run(state, attempt)
@@ -296,6 +297,7 @@
             admission_key=id(state),
         )
         state.attempts += 1
+        state.sends += 1
         self._paths.record_chosen(state, wanted, path)
         return attempt
 
--- a/packages/router/fulmarward_router/exchange/_relay.py
+++ b/packages/router/fulmarward_router/exchange/_relay.py
@@ -334,6 +334,7 @@
     ) -> None:
         """Log that a request is sent to a peer, and record that for its last line."""
         state.relayed_to = peer.name
+        state.sends += 1
         log_event(
             "request_relayed",
             request=state.facts.request_id,
@@ -352,6 +353,7 @@
     ) -> None:
         """Count and log that a peer did not serve a request completely."""
         state.runs += not failure.is_not_run
+        state.sends -= failure.is_not_run
         ended = EndedAttempt(
             target=peer.name,
             progress="relayed",
--- a/packages/router/fulmarward_router/exchange/_request_state.py
+++ b/packages/router/fulmarward_router/exchange/_request_state.py
@@ -106,6 +106,9 @@
     #: Attempts so far, and how many of them a target may have executed.
     attempts: int = 0
     runs: int = 0
+    #: How often it was sent to a target or a peer from here, without the sends of which
+    #: it is known that it did not run.
+    sends: int = 0
     #: Those of these runs that failed at a target that was known.
     failed_runs: list[Run] = field(default_factory=list)
     #: The latest attempts that have ended, in this order, for the log.
--- a/packages/router/fulmarward_router/exchange/_stop_gate.py
+++ b/packages/router/fulmarward_router/exchange/_stop_gate.py
@@ -88,7 +88,7 @@
         self._schedule = schedule
         for request in self._open:
             state, deadline = request.state, request.deadline
-            if deadline is None or (state is not None and is_sent(state)):
+            if deadline is None or (state is not None and state.sends > 0):
                 continue
             if not request.is_ended and not schedule.may_take(deadline):
                 request.end()
@@ -163,7 +163,7 @@
         """
         if self._schedule is None or state.has_begun:
             return
-        if state.runs == state.facts.runs_before:
+        if state.sends == 0:
             self.check(
                 deadline=state.deadline, request_id=state.facts.request_id, now=now
             )
@@ -184,8 +184,3 @@
 
 def _is_connected(request: web.BaseRequest) -> bool:
     return request.transport is not None and not request.transport.is_closing()
-
-
-def is_sent(state: RequestState) -> bool:
-    """Return whether a target or a peer may have got a request from here."""
-    return state.attempts > state.facts.runs_before or state.relayed_to != ""
--- a/packages/router/fulmarward_router/exchange/_whole_responses.py
+++ b/packages/router/fulmarward_router/exchange/_whole_responses.py
@@ -196,6 +196,7 @@
         self, state: RequestState, targets: TargetChoice, placement: Placement
     ) -> None:
         state.attempts += 1
+        state.sends += 1
         state.targets = _list_names(placement)
         targets.record_sent(placement)
 
@@ -520,6 +521,7 @@
         may_have_run: bool = True,
     ) -> None:
         state.failed_at = self._read_clock()
+        state.sends -= not may_have_run
         ended = EndedAttempt(
             target=placement.target,
             progress=outcome,
--- a/packages/router/fulmarward_router/exchange/tests/test_plain.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_plain.py
@@ -66,7 +66,7 @@
         """Start requests that wait for 1.2 s, and without classes poll each 0.3 s."""
         for name in names:
             state = mock.Mock(
-                service="plain", class_urgency=urgency, attempts=0, runs=0
+                service="plain", class_urgency=urgency, attempts=0, runs=0, sends=0
             )
             state.arrived_at, state.deadline = time.monotonic(), time.monotonic() + 20
             state.facts.request_id, state.route.objective_s = name, 10.0
@@ -144,7 +144,7 @@
             relay=mock.Mock(),
             crash_monitor=mock.Mock(),
         )
-        state = mock.Mock(runs=0, attempts=1, deadline=time.monotonic() + 20.0)
+        state = mock.Mock(runs=0, sends=0, attempts=1, deadline=time.monotonic() + 20.0)
         catalogue.apply_changes([rows[0]], 1, now=time.monotonic())
         for _ in range(MAX_ERRORS):
             await _try_target(plain, state, rows[0].record)
--- a/packages/router/fulmarward_router/exchange/tests/test_stop_gate.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_stop_gate.py
@@ -134,6 +134,26 @@
             async with asyncio.timeout(5.0):
                 self.check_refused(await asked)
 
+    async def test_refused_request_that_waits_is_refused_as_the_stop_begins(self):
+        """Guards against a late refusal of what its target has not run."""
+        dialect, plain = self.peer.handler._dialect, self.peer.handler._plain
+        facts = replace(dialect.read_answer(503, {}), is_not_run=True)
+        dialect.read_answer = lambda status, headers: facts
+        poll_target = plain._poll_target
+
+        async def poll(state, tried, is_last):
+            if tried:
+                await asyncio.Event().wait()
+            return await poll_target(state, tried, is_last)
+
+        plain._poll_target = poll
+        asked = self.ask()
+        await self.await_sent()
+        await asyncio.sleep(0.02)
+        self.begin_stop(2.0)
+        async with asyncio.timeout(5.0):
+            self.check_refused(await asked)
+
     async def test_request_at_its_target_goes_on_as_the_stop_begins(self):
         """Guards against ending what was taken before the stop."""
         with mock.patch.object(self.peer.client, "open", self.hang):
