Logs: a head that is not whole as its connection closes leaves a line

A caller that had sent part of a head as the instance ended got a closed connection, and no line of the log told of it; lines were written for heads that were read and not begun.

Cause: the HTTP library has no request, and calls no handler, until a head is whole.

The connection records whether what it has read ends inside a head, and its last line says so. The caller still gets no answer.

--- a/packages/router/fulmarward_router/exchange/_caller_connection.py
+++ b/packages/router/fulmarward_router/exchange/_caller_connection.py
@@ -3,7 +3,7 @@
 import asyncio
 from enum import Enum
 
-from aiohttp import web
+from aiohttp import StreamReader, web
 
 from fulmarward.observability import log_event
 
@@ -20,7 +20,7 @@
 class CallerConnection(web.RequestHandler):
     """A caller's connection, which records who closed it first."""
 
-    __slots__ = ("close_cause", "closed_by")
+    __slots__ = ("_has_part_of_head", "_latest_body", "close_cause", "closed_by")
 
     def __init__(self, *args: object, **options: object) -> None:
         super().__init__(*args, **options)
@@ -28,6 +28,24 @@
         self.closed_by: ClosedBy | None = None
         #: How it was closed, empty while it is open.
         self.close_cause = ""
+        #: Body of the latest request whose head was read.
+        self._latest_body: StreamReader | None = None
+        #: Whether bytes of a head were read that is not whole.
+        self._has_part_of_head = False
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what has arrived, and record whether it ends inside a head.
+
+        A head that begins behind a body in the same bytes is not recognized.
+        """
+        is_of_head = self._latest_body is None or self._latest_body.is_eof()
+        count = self._request_count
+        super().data_received(data)
+        if self._request_count > count:
+            self._latest_body = self._messages[-1][1]
+            self._has_part_of_head = False
+        elif data and is_of_head:
+            self._has_part_of_head = True
 
     def eof_received(self) -> None:
         """Record that the caller closed the connection."""
@@ -43,10 +61,12 @@
             self._record_closed(ClosedBy.INSTANCE, "closed")
         else:
             self._record_closed(ClosedBy.CALLER, repr(exc))
-        if self._messages and self.closed_by is ClosedBy.INSTANCE:
+        is_dropped = self._messages or self._has_part_of_head
+        if is_dropped and self.closed_by is ClosedBy.INSTANCE:
             log_event(
                 "read_requests_dropped",
                 count=len(self._messages),
+                has_part_of_head=self._has_part_of_head,
                 peer=str(self.peername),
                 close_cause=self.close_cause,
             )
