Planned stops: requests read behind others count as open

Callers that had sent many requests ahead got no answer to the last of them: the process ended. Seen in plays on real processes: 8 of 1,381 requests of an instance that ended before the end of its grace time (4 s), 127 dropped in all (read_requests_dropped), the 8 later than 0.2 s after they were sent.

Cause: the instance ends once no request is open, and one counted from the moment at which it is begun. Refusals are written within one turn of the loop, so that between two of them none was open, however many had been read behind.

Now those count too, for the end of the stop and for what closing takes.

--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -218,7 +218,8 @@
         self._calls_by_subsystem: defaultdict[str, Counter[str]] = defaultdict(Counter)
         self.life = Life()
         self.stop_gate = StopGate(
-            has_peers=lambda: bool(self.listing.list_relay_peers())
+            has_peers=lambda: bool(self.listing.list_relay_peers()),
+            count_read=lambda: self.caller_server.count_read(),
         )
         self.metrics = make_router_metrics()
         self.meter = ProcessorMeter(read_clock=time.perf_counter)
@@ -421,6 +422,11 @@
         self.caller_handler = self._make_caller_handler(
             TargetClient(session=target_session, dialect=self.dialect)
         )
+        self.caller_server = CallerServer(
+            self.caller_handler.handle,
+            read_idle_timeout_s=self.caller_handler.read_idle_timeout_s,
+            max_header_bytes=MAX_HEADER_BYTES,
+        )
 
     def _make_caller_handler(self, client: TargetClient) -> CallerHandler:
         context = ServiceContext(
@@ -765,14 +771,9 @@
             describe_denials=self._describe_denials,
             lift_crash_pattern=self.poison.lift,
         )
-        caller_server = CallerServer(
-            self.caller_handler.handle,
-            read_idle_timeout_s=self.caller_handler.read_idle_timeout_s,
-            max_header_bytes=MAX_HEADER_BYTES,
-        )
         ready = make_ready_handler(is_ready=self.is_ready)
         handlers = [
-            ("requests", settings.caller_address, caller_server),
+            ("requests", settings.caller_address, self.caller_server),
             ("readiness", settings.ready_address, ready),
             ("lookup", settings.lookup_address, lookup),
             ("metrics", settings.metrics_address, operator),
@@ -876,6 +877,7 @@
         withdrawal.cancel()
         self.life.end_requests()
         open_requests = self.stop_gate.count_open()
+        self.caller_server.end_counting()
         while True:
             self.stop_gate.end_all()
             await asyncio.sleep(_END_POLL_INTERVAL_S)
--- a/packages/router/fulmarward_router/exchange/_caller_connection.py
+++ b/packages/router/fulmarward_router/exchange/_caller_connection.py
@@ -118,6 +118,21 @@
         written = self.transport.get_write_buffer_size()
         return written + int.from_bytes(held, sys.byteorder)
 
+    @property
+    def last_read(self) -> int:
+        """The number of the last request that was read; the first one has 1."""
+        return self._request_count
+
+    def count_read(self, *, until: int | None = None) -> int:
+        """Return how many requests up to the number `until` were read and not begun.
+
+        There are none that can be answered once the connection is being closed.
+        """
+        if not self._is_open:
+            return 0
+        last = self._request_count if until is None else until
+        return max(0, last - (self._request_count - len(self._messages)))
+
     @property
     def _is_open(self) -> bool:
         return self.transport is not None and not self.transport.is_closing()
--- a/packages/router/fulmarward_router/exchange/_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/_caller_handler.py
@@ -121,12 +121,33 @@
             lingering_time=LINGERING_TIME_S,
         )
         self._read_idle_timeout_s = read_idle_timeout_s
+        #: The number of the last request that counts, by connection.
+        self._last_read: dict[CallerConnection, int] | None = None
 
     def __call__(self) -> CallerConnection:
         """Return the handler of a new connection."""
         self._kwargs["keepalive_timeout"] = self._read_idle_timeout_s()
         return CallerConnection(self, loop=self._loop, **self._kwargs)
 
+    def count_read(self) -> int:
+        """Return how many requests were read behind those that are being served."""
+        last_read = self._last_read
+        return sum(
+            connection.count_read(
+                until=None if last_read is None else last_read.get(connection, 0)
+            )
+            for connection in self.connections
+        )
+
+    def end_counting(self) -> None:
+        """Leave what is read from now on out of `count_read`.
+
+        Guards against a stop that does not end while callers send on.
+        """
+        self._last_read = {
+            connection: connection.last_read for connection in self.connections
+        }
+
 
 class CallerHandler:
     """Routes each request to its service and records how it ended."""
--- a/packages/router/fulmarward_router/exchange/_stop_gate.py
+++ b/packages/router/fulmarward_router/exchange/_stop_gate.py
@@ -62,9 +62,16 @@
 class StopGate:
     """Takes requests; during a stop, only those whose deadline is before its end."""
 
-    def __init__(self, *, has_peers: Callable[[], bool] = lambda: True) -> None:
+    def __init__(
+        self,
+        *,
+        has_peers: Callable[[], bool] = lambda: True,
+        count_read: Callable[[], int] = lambda: 0,
+    ) -> None:
         #: Returns whether callers that are refused find another instance.
         self._has_peers = has_peers
+        #: Returns how many requests were read behind those that are being served.
+        self._count_read = count_read
         self._schedule: StopSchedule | None = None
         #: Whether all open requests were ended, and none is taken any more.
         self.has_ended = False
@@ -85,8 +92,11 @@
                 request.end()
 
     def count_open(self) -> int:
-        """Return how many requests are open, those that are being read included."""
-        return len(self._open)
+        """Return how many requests are open, those that are being read included.
+
+        Those that were read behind others get an answer too, once it is their turn.
+        """
+        return len(self._open) + self._count_read()
 
     def open(self) -> OpenRequest:
         """Record that the current task serves a request."""
