Planned stops: a request does not wait for delivery if others were read behind it

Cause: each answer waited until its caller's system had it, also where the connection was not closed behind it.

Now only the last one waits, the one before the connection is closed.

--- a/packages/router/fulmarward_router/exchange/_caller_connection.py
+++ b/packages/router/fulmarward_router/exchange/_caller_connection.py
@@ -172,10 +172,13 @@
 
 
 async def await_delivery(request: web.BaseRequest) -> None:
-    """Return once earlier answers on a connection have arrived, or it is closed."""
+    """Return once earlier answers on a connection have arrived, or it is closed.
+
+    If requests were read behind this one, it stays open, and there is no need to wait.
+    """
     connection = request.protocol
     if isinstance(connection, CallerConnection):
-        while connection.count_undelivered() > 0:
+        while connection.count_undelivered() > 0 and not connection.count_read():
             await asyncio.sleep(_DELIVERY_POLL_INTERVAL_S)
 
 
