--- a/packages/router/fulmarward_router/exchange/_caller_connection.py
+++ b/packages/router/fulmarward_router/exchange/_caller_connection.py
@@ -136,9 +136,19 @@
         return self.transport is not None and has_unacknowledged(self.transport)
 
     @property
-    def read_requests(self) -> int:
-        """The number of requests that were read and not begun."""
-        return len(self._messages)
+    def last_read(self) -> int:
+        """The number of the last request that was read; the first one has 1."""
+        return self._request_count
+
+    def count_read(self, *, until: int | None = None) -> int:
+        """Return how many requests up to the number `until` were read and not begun.
+
+        There are none that can be answered once the connection is being closed.
+        """
+        if not self._is_open:
+            return 0
+        last = self._request_count if until is None else until
+        return max(0, last - (self._request_count - len(self._messages)))
 
     @property
     def _is_open(self) -> bool:
@@ -179,10 +189,13 @@
 
 
 async def await_delivery(request: web.BaseRequest) -> None:
-    """Return once earlier answers on a connection have arrived, or it is closed."""
+    """Return once earlier answers on a connection have arrived, or it is closed.
+
+    If requests were read behind this one, it stays open, and there is no need to wait.
+    """
     connection = request.protocol
     if isinstance(connection, CallerConnection):
-        while connection.has_undelivered:
+        while connection.has_undelivered and not connection.count_read():
             await asyncio.sleep(_DELIVERY_POLL_INTERVAL_S)
 
 
--- a/packages/router/fulmarward_router/exchange/_stop_gate.py
+++ b/packages/router/fulmarward_router/exchange/_stop_gate.py
@@ -70,17 +70,22 @@
 class StopGate:
     """Takes requests; during a stop, only those whose deadline is before its end."""
 
-    def __init__(self, *, has_peers: Callable[[], bool] = lambda: True) -> None:
+    def __init__(
+        self,
+        *,
+        has_peers: Callable[[], bool] = lambda: True,
+        count_read: Callable[[], int] = lambda: 0,
+    ) -> None:
         #: Returns whether callers that are refused find another instance.
         self._has_peers = has_peers
+        #: Returns how many requests were read behind those that are being served.
+        self._count_read = count_read
         self._schedule: StopSchedule | None = None
         #: Whether all open requests were ended, and none is taken any more.
         self.has_ended = False
         self._open: set[OpenRequest] = set()
         #: Answered requests whose bodies are still read, and until when at most.
         self._unread: list[tuple[web.BaseRequest, float]] = []
-        #: Returns how many requests were read behind those that are being served.
-        self.count_read: Callable[[], int] = lambda: 0
 
     def begin(self, schedule: StopSchedule) -> None:
         """Take only requests that are ended in time from now on.
@@ -101,7 +106,7 @@
 
         Those that were read behind others get an answer too, once it is their turn.
         """
-        return len(self._open) + self.count_read()
+        return len(self._open) + self._count_read()
 
     def open(self, request: web.BaseRequest) -> OpenRequest:
         """Record that the current task serves a request."""
