Callers: one budget for what all connections make an instance hold

Callers outside the limits ended a process: it ran out of memory. What was seen here before, of 112 MB: 543 to 562 MB by heads and trailers without end, 181 to 237 MB by answers and streams that are not read and requests sent ahead; 419 descriptors of 340 by 400 connections that begin and stop midway.

Cause: each limit was one of a connection, or of a whole request once it had been read. Nothing knew what all connections hold together; headerTimeoutMs was read and not applied; a head, its framing, and an answer that is not read had no bound in bytes or time, and the kernel's buffers grew beside them.

ConnectionBudget counts what the connections of all HTTP ports hold, in both daemons, and fulmarward_core.connections decides whom to close first: the longest without progress, then the one that holds most, never one whose caller waits for its answer.

--- a/packages/instance/fulmarward/_daemon.py
+++ b/packages/instance/fulmarward/_daemon.py
@@ -31,7 +31,12 @@
     run_summaries,
     watch_drains,
 )
-from fulmarward.http import ResponseGuard
+from fulmarward.http import (
+    BoundedAppRunner,
+    ConnectionBudget,
+    ResponseGuard,
+    start_bounded,
+)
 from fulmarward.keys import (
     answer_forwarded_call,
     answer_forwarded_completion,
@@ -203,18 +208,11 @@
 
 
 async def _listen(
-    instance: Instance, app: web.Application, address: str
+    instance: Instance, app: web.Application, address: str, budget: ConnectionBudget
 ) -> web.AppRunner:
-    runner = web.AppRunner(
-        app,
-        access_log=None,
-        handler_cancellation=True,
-        shutdown_timeout=HANDLER_WAIT_S,
-    )
+    runner = BoundedAppRunner(app, budget=budget, shutdown_timeout=HANDLER_WAIT_S)
     await runner.setup()
-    host, port = address.rsplit(":", 1)
-    site = web.TCPSite(runner, host, int(port), ssl_context=instance.tls, backlog=1024)
-    await site.start()
+    await start_bounded(runner, address, ssl_context=instance.tls)
     return runner
 
 
@@ -258,11 +256,13 @@
         stop, expedited = instance.stop_requested, asyncio.Event()
         _watch_signals(stop, expedited)
         server = await serve_peers(instance, _make_handlers(instance, links))
+        budget = ConnectionBudget()
         runners = [
-            await _listen(instance, make_caller_app(instance), settings.caller_address),
-            await _listen(
-                instance, make_operator_app(instance), settings.operator_address
-            ),
+            await _listen(instance, app, address, budget)
+            for app, address in (
+                (make_caller_app(instance), settings.caller_address),
+                (make_operator_app(instance), settings.operator_address),
+            )
         ]
         log_event("instance_started", boot=instance.member.boot)
         tasks = [
@@ -278,6 +278,7 @@
             _start_task("readiness", run_readiness(instance, links), stop),
             _start_task("shares", run_shares(instance, links), stop),
             _start_task("admission", run_admission(instance), stop),
+            _start_task("connections", budget.run(), stop),
         ]
         await stop.wait()
         await _stop_gracefully(instance, expedited)
--- a/packages/router/fulmarward_router/_metrics.py
+++ b/packages/router/fulmarward_router/_metrics.py
@@ -6,6 +6,7 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 
+from fulmarward.http import CloseReason
 from fulmarward.observability import count_dropped_lines, make_metric_factory
 from fulmarward_core.isolation import ContactTable
 from fulmarward_core.poison import PoisonFinding, Verdict
@@ -89,6 +90,10 @@
     refused_rows: Counter
     #: Responses of targets, peers and the store that exceeded a `limit`.
     rejected_responses: Counter
+    #: Connections of callers that were closed as they were outside the limits, by
+    #: `reason`, and the bytes that all of them hold.
+    closed_connections: Counter
+    connection_bytes: Gauge
     #: Promises to rejected callers, by `outcome`: the fields of `PromiseCounts`.
     return_promises: Counter
     #: Seconds of the paths that served a whole answer, by `service` and `kind`:
@@ -196,6 +201,12 @@
         rejected_responses=factory.count(
             "rejected_responses_total", "Responses that exceeded a limit, by limit."
         ),
+        closed_connections=factory.count(
+            "closed_connections_total", "Connections outside the limits, by reason."
+        ),
+        connection_bytes=factory.gauge(
+            "connection_bytes", "Bytes that connections of callers hold."
+        ),
         return_promises=factory.count(
             "return_promises_total", "Promises to rejected callers, by outcome."
         ),
@@ -290,6 +301,8 @@
     limits: LimitTable,
     backed_off_targets: int,
     rejected_responses: Mapping[str, int],
+    closed_connections: Mapping[CloseReason, int],
+    connection_bytes: int,
     promises: PromiseCounts,
 ) -> None:
     """Update the metrics that are computed only when they are read."""
@@ -328,6 +341,9 @@
         metrics.return_promises.set({"outcome": outcome}, count)
     for limit, count in rejected_responses.items():
         metrics.rejected_responses.set({"limit": limit}, count)
+    for reason, count in closed_connections.items():
+        metrics.closed_connections.set({"reason": reason.value}, count)
+    metrics.connection_bytes.set({}, connection_bytes)
     for reason in SUSPICION_REASONS:
         count = excluded_targets.get(reason, 0)
         metrics.excluded_targets.set({"reason": reason}, count)
--- a/packages/router/fulmarward_router/daemon.py
+++ b/packages/router/fulmarward_router/daemon.py
@@ -13,7 +13,13 @@
 from aiohttp import web
 from websockets.asyncio.server import Server
 
-from fulmarward.http import ResponseGuard, ResponseLimits
+from fulmarward.http import (
+    BoundedServer,
+    ConnectionBudget,
+    ResponseGuard,
+    ResponseLimits,
+    start_bounded,
+)
 from fulmarward.observability import log_event, start_logging, stop_logging
 from fulmarward_core.catalogue import NamedTargets, TargetCatalogue
 from fulmarward_core.demand import DemandTable
@@ -422,8 +428,15 @@
         self.caller_handler = self._make_caller_handler(
             TargetClient(session=target_session, dialect=self.dialect)
         )
+        #: What callers make this instance hold, at all of its HTTP ports.
+        self.connection_budget = ConnectionBudget(
+            limits=settings.connection_limits,
+            read_clock=clock,
+            read_request_limits=self.caller_handler.read_request_limits,
+        )
         self.caller_server = CallerServer(
             self.caller_handler.handle,
+            budget=self.connection_budget,
             read_idle_timeout_s=self.caller_handler.read_idle_timeout_s,
             max_header_bytes=MAX_HEADER_BYTES,
         )
@@ -714,6 +727,7 @@
             self._start("readiness", self._become_ready),
             self._start("settings", self._follow_settings),
             self._start("metrics", self._log_resources),
+            self._start("connections", self.connection_budget.run),
         ]
         await self._signals.stop.wait()
         schedule = StopSchedule(began_at=self._clock(), grace_s=self.settings.grace_s)
@@ -766,6 +780,8 @@
                 backed_off_targets=len(self.target_limits.list_backed_off()),
                 promises=self.promised_returns.counts,
                 rejected_responses=self._guard.excesses + self._store_guard.excesses,
+                closed_connections=self.connection_budget.closed,
+                connection_bytes=self.connection_budget.held_bytes,
             ),
             describe=lambda: describe_status(self, now=self._clock()),
             describe_denials=self._describe_denials,
@@ -780,7 +796,13 @@
         ]
         return [
             await start_in_subsystem(
-                subsystem, _serve(address, handler, grace_s=settings.grace_s)
+                subsystem,
+                _serve(
+                    address,
+                    handler,
+                    budget=self.connection_budget,
+                    grace_s=settings.grace_s,
+                ),
             )
             for subsystem, address, handler in handlers
             if address
@@ -936,21 +958,20 @@
     address: str,
     handler: web.Server | Callable[[web.BaseRequest], Awaitable],
     *,
+    budget: ConnectionBudget,
     grace_s: float,
 ) -> web.ServerRunner:
-    """Start an HTTP server at `IP:PORT`.
+    """Start an HTTP server at `IP:PORT`, whose connections the budget bounds.
 
     Once it is closed it waits for its handlers, for a share of the grace time.
     """
     if not isinstance(handler, web.Server):
-        handler = web.Server(handler, access_log=None)
+        handler = BoundedServer(handler, budget=budget)
     closing_s = StopSchedule(began_at=0.0, grace_s=grace_s).closing_s
     timeout_s = max(_MIN_HANDLER_WAIT_S, closing_s * _HANDLER_WAIT_SHARE)
     runner = web.ServerRunner(handler, shutdown_timeout=timeout_s)
     await runner.setup()
-    host, port = address.rsplit(":", 1)
-    site = web.TCPSite(runner, host, int(port), backlog=1024)
-    await site.start()
+    await start_bounded(runner, address)
     return runner
 
 
--- a/packages/router/fulmarward_router/exchange/_caller_connection.py
+++ b/packages/router/fulmarward_router/exchange/_caller_connection.py
@@ -3,8 +3,9 @@
 import asyncio
 from enum import Enum
 
-from aiohttp import StreamReader, web
+from aiohttp import web
 
+from fulmarward.http import BoundedConnection
 from fulmarward.observability import log_event
 from fulmarward_router._sockets import has_unacknowledged
 
@@ -21,16 +22,10 @@
     INSTANCE = "instance"
 
 
-class CallerConnection(web.RequestHandler):
+class CallerConnection(BoundedConnection):
     """A caller's connection, which records who closed it first."""
 
-    __slots__ = (
-        "_has_part_of_head",
-        "_latest_body",
-        "close_cause",
-        "closed_by",
-        "is_close_announced",
-    )
+    __slots__ = ("close_cause", "closed_by", "is_close_announced")
 
     def __init__(self, *args: object, **options: object) -> None:
         super().__init__(*args, **options)
@@ -38,27 +33,9 @@
         self.closed_by: ClosedBy | None = None
         #: How it was closed, empty while it is open.
         self.close_cause = ""
-        #: Body of the latest request whose head was read.
-        self._latest_body: StreamReader | None = None
-        #: Whether bytes of a head were read that is not whole.
-        self._has_part_of_head = False
         #: Whether an answer said that it will be closed.
         self.is_close_announced = False
 
-    def data_received(self, data: bytes) -> None:
-        """Parse what has arrived, and record whether it ends inside a head.
-
-        A head that begins behind a body in the same bytes is not recognized.
-        """
-        is_of_head = self._latest_body is None or self._latest_body.is_eof()
-        count = self._request_count
-        super().data_received(data)
-        if self._request_count > count:
-            self._latest_body = self._messages[-1][1]
-            self._has_part_of_head = False
-        elif data and is_of_head:
-            self._has_part_of_head = True
-
     def eof_received(self) -> None:
         """Record that the caller closed the connection."""
         self._record_closed(ClosedBy.CALLER, "end of file")
@@ -73,12 +50,12 @@
             self._record_closed(ClosedBy.INSTANCE, "closed")
         else:
             self._record_closed(ClosedBy.CALLER, repr(exc))
-        is_dropped = self._messages or self._has_part_of_head
+        is_dropped = self._messages or self.has_part_of_head
         if is_dropped and self.closed_by is ClosedBy.INSTANCE:
             log_event(
                 "read_requests_dropped",
                 count=len(self._messages),
-                has_part_of_head=self._has_part_of_head,
+                has_part_of_head=self.has_part_of_head,
                 peer=str(self.peername),
                 close_cause=self.close_cause,
             )
@@ -205,3 +182,11 @@
         request.protocol.close_after(answer)
     else:
         answer.force_close()
+
+
+def hold_body(request: web.BaseRequest, size: int) -> bool:
+    """Count bytes of a body that are kept; return whether there is room for them."""
+    connection = request.protocol
+    if not isinstance(connection, CallerConnection):
+        return True
+    return connection.hold_body(size)
--- a/packages/router/fulmarward_router/exchange/_caller_handler.py
+++ b/packages/router/fulmarward_router/exchange/_caller_handler.py
@@ -8,6 +8,7 @@
 import orjson
 from aiohttp import web
 
+from fulmarward.http import BoundedServer, ConnectionBudget, RequestLimits
 from fulmarward.observability import log_event
 from fulmarward_core.quotas import RetryBudget
 from fulmarward_core.results import ResultCode
@@ -29,6 +30,7 @@
     close_after,
     find_close_cause,
     find_closer,
+    hold_body,
     is_close_announced,
 )
 from fulmarward_router.exchange._engines import EngineService
@@ -68,6 +70,9 @@
 #: rejection before the connection is reset.
 LINGERING_TIME_S = 2.0
 
+#: Bytes of a body that are read although callers hold as much as they may.
+MAX_UNHELD_BYTES = 64 << 10
+
 #: Characters of a cause that are kept for operators, and of a detail that is logged.
 MAX_KEPT_CAUSE = 256
 
@@ -100,20 +105,23 @@
 _LOGGED_OUTCOMES = frozenset(code.name.lower() for code in ResultCode)
 
 
-class CallerServer(web.Server):
+class CallerServer(BoundedServer):
     """Accepts callers' connections, with the configured idle timeout."""
 
+    make_connection = CallerConnection
+
     def __init__(
         self,
         handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
         *,
+        budget: ConnectionBudget,
         read_idle_timeout_s: Callable[[], float],
         max_header_bytes: int,
     ) -> None:
         super().__init__(
             handler,
+            budget=budget,
             handler_cancellation=True,
-            access_log=None,
             # Targets get bodies as they were sent.
             auto_decompress=False,
             max_field_size=max_header_bytes,
@@ -127,7 +135,7 @@
     def __call__(self) -> CallerConnection:
         """Return the handler of a new connection."""
         self._kwargs["keepalive_timeout"] = self._read_idle_timeout_s()
-        return CallerConnection(self, loop=self._loop, **self._kwargs)
+        return super().__call__()
 
     def count_read(self) -> int:
         """Return how many requests were read behind those that are being served."""
@@ -190,6 +198,15 @@
         current = self._configuration.current
         return DEFAULT_IDLE_TIMEOUT_S if current is None else current.limits.idle_s
 
+    def read_request_limits(self) -> RequestLimits:
+        """Return the limits of what a caller's connection sends."""
+        current = self._configuration.current
+        if current is None:
+            return RequestLimits()
+        return RequestLimits(
+            head_s=current.limits.header_s, idle_s=current.limits.idle_s
+        )
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Respond to a request."""
         arrived_at = self._read_clock()
@@ -199,6 +216,8 @@
         try:
             state = await self._parse_request(request, arrived_at)
             open_request.state = state
+            if isinstance(request.protocol, CallerConnection):
+                request.protocol.answer_until = state.deadline
             answer = await self._serve(state)
             outcome = f"status {answer.status}"
             if self._is_stopping() and not answer.prepared:
@@ -463,6 +482,12 @@
                 async for part in request.content.iter_any():
                     parts.append(part)
                     size += len(part)
+                    if not hold_body(request, size) and size > MAX_UNHELD_BYTES:
+                        raise RejectedRequest(
+                            ResultCode.QUEUE_FULL,
+                            cause="callers hold too much",
+                            retry_after_s=NOT_READY_RETRY_S,
+                        )
                     if size > limit:
                         raise RejectedRequest(
                             ResultCode.BODY_TOO_LARGE, cause="body too large"
@@ -625,6 +650,10 @@
     transport = request.transport
     if transport is None:
         return
+    if isinstance(answer, web.Response) and isinstance(
+        request.protocol, CallerConnection
+    ):
+        request.protocol.hold_answer(answer.content_length or 0)
     # Writing waits until the buffer is empty, and not until it is short.
     transport.set_write_buffer_limits(high=0)
     try:
--- a/packages/router/fulmarward_router/exchange/_send.py
+++ b/packages/router/fulmarward_router/exchange/_send.py
@@ -15,7 +15,13 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from fulmarward.http import BoundedHandler, ResponseGuard, send_once
+from fulmarward.http import (
+    BoundedConnection,
+    BoundedHandler,
+    ResponseGuard,
+    limit_reads,
+    send_once,
+)
 from fulmarward.observability import log_event
 from fulmarward_router._sockets import (
     has_unacknowledged,
@@ -37,6 +43,10 @@
 UNACKNOWLEDGED_TIMEOUT_S = 1.5
 
 
+#: Bytes of a response that are read in one turn of the event loop, and that are kept
+#: for a caller that does not read.
+MAX_READ_BYTES = 64 << 10
+
 #: Characters that are logged of an error, as it may quote a target.
 MAX_CAUSE_LENGTH = 512
 
@@ -84,6 +94,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Attach the connection to its request, and bound its delivery."""
         limit_unacknowledged(transport, UNACKNOWLEDGED_TIMEOUT_S)
+        limit_reads(transport, MAX_READ_BYTES)
         opening = _current_opening.get()
         if opening is not None:
             opening.transport = transport
@@ -128,6 +139,7 @@
         auto_decompress=False,
         middlewares=[send_once],
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+        read_bufsize=MAX_READ_BYTES,
     )
 
 
@@ -170,6 +182,12 @@
             # A target may respond before it reads the whole body.
             if opening.transport is not None and not opening.transport.is_closing():
                 limit_unacknowledged(opening.transport, 0)
+            caller = getattr(state.request, "protocol", None)
+            if isinstance(caller, BoundedConnection):
+                size = response.content_length or 0
+                if not await caller.await_answer_room(size):
+                    response.close()
+                    raise AnswerLost(f"no room for an answer of {size} bytes")
             return response
         except (SendFailed, asyncio.CancelledError) as error:
             error.connections = opening.connections
--- a/packages/router/fulmarward_router/exchange/tests/test_caller_connection.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_caller_connection.py
@@ -10,6 +10,7 @@
 
 from aiohttp import web
 
+from fulmarward.http import ConnectionBudget
 from fulmarward_core.results import ResultCode
 from fulmarward_router.exchange import CallerHandler, CallerServer, _caller_handler
 from fulmarward_router.exchange._caller_connection import ClosedBy, find_closer
@@ -37,6 +38,7 @@
         self.requests = asyncio.Queue()
         server = CallerServer(
             self.handler.handle,
+            budget=ConnectionBudget(),
             read_idle_timeout_s=lambda: 60.0,
             max_header_bytes=8190,
         )
@@ -133,7 +135,10 @@
             return answer
 
         server = CallerServer(
-            handle, read_idle_timeout_s=lambda: 60.0, max_header_bytes=8190
+            handle,
+            budget=ConnectionBudget(),
+            read_idle_timeout_s=lambda: 60.0,
+            max_header_bytes=8190,
         )
         runner = web.ServerRunner(server, shutdown_timeout=0.0)
         await runner.setup()
@@ -152,7 +157,10 @@
     async def asyncSetUp(self):
         self.bodies = asyncio.Queue()
         server = CallerServer(
-            self.handle, read_idle_timeout_s=lambda: 60.0, max_header_bytes=8190
+            self.handle,
+            budget=ConnectionBudget(),
+            read_idle_timeout_s=lambda: 60.0,
+            max_header_bytes=8190,
         )
         runner = web.ServerRunner(server, shutdown_timeout=0.0)
         await runner.setup()
--- a/packages/router/fulmarward_router/ports.py
+++ b/packages/router/fulmarward_router/ports.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from fulmarward.http import ResponseLimits
+from fulmarward_core.connections import ConnectionLimits
 from fulmarward_core.fleet import LayerRange, RowFault, TargetRecord
 from fulmarward_core.paths import Hop
 from fulmarward_core.reservations import ClassSettings
@@ -65,6 +66,8 @@
     link_bytes_per_s: float | None = None
     #: What is accepted of one response of a target or peer.
     response_limits: ResponseLimits = ResponseLimits()
+    #: What callers may make this instance hold.
+    connection_limits: ConnectionLimits = ConnectionLimits()
     #: Admission of requests to services whose routes have different priorities.
     class_settings: ClassSettings = ClassSettings()
     #: Shares of teams in the capacity of services.
