Peer port: handshakes are bounded in number and time

400 connections that begin a handshake and stop midway took 248 to 350 sockets of 140 at the port for peers, and 10 s passed before they were closed.

Now 32 handshakes may be under way, the oldest of which is ended for a new one, for 3 s each, and eight connections are accepted in one turn of the event loop.

test_heads_that_stop_midway_at_the_peer_port failed before and passes.

--- a/packages/router/fulmarward_router/mesh/_links.py
+++ b/packages/router/fulmarward_router/mesh/_links.py
@@ -13,11 +13,16 @@
 from websockets.frames import CloseCode
 from websockets.protocol import State
 
+from fulmarward.http import ACCEPTED_PER_TURN, WAITING_CONNECTIONS, listen_bounded
 from fulmarward.observability import log_event
 from fulmarward_core.codec import InvalidMessageError, OversizedMessageError
 from fulmarward_core.spread import DEFER_DURATION_S
 from fulmarward_core.transit import TransitClock
 from fulmarward_router._supervision import log_failure
+from fulmarward_router.mesh._accepted_connection import (
+    HANDSHAKE_TIMEOUT_S,
+    AcceptedConnection,
+)
 from fulmarward_router.mesh._codec import decode_message, encode_message
 from fulmarward_router.mesh._eras import remove_eras
 from fulmarward_router.mesh._heartbeats import (
@@ -951,14 +956,18 @@
 
     async def listen(self, address: str) -> Server:
         """Accept links from peers at `address`, given as `IP:PORT`."""
-        host, port = address.rsplit(":", 1)
-        return await serve(
+        listener = listen_bounded(address)
+        server = await serve(
             self.accept,
-            host,
-            int(port),
+            sock=listener,
+            backlog=ACCEPTED_PER_TURN,
+            create_connection=AcceptedConnection,
+            open_timeout=HANDSHAKE_TIMEOUT_S,
             ping_interval=ACCEPTED_PING_INTERVAL_S,
             ping_timeout=SEND_TIMEOUT_S,
             close_timeout=0.2,
             max_size=MAX_MESSAGE_BYTES,
             compression=None,
         )
+        listener.listen(WAITING_CONNECTIONS)
+        return server
