Callers: a head that was not read on waits no longer than others, a cut answer is given up

A part of a head behind a long answer counted from when it was read, although reading may have been paused until the answer ended: its connection would have been closed as too slow. The unsent part of an answer that was cut was kept for the idle timeout; it is given up after a second without progress.

--- a/packages/instance/fulmarward/http/_connections.py
+++ b/packages/instance/fulmarward/http/_connections.py
@@ -313,7 +313,10 @@
         """Give back what the request has held, and read on."""
         self._is_serving, self.answer_until = False, None
         self._body_bytes = self._answer_bytes = 0
-        self._progressed_at = self._budget.read_clock()
+        self._progressed_at = now = self._budget.read_clock()
+        if self._head_since is not None:
+            # Reading may have been paused until now.
+            self._head_since = now
         if not self._messages:
             self._ahead_bytes = 0
             if self._buffer_paused and self.transport is not None:
@@ -364,7 +367,10 @@
             self._progressed_at = now
         self._unsent_bytes = unsent_bytes
         until = self.answer_until
-        if until is None:
+        if self.transport is not None and self.transport.is_closing():
+            # Its answer has ended; what is unsent is kept until it is read.
+            until = self._progressed_at
+        elif until is None:
             until = self._progressed_at + limits.idle_s - LATE_READ_S
         return CloseReason.ANSWER_UNREAD if now > until + LATE_READ_S else None
 
