--- a/packages/router/fulmarward_router/exchange/tests/test_written_answers.py
+++ b/packages/router/fulmarward_router/exchange/tests/test_written_answers.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 from aiohttp.test_utils import RawTestServer
 
+from fulmarward.http import ConnectionBudget
 from fulmarward_router.daemon import _serve
 from fulmarward_router.exchange.tests.test_stop_gate import _StoppingTest
 
@@ -82,7 +83,9 @@
 
         self.peer.handler._serve = serve
         server = web.Server(self.peer.handler.handle, handler_cancellation=True)
-        runner = await _serve("127.0.0.1:0", server, grace_s=8.0)
+        runner = await _serve(
+            "127.0.0.1:0", server, budget=ConnectionBudget(), grace_s=8.0
+        )
         host, port = runner.addresses[0][:2]
         reader, writer = await asyncio.open_connection(host, port, limit=1 << 16)
         self.addCleanup(writer.transport.abort)
