Callers: a body that is only framing is answered, and no longer read

A caller whose body was only a chunk's extension got a reset in place of 408: the budget closed its connection.

--- a/packages/instance/fulmarward/http/_connections.py
+++ b/packages/instance/fulmarward/http/_connections.py
@@ -73,7 +73,6 @@
 
     HEAD_TOO_LARGE = "head too large"
     HEAD_TOO_SLOW = "head too slow"
-    FRAMING_TOO_LARGE = "framing too large"
     ANSWER_UNREAD = "answer not read"
     #: All connections together held too much, or were too many.
     BUDGET = "budget"
@@ -290,8 +289,9 @@
             self._progressed_at = now
             self._framed_bytes += len(data)
             bound = MAX_FRAMING_BYTES + FRAMING_FACTOR * body.total_bytes
-            if self._framed_bytes > max(bound, len(data)):
-                self.close_for(CloseReason.FRAMING_TOO_LARGE)
+            if self._framed_bytes > max(bound, len(data)) and not self._buffer_paused:
+                # Its caller gets its answer once the time for the body has passed.
+                self._pause_reading_for_buffer()
         elif data:
             self._head_bytes += len(data)
             if self._head_since is None:
